--- /dev/null
+++ b/build/knownred/known.go
@@ -0,0 +1,69 @@
+package main
+
+import (
+	"errors"
+	"fmt"
+	"io/fs"
+	"os"
+	"strings"
+)
+
+// maxKnown is the most failures that may be listed at once.
+const maxKnown = 3
+
+// Entry is one line of KNOWN-RED.txt.
+type Entry struct {
+	Test  string // package.Test, package.Test/sub or package.TestSuite: spec
+	Cause string
+	Issue string
+}
+
+// ListError reports a KNOWN-RED.txt that breaks its form.
+type ListError struct {
+	Line    int
+	Problem string
+}
+
+// Error implements error.
+func (e *ListError) Error() string {
+	return fmt.Sprintf("known failures, line %d: %s", e.Line, e.Problem)
+}
+
+// readKnown reads the list; a file that does not exist lists nothing.
+func readKnown(path string) ([]Entry, error) {
+	text, err := os.ReadFile(path)
+	if errors.Is(err, fs.ErrNotExist) {
+		return nil, nil
+	}
+	if err != nil {
+		return nil, err
+	}
+	return parseKnown(string(text))
+}
+
+func parseKnown(text string) ([]Entry, error) {
+	var entries []Entry
+	for i, line := range strings.Split(text, "\n") {
+		line = strings.TrimSpace(line)
+		if line == "" || strings.HasPrefix(line, "#") {
+			continue
+		}
+		fields := strings.Split(line, "|")
+		if len(fields) != 3 {
+			return nil, &ListError{Line: i + 1, Problem: "want: package.Test | cause | issue"}
+		}
+		entry := Entry{
+			Test:  strings.TrimSpace(fields[0]),
+			Cause: strings.TrimSpace(fields[1]),
+			Issue: strings.TrimSpace(fields[2]),
+		}
+		if entry.Test == "" || entry.Cause == "" || entry.Issue == "" {
+			return nil, &ListError{Line: i + 1, Problem: "empty field"}
+		}
+		entries = append(entries, entry)
+		if len(entries) > maxKnown {
+			return nil, &ListError{Line: i + 1, Problem: "more than three entries"}
+		}
+	}
+	return entries, nil
+}
