--- /dev/null
+++ b/modules/standard/standard.go
@@ -0,0 +1,2 @@
+// Package standard registers the modules that the released binary contains.
+package standard
