--- /dev/null
+++ b/history/events.go
@@ -0,0 +1,204 @@
+package history
+
+import (
+	"github.com/burdockspindle/burdockspindle/serverapi"
+	"github.com/burdockspindle/burdockspindle/topo"
+)
+
+// Event is one of the types below.
+type Event interface {
+	// Kind names the type in the encoded form.
+	Kind() Kind
+	// When returns the moment by which a history is sorted: the only one, or
+	// the beginning of an interval.
+	When() Time
+}
+
+// Kind names an event's type in the encoded form.
+type Kind string
+
+// Kinds.
+const (
+	KindOwnerInterval   Kind = "owner-interval"
+	KindRunBegan        Kind = "run-began"
+	KindRunEnded        Kind = "run-ended"
+	KindServerStopped   Kind = "server-stopped"
+	KindCallerSent      Kind = "caller-sent"
+	KindCallerAnswered  Kind = "caller-answered"
+	KindAssignmentKnown Kind = "assignment-known"
+	KindSitePublished   Kind = "site-published"
+	KindSiteInForce     Kind = "site-in-force"
+)
+
+// OwnerInterval is a span during which a server, by its own clock, held an
+// unexpired lease and a grant for a shard under one fence. It is recorded when
+// it ends: revoked, replaced by a higher fence, lapsed, or the run is over. A
+// lease that was renewed before it lapsed is one interval.
+type OwnerInterval struct {
+	Server topo.ServerID `json:"server"`
+	Boot   topo.BootID   `json:"boot"`
+	Shard  topo.ShardID  `json:"shard"`
+	Fence  topo.Fence    `json:"fence"`
+	// Except lists the keys of the shard that the grant left out.
+	Except []string `json:"except,omitempty"`
+	From   Time     `json:"from"`
+	Until  Time     `json:"until"` // exclusive
+}
+
+// RunBegan is recorded just before a server begins to run a request, after its
+// checks of ownership and of the ticket.
+type RunBegan struct {
+	At        Time          `json:"at"`
+	Server    topo.ServerID `json:"server"`
+	Boot      topo.BootID   `json:"boot"`
+	RequestID string        `json:"requestId"` // of the attempt
+	// CallerRequest is the caller's own name for the request; see
+	// HeaderCallerRequest.
+	CallerRequest string       `json:"callerRequest"`
+	Service       topo.Service `json:"service"`
+	Shard         topo.ShardID `json:"shard"` // zero for services not divided by key
+	Fence         topo.Fence   `json:"fence"`
+	Key           string       `json:"key"`
+	Method        string       `json:"method"`
+	Ticket        string       `json:"ticket"` // empty without one
+}
+
+// RunEnded is recorded when the run is over and before its answer is sent.
+type RunEnded struct {
+	At        Time          `json:"at"`
+	Server    topo.ServerID `json:"server"`
+	Boot      topo.BootID   `json:"boot"`
+	RequestID string        `json:"requestId"`
+	// Committed is true when the server was still the owner after the run took
+	// effect, so that its answer stands. Otherwise the server answers "unknown".
+	Committed bool `json:"committed"`
+	// Value is the key's value after the run.
+	Value uint64 `json:"value"`
+	// BodyDigest of the request's body, as computed by the server.
+	BodyDigest string `json:"bodyDigest"`
+}
+
+// ServerStopped is recorded when a run of a server is over: killed, restarted
+// or stopped by plan.
+type ServerStopped struct {
+	At     Time          `json:"at"`
+	Server topo.ServerID `json:"server"`
+	Boot   topo.BootID   `json:"boot"`
+}
+
+// CallerSent is recorded before a caller sends one attempt of its request.
+type CallerSent struct {
+	At            Time         `json:"at"`
+	Caller        string       `json:"caller"`
+	CallerRequest string       `json:"callerRequest"`
+	Attempt       int          `json:"attempt"` // from 1
+	Service       topo.Service `json:"service"`
+	Key           string       `json:"key"`
+	Method        string       `json:"method"`
+	Ticket        string       `json:"ticket"`
+	BodyDigest    string       `json:"bodyDigest"`
+}
+
+// CallerAnswered is recorded when a caller has the whole answer to an attempt,
+// or a failure. The Echo fields are copied from the answer's body.
+type CallerAnswered struct {
+	At            Time              `json:"at"`
+	Caller        string            `json:"caller"`
+	CallerRequest string            `json:"callerRequest"`
+	Attempt       int               `json:"attempt"`
+	Status        int               `json:"status"` // HTTP status; 0 for none
+	Outcome       serverapi.Outcome `json:"outcome"`
+	Reason        serverapi.Reason  `json:"reason"`
+	Replayed      bool              `json:"replayed"`
+	// Whole is false when the body ended early or did not match its own check.
+	Whole             bool   `json:"whole"`
+	EchoCallerRequest string `json:"echoCallerRequest"`
+	EchoKey           string `json:"echoKey"`
+	EchoBodyDigest    string `json:"echoBodyDigest"`
+	EchoRequestID     string `json:"echoRequestId"`
+	EchoValue         uint64 `json:"echoValue"`
+}
+
+// AssignmentKnown is recorded by an entry node when it applied an assignment,
+// and with Acknowledged when it told somebody that the assignment took effect.
+type AssignmentKnown struct {
+	At           Time          `json:"at"`
+	Node         topo.NodeID   `json:"node"`
+	Shard        topo.ShardID  `json:"shard"`
+	Fence        topo.Fence    `json:"fence"`
+	Owner        topo.ServerID `json:"owner"`
+	Acknowledged bool          `json:"acknowledged"`
+}
+
+// SitePublished is recorded when a publisher learns the fate of its text.
+type SitePublished struct {
+	At        Time   `json:"at"`
+	Publisher string `json:"publisher"`
+	Base      uint64 `json:"base"`
+	Accepted  bool   `json:"accepted"`
+	Version   uint64 `json:"version"` // the new version; 0 when not accepted
+	Digest    string `json:"digest"`  // of the text
+}
+
+// SiteInForce is recorded by an entry node when a version comes into force.
+type SiteInForce struct {
+	At      Time        `json:"at"`
+	Node    topo.NodeID `json:"node"`
+	Boot    topo.BootID `json:"boot"`
+	Version uint64      `json:"version"`
+	Digest  string      `json:"digest"`
+}
+
+// Kind implements Event.
+func (OwnerInterval) Kind() Kind { return KindOwnerInterval }
+
+// When implements Event.
+func (e OwnerInterval) When() Time { return e.From }
+
+// Kind implements Event.
+func (RunBegan) Kind() Kind { return KindRunBegan }
+
+// When implements Event.
+func (e RunBegan) When() Time { return e.At }
+
+// Kind implements Event.
+func (RunEnded) Kind() Kind { return KindRunEnded }
+
+// When implements Event.
+func (e RunEnded) When() Time { return e.At }
+
+// Kind implements Event.
+func (ServerStopped) Kind() Kind { return KindServerStopped }
+
+// When implements Event.
+func (e ServerStopped) When() Time { return e.At }
+
+// Kind implements Event.
+func (CallerSent) Kind() Kind { return KindCallerSent }
+
+// When implements Event.
+func (e CallerSent) When() Time { return e.At }
+
+// Kind implements Event.
+func (CallerAnswered) Kind() Kind { return KindCallerAnswered }
+
+// When implements Event.
+func (e CallerAnswered) When() Time { return e.At }
+
+// Kind implements Event.
+func (AssignmentKnown) Kind() Kind { return KindAssignmentKnown }
+
+// When implements Event.
+func (e AssignmentKnown) When() Time { return e.At }
+
+// Kind implements Event.
+func (SitePublished) Kind() Kind { return KindSitePublished }
+
+// When implements Event.
+func (e SitePublished) When() Time { return e.At }
+
+// Kind implements Event.
+func (SiteInForce) Kind() Kind { return KindSiteInForce }
+
+// When implements Event.
+func (e SiteInForce) When() Time { return e.At }
