Settings and site configuration are read with all problems at once

Cause: a process must refuse bad settings before anything starts, and an operator must learn all faults of a file at once. Change: package jsonc reads JSON with comments field by field and notes every problem with file, line and field; settings and siteconfig read through it; the commands check, run and version. Conclusion: one mechanism serves both kinds of file.

--- /dev/null
+++ b/cli/main.go
@@ -0,0 +1,109 @@
+package cli
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"strconv"
+	"strings"
+
+	"github.com/integrii/flaggy"
+)
+
+// program is the name in the help texts.
+const program = "burdockspindle"
+
+// invocation is one parsed command line.
+type invocation struct {
+	parser *flaggy.Parser
+	leaves map[*flaggy.Subcommand]Command
+}
+
+// Main parses the arguments (without the program's name), runs the command and
+// returns the exit code. Errors are written to env.Stderr, one problem a line.
+func Main(ctx context.Context, args []string, env *Env) int {
+	inv := newInvocation(commands())
+	if code, stopped := inv.parse(args, env); stopped {
+		return code
+	}
+	command, isLeaf := inv.leaves[inv.parser.TrailingSubcommand()]
+	if !isLeaf {
+		inv.parser.ShowHelpWithMessage("a command is needed")
+		return ExitUsage
+	}
+	if err := command.Run(ctx, env); err != nil {
+		_, _ = fmt.Fprintln(env.Stderr, err.Error())
+		return exitCode(err)
+	}
+	return ExitOK
+}
+
+func exitCode(err error) int {
+	var coder ExitCoder
+	if errors.As(err, &coder) {
+		return coder.ExitCode()
+	}
+	return ExitFailure
+}
+
+func newInvocation(all []Command) *invocation {
+	inv := &invocation{parser: flaggy.NewParser(program), leaves: map[*flaggy.Subcommand]Command{}}
+	inv.parser.Description = "Routes each request to the one server that owns its key."
+	inv.parser.ShowCompletion = false
+	inv.parser.DisableShowVersionWithVersion()
+	groups := map[string]*flaggy.Subcommand{}
+	for _, command := range all {
+		inv.attach(command, groups)
+	}
+	return inv
+}
+
+// attach adds a command; the first word of a two-word name becomes a group.
+func (inv *invocation) attach(command Command, groups map[string]*flaggy.Subcommand) {
+	group, name, isGrouped := strings.Cut(command.Name, " ")
+	parent := &inv.parser.Subcommand
+	if isGrouped {
+		parent = groups[group]
+		if parent == nil {
+			parent = flaggy.NewSubcommand(group)
+			groups[group] = parent
+			inv.parser.AttachSubcommand(parent, 1)
+		}
+	} else {
+		name = group
+	}
+	leaf := flaggy.NewSubcommand(name)
+	leaf.Description = command.Description
+	if command.Flags != nil {
+		command.Flags(leaf)
+	}
+	parent.AttachSubcommand(leaf, 1)
+	inv.leaves[leaf] = command
+}
+
+// exitMark precedes the code in what flaggy panics with instead of exiting.
+const exitMark = "code: "
+
+// parse runs flaggy, which ends the program on wrong arguments unless it is
+// told to panic; stopped tells that it wanted to.
+func (inv *invocation) parse(args []string, env *Env) (code int, stopped bool) {
+	flaggy.PanicInsteadOfExit = true
+	defer func() {
+		cause := recover()
+		if cause == nil {
+			return
+		}
+		text, isText := cause.(string)
+		_, digits, hasCode := strings.Cut(text, exitMark)
+		wanted, err := strconv.Atoi(digits)
+		if !isText || !hasCode || err != nil {
+			panic(cause)
+		}
+		code, stopped = wanted, true
+	}()
+	if err := inv.parser.ParseArgs(args); err != nil {
+		_, _ = fmt.Fprintln(env.Stderr, err.Error())
+		return ExitUsage, true
+	}
+	return ExitOK, false
+}
--- /dev/null
+++ b/cmd/burdockspindle/main.go
@@ -0,0 +1,18 @@
+// Command burdockspindle is the one program of the project; package cli holds
+// its commands.
+package main
+
+import (
+	"context"
+	"os"
+
+	"github.com/burdockspindle/burdockspindle/cli"
+	_ "github.com/burdockspindle/burdockspindle/modules/standard"
+	"github.com/burdockspindle/burdockspindle/node"
+)
+
+func main() {
+	cli.Register(cli.RunCommand(node.Run))
+	env := &cli.Env{Stdout: os.Stdout, Stderr: os.Stderr, Getenv: os.Getenv}
+	os.Exit(cli.Main(context.Background(), os.Args[1:], env))
+}
--- /dev/null
+++ b/settings/parse_limits.go
@@ -0,0 +1,67 @@
+package settings
+
+import (
+	"time"
+
+	"github.com/burdockspindle/burdockspindle/jsonc"
+)
+
+func readLimits(o *jsonc.Object) Limits {
+	limits := Limits{
+		MaxBodyBytes:    o.Get("maxBodyBytes").Int(DefaultMaxBodyBytes, 1, maxBodyBytes),
+		MaxQueued:       readCount(o.Get("maxQueued"), DefaultMaxQueued),
+		MaxBuffered:     readCount(o.Get("maxBuffered"), DefaultMaxBuffered),
+		MaxInFlight:     readCount(o.Get("maxInFlight"), DefaultMaxInFlight),
+		RetryBudget:     o.Get("retryBudget").Float(DefaultRetryBudget, 0, 1),
+		DrainTimeout:    o.Get("drainTimeout").Duration(DefaultDrainTimeout, minInterval, maxTimeout),
+		SilentAfter:     o.Get("silentAfter").Duration(DefaultSilentAfter, minInterval, maxTimeout),
+		ConnectTimeout:  o.Get("connectTimeout").Duration(DefaultConnectTimeout, minInterval, maxInterval),
+		MaxHeaderBytes:  int(o.Get("maxHeaderBytes").Int(DefaultMaxHeaderBytes, minHeaderBytes, maxHeaderBytes)),
+		MemoryLimitByte: o.Get("memoryLimitBytes").Int(0, 0, maxMemoryBytes),
+	}
+	o.Close()
+	return limits
+}
+
+func readCount(value *jsonc.Value, byDefault int64) int {
+	return int(value.Int(byDefault, 1, maxCount))
+}
+
+func readTiming(value *jsonc.Value) Timing {
+	o := value.Object()
+	timing := Timing{
+		LeaseTTL:        readInterval(o.Get("leaseTTL"), DefaultLeaseTTL),
+		RenewEvery:      readInterval(o.Get("renewEvery"), DefaultRenewEvery),
+		HeartbeatEvery:  readInterval(o.Get("heartbeatEvery"), DefaultHeartbeatEvery),
+		SuspectAfter:    readInterval(o.Get("suspectAfter"), DefaultSuspectAfter),
+		DriftPPM:        int(o.Get("driftPPM").Int(DefaultDriftPPM, minDriftPPM, maxDriftPPM)),
+		Margin:          readInterval(o.Get("margin"), DefaultMargin),
+		VMPollEvery:     readInterval(o.Get("vmPollEvery"), DefaultVMPollEvery),
+		CheckpointEvery: int(o.Get("checkpointEvery").Int(DefaultCheckpointEvery, minCheckpointEvery, maxCheckpointEvery)),
+	}
+	o.Close()
+	checkTiming(o, timing)
+	return timing
+}
+
+func readInterval(value *jsonc.Value, byDefault time.Duration) time.Duration {
+	return value.Duration(byDefault, minInterval, maxInterval)
+}
+
+// checkTiming refuses intervals that are each right but not together.
+func checkTiming(o *jsonc.Object, t Timing) {
+	leastTTL := renewalsPerTTL*t.RenewEvery + t.Margin
+	if t.LeaseTTL <= leastTTL {
+		text := "leaseTTL " + t.LeaseTTL.String() + " must be above 3 × renewEvery + margin = " + leastTTL.String() + ", or one lost renewal lapses the lease"
+		o.Blame("leaseTTL", "renewEvery", "margin").Problem(text)
+	}
+	leastSuspect := heartbeatsPerSuspicion * t.HeartbeatEvery
+	if t.SuspectAfter <= leastSuspect {
+		text := "suspectAfter " + t.SuspectAfter.String() + " must be above 2 × heartbeatEvery = " + leastSuspect.String() + ", or one lost heartbeat raises suspicion"
+		o.Blame("suspectAfter", "heartbeatEvery").Problem(text)
+	}
+	if t.SuspectAfter >= t.LeaseTTL {
+		text := "suspectAfter " + t.SuspectAfter.String() + " must be below leaseTTL = " + t.LeaseTTL.String() + ", or a lost lessor's leases lapse before it is suspected"
+		o.Blame("suspectAfter", "leaseTTL").Problem(text)
+	}
+}
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -47,6 +47,8 @@
 type Admin struct {
 	Listener
 	Token string
+	// TokenFile is where Load reads the token; Token is then filled in.
+	TokenFile string
 }
 
 // Driver names a module of a fixed namespace and carries its own options.
--- /dev/null
+++ b/siteconfig/defaults.go
@@ -0,0 +1,35 @@
+package siteconfig
+
+import "time"
+
+// Defaults of the optional fields.
+const (
+	DefaultShards          = 128
+	DefaultDeadline        = 5 * time.Second
+	DefaultMaxDisconnected = 10 * time.Minute
+	DefaultMaxBodyBytes    = 1 << 20
+	DefaultGroupsPerZone   = 2
+)
+
+// Bounds within which a field makes sense.
+const (
+	MaxShards           = 1 << 17 // of one service
+	maxPerServer        = 100_000 // requests or connections
+	minDeadline         = 10 * time.Millisecond
+	maxDeadline         = time.Hour
+	maxMaxDisconnected  = 365 * 24 * time.Hour
+	maxMaxBodyBytes     = 1 << 30
+	maxGroupsPerZone    = 64
+	maxNameLength       = 63
+	foreverText         = "forever"
+	weightUnavailText   = "unavailability"
+	weightImbalanceText = "imbalance"
+)
+
+// defaultIdempotentMethods are the methods that change nothing at the server.
+// PUT and DELETE are idempotent by the HTTP standard, yet a server that numbers
+// or notifies on them is not, so operators name them where it holds.
+var defaultIdempotentMethods = []string{"GET", "HEAD"}
+
+// knownMethods may be declared as idempotent.
+var knownMethods = []string{"GET", "HEAD", "OPTIONS", "PUT", "DELETE", "POST", "PATCH"}
