Thin request path: front end, route, direct send, outcome

Cause: callers need something that answers before the rest is made whole. Change: callerapi (paths, headers, reasons), exchange (request, replayable body, answer), outcome (verdicts), route (pure decision, overlay of activations), load.Observer, modules frontend.http and duty.router sending directly. settings gains limits.drainDelay. Measured: builds and vets; not yet tested.

--- /dev/null
+++ b/modules/frontend/module.go
@@ -0,0 +1,182 @@
+// Package frontend is the module "frontend.http": the HTTP listener for
+// callers. It parses requests, hands them to the router and writes the answers;
+// docs/CALLERS.md is its interface.
+package frontend
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/kataras/iris/v12"
+
+	"github.com/burdockspindle/burdockspindle/callerapi"
+	"github.com/burdockspindle/burdockspindle/exchange"
+	"github.com/burdockspindle/burdockspindle/kernel"
+	"github.com/burdockspindle/burdockspindle/settings"
+)
+
+func init() { kernel.Register(&Module{}) }
+
+// Timeouts of callers' connections.
+const (
+	readHeaderTimeout = 10 * time.Second
+	idleTimeout       = 2 * time.Minute
+)
+
+// Module is the front end.
+type Module struct {
+	logger   hclog.Logger
+	settings *settings.Settings
+	handler  *handler
+	server   *http.Server
+	listener net.Listener
+	served   chan struct{} // closed when the server's goroutine ended
+}
+
+// ModuleInfo implements kernel.Module.
+func (*Module) ModuleInfo() kernel.Info {
+	return kernel.Info{ID: "frontend.http", New: func() kernel.Module { return &Module{} }}
+}
+
+// Provision implements kernel.Provisioner.
+func (m *Module) Provision(ctx *kernel.Context) error {
+	m.logger = ctx.Logger
+	var err error
+	if m.settings, err = kernel.Use[*settings.Settings](ctx); err != nil {
+		return err
+	}
+	next, err := kernel.Use[exchange.Handler](ctx)
+	if err != nil {
+		return err
+	}
+	m.handler = &handler{
+		next:     next,
+		idPrefix: string(ctx.Identity.Node) + "-" + string(ctx.Identity.Boot) + "-",
+		drain:    newDrainState(),
+	}
+	routes, err := buildRoutes(m.handler)
+	if err != nil {
+		return err
+	}
+	m.server = &http.Server{
+		Handler:           routes,
+		ReadHeaderTimeout: readHeaderTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    m.settings.Limits.MaxHeaderBytes,
+		ErrorLog:          m.logger.StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Trace}),
+	}
+	return nil
+}
+
+// buildRoutes sets up iris. The tree of services is parsed by this package from
+// the escaped path, since keys may hold any bytes.
+func buildRoutes(h *handler) (http.Handler, error) {
+	app := iris.New()
+	app.Logger().SetLevel("disable")
+	app.Configure(iris.WithConfiguration(iris.Configuration{
+		DisableStartupLog:                 true,
+		DisableInterruptHandler:           true,
+		DisablePathCorrection:             true,
+		DisablePathCorrectionRedirection:  true,
+		DisableAutoFireStatusCode:         true,
+		DisableBodyConsumptionOnUnmarshal: true,
+	}))
+	app.Get(callerapi.PathHealth, func(ctx iris.Context) { h.health(ctx.ResponseWriter().Naive(), ctx.Request()) })
+	serve := func(ctx iris.Context) { h.serve(ctx.ResponseWriter().Naive(), ctx.Request()) }
+	app.Any("/{tail:path}", serve)
+	app.Any("/", serve)
+	if err := app.Build(); err != nil {
+		return nil, &BuildError{Cause: err}
+	}
+	return app, nil
+}
+
+// health answers the platform's balancer: 200 while new callers are welcome,
+// 503 from the beginning of a drain.
+func (h *handler) health(w http.ResponseWriter, _ *http.Request) {
+	if h.drain.healthy() {
+		writeText(w, http.StatusOK, "ok\n")
+		return
+	}
+	writeText(w, http.StatusServiceUnavailable, "draining\n")
+}
+
+func writeText(w http.ResponseWriter, status int, text string) {
+	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
+	w.WriteHeader(status)
+	_, _ = w.Write([]byte(text))
+}
+
+// Start implements kernel.Starter.
+func (m *Module) Start(context.Context) error {
+	listener, err := net.Listen("tcp", m.settings.Frontend.Address)
+	if err != nil {
+		return &ListenError{Address: m.settings.Frontend.Address, Cause: err}
+	}
+	m.listener = listener
+	m.served = make(chan struct{})
+	eventListening.Log(m.logger, "address", listener.Addr().String())
+	go m.serve()
+	return nil
+}
+
+func (m *Module) serve() {
+	defer close(m.served)
+	if err := m.server.Serve(m.listener); err != http.ErrServerClosed {
+		eventServeFailed.Log(m.logger, "error", err)
+	}
+}
+
+// ListenAddress implements kernel.Listening.
+func (m *Module) ListenAddress() (kernel.ListenerRole, string) {
+	if m.listener == nil {
+		return kernel.RoleFrontend, m.settings.Frontend.Address
+	}
+	return kernel.RoleFrontend, m.listener.Addr().String()
+}
+
+// Drain implements kernel.Drainer: the health endpoint fails for the drain
+// delay while requests are still served, then new ones are refused and those
+// in flight are waited for. The listener stays open until Stop.
+func (m *Module) Drain(ctx context.Context) error {
+	drain := m.handler.drain
+	drain.advance(phaseAnnounce)
+	eventDraining.Log(m.logger, "in_flight", drain.count())
+	select {
+	case <-time.After(m.settings.Limits.DrainDelay):
+	case <-ctx.Done():
+	}
+	drain.advance(phaseRefusing)
+	eventRefusing.Log(m.logger, "in_flight", drain.count())
+	if err := drain.waitIdle(ctx); err != nil {
+		eventDrainTimeout.Log(m.logger, "in_flight", drain.count())
+		return err
+	}
+	eventDrained.Log(m.logger)
+	return nil
+}
+
+// Stop implements kernel.Stopper.
+func (m *Module) Stop(ctx context.Context) error {
+	if m.listener == nil {
+		return nil
+	}
+	if err := m.server.Shutdown(ctx); err != nil {
+		_ = m.server.Close()
+	}
+	<-m.served
+	return nil
+}
+
+// Dump implements kernel.Dumper.
+func (m *Module) Dump() any {
+	_, address := m.ListenAddress()
+	return struct {
+		Address  string `json:"address"`
+		Healthy  bool   `json:"healthy"`
+		InFlight int    `json:"inFlight"`
+	}{address, m.handler.drain.healthy(), m.handler.drain.count()}
+}
--- /dev/null
+++ b/route/route.go
@@ -0,0 +1,154 @@
+// Package route decides where a request for a key goes: to which server, under
+// which fence, and by which way. The decision is pure: it reads an immutable
+// view of the site's state and an immutable overlay of what lessors announced
+// off the log.
+package route
+
+import (
+	"github.com/burdockspindle/burdockspindle/callerapi"
+	"github.com/burdockspindle/burdockspindle/serverapi"
+	"github.com/burdockspindle/burdockspindle/siteconfig"
+	"github.com/burdockspindle/burdockspindle/state"
+	"github.com/burdockspindle/burdockspindle/topo"
+)
+
+// Path is the way a request takes from this node.
+type Path uint8
+
+// Ways.
+const (
+	// PathRefuse: the request cannot be served as it is; see Reason.
+	PathRefuse Path = iota + 1
+	// PathWait: the shard has no owner or the owner no lessor; a later view may
+	// name one.
+	PathWait
+	// PathLocal: this node is the admission point of the owner.
+	PathLocal
+	// PathForward: another node is the admission point of the owner.
+	PathForward
+	// PathDirect: the admission point cannot be reached; send to the owner
+	// under the small local limit.
+	PathDirect
+)
+
+// String names the way for dumps and logs.
+func (p Path) String() string {
+	switch p {
+	case PathRefuse:
+		return "refuse"
+	case PathWait:
+		return "wait"
+	case PathLocal:
+		return "local"
+	case PathForward:
+		return "forward"
+	case PathDirect:
+		return "direct"
+	}
+	return "undecided"
+}
+
+// Decision says where a request goes.
+type Decision struct {
+	Path    Path
+	Reason  serverapi.Reason // of PathRefuse and PathWait
+	Service *siteconfig.Service
+	Shard   topo.ShardID // zero for unkeyed services
+	Fence   topo.Fence   // zero for unkeyed services
+	Server  topo.ServerID
+	Address string // of the server, host:port
+	Group   topo.GroupID
+	Term    topo.Term // of the group's lessor
+	Lessor  topo.NodeID
+}
+
+// SameOwner reports whether two decisions send to the same server under the
+// same fence by the same lessor, so that trying again would change nothing.
+func (d Decision) SameOwner(other Decision) bool {
+	return d.Server == other.Server && d.Fence == other.Fence && d.Term == other.Term &&
+		d.Path == other.Path
+}
+
+// Direct turns a forward whose lessor cannot be reached into a direct send. It
+// is false when the service's servers do not check fencing tokens: then the
+// lessor alone may send.
+func (d Decision) Direct() (Decision, bool) {
+	if d.Path != PathForward || !d.Service.ChecksFencing {
+		return d, false
+	}
+	d.Path = PathDirect
+	return d, true
+}
+
+// Self is the run of the node that decides.
+type Self struct {
+	Node topo.NodeID
+	Boot topo.BootID
+}
+
+// Keyed decides for a key of a service that is divided by key.
+func Keyed(view *state.View, overlay *Overlay, self Self, service topo.Service, key string) Decision {
+	config, exists := view.Service(service)
+	if !exists {
+		return Decision{Path: PathRefuse, Reason: callerapi.ReasonUnknownService}
+	}
+	if !config.Keyed {
+		return Decision{Path: PathRefuse, Reason: callerapi.ReasonUnexpectedKey, Service: config}
+	}
+	assignment, exists := view.Lookup(service, key)
+	if !exists {
+		return Decision{Path: PathWait, Reason: callerapi.ReasonNoOwner, Service: config}
+	}
+	owner, fence := overlay.owner(assignment)
+	decision := Decision{Service: config, Shard: assignment.Shard, Fence: fence}
+	if fence.IsZero() || owner == "" {
+		decision.Path = PathWait
+		decision.Reason = callerapi.ReasonNoOwner
+		return decision
+	}
+	return decision.toServer(view, overlay, self, owner)
+}
+
+// Server decides for one server of a service that is not divided by key.
+func Server(view *state.View, overlay *Overlay, self Self, service topo.Service, server topo.ServerID) Decision {
+	config, exists := view.Service(service)
+	if !exists {
+		return Decision{Path: PathRefuse, Reason: callerapi.ReasonUnknownService}
+	}
+	if config.Keyed {
+		return Decision{Path: PathRefuse, Reason: callerapi.ReasonMissingKey, Service: config}
+	}
+	decision := Decision{Service: config}
+	return decision.toServer(view, overlay, self, server)
+}
+
+// toServer completes a decision whose server is known.
+func (d Decision) toServer(view *state.View, overlay *Overlay, self Self, id topo.ServerID) Decision {
+	d.Server = id
+	server, exists := view.Server(id)
+	if !exists || server.Phase == state.PhaseGone || view.ServerLost(id) {
+		d.Path = PathWait
+		d.Reason = callerapi.ReasonNoOwner
+		return d
+	}
+	d.Address = server.Address
+	d.Group = server.Group
+	group, exists := view.Group(server.Group)
+	if !exists {
+		d.Path = PathWait
+		d.Reason = callerapi.ReasonNotLessor
+		return d
+	}
+	group = overlay.lessor(group)
+	d.Term = group.Term
+	d.Lessor = group.Lessor
+	d.Path = PathForward
+	if group.Lessor == self.Node {
+		d.Path = PathLocal
+	}
+	if group.Lessor == self.Node && group.LessorBoot != self.Boot {
+		d.Path = PathWait // claimed by an earlier run of this node
+		d.Reason = callerapi.ReasonNotLessor
+	}
+	return d
+}
--- a/settings/defaults.go
+++ b/settings/defaults.go
@@ -26,6 +26,7 @@
 	DefaultMaxBuffered    = 1024
 	DefaultMaxInFlight    = 4096
 	DefaultRetryBudget    = 0.1
+	DefaultDrainDelay     = 2 * time.Second
 	DefaultDrainTimeout   = 30 * time.Second
 	DefaultSilentAfter    = 5 * time.Second
 	DefaultConnectTimeout = time.Second
@@ -77,6 +78,7 @@
 		MaxBuffered:    DefaultMaxBuffered,
 		MaxInFlight:    DefaultMaxInFlight,
 		RetryBudget:    DefaultRetryBudget,
+		DrainDelay:     DefaultDrainDelay,
 		DrainTimeout:   DefaultDrainTimeout,
 		SilentAfter:    DefaultSilentAfter,
 		ConnectTimeout: DefaultConnectTimeout,
--- a/settings/parse_limits.go
+++ b/settings/parse_limits.go
@@ -13,6 +13,7 @@
 		MaxBuffered:     readCount(o.Get("maxBuffered"), DefaultMaxBuffered),
 		MaxInFlight:     readCount(o.Get("maxInFlight"), DefaultMaxInFlight),
 		RetryBudget:     o.Get("retryBudget").Float(DefaultRetryBudget, 0, 1),
+		DrainDelay:      o.Get("drainDelay").Duration(DefaultDrainDelay, 0, maxInterval),
 		DrainTimeout:    o.Get("drainTimeout").Duration(DefaultDrainTimeout, minInterval, maxTimeout),
 		SilentAfter:     o.Get("silentAfter").Duration(DefaultSilentAfter, minInterval, maxTimeout),
 		ConnectTimeout:  o.Get("connectTimeout").Duration(DefaultConnectTimeout, minInterval, maxInterval),
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -64,6 +64,7 @@
 	MaxBuffered     int           // requests waiting for a shard's next owner, per service
 	MaxInFlight     int           // requests of all services
 	RetryBudget     float64       // retries per first attempt, over a sliding window
+	DrainDelay      time.Duration // the health endpoint fails this long before new requests are refused
 	DrainTimeout    time.Duration // longest wait for requests in flight
 	SilentAfter     time.Duration // no progress on a connection
 	ConnectTimeout  time.Duration
