balance: decision functions, policies and hot-key sketch

Cause: nothing decides which shards move, and hot keys are not found. Change: package balance with the pure decision (Input, Policy, Move) and the policies static, greedy, push, pull, ratepush and ratepull; the thresholds and the limited forms follow "On a Class of Push and Pull Strategies with Single Migrations and Limited Probe Rate". Package hotkeys with a decaying, mergeable Space-Saving sketch.

--- /dev/null
+++ b/balance/balance_test.go
@@ -0,0 +1,281 @@
+package balance_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"github.com/burdockspindle/burdockspindle/balance"
+	"github.com/burdockspindle/burdockspindle/siteconfig"
+	"github.com/burdockspindle/burdockspindle/state"
+	"github.com/burdockspindle/burdockspindle/topo"
+)
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+const service = topo.Service("quotes")
+
+func policies() []balance.Policy {
+	return []balance.Policy{
+		balance.Static{}, balance.Greedy{}, balance.Push{}, balance.Pull{},
+		balance.RatePush{}, balance.RatePull{},
+	}
+}
+
+func byLoad() []balance.Policy { return policies()[1:] }
+
+// site builds an input: one live server of capacity 4 for each list of shard
+// loads.
+func site(loads ...[]float64) *balance.Input {
+	in := &balance.Input{
+		Service:   service,
+		Now:       start,
+		Weighting: siteconfig.WeightImbalance,
+		MoveCost:  100 * time.Millisecond,
+		Budget:    balance.Budget{Moves: 100, Evacuations: 100, Probes: 1000},
+		Rand:      rand.New(rand.NewPCG(1, 2)),
+	}
+	for server, shards := range loads {
+		in.Servers = append(in.Servers, balance.Server{
+			ID: topo.ServerID(fmt.Sprintf("s%d", server)), Phase: state.PhaseLive, Capacity: 4,
+		})
+		for _, load := range shards {
+			addShard(in, server, load)
+		}
+	}
+	return in
+}
+
+func addShard(in *balance.Input, owner int, load float64) int {
+	index := len(in.Shards)
+	id := topo.ShardID{Service: service, Index: uint32(index)}
+	in.Shards = append(in.Shards, balance.Shard{ID: id, Owner: owner, Load: load, Rate: load * 50})
+	return index
+}
+
+// apply makes the moves as the planner would.
+func apply(in *balance.Input, moves []balance.Move) {
+	for _, move := range moves {
+		to := serverIndex(in, move.To)
+		at := shardIndex(in, move.Shard)
+		switch move.Kind {
+		case balance.MoveShard:
+			in.Shards[at].Owner = to
+			in.Shards[at].Changed = in.Now
+		case balance.SplitKey:
+			splitKey(in, move, to)
+		case balance.MergeKey:
+			mergeKey(in, at)
+		}
+	}
+}
+
+func splitKey(in *balance.Input, move balance.Move, to int) {
+	for i, hot := range in.HotKeys {
+		if hot.Key != move.Shard.Key {
+			continue
+		}
+		in.Shards[hot.Shard].Load -= hot.Load
+		in.Shards = append(in.Shards, balance.Shard{ID: move.Shard, Owner: to, Load: hot.Load, Changed: in.Now})
+		in.HotKeys = append(in.HotKeys[:i:i], in.HotKeys[i+1:]...)
+		return
+	}
+}
+
+func mergeKey(in *balance.Input, at int) {
+	key := in.Shards[at]
+	in.Shards = append(in.Shards[:at:at], in.Shards[at+1:]...)
+	parent := shardIndex(in, topo.ShardID{Service: service, Index: key.ID.Index})
+	in.Shards[parent].Load += key.Load
+	in.HotKeys = append(in.HotKeys, balance.HotKey{Shard: parent, Key: key.ID.Key, Load: key.Load})
+}
+
+func serverIndex(in *balance.Input, id topo.ServerID) int {
+	for i := range in.Servers {
+		if in.Servers[i].ID == id {
+			return i
+		}
+	}
+	return balance.NoOwner
+}
+
+func shardIndex(in *balance.Input, id topo.ShardID) int {
+	for i := range in.Shards {
+		if in.Shards[i].ID == id {
+			return i
+		}
+	}
+	return balance.NoOwner
+}
+
+func peak(in *balance.Input) float64 {
+	loads := make([]float64, len(in.Servers))
+	for _, shard := range in.Shards {
+		if shard.Owner != balance.NoOwner {
+			loads[shard.Owner] += shard.Load
+		}
+	}
+	highest := 0.0
+	for _, load := range loads {
+		highest = max(highest, load)
+	}
+	return highest
+}
+
+func TestPoliciesRelieveAnOverloadedServer(t *testing.T) {
+	for _, policy := range byLoad() {
+		t.Run(policy.Name(), func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			in := site([]float64{1, 1, 1, 0.5}, []float64{0.5}, []float64{0.5}, []float64{0.5})
+			moves := policy.Decide(in)
+			g.Expect(moves).NotTo(gomega.BeEmpty())
+			g.Expect(moves[0].From).To(gomega.Equal(topo.ServerID("s0")))
+			g.Expect(moves[0].Cause).To(gomega.Equal(balance.CauseLoad))
+			apply(in, moves)
+			g.Expect(peak(in)).To(gomega.BeNumerically("<=", 1.5))
+		})
+	}
+}
+
+func TestPoliciesLeaveAnEvenSiteAlone(t *testing.T) {
+	for _, policy := range byLoad() {
+		t.Run(policy.Name(), func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			in := site([]float64{1, 0.5}, []float64{0.5, 1}, []float64{1.5})
+			g.Expect(policy.Decide(in)).To(gomega.BeEmpty())
+		})
+	}
+}
+
+func TestPoliciesSplitAHotKeyOutOfItsShard(t *testing.T) {
+	for _, policy := range byLoad() {
+		t.Run(policy.Name(), func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			in := site([]float64{3}, []float64{0.2}, []float64{0.2})
+			in.HotKeys = []balance.HotKey{{Shard: 0, Key: "q-7", Rate: 60, Load: 1.2}}
+			moves := policy.Decide(in)
+			g.Expect(moves).NotTo(gomega.BeEmpty())
+			g.Expect(moves[0].Kind).To(gomega.Equal(balance.SplitKey))
+			g.Expect(moves[0].Shard.Key).To(gomega.Equal("q-7"))
+			g.Expect(moves[0].From).To(gomega.Equal(topo.ServerID("s0")))
+		})
+	}
+}
+
+func TestPoliciesMergeAKeyThatCooled(t *testing.T) {
+	for _, policy := range byLoad() {
+		t.Run(policy.Name(), func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			in := site([]float64{1}, []float64{1})
+			cold := addShard(in, 1, 0.001)
+			in.Shards[cold].ID = topo.ShardID{Service: service, Index: 0, Key: "q-7"}
+			warm := addShard(in, 1, 0.05)
+			in.Shards[warm].ID = topo.ShardID{Service: service, Index: 0, Key: "q-8"}
+			moves := policy.Decide(in)
+			g.Expect(moves).To(gomega.HaveLen(1))
+			g.Expect(moves[0].Kind).To(gomega.Equal(balance.MergeKey))
+			g.Expect(moves[0].Shard.Key).To(gomega.Equal("q-7"))
+			g.Expect(moves[0].To).To(gomega.Equal(topo.ServerID("s0")))
+		})
+	}
+}
+
+func TestPoliciesPlaceUnownedAndEvacuateDraining(t *testing.T) {
+	for _, policy := range policies() {
+		t.Run(policy.Name(), func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			in := site([]float64{0.1, 0.1, 0.1}, []float64{0.1}, []float64{0.1}, []float64{0.1, 0.1})
+			in.Servers[0].Phase = state.PhaseDraining
+			in.Servers[3].Phase = state.PhaseGone
+			addShard(in, balance.NoOwner, 0.1)
+			in.Budget = balance.Budget{Evacuations: 2}
+			causes := map[balance.Cause]int{}
+			for _, move := range policy.Decide(in) {
+				causes[move.Cause]++
+				g.Expect(move.To).To(gomega.BeElementOf(topo.ServerID("s1"), topo.ServerID("s2")))
+			}
+			g.Expect(causes).To(gomega.Equal(map[balance.Cause]int{
+				balance.CauseUnowned: 3, balance.CauseDraining: 2,
+			}))
+		})
+	}
+}
+
+func TestUnobservedShardsAreSpreadByNumber(t *testing.T) {
+	g := gomega.NewWithT(t)
+	in := site(nil, nil, nil, nil)
+	for range 40 {
+		addShard(in, balance.NoOwner, 0)
+	}
+	counts := map[topo.ServerID]int{}
+	for _, move := range (balance.Push{}).Decide(in) {
+		counts[move.To]++
+	}
+	g.Expect(counts).To(gomega.HaveLen(4))
+	for _, count := range counts {
+		g.Expect(count).To(gomega.Equal(10))
+	}
+}
+
+func TestDwellKeepsAShardThatJustMoved(t *testing.T) {
+	g := gomega.NewWithT(t)
+	in := site([]float64{1, 1, 1}, []float64{0.2}, []float64{0.2})
+	for i := range in.Shards {
+		in.Shards[i].Changed = in.Now.Add(-time.Second)
+	}
+	g.Expect((balance.Push{}).Decide(in)).To(gomega.BeEmpty())
+	in.Now = in.Now.Add(balance.DefaultTuning(in.Weighting).Dwell)
+	g.Expect((balance.Push{}).Decide(in)).NotTo(gomega.BeEmpty())
+}
+
+func TestMovingShardsAreLeftAlone(t *testing.T) {
+	for _, policy := range policies() {
+		t.Run(policy.Name(), func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			in := site([]float64{1, 1, 1}, []float64{0.2})
+			in.Servers[0].Phase = state.PhaseDraining
+			addShard(in, balance.NoOwner, 1)
+			in.HotKeys = []balance.HotKey{{Shard: 0, Key: "k", Load: 0.9}}
+			for i := range in.Shards {
+				in.Shards[i].Moving = true
+			}
+			g.Expect(policy.Decide(in)).To(gomega.BeEmpty())
+		})
+	}
+}
+
+func TestUnavailabilityWeightingMovesLess(t *testing.T) {
+	g := gomega.NewWithT(t)
+	in := site([]float64{0.6, 0.6, 0.6, 0.2}, []float64{0.8, 0.8}, []float64{0.7, 0.7})
+	g.Expect((balance.Push{}).Decide(in)).NotTo(gomega.BeEmpty())
+	in.Weighting = siteconfig.WeightUnavailability
+	g.Expect((balance.Push{}).Decide(in)).To(gomega.BeEmpty())
+}
+
+func TestStaticChangesOnlyWhatAMembershipChangeTouches(t *testing.T) {
+	g := gomega.NewWithT(t)
+	in := site(nil, nil, nil, nil, nil)
+	for range 200 {
+		addShard(in, balance.NoOwner, 0)
+	}
+	apply(in, balance.Static{}.Decide(in))
+	g.Expect(balance.Static{}.Decide(in)).To(gomega.BeEmpty())
+	in.Budget.Evacuations = 1000
+	in.Servers[2].Phase = state.PhaseDraining
+	for _, move := range (balance.Static{}).Decide(in) {
+		g.Expect(move.From).To(gomega.Equal(topo.ServerID("s2")))
+	}
+}
+
+func TestMeterLimitsMovesOverTime(t *testing.T) {
+	g := gomega.NewWithT(t)
+	meter := balance.NewMeter(60, 5, start)
+	g.Expect(meter.Allowed(start)).To(gomega.Equal(5))
+	meter.Spend(5)
+	g.Expect(meter.Allowed(start)).To(gomega.Equal(0))
+	g.Expect(meter.Allowed(start.Add(2 * time.Second))).To(gomega.Equal(2))
+	g.Expect(meter.Allowed(start.Add(time.Hour))).To(gomega.Equal(5))
+}
--- /dev/null
+++ b/balance/board.go
@@ -0,0 +1,227 @@
+package balance
+
+import (
+	"github.com/burdockspindle/burdockspindle/state"
+	"github.com/burdockspindle/burdockspindle/topo"
+)
+
+// board is the working copy of one decision: the loads as they will be once the
+// moves decided so far are made.
+type board struct {
+	in     *Input
+	tuning Tuning
+	loads  []float64 // by server
+	owners []int     // by shard, after the moves decided
+	shards [][]int   // by server: indices of its shards
+	keys   [][]int   // by server: indices of hot keys inside its hash ranges
+	gone   []bool    // by hot key: split in this decision
+	mean   float64   // utilization of live servers if the load were even
+	share  float64   // mean load of a live server with capacity
+	splits int       // split keys after the moves decided
+	moves  []Move
+	spent  Budget // what the moves decided have used
+}
+
+func newBoard(in *Input, tuning Tuning) *board {
+	b := &board{
+		in:     in,
+		tuning: tuning,
+		loads:  make([]float64, len(in.Servers)),
+		owners: make([]int, len(in.Shards)),
+		gone:   make([]bool, len(in.HotKeys)),
+	}
+	for i := range in.Servers {
+		b.loads[i] = in.Servers[i].Background
+	}
+	b.indexShards()
+	b.indexKeys()
+	b.measure()
+	return b
+}
+
+// indexShards lists the shards of each server in one backing array.
+func (b *board) indexShards() {
+	counts := make([]int, len(b.in.Servers))
+	for i := range b.in.Shards {
+		shard := &b.in.Shards[i]
+		b.owners[i] = shard.Owner
+		if shard.ID.Key != "" {
+			b.splits++
+		}
+		if shard.Owner != NoOwner {
+			b.loads[shard.Owner] += shard.Load
+			counts[shard.Owner]++
+		}
+	}
+	backing := make([]int, 0, len(b.in.Shards))
+	b.shards = make([][]int, len(counts))
+	for server, count := range counts {
+		start := len(backing)
+		backing = backing[:start+count]
+		b.shards[server] = backing[start : start : start+count]
+	}
+	for i, owner := range b.owners {
+		if owner != NoOwner {
+			b.shards[owner] = append(b.shards[owner], i)
+		}
+	}
+}
+
+func (b *board) indexKeys() {
+	b.keys = make([][]int, len(b.in.Servers))
+	for i := range b.in.HotKeys {
+		owner := b.owners[b.in.HotKeys[i].Shard]
+		if owner != NoOwner {
+			b.keys[owner] = append(b.keys[owner], i)
+		}
+	}
+}
+
+// measure sets the mean utilization that live servers would have if the whole
+// load were spread evenly over them.
+func (b *board) measure() {
+	load, capacity, usable := 0.0, 0.0, 0
+	for i := range b.in.Servers {
+		load += b.loads[i]
+		if b.canReceive(i) {
+			capacity += b.in.Servers[i].Capacity
+			usable++
+		}
+	}
+	for i := range b.in.Shards {
+		if b.in.Shards[i].Owner == NoOwner {
+			load += b.in.Shards[i].Load
+		}
+	}
+	if capacity > 0 {
+		b.mean = load / capacity
+		b.share = load / float64(usable)
+	}
+}
+
+// canReceive reports whether a server may be given a shard.
+func (b *board) canReceive(server int) bool {
+	s := &b.in.Servers[server]
+	return s.Phase == state.PhaseLive && s.Capacity > 0
+}
+
+// live reports whether a server is live, with or without capacity.
+func (b *board) live(server int) bool {
+	return b.in.Servers[server].Phase == state.PhaseLive
+}
+
+// utilization returns a server's load per capacity.
+func (b *board) utilization(server int) float64 {
+	return b.utilizationWith(server, 0)
+}
+
+// utilizationWith returns the utilization if load were added. A server without
+// capacity counts as fully used, so that it sheds what it has.
+func (b *board) utilizationWith(server int, load float64) float64 {
+	capacity := b.in.Servers[server].Capacity
+	if capacity <= 0 {
+		return 1 + b.loads[server] + load
+	}
+	return (b.loads[server] + load) / capacity
+}
+
+// coldest returns the live server with the lowest utilization after receiving
+// load, other than except; NoOwner if there is none.
+func (b *board) coldest(load float64, except int) int {
+	best, bestUtilization := NoOwner, 0.0
+	for i := range b.in.Servers {
+		if i == except || !b.canReceive(i) {
+			continue
+		}
+		utilization := b.utilizationWith(i, load)
+		if best == NoOwner || utilization < bestUtilization {
+			best, bestUtilization = i, utilization
+		}
+	}
+	return best
+}
+
+// give records the move of a whole shard.
+func (b *board) give(shard, to int, cause Cause) {
+	s := &b.in.Shards[shard]
+	from := b.owners[shard]
+	b.owners[shard] = to
+	b.loads[to] += s.Load
+	if from != NoOwner {
+		b.loads[from] -= s.Load
+		b.shards[from] = remove(b.shards[from], shard)
+		b.moveKeys(shard, from, to)
+	}
+	b.shards[to] = append(b.shards[to], shard)
+	b.record(Move{Kind: MoveShard, Shard: s.ID, From: b.id(from), To: b.id(to), Cause: cause})
+}
+
+// moveKeys lets the hot keys inside a shard follow it.
+func (b *board) moveKeys(shard, from, to int) {
+	kept := b.keys[from][:0]
+	for _, key := range b.keys[from] {
+		if b.in.HotKeys[key].Shard == shard {
+			b.keys[to] = append(b.keys[to], key)
+			continue
+		}
+		kept = append(kept, key)
+	}
+	b.keys[from] = kept
+}
+
+// split records that a hot key gets an entry of its own at another server.
+func (b *board) split(key, to int) {
+	hot := &b.in.HotKeys[key]
+	from := b.owners[hot.Shard]
+	b.loads[from] -= hot.Load
+	b.loads[to] += hot.Load
+	b.gone[key] = true
+	b.splits++
+	id := b.in.Shards[hot.Shard].ID
+	id.Key = hot.Key
+	b.record(Move{Kind: SplitKey, Shard: id, From: b.id(from), To: b.id(to), Cause: CauseLoad})
+}
+
+func (b *board) record(move Move) {
+	b.moves = append(b.moves, move)
+	switch move.Cause {
+	case CauseUnowned:
+	case CauseDraining:
+		b.spent.Evacuations++
+	default:
+		b.spent.Moves++
+	}
+}
+
+// movesLeft reports whether the budget allows one more move between live
+// servers.
+func (b *board) movesLeft() bool { return b.spent.Moves < b.in.Budget.Moves }
+
+func (b *board) evacuationsLeft() bool { return b.spent.Evacuations < b.in.Budget.Evacuations }
+
+func (b *board) id(server int) topo.ServerID {
+	if server == NoOwner {
+		return ""
+	}
+	return b.in.Servers[server].ID
+}
+
+// settled reports whether a shard may move for load's sake: no move of it is
+// under way and it has stayed for the dwell time.
+func (b *board) settled(shard int) bool {
+	s := &b.in.Shards[shard]
+	if s.Moving || b.owners[shard] != s.Owner {
+		return false
+	}
+	return s.Changed.IsZero() || b.in.Now.Sub(s.Changed) >= b.tuning.Dwell
+}
+
+func remove(list []int, value int) []int {
+	for i, v := range list {
+		if v == value {
+			list[i] = list[len(list)-1]
+			return list[:len(list)-1]
+		}
+	}
+	return list
+}
--- /dev/null
+++ b/balance/duties.go
@@ -0,0 +1,129 @@
+package balance
+
+import (
+	"sort"
+
+	"github.com/burdockspindle/burdockspindle/state"
+)
+
+// duties decides what every load-driven policy must do before it evens out
+// loads: give shards without an owner to someone, empty the servers that are
+// leaving, and merge back split keys that have cooled.
+func (b *board) duties() {
+	b.placeUnowned()
+	b.evacuate()
+	b.mergeCooled()
+}
+
+// placeUnowned gives every shard without an owner, heaviest first, to the
+// coldest server.
+func (b *board) placeUnowned() {
+	b.placeAll(b.shardsWith(CauseUnowned), CauseUnowned)
+}
+
+// evacuate gives the shards of draining servers to the coldest live ones.
+func (b *board) evacuate() {
+	b.placeAll(b.shardsWith(CauseDraining), CauseDraining)
+}
+
+// shardsWith lists the shards that must get a new owner for a cause.
+func (b *board) shardsWith(cause Cause) []int {
+	var list []int
+	for i := range b.owners {
+		if !b.in.Shards[i].Moving && mustMove(b.in.Servers, b.owners[i]) == cause {
+			list = append(list, i)
+		}
+	}
+	return list
+}
+
+// mustMove returns why a shard of an owner must get another one, or 0. A server
+// that is gone owns nothing.
+func mustMove(servers []Server, owner int) Cause {
+	if owner == NoOwner {
+		return CauseUnowned
+	}
+	switch servers[owner].Phase {
+	case state.PhaseLive:
+		return 0
+	case state.PhaseDraining:
+		return CauseDraining
+	}
+	return CauseUnowned
+}
+
+func (b *board) placeAll(shards []int, cause Cause) {
+	if len(shards) == 0 {
+		return
+	}
+	sort.SliceStable(shards, func(i, j int) bool {
+		return b.in.Shards[shards[i]].Load > b.in.Shards[shards[j]].Load
+	})
+	receivers := newReceivers(b)
+	for _, shard := range shards {
+		if cause == CauseDraining && !b.evacuationsLeft() {
+			return
+		}
+		to, exists := receivers.take(b.in.Shards[shard].Load)
+		if !exists {
+			return
+		}
+		b.give(shard, to, cause)
+	}
+}
+
+// mergeCooled returns split keys to their hash range once they are no longer
+// hot, as far as the move budget goes.
+func (b *board) mergeCooled() {
+	if b.splits == 0 {
+		return
+	}
+	limit := b.tuning.MergeBelow * b.share
+	parents := b.rangeOwners()
+	for i := range b.in.Shards {
+		if !b.movesLeft() {
+			return
+		}
+		shard := &b.in.Shards[i]
+		if shard.ID.Key == "" || shard.Load >= limit || !b.settled(i) || b.owners[i] == NoOwner {
+			continue
+		}
+		to, known := parents[shard.ID.Index]
+		if known && b.canReceive(to) {
+			b.merge(i, to)
+		}
+	}
+}
+
+// rangeOwners maps the hash ranges of split keys to their owners, leaving out
+// ranges that are moving themselves.
+func (b *board) rangeOwners() map[uint32]int {
+	wanted := make(map[uint32]bool, b.splits)
+	for i := range b.in.Shards {
+		if b.in.Shards[i].ID.Key != "" {
+			wanted[b.in.Shards[i].ID.Index] = true
+		}
+	}
+	owners := make(map[uint32]int, len(wanted))
+	for i := range b.in.Shards {
+		shard := &b.in.Shards[i]
+		if shard.ID.Key != "" || !wanted[shard.ID.Index] {
+			continue
+		}
+		if !shard.Moving && b.owners[i] != NoOwner && b.owners[i] == shard.Owner {
+			owners[shard.ID.Index] = b.owners[i]
+		}
+	}
+	return owners
+}
+
+func (b *board) merge(shard, to int) {
+	s := &b.in.Shards[shard]
+	from := b.owners[shard]
+	b.owners[shard] = to
+	b.loads[from] -= s.Load
+	b.loads[to] += s.Load
+	b.shards[from] = remove(b.shards[from], shard)
+	b.splits--
+	b.record(Move{Kind: MergeKey, Shard: s.ID, From: b.id(from), To: b.id(to), Cause: CauseCooled})
+}
--- /dev/null
+++ b/balance/greedy.go
@@ -0,0 +1,57 @@
+package balance
+
+import "time"
+
+// Greedy moves load from the hottest server to the coldest until no move helps
+// or the budget is used. It has no thresholds and no dwell time, and is the
+// baseline for balancing by load.
+type Greedy struct{}
+
+// greedyMinGain keeps greedy from moves that change nothing measurable.
+const greedyMinGain = 0.005
+
+// Name implements Policy.
+func (Greedy) Name() string { return "greedy" }
+
+// Decide implements Policy.
+func (Greedy) Decide(in *Input) []Move {
+	in.Probed = 0
+	tuning := DefaultTuning(in.Weighting)
+	tuning.MinGain = greedyMinGain
+	tuning.Dwell = time.Duration(0)
+	b := newBoard(in, tuning)
+	b.duties()
+	stuck := make([]bool, len(in.Servers))
+	for b.movesLeft() {
+		from := b.hottest(stuck)
+		if from == NoOwner {
+			break
+		}
+		to := b.coldest(0, from)
+		if to == NoOwner {
+			break
+		}
+		best, found := b.bestPiece(from, to)
+		if !found {
+			stuck[from] = true
+			continue
+		}
+		b.take(best, to)
+	}
+	return b.moves
+}
+
+// hottest returns the live server with the highest utilization that is not
+// excluded; NoOwner if there is none.
+func (b *board) hottest(excluded []bool) int {
+	best := NoOwner
+	for i := range b.in.Servers {
+		if excluded[i] || !b.live(i) {
+			continue
+		}
+		if best == NoOwner || b.utilization(i) > b.utilization(best) {
+			best = i
+		}
+	}
+	return best
+}
--- /dev/null
+++ b/balance/rate.go
@@ -0,0 +1,79 @@
+package balance
+
+// RatePush is Push under a fixed budget of probes. Each probe lets one random
+// overloaded server look at one random other server, and moves a single piece
+// if that one is at or below the low threshold. No probe is sent while no
+// server is overloaded. This is the rate-based push of "On a Class of Push and
+// Pull Strategies with Single Migrations and Limited Probe Rate", with the
+// budget of a decision in the role of its overall probe rate.
+type RatePush struct {
+	// Tuning replaces the defaults of the input's weighting when not nil.
+	Tuning *Tuning
+}
+
+// RatePull is Pull under a fixed budget of probes. Each probe lets one random
+// underloaded server look at one random other server, and moves a single piece
+// if that one is overloaded. See RatePush for the source of the idea.
+type RatePull struct {
+	// Tuning replaces the defaults of the input's weighting when not nil.
+	Tuning *Tuning
+}
+
+// Name implements Policy.
+func (RatePush) Name() string { return "ratepush" }
+
+// Name implements Policy.
+func (RatePull) Name() string { return "ratepull" }
+
+// Decide implements Policy.
+func (p RatePush) Decide(in *Input) []Move {
+	b := newBoard(in, tuningFor(in, p.Tuning))
+	b.duties()
+	b.probe(b.overloaded, func(prober, probed int) {
+		if b.underloaded(probed) {
+			b.moveBetween(prober, probed)
+		}
+	})
+	return b.moves
+}
+
+// Decide implements Policy.
+func (p RatePull) Decide(in *Input) []Move {
+	b := newBoard(in, tuningFor(in, p.Tuning))
+	b.duties()
+	b.probe(b.underloaded, func(prober, probed int) {
+		if b.overloaded(probed) {
+			b.moveBetween(probed, prober)
+		}
+	})
+	return b.moves
+}
+
+func (b *board) moveBetween(from, to int) {
+	if best, found := b.bestPiece(from, to); found {
+		b.take(best, to)
+	}
+}
+
+// probe spends the probe budget: a random server for which sends holds, looks
+// at a random other live one, and migrate decides what to make of it.
+func (b *board) probe(sends func(int) bool, migrate func(prober, probed int)) {
+	b.in.Probed = 0
+	live := b.byUtilization(b.live, false)
+	if len(live) < 2 {
+		return
+	}
+	for b.in.Probed < b.in.Budget.Probes && b.movesLeft() {
+		probers := b.byUtilization(sends, false)
+		if len(probers) == 0 {
+			return
+		}
+		prober := probers[b.in.Rand.IntN(len(probers))]
+		probed := live[b.in.Rand.IntN(len(live))]
+		if probed == prober {
+			continue
+		}
+		b.in.Probed++
+		migrate(prober, probed)
+	}
+}
--- /dev/null
+++ b/balance/static.go
@@ -0,0 +1,100 @@
+package balance
+
+import (
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/burdockspindle/burdockspindle/state"
+	"github.com/burdockspindle/burdockspindle/topo"
+)
+
+// Static places every shard by rendezvous hashing over the live servers and
+// takes no notice of loads. It is the baseline that others are measured against.
+type Static struct{}
+
+// Name implements Policy.
+func (Static) Name() string { return "static" }
+
+// Decide implements Policy.
+func (Static) Decide(in *Input) []Move {
+	in.Probed = 0
+	hashes := serverHashes(in.Servers)
+	var moves []Move
+	left := in.Budget
+	for i := range in.Shards {
+		shard := &in.Shards[i]
+		to := rendezvous(in.Servers, hashes, shard.ID)
+		if shard.Moving || to == NoOwner || to == shard.Owner {
+			continue
+		}
+		cause := mustMove(in.Servers, shard.Owner)
+		if cause == 0 {
+			cause = CausePlace
+		}
+		if !left.spend(cause) {
+			continue
+		}
+		move := Move{Kind: MoveShard, Shard: shard.ID, To: in.Servers[to].ID, Cause: cause}
+		if shard.Owner != NoOwner {
+			move.From = in.Servers[shard.Owner].ID
+		}
+		moves = append(moves, move)
+	}
+	return moves
+}
+
+// spend takes one move of a cause out of what is left, and reports whether it
+// was there.
+func (b *Budget) spend(cause Cause) bool {
+	switch cause {
+	case CauseUnowned:
+		return true
+	case CauseDraining:
+		return take(&b.Evacuations)
+	}
+	return take(&b.Moves)
+}
+
+func take(left *int) bool {
+	if *left <= 0 {
+		return false
+	}
+	*left--
+	return true
+}
+
+func serverHashes(servers []Server) []uint64 {
+	hashes := make([]uint64, len(servers))
+	for i := range servers {
+		hashes[i] = xxhash.Sum64String(string(servers[i].ID))
+	}
+	return hashes
+}
+
+// rendezvous returns the live server with the highest weight for a shard; it
+// changes only when that server leaves or a server of higher weight arrives.
+// A split key stays where its hash range is placed.
+func rendezvous(servers []Server, hashes []uint64, id topo.ShardID) int {
+	shardHash := mix(xxhash.Sum64String(string(id.Service)) + uint64(id.Index))
+	best, bestWeight := NoOwner, uint64(0)
+	for i := range servers {
+		if servers[i].Phase != state.PhaseLive {
+			continue
+		}
+		weight := mix(hashes[i] ^ shardHash)
+		if best == NoOwner || weight > bestWeight {
+			best, bestWeight = i, weight
+		}
+	}
+	return best
+}
+
+// mix is the finalizer of SplitMix64, which spreads every input bit over the
+// result.
+func mix(x uint64) uint64 {
+	x ^= x >> 30
+	x *= 0xbf58476d1ce4e5b9
+	x ^= x >> 27
+	x *= 0x94d049bb133111eb
+	x ^= x >> 31
+	return x
+}
--- /dev/null
+++ b/balance/threshold.go
@@ -0,0 +1,123 @@
+package balance
+
+import "sort"
+
+// Push relieves every overloaded server: it gives its best pieces to the
+// coldest servers that are at or below the low threshold, until it is no longer
+// overloaded. All loads are known to it.
+//
+// The two thresholds, and the names push and pull, are after "On a Class of
+// Push and Pull Strategies with Single Migrations and Limited Probe Rate".
+type Push struct {
+	// Tuning replaces the defaults of the input's weighting when not nil.
+	Tuning *Tuning
+}
+
+// Pull fills every underloaded server: it takes the best piece of the hottest
+// server that is overloaded, until it is no longer underloaded. All loads are
+// known to it. See Push for the source of the idea.
+type Pull struct {
+	// Tuning replaces the defaults of the input's weighting when not nil.
+	Tuning *Tuning
+}
+
+// Name implements Policy.
+func (Push) Name() string { return "push" }
+
+// Name implements Policy.
+func (Pull) Name() string { return "pull" }
+
+// Decide implements Policy.
+func (p Push) Decide(in *Input) []Move {
+	b := newBoard(in, tuningFor(in, p.Tuning))
+	b.duties()
+	in.Probed = 0
+	for _, from := range b.byUtilization(b.overloaded, true) {
+		for b.movesLeft() && b.overloaded(from) && b.pushOne(from) {
+		}
+	}
+	return b.moves
+}
+
+// pushOne moves one piece to the coldest server that may receive; it reports
+// whether there was one.
+func (b *board) pushOne(from int) bool {
+	to := b.coldest(0, from)
+	if to == NoOwner || !b.underloaded(to) {
+		return false
+	}
+	return b.transfer(from, to)
+}
+
+// Decide implements Policy.
+func (p Pull) Decide(in *Input) []Move {
+	b := newBoard(in, tuningFor(in, p.Tuning))
+	b.duties()
+	in.Probed = 0
+	for _, to := range b.byUtilization(b.underloaded, false) {
+		for b.movesLeft() && b.underloaded(to) && b.pullOne(to) {
+		}
+	}
+	return b.moves
+}
+
+// pullOne takes one piece from the hottest overloaded server that has one worth
+// a move; it reports whether there was one.
+func (b *board) pullOne(to int) bool {
+	for _, from := range b.byUtilization(b.overloaded, true) {
+		if b.transfer(from, to) {
+			return true
+		}
+	}
+	return false
+}
+
+// transfer moves the best piece between two servers and counts the look at the
+// partner. It reports whether a piece was worth it.
+func (b *board) transfer(from, to int) bool {
+	b.in.Probed++
+	best, found := b.bestPiece(from, to)
+	if !found {
+		return false
+	}
+	b.take(best, to)
+	return true
+}
+
+func tuningFor(in *Input, override *Tuning) Tuning {
+	if override != nil {
+		return *override
+	}
+	return DefaultTuning(in.Weighting)
+}
+
+// overloaded reports whether a live server is above the high threshold.
+func (b *board) overloaded(server int) bool {
+	if !b.live(server) {
+		return false
+	}
+	utilization := b.utilization(server)
+	return utilization > b.tuning.High*b.mean && utilization > b.tuning.Floor
+}
+
+// underloaded reports whether a live server is at or below the low threshold.
+func (b *board) underloaded(server int) bool {
+	return b.canReceive(server) && b.utilization(server) <= b.tuning.Low*b.mean
+}
+
+// byUtilization lists the servers for which keep holds, in order of utilization.
+func (b *board) byUtilization(keep func(int) bool, descending bool) []int {
+	var list []int
+	for i := range b.in.Servers {
+		if keep(i) {
+			list = append(list, i)
+		}
+	}
+	sort.SliceStable(list, func(i, j int) bool {
+		if descending {
+			i, j = j, i
+		}
+		return b.utilization(list[i]) < b.utilization(list[j])
+	})
+	return list
+}
--- /dev/null
+++ b/hotkeys/hotkeys.go
@@ -0,0 +1,150 @@
+// Package hotkeys finds the keys that are requested most, in bounded memory. A
+// Sketch is a Space-Saving summary whose counts decay exponentially, so that it
+// follows keys that become hot and forgets those that cool.
+//
+// Error bound: with n counters and a decayed total of W observations, a key's
+// estimate is never below its true decayed count and at most W/n above it, and
+// every key whose true decayed count exceeds W/n is in the sketch. The bound
+// holds for the sum of the totals after a Merge of sketches of n counters.
+package hotkeys
+
+import (
+	"math"
+	"sort"
+	"time"
+)
+
+// MaxKeyBytes is the longest key that a sketch keeps. Longer ones count in the
+// total only, so that callers cannot make the sketch large.
+const MaxKeyBytes = 512
+
+// Entry is one key of a sketch.
+type Entry struct {
+	Key string
+	// PerSecond is the estimated rate, never below the true decayed rate.
+	PerSecond float64
+	// ErrorPerSecond is how much of PerSecond may belong to other keys.
+	ErrorPerSecond float64
+	// Load is the mean number of the key's requests in service at a time, from
+	// the busy times observed since the key entered the sketch.
+	Load float64
+}
+
+// Sketch counts observations of keys. It is not safe for concurrent use.
+type Sketch struct {
+	capacity int
+	decay    float64   // mean life of an observation, in seconds
+	first    time.Time // of the first observation
+	base     time.Time // moment at which an observation weighs 1
+	total    float64
+	counters counterHeap
+	byKey    map[string]*counter
+}
+
+// rescaleAfter is the number of mean lives after which the weights are brought
+// back to 1, well before they leave the range of a float64.
+const rescaleAfter = 32
+
+// New returns an empty sketch of at least one counter. An observation loses
+// half of its weight in each half-life.
+func New(capacity int, halfLife time.Duration) *Sketch {
+	capacity = max(capacity, 1)
+	return &Sketch{
+		capacity: capacity,
+		decay:    halfLife.Seconds() / math.Ln2,
+		byKey:    make(map[string]*counter, capacity),
+		counters: make(counterHeap, 0, capacity),
+	}
+}
+
+// Observe counts one request for a key that kept its server busy for a time.
+// Times must not run backwards by more than a few mean lives.
+func (s *Sketch) Observe(now time.Time, key string, busy time.Duration) {
+	weight := s.weightAt(now)
+	s.total += weight
+	if len(key) > MaxKeyBytes {
+		return
+	}
+	c, known := s.byKey[key]
+	if !known {
+		c = s.admit(key)
+	}
+	c.count += weight
+	c.busy += weight * busy.Seconds()
+	s.counters.sink(c.position)
+}
+
+// weightAt returns the weight of an observation made now.
+func (s *Sketch) weightAt(now time.Time) float64 {
+	if s.first.IsZero() {
+		s.first, s.base = now, now
+	}
+	lives := now.Sub(s.base).Seconds() / s.decay
+	if lives > rescaleAfter {
+		s.rescale(now)
+		return 1
+	}
+	return math.Exp(lives)
+}
+
+// rescale makes now the moment at which an observation weighs 1.
+func (s *Sketch) rescale(now time.Time) {
+	factor := math.Exp(-now.Sub(s.base).Seconds() / s.decay)
+	s.base = now
+	s.total *= factor
+	for _, c := range s.counters {
+		c.count *= factor
+		c.err *= factor
+		c.busy *= factor
+	}
+}
+
+// admit returns a counter for a key that has none: a new one, or the smallest,
+// whose count becomes the error of the new key.
+func (s *Sketch) admit(key string) *counter {
+	if len(s.counters) < s.capacity {
+		c := &counter{key: key, position: len(s.counters)}
+		s.byKey[key] = c
+		s.counters = append(s.counters, c)
+		s.counters.rise(c.position)
+		return c
+	}
+	c := s.counters[0]
+	delete(s.byKey, c.key)
+	c.key, c.err, c.busy = key, c.count, 0
+	s.byKey[key] = c
+	return c
+}
+
+// Len returns the number of keys held.
+func (s *Sketch) Len() int { return len(s.counters) }
+
+// Total returns the estimated rate of all keys, in observations per second.
+func (s *Sketch) Total(now time.Time) float64 { return s.total * s.scale(now) }
+
+// Top returns the n keys of the highest rates, highest first.
+func (s *Sketch) Top(now time.Time, n int) []Entry {
+	scale := s.scale(now)
+	entries := make([]Entry, 0, len(s.counters))
+	for _, c := range s.counters {
+		entries = append(entries, c.entry(scale))
+	}
+	sort.Slice(entries, func(i, j int) bool {
+		if entries[i].PerSecond != entries[j].PerSecond {
+			return entries[i].PerSecond > entries[j].PerSecond
+		}
+		return entries[i].Key < entries[j].Key
+	})
+	return entries[:min(n, len(entries))]
+}
+
+// scale converts weighted counts to rates per second as of now. While the
+// sketch is younger than a few mean lives, it accounts for the short history.
+func (s *Sketch) scale(now time.Time) float64 {
+	age := now.Sub(s.first).Seconds()
+	if s.first.IsZero() || age <= 0 {
+		return 0
+	}
+	seen := s.decay * (1 - math.Exp(-age/s.decay))
+	return math.Exp(-now.Sub(s.base).Seconds()/s.decay) / seen
+}
