History: site publications have a beginning and may have an unknown fate

Cause: a compare-and-set can only be checked with its whole interval. Change: SitePublished.Began and SitePublished.Unknown. Measured: go test ./history passes.

--- a/history/events.go
+++ b/history/events.go
@@ -130,12 +130,15 @@
 	Acknowledged bool          `json:"acknowledged"`
 }
 
-// SitePublished is recorded when a publisher learns the fate of its text.
+// SitePublished is recorded when a publisher learns the fate of its text, or
+// gives up on learning it.
 type SitePublished struct {
+	Began     Time   `json:"began"` // before the publisher sent it
 	At        Time   `json:"at"`
 	Publisher string `json:"publisher"`
 	Base      uint64 `json:"base"`
 	Accepted  bool   `json:"accepted"`
+	Unknown   bool   `json:"unknown"` // fate not learnt; then not Accepted
 	Version   uint64 `json:"version"` // the new version; 0 when not accepted
 	Digest    string `json:"digest"`  // of the text
 }
