Peer calls over connect-go, and in memory with faults

Cause: entry nodes have to call each other, and tests need links that fail. Change: package peer names the kinds of calls and the typed causes of failures; modules/peer serves and makes the calls over HTTP/2, one connection for each peer and kind, replaced when silent, its bytes counted at the socket; peermem is the in-memory network with faults on each link; peertest is the contract.

--- /dev/null
+++ b/modules/peer/dialer.go
@@ -0,0 +1,72 @@
+package peer
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"net/http"
+
+	"connectrpc.com/connect"
+
+	core "github.com/burdockspindle/burdockspindle/peer"
+	"github.com/burdockspindle/burdockspindle/proto/burdockspindle/v1/bspbconnect"
+)
+
+// Size limits of one message, in bytes.
+const (
+	maxMessageBytes = 8 << 20
+	// compressFromBytes is the size from which the bulk kinds are compressed;
+	// the small frequent ones never are, since that costs more than it saves.
+	compressFromBytes = 4 << 10
+)
+
+// dialer opens HTTP/2 connections to peers, over TLS when it has a
+// configuration for it.
+type dialer struct {
+	traffic *traffic
+	tls     func(node string) *tls.Config // nil for none
+}
+
+// dial opens one connection. An error proves that no call was sent.
+func (d *dialer) dial(ctx context.Context, address string, kind core.Kind) (*wire, error) {
+	w := &wire{}
+	transport := &http.Transport{
+		Protocols:          new(http.Protocols),
+		DisableCompression: true,
+		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+			raw, err := new(net.Dialer).DialContext(ctx, network, address)
+			if err != nil {
+				return nil, err
+			}
+			w.socket = newSocket(raw, d.traffic.of(kind))
+			return w.socket, nil
+		},
+	}
+	scheme := "http"
+	if d.tls != nil {
+		scheme = "https"
+		transport.TLSClientConfig = d.tls(address)
+		transport.Protocols.SetHTTP2(true)
+	} else {
+		transport.Protocols.SetUnencryptedHTTP2(true)
+	}
+	conn, err := transport.NewClientConn(ctx, scheme, address)
+	if err != nil {
+		return nil, err
+	}
+	w.conn = conn
+	w.client = bspbconnect.NewPeerServiceClient(w, scheme+"://"+address, clientOptions(kind)...)
+	metricConnections.Add(string(kind), 1)
+	return w, nil
+}
+
+func clientOptions(kind core.Kind) []connect.ClientOption {
+	options := []connect.ClientOption{connect.WithReadMaxBytes(maxMessageBytes)}
+	if !bulk(kind) {
+		options = append(options, connect.WithAcceptCompression("gzip", nil, nil))
+	}
+	return options
+}
+
+// bulk reports whether a kind carries large messages.
+func bulk(kind core.Kind) bool { return kind == core.KindReadLog || kind == core.KindSnapshot }
--- /dev/null
+++ b/modules/peer/events.go
@@ -0,0 +1,18 @@
+package peer
+
+import (
+	"github.com/hashicorp/go-hclog"
+
+	"github.com/burdockspindle/burdockspindle/events"
+)
+
+var (
+	eventListening      = events.Define(1300, hclog.Info, "peer listener open")
+	eventServeFailed    = events.Define(1301, hclog.Error, "peer listener failed")
+	eventSilent         = events.Define(1302, hclog.Warn, "connection to peer silent, replaced")
+	eventWrongNode      = events.Define(1303, hclog.Warn, "another node answers at peer's address")
+	eventSeedResolved   = events.Define(1304, hclog.Info, "seed address resolved to node")
+	eventHandlerFailed  = events.Define(1305, hclog.Warn, "peer call failed in handler")
+	eventMisdirected    = events.Define(1306, hclog.Warn, "refused peer call meant for another node")
+	eventShutdownForced = events.Define(1307, hclog.Warn, "peer listener closed before calls ended")
+)
--- /dev/null
+++ b/modules/peer/module.go
@@ -0,0 +1,156 @@
+// Package peer is the module peer.connect: entry nodes call each other with
+// connect-go over HTTP/2, with mutual TLS when the settings name certificates.
+// It opens the peer listener and provides peer.Caller, *peer.Handlers and
+// Addressed.
+package peer
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"github.com/burdockspindle/burdockspindle/kernel"
+	core "github.com/burdockspindle/burdockspindle/peer"
+	"github.com/burdockspindle/burdockspindle/settings"
+	"github.com/burdockspindle/burdockspindle/state"
+	"github.com/burdockspindle/burdockspindle/topo"
+
+	bspb "github.com/burdockspindle/burdockspindle/proto/burdockspindle/v1"
+)
+
+// Defaults for what the settings leave at zero.
+const (
+	defaultConnectTimeout = time.Second
+	defaultSilentAfter    = time.Second
+	defaultSuspectAfter   = 350 * time.Millisecond
+	// silenceShare divides the suspicion time: a silent connection has to be
+	// found and replaced, and the new one tried, before the peer is suspected.
+	silenceShare = 3
+)
+
+func init() { kernel.Register(&Module{}) }
+
+// Module implements kernel.Module.
+type Module struct {
+	ctx      *kernel.Context
+	settings *settings.Settings
+	logger   hclog.Logger
+	handlers *core.Handlers
+	service  *service
+	client   *client
+	traffic  *traffic
+	listener *listener
+	cancel   context.CancelFunc
+	seedDone chan struct{}
+}
+
+// ModuleInfo implements kernel.Module.
+func (*Module) ModuleInfo() kernel.Info {
+	return kernel.Info{ID: "peer.connect", New: func() kernel.Module { return new(Module) }}
+}
+
+// Provision implements kernel.Provisioner.
+func (m *Module) Provision(ctx *kernel.Context) error {
+	var err error
+	if m.settings, err = kernel.Use[*settings.Settings](ctx); err != nil {
+		return err
+	}
+	m.ctx = ctx
+	m.logger = ctx.Logger.Named("peer")
+	m.handlers = &core.Handlers{}
+	m.traffic = newTraffic()
+	sender := &bspb.Sender{
+		Node: string(ctx.Identity.Node),
+		Boot: string(ctx.Identity.Boot),
+		Zone: string(ctx.Identity.Zone),
+	}
+	m.service = &service{sender: sender, handlers: m.handlers, logger: m.logger}
+	m.client = m.newClient(sender)
+	return errors.Join(
+		kernel.Provide[core.Caller](ctx, m.client),
+		kernel.Provide(ctx, m.handlers),
+	)
+}
+
+func (m *Module) newClient(sender *bspb.Sender) *client {
+	limits, timing := m.settings.Limits, m.settings.Timing
+	silence := orDefault(timing.SuspectAfter, defaultSuspectAfter) / silenceShare
+	return &client{
+		sender:    sender,
+		logger:    m.logger,
+		directory: &directory{self: m.ctx.Identity, seeds: map[topo.NodeID]string{}},
+		dialer:    &dialer{traffic: m.traffic},
+		timing: linkTiming{
+			connect: orDefault(limits.ConnectTimeout, defaultConnectTimeout),
+			silence: silence,
+		},
+		timeout: orDefault(limits.SilentAfter, defaultSilentAfter),
+		links:   map[linkKey]*link{},
+	}
+}
+
+func orDefault(value, otherwise time.Duration) time.Duration {
+	if value > 0 {
+		return value
+	}
+	return otherwise
+}
+
+// Start implements kernel.Starter.
+func (m *Module) Start(context.Context) error {
+	if source, err := kernel.Use[state.Source](m.ctx); err == nil {
+		m.client.directory.source = source
+	}
+	var err error
+	if m.listener, err = listen(m.settings.Peer.Address, m.service, m.traffic, nil); err != nil {
+		return err
+	}
+	eventListening.Log(m.logger, "address", m.listener.net.Addr().String())
+	go m.listener.serve()
+	ctx, cancel := context.WithCancel(context.Background())
+	m.cancel = cancel
+	m.seedDone = make(chan struct{})
+	go func() {
+		defer close(m.seedDone)
+		duty := &seedDuty{client: m.client, addresses: m.settings.Seeds}
+		duty.run(ctx)
+	}()
+	return nil
+}
+
+// Stop implements kernel.Stopper.
+func (m *Module) Stop(ctx context.Context) error {
+	m.cancel()
+	<-m.seedDone
+	m.listener.close(ctx)
+	m.client.close()
+	return nil
+}
+
+// ListenAddress implements kernel.Listening.
+func (m *Module) ListenAddress() (kernel.ListenerRole, string) {
+	if m.listener == nil {
+		return kernel.RolePeer, m.settings.Peer.Address
+	}
+	return kernel.RolePeer, m.listener.net.Addr().String()
+}
+
+// Dump implements kernel.Dumper.
+func (m *Module) Dump() any {
+	_, address := m.ListenAddress()
+	return dump{
+		Address: address,
+		Known:   m.client.Known(),
+		Bytes:   m.traffic.dump(),
+		Links:   m.client.dump(),
+	}
+}
+
+type dump struct {
+	Address string                  `json:"address"`
+	Known   []topo.NodeID           `json:"known"`
+	Bytes   map[core.Kind]bytesDump `json:"bytes"`
+	Links   []linkDump              `json:"links"`
+}
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -1,5 +1,7 @@
 // Package peer is the interface through which entry nodes call each other. The
-// connect-go implementation is modules/peer; tests use small in-memory ones.
+// connect-go implementation is modules/peer; package peermem is the in-memory
+// one with faults on each link. The contract that both meet is tested by
+// peer/peertest.
 package peer
 
 import (
@@ -12,8 +14,9 @@
 )
 
 // Caller calls other nodes. Addresses come from the state's nodes, or from the
-// settings' seeds for a process that has no state yet. Each method opens a new
-// connection when the existing one makes no progress. Errors are *CallError.
+// settings' seeds for a process that has no state yet. Each kind of call has a
+// connection of its own to each node; a call that starts while that connection
+// is silent opens a new one. Calls never resend. Errors are *CallError.
 type Caller interface {
 	Heartbeat(ctx context.Context, to topo.NodeID, req *bspb.HeartbeatRequest) (*bspb.HeartbeatResponse, error)
 	ReadLog(ctx context.Context, to topo.NodeID, req *bspb.ReadLogRequest) (*bspb.ReadLogResponse, error)
@@ -22,7 +25,8 @@
 	ReportLoad(ctx context.Context, to topo.NodeID, req *bspb.ReportLoadRequest) error
 	Move(ctx context.Context, to topo.NodeID, req *bspb.MoveRequest) (*bspb.MoveResponse, error)
 	Status(ctx context.Context, to topo.NodeID) (*bspb.StatusResponse, error)
-	// Known lists the nodes that can be called now, own zone first.
+	// Known lists the nodes that can be called now, own zone first, without
+	// this node.
 	Known() []topo.NodeID
 	// Sender is what this process says of itself in every message.
 	Sender() *bspb.Sender
@@ -30,8 +34,8 @@
 
 // Handlers is where modules put what they answer to peers' calls. Modules set
 // their fields during Provision; calls to a nil handler are answered
-// "unimplemented". HTTP mounts plain handlers (request forwarding) on the peer
-// listener.
+// "unimplemented". The listener fills in each answer's Sender. HTTP mounts
+// plain handlers (request forwarding) on the peer listener.
 type Handlers struct {
 	Heartbeat  func(ctx context.Context, req *bspb.HeartbeatRequest) (*bspb.HeartbeatResponse, error)
 	ReadLog    func(ctx context.Context, req *bspb.ReadLogRequest) (*bspb.ReadLogResponse, error)
@@ -43,19 +47,21 @@
 	HTTP       map[string]http.Handler // path prefix → handler
 }
 
-// CallError reports a call without an answer.
-type CallError struct {
-	Node topo.NodeID
-	Op   string
-	// Sent is false only if it is proven that nothing was sent.
-	Sent  bool
-	Cause error
-}
+// Kind names one kind of call, as used in metrics, dumps and CallError.Op.
+type Kind string
 
-// Error implements error.
-func (e *CallError) Error() string {
-	return "node " + string(e.Node) + ": " + e.Op + ": " + e.Cause.Error()
-}
+// Kinds of calls.
+const (
+	KindHeartbeat  Kind = "heartbeat"
+	KindReadLog    Kind = "read_log"
+	KindSnapshot   Kind = "snapshot"
+	KindAnnounce   Kind = "announce"
+	KindReportLoad Kind = "report_load"
+	KindMove       Kind = "move"
+	KindStatus     Kind = "status"
+)
 
-// Unwrap returns the cause.
-func (e *CallError) Unwrap() error { return e.Cause }
+// Kinds lists every kind of call.
+func Kinds() []Kind {
+	return []Kind{KindHeartbeat, KindReadLog, KindSnapshot, KindAnnounce, KindReportLoad, KindMove, KindStatus}
+}
