hotkeys: keys carry their service and hash range

Cause: a report of a hot key must name the shard that contains it. Change: a sketch counts topo.ShardID instead of a bare string.

--- a/hotkeys/counter.go
+++ b/hotkeys/counter.go
@@ -1,8 +1,10 @@
 package hotkeys
 
+import "github.com/burdockspindle/burdockspindle/topo"
+
 // counter holds the decayed count of one key.
 type counter struct {
-	key      string
+	id       topo.ShardID
 	count    float64 // never below the key's true count
 	err      float64 // how much of count may belong to other keys
 	busy     float64 // weighted seconds of service since admission
@@ -14,7 +16,7 @@
 // rate and no further.
 func (c *counter) entry(scale float64) Entry {
 	return Entry{
-		Key:            c.key,
+		ID:             c.id,
 		PerSecond:      c.count * scale,
 		ErrorPerSecond: c.err * scale,
 		Load:           c.busy * scale,
--- a/hotkeys/hotkeys.go
+++ b/hotkeys/hotkeys.go
@@ -12,6 +12,8 @@
 	"math"
 	"sort"
 	"time"
+
+	"github.com/burdockspindle/burdockspindle/topo"
 )
 
 // MaxKeyBytes is the longest key that a sketch keeps. Longer ones count in the
@@ -20,7 +22,8 @@
 
 // Entry is one key of a sketch.
 type Entry struct {
-	Key string
+	// ID is the key with the hash range that contains it.
+	ID topo.ShardID
 	// PerSecond is the estimated rate, never below the true decayed rate.
 	PerSecond float64
 	// ErrorPerSecond is how much of PerSecond may belong to other keys.
@@ -38,7 +41,7 @@
 	base     time.Time // moment at which an observation weighs 1
 	total    float64
 	counters counterHeap
-	byKey    map[string]*counter
+	byKey    map[topo.ShardID]*counter
 }
 
 // rescaleAfter is the number of mean lives after which the weights are brought
@@ -52,22 +55,22 @@
 	return &Sketch{
 		capacity: capacity,
 		decay:    halfLife.Seconds() / math.Ln2,
-		byKey:    make(map[string]*counter, capacity),
+		byKey:    make(map[topo.ShardID]*counter, capacity),
 		counters: make(counterHeap, 0, capacity),
 	}
 }
 
 // Observe counts one request for a key that kept its server busy for a time.
 // Times must not run backwards by more than a few mean lives.
-func (s *Sketch) Observe(now time.Time, key string, busy time.Duration) {
+func (s *Sketch) Observe(now time.Time, id topo.ShardID, busy time.Duration) {
 	weight := s.weightAt(now)
 	s.total += weight
-	if len(key) > MaxKeyBytes {
+	if len(id.Key) > MaxKeyBytes {
 		return
 	}
-	c, known := s.byKey[key]
+	c, known := s.byKey[id]
 	if !known {
-		c = s.admit(key)
+		c = s.admit(id)
 	}
 	c.count += weight
 	c.busy += weight * busy.Seconds()
@@ -101,18 +104,18 @@
 
 // admit returns a counter for a key that has none: a new one, or the smallest,
 // whose count becomes the error of the new key.
-func (s *Sketch) admit(key string) *counter {
+func (s *Sketch) admit(id topo.ShardID) *counter {
 	if len(s.counters) < s.capacity {
-		c := &counter{key: key, position: len(s.counters)}
-		s.byKey[key] = c
+		c := &counter{id: id, position: len(s.counters)}
+		s.byKey[id] = c
 		s.counters = append(s.counters, c)
 		s.counters.rise(c.position)
 		return c
 	}
 	c := s.counters[0]
-	delete(s.byKey, c.key)
-	c.key, c.err, c.busy = key, c.count, 0
-	s.byKey[key] = c
+	delete(s.byKey, c.id)
+	c.id, c.err, c.busy = id, c.count, 0
+	s.byKey[id] = c
 	return c
 }
 
@@ -133,11 +136,19 @@
 		if entries[i].PerSecond != entries[j].PerSecond {
 			return entries[i].PerSecond > entries[j].PerSecond
 		}
-		return entries[i].Key < entries[j].Key
+		return before(entries[i].ID, entries[j].ID)
 	})
 	return entries[:min(n, len(entries))]
 }
 
+// before orders keys of equal rates, so that results do not depend on chance.
+func before(a, b topo.ShardID) bool {
+	if a.Service != b.Service {
+		return a.Service < b.Service
+	}
+	return a.Key < b.Key
+}
+
 // scale converts weighted counts to rates per second as of now. While the
 // sketch is younger than a few mean lives, it accounts for the short history.
 func (s *Sketch) scale(now time.Time) float64 {
--- a/hotkeys/hotkeys_test.go
+++ b/hotkeys/hotkeys_test.go
@@ -12,19 +12,22 @@
 	"pgregory.net/rapid"
 
 	"github.com/burdockspindle/burdockspindle/hotkeys"
+	"github.com/burdockspindle/burdockspindle/topo"
 )
 
 var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 
 const halfLife = 5 * time.Second
 
+func id(key string) topo.ShardID { return topo.ShardID{Service: "quotes", Key: key} }
+
 func TestRateAndLoadOfASteadyKey(t *testing.T) {
 	g := gomega.NewWithT(t)
 	sketch := hotkeys.New(8, halfLife)
 	now := start
 	for range 6000 {
 		now = now.Add(10 * time.Millisecond)
-		sketch.Observe(now, "k", 20*time.Millisecond)
+		sketch.Observe(now, id("k"), 20*time.Millisecond)
 	}
 	top := sketch.Top(now, 1)
 	g.Expect(top).To(gomega.HaveLen(1))
@@ -39,7 +42,7 @@
 	g := gomega.NewWithT(t)
 	sketch := hotkeys.New(8, halfLife)
 	for i := range 101 {
-		sketch.Observe(start.Add(time.Duration(i)*10*time.Millisecond), "k", 0)
+		sketch.Observe(start.Add(time.Duration(i)*10*time.Millisecond), id("k"), 0)
 	}
 	g.Expect(sketch.Top(start.Add(time.Second), 1)[0].PerSecond).To(gomega.BeNumerically("~", 100, 3))
 }
@@ -50,21 +53,21 @@
 	now := start
 	for i := range 8000 {
 		now = now.Add(10 * time.Millisecond)
-		sketch.Observe(now, fmt.Sprint("old", i%2), 0)
+		sketch.Observe(now, id(fmt.Sprint("old", i%2)), 0)
 	}
 	for i := range 8000 {
 		now = now.Add(10 * time.Millisecond)
-		sketch.Observe(now, fmt.Sprint("new", i%2), 0)
+		sketch.Observe(now, id(fmt.Sprint("new", i%2)), 0)
 	}
 	top := sketch.Top(now, 2)
-	g.Expect([]string{top[0].Key, top[1].Key}).To(gomega.ConsistOf("new0", "new1"))
+	g.Expect([]string{top[0].ID.Key, top[1].ID.Key}).To(gomega.ConsistOf("new0", "new1"))
 	g.Expect(sketch.Top(now, 4)[2].PerSecond).To(gomega.BeNumerically("<", 0.1))
 }
 
 func TestLongKeysAreNotKept(t *testing.T) {
 	g := gomega.NewWithT(t)
 	sketch := hotkeys.New(4, halfLife)
-	sketch.Observe(start, strings.Repeat("x", hotkeys.MaxKeyBytes+1), 0)
+	sketch.Observe(start, id(strings.Repeat("x", hotkeys.MaxKeyBytes+1)), 0)
 	g.Expect(sketch.Len()).To(gomega.BeZero())
 	g.Expect(sketch.Total(start.Add(time.Second))).To(gomega.BeNumerically(">", 0))
 }
@@ -90,7 +93,7 @@
 	limit := truth.total() / float64(capacity)
 	held := map[string]hotkeys.Entry{}
 	for _, entry := range sketch.Top(end, capacity) {
-		held[entry.Key] = entry
+		held[entry.ID.Key] = entry
 	}
 	const slack = 1e-6
 	for key, count := range truth {
@@ -125,7 +128,7 @@
 			if split {
 				into = random.IntN(2)
 			}
-			sketches[into].Observe(now, key, 0)
+			sketches[into].Observe(now, id(key), 0)
 			truth.observe(now, end, key)
 		}
 		sketches[0].Merge(end, sketches[1])
@@ -139,9 +142,9 @@
 func BenchmarkObserve(b *testing.B) {
 	sketch := hotkeys.New(256, halfLife)
 	zipf := rand.NewZipf(rand.New(rand.NewPCG(1, 1)), 1.1, 1, 100_000)
-	keys := make([]string, 1<<16)
+	keys := make([]topo.ShardID, 1<<16)
 	for i := range keys {
-		keys[i] = fmt.Sprint("key-", zipf.Uint64())
+		keys[i] = id(fmt.Sprint("key-", zipf.Uint64()))
 	}
 	now := start
 	b.ReportAllocs()
--- a/hotkeys/merge.go
+++ b/hotkeys/merge.go
@@ -30,7 +30,7 @@
 	merged := make([]*counter, 0, len(s.counters)+len(other.counters))
 	for _, c := range s.counters {
 		sum := *c
-		if o, both := other.byKey[c.key]; both {
+		if o, both := other.byKey[c.id]; both {
 			sum.add(o.count*factor, o.err*factor, o.busy*factor)
 		} else {
 			sum.add(missingThere, missingThere, 0)
@@ -38,10 +38,10 @@
 		merged = append(merged, &sum)
 	}
 	for _, o := range other.counters {
-		if _, both := s.byKey[o.key]; both {
+		if _, both := s.byKey[o.id]; both {
 			continue
 		}
-		sum := &counter{key: o.key}
+		sum := &counter{id: o.id}
 		sum.add(o.count*factor+missingHere, o.err*factor+missingHere, o.busy*factor)
 		merged = append(merged, sum)
 	}
@@ -68,7 +68,7 @@
 		if counters[i].count != counters[j].count {
 			return counters[i].count > counters[j].count
 		}
-		return counters[i].key < counters[j].key
+		return before(counters[i].id, counters[j].id)
 	})
 	counters = counters[:min(len(counters), s.capacity)]
 	s.counters = s.counters[:0]
@@ -78,6 +78,6 @@
 		c := counters[i]
 		c.position = len(s.counters)
 		s.counters = append(s.counters, c)
-		s.byKey[c.key] = c
+		s.byKey[c.id] = c
 	}
 }
