--- /dev/null
+++ b/modules/vmshttp/module.go
@@ -0,0 +1,214 @@
+// Package vmshttp is the module vms.http: it reads the platform's VM list as
+// JSON over HTTP, in the form that package vmlist documents.
+package vmshttp
+
+import (
+	"context"
+	"expvar"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"github.com/burdockspindle/burdockspindle/kernel"
+	"github.com/burdockspindle/burdockspindle/settings"
+	"github.com/burdockspindle/burdockspindle/vmlist"
+)
+
+// Driver options.
+const (
+	optionURL       = "url"       // of the list, for example http://10.0.0.1:7100/vms
+	optionTimeoutMs = "timeoutMs" // of one read, default 1000
+)
+
+const defaultTimeout = time.Second
+
+// Metrics of all nodes in this process, under "vm_list".
+var (
+	metrics        = expvar.NewMap("vm_list")
+	metricReads    = newCounter("reads")
+	metricFailures = newCounter("read_failures")
+	metricSkipped  = newCounter("rows_skipped")
+)
+
+func newCounter(name string) *expvar.Int {
+	counter := new(expvar.Int)
+	metrics.Set(name, counter)
+	return counter
+}
+
+func init() { kernel.Register(&Module{}) }
+
+// Module implements kernel.Module.
+type Module struct {
+	url     string
+	timeout time.Duration
+	logger  hclog.Logger
+
+	mu        sync.Mutex
+	transport *http.Transport
+	lastRead  time.Time
+	lastRows  int
+	skipped   int
+	lastError string
+}
+
+var _ vmlist.List = (*Module)(nil)
+
+// ModuleInfo implements kernel.Module.
+func (*Module) ModuleInfo() kernel.Info {
+	return kernel.Info{ID: "vms.http", New: func() kernel.Module { return new(Module) }}
+}
+
+// Provision implements kernel.Provisioner.
+func (m *Module) Provision(ctx *kernel.Context) error {
+	s, err := kernel.Use[*settings.Settings](ctx)
+	if err != nil {
+		return err
+	}
+	m.logger = ctx.Logger.Named("vms")
+	m.timeout = defaultTimeout
+	for key, value := range s.VMs.Options {
+		if err := m.setOption(key, value); err != nil {
+			return err
+		}
+	}
+	if m.url == "" {
+		return &OptionError{Key: optionURL}
+	}
+	m.transport = newTransport()
+	return kernel.Provide[vmlist.List](ctx, m)
+}
+
+func newTransport() *http.Transport {
+	return &http.Transport{MaxIdleConns: 1, MaxConnsPerHost: 2, IdleConnTimeout: time.Minute}
+}
+
+func (m *Module) setOption(key string, value any) error {
+	switch key {
+	case optionURL:
+		text, _ := value.(string)
+		parsed, err := url.Parse(text)
+		if err != nil || (parsed.Scheme != "http" && parsed.Scheme != "https") || parsed.Host == "" {
+			return &OptionError{Key: key}
+		}
+		m.url = text
+	case optionTimeoutMs:
+		ms, isNumber := value.(float64)
+		if !isNumber || ms < 1 {
+			return &OptionError{Key: key}
+		}
+		m.timeout = time.Duration(ms * float64(time.Millisecond))
+	default:
+		return &OptionError{Key: key}
+	}
+	return nil
+}
+
+// VMs implements vmlist.List.
+func (m *Module) VMs(ctx context.Context) ([]vmlist.VM, error) {
+	metricReads.Add(1)
+	vms, skipped, err := m.read(ctx)
+	m.note(len(vms), skipped, err)
+	return vms, err
+}
+
+func (m *Module) read(ctx context.Context) ([]vmlist.VM, int, error) {
+	if err := ctx.Err(); err != nil {
+		return nil, 0, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, m.timeout)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, m.url, nil)
+	if err != nil {
+		return nil, 0, &vmlist.UnavailableError{Cause: err}
+	}
+	response, err := m.client().RoundTrip(request)
+	if err != nil {
+		return nil, 0, m.failed(err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	if response.StatusCode != http.StatusOK {
+		return nil, 0, &vmlist.UnavailableError{Cause: &StatusError{Code: response.StatusCode}}
+	}
+	body, err := io.ReadAll(io.LimitReader(response.Body, vmlist.MaxBytes+1))
+	if err != nil {
+		return nil, 0, m.failed(err)
+	}
+	return vmlist.Decode(body)
+}
+
+func (m *Module) client() *http.Transport {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.transport
+}
+
+// failed drops the connections, since the one just used may be silent for
+// good; the next read opens a new one.
+func (m *Module) failed(cause error) error {
+	m.mu.Lock()
+	old := m.transport
+	m.transport = newTransport()
+	m.mu.Unlock()
+	old.CloseIdleConnections()
+	return &vmlist.UnavailableError{Cause: cause}
+}
+
+func (m *Module) note(rows, skipped int, err error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if err != nil {
+		metricFailures.Add(1)
+		if m.lastError == "" {
+			eventUnavailable.Log(m.logger, "url", m.url, "error", err)
+		}
+		m.lastError = err.Error()
+		return
+	}
+	if skipped > 0 && skipped != m.skipped {
+		eventRowsSkipped.Log(m.logger, "rows", skipped)
+	}
+	if m.lastError != "" {
+		eventBack.Log(m.logger, "url", m.url)
+	}
+	metricSkipped.Add(int64(skipped))
+	m.lastRead, m.lastRows, m.skipped, m.lastError = time.Now(), rows, skipped, ""
+}
+
+// Stop implements kernel.Stopper.
+func (m *Module) Stop(context.Context) error {
+	m.client().CloseIdleConnections()
+	return nil
+}
+
+// Dump implements kernel.Dumper.
+func (m *Module) Dump() any {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return struct {
+		URL      string    `json:"url"`
+		LastRead time.Time `json:"lastRead"`
+		Rows     int       `json:"rows"`
+		Skipped  int       `json:"skipped"`
+		Error    string    `json:"error,omitempty"`
+	}{m.url, m.lastRead, m.lastRows, m.skipped, m.lastError}
+}
+
+// OptionError reports a driver option that is missing, unknown or wrong.
+type OptionError struct{ Key string }
+
+// Error implements error.
+func (e *OptionError) Error() string {
+	return `VM list driver "http": option "` + e.Key + `" is missing or wrong: url is an http or https URL, timeoutMs at least 1`
+}
+
+// StatusError reports an HTTP status other than 200.
+type StatusError struct{ Code int }
+
+// Error implements error.
+func (e *StatusError) Error() string { return "HTTP status " + strconv.Itoa(e.Code) }
