--- a/backend/backend.go
+++ b/backend/backend.go
@@ -29,11 +29,17 @@
 	Fence          topo.Fence
 	Term           topo.Term // sender's term, for services that do not check fences
 	IdempotencyKey string
-	RequestID      string // unique for each attempt; echoed by the server
-	Deadline       time.Time
-	Header         http.Header
-	Body           io.Reader // nil for none
-	ContentLength  int64     // -1 when not known
+	// RequestID is unique for each attempt, cannot be guessed, and is echoed by
+	// the server; it is what ties an answer to its request.
+	RequestID string
+	// Idempotent requests may use a connection that has carried others. The
+	// rest each get a new one, so that a connection that went silent or was
+	// closed while idle never makes their outcome unknown.
+	Idempotent    bool
+	Deadline      time.Time // zero for none
+	Header        http.Header
+	Body          io.Reader // nil for none; may be read for a moment after Do returned
+	ContentLength int64     // -1 when not known
 }
 
 // Response is a server's answer. Body must be closed by the receiver; a read
--- a/serverapi/serverapi.go
+++ b/serverapi/serverapi.go
@@ -27,6 +27,10 @@
 	// HeaderIdempotencyKey is the published Idempotency-Key header. Its value is
 	// a ticket issued by an entry node; see package ticket.
 	HeaderIdempotencyKey = "Idempotency-Key"
+	// HeaderProgressMs asks the server to send a 102 (Processing) response each
+	// time that many milliseconds pass before its answer begins, so that a slow
+	// run can be told from a connection that has gone silent.
+	HeaderProgressMs = "Burdockspindle-Progress-Ms"
 )
 
 // Headers on a server's answers, and on answers to callers.
@@ -64,12 +68,23 @@
 	ReasonStaleTicket Reason = "stale-ticket" // 409, unknown: ticket of an earlier ownership, record gone
 	ReasonDuplicate   Reason = "duplicate"    // 409, unknown: the same ticket is being run now
 	ReasonDeadline    Reason = "deadline"     // 504: deadline passed before it was run (not run)
+	ReasonBadTicket   Reason = "bad-ticket"   // 422: not a ticket, or of another key (not run)
+	ReasonBadRequest  Reason = "bad-request"  // 400: malformed protocol headers (not run)
+	// ReasonAnswerGone: 409, unknown: the ticket was run, and its answer was
+	// lost, too long to keep, or dropped since.
+	ReasonAnswerGone Reason = "answer-gone"
+	// ReasonOwnershipLost: 409, unknown: the lease ended while the request was
+	// being run.
+	ReasonOwnershipLost Reason = "ownership-lost"
 )
 
 // Grant names one shard and the fence under which the server may serve it.
 type Grant struct {
 	Shard string `json:"shard"` // topo.ShardID.String
 	Fence string `json:"fence"` // topo.Fence.String
+	// Except lists keys of the hash range that were split out of it, or are
+	// about to be: the server refuses them under this grant.
+	Except []string `json:"except,omitempty"`
 }
 
 // LeaseRequest renews a server's one lease, which covers every shard granted
@@ -82,14 +97,18 @@
 	// Echo is the Stamp of the server's latest reply that the lessor has.
 	Echo  int64 `json:"echo"`
 	TTLMs int64 `json:"ttlMs"`
-	// Generation numbers the grant list within the term. Grants is left out
-	// when the server is known to have this generation.
+	// Generation numbers the grant list within the term, from 1. With Full the
+	// lists below are that generation; without, they are empty and the server
+	// is known to have it. A server never goes back to a lower generation.
 	Generation uint64  `json:"generation"`
 	Full       bool    `json:"full"`
 	Grants     []Grant `json:"grants,omitempty"`
 	// Standby lists shards for which the server is the standby, with the
 	// standby's own fence, so that it can warm them. They are not served.
 	Standby []Grant `json:"standby,omitempty"`
+	// WantActive asks for the Active list in the reply, which is otherwise left
+	// out of renewals without Full to keep them short.
+	WantActive bool `json:"wantActive,omitempty"`
 }
 
 // AcknowledgeRequest asks a server to refuse every term below Term from now on.
@@ -100,24 +119,34 @@
 
 // Refusals in LeaseReply.
 const (
-	RefusedStaleTerm  = "stale-term"
-	RefusedBoot       = "boot-mismatch"
-	RefusedGeneration = "unknown-generation"
+	RefusedStaleTerm  = "stale-term"         // a higher term was seen
+	RefusedBoot       = "boot-mismatch"      // Echo belongs to another run of the server
+	RefusedGeneration = "unknown-generation" // not Full, and the server has not this generation
+	RefusedLessor     = "other-lessor"       // the term is in use by another lessor
+	RefusedMalformed  = "malformed"          // status 400: a field cannot be read or makes no sense
 )
 
-// LeaseReply answers both calls. Status 200, or 409 with Refused set.
+// LeaseReply answers both calls. Status 200, 409 with Refused set, or 400 with
+// RefusedMalformed.
 type LeaseReply struct {
 	Refused     string      `json:"refused,omitempty"`
 	Boot        topo.BootID `json:"boot"`
 	Stamp       int64       `json:"stamp"` // server's monotonic clock, nanoseconds since its start
 	HighestTerm string      `json:"highestTerm"`
-	Generation  uint64      `json:"generation"`
-	// RemainingMs of the lease now; 0 when none is valid.
+	// Generation of the grant list held, if it is HighestTerm's; otherwise 0.
+	Generation uint64 `json:"generation"`
+	// RemainingMs of the lease now, rounded up; 0 when none is valid.
 	RemainingMs int64 `json:"remainingMs"`
 	// Active lists the grants held, whether or not the lease is valid. A
-	// standby grant that was ever activated (rank above 0) is among them.
+	// standby grant that was ever activated (rank above 0) is among them, also
+	// after it was revoked, until a higher fence of its shard is granted to
+	// this server. The list is present in answers to Acknowledge, to requests
+	// with Full or WantActive, and in refusals.
 	Active []Grant `json:"active,omitempty"`
-	// Busy lists revoked shards that still have requests in flight.
+	// Digest is GrantsDigest of Active, and is always present.
+	Digest string `json:"digest"`
+	// Busy lists revoked shards that still have requests in flight. A key that
+	// was excepted from its hash range is listed as the split key's shard.
 	Busy     []string `json:"busy,omitempty"`
 	Draining bool     `json:"draining"`
 	Load     Load     `json:"load"`
