--- /dev/null
+++ b/histcheck/check.go
@@ -0,0 +1,35 @@
+package histcheck
+
+import (
+	"github.com/burdockspindle/burdockspindle/history"
+	"github.com/burdockspindle/burdockspindle/topo"
+)
+
+// Options say what a history does not tell by itself.
+type Options struct {
+	// Idempotent reports whether a method of a service may be repeated. Nil
+	// means that GET and HEAD may be, for every service.
+	Idempotent func(service topo.Service, method string) bool
+	// Settled lists the nodes that were connected and caught up when the
+	// history ended. Each must know every acknowledged assignment.
+	Settled []topo.NodeID
+}
+
+func (o Options) idempotent(service topo.Service, method string) bool {
+	if o.Idempotent != nil {
+		return o.Idempotent(service, method)
+	}
+	return method == "GET" || method == "HEAD"
+}
+
+// Check applies every plain checker to a history sorted by When.
+func Check(events []history.Event, options Options) []Violation {
+	var found []Violation
+	found = append(found, SoleOwner(events)...)
+	found = append(found, AtMostOnce(events, options)...)
+	found = append(found, WholeAnswer(events)...)
+	found = append(found, NotRun(events, options)...)
+	found = append(found, Assignments(events, options)...)
+	found = append(found, SiteVersions(events)...)
+	return found
+}
--- /dev/null
+++ b/histcheck/linear_assign.go
@@ -0,0 +1,80 @@
+package histcheck
+
+import (
+	"time"
+
+	"github.com/anishathalye/porcupine"
+
+	"github.com/burdockspindle/burdockspindle/history"
+	"github.com/burdockspindle/burdockspindle/topo"
+)
+
+// assignInput is one step on a shard's assignment.
+type assignInput struct {
+	shard topo.ShardID
+	fence topo.Fence
+	owner topo.ServerID
+	read  bool // a settled node's knowledge at the end
+}
+
+// LinearizableAssignments checks that each shard's assignment behaves as a
+// register that only rises: every acknowledged write is ordered before the
+// reads that the settled nodes make at the end, and is not undone.
+func LinearizableAssignments(events []history.Event, options Options, limit time.Duration) Result {
+	known := history.Select[history.AssignmentKnown](events)
+	end := int64(0)
+	for _, event := range events {
+		end = max(end, int64(event.When()))
+	}
+	var operations []porcupine.Operation
+	shards := map[topo.ShardID]bool{}
+	for _, e := range known {
+		shards[e.Shard] = true
+		if !e.Acknowledged {
+			continue
+		}
+		operations = append(operations, porcupine.Operation{
+			Input: assignInput{shard: e.Shard, fence: e.Fence, owner: e.Owner},
+			// The write was submitted at some earlier moment.
+			Call:   0,
+			Return: int64(e.At),
+		})
+	}
+	operations = append(operations, finalReads(known, shards, options.Settled, end)...)
+	return search(assignModel(), operations, limit)
+}
+
+func finalReads(known []history.AssignmentKnown, shards map[topo.ShardID]bool, settled []topo.NodeID, end int64) []porcupine.Operation {
+	latest := latestKnown(known)
+	owners := map[fenced]topo.ServerID{}
+	for _, e := range known {
+		owners[fenced{e.Shard, e.Fence}] = e.Owner
+	}
+	var reads []porcupine.Operation
+	for _, node := range settled {
+		for shard := range shards {
+			fence := latest[node][shard]
+			reads = append(reads, porcupine.Operation{
+				Input:  assignInput{shard: shard, fence: fence, owner: owners[fenced{shard, fence}], read: true},
+				Call:   end + 1,
+				Return: end + 1,
+			})
+		}
+	}
+	return reads
+}
+
+func assignModel() porcupine.Model {
+	return porcupine.Model{
+		Partition: partitionBy(func(input any) topo.ShardID { return input.(assignInput).shard }),
+		Init:      func() any { return assignInput{} },
+		Step: func(state, input, _ any) (bool, any) {
+			current, in := state.(assignInput), input.(assignInput)
+			in.read = false
+			if in.fence == current.fence {
+				return in.owner == current.owner || current.fence.IsZero(), in
+			}
+			return current.fence.Less(in.fence), in
+		},
+	}
+}
