--- a/histcheck/generate_test.go
+++ b/histcheck/generate_test.go
@@ -12,7 +12,7 @@
 
 const (
 	generatedService topo.Service = "licensing"
-	generatedShards               = 2
+	generatedShards  uint32       = 2
 )
 
 // generator makes clean histories: one owner a shard at a time, each request
@@ -31,7 +31,7 @@
 func cleanHistory(t *rapid.T) []history.Event {
 	g := &generator{t: t, values: map[string]uint64{}}
 	for shard := range generatedShards {
-		g.assign(uint32(shard))
+		g.assign(shard)
 	}
 	for range rapid.IntRange(3, 40).Draw(t, "steps") {
 		g.step()
