--- a/jsonc/parse.go
+++ b/jsonc/parse.go
@@ -60,17 +60,28 @@
 		report.Add(ctx.source.line(offset), "", "nested deeper than "+strconv.Itoa(MaxDepth)+" levels")
 		return quietObject(ctx), report
 	}
-	// The parser keeps references into its input, so it gets a copy.
-	root, err := hujson.Parse(bytes.Clone(text))
+	// The parser keeps references into its input, so it gets a copy; and it
+	// wants a line comment to end, also the last one.
+	root, err := hujson.Parse(append(bytes.Clone(text), '\n'))
 	if err != nil {
 		line, problem := describeSyntaxError(err)
-		report.Add(line, "", problem)
+		report.Add(min(line, lastLine(text)), "", problem)
 		return quietObject(ctx), report
 	}
 	value := &Value{ctx: ctx, line: ctx.source.line(root.StartOffset), raw: root.Value}
 	return value.Object(), report
 }
 
+// lastLine returns the last line that is not blank.
+func lastLine(text []byte) int {
+	return 1 + bytes.Count(bytes.TrimSpace(text), []byte("\n")) + leadingLines(text)
+}
+
+func leadingLines(text []byte) int {
+	content := bytes.TrimLeft(text, " \t\r\n")
+	return bytes.Count(text[:len(text)-len(content)], []byte("\n"))
+}
+
 // tooDeep returns the offset of the first bracket nested beyond MaxDepth,
 // skipping strings and comments.
 func tooDeep(text []byte) (int, bool) {
