--- a/balance/balance.go
+++ b/balance/balance.go
@@ -87,7 +87,7 @@
 const (
 	MoveShard Kind = iota + 1 // give a shard, or a key split out earlier, to another server
 	SplitKey                  // give a key an entry of its own, at another server
-	MergeKey                  // return a split key to the hash range that contains it
+	MergeKey                  // return a split key to its hash range, at the same owner
 )
 
 // String returns the kind's name as used in logs.
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -89,7 +89,11 @@
 	key := in.Shards[at]
 	in.Shards = append(in.Shards[:at:at], in.Shards[at+1:]...)
 	parent := shardIndex(in, topo.ShardID{Service: service, Index: key.ID.Index})
+	if in.Shards[parent].Owner != key.Owner {
+		panic("merged elsewhere than at the range's owner")
+	}
 	in.Shards[parent].Load += key.Load
+	in.Shards[parent].Changed = in.Now
 	in.HotKeys = append(in.HotKeys, balance.HotKey{Shard: parent, Key: key.ID.Key, Load: key.Load})
 }
 
@@ -174,11 +178,15 @@
 			in.Shards[cold].ID = topo.ShardID{Service: service, Index: 0, Key: "q-7"}
 			warm := addShard(in, 1, 0.05)
 			in.Shards[warm].ID = topo.ShardID{Service: service, Index: 0, Key: "q-8"}
-			moves := policy.Decide(in)
-			g.Expect(moves).To(gomega.HaveLen(1))
-			g.Expect(moves[0].Kind).To(gomega.Equal(balance.MergeKey))
-			g.Expect(moves[0].Shard.Key).To(gomega.Equal("q-7"))
-			g.Expect(moves[0].To).To(gomega.Equal(topo.ServerID("s0")))
+			home := []balance.Move{{
+				Kind: balance.MoveShard, Shard: in.Shards[cold].ID, From: "s1", To: "s0", Cause: balance.CauseCooled,
+			}}
+			g.Expect(policy.Decide(in)).To(gomega.Equal(home))
+			apply(in, home)
+			in.Now = in.Now.Add(time.Minute)
+			g.Expect(policy.Decide(in)).To(gomega.Equal([]balance.Move{{
+				Kind: balance.MergeKey, Shard: in.Shards[cold].ID, From: "s0", To: "s0", Cause: balance.CauseCooled,
+			}}))
 		})
 	}
 }
--- a/balance/duties.go
+++ b/balance/duties.go
@@ -73,28 +73,37 @@
 }
 
 // mergeCooled returns split keys to their hash range once they are no longer
-// hot, as far as the move budget goes.
+// hot, as far as the move budget goes. A key can be merged only where its range
+// is, so it goes there first; a later decision merges it.
 func (b *board) mergeCooled() {
 	if b.splits == 0 {
 		return
 	}
-	limit := b.tuning.MergeBelow * b.share
 	parents := b.rangeOwners()
 	for i := range b.in.Shards {
 		if !b.movesLeft() {
 			return
 		}
-		shard := &b.in.Shards[i]
-		if shard.ID.Key == "" || shard.Load >= limit || !b.settled(i) || b.owners[i] == NoOwner {
+		if !b.cooled(i) || !b.settled(i) || b.owners[i] == NoOwner {
 			continue
 		}
-		to, known := parents[shard.ID.Index]
-		if known && b.canReceive(to) {
-			b.merge(i, to)
+		to, known := parents[b.in.Shards[i].ID.Index]
+		switch {
+		case !known || !b.canReceive(to):
+		case to == b.owners[i]:
+			b.merge(i)
+		default:
+			b.give(i, to, CauseCooled)
 		}
 	}
 }
 
+// cooled reports whether a shard is a split key that is no longer hot.
+func (b *board) cooled(shard int) bool {
+	s := &b.in.Shards[shard]
+	return s.ID.Key != "" && s.Load < b.tuning.MergeBelow*b.share
+}
+
 // rangeOwners maps the hash ranges of split keys to their owners, leaving out
 // ranges that are moving themselves.
 func (b *board) rangeOwners() map[uint32]int {
@@ -117,13 +126,10 @@
 	return owners
 }
 
-func (b *board) merge(shard, to int) {
+func (b *board) merge(shard int) {
 	s := &b.in.Shards[shard]
-	from := b.owners[shard]
-	b.owners[shard] = to
-	b.loads[from] -= s.Load
-	b.loads[to] += s.Load
-	b.shards[from] = remove(b.shards[from], shard)
+	owner := b.owners[shard]
+	b.shards[owner] = remove(b.shards[owner], shard)
 	b.splits--
-	b.record(Move{Kind: MergeKey, Shard: s.ID, From: b.id(from), To: b.id(to), Cause: CauseCooled})
+	b.record(Move{Kind: MergeKey, Shard: s.ID, From: b.id(owner), To: b.id(owner), Cause: CauseCooled})
 }
--- a/balance/pieces.go
+++ b/balance/pieces.go
@@ -26,7 +26,7 @@
 		}
 	}
 	for _, shard := range b.shards[from] {
-		if b.settled(shard) {
+		if b.settled(shard) && !b.cooled(shard) {
 			consider(piece{shard: shard, load: b.in.Shards[shard].Load})
 		}
 	}
--- a/hotkeys/hotkeys.go
+++ b/hotkeys/hotkeys.go
@@ -141,6 +141,9 @@
 	return entries[:min(n, len(entries))]
 }
 
+// minHistory is the shortest history that rates are computed from.
+const minHistory = time.Second
+
 // before orders keys of equal rates, so that results do not depend on chance.
 func before(a, b topo.ShardID) bool {
 	if a.Service != b.Service {
@@ -152,10 +155,10 @@
 // scale converts weighted counts to rates per second as of now. While the
 // sketch is younger than a few mean lives, it accounts for the short history.
 func (s *Sketch) scale(now time.Time) float64 {
-	age := now.Sub(s.first).Seconds()
-	if s.first.IsZero() || age <= 0 {
+	if s.first.IsZero() {
 		return 0
 	}
+	age := math.Max(now.Sub(s.first).Seconds(), minHistory.Seconds())
 	seen := s.decay * (1 - math.Exp(-age/s.decay))
 	return math.Exp(-now.Sub(s.base).Seconds()/s.decay) / seen
 }
--- /dev/null
+++ b/load/table.go
@@ -0,0 +1,142 @@
+package load
+
+import (
+	"time"
+
+	"github.com/burdockspindle/burdockspindle/hotkeys"
+	"github.com/burdockspindle/burdockspindle/serverapi"
+	"github.com/burdockspindle/burdockspindle/topo"
+)
+
+// Config bounds what a Table keeps.
+type Config struct {
+	// HalfLife is the time in which an observation loses half of its weight.
+	HalfLife time.Duration
+	// MaxShards is the most shards that have an average of their own.
+	MaxShards int
+	// Keys is the number of counters of each service's hot-key sketch.
+	Keys int
+}
+
+// DefaultConfig returns the bounds for one entry node.
+func DefaultConfig() Config {
+	return Config{HalfLife: 3 * time.Second, MaxShards: 1 << 15, Keys: 256}
+}
+
+// Table averages what one node observed: rates and busy times of shards and
+// servers, and the hottest keys of each service. It is the pure part of
+// Recorder, and not safe for concurrent use.
+type Table struct {
+	config   Config
+	life     float64 // mean life of an observation, in seconds
+	shards   map[topo.ShardID]*meter
+	servers  map[topo.ServerID]*serverMeter
+	sketches map[topo.Service]*hotkeys.Sketch
+	skipped  uint64
+}
+
+// serverMeter averages the attempts at one server.
+type serverMeter struct {
+	all      meter
+	failures meter
+	shed     meter
+}
+
+// ln2 converts a half-life to a mean life.
+const ln2 = 0.6931471805599453
+
+// NewTable returns an empty table.
+func NewTable(config Config) *Table {
+	return &Table{
+		config:   config,
+		life:     config.HalfLife.Seconds() / ln2,
+		shards:   map[topo.ShardID]*meter{},
+		servers:  map[topo.ServerID]*serverMeter{},
+		sketches: map[topo.Service]*hotkeys.Sketch{},
+	}
+}
+
+// Observe counts one attempt that held a place at a server; see Observer.
+func (t *Table) Observe(
+	now time.Time, shard topo.ShardID, key string, server topo.ServerID,
+	busy time.Duration, outcome serverapi.Outcome,
+) {
+	t.observeServer(now, server, busy, outcome)
+	if outcome == serverapi.OutcomeNotRun || shard.Service == "" {
+		return
+	}
+	t.observeShard(now, shard, busy)
+	if shard.Key == "" && key != "" {
+		shard.Key = key
+		t.sketch(shard.Service).Observe(now, shard, busy)
+	}
+}
+
+func (t *Table) observeServer(now time.Time, id topo.ServerID, busy time.Duration, outcome serverapi.Outcome) {
+	server, known := t.servers[id]
+	if !known {
+		server = &serverMeter{}
+		t.servers[id] = server
+	}
+	switch outcome {
+	case serverapi.OutcomeNotRun:
+		server.shed.observe(now, 0, t.life)
+		return
+	case serverapi.OutcomeUnknown:
+		server.failures.observe(now, 0, t.life)
+	}
+	server.all.observe(now, busy, t.life)
+}
+
+// Shed counts requests for a server that were refused before they were sent.
+func (t *Table) Shed(now time.Time, id topo.ServerID, count uint64) {
+	server, known := t.servers[id]
+	if !known || count == 0 {
+		return
+	}
+	server.shed.observe(now, 0, t.life)
+	server.shed.count += float64(count - 1)
+}
+
+func (t *Table) observeShard(now time.Time, shard topo.ShardID, busy time.Duration) {
+	m, known := t.shards[shard]
+	if !known {
+		if len(t.shards) >= t.config.MaxShards {
+			t.skipped++
+			return
+		}
+		m = &meter{}
+		t.shards[shard] = m
+	}
+	m.observe(now, busy, t.life)
+}
+
+func (t *Table) sketch(service topo.Service) *hotkeys.Sketch {
+	sketch, known := t.sketches[service]
+	if !known {
+		sketch = hotkeys.New(t.config.Keys, t.config.HalfLife)
+		t.sketches[service] = sketch
+	}
+	return sketch
+}
+
+// Expire drops averages that have become negligible, so that shards and servers
+// that went elsewhere make room.
+func (t *Table) Expire(now time.Time) {
+	for id, m := range t.shards {
+		if rate, _ := m.rates(now, t.life); rate < negligibleRate {
+			delete(t.shards, id)
+		}
+	}
+	for id, server := range t.servers {
+		if rate, _ := server.all.rates(now, t.life); rate < negligibleRate {
+			delete(t.servers, id)
+		}
+	}
+}
+
+// negligibleRate, in requests per second, is too little to keep.
+const negligibleRate = 0.001
+
+// Skipped returns how many observations found the table full.
+func (t *Table) Skipped() uint64 { return t.skipped }
