Membership: nodes join and watch each other, servers enter the log

Cause: the state needs nodes and servers before anything can be assigned. Change: pure decisions in membership (circle of watchers and role holders, liveness, roster of the VM list, servers' own word), carried out by duty.membership; Status tells which watched nodes are silent. Conclusion: planner and lessors can rely on Roles and Words.

--- /dev/null
+++ b/membership/roster.go
@@ -0,0 +1,73 @@
+package membership
+
+import (
+	"time"
+
+	"github.com/burdockspindle/burdockspindle/vmlist"
+)
+
+// goneReads is how many lists in a row have to call a VM gone before it counts.
+const goneReads = 2
+
+// Roster is the latest VM list with what earlier ones said. A list that could
+// not be read changes nothing: no time without a list counts as absence. It is
+// not safe for concurrent use.
+type Roster struct {
+	read  time.Time // when the latest list was asked for; zero before the first
+	rows  map[string]vmlist.VM
+	gone  map[string]int       // lists in a row that called the VM gone
+	lacks map[string]time.Time // VMs once listed → first list without them
+}
+
+// NewRoster returns a roster that has read no list.
+func NewRoster() *Roster {
+	return &Roster{rows: map[string]vmlist.VM{}, gone: map[string]int{}, lacks: map[string]time.Time{}}
+}
+
+// Update takes a list that was asked for at a moment.
+func (r *Roster) Update(vms []vmlist.VM, asked time.Time) {
+	if asked.Before(r.read) {
+		return
+	}
+	rows := make(map[string]vmlist.VM, len(vms))
+	gone := map[string]int{}
+	for _, vm := range vms {
+		rows[vm.ID] = vm
+		delete(r.lacks, vm.ID)
+		if vm.Phase == vmlist.PhaseGone {
+			gone[vm.ID] = r.gone[vm.ID] + 1
+		}
+	}
+	for id := range r.rows {
+		if _, listed := rows[id]; !listed {
+			r.lacks[id] = asked
+		}
+	}
+	r.rows, r.gone, r.read = rows, gone, asked
+}
+
+// Read returns when the latest list was asked for; the zero time before the
+// first.
+func (r *Roster) Read() time.Time { return r.read }
+
+// Row returns a VM's row in the latest list.
+func (r *Roster) Row(id string) (vmlist.VM, bool) {
+	vm, listed := r.rows[id]
+	return vm, listed
+}
+
+// Gone reports whether enough lists in a row called a VM gone.
+func (r *Roster) Gone(id string) bool { return r.gone[id] >= goneReads }
+
+// AbsentFor returns for how long a VM has been absent from the lists, as far as
+// lists show; 0 for one that is listed. One that was never listed counts from
+// since, when the asker first knew of it.
+func (r *Roster) AbsentFor(id string, since time.Time) time.Duration {
+	if _, listed := r.rows[id]; listed || r.read.IsZero() {
+		return 0
+	}
+	if first, listedBefore := r.lacks[id]; listedBefore {
+		since = first
+	}
+	return max(0, r.read.Sub(since))
+}
--- /dev/null
+++ b/modules/membership/events.go
@@ -0,0 +1,22 @@
+package membership
+
+import (
+	"github.com/hashicorp/go-hclog"
+
+	"github.com/burdockspindle/burdockspindle/events"
+)
+
+var (
+	eventJoining       = events.Define(1340, hclog.Info, "joining site")
+	eventLeft          = events.Define(1341, hclog.Info, "left site")
+	eventLeaveUnknown  = events.Define(1342, hclog.Warn, "leaving not recorded")
+	eventServers       = events.Define(1343, hclog.Info, "servers updated from VM list and own word")
+	eventLossConfirmed = events.Define(1344, hclog.Warn, "loss of VMs confirmed by VM list")
+	eventNodeRemoved   = events.Define(1345, hclog.Warn, "silent node removed")
+	eventRefused       = events.Define(1346, hclog.Debug, "membership record had no effect")
+	eventSubmitFailed  = events.Define(1347, hclog.Warn, "membership record not known to be applied")
+	eventRoleTaken     = events.Define(1348, hclog.Info, "role taken")
+	eventRoleGiven     = events.Define(1349, hclog.Info, "role given up")
+	eventNodeSilent    = events.Define(1350, hclog.Warn, "watched node silent")
+	eventNodeBack      = events.Define(1351, hclog.Info, "watched node answers again")
+)
--- /dev/null
+++ b/modules/membership/module.go
@@ -0,0 +1,157 @@
+// Package membership is the module duty.membership: it joins the node to the
+// site and takes it off again, watches other nodes, reads the VM list when this
+// node has a use for it, and writes what package membership decides to the log.
+// It provides *membership.Words and membership.Roles, and answers peers' Status
+// calls.
+package membership
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"github.com/burdockspindle/burdockspindle/follower"
+	"github.com/burdockspindle/burdockspindle/kernel"
+	core "github.com/burdockspindle/burdockspindle/membership"
+	"github.com/burdockspindle/burdockspindle/peer"
+	"github.com/burdockspindle/burdockspindle/settings"
+	"github.com/burdockspindle/burdockspindle/state"
+	"github.com/burdockspindle/burdockspindle/vmlist"
+
+	bspb "github.com/burdockspindle/burdockspindle/proto/burdockspindle/v1"
+)
+
+const (
+	defaultPollEvery = time.Second
+	watchEvery       = time.Second
+	watchTimeout     = 800 * time.Millisecond
+	tickEvery        = time.Second
+	submitTimeout    = 10 * time.Second
+)
+
+func init() { kernel.Register(&Module{}) }
+
+// Module implements kernel.Module.
+type Module struct {
+	identity kernel.Identity
+	logger   hclog.Logger
+	source   state.Source
+	appender follower.Appender
+	caller   peer.Caller
+	list     vmlist.List
+	address  func() string
+	words    *core.Words
+	pollWait time.Duration
+
+	draining  atomic.Bool
+	published atomic.Pointer[picture]
+	duty      *duty
+	submitter *submitter
+	cancel    context.CancelFunc
+	running   sync.WaitGroup
+}
+
+// ModuleInfo implements kernel.Module.
+func (*Module) ModuleInfo() kernel.Info {
+	return kernel.Info{ID: "duty.membership", New: func() kernel.Module { return new(Module) }}
+}
+
+// Provision implements kernel.Provisioner.
+func (m *Module) Provision(ctx *kernel.Context) error {
+	m.identity = ctx.Identity
+	m.logger = ctx.Logger.Named("membership")
+	m.words = core.NewWords()
+	m.published.Store(&picture{})
+	settings, err := kernel.Use[*settings.Settings](ctx)
+	if err != nil {
+		return err
+	}
+	m.pollWait = settings.Timing.VMPollEvery
+	if m.pollWait <= 0 {
+		m.pollWait = defaultPollEvery
+	}
+	var handlers *peer.Handlers
+	for _, use := range []func() error{
+		func() (err error) { m.source, err = kernel.Use[state.Source](ctx); return },
+		func() (err error) { m.appender, err = kernel.Use[follower.Appender](ctx); return },
+		func() (err error) { m.caller, err = kernel.Use[peer.Caller](ctx); return },
+		func() (err error) { m.list, err = kernel.Use[vmlist.List](ctx); return },
+		func() (err error) { handlers, err = kernel.Use[*peer.Handlers](ctx); return },
+	} {
+		if err := use(); err != nil {
+			return err
+		}
+	}
+	m.address = func() string { return settings.Peer.Address }
+	if listener, err := kernel.Use[peer.Listener](ctx); err == nil {
+		m.address = listener.Address
+	}
+	handlers.Status = m.status
+	return errors.Join(
+		kernel.Provide(ctx, m.words),
+		kernel.Provide[core.Roles](ctx, m),
+	)
+}
+
+// Start implements kernel.Starter. It does not wait until the node has joined,
+// since the log may be away.
+func (m *Module) Start(context.Context) error {
+	ctx, cancel := context.WithCancel(context.Background())
+	m.cancel = cancel
+	m.submitter = newSubmitter(m.appender, m.logger)
+	m.duty = newDuty(m)
+	w := &watcher{caller: m.caller, results: m.duty.answers, targets: m.duty.targets.Load}
+	r := &reader{list: m.list, every: m.pollWait, wanted: m.duty.wantsList.Load, results: m.duty.lists}
+	for _, run := range []func(context.Context){m.submitter.run, m.duty.run, w.run, r.run} {
+		m.running.Go(func() { run(ctx) })
+	}
+	return nil
+}
+
+// Drain implements kernel.Drainer: the node gives its roles away and decides
+// nothing more. It stays a member until Stop, since peers forward to it.
+func (m *Module) Drain(context.Context) error {
+	m.draining.Store(true)
+	return nil
+}
+
+// Stop implements kernel.Stopper. After a drain the node takes itself off the
+// site.
+func (m *Module) Stop(ctx context.Context) error {
+	if m.cancel == nil {
+		return nil
+	}
+	m.cancel()
+	m.running.Wait()
+	if m.draining.Load() {
+		m.leave(ctx)
+	}
+	return nil
+}
+
+func (m *Module) leave(ctx context.Context) {
+	record := &bspb.Record{Body: &bspb.Record_RemoveNode{RemoveNode: &bspb.RemoveNode{
+		Node: string(m.identity.Node), Boot: string(m.identity.Boot),
+	}}}
+	if _, err := m.appender.Submit(ctx, record); err != nil {
+		eventLeaveUnknown.Log(m.logger, "error", err)
+		return
+	}
+	eventLeft.Log(m.logger)
+}
+
+// status answers peers' Status calls.
+func (m *Module) status(context.Context) (*bspb.StatusResponse, error) {
+	answer := &bspb.StatusResponse{
+		Applied:  uint64(m.source.View().Applied()),
+		Draining: m.draining.Load(),
+	}
+	for _, id := range m.published.Load().silent {
+		answer.Silent = append(answer.Silent, string(id))
+	}
+	return answer, nil
+}
--- a/modules/peer/module.go
+++ b/modules/peer/module.go
@@ -1,7 +1,7 @@
 // Package peer is the module peer.connect: entry nodes call each other with
 // connect-go over HTTP/2, with mutual TLS when the settings name certificates.
 // It opens the peer listener and provides peer.Caller, *peer.Handlers and
-// Addressed.
+// peer.Listener.
 package peer
 
 import (
@@ -71,6 +71,7 @@
 	return errors.Join(
 		kernel.Provide[core.Caller](ctx, m.client),
 		kernel.Provide(ctx, m.handlers),
+		kernel.Provide[core.Listener](ctx, m),
 	)
 }
 
@@ -137,11 +138,16 @@
 	return kernel.RolePeer, m.listener.net.Addr().String()
 }
 
+// Address implements peer.Listener.
+func (m *Module) Address() string {
+	_, address := m.ListenAddress()
+	return address
+}
+
 // Dump implements kernel.Dumper.
 func (m *Module) Dump() any {
-	_, address := m.ListenAddress()
 	return dump{
-		Address: address,
+		Address: m.Address(),
 		Known:   m.client.Known(),
 		Bytes:   m.traffic.dump(),
 		Links:   m.client.dump(),
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -65,3 +65,10 @@
 func Kinds() []Kind {
 	return []Kind{KindHeartbeat, KindReadLog, KindSnapshot, KindAnnounce, KindReportLoad, KindMove, KindStatus}
 }
+
+// Listener tells where this process's peer listener is. The peer module
+// provides it.
+type Listener interface {
+	// Address returns the bound address, host:port, once the module has started.
+	Address() string
+}
