--- /dev/null
+++ b/follower/append.go
@@ -0,0 +1,137 @@
+package follower
+
+import (
+	"context"
+	"errors"
+
+	"github.com/burdockspindle/burdockspindle/platlog"
+	"github.com/burdockspindle/burdockspindle/record"
+	"github.com/burdockspindle/burdockspindle/topo"
+)
+
+// appender gives this writer's records their sequences and appends them one at
+// a time, so that they reach the log in the order of their sequences.
+type appender struct {
+	f        *Follower
+	sequence uint64
+	carried  *submitted // taken from the queue but not fit for the last group
+}
+
+// runAppender is the appender's goroutine.
+func (f *Follower) runAppender(ctx context.Context) {
+	a := &appender{f: f}
+	for ctx.Err() == nil {
+		if first := a.next(ctx); first != nil {
+			a.appendGroup(ctx, a.gather(first))
+		}
+	}
+}
+
+// next returns the next submission that was not given up; nil when ctx ended.
+func (a *appender) next(ctx context.Context) *submitted {
+	if carried := a.carried; carried != nil {
+		a.carried = nil
+		return carried
+	}
+	for {
+		select {
+		case s := <-a.f.queue:
+			if s.taken.CompareAndSwap(false, true) {
+				return s
+			}
+		case <-ctx.Done():
+			return nil
+		}
+	}
+}
+
+// gather adds the waiting submissions that can share the first one's record.
+func (a *appender) gather(first *submitted) *group {
+	g := newGroup(first)
+	for {
+		select {
+		case s := <-a.f.queue:
+			if !s.taken.CompareAndSwap(false, true) {
+				continue
+			}
+			if !g.add(s) {
+				a.carried = s
+				return g
+			}
+			count(metricMerged, 1)
+		default:
+			return g
+		}
+	}
+}
+
+// appendGroup appends one record for a group of submissions.
+func (a *appender) appendGroup(ctx context.Context, g *group) {
+	a.sequence++
+	data, err := record.Encode(g.build(a.f.writer, a.sequence))
+	if err != nil {
+		g.fail(&NotAppendedError{Cause: err})
+		return
+	}
+	if !a.f.fates.expect(a.sequence, g) {
+		g.fail(&NotAppendedError{Cause: &QueueFullError{Length: maxPending}})
+		return
+	}
+	if err := a.appendRecord(ctx, g, data); err != nil {
+		a.f.fates.fail(a.sequence, err)
+	}
+}
+
+// appendRecord appends until the log answered, the record was seen in the log,
+// or nobody waits for it. After a lost answer it appends the same writer and
+// sequence again: Apply ignores whichever copy comes second, so the record
+// takes effect once, however late the first copy lands. A record that was given
+// up is ignored from the moment at which the next sequence is applied.
+func (a *appender) appendRecord(ctx context.Context, g *group, data []byte) error {
+	pause := a.f.newBackoff()
+	uncertain := false
+	for {
+		err := a.f.appendOnce(ctx, data)
+		if err == nil {
+			return nil
+		}
+		if isUnavailable(err) && !uncertain {
+			count(metricNotAppended, len(g.members))
+			return &NotAppendedError{Cause: err}
+		}
+		if !isUnavailable(err) {
+			uncertain = true
+			count(metricUncertain, 1)
+			eventAppendUncertain.Log(a.f.config.Logger, "sequence", a.sequence, "error", err)
+		}
+		if !pause.wait(ctx) || g.ended() {
+			return &UnknownFateError{Cause: err}
+		}
+		if !a.f.fates.awaited(a.sequence) {
+			return nil
+		}
+		count(metricReappends, 1)
+	}
+}
+
+// appendOnce appends with a limit on the time without an answer.
+func (f *Follower) appendOnce(ctx context.Context, data []byte) error {
+	limited, cancel := context.WithTimeout(ctx, f.config.CallTimeout)
+	defer cancel()
+	offset, err := f.config.Log.Append(limited, data)
+	if err != nil {
+		return err
+	}
+	f.noteAppended(offset, len(data))
+	return nil
+}
+
+func (f *Follower) noteAppended(_ topo.Offset, bytes int) {
+	count(metricAppends, 1)
+	count(metricAppendBytes, bytes)
+}
+
+func isUnavailable(err error) bool {
+	var unavailable *platlog.UnavailableError
+	return errors.As(err, &unavailable)
+}
--- /dev/null
+++ b/follower/apply.go
@@ -0,0 +1,262 @@
+package follower
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/burdockspindle/burdockspindle/checkpoint"
+	"github.com/burdockspindle/burdockspindle/platlog"
+	"github.com/burdockspindle/burdockspindle/record"
+	"github.com/burdockspindle/burdockspindle/state"
+	"github.com/burdockspindle/burdockspindle/topo"
+
+	bspb "github.com/burdockspindle/burdockspindle/proto/burdockspindle/v1"
+)
+
+// applier alone owns the state. It takes messages from the inbox.
+type applier struct {
+	f       *Follower
+	state   *state.State
+	tracker checkpoint.Tracker
+	learned []learnedFate
+}
+
+// learnedFate is the result of one of this follower's own records.
+type learnedFate struct {
+	sequence uint64
+	result   state.Result
+}
+
+// message is one thing for the applier to do.
+type message interface {
+	apply(a *applier)
+}
+
+// runApplier is the applier's goroutine.
+func (f *Follower) runApplier(ctx context.Context) {
+	a := &applier{f: f, state: state.New()}
+	for {
+		select {
+		case m := <-f.inbox:
+			m.apply(a)
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// send gives a message to the applier; false when ctx ended.
+func (f *Follower) send(ctx context.Context, m message) bool {
+	select {
+	case f.inbox <- m:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// call sends a message and waits for its outcome.
+func (f *Follower) call(ctx context.Context, m message, outcome <-chan error) error {
+	if !f.send(ctx, m) {
+		return ctx.Err()
+	}
+	select {
+	case err := <-outcome:
+		return err
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// entriesMessage carries entries from the log or a peer.
+type entriesMessage struct {
+	entries []platlog.Entry
+	outcome chan<- error
+	// log is set for entries from the log itself.
+	log *logAnswer
+}
+
+// logAnswer is what makes a read of the log count as contact.
+type logAnswer struct {
+	begun time.Time
+	batch platlog.Batch
+}
+
+// applyEntries applies entries from a peer.
+func (f *Follower) applyEntries(ctx context.Context, entries []platlog.Entry) error {
+	outcome := make(chan error, 1)
+	return f.call(ctx, &entriesMessage{entries: entries, outcome: outcome}, outcome)
+}
+
+// applyBatch applies a log read that was begun at a time.
+func (f *Follower) applyBatch(ctx context.Context, begun time.Time, batch platlog.Batch) error {
+	outcome := make(chan error, 1)
+	return f.call(ctx, &entriesMessage{
+		entries: batch.Entries,
+		outcome: outcome,
+		log:     &logAnswer{begun: begun, batch: batch},
+	}, outcome)
+}
+
+func (m *entriesMessage) apply(a *applier) {
+	err := a.applyEntries(m.entries)
+	a.publish()
+	if m.log != nil && err == nil {
+		err = a.noteContact(m.log)
+	}
+	m.outcome <- err
+}
+
+// applyEntries applies entries in order. Entries that were applied before are
+// passed over, so that the state never goes backwards.
+func (a *applier) applyEntries(entries []platlog.Entry) error {
+	for _, entry := range entries {
+		applied := a.state.Applied()
+		if entry.Offset <= applied {
+			count(metricDuplicates, 1)
+			continue
+		}
+		if entry.Offset != applied+1 {
+			return &GapError{Applied: applied, Got: entry.Offset}
+		}
+		if err := a.applyEntry(entry); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (a *applier) applyEntry(entry platlog.Entry) error {
+	rec, err := record.Decode(entry.Data)
+	if err != nil {
+		count(metricSkipped, 1)
+		eventEntrySkipped.Log(a.f.config.Logger, "offset", entry.Offset, "error", err)
+		a.state.Skip(entry.Offset)
+		a.f.ring.add(entry)
+		return nil
+	}
+	result := a.state.Apply(entry.Offset, rec)
+	if result.Rebase != nil {
+		return &rebaseError{offset: entry.Offset, rec: rec}
+	}
+	count(metricApplied, 1)
+	a.f.ring.add(entry)
+	a.noteCheckpoint(entry, rec)
+	if rec.GetWriter() == a.f.writer && !isDuplicate(result) {
+		a.learned = append(a.learned, learnedFate{rec.GetSequence(), result})
+	}
+	return nil
+}
+
+func isDuplicate(result state.Result) bool {
+	return result.Conflict != nil && result.Conflict.Reason == state.ReasonDuplicate
+}
+
+// noteCheckpoint counts records towards the next checkpoint.
+func (a *applier) noteCheckpoint(entry platlog.Entry, rec *bspb.Record) {
+	chunk := rec.GetCheckpointChunk()
+	if chunk == nil {
+		a.f.due.noteRecord()
+		return
+	}
+	if whole, complete := a.tracker.Add(entry.Offset, chunk); complete {
+		a.f.due.noteWhole(whole)
+	}
+}
+
+// publish makes the state visible, and then the fates learned from it.
+func (a *applier) publish() {
+	view := a.state.View()
+	if view.Applied() != a.f.applied() || view.Lineage() != a.f.View().Lineage() {
+		a.f.publish(view)
+	}
+	for _, learned := range a.learned {
+		a.f.fates.resolve(learned.sequence, learned.result)
+	}
+	a.learned = a.learned[:0]
+}
+
+// noteContact records the time of a read whose whole tail has been applied.
+func (a *applier) noteContact(answer *logAnswer) error {
+	applied := a.state.Applied()
+	if answer.batch.End <= applied {
+		return &RewoundError{Applied: applied, End: answer.batch.End}
+	}
+	if answer.batch.End != applied+1 {
+		return nil
+	}
+	begun := answer.begun
+	if previous := a.f.LastContact(); begun.After(previous) {
+		a.f.contact.Store(&begun)
+		if previous.IsZero() {
+			eventCaughtUp.Log(a.f.config.Logger, "applied", applied)
+		}
+	}
+	return nil
+}
+
+// adoptMessage replaces the state by one that is further.
+type adoptMessage struct {
+	state   *state.State
+	rebased bool // the log says that the state restarts, perhaps from further back
+	outcome chan<- error
+}
+
+// adopt replaces the state. Only a rebase may go back.
+func (f *Follower) adopt(ctx context.Context, next *state.State, rebased bool) error {
+	outcome := make(chan error, 1)
+	return f.call(ctx, &adoptMessage{state: next, rebased: rebased, outcome: outcome}, outcome)
+}
+
+func (m *adoptMessage) apply(a *applier) {
+	further := m.state.Applied() > a.state.Applied()
+	if !further && !m.rebased || m.state.Lineage() < a.state.Lineage() {
+		m.outcome <- nil
+		return
+	}
+	a.state = m.state
+	a.tracker = checkpoint.Tracker{}
+	a.f.ring.clear()
+	count(metricRestores, 1)
+	a.publish()
+	a.f.fates.passOver(a.state.LastSequence(a.f.writer), &UnknownFateError{Cause: &SkippedError{Applied: a.state.Applied()}})
+	m.outcome <- nil
+}
+
+// freezeMessage asks for an immutable picture of the whole state.
+type freezeMessage struct {
+	reply chan<- state.Frozen
+}
+
+func (m *freezeMessage) apply(a *applier) { m.reply <- a.state.Freeze() }
+
+// freeze returns a picture of the whole state; false when ctx ended.
+func (f *Follower) freeze(ctx context.Context) (state.Frozen, bool) {
+	reply := make(chan state.Frozen, 1)
+	if !f.send(ctx, &freezeMessage{reply: reply}) {
+		return state.Frozen{}, false
+	}
+	select {
+	case frozen := <-reply:
+		return frozen, true
+	case <-ctx.Done():
+		return state.Frozen{}, false
+	}
+}
+
+// rebaseError stops the applier at a Rebase record, whose snapshot has to be
+// fetched first.
+type rebaseError struct {
+	offset topo.Offset
+	rec    *bspb.Record
+}
+
+// Error implements error.
+func (e *rebaseError) Error() string { return "state restarts from a rebase" }
+
+// asRebase returns the Rebase record at which applying stopped.
+func asRebase(err error) (*rebaseError, bool) {
+	var rebase *rebaseError
+	return rebase, errors.As(err, &rebase)
+}
--- /dev/null
+++ b/follower/config.go
@@ -0,0 +1,66 @@
+package follower
+
+import (
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"github.com/burdockspindle/burdockspindle/peer"
+	"github.com/burdockspindle/burdockspindle/platlog"
+	"github.com/burdockspindle/burdockspindle/topo"
+)
+
+// Default intervals and bounds of a Config.
+const (
+	DefaultPollWait        = 200 * time.Millisecond
+	DefaultCallTimeout     = 2 * time.Second
+	DefaultPeersAfter      = 500 * time.Millisecond
+	DefaultPeerWait        = 250 * time.Millisecond
+	DefaultCheckpointEvery = 2000
+	DefaultCheckpointAge   = time.Hour
+
+	queueLength = 256     // records waiting to be appended
+	inboxLength = 4       // messages waiting for the applier
+	readMax     = 512     // entries of one read
+	ringEntries = 4096    // recent entries kept for peers
+	ringBytes   = 8 << 20 // bytes of recent entries kept for peers
+
+	backoffFirst = 50 * time.Millisecond
+	backoffMost  = time.Second
+)
+
+// Config is what a follower needs. Zero durations and counts take the defaults.
+type Config struct {
+	Node topo.NodeID
+	Boot topo.BootID
+	Log  platlog.Log
+	// Peers may be nil; then nothing is taken from peers.
+	Peers  peer.Caller
+	Logger hclog.Logger
+
+	PollWait        time.Duration // how long a log read is held open at the end
+	CallTimeout     time.Duration // without an answer, on top of PollWait
+	PeersAfter      time.Duration // without log contact before peers are asked
+	PeerWait        time.Duration // how long a peer may hold a read open
+	CheckpointEvery int           // records between checkpoints
+	CheckpointAge   time.Duration // longest time between checkpoints when records were added
+}
+
+func (c Config) withDefaults() Config {
+	setDefault(&c.PollWait, DefaultPollWait)
+	setDefault(&c.CallTimeout, DefaultCallTimeout)
+	setDefault(&c.PeersAfter, DefaultPeersAfter)
+	setDefault(&c.PeerWait, DefaultPeerWait)
+	setDefault(&c.CheckpointEvery, DefaultCheckpointEvery)
+	setDefault(&c.CheckpointAge, DefaultCheckpointAge)
+	if c.Logger == nil {
+		c.Logger = hclog.NewNullLogger()
+	}
+	return c
+}
+
+func setDefault[T int | time.Duration](value *T, preset T) {
+	if *value <= 0 {
+		*value = preset
+	}
+}
--- /dev/null
+++ b/follower/core.go
@@ -0,0 +1,160 @@
+package follower
+
+import (
+	"context"
+	"expvar"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/burdockspindle/burdockspindle/record"
+	"github.com/burdockspindle/burdockspindle/state"
+	"github.com/burdockspindle/burdockspindle/topo"
+)
+
+// Follower is the implementation of state.Source, Appender and Contact. Its
+// duties run in one goroutine each: reading the log, asking peers, applying
+// (which alone owns the state), appending, and writing checkpoints.
+type Follower struct {
+	config Config
+	writer string
+
+	published atomic.Pointer[publication]
+	contact   atomic.Pointer[time.Time]
+	ring      *ring
+	fates     *fates
+	due       *checkpointDue
+
+	inbox chan message    // to the applier
+	queue chan *submitted // to the appender
+
+	cancel  context.CancelFunc
+	running sync.WaitGroup
+	done    chan struct{} // closed when stopped
+}
+
+var (
+	_ state.Source = (*Follower)(nil)
+	_ Appender     = (*Follower)(nil)
+	_ Contact      = (*Follower)(nil)
+)
+
+// publication is a view and the signal that a newer one exists.
+type publication struct {
+	view    *state.View
+	changed chan struct{}
+}
+
+// New returns a follower with an empty state.
+func New(config Config) *Follower {
+	f := &Follower{
+		config: config.withDefaults(),
+		writer: record.Writer(config.Node, config.Boot),
+		ring:   newRing(ringEntries, ringBytes),
+		fates:  newFates(),
+		due:    newCheckpointDue(),
+		inbox:  make(chan message, inboxLength),
+		queue:  make(chan *submitted, queueLength),
+		done:   make(chan struct{}),
+	}
+	f.published.Store(&publication{view: state.New().View(), changed: make(chan struct{})})
+	f.contact.Store(&time.Time{})
+	appliedAges.Set(string(config.Node), expvar.Func(func() any { return f.contactAge(time.Now()) }))
+	return f
+}
+
+// Start starts the follower's goroutines; it does not wait for the log.
+func (f *Follower) Start() {
+	ctx, cancel := context.WithCancel(context.Background())
+	f.cancel = cancel
+	for _, duty := range []func(context.Context){
+		f.runApplier, f.runLogReader, f.runPeerReader, f.runAppender, f.runCheckpoints,
+	} {
+		f.running.Go(func() { duty(ctx) })
+	}
+}
+
+// Stop ends the goroutines. Submissions under way end with an error.
+func (f *Follower) Stop() {
+	if f.cancel == nil {
+		return
+	}
+	f.cancel()
+	f.running.Wait()
+	close(f.done)
+	f.cancel = nil
+	appliedAges.Delete(string(f.config.Node))
+}
+
+// View implements state.Source.
+func (f *Follower) View() *state.View { return f.published.Load().view }
+
+// Changed implements state.Source. Take it before View, so that no change is
+// missed.
+func (f *Follower) Changed() <-chan struct{} { return f.published.Load().changed }
+
+// WaitApplied implements state.Source. It fails with the context's error or a
+// *StoppedError.
+func (f *Follower) WaitApplied(ctx context.Context, offset topo.Offset) error {
+	for {
+		now := f.published.Load()
+		if now.view.Applied() >= offset {
+			return nil
+		}
+		select {
+		case <-now.changed:
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-f.done:
+			return &StoppedError{}
+		}
+	}
+}
+
+// LastContact implements Contact.
+func (f *Follower) LastContact() time.Time { return *f.contact.Load() }
+
+func (f *Follower) applied() topo.Offset { return f.View().Applied() }
+
+// publish makes a newer view visible.
+func (f *Follower) publish(view *state.View) {
+	old := f.published.Swap(&publication{view: view, changed: make(chan struct{})})
+	close(old.changed)
+	offsetOf(appliedOffsets, f.config.Node).Set(int64(view.Applied()))
+}
+
+// backoff grows from backoffFirst to backoffMost, with jitter that differs
+// between nodes.
+type backoff struct {
+	random *rand.Rand
+	next   time.Duration
+}
+
+func (f *Follower) newBackoff() *backoff {
+	seed := xxhash.Sum64String(f.writer)
+	return &backoff{random: rand.New(rand.NewPCG(seed, seed)), next: backoffFirst}
+}
+
+func (b *backoff) reset() { b.next = backoffFirst }
+
+// wait sleeps, or returns false when ctx ended.
+func (b *backoff) wait(ctx context.Context) bool {
+	pause := b.next/2 + time.Duration(b.random.Int64N(int64(b.next)))
+	b.next = min(2*b.next, backoffMost)
+	return sleep(ctx, pause)
+}
+
+// sleep waits, or returns false when ctx ended.
+func sleep(ctx context.Context, pause time.Duration) bool {
+	timer := time.NewTimer(pause)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- /dev/null
+++ b/follower/dump.go
@@ -0,0 +1,101 @@
+package follower
+
+import (
+	"time"
+
+	"github.com/burdockspindle/burdockspindle/state"
+	"github.com/burdockspindle/burdockspindle/topo"
+)
+
+// Dump is what the state dump shows of a follower.
+type Dump struct {
+	Writer          string      `json:"writer"`
+	Applied         topo.Offset `json:"applied"`
+	Lineage         topo.Offset `json:"lineage"`
+	LogFirst        topo.Offset `json:"log_first"`
+	ContactAgeMs    int64       `json:"contact_age_ms"` // -1 when there was no contact
+	SiteVersion     uint64      `json:"site_version"`
+	Nodes           int         `json:"nodes"`
+	Servers         int         `json:"servers"`
+	Groups          int         `json:"groups"`
+	Queued          int         `json:"queued"`
+	Pending         int         `json:"pending"`
+	RecentEntries   int         `json:"recent_entries"`
+	RecentBytes     int         `json:"recent_bytes"`
+	LastCheckpoint  topo.Offset `json:"last_checkpoint"`
+	SinceCheckpoint int         `json:"since_checkpoint"`
+	Owned           []OwnedDump `json:"services"`
+}
+
+// OwnedDump is one service's shards.
+type OwnedDump struct {
+	Service  topo.Service `json:"service"`
+	Shards   int          `json:"shards"` // hash ranges and split keys
+	Owned    int          `json:"owned"`
+	Retiring bool         `json:"retiring"`
+}
+
+// Dump returns the follower's state at a time.
+func (f *Follower) Dump(now time.Time) Dump {
+	view := f.View()
+	dump := Dump{
+		Writer:       f.writer,
+		Applied:      view.Applied(),
+		Lineage:      view.Lineage(),
+		ContactAgeMs: f.contactAge(now),
+		SiteVersion:  view.SiteVersion(),
+		Nodes:        len(view.Nodes()),
+		Servers:      len(view.Servers()),
+		Groups:       len(view.Groups()),
+		Queued:       len(f.queue),
+		Pending:      f.fates.length(),
+	}
+	dump.RecentEntries, dump.RecentBytes = f.ring.size()
+	f.due.dump(&dump)
+	for _, name := range view.Tables() {
+		dump.Owned = append(dump.Owned, ownedDump(view, name))
+	}
+	return dump
+}
+
+// contactAge returns the milliseconds since the last contact; -1 for none.
+func (f *Follower) contactAge(now time.Time) int64 {
+	contact := f.LastContact()
+	if contact.IsZero() {
+		return -1
+	}
+	return now.Sub(contact).Milliseconds()
+}
+
+func ownedDump(view *state.View, name topo.Service) OwnedDump {
+	_, _, retiring := view.ActiveService(name)
+	dump := OwnedDump{Service: name, Retiring: retiring}
+	view.EachShard(name, func(a state.Assignment) bool {
+		dump.Shards++
+		if a.Owner != "" {
+			dump.Owned++
+		}
+		return true
+	})
+	return dump
+}
+
+func (f *fates) length() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(f.pending)
+}
+
+func (r *ring) size() (entries, bytes int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(r.entries), r.bytes
+}
+
+func (d *checkpointDue) dump(dump *Dump) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	dump.LogFirst = d.first
+	dump.LastCheckpoint = d.last.Applied
+	dump.SinceCheckpoint = d.records
+}
--- /dev/null
+++ b/follower/errors.go
@@ -0,0 +1,73 @@
+package follower
+
+import (
+	"fmt"
+
+	"github.com/burdockspindle/burdockspindle/topo"
+)
+
+// NotAppendedError reports a submitted record that was proven not to be
+// appended.
+type NotAppendedError struct{ Cause error }
+
+// Error implements error.
+func (e *NotAppendedError) Error() string { return fmt.Sprintf("record not appended: %v", e.Cause) }
+
+// Unwrap returns the cause.
+func (e *NotAppendedError) Unwrap() error { return e.Cause }
+
+// UnknownFateError reports a submitted record that may or may not take effect.
+type UnknownFateError struct{ Cause error }
+
+// Error implements error.
+func (e *UnknownFateError) Error() string {
+	return fmt.Sprintf("record may or may not have been appended: %v", e.Cause)
+}
+
+// Unwrap returns the cause.
+func (e *UnknownFateError) Unwrap() error { return e.Cause }
+
+// QueueFullError reports that too many records wait to be appended.
+type QueueFullError struct{ Length int }
+
+// Error implements error.
+func (e *QueueFullError) Error() string {
+	return fmt.Sprintf("append queue is full with %d records", e.Length)
+}
+
+// StoppedError reports a follower that was stopped or never started.
+type StoppedError struct{}
+
+// Error implements error.
+func (e *StoppedError) Error() string { return "follower is not running" }
+
+// GapError reports entries that do not follow what was applied.
+type GapError struct {
+	Applied topo.Offset // last record applied
+	Got     topo.Offset // first entry received
+}
+
+// Error implements error.
+func (e *GapError) Error() string {
+	return fmt.Sprintf("records missing between %d and %d", e.Applied, e.Got)
+}
+
+// RewoundError reports a log whose end is before what was applied from it.
+type RewoundError struct {
+	Applied topo.Offset
+	End     topo.Offset
+}
+
+// Error implements error.
+func (e *RewoundError) Error() string {
+	return fmt.Sprintf("log ends before %d although %d was applied from it", e.End, e.Applied)
+}
+
+// SkippedError reports a submitted record whose offset was passed by restoring
+// a checkpoint, so that its result was not seen.
+type SkippedError struct{ Applied topo.Offset }
+
+// Error implements error.
+func (e *SkippedError) Error() string {
+	return fmt.Sprintf("result passed over by the checkpoint at %d", e.Applied)
+}
--- /dev/null
+++ b/follower/group.go
@@ -0,0 +1,132 @@
+package follower
+
+import (
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/burdockspindle/burdockspindle/record"
+	"github.com/burdockspindle/burdockspindle/state"
+
+	bspb "github.com/burdockspindle/burdockspindle/proto/burdockspindle/v1"
+)
+
+const (
+	maxMembers     = 64   // submissions that share one record
+	maxAssignments = 1024 // assignments of one shared record
+)
+
+// group is one or more submissions that share a record. Only AssignShards of
+// one lessor group, term and reason are put together, since each assignment
+// stands or falls alone.
+type group struct {
+	members     []*submitted
+	assignments int
+}
+
+func newGroup(first *submitted) *group {
+	return &group{
+		members:     []*submitted{first},
+		assignments: len(first.record.GetAssignShards().GetAssignments()),
+	}
+}
+
+// add takes a further submission if it can share the record.
+func (g *group) add(next *submitted) bool {
+	assigns := next.record.GetAssignShards()
+	if assigns == nil || len(g.members) == maxMembers {
+		return false
+	}
+	if g.assignments+len(assigns.GetAssignments()) > maxAssignments {
+		return false
+	}
+	if !shareable(g.members[0].record.GetAssignShards(), assigns) {
+		return false
+	}
+	g.members = append(g.members, next)
+	g.assignments += len(assigns.GetAssignments())
+	return true
+}
+
+func shareable(a, b *bspb.AssignShards) bool {
+	return a != nil &&
+		a.GetGroup() == b.GetGroup() &&
+		a.GetReason() == b.GetReason() &&
+		proto.Equal(a.GetTerm(), b.GetTerm())
+}
+
+// ended reports whether nobody waits any longer.
+func (g *group) ended() bool {
+	for _, s := range g.members {
+		if s.ctx.Err() == nil {
+			return false
+		}
+	}
+	return true
+}
+
+// build returns the record to append.
+func (g *group) build(writer string, sequence uint64) *bspb.Record {
+	rec := proto.CloneOf(g.members[0].record)
+	rec.Format = record.Format
+	rec.Writer = writer
+	rec.Sequence = sequence
+	rec.WallMs = time.Now().UnixMilli()
+	for _, s := range g.members[1:] {
+		shared := rec.GetAssignShards()
+		shared.Assignments = append(shared.Assignments, s.record.GetAssignShards().GetAssignments()...)
+	}
+	return rec
+}
+
+// fail ends every submission with an error.
+func (g *group) fail(err error) {
+	for _, s := range g.members {
+		s.answer <- submitAnswer{err: err}
+	}
+}
+
+// settle answers each submission with its part of the record's result.
+func (g *group) settle(result state.Result) {
+	if len(g.members) == 1 {
+		g.members[0].answer <- submitAnswer{fate: wholeFate(result)}
+		return
+	}
+	first := 0
+	for _, s := range g.members {
+		next := first + len(s.record.GetAssignShards().GetAssignments())
+		s.answer <- submitAnswer{fate: partFate(result, first, next)}
+		first = next
+	}
+}
+
+func wholeFate(result state.Result) Fate {
+	fate := Fate{
+		Offset:         result.Offset,
+		Accepted:       result.Accepted,
+		RejectedShards: result.RejectedIndexes(),
+	}
+	if result.Conflict != nil {
+		fate.Conflict = result.Conflict.Error()
+	}
+	return fate
+}
+
+// partFate returns the fate of the assignments from first to before next.
+func partFate(result state.Result, first, next int) Fate {
+	fate := Fate{Offset: result.Offset}
+	for _, rejection := range result.Rejected {
+		if rejection.Index < first || rejection.Index >= next {
+			continue
+		}
+		if fate.Conflict == "" {
+			fate.Conflict = rejection.Conflict.Error()
+		}
+		fate.RejectedShards = append(fate.RejectedShards, rejection.Index-first)
+	}
+	fate.Accepted = len(fate.RejectedShards) < next-first
+	if fate.Accepted {
+		fate.Conflict = ""
+	}
+	return fate
+}
--- /dev/null
+++ b/follower/readpeers.go
@@ -0,0 +1,164 @@
+package follower
+
+import (
+	"context"
+	"time"
+
+	"github.com/burdockspindle/burdockspindle/checkpoint"
+	"github.com/burdockspindle/burdockspindle/platlog"
+	"github.com/burdockspindle/burdockspindle/state"
+	"github.com/burdockspindle/burdockspindle/topo"
+
+	bspb "github.com/burdockspindle/burdockspindle/proto/burdockspindle/v1"
+)
+
+// peerPause is the time between two peers that had nothing new.
+const peerPause = 50 * time.Millisecond
+
+// peerReader takes records from peers while the log cannot be read.
+type peerReader struct {
+	f       *Follower
+	started time.Time
+	next    int         // index into the known peers
+	source  topo.NodeID // the peer that gave records last; may be empty
+}
+
+// runPeerReader is the peer reader's goroutine.
+func (f *Follower) runPeerReader(ctx context.Context) {
+	if f.config.Peers == nil {
+		return
+	}
+	r := &peerReader{f: f, started: time.Now()}
+	for ctx.Err() == nil {
+		if !r.needed() {
+			sleep(ctx, f.config.PeersAfter/2)
+			continue
+		}
+		r.step(ctx)
+	}
+}
+
+// needed reports whether the log has not been read for long enough.
+func (r *peerReader) needed() bool {
+	since := r.f.LastContact()
+	if since.IsZero() {
+		since = r.started
+	}
+	return time.Since(since) >= r.f.config.PeersAfter
+}
+
+// step asks one peer: the one that gave records last, else the next in turn.
+func (r *peerReader) step(ctx context.Context) {
+	from, wait := r.source, r.f.config.PeerWait
+	if from == "" {
+		from, wait = r.turn(), 0
+	}
+	if from == "" {
+		sleep(ctx, r.f.config.PeerWait)
+		return
+	}
+	if r.ask(ctx, from, wait) {
+		r.source = from
+		return
+	}
+	r.source = ""
+	sleep(ctx, peerPause)
+}
+
+// turn returns the next known peer; empty when there is none.
+func (r *peerReader) turn() topo.NodeID {
+	known := r.f.config.Peers.Known()
+	if len(known) == 0 {
+		return ""
+	}
+	r.next = (r.next + 1) % len(known)
+	return known[r.next]
+}
+
+// ask reads from a peer and has the result applied; false when that brought
+// nothing new.
+func (r *peerReader) ask(ctx context.Context, from topo.NodeID, wait time.Duration) bool {
+	before := r.f.applied()
+	limited, cancel := context.WithTimeout(ctx, wait+r.f.config.CallTimeout)
+	defer cancel()
+	answer, err := r.f.config.Peers.ReadLog(limited, from, &bspb.ReadLogRequest{
+		Sender: r.f.config.Peers.Sender(),
+		From:   uint64(before + 1),
+		Max:    readMax,
+		WaitMs: uint32(wait.Milliseconds()),
+	})
+	if err != nil {
+		eventPeerFailed.Log(r.f.config.Logger, "peer", from, "error", err)
+		return false
+	}
+	if topo.Offset(answer.GetApplied()) <= before {
+		return false
+	}
+	entries := entriesFromProto(answer.GetEntries())
+	if len(entries) == 0 {
+		return r.f.fetchSnapshot(ctx, from, 0)
+	}
+	for _, entry := range entries {
+		count(metricPeerBytes, len(entry.Data))
+	}
+	count(metricPeerCatchups, 1)
+	if err := r.f.applyEntries(ctx, entries); err != nil {
+		eventGap.Log(r.f.config.Logger, "peer", from, "error", err)
+		return r.f.fetchSnapshot(ctx, from, 0)
+	}
+	return r.f.applied() > before
+}
+
+func entriesFromProto(encoded []*bspb.LogEntry) []platlog.Entry {
+	entries := make([]platlog.Entry, len(encoded))
+	for i, entry := range encoded {
+		entries[i] = platlog.Entry{Offset: topo.Offset(entry.GetOffset()), Data: entry.GetData()}
+	}
+	return entries
+}
+
+// restoreFromPeers restores the state of the first known peer that is beyond
+// this one, and from which the log goes on at first.
+func (f *Follower) restoreFromPeers(ctx context.Context, first topo.Offset) bool {
+	if f.config.Peers == nil {
+		return false
+	}
+	for _, from := range f.config.Peers.Known() {
+		if f.fetchSnapshot(ctx, from, first) {
+			return true
+		}
+	}
+	return false
+}
+
+// fetchSnapshot restores a peer's state if it is beyond this one and contains
+// every record before first.
+func (f *Follower) fetchSnapshot(ctx context.Context, from topo.NodeID, first topo.Offset) bool {
+	limited, cancel := context.WithTimeout(ctx, f.config.CallTimeout)
+	defer cancel()
+	before := f.applied()
+	chunks, err := f.config.Peers.FetchSnapshot(limited, from, before)
+	if err != nil || len(chunks) == 0 {
+		return false
+	}
+	snapshot, err := checkpoint.Join(chunks)
+	if err != nil {
+		eventCheckpointTorn.Log(f.config.Logger, "peer", from, "error", err)
+		return false
+	}
+	applied := topo.Offset(snapshot.GetApplied())
+	if applied <= before || applied+1 < first {
+		return false
+	}
+	restored, err := state.Restore(snapshot)
+	if err != nil {
+		eventCheckpointTorn.Log(f.config.Logger, "peer", from, "error", err)
+		return false
+	}
+	if f.adopt(ctx, restored, false) != nil {
+		return false
+	}
+	count(metricPeerCatchups, 1)
+	eventPeerSnapshot.Log(f.config.Logger, "peer", from, "applied", applied)
+	return f.applied() > before
+}
--- /dev/null
+++ b/follower/recover.go
@@ -0,0 +1,159 @@
+package follower
+
+import (
+	"context"
+
+	"github.com/burdockspindle/burdockspindle/checkpoint"
+	"github.com/burdockspindle/burdockspindle/platlog"
+	"github.com/burdockspindle/burdockspindle/record"
+	"github.com/burdockspindle/burdockspindle/state"
+	"github.com/burdockspindle/burdockspindle/topo"
+
+	bspb "github.com/burdockspindle/burdockspindle/proto/burdockspindle/v1"
+)
+
+// minWindow is the fewest entries that are searched at once for a checkpoint.
+const minWindow = 256
+
+// found is a whole checkpoint in the log.
+type found struct {
+	whole    checkpoint.Whole
+	snapshot *bspb.Snapshot
+}
+
+// recover deals with a log that no longer holds the next record: it looks for
+// a checkpoint in the log, then asks peers, then for a rebase.
+func (r *logReader) recover(ctx context.Context) error {
+	probe, err := r.f.read(ctx, r.f.applied()+1, 1, 0)
+	first, end := probe.First, probe.End
+	if err != nil {
+		if first, end, err = r.bounds(ctx, err); err != nil {
+			return err
+		}
+	}
+	if r.f.applied()+1 >= first {
+		return nil
+	}
+	if r.restoreNewest(ctx, first, end) {
+		return nil
+	}
+	if r.f.restoreFromPeers(ctx, first) {
+		return nil
+	}
+	return r.followRebase(ctx, first, end)
+}
+
+// bounds returns the log's bounds after a read below the first retained offset.
+func (r *logReader) bounds(ctx context.Context, err error) (first, end topo.Offset, failed error) {
+	truncated, isTruncated := asTruncated(err)
+	if !isTruncated {
+		return 0, 0, err
+	}
+	probe, err := r.f.read(ctx, truncated.First, 1, 0)
+	return probe.First, probe.End, err
+}
+
+// restoreNewest restores the newest whole checkpoint from which the retained
+// records go on, and that is further than the state. It searches backwards from
+// the end of the log in growing windows.
+func (r *logReader) restoreNewest(ctx context.Context, first, end topo.Offset) bool {
+	window := topo.Offset(max(2*r.f.config.CheckpointEvery, minWindow))
+	for {
+		start := first
+		if end > first+window {
+			start = end - window
+		}
+		newest, err := r.search(ctx, start, end)
+		if err != nil {
+			return false
+		}
+		if newest != nil && newest.whole.Applied+1 >= first && newest.whole.Applied > r.f.applied() {
+			return r.restore(ctx, newest)
+		}
+		if start == first {
+			return false
+		}
+		window *= 4
+	}
+}
+
+// search returns the newest whole checkpoint with all chunks in a range; nil
+// when there is none.
+func (r *logReader) search(ctx context.Context, start, end topo.Offset) (*found, error) {
+	var assembler checkpoint.Assembler
+	var newest *found
+	err := r.f.scan(ctx, start, end, func(offset topo.Offset, rec *bspb.Record) bool {
+		chunk := rec.GetCheckpointChunk()
+		if chunk == nil {
+			return true
+		}
+		whole, snapshot, err := assembler.Add(offset, chunk)
+		if err != nil {
+			eventCheckpointTorn.Log(r.f.config.Logger, "offset", offset, "error", err)
+		}
+		if whole != nil && (newest == nil || whole.Applied >= newest.whole.Applied) {
+			newest = &found{whole: *whole, snapshot: snapshot}
+		}
+		return true
+	})
+	return newest, err
+}
+
+func (r *logReader) restore(ctx context.Context, newest *found) bool {
+	restored, err := state.Restore(newest.snapshot)
+	if err != nil {
+		eventCheckpointTorn.Log(r.f.config.Logger, "checkpoint", newest.whole.ID, "error", err)
+		return false
+	}
+	if r.f.adopt(ctx, restored, false) != nil {
+		return false
+	}
+	r.f.due.noteWhole(newest.whole)
+	eventCheckpointUsed.Log(r.f.config.Logger, "checkpoint", newest.whole.ID, "applied", newest.whole.Applied)
+	return true
+}
+
+// scan visits the readable records of a range in order until visit returns
+// false. It fails with the log's error.
+func (f *Follower) scan(ctx context.Context, start, end topo.Offset, visit func(topo.Offset, *bspb.Record) bool) error {
+	for next := start; next < end; {
+		batch, err := f.read(ctx, next, readMax, 0)
+		if err != nil {
+			return err
+		}
+		entries, err := following(batch, next)
+		if err != nil {
+			return err
+		}
+		for _, entry := range entries {
+			next = entry.Offset + 1
+			if entry.Offset >= end {
+				return nil
+			}
+			rec, err := record.Decode(entry.Data)
+			if err == nil && !visit(entry.Offset, rec) {
+				return nil
+			}
+		}
+	}
+	return nil
+}
+
+// following returns the entries of a batch from next on, without those read
+// again. It fails when there are none or some are missing.
+func following(batch platlog.Batch, next topo.Offset) ([]platlog.Entry, error) {
+	entries := make([]platlog.Entry, 0, len(batch.Entries))
+	for _, entry := range batch.Entries {
+		wanted := next + topo.Offset(len(entries))
+		if entry.Offset > wanted {
+			return nil, &GapError{Applied: wanted - 1, Got: entry.Offset}
+		}
+		if entry.Offset == wanted {
+			entries = append(entries, entry)
+		}
+	}
+	if len(entries) == 0 {
+		return nil, &RewoundError{Applied: next - 1, End: batch.End}
+	}
+	return entries, nil
+}
--- /dev/null
+++ b/follower/serve.go
@@ -0,0 +1,88 @@
+package follower
+
+import (
+	"context"
+	"time"
+
+	"github.com/burdockspindle/burdockspindle/checkpoint"
+	"github.com/burdockspindle/burdockspindle/peer"
+	"github.com/burdockspindle/burdockspindle/topo"
+
+	bspb "github.com/burdockspindle/burdockspindle/proto/burdockspindle/v1"
+)
+
+const (
+	maxServedWait   = 2 * time.Second // that a peer may ask for
+	maxServedBytes  = 1 << 20         // of entries in one answer
+	snapshotKept    = 5 * time.Second // that an encoded snapshot is given again
+	snapshotAtOnce  = 1               // snapshots encoded at the same time
+	snapshotChunkID = "peer"
+)
+
+// Serve puts the answers to peers' ReadLog and FetchSnapshot into handlers.
+func (f *Follower) Serve(handlers *peer.Handlers) {
+	snapshots := &snapshotServer{f: f, encoding: make(chan struct{}, snapshotAtOnce)}
+	handlers.ReadLog = f.serveReadLog
+	handlers.Snapshot = snapshots.serve
+}
+
+// serveReadLog returns recent entries, and waits for new ones if asked to.
+// Without entries although the answer's applied is beyond what was asked for,
+// the caller needs a snapshot.
+func (f *Follower) serveReadLog(ctx context.Context, req *bspb.ReadLogRequest) (*bspb.ReadLogResponse, error) {
+	from := max(topo.Offset(req.GetFrom()), 1)
+	wait := min(time.Duration(req.GetWaitMs())*time.Millisecond, maxServedWait)
+	if wait > 0 && f.applied() < from {
+		limited, cancel := context.WithTimeout(ctx, wait)
+		defer cancel()
+		_ = f.WaitApplied(limited, from) // at the limit, the answer is empty
+	}
+	entries, first := f.ring.read(from, min(max(int(req.GetMax()), 1), readMax))
+	answer := &bspb.ReadLogResponse{First: uint64(first), Applied: uint64(f.applied())}
+	bytes := 0
+	for _, entry := range entries {
+		if bytes += len(entry.Data); bytes > maxServedBytes && len(answer.Entries) > 0 {
+			break
+		}
+		count(metricServedBytes, len(entry.Data))
+		answer.Entries = append(answer.Entries, &bspb.LogEntry{Offset: uint64(entry.Offset), Data: entry.Data})
+	}
+	return answer, nil
+}
+
+// snapshotServer gives peers the whole state. An encoded snapshot is kept for a
+// while, since many peers may start at once; they read the rest as entries.
+type snapshotServer struct {
+	f        *Follower
+	encoding chan struct{} // a slot for each snapshot being encoded
+	chunks   []*bspb.CheckpointChunk
+	applied  topo.Offset
+	at       time.Time
+}
+
+// serve answers with nothing unless the state is beyond an offset.
+func (s *snapshotServer) serve(ctx context.Context, beyond topo.Offset) ([]*bspb.CheckpointChunk, error) {
+	if s.f.applied() <= beyond {
+		return nil, nil
+	}
+	select {
+	case s.encoding <- struct{}{}:
+		defer func() { <-s.encoding }()
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+	if s.applied > beyond && time.Since(s.at) < snapshotKept {
+		return s.chunks, nil
+	}
+	frozen, alive := s.f.freeze(ctx)
+	if !alive {
+		return nil, &StoppedError{}
+	}
+	chunks, err := checkpoint.Split(frozen.Snapshot(), snapshotChunkID, checkpoint.ChunkBytes)
+	if err != nil {
+		return nil, err
+	}
+	count(metricSnapshots, 1)
+	s.chunks, s.applied, s.at = chunks, frozen.View().Applied(), time.Now()
+	return chunks, nil
+}
--- /dev/null
+++ b/follower/submit.go
@@ -0,0 +1,67 @@
+package follower
+
+import (
+	"context"
+	"sync/atomic"
+
+	bspb "github.com/burdockspindle/burdockspindle/proto/burdockspindle/v1"
+)
+
+// submitted is one Submit under way.
+type submitted struct {
+	ctx    context.Context
+	record *bspb.Record
+	// taken is set by whoever comes first: the appender, or the caller giving
+	// up while the record still waits in the queue.
+	taken  atomic.Bool
+	answer chan submitAnswer // capacity 1; gets exactly one answer at most
+}
+
+// submitAnswer is the end of one Submit.
+type submitAnswer struct {
+	fate Fate
+	err  error
+}
+
+// Submit implements Appender. Errors are *NotAppendedError, with a
+// *QueueFullError, the log's or the context's error as cause, and
+// *UnknownFateError. The record is not changed and must not be changed by the
+// caller afterwards.
+func (f *Follower) Submit(ctx context.Context, rec *bspb.Record) (Fate, error) {
+	s := &submitted{ctx: ctx, record: rec, answer: make(chan submitAnswer, 1)}
+	select {
+	case <-f.done:
+		return Fate{}, &NotAppendedError{Cause: &StoppedError{}}
+	default:
+	}
+	select {
+	case f.queue <- s:
+	default:
+		count(metricQueueFull, 1)
+		return Fate{}, &NotAppendedError{Cause: &QueueFullError{Length: cap(f.queue)}}
+	}
+	select {
+	case answer := <-s.answer:
+		return answer.fate, answer.err
+	case <-ctx.Done():
+		return s.giveUp(ctx.Err())
+	case <-f.done:
+		return s.giveUp(&StoppedError{})
+	}
+}
+
+// giveUp ends a Submit at once. If the record still waits in the queue, it will
+// never be appended; if its answer has just come, that is returned.
+func (s *submitted) giveUp(cause error) (Fate, error) {
+	if s.taken.CompareAndSwap(false, true) {
+		count(metricNotAppended, 1)
+		return Fate{}, &NotAppendedError{Cause: cause}
+	}
+	select {
+	case answer := <-s.answer:
+		return answer.fate, answer.err
+	default:
+		count(metricUnknownFate, 1)
+		return Fate{}, &UnknownFateError{Cause: cause}
+	}
+}
--- /dev/null
+++ b/modules/follower/module.go
@@ -0,0 +1,90 @@
+// Package follower is the module "follower": it runs follower.Follower in a
+// process, and provides state.Source, follower.Appender and follower.Contact.
+package follower
+
+import (
+	"context"
+	"time"
+
+	"github.com/burdockspindle/burdockspindle/follower"
+	"github.com/burdockspindle/burdockspindle/kernel"
+	"github.com/burdockspindle/burdockspindle/peer"
+	"github.com/burdockspindle/burdockspindle/platlog"
+	"github.com/burdockspindle/burdockspindle/settings"
+	"github.com/burdockspindle/burdockspindle/state"
+)
+
+// ID is the module's ID.
+const ID kernel.ModuleID = "follower"
+
+// pollsPerLease is how many reads of the log fit in one lease TTL, so that
+// contact with the log is always much fresher than a lease.
+const pollsPerLease = 5
+
+func init() { kernel.Register(&Module{}) }
+
+// Module needs platlog.Log, *settings.Settings, peer.Caller and *peer.Handlers.
+type Module struct {
+	follower *follower.Follower
+}
+
+// ModuleInfo implements kernel.Module.
+func (*Module) ModuleInfo() kernel.Info {
+	return kernel.Info{ID: ID, New: func() kernel.Module { return &Module{} }}
+}
+
+// Provision implements kernel.Provisioner.
+func (m *Module) Provision(ctx *kernel.Context) error {
+	log, err := kernel.Use[platlog.Log](ctx)
+	if err != nil {
+		return err
+	}
+	config, err := kernel.Use[*settings.Settings](ctx)
+	if err != nil {
+		return err
+	}
+	caller, err := kernel.Use[peer.Caller](ctx)
+	if err != nil {
+		return err
+	}
+	handlers, err := kernel.Use[*peer.Handlers](ctx)
+	if err != nil {
+		return err
+	}
+	m.follower = follower.New(follower.Config{
+		Node:            ctx.Identity.Node,
+		Boot:            ctx.Identity.Boot,
+		Log:             log,
+		Peers:           caller,
+		Logger:          ctx.Logger,
+		PollWait:        config.Timing.LeaseTTL / pollsPerLease,
+		CheckpointEvery: config.Timing.CheckpointEvery,
+	})
+	m.follower.Serve(handlers)
+	return m.provide(ctx)
+}
+
+func (m *Module) provide(ctx *kernel.Context) error {
+	if err := kernel.Provide[state.Source](ctx, m.follower); err != nil {
+		return err
+	}
+	if err := kernel.Provide[follower.Appender](ctx, m.follower); err != nil {
+		return err
+	}
+	return kernel.Provide[follower.Contact](ctx, m.follower)
+}
+
+// Start implements kernel.Starter.
+func (m *Module) Start(context.Context) error {
+	m.follower.Start()
+	return nil
+}
+
+// Stop implements kernel.Stopper.
+func (m *Module) Stop(context.Context) error {
+	m.follower.Stop()
+	return nil
+}
+
+// Dump implements kernel.Dumper.
+func (m *Module) Dump() any { return m.follower.Dump(time.Now()) }
--- /dev/null
+++ b/state/apply_servers.go
@@ -0,0 +1,110 @@
+package state
+
+import (
+	"github.com/burdockspindle/burdockspindle/topo"
+
+	bspb "github.com/burdockspindle/burdockspindle/proto/burdockspindle/v1"
+)
+
+func (s *State) applyUpdateServers(body *bspb.UpdateServers) *Conflict {
+	for _, entry := range body.GetUpsert() {
+		if entry.GetId() == "" || !validPhase(entry.GetPhase()) {
+			return &Conflict{Reason: ReasonMalformed, Subject: "server " + entry.GetId()}
+		}
+	}
+	for _, entry := range body.GetUpsert() {
+		s.upsertServer(serverFromProto(entry))
+	}
+	for _, id := range body.GetRemove() {
+		s.removeServer(topo.ServerID(id))
+	}
+	return nil
+}
+
+func validPhase(phase bspb.ServerPhase) bool {
+	return phase >= bspb.ServerPhase_SERVER_PHASE_LIVE && phase <= bspb.ServerPhase_SERVER_PHASE_GONE
+}
+
+// upsertServer inserts or replaces a server. While shards name it, its
+// service, zone and group stay, since leases are renewed by group. A lost mark
+// goes when no shard names the server.
+func (s *State) upsertServer(server Server) {
+	known, exists := s.serverRecords[server.ID]
+	if !exists {
+		known = &serverRecord{}
+		s.serverRecords[server.ID] = known
+	}
+	if known.uses > 0 {
+		server.Service = known.server.Service
+		server.Zone = known.server.Zone
+		server.Group = known.server.Group
+	} else {
+		s.lostServers.remove(server.ID)
+	}
+	known.server = server
+	known.removed = false
+	s.servers.set(server.ID, server)
+}
+
+// removeServer removes a server, or makes it PhaseGone while shards name it.
+func (s *State) removeServer(id topo.ServerID) {
+	known, exists := s.serverRecords[id]
+	if !exists {
+		return
+	}
+	known.removed = true
+	if known.uses == 0 {
+		s.dropServer(id)
+		return
+	}
+	known.server.Phase = PhaseGone
+	s.servers.set(id, known.server)
+}
+
+func (s *State) dropServer(id topo.ServerID) {
+	delete(s.serverRecords, id)
+	s.servers.remove(id)
+	s.lostServers.remove(id)
+}
+
+// useServer counts an assignment that names a server; empty names are ignored.
+func (s *State) useServer(id topo.ServerID) {
+	if known, exists := s.serverRecords[id]; exists {
+		known.uses++
+	}
+}
+
+// releaseServer undoes useServer and drops a removed server that no assignment
+// names any longer.
+func (s *State) releaseServer(id topo.ServerID) {
+	known, exists := s.serverRecords[id]
+	if !exists {
+		return
+	}
+	known.uses--
+	if known.uses == 0 && known.removed {
+		s.dropServer(id)
+	}
+}
+
+func serverFromProto(entry *bspb.ServerEntry) Server {
+	return Server{
+		ID:      topo.ServerID(entry.GetId()),
+		Service: topo.Service(entry.GetService()),
+		Zone:    topo.Zone(entry.GetZone()),
+		Address: entry.GetAddress(),
+		Group:   topo.GroupID(entry.GetGroup()),
+		Phase:   Phase(entry.GetPhase()),
+	}
+}
+
+func serverToProto(server Server) *bspb.ServerEntry {
+	return &bspb.ServerEntry{
+		Id:      string(server.ID),
+		Service: string(server.Service),
+		Zone:    string(server.Zone),
+		Address: server.Address,
+		Group:   string(server.Group),
+		Phase:   bspb.ServerPhase(server.Phase),
+	}
+}
--- /dev/null
+++ b/state/limits.go
@@ -0,0 +1,55 @@
+package state
+
+import (
+	"time"
+
+	"github.com/burdockspindle/burdockspindle/siteconfig"
+	"github.com/burdockspindle/burdockspindle/topo"
+)
+
+// maxPastLimits bounds the history kept for one service. When it is full, the
+// two oldest entries become one that is at least as long.
+const maxPastLimits = 8
+
+// pastLimit is a MaxDisconnected that was in force until a record. A lessor
+// cut off before that record may still go by it, so a lower value in a newer
+// site configuration does not shorten the wait of those who take over from it.
+type pastLimit struct {
+	until topo.Offset
+	limit time.Duration
+}
+
+// pastLimits is one service's history: until ascending, limit descending.
+type pastLimits []pastLimit
+
+// replaced returns the history after limit was replaced by the record at
+// offset. The receiver is not changed, since Views may hold it.
+func (p pastLimits) replaced(limit time.Duration, offset topo.Offset) pastLimits {
+	var kept pastLimits
+	for _, past := range p {
+		if longer(past.limit, limit) {
+			kept = append(kept, past)
+		}
+	}
+	kept = append(kept, pastLimit{until: offset, limit: limit})
+	if len(kept) > maxPastLimits {
+		kept[1].limit = siteconfig.LongerDisconnected(kept[0].limit, kept[1].limit)
+		kept = kept[1:]
+	}
+	return kept
+}
+
+// longest returns the longest of current and what was in force after since.
+func (p pastLimits) longest(current time.Duration, since topo.Offset) time.Duration {
+	for _, past := range p {
+		if past.until > since {
+			current = siteconfig.LongerDisconnected(current, past.limit)
+		}
+	}
+	return current
+}
+
+// longer reports whether a is strictly longer than b.
+func longer(a, b time.Duration) bool {
+	return a != b && siteconfig.LongerDisconnected(a, b) == a
+}
--- /dev/null
+++ b/state/state.go
@@ -0,0 +1,200 @@
+package state
+
+import (
+	"github.com/burdockspindle/burdockspindle/record"
+	"github.com/burdockspindle/burdockspindle/siteconfig"
+	"github.com/burdockspindle/burdockspindle/topo"
+
+	bspb "github.com/burdockspindle/burdockspindle/proto/burdockspindle/v1"
+)
+
+// run names one run of a node.
+type run struct {
+	node topo.NodeID
+	boot topo.BootID
+}
+
+// serverRecord is a server with what only Apply needs to know of it.
+type serverRecord struct {
+	server  Server
+	uses    int  // assignments that name it as owner or standby
+	removed bool // goes when uses is 0
+}
+
+// State is the mutable state of one process. It is not safe for concurrent
+// use; Views taken from it are. Two States that applied the same records are
+// equal.
+type State struct {
+	applied     topo.Offset
+	lineage     topo.Offset // offset of the last rebase
+	siteVersion uint64
+	siteText    []byte
+	site        *siteconfig.Site
+
+	tables   cowMap[topo.Service, *shardTable]
+	edits    map[topo.Service]*tableEdit
+	retiring cowMap[topo.Service, *siteconfig.Service]
+	limits   cowMap[topo.Service, pastLimits]
+	servers  cowMap[topo.ServerID, Server]
+	nodes    cowMap[topo.NodeID, Node]
+	groups   cowMap[topo.GroupID, Group]
+
+	lostServers cowMap[topo.ServerID, bool]
+	lostRuns    cowMap[run, bool]
+
+	serverRecords map[topo.ServerID]*serverRecord
+	writers       *writerTable
+
+	view *View // nil after a change
+}
+
+// New returns the state before the first record.
+func New() *State {
+	return &State{
+		tables:        newCowMap[topo.Service, *shardTable](),
+		edits:         map[topo.Service]*tableEdit{},
+		retiring:      newCowMap[topo.Service, *siteconfig.Service](),
+		limits:        newCowMap[topo.Service, pastLimits](),
+		servers:       newCowMap[topo.ServerID, Server](),
+		nodes:         newCowMap[topo.NodeID, Node](),
+		groups:        newCowMap[topo.GroupID, Group](),
+		lostServers:   newCowMap[topo.ServerID, bool](),
+		lostRuns:      newCowMap[run, bool](),
+		serverRecords: map[topo.ServerID]*serverRecord{},
+		writers:       newWriterTable(),
+	}
+}
+
+// Applied returns the offset of the last record applied.
+func (s *State) Applied() topo.Offset { return s.applied }
+
+// Lineage returns the offset of the last rebase; 0 when there was none.
+func (s *State) Lineage() topo.Offset { return s.lineage }
+
+// Apply applies the record at offset, which must be the one after Applied. It
+// is deterministic and, with Skip, the only thing that changes the state.
+func (s *State) Apply(offset topo.Offset, rec *bspb.Record) Result {
+	if rec.GetSequence() <= s.writers.last(rec.GetWriter()) {
+		s.Skip(offset)
+		return refused(offset, &Conflict{Reason: ReasonDuplicate, Subject: rec.GetWriter()})
+	}
+	if body := rec.GetRebase(); body != nil && topo.Offset(body.GetLineage()) == s.lineage {
+		return Result{Offset: offset, Accepted: true, Rebase: body}
+	}
+	result := s.applyBody(offset, rec)
+	s.noteWriter(rec)
+	s.Skip(offset)
+	return result
+}
+
+// Skip passes over an entry that this release cannot read.
+func (s *State) Skip(offset topo.Offset) {
+	s.applied = offset
+	s.view = nil
+}
+
+// Resume makes a restored state go on at offset although records before it
+// are lost. Only the building of a rebased state uses it.
+func (s *State) Resume(offset topo.Offset) { s.Skip(offset - 1) }
+
+// CompleteRebase ends the building of a rebased state with the Rebase record
+// that began it.
+func (s *State) CompleteRebase(offset topo.Offset, rec *bspb.Record) {
+	s.lineage = offset
+	s.noteWriter(rec)
+	s.Skip(offset)
+}
+
+func (s *State) noteWriter(rec *bspb.Record) {
+	s.writers.record(rec.GetWriter(), rec.GetSequence())
+	s.writers.prune(len(s.nodes.entries)+retiredWriters, s.currentRun)
+}
+
+func (s *State) currentRun(writer string) bool {
+	id, boot, valid := record.ParseWriter(writer)
+	if !valid {
+		return false
+	}
+	node, exists := s.nodes.get(id)
+	return exists && node.Boot == boot
+}
+
+func (s *State) applyBody(offset topo.Offset, rec *bspb.Record) Result {
+	switch body := rec.GetBody().(type) {
+	case *bspb.Record_PublishSite:
+		return settle(offset, s.applyPublishSite(offset, body.PublishSite))
+	case *bspb.Record_JoinNode:
+		return settle(offset, s.applyJoinNode(body.JoinNode))
+	case *bspb.Record_RemoveNode:
+		return settle(offset, s.applyRemoveNode(body.RemoveNode))
+	case *bspb.Record_UpdateServers:
+		return settle(offset, s.applyUpdateServers(body.UpdateServers))
+	case *bspb.Record_ClaimTerm:
+		return settle(offset, s.applyClaimTerm(offset, body.ClaimTerm))
+	case *bspb.Record_AssignShards:
+		return s.applyAssignShards(offset, body.AssignShards)
+	case *bspb.Record_ConfirmLoss:
+		return settle(offset, s.applyConfirmLoss(body.ConfirmLoss))
+	case *bspb.Record_CheckpointChunk:
+		return settle(offset, nil)
+	case *bspb.Record_Rebase:
+		return refused(offset, &Conflict{
+			Reason:   ReasonLineage,
+			Expected: offsetText(topo.Offset(body.Rebase.GetLineage())),
+			InForce:  offsetText(s.lineage),
+		})
+	}
+	return refused(offset, &Conflict{Reason: ReasonMalformed, Subject: "record without a known body"})
+}
+
+// View returns an immutable picture of the state. Taking it again without a
+// change in between costs nothing.
+func (s *State) View() *View {
+	if s.view != nil {
+		return s.view
+	}
+	clear(s.edits)
+	s.view = &View{
+		applied:     s.applied,
+		lineage:     s.lineage,
+		siteVersion: s.siteVersion,
+		siteText:    s.siteText,
+		site:        s.site,
+		tables:      s.tables.share(),
+		retiring:    s.retiring.share(),
+		limits:      s.limits.share(),
+		servers:     s.servers.share(),
+		nodes:       s.nodes.share(),
+		groups:      s.groups.share(),
+		lostServers: s.lostServers.share(),
+		lostRuns:    s.lostRuns.share(),
+	}
+	return s.view
+}
+
+// edit returns a service's table for a change; the service must have one.
+func (s *State) edit(service topo.Service) *tableEdit {
+	if edit, exists := s.edits[service]; exists {
+		return edit
+	}
+	edit := editTable(s.tables.entries[service])
+	s.edits[service] = edit
+	s.tables.set(service, edit.table)
+	return edit
+}
+
+func (s *State) dropTable(service topo.Service) {
+	delete(s.edits, service)
+	s.tables.remove(service)
+}
+
+func settle(offset topo.Offset, conflict *Conflict) Result {
+	return Result{Offset: offset, Accepted: conflict == nil, Conflict: conflict}
+}
+
+func refused(offset topo.Offset, conflict *Conflict) Result {
+	return Result{Offset: offset, Conflict: conflict}
+}
+
+// LastSequence returns the last sequence applied of a writer; 0 for none.
+func (s *State) LastSequence(writer string) uint64 { return s.writers.last(writer) }
--- a/state/view.go
+++ b/state/view.go
@@ -57,6 +57,9 @@
 	LessorBoot  topo.BootID
 	Standby     topo.NodeID // may be empty
 	StandbyBoot topo.BootID
+	// HeldSince is the offset since which lessors of the group may not have
+	// ended; see View.DisconnectedLimit.
+	HeldSince topo.Offset
 }
 
 // Source gives the current view and tells of newer ones. The follower
--- /dev/null
+++ b/state/writers.go
@@ -0,0 +1,65 @@
+package state
+
+import "container/list"
+
+// retiredWriters is how many writers that are not the current run of a node
+// are remembered. At 170 restarts a day it covers six days, far longer than
+// an append can be under way.
+const retiredWriters = 1024
+
+// writerTable remembers the last sequence applied for each writer, least
+// recently heard first. Current runs of nodes are never forgotten; of the
+// others the most recent retiredWriters are kept.
+type writerTable struct {
+	order   *list.List // of *writerEntry
+	entries map[string]*list.Element
+}
+
+type writerEntry struct {
+	writer   string
+	sequence uint64
+}
+
+func newWriterTable() *writerTable {
+	return &writerTable{order: list.New(), entries: map[string]*list.Element{}}
+}
+
+// last returns the last sequence applied for a writer; 0 for none.
+func (w *writerTable) last(writer string) uint64 {
+	if element, exists := w.entries[writer]; exists {
+		return element.Value.(*writerEntry).sequence
+	}
+	return 0
+}
+
+// record notes a sequence as applied.
+func (w *writerTable) record(writer string, sequence uint64) {
+	element, exists := w.entries[writer]
+	if !exists {
+		element = w.order.PushBack(&writerEntry{writer: writer})
+		w.entries[writer] = element
+	}
+	element.Value.(*writerEntry).sequence = sequence
+	w.order.MoveToBack(element)
+}
+
+// prune forgets the least recently heard writers beyond limit that are not
+// current.
+func (w *writerTable) prune(limit int, current func(writer string) bool) {
+	for element := w.order.Front(); element != nil && len(w.entries) > limit; {
+		next := element.Next()
+		entry := element.Value.(*writerEntry)
+		if !current(entry.writer) {
+			w.order.Remove(element)
+			delete(w.entries, entry.writer)
+		}
+		element = next
+	}
+}
+
+// each visits the entries, least recently heard first.
+func (w *writerTable) each(visit func(writerEntry)) {
+	for element := w.order.Front(); element != nil; element = element.Next() {
+		visit(*element.Value.(*writerEntry))
+	}
+}
