At-most-once model over counters

Cause: a request that runs twice must also show in what callers read. Change: porcupine model of one counter for each key and ownership; unknown requests may take effect at any later time.

--- a/histcheck/check_test.go
+++ b/histcheck/check_test.go
@@ -21,6 +21,7 @@
 		g.Expect(LinearizableOwnership(events, 0)).To(gomega.Equal(Linearizable))
 		g.Expect(LinearizableAssignments(events, settledNode, 0)).To(gomega.Equal(Linearizable))
 		g.Expect(LinearizableSite(events, 0, 0)).To(gomega.Equal(Linearizable))
+		g.Expect(LinearizableCounters(events, settledNode, 0)).To(gomega.Equal(Linearizable))
 	})
 }
 
@@ -60,6 +61,7 @@
 	assignments := func(events []history.Event) Result {
 		return LinearizableAssignments(events, settledNode, 0)
 	}
+	counters := func(events []history.Event) Result { return LinearizableCounters(events, settledNode, 0) }
 	return map[string]planted{
 		"overlapping spans of two servers": {rule: RuleSoleOwner, plant: editOne(func(e *history.OwnerInterval) []history.Event {
 			other := *e
@@ -112,6 +114,9 @@
 			e.EchoRequestID = "none"
 		})},
 		"answer of a run that did not stand": {rule: RuleWholeAnswer, plant: uncommitAnswered},
+		"answer shows a write that nobody sent": {rule: RuleWholeAnswer, model: counters, plant: editAnswered(func(e *history.CallerAnswered) {
+			e.EchoValue += 100
+		})},
 		"acknowledged assignment lost": {rule: RuleAssignments, model: assignments, plant: editOne(func(e *history.AssignmentKnown) []history.Event {
 			lost := *e
 			lost.Node = "n2"
--- a/histcheck/generate_test.go
+++ b/histcheck/generate_test.go
@@ -117,8 +117,9 @@
 
 func (g *generator) run(shard uint32, name, key, method, ticket string) history.RunEnded {
 	owner := g.owners[shard]
+	counter := key + "@" + owner.Fence.String()
 	if method == "POST" {
-		g.values[key]++
+		g.values[counter]++
 	}
 	g.events = append(g.events, history.RunBegan{
 		At: g.tick(), Server: owner.Server, Boot: owner.Boot, RequestID: "r-" + name, CallerRequest: name,
@@ -126,7 +127,7 @@
 	})
 	ended := history.RunEnded{
 		At: g.tick(), Server: owner.Server, Boot: owner.Boot, RequestID: "r-" + name,
-		Committed: true, Value: g.values[key], BodyDigest: "d-" + name,
+		Committed: true, Value: g.values[counter], BodyDigest: "d-" + name,
 	}
 	g.events = append(g.events, ended)
 	return ended
--- a/histcheck/linear.go
+++ b/histcheck/linear.go
@@ -34,7 +34,7 @@
 // never is the return of an operation whose fate its client did not learn: it
 // may take effect at any later moment. One that never takes effect can be
 // ordered after everything that anybody saw.
-const never = math.MaxInt64
+const never int64 = math.MaxInt64
 
 // search looks for a linearization for at most limit; 0 means without limit.
 func search(model porcupine.Model, operations []porcupine.Operation, limit time.Duration) Result {
