--- a/modules/membership/duty.go
+++ b/modules/membership/duty.go
@@ -11,6 +11,7 @@
 	core "github.com/burdockspindle/burdockspindle/membership"
 	"github.com/burdockspindle/burdockspindle/ring"
 	"github.com/burdockspindle/burdockspindle/state"
+	"github.com/burdockspindle/burdockspindle/submit"
 	"github.com/burdockspindle/burdockspindle/topo"
 
 	bspb "github.com/burdockspindle/burdockspindle/proto/burdockspindle/v1"
@@ -69,7 +70,7 @@
 		case <-changed:
 		case <-ticker.C:
 		case <-d.module.words.Changed():
-		case <-d.module.submitter.finished:
+		case <-d.module.writer.Finished():
 		case answer := <-d.answers.Items():
 			d.take(answer)
 		case list := <-d.lists.Items():
@@ -106,15 +107,21 @@
 	observed := d.observe(view, now)
 	d.wantsList.Store(observed.Holder || d.concerned(view, observed))
 	if !d.joined(view) {
-		d.module.submitter.offer(ctx, d.join())
+		d.offer(ctx, d.join())
 		return
 	}
-	var batch []submission
+	var batch []submit.Submission
 	if !d.roster.Read().IsZero() {
 		batch = append(batch, d.serverRecords(view, observed)...)
 	}
 	batch = append(batch, d.nodeRecords(view, observed)...)
-	d.module.submitter.offer(ctx, batch)
+	d.offer(ctx, batch)
+}
+
+func (d *duty) offer(ctx context.Context, batch []submit.Submission) {
+	if len(batch) > 0 && !d.module.writer.Offer(ctx, batch) {
+		metricPutOff.Add(1)
+	}
 }
 
 // publish renews what other goroutines see, and whom the watcher calls.
@@ -200,14 +207,14 @@
 	return exists && node.Boot == d.module.identity.Boot
 }
 
-func (d *duty) join() []submission {
+func (d *duty) join() []submit.Submission {
 	id := d.module.identity
 	body := &bspb.JoinNode{
 		Node: string(id.Node), Boot: string(id.Boot), Zone: string(id.Zone), Region: string(id.Region),
 		PeerAddress: d.module.address(),
 	}
-	return []submission{{
-		record: &bspb.Record{Body: &bspb.Record_JoinNode{JoinNode: body}},
-		done:   func() { eventJoining.Log(d.logger, "address", body.PeerAddress) },
+	return []submit.Submission{{
+		Record: &bspb.Record{Body: &bspb.Record_JoinNode{JoinNode: body}},
+		Done:   d.settled(func() { eventJoined.Log(d.logger, "address", body.PeerAddress) }),
 	}}
 }
--- a/modules/membership/events.go
+++ b/modules/membership/events.go
@@ -7,7 +7,7 @@
 )
 
 var (
-	eventJoining       = events.Define(1340, hclog.Info, "joining site")
+	eventJoined        = events.Define(1340, hclog.Info, "joined site")
 	eventLeft          = events.Define(1341, hclog.Info, "left site")
 	eventLeaveUnknown  = events.Define(1342, hclog.Warn, "leaving not recorded")
 	eventServers       = events.Define(1343, hclog.Info, "servers updated from VM list and own word")
--- a/modules/membership/module.go
+++ b/modules/membership/module.go
@@ -20,6 +20,7 @@
 	"github.com/burdockspindle/burdockspindle/peer"
 	"github.com/burdockspindle/burdockspindle/settings"
 	"github.com/burdockspindle/burdockspindle/state"
+	"github.com/burdockspindle/burdockspindle/submit"
 	"github.com/burdockspindle/burdockspindle/vmlist"
 
 	bspb "github.com/burdockspindle/burdockspindle/proto/burdockspindle/v1"
@@ -30,7 +31,6 @@
 	watchEvery       = time.Second
 	watchTimeout     = 800 * time.Millisecond
 	tickEvery        = time.Second
-	submitTimeout    = 10 * time.Second
 )
 
 func init() { kernel.Register(&Module{}) }
@@ -50,7 +50,7 @@
 	draining  atomic.Bool
 	published atomic.Pointer[picture]
 	duty      *duty
-	submitter *submitter
+	writer    *submit.Writer
 	cancel    context.CancelFunc
 	running   sync.WaitGroup
 }
@@ -102,11 +102,11 @@
 func (m *Module) Start(context.Context) error {
 	ctx, cancel := context.WithCancel(context.Background())
 	m.cancel = cancel
-	m.submitter = newSubmitter(m.appender, m.logger)
+	m.writer = submit.NewWriter("membership-records", m.appender)
 	m.duty = newDuty(m)
 	w := &watcher{caller: m.caller, results: m.duty.answers, targets: m.duty.targets.Load}
 	r := &reader{list: m.list, every: m.pollWait, wanted: m.duty.wantsList.Load, results: m.duty.lists}
-	for _, run := range []func(context.Context){m.submitter.run, m.duty.run, w.run, r.run} {
+	for _, run := range []func(context.Context){m.writer.Run, m.duty.run, w.run, r.run} {
 		m.running.Go(func() { run(ctx) })
 	}
 	return nil
--- a/modules/membership/records.go
+++ b/modules/membership/records.go
@@ -1,8 +1,10 @@
 package membership
 
 import (
+	"github.com/burdockspindle/burdockspindle/follower"
 	core "github.com/burdockspindle/burdockspindle/membership"
 	"github.com/burdockspindle/burdockspindle/state"
+	"github.com/burdockspindle/burdockspindle/submit"
 
 	bspb "github.com/burdockspindle/burdockspindle/proto/burdockspindle/v1"
 )
@@ -11,49 +13,66 @@
 const lossSource = "vm-list"
 
 // serverRecords returns what should be written about servers.
-func (d *duty) serverRecords(view *state.View, o *core.Observed) []submission {
+func (d *duty) serverRecords(view *state.View, o *core.Observed) []submit.Submission {
 	changes := core.DecideServers(view, o)
-	var batch []submission
+	var batch []submit.Submission
 	if len(changes.Lost) > 0 {
 		batch = append(batch, d.loss(&bspb.ConfirmLoss{Servers: changes.Lost, Source: lossSource}))
 	}
 	if len(changes.Upsert) > 0 || len(changes.Remove) > 0 {
 		update := &bspb.UpdateServers{Upsert: changes.Upsert, Remove: changes.Remove}
-		batch = append(batch, submission{
-			record: &bspb.Record{Body: &bspb.Record_UpdateServers{UpdateServers: update}},
-			done: func() {
+		batch = append(batch, submit.Submission{
+			Record: &bspb.Record{Body: &bspb.Record_UpdateServers{UpdateServers: update}},
+			Done: d.settled(func() {
 				eventServers.Log(d.logger, "changed", len(update.Upsert), "removed", len(update.Remove))
-			},
+			}),
 		})
 	}
 	return batch
 }
 
 // nodeRecords returns what should be written about silent nodes.
-func (d *duty) nodeRecords(view *state.View, o *core.Observed) []submission {
+func (d *duty) nodeRecords(view *state.View, o *core.Observed) []submit.Submission {
 	changes := core.DecideNodes(view, d.circle, d.live, o)
-	var batch []submission
+	var batch []submit.Submission
 	if len(changes.Lost) > 0 {
 		batch = append(batch, d.loss(&bspb.ConfirmLoss{Nodes: changes.Lost, Source: lossSource}))
 	}
 	for _, remove := range changes.Remove {
-		batch = append(batch, submission{
-			record: &bspb.Record{Body: &bspb.Record_RemoveNode{RemoveNode: remove}},
-			done: func() {
+		batch = append(batch, submit.Submission{
+			Record: &bspb.Record{Body: &bspb.Record_RemoveNode{RemoveNode: remove}},
+			Done: d.settled(func() {
 				metricNodesRemoved.Add(1)
 				eventNodeRemoved.Log(d.logger, "peer", remove.Node, "boot", remove.Boot)
-			},
+			}),
 		})
 	}
 	return batch
 }
 
-func (d *duty) loss(body *bspb.ConfirmLoss) submission {
-	return submission{
-		record: &bspb.Record{Body: &bspb.Record_ConfirmLoss{ConfirmLoss: body}},
-		done: func() {
+func (d *duty) loss(body *bspb.ConfirmLoss) submit.Submission {
+	return submit.Submission{
+		Record: &bspb.Record{Body: &bspb.Record_ConfirmLoss{ConfirmLoss: body}},
+		Done: d.settled(func() {
 			metricLossesTold.Add(int64(len(body.Servers) + len(body.Nodes)))
 			eventLossConfirmed.Log(d.logger, "servers", body.Servers, "nodes", body.Nodes)
-		},
+		}),
+	}
+}
+
+// settled counts and logs a record's fate, and calls took when it took effect.
+func (d *duty) settled(took func()) func(follower.Fate, error) {
+	return func(fate follower.Fate, err error) {
+		metricSubmitted.Add(1)
+		switch {
+		case err != nil:
+			metricSubmitFailed.Add(1)
+			eventSubmitFailed.Log(d.logger, "error", err)
+		case !fate.Accepted:
+			metricRefused.Add(1)
+			eventRefused.Log(d.logger, "offset", fate.Offset, "conflict", fate.Conflict)
+		default:
+			took()
+		}
 	}
 }
--- /dev/null
+++ b/modules/planner/module.go
@@ -0,0 +1,129 @@
+// Package planner is the module duty.planner: the node that holds the planner's
+// role carries out what package planner decides, by records for shards that
+// nobody owns and by requests to lessors for the others. Every node reports the
+// load that it observed up a tree that ends at that node.
+package planner
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"github.com/burdockspindle/burdockspindle/balance"
+	"github.com/burdockspindle/burdockspindle/follower"
+	"github.com/burdockspindle/burdockspindle/kernel"
+	"github.com/burdockspindle/burdockspindle/load"
+	"github.com/burdockspindle/burdockspindle/membership"
+	"github.com/burdockspindle/burdockspindle/peer"
+	"github.com/burdockspindle/burdockspindle/state"
+	"github.com/burdockspindle/burdockspindle/submit"
+)
+
+const (
+	decideEvery  = time.Second            // without a change
+	settleFor    = 100 * time.Millisecond // after a change, so that one decision sees several
+	moveTimeout  = 2 * time.Second        // of one request to a lessor
+	reportEvery  = 2 * time.Second
+	reportMaxAge = 5 * time.Second
+	// reportBytes bounds one load report: 4 KB/s of the 19 KB/s that a node may
+	// spend on control.
+	reportBytes = 8 << 10
+)
+
+func init() { kernel.Register(&Module{}) }
+
+// Module implements kernel.Module.
+type Module struct {
+	identity kernel.Identity
+	logger   hclog.Logger
+	source   state.Source
+	caller   peer.Caller
+	handlers *peer.Handlers
+	roles    membership.Roles
+	policy   balance.Policy
+	recorder *load.Recorder   // nil where nothing measures load
+	stats    load.StatsSource // nil where there is no router
+	inbox    *inbox
+	writer   *submit.Writer
+	duty     *duty
+	cancel   context.CancelFunc
+	running  sync.WaitGroup
+}
+
+// ModuleInfo implements kernel.Module.
+func (*Module) ModuleInfo() kernel.Info {
+	return kernel.Info{ID: "duty.planner", New: func() kernel.Module { return new(Module) }}
+}
+
+// Provision implements kernel.Provisioner.
+func (m *Module) Provision(ctx *kernel.Context) error {
+	m.identity = ctx.Identity
+	m.logger = ctx.Logger.Named("planner")
+	m.inbox = newInbox()
+	appender, err := kernel.Use[follower.Appender](ctx)
+	if err != nil {
+		return err
+	}
+	for _, use := range []func() error{
+		func() (err error) { m.source, err = kernel.Use[state.Source](ctx); return },
+		func() (err error) { m.caller, err = kernel.Use[peer.Caller](ctx); return },
+		func() (err error) { m.handlers, err = kernel.Use[*peer.Handlers](ctx); return },
+		func() (err error) { m.roles, err = kernel.Use[membership.Roles](ctx); return },
+		func() (err error) { m.policy, err = kernel.Use[balance.Policy](ctx); return },
+	} {
+		if err := use(); err != nil {
+			return err
+		}
+	}
+	m.recorder, _ = kernel.Use[*load.Recorder](ctx)
+	m.stats, _ = kernel.Use[load.StatsSource](ctx)
+	m.writer = submit.NewWriter("planner-records", appender)
+	m.handlers.ReportLoad = m.inbox.handle
+	return nil
+}
+
+// Start implements kernel.Starter.
+func (m *Module) Start(context.Context) error {
+	ctx, cancel := context.WithCancel(context.Background())
+	m.cancel = cancel
+	m.duty = newDuty(m)
+	requests := &mover{module: m, requests: m.duty.requests, results: m.duty.results}
+	reports := &reporter{module: m}
+	for _, run := range []func(context.Context){m.writer.Run, m.duty.run, requests.run, reports.run} {
+		m.running.Go(func() { run(ctx) })
+	}
+	return nil
+}
+
+// Stop implements kernel.Stopper.
+func (m *Module) Stop(context.Context) error {
+	if m.cancel != nil {
+		m.cancel()
+		m.running.Wait()
+	}
+	return nil
+}
+
+// Dump implements kernel.Dumper.
+func (m *Module) Dump() any {
+	d := dump{
+		Holds:   m.roles.Holds(membership.RolePlanner),
+		Policy:  m.policy.Name(),
+		Reports: m.inbox.size(),
+		Writer:  m.writer.Dump(),
+	}
+	if m.duty != nil {
+		d.Latest = m.duty.latest.Load()
+	}
+	return d
+}
+
+type dump struct {
+	Holds   bool        `json:"holds"`
+	Policy  string      `json:"policy"`
+	Reports int         `json:"reports"`
+	Writer  submit.Dump `json:"writer"`
+	Latest  *decided    `json:"latest,omitempty"`
+}
--- /dev/null
+++ b/modules/planner/reports.go
@@ -0,0 +1,142 @@
+package planner
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/burdockspindle/burdockspindle/load"
+	"github.com/burdockspindle/burdockspindle/membership"
+	core "github.com/burdockspindle/burdockspindle/planner"
+	"github.com/burdockspindle/burdockspindle/topo"
+
+	bspb "github.com/burdockspindle/burdockspindle/proto/burdockspindle/v1"
+)
+
+// inboxMost bounds the nodes whose reports are kept; a node reports to one of
+// at most FanIn children, or to the planner directly while parents are away.
+const inboxMost = 1024
+
+// inbox keeps each node's latest load report.
+type inbox struct {
+	mu      sync.Mutex
+	reports map[topo.NodeID]received
+}
+
+type received struct {
+	at   time.Time
+	body *bspb.ReportLoadRequest
+}
+
+func newInbox() *inbox { return &inbox{reports: map[topo.NodeID]received{}} }
+
+// handle answers peers' ReportLoad calls.
+func (b *inbox) handle(_ context.Context, report *bspb.ReportLoadRequest) error {
+	metricReportsTaken.Add(1)
+	b.put(report, time.Now())
+	return nil
+}
+
+func (b *inbox) put(report *bspb.ReportLoadRequest, now time.Time) {
+	id := topo.NodeID(report.GetSender().GetNode())
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if _, known := b.reports[id]; known || len(b.reports) < inboxMost {
+		b.reports[id] = received{at: now, body: report}
+	}
+}
+
+// fresh returns the reports that are not too old, and forgets the others.
+func (b *inbox) fresh(now time.Time) []*bspb.ReportLoadRequest {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var list []*bspb.ReportLoadRequest
+	for id, report := range b.reports {
+		if now.Sub(report.at) > reportMaxAge {
+			delete(b.reports, id)
+			continue
+		}
+		list = append(list, report.body)
+	}
+	return list
+}
+
+// collector returns the fresh reports in the form that decisions read.
+func (b *inbox) collector(now time.Time) *load.Collector {
+	collector := load.NewCollector(reportMaxAge)
+	for _, report := range b.fresh(now) {
+		collector.Add(now, report)
+	}
+	return collector
+}
+
+func (b *inbox) size() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return len(b.reports)
+}
+
+// reporter sends what this node and its children observed towards the planner.
+type reporter struct{ module *Module }
+
+// run ends with ctx.
+func (r *reporter) run(ctx context.Context) {
+	if r.module.recorder == nil {
+		return
+	}
+	ticker := time.NewTicker(reportEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			r.report(ctx)
+		}
+	}
+}
+
+func (r *reporter) report(ctx context.Context) {
+	var stats []load.ServerStats
+	if r.module.stats != nil {
+		stats = r.module.stats.ServerStats()
+	}
+	own := r.module.recorder.Report(ctx, reportBytes, stats)
+	if own == nil {
+		return // the recorder has ended
+	}
+	own.Sender = r.module.caller.Sender()
+	parents := core.Parents(r.module.roles.Candidates(membership.RolePlanner), r.module.identity.Node)
+	if len(parents) == 0 {
+		r.module.inbox.put(own, time.Now())
+		return
+	}
+	merged := core.Merge(append(r.children(), own), reportBytes)
+	r.send(ctx, parents, merged)
+}
+
+// children returns the reports that other nodes sent to this one.
+func (r *reporter) children() []*bspb.ReportLoadRequest {
+	var list []*bspb.ReportLoadRequest
+	for _, report := range r.module.inbox.fresh(time.Now()) {
+		if report.GetSender().GetNode() != string(r.module.identity.Node) {
+			list = append(list, report)
+		}
+	}
+	return list
+}
+
+// send delivers a report to the first parent that answers.
+func (r *reporter) send(ctx context.Context, parents []topo.NodeID, report *bspb.ReportLoadRequest) {
+	for _, parent := range parents {
+		callCtx, cancel := context.WithTimeout(ctx, reportEvery/2)
+		err := r.module.caller.ReportLoad(callCtx, parent, report)
+		cancel()
+		if err == nil {
+			metricReportsSent.Add(1)
+			return
+		}
+		metricReportsFailed.Add(1)
+		eventReportFailed.Log(r.module.logger, "to", parent, "error", err)
+	}
+}
--- /dev/null
+++ b/planner/balance.go
@@ -0,0 +1,110 @@
+package planner
+
+import (
+	"time"
+
+	"github.com/burdockspindle/burdockspindle/balance"
+	"github.com/burdockspindle/burdockspindle/load"
+	"github.com/burdockspindle/burdockspindle/siteconfig"
+	"github.com/burdockspindle/burdockspindle/state"
+	"github.com/burdockspindle/burdockspindle/topo"
+
+	bspb "github.com/burdockspindle/burdockspindle/proto/burdockspindle/v1"
+)
+
+// moveCost is how long a shard is unavailable while it moves by agreement.
+const moveCost = 100 * time.Millisecond
+
+// balance asks the policy for moves and adds them to the plan.
+func (d *decision) balance(b *board) {
+	service := b.service.Name
+	meter := d.in.Tracker.meter(b.service, d.in.Now)
+	sources := load.Sources{
+		View:     d.in.View,
+		Service:  b.service,
+		Picture:  d.in.Picture(service),
+		Planned:  d.in.Tracker,
+		MoveCost: moveCost,
+		Budget: balance.Budget{
+			Moves:       meter.Allowed(d.in.Now),
+			Evacuations: MaxUnderWay - d.in.Tracker.underWay(service),
+			Probes:      MaxProbes,
+		},
+		Rand: d.in.Rand,
+	}
+	for _, move := range d.in.Policy.Decide(sources.Input(d.in.Now)) {
+		current, exists := covering(d.in.View, move.Shard)
+		if !exists || !b.usable(move.To) {
+			continue
+		}
+		if current.Fence.IsZero() {
+			d.assign(b, current.Shard, move.To)
+			continue
+		}
+		if d.makeMove(b, current, move) && limitedByMeter(move.Cause) {
+			meter.Spend(1)
+		}
+	}
+}
+
+// covering returns the assignment that now covers a shard's keys: for a key
+// that is not split out, its hash range's.
+func covering(view *state.View, id topo.ShardID) (state.Assignment, bool) {
+	if assignment, exists := view.Shard(id); exists {
+		return assignment, true
+	}
+	return view.Shard(topo.ShardID{Service: id.Service, Index: id.Index})
+}
+
+// limitedByMeter reports whether moves for a cause are rationed: those that
+// nothing but load asks for.
+func limitedByMeter(cause balance.Cause) bool {
+	return cause != balance.CauseUnowned && cause != balance.CauseDraining
+}
+
+// assign gives a shard without an owner to a server.
+func (d *decision) assign(b *board, shard topo.ShardID, to topo.ServerID) {
+	if len(d.plan.Assign) >= MaxAssignments {
+		return
+	}
+	b.owned[to]++
+	d.plan.Assign = append(d.plan.Assign, &bspb.Assignment{
+		Shard:   shardToProto(shard),
+		Owner:   string(to),
+		Standby: string(b.chooseStandby(to)),
+	})
+}
+
+// makeMove asks for one move of an owned shard or key.
+func (d *decision) makeMove(b *board, current state.Assignment, move balance.Move) bool {
+	to := move.To
+	if move.Cause == balance.CauseDraining {
+		to = b.evacuateTo(current, to)
+	}
+	next := &bspb.ShardMove{Shard: shardToProto(move.Shard), To: string(to)}
+	if move.Kind == balance.MergeKey {
+		parent, exists := d.in.View.Shard(topo.ShardID{Service: move.Shard.Service, Index: move.Shard.Index})
+		if !exists || parent.Fence.IsZero() {
+			return false
+		}
+		// The key's owner and its hash range's have to be the same; otherwise
+		// the key moves there first and is merged later.
+		next.To = string(parent.Owner)
+		next.Merge = parent.Owner == current.Owner && parent.OwnerBoot == current.OwnerBoot
+		to = parent.Owner
+	}
+	if !next.Merge {
+		next.Standby = string(b.standbyAfterMove(current, to))
+	}
+	return d.move(current, next, move.Cause.String())
+}
+
+// evacuateTo chooses who takes a shard off a server that leaves: for services
+// that weigh unavailable time most the standby, which has been told to warm the
+// shard, else the policy's choice.
+func (b *board) evacuateTo(current state.Assignment, chosen topo.ServerID) topo.ServerID {
+	if b.service.Weighting == siteconfig.WeightUnavailability && b.usable(current.Standby) {
+		return current.Standby
+	}
+	return chosen
+}
--- /dev/null
+++ b/planner/order.go
@@ -0,0 +1,111 @@
+package planner
+
+import (
+	"slices"
+	"time"
+
+	"github.com/burdockspindle/burdockspindle/siteconfig"
+	"github.com/burdockspindle/burdockspindle/state"
+	"github.com/burdockspindle/burdockspindle/topo"
+)
+
+// StartPatience is how long a service waits for those that it depends on
+// before it is started without them.
+const StartPatience = 30 * time.Second
+
+// startOrder lists the services with each after those that it depends on, and
+// by name where that leaves a choice. The site configuration has no cycles.
+func startOrder(site *siteconfig.Site) []*siteconfig.Service {
+	if site == nil {
+		return nil
+	}
+	names := make([]topo.Service, 0, len(site.Services))
+	for name := range site.Services {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	var ordered []*siteconfig.Service
+	visited := map[topo.Service]bool{}
+	var visit func(name topo.Service)
+	visit = func(name topo.Service) {
+		service, exists := site.Services[name]
+		if !exists || visited[name] {
+			return
+		}
+		visited[name] = true
+		for _, dependency := range service.DependsOn {
+			visit(dependency)
+		}
+		ordered = append(ordered, service)
+	}
+	for _, name := range names {
+		visit(name)
+	}
+	return ordered
+}
+
+// started reports whether any shard of a service has an owner.
+func started(view *state.View, service topo.Service) bool {
+	owned := false
+	view.EachShard(service, func(a state.Assignment) bool {
+		owned = !a.Fence.IsZero()
+		return !owned
+	})
+	return owned
+}
+
+// dependenciesReady reports whether each service that this one depends on can
+// answer: every shard has an owner or, without shards, some server is live.
+func dependenciesReady(view *state.View, service *siteconfig.Service) bool {
+	for _, name := range service.DependsOn {
+		dependency, exists := view.Service(name)
+		if exists && !ready(view, dependency) {
+			return false
+		}
+	}
+	return true
+}
+
+func ready(view *state.View, service *siteconfig.Service) bool {
+	if !service.Keyed {
+		for id, server := range view.Servers() {
+			if server.Service == service.Name && usable(view, id, server) {
+				return true
+			}
+		}
+		return false
+	}
+	all := view.ShardCount(service.Name) > 0
+	view.EachShard(service.Name, func(a state.Assignment) bool {
+		all = all && !a.Fence.IsZero()
+		return all
+	})
+	return all
+}
+
+// usable reports whether a server may get new work.
+func usable(view *state.View, id topo.ServerID, server state.Server) bool {
+	return server.Phase == state.PhaseLive && !view.ServerLost(id)
+}
+
+// drainable lists the retiring services whose shards may be released now:
+// those on which no other retiring service with owned shards depends.
+func drainable(view *state.View) []topo.Service {
+	needed := map[topo.Service]bool{}
+	for name, service := range view.Retiring() {
+		if !started(view, name) {
+			continue
+		}
+		for _, dependency := range service.DependsOn {
+			needed[dependency] = true
+		}
+	}
+	var names []topo.Service
+	for name := range view.Retiring() {
+		if !needed[name] {
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	return names
+}
--- /dev/null
+++ b/planner/planner.go
@@ -0,0 +1,196 @@
+// Package planner decides where shards should be: it places the unowned, takes
+// them off servers that leave, names missing standby servers, starts and
+// retires services in the order of their dependencies, and turns the balancing
+// policy's moves into requests to lessors. The decisions are pure;
+// modules/planner carries them out. See docs/design/membership.md.
+package planner
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/burdockspindle/burdockspindle/balance"
+	"github.com/burdockspindle/burdockspindle/load"
+	"github.com/burdockspindle/burdockspindle/siteconfig"
+	"github.com/burdockspindle/burdockspindle/state"
+	"github.com/burdockspindle/burdockspindle/topo"
+
+	bspb "github.com/burdockspindle/burdockspindle/proto/burdockspindle/v1"
+)
+
+// Limits of one decision, so that none takes long and no record grows large.
+const (
+	MaxAssignments = 4096 // shards without an owner, over all services
+	MaxPerRecord   = 1024 // assignments in one record
+	MaxPerRequest  = 256  // moves in one request to a lessor
+	// MaxUnderWay is the most moves of one service under way at a time, for all
+	// causes but load, which the meter limits.
+	MaxUnderWay = 256
+	// MaxProbes is the most servers that a probe-limited policy may look at.
+	MaxProbes = 64
+)
+
+// Input is what a decision depends on, beside the tracker's memory.
+type Input struct {
+	Now     time.Time
+	View    *state.View
+	Policy  balance.Policy
+	Tracker *Tracker
+	// Picture returns what the entry nodes observed of a service.
+	Picture func(topo.Service) load.Picture
+	Rand    *rand.Rand
+}
+
+// Request is a set of moves for the lessor of one group.
+type Request struct {
+	Group  topo.GroupID
+	Reason string
+	Moves  []*bspb.ShardMove
+}
+
+// Proto returns the request in the form of the peer protocol.
+func (r *Request) Proto() *bspb.MoveRequest {
+	return &bspb.MoveRequest{Group: string(r.Group), Moves: r.Moves, Reason: r.Reason}
+}
+
+// Plan is what should be done now.
+type Plan struct {
+	// Assign gives shards that nobody owns to servers, in order of importance.
+	Assign []*bspb.Assignment
+	// Requests ask lessors to move owned shards.
+	Requests []Request
+	// Waiting lists services that are not started yet because a service that
+	// they depend on is not ready.
+	Waiting []topo.Service
+}
+
+// Reasons of moves, for people.
+const (
+	ReasonRetire  = "retire"
+	ReasonStandby = "standby"
+)
+
+// Decide makes one plan. Shards whose move is under way are left alone, so
+// that it may be called as often as the caller likes.
+func Decide(in *Input) Plan {
+	in.Tracker.Observe(in.Now, in.View)
+	d := &decision{in: in, requests: map[requestKey]*Request{}}
+	for _, service := range startOrder(in.View.Site()) {
+		d.place(service)
+	}
+	for _, name := range drainable(in.View) {
+		d.retire(name)
+	}
+	d.plan.Requests = d.sortedRequests()
+	return d.plan
+}
+
+// decision is one plan in the making.
+type decision struct {
+	in       *Input
+	plan     Plan
+	requests map[requestKey]*Request
+}
+
+type requestKey struct {
+	group  topo.GroupID
+	reason string
+}
+
+// place makes the plan for one keyed service of the site configuration.
+func (d *decision) place(service *siteconfig.Service) {
+	if !service.Keyed {
+		return
+	}
+	if !d.mayStart(service) {
+		d.plan.Waiting = append(d.plan.Waiting, service.Name)
+		return
+	}
+	b := newBoard(d.in.View, service)
+	if len(b.live) == 0 {
+		return
+	}
+	d.balance(b)
+	d.repairStandbys(b)
+}
+
+// mayStart reports whether a service's shards may be assigned: it has started,
+// or what it depends on is ready, or that has been waited for long enough.
+func (d *decision) mayStart(service *siteconfig.Service) bool {
+	if started(d.in.View, service.Name) || dependenciesReady(d.in.View, service) {
+		d.in.Tracker.unblocked(service.Name)
+		return true
+	}
+	return d.in.Tracker.blockedFor(service.Name, d.in.Now) >= StartPatience
+}
+
+// move adds a move of an owned shard to the request for its owner's lessor.
+func (d *decision) move(current state.Assignment, next *bspb.ShardMove, reason string) bool {
+	owner, exists := d.in.View.Server(current.Owner)
+	if !exists {
+		return false
+	}
+	if group, claimed := d.in.View.Group(owner.Group); !claimed || group.Lessor == "" {
+		return false
+	}
+	next.Fence = fenceToProto(current.Fence)
+	key := requestKey{group: owner.Group, reason: reason}
+	request, open := d.requests[key]
+	if !open {
+		request = &Request{Group: owner.Group, Reason: reason}
+		d.requests[key] = request
+	}
+	if len(request.Moves) >= MaxPerRequest {
+		return false
+	}
+	request.Moves = append(request.Moves, next)
+	return true
+}
+
+func (d *decision) sortedRequests() []Request {
+	list := make([]Request, 0, len(d.requests))
+	for _, request := range d.requests {
+		list = append(list, *request)
+	}
+	slices.SortFunc(list, func(a, b Request) int {
+		if a.Group != b.Group {
+			return compare(a.Group, b.Group)
+		}
+		return compare(a.Reason, b.Reason)
+	})
+	return list
+}
+
+func compare[T ~string](a, b T) int {
+	switch {
+	case a < b:
+		return -1
+	case a > b:
+		return 1
+	}
+	return 0
+}
+
+func fenceToProto(f topo.Fence) *bspb.Ordinal {
+	return &bspb.Ordinal{Offset: uint64(f.Offset), Rank: f.Rank}
+}
+
+// Records packs assignments into records.
+func Records(assignments []*bspb.Assignment, reason string) []*bspb.Record {
+	var records []*bspb.Record
+	for chunk := range slices.Chunk(assignments, MaxPerRecord) {
+		body := &bspb.AssignShards{Assignments: chunk, Reason: reason}
+		records = append(records, &bspb.Record{Body: &bspb.Record_AssignShards{AssignShards: body}})
+	}
+	return records
+}
+
+func shardToProto(id topo.ShardID) *bspb.ShardRef {
+	return &bspb.ShardRef{Service: string(id.Service), Index: id.Index, Key: id.Key}
+}
+
+// ShardFromProto reads a shard reference.
+func ShardFromProto(ref *bspb.ShardRef) topo.ShardID {
+	return topo.ShardID{Service: topo.Service(ref.GetService()), Index: ref.GetIndex(), Key: ref.GetKey()}
+}
--- /dev/null
+++ b/submit/submit.go
@@ -0,0 +1,107 @@
+// Package submit writes a duty's records to the log, one batch at a time. While
+// a batch is being written the duty's further decisions are put off, and made
+// anew from the state that then holds, so that nothing out of date queues up.
+package submit
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/burdockspindle/burdockspindle/follower"
+	"github.com/burdockspindle/burdockspindle/ring"
+
+	bspb "github.com/burdockspindle/burdockspindle/proto/burdockspindle/v1"
+)
+
+// Timeout bounds the writing of one record.
+const Timeout = 10 * time.Second
+
+// Submission is one record and what is done with its fate.
+type Submission struct {
+	Record *bspb.Record
+	// Done is called with the fate, or with the error that left it unknown. It
+	// may be nil.
+	Done func(fate follower.Fate, err error)
+}
+
+// Writer writes batches. Offer may be called concurrently with Run.
+type Writer struct {
+	appender follower.Appender
+	queue    *ring.Ring[[]Submission]
+	busy     atomic.Bool
+	finished chan struct{}
+	putOff   atomic.Uint64
+	written  atomic.Uint64
+}
+
+// NewWriter returns a writer; Run must be started for it to write.
+func NewWriter(name string, appender follower.Appender) *Writer {
+	return &Writer{
+		appender: appender,
+		queue:    ring.New[[]Submission](name, 1, ring.DropNew),
+		finished: make(chan struct{}, 1),
+	}
+}
+
+// Offer hands over a batch and reports whether it was taken: an empty batch, or
+// any while another is being written, is not.
+func (w *Writer) Offer(ctx context.Context, batch []Submission) bool {
+	if len(batch) == 0 {
+		return false
+	}
+	if !w.busy.CompareAndSwap(false, true) {
+		w.putOff.Add(1)
+		return false
+	}
+	// There is room, since the writer was idle.
+	return w.queue.Put(ctx, batch) == nil
+}
+
+// Finished receives after a batch was written.
+func (w *Writer) Finished() <-chan struct{} { return w.finished }
+
+// Run writes until ctx ends.
+func (w *Writer) Run(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case batch := <-w.queue.Items():
+			w.writeAll(ctx, batch)
+		}
+	}
+}
+
+func (w *Writer) writeAll(ctx context.Context, batch []Submission) {
+	for _, one := range batch {
+		w.write(ctx, one)
+	}
+	w.busy.Store(false)
+	select {
+	case w.finished <- struct{}{}:
+	default: // an earlier one was not received yet
+	}
+}
+
+func (w *Writer) write(ctx context.Context, one Submission) {
+	ctx, cancel := context.WithTimeout(ctx, Timeout)
+	defer cancel()
+	fate, err := w.appender.Submit(ctx, one.Record)
+	w.written.Add(1)
+	if one.Done != nil {
+		one.Done(fate, err)
+	}
+}
+
+// Dump is the writer's part of the state dump.
+type Dump struct {
+	Busy    bool   `json:"busy"`
+	PutOff  uint64 `json:"putOff"`
+	Written uint64 `json:"written"`
+}
+
+// Dump returns the writer's counts.
+func (w *Writer) Dump() Dump {
+	return Dump{Busy: w.busy.Load(), PutOff: w.putOff.Load(), Written: w.written.Load()}
+}
