Stand-in backend server

Cause: drivers, demo and checks need a server that follows the protocol and can misbehave. Change: standin/server; owner intervals follow grants and runs in flight; Holder.Recheck lets revoked runs finish while the lease has not lapsed once. Conclusion: usable by others now.

--- a/history/events.go
+++ b/history/events.go
@@ -33,7 +33,13 @@
 // OwnerInterval is a span during which a server, by its own clock, held an
 // unexpired lease and a grant for a shard under one fence. It is recorded when
 // it ends: revoked, replaced by a higher fence, lapsed, or the run is over. A
-// lease that was renewed before it lapsed is one interval.
+// lease that was renewed before it lapsed is one interval, or several that
+// touch.
+//
+// A Shard without a Key covers every key of its hash range but those of Except;
+// one with a Key covers that key alone. A run that was in flight when its shard
+// was revoked keeps its own key for the server until it ends: an interval of
+// the split key's ShardID under the hash range's fence.
 type OwnerInterval struct {
 	Server topo.ServerID `json:"server"`
 	Boot   topo.BootID   `json:"boot"`
@@ -65,6 +71,10 @@
 
 // RunEnded is recorded when the run is over and before its answer is sent.
 type RunEnded struct {
+	// At is the moment of the server's last check of its ownership. A committed
+	// run counts as having taken place then. A server may pause between its
+	// checks, so RunBegan of a committed run need not lie in an owner interval,
+	// but At must.
 	At        Time          `json:"at"`
 	Server    topo.ServerID `json:"server"`
 	Boot      topo.BootID   `json:"boot"`
--- a/lease/holder.go
+++ b/lease/holder.go
@@ -13,13 +13,17 @@
 // be run. It is not safe for concurrent use; the server guards it with a mutex.
 //
 // Every `now` is the server's monotonic clock: the time since the server's
-// start. That clock must go on while the server's VM is paused. Within one
-// Holder it must never go backwards.
+// start. That clock must go on while the server's VM is paused. It is read
+// after the call's message arrived; calls need not be made in the order in
+// which they read it.
 type Holder struct {
 	boot    topo.BootID
 	highest topo.Term
 	lessor  string // user of highest; empty when it was only acknowledged
 	expires time.Duration
+	// period counts the unbroken spans of the lease: it rises when a renewal
+	// comes after the lease had lapsed.
+	period uint64
 
 	listTerm   topo.Term // term that the grant list is of
 	generation uint64
@@ -46,9 +50,10 @@
 
 // claim is what a run was begun under.
 type claim struct {
-	shard topo.ShardID
-	fence topo.Fence
-	key   string
+	shard  topo.ShardID
+	fence  topo.Fence
+	key    string
+	period uint64
 }
 
 // NewHolder returns the rule for a new run of a server, which holds nothing.
@@ -81,9 +86,9 @@
 // run now, and counts it as in flight if so. The error is a *NotOwnerError.
 // End must be called for every run that was begun.
 func (h *Holder) Begin(now time.Duration, shard topo.ShardID, fence topo.Fence, key string) (RunID, error) {
-	wanted := claim{shard: shard, fence: fence, key: key}
-	if err := h.check(now, wanted); err != nil {
-		return 0, err
+	wanted := claim{shard: shard, fence: fence, key: key, period: h.period}
+	if problem := h.problemWith(now, wanted); problem != "" {
+		return 0, refusal(wanted, problem)
 	}
 	h.lastRun++
 	h.runs[h.lastRun] = wanted
@@ -92,37 +97,70 @@
 
 // Recheck decides whether the ownership that a run was begun under still holds.
 // A server calls it after the run took effect and before it answers: what was
-// done after ownership ended must not be given out as the owner's answer.
+// done after ownership ended must not be given out as the owner's answer. The
+// error is a *NotOwnerError.
+//
+// A shard that was revoked in the meantime still belongs to its runs in flight,
+// since the lessor waits until they are reported to be over, but only while the
+// lease has not lapsed once: after a lapse the lessor waits for nobody.
 func (h *Holder) Recheck(now time.Duration, run RunID) error {
-	held, exists := h.runs[run]
+	begun, exists := h.runs[run]
 	if !exists {
 		return &NotOwnerError{Problem: ProblemNotBegun}
 	}
-	return h.check(now, held)
+	problem := h.problemWith(now, begun)
+	revoked := problem != "" && problem != ProblemLapsed
+	if revoked && begun.period == h.period && !h.replaced(begun) {
+		return nil
+	}
+	return refusal(begun, problem)
+}
+
+// replaced reports whether a higher fence was granted of what a run holds.
+func (h *Holder) replaced(begun claim) bool {
+	return begun.fence.Less(h.highestFence[begun.shard]) ||
+		begun.fence.Less(h.highestFence[begun.split()])
+}
+
+// split returns the shard that the run's key would have by itself.
+func (c claim) split() topo.ShardID {
+	shard := c.shard
+	shard.Key = c.key
+	return shard
 }
 
 // End takes a run out of the count of those in flight.
 func (h *Holder) End(run RunID) { delete(h.runs, run) }
 
-func (h *Holder) check(now time.Duration, wanted claim) error {
-	refuse := func(problem Problem) error {
-		return &NotOwnerError{Shard: wanted.shard, Fence: wanted.fence, Problem: problem}
+func refusal(wanted claim, problem Problem) error {
+	if problem == "" {
+		return nil
 	}
+	return &NotOwnerError{Shard: wanted.shard, Fence: wanted.fence, Problem: problem}
+}
+
+// problemWith says why a claim does not hold; empty when it does.
+func (h *Holder) problemWith(now time.Duration, wanted claim) Problem {
 	if !h.Valid(now) {
-		return refuse(ProblemLapsed)
+		return ProblemLapsed
 	}
+	return h.problemWithGrant(wanted)
+}
+
+// problemWithGrant says why a claim is not granted, the lease apart.
+func (h *Holder) problemWithGrant(wanted claim) Problem {
 	held, exists := h.grants[wanted.shard]
 	switch {
 	case !exists:
-		return refuse(ProblemNotGranted)
+		return ProblemNotGranted
 	case held.fence != wanted.fence:
-		return refuse(ProblemOtherFence)
+		return ProblemOtherFence
 	case wanted.shard.Key == "" && held.except[wanted.key]:
-		return refuse(ProblemExcepted)
+		return ProblemExcepted
 	case wanted.shard.Key != "" && wanted.shard.Key != wanted.key:
-		return refuse(ProblemOtherKey)
+		return ProblemOtherKey
 	}
-	return nil
+	return ""
 }
 
 // reply describes the holder as of now.
--- a/lease/holder_lease.go
+++ b/lease/holder_lease.go
@@ -39,6 +39,9 @@
 	if refused := h.takeList(parsed, req); refused != "" {
 		return h.reply(now, refused, true)
 	}
+	if !h.Valid(now) {
+		h.period++
+	}
 	h.expires = max(h.expires, time.Duration(req.Echo)+parsed.ttl)
 	return h.reply(now, "", req.Full || req.WantActive)
 }
--- a/lease/holder_report.go
+++ b/lease/holder_report.go
@@ -63,20 +63,39 @@
 	return shards
 }
 
-// busy lists the shards whose runs in flight were begun under a grant that is
-// no longer held.
+// Orphan is a run in flight whose shard was revoked, or whose key was excepted
+// from its shard, after it began.
+type Orphan struct {
+	Shard topo.ShardID
+	Fence topo.Fence
+	Key   string
+	// Lapsed is true when the lease lapsed since it began, so that nobody waits
+	// for it.
+	Lapsed bool
+}
+
+// Orphans lists the runs in flight under grants that are no longer held.
+func (h *Holder) Orphans() []Orphan {
+	var orphans []Orphan
+	for _, run := range h.runs {
+		if h.problemWithGrant(run) == "" {
+			continue
+		}
+		lapsed := run.period != h.period
+		orphans = append(orphans, Orphan{Shard: run.shard, Fence: run.fence, Key: run.key, Lapsed: lapsed})
+	}
+	return orphans
+}
+
+// busy lists the shards of the orphans.
 func (h *Holder) busy() []string {
 	set := map[string]bool{}
-	for _, run := range h.runs {
-		held, granted := h.grants[run.shard]
-		switch {
-		case !granted || held.fence != run.fence:
-			set[run.shard.String()] = true
-		case run.shard.Key == "" && held.except[run.key]:
-			split := run.shard
-			split.Key = run.key
-			set[split.String()] = true
+	for _, orphan := range h.Orphans() {
+		shard := orphan.Shard
+		if granted, is := h.grants[shard]; is && granted.except[orphan.Key] {
+			shard.Key = orphan.Key
 		}
+		set[shard.String()] = true
 	}
 	return sortedKeys(set)
 }
--- a/serverapi/serverapi.go
+++ b/serverapi/serverapi.go
@@ -18,8 +18,8 @@
 // Headers on requests to a server.
 const (
 	HeaderService    = "Burdockspindle-Service"
-	HeaderKey        = "Burdockspindle-Key"
-	HeaderShard      = "Burdockspindle-Shard"       // topo.ShardID.String
+	HeaderKey        = "Burdockspindle-Key"         // as written by EncodeValue
+	HeaderShard      = "Burdockspindle-Shard"       // topo.ShardID.String, as written by EncodeValue
 	HeaderFence      = "Burdockspindle-Fence"       // topo.Fence.String
 	HeaderTerm       = "Burdockspindle-Term"        // topo.Term.String of the sender, unfenced services
 	HeaderDeadlineMs = "Burdockspindle-Deadline-Ms" // milliseconds left when sent
--- /dev/null
+++ b/standin/server/gate.go
@@ -0,0 +1,53 @@
+package server
+
+import "sync"
+
+// gate holds everything back while the server is frozen, as if its VM were
+// paused.
+type gate struct {
+	mu     sync.Mutex
+	opened chan struct{} // nil while open
+}
+
+// pass blocks while the gate is closed.
+func (g *gate) pass() {
+	for {
+		g.mu.Lock()
+		opened := g.opened
+		g.mu.Unlock()
+		if opened == nil {
+			return
+		}
+		<-opened
+	}
+}
+
+// close makes later calls of pass block. It reports whether it was open.
+func (g *gate) close() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.opened != nil {
+		return false
+	}
+	g.opened = make(chan struct{})
+	return true
+}
+
+// open lets everything through. It reports whether it was closed.
+func (g *gate) open() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.opened == nil {
+		return false
+	}
+	close(g.opened)
+	g.opened = nil
+	return true
+}
+
+// closed reports whether the gate is closed.
+func (g *gate) closed() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.opened != nil
+}
--- /dev/null
+++ b/standin/server/listener.go
@@ -0,0 +1,117 @@
+package server
+
+import (
+	"net"
+	"sync"
+	"sync/atomic"
+)
+
+// listener counts and limits connections, and wraps each in a faultConn.
+type listener struct {
+	net.Listener
+	gate  *gate
+	limit int
+
+	mu      sync.Mutex
+	open    map[*faultConn]struct{}
+	peak    int
+	refused uint64
+	total   uint64
+}
+
+func newListener(inner net.Listener, g *gate, limit int) *listener {
+	return &listener{Listener: inner, gate: g, limit: limit, open: map[*faultConn]struct{}{}}
+}
+
+// Accept returns the next connection within the limit and closes the others.
+func (l *listener) Accept() (net.Conn, error) {
+	for {
+		inner, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		l.gate.pass()
+		conn := &faultConn{Conn: inner, gate: l.gate, closed: l.forget}
+		if l.admit(conn) {
+			return conn, nil
+		}
+		_ = inner.Close()
+	}
+}
+
+func (l *listener) admit(conn *faultConn) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.limit > 0 && len(l.open) >= l.limit {
+		l.refused++
+		return false
+	}
+	l.open[conn] = struct{}{}
+	l.total++
+	l.peak = max(l.peak, len(l.open))
+	return true
+}
+
+func (l *listener) forget(conn *faultConn) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.open, conn)
+}
+
+// each calls visit for every connection open now.
+func (l *listener) each(visit func(*faultConn)) {
+	l.mu.Lock()
+	conns := make([]*faultConn, 0, len(l.open))
+	for conn := range l.open {
+		conns = append(conns, conn)
+	}
+	l.mu.Unlock()
+	for _, conn := range conns {
+		visit(conn)
+	}
+}
+
+// faultConn is a connection that stands still while the server is frozen and
+// can be made silent.
+type faultConn struct {
+	net.Conn
+	gate      *gate
+	closed    func(*faultConn)
+	once      sync.Once
+	silentIn  atomic.Bool
+	silentOut atomic.Bool
+}
+
+// Read reads, or discards what arrives on a silent connection until that ends.
+func (c *faultConn) Read(p []byte) (int, error) {
+	for {
+		n, err := c.Conn.Read(p)
+		c.gate.pass()
+		if err != nil || !c.silentIn.Load() {
+			return n, err
+		}
+	}
+}
+
+// Write writes, or only claims to.
+func (c *faultConn) Write(p []byte) (int, error) {
+	c.gate.pass()
+	if c.silentOut.Load() {
+		return len(p), nil
+	}
+	return c.Conn.Write(p)
+}
+
+// Close closes the connection and takes it out of the count.
+func (c *faultConn) Close() error {
+	c.once.Do(func() { c.closed(c) })
+	return c.Conn.Close()
+}
+
+// reset closes the connection without a goodbye, as a crash would.
+func (c *faultConn) reset() {
+	if tcp, is := c.Conn.(*net.TCPConn); is {
+		_ = tcp.SetLinger(0)
+	}
+	_ = c.Close()
+}
--- /dev/null
+++ b/standin/server/serve.go
@@ -0,0 +1,257 @@
+package server
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/burdockspindle/burdockspindle/history"
+	"github.com/burdockspindle/burdockspindle/lease"
+	"github.com/burdockspindle/burdockspindle/serverapi"
+	"github.com/burdockspindle/burdockspindle/ticket"
+	"github.com/burdockspindle/burdockspindle/topo"
+)
+
+// serve answers one request of a caller.
+func (s *Server) serve(w http.ResponseWriter, r *http.Request) {
+	run := s.current()
+	s.counters.update(func(c *Stats) { c.Requests++ })
+	req, refused := s.parseRequest(r)
+	s.echoRequestID(w, req.requestID)
+	if refused != nil {
+		refuse(w, refused)
+		return
+	}
+	if refused := s.admit(); refused != nil {
+		refuse(w, refused)
+		return
+	}
+	defer s.counters.leave()
+	ctx := r.Context()
+	if req.deadline > 0 {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, req.deadline)
+		defer cancel()
+	}
+	s.serveAdmitted(ctx, run, w, r, req)
+}
+
+func (s *Server) echoRequestID(w http.ResponseWriter, requestID string) {
+	if s.faults.get().WrongRequestID {
+		requestID += "-another"
+	}
+	w.Header().Set(serverapi.HeaderRequestID, requestID)
+}
+
+// admit applies the concurrency limit and what sheds on purpose.
+func (s *Server) admit() *refusal {
+	refused := &refusal{status: http.StatusServiceUnavailable, outcome: serverapi.OutcomeNotRun}
+	if s.draining.Load() && !s.config.Keyed {
+		refused.reason = serverapi.ReasonDraining
+		return refused
+	}
+	refused.reason = serverapi.ReasonOverloaded
+	if s.faults.shed() {
+		s.counters.update(func(c *Stats) { c.Shed++ })
+		return refused
+	}
+	if !s.counters.admit() {
+		return refused
+	}
+	return nil
+}
+
+// checksOwnership reports whether this server refuses shards it does not own.
+func (s *Server) checksOwnership() bool {
+	return s.config.Keyed && s.config.ChecksFencing && !s.faults.get().IgnoreFences
+}
+
+// serveAdmitted goes through the steps in the order that docs/SERVERS.md asks
+// for: ownership, body, ownership again, ticket, run, ownership again, answer.
+func (s *Server) serveAdmitted(ctx context.Context, run *life, w http.ResponseWriter, r *http.Request, req serveRequest) {
+	var claim lease.RunID
+	checks := s.checksOwnership()
+	if checks {
+		var err error
+		if claim, err = run.begin(req); err != nil {
+			s.refuseNotOwner(w, err)
+			return
+		}
+		defer run.end(claim)
+	}
+	digest, err := digestBody(r.Body)
+	if err != nil {
+		refuse(w, badRequest("body not whole"))
+		return
+	}
+	req.bodyDigest = digest
+	if checks {
+		if _, err := run.recheck(claim); err != nil {
+			s.refuseNotOwner(w, err)
+			return
+		}
+	}
+	if ctx.Err() != nil {
+		refuse(w, &refusal{status: http.StatusGatewayTimeout, outcome: serverapi.OutcomeNotRun, reason: serverapi.ReasonDeadline})
+		return
+	}
+	// A pause here is the case that the checks after the run are for.
+	s.gate.pass()
+	s.serveTicket(ctx, run, w, req, claim)
+}
+
+func (s *Server) refuseNotOwner(w http.ResponseWriter, err error) {
+	s.counters.update(func(c *Stats) { c.NotOwner++ })
+	refuse(w, &refusal{
+		status: http.StatusMisdirectedRequest, outcome: serverapi.OutcomeNotRun,
+		reason: serverapi.ReasonNotOwner, problem: err.Error(),
+	})
+}
+
+// serveTicket consults the record if the request carries a ticket, and runs it.
+func (s *Server) serveTicket(ctx context.Context, run *life, w http.ResponseWriter, req serveRequest, claim lease.RunID) {
+	keeps := s.config.Keyed && s.config.ChecksFencing && !s.faults.get().IgnoreTickets
+	if req.ticketText == "" || !keeps {
+		s.runAndAnswer(ctx, run, w, req, claim, nil)
+		return
+	}
+	parsed, err := ticket.Parse(req.ticketText)
+	if err != nil {
+		refuse(w, badTicket(err.Error()))
+		return
+	}
+	verdict, stored := run.tickets.Begin(ticketRequest(req, parsed), ticket.FenceScope(req.fence), s.wall())
+	switch verdict {
+	case ticket.Run:
+		s.runAndAnswer(ctx, run, w, req, claim, &parsed)
+	case ticket.Replay:
+		s.counters.update(func(c *Stats) { c.Replayed++ })
+		replay(w, stored)
+	default:
+		refuse(w, refusalOf(verdict))
+	}
+}
+
+func ticketRequest(req serveRequest, parsed ticket.Ticket) ticket.Request {
+	return ticket.Request{
+		Ticket:      parsed,
+		Subject:     ticket.SubjectOf(req.service, req.key),
+		Fingerprint: ticket.SubjectOf(topo.Service(req.method), req.path),
+	}
+}
+
+// wall returns the shared clock's time in the form that the record wants.
+func (s *Server) wall() time.Time { return time.Unix(0, int64(s.config.Clock())) }
+
+// effect is what a run did.
+type effect struct {
+	value uint64
+	// committed is true when the server was the owner throughout, and at is the
+	// moment at which that was found.
+	committed bool
+	at        history.Time
+}
+
+// runAndAnswer runs a request and answers it. used is its ticket, if any.
+func (s *Server) runAndAnswer(ctx context.Context, run *life, w http.ResponseWriter, req serveRequest, claim lease.RunID, used *ticket.Ticket) {
+	s.recordBegan(run, req)
+	done := s.run(ctx, run, w, req, claim, used)
+	s.recordEnded(run, req, done)
+	if !done.committed {
+		if used != nil {
+			run.tickets.Finish(*used, nil, s.wall())
+		}
+		s.counters.update(func(c *Stats) { c.Lost++ })
+		refuse(w, &refusal{status: http.StatusConflict, outcome: serverapi.OutcomeUnknown, reason: serverapi.ReasonOwnershipLost})
+		return
+	}
+	answer := s.answerTo(run, req, done.value)
+	if used != nil {
+		run.tickets.Finish(*used, storable(answer, s.config.Tickets.AnswerSize), s.wall())
+	}
+	if s.faults.lose() {
+		s.counters.update(func(c *Stats) { c.LostReply++ })
+		panic(http.ErrAbortHandler) // net/http closes the connection
+	}
+	s.send(w, answer)
+}
+
+// run takes the service time, applies the request, and checks that the server
+// was the owner throughout.
+func (s *Server) run(ctx context.Context, run *life, w http.ResponseWriter, req serveRequest, claim lease.RunID, used *ticket.Ticket) effect {
+	if used != nil {
+		// What runs at most once is run to its end, so that the answer is there
+		// for whoever asks again.
+		ctx = context.WithoutCancel(ctx)
+	}
+	age := s.config.Clock().Sub(run.started)
+	took := s.faults.serviceTime(s.config.ServiceTime, s.config.ColdStart, age)
+	done := effect{at: s.config.Clock()}
+	if !s.work(ctx, run, w, took, req.progressEvery) {
+		return done
+	}
+	checks := s.checksOwnership()
+	if checks {
+		if _, err := run.recheck(claim); err != nil {
+			return done
+		}
+	}
+	s.gate.pass()
+	var alive bool
+	if done.value, alive = run.change(req); !alive {
+		return done
+	}
+	done.at, done.committed = s.config.Clock(), true
+	if checks {
+		var err error
+		done.at, err = run.recheck(claim)
+		done.committed = err == nil
+	}
+	return done
+}
+
+// work lets the service time pass and tells the sender of its progress. It
+// returns false when the request was cancelled or the run of the server ended.
+func (s *Server) work(ctx context.Context, run *life, w http.ResponseWriter, took, progressEvery time.Duration) bool {
+	done := time.NewTimer(took)
+	defer done.Stop()
+	var progress <-chan time.Time
+	if progressEvery > 0 {
+		ticker := time.NewTicker(progressEvery)
+		defer ticker.Stop()
+		progress = ticker.C
+	}
+	for {
+		select {
+		case <-done.C:
+			s.gate.pass()
+			return ctx.Err() == nil && run.ctx.Err() == nil
+		case <-progress:
+			w.WriteHeader(http.StatusProcessing)
+		case <-ctx.Done():
+			return false
+		case <-run.ctx.Done():
+			return false
+		}
+	}
+}
+
+func (s *Server) recordBegan(run *life, req serveRequest) {
+	s.counters.update(func(c *Stats) { c.Ran++ })
+	s.config.Recorder.Record(history.RunBegan{
+		At: s.config.Clock(), Server: s.config.ID, Boot: run.boot,
+		RequestID: req.requestID, CallerRequest: req.callerRequest,
+		Service: req.service, Shard: req.shard, Fence: req.fence, Key: req.key,
+		Method: req.method, Ticket: req.ticketText,
+	})
+}
+
+func (s *Server) recordEnded(run *life, req serveRequest, done effect) {
+	if done.committed {
+		s.counters.update(func(c *Stats) { c.Committed++ })
+	}
+	s.config.Recorder.Record(history.RunEnded{
+		At: done.at, Server: s.config.ID, Boot: run.boot, RequestID: req.requestID,
+		Committed: done.committed, Value: done.value, BodyDigest: req.bodyDigest,
+	})
+}
