--- /dev/null
+++ b/limit/forecast.go
@@ -0,0 +1,78 @@
+package limit
+
+import "time"
+
+// minRetryAfter is the least time after which a refused caller is told to come
+// back.
+const minRetryAfter = 100 * time.Millisecond
+
+// pace is how fast places come free now.
+type pace struct {
+	first     time.Duration // until the first place comes free
+	perSecond float64       // places that come free each second; 0 when not known
+}
+
+// after returns the expected time until the place for the entry at a position
+// comes free; position 0 is the next to be granted.
+func (p pace) after(position int) time.Duration {
+	if p.perSecond == 0 {
+		return 0
+	}
+	return p.first + time.Duration(float64(position)/p.perSecond*float64(time.Second))
+}
+
+// pace forecasts from how long the requests in flight have held their places. A
+// server that stopped answering thus slows the forecast before anything ends.
+func (q *Queue) pace(now time.Time) pace {
+	mean := q.estimate.Mean()
+	if mean <= 0 {
+		return pace{}
+	}
+	var result pace
+	free := q.window.at(now) - len(q.flights)
+	if free <= 0 {
+		result.first = -1
+	}
+	for _, held := range q.flights {
+		residual := q.estimate.Residual(now.Sub(held.since))
+		if free <= 0 && (result.first < 0 || residual < result.first) {
+			result.first = residual
+		}
+		result.perSecond += 1 / max(residual, mean).Seconds()
+	}
+	if free > 0 {
+		result.perSecond += float64(free) / mean.Seconds()
+	}
+	return result
+}
+
+// startOf forecasts when a new entry would be granted a place.
+func (q *Queue) startOf(now time.Time, entry Entry) time.Time {
+	return now.Add(q.pace(now).after(q.shares.position(entry)))
+}
+
+// drainTime is when the queue as it stands will be empty.
+func (q *Queue) drainTime(now time.Time) time.Duration {
+	return max(q.pace(now).after(q.shares.queued), minRetryAfter)
+}
+
+// shed refuses waiting entries that cannot be served in time, in the order in
+// which they would be granted.
+func (q *Queue) shed(now time.Time, changes *Changes) {
+	if q.shares.queued == 0 {
+		return
+	}
+	speed := q.pace(now)
+	fast := q.estimate.Fast()
+	refusal := q.tooLate(now)
+	position := 0
+	q.shares.filter(func(entry Entry) bool {
+		start := now.Add(speed.after(position))
+		if start.Add(fast).Before(entry.Deadline) {
+			position++
+			return true
+		}
+		changes.refuse(entry.ID, refusal)
+		return false
+	})
+}
--- /dev/null
+++ b/limit/gate.go
@@ -0,0 +1,212 @@
+package limit
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/burdockspindle/burdockspindle/serverapi"
+)
+
+// Gate is the admission point of one server. Methods may be called
+// concurrently.
+type Gate struct {
+	service *serviceCount
+
+	mu       sync.Mutex
+	queue    *Queue
+	waiters  map[uint64]chan *RefusedError // closed or sent to exactly once
+	sequence uint64
+	counts   Counts
+}
+
+// serviceCount bounds how many requests of a service wait on this node.
+type serviceCount struct {
+	waiting atomic.Int64
+	most    atomic.Int64
+}
+
+// Counts are a gate's running totals.
+type Counts struct {
+	Granted    uint64
+	Served     uint64
+	Overloaded uint64
+	Failed     uint64
+	Refused    map[serverapi.Reason]uint64
+}
+
+// RefusedError reports that a request got no place. It was not sent.
+type RefusedError struct{ Refusal }
+
+// Error implements error.
+func (e *RefusedError) Error() string { return "no place at the server: " + string(e.Reason) }
+
+func newGate(service *serviceCount, spec Spec, now time.Time) *Gate {
+	return &Gate{
+		service: service,
+		queue:   NewQueue(spec, now),
+		waiters: map[uint64]chan *RefusedError{},
+		counts:  Counts{Refused: map[serverapi.Reason]uint64{}},
+	}
+}
+
+// Permit is a place at the server. Release must be called exactly once.
+type Permit struct {
+	gate *Gate
+	id   uint64
+	once sync.Once
+}
+
+// Release gives the place back.
+func (p *Permit) Release(result Result) {
+	p.once.Do(func() { p.gate.finish(p.id, result) })
+}
+
+// Acquire waits for a place. It returns a *RefusedError as soon as it is known
+// that there will be none in time, or the context's error.
+func (g *Gate) Acquire(ctx context.Context, caller string, deadline time.Time) (*Permit, error) {
+	entry, answer := g.offer(caller, deadline)
+	select {
+	case refused := <-answer:
+		return g.permit(entry, refused)
+	default:
+	}
+	select {
+	case refused := <-answer:
+		return g.permit(entry, refused)
+	case <-ctx.Done():
+		return g.abandon(ctx, entry, answer)
+	}
+}
+
+func (g *Gate) permit(entry Entry, refused *RefusedError) (*Permit, error) {
+	if refused != nil {
+		return nil, refused
+	}
+	return &Permit{gate: g, id: entry.ID}, nil
+}
+
+// abandon gives up waiting. A grant that came meanwhile is given back.
+func (g *Gate) abandon(ctx context.Context, entry Entry, answer chan *RefusedError) (*Permit, error) {
+	g.mu.Lock()
+	waited := g.queue.Cancel(entry)
+	if waited {
+		delete(g.waiters, entry.ID)
+		g.service.waiting.Add(-1)
+	}
+	g.mu.Unlock()
+	if !waited && <-answer == nil {
+		g.finish(entry.ID, Result{})
+	}
+	return nil, ctx.Err()
+}
+
+func (g *Gate) offer(caller string, deadline time.Time) (Entry, chan *RefusedError) {
+	answer := make(chan *RefusedError, 1)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.sequence++
+	entry := Entry{ID: g.sequence, Caller: caller, Deadline: deadline}
+	g.waiters[entry.ID] = answer
+	g.service.waiting.Add(1)
+	g.apply(g.queue.Offer(time.Now(), entry, g.service.waiting.Load() > g.service.most.Load()))
+	return entry, answer
+}
+
+func (g *Gate) finish(id uint64, result Result) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if result.Overloaded {
+		g.counts.Overloaded++
+	}
+	if result.Served {
+		g.counts.Served++
+	}
+	if result.Failed {
+		g.counts.Failed++
+	}
+	g.apply(g.queue.Finish(time.Now(), id, result))
+}
+
+// sweep refuses what cannot be served in time any more.
+func (g *Gate) sweep(now time.Time) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.queue.Queued() > 0 {
+		g.apply(g.queue.Sweep(now))
+	}
+}
+
+// apply tells waiting requests what became of them.
+func (g *Gate) apply(changes Changes) {
+	for _, id := range changes.Granted {
+		g.counts.Granted++
+		g.tell(id, nil)
+	}
+	for _, refused := range changes.Refused {
+		g.counts.Refused[refused.Reason]++
+		g.tell(refused.ID, &RefusedError{Refusal: refused.Refusal})
+	}
+}
+
+func (g *Gate) tell(id uint64, refused *RefusedError) {
+	answer, waits := g.waiters[id]
+	if !waits {
+		return
+	}
+	delete(g.waiters, id)
+	g.service.waiting.Add(-1)
+	answer <- refused
+}
+
+// Cold starts the server's ramp anew.
+func (g *Gate) Cold() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.queue.Cold(time.Now())
+}
+
+// Stats is a gate's state for dumps, metrics and the picker.
+type Stats struct {
+	InFlight int
+	Queued   int
+	Peak     int
+	Window   int
+	MeanBusy time.Duration
+	Counts   Counts
+}
+
+// Stats returns the gate's state now.
+func (g *Gate) Stats() Stats {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	stats := Stats{
+		InFlight: g.queue.InFlight(),
+		Queued:   g.queue.Queued(),
+		Peak:     g.queue.Peak(),
+		Window:   g.queue.Window(time.Now()),
+		MeanBusy: g.queue.MeanBusy(),
+		Counts:   g.counts,
+	}
+	stats.Counts.Refused = make(map[serverapi.Reason]uint64, len(g.counts.Refused))
+	for reason, count := range g.counts.Refused {
+		stats.Counts.Refused[reason] = count
+	}
+	return stats
+}
+
+// Load returns how many requests hold a place or wait, and how many may hold
+// one, without allocating.
+func (g *Gate) Load() (held, window int) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.queue.InFlight() + g.queue.Queued(), g.queue.Window(time.Now())
+}
+
+// Queued is how many requests wait.
+func (g *Gate) Queued() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.queue.Queued()
+}
--- a/modules/frontend/handler.go
+++ b/modules/frontend/handler.go
@@ -32,6 +32,7 @@
 // serve answers everything below callerapi.PathServices.
 func (h *handler) serve(w http.ResponseWriter, r *http.Request) {
 	arrived := time.Now()
+	_ = http.NewResponseController(w).EnableFullDuplex()
 	id := h.nextID()
 	metricRequests.Add(1)
 	if !h.drain.enter() {
--- a/modules/frontend/write.go
+++ b/modules/frontend/write.go
@@ -41,6 +41,9 @@
 	if replayed := answer.Header.Get(callerapi.HeaderReplayed); replayed != "" {
 		header.Set(callerapi.HeaderReplayed, replayed)
 	}
+	if header["Content-Type"] == nil {
+		header["Content-Type"] = nil // or net/http guesses one
+	}
 	setOutcome(header, id, answer)
 	w.WriteHeader(answer.Status)
 	if r.Method == http.MethodHead {
--- /dev/null
+++ b/modules/router/answer.go
@@ -0,0 +1,145 @@
+package router
+
+import (
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"sync"
+
+	"github.com/burdockspindle/burdockspindle/exchange"
+	"github.com/burdockspindle/burdockspindle/outcome"
+)
+
+// firstPartBytes is how much of an answer is read before anything is told to
+// the caller: an answer no longer than that is passed on whole or not at all.
+const firstPartBytes = 32 << 10
+
+// refusal is the answer that this node gives itself.
+func refusal(v outcome.Verdict) *exchange.Answer {
+	return &exchange.Answer{
+		Status:     v.Status(),
+		Outcome:    v.Outcome,
+		Reason:     v.Reason,
+		RetryAfter: v.RetryAfter,
+	}
+}
+
+// answerBody is the body of a server's answer: its first part, read ahead, and
+// the rest. It makes sure that the body is as long as was declared, and tells
+// once how it ended.
+type answerBody struct {
+	first  []byte
+	rest   io.ReadCloser
+	ended  error // of rest, once known
+	length int64 // declared; -1 for none
+	passed int64
+
+	once sync.Once
+	done func(whole bool)
+}
+
+// openBody reads the first part. An error means that the answer is not whole;
+// the body is then closed. Done is called exactly once, when the body has ended
+// or was closed, but not on an error.
+func openBody(method string, header http.Header, rest io.ReadCloser, done func(whole bool)) (*answerBody, error) {
+	body := &answerBody{rest: rest, length: -1, done: done}
+	if method != http.MethodHead {
+		body.length = declaredLength(header)
+	}
+	if err := body.readFirst(); err != nil {
+		_ = rest.Close()
+		return nil, err
+	}
+	return body, nil
+}
+
+func declaredLength(header http.Header) int64 {
+	length, err := strconv.ParseInt(header.Get("Content-Length"), 10, 64)
+	if err != nil || length < 0 {
+		return -1
+	}
+	return length
+}
+
+// readFirst reads a short answer of declared length whole, and of any other
+// what one read brings.
+func (b *answerBody) readFirst() error {
+	buffer := make([]byte, b.firstSize())
+	for {
+		count, err := b.rest.Read(buffer[len(b.first):])
+		b.first = buffer[:len(b.first)+count]
+		if errors.Is(err, io.EOF) {
+			b.ended = io.EOF
+			return b.checkLength(int64(len(b.first)))
+		}
+		if err != nil {
+			return err
+		}
+		if b.length < 0 && count > 0 || len(b.first) == len(buffer) {
+			return nil
+		}
+	}
+}
+
+// firstSize leaves room for one byte more than is declared, so that the end is
+// seen.
+func (b *answerBody) firstSize() int64 {
+	if b.length >= 0 && b.length < firstPartBytes {
+		return b.length + 1
+	}
+	return firstPartBytes
+}
+
+// Read implements io.Reader.
+func (b *answerBody) Read(p []byte) (int, error) {
+	if len(b.first) > 0 {
+		count := copy(p, b.first)
+		b.first = b.first[count:]
+		b.passed += int64(count)
+		return count, nil
+	}
+	if b.ended != nil {
+		b.finish(errors.Is(b.ended, io.EOF))
+		return 0, b.ended
+	}
+	count, err := b.rest.Read(p)
+	b.passed += int64(count)
+	if errors.Is(err, io.EOF) {
+		err = b.checkLength(b.passed)
+		if err == nil {
+			err = io.EOF
+		}
+	}
+	if err != nil {
+		b.ended = err
+		b.finish(errors.Is(err, io.EOF))
+	}
+	return count, err
+}
+
+func (b *answerBody) checkLength(got int64) error {
+	if b.length >= 0 && got != b.length {
+		return &LengthError{Declared: b.length, Got: got}
+	}
+	return nil
+}
+
+// Close implements io.Closer. Closing before the end counts as whole when all
+// that was declared has been passed on.
+func (b *answerBody) Close() error {
+	err := b.rest.Close()
+	b.finish(errors.Is(b.ended, io.EOF) || b.length >= 0 && b.passed == b.length)
+	return err
+}
+
+func (b *answerBody) finish(whole bool) { b.once.Do(func() { b.done(whole) }) }
+
+// LengthError reports an answer whose body is not as long as declared.
+type LengthError struct {
+	Declared int64
+	Got      int64
+}
+
+// Error implements error.
+func (e *LengthError) Error() string { return "answer is not as long as declared" }
--- /dev/null
+++ b/modules/router/choose.go
@@ -0,0 +1,149 @@
+package router
+
+import (
+	"math/rand/v2"
+	"reflect"
+	"slices"
+	"sync/atomic"
+	"time"
+
+	"github.com/burdockspindle/burdockspindle/buffer"
+	"github.com/burdockspindle/burdockspindle/callerapi"
+	"github.com/burdockspindle/burdockspindle/outcome"
+	"github.com/burdockspindle/burdockspindle/pick"
+	"github.com/burdockspindle/burdockspindle/route"
+	"github.com/burdockspindle/burdockspindle/serverapi"
+	"github.com/burdockspindle/burdockspindle/state"
+	"github.com/burdockspindle/burdockspindle/ticket"
+	"github.com/burdockspindle/burdockspindle/topo"
+)
+
+// serverIndex lists the live servers of each service. It is made anew when the
+// view's servers have changed, which is rare beside other records.
+type serverIndex struct {
+	current atomic.Pointer[indexed]
+}
+
+type indexed struct {
+	source    uintptr // identity of the map that was indexed
+	byService map[topo.Service][]state.Server
+}
+
+func (x *serverIndex) live(view *state.View, service topo.Service) []state.Server {
+	servers := view.Servers()
+	source := reflect.ValueOf(servers).Pointer()
+	known := x.current.Load()
+	if known == nil || known.source != source {
+		known = &indexed{source: source, byService: map[topo.Service][]state.Server{}}
+		for _, server := range servers {
+			if server.Phase == state.PhaseLive {
+				known.byService[server.Service] = append(known.byService[server.Service], server)
+			}
+		}
+		x.current.Store(known)
+	}
+	return known.byService[service]
+}
+
+// choose picks a server of a service that is not divided by key.
+func (r *run) choose(view *state.View) (route.Decision, *outcome.Verdict) {
+	ways, refused := r.ways(view)
+	if refused != nil {
+		return route.Decision{}, refused
+	}
+	if len(ways) == 0 {
+		return route.Decision{Path: route.PathWait, Reason: callerapi.ReasonNoServer, Service: r.config}, nil
+	}
+	candidates := make([]pick.Candidate, len(ways))
+	for i, d := range ways {
+		candidates[i] = r.candidate(view, d)
+	}
+	chosen, found := r.m.picker.Pick(candidates, rand.Float64)
+	if !found {
+		v := outcome.NotRun(callerapi.ReasonNoServer)
+		return route.Decision{}, &v
+	}
+	if hinted := slices.IndexFunc(ways, r.isHint); hinted >= 0 && candidates[hinted].Load <= candidates[chosen].Load {
+		chosen = hinted
+	}
+	return ways[chosen], nil
+}
+
+func (r *run) isHint(d route.Decision) bool { return d.Server == r.req.Chosen }
+
+// ways lists the decisions that the request may take: those that did not fail
+// already and whose lessor is not out, as long as there are any.
+func (r *run) ways(view *state.View) ([]route.Decision, *outcome.Verdict) {
+	overlay := r.m.overlay.Overlay()
+	var all, fresh []route.Decision
+	for _, server := range r.m.index.live(view, r.req.Service) {
+		d := route.Server(view, overlay, r.m.self, r.req.Service, server.ID)
+		if d.Path == route.PathWait || !r.allowed(d) {
+			continue
+		}
+		all = append(all, d)
+		if !slices.Contains(r.tried, server.ID) && !r.m.buffer.Out(keysOf(d)[0]) {
+			fresh = append(fresh, d)
+		}
+	}
+	if len(all) == 0 && r.ticket != nil {
+		v := r.ticketWithoutTerm(view)
+		return nil, &v
+	}
+	if len(fresh) > 0 {
+		return fresh, nil
+	}
+	return all, nil
+}
+
+// allowed keeps a forwarded request at the node that it was forwarded to, and a
+// ticket with the lessor whose term it names.
+func (r *run) allowed(d route.Decision) bool {
+	if r.req.From != "" && d.Path != route.PathLocal {
+		return false
+	}
+	return r.ticket == nil || ticket.TermScope(d.Term) == r.ticket.Scope
+}
+
+// ticketWithoutTerm is the verdict on a ticket whose term is not in force: it
+// will be if this node's state is behind, and never will again otherwise.
+func (r *run) ticketWithoutTerm(view *state.View) outcome.Verdict {
+	if r.ticket.Scope.Ordinal.Offset > view.Applied() || r.req.From != "" {
+		return outcome.NotRun(callerapi.ReasonNotLessor)
+	}
+	return outcome.Unknown(serverapi.ReasonStaleTicket)
+}
+
+func (r *run) candidate(view *state.View, d route.Decision) pick.Candidate {
+	now := time.Now()
+	server, _ := view.Server(d.Server)
+	c := pick.Candidate{
+		Server: d.Server,
+		Group:  d.Group,
+		Zone:   server.Zone,
+		Lessor: d.Lessor,
+		Local:  d.Path == route.PathLocal,
+		Weight: r.m.servers.Weight(now, d.Server),
+	}
+	if c.Local {
+		c.Load = localLoad(r.m, d)
+	} else {
+		c.Load = r.m.remote.load(now, d.Server, d.Service.ConcurrencyPerServer)
+		c.Weight *= r.m.nodes.Weight(now, d.Lessor)
+	}
+	return c
+}
+
+func localLoad(m *Module, d route.Decision) float64 {
+	gate, exists := m.gates.Find(d.Server)
+	if !exists {
+		return 0
+	}
+	held, window := gate.Load()
+	return float64(held) / float64(window)
+}
+
+// outOfServers is the outage of a service without any server.
+func outOfServers(service topo.Service) buffer.Key {
+	return buffer.Key{Shard: topo.ShardID{Service: service}}
+}
--- /dev/null
+++ b/modules/router/forward.go
@@ -0,0 +1,157 @@
+package router
+
+import (
+	"errors"
+	"net/http"
+	"time"
+
+	"github.com/burdockspindle/burdockspindle/buffer"
+	"github.com/burdockspindle/burdockspindle/callerapi"
+	"github.com/burdockspindle/burdockspindle/health"
+	"github.com/burdockspindle/burdockspindle/outcome"
+	"github.com/burdockspindle/burdockspindle/route"
+	"github.com/burdockspindle/burdockspindle/serverapi"
+)
+
+// forward sends the request to the node that is the server's admission point.
+func (r *run) forward(d route.Decision) result {
+	view := r.m.source.View()
+	node, exists := view.Node(d.Lessor)
+	if !exists {
+		return r.lessorOut(d, outcome.NotRun(callerapi.ReasonNotLessor))
+	}
+	body, err := r.req.Body.Open()
+	if err != nil {
+		return unsent(outcome.NotRun(callerapi.ReasonBodyUnreadable))
+	}
+	metricForwarded.Add(1)
+	load := r.m.remote.of(d.Server)
+	load.own.Add(1)
+	form := r.forwardForm(d)
+	form.Applied = view.Applied()
+	answer, response, err := r.m.forwarder.send(r.ctx, node.PeerAddress, form, r.req.Header, body)
+	if err != nil {
+		load.own.Add(-1)
+		return r.notForwarded(d, err)
+	}
+	r.m.nodes.Observe(time.Now(), d.Lessor, health.Answered)
+	r.m.remote.hear(time.Now(), answer.Server, answer.Load)
+	return r.forwardAnswered(d, answer, response, func() { load.own.Add(-1) })
+}
+
+func (r *run) forwardForm(d route.Decision) forwardedRequest {
+	form := forwardedRequest{
+		Format:     forwardFormat,
+		From:       r.m.self.Node,
+		To:         d.Lessor,
+		ID:         r.nextID(),
+		Service:    r.req.Service,
+		Keyed:      r.req.Keyed,
+		Key:        []byte(r.req.Key),
+		Method:     r.req.Method,
+		Path:       []byte(r.req.Path),
+		Length:     r.req.Body.Length(),
+		DeadlineMs: forwardedDeadline(time.Until(r.req.Deadline)).Milliseconds(),
+		Caller:     []byte(r.req.Caller),
+		Ticket:     r.req.Ticket,
+		Hop:        r.req.Hop,
+	}
+	if !r.req.Keyed {
+		form.Chosen = d.Server
+	}
+	return form
+}
+
+// forwardMargin is how much earlier the other node gives up, so that what it
+// knows of the request arrives in time.
+const forwardMargin = 5 * time.Millisecond
+
+func forwardedDeadline(left time.Duration) time.Duration {
+	if left > 4*forwardMargin {
+		return left - forwardMargin
+	}
+	return max(left, 0)
+}
+
+// forwardAnswered passes on what the other node said.
+func (r *run) forwardAnswered(d route.Decision, form forwardedAnswer, response *http.Response, done func()) result {
+	verdict := outcome.Said(form.Outcome, form.Reason).Later(time.Duration(form.RetryAfterMs) * time.Millisecond)
+	if verdict.Outcome != serverapi.OutcomeAnswered || !form.HasBody {
+		_ = response.Body.Close()
+		done()
+		if verdict.Reason == callerapi.ReasonNotLessor && verdict.NotRunProven() {
+			return r.lessorOut(d, verdict)
+		}
+		return result{verdict: verdict, contact: true, settled: true}
+	}
+	answer := answerOf(form, response.Header)
+	body, err := openBody(r.req.Method, answer.Header, response.Body, func(bool) { done() })
+	if err != nil {
+		done()
+		metricBrokenAnswer.Add(1)
+		return result{verdict: outcome.Unknown(callerapi.ReasonBrokenAnswer), contact: true}
+	}
+	answer.Body = body
+	return result{verdict: outcome.Answered(), contact: true, answer: answer}
+}
+
+// notForwarded ends a forward that brought no answer.
+func (r *run) notForwarded(d route.Decision, err error) result {
+	failure := outcome.Failure{
+		Sent:     true,
+		Canceled: r.caller.Err() != nil,
+		Deadline: r.ctx.Err() != nil,
+	}
+	var failed *forwardError
+	if errors.As(err, &failed) {
+		failure.Sent = failed.sent
+		failure.Silent = failed.silent
+	}
+	verdict := outcome.Failed(failure)
+	if reason, broken := bodyFault(r.req.Body); broken {
+		verdict.Reason = reason
+		return unsent(verdict)
+	}
+	if failure.Canceled || failure.Deadline {
+		return unsent(verdict)
+	}
+	r.m.observeNode(d, failed)
+	if failure.Sent {
+		return unsent(verdict)
+	}
+	if past := r.pastLessor(d); past.Path == route.PathDirect {
+		r.direct = true
+		return result{moved: true}
+	}
+	return r.lessorOut(d, outcome.NotRun(callerapi.ReasonNotLessor))
+}
+
+// lessorOut is the result when the lessor's node cannot take the request.
+func (r *run) lessorOut(d route.Decision, v outcome.Verdict) result {
+	res := unsent(v)
+	res.out = &outage{key: buffer.LessorKey(d), cause: buffer.Unled}
+	return res
+}
+
+// observeNode judges a node by a forward without an answer. A silent connection
+// that had been used before says nothing of the node: the next attempt opens a
+// new one.
+func (m *Module) observeNode(d route.Decision, failed *forwardError) {
+	if failed == nil || failed.silent && failed.reused {
+		return
+	}
+	seen := health.Broken
+	switch {
+	case failed.silent:
+		seen = health.Silent
+	case !failed.sent:
+		seen = health.Unreachable
+	}
+	if failed.silent {
+		eventSilentNode.Log(m.logger, "node", d.Lessor)
+	}
+	if m.nodes.Observe(time.Now(), d.Lessor, seen) {
+		metricEjections.Add(1)
+		eventNodeEjected.Log(m.logger, "node", d.Lessor)
+	}
+}
--- /dev/null
+++ b/modules/router/forward_client.go
@@ -0,0 +1,253 @@
+package router
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptrace"
+	"net/textproto"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/burdockspindle/burdockspindle/callerapi"
+	"github.com/burdockspindle/burdockspindle/exchange"
+)
+
+// forwarder sends requests to other nodes.
+type forwarder struct {
+	scheme    string
+	transport *http.Transport
+	silent    time.Duration // no sign of life for so long gives a connection up
+}
+
+// forwarded is what one forward came to without a readable answer: Sent is
+// false only if it is proven that no byte of the request left.
+type forwardError struct {
+	sent   bool
+	silent bool
+	reused bool // the connection had been used before
+	cause  error
+}
+
+// Error implements error.
+func (e *forwardError) Error() string { return "forward: " + e.cause.Error() }
+
+// Unwrap returns the cause.
+func (e *forwardError) Unwrap() error { return e.cause }
+
+// silenceError is the cause of a canceled forward that made no progress.
+type silenceError struct{}
+
+// Error implements error.
+func (*silenceError) Error() string { return "no sign of life" }
+
+// flight watches one forward.
+type flight struct {
+	sent   atomic.Bool // bytes of the request may have left
+	reused atomic.Bool
+	silent atomic.Bool
+	cancel context.CancelCauseFunc
+	limit  time.Duration
+
+	mu    sync.Mutex
+	conn  *sentConn
+	base  int64 // bytes that had been written when the request got the connection
+	timer *time.Timer
+}
+
+// send forwards a request and returns the answer's form and HTTP response. The
+// response's body is guarded against silence and must be closed. The error is
+// a *forwardError.
+func (f *forwarder) send(ctx context.Context, address string, form forwardedRequest, header http.Header, body io.Reader) (forwardedAnswer, *http.Response, error) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	flight := &flight{cancel: cancel, limit: f.silent}
+	ctx = httptrace.WithClientTrace(ctx, flight.trace())
+	request, err := f.request(ctx, address, form, header, body)
+	if err != nil {
+		cancel(nil)
+		return forwardedAnswer{}, nil, &forwardError{cause: err}
+	}
+	flight.start()
+	response, err := f.transport.RoundTrip(request)
+	if err != nil {
+		flight.stop()
+		cancel(nil)
+		return forwardedAnswer{}, nil, f.failed(flight, err)
+	}
+	response.Body = &guardedBody{ReadCloser: response.Body, flight: flight}
+	answer, err := readForwardedAnswer(form, response)
+	if err != nil {
+		_ = response.Body.Close()
+		return forwardedAnswer{}, nil, &forwardError{sent: true, cause: err}
+	}
+	return answer, response, nil
+}
+
+func (f *forwarder) request(ctx context.Context, address string, form forwardedRequest, header http.Header, body io.Reader) (*http.Request, error) {
+	if body != nil {
+		body = io.NopCloser(body)
+	}
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, f.scheme+"://"+address+ForwardPrefix, body)
+	if err != nil {
+		return nil, err
+	}
+	request.ContentLength = form.Length
+	request.GetBody = nil
+	request.Header = header.Clone()
+	if request.Header == nil {
+		request.Header = http.Header{}
+	}
+	if request.Header["User-Agent"] == nil {
+		request.Header["User-Agent"] = []string{""} // or net/http adds one
+	}
+	request.Header.Set(headerForward, encodeForward(form))
+	return request, nil
+}
+
+// failed describes a forward without an answer. Connections that were opened
+// before a silence are closed: they may be as dead.
+func (f *forwarder) failed(flight *flight, err error) *forwardError {
+	silent := flight.silent.Load()
+	if silent {
+		f.transport.CloseIdleConnections()
+	}
+	return &forwardError{sent: flight.mayHaveSent(), silent: silent, reused: flight.reused.Load(), cause: err}
+}
+
+func readForwardedAnswer(form forwardedRequest, response *http.Response) (forwardedAnswer, error) {
+	answer, err := decodeForwardedAnswer(response.Header.Get(headerForward))
+	if err != nil {
+		return answer, err
+	}
+	if answer.ID != form.ID {
+		metricForeign.Add(1)
+		return answer, &ForeignAnswerError{Want: form.ID, Got: answer.ID}
+	}
+	return answer, nil
+}
+
+// ForeignAnswerError reports an answer to another request.
+type ForeignAnswerError struct {
+	Want string
+	Got  string
+}
+
+// Error implements error.
+func (e *ForeignAnswerError) Error() string {
+	return "answer to request " + e.Got + " in place of " + e.Want
+}
+
+// trace notes when the request gets a connection, and every sign of life.
+func (f *flight) trace() *httptrace.ClientTrace {
+	return &httptrace.ClientTrace{
+		GotConn: func(info httptrace.GotConnInfo) {
+			f.reused.Store(info.Reused)
+			f.got(sentConnOf(info.Conn))
+		},
+		Got1xxResponse: func(int, textproto.MIMEHeader) error {
+			f.progress()
+			return nil
+		},
+	}
+}
+
+// got notes the connection and how much had been written to it before. When
+// net/http replaces a connection that was closed before anything was written,
+// the earlier one's bytes still count.
+func (f *flight) got(conn *sentConn) {
+	f.progress()
+	f.noteSent()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.conn = conn
+	if conn == nil {
+		f.sent.Store(true) // cannot tell
+		return
+	}
+	f.base = conn.written.Load()
+}
+
+func (f *flight) noteSent() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.conn != nil && f.conn.written.Load() > f.base {
+		f.sent.Store(true)
+	}
+}
+
+func (f *flight) mayHaveSent() bool {
+	f.noteSent()
+	return f.sent.Load()
+}
+
+func (f *flight) start() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.timer = time.AfterFunc(f.limit, f.giveUp)
+}
+
+func (f *flight) giveUp() {
+	f.silent.Store(true)
+	f.cancel(&silenceError{})
+}
+
+// progress puts the silence limit off.
+func (f *flight) progress() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.timer != nil && !f.silent.Load() {
+		f.timer.Reset(f.limit)
+	}
+}
+
+func (f *flight) stop() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.timer != nil {
+		f.timer.Stop()
+	}
+}
+
+// guardedBody gives an answer's body up when it makes no progress, and ends the
+// forward when it is closed.
+type guardedBody struct {
+	io.ReadCloser
+	flight *flight
+}
+
+// Read implements io.Reader. The silence limit runs only while the answer is
+// read: a slow caller is not the other node's silence.
+func (b *guardedBody) Read(p []byte) (int, error) {
+	b.flight.progress()
+	count, err := b.ReadCloser.Read(p)
+	b.flight.stop()
+	return count, err
+}
+
+// Close implements io.Closer.
+func (b *guardedBody) Close() error {
+	b.flight.stop()
+	err := b.ReadCloser.Close()
+	b.flight.cancel(nil)
+	return err
+}
+
+// answerOf returns the exchange form of a forwarded answer.
+func answerOf(form forwardedAnswer, header http.Header) *exchange.Answer {
+	passed := callerapi.PassedOn(header)
+	passed.Del("Content-Length")
+	if form.Length != "" {
+		passed.Set("Content-Length", form.Length)
+	}
+	if form.Replayed {
+		passed.Set(callerapi.HeaderReplayed, "true")
+	}
+	return &exchange.Answer{
+		Status:     form.Status,
+		Outcome:    form.Outcome,
+		Reason:     form.Reason,
+		RetryAfter: time.Duration(form.RetryAfterMs) * time.Millisecond,
+		Header:     passed,
+	}
+}
--- /dev/null
+++ b/modules/router/forward_conn.go
@@ -0,0 +1,62 @@
+package router
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+)
+
+// Limits of the connections to one node.
+const (
+	maxIdleForwards  = 64
+	idleForwardTime  = 30 * time.Second
+	maxForwardHeader = 1 << 20
+)
+
+// sentConn tells whether anything was written to it, below any TLS.
+type sentConn struct {
+	net.Conn
+	written atomic.Int64 // bytes that may have left
+}
+
+// Write implements net.Conn. The bytes count before they are written, since a
+// failed write may have sent them.
+func (c *sentConn) Write(p []byte) (int, error) {
+	c.written.Add(int64(len(p)))
+	return c.Conn.Write(p)
+}
+
+// sentConnOf finds the sentConn under a connection, or nil.
+func sentConnOf(conn net.Conn) *sentConn {
+	type layered interface{ NetConn() net.Conn }
+	if upper, ok := conn.(layered); ok {
+		conn = upper.NetConn()
+	}
+	found, _ := conn.(*sentConn)
+	return found
+}
+
+// newForwardTransport returns a transport to other nodes. HTTP/1.1 gives each
+// request a connection of its own while it lasts, so that one silent connection
+// delays one request, and an answer cannot be taken for another's.
+func newForwardTransport(connect time.Duration, config *tls.Config) *http.Transport {
+	dialer := &net.Dialer{Timeout: connect}
+	return &http.Transport{
+		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+			conn, err := dialer.DialContext(ctx, network, address)
+			if err != nil {
+				return nil, err
+			}
+			return &sentConn{Conn: conn}, nil
+		},
+		TLSClientConfig:        config,
+		TLSHandshakeTimeout:    connect,
+		DisableCompression:     true,
+		MaxIdleConnsPerHost:    maxIdleForwards,
+		IdleConnTimeout:        idleForwardTime,
+		MaxResponseHeaderBytes: maxForwardHeader,
+	}
+}
--- /dev/null
+++ b/modules/router/forward_server.go
@@ -0,0 +1,197 @@
+package router
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/burdockspindle/burdockspindle/callerapi"
+	"github.com/burdockspindle/burdockspindle/exchange"
+	"github.com/burdockspindle/burdockspindle/outcome"
+	"github.com/burdockspindle/burdockspindle/serverapi"
+)
+
+// catchUpTime is how long a forwarded request waits for this node's state to
+// reach the sender's.
+const catchUpTime = 500 * time.Millisecond
+
+// serveForward answers a request that another node forwarded. It never forwards
+// it again.
+func (m *Module) serveForward(w http.ResponseWriter, r *http.Request) {
+	arrived := time.Now()
+	metricForwardedIn.Add(1)
+	_ = http.NewResponseController(w).EnableFullDuplex()
+	form, err := decodeForwardedRequest(r.Header.Get(headerForward))
+	if err != nil {
+		eventForwardRejected.Log(m.logger, "from", r.RemoteAddr, "error", err)
+		http.Error(w, "cannot read the forwarded request", http.StatusBadRequest)
+		return
+	}
+	answering := startAnswering(w, form.ID)
+	defer answering.stop()
+	req := form.request(arrived, callerapi.PassedOn(r.Header))
+	req.Header.Del("Content-Length")
+	answer, refused := m.acceptForwarded(r.Context(), req, form, r.Body)
+	if answer == nil {
+		answer = refusal(withRetryAfter(refused))
+	}
+	answering.write(m, req, answer)
+}
+
+// acceptForwarded checks a forwarded request and serves it. The answer is nil
+// when it is refused.
+func (m *Module) acceptForwarded(ctx context.Context, req *exchange.Request, form forwardedRequest, body io.Reader) (*exchange.Answer, outcome.Verdict) {
+	if req.From == m.self.Node {
+		eventForwardLoop.Log(m.logger, "request", req.ID)
+		return nil, outcome.NotRun(callerapi.ReasonLoop)
+	}
+	if form.To != m.self.Node {
+		return nil, outcome.NotRun(callerapi.ReasonNotLessor)
+	}
+	if !m.catchUp(ctx, req) {
+		return nil, outcome.NotRun(callerapi.ReasonNotLessor)
+	}
+	bodyLimit, exists := m.BodyLimit(req.Service)
+	if !exists {
+		return nil, outcome.NotRun(callerapi.ReasonUnknownService)
+	}
+	var err error
+	if req.Body, err = exchange.NewBody(body, form.Length, bodyLimit, bufferBytes); err != nil {
+		return nil, outcome.NotRun(bodyReason(err))
+	}
+	return m.Serve(ctx, req), outcome.Verdict{}
+}
+
+func bodyReason(err error) serverapi.Reason {
+	var large *exchange.TooLargeError
+	if errors.As(err, &large) {
+		return callerapi.ReasonBodyTooLarge
+	}
+	return callerapi.ReasonBodyUnreadable
+}
+
+// catchUp waits until this node's state has reached the sender's.
+func (m *Module) catchUp(ctx context.Context, req *exchange.Request) bool {
+	if m.source.View().Applied() >= req.MinApplied {
+		return true
+	}
+	wait := min(catchUpTime, time.Until(req.Deadline))
+	ctx, cancel := context.WithTimeout(ctx, wait)
+	defer cancel()
+	return m.source.WaitApplied(ctx, req.MinApplied) == nil
+}
+
+// answering writes one answer to a forwarded request, and signs of life until
+// then.
+type answering struct {
+	id string
+
+	mu     sync.Mutex
+	w      http.ResponseWriter
+	closed bool // the final header was written, or the handler is done
+	timer  *time.Timer
+}
+
+func startAnswering(w http.ResponseWriter, id string) *answering {
+	a := &answering{w: w, id: id}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.timer = time.AfterFunc(keepAliveEvery, a.signOfLife)
+	return a
+}
+
+func (a *answering) signOfLife() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.closed {
+		return
+	}
+	a.w.WriteHeader(http.StatusProcessing)
+	a.timer.Reset(keepAliveEvery)
+}
+
+func (a *answering) stop() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.closed = true
+	a.timer.Stop()
+}
+
+// write passes an answer on. It aborts the connection when the server's body
+// ends before it is whole.
+func (a *answering) write(m *Module, req *exchange.Request, answer *exchange.Answer) {
+	a.stop()
+	form := forwardedAnswer{
+		Format:       forwardFormat,
+		ID:           a.id,
+		Status:       answer.Status,
+		Outcome:      answer.Outcome,
+		Reason:       answer.Reason,
+		RetryAfterMs: answer.RetryAfter.Milliseconds(),
+		HasBody:      answer.Body != nil,
+		Length:       answer.Header.Get("Content-Length"),
+		Replayed:     answer.Header.Get(callerapi.HeaderReplayed) != "",
+		Server:       req.Chosen,
+		Load:         m.loadOf(req),
+	}
+	header := a.w.Header()
+	for name, values := range callerapi.PassedOn(answer.Header) {
+		if name != "Content-Length" {
+			header[name] = values
+		}
+	}
+	header.Set(headerForward, encodeForward(form))
+	if header["Content-Type"] == nil {
+		header["Content-Type"] = nil // or net/http guesses one
+	}
+	a.w.WriteHeader(http.StatusOK)
+	if answer.Body == nil {
+		return
+	}
+	defer func() { _ = answer.Body.Close() }()
+	if copyAnswer(a.w, answer.Body) != nil {
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// copyAnswer copies and flushes after each part.
+func copyAnswer(w http.ResponseWriter, body io.Reader) error {
+	controller := http.NewResponseController(w)
+	part := make([]byte, firstPartBytes)
+	for {
+		count, err := body.Read(part)
+		if count > 0 {
+			if _, failed := w.Write(part[:count]); failed != nil {
+				return failed
+			}
+		}
+		if errors.Is(err, io.EOF) {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+		if count == len(part) {
+			continue
+		}
+		if failed := controller.Flush(); failed != nil {
+			return failed
+		}
+	}
+}
+
+// loadOf tells the forwarding node how loaded the server is that it chose.
+func (m *Module) loadOf(req *exchange.Request) float64 {
+	if req.Chosen == "" {
+		return 0
+	}
+	gate, exists := m.gates.Find(req.Chosen)
+	if !exists {
+		return 0
+	}
+	held, window := gate.Load()
+	return float64(held) / float64(window)
+}
--- /dev/null
+++ b/modules/router/maintain.go
@@ -0,0 +1,126 @@
+package router
+
+import (
+	"context"
+	"time"
+
+	"github.com/burdockspindle/burdockspindle/limit"
+	"github.com/burdockspindle/burdockspindle/route"
+	"github.com/burdockspindle/burdockspindle/state"
+	"github.com/burdockspindle/burdockspindle/topo"
+)
+
+const (
+	// sweepEvery is how often waiting requests are looked at.
+	sweepEvery = 10 * time.Millisecond
+	// retainEvery is how often what is gone from the state is forgotten.
+	retainEvery = 2 * time.Second
+	// coldRamp is how long a server takes from one request at once to its
+	// whole limit after it, or its admission point, is new.
+	coldRamp = time.Second
+	// directLimit is how many requests this node sends at once to a server
+	// whose admission point it cannot reach.
+	directLimit = 1
+)
+
+// maintain sweeps queues and follows the state until ctx ends.
+func (m *Module) maintain(ctx context.Context) {
+	sweeps := time.NewTicker(sweepEvery)
+	defer sweeps.Stop()
+	retains := time.NewTicker(retainEvery)
+	defer retains.Stop()
+	gauges := &gauges{}
+	defer gauges.set(0, 0)
+	terms := map[topo.GroupID]topo.Term{}
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-sweeps.C:
+			m.sweep(gauges)
+		case <-retains.C:
+			m.retain()
+		case <-m.source.Changed():
+			view := m.source.View()
+			m.overlay.Prune(view)
+			m.coolNewGroups(view, terms)
+		}
+	}
+}
+
+func (m *Module) sweep(g *gauges) {
+	now := time.Now()
+	m.gates.Sweep(now)
+	m.directs.Sweep(now)
+	m.buffer.Sweep(now)
+	queued := 0
+	for _, gate := range m.gates.Gates() {
+		queued += gate.Queued()
+	}
+	g.set(queued, m.buffer.Stats().Waiting)
+}
+
+// gauges shows totals that several nodes of one process add to.
+type gauges struct {
+	queued  int
+	waiting int
+}
+
+func (g *gauges) set(queued, waiting int) {
+	metricQueued.Add(int64(queued - g.queued))
+	metricWaiting.Add(int64(waiting - g.waiting))
+	g.queued, g.waiting = queued, waiting
+}
+
+// retain forgets what the state no longer has.
+func (m *Module) retain() {
+	view := m.source.View()
+	knownServer := func(id topo.ServerID) bool {
+		_, exists := view.Server(id)
+		return exists
+	}
+	knownNode := func(id topo.NodeID) bool {
+		_, exists := view.Node(id)
+		return exists
+	}
+	m.gates.Retain(knownServer)
+	m.directs.Retain(knownServer)
+	m.servers.Retain(knownServer)
+	m.nodes.Retain(knownNode)
+	m.remote.retain(knownServer)
+}
+
+// coolNewGroups starts the servers of groups that this node newly leads with
+// one request at once: their earlier admission point may still have requests in
+// flight there.
+func (m *Module) coolNewGroups(view *state.View, terms map[topo.GroupID]topo.Term) {
+	for id, group := range view.Groups() {
+		if group.Lessor != m.self.Node || terms[id] == group.Term {
+			continue
+		}
+		terms[id] = group.Term
+		for server, gate := range m.gates.Gates() {
+			if known, exists := view.Server(server); exists && known.Group == id {
+				gate.Cold()
+			}
+		}
+	}
+}
+
+// gate returns the queue of a server whose admission point this node is.
+func (m *Module) gate(d route.Decision) *limit.Gate {
+	return m.gates.Gate(d.Service.Name, d.Server, limit.Spec{
+		Limit:     d.Service.ConcurrencyPerServer,
+		MaxQueued: m.settings.Limits.MaxQueued,
+		Ramp:      coldRamp,
+	})
+}
+
+// directGate returns the small local queue of a server whose admission point
+// cannot be reached.
+func (m *Module) directGate(d route.Decision) *limit.Gate {
+	return m.directs.Gate(d.Service.Name, d.Server, limit.Spec{
+		Limit:     directLimit,
+		MaxQueued: m.settings.Limits.MaxQueued,
+	})
+}
--- /dev/null
+++ b/modules/router/run.go
@@ -0,0 +1,338 @@
+package router
+
+import (
+	"context"
+	"math/rand/v2"
+	"strconv"
+	"time"
+
+	"github.com/burdockspindle/burdockspindle/buffer"
+	"github.com/burdockspindle/burdockspindle/callerapi"
+	"github.com/burdockspindle/burdockspindle/exchange"
+	"github.com/burdockspindle/burdockspindle/outcome"
+	"github.com/burdockspindle/burdockspindle/retry"
+	"github.com/burdockspindle/burdockspindle/route"
+	"github.com/burdockspindle/burdockspindle/serverapi"
+	"github.com/burdockspindle/burdockspindle/siteconfig"
+	"github.com/burdockspindle/burdockspindle/state"
+	"github.com/burdockspindle/burdockspindle/ticket"
+	"github.com/burdockspindle/burdockspindle/topo"
+)
+
+// run is one request on its way through this node.
+type run struct {
+	m      *Module
+	ctx    context.Context // ends with the deadline or the caller
+	caller context.Context // ends with the caller alone
+	req    *exchange.Request
+	config *siteconfig.Service
+	ticket *ticket.Ticket // nil for none
+
+	tally  outcome.Tally
+	sends  int             // names the attempts
+	counts int             // attempts that were not rerouted
+	tried  []topo.ServerID // servers of an unkeyed service that failed
+	waited []buffer.Key    // outages that the request met
+	probe  *buffer.Key     // outage that its next attempt asks about
+	direct bool            // its lessor's node could not be reached
+}
+
+// result is what one attempt came to.
+type result struct {
+	verdict outcome.Verdict
+	answer  *exchange.Answer // with an answered verdict
+	out     *outage          // what the attempt showed to be out
+	// contact: the server, or the lessor's node, answered something.
+	contact bool
+	// settled: the lessor's node, which knows more, has waited for the owner
+	// already.
+	settled bool
+	// moved: the way changed before anything was sent; decide anew at once.
+	moved bool
+}
+
+// outage is what an attempt showed to be out.
+type outage struct {
+	key   buffer.Key
+	cause buffer.Cause
+}
+
+func unsent(v outcome.Verdict) result { return result{verdict: v} }
+
+// whole takes the request to its final answer.
+func (r *run) whole() *exchange.Answer {
+	for {
+		viewChanged := r.m.source.Changed()
+		overlayChanged := r.m.overlay.Changed()
+		d, refused := r.decide(r.m.source.View())
+		if refused != nil {
+			return r.final(*refused)
+		}
+		ready, answer := r.hold(d, viewChanged, overlayChanged)
+		if ready {
+			answer = r.once(d)
+		}
+		if answer != nil {
+			return answer
+		}
+	}
+}
+
+// decide returns where the request goes now, or the verdict if nowhere.
+func (r *run) decide(view *state.View) (route.Decision, *outcome.Verdict) {
+	d, refused := r.destination(view)
+	if refused != nil {
+		return d, refused
+	}
+	if d.Path == route.PathRefuse {
+		v := outcome.NotRun(d.Reason)
+		return d, &v
+	}
+	if d.Path != route.PathForward {
+		return d, nil
+	}
+	if r.req.From != "" {
+		v := outcome.NotRun(callerapi.ReasonNotLessor)
+		return d, &v
+	}
+	if r.direct || r.m.nodes.Ejected(time.Now(), d.Lessor) {
+		d = r.pastLessor(d)
+	}
+	return d, nil
+}
+
+func (r *run) destination(view *state.View) (route.Decision, *outcome.Verdict) {
+	if r.req.Keyed {
+		return route.Keyed(view, r.m.overlay.Overlay(), r.m.self, r.req.Service, r.req.Key), nil
+	}
+	return r.choose(view)
+}
+
+// pastLessor turns a forward into a direct send where that is allowed: the
+// server checks fences itself, or the service has no ownership and the request
+// carries no ticket, whose record the lessor keeps.
+func (r *run) pastLessor(d route.Decision) route.Decision {
+	if d.Service.Keyed {
+		d, _ = d.Direct()
+		return d
+	}
+	if r.ticket == nil {
+		d.Path = route.PathDirect
+	}
+	return d
+}
+
+// hold lets the request wait while something on its way is out. Ready means
+// that an attempt is to be made; otherwise the answer is final, or nil to
+// decide anew.
+func (r *run) hold(d route.Decision, view, overlay <-chan struct{}) (ready bool, answer *exchange.Answer) {
+	if r.ctx.Err() != nil {
+		return false, r.final(r.ended())
+	}
+	now := time.Now()
+	if d.Path == route.PathWait {
+		key, cause := missing(d)
+		r.m.buffer.Failed(now, key, cause)
+		return false, r.wait(key, view, overlay)
+	}
+	if r.probe != nil {
+		return true, nil
+	}
+	plan, key := r.m.buffer.Plan(now, keysOf(d)...)
+	if plan == buffer.Wait {
+		return false, r.wait(key, view, overlay)
+	}
+	if plan == buffer.Probe {
+		r.probe = &key
+	}
+	return true, nil
+}
+
+// missing names what a decision to wait waits for.
+func missing(d route.Decision) (buffer.Key, buffer.Cause) {
+	switch {
+	case d.Reason == callerapi.ReasonNotLessor:
+		return buffer.LessorKey(d), buffer.Unled
+	case !d.Service.Keyed:
+		return outOfServers(d.Service.Name), buffer.Unowned
+	}
+	return buffer.ShardKey(d), buffer.Unowned
+}
+
+// keysOf lists what may be out on the way that a decision names.
+func keysOf(d route.Decision) []buffer.Key {
+	if d.Path == route.PathForward {
+		return []buffer.Key{buffer.LessorKey(d)}
+	}
+	if !d.Service.Keyed {
+		return []buffer.Key{buffer.ServerKey(d)}
+	}
+	return []buffer.Key{buffer.ServerKey(d), buffer.ShardKey(d)}
+}
+
+// wait holds the request until it is told what to do. It returns the final
+// answer, or nil to decide anew.
+func (r *run) wait(key buffer.Key, view, overlay <-chan struct{}) *exchange.Answer {
+	place, refused := r.m.buffer.Join(time.Now(), key, r.req.Service, r.req.Deadline)
+	if place == nil {
+		return r.final(outcome.NotRun(refused.Reason).Later(refused.RetryAfter))
+	}
+	if len(r.waited) == 0 {
+		metricBuffered.Add(1)
+	}
+	r.meet(key)
+	wake, err := place.Wait(r.ctx, view, overlay)
+	switch {
+	case err != nil:
+		return r.final(r.ended())
+	case wake.Refused:
+		return r.final(outcome.NotRun(wake.Refusal.Reason).Later(wake.Refusal.RetryAfter))
+	case wake.Probe:
+		r.probe = &key
+	}
+	return nil
+}
+
+func (r *run) meet(key buffer.Key) {
+	for _, known := range r.waited {
+		if known == key {
+			return
+		}
+	}
+	r.waited = append(r.waited, key)
+}
+
+// once makes one attempt. It returns the final answer, or nil to go on.
+func (r *run) once(d route.Decision) *exchange.Answer {
+	res := r.execute(d)
+	r.report(d, res)
+	if res.moved {
+		return nil
+	}
+	r.tally.Add(res.verdict)
+	r.counts++
+	if res.verdict.Outcome == serverapi.OutcomeAnswered {
+		return res.answer
+	}
+	next := retry.Decide(time.Now(), r.attempt(res), r.takeRetry, rand.Float64)
+	switch next.Action {
+	case retry.Reroute:
+		r.counts--
+		r.reroute(d, res)
+		return nil
+	case retry.Again:
+		metricRetries.Add(1)
+		r.tried = append(r.tried, d.Server)
+		if r.pause(next.Wait) {
+			return nil
+		}
+	}
+	return r.final(res.verdict)
+}
+
+func (r *run) attempt(res result) retry.Attempt {
+	return retry.Attempt{
+		Verdict:    res.verdict,
+		Keyed:      r.config.Keyed,
+		Idempotent: r.config.Idempotent(r.req.Method),
+		Replayable: r.req.Body.Replayable(),
+		Canceled:   r.caller.Err() != nil,
+		Forwarded:  r.req.From != "",
+		Settled:    res.settled,
+		Hop:        r.req.Hop,
+		Attempts:   r.counts,
+		Deadline:   r.req.Deadline,
+	}
+}
+
+func (r *run) takeRetry() bool { return r.m.budgets.take(r.req.Service, time.Now()) }
+
+// reroute makes sure that the next attempt waits for a change, or for its turn
+// to probe, when the attempt itself named nothing that is out.
+func (r *run) reroute(d route.Decision, res result) {
+	metricRerouted.Add(1)
+	if res.out == nil {
+		r.m.buffer.Failed(time.Now(), keysOf(d)[0], buffer.Moving)
+	}
+}
+
+// report tells the buffer what an attempt showed.
+func (r *run) report(d route.Decision, res result) {
+	now := time.Now()
+	if res.out != nil {
+		r.m.buffer.Failed(now, res.out.key, res.out.cause)
+		r.meet(res.out.key)
+	}
+	if res.verdict.Outcome == serverapi.OutcomeAnswered {
+		r.m.buffer.Recovered(now, keysOf(d)...)
+		r.m.buffer.Recovered(now, r.waited...)
+	} else if res.contact {
+		r.m.buffer.Recovered(now, contactKey(d))
+	}
+	if r.probe != nil {
+		r.m.buffer.Abandoned(*r.probe) // without effect when it was settled above
+		r.probe = nil
+	}
+}
+
+// contactKey is what an answer of any kind shows to be reachable.
+func contactKey(d route.Decision) buffer.Key {
+	if d.Path == route.PathForward {
+		return buffer.Key{}
+	}
+	return buffer.ServerKey(d)
+}
+
+// pause waits before a retry; it is false when the request ended meanwhile.
+func (r *run) pause(wait time.Duration) bool {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-r.ctx.Done():
+		return false
+	}
+}
+
+// ended is the verdict when the context ended while nothing was under way.
+func (r *run) ended() outcome.Verdict {
+	if r.caller.Err() != nil {
+		return outcome.NotRun(callerapi.ReasonCanceled)
+	}
+	return outcome.NotRun(serverapi.ReasonDeadline)
+}
+
+// Times to come back that are given when nothing better is known, and how much
+// is added at random so that callers do not come back all at once.
+const (
+	defaultRetryAfter = 500 * time.Millisecond
+	retryAfterJitter  = 0.5
+)
+
+// final is the answer when the request is given up.
+func (r *run) final(last outcome.Verdict) *exchange.Answer {
+	return refusal(withRetryAfter(r.tally.Final(last)))
+}
+
+// withRetryAfter gives every verdict after which coming back may help a time
+// for it.
+func withRetryAfter(v outcome.Verdict) outcome.Verdict {
+	if !worthRetrying(v.Status()) {
+		v.RetryAfter = 0
+		return v
+	}
+	if v.RetryAfter == 0 {
+		v.RetryAfter = defaultRetryAfter
+	}
+	v.RetryAfter += time.Duration(rand.Float64() * retryAfterJitter * float64(v.RetryAfter))
+	return v
+}
+
+func worthRetrying(status int) bool { return status == 429 || status >= 500 }
+
+// nextID names the next attempt.
+func (r *run) nextID() string {
+	r.sends++
+	return r.req.ID + "." + strconv.Itoa(r.sends)
+}
--- a/modules/router/serve.go
+++ b/modules/router/serve.go
@@ -2,79 +2,165 @@
 
 import (
 	"context"
-	"errors"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"sync"
 	"time"
 
-	"github.com/burdockspindle/burdockspindle/backend"
 	"github.com/burdockspindle/burdockspindle/callerapi"
 	"github.com/burdockspindle/burdockspindle/exchange"
 	"github.com/burdockspindle/burdockspindle/outcome"
-	"github.com/burdockspindle/burdockspindle/route"
+	"github.com/burdockspindle/burdockspindle/serverapi"
+	"github.com/burdockspindle/burdockspindle/siteconfig"
+	"github.com/burdockspindle/burdockspindle/ticket"
 	"github.com/burdockspindle/burdockspindle/topo"
 )
 
+// bufferBytes is how much of a forwarded request body is read before the first
+// attempt, so that the request can be sent again.
+const bufferBytes = 64 << 10
+
+// busyRetryAfter is when to come back to a node that holds as many requests as
+// it may, and shedRetryAfter when a dependency is overloaded.
+const (
+	busyRetryAfter = 500 * time.Millisecond
+	shedRetryAfter = time.Second
+)
+
 // Serve implements exchange.Handler.
 func (m *Module) Serve(ctx context.Context, req *exchange.Request) *exchange.Answer {
-	decision := route.Keyed(m.source.View(), m.overlay.Overlay(), m.self, req.Service, req.Key)
-	if decision.Path == route.PathRefuse || decision.Path == route.PathWait {
-		return refusal(outcome.NotRun(decision.Reason))
+	answer := m.serve(ctx, req)
+	if req.From == "" {
+		countAnswer(req.Service, answer)
+		m.noteCapacity(req.Service, answer)
+	}
+	return answer
+}
+
+func (m *Module) serve(ctx context.Context, req *exchange.Request) *exchange.Answer {
+	r, refused := m.prepare(ctx, req)
+	if refused != nil {
+		return refusal(withRetryAfter(*refused))
+	}
+	leave, refused := m.enter(req)
+	if refused != nil {
+		return refusal(withRetryAfter(*refused))
+	}
+	var cancel context.CancelFunc
+	r.ctx, cancel = context.WithDeadline(ctx, req.Deadline)
+	answer := r.whole()
+	end := func() { cancel(); leave() }
+	if answer.Body == nil {
+		end()
+		return answer
 	}
-	if req.Deadline.IsZero() {
-		req.Deadline = time.Now().Add(decision.Service.Deadline)
+	answer.Body = &endingBody{ReadCloser: answer.Body, end: end}
+	return answer
+}
+
+// prepare checks a request against the site configuration.
+func (m *Module) prepare(ctx context.Context, req *exchange.Request) (*run, *outcome.Verdict) {
+	config, exists := m.source.View().Service(req.Service)
+	if !exists {
+		return nil, refuse(callerapi.ReasonUnknownService)
+	}
+	r := &run{m: m, caller: ctx, req: req, config: config}
+	switch {
+	case config.Keyed && !req.Keyed:
+		return nil, refuse(callerapi.ReasonMissingKey)
+	case !config.Keyed && req.Keyed:
+		return nil, refuse(callerapi.ReasonUnexpectedKey)
+	case req.Ticket == "" && config.RequireIdempotencyKey && !config.Idempotent(req.Method):
+		return nil, refuse(callerapi.ReasonTicketRequired)
 	}
-	return m.attempt(ctx, req, decision)
+	if req.Ticket != "" {
+		issued, valid := readTicket(config, req)
+		if !valid {
+			return nil, refuse(callerapi.ReasonBadTicket)
+		}
+		r.ticket = &issued
+	}
+	req.Deadline = deadlineOf(time.Now(), req.Deadline, config.Deadline)
+	if req.Header == nil {
+		req.Header = http.Header{}
+	}
+	req.Header.Set(callerapi.HeaderHop, strconv.Itoa(req.Hop+1))
+	return r, nil
 }
 
-func (m *Module) attempt(ctx context.Context, req *exchange.Request, d route.Decision) *exchange.Answer {
-	body, err := req.Body.Open()
-	if err != nil {
-		return refusal(outcome.NotRun(callerapi.ReasonBodyUnreadable))
-	}
-	response, err := m.driver.Do(ctx, backend.Target{ID: d.Server, Address: d.Address}, backend.Request{
-		Method:         req.Method,
-		Path:           req.Path,
-		Service:        req.Service,
-		Key:            req.Key,
-		Shard:          d.Shard,
-		Fence:          d.Fence,
-		Term:           d.Term,
-		IdempotencyKey: req.Ticket,
-		RequestID:      req.ID,
-		Deadline:       req.Deadline,
-		Header:         req.Header,
-		Body:           body,
-		ContentLength:  req.Body.Length(),
-	})
-	if err != nil {
-		return refusal(outcome.Failed(failureOf(ctx, err)))
-	}
-	verdict := outcome.Said(response.Outcome, response.Reason)
-	if verdict != outcome.Answered() {
-		_ = response.Body.Close()
-		return refusal(verdict)
-	}
-	return &exchange.Answer{Status: response.Status, Outcome: verdict.Outcome, Header: response.Header, Body: response.Body}
+func refuse(reason serverapi.Reason) *outcome.Verdict {
+	v := outcome.NotRun(reason)
+	return &v
 }
 
-func failureOf(ctx context.Context, err error) outcome.Failure {
-	failure := outcome.Failure{Sent: true}
-	var attempt *backend.AttemptError
-	if errors.As(err, &attempt) {
-		failure.Sent = attempt.Sent
-		failure.Silent = attempt.Silent
+// readTicket checks that a ticket was issued for this service and key, and is
+// bound to what keeps the record of it.
+func readTicket(config *siteconfig.Service, req *exchange.Request) (ticket.Ticket, bool) {
+	issued, err := ticket.Parse(req.Ticket)
+	if err != nil || issued.Subject != ticket.SubjectOf(req.Service, req.Key) {
+		return issued, false
 	}
-	failure.Canceled = errors.Is(ctx.Err(), context.Canceled)
-	failure.Deadline = errors.Is(ctx.Err(), context.DeadlineExceeded)
-	return failure
+	return issued, issued.Scope.Kind == scopeKind(config)
 }
 
-func refusal(v outcome.Verdict) *exchange.Answer {
-	return &exchange.Answer{Status: v.Status(), Outcome: v.Outcome, Reason: v.Reason, RetryAfter: v.RetryAfter}
+func scopeKind(config *siteconfig.Service) ticket.ScopeKind {
+	if config.Keyed && config.ChecksFencing {
+		return ticket.ScopeFence
+	}
+	return ticket.ScopeTerm
 }
 
-// IssueTicket implements exchange.Handler.
-func (m *Module) IssueTicket(context.Context, topo.Service, bool, string) (callerapi.Ticket, *exchange.Answer) {
-	return callerapi.Ticket{}, refusal(outcome.NotRun(callerapi.ReasonNoOwner))
+// deadlineOf bounds what the caller asked for by what the service allows.
+func deadlineOf(now, asked time.Time, most time.Duration) time.Time {
+	if most <= 0 {
+		most = callerapi.MaxDeadline
+	}
+	latest := now.Add(most)
+	if asked.IsZero() || asked.After(latest) {
+		return latest
+	}
+	return asked
+}
+
+// enter lets a request in, unless the node is full or the request is shed. A
+// forwarded request was let in by the node that the caller asked.
+func (m *Module) enter(req *exchange.Request) (func(), *outcome.Verdict) {
+	metricInFlight.Add(1)
+	m.inFlight.Add(1)
+	leave := func() {
+		metricInFlight.Add(-1)
+		m.inFlight.Add(-1)
+	}
+	if req.From != "" {
+		return leave, nil
+	}
+	now := time.Now()
+	if share := m.shed.Share(now, m.source.View().Site(), req.Service); share > 0 && rand.Float64() < share {
+		leave()
+		metricShed.Add(string(callerapi.ReasonDependency), 1)
+		v := outcome.NotRun(callerapi.ReasonDependency).Later(shedRetryAfter)
+		return nil, &v
+	}
+	if !m.node.Enter(req.Service, req.Hop) {
+		leave()
+		metricShed.Add(string(callerapi.ReasonBusy), 1)
+		v := outcome.NotRun(callerapi.ReasonBusy).Later(busyRetryAfter)
+		return nil, &v
+	}
+	m.budgets.first(req.Service, now)
+	return func() { m.node.Leave(req.Service); leave() }, nil
+}
+
+// noteCapacity counts an answer for the services that depend on this one.
+func (m *Module) noteCapacity(service topo.Service, answer *exchange.Answer) {
+	switch answer.Reason {
+	case callerapi.ReasonDependency, callerapi.ReasonCanceled:
+		return
+	}
+	refused := answer.Status >= 429 && answer.Outcome != serverapi.OutcomeAnswered
+	m.shed.Add(time.Now(), service, refused)
 }
 
 // BodyLimit implements exchange.Handler.
@@ -83,5 +169,23 @@
 	if !exists {
 		return 0, false
 	}
-	return min(config.MaxBodyBytes, m.settings.Limits.MaxBodyBytes), true
+	limit := m.settings.Limits.MaxBodyBytes
+	if config.MaxBodyBytes > 0 && (limit <= 0 || config.MaxBodyBytes < limit) {
+		limit = config.MaxBodyBytes
+	}
+	return limit, true
+}
+
+// endingBody ends the request when its answer's body is closed.
+type endingBody struct {
+	io.ReadCloser
+	end  func()
+	once sync.Once
+}
+
+// Close implements io.Closer.
+func (b *endingBody) Close() error {
+	err := b.ReadCloser.Close()
+	b.once.Do(b.end)
+	return err
 }
--- /dev/null
+++ b/modules/router/tickets.go
@@ -0,0 +1,76 @@
+package router
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/burdockspindle/burdockspindle/callerapi"
+	"github.com/burdockspindle/burdockspindle/exchange"
+	"github.com/burdockspindle/burdockspindle/outcome"
+	"github.com/burdockspindle/burdockspindle/pick"
+	"github.com/burdockspindle/burdockspindle/route"
+	"github.com/burdockspindle/burdockspindle/ticket"
+	"github.com/burdockspindle/burdockspindle/topo"
+)
+
+// ticketRetryAfter is when to come back for a ticket while nobody owns the key.
+const ticketRetryAfter = time.Second
+
+// IssueTicket implements exchange.Handler.
+func (m *Module) IssueTicket(ctx context.Context, service topo.Service, keyed bool, key string) (callerapi.Ticket, *exchange.Answer) {
+	req := &exchange.Request{Service: service, Keyed: keyed, Key: key}
+	scope, refused := m.ticketScope(ctx, req)
+	if refused != nil {
+		return callerapi.Ticket{}, refusal(withRetryAfter(*refused))
+	}
+	issued := m.tickets.Issue(scope, service, key)
+	return callerapi.Ticket{Ticket: issued.String(), ExpiresWith: scope.Ordinal.String()}, nil
+}
+
+// ticketScope returns what a ticket for the key is bound to now.
+func (m *Module) ticketScope(ctx context.Context, req *exchange.Request) (ticket.Scope, *outcome.Verdict) {
+	view := m.source.View()
+	config, exists := view.Service(req.Service)
+	switch {
+	case !exists:
+		return ticket.Scope{}, refuse(callerapi.ReasonUnknownService)
+	case config.Keyed && !req.Keyed:
+		return ticket.Scope{}, refuse(callerapi.ReasonMissingKey)
+	case !config.Keyed && req.Keyed:
+		return ticket.Scope{}, refuse(callerapi.ReasonUnexpectedKey)
+	}
+	d, found := m.ticketWay(&run{m: m, ctx: ctx, caller: ctx, req: req, config: config})
+	if !found {
+		v := outcome.NotRun(callerapi.ReasonNoOwner).Later(ticketRetryAfter)
+		return ticket.Scope{}, &v
+	}
+	if scopeKind(config) == ticket.ScopeFence {
+		return ticket.FenceScope(d.Fence), nil
+	}
+	return ticket.TermScope(d.Term), nil
+}
+
+// ticketWay returns the way that a request with the ticket would take. For a
+// service that is not divided by key, the least loaded of the servers drawn
+// decides which lessor keeps the record.
+func (m *Module) ticketWay(r *run) (route.Decision, bool) {
+	view := m.source.View()
+	if r.req.Keyed {
+		d := route.Keyed(view, m.overlay.Overlay(), m.self, r.req.Service, r.req.Key)
+		return d, !d.Fence.IsZero() && !d.Term.IsZero()
+	}
+	ways, _ := r.ways(view)
+	if len(ways) == 0 {
+		return route.Decision{}, false
+	}
+	candidates := make([]pick.Candidate, len(ways))
+	for i, d := range ways {
+		candidates[i] = r.candidate(view, d)
+	}
+	chosen, found := m.picker.Pick(candidates, rand.Float64)
+	if !found {
+		return route.Decision{}, false
+	}
+	return ways[chosen], true
+}
--- /dev/null
+++ b/modules/router/wire.go
@@ -0,0 +1,137 @@
+package router
+
+import (
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"github.com/burdockspindle/burdockspindle/exchange"
+	"github.com/burdockspindle/burdockspindle/serverapi"
+	"github.com/burdockspindle/burdockspindle/topo"
+)
+
+// ForwardPrefix is where forwarded requests arrive on the peer listener. Every
+// forwarded request is a POST to this path, whatever the caller's method:
+// net/http resends requests of other methods, and those with an
+// Idempotency-Key, by itself when a connection breaks.
+const ForwardPrefix = "/forward/"
+
+// headerForward carries what else belongs to a forwarded request or its answer,
+// as JSON.
+const headerForward = "Burdockspindle-Forward"
+
+// forwardFormat is the version of both JSON forms.
+const forwardFormat = 1
+
+// keepAliveEvery is how often the lessor's node says with a 102 response that
+// it still works on a forwarded request. A connection over which nothing comes
+// for forwardSilent is given up.
+const (
+	keepAliveEvery = 200 * time.Millisecond
+	forwardSilent  = 1500 * time.Millisecond
+)
+
+// forwardedRequest is the JSON form of a forwarded request without its headers
+// and body.
+type forwardedRequest struct {
+	Format     int           `json:"format"`
+	From       topo.NodeID   `json:"from"`
+	To         topo.NodeID   `json:"to"`
+	Applied    topo.Offset   `json:"applied"`
+	ID         string        `json:"id"`
+	Service    topo.Service  `json:"service"`
+	Keyed      bool          `json:"keyed,omitempty"`
+	Key        []byte        `json:"key,omitempty"`
+	Method     string        `json:"method"`
+	Path       []byte        `json:"path"`
+	Length     int64         `json:"length"`
+	DeadlineMs int64         `json:"deadlineMs"` // left when sent
+	Caller     []byte        `json:"caller,omitempty"`
+	Ticket     string        `json:"ticket,omitempty"`
+	Hop        int           `json:"hop,omitempty"`
+	Chosen     topo.ServerID `json:"chosen,omitempty"`
+}
+
+// forwardedAnswer is the JSON form of the answer without its headers and body.
+type forwardedAnswer struct {
+	Format       int               `json:"format"`
+	ID           string            `json:"id"`
+	Status       int               `json:"status"`
+	Outcome      serverapi.Outcome `json:"outcome"`
+	Reason       serverapi.Reason  `json:"reason,omitempty"`
+	RetryAfterMs int64             `json:"retryAfterMs,omitempty"`
+	HasBody      bool              `json:"hasBody,omitempty"`
+	Length       string            `json:"length,omitempty"` // the answer's Content-Length header
+	Replayed     bool              `json:"replayed,omitempty"`
+	Server       topo.ServerID     `json:"server,omitempty"`
+	Load         float64           `json:"load,omitempty"`
+}
+
+// encodeForward renders either form; they hold nothing that JSON cannot.
+func encodeForward(form any) string {
+	text, err := json.Marshal(form)
+	if err != nil {
+		return ""
+	}
+	return string(text)
+}
+
+// decodeForwardedRequest reads a forwarded request's header. The error is a
+// *ForwardFormatError.
+func decodeForwardedRequest(text string) (forwardedRequest, error) {
+	var form forwardedRequest
+	if err := json.Unmarshal([]byte(text), &form); err != nil {
+		return form, &ForwardFormatError{Cause: err}
+	}
+	if form.Format != forwardFormat || form.Service == "" || form.ID == "" || form.Method == "" || form.From == "" {
+		return form, &ForwardFormatError{}
+	}
+	return form, nil
+}
+
+// decodeForwardedAnswer reads an answer's header. The error is a
+// *ForwardFormatError.
+func decodeForwardedAnswer(text string) (forwardedAnswer, error) {
+	var form forwardedAnswer
+	if err := json.Unmarshal([]byte(text), &form); err != nil {
+		return form, &ForwardFormatError{Cause: err}
+	}
+	if form.Format != forwardFormat || form.Status < 100 || form.Outcome == "" {
+		return form, &ForwardFormatError{}
+	}
+	return form, nil
+}
+
+// request returns the form as a request that arrived now.
+func (f forwardedRequest) request(now time.Time, header http.Header) *exchange.Request {
+	return &exchange.Request{
+		ID:         f.ID,
+		Service:    f.Service,
+		Keyed:      f.Keyed,
+		Key:        string(f.Key),
+		Method:     f.Method,
+		Path:       string(f.Path),
+		Header:     header,
+		Deadline:   now.Add(time.Duration(f.DeadlineMs) * time.Millisecond),
+		Caller:     string(f.Caller),
+		Ticket:     f.Ticket,
+		Hop:        f.Hop,
+		From:       f.From,
+		MinApplied: f.Applied,
+		Chosen:     f.Chosen,
+	}
+}
+
+// ForwardFormatError reports a forwarded request or answer that cannot be read.
+type ForwardFormatError struct{ Cause error }
+
+// Error implements error.
+func (e *ForwardFormatError) Error() string {
+	if e.Cause == nil {
+		return "forwarded message: missing or unknown fields"
+	}
+	return "forwarded message: " + e.Cause.Error()
+}
+
+// Unwrap returns the cause.
+func (e *ForwardFormatError) Unwrap() error { return e.Cause }
--- /dev/null
+++ b/route/routetest/site.go
@@ -0,0 +1,161 @@
+// Package routetest builds views of a site for tests of the request path, by
+// applying the records that a log would hold.
+package routetest
+
+import (
+	"context"
+	"fmt"
+	"sync"
+
+	"github.com/burdockspindle/burdockspindle/siteconfig"
+	"github.com/burdockspindle/burdockspindle/state"
+	"github.com/burdockspindle/burdockspindle/topo"
+
+	bspb "github.com/burdockspindle/burdockspindle/proto/burdockspindle/v1"
+)
+
+const writer = "test@1"
+
+// Site applies records to a state and publishes each view. It implements
+// state.Source; its methods may be called concurrently.
+type Site struct {
+	mu       sync.Mutex
+	state    *state.State
+	sequence uint64
+	view     *state.View
+	changed  chan struct{}
+}
+
+// New returns the site before the first record.
+func New() *Site {
+	s := &Site{state: state.New(), changed: make(chan struct{})}
+	s.view = s.state.View()
+	return s
+}
+
+// View implements state.Source.
+func (s *Site) View() *state.View {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.view
+}
+
+// Changed implements state.Source.
+func (s *Site) Changed() <-chan struct{} {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.changed
+}
+
+// WaitApplied implements state.Source.
+func (s *Site) WaitApplied(ctx context.Context, offset topo.Offset) error {
+	for {
+		changed := s.Changed()
+		if s.View().Applied() >= offset {
+			return nil
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+// Publish puts a site configuration with these services in force.
+func (s *Site) Publish(services ...*siteconfig.Service) {
+	site := &siteconfig.Site{Services: map[topo.Service]*siteconfig.Service{}, GroupsPerZone: 1}
+	for _, service := range services {
+		site.Services[service.Name] = service
+	}
+	s.apply(&bspb.Record{Body: &bspb.Record_PublishSite{PublishSite: &bspb.PublishSite{
+		Base:     s.View().SiteVersion(),
+		Text:     []byte("{}"),
+		Compiled: siteconfig.ToProto(site),
+	}}})
+}
+
+// Node adds or replaces a run of a node.
+func (s *Site) Node(id topo.NodeID, boot topo.BootID, address string) {
+	s.apply(&bspb.Record{Body: &bspb.Record_JoinNode{JoinNode: &bspb.JoinNode{
+		Node: string(id), Boot: string(boot), Zone: "zone-a", Region: "region", PeerAddress: address,
+	}}})
+}
+
+// Server adds or replaces a server.
+func (s *Site) Server(server state.Server) {
+	s.apply(&bspb.Record{Body: &bspb.Record_UpdateServers{UpdateServers: &bspb.UpdateServers{
+		Upsert: []*bspb.ServerEntry{{
+			Id:      string(server.ID),
+			Service: string(server.Service),
+			Zone:    string(server.Zone),
+			Address: server.Address,
+			Group:   string(server.Group),
+			Phase:   bspb.ServerPhase(server.Phase),
+		}},
+	}}})
+}
+
+// Lead makes a node the lessor of a group and returns its term.
+func (s *Site) Lead(group topo.GroupID, node topo.NodeID, boot topo.BootID) topo.Term {
+	current, _ := s.View().Group(group)
+	s.apply(&bspb.Record{Body: &bspb.Record_ClaimTerm{ClaimTerm: &bspb.ClaimTerm{
+		Group: string(group), Expected: ordinal(current.Term.Ordinal), Node: string(node), Boot: string(boot),
+	}}})
+	led, _ := s.View().Group(group)
+	return led.Term
+}
+
+// Assign gives a shard to a server and returns its fence.
+func (s *Site) Assign(shard topo.ShardID, owner, standby topo.ServerID) topo.Fence {
+	view := s.View()
+	current, _ := view.Shard(shard)
+	server, _ := view.Server(owner)
+	if previous, exists := view.Server(current.Owner); exists {
+		server = previous
+	}
+	group, _ := view.Group(server.Group)
+	s.apply(&bspb.Record{Body: &bspb.Record_AssignShards{AssignShards: &bspb.AssignShards{
+		Group: string(group.ID),
+		Term:  ordinal(group.Term.Ordinal),
+		Assignments: []*bspb.Assignment{{
+			Shard:    &bspb.ShardRef{Service: string(shard.Service), Index: shard.Index, Key: shard.Key},
+			Expected: ordinal(current.Fence.Ordinal),
+			Owner:    string(owner),
+			Standby:  string(standby),
+		}},
+	}}})
+	assigned, _ := s.View().Shard(shard)
+	return assigned.Fence
+}
+
+// AssignAll gives every shard of a service to servers in turn.
+func (s *Site) AssignAll(service topo.Service, owners ...topo.ServerID) {
+	config, _ := s.View().Service(service)
+	for index := range config.Shards {
+		owner := owners[int(index)%len(owners)]
+		s.Assign(topo.ShardID{Service: service, Index: index}, owner, "")
+	}
+}
+
+// apply appends a record; a refused one is a mistake in the test.
+func (s *Site) apply(rec *bspb.Record) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.sequence++
+	rec.Format, rec.Writer, rec.Sequence = 1, writer, s.sequence
+	result := s.state.Apply(s.state.Applied()+1, rec)
+	if !result.Accepted {
+		panic(fmt.Sprintf("record refused: %+v", result))
+	}
+	s.view = s.state.View()
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+func ordinal(o topo.Ordinal) *bspb.Ordinal {
+	if o.IsZero() {
+		return nil
+	}
+	return &bspb.Ordinal{Offset: uint64(o.Offset), Rank: o.Rank}
+}
