History: the end of a committed run is the moment its ownership was checked

Cause: a pause between that check and the record made the run look longer than its ownership, so that runs could not be compared with later owners' runs.

--- a/standin/server/serve.go
+++ b/standin/server/serve.go
@@ -177,7 +177,8 @@
 }
 
 // run takes the service time, applies the request, and checks that the server
-// was the owner throughout.
+// was the owner throughout. A committed run was still owned at the moment that
+// is returned.
 func (s *Server) run(ctx context.Context, run *life, w http.ResponseWriter, req serveRequest, claim lease.RunID, used *ticket.Ticket) effect {
 	if used != nil {
 		// What runs at most once is run to its end, so that the answer is there
