--- /dev/null
+++ b/modules/serverhttp/errors.go
@@ -0,0 +1,94 @@
+package serverhttp
+
+import (
+	"strconv"
+	"time"
+
+	"github.com/burdockspindle/burdockspindle/topo"
+)
+
+// OptionError reports an option that cannot be used.
+type OptionError struct {
+	Name    string
+	Problem string
+}
+
+// Error implements error.
+func (e *OptionError) Error() string { return "servers.http: option " + e.Name + ": " + e.Problem }
+
+// SilentError reports a connection that made no progress for too long.
+type SilentError struct{ After time.Duration }
+
+// Error implements error.
+func (e *SilentError) Error() string { return "no progress for " + e.After.String() }
+
+// WrongAnswerError reports an answer that does not carry its request's ID. It
+// may belong to somebody else and is never passed on.
+type WrongAnswerError struct {
+	Want string
+	Got  string
+}
+
+// Error implements error.
+func (e *WrongAnswerError) Error() string {
+	return "answer carries request ID " + strconv.Quote(e.Got) + " and not " + strconv.Quote(e.Want)
+}
+
+// UnboundedAnswerError reports an answer that would end with its connection, so
+// that nobody could tell whether it is whole.
+type UnboundedAnswerError struct{ Status int }
+
+// Error implements error.
+func (e *UnboundedAnswerError) Error() string {
+	return "answer " + strconv.Itoa(e.Status) + " has neither a length nor chunks"
+}
+
+// ProtocolError reports an answer that breaks the protocol of package
+// serverapi.
+type ProtocolError struct{ Problem string }
+
+// Error implements error.
+func (e *ProtocolError) Error() string { return "protocol broken: " + e.Problem }
+
+// StatusError reports a lease or acknowledge call that was answered with
+// another status than the protocol's.
+type StatusError struct{ Status int }
+
+// Error implements error.
+func (e *StatusError) Error() string { return "answered with status " + strconv.Itoa(e.Status) }
+
+// ShareError reports that every connection of this process's share of a server
+// is in use, or that it has no share.
+type ShareError struct {
+	Server topo.ServerID
+	Share  int
+}
+
+// Error implements error.
+func (e *ShareError) Error() string {
+	return "no connection left of the share of " + strconv.Itoa(e.Share)
+}
+
+// DeadlineError reports a request whose deadline passed before it was sent.
+type DeadlineError struct{}
+
+// Error implements error.
+func (*DeadlineError) Error() string { return "deadline passed before it was sent" }
+
+// RequestError reports a request that cannot be written as HTTP.
+type RequestError struct{ Cause error }
+
+// Error implements error.
+func (e *RequestError) Error() string { return "request not valid: " + e.Cause.Error() }
+
+// Unwrap returns the cause.
+func (e *RequestError) Unwrap() error { return e.Cause }
+
+// DialError reports a connection that could not be opened.
+type DialError struct{ Cause error }
+
+// Error implements error.
+func (e *DialError) Error() string { return "connect: " + e.Cause.Error() }
+
+// Unwrap returns the cause.
+func (e *DialError) Unwrap() error { return e.Cause }
