--- a/state/apply_site.go
+++ b/state/apply_site.go
@@ -36,7 +36,8 @@
 // checkTables refuses a site that would change the shard count of a service
 // whose shards are owned, or make such a service unkeyed.
 func (s *State) checkTables(site *siteconfig.Site) *Conflict {
-	for name, table := range s.tables.entries {
+	for _, name := range sortedKeys(s.tables.entries) {
+		table := s.tables.entries[name]
 		service, listed := site.Services[name]
 		if !listed || table.owned == 0 {
 			continue
