--- a/modules/standard/standard.go
+++ b/modules/standard/standard.go
@@ -1,2 +1,19 @@
-// Package standard registers the modules that the released binary contains.
+// Package standard registers the modules that the released binary contains. A
+// module that is not imported here is not in the binary.
 package standard
+
+import (
+	_ "github.com/burdockspindle/burdockspindle/modules/admin"
+	_ "github.com/burdockspindle/burdockspindle/modules/balance"
+	_ "github.com/burdockspindle/burdockspindle/modules/follower"
+	_ "github.com/burdockspindle/burdockspindle/modules/frontend"
+	_ "github.com/burdockspindle/burdockspindle/modules/lessor"
+	_ "github.com/burdockspindle/burdockspindle/modules/logmem"
+	_ "github.com/burdockspindle/burdockspindle/modules/membership"
+	_ "github.com/burdockspindle/burdockspindle/modules/peer"
+	_ "github.com/burdockspindle/burdockspindle/modules/planner"
+	_ "github.com/burdockspindle/burdockspindle/modules/router"
+	_ "github.com/burdockspindle/burdockspindle/modules/serverhttp"
+	_ "github.com/burdockspindle/burdockspindle/modules/vmshttp"
+	_ "github.com/burdockspindle/burdockspindle/modules/vmsmem"
+)
