--- /dev/null
+++ b/lessor/claim.go
@@ -0,0 +1,213 @@
+package lessor
+
+import (
+	"time"
+
+	"github.com/burdockspindle/burdockspindle/state"
+	"github.com/burdockspindle/burdockspindle/topo"
+)
+
+// standbyPatience is how many times SuspectAfter a standby lessor may be silent
+// before its lessor names another one.
+const standbyPatience = 5
+
+// maxPatienceDoublings bounds how patience grows while each standby lessor that
+// is named stays silent.
+const maxPatienceDoublings = 5
+
+// claimDue reports whether this member should claim the group's next term now.
+func (m *Member) claimDue(now time.Duration) bool {
+	if m.claim.inFlight || (m.claim.again.set && now < m.claim.again.at) {
+		return false
+	}
+	if !m.observed || !m.contact.fresher(now, m.cfg.Lease.TTL) {
+		return false
+	}
+	switch m.role {
+	case RoleLessor:
+		return m.reclaimDue(now)
+	case RoleStandby:
+		return !m.draining && m.takeoverDue(now)
+	}
+	return !m.draining && m.standInDue(now)
+}
+
+// reclaimDue reports whether the lessor should claim its own group again: to
+// record that it went on off the log, or to name another standby lessor.
+func (m *Member) reclaimDue(now time.Duration) bool {
+	if m.offLog {
+		return true
+	}
+	silence := now - max(m.seen.at, m.beats.answered.at)
+	if m.right.mode == ModeDisconnected {
+		return silence >= m.cfg.SuspectAfter
+	}
+	patience := standbyPatience * m.cfg.SuspectAfter << min(m.claim.repeated, maxPatienceDoublings)
+	lost := m.standbyRun().Node == "" || m.facts.StandbyGone || silence >= patience
+	return lost && m.chooseStandby().Node != ""
+}
+
+// takeoverDue reports whether the standby lessor should take over: it was asked
+// to, or the lessor's run has ended or is silent, also on a new connection.
+func (m *Member) takeoverDue(now time.Duration) bool {
+	if m.standing.resigns || m.facts.LessorGone {
+		return true
+	}
+	silence := now - m.standing.heard.at
+	if silence < m.cfg.SuspectAfter {
+		return false
+	}
+	return m.watch.failed(m.facts.Group.Lessor) || silence >= standbyPatience*m.cfg.SuspectAfter
+}
+
+// goOnDue reports whether the standby lessor should take over without the log.
+func (m *Member) goOnDue(now time.Duration) bool {
+	if m.draining || !m.mayGoOn() || m.contact.fresher(now, m.cfg.Lease.TTL) {
+		return false
+	}
+	return m.takeoverDue(now)
+}
+
+// mayGoOn reports whether this standby lessor may take over without the log:
+// the lessor goes by its promise alone, and was settled.
+func (m *Member) mayGoOn() bool {
+	if m.role != RoleStandby || !m.standing.settled {
+		return false
+	}
+	return m.standing.mode == ModeDisconnected || m.rules.noModes
+}
+
+// BeginGoOn makes the standby lessor the lessor under the term that the group's
+// record allocated for it. It gives no promise from now on.
+func (m *Member) BeginGoOn(now time.Duration) bool {
+	if !m.mayGoOn() {
+		return false
+	}
+	next := m.goOn(now)
+	pending := m.claim
+	m.resetLessor()
+	m.takeover = next
+	m.claim = pending
+	m.role = RoleLessor
+	m.offLog = true
+	m.term = m.facts.Group.Term.Standby()
+	m.standing = standing{}
+	m.settling = true
+	m.advance(now)
+	return true
+}
+
+// standInDue reports whether a node that is neither lessor nor standby lessor
+// should claim the group.
+func (m *Member) standInDue(now time.Duration) bool {
+	since, needed := m.leaderlessSince(now)
+	if !needed {
+		return false
+	}
+	if m.place < 0 {
+		return false
+	}
+	if m.isOutsider() && m.watch.notBefore.set && now < m.watch.notBefore.at {
+		return false
+	}
+	return now-since >= time.Duration(m.place)*m.cfg.StandInAfter
+}
+
+// leaderlessSince returns since when the group has had neither a lessor nor a
+// standby lessor, as far as this node can tell.
+func (m *Member) leaderlessSince(now time.Duration) (time.Duration, bool) {
+	group := m.facts.Group
+	if group.Term.IsZero() {
+		return m.seen.at, true
+	}
+	lessor, lessorSilent := m.endedSince(now, group.Lessor, m.lessorGone)
+	standby, standbySilent := m.endedSince(now, group.Standby, m.standbyGone)
+	return max(lessor, standby), lessorSilent && standbySilent
+}
+
+// endedSince tells since when a node named by the group has given no sign of
+// life, or is known to have ended.
+func (m *Member) endedSince(now time.Duration, id topo.NodeID, gone moment) (time.Duration, bool) {
+	if id == "" {
+		return m.seen.at, true
+	}
+	if gone.set {
+		return gone.at, true
+	}
+	since, silent := m.watch.silentSince(id)
+	if !silent || now-since < m.cfg.SuspectAfter {
+		return 0, false
+	}
+	return since + m.cfg.SuspectAfter, true
+}
+
+// BeginClaim returns the claim to write to the log. From now until its fate is
+// known, a standby lessor gives no promise.
+func (m *Member) BeginClaim(now time.Duration) (Claim, bool) {
+	if m.claim.inFlight || !m.observed {
+		return Claim{}, false
+	}
+	m.claim.inFlight = true
+	m.claim.expected = m.facts.Group.Term
+	if m.role == RoleLessor && !m.offLog {
+		m.claim.repeated++
+	}
+	claim := Claim{Expected: m.facts.Group.Term, Standby: m.chooseStandby()}
+	if m.offLog {
+		claim.Continued = m.term
+	}
+	return claim, true
+}
+
+// ClaimDone tells that the claim's fate is known: accepted or not, it has been
+// applied, and the state observed next shows what became of it.
+func (m *Member) ClaimDone(now time.Duration, accepted bool) {
+	m.claim.inFlight = false
+	m.claim.awaited = m.claim.awaited || accepted
+	m.claim.again = momentAt(now + m.cfg.RetryAfter)
+}
+
+// ClaimFailed tells that the claim was not appended or, if unknown, may have
+// been or may still be.
+func (m *Member) ClaimFailed(now time.Duration, unknown bool) {
+	m.claim.inFlight = false
+	m.claim.awaited = m.claim.awaited || unknown
+	m.claim.again = momentAt(now + m.cfg.RetryAfter)
+}
+
+// chooseStandby returns the standby lessor to name: the next in turn that has
+// not been found silent. Its node is empty if there is none.
+func (m *Member) chooseStandby() Run {
+	nodes := m.facts.Nodes
+	group := m.facts.Group
+	var list []state.Node
+	for _, n := range nodes {
+		ended := n.ID == group.Standby && m.role == RoleLessor && !m.offLog
+		replaced := n.ID == group.Standby && n.Boot != group.StandbyBoot
+		failed := n.ID == group.Lessor && n.Boot == group.LessorBoot && m.role != RoleLessor
+		if n.ID == m.cfg.Node || (ended && !replaced) || failed {
+			continue
+		}
+		list = append(list, n)
+	}
+	if len(list) == 0 {
+		return Run{}
+	}
+	m.order(list)
+	return Run{Node: list[0].ID, Boot: list[0].Boot}
+}
+
+// givesBack reports whether a lessor of another zone should hand the group to
+// the standby lessor of the group's own zone.
+func (m *Member) givesBack(now time.Duration) bool {
+	if !m.isOutsider() || !m.termSettled() {
+		return false
+	}
+	standby := m.standbyRun()
+	for _, n := range m.facts.Nodes {
+		if n.ID == standby.Node && n.Zone == m.cfg.Group.Zone() {
+			return m.right.promise.fresher(now, m.cfg.Lease.TTL)
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/lessor/collect.go
@@ -0,0 +1,227 @@
+package lessor
+
+import (
+	"slices"
+	"time"
+
+	"github.com/burdockspindle/burdockspindle/topo"
+)
+
+// collect returns the assignments that are due and allowed now, at most one
+// record's worth, and why.
+func (m *Member) collect(now time.Duration) ([]Assign, string) {
+	var assigns []Assign
+	var reason string
+	add := func(a Assign, why string) bool {
+		if why == "" {
+			return true
+		}
+		assigns = append(assigns, a)
+		if reason == "" {
+			reason = why
+		}
+		return len(assigns) < maxAssignments
+	}
+	place := m.newPlacement()
+	for _, id := range m.shardOrder() {
+		a, why := m.changeOf(now, m.facts.Shards[id], place)
+		if !add(a, why) {
+			return assigns, reason
+		}
+	}
+	for _, id := range m.splitOrder() {
+		a, why := m.splitChange(now, m.moves[id], place)
+		if !add(a, why) {
+			break
+		}
+	}
+	return assigns, reason
+}
+
+// shardOrder lists the group's shards in a fixed order.
+func (m *Member) shardOrder() []topo.ShardID {
+	order := make([]topo.ShardID, 0, len(m.facts.Shards))
+	for id := range m.facts.Shards {
+		order = append(order, id)
+	}
+	slices.SortFunc(order, compareShards)
+	return order
+}
+
+func (m *Member) splitOrder() []topo.ShardID {
+	var order []topo.ShardID
+	for id, mv := range m.moves {
+		if mv.split && !mv.submitted {
+			order = append(order, id)
+		}
+	}
+	slices.SortFunc(order, compareShards)
+	return order
+}
+
+// changeOf returns the change that one shard needs, and why; an empty reason
+// means none.
+func (m *Member) changeOf(now time.Duration, shard Shard, place *placement) (Assign, string) {
+	if !m.isSettled(shard) {
+		return Assign{}, ""
+	}
+	if n, needed := m.needs[shard.Shard]; needed {
+		return m.changeNeeded(now, shard, n, place)
+	}
+	if a, active := m.activated[shard.Shard]; active {
+		return m.changeActivated(now, shard, a, place)
+	}
+	if why := m.ownerEnded(now, shard); why != "" {
+		return m.reassign(shard, shard.Standby, place, why)
+	}
+	if mv, moving := m.moves[shard.Shard]; moving && !mv.submitted {
+		return m.changeMoved(now, shard, mv, place)
+	}
+	if shard.OwnerBoot == "" && m.serves(shard.Owner) {
+		return m.assign(shard, shard.Owner, place), reasonBind
+	}
+	if m.submit.undecided[shard.Shard].unknown && m.ownerRuns(shard) {
+		return m.assign(shard, shard.Owner, place), reasonDecide
+	}
+	return Assign{}, ""
+}
+
+// ownerRuns reports whether the owner's run that the fence belongs to is the
+// one that was heard last.
+func (m *Member) ownerRuns(shard Shard) bool {
+	s, known := m.servers[shard.Owner]
+	return known && s.boot() != "" && s.boot() == shard.OwnerBoot
+}
+
+// ownerEnded says why a shard's owner serves it no longer; empty if it may.
+func (m *Member) ownerEnded(now time.Duration, shard Shard) string {
+	if m.serverDown(now, shard.Owner) && m.mayReplace(shard) {
+		return reasonLost
+	}
+	s, known := m.servers[shard.Owner]
+	if !known || s.boot() == "" || shard.OwnerBoot == "" {
+		return ""
+	}
+	if s.boot() != shard.OwnerBoot && s.lapsed(now) {
+		return reasonRestarted
+	}
+	return ""
+}
+
+// mayReplace reports whether a silent owner may be replaced: one that does not
+// check fencing may still be at work.
+func (m *Member) mayReplace(shard Shard) bool {
+	policy := shard.Policy
+	return policy.ChecksFencing || policy.AcceptUnfenced || m.confirmedLost(shard.Owner)
+}
+
+// free reports whether the owner of a shard can hold no lease of it any longer.
+func (m *Member) free(now time.Duration, shard Shard) bool {
+	return m.serverFree(now, shard.Owner, shard.Shard)
+}
+
+// serverFree reports whether a server can hold no lease of a settled shard any
+// longer.
+func (m *Member) serverFree(now time.Duration, id topo.ServerID, shard topo.ShardID) bool {
+	s, exists := m.servers[id]
+	if !exists || m.confirmedLost(id) {
+		return true
+	}
+	return s.lapsed(now) || s.handedBack(shard)
+}
+
+// changeNeeded gives a shard of an earlier term a new fence. Neither of the two
+// servers that may have held it can be granted it by anyone now; a lease that
+// one of them reported must have ended, unless that one goes on.
+func (m *Member) changeNeeded(now time.Duration, shard Shard, n need, place *placement) (Assign, string) {
+	to := place.owner(shard.Shard.Service, n.to)
+	if to == "" {
+		return Assign{}, ""
+	}
+	for _, id := range []topo.ServerID{shard.Owner, shard.Standby} {
+		if id != "" && id != to && !m.serverFree(now, id, shard.Shard) {
+			return Assign{}, ""
+		}
+	}
+	a := m.assign(shard, to, place)
+	a.StandbyWasActive = n.wasActive
+	return a, reasonTakeover
+}
+
+// changeActivated records a standby server that was activated off the log, or
+// moves the shard on if that server's run has ended.
+func (m *Member) changeActivated(now time.Duration, shard Shard, active *activation, place *placement) (Assign, string) {
+	if !m.free(now, shard) {
+		return Assign{}, ""
+	}
+	s, known := m.servers[active.server]
+	if known && s.boot() == active.boot && !m.serverDown(now, active.server) {
+		a := m.assign(shard, active.server, place)
+		a.StandbyWasActive = active.granted
+		return a, reasonActivated
+	}
+	if !m.serverFree(now, active.server, shard.Shard) {
+		return Assign{}, ""
+	}
+	a, why := m.reassign(shard, shard.Owner, place, reasonActivated)
+	a.StandbyWasActive = active.granted
+	return a, why
+}
+
+// changeMoved completes a planned move once the owner has handed the shard
+// back.
+func (m *Member) changeMoved(now time.Duration, shard Shard, mv *move, place *placement) (Assign, string) {
+	if mv.revokes() && !m.free(now, shard) {
+		return Assign{}, ""
+	}
+	if mv.sameOwner && !m.ownerRuns(shard) {
+		return Assign{}, ""
+	}
+	if mv.release {
+		return Assign{Shard: shard.Shard, Expected: shard.Fence}, reasonRelease
+	}
+	if mv.Merge {
+		a := Assign{Shard: shard.Shard, Expected: shard.Fence, Owner: shard.Owner, OwnerBoot: shard.OwnerBoot, Merge: true}
+		return a, reasonMove
+	}
+	if mv.sameOwner {
+		shard.Standby = mv.Standby
+		return m.assign(shard, shard.Owner, place), reasonMove
+	}
+	if mv.Standby != "" {
+		shard.Standby = mv.Standby
+	}
+	return m.reassign(shard, mv.To, place, reasonMove)
+}
+
+// splitChange completes the split of a key once the range's owner refuses it.
+func (m *Member) splitChange(now time.Duration, mv *move, place *placement) (Assign, string) {
+	covering, exists := m.facts.Shards[rangeOf(mv.Shard)]
+	if !exists || !m.isSettled(covering) || !m.serverFree(now, covering.Owner, mv.Shard) {
+		return Assign{}, ""
+	}
+	split := covering
+	split.Shard = mv.Shard
+	split.Standby = mv.Standby
+	return m.reassign(split, mv.To, place, reasonMove)
+}
+
+// reassign gives a shard that is free another owner: the preferred one if it is
+// fit.
+func (m *Member) reassign(shard Shard, preferred topo.ServerID, place *placement, why string) (Assign, string) {
+	to := place.owner(shard.Shard.Service, preferred)
+	if to == "" {
+		return Assign{}, ""
+	}
+	return m.assign(shard, to, place), why
+}
+
+// assign fills in one assignment. The owner's run is named if it is known.
+func (m *Member) assign(shard Shard, to topo.ServerID, place *placement) Assign {
+	a := Assign{Shard: shard.Shard, Expected: shard.Fence, Owner: to}
+	if s, known := m.servers[to]; known {
+		a.OwnerBoot = s.boot()
+	}
+	a.Standby = place.standby(shard.Shard.Service, to, shard.Standby)
+	return a
+}
--- /dev/null
+++ b/lessor/dump.go
@@ -0,0 +1,143 @@
+package lessor
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/burdockspindle/burdockspindle/topo"
+)
+
+// Dump describes a member for the state dump.
+type Dump struct {
+	Group      topo.GroupID  `json:"group"`
+	Role       string        `json:"role"`
+	Term       string        `json:"term"`
+	OffLog     bool          `json:"offLog"`
+	Mode       string        `json:"mode"`
+	Basis      string        `json:"basis"`
+	Settled    bool          `json:"settled"`
+	ContactAge string        `json:"contactAge"`
+	PromiseAge string        `json:"promiseAge"`
+	Claiming   bool          `json:"claiming"`
+	Undecided  []string      `json:"undecided,omitempty"`
+	Activated  []string      `json:"activated,omitempty"`
+	Moves      int           `json:"moves"`
+	Servers    []ServerDump  `json:"servers,omitempty"`
+	Standing   *StandingDump `json:"standing,omitempty"`
+	Watched    []topo.NodeID `json:"watched,omitempty"`
+	Unsettled  []string      `json:"unsettled,omitempty"`
+	Needs      []string      `json:"needs,omitempty"`
+	Applied    topo.Offset   `json:"applied"`
+	Standby    topo.NodeID   `json:"standby"`
+	Place      int           `json:"place"`
+}
+
+// ServerDump describes one server of a lessor's group.
+type ServerDump struct {
+	ID         topo.ServerID `json:"id"`
+	Boot       topo.BootID   `json:"boot"`
+	Generation uint64        `json:"generation"`
+	Reported   uint64        `json:"reported"`
+	Shards     int           `json:"shards"`
+	Failures   int           `json:"failures"`
+	Acked      bool          `json:"acked"`
+	LeaseLeft  string        `json:"leaseLeft"`
+	Draining   bool          `json:"draining"`
+}
+
+// StandingDump describes what a standby lessor remembers.
+type StandingDump struct {
+	Mode        string `json:"mode"`
+	Settled     bool   `json:"settled"`
+	HeardAge    string `json:"heardAge"`
+	PromiseLeft string `json:"promiseLeft"`
+	Activated   int    `json:"activated"`
+}
+
+// Dump returns the member's state as of now.
+func (m *Member) Dump(now time.Duration) Dump {
+	d := Dump{
+		Group:      m.cfg.Group,
+		Role:       m.role.String(),
+		Term:       m.term.String(),
+		OffLog:     m.offLog,
+		Mode:       m.right.mode.String(),
+		Basis:      m.takeover.basis.String(),
+		Settled:    m.termSettled(),
+		ContactAge: m.contact.age(now),
+		PromiseAge: m.right.promise.age(now),
+		Claiming:   m.claim.pending(),
+		Undecided:  texts(m.undecided()),
+		Activated:  texts(slices.SortedFunc(maps.Keys(m.activated), compareShards)),
+		Moves:      len(m.moves),
+		Watched:    slices.Sorted(maps.Keys(m.watch.nodes)),
+		Needs:      texts(slices.SortedFunc(maps.Keys(m.needs), compareShards)),
+		Applied:    m.facts.Applied,
+		Standby:    m.facts.Group.Standby,
+		Place:      m.place,
+	}
+	if m.role == RoleLessor {
+		d.Unsettled = texts(m.unsettled())
+		d.Servers = m.dumpServers(now)
+	}
+	if m.role == RoleStandby {
+		d.Standing = m.standing.dump(now)
+	}
+	return d
+}
+
+func (m *Member) unsettled() []topo.ShardID {
+	var list []topo.ShardID
+	for _, id := range m.shardOrder() {
+		if !m.isSettled(m.facts.Shards[id]) {
+			list = append(list, id)
+		}
+	}
+	return list
+}
+
+func (m *Member) dumpServers(now time.Duration) []ServerDump {
+	var list []ServerDump
+	for _, id := range slices.Sorted(maps.Keys(m.servers)) {
+		s := m.servers[id]
+		list = append(list, ServerDump{
+			ID:         id,
+			Boot:       s.boot(),
+			Generation: s.generation,
+			Reported:   s.reported,
+			Shards:     len(s.list),
+			Failures:   s.failures,
+			Acked:      s.acked,
+			LeaseLeft:  max(0, fromWall(s.granter.Until())-now).String(),
+			Draining:   s.draining,
+		})
+	}
+	return list
+}
+
+func (s *standing) dump(now time.Duration) *StandingDump {
+	return &StandingDump{
+		Mode:        s.mode.String(),
+		Settled:     s.settled,
+		HeardAge:    s.heard.age(now),
+		PromiseLeft: max(0, s.promised.at-now).String(),
+		Activated:   len(s.activated),
+	}
+}
+
+func texts(ids []topo.ShardID) []string {
+	var list []string
+	for _, id := range ids {
+		list = append(list, id.String())
+	}
+	return list
+}
+
+// age renders how long ago the moment was.
+func (m moment) age(now time.Duration) string {
+	if !m.set {
+		return "never"
+	}
+	return (now - m.at).String()
+}
--- /dev/null
+++ b/lessor/heartbeat.go
@@ -0,0 +1,82 @@
+package lessor
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/burdockspindle/burdockspindle/topo"
+)
+
+// maxHeartbeats bounds the heartbeats without an answer that are remembered.
+const maxHeartbeats = 16
+
+// heartbeats is what a lessor knows of its heartbeats to the standby lessor.
+type heartbeats struct {
+	round    uint64
+	sent     map[uint64]time.Duration // not answered yet, by round
+	last     moment                   // latest sending
+	answered moment                   // latest answer with a promise
+	peerAt   topo.Offset              // applied by the standby lessor
+	highest  topo.Term                // told by the standby lessor
+}
+
+// standbyRun returns the standby lessor; the node is empty if there is none.
+func (m *Member) standbyRun() Run {
+	return Run{Node: m.facts.Group.Standby, Boot: m.facts.Group.StandbyBoot}
+}
+
+// BeginHeartbeat returns the heartbeat to send now.
+func (m *Member) BeginHeartbeat(now time.Duration) (Heartbeat, bool) {
+	if m.role != RoleLessor || m.offLog || m.standbyRun().Node == "" {
+		return Heartbeat{}, false
+	}
+	m.advance(now)
+	m.beats.round++
+	m.beats.last = momentAt(now)
+	m.beats.sent[m.beats.round] = now
+	delete(m.beats.sent, m.beats.round-maxHeartbeats)
+	return Heartbeat{
+		From:      m.self(),
+		Term:      m.term,
+		Round:     m.beats.round,
+		Mode:      m.right.asked,
+		ModeRound: m.right.round,
+		Applied:   m.facts.Applied,
+		Settled:   m.termSettled(),
+		Resigning: m.draining || m.givesBack(now),
+		Activated: slices.SortedFunc(maps.Keys(m.activated), compareShards),
+		Undecided: m.undecided(),
+	}, true
+}
+
+// HeartbeatAnswered takes the standby lessor's reply.
+func (m *Member) HeartbeatAnswered(now time.Duration, reply HeartbeatReply) {
+	sent, known := m.beats.sent[reply.Round]
+	if m.role != RoleLessor || !known || reply.Term != m.term || reply.From != m.standbyRun() {
+		return
+	}
+	delete(m.beats.sent, reply.Round)
+	m.beats.peerAt = max(m.beats.peerAt, reply.Applied)
+	if m.beats.highest.Less(reply.HighestTerm) {
+		m.beats.highest = reply.HighestTerm
+	}
+	if !reply.Promised {
+		return
+	}
+	m.beats.answered = m.beats.answered.later(momentAt(now))
+	m.claim.repeated = 0
+	m.right.answered(reply, sent)
+	m.grantTold(reply.Round)
+	m.advance(now)
+}
+
+// BeginChangeMode asks the standby lessor for another mode with the next
+// heartbeats.
+func (m *Member) BeginChangeMode(to Mode) bool {
+	if m.role != RoleLessor || m.offLog || m.right.asked == to {
+		return false
+	}
+	m.right.ask(to)
+	return true
+}
--- /dev/null
+++ b/lessor/member.go
@@ -0,0 +1,308 @@
+package lessor
+
+import (
+	"math"
+	"time"
+
+	"github.com/burdockspindle/burdockspindle/siteconfig"
+	"github.com/burdockspindle/burdockspindle/topo"
+)
+
+// Role is a node's part in a group.
+type Role uint8
+
+// Roles.
+const (
+	RoleNone    Role = iota
+	RoleStandby      // standby lessor
+	RoleLessor
+)
+
+// String names the role.
+func (r Role) String() string {
+	switch r {
+	case RoleStandby:
+		return "standby"
+	case RoleLessor:
+		return "lessor"
+	}
+	return "none"
+}
+
+// Member is this node's part in one group. It is not safe for concurrent use.
+// Times given to its methods must not go backwards.
+type Member struct {
+	cfg   Config
+	rules rules
+
+	facts    *Facts
+	place    int  // among the candidates for the next lessor; below 0 if not one
+	watches  bool // one of the few that watch lessor and standby lessor
+	observed bool
+	contact  moment // when the latest log read began that proved Facts up to date
+	seen     moment // when the term in force was first seen
+	// lessorGone and standbyGone are when the facts first said so in this term.
+	lessorGone  moment
+	standbyGone moment
+
+	role     Role
+	term     topo.Term // acted under, or stood by for
+	offLog   bool      // lessor under the standby's term, not recorded yet
+	draining bool      // this process is leaving
+
+	standing standing
+	claim    claimState
+	watch    watch
+
+	// What follows is a lessor's.
+	right     right
+	beats     heartbeats
+	takeover  takeover
+	settling  bool // some shards may not be settled
+	servers   map[topo.ServerID]*server
+	settled   map[topo.ShardID]topo.Fence
+	needs     map[topo.ShardID]need
+	activated map[topo.ShardID]*activation
+	moves     map[topo.ShardID]*move
+	submit    submission
+	announced moment // latest announcement
+}
+
+// claimState is a claim of this run whose record has not been seen.
+type claimState struct {
+	inFlight bool // the driver is working on it
+	awaited  bool // its record was, or may have been, written
+	expected topo.Term
+	again    moment // not before
+	repeated int    // claims in a row by which a lessor named another standby lessor
+}
+
+// pending reports whether a claim may take effect.
+func (c claimState) pending() bool { return c.inFlight || c.awaited }
+
+// NewMember returns a member that has observed nothing.
+func NewMember(cfg Config) *Member {
+	m := &Member{cfg: cfg, facts: &Facts{}}
+	m.resetLessor()
+	m.watch = watch{}.next(0, false)
+	return m
+}
+
+func (m *Member) resetLessor() {
+	m.right = right{}
+	m.beats = heartbeats{round: m.beats.round, sent: map[uint64]time.Duration{}}
+	m.takeover = takeover{}
+	m.servers = map[topo.ServerID]*server{}
+	m.settled = map[topo.ShardID]topo.Fence{}
+	m.needs = map[topo.ShardID]need{}
+	m.activated = map[topo.ShardID]*activation{}
+	m.moves = map[topo.ShardID]*move{}
+	m.submit = submission{number: m.submit.number, undecided: map[topo.ShardID]doubt{}}
+	m.announced = moment{}
+}
+
+func (m *Member) self() Run { return Run{Node: m.cfg.Node, Boot: m.cfg.Boot} }
+
+func (m *Member) isLessor() bool {
+	g := m.facts.Group
+	return m.self() == Run{Node: g.Lessor, Boot: g.LessorBoot}
+}
+
+func (m *Member) isStandby() bool {
+	g := m.facts.Group
+	return m.self() == Run{Node: g.Standby, Boot: g.StandbyBoot}
+}
+
+// highestTerm is the highest term of the group that this run knows to be used.
+func (m *Member) highestTerm() topo.Term {
+	if m.offLog {
+		return m.term
+	}
+	return m.facts.Group.Term
+}
+
+// Observe takes the state as of facts. askedAt is when the latest log read
+// began that proved these facts up to date, and known is false if there never
+// was one. The caller must look up askedAt before it takes the view from which
+// it derives the facts; the other way round, a record applied in between would
+// be missed by a contact that counts as fresh. Facts that are the same pointer
+// as before only renew the contact.
+func (m *Member) Observe(now time.Duration, askedAt time.Duration, known bool, facts *Facts) {
+	if known {
+		m.contact = m.contact.later(momentAt(askedAt))
+	}
+	if facts == m.facts {
+		return
+	}
+	old := m.facts
+	before := old.Group.Term
+	m.facts = facts
+	m.settling = true
+	if !m.observed || facts.Group.Term != before {
+		m.observed = true
+		m.termChanged(now, before)
+	}
+	m.noteGone(now)
+	m.place, m.watches = m.turn()
+	m.forgetPast()
+	if m.role == RoleLessor {
+		m.hurryNew(old)
+	}
+	m.advance(now)
+}
+
+func (m *Member) noteGone(now time.Duration) {
+	if m.facts.LessorGone && !m.lessorGone.set {
+		m.lessorGone = momentAt(now)
+	}
+	if m.facts.StandbyGone && !m.standbyGone.set {
+		m.standbyGone = momentAt(now)
+	}
+}
+
+// termChanged takes up this node's part in the term that is new in force.
+func (m *Member) termChanged(now time.Duration, before topo.Term) {
+	m.seen = momentAt(now)
+	m.lessorGone, m.standbyGone = moment{}, moment{}
+	m.watch = m.watch.next(now, m.role == RoleLessor && m.isOutsider())
+	switch {
+	case m.isLessor():
+		m.becomeLessor(now, before)
+	case m.isStandby():
+		m.stepDown()
+		m.role = RoleStandby
+		m.term = m.facts.Group.Term
+		m.standing = newStanding(now)
+	default:
+		m.stepDown()
+	}
+	m.claim = claimState{again: m.claim.again, repeated: m.claim.repeated}
+}
+
+// stepDown gives up whatever this node was in the group.
+func (m *Member) stepDown() {
+	m.role = RoleNone
+	m.term = topo.Term{}
+	m.offLog = false
+	m.standing = standing{}
+	m.resetLessor()
+}
+
+// becomeLessor takes up a term that this run claimed.
+func (m *Member) becomeLessor(now time.Duration, before topo.Term) {
+	next := m.takeoverAfter(now, before)
+	carried := next.basis == basisSelf
+	if !carried {
+		m.resetLessor()
+		m.takeover = next
+	}
+	m.role = RoleLessor
+	m.term = m.facts.Group.Term
+	m.offLog = false
+	m.right = right{}
+	m.beats.sent = map[uint64]time.Duration{}
+	if carried {
+		m.carryOver()
+	}
+	m.standing = standing{}
+}
+
+// carryOver keeps what this run knew as the lessor of the term before. Records
+// of that term can no longer change anything.
+func (m *Member) carryOver() {
+	if m.takeover.before == math.MaxUint64 {
+		m.takeover.before = m.term.Offset
+	}
+	for _, s := range m.servers {
+		s.newTerm()
+	}
+	for _, a := range m.activated {
+		a.told = 0
+	}
+	m.submit = submission{number: m.submit.number + 1, undecided: map[topo.ShardID]doubt{}}
+}
+
+// forgetPast drops what later assignments have overtaken.
+func (m *Member) forgetPast() {
+	for id, fence := range m.settled {
+		if m.facts.Shards[id].Fence != fence {
+			delete(m.settled, id)
+		}
+	}
+	for id, n := range m.needs {
+		if m.facts.Shards[id].Fence != n.fence {
+			delete(m.needs, id)
+		}
+	}
+	for id, a := range m.activated {
+		if m.facts.Shards[id].Fence != a.fence {
+			delete(m.activated, id)
+		}
+	}
+	m.forgetMoves()
+	m.forgetUndecided()
+	for id := range m.servers {
+		if _, exists := m.facts.Servers[id]; !exists {
+			delete(m.servers, id)
+		}
+	}
+}
+
+// Role returns this node's part in the group.
+func (m *Member) Role() Role { return m.role }
+
+// Term returns the term by which this node is the lessor; zero if it is not.
+func (m *Member) Term() topo.Term {
+	if m.role != RoleLessor {
+		return topo.Term{}
+	}
+	return m.term
+}
+
+// SetDraining makes a lessor hand its term over to its standby lessor, and any
+// other member claim nothing.
+func (m *Member) SetDraining() { m.draining = true }
+
+// MayRenew reports whether this node is the lessor and may renew leases for at
+// least one kind of service now.
+func (m *Member) MayRenew(now time.Duration) bool {
+	until, has := m.RightUntil()
+	return has && now < until
+}
+
+// RightUntil returns the moment until which this node may act as the lessor, as
+// far as it knows now; false if it may not.
+func (m *Member) RightUntil() (time.Duration, bool) {
+	if m.role != RoleLessor {
+		return 0, false
+	}
+	return m.rightUntil(m.facts.LongestDisconnected)
+}
+
+// rightUntil is RightUntil for services with a limit on the disconnected time.
+func (m *Member) rightUntil(limit time.Duration) (time.Duration, bool) {
+	limited := m.disconnectedEnd(limit)
+	if m.offLog {
+		return limited.at, limited.set
+	}
+	end := moment{}
+	if m.right.promise.set && limited.set {
+		end = momentAt(min(m.right.promise.at+m.cfg.Lease.TTL, limited.at))
+	}
+	if m.right.mode == ModeConnected && m.contact.set {
+		end = end.later(momentAt(m.contact.at + m.cfg.Lease.TTL))
+	}
+	return end.at, end.set
+}
+
+// disconnectedEnd is when a limit on the disconnected time ends the right of a
+// lessor that has no new log contact.
+func (m *Member) disconnectedEnd(limit time.Duration) moment {
+	switch {
+	case limit == siteconfig.Forever:
+		return momentAt(math.MaxInt64)
+	case !m.contact.set:
+		return moment{}
+	}
+	return momentAt(m.contact.at + limit)
+}
--- /dev/null
+++ b/lessor/moment.go
@@ -0,0 +1,39 @@
+package lessor
+
+import "time"
+
+// moment is a point on the member's clock that may not have come yet. The zero
+// moment is "never".
+type moment struct {
+	at  time.Duration
+	set bool
+}
+
+func momentAt(at time.Duration) moment { return moment{at: at, set: true} }
+
+// fresher reports whether the moment came less than age before now.
+func (m moment) fresher(now, age time.Duration) bool {
+	return m.set && now-m.at < age
+}
+
+// later returns the later of two moments; never is the earliest.
+func (m moment) later(other moment) moment {
+	if !m.set || (other.set && other.at > m.at) {
+		return other
+	}
+	return m
+}
+
+// passed reports whether the moment has been reached; never is not.
+func (m moment) passed(now time.Duration) bool { return m.set && now >= m.at }
+
+// wall maps the member's clock to time.Time for package lease.
+func wall(at time.Duration) time.Time { return time.Unix(0, 0).Add(at) }
+
+// fromWall undoes wall; the zero time is the beginning.
+func fromWall(t time.Time) time.Duration {
+	if t.IsZero() {
+		return 0
+	}
+	return t.Sub(time.Unix(0, 0))
+}
--- /dev/null
+++ b/lessor/moves.go
@@ -0,0 +1,205 @@
+package lessor
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/burdockspindle/burdockspindle/state"
+	"github.com/burdockspindle/burdockspindle/topo"
+)
+
+// move is a planned change of a shard.
+type move struct {
+	Move
+	began     time.Duration
+	submitted bool // its record is on the way
+	release   bool // the shard is to have no owner
+	split     bool // the shard is a key that is not split out yet
+	sameOwner bool // only the standby server or the key's entry changes
+}
+
+// revokes reports whether the owner must hand the shard back first.
+func (mv *move) revokes() bool { return !mv.sameOwner && !mv.split }
+
+// RequestMove asks for planned moves and returns how many were taken up.
+func (m *Member) RequestMove(now time.Duration, moves []Move) int {
+	if m.role != RoleLessor {
+		return 0
+	}
+	accepted := 0
+	for _, wanted := range moves {
+		if m.requestMove(now, wanted) {
+			accepted++
+		}
+	}
+	return accepted
+}
+
+func (m *Member) requestMove(now time.Duration, wanted Move) bool {
+	id := wanted.Shard
+	if wanted.Fence != m.inForce(id) || wanted.Fence.IsZero() || m.isUndecided(id) {
+		return false
+	}
+	if _, moving := m.moves[id]; moving || m.isActivated(id) {
+		return false
+	}
+	mv := &move{Move: wanted, began: now}
+	shard, exists := m.facts.Shards[id]
+	if !exists {
+		// inForce has found the hash range that the key is to be split out of.
+		mv.split = true
+		shard = m.facts.Shards[rangeOf(id)]
+	}
+	if !m.isSettled(shard) || m.needsNewFence(shard.Shard) {
+		return false
+	}
+	if wanted.To == "" && !wanted.Merge {
+		return m.requestRelease(mv, shard)
+	}
+	if wanted.Merge {
+		return m.requestMerge(mv, shard)
+	}
+	if wanted.To == "" || !m.canTake(id.Service, wanted.To) {
+		return false
+	}
+	mv.sameOwner = wanted.To == shard.Owner && !mv.split
+	if mv.sameOwner && (wanted.Standby == "" || wanted.Standby == shard.Standby) {
+		return false
+	}
+	m.startMove(mv, shard)
+	return true
+}
+
+// requestRelease leaves a shard of a service that left the configuration
+// without an owner.
+func (m *Member) requestRelease(mv *move, shard Shard) bool {
+	if mv.split || !shard.Policy.Retiring {
+		return false
+	}
+	mv.release = true
+	m.startMove(mv, shard)
+	return true
+}
+
+// requestMerge returns a split key to its hash range. Both must have the same
+// owner; if they differ, the key is moved to the range's owner first, and the
+// merge has to be asked for again.
+func (m *Member) requestMerge(mv *move, shard Shard) bool {
+	if mv.split || mv.Shard.Key == "" {
+		return false
+	}
+	covering, here := m.facts.Shards[rangeOf(mv.Shard)]
+	mv.sameOwner = here && covering.Owner == shard.Owner
+	if !mv.sameOwner {
+		mv.Merge = false
+		if mv.To == "" || mv.To == shard.Owner || !m.canTake(mv.Shard.Service, mv.To) {
+			return false
+		}
+	}
+	m.startMove(mv, shard)
+	return true
+}
+
+// startMove takes the move up and lets the owner hear of it at once.
+func (m *Member) startMove(mv *move, shard Shard) {
+	m.moves[mv.Shard] = mv
+	if !mv.sameOwner {
+		m.server(shard.Owner).nextAt = 0
+	}
+}
+
+func (m *Member) needsNewFence(id topo.ShardID) bool {
+	_, needed := m.needs[id]
+	return needed
+}
+
+func (m *Member) isActivated(id topo.ShardID) bool {
+	_, active := m.activated[id]
+	return active
+}
+
+// submitFailed lets a move whose record failed be submitted again.
+func (m *Member) submitFailed(id topo.ShardID) {
+	if mv, moving := m.moves[id]; moving {
+		mv.submitted = false
+	}
+}
+
+// forgetMoves drops moves that are done or overtaken.
+func (m *Member) forgetMoves() {
+	for id, mv := range m.moves {
+		if m.inForce(id) != mv.Fence {
+			delete(m.moves, id)
+		}
+	}
+}
+
+// expireMoves gives up moves that wait for too long: their shards go back on
+// their owners' lists.
+func (m *Member) expireMoves(now time.Duration) {
+	for id, mv := range m.moves {
+		if !mv.submitted && !m.isUndecided(id) && now-mv.began >= m.cfg.MoveTimeout {
+			delete(m.moves, id)
+		}
+	}
+}
+
+// canTake reports whether a server can be given shards of a service.
+func (m *Member) canTake(service topo.Service, id topo.ServerID) bool {
+	for _, target := range m.facts.Targets[service] {
+		if target.ID == id {
+			return m.serves(id)
+		}
+	}
+	return false
+}
+
+// serves reports whether a server is fit for new shards, as far as this member
+// can tell: of the servers of other groups it knows only what the state says.
+func (m *Member) serves(id topo.ServerID) bool {
+	if _, here := m.facts.Servers[id]; !here {
+		return true
+	}
+	s, known := m.servers[id]
+	return known && s.boot() != "" && !s.suspected() && !s.draining && !m.confirmedLost(id)
+}
+
+// planOwnMoves takes up the moves that the lessor makes by itself: away from
+// servers that drain.
+func (m *Member) planOwnMoves(now time.Duration) {
+	if m.right.mode != ModeConnected || m.offLog {
+		return
+	}
+	place := m.newPlacement()
+	for _, id := range slices.Sorted(maps.Keys(m.facts.Servers)) {
+		if !m.leaves(id, m.facts.Servers[id]) {
+			continue
+		}
+		for _, shardID := range m.facts.ShardsOf[id] {
+			if len(m.moves) < maxOwnMoves {
+				m.planOwnMove(now, m.facts.Shards[shardID], place)
+			}
+		}
+	}
+}
+
+// leaves reports whether a server that still answers is to give its shards up.
+func (m *Member) leaves(id topo.ServerID, facts Server) bool {
+	s, known := m.servers[id]
+	return facts.Phase == state.PhaseDraining || facts.Lost || (known && s.draining)
+}
+
+func (m *Member) planOwnMove(now time.Duration, shard Shard, place *placement) {
+	id := shard.Shard
+	if _, moving := m.moves[id]; moving || m.isActivated(id) || m.isUndecided(id) {
+		return
+	}
+	if m.needsNewFence(id) || !m.isSettled(shard) {
+		return
+	}
+	to := place.owner(id.Service, shard.Standby)
+	if to != "" {
+		m.startMove(&move{Move: Move{Shard: id, Fence: shard.Fence, To: to}, began: now}, shard)
+	}
+}
--- /dev/null
+++ b/lessor/place.go
@@ -0,0 +1,117 @@
+package lessor
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/burdockspindle/burdockspindle/topo"
+)
+
+// placement chooses servers for the shards of one record. Its counts follow
+// what it has chosen, so that a lost server's shards are spread.
+type placement struct {
+	m        *Member
+	owned    map[topo.ServerID]int
+	standsBy map[topo.ServerID]int
+	fit      map[topo.Service][]Target
+}
+
+func (m *Member) newPlacement() *placement {
+	return &placement{
+		m:        m,
+		owned:    map[topo.ServerID]int{},
+		standsBy: map[topo.ServerID]int{},
+		fit:      map[topo.Service][]Target{},
+	}
+}
+
+// targets lists the servers of a service that are fit for new shards.
+func (p *placement) targets(service topo.Service) []Target {
+	if list, known := p.fit[service]; known {
+		return list
+	}
+	var list []Target
+	for _, target := range p.m.facts.Targets[service] {
+		if p.m.serves(target.ID) {
+			list = append(list, target)
+			p.owned[target.ID] = target.Owned
+			p.standsBy[target.ID] = target.StandsBy
+		}
+	}
+	p.fit[service] = list
+	return list
+}
+
+// owner chooses the next owner of a shard: the preferred server if it is fit,
+// else the one that owns the fewest shards. It is empty if no server is fit.
+func (p *placement) owner(service topo.Service, preferred topo.ServerID) topo.ServerID {
+	every := func(Target) bool { return true }
+	best := p.best(p.targets(service), preferred, every, p.owned)
+	if best != "" {
+		p.owned[best]++
+	}
+	return best
+}
+
+// standby chooses a standby server for a shard: of the owner's group if there
+// is one, so that it can be activated while the log is away.
+func (p *placement) standby(service topo.Service, owner, preferred topo.ServerID) topo.ServerID {
+	candidates := p.targets(service)
+	group := p.groupOf(candidates, owner)
+	suits := func(t Target) bool { return t.ID != owner && t.Group == group }
+	if !slices.ContainsFunc(candidates, suits) {
+		suits = func(t Target) bool { return t.ID != owner }
+	}
+	best := p.best(candidates, preferred, suits, p.standsBy)
+	if best != "" {
+		p.standsBy[best]++
+	}
+	return best
+}
+
+func (p *placement) groupOf(candidates []Target, id topo.ServerID) topo.GroupID {
+	for _, t := range candidates {
+		if t.ID == id {
+			return t.Group
+		}
+	}
+	return p.m.cfg.Group
+}
+
+func (p *placement) best(from []Target, preferred topo.ServerID, suits func(Target) bool,
+	count map[topo.ServerID]int) topo.ServerID {
+	zone := p.m.cfg.Group.Zone()
+	var best *Target
+	for i := range from {
+		t := &from[i]
+		if !suits(*t) {
+			continue
+		}
+		if t.ID == preferred {
+			return t.ID
+		}
+		if best == nil || p.compare(*t, *best, zone, count) < 0 {
+			best = t
+		}
+	}
+	if best == nil {
+		return ""
+	}
+	return best.ID
+}
+
+// compare orders servers by count, then those of the zone first, then by name.
+func (p *placement) compare(a, b Target, zone topo.Zone, count map[topo.ServerID]int) int {
+	return cmp.Or(
+		cmp.Compare(count[a.ID], count[b.ID]),
+		cmp.Compare(boolRank(a.Zone != zone), boolRank(b.Zone != zone)),
+		cmp.Compare(a.ID, b.ID),
+	)
+}
+
+func boolRank(b bool) int {
+	if b {
+		return 1
+	}
+	return 0
+}
--- /dev/null
+++ b/lessor/plan.go
@@ -0,0 +1,176 @@
+package lessor
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/burdockspindle/burdockspindle/topo"
+)
+
+// Plan lists what is due now, in order of urgency. Besides taking up what time
+// has settled it changes nothing.
+func (m *Member) Plan(now time.Duration) []Action {
+	m.advance(now)
+	if m.role == RoleLessor {
+		m.expireMoves(now)
+		m.planOwnMoves(now)
+	}
+	var actions []Action
+	if m.goOnDue(now) {
+		actions = append(actions, GoOn{})
+	}
+	if m.claimDue(now) {
+		actions = append(actions, ClaimTerm{})
+	}
+	if m.role == RoleLessor {
+		actions = m.planLessor(now, actions)
+	}
+	return m.planProbes(now, actions)
+}
+
+func (m *Member) planLessor(now time.Duration, actions []Action) []Action {
+	actions = m.planMode(now, actions)
+	if m.heartbeatDue(now) {
+		actions = append(actions, SendHeartbeat{To: m.standbyRun().Node})
+	}
+	actions = m.planServers(now, actions)
+	actions = m.planActivations(now, actions)
+	if m.maySubmit(now) {
+		if assigns, _ := m.collect(now); len(assigns) > 0 {
+			actions = append(actions, Submit{})
+		}
+	}
+	if m.announceDue(now) {
+		actions = append(actions, Announce{})
+	}
+	return actions
+}
+
+// planMode enters disconnected mode when log contact gives the right no longer
+// and the standby lessor answers, and leaves it when the log is back.
+func (m *Member) planMode(now time.Duration, actions []Action) []Action {
+	if m.offLog || m.standbyRun().Node == "" {
+		return actions
+	}
+	ttl := m.cfg.Lease.TTL
+	switch {
+	case m.right.asked == ModeConnected && !m.contact.fresher(now, ttl):
+		if m.right.promise.fresher(now, ttl) {
+			actions = append(actions, ChangeMode{To: ModeDisconnected})
+		}
+	case m.right.asked == ModeDisconnected && m.contact.fresher(now, ttl/2):
+		actions = append(actions, ChangeMode{To: ModeConnected})
+	}
+	return actions
+}
+
+func (m *Member) heartbeatDue(now time.Duration) bool {
+	if m.offLog || m.standbyRun().Node == "" {
+		return false
+	}
+	last := m.beats.last
+	return !last.set || now-last.at >= m.cfg.HeartbeatEvery
+}
+
+// planServers asks for acknowledgements while shards of earlier terms are not
+// settled, and renews.
+func (m *Member) planServers(now time.Duration, actions []Action) []Action {
+	renew := m.mayRenew(now)
+	asks := m.asksForAcknowledgement()
+	for _, id := range slices.Sorted(maps.Keys(m.facts.Servers)) {
+		s := m.server(id)
+		if s.inFlight || now < s.nextAt || m.facts.Servers[id].Address == "" {
+			continue
+		}
+		switch {
+		case asks && !s.acked:
+			actions = append(actions, Acknowledge{Server: id})
+		case renew && m.readyToRenew(now, id, s):
+			actions = append(actions, Renew{Server: id})
+		}
+	}
+	return actions
+}
+
+func (m *Member) asksForAcknowledgement() bool {
+	if m.takeover.basis == basisFirst || m.takeover.basis == basisSelf {
+		return false
+	}
+	return m.settling
+}
+
+// readyToRenew holds the first renewal of a term back while the server's lease
+// of an earlier term goes on and some of its shards are not settled: the first
+// list takes away what it does not contain.
+func (m *Member) readyToRenew(now time.Duration, id topo.ServerID, s *server) bool {
+	if s.reported > 0 {
+		return true
+	}
+	left := fromWall(s.granter.Until()) - now
+	if left <= m.cfg.Lease.TTL/2 {
+		return true
+	}
+	for _, shard := range m.facts.ShardsOf[id] {
+		if !m.isSettled(m.facts.Shards[shard]) {
+			return false
+		}
+	}
+	return true
+}
+
+// planActivations activates standby servers of owners that are down.
+func (m *Member) planActivations(now time.Duration, actions []Action) []Action {
+	if !m.right.disconnected() {
+		return actions
+	}
+	for _, id := range m.shardOrder() {
+		shard := m.facts.Shards[id]
+		if m.serverDown(now, shard.Owner) && m.serves(shard.Standby) && m.mayActivate(now, shard) {
+			actions = append(actions, Activate{Shard: id})
+		}
+	}
+	return actions
+}
+
+// announceEvery is how often decisions off the log are told again, in renewal
+// intervals.
+const announceEvery = 4
+
+func (m *Member) announceDue(now time.Duration) bool {
+	if len(m.Activations()) == 0 && !m.offLog {
+		return false
+	}
+	last := m.announced
+	return !last.set || now-last.at >= announceEvery*m.cfg.RenewEvery
+}
+
+// planProbes asks the lessor and the standby lessor for signs of life.
+func (m *Member) planProbes(now time.Duration, actions []Action) []Action {
+	if m.facts.Group.Term.IsZero() || m.role == RoleLessor {
+		return actions
+	}
+	group := m.facts.Group
+	if m.role == RoleStandby {
+		if now-m.standing.heard.at >= m.cfg.SuspectAfter/2 {
+			actions = m.planProbe(now, group.Lessor, actions)
+		}
+		return actions
+	}
+	if !m.watches {
+		return actions
+	}
+	actions = m.planProbe(now, group.Lessor, actions)
+	return m.planProbe(now, group.Standby, actions)
+}
+
+func (m *Member) planProbe(now time.Duration, id topo.NodeID, actions []Action) []Action {
+	if id == "" || id == m.cfg.Node {
+		return actions
+	}
+	known := m.watch.node(id)
+	if known.inFlight || (known.asked.set && now-known.asked.at < m.cfg.HeartbeatEvery) {
+		return actions
+	}
+	return append(actions, Probe{Node: id})
+}
--- /dev/null
+++ b/lessor/project.go
@@ -0,0 +1,209 @@
+package lessor
+
+import (
+	"slices"
+	"time"
+
+	"github.com/burdockspindle/burdockspindle/siteconfig"
+	"github.com/burdockspindle/burdockspindle/state"
+	"github.com/burdockspindle/burdockspindle/topo"
+)
+
+// GroupsOf lists the groups that a view knows: those claimed, those that
+// servers belong to, and the configured number for each zone that has nodes.
+func GroupsOf(view *state.View) []topo.GroupID {
+	set := map[topo.GroupID]bool{}
+	for id := range view.Groups() {
+		set[id] = true
+	}
+	for _, server := range view.Servers() {
+		if server.Group != "" {
+			set[server.Group] = true
+		}
+	}
+	if site := view.Site(); site != nil {
+		for _, node := range view.Nodes() {
+			for i := range site.GroupsPerZone {
+				set[topo.MakeGroupID(node.Zone, i)] = true
+			}
+		}
+	}
+	groups := make([]topo.GroupID, 0, len(set))
+	for id := range set {
+		groups = append(groups, id)
+	}
+	slices.Sort(groups)
+	return groups
+}
+
+// FactsOf derives the facts of one group from a view. Without detail, what only
+// lessors and standby lessors need is left out.
+func FactsOf(view *state.View, id topo.GroupID, detail bool) *Facts {
+	group, _ := view.Group(id)
+	group.ID = id
+	facts := &Facts{
+		Applied:     view.Applied(),
+		Group:       group,
+		LessorGone:  runEnded(view, group.Lessor, group.LessorBoot),
+		StandbyGone: runEnded(view, group.Standby, group.StandbyBoot),
+		Servers:     map[topo.ServerID]Server{},
+		Shards:      map[topo.ShardID]Shard{},
+		ShardsOf:    map[topo.ServerID][]topo.ShardID{},
+		StandbyOf:   map[topo.ServerID][]Grant{},
+		Targets:     map[topo.Service][]Target{},
+	}
+	for _, node := range view.Nodes() {
+		if !view.NodeLost(node.ID) && !zoneLost(view, node.Zone) {
+			facts.Nodes = append(facts.Nodes, node)
+		}
+	}
+	if detail {
+		projectServers(view, facts)
+		projectShards(view, facts)
+	}
+	return facts
+}
+
+// runEnded reports whether a run of a node was replaced, removed or lost.
+func runEnded(view *state.View, id topo.NodeID, boot topo.BootID) bool {
+	if id == "" {
+		return false
+	}
+	node, exists := view.Node(id)
+	if !exists || node.Boot != boot || view.RunLost(id, boot) {
+		return true
+	}
+	return zoneLost(view, node.Zone)
+}
+
+func zoneLost(view *state.View, zone topo.Zone) bool {
+	site := view.Site()
+	return site != nil && site.LostZones[zone]
+}
+
+func serverLost(view *state.View, server state.Server) bool {
+	return server.Phase == state.PhaseGone || view.ServerLost(server.ID) || zoneLost(view, server.Zone)
+}
+
+func projectServers(view *state.View, facts *Facts) {
+	for id, server := range view.Servers() {
+		lost := serverLost(view, server)
+		if server.Group == facts.Group.ID {
+			facts.Servers[id] = Server{Server: server, Lost: lost}
+			if service, exists, _ := view.ActiveService(server.Service); exists {
+				facts.LongestDisconnected = longer(facts.LongestDisconnected, service.MaxDisconnected)
+			}
+		}
+		if server.Phase == state.PhaseLive && !lost {
+			target := Target{ID: id, Zone: server.Zone, Group: server.Group}
+			facts.Targets[server.Service] = append(facts.Targets[server.Service], target)
+		}
+	}
+	for _, targets := range facts.Targets {
+		slices.SortFunc(targets, func(a, b Target) int { return compareIDs(a.ID, b.ID) })
+	}
+}
+
+func compareIDs(a, b topo.ServerID) int {
+	switch {
+	case a < b:
+		return -1
+	case a > b:
+		return 1
+	}
+	return 0
+}
+
+// projection gathers one service's shards.
+type projection struct {
+	view   *state.View
+	facts  *Facts
+	policy *Policy
+	// split lists the split keys of each hash range.
+	split  map[uint32][]string
+	counts map[topo.ServerID]*Target
+}
+
+func projectShards(view *state.View, facts *Facts) {
+	services := view.Tables()
+	slices.Sort(services)
+	for _, service := range services {
+		p := &projection{
+			view:   view,
+			facts:  facts,
+			policy: policyOf(view, service, facts.Group.ID),
+			split:  map[uint32][]string{},
+			counts: map[topo.ServerID]*Target{},
+		}
+		for i := range facts.Targets[service] {
+			target := &facts.Targets[service][i]
+			p.counts[target.ID] = target
+		}
+		view.EachShard(service, p.noteSplit)
+		for _, keys := range p.split {
+			slices.Sort(keys)
+		}
+		view.EachShard(service, p.add)
+	}
+	for _, list := range facts.ShardsOf {
+		slices.SortFunc(list, compareShards)
+	}
+	for _, list := range facts.StandbyOf {
+		slices.SortFunc(list, func(a, b Grant) int { return compareShards(a.Shard, b.Shard) })
+	}
+}
+
+func policyOf(view *state.View, name topo.Service, group topo.GroupID) *Policy {
+	service, exists, retiring := view.ActiveService(name)
+	if !exists {
+		return &Policy{Retiring: true}
+	}
+	return &Policy{
+		ChecksFencing:   service.ChecksFencing,
+		AcceptUnfenced:  service.AcceptUnfencedTakeover,
+		MaxDisconnected: service.MaxDisconnected,
+		TakeoverLimit:   view.DisconnectedLimit(name, group),
+		Retiring:        retiring,
+	}
+}
+
+func (p *projection) noteSplit(a state.Assignment) bool {
+	if a.Shard.Key != "" {
+		p.split[a.Shard.Index] = append(p.split[a.Shard.Index], a.Shard.Key)
+	}
+	return true
+}
+
+func (p *projection) add(a state.Assignment) bool {
+	if target, exists := p.counts[a.Owner]; exists {
+		target.Owned++
+	}
+	if target, exists := p.counts[a.Standby]; exists {
+		target.StandsBy++
+	}
+	if _, here := p.facts.Servers[a.Standby]; here {
+		standby := Grant{Shard: a.Shard, Fence: a.Fence.Standby()}
+		p.facts.StandbyOf[a.Standby] = append(p.facts.StandbyOf[a.Standby], standby)
+	}
+	if _, here := p.facts.Servers[a.Owner]; here {
+		p.addOwned(a)
+	}
+	return true
+}
+
+func (p *projection) addOwned(a state.Assignment) {
+	standby, standbyHere := p.facts.Servers[a.Standby]
+	shard := Shard{
+		Assignment:  a,
+		StandbyHere: standbyHere,
+		StandbyLost: standby.Lost,
+		Policy:      p.policy,
+	}
+	if a.Shard.Key == "" {
+		shard.Except = p.split[a.Shard.Index]
+	}
+	p.facts.Shards[a.Shard] = shard
+	p.facts.ShardsOf[a.Owner] = append(p.facts.ShardsOf[a.Owner], a.Shard)
+}
+
+func longer(a, b time.Duration) time.Duration { return siteconfig.LongerDisconnected(a, b) }
--- /dev/null
+++ b/lessor/rules.go
@@ -0,0 +1,14 @@
+package lessor
+
+// rules switches off single safety rules, so that tests can show that the
+// search finds what each prevents. The zero value keeps all of them.
+type rules struct {
+	noModes  bool // log contact counts in every mode; the standby goes on in any
+	noBoth   bool // a claimant settles by the owner's acknowledgement alone
+	noTail   bool // a claimant does not wait for the last lease
+	noHold   bool // a claimant does not wait for a disconnected pair
+	noReport bool // acknowledgements do not tell what the servers hold
+	// noKnownRun: a standby server is activated also if it restarted since the
+	// latest log contact.
+	noKnownRun bool
+}
--- /dev/null
+++ b/lessor/server.go
@@ -0,0 +1,248 @@
+package lessor
+
+import (
+	"slices"
+	"time"
+
+	"github.com/burdockspindle/burdockspindle/lease"
+	"github.com/burdockspindle/burdockspindle/serverapi"
+	"github.com/burdockspindle/burdockspindle/topo"
+)
+
+// server is what a lessor knows of one backend server of its group.
+type server struct {
+	granter lease.Granter
+	// heardSince is when the server's present run was heard first.
+	heardSince time.Duration
+
+	// One lease or acknowledgement call is in flight at a time; replies to
+	// earlier ones are dropped.
+	attempt  uint64
+	inFlight bool
+	sentAt   time.Duration
+	nextAt   time.Duration // not before
+	failures int           // attempts without an answer, in a row
+	heard    moment        // latest answer
+
+	// generation numbers list; reported is the latest that the server said to
+	// have under the lessor's term.
+	generation uint64
+	reported   uint64
+	list       []Grant
+	standby    []Grant
+	// revoked: shards dropped from the list, with the first generation that is
+	// without them.
+	revoked map[topo.ShardID]uint64
+
+	acked    bool // said to refuse every term below the one acted under
+	active   map[topo.ShardID]topo.Fence
+	busy     map[topo.ShardID]bool
+	draining bool
+}
+
+func newServer(timing lease.Timing) *server {
+	return &server{
+		granter: *lease.NewGranter(timing),
+		revoked: map[topo.ShardID]uint64{},
+		active:  map[topo.ShardID]topo.Fence{},
+		busy:    map[topo.ShardID]bool{},
+	}
+}
+
+// newTerm forgets what counts only within one term of the same lessor. The
+// numbers of lists go on.
+func (s *server) newTerm() { s.reported = 0 }
+
+// boot returns the run of the server that was heard last.
+func (s *server) boot() topo.BootID { return s.granter.Boot() }
+
+// lapsed reports whether no lease that this lessor renewed, or that the server
+// reported, is valid any longer.
+func (s *server) lapsed(now time.Duration) bool { return s.granter.Lapsed(wall(now)) }
+
+// suspected reports whether the server has not answered repeatedly.
+func (s *server) suspected() bool { return s.failures >= suspectFailures }
+
+// setList takes the list that the next renewal carries, as a new generation if
+// it differs from the one before.
+func (s *server) setList(grants, standby []Grant) {
+	if s.generation > 0 && equalGrants(s.list, grants) && equalGrants(s.standby, standby) {
+		return
+	}
+	before := s.list
+	s.generation++
+	s.list, s.standby = grants, standby
+	for _, g := range grants {
+		delete(s.revoked, g.Shard)
+		for _, key := range g.Except {
+			s.revoke(splitOf(g.Shard, key))
+		}
+	}
+	for _, g := range before {
+		s.revoke(g.Shard)
+	}
+}
+
+// revoke notes the first generation without a shard, if the list has it no
+// longer.
+func (s *server) revoke(id topo.ShardID) {
+	if _, already := s.revoked[id]; !already && !s.lists(id) {
+		s.revoked[id] = s.generation
+	}
+}
+
+func equalGrants(a, b []Grant) bool {
+	return slices.EqualFunc(a, b, func(x, y Grant) bool {
+		return x.Shard == y.Shard && x.Fence == y.Fence && slices.Equal(x.Except, y.Except)
+	})
+}
+
+// splitOf returns the shard of a key that is split out of a hash range.
+func splitOf(id topo.ShardID, key string) topo.ShardID {
+	id.Key = key
+	return id
+}
+
+// handedBack reports whether the server has said that it no longer serves a
+// shard that is not on its list, and has nothing of it in flight.
+func (s *server) handedBack(id topo.ShardID) bool {
+	first := max(s.revoked[id], s.revoked[rangeOf(id)], 1)
+	return s.reported >= first && !s.busy[id] && !s.lists(id)
+}
+
+// lists reports whether the list covers a shard.
+func (s *server) lists(id topo.ShardID) bool {
+	return slices.ContainsFunc(s.list, func(g Grant) bool {
+		if g.Shard == id {
+			return true
+		}
+		return id.Key != "" && g.Shard == rangeOf(id) && !slices.Contains(g.Except, id.Key)
+	})
+}
+
+// LeaseReplied takes a server's reply to the attempt, which was begun by
+// BeginRenew or BeginAcknowledge.
+func (m *Member) LeaseReplied(now time.Duration, id topo.ServerID, attempt uint64, report LeaseReport) {
+	s, exists := m.servers[id]
+	if !exists || !s.inFlight || s.attempt != attempt {
+		return
+	}
+	s.inFlight = false
+	s.failures = 0
+	s.heard = momentAt(now)
+	before := s.boot()
+	s.granter.Replied(replyOf(report), wall(s.sentAt), wall(now))
+	if s.boot() != before {
+		s.heardSince = now
+		s.reported = 0
+	}
+	s.draining = report.Draining
+	s.take(report, m.term)
+	s.nextAt = s.sentAt + m.pauseAfter(report, s)
+	m.advance(now)
+}
+
+// pauseAfter returns how long after an attempt that got a reply the next one is
+// due: soon when the server has not got the list yet, and what kept it from
+// getting it is known now.
+func (m *Member) pauseAfter(report LeaseReport, s *server) time.Duration {
+	switch report.Refused {
+	case "", serverapi.RefusedBoot, serverapi.RefusedGeneration:
+	default:
+		return m.cfg.RetryAfter
+	}
+	if s.generation == 0 || s.reported < s.generation {
+		return m.cfg.RenewEvery / soonPerRenewal
+	}
+	return m.cfg.RenewEvery
+}
+
+// take notes what a reply says of grants.
+func (s *server) take(report LeaseReport, term topo.Term) {
+	if report.HasActive {
+		s.active = make(map[topo.ShardID]topo.Fence, len(report.Active))
+		for _, g := range report.Active {
+			s.active[g.Shard] = g.Fence
+		}
+	}
+	s.busy = make(map[topo.ShardID]bool, len(report.Busy))
+	for _, id := range report.Busy {
+		s.busy[id] = true
+	}
+	if report.HighestTerm != term {
+		return
+	}
+	s.acked = s.acked || report.HasActive
+	if report.Boot == s.boot() {
+		s.reported = report.Generation
+	}
+}
+
+// hurryNew makes the next renewal of servers that own new fences due at once.
+func (m *Member) hurryNew(before *Facts) {
+	for id, shards := range m.facts.ShardsOf {
+		for _, shard := range shards {
+			if m.facts.Shards[shard].Fence != before.Shards[shard].Fence {
+				m.server(id).nextAt = 0
+				break
+			}
+		}
+	}
+}
+
+// replyOf gives package lease the fields that it needs.
+func replyOf(report LeaseReport) serverapi.LeaseReply {
+	remaining := (report.Remaining + time.Millisecond - 1) / time.Millisecond
+	return serverapi.LeaseReply{
+		Boot:        report.Boot,
+		Stamp:       report.Stamp,
+		RemainingMs: int64(remaining),
+	}
+}
+
+// LeaseFailed tells that an attempt got no answer. Attempts use new connections
+// after a failure, so two in a row are no fault of one connection.
+func (m *Member) LeaseFailed(now time.Duration, id topo.ServerID, attempt uint64) {
+	s, exists := m.servers[id]
+	if !exists || !s.inFlight || s.attempt != attempt {
+		return
+	}
+	s.inFlight = false
+	s.failures++
+	s.nextAt = now
+	if s.suspected() {
+		s.nextAt = max(now, s.sentAt+m.cfg.RenewEvery)
+	}
+	m.advance(now)
+}
+
+// server returns the record of a server of the group.
+func (m *Member) server(id topo.ServerID) *server {
+	s, exists := m.servers[id]
+	if !exists {
+		s = newServer(m.cfg.Lease)
+		m.servers[id] = s
+	}
+	return s
+}
+
+// serverDown reports whether a server is confirmed as lost, or has not answered
+// and can hold no lease.
+func (m *Member) serverDown(now time.Duration, id topo.ServerID) bool {
+	if m.confirmedLost(id) {
+		return true
+	}
+	s, exists := m.servers[id]
+	return exists && s.suspected() && s.lapsed(now)
+}
+
+// confirmedLost reports whether a server is known to have stopped. One that
+// still answers has not.
+func (m *Member) confirmedLost(id topo.ServerID) bool {
+	facts, exists := m.facts.Servers[id]
+	if !exists || !facts.Lost {
+		return false
+	}
+	s, known := m.servers[id]
+	return !known || s.boot() == "" || s.failures > 0
+}
--- /dev/null
+++ b/lessor/submit.go
@@ -0,0 +1,184 @@
+package lessor
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/burdockspindle/burdockspindle/topo"
+)
+
+// Reasons that submissions give for people.
+const (
+	reasonTakeover  = "takeover"
+	reasonLost      = "server lost"
+	reasonRestarted = "server restarted"
+	reasonBind      = "server seen"
+	reasonMove      = "planned move"
+	reasonActivated = "standby activated"
+	reasonRelease   = "service retired"
+	reasonDecide    = "fate of an earlier record unknown"
+)
+
+// submission is the record of assignments that is on its way to the log. While
+// its fate is not known, none of its shards is granted to anyone.
+type submission struct {
+	number   uint64
+	inFlight bool
+	again    moment // not before
+	// undecided are the shards of records whose fate is not known, or not seen
+	// in the state yet.
+	undecided map[topo.ShardID]doubt
+	// visible is the offset at which the state shows the latest record; only
+	// then are its shards decided.
+	visible topo.Offset
+}
+
+// doubt is a shard that a record may still change.
+type doubt struct {
+	expected topo.Fence
+	number   uint64 // of the latest record
+	unknown  bool   // an earlier record's fate was never learnt
+}
+
+// maySubmit reports whether assignments may be written now. Only in connected
+// mode: a standby lessor that may go on without the log must not miss any.
+func (m *Member) maySubmit(now time.Duration) bool {
+	if m.role != RoleLessor || m.offLog || m.right.mode != ModeConnected {
+		return false
+	}
+	if m.submit.inFlight || m.facts.Applied < m.submit.visible {
+		return false
+	}
+	if m.submit.again.set && now < m.submit.again.at {
+		return false
+	}
+	return m.contact.fresher(now, m.cfg.Lease.TTL)
+}
+
+// BeginSubmit returns the assignments to write now, and the number by which
+// their fate is told.
+func (m *Member) BeginSubmit(now time.Duration) (Submission, uint64, bool) {
+	if !m.maySubmit(now) {
+		return Submission{}, 0, false
+	}
+	assigns, reason := m.collect(now)
+	if len(assigns) == 0 {
+		return Submission{}, 0, false
+	}
+	m.submit.number++
+	m.submit.inFlight = true
+	for _, a := range assigns {
+		earlier := m.submit.undecided[a.Shard]
+		m.submit.undecided[a.Shard] = doubt{a.Expected, m.submit.number, earlier.unknown}
+		m.submitting(a.Shard)
+	}
+	return Submission{Term: m.term, Assigns: assigns, Reason: reason}, m.submit.number, true
+}
+
+// submitting notes that a planned move has gone to the log.
+func (m *Member) submitting(id topo.ShardID) {
+	if mv, moving := m.moves[id]; moving {
+		mv.submitted = true
+	}
+}
+
+// SubmitDone tells that the record's fate is known: it was applied at offset,
+// whether or not it changed anything.
+func (m *Member) SubmitDone(now time.Duration, number uint64, offset topo.Offset) {
+	if number != m.submit.number {
+		return
+	}
+	m.submit.inFlight = false
+	m.submit.visible = offset
+	m.forgetUndecided()
+	m.advance(now)
+}
+
+// SubmitFailed tells that the record was not appended or, if unknown, may have
+// been or may still be.
+func (m *Member) SubmitFailed(now time.Duration, number uint64, unknown bool) {
+	if number != m.submit.number {
+		return
+	}
+	m.submit.inFlight = false
+	m.submit.again = momentAt(now + m.cfg.RetryAfter)
+	for id, d := range m.submit.undecided {
+		if d.number != number {
+			continue
+		}
+		m.submitFailed(id)
+		d.unknown = d.unknown || unknown
+		m.submit.undecided[id] = d
+	}
+	m.forgetUndecided()
+	m.advance(now)
+}
+
+// forgetUndecided drops the shards that no record can change any longer: their
+// fence is another one, or every record about them has been seen to fail.
+func (m *Member) forgetUndecided() {
+	settled := !m.submit.inFlight && m.facts.Applied >= m.submit.visible
+	for id, d := range m.submit.undecided {
+		changed := m.inForce(id) != d.expected
+		if changed || (settled && !d.unknown) {
+			delete(m.submit.undecided, id)
+		}
+	}
+}
+
+// inForce returns the fence that a record about a shard must expect: for a key
+// that is not split out, its hash range's. It is zero if no server of the group
+// owns the shard.
+func (m *Member) inForce(id topo.ShardID) topo.Fence {
+	shard, exists := m.facts.Shards[id]
+	if exists || id.Key == "" {
+		return shard.Fence
+	}
+	covering := m.facts.Shards[rangeOf(id)]
+	if slices.Contains(covering.Except, id.Key) {
+		return topo.Fence{}
+	}
+	return covering.Fence
+}
+
+// rangeOf returns the hash range that a split key belongs to.
+func rangeOf(id topo.ShardID) topo.ShardID {
+	id.Key = ""
+	return id
+}
+
+func (m *Member) isUndecided(id topo.ShardID) bool {
+	_, undecided := m.submit.undecided[id]
+	return undecided
+}
+
+// undecided lists the undecided shards in a fixed order.
+func (m *Member) undecided() []topo.ShardID {
+	return slices.SortedFunc(maps.Keys(m.submit.undecided), compareShards)
+}
+
+// splitsUnderWay lists keys that are about to be split out of a hash range, or
+// possibly are.
+func (m *Member) splitsUnderWay() []topo.ShardID {
+	var splits []topo.ShardID
+	for id := range m.submit.undecided {
+		if id.Key != "" {
+			splits = append(splits, id)
+		}
+	}
+	for id := range m.moves {
+		if id.Key != "" && !m.isUndecided(id) {
+			splits = append(splits, id)
+		}
+	}
+	if m.offLog {
+		for id := range m.takeover.told.undecided {
+			if id.Key != "" {
+				splits = append(splits, id)
+			}
+		}
+	}
+	slices.SortFunc(splits, compareShards)
+	return splits
+}
--- /dev/null
+++ b/lessor/takeover.go
@@ -0,0 +1,116 @@
+package lessor
+
+import (
+	"math"
+	"time"
+
+	"github.com/burdockspindle/burdockspindle/siteconfig"
+	"github.com/burdockspindle/burdockspindle/topo"
+)
+
+// basis is what a lessor knew of the group when its term began.
+type basis uint8
+
+const (
+	// basisFirst: the group never had a lessor, so nothing was ever granted.
+	basisFirst basis = iota
+	// basisSelf: this run was the lessor before and knows that no standby
+	// lessor went on in the meantime.
+	basisSelf
+	// basisStandby: this run was the standby lessor. It knows until when the
+	// lessor counted on its promise, in which mode, and everything that the
+	// lessor may have decided off the log.
+	basisStandby
+	// basisOther: this run knows nothing but the state.
+	basisOther
+)
+
+func (b basis) String() string {
+	return [...]string{"first", "self", "standby", "other"}[b]
+}
+
+// takeover is what a lessor must wait for before it may treat shards of earlier
+// terms as free.
+type takeover struct {
+	basis basis
+	// before: shards with a fence below this offset may have been granted by
+	// an earlier lessor.
+	before topo.Offset
+	// began is when this run's claim was seen. The earlier lessor's right by
+	// log contact is counted from there; by its standby's promise it has ended
+	// at promised.
+	began    time.Duration
+	byLog    bool // the earlier lessor may have counted log contact
+	promised moment
+	// told is what the earlier lessor told its standby lessor; of basisStandby.
+	told standing
+}
+
+// takeoverAfter tells what the term that this run has just been seen to hold
+// begins with. It must be called before anything of the term before is dropped.
+func (m *Member) takeoverAfter(now time.Duration, before topo.Term) takeover {
+	next := takeover{basis: basisOther, before: m.facts.Group.Term.Offset, began: now}
+	claimedIt := m.claim.pending() && m.claim.expected == before
+	switch {
+	case before.IsZero() && claimedIt:
+		next.basis = basisFirst
+		next.before = 0
+	case !claimedIt:
+		return next
+	case m.role == RoleLessor && (m.offLog || m.right.mode == ModeConnected):
+		next.basis = basisSelf
+	case m.role == RoleStandby && m.standing.settled:
+		next.basis = basisStandby
+		next.byLog = m.standing.mode == ModeConnected
+		next.promised = m.standing.promised
+		next.told = m.standing
+	}
+	return next
+}
+
+// goOn begins a takeover without the log by the standby lessor.
+func (m *Member) goOn(now time.Duration) takeover {
+	return takeover{
+		basis:    basisStandby,
+		before:   math.MaxUint64,
+		began:    now,
+		promised: m.standing.promised,
+		told:     m.standing,
+	}
+}
+
+// rightEnd returns when the earlier lessor's right to renew leases for a
+// service has surely lapsed; never if it may last without limit.
+func (m *Member) rightEnd(policy *Policy) moment {
+	t := m.takeover
+	if t.basis == basisFirst {
+		return momentAt(t.began)
+	}
+	ttl := m.cfg.Lease.TTL
+	if t.basis == basisStandby {
+		end := t.promised.later(momentAt(t.began))
+		if t.byLog {
+			end = end.later(momentAt(t.began + m.cfg.lapse(ttl)))
+		}
+		return end
+	}
+	limit := policy.TakeoverLimit
+	if m.rules.noHold {
+		limit = 0
+	}
+	if limit == siteconfig.Forever {
+		return moment{}
+	}
+	return momentAt(t.began + m.cfg.lapse(max(ttl, limit)))
+}
+
+// leaseEnd returns when every lease that earlier lessors renewed for a service
+// has surely lapsed. The last one may have been renewed just before the right
+// ended.
+func (m *Member) leaseEnd(policy *Policy) moment {
+	end := m.rightEnd(policy)
+	if !end.set || m.rules.noTail || m.takeover.basis == basisFirst {
+		return end
+	}
+	return momentAt(end.at + m.cfg.lapse(m.cfg.Lease.TTL))
+}
--- /dev/null
+++ b/modules/lessor/serve.go
@@ -0,0 +1,116 @@
+package lessor
+
+import (
+	"context"
+
+	core "github.com/burdockspindle/burdockspindle/lessor"
+	"github.com/burdockspindle/burdockspindle/topo"
+
+	bspb "github.com/burdockspindle/burdockspindle/proto/burdockspindle/v1"
+)
+
+// serveHeartbeat answers a lessor's heartbeat as its standby lessor.
+func (m *Module) serveHeartbeat(ctx context.Context, req *bspb.HeartbeatRequest) (*bspb.HeartbeatResponse, error) {
+	w, exists := m.worker(topo.GroupID(req.GetGroup()))
+	if !exists {
+		return nil, &UnknownGroupError{Group: topo.GroupID(req.GetGroup())}
+	}
+	in := heartbeatReceived{heartbeat: heartbeatFromProto(req), reply: make(chan core.HeartbeatReply, 1)}
+	if err := w.put(ctx, in); err != nil {
+		return nil, err
+	}
+	select {
+	case reply := <-in.reply:
+		return replyToProto(m.caller.Sender(), reply), nil
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+// serveMove takes up planned moves as the group's lessor.
+func (m *Module) serveMove(ctx context.Context, req *bspb.MoveRequest) (*bspb.MoveResponse, error) {
+	w, exists := m.worker(topo.GroupID(req.GetGroup()))
+	if !exists {
+		return nil, &UnknownGroupError{Group: topo.GroupID(req.GetGroup())}
+	}
+	in := movesRequested{moves: movesFromProto(req.GetMoves()), accepted: make(chan int, 1)}
+	if err := w.put(ctx, in); err != nil {
+		return nil, err
+	}
+	select {
+	case accepted := <-in.accepted:
+		return &bspb.MoveResponse{Sender: m.caller.Sender(), Accepted: uint32(accepted)}, nil
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+// serveAnnounce passes on what a lessor decided off the log.
+func (m *Module) serveAnnounce(_ context.Context, req *bspb.AnnounceRequest) error {
+	announcement := core.Announcement{Term: termFromProto(req.GetTerm())}
+	for _, a := range req.GetActivations() {
+		announcement.Activations = append(announcement.Activations, core.Activation{
+			Shard:  shardFromProto(a.GetShard()),
+			Fence:  fenceFromProto(a.GetFence()),
+			Server: topo.ServerID(a.GetOwner()),
+		})
+	}
+	m.announced(topo.GroupID(req.GetGroup()), runOf(req.GetSender()), announcement)
+	return nil
+}
+
+// announced gives the request path what a lessor decided off the log.
+func (m *Module) announced(group topo.GroupID, lessor core.Run, a core.Announcement) {
+	if m.sink == nil {
+		return
+	}
+	for _, active := range a.Activations {
+		m.sink.Activated(active.Shard, active.Fence, active.Server)
+	}
+	if a.Term.Rank > 0 {
+		m.sink.Continued(group, a.Term, lessor.Node, lessor.Boot)
+	}
+}
+
+// put hands an input of another node to the worker; a full inbox refuses it.
+func (w *worker) put(ctx context.Context, in input) error {
+	err := w.inbox.Put(ctx, in)
+	if err != nil {
+		metricInboxFull.Add(1)
+	}
+	return err
+}
+
+// MayRenew implements lessor.Directory.
+func (m *Module) MayRenew(group topo.GroupID) bool {
+	w, exists := m.worker(group)
+	if !exists {
+		return false
+	}
+	current := w.current.Load()
+	return current.has && m.now() < current.until
+}
+
+// Term implements lessor.Directory.
+func (m *Module) Term(group topo.GroupID) (topo.Term, bool) {
+	w, exists := m.worker(group)
+	if !exists {
+		return topo.Term{}, false
+	}
+	current := w.current.Load()
+	return current.term, current.role == core.RoleLessor
+}
+
+// MaySend implements lessor.Directory.
+func (m *Module) MaySend(group topo.GroupID, shard topo.ShardID, server topo.ServerID, fence topo.Fence) bool {
+	w, exists := m.worker(group)
+	if !exists {
+		return false
+	}
+	current := w.current.Load()
+	end, known := current.ends[shard.Service]
+	if !known || m.now() >= end {
+		return false
+	}
+	return current.granted[shard] == core.Holding{Server: server, Fence: fence}
+}
