Tables and state-machine tests of the request path's pure parts

Cause: the pure parts had no tests. The zero Overlay no longer panics, and a probe is handed on when its request ends elsewhere.

--- /dev/null
+++ b/limit/gate_test.go
@@ -0,0 +1,128 @@
+package limit_test
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"github.com/burdockspindle/burdockspindle/callerapi"
+	"github.com/burdockspindle/burdockspindle/limit"
+)
+
+// TestGateUnderConcurrency lets many requests wait, be served, be canceled and
+// run out of time at once: the limit holds, and every place comes back.
+func TestGateUnderConcurrency(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := gomega.NewWithT(t)
+		set := limit.NewSet(50)
+		gate := set.Gate("logs", "s1", limit.Spec{Limit: 4, MaxQueued: 50, Ramp: 200 * time.Millisecond})
+		random := rand.New(rand.NewPCG(1, 2))
+		var mu sync.Mutex
+		held, peak, served := 0, 0, 0
+		var wait sync.WaitGroup
+		for i := range 500 {
+			arrival := time.Duration(random.IntN(1000)) * time.Millisecond
+			deadline := time.Duration(20+random.IntN(400)) * time.Millisecond
+			busy := time.Duration(5+random.IntN(20)) * time.Millisecond
+			wait.Go(func() {
+				time.Sleep(arrival)
+				ctx, cancel := context.WithTimeout(context.Background(), deadline)
+				defer cancel()
+				permit, err := gate.Acquire(ctx, string(rune('a'+i%3)), time.Now().Add(deadline))
+				if err != nil {
+					return
+				}
+				mu.Lock()
+				held++
+				served++
+				peak = max(peak, held)
+				mu.Unlock()
+				time.Sleep(busy)
+				mu.Lock()
+				held--
+				mu.Unlock()
+				permit.Release(limit.Result{Served: true})
+				permit.Release(limit.Result{Served: true}) // without effect
+			})
+		}
+		done := make(chan struct{})
+		go func() {
+			for {
+				select {
+				case <-done:
+					return
+				case <-time.After(10 * time.Millisecond):
+					set.Sweep(time.Now())
+				}
+			}
+		}()
+		wait.Wait()
+		close(done)
+		g.Expect(peak).To(gomega.BeNumerically("<=", 4))
+		g.Expect(served).To(gomega.BeNumerically(">", 100))
+		stats := gate.Stats()
+		g.Expect(stats.InFlight).To(gomega.BeZero())
+		g.Expect(stats.Queued).To(gomega.BeZero())
+		g.Expect(stats.Peak).To(gomega.Equal(peak))
+		g.Expect(stats.Counts.Served).To(gomega.Equal(uint64(served)))
+	})
+}
+
+// TestQueuedRequestsOfAServiceAreBounded counts over all servers of a service.
+func TestQueuedRequestsOfAServiceAreBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := gomega.NewWithT(t)
+		set := limit.NewSet(3)
+		ctx, cancel := context.WithCancel(context.Background())
+		spec := limit.Spec{Limit: 1, MaxQueued: 3}
+		refused := make(chan error, 10)
+		for i := range 10 {
+			server := []string{"s1", "s2"}[i%2]
+			gate := set.Gate("logs", "s1", spec)
+			if server == "s2" {
+				gate = set.Gate("logs", "s2", spec)
+			}
+			go func() {
+				_, err := gate.Acquire(ctx, string(rune('a'+i)), time.Now().Add(time.Hour))
+				refused <- err
+			}()
+			synctest.Wait()
+		}
+		g.Expect(refused).To(gomega.HaveLen(2 + 5))
+		full := 0
+		for range 7 {
+			if err, isRefused := (<-refused).(*limit.RefusedError); isRefused {
+				g.Expect(err.Reason).To(gomega.Equal(callerapi.ReasonQueueFull))
+				g.Expect(err.RetryAfter).To(gomega.BeNumerically(">", 0))
+				full++
+			}
+		}
+		g.Expect(full).To(gomega.Equal(5))
+		cancel()
+		synctest.Wait()
+		g.Expect(set.Gate("logs", "s1", spec).Queued() + set.Gate("logs", "s2", spec).Queued()).To(gomega.BeZero())
+	})
+}
+
+func TestNodeKeepsRoomForOthers(t *testing.T) {
+	g := gomega.NewWithT(t)
+	node := limit.NewNode(100)
+	held := 0
+	for node.Enter("greedy", 0) {
+		held++
+	}
+	g.Expect(held).To(gomega.BeNumerically("<", 80), "one service leaves room")
+	g.Expect(node.Enter("modest", 0)).To(gomega.BeTrue())
+	for node.Enter("third", 0) || node.Enter("fourth", 0) || node.Enter("fifth", 0) {
+		held++
+	}
+	g.Expect(node.Enter("modest", 1)).To(gomega.BeTrue(), "what a backend server asks for has places of its own")
+	before := node.InFlight()
+	node.Leave("modest")
+	g.Expect(node.InFlight()).To(gomega.Equal(before - 1))
+}
--- a/modules/router/fake_test.go
+++ b/modules/router/fake_test.go
@@ -237,11 +237,11 @@
 // services.
 func oneNodeSite(services []*siteconfig.Service, servers ...topo.ServerID) *routetest.Site {
 	site := routetest.New()
-	site.Publish(services...)
-	site.Node("node-1", "b1", "127.0.0.1:1")
+	site.Configure(services...)
+	site.Run("node-1", "b1", "127.0.0.1:1")
 	for i, id := range servers {
 		service := services[i%len(services)]
-		site.Server(state.Server{ID: id, Service: service.Name, Zone: "zone-a", Address: "127.0.0.1:2", Group: groupName, Phase: state.PhaseLive})
+		site.Backend(state.Server{ID: id, Service: service.Name, Zone: "zone-a", Address: "127.0.0.1:2", Group: groupName, Phase: state.PhaseLive})
 	}
 	site.Lead(groupName, "node-1", "b1")
 	return site
--- a/modules/router/run.go
+++ b/modules/router/run.go
@@ -61,6 +61,7 @@
 
 // whole takes the request to its final answer.
 func (r *run) whole() *exchange.Answer {
+	defer r.dropProbe()
 	for {
 		viewChanged := r.m.source.Changed()
 		overlayChanged := r.m.overlay.Changed()
@@ -173,6 +174,7 @@
 // wait holds the request until it is told what to do. It returns the final
 // answer, or nil to decide anew.
 func (r *run) wait(key buffer.Key, view, overlay <-chan struct{}) *exchange.Answer {
+	r.dropProbe()
 	place, refused := r.m.buffer.Join(time.Now(), key, r.req.Service, r.req.Deadline)
 	if place == nil {
 		return r.final(outcome.NotRun(refused.Reason).Later(refused.RetryAfter))
@@ -269,8 +271,13 @@
 	} else if res.contact {
 		r.m.buffer.Recovered(now, contactKey(d))
 	}
+	r.dropProbe()
+}
+
+// dropProbe leaves the probe, if it is not settled, to another request.
+func (r *run) dropProbe() {
 	if r.probe != nil {
-		r.m.buffer.Abandoned(*r.probe) // without effect when it was settled above
+		r.m.buffer.Abandoned(*r.probe)
 		r.probe = nil
 	}
 }
--- /dev/null
+++ b/outcome/outcome_test.go
@@ -0,0 +1,105 @@
+package outcome_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"github.com/burdockspindle/burdockspindle/callerapi"
+	"github.com/burdockspindle/burdockspindle/outcome"
+	"github.com/burdockspindle/burdockspindle/serverapi"
+)
+
+func TestAttemptsWithoutAnswer(t *testing.T) {
+	rows := []struct {
+		failure outcome.Failure
+		want    serverapi.Outcome
+		reason  serverapi.Reason
+		status  int
+	}{
+		{outcome.Failure{}, serverapi.OutcomeNotRun, callerapi.ReasonNotSent, 503},
+		{outcome.Failure{Silent: true}, serverapi.OutcomeNotRun, callerapi.ReasonNotSent, 503},
+		{outcome.Failure{Deadline: true}, serverapi.OutcomeNotRun, serverapi.ReasonDeadline, 504},
+		{outcome.Failure{Canceled: true}, serverapi.OutcomeNotRun, callerapi.ReasonCanceled, 503},
+		{outcome.Failure{Sent: true}, serverapi.OutcomeUnknown, callerapi.ReasonNoAnswer, 502},
+		{outcome.Failure{Sent: true, Silent: true}, serverapi.OutcomeUnknown, callerapi.ReasonSilent, 504},
+		{outcome.Failure{Sent: true, Deadline: true}, serverapi.OutcomeUnknown, serverapi.ReasonDeadline, 504},
+		{outcome.Failure{Sent: true, Canceled: true}, serverapi.OutcomeUnknown, callerapi.ReasonCanceled, 502},
+	}
+	for _, row := range rows {
+		g := gomega.NewWithT(t)
+		v := outcome.Failed(row.failure)
+		g.Expect(v.Outcome).To(gomega.Equal(row.want), "%+v", row.failure)
+		g.Expect(v.Reason).To(gomega.Equal(row.reason), "%+v", row.failure)
+		g.Expect(v.Status()).To(gomega.Equal(row.status), "%+v", row.failure)
+	}
+}
+
+func TestWhatServersSay(t *testing.T) {
+	rows := []struct {
+		outcome serverapi.Outcome
+		reason  serverapi.Reason
+		want    serverapi.Outcome
+		status  int
+	}{
+		{"", "", serverapi.OutcomeAnswered, 0},
+		{serverapi.OutcomeAnswered, "", serverapi.OutcomeAnswered, 0},
+		{serverapi.OutcomeNotRun, serverapi.ReasonNotOwner, serverapi.OutcomeNotRun, 503},
+		{serverapi.OutcomeNotRun, serverapi.ReasonOverloaded, serverapi.OutcomeNotRun, 503},
+		{serverapi.OutcomeNotRun, serverapi.ReasonDraining, serverapi.OutcomeNotRun, 503},
+		{serverapi.OutcomeNotRun, serverapi.ReasonDeadline, serverapi.OutcomeNotRun, 504},
+		{serverapi.OutcomeUnknown, serverapi.ReasonStaleTicket, serverapi.OutcomeUnknown, 409},
+		{serverapi.OutcomeUnknown, serverapi.ReasonDuplicate, serverapi.OutcomeUnknown, 409},
+		{"something new", "x", serverapi.OutcomeUnknown, 502},
+	}
+	for _, row := range rows {
+		g := gomega.NewWithT(t)
+		v := outcome.Said(row.outcome, row.reason)
+		g.Expect(v.Outcome).To(gomega.Equal(row.want), "%+v", row)
+		if row.status != 0 {
+			g.Expect(v.Status()).To(gomega.Equal(row.status), "%+v", row)
+		}
+	}
+}
+
+// TestNotRunNeedsProofOfEveryAttempt draws the attempts of a request: the caller
+// is told "not run" only if none of them may have run.
+func TestNotRunNeedsProofOfEveryAttempt(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		outcomes := rapid.SliceOfN(rapid.SampledFrom([]serverapi.Outcome{
+			serverapi.OutcomeNotRun, serverapi.OutcomeUnknown,
+		}), 0, 6).Draw(t, "attempts")
+		var tally outcome.Tally
+		mayHaveRun := false
+		for _, o := range outcomes {
+			tally.Add(outcome.Verdict{Outcome: o, Reason: "r"})
+			mayHaveRun = mayHaveRun || o == serverapi.OutcomeUnknown
+		}
+		final := tally.Final(outcome.NotRun(callerapi.ReasonTooLate).Later(time.Second))
+		if final.NotRunProven() == mayHaveRun {
+			t.Fatalf("attempts %v: told %v", outcomes, final.Outcome)
+		}
+		if final.RetryAfter != time.Second {
+			t.Fatalf("time to come back was lost")
+		}
+		if tally.Final(outcome.Answered()) != outcome.Answered() {
+			t.Fatalf("a whole answer must stand")
+		}
+	})
+}
+
+// TestStatusesTellOutcomesApart keeps the documented rule: what may have run
+// has no 4xx status but 409.
+func TestStatusesTellOutcomesApart(t *testing.T) {
+	g := gomega.NewWithT(t)
+	for _, reason := range []serverapi.Reason{
+		callerapi.ReasonBodyTooLarge, callerapi.ReasonBodyUnreadable, callerapi.ReasonCanceled,
+		callerapi.ReasonBrokenAnswer, callerapi.ReasonForeignAnswer, callerapi.ReasonNoAnswer,
+		callerapi.ReasonSilent, serverapi.ReasonDeadline, serverapi.ReasonDuplicate, "other",
+	} {
+		g.Expect(outcome.Unknown(reason).Status()).To(gomega.BeElementOf(409, 502, 504), string(reason))
+		g.Expect(outcome.NotRun(reason).Status()).NotTo(gomega.Equal(502), string(reason))
+	}
+}
--- a/route/overlay.go
+++ b/route/overlay.go
@@ -26,7 +26,7 @@
 
 // Overlay is an immutable set of activations and continuations. An entry counts
 // only while the view's own fence or term is lower, so an entry that the log has
-// passed is without effect even before it is dropped. The nil Overlay is empty.
+// passed is without effect even before it is dropped. The nil and the zero Overlay are empty.
 type Overlay struct {
 	shards map[topo.ShardID]Activation
 	groups map[topo.GroupID]Continuation
@@ -132,8 +132,13 @@
 }
 
 func (o *Overlay) clone() *Overlay {
-	if o == nil {
-		return &Overlay{shards: map[topo.ShardID]Activation{}, groups: map[topo.GroupID]Continuation{}}
+	next := &Overlay{
+		shards: map[topo.ShardID]Activation{},
+		groups: map[topo.GroupID]Continuation{},
+	}
+	if o != nil {
+		maps.Copy(next.shards, o.shards)
+		maps.Copy(next.groups, o.groups)
 	}
-	return &Overlay{shards: maps.Clone(o.shards), groups: maps.Clone(o.groups)}
+	return next
 }
--- a/route/routetest/site.go
+++ b/route/routetest/site.go
@@ -3,67 +3,27 @@
 package routetest
 
 import (
-	"context"
 	"fmt"
-	"sync"
 
 	"github.com/burdockspindle/burdockspindle/siteconfig"
+	"github.com/burdockspindle/burdockspindle/sitefake"
 	"github.com/burdockspindle/burdockspindle/state"
 	"github.com/burdockspindle/burdockspindle/topo"
 
 	bspb "github.com/burdockspindle/burdockspindle/proto/burdockspindle/v1"
 )
 
+// writer is the writer of every record.
 const writer = "test@1"
 
-// Site applies records to a state and publishes each view. It implements
-// state.Source; its methods may be called concurrently.
-type Site struct {
-	mu       sync.Mutex
-	state    *state.State
-	sequence uint64
-	view     *state.View
-	changed  chan struct{}
-}
+// Site is a sitefake.Site with records as the request path's tests need them.
+type Site struct{ *sitefake.Site }
 
 // New returns the site before the first record.
-func New() *Site {
-	s := &Site{state: state.New(), changed: make(chan struct{})}
-	s.view = s.state.View()
-	return s
-}
-
-// View implements state.Source.
-func (s *Site) View() *state.View {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.view
-}
-
-// Changed implements state.Source.
-func (s *Site) Changed() <-chan struct{} {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.changed
-}
+func New() *Site { return &Site{sitefake.New()} }
 
-// WaitApplied implements state.Source.
-func (s *Site) WaitApplied(ctx context.Context, offset topo.Offset) error {
-	for {
-		changed := s.Changed()
-		if s.View().Applied() >= offset {
-			return nil
-		}
-		select {
-		case <-changed:
-		case <-ctx.Done():
-			return ctx.Err()
-		}
-	}
-}
-
-// Publish puts a site configuration with these services in force.
-func (s *Site) Publish(services ...*siteconfig.Service) {
+// Configure puts a site configuration with these services in force.
+func (s *Site) Configure(services ...*siteconfig.Service) {
 	site := &siteconfig.Site{Services: map[topo.Service]*siteconfig.Service{}, GroupsPerZone: 1}
 	for _, service := range services {
 		site.Services[service.Name] = service
@@ -75,15 +35,15 @@
 	}}})
 }
 
-// Node adds or replaces a run of a node.
-func (s *Site) Node(id topo.NodeID, boot topo.BootID, address string) {
+// Run adds or replaces a run of a node.
+func (s *Site) Run(id topo.NodeID, boot topo.BootID, address string) {
 	s.apply(&bspb.Record{Body: &bspb.Record_JoinNode{JoinNode: &bspb.JoinNode{
 		Node: string(id), Boot: string(boot), Zone: "zone-a", Region: "region", PeerAddress: address,
 	}}})
 }
 
-// Server adds or replaces a server.
-func (s *Site) Server(server state.Server) {
+// Backend adds or replaces a server.
+func (s *Site) Backend(server state.Server) {
 	s.apply(&bspb.Record{Body: &bspb.Record_UpdateServers{UpdateServers: &bspb.UpdateServers{
 		Upsert: []*bspb.ServerEntry{{
 			Id:      string(server.ID),
@@ -109,7 +69,10 @@
 // Assign gives a shard to a server and returns its fence.
 func (s *Site) Assign(shard topo.ShardID, owner, standby topo.ServerID) topo.Fence {
 	view := s.View()
-	current, _ := view.Shard(shard)
+	current, exists := view.Shard(shard)
+	if !exists {
+		current, _ = view.Shard(topo.ShardID{Service: shard.Service, Index: shard.Index})
+	}
 	server, _ := view.Server(owner)
 	if previous, exists := view.Server(current.Owner); exists {
 		server = previous
@@ -140,17 +103,9 @@
 
 // apply appends a record; a refused one is a mistake in the test.
 func (s *Site) apply(rec *bspb.Record) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.sequence++
-	rec.Format, rec.Writer, rec.Sequence = 1, writer, s.sequence
-	result := s.state.Apply(s.state.Applied()+1, rec)
-	if !result.Accepted {
+	if result := s.Apply(writer, rec); !result.Accepted {
 		panic(fmt.Sprintf("record refused: %+v", result))
 	}
-	s.view = s.state.View()
-	close(s.changed)
-	s.changed = make(chan struct{})
 }
 
 func ordinal(o topo.Ordinal) *bspb.Ordinal {
