Requests carry their hop; local limits are told from servers' failures

Cause: the driver removed the hop header, a used-up share of connections would have counted against the server, and paths lacked their leading slash. Change: backend.Request.Hop, serverapi.HeaderHop, backend.LocalError; reasons answer-gone and ownership-lost; unguessable request IDs; events of the router.

--- a/backend/backend.go
+++ b/backend/backend.go
@@ -36,6 +36,7 @@
 	// rest each get a new one, so that a connection that went silent or was
 	// closed while idle never makes their outcome unknown.
 	Idempotent    bool
+	Hop           int       // services through which the request came, this one included
 	Deadline      time.Time // zero for none
 	Header        http.Header
 	Body          io.Reader // nil for none; may be read for a moment after Do returned
@@ -86,6 +87,14 @@
 // Unwrap returns the cause.
 func (e *AttemptError) Unwrap() error { return e.Cause }
 
+// LocalError is implemented by causes that lie with this process, such as a
+// used-up share of connections: they say nothing of the server.
+type LocalError interface {
+	error
+	// LocalLimit marks the error.
+	LocalLimit()
+}
+
 // ControlError reports a lease or acknowledge call without an answer.
 type ControlError struct {
 	Server topo.ServerID
--- a/callerapi/callerapi.go
+++ b/callerapi/callerapi.go
@@ -28,7 +28,7 @@
 	HeaderCaller = "Burdockspindle-Caller"
 	// HeaderHop counts the services through which a request came. A backend
 	// server that calls another service copies it from the request it serves.
-	HeaderHop = "Burdockspindle-Hop"
+	HeaderHop = serverapi.HeaderHop
 )
 
 // Headers on answers.
--- a/callerapi/reasons.go
+++ b/callerapi/reasons.go
@@ -14,7 +14,7 @@
 	ReasonBadHop           serverapi.Reason = "bad-hop"
 	ReasonTooManyHops      serverapi.Reason = "too-many-hops"
 	ReasonBadCaller        serverapi.Reason = "bad-caller"
-	ReasonBadTicket        serverapi.Reason = "bad-ticket"
+	ReasonBadTicket                         = serverapi.ReasonBadTicket
 	ReasonTicketRequired   serverapi.Reason = "ticket-required"
 	ReasonBodyTooLarge     serverapi.Reason = "body-too-large"
 	ReasonBodyUnreadable   serverapi.Reason = "body-unreadable"
@@ -54,6 +54,9 @@
 	// ReasonNoLease: the lessor may not send to a server that does not check
 	// fencing tokens, because its own right has lapsed.
 	ReasonNoLease serverapi.Reason = "lessor-lapsed"
+	// ReasonNoConnection: this node's share of the server's connections is in
+	// use; nothing was sent.
+	ReasonNoConnection serverapi.Reason = "no-connection"
 	// ReasonCanceled: the caller went away.
 	ReasonCanceled serverapi.Reason = "canceled"
 )
--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -20,7 +20,7 @@
 	Keyed    bool
 	Key      string
 	Method   string
-	Path     string // escaped path at the server with query, no leading slash
+	Path     string // escaped path at the server, from its slash on, with query
 	Header   http.Header
 	Body     *Body     // nil for none
 	Deadline time.Time // zero when the caller named none
--- a/modules/frontend/handler.go
+++ b/modules/frontend/handler.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"math/rand/v2"
 	"net/http"
 	"strconv"
 	"sync/atomic"
@@ -17,6 +18,9 @@
 // so that the request can be sent again.
 const bufferBytes = 64 << 10
 
+// idBase keeps request IDs short.
+const idBase = 36
+
 // handler turns HTTP requests of callers into exchange requests.
 type handler struct {
 	next     exchange.Handler
@@ -25,8 +29,11 @@
 	drain    *drainState
 }
 
+// nextID names a request: by the run of the node and a sequence, so that it can
+// be found in logs, and a random part, so that it cannot be guessed.
 func (h *handler) nextID() string {
-	return h.idPrefix + strconv.FormatUint(h.sequence.Add(1), 36)
+	id := h.idPrefix + strconv.FormatUint(h.sequence.Add(1), idBase)
+	return id + "-" + strconv.FormatUint(rand.Uint64(), idBase)
 }
 
 // serve answers everything below callerapi.PathServices.
@@ -74,7 +81,7 @@
 		Keyed:   target.Keyed,
 		Key:     target.Key,
 		Method:  r.Method,
-		Path:    target.Rest,
+		Path:    "/" + target.Rest,
 		Header:  callerapi.PassedOn(r.Header),
 	}
 	if r.URL.RawQuery != "" {
--- a/modules/router/events.go
+++ b/modules/router/events.go
@@ -15,6 +15,4 @@
 	eventForwardRejected = events.Define(1625, hclog.Warn, "forwarded request could not be read")
 	eventDrained         = events.Define(1626, hclog.Info, "router drained: no request in flight")
 	eventDrainTimeout    = events.Define(1627, hclog.Warn, "router drain ended with requests in flight")
-	eventShedding        = events.Define(1628, hclog.Warn, "requests shed because of an overloaded dependency")
-	eventNotShedding     = events.Define(1629, hclog.Info, "requests no longer shed because of a dependency")
 )
--- a/modules/router/records.go
+++ b/modules/router/records.go
@@ -89,6 +89,8 @@
 		return nil, replay(stored)
 	case ticket.Duplicate:
 		return nil, unsent(outcome.Unknown(serverapi.ReasonDuplicate))
+	case ticket.Gone:
+		return nil, unsent(outcome.Unknown(serverapi.ReasonAnswerGone))
 	case ticket.Mismatch:
 		return nil, unsent(outcome.NotRun(callerapi.ReasonBadTicket))
 	}
--- a/modules/router/send.go
+++ b/modules/router/send.go
@@ -132,6 +132,8 @@
 		Term:           d.Term,
 		IdempotencyKey: r.req.Ticket,
 		RequestID:      id,
+		Idempotent:     r.config.Idempotent(r.req.Method),
+		Hop:            r.req.Hop + 1,
 		Deadline:       r.req.Deadline,
 		Header:         r.req.Header,
 		Body:           body,
@@ -148,6 +150,11 @@
 		at.leave(limit.Result{})
 		return unsent(verdict)
 	}
+	var local backend.LocalError
+	if errors.As(err, &local) && !failure.Sent {
+		at.leave(limit.Result{})
+		return unsent(outcome.NotRun(callerapi.ReasonNoConnection))
+	}
 	at.leave(limit.Result{Failed: true})
 	res := unsent(verdict)
 	if failure.Canceled {
@@ -193,8 +200,8 @@
 	r.m.servers.Observe(time.Now(), d.Server, health.Answered)
 	res := result{verdict: verdict, contact: true}
 	switch verdict.Reason {
-	case serverapi.ReasonNotOwner, serverapi.ReasonDraining:
-		if d.Service.Keyed && verdict.NotRunProven() {
+	case serverapi.ReasonNotOwner, serverapi.ReasonDraining, serverapi.ReasonOwnershipLost:
+		if d.Service.Keyed {
 			res.out = &outage{key: buffer.ShardKey(d), cause: buffer.Moving}
 		}
 	}
--- a/modules/router/serve.go
+++ b/modules/router/serve.go
@@ -4,8 +4,6 @@
 	"context"
 	"io"
 	"math/rand/v2"
-	"net/http"
-	"strconv"
 	"sync"
 	"time"
 
@@ -83,10 +81,6 @@
 		r.ticket = &issued
 	}
 	req.Deadline = deadlineOf(time.Now(), req.Deadline, config.Deadline)
-	if req.Header == nil {
-		req.Header = http.Header{}
-	}
-	req.Header.Set(callerapi.HeaderHop, strconv.Itoa(req.Hop+1))
 	return r, nil
 }
 
--- a/modules/serverhttp/errors.go
+++ b/modules/serverhttp/errors.go
@@ -69,6 +69,9 @@
 	return "no connection left of the share of " + strconv.Itoa(e.Share)
 }
 
+// LocalLimit implements backend.LocalError.
+func (e *ShareError) LocalLimit() {}
+
 // DeadlineError reports a request whose deadline passed before it was sent.
 type DeadlineError struct{}
 
--- a/outcome/outcome.go
+++ b/outcome/outcome.go
@@ -141,10 +141,12 @@
 // unknownStatus lists the statuses of requests that may have run; the others
 // have 502.
 var unknownStatus = map[serverapi.Reason]int{
-	callerapi.ReasonSilent:      http.StatusGatewayTimeout,
-	serverapi.ReasonDeadline:    http.StatusGatewayTimeout,
-	serverapi.ReasonStaleTicket: http.StatusConflict,
-	serverapi.ReasonDuplicate:   http.StatusConflict,
+	callerapi.ReasonSilent:        http.StatusGatewayTimeout,
+	serverapi.ReasonDeadline:      http.StatusGatewayTimeout,
+	serverapi.ReasonStaleTicket:   http.StatusConflict,
+	serverapi.ReasonDuplicate:     http.StatusConflict,
+	serverapi.ReasonAnswerGone:    http.StatusConflict,
+	serverapi.ReasonOwnershipLost: http.StatusConflict,
 }
 
 // Status is the HTTP status of an answer that an entry node gives itself.
--- a/retry/retry.go
+++ b/retry/retry.go
@@ -119,6 +119,7 @@
 func final(a Attempt) bool {
 	switch a.Verdict.Reason {
 	case serverapi.ReasonDeadline, serverapi.ReasonDuplicate, serverapi.ReasonStaleTicket,
+		serverapi.ReasonAnswerGone, serverapi.ReasonBadRequest,
 		callerapi.ReasonBadTicket, callerapi.ReasonBodyTooLarge, callerapi.ReasonBodyUnreadable,
 		callerapi.ReasonLoop, callerapi.ReasonTooLate, callerapi.ReasonDependency,
 		callerapi.ReasonBusy, callerapi.ReasonBufferFull:
--- a/serverapi/serverapi.go
+++ b/serverapi/serverapi.go
@@ -27,6 +27,9 @@
 	// HeaderIdempotencyKey is the published Idempotency-Key header. Its value is
 	// a ticket issued by an entry node; see package ticket.
 	HeaderIdempotencyKey = "Idempotency-Key"
+	// HeaderHop counts the services through which a request came, this one
+	// included. A server that calls another service copies it.
+	HeaderHop = "Burdockspindle-Hop"
 	// HeaderProgressMs asks the server to send a 102 (Processing) response each
 	// time that many milliseconds pass before its answer begins, so that a slow
 	// run can be told from a connection that has gone silent.
