Log over HTTP, its stand-in service, and the log contract

Cause: the log service fails in many ways and each driver must tell what is proven and what is not. Conclusion: an append counts as not appended only when no connection was obtained or the service says so itself.

--- /dev/null
+++ b/modules/loghttp/client.go
@@ -0,0 +1,195 @@
+package loghttp
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/http/httptrace"
+	"net/url"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/burdockspindle/burdockspindle/platlog"
+	"github.com/burdockspindle/burdockspindle/platlog/logwire"
+	"github.com/burdockspindle/burdockspindle/topo"
+)
+
+const (
+	opAppend = "append"
+	opRead   = "read"
+
+	maxIdleConnections = 2
+)
+
+// Client is a platlog.Log over the log service's HTTP interface. It is safe for
+// concurrent use.
+type Client struct {
+	records *url.URL
+	http    *http.Client
+}
+
+var _ platlog.Log = (*Client)(nil)
+
+// NewClient returns a client of one stream of the service at base, which is a
+// valid URL without a query.
+func NewClient(base *url.URL, stream string, connectTimeout time.Duration) *Client {
+	transport := newTransport(connectTimeout)
+	return &Client{
+		records: base.JoinPath(logwire.PathPrefix, url.PathEscape(stream), logwire.PathRecords),
+		http:    &http.Client{Transport: transport, CheckRedirect: refuseRedirect},
+	}
+}
+
+// Close closes idle connections.
+func (c *Client) Close() { c.http.CloseIdleConnections() }
+
+func refuseRedirect(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
+
+// Append implements platlog.Log. It is *platlog.UnavailableError only when no
+// connection was obtained or the service said that nothing was appended.
+func (c *Client) Append(ctx context.Context, data []byte) (topo.Offset, error) {
+	body, err := json.Marshal(logwire.AppendRequest{Data: data})
+	if err != nil {
+		return 0, &platlog.UnavailableError{Op: opAppend, Cause: err}
+	}
+	var connected atomic.Bool
+	traced := httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
+	})
+	req, err := http.NewRequestWithContext(traced, http.MethodPost, c.records.String(), bytes.NewReader(body))
+	if err != nil {
+		return 0, &platlog.UnavailableError{Op: opAppend, Cause: err}
+	}
+	req.Header.Set("Content-Type", "application/json")
+	status, answer, err := c.do(req)
+	if err != nil {
+		if !connected.Load() {
+			return 0, &platlog.UnavailableError{Op: opAppend, Cause: err}
+		}
+		return 0, &platlog.UncertainError{Cause: err}
+	}
+	return appendResult(status, answer)
+}
+
+func appendResult(status int, answer []byte) (topo.Offset, error) {
+	if status == http.StatusOK {
+		var appended logwire.AppendResponse
+		if err := json.Unmarshal(answer, &appended); err != nil {
+			return 0, &platlog.UncertainError{Cause: &ProtocolError{Problem: "answer is not JSON", Cause: err}}
+		}
+		if appended.Offset == 0 {
+			return 0, &platlog.UncertainError{Cause: &ProtocolError{Problem: "answer without an offset"}}
+		}
+		return appended.Offset, nil
+	}
+	refusal := decodeRefusal(status, answer)
+	if refusal.NotAppended {
+		return 0, &platlog.UnavailableError{Op: opAppend, Cause: refusal}
+	}
+	return 0, &platlog.UncertainError{Cause: refusal}
+}
+
+// Read implements platlog.Log.
+func (c *Client) Read(ctx context.Context, req platlog.ReadRequest) (platlog.Batch, error) {
+	from := max(req.From, 1)
+	target := *c.records
+	target.RawQuery = url.Values{
+		logwire.ParamFrom: {strconv.FormatUint(uint64(from), 10)},
+		logwire.ParamMax:  {strconv.Itoa(max(req.Max, 0))},
+		logwire.ParamWait: {strconv.FormatInt(max(req.Wait.Milliseconds(), 0), 10)},
+	}.Encode()
+	call, err := http.NewRequestWithContext(ctx, http.MethodGet, target.String(), nil)
+	if err != nil {
+		return platlog.Batch{}, &platlog.UnavailableError{Op: opRead, Cause: err}
+	}
+	status, answer, err := c.do(call)
+	if err != nil {
+		if ctx.Err() != nil {
+			return platlog.Batch{}, ctx.Err()
+		}
+		return platlog.Batch{}, &platlog.UnavailableError{Op: opRead, Cause: err}
+	}
+	return readResult(from, status, answer)
+}
+
+func readResult(from topo.Offset, status int, answer []byte) (platlog.Batch, error) {
+	if status != http.StatusOK {
+		refusal := decodeRefusal(status, answer)
+		if refusal.Code == logwire.CodeTruncated && refusal.First > from {
+			return platlog.Batch{}, &platlog.TruncatedError{From: from, First: refusal.First}
+		}
+		return platlog.Batch{}, &platlog.UnavailableError{Op: opRead, Cause: refusal}
+	}
+	var response logwire.ReadResponse
+	if err := json.Unmarshal(answer, &response); err != nil {
+		return platlog.Batch{}, &platlog.UnavailableError{
+			Op: opRead, Cause: &ProtocolError{Problem: "answer is not JSON", Cause: err},
+		}
+	}
+	batch, err := toBatch(from, response)
+	if err != nil {
+		return platlog.Batch{}, &platlog.UnavailableError{Op: opRead, Cause: err}
+	}
+	return batch, nil
+}
+
+// toBatch checks what a read answered, and leaves out records given again.
+func toBatch(from topo.Offset, response logwire.ReadResponse) (platlog.Batch, error) {
+	batch := platlog.Batch{First: response.First, End: response.End}
+	next := from
+	for _, record := range response.Records {
+		switch {
+		case record.Offset < next:
+			continue
+		case record.Offset > next:
+			return platlog.Batch{}, &ProtocolError{Problem: "offsets with a gap"}
+		}
+		batch.Entries = append(batch.Entries, platlog.Entry{Offset: record.Offset, Data: record.Data})
+		next++
+	}
+	if batch.First == 0 || batch.End < batch.First {
+		return platlog.Batch{}, &ProtocolError{Problem: "impossible bounds"}
+	}
+	if len(batch.Entries) > 0 && batch.End < next {
+		return platlog.Batch{}, &ProtocolError{Problem: "end before the last record"}
+	}
+	return batch, nil
+}
+
+// do sends a request and reads the whole answer, within the largest size. After
+// a failure idle connections are closed, since whatever made this one silent
+// may have done the same to them.
+func (c *Client) do(req *http.Request) (status int, answer []byte, err error) {
+	response, err := c.http.Do(req)
+	if err != nil {
+		c.http.CloseIdleConnections()
+		return 0, nil, err
+	}
+	defer func() { _ = response.Body.Close() }()
+	answer, err = io.ReadAll(io.LimitReader(response.Body, logwire.MaxAnswerBytes+1))
+	if err != nil {
+		c.http.CloseIdleConnections()
+		return 0, nil, err
+	}
+	if len(answer) > logwire.MaxAnswerBytes {
+		return 0, nil, &ProtocolError{Problem: "answer too large"}
+	}
+	return response.StatusCode, answer, nil
+}
+
+func decodeRefusal(status int, answer []byte) *StatusError {
+	var body logwire.ErrorResponse
+	if err := json.Unmarshal(answer, &body); err != nil {
+		return &StatusError{Status: status}
+	}
+	return &StatusError{
+		Status:      status,
+		Code:        body.Code,
+		Message:     body.Message,
+		NotAppended: body.Appended != nil && !*body.Appended,
+		First:       body.First,
+	}
+}
--- /dev/null
+++ b/modules/logmem/module_test.go
@@ -0,0 +1,58 @@
+package logmem_test
+
+import (
+	"errors"
+	"testing"
+
+	"github.com/onsi/gomega"
+
+	"github.com/burdockspindle/burdockspindle/kernel"
+	"github.com/burdockspindle/burdockspindle/modules/logmem"
+	"github.com/burdockspindle/burdockspindle/platlog"
+	"github.com/burdockspindle/burdockspindle/platlog/logtest"
+	"github.com/burdockspindle/burdockspindle/platlog/memlog"
+	"github.com/burdockspindle/burdockspindle/settings"
+)
+
+// provision returns the log that the module provides under some options.
+func provision(t *testing.T, options map[string]any) (platlog.Log, error) {
+	t.Helper()
+	ctx := kernel.NewContext(kernel.Identity{}, nil)
+	config := &settings.Settings{Log: settings.Driver{Name: "memory", Options: options}}
+	if err := kernel.Provide(ctx, config); err != nil {
+		t.Fatal(err)
+	}
+	module, err := kernel.New(logmem.ID)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := module.(kernel.Provisioner).Provision(ctx); err != nil {
+		return nil, err
+	}
+	return kernel.Use[platlog.Log](ctx)
+}
+
+func TestContract(t *testing.T) {
+	logtest.Run(t, func(t *testing.T) logtest.Target {
+		t.Cleanup(func() { logmem.Forget(t.Name()) })
+		log, err := provision(t, map[string]any{"name": t.Name()})
+		if err != nil {
+			t.Fatal(err)
+		}
+		return logtest.Target{Log: log, Truncate: log.(*memlog.Store).Truncate}
+	})
+}
+
+func TestOneLogByName(t *testing.T) {
+	g := gomega.NewWithT(t)
+	first, err := provision(t, nil)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	second, err := provision(t, map[string]any{"name": "default"})
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(first).To(gomega.BeIdenticalTo(second))
+	for _, options := range []map[string]any{{"name": 1}, {"name": ""}, {"nam": "x"}} {
+		_, err := provision(t, options)
+		var option *logmem.OptionError
+		g.Expect(errors.As(err, &option)).To(gomega.BeTrue())
+	}
+}
--- /dev/null
+++ b/platlog/logtest/contract.go
@@ -0,0 +1,245 @@
+// Package logtest holds the contract that every driver of platlog.Log meets.
+// Drivers call Run in their tests.
+package logtest
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"github.com/burdockspindle/burdockspindle/platlog"
+	"github.com/burdockspindle/burdockspindle/topo"
+)
+
+// patience bounds every call of the contract that is expected to return.
+const patience = 20 * time.Second
+
+// Target is a driver under test with a log of its own.
+type Target struct {
+	Log platlog.Log
+	// Truncate drops the entries below first.
+	Truncate func(first topo.Offset)
+	// Faults brings about the faults that the driver can meet; the fault table
+	// leaves out those that are nil.
+	Faults Faults
+}
+
+// Faults are functions that bring about one fault, and Heal, which ends them.
+type Faults struct {
+	Down        func() // calls are refused
+	Cut         func() // connections end without an answer
+	Silent      func() // calls get no answer
+	LoseAnswer  func() // the next append takes effect, its answer is lost
+	LoseRequest func() // the next append is lost, the driver cannot tell
+	Repeat      func() // reads give earlier entries again
+	Heal        func()
+}
+
+// Run runs the whole contract. open returns a new target with an empty log.
+func Run(t *testing.T, open func(t *testing.T) Target) {
+	t.Helper()
+	cases := []struct {
+		name string
+		run  func(t *testing.T, target Target)
+	}{
+		{"offsets ascend from 1", offsetsAscend},
+		{"reads are bounded and complete", readsAreBounded},
+		{"a read at the end tells the end", readAtEnd},
+		{"a waiting read is woken by an append", waitingReadWakes},
+		{"a waiting read ends by itself", waitingReadEnds},
+		{"a read ends with its context", readEndsWithContext},
+		{"concurrent appends are all kept once", concurrentAppends},
+		{"data is kept byte for byte", dataIsKept},
+		{"data does not alias the caller's", dataDoesNotAlias},
+		{"below the retention limit", belowRetention},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) { c.run(t, open(t)) })
+	}
+	runFaults(t, open)
+}
+
+func deadline(t *testing.T) context.Context {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	t.Cleanup(cancel)
+	return ctx
+}
+
+func appendAll(t *testing.T, log platlog.Log, count int) {
+	t.Helper()
+	for i := range count {
+		offset, err := log.Append(deadline(t), fmt.Appendf(nil, "record %d", i+1))
+		if err != nil || offset != topo.Offset(i+1) {
+			t.Fatalf("append %d: offset %d, error %v", i+1, offset, err)
+		}
+	}
+}
+
+func readAll(t *testing.T, log platlog.Log, req platlog.ReadRequest) platlog.Batch {
+	t.Helper()
+	batch, err := log.Read(deadline(t), req)
+	if err != nil {
+		t.Fatalf("read %+v: %v", req, err)
+	}
+	return batch
+}
+
+func offsetsOf(batch platlog.Batch) []topo.Offset {
+	offsets := []topo.Offset{}
+	for _, entry := range batch.Entries {
+		offsets = append(offsets, entry.Offset)
+	}
+	return offsets
+}
+
+func offsetsAscend(t *testing.T, target Target) {
+	g := gomega.NewWithT(t)
+	appendAll(t, target.Log, 3)
+	for _, from := range []topo.Offset{0, 1} {
+		batch := readAll(t, target.Log, platlog.ReadRequest{From: from})
+		g.Expect(offsetsOf(batch)).To(gomega.Equal([]topo.Offset{1, 2, 3}))
+		g.Expect(batch.First).To(gomega.Equal(topo.Offset(1)))
+		g.Expect(batch.End).To(gomega.Equal(topo.Offset(4)))
+		g.Expect(string(batch.Entries[1].Data)).To(gomega.Equal("record 2"))
+	}
+}
+
+func readsAreBounded(t *testing.T, target Target) {
+	g := gomega.NewWithT(t)
+	appendAll(t, target.Log, 10)
+	next := topo.Offset(1)
+	for next <= 10 {
+		batch := readAll(t, target.Log, platlog.ReadRequest{From: next, Max: 4})
+		g.Expect(batch.Entries).NotTo(gomega.BeEmpty())
+		g.Expect(len(batch.Entries)).To(gomega.BeNumerically("<=", 4))
+		for _, entry := range batch.Entries {
+			g.Expect(entry.Offset).To(gomega.Equal(next))
+			next++
+		}
+	}
+}
+
+func readAtEnd(t *testing.T, target Target) {
+	g := gomega.NewWithT(t)
+	for count := range topo.Offset(2) {
+		batch := readAll(t, target.Log, platlog.ReadRequest{From: count + 1})
+		g.Expect(batch.Entries).To(gomega.BeEmpty())
+		g.Expect(batch.End).To(gomega.Equal(count + 1))
+		if count == 0 {
+			appendAll(t, target.Log, 1)
+		}
+	}
+	beyond := readAll(t, target.Log, platlog.ReadRequest{From: 100})
+	g.Expect(beyond.Entries).To(gomega.BeEmpty())
+	g.Expect(beyond.End).To(gomega.Equal(topo.Offset(2)))
+}
+
+func waitingReadWakes(t *testing.T, target Target) {
+	g := gomega.NewWithT(t)
+	got := make(chan platlog.Batch, 1)
+	ctx := deadline(t)
+	go func() {
+		batch, _ := target.Log.Read(ctx, platlog.ReadRequest{From: 1, Wait: patience})
+		got <- batch
+	}()
+	appendAll(t, target.Log, 1)
+	g.Expect(offsetsOf(<-got)).To(gomega.Equal([]topo.Offset{1}))
+}
+
+func waitingReadEnds(t *testing.T, target Target) {
+	g := gomega.NewWithT(t)
+	batch := readAll(t, target.Log, platlog.ReadRequest{From: 1, Wait: 20 * time.Millisecond})
+	g.Expect(batch.Entries).To(gomega.BeEmpty())
+	g.Expect(batch.End).To(gomega.Equal(topo.Offset(1)))
+}
+
+func readEndsWithContext(t *testing.T, target Target) {
+	g := gomega.NewWithT(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() {
+		_, err := target.Log.Read(ctx, platlog.ReadRequest{From: 1, Wait: patience})
+		ended <- err
+	}()
+	cancel()
+	g.Expect(errors.Is(<-ended, context.Canceled)).To(gomega.BeTrue())
+}
+
+func concurrentAppends(t *testing.T, target Target) {
+	g := gomega.NewWithT(t)
+	const writers, each = 8, 10
+	ctx := deadline(t)
+	var mu sync.Mutex
+	at := map[topo.Offset]string{}
+	var running sync.WaitGroup
+	for writer := range writers {
+		running.Go(func() {
+			for i := range each {
+				text := fmt.Sprintf("%d/%d", writer, i)
+				offset, err := target.Log.Append(ctx, []byte(text))
+				if err != nil {
+					t.Errorf("append %s: %v", text, err)
+					return
+				}
+				mu.Lock()
+				at[offset] = text
+				mu.Unlock()
+			}
+		})
+	}
+	running.Wait()
+	batch := readAll(t, target.Log, platlog.ReadRequest{From: 1, Max: writers * each})
+	g.Expect(batch.Entries).To(gomega.HaveLen(writers * each))
+	for _, entry := range batch.Entries {
+		g.Expect(at[entry.Offset]).To(gomega.Equal(string(entry.Data)))
+	}
+}
+
+func dataIsKept(t *testing.T, target Target) {
+	g := gomega.NewWithT(t)
+	every := make([]byte, 256)
+	for i := range every {
+		every[i] = byte(i)
+	}
+	samples := [][]byte{{}, every, bytes.Repeat(every, 4096)}
+	for _, sample := range samples {
+		offset, err := target.Log.Append(deadline(t), sample)
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		batch := readAll(t, target.Log, platlog.ReadRequest{From: offset, Max: 1})
+		g.Expect(bytes.Equal(batch.Entries[0].Data, sample)).To(gomega.BeTrue())
+	}
+}
+
+func dataDoesNotAlias(t *testing.T, target Target) {
+	g := gomega.NewWithT(t)
+	data := []byte("before")
+	_, err := target.Log.Append(deadline(t), data)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	copy(data, "after!")
+	batch := readAll(t, target.Log, platlog.ReadRequest{From: 1})
+	g.Expect(string(batch.Entries[0].Data)).To(gomega.Equal("before"))
+}
+
+func belowRetention(t *testing.T, target Target) {
+	g := gomega.NewWithT(t)
+	appendAll(t, target.Log, 5)
+	target.Truncate(4)
+	_, err := target.Log.Read(deadline(t), platlog.ReadRequest{From: 3})
+	var truncated *platlog.TruncatedError
+	g.Expect(errors.As(err, &truncated)).To(gomega.BeTrue(), fmt.Sprint(err))
+	g.Expect(*truncated).To(gomega.Equal(platlog.TruncatedError{From: 3, First: 4}))
+	batch := readAll(t, target.Log, platlog.ReadRequest{From: 4})
+	g.Expect(offsetsOf(batch)).To(gomega.Equal([]topo.Offset{4, 5}))
+	g.Expect(batch.First).To(gomega.Equal(topo.Offset(4)))
+	target.Truncate(6)
+	empty := readAll(t, target.Log, platlog.ReadRequest{From: 6})
+	g.Expect(empty.First).To(gomega.Equal(topo.Offset(6)))
+	g.Expect(empty.End).To(gomega.Equal(topo.Offset(6)))
+}
