--- /dev/null
+++ b/demo/callers.go
@@ -0,0 +1,158 @@
+package demo
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/burdockspindle/burdockspindle/callerapi"
+	"github.com/burdockspindle/burdockspindle/history"
+	"github.com/burdockspindle/burdockspindle/serverapi"
+	"github.com/burdockspindle/burdockspindle/standin/server"
+)
+
+// Behaviour of the demo's callers.
+const (
+	callerWorkers    = 128 // requests in flight at most, over all zones
+	requestDeadline  = 4 * time.Second
+	ticketAttempts   = 3 // tickets asked for before giving up
+	writeAttempts    = 3 // sendings of one ticket while its outcome is unknown
+	pauseBeforeRetry = 200 * time.Millisecond
+)
+
+// callers sends a plan of requests through the clients of their zones.
+type callers struct {
+	clients []*client // by zone
+	plan    []plannedRequest
+	// done is told after each request with the number finished so far; nil for
+	// nobody.
+	done func(finished int)
+
+	mu       sync.Mutex
+	finished int
+}
+
+// run sends every request at its planned time, or as soon after it as a worker
+// is free, and returns when all are finished or ctx ends.
+func (c *callers) run(ctx context.Context) {
+	queue := make(chan plannedRequest) // full: the dispatcher waits, requests are late
+	var wait sync.WaitGroup
+	for range callerWorkers {
+		wait.Go(func() {
+			for request := range queue {
+				c.send(ctx, request)
+				c.finish()
+			}
+		})
+	}
+	c.dispatch(ctx, queue)
+	close(queue)
+	wait.Wait()
+}
+
+func (c *callers) dispatch(ctx context.Context, queue chan<- plannedRequest) {
+	began := time.Now()
+	for _, request := range c.plan {
+		if !sleep(ctx, request.After-time.Since(began)) {
+			return
+		}
+		select {
+		case queue <- request:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (c *callers) finish() {
+	c.mu.Lock()
+	c.finished++
+	finished := c.finished
+	c.mu.Unlock()
+	if c.done != nil {
+		c.done(finished)
+	}
+}
+
+// send makes the attempts at one request. A write is sent again under the same
+// ticket while it is unknown whether it ran.
+func (c *callers) send(ctx context.Context, request plannedRequest) {
+	client := c.clients[request.Zone]
+	one := attempt{
+		caller:   request.caller(),
+		request:  request.name(),
+		number:   1,
+		service:  request.Service,
+		keyed:    request.Keyed,
+		record:   request.Record,
+		method:   request.Method,
+		body:     request.Body,
+		size:     request.Size,
+		deadline: requestDeadline,
+	}
+	if request.Body == nil {
+		client.send(ctx, one)
+		return
+	}
+	if !c.obtainTicket(ctx, client, &one) {
+		client.giveUp(one)
+		return
+	}
+	for ; one.number <= writeAttempts; one.number++ {
+		answer := client.send(ctx, one)
+		if answer.Outcome != serverapi.OutcomeUnknown || !mayLearnMore(answer) {
+			return
+		}
+		if !sleep(ctx, pauseBeforeRetry) {
+			return
+		}
+	}
+}
+
+// mayLearnMore reports whether sending a ticket again can settle an unknown
+// outcome. A stale ticket stays stale.
+func mayLearnMore(answer history.CallerAnswered) bool {
+	return answer.Reason != serverapi.ReasonStaleTicket
+}
+
+func (c *callers) obtainTicket(ctx context.Context, client *client, one *attempt) bool {
+	for range ticketAttempts {
+		ticket, ok := client.ticket(ctx, *one)
+		if ok {
+			one.ticket = ticket
+			return true
+		}
+		if !sleep(ctx, pauseBeforeRetry) {
+			return false
+		}
+	}
+	return false
+}
+
+// giveUp records a request that was never sent, for lack of a ticket.
+func (c *client) giveUp(a attempt) {
+	at := c.clock()
+	c.recorder.Record(history.CallerSent{
+		At: at, Caller: a.caller, CallerRequest: a.request, Attempt: a.number,
+		Service: a.service, Key: a.record, Method: a.method, BodyDigest: server.DigestOf(a.body),
+	})
+	c.recorder.Record(history.CallerAnswered{
+		At: at, Caller: a.caller, CallerRequest: a.request, Attempt: a.number,
+		Outcome: serverapi.OutcomeNotRun, Reason: callerapi.ReasonTicketRequired,
+	})
+}
+
+// sleep waits for a duration; false when ctx ended first.
+func sleep(ctx context.Context, d time.Duration) bool {
+	if d <= 0 {
+		return ctx.Err() == nil
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- /dev/null
+++ b/demo/command.go
@@ -0,0 +1,48 @@
+package demo
+
+import (
+	"context"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/integrii/flaggy"
+
+	"github.com/burdockspindle/burdockspindle/cli"
+)
+
+func init() { cli.Register(newCommand) }
+
+func newCommand() cli.Command {
+	options := Options{Requests: DefaultRequests, Seed: DefaultSeed, Deployment: DefaultDeployment}
+	verbose := false
+	return cli.Command{
+		Name:        "demo",
+		Description: "Run a whole site under load and faults and end in one line of JSON.",
+		Flags: func(sub *flaggy.Subcommand) {
+			sub.Int(&options.Requests, "n", "requests", "requests to send")
+			sub.UInt64(&options.Seed, "", "seed", "seed of requests and faults")
+			sub.String(&options.Deployment, "d", "deployment", "kavango or urbion")
+			sub.Bool(&verbose, "", "verbose", "log what nodes and servers log")
+		},
+		Run: func(ctx context.Context, env *cli.Env) error { return runCommand(ctx, env, options, verbose) },
+	}
+}
+
+func runCommand(ctx context.Context, env *cli.Env, options Options, verbose bool) error {
+	if options.Requests <= 0 {
+		return &cli.UsageError{Problem: "demo: --requests must be above 0"}
+	}
+	options.Logger = hclog.New(&hclog.LoggerOptions{Name: "demo", Level: hclog.Info, Output: env.Stderr})
+	level := hclog.Error
+	if verbose {
+		level = hclog.Info
+	}
+	options.Nodes = hclog.New(&hclog.LoggerOptions{Name: "site", Level: level, Output: env.Stderr})
+	summary, err := Run(ctx, options)
+	if summary.Sent == 0 {
+		return err
+	}
+	if failed := summary.Write(env.Stdout); failed != nil {
+		return &cli.OutputError{Cause: failed}
+	}
+	return err
+}
--- /dev/null
+++ b/demo/demo.go
@@ -0,0 +1,140 @@
+// Package demo is the command "demo": a whole site in one process, under load
+// and faults, judged by what its servers and callers recorded. The entry nodes
+// are the real thing over loopback TCP; the platform and the backend servers
+// are stand-ins. Tests use its Site too.
+package demo
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"github.com/burdockspindle/burdockspindle/histcheck"
+	"github.com/burdockspindle/burdockspindle/model"
+	"github.com/burdockspindle/burdockspindle/topo"
+)
+
+// Defaults and bounds of a run.
+const (
+	DefaultRequests   = 5000
+	DefaultSeed       = 1
+	DefaultDeployment = model.Kavango
+
+	requestsPerSecond = 400
+	shortestLoad      = 10 * time.Second // room for all faults
+	runTimeout        = time.Minute      // beyond the load itself
+	progressSteps     = 10
+	faultStream       = 0xfa17 // separates the faults' random numbers from the load's
+)
+
+// Options say what to run.
+type Options struct {
+	Requests   int
+	Seed       uint64
+	Deployment string
+	// Logger gets the demo's progress, and Nodes what nodes and servers log;
+	// nil for neither.
+	Logger hclog.Logger
+	Nodes  hclog.Logger
+}
+
+func (o Options) withDefaults() Options {
+	if o.Requests <= 0 {
+		o.Requests = DefaultRequests
+	}
+	if o.Deployment == "" {
+		o.Deployment = DefaultDeployment
+	}
+	if o.Logger == nil {
+		o.Logger = hclog.NewNullLogger()
+	}
+	if o.Nodes == nil {
+		o.Nodes = hclog.NewNullLogger()
+	}
+	return o
+}
+
+// span returns how long the load lasts.
+func (o Options) span() time.Duration {
+	return max(shortestLoad, time.Duration(o.Requests)*time.Second/requestsPerSecond)
+}
+
+// Run runs the demo to its end. The error is a *ViolationError when something
+// did not hold that must hold; the summary is then filled in.
+func Run(ctx context.Context, options Options) (Summary, error) {
+	options = options.withDefaults()
+	ctx, cancel := context.WithTimeout(ctx, options.span()+runTimeout)
+	defer cancel()
+	eventStarting.Log(options.Logger, "deployment", options.Deployment, "seed", options.Seed)
+	site, err := StartSite(ctx, options.Deployment, options.Seed, options.Nodes)
+	if site != nil {
+		defer site.Stop()
+	}
+	if err != nil {
+		return Summary{}, err
+	}
+	if err := site.WaitReady(ctx); err != nil {
+		return Summary{}, err
+	}
+	if err := site.exercise(ctx, options); err != nil {
+		return Summary{}, err
+	}
+	settled := site.WaitSettled(ctx)
+	site.Stop()
+	return judge(site, settled, options.Logger)
+}
+
+// exercise runs the demo's load and faults.
+func (s *Site) exercise(ctx context.Context, options Options) error {
+	random := rand.New(rand.NewPCG(options.Seed, faultStream))
+	keys, err := s.OwnedKeys()
+	if err != nil {
+		return err
+	}
+	chosen, err := s.chooseVictims(keys, random)
+	if err != nil {
+		return err
+	}
+	load := Load{
+		Requests: options.Requests,
+		Seed:     options.Seed,
+		Span:     options.span(),
+		Probed:   spread(keys, chosen.lost.ID, chosen.frozen.ID),
+		Progress: progress(options),
+	}
+	eventServing.Log(options.Logger, "requests", load.Requests, "over", load.Span)
+	settled, err := s.Exercise(ctx, load, func(ctx context.Context) {
+		s.injectFaults(ctx, chosen, load.Span, options.Logger)
+	})
+	if !settled {
+		eventUnsettled.Log(options.Logger)
+	}
+	return err
+}
+
+func progress(options Options) func(finished int) {
+	step := max(1, options.Requests/progressSteps)
+	return func(finished int) {
+		if finished%step == 0 {
+			eventProgress.Log(options.Logger, "finished", finished, "of", options.Requests)
+		}
+	}
+}
+
+// judge reports what the checkers found.
+func judge(s *Site, settled []topo.NodeID, logger hclog.Logger) (Summary, error) {
+	summary, found := s.Judge(settled)
+	longest := histcheck.Unavailable(s.Memory.Events(), IsProbe)
+	eventLongest.Log(logger, "service", longest.Service, "key", longest.Key, "for", longest.Longest, "from", longest.From.Sub(0))
+	texts := make([]string, len(found))
+	for i, violation := range found {
+		texts[i] = violation.String()
+		eventViolation.Log(logger, "violation", texts[i])
+	}
+	if !summary.Holds() {
+		return summary, &ViolationError{Violations: texts}
+	}
+	return summary, nil
+}
--- /dev/null
+++ b/demo/deployment.go
@@ -0,0 +1,63 @@
+package demo
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/burdockspindle/burdockspindle/examples"
+	"github.com/burdockspindle/burdockspindle/jsonc"
+	"github.com/burdockspindle/burdockspindle/model"
+	"github.com/burdockspindle/burdockspindle/siteconfig"
+	"github.com/burdockspindle/burdockspindle/topo"
+)
+
+const (
+	region         topo.Region = "local"
+	nodesPerZone               = 2
+	defaultServers             = 10 // of a service that the preset does not know
+)
+
+// deployment is what the demo runs.
+type deployment struct {
+	name    string
+	text    []byte // site configuration
+	site    *siteconfig.Site
+	zones   []topo.Zone
+	servers map[topo.Service]int
+}
+
+// deployments holds the site configuration text of each deployment.
+var deployments = map[string][]byte{
+	model.Kavango: examples.Kavango,
+	model.Urbion:  examples.Urbion,
+}
+
+func loadDeployment(name string) (*deployment, error) {
+	text, known := deployments[name]
+	preset, hasPreset := model.Preset(name)
+	if !known || !hasPreset {
+		return nil, &DeploymentError{Name: name}
+	}
+	site, problems := siteconfig.Parse(text, name)
+	if err := jsonc.ErrorOf(problems); err != nil {
+		return nil, err
+	}
+	d := &deployment{name: name, text: text, site: site, zones: preset.Zones, servers: map[topo.Service]int{}}
+	for service := range site.Services {
+		d.servers[service] = defaultServers
+		if sized := preset.Service(service); sized != nil {
+			d.servers[service] = sized.Targets
+		}
+	}
+	return d, nil
+}
+
+// sortedServices lists the services of a site in order of name.
+func sortedServices(site *siteconfig.Site) []*siteconfig.Service {
+	services := make([]*siteconfig.Service, 0, len(site.Services))
+	for _, service := range site.Services {
+		services = append(services, service)
+	}
+	slices.SortFunc(services, func(a, b *siteconfig.Service) int { return cmp.Compare(a.Name, b.Name) })
+	return services
+}
--- /dev/null
+++ b/demo/errors.go
@@ -0,0 +1,56 @@
+package demo
+
+import (
+	"strings"
+
+	"github.com/burdockspindle/burdockspindle/topo"
+)
+
+// DeploymentError reports a deployment that is not known.
+type DeploymentError struct{ Name string }
+
+// Error implements error.
+func (e *DeploymentError) Error() string {
+	return "deployment " + e.Name + ": not known; there are kavango and urbion"
+}
+
+// PublishError reports that the site configuration did not come into force.
+type PublishError struct{ Conflict string }
+
+// Error implements error.
+func (e *PublishError) Error() string { return "publish site configuration: " + e.Conflict }
+
+// NotReadyError reports a site that does not serve in time.
+type NotReadyError struct {
+	Missing string // what is missing
+	Cause   error
+}
+
+// Error implements error.
+func (e *NotReadyError) Error() string { return "site not ready: " + e.Missing }
+
+// Unwrap returns the cause.
+func (e *NotReadyError) Unwrap() error { return e.Cause }
+
+// ServerError reports a stand-in server that cannot be started.
+type ServerError struct {
+	Server topo.ServerID
+	Cause  error
+}
+
+// Error implements error.
+func (e *ServerError) Error() string { return "server " + string(e.Server) + ": " + e.Cause.Error() }
+
+// Unwrap returns the cause.
+func (e *ServerError) Unwrap() error { return e.Cause }
+
+// ViolationError reports that something did not hold that must always hold.
+type ViolationError struct{ Violations []string }
+
+// Error implements error.
+func (e *ViolationError) Error() string {
+	if len(e.Violations) == 0 {
+		return "nothing was answered"
+	}
+	return "violated:\n  " + strings.Join(e.Violations, "\n  ")
+}
--- /dev/null
+++ b/demo/load.go
@@ -0,0 +1,139 @@
+package demo
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/burdockspindle/burdockspindle/histcheck"
+	"github.com/burdockspindle/burdockspindle/topo"
+)
+
+const (
+	probedOwners  = 12 // keys probed, of as many owners as possible
+	settleTimeout = 10 * time.Second
+)
+
+// Load is what callers send while a site is exercised.
+type Load struct {
+	Requests int
+	Seed     uint64
+	Span     time.Duration // over which the requests arrive
+	// Probed are the keys whose unavailable time is measured; by default some
+	// of as many owners as possible.
+	Probed []OwnedKey
+	// Progress is told how many requests are finished; nil for nobody.
+	Progress func(finished int)
+}
+
+// Exercise sends the load while faults runs beside it, and waits until both are
+// over and the probed keys are served again. Settled is false when they were
+// not in time.
+func (s *Site) Exercise(ctx context.Context, load Load, faults func(context.Context)) (settled bool, err error) {
+	if load.Probed == nil {
+		keys, err := s.OwnedKeys()
+		if err != nil {
+			return false, err
+		}
+		load.Probed = spread(keys)
+	}
+	clients := s.callersOf(len(s.deployment.zones))
+	probing, stopProbing := context.WithCancel(ctx)
+	defer stopProbing()
+	probers, probesDone := s.startProbers(probing, clients, load.Probed)
+	var wait sync.WaitGroup
+	wait.Go(func() { faults(ctx) })
+	sending := &callers{
+		clients: clients,
+		plan:    planRequests(load.Requests, load.Seed, load.Span, len(clients), s.deployment.site),
+		done:    load.Progress,
+	}
+	sending.run(ctx)
+	wait.Wait()
+	settled = waitHealthy(ctx, probers)
+	stopProbing()
+	probesDone.Wait()
+	for _, one := range clients {
+		one.close()
+	}
+	return settled, ctx.Err()
+}
+
+// Judge computes the summary of what was recorded and lists all violations.
+// Settled are the nodes that were connected to the end.
+func (s *Site) Judge(settled []topo.NodeID) (Summary, []histcheck.Violation) {
+	return summarize(s.Memory.Events(), s.CheckOptions(settled))
+}
+
+// CheckOptions returns what the checkers need to know of the site.
+func (s *Site) CheckOptions(settled []topo.NodeID) histcheck.Options {
+	idempotent := func(service topo.Service, method string) bool {
+		config, exists := s.deployment.site.Services[service]
+		return exists && config.Idempotent(method)
+	}
+	return histcheck.Options{Idempotent: idempotent, Settled: settled}
+}
+
+// callersOf returns one client for each zone, behind the platform's balancer.
+func (s *Site) callersOf(zones int) []*client {
+	front := &balancer{zones: make([][]string, zones)}
+	for _, one := range s.Nodes {
+		front.zones[one.Zone] = append(front.zones[one.Zone], one.Frontend())
+	}
+	clients := make([]*client, zones)
+	for zone := range clients {
+		clients[zone] = newClient(front.dialer(zone), s.Memory, s.Clock)
+	}
+	return clients
+}
+
+// startProbers probes keys, each from the next zone.
+func (s *Site) startProbers(ctx context.Context, clients []*client, keys []OwnedKey) ([]*prober, *sync.WaitGroup) {
+	var wait sync.WaitGroup
+	probers := make([]*prober, len(keys))
+	for i, key := range keys {
+		probers[i] = &prober{client: clients[i%len(clients)], key: key, index: i}
+		wait.Go(func() { probers[i].run(ctx) })
+	}
+	return probers, &wait
+}
+
+// spread picks the keys to probe: one of each owner in turn, some owners first.
+func spread(keys []OwnedKey, first ...topo.ServerID) []OwnedKey {
+	byOwner := map[topo.ServerID][]OwnedKey{}
+	order := slices.Clone(first)
+	for _, key := range keys {
+		if byOwner[key.Owner] == nil && !slices.Contains(first, key.Owner) {
+			order = append(order, key.Owner)
+		}
+		byOwner[key.Owner] = append(byOwner[key.Owner], key)
+	}
+	var chosen []OwnedKey
+	for round := 0; len(chosen) < min(probedOwners, len(keys)); round++ {
+		for _, owner := range order {
+			if round < len(byOwner[owner]) && len(chosen) < probedOwners {
+				chosen = append(chosen, byOwner[owner][round])
+			}
+		}
+	}
+	return chosen
+}
+
+// waitHealthy waits until the latest probe of every key was answered.
+func waitHealthy(ctx context.Context, probers []*prober) bool {
+	ctx, cancel := context.WithTimeout(ctx, settleTimeout)
+	defer cancel()
+	for {
+		healthy := true
+		for _, one := range probers {
+			healthy = healthy && one.healthy()
+		}
+		if healthy {
+			return true
+		}
+		if !sleep(ctx, readyPoll) {
+			return false
+		}
+	}
+}
--- /dev/null
+++ b/demo/ready.go
@@ -0,0 +1,169 @@
+package demo
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/burdockspindle/burdockspindle/history"
+	"github.com/burdockspindle/burdockspindle/kernel"
+	"github.com/burdockspindle/burdockspindle/serverapi"
+	"github.com/burdockspindle/burdockspindle/siteconfig"
+	"github.com/burdockspindle/burdockspindle/state"
+	"github.com/burdockspindle/burdockspindle/topo"
+)
+
+const (
+	readyTimeout  = 30 * time.Second
+	readyPoll     = 50 * time.Millisecond
+	readyDeadline = time.Second
+	settledWithin = 5 * time.Second
+)
+
+// OwnedKey is a key and the server that owned it when it was looked up.
+type OwnedKey struct {
+	Service topo.Service
+	Key     string
+	Owner   topo.ServerID
+}
+
+// View returns what the first node that still runs has applied.
+func (s *Site) View() (*state.View, error) {
+	for _, one := range s.Nodes {
+		if one.Lost {
+			continue
+		}
+		source, err := kernel.Use[state.Source](one.Context())
+		if err != nil {
+			return nil, err
+		}
+		return source.View(), nil
+	}
+	return nil, &NotReadyError{Missing: "no entry node runs"}
+}
+
+// WaitReady returns when every node answers requests to every service, and
+// every shard has an owner.
+func (s *Site) WaitReady(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, readyTimeout)
+	defer cancel()
+	if err := s.waitOwned(ctx); err != nil {
+		return err
+	}
+	for _, one := range s.Nodes {
+		if err := s.waitServing(ctx, one); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// waitOwned waits until each shard of each keyed service has an owner.
+func (s *Site) waitOwned(ctx context.Context) error {
+	for {
+		view, err := s.View()
+		if err != nil {
+			return err
+		}
+		missing := s.unowned(view)
+		if missing == 0 {
+			return nil
+		}
+		if !sleep(ctx, readyPoll) {
+			return &NotReadyError{Missing: fmt.Sprintf("%d shards have no owner", missing), Cause: ctx.Err()}
+		}
+	}
+}
+
+func (s *Site) unowned(view *state.View) int {
+	missing := 0
+	for _, service := range s.deployment.site.Services {
+		found := uint32(0)
+		view.EachShard(service.Name, func(assignment state.Assignment) bool {
+			if assignment.Owner != "" {
+				found++
+			}
+			return true
+		})
+		if service.Keyed && found < service.Shards {
+			missing += int(service.Shards - found)
+		}
+	}
+	return missing
+}
+
+// waitServing waits until a node answers a request to each service.
+func (s *Site) waitServing(ctx context.Context, one *SiteNode) error {
+	direct := newClient(toOnly(one.Frontend()), history.Discard{}, s.Clock)
+	defer direct.close()
+	for _, service := range sortedServices(s.deployment.site) {
+		for {
+			answer := direct.send(ctx, readyAttempt(service, one.ID))
+			if answer.Outcome == serverapi.OutcomeAnswered {
+				break
+			}
+			if !sleep(ctx, readyPoll) {
+				missing := fmt.Sprintf("%s through %s: %s %s", service.Name, one.ID, answer.Outcome, answer.Reason)
+				return &NotReadyError{Missing: missing, Cause: ctx.Err()}
+			}
+		}
+	}
+	return nil
+}
+
+func readyAttempt(service *siteconfig.Service, node topo.NodeID) attempt {
+	return attempt{
+		caller: "ready", request: "ready/" + string(node) + "/" + string(service.Name), number: 1,
+		service: service.Name, keyed: service.Keyed, record: keyName(service.Name, 0),
+		method: http.MethodGet, deadline: readyDeadline,
+	}
+}
+
+// OwnedKeys lists the keys in use of the keyed services with their owners.
+func (s *Site) OwnedKeys() ([]OwnedKey, error) {
+	view, err := s.View()
+	if err != nil {
+		return nil, err
+	}
+	var keys []OwnedKey
+	for _, service := range sortedServices(s.deployment.site) {
+		for i := range keysPerService {
+			key := keyName(service.Name, i)
+			assignment, exists := view.Lookup(service.Name, key)
+			if service.Keyed && exists && assignment.Owner != "" {
+				keys = append(keys, OwnedKey{service.Name, key, assignment.Owner})
+			}
+		}
+	}
+	return keys, nil
+}
+
+// WaitSettled waits until the nodes that run have applied the same records, and
+// returns them. Nodes that lag for too long are among them: what they lack is
+// what the checkers look for.
+func (s *Site) WaitSettled(ctx context.Context) []topo.NodeID {
+	ctx, cancel := context.WithTimeout(ctx, settledWithin)
+	defer cancel()
+	for {
+		nodes, even := s.applied()
+		if even || !sleep(ctx, readyPoll) {
+			return nodes
+		}
+	}
+}
+
+// applied lists the nodes that run, and whether all have applied the same.
+func (s *Site) applied() (nodes []topo.NodeID, even bool) {
+	offsets := map[topo.Offset]bool{}
+	for _, one := range s.Nodes {
+		if one.Lost {
+			continue
+		}
+		nodes = append(nodes, one.ID)
+		if source, err := kernel.Use[state.Source](one.Context()); err == nil {
+			offsets[source.View().Applied()] = true
+		}
+	}
+	return nodes, len(offsets) <= 1
+}
--- /dev/null
+++ b/demo/settings.go
@@ -0,0 +1,26 @@
+package demo
+
+import (
+	"github.com/burdockspindle/burdockspindle/settings"
+	"github.com/burdockspindle/burdockspindle/topo"
+)
+
+// settingsOf returns the settings of one entry node: the defaults, with the
+// stand-ins of this process in the platform's place.
+func (s *Site) settingsOf(id topo.NodeID, zone topo.Zone) *settings.Settings {
+	shared := map[string]any{"name": s.name}
+	return &settings.Settings{
+		Node:     id,
+		Zone:     zone,
+		Region:   region,
+		Frontend: settings.Listener{Address: loopback},
+		Peer:     settings.Listener{Address: loopback},
+		Log:      settings.Driver{Name: "memory", Options: shared},
+		VMs:      settings.Driver{Name: "memory", Options: shared},
+		Servers:  settings.Driver{Name: settings.DefaultServerDriver},
+		Balance:  settings.Driver{Name: settings.DefaultBalance},
+		Limits:   settings.DefaultLimits(),
+		Timing:   settings.DefaultTiming(),
+		LogLevel: settings.DefaultLogLevel,
+	}
+}
--- /dev/null
+++ b/demo/site.go
@@ -0,0 +1,233 @@
+package demo
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"github.com/burdockspindle/burdockspindle/follower"
+	"github.com/burdockspindle/burdockspindle/history"
+	"github.com/burdockspindle/burdockspindle/kernel"
+	"github.com/burdockspindle/burdockspindle/model"
+	"github.com/burdockspindle/burdockspindle/modules/logmem"
+	"github.com/burdockspindle/burdockspindle/modules/vmsmem"
+	"github.com/burdockspindle/burdockspindle/node"
+	"github.com/burdockspindle/burdockspindle/siteconfig"
+	"github.com/burdockspindle/burdockspindle/standin/server"
+	"github.com/burdockspindle/burdockspindle/standin/vms"
+	"github.com/burdockspindle/burdockspindle/topo"
+	"github.com/burdockspindle/burdockspindle/vmlist"
+
+	bspb "github.com/burdockspindle/burdockspindle/proto/burdockspindle/v1"
+)
+
+const (
+	loopback      = "127.0.0.1:0"
+	serviceTime   = 2 * time.Millisecond
+	serviceSpread = 0.5 // shape of the log-normal service time
+	stopTimeout   = 5 * time.Second
+	publisher     = "demo"
+)
+
+// Site is a whole site in one process: the platform's stand-ins, the backend
+// servers and the entry nodes, over loopback TCP.
+type Site struct {
+	Deployment string
+	Platform   *vms.Platform
+	Servers    []*SiteServer
+	Nodes      []*SiteNode
+	Memory     *history.Memory
+	Clock      history.Clock
+
+	deployment *deployment
+	name       string // of the shared log and VM list
+	logger     hclog.Logger
+	observing  context.Context
+	stop       context.CancelFunc
+	observers  sync.WaitGroup
+	stopped    sync.Once
+}
+
+// SiteServer is one backend server of a site.
+type SiteServer struct {
+	*server.Server
+	ID      topo.ServerID
+	Service topo.Service
+	Zone    topo.Zone
+	Address string
+	// Lost is true after the server was killed.
+	Lost bool
+}
+
+// SiteNode is one entry node of a site.
+type SiteNode struct {
+	*node.Node
+	ID   topo.NodeID
+	Zone int
+	// Lost is true after the node was killed or stopped.
+	Lost bool
+}
+
+// Frontend returns the address for callers.
+func (n *SiteNode) Frontend() string { return n.Addresses()[kernel.RoleFrontend] }
+
+// StartSite starts the stand-ins, the servers and the nodes of a deployment,
+// and publishes its site configuration. The caller must call Stop, also after
+// an error.
+func StartSite(ctx context.Context, name string, seed uint64, logger hclog.Logger) (*Site, error) {
+	deployment, err := loadDeployment(name)
+	if err != nil {
+		return nil, err
+	}
+	site := newSite(deployment, logger)
+	if err := site.startServers(seed); err != nil {
+		return site, err
+	}
+	if err := site.startNodes(ctx); err != nil {
+		return site, err
+	}
+	return site, site.publish(ctx)
+}
+
+func newSite(d *deployment, logger hclog.Logger) *Site {
+	began := time.Now()
+	site := &Site{
+		Deployment: d.name,
+		Memory:     &history.Memory{},
+		Clock:      history.ClockSince(began),
+		deployment: d,
+		name:       fmt.Sprintf("%s-%d", d.name, began.UnixNano()),
+		logger:     logger,
+	}
+	site.Platform = vmsmem.Named(site.name)
+	site.observing, site.stop = context.WithCancel(context.Background())
+	return site
+}
+
+// startServers spreads the servers of each service over the zones.
+func (s *Site) startServers(seed uint64) error {
+	for _, service := range sortedServices(s.deployment.site) {
+		for i := range s.deployment.servers[service.Name] {
+			seed++
+			started, err := s.startServer(service, i, seed)
+			if err != nil {
+				return err
+			}
+			s.Servers = append(s.Servers, started)
+		}
+	}
+	return nil
+}
+
+func (s *Site) startServer(service *siteconfig.Service, index int, seed uint64) (*SiteServer, error) {
+	id := model.ServerID(service.Name, index)
+	zone := s.deployment.zones[index%len(s.deployment.zones)]
+	standin := server.New(server.Config{
+		ID:            id,
+		Service:       service.Name,
+		Keyed:         service.Keyed,
+		ChecksFencing: service.ChecksFencing,
+		Concurrency:   service.ConcurrencyPerServer,
+		Connections:   service.ConnectionsPerServer,
+		ServiceTime:   server.ServiceTime{Mean: serviceTime, Shape: serviceSpread},
+		Seed:          seed,
+		Clock:         s.Clock,
+		Recorder:      s.Memory,
+		Logger:        s.logger,
+	})
+	address, err := standin.Listen(loopback)
+	if err != nil {
+		return nil, &ServerError{Server: id, Cause: err}
+	}
+	s.Platform.Put(vmlist.VM{
+		ID: string(id), Role: vmlist.RoleServer, Service: service.Name, Zone: zone,
+		Region: region, Address: address, Phase: vmlist.PhaseLive,
+	})
+	return &SiteServer{Server: standin, ID: id, Service: service.Name, Zone: zone, Address: address}, nil
+}
+
+func (s *Site) startNodes(ctx context.Context) error {
+	for zone := range s.deployment.zones {
+		for i := range nodesPerZone {
+			if err := s.StartNode(ctx, zone, i); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+// StartNode starts the index-th entry node of a zone.
+func (s *Site) StartNode(ctx context.Context, zone, index int) error {
+	name := s.deployment.zones[zone]
+	id := model.NodeID(name, index)
+	started, err := node.New(s.settingsOf(id, name), s.logger)
+	if err != nil {
+		return err
+	}
+	if err := started.Start(ctx); err != nil {
+		return err
+	}
+	s.Nodes = append(s.Nodes, &SiteNode{Node: started, ID: id, Zone: zone})
+	s.Platform.Put(vmlist.VM{
+		ID: string(id), Role: vmlist.RoleEntry, Zone: name, Region: region, Phase: vmlist.PhaseLive,
+	})
+	return observe(s.observing, &s.observers, started.Context(), s.Memory, s.Clock)
+}
+
+// publish brings the deployment's site configuration into force.
+func (s *Site) publish(ctx context.Context) error {
+	appender, err := kernel.Use[follower.Appender](s.Nodes[0].Context())
+	if err != nil {
+		return err
+	}
+	began := s.Clock()
+	fate, err := appender.Submit(ctx, &bspb.Record{Body: &bspb.Record_PublishSite{PublishSite: &bspb.PublishSite{
+		Text:     s.deployment.text,
+		Compiled: siteconfig.ToProto(s.deployment.site),
+	}}})
+	if err != nil {
+		return err
+	}
+	if !fate.Accepted {
+		return &PublishError{Conflict: fate.Conflict}
+	}
+	s.Memory.Record(history.SitePublished{
+		Began: began, At: s.Clock(), Publisher: publisher, Accepted: true, Version: 1,
+		Digest: server.DigestOf(s.deployment.text),
+	})
+	return nil
+}
+
+// Stop stops what still runs and flushes what servers have recorded. Further
+// calls do nothing.
+func (s *Site) Stop() { s.stopped.Do(s.stopAll) }
+
+func (s *Site) stopAll() {
+	for _, one := range s.Servers {
+		if !one.Lost {
+			one.FlushHistory()
+		}
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), stopTimeout)
+	defer cancel()
+	s.stop()
+	s.observers.Wait()
+	var wait sync.WaitGroup
+	for _, one := range s.Nodes {
+		if !one.Lost {
+			wait.Go(func() { _ = one.Kill() })
+		}
+	}
+	for _, one := range s.Servers {
+		if !one.Lost {
+			wait.Go(func() { _ = one.Stop(ctx) })
+		}
+	}
+	wait.Wait()
+	logmem.Forget(s.name)
+	vmsmem.Forget(s.name)
+}
--- a/modules/follower/module.go
+++ b/modules/follower/module.go
@@ -1,4 +1,4 @@
-// Package follower is the module "follower": it runs follower.Follower in a
+// Package follower is the module "duty.follower": it runs follower.Follower in a
 // process, and provides state.Source, follower.Appender and follower.Contact.
 package follower
 
@@ -15,7 +15,7 @@
 )
 
 // ID is the module's ID.
-const ID kernel.ModuleID = "follower"
+const ID kernel.ModuleID = "duty.follower"
 
 // pollsPerLease is how many reads of the log fit in one lease TTL, so that
 // contact with the log is always much fresher than a lease.
--- a/settings/defaults.go
+++ b/settings/defaults.go
@@ -10,7 +10,7 @@
 	DefaultLogDriver    = "http"
 	DefaultVMsDriver    = "http"
 	DefaultServerDriver = "http"
-	DefaultBalance      = "threshold-push"
+	DefaultBalance      = "push"
 
 	DefaultLeaseTTL        = time.Second
 	DefaultRenewEvery      = 250 * time.Millisecond
