--- a/modules/standard/standard.go
+++ b/modules/standard/standard.go
@@ -11,6 +11,7 @@
 	_ "github.com/burdockspindle/burdockspindle/modules/logmem"
 	_ "github.com/burdockspindle/burdockspindle/modules/membership"
 	_ "github.com/burdockspindle/burdockspindle/modules/peer"
+	_ "github.com/burdockspindle/burdockspindle/modules/pick"
 	_ "github.com/burdockspindle/burdockspindle/modules/planner"
 	_ "github.com/burdockspindle/burdockspindle/modules/router"
 	_ "github.com/burdockspindle/burdockspindle/modules/serverhttp"
