Router: fault tables over a driver in memory and forwarding over real HTTP

Cause: an answer longer than declared was passed on, a place was given to the next request before the server's answer was closed, and TLS was missing between nodes and towards callers.

--- a/modules/frontend/module.go
+++ b/modules/frontend/module.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"net/http"
 	"time"
@@ -16,6 +17,7 @@
 	"github.com/burdockspindle/burdockspindle/exchange"
 	"github.com/burdockspindle/burdockspindle/kernel"
 	"github.com/burdockspindle/burdockspindle/settings"
+	"github.com/burdockspindle/burdockspindle/tlsfiles"
 )
 
 func init() { kernel.Register(&Module{}) }
@@ -116,6 +118,10 @@
 	if err != nil {
 		return &ListenError{Address: m.settings.Frontend.Address, Cause: err}
 	}
+	if err := m.secure(); err != nil {
+		_ = listener.Close()
+		return err
+	}
 	m.listener = listener
 	m.served = make(chan struct{})
 	eventListening.Log(m.logger, "address", listener.Addr().String())
@@ -123,9 +129,28 @@
 	return nil
 }
 
+// secure prepares TLS if the settings name certificates.
+func (m *Module) secure() error {
+	if m.settings.Frontend.TLS == nil {
+		return nil
+	}
+	loader, err := tlsfiles.New(*m.settings.Frontend.TLS, m.logger)
+	if err != nil {
+		return err
+	}
+	m.server.TLSConfig = loader.Server()
+	return nil
+}
+
 func (m *Module) serve() {
 	defer close(m.served)
-	if err := m.server.Serve(m.listener); err != http.ErrServerClosed {
+	var err error
+	if m.server.TLSConfig != nil {
+		err = m.server.ServeTLS(m.listener, "", "")
+	} else {
+		err = m.server.Serve(m.listener)
+	}
+	if !errors.Is(err, http.ErrServerClosed) {
 		eventServeFailed.Log(m.logger, "error", err)
 	}
 }
--- a/modules/router/answer.go
+++ b/modules/router/answer.go
@@ -76,6 +76,9 @@
 		if err != nil {
 			return err
 		}
+		if b.length >= 0 && int64(len(b.first)) > b.length {
+			return b.checkLength(int64(len(b.first)))
+		}
 		if b.length < 0 && count > 0 || len(b.first) == len(buffer) {
 			return nil
 		}
@@ -100,22 +103,34 @@
 		return count, nil
 	}
 	if b.ended != nil {
-		b.finish(errors.Is(b.ended, io.EOF))
-		return 0, b.ended
+		return 0, b.end()
 	}
 	count, err := b.rest.Read(p)
 	b.passed += int64(count)
-	if errors.Is(err, io.EOF) {
-		err = b.checkLength(b.passed)
-		if err == nil {
-			err = io.EOF
-		}
+	b.ended = b.judge(err)
+	if b.ended != nil {
+		return count, b.end()
 	}
-	if err != nil {
-		b.ended = err
-		b.finish(errors.Is(err, io.EOF))
+	return count, nil
+}
+
+// judge returns how the body ended, nil if it has not.
+func (b *answerBody) judge(err error) error {
+	tooLong := b.length >= 0 && b.passed > b.length
+	if tooLong || errors.Is(err, io.EOF) {
+		if wrong := b.checkLength(b.passed); wrong != nil {
+			return wrong
+		}
 	}
-	return count, err
+	return err
+}
+
+// end closes the server's answer, so that its place is free before another
+// request gets it.
+func (b *answerBody) end() error {
+	_ = b.rest.Close()
+	b.finish(errors.Is(b.ended, io.EOF))
+	return b.ended
 }
 
 func (b *answerBody) checkLength(got int64) error {
--- a/modules/router/forward.go
+++ b/modules/router/forward.go
@@ -112,6 +112,11 @@
 		verdict.Reason = reason
 		return unsent(verdict)
 	}
+	var foreign *ForeignAnswerError
+	if errors.As(err, &foreign) {
+		eventForeignAnswer.Log(r.m.logger, "node", d.Lessor, "want", foreign.Want, "got", foreign.Got)
+		return unsent(outcome.Unknown(callerapi.ReasonForeignAnswer))
+	}
 	if failure.Canceled || failure.Deadline {
 		return unsent(verdict)
 	}
--- a/modules/router/forward_conn.go
+++ b/modules/router/forward_conn.go
@@ -39,12 +39,16 @@
 	return found
 }
 
-// newForwardTransport returns a transport to other nodes. HTTP/1.1 gives each
-// request a connection of its own while it lasts, so that one silent connection
-// delays one request, and an answer cannot be taken for another's.
-func newForwardTransport(connect time.Duration, config *tls.Config) *http.Transport {
+// clientTLS returns the configuration of one new connection to a host.
+type clientTLS func(host string) *tls.Config
+
+// newForwardTransport returns a transport to other nodes; without config it
+// uses no TLS. HTTP/1.1 gives each request a connection of its own while it
+// lasts, so that one silent connection delays one request, and an answer cannot
+// be taken for another's.
+func newForwardTransport(connect time.Duration, config clientTLS) *http.Transport {
 	dialer := &net.Dialer{Timeout: connect}
-	return &http.Transport{
+	transport := &http.Transport{
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
 			conn, err := dialer.DialContext(ctx, network, address)
 			if err != nil {
@@ -52,11 +56,34 @@
 			}
 			return &sentConn{Conn: conn}, nil
 		},
-		TLSClientConfig:        config,
-		TLSHandshakeTimeout:    connect,
 		DisableCompression:     true,
 		MaxIdleConnsPerHost:    maxIdleForwards,
 		IdleConnTimeout:        idleForwardTime,
 		MaxResponseHeaderBytes: maxForwardHeader,
 	}
+	if config != nil {
+		transport.DialTLSContext = dialTLS(transport.DialContext, connect, config)
+	}
+	return transport
+}
+
+type dial func(ctx context.Context, network, address string) (net.Conn, error)
+
+// dialTLS opens a connection and takes the certificates that are in force then.
+func dialTLS(open dial, connect time.Duration, config clientTLS) dial {
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		raw, err := open(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		host, _, _ := net.SplitHostPort(address)
+		secured := tls.Client(raw, config(host))
+		ctx, cancel := context.WithTimeout(ctx, connect)
+		defer cancel()
+		if err := secured.HandshakeContext(ctx); err != nil {
+			_ = raw.Close()
+			return nil, err
+		}
+		return secured, nil
+	}
 }
--- a/modules/router/module.go
+++ b/modules/router/module.go
@@ -30,6 +30,7 @@
 	"github.com/burdockspindle/burdockspindle/shed"
 	"github.com/burdockspindle/burdockspindle/state"
 	"github.com/burdockspindle/burdockspindle/ticket"
+	"github.com/burdockspindle/burdockspindle/tlsfiles"
 	"github.com/burdockspindle/burdockspindle/topo"
 )
 
@@ -134,10 +135,8 @@
 	m.budgets = newBudgets(limits.RetryBudget)
 	m.records = newRecords()
 	m.picker = pick.DChoices{D: choices}
-	m.forwarder = &forwarder{
-		scheme:    "http",
-		transport: newForwardTransport(limits.ConnectTimeout, nil),
-		silent:    forwardSilent,
+	if err := m.buildForwarder(); err != nil {
+		return err
 	}
 	issuer := ticket.Issuer{Node: ctx.Identity.Node, Boot: ctx.Identity.Boot, Born: time.Now().UnixMilli()}
 	var err error
@@ -145,6 +144,23 @@
 	return err
 }
 
+// buildForwarder prepares connections to other nodes, over TLS if their
+// listeners use it.
+func (m *Module) buildForwarder() error {
+	m.forwarder = &forwarder{scheme: "http", silent: forwardSilent}
+	var config clientTLS
+	if files := m.settings.Peer.TLS; files != nil {
+		loader, err := tlsfiles.New(*files, m.logger)
+		if err != nil {
+			return err
+		}
+		m.forwarder.scheme = "https"
+		config = loader.Client
+	}
+	m.forwarder.transport = newForwardTransport(m.settings.Limits.ConnectTimeout, config)
+	return nil
+}
+
 // unguessable returns a random number that callers cannot guess. The system's
 // source never fails.
 func unguessable() uint64 {
--- /dev/null
+++ b/modules/router/routertest/behaviour.go
@@ -0,0 +1,122 @@
+package routertest
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/burdockspindle/burdockspindle/backend"
+	"github.com/burdockspindle/burdockspindle/serverapi"
+)
+
+// Answer runs requests at once.
+func Answer(status int, text string) Behaviour {
+	return func(_ context.Context, req backend.Request) (*backend.Response, error) {
+		return responseTo(req, status, text), nil
+	}
+}
+
+// Echo answers with the request's own ID and body, so that an answer that went
+// to another caller is seen.
+func Echo(_ context.Context, req backend.Request) (*backend.Response, error) {
+	return responseTo(req, http.StatusOK, req.Header.Get("X-Caller-Id")), nil
+}
+
+func responseTo(req backend.Request, status int, text string) *backend.Response {
+	header := http.Header{}
+	header.Set(serverapi.HeaderRequestID, req.RequestID)
+	header.Set("Content-Length", strconv.Itoa(len(text)))
+	header.Set("X-Server-Says", "hello")
+	return &backend.Response{
+		Status:  status,
+		Outcome: serverapi.OutcomeAnswered,
+		Header:  header,
+		Body:    io.NopCloser(bytes.NewReader([]byte(text))),
+	}
+}
+
+// Decline answers without running the request, or without knowing.
+func Decline(outcome serverapi.Outcome, reason serverapi.Reason) Behaviour {
+	return func(_ context.Context, req backend.Request) (*backend.Response, error) {
+		response := responseTo(req, http.StatusConflict, "")
+		response.Outcome, response.Reason = outcome, reason
+		return response, nil
+	}
+}
+
+// Unreachable cannot be connected to.
+func Unreachable(context.Context, backend.Request) (*backend.Response, error) {
+	return nil, &backend.AttemptError{Sent: false, Cause: io.ErrClosedPipe}
+}
+
+// Lost loses its answers after the request was sent.
+func Lost(context.Context, backend.Request) (*backend.Response, error) {
+	return nil, &backend.AttemptError{Sent: true, Cause: io.ErrUnexpectedEOF}
+}
+
+// Silent runs requests over a connection that makes no progress.
+func Silent(context.Context, backend.Request) (*backend.Response, error) {
+	return nil, &backend.AttemptError{Sent: true, Silent: true, Cause: io.ErrNoProgress}
+}
+
+// Hanging never answers.
+func Hanging(ctx context.Context, _ backend.Request) (*backend.Response, error) {
+	<-ctx.Done()
+	return nil, &backend.AttemptError{Sent: true, Cause: ctx.Err()}
+}
+
+// Foreign answers with the ID of another request.
+func Foreign(ctx context.Context, req backend.Request) (*backend.Response, error) {
+	req.RequestID += "x"
+	return Answer(http.StatusOK, "somebody else's")(ctx, req)
+}
+
+// Broken answers with a body of which only the first part comes.
+func Broken(length int, part string) Behaviour {
+	return func(_ context.Context, req backend.Request) (*backend.Response, error) {
+		response := responseTo(req, http.StatusOK, "")
+		response.Header.Set("Content-Length", strconv.Itoa(length))
+		if length < 0 {
+			response.Header.Del("Content-Length")
+		}
+		broken := io.MultiReader(bytes.NewReader([]byte(part)), failing{})
+		response.Body = io.NopCloser(broken)
+		return response, nil
+	}
+}
+
+type failing struct{}
+
+func (failing) Read([]byte) (int, error) { return 0, io.ErrUnexpectedEOF }
+
+// Slow takes a while for each request, and stops when it is canceled.
+func Slow(busy time.Duration, then Behaviour) Behaviour {
+	return func(ctx context.Context, req backend.Request) (*backend.Response, error) {
+		timer := time.NewTimer(busy)
+		defer timer.Stop()
+		select {
+		case <-timer.C:
+			return then(ctx, req)
+		case <-ctx.Done():
+			return nil, &backend.AttemptError{Sent: true, Cause: ctx.Err()}
+		}
+	}
+}
+
+// InTurn does one thing after the other, and the last one from then on.
+func InTurn(steps ...Behaviour) Behaviour {
+	var mu sync.Mutex
+	return func(ctx context.Context, req backend.Request) (*backend.Response, error) {
+		mu.Lock()
+		step := steps[0]
+		if len(steps) > 1 {
+			steps = steps[1:]
+		}
+		mu.Unlock()
+		return step(ctx, req)
+	}
+}
