--- a/cmd/burdockspindle/main.go
+++ b/cmd/burdockspindle/main.go
@@ -7,8 +7,8 @@
 	"os"
 
 	"github.com/burdockspindle/burdockspindle/cli"
-	_ "github.com/burdockspindle/burdockspindle/experiment"
 	_ "github.com/burdockspindle/burdockspindle/demo" // registers the command demo
+	_ "github.com/burdockspindle/burdockspindle/experiment"
 	_ "github.com/burdockspindle/burdockspindle/modules/standard"
 	"github.com/burdockspindle/burdockspindle/node"
 )
