Follower under every failure of the log

Cause: the log can be down, slow or silent, lose answers, read again, and pass its retention limit for one process or for everybody. Change: patience that grows with a slow log, rebase by the furthest node when records are lost for everybody, checkpoint takeover that does not grow with the number of nodes, tests of each failure in faked time. Conclusion: after a rebase nodes that were further go back to it; that is the one case in which applied records are given up.

--- a/follower/append.go
+++ b/follower/append.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"errors"
+	"time"
 
 	"github.com/burdockspindle/burdockspindle/platlog"
 	"github.com/burdockspindle/burdockspindle/record"
+	"github.com/burdockspindle/burdockspindle/state"
 	"github.com/burdockspindle/burdockspindle/topo"
 )
 
@@ -77,8 +79,13 @@
 		g.fail(&NotAppendedError{Cause: &QueueFullError{Length: maxPending}})
 		return
 	}
-	if err := a.appendRecord(ctx, g, data); err != nil {
+	offset, err := a.appendRecord(ctx, g, data)
+	if err != nil {
 		a.f.fates.fail(a.sequence, err)
+		return
+	}
+	if g.members[0].appendOnly {
+		a.f.fates.resolve(a.sequence, state.Result{Offset: offset, Accepted: true})
 	}
 }
 
@@ -87,17 +94,17 @@
 // sequence again: Apply ignores whichever copy comes second, so the record
 // takes effect once, however late the first copy lands. A record that was given
 // up is ignored from the moment at which the next sequence is applied.
-func (a *appender) appendRecord(ctx context.Context, g *group, data []byte) error {
+func (a *appender) appendRecord(ctx context.Context, g *group, data []byte) (topo.Offset, error) {
 	pause := a.f.newBackoff()
 	uncertain := false
 	for {
-		err := a.f.appendOnce(ctx, data)
+		offset, err := a.f.appendOnce(ctx, data)
 		if err == nil {
-			return nil
+			return offset, nil
 		}
 		if isUnavailable(err) && !uncertain {
 			count(metricNotAppended, len(g.members))
-			return &NotAppendedError{Cause: err}
+			return 0, &NotAppendedError{Cause: err}
 		}
 		if !isUnavailable(err) {
 			uncertain = true
@@ -105,30 +112,27 @@
 			eventAppendUncertain.Log(a.f.config.Logger, "sequence", a.sequence, "error", err)
 		}
 		if !pause.wait(ctx) || g.ended() {
-			return &UnknownFateError{Cause: err}
+			return 0, &UnknownFateError{Cause: err}
 		}
 		if !a.f.fates.awaited(a.sequence) {
-			return nil
+			return 0, nil
 		}
 		count(metricReappends, 1)
 	}
 }
 
 // appendOnce appends with a limit on the time without an answer.
-func (f *Follower) appendOnce(ctx context.Context, data []byte) error {
-	limited, cancel := context.WithTimeout(ctx, f.config.CallTimeout)
+func (f *Follower) appendOnce(ctx context.Context, data []byte) (topo.Offset, error) {
+	limited, cancel := f.appendPatience.limit(ctx, 0)
 	defer cancel()
+	begun := time.Now()
 	offset, err := f.config.Log.Append(limited, data)
-	if err != nil {
-		return err
+	f.appendPatience.learn(time.Since(begun), err)
+	if err == nil {
+		count(metricAppends, 1)
+		count(metricAppendBytes, len(data))
 	}
-	f.noteAppended(offset, len(data))
-	return nil
-}
-
-func (f *Follower) noteAppended(_ topo.Offset, bytes int) {
-	count(metricAppends, 1)
-	count(metricAppendBytes, bytes)
+	return offset, err
 }
 
 func isUnavailable(err error) bool {
--- a/follower/checkpoints.go
+++ b/follower/checkpoints.go
@@ -20,6 +20,7 @@
 	checkpointPoll  = 500 * time.Millisecond // between two looks at what is due
 	checkpointLimit = time.Minute            // for writing one checkpoint
 	lostRankDelay   = 2 * time.Second        // by rank, when the last one is lost
+	rankSteps       = 20                     // ranks that take over within every records
 )
 
 // checkpointDue knows what has to be written since the last whole checkpoint.
@@ -71,13 +72,12 @@
 	return d.last.Applied
 }
 
-// due reports whether the node of a rank should write a checkpoint. The node of
-// rank 0 does at every records; each further rank waits as long again, so that
-// another takes over when a writer fails.
+// due reports whether the node of a rank should write a checkpoint; see
+// threshold for when the records since the last one make it due.
 func (d *checkpointDue) due(now time.Time, rank, every int, age time.Duration) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if d.records >= every*(rank+1) {
+	if d.records >= threshold(rank, every) {
 		return true
 	}
 	if d.records > 0 && now.Sub(d.at) >= age*time.Duration(rank+1) {
@@ -86,6 +86,16 @@
 	return !d.lostAt.IsZero() && now.Sub(d.lostAt) >= lostRankDelay*time.Duration(rank)
 }
 
+// threshold returns after how many records the node of a rank writes: the first
+// at every, the next takes over at twice that, and each further one a little
+// later.
+func threshold(rank, every int) int {
+	if rank == 0 {
+		return every
+	}
+	return 2*every + (rank-1)*max(1, every/rankSteps)
+}
+
 // rank returns the node's place in the order, different for each checkpoint, in
 // which the state's nodes write it.
 func rank(view *state.View, node topo.NodeID, last topo.Offset) int {
--- a/follower/config.go
+++ b/follower/config.go
@@ -13,11 +13,15 @@
 // Default intervals and bounds of a Config.
 const (
 	DefaultPollWait        = 200 * time.Millisecond
-	DefaultCallTimeout     = 2 * time.Second
+	DefaultCallTimeout     = time.Second
 	DefaultPeersAfter      = 500 * time.Millisecond
 	DefaultPeerWait        = 250 * time.Millisecond
 	DefaultCheckpointEvery = 2000
 	DefaultCheckpointAge   = time.Hour
+	DefaultRebaseAfter     = 10 * time.Second
+
+	mostCallTimeout = 10 * time.Second       // for a slow log
+	peerTimeout     = 500 * time.Millisecond // for a peer's answer to a read
 
 	queueLength = 256     // records waiting to be appended
 	inboxLength = 4       // messages waiting for the applier
@@ -39,11 +43,14 @@
 	Logger hclog.Logger
 
 	PollWait        time.Duration // how long a log read is held open at the end
-	CallTimeout     time.Duration // without an answer, on top of PollWait
+	CallTimeout     time.Duration // for an answer of the log; grows while it is slow
 	PeersAfter      time.Duration // without log contact before peers are asked
 	PeerWait        time.Duration // how long a peer may hold a read open
 	CheckpointEvery int           // records between checkpoints
 	CheckpointAge   time.Duration // longest time between checkpoints when records were added
+	// RebaseAfter is how long records have to be missing for every node that
+	// can be asked before this one publishes its state again.
+	RebaseAfter time.Duration
 }
 
 func (c Config) withDefaults() Config {
@@ -53,6 +60,7 @@
 	setDefault(&c.PeerWait, DefaultPeerWait)
 	setDefault(&c.CheckpointEvery, DefaultCheckpointEvery)
 	setDefault(&c.CheckpointAge, DefaultCheckpointAge)
+	setDefault(&c.RebaseAfter, DefaultRebaseAfter)
 	if c.Logger == nil {
 		c.Logger = hclog.NewNullLogger()
 	}
--- a/follower/core.go
+++ b/follower/core.go
@@ -28,6 +28,9 @@
 	fates     *fates
 	due       *checkpointDue
 
+	readPatience   *patience
+	appendPatience *patience
+
 	inbox chan message    // to the applier
 	queue chan *submitted // to the appender
 
@@ -50,8 +53,9 @@
 
 // New returns a follower with an empty state.
 func New(config Config) *Follower {
+	config = config.withDefaults()
 	f := &Follower{
-		config: config.withDefaults(),
+		config: config,
 		writer: record.Writer(config.Node, config.Boot),
 		ring:   newRing(ringEntries, ringBytes),
 		fates:  newFates(),
@@ -59,6 +63,9 @@
 		inbox:  make(chan message, inboxLength),
 		queue:  make(chan *submitted, queueLength),
 		done:   make(chan struct{}),
+
+		readPatience:   newPatience(config.CallTimeout, mostCallTimeout),
+		appendPatience: newPatience(config.CallTimeout, mostCallTimeout),
 	}
 	f.published.Store(&publication{view: state.New().View(), changed: make(chan struct{})})
 	f.contact.Store(&time.Time{})
--- /dev/null
+++ b/follower/offer.go
@@ -0,0 +1,117 @@
+package follower
+
+import (
+	"context"
+	"strconv"
+	"time"
+
+	"github.com/burdockspindle/burdockspindle/checkpoint"
+	"github.com/burdockspindle/burdockspindle/topo"
+
+	bspb "github.com/burdockspindle/burdockspindle/proto/burdockspindle/v1"
+)
+
+// unaskedFactor is how many times longer a rebase waits when some node could
+// not be asked: that node may be further.
+const unaskedFactor = 6
+
+// offerRebase publishes this node's state again when the retention limit has
+// passed records that no node has, and this node is the furthest. Several
+// nodes may do so at once: the first Rebase record in the log counts.
+func (r *logReader) offerRebase(ctx context.Context, first topo.Offset) error {
+	now := time.Now()
+	if r.gapSince.IsZero() {
+		r.gapSince = now
+		eventNoCheckpoint.Log(r.f.config.Logger, "applied", r.f.applied(), "first", first)
+	}
+	if r.f.applied() == 0 {
+		return &RebaseProblemError{Problem: "this node has no state to publish"}
+	}
+	wait := r.f.config.RebaseAfter
+	furthest, asked := r.askPeers(ctx)
+	if !asked {
+		wait *= unaskedFactor
+	}
+	if !furthest {
+		return &RebaseProblemError{Problem: "left to a node that is further"}
+	}
+	if now.Sub(r.gapSince) < wait {
+		return &RebaseProblemError{Problem: "no rebase in the log yet"}
+	}
+	return r.writeRebase(ctx, first)
+}
+
+// askPeers reports whether no peer is further than this node, or as far with a
+// lower ID, and whether every node of the state was asked.
+func (r *logReader) askPeers(ctx context.Context) (furthest, asked bool) {
+	if r.f.config.Peers == nil {
+		return true, len(r.f.View().Nodes()) <= 1
+	}
+	answered := map[topo.NodeID]bool{r.f.config.Node: true}
+	applied := r.f.applied()
+	for _, id := range r.f.config.Peers.Known() {
+		limited, cancel := context.WithTimeout(ctx, peerTimeout)
+		answer, err := r.f.config.Peers.ReadLog(limited, id, &bspb.ReadLogRequest{
+			Sender: r.f.config.Peers.Sender(),
+			From:   uint64(applied + 1),
+			Max:    1,
+		})
+		cancel()
+		if err != nil {
+			continue
+		}
+		answered[id] = true
+		theirs := topo.Offset(answer.GetApplied())
+		if theirs > applied || theirs == applied && id < r.f.config.Node {
+			return false, true
+		}
+	}
+	for id := range r.f.View().Nodes() {
+		if !answered[id] {
+			return true, false
+		}
+	}
+	return true, true
+}
+
+// writeRebase appends a checkpoint of the state and the Rebase record that
+// names it.
+func (r *logReader) writeRebase(ctx context.Context, first topo.Offset) error {
+	limited, cancel := context.WithTimeout(ctx, checkpointLimit)
+	defer cancel()
+	frozen, alive := r.f.freeze(limited)
+	if !alive {
+		return limited.Err()
+	}
+	r.rebases++
+	id := r.f.writer + "/rebase/" + strconv.Itoa(r.rebases)
+	chunks, err := checkpoint.Split(frozen.Snapshot(), id, checkpoint.ChunkBytes)
+	if err != nil {
+		return err
+	}
+	var firstChunk topo.Offset
+	for _, chunk := range chunks {
+		body := &bspb.Record_CheckpointChunk{CheckpointChunk: chunk}
+		offset, err := r.f.appendOnly(limited, &bspb.Record{Body: body})
+		if err != nil {
+			return err
+		}
+		if firstChunk == 0 {
+			firstChunk = offset
+		}
+	}
+	rebase := &bspb.Rebase{
+		CheckpointId: id,
+		Applied:      uint64(frozen.View().Applied()),
+		Resume:       uint64(first),
+		FirstChunk:   uint64(firstChunk),
+		Digest:       chunks[0].GetDigest(),
+		Lineage:      uint64(frozen.View().Lineage()),
+	}
+	offset, err := r.f.appendOnly(limited, &bspb.Record{Body: &bspb.Record_Rebase{Rebase: rebase}})
+	if err != nil {
+		return err
+	}
+	eventRebaseWritten.Log(r.f.config.Logger, "offset", offset, "applied", rebase.GetApplied(), "resume", first)
+	return nil
+}
--- a/follower/readlog.go
+++ b/follower/readlog.go
@@ -15,6 +15,9 @@
 	pause *backoff
 	lost  bool // the last read failed
 	asked bool // a checkpoint was looked for since the start
+
+	gapSince time.Time // when records were first missing for everybody asked
+	rebases  int       // rebases written
 }
 
 // runLogReader is the log reader's goroutine.
@@ -48,6 +51,7 @@
 		}
 	}
 	r.asked = true
+	r.gapSince = time.Time{}
 	r.f.due.noteFirst(batch.First)
 	err = r.f.applyBatch(ctx, begun, batch)
 	if rebase, isRebase := asRebase(err); isRebase {
@@ -79,9 +83,11 @@
 
 // read reads from the log with a limit on the time without an answer.
 func (f *Follower) read(ctx context.Context, from topo.Offset, most int, wait time.Duration) (platlog.Batch, error) {
-	limited, cancel := context.WithTimeout(ctx, wait+f.config.CallTimeout)
+	limited, cancel := f.readPatience.limit(ctx, wait)
 	defer cancel()
+	begun := time.Now()
 	batch, err := f.config.Log.Read(limited, platlog.ReadRequest{From: from, Max: most, Wait: wait})
+	f.readPatience.learn(time.Since(begun)-wait, err)
 	if err != nil {
 		count(metricReadFailures, 1)
 		return platlog.Batch{}, err
--- a/follower/readpeers.go
+++ b/follower/readpeers.go
@@ -15,6 +15,9 @@
 // peerPause is the time between two peers that had nothing new.
 const peerPause = 50 * time.Millisecond
 
+// snapshotTimeout bounds the fetching of a peer's whole state.
+const snapshotTimeout = 10 * time.Second
+
 // peerReader takes records from peers while the log cannot be read.
 type peerReader struct {
 	f       *Follower
@@ -79,7 +82,7 @@
 // nothing new.
 func (r *peerReader) ask(ctx context.Context, from topo.NodeID, wait time.Duration) bool {
 	before := r.f.applied()
-	limited, cancel := context.WithTimeout(ctx, wait+r.f.config.CallTimeout)
+	limited, cancel := context.WithTimeout(ctx, wait+peerTimeout)
 	defer cancel()
 	answer, err := r.f.config.Peers.ReadLog(limited, from, &bspb.ReadLogRequest{
 		Sender: r.f.config.Peers.Sender(),
@@ -134,7 +137,7 @@
 // fetchSnapshot restores a peer's state if it is beyond this one and contains
 // every record before first.
 func (f *Follower) fetchSnapshot(ctx context.Context, from topo.NodeID, first topo.Offset) bool {
-	limited, cancel := context.WithTimeout(ctx, f.config.CallTimeout)
+	limited, cancel := context.WithTimeout(ctx, snapshotTimeout)
 	defer cancel()
 	before := f.applied()
 	chunks, err := f.config.Peers.FetchSnapshot(limited, from, before)
--- a/follower/rebase.go
+++ b/follower/rebase.go
@@ -52,7 +52,6 @@
 	if rebase != nil {
 		return r.rebase(ctx, rebase)
 	}
-	eventNoCheckpoint.Log(r.f.config.Logger, "applied", r.f.applied(), "first", first)
 	return r.offerRebase(ctx, first)
 }
 
@@ -157,7 +156,3 @@
 	var truncated *platlog.TruncatedError
 	return truncated, errors.As(err, &truncated)
 }
-
-func (r *logReader) offerRebase(context.Context, topo.Offset) error {
-	return &RebaseProblemError{Problem: "no rebase in the log yet"}
-}
--- /dev/null
+++ b/follower/rebase_test.go
@@ -0,0 +1,167 @@
+package follower_test
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"github.com/burdockspindle/burdockspindle/follower"
+	"github.com/burdockspindle/burdockspindle/platlog/logfault"
+	"github.com/burdockspindle/burdockspindle/platlog/memlog"
+	"github.com/burdockspindle/burdockspindle/topo"
+
+	bspb "github.com/burdockspindle/burdockspindle/proto/burdockspindle/v1"
+)
+
+const longRebase = 3 * time.Minute // for a rebase although not every node answers
+
+// loseForAll brings about a gap for everybody: records that no node has read
+// are appended and leave the log, and one more stays.
+func (s *site) loseForAll(members ...*member) {
+	s.t.Helper()
+	for _, m := range members {
+		m.log.Down()
+	}
+	for i, name := range []string{"lost-1", "lost-2", "kept"} {
+		s.put("stranger@b1", uint64(i+1), join(name))
+	}
+	_, end := s.store.Bounds()
+	s.store.Truncate(end - 1)
+	time.Sleep(settle)
+	for _, m := range members {
+		m.log.Heal()
+	}
+}
+
+// rebases counts the Rebase records in the store.
+func (s *site) rebases() int {
+	total := 0
+	for _, rec := range s.records() {
+		if rec.GetRebase() != nil {
+			total++
+		}
+	}
+	return total
+}
+
+func TestRetentionPassedForEverybody(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSite(t, memlog.Retention{})
+		a, b, c := s.start("a"), s.start("b"), s.start("c")
+		for i, m := range []*member{a, b, c} {
+			s.submit(m, join(string(rune('a'+i))))
+		}
+		time.Sleep(settle)
+		// Only b has read the last record that it could read.
+		a.log.Down()
+		c.log.Down()
+		s.network.Isolate("b")
+		s.submit(b, join("only-b"))
+		b.log.Down()
+		s.network.Heal()
+		s.network.Cut("a", "b")
+		s.network.Cut("c", "b")
+		s.loseForAll(a, b, c)
+		time.Sleep(settle)
+		s.g.Expect(s.rebases()).To(gomega.BeZero(), "b could not be asked and may be further")
+		s.network.Heal()
+		time.Sleep(longRebase)
+		s.sameState(a, b, c)
+		s.g.Expect(s.rebases()).To(gomega.Equal(1))
+		s.g.Expect(a.View().Lineage()).NotTo(gomega.BeZero())
+		for name, want := range map[string]bool{"a": true, "only-b": true, "lost-1": false, "lost-2": false, "kept": true} {
+			s.g.Expect(hasNode(a, name)).To(gomega.Equal(want), name)
+		}
+		// The site goes on, and a process that starts alone follows.
+		s.submit(c, join("after"))
+		d := s.start("d", alone)
+		s.sameState(a, d)
+	})
+}
+
+// Nodes that cannot ask each other may all publish their state: the first
+// Rebase record counts for everybody, also for those who were further.
+func TestRacingRebases(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSite(t, memlog.Retention{})
+		members := []*member{s.start("a"), s.start("b"), s.start("c")}
+		for i, m := range members {
+			s.submit(m, join(string(rune('a'+i))))
+		}
+		time.Sleep(settle)
+		for _, name := range []topo.NodeID{"a", "b", "c"} {
+			s.network.Isolate(name)
+		}
+		for _, m := range members {
+			m.log.Set(logfault.Faults{Slow: 700 * time.Millisecond})
+		}
+		s.loseForAll(members...)
+		for _, m := range members {
+			m.log.Set(logfault.Faults{Slow: 700 * time.Millisecond})
+		}
+		time.Sleep(longRebase)
+		s.g.Expect(s.rebases()).To(gomega.BeNumerically(">=", 2), "several published")
+		s.network.Heal()
+		for _, m := range members {
+			m.log.Heal()
+		}
+		s.sameState(members...)
+		s.g.Expect(hasNode(members[0], "kept")).To(gomega.BeTrue())
+		s.submit(members[2], join("after"))
+		s.sameState(members...)
+	})
+}
+
+// A node without a gap adopts the rebase too, so that nobody is left apart; the
+// same record under another lineage changes nothing.
+func TestRebaseBindsEveryNode(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSite(t, memlog.Retention{})
+		a := s.start("a", noCheckpoints)
+		s.submit(a, join("a"))
+		old := s.replayed()
+		s.submit(a, join("dropped"))
+		_, resume := s.store.Bounds()
+		s.put("z@b1", 1, join("kept"))
+		_, firstChunk := s.store.Bounds()
+		s.putCheckpoint(old, "z/rebase/1", whole)
+		chunk := s.records()[firstChunk-1].GetCheckpointChunk()
+		rebase := func(lineage topo.Offset) *bspb.Record {
+			return &bspb.Record{Body: &bspb.Record_Rebase{Rebase: &bspb.Rebase{
+				CheckpointId: chunk.GetId(), Applied: chunk.GetApplied(), Digest: chunk.GetDigest(),
+				Resume: uint64(resume), FirstChunk: uint64(firstChunk), Lineage: uint64(lineage),
+			}}}
+		}
+		s.put("z@b1", 2, rebase(7))
+		time.Sleep(settle)
+		s.g.Expect(hasNode(a, "dropped")).To(gomega.BeTrue())
+		at := s.put("z@b1", 3, rebase(0))
+		s.put("y@b1", 1, rebase(0))
+		s.put("z@b1", 4, join("later"))
+		b := s.start("b", noCheckpoints)
+		c := s.start("c", alone)
+		s.sameState(a, b, c)
+		for name, want := range map[string]bool{"a": true, "dropped": false, "kept": true, "later": true} {
+			s.g.Expect(hasNode(a, name)).To(gomega.Equal(want), name)
+		}
+		s.g.Expect(a.View().Lineage()).To(gomega.Equal(at))
+	})
+}
+
+// A node that has no state never publishes one, and says so by having no
+// contact.
+func TestNothingToRebaseFrom(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSite(t, memlog.Retention{})
+		s.put("x@b1", 1, join("x"))
+		s.put("x@b1", 2, join("y"))
+		s.store.Truncate(2)
+		a := s.start("a", func(c *follower.Config, _ *logfault.Log) { c.RebaseAfter = time.Second })
+		time.Sleep(longRebase)
+		s.g.Expect(s.rebases()).To(gomega.BeZero())
+		s.g.Expect(a.View().Applied()).To(gomega.BeZero())
+		s.g.Expect(a.LastContact().IsZero()).To(gomega.BeTrue())
+	})
+}
--- a/follower/submit.go
+++ b/follower/submit.go
@@ -4,6 +4,8 @@
 	"context"
 	"sync/atomic"
 
+	"github.com/burdockspindle/burdockspindle/topo"
+
 	bspb "github.com/burdockspindle/burdockspindle/proto/burdockspindle/v1"
 )
 
@@ -11,6 +13,8 @@
 type submitted struct {
 	ctx    context.Context
 	record *bspb.Record
+	// appendOnly asks for the offset of the append, without its result.
+	appendOnly bool
 	// taken is set by whoever comes first: the appender, or the caller giving
 	// up while the record still waits in the queue.
 	taken  atomic.Bool
@@ -28,7 +32,20 @@
 // *UnknownFateError. The record is not changed and must not be changed by the
 // caller afterwards.
 func (f *Follower) Submit(ctx context.Context, rec *bspb.Record) (Fate, error) {
-	s := &submitted{ctx: ctx, record: rec, answer: make(chan submitAnswer, 1)}
+	return f.await(&submitted{ctx: ctx, record: rec, answer: make(chan submitAnswer, 1)})
+}
+
+// appendOnly appends a record and returns its offset, or that of the copy that
+// the log answered last. It is used where no record can be applied.
+func (f *Follower) appendOnly(ctx context.Context, rec *bspb.Record) (topo.Offset, error) {
+	fate, err := f.await(&submitted{
+		ctx: ctx, record: rec, appendOnly: true, answer: make(chan submitAnswer, 1),
+	})
+	return fate.Offset, err
+}
+
+// await queues a submission and waits for its end.
+func (f *Follower) await(s *submitted) (Fate, error) {
 	select {
 	case <-f.done:
 		return Fate{}, &NotAppendedError{Cause: &StoppedError{}}
@@ -43,8 +60,8 @@
 	select {
 	case answer := <-s.answer:
 		return answer.fate, answer.err
-	case <-ctx.Done():
-		return s.giveUp(ctx.Err())
+	case <-s.ctx.Done():
+		return s.giveUp(s.ctx.Err())
 	case <-f.done:
 		return s.giveUp(&StoppedError{})
 	}
--- /dev/null
+++ b/follower/submit_test.go
@@ -0,0 +1,230 @@
+package follower_test
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"github.com/burdockspindle/burdockspindle/follower"
+	"github.com/burdockspindle/burdockspindle/platlog/logfault"
+	"github.com/burdockspindle/burdockspindle/platlog/memlog"
+	"github.com/burdockspindle/burdockspindle/state"
+	"github.com/burdockspindle/burdockspindle/topo"
+
+	bspb "github.com/burdockspindle/burdockspindle/proto/burdockspindle/v1"
+)
+
+func TestSubmitIsVisibleWhenItReturns(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSite(t, memlog.Retention{})
+		a, b := s.start("a"), s.start("b")
+		fate := s.submit(a, join("a"))
+		s.g.Expect(fate).To(gomega.Equal(follower.Fate{Offset: 1, Accepted: true}))
+		s.g.Expect(hasNode(a, "a")).To(gomega.BeTrue())
+		s.g.Expect(b.WaitApplied(s.within(settle), fate.Offset)).To(gomega.Succeed())
+		s.g.Expect(hasNode(b, "a")).To(gomega.BeTrue())
+	})
+}
+
+func TestTwoPublishersGetOneAcceptance(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSite(t, memlog.Retention{})
+		var running sync.WaitGroup
+		fates := make([]follower.Fate, 2)
+		for i, m := range []*member{s.start("a"), s.start("b")} {
+			running.Go(func() { fates[i], _ = m.Submit(s.within(settle), publish(0)) })
+		}
+		running.Wait()
+		s.g.Expect(fates[0].Accepted).NotTo(gomega.Equal(fates[1].Accepted))
+		s.g.Expect(fates[0].Conflict + fates[1].Conflict).To(gomega.ContainSubstring("base-version"))
+	})
+}
+
+// Under each fault a submitted record takes effect once, or never when the
+// submitter was told so; a later RemoveNode shows a copy that lands after it.
+func TestSubmitUnderFaults(t *testing.T) {
+	cases := []struct {
+		name     string
+		faults   logfault.Faults
+		notSaid  bool // the error is *NotAppendedError
+		appended int  // copies in the log afterwards
+	}{
+		{"healthy", logfault.Faults{}, false, 1},
+		{"down", logfault.Faults{AppendsDown: true}, true, 0},
+		{"slow", logfault.Faults{Slow: 1500 * time.Millisecond}, false, 1},
+		{"answer lost", logfault.Faults{LoseAnswers: 1}, false, 1},
+		{"answers lost again and again", logfault.Faults{LoseAnswers: 5, Slow: 300 * time.Millisecond}, false, 1},
+		{"request lost", logfault.Faults{LoseRequests: 1}, false, 1},
+		{"requests lost again and again", logfault.Faults{LoseRequests: 4}, false, 1},
+		{"late", logfault.Faults{LateAppends: 1, LateBy: 2 * time.Second}, false, 2},
+		{"late twice", logfault.Faults{LateAppends: 2, LateBy: 2 * time.Second}, false, 3},
+		{"read again", logfault.Faults{Repeat: 3}, false, 1},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := newSite(t, memlog.Retention{})
+				a, b := s.start("a"), s.start("b")
+				s.submit(b, join("b"))
+				a.log.Set(c.faults)
+				fate, err := a.Submit(s.within(time.Minute), join("a"))
+				a.log.Heal()
+				var notAppended *follower.NotAppendedError
+				s.g.Expect(errors.As(err, &notAppended)).To(gomega.Equal(c.notSaid))
+				s.g.Expect(err != nil).To(gomega.Equal(c.notSaid))
+				s.g.Expect(fate.Accepted).To(gomega.Equal(!c.notSaid))
+				if !c.notSaid {
+					s.submit(b, remove("a"))
+				}
+				a.log.Settle()
+				s.sameState(a, b)
+				s.g.Expect(hasNode(a, "a")).To(gomega.BeFalse(), "a late copy took effect")
+				s.g.Expect(s.copies("a")).To(gomega.BeNumerically(">=", min(c.appended, 1)))
+				if c.appended != 1 {
+					s.g.Expect(s.copies("a")).To(gomega.Equal(c.appended))
+				}
+			})
+		})
+	}
+}
+
+// copies counts the JoinNode records of a node in the log.
+func (s *site) copies(name string) int {
+	found := 0
+	for _, rec := range s.records() {
+		if rec.GetJoinNode().GetNode() == name {
+			found++
+		}
+	}
+	return found
+}
+
+// A record that was given up takes no effect once its writer's next record has
+// been applied, however late it lands.
+func TestGivenUpRecordIsFencedByTheNext(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSite(t, memlog.Retention{})
+		a := s.start("a")
+		s.submit(a, join("x"))
+		a.log.Set(logfault.Faults{LateAppends: 1, LateBy: 10 * time.Second, LoseRequests: 1000})
+		begun := time.Now()
+		_, err := a.Submit(s.within(200*time.Millisecond), join("late"))
+		var unknown *follower.UnknownFateError
+		s.g.Expect(errors.As(err, &unknown)).To(gomega.BeTrue())
+		s.g.Expect(time.Since(begun)).To(gomega.Equal(200*time.Millisecond), "answered at once")
+		a.log.Heal()
+		s.submit(a, remove("x"))
+		a.log.Settle()
+		time.Sleep(settle)
+		s.g.Expect(s.copies("late")).To(gomega.Equal(1))
+		s.g.Expect(hasNode(a, "late")).To(gomega.BeFalse())
+	})
+}
+
+func TestGivenUpInTheQueueIsProvenNotAppended(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSite(t, memlog.Retention{})
+		a := s.start("a")
+		a.log.Set(logfault.Faults{Silent: true})
+		go func() { _, _ = a.Submit(s.within(time.Second), join("first")) }()
+		synctest.Wait()
+		_, err := a.Submit(s.within(100*time.Millisecond), join("second"))
+		var notAppended *follower.NotAppendedError
+		s.g.Expect(errors.As(err, &notAppended)).To(gomega.BeTrue())
+		s.g.Expect(errors.Is(err, context.DeadlineExceeded)).To(gomega.BeTrue())
+		a.log.Heal()
+		time.Sleep(settle)
+		s.g.Expect(s.copies("second")).To(gomega.Equal(0))
+	})
+}
+
+func TestFullQueueRefusesAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSite(t, memlog.Retention{})
+		a := s.start("a")
+		a.log.Set(logfault.Faults{Silent: true})
+		refused := make(chan bool, 400)
+		for range cap(refused) {
+			go func() {
+				_, err := a.Submit(s.within(time.Second), join("x"))
+				var full *follower.QueueFullError
+				refused <- errors.As(err, &full)
+			}()
+		}
+		total := 0
+		for range cap(refused) {
+			if <-refused {
+				total++
+			}
+		}
+		s.g.Expect(total).To(gomega.BeNumerically(">", 100))
+	})
+}
+
+func TestStopEndsSubmissions(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSite(t, memlog.Retention{})
+		a := s.start("a")
+		a.log.Set(logfault.Faults{Silent: true})
+		ended := make(chan error, 1)
+		go func() {
+			_, err := a.Submit(context.Background(), join("x"))
+			ended <- err
+		}()
+		synctest.Wait()
+		a.Stop()
+		var unknown *follower.UnknownFateError
+		s.g.Expect(errors.As(<-ended, &unknown)).To(gomega.BeTrue())
+		_, err := a.Submit(context.Background(), join("x"))
+		var notAppended *follower.NotAppendedError
+		s.g.Expect(errors.As(err, &notAppended)).To(gomega.BeTrue())
+	})
+}
+
+// Assignments that wait together share one append, and each submitter gets the
+// fate of its own.
+func TestAssignmentsShareAnAppend(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSite(t, memlog.Retention{})
+		a := s.start("a")
+		s.submit(a, publish(0))
+		s.submit(a, &bspb.Record{Body: &bspb.Record_UpdateServers{UpdateServers: &bspb.UpdateServers{
+			Upsert: []*bspb.ServerEntry{{Id: "v", Service: "wells", Phase: bspb.ServerPhase_SERVER_PHASE_LIVE}},
+		}}})
+		a.log.Set(logfault.Faults{Slow: 500 * time.Millisecond})
+		var running sync.WaitGroup
+		fates := make([]follower.Fate, 5)
+		for i := range fates {
+			running.Go(func() { fates[i], _ = a.Submit(s.within(settle), giveTwo(i)) })
+		}
+		running.Wait()
+		offsets := map[topo.Offset]bool{}
+		for i, fate := range fates {
+			offsets[fate.Offset] = true
+			s.g.Expect(fate.Accepted).To(gomega.Equal(i < 4))
+			s.g.Expect(fate.RejectedShards).To(gomega.Equal(map[bool][]int{true: {1}, false: {0, 1}}[i < 4]))
+		}
+		s.g.Expect(offsets).To(gomega.HaveLen(2), "the first alone, the others together")
+		for i := range uint32(4) {
+			owned, _ := a.View().Shard(topo.ShardID{Service: "wells", Index: i})
+			s.g.Expect(owned.Owner).To(gomega.Equal(topo.ServerID("v")))
+		}
+	})
+}
+
+// giveTwo assigns the i-th shard of four, and one that does not exist.
+func giveTwo(i int) *bspb.Record {
+	assignment := func(index int) *bspb.Assignment {
+		return &bspb.Assignment{Shard: &bspb.ShardRef{Service: "wells", Index: uint32(index)}, Owner: "v"}
+	}
+	return &bspb.Record{Body: &bspb.Record_AssignShards{AssignShards: &bspb.AssignShards{
+		Assignments: []*bspb.Assignment{assignment(i), assignment(9)},
+	}}}
+}
+
+var _ state.Source = (*follower.Follower)(nil)
--- a/platlog/logfault/logfault.go
+++ b/platlog/logfault/logfault.go
@@ -138,12 +138,12 @@
 	switch {
 	case l.faults.AppendsDown:
 		return faultDown
-	case l.faults.LoseRequests > 0:
-		l.faults.LoseRequests--
-		return faultRequest
 	case l.faults.LateAppends > 0:
 		l.faults.LateAppends--
 		return faultLate
+	case l.faults.LoseRequests > 0:
+		l.faults.LoseRequests--
+		return faultRequest
 	case l.faults.LoseAnswers > 0:
 		l.faults.LoseAnswers--
 		return faultAnswer
