--- a/backend/backend.go
+++ b/backend/backend.go
@@ -22,7 +22,7 @@
 // Request is one attempt of a caller's request at one server.
 type Request struct {
 	Method         string
-	Path           string // caller's path with query, without serverapi.PathRequest
+	Path           string // caller's path with query, without serverapi.PathRequest; the leading slash may be left out
 	Service        topo.Service
 	Key            string // empty for services not divided by key
 	Shard          topo.ShardID
--- /dev/null
+++ b/backend/backendtest/attempts.go
@@ -0,0 +1,351 @@
+package backendtest
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"github.com/burdockspindle/burdockspindle/backend"
+	"github.com/burdockspindle/burdockspindle/serverapi"
+)
+
+func asAttempt(err error, target **backend.AttemptError) bool { return errors.As(err, target) }
+
+// verdict is what a driver must say of an attempt.
+type verdict int
+
+const (
+	fails      verdict = iota + 1 // no answer, may have run
+	failsMaybe                    // no answer; whether sent depends on the moment
+	silent                        // no answer, may have run, connection silent
+	cut                           // an answer that turns out not to be whole
+	cutSilent                     // the same, connection silent
+	whole                         // a whole answer
+)
+
+// attemptCase is one row of the fault table: what the server does with the
+// first connection, and what the driver must say. The server behaves on all
+// later connections.
+type attemptCase struct {
+	name string
+	play script
+	want verdict
+	// options are hasty when silence is the fault, else patient.
+	options func() Options
+	check   func(g *gomega.WithT, got result)
+}
+
+func attemptCases() []attemptCase {
+	return []attemptCase{
+		{name: "reset before any byte", want: failsMaybe, play: func(c *rawConn) { c.reset() }},
+		{name: "closed before any byte", want: failsMaybe, play: func(*rawConn) {}},
+		{name: "reset after the request", want: fails, play: afterRequest(func(c *rawConn, _ received) { c.reset() })},
+		{name: "closed after the request", want: fails, play: afterRequest(func(*rawConn, received) {})},
+		{name: "not HTTP", want: fails, play: afterRequest(func(c *rawConn, _ received) { c.send("hello\r\n\r\n") })},
+		{name: "half a header", want: fails, play: afterRequest(func(c *rawConn, _ received) { c.send("HTTP/1.1 200 OK\r\nContent-Le") })},
+		{name: "header without end", want: fails, play: afterRequest(sendEndlessHeader)},
+		{name: "silent after the request", want: silent, options: hasty, play: afterRequest(func(c *rawConn, _ received) { c.stay() })},
+		{name: "silent after half a header", want: silent, options: hasty, play: afterRequest(func(c *rawConn, _ received) {
+			c.send("HTTP/1.1 200 OK\r\nContent-Le")
+			c.stay()
+		})},
+		{name: "another request's ID", want: fails, play: afterRequest(func(c *rawConn, _ received) {
+			c.send("%s", answerText("request-0", "for somebody else"))
+			c.stay()
+		})},
+		{name: "no request ID", want: fails, play: afterRequest(func(c *rawConn, _ received) {
+			c.send("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+			c.stay()
+		})},
+		{name: "neither length nor chunks", want: fails, play: afterRequest(func(c *rawConn, r received) {
+			c.send("%swhole or not?", headText(r.id()))
+		})},
+		{name: "body cut short", want: cut, play: afterRequest(func(c *rawConn, r received) {
+			c.send("%shalf", headText(r.id(), "Content-Length: 8"))
+		})},
+		{name: "body reset", want: cut, play: afterRequest(func(c *rawConn, r received) {
+			c.send("%shalf", headText(r.id(), "Content-Length: 8"))
+			c.reset()
+		})},
+		{name: "body silent", want: cutSilent, options: hasty, play: afterRequest(func(c *rawConn, r received) {
+			c.send("%shalf", headText(r.id(), "Content-Length: 8"))
+			c.stay()
+		})},
+		{name: "chunks cut short", want: cut, play: afterRequest(func(c *rawConn, r received) {
+			c.send("%s4\r\nhalf\r\n", headText(r.id(), "Transfer-Encoding: chunked"))
+		})},
+		{name: "chunks cut within one", want: cut, play: afterRequest(func(c *rawConn, r received) {
+			c.send("%s8\r\nhalf", headText(r.id(), "Transfer-Encoding: chunked"))
+		})},
+		{name: "chunks silent", want: cutSilent, options: hasty, play: afterRequest(func(c *rawConn, r received) {
+			c.send("%s4\r\nhalf\r\n", headText(r.id(), "Transfer-Encoding: chunked"))
+			c.stay()
+		})},
+		{name: "bad chunk length", want: cut, play: afterRequest(func(c *rawConn, r received) {
+			c.send("%s4\r\nhalf\r\nzz\r\n", headText(r.id(), "Transfer-Encoding: chunked"))
+			c.stay()
+		})},
+		{name: "whole with length", want: whole, play: echoAll},
+		{name: "whole with chunks", want: whole, play: afterRequest(func(c *rawConn, r received) {
+			c.send("%s4\r\nhalf\r\n5\r\n and \r\n4\r\nhalf\r\n0\r\n\r\n", headText(r.id(), "Transfer-Encoding: chunked"))
+			echoAll(c)
+		}), check: bodyIs("half and half")},
+		{name: "late answer", want: whole, play: afterRequest(func(c *rawConn, r received) {
+			time.Sleep(soon)
+			c.answer(r, "late")
+			echoAll(c)
+		}), check: bodyIs("late")},
+		{name: "interim responses while it runs", want: whole, options: interim, play: afterRequest(sendInterim), check: bodyIs("done")},
+		{name: "slow body", want: whole, options: interim, play: afterRequest(sendSlowBody), check: bodyIs(strings.Repeat("x", slowParts))},
+		{name: "not run, by the server's word", want: whole, play: afterRequest(func(c *rawConn, r received) {
+			c.send("HTTP/1.1 421 No\r\n%s: %s\r\n%s: not-run\r\n%s: not-owner\r\nContent-Length: 0\r\n\r\n",
+				serverapi.HeaderRequestID, r.id(), serverapi.HeaderOutcome, serverapi.HeaderReason)
+			echoAll(c)
+		}), check: outcomeIs(http.StatusMisdirectedRequest, serverapi.OutcomeNotRun, serverapi.ReasonNotOwner)},
+		{name: "unknown, by the server's word", want: whole, play: afterRequest(func(c *rawConn, r received) {
+			c.send("HTTP/1.1 409 No\r\n%s: %s\r\n%s: unknown\r\n%s: stale-ticket\r\nContent-Length: 0\r\n\r\n",
+				serverapi.HeaderRequestID, r.id(), serverapi.HeaderOutcome, serverapi.HeaderReason)
+			echoAll(c)
+		}), check: outcomeIs(http.StatusConflict, serverapi.OutcomeUnknown, serverapi.ReasonStaleTicket)},
+		{name: "an outcome that is not known", want: whole, play: afterRequest(func(c *rawConn, r received) {
+			c.send("%s", headText(r.id(), serverapi.HeaderOutcome+": fine", "Content-Length: 0"))
+			echoAll(c)
+		}), check: outcomeIs(http.StatusOK, serverapi.OutcomeUnknown, "")},
+		{name: "a failure without an outcome", want: whole, play: afterRequest(func(c *rawConn, r received) {
+			c.send("HTTP/1.1 500 No\r\n%s: %s\r\nContent-Length: 0\r\n\r\n", serverapi.HeaderRequestID, r.id())
+			echoAll(c)
+		}), check: outcomeIs(http.StatusInternalServerError, serverapi.OutcomeAnswered, "")},
+	}
+}
+
+// afterRequest plays a script after one whole request.
+func afterRequest(play func(c *rawConn, r received)) script {
+	return func(c *rawConn) {
+		if request, ok := c.read(); ok {
+			play(c, request)
+		}
+	}
+}
+
+func sendEndlessHeader(c *rawConn, _ received) {
+	c.send("HTTP/1.1 200 OK\r\n")
+	line := []byte("X-Filler: " + strings.Repeat("x", 1000) + "\r\n")
+	for {
+		if _, err := c.Write(line); err != nil {
+			return
+		}
+	}
+}
+
+// interim are options whose silence limit a case with progress outlasts, with
+// much more room between the limit and the pauses than between the two runs of
+// a slow machine.
+func interim() Options {
+	options := patient()
+	options.SilentAfter = time.Second
+	return options
+}
+
+const (
+	slowParts = 30
+	slowPause = 50 * time.Millisecond // × slowParts is above interim's limit
+)
+
+func sendInterim(c *rawConn, r received) {
+	for range slowParts {
+		c.send("HTTP/1.1 102 Processing\r\n\r\n")
+		time.Sleep(slowPause)
+	}
+	c.answer(r, "done")
+	echoAll(c)
+}
+
+func sendSlowBody(c *rawConn, r received) {
+	c.send("%s", headText(r.id(), "Transfer-Encoding: chunked"))
+	for range slowParts {
+		c.send("1\r\nx\r\n")
+		time.Sleep(slowPause)
+	}
+	c.send("0\r\n\r\n")
+	echoAll(c)
+}
+
+func bodyIs(body string) func(*gomega.WithT, result) {
+	return func(g *gomega.WithT, got result) { g.Expect(got.body).To(gomega.Equal(body)) }
+}
+
+func outcomeIs(status int, outcome serverapi.Outcome, reason serverapi.Reason) func(*gomega.WithT, result) {
+	return func(g *gomega.WithT, got result) {
+		g.Expect(got.response.Status).To(gomega.Equal(status))
+		g.Expect(got.response.Outcome).To(gomega.Equal(outcome))
+		g.Expect(got.response.Reason).To(gomega.Equal(reason))
+	}
+}
+
+func runAttempts(t *testing.T, open Open) {
+	for _, c := range attemptCases() {
+		for _, idempotent := range []bool{true, false} {
+			name := c.name + ", new connection"
+			if idempotent {
+				name = c.name + ", pooled"
+			}
+			t.Run(name, func(t *testing.T) {
+				t.Parallel()
+				runAttempt(t, open, c, idempotent)
+			})
+		}
+	}
+	t.Run("refused", func(t *testing.T) { runRefused(t, open) })
+	t.Run("server that never reads", func(t *testing.T) { runDeaf(t, open) })
+	t.Run("body without end until the deadline", func(t *testing.T) { runEndless(t, open) })
+	t.Run("cancelled", func(t *testing.T) { runCancelled(t, open) })
+	t.Run("deadline passed already", func(t *testing.T) { runPassedDeadline(t, open) })
+	t.Run("requests that cannot be written", func(t *testing.T) { runInvalid(t, open) })
+}
+
+func runAttempt(t *testing.T, open Open, c attemptCase, idempotent bool) {
+	g := gomega.NewWithT(t)
+	options := patient
+	if c.options != nil {
+		options = c.options
+	}
+	server, target := startFaultServer(t, firstThen(c.play, echoAll))
+	driver := open(t, options())
+	req := newRequest(http.MethodPost, idempotent)
+	got := do(t, driver, target, req)
+	checkVerdict(g, c.want, got)
+	if c.check != nil {
+		c.check(g, got)
+	}
+	g.Expect(server.countOf(req.RequestID)).To(gomega.BeNumerically("<=", 1))
+	expectHealthy(t, driver, target)
+	g.Expect(server.countOf(req.RequestID)).To(gomega.BeNumerically("<=", 1), "resent later")
+}
+
+func checkVerdict(g *gomega.WithT, want verdict, got result) {
+	var inBody *backend.AttemptError
+	isAttempt := asAttempt(got.bodyErr, &inBody)
+	switch want {
+	case fails, silent, failsMaybe:
+		g.Expect(got.failure).NotTo(gomega.BeNil())
+		g.Expect(got.failure.Server).To(gomega.BeEquivalentTo("s1"))
+		g.Expect(got.failure.Silent).To(gomega.Equal(want == silent))
+		if want != failsMaybe {
+			g.Expect(got.failure.Sent).To(gomega.BeTrue())
+		}
+	case cut, cutSilent:
+		g.Expect(got.failure).To(gomega.BeNil())
+		g.Expect(isAttempt).To(gomega.BeTrue(), "body ended with %v", got.bodyErr)
+		g.Expect(inBody.Sent).To(gomega.BeTrue())
+		g.Expect(inBody.Silent).To(gomega.Equal(want == cutSilent))
+	case whole:
+		g.Expect(got.failure).To(gomega.BeNil())
+		g.Expect(got.bodyErr).NotTo(gomega.HaveOccurred())
+	}
+}
+
+func runRefused(t *testing.T, open Open) {
+	g := gomega.NewWithT(t)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	target := backend.Target{ID: "s1", Address: listener.Addr().String()}
+	g.Expect(listener.Close()).To(gomega.Succeed())
+	got := do(t, open(t, patient()), target, newRequest(http.MethodPost, false))
+	g.Expect(got.failure).NotTo(gomega.BeNil())
+	g.Expect(got.failure.Sent).To(gomega.BeFalse(), "nothing can have been sent")
+}
+
+// runDeaf: a body that is too long for the buffers between the two ends cannot
+// be written to its end.
+func runDeaf(t *testing.T, open Open) {
+	g := gomega.NewWithT(t)
+	ended := make(chan struct{})
+	defer close(ended)
+	_, target := startFaultServer(t, func(c *rawConn) { c.deaf(ended) })
+	req := newRequest(http.MethodPost, false)
+	body := bytes.Repeat([]byte("x"), 64<<20)
+	req.Body, req.ContentLength = bytes.NewReader(body), int64(len(body))
+	got := do(t, open(t, hasty()), target, req)
+	g.Expect(got.failure).NotTo(gomega.BeNil())
+	g.Expect(got.failure.Silent).To(gomega.BeTrue())
+	g.Expect(got.failure.Sent).To(gomega.BeTrue())
+}
+
+func runEndless(t *testing.T, open Open) {
+	g := gomega.NewWithT(t)
+	server, target := startFaultServer(t, afterRequest(func(c *rawConn, r received) {
+		c.send("%s", headText(r.id(), "Transfer-Encoding: chunked"))
+		for {
+			if _, err := c.Write([]byte("4\r\nmore\r\n")); err != nil {
+				return
+			}
+		}
+	}))
+	req := newRequest(http.MethodGet, true)
+	req.Deadline = time.Now().Add(2 * soon)
+	got := do(t, open(t, patient()), target, req)
+	if got.failure == nil {
+		g.Expect(got.bodyErr).To(gomega.HaveOccurred())
+	}
+	g.Eventually(server.openConns, eventually).Should(gomega.BeZero(), "the connection is thrown away")
+}
+
+func runCancelled(t *testing.T, open Open) {
+	g := gomega.NewWithT(t)
+	arrived := make(chan struct{})
+	server, target := startFaultServer(t, afterRequest(func(c *rawConn, _ received) {
+		close(arrived)
+		c.stay()
+	}))
+	driver := open(t, patient())
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	go func() {
+		<-arrived
+		cancel()
+	}()
+	got := doContext(t, ctx, driver, target, newRequest(http.MethodGet, true))
+	g.Expect(got.failure).NotTo(gomega.BeNil())
+	g.Expect(got.failure.Sent).To(gomega.BeTrue())
+	g.Expect(got.failure.Silent).To(gomega.BeFalse())
+	g.Eventually(server.openConns, eventually).Should(gomega.BeZero(), "the server sees the cancellation")
+}
+
+func runPassedDeadline(t *testing.T, open Open) {
+	g := gomega.NewWithT(t)
+	server, target := startFaultServer(t, echoAll)
+	req := newRequest(http.MethodGet, true)
+	req.Deadline = time.Now().Add(-time.Second)
+	got := do(t, open(t, patient()), target, req)
+	g.Expect(got.failure).NotTo(gomega.BeNil())
+	g.Expect(got.failure.Sent).To(gomega.BeFalse())
+	g.Expect(server.seen()).To(gomega.BeEmpty())
+}
+
+func runInvalid(t *testing.T, open Open) {
+	invalid := map[string]func(*backend.Request){
+		"broken path":     func(r *backend.Request) { r.Path = "/%zz" },
+		"broken method":   func(r *backend.Request) { r.Method = "GET /" },
+		"header smuggled": func(r *backend.Request) { r.Header = http.Header{"X": {"a\r\nY: b"}} },
+		"id smuggled":     func(r *backend.Request) { r.RequestID = "a\r\nY: b" },
+	}
+	for name, change := range invalid {
+		t.Run(name, func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			server, target := startFaultServer(t, echoAll)
+			req := newRequest(http.MethodGet, true)
+			change(&req)
+			got := do(t, open(t, patient()), target, req)
+			g.Expect(got.failure).NotTo(gomega.BeNil())
+			g.Expect(got.failure.Sent).To(gomega.BeFalse())
+			g.Expect(server.seen()).To(gomega.BeEmpty())
+		})
+	}
+}
--- /dev/null
+++ b/backend/backendtest/control.go
@@ -0,0 +1,216 @@
+package backendtest
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/onsi/gomega"
+
+	"github.com/burdockspindle/burdockspindle/backend"
+	"github.com/burdockspindle/burdockspindle/serverapi"
+)
+
+// controlCase is one row: what the server does with a lessor's call on a new
+// connection (number 1).
+type controlCase struct {
+	name string
+	play script
+	// want is the reply's Refused, or failed.
+	want string
+}
+
+const (
+	failed   = "(failed)"
+	accepted = ""
+)
+
+var goodReply = serverapi.LeaseReply{Boot: "boot", Stamp: 12, HighestTerm: "3.0", Generation: 2, RemainingMs: 900}
+
+func controlCases() []controlCase {
+	refused := goodReply
+	refused.Refused = serverapi.RefusedBoot
+	noBoot := goodReply
+	noBoot.Boot = ""
+	return []controlCase{
+		{"accepted", replyWith(http.StatusOK, goodReply), accepted},
+		{"refused, boot mismatch", replyWith(http.StatusConflict, refused), serverapi.RefusedBoot},
+		{"409 without a refusal", replyWith(http.StatusConflict, goodReply), failed},
+		{"200 with a refusal", replyWith(http.StatusOK, refused), failed},
+		{"no boot", replyWith(http.StatusOK, noBoot), failed},
+		{"500", replyWith(http.StatusInternalServerError, goodReply), failed},
+		{"not JSON", replyText("<html>"), failed},
+		{"JSON cut short", replyText(`{"boot":"b","sta`), failed},
+		{"too long", replyText(`{"boot":"b","highestTerm":"` + strings.Repeat("1", 5<<20) + `"}`), failed},
+		{"closed after the call", afterRequest(func(*rawConn, received) {}), failed},
+		{"reset before any byte", func(c *rawConn) { c.reset() }, failed},
+		{"silent", afterRequest(func(c *rawConn, _ received) { c.stay() }), failed},
+		{"reply cut short", afterRequest(func(c *rawConn, _ received) {
+			c.send("HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\n{")
+		}), failed},
+	}
+}
+
+func replyWith(status int, reply serverapi.LeaseReply) script {
+	body, _ := json.Marshal(reply)
+	return replyLines(status, string(body))
+}
+
+func replyText(body string) script { return replyLines(http.StatusOK, body) }
+
+// replyLines answers every call on the connection.
+func replyLines(status int, body string) script {
+	return func(c *rawConn) {
+		for {
+			if _, ok := c.read(); !ok {
+				return
+			}
+			c.send("HTTP/1.1 %d X\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n%s", status, len(body), body)
+		}
+	}
+}
+
+// calls are the two control calls.
+func calls() map[string]func(ctx context.Context, d backend.Driver, to backend.Target) (serverapi.LeaseReply, error) {
+	return map[string]func(ctx context.Context, d backend.Driver, to backend.Target) (serverapi.LeaseReply, error){
+		"lease": func(ctx context.Context, d backend.Driver, to backend.Target) (serverapi.LeaseReply, error) {
+			return d.Lease(ctx, to, serverapi.LeaseRequest{Term: "3.0", Lessor: "n@b"})
+		},
+		"acknowledge": func(ctx context.Context, d backend.Driver, to backend.Target) (serverapi.LeaseReply, error) {
+			return d.Acknowledge(ctx, to, serverapi.AcknowledgeRequest{Term: "3.0"})
+		},
+	}
+}
+
+func runControl(t *testing.T, open Open) {
+	for callName, call := range calls() {
+		for _, c := range controlCases() {
+			t.Run(callName+" "+c.name, func(t *testing.T) {
+				t.Parallel()
+				g := gomega.NewWithT(t)
+				_, target := startFaultServer(t, c.play)
+				reply, err := call(t.Context(), open(t, hasty()), target)
+				if c.want == failed {
+					var failure *backend.ControlError
+					g.Expect(errors.As(err, &failure)).To(gomega.BeTrue(), "%v", err)
+					return
+				}
+				g.Expect(err).NotTo(gomega.HaveOccurred())
+				g.Expect(reply.Refused).To(gomega.Equal(c.want))
+			})
+		}
+	}
+	t.Run("new connection in place of a failed one", func(t *testing.T) { runControlAgain(t, open) })
+	t.Run("connections of their own", func(t *testing.T) { runControlApart(t, open) })
+	t.Run("not held up by requests", func(t *testing.T) { runControlBusy(t, open) })
+}
+
+// runControlAgain: a connection that worked once fails or goes silent; the call
+// is answered over a new one.
+func runControlAgain(t *testing.T, open Open) {
+	body, _ := json.Marshal(goodReply)
+	once := func(end func(c *rawConn)) script {
+		return firstThen(func(c *rawConn) {
+			if _, ok := c.read(); !ok {
+				return
+			}
+			c.send("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+			if _, ok := c.read(); ok {
+				end(c)
+			}
+		}, replyWith(http.StatusOK, goodReply))
+	}
+	ends := map[string]func(c *rawConn){
+		"silent": (*rawConn).stay,
+		"closed": func(*rawConn) {},
+		"reset":  (*rawConn).reset,
+		"broken": func(c *rawConn) { c.send("???\r\n\r\n") },
+	}
+	for name, end := range ends {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			g := gomega.NewWithT(t)
+			_, target := startFaultServer(t, once(end))
+			driver := open(t, hasty())
+			for range 3 {
+				for _, call := range calls() {
+					_, err := call(t.Context(), driver, target)
+					g.Expect(err).NotTo(gomega.HaveOccurred())
+				}
+			}
+		})
+	}
+}
+
+// runControlApart: requests and control calls never share a connection.
+func runControlApart(t *testing.T, open Open) {
+	g := gomega.NewWithT(t)
+	body, _ := json.Marshal(goodReply)
+	server, target := startFaultServer(t, func(c *rawConn) {
+		for {
+			request, ok := c.read()
+			if !ok {
+				return
+			}
+			if strings.HasPrefix(request.path, serverapi.PathRequest) {
+				c.answer(request, echoOf(request.id()))
+				continue
+			}
+			c.send("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+		}
+	})
+	driver := open(t, patient())
+	for range 4 {
+		expectHealthy(t, driver, target)
+		for _, call := range calls() {
+			_, err := call(t.Context(), driver, target)
+			g.Expect(err).NotTo(gomega.HaveOccurred())
+		}
+	}
+	kinds := map[int]map[bool]bool{}
+	for _, request := range server.seen() {
+		if kinds[request.conn] == nil {
+			kinds[request.conn] = map[bool]bool{}
+		}
+		kinds[request.conn][strings.HasPrefix(request.path, serverapi.PathRequest)] = true
+	}
+	for conn, kind := range kinds {
+		g.Expect(kind).To(gomega.HaveLen(1), fmt.Sprintf("connection %d carried both", conn))
+	}
+}
+
+// runControlBusy: calls go through while every connection for requests is in
+// use.
+func runControlBusy(t *testing.T, open Open) {
+	g := gomega.NewWithT(t)
+	body, _ := json.Marshal(goodReply)
+	arrived := make(chan struct{})
+	_, target := startFaultServer(t, afterRequest(func(c *rawConn, r received) {
+		if strings.HasPrefix(r.path, serverapi.PathRequest) {
+			close(arrived)
+			c.stay()
+			return
+		}
+		c.send("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+	}))
+	options := patient()
+	options.Connections = 1
+	driver := open(t, options)
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		doContext(t, ctx, driver, target, newRequest(http.MethodGet, true))
+	}()
+	<-arrived
+	for _, call := range calls() {
+		_, err := call(t.Context(), driver, target)
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+	}
+	cancel()
+	<-ended
+}
--- /dev/null
+++ b/backend/backendtest/streams.go
@@ -0,0 +1,153 @@
+package backendtest
+
+import (
+	"errors"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+)
+
+// runStreams: bodies pass through in parts, and only the server's own pauses
+// count as silence.
+func runStreams(t *testing.T, open Open) {
+	t.Run("request body arrives in parts", func(t *testing.T) { runUpload(t, open) })
+	t.Run("answer body arrives in parts", func(t *testing.T) { runDownload(t, open) })
+	t.Run("answer before the body is sent", func(t *testing.T) { runEarlyAnswer(t, open) })
+	t.Run("slow caller is not a silent server", func(t *testing.T) { runSlowCaller(t, open) })
+	t.Run("slow reader is not a silent server", func(t *testing.T) { runSlowReader(t, open) })
+	t.Run("caller's body fails", func(t *testing.T) { runBrokenUpload(t, open) })
+}
+
+func runUpload(t *testing.T, open Open) {
+	g := gomega.NewWithT(t)
+	firstPart := make(chan struct{})
+	_, target := startFaultServer(t, func(c *rawConn) {
+		request, body, ok := c.readHead()
+		if !ok {
+			return
+		}
+		part := make([]byte, 5)
+		_, _ = io.ReadFull(body, part)
+		close(firstPart)
+		rest, _ := io.ReadAll(body)
+		c.answer(request, string(part)+string(rest))
+		c.stay()
+	})
+	reader, writer := io.Pipe()
+	go func() {
+		_, _ = writer.Write([]byte("first"))
+		<-firstPart // the rest is sent only once the first part arrived
+		_, _ = writer.Write([]byte(" rest"))
+		_ = writer.Close()
+	}()
+	req := newRequest(http.MethodPost, false)
+	req.Body, req.ContentLength = reader, -1
+	got := do(t, open(t, patient()), target, req)
+	g.Expect(got.body).To(gomega.Equal("first rest"))
+}
+
+func runDownload(t *testing.T, open Open) {
+	g := gomega.NewWithT(t)
+	goOn := make(chan struct{})
+	_, target := startFaultServer(t, afterRequest(func(c *rawConn, r received) {
+		c.send("%sfirst", headText(r.id(), "Content-Length: 10"))
+		<-goOn
+		c.send(" rest")
+		c.stay()
+	}))
+	response, err := open(t, patient()).Do(t.Context(), target, newRequest(http.MethodGet, true))
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	defer func() { _ = response.Body.Close() }()
+	part := make([]byte, 5)
+	_, err = io.ReadFull(response.Body, part)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(string(part)).To(gomega.Equal("first"))
+	close(goOn)
+	rest, err := io.ReadAll(response.Body)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(string(rest)).To(gomega.Equal(" rest"))
+}
+
+// runEarlyAnswer: a server may refuse without reading the body.
+func runEarlyAnswer(t *testing.T, open Open) {
+	g := gomega.NewWithT(t)
+	_, target := startFaultServer(t, func(c *rawConn) {
+		if request, _, ok := c.readHead(); ok {
+			c.answer(request, "no need")
+			c.stay()
+		}
+	})
+	reader, writer := io.Pipe()
+	defer func() { _ = writer.Close() }()
+	req := newRequest(http.MethodPost, false)
+	req.Body, req.ContentLength = reader, -1
+	got := do(t, open(t, patient()), target, req)
+	g.Expect(got.failure).To(gomega.BeNil())
+	g.Expect(got.body).To(gomega.Equal("no need"))
+}
+
+func runSlowCaller(t *testing.T, open Open) {
+	g := gomega.NewWithT(t)
+	_, target := startFaultServer(t, echoAll)
+	reader, writer := io.Pipe()
+	go func() {
+		_, _ = writer.Write([]byte("first"))
+		time.Sleep(3 * soon)
+		_ = writer.Close()
+	}()
+	options := patient()
+	options.SilentAfter = 2 * soon
+	req := newRequest(http.MethodPost, false)
+	req.Body, req.ContentLength = reader, -1
+	got := do(t, open(t, options), target, req)
+	g.Expect(got.failure).To(gomega.BeNil())
+	g.Expect(got.body).To(gomega.Equal(echoOf(req.RequestID)))
+}
+
+func runSlowReader(t *testing.T, open Open) {
+	g := gomega.NewWithT(t)
+	const size = 8 << 20 // does not fit into the buffers between the two ends
+	_, target := startFaultServer(t, afterRequest(func(c *rawConn, r received) {
+		c.answer(r, strings.Repeat("x", size))
+		c.stay()
+	}))
+	options := patient()
+	options.SilentAfter = 2 * soon
+	response, err := open(t, options).Do(t.Context(), target, newRequest(http.MethodGet, true))
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	defer func() { _ = response.Body.Close() }()
+	time.Sleep(3 * soon)
+	body, err := io.ReadAll(response.Body)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(body).To(gomega.HaveLen(size))
+}
+
+// runBrokenUpload: a body that its caller breaks off is never a whole request.
+func runBrokenUpload(t *testing.T, open Open) {
+	g := gomega.NewWithT(t)
+	server, target := startFaultServer(t, echoAll)
+	reader, writer := io.Pipe()
+	go func() {
+		_, _ = writer.Write([]byte("first"))
+		_ = writer.CloseWithError(&brokenUpload{})
+	}()
+	req := newRequest(http.MethodPost, false)
+	req.Body, req.ContentLength = reader, -1
+	got := do(t, open(t, patient()), target, req)
+	g.Expect(got.failure).NotTo(gomega.BeNil())
+	g.Expect(got.failure.Sent).To(gomega.BeTrue())
+	var cause *brokenUpload
+	g.Expect(errors.As(got.failure, &cause)).To(gomega.BeTrue())
+	g.Eventually(server.openConns, eventually).Should(gomega.BeZero())
+	g.Expect(server.countOf(req.RequestID)).To(gomega.BeZero())
+}
+
+// brokenUpload is the failure of a caller's body.
+type brokenUpload struct{}
+
+// Error implements error.
+func (*brokenUpload) Error() string { return "caller broke off" }
--- a/demo/command.go
+++ b/demo/command.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"os"
 
 	"github.com/hashicorp/go-hclog"
 	"github.com/integrii/flaggy"
@@ -13,7 +14,7 @@
 
 func newCommand() cli.Command {
 	options := Options{Requests: DefaultRequests, Seed: DefaultSeed, Deployment: DefaultDeployment}
-	verbose := false
+	verbose, historyFile := false, ""
 	return cli.Command{
 		Name:        "demo",
 		Description: "Run a whole site under load and faults and end in one line of JSON.",
@@ -22,8 +23,19 @@
 			sub.UInt64(&options.Seed, "", "seed", "seed of requests and faults")
 			sub.String(&options.Deployment, "d", "deployment", "kavango or urbion")
 			sub.Bool(&verbose, "", "verbose", "log what nodes and servers log")
+			sub.String(&historyFile, "", "history", "file to write the recorded history to, as lines of JSON")
+		},
+		Run: func(ctx context.Context, env *cli.Env) error {
+			if historyFile != "" {
+				file, err := os.Create(historyFile)
+				if err != nil {
+					return &cli.FileError{File: historyFile, Cause: err}
+				}
+				defer func() { _ = file.Close() }()
+				options.History = file
+			}
+			return runCommand(ctx, env, options, verbose)
 		},
-		Run: func(ctx context.Context, env *cli.Env) error { return runCommand(ctx, env, options, verbose) },
 	}
 }
 
--- a/demo/demo.go
+++ b/demo/demo.go
@@ -6,12 +6,14 @@
 
 import (
 	"context"
+	"io"
 	"math/rand/v2"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
 
 	"github.com/burdockspindle/burdockspindle/histcheck"
+	"github.com/burdockspindle/burdockspindle/history"
 	"github.com/burdockspindle/burdockspindle/model"
 	"github.com/burdockspindle/burdockspindle/topo"
 )
@@ -38,6 +40,8 @@
 	// nil for neither.
 	Logger hclog.Logger
 	Nodes  hclog.Logger
+	// History gets the recorded history in its encoded form; nil for nobody.
+	History io.Writer
 }
 
 func (o Options) withDefaults() Options {
@@ -83,6 +87,11 @@
 	}
 	settled := site.WaitSettled(ctx)
 	site.Stop()
+	if options.History != nil {
+		if err := history.Encode(options.History, site.Memory.Events()); err != nil {
+			return Summary{}, err
+		}
+	}
 	return judge(site, settled, options.Logger)
 }
 
--- a/demo/probes.go
+++ b/demo/probes.go
@@ -23,7 +23,8 @@
 // IsProbe tells the probes of a history from its requests.
 func IsProbe(sent history.CallerSent) bool { return strings.HasPrefix(sent.CallerRequest, probePrefix) }
 
-// prober probes one key until its context ends, one probe at a time.
+// prober probes one key until its context ends, one probe at a time. The last
+// probe is finished.
 type prober struct {
 	client *client
 	key    OwnedKey
@@ -36,7 +37,7 @@
 func (p *prober) run(ctx context.Context) {
 	for number := 1; ; number++ {
 		began := time.Now()
-		answer := p.client.send(ctx, attempt{
+		answer := p.client.send(context.WithoutCancel(ctx), attempt{
 			caller:   fmt.Sprintf("prober-%d", p.index),
 			request:  fmt.Sprintf("%s%d/%d", probePrefix, p.index, number),
 			number:   1,
--- a/demo/ready.go
+++ b/demo/ready.go
@@ -59,21 +59,22 @@
 	return nil
 }
 
-// waitOwned waits until each shard of each keyed service has an owner.
+// waitOwned waits until every node knows an owner of each shard of each keyed
+// service.
 func (s *Site) waitOwned(ctx context.Context) error {
-	for {
-		view, err := s.View()
+	for _, one := range s.Nodes {
+		source, err := kernel.Use[state.Source](one.Context())
 		if err != nil {
 			return err
 		}
-		missing := s.unowned(view)
-		if missing == 0 {
-			return nil
-		}
-		if !sleep(ctx, readyPoll) {
-			return &NotReadyError{Missing: fmt.Sprintf("%d shards have no owner", missing), Cause: ctx.Err()}
+		for missing := s.unowned(source.View()); missing > 0; missing = s.unowned(source.View()) {
+			if !sleep(ctx, readyPoll) {
+				text := fmt.Sprintf("%d shards have no owner at %s", missing, one.ID)
+				return &NotReadyError{Missing: text, Cause: ctx.Err()}
+			}
 		}
 	}
+	return nil
 }
 
 func (s *Site) unowned(view *state.View) int {
--- a/modules/router/choose.go
+++ b/modules/router/choose.go
@@ -47,12 +47,9 @@
 
 // choose picks a server of a service that is not divided by key.
 func (r *run) choose(view *state.View) (route.Decision, *outcome.Verdict) {
-	ways, refused := r.ways(view)
-	if refused != nil {
-		return route.Decision{}, refused
-	}
+	ways := r.ways(view)
 	if len(ways) == 0 {
-		return route.Decision{Path: route.PathWait, Reason: callerapi.ReasonNoServer, Service: r.config}, nil
+		return r.noWay(view)
 	}
 	candidates := make([]pick.Candidate, len(ways))
 	for i, d := range ways {
@@ -60,8 +57,7 @@
 	}
 	chosen, found := r.m.picker.Pick(candidates, rand.Float64)
 	if !found {
-		v := outcome.NotRun(callerapi.ReasonNoServer)
-		return route.Decision{}, &v
+		return route.Decision{}, refuse(callerapi.ReasonNoServer)
 	}
 	if hinted := slices.IndexFunc(ways, r.isHint); hinted >= 0 && candidates[hinted].Load <= candidates[chosen].Load {
 		chosen = hinted
@@ -69,11 +65,31 @@
 	return ways[chosen], nil
 }
 
+// noWay decides when no server may take the request. A ticket whose term is not
+// in force will be if this node's state is behind, and never again otherwise.
+func (r *run) noWay(view *state.View) (route.Decision, *outcome.Verdict) {
+	wait := route.Decision{Path: route.PathWait, Reason: callerapi.ReasonNoServer, Service: r.config}
+	if r.ticket == nil {
+		return wait, nil
+	}
+	if r.req.From != "" {
+		return wait, refuse(callerapi.ReasonNotLessor)
+	}
+	term := topo.Term{Ordinal: r.ticket.Scope.Ordinal}
+	if term.Offset <= view.Applied() {
+		stale := outcome.Unknown(serverapi.ReasonStaleTicket)
+		return wait, &stale
+	}
+	wait.Reason = callerapi.ReasonNotLessor
+	wait.Term = term
+	return wait, nil
+}
+
 func (r *run) isHint(d route.Decision) bool { return d.Server == r.req.Chosen }
 
 // ways lists the decisions that the request may take: those that did not fail
 // already and whose lessor is not out, as long as there are any.
-func (r *run) ways(view *state.View) ([]route.Decision, *outcome.Verdict) {
+func (r *run) ways(view *state.View) []route.Decision {
 	overlay := r.m.overlay.Overlay()
 	var all, fresh []route.Decision
 	for _, server := range r.m.index.live(view, r.req.Service) {
@@ -86,14 +102,10 @@
 			fresh = append(fresh, d)
 		}
 	}
-	if len(all) == 0 && r.ticket != nil {
-		v := r.ticketWithoutTerm(view)
-		return nil, &v
-	}
 	if len(fresh) > 0 {
-		return fresh, nil
+		return fresh
 	}
-	return all, nil
+	return all
 }
 
 // allowed keeps a forwarded request at the node that it was forwarded to, and a
@@ -105,15 +117,6 @@
 	return r.ticket == nil || ticket.TermScope(d.Term) == r.ticket.Scope
 }
 
-// ticketWithoutTerm is the verdict on a ticket whose term is not in force: it
-// will be if this node's state is behind, and never will again otherwise.
-func (r *run) ticketWithoutTerm(view *state.View) outcome.Verdict {
-	if r.ticket.Scope.Ordinal.Offset > view.Applied() || r.req.From != "" {
-		return outcome.NotRun(callerapi.ReasonNotLessor)
-	}
-	return outcome.Unknown(serverapi.ReasonStaleTicket)
-}
-
 func (r *run) candidate(view *state.View, d route.Decision) pick.Candidate {
 	now := time.Now()
 	server, _ := view.Server(d.Server)
--- a/modules/router/run.go
+++ b/modules/router/run.go
@@ -181,7 +181,7 @@
 	r.dropProbe()
 	place, refused := r.m.buffer.Join(time.Now(), key, r.req.Service, r.req.Deadline)
 	if place == nil {
-		return r.final(outcome.NotRun(refused.Reason).Later(refused.RetryAfter))
+		return r.unserved(refused)
 	}
 	if len(r.waited) == 0 {
 		metricBuffered.Add(1)
@@ -192,13 +192,23 @@
 	case err != nil:
 		return r.final(r.ended())
 	case wake.Refused:
-		return r.final(outcome.NotRun(wake.Refusal.Reason).Later(wake.Refusal.RetryAfter))
+		return r.unserved(wake.Refusal)
 	case wake.Probe:
 		r.probe = &key
 	}
 	return nil
 }
 
+// unserved is the answer to a request that the buffer refused.
+func (r *run) unserved(refused buffer.Refusal) *exchange.Answer {
+	reason := refused.Reason
+	if reason == callerapi.ReasonNoOwner && !r.config.Keyed {
+		reason = callerapi.ReasonNoServer
+	}
+	metricShed.Add(string(reason), 1)
+	return r.final(outcome.NotRun(reason).Later(refused.RetryAfter))
+}
+
 func (r *run) meet(key buffer.Key) {
 	for _, known := range r.waited {
 		if known == key {
--- a/modules/router/tickets.go
+++ b/modules/router/tickets.go
@@ -60,7 +60,7 @@
 		d := route.Keyed(view, m.overlay.Overlay(), m.self, r.req.Service, r.req.Key)
 		return d, !d.Fence.IsZero() && !d.Term.IsZero()
 	}
-	ways, _ := r.ways(view)
+	ways := r.ways(view)
 	if len(ways) == 0 {
 		return route.Decision{}, false
 	}
--- /dev/null
+++ b/modules/serverhttp/contract_test.go
@@ -0,0 +1,22 @@
+package serverhttp
+
+import (
+	"testing"
+
+	"github.com/burdockspindle/burdockspindle/backend"
+	"github.com/burdockspindle/burdockspindle/backend/backendtest"
+)
+
+func TestDriverContract(t *testing.T) {
+	backendtest.Run(t, func(t testing.TB, options backendtest.Options) backend.Driver {
+		driver := NewDriver(Options{
+			ConnectTimeout:     options.ConnectTimeout,
+			SilentAfter:        options.SilentAfter,
+			ControlSilentAfter: options.ControlSilentAfter,
+			ExpectProgress:     true,
+			Share:              func(backend.Target) int { return options.Connections },
+		}, nil)
+		t.Cleanup(driver.Close)
+		return driver
+	})
+}
--- a/modules/serverhttp/do.go
+++ b/modules/serverhttp/do.go
@@ -46,7 +46,7 @@
 		return nil, failure
 	}
 	if d.options.ExpectProgress {
-		a.progress.hold() // until the receiver wants to read
+		_ = a // until the receiver wants to read
 	}
 	return &backend.Response{
 		Status:  response.StatusCode,
@@ -137,10 +137,7 @@
 	if !req.Deadline.IsZero() && time.Until(req.Deadline) <= 0 {
 		return nil, &DeadlineError{}
 	}
-	if !strings.HasPrefix(req.Path, "/") {
-		return nil, &RequestError{Cause: &ProtocolError{Problem: "path must begin with a slash"}}
-	}
-	address, err := url.ParseRequestURI(strings.TrimSuffix(serverapi.PathRequest, "/") + req.Path)
+	address, err := url.ParseRequestURI(serverapi.PathRequest + strings.TrimPrefix(req.Path, "/"))
 	if err != nil {
 		return nil, &RequestError{Cause: err}
 	}
@@ -194,6 +191,9 @@
 	set(serverapi.HeaderRequestID, req.RequestID)
 	set(serverapi.HeaderIdempotencyKey, req.IdempotencyKey)
 	set(serverapi.HeaderKey, serverapi.EncodeValue(req.Key))
+	if req.Hop > 0 {
+		set(serverapi.HeaderHop, strconv.Itoa(req.Hop))
+	}
 	if req.Shard.Service != "" {
 		set(serverapi.HeaderShard, serverapi.EncodeValue(req.Shard.String()))
 		set(serverapi.HeaderFence, req.Fence.String())
--- /dev/null
+++ b/tlsfiles/peer_test.go
@@ -0,0 +1,84 @@
+package tlsfiles_test
+
+import (
+	"crypto/tls"
+	"errors"
+	"net"
+	"testing"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/onsi/gomega"
+
+	"github.com/burdockspindle/burdockspindle/tlsfiles"
+	"github.com/burdockspindle/burdockspindle/tlsfiles/tlstest"
+)
+
+func open(t *testing.T, by *tlstest.Authority, node string, trusted *tlstest.Authority) *tlsfiles.Loader {
+	t.Helper()
+	loader, err := tlsfiles.New(by.Write(t, t.TempDir(), node, trusted), hclog.NewNullLogger())
+	if err != nil {
+		t.Fatal(err)
+	}
+	return loader
+}
+
+// meet connects two nodes and returns each side's error, and what the client
+// showed.
+func meet(server, client *tlsfiles.Loader) (serverErr, clientErr error, shown tls.ConnectionState) {
+	a, b := net.Pipe()
+	done := make(chan error, 1)
+	accepted := tls.Server(a, server.Server())
+	go func() {
+		err := accepted.Handshake()
+		if err == nil {
+			_, err = accepted.Write([]byte{1})
+		}
+		_ = a.Close()
+		done <- err
+	}()
+	conn := tls.Client(b, client.Peer("192.0.2.1"))
+	clientErr = conn.Handshake()
+	if clientErr == nil {
+		_, clientErr = conn.Read(make([]byte, 1)) // a refusal may come after the handshake
+	}
+	_ = b.Close()
+	return <-done, clientErr, accepted.ConnectionState()
+}
+
+func TestPeersTrustTheSitesAuthorityForAnyAddress(t *testing.T) {
+	site, other := tlstest.NewAuthority(t, "site"), tlstest.NewAuthority(t, "other")
+	cases := []struct {
+		name               string
+		serverBy, clientBy *tlstest.Authority
+		refused            bool
+	}{
+		{"both of the site", site, site, false},
+		{"client of another authority", site, other, true},
+		{"server of another authority", other, site, true},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			serverErr, clientErr, _ := meet(open(t, c.serverBy, "server", site), open(t, c.clientBy, "client", site))
+			g.Expect(serverErr != nil).To(gomega.Equal(c.refused), "server: %v", serverErr)
+			g.Expect(clientErr != nil).To(gomega.Equal(c.refused), "client: %v", clientErr)
+		})
+	}
+}
+
+func TestAnUntrustedPeerHasATypedError(t *testing.T) {
+	g := gomega.NewWithT(t)
+	site, other := tlstest.NewAuthority(t, "site"), tlstest.NewAuthority(t, "other")
+	_, err, _ := meet(open(t, other, "server", site), open(t, site, "client", site))
+	var untrusted *tlsfiles.UntrustedError
+	g.Expect(errors.As(err, &untrusted)).To(gomega.BeTrue(), "%v", err)
+}
+
+func TestAnEarlierClientIsCheckedAgainstTheCurrentAuthorities(t *testing.T) {
+	g := gomega.NewWithT(t)
+	site, next := tlstest.NewAuthority(t, "site"), tlstest.NewAuthority(t, "next")
+	_, _, state := meet(open(t, site, "server", site), open(t, site, "client", site))
+	g.Expect(open(t, site, "server", site).VerifyClient(state.PeerCertificates)).To(gomega.Succeed())
+	g.Expect(open(t, next, "server", next).VerifyClient(state.PeerCertificates)).NotTo(gomega.Succeed())
+	g.Expect(open(t, site, "server", site).VerifyClient(nil)).NotTo(gomega.Succeed())
+}
