--- a/modules/serverhttp/do.go
+++ b/modules/serverhttp/do.go
@@ -46,7 +46,7 @@
 		return nil, failure
 	}
 	if d.options.ExpectProgress {
-		_ = a // until the receiver wants to read
+		a.progress.hold() // until the receiver wants to read
 	}
 	return &backend.Response{
 		Status:  response.StatusCode,
