--- /dev/null
+++ b/modules/frontend/refusals_test.go
@@ -0,0 +1,294 @@
+package frontend_test
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"os"
+	"regexp"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"github.com/burdockspindle/burdockspindle/backend"
+	"github.com/burdockspindle/burdockspindle/callerapi"
+	rt "github.com/burdockspindle/burdockspindle/modules/router/routertest"
+	"github.com/burdockspindle/burdockspindle/serverapi"
+	"github.com/burdockspindle/burdockspindle/settings"
+	"github.com/burdockspindle/burdockspindle/siteconfig"
+	"github.com/burdockspindle/burdockspindle/topo"
+)
+
+// refusal is one row of the table in docs/CALLERS.md.
+type refusal struct {
+	status  int
+	outcome serverapi.Outcome
+	reason  serverapi.Reason
+}
+
+// bringAbout makes a node refuse a request in one way.
+type bringAbout func(t *testing.T) reply
+
+// plain is a request to the usual bench.
+func plain(method, path string, headers ...string) bringAbout {
+	return func(t *testing.T) reply {
+		b, _ := newBench(t, plan{})
+		return b.send(method, path, nil, headers...)
+	}
+}
+
+// served is a request to a bench whose servers all behave in one way.
+func served(behave rt.Behaviour, method, path string, headers ...string) bringAbout {
+	return func(t *testing.T) reply {
+		b, _ := newBench(t, plan{})
+		b.all(behave)
+		return b.send(method, path, nil, headers...)
+	}
+}
+
+// forwarded is a request with a long body to a node whose lessor's node says
+// that it did not run it.
+func forwarded(reason serverapi.Reason) bringAbout {
+	return func(t *testing.T) reply {
+		b, other := newBench(t, plan{lessor: "lessor"})
+		other.Fault(func(w http.ResponseWriter, r *http.Request) {
+			id := regexp.MustCompile(`"id":"([^"]*)"`).FindStringSubmatch(r.Header.Get("Burdockspindle-Forward"))[1]
+			w.Header().Set("Burdockspindle-Forward",
+				`{"format":1,"id":"`+id+`","status":503,"outcome":"not-run","reason":"`+string(reason)+`"}`)
+			_, _ = r.Body.Read(make([]byte, 150<<10))
+			w.WriteHeader(http.StatusOK)
+		})
+		return b.send("POST", keyPath, long())
+	}
+}
+
+// usedUp is a cause that lies with the node itself.
+type usedUp struct{}
+
+func (usedUp) Error() string { return "share used up" }
+func (usedUp) LocalLimit()   {}
+
+var _ backend.LocalError = usedUp{}
+
+// cases brings about every row of the table.
+func cases() map[refusal]bringAbout {
+	notRun := func(status int, reason serverapi.Reason) refusal {
+		return refusal{status, serverapi.OutcomeNotRun, reason}
+	}
+	unknown := func(status int, reason serverapi.Reason) refusal {
+		return refusal{status, serverapi.OutcomeUnknown, reason}
+	}
+	soon := []string{callerapi.HeaderDeadlineMs, "300"}
+	return map[refusal]bringAbout{
+		notRun(400, callerapi.ReasonMissingKey):       plain("GET", callerapi.UnkeyedPath(logs, "x")),
+		notRun(400, callerapi.ReasonUnexpectedKey):    plain("GET", callerapi.KeyedPath(payments, "k", "x")),
+		notRun(400, callerapi.ReasonBadKey):           plain("GET", callerapi.KeyedPath(logs, strings.Repeat("k", 1025), "x")),
+		notRun(400, callerapi.ReasonBadPath):          plain("GET", callerapi.KeyedPath(logs, "k", "%2e%2e/ownership/lease")),
+		notRun(400, callerapi.ReasonBadDeadline):      plain("GET", keyPath, callerapi.HeaderDeadlineMs, "soon"),
+		notRun(400, callerapi.ReasonBadHop):           plain("GET", keyPath, callerapi.HeaderHop, "-1"),
+		notRun(400, callerapi.ReasonTooManyHops):      plain("GET", keyPath, callerapi.HeaderHop, "9"),
+		notRun(400, callerapi.ReasonBadCaller):        plain("GET", keyPath, callerapi.HeaderCaller, strings.Repeat("c", 129)),
+		notRun(400, callerapi.ReasonBadTicket):        plain("POST", keyPath, callerapi.HeaderIdempotencyKey, "my-own"),
+		notRun(400, callerapi.ReasonBodyUnreadable):   badlyChunked,
+		notRun(404, callerapi.ReasonNoSuchPath):       plain("GET", "/v1/services/well-logs/keys/k/other"),
+		notRun(404, callerapi.ReasonUnknownService):   plain("GET", callerapi.KeyedPath("nothing", "k", "x")),
+		notRun(405, callerapi.ReasonMethodNotAllowed): plain("GET", callerapi.TicketPath(logs, "k")),
+		notRun(413, callerapi.ReasonBodyTooLarge):     declaredTooLarge,
+		notRun(428, callerapi.ReasonTicketRequired):   ticketRequired,
+		notRun(429, callerapi.ReasonQueueFull):        queueFull,
+		notRun(429, callerapi.ReasonBusy):             busy,
+		notRun(503, callerapi.ReasonNoOwner):          served(rt.Unreachable, "POST", keyPath, soon...),
+		notRun(503, callerapi.ReasonNoServer):         noServer,
+		notRun(503, callerapi.ReasonBufferFull):       bufferFull,
+		notRun(503, serverapi.ReasonOverloaded):       served(rt.Decline("not-run", serverapi.ReasonOverloaded), "POST", keyPath),
+		notRun(503, serverapi.ReasonDraining):         draining,
+		notRun(503, callerapi.ReasonDependency):       dependencyOverloaded,
+		notRun(503, callerapi.ReasonNotSent):          served(rt.Unreachable, "POST", orderPath),
+		notRun(503, callerapi.ReasonNoConnection):     served(noConnection, "POST", keyPath),
+		notRun(503, serverapi.ReasonNotOwner):         movedUnderLongBody,
+		notRun(503, callerapi.ReasonNotLessor):        forwarded(callerapi.ReasonNotLessor),
+		notRun(503, callerapi.ReasonLoop):             forwarded(callerapi.ReasonLoop),
+		notRun(504, callerapi.ReasonTooLate):          tooLate,
+		notRun(504, serverapi.ReasonDeadline):         served(rt.Decline("not-run", serverapi.ReasonDeadline), "POST", keyPath),
+		unknown(409, serverapi.ReasonStaleTicket):     served(rt.Decline("unknown", serverapi.ReasonStaleTicket), "POST", keyPath),
+		unknown(409, serverapi.ReasonDuplicate):       served(rt.Decline("unknown", serverapi.ReasonDuplicate), "POST", keyPath),
+		unknown(409, serverapi.ReasonAnswerGone):      served(rt.Decline("unknown", serverapi.ReasonAnswerGone), "POST", keyPath),
+		unknown(409, serverapi.ReasonOwnershipLost):   served(rt.Decline("unknown", serverapi.ReasonOwnershipLost), "POST", keyPath),
+		unknown(502, callerapi.ReasonNoAnswer):        served(rt.Lost, "POST", keyPath),
+		unknown(502, callerapi.ReasonBrokenAnswer):    served(rt.Broken(100, "half"), "POST", keyPath),
+		unknown(502, callerapi.ReasonForeignAnswer):   served(rt.Foreign, "POST", keyPath),
+		unknown(502, callerapi.ReasonBodyTooLarge):    undeclaredTooLarge,
+		unknown(502, callerapi.ReasonBodyUnreadable):  brokenOffBody,
+		unknown(504, callerapi.ReasonSilent):          served(rt.Silent, "POST", keyPath),
+		unknown(504, serverapi.ReasonDeadline):        served(rt.Hanging, "POST", keyPath, soon...),
+	}
+}
+
+func badlyChunked(t *testing.T) reply {
+	b, _ := newBench(t, plan{})
+	return b.raw("POST "+keyPath+" HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n", nil)
+}
+
+func declaredTooLarge(t *testing.T) reply {
+	b, _ := newBench(t, plan{logs: func(s *siteconfig.Service) { s.MaxBodyBytes = 1000 }})
+	got := b.send("POST", keyPath, strings.NewReader(strings.Repeat("x", 1001)))
+	b.Expect(b.driver.Attempts()).To(gomega.BeEmpty())
+	return got
+}
+
+func undeclaredTooLarge(t *testing.T) reply {
+	b, _ := newBench(t, plan{logs: func(s *siteconfig.Service) { s.MaxBodyBytes = 100 << 10 }})
+	return b.send("POST", keyPath, undeclared(long()))
+}
+
+func brokenOffBody(t *testing.T) reply {
+	b, _ := newBench(t, plan{})
+	head := "POST " + keyPath + " HTTP/1.1\r\nHost: x\r\nContent-Length: 300000\r\n\r\n"
+	return b.raw(head+strings.Repeat("x", 200_000), func(conn net.Conn) { _ = conn.(*net.TCPConn).CloseWrite() })
+}
+
+func ticketRequired(t *testing.T) reply {
+	b, _ := newBench(t, plan{payments: func(s *siteconfig.Service) { s.RequireIdempotencyKey = true }})
+	return b.send("POST", orderPath, nil)
+}
+
+// whileHeld sends requests that hang until one is refused for the reason.
+func (b *bench) whileHeld(want serverapi.Reason) reply {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	replies := make(chan reply, 100)
+	for range 20 {
+		go func() {
+			request, _ := http.NewRequestWithContext(ctx, "POST", "http://"+b.address+keyPath, nil)
+			response, err := client.Do(request)
+			if err != nil {
+				return
+			}
+			_ = response.Body.Close()
+			replies <- reply{status: response.StatusCode, header: response.Header}
+		}()
+	}
+	var got reply
+	b.Eventually(replies, patience).Should(gomega.Receive(&got))
+	b.Expect(got.header.Get(callerapi.HeaderReason)).To(gomega.Equal(string(want)))
+	return b.withFailure(got)
+}
+
+// withFailure fills in what the JSON body would have said.
+func (b *bench) withFailure(got reply) reply {
+	got.failure.Outcome = serverapi.Outcome(got.header.Get(callerapi.HeaderOutcome))
+	got.failure.Reason = serverapi.Reason(got.header.Get(callerapi.HeaderReason))
+	got.failure.RequestID = got.header.Get(callerapi.HeaderRequestID)
+	got.failure.RetryAfterMs = 1
+	return got
+}
+
+func queueFull(t *testing.T) reply {
+	b, _ := newBench(t, plan{limits: func(l *settings.Limits) { l.MaxQueued = 1 }})
+	b.all(rt.Hanging)
+	return b.whileHeld(callerapi.ReasonQueueFull)
+}
+
+func busy(t *testing.T) reply {
+	b, _ := newBench(t, plan{limits: func(l *settings.Limits) { l.MaxInFlight = 1 }})
+	b.all(rt.Hanging)
+	return b.whileHeld(callerapi.ReasonBusy)
+}
+
+func bufferFull(t *testing.T) reply {
+	b, _ := newBench(t, plan{limits: func(l *settings.Limits) { l.MaxBuffered = 1 }})
+	b.all(rt.Decline("not-run", serverapi.ReasonNotOwner))
+	return b.whileHeld(callerapi.ReasonBufferFull)
+}
+
+func noServer(t *testing.T) reply {
+	b, _ := newBench(t, plan{})
+	b.site.Lost("p1")
+	b.site.Lost("p2")
+	return b.send("POST", orderPath, nil, callerapi.HeaderDeadlineMs, "300")
+}
+
+func draining(t *testing.T) reply {
+	b, _ := newBench(t, plan{})
+	b.Expect(b.frontend.Drain(context.Background())).To(gomega.Succeed())
+	return b.send("POST", keyPath, nil)
+}
+
+func dependencyOverloaded(t *testing.T) reply {
+	b, _ := newBench(t, plan{logs: func(s *siteconfig.Service) { s.DependsOn = []topo.Service{payments} }})
+	overloaded := rt.Decline("not-run", serverapi.ReasonOverloaded)
+	b.driver.Set("p1", overloaded)
+	b.driver.Set("p2", overloaded)
+	for range 100 {
+		b.send("POST", orderPath, nil)
+	}
+	var got reply
+	b.Eventually(func() serverapi.Reason {
+		b.send("POST", orderPath, nil)
+		got = b.send("POST", keyPath, nil)
+		return got.failure.Reason
+	}, patience).Should(gomega.Equal(callerapi.ReasonDependency))
+	return got
+}
+
+func noConnection(context.Context, backend.Request) (*backend.Response, error) {
+	return nil, &backend.AttemptError{Cause: usedUp{}}
+}
+
+func movedUnderLongBody(t *testing.T) reply {
+	b, _ := newBench(t, plan{})
+	b.all(rt.Decline("not-run", serverapi.ReasonNotOwner))
+	return b.send("POST", keyPath, long())
+}
+
+func tooLate(t *testing.T) reply {
+	b, _ := newBench(t, plan{})
+	b.driver.Set("s1", rt.Slow(200*time.Millisecond, rt.Answer(200, "ok")))
+	for range 6 {
+		b.send("GET", keyPath, nil)
+	}
+	return b.send("GET", keyPath, nil, callerapi.HeaderDeadlineMs, "20")
+}
+
+// documented reads the table of refusals.
+func documented(g *gomega.WithT) []refusal {
+	page, err := os.ReadFile("../../docs/CALLERS.md")
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	row := regexp.MustCompile("(?m)^\\| (\\d+) \\| (not-run|unknown) \\| `([a-z-]+)` \\|")
+	var rows []refusal
+	for _, match := range row.FindAllStringSubmatch(string(page), -1) {
+		status, _ := strconv.Atoi(match[1])
+		rows = append(rows, refusal{status, serverapi.Outcome(match[2]), serverapi.Reason(match[3])})
+	}
+	return rows
+}
+
+// TestEveryDocumentedRefusal brings each row of docs/CALLERS.md about over HTTP.
+func TestEveryDocumentedRefusal(t *testing.T) {
+	g := gomega.NewWithT(t)
+	rows, byRow := documented(g), cases()
+	g.Expect(rows).To(gomega.HaveLen(len(byRow)), "each row has a case and each case a row")
+	for _, row := range rows {
+		name := strconv.Itoa(row.status) + " " + string(row.outcome) + " " + string(row.reason)
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			g := gomega.NewWithT(t)
+			bring, exists := byRow[row]
+			g.Expect(exists).To(gomega.BeTrue(), "no case for the row")
+			got := bring(t)
+			g.Expect(got.cut).NotTo(gomega.HaveOccurred())
+			g.Expect(got.status).To(gomega.Equal(row.status), got.body)
+			g.Expect(got.header.Get(callerapi.HeaderOutcome)).To(gomega.Equal(string(row.outcome)))
+			g.Expect(got.header.Get(callerapi.HeaderReason)).To(gomega.Equal(string(row.reason)))
+			g.Expect(got.failure.Outcome).To(gomega.Equal(row.outcome))
+			g.Expect(got.failure.Reason).To(gomega.Equal(row.reason))
+			g.Expect(got.failure.RequestID).To(gomega.Equal(got.header.Get(callerapi.HeaderRequestID)))
+			retries := row.status == 429 || row.status >= 500
+			g.Expect(got.header.Get(callerapi.HeaderRetryAfter) != "").To(gomega.Equal(retries))
+			g.Expect(got.failure.RetryAfterMs > 0).To(gomega.Equal(retries))
+		})
+	}
+}
