Follower's tests no longer depend on how goroutines interleave

An injected outage let a read under way through, and two tests relied on the order in which goroutines started. Change: an outage ends reads under way, appends alone can be slow, and the tests wait for each submission to be queued. Each test demands what it did. Conclusion: none open.

--- a/follower/rebase_test.go
+++ b/follower/rebase_test.go
@@ -94,12 +94,9 @@
 		for _, name := range []topo.NodeID{"a", "b", "c"} {
 			s.network.Isolate(name)
 		}
-		for _, m := range members {
-			m.log.Set(logfault.Faults{Slow: 700 * time.Millisecond})
-		}
 		s.loseForAll(members...)
 		for _, m := range members {
-			m.log.Set(logfault.Faults{Slow: 700 * time.Millisecond})
+			m.log.Set(logfault.Faults{SlowAppends: 5 * time.Second})
 		}
 		time.Sleep(longRebase)
 		s.g.Expect(s.rebases()).To(gomega.BeNumerically(">=", 2), "several published")
--- a/follower/submit_test.go
+++ b/follower/submit_test.go
@@ -201,6 +201,7 @@
 		fates := make([]follower.Fate, 5)
 		for i := range fates {
 			running.Go(func() { fates[i], _ = a.Submit(s.within(settle), giveTwo(i)) })
+			synctest.Wait()
 		}
 		running.Wait()
 		offsets := map[topo.Offset]bool{}
--- a/platlog/logfault/logfault.go
+++ b/platlog/logfault/logfault.go
@@ -12,6 +12,11 @@
 	"github.com/burdockspindle/burdockspindle/topo"
 )
 
+const (
+	opAppend = "append"
+	opRead   = "read"
+)
+
 // InjectedError is the cause of every error that a Log adds.
 type InjectedError struct{ Fault string }
 
@@ -26,8 +31,9 @@
 	// Silent leaves calls without an answer until they are given up; nothing is
 	// appended. Calls under way when it is set get no answer either.
 	Silent bool
-	// Slow delays every call.
-	Slow time.Duration
+	// Slow delays every call, SlowAppends appends further.
+	Slow        time.Duration
+	SlowAppends time.Duration
 	// LoseAnswers appends, but loses the answers of this many appends.
 	LoseAnswers int
 	// LoseRequests loses this many appends; their callers cannot tell that
@@ -82,12 +88,12 @@
 
 // Append implements platlog.Log.
 func (l *Log) Append(ctx context.Context, data []byte) (topo.Offset, error) {
-	if err := l.pass(ctx, "append"); err != nil {
+	if err := l.pass(ctx, opAppend); err != nil {
 		return 0, err
 	}
 	switch l.takeAppendFault() {
 	case faultDown:
-		return 0, &platlog.UnavailableError{Op: "append", Cause: &InjectedError{Fault: "down"}}
+		return 0, &platlog.UnavailableError{Op: opAppend, Cause: &InjectedError{Fault: "down"}}
 	case faultRequest:
 		return 0, &platlog.UncertainError{Cause: &InjectedError{Fault: "request lost"}}
 	case faultLate:
@@ -104,22 +110,33 @@
 
 // Read implements platlog.Log.
 func (l *Log) Read(ctx context.Context, req platlog.ReadRequest) (platlog.Batch, error) {
-	if err := l.pass(ctx, "read"); err != nil {
+	if err := l.pass(ctx, opRead); err != nil {
 		return platlog.Batch{}, err
 	}
-	if l.Faults().ReadsDown {
-		return platlog.Batch{}, &platlog.UnavailableError{Op: "read", Cause: &InjectedError{Fault: "down"}}
+	if err := l.readsDown(); err != nil {
+		return platlog.Batch{}, err
 	}
 	batch, err := l.inner.Read(ctx, req)
 	if err != nil {
 		return platlog.Batch{}, err
 	}
+	if err := l.readsDown(); err != nil {
+		return platlog.Batch{}, err
+	}
 	if l.Faults().Silent {
-		return platlog.Batch{}, l.pass(ctx, "read")
+		return platlog.Batch{}, l.pass(ctx, opRead)
 	}
 	return l.repeat(ctx, req, batch), nil
 }
 
+// readsDown ends reads while they are refused, also those under way.
+func (l *Log) readsDown() error {
+	if !l.Faults().ReadsDown {
+		return nil
+	}
+	return &platlog.UnavailableError{Op: opRead, Cause: &InjectedError{Fault: "down"}}
+}
+
 // appendFault is what happens to one append.
 type appendFault int
 
@@ -155,6 +172,9 @@
 func (l *Log) pass(ctx context.Context, op string) error {
 	l.mu.Lock()
 	slow := l.faults.Slow
+	if op == opAppend {
+		slow += l.faults.SlowAppends
+	}
 	l.mu.Unlock()
 	if slow > 0 {
 		timer := time.NewTimer(slow)
@@ -174,7 +194,7 @@
 
 // givenUp is the error of a call without an answer.
 func (l *Log) givenUp(ctx context.Context, op string) error {
-	if op == "append" {
+	if op == opAppend {
 		return &platlog.UncertainError{Cause: ctx.Err()}
 	}
 	return ctx.Err()
