--- /dev/null
+++ b/modules/frontend/drain_test.go
@@ -0,0 +1,48 @@
+package frontend
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"github.com/burdockspindle/burdockspindle/settings"
+)
+
+// TestDrainAnnouncesFirst: for the drain delay the health endpoint fails and
+// requests are still taken; the drain ends when the last in flight has.
+func TestDrainAnnouncesFirst(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := gomega.NewWithT(t)
+		limits := settings.DefaultLimits()
+		limits.DrainDelay = 3 * time.Second
+		m := &Module{settings: &settings.Settings{Limits: limits}, handler: &handler{drain: newDrainState()}}
+		drain := m.handler.drain
+		g.Expect(drain.enter()).To(gomega.BeTrue())
+		ended := make(chan error, 1)
+		go func() { ended <- m.Drain(context.Background()) }()
+		time.Sleep(2900 * time.Millisecond)
+		g.Expect(drain.healthy()).To(gomega.BeFalse())
+		g.Expect(drain.enter()).To(gomega.BeTrue(), "the balancer has not noticed yet")
+		time.Sleep(200 * time.Millisecond)
+		g.Expect(drain.enter()).To(gomega.BeFalse())
+		drain.leave()
+		synctest.Wait()
+		g.Expect(ended).NotTo(gomega.Receive())
+		drain.leave()
+		g.Expect(<-ended).To(gomega.Succeed())
+	})
+}
+
+func TestDrainGivesUpWithItsContext(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := gomega.NewWithT(t)
+		m := &Module{settings: &settings.Settings{}, handler: &handler{drain: newDrainState()}}
+		m.handler.drain.enter()
+		ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+		defer cancel()
+		g.Expect(m.Drain(ctx)).To(gomega.MatchError(context.DeadlineExceeded))
+	})
+}
--- /dev/null
+++ b/modules/frontend/latency_test.go
@@ -0,0 +1,88 @@
+package frontend_test
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/onsi/gomega"
+
+	"github.com/burdockspindle/burdockspindle/backend"
+	"github.com/burdockspindle/burdockspindle/callerapi"
+	"github.com/burdockspindle/burdockspindle/modules/frontend"
+	rt "github.com/burdockspindle/burdockspindle/modules/router/routertest"
+	"github.com/burdockspindle/burdockspindle/modules/serverhttp"
+	"github.com/burdockspindle/burdockspindle/route/routetest"
+	"github.com/burdockspindle/burdockspindle/serverapi"
+	"github.com/burdockspindle/burdockspindle/state"
+)
+
+// BenchmarkAddedLatency sends the same request directly to a server, through
+// the entry node that is its admission point, and through one that forwards to
+// that node, over loopback and in turn, so that all see the same machine. It
+// reports the median of each and what the two ways add to it.
+func BenchmarkAddedLatency(b *testing.B) {
+	g := gomega.NewWithT(b)
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set(serverapi.HeaderRequestID, r.Header.Get(serverapi.HeaderRequestID))
+		_, _ = w.Write([]byte("the log of a borehole"))
+	}))
+	defer server.Close()
+	driver := serverhttp.NewDriver(serverhttp.Options{Share: func(backend.Target) int { return 50 }}, hclog.NewNullLogger())
+	defer driver.Close()
+	site := routetest.New()
+	service := rt.Keyed()
+	site.Configure(service)
+	local := rt.Start(b, site, driver, "lessor")
+	remote := rt.Start(b, site, driver, "entry")
+	site.Backend(state.Server{ID: "s1", Service: service.Name, Zone: "zone-a", Address: strings.TrimPrefix(server.URL, "http://"), Group: group, Phase: state.PhaseLive})
+	site.Lead(group, "lessor", rt.Boot)
+	site.AssignAll(service.Name, "s1")
+	path := callerapi.KeyedPath(service.Name, "borehole-7", "log")
+	ways := []struct {
+		name string
+		url  string
+	}{
+		{"direct", server.URL + serverapi.PathRequest + "log"},
+		{"local", "http://" + listen(b, local) + path},
+		{"forwarded", "http://" + listen(b, remote) + path},
+	}
+	taken := make([][]time.Duration, len(ways))
+	time.Sleep(1100 * time.Millisecond) // the server's ramp, not measured
+	for b.Loop() {
+		for i, way := range ways {
+			begun := time.Now()
+			response, err := client.Get(way.url)
+			g.Expect(err).NotTo(gomega.HaveOccurred())
+			_, err = io.Copy(io.Discard, response.Body)
+			g.Expect(err).NotTo(gomega.HaveOccurred())
+			_ = response.Body.Close()
+			taken[i] = append(taken[i], time.Since(begun))
+		}
+	}
+	medians := map[string]float64{}
+	for i, way := range ways {
+		slices.Sort(taken[i])
+		medians[way.name] = float64(taken[i][len(taken[i])/2].Microseconds())
+		b.ReportMetric(medians[way.name], way.name+"-µs")
+		b.ReportMetric(float64(taken[i][len(taken[i])*99/100].Microseconds()), way.name+"-p99-µs")
+	}
+	b.ReportMetric(medians["local"]-medians["direct"], "local-adds-µs")
+	b.ReportMetric(medians["forwarded"]-medians["direct"], "forwarded-adds-µs")
+}
+
+// listen opens a node's front end.
+func listen(b *testing.B, node *rt.Node) string {
+	m := &frontend.Module{}
+	gomega.NewWithT(b).Expect(m.Provision(node.Kernel)).To(gomega.Succeed())
+	gomega.NewWithT(b).Expect(m.Start(context.Background())).To(gomega.Succeed())
+	b.Cleanup(func() { _ = m.Stop(context.Background()) })
+	_, address := m.ListenAddress()
+	return address
+}
--- a/modules/router/wire.go
+++ b/modules/router/wire.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"time"
 
+	"github.com/burdockspindle/burdockspindle/callerapi"
 	"github.com/burdockspindle/burdockspindle/exchange"
 	"github.com/burdockspindle/burdockspindle/serverapi"
 	"github.com/burdockspindle/burdockspindle/topo"
@@ -112,7 +113,7 @@
 		Method:     f.Method,
 		Path:       string(f.Path),
 		Header:     header,
-		Deadline:   now.Add(time.Duration(f.DeadlineMs) * time.Millisecond),
+		Deadline:   now.Add(f.deadline()),
 		Caller:     string(f.Caller),
 		Ticket:     f.Ticket,
 		Hop:        f.Hop,
@@ -122,6 +123,12 @@
 	}
 }
 
+// deadline is the time left, within the bounds of what a caller may ask for.
+func (f forwardedRequest) deadline() time.Duration {
+	most := callerapi.MaxDeadline.Milliseconds()
+	return time.Duration(min(max(f.DeadlineMs, 0), most)) * time.Millisecond
+}
+
 // ForwardFormatError reports a forwarded request or answer that cannot be read.
 type ForwardFormatError struct{ Cause error }
 
