--- a/modules/serverhttp/standin_test.go
+++ b/modules/serverhttp/standin_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"strconv"
 	"strings"
@@ -113,3 +114,51 @@
 	g.Expect(<-failed).To(gomega.BeAssignableToTypeOf(attempt))
 	g.Eventually(func() int { return s.Stats().InFlight }, "10s").Should(gomega.Equal(0))
 }
+
+// TestSilentConnectionsAreReplaced makes every open connection silent, in each
+// direction: the lessor's next call is answered over a new connection, the
+// pooled request is given up as silent, and the next one is answered.
+func TestSilentConnectionsAreReplaced(t *testing.T) {
+	for _, direction := range []server.Direction{server.DirectionIn, server.DirectionOut, server.DirectionBoth} {
+		t.Run(string(direction), func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			driver := NewDriver(Options{
+				SilentAfter: 200 * time.Millisecond, ControlSilentAfter: 100 * time.Millisecond,
+				ExpectProgress: true, Share: func(backend.Target) int { return 4 },
+			}, nil)
+			t.Cleanup(driver.Close)
+			s, target := startServer(t, driver, server.Config{})
+			get := func() error {
+				req := testRequest(http.MethodGet, "/records/bore%207", "")
+				req.Idempotent = true
+				response, err := driver.Do(t.Context(), target, req)
+				if err == nil {
+					_, err = server.ReadAnswer(response.Body)
+					_ = response.Body.Close()
+				}
+				return err
+			}
+			g.Expect(get()).To(gomega.Succeed())
+			s.Silence(direction)
+			_, err := driver.Lease(t.Context(), target, serverapi.LeaseRequest{Term: "3.0", Lessor: "n@b"})
+			g.Expect(err).NotTo(gomega.HaveOccurred())
+			var failure *backend.AttemptError
+			g.Expect(errors.As(get(), &failure)).To(gomega.BeTrue())
+			g.Expect(failure.Silent).To(gomega.BeTrue())
+			g.Expect(get()).To(gomega.Succeed())
+		})
+	}
+}
+
+// TestSlowRunIsNotSilence: the stand-in server reports progress.
+func TestSlowRunIsNotSilence(t *testing.T) {
+	g := gomega.NewWithT(t)
+	driver := NewDriver(Options{SilentAfter: time.Second, ExpectProgress: true, Share: func(backend.Target) int { return 4 }}, nil)
+	t.Cleanup(driver.Close)
+	_, target := startServer(t, driver, server.Config{ServiceTime: server.ServiceTime{Mean: 1500 * time.Millisecond}})
+	response, err := driver.Do(t.Context(), target, testRequest(http.MethodPost, "/records/bore%207", "x"))
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	defer func() { _ = response.Body.Close() }()
+	_, err = server.ReadAnswer(response.Body)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+}
