A short renewal costs the same for any number of shards

Cause: every reply sorted and hashed the whole grant list. Change: the holder makes list and digest when a list is taken.

--- a/lease/holder.go
+++ b/lease/holder.go
@@ -33,6 +33,10 @@
 	highestFence map[topo.ShardID]topo.Fence
 	// activated holds the standby grants that were ever served.
 	activated map[topo.ShardID]topo.Fence
+	// active and digest describe the four above for replies; they are made
+	// anew when a list is taken.
+	active []serverapi.Grant
+	digest string
 
 	runs     map[RunID]claim
 	lastRun  RunID
@@ -59,7 +63,7 @@
 // NewHolder returns the rule for a new run of a server, which holds nothing.
 // The boot must differ from that of every earlier run.
 func NewHolder(boot topo.BootID) *Holder {
-	return &Holder{
+	h := &Holder{
 		boot:         boot,
 		grants:       map[topo.ShardID]grant{},
 		standby:      map[topo.ShardID]topo.Fence{},
@@ -67,6 +71,8 @@
 		activated:    map[topo.ShardID]topo.Fence{},
 		runs:         map[RunID]claim{},
 	}
+	h.describe()
+	return h
 }
 
 // Boot returns the run of the server.
@@ -165,14 +171,13 @@
 
 // reply describes the holder as of now.
 func (h *Holder) reply(now time.Duration, refused string, withActive bool) serverapi.LeaseReply {
-	active := h.active()
 	reply := serverapi.LeaseReply{
 		Refused:     refused,
 		Boot:        h.boot,
 		Stamp:       int64(now),
 		HighestTerm: h.highest.String(),
 		RemainingMs: h.remainingMs(now),
-		Digest:      serverapi.GrantsDigest(active),
+		Digest:      h.digest,
 		Busy:        h.busy(),
 		Draining:    h.draining,
 	}
@@ -180,7 +185,7 @@
 		reply.Generation = h.generation
 	}
 	if withActive || refused != "" {
-		reply.Active = active
+		reply.Active = h.active
 	}
 	return reply
 }
--- a/lease/holder_lease.go
+++ b/lease/holder_lease.go
@@ -99,6 +99,7 @@
 	for _, granted := range parsed.grants {
 		h.take(granted)
 	}
+	h.describe()
 	return ""
 }
 
--- a/lease/holder_report.go
+++ b/lease/holder_report.go
@@ -34,9 +34,9 @@
 	return fence, exists
 }
 
-// active lists the grants held, and the standby grants that were ever
-// activated and not replaced by a higher fence.
-func (h *Holder) active() []serverapi.Grant {
+// describe makes the list of the grants held, and of the standby grants that
+// were ever activated and not replaced by a higher fence, and its digest.
+func (h *Holder) describe() {
 	var list []serverapi.Grant
 	for _, held := range h.Grants() {
 		list = append(list, serverapi.Grant{
@@ -48,7 +48,8 @@
 	for _, shard := range h.formerlyActivated() {
 		list = append(list, serverapi.Grant{Shard: shard.String(), Fence: h.activated[shard].String()})
 	}
-	return list
+	h.active = list
+	h.digest = serverapi.GrantsDigest(list)
 }
 
 // formerlyActivated lists the activated standby grants that are not held now.
@@ -128,7 +129,7 @@
 		Generation:  h.generation,
 		Expires:     h.expires,
 		Now:         now,
-		Grants:      h.active(),
+		Grants:      h.active,
 		Busy:        h.busy(),
 		InFlight:    len(h.runs),
 		Draining:    h.draining,
