--- a/tlsfiles/errors.go
+++ b/tlsfiles/errors.go
@@ -26,7 +26,9 @@
 }
 
 // Error implements error.
-func (e *UntrustedError) Error() string { return "certificate of " + e.Subject + ": " + e.Cause.Error() }
+func (e *UntrustedError) Error() string {
+	return "certificate of " + e.Subject + ": " + e.Cause.Error()
+}
 
 // Unwrap returns the cause.
 func (e *UntrustedError) Unwrap() error { return e.Cause }
