--- a/modules/peer/caller.go
+++ b/modules/peer/caller.go
@@ -60,15 +60,17 @@
 	}
 	l := &link{
 		kind: kind, address: address, dial: c.dialer.dial,
-		timing: c.timing, onSilent: c.replacedSilent, closed: c.closed,
+		generation: c.dialer.generation, timing: c.timing, onSilent: c.replacedSilent, closed: c.closed,
 	}
 	c.links[key] = l
 	return l
 }
 
-func (c *client) replacedSilent(l *link) {
+func (c *client) replacedSilent(l *link, first bool) {
 	metricSilentReplaced.Add(string(l.kind), 1)
-	eventSilent.Log(c.logger, "address", l.address, "kind", l.kind)
+	if first {
+		eventSilent.Log(c.logger, "address", l.address, "kind", l.kind)
+	}
 }
 
 // linkDump is one link's row in the state dump.
@@ -140,6 +142,7 @@
 		}
 		return c.failed(to, true, err)
 	}
+	l.heard()
 	return nil
 }
 
--- a/modules/peer/dialer.go
+++ b/modules/peer/dialer.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"crypto/tls"
 	"net"
 	"net/http"
 
@@ -10,6 +9,7 @@
 
 	core "github.com/burdockspindle/burdockspindle/peer"
 	"github.com/burdockspindle/burdockspindle/proto/burdockspindle/v1/bspbconnect"
+	"github.com/burdockspindle/burdockspindle/tlsfiles"
 )
 
 // Size limits of one message, in bytes.
@@ -20,16 +20,24 @@
 	compressFromBytes = 4 << 10
 )
 
-// dialer opens HTTP/2 connections to peers, over TLS when it has a
-// configuration for it.
+// dialer opens HTTP/2 connections to peers, over TLS when it has certificates.
 type dialer struct {
 	traffic *traffic
-	tls     func(node string) *tls.Config // nil for none
+	files   *tlsfiles.Loader // nil for no TLS
+}
+
+// generation tells connections made with earlier certificates from those made
+// with the current ones.
+func (d *dialer) generation() uint64 {
+	if d.files == nil {
+		return 0
+	}
+	return d.files.Generation()
 }
 
 // dial opens one connection. An error proves that no call was sent.
 func (d *dialer) dial(ctx context.Context, address string, kind core.Kind) (*wire, error) {
-	w := &wire{}
+	w := &wire{generation: d.generation()}
 	transport := &http.Transport{
 		Protocols:          new(http.Protocols),
 		DisableCompression: true,
@@ -43,9 +51,13 @@
 		},
 	}
 	scheme := "http"
-	if d.tls != nil {
+	if d.files != nil {
+		host, _, err := net.SplitHostPort(address)
+		if err != nil {
+			return nil, err
+		}
 		scheme = "https"
-		transport.TLSClientConfig = d.tls(address)
+		transport.TLSClientConfig = d.files.Peer(host)
 		transport.Protocols.SetHTTP2(true)
 	} else {
 		transport.Protocols.SetUnencryptedHTTP2(true)
--- a/modules/peer/events.go
+++ b/modules/peer/events.go
@@ -14,5 +14,6 @@
 	eventSeedResolved   = events.Define(1304, hclog.Info, "seed address resolved to node")
 	eventHandlerFailed  = events.Define(1305, hclog.Warn, "peer call failed in handler")
 	eventMisdirected    = events.Define(1306, hclog.Warn, "refused peer call meant for another node")
+	eventUntrusted      = events.Define(1308, hclog.Warn, "refused peer whose certificate is no longer trusted")
 	eventShutdownForced = events.Define(1307, hclog.Warn, "peer listener closed before calls ended")
 )
--- a/modules/peer/link.go
+++ b/modules/peer/link.go
@@ -10,18 +10,23 @@
 
 // link keeps the connection to one address for one kind of call. It opens a
 // connection when a call needs one and there is none that works: none open,
-// broken, or silent while calls are waiting on it.
+// broken, made with earlier certificates, or silent while calls are waiting on
+// it.
 type link struct {
 	kind    core.Kind
 	address string
 	dial    func(ctx context.Context, address string, kind core.Kind) (*wire, error)
 	timing  linkTiming
-	// onSilent is told of each connection that was replaced for silence.
-	onSilent func(l *link)
+	// generation tells that of the certificates in use now.
+	generation func() uint64
+	// onSilent is told of each connection that was replaced for silence, and
+	// whether it is the first since the other side was last heard.
+	onSilent func(l *link, first bool)
 
 	mu      sync.Mutex
 	current *wire
 	opening *opening // nil when no connection is being opened
+	mute    bool     // nothing was heard since a connection was silent
 	closed  bool
 }
 
@@ -60,10 +65,9 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.current != nil && l.current.silent(time.Now(), l.timing.silence) {
-		l.onSilent(l)
-		l.drop()
+		l.dropSilent()
 	}
-	if l.current != nil && l.current.broken() {
+	if l.current != nil && (l.current.broken() || l.current.generation != l.generation()) {
 		l.drop()
 	}
 	if l.current != nil {
@@ -85,6 +89,20 @@
 	l.current = nil
 }
 
+// dropSilent retires the current connection for silence; the mutex is held.
+func (l *link) dropSilent() {
+	l.onSilent(l, !l.mute)
+	l.mute = true
+	l.drop()
+}
+
+// heard notes that the other side answered.
+func (l *link) heard() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.mute = false
+}
+
 // open opens a connection within the connect timeout, whatever becomes of the
 // calls that wait for it.
 func (l *link) open(attempt *opening) {
@@ -123,8 +141,7 @@
 func (l *link) discard(w *wire) {
 	l.mu.Lock()
 	if l.current == w {
-		l.onSilent(l)
-		l.drop()
+		l.dropSilent()
 	}
 	l.mu.Unlock()
 	w.close()
--- a/modules/peer/listener.go
+++ b/modules/peer/listener.go
@@ -14,6 +14,7 @@
 
 	core "github.com/burdockspindle/burdockspindle/peer"
 	"github.com/burdockspindle/burdockspindle/proto/burdockspindle/v1/bspbconnect"
+	"github.com/burdockspindle/burdockspindle/tlsfiles"
 )
 
 // Limits of the peer listener.
@@ -28,6 +29,7 @@
 
 // listener serves peers' calls and the mounted plain handlers.
 type listener struct {
+	files   *tlsfiles.Loader // nil for no TLS
 	server  *http.Server
 	net     net.Listener
 	traffic *traffic
@@ -37,15 +39,19 @@
 
 type socketKey struct{}
 
-// listen opens the listener; config is nil for no TLS.
-func listen(address string, s *service, t *traffic, config *tls.Config) (*listener, error) {
+// listen opens the listener; files is nil for no TLS.
+func listen(address string, s *service, t *traffic, files *tlsfiles.Loader) (*listener, error) {
 	raw, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, &ListenError{Address: address, Cause: err}
 	}
-	l := &listener{net: raw, traffic: t, logger: s.logger, done: make(chan struct{})}
+	var config *tls.Config
+	if files != nil {
+		config = files.Server()
+	}
+	l := &listener{files: files, net: raw, traffic: t, logger: s.logger, done: make(chan struct{})}
 	l.server = &http.Server{
-		Handler:           l.mux(s),
+		Handler:           l.trusted(l.mux(s)),
 		TLSConfig:         config,
 		Protocols:         new(http.Protocols),
 		ReadHeaderTimeout: readHeaderTimeout,
@@ -115,6 +121,39 @@
 	})
 }
 
+// trusted refuses requests on a connection whose client certificate the current
+// authorities do not sign, although earlier ones did when it was made.
+func (l *listener) trusted(next http.Handler) http.Handler {
+	if l.files == nil {
+		return next
+	}
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		from, _ := r.Context().Value(socketKey{}).(*socket)
+		if err := l.check(from, r.TLS); err != nil {
+			eventUntrusted.Log(l.logger, "from", r.RemoteAddr, "error", err)
+			w.Header().Set("Connection", "close")
+			w.WriteHeader(http.StatusForbidden)
+			return
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+// check verifies a connection once for each generation of certificates.
+func (l *listener) check(from *socket, state *tls.ConnectionState) error {
+	generation := l.files.Generation() + 1
+	if from != nil && from.verified.Load() == generation {
+		return nil
+	}
+	if err := l.files.VerifyClient(state.PeerCertificates); err != nil {
+		return err
+	}
+	if from != nil {
+		from.verified.Store(generation)
+	}
+	return nil
+}
+
 func kindOfForward(*http.Request) core.Kind { return kindForward }
 
 // kindOfCall reads the kind off the last segment of a procedure's path.
--- a/modules/peer/module.go
+++ b/modules/peer/module.go
@@ -15,6 +15,7 @@
 	core "github.com/burdockspindle/burdockspindle/peer"
 	"github.com/burdockspindle/burdockspindle/settings"
 	"github.com/burdockspindle/burdockspindle/state"
+	"github.com/burdockspindle/burdockspindle/tlsfiles"
 	"github.com/burdockspindle/burdockspindle/topo"
 
 	bspb "github.com/burdockspindle/burdockspindle/proto/burdockspindle/v1"
@@ -41,6 +42,7 @@
 	service  *service
 	client   *client
 	traffic  *traffic
+	files    *tlsfiles.Loader // nil for no TLS
 	listener *listener
 	cancel   context.CancelFunc
 	seedDone chan struct{}
@@ -67,6 +69,11 @@
 		Zone: string(ctx.Identity.Zone),
 	}
 	m.service = &service{sender: sender, handlers: m.handlers, logger: m.logger}
+	if files := m.settings.Peer.TLS; files != nil {
+		if m.files, err = tlsfiles.New(*files, m.logger); err != nil {
+			return err
+		}
+	}
 	m.client = m.newClient(sender)
 	return errors.Join(
 		kernel.Provide[core.Caller](ctx, m.client),
@@ -82,7 +89,7 @@
 		sender:    sender,
 		logger:    m.logger,
 		directory: &directory{self: m.ctx.Identity, seeds: map[topo.NodeID]string{}},
-		dialer:    &dialer{traffic: m.traffic},
+		dialer:    &dialer{traffic: m.traffic, files: m.files},
 		timing: linkTiming{
 			connect: orDefault(limits.ConnectTimeout, defaultConnectTimeout),
 			silence: silence,
@@ -105,7 +112,7 @@
 		m.client.directory.source = source
 	}
 	var err error
-	if m.listener, err = listen(m.settings.Peer.Address, m.service, m.traffic, nil); err != nil {
+	if m.listener, err = listen(m.settings.Peer.Address, m.service, m.traffic, m.files); err != nil {
 		return err
 	}
 	eventListening.Log(m.logger, "address", m.listener.net.Addr().String())
--- a/modules/peer/socket.go
+++ b/modules/peer/socket.go
@@ -17,6 +17,9 @@
 	counts        atomic.Pointer[kindTraffic]
 	earlySent     atomic.Int64
 	earlyReceived atomic.Int64
+	// verified is one more than the generation of certificates by which the
+	// client's was last accepted; 0 before the first request.
+	verified atomic.Uint64
 }
 
 func newSocket(conn net.Conn, counts *kindTraffic) *socket {
--- a/modules/peer/wire.go
+++ b/modules/peer/wire.go
@@ -14,6 +14,8 @@
 	conn   *http.ClientConn
 	socket *socket
 	client bspbconnect.PeerServiceClient
+	// generation is that of the certificates with which the wire was made.
+	generation uint64
 
 	mu      sync.Mutex
 	calls   int
