--- a/cmd/burdockspindle/main.go
+++ b/cmd/burdockspindle/main.go
@@ -11,6 +11,7 @@
 	_ "github.com/burdockspindle/burdockspindle/experiment"
 	_ "github.com/burdockspindle/burdockspindle/modules/standard"
 	"github.com/burdockspindle/burdockspindle/node"
+	_ "github.com/burdockspindle/burdockspindle/standin/command"
 )
 
 func main() {
--- /dev/null
+++ b/modules/admin/helper_test.go
@@ -0,0 +1,192 @@
+package admin_test
+
+import (
+	"context"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/onsi/gomega"
+
+	"github.com/burdockspindle/burdockspindle/adminapi"
+	"github.com/burdockspindle/burdockspindle/follower"
+	"github.com/burdockspindle/burdockspindle/kernel"
+	_ "github.com/burdockspindle/burdockspindle/modules/admin"
+	"github.com/burdockspindle/burdockspindle/peer"
+	"github.com/burdockspindle/burdockspindle/platlog"
+	"github.com/burdockspindle/burdockspindle/settings"
+	"github.com/burdockspindle/burdockspindle/sitefake"
+	"github.com/burdockspindle/burdockspindle/state"
+	"github.com/burdockspindle/burdockspindle/topo"
+
+	bspb "github.com/burdockspindle/burdockspindle/proto/burdockspindle/v1"
+)
+
+const goodToken = "0123456789abcdef"
+
+// logFault is what happens to the next record that is submitted.
+type logFault int
+
+const (
+	healthy    logFault = iota
+	away                // proven not appended
+	lostAnswer          // appended, and the submitter never learns it
+	lostWrite           // not appended, and the submitter never learns it
+)
+
+// appender passes records on to the site unless a fault is planted.
+type appender struct {
+	*sitefake.Node
+
+	mu     sync.Mutex
+	faults []logFault
+}
+
+// plant sets what happens to the next records, one fault each.
+func (a *appender) plant(faults ...logFault) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.faults = faults
+}
+
+func (a *appender) next() logFault {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if len(a.faults) == 0 {
+		return healthy
+	}
+	fault := a.faults[0]
+	a.faults = a.faults[1:]
+	return fault
+}
+
+// Submit implements follower.Appender.
+func (a *appender) Submit(ctx context.Context, record *bspb.Record) (follower.Fate, error) {
+	unknown := &follower.UnknownFateError{Cause: &platlog.UncertainError{Cause: context.DeadlineExceeded}}
+	switch a.next() {
+	case away:
+		return follower.Fate{}, &follower.NotAppendedError{Cause: &platlog.UnavailableError{Op: "append", Cause: context.DeadlineExceeded}}
+	case lostAnswer:
+		_, _ = a.Node.Submit(ctx, record)
+		return follower.Fate{}, unknown
+	case lostWrite:
+		return follower.Fate{}, unknown
+	}
+	return a.Node.Submit(ctx, record)
+}
+
+// LastContact implements follower.Contact.
+func (a *appender) LastContact() time.Time { return time.Now() }
+
+// peers records the moves that other nodes are asked for.
+type peers struct {
+	peer.Caller // nil: only the methods below are called
+	err         error
+
+	mu    sync.Mutex
+	asked map[topo.NodeID][]*bspb.MoveRequest
+}
+
+func (p *peers) Sender() *bspb.Sender { return &bspb.Sender{Node: "a1", Boot: "1", Zone: "a"} }
+
+func (p *peers) Move(_ context.Context, to topo.NodeID, req *bspb.MoveRequest) (*bspb.MoveResponse, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.err != nil {
+		return nil, p.err
+	}
+	p.asked[to] = append(p.asked[to], req)
+	return &bspb.MoveResponse{Accepted: uint32(len(req.Moves))}, nil
+}
+
+// rig is one node's administration API over a site in memory.
+type rig struct {
+	*gomega.WithT
+	site     *sitefake.Site
+	appender *appender
+	peers    *peers
+	handlers *peer.Handlers
+	module   kernel.Module
+	url      string
+	drains   chan struct{}
+}
+
+// newRig starts node "a1" of a site without records.
+func newRig(t *testing.T) *rig { return joinRig(t, sitefake.New(), "a1") }
+
+// joinRig starts a node of a site that others share.
+func joinRig(t *testing.T, site *sitefake.Site, node string) *rig {
+	r := &rig{
+		WithT:    gomega.NewWithT(t),
+		site:     site,
+		appender: &appender{Node: site.Node(node, "1")},
+		peers:    &peers{asked: map[topo.NodeID][]*bspb.MoveRequest{}},
+		handlers: &peer.Handlers{},
+		drains:   make(chan struct{}, 8),
+	}
+	r.start(t, node)
+	return r
+}
+
+func (r *rig) start(t *testing.T, node string) {
+	ctx := kernel.NewContext(kernel.Identity{Node: topo.NodeID(node), Boot: "1", Zone: "a"}, hclog.NewNullLogger())
+	s := &settings.Settings{
+		Admin:  settings.Admin{Listener: settings.Listener{Address: "127.0.0.1:0"}, Token: goodToken},
+		Limits: settings.DefaultLimits(),
+	}
+	r.provide(
+		kernel.Provide(ctx, s),
+		kernel.Provide[state.Source](ctx, r.appender),
+		kernel.Provide[follower.Appender](ctx, r.appender),
+		kernel.Provide[follower.Contact](ctx, r.appender),
+		kernel.Provide[peer.Caller](ctx, r.peers),
+		kernel.Provide(ctx, r.handlers),
+		kernel.Provide(ctx, kernel.DumpFunc(func() map[string]any { return map[string]any{"duty.test": "state"} })),
+		kernel.Provide(ctx, kernel.DrainFunc(func() { r.drains <- struct{}{} })),
+	)
+	module, err := kernel.New("admin.http")
+	r.Expect(err).NotTo(gomega.HaveOccurred())
+	r.module = module
+	r.Expect(module.(kernel.Provisioner).Provision(ctx)).To(gomega.Succeed())
+	r.Expect(module.(kernel.Validator).Validate()).To(gomega.Succeed())
+	r.Expect(module.(kernel.Starter).Start(context.Background())).To(gomega.Succeed())
+	t.Cleanup(func() { _ = module.(kernel.Stopper).Stop(context.Background()) })
+	_, address := module.(kernel.Listening).ListenAddress()
+	r.url = "http://" + address
+}
+
+func (r *rig) provide(errs ...error) {
+	for _, err := range errs {
+		r.Expect(err).NotTo(gomega.HaveOccurred())
+	}
+}
+
+func (r *rig) client() *adminapi.Client {
+	client, err := adminapi.NewClient(r.url, goodToken, "tester", nil)
+	r.Expect(err).NotTo(gomega.HaveOccurred())
+	return client
+}
+
+// send makes one plain request with a token.
+func (r *rig) send(method, path, token, body string) *http.Response {
+	request, err := http.NewRequest(method, r.url+path, strings.NewReader(body))
+	r.Expect(err).NotTo(gomega.HaveOccurred())
+	if token != "" {
+		request.Header.Set("Authorization", token)
+	}
+	response, err := http.DefaultClient.Do(request)
+	r.Expect(err).NotTo(gomega.HaveOccurred())
+	return response
+}
+
+// failure expects an answer with a code.
+func (r *rig) failure(err error, code adminapi.Code) *adminapi.Failure {
+	var failure *adminapi.Failure
+	r.ExpectWithOffset(1, err).To(gomega.BeAssignableToTypeOf(failure))
+	failure = err.(*adminapi.Failure) //nolint:errorlint // the type was just asserted
+	r.ExpectWithOffset(1, failure.Code).To(gomega.Equal(code), failure.Message)
+	return failure
+}
