--- a/cli/main.go
+++ b/cli/main.go
@@ -66,6 +66,7 @@
 		parent = groups[group]
 		if parent == nil {
 			parent = flaggy.NewSubcommand(group)
+			parent.Description = "Commands of the group " + group + "; see " + program + " " + group + " --help."
 			groups[group] = parent
 			inv.parser.AttachSubcommand(parent, 1)
 		}
--- a/modules/standard/standard.go
+++ b/modules/standard/standard.go
@@ -8,6 +8,7 @@
 	_ "github.com/burdockspindle/burdockspindle/modules/follower"
 	_ "github.com/burdockspindle/burdockspindle/modules/frontend"
 	_ "github.com/burdockspindle/burdockspindle/modules/lessor"
+	_ "github.com/burdockspindle/burdockspindle/modules/loghttp"
 	_ "github.com/burdockspindle/burdockspindle/modules/logmem"
 	_ "github.com/burdockspindle/burdockspindle/modules/membership"
 	_ "github.com/burdockspindle/burdockspindle/modules/peer"
--- /dev/null
+++ b/standin/command/command_test.go
@@ -0,0 +1,102 @@
+package command
+
+import (
+	"bytes"
+	"context"
+	"net"
+	"os"
+	"path/filepath"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"github.com/burdockspindle/burdockspindle/cli"
+	"github.com/burdockspindle/burdockspindle/standin/vms"
+	"github.com/burdockspindle/burdockspindle/vmlist"
+)
+
+// output is a writer that several goroutines may use.
+type output struct {
+	mu   sync.Mutex
+	text bytes.Buffer
+}
+
+func (o *output) Write(p []byte) (int, error) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.text.Write(p)
+}
+
+func newEnv() *cli.Env {
+	return &cli.Env{Stdout: &output{}, Stderr: &output{}, Getenv: func(string) string { return "" }}
+}
+
+func TestAServerPutsItselfOnTheListAndLeaves(t *testing.T) {
+	g := gomega.NewWithT(t)
+	platform := vms.New()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go func() { _ = vms.Serve(ctx, listener, platform) }()
+
+	serving, stop := context.WithCancel(ctx)
+	flags := &serverFlags{
+		id: "s1", service: "logs", zone: "a", address: defaultServerAddress, admin: "127.0.0.1:0",
+		vms: "http://" + listener.Addr().String() + "/", leaveAfter: time.Millisecond,
+	}
+	done := make(chan error, 1)
+	go func() { done <- flags.run(serving, newEnv()) }()
+	rows := func() []vmlist.VM {
+		list, err := platform.VMs(ctx)
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		return list
+	}
+	g.Eventually(rows, "10s").Should(gomega.HaveLen(1))
+	row := rows()[0]
+	g.Expect(row.Phase).To(gomega.Equal(vmlist.PhaseLive))
+	g.Expect(row.Role).To(gomega.Equal(vmlist.RoleServer))
+	conn, err := net.Dial("tcp", row.Address)
+	g.Expect(err).NotTo(gomega.HaveOccurred(), "the server listens where the list says")
+	_ = conn.Close()
+
+	stop()
+	g.Eventually(done, "10s").Should(gomega.Receive(gomega.BeNil()))
+	g.Expect(rows()[0].Phase).To(gomega.Equal(vmlist.PhaseGone))
+}
+
+func TestAServerThatCannotBePutOnTheListDoesNotStart(t *testing.T) {
+	g := gomega.NewWithT(t)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	_ = listener.Close()
+	flags := &serverFlags{id: "s1", service: "logs", zone: "a", address: defaultServerAddress, vms: "http://" + listener.Addr().String()}
+	var announce *AnnounceError
+	g.Expect(flags.run(context.Background(), newEnv())).To(gomega.BeAssignableToTypeOf(announce))
+}
+
+func TestWrongFlags(t *testing.T) {
+	g := gomega.NewWithT(t)
+	var usage *cli.UsageError
+	for _, flags := range []serverFlags{{}, {id: "s", service: "x"}, {id: "s", service: "x", zone: "a", concurrency: -1}} {
+		g.Expect(flags.run(context.Background(), newEnv())).To(gomega.BeAssignableToTypeOf(usage))
+	}
+}
+
+func TestRowsOfAFile(t *testing.T) {
+	g := gomega.NewWithT(t)
+	file := filepath.Join(t.TempDir(), "vms.json")
+	write := func(text string) { g.Expect(os.WriteFile(file, []byte(text), 0o600)).To(gomega.Succeed()) }
+	write(`{"vms": [{"id": "s1", "role": "server", "service": "logs", "zone": "a", "address": "127.0.0.1:9", "phase": "live"}]}`)
+	platform, err := newPlatform(file, 0)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	list, err := platform.VMs(context.Background())
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(list).To(gomega.HaveLen(1))
+	write(`{"vms": [{"id": "s1"}]}`)
+	_, err = newPlatform(file, 0)
+	var unreadable *cli.FileError
+	g.Expect(err).To(gomega.BeAssignableToTypeOf(unreadable))
+}
