Membership under a faked clock: lag, loss, takeover

Cause: the duty's goroutines stood without tests; the tests found two faults. A list read long ago, or before a server was added by another node, made that server count as missing, so that two holders of the role undid each other's work; and a server's own word waited for a list to be read. Package dutytest runs the duties of several nodes over an in-memory network and log.

--- /dev/null
+++ b/dutytest/cluster.go
@@ -0,0 +1,142 @@
+// Package dutytest runs the duties of several nodes in one process, for tests:
+// each node's modules are those that run in production, over an in-memory
+// network with faults, a VM list that lags and misleads, and a log in memory. It
+// works under testing/synctest.
+package dutytest
+
+import (
+	"context"
+	"testing"
+
+	"github.com/hashicorp/go-hclog"
+
+	"github.com/burdockspindle/burdockspindle/balance"
+	"github.com/burdockspindle/burdockspindle/follower"
+	"github.com/burdockspindle/burdockspindle/kernel"
+	"github.com/burdockspindle/burdockspindle/peer"
+	"github.com/burdockspindle/burdockspindle/peer/peermem"
+	"github.com/burdockspindle/burdockspindle/settings"
+	"github.com/burdockspindle/burdockspindle/sitefake"
+	"github.com/burdockspindle/burdockspindle/standin/vms"
+	"github.com/burdockspindle/burdockspindle/state"
+	"github.com/burdockspindle/burdockspindle/topo"
+	"github.com/burdockspindle/burdockspindle/vmlist"
+
+	bspb "github.com/burdockspindle/burdockspindle/proto/burdockspindle/v1"
+)
+
+// networkSeed seeds the network's faults.
+const networkSeed = 1
+
+// Cluster is what the nodes share.
+type Cluster struct {
+	t       *testing.T
+	modules []kernel.ModuleID
+	Site    *sitefake.Site
+	Network *peermem.Network
+	VMs     *vms.Platform
+	nodes   map[topo.NodeID]*Node
+}
+
+// Node is one run of a node.
+type Node struct {
+	ID       topo.NodeID
+	Contact  *sitefake.Node
+	Caller   *peermem.Node
+	Handlers *peer.Handlers
+	Context  *kernel.Context
+	runtime  *kernel.Runtime
+	cluster  *Cluster
+	stopped  bool
+}
+
+// New returns a cluster whose nodes run the named modules, which must be
+// registered. Everything ends with the test.
+func New(t *testing.T, modules ...kernel.ModuleID) *Cluster {
+	c := &Cluster{
+		t: t, modules: modules, Site: sitefake.New(), Network: peermem.New(networkSeed),
+		VMs: vms.New(), nodes: map[topo.NodeID]*Node{},
+	}
+	return c
+}
+
+// Close ends every node and message. Under testing/synctest it is called before
+// the bubble ends.
+func (c *Cluster) Close() {
+	c.Network.Close()
+	for _, node := range c.nodes {
+		node.Kill()
+	}
+}
+
+// Start starts a run of a node and shows its VM as live.
+func (c *Cluster) Start(id, zone, boot string) *Node {
+	c.t.Helper()
+	n := &Node{ID: topo.NodeID(id), Contact: c.Site.Node(id, boot), Handlers: &peer.Handlers{}, cluster: c}
+	c.VMs.Put(vmlist.VM{ID: id, Role: vmlist.RoleEntry, Zone: topo.Zone(zone), Phase: vmlist.PhaseLive})
+	n.Caller = c.Network.Join(&bspb.Sender{Node: id, Boot: boot, Zone: zone}, n.Handlers)
+	n.Context = kernel.NewContext(kernel.Identity{
+		Node: n.ID, Boot: topo.BootID(boot), Zone: topo.Zone(zone), Region: "region",
+	}, hclog.NewNullLogger())
+	n.provide()
+	n.runtime = kernel.NewRuntime(n.Context)
+	if err := n.runtime.Load(c.modules...); err != nil {
+		c.t.Fatal(err)
+	}
+	if err := n.runtime.Start(context.Background()); err != nil {
+		c.t.Fatal(err)
+	}
+	c.nodes[n.ID] = n
+	return n
+}
+
+func (n *Node) provide() {
+	s := &settings.Settings{Node: n.ID, Peer: settings.Listener{Address: "127.0.0.1:1"}}
+	for _, err := range []error{
+		kernel.Provide(n.Context, s),
+		kernel.Provide[state.Source](n.Context, n.Contact),
+		kernel.Provide[follower.Appender](n.Context, n.Contact),
+		kernel.Provide[peer.Caller](n.Context, n.Caller),
+		kernel.Provide(n.Context, n.Handlers),
+		kernel.Provide[vmlist.List](n.Context, n.cluster.VMs),
+		kernel.Provide[balance.Policy](n.Context, balance.Greedy{}),
+	} {
+		if err != nil {
+			n.cluster.t.Fatal(err)
+		}
+	}
+}
+
+// Stop shuts a node down gracefully.
+func (n *Node) Stop() {
+	n.cluster.t.Helper()
+	if err := n.runtime.Drain(context.Background()); err != nil {
+		n.cluster.t.Error(err)
+	}
+	if err := n.runtime.Stop(context.Background()); err != nil {
+		n.cluster.t.Error(err)
+	}
+	n.stopped = true
+	n.cluster.Network.Leave(n.ID)
+}
+
+// Kill ends a node at once: it tells nobody and is heard no more.
+func (n *Node) Kill() {
+	if n.stopped {
+		return
+	}
+	n.stopped = true
+	n.cluster.Network.Leave(n.ID)
+	ended, cancel := context.WithCancel(context.Background())
+	cancel()
+	_ = n.runtime.Stop(ended)
+}
+
+// Use returns a service that one of the node's modules provided.
+func Use[T any](n *Node) T {
+	service, err := kernel.Use[T](n.Context)
+	if err != nil {
+		n.cluster.t.Fatal(err)
+	}
+	return service
+}
--- a/membership/facts.go
+++ b/membership/facts.go
@@ -22,7 +22,7 @@
 
 func (o *Observed) facts(server state.Server, says authority) facts {
 	id := string(server.ID)
-	f := facts{says: says, gone: o.Roster.Gone(id), absentFor: o.Roster.AbsentFor(id, o.Since)}
+	f := facts{says: says, gone: o.Roster.Gone(id), absentFor: o.Roster.AbsentFor(id)}
 	f.row, f.listed = o.Roster.Row(id)
 	if says != authorityLessor {
 		return f
--- a/membership/nodes.go
+++ b/membership/nodes.go
@@ -35,6 +35,7 @@
 // lasted very long. Absence from the list alone removes nobody.
 func DecideNodes(view *state.View, circle Circle, live *Liveness, o *Observed) NodeChanges {
 	var changes NodeChanges
+	o = o.current()
 	for _, id := range live.AllSilent(o.Now) {
 		node, exists := view.Node(id)
 		if !exists || !agreed(circle, live, o, id) {
@@ -85,7 +86,7 @@
 	if listed {
 		return row.Phase != vmlist.PhaseLive
 	}
-	return o.Roster.AbsentFor(string(id), o.Since) >= RemoveNodeAfter
+	return o.Roster.AbsentFor(string(id)) >= RemoveNodeAfter
 }
 
 // Opinions returns the nodes that this node has to ask, beside those it
--- a/membership/nodes_test.go
+++ b/membership/nodes_test.go
@@ -161,6 +161,7 @@
 				}
 			}
 			r := membership.NewRoster()
+			r.Notice(site.View(), start.Add(-time.Hour))
 			for i := range 20 {
 				var vms []vmlist.VM
 				if c.list != missing || i == 0 {
--- a/membership/servers.go
+++ b/membership/servers.go
@@ -34,8 +34,13 @@
 	Words  map[topo.ServerID]Word
 	// Unable reports whether a node is silent or draining.
 	Unable func(topo.NodeID) bool
-	// Since is when this node began to observe.
-	Since time.Time
+}
+
+// current returns what is observed without a list that is too old to count.
+func (o *Observed) current() *Observed {
+	now := *o
+	now.Roster = o.Roster.Current(o.Now)
+	return &now
 }
 
 // ServerChanges is what should be written to the log about servers.
@@ -56,6 +61,7 @@
 // whose lessor is missing.
 func DecideServers(view *state.View, o *Observed) ServerChanges {
 	var changes ServerChanges
+	o = o.current()
 	if o.Holder {
 		addNew(view, o, &changes)
 	}
--- a/membership/servers_test.go
+++ b/membership/servers_test.go
@@ -36,6 +36,7 @@
 // roster returns a roster that read lists saying so for a time.
 func roster(says listed, lasted time.Duration, now time.Time) *membership.Roster {
 	r := membership.NewRoster()
+	r.Notice(siteWithLessor(state.PhaseLive).View(), now.Add(-2*time.Hour))
 	r.Update([]vmlist.VM{row(vmlist.PhaseLive)}, now.Add(-lasted-time.Second))
 	var vms []vmlist.VM
 	if says != missing {
@@ -160,7 +161,7 @@
 func observed(self string, r *membership.Roster, words map[topo.ServerID]membership.Word) *membership.Observed {
 	return &membership.Observed{
 		Now: start, Self: topo.NodeID(self), Holder: self == "other", Roster: r, Words: words,
-		Unable: func(topo.NodeID) bool { return false }, Since: start.Add(-time.Hour),
+		Unable: func(topo.NodeID) bool { return false },
 	}
 }
 
@@ -239,19 +240,45 @@
 func TestAbsenceCountsOnlyWhileListsAreRead(t *testing.T) {
 	g := gomega.NewWithT(t)
 	r := membership.NewRoster()
-	g.Expect(r.AbsentFor("s1", start)).To(gomega.BeZero(), "no list yet")
+	view := siteWithLessor(state.PhaseLive).View()
+	r.Notice(view, start)
+	g.Expect(r.AbsentFor("s1")).To(gomega.BeZero(), "no list yet")
 	r.Update([]vmlist.VM{row(vmlist.PhaseLive)}, start)
 	r.Update(nil, start.Add(time.Second))
-	g.Expect(r.AbsentFor("s1", start)).To(gomega.BeZero())
+	g.Expect(r.AbsentFor("s1")).To(gomega.BeZero())
 	// An outage of an hour goes by; then the list is read once.
 	r.Update(nil, start.Add(3*time.Second))
-	g.Expect(r.AbsentFor("s1", start)).To(gomega.Equal(2 * time.Second))
+	g.Expect(r.AbsentFor("s1")).To(gomega.Equal(2 * time.Second))
 	r.Update([]vmlist.VM{row(vmlist.PhaseLive)}, start.Add(time.Hour))
 	r.Update(nil, start.Add(2*time.Second)) // a late answer to an earlier read
 	_, listed := r.Row("s1")
 	g.Expect(listed).To(gomega.BeTrue())
 }
 
+// TestAServerThatNoListHasShownYetIsNotMissing is added by another node, which
+// has read a newer list.
+func TestAServerThatNoListHasShownYetIsNotMissing(t *testing.T) {
+	g := gomega.NewWithT(t)
+	r := membership.NewRoster()
+	r.Notice(siteWithLessor(0).View(), start.Add(-time.Hour))
+	r.Update(nil, start.Add(-time.Second))
+	r.Notice(siteWithLessor(state.PhaseLive).View(), start)
+	o := observed("other", r, nil)
+	o.Unable = func(topo.NodeID) bool { return true }
+	changes := membership.DecideServers(siteWithLessor(state.PhaseLive).View(), o)
+	g.Expect(changes.Empty()).To(gomega.BeTrue())
+}
+
+// TestAnOldListIsNotBelieved has a list from before the server was added.
+func TestAnOldListIsNotBelieved(t *testing.T) {
+	g := gomega.NewWithT(t)
+	r := roster(missing, time.Hour, start.Add(-membership.ListLasts-1))
+	o := observed("other", r, nil)
+	o.Unable = func(topo.NodeID) bool { return true }
+	changes := membership.DecideServers(siteWithLessor(state.PhaseLive).View(), o)
+	g.Expect(changes.Empty()).To(gomega.BeTrue())
+}
+
 func TestGroupsAreEvenAndStable(t *testing.T) {
 	g := gomega.NewWithT(t)
 	moved, counts := 0, map[topo.GroupID]int{}
--- a/modules/membership/duty.go
+++ b/modules/membership/duty.go
@@ -35,7 +35,6 @@
 
 	live   *core.Liveness
 	roster *core.Roster
-	since  time.Time
 	// circleOf is the view of which circle is; one is made for each set of nodes.
 	circleOf *state.View
 	circle   core.Circle
@@ -50,7 +49,6 @@
 		lists:   ring.New[vmList]("membership-lists", 1, ring.Wait),
 		live:    core.NewLiveness(),
 		roster:  core.NewRoster(),
-		since:   time.Now(),
 		held:    map[core.Role]bool{},
 	}
 	d.targets.Store([]topo.NodeID(nil))
@@ -110,12 +108,7 @@
 		d.offer(ctx, d.join())
 		return
 	}
-	var batch []submit.Submission
-	if !d.roster.Read().IsZero() {
-		batch = append(batch, d.serverRecords(view, observed)...)
-	}
-	batch = append(batch, d.nodeRecords(view, observed)...)
-	d.offer(ctx, batch)
+	d.offer(ctx, append(d.serverRecords(view, observed), d.nodeRecords(view, observed)...))
 }
 
 func (d *duty) offer(ctx context.Context, batch []submit.Submission) {
@@ -164,6 +157,7 @@
 
 func (d *duty) observe(view *state.View, now time.Time) *core.Observed {
 	d.forgetOthers(view)
+	d.roster.Notice(view, now)
 	return &core.Observed{
 		Now:    now,
 		Self:   d.module.identity.Node,
@@ -171,7 +165,6 @@
 		Roster: d.roster,
 		Words:  d.module.words.All(),
 		Unable: d.module.Unable,
-		Since:  d.since,
 	}
 }
 
