--- a/adminapi/client.go
+++ b/adminapi/client.go
@@ -6,9 +6,11 @@
 	"encoding/json"
 	"io"
 	"net/http"
+	"net/http/httptrace"
 	"net/url"
 	"strconv"
 	"strings"
+	"sync/atomic"
 )
 
 // maxAnswerBytes bounds an answer that a client reads.
@@ -99,12 +101,16 @@
 		return err
 	}
 	if err := json.Unmarshal(text, into); err != nil {
-		return &CallError{Path: path, Cause: err}
+		return &CallError{Path: path, Sent: true, Cause: err}
 	}
 	return nil
 }
 
 func (c *Client) call(ctx context.Context, method, path string, body []byte) ([]byte, error) {
+	var connected atomic.Bool
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
+	})
 	request, err := http.NewRequestWithContext(ctx, method, c.base+path, bytes.NewReader(body))
 	if err != nil {
 		return nil, &CallError{Path: path, Cause: err}
@@ -115,12 +121,12 @@
 	}
 	response, err := c.http.Do(request)
 	if err != nil {
-		return nil, &CallError{Path: path, Cause: err}
+		return nil, &CallError{Path: path, Sent: connected.Load(), Cause: err}
 	}
 	defer func() { _ = response.Body.Close() }()
 	text, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes))
 	if err != nil {
-		return nil, &CallError{Path: path, Cause: err}
+		return nil, &CallError{Path: path, Sent: true, Cause: err}
 	}
 	if response.StatusCode/100 == 2 {
 		return text, nil
@@ -133,7 +139,7 @@
 func decodeFailure(path, status string, text []byte) error {
 	var failure Failure
 	if err := json.Unmarshal(text, &failure); err != nil || failure.Code == "" {
-		return &CallError{Path: path, Cause: &StatusError{Status: status}}
+		return &CallError{Path: path, Sent: true, Cause: &StatusError{Status: status}}
 	}
 	return &failure
 }
--- a/adminapi/errors.go
+++ b/adminapi/errors.go
@@ -12,7 +12,9 @@
 
 // CallError reports a call without a whole answer.
 type CallError struct {
-	Path  string
+	Path string
+	// Sent is false only if it is proven that nothing was sent.
+	Sent  bool
 	Cause error
 }
 
--- a/adminapi/publish.go
+++ b/adminapi/publish.go
@@ -36,7 +36,7 @@
 	}
 }
 
-// retryAfter reports whether an attempt may be repeated, and when.
+// retryAfter reports whether an attempt is to be repeated, and when.
 func retryAfter(err error) (time.Duration, bool) {
 	var failure *Failure
 	if errors.As(err, &failure) {
@@ -50,7 +50,11 @@
 // mayHaveRun reports whether a failed attempt may have been accepted.
 func mayHaveRun(err error) bool {
 	var failure *Failure
-	return !errors.As(err, &failure) || failure.Code == CodeFateUnknown
+	if errors.As(err, &failure) {
+		return failure.Code == CodeFateUnknown
+	}
+	var call *CallError
+	return errors.As(err, &call) && call.Sent
 }
 
 // unknownIf tells a caller who gave up that an attempt may have been accepted.
