Follower takes any further peer's state, and stale rebases are tested

Measured: go test -race -count=5 -run 'Rebase|Retention' ./follower passes, and go test -race -count=5 ./follower passed before the last change to a test. Conclusion: none open.

--- a/follower/apply.go
+++ b/follower/apply.go
@@ -143,16 +143,12 @@
 	count(metricApplied, 1)
 	a.f.ring.add(entry)
 	a.noteCheckpoint(entry, rec)
-	if rec.GetWriter() == a.f.writer && !isDuplicate(result) {
+	if rec.GetWriter() == a.f.writer {
 		a.learned = append(a.learned, learnedFate{rec.GetSequence(), result})
 	}
 	return nil
 }
 
-func isDuplicate(result state.Result) bool {
-	return result.Conflict != nil && result.Conflict.Reason == state.ReasonDuplicate
-}
-
 // noteCheckpoint counts records towards the next checkpoint.
 func (a *applier) noteCheckpoint(entry platlog.Entry, rec *bspb.Record) {
 	chunk := rec.GetCheckpointChunk()
--- /dev/null
+++ b/follower/internal_test.go
@@ -0,0 +1,178 @@
+package follower
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"github.com/burdockspindle/burdockspindle/checkpoint"
+	"github.com/burdockspindle/burdockspindle/platlog"
+	"github.com/burdockspindle/burdockspindle/platlog/memlog"
+	"github.com/burdockspindle/burdockspindle/record"
+	"github.com/burdockspindle/burdockspindle/state"
+	"github.com/burdockspindle/burdockspindle/topo"
+
+	bspb "github.com/burdockspindle/burdockspindle/proto/burdockspindle/v1"
+)
+
+// at returns a state that applied an offset, in a lineage.
+func at(t *testing.T, applied, lineage topo.Offset) *state.State {
+	t.Helper()
+	next, err := state.Restore(&bspb.Snapshot{
+		Format: state.SnapshotFormat, Applied: uint64(applied), Lineage: uint64(lineage),
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return next
+}
+
+func TestAdoptNeverGoesBack(t *testing.T) {
+	cases := []struct {
+		name             string
+		applied, lineage topo.Offset
+		rebased          bool
+		adopted          bool
+	}{
+		{"further", 11, 4, false, true},
+		{"as far", 10, 4, false, false},
+		{"behind", 9, 4, false, false},
+		{"further in an older lineage", 11, 3, false, false},
+		{"rebased to behind", 9, 8, true, true},
+		{"rebased in an older lineage", 9, 3, true, false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			f := New(Config{Node: "a", Boot: "b", Log: memlog.New(memlog.Retention{})})
+			a := &applier{f: f, state: at(t, 10, 4)}
+			a.publish()
+			outcome := make(chan error, 1)
+			next := at(t, c.applied, c.lineage)
+			(&adoptMessage{state: next, rebased: c.rebased, outcome: outcome}).apply(a)
+			g.Expect(<-outcome).To(gomega.Succeed())
+			g.Expect(a.state == next).To(gomega.Equal(c.adopted))
+			g.Expect(f.View().Applied()).To(gomega.Equal(a.state.Applied()))
+		})
+	}
+}
+
+func TestGapIsNeverApplied(t *testing.T) {
+	g := gomega.NewWithT(t)
+	f := New(Config{Node: "a", Boot: "b", Log: memlog.New(memlog.Retention{})})
+	a := &applier{f: f, state: at(t, 10, 0)}
+	outcome := make(chan error, 1)
+	(&entriesMessage{entries: []platlog.Entry{{Offset: 11}, {Offset: 13}}, outcome: outcome}).apply(a)
+	g.Expect(<-outcome).To(gomega.Equal(&GapError{Applied: 11, Got: 13}))
+	g.Expect(f.View().Applied()).To(gomega.Equal(topo.Offset(11)))
+}
+
+func TestPatience(t *testing.T) {
+	g := gomega.NewWithT(t)
+	p := newPatience(time.Second, 10*time.Second)
+	steps := []struct {
+		took time.Duration
+		err  error
+		want time.Duration
+	}{
+		{time.Second, context.DeadlineExceeded, 2 * time.Second},
+		{time.Second, &platlog.UnavailableError{Cause: context.Canceled}, 2 * time.Second},
+		{time.Second, &platlog.UncertainError{Cause: context.DeadlineExceeded}, 4 * time.Second},
+		{time.Second, context.DeadlineExceeded, 8 * time.Second},
+		{time.Second, context.DeadlineExceeded, 10 * time.Second},
+		{1500 * time.Millisecond, nil, 6 * time.Second},
+		{time.Millisecond, nil, time.Second},
+		{-time.Millisecond, nil, time.Second},
+		{time.Minute, nil, 10 * time.Second},
+	}
+	for _, step := range steps {
+		p.learn(step.took, step.err)
+		g.Expect(p.now).To(gomega.Equal(step.want))
+	}
+}
+
+func TestRingIsBounded(t *testing.T) {
+	g := gomega.NewWithT(t)
+	r := newRing(3, 10)
+	for offset := range topo.Offset(9) {
+		r.add(platlog.Entry{Offset: offset + 1, Data: make([]byte, 4)})
+	}
+	entries, first := r.read(1, 9)
+	g.Expect(entries).To(gomega.BeEmpty())
+	g.Expect(first).To(gomega.Equal(topo.Offset(8)))
+	entries, _ = r.read(8, 9)
+	g.Expect(entries).To(gomega.HaveLen(2))
+	entries, _ = r.read(50, 9)
+	g.Expect(entries).To(gomega.BeEmpty())
+	r.add(platlog.Entry{Offset: 10, Data: make([]byte, 100)})
+	entries, _ = r.read(10, 9)
+	g.Expect(entries).To(gomega.HaveLen(1), "the newest stays, however large")
+}
+
+func TestPendingFatesAreBounded(t *testing.T) {
+	g := gomega.NewWithT(t)
+	f := newFates()
+	ended, cancel := context.WithCancel(context.Background())
+	cancel()
+	waiting := &group{members: []*submitted{{ctx: context.Background(), answer: make(chan submitAnswer, 1)}}}
+	for sequence := range uint64(maxPending) {
+		g.Expect(f.expect(sequence, waiting)).To(gomega.BeTrue())
+	}
+	g.Expect(f.expect(maxPending, waiting)).To(gomega.BeFalse())
+	f.pending[7] = &group{members: []*submitted{{ctx: ended}}}
+	g.Expect(f.expect(maxPending, waiting)).To(gomega.BeTrue())
+}
+
+func TestCheckpointDue(t *testing.T) {
+	g := gomega.NewWithT(t)
+	const every, age = 100, time.Hour
+	d := newCheckpointDue()
+	now := time.Now()
+	d.noteWhole(checkpoint.Whole{Applied: 50, FirstChunk: 51})
+	for range every - 1 {
+		d.noteRecord()
+	}
+	g.Expect(d.due(now, 0, every, age)).To(gomega.BeFalse())
+	d.noteRecord()
+	g.Expect(d.due(now, 0, every, age)).To(gomega.BeTrue())
+	g.Expect(d.due(now, 1, every, age)).To(gomega.BeFalse())
+	g.Expect(d.due(now.Add(age+time.Minute), 1, every, age)).To(gomega.BeFalse())
+	g.Expect(d.due(now.Add(2*age+time.Minute), 1, every, age)).To(gomega.BeTrue())
+	for range every {
+		d.noteRecord()
+	}
+	g.Expect(d.due(now, 1, every, age)).To(gomega.BeTrue())
+	g.Expect(threshold(660, every)).To(gomega.BeNumerically("<", 40*every))
+
+	d.noteWhole(checkpoint.Whole{Applied: 250, FirstChunk: 252})
+	d.noteFirst(252)
+	g.Expect(d.due(time.Now(), 0, every, age)).To(gomega.BeFalse())
+	d.noteFirst(253)
+	g.Expect(d.due(time.Now(), 0, every, age)).To(gomega.BeTrue(), "retention passed its first chunk")
+	g.Expect(d.due(time.Now(), 1, every, age)).To(gomega.BeFalse())
+	d.noteWhole(checkpoint.Whole{Applied: 240, FirstChunk: 260})
+	g.Expect(d.lastApplied()).To(gomega.Equal(topo.Offset(250)), "an older one is no progress")
+}
+
+func BenchmarkApplyEntries(b *testing.B) {
+	f := New(Config{Node: "a", Boot: "b", Log: memlog.New(memlog.Retention{})})
+	a := &applier{f: f, state: state.New()}
+	b.ReportAllocs()
+	sequence := uint64(0)
+	for b.Loop() {
+		sequence++
+		data, err := record.Encode(&bspb.Record{
+			Format: record.Format, Writer: "x@y", Sequence: sequence,
+			Body: &bspb.Record_ConfirmLoss{ConfirmLoss: &bspb.ConfirmLoss{}},
+		})
+		if err != nil {
+			b.Fatal(err)
+		}
+		if err := a.applyEntries([]platlog.Entry{{Offset: topo.Offset(sequence), Data: data}}); err != nil {
+			b.Fatal(err)
+		}
+		a.publish()
+	}
+}
--- a/follower/readlog.go
+++ b/follower/readlog.go
@@ -70,6 +70,11 @@
 		return
 	}
 	r.lost = true
+	var rewound *RewoundError
+	if errors.As(err, &rewound) {
+		eventRewound.Log(r.f.config.Logger, "error", err)
+		return
+	}
 	eventLogLost.Log(r.f.config.Logger, "error", err)
 }
 
--- a/follower/readpeers.go
+++ b/follower/readpeers.go
@@ -99,7 +99,7 @@
 	}
 	entries := entriesFromProto(answer.GetEntries())
 	if len(entries) == 0 {
-		return r.f.fetchSnapshot(ctx, from, 0)
+		return r.f.fetchSnapshot(ctx, from)
 	}
 	for _, entry := range entries {
 		count(metricPeerBytes, len(entry.Data))
@@ -107,7 +107,7 @@
 	count(metricPeerCatchups, 1)
 	if err := r.f.applyEntries(ctx, entries); err != nil {
 		eventGap.Log(r.f.config.Logger, "peer", from, "error", err)
-		return r.f.fetchSnapshot(ctx, from, 0)
+		return r.f.fetchSnapshot(ctx, from)
 	}
 	return r.f.applied() > before
 }
@@ -121,22 +121,21 @@
 }
 
 // restoreFromPeers restores the state of the first known peer that is beyond
-// this one, and from which the log goes on at first.
-func (f *Follower) restoreFromPeers(ctx context.Context, first topo.Offset) bool {
+// this one; false when there is none.
+func (f *Follower) restoreFromPeers(ctx context.Context) bool {
 	if f.config.Peers == nil {
 		return false
 	}
 	for _, from := range f.config.Peers.Known() {
-		if f.fetchSnapshot(ctx, from, first) {
+		if f.fetchSnapshot(ctx, from) {
 			return true
 		}
 	}
 	return false
 }
 
-// fetchSnapshot restores a peer's state if it is beyond this one and contains
-// every record before first.
-func (f *Follower) fetchSnapshot(ctx context.Context, from topo.NodeID, first topo.Offset) bool {
+// fetchSnapshot restores a peer's state if it is beyond this one.
+func (f *Follower) fetchSnapshot(ctx context.Context, from topo.NodeID) bool {
 	limited, cancel := context.WithTimeout(ctx, snapshotTimeout)
 	defer cancel()
 	before := f.applied()
@@ -150,7 +149,7 @@
 		return false
 	}
 	applied := topo.Offset(snapshot.GetApplied())
-	if applied <= before || applied+1 < first {
+	if applied <= before {
 		return false
 	}
 	restored, err := state.Restore(snapshot)
--- a/follower/rebase.go
+++ b/follower/rebase.go
@@ -60,7 +60,7 @@
 func (r *logReader) rebase(ctx context.Context, rebase *rebaseError) error {
 	next, err := r.f.buildRebased(ctx, rebase)
 	if err != nil {
-		if r.f.restoreFromPeers(ctx, rebase.offset) {
+		if r.f.restoreFromPeers(ctx) {
 			return nil
 		}
 		return err
--- a/follower/rebase_test.go
+++ b/follower/rebase_test.go
@@ -64,10 +64,16 @@
 		s.network.Cut("a", "b")
 		s.network.Cut("c", "b")
 		s.loseForAll(a, b, c)
-		time.Sleep(settle)
+		for _, m := range []*member{a, b, c} {
+			m.log.Set(logfault.Faults{SlowAppends: 5 * time.Second})
+		}
+		time.Sleep(4 * follower.DefaultRebaseAfter)
 		s.g.Expect(s.rebases()).To(gomega.BeZero(), "b could not be asked and may be further")
 		s.network.Heal()
 		time.Sleep(longRebase)
+		for _, m := range []*member{a, b, c} {
+			m.log.Heal()
+		}
 		s.sameState(a, b, c)
 		s.g.Expect(s.rebases()).To(gomega.Equal(1))
 		s.g.Expect(a.View().Lineage()).NotTo(gomega.BeZero())
@@ -147,6 +153,40 @@
 	})
 }
 
+// A Rebase record of an older lineage never takes a node back, also when the
+// node is looking for one.
+func TestStaleRebaseIsPassedOver(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSite(t, memlog.Retention{})
+		a := s.start("a", noCheckpoints)
+		s.submit(a, join("a"))
+		old := s.replayed()
+		s.submit(a, join("b"))
+		s.loseForAll(a)
+		time.Sleep(longRebase)
+		lineage := a.View().Lineage()
+		s.g.Expect(lineage).NotTo(gomega.BeZero())
+		s.submit(a, join("newer"))
+
+		a.log.Down()
+		s.put("y@b1", 1, join("lost"))
+		_, resume := s.store.Bounds()
+		s.putCheckpoint(old, "z/rebase/1", whole)
+		first, _ := s.store.Bounds()
+		chunk := s.records()[resume-first].GetCheckpointChunk()
+		stale := s.put("z@b1", 1, &bspb.Record{Body: &bspb.Record_Rebase{Rebase: &bspb.Rebase{
+			CheckpointId: chunk.GetId(), Applied: chunk.GetApplied(), Digest: chunk.GetDigest(),
+			Resume: uint64(resume), FirstChunk: uint64(resume),
+		}}})
+		s.store.Truncate(resume)
+		a.log.Heal()
+		time.Sleep(2 * longRebase)
+		s.g.Expect(hasNode(a, "newer")).To(gomega.BeTrue())
+		s.g.Expect(a.View().Lineage()).To(gomega.BeNumerically(">", stale), "its own came after")
+		s.submit(a, join("after"))
+	})
+}
+
 // A node that has no state never publishes one, and says so by having no
 // contact.
 func TestNothingToRebaseFrom(t *testing.T) {
--- a/follower/recover.go
+++ b/follower/recover.go
@@ -37,7 +37,7 @@
 	if r.restoreNewest(ctx, first, end) {
 		return nil
 	}
-	if r.f.restoreFromPeers(ctx, first) {
+	if r.f.restoreFromPeers(ctx) {
 		return nil
 	}
 	return r.followRebase(ctx, first, end)
