--- a/lease/holder_report.go
+++ b/lease/holder_report.go
@@ -88,15 +88,18 @@
 	return orphans
 }
 
-// busy lists the shards of the orphans.
+// busy lists what the orphans still hold: the key, as its split shard, and the
+// hash range too unless the key alone was taken out of it.
 func (h *Holder) busy() []string {
 	set := map[string]bool{}
 	for _, orphan := range h.Orphans() {
-		shard := orphan.Shard
-		if granted, is := h.grants[shard]; is && granted.except[orphan.Key] {
-			shard.Key = orphan.Key
+		split := orphan.Shard
+		split.Key = orphan.Key
+		set[split.String()] = true
+		held := h.grants[orphan.Shard]
+		if held.fence != orphan.Fence || !held.except[orphan.Key] {
+			set[orphan.Shard.String()] = true
 		}
-		set[shard.String()] = true
 	}
 	return sortedKeys(set)
 }
--- a/lease/lease_test.go
+++ b/lease/lease_test.go
@@ -104,13 +104,27 @@
 	h.End(hot)
 
 	reply = h.Lease(2*ms, renewal(3))
-	g.Expect(reply.Busy).To(gomega.Equal([]string{"svc/0"}))
+	g.Expect(reply.Busy).To(gomega.Equal([]string{"svc/0", "svc/0/cold"}))
 	g.Expect(h.Recheck(2*ms, cold)).To(gomega.Succeed(), "the lessor waits for it")
 	h.End(cold)
 	g.Expect(h.Lease(3*ms, renewal(3)).Busy).To(gomega.BeEmpty())
 	g.Expect(problemOf(h.Recheck(3*ms, cold))).To(gomega.Equal(ProblemNotBegun))
 }
 
+// TestExceptedKeyStaysBusyWhenItsRangeIsRevoked: whoever is to get the key must
+// still see that it is in use.
+func TestExceptedKeyStaysBusyWhenItsRangeIsRevoked(t *testing.T) {
+	g := gomega.NewWithT(t)
+	h := NewHolder("boot")
+	h.Lease(0, renewal(1, grantOf(shard0, fence5)))
+	_, err := h.Begin(0, shard0, fence5, "hot")
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(h.Lease(0, renewal(2, grantOf(shard0, fence5, "hot"))).Busy).To(gomega.Equal([]string{"svc/0/hot"}))
+	g.Expect(h.Lease(0, renewal(3)).Busy).To(gomega.ContainElement("svc/0/hot"))
+	higher := grantOf(shard0, topo.MakeFence(8, 0), "hot")
+	g.Expect(h.Lease(0, renewal(4, higher)).Busy).To(gomega.ContainElement("svc/0/hot"))
+}
+
 func TestRunsDoNotOutliveTheOwnershipTheyBeganUnder(t *testing.T) {
 	const lapsed = 1000 * ms
 	again := func(generation uint64, grants ...serverapi.Grant) serverapi.LeaseRequest {
--- a/serverapi/serverapi.go
+++ b/serverapi/serverapi.go
@@ -148,8 +148,9 @@
 	Active []Grant `json:"active,omitempty"`
 	// Digest is GrantsDigest of Active, and is always present.
 	Digest string `json:"digest"`
-	// Busy lists revoked shards that still have requests in flight. A key that
-	// was excepted from its hash range is listed as the split key's shard.
+	// Busy lists revoked shards that still have requests in flight, and the keys
+	// of those requests as split keys' shards. When only a key was excepted from
+	// its hash range, the range is not listed.
 	Busy     []string `json:"busy,omitempty"`
 	Draining bool     `json:"draining"`
 	Load     Load     `json:"load"`
--- a/standin/server/intervals_test.go
+++ b/standin/server/intervals_test.go
@@ -66,7 +66,7 @@
 	claim, err := run.begin(serveRequest{shard: shard, fence: fence, key: "bore 7"})
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 	b.advance(100 * ms)
-	g.Expect(b.grant().Busy).To(gomega.Equal([]string{"licensing/1"}))
+	g.Expect(b.grant().Busy).To(gomega.Equal([]string{"licensing/1", "licensing/1/bore 7"}))
 	b.advance(100 * ms)
 	_, err = run.recheck(claim)
 	g.Expect(err).NotTo(gomega.HaveOccurred())
