--- a/demo/demo.go
+++ b/demo/demo.go
@@ -72,7 +72,9 @@
 	ctx, cancel := context.WithTimeout(ctx, options.span()+runTimeout)
 	defer cancel()
 	eventStarting.Log(options.Logger, "deployment", options.Deployment, "seed", options.Seed)
-	site, err := StartSite(ctx, options.Deployment, options.Seed, options.Nodes)
+	site, err := StartSite(ctx, SiteOptions{
+		Deployment: options.Deployment, Seed: options.Seed, Logger: options.Nodes,
+	})
 	if site != nil {
 		defer site.Stop()
 	}
@@ -110,7 +112,7 @@
 		Requests: options.Requests,
 		Seed:     options.Seed,
 		Span:     options.span(),
-		Probed:   spread(keys, chosen.lost.ID, chosen.frozen.ID),
+		Probed:   Spread(keys, chosen.lost, chosen.frozen),
 		Progress: progress(options),
 	}
 	eventServing.Log(options.Logger, "requests", load.Requests, "over", load.Span)
--- a/demo/deployment.go
+++ b/demo/deployment.go
@@ -32,12 +32,15 @@
 	model.Urbion:  examples.Urbion,
 }
 
-func loadDeployment(name string) (*deployment, error) {
-	text, known := deployments[name]
-	preset, hasPreset := model.Preset(name)
-	if !known || !hasPreset {
+// loadDeployment reads a deployment; text replaces its site configuration.
+func loadDeployment(name string, text []byte) (*deployment, error) {
+	preset, known := model.Preset(name)
+	if !known {
 		return nil, &DeploymentError{Name: name}
 	}
+	if text == nil {
+		text = deployments[name]
+	}
 	site, problems := siteconfig.Parse(text, name)
 	if err := jsonc.ErrorOf(problems); err != nil {
 		return nil, err
--- a/demo/faults.go
+++ b/demo/faults.go
@@ -30,21 +30,21 @@
 // chooseVictims draws two servers that own keys, and the node that renews the
 // leases of the second one's group if it can be told.
 func (s *Site) chooseVictims(keys []OwnedKey, random *rand.Rand) (victims, error) {
-	owners := s.ownersOf(keys)
+	owners := s.OwnersOf(keys)
 	if len(owners) < 2 {
 		return victims{}, &NotReadyError{Missing: "fewer than two servers own keys"}
 	}
 	random.Shuffle(len(owners), func(i, j int) { owners[i], owners[j] = owners[j], owners[i] })
 	chosen := victims{lost: owners[0], frozen: owners[1]}
-	chosen.node = s.lessorOf(chosen.frozen.ID)
+	chosen.node = s.LessorOf(chosen.frozen.ID)
 	if chosen.node == nil {
 		chosen.node = s.Nodes[random.IntN(len(s.Nodes))]
 	}
 	return chosen, nil
 }
 
-// ownersOf returns the servers that own the keys, in the site's order.
-func (s *Site) ownersOf(keys []OwnedKey) []*SiteServer {
+// OwnersOf returns the servers that own the keys, in the site's order.
+func (s *Site) OwnersOf(keys []OwnedKey) []*SiteServer {
 	owning := map[topo.ServerID]bool{}
 	for _, key := range keys {
 		owning[key.Owner] = true
@@ -58,9 +58,9 @@
 	return owners
 }
 
-// lessorOf returns the node that is the lessor of a server's group; nil when
+// LessorOf returns the node that is the lessor of a server's group; nil when
 // there is none.
-func (s *Site) lessorOf(id topo.ServerID) *SiteNode {
+func (s *Site) LessorOf(id topo.ServerID) *SiteNode {
 	view, err := s.View()
 	if err != nil {
 		return nil
--- a/demo/load.go
+++ b/demo/load.go
@@ -36,7 +36,7 @@
 		if err != nil {
 			return false, err
 		}
-		load.Probed = spread(keys)
+		load.Probed = Spread(keys)
 	}
 	clients := s.callersOf(len(s.deployment.zones))
 	probing, stopProbing := context.WithCancel(ctx)
@@ -99,12 +99,15 @@
 	return probers, &wait
 }
 
-// spread picks the keys to probe: one of each owner in turn, some owners first.
-func spread(keys []OwnedKey, first ...topo.ServerID) []OwnedKey {
+// Spread picks keys to probe: one of each owner in turn, some owners first.
+func Spread(keys []OwnedKey, first ...*SiteServer) []OwnedKey {
 	byOwner := map[topo.ServerID][]OwnedKey{}
-	order := slices.Clone(first)
+	var order []topo.ServerID
+	for _, one := range first {
+		order = append(order, one.ID)
+	}
 	for _, key := range keys {
-		if byOwner[key.Owner] == nil && !slices.Contains(first, key.Owner) {
+		if byOwner[key.Owner] == nil && !slices.Contains(order, key.Owner) {
 			order = append(order, key.Owner)
 		}
 		byOwner[key.Owner] = append(byOwner[key.Owner], key)
--- a/demo/settings.go
+++ b/demo/settings.go
@@ -8,15 +8,14 @@
 // settingsOf returns the settings of one entry node: the defaults, with the
 // stand-ins of this process in the platform's place.
 func (s *Site) settingsOf(id topo.NodeID, zone topo.Zone) *settings.Settings {
-	shared := map[string]any{"name": s.name}
 	return &settings.Settings{
 		Node:     id,
 		Zone:     zone,
 		Region:   region,
 		Frontend: settings.Listener{Address: loopback},
 		Peer:     settings.Listener{Address: loopback},
-		Log:      settings.Driver{Name: "memory", Options: shared},
-		VMs:      settings.Driver{Name: "memory", Options: shared},
+		Log:      settings.Driver{Name: "memory", Options: map[string]any{"name": s.logName(id)}},
+		VMs:      settings.Driver{Name: "memory", Options: map[string]any{"name": s.name}},
 		Servers:  settings.Driver{Name: settings.DefaultServerDriver},
 		Balance:  settings.Driver{Name: settings.DefaultBalance},
 		Limits:   settings.DefaultLimits(),
--- a/demo/site.go
+++ b/demo/site.go
@@ -15,6 +15,8 @@
 	"github.com/burdockspindle/burdockspindle/modules/logmem"
 	"github.com/burdockspindle/burdockspindle/modules/vmsmem"
 	"github.com/burdockspindle/burdockspindle/node"
+	"github.com/burdockspindle/burdockspindle/platlog/logfault"
+	"github.com/burdockspindle/burdockspindle/platlog/memlog"
 	"github.com/burdockspindle/burdockspindle/siteconfig"
 	"github.com/burdockspindle/burdockspindle/standin/server"
 	"github.com/burdockspindle/burdockspindle/standin/vms"
@@ -37,10 +39,12 @@
 type Site struct {
 	Deployment string
 	Platform   *vms.Platform
-	Servers    []*SiteServer
-	Nodes      []*SiteNode
-	Memory     *history.Memory
-	Clock      history.Clock
+	// Log is the log as everybody sees it; its faults are everybody's.
+	Log     *logfault.Log
+	Servers []*SiteServer
+	Nodes   []*SiteNode
+	Memory  *history.Memory
+	Clock   history.Clock
 
 	deployment *deployment
 	name       string // of the shared log and VM list
@@ -67,6 +71,8 @@
 	*node.Node
 	ID   topo.NodeID
 	Zone int
+	// Log is the log as this node alone sees it.
+	Log *logfault.Log
 	// Lost is true after the node was killed or stopped.
 	Lost bool
 }
@@ -74,16 +80,28 @@
 // Frontend returns the address for callers.
 func (n *SiteNode) Frontend() string { return n.Addresses()[kernel.RoleFrontend] }
 
+// SiteOptions say what site to start.
+type SiteOptions struct {
+	Deployment string
+	// Text is the site configuration; by default the deployment's own.
+	Text   []byte
+	Seed   uint64
+	Logger hclog.Logger // nil for none
+}
+
 // StartSite starts the stand-ins, the servers and the nodes of a deployment,
-// and publishes its site configuration. The caller must call Stop, also after
-// an error.
-func StartSite(ctx context.Context, name string, seed uint64, logger hclog.Logger) (*Site, error) {
-	deployment, err := loadDeployment(name)
+// and publishes its site configuration. The caller must call Stop if there is a
+// site, also after an error.
+func StartSite(ctx context.Context, options SiteOptions) (*Site, error) {
+	if options.Logger == nil {
+		options.Logger = hclog.NewNullLogger()
+	}
+	deployment, err := loadDeployment(options.Deployment, options.Text)
 	if err != nil {
 		return nil, err
 	}
-	site := newSite(deployment, logger)
-	if err := site.startServers(seed); err != nil {
+	site := newSite(deployment, options.Logger)
+	if err := site.startServers(options.Seed); err != nil {
 		return site, err
 	}
 	if err := site.startNodes(ctx); err != nil {
@@ -103,6 +121,7 @@
 		logger:     logger,
 	}
 	site.Platform = vmsmem.Named(site.name)
+	site.Log = logfault.Wrap(memlog.New(memlog.Retention{}))
 	site.observing, site.stop = context.WithCancel(context.Background())
 	return site
 }
@@ -164,6 +183,8 @@
 func (s *Site) StartNode(ctx context.Context, zone, index int) error {
 	name := s.deployment.zones[zone]
 	id := model.NodeID(name, index)
+	own := logfault.Wrap(s.Log)
+	logmem.Put(s.logName(id), own)
 	started, err := node.New(s.settingsOf(id, name), s.logger)
 	if err != nil {
 		return err
@@ -171,13 +192,16 @@
 	if err := started.Start(ctx); err != nil {
 		return err
 	}
-	s.Nodes = append(s.Nodes, &SiteNode{Node: started, ID: id, Zone: zone})
+	s.Nodes = append(s.Nodes, &SiteNode{Node: started, ID: id, Zone: zone, Log: own})
 	s.Platform.Put(vmlist.VM{
 		ID: string(id), Role: vmlist.RoleEntry, Zone: name, Region: region, Phase: vmlist.PhaseLive,
 	})
 	return observe(s.observing, &s.observers, started.Context(), s.Memory, s.Clock)
 }
 
+// logName names the log of one node in this process.
+func (s *Site) logName(id topo.NodeID) string { return s.name + "/" + string(id) }
+
 // publish brings the deployment's site configuration into force.
 func (s *Site) publish(ctx context.Context) error {
 	appender, err := kernel.Use[follower.Appender](s.Nodes[0].Context())
@@ -228,6 +252,8 @@
 		}
 	}
 	wait.Wait()
-	logmem.Forget(s.name)
+	for _, one := range s.Nodes {
+		logmem.Forget(s.logName(one.ID))
+	}
 	vmsmem.Forget(s.name)
 }
--- /dev/null
+++ b/proof/faults_test.go
@@ -0,0 +1,213 @@
+package proof_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/burdockspindle/burdockspindle/demo"
+	"github.com/burdockspindle/burdockspindle/model"
+	"github.com/burdockspindle/burdockspindle/platlog/logfault"
+	"github.com/burdockspindle/burdockspindle/standin/server"
+	"github.com/burdockspindle/burdockspindle/standin/vms"
+)
+
+const (
+	pastLease = 2500 * time.Millisecond
+	settle    = 500 * time.Millisecond // load before the first fault
+)
+
+// faultCase is one row: which faults come while a site is under load.
+type faultCase struct {
+	name       string
+	deployment string
+	// servers is how many servers the row needs; their keys are probed.
+	servers int
+	faults  func(ctx context.Context, r *run, servers []*demo.SiteServer)
+}
+
+var faultCases = []faultCase{
+	{name: "no fault", faults: func(context.Context, *run, []*demo.SiteServer) {}},
+	{name: "server lost", servers: 1, faults: func(_ context.Context, r *run, s []*demo.SiteServer) {
+		r.LoseServer(s[0])
+	}},
+	{name: "server lost, second deployment", deployment: model.Urbion, servers: 1, faults: func(_ context.Context, r *run, s []*demo.SiteServer) {
+		r.LoseServer(s[0])
+	}},
+	{name: "two servers lost at once", servers: 2, faults: func(_ context.Context, r *run, s []*demo.SiteServer) {
+		r.LoseServer(s[0])
+		r.LoseServer(s[1])
+	}},
+	{name: "two servers lost one after the other", servers: 2, faults: func(ctx context.Context, r *run, s []*demo.SiteServer) {
+		r.LoseServer(s[0])
+		pause(ctx, settle)
+		r.LoseServer(s[1])
+	}},
+	{name: "server frozen past its lease and back", servers: 1, faults: func(ctx context.Context, _ *run, s []*demo.SiteServer) {
+		freeze(ctx, s[0])
+	}},
+	{name: "server frozen twice", servers: 1, faults: func(ctx context.Context, _ *run, s []*demo.SiteServer) {
+		freeze(ctx, s[0])
+		pause(ctx, settle)
+		freeze(ctx, s[0])
+	}},
+	{name: "server frozen for less than its lease", servers: 1, faults: func(ctx context.Context, _ *run, s []*demo.SiteServer) {
+		s[0].Freeze()
+		pause(ctx, settle)
+		s[0].Unfreeze()
+	}},
+	{name: "server frozen and another lost", servers: 2, faults: func(ctx context.Context, r *run, s []*demo.SiteServer) {
+		s[0].Freeze()
+		r.LoseServer(s[1])
+		pause(ctx, pastLease)
+		s[0].Unfreeze()
+	}},
+	{name: "server restarted empty at the same address", servers: 1, faults: func(_ context.Context, _ *run, s []*demo.SiteServer) {
+		s[0].Restart()
+	}},
+	{name: "server restarted twice", servers: 1, faults: func(ctx context.Context, _ *run, s []*demo.SiteServer) {
+		s[0].Restart()
+		pause(ctx, settle)
+		s[0].Restart()
+	}},
+	{name: "server's connections go silent", servers: 1, faults: func(_ context.Context, _ *run, s []*demo.SiteServer) {
+		s[0].Silence(server.DirectionBoth)
+	}},
+	{name: "nothing reaches the server on open connections", servers: 1, faults: func(_ context.Context, _ *run, s []*demo.SiteServer) {
+		s[0].Silence(server.DirectionIn)
+	}},
+	{name: "no answer arrives on open connections", servers: 1, faults: func(_ context.Context, _ *run, s []*demo.SiteServer) {
+		s[0].Silence(server.DirectionOut)
+	}},
+	{name: "answers of a server are lost", servers: 1, faults: func(ctx context.Context, _ *run, s []*demo.SiteServer) {
+		s[0].SetFaults(server.Faults{LoseRatio: 0.3})
+		pause(ctx, pastLease)
+		s[0].SetFaults(server.Faults{})
+	}},
+	{name: "answers of a server carry another request's ID", servers: 1, faults: func(ctx context.Context, _ *run, s []*demo.SiteServer) {
+		s[0].SetFaults(server.Faults{WrongRequestID: true})
+		pause(ctx, settle)
+		s[0].SetFaults(server.Faults{})
+	}},
+	{name: "lessor lost", servers: 1, faults: func(_ context.Context, r *run, s []*demo.SiteServer) {
+		r.LoseNode(r.lessorOf(s[0]))
+	}},
+	{name: "lessor and a server of its group lost together", servers: 1, faults: func(_ context.Context, r *run, s []*demo.SiteServer) {
+		lessor := r.lessorOf(s[0])
+		r.LoseServer(s[0])
+		r.LoseNode(lessor)
+	}},
+	{name: "server frozen, then its lessor lost, then back", servers: 1, faults: func(ctx context.Context, r *run, s []*demo.SiteServer) {
+		lessor := r.lessorOf(s[0])
+		s[0].Freeze()
+		r.LoseNode(lessor)
+		pause(ctx, 2*pastLease)
+		s[0].Unfreeze()
+	}},
+	{name: "log away for everybody", servers: 1, faults: func(ctx context.Context, r *run, _ []*demo.SiteServer) {
+		r.Log.Down()
+		pause(ctx, pastLease)
+		r.Log.Heal()
+	}},
+	{name: "log away, a server lost meanwhile", servers: 1, faults: func(ctx context.Context, r *run, s []*demo.SiteServer) {
+		r.Log.Down()
+		pause(ctx, settle)
+		r.LoseServer(s[0])
+		pause(ctx, 2*pastLease)
+		r.Log.Heal()
+	}},
+	{name: "log away, the lessor lost meanwhile", servers: 1, faults: func(ctx context.Context, r *run, s []*demo.SiteServer) {
+		r.Log.Down()
+		pause(ctx, settle)
+		r.LoseNode(r.lessorOf(s[0]))
+		pause(ctx, 2*pastLease)
+		r.Log.Heal()
+	}},
+	{name: "log away for long, then the lessor lost", servers: 1, faults: func(ctx context.Context, r *run, s []*demo.SiteServer) {
+		r.Log.Down()
+		pause(ctx, pastLease)
+		r.LoseNode(r.lessorOf(s[0]))
+		pause(ctx, 2*pastLease)
+		r.Log.Heal()
+	}},
+	{name: "log away for long, then a server lost", servers: 1, faults: func(ctx context.Context, r *run, s []*demo.SiteServer) {
+		r.Log.Down()
+		pause(ctx, pastLease)
+		r.LoseServer(s[0])
+		pause(ctx, 2*pastLease)
+		r.Log.Heal()
+	}},
+	{name: "log silent", servers: 1, faults: func(ctx context.Context, r *run, _ []*demo.SiteServer) {
+		r.Log.Set(logfault.Faults{Silent: true})
+		pause(ctx, pastLease)
+		r.Log.Heal()
+	}},
+	{name: "log slow", servers: 1, faults: func(ctx context.Context, r *run, s []*demo.SiteServer) {
+		r.Log.Set(logfault.Faults{Slow: 300 * time.Millisecond})
+		r.LoseServer(s[0])
+		pause(ctx, 2*pastLease)
+		r.Log.Heal()
+	}},
+	{name: "answers to appends lost while a server is lost", servers: 1, faults: func(ctx context.Context, r *run, s []*demo.SiteServer) {
+		r.Log.Set(logfault.Faults{LoseAnswers: 20})
+		r.LoseServer(s[0])
+		pause(ctx, pastLease)
+	}},
+	{name: "appends take effect late while a server is lost", servers: 1, faults: func(ctx context.Context, r *run, s []*demo.SiteServer) {
+		r.Log.Set(logfault.Faults{LateAppends: 5, LateBy: settle})
+		r.LoseServer(s[0])
+		pause(ctx, pastLease)
+		r.Log.Settle()
+	}},
+	{name: "log away for a lessor alone", servers: 1, faults: func(ctx context.Context, r *run, s []*demo.SiteServer) {
+		lessor := r.lessorOf(s[0])
+		lessor.Log.Down()
+		pause(ctx, pastLease)
+		lessor.Log.Heal()
+	}},
+	{name: "log away for a zone", servers: 1, faults: func(ctx context.Context, r *run, s []*demo.SiteServer) {
+		zone := r.lessorOf(s[0]).Zone
+		r.eachNode(zone, func(n *demo.SiteNode) { n.Log.Down() })
+		pause(ctx, 2*pastLease)
+		r.eachNode(zone, func(n *demo.SiteNode) { n.Log.Heal() })
+	}},
+	{name: "VM list away while a server is lost", servers: 1, faults: func(ctx context.Context, r *run, s []*demo.SiteServer) {
+		r.Platform.SetFaults(vms.Faults{Outage: true})
+		r.LoseServer(s[0])
+		pause(ctx, pastLease)
+		r.Platform.SetFaults(vms.Faults{})
+	}},
+	{name: "VM list hides a live server", servers: 1, faults: func(ctx context.Context, r *run, s []*demo.SiteServer) {
+		r.Platform.Mislead(string(s[0].ID), nil)
+		pause(ctx, pastLease)
+		r.Platform.StopMisleading(string(s[0].ID))
+	}},
+}
+
+func freeze(ctx context.Context, one *demo.SiteServer) {
+	one.Freeze()
+	pause(ctx, pastLease)
+	one.Unfreeze()
+}
+
+// eachNode visits the nodes of a zone that run.
+func (r *run) eachNode(zone int, visit func(*demo.SiteNode)) {
+	for _, one := range r.Nodes {
+		if one.Zone == zone && !one.Lost {
+			visit(one)
+		}
+	}
+}
+
+func TestSitesUnderFaults(t *testing.T) {
+	for _, row := range faultCases {
+		t.Run(row.name, func(t *testing.T) {
+			ctx, r := startRun(t, demo.SiteOptions{Deployment: row.deployment})
+			servers := r.owners(row.servers)
+			r.exercise(ctx, func(ctx context.Context, r *run) {
+				pause(ctx, settle)
+				row.faults(ctx, r, servers)
+			}, servers...)
+		})
+	}
+}
--- /dev/null
+++ b/proof/site_test.go
@@ -0,0 +1,138 @@
+// Package proof_test runs whole sites under seeded faults, records what servers
+// and callers did, and hands the histories to the checkers. Nothing here
+// asserts on speed: a run fails when something did not hold, or when keys were
+// never served again.
+package proof_test
+
+import (
+	"context"
+	"math/rand/v2"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/onsi/gomega"
+
+	"github.com/burdockspindle/burdockspindle/demo"
+	"github.com/burdockspindle/burdockspindle/histcheck"
+	"github.com/burdockspindle/burdockspindle/model"
+)
+
+const (
+	runLimit    = 90 * time.Second // of one run, on a busy machine
+	searchLimit = 20 * time.Second // of one search for a linearization
+	loadSpan    = 4 * time.Second
+	requests    = 600
+	seed        = 7
+	sitesAtOnce = 4 // more would only slow each other down
+)
+
+// running limits the sites that run at once.
+var running = make(chan struct{}, sitesAtOnce)
+
+// run is one site under load.
+type run struct {
+	*demo.Site
+	t      *testing.T
+	random *rand.Rand
+	keys   []demo.OwnedKey
+}
+
+// startRun starts a site beside those of other tests, and waits until it
+// serves.
+func startRun(t *testing.T, options demo.SiteOptions) (context.Context, *run) {
+	t.Helper()
+	t.Parallel()
+	running <- struct{}{}
+	t.Cleanup(func() { <-running })
+	g := gomega.NewWithT(t)
+	ctx, cancel := context.WithTimeout(context.Background(), runLimit)
+	t.Cleanup(cancel)
+	if options.Deployment == "" {
+		options.Deployment = model.Kavango
+	}
+	options.Seed = seed
+	options.Logger = siteLogger()
+	site, err := demo.StartSite(ctx, options)
+	if site != nil {
+		t.Cleanup(site.Stop)
+	}
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(site.WaitReady(ctx)).To(gomega.Succeed())
+	keys, err := site.OwnedKeys()
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	return ctx, &run{Site: site, t: t, random: rand.New(rand.NewPCG(seed, 1)), keys: keys}
+}
+
+// logVariable names the environment variable that sets the level at which the
+// sites log; unset, they do not.
+const logVariable = "BURDOCKSPINDLE_TEST_LOG"
+
+func siteLogger() hclog.Logger {
+	level := os.Getenv(logVariable)
+	if level == "" {
+		return hclog.NewNullLogger()
+	}
+	return hclog.New(&hclog.LoggerOptions{Level: hclog.LevelFromString(level), Output: os.Stderr})
+}
+
+// owners returns count servers that own keys, drawn by the seed.
+func (r *run) owners(count int) []*demo.SiteServer {
+	all := r.OwnersOf(r.keys)
+	r.random.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
+	gomega.NewWithT(r.t).Expect(len(all)).To(gomega.BeNumerically(">=", count))
+	return all[:count]
+}
+
+// lessorOf returns the node that renews a server's lease.
+func (r *run) lessorOf(one *demo.SiteServer) *demo.SiteNode {
+	lessor := r.LessorOf(one.ID)
+	gomega.NewWithT(r.t).Expect(lessor).NotTo(gomega.BeNil())
+	return lessor
+}
+
+// pause waits a part of a second while the load goes on.
+func pause(ctx context.Context, d time.Duration) {
+	select {
+	case <-time.After(d):
+	case <-ctx.Done():
+	}
+}
+
+// exercise sends a load under faults, probing keys of the given owners first,
+// and stops the site.
+func (r *run) exercise(ctx context.Context, faults func(context.Context, *run), probed ...*demo.SiteServer) demo.Summary {
+	r.t.Helper()
+	g := gomega.NewWithT(r.t)
+	load := demo.Load{Requests: requests, Seed: seed, Span: loadSpan, Probed: demo.Spread(r.keys, probed...)}
+	settled, err := r.Exercise(ctx, load, func(ctx context.Context) { faults(ctx, r) })
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(settled).To(gomega.BeTrue(), "probed keys were not served again")
+	nodes := r.WaitSettled(ctx)
+	r.Stop()
+	summary, found := r.Judge(nodes)
+	for _, violation := range found {
+		r.t.Errorf("seed %d: %s", seed, violation)
+	}
+	r.linearizable(r.CheckOptions(nodes))
+	g.Expect(summary.Answered).To(gomega.BeNumerically(">", 0))
+	r.t.Logf("%+v", summary)
+	return summary
+}
+
+// linearizable hands the history to the models.
+func (r *run) linearizable(options histcheck.Options) {
+	r.t.Helper()
+	events := r.Memory.Events()
+	for name, result := range map[string]histcheck.Result{
+		"ownership":   histcheck.LinearizableOwnership(events, searchLimit),
+		"counters":    histcheck.LinearizableCounters(events, options, searchLimit),
+		"assignments": histcheck.LinearizableAssignments(events, options, searchLimit),
+		"site":        histcheck.LinearizableSite(events, 0, searchLimit),
+	} {
+		if result != histcheck.Linearizable {
+			r.t.Errorf("seed %d: %s: %s", seed, name, result)
+		}
+	}
+}
