Checkpoints no more often than their size allows; contact beside peers

Cause: at 100,000 owned shards a checkpoint is 1,718,569 bytes in 7 chunks; one after every 2,000 short records would cost each node more than the records. And a log read that a peer had overtaken was reported as a log that lost its end. Change: a checkpoint is due only when the records since the last one are as long as it; contact is judged by the offset asked for.

--- a/checkpoint/assemble.go
+++ b/checkpoint/assemble.go
@@ -38,7 +38,6 @@
 	count  uint32
 	chunks [][]byte
 	held   uint32
-	bytes  int
 }
 
 // Assembler collects chunks as they are read from the log. Chunks of several
@@ -60,7 +59,7 @@
 		return nil, nil, &TornError{ID: chunk.GetId(), Problem: "chunks of different checkpoints"}
 	}
 	p.add(offset, chunk)
-	if p.bytes > MaxSnapshotBytes {
+	if p.whole.Bytes > MaxSnapshotBytes {
 		a.drop(p)
 		return nil, nil, &TornError{ID: chunk.GetId(), Problem: "too large"}
 	}
@@ -143,7 +142,7 @@
 	}
 	p.chunks[chunk.GetIndex()] = data
 	p.held++
-	p.bytes += len(data)
+	p.whole.Bytes += len(data)
 }
 
 func (p *partial) snapshot() (*bspb.Snapshot, error) {
--- a/checkpoint/split.go
+++ b/checkpoint/split.go
@@ -118,4 +118,5 @@
 	FirstChunk topo.Offset // lowest offset of its chunks
 	LastChunk  topo.Offset // offset that completed it
 	Digest     []byte
+	Bytes      int // of its chunks' data
 }
--- a/checkpoint/track.go
+++ b/checkpoint/track.go
@@ -34,6 +34,7 @@
 	}
 	c.sum.Write(chunk.GetData())
 	c.next++
+	c.whole.Bytes += len(chunk.GetData())
 	if c.next < chunk.GetCount() {
 		return Whole{}, false
 	}
--- a/follower/apply.go
+++ b/follower/apply.go
@@ -80,6 +80,7 @@
 // logAnswer is what makes a read of the log count as contact.
 type logAnswer struct {
 	begun time.Time
+	from  topo.Offset // first offset asked for
 	batch platlog.Batch
 }
 
@@ -89,13 +90,13 @@
 	return f.call(ctx, &entriesMessage{entries: entries, outcome: outcome}, outcome)
 }
 
-// applyBatch applies a log read that was begun at a time.
-func (f *Follower) applyBatch(ctx context.Context, begun time.Time, batch platlog.Batch) error {
+// applyBatch applies a log read.
+func (f *Follower) applyBatch(ctx context.Context, answer logAnswer) error {
 	outcome := make(chan error, 1)
 	return f.call(ctx, &entriesMessage{
-		entries: batch.Entries,
+		entries: answer.batch.Entries,
 		outcome: outcome,
-		log:     &logAnswer{begun: begun, batch: batch},
+		log:     &answer,
 	}, outcome)
 }
 
@@ -153,7 +154,7 @@
 func (a *applier) noteCheckpoint(entry platlog.Entry, rec *bspb.Record) {
 	chunk := rec.GetCheckpointChunk()
 	if chunk == nil {
-		a.f.due.noteRecord()
+		a.f.due.noteRecord(len(entry.Data))
 		return
 	}
 	if whole, complete := a.tracker.Add(entry.Offset, chunk); complete {
@@ -174,12 +175,14 @@
 }
 
 // noteContact records the time of a read whose whole tail has been applied.
+// While the read was under way, a peer may have given later records; an end
+// before the offset that was asked for, however, means that the log lost some.
 func (a *applier) noteContact(answer *logAnswer) error {
 	applied := a.state.Applied()
-	if answer.batch.End <= applied {
+	if answer.batch.End < answer.from {
 		return &RewoundError{Applied: applied, End: answer.batch.End}
 	}
-	if answer.batch.End != applied+1 {
+	if answer.batch.End > applied+1 {
 		return nil
 	}
 	begun := answer.begun
--- a/follower/checkpoints.go
+++ b/follower/checkpoints.go
@@ -30,16 +30,19 @@
 	last    checkpoint.Whole
 	at      time.Time // when last was seen, or the start
 	records int       // applied since
+	bytes   int       // of those records
 	first   topo.Offset
 	lostAt  time.Time // when retention was seen to have passed last
 }
 
 func newCheckpointDue() *checkpointDue { return &checkpointDue{at: time.Now()} }
 
-func (d *checkpointDue) noteRecord() {
+// noteRecord notes an applied record of some bytes that is no chunk.
+func (d *checkpointDue) noteRecord(bytes int) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.records++
+	d.bytes += bytes
 }
 
 // noteWhole notes a whole checkpoint in the log.
@@ -52,6 +55,7 @@
 	d.last = whole
 	d.at = time.Now()
 	d.records = 0
+	d.bytes = 0
 	d.lostAt = time.Time{}
 }
 
@@ -72,12 +76,15 @@
 	return d.last.Applied
 }
 
-// due reports whether the node of a rank should write a checkpoint; see
-// threshold for when the records since the last one make it due.
+// due reports whether the node of a rank should write a checkpoint. The records
+// since the last one make it due when there are as many as threshold says and
+// they are at least as long as the last checkpoint, so that checkpoints at most
+// double what every node reads. Time, and the loss of the last one, make it due
+// too.
 func (d *checkpointDue) due(now time.Time, rank, every int, age time.Duration) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if d.records >= threshold(rank, every) {
+	if d.records >= threshold(rank, every) && d.bytes >= d.last.Bytes {
 		return true
 	}
 	if d.records > 0 && now.Sub(d.at) >= age*time.Duration(rank+1) {
--- a/follower/internal_test.go
+++ b/follower/internal_test.go
@@ -69,6 +69,34 @@
 	g.Expect(f.View().Applied()).To(gomega.Equal(topo.Offset(11)))
 }
 
+// A peer may have given later records while a read of the log was under way;
+// the read still proves what it saw. An end before what was asked for does not.
+func TestContactBesidePeers(t *testing.T) {
+	cases := []struct {
+		name      string
+		from, end topo.Offset
+		contact   bool
+		rewound   bool
+	}{
+		{"at the end", 11, 11, true, false},
+		{"peers were faster", 9, 9, true, false},
+		{"more to read", 11, 12, false, false},
+		{"log lost its end", 11, 10, false, true},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			f := New(Config{Node: "a", Boot: "b", Log: memlog.New(memlog.Retention{})})
+			a := &applier{f: f, state: at(t, 10, 0)}
+			outcome := make(chan error, 1)
+			answer := &logAnswer{begun: time.Now(), from: c.from, batch: platlog.Batch{First: 1, End: c.end}}
+			(&entriesMessage{outcome: outcome, log: answer}).apply(a)
+			g.Expect((<-outcome) != nil).To(gomega.Equal(c.rewound))
+			g.Expect(!f.LastContact().IsZero()).To(gomega.Equal(c.contact))
+		})
+	}
+}
+
 func TestPatience(t *testing.T) {
 	g := gomega.NewWithT(t)
 	p := newPatience(time.Second, 10*time.Second)
@@ -130,18 +158,20 @@
 	const every, age = 100, time.Hour
 	d := newCheckpointDue()
 	now := time.Now()
-	d.noteWhole(checkpoint.Whole{Applied: 50, FirstChunk: 51})
+	d.noteWhole(checkpoint.Whole{Applied: 50, FirstChunk: 51, Bytes: 1000})
 	for range every - 1 {
-		d.noteRecord()
+		d.noteRecord(9)
 	}
 	g.Expect(d.due(now, 0, every, age)).To(gomega.BeFalse())
-	d.noteRecord()
+	d.noteRecord(9)
+	g.Expect(d.due(now, 0, every, age)).To(gomega.BeFalse(), "shorter than the checkpoint")
+	d.noteRecord(100)
 	g.Expect(d.due(now, 0, every, age)).To(gomega.BeTrue())
 	g.Expect(d.due(now, 1, every, age)).To(gomega.BeFalse())
 	g.Expect(d.due(now.Add(age+time.Minute), 1, every, age)).To(gomega.BeFalse())
 	g.Expect(d.due(now.Add(2*age+time.Minute), 1, every, age)).To(gomega.BeTrue())
 	for range every {
-		d.noteRecord()
+		d.noteRecord(9)
 	}
 	g.Expect(d.due(now, 1, every, age)).To(gomega.BeTrue())
 	g.Expect(threshold(660, every)).To(gomega.BeNumerically("<", 40*every))
--- a/follower/readlog.go
+++ b/follower/readlog.go
@@ -36,7 +36,8 @@
 // step reads once and has the result applied.
 func (r *logReader) step(ctx context.Context) error {
 	begun := time.Now()
-	batch, err := r.f.read(ctx, r.f.applied()+1, readMax, r.f.config.PollWait)
+	from := r.f.applied() + 1
+	batch, err := r.f.read(ctx, from, readMax, r.f.config.PollWait)
 	var truncated *platlog.TruncatedError
 	if errors.As(err, &truncated) {
 		return r.recover(ctx)
@@ -53,7 +54,7 @@
 	r.asked = true
 	r.gapSince = time.Time{}
 	r.f.due.noteFirst(batch.First)
-	err = r.f.applyBatch(ctx, begun, batch)
+	err = r.f.applyBatch(ctx, logAnswer{begun: begun, from: from, batch: batch})
 	if rebase, isRebase := asRebase(err); isRebase {
 		return r.rebase(ctx, rebase)
 	}
