Duties pause while the log refuses

Cause: a node whose log refused connections spent a whole core: the membership duty decided anew as soon as its record was refused, about 10,000 times a second, and logged each time. Change: submit.Writer takes no batch for 50 ms to 1 s, doubling and jittered, after one whose fate was not learnt; any success resets it. Conclusion: an outage of the log is no longer multiplied by the duties.

--- a/submit/submit.go
+++ b/submit/submit.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync/atomic"
 	"time"
 
@@ -17,6 +18,14 @@
 // Timeout bounds the writing of one record.
 const Timeout = 10 * time.Second
 
+// After a batch in which a record's fate was not learnt, the writer takes no
+// further batch for a while that doubles from pauseFirst to pauseMost, so that a
+// duty does not turn an outage of the log into a load of its own.
+const (
+	pauseFirst = 50 * time.Millisecond
+	pauseMost  = time.Second
+)
+
 // Submission is one record and what is done with its fate.
 type Submission struct {
 	Record *bspb.Record
@@ -33,6 +42,7 @@
 	finished chan struct{}
 	putOff   atomic.Uint64
 	written  atomic.Uint64
+	failed   atomic.Uint64
 }
 
 // NewWriter returns a writer; Run must be started for it to write.
@@ -63,20 +73,43 @@
 
 // Run writes until ctx ends.
 func (w *Writer) Run(ctx context.Context) {
+	pause := pauseFirst
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case batch := <-w.queue.Items():
-			w.writeAll(ctx, batch)
+			if w.writeAll(ctx, batch) {
+				pause = pauseFirst
+			} else {
+				sleep(ctx, pause)
+				pause = min(2*pause, pauseMost)
+			}
+			w.finish()
 		}
 	}
 }
 
-func (w *Writer) writeAll(ctx context.Context, batch []Submission) {
+// sleep waits for a random time between half of pause and pause.
+func sleep(ctx context.Context, pause time.Duration) {
+	timer := time.NewTimer(pause/2 + rand.N(pause/2))
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
+// writeAll reports whether the fate of every record was learnt.
+func (w *Writer) writeAll(ctx context.Context, batch []Submission) bool {
+	whole := true
 	for _, one := range batch {
-		w.write(ctx, one)
+		whole = w.write(ctx, one) && whole
 	}
+	return whole
+}
+
+func (w *Writer) finish() {
 	w.busy.Store(false)
 	select {
 	case w.finished <- struct{}{}:
@@ -84,14 +117,18 @@
 	}
 }
 
-func (w *Writer) write(ctx context.Context, one Submission) {
+func (w *Writer) write(ctx context.Context, one Submission) bool {
 	ctx, cancel := context.WithTimeout(ctx, Timeout)
 	defer cancel()
 	fate, err := w.appender.Submit(ctx, one.Record)
 	w.written.Add(1)
+	if err != nil {
+		w.failed.Add(1)
+	}
 	if one.Done != nil {
 		one.Done(fate, err)
 	}
+	return err == nil
 }
 
 // Dump is the writer's part of the state dump.
@@ -99,9 +136,10 @@
 	Busy    bool   `json:"busy"`
 	PutOff  uint64 `json:"putOff"`
 	Written uint64 `json:"written"`
+	Failed  uint64 `json:"failed"` // of those written, fate not learnt
 }
 
 // Dump returns the writer's counts.
 func (w *Writer) Dump() Dump {
-	return Dump{Busy: w.busy.Load(), PutOff: w.putOff.Load(), Written: w.written.Load()}
+	return Dump{Busy: w.busy.Load(), PutOff: w.putOff.Load(), Written: w.written.Load(), Failed: w.failed.Load()}
 }
--- /dev/null
+++ b/submit/submit_outage_test.go
@@ -0,0 +1,80 @@
+package submit_test
+
+import (
+	"context"
+	"errors"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"github.com/burdockspindle/burdockspindle/follower"
+	"github.com/burdockspindle/burdockspindle/platlog"
+	"github.com/burdockspindle/burdockspindle/submit"
+
+	bspb "github.com/burdockspindle/burdockspindle/proto/burdockspindle/v1"
+)
+
+// refusing is an appender whose log refuses at once while down.
+type refusing struct {
+	down  atomic.Bool
+	calls atomic.Int64
+}
+
+func (r *refusing) Submit(context.Context, *bspb.Record) (follower.Fate, error) {
+	r.calls.Add(1)
+	if r.down.Load() {
+		return follower.Fate{}, &platlog.UnavailableError{Op: "append", Cause: context.DeadlineExceeded}
+	}
+	return follower.Fate{Accepted: true}, nil
+}
+
+// A duty decides anew as soon as its writer has finished, so the writer must
+// slow it down while the log refuses.
+func TestARefusingLogIsAskedOnlyAFewTimesASecond(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := gomega.NewWithT(t)
+		log := &refusing{}
+		log.down.Store(true)
+		writer := submit.NewWriter("outage", log)
+		ctx, cancel := context.WithCancel(context.Background())
+		go writer.Run(ctx)
+		go offerForever(ctx, writer)
+
+		const outage = 60
+		time.Sleep(outage * time.Second)
+		synctest.Wait()
+		g.Expect(log.calls.Load()).To(gomega.BeNumerically("<=", 3*outage))
+		g.Expect(log.calls.Load()).To(gomega.BeNumerically(">=", outage/2), "it goes on asking")
+
+		log.down.Store(false)
+		time.Sleep(2 * time.Second)
+		synctest.Wait()
+		refused := log.calls.Load()
+		time.Sleep(10 * time.Millisecond)
+		synctest.Wait()
+		g.Expect(log.calls.Load()).To(gomega.BeNumerically(">", refused), "no pause once the log answers")
+
+		cancel()
+		time.Sleep(pauseOfOfferForever)
+	})
+}
+
+const pauseOfOfferForever = time.Millisecond
+
+// offerForever offers a record whenever the writer is free, at most once a millisecond.
+func offerForever(ctx context.Context, writer *submit.Writer) {
+	for ctx.Err() == nil {
+		writer.Offer(ctx, []submit.Submission{{Record: &bspb.Record{}, Done: checkTyped}})
+		time.Sleep(pauseOfOfferForever)
+	}
+}
+
+func checkTyped(_ follower.Fate, err error) {
+	var unavailable *platlog.UnavailableError
+	if err != nil && !errors.As(err, &unavailable) {
+		panic(err)
+	}
+}
