--- a/state/apply_terms.go
+++ b/state/apply_terms.go
@@ -61,10 +61,11 @@
 // checkContinued accepts a continued term only from the standby lessor to whom
 // the current term allocated it.
 func checkContinued(body *bspb.ClaimTerm, current Group) *Conflict {
-	if body.GetContinued() == nil {
+	continued := termFromProto(body.GetContinued())
+	if continued.IsZero() {
 		return nil
 	}
-	if continued := termFromProto(body.GetContinued()); continued != current.Term.Standby() {
+	if continued != current.Term.Standby() {
 		return &Conflict{
 			Reason:   ReasonTerm,
 			Subject:  body.GetGroup(),
@@ -93,7 +94,7 @@
 	}
 	claimant := run{node: topo.NodeID(body.GetNode()), boot: topo.BootID(body.GetBoot())}
 	lessor := run{node: current.Lessor, boot: current.LessorBoot}
-	if claimant != lessor || body.GetContinued() != nil {
+	if claimant != lessor || !termFromProto(body.GetContinued()).IsZero() {
 		return &Conflict{
 			Reason:   ReasonTerm,
 			Subject:  body.GetGroup(),
