--- /dev/null
+++ b/modules/serverhttp/fuzz_test.go
@@ -0,0 +1,55 @@
+package serverhttp
+
+import (
+	"bytes"
+	"io"
+	"net/http"
+	"testing"
+
+	"github.com/burdockspindle/burdockspindle/serverapi"
+)
+
+// FuzzReadReply: whatever a server sends as a reply is taken only if status and
+// body agree.
+func FuzzReadReply(f *testing.F) {
+	f.Add(200, []byte(`{"boot":"b","stamp":1,"highestTerm":"3.0"}`))
+	f.Add(409, []byte(`{"refused":"stale-term","boot":"b","stamp":1}`))
+	f.Add(409, []byte(`{"boot":"b"}`))
+	f.Add(200, []byte(`{"boot":"b","stamp":-1}`))
+	f.Add(200, []byte(`{"boot":"b"}{"refused":"x"}`))
+	f.Add(500, []byte(``))
+	f.Fuzz(func(t *testing.T, status int, body []byte) {
+		response := &http.Response{StatusCode: status, Body: io.NopCloser(bytes.NewReader(body))}
+		reply, err := readReply(response)
+		if err != nil {
+			return
+		}
+		if (status == http.StatusOK) != (reply.Refused == "") {
+			t.Fatalf("status %d with refusal %q", status, reply.Refused)
+		}
+		if reply.Boot == "" || reply.Stamp < 0 {
+			t.Fatalf("taken: %+v", reply)
+		}
+	})
+}
+
+// FuzzHeaderNames: no header that a caller sends forges one of the protocol's.
+func FuzzHeaderNames(f *testing.F) {
+	f.Add("Burdockspindle-Fence")
+	f.Add("burdockspindle-fence")
+	f.Add("BURDOCKSPINDLE-TERM")
+	f.Add("idempotency-key")
+	f.Add("connection")
+	f.Add("X-Caller")
+	f.Fuzz(func(t *testing.T, name string) {
+		if !passesOn(name) {
+			return
+		}
+		canonical := http.CanonicalHeaderKey(name)
+		for _, own := range []string{serverapi.HeaderFence, serverapi.HeaderTerm, serverapi.HeaderIdempotencyKey, serverapi.HeaderRequestID} {
+			if canonical == own {
+				t.Fatalf("%q passes as %s", name, own)
+			}
+		}
+	})
+}
--- a/modules/serverhttp/standin_test.go
+++ b/modules/serverhttp/standin_test.go
@@ -162,3 +162,26 @@
 	_, err = server.ReadAnswer(response.Body)
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 }
+
+// TestWithoutProgressOnlyDeadlinesEndSlowRuns: servers that cannot report
+// progress are not taken for silent.
+func TestWithoutProgressOnlyDeadlinesEndSlowRuns(t *testing.T) {
+	g := gomega.NewWithT(t)
+	driver := NewDriver(Options{SilentAfter: 50 * time.Millisecond, Share: func(backend.Target) int { return 4 }}, nil)
+	t.Cleanup(driver.Close)
+	s, target := startServer(t, driver, server.Config{ServiceTime: server.ServiceTime{Mean: 300 * time.Millisecond}})
+	response, err := driver.Do(t.Context(), target, testRequest(http.MethodGet, "/records/bore%207", ""))
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	_, err = server.ReadAnswer(response.Body)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(response.Body.Close()).To(gomega.Succeed())
+
+	s.Freeze()
+	req := testRequest(http.MethodGet, "/records/bore%207", "")
+	req.Deadline = time.Now().Add(200 * time.Millisecond)
+	_, err = driver.Do(t.Context(), target, req)
+	var failure *backend.AttemptError
+	g.Expect(errors.As(err, &failure)).To(gomega.BeTrue())
+	g.Expect(failure.Silent).To(gomega.BeFalse())
+	g.Expect(failure.Sent).To(gomega.BeTrue())
+}
