--- a/experiment/engine/availability.go
+++ b/experiment/engine/availability.go
@@ -81,6 +81,12 @@
 	for shard := range touched {
 		a.settle(shard)
 	}
+	// A key that is out by itself is back when its whole hash range is granted.
+	for id := range a.since {
+		if id.Key != "" && touched[topo.ShardID{Service: id.Service, Index: id.Index}] {
+			a.settle(id)
+		}
+	}
 }
 
 func (a *availability) add(held map[topo.ShardID][]string, count int, touched map[topo.ShardID]bool) {
--- a/experiment/engine/node.go
+++ b/experiment/engine/node.go
@@ -298,6 +298,7 @@
 	for _, m := range n.members {
 		m.observe()
 	}
+	n.site.planning.changed(n)
 }
 
 func sortedKeys[K cmp.Ordered, V any](entries map[K]V) []K {
--- a/experiment/engine/planning.go
+++ b/experiment/engine/planning.go
@@ -22,6 +22,19 @@
 	random    *rand.Rand
 	holder    *node
 	assigning int // records of assignments whose fate is not known yet
+	settling  bool
+}
+
+// changed lets the planner decide shortly after it sees a new view.
+func (p *planning) changed(n *node) {
+	if p.settling || p.node() != n {
+		return
+	}
+	p.settling = true
+	p.site.clock.after(planSettle, func() {
+		p.settling = false
+		p.decide()
+	})
 }
 
 func newPlanning(s *site, random *rand.Rand) *planning {
