load: observations lose half of their weight in 1.5 s instead of 3 s

Cause: after the hottest keys change, seconds pass until the averages show it. Change: half-life 1.5 s.

--- a/load/table.go
+++ b/load/table.go
@@ -20,7 +20,7 @@
 
 // DefaultConfig returns the bounds for one entry node.
 func DefaultConfig() Config {
-	return Config{HalfLife: 3 * time.Second, MaxShards: 1 << 15, Keys: 256}
+	return Config{HalfLife: 1500 * time.Millisecond, MaxShards: 1 << 15, Keys: 256}
 }
 
 // Table averages what one node observed: rates and busy times of shards and
