balance: keys before hash ranges where unavailable time weighs most

Cause: a moved hash range makes all of its keys unavailable, a moved key only itself; both cost the same in decisions and budget. Change: the move of a hash range must bring ShardCost times the gain (16 when unavailable time weighs most, else 1, scaled by the expected time of a move); ranges and keys are rationed apart (Allowance); hot keys are split out earlier under that weighting (2 % of a server's load instead of 10 %).

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -54,8 +54,11 @@
 
 // Budget limits one decision. A zero field allows nothing.
 type Budget struct {
-	// Moves is the most shards and keys that may leave live servers.
+	// Moves is the most hash ranges that may leave live servers.
 	Moves int
+	// Keys is the most single keys that may be split out, merged back or moved
+	// from live servers.
+	Keys int
 	// Evacuations is the most shards that may leave draining servers.
 	Evacuations int
 	// Probes is the most servers that a probe-limited policy may look at.
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -35,7 +35,7 @@
 		Now:       start,
 		Weighting: siteconfig.WeightImbalance,
 		MoveCost:  100 * time.Millisecond,
-		Budget:    balance.Budget{Moves: 100, Evacuations: 100, Probes: 1000},
+		Budget:    balance.Budget{Moves: 100, Keys: 100, Evacuations: 100, Probes: 1000},
 		Rand:      rand.New(rand.NewPCG(1, 2)),
 	}
 	for server, shards := range loads {
@@ -287,3 +287,19 @@
 	g.Expect(meter.Allowed(start.Add(2 * time.Second))).To(gomega.Equal(2))
 	g.Expect(meter.Allowed(start.Add(time.Hour))).To(gomega.Equal(5))
 }
+
+func TestAllowanceRationsRangesAndKeysApart(t *testing.T) {
+	g := gomega.NewWithT(t)
+	key := balance.Move{Cause: balance.CauseLoad, Shard: topo.ShardID{Service: service, Key: "k"}}
+	whole := balance.Move{Cause: balance.CauseLoad, Shard: topo.ShardID{Service: service}}
+	for _, weighting := range []siteconfig.Weighting{siteconfig.WeightImbalance, siteconfig.WeightUnavailability} {
+		allowance := balance.NewAllowance(weighting, start)
+		full := allowance.Budget(start)
+		allowance.Spend(key)
+		allowance.Spend(balance.Move{Cause: balance.CauseDraining})
+		g.Expect(allowance.Budget(start)).To(gomega.Equal(balance.Budget{Moves: full.Moves, Keys: full.Keys - 1}))
+		allowance.Spend(whole)
+		g.Expect(allowance.Budget(start)).To(gomega.Equal(balance.Budget{Moves: full.Moves - 1, Keys: full.Keys - 1}))
+		g.Expect(allowance.Budget(start.Add(time.Hour))).To(gomega.Equal(full))
+	}
+}
--- a/balance/board.go
+++ b/balance/board.go
@@ -19,7 +19,7 @@
 	share  float64   // mean load of a live server with capacity
 	splits int       // split keys after the moves decided
 	moves  []Move
-	spent  Budget // what the moves decided have used
+	left   Budget // what the moves decided have left over
 }
 
 func newBoard(in *Input, tuning Tuning) *board {
@@ -29,6 +29,7 @@
 		loads:  make([]float64, len(in.Servers)),
 		owners: make([]int, len(in.Shards)),
 		gone:   make([]bool, len(in.HotKeys)),
+		left:   in.Budget,
 	}
 	for i := range in.Servers {
 		b.loads[i] = in.Servers[i].Background
@@ -184,20 +185,14 @@
 
 func (b *board) record(move Move) {
 	b.moves = append(b.moves, move)
-	switch move.Cause {
-	case CauseUnowned:
-	case CauseDraining:
-		b.spent.Evacuations++
-	default:
-		b.spent.Moves++
-	}
+	b.left.spend(move)
 }
 
 // movesLeft reports whether the budget allows one more move between live
-// servers.
-func (b *board) movesLeft() bool { return b.spent.Moves < b.in.Budget.Moves }
+// servers, of any kind.
+func (b *board) movesLeft() bool { return b.left.Moves > 0 || b.left.Keys > 0 }
 
-func (b *board) evacuationsLeft() bool { return b.spent.Evacuations < b.in.Budget.Evacuations }
+func (b *board) evacuationsLeft() bool { return b.left.Evacuations > 0 }
 
 func (b *board) id(server int) topo.ServerID {
 	if server == NoOwner {
--- a/balance/duties.go
+++ b/balance/duties.go
@@ -81,7 +81,7 @@
 	}
 	parents := b.rangeOwners()
 	for i := range b.in.Shards {
-		if !b.movesLeft() {
+		if b.left.Keys <= 0 {
 			return
 		}
 		if !b.cooled(i) || !b.settled(i) || b.owners[i] == NoOwner {
--- a/balance/greedy.go
+++ b/balance/greedy.go
@@ -18,6 +18,7 @@
 	in.Probed = 0
 	tuning := DefaultTuning(in.Weighting)
 	tuning.MinGain = greedyMinGain
+	tuning.ShardCost = 1
 	tuning.Dwell = time.Duration(0)
 	b := newBoard(in, tuning)
 	b.duties()
--- a/balance/pieces.go
+++ b/balance/pieces.go
@@ -1,5 +1,7 @@
 package balance
 
+import "time"
+
 // piece is something that can leave a server to relieve it: a whole shard, or a
 // hot key that is split out of one.
 type piece struct {
@@ -8,36 +10,62 @@
 	load  float64
 }
 
-// bestPiece returns the piece of a server whose move to another server leaves
-// the lowest peak of the two utilizations. The second result is false if no
-// piece lowers the peak by the smallest gain that is worth a move. Each move
-// thus lowers the larger of two utilizations, so that under a constant load no
-// sequence of moves comes back to where it started.
+// bestPiece returns the piece of a server whose move to another server lowers
+// the higher of the two utilizations most for its cost. The second result is
+// false if no piece is worth a move. Each move thus lowers the larger of two
+// utilizations, so that under a constant load no sequence of moves comes back
+// to where it started.
 func (b *board) bestPiece(from, to int) (piece, bool) {
 	best, found := piece{}, false
-	bestPeak := b.utilization(from) - b.tuning.MinGain
-	consider := func(p piece) {
+	bestWorth := b.tuning.MinGain
+	before := b.utilization(from)
+	consider := func(p piece, cost float64) {
 		if p.load <= 0 {
 			return
 		}
-		peak := b.peakAfter(from, to, p.load)
-		if peak < bestPeak {
-			best, bestPeak, found = p, peak, true
+		worth := (before - b.peakAfter(from, to, p.load)) / cost
+		if worth > bestWorth {
+			best, bestWorth, found = p, worth, true
 		}
 	}
 	for _, shard := range b.shards[from] {
-		if b.settled(shard) && !b.cooled(shard) {
-			consider(piece{shard: shard, load: b.in.Shards[shard].Load})
+		if b.affordable(shard) && b.settled(shard) && !b.cooled(shard) {
+			consider(piece{shard: shard, load: b.in.Shards[shard].Load}, b.cost(shard))
 		}
 	}
 	for _, key := range b.keys[from] {
 		if b.splittable(key) {
-			consider(piece{shard: NoOwner, key: key, load: b.in.HotKeys[key].Load})
+			consider(piece{shard: NoOwner, key: key, load: b.in.HotKeys[key].Load}, 1)
 		}
 	}
 	return best, found
 }
 
+// affordable reports whether the budget allows the move of a shard.
+func (b *board) affordable(shard int) bool {
+	if b.in.Shards[shard].ID.Key != "" {
+		return b.left.Keys > 0
+	}
+	return b.left.Moves > 0
+}
+
+// usualMoveCost is the unavailable time of a move for which Tuning.ShardCost is
+// meant.
+const usualMoveCost = 100 * time.Millisecond
+
+// cost returns what the move of a shard costs against that of a single key: it
+// makes all of the shard's keys unavailable.
+func (b *board) cost(shard int) float64 {
+	if b.in.Shards[shard].ID.Key != "" {
+		return 1
+	}
+	cost := b.tuning.ShardCost
+	if b.in.MoveCost > 0 {
+		cost *= b.in.MoveCost.Seconds() / usualMoveCost.Seconds()
+	}
+	return max(cost, 1)
+}
+
 // peakAfter returns the higher utilization of two servers after load has moved
 // from one to the other.
 func (b *board) peakAfter(from, to int, load float64) float64 {
@@ -51,7 +79,7 @@
 // splittable reports whether a hot key is hot enough to get its own entry.
 func (b *board) splittable(key int) bool {
 	hot := &b.in.HotKeys[key]
-	if b.gone[key] || b.splits >= b.tuning.MaxSplit || b.in.Shards[hot.Shard].Moving {
+	if b.left.Keys <= 0 || b.gone[key] || b.splits >= b.tuning.MaxSplit || b.in.Shards[hot.Shard].Moving {
 		return false
 	}
 	if b.owners[hot.Shard] != b.in.Shards[hot.Shard].Owner {
--- a/balance/property_test.go
+++ b/balance/property_test.go
@@ -23,6 +23,7 @@
 		Weighting: rapid.SampledFrom([]siteconfig.Weighting{siteconfig.WeightImbalance, siteconfig.WeightUnavailability}).Draw(t, "weighting"),
 		Budget: balance.Budget{
 			Moves:       rapid.IntRange(0, 20).Draw(t, "moves"),
+			Keys:        rapid.IntRange(0, 20).Draw(t, "keys"),
 			Evacuations: rapid.IntRange(0, 20).Draw(t, "evacuations"),
 			Probes:      rapid.IntRange(0, 50).Draw(t, "probes"),
 		},
@@ -72,18 +73,20 @@
 				t.Fatalf("%v is moved twice", move.Shard)
 			}
 			touched[move.Shard] = true
-			switch move.Cause {
-			case balance.CauseUnowned:
-			case balance.CauseDraining:
+			switch {
+			case move.Cause == balance.CauseUnowned:
+			case move.Cause == balance.CauseDraining:
 				used.Evacuations++
+			case move.Shard.Key != "":
+				used.Keys++
 			default:
 				used.Moves++
 			}
 		}
-		if used.Moves > budget.Moves || used.Evacuations > budget.Evacuations {
+		if used.Moves > budget.Moves || used.Keys > budget.Keys || used.Evacuations > budget.Evacuations {
 			t.Fatalf("used %+v of %+v", used, budget)
 		}
-		if in.Probed > budget.Probes && budget.Moves == 0 {
+		if in.Probed > budget.Probes && budget.Moves+budget.Keys == 0 {
 			t.Fatalf("%d probes without a budget", in.Probed)
 		}
 	})
@@ -117,7 +120,7 @@
 		for i := range in.Shards {
 			in.Shards[i].Moving = false
 		}
-		in.Budget = balance.Budget{Moves: 10, Evacuations: 100, Probes: 10}
+		in.Budget = balance.Budget{Moves: 10, Keys: 10, Evacuations: 100, Probes: 10}
 		policy := anyPolicy(t)
 		last := 0
 		for round := range rounds {
--- a/balance/static.go
+++ b/balance/static.go
@@ -26,42 +26,20 @@
 		if shard.Moving || to == NoOwner || to == shard.Owner {
 			continue
 		}
-		cause := mustMove(in.Servers, shard.Owner)
-		if cause == 0 {
-			cause = CausePlace
+		move := Move{Kind: MoveShard, Shard: shard.ID, To: in.Servers[to].ID, Cause: mustMove(in.Servers, shard.Owner)}
+		if move.Cause == 0 {
+			move.Cause = CausePlace
 		}
-		if !left.spend(cause) {
-			continue
-		}
-		move := Move{Kind: MoveShard, Shard: shard.ID, To: in.Servers[to].ID, Cause: cause}
 		if shard.Owner != NoOwner {
 			move.From = in.Servers[shard.Owner].ID
 		}
-		moves = append(moves, move)
+		if left.spend(move) {
+			moves = append(moves, move)
+		}
 	}
 	return moves
 }
 
-// spend takes one move of a cause out of what is left, and reports whether it
-// was there.
-func (b *Budget) spend(cause Cause) bool {
-	switch cause {
-	case CauseUnowned:
-		return true
-	case CauseDraining:
-		return take(&b.Evacuations)
-	}
-	return take(&b.Moves)
-}
-
-func take(left *int) bool {
-	if *left <= 0 {
-		return false
-	}
-	*left--
-	return true
-}
-
 func serverHashes(servers []Server) []uint64 {
 	hashes := make([]uint64, len(servers))
 	for i := range servers {
--- a/balance/tuning.go
+++ b/balance/tuning.go
@@ -18,9 +18,12 @@
 	Floor float64
 	// Dwell is how long a shard stays after it moved.
 	Dwell time.Duration
-	// MinGain is the smallest drop of utilization, at the server that is relieved
-	// by a move, that is worth the move.
+	// MinGain is the smallest drop of the higher of two utilizations that is
+	// worth the move of one key.
 	MinGain float64
+	// ShardCost is how many times that drop the move of a whole hash range must
+	// bring, since it makes all of its keys unavailable.
+	ShardCost float64
 	// SplitAbove is the load of a key, as a share of the mean server's load,
 	// from which it may be split out; MergeBelow is the one below which it is
 	// merged back. The distance between them is the hysteresis.
@@ -44,10 +47,13 @@
 		MaxSplit:   64,
 	}
 	if weighting == siteconfig.WeightUnavailability {
-		tuning.High = 1.30
-		tuning.Floor = 0.40
-		tuning.Dwell = 20 * time.Second
-		tuning.MinGain = 0.04
+		tuning.High = 1.20
+		tuning.Floor = 0.30
+		tuning.MinGain = 0.02
+		tuning.ShardCost = 16
+		tuning.SplitAbove = 0.02
+		tuning.MergeBelow = 0.005
+		tuning.MaxSplit = 256
 	}
 	return tuning
 }
--- a/planner/balance.go
+++ b/planner/balance.go
@@ -18,19 +18,18 @@
 // balance asks the policy for moves and adds them to the plan.
 func (d *decision) balance(b *board) {
 	service := b.service.Name
-	meter := d.in.Tracker.meter(b.service, d.in.Now)
+	allowance := d.in.Tracker.allowance(b.service, d.in.Now)
+	budget := allowance.Budget(d.in.Now)
+	budget.Evacuations = MaxUnderWay - d.in.Tracker.underWay(service)
+	budget.Probes = MaxProbes
 	sources := load.Sources{
 		View:     d.in.View,
 		Service:  b.service,
 		Picture:  d.in.Picture(service),
 		Planned:  d.in.Tracker,
 		MoveCost: moveCost,
-		Budget: balance.Budget{
-			Moves:       meter.Allowed(d.in.Now),
-			Evacuations: MaxUnderWay - d.in.Tracker.underWay(service),
-			Probes:      MaxProbes,
-		},
-		Rand: d.in.Rand,
+		Budget:   budget,
+		Rand:     d.in.Rand,
 	}
 	for _, move := range d.in.Policy.Decide(sources.Input(d.in.Now)) {
 		current, exists := covering(d.in.View, move.Shard)
@@ -41,8 +40,8 @@
 			d.assign(b, current.Shard, move.To)
 			continue
 		}
-		if d.makeMove(b, current, move) && limitedByMeter(move.Cause) {
-			meter.Spend(1)
+		if d.makeMove(b, current, move) {
+			allowance.Spend(move)
 		}
 	}
 }
@@ -56,12 +55,6 @@
 	return view.Shard(topo.ShardID{Service: id.Service, Index: id.Index})
 }
 
-// limitedByMeter reports whether moves for a cause are rationed: those that
-// nothing but load asks for.
-func limitedByMeter(cause balance.Cause) bool {
-	return cause != balance.CauseUnowned && cause != balance.CauseDraining
-}
-
 // assign gives a shard without an owner to a server.
 func (d *decision) assign(b *board, shard topo.ShardID, to topo.ServerID) {
 	if len(d.plan.Assign) >= MaxAssignments {
--- a/planner/tracker.go
+++ b/planner/tracker.go
@@ -18,14 +18,6 @@
 	markEvery = time.Second
 )
 
-// Rates of moves for load, per service.
-const (
-	movesPerMinuteUnavailability = 30
-	movesPerMinuteImbalance      = 240
-	burstUnavailability          = 5
-	burstImbalance               = 20
-)
-
 // Tracker remembers, between decisions, which moves are under way, when owners
 // changed and how many moves were made. It is not safe for concurrent use.
 type Tracker struct {
@@ -54,7 +46,7 @@
 
 type serviceMeter struct {
 	weighting siteconfig.Weighting
-	meter     *balance.Meter
+	allowance *balance.Allowance
 }
 
 // NewTracker returns a tracker without memory.
@@ -174,21 +166,17 @@
 
 func (t *Tracker) unblocked(service topo.Service) { delete(t.blocked, service) }
 
-// meter returns the meter of a service's moves for load.
-func (t *Tracker) meter(service *siteconfig.Service, now time.Time) *balance.Meter {
+// allowance returns what rations a service's moves for load.
+func (t *Tracker) allowance(service *siteconfig.Service, now time.Time) *balance.Allowance {
 	known, exists := t.meters[service.Name]
 	if !exists || known.weighting != service.Weighting {
-		known = &serviceMeter{weighting: service.Weighting, meter: newMeter(service.Weighting, now)}
+		known = &serviceMeter{
+			weighting: service.Weighting,
+			allowance: balance.NewAllowance(service.Weighting, now),
+		}
 		t.meters[service.Name] = known
 	}
-	return known.meter
-}
-
-func newMeter(weighting siteconfig.Weighting, now time.Time) *balance.Meter {
-	if weighting == siteconfig.WeightUnavailability {
-		return balance.NewMeter(movesPerMinuteUnavailability, burstUnavailability, now)
-	}
-	return balance.NewMeter(movesPerMinuteImbalance, burstImbalance, now)
+	return known.allowance
 }
 
 // Dump is the tracker's part of the state dump.
