--- a/adminapi/publish_test.go
+++ b/adminapi/publish_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net/http"
 	"net/http/httptest"
+	"sync"
 	"testing"
 	"time"
 
@@ -29,6 +30,30 @@
 	notTheAPI   = step{status: 502, body: `<html>bad gateway</html>`}
 )
 
+// attempts notes of each request whether it said that it is a retry.
+type attempts struct {
+	mu   sync.Mutex
+	seen string
+}
+
+// add returns how many requests came before this one.
+func (a *attempts) add(r *http.Request) int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	mark := "0"
+	if r.URL.Query().Get(adminapi.QueryRetry) == "1" {
+		mark = "1"
+	}
+	a.seen += mark
+	return len(a.seen) - 1
+}
+
+func (a *attempts) list() string {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.seen
+}
+
 func TestPublishAttempts(t *testing.T) {
 	cases := []struct {
 		name    string
@@ -51,14 +76,9 @@
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			g := gomega.NewWithT(t)
-			retries := ""
+			var retries attempts
 			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-				now := c.steps[len(retries)]
-				if r.URL.Query().Get(adminapi.QueryRetry) == "1" {
-					retries += "1"
-				} else {
-					retries += "0"
-				}
+				now := c.steps[retries.add(r)]
 				if now.cut {
 					panic(http.ErrAbortHandler)
 				}
@@ -74,7 +94,7 @@
 				waits = append(waits, wait)
 				return nil
 			})
-			g.Expect(retries).To(gomega.Equal(c.retries))
+			g.Expect(retries.list()).To(gomega.Equal(c.retries))
 			var unknown *adminapi.UnknownError
 			g.Expect(errors.As(err, &unknown)).To(gomega.Equal(c.unknown), "%v", err)
 			var failure *adminapi.Failure
--- a/jsonc/parse.go
+++ b/jsonc/parse.go
@@ -122,7 +122,7 @@
 // start; start itself when none does.
 func skipComment(text []byte, start int) int {
 	rest := text[start:]
-	end := -1
+	var end int
 	switch {
 	case bytes.HasPrefix(rest, []byte("//")):
 		end = bytes.IndexByte(rest, '\n')
--- a/modules/admin/api_test.go
+++ b/modules/admin/api_test.go
@@ -200,7 +200,7 @@
 	loss.Stopped = true
 	r.appender.plant(away)
 	_, err = r.client().ConfirmLoss(background, loss)
-	r.failure(err, adminapi.CodeNotAppended)
+	_ = r.failure(err, adminapi.CodeNotAppended)
 	r.Expect(r.site.View().ServerLost("s2")).To(gomega.BeFalse())
 
 	accepted, err := r.client().ConfirmLoss(background, loss)
@@ -267,8 +267,8 @@
 	move := adminapi.Moves{Moves: []adminapi.Move{{Shard: "logs/1", To: "s1"}}}
 	r.peers.err = &peer.CallError{Node: "b1", Op: "move", Sent: false, Cause: io.ErrClosedPipe}
 	_, err := r.client().Move(background, move)
-	r.failure(err, adminapi.CodeNoLessor)
+	_ = r.failure(err, adminapi.CodeNoLessor)
 	r.peers.err = &peer.CallError{Node: "b1", Op: "move", Sent: true, Cause: io.ErrUnexpectedEOF}
 	_, err = r.client().Move(background, move)
-	r.failure(err, adminapi.CodeMoveUnknown)
+	_ = r.failure(err, adminapi.CodeMoveUnknown)
 }
--- a/modules/admin/site_test.go
+++ b/modules/admin/site_test.go
@@ -119,7 +119,7 @@
 			}
 			published, err := r.client().Publish(background, 0, siteText(1), wait)
 			if c.code != "" {
-				r.failure(err, c.code)
+				_ = r.failure(err, c.code)
 			} else {
 				r.Expect(err).NotTo(gomega.HaveOccurred())
 			}
@@ -136,7 +136,7 @@
 		if base > 0 {
 			r.Eventually(func() uint64 { return r.site.View().SiteVersion() }).Should(gomega.Equal(base))
 			_, err := r.client().PublishOnce(background, 0, siteText(99), false)
-			r.failure(err, adminapi.CodeConflict)
+			_ = r.failure(err, adminapi.CodeConflict)
 		}
 		_, err := r.client().PublishOnce(background, base, siteText(50), false)
 		r.Expect(err).NotTo(gomega.HaveOccurred())
@@ -148,7 +148,7 @@
 	_, err := r.client().PublishOnce(background, 0, siteText(1), false)
 	r.Expect(err).NotTo(gomega.HaveOccurred())
 	_, err = r.client().PublishOnce(background, 0, siteText(1), false)
-	r.failure(err, adminapi.CodeConflict)
+	_ = r.failure(err, adminapi.CodeConflict)
 	published, err := r.client().PublishOnce(background, 0, siteText(1), true)
 	r.Expect(err).NotTo(gomega.HaveOccurred())
 	r.Expect(published.Repeated).To(gomega.BeTrue())
@@ -190,7 +190,7 @@
 	r.Expect(err).To(gomega.BeAssignableToTypeOf(unknown))
 	r.appender.plant(away, away, away, away, away)
 	_, err = r.client().Publish(background, 0, siteText(1), noWait)
-	r.failure(err, adminapi.CodeNotAppended)
+	_ = r.failure(err, adminapi.CodeNotAppended)
 }
 
 func TestANodeThatLagsDoesNotTakeABaseForAConflict(t *testing.T) {
--- a/modules/admin/status.go
+++ b/modules/admin/status.go
@@ -41,9 +41,7 @@
 	if site := view.Site(); site != nil {
 		status.Services = site.StartOrder()
 	}
-	for _, name := range sortedKeys(view.Retiring()) {
-		status.Retiring = append(status.Retiring, name)
-	}
+	status.Retiring = sortedKeys(view.Retiring())
 	a.addRoles(&status, view)
 	return status
 }
--- a/standin/command/server.go
+++ b/standin/command/server.go
@@ -41,7 +41,7 @@
 		Name:        "standin server",
 		Description: "Run a stand-in backend server; SIGTERM drains it, tells the VM list, and stops it.",
 		Flags:       flags.declare,
-		Run:         func(ctx context.Context, env *cli.Env) error { return flags.run(ctx, env) },
+		Run:         flags.run,
 	}
 }
 
--- a/tlsfiles/peer_test.go
+++ b/tlsfiles/peer_test.go
@@ -24,7 +24,7 @@
 
 // meet connects two nodes over loopback and returns each side's error, and
 // what the client showed.
-func meet(t *testing.T, server, client *tlsfiles.Loader) (serverErr, clientErr error, shown tls.ConnectionState) {
+func meet(t *testing.T, server, client *tlsfiles.Loader) (shown tls.ConnectionState, serverErr, clientErr error) {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -55,7 +55,8 @@
 		_, clientErr = conn.Read(make([]byte, 1)) // a refusal may come after the handshake
 	}
 	_ = b.Close()
-	return <-done, clientErr, accepted.ConnectionState()
+	serverErr = <-done
+	return accepted.ConnectionState(), serverErr, clientErr
 }
 
 func TestPeersTrustTheSitesAuthorityForAnyAddress(t *testing.T) {
@@ -72,7 +73,7 @@
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			g := gomega.NewWithT(t)
-			serverErr, clientErr, _ := meet(t, open(t, c.serverBy, "server", site), open(t, c.clientBy, "client", site))
+			_, serverErr, clientErr := meet(t, open(t, c.serverBy, "server", site), open(t, c.clientBy, "client", site))
 			g.Expect(serverErr != nil).To(gomega.Equal(c.refused), "server: %v", serverErr)
 			g.Expect(clientErr != nil).To(gomega.Equal(c.refused), "client: %v", clientErr)
 		})
@@ -82,7 +83,7 @@
 func TestAnUntrustedPeerHasATypedError(t *testing.T) {
 	g := gomega.NewWithT(t)
 	site, other := tlstest.NewAuthority(t, "site"), tlstest.NewAuthority(t, "other")
-	_, err, _ := meet(t, open(t, other, "server", site), open(t, site, "client", site))
+	_, _, err := meet(t, open(t, other, "server", site), open(t, site, "client", site))
 	var untrusted *tlsfiles.UntrustedError
 	g.Expect(errors.As(err, &untrusted)).To(gomega.BeTrue(), "%v", err)
 }
@@ -90,7 +91,7 @@
 func TestAnEarlierClientIsCheckedAgainstTheCurrentAuthorities(t *testing.T) {
 	g := gomega.NewWithT(t)
 	site, next := tlstest.NewAuthority(t, "site"), tlstest.NewAuthority(t, "next")
-	_, _, state := meet(t, open(t, site, "server", site), open(t, site, "client", site))
+	state, _, _ := meet(t, open(t, site, "server", site), open(t, site, "client", site))
 	g.Expect(open(t, site, "server", site).VerifyClient(state.PeerCertificates)).To(gomega.Succeed())
 	g.Expect(open(t, next, "server", next).VerifyClient(state.PeerCertificates)).NotTo(gomega.Succeed())
 	g.Expect(open(t, site, "server", site).VerifyClient(nil)).NotTo(gomega.Succeed())
