--- a/modules/serverhttp/do.go
+++ b/modules/serverhttp/do.go
@@ -38,7 +38,7 @@
 	if !d.options.ExpectProgress {
 		a.progress.hold() // a slow run cannot be told from silence
 	}
-	response, err := e.roundTrip(a, req)
+	response, err := e.roundTrip(a, req) //nolint:bodyclose // the receiver of the answer closes it
 	if err != nil {
 		failure := a.failure(err)
 		done()
