Stand-in server: a pause after any reading of its clock

Cause: one pause between check and use was tested; a server may pause anywhere. Change: a test that pauses the server past its lease after its first, second, ... reading of the clock; a deadline that passes while a request is being run is answered as unknown with that reason; the steps take one job in place of six parameters.

--- a/serverapi/serverapi.go
+++ b/serverapi/serverapi.go
@@ -70,7 +70,7 @@
 	ReasonDraining    Reason = "draining"     // 503: takes no new work
 	ReasonStaleTicket Reason = "stale-ticket" // 409, unknown: ticket of an earlier ownership, record gone
 	ReasonDuplicate   Reason = "duplicate"    // 409, unknown: the same ticket is being run now
-	ReasonDeadline    Reason = "deadline"     // 504: deadline passed before it was run (not run)
+	ReasonDeadline    Reason = "deadline"     // 504: deadline passed before it was run (not run), or under way (unknown)
 	ReasonBadTicket   Reason = "bad-ticket"   // 422: not a ticket, or of another key (not run)
 	ReasonBadRequest  Reason = "bad-request"  // 400: malformed protocol headers (not run)
 	// ReasonAnswerGone: 409, unknown: the ticket was run, and its answer was
--- a/standin/server/helper_test.go
+++ b/standin/server/helper_test.go
@@ -34,13 +34,29 @@
 	recorded history.Memory
 	gen      uint64
 	requests int
+	// pauseAfter lets pause pass right after so many readings of the clock.
+	pauseAfter int
+	pause      time.Duration
+}
+
+// read returns the time, and imitates a pause of the VM after one reading.
+func (b *bench) read() history.Time {
+	now := b.clock.Load()
+	if b.pause > 0 {
+		if b.pauseAfter == 0 {
+			b.advance(b.pause)
+			b.pause = 0
+		}
+		b.pauseAfter--
+	}
+	return history.Time(now)
 }
 
 func newBench(t *testing.T, config Config) *bench {
 	b := &bench{t: t}
 	boots := 0
 	config.ID, config.Service, config.Keyed, config.ChecksFencing = "s1", "licensing", true, true
-	config.Clock = func() history.Time { return history.Time(b.clock.Load()) }
+	config.Clock = b.read
 	config.Recorder = &b.recorded
 	config.NewBoot = func() topo.BootID {
 		boots++
--- a/standin/server/reply.go
+++ b/standin/server/reply.go
@@ -33,6 +33,11 @@
 	}
 }
 
+// deadlinePassed says that the deadline passed or the request was cancelled.
+func deadlinePassed(outcome serverapi.Outcome) *refusal {
+	return &refusal{status: http.StatusGatewayTimeout, outcome: outcome, reason: serverapi.ReasonDeadline}
+}
+
 // refusalOf says what is known of a ticket that may not be run.
 func refusalOf(verdict ticket.Verdict) *refusal {
 	unknown := &refusal{status: http.StatusConflict, outcome: serverapi.OutcomeUnknown}
--- a/standin/server/request.go
+++ b/standin/server/request.go
@@ -130,7 +130,7 @@
 		*field.value = value
 	}
 	if r.Header.Get(serverapi.HeaderDeadlineMs) == "0" {
-		return &refusal{status: http.StatusGatewayTimeout, outcome: serverapi.OutcomeNotRun, reason: serverapi.ReasonDeadline, problem: "deadline passed"}
+		return deadlinePassed(serverapi.OutcomeNotRun)
 	}
 	req.deadline = time.Duration(deadlineMs) * time.Millisecond
 	req.progressEvery = time.Duration(progressMs) * time.Millisecond
--- a/standin/server/serve.go
+++ b/standin/server/serve.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
 	"time"
 
@@ -33,7 +34,7 @@
 		ctx, cancel = context.WithTimeout(ctx, req.deadline)
 		defer cancel()
 	}
-	s.serveAdmitted(ctx, run, w, r, req)
+	s.serveAdmitted(&job{ctx: ctx, run: run, w: w, req: req}, r.Body)
 }
 
 func (s *Server) echoRequestID(w http.ResponseWriter, requestID string) {
@@ -66,38 +67,47 @@
 	return s.config.Keyed && s.config.ChecksFencing && !s.faults.get().IgnoreFences
 }
 
+// job is one admitted request on its way through the steps.
+type job struct {
+	ctx    context.Context
+	run    *life
+	w      http.ResponseWriter
+	req    serveRequest
+	claim  lease.RunID
+	ticket *ticket.Ticket // nil without one
+}
+
 // serveAdmitted goes through the steps in the order that docs/SERVERS.md asks
 // for: ownership, body, ownership again, ticket, run, ownership again, answer.
-func (s *Server) serveAdmitted(ctx context.Context, run *life, w http.ResponseWriter, r *http.Request, req serveRequest) {
-	var claim lease.RunID
+func (s *Server) serveAdmitted(j *job, body io.Reader) {
 	checks := s.checksOwnership()
 	if checks {
 		var err error
-		if claim, err = run.begin(req); err != nil {
-			s.refuseNotOwner(w, err)
+		if j.claim, err = j.run.begin(j.req); err != nil {
+			s.refuseNotOwner(j.w, err)
 			return
 		}
-		defer run.end(claim)
+		defer j.run.end(j.claim)
 	}
-	digest, err := digestBody(r.Body)
+	digest, err := digestBody(body)
 	if err != nil {
-		refuse(w, badRequest("body not whole"))
+		refuse(j.w, badRequest("body not whole"))
 		return
 	}
-	req.bodyDigest = digest
+	j.req.bodyDigest = digest
 	if checks {
-		if _, err := run.recheck(claim); err != nil {
-			s.refuseNotOwner(w, err)
+		if _, err := j.run.recheck(j.claim); err != nil {
+			s.refuseNotOwner(j.w, err)
 			return
 		}
 	}
-	if ctx.Err() != nil {
-		refuse(w, &refusal{status: http.StatusGatewayTimeout, outcome: serverapi.OutcomeNotRun, reason: serverapi.ReasonDeadline})
+	if j.ctx.Err() != nil {
+		refuse(j.w, deadlinePassed(serverapi.OutcomeNotRun))
 		return
 	}
 	// A pause here is the case that the checks after the run are for.
 	s.gate.pass()
-	s.serveTicket(ctx, run, w, req, claim)
+	s.serveTicket(j)
 }
 
 func (s *Server) refuseNotOwner(w http.ResponseWriter, err error) {
@@ -109,26 +119,27 @@
 }
 
 // serveTicket consults the record if the request carries a ticket, and runs it.
-func (s *Server) serveTicket(ctx context.Context, run *life, w http.ResponseWriter, req serveRequest, claim lease.RunID) {
+func (s *Server) serveTicket(j *job) {
 	keeps := s.config.Keyed && s.config.ChecksFencing && !s.faults.get().IgnoreTickets
-	if req.ticketText == "" || !keeps {
-		s.runAndAnswer(ctx, run, w, req, claim, nil)
+	if j.req.ticketText == "" || !keeps {
+		s.runAndAnswer(j)
 		return
 	}
-	parsed, err := ticket.Parse(req.ticketText)
+	parsed, err := ticket.Parse(j.req.ticketText)
 	if err != nil {
-		refuse(w, badTicket(err.Error()))
+		refuse(j.w, badTicket(err.Error()))
 		return
 	}
-	verdict, stored := run.tickets.Begin(ticketRequest(req, parsed), ticket.FenceScope(req.fence), s.wall())
+	verdict, stored := j.run.tickets.Begin(ticketRequest(j.req, parsed), ticket.FenceScope(j.req.fence), s.wall())
 	switch verdict {
 	case ticket.Run:
-		s.runAndAnswer(ctx, run, w, req, claim, &parsed)
+		j.ticket = &parsed
+		s.runAndAnswer(j)
 	case ticket.Replay:
 		s.counters.update(func(c *Stats) { c.Replayed++ })
-		replay(w, stored)
+		replay(j.w, stored)
 	default:
-		refuse(w, refusalOf(verdict))
+		refuse(j.w, refusalOf(verdict))
 	}
 }
 
@@ -152,60 +163,63 @@
 	at        history.Time
 }
 
-// runAndAnswer runs a request and answers it. used is its ticket, if any.
-func (s *Server) runAndAnswer(ctx context.Context, run *life, w http.ResponseWriter, req serveRequest, claim lease.RunID, used *ticket.Ticket) {
-	s.recordBegan(run, req)
-	done := s.run(ctx, run, w, req, claim, used)
-	s.recordEnded(run, req, done)
+// runAndAnswer runs a request and answers it.
+func (s *Server) runAndAnswer(j *job) {
+	s.recordBegan(j.run, j.req)
+	done := s.takeEffect(j)
+	s.recordEnded(j.run, j.req, done)
 	if !done.committed {
-		if used != nil {
-			run.tickets.Finish(*used, nil, s.wall())
-		}
-		s.counters.update(func(c *Stats) { c.Lost++ })
-		refuse(w, &refusal{status: http.StatusConflict, outcome: serverapi.OutcomeUnknown, reason: serverapi.ReasonOwnershipLost})
+		s.answerUncommitted(j)
 		return
 	}
-	answer := s.answerTo(run, req, done.value)
-	if used != nil {
-		run.tickets.Finish(*used, storable(answer, s.config.Tickets.AnswerSize), s.wall())
+	answer := s.answerTo(j.run, j.req, done.value)
+	if j.ticket != nil {
+		j.run.tickets.Finish(*j.ticket, storable(answer, s.config.Tickets.AnswerSize), s.wall())
 	}
 	if s.faults.lose() {
 		s.counters.update(func(c *Stats) { c.LostReply++ })
 		panic(http.ErrAbortHandler) // net/http closes the connection
 	}
-	s.send(w, answer)
+	s.send(j.w, answer)
 }
 
-// run takes the service time, applies the request, and checks that the server
-// was the owner throughout. A committed run was still owned at the moment that
-// is returned.
-func (s *Server) run(ctx context.Context, run *life, w http.ResponseWriter, req serveRequest, claim lease.RunID, used *ticket.Ticket) effect {
-	if used != nil {
-		// What runs at most once is run to its end, so that the answer is there
-		// for whoever asks again.
-		ctx = context.WithoutCancel(ctx)
+// answerUncommitted answers a request whose run does not stand.
+func (s *Server) answerUncommitted(j *job) {
+	if j.ticket != nil {
+		j.run.tickets.Finish(*j.ticket, nil, s.wall())
+	}
+	s.counters.update(func(c *Stats) { c.Lost++ })
+	if j.ctx.Err() != nil && j.ticket == nil {
+		refuse(j.w, deadlinePassed(serverapi.OutcomeUnknown))
+		return
 	}
-	age := s.config.Clock().Sub(run.started)
-	took := s.faults.serviceTime(s.config.ServiceTime, s.config.ColdStart, age)
+	refuse(j.w, &refusal{
+		status: http.StatusConflict, outcome: serverapi.OutcomeUnknown, reason: serverapi.ReasonOwnershipLost,
+	})
+}
+
+// takeEffect takes the service time, applies the request, and checks that the
+// server was the owner throughout.
+func (s *Server) takeEffect(j *job) effect {
 	done := effect{at: s.config.Clock()}
-	if !s.work(ctx, run, w, took, req.progressEvery) {
+	if !s.work(j) {
 		return done
 	}
 	checks := s.checksOwnership()
 	if checks {
-		if _, err := run.recheck(claim); err != nil {
+		if _, err := j.run.recheck(j.claim); err != nil {
 			return done
 		}
 	}
 	s.gate.pass()
 	var alive bool
-	if done.value, alive = run.change(req); !alive {
+	if done.value, alive = j.run.change(j.req); !alive {
 		return done
 	}
 	done.at, done.committed = s.config.Clock(), true
 	if checks {
 		var err error
-		done.at, err = run.recheck(claim)
+		done.at, err = j.run.recheck(j.claim)
 		done.committed = err == nil
 	}
 	return done
@@ -213,12 +227,19 @@
 
 // work lets the service time pass and tells the sender of its progress. It
 // returns false when the request was cancelled or the run of the server ended.
-func (s *Server) work(ctx context.Context, run *life, w http.ResponseWriter, took, progressEvery time.Duration) bool {
-	done := time.NewTimer(took)
+func (s *Server) work(j *job) bool {
+	ctx := j.ctx
+	if j.ticket != nil {
+		// What runs at most once is run to its end, so that the answer is there
+		// for whoever asks again.
+		ctx = context.WithoutCancel(ctx)
+	}
+	age := s.config.Clock().Sub(j.run.started)
+	done := time.NewTimer(s.faults.serviceTime(s.config.ServiceTime, s.config.ColdStart, age))
 	defer done.Stop()
 	var progress <-chan time.Time
-	if progressEvery > 0 {
-		ticker := time.NewTicker(progressEvery)
+	if j.req.progressEvery > 0 {
+		ticker := time.NewTicker(j.req.progressEvery)
 		defer ticker.Stop()
 		progress = ticker.C
 	}
@@ -226,12 +247,12 @@
 		select {
 		case <-done.C:
 			s.gate.pass()
-			return ctx.Err() == nil && run.ctx.Err() == nil
+			return ctx.Err() == nil && j.run.ctx.Err() == nil
 		case <-progress:
-			w.WriteHeader(http.StatusProcessing)
+			j.w.WriteHeader(http.StatusProcessing)
 		case <-ctx.Done():
 			return false
-		case <-run.ctx.Done():
+		case <-j.run.ctx.Done():
 			return false
 		}
 	}
--- a/standin/server/serve_test.go
+++ b/standin/server/serve_test.go
@@ -96,6 +96,16 @@
 	g.Expect(b.Stats().Ran).To(gomega.Equal(uint64(1)))
 }
 
+func TestDeadlineEndsARun(t *testing.T) {
+	g := gomega.NewWithT(t)
+	b := newBench(t, Config{ServiceTime: ServiceTime{Mean: time.Hour}})
+	b.grant(granted(fence))
+	soon := map[string]string{serverapi.HeaderDeadlineMs: "20"}
+	late := b.send(serveOptions{header: soon})
+	g.Expect(outcomeOf(late)).To(gomega.Equal(outcome{http.StatusGatewayTimeout, serverapi.OutcomeUnknown, serverapi.ReasonDeadline}))
+	g.Expect(history.Select[history.RunEnded](b.recorded.Events())[0].Committed).To(gomega.BeFalse())
+}
+
 func TestConcurrencyLimitIsKeptAndCounted(t *testing.T) {
 	g := gomega.NewWithT(t)
 	b := newBench(t, Config{Concurrency: 2, ServiceTime: ServiceTime{Mean: time.Hour}})
@@ -164,7 +174,7 @@
 	req.ticketText = newTicket(1, fence)
 	b.advance(leaseTTL)
 	answer := httptest.NewRecorder()
-	b.serveTicket(t.Context(), run, answer, req, claim)
+	b.serveTicket(&job{ctx: t.Context(), run: run, w: answer, req: req, claim: claim})
 	g.Expect(outcomeOf(answer)).To(gomega.Equal(lost))
 	ended := history.Select[history.RunEnded](b.recorded.Events())
 	g.Expect(ended).To(gomega.HaveLen(1))
