Forwarding trusts the site's authority, as the other peer calls do

Cause: forwards checked certificates against addresses, which peers' certificates do not carry, and kept connections made with replaced ones. Conclusion: both kinds of calls between nodes use one rule.

--- a/modules/router/forward_client.go
+++ b/modules/router/forward_client.go
@@ -12,13 +12,28 @@
 
 	"github.com/burdockspindle/burdockspindle/callerapi"
 	"github.com/burdockspindle/burdockspindle/exchange"
+	"github.com/burdockspindle/burdockspindle/tlsfiles"
 )
 
 // forwarder sends requests to other nodes.
 type forwarder struct {
 	scheme    string
 	transport *http.Transport
-	silent    time.Duration // no sign of life for so long gives a connection up
+	silent    time.Duration    // no sign of life for so long gives a connection up
+	files     *tlsfiles.Loader // nil for no TLS
+	secured   atomic.Uint64    // generation of the certificates of open connections
+}
+
+// renew closes the idle connections that were made with earlier certificates:
+// the other node would not take requests over them any more.
+func (f *forwarder) renew() {
+	if f.files == nil {
+		return
+	}
+	generation := f.files.Generation()
+	if f.secured.Swap(generation) != generation {
+		f.transport.CloseIdleConnections()
+	}
 }
 
 // forwarded is what one forward came to without a readable answer: Sent is
@@ -60,6 +75,7 @@
 // response's body is guarded against silence and must be closed. The error is
 // a *forwardError.
 func (f *forwarder) send(ctx context.Context, address string, form forwardedRequest, header http.Header, body io.Reader) (forwardedAnswer, *http.Response, error) {
+	f.renew()
 	ctx, cancel := context.WithCancelCause(ctx)
 	flight := &flight{cancel: cancel, limit: f.silent}
 	ctx = httptrace.WithClientTrace(ctx, flight.trace())
--- a/modules/router/module.go
+++ b/modules/router/module.go
@@ -156,7 +156,8 @@
 			return err
 		}
 		m.forwarder.scheme = "https"
-		config = loader.Client
+		m.forwarder.files = loader
+		config = loader.Peer
 	}
 	connect := m.settings.Limits.ConnectTimeout
 	open := Dial((&net.Dialer{Timeout: connect}).DialContext)
--- a/modules/router/routertest/node.go
+++ b/modules/router/routertest/node.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"net/http"
 	"sync/atomic"
 	"testing"
@@ -19,6 +20,7 @@
 	"github.com/burdockspindle/burdockspindle/route/routetest"
 	"github.com/burdockspindle/burdockspindle/settings"
 	"github.com/burdockspindle/burdockspindle/state"
+	"github.com/burdockspindle/burdockspindle/tlsfiles"
 	"github.com/burdockspindle/burdockspindle/topo"
 )
 
@@ -30,6 +32,8 @@
 	Site    *routetest.Site
 	Driver  backend.Driver
 	Network Network
+	// TLS names each node's certificates; nil for none.
+	TLS func(topo.NodeID) settings.TLS
 }
 
 // Node is an entry node with a router, whose peers reach it over HTTP.
@@ -60,7 +64,7 @@
 	n := &Node{ID: id, Router: &router.Module{}}
 	handlers := &peer.Handlers{}
 	n.provision(t, w, handlers, options)
-	n.listen(t, w.Network, handlers)
+	n.listen(t, w, handlers)
 	w.Site.Run(id, Boot, n.address)
 	gomega.NewWithT(t).Expect(n.Router.Start(context.Background())).To(gomega.Succeed())
 	n.Handler, _ = kernel.Use[exchange.Handler](n.Kernel)
@@ -78,6 +82,10 @@
 	n.Kernel = kernel.NewContext(identity, hclog.NewNullLogger())
 	config := &settings.Settings{Node: n.ID, Limits: settings.DefaultLimits(), Timing: settings.DefaultTiming()}
 	config.Limits.DrainDelay = 0
+	if w.TLS != nil {
+		files := w.TLS(n.ID)
+		config.Peer.TLS = &files
+	}
 	g.Expect(kernel.Provide(n.Kernel, config)).To(gomega.Succeed())
 	g.Expect(kernel.Provide[state.Source](n.Kernel, w.Site)).To(gomega.Succeed())
 	g.Expect(kernel.Provide(n.Kernel, w.Driver)).To(gomega.Succeed())
@@ -90,13 +98,14 @@
 	g.Expect(n.Router.Provision(n.Kernel)).To(gomega.Succeed())
 }
 
-func (n *Node) listen(t testing.TB, network Network, handlers *peer.Handlers) {
+func (n *Node) listen(t testing.TB, w *World, handlers *peer.Handlers) {
+	g := gomega.NewWithT(t)
 	n.mux = http.NewServeMux()
 	for prefix, handler := range handlers.HTTP {
 		n.mux.Handle(prefix, handler)
 	}
-	listener, err := network.Listen("tcp", "")
-	gomega.NewWithT(t).Expect(err).NotTo(gomega.HaveOccurred())
+	listener, err := w.Network.Listen("tcp", "")
+	g.Expect(err).NotTo(gomega.HaveOccurred())
 	n.address = listener.Addr().String()
 	n.peers = &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if fault := n.fault.Load(); fault != nil {
@@ -105,6 +114,11 @@
 		}
 		n.Through(w, r)
 	})}
+	if w.TLS != nil {
+		loader, err := tlsfiles.New(w.TLS(n.ID), hclog.NewNullLogger())
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		listener = tls.NewListener(listener, loader.Server())
+	}
 	go func() { _ = n.peers.Serve(listener) }()
 }
 
