experiment: goodput of the disturbance, callers and deadlines of nested calls

Cause: goodput under overload was averaged over the whole run; calls between services waited past their own service's deadline and all counted as one caller, which the router does not do. Change: DisturbedGoodput for each run and service, nested calls' work counted where it was done; a call's deadline is bounded by its service, its caller is the server.

--- a/experiment/engine/call.go
+++ b/experiment/engine/call.go
@@ -22,7 +22,7 @@
 	arrival  *model.Arrival
 	key      string
 	work     float64 // seconds on a server of ordinary speed
-	caller   int
+	caller   string
 	deadline time.Time
 	repeat   bool // idempotent
 	hop      int
@@ -251,8 +251,8 @@
 const defaultRetryAfter = 500 * time.Millisecond
 
 // callDependency makes the request's call to another service, if it has one,
-// and goes on when that has its final answer.
-func (c *call) callDependency(then func()) {
+// from the server that runs it, and goes on when that has its final answer.
+func (c *call) callDependency(from topo.ServerID, then func()) {
 	a := c.arrival
 	if a == nil || a.Calls < 0 || c.hop > 0 {
 		then()
@@ -265,7 +265,7 @@
 		service:  site.deployment.Service(dependency.Service),
 		key:      model.Key(dependency.Service, a.CallKey),
 		work:     a.CallWork,
-		caller:   -1 - a.Service,
+		caller:   string(from),
 		deadline: c.deadline,
 		repeat:   true,
 		hop:      c.hop + 1,
--- a/experiment/engine/figures.go
+++ b/experiment/engine/figures.go
@@ -31,6 +31,7 @@
 	Goodput            float64 `json:"goodput"`            // per second
 	GoodputShare       float64 `json:"goodputShare"`       // of the offered requests
 	GoodputOfCapacity  float64 `json:"goodputOfCapacity"`  // work, of all servers' capacity
+	DisturbedGoodput   float64 `json:"disturbedGoodput"`   // the same during the disturbance
 	P50                float64 `json:"p50"`                // of answered requests, from
 	P99                float64 `json:"p99"`                // their intended start
 	P999               float64 `json:"p999"`               //
@@ -68,6 +69,7 @@
 	Offered                int     `json:"offered"`
 	GoodputShare           float64 `json:"goodputShare"`
 	GoodputOfCapacity      float64 `json:"goodputOfCapacity"`
+	DisturbedGoodput       float64 `json:"disturbedGoodput"`
 	P50                    float64 `json:"p50"`
 	P99                    float64 `json:"p99"`
 	P999                   float64 `json:"p999"`
--- a/experiment/engine/gate.go
+++ b/experiment/engine/gate.go
@@ -1,7 +1,6 @@
 package engine
 
 import (
-	"strconv"
 	"time"
 
 	"github.com/burdockspindle/burdockspindle/limit"
@@ -46,7 +45,7 @@
 func (g *gate) acquire(c *call, then func(id uint64, refused *limit.Refusal)) {
 	g.node.sequence++
 	id := g.node.sequence
-	entry := limit.Entry{ID: id, Caller: strconv.Itoa(c.caller), Deadline: c.deadline}
+	entry := limit.Entry{ID: id, Caller: c.caller, Deadline: c.deadline}
 	g.waiting[id] = func(refused *limit.Refusal) { then(id, refused) }
 	g.node.queued[g.service]++
 	full := g.node.queued[g.service] > maxQueued
--- a/experiment/engine/measure.go
+++ b/experiment/engine/measure.go
@@ -47,8 +47,9 @@
 	answered  *hdrhistogram.Histogram
 	offered   int
 	good      int
-	goodWork  float64
-	late      int // sent and ended after the deadline
+	goodWork  float64 // seconds of service, calls from other services included
+	disturbed float64 // part of goodWork that ended during the disturbance
+	late      int     // sent and ended after the deadline
 	sent      int
 	notRun    int
 	unknown   int
@@ -153,7 +154,7 @@
 	}
 	if good {
 		service.good++
-		service.goodWork += a.Work
+		m.countWork(a)
 	}
 	if t.attempts > 0 && v.Outcome != serverapi.OutcomeNotRun {
 		service.sent++
@@ -163,6 +164,34 @@
 	}
 }
 
+// countWork counts what a request that was answered in time took of its own
+// service and of the one that it called.
+func (m *measure) countWork(a *model.Arrival) {
+	m.services[a.Service].addWork(a.Work, m.disturbed())
+	if a.Calls < 0 {
+		return
+	}
+	called := m.services[a.Service].service.DependsOn[a.Calls].Service
+	for _, other := range m.services {
+		if other.service.Name == called {
+			other.addWork(a.CallWork, m.disturbed())
+		}
+	}
+}
+
+func (s *serviceMeasure) addWork(work float64, disturbed bool) {
+	s.goodWork += work
+	if disturbed {
+		s.disturbed += work
+	}
+}
+
+// disturbed reports whether the run is in its disturbance.
+func (m *measure) disturbed() bool {
+	elapsed := m.site.clock.elapsed() - lead
+	return elapsed >= m.site.options.DisturbedFrom && elapsed < m.site.options.DisturbedUntil
+}
+
 func (m *measure) countOutcome(service *serviceMeasure, t *trace, v outcome.Verdict) {
 	switch v.Outcome {
 	case serverapi.OutcomeAnswered:
--- a/experiment/engine/node.go
+++ b/experiment/engine/node.go
@@ -104,6 +104,9 @@
 	}
 	now := n.site.clock.now
 	n.site.measure.received++
+	if latest := now.Add(c.service.Deadline); c.deadline.After(latest) {
+		c.deadline = latest
+	}
 	share := n.shed.Share(now, n.view.Site(), c.service.Name)
 	if share > 0 && n.random.Float64() < share {
 		c.done(outcome.NotRun(callerapi.ReasonDependency).Later(time.Second))
--- a/experiment/engine/options.go
+++ b/experiment/engine/options.go
@@ -35,6 +35,9 @@
 	Progress func(elapsed, whole time.Duration)
 }
 
+// disturbance returns how long the disturbance lasts.
+func (o *Options) disturbance() time.Duration { return o.DisturbedUntil - o.DisturbedFrom }
+
 // Delays of the platform that the deployments do not name, and intervals of the
 // entry nodes' duties.
 const (
--- a/experiment/engine/planning.go
+++ b/experiment/engine/planning.go
@@ -120,7 +120,7 @@
 	group, _ := n.view.Group(request.Group)
 	to, exists := p.site.nodes[group.Lessor]
 	if !exists || !to.up {
-		p.tracker.Failed(request)
+		p.tracker.Failed(request, p.site.clock.now)
 		return
 	}
 	moves := make([]lessor.Move, 0, len(request.Moves))
@@ -136,7 +136,7 @@
 		p.site.measure.accepted += accepted
 		p.site.clock.after(delay, func() {
 			if accepted == 0 {
-				p.tracker.Failed(request)
+				p.tracker.Failed(request, p.site.clock.now)
 			}
 		})
 	})
--- a/experiment/engine/run.go
+++ b/experiment/engine/run.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strconv"
 	"time"
 
 	"github.com/burdockspindle/burdockspindle/callerapi"
@@ -124,7 +125,7 @@
 		arrival:  arrival,
 		key:      s.key(arrival.Service, arrival.Key),
 		work:     arrival.Work,
-		caller:   arrival.Caller,
+		caller:   "caller-" + strconv.Itoa(arrival.Caller),
 		deadline: deadline,
 		repeat:   arrival.Idempotent,
 		trace:    &trace{},
--- a/experiment/engine/server.go
+++ b/experiment/engine/server.go
@@ -115,7 +115,7 @@
 	left := w.call.work / 2
 	finish := func() { s.end(w, run, boot) }
 	s.spend(w, left, func() {
-		w.call.callDependency(func() { s.spend(w, left, finish) })
+		w.call.callDependency(s.id, func() { s.spend(w, left, finish) })
 	})
 }
 
--- a/experiment/engine/summary.go
+++ b/experiment/engine/summary.go
@@ -117,17 +117,18 @@
 
 func (m *measure) sumServices(f *Figures, length time.Duration) {
 	all := newHistogram()
-	good, late, sent, work, capacity := 0, 0, 0, 0.0, 0.0
+	good, late, sent, work, disturbed, capacity := 0, 0, 0, 0.0, 0.0, 0.0
 	for _, s := range m.services {
 		all.Merge(s.answered)
-		f.Services = append(f.Services, s.figures(length))
+		f.Services = append(f.Services, s.figures(length, m.site.options.disturbance()))
 		f.Offered += s.offered
 		f.NotRun += s.notRun
 		f.Unknown += s.unknown
 		f.DependencyFailed += s.failed
 		good, late, sent = good+s.good, late+s.late, sent+s.sent
 		work += s.goodWork
-		capacity += s.service.Capacity() * length.Seconds()
+		disturbed += s.disturbed
+		capacity += s.service.Capacity()
 		if s.service.Keyed {
 			f.CoefficientOfVariation = s.variation.value()
 			f.MaxOverMean = s.peak.value()
@@ -135,12 +136,13 @@
 	}
 	f.Goodput = float64(good) / length.Seconds()
 	f.GoodputShare = ratio(float64(good), float64(f.Offered))
-	f.GoodputOfCapacity = ratio(work, capacity)
+	f.GoodputOfCapacity = ratio(work, capacity*length.Seconds())
+	f.DisturbedGoodput = ratio(disturbed, capacity*m.site.options.disturbance().Seconds())
 	f.AdmittedLate = ratio(float64(late), float64(sent))
 	f.P50, f.P99, f.P999 = milliseconds(all, 50), milliseconds(all, 99), milliseconds(all, 99.9)
 }
 
-func (s *serviceMeasure) figures(length time.Duration) ServiceFigures {
+func (s *serviceMeasure) figures(length, disturbance time.Duration) ServiceFigures {
 	return ServiceFigures{
 		Service:                string(s.service.Name),
 		Keyed:                  s.service.Keyed,
@@ -149,6 +151,7 @@
 		Offered:                s.offered,
 		GoodputShare:           ratio(float64(s.good), float64(s.offered)),
 		GoodputOfCapacity:      ratio(s.goodWork, s.service.Capacity()*length.Seconds()),
+		DisturbedGoodput:       ratio(s.disturbed, s.service.Capacity()*disturbance.Seconds()),
 		P50:                    milliseconds(s.answered, 50),
 		P99:                    milliseconds(s.answered, 99),
 		P999:                   milliseconds(s.answered, 99.9),
