Linter clean in the request path

Cause: six findings, among them an event that nothing logged. Change: aborted answers are logged; test code as the linter asks. Conclusion: none.

--- a/callerapi/callerapi_test.go
+++ b/callerapi/callerapi_test.go
@@ -1,6 +1,7 @@
 package callerapi_test
 
 import (
+	"errors"
 	"net/http"
 	"net/url"
 	"path"
@@ -56,8 +57,8 @@
 			continue
 		}
 		var refused *callerapi.PathError
-		g.Expect(err).To(gomega.BeAssignableToTypeOf(refused), row.path)
-		g.Expect(err.(*callerapi.PathError).Reason).To(gomega.Equal(row.reason), row.path)
+		g.Expect(errors.As(err, &refused)).To(gomega.BeTrue(), row.path)
+		g.Expect(refused.Reason).To(gomega.Equal(row.reason), row.path)
 	}
 }
 
--- a/limit/gate_test.go
+++ b/limit/gate_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"sync"
 	"testing"
@@ -96,9 +97,10 @@
 		g.Expect(refused).To(gomega.HaveLen(2 + 5))
 		full := 0
 		for range 7 {
-			if err, isRefused := (<-refused).(*limit.RefusedError); isRefused {
-				g.Expect(err.Reason).To(gomega.Equal(callerapi.ReasonQueueFull))
-				g.Expect(err.RetryAfter).To(gomega.BeNumerically(">", 0))
+			var no *limit.RefusedError
+			if errors.As(<-refused, &no) {
+				g.Expect(no.Reason).To(gomega.Equal(callerapi.ReasonQueueFull))
+				g.Expect(no.RetryAfter).To(gomega.BeNumerically(">", 0))
 				full++
 			}
 		}
--- a/modules/frontend/bench_test.go
+++ b/modules/frontend/bench_test.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"io"
 	"net/http"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -67,7 +68,8 @@
 		p.payments(unkeyed)
 	}
 	b.site.Configure(keyed, unkeyed)
-	options := append(p.options, func(s *settings.Settings, _ *kernel.Context) {
+	options := slices.Clone(p.options)
+	options = append(options, func(s *settings.Settings, _ *kernel.Context) {
 		if p.limits != nil {
 			p.limits(&s.Limits)
 		}
--- a/modules/frontend/handler.go
+++ b/modules/frontend/handler.go
@@ -8,6 +8,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/hashicorp/go-hclog"
+
 	"github.com/burdockspindle/burdockspindle/callerapi"
 	"github.com/burdockspindle/burdockspindle/exchange"
 	"github.com/burdockspindle/burdockspindle/outcome"
@@ -27,6 +29,7 @@
 	idPrefix string // names this run of the node
 	sequence atomic.Uint64
 	drain    *drainState
+	logger   hclog.Logger
 }
 
 // nextID names a request: by the run of the node and a sequence, so that it can
@@ -67,7 +70,7 @@
 		writeVerdict(w, id, outcome.NotRun(reasonOf(err)))
 		return
 	}
-	writeAnswer(w, r, id, h.next.Serve(r.Context(), req))
+	h.writeAnswer(w, r, id, h.next.Serve(r.Context(), req))
 }
 
 func (h *handler) parse(r *http.Request, id string, arrived time.Time, target callerapi.Target) (*exchange.Request, error) {
@@ -126,7 +129,7 @@
 	}
 	ticket, refusal := h.next.IssueTicket(r.Context(), target.Service, target.Keyed, target.Key)
 	if refusal != nil {
-		writeAnswer(w, r, id, refusal)
+		h.writeAnswer(w, r, id, refusal)
 		return
 	}
 	metricTickets.Add(1)
--- a/modules/frontend/module.go
+++ b/modules/frontend/module.go
@@ -67,6 +67,7 @@
 		next:     next,
 		idPrefix: string(ctx.Identity.Node) + "-" + string(ctx.Identity.Boot) + "-",
 		drain:    newDrainState(),
+		logger:   m.logger,
 	}
 	routes, err := buildRoutes(m.handler)
 	if err != nil {
--- a/modules/frontend/refusals_test.go
+++ b/modules/frontend/refusals_test.go
@@ -41,11 +41,11 @@
 }
 
 // served is a request to a bench whose servers all behave in one way.
-func served(behave rt.Behaviour, method, path string, headers ...string) bringAbout {
+func served(behave rt.Behaviour, path string, headers ...string) bringAbout {
 	return func(t *testing.T) reply {
 		b, _ := newBench(t, plan{})
 		b.all(behave)
-		return b.send(method, path, nil, headers...)
+		return b.send("POST", path, nil, headers...)
 	}
 }
 
@@ -100,30 +100,30 @@
 		notRun(428, callerapi.ReasonTicketRequired):   ticketRequired,
 		notRun(429, callerapi.ReasonQueueFull):        queueFull,
 		notRun(429, callerapi.ReasonBusy):             busy,
-		notRun(503, callerapi.ReasonNoOwner):          served(rt.Unreachable, "POST", keyPath, soon...),
+		notRun(503, callerapi.ReasonNoOwner):          served(rt.Unreachable, keyPath, soon...),
 		notRun(503, callerapi.ReasonNoServer):         noServer,
 		notRun(503, callerapi.ReasonBufferFull):       bufferFull,
-		notRun(503, serverapi.ReasonOverloaded):       served(rt.Decline("not-run", serverapi.ReasonOverloaded), "POST", keyPath),
+		notRun(503, serverapi.ReasonOverloaded):       served(rt.Decline("not-run", serverapi.ReasonOverloaded), keyPath),
 		notRun(503, serverapi.ReasonDraining):         draining,
 		notRun(503, callerapi.ReasonDependency):       dependencyOverloaded,
-		notRun(503, callerapi.ReasonNotSent):          served(rt.Unreachable, "POST", orderPath),
-		notRun(503, callerapi.ReasonNoConnection):     served(noConnection, "POST", keyPath),
+		notRun(503, callerapi.ReasonNotSent):          served(rt.Unreachable, orderPath),
+		notRun(503, callerapi.ReasonNoConnection):     served(noConnection, keyPath),
 		notRun(503, serverapi.ReasonNotOwner):         movedUnderLongBody,
 		notRun(503, callerapi.ReasonNotLessor):        forwarded(callerapi.ReasonNotLessor),
 		notRun(503, callerapi.ReasonLoop):             forwarded(callerapi.ReasonLoop),
 		notRun(504, callerapi.ReasonTooLate):          tooLate,
-		notRun(504, serverapi.ReasonDeadline):         served(rt.Decline("not-run", serverapi.ReasonDeadline), "POST", keyPath),
-		unknown(409, serverapi.ReasonStaleTicket):     served(rt.Decline("unknown", serverapi.ReasonStaleTicket), "POST", keyPath),
-		unknown(409, serverapi.ReasonDuplicate):       served(rt.Decline("unknown", serverapi.ReasonDuplicate), "POST", keyPath),
-		unknown(409, serverapi.ReasonAnswerGone):      served(rt.Decline("unknown", serverapi.ReasonAnswerGone), "POST", keyPath),
-		unknown(409, serverapi.ReasonOwnershipLost):   served(rt.Decline("unknown", serverapi.ReasonOwnershipLost), "POST", keyPath),
-		unknown(502, callerapi.ReasonNoAnswer):        served(rt.Lost, "POST", keyPath),
-		unknown(502, callerapi.ReasonBrokenAnswer):    served(rt.Broken(100, "half"), "POST", keyPath),
-		unknown(502, callerapi.ReasonForeignAnswer):   served(rt.Foreign, "POST", keyPath),
+		notRun(504, serverapi.ReasonDeadline):         served(rt.Decline("not-run", serverapi.ReasonDeadline), keyPath),
+		unknown(409, serverapi.ReasonStaleTicket):     served(rt.Decline("unknown", serverapi.ReasonStaleTicket), keyPath),
+		unknown(409, serverapi.ReasonDuplicate):       served(rt.Decline("unknown", serverapi.ReasonDuplicate), keyPath),
+		unknown(409, serverapi.ReasonAnswerGone):      served(rt.Decline("unknown", serverapi.ReasonAnswerGone), keyPath),
+		unknown(409, serverapi.ReasonOwnershipLost):   served(rt.Decline("unknown", serverapi.ReasonOwnershipLost), keyPath),
+		unknown(502, callerapi.ReasonNoAnswer):        served(rt.Lost, keyPath),
+		unknown(502, callerapi.ReasonBrokenAnswer):    served(rt.Broken(100, "half"), keyPath),
+		unknown(502, callerapi.ReasonForeignAnswer):   served(rt.Foreign, keyPath),
 		unknown(502, callerapi.ReasonBodyTooLarge):    undeclaredTooLarge,
 		unknown(502, callerapi.ReasonBodyUnreadable):  brokenOffBody,
-		unknown(504, callerapi.ReasonSilent):          served(rt.Silent, "POST", keyPath),
-		unknown(504, serverapi.ReasonDeadline):        served(rt.Hanging, "POST", keyPath, soon...),
+		unknown(504, callerapi.ReasonSilent):          served(rt.Silent, keyPath),
+		unknown(504, serverapi.ReasonDeadline):        served(rt.Hanging, keyPath, soon...),
 	}
 }
 
--- a/modules/frontend/write.go
+++ b/modules/frontend/write.go
@@ -28,7 +28,7 @@
 
 // writeAnswer writes what the handler decided. It aborts the connection when
 // the server's body ends before it is whole.
-func writeAnswer(w http.ResponseWriter, r *http.Request, id string, answer *exchange.Answer) {
+func (h *handler) writeAnswer(w http.ResponseWriter, r *http.Request, id string, answer *exchange.Answer) {
 	if answer.Body == nil {
 		writeFailure(w, id, answer)
 		return
@@ -49,8 +49,9 @@
 	if r.Method == http.MethodHead {
 		return
 	}
-	if stream(w, answer) != nil {
+	if err := stream(w, answer); err != nil {
 		metricAborted.Add(1)
+		eventAnswerAborted.Log(h.logger, "request", id, "error", err)
 		panic(http.ErrAbortHandler)
 	}
 }
--- a/modules/router/forward_test.go
+++ b/modules/router/forward_test.go
@@ -274,7 +274,7 @@
 func TestWhatIsNoAnswerOfALessor(t *testing.T) {
 	rows := map[string]http.HandlerFunc{
 		"not a node":    func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("hello")) },
-		"error page":    func(w http.ResponseWriter, _ *http.Request) { http.Error(w, "no", 502) },
+		"error page":    func(w http.ResponseWriter, _ *http.Request) { http.Error(w, "no", http.StatusBadGateway) },
 		"other request": foreignForward,
 		"cut off":       func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) },
 	}
