Capacity: what a node spends, measured at several sizes and extrapolated

Cause: the design size must be checked against slopes that were measured. Change: package capacity and the command capacity: pure parts by processor time, small whole sites by processor time and by bytes counted at the sockets, line fits with residual and exponent, plots, predictions.

--- /dev/null
+++ b/capacity/balance.go
@@ -0,0 +1,86 @@
+package capacity
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/burdockspindle/burdockspindle/balance"
+	"github.com/burdockspindle/burdockspindle/hotkeys"
+	"github.com/burdockspindle/burdockspindle/siteconfig"
+	"github.com/burdockspindle/burdockspindle/state"
+	"github.com/burdockspindle/burdockspindle/topo"
+)
+
+const (
+	measureSeed      = 1
+	serversOfBalance = 500
+	movesOfBalance   = 60
+	meanShardLoad    = 0.03 // requests in progress at any time
+)
+
+// measureEpoch is the moment at which decisions are made; any will do.
+var measureEpoch = time.Unix(1_000_000, 0)
+
+// balanceSeries measures the decision of the default policy by shards, and by
+// servers.
+func balanceSeries(quick bool) []Series {
+	shards, servers := []int{10_000, 20_000, 40_000, 80_000}, []int{100, 200, 400, 800}
+	if quick {
+		shards, servers = []int{2_000, 4_000}, []int{50, 100}
+	}
+	byShards, _ := sweep(shards, func(n int) (float64, error) { return decision(n, serversOfBalance), nil })
+	byServers, _ := sweep(servers, func(n int) (float64, error) { return decision(20_000, n), nil })
+	return []Series{
+		newSeries("balance decision by shards", "shards", "µs of processor", byShards),
+		newSeries("balance decision by servers", "servers", "µs of processor", byServers),
+	}
+}
+
+// decision is the cost of one decision over skewed loads.
+func decision(shards, servers int) float64 {
+	random := rand.New(rand.NewPCG(measureSeed, measureSeed))
+	in := &balance.Input{
+		Service: serviceName, Now: measureEpoch, Weighting: siteconfig.WeightImbalance, Rand: random,
+		Budget: balance.Budget{Moves: movesOfBalance, Keys: movesOfBalance, Evacuations: movesOfBalance, Probes: movesOfBalance},
+	}
+	for i := range servers {
+		in.Servers = append(in.Servers, balance.Server{ID: topo.ServerID(serverID(i)), Phase: state.PhaseLive, Capacity: 6})
+	}
+	for i := range shards {
+		in.Shards = append(in.Shards, balance.Shard{
+			ID:    topo.ShardID{Service: serviceName, Index: uint32(i)},
+			Owner: random.IntN(servers), Load: random.ExpFloat64() * meanShardLoad,
+		})
+	}
+	return costOf(func() { balance.Push{}.Decide(in) })
+}
+
+// sketchSeries measures the hot-key sketch by its capacity, over keys that are
+// mostly new to it.
+func sketchSeries(quick bool) Series {
+	sizes := []int{64, 128, 256, 512}
+	if quick {
+		sizes = sizes[:2]
+	}
+	points, _ := sweep(sizes, func(size int) (float64, error) { return observed(size), nil })
+	return newSeries("hot-key sketch, one request observed", "keys held", "µs of processor", points)
+}
+
+func observed(size int) float64 {
+	const batch = 1000
+	sketch := hotkeys.New(size, time.Second)
+	random := rand.New(rand.NewPCG(measureSeed, measureSeed))
+	keys := make([]topo.ShardID, batch)
+	for i := range keys {
+		keys[i] = topo.ShardID{Service: serviceName, Key: fmt.Sprintf("key-%d", random.IntN(1_000_000))}
+	}
+	now := measureEpoch
+	cost := costOf(func() {
+		for _, key := range keys {
+			sketch.Observe(now, key, time.Millisecond)
+		}
+		now = now.Add(time.Millisecond)
+	})
+	return cost / batch
+}
--- /dev/null
+++ b/capacity/errors.go
@@ -0,0 +1,29 @@
+package capacity
+
+// RejectedError reports a record of the measurement that was not accepted, so
+// that its cost would not be that of the real thing.
+type RejectedError struct{ Record string }
+
+// Error implements error.
+func (e *RejectedError) Error() string { return "capacity: record not accepted: " + e.Record }
+
+// SiteError reports a small site that could not be measured.
+type SiteError struct {
+	Step  string
+	Cause error
+}
+
+// Error implements error.
+func (e *SiteError) Error() string { return "capacity: site: " + e.Step + ": " + e.Cause.Error() }
+
+// Unwrap returns the cause.
+func (e *SiteError) Unwrap() error { return e.Cause }
+
+// SaveError reports a file that could not be written.
+type SaveError struct{ Cause error }
+
+// Error implements error.
+func (e *SaveError) Error() string { return "capacity: save: " + e.Cause.Error() }
+
+// Unwrap returns the cause.
+func (e *SaveError) Unwrap() error { return e.Cause }
--- /dev/null
+++ b/capacity/site.go
@@ -0,0 +1,282 @@
+package capacity
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"github.com/burdockspindle/burdockspindle/follower"
+	"github.com/burdockspindle/burdockspindle/kernel"
+	"github.com/burdockspindle/burdockspindle/modules/logmem"
+	"github.com/burdockspindle/burdockspindle/modules/vmsmem"
+	"github.com/burdockspindle/burdockspindle/node"
+	"github.com/burdockspindle/burdockspindle/settings"
+	"github.com/burdockspindle/burdockspindle/standin/server"
+	"github.com/burdockspindle/burdockspindle/state"
+	"github.com/burdockspindle/burdockspindle/topo"
+	"github.com/burdockspindle/burdockspindle/vmlist"
+)
+
+const (
+	loopback    = "127.0.0.1:0"
+	settleLimit = 30 * time.Second
+	settlePoll  = 50 * time.Millisecond
+	// quiet is how long a settled site is left alone before it is measured.
+	quiet  = 2 * time.Second
+	window = 6 * time.Second
+)
+
+// liveSite is a small whole site in this process, without callers.
+type liveSite struct {
+	name    string
+	nodes   []*node.Node
+	servers []*server.Server
+}
+
+// usage is what an idle site spends a second.
+type usage struct {
+	processor   float64 // share of a core, all nodes and the stand-ins together
+	peerBytes   float64 // sent and received between nodes
+	serverBytes float64 // sent and received between nodes and servers, for control
+	logBytes    float64 // appended and read
+	logReads    float64
+}
+
+// control is the bytes a second of everything but callers' requests.
+func (u usage) control() float64 { return u.peerBytes + u.serverBytes + u.logBytes }
+
+// measureSite starts a site of a shape, waits until every shard is owned, and
+// returns what it spends when nobody calls.
+func measureSite(ctx context.Context, s shape) (usage, error) {
+	site := &liveSite{name: fmt.Sprintf("capacity-%d-%d-%d", s.nodes, s.servers, s.shards)}
+	defer site.stop()
+	if err := site.start(ctx, s); err != nil {
+		return usage{}, err
+	}
+	if err := site.settle(ctx, s); err != nil {
+		return usage{}, err
+	}
+	return site.spend(ctx)
+}
+
+func (l *liveSite) start(ctx context.Context, s shape) error {
+	platform := vmsmem.Named(l.name)
+	for i := range s.servers {
+		standin := server.New(server.Config{
+			ID: topo.ServerID(serverID(i)), Service: serviceName, Keyed: true, ChecksFencing: true,
+			Concurrency: 6, Connections: 130, Seed: uint64(i), Logger: hclog.NewNullLogger(),
+		})
+		address, err := standin.Listen(loopback)
+		if err != nil {
+			return &SiteError{Step: "start server", Cause: err}
+		}
+		l.servers = append(l.servers, standin)
+		platform.Put(vmlist.VM{
+			ID: serverID(i), Role: vmlist.RoleServer, Service: serviceName, Zone: topo.Zone(zoneOf(i)),
+			Region: "local", Address: address, Phase: vmlist.PhaseLive,
+		})
+	}
+	for i := range s.nodes {
+		if err := l.startNode(ctx, i); err != nil {
+			return err
+		}
+	}
+	return l.publish(ctx, s.shards)
+}
+
+func (l *liveSite) startNode(ctx context.Context, i int) error {
+	started, err := node.New(l.settings(i), hclog.NewNullLogger())
+	if err != nil {
+		return &SiteError{Step: "provision node", Cause: err}
+	}
+	if err := started.Start(ctx); err != nil {
+		return &SiteError{Step: "start node", Cause: err}
+	}
+	l.nodes = append(l.nodes, started)
+	return nil
+}
+
+func (l *liveSite) settings(i int) *settings.Settings {
+	shared := map[string]any{"name": l.name}
+	return &settings.Settings{
+		Node:     topo.NodeID(nodeID(i)),
+		Zone:     topo.Zone(zoneOf(i)),
+		Region:   "local",
+		Frontend: settings.Listener{Address: loopback},
+		Peer:     settings.Listener{Address: loopback},
+		Log:      settings.Driver{Name: "memory", Options: shared},
+		VMs:      settings.Driver{Name: "memory", Options: shared},
+		Servers:  settings.Driver{Name: settings.DefaultServerDriver},
+		Balance:  settings.Driver{Name: settings.DefaultBalance},
+		Limits:   settings.DefaultLimits(),
+		Timing:   settings.DefaultTiming(),
+		LogLevel: settings.DefaultLogLevel,
+	}
+}
+
+func (l *liveSite) publish(ctx context.Context, shards int) error {
+	appender, err := kernel.Use[follower.Appender](l.nodes[0].Context())
+	if err != nil {
+		return &SiteError{Step: "publish", Cause: err}
+	}
+	fate, err := appender.Submit(ctx, publish(shards))
+	if err != nil {
+		return &SiteError{Step: "publish", Cause: err}
+	}
+	if !fate.Accepted {
+		return &RejectedError{Record: fate.Conflict}
+	}
+	return nil
+}
+
+// settle waits until every shard is owned by a known run of its owner.
+func (l *liveSite) settle(ctx context.Context, s shape) error {
+	source, err := kernel.Use[state.Source](l.nodes[0].Context())
+	if err != nil {
+		return &SiteError{Step: "settle", Cause: err}
+	}
+	ctx, cancel := context.WithTimeout(ctx, settleLimit)
+	defer cancel()
+	for owned(source.View()) < s.shards {
+		if err := pause(ctx, settlePoll); err != nil {
+			return &SiteError{Step: "settle", Cause: err}
+		}
+	}
+	return pause(ctx, quiet)
+}
+
+func owned(view *state.View) int {
+	count := 0
+	view.EachShard(serviceName, func(a state.Assignment) bool {
+		if a.OwnerBoot != "" {
+			count++
+		}
+		return true
+	})
+	return count
+}
+
+func pause(ctx context.Context, d time.Duration) error {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// spend measures an idle site over the window.
+func (l *liveSite) spend(ctx context.Context) (usage, error) {
+	began := time.Now()
+	processor := processorTime()
+	before := readCounters()
+	if err := pause(ctx, window); err != nil {
+		return usage{}, &SiteError{Step: "measure", Cause: err}
+	}
+	spent := readCounters().minus(before)
+	spent.processor = (processorTime() - processor).Seconds()
+	return spent.over(time.Since(began)), nil
+}
+
+func readCounters() usage {
+	return usage{
+		peerBytes:   counter("peer", "control_bytes_sent") + counter("peer", "control_bytes_received"),
+		serverBytes: counter("servers", "control_bytes_sent") + counter("servers", "control_bytes_received"),
+		logBytes:    counter("follower", "append_bytes") + counter("follower", "log_read_bytes"),
+		logReads:    counter("follower", "log_reads"),
+	}
+}
+
+func (u usage) minus(other usage) usage {
+	return usage{
+		peerBytes:   u.peerBytes - other.peerBytes,
+		serverBytes: u.serverBytes - other.serverBytes,
+		logBytes:    u.logBytes - other.logBytes,
+		logReads:    u.logReads - other.logReads,
+	}
+}
+
+func (u usage) over(took time.Duration) usage {
+	seconds := took.Seconds()
+	return usage{
+		processor:   u.processor / seconds,
+		peerBytes:   u.peerBytes / seconds,
+		serverBytes: u.serverBytes / seconds,
+		logBytes:    u.logBytes / seconds,
+		logReads:    u.logReads / seconds,
+	}
+}
+
+func (l *liveSite) stop() {
+	for _, one := range l.nodes {
+		_ = one.Kill()
+	}
+	for _, one := range l.servers {
+		one.Kill()
+	}
+	logmem.Forget(l.name)
+	vmsmem.Forget(l.name)
+}
+
+// siteSizes are the shapes of a sweep over one input.
+type siteSweep struct {
+	input  string
+	shapes []shape
+	size   func(shape) int
+}
+
+func siteSweeps(quick bool) []siteSweep {
+	nodes := siteSweep{input: "nodes", size: func(s shape) int { return s.nodes }}
+	servers := siteSweep{input: "servers", size: func(s shape) int { return s.servers }}
+	shards := siteSweep{input: "shards", size: func(s shape) int { return s.shards }}
+	nodeSizes, serverSizes, shardSizes := []int{5, 10, 20, 40}, []int{10, 20, 40, 80}, []int{640, 2560, 10240, 40960}
+	if quick {
+		nodeSizes, serverSizes, shardSizes = []int{5, 10}, []int{10, 20}, []int{640, 1280}
+	}
+	for _, n := range nodeSizes {
+		nodes.shapes = append(nodes.shapes, shape{nodes: n, servers: 20, shards: 1280})
+	}
+	for _, n := range serverSizes {
+		servers.shapes = append(servers.shapes, shape{nodes: 10, servers: n, shards: 1280})
+	}
+	for _, n := range shardSizes {
+		shards.shapes = append(shards.shapes, shape{nodes: 10, servers: 20, shards: n})
+	}
+	return []siteSweep{nodes, servers, shards}
+}
+
+// siteFigures are what a sweep over whole sites reports, for the whole site.
+var siteFigures = []struct {
+	name, unit string
+	value      func(usage) float64
+}{
+	{"processor of an idle site", "cores", func(u usage) float64 { return u.processor }},
+	{"bytes between nodes", "bytes/s", func(u usage) float64 { return u.peerBytes }},
+	{"bytes between nodes and servers", "bytes/s", func(u usage) float64 { return u.serverBytes }},
+	{"log reads", "reads/s", func(u usage) float64 { return u.logReads }},
+}
+
+func siteSeries(ctx context.Context, quick bool, progress func(string)) ([]Series, error) {
+	var all []Series
+	for _, sweep := range siteSweeps(quick) {
+		points := make([][]Point, len(siteFigures))
+		for _, s := range sweep.shapes {
+			progress(fmt.Sprintf("site of %d nodes, %d servers, %d shards", s.nodes, s.servers, s.shards))
+			spent, err := measureSite(ctx, s)
+			if err != nil {
+				return nil, err
+			}
+			for i, figure := range siteFigures {
+				points[i] = append(points[i], Point{X: float64(sweep.size(s)), Y: figure.value(spent)})
+			}
+		}
+		for i, figure := range siteFigures {
+			all = append(all, newSeries(figure.name+" by "+sweep.input, sweep.input, figure.unit, points[i]))
+		}
+	}
+	return all, nil
+}
--- a/cmd/burdockspindle/main.go
+++ b/cmd/burdockspindle/main.go
@@ -6,6 +6,7 @@
 	"context"
 	"os"
 
+	_ "github.com/burdockspindle/burdockspindle/capacity" // registers the command capacity
 	"github.com/burdockspindle/burdockspindle/cli"
 	_ "github.com/burdockspindle/burdockspindle/demo" // registers the command demo
 	_ "github.com/burdockspindle/burdockspindle/experiment"
