--- a/demo/deployment.go
+++ b/demo/deployment.go
@@ -55,6 +55,15 @@
 	return d, nil
 }
 
+// resize sets the number of servers of each service; 0 leaves it.
+func (d *deployment) resize(servers int) {
+	for service := range d.servers {
+		if servers > 0 {
+			d.servers[service] = servers
+		}
+	}
+}
+
 // sortedServices lists the services of a site in order of name.
 func sortedServices(site *siteconfig.Site) []*siteconfig.Service {
 	services := make([]*siteconfig.Service, 0, len(site.Services))
--- a/demo/faults.go
+++ b/demo/faults.go
@@ -89,6 +89,16 @@
 	s.noticeLater(string(one.ID))
 }
 
+// ShutDownNode drains an entry node and stops it, as a planned stop does. The
+// platform's balancer sends no new connections to it.
+func (s *Site) ShutDownNode(ctx context.Context, one *SiteNode) error {
+	s.Platform.SetPhase(string(one.ID), vmlist.PhaseLeaving)
+	err := one.Shutdown(ctx)
+	one.Lost = true
+	s.Platform.SetPhase(string(one.ID), vmlist.PhaseGone)
+	return err
+}
+
 func (s *Site) noticeLater(id string) {
 	time.AfterFunc(vmListLag, func() { s.Platform.SetPhase(id, vmlist.PhaseGone) })
 }
--- a/demo/load.go
+++ b/demo/load.go
@@ -12,7 +12,7 @@
 
 const (
 	probedOwners  = 12 // keys probed, of as many owners as possible
-	settleTimeout = 10 * time.Second
+	settleTimeout = 30 * time.Second
 )
 
 // Load is what callers send while a site is exercised.
--- a/demo/ready.go
+++ b/demo/ready.go
@@ -18,7 +18,7 @@
 	readyTimeout  = 30 * time.Second
 	readyPoll     = 50 * time.Millisecond
 	readyDeadline = time.Second
-	settledWithin = 5 * time.Second
+	settledWithin = 20 * time.Second
 )
 
 // OwnedKey is a key and the server that owned it when it was looked up.
@@ -141,30 +141,41 @@
 }
 
 // WaitSettled waits until the nodes that run have applied the same records, and
-// returns them. Nodes that lag for too long are among them: what they lack is
-// what the checkers look for.
+// returns them. Those that still lag after a long time are left out: the rule
+// that acknowledged assignments survive is not about speed.
 func (s *Site) WaitSettled(ctx context.Context) []topo.NodeID {
 	ctx, cancel := context.WithTimeout(ctx, settledWithin)
 	defer cancel()
 	for {
-		nodes, even := s.applied()
-		if even || !sleep(ctx, readyPoll) {
-			return nodes
+		furthest, lagging := s.furthest()
+		if lagging == 0 || !sleep(ctx, readyPoll) {
+			return furthest
 		}
 	}
 }
 
-// applied lists the nodes that run, and whether all have applied the same.
-func (s *Site) applied() (nodes []topo.NodeID, even bool) {
-	offsets := map[topo.Offset]bool{}
+// furthest lists the nodes that run and have applied most, and counts the
+// others.
+func (s *Site) furthest() (nodes []topo.NodeID, lagging int) {
+	highest := topo.Offset(0)
 	for _, one := range s.Nodes {
 		if one.Lost {
 			continue
 		}
-		nodes = append(nodes, one.ID)
-		if source, err := kernel.Use[state.Source](one.Context()); err == nil {
-			offsets[source.View().Applied()] = true
+		source, err := kernel.Use[state.Source](one.Context())
+		if err != nil {
+			continue
+		}
+		switch applied := source.View().Applied(); {
+		case applied > highest:
+			highest = applied
+			lagging += len(nodes)
+			nodes = []topo.NodeID{one.ID}
+		case applied == highest:
+			nodes = append(nodes, one.ID)
+		default:
+			lagging++
 		}
 	}
-	return nodes, len(offsets) <= 1
+	return nodes, lagging
 }
--- a/demo/site.go
+++ b/demo/site.go
@@ -84,9 +84,12 @@
 type SiteOptions struct {
 	Deployment string
 	// Text is the site configuration; by default the deployment's own.
-	Text   []byte
-	Seed   uint64
-	Logger hclog.Logger // nil for none
+	Text []byte
+	// Servers is the number of servers of each service; by default the
+	// deployment's own.
+	Servers int
+	Seed    uint64
+	Logger  hclog.Logger // nil for none
 }
 
 // StartSite starts the stand-ins, the servers and the nodes of a deployment,
@@ -100,6 +103,7 @@
 	if err != nil {
 		return nil, err
 	}
+	deployment.resize(options.Servers)
 	site := newSite(deployment, options.Logger)
 	if err := site.startServers(options.Seed); err != nil {
 		return site, err
--- /dev/null
+++ b/proof/planted_test.go
@@ -0,0 +1,72 @@
+package proof_test
+
+import (
+	"context"
+	"testing"
+
+	"github.com/onsi/gomega"
+
+	"github.com/burdockspindle/burdockspindle/demo"
+	"github.com/burdockspindle/burdockspindle/histcheck"
+	"github.com/burdockspindle/burdockspindle/standin/server"
+)
+
+// plantedCases are sites whose servers break a rule. The run must be found out:
+// otherwise the checks of the other rows prove nothing.
+var plantedCases = []struct {
+	name   string
+	rule   histcheck.Rule
+	faults func(ctx context.Context, r *run, one *demo.SiteServer)
+	counts func(demo.Summary) int
+}{
+	{
+		name: "servers serve without owning",
+		rule: histcheck.RuleSoleOwner,
+		faults: func(ctx context.Context, r *run, one *demo.SiteServer) {
+			r.misbehave(server.Faults{IgnoreFences: true})
+			one.Freeze() // what is in flight runs when others have taken over
+			pause(ctx, pastLease)
+			one.Unfreeze()
+		},
+		counts: func(s demo.Summary) int { return s.DualOwner },
+	},
+	{
+		name: "servers run repeated tickets again",
+		rule: histcheck.RuleAtMostOnce,
+		faults: func(ctx context.Context, r *run, _ *demo.SiteServer) {
+			r.misbehave(server.Faults{IgnoreTickets: true, LoseRatio: 0.5})
+			pause(ctx, pastLease)
+			r.misbehave(server.Faults{IgnoreTickets: true})
+		},
+		counts: func(s demo.Summary) int { return s.DoubleRun },
+	},
+}
+
+// misbehave gives every server the same faults.
+func (r *run) misbehave(faults server.Faults) {
+	for _, one := range r.Servers {
+		one.SetFaults(faults)
+	}
+}
+
+func TestViolationsOfServersAreFoundOut(t *testing.T) {
+	for _, row := range plantedCases {
+		t.Run(row.name, func(t *testing.T) {
+			ctx, r := startRun(t, demo.SiteOptions{})
+			one := r.owners(1)[0]
+			load := demo.Load{Requests: requests, Seed: seed, Span: loadSpan, Probed: demo.Spread(r.keys, one)}
+			_, err := r.Exercise(ctx, load, func(ctx context.Context) {
+				pause(ctx, settle)
+				row.faults(ctx, r, one)
+			})
+			g := gomega.NewWithT(t)
+			g.Expect(err).NotTo(gomega.HaveOccurred())
+			nodes := r.WaitSettled(ctx)
+			r.Stop()
+			summary, found := r.Judge(nodes)
+			g.Expect(histcheck.Count(found, row.rule)).To(gomega.BeNumerically(">", 0))
+			g.Expect(row.counts(summary)).To(gomega.BeNumerically(">", 0))
+			g.Expect(summary.Holds()).To(gomega.BeFalse())
+		})
+	}
+}
