Peers and servers can be dialled through what the process provides

Cause: whole sites in one process have to be cut apart to test partitions. Change: peer.Dial and backend.Dial, optional services of modules/peer and modules/serverhttp, as the router has for forwarding.

--- a/backend/backend.go
+++ b/backend/backend.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"time"
 
@@ -66,6 +67,10 @@
 	Forget(id topo.ServerID)
 }
 
+// Dial opens a connection to a server. The process uses the one that was
+// provided to it, if any: a demo or test can cut nodes off from servers.
+type Dial func(ctx context.Context, network, address string) (net.Conn, error)
+
 // AttemptError reports an attempt without an answer.
 type AttemptError struct {
 	Server topo.ServerID
--- a/modules/peer/dialer.go
+++ b/modules/peer/dialer.go
@@ -24,6 +24,7 @@
 type dialer struct {
 	traffic *traffic
 	files   *tlsfiles.Loader // nil for no TLS
+	open    core.Dial
 }
 
 // generation tells connections made with earlier certificates from those made
@@ -42,7 +43,7 @@
 		Protocols:          new(http.Protocols),
 		DisableCompression: true,
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
-			raw, err := new(net.Dialer).DialContext(ctx, network, address)
+			raw, err := d.open(ctx, network, address)
 			if err != nil {
 				return nil, err
 			}
--- a/modules/peer/module.go
+++ b/modules/peer/module.go
@@ -7,6 +7,7 @@
 import (
 	"context"
 	"errors"
+	"net"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -89,7 +90,7 @@
 		sender:    sender,
 		logger:    m.logger,
 		directory: &directory{self: m.ctx.Identity, seeds: map[topo.NodeID]string{}},
-		dialer:    &dialer{traffic: m.traffic, files: m.files},
+		dialer:    &dialer{traffic: m.traffic, files: m.files, open: m.dial()},
 		timing: linkTiming{
 			connect: orDefault(limits.ConnectTimeout, defaultConnectTimeout),
 			silence: silence,
@@ -99,6 +100,14 @@
 	}
 }
 
+// dial returns how connections to peers are opened.
+func (m *Module) dial() core.Dial {
+	if provided, err := kernel.Use[core.Dial](m.ctx); err == nil {
+		return provided
+	}
+	return new(net.Dialer).DialContext
+}
+
 func orDefault(value, otherwise time.Duration) time.Duration {
 	if value > 0 {
 		return value
--- a/modules/serverhttp/endpoint.go
+++ b/modules/serverhttp/endpoint.go
@@ -57,7 +57,7 @@
 		limit, _, _ := e.budget.read()
 		return nil, &ShareError{Server: e.target.ID, Share: limit}
 	}
-	inner, err := new(net.Dialer).DialContext(ctx, network, address)
+	inner, err := e.options.Dial(ctx, network, address)
 	if err != nil {
 		e.budget.closedConn()
 		metricDialFailures.Add(1)
@@ -70,7 +70,7 @@
 func (e *endpoint) dialControl(ctx context.Context, network, address string) (net.Conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, e.options.ConnectTimeout)
 	defer cancel()
-	inner, err := new(net.Dialer).DialContext(ctx, network, address)
+	inner, err := e.options.Dial(ctx, network, address)
 	if err != nil {
 		metricDialFailures.Add(1)
 		return nil, &DialError{Cause: err}
--- a/modules/serverhttp/module.go
+++ b/modules/serverhttp/module.go
@@ -37,6 +37,9 @@
 	options.Share = func(to backend.Target) int {
 		return ConnectionShare(m.source.View(), ctx.Identity.Node, to.ID)
 	}
+	if provided, err := kernel.Use[backend.Dial](ctx); err == nil {
+		options.Dial = provided
+	}
 	m.driver = NewDriver(options, ctx.Logger.Named("servers"))
 	return kernel.Provide[backend.Driver](ctx, m.driver)
 }
--- a/modules/serverhttp/options.go
+++ b/modules/serverhttp/options.go
@@ -1,6 +1,7 @@
 package serverhttp
 
 import (
+	"net"
 	"time"
 
 	"github.com/burdockspindle/burdockspindle/backend"
@@ -31,6 +32,8 @@
 	// Share returns how many connections for requests this process may have
 	// open to a server; 0 for none at all.
 	Share func(backend.Target) int
+	// Dial opens connections; by default over the network.
+	Dial backend.Dial
 }
 
 // Defaults of the options that the settings do not give.
@@ -104,6 +107,9 @@
 	if o.MaxHeaderBytes <= 0 {
 		o.MaxHeaderBytes = defaultMaxHeaderBytes
 	}
+	if o.Dial == nil {
+		o.Dial = new(net.Dialer).DialContext
+	}
 	if o.Share == nil {
 		o.Share = func(backend.Target) int { return 1 }
 	}
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 
 	"github.com/burdockspindle/burdockspindle/topo"
@@ -32,6 +33,10 @@
 	Sender() *bspb.Sender
 }
 
+// Dial opens a connection to another node. The process uses the one that was
+// provided to it, if any: a demo or test can cut nodes off from each other.
+type Dial func(ctx context.Context, network, address string) (net.Conn, error)
+
 // Handlers is where modules put what they answer to peers' calls. Modules set
 // their fields during Provision; calls to a nil handler are answered
 // "unimplemented". The listener fills in each answer's Sender. HTTP mounts
