Planner under a faked clock; nothing is repeated in haste

Cause: a planner asked a lessor that took no moves again at once, without end, and a duty on an old view wrote records without effect as fast as the log took them. Tests of the running modules found both. Change: a move that a lessor did not take is left alone for 1 s; the writer pauses after a record without effect as after one of unknown fate. Measured: go test -race ./submit ./planner ./modules/planner passes: a leaving server is named by no record 3 s after the list or its own word, a removed service is drained dependants first, another node plans when the planner is killed, stopped, cut off or stale. Conclusion: decisions repeat at a bounded rate.

--- a/modules/planner/duty.go
+++ b/modules/planner/duty.go
@@ -178,6 +178,6 @@
 	eventMovesFailed.Log(d.module.logger, "group", result.request.Group, "reason", result.request.Reason,
 		"moves", len(result.request.Moves), "error", result.err)
 	if d.tracker != nil {
-		d.tracker.Failed(result.request)
+		d.tracker.Failed(result.request, time.Now())
 	}
 }
--- /dev/null
+++ b/modules/planner/planner_test.go
@@ -0,0 +1,262 @@
+package planner_test
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"github.com/burdockspindle/burdockspindle/dutytest"
+	"github.com/burdockspindle/burdockspindle/membership"
+	_ "github.com/burdockspindle/burdockspindle/modules/membership"
+	_ "github.com/burdockspindle/burdockspindle/modules/planner"
+	"github.com/burdockspindle/burdockspindle/sitefake"
+	"github.com/burdockspindle/burdockspindle/standin/vms"
+	"github.com/burdockspindle/burdockspindle/state"
+	"github.com/burdockspindle/burdockspindle/topo"
+	"github.com/burdockspindle/burdockspindle/vmlist"
+
+	bspb "github.com/burdockspindle/burdockspindle/proto/burdockspindle/v1"
+)
+
+// moveTakes is how long the lessors of these tests take to make a move.
+const moveTakes = 200 * time.Millisecond
+
+// site is a cluster of six nodes in three zones under a faked clock. The lessor
+// of each zone's group is a stand-in that makes the moves it is asked for.
+type site struct {
+	*dutytest.Cluster
+	g     *gomega.WithT
+	nodes []*dutytest.Node
+
+	mu     sync.Mutex
+	refuse bool // lessors take no moves
+	asked  []*bspb.ShardMove
+}
+
+func run(t *testing.T, test func(s *site)) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &site{Cluster: dutytest.New(t, "duty.membership", "duty.planner"), g: gomega.NewWithT(t)}
+		defer s.Close()
+		for i := range 6 {
+			node := s.Start(fmt.Sprintf("node-%d", i), "zone-"+string(rune('a'+i%3)), "1")
+			node.Handlers.Move = s.move
+			s.nodes = append(s.nodes, node)
+		}
+		s.pass(5 * time.Second)
+		for _, zone := range []string{"a", "b", "c"} {
+			s.Site.Lessor("zone-"+zone, "node-"+string(rune('0'+zone[0]-'a')))
+		}
+		test(s)
+	})
+}
+
+func (s *site) pass(d time.Duration) {
+	time.Sleep(d)
+	synctest.Wait()
+}
+
+// move answers a Move call as a lessor does.
+func (s *site) move(_ context.Context, req *bspb.MoveRequest) (*bspb.MoveResponse, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.refuse {
+		return &bspb.MoveResponse{}, nil
+	}
+	s.asked = append(s.asked, req.Moves...)
+	go func() {
+		time.Sleep(moveTakes)
+		for _, m := range req.Moves {
+			s.Site.Make(m)
+		}
+	}()
+	return &bspb.MoveResponse{Accepted: uint32(len(req.Moves))}, nil
+}
+
+func (s *site) setRefuse(refuse bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.refuse = refuse
+}
+
+// servers shows live servers of a service in each zone.
+func (s *site) servers(service string, perZone int) {
+	for _, zone := range []string{"zone-a", "zone-b", "zone-c"} {
+		for i := range perZone {
+			s.VMs.Put(vmlist.VM{
+				ID: fmt.Sprintf("%s-%s-%d", service, zone, i), Role: vmlist.RoleServer, Service: topo.Service(service),
+				Zone: topo.Zone(zone), Address: "127.0.0.1:9", Phase: vmlist.PhaseLive,
+			})
+		}
+	}
+}
+
+func (s *site) owners(service string) map[topo.ServerID]int {
+	owners := map[topo.ServerID]int{}
+	s.Site.View().EachShard(topo.Service(service), func(a state.Assignment) bool {
+		owners[a.Owner]++
+		return true
+	})
+	return owners
+}
+
+// holder returns the node that holds the planner's role.
+func (s *site) holder() *dutytest.Node {
+	for _, n := range s.nodes {
+		if dutytest.Use[membership.Roles](n).Holds(membership.RolePlanner) {
+			return n
+		}
+	}
+	return nil
+}
+
+func TestShardsAreAssignedInFewRecords(t *testing.T) {
+	run(t, func(s *site) {
+		s.Site.Publish(sitefake.Keyed("logs", 600))
+		s.servers("logs", 2)
+		s.pass(5 * time.Second)
+		s.g.Expect(s.owners("logs")).To(gomega.HaveLen(6))
+		s.g.Expect(s.owners("logs")).To(gomega.HaveEach(100))
+		records := 0
+		for _, record := range s.Site.Records() {
+			if record.Record.GetAssignShards() != nil {
+				records++
+			}
+		}
+		s.g.Expect(records).To(gomega.Equal(1))
+		before := len(s.Site.Records())
+		s.pass(time.Minute)
+		s.g.Expect(s.Site.Records()).To(gomega.HaveLen(before), "a site at rest writes nothing")
+	})
+}
+
+// TestALeavingServerGetsNoNewWorkWithinThreeSeconds publishes a service just as
+// a server begins to leave: three seconds on, no record names it.
+func TestALeavingServerGetsNoNewWorkWithinThreeSeconds(t *testing.T) {
+	const leaving = "logs-zone-b-1"
+	cases := map[string]struct {
+		faults vms.Faults
+		leave  func(s *site)
+	}{
+		"by the list": {vms.Faults{}, func(s *site) { s.VMs.SetPhase(leaving, vmlist.PhaseLeaving) }},
+		"by its own word while the list lags": {vms.Faults{HideLag: time.Hour}, func(s *site) {
+			s.VMs.SetPhase(leaving, vmlist.PhaseLeaving)
+			lessor := dutytest.Use[*membership.Words](s.nodes[1])
+			lessor.Heard(leaving, true, time.Now())
+		}},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			run(t, func(s *site) {
+				s.VMs.SetFaults(c.faults)
+				s.Site.Publish(sitefake.Keyed("logs", 60))
+				s.servers("logs", 2)
+				s.pass(5 * time.Second)
+				s.g.Expect(s.owners("logs")).To(gomega.HaveKey(topo.ServerID(leaving)))
+				c.leave(s)
+				told := time.Now()
+				s.pass(3 * time.Second)
+				more := sitefake.Keyed("logs-2", 60)
+				s.Site.Publish(sitefake.Keyed("logs", 60), more)
+				s.servers("logs-2", 1)
+				s.pass(20 * time.Second)
+				for _, record := range s.Site.Records() {
+					for _, a := range record.Record.GetAssignShards().GetAssignments() {
+						if record.At.After(told.Add(3 * time.Second)) {
+							s.g.Expect(a.Owner).NotTo(gomega.Equal(leaving))
+							s.g.Expect(a.Standby).NotTo(gomega.Equal(leaving))
+						}
+					}
+				}
+				s.g.Expect(s.owners("logs")).NotTo(gomega.HaveKey(topo.ServerID(leaving)), "it is emptied")
+			})
+		})
+	}
+}
+
+func TestARemovedServiceIsDrainedFirst(t *testing.T) {
+	run(t, func(s *site) {
+		licensing, archive := sitefake.Keyed("licensing", 30, "archive"), sitefake.Keyed("archive", 30)
+		s.Site.Publish(licensing, archive)
+		s.servers("licensing", 1)
+		s.servers("archive", 1)
+		s.pass(10 * time.Second)
+		s.g.Expect(s.owners("licensing")).To(gomega.HaveLen(3))
+		s.Site.Publish()
+		s.g.Expect(s.owners("archive")).To(gomega.HaveLen(3), "nothing is taken away by the configuration alone")
+		s.pass(10 * time.Second)
+		s.g.Expect(s.Site.View().Tables()).To(gomega.BeEmpty())
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.g.Expect(s.asked).To(gomega.HaveLen(60))
+		for i, m := range s.asked {
+			s.g.Expect(m.Shard.Service == "licensing").To(gomega.Equal(i < 30), "dependants are drained first")
+		}
+	})
+}
+
+func TestAnotherNodePlansWhenThePlannerIsLost(t *testing.T) {
+	for _, how := range []string{"killed", "stopped", "cut off", "stale"} {
+		t.Run(how, func(t *testing.T) {
+			run(t, func(s *site) {
+				s.Site.Publish(sitefake.Keyed("logs", 60))
+				s.servers("logs", 1)
+				s.pass(5 * time.Second)
+				planner := s.holder()
+				switch how {
+				case "killed":
+					planner.Kill()
+				case "stopped":
+					planner.Stop()
+				case "cut off":
+					s.Network.Isolate(planner.ID)
+				case "stale":
+					planner.Contact.Freeze() // goes on planning on an old view
+					s.Network.Isolate(planner.ID)
+				}
+				s.pass(5 * time.Second)
+				s.Site.Publish(sitefake.Keyed("logs", 60), sitefake.Keyed("quotes", 60))
+				s.servers("quotes", 1)
+				s.pass(10 * time.Second)
+				s.g.Expect(s.owners("quotes")).To(gomega.HaveLen(3))
+				s.g.Expect(s.owners("logs")).To(gomega.HaveLen(3))
+			})
+		})
+	}
+}
+
+func TestALessorThatTakesNoMovesIsAskedAgain(t *testing.T) {
+	run(t, func(s *site) {
+		s.Site.Publish(sitefake.Keyed("logs", 30))
+		s.servers("logs", 2)
+		s.pass(5 * time.Second)
+		s.setRefuse(true)
+		s.VMs.SetPhase("logs-zone-a-0", vmlist.PhaseLeaving)
+		s.pass(10 * time.Second)
+		s.g.Expect(s.owners("logs")).To(gomega.HaveKey(topo.ServerID("logs-zone-a-0")))
+		s.setRefuse(false)
+		s.pass(5 * time.Second)
+		s.g.Expect(s.owners("logs")).NotTo(gomega.HaveKey(topo.ServerID("logs-zone-a-0")))
+	})
+}
+
+func TestNothingIsAssignedWhileTheLogIsDown(t *testing.T) {
+	run(t, func(s *site) {
+		s.Site.Publish(sitefake.Keyed("logs", 30))
+		s.servers("logs", 1)
+		s.pass(5 * time.Second)
+		s.Site.SetDown(true)
+		s.Site.Publish(sitefake.Keyed("logs", 30), sitefake.Keyed("quotes", 30))
+		s.servers("quotes", 1)
+		before := len(s.Site.Records())
+		s.pass(time.Minute)
+		s.g.Expect(s.Site.Records()).To(gomega.HaveLen(before))
+		s.Site.SetDown(false)
+		s.pass(15 * time.Second)
+		s.g.Expect(s.owners("quotes")).To(gomega.HaveLen(3))
+	})
+}
--- a/planner/tracker.go
+++ b/planner/tracker.go
@@ -12,6 +12,9 @@
 const (
 	// MoveTimeout is how long a move may be under way before it is planned anew.
 	MoveTimeout = 15 * time.Second
+	// RetryMoveAfter is how long a move that the lessor did not take is left
+	// alone.
+	RetryMoveAfter = time.Second
 	// marksKept is how many moments the tracker remembers, and markEvery how far
 	// they are apart; together they reach back over the longest dwell of a policy.
 	marksKept = 64
@@ -122,10 +125,15 @@
 	}
 }
 
-// Failed notes that the lessor did not take a request.
-func (t *Tracker) Failed(request *Request) {
+// Failed notes that the lessor did not take a request; its moves are planned
+// anew after RetryMoveAfter.
+func (t *Tracker) Failed(request *Request, now time.Time) {
 	for _, move := range request.Moves {
-		t.forget(ShardFromProto(move.GetShard()))
+		id := ShardFromProto(move.GetShard())
+		if known, underWay := t.moving[id]; underWay {
+			known.since = now.Add(RetryMoveAfter - MoveTimeout)
+			t.moving[id] = known
+		}
 	}
 }
 
--- a/sitefake/site.go
+++ b/sitefake/site.go
@@ -131,18 +131,27 @@
 	writer string
 
 	mu     sync.Mutex
-	frozen *state.View // nil while the node is up to date
+	frozen *state.View   // nil while the node is up to date
+	thawed chan struct{} // closed while the node is up to date
 }
 
 // Node returns the contact of one run of a node.
-func (s *Site) Node(id, boot string) *Node { return &Node{Site: s, writer: id + "@" + boot} }
+func (s *Site) Node(id, boot string) *Node {
+	n := &Node{Site: s, writer: id + "@" + boot, thawed: make(chan struct{})}
+	close(n.thawed)
+	return n
+}
 
-// Freeze leaves the node with the view that it has now, as if it read the log
-// no longer; what it submits is still appended.
+// Freeze leaves the node with the view that it has now, as if it could append
+// to the log but read it no longer: what it submits takes effect, and it does
+// not learn so until Thaw.
 func (n *Node) Freeze() {
 	view := n.Site.View()
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	if n.frozen == nil {
+		n.thawed = make(chan struct{})
+	}
 	n.frozen = view
 }
 
@@ -150,6 +159,9 @@
 func (n *Node) Thaw() {
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	if n.frozen != nil {
+		close(n.thawed)
+	}
 	n.frozen = nil
 }
 
@@ -169,15 +181,28 @@
 	n.Site.mu.Lock()
 	up := n.up
 	n.Site.mu.Unlock()
-	select {
-	case <-ctx.Done():
-		return follower.Fate{}, &follower.UnknownFateError{Cause: ctx.Err()}
-	case <-up:
+	if err := await(ctx, up); err != nil {
+		return follower.Fate{}, err
 	}
 	result := n.Apply(n.writer, record)
+	n.mu.Lock()
+	thawed := n.thawed
+	n.mu.Unlock()
+	if err := await(ctx, thawed); err != nil {
+		return follower.Fate{}, err
+	}
 	fate := follower.Fate{Offset: result.Offset, Accepted: result.Accepted, RejectedShards: result.RejectedIndexes()}
 	if result.Conflict != nil {
 		fate.Conflict = result.Conflict.Error()
 	}
 	return fate, nil
 }
+
+func await(ctx context.Context, event <-chan struct{}) error {
+	select {
+	case <-ctx.Done():
+		return &follower.UnknownFateError{Cause: ctx.Err()}
+	case <-event:
+		return nil
+	}
+}
--- a/submit/submit.go
+++ b/submit/submit.go
@@ -18,9 +18,10 @@
 // Timeout bounds the writing of one record.
 const Timeout = 10 * time.Second
 
-// After a batch in which a record's fate was not learnt, the writer takes no
-// further batch for a while that doubles from pauseFirst to pauseMost, so that a
-// duty does not turn an outage of the log into a load of its own.
+// After a batch in which a record's fate was not learnt, or a record had no
+// effect, the writer takes no further batch for a while that doubles from
+// pauseFirst to pauseMost, so that a duty does not turn an outage of the log, or
+// an old picture of the state, into a load of its own.
 const (
 	pauseFirst = 50 * time.Millisecond
 	pauseMost  = time.Second
@@ -100,7 +101,7 @@
 	}
 }
 
-// writeAll reports whether the fate of every record was learnt.
+// writeAll reports whether every record is known to have taken effect.
 func (w *Writer) writeAll(ctx context.Context, batch []Submission) bool {
 	whole := true
 	for _, one := range batch {
@@ -128,7 +129,7 @@
 	if one.Done != nil {
 		one.Done(fate, err)
 	}
-	return err == nil
+	return err == nil && fate.Accepted
 }
 
 // Dump is the writer's part of the state dump.
