--- a/modules/vmshttp/module.go
+++ b/modules/vmshttp/module.go
@@ -1,5 +1,6 @@
 // Package vmshttp is the module vms.http: it reads the platform's VM list as
-// JSON over HTTP, in the form that package vmlist documents.
+// JSON over HTTP, in the form that package vmlist documents. A list that has not
+// changed is not sent again, where the platform's answers carry an ETag.
 package vmshttp
 
 import (
@@ -8,6 +9,7 @@
 	"io"
 	"net/http"
 	"net/url"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -29,10 +31,11 @@
 
 // Metrics of all nodes in this process, under "vm_list".
 var (
-	metrics        = expvar.NewMap("vm_list")
-	metricReads    = newCounter("reads")
-	metricFailures = newCounter("read_failures")
-	metricSkipped  = newCounter("rows_skipped")
+	metrics         = expvar.NewMap("vm_list")
+	metricReads     = newCounter("reads")
+	metricUnchanged = newCounter("reads_unchanged")
+	metricFailures  = newCounter("read_failures")
+	metricSkipped   = newCounter("rows_skipped")
 )
 
 func newCounter(name string) *expvar.Int {
@@ -51,9 +54,8 @@
 
 	mu        sync.Mutex
 	transport *http.Transport
+	latest    answer
 	lastRead  time.Time
-	lastRows  int
-	skipped   int
 	lastError string
 }
 
@@ -109,43 +111,70 @@
 	return nil
 }
 
+// answer is a list as it was read, with the tag by which the platform says that
+// it has not changed since.
+type answer struct {
+	vms     []vmlist.VM
+	skipped int
+	tag     string // empty when the platform gave none
+}
+
 // VMs implements vmlist.List.
 func (m *Module) VMs(ctx context.Context) ([]vmlist.VM, error) {
+	if err := ctx.Err(); err != nil {
+		return nil, err
+	}
 	metricReads.Add(1)
-	vms, skipped, err := m.read(ctx)
-	m.note(len(vms), skipped, err)
-	return vms, err
+	read, err := m.read(ctx)
+	m.note(read, err)
+	return slices.Clone(read.vms), err
 }
 
-func (m *Module) read(ctx context.Context) ([]vmlist.VM, int, error) {
-	if err := ctx.Err(); err != nil {
-		return nil, 0, err
-	}
+// read asks for the list, or whether it changed since it was last read.
+func (m *Module) read(ctx context.Context) (answer, error) {
 	ctx, cancel := context.WithTimeout(ctx, m.timeout)
 	defer cancel()
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, m.url, nil)
 	if err != nil {
-		return nil, 0, &vmlist.UnavailableError{Cause: err}
+		return answer{}, &vmlist.UnavailableError{Cause: err}
 	}
-	response, err := m.client().RoundTrip(request)
+	client, latest := m.current()
+	if latest.tag != "" {
+		request.Header.Set("If-None-Match", latest.tag)
+	}
+	response, err := client.RoundTrip(request)
 	if err != nil {
-		return nil, 0, m.failed(err)
+		return answer{}, m.failed(err)
 	}
 	defer func() { _ = response.Body.Close() }()
-	if response.StatusCode != http.StatusOK {
-		return nil, 0, &vmlist.UnavailableError{Cause: &StatusError{Code: response.StatusCode}}
+	switch response.StatusCode {
+	case http.StatusOK:
+		return m.decode(response)
+	case http.StatusNotModified:
+		if latest.tag != "" {
+			metricUnchanged.Add(1)
+			return latest, nil
+		}
 	}
+	return answer{}, &vmlist.UnavailableError{Cause: &StatusError{Code: response.StatusCode}}
+}
+
+func (m *Module) decode(response *http.Response) (answer, error) {
 	body, err := io.ReadAll(io.LimitReader(response.Body, vmlist.MaxBytes+1))
 	if err != nil {
-		return nil, 0, m.failed(err)
+		return answer{}, m.failed(err)
+	}
+	vms, skipped, err := vmlist.Decode(body)
+	if err != nil {
+		return answer{}, err
 	}
-	return vmlist.Decode(body)
+	return answer{vms: vms, skipped: skipped, tag: response.Header.Get("ETag")}, nil
 }
 
-func (m *Module) client() *http.Transport {
+func (m *Module) current() (*http.Transport, answer) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.transport
+	return m.transport, m.latest
 }
 
 // failed drops the connections, since the one just used may be silent for
@@ -159,7 +188,7 @@
 	return &vmlist.UnavailableError{Cause: cause}
 }
 
-func (m *Module) note(rows, skipped int, err error) {
+func (m *Module) note(read answer, err error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if err != nil {
@@ -170,19 +199,20 @@
 		m.lastError = err.Error()
 		return
 	}
-	if skipped > 0 && skipped != m.skipped {
-		eventRowsSkipped.Log(m.logger, "rows", skipped)
+	if read.skipped > 0 && read.skipped != m.latest.skipped {
+		eventRowsSkipped.Log(m.logger, "rows", read.skipped)
 	}
 	if m.lastError != "" {
 		eventBack.Log(m.logger, "url", m.url)
 	}
-	metricSkipped.Add(int64(skipped))
-	m.lastRead, m.lastRows, m.skipped, m.lastError = time.Now(), rows, skipped, ""
+	metricSkipped.Add(int64(read.skipped))
+	m.lastRead, m.latest, m.lastError = time.Now(), read, ""
 }
 
 // Stop implements kernel.Stopper.
 func (m *Module) Stop(context.Context) error {
-	m.client().CloseIdleConnections()
+	client, _ := m.current()
+	client.CloseIdleConnections()
 	return nil
 }
 
@@ -196,7 +226,7 @@
 		Rows     int       `json:"rows"`
 		Skipped  int       `json:"skipped"`
 		Error    string    `json:"error,omitempty"`
-	}{m.url, m.lastRead, m.lastRows, m.skipped, m.lastError}
+	}{m.url, m.lastRead, len(m.latest.vms), m.latest.skipped, m.lastError}
 }
 
 // OptionError reports a driver option that is missing, unknown or wrong.
--- /dev/null
+++ b/modules/vmshttp/vmshttp_test.go
@@ -0,0 +1,159 @@
+package vmshttp
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
+	"testing"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/onsi/gomega"
+
+	"github.com/burdockspindle/burdockspindle/kernel"
+	"github.com/burdockspindle/burdockspindle/settings"
+	"github.com/burdockspindle/burdockspindle/standin/vms"
+	"github.com/burdockspindle/burdockspindle/vmlist"
+	"github.com/burdockspindle/burdockspindle/vmlist/vmlisttest"
+)
+
+func provision(options map[string]any) (*Module, error) {
+	ctx := kernel.NewContext(kernel.Identity{}, hclog.NewNullLogger())
+	if err := kernel.Provide(ctx, &settings.Settings{VMs: settings.Driver{Options: options}}); err != nil {
+		return nil, err
+	}
+	m := new(Module)
+	return m, m.Provision(ctx)
+}
+
+func opened(t *testing.T, url string) *Module {
+	m, err := provision(map[string]any{"url": url, "timeoutMs": 20000.0})
+	gomega.NewWithT(t).Expect(err).NotTo(gomega.HaveOccurred())
+	t.Cleanup(func() { _ = m.Stop(context.Background()) })
+	return m
+}
+
+func TestContract(t *testing.T) {
+	vmlisttest.Run(t, func(t *testing.T, p *vms.Platform) vmlist.List {
+		server := httptest.NewServer(vms.Handler(p))
+		t.Cleanup(server.Close)
+		return opened(t, server.URL+vms.PathVMs)
+	})
+}
+
+func TestAnUnchangedListIsNotSentAgain(t *testing.T) {
+	g := gomega.NewWithT(t)
+	p := vms.New()
+	var bytes atomic.Int64
+	counted := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		vms.Handler(p).ServeHTTP(&countingWriter{w, &bytes}, r)
+	})
+	server := httptest.NewServer(counted)
+	t.Cleanup(server.Close)
+	m := opened(t, server.URL+vms.PathVMs)
+	p.Put(vmlist.VM{ID: "a", Role: vmlist.RoleEntry, Zone: "z", Phase: vmlist.PhaseLive})
+	for range 10 {
+		list, err := m.VMs(context.Background())
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		g.Expect(list).To(gomega.HaveLen(1))
+	}
+	once := bytes.Load()
+	g.Expect(once).To(gomega.BeNumerically("<", 100), "one list of one row")
+	p.SetPhase("a", vmlist.PhaseLeaving)
+	_, err := m.VMs(context.Background())
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(bytes.Load()).To(gomega.BeNumerically(">", once))
+}
+
+type countingWriter struct {
+	http.ResponseWriter
+	bytes *atomic.Int64
+}
+
+func (w *countingWriter) Write(p []byte) (int, error) {
+	w.bytes.Add(int64(len(p)))
+	return w.ResponseWriter.Write(p)
+}
+
+func TestAnswersThatAreNoList(t *testing.T) {
+	cases := map[string]struct {
+		status    int
+		body      string
+		malformed bool
+	}{
+		"other status":              {http.StatusTeapot, `{"vms":[]}`, false},
+		"no JSON":                   {http.StatusOK, `<html>`, true},
+		"half a list":               {http.StatusOK, `{"vms":[{"id":"a"`, true},
+		"another document":          {http.StatusOK, `{"servers":[]}`, true},
+		"unchanged without a first": {http.StatusNotModified, ``, false},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				w.WriteHeader(c.status)
+				if c.status != http.StatusNotModified {
+					_, _ = w.Write([]byte(c.body))
+				}
+			}))
+			t.Cleanup(server.Close)
+			_, err := opened(t, server.URL).VMs(context.Background())
+			var malformed *vmlist.MalformedError
+			var away *vmlist.UnavailableError
+			g.Expect(errors.As(err, &malformed)).To(gomega.Equal(c.malformed), "%v", err)
+			g.Expect(errors.As(err, &away)).To(gomega.Equal(!c.malformed), "%v", err)
+		})
+	}
+}
+
+// TestAConnectionThatFellSilentIsReplaced lets the first connection die without
+// a word after one answer.
+func TestAConnectionThatFellSilentIsReplaced(t *testing.T) {
+	g := gomega.NewWithT(t)
+	p := vms.New()
+	var connections atomic.Int64
+	silent := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Context().Value(firstKey{}) == true && connections.Load() == 1 && r.Header.Get("If-None-Match") != "" {
+			<-r.Context().Done()
+			return
+		}
+		vms.Handler(p).ServeHTTP(w, r)
+	})
+	server := httptest.NewUnstartedServer(silent)
+	server.Config.ConnContext = func(ctx context.Context, _ net.Conn) context.Context {
+		return context.WithValue(ctx, firstKey{}, connections.Add(1) == 1)
+	}
+	server.Start()
+	t.Cleanup(server.Close)
+	m := opened(t, server.URL+vms.PathVMs)
+	_, err := m.VMs(context.Background())
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	ctx, cancel := context.WithTimeout(context.Background(), 1e8)
+	defer cancel()
+	_, err = m.VMs(ctx)
+	g.Expect(err).To(gomega.HaveOccurred())
+	_, err = m.VMs(context.Background())
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(connections.Load()).To(gomega.BeEquivalentTo(2))
+}
+
+type firstKey struct{}
+
+func TestOptionsAreChecked(t *testing.T) {
+	g := gomega.NewWithT(t)
+	for _, options := range []map[string]any{
+		{},
+		{"url": "127.0.0.1:1"},
+		{"url": "ftp://127.0.0.1"},
+		{"url": 5.0},
+		{"url": "http://127.0.0.1:1/", "timeoutMs": "1"},
+		{"url": "http://127.0.0.1:1/", "timeoutMs": 0.0},
+		{"url": "http://127.0.0.1:1/", "timeout": 1.0},
+	} {
+		_, err := provision(options)
+		var wrong *OptionError
+		g.Expect(errors.As(err, &wrong)).To(gomega.BeTrue(), "%v", options)
+	}
+}
--- /dev/null
+++ b/modules/vmsmem/vmsmem_test.go
@@ -0,0 +1,56 @@
+package vmsmem
+
+import (
+	"errors"
+	"testing"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/onsi/gomega"
+
+	"github.com/burdockspindle/burdockspindle/kernel"
+	"github.com/burdockspindle/burdockspindle/settings"
+	"github.com/burdockspindle/burdockspindle/standin/vms"
+	"github.com/burdockspindle/burdockspindle/vmlist"
+	"github.com/burdockspindle/burdockspindle/vmlist/vmlisttest"
+)
+
+func provision(options map[string]any) (vmlist.List, error) {
+	ctx := kernel.NewContext(kernel.Identity{}, hclog.NewNullLogger())
+	if err := kernel.Provide(ctx, &settings.Settings{VMs: settings.Driver{Options: options}}); err != nil {
+		return nil, err
+	}
+	if err := new(Module).Provision(ctx); err != nil {
+		return nil, err
+	}
+	return kernel.Use[vmlist.List](ctx)
+}
+
+func TestContract(t *testing.T) {
+	vmlisttest.Run(t, func(t *testing.T, p *vms.Platform) vmlist.List {
+		name := t.Name()
+		sharedMu.Lock()
+		shared[name] = p
+		sharedMu.Unlock()
+		t.Cleanup(func() { Forget(name) })
+		list, err := provision(map[string]any{"name": name})
+		gomega.NewWithT(t).Expect(err).NotTo(gomega.HaveOccurred())
+		return list
+	})
+}
+
+func TestAListIsSharedByName(t *testing.T) {
+	g := gomega.NewWithT(t)
+	g.Expect(Named("one")).To(gomega.BeIdenticalTo(Named("one")))
+	g.Expect(Named("one")).NotTo(gomega.BeIdenticalTo(Named("two")))
+	Forget("one")
+	Forget("two")
+}
+
+func TestOptionsAreChecked(t *testing.T) {
+	g := gomega.NewWithT(t)
+	for _, options := range []map[string]any{{"name": 1.0}, {"nmae": "x"}} {
+		_, err := provision(options)
+		var wrong *OptionError
+		g.Expect(errors.As(err, &wrong)).To(gomega.BeTrue(), "%v", options)
+	}
+}
--- a/standin/vms/serve.go
+++ b/standin/vms/serve.go
@@ -7,8 +7,11 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/burdockspindle/burdockspindle/vmlist"
 )
 
@@ -61,6 +64,12 @@
 		http.Error(w, err.Error(), http.StatusInternalServerError)
 		return
 	}
+	tag := strconv.Quote(strconv.FormatUint(xxhash.Sum64(body), 16))
+	w.Header().Set("ETag", tag)
+	if r.Header.Get("If-None-Match") == tag {
+		w.WriteHeader(http.StatusNotModified)
+		return
+	}
 	w.Header().Set("Content-Type", "application/json")
 	_, _ = w.Write(body)
 }
--- /dev/null
+++ b/vmlist/vmlisttest/vmlisttest.go
@@ -0,0 +1,163 @@
+// Package vmlisttest is the contract that every VM-list driver meets, as tests
+// to run against it over the stand-in platform.
+package vmlisttest
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"github.com/burdockspindle/burdockspindle/standin/vms"
+	"github.com/burdockspindle/burdockspindle/topo"
+	"github.com/burdockspindle/burdockspindle/vmlist"
+)
+
+// generous bounds reads that have to succeed; brief those that cannot.
+const (
+	generous = 20 * time.Second
+	brief    = 50 * time.Millisecond
+)
+
+// Run runs the whole contract; open returns a driver that reads a platform.
+func Run(t *testing.T, open func(t *testing.T, p *vms.Platform) vmlist.List) {
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			p := vms.New()
+			c.run(t, p, open(t, p))
+		})
+	}
+}
+
+var cases = []struct {
+	name string
+	run  func(t *testing.T, p *vms.Platform, list vmlist.List)
+}{
+	{"an empty list is no error", emptyList},
+	{"rows come whole and in order of ID", wholeRows},
+	{"each read shows what changed since the last", changes},
+	{"a reader may change what it got", ownCopy},
+	{"an outage is unavailable, and ends", outage},
+	{"a read that hangs ends with its context", hanging},
+	{"an ended context is its error", endedContext},
+	{"a misleading row is passed on as it is", misleading},
+	{"the list lags both ways", lagging},
+}
+
+func server(id string, phase vmlist.Phase) vmlist.VM {
+	return vmlist.VM{
+		ID: id, Role: vmlist.RoleServer, Service: "logs", Zone: "zone-a", Region: "south",
+		Address: "127.0.0.1:9000", Phase: phase,
+	}
+}
+
+func entry(id string) vmlist.VM {
+	return vmlist.VM{ID: id, Role: vmlist.RoleEntry, Zone: "zone-b", Phase: vmlist.PhaseLive}
+}
+
+func read(t *testing.T, list vmlist.List) []vmlist.VM {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), generous)
+	defer cancel()
+	rows, err := list.VMs(ctx)
+	gomega.NewWithT(t).Expect(err).NotTo(gomega.HaveOccurred())
+	return rows
+}
+
+func unavailable(t *testing.T, list vmlist.List, limit time.Duration) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), limit)
+	defer cancel()
+	rows, err := list.VMs(ctx)
+	g := gomega.NewWithT(t)
+	g.Expect(rows).To(gomega.BeEmpty())
+	var away *vmlist.UnavailableError
+	if !errors.As(err, &away) {
+		g.Expect(errors.Is(err, context.DeadlineExceeded)).To(gomega.BeTrue(), "%v", err)
+	}
+}
+
+func emptyList(t *testing.T, _ *vms.Platform, list vmlist.List) {
+	gomega.NewWithT(t).Expect(read(t, list)).To(gomega.BeEmpty())
+}
+
+func wholeRows(t *testing.T, p *vms.Platform, list vmlist.List) {
+	rows := []vmlist.VM{entry("a"), server("b", vmlist.PhaseLive), server("c", vmlist.PhaseLeaving), server("d", vmlist.PhaseGone)}
+	for _, i := range []int{2, 0, 3, 1} {
+		p.Put(rows[i])
+	}
+	gomega.NewWithT(t).Expect(read(t, list)).To(gomega.Equal(rows))
+}
+
+func changes(t *testing.T, p *vms.Platform, list vmlist.List) {
+	g := gomega.NewWithT(t)
+	p.Put(server("a", vmlist.PhaseLive))
+	first := read(t, list)
+	g.Expect(read(t, list)).To(gomega.Equal(first))
+	p.SetPhase("a", vmlist.PhaseLeaving)
+	g.Expect(read(t, list)).To(gomega.ConsistOf(server("a", vmlist.PhaseLeaving)))
+	p.SetPhase("a", vmlist.PhaseLive)
+	g.Expect(read(t, list)).To(gomega.Equal(first))
+	p.Remove("a")
+	g.Expect(read(t, list)).To(gomega.BeEmpty())
+}
+
+func ownCopy(t *testing.T, p *vms.Platform, list vmlist.List) {
+	p.Put(server("a", vmlist.PhaseLive))
+	read(t, list)[0].Phase = vmlist.PhaseGone
+	gomega.NewWithT(t).Expect(read(t, list)[0].Phase).To(gomega.Equal(vmlist.PhaseLive))
+}
+
+func outage(t *testing.T, p *vms.Platform, list vmlist.List) {
+	p.Put(server("a", vmlist.PhaseLive))
+	read(t, list)
+	p.SetFaults(vms.Faults{Outage: true})
+	unavailable(t, list, generous)
+	p.SetFaults(vms.Faults{})
+	gomega.NewWithT(t).Expect(read(t, list)).To(gomega.HaveLen(1))
+}
+
+func hanging(t *testing.T, p *vms.Platform, list vmlist.List) {
+	p.Put(server("a", vmlist.PhaseLive))
+	p.SetFaults(vms.Faults{Hang: true})
+	unavailable(t, list, brief)
+	p.SetFaults(vms.Faults{})
+	gomega.NewWithT(t).Expect(read(t, list)).To(gomega.HaveLen(1))
+}
+
+func endedContext(t *testing.T, _ *vms.Platform, list vmlist.List) {
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	_, err := list.VMs(ctx)
+	gomega.NewWithT(t).Expect(errors.Is(err, context.Canceled)).To(gomega.BeTrue(), "%v", err)
+}
+
+func misleading(t *testing.T, p *vms.Platform, list vmlist.List) {
+	g := gomega.NewWithT(t)
+	p.Put(server("a", vmlist.PhaseLive))
+	p.Put(server("b", vmlist.PhaseLive))
+	shown := server("a", vmlist.PhaseGone)
+	shown.Service = topo.Service("quotes")
+	p.Mislead("a", &shown)
+	p.Mislead("b", nil)
+	g.Expect(read(t, list)).To(gomega.ConsistOf(shown))
+	p.StopMisleading("a")
+	p.StopMisleading("b")
+	g.Expect(read(t, list)).To(gomega.HaveLen(2))
+}
+
+// lagging uses lags that are far longer than the test.
+func lagging(t *testing.T, p *vms.Platform, list vmlist.List) {
+	g := gomega.NewWithT(t)
+	p.Put(server("a", vmlist.PhaseLive))
+	p.SetFaults(vms.Faults{HideLag: time.Hour})
+	p.SetPhase("a", vmlist.PhaseLeaving)
+	p.Put(server("b", vmlist.PhaseLive))
+	g.Expect(read(t, list)).To(gomega.ConsistOf(server("a", vmlist.PhaseLive), server("b", vmlist.PhaseLive)))
+	p.Remove("a")
+	g.Expect(read(t, list)).To(gomega.HaveLen(2))
+	p.SetFaults(vms.Faults{ShowLag: time.Hour})
+	g.Expect(read(t, list)).To(gomega.BeEmpty())
+}
