--- a/modules/admin/api_test.go
+++ b/modules/admin/api_test.go
@@ -70,6 +70,7 @@
 		{"GET", "/", "", 404, adminapi.CodeNotFound},
 		{"DELETE", "/v1/site", "", 405, adminapi.CodeMethod},
 		{"GET", "/v1/drain", "", 405, adminapi.CodeMethod},
+		{"PROPFIND", "/", "", 405, adminapi.CodeMethod},
 		{"POST", "/v1/site", "{}", 400, adminapi.CodeMalformed},
 		{"POST", "/v1/site?base=-1", "{}", 400, adminapi.CodeMalformed},
 		{"POST", "/v1/site?base=0", strings.Repeat(" ", adminapi.MaxBodyBytes+1), 413, adminapi.CodeTooLarge},
@@ -104,7 +105,7 @@
 
 // newSiteRig is newRig on a site with service "logs", whose shards 0 and 1 are
 // owned by s1 in zone a and s2 in zone b; a1 and b1 are the lessors.
-func newSiteRig(t *testing.T) *rig {
+func newSiteRig(t testing.TB) *rig {
 	r := newRig(t)
 	ok := func(result state.Result) {
 		r.Expect(result.Accepted).To(gomega.BeTrue(), "%v", result.Conflict)
--- a/modules/admin/helper_test.go
+++ b/modules/admin/helper_test.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -43,6 +44,14 @@
 
 	mu     sync.Mutex
 	faults []logFault
+
+	looks atomic.Int64 // calls of Changed
+}
+
+// Changed implements state.Source.
+func (a *appender) Changed() <-chan struct{} {
+	a.looks.Add(1)
+	return a.Node.Changed()
 }
 
 // plant sets what happens to the next records, one fault each.
@@ -115,10 +124,15 @@
 }
 
 // newRig starts node "a1" of a site without records.
-func newRig(t *testing.T) *rig { return joinRig(t, sitefake.New(), "a1") }
+func newRig(t testing.TB) *rig { return joinRig(t, sitefake.New(), "a1") }
 
 // joinRig starts a node of a site that others share.
-func joinRig(t *testing.T, site *sitefake.Site, node string) *rig {
+func joinRig(t testing.TB, site *sitefake.Site, node string) *rig {
+	return startRig(t, site, node, nil)
+}
+
+// startRig is joinRig with TLS files, if there are any.
+func startRig(t testing.TB, site *sitefake.Site, node string, files *settings.TLS) *rig {
 	r := &rig{
 		WithT:    gomega.NewWithT(t),
 		site:     site,
@@ -127,14 +141,14 @@
 		handlers: &peer.Handlers{},
 		drains:   make(chan struct{}, 8),
 	}
-	r.start(t, node)
+	r.start(t, node, files)
 	return r
 }
 
-func (r *rig) start(t *testing.T, node string) {
+func (r *rig) start(t testing.TB, node string, files *settings.TLS) {
 	ctx := kernel.NewContext(kernel.Identity{Node: topo.NodeID(node), Boot: "1", Zone: "a"}, hclog.NewNullLogger())
 	s := &settings.Settings{
-		Admin:  settings.Admin{Listener: settings.Listener{Address: "127.0.0.1:0"}, Token: goodToken},
+		Admin:  settings.Admin{Listener: settings.Listener{Address: "127.0.0.1:0", TLS: files}, Token: goodToken},
 		Limits: settings.DefaultLimits(),
 	}
 	r.provide(
@@ -145,7 +159,7 @@
 		kernel.Provide[peer.Caller](ctx, r.peers),
 		kernel.Provide(ctx, r.handlers),
 		kernel.Provide(ctx, kernel.DumpFunc(func() map[string]any { return map[string]any{"duty.test": "state"} })),
-		kernel.Provide(ctx, kernel.DrainFunc(func() { r.drains <- struct{}{} })),
+		kernel.Provide(ctx, kernel.DrainFunc(r.noteDrain)),
 	)
 	module, err := kernel.New("admin.http")
 	r.Expect(err).NotTo(gomega.HaveOccurred())
@@ -158,6 +172,14 @@
 	r.url = "http://" + address
 }
 
+// noteDrain never blocks, as a node's does not.
+func (r *rig) noteDrain() {
+	select {
+	case r.drains <- struct{}{}:
+	default:
+	}
+}
+
 func (r *rig) provide(errs ...error) {
 	for _, err := range errs {
 		r.Expect(err).NotTo(gomega.HaveOccurred())
--- a/modules/admin/routes.go
+++ b/modules/admin/routes.go
@@ -4,12 +4,14 @@
 	"expvar"
 	"net/http"
 	"net/http/pprof"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
 	"github.com/kataras/iris/v12"
+	"github.com/kataras/iris/v12/core/router"
 
 	"github.com/burdockspindle/burdockspindle/adminapi"
 	"github.com/burdockspindle/burdockspindle/follower"
@@ -60,7 +62,18 @@
 	if err := app.Build(); err != nil {
 		return nil, &BuildError{Cause: err}
 	}
-	return a.authorized(app), nil
+	return a.authorized(knownMethods(app)), nil
+}
+
+// knownMethods refuses methods for which the router has no routes at all.
+func knownMethods(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if !slices.Contains(router.AllMethods, r.Method) {
+			fail(w, http.StatusMethodNotAllowed, adminapi.CodeMethod, r.Method+" is not served here")
+			return
+		}
+		next.ServeHTTP(w, r)
+	})
 }
 
 func (a *api) routes() map[string]methods {
--- a/modules/admin/site_test.go
+++ b/modules/admin/site_test.go
@@ -199,11 +199,13 @@
 	behind.appender.Freeze()
 	_, err := ahead.client().PublishOnce(background, 0, siteText(1), false)
 	ahead.Expect(err).NotTo(gomega.HaveOccurred())
+	looks := behind.appender.looks.Load()
 	done := make(chan error, 1)
 	go func() {
 		_, err := behind.client().PublishOnce(background, 1, siteText(2), false)
 		done <- err
 	}()
+	behind.Eventually(behind.appender.looks.Load, "10s").Should(gomega.BeNumerically(">", looks), "it looks at the state")
 	behind.appender.Thaw()
 	site.Join("x", "a") // a record, so that waiters look again
 	behind.Eventually(done, "10s").Should(gomega.Receive(gomega.BeNil()))
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -60,6 +60,7 @@
 		{`"frontend": {}`, []string{"s:4: frontend.address: missing"}},
 		{`"peer": {"address": "0.0.0.0:7443"}`, []string{"s:5: peer.address: is announced to other nodes"}},
 		{`"peer": {"address": "127.0.0.1:8080"}`, []string{"s:5: peer: has the same address and port as frontend"}},
+		{`"admin": {"address": "0.0.0.0:7443", "token": "0123456789abcdef"}`, []string{"s:8: admin: has the same address and port as peer"}},
 		{`"peer": {"address": "127.0.0.1:7443", "tls": {"certFile": "c"}}`, []string{"s:5: peer.tls.keyFile: missing"}},
 		{`"admin": {"address": "127.0.0.1:1"}`, []string{"s:8: admin: without token or tokenFile there is no administration API"}},
 		{`"admin": {"address": "127.0.0.1:1", "token": "short"}`, []string{"s:8: admin.token: must have at least 16 characters"}},
