--- a/modules/planner/duty.go
+++ b/modules/planner/duty.go
@@ -171,13 +171,14 @@
 
 // take notes what became of a request.
 func (d *duty) take(result moveResult) {
-	if result.err == nil && result.accepted > 0 {
+	if d.tracker != nil {
+		d.tracker.Answered(result.request, int(result.accepted), time.Now())
+	}
+	left := len(result.request.Moves) - int(result.accepted)
+	if left <= 0 {
 		return
 	}
-	metricMovesFailed.Add(int64(len(result.request.Moves)))
+	metricMovesFailed.Add(int64(left))
 	eventMovesFailed.Log(d.module.logger, "group", result.request.Group, "reason", result.request.Reason,
-		"moves", len(result.request.Moves), "error", result.err)
-	if d.tracker != nil {
-		d.tracker.Failed(result.request, time.Now())
-	}
+		"moves", len(result.request.Moves), "notTaken", left, "error", result.err)
 }
--- a/planner/planner_test.go
+++ b/planner/planner_test.go
@@ -285,12 +285,28 @@
 	again := b.decide()
 	b.g.Expect(moves(again, "draining")).To(gomega.HaveLen(1))
 	b.tracker.Started(&again.Requests[0], b.now)
-	b.tracker.Failed(&again.Requests[0], b.now)
+	b.tracker.Answered(&again.Requests[0], 0, b.now)
 	b.g.Expect(moves(b.decide(), "draining")).To(gomega.BeEmpty(), "a lessor that did not take it is not asked in haste")
 	b.now = b.now.Add(planner.RetryMoveAfter)
 	b.g.Expect(moves(b.decide(), "draining")).To(gomega.HaveLen(1))
 }
 
+func TestMovesThatALessorTookInPartAreAskedForAgainLater(t *testing.T) {
+	b := newBench(t, sitefake.Keyed("logs", 12))
+	b.servers("logs", 2)
+	b.settle()
+	b.accepted(b.site.Server("logs-zone-a-0", "logs", "zone-a", state.PhaseDraining))
+	plan := b.decide()
+	b.g.Expect(moves(plan, "draining")).To(gomega.HaveLen(2))
+	b.tracker.Started(&plan.Requests[0], b.now)
+	b.tracker.Answered(&plan.Requests[0], 1, b.now)
+	b.accepted(b.site.Make(moves(plan, "draining")[0]))
+	b.now = b.now.Add(planner.RetryPartAfter - 1)
+	b.g.Expect(moves(b.decide(), "draining")).To(gomega.BeEmpty())
+	b.now = b.now.Add(1)
+	b.g.Expect(moves(b.decide(), "draining")).To(gomega.HaveLen(1), "only the other one is left")
+}
+
 func TestShardsOfAGroupWithoutLessorWait(t *testing.T) {
 	b := newBench(t, sitefake.Keyed("logs", 4))
 	b.accepted(b.site.Server("d-1", "logs", "zone-d", state.PhaseLive))
--- a/planner/tracker.go
+++ b/planner/tracker.go
@@ -15,6 +15,9 @@
 	// RetryMoveAfter is how long a move that the lessor did not take is left
 	// alone.
 	RetryMoveAfter = time.Second
+	// RetryPartAfter is the same when the lessor took some of a request's moves: it
+	// says how many, not which, and refuses those that are under way.
+	RetryPartAfter = 3 * time.Second
 	// marksKept is how many moments the tracker remembers, and markEvery how far
 	// they are apart; together they reach back over the longest dwell of a policy.
 	marksKept = 64
@@ -106,6 +109,9 @@
 	return topo.ShardID{Service: id.Service, Index: id.Index}
 }
 
+// Failed notes that no lessor took any of a request's moves.
+func (t *Tracker) Failed(request *Request, now time.Time) { t.Answered(request, 0, now) }
+
 // made reports whether a move took effect, or another change came before it.
 func (p pending) made(view *state.View, id topo.ShardID) bool {
 	current, exists := view.Shard(id)
@@ -125,13 +131,20 @@
 	}
 }
 
-// Failed notes that the lessor did not take a request; its moves are planned
-// anew after RetryMoveAfter.
-func (t *Tracker) Failed(request *Request, now time.Time) {
+// Answered notes how many of a request's moves the lessor took. Those that it
+// did not take are planned anew after a while.
+func (t *Tracker) Answered(request *Request, accepted int, now time.Time) {
+	retry := RetryPartAfter
+	switch {
+	case accepted >= len(request.Moves):
+		return
+	case accepted == 0:
+		retry = RetryMoveAfter
+	}
 	for _, move := range request.Moves {
 		id := ShardFromProto(move.GetShard())
 		if known, underWay := t.moving[id]; underWay {
-			known.since = now.Add(RetryMoveAfter - MoveTimeout)
+			known.since = now.Add(retry - MoveTimeout)
 			t.moving[id] = known
 		}
 	}
