Whole sites: partitions, silent connections, lost zones

Cause: nodes and servers of a site in one process could not be cut apart. Change: the demo's site has a network that can be cut by zone and by node; rows for zones cut off from peers, log or both, lessors cut off, both nodes of a zone and a whole zone lost.

--- a/demo/site.go
+++ b/demo/site.go
@@ -8,13 +8,16 @@
 
 	"github.com/hashicorp/go-hclog"
 
+	"github.com/burdockspindle/burdockspindle/backend"
 	"github.com/burdockspindle/burdockspindle/follower"
 	"github.com/burdockspindle/burdockspindle/history"
 	"github.com/burdockspindle/burdockspindle/kernel"
 	"github.com/burdockspindle/burdockspindle/model"
 	"github.com/burdockspindle/burdockspindle/modules/logmem"
+	"github.com/burdockspindle/burdockspindle/modules/router"
 	"github.com/burdockspindle/burdockspindle/modules/vmsmem"
 	"github.com/burdockspindle/burdockspindle/node"
+	"github.com/burdockspindle/burdockspindle/peer"
 	"github.com/burdockspindle/burdockspindle/platlog/logfault"
 	"github.com/burdockspindle/burdockspindle/platlog/memlog"
 	"github.com/burdockspindle/burdockspindle/siteconfig"
@@ -41,6 +44,7 @@
 	Platform   *vms.Platform
 	// Log is the log as everybody sees it; its faults are everybody's.
 	Log     *logfault.Log
+	Network *Network
 	Servers []*SiteServer
 	Nodes   []*SiteNode
 	Memory  *history.Memory
@@ -120,6 +124,7 @@
 		Deployment: d.name,
 		Memory:     &history.Memory{},
 		Clock:      history.ClockSince(began),
+		Network:    newNetwork(),
 		deployment: d,
 		name:       fmt.Sprintf("%s-%d", d.name, began.UnixNano()),
 		logger:     logger,
@@ -165,6 +170,7 @@
 	if err != nil {
 		return nil, &ServerError{Server: id, Cause: err}
 	}
+	s.Network.put(address, place{zone: zone})
 	s.Platform.Put(vmlist.VM{
 		ID: string(id), Role: vmlist.RoleServer, Service: service.Name, Zone: zone,
 		Region: region, Address: address, Phase: vmlist.PhaseLive,
@@ -189,13 +195,17 @@
 	id := model.NodeID(name, index)
 	own := logfault.Wrap(s.Log)
 	logmem.Put(s.logName(id), own)
-	started, err := node.New(s.settingsOf(id, name), s.logger)
+	at := place{zone: name, node: id}
+	dial := s.Network.dialFrom(at)
+	started, err := node.NewWith(s.settingsOf(id, name), s.logger,
+		node.WithService(peer.Dial(dial)), node.WithService(router.Dial(dial)), node.WithService(backend.Dial(dial)))
 	if err != nil {
 		return err
 	}
 	if err := started.Start(ctx); err != nil {
 		return err
 	}
+	s.Network.put(started.Addresses()[kernel.RolePeer], at)
 	s.Nodes = append(s.Nodes, &SiteNode{Node: started, ID: id, Zone: zone, Log: own})
 	s.Platform.Put(vmlist.VM{
 		ID: string(id), Role: vmlist.RoleEntry, Zone: name, Region: region, Phase: vmlist.PhaseLive,
--- a/proof/faults_test.go
+++ b/proof/faults_test.go
@@ -9,6 +9,13 @@
 	"github.com/burdockspindle/burdockspindle/platlog/logfault"
 	"github.com/burdockspindle/burdockspindle/standin/server"
 	"github.com/burdockspindle/burdockspindle/standin/vms"
+	"github.com/burdockspindle/burdockspindle/topo"
+)
+
+// Fields of the site configuration that rows set.
+const (
+	trustVMList    = `"trustVMList": true,`
+	noDisconnected = `"maxDisconnected": "0s",`
 )
 
 const (
@@ -19,6 +26,9 @@
 // faultCase is one row: which faults come while a site is under load.
 type faultCase struct {
 	name string
+	// top is added to the top level of the site configuration, and service to
+	// each service.
+	top, service string
 	// servers is how many servers the row needs; their keys are probed.
 	servers int
 	faults  func(ctx context.Context, r *run, servers []*demo.SiteServer)
@@ -166,6 +176,89 @@
 		pause(ctx, 2*pastLease)
 		r.eachNode(zone, func(n *demo.SiteNode) { n.Log.Heal() })
 	}},
+	{name: "open connections between nodes and to servers go silent", faults: func(_ context.Context, r *run, _ []*demo.SiteServer) {
+		r.Network.SilenceOpen()
+	}},
+	{name: "open connections go silent twice", faults: func(ctx context.Context, r *run, _ []*demo.SiteServer) {
+		r.Network.SilenceOpen()
+		pause(ctx, settle)
+		r.Network.SilenceOpen()
+	}},
+	{name: "zone cut off from the others, not from the log", servers: 1, faults: func(ctx context.Context, r *run, s []*demo.SiteServer) {
+		r.Network.CutZones(s[0].Zone)
+		pause(ctx, 2*pastLease)
+		r.Network.Heal()
+	}},
+	{name: "zone cut off from the others and from the log", servers: 1, faults: func(ctx context.Context, r *run, s []*demo.SiteServer) {
+		zone := r.lessorOf(s[0]).Zone
+		r.Network.CutZones(s[0].Zone)
+		r.eachNode(zone, func(n *demo.SiteNode) { n.Log.Down() })
+		pause(ctx, 2*pastLease)
+		r.eachNode(zone, func(n *demo.SiteNode) { n.Log.Heal() })
+		r.Network.Heal()
+	}},
+	{name: "zone cut off from all, a server of it lost meanwhile", top: trustVMList, servers: 1, faults: func(ctx context.Context, r *run, s []*demo.SiteServer) {
+		zone := r.lessorOf(s[0]).Zone
+		r.Network.CutZones(s[0].Zone)
+		r.eachNode(zone, func(n *demo.SiteNode) { n.Log.Down() })
+		pause(ctx, pastLease)
+		r.LoseServer(s[0])
+		pause(ctx, 2*pastLease)
+		r.eachNode(zone, func(n *demo.SiteNode) { n.Log.Heal() })
+		r.Network.Heal()
+	}},
+	{name: "zone without disconnected ownership cut off from all", service: noDisconnected, servers: 1, faults: func(ctx context.Context, r *run, s []*demo.SiteServer) {
+		zone := r.lessorOf(s[0]).Zone
+		r.Network.CutZones(s[0].Zone)
+		r.eachNode(zone, func(n *demo.SiteNode) { n.Log.Down() })
+		pause(ctx, 2*pastLease)
+		r.eachNode(zone, func(n *demo.SiteNode) { n.Log.Heal() })
+		r.Network.Heal()
+	}},
+	{name: "both nodes of a zone lost", top: trustVMList, servers: 1, faults: func(_ context.Context, r *run, s []*demo.SiteServer) {
+		r.eachNode(r.lessorOf(s[0]).Zone, r.LoseNode)
+	}},
+	{name: "a whole zone lost", top: trustVMList, servers: 1, faults: func(_ context.Context, r *run, s []*demo.SiteServer) {
+		r.eachNode(r.lessorOf(s[0]).Zone, r.LoseNode)
+		for _, one := range r.Servers {
+			if one.Zone == s[0].Zone {
+				r.LoseServer(one)
+			}
+		}
+	}},
+	{name: "lessor cut off from the other nodes", servers: 1, faults: func(ctx context.Context, r *run, s []*demo.SiteServer) {
+		r.Network.CutNodes(r.lessorOf(s[0]).ID)
+		pause(ctx, 2*pastLease)
+		r.Network.Heal()
+	}},
+	{name: "lessor cut off from nodes, servers and the log", servers: 1, faults: func(ctx context.Context, r *run, s []*demo.SiteServer) {
+		lessor := r.lessorOf(s[0])
+		r.Network.CutNodeOff(lessor.ID)
+		lessor.Log.Down()
+		pause(ctx, 2*pastLease)
+		lessor.Log.Heal()
+		r.Network.Heal()
+	}},
+	{name: "lessor cut off from nodes, servers and the log, twice", servers: 1, faults: func(ctx context.Context, r *run, s []*demo.SiteServer) {
+		for range 2 {
+			lessor := r.lessorOf(s[0])
+			r.Network.CutNodeOff(lessor.ID)
+			lessor.Log.Down()
+			pause(ctx, pastLease)
+			lessor.Log.Heal()
+			r.Network.Heal()
+			pause(ctx, settle)
+		}
+	}},
+	{name: "every node cut off from every other", servers: 1, faults: func(ctx context.Context, r *run, _ []*demo.SiteServer) {
+		var all []topo.NodeID
+		for _, one := range r.Nodes {
+			all = append(all, one.ID)
+		}
+		r.Network.CutNodes(all...)
+		pause(ctx, pastLease)
+		r.Network.Heal()
+	}},
 	{name: "VM list away while a server is lost", servers: 1, faults: func(ctx context.Context, r *run, s []*demo.SiteServer) {
 		r.Platform.SetFaults(vms.Faults{Outage: true})
 		r.LoseServer(s[0])
@@ -197,7 +290,7 @@
 func TestSitesUnderFaults(t *testing.T) {
 	for _, row := range faultCases {
 		t.Run(row.name, func(t *testing.T) {
-			ctx, r := startRun(t, demo.SiteOptions{})
+			ctx, r := startRun(t, smallSiteWith(row.top, row.service))
 			servers := r.owners(row.servers)
 			r.exercise(ctx, func(ctx context.Context, r *run) {
 				pause(ctx, settle)
--- a/proof/leaving_test.go
+++ b/proof/leaving_test.go
@@ -46,7 +46,7 @@
 		"by its own word": func(_ *run, one *demo.SiteServer) { one.Drain(true) },
 	} {
 		t.Run(name, func(t *testing.T) {
-			ctx, r := startRun(t, demo.SiteOptions{})
+			ctx, r := startRun(t, smallSite())
 			one := r.owners(1)[0]
 			var left history.Time
 			summary := r.exercise(ctx, func(ctx context.Context, r *run) {
@@ -71,7 +71,7 @@
 // TestGracefulShutdownCutsNothingOff: an entry node that drains under load
 // finishes what it has begun; nobody sees a broken connection.
 func TestGracefulShutdownCutsNothingOff(t *testing.T) {
-	ctx, r := startRun(t, demo.SiteOptions{})
+	ctx, r := startRun(t, smallSite())
 	one := r.owners(1)[0]
 	draining := r.lessorOf(one)
 	r.exercise(ctx, func(ctx context.Context, r *run) {
--- a/proof/planted_test.go
+++ b/proof/planted_test.go
@@ -52,7 +52,7 @@
 func TestViolationsOfServersAreFoundOut(t *testing.T) {
 	for _, row := range plantedCases {
 		t.Run(row.name, func(t *testing.T) {
-			ctx, r := startRun(t, demo.SiteOptions{})
+			ctx, r := startRun(t, smallSite())
 			one := r.owners(1)[0]
 			load := demo.Load{Requests: requests, Seed: seed, Span: loadSpan, Probed: demo.Spread(r.keys, one)}
 			_, err := r.Exercise(ctx, load, func(ctx context.Context) {
--- a/proof/site_test.go
+++ b/proof/site_test.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"fmt"
 	"math/rand/v2"
 	"os"
 	"testing"
@@ -30,20 +31,29 @@
 	serversPerService = 6 // two a zone
 )
 
-// smallSite is the site configuration of most runs: as many services and shards
-// as the rules need, so that several sites can run at once.
-const smallSite = `{
+// smallSiteWith is the site of most runs: as many services, shards and servers
+// as the rules need, so that several sites can run at once. Further fields are
+// added to the site configuration, and to each service.
+func smallSiteWith(top, service string) demo.SiteOptions {
+	text := fmt.Sprintf(`{
+  %s
   "groupsPerZone": 1,
   "services": {
     "well-logs": {
+      %s
       "keyed": true, "shards": 24, "concurrencyPerServer": 4, "connectionsPerServer": 100, "checksFencing": true,
     },
     "licensing": {
+      %s
       "dependsOn": ["well-logs"],
       "keyed": true, "shards": 24, "concurrencyPerServer": 4, "connectionsPerServer": 100, "checksFencing": true,
     },
   },
-}`
+}`, top, service, service)
+	return demo.SiteOptions{Text: []byte(text), Servers: serversPerService}
+}
+
+func smallSite() demo.SiteOptions { return smallSiteWith("", "") }
 
 // running limits the sites that run at once.
 var running = make(chan struct{}, sitesAtOnce)
@@ -70,10 +80,6 @@
 		options.Deployment = model.Kavango
 	}
 	options.Seed = seed
-	if options.Text == nil {
-		options.Text = []byte(smallSite)
-		options.Servers = serversPerService
-	}
 	options.Logger = siteLogger()
 	site, err := demo.StartSite(ctx, options)
 	if site != nil {
