Views list the shards that name a server, and lessors use the lists

Cause: a lessor made its group's facts anew from every shard of the site at each record; at the design size that alone was beyond the processor limit. Change: each table keeps, copied on write, the lists of shards that name a server as owner and as standby; lessor.FactsOf reads those of its group's servers. The state machine test compares the lists with the assignments after every step (a planted omission is caught).

--- a/capacity/plan.go
+++ b/capacity/plan.go
@@ -14,6 +14,7 @@
 	Zones    int
 	Servers  int // backend servers
 	Shards   int
+	Groups   int // of servers, each with a lessor and a standby lessor
 	Keys     int
 	Requests float64 // a second
 	// Events of an ordinary day.
@@ -36,7 +37,8 @@
 func DesignSize() Size {
 	return Size{
 		Nodes: designNodes, Zones: 5, Servers: serversPerNode * designNodes,
-		Shards: serversPerNode * designNodes * shardsPerServer, Keys: 420_000_000, Requests: 3_500_000,
+		Shards: serversPerNode * designNodes * shardsPerServer,
+		Groups: serversPerNode * designNodes / serversPerGroup, Keys: 420_000_000, Requests: 3_500_000,
 		Losses: 3, Restarts: 170, SiteChanges: 1_400, HotKeys: 9, HotKeyLife: 2 * time.Minute,
 		MovesPerSecond: balanceMoves,
 	}
@@ -142,23 +144,30 @@
 // idle is what a whole idle site spends, split over its nodes. It holds the
 // stand-ins' share too.
 func idle(s Size, m Measurement) Prediction {
-	nodes, servers := float64(s.Nodes), float64(s.Servers)
-	byNodes, byServers := m.find("processor of an idle site by nodes"), m.find("processor of an idle site by servers")
-	return Prediction{
+	return s.perNode(m, "processor of an idle site", Prediction{
 		What: "processor of a node for its duties, no callers", Limit: limitCore, Unit: "cores",
-		Predicted: byNodes.Slope + byServers.Slope*servers/nodes, Range: byNodes.Range(nodes),
-		Basis: "slopes of an idle site by nodes and by servers, stand-ins included",
-	}
+		Basis: "slopes of an idle site by nodes, groups and servers, stand-ins included",
+	})
 }
 
 // bytesOfNode is a node's control bytes at its sockets.
 func bytesOfNode(s Size, m Measurement) Prediction {
-	nodes, servers := float64(s.Nodes), float64(s.Servers)
-	perNode := m.find("bytes between nodes by nodes").Slope
-	perServer := m.find("bytes between nodes and servers by servers").Slope + m.find("bytes between nodes by servers").Slope
-	return Prediction{
+	p := s.perNode(m, "bytes between nodes", Prediction{
 		What: "control bytes of a node", Limit: limitBytes, Unit: "bytes/s",
-		Predicted: perNode + perServer*servers/nodes, Range: m.find("bytes between nodes by nodes").Range(nodes),
-		Basis: "slopes of bytes between nodes and to servers, counted at the sockets",
-	}
+		Basis: "slopes by nodes, groups and servers, counted at the sockets",
+	})
+	p.Predicted += max(m.find("bytes between nodes and servers by servers").Slope, 0) * float64(s.Servers) / float64(s.Nodes)
+	return p
+}
+
+// perNode adds up the slopes of a whole site's figure by nodes, groups and
+// servers, for one node. A slope below 0 is noise and counts as 0.
+func (s Size) perNode(m Measurement, figure string, p Prediction) Prediction {
+	nodes := float64(s.Nodes)
+	byNodes := m.find(figure + " by nodes")
+	p.Predicted = max(byNodes.Slope, 0) +
+		max(m.find(figure+" by groups").Slope, 0)*float64(s.Groups)/nodes +
+		max(m.find(figure+" by servers").Slope, 0)*float64(s.Servers)/nodes
+	p.Range = byNodes.Range(nodes)
+	return p
 }
--- a/capacity/pure.go
+++ b/capacity/pure.go
@@ -21,21 +21,22 @@
 	chunkBytes      = 64 << 10
 	textBytes       = 1 << 10 // of a site configuration
 	shardsPerServer = 16
+	serversPerGroup = 5
 )
 
-// shape is the size of a state.
-type shape struct{ nodes, servers, shards int }
+// shape is the size of a state or site; groups is the number in each zone.
+type shape struct{ nodes, servers, shards, groups int }
 
 // build makes a state of a shape by applying records, as a process does.
 func build(s shape) *state.State {
 	b := &builder{state: state.New()}
-	b.apply(publish(s.shards))
+	b.apply(publish(s))
 	for i := range s.nodes {
 		b.apply(join(i))
 	}
-	b.apply(servers(s.servers))
-	for zone := range zones {
-		b.apply(claim(zone, s.nodes))
+	b.apply(servers(s))
+	for i := range zones * s.groups {
+		b.apply(claim(i, s))
 	}
 	b.apply(assign(s))
 	return b.state
@@ -55,20 +56,24 @@
 	return b.state.Apply(b.offset, rec)
 }
 
-func zoneOf(i int) string     { return fmt.Sprintf("zone-%d", i%zones) }
-func serverID(i int) string   { return fmt.Sprintf("server-%04d", i) }
-func nodeID(i int) string     { return fmt.Sprintf("node-%04d", i) }
-func groupOf(zone int) string { return string(topo.MakeGroupID(topo.Zone(zoneOf(zone)), 0)) }
+func zoneOf(i int) string   { return fmt.Sprintf("zone-%d", i%zones) }
+func serverID(i int) string { return fmt.Sprintf("server-%04d", i) }
+func nodeID(i int) string   { return fmt.Sprintf("node-%04d", i) }
 
-func publish(shards int) *bspb.Record {
+// groupOf puts the i-th server, or claim, into a group of its zone.
+func (s shape) groupOf(i int) string {
+	return string(topo.MakeGroupID(topo.Zone(zoneOf(i)), i/zones%s.groups))
+}
+
+func publish(s shape) *bspb.Record {
 	service := &bspb.ServiceConfig{
-		Name: serviceName, Keyed: true, Shards: uint32(shards), ChecksFencing: true,
+		Name: serviceName, Keyed: true, Shards: uint32(s.shards), ChecksFencing: true,
 		ConcurrencyPerServer: 6, ConnectionsPerServer: 130, DeadlineMs: 5000, MaxDisconnectedMs: 600_000,
 		Weighting: bspb.Weighting_WEIGHTING_IMBALANCE, IdempotentMethods: []string{"GET", "HEAD"},
 	}
 	return &bspb.Record{Body: &bspb.Record_PublishSite{PublishSite: &bspb.PublishSite{
 		Text:     make([]byte, textBytes),
-		Compiled: &bspb.SiteConfig{Services: []*bspb.ServiceConfig{service}, GroupsPerZone: 1},
+		Compiled: &bspb.SiteConfig{Services: []*bspb.ServiceConfig{service}, GroupsPerZone: uint32(s.groups)},
 	}}}
 }
 
@@ -78,21 +83,21 @@
 	}}}
 }
 
-func servers(count int) *bspb.Record {
+func servers(s shape) *bspb.Record {
 	body := &bspb.UpdateServers{}
-	for i := range count {
+	for i := range s.servers {
 		body.Upsert = append(body.Upsert, &bspb.ServerEntry{
 			Id: serverID(i), Service: serviceName, Zone: zoneOf(i), Address: "10.0.0.2:8080",
-			Group: groupOf(i), Phase: bspb.ServerPhase_SERVER_PHASE_LIVE,
+			Group: s.groupOf(i), Phase: bspb.ServerPhase_SERVER_PHASE_LIVE,
 		})
 	}
 	return &bspb.Record{Body: &bspb.Record_UpdateServers{UpdateServers: body}}
 }
 
-func claim(zone, nodes int) *bspb.Record {
+func claim(i int, s shape) *bspb.Record {
 	return &bspb.Record{Body: &bspb.Record_ClaimTerm{ClaimTerm: &bspb.ClaimTerm{
-		Group: groupOf(zone), Node: nodeID(zone), Boot: "0123456789abcdef",
-		Standby: nodeID((zone + zones) % nodes), StandbyBoot: "0123456789abcdef",
+		Group: s.groupOf(i), Node: nodeID(i % s.nodes), Boot: "0123456789abcdef",
+		Standby: nodeID((i + zones) % s.nodes), StandbyBoot: "0123456789abcdef",
 	}}}
 }
 
@@ -155,9 +160,11 @@
 	return points, nil
 }
 
-// ofShards is the shape with one server for every shardsPerServer shards.
+// ofShards is the shape with one server for every shardsPerServer shards, and
+// one group for every serversPerGroup servers.
 func ofShards(shards int) shape {
-	return shape{nodes: nodesOfPure, servers: max(shards/shardsPerServer, zones*2), shards: shards}
+	servers := max(shards/shardsPerServer, zones*2)
+	return shape{nodes: nodesOfPure, servers: servers, shards: shards, groups: max(servers/zones/serversPerGroup, 1)}
 }
 
 func stateMemory(shards int) (float64, error) {
@@ -209,7 +216,7 @@
 // visible.
 func moveApplied(shards int) (float64, error) {
 	size := ofShards(shards)
-	b := &builder{state: build(size), offset: topo.Offset(size.nodes + zones + 3)}
+	b := &builder{state: build(size), offset: topo.Offset(size.nodes + zones*size.groups + 3)}
 	next := 0
 	rejected := false
 	cost := costOf(func() {
@@ -259,13 +266,14 @@
 }
 
 func factsMade(shards int) (float64, error) {
-	view := build(ofShards(shards)).View()
-	group := topo.GroupID(groupOf(0))
+	size := ofShards(shards)
+	view := build(size).View()
+	group := topo.GroupID(size.groupOf(0))
 	return costOf(func() { lessor.FactsOf(view, group, true) }), nil
 }
 
 func membershipBytes(count int) (float64, error) {
-	rec := servers(count)
+	rec := servers(shape{servers: count, groups: 1})
 	rec.Format, rec.Writer, rec.Sequence = 1, "capacity@1", 1
 	data, err := record.Encode(rec)
 	return float64(len(data)), err
--- a/capacity/site.go
+++ b/capacity/site.go
@@ -50,7 +50,7 @@
 // measureSite starts a site of a shape, waits until every shard is owned, and
 // returns what it spends when nobody calls.
 func measureSite(ctx context.Context, s shape) (usage, error) {
-	site := &liveSite{name: fmt.Sprintf("capacity-%d-%d-%d", s.nodes, s.servers, s.shards)}
+	site := &liveSite{name: fmt.Sprintf("capacity-%d-%d-%d-%d", s.nodes, s.servers, s.shards, s.groups)}
 	defer site.stop()
 	if err := site.start(ctx, s); err != nil {
 		return usage{}, err
@@ -83,7 +83,7 @@
 			return err
 		}
 	}
-	return l.publish(ctx, s.shards)
+	return l.publish(ctx, s)
 }
 
 func (l *liveSite) startNode(ctx context.Context, i int) error {
@@ -116,12 +116,12 @@
 	}
 }
 
-func (l *liveSite) publish(ctx context.Context, shards int) error {
+func (l *liveSite) publish(ctx context.Context, s shape) error {
 	appender, err := kernel.Use[follower.Appender](l.nodes[0].Context())
 	if err != nil {
 		return &SiteError{Step: "publish", Cause: err}
 	}
-	fate, err := appender.Submit(ctx, publish(shards))
+	fate, err := appender.Submit(ctx, publish(s))
 	if err != nil {
 		return &SiteError{Step: "publish", Cause: err}
 	}
@@ -233,20 +233,25 @@
 	nodes := siteSweep{input: "nodes", size: func(s shape) int { return s.nodes }}
 	servers := siteSweep{input: "servers", size: func(s shape) int { return s.servers }}
 	shards := siteSweep{input: "shards", size: func(s shape) int { return s.shards }}
-	nodeSizes, serverSizes, shardSizes := []int{5, 10, 20, 40}, []int{10, 20, 40, 80}, []int{640, 2560, 10240, 40960}
+	groups := siteSweep{input: "groups", size: func(s shape) int { return s.groups * zones }}
+	nodeSizes, serverSizes := []int{5, 10, 20, 40}, []int{10, 20, 40, 80}
+	shardSizes, groupSizes := []int{640, 2560, 10240, 40960}, []int{1, 2, 4}
 	if quick {
-		nodeSizes, serverSizes, shardSizes = []int{5, 10}, []int{10, 20}, []int{640, 1280}
+		nodeSizes, serverSizes, shardSizes, groupSizes = []int{5, 10}, []int{10, 20}, []int{640, 1280}, []int{1, 2}
 	}
 	for _, n := range nodeSizes {
-		nodes.shapes = append(nodes.shapes, shape{nodes: n, servers: 20, shards: 1280})
+		nodes.shapes = append(nodes.shapes, shape{nodes: n, servers: 20, shards: 1280, groups: 1})
 	}
 	for _, n := range serverSizes {
-		servers.shapes = append(servers.shapes, shape{nodes: 10, servers: n, shards: 1280})
+		servers.shapes = append(servers.shapes, shape{nodes: 10, servers: n, shards: 1280, groups: 1})
 	}
 	for _, n := range shardSizes {
-		shards.shapes = append(shards.shapes, shape{nodes: 10, servers: 20, shards: n})
+		shards.shapes = append(shards.shapes, shape{nodes: 10, servers: 20, shards: n, groups: 1})
 	}
-	return []siteSweep{nodes, servers, shards}
+	for _, n := range groupSizes {
+		groups.shapes = append(groups.shapes, shape{nodes: 20, servers: 40, shards: 1280, groups: n})
+	}
+	return []siteSweep{nodes, servers, shards, groups}
 }
 
 // siteFigures are what a sweep over whole sites reports, for the whole site.
@@ -265,7 +270,7 @@
 	for _, sweep := range siteSweeps(quick) {
 		points := make([][]Point, len(siteFigures))
 		for _, s := range sweep.shapes {
-			progress(fmt.Sprintf("site of %d nodes, %d servers, %d shards", s.nodes, s.servers, s.shards))
+			progress(fmt.Sprintf("site of %d nodes, %d servers, %d shards, %d groups", s.nodes, s.servers, s.shards, zones*s.groups))
 			spent, err := measureSite(ctx, s)
 			if err != nil {
 				return nil, err
--- a/lessor/project.go
+++ b/lessor/project.go
@@ -120,8 +120,7 @@
 	facts  *Facts
 	policy *Policy
 	// split lists the split keys of each hash range.
-	split  map[uint32][]string
-	counts map[topo.ServerID]*Target
+	split map[uint32][]string
 }
 
 func projectShards(view *state.View, facts *Facts) {
@@ -133,17 +132,19 @@
 			facts:  facts,
 			policy: policyOf(view, service, facts.Group.ID),
 			split:  map[uint32][]string{},
-			counts: map[topo.ServerID]*Target{},
 		}
 		for i := range facts.Targets[service] {
 			target := &facts.Targets[service][i]
-			p.counts[target.ID] = target
+			target.Owned = len(view.OwnedBy(service, target.ID))
+			target.StandsBy = len(view.StandbyOf(service, target.ID))
 		}
-		view.EachShard(service, p.noteSplit)
+		view.EachSplit(service, p.noteSplit)
 		for _, keys := range p.split {
 			slices.Sort(keys)
 		}
-		view.EachShard(service, p.add)
+		for id := range facts.Servers {
+			p.addServer(service, id)
+		}
 	}
 	for _, list := range facts.ShardsOf {
 		slices.SortFunc(list, compareShards)
@@ -167,28 +168,21 @@
 	}
 }
 
-func (p *projection) noteSplit(a state.Assignment) bool {
-	if a.Shard.Key != "" {
-		p.split[a.Shard.Index] = append(p.split[a.Shard.Index], a.Shard.Key)
-	}
-	return true
+func (p *projection) noteSplit(a state.Assignment) {
+	p.split[a.Shard.Index] = append(p.split[a.Shard.Index], a.Shard.Key)
 }
 
-func (p *projection) add(a state.Assignment) bool {
-	if target, exists := p.counts[a.Owner]; exists {
-		target.Owned++
-	}
-	if target, exists := p.counts[a.Standby]; exists {
-		target.StandsBy++
-	}
-	if _, here := p.facts.Servers[a.Standby]; here {
-		standby := Grant{Shard: a.Shard, Fence: a.Fence.Standby()}
-		p.facts.StandbyOf[a.Standby] = append(p.facts.StandbyOf[a.Standby], standby)
+// addServer gathers what names one server of the group, so that the cost is
+// that of the group's own shards however many the service has.
+func (p *projection) addServer(service topo.Service, id topo.ServerID) {
+	for _, shard := range p.view.StandbyOf(service, id) {
+		a, _ := p.view.Shard(shard)
+		p.facts.StandbyOf[id] = append(p.facts.StandbyOf[id], Grant{Shard: shard, Fence: a.Fence.Standby()})
 	}
-	if _, here := p.facts.Servers[a.Owner]; here {
+	for _, shard := range p.view.OwnedBy(service, id) {
+		a, _ := p.view.Shard(shard)
 		p.addOwned(a)
 	}
-	return true
 }
 
 func (p *projection) addOwned(a state.Assignment) {
--- a/state/rapid_test.go
+++ b/state/rapid_test.go
@@ -279,6 +279,8 @@
 	}
 	m.checkFences(t, view)
 	m.checkServers(t, view)
+	checkNames(t, view)
+	checkNames(t, m.replica.View())
 }
 
 // checkFences checks for sample keys that a fence that ended never returns,
--- a/state/table.go
+++ b/state/table.go
@@ -21,11 +21,12 @@
 	pages []*shardPage
 	keys  map[string]Assignment // split keys
 	owned int                   // hash ranges and split keys with an owner
+	names map[topo.ServerID]names
 }
 
 // newShardTable returns a table of a service's unowned hash ranges.
 func newShardTable(service topo.Service, count uint32) *shardTable {
-	table := &shardTable{count: count, keys: map[string]Assignment{}}
+	table := &shardTable{count: count, keys: map[string]Assignment{}, names: map[topo.ServerID]names{}}
 	for first := uint32(0); first < count; first += pageShards {
 		page := &shardPage{}
 		for i := range min(pageShards, count-first) {
@@ -58,6 +59,8 @@
 	table      *shardTable
 	freshPages []bool // pages that no View holds
 	freshKeys  bool
+	freshNames bool                   // the map
+	freshLists map[topo.ServerID]bool // its lists
 }
 
 func editTable(original *shardTable) *tableEdit {
@@ -66,6 +69,7 @@
 		pages: slices.Clone(original.pages),
 		keys:  original.keys,
 		owned: original.owned,
+		names: original.names,
 	}
 	return &tableEdit{table: clone, freshPages: make([]bool, len(clone.pages))}
 }
@@ -74,6 +78,7 @@
 func (e *tableEdit) set(a Assignment) {
 	old, _ := e.table.get(a.Shard)
 	e.table.owned += ownedCount(a) - ownedCount(old)
+	e.rename(old, a)
 	if a.Shard.Key != "" {
 		e.writableKeys()[a.Shard.Key] = a
 		return
@@ -89,7 +94,9 @@
 
 // removeKey removes a split key.
 func (e *tableEdit) removeKey(key string) {
-	e.table.owned -= ownedCount(e.table.keys[key])
+	old := e.table.keys[key]
+	e.table.owned -= ownedCount(old)
+	e.rename(old, Assignment{})
 	delete(e.writableKeys(), key)
 }
 
