Libraries' messages are numbered events; the memory limit setting works

Cause: net/http wrote to the standard logger past the event catalogue, and limits.memoryLimitBytes was read but had no effect. Measured: go test of cli, events and docs passes. Conclusion: no line is logged without a number.

--- a/cli/run.go
+++ b/cli/run.go
@@ -49,6 +49,7 @@
 		Output:     env.Stderr,
 		JSONFormat: jsonLog,
 	})
+	CaptureStandardLog(logger)
 	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	// The first signal ends ctx; from then on the default action is back.
--- a/demo/command.go
+++ b/demo/command.go
@@ -49,6 +49,7 @@
 		level = hclog.Info
 	}
 	options.Nodes = hclog.New(&hclog.LoggerOptions{Name: "site", Level: level, Output: env.Stderr})
+	cli.CaptureStandardLog(options.Nodes)
 	summary, err := Run(ctx, options)
 	if summary.Sent == 0 {
 		return err
--- a/node/run.go
+++ b/node/run.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"runtime/debug"
 
 	"github.com/hashicorp/go-hclog"
 
@@ -11,6 +12,9 @@
 // Run runs a node until ctx ends or a drain is asked for, then shuts it down
 // gracefully. It returns nil after a clean shutdown.
 func Run(ctx context.Context, s *settings.Settings, logger hclog.Logger) error {
+	if s.Limits.MemoryLimitByte > 0 {
+		debug.SetMemoryLimit(s.Limits.MemoryLimitByte)
+	}
 	n, err := New(s, logger)
 	if err != nil {
 		return err
