What a server cannot read is refused for good

Cause: a server's bad-request reached the caller as 503 with a time to come back, so a caller would have repeated it for ever. Measured: before, the new rows failed with 503; after, they pass. Conclusion: only what may help later tells when to come back.

--- a/modules/frontend/refusals_test.go
+++ b/modules/frontend/refusals_test.go
@@ -91,6 +91,7 @@
 		notRun(400, callerapi.ReasonBadHop):           plain("GET", keyPath, callerapi.HeaderHop, "-1"),
 		notRun(400, callerapi.ReasonTooManyHops):      plain("GET", keyPath, callerapi.HeaderHop, "9"),
 		notRun(400, callerapi.ReasonBadCaller):        plain("GET", keyPath, callerapi.HeaderCaller, strings.Repeat("c", 129)),
+		notRun(400, serverapi.ReasonBadRequest):       served(rt.Decline("not-run", serverapi.ReasonBadRequest), keyPath),
 		notRun(400, callerapi.ReasonBadTicket):        plain("POST", keyPath, callerapi.HeaderIdempotencyKey, "my-own"),
 		notRun(400, callerapi.ReasonBodyUnreadable):   badlyChunked,
 		notRun(404, callerapi.ReasonNoSuchPath):       plain("GET", "/v1/services/well-logs/keys/k/other"),
--- a/modules/router/outcomes_test.go
+++ b/modules/router/outcomes_test.go
@@ -45,6 +45,7 @@
 		{name: "answer no longer kept", behave: rt.Decline("unknown", serverapi.ReasonAnswerGone), method: "POST", outcome: "unknown", reason: serverapi.ReasonAnswerGone, status: 409, attempts: 1},
 		{name: "lease lost while it ran", behave: rt.Decline("unknown", serverapi.ReasonOwnershipLost), method: "POST", outcome: "unknown", reason: serverapi.ReasonOwnershipLost, status: 409, attempts: 1},
 		{name: "ticket of another key", behave: rt.Decline("not-run", serverapi.ReasonBadTicket), method: "POST", outcome: "not-run", reason: serverapi.ReasonBadTicket, status: 400, attempts: 1},
+		{name: "unreadable to the server", behave: rt.Decline("not-run", serverapi.ReasonBadRequest), method: "GET", outcome: "not-run", reason: serverapi.ReasonBadRequest, status: 400, attempts: 1},
 		{name: "lost, then not owner: may have run", behave: rt.InTurn(rt.Lost, rt.Decline("not-run", serverapi.ReasonOverloaded)), method: "GET", outcome: "unknown", reason: callerapi.ReasonNoAnswer, status: 502},
 		{name: "another server, not idempotent", behave: rt.InTurn(rt.Unreachable, rt.Answer(200, "ok")), method: "POST", unkeyed: true, outcome: "answered", status: 200, attempts: 2},
 		{name: "another server, answer lost", behave: rt.Lost, method: "POST", unkeyed: true, outcome: "unknown", reason: callerapi.ReasonNoAnswer, status: 502, attempts: 1},
--- a/outcome/outcome.go
+++ b/outcome/outcome.go
@@ -129,6 +129,7 @@
 	callerapi.ReasonBadCaller:        http.StatusBadRequest,
 	callerapi.ReasonBadTicket:        http.StatusBadRequest,
 	callerapi.ReasonBodyUnreadable:   http.StatusBadRequest,
+	serverapi.ReasonBadRequest:       http.StatusBadRequest,
 	callerapi.ReasonMethodNotAllowed: http.StatusMethodNotAllowed,
 	callerapi.ReasonBodyTooLarge:     http.StatusRequestEntityTooLarge,
 	callerapi.ReasonTicketRequired:   http.StatusPreconditionRequired,
