--- a/lessor/moves.go
+++ b/lessor/moves.go
@@ -126,6 +126,19 @@
 	}
 }
 
+// giveUpMove puts the shard of a move whose record had no effect back on its
+// owner's list, and lets the owner hear of it at once.
+func (m *Member) giveUpMove(id topo.ShardID) {
+	mv, moving := m.moves[id]
+	if !moving || !mv.submitted {
+		return
+	}
+	delete(m.moves, id)
+	if owner := m.facts.Shards[id].Owner; owner != "" {
+		m.server(owner).nextAt = 0
+	}
+}
+
 // forgetMoves drops moves that are done or overtaken.
 func (m *Member) forgetMoves() {
 	for id, mv := range m.moves {
--- a/lessor/renew.go
+++ b/lessor/renew.go
@@ -35,7 +35,7 @@
 	if boot == "" || shard.OwnerBoot != boot {
 		return false
 	}
-	if !m.isSettled(shard) || m.isUndecided(shard.Shard) {
+	if !m.isSettled(shard) || m.needsNewFence(shard.Shard) || m.isUndecided(shard.Shard) {
 		return false
 	}
 	if _, active := m.activated[shard.Shard]; active {
@@ -69,17 +69,15 @@
 // excepted returns the keys that the owner of a hash range must refuse: those
 // split out, about to be, or possibly split by a record whose fate is unknown.
 func (m *Member) excepted(shard Shard) []string {
-	except := shard.Except
 	if shard.Shard.Key != "" {
 		return nil
 	}
+	except := shard.Except
 	for _, id := range m.splitsUnderWay() {
-		sameRange := id.Service == shard.Shard.Service && id.Index == shard.Shard.Index
-		if sameRange && !slices.Contains(except, id.Key) {
-			except = append(slices.Clone(except), id.Key)
+		if rangeOf(id) == shard.Shard && !slices.Contains(except, id.Key) {
+			except = slices.Sorted(slices.Values(append(slices.Clone(except), id.Key)))
 		}
 	}
-	slices.Sort(except)
 	return except
 }
 
--- a/lessor/rules.go
+++ b/lessor/rules.go
@@ -11,4 +11,7 @@
 	// noKnownRun: a standby server is activated also if it restarted since the
 	// latest log contact.
 	noKnownRun bool
+	// eager is no safety rule: every server counts as suspected at any time, so
+	// that a search tries every suspicion.
+	eager bool
 }
--- /dev/null
+++ b/lessor/search_key_test.go
@@ -0,0 +1,356 @@
+package lessor
+
+import (
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/burdockspindle/burdockspindle/topo"
+)
+
+// keyWriter writes what decides the future of a world. Times are written
+// relative to now, and cut off where they no longer make a difference; numbers
+// that only grow are written by their rank among those that they are compared
+// with.
+type keyWriter struct {
+	w   *world
+	buf []byte
+}
+
+type worldKey [2]uint64
+
+func (w *world) key() worldKey {
+	k := &keyWriter{w: w, buf: make([]byte, 0, 512)}
+	k.log()
+	for i := range w.nodes {
+		k.node(i)
+	}
+	for i := range w.servers {
+		k.server(i)
+	}
+	k.message()
+	return worldKey{xxhash.Sum64(k.buf), xxhash.Sum64(append(k.buf, 1))}
+}
+
+func (k *keyWriter) num(n int) { k.buf = append(k.buf, byte(n), byte(n>>8)) }
+
+func (k *keyWriter) flag(b bool) { k.num(boolRank(b)) }
+
+func (k *keyWriter) text(s string) {
+	k.buf = append(k.buf, s...)
+	k.buf = append(k.buf, 0)
+}
+
+func (k *keyWriter) ordinal(o topo.Ordinal) { k.num(int(o.Offset)<<1 | int(o.Rank)) }
+
+// age writes how long ago a moment was, up to a most.
+func (k *keyWriter) age(m moment, most time.Duration) {
+	if !m.set {
+		k.num(-1)
+		return
+	}
+	k.num(int(min(k.w.now-m.at, most) / unit))
+}
+
+// left writes how far away a moment in the future is.
+func (k *keyWriter) left(at time.Duration) { k.num(int(max(0, at-k.w.now) / unit)) }
+
+// rank writes the place of n among the others.
+func (k *keyWriter) rank(n uint64, among ...uint64) {
+	slices.Sort(among)
+	k.num(slices.Index(slices.Compact(among), n))
+}
+
+func (k *keyWriter) log() {
+	l := k.w.log
+	k.num(int(l.next))
+	k.ordinal(l.term.Ordinal)
+	k.text(string(l.lessor.Boot))
+	k.text(string(l.standby.Boot))
+	k.ordinal(l.fence.Ordinal)
+	k.text(string(l.owner))
+	k.text(string(l.ownerBoot))
+	k.text(string(l.backup))
+	k.num(l.claims)
+	k.num(l.assigns)
+}
+
+func (k *keyWriter) node(i int) {
+	n := &k.w.nodes[i]
+	m := n.member
+	ttl, limit := k.w.b.ttl, k.w.b.limit
+	k.num(n.runs)
+	k.num(int(n.submitted))
+	k.num(int(m.facts.Applied))
+	k.num(int(m.role))
+	k.flag(m.offLog)
+	k.ordinal(m.term.Ordinal)
+	if m.role != RoleNone || k.w.b.relay {
+		k.age(m.contact, max(limit, ttl))
+	}
+	k.flag(m.claim.inFlight)
+	k.flag(m.claim.awaited)
+	if m.role == RoleStandby && !k.powerless(m.term.Standby()) {
+		k.standing(m)
+	}
+	if m.role == RoleLessor && !k.powerless(m.term) && !k.spent(m) {
+		k.lessor(i, m)
+	}
+}
+
+// spent reports whether a lessor has no right to renew, and can get none but by
+// a promise that its standby lessor will never give again.
+func (k *keyWriter) spent(m *Member) bool {
+	if m.offLog || m.right.mode == ModeConnected || k.w.b.rules.noModes || k.w.held != nil {
+		return false
+	}
+	if m.right.promise.fresher(k.w.now, k.w.b.ttl) {
+		return false
+	}
+	for i := range k.w.nodes {
+		other := k.w.nodes[i].member
+		if other.self() == m.standbyRun() {
+			return other.role != RoleStandby || other.facts.Group.Term != m.term
+		}
+	}
+	return true
+}
+
+// powerless reports whether every server refuses a term for good, and the log
+// takes no record under it.
+func (k *keyWriter) powerless(term topo.Term) bool {
+	return k.refusedForGood(0, term) && k.refusedForGood(1, term)
+}
+
+// refusedForGood reports whether a server refuses a term and cannot forget the
+// higher one, and the log takes no record under the term either.
+func (k *keyWriter) refusedForGood(server int, term topo.Term) bool {
+	if k.w.log.term == term || k.w.log.term.Standby() == term {
+		return false
+	}
+	s := &k.w.servers[server]
+	return s.restarts >= k.w.b.restarts && term.Less(s.holder.State().Highest)
+}
+
+func (k *keyWriter) standing(m *Member) {
+	s := &m.standing
+	k.standingOf(s)
+	k.left(s.promised.at)
+	k.num(int(s.mode))
+	k.rank(s.round, k.modeRounds()...)
+	k.flag(s.settled)
+}
+
+func (k *keyWriter) standingOf(s *standing) {
+	k.num(int(s.activated[searchShard]))
+	k.num(int(s.undecided[searchShard]))
+}
+
+// modeRounds lists every mode round that may still be compared.
+func (k *keyWriter) modeRounds() []uint64 {
+	var rounds []uint64
+	for i := range k.w.nodes {
+		m := k.w.nodes[i].member
+		rounds = append(rounds, m.right.round, m.standing.round)
+	}
+	if k.w.held != nil {
+		rounds = append(rounds, k.w.held.beat.ModeRound, k.w.held.answer.ModeRound)
+	}
+	return rounds
+}
+
+func (k *keyWriter) lessor(node int, m *Member) {
+	ttl := k.w.b.ttl
+	k.age(m.right.promise, ttl)
+	k.num(int(m.right.mode))
+	k.num(int(m.right.asked))
+	k.rank(m.right.round, k.modeRounds()...)
+	k.flag(m.right.acked)
+	k.num(int(m.takeover.basis))
+	k.num(int(min(m.takeover.before, 1<<14)))
+	k.left(m.leaseEnd(m.facts.Shards[searchShard].Policy).at)
+	k.standingOf(&m.takeover.told)
+	k.flag(m.isSettled(m.facts.Shards[searchShard]))
+	if n, needed := m.needs[searchShard]; needed {
+		k.text(string(n.to))
+		k.flag(n.wasActive)
+	}
+	if a, active := m.activated[searchShard]; active {
+		k.text(string(a.boot))
+		k.flag(a.granted)
+		k.rank(a.told, a.told, m.beats.round, k.heldRound())
+	}
+	if mv, moving := m.moves[searchShard]; moving {
+		k.text(string(mv.To))
+		k.flag(mv.submitted)
+	}
+	k.flag(m.submit.inFlight)
+	k.num(int(m.submit.visible))
+	if d, undecided := m.submit.undecided[searchShard]; undecided {
+		k.ordinal(d.expected.Ordinal)
+		k.flag(d.unknown)
+	}
+	for s := range serverNames {
+		k.granter(node, s, m, m.servers[serverNames[s]])
+	}
+}
+
+func (k *keyWriter) heldRound() uint64 {
+	if k.w.held == nil {
+		return 0
+	}
+	return max(k.w.held.beat.Round, k.w.held.answer.Round)
+}
+
+func (k *keyWriter) granter(node, server int, m *Member, s *server) {
+	if s == nil {
+		k.num(-2)
+		return
+	}
+	if k.refusedForGood(server, m.term) {
+		k.num(-3)
+		return
+	}
+	ttl := k.w.b.ttl
+	g := s.granter.State()
+	k.text(string(g.Boot))
+	// A stamp too old to be worth echoing makes no difference.
+	stampAge := k.w.now - fromWall(g.StampAt)
+	k.num(int(min(stampAge, ttl) / unit))
+	if stampAge < ttl {
+		k.num(int((k.w.serverNow(server) - time.Duration(g.Stamp)) / unit))
+	}
+	k.left(fromWall(g.Until))
+	k.flag(s.heardSince <= m.contact.at)
+	k.flag(s.inFlight)
+	if s.inFlight {
+		k.num(int(min(k.w.now-s.sentAt, k.w.b.limit) / unit))
+	}
+	if !m.isSettled(m.facts.Shards[searchShard]) || len(m.needs) > 0 || len(m.activated) > 0 {
+		k.flag(s.acked)
+		k.ordinal(s.active[searchShard].Ordinal)
+	}
+	generations := k.generations(node, server)
+	k.rank(s.generation, generations...)
+	k.rank(s.reported, generations...)
+	k.rank(s.revoked[searchShard], generations...)
+	for _, grant := range s.list {
+		k.ordinal(grant.Fence.Ordinal)
+	}
+}
+
+// generations lists the list numbers of one lessor and server that may still be
+// compared.
+func (k *keyWriter) generations(node, server int) []uint64 {
+	list := []uint64{0, 1}
+	if s := k.w.nodes[node].member.servers[serverNames[server]]; s != nil {
+		list = append(list, s.generation, s.reported, s.revoked[searchShard])
+	}
+	list = append(list, k.w.servers[server].holder.State().Generation)
+	if h := k.w.held; h != nil && h.server == server {
+		list = append(list, h.order.Generation, h.report.Generation)
+	}
+	return list
+}
+
+func (k *keyWriter) server(i int) {
+	s := &k.w.servers[i]
+	h := s.holder.State()
+	now := k.w.serverNow(i)
+	k.num(s.restarts)
+	k.ordinal(h.Highest.Ordinal)
+	k.text(h.Lessor)
+	k.num(int(max(0, h.Expires-now) / unit))
+	k.ordinal(h.ListTerm.Ordinal)
+	k.rank(h.Generation, k.allGenerations(i)...)
+	k.ordinal(h.HighestFence[searchShard].Ordinal)
+	k.ordinal(h.Activated[searchShard].Ordinal)
+	for _, grant := range s.holder.Grants() {
+		k.ordinal(grant.Fence.Ordinal)
+	}
+}
+
+func (k *keyWriter) allGenerations(server int) []uint64 {
+	var list []uint64
+	for node := range k.w.nodes {
+		list = append(list, k.generations(node, server)...)
+	}
+	return list
+}
+
+func (k *keyWriter) message() {
+	h := k.w.held
+	if h == nil {
+		return
+	}
+	k.text(h.kind)
+	k.num(h.node)
+	k.num(h.server)
+	switch h.kind {
+	case "renew":
+		k.order(h)
+	case "renewed":
+		k.report(h)
+	case "beat":
+		k.num(int(h.beat.Mode))
+		k.rank(h.beat.ModeRound, k.modeRounds()...)
+		k.flag(h.beat.Settled)
+		k.num(int(h.beat.Applied))
+		k.num(len(h.beat.Activated))
+		k.num(len(h.beat.Undecided))
+		k.ordinal(h.beat.Term.Ordinal)
+		k.age(momentAt(k.w.nodes[h.node].member.beats.sent[h.beat.Round]), k.w.b.ttl)
+	case "answer":
+		k.flag(h.answer.Promised)
+		k.num(int(h.answer.Mode))
+		k.rank(h.answer.ModeRound, k.modeRounds()...)
+		k.ordinal(h.answer.Term.Ordinal)
+		k.age(momentAt(k.w.nodes[h.node].member.beats.sent[h.answer.Round]), k.w.b.ttl)
+	case "record":
+		k.record(h.record)
+	}
+}
+
+func (k *keyWriter) order(h *message) {
+	o := h.order
+	k.ordinal(o.Term.Ordinal)
+	k.text(string(o.Boot))
+	echoAge := k.w.serverNow(h.server) - time.Duration(o.Echo)
+	k.num(int(min(echoAge, k.w.b.ttl) / unit))
+	k.rank(o.Generation, k.generations(h.node, h.server)...)
+	k.flag(o.Full)
+	for _, grant := range o.Grants {
+		k.ordinal(grant.Fence.Ordinal)
+	}
+}
+
+func (k *keyWriter) report(h *message) {
+	r := h.report
+	k.text(r.Refused)
+	k.text(string(r.Boot))
+	k.num(int((k.w.serverNow(h.server) - time.Duration(r.Stamp)) / unit))
+	k.ordinal(r.HighestTerm.Ordinal)
+	k.rank(r.Generation, k.generations(h.node, h.server)...)
+	k.num(int(r.Remaining / unit))
+	k.flag(r.HasActive)
+	for _, grant := range r.Active {
+		k.ordinal(grant.Fence.Ordinal)
+	}
+}
+
+func (k *keyWriter) record(r record) {
+	k.text(string(r.self.Boot))
+	if r.claim != nil {
+		k.ordinal(r.claim.Expected.Ordinal)
+		k.text(string(r.claim.Standby.Boot))
+		return
+	}
+	k.ordinal(r.submit.Term.Ordinal)
+	for _, a := range r.submit.Assigns {
+		k.ordinal(a.Expected.Ordinal)
+		k.text(string(a.Owner))
+		k.text(string(a.OwnerBoot))
+		k.text(string(a.Standby))
+	}
+}
--- /dev/null
+++ b/lessor/search_test.go
@@ -0,0 +1,479 @@
+package lessor
+
+import (
+	"flag"
+	"fmt"
+	"runtime"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/burdockspindle/burdockspindle/lease"
+)
+
+// step is one world that can follow another.
+type step struct {
+	name  string
+	world *world
+}
+
+// steps returns every world that can follow w.
+func (w *world) steps() []step {
+	e := &explorer{from: w}
+	e.try("time passes", func(w *world) bool { w.now += unit; return true })
+	for node := range w.nodes {
+		e.nodeSteps(node)
+	}
+	e.serverRestarts()
+	e.heldSteps()
+	return e.found
+}
+
+type explorer struct {
+	from  *world
+	found []step
+}
+
+// try keeps the world that a change leads to, if the change is possible.
+func (e *explorer) try(name string, change func(w *world) bool) {
+	next := e.from.clone()
+	if !change(next) {
+		return
+	}
+	next.tidy()
+	e.found = append(e.found, step{name, next})
+}
+
+// tidy takes up what needs no contact, so that worlds which differ only in that
+// count as one.
+func (w *world) tidy() {
+	for i := range w.nodes {
+		if w.nodes[i].member.settling {
+			w.member(i).advance(w.now)
+		}
+		if !w.ownedNodes[i] {
+			continue
+		}
+		m := w.nodes[i].member
+		for round := range m.beats.sent {
+			if w.held == nil || (w.held.beat.Round != round && w.held.answer.Round != round) {
+				delete(m.beats.sent, round)
+			}
+		}
+	}
+}
+
+func (e *explorer) nodeSteps(node int) {
+	name := string(nodeNames[node])
+	w := e.from
+	m := w.nodes[node].member
+	e.try(name+" reads the log", func(w *world) bool { w.readLog(node, true); return true })
+	if w.b.relay && m.facts.Applied < w.log.next-1 {
+		e.try(name+" learns records from a peer", func(w *world) bool { w.readLog(node, false); return true })
+	}
+	e.claimSteps(node, name)
+	if w.nodes[node].runs <= w.b.nodeRestarts {
+		e.try(name+" restarts", func(w *world) bool { return w.restartNode(node) })
+	}
+	if m.mayGoOn() {
+		e.try(name+" goes on off the log", func(w *world) bool { return w.member(node).BeginGoOn(w.now) })
+	}
+	if m.role == RoleLessor {
+		e.lessorSteps(node, name)
+	}
+}
+
+func (w *world) restartNode(node int) bool {
+	n := &w.nodes[node]
+	n.runs++
+	n.submitted, n.number = 0, 0
+	n.member = NewMember(w.b.config(node, n.runs))
+	w.ownedNodes[node] = true
+	n.member.rules = w.b.rules
+	n.member.rules.eager = true
+	w.readLog(node, false)
+	return true
+}
+
+func (e *explorer) claimSteps(node int, name string) {
+	m := e.from.nodes[node].member
+	if m.claim.inFlight || !strings.Contains(e.from.b.claimers, name) {
+		return
+	}
+	if e.from.log.claims < e.from.b.claims {
+		e.try(name+" claims", func(w *world) bool { return w.claim(node) })
+	}
+	if e.from.b.delayed && e.from.held == nil && e.from.log.claims < e.from.b.claims {
+		e.try(name+" claims, record held back", func(w *world) bool {
+			claim, allowed := w.member(node).BeginClaim(w.now)
+			w.held = &message{kind: "record", node: node, record: record{node: node, claim: &claim, self: w.runOf(node)}}
+			return allowed
+		})
+	}
+}
+
+// ways that a call can go besides its whole success.
+func (w *world) ways() []string {
+	ways := []string{"", "reply lost"}
+	if w.b.delayed && w.held == nil {
+		ways = append(ways, "request held", "reply held")
+	}
+	return ways
+}
+
+func label(name, way string) string {
+	if way == "" {
+		return name
+	}
+	return name + ", " + way
+}
+
+func (e *explorer) lessorSteps(node int, name string) {
+	m := e.from.nodes[node].member
+	_, hasStandby := e.from.standbyOf(node)
+	hasStandby = hasStandby && !m.offLog
+	for _, way := range e.from.ways() {
+		if hasStandby {
+			e.try(label(name+" sends a heartbeat", way), func(w *world) bool { return w.beatFrom(node, way) })
+		}
+		for s := range serverNames {
+			server := string(serverNames[s])
+			known, exists := m.servers[serverNames[s]]
+			if exists && known.inFlight {
+				continue
+			}
+			if way != "" && !e.from.b.lossy {
+				continue
+			}
+			if m.mayRenew(e.from.now) && e.worthRenewing(node, s) {
+				e.try(label(name+" renews "+server, way), func(w *world) bool { return w.renew(node, s, way) })
+			}
+			if way != "request held" && (!exists || !known.acked) && m.takeover.basis != basisFirst {
+				e.try(label(server+" acknowledges "+name, way), func(w *world) bool { return w.acknowledge(node, s, way) })
+			}
+		}
+	}
+	for _, mode := range []Mode{ModeConnected, ModeDisconnected} {
+		if !hasStandby || m.right.asked == mode || e.from.b.connected {
+			continue
+		}
+		for _, way := range append(e.from.ways(), "request lost") {
+			e.try(label(name+" asks for mode "+mode.String(), way), func(w *world) bool {
+				return w.member(node).BeginChangeMode(mode) && (way == "request lost" || w.beatFrom(node, way))
+			})
+		}
+	}
+	if !m.mayActivate(e.from.now, m.facts.Shards[searchShard]) {
+		e.submitSteps(node, name)
+		return
+	}
+	e.try(name+" activates the standby server", func(w *world) bool {
+		return w.member(node).BeginActivate(w.now, searchShard)
+	})
+	e.submitSteps(node, name)
+}
+
+// worthRenewing leaves out renewals without a shard while the server's stamp is
+// fresh.
+func (e *explorer) worthRenewing(node, server int) bool {
+	m := e.from.nodes[node].member
+	s, known := m.servers[serverNames[server]]
+	if !known || s.generation == 0 || len(s.list) > 0 {
+		return true
+	}
+	if len(m.grantsFor(e.from.now, serverNames[server], s.boot())) > 0 {
+		return true
+	}
+	fresh := e.from.now-fromWall(s.granter.State().StampAt) < e.from.b.ttl
+	return !fresh || s.reported < s.generation
+}
+
+func (e *explorer) submitSteps(node int, name string) {
+	if e.from.log.assigns >= e.from.b.assigns || !e.from.nodes[node].member.maySubmit(e.from.now) {
+		return
+	}
+	begin := func(w *world) (record, bool) {
+		n := &w.nodes[node]
+		submission, number, due := w.member(node).BeginSubmit(w.now)
+		n.number = number
+		return record{node: node, submit: &submission, self: w.runOf(node)}, due
+	}
+	e.try(name+" writes an assignment", func(w *world) bool {
+		r, due := begin(w)
+		return due && w.deliver(r)
+	})
+	if e.from.b.delayed && e.from.held == nil {
+		e.try(name+" writes an assignment, held back", func(w *world) bool {
+			r, due := begin(w)
+			w.held = &message{kind: "record", node: node, record: r}
+			return due
+		})
+	}
+}
+
+// deliver appends a record of assignments; its writer learns of it when it
+// reads the log.
+func (w *world) deliver(r record) bool {
+	w.append(r)
+	if n := &w.nodes[r.node]; r.submit != nil && w.runOf(r.node) == r.self {
+		n.submitted = w.log.next - 1
+	}
+	return true
+}
+
+func (e *explorer) serverRestarts() {
+	for s := range serverNames {
+		if e.from.servers[s].restarts >= e.from.b.restarts {
+			continue
+		}
+		e.try(string(serverNames[s])+" restarts", func(w *world) bool {
+			w.servers[s].restarts++
+			w.servers[s].started = w.now
+			w.servers[s].holder = lease.NewHolder(serverBoot(s, 1+w.servers[s].restarts))
+			return true
+		})
+	}
+}
+
+// heldSteps delivers what was held back, or loses it.
+func (e *explorer) heldSteps() {
+	if e.from.held == nil {
+		return
+	}
+	e.try("held "+e.from.held.kind+" arrives", func(w *world) bool {
+		h := w.held
+		w.held = nil
+		w.arrive(h)
+		return true
+	})
+	e.try("held "+e.from.held.kind+" is lost", func(w *world) bool {
+		h := w.held
+		w.held = nil
+		return w.lose(h)
+	})
+}
+
+func (w *world) arrive(h *message) {
+	switch h.kind {
+	case "renew":
+		run := Run{Node: nodeNames[h.node], Boot: nodeBoot(h.node, 1)}
+		w.lease(h.server, run, h.order)
+	case "renewed":
+		w.member(h.node).LeaseReplied(w.now, serverNames[h.server], h.attempt, h.report)
+	case "beat":
+		for i := range w.nodes {
+			if i != h.node {
+				w.member(i).HeartbeatReceived(w.now, h.beat)
+			}
+		}
+	case "answer":
+		w.member(h.node).HeartbeatAnswered(w.now, h.answer)
+	case "record":
+		w.deliver(h.record)
+	}
+}
+
+func (w *world) lose(h *message) bool {
+	m := w.member(h.node)
+	switch {
+	case h.kind == "renewed":
+		w.fail(h.node, h.server, h.attempt)
+	case h.kind == "record" && w.runOf(h.node) != h.record.self:
+	case h.kind == "record" && h.record.claim != nil:
+		m.ClaimFailed(w.now, false)
+	case h.kind == "record":
+		m.SubmitFailed(w.now, w.nodes[h.node].number, false)
+	}
+	return true
+}
+
+// outcome is what a search found.
+type outcome struct {
+	states   int
+	complete bool
+	depth    int
+	path     []string // to a world with two owners; nil if there is none
+}
+
+func (o outcome) String() string {
+	text := fmt.Sprintf("%d states, depth %d, complete %v", o.states, o.depth, o.complete)
+	if o.path != nil {
+		text += "; two owners after:\n  " + strings.Join(o.path, "\n  ")
+	}
+	return text
+}
+
+// trace leads back from a world to the first one.
+type trace struct {
+	before *trace
+	name   string
+}
+
+func (t *trace) names() []string {
+	var names []string
+	for ; t != nil && t.before != nil; t = t.before {
+		names = append([]string{t.name}, names...)
+	}
+	return names
+}
+
+type reached struct {
+	world *world
+	trace *trace
+}
+
+// search looks at every world within the bounds, nearest first, until one has
+// two owners or most have been seen.
+func search(b bounds, most int) outcome {
+	seen := map[worldKey]struct{}{}
+	first := newSearchWorld(&b).follow(b.prefix)
+	seen[first.key()] = struct{}{}
+	front := []reached{{first, &trace{}}}
+	result := outcome{}
+	for len(front) > 0 {
+		next, bad := expand(front, seen, most)
+		result.depth++
+		result.states = len(seen)
+		if bad != nil {
+			result.path = bad.names()
+			return result
+		}
+		if len(seen) >= most {
+			return result
+		}
+		front = next
+	}
+	result.complete = true
+	return result
+}
+
+// follow takes the named steps.
+func (w *world) follow(names []string) *world {
+	for _, name := range names {
+		steps := w.steps()
+		i := slices.IndexFunc(steps, func(s step) bool { return s.name == name })
+		if i < 0 {
+			panic("no such step: " + name)
+		}
+		w = steps[i].world
+	}
+	return w
+}
+
+// found is one step of an expansion, with its key.
+type found struct {
+	step
+	key    worldKey
+	owners int
+}
+
+// expand returns the worlds that follow a front and were not seen before.
+func expand(front []reached, seen map[worldKey]struct{}, most int) ([]reached, *trace) {
+	const chunk = 256
+	var next []reached
+	results := make([][]found, chunk)
+	for start := 0; start < len(front) && len(seen) < most; start += chunk {
+		part := front[start:min(start+chunk, len(front))]
+		expandPart(part, results)
+		for i := range part {
+			for _, f := range results[i] {
+				if _, known := seen[f.key]; known {
+					continue
+				}
+				seen[f.key] = struct{}{}
+				way := &trace{before: part[i].trace, name: f.name}
+				if f.owners > 1 {
+					return nil, way
+				}
+				next = append(next, reached{f.world, way})
+			}
+			front[start+i].world = nil
+		}
+	}
+	return next, nil
+}
+
+// expandPart finds the steps of several worlds at once.
+func expandPart(part []reached, results [][]found) {
+	workers := min(2, runtime.GOMAXPROCS(0))
+	var wait sync.WaitGroup
+	for worker := range workers {
+		wait.Go(func() {
+			for i := worker; i < len(part); i += workers {
+				results[i] = results[i][:0]
+				for _, s := range part[i].world.steps() {
+					results[i] = append(results[i], found{s, s.world.key(), s.world.owners()})
+				}
+			}
+		})
+	}
+	wait.Wait()
+}
+
+func small() bounds {
+	return bounds{ttl: 2 * unit, limit: 3 * unit, claims: 2, assigns: 1}
+}
+
+// dropped are the searches that must find two owners once a rule is gone.
+var dropped = []struct {
+	name   string
+	bounds bounds
+}{
+	{"modes", bounds{ttl: unit, limit: 2 * unit, assigns: 1, rules: rules{noModes: true}}},
+	{"both", bounds{ttl: unit, limit: 2 * unit, claimers: "c", claims: 1, rules: rules{noBoth: true}}},
+	{"tail", bounds{ttl: 2 * unit, claimers: "c", claims: 1, assigns: 1, connected: true, rules: rules{noTail: true}}},
+	{"hold", bounds{ttl: unit, limit: 3 * unit, claimers: "c", claims: 1, assigns: 1, connected: true,
+		rules: rules{noHold: true}}},
+	{"report", bounds{ttl: unit, limit: 2 * unit, claimers: "c", claims: 1, rules: rules{noReport: true}}},
+	{"known run", bounds{ttl: unit, limit: 4 * unit, claimers: "c", claims: 1, restarts: 1,
+		prefix: []string{"l asks for mode disconnected", "c claims", "c reads the log",
+			"s acknowledges c", "t acknowledges c", "time passes"},
+		rules: rules{noKnownRun: true}}},
+}
+
+func TestSearchFindsWhatEachRulePrevents(t *testing.T) {
+	for _, d := range dropped {
+		t.Run(d.name, func(t *testing.T) {
+			began := time.Now()
+			o := search(d.bounds, 2_000_000)
+			t.Logf("%v in %v", o, time.Since(began))
+			if o.path == nil {
+				t.Fatal("no two owners found")
+			}
+		})
+	}
+}
+
+// whole are the searches with every rule in force. Each is complete, so no two
+// owners can come about within its bounds.
+var whole = []struct {
+	name   string
+	bounds bounds
+}{
+	{"disconnected pair", bounds{ttl: unit, limit: 2 * unit}},
+	{"standby claims, connected", bounds{ttl: unit, limit: 2 * unit, claimers: "b", claims: 1, connected: true}},
+	{"other claims, connected", bounds{ttl: unit, limit: 2 * unit, claimers: "c", claims: 1, connected: true}},
+	{"standby claims", bounds{ttl: unit, limit: 2 * unit, claimers: "b", claims: 1}},
+	{"other claims", bounds{ttl: unit, limit: 2 * unit, claimers: "c", claims: 1}},
+	{"lessor claims", bounds{ttl: unit, limit: 2 * unit, claimers: "l", claims: 1}},
+	{"reassigned, connected", bounds{ttl: unit, limit: 2 * unit, assigns: 1, connected: true}},
+	{"reassigned", bounds{ttl: unit, limit: 2 * unit, assigns: 1}},
+	{"two seconds, connected", bounds{ttl: 2 * unit, limit: 3 * unit, claimers: "bc", claims: 1, connected: true}},
+}
+
+func TestSearchWhole(t *testing.T) {
+	for _, d := range whole {
+		t.Run(d.name, func(t *testing.T) {
+			began := time.Now()
+			o := search(d.bounds, *searchMost)
+			t.Logf("%v in %v", o, time.Since(began))
+			if o.path != nil {
+				t.Fail()
+			}
+		})
+	}
+}
+
+var searchMost = flag.Int("search.most", 50_000, "states after which a search is cut off")
--- /dev/null
+++ b/lessor/search_world_test.go
@@ -0,0 +1,478 @@
+package lessor
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/burdockspindle/burdockspindle/lease"
+	"github.com/burdockspindle/burdockspindle/serverapi"
+	"github.com/burdockspindle/burdockspindle/state"
+	"github.com/burdockspindle/burdockspindle/topo"
+)
+
+// The search's world: three nodes (0 the lessor at the start, 1 its standby
+// lessor, 2 another node), two servers (0 the owner, 1 its standby server), one
+// shard and the log. Every process runs the project's own code. Every contact
+// may or may not happen at any step, so that partitions, losses and pauses of
+// any length are all in.
+
+const (
+	unit     = time.Millisecond // of the search's time
+	nodeMost = 3
+)
+
+var (
+	searchShard = topo.ShardID{Service: "svc"}
+	nodeNames   = [nodeMost]topo.NodeID{"l", "b", "c"}
+	serverNames = [2]topo.ServerID{"s", "t"}
+	searchGroup = topo.GroupID("z/0")
+)
+
+// bounds limits the search.
+type bounds struct {
+	ttl, limit   time.Duration // lease TTL and MaxDisconnected
+	claims       int           // records that may take a term after the first
+	assigns      int           // records of assignments
+	claimers     string        // the nodes that may claim
+	connected    bool          // no node asks for disconnected mode
+	restarts     int           // of servers
+	nodeRestarts int
+	lossy        bool     // replies to renewals and acknowledgements may be lost
+	delayed      bool     // one message, or one record, may be held back
+	relay        bool     // nodes may learn records without log contact
+	prefix       []string // steps that are taken first
+	rules        rules
+}
+
+// searchLog is the log's state after some records.
+type searchLog struct {
+	next      topo.Offset
+	term      topo.Term
+	lessor    Run
+	standby   Run
+	fence     topo.Fence
+	owner     topo.ServerID
+	ownerBoot topo.BootID
+	backup    topo.ServerID
+	claims    int
+	assigns   int
+}
+
+// record is one record that some node wants in the log.
+type record struct {
+	node   int
+	claim  *Claim
+	submit *Submission
+	self   Run
+}
+
+// message is the one thing that is held back.
+type message struct {
+	kind    string // "renew", "renewed", "beat", "answer", "record"
+	node    int    // its lessor
+	server  int
+	order   LeaseOrder
+	report  LeaseReport
+	beat    Heartbeat
+	answer  HeartbeatReply
+	attempt uint64
+	record  record
+}
+
+type searchServer struct {
+	holder   *lease.Holder
+	started  time.Duration
+	restarts int
+}
+
+type searchNode struct {
+	member *Member
+	runs   int
+	// submitted is the offset of the record under way, if it is in the log.
+	submitted topo.Offset
+	number    uint64
+}
+
+type world struct {
+	b       *bounds
+	now     time.Duration
+	log     searchLog
+	nodes   [nodeMost]searchNode
+	servers [2]searchServer
+	held    *message
+	facts   *factsCache
+	// owned marks what this world shares with no other.
+	ownedNodes   [nodeMost]bool
+	ownedServers [2]bool
+}
+
+// factsCache shares the facts of each state of the log among all worlds.
+type factsCache struct {
+	b    *bounds
+	mu   sync.Mutex
+	made map[searchLog]*Facts
+}
+
+func nodeBoot(node, run int) topo.BootID {
+	return topo.BootID(fmt.Sprintf("%s%d", nodeNames[node], run))
+}
+
+func serverBoot(server, run int) topo.BootID {
+	return topo.BootID(fmt.Sprintf("%s%d", serverNames[server], run))
+}
+
+func (b *bounds) config(node, run int) Config {
+	return Config{
+		Node:  nodeNames[node],
+		Boot:  nodeBoot(node, run),
+		Zone:  "z",
+		Group: searchGroup,
+		Lease: lease.Timing{TTL: b.ttl},
+		// Everything is due at any time; the search decides what happens.
+		MoveTimeout: time.Hour,
+	}
+}
+
+func (c *factsCache) of(log searchLog) *Facts {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if facts, exists := c.made[log]; exists {
+		return facts
+	}
+	policy := &Policy{ChecksFencing: true, MaxDisconnected: c.b.limit, TakeoverLimit: c.b.limit}
+	shard := Shard{
+		Assignment: state.Assignment{
+			Shard: searchShard, Fence: log.fence, Owner: log.owner, OwnerBoot: log.ownerBoot, Standby: log.backup,
+		},
+		StandbyHere: log.backup != "",
+		Policy:      policy,
+	}
+	facts := &Facts{
+		Applied: log.next - 1,
+		Group: state.Group{
+			ID: searchGroup, Term: log.term,
+			Lessor: log.lessor.Node, LessorBoot: log.lessor.Boot,
+			Standby: log.standby.Node, StandbyBoot: log.standby.Boot,
+		},
+		Servers:             map[topo.ServerID]Server{},
+		Shards:              map[topo.ShardID]Shard{searchShard: shard},
+		ShardsOf:            map[topo.ServerID][]topo.ShardID{log.owner: {searchShard}},
+		LongestDisconnected: c.b.limit,
+		Targets:             map[topo.Service][]Target{},
+	}
+	for _, id := range serverNames {
+		facts.Servers[id] = Server{Server: state.Server{ID: id, Address: "x", Phase: state.PhaseLive}}
+		facts.Targets["svc"] = append(facts.Targets["svc"], Target{ID: id, Zone: "z", Group: searchGroup})
+	}
+	for i, id := range nodeNames {
+		facts.Nodes = append(facts.Nodes, state.Node{ID: id, Boot: nodeBoot(i, 1), Zone: "z"})
+	}
+	c.made[log] = facts
+	return facts
+}
+
+// newSearchWorld is a site at rest: the first lessor is settled and has granted
+// the shard to the first server.
+func newSearchWorld(b *bounds) *world {
+	w := &world{b: b, facts: &factsCache{b: b, made: map[searchLog]*Facts{}}}
+	first := searchLog{next: 10, owner: serverNames[0], ownerBoot: serverBoot(0, 1), backup: serverNames[1],
+		fence: topo.MakeFence(9, 0)}
+	w.log = first
+	for i := range w.nodes {
+		w.nodes[i] = searchNode{member: NewMember(b.config(i, 1)), runs: 1}
+		w.ownedNodes[i] = true
+		w.nodes[i].member.rules = b.rules
+		w.nodes[i].member.rules.eager = true
+		w.readLog(i, true)
+	}
+	for i := range w.servers {
+		w.servers[i].holder = lease.NewHolder(serverBoot(i, 1))
+	}
+	w.claim(0)
+	w.log.claims = 0
+	w.log.standby = w.runOf(1)
+	for i := range w.nodes {
+		w.readLog(i, true)
+	}
+	for range 2 { // a stamp, then the lease
+		for s := range w.servers {
+			w.renew(0, s, "")
+		}
+	}
+	w.beat("")
+	return w
+}
+
+func (w *world) runOf(node int) Run { return w.nodes[node].member.self() }
+
+// clone returns a copy that shares members and holders until they are changed.
+func (w *world) clone() *world {
+	next := *w
+	next.ownedNodes = [nodeMost]bool{}
+	next.ownedServers = [2]bool{}
+	return &next
+}
+
+// member returns a node's member for a change.
+func (w *world) member(node int) *Member {
+	if !w.ownedNodes[node] {
+		w.ownedNodes[node] = true
+		w.nodes[node].member = w.nodes[node].member.clone()
+	}
+	return w.nodes[node].member
+}
+
+// holder returns a server's holder for a change.
+func (w *world) holder(server int) *lease.Holder {
+	if !w.ownedServers[server] {
+		w.ownedServers[server] = true
+		w.servers[server].holder = w.servers[server].holder.Clone()
+	}
+	return w.servers[server].holder
+}
+
+func (m *Member) clone() *Member {
+	next := *m
+	next.standing.activated = maps.Clone(m.standing.activated)
+	next.standing.undecided = maps.Clone(m.standing.undecided)
+	next.watch.nodes = map[topo.NodeID]*watched{}
+	next.beats.sent = maps.Clone(m.beats.sent)
+	next.servers = make(map[topo.ServerID]*server, len(m.servers))
+	for id, s := range m.servers {
+		copied := *s
+		copied.revoked = maps.Clone(s.revoked)
+		next.servers[id] = &copied
+	}
+	next.settled = maps.Clone(m.settled)
+	next.needs = maps.Clone(m.needs)
+	next.activated = make(map[topo.ShardID]*activation, len(m.activated))
+	for id, a := range m.activated {
+		copied := *a
+		next.activated[id] = &copied
+	}
+	next.moves = make(map[topo.ShardID]*move, len(m.moves))
+	for id, mv := range m.moves {
+		copied := *mv
+		next.moves[id] = &copied
+	}
+	next.submit.undecided = maps.Clone(m.submit.undecided)
+	return &next
+}
+
+// readLog lets a node apply every record, by contact with the log or from
+// another node.
+func (w *world) readLog(node int, contact bool) {
+	n := &w.nodes[node]
+	if n.submitted > 0 && n.submitted < w.log.next {
+		w.member(node).Observe(w.now, w.now, contact, w.facts.of(w.log))
+		w.member(node).SubmitDone(w.now, n.number, n.submitted)
+		n.submitted = 0
+		return
+	}
+	w.member(node).Observe(w.now, w.now, contact, w.facts.of(w.log))
+}
+
+// claim begins a claim and appends it, unless it is held back.
+func (w *world) claim(node int) bool {
+	claim, allowed := w.member(node).BeginClaim(w.now)
+	if !allowed {
+		return false
+	}
+	return w.append(record{node: node, claim: &claim, self: w.runOf(node)})
+}
+
+// append applies a record as state.Apply does.
+func (w *world) append(r record) bool {
+	offset := w.log.next
+	w.log.next++
+	if r.claim != nil {
+		if r.claim.Expected != w.log.term {
+			return false
+		}
+		w.log.term = topo.MakeTerm(offset, 0)
+		w.log.lessor = r.self
+		w.log.standby = r.claim.Standby
+		w.log.claims++
+		return true
+	}
+	if r.submit.Term != w.log.term {
+		return false
+	}
+	for _, a := range r.submit.Assigns {
+		if a.Expected != w.log.fence || a.Shard != searchShard {
+			return false
+		}
+		w.log.fence = topo.MakeFence(offset, 0)
+		w.log.owner, w.log.ownerBoot, w.log.backup = a.Owner, a.OwnerBoot, a.Standby
+	}
+	w.log.assigns++
+	return true
+}
+
+func (w *world) serverNow(server int) time.Duration { return w.now - w.servers[server].started }
+
+// lease delivers a renewal to a server.
+func (w *world) lease(server int, node Run, order LeaseOrder) LeaseReport {
+	req := serverapi.LeaseRequest{
+		Term: order.Term.String(), Lessor: string(node.Boot), Boot: order.Boot, Echo: order.Echo,
+		TTLMs: order.TTL.Milliseconds(), Generation: order.Generation, Full: order.Full,
+	}
+	for _, g := range order.Grants {
+		req.Grants = append(req.Grants, serverapi.Grant{Shard: g.Shard.String(), Fence: g.Fence.String()})
+	}
+	reply := w.holder(server).Lease(w.serverNow(server), req)
+	return searchReport(reply, req.Full || reply.Refused != "" || req.Boot == "")
+}
+
+func searchReport(reply serverapi.LeaseReply, active bool) LeaseReport {
+	term, _ := topo.ParseTerm(reply.HighestTerm)
+	report := LeaseReport{
+		Refused: reply.Refused, Boot: reply.Boot, Stamp: reply.Stamp, HighestTerm: term,
+		Generation: reply.Generation, Remaining: time.Duration(reply.RemainingMs) * time.Millisecond,
+		HasActive: active,
+	}
+	for _, g := range reply.Active {
+		fence, _ := topo.ParseFence(g.Fence)
+		report.Active = append(report.Active, Grant{Shard: searchShard, Fence: fence})
+	}
+	return report
+}
+
+// renew sends renewals until the server has the list, its stamp is new, and its
+// lease runs from it, or sends one of which something is lost or held back.
+func (w *world) renew(node, server int, lost string) bool {
+	if lost != "" {
+		return w.renewOnce(node, server, lost)
+	}
+	done := false
+	for range 3 {
+		before := w.nodes[node].member.servers[serverNames[server]]
+		if before != nil && before.boot() != "" && before.reported == before.generation && done &&
+			fromWall(before.granter.Until()) == w.now+w.b.ttl {
+			break
+		}
+		if !w.renewOnce(node, server, "") {
+			break
+		}
+		done = true
+	}
+	return done
+}
+
+// renewOnce sends one renewal; lost says what is lost or held back on the way.
+func (w *world) renewOnce(node, server int, lost string) bool {
+	m := w.member(node)
+	id := serverNames[server]
+	if s, known := m.servers[id]; known && s.inFlight {
+		return false
+	}
+	order, allowed := m.BeginRenew(w.now, id)
+	if !allowed {
+		return false
+	}
+	if lost == "request held" {
+		w.held = &message{kind: "renew", node: node, server: server, order: order}
+		w.fail(node, server, order.Attempt)
+		return true
+	}
+	report := w.lease(server, w.runOf(node), order)
+	w.replied(node, server, order.Attempt, report, lost)
+	return true
+}
+
+func (w *world) replied(node, server int, attempt uint64, report LeaseReport, lost string) {
+	switch lost {
+	case "reply lost":
+		w.fail(node, server, attempt)
+	case "reply held":
+		w.held = &message{kind: "renewed", node: node, server: server, report: report, attempt: attempt}
+	default:
+		w.member(node).LeaseReplied(w.now, serverNames[server], attempt, report)
+	}
+}
+
+// fail ends an attempt without an answer. Suspicion is not counted: with
+// rules.eager it needs none.
+func (w *world) fail(node, server int, attempt uint64) {
+	m := w.member(node)
+	m.LeaseFailed(w.now, serverNames[server], attempt)
+	m.servers[serverNames[server]].failures = 0
+}
+
+func (w *world) acknowledge(node, server int, lost string) bool {
+	m := w.member(node)
+	id := serverNames[server]
+	if s, known := m.servers[id]; known && (s.inFlight || s.acked) {
+		return false
+	}
+	term, attempt, allowed := m.BeginAcknowledge(w.now, id)
+	if !allowed {
+		return false
+	}
+	reply := w.holder(server).Acknowledge(w.serverNow(server),
+		serverapi.AcknowledgeRequest{Term: term.String()})
+	w.replied(node, server, attempt, searchReport(reply, true), lost)
+	return true
+}
+
+// lessorNode returns the node that thinks it is the lessor by the log and whose
+// standby lessor is another node's present run.
+func (w *world) standbyOf(node int) (int, bool) {
+	m := w.nodes[node].member
+	for i := range w.nodes {
+		if w.runOf(i) == m.standbyRun() {
+			return i, true
+		}
+	}
+	return 0, false
+}
+
+// beatFrom sends one heartbeat of a lessor to its standby lessor.
+func (w *world) beatFrom(node int, lost string) bool {
+	to, exists := w.standbyOf(node)
+	if !exists {
+		return false
+	}
+	m := w.member(node)
+	beat, allowed := m.BeginHeartbeat(w.now)
+	if !allowed {
+		return false
+	}
+	if lost == "request held" {
+		w.held = &message{kind: "beat", node: node, beat: beat}
+		return true
+	}
+	reply := w.member(to).HeartbeatReceived(w.now, beat)
+	w.answered(node, reply, lost)
+	return true
+}
+
+func (w *world) answered(node int, reply HeartbeatReply, lost string) {
+	switch lost {
+	case "reply lost":
+	case "reply held":
+		w.held = &message{kind: "answer", node: node, answer: reply}
+	default:
+		w.member(node).HeartbeatAnswered(w.now, reply)
+	}
+}
+
+func (w *world) beat(lost string) bool { return w.beatFrom(0, lost) }
+
+// owners counts the servers that would serve the shard now.
+func (w *world) owners() int {
+	count := 0
+	for i := range w.servers {
+		s := &w.servers[i]
+		if !s.holder.Valid(w.serverNow(i)) {
+			continue
+		}
+		if slices.ContainsFunc(s.holder.Grants(), func(h lease.Held) bool { return h.Shard == searchShard }) {
+			count++
+		}
+	}
+	return count
+}
--- a/lessor/server.go
+++ b/lessor/server.go
@@ -233,7 +233,7 @@
 		return true
 	}
 	s, exists := m.servers[id]
-	return exists && s.suspected() && s.lapsed(now)
+	return exists && (s.suspected() || m.rules.eager) && s.lapsed(now)
 }
 
 // confirmedLost reports whether a server is known to have stopped. One that
--- a/lessor/submit.go
+++ b/lessor/submit.go
@@ -116,14 +116,20 @@
 }
 
 // forgetUndecided drops the shards that no record can change any longer: their
-// fence is another one, or every record about them has been seen to fail.
+// fence is another one, or every record about them has been seen to fail. In
+// the latter case a planned move is given up, so that the owner gets the shard
+// back at once: what it was moved to may be gone.
 func (m *Member) forgetUndecided() {
 	settled := !m.submit.inFlight && m.facts.Applied >= m.submit.visible
 	for id, d := range m.submit.undecided {
 		changed := m.inForce(id) != d.expected
-		if changed || (settled && !d.unknown) {
+		failed := settled && !d.unknown
+		if changed || failed {
 			delete(m.submit.undecided, id)
 		}
+		if failed && !changed {
+			m.giveUpMove(id)
+		}
 	}
 }
 
