Sites of real processes under pauses and kills; competing publishers

Cause: a paused process cannot be imitated within one process. Change: entry nodes, servers and the log are stopped, continued, killed and terminated as processes of their own, under load, and their histories checked; publishers compete while the log loses answers. The stand-in server's history uses the clock that processes share. Callers of the demo work on any site.

--- a/demo/callers.go
+++ b/demo/callers.go
@@ -20,8 +20,8 @@
 	pauseBeforeRetry = 200 * time.Millisecond
 )
 
-// callers sends a plan of requests through the clients of their zones.
-type callers struct {
+// sender sends a plan of requests through the clients of their zones.
+type sender struct {
 	clients []*client // by zone
 	plan    []plannedRequest
 	// done is told after each request with the number finished so far; nil for
@@ -34,25 +34,25 @@
 
 // run sends every request at its planned time, or as soon after it as a worker
 // is free, and returns when all are finished or ctx ends.
-func (c *callers) run(ctx context.Context) {
+func (s *sender) run(ctx context.Context) {
 	queue := make(chan plannedRequest) // full: the dispatcher waits, requests are late
 	var wait sync.WaitGroup
 	for range callerWorkers {
 		wait.Go(func() {
 			for request := range queue {
-				c.send(ctx, request)
-				c.finish()
+				s.send(ctx, request)
+				s.finish()
 			}
 		})
 	}
-	c.dispatch(ctx, queue)
+	s.dispatch(ctx, queue)
 	close(queue)
 	wait.Wait()
 }
 
-func (c *callers) dispatch(ctx context.Context, queue chan<- plannedRequest) {
+func (s *sender) dispatch(ctx context.Context, queue chan<- plannedRequest) {
 	began := time.Now()
-	for _, request := range c.plan {
+	for _, request := range s.plan {
 		if !sleep(ctx, request.After-time.Since(began)) {
 			return
 		}
@@ -64,20 +64,20 @@
 	}
 }
 
-func (c *callers) finish() {
-	c.mu.Lock()
-	c.finished++
-	finished := c.finished
-	c.mu.Unlock()
-	if c.done != nil {
-		c.done(finished)
+func (s *sender) finish() {
+	s.mu.Lock()
+	s.finished++
+	finished := s.finished
+	s.mu.Unlock()
+	if s.done != nil {
+		s.done(finished)
 	}
 }
 
 // send makes the attempts at one request. A write is sent again under the same
 // ticket while it is unknown whether it ran.
-func (c *callers) send(ctx context.Context, request plannedRequest) {
-	client := c.clients[request.Zone]
+func (s *sender) send(ctx context.Context, request plannedRequest) {
+	client := s.clients[request.Zone]
 	one := attempt{
 		caller:   request.caller(),
 		request:  request.name(),
@@ -94,7 +94,7 @@
 		client.send(ctx, one)
 		return
 	}
-	if !c.obtainTicket(ctx, client, &one) {
+	if !s.obtainTicket(ctx, client, &one) {
 		client.giveUp(one)
 		return
 	}
@@ -115,7 +115,7 @@
 	return answer.Reason != serverapi.ReasonStaleTicket
 }
 
-func (c *callers) obtainTicket(ctx context.Context, client *client, one *attempt) bool {
+func (s *sender) obtainTicket(ctx context.Context, client *client, one *attempt) bool {
 	for range ticketAttempts {
 		ticket, ok := client.ticket(ctx, *one)
 		if ok {
--- a/demo/load.go
+++ b/demo/load.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/burdockspindle/burdockspindle/histcheck"
+	"github.com/burdockspindle/burdockspindle/history"
+	"github.com/burdockspindle/burdockspindle/siteconfig"
 	"github.com/burdockspindle/burdockspindle/topo"
 )
 
@@ -27,9 +29,7 @@
 	Progress func(finished int)
 }
 
-// Exercise sends the load while faults runs beside it, and waits until both are
-// over and the probed keys are served again. Settled is false when they were
-// not in time.
+// Exercise sends the load through the site's nodes; see Callers.Exercise.
 func (s *Site) Exercise(ctx context.Context, load Load, faults func(context.Context)) (settled bool, err error) {
 	if load.Probed == nil {
 		keys, err := s.OwnedKeys()
@@ -38,15 +38,37 @@
 		}
 		load.Probed = Spread(keys)
 	}
-	clients := s.callersOf(len(s.deployment.zones))
+	fronts := make([][]string, len(s.deployment.zones))
+	for _, one := range s.Nodes {
+		fronts[one.Zone] = append(fronts[one.Zone], one.Frontend())
+	}
+	callers := &Callers{Fronts: fronts, Site: s.deployment.site, Recorder: s.Memory, Clock: s.Clock}
+	return callers.Exercise(ctx, load, faults)
+}
+
+// Callers send requests to a site and record what they learn.
+type Callers struct {
+	// Fronts are the entry nodes' addresses for callers, by zone. Callers are
+	// spread over the zones.
+	Fronts   [][]string
+	Site     *siteconfig.Site
+	Recorder history.Recorder
+	Clock    history.Clock
+}
+
+// Exercise sends the load while faults runs beside it, and waits until both are
+// over and the probed keys are served again. Settled is false when they were
+// not in time.
+func (c *Callers) Exercise(ctx context.Context, load Load, faults func(context.Context)) (settled bool, err error) {
+	clients := c.clients()
 	probing, stopProbing := context.WithCancel(ctx)
 	defer stopProbing()
-	probers, probesDone := s.startProbers(probing, clients, load.Probed)
+	probers, probesDone := startProbers(probing, clients, load.Probed)
 	var wait sync.WaitGroup
 	wait.Go(func() { faults(ctx) })
-	sending := &callers{
+	sending := &sender{
 		clients: clients,
-		plan:    planRequests(load.Requests, load.Seed, load.Span, len(clients), s.deployment.site),
+		plan:    planRequests(load.Requests, load.Seed, load.Span, len(clients), c.Site),
 		done:    load.Progress,
 	}
 	sending.run(ctx)
@@ -60,6 +82,16 @@
 	return settled, ctx.Err()
 }
 
+// clients returns one client for each zone, behind the platform's balancer.
+func (c *Callers) clients() []*client {
+	front := &balancer{zones: c.Fronts}
+	clients := make([]*client, len(c.Fronts))
+	for zone := range clients {
+		clients[zone] = newClient(front.dialer(zone), c.Recorder, c.Clock)
+	}
+	return clients
+}
+
 // Judge computes the summary of what was recorded and lists all violations.
 // Settled are the nodes that were connected to the end.
 func (s *Site) Judge(settled []topo.NodeID) (Summary, []histcheck.Violation) {
@@ -68,28 +100,36 @@
 
 // CheckOptions returns what the checkers need to know of the site.
 func (s *Site) CheckOptions(settled []topo.NodeID) histcheck.Options {
-	idempotent := func(service topo.Service, method string) bool {
-		config, exists := s.deployment.site.Services[service]
+	return histcheck.Options{Idempotent: idempotentBy(s.deployment.site), Settled: settled}
+}
+
+// idempotentBy tells by a site configuration which methods may be repeated.
+func idempotentBy(site *siteconfig.Site) func(service topo.Service, method string) bool {
+	return func(service topo.Service, method string) bool {
+		config, exists := site.Services[service]
 		return exists && config.Idempotent(method)
 	}
-	return histcheck.Options{Idempotent: idempotent, Settled: settled}
 }
 
-// callersOf returns one client for each zone, behind the platform's balancer.
-func (s *Site) callersOf(zones int) []*client {
-	front := &balancer{zones: make([][]string, zones)}
-	for _, one := range s.Nodes {
-		front.zones[one.Zone] = append(front.zones[one.Zone], one.Frontend())
-	}
-	clients := make([]*client, zones)
-	for zone := range clients {
-		clients[zone] = newClient(front.dialer(zone), s.Memory, s.Clock)
+// Judge computes the summary of a history that the callers and others recorded,
+// and lists all violations.
+func (c *Callers) Judge(events []history.Event) (Summary, []histcheck.Violation) {
+	return summarize(events, histcheck.Options{Idempotent: idempotentBy(c.Site)})
+}
+
+// Keys lists the keys that the callers ask for. Their owners are not known.
+func (c *Callers) Keys() []OwnedKey {
+	var keys []OwnedKey
+	for _, service := range sortedServices(c.Site) {
+		for i := range keysPerService {
+			keys = append(keys, OwnedKey{Service: service.Name, Key: keyName(service.Name, i)})
+		}
 	}
-	return clients
+	return keys
 }
 
 // startProbers probes keys, each from the next zone.
-func (s *Site) startProbers(ctx context.Context, clients []*client, keys []OwnedKey) ([]*prober, *sync.WaitGroup) {
+func startProbers(ctx context.Context, clients []*client, keys []OwnedKey) ([]*prober, *sync.WaitGroup) {
 	var wait sync.WaitGroup
 	probers := make([]*prober, len(keys))
 	for i, key := range keys {
--- a/proof/multiprocess_test.go
+++ b/proof/multiprocess_test.go
@@ -10,6 +10,7 @@
 	"path/filepath"
 	"regexp"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -152,20 +153,42 @@
 	return false
 }
 
+// port returns the free port that stands for one of the pages.
 func (p *processes) port(fixed string) string {
-	if free, known := p.ports[fixed]; known || fixed == "0" {
-		if fixed == "0" {
-			return fixed
-		}
-		return free
+	if fixed == "0" {
+		return fixed
+	}
+	if _, known := p.ports[fixed]; !known {
+		p.ports[fixed] = freePort(p.t)
 	}
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	gomega.NewWithT(p.t).Expect(err).NotTo(gomega.HaveOccurred())
-	defer func() { _ = listener.Close() }()
-	p.ports[fixed] = fmt.Sprint(listener.Addr().(*net.TCPAddr).Port)
 	return p.ports[fixed]
 }
 
+// Ports for processes are taken from below those that the system gives to
+// connections, so that none is taken before its process listens.
+const (
+	firstPort = 20_000
+	portCount = 12_000
+)
+
+var nextPort atomic.Uint32
+
+func init() { nextPort.Store(uint32(os.Getpid())) }
+
+func freePort(t *testing.T) string {
+	t.Helper()
+	for range portCount {
+		port := fmt.Sprint(firstPort + nextPort.Add(1)%portCount)
+		listener, err := net.Listen("tcp", "127.0.0.1:"+port)
+		if err == nil {
+			_ = listener.Close()
+			return port
+		}
+	}
+	t.Fatal("no free port")
+	return ""
+}
+
 // adapt makes a page's script run in the copy: on free ports, with the binary
 // that is built already. The stand-ins' default ports are spelt out.
 func (p *processes) adapt(script string) string {
--- a/standin/command/server.go
+++ b/standin/command/server.go
@@ -104,6 +104,7 @@
 	}
 	recorded := &history.Memory{}
 	config.Recorder = recorded
+	config.Clock = history.WallClock() // shared with the other processes that record
 	s := server.New(config)
 	listener, err := listen(f.admin)
 	if err != nil {
