experiment: a refused move leaves the shard with its owner

Cause: scenarios lost-zone and rolling-replacement showed shards without a server for up to 50 s: a record that moved a shard to a server which had gone meanwhile had no effect, and the lessor kept the shard revoked for the rest of its term.

--- a/experiment/engine/engine_test.go
+++ b/experiment/engine/engine_test.go
@@ -97,3 +97,14 @@
 	_, err := engine.Run(ctx, options(model.Kavango, model.Traffic{Duration: 30 * time.Second}))
 	g.Expect(err).To(gomega.MatchError(context.Canceled))
 }
+
+// A server may be gone by the time at which the record that moves a shard to it
+// is applied. The shard must then go back to its owner.
+func TestARefusedMoveLeavesTheShardWithItsOwner(t *testing.T) {
+	g := gomega.NewWithT(t)
+	lose := engine.Fault{Kind: engine.FaultLoseZone, Zone: 2, At: 2 * time.Second}
+	o := options(model.Urbion, model.Traffic{Duration: 12 * time.Second}, lose)
+	o.Policy = balance.Static{}
+	f := run(t, o)
+	g.Expect(f.LongestUnavailable).To(gomega.BeNumerically("<", 3000))
+}
