--- a/capacity/site.go
+++ b/capacity/site.go
@@ -44,9 +44,6 @@
 	logReads    float64
 }
 
-// control is the bytes a second of everything but callers' requests.
-func (u usage) control() float64 { return u.peerBytes + u.serverBytes + u.logBytes }
-
 // measureSite starts a site of a shape, waits until every shard is owned, and
 // returns what it spends when nobody calls.
 func measureSite(ctx context.Context, s shape) (usage, error) {
@@ -262,6 +259,7 @@
 	{"processor of an idle site", "cores", func(u usage) float64 { return u.processor }},
 	{"bytes between nodes", "bytes/s", func(u usage) float64 { return u.peerBytes }},
 	{"bytes between nodes and servers", "bytes/s", func(u usage) float64 { return u.serverBytes }},
+	{"bytes appended to and read from the log", "bytes/s", func(u usage) float64 { return u.logBytes }},
 	{"log reads", "reads/s", func(u usage) float64 { return u.logReads }},
 }
 
