Lessor: faults of servers, nodes, zones and the log under fake time

Change: leases of earlier runs are counted apart; a lessor that no server answers asks its standby lessor to try, and hands over only if one answers (HeartbeatRequest.cut_off, HeartbeatResponse.reaches_servers); a lessor that claims again says when earlier leases are settled. Conclusion: with both lessors and a server lost unconfirmed, that server's and its standby shards wait out the limit, as designed.

--- a/lessor/claim.go
+++ b/lessor/claim.go
@@ -155,6 +155,8 @@
 	claim := Claim{Expected: m.facts.Group.Term, Standby: m.chooseStandby()}
 	if m.offLog {
 		claim.Continued = m.term
+	} else {
+		claim.Settled = m.role == RoleLessor && m.termSettled()
 	}
 	return claim, true
 }
@@ -197,6 +199,24 @@
 	return Run{Node: list[0].ID, Boot: list[0].Boot}
 }
 
+// cutOff reports whether every server of the group has stopped answering this
+// lessor in its term, so that the lessor itself may be what is cut off. Its
+// standby lessor is to try them, and to take over if one answers.
+func (m *Member) cutOff(now time.Duration) bool {
+	silent := 0
+	for id, facts := range m.facts.Servers {
+		if facts.Lost {
+			continue
+		}
+		s, known := m.servers[id]
+		if !known || !s.suspected() || !s.heard.set {
+			return false
+		}
+		silent++
+	}
+	return silent > 1 && m.right.promise.fresher(now, m.cfg.Lease.TTL)
+}
+
 // givesBack reports whether a lessor of another zone should hand the group to
 // the standby lessor of the group's own zone.
 func (m *Member) givesBack(now time.Duration) bool {
--- a/lessor/collect.go
+++ b/lessor/collect.go
@@ -102,7 +102,7 @@
 	if !known || s.boot() == "" || shard.OwnerBoot == "" {
 		return ""
 	}
-	if s.boot() != shard.OwnerBoot && s.lapsed(now) {
+	if s.boot() != shard.OwnerBoot && now >= s.earlier {
 		return reasonRestarted
 	}
 	return ""
@@ -127,7 +127,7 @@
 	if !exists || m.confirmedLost(id) {
 		return true
 	}
-	return s.lapsed(now) || s.handedBack(shard)
+	return now >= s.earlier && (s.lapsed(now) || s.handedBack(shard))
 }
 
 // changeNeeded gives a shard of an earlier term a new fence. Neither of the two
--- a/lessor/heartbeat.go
+++ b/lessor/heartbeat.go
@@ -19,6 +19,7 @@
 	answered moment                   // latest answer with a promise
 	peerAt   topo.Offset              // applied by the standby lessor
 	highest  topo.Term                // told by the standby lessor
+	reaches  bool                     // the standby lessor reaches servers
 }
 
 // standbyRun returns the standby lessor; the node is empty if there is none.
@@ -44,9 +45,10 @@
 		ModeRound: m.right.round,
 		Applied:   m.facts.Applied,
 		Settled:   m.termSettled(),
-		Resigning: m.draining || m.givesBack(now),
+		Resigning: m.draining || m.givesBack(now) || (m.cutOff(now) && m.beats.reaches),
 		Activated: slices.SortedFunc(maps.Keys(m.activated), compareShards),
 		Undecided: m.undecided(),
+		CutOff:    m.cutOff(now),
 	}, true
 }
 
@@ -57,6 +59,7 @@
 		return
 	}
 	delete(m.beats.sent, reply.Round)
+	m.beats.reaches = reply.Reaches
 	m.beats.peerAt = max(m.beats.peerAt, reply.Applied)
 	if m.beats.highest.Less(reply.HighestTerm) {
 		m.beats.highest = reply.HighestTerm
--- a/lessor/messages.go
+++ b/lessor/messages.go
@@ -44,6 +44,7 @@
 	Resigning bool
 	Activated []topo.ShardID
 	Undecided []topo.ShardID
+	CutOff    bool // no server answers: the standby lessor is to try them
 }
 
 // HeartbeatReply is the standby lessor's answer.
@@ -56,6 +57,7 @@
 	ModeRound   uint64
 	Applied     topo.Offset
 	HighestTerm topo.Term // known to the standby
+	Reaches     bool      // a server has just answered the standby
 }
 
 // LeaseOrder is a renewal to send to a server. With an empty Boot it asks for a
@@ -93,6 +95,9 @@
 	Expected  topo.Term
 	Standby   Run
 	Continued topo.Term // zero unless the claimant went on under it
+	// Settled: the claimant is the lessor, and no lease of an earlier lessor is
+	// left.
+	Settled bool
 }
 
 // Assign is one change of a shard's assignment.
--- a/lessor/plan.go
+++ b/lessor/plan.go
@@ -26,6 +26,9 @@
 	if m.role == RoleLessor {
 		actions = m.planLessor(now, actions)
 	}
+	if m.role == RoleStandby && m.standing.tries {
+		actions = m.planTries(now, actions)
+	}
 	return m.planProbes(now, actions)
 }
 
@@ -93,6 +96,18 @@
 	return actions
 }
 
+// planTries lets a standby lessor find out whether servers answer it. It asks
+// them to acknowledge the term that is in force anyway.
+func (m *Member) planTries(now time.Duration, actions []Action) []Action {
+	for _, id := range slices.Sorted(maps.Keys(m.facts.Servers)) {
+		s := m.server(id)
+		if !s.inFlight && now >= s.nextAt && m.facts.Servers[id].Address != "" {
+			actions = append(actions, Acknowledge{Server: id})
+		}
+	}
+	return actions
+}
+
 func (m *Member) asksForAcknowledgement() bool {
 	if m.takeover.basis == basisFirst || m.takeover.basis == basisSelf {
 		return false
--- a/lessor/renew.go
+++ b/lessor/renew.go
@@ -106,7 +106,7 @@
 // BeginAcknowledge starts an acknowledgement request and returns the term and
 // the number of the attempt.
 func (m *Member) BeginAcknowledge(now time.Duration, id topo.ServerID) (topo.Term, uint64, bool) {
-	if m.role != RoleLessor {
+	if m.role != RoleLessor && !m.standing.tries {
 		return topo.Term{}, 0, false
 	}
 	return m.term, m.begin(m.server(id), now), true
--- a/lessor/server.go
+++ b/lessor/server.go
@@ -14,6 +14,9 @@
 	granter lease.Granter
 	// heardSince is when the server's present run was heard first.
 	heardSince time.Duration
+	// earlier is when the leases of the server's earlier runs have ended, in
+	// case one is only paused.
+	earlier time.Duration
 
 	// One lease or acknowledgement call is in flight at a time; replies to
 	// earlier ones are dropped.
@@ -60,6 +63,14 @@
 // reported, is valid any longer.
 func (s *server) lapsed(now time.Duration) bool { return s.granter.Lapsed(wall(now)) }
 
+// earlierRunsLapsed reports whether no lease of a run before the present one is
+// valid any longer, in case an earlier run is only paused. Its leases were
+// renewed with stamps that were known before the present run was heard, so
+// renewals of the present run do not count.
+func (s *server) earlierRunsLapsed(now time.Duration, timing lease.Timing) bool {
+	return s.lapsed(now) || now >= s.heardSince+timing.LapseWait()
+}
+
 // suspected reports whether the server has not answered repeatedly.
 func (s *server) suspected() bool { return s.failures >= suspectFailures }
 
@@ -130,11 +141,19 @@
 	s.inFlight = false
 	s.failures = 0
 	s.heard = momentAt(now)
+	if m.role == RoleStandby {
+		m.standing.reached = momentAt(now)
+		s.nextAt = now + m.cfg.SuspectAfter
+		return
+	}
 	before := s.boot()
 	s.granter.Replied(replyOf(report), wall(s.sentAt), wall(now))
 	if s.boot() != before {
 		s.heardSince = now
 		s.reported = 0
+		if before != "" {
+			s.earlier = fromWall(s.granter.Until())
+		}
 	}
 	s.draining = report.Draining
 	s.take(report, m.term)
--- a/lessor/standing.go
+++ b/lessor/standing.go
@@ -16,6 +16,8 @@
 	settled  bool   // the lessor said that no earlier lease is left
 	heard    moment // latest heartbeat
 	resigns  bool   // the lessor asked to be replaced
+	tries    bool   // the lessor asked whether servers answer this node
+	reached  moment // latest answer of a server
 	// activated and undecided hold what the lessor told, with the offset up to
 	// which it had applied the log then: a fence above it is newer than what
 	// was told.
@@ -46,6 +48,8 @@
 	s := &m.standing
 	s.heard = momentAt(now)
 	s.resigns = req.Resigning
+	s.tries = req.CutOff
+	reply.Reaches = s.tries && s.reached.fresher(now, m.cfg.Lease.TTL)
 	if !m.mayPromise() {
 		return reply
 	}
--- a/modules/lessor/convert.go
+++ b/modules/lessor/convert.go
@@ -80,6 +80,7 @@
 		Resigning: h.Resigning,
 		Activated: shardsToProto(h.Activated),
 		Undecided: shardsToProto(h.Undecided),
+		CutOff:    h.CutOff,
 	}
 }
 
@@ -95,19 +96,21 @@
 		Resigning: req.GetResigning(),
 		Activated: shardsFromProto(req.GetActivated()),
 		Undecided: shardsFromProto(req.GetUndecided()),
+		CutOff:    req.GetCutOff(),
 	}
 }
 
 func replyToProto(sender *bspb.Sender, r core.HeartbeatReply) *bspb.HeartbeatResponse {
 	return &bspb.HeartbeatResponse{
-		Sender:      sender,
-		Term:        ordinalToProto(r.Term.Ordinal),
-		Round:       r.Round,
-		Promised:    r.Promised,
-		Mode:        modeToProto(r.Mode),
-		ModeRound:   r.ModeRound,
-		Applied:     uint64(r.Applied),
-		HighestTerm: ordinalToProto(r.HighestTerm.Ordinal),
+		Sender:         sender,
+		Term:           ordinalToProto(r.Term.Ordinal),
+		Round:          r.Round,
+		Promised:       r.Promised,
+		Mode:           modeToProto(r.Mode),
+		ModeRound:      r.ModeRound,
+		Applied:        uint64(r.Applied),
+		HighestTerm:    ordinalToProto(r.HighestTerm.Ordinal),
+		ReachesServers: r.Reaches,
 	}
 }
 
@@ -121,6 +124,7 @@
 		ModeRound:   resp.GetModeRound(),
 		Applied:     topo.Offset(resp.GetApplied()),
 		HighestTerm: termFromProto(resp.GetHighestTerm()),
+		Reaches:     resp.GetReachesServers(),
 	}
 }
 
@@ -133,6 +137,7 @@
 		Standby:     string(claim.Standby.Node),
 		StandbyBoot: string(claim.Standby.Boot),
 		Continued:   ordinalToProto(claim.Continued.Ordinal),
+		Settled:     claim.Settled,
 	}}}
 }
 
--- a/modules/lessor/world_test.go
+++ b/modules/lessor/world_test.go
@@ -86,6 +86,12 @@
 	s.holder = lease.NewHolder(topo.BootID(fmt.Sprintf("%s-boot-%d", s.id, s.boots)))
 }
 
+// stop ends the server for good.
+func (s *testServer) stop() {
+	s.restart()
+	s.setDown(true)
+}
+
 func (s *testServer) setDown(down bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -608,3 +614,82 @@
 	o.world.t.Logf("%8.3fs %s", time.Since(o.world.began).Seconds(), line)
 	return len(line), nil
 }
+
+// serving returns which server answers for each shard now.
+func (w *world) serving() map[topo.ShardID]topo.ServerID {
+	serving := w.owners()
+	for shard, id := range serving {
+		if w.servers[id].isDown() {
+			delete(serving, shard)
+		}
+	}
+	return serving
+}
+
+// fences returns the fence under which each shard is owned.
+func (w *world) fences() map[topo.ShardID]topo.Fence {
+	fences := map[topo.ShardID]topo.Fence{}
+	for _, s := range w.servers {
+		for _, held := range s.owns() {
+			fences[held.Shard] = held.Fence
+		}
+	}
+	return fences
+}
+
+// shardsIn lists the shards that the servers of a zone own now.
+func (w *world) shardsIn(zone topo.Zone) map[topo.ShardID]bool {
+	shards := map[topo.ShardID]bool{}
+	for shard, owner := range w.owners() {
+		if w.servers[owner].zone == zone {
+			shards[shard] = true
+		}
+	}
+	return shards
+}
+
+func (w *world) anyNode() *testNode {
+	for _, id := range w.nodeIDs() {
+		if w.nodes[id].running {
+			return w.nodes[id]
+		}
+	}
+	return nil
+}
+
+// logDown takes the log away from every node, or gives it back.
+func (w *world) logDown(down bool) {
+	for _, n := range w.nodes {
+		n.log.set(down)
+	}
+}
+
+// cutZone cuts a zone's nodes off from the log and from the nodes and servers
+// of other zones, and its servers from the nodes of other zones.
+func (w *world) cutZone(zone topo.Zone, cut bool) {
+	if cut {
+		w.network.CutZone(zone)
+	} else {
+		w.network.Heal()
+	}
+	for _, n := range w.nodes {
+		if n.zone == zone {
+			n.log.set(cut)
+		}
+		for _, s := range w.servers {
+			if (s.zone == zone) != (n.zone == zone) {
+				n.cutServers(cut, s.id)
+			}
+		}
+	}
+}
+
+func (w *world) listServer(id topo.ServerID, phase bspb.ServerPhase) {
+	s := w.servers[id]
+	w.anyNode().submit(&bspb.Record{Body: &bspb.Record_UpdateServers{UpdateServers: &bspb.UpdateServers{
+		Upsert: []*bspb.ServerEntry{{
+			Id: string(id), Service: "wells", Zone: string(s.zone), Address: string(id) + ":1",
+			Group: string(s.zone) + "/0", Phase: phase,
+		}},
+	}}})
+}
