A shard is moved for one reason at a time; tests for what mutations survived

Cause: one plan could both move a shard and name a new standby for it, and the second was refused for its fence. Deliberate faults in the code that no test caught: merged rates, the report tree, a draining node's roles, needless reads of the list, a key merged while its owner differs. Change: a plan names each shard once; a test for each of those faults; vms.http leaves the closing of a failed connection to its transport.

--- a/dutytest/cluster.go
+++ b/dutytest/cluster.go
@@ -107,12 +107,18 @@
 	}
 }
 
-// Stop shuts a node down gracefully.
-func (n *Node) Stop() {
+// Drain begins a graceful shutdown: the node gives up its duties and runs on.
+func (n *Node) Drain() {
 	n.cluster.t.Helper()
 	if err := n.runtime.Drain(context.Background()); err != nil {
 		n.cluster.t.Error(err)
 	}
+}
+
+// Stop shuts a node down gracefully.
+func (n *Node) Stop() {
+	n.cluster.t.Helper()
+	n.Drain()
 	if err := n.runtime.Stop(context.Background()); err != nil {
 		n.cluster.t.Error(err)
 	}
--- a/modules/membership/membership_test.go
+++ b/modules/membership/membership_test.go
@@ -119,7 +119,7 @@
 }
 
 func TestOneNodeHoldsEachRoleAndAnotherTakesOver(t *testing.T) {
-	for _, how := range []string{"killed", "stopped", "cut off", "paused"} {
+	for _, how := range []string{"killed", "stopped", "draining", "cut off", "paused"} {
 		t.Run(how, func(t *testing.T) {
 			run(t, func(s *site) {
 				holders := s.holders(core.RoleServers)
@@ -130,6 +130,9 @@
 					was.Kill()
 				case "stopped":
 					was.Stop()
+				case "draining":
+					was.Drain()
+					s.g.Expect(dutytest.Use[core.Roles](was).Holds(core.RoleServers)).To(gomega.BeFalse())
 				case "cut off":
 					s.Network.Isolate(was.ID)
 				case "paused":
@@ -301,13 +304,15 @@
 	})
 }
 
-// TestTheListIsReadByFew counts its readers on a quiet site.
-func TestTheListIsReadByFew(t *testing.T) {
+// TestAQuietSiteCostsLittle counts the reads of the list and the Status calls.
+func TestAQuietSiteCostsLittle(t *testing.T) {
 	run(t, func(s *site) {
-		s.g.Expect(s.holders(core.RoleServers)).To(gomega.HaveLen(1))
-		before := s.Network.Traffic()[peer.KindStatus].Requests
+		s.server("s1", "zone-a")
+		s.pass(5 * time.Second)
+		calls, reads := s.Network.Traffic()[peer.KindStatus].Requests, s.VMs.Reads()
 		s.pass(10 * time.Second)
-		calls := s.Network.Traffic()[peer.KindStatus].Requests - before
+		calls, reads = s.Network.Traffic()[peer.KindStatus].Requests-calls, s.VMs.Reads()-reads
 		s.g.Expect(calls).To(gomega.BeNumerically("~", 10*6*3, 20), "each node watches three")
+		s.g.Expect(reads).To(gomega.BeNumerically("~", 10, 2), "one node reads the list")
 	})
 }
--- a/modules/vmshttp/module.go
+++ b/modules/vmshttp/module.go
@@ -48,12 +48,12 @@
 
 // Module implements kernel.Module.
 type Module struct {
-	url     string
-	timeout time.Duration
-	logger  hclog.Logger
+	url       string
+	timeout   time.Duration
+	logger    hclog.Logger
+	transport *http.Transport
 
 	mu        sync.Mutex
-	transport *http.Transport
 	latest    answer
 	lastRead  time.Time
 	lastError string
@@ -82,14 +82,10 @@
 	if m.url == "" {
 		return &OptionError{Key: optionURL}
 	}
-	m.transport = newTransport()
+	m.transport = &http.Transport{MaxIdleConns: 1, MaxConnsPerHost: 2, IdleConnTimeout: time.Minute}
 	return kernel.Provide[vmlist.List](ctx, m)
 }
 
-func newTransport() *http.Transport {
-	return &http.Transport{MaxIdleConns: 1, MaxConnsPerHost: 2, IdleConnTimeout: time.Minute}
-}
-
 func (m *Module) setOption(key string, value any) error {
 	switch key {
 	case optionURL:
@@ -138,11 +134,11 @@
 	if err != nil {
 		return answer{}, &vmlist.UnavailableError{Cause: err}
 	}
-	client, latest := m.current()
+	latest := m.lastAnswer()
 	if latest.tag != "" {
 		request.Header.Set("If-None-Match", latest.tag)
 	}
-	response, err := client.RoundTrip(request)
+	response, err := m.transport.RoundTrip(request)
 	if err != nil {
 		return answer{}, m.failed(err)
 	}
@@ -171,20 +167,16 @@
 	return answer{vms: vms, skipped: skipped, tag: response.Header.Get("ETag")}, nil
 }
 
-func (m *Module) current() (*http.Transport, answer) {
+func (m *Module) lastAnswer() answer {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.transport, m.latest
+	return m.latest
 }
 
-// failed drops the connections, since the one just used may be silent for
-// good; the next read opens a new one.
+// failed closes the connection that a read failed on, if it is idle; one that a
+// read was given up on is closed already. The next read opens a new one.
 func (m *Module) failed(cause error) error {
-	m.mu.Lock()
-	old := m.transport
-	m.transport = newTransport()
-	m.mu.Unlock()
-	old.CloseIdleConnections()
+	m.transport.CloseIdleConnections()
 	return &vmlist.UnavailableError{Cause: cause}
 }
 
@@ -211,8 +203,7 @@
 
 // Stop implements kernel.Stopper.
 func (m *Module) Stop(context.Context) error {
-	client, _ := m.current()
-	client.CloseIdleConnections()
+	m.transport.CloseIdleConnections()
 	return nil
 }
 
--- /dev/null
+++ b/planner/merge_test.go
@@ -0,0 +1,138 @@
+package planner_test
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/onsi/gomega"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/burdockspindle/burdockspindle/balance"
+	"github.com/burdockspindle/burdockspindle/planner"
+	"github.com/burdockspindle/burdockspindle/sitefake"
+	"github.com/burdockspindle/burdockspindle/topo"
+
+	bspb "github.com/burdockspindle/burdockspindle/proto/burdockspindle/v1"
+)
+
+func ref(index uint32) *bspb.ShardRef { return &bspb.ShardRef{Service: "logs", Index: index} }
+
+func TestMergedReportsAddUp(t *testing.T) {
+	g := gomega.NewWithT(t)
+	one := &bspb.ReportLoadRequest{
+		WindowSeconds: 3,
+		Servers:       []*bspb.ServerLoad{{Server: "s", InFlight: 2, MeanLatencyMs: 10, ShedPerSecond: 1}},
+		Keys:          []*bspb.KeyLoad{{Shard: ref(1), Key: "k", PerSecond: 50, ErrorPerSecond: 5}},
+		Shards:        []*bspb.ShardLoad{{Shard: ref(1), PerSecond: 60, Busy: 0.6}, {Shard: ref(2), PerSecond: 1, Busy: 0.1}},
+	}
+	two := &bspb.ReportLoadRequest{
+		WindowSeconds: 3,
+		Servers:       []*bspb.ServerLoad{{Server: "s", InFlight: 1, MeanLatencyMs: 40, ErrorPerSecond: 2}},
+		Keys:          []*bspb.KeyLoad{{Shard: ref(1), Key: "k", PerSecond: 10}},
+		Shards:        []*bspb.ShardLoad{{Shard: ref(1), PerSecond: 40, Busy: 0.4}},
+	}
+	before := proto.CloneOf(one)
+	merged := planner.Merge([]*bspb.ReportLoadRequest{one, two}, 1<<20)
+	g.Expect(proto.Equal(one, before)).To(gomega.BeTrue(), "its inputs are left alone")
+	g.Expect(merged.WindowSeconds).To(gomega.Equal(3.0))
+	g.Expect(merged.Shards).To(gomega.HaveLen(2))
+	g.Expect(merged.Shards[0].PerSecond).To(gomega.Equal(100.0))
+	g.Expect(merged.Shards[0].Busy).To(gomega.Equal(1.0))
+	g.Expect(merged.Keys[0].PerSecond).To(gomega.Equal(60.0))
+	g.Expect(merged.Keys[0].ErrorPerSecond).To(gomega.Equal(5.0))
+	server := merged.Servers[0]
+	g.Expect(server.InFlight).To(gomega.Equal(3.0))
+	// 200 requests a second of 10 ms and 25 of 40 ms.
+	g.Expect(server.MeanLatencyMs).To(gomega.BeNumerically("~", 3000.0/225, 1e-9))
+	g.Expect([]float64{server.ShedPerSecond, server.ErrorPerSecond}).To(gomega.Equal([]float64{1, 2}))
+}
+
+func TestAMergedReportKeepsTheHottestWithinItsLimit(t *testing.T) {
+	g := gomega.NewWithT(t)
+	report := &bspb.ReportLoadRequest{}
+	for i := range uint32(1000) {
+		report.Shards = append(report.Shards, &bspb.ShardLoad{Shard: ref(i), Busy: float64(i)})
+		report.Keys = append(report.Keys, &bspb.KeyLoad{Shard: ref(i), Key: fmt.Sprint(i), PerSecond: float64(i)})
+	}
+	report.Servers = append(report.Servers, &bspb.ServerLoad{Server: "s", InFlight: 1})
+	for _, limit := range []int{0, 10, 1000, 8192} {
+		merged := planner.Merge([]*bspb.ReportLoadRequest{report}, limit)
+		g.Expect(proto.Size(merged)).To(gomega.BeNumerically("<=", limit))
+		if limit < 1000 {
+			continue
+		}
+		g.Expect(merged.Servers).To(gomega.HaveLen(1))
+		g.Expect(merged.Shards[0].Busy).To(gomega.Equal(999.0))
+		g.Expect(merged.Keys[0].Key).To(gomega.Equal("999"))
+		g.Expect(len(merged.Shards)).To(gomega.BeNumerically(">", len(merged.Keys)))
+	}
+}
+
+// TestEveryReportReachesThePlanner follows the parents of each of 660 nodes.
+func TestEveryReportReachesThePlanner(t *testing.T) {
+	g := gomega.NewWithT(t)
+	nodes := make([]topo.NodeID, 660)
+	for i := range nodes {
+		nodes[i] = topo.NodeID(fmt.Sprintf("n%d", i))
+	}
+	children := map[topo.NodeID]int{}
+	for i, id := range nodes {
+		parents := planner.Parents(nodes, id)
+		if i == 0 {
+			g.Expect(parents).To(gomega.BeEmpty())
+			continue
+		}
+		g.Expect(parents[len(parents)-1]).To(gomega.Equal(nodes[0]))
+		g.Expect(len(parents)).To(gomega.BeNumerically("<=", 3))
+		children[parents[0]]++
+	}
+	for id, count := range children {
+		g.Expect(count).To(gomega.BeNumerically("<=", planner.FanIn), "%s", id)
+	}
+	g.Expect(planner.Parents(nodes, "stranger")).To(gomega.BeEmpty())
+}
+
+// TestAKeyWithAnotherOwnerIsMovedBeforeItIsMerged has a policy that wants the
+// key back in its hash range.
+func TestAKeyWithAnotherOwnerIsMovedBeforeItIsMerged(t *testing.T) {
+	b := newBench(t, sitefake.Keyed("logs", 4))
+	b.servers("logs", 1)
+	b.settle()
+	const key = "k"
+	parent := b.shards("logs")[topo.ShardIndex(key, 4)]
+	other := b.shards("logs")[(parent.Shard.Index+1)%4].Owner
+	if other == parent.Owner {
+		other = b.shards("logs")[(parent.Shard.Index+2)%4].Owner
+	}
+	id := topo.ShardID{Service: "logs", Index: parent.Shard.Index, Key: key}
+	b.accepted(b.site.Make(&bspb.ShardMove{
+		Shard: &bspb.ShardRef{Service: "logs", Index: id.Index, Key: key}, To: string(other),
+		Fence: &bspb.Ordinal{Offset: uint64(parent.Fence.Offset)},
+	}))
+	b.policy = merging{id}
+	first := b.decide()
+	b.g.Expect(moves(first, "cooled")).To(gomega.HaveLen(1))
+	b.g.Expect(moves(first, "cooled")[0].Merge).To(gomega.BeFalse())
+	b.g.Expect(moves(first, "cooled")[0].To).To(gomega.BeEquivalentTo(parent.Owner))
+	b.carryOut(first)
+	second := b.decide()
+	b.g.Expect(moves(second, "cooled")[0].Merge).To(gomega.BeTrue())
+	b.carryOut(second)
+	_, exists := b.site.View().Shard(id)
+	b.g.Expect(exists).To(gomega.BeFalse())
+}
+
+// merging is a policy that always wants one key merged.
+type merging struct{ id topo.ShardID }
+
+func (merging) Name() string { return "merging" }
+
+func (m merging) Decide(in *balance.Input) []balance.Move {
+	for _, shard := range in.Shards {
+		if shard.ID == m.id {
+			to := in.Servers[shard.Owner].ID
+			return []balance.Move{{Kind: balance.MergeKey, Shard: m.id, To: to, Cause: balance.CauseCooled}}
+		}
+	}
+	return nil
+}
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -75,7 +75,7 @@
 // that it may be called as often as the caller likes.
 func Decide(in *Input) Plan {
 	in.Tracker.Observe(in.Now, in.View)
-	d := &decision{in: in, requests: map[requestKey]*Request{}}
+	d := &decision{in: in, requests: map[requestKey]*Request{}, planned: map[topo.ShardID]bool{}}
 	for _, service := range startOrder(in.View.Site()) {
 		d.place(service)
 	}
@@ -91,6 +91,7 @@
 	in       *Input
 	plan     Plan
 	requests map[requestKey]*Request
+	planned  map[topo.ShardID]bool // that the plan moves already
 }
 
 type requestKey struct {
@@ -125,8 +126,13 @@
 	return d.in.Tracker.blockedFor(service.Name, d.in.Now) >= StartPatience
 }
 
-// move adds a move of an owned shard to the request for its owner's lessor.
+// move adds a move of an owned shard to the request for its owner's lessor. A
+// shard is moved for one reason at a time.
 func (d *decision) move(current state.Assignment, next *bspb.ShardMove, reason string) bool {
+	id := ShardFromProto(next.GetShard())
+	if d.planned[id] {
+		return false
+	}
 	owner, exists := d.in.View.Server(current.Owner)
 	if !exists {
 		return false
@@ -145,6 +151,7 @@
 		return false
 	}
 	request.Moves = append(request.Moves, next)
+	d.planned[id] = true
 	return true
 }
 
--- a/planner/planner_test.go
+++ b/planner/planner_test.go
@@ -26,6 +26,7 @@
 	g       *gomega.WithT
 	site    *sitefake.Site
 	tracker *planner.Tracker
+	policy  balance.Policy
 	reports *load.Collector
 	now     time.Time
 }
@@ -33,7 +34,7 @@
 func newBench(t *testing.T, services ...*bspb.ServiceConfig) *bench {
 	b := &bench{
 		T: t, g: gomega.NewWithT(t), site: sitefake.New(), tracker: planner.NewTracker(),
-		reports: load.NewCollector(time.Hour), now: time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC),
+		policy: balance.Greedy{}, reports: load.NewCollector(time.Hour), now: time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC),
 	}
 	for _, zone := range zones {
 		b.site.Join("node-"+zone, zone)
@@ -59,7 +60,7 @@
 
 func (b *bench) decide() planner.Plan {
 	return planner.Decide(&planner.Input{
-		Now: b.now, View: b.site.View(), Policy: balance.Greedy{}, Tracker: b.tracker,
+		Now: b.now, View: b.site.View(), Policy: b.policy, Tracker: b.tracker,
 		Picture: func(service topo.Service) load.Picture { return b.reports.Picture(b.now, service) },
 		Rand:    rand.New(rand.NewPCG(1, 1)),
 	})
--- a/standin/vms/platform.go
+++ b/standin/vms/platform.go
@@ -33,6 +33,7 @@
 	histories map[string][]change // by ID, oldest first
 	overrides map[string]*vmlist.VM
 	faults    Faults
+	reads     int
 }
 
 // change is what became true of a VM at a moment.
@@ -99,7 +100,7 @@
 	if err := ctx.Err(); err != nil {
 		return nil, err
 	}
-	faults := p.currentFaults()
+	faults := p.beginRead()
 	if faults.Hang {
 		<-ctx.Done()
 		return nil, ctx.Err()
@@ -110,12 +111,20 @@
 	return p.shown(time.Now()), nil
 }
 
-func (p *Platform) currentFaults() Faults {
+func (p *Platform) beginRead() Faults {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.reads++
 	return p.faults
 }
 
+// Reads returns how often the list was asked for.
+func (p *Platform) Reads() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.reads
+}
+
 func (p *Platform) shown(now time.Time) []vmlist.VM {
 	p.mu.Lock()
 	defer p.mu.Unlock()
