--- a/lessor/search_key_test.go
+++ b/lessor/search_key_test.go
@@ -224,9 +224,6 @@
 	k.left(fromWall(g.Until))
 	k.left(s.earlier)
 	k.flag(s.heardSince <= m.contact.at)
-	if shard := m.facts.Shards[searchShard]; shard.Owner == serverNames[server] && shard.OwnerBoot != s.boot() {
-		k.left(s.heardSince + ttl)
-	}
 	k.flag(s.inFlight)
 	if s.inFlight {
 		k.num(int(min(k.w.now-s.sentAt, k.w.b.limit) / unit))
--- a/lessor/server.go
+++ b/lessor/server.go
@@ -63,14 +63,6 @@
 // reported, is valid any longer.
 func (s *server) lapsed(now time.Duration) bool { return s.granter.Lapsed(wall(now)) }
 
-// earlierRunsLapsed reports whether no lease of a run before the present one is
-// valid any longer, in case an earlier run is only paused. Its leases were
-// renewed with stamps that were known before the present run was heard, so
-// renewals of the present run do not count.
-func (s *server) earlierRunsLapsed(now time.Duration, timing lease.Timing) bool {
-	return s.lapsed(now) || now >= s.heardSince+timing.LapseWait()
-}
-
 // suspected reports whether the server has not answered repeatedly.
 func (s *server) suspected() bool { return s.failures >= suspectFailures }
 
