--- a/follower/follow_test.go
+++ b/follower/follow_test.go
@@ -55,13 +55,14 @@
 
 func TestFollowingUnderFaults(t *testing.T) {
 	cases := []struct {
-		name   string
-		faults logfault.Faults
+		name    string
+		faults  logfault.Faults
+		contact bool // the log is still followed, not only peers
 	}{
-		{"log down for this node", logfault.Faults{ReadsDown: true, AppendsDown: true}},
-		{"log silent for this node", logfault.Faults{Silent: true}},
-		{"log slow", logfault.Faults{Slow: 2 * time.Second}},
-		{"entries read again", logfault.Faults{Repeat: 7}},
+		{"log down for this node", logfault.Faults{ReadsDown: true, AppendsDown: true}, false},
+		{"log silent for this node", logfault.Faults{Silent: true}, false},
+		{"log slow", logfault.Faults{Slow: 2 * time.Second}, true},
+		{"entries read again", logfault.Faults{Repeat: 7}, true},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
@@ -78,6 +79,8 @@
 					s.g.Expect(a.WaitApplied(s.within(settle), fate.Offset)).To(gomega.Succeed())
 					s.g.Expect(b.WaitApplied(s.within(settle), fate.Offset)).To(gomega.Succeed())
 				}
+				time.Sleep(2 * settle)
+				s.g.Expect(time.Since(a.LastContact()) < 2*settle).To(gomega.Equal(c.contact))
 				a.log.Heal()
 				b.log.Heal()
 				s.submit(a, join("after"))
