--- a/modules/membership/membership_test.go
+++ b/modules/membership/membership_test.go
@@ -96,6 +96,18 @@
 	})
 }
 
+// TestARestartedNodeJoinsUnderItsNewBoot was killed, so that its earlier run is
+// a member still.
+func TestARestartedNodeJoinsUnderItsNewBoot(t *testing.T) {
+	run(t, func(s *site) {
+		s.nodes[2].Kill()
+		s.Start("node-2", "zone-c", "2")
+		s.pass(2 * time.Second)
+		node, _ := s.Site.View().Node("node-2")
+		s.g.Expect(node.Boot).To(gomega.BeEquivalentTo("2"))
+	})
+}
+
 func TestANodeTakenOffByMistakeJoinsAgain(t *testing.T) {
 	run(t, func(s *site) {
 		node, _ := s.Site.View().Node("node-1")
--- a/planner/merge_test.go
+++ b/planner/merge_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
 	"github.com/onsi/gomega"
 	"google.golang.org/protobuf/proto"
@@ -136,3 +137,36 @@
 	}
 	return nil
 }
+
+// TestMovesForLoadAreRationed has a policy that moves as much as it may.
+func TestMovesForLoadAreRationed(t *testing.T) {
+	b := newBench(t, sitefake.Keyed("logs", 60))
+	b.servers("logs", 2)
+	b.settle()
+	b.policy = restless{}
+	made := 0
+	for range 300 {
+		plan := b.decide()
+		made += len(moves(plan, "load"))
+		b.carryOut(plan)
+		b.now = b.now.Add(time.Second)
+	}
+	b.g.Expect(made).To(gomega.BeNumerically("~", 5*15+5, 3), "15 a minute and a burst of 5")
+}
+
+// restless is a policy that moves ranges to the next server while its budget
+// lasts.
+type restless struct{}
+
+func (restless) Name() string { return "restless" }
+
+func (restless) Decide(in *balance.Input) []balance.Move {
+	var list []balance.Move
+	for _, shard := range in.Shards {
+		if len(list) < in.Budget.Moves && !shard.Moving {
+			to := in.Servers[(shard.Owner+1)%len(in.Servers)].ID
+			list = append(list, balance.Move{Kind: balance.MoveShard, Shard: shard.ID, To: to, Cause: balance.CauseLoad})
+		}
+	}
+	return list
+}
