--- a/modules/membership/metrics.go
+++ b/modules/membership/metrics.go
@@ -1,24 +1,18 @@
 package membership
 
-import "expvar"
+import "github.com/burdockspindle/burdockspindle/metrics"
 
 // Metrics of all nodes in this process, under "membership".
 var (
-	metrics            = expvar.NewMap("membership")
-	metricProbes       = newCounter("status_calls")
-	metricProbeFailed  = newCounter("status_calls_failed")
-	metricListReads    = newCounter("vm_list_reads")
-	metricListFailed   = newCounter("vm_list_reads_failed")
-	metricSubmitted    = newCounter("records_submitted")
-	metricRefused      = newCounter("records_without_effect")
-	metricSubmitFailed = newCounter("records_of_unknown_fate")
-	metricPutOff       = newCounter("decisions_put_off")
-	metricNodesRemoved = newCounter("nodes_removed")
-	metricLossesTold   = newCounter("losses_confirmed")
+	metricGroup        = metrics.New("membership")
+	metricProbes       = metricGroup.Counter("status_calls")
+	metricProbeFailed  = metricGroup.Counter("status_calls_failed")
+	metricListReads    = metricGroup.Counter("vm_list_reads")
+	metricListFailed   = metricGroup.Counter("vm_list_reads_failed")
+	metricSubmitted    = metricGroup.Counter("records_submitted")
+	metricRefused      = metricGroup.Counter("records_without_effect")
+	metricSubmitFailed = metricGroup.Counter("records_of_unknown_fate")
+	metricPutOff       = metricGroup.Counter("decisions_put_off")
+	metricNodesRemoved = metricGroup.Counter("nodes_removed")
+	metricLossesTold   = metricGroup.Counter("losses_confirmed")
 )
-
-func newCounter(name string) *expvar.Int {
-	counter := new(expvar.Int)
-	metrics.Set(name, counter)
-	return counter
-}
