Lessor: a standby server not heard yet stays the standby; claims have numbers

The end of a claim that came after its record had been seen counted as a claim under way for good. Change: nodes of the harness join last; a standby server is kept unless something speaks against it; ends of claims carry the claim's number.

--- a/lessor/claim.go
+++ b/lessor/claim.go
@@ -141,12 +141,14 @@
 	return since + m.cfg.SuspectAfter, true
 }
 
-// BeginClaim returns the claim to write to the log. From now until its fate is
-// known, a standby lessor gives no promise.
-func (m *Member) BeginClaim(now time.Duration) (Claim, bool) {
+// BeginClaim returns the claim to write to the log, and the number by which its
+// fate is told. From now until its fate is known, a standby lessor gives no
+// promise.
+func (m *Member) BeginClaim() (Claim, uint64, bool) {
 	if m.claim.inFlight || !m.observed {
-		return Claim{}, false
+		return Claim{}, 0, false
 	}
+	m.claim.number++
 	m.claim.inFlight = true
 	m.claim.expected = m.facts.Group.Term
 	if m.role == RoleLessor && !m.offLog {
@@ -158,12 +160,15 @@
 	} else {
 		claim.Settled = m.role == RoleLessor && m.termSettled()
 	}
-	return claim, true
+	return claim, m.claim.number, true
 }
 
 // ClaimDone tells that the claim's fate is known: accepted or not, it has been
 // applied, and the state observed next shows what became of it.
-func (m *Member) ClaimDone(now time.Duration, accepted bool) {
+func (m *Member) ClaimDone(now time.Duration, number uint64, accepted bool) {
+	if !m.claim.inFlight || m.claim.number != number {
+		return // the state has shown it already
+	}
 	m.claim.inFlight = false
 	m.claim.awaited = m.claim.awaited || accepted
 	m.claim.again = momentAt(now + m.cfg.RetryAfter)
@@ -171,7 +176,10 @@
 
 // ClaimFailed tells that the claim was not appended or, if unknown, may have
 // been or may still be.
-func (m *Member) ClaimFailed(now time.Duration, unknown bool) {
+func (m *Member) ClaimFailed(now time.Duration, number uint64, unknown bool) {
+	if !m.claim.inFlight || m.claim.number != number {
+		return
+	}
 	m.claim.inFlight = false
 	m.claim.awaited = m.claim.awaited || unknown
 	m.claim.again = momentAt(now + m.cfg.RetryAfter)
--- a/lessor/dump.go
+++ b/lessor/dump.go
@@ -15,6 +15,9 @@
 	Term       string        `json:"term"`
 	OffLog     bool          `json:"offLog"`
 	Mode       string        `json:"mode"`
+	ModeAsked  string        `json:"modeAsked"`
+	ModeAcked  bool          `json:"modeAcked"`
+	ModeRound  uint64        `json:"modeRound"`
 	Basis      string        `json:"basis"`
 	Settled    bool          `json:"settled"`
 	ContactAge string        `json:"contactAge"`
@@ -24,7 +27,7 @@
 	Activated  []string      `json:"activated,omitempty"`
 	Moves      int           `json:"moves"`
 	Servers    []ServerDump  `json:"servers,omitempty"`
-	Standing   *StandingDump `json:"standing,omitempty"`
+	Standing   StandingDump  `json:"standing,omitempty"`
 	Watched    []topo.NodeID `json:"watched,omitempty"`
 	Unsettled  []string      `json:"unsettled,omitempty"`
 	Needs      []string      `json:"needs,omitempty"`
@@ -49,6 +52,7 @@
 // StandingDump describes what a standby lessor remembers.
 type StandingDump struct {
 	Mode        string `json:"mode"`
+	ModeRound   uint64 `json:"modeRound"`
 	Settled     bool   `json:"settled"`
 	HeardAge    string `json:"heardAge"`
 	PromiseLeft string `json:"promiseLeft"`
@@ -63,6 +67,9 @@
 		Term:       m.term.String(),
 		OffLog:     m.offLog,
 		Mode:       m.right.mode.String(),
+		ModeAsked:  m.right.asked.String(),
+		ModeAcked:  m.right.acked,
+		ModeRound:  m.right.round,
 		Basis:      m.takeover.basis.String(),
 		Settled:    m.termSettled(),
 		ContactAge: m.contact.age(now),
@@ -116,9 +123,10 @@
 	return list
 }
 
-func (s *standing) dump(now time.Duration) *StandingDump {
-	return &StandingDump{
+func (s *standing) dump(now time.Duration) StandingDump {
+	return StandingDump{
 		Mode:        s.mode.String(),
+		ModeRound:   s.round,
 		Settled:     s.settled,
 		HeardAge:    s.heard.age(now),
 		PromiseLeft: max(0, s.promised.at-now).String(),
--- a/lessor/member.go
+++ b/lessor/member.go
@@ -70,6 +70,7 @@
 
 // claimState is a claim of this run whose record has not been seen.
 type claimState struct {
+	number   uint64
 	inFlight bool // the driver is working on it
 	awaited  bool // its record was, or may have been, written
 	expected topo.Term
@@ -176,7 +177,7 @@
 	default:
 		m.stepDown()
 	}
-	m.claim = claimState{again: m.claim.again, repeated: m.claim.repeated}
+	m.claim = claimState{number: m.claim.number, again: m.claim.again, repeated: m.claim.repeated}
 }
 
 // stepDown gives up whatever this node was in the group.
--- a/lessor/moves.go
+++ b/lessor/moves.go
@@ -175,7 +175,17 @@
 		return true
 	}
 	s, known := m.servers[id]
-	return known && s.boot() != "" && !s.suspected() && !s.draining && !m.confirmedLost(id)
+	return known && s.boot() != "" && m.mayStandBy(id)
+}
+
+// mayStandBy reports whether nothing speaks against a server as a standby
+// server. It may not have been heard yet.
+func (m *Member) mayStandBy(id topo.ServerID) bool {
+	s, known := m.servers[id]
+	if known && (s.suspected() || s.draining) {
+		return false
+	}
+	return !m.confirmedLost(id)
 }
 
 // planOwnMoves takes up the moves that the lessor makes by itself: away from
--- a/lessor/place.go
+++ b/lessor/place.go
@@ -13,7 +13,7 @@
 	m        *Member
 	owned    map[topo.ServerID]int
 	standsBy map[topo.ServerID]int
-	fit      map[topo.Service][]Target
+	seen     map[topo.Service]bool // whether the counts have been taken
 }
 
 func (m *Member) newPlacement() *placement {
@@ -21,32 +21,29 @@
 		m:        m,
 		owned:    map[topo.ServerID]int{},
 		standsBy: map[topo.ServerID]int{},
-		fit:      map[topo.Service][]Target{},
+		seen:     map[topo.Service]bool{},
 	}
 }
 
-// targets lists the servers of a service that are fit for new shards.
+// targets lists the live servers of a service.
 func (p *placement) targets(service topo.Service) []Target {
-	if list, known := p.fit[service]; known {
+	list := p.m.facts.Targets[service]
+	if p.seen[service] {
 		return list
 	}
-	var list []Target
-	for _, target := range p.m.facts.Targets[service] {
-		if p.m.serves(target.ID) {
-			list = append(list, target)
-			p.owned[target.ID] = target.Owned
-			p.standsBy[target.ID] = target.StandsBy
-		}
+	p.seen[service] = true
+	for _, target := range list {
+		p.owned[target.ID] = target.Owned
+		p.standsBy[target.ID] = target.StandsBy
 	}
-	p.fit[service] = list
 	return list
 }
 
 // owner chooses the next owner of a shard: the preferred server if it is fit,
 // else the one that owns the fewest shards. It is empty if no server is fit.
 func (p *placement) owner(service topo.Service, preferred topo.ServerID) topo.ServerID {
-	every := func(Target) bool { return true }
-	best := p.best(p.targets(service), preferred, every, p.owned)
+	suits := func(t Target) bool { return p.m.serves(t.ID) }
+	best := p.best(p.targets(service), preferred, suits, p.owned)
 	if best != "" {
 		p.owned[best]++
 	}
@@ -58,9 +55,10 @@
 func (p *placement) standby(service topo.Service, owner, preferred topo.ServerID) topo.ServerID {
 	candidates := p.targets(service)
 	group := p.groupOf(candidates, owner)
-	suits := func(t Target) bool { return t.ID != owner && t.Group == group }
+	fit := func(t Target) bool { return t.ID != owner && p.m.mayStandBy(t.ID) }
+	suits := func(t Target) bool { return fit(t) && t.Group == group }
 	if !slices.ContainsFunc(candidates, suits) {
-		suits = func(t Target) bool { return t.ID != owner }
+		suits = fit
 	}
 	best := p.best(candidates, preferred, suits, p.standsBy)
 	if best != "" {
--- a/lessor/search_test.go
+++ b/lessor/search_test.go
@@ -107,7 +107,7 @@
 	}
 	if e.from.b.delayed && e.from.held == nil && e.from.log.claims < e.from.b.claims {
 		e.try(name+" claims, record held back", func(w *world) bool {
-			claim, allowed := w.member(node).BeginClaim(w.now)
+			claim, _, allowed := w.member(node).BeginClaim()
 			w.held = &message{kind: "record", node: node, record: record{node: node, claim: &claim, self: w.runOf(node)}}
 			return allowed
 		})
@@ -282,7 +282,7 @@
 		w.fail(h.node, h.server, h.attempt)
 	case h.kind == "record" && w.runOf(h.node) != h.record.self:
 	case h.kind == "record" && h.record.claim != nil:
-		m.ClaimFailed(w.now, false)
+		m.ClaimFailed(w.now, m.claim.number, false)
 	case h.kind == "record":
 		m.SubmitFailed(w.now, w.nodes[h.node].number, false)
 	}
--- a/lessor/search_world_test.go
+++ b/lessor/search_world_test.go
@@ -277,7 +277,7 @@
 
 // claim begins a claim and appends it, unless it is held back.
 func (w *world) claim(node int) bool {
-	claim, allowed := w.member(node).BeginClaim(w.now)
+	claim, _, allowed := w.member(node).BeginClaim()
 	if !allowed {
 		return false
 	}
--- a/modules/lessor/actions.go
+++ b/modules/lessor/actions.go
@@ -104,8 +104,8 @@
 }
 
 // claim writes a claim of the group's next term.
-func (w *worker) claim(ctx context.Context, now time.Duration) {
-	claim, allowed := w.member.BeginClaim(now)
+func (w *worker) claim(ctx context.Context) {
+	claim, number, allowed := w.member.BeginClaim()
 	if !allowed {
 		return
 	}
@@ -114,21 +114,21 @@
 	record := claimToProto(w.group, w.module.self, claim)
 	w.calls.write(ctx, func(ctx context.Context) input {
 		fate, err := w.module.appender.Submit(ctx, record)
-		return w.claimEnded(fate, err)
+		return w.claimEnded(number, fate, err)
 	})
 }
 
-func (w *worker) claimEnded(fate follower.Fate, err error) input {
+func (w *worker) claimEnded(number uint64, fate follower.Fate, err error) input {
 	if err != nil {
 		eventClaimFailed.Log(w.module.logger, "group", w.group, "error", err)
-		return claimEnded{failed: true, unknown: isUnknown(err)}
+		return claimEnded{number: number, failed: true, unknown: isUnknown(err)}
 	}
 	if !fate.Accepted {
 		eventClaimRefused.Log(w.module.logger, "group", w.group, "conflict", fate.Conflict)
 	} else {
 		metricClaimsWon.Add(1)
 	}
-	return claimEnded{accepted: fate.Accepted}
+	return claimEnded{number: number, accepted: fate.Accepted}
 }
 
 // isUnknown reports whether a record may have been written although Submit
--- a/modules/lessor/faults_test.go
+++ b/modules/lessor/faults_test.go
@@ -252,7 +252,7 @@
 		lost := w.shardsOn("sa1")
 		w.servers["sa1"].setDown(true)
 		time.Sleep(5 * time.Second)
-		g.Expect(w.serving()).To(HaveLen(shardCount))
+		g.Expect(w.serving()).To(HaveLen(shardCount), w.dumps())
 		t.Logf("gap %v", w.gaps(nil))
 		g.Expect(w.gaps(nil)).To(BeNumerically("<", served))
 		before := w.owners()
@@ -360,7 +360,7 @@
 			w.servers[id].setDown(true)
 		}
 		time.Sleep(5 * time.Second)
-		g.Expect(w.serving()).To(HaveLen(shardCount))
+		g.Expect(w.serving()).To(HaveLen(shardCount), w.dumps())
 		t.Logf("gap %v", w.gaps(nil))
 		g.Expect(w.gaps(nil)).To(BeNumerically("<", served))
 	})
--- a/modules/lessor/inputs.go
+++ b/modules/lessor/inputs.go
@@ -73,6 +73,7 @@
 
 // claimEnded is the fate of a claim.
 type claimEnded struct {
+	number   uint64
 	accepted bool
 	failed   bool
 	unknown  bool
@@ -80,10 +81,10 @@
 
 func (in claimEnded) apply(m *core.Member, now time.Duration) {
 	if in.failed {
-		m.ClaimFailed(now, in.unknown)
+		m.ClaimFailed(now, in.number, in.unknown)
 		return
 	}
-	m.ClaimDone(now, in.accepted)
+	m.ClaimDone(now, in.number, in.accepted)
 }
 
 // submitEnded is the fate of a record of assignments.
--- a/modules/lessor/metrics.go
+++ b/modules/lessor/metrics.go
@@ -1,37 +1,31 @@
 package lessor
 
-import "expvar"
+import "github.com/burdockspindle/burdockspindle/metrics"
 
 // Metrics of all nodes in this process, under "lessor".
 var (
-	metrics             = expvar.NewMap("lessor")
-	metricRenewals      = newCounter("renewals_sent")
-	metricRenewed       = newCounter("renewals_answered")
-	metricRefused       = newCounter("renewals_refused")
-	metricRenewFailed   = newCounter("renewals_unanswered")
-	metricAcks          = newCounter("acknowledgements_sent")
-	metricHeartbeats    = newCounter("heartbeats_sent")
-	metricHeartFailed   = newCounter("heartbeats_unanswered")
-	metricHeartReceived = newCounter("heartbeats_received")
-	metricPromises      = newCounter("promises_given")
-	metricProbes        = newCounter("probes_sent")
-	metricClaims        = newCounter("claims_written")
-	metricClaimsWon     = newCounter("claims_won")
-	metricTakeovers     = newCounter("takeovers")
-	metricWentOn        = newCounter("takeovers_without_log")
-	metricAssigned      = newCounter("shards_assigned")
-	metricAssignRecords = newCounter("assignment_records")
-	metricRejected      = newCounter("assignments_rejected")
-	metricActivations   = newCounter("standby_servers_activated")
-	metricModeChanges   = newCounter("mode_changes")
-	metricRightLost     = newCounter("rights_lapsed")
-	metricUnserved      = newCounter("unserved_shard_ms")
-	metricInboxFull     = newCounter("inbox_full")
-	metricCallsFull     = newCounter("calls_put_off")
+	metricGroup         = metrics.New("lessor")
+	metricRenewals      = metricGroup.Counter("renewals_sent")
+	metricRenewed       = metricGroup.Counter("renewals_answered")
+	metricRefused       = metricGroup.Counter("renewals_refused")
+	metricRenewFailed   = metricGroup.Counter("renewals_unanswered")
+	metricAcks          = metricGroup.Counter("acknowledgements_sent")
+	metricHeartbeats    = metricGroup.Counter("heartbeats_sent")
+	metricHeartFailed   = metricGroup.Counter("heartbeats_unanswered")
+	metricHeartReceived = metricGroup.Counter("heartbeats_received")
+	metricPromises      = metricGroup.Counter("promises_given")
+	metricProbes        = metricGroup.Counter("probes_sent")
+	metricClaims        = metricGroup.Counter("claims_written")
+	metricClaimsWon     = metricGroup.Counter("claims_won")
+	metricTakeovers     = metricGroup.Counter("takeovers")
+	metricWentOn        = metricGroup.Counter("takeovers_without_log")
+	metricAssigned      = metricGroup.Counter("shards_assigned")
+	metricAssignRecords = metricGroup.Counter("assignment_records")
+	metricRejected      = metricGroup.Counter("assignments_rejected")
+	metricActivations   = metricGroup.Counter("standby_servers_activated")
+	metricModeChanges   = metricGroup.Counter("mode_changes")
+	metricRightLost     = metricGroup.Counter("rights_lapsed")
+	metricUnserved      = metricGroup.Counter("unserved_shard_ms")
+	metricInboxFull     = metricGroup.Counter("inbox_full")
+	metricCallsFull     = metricGroup.Counter("calls_put_off")
 )
-
-func newCounter(name string) *expvar.Int {
-	counter := new(expvar.Int)
-	metrics.Set(name, counter)
-	return counter
-}
--- a/modules/lessor/worker.go
+++ b/modules/lessor/worker.go
@@ -174,7 +174,7 @@
 	case core.Probe:
 		w.probe(ctx, now, a.Node)
 	case core.ClaimTerm:
-		w.claim(ctx, now)
+		w.claim(ctx)
 	case core.Submit:
 		w.submit(ctx, now)
 	case core.Announce:
--- a/modules/lessor/world_test.go
+++ b/modules/lessor/world_test.go
@@ -58,7 +58,7 @@
 	log      *testLog
 	follower *follower.Follower
 	module   *Module
-	peers    *peermem.Node
+	peers    *lateCaller
 	handlers *peer.Handlers
 	running  bool
 
@@ -351,12 +351,16 @@
 	}}}
 }
 
+// lateCaller is the node's access to the others. The node joins the network
+// when every handler is in place.
+type lateCaller struct{ *peermem.Node }
+
 // start runs the node's follower and lessor module.
 func (n *testNode) start() {
 	w := n.world
 	n.log = &testLog{log: w.store}
 	n.handlers = &peer.Handlers{}
-	n.peers = w.network.Join(&bspb.Sender{Node: string(n.id), Boot: string(n.boot), Zone: string(n.zone)}, n.handlers)
+	n.peers = &lateCaller{}
 	n.follower = follower.New(follower.Config{Node: n.id, Boot: n.boot, Log: n.log, Peers: n.peers})
 	n.follower.Serve(n.handlers)
 	n.handlers.Status = func(context.Context) (*bspb.StatusResponse, error) { return &bspb.StatusResponse{}, nil }
@@ -381,6 +385,8 @@
 	if err != nil {
 		w.t.Fatal(err)
 	}
+	sender := &bspb.Sender{Node: string(n.id), Boot: string(n.boot), Zone: string(n.zone)}
+	n.peers.Node = w.network.Join(sender, n.handlers)
 	n.follower.Start()
 	if err := n.module.Start(context.Background()); err != nil {
 		w.t.Fatal(err)
