--- a/modules/admin/metrics.go
+++ b/modules/admin/metrics.go
@@ -1,23 +1,17 @@
 package admin
 
-import "expvar"
+import "github.com/burdockspindle/burdockspindle/metrics"
 
 // Metrics of all administration APIs of this process.
 var (
-	metrics            = expvar.NewMap("admin")
-	metricRequests     = counter("requests")
-	metricUnauthorized = counter("unauthorized")
-	metricPublished    = counter("sites_published")
-	metricConflicts    = counter("site_conflicts")
-	metricInvalid      = counter("sites_invalid")
-	metricNotAppended  = counter("records_not_appended")
-	metricUnknown      = counter("records_of_unknown_fate")
-	metricLosses       = counter("losses_confirmed")
-	metricMoves        = counter("moves_asked")
+	metricGroup        = metrics.New("admin")
+	metricRequests     = metricGroup.Counter("requests")
+	metricUnauthorized = metricGroup.Counter("unauthorized")
+	metricPublished    = metricGroup.Counter("sites_published")
+	metricConflicts    = metricGroup.Counter("site_conflicts")
+	metricInvalid      = metricGroup.Counter("sites_invalid")
+	metricNotAppended  = metricGroup.Counter("records_not_appended")
+	metricUnknown      = metricGroup.Counter("records_of_unknown_fate")
+	metricLosses       = metricGroup.Counter("losses_confirmed")
+	metricMoves        = metricGroup.Counter("moves_asked")
 )
-
-func counter(name string) *expvar.Int {
-	variable := new(expvar.Int)
-	metrics.Set(name, variable)
-	return variable
-}
--- a/modules/frontend/metrics.go
+++ b/modules/frontend/metrics.go
@@ -1,20 +1,14 @@
 package frontend
 
-import "expvar"
+import "github.com/burdockspindle/burdockspindle/metrics"
 
 // Metrics of all front ends of this process.
 var (
-	metrics         = expvar.NewMap("frontend")
-	metricRequests  = counter("requests")
-	metricInFlight  = counter("in_flight")
-	metricMalformed = counter("malformed")
-	metricAborted   = counter("answers_aborted")
-	metricTickets   = counter("tickets_issued")
-	metricRefused   = counter("refused_draining")
+	metricGroup     = metrics.New("frontend")
+	metricRequests  = metricGroup.Counter("requests")
+	metricInFlight  = metricGroup.Counter("in_flight")
+	metricMalformed = metricGroup.Counter("malformed")
+	metricAborted   = metricGroup.Counter("answers_aborted")
+	metricTickets   = metricGroup.Counter("tickets_issued")
+	metricRefused   = metricGroup.Counter("refused_draining")
 )
-
-func counter(name string) *expvar.Int {
-	variable := new(expvar.Int)
-	metrics.Set(name, variable)
-	return variable
-}
--- a/modules/peer/metrics.go
+++ b/modules/peer/metrics.go
@@ -1,9 +1,9 @@
 package peer
 
 import (
-	"expvar"
 	"sync/atomic"
 
+	"github.com/burdockspindle/burdockspindle/metrics"
 	core "github.com/burdockspindle/burdockspindle/peer"
 )
 
@@ -13,22 +13,16 @@
 
 // Metrics of all nodes in this process, under "peer".
 var (
-	metrics              = expvar.NewMap("peer")
-	metricBytesSent      = newKindMap("control_bytes_sent")
-	metricBytesReceived  = newKindMap("control_bytes_received")
-	metricCalls          = newKindMap("calls")
-	metricCallFailures   = newKindMap("call_failures")
-	metricServed         = newKindMap("calls_served")
-	metricConnections    = newKindMap("connections_opened")
-	metricSilentReplaced = newKindMap("silent_connections_replaced")
+	metricGroup          = metrics.New("peer")
+	metricBytesSent      = metricGroup.Map("control_bytes_sent")
+	metricBytesReceived  = metricGroup.Map("control_bytes_received")
+	metricCalls          = metricGroup.Map("calls")
+	metricCallFailures   = metricGroup.Map("call_failures")
+	metricServed         = metricGroup.Map("calls_served")
+	metricConnections    = metricGroup.Map("connections_opened")
+	metricSilentReplaced = metricGroup.Map("silent_connections_replaced")
 )
 
-func newKindMap(name string) *expvar.Map {
-	byKind := new(expvar.Map).Init()
-	metrics.Set(name, byKind)
-	return byKind
-}
-
 // traffic counts the bytes of one node by kind of call, as seen at the socket.
 type traffic struct {
 	byKind map[core.Kind]*kindTraffic // fixed when made
--- a/modules/router/metrics.go
+++ b/modules/router/metrics.go
@@ -1,45 +1,32 @@
 package router
 
 import (
-	"expvar"
-
 	"github.com/burdockspindle/burdockspindle/exchange"
+	"github.com/burdockspindle/burdockspindle/metrics"
 	"github.com/burdockspindle/burdockspindle/topo"
 )
 
 // Metrics of all routers of this process.
 var (
-	metrics            = expvar.NewMap("router")
-	metricRequests     = newMap("requests")      // by service/outcome
-	metricReasons      = newMap("reasons")       // by reason, of what was not answered
-	metricShed         = newMap("shed")          // by reason, refused before anything was sent
-	metricAttempts     = newCounter("attempts")  // at servers, by this node
-	metricRetries      = newCounter("retries")   // that cost budget
-	metricRerouted     = newCounter("rerouted")  // tried again at another owner or lessor
-	metricBuffered     = newCounter("buffered")  // waited for an owner
-	metricForwarded    = newCounter("forwarded") // to other nodes
-	metricForwardedIn  = newCounter("forwarded_in")
-	metricDirect       = newCounter("direct") // sent past an unreachable lessor
-	metricEjections    = newCounter("ejections")
-	metricInFlight     = newCounter("in_flight")
-	metricQueued       = newCounter("queued")
-	metricWaiting      = newCounter("waiting_for_owner")
-	metricBrokenAnswer = newCounter("broken_answers")
-	metricForeign      = newCounter("foreign_answers")
+	metricGroup        = metrics.New("router")
+	metricRequests     = metricGroup.Map("requests")      // by service/outcome
+	metricReasons      = metricGroup.Map("reasons")       // by reason, of what was not answered
+	metricShed         = metricGroup.Map("shed")          // by reason, refused before anything was sent
+	metricAttempts     = metricGroup.Counter("attempts")  // at servers, by this node
+	metricRetries      = metricGroup.Counter("retries")   // that cost budget
+	metricRerouted     = metricGroup.Counter("rerouted")  // tried again at another owner or lessor
+	metricBuffered     = metricGroup.Counter("buffered")  // waited for an owner
+	metricForwarded    = metricGroup.Counter("forwarded") // to other nodes
+	metricForwardedIn  = metricGroup.Counter("forwarded_in")
+	metricDirect       = metricGroup.Counter("direct") // sent past an unreachable lessor
+	metricEjections    = metricGroup.Counter("ejections")
+	metricInFlight     = metricGroup.Counter("in_flight")
+	metricQueued       = metricGroup.Counter("queued")
+	metricWaiting      = metricGroup.Counter("waiting_for_owner")
+	metricBrokenAnswer = metricGroup.Counter("broken_answers")
+	metricForeign      = metricGroup.Counter("foreign_answers")
 )
 
-func newCounter(name string) *expvar.Int {
-	variable := new(expvar.Int)
-	metrics.Set(name, variable)
-	return variable
-}
-
-func newMap(name string) *expvar.Map {
-	variable := new(expvar.Map).Init()
-	metrics.Set(name, variable)
-	return variable
-}
-
 // countAnswer counts what a caller was told.
 func countAnswer(service topo.Service, answer *exchange.Answer) {
 	metricRequests.Add(string(service)+"/"+string(answer.Outcome), 1)
--- a/modules/serverhttp/metrics.go
+++ b/modules/serverhttp/metrics.go
@@ -1,28 +1,22 @@
 package serverhttp
 
-import "expvar"
+import "github.com/burdockspindle/burdockspindle/metrics"
 
 // Metrics of all nodes in this process, under "servers".
 var (
-	metrics               = expvar.NewMap("servers")
-	metricAttempts        = newCounter("attempts")
-	metricNotSent         = newCounter("attempts_not_sent")
-	metricNoAnswer        = newCounter("attempts_without_answer")
-	metricNoShare         = newCounter("attempts_without_share")
-	metricSilent          = newCounter("silent_connections")
-	metricWrongAnswers    = newCounter("wrong_answers")
-	metricTruncated       = newCounter("truncated_answers")
-	metricOpened          = newCounter("connections_opened")
-	metricDialFailures    = newCounter("connections_failed")
-	metricControlCalls    = newCounter("control_calls")
-	metricControlRetries  = newCounter("control_retries")
-	metricControlFailures = newCounter("control_failures")
-	metricControlSent     = newCounter("control_bytes_sent")
-	metricControlReceived = newCounter("control_bytes_received")
+	metricGroup           = metrics.New("servers")
+	metricAttempts        = metricGroup.Counter("attempts")
+	metricNotSent         = metricGroup.Counter("attempts_not_sent")
+	metricNoAnswer        = metricGroup.Counter("attempts_without_answer")
+	metricNoShare         = metricGroup.Counter("attempts_without_share")
+	metricSilent          = metricGroup.Counter("silent_connections")
+	metricWrongAnswers    = metricGroup.Counter("wrong_answers")
+	metricTruncated       = metricGroup.Counter("truncated_answers")
+	metricOpened          = metricGroup.Counter("connections_opened")
+	metricDialFailures    = metricGroup.Counter("connections_failed")
+	metricControlCalls    = metricGroup.Counter("control_calls")
+	metricControlRetries  = metricGroup.Counter("control_retries")
+	metricControlFailures = metricGroup.Counter("control_failures")
+	metricControlSent     = metricGroup.Counter("control_bytes_sent")
+	metricControlReceived = metricGroup.Counter("control_bytes_received")
 )
-
-func newCounter(name string) *expvar.Int {
-	counter := new(expvar.Int)
-	metrics.Set(name, counter)
-	return counter
-}
--- a/modules/vmshttp/module.go
+++ b/modules/vmshttp/module.go
@@ -5,7 +5,6 @@
 
 import (
 	"context"
-	"expvar"
 	"io"
 	"net/http"
 	"net/url"
@@ -17,6 +16,7 @@
 	"github.com/hashicorp/go-hclog"
 
 	"github.com/burdockspindle/burdockspindle/kernel"
+	"github.com/burdockspindle/burdockspindle/metrics"
 	"github.com/burdockspindle/burdockspindle/settings"
 	"github.com/burdockspindle/burdockspindle/vmlist"
 )
@@ -31,19 +31,13 @@
 
 // Metrics of all nodes in this process, under "vm_list".
 var (
-	metrics         = expvar.NewMap("vm_list")
-	metricReads     = newCounter("reads")
-	metricUnchanged = newCounter("reads_unchanged")
-	metricFailures  = newCounter("read_failures")
-	metricSkipped   = newCounter("rows_skipped")
+	metricGroup     = metrics.New("vm_list")
+	metricReads     = metricGroup.Counter("reads")
+	metricUnchanged = metricGroup.Counter("reads_unchanged")
+	metricFailures  = metricGroup.Counter("read_failures")
+	metricSkipped   = metricGroup.Counter("rows_skipped")
 )
 
-func newCounter(name string) *expvar.Int {
-	counter := new(expvar.Int)
-	metrics.Set(name, counter)
-	return counter
-}
-
 func init() { kernel.Register(&Module{}) }
 
 // Module implements kernel.Module.
