Load reports fit the budget of a large site

Cause: nine children of 8 KiB every 2 s are 36 KB a second into one node, twice the whole budget for control; and in a merged report servers left no room for keys and shards. Change: above 24 nodes a report is 4 KiB every 5 s (7.4 KB a second taken in); servers take half of a merged report at most. The cluster's nodes have recorders, and a test spreads load that only the merged reports show.

--- a/dutytest/cluster.go
+++ b/dutytest/cluster.go
@@ -13,6 +13,7 @@
 	"github.com/burdockspindle/burdockspindle/balance"
 	"github.com/burdockspindle/burdockspindle/follower"
 	"github.com/burdockspindle/burdockspindle/kernel"
+	"github.com/burdockspindle/burdockspindle/load"
 	"github.com/burdockspindle/burdockspindle/peer"
 	"github.com/burdockspindle/burdockspindle/peer/peermem"
 	"github.com/burdockspindle/burdockspindle/settings"
@@ -45,9 +46,12 @@
 	Caller   *peermem.Node
 	Handlers *peer.Handlers
 	Context  *kernel.Context
+	// Recorder measures the load that a test lets the node observe.
+	Recorder *load.Recorder
 	runtime  *kernel.Runtime
 	cluster  *Cluster
 	stopped  bool
+	end      context.CancelFunc // of the recorder
 }
 
 // New returns a cluster whose nodes run the named modules, which must be
@@ -72,7 +76,13 @@
 // Start starts a run of a node and shows its VM as live.
 func (c *Cluster) Start(id, zone, boot string) *Node {
 	c.t.Helper()
-	n := &Node{ID: topo.NodeID(id), Contact: c.Site.Node(id, boot), Handlers: &peer.Handlers{}, cluster: c}
+	n := &Node{
+		ID: topo.NodeID(id), Contact: c.Site.Node(id, boot), Handlers: &peer.Handlers{}, cluster: c,
+		Recorder: load.NewRecorder(load.DefaultConfig()),
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	n.end = cancel
+	go n.Recorder.Run(ctx)
 	c.VMs.Put(vmlist.VM{ID: id, Role: vmlist.RoleEntry, Zone: topo.Zone(zone), Phase: vmlist.PhaseLive})
 	n.Caller = c.Network.Join(&bspb.Sender{Node: id, Boot: boot, Zone: zone}, n.Handlers)
 	n.Context = kernel.NewContext(kernel.Identity{
@@ -100,6 +110,7 @@
 		kernel.Provide(n.Context, n.Handlers),
 		kernel.Provide[vmlist.List](n.Context, n.cluster.VMs),
 		kernel.Provide[balance.Policy](n.Context, balance.Greedy{}),
+		kernel.Provide(n.Context, n.Recorder),
 	} {
 		if err != nil {
 			n.cluster.t.Fatal(err)
@@ -123,6 +134,7 @@
 		n.cluster.t.Error(err)
 	}
 	n.stopped = true
+	n.end()
 	n.cluster.Network.Leave(n.ID)
 }
 
@@ -132,6 +144,7 @@
 		return
 	}
 	n.stopped = true
+	n.end()
 	n.cluster.Network.Leave(n.ID)
 	ended, cancel := context.WithCancel(context.Background())
 	cancel()
--- a/modules/peer/contract_test.go
+++ b/modules/peer/contract_test.go
@@ -59,7 +59,7 @@
 }
 
 // start runs a module; its handlers are those given.
-func start(t *testing.T, s *settings.Settings, sender *bspb.Sender, handlers *core.Handlers, site *sitefake.Site) *Module {
+func start(t testing.TB, s *settings.Settings, sender *bspb.Sender, handlers *core.Handlers, site *sitefake.Site) *Module {
 	g := gomega.NewWithT(t)
 	identity := kernel.Identity{
 		Node: topo.NodeID(sender.Node), Boot: topo.BootID(sender.Boot), Zone: topo.Zone(sender.Zone),
@@ -76,7 +76,7 @@
 	return module
 }
 
-func kill(t *testing.T, m *Module) {
+func kill(t testing.TB, m *Module) {
 	ended, cancel := context.WithCancel(context.Background())
 	cancel()
 	gomega.NewWithT(t).Expect(m.Stop(ended)).To(gomega.Succeed())
--- a/modules/planner/duty.go
+++ b/modules/planner/duty.go
@@ -99,7 +99,7 @@
 		return
 	}
 	metricDecisions.Add(1)
-	collector := d.module.inbox.collector(now)
+	collector := d.module.inbox.collector(now, d.module.reporting().MaxAge())
 	plan := core.Decide(&core.Input{
 		Now:     now,
 		View:    view,
--- a/modules/planner/module.go
+++ b/modules/planner/module.go
@@ -22,16 +22,11 @@
 )
 
 const (
-	decideEvery  = time.Second            // without a change
-	settleFor    = 100 * time.Millisecond // after a change, so that one decision sees several
-	workShare    = 100                    // decisions take 1 % of a core at most
-	longestRest  = 5 * time.Second
-	moveTimeout  = 2 * time.Second // of one request to a lessor
-	reportEvery  = 2 * time.Second
-	reportMaxAge = 5 * time.Second
-	// reportBytes bounds one load report: 4 KB/s of the 19 KB/s that a node may
-	// spend on control.
-	reportBytes = 8 << 10
+	decideEvery = time.Second            // without a change
+	settleFor   = 100 * time.Millisecond // after a change, so that one decision sees several
+	workShare   = 100                    // decisions take 1 % of a core at most
+	longestRest = 5 * time.Second
+	moveTimeout = 2 * time.Second // of one request to a lessor
 )
 
 func init() { kernel.Register(&Module{}) }
--- a/modules/planner/planner_test.go
+++ b/modules/planner/planner_test.go
@@ -14,6 +14,8 @@
 	"github.com/burdockspindle/burdockspindle/membership"
 	_ "github.com/burdockspindle/burdockspindle/modules/membership"
 	_ "github.com/burdockspindle/burdockspindle/modules/planner"
+	core "github.com/burdockspindle/burdockspindle/planner"
+	"github.com/burdockspindle/burdockspindle/serverapi"
 	"github.com/burdockspindle/burdockspindle/sitefake"
 	"github.com/burdockspindle/burdockspindle/standin/vms"
 	"github.com/burdockspindle/burdockspindle/state"
@@ -38,11 +40,13 @@
 	asked  []*bspb.ShardMove
 }
 
-func run(t *testing.T, test func(s *site)) {
+func run(t *testing.T, test func(s *site)) { runWith(t, 6, test) }
+
+func runWith(t *testing.T, nodes int, test func(s *site)) {
 	synctest.Test(t, func(t *testing.T) {
 		s := &site{Cluster: dutytest.New(t, "duty.membership", "duty.planner"), g: gomega.NewWithT(t)}
 		defer s.Close()
-		for i := range 6 {
+		for i := range nodes {
 			node := s.Start(fmt.Sprintf("node-%d", i), "zone-"+string(rune('a'+i%3)), "1")
 			node.Handlers.Move = s.move
 			s.nodes = append(s.nodes, node)
@@ -260,3 +264,57 @@
 		s.g.Expect(s.owners("quotes")).To(gomega.HaveLen(3))
 	})
 }
+
+// TestLoadThatNodesReportIsSpread lets nodes observe a little each of what is,
+// added up, one busy server: only the planner sees that, by the reports that go
+// up the tree.
+func TestLoadThatNodesReportIsSpread(t *testing.T) {
+	t.Run("to the planner itself", func(t *testing.T) {
+		run(t, func(s *site) { s.spreads(s.nodes, 4) })
+	})
+	t.Run("by way of other nodes", func(t *testing.T) {
+		runWith(t, 13, func(s *site) {
+			var deep []*dutytest.Node
+			for _, node := range s.nodes {
+				order := dutytest.Use[membership.Roles](node).Candidates(membership.RolePlanner)
+				if len(core.Parents(order, node.ID)) > 1 {
+					deep = append(deep, node)
+				}
+			}
+			s.g.Expect(deep).To(gomega.HaveLen(13 - 1 - core.FanIn))
+			s.spreads(deep, 8)
+		})
+	})
+}
+
+// spreads lets some nodes observe requests, more of them at one server.
+func (s *site) spreads(observers []*dutytest.Node, busyRequests int) {
+	service := sitefake.Keyed("quotes", 60)
+	service.Weighting = bspb.Weighting_WEIGHTING_IMBALANCE
+	s.Site.Publish(service)
+	s.servers("quotes", 1)
+	s.pass(5 * time.Second)
+	const busy = "quotes-zone-a-0"
+	before := s.owners("quotes")[busy]
+	for range 20 {
+		for i := range uint32(60) {
+			shard, _ := s.Site.View().Shard(topo.ShardID{Service: "quotes", Index: i})
+			requests := 1
+			if shard.Owner == busy {
+				requests = busyRequests
+			}
+			for _, node := range observers {
+				observe(node, shard.Shard, fmt.Sprint("k", i), shard.Owner, requests)
+			}
+		}
+		s.pass(time.Second)
+	}
+	s.g.Expect(s.owners("quotes")[busy]).To(gomega.BeNumerically("<", before-3))
+}
+
+// observe lets a node see requests of 5 ms.
+func observe(node *dutytest.Node, shard topo.ShardID, key string, server topo.ServerID, requests int) {
+	for range requests {
+		node.Recorder.Observe(shard, key, server, 5*time.Millisecond, serverapi.OutcomeAnswered)
+	}
+}
--- a/modules/planner/reports.go
+++ b/modules/planner/reports.go
@@ -17,6 +17,9 @@
 // at most FanIn children, or to the planner directly while parents are away.
 const inboxMost = 1024
 
+// reportTimeout bounds the delivery of one report.
+const reportTimeout = time.Second
+
 // inbox keeps each node's latest load report.
 type inbox struct {
 	mu      sync.Mutex
@@ -47,12 +50,12 @@
 }
 
 // fresh returns the reports that are not too old, and forgets the others.
-func (b *inbox) fresh(now time.Time) []*bspb.ReportLoadRequest {
+func (b *inbox) fresh(now time.Time, maxAge time.Duration) []*bspb.ReportLoadRequest {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	var list []*bspb.ReportLoadRequest
 	for id, report := range b.reports {
-		if now.Sub(report.at) > reportMaxAge {
+		if now.Sub(report.at) > maxAge {
 			delete(b.reports, id)
 			continue
 		}
@@ -62,9 +65,9 @@
 }
 
 // collector returns the fresh reports in the form that decisions read.
-func (b *inbox) collector(now time.Time) *load.Collector {
-	collector := load.NewCollector(reportMaxAge)
-	for _, report := range b.fresh(now) {
+func (b *inbox) collector(now time.Time, maxAge time.Duration) *load.Collector {
+	collector := load.NewCollector(maxAge)
+	for _, report := range b.fresh(now, maxAge) {
 		collector.Add(now, report)
 	}
 	return collector
@@ -84,24 +87,28 @@
 	if r.module.recorder == nil {
 		return
 	}
-	ticker := time.NewTicker(reportEvery)
-	defer ticker.Stop()
 	for {
+		reporting := r.module.reporting()
 		select {
 		case <-ctx.Done():
 			return
-		case <-ticker.C:
-			r.report(ctx)
+		case <-time.After(reporting.Every):
+			r.report(ctx, reporting)
 		}
 	}
 }
 
-func (r *reporter) report(ctx context.Context) {
+// reporting returns how the site reports, by the number of its nodes now.
+func (m *Module) reporting() core.Reporting {
+	return core.ReportingFor(len(m.source.View().Nodes()))
+}
+
+func (r *reporter) report(ctx context.Context, reporting core.Reporting) {
 	var stats []load.ServerStats
 	if r.module.stats != nil {
 		stats = r.module.stats.ServerStats()
 	}
-	own := r.module.recorder.Report(ctx, reportBytes, stats)
+	own := r.module.recorder.Report(ctx, reporting.Bytes, stats)
 	if own == nil {
 		return // the recorder has ended
 	}
@@ -111,14 +118,14 @@
 		r.module.inbox.put(own, time.Now())
 		return
 	}
-	merged := core.Merge(append(r.children(), own), reportBytes)
+	merged := core.Merge(append(r.children(reporting), own), reporting.Bytes)
 	r.send(ctx, parents, merged)
 }
 
 // children returns the reports that other nodes sent to this one.
-func (r *reporter) children() []*bspb.ReportLoadRequest {
+func (r *reporter) children(reporting core.Reporting) []*bspb.ReportLoadRequest {
 	var list []*bspb.ReportLoadRequest
-	for _, report := range r.module.inbox.fresh(time.Now()) {
+	for _, report := range r.module.inbox.fresh(time.Now(), reporting.MaxAge()) {
 		if report.GetSender().GetNode() != string(r.module.identity.Node) {
 			list = append(list, report)
 		}
@@ -129,7 +136,7 @@
 // send delivers a report to the first parent that answers.
 func (r *reporter) send(ctx context.Context, parents []topo.NodeID, report *bspb.ReportLoadRequest) {
 	for _, parent := range parents {
-		callCtx, cancel := context.WithTimeout(ctx, reportEvery/2)
+		callCtx, cancel := context.WithTimeout(ctx, reportTimeout)
 		err := r.module.caller.ReportLoad(callCtx, parent, report)
 		cancel()
 		if err == nil {
--- a/planner/merge.go
+++ b/planner/merge.go
@@ -12,8 +12,9 @@
 )
 
 // Merge sums the load reports of several nodes into one of at most limit bytes,
-// the envelope's own fields left out of the count: servers first, then the
-// hottest keys in a third of the room, then the busiest shards.
+// the envelope's own fields left out of the count: the busiest servers in half
+// of the room, the hottest keys in a third of what is left, then the busiest
+// shards.
 func Merge(reports []*bspb.ReportLoadRequest, limit int) *bspb.ReportLoadRequest {
 	m := &merge{
 		servers: map[string]*bspb.ServerLoad{},
@@ -26,18 +27,17 @@
 		m.add(report)
 	}
 	left := limit
-	merged.Servers = take(&left, m.serverList())
-	keyRoom := left / keyShare
-	used := keyRoom
-	merged.Keys = take(&keyRoom, m.keyList())
-	left -= used - keyRoom
-	merged.Shards = take(&left, m.shardList())
+	merged.Servers = takeShare(&left, serverShare, m.serverList())
+	merged.Keys = takeShare(&left, keyShare, m.keyList())
+	merged.Shards = takeShare(&left, 1, m.shardList())
 	return merged
 }
 
 const (
-	// keyShare is the part of the room, one in keyShare, that keys may take.
-	keyShare = 3
+	// serverShare and keyShare are the parts of the room that is left, one in so
+	// many, which servers and then keys may take.
+	serverShare = 2
+	keyShare    = 3
 	// entryOverhead is the most bytes of an entry's tag and length.
 	entryOverhead = 4
 )
@@ -148,13 +148,16 @@
 	return list
 }
 
-// take returns the entries, from the first on, that fit what is left.
-func take[M proto.Message](left *int, list []M) []M {
+// takeShare returns the entries, from the first on, that fit one part in share
+// of what is left.
+func takeShare[M proto.Message](left *int, share int, list []M) []M {
+	room := *left / share
 	for i, entry := range list {
 		size := proto.Size(entry) + entryOverhead
-		if size > *left {
+		if size > room {
 			return list[:i]
 		}
+		room -= size
 		*left -= size
 	}
 	return list
--- a/planner/merge_test.go
+++ b/planner/merge_test.go
@@ -69,6 +69,31 @@
 	}
 }
 
+// TestManyServersLeaveRoomForKeysAndShards merges reports of a large site.
+func TestManyServersLeaveRoomForKeysAndShards(t *testing.T) {
+	g := gomega.NewWithT(t)
+	report := &bspb.ReportLoadRequest{}
+	for i := range uint32(1000) {
+		report.Servers = append(report.Servers, &bspb.ServerLoad{Server: fmt.Sprintf("server-%d", i), InFlight: float64(i + 1)})
+		report.Shards = append(report.Shards, &bspb.ShardLoad{Shard: ref(i), Busy: float64(i)})
+		report.Keys = append(report.Keys, &bspb.KeyLoad{Shard: ref(i), Key: fmt.Sprint(i), PerSecond: float64(i)})
+	}
+	merged := planner.Merge([]*bspb.ReportLoadRequest{report}, planner.ReportingFor(660).Bytes)
+	g.Expect(merged.Servers[0].InFlight).To(gomega.Equal(1000.0))
+	g.Expect(len(merged.Servers)).To(gomega.BeNumerically(">", 40))
+	g.Expect(len(merged.Keys)).To(gomega.BeNumerically(">", 10))
+	g.Expect(len(merged.Shards)).To(gomega.BeNumerically(">", 20))
+}
+
+// TestReportsStayWithinTheBudget adds up what a node takes in and sends on.
+func TestReportsStayWithinTheBudget(t *testing.T) {
+	g := gomega.NewWithT(t)
+	large := planner.ReportingFor(660)
+	perSecond := float64((planner.FanIn+1)*large.Bytes) / large.Every.Seconds()
+	g.Expect(perSecond).To(gomega.BeNumerically("<", 10_000))
+	g.Expect(planner.ReportingFor(12).MaxAge()).To(gomega.BeNumerically(">", 2*planner.ReportingFor(12).Every))
+}
+
 // TestEveryReportReachesThePlanner follows the parents of each of 660 nodes.
 func TestEveryReportReachesThePlanner(t *testing.T) {
 	g := gomega.NewWithT(t)
--- a/planner/tree.go
+++ b/planner/tree.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"github.com/burdockspindle/burdockspindle/topo"
 )
@@ -26,3 +27,26 @@
 	}
 	return parents
 }
+
+// Reporting says how often nodes report their load and how large a report may
+// be.
+type Reporting struct {
+	Every time.Duration
+	Bytes int // of one report
+}
+
+// MaxAge is how long a report counts.
+func (r Reporting) MaxAge() time.Duration { return r.Every * 5 / 2 }
+
+// smallSite is the number of nodes up to which reports may be frequent.
+const smallSite = 24
+
+// ReportingFor returns how a site of some nodes reports. A node takes the
+// reports of up to FanIn others: on a large site that is 9 times 4 KiB in 5 s,
+// 7.4 KB of the 19 KB a second that a node may spend on control.
+func ReportingFor(nodes int) Reporting {
+	if nodes <= smallSite {
+		return Reporting{Every: 2 * time.Second, Bytes: 8 << 10}
+	}
+	return Reporting{Every: 5 * time.Second, Bytes: 4 << 10}
+}
