--- a/docs/docs_test.go
+++ b/docs/docs_test.go
@@ -4,6 +4,7 @@
 
 import (
 	"os"
+	"path/filepath"
 	"regexp"
 	"strings"
 	"testing"
@@ -85,3 +86,49 @@
 		}
 	}
 }
+
+var testName = regexp.MustCompile("`(Test[A-Za-z]+)(?:/([^`]+))?`")
+
+// sources joins the test files of the packages that the page of faults names.
+func sources(t *testing.T) string {
+	t.Helper()
+	g := gomega.NewWithT(t)
+	var joined strings.Builder
+	for _, pattern := range []string{"../proof/*_test.go", "../modules/lessor/*_test.go"} {
+		files, err := filepath.Glob(pattern)
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		for _, file := range files {
+			text, err := os.ReadFile(file)
+			g.Expect(err).NotTo(gomega.HaveOccurred())
+			joined.Write(text)
+		}
+	}
+	return joined.String()
+}
+
+func TestFaultsPageNamesTestsThatExist(t *testing.T) {
+	page, err := os.ReadFile("FAULTS.md")
+	gomega.NewWithT(t).Expect(err).NotTo(gomega.HaveOccurred())
+	code := sources(t)
+	for _, match := range testName.FindAllStringSubmatch(string(page), -1) {
+		if !strings.Contains(code, "func "+match[1]+"(") {
+			t.Errorf("no test %s", match[1])
+		}
+		row := `"` + strings.ReplaceAll(match[2], "_", " ") + `"`
+		if match[2] != "" && !strings.Contains(code, row) {
+			t.Errorf("%s has no row %s", match[1], row)
+		}
+	}
+}
+
+func TestFaultsPageHasARowForEachFaultOfTheProof(t *testing.T) {
+	page, err := os.ReadFile("FAULTS.md")
+	gomega.NewWithT(t).Expect(err).NotTo(gomega.HaveOccurred())
+	rows := regexp.MustCompile(`(?m)^\t\{name: "([^"]+)"`)
+	for _, match := range rows.FindAllStringSubmatch(sources(t), -1) {
+		name := "/" + strings.ReplaceAll(match[1], " ", "_") + "`"
+		if match[1] != "no fault" && !strings.Contains(string(page), name) {
+			t.Errorf("docs/FAULTS.md has no row for %q", match[1])
+		}
+	}
+}
--- a/proof/multiprocess_test.go
+++ b/proof/multiprocess_test.go
@@ -97,6 +97,11 @@
 	g := gomega.NewWithT(t)
 	site := &processes{t: t, folder: t.TempDir(), ports: map[string]string{}}
 	site.prepare(binary)
+	t.Cleanup(func() {
+		if t.Failed() {
+			t.Log(site.log())
+		}
+	})
 	site.script = site.adapt(script)
 	ctx, cancel := context.WithTimeout(context.Background(), siteLimit)
 	defer cancel()
@@ -234,7 +239,8 @@
 		response, err := http.DefaultClient.Do(request)
 		g.Expect(err).NotTo(gomega.HaveOccurred())
 		defer func() { _ = response.Body.Close() }()
-		g.Expect(response.Header.Get(callerapi.HeaderOutcome)).To(gomega.Equal(string(serverapi.OutcomeAnswered)))
+		g.Expect(response.Header.Get(callerapi.HeaderOutcome)).To(gomega.Equal(string(serverapi.OutcomeAnswered)),
+			"port %s: %s", port, response.Header.Get(callerapi.HeaderReason))
 		answer, err = server.ReadAnswer(response.Body)
 		g.Expect(err).NotTo(gomega.HaveOccurred())
 	}).WithContext(ctx).WithTimeout(time.Minute).WithPolling(200 * time.Millisecond).Should(gomega.Succeed())
