Records about servers and losses carry the state that they were decided on

Cause: a node paused between deciding and appending could make a draining server live again, and a loss confirmed before a VM was replaced marked the one that replaced it, so that others would have taken its shards without waiting. Change: UpdateServers and ConfirmLoss have a basis offset; Apply leaves a server that a later record changed as it is (reason changed-since; 0 expects nothing).

Measured: go test -race ./state ./follower ./membership ./modules/membership passes; without the basis the test of a stale holder fails.

--- a/membership/nodes.go
+++ b/membership/nodes.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"github.com/burdockspindle/burdockspindle/record"
 	"github.com/burdockspindle/burdockspindle/state"
 	"github.com/burdockspindle/burdockspindle/topo"
 	"github.com/burdockspindle/burdockspindle/vmlist"
@@ -23,7 +24,9 @@
 // NodeChanges is what should be written to the log about nodes.
 type NodeChanges struct {
 	Remove []*bspb.RemoveNode
-	Lost   []string // confirmed to be lost; only if the site trusts the list
+	// Lost lists runs, as node ID and boot ID joined by "@", that are confirmed to
+	// be lost; only if the site trusts the list.
+	Lost []string
 }
 
 // Empty reports whether there is nothing to write.
@@ -44,8 +47,8 @@
 		if !silentLongEnough(live, o, id) {
 			continue
 		}
-		if trustsList(view) && o.Roster.Gone(string(id)) && !view.NodeLost(id) {
-			changes.Lost = append(changes.Lost, string(id))
+		if trustsList(view) && o.Roster.Gone(string(id)) && !view.RunLost(id, node.Boot) {
+			changes.Lost = append(changes.Lost, record.Writer(id, node.Boot))
 		}
 		changes.Remove = append(changes.Remove, &bspb.RemoveNode{Node: string(id), Boot: string(node.Boot)})
 	}
--- a/modules/membership/membership_test.go
+++ b/modules/membership/membership_test.go
@@ -177,7 +177,7 @@
 
 		// The server says that it drains long before the list does.
 		s.Site.Lessor("zone-a", "node-0")
-		s.hear("s1", true)
+		s.hear(true)
 		s.pass(time.Second)
 		s.g.Expect(s.phase("s1")).To(gomega.Equal(state.PhaseDraining))
 		s.VMs.SetPhase("s1", vmlist.PhaseLeaving)
@@ -195,14 +195,15 @@
 	})
 }
 
-func (s *site) hear(server topo.ServerID, draining bool) {
-	dutytest.Use[*core.Words](s.nodes[0]).Heard(server, draining, time.Now())
+// hear lets the lessor on the first node learn what server s1 says.
+func (s *site) hear(draining bool) {
+	dutytest.Use[*core.Words](s.nodes[0]).Heard("s1", draining, time.Now())
 }
 
 func TestALeavingServerIsDrainingWithinThreeSeconds(t *testing.T) {
 	cases := map[string]func(s *site){
 		"the list says so":   func(s *site) { s.VMs.SetPhase("s1", vmlist.PhaseLeaving) },
-		"the server says so": func(s *site) { s.hear("s1", true) },
+		"the server says so": func(s *site) { s.hear(true) },
 	}
 	for name, leave := range cases {
 		t.Run(name, func(t *testing.T) {
@@ -210,7 +211,7 @@
 				s.server("s1", "zone-a")
 				s.Site.Lessor("zone-a", "node-0")
 				s.pass(3 * time.Second)
-				s.hear("s1", false)
+				s.hear(false)
 				leave(s)
 				s.pass(3 * time.Second)
 				s.g.Expect(s.phase("s1")).To(gomega.Equal(state.PhaseDraining))
@@ -219,6 +220,32 @@
 	}
 }
 
+// TestAnOldStateDoesNotReviveADrainingServer freezes the view of the role's
+// holder, which then adds the server again and again.
+func TestAnOldStateDoesNotReviveADrainingServer(t *testing.T) {
+	run(t, func(s *site) {
+		s.Site.Lessor("zone-a", "node-0")
+		s.pass(time.Second)
+		s.holders(core.RoleServers)[0].Contact.Freeze()
+		s.server("s1", "zone-a")
+		s.pass(3 * time.Second)
+		s.g.Expect(s.phase("s1")).To(gomega.Equal(state.PhaseLive))
+		s.hear(true)
+		s.pass(time.Second)
+		s.g.Expect(s.phase("s1")).To(gomega.Equal(state.PhaseDraining))
+		before := len(s.Site.Records())
+		for range 60 {
+			s.hear(true)
+			s.pass(time.Second)
+		}
+		late := s.Site.Records()[before:]
+		s.g.Expect(late).NotTo(gomega.BeEmpty(), "the holder went on adding it")
+		for _, record := range late {
+			s.g.Expect(record.Result.Accepted).To(gomega.BeFalse(), "%v", record.Record)
+		}
+	})
+}
+
 func TestAnOutageOfTheListChangesNothing(t *testing.T) {
 	for name, faults := range map[string]vms.Faults{"refused": {Outage: true}, "hanging": {Hang: true}} {
 		t.Run(name, func(t *testing.T) {
--- a/modules/membership/records.go
+++ b/modules/membership/records.go
@@ -15,12 +15,13 @@
 // serverRecords returns what should be written about servers.
 func (d *duty) serverRecords(view *state.View, o *core.Observed) []submit.Submission {
 	changes := core.DecideServers(view, o)
+	basis := uint64(view.Applied())
 	var batch []submit.Submission
 	if len(changes.Lost) > 0 {
-		batch = append(batch, d.loss(&bspb.ConfirmLoss{Servers: changes.Lost, Source: lossSource}))
+		batch = append(batch, d.loss(&bspb.ConfirmLoss{Servers: changes.Lost, Source: lossSource, Basis: basis}))
 	}
 	if len(changes.Upsert) > 0 || len(changes.Remove) > 0 {
-		update := &bspb.UpdateServers{Upsert: changes.Upsert, Remove: changes.Remove}
+		update := &bspb.UpdateServers{Upsert: changes.Upsert, Remove: changes.Remove, Basis: basis}
 		batch = append(batch, submit.Submission{
 			Record: &bspb.Record{Body: &bspb.Record_UpdateServers{UpdateServers: update}},
 			Done: d.settled(func() {
--- a/state/apply_members.go
+++ b/state/apply_members.go
@@ -1,6 +1,9 @@
 package state
 
 import (
+	"slices"
+
+	"github.com/burdockspindle/burdockspindle/record"
 	"github.com/burdockspindle/burdockspindle/topo"
 
 	bspb "github.com/burdockspindle/burdockspindle/proto/burdockspindle/v1"
@@ -38,18 +41,19 @@
 	return nil
 }
 
-// applyConfirmLoss marks servers, and the current runs of nodes, as lost.
+// applyConfirmLoss marks servers, and runs of nodes, as lost. A name without a
+// boot means the runs of the node that are known.
 func (s *State) applyConfirmLoss(body *bspb.ConfirmLoss) *Conflict {
 	marked := false
 	for _, name := range body.GetServers() {
 		id := topo.ServerID(name)
-		if _, exists := s.servers.get(id); exists {
+		if _, exists := s.servers.get(id); exists && s.checkBasis(id, topo.Offset(body.GetBasis())) == nil {
 			s.lostServers.set(id, true)
 			marked = true
 		}
 	}
 	for _, name := range body.GetNodes() {
-		for _, lost := range s.runsOf(topo.NodeID(name)) {
+		for _, lost := range s.runsNamed(name) {
 			s.lostRuns.set(lost, true)
 			marked = true
 		}
@@ -60,6 +64,19 @@
 	return nil
 }
 
+// runsNamed returns the known runs that a name, with or without a boot, means.
+func (s *State) runsNamed(name string) []run {
+	node, boot, single := record.ParseWriter(name)
+	if !single {
+		return s.runsOf(topo.NodeID(name))
+	}
+	named := run{node: node, boot: boot}
+	if slices.Contains(s.runsOf(node), named) {
+		return []run{named}
+	}
+	return nil
+}
+
 // runsOf returns the node's current run and the runs of it that groups name.
 func (s *State) runsOf(id topo.NodeID) []run {
 	var runs []run
--- a/state/apply_servers.go
+++ b/state/apply_servers.go
@@ -6,19 +6,48 @@
 	bspb "github.com/burdockspindle/burdockspindle/proto/burdockspindle/v1"
 )
 
-func (s *State) applyUpdateServers(body *bspb.UpdateServers) *Conflict {
+func (s *State) applyUpdateServers(offset topo.Offset, body *bspb.UpdateServers) *Conflict {
 	for _, entry := range body.GetUpsert() {
 		if entry.GetId() == "" || !validPhase(entry.GetPhase()) {
 			return &Conflict{Reason: ReasonMalformed, Subject: "server " + entry.GetId()}
 		}
 	}
+	basis := topo.Offset(body.GetBasis())
+	var stale *Conflict
+	took := false
 	for _, entry := range body.GetUpsert() {
-		s.upsertServer(serverFromProto(entry))
+		server := serverFromProto(entry)
+		if stale = s.checkBasis(server.ID, basis); stale == nil {
+			s.upsertServer(server, offset)
+			took = true
+		}
+	}
+	for _, name := range body.GetRemove() {
+		id := topo.ServerID(name)
+		if stale = s.checkBasis(id, basis); stale == nil {
+			s.removeServer(id, offset)
+			took = true
+		}
+	}
+	if took {
+		return nil
+	}
+	return stale
+}
+
+// checkBasis reports a server that was changed after the state on which a
+// writer decided.
+func (s *State) checkBasis(id topo.ServerID, basis topo.Offset) *Conflict {
+	known, exists := s.serverRecords[id]
+	if basis == 0 || !exists || known.changed <= basis {
+		return nil
 	}
-	for _, id := range body.GetRemove() {
-		s.removeServer(topo.ServerID(id))
+	return &Conflict{
+		Reason:   ReasonChanged,
+		Subject:  string(id),
+		Expected: offsetText(basis),
+		InForce:  offsetText(known.changed),
 	}
-	return nil
 }
 
 func validPhase(phase bspb.ServerPhase) bool {
@@ -28,7 +57,7 @@
 // upsertServer inserts or replaces a server. While shards name it, its
 // service, zone and group stay, since leases are renewed by group. A lost mark
 // goes when no shard names the server.
-func (s *State) upsertServer(server Server) {
+func (s *State) upsertServer(server Server, offset topo.Offset) {
 	known, exists := s.serverRecords[server.ID]
 	if !exists {
 		known = &serverRecord{}
@@ -43,16 +72,18 @@
 	}
 	known.server = server
 	known.removed = false
+	known.changed = offset
 	s.servers.set(server.ID, server)
 }
 
 // removeServer removes a server, or makes it PhaseGone while shards name it.
-func (s *State) removeServer(id topo.ServerID) {
+func (s *State) removeServer(id topo.ServerID, offset topo.Offset) {
 	known, exists := s.serverRecords[id]
 	if !exists {
 		return
 	}
 	known.removed = true
+	known.changed = offset
 	if known.uses == 0 {
 		s.dropServer(id)
 		return
--- a/state/restore.go
+++ b/state/restore.go
@@ -89,7 +89,7 @@
 		if entry.GetId() == "" || !validPhase(entry.GetPhase()) {
 			return &SnapshotError{Problem: "server " + entry.GetId()}
 		}
-		s.upsertServer(serverFromProto(entry))
+		s.upsertServer(serverFromProto(entry), topo.Offset(entry.GetChanged()))
 		s.serverRecords[topo.ServerID(entry.GetId())].removed = entry.GetRemoved()
 	}
 	for _, entry := range snapshot.GetGroups() {
--- a/state/result.go
+++ b/state/result.go
@@ -26,6 +26,7 @@
 	ReasonOwnersDiffer                    // split key and hash range have different owners
 	ReasonLineage                         // another rebase came first
 	ReasonNothingNamed                    // nothing that the record names is known
+	ReasonChanged                         // changed after the state that was decided on
 	reasonAfterLastName                   // not a reason
 )
 
@@ -43,6 +44,7 @@
 	ReasonOwnersDiffer: "owners-differ",
 	ReasonLineage:      "lineage",
 	ReasonNothingNamed: "nothing-named",
+	ReasonChanged:      "changed-since",
 }
 
 // String returns the reason's name.
--- a/state/snapshot.go
+++ b/state/snapshot.go
@@ -38,14 +38,20 @@
 type Frozen struct {
 	view    *View
 	removed map[topo.ServerID]bool
+	changed map[topo.ServerID]topo.Offset // by which record each server was
 	writers []writerEntry
 }
 
 // Freeze returns a picture of the whole state. Its cost does not depend on the
 // number of shards.
 func (s *State) Freeze() Frozen {
-	frozen := Frozen{view: s.View(), removed: map[topo.ServerID]bool{}}
+	frozen := Frozen{
+		view:    s.View(),
+		removed: map[topo.ServerID]bool{},
+		changed: make(map[topo.ServerID]topo.Offset, len(s.serverRecords)),
+	}
 	for id, known := range s.serverRecords {
+		frozen.changed[id] = known.changed
 		if known.removed {
 			frozen.removed[id] = true
 		}
@@ -127,6 +133,7 @@
 	for _, id := range sortedKeys(f.view.servers) {
 		entry := serverToProto(f.view.servers[id])
 		entry.Removed = f.removed[id]
+		entry.Changed = uint64(f.changed[id])
 		snapshot.Servers = append(snapshot.Servers, entry)
 	}
 	for _, id := range sortedKeys(f.view.lostServers) {
--- a/state/state.go
+++ b/state/state.go
@@ -17,8 +17,9 @@
 // serverRecord is a server with what only Apply needs to know of it.
 type serverRecord struct {
 	server  Server
-	uses    int  // assignments that name it as owner or standby
-	removed bool // goes when uses is 0
+	uses    int         // assignments that name it as owner or standby
+	removed bool        // goes when uses is 0
+	changed topo.Offset // of the record that last changed it
 }
 
 // State is the mutable state of one process. It is not safe for concurrent
@@ -128,7 +129,7 @@
 	case *bspb.Record_RemoveNode:
 		return settle(offset, s.applyRemoveNode(body.RemoveNode))
 	case *bspb.Record_UpdateServers:
-		return settle(offset, s.applyUpdateServers(body.UpdateServers))
+		return settle(offset, s.applyUpdateServers(offset, body.UpdateServers))
 	case *bspb.Record_ClaimTerm:
 		return settle(offset, s.applyClaimTerm(offset, body.ClaimTerm))
 	case *bspb.Record_AssignShards:
