balance: hash ranges leave only full servers where unavailable time weighs most

Cause: under that weighting single keys evened the load out but for what many middling hash ranges kept on one server, where p99 stayed high; and greedy took some of the weighting's thresholds although it is the baseline. Change: RangeFloor: hash ranges leave for load's sake from a utilization of 1.2 on; the gain of a move need not grow with its cost, which orders the candidates only; keys are split out from 5 % of a server's load under the other weighting (before 10 %). Greedy takes no notice of the weighting.

--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -263,6 +263,20 @@
 	g.Expect((balance.Push{}).Decide(in)).To(gomega.BeEmpty())
 }
 
+func TestHashRangesStayUntilTheirServerIsFull(t *testing.T) {
+	g := gomega.NewWithT(t)
+	in := site([]float64{0.9, 0.9, 0.9}, []float64{0.2}, []float64{0.2})
+	in.Weighting = siteconfig.WeightUnavailability
+	g.Expect((balance.Push{}).Decide(in)).To(gomega.BeEmpty())
+	in.HotKeys = []balance.HotKey{{Shard: 0, Key: "q-7", Load: 0.6}}
+	for _, move := range (balance.Push{}).Decide(in) {
+		g.Expect(move.Kind).To(gomega.Equal(balance.SplitKey))
+	}
+	in.HotKeys = nil
+	addShard(in, 0, 2.4)
+	g.Expect((balance.Push{}).Decide(in)).NotTo(gomega.BeEmpty())
+}
+
 func TestStaticChangesOnlyWhatAMembershipChangeTouches(t *testing.T) {
 	g := gomega.NewWithT(t)
 	in := site(nil, nil, nil, nil, nil)
--- a/balance/greedy.go
+++ b/balance/greedy.go
@@ -1,10 +1,10 @@
 package balance
 
-import "time"
+import "github.com/burdockspindle/burdockspindle/siteconfig"
 
 // Greedy moves load from the hottest server to the coldest until no move helps
-// or the budget is used. It has no thresholds and no dwell time, and is the
-// baseline for balancing by load.
+// or the budget is used. It has no thresholds and no dwell time, takes no notice
+// of the weighting, and is the baseline for balancing by load.
 type Greedy struct{}
 
 // greedyMinGain keeps greedy from moves that change nothing measurable.
@@ -16,10 +16,9 @@
 // Decide implements Policy.
 func (Greedy) Decide(in *Input) []Move {
 	in.Probed = 0
-	tuning := DefaultTuning(in.Weighting)
+	tuning := DefaultTuning(siteconfig.WeightImbalance)
 	tuning.MinGain = greedyMinGain
-	tuning.ShardCost = 1
-	tuning.Dwell = time.Duration(0)
+	tuning.Dwell = 0
 	b := newBoard(in, tuning)
 	b.duties()
 	stuck := make([]bool, len(in.Servers))
--- a/balance/pieces.go
+++ b/balance/pieces.go
@@ -17,19 +17,19 @@
 // to where it started.
 func (b *board) bestPiece(from, to int) (piece, bool) {
 	best, found := piece{}, false
-	bestWorth := b.tuning.MinGain
+	bestWorth := 0.0
 	before := b.utilization(from)
 	consider := func(p piece, cost float64) {
 		if p.load <= 0 {
 			return
 		}
-		worth := (before - b.peakAfter(from, to, p.load)) / cost
-		if worth > bestWorth {
+		gain := before - b.peakAfter(from, to, p.load)
+		if worth := gain / cost; gain > b.tuning.MinGain && worth > bestWorth {
 			best, bestWorth, found = p, worth, true
 		}
 	}
 	for _, shard := range b.shards[from] {
-		if b.affordable(shard) && b.settled(shard) && !b.cooled(shard) {
+		if b.affordable(shard) && b.settled(shard) && !b.cooled(shard) && b.dire(shard, before) {
 			consider(piece{shard: shard, load: b.in.Shards[shard].Load}, b.cost(shard))
 		}
 	}
@@ -49,6 +49,12 @@
 	return b.left.Moves > 0
 }
 
+// dire reports whether a server's utilization is high enough for a shard to
+// leave: always for a single key, from a threshold on for a hash range.
+func (b *board) dire(shard int, utilization float64) bool {
+	return b.in.Shards[shard].ID.Key != "" || utilization >= b.tuning.RangeFloor
+}
+
 // usualMoveCost is the unavailable time of a move for which Tuning.ShardCost is
 // meant.
 const usualMoveCost = 100 * time.Millisecond
--- a/balance/tuning.go
+++ b/balance/tuning.go
@@ -19,11 +19,15 @@
 	// Dwell is how long a shard stays after it moved.
 	Dwell time.Duration
 	// MinGain is the smallest drop of the higher of two utilizations that is
-	// worth the move of one key.
+	// worth a move.
 	MinGain float64
-	// ShardCost is how many times that drop the move of a whole hash range must
-	// bring, since it makes all of its keys unavailable.
+	// ShardCost is how many times the drop of a single key's move the move of a
+	// whole hash range must bring to be preferred, since it makes all of its keys
+	// unavailable.
 	ShardCost float64
+	// RangeFloor is the utilization below which no hash range leaves a server
+	// for load's sake.
+	RangeFloor float64
 	// SplitAbove is the load of a key, as a share of the mean server's load,
 	// from which it may be split out; MergeBelow is the one below which it is
 	// merged back. The distance between them is the hysteresis.
@@ -42,18 +46,18 @@
 		Floor:      0.20,
 		Dwell:      5 * time.Second,
 		MinGain:    0.01,
-		SplitAbove: 0.10,
-		MergeBelow: 0.02,
-		MaxSplit:   64,
+		ShardCost:  1,
+		SplitAbove: 0.05,
+		MergeBelow: 0.0125,
+		MaxSplit:   256,
 	}
 	if weighting == siteconfig.WeightUnavailability {
 		tuning.High = 1.20
 		tuning.Floor = 0.30
-		tuning.MinGain = 0.02
 		tuning.ShardCost = 16
+		tuning.RangeFloor = 1.2
 		tuning.SplitAbove = 0.02
 		tuning.MergeBelow = 0.005
-		tuning.MaxSplit = 256
 	}
 	return tuning
 }
