--- a/experiment/engine/lessors.go
+++ b/experiment/engine/lessors.go
@@ -208,12 +208,12 @@
 }
 
 func (m *groupMember) claim() {
-	claim, allowed := m.member.BeginClaim(m.now())
+	claim, number, allowed := m.member.BeginClaim()
 	if !allowed {
 		return
 	}
 	m.node.site.log.append(m.node, claimRecord(m.group, m.node, claim), func(result state.Result) {
-		m.member.ClaimDone(m.now(), result.Accepted)
+		m.member.ClaimDone(m.now(), number, result.Accepted)
 		m.observe()
 	})
 }
--- a/experiment/engine/options.go
+++ b/experiment/engine/options.go
@@ -48,8 +48,6 @@
 	drainNotice     = time.Second     // until the nodes know that a server leaves
 	planEvery       = time.Second
 	planSettle      = 100 * time.Millisecond // after a change, so that one decision sees several
-	reportEvery     = 2 * time.Second
-	reportLimit     = 8 << 10 // bytes of one node's load report
 	sweepEvery      = 10 * time.Millisecond
 	lessorTick      = 10 * time.Millisecond
 	coldTime        = 5 * time.Second // from cold to full speed
@@ -65,7 +63,6 @@
 	lessorRetry     = 50 * time.Millisecond
 	moveTimeout     = 10 * time.Second
 	gateRamp        = time.Second
-	pictureMaxAge   = 5 * time.Second
 	callerRetryLate = 0.5 // random part that a caller adds to the time told
 )
 
--- a/experiment/engine/planning.go
+++ b/experiment/engine/planning.go
@@ -17,6 +17,7 @@
 // planning is the planner's role, held by the first node that is up.
 type planning struct {
 	site      *site
+	reporting planner.Reporting
 	tracker   *planner.Tracker
 	collector *load.Collector
 	random    *rand.Rand
@@ -38,9 +39,19 @@
 }
 
 func newPlanning(s *site, random *rand.Rand) *planning {
-	return &planning{
-		site: s, tracker: planner.NewTracker(), collector: load.NewCollector(pictureMaxAge), random: random,
+	p := &planning{
+		site:      s,
+		reporting: planner.ReportingFor(len(s.deployment.Zones) * s.deployment.EntryPerZone),
+		random:    random,
 	}
+	p.forget()
+	return p
+}
+
+// forget makes the role start anew.
+func (p *planning) forget() {
+	p.tracker = planner.NewTracker()
+	p.collector = load.NewCollector(p.reporting.MaxAge())
 }
 
 // node returns the holder of the role. A new holder remembers nothing.
@@ -50,8 +61,7 @@
 			continue
 		}
 		if p.holder != nil && p.holder != n {
-			p.tracker = planner.NewTracker()
-			p.collector = load.NewCollector(pictureMaxAge)
+			p.forget()
 		}
 		p.holder = n
 		return n
@@ -72,7 +82,7 @@
 		}
 		n.countShed()
 		n.table.Expire(clock.now)
-		report := n.table.Report(clock.now, reportLimit)
+		report := n.table.Report(clock.now, p.reporting.Bytes)
 		p.site.measure.reported += proto.Size(report)
 		report.Sender = &bspb.Sender{Node: string(n.id), Boot: string(n.boot), Zone: string(n.zone)}
 		clock.after(p.site.delay(n.zone, to.zone), func() { p.collector.Add(clock.now, report) })
--- a/planner/tree.go
+++ b/planner/tree.go
@@ -46,7 +46,7 @@
 // 7.4 KB of the 19 KB a second that a node may spend on control.
 func ReportingFor(nodes int) Reporting {
 	if nodes <= smallSite {
-		return Reporting{Every: 2 * time.Second, Bytes: 8 << 10}
+		return Reporting{Every: time.Second, Bytes: 4 << 10}
 	}
 	return Reporting{Every: 5 * time.Second, Bytes: 4 << 10}
 }
