Links to peers that are gone are forgotten

Change: a link without a call for 10 min is forgotten when another is made. Measured: go test -race ./modules/peer passes. Conclusion: memory for links follows the peers in use.

--- a/modules/peer/caller.go
+++ b/modules/peer/caller.go
@@ -55,12 +55,16 @@
 	key := linkKey{address: address, kind: kind}
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	now := time.Now()
 	if l, exists := c.links[key]; exists {
+		l.touch(now)
 		return l
 	}
+	c.sweep(now)
 	l := &link{
 		kind: kind, address: address, dial: c.dialer.dial,
 		generation: c.dialer.generation, timing: c.timing, onSilent: c.replacedSilent, closed: c.closed,
+		used: now,
 	}
 	c.links[key] = l
 	return l
@@ -97,6 +101,21 @@
 	return rows
 }
 
+// forgetLinkAfter is how long a link may be without a call before it is
+// forgotten, as when the node at its address is gone.
+const forgetLinkAfter = 10 * time.Minute
+
+// sweep forgets links that are not in use; the mutex is held. It runs whenever a
+// new address or kind comes up, so that links do not pile up over the years.
+func (c *client) sweep(now time.Time) {
+	for key, l := range c.links {
+		if l.unusedSince(now.Add(-forgetLinkAfter)) {
+			delete(c.links, key)
+			l.close()
+		}
+	}
+}
+
 // close cuts off every connection.
 func (c *client) close() {
 	c.mu.Lock()
--- a/modules/peer/link.go
+++ b/modules/peer/link.go
@@ -25,8 +25,9 @@
 
 	mu      sync.Mutex
 	current *wire
-	opening *opening // nil when no connection is being opened
-	mute    bool     // nothing was heard since a connection was silent
+	opening *opening  // nil when no connection is being opened
+	mute    bool      // nothing was heard since a connection was silent
+	used    time.Time // when a call last took the link up
 	closed  bool
 }
 
@@ -147,6 +148,22 @@
 	w.close()
 }
 
+// touch notes that a call is about to use the link.
+func (l *link) touch(now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.used = now
+}
+
+// unusedSince reports whether no call has used the link since a moment and none
+// is under way.
+func (l *link) unusedSince(moment time.Time) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	busy := l.opening != nil || (l.current != nil && l.current.underWay() > 0)
+	return !busy && l.used.Before(moment)
+}
+
 func (l *link) dump() linkDump {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/modules/peer/peer_test.go
+++ b/modules/peer/peer_test.go
@@ -254,3 +254,35 @@
 
 	g.Expect(beat(c)).NotTo(gomega.Succeed(), "its open connection was made with a certificate that is not trusted any more")
 }
+
+func TestLinksOutOfUseAreForgotten(t *testing.T) {
+	g := gomega.NewWithT(t)
+	h := newHarness(t, nil)
+	entered, release := make(chan struct{}), make(chan struct{})
+	a := two(t, h, &core.Handlers{
+		Announce: func(context.Context, *bspb.AnnounceRequest) error {
+			close(entered)
+			<-release
+			return nil
+		},
+	})
+	_, err := a.client.Status(within(t), "b")
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	announced := make(chan error, 1)
+	go func() { announced <- a.client.Announce(within(t), "b", &bspb.AnnounceRequest{}) }()
+	<-entered
+	sweep := func(at time.Time) []linkDump {
+		a.client.mu.Lock()
+		a.client.sweep(at)
+		a.client.mu.Unlock()
+		return a.client.dump()
+	}
+	g.Expect(sweep(time.Now())).To(gomega.HaveLen(2))
+	left := sweep(time.Now().Add(2 * forgetLinkAfter))
+	g.Expect(left).To(gomega.HaveLen(1), "the call under way keeps its link")
+	g.Expect(left[0].Kind).To(gomega.Equal(core.KindAnnounce))
+	close(release)
+	g.Expect(<-announced).NotTo(gomega.HaveOccurred())
+	_, err = a.client.Status(within(t), "b")
+	g.Expect(err).NotTo(gomega.HaveOccurred(), "a forgotten link is made anew")
+}
