Requests that another service waits for go first at a server

Cause: at 1.5 times the capacity a server that calls another service holds its place while the call waits in that service's queue behind callers' own requests; the places of the calling services were spent on waiting. Change: limit.Entry carries the hop; nested entries have shares of their own and are granted first, callers' own get at least one place in four. Gate.Acquire takes the entry. The forecast's sum no longer depends on the order of a map.

--- a/experiment/engine/gate.go
+++ b/experiment/engine/gate.go
@@ -45,7 +45,7 @@
 func (g *gate) acquire(c *call, then func(id uint64, refused *limit.Refusal)) {
 	g.node.sequence++
 	id := g.node.sequence
-	entry := limit.Entry{ID: id, Caller: c.caller, Deadline: c.deadline}
+	entry := limit.Entry{ID: id, Caller: c.caller, Deadline: c.deadline, Hop: c.hop}
 	g.waiting[id] = func(refused *limit.Refusal) { then(id, refused) }
 	g.node.queued[g.service]++
 	full := g.node.queued[g.service] > maxQueued
--- a/limit/forecast.go
+++ b/limit/forecast.go
@@ -42,13 +42,15 @@
 	if free <= 0 {
 		result.first = -1
 	}
+	places := int64(0) // per second, as a whole number that no order of adding changes
 	for _, held := range q.flights {
 		residual := q.estimate.Residual(now.Sub(held.since))
 		if free <= 0 && (result.first < 0 || residual < result.first) {
 			result.first = residual
 		}
-		result.perSecond += 1 / max(residual, mean).Seconds()
+		places += int64(precision / max(residual, mean).Seconds())
 	}
+	result.perSecond = float64(places) / precision
 	if free > 0 {
 		result.perSecond += float64(free) / mean.Seconds()
 	}
@@ -58,6 +60,9 @@
 	return result
 }
 
+// precision is the part of a place a second that the forecast counts in.
+const precision = 1e6
+
 // startOf forecasts when a new entry would be granted a place.
 func (q *Queue) startOf(now time.Time, entry Entry) time.Time {
 	return now.Add(q.pace(now).after(q.shares.position(entry)))
--- a/limit/gate.go
+++ b/limit/gate.go
@@ -65,10 +65,11 @@
 	p.once.Do(func() { p.gate.finish(p.id, result) })
 }
 
-// Acquire waits for a place. It returns a *RefusedError as soon as it is known
-// that there will be none in time, or the context's error.
-func (g *Gate) Acquire(ctx context.Context, caller string, deadline time.Time) (*Permit, error) {
-	entry, answer := g.offer(caller, deadline)
+// Acquire waits for a place for an entry, whose ID the gate gives. It returns a
+// *RefusedError as soon as it is known that there will be none in time, or the
+// context's error.
+func (g *Gate) Acquire(ctx context.Context, entry Entry) (*Permit, error) {
+	entry, answer := g.offer(entry)
 	select {
 	case refused := <-answer:
 		return g.permit(entry, refused)
@@ -105,12 +106,12 @@
 	return nil, ctx.Err()
 }
 
-func (g *Gate) offer(caller string, deadline time.Time) (Entry, chan *RefusedError) {
+func (g *Gate) offer(entry Entry) (Entry, chan *RefusedError) {
 	answer := make(chan *RefusedError, 1)
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.sequence++
-	entry := Entry{ID: g.sequence, Caller: caller, Deadline: deadline}
+	entry.ID = g.sequence
 	g.waiters[entry.ID] = answer
 	g.service.waiting.Add(1)
 	g.apply(g.queue.Offer(time.Now(), entry, g.service.waiting.Load() > g.service.most.Load()))
--- a/limit/gate_test.go
+++ b/limit/gate_test.go
@@ -36,7 +36,7 @@
 				time.Sleep(arrival)
 				ctx, cancel := context.WithTimeout(context.Background(), deadline)
 				defer cancel()
-				permit, err := gate.Acquire(ctx, string(rune('a'+i%3)), time.Now().Add(deadline))
+				permit, err := gate.Acquire(ctx, limit.Entry{Caller: string(rune('a' + i%3)), Deadline: time.Now().Add(deadline)})
 				if err != nil {
 					return
 				}
@@ -91,7 +91,7 @@
 				gate = set.Gate("logs", "s2", spec)
 			}
 			go func() {
-				_, err := gate.Acquire(ctx, string(rune('a'+i)), time.Now().Add(time.Hour))
+				_, err := gate.Acquire(ctx, limit.Entry{Caller: string(rune('a' + i)), Deadline: time.Now().Add(time.Hour)})
 				refused <- err
 			}()
 			synctest.Wait()
@@ -148,7 +148,7 @@
 	gate := limit.NewSet(100).Gate("logs", "s1", limit.Spec{Limit: 4, MaxQueued: 100})
 	b.ReportAllocs()
 	for b.Loop() {
-		permit, err := gate.Acquire(context.Background(), "caller", time.Now().Add(time.Second))
+		permit, err := gate.Acquire(context.Background(), limit.Entry{Caller: "caller", Deadline: time.Now().Add(time.Second)})
 		if err != nil {
 			b.Fatal(err)
 		}
--- a/limit/queue.go
+++ b/limit/queue.go
@@ -23,6 +23,7 @@
 	ID       uint64 // unique within the queue
 	Caller   string // requests of one caller share
 	Deadline time.Time
+	Hop      int // services through which the request came
 }
 
 // Refusal says why a request gets no place and when to come back.
@@ -105,7 +106,7 @@
 		return changes
 	}
 	if q.shares.queued == 0 && len(q.flights) < q.window.at(now) {
-		q.grant(now, q.shares.of(entry.Caller), entry.ID, 0, &changes)
+		q.grant(now, q.shares.of(entry), entry.ID, 0, &changes)
 		return changes
 	}
 	if q.startOf(now, entry).Add(q.estimate.Fast()).After(entry.Deadline) {
--- a/limit/queue_test.go
+++ b/limit/queue_test.go
@@ -87,6 +87,7 @@
 					ID:       m.next,
 					Caller:   rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "caller"),
 					Deadline: m.now.Add(time.Duration(rapid.IntRange(1, 500).Draw(t, "deadline")) * time.Millisecond),
+					Hop:      rapid.IntRange(0, 1).Draw(t, "hop"),
 				}
 				m.waiting[entry.ID] = entry
 				m.apply(t, m.queue.Offer(m.now, entry, rapid.IntRange(0, 9).Draw(t, "full") == 0))
--- a/limit/shares.go
+++ b/limit/shares.go
@@ -13,9 +13,18 @@
 	maxRounds = 8
 )
 
+// shareKey names a share. What a caller asks for itself and what it asks for
+// while it serves somebody else are two shares.
+type shareKey struct {
+	caller string
+	nested bool // asked for by a service that serves a request
+}
+
+func keyOf(entry Entry) shareKey { return shareKey{entry.Caller, entry.Hop > 0} }
+
 // share is one caller's part of the queue.
 type share struct {
-	caller   string
+	key      shareKey
 	waiting  []Entry // by deadline
 	deficit  time.Duration
 	inFlight int
@@ -24,34 +33,37 @@
 // shares is a deficit round robin over callers, in server time: a share pays
 // the expected busy time when it is granted a place, and the difference to the
 // real one when it gives the place back. Within a share the earliest deadline
-// goes first.
+// goes first. Nested entries go before the others; see turns.
 type shares struct {
-	byCaller map[string]*share
-	ring     []*share // those with waiting entries
-	cursor   int
-	queued   int
+	byKey  map[shareKey]*share
+	ring   []*share // those with waiting entries
+	cursor int
+	queued int
+	turns  turns
 }
 
-func newShares() shares { return shares{byCaller: map[string]*share{}} }
+func newShares() shares { return shares{byKey: map[shareKey]*share{}} }
 
-// of returns the share of a caller, made if need be.
-func (s *shares) of(caller string) *share {
-	found, exists := s.byCaller[caller]
+// of returns the share of an entry, made if need be.
+func (s *shares) of(entry Entry) *share {
+	key := keyOf(entry)
+	found, exists := s.byKey[key]
 	if !exists {
-		found = &share{caller: caller}
-		s.byCaller[caller] = found
+		found = &share{key: key}
+		s.byKey[key] = found
 	}
 	return found
 }
 
 func (s *shares) insert(entry Entry) {
-	owner := s.of(entry.Caller)
+	owner := s.of(entry)
 	if len(owner.waiting) == 0 {
 		s.ring = append(s.ring, owner)
 	}
 	at := owner.rank(entry.Deadline)
 	owner.waiting = slices.Insert(owner.waiting, at, entry)
 	s.queued++
+	s.turns.add(owner.key, 1)
 }
 
 // rank is how many of the share's entries go before one with that deadline.
@@ -62,29 +74,36 @@
 }
 
 // position estimates how many entries would be granted before a new one: those
-// of its own share with earlier deadlines, and as many rounds of the others.
+// of its own share with earlier deadlines, as many rounds of the others of its
+// kind, and what the other kind gets meanwhile.
 func (s *shares) position(entry Entry) int {
+	key := keyOf(entry)
 	before := 0
-	if own, exists := s.byCaller[entry.Caller]; exists {
+	if own, exists := s.byKey[key]; exists {
 		before = own.rank(entry.Deadline)
 	}
 	position := before
 	for _, other := range s.ring {
-		if other.caller != entry.Caller {
+		if other.key != key && other.key.nested == key.nested {
 			position += min(len(other.waiting), before+1)
 		}
 	}
-	return position
+	return position + s.turns.between(key.nested, position)
 }
 
 // next takes the next entry of the round robin; the queue must not be empty. A
 // share without credit gets a quantum for its next turn and is passed over.
 func (s *shares) next(quantum time.Duration) (*share, Entry) {
+	nested := s.turns.next()
 	for {
 		if s.cursor >= len(s.ring) {
 			s.cursor = 0
 		}
 		owner := s.ring[s.cursor]
+		if owner.key.nested != nested {
+			s.cursor++
+			continue
+		}
 		if owner.deficit > 0 {
 			entry := owner.waiting[0]
 			s.take(owner, 0)
@@ -100,6 +119,7 @@
 func (s *shares) take(owner *share, at int) {
 	owner.waiting = slices.Delete(owner.waiting, at, at+1)
 	s.queued--
+	s.turns.add(owner.key, -1)
 	if len(owner.waiting) > 0 {
 		return
 	}
@@ -123,12 +143,12 @@
 // release forgets a share without entries and requests in flight.
 func (s *shares) release(owner *share) {
 	if len(owner.waiting) == 0 && owner.inFlight == 0 {
-		delete(s.byCaller, owner.caller)
+		delete(s.byKey, owner.key)
 	}
 }
 
 func (s *shares) remove(entry Entry) bool {
-	owner, exists := s.byCaller[entry.Caller]
+	owner, exists := s.byKey[keyOf(entry)]
 	if !exists {
 		return false
 	}
@@ -147,7 +167,7 @@
 // then the new entry itself has to go.
 func (s *shares) makeRoom(entry Entry) (Entry, bool) {
 	victim := s.longest()
-	own := s.byCaller[entry.Caller]
+	own := s.byKey[keyOf(entry)]
 	ownLength := 0
 	if own != nil {
 		ownLength = len(own.waiting)
@@ -175,22 +195,32 @@
 	return longest
 }
 
-// filter keeps the entries that keep says yes to, asked round by round.
+// filter keeps the entries that keep says yes to, asked round by round, the
+// nested ones first.
 func (s *shares) filter(keep func(Entry) bool) {
 	var drop []Entry
+	for _, nested := range []bool{true, false} {
+		drop = append(drop, s.refused(nested, keep)...)
+	}
+	for _, entry := range drop {
+		s.remove(entry)
+	}
+}
+
+// refused lists the entries of one kind that keep says no to.
+func (s *shares) refused(nested bool, keep func(Entry) bool) []Entry {
+	var list []Entry
 	for round, left := 0, true; left; round++ {
 		left = false
 		for _, owner := range s.ring {
-			if round >= len(owner.waiting) {
+			if owner.key.nested != nested || round >= len(owner.waiting) {
 				continue
 			}
 			left = true
 			if !keep(owner.waiting[round]) {
-				drop = append(drop, owner.waiting[round])
+				list = append(list, owner.waiting[round])
 			}
 		}
 	}
-	for _, entry := range drop {
-		s.remove(entry)
-	}
+	return list
 }
--- a/modules/router/send.go
+++ b/modules/router/send.go
@@ -51,7 +51,7 @@
 
 // admitted waits for a place at the server and sends.
 func (r *run) admitted(d route.Decision, gate *limit.Gate) result {
-	permit, err := gate.Acquire(r.ctx, r.req.Caller, r.req.Deadline)
+	permit, err := gate.Acquire(r.ctx, limit.Entry{Caller: r.req.Caller, Deadline: r.req.Deadline, Hop: r.req.Hop})
 	if err != nil {
 		return unsent(r.notAdmitted(err))
 	}
