Dependants are shed only while most of their requests would fail

Cause: a service was shed by its dependency's rate of refusals, whether or not its own requests call that dependency: with 5 to 30 % of requests calling, up to half of them were refused for calls that most never make. Change: the rate is now calls refused for each request of the dependants; shedding begins at half, ends below 30 %, and reaches 90 % at 95 %.

--- a/experiment/engine/node.go
+++ b/experiment/engine/node.go
@@ -127,7 +127,7 @@
 	}
 	n.holds.Leave(c.service.Name)
 	refused := v.Outcome != serverapi.OutcomeAnswered && v.Status() >= 429
-	n.shed.Add(n.site.clock.now, c.service.Name, refused)
+	n.shed.Add(n.site.clock.now, n.view.Site(), c.service.Name, c.hop > 0, refused)
 }
 
 func (n *node) budget(service topo.Service) *retry.Budget {
--- a/modules/router/serve.go
+++ b/modules/router/serve.go
@@ -32,7 +32,7 @@
 	answer := m.serve(ctx, req)
 	if req.From == "" {
 		countAnswer(req.Service, answer)
-		m.noteCapacity(req.Service, answer)
+		m.noteCapacity(req, answer)
 	}
 	return answer
 }
@@ -148,13 +148,13 @@
 }
 
 // noteCapacity counts an answer for the services that depend on this one.
-func (m *Module) noteCapacity(service topo.Service, answer *exchange.Answer) {
+func (m *Module) noteCapacity(req *exchange.Request, answer *exchange.Answer) {
 	switch answer.Reason {
 	case callerapi.ReasonDependency, callerapi.ReasonCanceled:
 		return
 	}
 	refused := answer.Status >= 429 && answer.Outcome != serverapi.OutcomeAnswered
-	m.shed.Add(time.Now(), service, refused)
+	m.shed.Add(time.Now(), m.source.View().Site(), req.Service, req.Hop > 0, refused)
 }
 
 // BodyLimit implements exchange.Handler.
--- a/shed/set.go
+++ b/shed/set.go
@@ -17,11 +17,24 @@
 // NewSet returns a set in which nothing was refused.
 func NewSet() *Set { return &Set{monitors: map[topo.Service]*Monitor{}} }
 
-// Add counts a request; see Monitor.Add.
-func (s *Set) Add(now time.Time, service topo.Service, refused bool) {
+// Add counts the final answer to a request for a service: for what the service
+// depends on as a dependant's request, and for the service itself, if it was a
+// call from another service, as refused or not. Requests that were shed must not
+// be added.
+func (s *Set) Add(now time.Time, site *siteconfig.Site, service topo.Service, call, refused bool) {
+	if site == nil {
+		return
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.monitor(service).Add(now, refused)
+	if config, exists := site.Services[service]; exists {
+		for _, name := range config.DependsOn {
+			s.monitor(name).Request(now)
+		}
+	}
+	if call && refused {
+		s.monitor(service).Refused(now)
+	}
 }
 
 func (s *Set) monitor(service topo.Service) *Monitor {
@@ -63,7 +76,8 @@
 	return highest
 }
 
-// Rates returns each service's rate of refusals, for dumps.
+// Rates returns, for each service, the share of its dependants' requests that
+// had a call to it refused, for dumps.
 func (s *Set) Rates(now time.Time) map[topo.Service]float64 {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/shed/shed.go
+++ b/shed/shed.go
@@ -1,17 +1,17 @@
-// Package shed refuses requests to a service at once while a service that it
-// depends on refuses too much: the request would only wait for a part that is
-// likely to fail, and add load where there is too much of it. The decision is
-// pure.
+// Package shed refuses requests to a service at once while most of them would
+// fail because a service that they call refuses: they would only hold places
+// and queues for nothing. The decision is pure.
 package shed
 
 import "time"
 
-// Limits of the decision. Rates are shares of the requests to the dependency
-// that were refused for lack of capacity.
+// Limits of the decision. Rates are refused calls for each request of the
+// services that call. While fewer than half of the requests fail, refusing them
+// all alike would lose more than it saves.
 const (
-	engageRate  = 0.10 // shedding of dependants begins
-	releaseRate = 0.03 // and ends when the rate has stayed below this
-	fullRate    = 0.60 // at which the most is shed
+	engageRate  = 0.50 // shedding of dependants begins
+	releaseRate = 0.30 // and ends when the rate has stayed below this
+	fullRate    = 0.95 // at which the most is shed
 	mostShed    = 0.90 // some requests always pass, to see the recovery
 	holdTime    = time.Second
 	// minRequests is how many requests the rate must be taken from.
@@ -21,8 +21,10 @@
 	slotTime    = 500 * time.Millisecond
 )
 
-// Monitor holds the recent refusals of one service, and whether its dependants
-// are shed. The zero value is ready. It is not for concurrent use.
+// Monitor holds, for one service, the recent requests of the services that
+// depend on it and the calls from other services that it refused, and whether
+// its dependants are shed. The zero value is ready. It is not for concurrent
+// use.
 type Monitor struct {
 	slots   [windowSlots]slot
 	engaged bool
@@ -35,24 +37,26 @@
 	refused  float64
 }
 
-// Add counts a request to the service; refused tells that it was refused for
-// lack of capacity, or that no server could be reached. Requests that were shed
-// because of a dependency must not be added: one overload would then spread
-// from each service to the next with growing force.
-func (m *Monitor) Add(now time.Time, refused bool) {
+// Request counts a request to a service that depends on this one. Requests that
+// were shed must not be counted: they made no call.
+func (m *Monitor) Request(now time.Time) { m.slot(now).requests++ }
+
+// Refused counts a call from another service that was refused for lack of
+// capacity, or because no server could be reached.
+func (m *Monitor) Refused(now time.Time) { m.slot(now).refused++ }
+
+func (m *Monitor) slot(now time.Time) *slot {
 	index := now.UnixNano() / int64(slotTime)
 	current := &m.slots[index%windowSlots]
 	if current.index != index {
 		*current = slot{index: index}
 	}
-	current.requests++
-	if refused {
-		current.refused++
-	}
+	return current
 }
 
-// Rate is the share of requests refused within the window; 0 while there are
-// too few to tell.
+// Rate is the share of the dependants' requests that had a call refused within
+// the window; 0 while there are too few to tell. With calls refused by other
+// nodes than those that took the requests it is an estimate, and at most 1.
 func (m *Monitor) Rate(now time.Time) float64 {
 	oldest := now.UnixNano()/int64(slotTime) - windowSlots
 	var requests, refused float64
@@ -65,7 +69,7 @@
 	if requests < minRequests {
 		return 0
 	}
-	return refused / requests
+	return min(refused/requests, 1)
 }
 
 // Share is the share of the dependants' requests to refuse now.
@@ -96,8 +100,9 @@
 	}
 }
 
-// ShareAt is the share to refuse at a rate, while engaged: it grows in
-// proportion up to the most.
+// ShareAt is the share to refuse at a rate, while engaged: it grows from the
+// rate of release up to the most.
 func ShareAt(rate float64) float64 {
-	return min(rate/fullRate, 1) * mostShed
+	grown := (rate - releaseRate) / (fullRate - releaseRate)
+	return min(max(grown, 0), 1) * mostShed
 }
