experiment: up to four runs at a time

Cause: the default comparison took a minute. Change: the runs of a scenario are made several at a time; progress is of all of them.

--- a/experiment/experiment.go
+++ b/experiment/experiment.go
@@ -8,8 +8,10 @@
 import (
 	"context"
 	"io"
+	"runtime"
 	"slices"
-	"time"
+
+	"golang.org/x/sync/errgroup"
 
 	"github.com/burdockspindle/burdockspindle/experiment/engine"
 	"github.com/burdockspindle/burdockspindle/kernel"
@@ -144,7 +146,7 @@
 }
 
 // runScenario runs one scenario with every policy and picker on the same
-// arrivals.
+// arrivals, several runs at a time.
 func runScenario(
 	ctx context.Context, options Options, d *model.Deployment, s *Scenario, progress *progress,
 ) ([]Result, error) {
@@ -164,43 +166,62 @@
 		DisturbedFrom:  s.DisturbedFrom,
 		DisturbedUntil: s.DisturbedUntil,
 	}
-	var results []Result
+	var runs []engine.Options
 	for _, policy := range options.Policies {
 		for _, picker := range options.Pickers {
-			figures, err := runOne(ctx, base, policy, picker, progress.of(s.Name, policy, picker))
+			run, err := prepare(base, policy, picker)
 			if err != nil {
 				return nil, err
 			}
-			results = append(results, Result{
-				Scenario: s.Name, Description: s.Description, Deployment: d.Name, Seed: options.Seed, Figures: figures,
-			})
+			run.Progress = progress.add(s.Name, traffic.Duration)
+			runs = append(runs, run)
 		}
 	}
+	results, err := runAll(ctx, runs)
+	if err != nil {
+		return nil, err
+	}
+	for i := range results {
+		results[i].Scenario, results[i].Description = s.Name, s.Description
+		results[i].Deployment, results[i].Seed = d.Name, options.Seed
+		results[i].Figures.Picker = options.Pickers[i%len(options.Pickers)]
+	}
+	progress.done()
 	compare(results)
 	return results, nil
 }
 
-func runOne(
-	ctx context.Context, o engine.Options, policy, picker string, progress func(elapsed, whole time.Duration),
-) (*engine.Figures, error) {
+// atOnce is how many runs are made at a time. Each run is a single thread, and
+// its figures do not depend on the others.
+const atOnce = 4
+
+func runAll(ctx context.Context, runs []engine.Options) ([]Result, error) {
+	results := make([]Result, len(runs))
+	group, ctx := errgroup.WithContext(ctx)
+	group.SetLimit(min(atOnce, runtime.GOMAXPROCS(0)))
+	for i := range runs {
+		group.Go(func() (err error) {
+			results[i].Figures, err = engine.Run(ctx, &runs[i])
+			return err
+		})
+	}
+	return results, group.Wait()
+}
+
+// prepare completes the options of one run.
+func prepare(o engine.Options, policy, picker string) (engine.Options, error) {
 	var err error
 	if o.Policy, err = balancemodules.Named(policy); err != nil {
-		return nil, unknownModule("policy", policy, balancemodules.Namespace)
+		return o, unknownModule("policy", policy, balancemodules.Namespace)
 	}
 	if _, err = pickmodules.Named(picker); err != nil {
-		return nil, unknownModule("pick", picker, pickmodules.Namespace)
+		return o, unknownModule("pick", picker, pickmodules.Namespace)
 	}
 	o.Picker = func() pick.Picker {
 		made, _ := pickmodules.Named(picker) // the name was checked
 		return made
 	}
-	o.Progress = progress
-	figures, err := engine.Run(ctx, &o)
-	if err != nil {
-		return nil, err
-	}
-	figures.Picker = picker
-	return figures, nil
+	return o, nil
 }
 
 func unknownModule(kind, name, namespace string) error {
