Stand-in servers wait for a VM list that is started beside them

Change: a server tries for 30 s to get on the list. Measured: go test -race ./standin/command passes, with a list that comes later.

--- a/standin/command/command_test.go
+++ b/standin/command/command_test.go
@@ -77,6 +77,28 @@
 	g.Expect(flags.run(context.Background(), newEnv())).To(gomega.BeAssignableToTypeOf(announce))
 }
 
+func TestAServerWaitsForAListThatStartsAfterIt(t *testing.T) {
+	g := gomega.NewWithT(t)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	address := listener.Addr().String()
+	_ = listener.Close()
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	flags := &serverFlags{
+		id: "s1", service: "logs", zone: "a", address: defaultServerAddress,
+		vms: "http://" + address, announceWithin: time.Minute,
+	}
+	done := make(chan error, 1)
+	go func() { done <- flags.run(ctx, newEnv()) }()
+	g.Consistently(done, 3*announceEvery).ShouldNot(gomega.Receive())
+	platform := vms.New()
+	listener, err = net.Listen("tcp", address)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	go func() { _ = vms.Serve(ctx, listener, platform) }()
+	g.Eventually(func() ([]vmlist.VM, error) { return platform.VMs(ctx) }, "30s").Should(gomega.HaveLen(1))
+}
+
 func TestWrongFlags(t *testing.T) {
 	g := gomega.NewWithT(t)
 	var usage *cli.UsageError
--- a/standin/command/row.go
+++ b/standin/command/row.go
@@ -19,6 +19,8 @@
 	phaseLeaving = vmlist.PhaseLeaving
 	phaseGone    = vmlist.PhaseGone
 	putTimeout   = 5 * time.Second
+	// announceEvery is the time between two tries to get on the list.
+	announceEvery = 100 * time.Millisecond
 )
 
 // listRow is a server's row on the stand-in VM list. Without a URL nothing is
@@ -36,8 +38,9 @@
 	}
 }
 
-// announce puts the server on the list.
-func (r listRow) announce(ctx context.Context) error {
+// announce puts the server on the list. It tries again for a while, since the
+// list may be started at the same time.
+func (r listRow) announce(ctx context.Context, within time.Duration) error {
 	if r.vms == "" {
 		return nil
 	}
@@ -45,8 +48,16 @@
 	if err != nil {
 		return &AnnounceError{URL: r.vms, Cause: err}
 	}
-	if err := r.put(ctx, vms.PathVMs, body); err != nil {
-		return err
+	giveUp := time.Now().Add(within)
+	for {
+		err := r.put(ctx, vms.PathVMs, body)
+		if err == nil {
+			break
+		}
+		if ctx.Err() != nil || !time.Now().Before(giveUp) {
+			return err
+		}
+		time.Sleep(announceEvery)
 	}
 	eventAnnounced.Log(r.logger, "address", r.vm.Address, "zone", r.vm.Zone)
 	return nil
--- a/standin/command/server.go
+++ b/standin/command/server.go
@@ -21,6 +21,8 @@
 	defaultServiceTime   = 5 * time.Millisecond
 	defaultShape         = 0.3
 	defaultLeaveAfter    = 3 * time.Second
+	// defaultAnnounceWithin allows for a VM list that is started meanwhile.
+	defaultAnnounceWithin = 30 * time.Second
 )
 
 // serverFlags describe one stand-in server.
@@ -30,12 +32,13 @@
 	unkeyed, unfenced         bool
 	concurrency, connections  int
 	serviceTime, leaveAfter   time.Duration
+	announceWithin            time.Duration
 }
 
 func newServerCommand() cli.Command {
 	flags := serverFlags{
 		address: defaultServerAddress, concurrency: defaultConcurrency, connections: defaultConnections,
-		serviceTime: defaultServiceTime, leaveAfter: defaultLeaveAfter,
+		serviceTime: defaultServiceTime, leaveAfter: defaultLeaveAfter, announceWithin: defaultAnnounceWithin,
 	}
 	return cli.Command{
 		Name:        "standin server",
@@ -58,6 +61,7 @@
 	sub.Int(&f.concurrency, "", "concurrency", "most requests at once")
 	sub.Int(&f.connections, "", "connections", "most connections")
 	sub.Duration(&f.serviceTime, "", "service-time", "mean time that one request takes")
+	sub.Duration(&f.announceWithin, "", "announce-within", "how long to try to get on the VM list")
 	sub.Duration(&f.leaveAfter, "", "leave-after", "how long it goes on serving after SIGTERM, while its shards move away")
 }
 
@@ -65,7 +69,7 @@
 	if f.id == "" || f.service == "" || f.zone == "" {
 		return &cli.UsageError{Problem: "standin server: --id, --service and --zone are needed"}
 	}
-	if f.concurrency < 0 || f.connections < 0 || f.serviceTime < 0 || f.leaveAfter < 0 {
+	if f.concurrency < 0 || f.connections < 0 || f.serviceTime < 0 || f.leaveAfter < 0 || f.announceWithin < 0 {
 		return &cli.UsageError{Problem: "standin server: limits and times must not be negative"}
 	}
 	return nil
@@ -87,7 +91,7 @@
 		return err
 	}
 	row := listRow{vms: f.vms, logger: logger, vm: f.vm(address)}
-	if err := row.announce(ctx); err != nil {
+	if err := row.announce(ctx, f.announceWithin); err != nil {
 		s.Kill()
 		return err
 	}
