experiment: a forward that meets its deadline says nothing of the node

Cause: servers counted requests above their limit in lost-server: entry nodes took the admission point for silent and sent past it, which the router does not conclude from a deadline. Change: as in the router, the forwarded deadline is 5 ms earlier and a deadline is no observation of the node. Conclusion: a fault of the measurement; in lost-zone they remain, from direct sends while the admission point is being replaced.

--- a/experiment/engine/send.go
+++ b/experiment/engine/send.go
@@ -159,6 +159,10 @@
 	p.call.settle(d, res)
 }
 
+// forwardMargin is how much earlier the other node gives up, so that what it
+// knows of the request arrives in time.
+const forwardMargin = 5 * time.Millisecond
+
 // forward sends the request to the node that is the server's admission point.
 func (c *call) forward(d route.Decision) {
 	n := c.node
@@ -177,6 +181,7 @@
 	delay := n.site.delay(n.zone, to.zone)
 	sent := *c
 	sent.node, sent.from, sent.chosen = to, n, d.Server
+	sent.deadline = c.deadline.Add(-forwardMargin)
 	sent.tally, sent.counts, sent.tried, sent.waited, sent.probe = outcome.Tally{}, 0, nil, nil, nil
 	answered := false
 	sent.done = func(v outcome.Verdict) {
@@ -203,7 +208,6 @@
 		}
 		answered = true
 		remote.own--
-		n.nodeHealth(d.Lessor).Observe(c.now(), health.Silent)
 		c.settle(d, unsent(outcome.Unknown(serverapi.ReasonDeadline)))
 	})
 }
