--- /dev/null
+++ b/lessor/walk_test.go
@@ -0,0 +1,258 @@
+package lessor
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/burdockspindle/burdockspindle/topo"
+)
+
+// A walk lets the members follow their own plans over links that fail, with
+// messages lost, held back and repeated, records of unknown fate, processes
+// that pause and restart, and clocks that run apart within the bound.
+type walk struct {
+	*world
+	t       *rapid.T
+	random  *rand.Rand
+	down    map[string]bool // links, by the names of their ends
+	paused  [nodeMost]bool
+	holders map[topo.Fence]topo.BootID
+	served  int
+}
+
+const (
+	walkTTL = 12 * unit
+	// walkDrift bounds how far the clocks drawn below run apart.
+	walkDrift = 20_000
+	rateMost  = 9_000
+)
+
+func newWalk(t *rapid.T, off rules) *walk {
+	b := &bounds{
+		ttl:    walkTTL,
+		limit:  rapid.SampledFrom([]time.Duration{0, 2 * walkTTL, 8 * walkTTL}).Draw(t, "limit"),
+		claims: 1000, assigns: 1000, relay: true, lazy: true, drift: walkDrift, rules: off,
+	}
+	rate := rapid.Int64Range(million-rateMost, million+rateMost)
+	for i := range b.nodeRates {
+		b.nodeRates[i] = rate.Draw(t, "node's clock")
+	}
+	for i := range b.serverRates {
+		b.serverRates[i] = rate.Draw(t, "server's clock")
+	}
+	seed := rapid.Uint64().Draw(t, "seed")
+	return &walk{
+		world:   newSearchWorld(b),
+		t:       t,
+		random:  rand.New(rand.NewPCG(seed, 0)),
+		down:    map[string]bool{},
+		holders: map[topo.Fence]topo.BootID{},
+	}
+}
+
+// chance is true n times in most.
+func (w *walk) chance(n, most int) bool { return w.random.IntN(most) < n }
+
+// faults that a walk draws, by how often.
+var faults = []string{"log", "log", "peer", "peer", "peer", "server", "server", "server", "pause", "server restarts", "node restarts", "heal", "heal"}
+
+// fault changes one thing for the worse or the better.
+func (w *walk) fault() {
+	kind := rapid.SampledFrom(faults).Draw(w.t, "fault")
+	node := rapid.IntRange(0, nodeMost-1).Draw(w.t, "node")
+	server := rapid.IntRange(0, len(serverNames)-1).Draw(w.t, "server")
+	switch kind {
+	case "log":
+		w.toggle(fmt.Sprint("log ", node))
+	case "peer":
+		w.toggle(fmt.Sprint("peer ", node, (node+1)%nodeMost))
+	case "server":
+		w.toggle(fmt.Sprint("server ", node, server))
+	case "pause":
+		w.paused[node] = !w.paused[node]
+	case "server restarts":
+		w.restartServer(server)
+	case "node restarts":
+		w.restartNode(node)
+		w.log.next++ // it joins
+		w.log.runs[node] = w.nodes[node].runs
+	case "heal":
+		clear(w.down)
+		w.paused = [nodeMost]bool{}
+	}
+}
+
+func (w *walk) toggle(link string) { w.down[link] = !w.down[link] }
+
+func (w *walk) peersReach(a, b int) bool {
+	return !w.down[fmt.Sprint("peer ", a, b)] && !w.down[fmt.Sprint("peer ", b, a)]
+}
+
+// tick lets one unit of time pass and every running node do what is due.
+func (w *walk) tick() {
+	w.now += unit
+	if w.held != nil && w.chance(1, 4) {
+		h := w.held
+		if h.kind == "record" || w.chance(1, 2) {
+			w.held = nil
+		}
+		w.arrive(h)
+		w.check()
+	}
+	for _, node := range w.random.Perm(nodeMost) {
+		if w.paused[node] {
+			continue
+		}
+		w.learn(node)
+		w.member(node).Plan(w.clock(node))
+		for _, action := range w.member(node).Plan(w.clock(node)) {
+			w.do(node, action)
+			w.check()
+		}
+	}
+}
+
+func (w *walk) learn(node int) {
+	switch {
+	case !w.down[fmt.Sprint("log ", node)] && w.chance(3, 4):
+		w.readLog(node, true)
+	case w.chance(1, 8):
+		w.readLog(node, false)
+	}
+}
+
+// way draws what becomes of a call over a link that works or does not.
+func (w *walk) way(works bool) string {
+	switch {
+	case !works:
+		return "request lost"
+	case w.chance(1, 12):
+		return "reply lost"
+	case w.held == nil && w.chance(1, 12):
+		return "request held"
+	case w.held == nil && w.chance(1, 24):
+		return "reply held"
+	}
+	return ""
+}
+
+func (w *walk) do(node int, action Action) {
+	m := w.member(node)
+	now := w.clock(node)
+	switch a := action.(type) {
+	case Renew:
+		server := serverIndex(a.Server)
+		w.renewOnce(node, server, w.way(!w.down[fmt.Sprint("server ", node, server)]))
+	case Acknowledge:
+		server := serverIndex(a.Server)
+		w.acknowledge(node, server, w.way(!w.down[fmt.Sprint("server ", node, server)]))
+	case SendHeartbeat:
+		to, exists := w.standbyOf(node)
+		w.beatFrom(node, w.way(exists && w.peersReach(node, to)))
+	case Probe:
+		w.probe(node, a.Node)
+	case ClaimTerm:
+		w.write(node, func() (record, bool) {
+			claim, _, allowed := m.BeginClaim()
+			return record{node: node, claim: &claim, self: m.self()}, allowed
+		})
+	case Submit:
+		w.write(node, func() (record, bool) {
+			submission, number, due := m.BeginSubmit(now)
+			w.nodes[node].number = number
+			return record{node: node, submit: &submission, self: m.self()}, due
+		})
+	case GoOn:
+		m.BeginGoOn(now)
+	case Activate:
+		m.BeginActivate(now, a.Shard)
+	case ChangeMode:
+		m.BeginChangeMode(a.To)
+	}
+}
+
+func serverIndex(id topo.ServerID) int {
+	if id == serverNames[0] {
+		return 0
+	}
+	return 1
+}
+
+func (w *walk) probe(node int, id topo.NodeID) {
+	m := w.member(node)
+	m.BeginProbe(w.clock(node), id)
+	for i := range w.nodes {
+		if nodeNames[i] == id && !w.paused[i] && w.peersReach(node, i) {
+			m.ProbeAnswered(w.clock(node), w.runOf(i))
+			return
+		}
+	}
+	m.ProbeFailed(id)
+}
+
+// write appends a record, or loses it, or holds it back.
+func (w *walk) write(node int, begin func() (record, bool)) {
+	r, due := begin()
+	if !due {
+		return
+	}
+	lost := w.down[fmt.Sprint("log ", node)]
+	switch {
+	case !lost && w.held == nil && w.chance(1, 6):
+		w.held = &message{kind: "record", node: node, record: r}
+	case !lost:
+		w.deliver(r)
+	case r.claim != nil:
+		w.member(node).ClaimFailed(w.clock(node), w.member(node).claim.number, w.chance(1, 3))
+	default:
+		w.member(node).SubmitFailed(w.clock(node), w.nodes[node].number, w.chance(1, 3))
+	}
+}
+
+// check holds after every step: no two owners, and no fence is ever held by two
+// runs of servers.
+func (w *walk) check() {
+	if w.owners() > 1 {
+		w.t.Fatal("two owners")
+	}
+	for i := range w.servers {
+		boot := w.servers[i].holder.Boot()
+		for _, held := range w.servers[i].holder.Grants() {
+			if first, known := w.holders[held.Fence]; known && first != boot {
+				w.t.Fatalf("fence %v held by %s and by %s", held.Fence, first, boot)
+			}
+			w.holders[held.Fence] = boot
+		}
+	}
+}
+
+// ticks is the length of a walk, in units of time.
+const ticks = 30 * int(walkTTL/unit)
+
+func (w *walk) run() {
+	for range ticks {
+		if w.chance(1, 10) {
+			w.fault()
+		}
+		w.tick()
+		w.served += w.owners()
+	}
+}
+
+func TestWalksNeverReachTwoOwners(t *testing.T) {
+	served, passed := 0, 0
+	rapid.Check(t, func(t *rapid.T) {
+		w := newWalk(t, rules{})
+		w.run()
+		served += w.served
+		passed += ticks
+	})
+	t.Logf("served %d of %d units of time", served, passed)
+	if served < passed/4 {
+		t.Error("hardly ever served")
+	}
+}
