pick: pickers with a budget of probes tell what they spent

Cause: the budget's field hid its method, so the experiment gave these pickers what nodes know instead of exact loads, and charged them nothing. Change: the type is ProbeBudget; a test holds that both pickers tell their probes.

--- a/modules/pick/pick.go
+++ b/modules/pick/pick.go
@@ -41,16 +41,16 @@
 		{name: "roundrobin", make: func() pick.Picker { return &pick.RoundRobin{} }},
 		{name: "dchoices", make: func() pick.Picker { return pick.DChoices{D: choices} }},
 		{name: "budgetchoices", make: func() pick.Picker {
-			return pick.BudgetedChoices{Probes: newProbes(), D: choices}
+			return pick.BudgetedChoices{ProbeBudget: newProbes(), D: choices}
 		}},
 		{name: "budgetpush", make: func() pick.Picker {
-			return pick.BudgetedPush{Probes: newProbes(), High: pushHigh, Low: pushLow, Most: pushMost}
+			return pick.BudgetedPush{ProbeBudget: newProbes(), High: pushHigh, Low: pushLow, Most: pushMost}
 		}},
 	}
 }
 
-func newProbes() *pick.Probes {
-	return &pick.Probes{PerRequest: probesPerRequest, Burst: probesSaved}
+func newProbes() *pick.ProbeBudget {
+	return &pick.ProbeBudget{PerRequest: probesPerRequest, Burst: probesSaved}
 }
 
 // ModuleInfo implements kernel.Module.
--- a/pick/budgeted.go
+++ b/pick/budgeted.go
@@ -2,11 +2,11 @@
 
 import "sync"
 
-// Probes is a budget of looks at a candidate's load: so many for each request
+// ProbeBudget is a budget of looks at a candidate's load: so many for each request
 // on average, and at most so many saved up. It is what makes pickers comparable
 // that look at different numbers of candidates, as in "On a Class of Push and
 // Pull Strategies with Single Migrations and Limited Probe Rate".
-type Probes struct {
+type ProbeBudget struct {
 	PerRequest float64
 	Burst      float64
 
@@ -16,14 +16,14 @@
 }
 
 // earn adds one request's share.
-func (p *Probes) earn() {
+func (p *ProbeBudget) earn() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.saved = min(p.saved+p.PerRequest, p.Burst)
 }
 
 // take spends count probes if all are there.
-func (p *Probes) take(count int) bool {
+func (p *ProbeBudget) take(count int) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.saved < float64(count) {
@@ -35,7 +35,7 @@
 }
 
 // has reports whether count probes are there.
-func (p *Probes) has(count int) bool {
+func (p *ProbeBudget) has(count int) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	return p.saved >= float64(count)
@@ -43,7 +43,7 @@
 
 // Probes returns how many probes were spent. Loads of candidates must be exact
 // for pickers that have this method.
-func (p *Probes) Probes() int {
+func (p *ProbeBudget) Probes() int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	return p.spent
@@ -52,7 +52,7 @@
 // BudgetedChoices is DChoices as far as the budget of probes goes, and Random
 // for the rest.
 type BudgetedChoices struct {
-	*Probes
+	*ProbeBudget
 	D int
 }
 
@@ -72,7 +72,7 @@
 // Strategies with Single Migrations and Limited Probe Rate", made before the
 // request is queued rather than after.
 type BudgetedPush struct {
-	*Probes
+	*ProbeBudget
 	High float64
 	Low  float64
 	Most int // candidates asked after the first
--- a/pick/pickers_test.go
+++ b/pick/pickers_test.go
@@ -41,11 +41,11 @@
 	candidates := []pick.Candidate{{Weight: 1, Load: 2}, {Weight: 1}, {Weight: 1, Load: 2}, {Weight: 1, Load: 2}}
 	for _, perRequest := range []float64{0, 0.5, 1, 2} {
 		g := gomega.NewWithT(t)
-		choices := &pick.Probes{PerRequest: perRequest, Burst: 4}
-		push := &pick.Probes{PerRequest: perRequest, Burst: 4}
-		byChoices := picked(pick.BudgetedChoices{Probes: choices, D: 2}, candidates)
-		byPush := picked(pick.BudgetedPush{Probes: push, High: 1, Low: 0.5, Most: 2}, candidates)
-		for _, probes := range []*pick.Probes{choices, push} {
+		choices := &pick.ProbeBudget{PerRequest: perRequest, Burst: 4}
+		push := &pick.ProbeBudget{PerRequest: perRequest, Burst: 4}
+		byChoices := picked(pick.BudgetedChoices{ProbeBudget: choices, D: 2}, candidates)
+		byPush := picked(pick.BudgetedPush{ProbeBudget: push, High: 1, Low: 0.5, Most: 2}, candidates)
+		for _, probes := range []*pick.ProbeBudget{choices, push} {
 			g.Expect(probes.Probes()).To(gomega.BeNumerically("<=", perRequest*picks))
 			g.Expect(probes.Probes()).To(gomega.BeNumerically(">=", 0.9*perRequest*picks))
 		}
@@ -60,8 +60,19 @@
 
 func TestPushStaysWhereLoadIsLow(t *testing.T) {
 	g := gomega.NewWithT(t)
-	probes := &pick.Probes{PerRequest: 3, Burst: 3}
-	got := picked(pick.BudgetedPush{Probes: probes, High: 1, Low: 0.5, Most: 2}, []pick.Candidate{{Weight: 1, Load: 0.9}, {Weight: 1}})
+	probes := &pick.ProbeBudget{PerRequest: 3, Burst: 3}
+	got := picked(pick.BudgetedPush{ProbeBudget: probes, High: 1, Low: 0.5, Most: 2}, []pick.Candidate{{Weight: 1, Load: 0.9}, {Weight: 1}})
 	g.Expect(got[0]).To(gomega.BeNumerically("~", picks/2, picks/20))
 	g.Expect(probes.Probes()).To(gomega.Equal(picks))
 }
+
+func TestBudgetedPickersTellTheirProbes(t *testing.T) {
+	g := gomega.NewWithT(t)
+	budget := &pick.ProbeBudget{PerRequest: 1, Burst: 1}
+	var picker pick.Picker = pick.BudgetedChoices{ProbeBudget: budget, D: 1}
+	_, tells := picker.(interface{ Probes() int })
+	g.Expect(tells).To(gomega.BeTrue())
+	picker = pick.BudgetedPush{ProbeBudget: budget}
+	_, tells = picker.(interface{ Probes() int })
+	g.Expect(tells).To(gomega.BeTrue())
+}
