The refusal for an overloaded dependency is brought about by calls

Cause: dependants are now shed by calls refused for each of their requests, so plain requests to the dependency no longer bring the row about, and the row's test failed. Change: the test sends, for each request to the dependant, the call that its server would make; the expected answer is the same.

--- a/modules/frontend/refusals_test.go
+++ b/modules/frontend/refusals_test.go
@@ -223,13 +223,19 @@
 	overloaded := rt.Decline("not-run", serverapi.ReasonOverloaded)
 	b.driver.Set("p1", overloaded)
 	b.driver.Set("p2", overloaded)
+	// Each request to the dependant makes a call to the dependency, as the
+	// dependant's server would, and each call is refused.
+	served := func() reply {
+		got := b.send("POST", keyPath, nil)
+		b.send("POST", orderPath, nil, callerapi.HeaderHop, "1")
+		return got
+	}
 	for range 100 {
-		b.send("POST", orderPath, nil)
+		served()
 	}
 	var got reply
 	b.Eventually(func() serverapi.Reason {
-		b.send("POST", orderPath, nil)
-		got = b.send("POST", keyPath, nil)
+		got = served()
 		return got.failure.Reason
 	}, patience).Should(gomega.Equal(callerapi.ReasonDependency))
 	return got
