--- a/lessor/member.go
+++ b/lessor/member.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"github.com/burdockspindle/burdockspindle/siteconfig"
-	"github.com/burdockspindle/burdockspindle/state"
 	"github.com/burdockspindle/burdockspindle/topo"
 )
 
@@ -46,13 +45,10 @@
 	lessorGone  moment
 	standbyGone moment
 
-	role   Role
-	term   topo.Term // acted under, or stood by for
-	offLog bool      // lessor under the standby's term, not recorded yet
-	// settledTerm is the latest by which this run was a lessor by the log with
-	// every earlier lease settled.
-	settledTerm topo.Term
-	draining    bool // this process is leaving
+	role     Role
+	term     topo.Term // acted under, or stood by for
+	offLog   bool      // lessor under the standby's term, not recorded yet
+	draining bool      // this process is leaving
 
 	standing standing
 	claim    claimState
@@ -145,7 +141,7 @@
 	m.settling = true
 	if !m.observed || facts.Group.Term != before {
 		m.observed = true
-		m.termChanged(now, old.Group)
+		m.termChanged(now, before)
 	}
 	m.noteGone(now)
 	m.place, m.watches = m.turn()
@@ -166,7 +162,7 @@
 }
 
 // termChanged takes up this node's part in the term that is new in force.
-func (m *Member) termChanged(now time.Duration, before state.Group) {
+func (m *Member) termChanged(now time.Duration, before topo.Term) {
 	m.seen = momentAt(now)
 	m.lessorGone, m.standbyGone = moment{}, moment{}
 	m.watch = m.watch.next(now, m.role == RoleLessor && m.isOutsider())
@@ -194,7 +190,7 @@
 }
 
 // becomeLessor takes up a term that this run claimed.
-func (m *Member) becomeLessor(now time.Duration, before state.Group) {
+func (m *Member) becomeLessor(now time.Duration, before topo.Term) {
 	next := m.takeoverAfter(now, before)
 	carried := next.basis == basisSelf
 	if !carried {
--- a/lessor/search_key_test.go
+++ b/lessor/search_key_test.go
@@ -91,7 +91,6 @@
 	}
 	k.flag(m.claim.inFlight)
 	k.flag(m.claim.awaited)
-	k.ordinal(m.settledTerm.Ordinal)
 	if m.role == RoleStandby && !k.powerless(m.term.Standby()) {
 		k.standing(m)
 	}
@@ -171,8 +170,6 @@
 	k.num(int(m.takeover.basis))
 	k.num(int(min(m.takeover.before, 1<<14)))
 	k.left(m.leaseEnd(m.facts.Shards[searchShard].Policy).at)
-	k.flag(m.takeover.former.lessorEnded.set)
-	k.flag(m.takeover.former.standbyEnded.set)
 	k.standingOf(&m.takeover.told)
 	k.flag(m.isSettled(m.facts.Shards[searchShard]))
 	if n, needed := m.needs[searchShard]; needed {
--- a/lessor/search_test.go
+++ b/lessor/search_test.go
@@ -156,11 +156,6 @@
 			}
 		}
 	}
-	if m.asksForAcknowledgement() {
-		for _, former := range m.takeover.former.asks(m.self()) {
-			e.try(name+" asks whether "+string(former)+" stopped", func(w *world) bool { return w.ask(node, former) })
-		}
-	}
 	for _, mode := range []Mode{ModeConnected, ModeDisconnected} {
 		if !hasStandby || m.right.asked == mode || !strings.Contains(e.from.b.askers, name) {
 			continue
--- a/lessor/search_world_test.go
+++ b/lessor/search_world_test.go
@@ -503,18 +503,6 @@
 	return true
 }
 
-// ask asks a former lessor whether it has stopped.
-func (w *world) ask(node int, former topo.NodeID) bool {
-	beat, allowed := w.member(node).BeginAsk(w.clock(node))
-	if !allowed {
-		return false
-	}
-	to := slices.Index(nodeNames[:], former)
-	reply := w.member(to).HeartbeatReceived(w.clock(to), beat)
-	w.member(node).HeartbeatAnswered(w.clock(node), reply)
-	return true
-}
-
 func (w *world) answered(node int, reply HeartbeatReply, lost string) {
 	switch lost {
 	case "reply lost":
--- a/lessor/settle.go
+++ b/lessor/settle.go
@@ -16,18 +16,9 @@
 
 // advance takes up what time or an input has settled.
 func (m *Member) advance(now time.Duration) {
-	if m.role != RoleLessor {
+	if m.role != RoleLessor || !m.settling {
 		return
 	}
-	if m.settling {
-		m.settleAll(now)
-	}
-	if !m.offLog && m.termSettled() {
-		m.settledTerm = m.term
-	}
-}
-
-func (m *Member) settleAll(now time.Duration) {
 	m.settling = false
 	for _, shard := range m.facts.Shards {
 		if m.isSettled(shard) {
@@ -103,17 +94,15 @@
 }
 
 // settleAsOther settles by acknowledgements of both servers that may hold a
-// lease, and by what they report, or by having waited for every lease. If the
-// standby server says that it was activated, its word is enough: the owner's
-// lease had lapsed then, and nobody gives the shard back under a lower fence.
+// lease, and by what they report, or by having waited for every lease.
 func (m *Member) settleAsOther(now time.Duration, shard Shard) {
 	lapsed := m.leaseEnd(shard.Policy).passed(now)
 	switch {
-	case m.reportsActive(shard) && !m.rules.noReport:
-		m.needNewFence(shard, true)
 	case !lapsed && !m.bothAnswer(shard):
 	case m.rules.noReport:
 		m.settled[shard.Shard] = shard.Fence
+	case m.reportsActive(shard):
+		m.needNewFence(shard, true)
 	case m.mayHaveServed(shard):
 		m.needNewFence(shard, false)
 	default:
--- a/modules/lessor/world_test.go
+++ b/modules/lessor/world_test.go
@@ -125,7 +125,6 @@
 	log  platlog.Log
 	mu   sync.Mutex
 	down bool
-	lose int // answers of appends to lose
 }
 
 func (l *testLog) set(down bool) {
@@ -134,16 +133,6 @@
 	l.down = down
 }
 
-func (l *testLog) loseAnswer() bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if l.lose == 0 {
-		return false
-	}
-	l.lose--
-	return true
-}
-
 func (l *testLog) isDown() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -154,11 +143,7 @@
 	if l.isDown() {
 		return 0, &platlog.UnavailableError{Op: "append", Cause: errDown}
 	}
-	offset, err := l.log.Append(ctx, data)
-	if err == nil && l.loseAnswer() {
-		return 0, &platlog.UncertainError{Cause: errDown}
-	}
-	return offset, err
+	return l.log.Append(ctx, data)
 }
 
 func (l *testLog) Read(ctx context.Context, req platlog.ReadRequest) (platlog.Batch, error) {
@@ -259,7 +244,7 @@
 		began:   time.Now(),
 	}
 	var records []*bspb.Record
-	records = append(records, siteRecord(0, limit))
+	records = append(records, siteRecord(limit))
 	update := &bspb.UpdateServers{}
 	for _, zone := range zones {
 		for i := range serversPerZone {
@@ -294,9 +279,7 @@
 	return w
 }
 
-// siteRecord publishes the site configuration on a base version, changed by the
-// functions given.
-func siteRecord(base uint64, limit time.Duration, changes ...func(*siteconfig.Service)) *bspb.Record {
+func siteRecord(limit time.Duration) *bspb.Record {
 	site := &siteconfig.Site{
 		GroupsPerZone: 1,
 		TrustVMList:   true,
@@ -306,11 +289,8 @@
 			MaxBodyBytes: 1 << 20,
 		}},
 	}
-	for _, change := range changes {
-		change(site.Services["wells"])
-	}
 	return &bspb.Record{Body: &bspb.Record_PublishSite{PublishSite: &bspb.PublishSite{
-		Base: base, Text: []byte("{}"), Compiled: siteconfig.ToProto(site),
+		Text: []byte("{}"), Compiled: siteconfig.ToProto(site),
 	}}}
 }
 
@@ -721,59 +701,3 @@
 		}},
 	}}})
 }
-
-// move asks zone a's lessor for one planned move and returns how many it took.
-func (w *world) move(move *bspb.ShardMove) uint32 {
-	req := &bspb.MoveRequest{Group: "a/0", Moves: []*bspb.ShardMove{move}, Reason: "test"}
-	answer, err := w.lessorOfA().module.serveMove(context.Background(), req)
-	if err != nil {
-		w.t.Fatal(err)
-	}
-	return answer.Accepted
-}
-
-// ref is the assignment in force of a shard, as a move names it.
-func (w *world) ref(id topo.ShardID) *bspb.ShardMove {
-	assignment, _ := w.view().Shard(id)
-	return &bspb.ShardMove{Shard: shardToProto(id), Fence: ordinalToProto(assignment.Fence.Ordinal)}
-}
-
-// other returns a server of zone a that neither owns a shard nor stands by for
-// it.
-func (w *world) other(id topo.ShardID) topo.ServerID {
-	assignment, _ := w.view().Shard(id)
-	for _, server := range []topo.ServerID{"sa1", "sa2", "sa3"} {
-		if server != assignment.Owner && server != assignment.Standby {
-			return server
-		}
-	}
-	return ""
-}
-
-// begin starts a run of a key at the server that serves its shard.
-func (w *world) begin(id topo.ShardID, key string) (end func(), err error) {
-	s := w.servers[w.owners()[id]]
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	now := time.Since(s.started)
-	fence := topo.Fence{}
-	for _, held := range s.holder.Grants() {
-		if held.Shard == id {
-			fence = held.Fence
-		}
-	}
-	run, err := s.holder.Begin(now, id, fence, key)
-	return func() {
-		s.mu.Lock()
-		defer s.mu.Unlock()
-		s.holder.End(run)
-	}, err
-}
-
-// emptySiteRecord publishes a site configuration without services.
-func emptySiteRecord(base uint64) *bspb.Record {
-	site := &siteconfig.Site{GroupsPerZone: 1, TrustVMList: true}
-	return &bspb.Record{Body: &bspb.Record_PublishSite{PublishSite: &bspb.PublishSite{
-		Base: base, Text: []byte("{}"), Compiled: siteconfig.ToProto(site),
-	}}}
-}
