--- a/balance/tuning.go
+++ b/balance/tuning.go
@@ -52,8 +52,9 @@
 		MaxSplit:   256,
 	}
 	if weighting == siteconfig.WeightUnavailability {
-		tuning.High = 1.20
+		tuning.High = 1.40
 		tuning.Floor = 0.30
+		tuning.MinGain = 0.02
 		tuning.ShardCost = 16
 		tuning.RangeFloor = 1.2
 		tuning.SplitAbove = 0.02
