Front end: a drain ends kept connections with their answers

Cause: a draining entry node answered on kept connections as before until its listener closed, and closed them then. A caller's request that crossed the close ended as a broken connection, unknown for a method that may not be repeated. Ruled out: the 503 of the refusing phase, which ends its connection. Change: from the beginning of a drain every answer carries "Connection: close", so connections in use are gone before the listener is. Conclusion: kept connections wind down while the balancer takes the node out.

--- a/modules/frontend/drain_test.go
+++ b/modules/frontend/drain_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"net/http"
+	"net/http/httptest"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -46,3 +48,20 @@
 		g.Expect(m.Drain(ctx)).To(gomega.MatchError(context.DeadlineExceeded))
 	})
 }
+
+// TestDrainEndsKeptConnections: from the beginning of a drain every answer ends
+// its connection, so that none of those in use is left when the listener closes.
+func TestDrainEndsKeptConnections(t *testing.T) {
+	h := &handler{drain: newDrainState()}
+	connection := func() string {
+		w := httptest.NewRecorder()
+		h.serve(w, httptest.NewRequest(http.MethodGet, "/nowhere", nil))
+		return w.Header().Get("Connection")
+	}
+	g := gomega.NewWithT(t)
+	g.Expect(connection()).To(gomega.BeEmpty())
+	for _, phase := range []phase{phaseAnnounce, phaseRefusing} {
+		h.drain.advance(phase)
+		g.Expect(connection()).To(gomega.Equal("close"), "phase %d", phase)
+	}
+}
--- a/modules/frontend/handler.go
+++ b/modules/frontend/handler.go
@@ -45,9 +45,13 @@
 	_ = http.NewResponseController(w).EnableFullDuplex()
 	id := h.nextID()
 	metricRequests.Add(1)
+	if !h.drain.healthy() {
+		// The caller's next request goes to another node, so that connections in
+		// use are gone before the listener closes.
+		w.Header().Set("Connection", "close")
+	}
 	if !h.drain.enter() {
 		metricRefused.Add(1)
-		w.Header().Set("Connection", "close")
 		writeVerdict(w, id, outcome.NotRun(serverapi.ReasonDraining).Later(drainRetryAfter))
 		return
 	}
