A first use of a stale ticket is known not to have run

A ticket had been issued just before the move and was used just after; the new owner answers "stale-ticket", unknown, since it cannot tell a first use from a repeat. Ruled out as the only cause: deadlines and lapsed leases (repeats beside heavy load show those as well, with their own reasons). Change: the caller can tell. The checker of at-most-once refuses a caller's request that ran under two tickets, with a planted violation. The checkers of assignments take the offset up to which nodes had settled.

--- a/demo/callers.go
+++ b/demo/callers.go
@@ -94,14 +94,22 @@
 		client.send(ctx, one)
 		return
 	}
-	if !s.obtainTicket(ctx, client, &one) {
-		client.giveUp(one)
-		return
-	}
+	uses := 0 // of the ticket that one carries
 	for ; one.number <= writeAttempts; one.number++ {
+		if uses == 0 && !s.obtainTicket(ctx, client, &one) {
+			client.giveUp(one)
+			return
+		}
 		answer := client.send(ctx, one)
-		if answer.Outcome != serverapi.OutcomeUnknown || !mayLearnMore(answer) {
+		uses++
+		switch {
+		case answer.Outcome != serverapi.OutcomeUnknown:
 			return
+		case answer.Reason == serverapi.ReasonStaleTicket && uses > 1:
+			return // it stays stale, and the earlier use may have run
+		case answer.Reason == serverapi.ReasonStaleTicket:
+			uses = 0 // nothing ran: a new ticket is safe
+			continue
 		}
 		if !sleep(ctx, pauseBeforeRetry) {
 			return
@@ -109,12 +117,6 @@
 	}
 }
 
-// mayLearnMore reports whether sending a ticket again can settle an unknown
-// outcome. A stale ticket stays stale.
-func mayLearnMore(answer history.CallerAnswered) bool {
-	return answer.Reason != serverapi.ReasonStaleTicket
-}
-
 func (s *sender) obtainTicket(ctx context.Context, client *client, one *attempt) bool {
 	for range ticketAttempts {
 		ticket, ok := client.ticket(ctx, *one)
--- a/histcheck/check.go
+++ b/histcheck/check.go
@@ -13,6 +13,15 @@
 	// Settled lists the nodes that were connected and caught up when the
 	// history ended. Each must know every acknowledged assignment.
 	Settled []topo.NodeID
+	// SettledAt is the offset up to which they had applied the log when they
+	// were found to have caught up. Assignments of later records are not asked
+	// of them, since nodes are stopped one after the other. 0 asks for all.
+	SettledAt topo.Offset
+}
+
+// asked reports whether the settled nodes must know an assignment.
+func (o Options) asked(e history.AssignmentKnown) bool {
+	return e.Acknowledged && (o.SettledAt == 0 || e.Fence.Offset <= o.SettledAt)
 }
 
 func (o Options) idempotent(service topo.Service, method string) bool {
--- a/histcheck/check_test.go
+++ b/histcheck/check_test.go
@@ -88,6 +88,13 @@
 			again.RequestID += "-again"
 			return []history.Event{again}
 		})},
+		"request ran under two tickets": {rule: RuleAtMostOnce, plant: editOne(func(e *history.RunBegan) []history.Event {
+			e.Ticket = "first"
+			again := *e
+			again.RequestID += "-again"
+			again.Ticket = "second"
+			return []history.Event{again}
+		})},
 		"write without a ticket ran twice": {rule: RuleAtMostOnce, plant: editOne(func(e *history.RunBegan) []history.Event {
 			e.Ticket, e.Method = "", "POST"
 			again := *e
@@ -202,3 +209,25 @@
 		return append(events, began, ended), true
 	}
 }
+
+// TestAssignmentsAfterTheSettledOffset: settled nodes must know what was
+// acknowledged up to the record at which they had caught up, and no later one.
+func TestAssignmentsAfterTheSettledOffset(t *testing.T) {
+	shard := topo.ShardID{Service: "s", Index: 1}
+	known := func(node topo.NodeID, at history.Time, offset topo.Offset) history.Event {
+		return history.AssignmentKnown{
+			At: at, Node: node, Shard: shard, Fence: topo.MakeFence(offset, 0), Owner: "s1", Acknowledged: true,
+		}
+	}
+	events := []history.Event{known("n1", 1, 10), known("n2", 2, 20)}
+	for _, row := range []struct {
+		settledAt topo.Offset
+		holds     bool
+	}{{0, false}, {10, true}, {19, true}, {20, false}} {
+		options := Options{Settled: []topo.NodeID{"n1"}, SettledAt: row.settledAt}
+		g := gomega.NewWithT(t)
+		g.Expect(Assignments(events, options) == nil).To(gomega.Equal(row.holds), "settled at %d", row.settledAt)
+		result := LinearizableAssignments(events, options, 0)
+		g.Expect(result == Linearizable).To(gomega.Equal(row.holds), "settled at %d", row.settledAt)
+	}
+}
--- a/outcome/outcome.go
+++ b/outcome/outcome.go
@@ -106,14 +106,23 @@
 func (t *Tally) MayHaveRun() bool { return t.uncertain != nil }
 
 // Final is what the caller is told when last is the last thing known: a whole
-// answer stands, and "not run" stands only if no earlier attempt may have run.
+// answer stands, and a last attempt that ran nothing stands only if no earlier
+// attempt may have run.
 func (t *Tally) Final(last Verdict) Verdict {
-	if last.Outcome == serverapi.OutcomeNotRun && t.uncertain != nil {
+	if ranNothing(last) && t.uncertain != nil {
 		return t.uncertain.Later(last.RetryAfter)
 	}
 	return last
 }
 
+// ranNothing reports whether an attempt ran nothing itself. A stale ticket may
+// have run in an earlier use, which makes the request's outcome unknown, but not
+// in the attempt that is refused for it: a caller that uses a ticket for the
+// first time may rely on that.
+func ranNothing(v Verdict) bool {
+	return v.Outcome == serverapi.OutcomeNotRun || v.Reason == serverapi.ReasonStaleTicket
+}
+
 // notRunStatus lists the statuses of requests that did not run; the others have
 // 503.
 var notRunStatus = map[serverapi.Reason]int{
--- a/outcome/outcome_test.go
+++ b/outcome/outcome_test.go
@@ -64,6 +64,36 @@
 	}
 }
 
+// TestStaleTicketsSayNothingOfEarlierAttempts: a stale ticket stands only where
+// no earlier attempt may have run, so that a first use is known not to have run.
+func TestStaleTicketsSayNothingOfEarlierAttempts(t *testing.T) {
+	stale := outcome.Unknown(serverapi.ReasonStaleTicket)
+	rows := []struct {
+		name    string
+		earlier []outcome.Verdict
+		want    serverapi.Reason
+	}{
+		{"first use", nil, serverapi.ReasonStaleTicket},
+		{"after a proven refusal", []outcome.Verdict{outcome.NotRun(serverapi.ReasonNotOwner)}, serverapi.ReasonStaleTicket},
+		{"after a lost answer", []outcome.Verdict{outcome.Unknown(callerapi.ReasonNoAnswer)}, callerapi.ReasonNoAnswer},
+		{"after both", []outcome.Verdict{
+			outcome.Unknown(callerapi.ReasonSilent), outcome.NotRun(serverapi.ReasonNotOwner),
+		}, callerapi.ReasonSilent},
+	}
+	for _, row := range rows {
+		t.Run(row.name, func(t *testing.T) {
+			var tally outcome.Tally
+			for _, v := range append(row.earlier, stale) {
+				tally.Add(v)
+			}
+			final := tally.Final(stale)
+			g := gomega.NewWithT(t)
+			g.Expect(final.Outcome).To(gomega.Equal(serverapi.OutcomeUnknown))
+			g.Expect(final.Reason).To(gomega.Equal(row.want))
+		})
+	}
+}
+
 // TestNotRunNeedsProofOfEveryAttempt draws the attempts of a request: the caller
 // is told "not run" only if none of them may have run.
 func TestNotRunNeedsProofOfEveryAttempt(t *testing.T) {
