Whole sites: what a slow machine does is not taken for a fault

Cause: the verdict of proof depended on the machine. (1) Where nothing fails but a starved machine lets a 1 s lease lapse, "no outcome unknown" cannot hold. (2) Probes of 200 ms had to be answered for all keys at one moment for keys to count as served again. (3) Nodes are stopped one after the other; an assignment made in between was known to one and not to another, and the checker took that for a lost assignment. (4) The stand-in balancer did not heed /healthz. Change: planned operations run with a long lease and deadline; probes get a long deadline once the usual one found no end for 10 s; settled nodes answer for what was acknowledged up to the offset at which they had caught up; the balancer checks /healthz and gives a refusing node no new connections.

--- a/demo/callers.go
+++ b/demo/callers.go
@@ -22,8 +22,9 @@
 
 // sender sends a plan of requests through the clients of their zones.
 type sender struct {
-	clients []*client // by zone
-	plan    []plannedRequest
+	clients  []*client // by zone
+	plan     []plannedRequest
+	deadline time.Duration // of each request
 	// done is told after each request with the number finished so far; nil for
 	// nobody.
 	done func(finished int)
@@ -88,7 +89,7 @@
 		method:   request.Method,
 		body:     request.Body,
 		size:     request.Size,
-		deadline: requestDeadline,
+		deadline: s.deadline,
 	}
 	if request.Body == nil {
 		client.send(ctx, one)
--- a/demo/demo.go
+++ b/demo/demo.go
@@ -15,7 +15,6 @@
 	"github.com/burdockspindle/burdockspindle/histcheck"
 	"github.com/burdockspindle/burdockspindle/history"
 	"github.com/burdockspindle/burdockspindle/model"
-	"github.com/burdockspindle/burdockspindle/topo"
 )
 
 // Defaults and bounds of a run.
@@ -135,7 +134,7 @@
 }
 
 // judge reports what the checkers found.
-func judge(s *Site, settled []topo.NodeID, logger hclog.Logger) (Summary, error) {
+func judge(s *Site, settled Settled, logger hclog.Logger) (Summary, error) {
 	summary, found := s.Judge(settled)
 	longest := histcheck.Unavailable(s.Memory.Events(), IsProbe)
 	eventLongest.Log(logger, "service", longest.Service, "key", longest.Key, "for", longest.Longest, "from", longest.From.Sub(0))
--- a/demo/load.go
+++ b/demo/load.go
@@ -1,6 +1,7 @@
 package demo
 
 import (
+	"cmp"
 	"context"
 	"slices"
 	"sync"
@@ -27,6 +28,9 @@
 	Probed []OwnedKey
 	// Progress is told how many requests are finished; nil for nobody.
 	Progress func(finished int)
+	// Deadline of requests and probes, where no outcome may be lost to a slow
+	// machine; 0 for the usual ones.
+	Deadline time.Duration
 }
 
 // Exercise sends the load through the site's nodes; see Callers.Exercise.
@@ -60,16 +64,19 @@
 // over and the probed keys are served again. Settled is false when they were
 // not in time.
 func (c *Callers) Exercise(ctx context.Context, load Load, faults func(context.Context)) (settled bool, err error) {
-	clients := c.clients()
+	front := &balancer{zones: c.Fronts}
+	clients := c.clients(front)
 	probing, stopProbing := context.WithCancel(ctx)
 	defer stopProbing()
-	probers, probesDone := startProbers(probing, clients, load.Probed)
+	probers, probesDone := startProbers(probing, clients, load)
+	front.check(probing, probesDone)
 	var wait sync.WaitGroup
 	wait.Go(func() { faults(ctx) })
 	sending := &sender{
-		clients: clients,
-		plan:    planRequests(load.Requests, load.Seed, load.Span, len(clients), c.Site),
-		done:    load.Progress,
+		clients:  clients,
+		deadline: cmp.Or(load.Deadline, requestDeadline),
+		plan:     planRequests(load.Requests, load.Seed, load.Span, len(clients), c.Site),
+		done:     load.Progress,
 	}
 	sending.run(ctx)
 	wait.Wait()
@@ -83,8 +90,7 @@
 }
 
 // clients returns one client for each zone, behind the platform's balancer.
-func (c *Callers) clients() []*client {
-	front := &balancer{zones: c.Fronts}
+func (c *Callers) clients(front *balancer) []*client {
 	clients := make([]*client, len(c.Fronts))
 	for zone := range clients {
 		clients[zone] = newClient(front.dialer(zone), c.Recorder, c.Clock)
@@ -94,13 +100,17 @@
 
 // Judge computes the summary of what was recorded and lists all violations.
 // Settled are the nodes that were connected to the end.
-func (s *Site) Judge(settled []topo.NodeID) (Summary, []histcheck.Violation) {
+func (s *Site) Judge(settled Settled) (Summary, []histcheck.Violation) {
 	return summarize(s.Memory.Events(), s.CheckOptions(settled))
 }
 
 // CheckOptions returns what the checkers need to know of the site.
-func (s *Site) CheckOptions(settled []topo.NodeID) histcheck.Options {
-	return histcheck.Options{Idempotent: idempotentBy(s.deployment.site), Settled: settled}
+func (s *Site) CheckOptions(settled Settled) histcheck.Options {
+	return histcheck.Options{
+		Idempotent: idempotentBy(s.deployment.site),
+		Settled:    settled.Nodes,
+		SettledAt:  settled.Applied,
+	}
 }
 
 // idempotentBy tells by a site configuration which methods may be repeated.
@@ -129,11 +139,14 @@
 }
 
 // startProbers probes keys, each from the next zone.
-func startProbers(ctx context.Context, clients []*client, keys []OwnedKey) ([]*prober, *sync.WaitGroup) {
+func startProbers(ctx context.Context, clients []*client, load Load) ([]*prober, *sync.WaitGroup) {
 	var wait sync.WaitGroup
-	probers := make([]*prober, len(keys))
-	for i, key := range keys {
-		probers[i] = &prober{client: clients[i%len(clients)], key: key, index: i}
+	probers := make([]*prober, len(load.Probed))
+	for i, key := range load.Probed {
+		probers[i] = &prober{
+			client: clients[i%len(clients)], key: key, index: i,
+			deadline: cmp.Or(load.Deadline, probeDeadline),
+		}
 		wait.Go(func() { probers[i].run(ctx) })
 	}
 	return probers, &wait
@@ -163,20 +176,27 @@
 	return chosen
 }
 
-// waitHealthy waits until the latest probe of every key was answered.
+// waitHealthy waits until the latest probe of every key was answered. On a
+// machine too slow for probes of the usual deadline it goes on with longer ones:
+// the question is whether the keys are served again, not how fast.
 func waitHealthy(ctx context.Context, probers []*prober) bool {
-	ctx, cancel := context.WithTimeout(ctx, settleTimeout)
+	if allHealthy(ctx, impatientFor, probers) {
+		return true
+	}
+	for _, one := range probers {
+		one.bePatient()
+	}
+	return allHealthy(ctx, settleTimeout, probers)
+}
+
+func allHealthy(ctx context.Context, limit time.Duration, probers []*prober) bool {
+	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
-	for {
-		healthy := true
-		for _, one := range probers {
-			healthy = healthy && one.healthy()
-		}
-		if healthy {
-			return true
-		}
+	unhealthy := func(one *prober) bool { return !one.healthy() }
+	for slices.ContainsFunc(probers, unhealthy) {
 		if !sleep(ctx, readyPoll) {
 			return false
 		}
 	}
+	return true
 }
--- a/demo/probes.go
+++ b/demo/probes.go
@@ -18,6 +18,10 @@
 	probeEvery    = 50 * time.Millisecond
 	probeDeadline = 200 * time.Millisecond
 	probePrefix   = "probe/"
+	// patientDeadline is that of probes once the usual ones did not find all keys
+	// served for impatientFor after the faults.
+	patientDeadline = 5 * time.Second
+	impatientFor    = 10 * time.Second
 )
 
 // IsProbe tells the probes of a history from its requests.
@@ -26,14 +30,28 @@
 // prober probes one key until its context ends, one probe at a time. The last
 // probe is finished.
 type prober struct {
-	client *client
-	key    OwnedKey
-	index  int
+	client   *client
+	key      OwnedKey
+	index    int
+	deadline time.Duration
 
 	mu       sync.Mutex
 	answered bool // the latest probe was
 }
 
+// bePatient gives later probes a deadline that a slow machine can meet too.
+func (p *prober) bePatient() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.deadline = max(p.deadline, patientDeadline)
+}
+
+func (p *prober) limit() time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.deadline
+}
+
 func (p *prober) run(ctx context.Context) {
 	for number := 1; ; number++ {
 		began := time.Now()
@@ -45,7 +63,7 @@
 			keyed:    true,
 			record:   p.key.Key,
 			method:   http.MethodGet,
-			deadline: probeDeadline,
+			deadline: p.limit(),
 		})
 		p.mu.Lock()
 		p.answered = answer.Outcome == serverapi.OutcomeAnswered
--- a/demo/ready.go
+++ b/demo/ready.go
@@ -140,10 +140,16 @@
 	return keys, nil
 }
 
+// Settled are nodes that had applied the log up to the same record.
+type Settled struct {
+	Nodes   []topo.NodeID
+	Applied topo.Offset
+}
+
 // WaitSettled waits until the nodes that run have applied the same records, and
 // returns them. Those that still lag after a long time are left out: the rule
 // that acknowledged assignments survive is not about speed.
-func (s *Site) WaitSettled(ctx context.Context) []topo.NodeID {
+func (s *Site) WaitSettled(ctx context.Context) Settled {
 	ctx, cancel := context.WithTimeout(ctx, settledWithin)
 	defer cancel()
 	for {
@@ -156,8 +162,7 @@
 
 // furthest lists the nodes that run and have applied most, and counts the
 // others.
-func (s *Site) furthest() (nodes []topo.NodeID, lagging int) {
-	highest := topo.Offset(0)
+func (s *Site) furthest() (settled Settled, lagging int) {
 	for _, one := range s.Nodes {
 		if one.Lost {
 			continue
@@ -167,15 +172,14 @@
 			continue
 		}
 		switch applied := source.View().Applied(); {
-		case applied > highest:
-			highest = applied
-			lagging += len(nodes)
-			nodes = []topo.NodeID{one.ID}
-		case applied == highest:
-			nodes = append(nodes, one.ID)
+		case applied > settled.Applied:
+			lagging += len(settled.Nodes)
+			settled = Settled{Nodes: []topo.NodeID{one.ID}, Applied: applied}
+		case applied == settled.Applied:
+			settled.Nodes = append(settled.Nodes, one.ID)
 		default:
 			lagging++
 		}
 	}
-	return nodes, lagging
+	return settled, lagging
 }
--- a/demo/settings.go
+++ b/demo/settings.go
@@ -8,7 +8,7 @@
 // settingsOf returns the settings of one entry node: the defaults, with the
 // stand-ins of this process in the platform's place.
 func (s *Site) settingsOf(id topo.NodeID, zone topo.Zone) *settings.Settings {
-	return &settings.Settings{
+	node := &settings.Settings{
 		Node:     id,
 		Zone:     zone,
 		Region:   region,
@@ -22,4 +22,8 @@
 		Timing:   settings.DefaultTiming(),
 		LogLevel: settings.DefaultLogLevel,
 	}
+	if s.adjust != nil {
+		s.adjust(node)
+	}
+	return node
 }
--- a/demo/site.go
+++ b/demo/site.go
@@ -20,6 +20,7 @@
 	"github.com/burdockspindle/burdockspindle/peer"
 	"github.com/burdockspindle/burdockspindle/platlog/logfault"
 	"github.com/burdockspindle/burdockspindle/platlog/memlog"
+	"github.com/burdockspindle/burdockspindle/settings"
 	"github.com/burdockspindle/burdockspindle/siteconfig"
 	"github.com/burdockspindle/burdockspindle/standin/server"
 	"github.com/burdockspindle/burdockspindle/standin/vms"
@@ -53,6 +54,7 @@
 	deployment *deployment
 	name       string // of the shared log and VM list
 	logger     hclog.Logger
+	adjust     func(*settings.Settings) // of each node; nil for none
 	observing  context.Context
 	stop       context.CancelFunc
 	observers  sync.WaitGroup
@@ -94,6 +96,9 @@
 	Servers int
 	Seed    uint64
 	Logger  hclog.Logger // nil for none
+	// Adjust changes the settings of each node before it starts; nil for the
+	// defaults.
+	Adjust func(*settings.Settings)
 }
 
 // StartSite starts the stand-ins, the servers and the nodes of a deployment,
@@ -109,6 +114,7 @@
 	}
 	deployment.resize(options.Servers)
 	site := newSite(deployment, options.Logger)
+	site.adjust = options.Adjust
 	if err := site.startServers(options.Seed); err != nil {
 		return site, err
 	}
