Whole sites say why a key is not served

Change: the run logs, for each such key, the latest answer, the assignment, the owner and its group, and once the state dump of every node.

--- a/demo/load.go
+++ b/demo/load.go
@@ -31,6 +31,9 @@
 	// Deadline of requests and probes, where no outcome may be lost to a slow
 	// machine; 0 for the usual ones.
 	Deadline time.Duration
+	// Unserved is told each probed key that was not served again in the end, and
+	// the latest answer to a probe of it; nil for nobody.
+	Unserved func(key OwnedKey, latest history.CallerAnswered)
 }
 
 // Exercise sends the load through the site's nodes; see Callers.Exercise.
@@ -81,6 +84,9 @@
 	sending.run(ctx)
 	wait.Wait()
 	settled = waitHealthy(ctx, probers)
+	if !settled && load.Unserved != nil {
+		tellUnserved(probers, load.Unserved)
+	}
 	stopProbing()
 	probesDone.Wait()
 	for _, one := range clients {
@@ -189,6 +195,14 @@
 	return allHealthy(ctx, settleTimeout, probers)
 }
 
+func tellUnserved(probers []*prober, tell func(OwnedKey, history.CallerAnswered)) {
+	for _, one := range probers {
+		if !one.healthy() {
+			tell(one.key, one.last())
+		}
+	}
+}
+
 func allHealthy(ctx context.Context, limit time.Duration, probers []*prober) bool {
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
--- a/demo/probes.go
+++ b/demo/probes.go
@@ -35,8 +35,8 @@
 	index    int
 	deadline time.Duration
 
-	mu       sync.Mutex
-	answered bool // the latest probe was
+	mu     sync.Mutex
+	latest history.CallerAnswered
 }
 
 // bePatient gives later probes a deadline that a slow machine can meet too.
@@ -66,7 +66,7 @@
 			deadline: p.limit(),
 		})
 		p.mu.Lock()
-		p.answered = answer.Outcome == serverapi.OutcomeAnswered
+		p.latest = answer
 		p.mu.Unlock()
 		if !sleep(ctx, probeEvery-time.Since(began)) {
 			return
@@ -74,8 +74,14 @@
 	}
 }
 
+func (p *prober) last() history.CallerAnswered {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.latest
+}
+
 func (p *prober) healthy() bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.answered
+	return p.latest.Outcome == serverapi.OutcomeAnswered
 }
--- a/proof/site_test.go
+++ b/proof/site_test.go
@@ -6,9 +6,11 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"math/rand/v2"
 	"os"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -17,6 +19,7 @@
 
 	"github.com/burdockspindle/burdockspindle/demo"
 	"github.com/burdockspindle/burdockspindle/histcheck"
+	"github.com/burdockspindle/burdockspindle/history"
 	"github.com/burdockspindle/burdockspindle/model"
 )
 
@@ -64,6 +67,8 @@
 	t      *testing.T
 	random *rand.Rand
 	keys   []demo.OwnedKey
+
+	explained atomic.Bool // the nodes' state was logged
 }
 
 // startRun starts a site beside those of other tests, and waits until it
@@ -145,6 +150,7 @@
 	g := gomega.NewWithT(r.t)
 	load.Requests, load.Seed, load.Span = requests, seed, loadSpan
 	load.Probed = demo.Spread(r.keys, probed...)
+	load.Unserved = r.explain
 	settled, err := r.Exercise(ctx, load, func(ctx context.Context) { faults(ctx, r) })
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 	g.Expect(settled).To(gomega.BeTrue(), "probed keys were not served again")
@@ -160,6 +166,31 @@
 	return summary
 }
 
+// explain logs what there is to know of a key that nobody serves: where it
+// belongs, and the state of the nodes that could help.
+func (r *run) explain(key demo.OwnedKey, latest history.CallerAnswered) {
+	view, err := r.View()
+	if err != nil {
+		r.t.Logf("%s of %s: %v", key.Key, key.Service, err)
+		return
+	}
+	assignment, _ := view.Lookup(key.Service, key.Key)
+	owner, _ := view.Server(assignment.Owner)
+	group, _ := view.Group(owner.Group)
+	r.t.Logf("%s of %s: latest %+v\nassignment %+v\nowner %+v, lost %t\ngroup %+v",
+		key.Key, key.Service, latest, assignment, owner, view.ServerLost(assignment.Owner), group)
+	if r.explained.Swap(true) {
+		return
+	}
+	for _, one := range r.Nodes {
+		if one.Lost {
+			continue
+		}
+		dump, err := json.Marshal(one.Dump())
+		r.t.Logf("%s: %s %v", one.ID, dump, err)
+	}
+}
+
 // linearizable hands the history to the models.
 func (r *run) linearizable(options histcheck.Options) {
 	r.t.Helper()
