Let members without a part in their group rest

Cause: a record woke the members of all groups on every node. Each listed the nodes anew and sorted them for its turn. The series of package capacity grow one size at a time and missed the product of nodes and groups. Change: the list of nodes is made once a view and kept while it says the same; a member's turn is counted, not sorted, and only when group or nodes changed; a member that has no part, does not watch and has no reason to claim rests, and is woken only by news of its own group. The configured groups are listed by zone, not by node. Package capacity measures a record's cost for such groups by nodes and adds it to following the log.

--- a/capacity/plan.go
+++ b/capacity/plan.go
@@ -133,11 +133,12 @@
 // control is the processor time of following the log.
 func control(s Size, m Measurement) Prediction {
 	shards := float64(s.Shards)
-	each := m.find("move applied and view published").At(shards) + m.find("lessor's facts made anew").At(shards)
+	each := m.find("move applied and view published").At(shards) + m.find("lessor's facts made anew").At(shards) +
+		m.find("record seen by groups without a part").At(float64(s.Nodes))
 	return Prediction{
 		What: "processor of a node for following the log", Limit: limitCore, Unit: "cores",
 		Predicted: s.records() * each / 1e6, Range: m.find("move applied and view published").Range(shards),
-		Basis: "records a second × (move applied + lessor's facts made anew)",
+		Basis: "records a second × (move applied + lessor's facts made anew + seen by other groups)",
 	}
 }
 
--- a/capacity/pure.go
+++ b/capacity/pure.go
@@ -121,6 +121,15 @@
 	return []int{5_000, 10_000, 20_000, 40_000, 80_000}
 }
 
+// nodeSizes are the numbers of nodes, with servers, shards and groups to match,
+// at which pure parts are measured.
+func nodeSizes(quick bool) []int {
+	if quick {
+		return []int{40, 80}
+	}
+	return []int{165, 330, 660}
+}
+
 // pureSeries measures the parts without I/O.
 func pureSeries(quick bool) ([]Series, error) {
 	shards := shardSizes(quick)
@@ -137,6 +146,7 @@
 		{"move applied and view published", "shards", "µs of processor", shards, moveApplied},
 		{"routing decision", "shards", "µs of processor", shards, routed},
 		{"lessor's facts made anew", "shards", "µs of processor", shards, factsMade},
+		{"record seen by groups without a part", "nodes", "µs of processor", nodeSizes(quick), seenByOthers},
 		{"membership record size", "servers", "bytes", []int{10, 100, 1000}, membershipBytes},
 	} {
 		points, err := sweep(one.sizes, one.cost)
@@ -269,7 +279,27 @@
 	size := ofShards(shards)
 	view := build(size).View()
 	group := topo.GroupID(size.groupOf(0))
-	return costOf(func() { lessor.FactsOf(view, group, true) }), nil
+	return costOf(func() { lessor.FactsOf(view, lessor.NodesOf(view, nil), group, true) }), nil
+}
+
+// seenByOthers is what a record costs a node for the groups in which it has no
+// part, if it changes neither nodes nor terms.
+func seenByOthers(nodes int) (float64, error) {
+	servers := serversPerNode * nodes
+	size := shape{nodes: nodes, servers: servers, shards: servers * shardsPerServer, groups: servers / serversPerGroup / zones}
+	view := build(size).View()
+	listed := lessor.NodesOf(view, nil)
+	var facts []*lessor.Facts
+	for _, group := range lessor.GroupsOf(view) {
+		facts = append(facts, lessor.FactsOf(view, listed, group, false))
+	}
+	return costOf(func() {
+		lessor.GroupsOf(view)
+		listed = lessor.NodesOf(view, listed)
+		for _, one := range facts {
+			one.Current(view, listed)
+		}
+	}), nil
 }
 
 func membershipBytes(count int) (float64, error) {
--- a/experiment/engine/lessors.go
+++ b/experiment/engine/lessors.go
@@ -19,6 +19,7 @@
 	view   *state.View
 	detail bool
 	facts  *lessor.Facts
+	nodes  []state.Node // of facts
 }
 
 func newGroupMember(n *node, group topo.GroupID) *groupMember {
@@ -50,7 +51,8 @@
 	detail := m.needsDetail()
 	if n.view != m.view || detail != m.detail {
 		m.view, m.detail = n.view, detail
-		m.facts = lessor.FactsOf(n.view, m.group, detail)
+		m.nodes = lessor.NodesOf(n.view, m.nodes)
+		m.facts = lessor.FactsOf(n.view, m.nodes, m.group, detail)
 	}
 	m.member.Observe(m.now(), n.seenAt.Sub(epoch), !n.seenAt.IsZero(), m.facts)
 	m.act()
--- a/lessor/facts.go
+++ b/lessor/facts.go
@@ -18,7 +18,7 @@
 	// when; no wait depends on them.
 	LessorGone  bool
 	StandbyGone bool
-	Nodes       []state.Node // not lost, of every zone
+	Nodes       []state.Node // see NodesOf
 	Servers     map[topo.ServerID]Server
 	Shards      map[topo.ShardID]Shard // whose owner is one of Servers
 	// ShardsOf lists the shards of each owner in a fixed order.
--- a/lessor/member.go
+++ b/lessor/member.go
@@ -137,6 +137,7 @@
 	}
 	old := m.facts
 	before := old.Group.Term
+	turns := !m.observed || old.Group != facts.Group || !sameList(old.Nodes, facts.Nodes)
 	m.facts = facts
 	m.settling = true
 	if !m.observed || facts.Group.Term != before {
@@ -144,7 +145,9 @@
 		m.termChanged(now, before)
 	}
 	m.noteGone(now)
-	m.place, m.watches = m.turn()
+	if turns {
+		m.place, m.watches = m.turn()
+	}
 	m.forgetPast()
 	if m.role == RoleLessor {
 		m.hurryNew(old)
--- a/lessor/project.go
+++ b/lessor/project.go
@@ -1,6 +1,7 @@
 package lessor
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -22,9 +23,9 @@
 		}
 	}
 	if site := view.Site(); site != nil {
-		for _, node := range view.Nodes() {
+		for zone := range zonesOf(view) {
 			for i := range site.GroupsPerZone {
-				set[topo.MakeGroupID(node.Zone, i)] = true
+				set[topo.MakeGroupID(zone, i)] = true
 			}
 		}
 	}
@@ -36,13 +37,63 @@
 	return groups
 }
 
-// FactsOf derives the facts of one group from a view. Without detail, what only
-// lessors and standby lessors need is left out.
-func FactsOf(view *state.View, id topo.GroupID, detail bool) *Facts {
+func zonesOf(view *state.View) map[topo.Zone]bool {
+	zones := map[topo.Zone]bool{}
+	for _, node := range view.Nodes() {
+		zones[node.Zone] = true
+	}
+	return zones
+}
+
+// NodesOf lists the nodes of a view that are not lost, in order. It returns the
+// list that it gave for another view if that says the same, so that what was
+// worked out from it need not be worked out again.
+func NodesOf(view *state.View, other []state.Node) []state.Node {
+	nodes := make([]state.Node, 0, len(view.Nodes()))
+	for _, node := range view.Nodes() {
+		if !view.NodeLost(node.ID) && !zoneLost(view, node.Zone) {
+			nodes = append(nodes, node)
+		}
+	}
+	slices.SortFunc(nodes, func(a, b state.Node) int { return cmp.Compare(a.ID, b.ID) })
+	if slices.Equal(nodes, other) {
+		return other
+	}
+	return nodes
+}
+
+// sameList reports whether two lists are one and the same.
+func sameList(a, b []state.Node) bool {
+	return len(a) == len(b) && (len(a) == 0 || &a[0] == &b[0])
+}
+
+// FactsOf derives the facts of one group from a view and the view's NodesOf.
+// Without detail, what only lessors and standby lessors need is left out.
+func FactsOf(view *state.View, nodes []state.Node, id topo.GroupID, detail bool) *Facts {
+	facts := headOf(view, id)
+	facts.Applied, facts.Nodes = view.Applied(), nodes
+	if detail {
+		projectServers(view, &facts)
+		projectShards(view, &facts)
+	}
+	return &facts
+}
+
+// Current reports whether a newer view and its NodesOf would tell a node that
+// is neither lessor nor standby lessor nothing else but the offset.
+func (f *Facts) Current(view *state.View, nodes []state.Node) bool {
+	group, _ := view.Group(f.Group.ID)
+	group.ID = f.Group.ID
+	return sameList(f.Nodes, nodes) && group == f.Group &&
+		f.LessorGone == runEnded(view, group.Lessor, group.LessorBoot) &&
+		f.StandbyGone == runEnded(view, group.Standby, group.StandbyBoot)
+}
+
+// headOf returns what every node needs to know of a group.
+func headOf(view *state.View, id topo.GroupID) Facts {
 	group, _ := view.Group(id)
 	group.ID = id
-	facts := &Facts{
-		Applied:     view.Applied(),
+	return Facts{
 		Group:       group,
 		LessorGone:  runEnded(view, group.Lessor, group.LessorBoot),
 		StandbyGone: runEnded(view, group.Standby, group.StandbyBoot),
@@ -52,16 +103,6 @@
 		StandbyOf:   map[topo.ServerID][]Grant{},
 		Targets:     map[topo.Service][]Target{},
 	}
-	for _, node := range view.Nodes() {
-		if !view.NodeLost(node.ID) && !zoneLost(view, node.Zone) {
-			facts.Nodes = append(facts.Nodes, node)
-		}
-	}
-	if detail {
-		projectServers(view, facts)
-		projectShards(view, facts)
-	}
-	return facts
 }
 
 // runEnded reports whether a run of a node was replaced, removed or lost.
--- /dev/null
+++ b/lessor/rest_test.go
@@ -0,0 +1,147 @@
+package lessor
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"github.com/burdockspindle/burdockspindle/lease"
+	"github.com/burdockspindle/burdockspindle/state"
+	"github.com/burdockspindle/burdockspindle/topo"
+
+	bspb "github.com/burdockspindle/burdockspindle/proto/burdockspindle/v1"
+)
+
+const restBoot = "boot"
+
+func restConfig(node topo.NodeID, zone topo.Zone) Config {
+	return Config{
+		Node: node, Boot: restBoot, Zone: zone, Group: "z0/0",
+		Lease:          lease.Timing{TTL: time.Second, Margin: 50 * time.Millisecond, DriftPPM: 200},
+		RenewEvery:     250 * time.Millisecond,
+		HeartbeatEvery: 100 * time.Millisecond,
+		SuspectAfter:   350 * time.Millisecond,
+		StandInAfter:   500 * time.Millisecond,
+		RetryAfter:     100 * time.Millisecond,
+	}
+}
+
+func restNode(i int) state.Node {
+	return state.Node{ID: topo.NodeID(fmt.Sprintf("n%d", i)), Boot: restBoot, Zone: topo.Zone(fmt.Sprintf("z%d", i%2))}
+}
+
+// drawFacts draws what a node may be told of a group without a part in it.
+func drawFacts(t *rapid.T, term uint64) *Facts {
+	facts := &Facts{Group: state.Group{ID: "z0/0"}}
+	count := rapid.IntRange(1, 10).Draw(t, "nodes")
+	for i := range count {
+		facts.Nodes = append(facts.Nodes, restNode(i))
+	}
+	if rapid.Bool().Draw(t, "claimed") {
+		facts.Group.Term = topo.MakeTerm(topo.Offset(term), 0)
+		facts.Group.Lessor, facts.Group.LessorBoot = topo.NodeID(fmt.Sprintf("n%d", rapid.IntRange(1, 11).Draw(t, "lessor"))), restBoot
+		if rapid.Bool().Draw(t, "standby named") {
+			facts.Group.Standby, facts.Group.StandbyBoot = topo.NodeID(fmt.Sprintf("n%d", rapid.IntRange(1, 11).Draw(t, "standby"))), restBoot
+		}
+		facts.LessorGone = rapid.Bool().Draw(t, "lessor gone")
+		facts.StandbyGone = rapid.Bool().Draw(t, "standby gone")
+	}
+	return facts
+}
+
+// TestAMemberAtRestHasNothingDue lets members see states, probe nodes that
+// answer or do not, and claim; whenever one says that it rests, nothing comes
+// due however long it waits.
+func TestAMemberAtRestHasNothingDue(t *testing.T) {
+	rested := 0
+	rapid.Check(t, func(t *rapid.T) {
+		self := restNode(rapid.IntRange(0, 9).Draw(t, "self"))
+		m := NewMember(restConfig(self.ID, self.Zone))
+		now := time.Second
+		for step := range rapid.IntRange(1, 6).Draw(t, "states") {
+			m.Observe(now, now, true, drawFacts(t, uint64(step+1)))
+			for range rapid.IntRange(0, 5).Draw(t, "looks") {
+				now += 100 * time.Millisecond
+				m.Observe(now, now, true, m.facts)
+				for _, action := range m.Plan(now) {
+					drawEnd(t, m, now, action)
+				}
+			}
+			if !m.Rests() {
+				continue
+			}
+			rested++
+			for _, wait := range []time.Duration{time.Millisecond, time.Second, time.Hour} {
+				now += wait
+				m.Observe(now, now, true, m.facts)
+				if due := m.Plan(now); len(due) > 0 || !m.Rests() {
+					t.Fatalf("at rest, but %v is due after %v", due, wait)
+				}
+			}
+		}
+	})
+	if rested == 0 {
+		t.Fatal("no member ever rested")
+	}
+}
+
+func drawEnd(t *rapid.T, m *Member, now time.Duration, action Action) {
+	switch a := action.(type) {
+	case Probe:
+		m.BeginProbe(now, a.Node)
+		if rapid.Bool().Draw(t, "answers") {
+			m.ProbeAnswered(now, Run{Node: a.Node, Boot: restBoot})
+		} else {
+			m.ProbeFailed(a.Node)
+		}
+	case ClaimTerm:
+		if _, number, allowed := m.BeginClaim(); allowed {
+			m.ClaimFailed(now, number, rapid.Bool().Draw(t, "unknown"))
+		}
+	}
+}
+
+func TestFactsAreCurrentUntilTheGroupOrTheNodesChange(t *testing.T) {
+	g := gomega.NewWithT(t)
+	s := state.New()
+	offset := topo.Offset(0)
+	apply := func(rec *bspb.Record) *state.View {
+		offset++
+		rec.Format, rec.Writer, rec.Sequence = 1, "test@1", uint64(offset)
+		g.Expect(s.Apply(offset, rec).Accepted).To(gomega.BeTrue())
+		return s.View()
+	}
+	join := func(i int, boot string) *bspb.Record {
+		n := restNode(i)
+		return &bspb.Record{Body: &bspb.Record_JoinNode{JoinNode: &bspb.JoinNode{Node: string(n.ID), Boot: boot, Zone: string(n.Zone), Region: "r", PeerAddress: "10.0.0.1:7300"}}}
+	}
+	claim := func(group, node, standby string) *bspb.Record {
+		return &bspb.Record{Body: &bspb.Record_ClaimTerm{ClaimTerm: &bspb.ClaimTerm{Group: group, Node: node, Boot: restBoot, Standby: standby, StandbyBoot: restBoot}}}
+	}
+	apply(join(0, restBoot))
+	view := apply(join(1, restBoot))
+	nodes := NodesOf(view, nil)
+	facts := FactsOf(view, nodes, "z0/0", false)
+	g.Expect(facts.Current(view, nodes)).To(gomega.BeTrue())
+
+	view = apply(claim("z1/0", "n1", "n0")) // another group's term
+	g.Expect(sameList(NodesOf(view, nodes), nodes)).To(gomega.BeTrue())
+	g.Expect(facts.Current(view, NodesOf(view, nodes))).To(gomega.BeTrue())
+
+	view = apply(claim("z0/0", "n0", "n1")) // this group's term
+	g.Expect(facts.Current(view, NodesOf(view, nodes))).To(gomega.BeFalse())
+	facts = FactsOf(view, nodes, "z0/0", false)
+
+	view = apply(join(2, restBoot)) // a node more
+	g.Expect(facts.Current(view, NodesOf(view, nodes))).To(gomega.BeFalse())
+	nodes = NodesOf(view, nodes)
+	facts = FactsOf(view, nodes, "z0/0", false)
+
+	view = apply(join(0, "next")) // another run of the lessor's node
+	changed := FactsOf(view, nodes, "z0/0", false)
+	g.Expect(changed.LessorGone).To(gomega.BeTrue())
+	g.Expect(facts.Current(view, nodes)).To(gomega.BeFalse(), "the lessor's run has ended")
+}
--- a/lessor/watch.go
+++ b/lessor/watch.go
@@ -116,32 +116,30 @@
 // isOutsider reports whether this node is not of the group's zone.
 func (m *Member) isOutsider() bool { return m.cfg.Zone != m.cfg.Group.Zone() }
 
-// candidates lists the nodes that may become the group's lessor, in the order
-// in which they stand in for each other: nodes of the zone first, each by its
-// weight, without the present lessor and standby lessor.
-func (m *Member) candidates() []state.Node {
-	group := m.facts.Group
-	list := make([]state.Node, 0, len(m.facts.Nodes))
-	for _, n := range m.facts.Nodes {
-		run := Run{Node: n.ID, Boot: n.Boot}
-		named := run == Run{Node: group.Lessor, Boot: group.LessorBoot} || run == m.standbyRun()
-		if !named {
-			list = append(list, n)
-		}
-	}
-	m.order(list)
-	return list
+// order sorts nodes by their turn in the group.
+func (m *Member) order(list []state.Node) {
+	slices.SortFunc(list, func(a, b state.Node) int { return m.rankOf(a).compare(m.rankOf(b)) })
 }
 
-func (m *Member) order(list []state.Node) {
-	zone := m.cfg.Group.Zone()
-	slices.SortFunc(list, func(a, b state.Node) int {
-		return cmp.Or(
-			cmp.Compare(boolRank(a.Zone != zone), boolRank(b.Zone != zone)),
-			cmp.Compare(m.weight(b.ID), m.weight(a.ID)),
-			cmp.Compare(a.ID, b.ID),
-		)
-	})
+// rank is what decides a node's turn: nodes of the zone first, each by its
+// weight.
+type rank struct {
+	outside bool
+	weight  uint64
+	id      topo.NodeID
+}
+
+func (m *Member) rankOf(n state.Node) rank {
+	return rank{outside: n.Zone != m.cfg.Group.Zone(), weight: m.weight(n.ID), id: n.ID}
+}
+
+// compare is below 0 if it is the turn of a before that of b.
+func (a rank) compare(b rank) int {
+	return cmp.Or(
+		cmp.Compare(boolRank(a.outside), boolRank(b.outside)),
+		cmp.Compare(b.weight, a.weight),
+		cmp.Compare(a.id, b.id),
+	)
 }
 
 // weight spreads the groups of a zone over its nodes (rendezvous hashing).
@@ -149,20 +147,46 @@
 	return xxhash.Sum64String(string(m.cfg.Group) + "\x00" + string(id))
 }
 
-// turn returns this node's place among the candidates, and whether it is one of
-// the few that watch.
+// turn returns this node's place among the nodes that may become the group's
+// lessor, which stand in for each other in the order of their ranks, and
+// whether it is one of the few that watch. The present lessor and standby
+// lessor have no place.
 func (m *Member) turn() (place int, watches bool) {
-	zone := m.cfg.Group.Zone()
+	self, listed := m.selfListed()
+	if !listed {
+		return -1, false
+	}
+	own := m.rankOf(self)
 	inside, outside := 0, 0
-	for i, n := range m.candidates() {
-		counter, limit := &outside, watchersOutside
-		if n.Zone == zone {
-			counter, limit = &inside, watchersInside
+	for _, n := range m.facts.Nodes {
+		switch {
+		case m.named(n) || m.rankOf(n).compare(own) >= 0:
+		case n.Zone == m.cfg.Group.Zone():
+			inside++
+		default:
+			outside++
 		}
+	}
+	if own.outside {
+		return inside + outside, outside < watchersOutside
+	}
+	return inside, inside < watchersInside
+}
+
+// selfListed returns this node as the facts list it, unless it is the lessor or
+// the standby lessor.
+func (m *Member) selfListed() (state.Node, bool) {
+	for _, n := range m.facts.Nodes {
 		if n.ID == m.cfg.Node {
-			return i, *counter < limit
+			return n, !m.named(n)
 		}
-		*counter++
 	}
-	return -1, false
+	return state.Node{}, false
+}
+
+// named reports whether the group names this run of a node.
+func (m *Member) named(n state.Node) bool {
+	group := m.facts.Group
+	run := Run{Node: n.ID, Boot: n.Boot}
+	return run == Run{Node: group.Lessor, Boot: group.LessorBoot} || run == m.standbyRun()
 }
--- a/modules/lessor/module.go
+++ b/modules/lessor/module.go
@@ -63,6 +63,10 @@
 
 	mu      sync.RWMutex
 	workers map[topo.GroupID]*worker
+
+	nodesMu  sync.Mutex
+	nodes    []state.Node // of nodesFor, see core.NodesOf
+	nodesFor *state.View
 }
 
 // ModuleInfo implements kernel.Module.
@@ -135,13 +139,19 @@
 	return nil
 }
 
-// superviseGroups runs one worker for each group that the state knows.
+// superviseGroups runs one worker for each group that the state knows, and
+// wakes those at rest for which a view has news.
 func (m *Module) superviseGroups(ctx context.Context) {
 	for {
 		changed := m.source.Changed()
-		for _, group := range core.GroupsOf(m.source.View()) {
+		view := m.source.View()
+		nodes := m.nodesOf(view)
+		for _, group := range core.GroupsOf(view) {
 			m.ensureWorker(ctx, group)
 		}
+		for _, w := range m.allWorkers() {
+			w.wakeFor(view, nodes)
+		}
 		select {
 		case <-ctx.Done():
 			return
@@ -150,6 +160,16 @@
 	}
 }
 
+// nodesOf returns the view's core.NodesOf, which all groups share.
+func (m *Module) nodesOf(view *state.View) []state.Node {
+	m.nodesMu.Lock()
+	defer m.nodesMu.Unlock()
+	if m.nodesFor != view {
+		m.nodes, m.nodesFor = core.NodesOf(view, m.nodes), view
+	}
+	return m.nodes
+}
+
 func (m *Module) ensureWorker(ctx context.Context, group topo.GroupID) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/modules/lessor/worker.go
+++ b/modules/lessor/worker.go
@@ -19,6 +19,8 @@
 	// ticksPerRenewal is how often in a renewal interval a member with a part
 	// in its group looks at the time.
 	ticksPerRenewal = 10
+	// restMost is how long a member at rest goes without a look at the time.
+	restMost = 10 * time.Second
 	// batchMost bounds the inputs taken before the member acts.
 	batchMost = 64
 )
@@ -33,12 +35,15 @@
 	// announcements run apart, so that they take no room from the rest.
 	announcements *calls
 
-	view    *state.View
-	detail  bool
-	facts   *core.Facts
-	last    core.Status
-	lastAt  time.Duration
-	lists   uint64 // version of what published.granted was made from
+	view   *state.View
+	detail bool
+	facts  *core.Facts
+	last   core.Status
+	lastAt time.Duration
+	lists  uint64 // version of what published.granted was made from
+	// resting has the facts of a member at rest, for whoever wakes it.
+	resting atomic.Pointer[core.Facts]
+	wake    chan struct{} // size 1
 	current atomic.Pointer[published]
 	dump    atomic.Pointer[core.Dump]
 	dumpAt  time.Duration
@@ -64,6 +69,7 @@
 		member: core.NewMember(m.config(group)),
 		inbox:  ring.New[input]("lessor-"+string(group), inboxSize, ring.Refuse),
 		told:   map[topo.ServerID]time.Duration{},
+		wake:   make(chan struct{}, 1),
 		facts:  &core.Facts{},
 	}
 	w.calls = newCalls(callsMost)
@@ -86,11 +92,15 @@
 		w.observe()
 		w.act(ctx)
 		w.publish()
+		if w.rest() {
+			changed = nil // whoever sees a change wakes it
+		}
 		timer.Reset(w.pause())
 		select {
 		case <-ctx.Done():
 			return
 		case <-changed:
+		case <-w.wake:
 		case <-timer.C:
 		case in := <-w.inbox.Items():
 			w.take(in)
@@ -113,9 +123,36 @@
 	}
 }
 
+// rest tells whether the member is at rest, so that only news for its group
+// need wake it: a record that others wrote for other groups costs it nothing.
+func (w *worker) rest() bool {
+	w.resting.Store(nil)
+	if !w.member.Rests() {
+		return false
+	}
+	w.resting.Store(w.facts)
+	// A view that came before this was stored was not compared with these facts.
+	return w.module.source.View() == w.view
+}
+
+// wakeFor wakes a member at rest if a view has news for it.
+func (w *worker) wakeFor(view *state.View, nodes []state.Node) {
+	facts := w.resting.Load()
+	if facts == nil || facts.Current(view, nodes) {
+		return
+	}
+	select {
+	case w.wake <- struct{}{}:
+	default: // it has been woken already
+	}
+}
+
 // pause is how long the member may wait for the next look at the time.
 func (w *worker) pause() time.Duration {
 	timing := w.module.timing
+	if w.resting.Load() != nil {
+		return restMost
+	}
 	if w.member.Role() == core.RoleNone {
 		return timing.HeartbeatEvery
 	}
@@ -129,8 +166,7 @@
 	view := w.module.source.View()
 	detail := w.needsDetail(view)
 	if view != w.view || detail != w.detail {
-		w.view, w.detail = view, detail
-		w.facts = core.FactsOf(view, w.group, detail)
+		w.takeFacts(view, detail)
 	}
 	known := !contact.IsZero()
 	var askedAt time.Duration
@@ -140,6 +176,17 @@
 	w.member.Observe(w.module.now(), askedAt, known, w.facts)
 }
 
+// takeFacts derives the facts from a newer view. A member without a part keeps
+// those that it has if they would say the same.
+func (w *worker) takeFacts(view *state.View, detail bool) {
+	nodes := w.module.nodesOf(view)
+	same := w.view != nil && !detail && !w.detail && w.facts.Current(view, nodes)
+	w.view, w.detail = view, detail
+	if !same {
+		w.facts = core.FactsOf(view, nodes, w.group, detail)
+	}
+}
+
 // needsDetail reports whether the view names this run as lessor or standby
 // lessor of the group.
 func (w *worker) needsDetail(view *state.View) bool {
