Ask a healthy lessor only, and as often as the watcher's turn needs

Cause: the three watchers of a group asked its lessor and its standby lessor ten times a second each: 58 calls a second a group, five of six calls between nodes. Change: while the lessor answers, a watcher asks the lessor alone; the first in turn every 75 ms, later ones every 225 ms. A failed or overdue answer makes it ask both each heartbeat interval. Silence counts from at most one heartbeat interval before the first probe in vain, so that the turns keep their order. A worker that watches wakes for its next probe.

--- a/lessor/claim.go
+++ b/lessor/claim.go
@@ -134,7 +134,7 @@
 	if gone.set {
 		return gone.at, true
 	}
-	since, silent := m.watch.silentSince(id)
+	since, silent := m.watch.silentSince(id, m.cfg.HeartbeatEvery)
 	if !silent || now-since < m.cfg.SuspectAfter {
 		return 0, false
 	}
--- a/lessor/plan.go
+++ b/lessor/plan.go
@@ -159,33 +159,3 @@
 	last := m.announced
 	return !last.set || now-last.at >= announceEvery*m.cfg.RenewEvery
 }
-
-// planProbes asks the lessor and the standby lessor for signs of life.
-func (m *Member) planProbes(now time.Duration, actions []Action) []Action {
-	if m.facts.Group.Term.IsZero() || m.role == RoleLessor {
-		return actions
-	}
-	group := m.facts.Group
-	if m.role == RoleStandby {
-		if now-m.standing.heard.at >= m.cfg.SuspectAfter/2 {
-			actions = m.planProbe(now, group.Lessor, actions)
-		}
-		return actions
-	}
-	if !m.watches {
-		return actions
-	}
-	actions = m.planProbe(now, group.Lessor, actions)
-	return m.planProbe(now, group.Standby, actions)
-}
-
-func (m *Member) planProbe(now time.Duration, id topo.NodeID, actions []Action) []Action {
-	if id == "" || id == m.cfg.Node {
-		return actions
-	}
-	known := m.watch.node(id)
-	if known.inFlight || (known.asked.set && now-known.asked.at < m.cfg.HeartbeatEvery) {
-		return actions
-	}
-	return append(actions, Probe{Node: id})
-}
--- a/lessor/watch.go
+++ b/lessor/watch.go
@@ -38,9 +38,12 @@
 type watched struct {
 	asked    moment
 	inFlight bool
-	heard    moment
-	failures int
-	replaced moment // another run answered
+	// unanswered is when the first of the present row of probes without an
+	// answer was begun.
+	unanswered moment
+	heard      moment
+	failures   int
+	replaced   moment // another run answered
 }
 
 // next returns the watch for a new term.
@@ -62,8 +65,9 @@
 }
 
 // silentSince returns since when a node has given no sign of life, if it is
-// silent.
-func (w *watch) silentSince(id topo.NodeID) (time.Duration, bool) {
+// silent: at most lag before it was first asked in vain, since it may have been
+// asked seldom before.
+func (w *watch) silentSince(id topo.NodeID, lag time.Duration) (time.Duration, bool) {
 	known, exists := w.nodes[id]
 	if !exists {
 		return 0, false
@@ -71,7 +75,7 @@
 	if known.replaced.set {
 		return known.replaced.at, true
 	}
-	since := max(w.began, known.heard.at)
+	since := max(w.began, known.heard.at, known.unanswered.at-lag)
 	return since, known.failures >= probeFailures
 }
 
@@ -87,6 +91,9 @@
 	known := m.watch.node(id)
 	known.asked = momentAt(now)
 	known.inFlight = true
+	if known.failures == 0 {
+		known.unanswered = known.asked
+	}
 }
 
 // ProbeAnswered tells that a run of a node answered a probe.
--- a/modules/lessor/worker.go
+++ b/modules/lessor/worker.go
@@ -153,6 +153,9 @@
 	if w.resting.Load() != nil {
 		return restMost
 	}
+	if pause, watches := w.member.WatchPause(w.module.now()); watches {
+		return pause
+	}
 	if w.member.Role() == core.RoleNone {
 		return timing.HeartbeatEvery
 	}
