Sort a group's shards once for the state they belong to

Cause: a lessor sorted its group's shards at each look at the time, 40 times a second, to see whether any needs a change. Change: the order is kept with the facts it was made from. Measured: idle site of 20 nodes, 40 servers, 20 groups (64 shards each), two runs of 6 s on a machine busy with other work: 0.57-0.59 cores before, 0.49-0.52 after. go test ./lessor: passes. Conclusion: a look still visits each shard.

--- a/lessor/collect.go
+++ b/lessor/collect.go
@@ -38,13 +38,18 @@
 	return assigns, reason
 }
 
-// shardOrder lists the group's shards in a fixed order.
+// shardOrder lists the group's shards in a fixed order. The list, which must not
+// be changed, is made once for the facts.
 func (m *Member) shardOrder() []topo.ShardID {
+	if m.orderOf == m.facts {
+		return m.shards
+	}
 	order := make([]topo.ShardID, 0, len(m.facts.Shards))
 	for id := range m.facts.Shards {
 		order = append(order, id)
 	}
 	slices.SortFunc(order, compareShards)
+	m.shards, m.orderOf = order, m.facts
 	return order
 }
 
--- a/lessor/member.go
+++ b/lessor/member.go
@@ -36,8 +36,10 @@
 	rules rules
 
 	facts    *Facts
-	place    int  // among the candidates for the next lessor; below 0 if not one
-	watches  bool // one of the few that watch lessor and standby lessor
+	shards   []topo.ShardID // see shardOrder
+	orderOf  *Facts         // whose shards these are
+	place    int            // among the candidates for the next lessor; below 0 if not one
+	watches  bool           // one of the few that watch lessor and standby lessor
 	observed bool
 	contact  moment // when the latest log read began that proved Facts up to date
 	seen     moment // when the term in force was first seen
