Make the log's contract Ginkgo specs

Cause: the house style asks for Ginkgo; no file imported it. Change: platlog/logtest defines specs, with tables for the contract and the faults. A driver names the faults that it can bring about, and a spec compares them with those of its targets, where a nil function used to leave a row out unseen. A failed append in a goroutine is reported by the spec's own goroutine. Conclusion: a spec fails at its first failed check; t.Errorf went on after it.

--- a/modules/loghttp/client_test.go
+++ b/modules/loghttp/client_test.go
@@ -15,11 +15,12 @@
 	"github.com/burdockspindle/burdockspindle/modules/loghttp"
 	"github.com/burdockspindle/burdockspindle/platlog"
 	"github.com/burdockspindle/burdockspindle/platlog/logtest"
+	"github.com/burdockspindle/burdockspindle/spectest"
 	"github.com/burdockspindle/burdockspindle/standin/platformlog"
 	"github.com/burdockspindle/burdockspindle/topo"
 )
 
-func connect(t *testing.T, handler http.Handler) (*loghttp.Client, *httptest.Server) {
+func connect(t testing.TB, handler http.Handler) (*loghttp.Client, *httptest.Server) {
 	t.Helper()
 	server := httptest.NewServer(handler)
 	t.Cleanup(server.Close)
@@ -33,7 +34,7 @@
 }
 
 // post sends an administration request to the stand-in.
-func post(t *testing.T, target string, body any) {
+func post(t testing.TB, target string, body any) {
 	t.Helper()
 	encoded, err := json.Marshal(body)
 	if err != nil {
@@ -49,32 +50,32 @@
 	}
 }
 
-func TestContract(t *testing.T) {
-	logtest.Run(t, func(t *testing.T) logtest.Target {
-		client, server := connect(t, platformlog.New(platformlog.Config{}))
-		set := func(faults platformlog.Faults) func() {
-			return func() { post(t, server.URL+platformlog.PathFaults, faults) }
-		}
-		down := func(outage platformlog.Outage) func() {
-			return set(platformlog.Faults{Reads: outage, Appends: outage})
-		}
-		return logtest.Target{
-			Log: client,
-			Truncate: func(first topo.Offset) {
-				post(t, server.URL+platformlog.PathTruncate, platformlog.Truncation{Stream: "site one", First: first})
-			},
-			Faults: logtest.Faults{
-				Down:        down(platformlog.OutageRefuse),
-				Cut:         down(platformlog.OutageCut),
-				Silent:      down(platformlog.OutageSilent),
-				LoseAnswer:  set(platformlog.Faults{LoseAnswers: 1}),
-				LoseRequest: set(platformlog.Faults{LoseRequests: 1}),
-				Repeat:      set(platformlog.Faults{Repeat: 2}),
-				Heal:        set(platformlog.Faults{}),
-			},
-		}
-	})
-}
+func TestSpecs(t *testing.T) { spectest.Run(t, "modules/loghttp") }
+
+var _ = logtest.Describe("log.http", func(t testing.TB) logtest.Target {
+	client, server := connect(t, platformlog.New(platformlog.Config{}))
+	set := func(faults platformlog.Faults) func() {
+		return func() { post(t, server.URL+platformlog.PathFaults, faults) }
+	}
+	down := func(outage platformlog.Outage) func() {
+		return set(platformlog.Faults{Reads: outage, Appends: outage})
+	}
+	return logtest.Target{
+		Log: client,
+		Truncate: func(first topo.Offset) {
+			post(t, server.URL+platformlog.PathTruncate, platformlog.Truncation{Stream: "site one", First: first})
+		},
+		Faults: logtest.Faults{
+			Down:        down(platformlog.OutageRefuse),
+			Cut:         down(platformlog.OutageCut),
+			Silent:      down(platformlog.OutageSilent),
+			LoseAnswer:  set(platformlog.Faults{LoseAnswers: 1}),
+			LoseRequest: set(platformlog.Faults{LoseRequests: 1}),
+			Repeat:      set(platformlog.Faults{Repeat: 2}),
+			Heal:        set(platformlog.Faults{}),
+		},
+	}
+}, logtest.Down, logtest.Cut, logtest.Silent, logtest.AnswerLost, logtest.RequestLost, logtest.ReadAgain)
 
 // Only the service's own word proves that nothing was appended.
 func TestAppendAnswers(t *testing.T) {
--- a/modules/logmem/module_test.go
+++ b/modules/logmem/module_test.go
@@ -12,10 +12,11 @@
 	"github.com/burdockspindle/burdockspindle/platlog/logtest"
 	"github.com/burdockspindle/burdockspindle/platlog/memlog"
 	"github.com/burdockspindle/burdockspindle/settings"
+	"github.com/burdockspindle/burdockspindle/spectest"
 )
 
 // provision returns the log that the module provides under some options.
-func provision(t *testing.T, options map[string]any) (platlog.Log, error) {
+func provision(t testing.TB, options map[string]any) (platlog.Log, error) {
 	t.Helper()
 	ctx := kernel.NewContext(kernel.Identity{}, nil)
 	config := &settings.Settings{Log: settings.Driver{Name: "memory", Options: options}}
@@ -32,16 +33,16 @@
 	return kernel.Use[platlog.Log](ctx)
 }
 
-func TestContract(t *testing.T) {
-	logtest.Run(t, func(t *testing.T) logtest.Target {
-		t.Cleanup(func() { logmem.Forget(t.Name()) })
-		log, err := provision(t, map[string]any{"name": t.Name()})
-		if err != nil {
-			t.Fatal(err)
-		}
-		return logtest.Target{Log: log, Truncate: log.(*memlog.Store).Truncate}
-	})
-}
+func TestSpecs(t *testing.T) { spectest.Run(t, "modules/logmem") }
+
+var _ = logtest.Describe("log.memory", func(t testing.TB) logtest.Target {
+	t.Cleanup(func() { logmem.Forget(t.Name()) })
+	log, err := provision(t, map[string]any{"name": t.Name()})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return logtest.Target{Log: log, Truncate: log.(*memlog.Store).Truncate}
+})
 
 func TestOneLogByName(t *testing.T) {
 	g := gomega.NewWithT(t)
--- a/platlog/logfault/logfault_test.go
+++ b/platlog/logfault/logfault_test.go
@@ -11,24 +11,25 @@
 	"github.com/burdockspindle/burdockspindle/platlog/logfault"
 	"github.com/burdockspindle/burdockspindle/platlog/logtest"
 	"github.com/burdockspindle/burdockspindle/platlog/memlog"
+	"github.com/burdockspindle/burdockspindle/spectest"
 	"github.com/burdockspindle/burdockspindle/topo"
 )
 
-func TestContract(t *testing.T) {
-	logtest.Run(t, func(*testing.T) logtest.Target {
-		store := memlog.New(memlog.Retention{})
-		log := logfault.Wrap(store)
-		set := func(faults logfault.Faults) func() { return func() { log.Set(faults) } }
-		return logtest.Target{Log: log, Truncate: store.Truncate, Faults: logtest.Faults{
-			Down:        log.Down,
-			Silent:      set(logfault.Faults{Silent: true}),
-			LoseAnswer:  set(logfault.Faults{LoseAnswers: 1}),
-			LoseRequest: set(logfault.Faults{LoseRequests: 1}),
-			Repeat:      set(logfault.Faults{Repeat: 1}),
-			Heal:        log.Heal,
-		}}
-	})
-}
+func TestSpecs(t *testing.T) { spectest.Run(t, "platlog/logfault") }
+
+var _ = logtest.Describe("logfault", func(testing.TB) logtest.Target {
+	store := memlog.New(memlog.Retention{})
+	log := logfault.Wrap(store)
+	set := func(faults logfault.Faults) func() { return func() { log.Set(faults) } }
+	return logtest.Target{Log: log, Truncate: store.Truncate, Faults: logtest.Faults{
+		Down:        log.Down,
+		Silent:      set(logfault.Faults{Silent: true}),
+		LoseAnswer:  set(logfault.Faults{LoseAnswers: 1}),
+		LoseRequest: set(logfault.Faults{LoseRequests: 1}),
+		Repeat:      set(logfault.Faults{Repeat: 1}),
+		Heal:        log.Heal,
+	}}
+}, logtest.Down, logtest.Silent, logtest.AnswerLost, logtest.RequestLost, logtest.ReadAgain)
 
 func TestLateAppendTakesEffectAfterItsAnswer(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/platlog/logtest/contract.go
+++ b/platlog/logtest/contract.go
@@ -1,5 +1,5 @@
-// Package logtest holds the contract that every driver of platlog.Log meets.
-// Drivers call Run in their tests.
+// Package logtest holds the contract that every driver of platlog.Log meets, as
+// Ginkgo specs. Drivers call Describe in their tests.
 package logtest
 
 import (
@@ -11,6 +11,7 @@
 	"testing"
 	"time"
 
+	"github.com/onsi/ginkgo/v2"
 	"github.com/onsi/gomega"
 
 	"github.com/burdockspindle/burdockspindle/platlog"
@@ -41,38 +42,41 @@
 	Heal        func()
 }
 
-// Run runs the whole contract. open returns a new target with an empty log.
-func Run(t *testing.T, open func(t *testing.T) Target) {
-	t.Helper()
-	cases := []struct {
-		name string
-		run  func(t *testing.T, target Target)
-	}{
-		{"offsets ascend from 1", offsetsAscend},
-		{"reads are bounded and complete", readsAreBounded},
-		{"a read at the end tells the end", readAtEnd},
-		{"a waiting read is woken by an append", waitingReadWakes},
-		{"a waiting read ends by itself", waitingReadEnds},
-		{"a read ends with its context", readEndsWithContext},
-		{"concurrent appends are all kept once", concurrentAppends},
-		{"data is kept byte for byte", dataIsKept},
-		{"data does not alias the caller's", dataDoesNotAlias},
-		{"below the retention limit", belowRetention},
-	}
-	for _, c := range cases {
-		t.Run(c.name, func(t *testing.T) { c.run(t, open(t)) })
-	}
-	runFaults(t, open)
-}
-
-func deadline(t *testing.T) context.Context {
+// Open returns a new target with an empty log.
+type Open func(t testing.TB) Target
+
+// Describe defines the specs of the whole contract for one driver. faults names
+// the faults that the driver's targets can bring about, all of them.
+func Describe(driver string, open Open, faults ...Fault) bool {
+	return ginkgo.Describe(driver, func() {
+		ginkgo.DescribeTable("contract",
+			func(run func(t testing.TB, target Target)) {
+				t := ginkgo.GinkgoTB()
+				run(t, open(t))
+			},
+			ginkgo.Entry("offsets ascend from 1", offsetsAscend),
+			ginkgo.Entry("reads are bounded and complete", readsAreBounded),
+			ginkgo.Entry("a read at the end tells the end", readAtEnd),
+			ginkgo.Entry("a waiting read is woken by an append", waitingReadWakes),
+			ginkgo.Entry("a waiting read ends by itself", waitingReadEnds),
+			ginkgo.Entry("a read ends with its context", readEndsWithContext),
+			ginkgo.Entry("concurrent appends are all kept once", concurrentAppends),
+			ginkgo.Entry("data is kept byte for byte", dataIsKept),
+			ginkgo.Entry("data does not alias the caller's", dataDoesNotAlias),
+			ginkgo.Entry("below the retention limit", belowRetention),
+		)
+		describeFaults(open, faults)
+	})
+}
+
+func deadline(t testing.TB) context.Context {
 	t.Helper()
 	ctx, cancel := context.WithTimeout(context.Background(), patience)
 	t.Cleanup(cancel)
 	return ctx
 }
 
-func appendAll(t *testing.T, log platlog.Log, count int) {
+func appendAll(t testing.TB, log platlog.Log, count int) {
 	t.Helper()
 	for i := range count {
 		offset, err := log.Append(deadline(t), fmt.Appendf(nil, "record %d", i+1))
@@ -82,7 +86,7 @@
 	}
 }
 
-func readAll(t *testing.T, log platlog.Log, req platlog.ReadRequest) platlog.Batch {
+func readAll(t testing.TB, log platlog.Log, req platlog.ReadRequest) platlog.Batch {
 	t.Helper()
 	batch, err := log.Read(deadline(t), req)
 	if err != nil {
@@ -99,7 +103,7 @@
 	return offsets
 }
 
-func offsetsAscend(t *testing.T, target Target) {
+func offsetsAscend(t testing.TB, target Target) {
 	g := gomega.NewWithT(t)
 	appendAll(t, target.Log, 3)
 	for _, from := range []topo.Offset{0, 1} {
@@ -111,7 +115,7 @@
 	}
 }
 
-func readsAreBounded(t *testing.T, target Target) {
+func readsAreBounded(t testing.TB, target Target) {
 	g := gomega.NewWithT(t)
 	appendAll(t, target.Log, 10)
 	next := topo.Offset(1)
@@ -126,7 +130,7 @@
 	}
 }
 
-func readAtEnd(t *testing.T, target Target) {
+func readAtEnd(t testing.TB, target Target) {
 	g := gomega.NewWithT(t)
 	for count := range topo.Offset(2) {
 		batch := readAll(t, target.Log, platlog.ReadRequest{From: count + 1})
@@ -141,7 +145,7 @@
 	g.Expect(beyond.End).To(gomega.Equal(topo.Offset(2)))
 }
 
-func waitingReadWakes(t *testing.T, target Target) {
+func waitingReadWakes(t testing.TB, target Target) {
 	g := gomega.NewWithT(t)
 	got := make(chan platlog.Batch, 1)
 	ctx := deadline(t)
@@ -153,14 +157,14 @@
 	g.Expect(offsetsOf(<-got)).To(gomega.Equal([]topo.Offset{1}))
 }
 
-func waitingReadEnds(t *testing.T, target Target) {
+func waitingReadEnds(t testing.TB, target Target) {
 	g := gomega.NewWithT(t)
 	batch := readAll(t, target.Log, platlog.ReadRequest{From: 1, Wait: 20 * time.Millisecond})
 	g.Expect(batch.Entries).To(gomega.BeEmpty())
 	g.Expect(batch.End).To(gomega.Equal(topo.Offset(1)))
 }
 
-func readEndsWithContext(t *testing.T, target Target) {
+func readEndsWithContext(t testing.TB, target Target) {
 	g := gomega.NewWithT(t)
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan error, 1)
@@ -172,12 +176,13 @@
 	g.Expect(errors.Is(<-ended, context.Canceled)).To(gomega.BeTrue())
 }
 
-func concurrentAppends(t *testing.T, target Target) {
+func concurrentAppends(t testing.TB, target Target) {
 	g := gomega.NewWithT(t)
 	const writers, each = 8, 10
 	ctx := deadline(t)
 	var mu sync.Mutex
 	at := map[topo.Offset]string{}
+	failures := make(chan string, writers)
 	var running sync.WaitGroup
 	for writer := range writers {
 		running.Go(func() {
@@ -185,7 +190,7 @@
 				text := fmt.Sprintf("%d/%d", writer, i)
 				offset, err := target.Log.Append(ctx, []byte(text))
 				if err != nil {
-					t.Errorf("append %s: %v", text, err)
+					failures <- fmt.Sprintf("append %s: %v", text, err)
 					return
 				}
 				mu.Lock()
@@ -195,6 +200,10 @@
 		})
 	}
 	running.Wait()
+	close(failures)
+	for failure := range failures {
+		t.Error(failure)
+	}
 	batch := readAll(t, target.Log, platlog.ReadRequest{From: 1, Max: writers * each})
 	g.Expect(batch.Entries).To(gomega.HaveLen(writers * each))
 	for _, entry := range batch.Entries {
@@ -202,7 +211,7 @@
 	}
 }
 
-func dataIsKept(t *testing.T, target Target) {
+func dataIsKept(t testing.TB, target Target) {
 	g := gomega.NewWithT(t)
 	every := make([]byte, 256)
 	for i := range every {
@@ -217,7 +226,7 @@
 	}
 }
 
-func dataDoesNotAlias(t *testing.T, target Target) {
+func dataDoesNotAlias(t testing.TB, target Target) {
 	g := gomega.NewWithT(t)
 	data := []byte("before")
 	_, err := target.Log.Append(deadline(t), data)
@@ -227,7 +236,7 @@
 	g.Expect(string(batch.Entries[0].Data)).To(gomega.Equal("before"))
 }
 
-func belowRetention(t *testing.T, target Target) {
+func belowRetention(t testing.TB, target Target) {
 	g := gomega.NewWithT(t)
 	appendAll(t, target.Log, 5)
 	target.Truncate(4)
--- a/platlog/logtest/faults.go
+++ b/platlog/logtest/faults.go
@@ -4,9 +4,11 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
+	"github.com/onsi/ginkgo/v2"
 	"github.com/onsi/gomega"
 
 	"github.com/burdockspindle/burdockspindle/platlog"
@@ -25,9 +27,22 @@
 	uncertain                  // *platlog.UncertainError, or the context's error
 )
 
+// Fault names a row of the fault table.
+type Fault string
+
+// The faults that a driver can meet.
+const (
+	Down        Fault = "down"
+	Cut         Fault = "cut"
+	Silent      Fault = "silent"
+	AnswerLost  Fault = "answer lost"
+	RequestLost Fault = "request lost"
+	ReadAgain   Fault = "entries read again"
+)
+
 // faultCase is one row of the fault table.
 type faultCase struct {
-	name     string
+	name     Fault
 	fault    func(Faults) func()
 	append   outcome
 	appended bool // the record is in the log afterwards
@@ -36,30 +51,49 @@
 
 // faultCases is the fault table that every driver meets.
 var faultCases = []faultCase{
-	{"down", func(f Faults) func() { return f.Down }, unavailable, false, true},
-	{"cut", func(f Faults) func() { return f.Cut }, uncertain, false, true},
-	{"silent", func(f Faults) func() { return f.Silent }, uncertain, false, true},
-	{"answer lost", func(f Faults) func() { return f.LoseAnswer }, uncertain, true, false},
-	{"request lost", func(f Faults) func() { return f.LoseRequest }, uncertain, false, false},
-	{"entries read again", func(f Faults) func() { return f.Repeat }, answered, true, false},
+	{Down, func(f Faults) func() { return f.Down }, unavailable, false, true},
+	{Cut, func(f Faults) func() { return f.Cut }, uncertain, false, true},
+	{Silent, func(f Faults) func() { return f.Silent }, uncertain, false, true},
+	{AnswerLost, func(f Faults) func() { return f.LoseAnswer }, uncertain, true, false},
+	{RequestLost, func(f Faults) func() { return f.LoseRequest }, uncertain, false, false},
+	{ReadAgain, func(f Faults) func() { return f.Repeat }, answered, true, false},
+}
+
+// describeFaults defines the fault table's rows that the driver can meet.
+func describeFaults(open Open, faults []Fault) {
+	ginkgo.It("names the faults that it can meet", func() {
+		t := ginkgo.GinkgoTB()
+		gomega.NewWithT(t).Expect(faults).To(gomega.ConsistOf(possible(open(t).Faults)))
+	})
+	var rows []any
+	for _, c := range faultCases {
+		if slices.Contains(faults, c.name) {
+			rows = append(rows, ginkgo.Entry(string(c.name), c))
+		}
+	}
+	if len(rows) == 0 {
+		return
+	}
+	run := func(c faultCase) {
+		t := ginkgo.GinkgoTB()
+		target := open(t)
+		c.run(t, target, c.fault(target.Faults))
+	}
+	ginkgo.DescribeTable("faults", append([]any{run}, rows...)...)
 }
 
-// runFaults runs the fault table.
-func runFaults(t *testing.T, open func(t *testing.T) Target) {
-	t.Helper()
-	possible := open(t).Faults
+// possible names the faults that a target can bring about.
+func possible(faults Faults) []Fault {
+	names := []Fault{}
 	for _, c := range faultCases {
-		if c.fault(possible) == nil {
-			continue
+		if c.fault(faults) != nil {
+			names = append(names, c.name)
 		}
-		t.Run(c.name, func(t *testing.T) {
-			target := open(t)
-			c.run(t, target, c.fault(target.Faults))
-		})
 	}
+	return names
 }
 
-func (c faultCase) run(t *testing.T, target Target, bring func()) {
+func (c faultCase) run(t testing.TB, target Target, bring func()) {
 	g := gomega.NewWithT(t)
 	appendAll(t, target.Log, 3)
 	bring()
@@ -84,7 +118,7 @@
 
 // limit is short for the silent case, which has to be given up.
 func (c faultCase) limit() time.Duration {
-	if c.name == "silent" {
+	if c.name == Silent {
 		return silence
 	}
 	return patience
--- a/platlog/memlog/store_test.go
+++ b/platlog/memlog/store_test.go
@@ -9,15 +9,16 @@
 
 	"github.com/burdockspindle/burdockspindle/platlog/logtest"
 	"github.com/burdockspindle/burdockspindle/platlog/memlog"
+	"github.com/burdockspindle/burdockspindle/spectest"
 	"github.com/burdockspindle/burdockspindle/topo"
 )
 
-func TestContract(t *testing.T) {
-	logtest.Run(t, func(*testing.T) logtest.Target {
-		store := memlog.New(memlog.Retention{})
-		return logtest.Target{Log: store, Truncate: store.Truncate}
-	})
-}
+func TestSpecs(t *testing.T) { spectest.Run(t, "platlog/memlog") }
+
+var _ = logtest.Describe("memlog", func(testing.TB) logtest.Target {
+	store := memlog.New(memlog.Retention{})
+	return logtest.Target{Log: store, Truncate: store.Truncate}
+})
 
 func TestRetention(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
