Make the VM list's contract Ginkgo specs

Cause: the house style asks for Ginkgo. Change: vmlist/vmlisttest defines a table of specs; the two drivers call it. The cases' bodies are unchanged. Conclusion: nothing is left of this contract under plain testing.

--- a/modules/vmshttp/vmshttp_test.go
+++ b/modules/vmshttp/vmshttp_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/burdockspindle/burdockspindle/kernel"
 	"github.com/burdockspindle/burdockspindle/settings"
+	"github.com/burdockspindle/burdockspindle/spectest"
 	"github.com/burdockspindle/burdockspindle/standin/vms"
 	"github.com/burdockspindle/burdockspindle/vmlist"
 	"github.com/burdockspindle/burdockspindle/vmlist/vmlisttest"
@@ -28,20 +29,20 @@
 	return m, m.Provision(ctx)
 }
 
-func opened(t *testing.T, url string) *Module {
+func opened(t testing.TB, url string) *Module {
 	m, err := provision(map[string]any{"url": url, "timeoutMs": 20000.0})
 	gomega.NewWithT(t).Expect(err).NotTo(gomega.HaveOccurred())
 	t.Cleanup(func() { _ = m.Stop(context.Background()) })
 	return m
 }
 
-func TestContract(t *testing.T) {
-	vmlisttest.Run(t, func(t *testing.T, p *vms.Platform) vmlist.List {
-		server := httptest.NewServer(vms.Handler(p))
-		t.Cleanup(server.Close)
-		return opened(t, server.URL+vms.PathVMs)
-	})
-}
+func TestSpecs(t *testing.T) { spectest.Run(t, "modules/vmshttp") }
+
+var _ = vmlisttest.Describe("vms.http", func(t testing.TB, p *vms.Platform) vmlist.List {
+	server := httptest.NewServer(vms.Handler(p))
+	t.Cleanup(server.Close)
+	return opened(t, server.URL+vms.PathVMs)
+})
 
 func TestAnUnchangedListIsNotSentAgain(t *testing.T) {
 	g := gomega.NewWithT(t)
--- a/modules/vmsmem/vmsmem_test.go
+++ b/modules/vmsmem/vmsmem_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/burdockspindle/burdockspindle/kernel"
 	"github.com/burdockspindle/burdockspindle/settings"
+	"github.com/burdockspindle/burdockspindle/spectest"
 	"github.com/burdockspindle/burdockspindle/standin/vms"
 	"github.com/burdockspindle/burdockspindle/vmlist"
 	"github.com/burdockspindle/burdockspindle/vmlist/vmlisttest"
@@ -25,18 +26,18 @@
 	return kernel.Use[vmlist.List](ctx)
 }
 
-func TestContract(t *testing.T) {
-	vmlisttest.Run(t, func(t *testing.T, p *vms.Platform) vmlist.List {
-		name := t.Name()
-		sharedMu.Lock()
-		shared[name] = p
-		sharedMu.Unlock()
-		t.Cleanup(func() { Forget(name) })
-		list, err := provision(map[string]any{"name": name})
-		gomega.NewWithT(t).Expect(err).NotTo(gomega.HaveOccurred())
-		return list
-	})
-}
+func TestSpecs(t *testing.T) { spectest.Run(t, "modules/vmsmem") }
+
+var _ = vmlisttest.Describe("vms.memory", func(t testing.TB, p *vms.Platform) vmlist.List {
+	name := t.Name()
+	sharedMu.Lock()
+	shared[name] = p
+	sharedMu.Unlock()
+	t.Cleanup(func() { Forget(name) })
+	list, err := provision(map[string]any{"name": name})
+	gomega.NewWithT(t).Expect(err).NotTo(gomega.HaveOccurred())
+	return list
+})
 
 func TestAListIsSharedByName(t *testing.T) {
 	g := gomega.NewWithT(t)
--- a/vmlist/vmlisttest/vmlisttest.go
+++ b/vmlist/vmlisttest/vmlisttest.go
@@ -1,5 +1,5 @@
-// Package vmlisttest is the contract that every VM-list driver meets, as tests
-// to run against it over the stand-in platform.
+// Package vmlisttest is the contract that every VM-list driver meets, as Ginkgo
+// specs to run against it over the stand-in platform.
 package vmlisttest
 
 import (
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"github.com/onsi/ginkgo/v2"
 	"github.com/onsi/gomega"
 
 	"github.com/burdockspindle/burdockspindle/standin/vms"
@@ -21,29 +22,27 @@
 	brief    = 50 * time.Millisecond
 )
 
-// Run runs the whole contract; open returns a driver that reads a platform.
-func Run(t *testing.T, open func(t *testing.T, p *vms.Platform) vmlist.List) {
-	for _, c := range cases {
-		t.Run(c.name, func(t *testing.T) {
-			p := vms.New()
-			c.run(t, p, open(t, p))
-		})
-	}
-}
+// Open returns a driver that reads a platform.
+type Open func(t testing.TB, p *vms.Platform) vmlist.List
 
-var cases = []struct {
-	name string
-	run  func(t *testing.T, p *vms.Platform, list vmlist.List)
-}{
-	{"an empty list is no error", emptyList},
-	{"rows come whole and in order of ID", wholeRows},
-	{"each read shows what changed since the last", changes},
-	{"a reader may change what it got", ownCopy},
-	{"an outage is unavailable, and ends", outage},
-	{"a read that hangs ends with its context", hanging},
-	{"an ended context is its error", endedContext},
-	{"a misleading row is passed on as it is", misleading},
-	{"the list lags both ways", lagging},
+// Describe defines the specs of the whole contract for one driver.
+func Describe(driver string, open Open) bool {
+	return ginkgo.DescribeTable(driver+" contract",
+		func(run func(t testing.TB, p *vms.Platform, list vmlist.List)) {
+			t := ginkgo.GinkgoTB()
+			p := vms.New()
+			run(t, p, open(t, p))
+		},
+		ginkgo.Entry("an empty list is no error", emptyList),
+		ginkgo.Entry("rows come whole and in order of ID", wholeRows),
+		ginkgo.Entry("each read shows what changed since the last", changes),
+		ginkgo.Entry("a reader may change what it got", ownCopy),
+		ginkgo.Entry("an outage is unavailable, and ends", outage),
+		ginkgo.Entry("a read that hangs ends with its context", hanging),
+		ginkgo.Entry("an ended context is its error", endedContext),
+		ginkgo.Entry("a misleading row is passed on as it is", misleading),
+		ginkgo.Entry("the list lags both ways", lagging),
+	)
 }
 
 func server(id string, phase vmlist.Phase) vmlist.VM {
@@ -57,7 +56,7 @@
 	return vmlist.VM{ID: id, Role: vmlist.RoleEntry, Zone: "zone-b", Phase: vmlist.PhaseLive}
 }
 
-func read(t *testing.T, list vmlist.List) []vmlist.VM {
+func read(t testing.TB, list vmlist.List) []vmlist.VM {
 	t.Helper()
 	ctx, cancel := context.WithTimeout(context.Background(), generous)
 	defer cancel()
@@ -66,7 +65,7 @@
 	return rows
 }
 
-func unavailable(t *testing.T, list vmlist.List, limit time.Duration) {
+func unavailable(t testing.TB, list vmlist.List, limit time.Duration) {
 	t.Helper()
 	ctx, cancel := context.WithTimeout(context.Background(), limit)
 	defer cancel()
@@ -79,11 +78,11 @@
 	}
 }
 
-func emptyList(t *testing.T, _ *vms.Platform, list vmlist.List) {
+func emptyList(t testing.TB, _ *vms.Platform, list vmlist.List) {
 	gomega.NewWithT(t).Expect(read(t, list)).To(gomega.BeEmpty())
 }
 
-func wholeRows(t *testing.T, p *vms.Platform, list vmlist.List) {
+func wholeRows(t testing.TB, p *vms.Platform, list vmlist.List) {
 	rows := []vmlist.VM{entry("a"), server("b", vmlist.PhaseLive), server("c", vmlist.PhaseLeaving), server("d", vmlist.PhaseGone)}
 	for _, i := range []int{2, 0, 3, 1} {
 		p.Put(rows[i])
@@ -91,7 +90,7 @@
 	gomega.NewWithT(t).Expect(read(t, list)).To(gomega.Equal(rows))
 }
 
-func changes(t *testing.T, p *vms.Platform, list vmlist.List) {
+func changes(t testing.TB, p *vms.Platform, list vmlist.List) {
 	g := gomega.NewWithT(t)
 	p.Put(server("a", vmlist.PhaseLive))
 	first := read(t, list)
@@ -104,13 +103,13 @@
 	g.Expect(read(t, list)).To(gomega.BeEmpty())
 }
 
-func ownCopy(t *testing.T, p *vms.Platform, list vmlist.List) {
+func ownCopy(t testing.TB, p *vms.Platform, list vmlist.List) {
 	p.Put(server("a", vmlist.PhaseLive))
 	read(t, list)[0].Phase = vmlist.PhaseGone
 	gomega.NewWithT(t).Expect(read(t, list)[0].Phase).To(gomega.Equal(vmlist.PhaseLive))
 }
 
-func outage(t *testing.T, p *vms.Platform, list vmlist.List) {
+func outage(t testing.TB, p *vms.Platform, list vmlist.List) {
 	p.Put(server("a", vmlist.PhaseLive))
 	read(t, list)
 	p.SetFaults(vms.Faults{Outage: true})
@@ -119,7 +118,7 @@
 	gomega.NewWithT(t).Expect(read(t, list)).To(gomega.HaveLen(1))
 }
 
-func hanging(t *testing.T, p *vms.Platform, list vmlist.List) {
+func hanging(t testing.TB, p *vms.Platform, list vmlist.List) {
 	p.Put(server("a", vmlist.PhaseLive))
 	p.SetFaults(vms.Faults{Hang: true})
 	unavailable(t, list, brief)
@@ -127,14 +126,14 @@
 	gomega.NewWithT(t).Expect(read(t, list)).To(gomega.HaveLen(1))
 }
 
-func endedContext(t *testing.T, _ *vms.Platform, list vmlist.List) {
+func endedContext(t testing.TB, _ *vms.Platform, list vmlist.List) {
 	ctx, cancel := context.WithCancel(context.Background())
 	cancel()
 	_, err := list.VMs(ctx)
 	gomega.NewWithT(t).Expect(errors.Is(err, context.Canceled)).To(gomega.BeTrue(), "%v", err)
 }
 
-func misleading(t *testing.T, p *vms.Platform, list vmlist.List) {
+func misleading(t testing.TB, p *vms.Platform, list vmlist.List) {
 	g := gomega.NewWithT(t)
 	p.Put(server("a", vmlist.PhaseLive))
 	p.Put(server("b", vmlist.PhaseLive))
@@ -149,7 +148,7 @@
 }
 
 // lagging uses lags that are far longer than the test.
-func lagging(t *testing.T, p *vms.Platform, list vmlist.List) {
+func lagging(t testing.TB, p *vms.Platform, list vmlist.List) {
 	g := gomega.NewWithT(t)
 	p.Put(server("a", vmlist.PhaseLive))
 	p.SetFaults(vms.Faults{HideLag: time.Hour})
