Make the peers' contract Ginkgo specs

Cause: the house style asks for Ginkgo. Change: peer/peertest defines a table of specs; the cases' bodies are unchanged. Over TLS each spec makes an authority of its own, where all shared one.

--- a/modules/peer/contract_test.go
+++ b/modules/peer/contract_test.go
@@ -13,6 +13,7 @@
 	"github.com/burdockspindle/burdockspindle/peer/peertest"
 	"github.com/burdockspindle/burdockspindle/settings"
 	"github.com/burdockspindle/burdockspindle/sitefake"
+	"github.com/burdockspindle/burdockspindle/spectest"
 	"github.com/burdockspindle/burdockspindle/state"
 	"github.com/burdockspindle/burdockspindle/tlsfiles/tlstest"
 	"github.com/burdockspindle/burdockspindle/topo"
@@ -24,7 +25,7 @@
 // to each other. Every node sees a site of its own, in which the others'
 // addresses are those of its relays.
 type harness struct {
-	t         *testing.T
+	t         testing.TB
 	authority *tlstest.Authority // nil for no TLS
 	dir       string
 	nodes     map[topo.NodeID]*runningNode
@@ -37,7 +38,7 @@
 	site   *sitefake.Site
 }
 
-func newHarness(t *testing.T, authority *tlstest.Authority) *harness {
+func newHarness(t testing.TB, authority *tlstest.Authority) *harness {
 	return &harness{
 		t: t, authority: authority, dir: t.TempDir(),
 		nodes: map[topo.NodeID]*runningNode{}, relays: map[[2]topo.NodeID]*relay{},
@@ -83,7 +84,7 @@
 }
 
 // Join implements peertest.Harness.
-func (h *harness) Join(t *testing.T, sender *bspb.Sender, handlers *core.Handlers) core.Caller {
+func (h *harness) Join(t testing.TB, sender *bspb.Sender, handlers *core.Handlers) core.Caller {
 	node := &runningNode{sender: sender, site: sitefake.New()}
 	node.module = start(t, h.settings(sender.Node), sender, handlers, node.site)
 	t.Cleanup(func() { kill(t, node.module) })
@@ -106,7 +107,7 @@
 }
 
 // Leave implements peertest.Harness.
-func (h *harness) Leave(t *testing.T, id topo.NodeID) {
+func (h *harness) Leave(t testing.TB, id topo.NodeID) {
 	kill(t, h.nodes[id].module)
 	delete(h.nodes, id)
 	for pair, r := range h.relays {
@@ -117,12 +118,12 @@
 }
 
 // Silence implements peertest.Harness.
-func (h *harness) Silence(_ *testing.T, from, to topo.NodeID) {
+func (h *harness) Silence(_ testing.TB, from, to topo.NodeID) {
 	h.relays[[2]topo.NodeID{from, to}].silence()
 }
 
 // Cut implements peertest.Harness.
-func (h *harness) Cut(_ *testing.T, a, b topo.NodeID) {
+func (h *harness) Cut(_ testing.TB, a, b topo.NodeID) {
 	for _, pair := range [][2]topo.NodeID{{a, b}, {b, a}} {
 		h.relays[pair].cut.Store(true)
 		h.relays[pair].silence()
@@ -130,17 +131,16 @@
 }
 
 // Heal implements peertest.Harness.
-func (h *harness) Heal(*testing.T) {
+func (h *harness) Heal(testing.TB) {
 	for _, r := range h.relays {
 		r.cut.Store(false)
 	}
 }
 
-func TestContract(t *testing.T) {
-	peertest.Run(t, func(t *testing.T) peertest.Harness { return newHarness(t, nil) })
-}
+func TestSpecs(t *testing.T) { spectest.Run(t, "modules/peer") }
 
-func TestContractOverTLS(t *testing.T) {
-	authority := tlstest.NewAuthority(t, "site")
-	peertest.Run(t, func(t *testing.T) peertest.Harness { return newHarness(t, authority) })
-}
+var _ = peertest.Describe("peer.connect", func(t testing.TB) peertest.Harness { return newHarness(t, nil) })
+
+var _ = peertest.Describe("peer.connect over TLS", func(t testing.TB) peertest.Harness {
+	return newHarness(t, tlstest.NewAuthority(t, "site"))
+})
--- a/modules/peer/relay_test.go
+++ b/modules/peer/relay_test.go
@@ -23,7 +23,7 @@
 	conns []net.Conn
 }
 
-func newRelay(t *testing.T, target string) *relay {
+func newRelay(t testing.TB, target string) *relay {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	gomega.NewWithT(t).Expect(err).NotTo(gomega.HaveOccurred())
 	r := &relay{listener: listener, target: target}
--- a/peer/peertest/cases.go
+++ b/peer/peertest/cases.go
@@ -29,27 +29,27 @@
 }
 
 // within returns a context for one call.
-func within(t *testing.T, limit time.Duration) context.Context {
+func within(t testing.TB, limit time.Duration) context.Context {
 	ctx, cancel := context.WithTimeout(context.Background(), limit)
 	t.Cleanup(cancel)
 	return ctx
 }
 
 // pair joins nodes "a" and "b" and returns the caller of "a".
-func pair(t *testing.T, h Harness, atB *peer.Handlers) peer.Caller {
+func pair(t testing.TB, h Harness, atB *peer.Handlers) peer.Caller {
 	caller := h.Join(t, sender("a"), &peer.Handlers{})
 	h.Join(t, sender("b"), atB)
 	eventuallyKnown(t, caller, "b")
 	return caller
 }
 
-func eventuallyKnown(t *testing.T, caller peer.Caller, ids ...topo.NodeID) {
+func eventuallyKnown(t testing.TB, caller peer.Caller, ids ...topo.NodeID) {
 	g := gomega.NewWithT(t)
 	g.Eventually(caller.Known).WithTimeout(generous).Should(gomega.ContainElements(ids))
 }
 
 // callError checks the type that every failure has.
-func callError(t *testing.T, err error) *peer.CallError {
+func callError(t testing.TB, err error) *peer.CallError {
 	t.Helper()
 	var failed *peer.CallError
 	if !errors.As(err, &failed) {
@@ -67,7 +67,7 @@
 	return &bspb.HeartbeatResponse{Round: req.Round}, nil
 }
 
-func everyKindIsAnswered(t *testing.T, h Harness) {
+func everyKindIsAnswered(t testing.TB, h Harness) {
 	g := gomega.NewWithT(t)
 	var mu sync.Mutex
 	senders := map[peer.Kind]string{}
@@ -146,7 +146,7 @@
 	}
 }
 
-func requestIsNotChanged(t *testing.T, h Harness) {
+func requestIsNotChanged(t testing.TB, h Harness) {
 	g := gomega.NewWithT(t)
 	a := pair(t, h, &peer.Handlers{Announce: func(context.Context, *bspb.AnnounceRequest) error { return nil }})
 	req := &bspb.AnnounceRequest{Group: "g"}
@@ -155,7 +155,7 @@
 	g.Expect(proto.Equal(req, before)).To(gomega.BeTrue())
 }
 
-func nilHandler(t *testing.T, h Harness) {
+func nilHandler(t testing.TB, h Harness) {
 	g := gomega.NewWithT(t)
 	a := pair(t, h, &peer.Handlers{})
 	_, err := beat(within(t, generous), a, 1)
@@ -168,7 +168,7 @@
 	g.Expect(errors.As(err, &unimplemented)).To(gomega.BeTrue(), "%v", err)
 }
 
-func handlerError(t *testing.T, h Harness) {
+func handlerError(t testing.TB, h Harness) {
 	g := gomega.NewWithT(t)
 	a := pair(t, h, &peer.Handlers{
 		Heartbeat: func(context.Context, *bspb.HeartbeatRequest) (*bspb.HeartbeatResponse, error) {
@@ -182,7 +182,7 @@
 	g.Expect(failed.Sent).To(gomega.BeTrue())
 }
 
-func unknownNode(t *testing.T, h Harness) {
+func unknownNode(t testing.TB, h Harness) {
 	g := gomega.NewWithT(t)
 	a := pair(t, h, &peer.Handlers{})
 	_, err := a.Status(within(t, generous), "nobody")
@@ -192,7 +192,7 @@
 	g.Expect(failed.Sent).To(gomega.BeFalse())
 }
 
-func nodeLeft(t *testing.T, h Harness) {
+func nodeLeft(t testing.TB, h Harness) {
 	g := gomega.NewWithT(t)
 	a := pair(t, h, &peer.Handlers{})
 	_, err := a.Status(within(t, generous), "b")
@@ -204,7 +204,7 @@
 	}).WithTimeout(generous).Should(gomega.BeTrue())
 }
 
-func endedContext(t *testing.T, h Harness) {
+func endedContext(t testing.TB, h Harness) {
 	g := gomega.NewWithT(t)
 	a := pair(t, h, &peer.Handlers{Heartbeat: echoRound})
 	ctx, cancel := context.WithCancel(context.Background())
@@ -214,7 +214,7 @@
 	g.Expect(errors.Is(err, context.Canceled)).To(gomega.BeTrue(), "%v", err)
 }
 
-func restartedNode(t *testing.T, h Harness) {
+func restartedNode(t testing.TB, h Harness) {
 	g := gomega.NewWithT(t)
 	a := pair(t, h, &peer.Handlers{})
 	h.Leave(t, "b")
@@ -231,7 +231,7 @@
 }
 
 // answersMatch lets requests finish in the reverse of their order.
-func answersMatch(t *testing.T, h Harness) {
+func answersMatch(t testing.TB, h Harness) {
 	const calls = 20
 	g := gomega.NewWithT(t)
 	var done [calls + 1]chan struct{}
@@ -268,7 +268,7 @@
 	}
 }
 
-func handlerTooSlow(t *testing.T, h Harness) {
+func handlerTooSlow(t testing.TB, h Harness) {
 	g := gomega.NewWithT(t)
 	release := make(chan struct{})
 	t.Cleanup(func() { close(release) })
@@ -283,7 +283,7 @@
 	g.Expect(errors.Is(err, context.DeadlineExceeded)).To(gomega.BeTrue(), "%v", err)
 }
 
-func slowHandlerAlone(t *testing.T, h Harness) {
+func slowHandlerAlone(t testing.TB, h Harness) {
 	g := gomega.NewWithT(t)
 	release := make(chan struct{})
 	a := pair(t, h, &peer.Handlers{
@@ -308,7 +308,7 @@
 	g.Expect(<-slow).NotTo(gomega.HaveOccurred())
 }
 
-func silentConnection(t *testing.T, h Harness) {
+func silentConnection(t testing.TB, h Harness) {
 	g := gomega.NewWithT(t)
 	a := pair(t, h, &peer.Handlers{Heartbeat: echoRound})
 	for round := range uint64(3) { // the second silence strikes the replacement
@@ -322,7 +322,7 @@
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 }
 
-func cutLink(t *testing.T, h Harness) {
+func cutLink(t testing.TB, h Harness) {
 	g := gomega.NewWithT(t)
 	a := pair(t, h, &peer.Handlers{Heartbeat: echoRound})
 	_, err := beat(within(t, generous), a, 1)
@@ -339,7 +339,7 @@
 	}).WithTimeout(generous).Should(gomega.Succeed())
 }
 
-func knownOrder(t *testing.T, h Harness) {
+func knownOrder(t testing.TB, h Harness) {
 	g := gomega.NewWithT(t)
 	a := h.Join(t, sender("a"), &peer.Handlers{})
 	for _, id := range []string{"c", "d"} {
--- a/peer/peertest/harness.go
+++ b/peer/peertest/harness.go
@@ -1,10 +1,12 @@
 // Package peertest is the contract that every implementation of package peer
-// meets, as tests to run against it, with the faults of links in tables.
+// meets, as Ginkgo specs to run against it, with the faults of links in tables.
 package peertest
 
 import (
 	"testing"
 
+	"github.com/onsi/ginkgo/v2"
+
 	"github.com/burdockspindle/burdockspindle/peer"
 	"github.com/burdockspindle/burdockspindle/topo"
 
@@ -15,43 +17,41 @@
 // them.
 type Harness interface {
 	// Join starts a run of a node and returns its Caller.
-	Join(t *testing.T, sender *bspb.Sender, handlers *peer.Handlers) peer.Caller
+	Join(t testing.TB, sender *bspb.Sender, handlers *peer.Handlers) peer.Caller
 	// Leave ends a node's run, so that calls to it are refused.
-	Leave(t *testing.T, id topo.NodeID)
+	Leave(t testing.TB, id topo.NodeID)
 	// Silence makes the open connections from one node to another silent for
 	// good; new ones work.
-	Silence(t *testing.T, from, to topo.NodeID)
+	Silence(t testing.TB, from, to topo.NodeID)
 	// Cut makes the open connections and new ones silent, both ways.
-	Cut(t *testing.T, a, b topo.NodeID)
+	Cut(t testing.TB, a, b topo.NodeID)
 	// Heal lets new connections work again.
-	Heal(t *testing.T)
-}
-
-// Run runs the whole contract; newHarness is called for each test.
-func Run(t *testing.T, newHarness func(t *testing.T) Harness) {
-	for _, c := range cases {
-		t.Run(c.name, func(t *testing.T) { c.run(t, newHarness(t)) })
-	}
+	Heal(t testing.TB)
 }
 
-type contractCase struct {
-	name string
-	run  func(t *testing.T, h Harness)
-}
+// Open returns a new harness without nodes.
+type Open func(t testing.TB) Harness
 
-var cases = []contractCase{
-	{"every kind of call reaches its handler with the sender and is answered", everyKindIsAnswered},
-	{"a request's own sender field is not changed", requestIsNotChanged},
-	{"a call to a nil handler is unimplemented", nilHandler},
-	{"a handler's error comes back as remote, sent", handlerError},
-	{"an unknown node is proven not sent", unknownNode},
-	{"a node that left is proven not sent", nodeLeft},
-	{"an ended context is proven not sent", endedContext},
-	{"a restarted node answers with its new boot", restartedNode},
-	{"answers match their requests when late ones overtake", answersMatch},
-	{"a call ends at its deadline while the handler goes on", handlerTooSlow},
-	{"a slow handler does not hold up other calls", slowHandlerAlone},
-	{"a silent connection costs one call of each kind at most", silentConnection},
-	{"a cut link fails calls until it heals", cutLink},
-	{"known lists others, own zone first", knownOrder},
+// Describe defines the specs of the whole contract for one implementation.
+func Describe(implementation string, open Open) bool {
+	return ginkgo.DescribeTable(implementation+" contract",
+		func(run func(t testing.TB, h Harness)) {
+			t := ginkgo.GinkgoTB()
+			run(t, open(t))
+		},
+		ginkgo.Entry("every kind of call reaches its handler with the sender and is answered", everyKindIsAnswered),
+		ginkgo.Entry("a request's own sender field is not changed", requestIsNotChanged),
+		ginkgo.Entry("a call to a nil handler is unimplemented", nilHandler),
+		ginkgo.Entry("a handler's error comes back as remote, sent", handlerError),
+		ginkgo.Entry("an unknown node is proven not sent", unknownNode),
+		ginkgo.Entry("a node that left is proven not sent", nodeLeft),
+		ginkgo.Entry("an ended context is proven not sent", endedContext),
+		ginkgo.Entry("a restarted node answers with its new boot", restartedNode),
+		ginkgo.Entry("answers match their requests when late ones overtake", answersMatch),
+		ginkgo.Entry("a call ends at its deadline while the handler goes on", handlerTooSlow),
+		ginkgo.Entry("a slow handler does not hold up other calls", slowHandlerAlone),
+		ginkgo.Entry("a silent connection costs one call of each kind at most", silentConnection),
+		ginkgo.Entry("a cut link fails calls until it heals", cutLink),
+		ginkgo.Entry("known lists others, own zone first", knownOrder),
+	)
 }
