Make the server drivers' contract Ginkgo specs

Cause: the house style asks for Ginkgo. Change: backend/backendtest defines specs and tables, in an order that no longer comes from map iteration. The cases' bodies are unchanged but for attempts made in goroutines, which begin with GinkgoRecover. Specs run one after the other where most cases ran side by side; each has a server and a driver of its own.

--- a/backend/backendtest/attempts.go
+++ b/backend/backendtest/attempts.go
@@ -10,6 +10,7 @@
 	"testing"
 	"time"
 
+	"github.com/onsi/ginkgo/v2"
 	"github.com/onsi/gomega"
 
 	"github.com/burdockspindle/burdockspindle/backend"
@@ -189,28 +190,23 @@
 	}
 }
 
-func runAttempts(t *testing.T, open Open) {
+func describeAttempts(open Open) {
+	entries := []any{func(c attemptCase, idempotent bool) { runAttempt(ginkgo.GinkgoTB(), open, c, idempotent) }}
 	for _, c := range attemptCases() {
-		for _, idempotent := range []bool{true, false} {
-			name := c.name + ", new connection"
-			if idempotent {
-				name = c.name + ", pooled"
-			}
-			t.Run(name, func(t *testing.T) {
-				t.Parallel()
-				runAttempt(t, open, c, idempotent)
-			})
-		}
+		entries = append(entries,
+			ginkgo.Entry(c.name+", pooled", c, true),
+			ginkgo.Entry(c.name+", new connection", c, false))
 	}
-	t.Run("refused", func(t *testing.T) { runRefused(t, open) })
-	t.Run("server that never reads", func(t *testing.T) { runDeaf(t, open) })
-	t.Run("body without end until the deadline", func(t *testing.T) { runEndless(t, open) })
-	t.Run("cancelled", func(t *testing.T) { runCancelled(t, open) })
-	t.Run("deadline passed already", func(t *testing.T) { runPassedDeadline(t, open) })
-	t.Run("requests that cannot be written", func(t *testing.T) { runInvalid(t, open) })
+	ginkgo.DescribeTable("fault table", entries...)
+	it("refused", open, runRefused)
+	it("server that never reads", open, runDeaf)
+	it("body without end until the deadline", open, runEndless)
+	it("cancelled", open, runCancelled)
+	it("deadline passed already", open, runPassedDeadline)
+	describeInvalid(open)
 }
 
-func runAttempt(t *testing.T, open Open, c attemptCase, idempotent bool) {
+func runAttempt(t testing.TB, open Open, c attemptCase, idempotent bool) {
 	g := gomega.NewWithT(t)
 	options := patient
 	if c.options != nil {
@@ -251,7 +247,7 @@
 	}
 }
 
-func runRefused(t *testing.T, open Open) {
+func runRefused(t testing.TB, open Open) {
 	g := gomega.NewWithT(t)
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	g.Expect(err).NotTo(gomega.HaveOccurred())
@@ -264,7 +260,7 @@
 
 // runDeaf: a body that is too long for the buffers between the two ends cannot
 // be written to its end.
-func runDeaf(t *testing.T, open Open) {
+func runDeaf(t testing.TB, open Open) {
 	g := gomega.NewWithT(t)
 	ended := make(chan struct{})
 	defer close(ended)
@@ -278,7 +274,7 @@
 	g.Expect(got.failure.Sent).To(gomega.BeTrue())
 }
 
-func runEndless(t *testing.T, open Open) {
+func runEndless(t testing.TB, open Open) {
 	g := gomega.NewWithT(t)
 	server, target := startFaultServer(t, afterRequest(func(c *rawConn, r received) {
 		c.send("%s", headText(r.id(), "Transfer-Encoding: chunked"))
@@ -297,7 +293,7 @@
 	g.Eventually(server.openConns, eventually).Should(gomega.BeZero(), "the connection is thrown away")
 }
 
-func runCancelled(t *testing.T, open Open) {
+func runCancelled(t testing.TB, open Open) {
 	g := gomega.NewWithT(t)
 	arrived := make(chan struct{})
 	server, target := startFaultServer(t, afterRequest(func(c *rawConn, _ received) {
@@ -318,7 +314,7 @@
 	g.Eventually(server.openConns, eventually).Should(gomega.BeZero(), "the server sees the cancellation")
 }
 
-func runPassedDeadline(t *testing.T, open Open) {
+func runPassedDeadline(t testing.TB, open Open) {
 	g := gomega.NewWithT(t)
 	server, target := startFaultServer(t, echoAll)
 	req := newRequest(http.MethodGet, true)
@@ -329,23 +325,21 @@
 	g.Expect(server.seen()).To(gomega.BeEmpty())
 }
 
-func runInvalid(t *testing.T, open Open) {
+func describeInvalid(open Open) {
 	invalid := map[string]func(*backend.Request){
 		"broken path":     func(r *backend.Request) { r.Path = "/%zz" },
 		"broken method":   func(r *backend.Request) { r.Method = "GET /" },
 		"header smuggled": func(r *backend.Request) { r.Header = http.Header{"X": {"a\r\nY: b"}} },
 		"id smuggled":     func(r *backend.Request) { r.RequestID = "a\r\nY: b" },
 	}
-	for name, change := range invalid {
-		t.Run(name, func(t *testing.T) {
-			g := gomega.NewWithT(t)
-			server, target := startFaultServer(t, echoAll)
-			req := newRequest(http.MethodGet, true)
-			change(&req)
-			got := do(t, open(t, patient()), target, req)
-			g.Expect(got.failure).NotTo(gomega.BeNil())
-			g.Expect(got.failure.Sent).To(gomega.BeFalse())
-			g.Expect(server.seen()).To(gomega.BeEmpty())
-		})
-	}
+	table("requests that cannot be written", invalid, func(t testing.TB, change func(*backend.Request)) {
+		g := gomega.NewWithT(t)
+		server, target := startFaultServer(t, echoAll)
+		req := newRequest(http.MethodGet, true)
+		change(&req)
+		got := do(t, open(t, patient()), target, req)
+		g.Expect(got.failure).NotTo(gomega.BeNil())
+		g.Expect(got.failure.Sent).To(gomega.BeFalse())
+		g.Expect(server.seen()).To(gomega.BeEmpty())
+	})
 }
--- a/backend/backendtest/backendtest.go
+++ b/backend/backendtest/backendtest.go
@@ -1,17 +1,20 @@
 // Package backendtest is the contract that every backend.Driver must meet, as
-// tests against a raw TCP server that misbehaves in ways no HTTP library would.
-// A driver's own test calls Run.
+// Ginkgo specs against a raw TCP server that misbehaves in ways no HTTP library
+// would. A driver's own test calls Describe.
 package backendtest
 
 import (
 	"context"
 	"fmt"
 	"io"
+	"maps"
 	"net/http"
+	"slices"
 	"sync/atomic"
 	"testing"
 	"time"
 
+	"github.com/onsi/ginkgo/v2"
 	"github.com/onsi/gomega"
 
 	"github.com/burdockspindle/burdockspindle/backend"
@@ -53,15 +56,31 @@
 	return Options{SilentAfter: soon, ControlSilentAfter: soon, Connections: 8, ConnectTimeout: never}
 }
 
-// Run checks a driver.
-func Run(t *testing.T, open Open) {
-	t.Run("attempts under faults", func(t *testing.T) { runAttempts(t, open) })
-	t.Run("requests are never resent", func(t *testing.T) { runResends(t, open) })
-	t.Run("answers are never mixed", func(t *testing.T) { runMixing(t, open) })
-	t.Run("bodies stream", func(t *testing.T) { runStreams(t, open) })
-	t.Run("headers", func(t *testing.T) { runHeaders(t, open) })
-	t.Run("connections stay within the share", func(t *testing.T) { runShare(t, open) })
-	t.Run("control calls", func(t *testing.T) { runControl(t, open) })
+// Describe defines the specs of the whole contract for one driver.
+func Describe(driver string, open Open) bool {
+	return ginkgo.Describe(driver+" contract", func() {
+		ginkgo.Describe("attempts under faults", func() { describeAttempts(open) })
+		ginkgo.Describe("requests are never resent", func() { describeResends(open) })
+		ginkgo.Describe("answers are never mixed", func() { describeMixing(open) })
+		ginkgo.Describe("bodies stream", func() { describeStreams(open) })
+		ginkgo.Describe("headers", func() { describeHeaders(open) })
+		ginkgo.Describe("connections stay within the share", func() { describeShare(open) })
+		ginkgo.Describe("control calls", func() { describeControl(open) })
+	})
+}
+
+// it defines one spec.
+func it(text string, open Open, run func(t testing.TB, open Open)) {
+	ginkgo.It(text, func() { run(ginkgo.GinkgoTB(), open) })
+}
+
+// table defines a spec for each row, in order of the rows' names.
+func table[Row any](text string, rows map[string]Row, run func(t testing.TB, row Row)) {
+	entries := []any{func(row Row) { run(ginkgo.GinkgoTB(), row) }}
+	for _, name := range slices.Sorted(maps.Keys(rows)) {
+		entries = append(entries, ginkgo.Entry(name, rows[name]))
+	}
+	ginkgo.DescribeTable(text, entries...)
 }
 
 var requestCounter atomic.Int64
--- a/backend/backendtest/control.go
+++ b/backend/backendtest/control.go
@@ -9,6 +9,7 @@
 	"strings"
 	"testing"
 
+	"github.com/onsi/ginkgo/v2"
 	"github.com/onsi/gomega"
 
 	"github.com/burdockspindle/burdockspindle/backend"
@@ -74,9 +75,12 @@
 	}
 }
 
+// controlCall makes one of the two control calls.
+type controlCall func(ctx context.Context, d backend.Driver, to backend.Target) (serverapi.LeaseReply, error)
+
 // calls are the two control calls.
-func calls() map[string]func(ctx context.Context, d backend.Driver, to backend.Target) (serverapi.LeaseReply, error) {
-	return map[string]func(ctx context.Context, d backend.Driver, to backend.Target) (serverapi.LeaseReply, error){
+func calls() map[string]controlCall {
+	return map[string]controlCall{
 		"lease": func(ctx context.Context, d backend.Driver, to backend.Target) (serverapi.LeaseReply, error) {
 			return d.Lease(ctx, to, serverapi.LeaseRequest{Term: "3.0", Lessor: "n@b"})
 		},
@@ -86,32 +90,29 @@
 	}
 }
 
-func runControl(t *testing.T, open Open) {
-	for callName, call := range calls() {
-		for _, c := range controlCases() {
-			t.Run(callName+" "+c.name, func(t *testing.T) {
-				t.Parallel()
-				g := gomega.NewWithT(t)
-				_, target := startFaultServer(t, c.play)
-				reply, err := call(t.Context(), open(t, hasty()), target)
-				if c.want == failed {
-					var failure *backend.ControlError
-					g.Expect(errors.As(err, &failure)).To(gomega.BeTrue(), "%v", err)
-					return
-				}
-				g.Expect(err).NotTo(gomega.HaveOccurred())
-				g.Expect(reply.Refused).To(gomega.Equal(c.want))
-			})
-		}
+func describeControl(open Open) {
+	for _, c := range controlCases() {
+		table(c.name, calls(), func(t testing.TB, call controlCall) {
+			g := gomega.NewWithT(t)
+			_, target := startFaultServer(t, c.play)
+			reply, err := call(t.Context(), open(t, hasty()), target)
+			if c.want == failed {
+				var failure *backend.ControlError
+				g.Expect(errors.As(err, &failure)).To(gomega.BeTrue(), "%v", err)
+				return
+			}
+			g.Expect(err).NotTo(gomega.HaveOccurred())
+			g.Expect(reply.Refused).To(gomega.Equal(c.want))
+		})
 	}
-	t.Run("new connection in place of a failed one", func(t *testing.T) { runControlAgain(t, open) })
-	t.Run("connections of their own", func(t *testing.T) { runControlApart(t, open) })
-	t.Run("not held up by requests", func(t *testing.T) { runControlBusy(t, open) })
+	describeControlAgain(open)
+	it("connections of their own", open, runControlApart)
+	it("not held up by requests", open, runControlBusy)
 }
 
-// runControlAgain: a connection that worked once fails or goes silent; the call
+// describeControlAgain: a connection that worked once fails or goes silent; the call
 // is answered over a new one.
-func runControlAgain(t *testing.T, open Open) {
+func describeControlAgain(open Open) {
 	body, _ := json.Marshal(goodReply)
 	once := func(end func(c *rawConn)) script {
 		return firstThen(func(c *rawConn) {
@@ -130,24 +131,21 @@
 		"reset":  (*rawConn).reset,
 		"broken": func(c *rawConn) { c.send("???\r\n\r\n") },
 	}
-	for name, end := range ends {
-		t.Run(name, func(t *testing.T) {
-			t.Parallel()
-			g := gomega.NewWithT(t)
-			_, target := startFaultServer(t, once(end))
-			driver := open(t, hasty())
-			for range 3 {
-				for _, call := range calls() {
-					_, err := call(t.Context(), driver, target)
-					g.Expect(err).NotTo(gomega.HaveOccurred())
-				}
+	table("new connection in place of a failed one", ends, func(t testing.TB, end func(c *rawConn)) {
+		g := gomega.NewWithT(t)
+		_, target := startFaultServer(t, once(end))
+		driver := open(t, hasty())
+		for range 3 {
+			for _, call := range calls() {
+				_, err := call(t.Context(), driver, target)
+				g.Expect(err).NotTo(gomega.HaveOccurred())
 			}
-		})
-	}
+		}
+	})
 }
 
 // runControlApart: requests and control calls never share a connection.
-func runControlApart(t *testing.T, open Open) {
+func runControlApart(t testing.TB, open Open) {
 	g := gomega.NewWithT(t)
 	body, _ := json.Marshal(goodReply)
 	server, target := startFaultServer(t, func(c *rawConn) {
@@ -185,7 +183,7 @@
 
 // runControlBusy: calls go through while every connection for requests is in
 // use.
-func runControlBusy(t *testing.T, open Open) {
+func runControlBusy(t testing.TB, open Open) {
 	g := gomega.NewWithT(t)
 	body, _ := json.Marshal(goodReply)
 	arrived := make(chan struct{})
@@ -204,6 +202,7 @@
 	ended := make(chan struct{})
 	go func() {
 		defer close(ended)
+		defer ginkgo.GinkgoRecover()
 		doContext(t, ctx, driver, target, newRequest(http.MethodGet, true))
 	}()
 	<-arrived
--- a/backend/backendtest/headers.go
+++ b/backend/backendtest/headers.go
@@ -12,11 +12,11 @@
 	"github.com/burdockspindle/burdockspindle/topo"
 )
 
-// runHeaders: what reaches the server is the protocol's, and the caller's
+// describeHeaders: what reaches the server is the protocol's, and the caller's
 // headers without those that concern one connection or forge the protocol's.
-func runHeaders(t *testing.T, open Open) {
-	t.Run("of a full request", func(t *testing.T) { runFullRequest(t, open) })
-	t.Run("path without its slash", func(t *testing.T) {
+func describeHeaders(open Open) {
+	it("of a full request", open, runFullRequest)
+	it("path without its slash", open, func(t testing.TB, open Open) {
 		g := gomega.NewWithT(t)
 		server, target := startFaultServer(t, echoAll)
 		req := newRequest(http.MethodGet, true)
@@ -26,7 +26,7 @@
 	})
 }
 
-func runFullRequest(t *testing.T, open Open) {
+func runFullRequest(t testing.TB, open Open) {
 	g := gomega.NewWithT(t)
 	server, target := startFaultServer(t, echoAll)
 	req := newRequest(http.MethodPut, true)
--- a/backend/backendtest/mixing.go
+++ b/backend/backendtest/mixing.go
@@ -6,31 +6,27 @@
 	"sync"
 	"testing"
 
+	"github.com/onsi/ginkgo/v2"
 	"github.com/onsi/gomega"
 )
 
-// runMixing: whatever arrives late, twice or too long on a connection never
+// describeMixing: whatever arrives late, twice or too long on a connection never
 // becomes part of another request's answer.
-func runMixing(t *testing.T, open Open) {
+func describeMixing(open Open) {
 	surplus := map[string]func(r received) string{
 		"answer sent twice":             func(r received) string { return answerText(r.id(), "again") },
 		"answer of another request":     func(received) string { return answerText("request-0", "foreign") },
 		"bytes beyond the length":       func(received) string { return "surplus" },
 		"another answer without its ID": func(received) string { return "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nbad" },
 	}
-	for name, extra := range surplus {
-		t.Run(name, func(t *testing.T) {
-			t.Parallel()
-			runSurplus(t, open, extra)
-		})
-	}
-	t.Run("late answer of a request given up", func(t *testing.T) { runGivenUp(t, open) })
-	t.Run("many at once", func(t *testing.T) { runMany(t, open) })
+	table("surplus", surplus, func(t testing.TB, extra func(r received) string) { runSurplus(t, open, extra) })
+	it("late answer of a request given up", open, runGivenUp)
+	it("many at once", open, runMany)
 }
 
 // runSurplus sends several requests to a server that sends more than it should
 // on every connection: each must get its own answer or a failure.
-func runSurplus(t *testing.T, open Open, extra func(r received) string) {
+func runSurplus(t testing.TB, open Open, extra func(r received) string) {
 	g := gomega.NewWithT(t)
 	_, target := startFaultServer(t, func(c *rawConn) {
 		for {
@@ -53,7 +49,7 @@
 
 // runGivenUp cancels a request whose answer the server sends later on the same
 // connection.
-func runGivenUp(t *testing.T, open Open) {
+func runGivenUp(t testing.TB, open Open) {
 	g := gomega.NewWithT(t)
 	arrived, cancelled := make(chan struct{}), make(chan struct{})
 	_, target := startFaultServer(t, firstThen(func(c *rawConn) {
@@ -76,7 +72,7 @@
 }
 
 // runMany sends many requests at once over few connections.
-func runMany(t *testing.T, open Open) {
+func runMany(t testing.TB, open Open) {
 	g := gomega.NewWithT(t)
 	_, target := startFaultServer(t, echoAll)
 	driver := open(t, patient())
@@ -85,6 +81,7 @@
 	results := make(chan bool, callers*each)
 	for caller := range callers {
 		wait.Go(func() {
+			defer ginkgo.GinkgoRecover()
 			for i := range each {
 				req := newRequest(http.MethodGet, (caller+i)%3 > 0)
 				got := do(t, driver, target, req)
--- a/backend/backendtest/resends.go
+++ b/backend/backendtest/resends.go
@@ -1,7 +1,9 @@
 package backendtest
 
 import (
+	"maps"
 	"net/http"
+	"slices"
 	"strings"
 	"testing"
 
@@ -10,10 +12,10 @@
 	"github.com/burdockspindle/burdockspindle/backend"
 )
 
-// runResends: a connection that answered once fails on the second request.
+// describeResends: a connection that answered once fails on the second request.
 // net/http's own transport then resends requests without a body that are
 // idempotent by their method or carry an Idempotency-Key.
-func runResends(t *testing.T, open Open) {
+func describeResends(open Open) {
 	failures := map[string]script{
 		"closed after the second request": answerThen(func(*rawConn) {}),
 		"reset after the second request":  answerThen((*rawConn).reset),
@@ -30,22 +32,20 @@
 		// either.
 		"keyed, pooled": func() backend.Request { return withKey(newRequest(http.MethodPost, true)) },
 	}
-	for failureName, play := range failures {
-		for requestName, build := range requests {
-			t.Run(requestName+" "+failureName, func(t *testing.T) {
-				t.Parallel()
-				g := gomega.NewWithT(t)
-				server, target := startFaultServer(t, play)
-				driver := open(t, patient())
-				first := do(t, driver, target, newRequest(http.MethodGet, true))
-				g.Expect(first.bodyErr).NotTo(gomega.HaveOccurred())
+	for _, failureName := range slices.Sorted(maps.Keys(failures)) {
+		play := failures[failureName]
+		table(failureName, requests, func(t testing.TB, build func() backend.Request) {
+			g := gomega.NewWithT(t)
+			server, target := startFaultServer(t, play)
+			driver := open(t, patient())
+			first := do(t, driver, target, newRequest(http.MethodGet, true))
+			g.Expect(first.bodyErr).NotTo(gomega.HaveOccurred())
 
-				req := build()
-				got := do(t, driver, target, req)
-				g.Expect(got.failure != nil || got.response != nil).To(gomega.BeTrue())
-				expectCounted(g, server, req, got)
-			})
-		}
+			req := build()
+			got := do(t, driver, target, req)
+			g.Expect(got.failure != nil || got.response != nil).To(gomega.BeTrue())
+			expectCounted(g, server, req, got)
+		})
 	}
 }
 
--- a/backend/backendtest/share.go
+++ b/backend/backendtest/share.go
@@ -7,19 +7,20 @@
 	"testing"
 	"time"
 
+	"github.com/onsi/ginkgo/v2"
 	"github.com/onsi/gomega"
 )
 
-// runShare: a driver opens no more connections for requests than it was given,
+// describeShare: a driver opens no more connections for requests than it was given,
 // however requests come.
-func runShare(t *testing.T, open Open) {
-	t.Run("one request too many is not sent", func(t *testing.T) { runFull(t, open) })
-	t.Run("idle connections make way for new ones", func(t *testing.T) { runReplace(t, open) })
-	t.Run("a new connection for what is not idempotent", func(t *testing.T) { runFresh(t, open) })
-	t.Run("forgotten server", func(t *testing.T) { runForget(t, open) })
+func describeShare(open Open) {
+	it("one request too many is not sent", open, runFull)
+	it("idle connections make way for new ones", open, runReplace)
+	it("a new connection for what is not idempotent", open, runFresh)
+	it("forgotten server", open, runForget)
 }
 
-func runFull(t *testing.T, open Open) {
+func runFull(t testing.TB, open Open) {
 	g := gomega.NewWithT(t)
 	server, target := startFaultServer(t, afterRequest(func(c *rawConn, _ received) { c.stay() }))
 	options := patient()
@@ -29,7 +30,10 @@
 	ctx, cancel := context.WithCancel(t.Context())
 	var wait sync.WaitGroup
 	for i := range options.Connections {
-		wait.Go(func() { doContext(t, ctx, driver, target, newRequest(http.MethodGet, i%2 == 0)) })
+		wait.Go(func() {
+			defer ginkgo.GinkgoRecover()
+			doContext(t, ctx, driver, target, newRequest(http.MethodGet, i%2 == 0))
+		})
 	}
 	g.Eventually(server.acceptedConns, eventually).Should(gomega.Equal(options.Connections))
 	for _, idempotent := range []bool{true, false} {
@@ -44,7 +48,7 @@
 
 // runReplace: with a share of one connection, each new one must wait until the
 // idle one is closed. The server answers only once it sees that.
-func runReplace(t *testing.T, open Open) {
+func runReplace(t testing.TB, open Open) {
 	g := gomega.NewWithT(t)
 	var server *faultServer
 	ready := make(chan struct{})
@@ -89,7 +93,7 @@
 
 // runFresh: a request that must not be repeated never goes out on a connection
 // that carried another, since that may have gone silent or be about to close.
-func runFresh(t *testing.T, open Open) {
+func runFresh(t testing.TB, open Open) {
 	g := gomega.NewWithT(t)
 	server, target := startFaultServer(t, echoAll)
 	driver := open(t, patient())
@@ -108,7 +112,7 @@
 	}
 }
 
-func runForget(t *testing.T, open Open) {
+func runForget(t testing.TB, open Open) {
 	g := gomega.NewWithT(t)
 	server, target := startFaultServer(t, echoAll)
 	driver := open(t, patient())
--- a/backend/backendtest/streams.go
+++ b/backend/backendtest/streams.go
@@ -11,18 +11,18 @@
 	"github.com/onsi/gomega"
 )
 
-// runStreams: bodies pass through in parts, and only the server's own pauses
+// describeStreams: bodies pass through in parts, and only the server's own pauses
 // count as silence.
-func runStreams(t *testing.T, open Open) {
-	t.Run("request body arrives in parts", func(t *testing.T) { runUpload(t, open) })
-	t.Run("answer body arrives in parts", func(t *testing.T) { runDownload(t, open) })
-	t.Run("answer before the body is sent", func(t *testing.T) { runEarlyAnswer(t, open) })
-	t.Run("slow caller is not a silent server", func(t *testing.T) { runSlowCaller(t, open) })
-	t.Run("slow reader is not a silent server", func(t *testing.T) { runSlowReader(t, open) })
-	t.Run("caller's body fails", func(t *testing.T) { runBrokenUpload(t, open) })
+func describeStreams(open Open) {
+	it("request body arrives in parts", open, runUpload)
+	it("answer body arrives in parts", open, runDownload)
+	it("answer before the body is sent", open, runEarlyAnswer)
+	it("slow caller is not a silent server", open, runSlowCaller)
+	it("slow reader is not a silent server", open, runSlowReader)
+	it("caller's body fails", open, runBrokenUpload)
 }
 
-func runUpload(t *testing.T, open Open) {
+func runUpload(t testing.TB, open Open) {
 	g := gomega.NewWithT(t)
 	firstPart := make(chan struct{})
 	_, target := startFaultServer(t, func(c *rawConn) {
@@ -50,7 +50,7 @@
 	g.Expect(got.body).To(gomega.Equal("first rest"))
 }
 
-func runDownload(t *testing.T, open Open) {
+func runDownload(t testing.TB, open Open) {
 	g := gomega.NewWithT(t)
 	goOn := make(chan struct{})
 	_, target := startFaultServer(t, afterRequest(func(c *rawConn, r received) {
@@ -73,7 +73,7 @@
 }
 
 // runEarlyAnswer: a server may refuse without reading the body.
-func runEarlyAnswer(t *testing.T, open Open) {
+func runEarlyAnswer(t testing.TB, open Open) {
 	g := gomega.NewWithT(t)
 	_, target := startFaultServer(t, func(c *rawConn) {
 		if request, _, ok := c.readHead(); ok {
@@ -90,7 +90,7 @@
 	g.Expect(got.body).To(gomega.Equal("no need"))
 }
 
-func runSlowCaller(t *testing.T, open Open) {
+func runSlowCaller(t testing.TB, open Open) {
 	g := gomega.NewWithT(t)
 	_, target := startFaultServer(t, echoAll)
 	reader, writer := io.Pipe()
@@ -108,7 +108,7 @@
 	g.Expect(got.body).To(gomega.Equal(echoOf(req.RequestID)))
 }
 
-func runSlowReader(t *testing.T, open Open) {
+func runSlowReader(t testing.TB, open Open) {
 	g := gomega.NewWithT(t)
 	const size = 8 << 20 // does not fit into the buffers between the two ends
 	_, target := startFaultServer(t, afterRequest(func(c *rawConn, r received) {
@@ -127,7 +127,7 @@
 }
 
 // runBrokenUpload: a body that its caller breaks off is never a whole request.
-func runBrokenUpload(t *testing.T, open Open) {
+func runBrokenUpload(t testing.TB, open Open) {
 	g := gomega.NewWithT(t)
 	server, target := startFaultServer(t, echoAll)
 	reader, writer := io.Pipe()
--- a/modules/serverhttp/contract_test.go
+++ b/modules/serverhttp/contract_test.go
@@ -5,18 +5,19 @@
 
 	"github.com/burdockspindle/burdockspindle/backend"
 	"github.com/burdockspindle/burdockspindle/backend/backendtest"
+	"github.com/burdockspindle/burdockspindle/spectest"
 )
 
-func TestDriverContract(t *testing.T) {
-	backendtest.Run(t, func(t testing.TB, options backendtest.Options) backend.Driver {
-		driver := NewDriver(Options{
-			ConnectTimeout:     options.ConnectTimeout,
-			SilentAfter:        options.SilentAfter,
-			ControlSilentAfter: options.ControlSilentAfter,
-			ExpectProgress:     true,
-			Share:              func(backend.Target) int { return options.Connections },
-		}, nil)
-		t.Cleanup(driver.Close)
-		return driver
-	})
-}
+func TestSpecs(t *testing.T) { spectest.Run(t, "modules/serverhttp") }
+
+var _ = backendtest.Describe("servers.http", func(t testing.TB, options backendtest.Options) backend.Driver {
+	driver := NewDriver(Options{
+		ConnectTimeout:     options.ConnectTimeout,
+		SilentAfter:        options.SilentAfter,
+		ControlSilentAfter: options.ControlSilentAfter,
+		ExpectProgress:     true,
+		Share:              func(backend.Target) int { return options.Connections },
+	}, nil)
+	t.Cleanup(driver.Close)
+	return driver
+})
