--- a/modules/admin/helper_test.go
+++ b/modules/admin/helper_test.go
@@ -20,12 +20,15 @@
 	"github.com/burdockspindle/burdockspindle/platlog"
 	"github.com/burdockspindle/burdockspindle/settings"
 	"github.com/burdockspindle/burdockspindle/sitefake"
+	"github.com/burdockspindle/burdockspindle/spectest"
 	"github.com/burdockspindle/burdockspindle/state"
 	"github.com/burdockspindle/burdockspindle/topo"
 
 	bspb "github.com/burdockspindle/burdockspindle/proto/burdockspindle/v1"
 )
 
+func TestSpecs(t *testing.T) { spectest.Run(t, "modules/admin") }
+
 const goodToken = "0123456789abcdef"
 
 // logFault is what happens to the next record that is submitted.
--- a/modules/admin/site_test.go
+++ b/modules/admin/site_test.go
@@ -5,109 +5,86 @@
 	"fmt"
 	"strings"
 	"sync"
-	"testing"
 	"time"
 
+	"github.com/onsi/ginkgo/v2"
 	"github.com/onsi/gomega"
 
 	"github.com/burdockspindle/burdockspindle/adminapi"
 	"github.com/burdockspindle/burdockspindle/sitefake"
 )
 
-var background = context.Background()
-
-// siteText is a valid site configuration, told apart by its deadline.
-func siteText(seconds int) []byte {
-	return fmt.Appendf(nil, `{"services": {
-"logs": {"keyed": true, "shards": 8, "concurrencyPerServer": 4, "connectionsPerServer": 100, "checksFencing": true, "deadline": "%ds"},
-}}`, seconds)
-}
-
-func noWait(context.Context, time.Duration) error { return nil }
-
-func TestPublishAndRead(t *testing.T) {
-	r := newRig(t)
-	site, err := r.client().Site(background)
-	r.Expect(err).NotTo(gomega.HaveOccurred())
-	r.Expect(site).To(gomega.Equal(adminapi.Site{}))
-
-	published, err := r.client().Publish(background, 0, siteText(1), noWait)
-	r.Expect(err).NotTo(gomega.HaveOccurred())
-	r.Expect(published).To(gomega.Equal(adminapi.Published{Version: 1, InForce: 1}))
-	site, err = r.client().Site(background)
-	r.Expect(err).NotTo(gomega.HaveOccurred())
-	r.Expect(site).To(gomega.Equal(adminapi.Site{Version: 1, Text: string(siteText(1))}))
-	r.Expect(r.site.View().Site().Services).To(gomega.HaveLen(1), "the log carries the compiled form")
-}
-
-func TestAnInvalidTextIsRefusedWithAllProblems(t *testing.T) {
-	r := newRig(t)
-	_, err := r.client().PublishOnce(background, 0, []byte("{\"services\": {\n\"Logs\": {\"keyed\": 1}}}"), false)
-	failure := r.failure(err, adminapi.CodeInvalid)
-	r.Expect(failure.Problems).To(gomega.HaveLen(5))
-	r.Expect(failure.Problems[0].Line).To(gomega.Equal(2))
-	r.Expect(r.site.Records()).To(gomega.BeEmpty())
-}
-
-func TestShardsMayNotChangeAgainstTheBase(t *testing.T) {
-	r := newRig(t)
-	_, err := r.client().PublishOnce(background, 0, siteText(1), false)
-	r.Expect(err).NotTo(gomega.HaveOccurred())
-	other := []byte(strings.Replace(string(siteText(1)), `"shards": 8`, `"shards": 9`, 1))
-	_, err = r.client().PublishOnce(background, 1, other, false)
-	failure := r.failure(err, adminapi.CodeInvalid)
-	r.Expect(failure.Problems[0].Field).To(gomega.Equal("services.logs.shards"))
-}
+var _ = ginkgo.Describe("publication of the site configuration", func() {
+	ginkgo.It("publish and read", func() {
+		t := ginkgo.GinkgoTB()
+		r := newRig(t)
+		site, err := r.client().Site(background)
+		r.Expect(err).NotTo(gomega.HaveOccurred())
+		r.Expect(site).To(gomega.Equal(adminapi.Site{}))
 
-func TestOfCompetingPublishersExactlyOneIsAccepted(t *testing.T) {
-	site := sitefake.New()
-	const publishers = 8
-	rigs := []*rig{joinRig(t, site, "a1"), joinRig(t, site, "b1")}
-	for round := uint64(0); round < 5; round++ {
-		var wait sync.WaitGroup
-		errs := make([]error, publishers)
-		for i := range publishers {
-			client := rigs[i%len(rigs)].client()
-			wait.Go(func() {
-				// Half of them publish the very same text.
-				_, errs[i] = client.Publish(background, round, siteText(1+i/2*2), noWait)
-			})
-		}
-		wait.Wait()
-		accepted := 0
-		for _, err := range errs {
-			if err == nil {
-				accepted++
-				continue
+		published, err := r.client().Publish(background, 0, siteText(1), noWait)
+		r.Expect(err).NotTo(gomega.HaveOccurred())
+		r.Expect(published).To(gomega.Equal(adminapi.Published{Version: 1, InForce: 1}))
+		site, err = r.client().Site(background)
+		r.Expect(err).NotTo(gomega.HaveOccurred())
+		r.Expect(site).To(gomega.Equal(adminapi.Site{Version: 1, Text: string(siteText(1))}))
+		r.Expect(r.site.View().Site().Services).To(gomega.HaveLen(1), "the log carries the compiled form")
+	})
+
+	ginkgo.It("an invalid text is refused with all problems", func() {
+		t := ginkgo.GinkgoTB()
+		r := newRig(t)
+		_, err := r.client().PublishOnce(background, 0, []byte("{\"services\": {\n\"Logs\": {\"keyed\": 1}}}"), false)
+		failure := r.failure(err, adminapi.CodeInvalid)
+		r.Expect(failure.Problems).To(gomega.HaveLen(5))
+		r.Expect(failure.Problems[0].Line).To(gomega.Equal(2))
+		r.Expect(r.site.Records()).To(gomega.BeEmpty())
+	})
+
+	ginkgo.It("shards may not change against the base", func() {
+		t := ginkgo.GinkgoTB()
+		r := newRig(t)
+		_, err := r.client().PublishOnce(background, 0, siteText(1), false)
+		r.Expect(err).NotTo(gomega.HaveOccurred())
+		other := []byte(strings.Replace(string(siteText(1)), `"shards": 8`, `"shards": 9`, 1))
+		_, err = r.client().PublishOnce(background, 1, other, false)
+		failure := r.failure(err, adminapi.CodeInvalid)
+		r.Expect(failure.Problems[0].Field).To(gomega.Equal("services.logs.shards"))
+	})
+
+	ginkgo.It("of competing publishers exactly one is accepted", func() {
+		t := ginkgo.GinkgoTB()
+		site := sitefake.New()
+		const publishers = 8
+		rigs := []*rig{joinRig(t, site, "a1"), joinRig(t, site, "b1")}
+		for round := uint64(0); round < 5; round++ {
+			var wait sync.WaitGroup
+			errs := make([]error, publishers)
+			for i := range publishers {
+				client := rigs[i%len(rigs)].client()
+				wait.Go(func() {
+					// Half of them publish the very same text.
+					_, errs[i] = client.Publish(background, round, siteText(1+i/2*2), noWait)
+				})
 			}
-			failure := rigs[0].failure(err, adminapi.CodeConflict)
-			rigs[0].Expect(failure.Conflict).To(gomega.Equal(&adminapi.Conflict{Base: round, InForce: round + 1, Known: true}))
+			wait.Wait()
+			accepted := 0
+			for _, err := range errs {
+				if err == nil {
+					accepted++
+					continue
+				}
+				failure := rigs[0].failure(err, adminapi.CodeConflict)
+				rigs[0].Expect(failure.Conflict).To(gomega.Equal(&adminapi.Conflict{Base: round, InForce: round + 1, Known: true}))
+			}
+			rigs[0].Expect(accepted).To(gomega.Equal(1))
+			rigs[0].Expect(site.View().SiteVersion()).To(gomega.Equal(round + 1))
 		}
-		rigs[0].Expect(accepted).To(gomega.Equal(1))
-		rigs[0].Expect(site.View().SiteVersion()).To(gomega.Equal(round + 1))
-	}
-}
+	})
 
-func TestALostAnswer(t *testing.T) {
-	cases := []struct {
-		name    string
-		faults  []logFault
-		between func(*rig) // between the first attempt and the second
-		want    adminapi.Published
-		code    adminapi.Code // of the failure; empty for an acceptance
-		version uint64        // in force in the end
-	}{
-		{"after the write took effect", []logFault{lostAnswer}, nil, adminapi.Published{Version: 1, InForce: 1, Repeated: true}, "", 1},
-		{"of a write that was lost", []logFault{lostWrite}, nil, adminapi.Published{Version: 1, InForce: 1}, "", 1},
-		{"twice", []logFault{lostAnswer, lostAnswer}, nil, adminapi.Published{Version: 1, InForce: 1, Repeated: true}, "", 1},
-		{"log away, then back", []logFault{away, away}, nil, adminapi.Published{Version: 1, InForce: 1}, "", 1},
-		{"and another publishes on top", []logFault{lostAnswer}, publishOther(1), adminapi.Published{Version: 1, InForce: 2, Repeated: true}, "", 2},
-		{"and another takes the base", []logFault{lostWrite}, publishOther(0), adminapi.Published{}, adminapi.CodeConflict, 1},
-		{"log away, and another takes the base", []logFault{away}, publishOther(0), adminapi.Published{}, adminapi.CodeConflict, 1},
-	}
-	for _, c := range cases {
-		t.Run(c.name, func(t *testing.T) {
-			r := newRig(t)
+	ginkgo.DescribeTable("a lost answer",
+		func(c lostAnswerCase) {
+			r := newRig(ginkgo.GinkgoTB())
 			r.appender.plant(c.faults...)
 			first := true
 			wait := func(context.Context, time.Duration) error {
@@ -125,8 +102,118 @@
 			}
 			r.Expect(published).To(gomega.Equal(c.want))
 			r.Expect(r.site.View().SiteVersion()).To(gomega.Equal(c.version))
-		})
-	}
+		},
+		ginkgo.Entry("after the write took effect", lostAnswerCase{[]logFault{lostAnswer}, nil, adminapi.Published{Version: 1, InForce: 1, Repeated: true}, "", 1}),
+		ginkgo.Entry("of a write that was lost", lostAnswerCase{[]logFault{lostWrite}, nil, adminapi.Published{Version: 1, InForce: 1}, "", 1}),
+		ginkgo.Entry("twice", lostAnswerCase{[]logFault{lostAnswer, lostAnswer}, nil, adminapi.Published{Version: 1, InForce: 1, Repeated: true}, "", 1}),
+		ginkgo.Entry("log away, then back", lostAnswerCase{[]logFault{away, away}, nil, adminapi.Published{Version: 1, InForce: 1}, "", 1}),
+		ginkgo.Entry("and another publishes on top", lostAnswerCase{[]logFault{lostAnswer}, publishOther(1), adminapi.Published{Version: 1, InForce: 2, Repeated: true}, "", 2}),
+		ginkgo.Entry("and another takes the base", lostAnswerCase{[]logFault{lostWrite}, publishOther(0), adminapi.Published{}, adminapi.CodeConflict, 1}),
+		ginkgo.Entry("log away, and another takes the base", lostAnswerCase{[]logFault{away}, publishOther(0), adminapi.Published{}, adminapi.CodeConflict, 1}),
+	)
+
+	ginkgo.It("the same text from another operator is a conflict", func() {
+		t := ginkgo.GinkgoTB()
+		r := newRig(t)
+		_, err := r.client().PublishOnce(background, 0, siteText(1), false)
+		r.Expect(err).NotTo(gomega.HaveOccurred())
+		_, err = r.client().PublishOnce(background, 0, siteText(1), false)
+		_ = r.failure(err, adminapi.CodeConflict)
+		published, err := r.client().PublishOnce(background, 0, siteText(1), true)
+		r.Expect(err).NotTo(gomega.HaveOccurred())
+		r.Expect(published.Repeated).To(gomega.BeTrue())
+	})
+
+	ginkgo.It("a retry at a node that missed the version says so", func() {
+		t := ginkgo.GinkgoTB()
+		site := sitefake.New()
+		first := joinRig(t, site, "a1")
+		for base := range uint64(2) {
+			_, err := first.client().PublishOnce(background, base, siteText(1+int(base)), false)
+			first.Expect(err).NotTo(gomega.HaveOccurred())
+		}
+		late := joinRig(t, site, "b1") // starts when version 2 is in force
+		_, err := late.client().PublishOnce(background, 0, siteText(1), true)
+		failure := late.failure(err, adminapi.CodeConflict)
+		late.Expect(failure.Conflict).To(gomega.Equal(&adminapi.Conflict{Base: 0, InForce: 2, Known: false}))
+	})
+
+	ginkgo.It("log away tells proven from unknown", func() {
+		t := ginkgo.GinkgoTB()
+		r := newRig(t)
+		r.appender.plant(away, lostWrite)
+		_, err := r.client().PublishOnce(background, 0, siteText(1), false)
+		r.Expect(r.failure(err, adminapi.CodeNotAppended).RetryAfterMs).To(gomega.BeNumerically(">", 0))
+		_, err = r.client().PublishOnce(background, 0, siteText(1), false)
+		r.Expect(r.failure(err, adminapi.CodeFateUnknown).RetryAfterMs).To(gomega.BeNumerically(">", 0))
+
+		r.appender.plant(away)
+		response := r.send("POST", "/v1/site?base=0", "Bearer "+goodToken, string(siteText(1)))
+		defer func() { _ = response.Body.Close() }()
+		r.Expect(response.StatusCode).To(gomega.Equal(503))
+		r.Expect(response.Header.Get("Retry-After")).To(gomega.Equal("2"))
+	})
+
+	ginkgo.It("giving up with an unknown fate says so", func() {
+		t := ginkgo.GinkgoTB()
+		r := newRig(t)
+		r.appender.plant(lostWrite, away, away, away, away, away)
+		_, err := r.client().Publish(background, 0, siteText(1), noWait)
+		var unknown *adminapi.UnknownError
+		r.Expect(err).To(gomega.BeAssignableToTypeOf(unknown))
+		r.appender.plant(away, away, away, away, away)
+		_, err = r.client().Publish(background, 0, siteText(1), noWait)
+		_ = r.failure(err, adminapi.CodeNotAppended)
+	})
+
+	ginkgo.It("a node that lags does not take a base for a conflict", func() {
+		t := ginkgo.GinkgoTB()
+		site := sitefake.New()
+		ahead, behind := joinRig(t, site, "a1"), joinRig(t, site, "b1")
+		behind.appender.Freeze()
+		_, err := ahead.client().PublishOnce(background, 0, siteText(1), false)
+		ahead.Expect(err).NotTo(gomega.HaveOccurred())
+		looks := behind.appender.looks.Load()
+		done := make(chan error, 1)
+		go func() {
+			_, err := behind.client().PublishOnce(background, 1, siteText(2), false)
+			done <- err
+		}()
+		behind.Eventually(behind.appender.looks.Load, "10s").Should(gomega.BeNumerically(">", looks), "it looks at the state")
+		behind.appender.Thaw()
+		site.Join("x", "a") // a record, so that waiters look again
+		behind.Eventually(done, "10s").Should(gomega.Receive(gomega.BeNil()))
+		behind.Expect(site.View().SiteVersion()).To(gomega.Equal(uint64(2)))
+	})
+
+	ginkgo.It("a base that nobody published", func() {
+		t := ginkgo.GinkgoTB()
+		r := newRig(t)
+		_, err := r.client().PublishOnce(background, 7, siteText(1), false)
+		failure := r.failure(err, adminapi.CodeConflict)
+		r.Expect(failure.Conflict).To(gomega.Equal(&adminapi.Conflict{Base: 7, InForce: 0, Known: true}))
+	})
+})
+
+var background = context.Background()
+
+// siteText is a valid site configuration, told apart by its deadline.
+func siteText(seconds int) []byte {
+	return fmt.Appendf(nil, `{"services": {
+"logs": {"keyed": true, "shards": 8, "concurrencyPerServer": 4, "connectionsPerServer": 100, "checksFencing": true, "deadline": "%ds"},
+}}`, seconds)
+
+}
+
+func noWait(context.Context, time.Duration) error { return nil }
+
+// lostAnswerCase is a publication whose first answers are lost.
+type lostAnswerCase struct {
+	faults  []logFault
+	between func(*rig) // between the first attempt and the second
+	want    adminapi.Published
+	code    adminapi.Code // of the failure; empty for an acceptance
+	version uint64        // in force in the end
 }
 
 // publishOther returns a step in which another operator publishes.
@@ -142,79 +229,3 @@
 		r.Expect(err).NotTo(gomega.HaveOccurred())
 	}
 }
-
-func TestTheSameTextFromAnotherOperatorIsAConflict(t *testing.T) {
-	r := newRig(t)
-	_, err := r.client().PublishOnce(background, 0, siteText(1), false)
-	r.Expect(err).NotTo(gomega.HaveOccurred())
-	_, err = r.client().PublishOnce(background, 0, siteText(1), false)
-	_ = r.failure(err, adminapi.CodeConflict)
-	published, err := r.client().PublishOnce(background, 0, siteText(1), true)
-	r.Expect(err).NotTo(gomega.HaveOccurred())
-	r.Expect(published.Repeated).To(gomega.BeTrue())
-}
-
-func TestARetryAtANodeThatMissedTheVersionSaysSo(t *testing.T) {
-	site := sitefake.New()
-	first := joinRig(t, site, "a1")
-	for base := range uint64(2) {
-		_, err := first.client().PublishOnce(background, base, siteText(1+int(base)), false)
-		first.Expect(err).NotTo(gomega.HaveOccurred())
-	}
-	late := joinRig(t, site, "b1") // starts when version 2 is in force
-	_, err := late.client().PublishOnce(background, 0, siteText(1), true)
-	failure := late.failure(err, adminapi.CodeConflict)
-	late.Expect(failure.Conflict).To(gomega.Equal(&adminapi.Conflict{Base: 0, InForce: 2, Known: false}))
-}
-
-func TestLogAwayTellsProvenFromUnknown(t *testing.T) {
-	r := newRig(t)
-	r.appender.plant(away, lostWrite)
-	_, err := r.client().PublishOnce(background, 0, siteText(1), false)
-	r.Expect(r.failure(err, adminapi.CodeNotAppended).RetryAfterMs).To(gomega.BeNumerically(">", 0))
-	_, err = r.client().PublishOnce(background, 0, siteText(1), false)
-	r.Expect(r.failure(err, adminapi.CodeFateUnknown).RetryAfterMs).To(gomega.BeNumerically(">", 0))
-
-	r.appender.plant(away)
-	response := r.send("POST", "/v1/site?base=0", "Bearer "+goodToken, string(siteText(1)))
-	defer func() { _ = response.Body.Close() }()
-	r.Expect(response.StatusCode).To(gomega.Equal(503))
-	r.Expect(response.Header.Get("Retry-After")).To(gomega.Equal("2"))
-}
-
-func TestGivingUpWithAnUnknownFateSaysSo(t *testing.T) {
-	r := newRig(t)
-	r.appender.plant(lostWrite, away, away, away, away, away)
-	_, err := r.client().Publish(background, 0, siteText(1), noWait)
-	var unknown *adminapi.UnknownError
-	r.Expect(err).To(gomega.BeAssignableToTypeOf(unknown))
-	r.appender.plant(away, away, away, away, away)
-	_, err = r.client().Publish(background, 0, siteText(1), noWait)
-	_ = r.failure(err, adminapi.CodeNotAppended)
-}
-
-func TestANodeThatLagsDoesNotTakeABaseForAConflict(t *testing.T) {
-	site := sitefake.New()
-	ahead, behind := joinRig(t, site, "a1"), joinRig(t, site, "b1")
-	behind.appender.Freeze()
-	_, err := ahead.client().PublishOnce(background, 0, siteText(1), false)
-	ahead.Expect(err).NotTo(gomega.HaveOccurred())
-	looks := behind.appender.looks.Load()
-	done := make(chan error, 1)
-	go func() {
-		_, err := behind.client().PublishOnce(background, 1, siteText(2), false)
-		done <- err
-	}()
-	behind.Eventually(behind.appender.looks.Load, "10s").Should(gomega.BeNumerically(">", looks), "it looks at the state")
-	behind.appender.Thaw()
-	site.Join("x", "a") // a record, so that waiters look again
-	behind.Eventually(done, "10s").Should(gomega.Receive(gomega.BeNil()))
-	behind.Expect(site.View().SiteVersion()).To(gomega.Equal(uint64(2)))
-}
-
-func TestABaseThatNobodyPublished(t *testing.T) {
-	r := newRig(t)
-	_, err := r.client().PublishOnce(background, 7, siteText(1), false)
-	failure := r.failure(err, adminapi.CodeConflict)
-	r.Expect(failure.Conflict).To(gomega.Equal(&adminapi.Conflict{Base: 7, InForce: 0, Known: true}))
-}
--- a/modules/admin/tls_test.go
+++ b/modules/admin/tls_test.go
@@ -3,9 +3,9 @@
 import (
 	"net/http"
 	"strings"
-	"testing"
 
 	"github.com/hashicorp/go-hclog"
+	"github.com/onsi/ginkgo/v2"
 	"github.com/onsi/gomega"
 
 	"github.com/burdockspindle/burdockspindle/adminapi"
@@ -14,20 +14,23 @@
 	"github.com/burdockspindle/burdockspindle/tlsfiles/tlstest"
 )
 
-func TestWithACAFileOperatorsShowACertificateToo(t *testing.T) {
-	authority, other := tlstest.NewAuthority(t, "site"), tlstest.NewAuthority(t, "other")
-	files := authority.Write(t, t.TempDir(), "a1", authority)
-	r := startRig(t, sitefake.New(), "a1", &files)
-	call := func(signer *tlstest.Authority) error {
-		loader, err := tlsfiles.New(signer.Write(t, t.TempDir(), "operator", authority), hclog.NewNullLogger())
-		r.Expect(err).NotTo(gomega.HaveOccurred())
-		transport := &http.Transport{TLSClientConfig: loader.Client("127.0.0.1"), DisableKeepAlives: true}
-		address := strings.Replace(r.url, "http://", "https://", 1)
-		client, err := adminapi.NewClient(address, goodToken, "", &http.Client{Transport: transport})
-		r.Expect(err).NotTo(gomega.HaveOccurred())
-		_, err = client.Status(background)
-		return err
-	}
-	r.Expect(call(authority)).To(gomega.Succeed())
-	r.Expect(call(other)).NotTo(gomega.Succeed(), "a certificate of another authority")
-}
+var _ = ginkgo.Describe("administration API over TLS", func() {
+	ginkgo.It("with a CA file operators show a certificate, too", func() {
+		t := ginkgo.GinkgoTB()
+		authority, other := tlstest.NewAuthority(t, "site"), tlstest.NewAuthority(t, "other")
+		files := authority.Write(t, t.TempDir(), "a1", authority)
+		r := startRig(t, sitefake.New(), "a1", &files)
+		call := func(signer *tlstest.Authority) error {
+			loader, err := tlsfiles.New(signer.Write(t, t.TempDir(), "operator", authority), hclog.NewNullLogger())
+			r.Expect(err).NotTo(gomega.HaveOccurred())
+			transport := &http.Transport{TLSClientConfig: loader.Client("127.0.0.1"), DisableKeepAlives: true}
+			address := strings.Replace(r.url, "http://", "https://", 1)
+			client, err := adminapi.NewClient(address, goodToken, "", &http.Client{Transport: transport})
+			r.Expect(err).NotTo(gomega.HaveOccurred())
+			_, err = client.Status(background)
+			return err
+		}
+		r.Expect(call(authority)).To(gomega.Succeed())
+		r.Expect(call(other)).NotTo(gomega.Succeed(), "a certificate of another authority")
+	})
+})
