Judge failed specs as Ginkgo prints them

Cause: a planted failing spec on a scratch copy showed two faults of knownred. Ginkgo puts [It] before a spec's own text, so that a spec listed with its whole text was not found; and a line that names the suite function passed over every spec of it. A spec that panicked beside a listed one was not seen at all, since Ginkgo does not call it [FAIL]. Change: [It] is left out of the text; a listed text must be the spec's or end it, no more be any part of it; the suite function's own name excuses no spec; a spec that panicked, timed out, or was interrupted or aborted never passes. Five rows of the table say so, from Ginkgo's own output; no row is changed.

--- a/build/knownred/judge.go
+++ b/build/knownred/judge.go
@@ -5,6 +5,10 @@
 	"strings"
 )
 
+// suiteTest is the test function that runs a package's Ginkgo specs. Its specs
+// are listed one by one: its own name excuses none of them.
+const suiteTest = "TestSpecs"
+
 // Verdict is the decision and what to print of it.
 type Verdict struct {
 	Pass  bool
@@ -15,8 +19,10 @@
 	failedTest    = regexp.MustCompile(`^\s*--- FAIL: (\S+)`)
 	failedSpec    = regexp.MustCompile(`^\s*\[FAIL\] (.*)$`)
 	packageResult = regexp.MustCompile(`^(ok|FAIL|\?)\s+(\S+)`)
-	fatalLine     = regexp.MustCompile(`^(panic:|fatal error:|WARNING: DATA RACE)|\[(build|setup) failed\]`)
-	ansiColour    = regexp.MustCompile("\x1b\\[[0-9;]*m")
+	fatalLine     = regexp.MustCompile(`^(panic:|fatal error:|WARNING: DATA RACE)|\[(build|setup) failed\]` +
+		`|^\s*\[(PANICKED!|TIMEDOUT|INTERRUPTED|ABORTED)\]`)
+	leafMark   = regexp.MustCompile(`\[It\] `)
+	ansiColour = regexp.MustCompile("\x1b\\[[0-9;]*m")
 )
 
 // packageOutput is what go test printed of one failed package.
@@ -63,7 +69,7 @@
 			continue
 		}
 		if match := failedSpec.FindStringSubmatch(line); match != nil {
-			current.specs = append(current.specs, match[1])
+			current.specs = append(current.specs, leafMark.ReplaceAllString(match[1], ""))
 		}
 		if fatalLine.MatchString(line) {
 			current.fatal = true
@@ -91,7 +97,8 @@
 		if p.hasFailedSubtest(test) {
 			continue
 		}
-		if listed(known, used, p.name+"."+test) {
+		isSuite := test == suiteTest && len(p.specs) > 0
+		if !isSuite && listed(known, used, p.name+"."+test) {
 			continue
 		}
 		if !p.specsListed(test, known, used) {
@@ -126,7 +133,7 @@
 func specListed(prefix, spec string, known []Entry, used map[string]bool) bool {
 	for _, entry := range known {
 		text, isSpec := strings.CutPrefix(entry.Test, prefix)
-		if isSpec && strings.Contains(spec, text) {
+		if isSpec && (spec == text || strings.HasSuffix(spec, " "+text)) {
 			used[entry.Test] = true
 			return true
 		}
--- a/build/knownred/judge_test.go
+++ b/build/knownred/judge_test.go
@@ -13,6 +13,18 @@
 const ginkgoPackage = "Summarizing 1 Failure:\n  [FAIL] log when away keeps serving\n  a_test.go:9\n" +
 	"--- FAIL: TestSuite (0.03s)\nFAIL\nFAIL\texample/suite\t0.2s\nFAIL\n"
 
+// ginkgoColoured is what Ginkgo 2.34 printed of two planted specs that fail.
+const ginkgoColoured = "\x1b[38;5;9m\x1b[1mSummarizing 2 Failures:\x1b[0m\n" +
+	"  \x1b[38;5;9m[FAIL]\x1b[0m \x1b[0mplanted \x1b[38;5;9m\x1b[1m[It] fails on purpose\x1b[0m\n" +
+	"  \x1b[38;5;243mplanted_test.go:9\x1b[0m\n" +
+	"  \x1b[38;5;9m[FAIL]\x1b[0m \x1b[0mplanted \x1b[38;5;243mtable \x1b[38;5;9m\x1b[1m[It] two\x1b[0m\n" +
+	"  \x1b[38;5;243mplanted_test.go:10\x1b[0m\n" +
+	"--- FAIL: TestSpecs (0.10s)\nFAIL\nFAIL\texample/suite\t0.138s\nFAIL\n"
+
+// ginkgoPanicked is a suite with a listed failure and a spec that panicked.
+const ginkgoPanicked = "Summarizing 2 Failures:\n  [FAIL] planted [It] one\n  a_test.go:9\n" +
+	"  [PANICKED!] planted [It] two\n  a_test.go:10\n--- FAIL: TestSpecs (0.1s)\nFAIL\nFAIL\texample/suite\t0.1s\nFAIL\n"
+
 func TestJudge(t *testing.T) {
 	cases := map[string]struct {
 		output string
@@ -32,6 +44,11 @@
 		"unlisted spec":         {ginkgoPackage, 1, "example/suite.TestSuite: starts | c | 4", false},
 		"listed spec":           {ginkgoPackage, 1, "example/suite.TestSuite: keeps serving | c | 4", true},
 		"second unlisted test":  {"--- FAIL: TestB (0.00s)\n" + ginkgoPackage, 1, "example/suite.TestSuite: keeps serving | c | 4", false},
+		"both specs listed":     {ginkgoColoured, 1, "example/suite.TestSpecs: planted fails on purpose | c | 4\nexample/suite.TestSpecs: planted table two | c | 4", true},
+		"one of two listed":     {ginkgoColoured, 1, "example/suite.TestSpecs: planted fails on purpose | c | 4", false},
+		"the suite is no spec":  {ginkgoColoured, 1, "example/suite.TestSpecs | c | 4", false},
+		"part of a spec's text": {ginkgoColoured, 1, "example/suite.TestSpecs: planted | c | 4", false},
+		"a spec panicked":       {ginkgoPanicked, 1, "example/suite.TestSpecs: planted one | c | 4", false},
 	}
 	for name, tc := range cases {
 		t.Run(name, func(t *testing.T) {
--- a/build/knownred/main.go
+++ b/build/knownred/main.go
@@ -3,9 +3,11 @@
 //
 //	package.Test | cause | issue
 //
-// where Test is a test, a subtest (TestA/b) or a Ginkgo spec (TestSuite: text).
+// where Test is a test, a subtest (TestA/b) or a Ginkgo spec (TestSpecs: text, the
+// text being the spec's with its containers', or the end of it).
 // The run passes when it failed nowhere but in the listed tests. A package that
-// did not build, panicked, timed out or reported a data race never passes.
+// did not build, panicked, timed out or reported a data race never passes, nor does
+// one with a spec that did.
 package main
 
 import (
