A request passes by the lessor that it could not reach, and no other

Cause: a request that found its lessor's node unreachable was marked to go directly for the rest of its life. When its shard then moved, it also went past the next owner's lessor, which could be reached and counts that server's requests. In scenario lost-zone every request that found a server full was at a server of the two zones that were not lost, and their lessors were alive. Change: the request remembers which node it could not reach; the experiment engine likewise. A lost lessor with living servers is not in this scenario; nothing bounds that case by construction yet.

--- a/experiment/engine/call.go
+++ b/experiment/engine/call.go
@@ -35,7 +35,7 @@
 	tried  []topo.ServerID
 	waited []buffer.Key
 	probe  *buffer.Key
-	direct bool
+	past   topo.NodeID // lessor's node that could not be reached; "" for none
 	trace  *trace
 }
 
@@ -81,7 +81,7 @@
 			c.finish(outcome.NotRun(callerapi.ReasonNotLessor))
 			return
 		}
-		if d.Path == route.PathForward && (c.direct || c.node.lessorOut(d.Lessor)) {
+		if d.Path == route.PathForward && (c.past == d.Lessor || c.node.lessorOut(d.Lessor)) {
 			d = pastLessor(d)
 		}
 		c.hold(d)
--- a/experiment/engine/engine_test.go
+++ b/experiment/engine/engine_test.go
@@ -108,3 +108,12 @@
 	f := run(t, o)
 	g.Expect(f.LongestUnavailable).To(gomega.BeNumerically("<", 3000))
 }
+
+// The lessors of a lost zone's servers cannot be reached; those of the others
+// can, and alone send to theirs.
+func TestALostZoneLeavesTheOtherServersWithinTheirLimits(t *testing.T) {
+	g := gomega.NewWithT(t)
+	lose := engine.Fault{Kind: engine.FaultLoseZone, Zone: 2, At: 2 * time.Second}
+	f := run(t, options(model.Kavango, model.Traffic{Duration: 10 * time.Second}, lose))
+	g.Expect(f.LimitExceeded).To(gomega.BeZero())
+}
--- a/experiment/engine/send.go
+++ b/experiment/engine/send.go
@@ -225,7 +225,7 @@
 func (c *call) notForwarded(d route.Decision, lost result) {
 	c.node.nodeHealth(d.Lessor).Observe(c.now(), health.Unreachable)
 	if pastLessor(d).Path == route.PathDirect {
-		c.direct = true
+		c.past = d.Lessor
 		c.settle(d, result{moved: true})
 		return
 	}
--- a/modules/router/forward.go
+++ b/modules/router/forward.go
@@ -125,7 +125,7 @@
 		return unsent(verdict)
 	}
 	if past := r.pastLessor(d); past.Path == route.PathDirect {
-		r.direct = true
+		r.past = d.Lessor
 		return result{moved: true}
 	}
 	return r.lessorOut(d, outcome.NotRun(callerapi.ReasonNotLessor))
--- a/modules/router/run.go
+++ b/modules/router/run.go
@@ -34,7 +34,7 @@
 	tried  []topo.ServerID // servers of an unkeyed service that failed
 	waited []buffer.Key    // outages that the request met
 	probe  *buffer.Key     // outage that its next attempt asks about
-	direct bool            // its lessor's node could not be reached
+	past   topo.NodeID     // lessor's node that could not be reached; "" for none
 }
 
 // result is what one attempt came to.
@@ -96,7 +96,7 @@
 		v := outcome.NotRun(callerapi.ReasonNotLessor)
 		return d, &v
 	}
-	if r.direct || r.m.nodes.Ejected(time.Now(), d.Lessor) {
+	if r.past == d.Lessor || r.m.nodes.Ejected(time.Now(), d.Lessor) {
 		d = r.pastLessor(d)
 	}
 	return d, nil
