experiment: no connection is waited for beyond the request's deadline

Cause: in the experiment engine an attempt at a lost server took the whole connect timeout, 1 s, also when the request's deadline came first. The router's driver ends with the request's context. Change: the engine's connection attempt ends at the deadline. Without the change the new test finds 4 requests over the limit.

--- a/experiment/engine/engine_test.go
+++ b/experiment/engine/engine_test.go
@@ -117,3 +117,13 @@
 	f := run(t, options(model.Kavango, model.Traffic{Duration: 10 * time.Second}, lose))
 	g.Expect(f.LimitExceeded).To(gomega.BeZero())
 }
+
+// A call to a server that is lost ends at its deadline, also while no connection
+// can be made, so that the server that waits for it is free when its place is.
+func TestALostServersCallersAreFreeAtTheirDeadline(t *testing.T) {
+	g := gomega.NewWithT(t)
+	lose := engine.Fault{Kind: engine.FaultLoseZone, Zone: 2, At: 2 * time.Second}
+	f := run(t, options(model.Urbion, model.Traffic{Duration: 10 * time.Second}, lose))
+	g.Expect(f.LimitExceeded).To(gomega.BeZero())
+	g.Expect(f.AdmittedLate).To(gomega.BeZero())
+}
--- a/experiment/engine/pool.go
+++ b/experiment/engine/pool.go
@@ -1,5 +1,7 @@
 package engine
 
+import "time"
+
 // pool is one node's connections to one server. The admission point never sends
 // more than the server's concurrency limit, so it never opens more either.
 type pool struct {
@@ -14,9 +16,9 @@
 }
 
 // open takes an idle connection, or opens one at its cost, and goes on with it.
-// It goes on with nil when the server does not answer or its limit of
-// connections is reached.
-func (n *node) open(s *server, then func(*connection)) {
+// It goes on with nil when the server does not answer by the deadline or its
+// limit of connections is reached.
+func (n *node) open(s *server, deadline time.Time, then func(*connection)) {
 	p := n.pool(s)
 	if p.idle > 0 {
 		p.idle--
@@ -24,7 +26,7 @@
 		return
 	}
 	if !s.up {
-		n.site.clock.after(connectTimeout, func() { then(nil) })
+		n.site.clock.after(min(connectTimeout, deadline.Sub(n.site.clock.now)), func() { then(nil) })
 		return
 	}
 	cost := n.site.deployment.NewConnection
--- a/experiment/engine/send.go
+++ b/experiment/engine/send.go
@@ -74,7 +74,7 @@
 		return
 	}
 	n.site.measure.attempt(p.call.trace)
-	n.open(target, func(conn *connection) {
+	n.open(target, p.call.deadline, func(conn *connection) {
 		if conn == nil {
 			p.unanswered(outcome.Failure{Deadline: p.call.expired()})
 			return
