experiment: scenario lost-lessors, and a number of entry nodes

Cause: no scenario lost an entry node whose servers live, which is the case in which other nodes send past a lessor; and none had more nodes than a server has places. Change: fault lose-lessor ends the process of a group's lessor, as the log names it, with or without its standby lessor's; its VM refuses connections.

--- a/experiment/command.go
+++ b/experiment/command.go
@@ -21,6 +21,7 @@
 			sub.StringSlice(&options.Policies, "p", "policy", "balance policy, repeatable; \"all\" for every one")
 			sub.StringSlice(&options.Pickers, "k", "pick", "picker for services without keys, repeatable (default "+DefaultPicker+")")
 			sub.String(&options.Deployment, "d", "deployment", "kavango or urbion")
+			sub.Int(&options.EntryNodes, "n", "entry-nodes", "entry nodes in each zone in place of the deployment's own; 0 for those")
 			sub.UInt64(&options.Seed, "e", "seed", "seed of all randomness")
 			sub.Bool(&options.JSON, "j", "json", "write the results as JSON")
 			sub.String(&options.Report, "r", "report", "write an HTML report with plots to this file")
--- a/experiment/engine/fault.go
+++ b/experiment/engine/fault.go
@@ -24,6 +24,10 @@
 	FaultLose FaultKind = "lose"
 	// FaultLoseZone stops every server and entry VM of the zone of index Zone.
 	FaultLoseZone FaultKind = "lose-zone"
+	// FaultLoseLessor ends the process of the entry VM that leads the group of the
+	// zone of index Zone, with Standby its standby lessor's as well. The VM refuses
+	// connections at once, and the servers live on.
+	FaultLoseLessor FaultKind = "lose-lessor"
 	// FaultReplace drains the servers one after another, every Interval, and
 	// starts a cold one in the place of each.
 	FaultReplace FaultKind = "replace"
@@ -43,4 +47,5 @@
 	Share    float64
 	Interval time.Duration
 	Zone     int
+	Standby  bool
 }
--- a/experiment/engine/faults.go
+++ b/experiment/engine/faults.go
@@ -24,6 +24,8 @@
 	switch fault.Kind {
 	case FaultLoseZone:
 		s.loseZone(s.deployment.Zones[fault.Zone])
+	case FaultLoseLessor:
+		s.loseLessor(topo.MakeGroupID(s.deployment.Zones[fault.Zone], 0), fault.Standby)
 	case FaultReplace:
 		s.replaceInTurn(s.hit(fault), fault.Interval)
 	default:
@@ -118,6 +120,24 @@
 	})
 }
 
+// loseLessor ends the process of the entry VM that leads a group, and with standby
+// its standby lessor's, as the log names them.
+func (s *site) loseLessor(id topo.GroupID, standby bool) {
+	group, _ := s.log.view.Group(id)
+	lost := []topo.NodeID{group.Lessor}
+	if standby {
+		lost = append(lost, group.Standby)
+	}
+	loss := &bspb.ConfirmLoss{Source: "vm list"}
+	for _, node := range lost {
+		if n, exists := s.nodes[node]; exists && n.up {
+			n.up, n.refuse = false, true
+			loss.Nodes = append(loss.Nodes, string(node))
+		}
+	}
+	s.clock.after(vmListDelay, func() { s.confirm(loss) })
+}
+
 // confirm and update write what the membership module would, at the node that
 // watches the VM list.
 func (s *site) confirm(loss *bspb.ConfirmLoss) {
--- a/experiment/engine/node.go
+++ b/experiment/engine/node.go
@@ -30,6 +30,7 @@
 	boot   topo.BootID
 	zone   topo.Zone
 	up     bool
+	refuse bool // when not up: connections are refused at once, not lost
 	random *rand.Rand
 
 	view    *state.View
--- a/experiment/engine/send.go
+++ b/experiment/engine/send.go
@@ -173,7 +173,7 @@
 		return
 	}
 	if !to.up {
-		n.site.clock.after(min(connectTimeout, c.deadline.Sub(c.now())), func() { c.notForwarded(d, lost) })
+		n.site.clock.after(min(to.refusal(n), c.deadline.Sub(c.now())), func() { c.notForwarded(d, lost) })
 		return
 	}
 	remote := n.remote(d.Server)
@@ -212,6 +212,15 @@
 	})
 }
 
+// refusal is how long another node takes to learn that this one, which is down,
+// takes no connection.
+func (n *node) refusal(from *node) time.Duration {
+	if n.refuse {
+		return 2 * n.site.delay(from.zone, n.zone)
+	}
+	return connectTimeout
+}
+
 // forwardAnswered passes on what the other node said.
 func (c *call) forwardAnswered(d route.Decision, v outcome.Verdict) {
 	if v.Reason == callerapi.ReasonNotLessor && v.NotRunProven() {
--- a/experiment/errors.go
+++ b/experiment/errors.go
@@ -1,6 +1,7 @@
 package experiment
 
 import (
+	"strconv"
 	"strings"
 
 	"github.com/burdockspindle/burdockspindle/topo"
@@ -69,3 +70,11 @@
 
 // Unwrap returns the cause.
 func (e *OutputError) Unwrap() error { return e.Cause }
+
+// EntryNodesError reports a number of entry nodes that no run may have.
+type EntryNodesError struct{ Given int }
+
+// Error implements error.
+func (e *EntryNodesError) Error() string {
+	return "entry nodes in each zone: " + strconv.Itoa(e.Given) + " is not between 0 and " + strconv.Itoa(mostEntryNodes)
+}
--- a/experiment/experiment.go
+++ b/experiment/experiment.go
@@ -28,11 +28,15 @@
 	Policies   []string // balance policies
 	Pickers    []string // of services that are not divided by key
 	Deployment string
+	EntryNodes int // in each zone; 0 for the deployment's own
 	Seed       uint64
 	JSON       bool
 	Report     string // file for the HTML report; empty for none
 }
 
+// mostEntryNodes is the most entry nodes that a zone may have.
+const mostEntryNodes = 1000
+
 // Defaults of Options.
 const (
 	DefaultDeployment = model.Urbion
@@ -130,6 +134,12 @@
 		known := []string{model.Kavango, model.Urbion}
 		return nil, &UnknownNameError{Kind: "deployment", Name: options.Deployment, Known: known}
 	}
+	if options.EntryNodes < 0 || options.EntryNodes > mostEntryNodes {
+		return nil, &EntryNodesError{Given: options.EntryNodes}
+	}
+	if options.EntryNodes > 0 {
+		deployment.EntryPerZone = options.EntryNodes
+	}
 	var results []Result
 	for _, name := range options.Scenarios {
 		scenario, err := LoadScenario(name)
--- a/experiment/experiment_test.go
+++ b/experiment/experiment_test.go
@@ -18,8 +18,8 @@
 func TestEveryScenarioParses(t *testing.T) {
 	g := gomega.NewWithT(t)
 	wanted := []string{
-		"cold-start", "lost-server", "lost-zone", "lying-server", "moving-hot-keys", "one-hot-key", "overload",
-		"retry-storm", "rolling-replacement", "shedding-servers", "slow-server", "steady",
+		"cold-start", "lost-lessors", "lost-server", "lost-zone", "lying-server", "moving-hot-keys", "one-hot-key",
+		"overload", "retry-storm", "rolling-replacement", "shedding-servers", "slow-server", "steady",
 	}
 	g.Expect(scenarios.Names()).To(gomega.Equal(wanted))
 	for _, name := range scenarios.Names() {
@@ -97,6 +97,7 @@
 		{experiment.Options{Scenarios: []string{"no/such.jsonc"}}, "no/such.jsonc: "},
 		{experiment.Options{Policies: []string{"nothing"}}, "policy nothing: not known; there are greedy"},
 		{experiment.Options{Pickers: []string{"nothing"}}, "pick nothing: not known; there are budget"},
+		{experiment.Options{EntryNodes: 1001}, "entry nodes in each zone: 1001 is not between 0 and 1000"},
 		{experiment.Options{Deployment: "nothing"}, "deployment nothing: not known; there are kavango"},
 	}
 	for _, c := range cases {
--- a/experiment/scenario.go
+++ b/experiment/scenario.go
@@ -128,7 +128,7 @@
 func readFault(o *jsonc.Object) engine.Fault {
 	kinds := []string{
 		string(engine.FaultSlow), string(engine.FaultLie), string(engine.FaultShed), string(engine.FaultFail),
-		string(engine.FaultLose), string(engine.FaultLoseZone), string(engine.FaultReplace), string(engine.FaultRestartCold),
+		string(engine.FaultLose), string(engine.FaultLoseZone), string(engine.FaultLoseLessor), string(engine.FaultReplace), string(engine.FaultRestartCold),
 	}
 	fault := engine.Fault{
 		Kind:     engine.FaultKind(o.Need("kind").Choice("", kinds...)),
@@ -139,6 +139,7 @@
 		Share:    o.Get("share").Float(0, 0, 1),
 		Interval: o.Get("interval").Duration(time.Second, time.Millisecond, longestRun),
 		Zone:     int(o.Get("zone").Int(0, 0, mostZones)),
+		Standby:  o.Get("standby").Bool(false),
 	}
 	for _, element := range o.Get("servers").Elements() {
 		fault.Servers = append(fault.Servers, int(element.Int(0, 0, mostServers)))
