Read the log through a few relays of each zone

Change: the first of a zone's nodes by rendezvous in the node's own view, one for every 16 but timing.logRelays (3) at least, read the log. The others ask them by PeerService.ReadLog, held open until a record comes or the relay's contact is renewed. ReadLogResponse tells how much older than the request's arrival the relay's contact is (contact_age_ms) and the lowest offset retained (log_first); contact behind a relay counts from before the asking less that age and the drift, once all that the relay had is applied. A relay that is silent, late or behind is passed over, then a second, then the log is read. What is not plain entries (rebase, gap) is read from the log. Nodes without contact read the log. Metrics follower.reads_by_source, relay_bytes, relay_failures, relays_behind, source_changes; the dump's source and relays; event 1216. Measured: go test ./follower, faked time: contact through a relay at most 400 ms old, as by the log itself (700 ms when held reads do not end with contact). With a relay lost, cut off, paused, slow, or away from the log at most 599 ms, with both relays at most 697 ms, of a TTL of 1 s. A log slow by 500 ms for everybody: 85 reads a minute by each relay, none by the nodes behind them. Of eight faults planted in the contact's arithmetic and the choice of sources the tests catch eight (two of them only after tests were added). A ninth, found by one of these: holds grew by themselves when answers used them up. Race detector: follower, settings, modules/follower clean. Conclusion: reads of the log no longer grow with nodes beyond one in 16.

--- a/follower/apply.go
+++ b/follower/apply.go
@@ -73,8 +73,10 @@
 type entriesMessage struct {
 	entries []platlog.Entry
 	outcome chan<- error
-	// log is set for entries from the log itself.
-	log *logAnswer
+	// log is set for entries from the log itself, relay for those that a relay
+	// read there.
+	log   *logAnswer
+	relay *relayAnswer
 }
 
 // logAnswer is what makes a read of the log count as contact.
@@ -100,12 +102,30 @@
 	}, outcome)
 }
 
+// applyRelayed applies a relay's answer to a request that began at a time.
+func (f *Follower) applyRelayed(ctx context.Context, begun time.Time, answer *bspb.ReadLogResponse) error {
+	outcome := make(chan error, 1)
+	return f.call(ctx, &entriesMessage{
+		entries: entriesFromProto(answer.GetEntries()),
+		outcome: outcome,
+		relay: &relayAnswer{
+			begun:   begun,
+			applied: topo.Offset(answer.GetApplied()),
+			age:     time.Duration(answer.GetContactAgeMs()) * time.Millisecond,
+			known:   answer.ContactAgeMs != nil,
+		},
+	}, outcome)
+}
+
 func (m *entriesMessage) apply(a *applier) {
 	err := a.applyEntries(m.entries)
 	a.publish()
 	if m.log != nil && err == nil {
 		err = a.noteContact(m.log)
 	}
+	if m.relay != nil && err == nil {
+		a.noteRelayed(m.relay)
+	}
 	m.outcome <- err
 }
 
@@ -185,16 +205,29 @@
 	if answer.batch.End > applied+1 {
 		return nil
 	}
-	begun := answer.begun
-	if previous := a.f.LastContact(); begun.After(previous) {
-		a.f.contact.Store(&begun)
-		if previous.IsZero() {
-			eventCaughtUp.Log(a.f.config.Logger, "applied", applied)
-		}
-	}
+	a.renewContact(answer.begun)
 	return nil
 }
 
+// noteRelayed takes over a relay's contact once everything that the relay had
+// applied is applied here too.
+func (a *applier) noteRelayed(answer *relayAnswer) {
+	if answer.known && a.state.Applied() >= answer.applied {
+		a.renewContact(contactOf(*answer, a.f.config.DriftPPM))
+	}
+}
+
+func (a *applier) renewContact(at time.Time) {
+	previous := a.f.LastContact()
+	if !at.After(previous) {
+		return
+	}
+	a.f.renewContact(at)
+	if previous.IsZero() {
+		eventCaughtUp.Log(a.f.config.Logger, "applied", a.state.Applied())
+	}
+}
+
 // adoptMessage replaces the state by one that is further.
 type adoptMessage struct {
 	state   *state.State
--- a/follower/checkpoints.go
+++ b/follower/checkpoints.go
@@ -69,6 +69,13 @@
 	}
 }
 
+// logFirst returns the lowest offset that the log is known to retain.
+func (d *checkpointDue) logFirst() topo.Offset {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.first
+}
+
 // lastApplied returns what the last whole checkpoint contains.
 func (d *checkpointDue) lastApplied() topo.Offset {
 	d.mu.Lock()
--- a/follower/config.go
+++ b/follower/config.go
@@ -42,6 +42,13 @@
 	Peers  peer.Caller
 	Logger hclog.Logger
 
+	// Zone is the node's own. Relays is how many of its nodes read the log at
+	// least, see RelayCount; 0 means that this node always reads it.
+	Zone   topo.Zone
+	Relays int
+	// DriftPPM bounds how much faster than another node's this clock runs.
+	DriftPPM int
+
 	PollWait        time.Duration // how long a log read is held open at the end
 	CallTimeout     time.Duration // for an answer of the log; grows while it is slow
 	PeersAfter      time.Duration // without log contact before peers are asked
--- a/follower/core.go
+++ b/follower/core.go
@@ -23,7 +23,8 @@
 	writer string
 
 	published atomic.Pointer[publication]
-	contact   atomic.Pointer[time.Time]
+	contact   atomic.Pointer[contactNote]
+	source    atomic.Pointer[topo.NodeID]
 	ring      *ring
 	fates     *fates
 	due       *checkpointDue
@@ -51,6 +52,12 @@
 	changed chan struct{}
 }
 
+// contactNote is the latest contact and the signal that a newer one exists.
+type contactNote struct {
+	at      time.Time
+	renewed chan struct{}
+}
+
 // New returns a follower with an empty state.
 func New(config Config) *Follower {
 	config = config.withDefaults()
@@ -68,7 +75,8 @@
 		appendPatience: newPatience(config.CallTimeout, mostCallTimeout),
 	}
 	f.published.Store(&publication{view: state.New().View(), changed: make(chan struct{})})
-	f.contact.Store(&time.Time{})
+	f.contact.Store(&contactNote{renewed: make(chan struct{})})
+	f.source.Store(new(topo.NodeID))
 	appliedAges.Set(string(config.Node), expvar.Func(func() any { return f.contactAge(time.Now()) }))
 	return f
 }
@@ -122,7 +130,13 @@
 }
 
 // LastContact implements Contact.
-func (f *Follower) LastContact() time.Time { return *f.contact.Load() }
+func (f *Follower) LastContact() time.Time { return f.contact.Load().at }
+
+// renewContact makes a newer contact visible, after the view that it is about.
+func (f *Follower) renewContact(at time.Time) {
+	old := f.contact.Swap(&contactNote{at: at, renewed: make(chan struct{})})
+	close(old.renewed)
+}
 
 func (f *Follower) applied() topo.Offset { return f.View().Applied() }
 
--- a/follower/dump.go
+++ b/follower/dump.go
@@ -14,6 +14,8 @@
 	Lineage         topo.Offset `json:"lineage"`
 	LogFirst        topo.Offset `json:"log_first"`
 	ContactAgeMs    int64       `json:"contact_age_ms"` // -1 when there was no contact
+	Source          string      `json:"source"`         // "log", or the relay that is asked
+	Relays          []string    `json:"relays"`         // of the zone, as this node sees them
 	SiteVersion     uint64      `json:"site_version"`
 	Nodes           int         `json:"nodes"`
 	Servers         int         `json:"servers"`
@@ -50,6 +52,12 @@
 		Queued:       len(f.queue),
 		Pending:      f.fates.length(),
 	}
+	dump.Source = sourceName(*f.source.Load())
+	if f.config.Relays > 0 {
+		for _, relay := range relaysOf(view, f.config.Zone, f.config.Relays) {
+			dump.Relays = append(dump.Relays, string(relay))
+		}
+	}
 	dump.RecentEntries, dump.RecentBytes = f.ring.size()
 	f.due.dump(&dump)
 	for _, name := range view.Tables() {
--- a/follower/events.go
+++ b/follower/events.go
@@ -23,5 +23,6 @@
 	eventCaughtUp        = events.Define(1212, hclog.Info, "whole log applied for the first time")
 	eventRebaseWritten   = events.Define(1213, hclog.Error, "records were lost for everybody: state published again from this node")
 	eventRebased         = events.Define(1214, hclog.Error, "state restarted from a rebase in the log")
+	eventSource          = events.Define(1216, hclog.Info, "log is read through another source")
 	eventPeerFailed      = events.Define(1215, hclog.Debug, "peer could not be asked for records")
 )
--- a/follower/helpers_test.go
+++ b/follower/helpers_test.go
@@ -34,12 +34,15 @@
 	network *peermem.Network
 	// every is the nodes' CheckpointEvery; 0 for the default.
 	every int
+	// relays is the nodes' Relays; 0 lets every node read the log.
+	relays int
 }
 
 // member is one node's follower with its own connection to the log.
 type member struct {
 	*follower.Follower
-	log *logfault.Log
+	log   *logfault.Log
+	reads *atomic.Int64 // of the log
 }
 
 func newSite(t *testing.T, retention memlog.Retention) *site {
@@ -52,13 +55,14 @@
 // start runs a node until the test ends; change may alter its settings.
 func (s *site) start(name string, change ...func(*follower.Config, *logfault.Log)) *member {
 	s.t.Helper()
-	log := logfault.Wrap(s.store)
+	reads := &reading{inner: s.store}
+	log := logfault.Wrap(reads)
 	handlers := &peer.Handlers{}
 	sender := &bspb.Sender{Node: name, Boot: "b1", Zone: "zone-a"}
 	config := follower.Config{
 		Node: topo.NodeID(name), Boot: "b1", Log: log,
 		Peers:           s.network.Join(sender, handlers),
-		CheckpointEvery: s.every,
+		CheckpointEvery: s.every, Zone: "zone-a", Relays: s.relays, DriftPPM: 200,
 	}
 	for _, c := range change {
 		c(&config, log)
@@ -67,7 +71,7 @@
 	f.Serve(handlers)
 	f.Start()
 	s.t.Cleanup(f.Stop)
-	return &member{Follower: f, log: log}
+	return &member{Follower: f, log: log, reads: &reads.count}
 }
 
 // cutOff starts a node whose log is down.
@@ -212,6 +216,23 @@
 	return l.get().Read(ctx, req)
 }
 
+// reading is a log that counts its reads.
+type reading struct {
+	inner platlog.Log
+	count atomic.Int64
+}
+
+// Append implements platlog.Log.
+func (l *reading) Append(ctx context.Context, data []byte) (topo.Offset, error) {
+	return l.inner.Append(ctx, data)
+}
+
+// Read implements platlog.Log.
+func (l *reading) Read(ctx context.Context, req platlog.ReadRequest) (platlog.Batch, error) {
+	l.count.Add(1)
+	return l.inner.Read(ctx, req)
+}
+
 // counting is a log that counts the entries read from it.
 type counting struct {
 	inner   platlog.Log
--- a/follower/metrics.go
+++ b/follower/metrics.go
@@ -27,6 +27,11 @@
 	metricSkipped        = "entries_skipped"     // entries that could not be read
 	metricPeerCatchups   = "peer_catchups"       // batches of records taken from peers
 	metricPeerBytes      = "peer_bytes"          // bytes of entries taken from peers
+	metricReadsBySource  = "reads_by_source"     // reads answered: "log", or "relay"
+	metricRelayBytes     = "relay_bytes"         // bytes of entries read through relays
+	metricRelayFailures  = "relay_failures"      // relays without a usable answer
+	metricRelayBehind    = "relays_behind"       // relays whose contact was too old
+	metricSourceChanges  = "source_changes"      // turns to another source of the log
 	metricServedBytes    = "served_bytes"        // bytes of entries given to peers
 	metricSnapshots      = "snapshots_served"    // snapshots given to peers
 	metricCheckpoints    = "checkpoints_written" // checkpoints written
@@ -39,13 +44,23 @@
 var (
 	appliedOffsets = new(expvar.Map).Init()
 	appliedAges    = new(expvar.Map).Init()
+	readsBySource  = new(expvar.Map).Init()
 )
 
 func init() {
+	metrics.Set(metricReadsBySource, readsBySource)
 	metrics.Set(metricAppliedOffset, appliedOffsets)
 	metrics.Set(metricAppliedAgeMsec, appliedAges)
 }
 
+// Sources by which reads are counted.
+const (
+	sourceLog   = "log"
+	sourceRelay = "relay"
+)
+
+func countSource(name string) { readsBySource.Add(name, 1) }
+
 func offsetOf(m *expvar.Map, node topo.NodeID) *expvar.Int {
 	m.Add(string(node), 0)
 	return m.Get(string(node)).(*expvar.Int)
--- a/follower/readlog.go
+++ b/follower/readlog.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/burdockspindle/burdockspindle/platlog"
+	"github.com/burdockspindle/burdockspindle/state"
 	"github.com/burdockspindle/burdockspindle/topo"
 )
 
@@ -18,12 +19,22 @@
 
 	gapSince time.Time // when records were first missing for everybody asked
 	rebases  int       // rebases written
+
+	sources *sources
+	seen    *state.View   // the view from which relays were taken
+	relays  []topo.NodeID // that this node may ask, in its order; none if it is one
+	from    topo.NodeID   // where it read last
+	slow    time.Duration // by how much the log answered late when it was read last
 }
 
 // runLogReader is the log reader's goroutine.
 func (f *Follower) runLogReader(ctx context.Context) {
-	r := &logReader{f: f, pause: f.newBackoff()}
+	r := &logReader{f: f, pause: f.newBackoff(), sources: newSources()}
 	for ctx.Err() == nil {
+		if relay := r.source(time.Now()); relay != logSource {
+			r.follow(ctx, relay)
+			continue
+		}
 		if err := r.step(ctx); err != nil && ctx.Err() == nil {
 			r.failed(err)
 			r.pause.wait(ctx)
@@ -35,9 +46,14 @@
 
 // step reads once and has the result applied.
 func (r *logReader) step(ctx context.Context) error {
+	wait := r.f.config.PollWait
+	if r.from != logSource {
+		wait = 0 // contact is due
+	}
+	r.turnTo(logSource)
 	begun := time.Now()
 	from := r.f.applied() + 1
-	batch, err := r.f.read(ctx, from, readMax, r.f.config.PollWait)
+	batch, err := r.f.read(ctx, from, readMax, wait)
 	var truncated *platlog.TruncatedError
 	if errors.As(err, &truncated) {
 		return r.recover(ctx)
@@ -45,6 +61,7 @@
 	if err != nil {
 		return err
 	}
+	r.noteSpeed(time.Since(begun) - wait)
 	if !r.asked && r.farBehind(batch) {
 		r.asked = true
 		if r.restoreNewest(ctx, batch.First, batch.End) {
@@ -61,6 +78,15 @@
 	return err
 }
 
+// noteSpeed notes by how much the log answered late. A log that is slow makes
+// relays look late without fault of theirs, so that they are asked again.
+func (r *logReader) noteSpeed(late time.Duration) {
+	r.slow = min(max(late, 0), mostSlow)
+	if r.slow > r.grace() {
+		r.sources.forgive()
+	}
+}
+
 // farBehind reports whether a checkpoint is likely to be nearer the end.
 func (r *logReader) farBehind(batch platlog.Batch) bool {
 	return batch.End > r.f.applied()+topo.Offset(2*r.f.config.CheckpointEvery)
@@ -99,6 +125,7 @@
 		return platlog.Batch{}, err
 	}
 	count(metricReads, 1)
+	countSource(sourceLog)
 	for _, entry := range batch.Entries {
 		count(metricReadBytes, len(entry.Data))
 	}
--- a/follower/serve.go
+++ b/follower/serve.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"time"
 
 	"github.com/burdockspindle/burdockspindle/checkpoint"
@@ -27,18 +28,22 @@
 }
 
 // serveReadLog returns recent entries, and waits for new ones if asked to.
-// Without entries although the answer's applied is beyond what was asked for,
+// A follower's wait ends when contact is renewed too, so that its next request
+// arrives just after a read of the log began. Without entries although the answer's applied is beyond what was asked for,
 // the caller needs a snapshot.
 func (f *Follower) serveReadLog(ctx context.Context, req *bspb.ReadLogRequest) (*bspb.ReadLogResponse, error) {
 	from := max(topo.Offset(req.GetFrom()), 1)
 	wait := min(time.Duration(req.GetWaitMs())*time.Millisecond, maxServedWait)
+	arrived := time.Now()
 	if wait > 0 && f.applied() < from {
-		limited, cancel := context.WithTimeout(ctx, wait)
-		defer cancel()
-		_ = f.WaitApplied(limited, from) // at the limit, the answer is empty
+		f.awaitNews(ctx, from, wait, req.GetFollows())
 	}
+	age := f.contactBefore(arrived) // before applied, which has all that it is about
 	entries, first := f.ring.read(from, min(max(int(req.GetMax()), 1), readMax))
-	answer := &bspb.ReadLogResponse{First: uint64(first), Applied: uint64(f.applied())}
+	answer := &bspb.ReadLogResponse{
+		First: uint64(first), Applied: uint64(f.applied()),
+		ContactAgeMs: age, LogFirst: uint64(f.due.logFirst()),
+	}
 	bytes := 0
 	for _, entry := range entries {
 		if bytes += len(entry.Data); bytes > maxServedBytes && len(answer.Entries) > 0 {
@@ -50,6 +55,44 @@
 	return answer, nil
 }
 
+// awaitNews waits for records from an offset on, for the end of the wait, and
+// if contact matters, for newer contact.
+func (f *Follower) awaitNews(ctx context.Context, from topo.Offset, wait time.Duration, contact bool) {
+	limited, cancel := context.WithTimeout(ctx, wait)
+	defer cancel()
+	var renewed <-chan struct{}
+	if contact {
+		renewed = f.contact.Load().renewed
+	}
+	for {
+		now := f.published.Load()
+		if now.view.Applied() >= from {
+			return
+		}
+		select {
+		case <-now.changed:
+		case <-renewed:
+			return
+		case <-limited.Done():
+			return
+		case <-f.done:
+			return
+		}
+	}
+}
+
+// contactBefore returns how much older than a time the contact is, in
+// milliseconds rounded up, 0 when it is younger; nil without contact.
+func (f *Follower) contactBefore(at time.Time) *uint32 {
+	contact := f.LastContact()
+	if contact.IsZero() {
+		return nil
+	}
+	age := max(at.Sub(contact), 0)
+	rounded := uint32(min((age+time.Millisecond-1)/time.Millisecond, math.MaxUint32))
+	return &rounded
+}
+
 // snapshotServer gives peers the whole state. An encoded snapshot is kept for a
 // while, since many peers may start at once; they read the rest as entries.
 type snapshotServer struct {
--- /dev/null
+++ b/follower/sources_test.go
@@ -0,0 +1,127 @@
+package follower
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"github.com/burdockspindle/burdockspindle/state"
+	"github.com/burdockspindle/burdockspindle/topo"
+
+	bspb "github.com/burdockspindle/burdockspindle/proto/burdockspindle/v1"
+)
+
+func TestRelayCount(t *testing.T) {
+	g := gomega.NewWithT(t)
+	for _, c := range []struct{ nodes, least, want int }{
+		{0, 3, 0}, {2, 3, 2}, {3, 3, 3}, {12, 3, 3}, {48, 3, 3}, {49, 3, 4}, {132, 3, 9}, {132, 20, 20}, {132, 0, 132},
+	} {
+		g.Expect(RelayCount(c.nodes, c.least)).To(gomega.Equal(c.want), "%+v", c)
+	}
+}
+
+// zoneView is a view of zones with nodes each.
+func zoneView(zones, nodes int) *state.View {
+	whole := state.New()
+	for i := range zones * nodes {
+		whole.Apply(topo.Offset(i+1), &bspb.Record{
+			Format: 1, Writer: "w", Sequence: uint64(i + 1),
+			Body: &bspb.Record_JoinNode{JoinNode: &bspb.JoinNode{
+				Node: fmt.Sprint("node-", i), Boot: "b", Zone: fmt.Sprint("zone-", i%zones),
+			}},
+		})
+	}
+	return whole.View()
+}
+
+func TestRelaysAreOfTheZoneAndSpreadTheirNodes(t *testing.T) {
+	g := gomega.NewWithT(t)
+	view := zoneView(5, 132)
+	relays := relaysOf(view, "zone-2", 3)
+	g.Expect(relays).To(gomega.HaveLen(9))
+	g.Expect(relaysOf(view, "zone-2", 3)).To(gomega.Equal(relays), "no matter how the view is walked")
+	asked := map[topo.NodeID]int{}
+	for id, node := range view.Nodes() {
+		if node.Zone == "zone-2" {
+			asked[preferred(relays, id)[0]]++
+		}
+	}
+	for _, relay := range relays {
+		node, _ := view.Node(relay)
+		g.Expect(node.Zone).To(gomega.Equal(topo.Zone("zone-2")))
+		g.Expect(asked[relay]).To(gomega.BeNumerically("~", 132/9, 12), string(relay))
+	}
+	g.Expect(relaysOf(view, "zone-elsewhere", 3)).To(gomega.BeEmpty())
+}
+
+func TestTwoFailuresLeadToTheLog(t *testing.T) {
+	g := gomega.NewWithT(t)
+	now := time.Unix(100, 0)
+	ordered := []topo.NodeID{"a", "b", "c"}
+	s := newSources()
+	g.Expect(s.choose(now, nil)).To(gomega.Equal(logSource))
+	g.Expect(s.choose(now, ordered)).To(gomega.Equal(topo.NodeID("a")))
+	s.failed(now, "a")
+	g.Expect(s.choose(now, ordered)).To(gomega.Equal(topo.NodeID("b")))
+	s.failed(now, "b")
+	g.Expect(s.choose(now, ordered)).To(gomega.Equal(logSource), "although c was not asked")
+	now = now.Add(readLogFor)
+	g.Expect(s.choose(now, ordered)).To(gomega.Equal(topo.NodeID("a")))
+	s.failed(now, "a") // soon again: avoided for longer
+	s.worked()
+	g.Expect(s.choose(now.Add(avoidFirst), ordered)).To(gomega.Equal(topo.NodeID("b")))
+	g.Expect(s.choose(now.Add(2*avoidFirst), ordered)).To(gomega.Equal(topo.NodeID("a")))
+	for range 10 {
+		now = now.Add(avoidMost)
+		s.failed(now, "a")
+		s.worked()
+	}
+	g.Expect(s.choose(now.Add(avoidMost), ordered)).To(gomega.Equal(topo.NodeID("a")), "never avoided for longer")
+	s.failed(now, "a")
+	s.keep([]topo.NodeID{"b", "c"})
+	g.Expect(s.avoided).NotTo(gomega.HaveKey(topo.NodeID("a")))
+	s.failed(now, "b")
+	s.forgive()
+	g.Expect(s.choose(now, ordered)).To(gomega.Equal(topo.NodeID("a")))
+}
+
+// Contact is as old as the relay's when the request arrived, and a little
+// older, since the relay's clock may be slower.
+func TestContactOfARelayCountsItsAgeAndDrift(t *testing.T) {
+	g := gomega.NewWithT(t)
+	begun := time.Unix(100, 0)
+	g.Expect(contactOf(relayAnswer{begun: begun}, 200)).To(gomega.Equal(begun))
+	g.Expect(contactOf(relayAnswer{begun: begun, age: 10 * time.Second}, 200)).
+		To(gomega.Equal(begun.Add(-10*time.Second - 4*time.Millisecond)))
+}
+
+// The age that a relay tells is rounded up, never negative, and absent without
+// contact.
+func TestContactBefore(t *testing.T) {
+	g := gomega.NewWithT(t)
+	f := New(Config{Node: "a", Boot: "b"})
+	at := time.Unix(100, 0)
+	g.Expect(f.contactBefore(at)).To(gomega.BeNil())
+	f.renewContact(at)
+	g.Expect(*f.contactBefore(at.Add(-time.Second))).To(gomega.Equal(uint32(0)))
+	g.Expect(*f.contactBefore(at)).To(gomega.Equal(uint32(0)))
+	g.Expect(*f.contactBefore(at.Add(time.Nanosecond))).To(gomega.Equal(uint32(1)))
+	g.Expect(*f.contactBefore(at.Add(1500 * time.Microsecond))).To(gomega.Equal(uint32(2)))
+	g.Expect(*f.contactBefore(at.Add(2000 * time.Hour))).To(gomega.Equal(^uint32(0)))
+}
+
+func TestARelaysContactCountsOnceAllOfItIsApplied(t *testing.T) {
+	g := gomega.NewWithT(t)
+	a := &applier{f: New(Config{Node: "a", Boot: "b"}), state: at(t, 5, 0)}
+	begun := time.Unix(100, 0)
+	a.noteRelayed(&relayAnswer{begun: begun, applied: 6, known: true})
+	g.Expect(a.f.LastContact().IsZero()).To(gomega.BeTrue(), "a record is missing")
+	a.noteRelayed(&relayAnswer{begun: begun, applied: 5})
+	g.Expect(a.f.LastContact().IsZero()).To(gomega.BeTrue(), "the relay had no contact")
+	a.noteRelayed(&relayAnswer{begun: begun, applied: 5, known: true})
+	g.Expect(a.f.LastContact()).To(gomega.Equal(begun))
+	a.noteRelayed(&relayAnswer{begun: begun, applied: 4, known: true, age: time.Second})
+	g.Expect(a.f.LastContact()).To(gomega.Equal(begun), "never older")
+}
--- a/modules/follower/module.go
+++ b/modules/follower/module.go
@@ -58,6 +58,9 @@
 		Peers:           caller,
 		Logger:          ctx.Logger,
 		PollWait:        config.Timing.LeaseTTL / pollsPerLease,
+		Zone:            ctx.Identity.Zone,
+		Relays:          config.Timing.LogRelays,
+		DriftPPM:        config.Timing.DriftPPM,
 		CheckpointEvery: config.Timing.CheckpointEvery,
 	})
 	m.follower.Serve(handlers)
--- a/modules/follower/module_test.go
+++ b/modules/follower/module_test.go
@@ -24,7 +24,7 @@
 func TestModuleProvidesAndRuns(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g := gomega.NewWithT(t)
-		ctx := kernel.NewContext(kernel.Identity{Node: "a", Boot: "b1"}, nil)
+		ctx := kernel.NewContext(kernel.Identity{Node: "a", Boot: "b1", Zone: "zone-a"}, nil)
 		module, err := kernel.New(follower.ID)
 		g.Expect(err).NotTo(gomega.HaveOccurred())
 		var missing *kernel.MissingServiceError
@@ -33,7 +33,7 @@
 		network := peermem.New(1)
 		defer network.Close()
 		handlers := &peer.Handlers{}
-		config := &settings.Settings{Timing: settings.Timing{LeaseTTL: time.Second, CheckpointEvery: 10}}
+		config := &settings.Settings{Timing: settings.Timing{LeaseTTL: time.Second, CheckpointEvery: 10, LogRelays: 3}}
 		g.Expect(kernel.Provide[platlog.Log](ctx, memlog.New(memlog.Retention{}))).To(gomega.Succeed())
 		g.Expect(kernel.Provide(ctx, config)).To(gomega.Succeed())
 		g.Expect(kernel.Provide(ctx, handlers)).To(gomega.Succeed())
@@ -50,12 +50,13 @@
 		contact, err := kernel.Use[core.Contact](ctx)
 		g.Expect(err).NotTo(gomega.HaveOccurred())
 
-		join := &bspb.JoinNode{Node: "a", Boot: "b1"}
+		join := &bspb.JoinNode{Node: "a", Boot: "b1", Zone: "zone-a"}
 		fate, err := appender.Submit(t.Context(), &bspb.Record{Body: &bspb.Record_JoinNode{JoinNode: join}})
 		g.Expect(err).NotTo(gomega.HaveOccurred())
 		g.Expect(source.View().Applied()).To(gomega.Equal(fate.Offset))
 		g.Expect(contact.LastContact().IsZero()).To(gomega.BeFalse())
 		g.Expect(module.(kernel.Dumper).Dump().(core.Dump).Writer).To(gomega.Equal("a@b1"))
+		g.Expect(module.(kernel.Dumper).Dump().(core.Dump).Relays).To(gomega.Equal([]string{"a"}))
 		g.Expect(module.(kernel.Stopper).Stop(t.Context())).To(gomega.Succeed())
 	})
 }
--- a/settings/defaults.go
+++ b/settings/defaults.go
@@ -20,6 +20,7 @@
 	DefaultMargin          = 50 * time.Millisecond
 	DefaultVMPollEvery     = 500 * time.Millisecond
 	DefaultCheckpointEvery = 2000 // records
+	DefaultLogRelays       = 3    // a zone
 
 	DefaultMaxBodyBytes   = 8 << 20
 	DefaultMaxQueued      = 1024
@@ -42,6 +43,7 @@
 	maxDriftPPM        = 50_000
 	minCheckpointEvery = 10
 	maxCheckpointEvery = 1_000_000
+	maxLogRelays       = 1000
 	maxCount           = 1_000_000
 	minHeaderBytes     = 4 << 10
 	maxHeaderBytes     = 4 << 20
@@ -67,6 +69,7 @@
 		Margin:          DefaultMargin,
 		VMPollEvery:     DefaultVMPollEvery,
 		CheckpointEvery: DefaultCheckpointEvery,
+		LogRelays:       DefaultLogRelays,
 	}
 }
 
--- a/settings/parse_limits.go
+++ b/settings/parse_limits.go
@@ -39,6 +39,7 @@
 		Margin:          readInterval(o.Get("margin"), DefaultMargin),
 		VMPollEvery:     readInterval(o.Get("vmPollEvery"), DefaultVMPollEvery),
 		CheckpointEvery: int(o.Get("checkpointEvery").Int(DefaultCheckpointEvery, minCheckpointEvery, maxCheckpointEvery)),
+		LogRelays:       int(o.Get("logRelays").Int(DefaultLogRelays, 0, maxLogRelays)),
 	}
 	o.Close()
 	checkTiming(o, timing)
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -83,4 +83,7 @@
 	Margin          time.Duration // added to every wait
 	VMPollEvery     time.Duration
 	CheckpointEvery int // records between checkpoints
+	// LogRelays is how many nodes of a zone read the log at least; the others
+	// read it through them. 0 lets every node read it.
+	LogRelays int
 }
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -75,6 +75,7 @@
 		{`"timing": {"renewEvery": "400ms"}`, []string{"s:8: timing.renewEvery: leaseTTL 1s must be above"}},
 		{`"timing": {"heartbeatEvery": "175ms"}`, []string{"s:8: timing.heartbeatEvery: suspectAfter 350ms must be above 2 × heartbeatEvery = 350ms"}},
 		{`"timing": {"suspectAfter": "1s"}`, []string{"s:8: timing.suspectAfter: suspectAfter 1s must be below leaseTTL = 1s"}},
+		{`"timing": {"logRelays": -1}`, []string{"s:8: timing.logRelays: must be between 0 and"}},
 		{`"timing": {"driftPPM": 0}`, []string{"s:8: timing.driftPPM: must be between 1 and"}},
 		{`"timing": {"margin": "0s"}`, []string{"s:8: timing.margin: must be between 5ms and"}},
 		{`"ttl": "1s"`, []string{"s:8: ttl: unknown field; known here: admin, balance, frontend"}},
