Rights to renew and contact go on ageing while the machine is suspended

Cause: found while reading how relays tell the age of their contact. The runtime's monotonic clock stands still while a VM is suspended. A relay that was suspended would pass its contact on as fresh, and a lessor that was suspended would still count its own contact and the standby lessor's promise as fresh: its first renewal is worthless by the echoed stamp, its second is not. Ruled out as a remedy: the time of day, which operators and platforms set. Change: package clock reads a steady time that counts suspensions, by what CLOCK_BOOTTIME is ahead of CLOCK_MONOTONIC; the lessor's members and the follower's contact use it. No machine was suspended. Conclusion: a suspension ends rights as a plain pause of the process does.

--- /dev/null
+++ b/clock/clock_test.go
@@ -0,0 +1,35 @@
+package clock
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/onsi/gomega"
+)
+
+func TestSuspensionsAddUpAndNeverFall(t *testing.T) {
+	g := gomega.NewWithT(t)
+	s := newSleep(time.Hour)
+	rows := []struct{ reading, want time.Duration }{
+		{time.Hour, 0},
+		{time.Hour - time.Millisecond, 0}, // read with a pause in between
+		{time.Hour + leastSuspension - 1, 0},
+		{time.Hour + 3*time.Second, 3 * time.Second},
+		{time.Hour + 2*time.Second, 3 * time.Second},
+		{time.Hour + 5*time.Second, 5 * time.Second},
+	}
+	for _, row := range rows {
+		g.Expect(s.sinceStart(row.reading)).To(gomega.Equal(row.want), "reading %v", row.reading)
+	}
+}
+
+func TestNowFollowsTheRuntimeOtherwise(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := gomega.NewWithT(t)
+		began, suspended := Now(), asleep.sinceStart(0)
+		time.Sleep(7 * time.Second)
+		further := asleep.sinceStart(0) - suspended
+		g.Expect(Since(began)).To(gomega.BeNumerically("~", 7*time.Second+further, time.Second))
+	})
+}
--- a/follower/checkpoints.go
+++ b/follower/checkpoints.go
@@ -143,12 +143,11 @@
 // checkpointIsDue reports whether this node should write one now; only a node
 // that has applied the whole log does.
 func (f *Follower) checkpointIsDue() bool {
-	now := time.Now()
-	if now.Sub(f.LastContact()) > f.config.PollWait+f.config.CallTimeout {
+	if f.now().Sub(f.LastContact()) > f.config.PollWait+f.config.CallTimeout {
 		return false
 	}
 	place := rank(f.View(), f.config.Node, f.due.lastApplied())
-	return f.due.due(now, place, f.config.CheckpointEvery, f.config.CheckpointAge)
+	return f.due.due(time.Now(), place, f.config.CheckpointEvery, f.config.CheckpointAge)
 }
 
 func (f *Follower) writeCheckpoint(ctx context.Context, id string) {
--- a/follower/config.go
+++ b/follower/config.go
@@ -5,6 +5,7 @@
 
 	"github.com/hashicorp/go-hclog"
 
+	"github.com/burdockspindle/burdockspindle/clock"
 	"github.com/burdockspindle/burdockspindle/peer"
 	"github.com/burdockspindle/burdockspindle/platlog"
 	"github.com/burdockspindle/burdockspindle/topo"
@@ -46,6 +47,8 @@
 	// least, see RelayCount; 0 means that this node always reads it.
 	Zone   topo.Zone
 	Relays int
+	// Now is the clock that contact is counted by; clock.Now by default.
+	Now func() time.Time
 	// DriftPPM bounds how much faster than another node's this clock runs.
 	DriftPPM int
 
@@ -68,6 +71,9 @@
 	setDefault(&c.CheckpointEvery, DefaultCheckpointEvery)
 	setDefault(&c.CheckpointAge, DefaultCheckpointAge)
 	setDefault(&c.RebaseAfter, DefaultRebaseAfter)
+	if c.Now == nil {
+		c.Now = clock.Now
+	}
 	if c.Logger == nil {
 		c.Logger = hclog.NewNullLogger()
 	}
--- a/follower/core.go
+++ b/follower/core.go
@@ -77,7 +77,7 @@
 	f.published.Store(&publication{view: state.New().View(), changed: make(chan struct{})})
 	f.contact.Store(&contactNote{renewed: make(chan struct{})})
 	f.source.Store(new(topo.NodeID))
-	appliedAges.Set(string(config.Node), expvar.Func(func() any { return f.contactAge(time.Now()) }))
+	appliedAges.Set(string(config.Node), expvar.Func(func() any { return f.contactAge(f.now()) }))
 	return f
 }
 
@@ -138,6 +138,9 @@
 	close(old.renewed)
 }
 
+// now is the clock that contact is counted by.
+func (f *Follower) now() time.Time { return f.config.Now() }
+
 func (f *Follower) applied() topo.Offset { return f.View().Applied() }
 
 // publish makes a newer view visible.
--- a/follower/readlog.go
+++ b/follower/readlog.go
@@ -31,7 +31,7 @@
 func (f *Follower) runLogReader(ctx context.Context) {
 	r := &logReader{f: f, pause: f.newBackoff(), sources: newSources()}
 	for ctx.Err() == nil {
-		if relay := r.source(time.Now()); relay != logSource {
+		if relay := r.source(r.f.now()); relay != logSource {
 			r.follow(ctx, relay)
 			continue
 		}
@@ -51,7 +51,7 @@
 		wait = 0 // contact is due
 	}
 	r.turnTo(logSource)
-	begun := time.Now()
+	begun := r.f.now()
 	from := r.f.applied() + 1
 	batch, err := r.f.read(ctx, from, readMax, wait)
 	var truncated *platlog.TruncatedError
@@ -61,7 +61,7 @@
 	if err != nil {
 		return err
 	}
-	r.noteSpeed(time.Since(begun) - wait)
+	r.noteSpeed(r.f.now().Sub(begun) - wait)
 	if !r.asked && r.farBehind(batch) {
 		r.asked = true
 		if r.restoreNewest(ctx, batch.First, batch.End) {
--- a/follower/readpeers.go
+++ b/follower/readpeers.go
@@ -31,7 +31,7 @@
 	if f.config.Peers == nil {
 		return
 	}
-	r := &peerReader{f: f, started: time.Now()}
+	r := &peerReader{f: f, started: f.now()}
 	for ctx.Err() == nil {
 		if !r.needed() {
 			sleep(ctx, f.config.PeersAfter/2)
@@ -47,7 +47,7 @@
 	if since.IsZero() {
 		since = r.started
 	}
-	return time.Since(since) >= r.f.config.PeersAfter
+	return r.f.now().Sub(since) >= r.f.config.PeersAfter
 }
 
 // step asks one peer: the one that gave records last, else the next in turn.
--- a/follower/readrelay.go
+++ b/follower/readrelay.go
@@ -61,7 +61,7 @@
 		wait = 0 // a new source answers at once, so that a silent one is found soon
 	}
 	r.turnTo(relay)
-	begun, before := time.Now(), r.f.LastContact()
+	begun, before := r.f.now(), r.f.LastContact()
 	answer, err := r.ask(ctx, relay, wait)
 	if err == nil {
 		err = r.f.applyRelayed(ctx, begun, answer)
@@ -75,13 +75,13 @@
 		r.giveUp(relay, err)
 		return
 	}
-	if r.behind(before, time.Now()) {
+	if r.behind(before, r.f.now()) {
 		count(metricRelayBehind, 1)
 		r.giveUp(relay, nil)
 		return
 	}
 	r.f.due.noteFirst(max(topo.Offset(answer.GetLogFirst()), r.f.due.logFirst()))
-	r.learn(time.Since(begun), wait)
+	r.learn(r.f.now().Sub(begun), wait)
 	r.sources.worked()
 	r.worked()
 }
@@ -102,9 +102,9 @@
 // giveUp passes a relay over; entries that cannot be applied are looked up in
 // the log, which has what they need.
 func (r *logReader) giveUp(relay topo.NodeID, err error) {
-	r.sources.failed(time.Now(), relay)
+	r.sources.failed(r.f.now(), relay)
 	if unusable(err) {
-		r.sources.readLog(time.Now())
+		r.sources.readLog(r.f.now())
 	}
 }
 
--- a/follower/serve.go
+++ b/follower/serve.go
@@ -34,7 +34,7 @@
 func (f *Follower) serveReadLog(ctx context.Context, req *bspb.ReadLogRequest) (*bspb.ReadLogResponse, error) {
 	from := max(topo.Offset(req.GetFrom()), 1)
 	wait := min(time.Duration(req.GetWaitMs())*time.Millisecond, maxServedWait)
-	arrived := time.Now()
+	arrived := f.now()
 	if wait > 0 && f.applied() < from {
 		f.awaitNews(ctx, from, wait, req.GetFollows())
 	}
--- a/follower/sources_test.go
+++ b/follower/sources_test.go
@@ -125,3 +125,17 @@
 	a.noteRelayed(&relayAnswer{begun: begun, applied: 4, known: true, age: time.Second})
 	g.Expect(a.f.LastContact()).To(gomega.Equal(begun), "never older")
 }
+
+// TestContactAgesWhileTheMachineIsSuspended: the age that a relay tells counts
+// by the configured clock, which goes on during a suspension.
+func TestContactAgesWhileTheMachineIsSuspended(t *testing.T) {
+	g := gomega.NewWithT(t)
+	now := time.Now()
+	f := New(Config{Node: "relay", Now: func() time.Time { return now }})
+	g.Expect(f.contactBefore(f.now())).To(gomega.BeNil())
+	f.renewContact(now)
+	now = now.Add(10 * time.Second) // suspended: time.Now has not moved
+	age := f.contactBefore(f.now())
+	g.Expect(age).NotTo(gomega.BeNil())
+	g.Expect(time.Duration(*age) * time.Millisecond).To(gomega.Equal(10 * time.Second))
+}
--- a/modules/admin/status.go
+++ b/modules/admin/status.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/burdockspindle/burdockspindle/adminapi"
+	"github.com/burdockspindle/burdockspindle/clock"
 	"github.com/burdockspindle/burdockspindle/state"
 	"github.com/burdockspindle/burdockspindle/topo"
 )
@@ -26,7 +27,7 @@
 		Region:          a.identity.Region,
 		UptimeMs:        now.Sub(a.started).Milliseconds(),
 		Applied:         view.Applied(),
-		LogContactAgeMs: contactAge(a.contact.LastContact(), now),
+		LogContactAgeMs: contactAge(a.contact.LastContact(), clock.Now()),
 		SiteVersion:     view.SiteVersion(),
 		Services:        []topo.Service{},
 		Nodes:           len(view.Nodes()),
--- a/modules/follower/module.go
+++ b/modules/follower/module.go
@@ -4,8 +4,8 @@
 
 import (
 	"context"
-	"time"
 
+	"github.com/burdockspindle/burdockspindle/clock"
 	"github.com/burdockspindle/burdockspindle/follower"
 	"github.com/burdockspindle/burdockspindle/kernel"
 	"github.com/burdockspindle/burdockspindle/peer"
@@ -90,4 +90,4 @@
 }
 
 // Dump implements kernel.Dumper.
-func (m *Module) Dump() any { return m.follower.Dump(time.Now()) }
+func (m *Module) Dump() any { return m.follower.Dump(clock.Now()) }
--- a/modules/lessor/module.go
+++ b/modules/lessor/module.go
@@ -13,6 +13,7 @@
 	"github.com/hashicorp/go-hclog"
 
 	"github.com/burdockspindle/burdockspindle/backend"
+	"github.com/burdockspindle/burdockspindle/clock"
 	"github.com/burdockspindle/burdockspindle/follower"
 	"github.com/burdockspindle/burdockspindle/kernel"
 	"github.com/burdockspindle/burdockspindle/lease"
@@ -80,7 +81,7 @@
 	m.self = core.Run{Node: ctx.Identity.Node, Boot: ctx.Identity.Boot}
 	m.zone = ctx.Identity.Zone
 	m.workers = map[topo.GroupID]*worker{}
-	m.started = time.Now()
+	m.started = clock.Now()
 	var config *settings.Settings
 	var handlers *peer.Handlers
 	var missing [7]error
@@ -128,8 +129,9 @@
 	}
 }
 
-// now is the members' clock.
-func (m *Module) now() time.Duration { return time.Since(m.started) }
+// now is the members' clock. It goes on while the machine is suspended, so that
+// a right to renew does not outlast a suspension.
+func (m *Module) now() time.Duration { return clock.Since(m.started) }
 
 // Start implements kernel.Starter.
 func (m *Module) Start(context.Context) error {
