A stopped relay, or one without contact, is not followed in a busy loop

Cause: go test -race ./follower hung for 600 s once, on a machine with a load of 47. A follower that was stopped, and a peer that tells no contact, answered held reads at once; whoever followed it asked again at once until its contact was two polls old, which in faked time is never. Change: a stopped follower refuses those who follow it; an answer without contact is a NoContactError, the next source is asked. Nodes take their first relay in turn by their place in the zone's order, so that each relay has as many.

--- a/follower/errors.go
+++ b/follower/errors.go
@@ -41,6 +41,15 @@
 // Error implements error.
 func (e *StoppedError) Error() string { return "follower is not running" }
 
+// NoContactError reports a relay that does not tell how fresh its contact with
+// the log is: it has none, or is too old to tell.
+type NoContactError struct{ Relay topo.NodeID }
+
+// Error implements error.
+func (e *NoContactError) Error() string {
+	return fmt.Sprintf("relay %s has no contact with the log", e.Relay)
+}
+
 // GapError reports entries that do not follow what was applied.
 type GapError struct {
 	Applied topo.Offset // last record applied
--- a/follower/readrelay.go
+++ b/follower/readrelay.go
@@ -36,23 +36,12 @@
 	}
 	if view := f.View(); view != r.seen {
 		r.seen = view
-		r.rank(relaysOf(view, f.config.Zone, f.config.Relays))
+		r.relays = relaysFor(view, f.config.Zone, f.config.Relays, f.config.Node)
+		r.sources.keep(r.relays)
 	}
 	return r.sources.choose(now, r.relays)
 }
 
-// rank keeps the relays that this node may ask; none when it is one.
-func (r *logReader) rank(relays []topo.NodeID) {
-	r.relays = nil
-	for _, relay := range relays {
-		if relay == r.f.config.Node {
-			return
-		}
-	}
-	r.relays = preferred(relays, r.f.config.Node)
-	r.sources.keep(r.relays)
-}
-
 // follow reads once through a relay. What is not plain entries that follow the
 // state is left to a read of the log.
 func (r *logReader) follow(ctx context.Context, relay topo.NodeID) {
@@ -126,8 +115,8 @@
 // grace is how long an answer may take beyond the time it is held open.
 func (r *logReader) grace() time.Duration { return r.f.config.PollWait / 2 }
 
-// ask reads from a relay. An answer without the entries that follow the state
-// is a *GapError.
+// ask reads from a relay. An answer without contact is a *NoContactError, one
+// without the entries that follow the state a *GapError.
 func (r *logReader) ask(ctx context.Context, relay topo.NodeID, wait time.Duration) (*bspb.ReadLogResponse, error) {
 	from := r.f.applied() + 1
 	limited, cancel := context.WithTimeout(ctx, wait+r.grace())
@@ -143,6 +132,9 @@
 		return nil, err
 	}
 	countSource(sourceRelay)
+	if answer.ContactAgeMs == nil {
+		return nil, &NoContactError{Relay: relay}
+	}
 	if topo.Offset(answer.GetApplied()) >= from && len(answer.GetEntries()) == 0 {
 		return nil, &GapError{Applied: from - 1, Got: topo.Offset(answer.GetFirst())}
 	}
--- a/follower/relays.go
+++ b/follower/relays.go
@@ -24,10 +24,16 @@
 	return min(wanted, zoneNodes)
 }
 
-// relaysOf returns the zone's relays in a view: the first nodes by rendezvous
-// of zone and node. Nodes with the same view agree; with different views they
-// read the log more often or one through the other, which costs only time.
+// relaysOf returns the zone's relays in a view, see orderOf.
 func relaysOf(view *state.View, zone topo.Zone, least int) []topo.NodeID {
+	ids := orderOf(view, zone)
+	return ids[:RelayCount(len(ids), least)]
+}
+
+// orderOf returns the zone's nodes in a view, by rendezvous of zone and node;
+// the first are its relays. Nodes with the same view agree; with different views
+// they read the log more often or one through the other, which costs only time.
+func orderOf(view *state.View, zone topo.Zone) []topo.NodeID {
 	var ids []topo.NodeID
 	for id, node := range view.Nodes() {
 		if node.Zone == zone {
@@ -35,15 +41,23 @@
 		}
 	}
 	sortByWeight(ids, "relay#"+string(zone))
-	return ids[:RelayCount(len(ids), least)]
+	return ids
 }
 
-// preferred returns relays in the order in which a node asks them, which
-// spreads the nodes over them.
-func preferred(relays []topo.NodeID, node topo.NodeID) []topo.NodeID {
-	ordered := slices.Clone(relays)
-	sortByWeight(ordered, "follow#"+string(node))
-	return ordered
+// relaysFor returns the relays that a node of a zone may ask, in its order: the
+// nodes take the first in turn, so that all relays have as many, and the rest by
+// rendezvous, so that a lost relay's nodes spread. A relay asks none.
+func relaysFor(view *state.View, zone topo.Zone, least int, node topo.NodeID) []topo.NodeID {
+	ids := orderOf(view, zone)
+	relays := ids[:RelayCount(len(ids), least)]
+	place := slices.Index(ids, node)
+	if len(relays) == 0 || place >= 0 && place < len(relays) {
+		return nil
+	}
+	first := relays[max(place, 0)%len(relays)]
+	rest := slices.DeleteFunc(slices.Clone(relays), func(id topo.NodeID) bool { return id == first })
+	sortByWeight(rest, "follow#"+string(node))
+	return append([]topo.NodeID{first}, rest...)
 }
 
 // sortByWeight puts nodes in the rendezvous order of a role.
--- a/follower/serve.go
+++ b/follower/serve.go
@@ -38,6 +38,9 @@
 	if wait > 0 && f.applied() < from {
 		f.awaitNews(ctx, from, wait, req.GetFollows())
 	}
+	if req.GetFollows() && f.stopped() {
+		return nil, &StoppedError{}
+	}
 	age := f.contactBefore(arrived) // before applied, which has all that it is about
 	entries, first := f.ring.read(from, min(max(int(req.GetMax()), 1), readMax))
 	answer := &bspb.ReadLogResponse{
@@ -81,6 +84,17 @@
 	}
 }
 
+// stopped reports whether Stop has ended: then the state stands still, and
+// nobody should follow it.
+func (f *Follower) stopped() bool {
+	select {
+	case <-f.done:
+		return true
+	default:
+		return false
+	}
+}
+
 // contactBefore returns how much older than a time the contact is, in
 // milliseconds rounded up, 0 when it is younger; nil without contact.
 func (f *Follower) contactBefore(at time.Time) *uint32 {
