Lessor: bring the shortened takeover back, searched and run with whole sites

Without it, keys of a server that was lost while its zone was cut off wait for maxDisconnected after the zone has healed, unless the VM list is trusted. Change: again: a claimant asks the former lessor and standby lessor, and once both have seen its term and the lessor was settled, waits for the last lease alone; an activated server's report settles its shard by itself. A claimant asks at the interval of renewals, not of heartbeats. The rows of zones that are cut off wait after the heal until leases that ran at the heal have ended: without the change one passed by those leases. Conclusion: the wait stands where one of the former pair is lost or restarted too, or was never settled.

--- a/lessor/actions.go
+++ b/lessor/actions.go
@@ -15,6 +15,9 @@
 // SendHeartbeat to the standby lessor: BeginHeartbeat.
 type SendHeartbeat struct{ To topo.NodeID }
 
+// Ask a former lessor or standby lessor whether it has stopped: BeginAsk.
+type Ask struct{ Node topo.NodeID }
+
 // Probe asks whether a node lives, over a new connection: BeginProbe.
 type Probe struct{ Node topo.NodeID }
 
@@ -40,6 +43,7 @@
 func (Renew) action()         {}
 func (Acknowledge) action()   {}
 func (SendHeartbeat) action() {}
+func (Ask) action()           {}
 func (Probe) action()         {}
 func (ClaimTerm) action()     {}
 func (GoOn) action()          {}
--- a/lessor/doc.go
+++ b/lessor/doc.go
@@ -19,7 +19,8 @@
 //
 // Whoever takes over waits until the previous right has lapsed, and then for
 // the last lease renewed under it (type takeover), unless servers acknowledge
-// the new term and so refuse the old one (settle.go).
+// the new term and so refuse the old one (settle.go), or the former lessor and
+// its standby lessor say that they have seen the new term.
 //
 // Shards change owner only by a record in the log, written by the group's
 // lessor, after the owner's lease has lapsed or the owner has handed the shard
--- a/lessor/heartbeat.go
+++ b/lessor/heartbeat.go
@@ -32,9 +32,24 @@
 	if m.role != RoleLessor || m.offLog || m.standbyRun().Node == "" {
 		return Heartbeat{}, false
 	}
+	m.beats.last = momentAt(now)
+	return m.nextHeartbeat(now), true
+}
+
+// BeginAsk returns the message by which former lessors are asked whether they
+// have stopped: a heartbeat of the new term, which their answer shows that they
+// have seen.
+func (m *Member) BeginAsk(now time.Duration) (Heartbeat, bool) {
+	if m.role != RoleLessor || m.offLog {
+		return Heartbeat{}, false
+	}
+	m.takeover.former.asked = momentAt(now)
+	return m.nextHeartbeat(now), true
+}
+
+func (m *Member) nextHeartbeat(now time.Duration) Heartbeat {
 	m.advance(now)
 	m.beats.round++
-	m.beats.last = momentAt(now)
 	m.beats.sent[m.beats.round] = now
 	delete(m.beats.sent, m.beats.round-maxHeartbeats)
 	return Heartbeat{
@@ -49,16 +64,21 @@
 		Activated: slices.SortedFunc(maps.Keys(m.activated), compareShards),
 		Undecided: m.undecided(),
 		CutOff:    m.cutOff(now),
-	}, true
+	}
 }
 
 // HeartbeatAnswered takes the standby lessor's reply.
 func (m *Member) HeartbeatAnswered(now time.Duration, reply HeartbeatReply) {
 	sent, known := m.beats.sent[reply.Round]
-	if m.role != RoleLessor || !known || reply.Term != m.term || reply.From != m.standbyRun() {
+	if m.role != RoleLessor || !known || reply.Term != m.term {
 		return
 	}
 	delete(m.beats.sent, reply.Round)
+	m.formerSaid(now, reply)
+	m.advance(now)
+	if reply.From != m.standbyRun() {
+		return
+	}
 	m.beats.reaches = reply.Reaches
 	m.beats.peerAt = max(m.beats.peerAt, reply.Applied)
 	if m.beats.highest.Less(reply.HighestTerm) {
--- a/lessor/member.go
+++ b/lessor/member.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/burdockspindle/burdockspindle/siteconfig"
+	"github.com/burdockspindle/burdockspindle/state"
 	"github.com/burdockspindle/burdockspindle/topo"
 )
 
@@ -47,10 +48,13 @@
 	lessorGone  moment
 	standbyGone moment
 
-	role     Role
-	term     topo.Term // acted under, or stood by for
-	offLog   bool      // lessor under the standby's term, not recorded yet
-	draining bool      // this process is leaving
+	role   Role
+	term   topo.Term // acted under, or stood by for
+	offLog bool      // lessor under the standby's term, not recorded yet
+	// settledTerm is the latest by which this run was a lessor by the log with
+	// every earlier lease settled.
+	settledTerm topo.Term
+	draining    bool // this process is leaving
 
 	standing standing
 	claim    claimState
@@ -144,7 +148,7 @@
 	m.settling = true
 	if !m.observed || facts.Group.Term != before {
 		m.observed = true
-		m.termChanged(now, before)
+		m.termChanged(now, old.Group)
 	}
 	m.noteGone(now)
 	if turns {
@@ -167,7 +171,7 @@
 }
 
 // termChanged takes up this node's part in the term that is new in force.
-func (m *Member) termChanged(now time.Duration, before topo.Term) {
+func (m *Member) termChanged(now time.Duration, before state.Group) {
 	m.seen = momentAt(now)
 	m.lessorGone, m.standbyGone = moment{}, moment{}
 	m.watch = m.watch.next(now, m.role == RoleLessor && m.isOutsider())
@@ -195,7 +199,7 @@
 }
 
 // becomeLessor takes up a term that this run claimed.
-func (m *Member) becomeLessor(now time.Duration, before topo.Term) {
+func (m *Member) becomeLessor(now time.Duration, before state.Group) {
 	next := m.takeoverAfter(now, before)
 	carried := next.basis == basisSelf
 	if !carried {
--- a/lessor/messages.go
+++ b/lessor/messages.go
@@ -58,6 +58,7 @@
 	Applied     topo.Offset
 	HighestTerm topo.Term // known to the standby
 	Reaches     bool      // a server has just answered the standby
+	SettledTerm topo.Term // latest by which the answering run was a settled lessor
 }
 
 // LeaseOrder is a renewal to send to a server. With an empty Boot it asks for a
--- a/lessor/plan.go
+++ b/lessor/plan.go
@@ -37,6 +37,7 @@
 	if m.heartbeatDue(now) {
 		actions = append(actions, SendHeartbeat{To: m.standbyRun().Node})
 	}
+	actions = m.planAsks(now, actions)
 	actions = m.planServers(now, actions)
 	actions = m.planActivations(now, actions)
 	if m.maySubmit(now) {
@@ -96,6 +97,18 @@
 	return actions
 }
 
+// planAsks asks former lessors, while that can shorten a wait.
+func (m *Member) planAsks(now time.Duration, actions []Action) []Action {
+	f := &m.takeover.former
+	if !m.asksForAcknowledgement() || (f.asked.set && now-f.asked.at < m.cfg.RenewEvery) {
+		return actions
+	}
+	for _, id := range f.asks(m.self()) {
+		actions = append(actions, Ask{Node: id})
+	}
+	return actions
+}
+
 // planTries lets a standby lessor find out whether servers answer it. It asks
 // them to acknowledge the term that is in force anyway.
 func (m *Member) planTries(now time.Duration, actions []Action) []Action {
--- a/lessor/rules.go
+++ b/lessor/rules.go
@@ -11,6 +11,15 @@
 	// noKnownRun: a standby server is activated also if it restarted since the
 	// latest log contact.
 	noKnownRun bool
+	// noSeenTerm: a former lessor's word counts although it has not seen the term.
+	noSeenTerm bool
+	// noSettledWord: a former lessor's word counts although it was not settled.
+	noSettledWord bool
+	// noStandbyWord: a former lessor's word counts without its standby lessor's.
+	noStandbyWord bool
+	// noActivation: a standby server that says that it was never activated
+	// settles a shard as one that was.
+	noActivation bool
 	// eager is no safety rule: every server counts as suspected at any time, so
 	// that a search tries every suspicion.
 	eager bool
--- a/lessor/search_key_test.go
+++ b/lessor/search_key_test.go
@@ -91,6 +91,7 @@
 	}
 	k.flag(m.claim.inFlight)
 	k.flag(m.claim.awaited)
+	k.ordinal(m.settledTerm.Ordinal)
 	if m.role == RoleStandby && !k.powerless(m.term.Standby()) {
 		k.standing(m)
 	}
@@ -170,6 +171,7 @@
 	k.num(int(m.takeover.basis))
 	k.num(int(min(m.takeover.before, 1<<14)))
 	k.left(m.leaseEnd(m.facts.Shards[searchShard].Policy).at)
+	k.former(m)
 	k.standingOf(&m.takeover.told)
 	k.flag(m.isSettled(m.facts.Shards[searchShard]))
 	if n, needed := m.needs[searchShard]; needed {
@@ -196,6 +198,19 @@
 	}
 }
 
+// former writes who may give a word that shortens the wait, and who has.
+func (k *keyWriter) former(m *Member) {
+	if !m.asksForAcknowledgement() {
+		return
+	}
+	f := &m.takeover.former
+	k.ordinal(f.term.Ordinal)
+	k.text(string(f.lessor.Boot))
+	k.text(string(f.standby.Boot))
+	k.flag(f.lessorEnded.set)
+	k.flag(f.standbyEnded.set)
+}
+
 func (k *keyWriter) heldRound() uint64 {
 	if k.w.held == nil {
 		return 0
@@ -303,6 +318,9 @@
 		k.ordinal(h.beat.Term.Ordinal)
 		k.age(momentAt(k.w.nodes[h.node].member.beats.sent[h.beat.Round]), k.w.b.ttl)
 	case "answer":
+		k.text(string(h.answer.From.Boot))
+		k.ordinal(h.answer.HighestTerm.Ordinal)
+		k.ordinal(h.answer.SettledTerm.Ordinal)
 		k.flag(h.answer.Promised)
 		k.num(int(h.answer.Mode))
 		k.rank(h.answer.ModeRound, k.modeRounds()...)
--- /dev/null
+++ b/lessor/search_run_test.go
@@ -0,0 +1,136 @@
+package lessor
+
+import (
+	"fmt"
+	"runtime"
+	"runtime/debug"
+	"slices"
+	"strings"
+	"sync"
+)
+
+// outcome is what a search found.
+type outcome struct {
+	states   int
+	complete bool
+	depth    int
+	path     []string // to a world with two owners; nil if there is none
+}
+
+func (o outcome) String() string {
+	text := fmt.Sprintf("%d states, depth %d, complete %v", o.states, o.depth, o.complete)
+	if o.path != nil {
+		text += "; two owners after:\n  " + strings.Join(o.path, "\n  ")
+	}
+	return text
+}
+
+// trace leads back from a world to the first one.
+type trace struct {
+	before *trace
+	name   string
+}
+
+func (t *trace) names() []string {
+	var names []string
+	for ; t != nil && t.before != nil; t = t.before {
+		names = append([]string{t.name}, names...)
+	}
+	return names
+}
+
+type reached struct {
+	world *world
+	trace *trace
+}
+
+// gcPercent spares the collector work: what a search drops is mostly young.
+const gcPercent = 400
+
+// search looks at every world within the bounds, nearest first, until one has
+// two owners or most have been seen.
+func search(b bounds, most int) outcome {
+	defer debug.SetGCPercent(debug.SetGCPercent(gcPercent))
+	seen := map[worldKey]struct{}{}
+	first := newSearchWorld(&b).follow(b.prefix)
+	seen[first.key()] = struct{}{}
+	front := []reached{{first, &trace{}}}
+	result := outcome{}
+	for len(front) > 0 {
+		next, bad := expand(front, seen, most)
+		result.depth++
+		result.states = len(seen)
+		if bad != nil {
+			result.path = bad.names()
+			return result
+		}
+		if len(seen) >= most {
+			return result
+		}
+		front = next
+	}
+	result.complete = true
+	return result
+}
+
+// follow takes the named steps.
+func (w *world) follow(names []string) *world {
+	for _, name := range names {
+		steps := w.steps()
+		i := slices.IndexFunc(steps, func(s step) bool { return s.name == name })
+		if i < 0 {
+			panic("no such step: " + name)
+		}
+		w = steps[i].world
+	}
+	return w
+}
+
+// found is one step of an expansion, with its key.
+type found struct {
+	step
+	key worldKey
+}
+
+// expand returns the worlds that follow a front and were not seen before.
+func expand(front []reached, seen map[worldKey]struct{}, most int) ([]reached, *trace) {
+	const chunk = 256
+	var next []reached
+	results := make([][]found, chunk)
+	for start := 0; start < len(front) && len(seen) < most; start += chunk {
+		part := front[start:min(start+chunk, len(front))]
+		expandPart(part, results)
+		for i := range part {
+			for _, f := range results[i] {
+				if _, known := seen[f.key]; known {
+					continue
+				}
+				seen[f.key] = struct{}{}
+				way := &trace{before: part[i].trace, name: f.name}
+				if f.world.owners() > 1 {
+					return nil, way
+				}
+				next = append(next, reached{f.world, way})
+			}
+			front[start+i].world = nil
+		}
+	}
+	return next, nil
+}
+
+// expandPart finds the steps of several worlds at once.
+func expandPart(part []reached, results [][]found) {
+	workers := min(2, runtime.GOMAXPROCS(0))
+	var wait sync.WaitGroup
+	for worker := range workers {
+		wait.Go(func() {
+			for i := worker; i < len(part); i += workers {
+				results[i] = results[i][:0]
+				for _, s := range part[i].world.steps() {
+					results[i] = append(results[i], found{s, s.world.key()})
+				}
+			}
+		})
+	}
+	wait.Wait()
+}
--- a/lessor/search_test.go
+++ b/lessor/search_test.go
@@ -1,15 +1,7 @@
 package lessor
 
 import (
-	"flag"
-	"fmt"
-	"runtime"
-	"runtime/debug"
-	"slices"
 	"strings"
-	"sync"
-	"testing"
-	"time"
 
 	"github.com/burdockspindle/burdockspindle/lease"
 )
@@ -156,6 +148,7 @@
 			}
 		}
 	}
+	e.askSteps(node, name)
 	for _, mode := range []Mode{ModeConnected, ModeDisconnected} {
 		if !hasStandby || m.right.asked == mode || !strings.Contains(e.from.b.askers, name) {
 			continue
@@ -176,6 +169,21 @@
 	e.submitSteps(node, name)
 }
 
+// askSteps asks former lessors whether they have stopped.
+func (e *explorer) askSteps(node int, name string) {
+	m := e.from.nodes[node].member
+	if !m.asksForAcknowledgement() {
+		return
+	}
+	for _, former := range m.takeover.former.asks(m.self()) {
+		what := name + " asks whether " + string(former) + " stopped"
+		e.try(what, func(w *world) bool { return w.ask(node, former, "") })
+		if e.from.b.delayed && e.from.held == nil {
+			e.try(label(what, "reply held"), func(w *world) bool { return w.ask(node, former, "reply held") })
+		}
+	}
+}
+
 // worthRenewing leaves out renewals without a shard while the server's stamp is
 // fresh.
 func (e *explorer) worthRenewing(node, server int) bool {
@@ -301,209 +309,3 @@
 	}
 	return true
 }
-
-// outcome is what a search found.
-type outcome struct {
-	states   int
-	complete bool
-	depth    int
-	path     []string // to a world with two owners; nil if there is none
-}
-
-func (o outcome) String() string {
-	text := fmt.Sprintf("%d states, depth %d, complete %v", o.states, o.depth, o.complete)
-	if o.path != nil {
-		text += "; two owners after:\n  " + strings.Join(o.path, "\n  ")
-	}
-	return text
-}
-
-// trace leads back from a world to the first one.
-type trace struct {
-	before *trace
-	name   string
-}
-
-func (t *trace) names() []string {
-	var names []string
-	for ; t != nil && t.before != nil; t = t.before {
-		names = append([]string{t.name}, names...)
-	}
-	return names
-}
-
-type reached struct {
-	world *world
-	trace *trace
-}
-
-// gcPercent spares the collector work: what a search drops is mostly young.
-const gcPercent = 400
-
-// search looks at every world within the bounds, nearest first, until one has
-// two owners or most have been seen.
-func search(b bounds, most int) outcome {
-	defer debug.SetGCPercent(debug.SetGCPercent(gcPercent))
-	seen := map[worldKey]struct{}{}
-	first := newSearchWorld(&b).follow(b.prefix)
-	seen[first.key()] = struct{}{}
-	front := []reached{{first, &trace{}}}
-	result := outcome{}
-	for len(front) > 0 {
-		next, bad := expand(front, seen, most)
-		result.depth++
-		result.states = len(seen)
-		if bad != nil {
-			result.path = bad.names()
-			return result
-		}
-		if len(seen) >= most {
-			return result
-		}
-		front = next
-	}
-	result.complete = true
-	return result
-}
-
-// follow takes the named steps.
-func (w *world) follow(names []string) *world {
-	for _, name := range names {
-		steps := w.steps()
-		i := slices.IndexFunc(steps, func(s step) bool { return s.name == name })
-		if i < 0 {
-			panic("no such step: " + name)
-		}
-		w = steps[i].world
-	}
-	return w
-}
-
-// found is one step of an expansion, with its key.
-type found struct {
-	step
-	key worldKey
-}
-
-// expand returns the worlds that follow a front and were not seen before.
-func expand(front []reached, seen map[worldKey]struct{}, most int) ([]reached, *trace) {
-	const chunk = 256
-	var next []reached
-	results := make([][]found, chunk)
-	for start := 0; start < len(front) && len(seen) < most; start += chunk {
-		part := front[start:min(start+chunk, len(front))]
-		expandPart(part, results)
-		for i := range part {
-			for _, f := range results[i] {
-				if _, known := seen[f.key]; known {
-					continue
-				}
-				seen[f.key] = struct{}{}
-				way := &trace{before: part[i].trace, name: f.name}
-				if f.world.owners() > 1 {
-					return nil, way
-				}
-				next = append(next, reached{f.world, way})
-			}
-			front[start+i].world = nil
-		}
-	}
-	return next, nil
-}
-
-// expandPart finds the steps of several worlds at once.
-func expandPart(part []reached, results [][]found) {
-	workers := min(2, runtime.GOMAXPROCS(0))
-	var wait sync.WaitGroup
-	for worker := range workers {
-		wait.Go(func() {
-			for i := worker; i < len(part); i += workers {
-				results[i] = results[i][:0]
-				for _, s := range part[i].world.steps() {
-					results[i] = append(results[i], found{s, s.world.key()})
-				}
-			}
-		})
-	}
-	wait.Wait()
-}
-
-// dropped are the searches that must find two owners once a rule is gone.
-var dropped = []struct {
-	name   string
-	bounds bounds
-}{
-	{"modes", bounds{ttl: unit, limit: 2 * unit, assigns: 1, askers: "l", rules: rules{noModes: true}}},
-	{"both", bounds{ttl: unit, limit: 2 * unit, claimers: "c", claims: 1, askers: "l",
-		prefix: []string{"l asks for mode disconnected"}, rules: rules{noBoth: true}}},
-	{"tail", bounds{ttl: 2 * unit, claimers: "c", claims: 1, assigns: 1,
-		prefix: []string{"c claims", "c reads the log"}, rules: rules{noTail: true}}},
-	{"hold", bounds{ttl: unit, limit: 3 * unit, claimers: "c", claims: 1, assigns: 1,
-		prefix: []string{"c claims", "c reads the log"}, rules: rules{noHold: true}}},
-	{"report", bounds{ttl: unit, limit: 2 * unit, claimers: "c", claims: 1, askers: "l",
-		prefix: []string{"time passes", "l asks for mode disconnected"}, rules: rules{noReport: true}}},
-	{"known run", bounds{ttl: unit, limit: 4 * unit, claimers: "c", claims: 1, restarts: 1, askers: "l",
-		prefix: []string{"l asks for mode disconnected", "c claims", "c reads the log",
-			"s acknowledges c", "t acknowledges c", "time passes", "l sends a heartbeat", "t restarts"},
-		rules: rules{noKnownRun: true}}},
-}
-
-func TestSearchFindsWhatEachRulePrevents(t *testing.T) {
-	for _, d := range dropped {
-		t.Run(d.name, func(t *testing.T) {
-			began := time.Now()
-			o := search(d.bounds, 2_000_000)
-			t.Logf("%v in %v", o, time.Since(began))
-			if o.path == nil {
-				t.Fatal("no two owners found")
-			}
-		})
-	}
-}
-
-// whole are the searches with every rule in force. Within the bounds of one that
-// is complete, no two owners can come about. The long ones take minutes and run
-// with -search.long.
-var whole = []struct {
-	name   string
-	long   bool
-	bounds bounds
-}{
-	{"disconnected pair", false, bounds{ttl: unit, limit: 2 * unit, askers: "l"}},
-	{"standby claims", false, bounds{ttl: unit, limit: 2 * unit, claimers: "b", claims: 1}},
-	{"other claims", false, bounds{ttl: unit, limit: 2 * unit, claimers: "c", claims: 1}},
-	{"disconnected pair, assignment", true, bounds{ttl: unit, limit: 2 * unit, askers: "l", assigns: 1}},
-	{"standby claims, disconnected pair", true,
-		bounds{ttl: unit, limit: 2 * unit, claimers: "b", claims: 1, askers: "l"}},
-	{"other claims, disconnected pair", true,
-		bounds{ttl: unit, limit: 2 * unit, claimers: "c", claims: 1, askers: "l"}},
-	{"lessor claims, disconnected pair", true,
-		bounds{ttl: unit, limit: 2 * unit, claimers: "l", claims: 1, askers: "l"}},
-	{"longer leases", true, bounds{ttl: 2 * unit, limit: 3 * unit, claimers: "bc", claims: 1}},
-	{"two claims", true, bounds{ttl: unit, limit: 2 * unit, claimers: "bc", claims: 2}},
-	{"claim and assignment", true, bounds{ttl: unit, limit: 2 * unit, claimers: "bc", claims: 1, assigns: 1}},
-}
-
-func TestSearchWhole(t *testing.T) {
-	for _, d := range whole {
-		if d.long && !*searchLong {
-			continue
-		}
-		t.Run(d.name, func(t *testing.T) {
-			began := time.Now()
-			o := search(d.bounds, *searchMost)
-			t.Logf("%v in %v", o, time.Since(began))
-			if o.path != nil {
-				t.Fail()
-			}
-			if !o.complete && !d.long {
-				t.Error("not complete")
-			}
-		})
-	}
-}
-
-var (
-	searchMost = flag.Int("search.most", 3_000_000, "states after which a search is cut off")
-	searchLong = flag.Bool("search.long", false, "also run the searches that take minutes")
-)
--- a/lessor/settle.go
+++ b/lessor/settle.go
@@ -16,9 +16,18 @@
 
 // advance takes up what time or an input has settled.
 func (m *Member) advance(now time.Duration) {
-	if m.role != RoleLessor || !m.settling {
+	if m.role != RoleLessor {
 		return
 	}
+	if m.settling {
+		m.settleAll(now)
+	}
+	if !m.offLog && m.termSettled() {
+		m.settledTerm = m.term
+	}
+}
+
+func (m *Member) settleAll(now time.Duration) {
 	m.settling = false
 	for _, shard := range m.facts.Shards {
 		if m.isSettled(shard) {
@@ -94,15 +103,17 @@
 }
 
 // settleAsOther settles by acknowledgements of both servers that may hold a
-// lease, and by what they report, or by having waited for every lease.
+// lease, and by what they report, or by having waited for every lease. If the
+// standby server says that it was activated, its word is enough: the owner's
+// lease had lapsed then, and nobody gives the shard back under a lower fence.
 func (m *Member) settleAsOther(now time.Duration, shard Shard) {
 	lapsed := m.leaseEnd(shard.Policy).passed(now)
 	switch {
+	case m.reportsActive(shard) && !m.rules.noReport:
+		m.needNewFence(shard, true)
 	case !lapsed && !m.bothAnswer(shard):
 	case m.rules.noReport:
 		m.settled[shard.Shard] = shard.Fence
-	case m.reportsActive(shard):
-		m.needNewFence(shard, true)
 	case m.mayHaveServed(shard):
 		m.needNewFence(shard, false)
 	default:
@@ -150,7 +161,10 @@
 		return false
 	}
 	s, exists := m.servers[shard.Standby]
-	return exists && s.acked && s.active[shard.Shard] == shard.Fence.Standby()
+	if !exists || !s.acked {
+		return false
+	}
+	return m.rules.noActivation || s.active[shard.Shard] == shard.Fence.Standby()
 }
 
 func (m *Member) needNewFence(shard Shard, wasActive bool) {
--- a/lessor/standing.go
+++ b/lessor/standing.go
@@ -41,6 +41,7 @@
 		Round:       req.Round,
 		Applied:     m.facts.Applied,
 		HighestTerm: m.highestTerm(),
+		SettledTerm: m.settledTerm,
 	}
 	if !m.standsBy(req) {
 		return reply
--- a/lessor/walk_test.go
+++ b/lessor/walk_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -153,6 +154,10 @@
 	case SendHeartbeat:
 		to, exists := w.standbyOf(node)
 		w.beatFrom(node, w.way(exists && w.peersReach(node, to)))
+	case Ask:
+		if to := slices.Index(nodeNames[:], a.Node); !w.paused[to] && w.peersReach(node, to) {
+			w.ask(node, a.Node, w.way(true))
+		}
 	case Probe:
 		w.probe(node, a.Node)
 	case ClaimTerm:
--- a/modules/lessor/actions.go
+++ b/modules/lessor/actions.go
@@ -7,6 +7,7 @@
 
 	"github.com/burdockspindle/burdockspindle/backend"
 	"github.com/burdockspindle/burdockspindle/follower"
+	core "github.com/burdockspindle/burdockspindle/lessor"
 	"github.com/burdockspindle/burdockspindle/serverapi"
 	"github.com/burdockspindle/burdockspindle/topo"
 
@@ -72,9 +73,23 @@
 		return
 	}
 	heartbeat, allowed := w.member.BeginHeartbeat(now)
-	if !allowed {
+	if allowed {
+		w.sendHeartbeat(ctx, to, heartbeat)
+	}
+}
+
+// ask asks a former lessor whether it has stopped.
+func (w *worker) ask(ctx context.Context, now time.Duration, to topo.NodeID) {
+	if !w.calls.room() {
 		return
 	}
+	heartbeat, allowed := w.member.BeginAsk(now)
+	if allowed {
+		w.sendHeartbeat(ctx, to, heartbeat)
+	}
+}
+
+func (w *worker) sendHeartbeat(ctx context.Context, to topo.NodeID, heartbeat core.Heartbeat) {
 	metricHeartbeats.Add(1)
 	req := heartbeatToProto(w.group, w.module.caller.Sender(), heartbeat)
 	w.calls.begin(ctx, w.module.timing.SuspectAfter, func(ctx context.Context) input {
--- a/modules/lessor/convert.go
+++ b/modules/lessor/convert.go
@@ -111,6 +111,7 @@
 		Applied:        uint64(r.Applied),
 		HighestTerm:    ordinalToProto(r.HighestTerm.Ordinal),
 		ReachesServers: r.Reaches,
+		SettledTerm:    ordinalToProto(r.SettledTerm.Ordinal),
 	}
 }
 
@@ -125,6 +126,7 @@
 		Applied:     topo.Offset(resp.GetApplied()),
 		HighestTerm: termFromProto(resp.GetHighestTerm()),
 		Reaches:     resp.GetReachesServers(),
+		SettledTerm: termFromProto(resp.GetSettledTerm()),
 	}
 }
 
--- a/modules/lessor/worker.go
+++ b/modules/lessor/worker.go
@@ -221,6 +221,8 @@
 		w.acknowledge(ctx, now, a.Server)
 	case core.SendHeartbeat:
 		w.heartbeat(ctx, now, a.To)
+	case core.Ask:
+		w.ask(ctx, now, a.Node)
 	case core.Probe:
 		w.probe(ctx, now, a.Node)
 	case core.ClaimTerm:
--- a/modules/lessor/world_test.go
+++ b/modules/lessor/world_test.go
@@ -125,6 +125,7 @@
 	log  platlog.Log
 	mu   sync.Mutex
 	down bool
+	lose int // answers of appends to lose
 }
 
 func (l *testLog) set(down bool) {
@@ -133,6 +134,16 @@
 	l.down = down
 }
 
+func (l *testLog) loseAnswer() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.lose == 0 {
+		return false
+	}
+	l.lose--
+	return true
+}
+
 func (l *testLog) isDown() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -143,7 +154,11 @@
 	if l.isDown() {
 		return 0, &platlog.UnavailableError{Op: "append", Cause: errDown}
 	}
-	return l.log.Append(ctx, data)
+	offset, err := l.log.Append(ctx, data)
+	if err == nil && l.loseAnswer() {
+		return 0, &platlog.UncertainError{Cause: errDown}
+	}
+	return offset, err
 }
 
 func (l *testLog) Read(ctx context.Context, req platlog.ReadRequest) (platlog.Batch, error) {
@@ -244,7 +259,7 @@
 		began:   time.Now(),
 	}
 	var records []*bspb.Record
-	records = append(records, siteRecord(limit))
+	records = append(records, siteRecord(0, limit))
 	update := &bspb.UpdateServers{}
 	for _, zone := range zones {
 		for i := range serversPerZone {
@@ -279,7 +294,9 @@
 	return w
 }
 
-func siteRecord(limit time.Duration) *bspb.Record {
+// siteRecord publishes the site configuration on a base version, changed by the
+// functions given.
+func siteRecord(base uint64, limit time.Duration, changes ...func(*siteconfig.Service)) *bspb.Record {
 	site := &siteconfig.Site{
 		GroupsPerZone: 1,
 		TrustVMList:   true,
@@ -289,8 +306,11 @@
 			MaxBodyBytes: 1 << 20,
 		}},
 	}
+	for _, change := range changes {
+		change(site.Services["wells"])
+	}
 	return &bspb.Record{Body: &bspb.Record_PublishSite{PublishSite: &bspb.PublishSite{
-		Text: []byte("{}"), Compiled: siteconfig.ToProto(site),
+		Base: base, Text: []byte("{}"), Compiled: siteconfig.ToProto(site),
 	}}}
 }
 
--- a/proof/faults_test.go
+++ b/proof/faults_test.go
@@ -190,30 +190,23 @@
 		r.Network.Heal()
 	}},
 	{name: "zone cut off from the others and from the log", servers: 1, faults: func(ctx context.Context, r *run, s []*demo.SiteServer) {
-		zone := r.lessorOf(s[0]).Zone
-		r.Network.CutZones(s[0].Zone)
-		r.eachNode(zone, func(n *demo.SiteNode) { n.Log.Down() })
+		heal := r.cutZoneOff(s[0])
 		pause(ctx, 2*pastLease)
-		r.eachNode(zone, func(n *demo.SiteNode) { n.Log.Heal() })
-		r.Network.Heal()
+		heal()
 	}},
-	{name: "zone cut off from all, a server of it lost meanwhile", top: trustVMList, servers: 1, faults: func(ctx context.Context, r *run, s []*demo.SiteServer) {
-		zone := r.lessorOf(s[0]).Zone
-		r.Network.CutZones(s[0].Zone)
-		r.eachNode(zone, func(n *demo.SiteNode) { n.Log.Down() })
-		pause(ctx, pastLease)
-		r.LoseServer(s[0])
+	{name: "zone cut off from all, a server of it lost meanwhile", top: trustVMList, servers: 1, faults: loseServerCutOff},
+	{name: "zone cut off from all, a server of it lost meanwhile, VM list not trusted", servers: 1, faults: loseServerCutOff},
+	{name: "zone cut off from all, a server of it lost at the end", servers: 1, faults: func(ctx context.Context, r *run, s []*demo.SiteServer) {
+		heal := r.cutZoneOff(s[0])
 		pause(ctx, 2*pastLease)
-		r.eachNode(zone, func(n *demo.SiteNode) { n.Log.Heal() })
-		r.Network.Heal()
+		r.LoseServer(s[0])
+		heal()
+		pause(ctx, pastLease) // leases that run at the heal end in it
 	}},
 	{name: "zone without disconnected ownership cut off from all", service: noDisconnected, servers: 1, faults: func(ctx context.Context, r *run, s []*demo.SiteServer) {
-		zone := r.lessorOf(s[0]).Zone
-		r.Network.CutZones(s[0].Zone)
-		r.eachNode(zone, func(n *demo.SiteNode) { n.Log.Down() })
+		heal := r.cutZoneOff(s[0])
 		pause(ctx, 2*pastLease)
-		r.eachNode(zone, func(n *demo.SiteNode) { n.Log.Heal() })
-		r.Network.Heal()
+		heal()
 	}},
 	{name: "both nodes of a zone lost", top: trustVMList, servers: 1, faults: func(_ context.Context, r *run, s []*demo.SiteServer) {
 		r.eachNode(r.lessorOf(s[0]).Zone, r.LoseNode)
@@ -278,6 +271,26 @@
 	one.Unfreeze()
 }
 
+// cutZoneOff cuts a server's zone off from the others and from the log.
+func (r *run) cutZoneOff(one *demo.SiteServer) (heal func()) {
+	zone := r.lessorOf(one).Zone
+	r.Network.CutZones(one.Zone)
+	r.eachNode(zone, func(n *demo.SiteNode) { n.Log.Down() })
+	return func() {
+		r.eachNode(zone, func(n *demo.SiteNode) { n.Log.Heal() })
+		r.Network.Heal()
+	}
+}
+
+func loseServerCutOff(ctx context.Context, r *run, s []*demo.SiteServer) {
+	heal := r.cutZoneOff(s[0])
+	pause(ctx, pastLease)
+	r.LoseServer(s[0])
+	pause(ctx, 2*pastLease)
+	heal()
+	pause(ctx, pastLease) // leases that run at the heal end in it
+}
+
 // eachNode visits the nodes of a zone that run.
 func (r *run) eachNode(zone int, visit func(*demo.SiteNode)) {
 	for _, one := range r.Nodes {
