Past a lessor only through a server's deputies, within its limit

Cause: while a lessor's node could not be reached, every other entry node sent past it straight to the owner, each under a local limit of one. The sum had no bound: one for each node, 660 at the size of the plan, at a server of 4 places and 100 connections. Change: route.Deputies names, from a node's own view, the standby lessor with all but two of the server's places and the first two nodes in rendezvous order with one each; together at most the concurrency limit and a quarter of the connection limit, at any number of nodes. Other nodes forward to a deputy and name the lessor that they could not reach. A deputy checks both by its own view and never forwards again; an older node refuses as not run. A deputy that cannot be reached is left out; with none left the request waits for the next lessor. Router and experiment engine drive the same code. Nodes that reach no deputy wait where they sent directly before: when all nodes are cut off from each other, only deputies send.

--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -35,6 +35,9 @@
 	MinApplied topo.Offset
 	// Chosen is the server that the forwarding node preferred; only a hint.
 	Chosen topo.ServerID
+	// Past is the lessor that the forwarding node could not reach, so that this
+	// node is to serve the request as a deputy; empty for none.
+	Past topo.NodeID
 }
 
 // Answer is what the caller is told. Body is nil on answers that an entry node
--- a/experiment/engine/call.go
+++ b/experiment/engine/call.go
@@ -27,6 +27,7 @@
 	repeat   bool // idempotent
 	hop      int
 	from     *node         // that forwarded it; nil when it came from outside
+	deputize topo.NodeID   // lessor that from could not reach; "" for none
 	chosen   topo.ServerID // by the forwarding node, a hint
 	done     func(outcome.Verdict)
 
@@ -35,7 +36,7 @@
 	tried  []topo.ServerID
 	waited []buffer.Key
 	probe  *buffer.Key
-	past   topo.NodeID // lessor's node that could not be reached; "" for none
+	past   []topo.NodeID // lessors and deputies that could not be reached
 	trace  *trace
 }
 
@@ -78,24 +79,29 @@
 			return
 		}
 		if d.Path == route.PathForward && c.from != nil {
-			c.finish(outcome.NotRun(callerapi.ReasonNotLessor))
-			return
+			deputized, allowed := d.AsDeputy(c.node.view, c.node.self(), c.deputize)
+			if !allowed {
+				c.finish(outcome.NotRun(callerapi.ReasonNotLessor))
+				return
+			}
+			d = deputized
 		}
-		if d.Path == route.PathForward && (c.past == d.Lessor || c.node.lessorOut(d.Lessor)) {
-			d = pastLessor(d)
+		if d.Path == route.PathForward && c.out(d.Lessor) {
+			d = c.pastLessor(d)
 		}
 		c.hold(d)
 	})
 }
 
-// pastLessor turns a forward into a direct send.
-func pastLessor(d route.Decision) route.Decision {
-	if d.Service.Keyed {
-		d, _ = d.Direct()
-		return d
-	}
-	d.Path = route.PathDirect
-	return d
+// out reports whether a node cannot be reached, as far as this request or its
+// node knows.
+func (c *call) out(id topo.NodeID) bool {
+	return slices.Contains(c.past, id) || c.node.lessorOut(id)
+}
+
+// pastLessor turns a forward into the way past the lessor.
+func (c *call) pastLessor(d route.Decision) route.Decision {
+	return d.PastLessor(c.node.view, c.node.self(), c.out, c.node.random.Float64)
 }
 
 // destination decides by the node's own view.
@@ -157,7 +163,7 @@
 
 func (c *call) execute(d route.Decision) {
 	c.count(d)
-	if d.Path == route.PathForward {
+	if d.Next() != "" {
 		c.forward(d)
 		return
 	}
@@ -228,7 +234,7 @@
 	if res.verdict.Outcome == serverapi.OutcomeAnswered {
 		n.recovered(keysOf(d)...)
 		n.recovered(c.waited...)
-	} else if res.contact && d.Path != route.PathForward {
+	} else if res.contact && d.Next() == "" {
 		n.recovered(buffer.ServerKey(d))
 	}
 	if c.probe != nil {
--- a/experiment/engine/choose.go
+++ b/experiment/engine/choose.go
@@ -70,7 +70,7 @@
 	var all, fresh []route.Decision
 	for _, id := range n.live(c.service.Name) {
 		d := route.Server(n.view, nil, n.self(), c.service.Name, id)
-		if d.Path == route.PathWait || (c.from != nil && d.Path != route.PathLocal) {
+		if d.Path == route.PathWait || (c.from != nil && !c.mayTake(d)) {
 			continue
 		}
 		all = append(all, d)
@@ -84,6 +84,15 @@
 	return all
 }
 
+// mayTake reports whether a forwarded request may take a way: this node's own,
+// or that of a deputy to the server that the forwarding node chose.
+func (c *call) mayTake(d route.Decision) bool {
+	if d.Path == route.PathLocal {
+		return true
+	}
+	return d.Server == c.chosen && c.deputize != "" && d.Lessor == c.deputize
+}
+
 // live lists the live servers of a service in order, once for each view.
 func (n *node) live(service topo.Service) []topo.ServerID {
 	if n.liveOf != n.view {
--- a/experiment/engine/node.go
+++ b/experiment/engine/node.go
@@ -221,6 +221,14 @@
 	return g.load()
 }
 
+// loadAs returns the load of a server as its admission point, or as a deputy.
+func (n *node) loadAs(d route.Decision) float64 {
+	if g, exists := n.directs[d.Server]; exists && d.Path == route.PathDeputy {
+		return g.load()
+	}
+	return n.loadOf(d.Server)
+}
+
 // join lets a request wait in the buffer, or refuses it.
 func (n *node) join(c *call, key buffer.Key) {
 	n.sequence++
--- a/experiment/engine/send.go
+++ b/experiment/engine/send.go
@@ -12,17 +12,13 @@
 	"github.com/burdockspindle/burdockspindle/serverapi"
 )
 
-// directLimit is how many requests a node sends at once past an admission point
-// that it cannot reach.
-const directLimit = 1
-
 // admit waits for a place at the server, as its admission point or past it, and
 // sends.
 func (c *call) admit(d route.Decision) {
 	n := c.node
 	gates, spec := n.gates, limit.Spec{Limit: d.Service.ConcurrencyPerServer, MaxQueued: maxQueued, Ramp: gateRamp}
 	if d.Path == route.PathDirect {
-		gates, spec = n.directs, limit.Spec{Limit: directLimit, MaxQueued: maxQueued}
+		gates, spec = n.directs, limit.Spec{Limit: d.Places, MaxQueued: maxQueued}
 	}
 	g := n.gate(gates, c.service.Name, d.Server, spec)
 	g.acquire(c, func(id uint64, refused *limit.Refusal) {
@@ -163,17 +159,18 @@
 // knows of the request arrives in time.
 const forwardMargin = 5 * time.Millisecond
 
-// forward sends the request to the node that is the server's admission point.
+// forward sends the request to the node that is the server's admission point, or
+// to a deputy.
 func (c *call) forward(d route.Decision) {
 	n := c.node
-	to, exists := n.site.nodes[d.Lessor]
+	to, exists := n.site.nodes[d.Next()]
 	lost := unsent(outcome.NotRun(callerapi.ReasonNotLessor)).outage(buffer.LessorKey(d), buffer.Unled)
 	if !exists {
 		c.settle(d, lost)
 		return
 	}
 	if !to.up {
-		n.site.clock.after(min(to.refusal(n), c.deadline.Sub(c.now())), func() { c.notForwarded(d, lost) })
+		n.site.clock.after(min(to.refusal(n), c.deadline.Sub(c.now())), func() { c.unreachable(d, lost) })
 		return
 	}
 	remote := n.remote(d.Server)
@@ -183,9 +180,13 @@
 	sent.node, sent.from, sent.chosen = to, n, d.Server
 	sent.deadline = c.deadline.Add(-forwardMargin)
 	sent.tally, sent.counts, sent.tried, sent.waited, sent.probe = outcome.Tally{}, 0, nil, nil, nil
+	sent.past, sent.deputize = nil, ""
+	if d.Path == route.PathDeputy {
+		sent.deputize = d.Lessor
+	}
 	answered := false
 	sent.done = func(v outcome.Verdict) {
-		heard := to.loadOf(d.Server)
+		heard := to.loadAs(d)
 		n.site.clock.after(delay, func() {
 			if answered {
 				return
@@ -193,7 +194,7 @@
 			answered = true
 			remote.own--
 			remote.hear(n.site.clock.now, heard)
-			n.nodeHealth(d.Lessor).Observe(c.now(), health.Answered)
+			n.nodeHealth(to.id).Observe(c.now(), health.Answered)
 			c.forwardAnswered(d, v)
 		})
 	}
@@ -221,22 +222,34 @@
 	return connectTimeout
 }
 
+// unreachable ends a forward to a node that takes no connection.
+func (c *call) unreachable(d route.Decision, lost result) {
+	c.node.nodeHealth(d.Next()).Observe(c.now(), health.Unreachable)
+	c.notForwarded(d, lost)
+}
+
 // forwardAnswered passes on what the other node said.
 func (c *call) forwardAnswered(d route.Decision, v outcome.Verdict) {
 	if v.Reason == callerapi.ReasonNotLessor && v.NotRunProven() {
+		if d.Path == route.PathDeputy {
+			c.notForwarded(d, unsent(v).outage(buffer.LessorKey(d), buffer.Unled))
+			return
+		}
 		c.settle(d, unsent(v).outage(buffer.LessorKey(d), buffer.Unled))
 		return
 	}
 	c.settle(d, result{verdict: v, contact: true})
 }
 
-// notForwarded goes past a lessor's node that cannot be reached.
+// notForwarded goes past a lessor's node or a deputy that does not take the
+// request.
 func (c *call) notForwarded(d route.Decision, lost result) {
-	c.node.nodeHealth(d.Lessor).Observe(c.now(), health.Unreachable)
-	if pastLessor(d).Path == route.PathDirect {
-		c.past = d.Lessor
+	c.past = append(c.past, d.Next())
+	d.Path = route.PathForward
+	if c.pastLessor(d).Path != route.PathForward {
 		c.settle(d, result{moved: true})
 		return
 	}
+	c.past = nil
 	c.settle(d, lost)
 }
--- a/modules/router/choose.go
+++ b/modules/router/choose.go
@@ -108,10 +108,12 @@
 	return all
 }
 
-// allowed keeps a forwarded request at the node that it was forwarded to, and a
-// ticket with the lessor whose term it names.
+// allowed keeps a forwarded request at the node that it was forwarded to, there
+// also as a deputy for the server that the sender chose, and a ticket with the
+// lessor whose term it names.
 func (r *run) allowed(d route.Decision) bool {
-	if r.req.From != "" && d.Path != route.PathLocal {
+	deputized := r.req.Past != "" && r.req.Past == d.Lessor && r.isHint(d)
+	if r.req.From != "" && d.Path != route.PathLocal && !deputized {
 		return false
 	}
 	return r.ticket == nil || ticket.TermScope(d.Term) == r.ticket.Scope
--- a/modules/router/forward.go
+++ b/modules/router/forward.go
@@ -13,10 +13,11 @@
 	"github.com/burdockspindle/burdockspindle/serverapi"
 )
 
-// forward sends the request to the node that is the server's admission point.
+// forward sends the request to the node that is the server's admission point, or
+// to a deputy.
 func (r *run) forward(d route.Decision) result {
 	view := r.m.source.View()
-	node, exists := view.Node(d.Lessor)
+	node, exists := view.Node(d.Next())
 	if !exists {
 		return r.lessorOut(d, outcome.NotRun(callerapi.ReasonNotLessor))
 	}
@@ -34,7 +35,7 @@
 		load.own.Add(-1)
 		return r.notForwarded(d, err)
 	}
-	r.m.nodes.Observe(time.Now(), d.Lessor, health.Answered)
+	r.m.nodes.Observe(time.Now(), d.Next(), health.Answered)
 	r.m.remote.hear(time.Now(), answer.Server, answer.Load)
 	return r.forwardAnswered(d, answer, response, func() { load.own.Add(-1) })
 }
@@ -43,7 +44,7 @@
 	form := forwardedRequest{
 		Format:     forwardFormat,
 		From:       r.m.self.Node,
-		To:         d.Lessor,
+		To:         d.Next(),
 		ID:         r.nextID(),
 		Service:    r.req.Service,
 		Keyed:      r.req.Keyed,
@@ -59,6 +60,9 @@
 	if !r.req.Keyed {
 		form.Chosen = d.Server
 	}
+	if d.Path == route.PathDeputy {
+		form.Past = d.Lessor
+	}
 	return form
 }
 
@@ -80,7 +84,7 @@
 		_ = response.Body.Close()
 		done()
 		if verdict.Reason == callerapi.ReasonNotLessor && verdict.NotRunProven() {
-			return r.lessorOut(d, verdict)
+			return r.notTaken(d, verdict)
 		}
 		return result{verdict: verdict, contact: true, settled: true}
 	}
@@ -114,7 +118,7 @@
 	}
 	var foreign *ForeignAnswerError
 	if errors.As(err, &foreign) {
-		eventForeignAnswer.Log(r.m.logger, "node", d.Lessor, "want", foreign.Want, "got", foreign.Got)
+		eventForeignAnswer.Log(r.m.logger, "node", d.Next(), "want", foreign.Want, "got", foreign.Got)
 		return unsent(outcome.Unknown(callerapi.ReasonForeignAnswer))
 	}
 	if failure.Canceled || failure.Deadline {
@@ -124,11 +128,28 @@
 	if failure.Sent {
 		return unsent(verdict)
 	}
-	if past := r.pastLessor(d); past.Path == route.PathDirect {
-		r.past = d.Lessor
+	return r.goPast(d, outcome.NotRun(callerapi.ReasonNotLessor))
+}
+
+// notTaken is the result when the other node says that it is not the lessor, or
+// no deputy. The lessor's word is waited for; another deputy may be asked.
+func (r *run) notTaken(d route.Decision, v outcome.Verdict) result {
+	if d.Path == route.PathDeputy {
+		return r.goPast(d, v)
+	}
+	return r.lessorOut(d, v)
+}
+
+// goPast makes the request go past a lessor or deputy that did not take it, if
+// there is a way; v is the verdict if there is none.
+func (r *run) goPast(d route.Decision, v outcome.Verdict) result {
+	r.past = append(r.past, d.Next())
+	d.Path = route.PathForward
+	if r.pastLessor(r.m.source.View(), d).Path != route.PathForward {
 		return result{moved: true}
 	}
-	return r.lessorOut(d, outcome.NotRun(callerapi.ReasonNotLessor))
+	r.past = nil
+	return r.lessorOut(d, v)
 }
 
 // lessorOut is the result when the lessor's node cannot take the request.
@@ -153,10 +174,10 @@
 		seen = health.Unreachable
 	}
 	if failed.silent {
-		eventSilentNode.Log(m.logger, "node", d.Lessor)
+		eventSilentNode.Log(m.logger, "node", d.Next())
 	}
-	if m.nodes.Observe(time.Now(), d.Lessor, seen) {
+	if m.nodes.Observe(time.Now(), d.Next(), seen) {
 		metricEjections.Add(1)
-		eventNodeEjected.Log(m.logger, "node", d.Lessor)
+		eventNodeEjected.Log(m.logger, "node", d.Next())
 	}
 }
--- a/modules/router/forward_server.go
+++ b/modules/router/forward_server.go
@@ -190,6 +190,9 @@
 		return 0
 	}
 	gate, exists := m.gates.Find(req.Chosen)
+	if !exists {
+		gate, exists = m.directs.Find(req.Chosen)
+	}
 	if !exists {
 		return 0
 	}
--- a/modules/router/maintain.go
+++ b/modules/router/maintain.go
@@ -18,9 +18,6 @@
 	// coldRamp is how long a server takes from one request at once to its
 	// whole limit after it, or its admission point, is new.
 	coldRamp = time.Second
-	// directLimit is how many requests this node sends at once to a server
-	// whose admission point it cannot reach.
-	directLimit = 1
 )
 
 // maintain sweeps queues and follows the state until ctx ends.
@@ -113,11 +110,11 @@
 	})
 }
 
-// directGate returns the small local queue of a server whose admission point
-// cannot be reached.
+// directGate returns the queue of a server whose admission point cannot be
+// reached and whose deputy this node is.
 func (m *Module) directGate(d route.Decision) *limit.Gate {
 	return m.directs.Gate(d.Service.Name, d.Server, limit.Spec{
-		Limit:     directLimit,
+		Limit:     d.Places,
 		MaxQueued: m.settings.Limits.MaxQueued,
 	})
 }
--- a/modules/router/metrics.go
+++ b/modules/router/metrics.go
@@ -18,7 +18,8 @@
 	metricBuffered     = metricGroup.Counter("buffered")  // waited for an owner
 	metricForwarded    = metricGroup.Counter("forwarded") // to other nodes
 	metricForwardedIn  = metricGroup.Counter("forwarded_in")
-	metricDirect       = metricGroup.Counter("direct") // sent past an unreachable lessor
+	metricDirect       = metricGroup.Counter("direct")    // sent past an unreachable lessor, as its deputy
+	metricDeputized    = metricGroup.Counter("deputized") // forwarded to a deputy
 	metricEjections    = metricGroup.Counter("ejections")
 	metricInFlight     = metricGroup.Counter("in_flight")
 	metricQueued       = metricGroup.Counter("queued")
--- a/modules/router/past_test.go
+++ b/modules/router/past_test.go
@@ -1,15 +1,19 @@
 package router_test
 
 import (
+	"context"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/onsi/gomega"
 
+	"github.com/burdockspindle/burdockspindle/callerapi"
 	rt "github.com/burdockspindle/burdockspindle/modules/router/routertest"
 	"github.com/burdockspindle/burdockspindle/serverapi"
+	"github.com/burdockspindle/burdockspindle/siteconfig"
 	"github.com/burdockspindle/burdockspindle/topo"
 )
 
@@ -42,3 +46,87 @@
 		p.Expect(through.Load()).To(gomega.Equal(int64(1)))
 	})
 }
+
+// TestManyNodesPassALessorWithinTheLimit: far more entry nodes than the server
+// has places lose the lessor at once, and all have requests for the server.
+func TestManyNodesPassALessorWithinTheLimit(t *testing.T) {
+	const nodes, limit = 24, 4
+	limited := rt.Keyed()
+	limited.ConcurrencyPerServer = limit
+	for _, standby := range []topo.NodeID{"", "entry-3"} {
+		paired(t, nodes, []*siteconfig.Service{limited, rt.Unkeyed()}, func(p *pair) {
+			p.Site.LeadWithStandby(groupA, "lessor", rt.Boot, standby)
+			p.driver.Set("s1", rt.Slow(5*time.Millisecond, rt.Answer(200, "ok")))
+			p.lessor.Kill()
+			var wait sync.WaitGroup
+			for _, entry := range p.entry {
+				for range 5 {
+					wait.Go(func() {
+						answer := entry.Handler.Serve(context.Background(), request("POST", "k"))
+						p.Expect(text(p.WithT, answer)).To(gomega.Equal("ok"), string(answer.Reason))
+					})
+				}
+			}
+			wait.Wait()
+			p.Expect(p.driver.Peak("s1")).To(gomega.Equal(limit), "standby "+string(standby))
+			p.Expect(p.driver.Attempts()).To(gomega.HaveLen(5 * nodes))
+		})
+	}
+}
+
+// TestALostDeputyIsReplaced: deputies that cannot be reached either are left out,
+// and only they may send: without any, nothing reaches the server.
+func TestALostDeputyIsReplaced(t *testing.T) {
+	limited := rt.Keyed()
+	limited.ConcurrencyPerServer = 4
+	paired(t, 12, []*siteconfig.Service{limited, rt.Unkeyed()}, func(p *pair) {
+		p.Site.LeadWithStandby(groupA, "lessor", rt.Boot, "entry-3")
+		p.lessor.Kill()
+		p.entry[3].Kill()
+		for _, entry := range p.entry {
+			answer := entry.Handler.Serve(context.Background(), request("POST", "k"))
+			p.Expect(text(p.WithT, answer)).To(gomega.Equal("answer of s1"), string(answer.Reason))
+		}
+		sent := len(p.driver.Attempts())
+		for _, entry := range p.entry {
+			entry.Kill()
+		}
+		refused := 0
+		for _, entry := range p.entry {
+			req := request("POST", "k")
+			req.Deadline = time.Now().Add(time.Second)
+			answer := entry.Handler.Serve(context.Background(), req)
+			if text(p.WithT, answer) != "" {
+				continue // a deputy, which sends by itself
+			}
+			p.Expect(answer.Outcome).To(gomega.Equal(serverapi.OutcomeNotRun))
+			refused++
+		}
+		p.Expect(refused).To(gomega.Equal(len(p.entry) - 3))
+		p.Expect(p.driver.Attempts()).To(gomega.HaveLen(sent + 3))
+	})
+}
+
+// TestOnlyADeputyTakesARequestPastALessor: a node that is no deputy by its own
+// view refuses, and never passes the request on.
+func TestOnlyADeputyTakesARequestPastALessor(t *testing.T) {
+	limited := rt.Keyed()
+	limited.ConcurrencyPerServer = 1
+	paired(t, 3, []*siteconfig.Service{limited, rt.Unkeyed()}, func(p *pair) {
+		p.Site.LeadWithStandby(groupA, "lessor", rt.Boot, "entry-2")
+		p.lessor.Kill()
+		for i, entry := range p.entry {
+			req := request("POST", "k")
+			req.From, req.Past = "somebody", "lessor"
+			req.Deadline = time.Now().Add(time.Second)
+			answer := entry.Handler.Serve(context.Background(), req)
+			if i == 2 {
+				p.Expect(text(p.WithT, answer)).To(gomega.Equal("answer of s1"))
+				continue
+			}
+			p.Expect(answer.Outcome).To(gomega.Equal(serverapi.OutcomeNotRun))
+			p.Expect(answer.Reason).To(gomega.Equal(callerapi.ReasonNotLessor))
+		}
+		p.Expect(p.driver.Attempts()).To(gomega.HaveLen(1))
+	})
+}
--- a/modules/router/run.go
+++ b/modules/router/run.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"strconv"
 	"time"
 
@@ -34,7 +35,7 @@
 	tried  []topo.ServerID // servers of an unkeyed service that failed
 	waited []buffer.Key    // outages that the request met
 	probe  *buffer.Key     // outage that its next attempt asks about
-	past   topo.NodeID     // lessor's node that could not be reached; "" for none
+	past   []topo.NodeID   // lessors and deputies that did not take it
 }
 
 // result is what one attempt came to.
@@ -93,15 +94,30 @@
 		return d, nil
 	}
 	if r.req.From != "" {
-		v := outcome.NotRun(callerapi.ReasonNotLessor)
-		return d, &v
+		return r.asDeputy(view, d)
+	}
+	if r.out(d.Lessor) {
+		d = r.pastLessor(view, d)
 	}
-	if r.past == d.Lessor || r.m.nodes.Ejected(time.Now(), d.Lessor) {
-		d = r.pastLessor(d)
+	return d, nil
+}
+
+// asDeputy decides for a forwarded request whose lessor is another node: it is
+// refused, unless the sender took this node for a deputy of that lessor.
+func (r *run) asDeputy(view *state.View, d route.Decision) (route.Decision, *outcome.Verdict) {
+	d, allowed := d.AsDeputy(view, r.m.self, r.req.Past)
+	if !allowed {
+		return d, refuse(callerapi.ReasonNotLessor)
 	}
 	return d, nil
 }
 
+// out reports whether a node cannot be reached, as far as this request or the
+// node knows.
+func (r *run) out(id topo.NodeID) bool {
+	return slices.Contains(r.past, id) || r.m.nodes.Ejected(time.Now(), id)
+}
+
 func (r *run) destination(view *state.View) (route.Decision, *outcome.Verdict) {
 	if r.req.Keyed {
 		return route.Keyed(view, r.m.overlay.Overlay(), r.m.self, r.req.Service, r.req.Key), nil
@@ -109,18 +125,14 @@
 	return r.choose(view)
 }
 
-// pastLessor turns a forward into a direct send where that is allowed: the
-// server checks fences itself, or the service has no ownership and the request
-// carries no ticket, whose record the lessor keeps.
-func (r *run) pastLessor(d route.Decision) route.Decision {
-	if d.Service.Keyed {
-		d, _ = d.Direct()
+// pastLessor turns a forward into the way past the lessor where that is allowed:
+// the server checks fences itself, or the service has no ownership and the
+// request carries no ticket, whose record the lessor keeps.
+func (r *run) pastLessor(view *state.View, d route.Decision) route.Decision {
+	if !d.Service.Keyed && r.ticket != nil {
 		return d
 	}
-	if r.ticket == nil {
-		d.Path = route.PathDirect
-	}
-	return d
+	return d.PastLessor(view, r.m.self, r.out, rand.Float64)
 }
 
 // once makes one attempt. It returns the final answer, or nil to go on.
@@ -195,7 +207,7 @@
 
 // contactKey is what an answer of any kind shows to be reachable.
 func contactKey(d route.Decision) buffer.Key {
-	if d.Path == route.PathForward {
+	if d.Next() != "" {
 		return buffer.Key{}
 	}
 	return buffer.ServerKey(d)
--- a/modules/router/send.go
+++ b/modules/router/send.go
@@ -25,6 +25,8 @@
 	case route.PathDirect:
 		metricDirect.Add(1)
 		return r.admitted(d, r.m.directGate(d))
+	case route.PathDeputy:
+		metricDeputized.Add(1)
 	}
 	return r.forward(d)
 }
--- a/modules/router/wire.go
+++ b/modules/router/wire.go
@@ -57,6 +57,7 @@
 	Ticket     string        `json:"ticket,omitempty"`
 	Hop        int           `json:"hop,omitempty"`
 	Chosen     topo.ServerID `json:"chosen,omitempty"`
+	Past       topo.NodeID   `json:"past,omitempty"` // lessor that From could not reach
 }
 
 // forwardedAnswer is the JSON form of the answer without its headers and body.
@@ -126,6 +127,7 @@
 		From:       f.From,
 		MinApplied: f.Applied,
 		Chosen:     f.Chosen,
+		Past:       f.Past,
 	}
 }
 
--- a/modules/serverhttp/share_test.go
+++ b/modules/serverhttp/share_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/onsi/gomega"
 
+	"github.com/burdockspindle/burdockspindle/route"
 	"github.com/burdockspindle/burdockspindle/state"
 	"github.com/burdockspindle/burdockspindle/topo"
 
@@ -58,6 +59,23 @@
 	}
 }
 
+// TestDeputiesHaveConnectionsForTheirPlaces: those that may send past the lessor
+// can.
+func TestDeputiesHaveConnectionsForTheirPlaces(t *testing.T) {
+	for _, connections := range []int{4, 6, 10, 100, 130} {
+		for _, nodes := range []int{2, 3, 12, 60, 660} {
+			view := viewOf(t, nodes, uint32(connections), 4)
+			service, _ := view.Service("quotes")
+			d := route.Decision{Service: service, Server: "s1", Group: "z/0", Lessor: "node-0"}
+			for _, deputy := range route.Deputies(view, d) {
+				name := fmt.Sprintf("%d connections, %d nodes, %s", connections, nodes, deputy.Node)
+				share := ConnectionShare(view, deputy.Node, "s1")
+				gomega.NewWithT(t).Expect(share).To(gomega.BeNumerically(">=", deputy.Places), name)
+			}
+		}
+	}
+}
+
 func TestLessorsShareCoversTheServersConcurrency(t *testing.T) {
 	g := gomega.NewWithT(t)
 	for nodes, want := range map[int]int{12: 16, 660: 16} {
--- a/route/route.go
+++ b/route/route.go
@@ -26,9 +26,11 @@
 	PathLocal
 	// PathForward: another node is the admission point of the owner.
 	PathForward
-	// PathDirect: the admission point cannot be reached; send to the owner
-	// under the small local limit.
+	// PathDirect: the admission point cannot be reached, and this node is one of
+	// its deputies; send to the owner under the deputy's share of its limit.
 	PathDirect
+	// PathDeputy: the admission point cannot be reached; a deputy is to send.
+	PathDeputy
 )
 
 // String names the way for dumps and logs.
@@ -44,6 +46,8 @@
 		return "forward"
 	case PathDirect:
 		return "direct"
+	case PathDeputy:
+		return "deputy"
 	}
 	return "undecided"
 }
@@ -60,6 +64,8 @@
 	Group   topo.GroupID
 	Term    topo.Term // of the group's lessor
 	Lessor  topo.NodeID
+	Deputy  topo.NodeID // of PathDeputy
+	Places  int         // of PathDirect: requests that may be at the server at once
 }
 
 // SameOwner reports whether two decisions send to the same server under the
@@ -69,17 +75,6 @@
 		d.Path == other.Path
 }
 
-// Direct turns a forward whose lessor cannot be reached into a direct send. It
-// is false when the service's servers do not check fencing tokens: then the
-// lessor alone may send.
-func (d Decision) Direct() (Decision, bool) {
-	if d.Path != PathForward || !d.Service.ChecksFencing {
-		return d, false
-	}
-	d.Path = PathDirect
-	return d, true
-}
-
 // Self is the run of the node that decides.
 type Self struct {
 	Node topo.NodeID
--- a/route/route_test.go
+++ b/route/route_test.go
@@ -123,19 +123,19 @@
 	}
 }
 
-func TestDirectOnlyWhereServersCheckFences(t *testing.T) {
+func TestPastALessorOnlyWhereServersCheckFences(t *testing.T) {
 	g := gomega.NewWithT(t)
 	site := newSite()
 	site.Assign(shardOf("k"), "b1", "")
 	d := route.Keyed(site.View(), nil, self, records, "k")
-	direct, allowed := d.Direct()
-	g.Expect(allowed).To(gomega.BeTrue())
-	g.Expect(direct.Path).To(gomega.Equal(route.PathDirect))
+	g.Expect(past(site, self, d).Path).To(gomega.Equal(route.PathDirect))
 
 	unfenced := service(records, 8)
 	unfenced.ChecksFencing = false
 	site.Configure(unfenced, service(plans, 0))
-	_, allowed = route.Keyed(site.View(), nil, self, records, "k").Direct()
+	d = route.Keyed(site.View(), nil, self, records, "k")
+	g.Expect(past(site, self, d).Path).To(gomega.Equal(route.PathForward))
+	_, allowed := d.AsDeputy(site.View(), self, d.Lessor)
 	g.Expect(allowed).To(gomega.BeFalse())
 }
 
--- a/route/routetest/site.go
+++ b/route/routetest/site.go
@@ -58,10 +58,20 @@
 
 // Lead makes a node the lessor of a group and returns its term.
 func (s *Site) Lead(group topo.GroupID, node topo.NodeID, boot topo.BootID) topo.Term {
+	return s.LeadWithStandby(group, node, boot, "")
+}
+
+// LeadWithStandby makes a node the lessor of a group, names a standby lessor of
+// the same boot, and returns the term.
+func (s *Site) LeadWithStandby(group topo.GroupID, node topo.NodeID, boot topo.BootID, standby topo.NodeID) topo.Term {
 	current, _ := s.View().Group(group)
-	s.apply(&bspb.Record{Body: &bspb.Record_ClaimTerm{ClaimTerm: &bspb.ClaimTerm{
+	claim := &bspb.ClaimTerm{
 		Group: string(group), Expected: ordinal(current.Term.Ordinal), Node: string(node), Boot: string(boot),
-	}}})
+	}
+	if standby != "" {
+		claim.Standby, claim.StandbyBoot = string(standby), string(boot)
+	}
+	s.apply(&bspb.Record{Body: &bspb.Record_ClaimTerm{ClaimTerm: claim}})
 	led, _ := s.View().Group(group)
 	return led.Term
 }
