Make tests of settings, site configuration and commands Ginkgo specs

Cause: the house style asks for Ginkgo. Change: the tests of settings, siteconfig, adminapi's client and cli are specs, their tables DescribeTables. Under plain testing stay the fuzz targets, the generated dependency graphs (rapid), and the command that ends with a signal: Ginkgo takes a signal to the process for its own.

--- a/adminapi/publish_test.go
+++ b/adminapi/publish_test.go
@@ -9,11 +9,95 @@
 	"testing"
 	"time"
 
+	"github.com/onsi/ginkgo/v2"
 	"github.com/onsi/gomega"
 
 	"github.com/burdockspindle/burdockspindle/adminapi"
+	"github.com/burdockspindle/burdockspindle/spectest"
 )
 
+var _ = ginkgo.Describe("client of the administration API", func() {
+	ginkgo.DescribeTable("attempts to publish",
+		func(c publishCase) {
+			g := gomega.NewWithT(ginkgo.GinkgoTB())
+			var retries attempts
+			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				now := c.steps[retries.add(r)]
+				if now.cut {
+					panic(http.ErrAbortHandler)
+				}
+				w.WriteHeader(now.status)
+				_, _ = w.Write([]byte(now.body))
+			}))
+			defer server.Close()
+			// Without kept connections net/http never repeats a request itself.
+			client, err := adminapi.NewClient(server.URL, "t", "", &http.Client{Transport: &http.Transport{DisableKeepAlives: true}})
+			g.Expect(err).NotTo(gomega.HaveOccurred())
+			var waits []time.Duration
+			_, err = client.Publish(context.Background(), 0, []byte("{}"), func(_ context.Context, wait time.Duration) error {
+				waits = append(waits, wait)
+				return nil
+			})
+			g.Expect(retries.list()).To(gomega.Equal(c.retries))
+			var unknown *adminapi.UnknownError
+			g.Expect(errors.As(err, &unknown)).To(gomega.Equal(c.unknown), "%v", err)
+			var failure *adminapi.Failure
+			if c.code != "" {
+				g.Expect(errors.As(err, &failure)).To(gomega.BeTrue())
+				g.Expect(failure.Code).To(gomega.Equal(c.code))
+			}
+			if c.waits != nil {
+				g.Expect(waits).To(gomega.Equal(c.waits))
+			}
+		},
+		ginkgo.Entry("accepted at once", publishCase{[]step{accepted}, "0", false, "", nil}),
+		ginkgo.Entry("proven not appended is no retry", publishCase{[]step{notAppended, accepted}, "00", false, "", []time.Duration{5 * time.Second}}),
+		ginkgo.Entry("connection cut", publishCase{[]step{cut, accepted}, "01", false, "", []time.Duration{time.Second}}),
+		ginkgo.Entry("unknown, then not appended", publishCase{[]step{unknownFate, notAppended, accepted}, "011", false, "", []time.Duration{time.Second, 5 * time.Second}}),
+		ginkgo.Entry("something else answered", publishCase{[]step{notTheAPI, accepted}, "01", false, "", []time.Duration{time.Second}}),
+		ginkgo.Entry("conflict is final", publishCase{[]step{conflict}, "0", false, adminapi.CodeConflict, nil}),
+		ginkgo.Entry("conflict after an unknown attempt is final", publishCase{[]step{unknownFate, conflict}, "01", false, adminapi.CodeConflict, []time.Duration{time.Second}}),
+		ginkgo.Entry("never appended", publishCase{[]step{notAppended, notAppended, notAppended, notAppended, notAppended}, "00000", false, adminapi.CodeNotAppended, nil}),
+		ginkgo.Entry("never known", publishCase{[]step{cut, notAppended, notAppended, notAppended, notAppended}, "01111", true, "", nil}),
+	)
+
+	ginkgo.It("a node that cannot be reached got nothing", func() {
+		t := ginkgo.GinkgoTB()
+		g := gomega.NewWithT(t)
+		server := httptest.NewServer(http.NotFoundHandler())
+		server.Close()
+		client, err := adminapi.NewClient(server.URL, "t", "", nil)
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		_, err = client.Publish(context.Background(), 0, nil, func(context.Context, time.Duration) error { return nil })
+		var call *adminapi.CallError
+		g.Expect(errors.As(err, &call)).To(gomega.BeTrue())
+		g.Expect(call.Sent).To(gomega.BeFalse())
+		var unknown *adminapi.UnknownError
+		g.Expect(errors.As(err, &unknown)).To(gomega.BeFalse())
+	})
+
+	ginkgo.It("addresses", func() {
+		t := ginkgo.GinkgoTB()
+		g := gomega.NewWithT(t)
+		for _, bad := range []string{"", "127.0.0.1:7070", "ftp://x", "http://", "http://%zz"} {
+			_, err := adminapi.NewClient(bad, "t", "", nil)
+			var address *adminapi.AddressError
+			g.Expect(errors.As(err, &address)).To(gomega.BeTrue(), bad)
+		}
+	})
+})
+
+func TestSpecs(t *testing.T) { spectest.Run(t, "adminapi") }
+
+// publishCase is a publication of which each attempt is treated in some way.
+type publishCase struct {
+	steps   []step
+	retries string // for each attempt 0 or 1: does it say that it is a retry
+	unknown bool   // the error says that the text may have been accepted
+	code    adminapi.Code
+	waits   []time.Duration
+}
+
 // step is how the server treats one attempt.
 type step struct {
 	cut    bool // the connection ends without an answer
@@ -53,81 +137,3 @@
 	defer a.mu.Unlock()
 	return a.seen
 }
-
-func TestPublishAttempts(t *testing.T) {
-	cases := []struct {
-		name    string
-		steps   []step
-		retries string // for each attempt 0 or 1: does it say that it is a retry
-		unknown bool   // the error says that the text may have been accepted
-		code    adminapi.Code
-		waits   []time.Duration
-	}{
-		{"accepted at once", []step{accepted}, "0", false, "", nil},
-		{"proven not appended is no retry", []step{notAppended, accepted}, "00", false, "", []time.Duration{5 * time.Second}},
-		{"connection cut", []step{cut, accepted}, "01", false, "", []time.Duration{time.Second}},
-		{"unknown, then not appended", []step{unknownFate, notAppended, accepted}, "011", false, "", []time.Duration{time.Second, 5 * time.Second}},
-		{"something else answered", []step{notTheAPI, accepted}, "01", false, "", []time.Duration{time.Second}},
-		{"conflict is final", []step{conflict}, "0", false, adminapi.CodeConflict, nil},
-		{"conflict after an unknown attempt is final", []step{unknownFate, conflict}, "01", false, adminapi.CodeConflict, []time.Duration{time.Second}},
-		{"never appended", []step{notAppended, notAppended, notAppended, notAppended, notAppended}, "00000", false, adminapi.CodeNotAppended, nil},
-		{"never known", []step{cut, notAppended, notAppended, notAppended, notAppended}, "01111", true, "", nil},
-	}
-	for _, c := range cases {
-		t.Run(c.name, func(t *testing.T) {
-			g := gomega.NewWithT(t)
-			var retries attempts
-			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-				now := c.steps[retries.add(r)]
-				if now.cut {
-					panic(http.ErrAbortHandler)
-				}
-				w.WriteHeader(now.status)
-				_, _ = w.Write([]byte(now.body))
-			}))
-			defer server.Close()
-			// Without kept connections net/http never repeats a request itself.
-			client, err := adminapi.NewClient(server.URL, "t", "", &http.Client{Transport: &http.Transport{DisableKeepAlives: true}})
-			g.Expect(err).NotTo(gomega.HaveOccurred())
-			var waits []time.Duration
-			_, err = client.Publish(context.Background(), 0, []byte("{}"), func(_ context.Context, wait time.Duration) error {
-				waits = append(waits, wait)
-				return nil
-			})
-			g.Expect(retries.list()).To(gomega.Equal(c.retries))
-			var unknown *adminapi.UnknownError
-			g.Expect(errors.As(err, &unknown)).To(gomega.Equal(c.unknown), "%v", err)
-			var failure *adminapi.Failure
-			if c.code != "" {
-				g.Expect(errors.As(err, &failure)).To(gomega.BeTrue())
-				g.Expect(failure.Code).To(gomega.Equal(c.code))
-			}
-			if c.waits != nil {
-				g.Expect(waits).To(gomega.Equal(c.waits))
-			}
-		})
-	}
-}
-
-func TestANodeThatCannotBeReachedGotNothing(t *testing.T) {
-	g := gomega.NewWithT(t)
-	server := httptest.NewServer(http.NotFoundHandler())
-	server.Close()
-	client, err := adminapi.NewClient(server.URL, "t", "", nil)
-	g.Expect(err).NotTo(gomega.HaveOccurred())
-	_, err = client.Publish(context.Background(), 0, nil, func(context.Context, time.Duration) error { return nil })
-	var call *adminapi.CallError
-	g.Expect(errors.As(err, &call)).To(gomega.BeTrue())
-	g.Expect(call.Sent).To(gomega.BeFalse())
-	var unknown *adminapi.UnknownError
-	g.Expect(errors.As(err, &unknown)).To(gomega.BeFalse())
-}
-
-func TestAddresses(t *testing.T) {
-	g := gomega.NewWithT(t)
-	for _, bad := range []string{"", "127.0.0.1:7070", "ftp://x", "http://", "http://%zz"} {
-		_, err := adminapi.NewClient(bad, "t", "", nil)
-		var address *adminapi.AddressError
-		g.Expect(errors.As(err, &address)).To(gomega.BeTrue(), bad)
-	}
-}
--- a/cli/cli_test.go
+++ b/cli/cli_test.go
@@ -5,23 +5,138 @@
 	"context"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"syscall"
 	"testing"
 
 	"github.com/hashicorp/go-hclog"
 	"github.com/integrii/flaggy"
+	"github.com/onsi/ginkgo/v2"
 	"github.com/onsi/gomega"
 
 	"github.com/burdockspindle/burdockspindle/cli"
 	"github.com/burdockspindle/burdockspindle/settings"
+	"github.com/burdockspindle/burdockspindle/spectest"
 )
 
+var _ = ginkgo.Describe("command line", func() {
+	ginkgo.DescribeTable("wrong arguments are usage errors",
+		func(args ...string) {
+			t := ginkgo.GinkgoTB()
+			if file := slices.Index(args, "FILE"); file >= 0 {
+				args[file] = write(t, goodSite)
+			}
+			gomega.NewWithT(t).Expect(run(nil, args...).code).To(gomega.Equal(cli.ExitUsage))
+		},
+		func(args ...string) string { return "[" + strings.Join(args, " ") + "]" },
+		ginkgo.Entry(nil),
+		ginkgo.Entry(nil, "nonsense"),
+		ginkgo.Entry(nil, "check"),
+		ginkgo.Entry(nil, "check", "FILE", "more"),
+		ginkgo.Entry(nil, "check", "--nonsense", "x", "FILE"),
+		ginkgo.Entry(nil, "check", "--kind", "poem", "FILE"),
+		ginkgo.Entry(nil, "run"),
+		ginkgo.Entry(nil, "run", "--settings"),
+		ginkgo.Entry(nil, "site"),
+		ginkgo.Entry(nil, "publish", "FILE"),
+		ginkgo.Entry(nil, "publish", "--base", "x", "FILE"),
+		ginkgo.Entry(nil, "publish", "--base", "0", "FILE"),
+		ginkgo.Entry(nil, "status", "--admin", "http://127.0.0.1:1"),
+		ginkgo.Entry(nil, "status", "--admin", "http://127.0.0.1:1", "--token", "a", "--token-file", "b"),
+	)
+
+	ginkgo.It("help and version succeed", func() {
+		t := ginkgo.GinkgoTB()
+		g := gomega.NewWithT(t)
+		g.Expect(run(nil, "--help").code).To(gomega.Equal(cli.ExitOK))
+		g.Expect(run(nil, "check", "--help").code).To(gomega.Equal(cli.ExitOK))
+		version := run(nil, "version")
+		g.Expect(version.code).To(gomega.Equal(cli.ExitOK))
+		g.Expect(version.stdout).To(gomega.HavePrefix("burdockspindle devel commit "))
+	})
+
+	ginkgo.DescribeTable("check",
+		func(c checkCase) {
+			t := ginkgo.GinkgoTB()
+			g := gomega.NewWithT(t)
+			file := write(t, c.text)
+			got := run(nil, append([]string{"check", file}, c.args...)...)
+			g.Expect(got.code).To(gomega.Equal(c.code), got.stderr)
+			g.Expect(strings.TrimPrefix(got.stdout, file)).To(gomega.Equal(c.stdout))
+			lines := strings.Split(strings.TrimSuffix(got.stderr, "\n"), "\n")
+			if len(c.problems) == 0 {
+				lines = nil
+			}
+			g.Expect(lines).To(gomega.HaveLen(len(c.problems)), got.stderr)
+			for i, problem := range c.problems {
+				g.Expect(lines[i]).To(gomega.HavePrefix(file + problem))
+			}
+		},
+		ginkgo.Entry("settings", checkCase{goodSettings, nil, cli.ExitOK, ": valid (settings)\n", nil}),
+		ginkgo.Entry("site", checkCase{goodSite, nil, cli.ExitOK, ": valid (site)\n", nil}),
+		ginkgo.Entry("all that is wrong with a site", checkCase{"{\"services\": {\n\"a\": {\"keyed\": 1, \"deadline\": 5,\n\"dependsOn\": [\"b\"]}}}", nil, cli.ExitFailure, "", []string{
+			":2: services.a.keyed: must be true or false", ":2: services.a.concurrencyPerServer: missing",
+			":2: services.a.connectionsPerServer: missing", ":2: services.a.checksFencing: missing",
+			":2: services.a.deadline: must be a duration", ":3: services.a.dependsOn[0]: no service is called b",
+		}}),
+		ginkgo.Entry("a site that is to be settings", checkCase{goodSite, []string{"--kind", "settings"}, cli.ExitFailure, "", []string{
+			":1: node: missing", ":1: zone: missing", ":1: frontend: missing", ":1: peer: missing",
+			":1: log: missing", ":1: vms: missing", ":1: services: unknown field",
+		}}),
+		ginkgo.Entry("no JSON", checkCase{"{\n", nil, cli.ExitFailure, "", []string{":1: not valid JSON with comments"}}),
+	)
+
+	ginkgo.It("check of a file that is not there", func() {
+		t := ginkgo.GinkgoTB()
+		g := gomega.NewWithT(t)
+		g.Expect(run(nil, "check", filepath.Join(t.TempDir(), "none")).code).To(gomega.Equal(cli.ExitFailure))
+	})
+
+	ginkgo.It("flags start from their defaults each time", func() {
+		t := ginkgo.GinkgoTB()
+		g := gomega.NewWithT(t)
+		file := write(t, goodSite)
+		g.Expect(run(nil, "check", "--kind", "settings", file).code).To(gomega.Equal(cli.ExitFailure))
+		g.Expect(run(nil, "check", file).code).To(gomega.Equal(cli.ExitOK))
+	})
+
+	ginkgo.It("run starts nothing with bad settings", func() {
+		t := ginkgo.GinkgoTB()
+		g := gomega.NewWithT(t)
+		file := write(t, "{\"node\": 1}")
+		got := run(nil, "run", "--settings", file)
+		g.Expect(got.code).To(gomega.Equal(cli.ExitFailure))
+		g.Expect(strings.Split(got.stderr, "\n")[0]).To(gomega.HavePrefix(file + ":1: node: must be a string"))
+		g.Expect(ranNodes).To(gomega.BeEmpty())
+	})
+
+	ginkgo.It("grouped commands", func() {
+		t := ginkgo.GinkgoTB()
+		g := gomega.NewWithT(t)
+		got := run(nil, "group", "word", "--word", "hello")
+		g.Expect(got).To(gomega.Equal(outcome{code: cli.ExitOK, stdout: "hello"}))
+		g.Expect(run(nil, "group").code).To(gomega.Equal(cli.ExitUsage))
+		g.Expect(func() { cli.Register(func() cli.Command { return cli.Command{Name: "check"} }) }).To(gomega.Panic())
+	})
+})
+
 const (
 	goodSettings = `{"node": "n", "zone": "z", "frontend": {"address": "127.0.0.1:1"}, "peer": {"address": "127.0.0.1:2"}, "log": {}, "vms": {}}`
 	goodSite     = `{"services": {"a": {"keyed": true, "concurrencyPerServer": 1, "connectionsPerServer": 1, "checksFencing": true}}}`
 )
 
+func TestSpecs(t *testing.T) { spectest.Run(t, "cli") }
+
+// checkCase is a file and what the check command makes of it.
+type checkCase struct {
+	text     string
+	args     []string
+	code     int
+	stdout   string
+	problems []string // fragments of each line on stderr
+}
+
 // outcome is what one run of the program left.
 type outcome struct {
 	code           int
@@ -37,88 +152,13 @@
 }
 
 // write puts a text into a file of a new directory.
-func write(t *testing.T, text string) string {
+func write(t testing.TB, text string) string {
 	t.Helper()
 	file := filepath.Join(t.TempDir(), "file.jsonc")
 	gomega.NewWithT(t).Expect(os.WriteFile(file, []byte(text), 0o600)).To(gomega.Succeed())
 	return file
 }
 
-func TestWrongArgumentsAreUsageErrors(t *testing.T) {
-	file := write(t, goodSite)
-	cases := [][]string{
-		{}, {"nonsense"}, {"check"}, {"check", file, "more"}, {"check", "--nonsense", "x", file},
-		{"check", "--kind", "poem", file}, {"run"}, {"run", "--settings"}, {"site"},
-		{"publish", file}, {"publish", "--base", "x", file}, {"publish", "--base", "0", file},
-		{"status", "--admin", "http://127.0.0.1:1"},
-		{"status", "--admin", "http://127.0.0.1:1", "--token", "a", "--token-file", "b"},
-	}
-	for _, args := range cases {
-		t.Run(strings.Join(args, " "), func(t *testing.T) {
-			g := gomega.NewWithT(t)
-			g.Expect(run(nil, args...).code).To(gomega.Equal(cli.ExitUsage))
-		})
-	}
-}
-
-func TestHelpAndVersionSucceed(t *testing.T) {
-	g := gomega.NewWithT(t)
-	g.Expect(run(nil, "--help").code).To(gomega.Equal(cli.ExitOK))
-	g.Expect(run(nil, "check", "--help").code).To(gomega.Equal(cli.ExitOK))
-	version := run(nil, "version")
-	g.Expect(version.code).To(gomega.Equal(cli.ExitOK))
-	g.Expect(version.stdout).To(gomega.HavePrefix("burdockspindle devel commit "))
-}
-
-func TestCheck(t *testing.T) {
-	cases := []struct {
-		name, text string
-		args       []string
-		code       int
-		stdout     string
-		problems   []string // fragments of each line on stderr
-	}{
-		{"settings", goodSettings, nil, cli.ExitOK, ": valid (settings)\n", nil},
-		{"site", goodSite, nil, cli.ExitOK, ": valid (site)\n", nil},
-		{"all that is wrong with a site", "{\"services\": {\n\"a\": {\"keyed\": 1, \"deadline\": 5,\n\"dependsOn\": [\"b\"]}}}", nil, cli.ExitFailure, "", []string{
-			":2: services.a.keyed: must be true or false", ":2: services.a.concurrencyPerServer: missing",
-			":2: services.a.connectionsPerServer: missing", ":2: services.a.checksFencing: missing",
-			":2: services.a.deadline: must be a duration", ":3: services.a.dependsOn[0]: no service is called b",
-		}},
-		{"a site that is to be settings", goodSite, []string{"--kind", "settings"}, cli.ExitFailure, "", []string{
-			":1: node: missing", ":1: zone: missing", ":1: frontend: missing", ":1: peer: missing",
-			":1: log: missing", ":1: vms: missing", ":1: services: unknown field",
-		}},
-		{"no JSON", "{\n", nil, cli.ExitFailure, "", []string{":1: not valid JSON with comments"}},
-	}
-	for _, c := range cases {
-		t.Run(c.name, func(t *testing.T) {
-			g := gomega.NewWithT(t)
-			file := write(t, c.text)
-			got := run(nil, append([]string{"check", file}, c.args...)...)
-			g.Expect(got.code).To(gomega.Equal(c.code), got.stderr)
-			g.Expect(strings.TrimPrefix(got.stdout, file)).To(gomega.Equal(c.stdout))
-			lines := strings.Split(strings.TrimSuffix(got.stderr, "\n"), "\n")
-			if len(c.problems) == 0 {
-				lines = nil
-			}
-			g.Expect(lines).To(gomega.HaveLen(len(c.problems)), got.stderr)
-			for i, problem := range c.problems {
-				g.Expect(lines[i]).To(gomega.HavePrefix(file + problem))
-			}
-		})
-	}
-	g := gomega.NewWithT(t)
-	g.Expect(run(nil, "check", filepath.Join(t.TempDir(), "none")).code).To(gomega.Equal(cli.ExitFailure))
-}
-
-func TestFlagsStartFromTheirDefaultsEachTime(t *testing.T) {
-	g := gomega.NewWithT(t)
-	file := write(t, goodSite)
-	g.Expect(run(nil, "check", "--kind", "settings", file).code).To(gomega.Equal(cli.ExitFailure))
-	g.Expect(run(nil, "check", file).code).To(gomega.Equal(cli.ExitOK))
-}
-
 // ranNodes receives the settings of each node that "run" was asked to run. The
 // node runs until its context ends.
 var ranNodes = make(chan *settings.Settings, 1)
@@ -142,6 +182,7 @@
 	})
 }
 
+// TestRunEndsWithASignal is no spec: Ginkgo takes a signal for its own.
 func TestRunEndsWithASignal(t *testing.T) {
 	g := gomega.NewWithT(t)
 	file := write(t, goodSettings)
@@ -155,20 +196,3 @@
 	g.Eventually(done, "10s").Should(gomega.Receive(&got))
 	g.Expect(got.code).To(gomega.Equal(cli.ExitOK))
 }
-
-func TestRunStartsNothingWithBadSettings(t *testing.T) {
-	g := gomega.NewWithT(t)
-	file := write(t, "{\"node\": 1}")
-	got := run(nil, "run", "--settings", file)
-	g.Expect(got.code).To(gomega.Equal(cli.ExitFailure))
-	g.Expect(strings.Split(got.stderr, "\n")[0]).To(gomega.HavePrefix(file + ":1: node: must be a string"))
-	g.Expect(ranNodes).To(gomega.BeEmpty())
-}
-
-func TestGroupedCommands(t *testing.T) {
-	g := gomega.NewWithT(t)
-	got := run(nil, "group", "word", "--word", "hello")
-	g.Expect(got).To(gomega.Equal(outcome{code: cli.ExitOK, stdout: "hello"}))
-	g.Expect(run(nil, "group").code).To(gomega.Equal(cli.ExitUsage))
-	g.Expect(func() { cli.Register(func() cli.Command { return cli.Command{Name: "check"} }) }).To(gomega.Panic())
-}
--- a/siteconfig/graph_test.go
+++ b/siteconfig/graph_test.go
@@ -5,6 +5,7 @@
 	"strconv"
 	"testing"
 
+	"github.com/onsi/ginkgo/v2"
 	"github.com/onsi/gomega"
 	"pgregory.net/rapid"
 
@@ -12,6 +13,23 @@
 	"github.com/burdockspindle/burdockspindle/topo"
 )
 
+var _ = ginkgo.Describe("dependency graph", func() {
+	ginkgo.It("graph of a chain with a branch", func() {
+		t := ginkgo.GinkgoTB()
+		g := gomega.NewWithT(t)
+		site := siteOf(map[topo.Service][]topo.Service{
+			"a": {"b", "d"}, "b": {"c"}, "c": nil, "d": {"c"}, "e": nil,
+		})
+		g.Expect(site.StartOrder()).To(gomega.Equal([]topo.Service{"c", "b", "d", "a", "e"}))
+		g.Expect(site.Dependencies("a")).To(gomega.Equal([]topo.Service{"b", "c", "d"}))
+		g.Expect(site.Dependants("c")).To(gomega.Equal([]topo.Service{"a", "b", "d"}))
+		g.Expect(site.Dependants("e")).To(gomega.BeEmpty())
+		g.Expect(site.Depth("a")).To(gomega.Equal(2))
+		g.Expect(site.Depth("c")).To(gomega.Equal(0))
+		g.Expect(site.ChainDepth()).To(gomega.Equal(2))
+	})
+})
+
 type fataler interface {
 	Fatalf(format string, args ...any)
 }
@@ -46,20 +64,6 @@
 	return site
 }
 
-func TestGraphOfAChainWithABranch(t *testing.T) {
-	g := gomega.NewWithT(t)
-	site := siteOf(map[topo.Service][]topo.Service{
-		"a": {"b", "d"}, "b": {"c"}, "c": nil, "d": {"c"}, "e": nil,
-	})
-	g.Expect(site.StartOrder()).To(gomega.Equal([]topo.Service{"c", "b", "d", "a", "e"}))
-	g.Expect(site.Dependencies("a")).To(gomega.Equal([]topo.Service{"b", "c", "d"}))
-	g.Expect(site.Dependants("c")).To(gomega.Equal([]topo.Service{"a", "b", "d"}))
-	g.Expect(site.Dependants("e")).To(gomega.BeEmpty())
-	g.Expect(site.Depth("a")).To(gomega.Equal(2))
-	g.Expect(site.Depth("c")).To(gomega.Equal(0))
-	g.Expect(site.ChainDepth()).To(gomega.Equal(2))
-}
-
 func TestAnyAcyclicGraphHasAnOrder(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		count := rapid.IntRange(1, 12).Draw(t, "services")
