Let merry carry the administration API's statuses

Cause: the house style asks for merry where an HTTP code belongs to an error; the API had a type of its own that joined a status and a body, and was no error. Change: handlers return errors: adminapi.Failure, which errors.As finds, wrapped with its status (merry.WithHTTPCode), read where the answer is written (merry.HTTPCode). No stack is captured: requests without the token come here, too. Conclusion: one type and two methods less; answers are the same.

--- a/modules/admin/answer.go
+++ b/modules/admin/answer.go
@@ -8,35 +8,42 @@
 	"strconv"
 	"time"
 
+	"github.com/ansel1/merry/v2"
+
 	"github.com/burdockspindle/burdockspindle/adminapi"
 )
 
-// failure is an answer that is not 2xx.
-type failure struct {
-	status int
-	body   adminapi.Failure
+// failed returns a failure as an error that carries its HTTP status.
+func failed(status int, body adminapi.Failure) error {
+	return merry.Wrap(&body, merry.WithHTTPCode(status), merry.NoCaptureStack())
 }
 
-func failed(status int, code adminapi.Code, message string) *failure {
-	return &failure{status: status, body: adminapi.Failure{Code: code, Message: message}}
+// unavailable returns a failure that says when to ask again.
+func unavailable(code adminapi.Code, message string, wait time.Duration) error {
+	return failed(http.StatusServiceUnavailable, adminapi.Failure{Code: code, Message: message, RetryAfterMs: wait.Milliseconds()})
 }
 
-// later adds when to ask again.
-func (f *failure) later(wait time.Duration) *failure {
-	f.body.RetryAfterMs = wait.Milliseconds()
-	return f
+// bodyOf returns what an error tells the operator.
+func bodyOf(err error) *adminapi.Failure {
+	var body *adminapi.Failure
+	if errors.As(err, &body) {
+		return body
+	}
+	return &adminapi.Failure{Code: adminapi.CodeInternal, Message: err.Error()}
 }
 
-func (f *failure) write(w http.ResponseWriter) {
-	if wait := f.body.RetryAfter(); wait > 0 {
+// writeError answers with the error's status and failure.
+func writeError(w http.ResponseWriter, err error) {
+	body := bodyOf(err)
+	if wait := body.RetryAfter(); wait > 0 {
 		seconds := (wait + time.Second - 1) / time.Second
 		w.Header().Set("Retry-After", strconv.FormatInt(int64(seconds), 10))
 	}
-	writeJSON(w, f.status, f.body)
+	writeJSON(w, merry.HTTPCode(err), body)
 }
 
 func fail(w http.ResponseWriter, status int, code adminapi.Code, message string) {
-	failed(status, code, message).write(w)
+	writeError(w, failed(status, adminapi.Failure{Code: code, Message: message}))
 }
 
 func writeJSON(w http.ResponseWriter, status int, body any) {
@@ -54,7 +61,7 @@
 }
 
 // readBody reads a request's body within the limit.
-func readBody(w http.ResponseWriter, r *http.Request) ([]byte, *failure) {
+func readBody(w http.ResponseWriter, r *http.Request) ([]byte, error) {
 	text, err := io.ReadAll(http.MaxBytesReader(w, r.Body, adminapi.MaxBodyBytes))
 	if err == nil {
 		return text, nil
@@ -62,17 +69,17 @@
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
 		message := "longer than " + strconv.Itoa(adminapi.MaxBodyBytes) + " bytes; nothing changed"
-		return nil, failed(http.StatusRequestEntityTooLarge, adminapi.CodeTooLarge, message)
+		return nil, failed(http.StatusRequestEntityTooLarge, adminapi.Failure{Code: adminapi.CodeTooLarge, Message: message})
 	}
-	return nil, failed(http.StatusBadRequest, adminapi.CodeMalformed, "body cannot be read; nothing changed")
+	return nil, failed(http.StatusBadRequest, adminapi.Failure{Code: adminapi.CodeMalformed, Message: "body cannot be read; nothing changed"})
 }
 
 // readJSON decodes a request's body and refuses unknown fields.
-func readJSON(w http.ResponseWriter, r *http.Request, into any) *failure {
+func readJSON(w http.ResponseWriter, r *http.Request, into any) error {
 	decoder := json.NewDecoder(http.MaxBytesReader(w, r.Body, adminapi.MaxBodyBytes))
 	decoder.DisallowUnknownFields()
 	if err := decoder.Decode(into); err != nil {
-		return failed(http.StatusBadRequest, adminapi.CodeMalformed, "body: "+err.Error()+"; nothing changed")
+		return failed(http.StatusBadRequest, adminapi.Failure{Code: adminapi.CodeMalformed, Message: "body: " + err.Error() + "; nothing changed"})
 	}
 	return nil
 }
--- a/modules/admin/lists.go
+++ b/modules/admin/lists.go
@@ -109,27 +109,27 @@
 		writeJSON(w, http.StatusOK, adminapi.Shards{Shards: []adminapi.Shard{describeShard(shard)}, Total: 1})
 		return
 	}
-	from, failure := readCount(query.Get(adminapi.QueryFrom), 0)
-	if failure != nil {
-		failure.write(w)
+	from, err := readCount(query.Get(adminapi.QueryFrom), 0)
+	if err != nil {
+		writeError(w, err)
 		return
 	}
-	most, failure := readCount(query.Get(adminapi.QueryMax), adminapi.MaxShardsListed)
-	if failure != nil {
-		failure.write(w)
+	most, err := readCount(query.Get(adminapi.QueryMax), adminapi.MaxShardsListed)
+	if err != nil {
+		writeError(w, err)
 		return
 	}
 	writeJSON(w, http.StatusOK, listShards(view, service, from, most))
 }
 
 // readCount reads a parameter that is a count; empty gives the default.
-func readCount(text string, byDefault int) (int, *failure) {
+func readCount(text string, byDefault int) (int, error) {
 	if text == "" {
 		return byDefault, nil
 	}
 	count, err := strconv.Atoi(text)
 	if err != nil || count < 0 {
-		return 0, failed(http.StatusBadRequest, adminapi.CodeMalformed, "not a count: "+strconv.Quote(text))
+		return 0, failed(http.StatusBadRequest, adminapi.Failure{Code: adminapi.CodeMalformed, Message: "not a count: " + strconv.Quote(text)})
 	}
 	return count, nil
 }
--- a/modules/admin/loss.go
+++ b/modules/admin/loss.go
@@ -21,26 +21,26 @@
 // need not be waited for.
 func (a *api) postLoss(w http.ResponseWriter, r *http.Request) {
 	var loss adminapi.Loss
-	if failure := readJSON(w, r, &loss); failure != nil {
-		failure.write(w)
+	if err := readJSON(w, r, &loss); err != nil {
+		writeError(w, err)
 		return
 	}
 	if problems := checkLoss(a.source.View(), loss); len(problems) > 0 {
-		invalid("the loss is not recorded", problems).write(w)
+		writeError(w, invalid("the loss is not recorded", problems))
 		return
 	}
-	fate, failure := a.submit(r, &bspb.Record{Body: &bspb.Record_ConfirmLoss{ConfirmLoss: &bspb.ConfirmLoss{
+	fate, err := a.submit(r, &bspb.Record{Body: &bspb.Record_ConfirmLoss{ConfirmLoss: &bspb.ConfirmLoss{
 		Servers: texts(loss.Servers),
 		Nodes:   texts(loss.Nodes),
 		Source:  "operator " + operator(r),
 	}}})
-	if failure == nil && !fate.Accepted {
-		failure = failed(http.StatusConflict, adminapi.CodeRejected, fate.Conflict+"; nothing changed")
+	if err == nil && !fate.Accepted {
+		err = failed(http.StatusConflict, adminapi.Failure{Code: adminapi.CodeRejected, Message: fate.Conflict + "; nothing changed"})
 	}
 	fields := []any{"servers", loss.Servers, "nodes", loss.Nodes, "operator", operator(r), "remote", r.RemoteAddr}
-	if failure != nil {
-		eventLossRefused.Log(a.logger, append(fields, "code", string(failure.body.Code))...)
-		failure.write(w)
+	if err != nil {
+		eventLossRefused.Log(a.logger, append(fields, "code", string(bodyOf(err).Code))...)
+		writeError(w, err)
 		return
 	}
 	metricLosses.Add(1)
--- a/modules/admin/moves.go
+++ b/modules/admin/moves.go
@@ -32,15 +32,15 @@
 // may change an owned shard.
 func (a *api) postMoves(w http.ResponseWriter, r *http.Request) {
 	var wanted adminapi.Moves
-	if failure := readJSON(w, r, &wanted); failure != nil {
-		failure.write(w)
+	if err := readJSON(w, r, &wanted); err != nil {
+		writeError(w, err)
 		return
 	}
 	view := a.source.View()
 	planned, problems := planMoves(view, wanted.Moves)
 	if len(problems) > 0 {
 		eventMovesRefused.Log(a.logger, "problems", len(problems), "operator", operator(r), "remote", r.RemoteAddr)
-		invalid("no move is asked for", problems).write(w)
+		writeError(w, invalid("no move is asked for", problems))
 		return
 	}
 	if wanted.Reason == "" {
@@ -48,12 +48,13 @@
 	}
 	accepted := 0
 	for _, id := range sortedKeys(planned) {
-		count, failure := a.askLessor(r.Context(), view, id, planned[id], wanted.Reason)
+		count, err := a.askLessor(r.Context(), view, id, planned[id], wanted.Reason)
 		accepted += count
-		if failure != nil {
-			failure.body.Message += "; accepted before: " + strconv.Itoa(accepted)
-			eventMovesRefused.Log(a.logger, "group", id, "code", string(failure.body.Code), "operator", operator(r), "remote", r.RemoteAddr)
-			failure.write(w)
+		if err != nil {
+			body := bodyOf(err)
+			body.Message += "; accepted before: " + strconv.Itoa(accepted)
+			eventMovesRefused.Log(a.logger, "group", id, "code", string(body.Code), "operator", operator(r), "remote", r.RemoteAddr)
+			writeError(w, err)
 			return
 		}
 	}
@@ -134,7 +135,7 @@
 }
 
 // askLessor asks a group's lessor, which may be this node, for moves.
-func (a *api) askLessor(ctx context.Context, view *state.View, id topo.GroupID, moves []*bspb.ShardMove, reason string) (int, *failure) {
+func (a *api) askLessor(ctx context.Context, view *state.View, id topo.GroupID, moves []*bspb.ShardMove, reason string) (int, error) {
 	group, exists := view.Group(id)
 	if !exists {
 		return 0, noLessor(id, "it has no lessor")
@@ -151,12 +152,12 @@
 		return 0, noLessor(id, err.Error())
 	}
 	message := "group " + string(id) + ": no answer from its lessor, the moves may come: " + err.Error()
-	return 0, failed(http.StatusServiceUnavailable, adminapi.CodeMoveUnknown, message).later(moveRetryAfter)
+	return 0, unavailable(adminapi.CodeMoveUnknown, message, moveRetryAfter)
 }
 
-func noLessor(id topo.GroupID, why string) *failure {
+func noLessor(id topo.GroupID, why string) error {
 	message := "group " + string(id) + ": its lessor was not asked: " + why
-	return failed(http.StatusServiceUnavailable, adminapi.CodeNoLessor, message).later(moveRetryAfter)
+	return unavailable(adminapi.CodeNoLessor, message, moveRetryAfter)
 }
 
 func (a *api) callMove(ctx context.Context, lessor topo.NodeID, request *bspb.MoveRequest) (*bspb.MoveResponse, error) {
--- a/modules/admin/site.go
+++ b/modules/admin/site.go
@@ -35,15 +35,15 @@
 }
 
 func (a *api) postSite(w http.ResponseWriter, r *http.Request) {
-	wanted, failure := readPublication(w, r)
-	if failure != nil {
-		failure.write(w)
+	wanted, err := readPublication(w, r)
+	if err != nil {
+		writeError(w, err)
 		return
 	}
-	published, failure := a.publish(r, wanted)
-	if failure != nil {
-		a.logPublishFailure(r, wanted, failure)
-		failure.write(w)
+	published, err := a.publish(r, wanted)
+	if err != nil {
+		a.logPublishFailure(r, wanted, bodyOf(err).Code)
+		writeError(w, err)
 		return
 	}
 	metricPublished.Add(1)
@@ -52,33 +52,33 @@
 	writeJSON(w, http.StatusOK, published)
 }
 
-func (a *api) logPublishFailure(r *http.Request, wanted publication, f *failure) {
+func (a *api) logPublishFailure(r *http.Request, wanted publication, code adminapi.Code) {
 	event := eventPublishRefused
-	if f.body.Code == adminapi.CodeFateUnknown {
+	if code == adminapi.CodeFateUnknown {
 		event = eventPublishUnknown
 	}
-	event.Log(a.logger, "base", wanted.base, "code", string(f.body.Code),
+	event.Log(a.logger, "base", wanted.base, "code", string(code),
 		"operator", operator(r), "remote", r.RemoteAddr)
 }
 
-func readPublication(w http.ResponseWriter, r *http.Request) (publication, *failure) {
+func readPublication(w http.ResponseWriter, r *http.Request) (publication, error) {
 	query := r.URL.Query()
 	base, err := strconv.ParseUint(query.Get(adminapi.QueryBase), 10, 64)
 	if err != nil {
 		message := "the parameter base must be the version that the text replaces, 0 for the first"
-		return publication{}, failed(http.StatusBadRequest, adminapi.CodeMalformed, message)
+		return publication{}, failed(http.StatusBadRequest, adminapi.Failure{Code: adminapi.CodeMalformed, Message: message})
 	}
-	text, failure := readBody(w, r)
-	return publication{base: base, retry: query.Get(adminapi.QueryRetry) == "1", text: text}, failure
+	text, err := readBody(w, r)
+	return publication{base: base, retry: query.Get(adminapi.QueryRetry) == "1", text: text}, err
 }
 
 // publish validates the text against the base version and appends it. The log's
 // order settles competing publishers: the record of the second finds that its
 // base is no longer in force, and changes nothing.
-func (a *api) publish(r *http.Request, wanted publication) (adminapi.Published, *failure) {
-	view, failure := a.viewAtBase(r.Context(), wanted)
-	if failure != nil {
-		return adminapi.Published{}, failure
+func (a *api) publish(r *http.Request, wanted publication) (adminapi.Published, error) {
+	view, err := a.viewAtBase(r.Context(), wanted)
+	if err != nil {
+		return adminapi.Published{}, err
 	}
 	if view.SiteVersion() != wanted.base {
 		return a.judgeLate(view, wanted)
@@ -88,13 +88,13 @@
 		metricInvalid.Add(1)
 		return adminapi.Published{}, invalid("the site configuration is not valid; nothing changed", problems)
 	}
-	fate, failure := a.submit(r, &bspb.Record{Body: &bspb.Record_PublishSite{PublishSite: &bspb.PublishSite{
+	fate, err := a.submit(r, &bspb.Record{Body: &bspb.Record_PublishSite{PublishSite: &bspb.PublishSite{
 		Base:     wanted.base,
 		Text:     wanted.text,
 		Compiled: siteconfig.ToProto(site),
 	}}})
-	if failure != nil {
-		return adminapi.Published{}, failure
+	if err != nil {
+		return adminapi.Published{}, err
 	}
 	view = a.source.View()
 	a.versions.note(view)
@@ -104,12 +104,12 @@
 	if view.SiteVersion() != wanted.base {
 		return a.judgeLate(view, wanted)
 	}
-	return adminapi.Published{}, failed(http.StatusConflict, adminapi.CodeRejected, fate.Conflict+"; nothing changed")
+	return adminapi.Published{}, failed(http.StatusConflict, adminapi.Failure{Code: adminapi.CodeRejected, Message: fate.Conflict + "; nothing changed"})
 }
 
 // viewAtBase returns a view in which the base version is, or was, in force. A
 // node that lags waits a little for it.
-func (a *api) viewAtBase(ctx context.Context, wanted publication) (*state.View, *failure) {
+func (a *api) viewAtBase(ctx context.Context, wanted publication) (*state.View, error) {
 	timer := time.NewTimer(baseWait)
 	defer timer.Stop()
 	for {
@@ -128,18 +128,16 @@
 	}
 }
 
-func baseAhead(view *state.View, wanted publication) *failure {
+func baseAhead(view *state.View, wanted publication) error {
 	inForce := strconv.FormatUint(view.SiteVersion(), 10)
 	message := "this node knows version " + inForce + " only, so it can't replace version " +
 		strconv.FormatUint(wanted.base, 10) + "; nothing changed"
-	f := failed(http.StatusConflict, adminapi.CodeConflict, message)
-	f.body.Conflict = &adminapi.Conflict{Base: wanted.base, InForce: view.SiteVersion(), Known: true}
-	return f
+	return conflict(message, adminapi.Conflict{Base: wanted.base, InForce: view.SiteVersion(), Known: true})
 }
 
 // judgeLate answers a publication whose base is no longer in force. A retry
 // whose text became the version after its base was accepted before.
-func (a *api) judgeLate(view *state.View, wanted publication) (adminapi.Published, *failure) {
+func (a *api) judgeLate(view *state.View, wanted publication) (adminapi.Published, error) {
 	a.versions.note(view)
 	same, known := a.versions.compare(wanted.base+1, wanted.text)
 	if wanted.retry && same {
@@ -152,17 +150,17 @@
 		message = "others published since, and this node did not see version " + strconv.FormatUint(wanted.base+1, 10) +
 			": it can't tell whether your text was that version; read the text in force"
 	}
-	f := failed(http.StatusConflict, adminapi.CodeConflict, message)
-	f.body.Conflict = &adminapi.Conflict{
+	return adminapi.Published{}, conflict(message, adminapi.Conflict{
 		Base:    wanted.base,
 		InForce: view.SiteVersion(),
 		Known:   known || !wanted.retry,
-	}
-	return adminapi.Published{}, f
+	})
+}
+
+func conflict(message string, first adminapi.Conflict) error {
+	return failed(http.StatusConflict, adminapi.Failure{Code: adminapi.CodeConflict, Message: message, Conflict: &first})
 }
 
-func invalid(message string, problems []jsonc.Problem) *failure {
-	f := failed(http.StatusUnprocessableEntity, adminapi.CodeInvalid, message)
-	f.body.Problems = problems
-	return f
+func invalid(message string, problems []jsonc.Problem) error {
+	return failed(http.StatusUnprocessableEntity, adminapi.Failure{Code: adminapi.CodeInvalid, Message: message, Problems: problems})
 }
--- a/modules/admin/submit.go
+++ b/modules/admin/submit.go
@@ -22,7 +22,7 @@
 // submit appends a record and learns its fate, also when the operator's
 // connection is lost meanwhile. A failure tells whether the record may yet take
 // effect.
-func (a *api) submit(r *http.Request, record *bspb.Record) (follower.Fate, *failure) {
+func (a *api) submit(r *http.Request, record *bspb.Record) (follower.Fate, error) {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(r.Context()), submitTimeout)
 	defer cancel()
 	fate, err := a.appender.Submit(ctx, record)
@@ -33,9 +33,9 @@
 	if errors.As(err, &notAppended) {
 		metricNotAppended.Add(1)
 		message := "the log cannot be reached: nothing changed and nothing will; ask again"
-		return fate, failed(http.StatusServiceUnavailable, adminapi.CodeNotAppended, message).later(logRetryAfter)
+		return fate, unavailable(adminapi.CodeNotAppended, message, logRetryAfter)
 	}
 	metricUnknown.Add(1)
 	message := "the log gave no answer: the change may yet take effect; ask again as a retry"
-	return fate, failed(http.StatusServiceUnavailable, adminapi.CodeFateUnknown, message).later(logRetryAfter)
+	return fate, unavailable(adminapi.CodeFateUnknown, message, logRetryAfter)
 }
