Make the other tests of the log's and VM list's drivers Ginkgo specs

Cause: the house style asks for Ginkgo. Change: tests of loghttp's client, vmshttp, vmsmem and logmem are specs; their tables DescribeTables. Under plain testing stay loghttp's fuzz targets and its follower in faked time. All pass before and after.

--- a/modules/loghttp/client_test.go
+++ b/modules/loghttp/client_test.go
@@ -10,6 +10,7 @@
 	"testing"
 	"time"
 
+	"github.com/onsi/ginkgo/v2"
 	"github.com/onsi/gomega"
 
 	"github.com/burdockspindle/burdockspindle/modules/loghttp"
@@ -20,6 +21,65 @@
 	"github.com/burdockspindle/burdockspindle/topo"
 )
 
+var _ = ginkgo.Describe("client of the log service", func() {
+	// Only the service's own word proves that nothing was appended.
+	ginkgo.DescribeTable("answers to an append",
+		func(status int, body string, proven bool) {
+			t := ginkgo.GinkgoTB()
+			g := gomega.NewWithT(t)
+			client, _ := connect(t, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				w.WriteHeader(status)
+				_, _ = w.Write([]byte(body))
+			}))
+			_, err := client.Append(t.Context(), []byte("x"))
+			var unavailable *platlog.UnavailableError
+			var uncertain *platlog.UncertainError
+			g.Expect(errors.As(err, &unavailable)).To(gomega.Equal(proven), err.Error())
+			g.Expect(errors.As(err, &uncertain)).To(gomega.Equal(!proven), err.Error())
+		},
+		ginkgo.Entry("refused by the service", 503, `{"code":"unavailable","appended":false}`, true),
+		ginkgo.Entry("rate limit", 429, `{"code":"rate_limited","appended":false}`, true),
+		ginkgo.Entry("refused without saying", 503, `{"code":"unavailable"}`, false),
+		ginkgo.Entry("says that it appended", 500, `{"code":"unavailable","appended":true}`, false),
+		ginkgo.Entry("from something between", 502, `<html>bad gateway</html>`, false),
+		ginkgo.Entry("redirect", 307, ``, false),
+		ginkgo.Entry("offset missing", 200, `{}`, false),
+		ginkgo.Entry("not JSON", 200, `ok`, false),
+	)
+
+	ginkgo.It("nothing listening is proven not appended", func() {
+		t := ginkgo.GinkgoTB()
+		g := gomega.NewWithT(t)
+		client, server := connect(t, http.NotFoundHandler())
+		server.Close()
+		_, err := client.Append(t.Context(), []byte("x"))
+		var unavailable *platlog.UnavailableError
+		g.Expect(errors.As(err, &unavailable)).To(gomega.BeTrue(), err.Error())
+	})
+
+	ginkgo.DescribeTable("read answers that break the protocol",
+		func(body string) {
+			t := ginkgo.GinkgoTB()
+			g := gomega.NewWithT(t)
+			client, _ := connect(t, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				_, _ = w.Write([]byte(body))
+			}))
+			_, err := client.Read(t.Context(), platlog.ReadRequest{From: 1})
+			var unavailable *platlog.UnavailableError
+			g.Expect(errors.As(err, &unavailable)).To(gomega.BeTrue())
+			var protocol *loghttp.ProtocolError
+			g.Expect(errors.As(err, &protocol)).To(gomega.BeTrue(), err.Error())
+		},
+		func(body string) string { return body },
+		ginkgo.Entry(nil, `not JSON`),
+		ginkgo.Entry(nil, `{}`),
+		ginkgo.Entry(nil, `{"first":1,"end":0,"records":[]}`),
+		ginkgo.Entry(nil, `{"first":1,"end":9,"records":[{"offset":1},{"offset":3}]}`),
+		ginkgo.Entry(nil, `{"first":1,"end":1,"records":[{"offset":1}]}`),
+		ginkgo.Entry(nil, `{"first":1,"end":2,"records":[{"offset":1,"data":"?"}]}`),
+	)
+})
+
 func connect(t testing.TB, handler http.Handler) (*loghttp.Client, *httptest.Server) {
 	t.Helper()
 	server := httptest.NewServer(handler)
@@ -76,68 +136,3 @@
 		},
 	}
 }, logtest.Down, logtest.Cut, logtest.Silent, logtest.AnswerLost, logtest.RequestLost, logtest.ReadAgain)
-
-// Only the service's own word proves that nothing was appended.
-func TestAppendAnswers(t *testing.T) {
-	cases := []struct {
-		name        string
-		status      int
-		body        string
-		unavailable bool
-	}{
-		{"refused by the service", 503, `{"code":"unavailable","appended":false}`, true},
-		{"rate limit", 429, `{"code":"rate_limited","appended":false}`, true},
-		{"refused without saying", 503, `{"code":"unavailable"}`, false},
-		{"says that it appended", 500, `{"code":"unavailable","appended":true}`, false},
-		{"from something between", 502, `<html>bad gateway</html>`, false},
-		{"redirect", 307, ``, false},
-		{"offset missing", 200, `{}`, false},
-		{"not JSON", 200, `ok`, false},
-	}
-	for _, c := range cases {
-		t.Run(c.name, func(t *testing.T) {
-			g := gomega.NewWithT(t)
-			client, _ := connect(t, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-				w.WriteHeader(c.status)
-				_, _ = w.Write([]byte(c.body))
-			}))
-			_, err := client.Append(t.Context(), []byte("x"))
-			var unavailable *platlog.UnavailableError
-			var uncertain *platlog.UncertainError
-			g.Expect(errors.As(err, &unavailable)).To(gomega.Equal(c.unavailable), err.Error())
-			g.Expect(errors.As(err, &uncertain)).To(gomega.Equal(!c.unavailable), err.Error())
-		})
-	}
-}
-
-func TestNothingListeningIsProvenNotAppended(t *testing.T) {
-	g := gomega.NewWithT(t)
-	client, server := connect(t, http.NotFoundHandler())
-	server.Close()
-	_, err := client.Append(t.Context(), []byte("x"))
-	var unavailable *platlog.UnavailableError
-	g.Expect(errors.As(err, &unavailable)).To(gomega.BeTrue(), err.Error())
-}
-
-func TestReadAnswersThatBreakTheProtocol(t *testing.T) {
-	for _, body := range []string{
-		`not JSON`,
-		`{}`,
-		`{"first":1,"end":0,"records":[]}`,
-		`{"first":1,"end":9,"records":[{"offset":1},{"offset":3}]}`,
-		`{"first":1,"end":1,"records":[{"offset":1}]}`,
-		`{"first":1,"end":2,"records":[{"offset":1,"data":"?"}]}`,
-	} {
-		t.Run(body, func(t *testing.T) {
-			g := gomega.NewWithT(t)
-			client, _ := connect(t, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-				_, _ = w.Write([]byte(body))
-			}))
-			_, err := client.Read(t.Context(), platlog.ReadRequest{From: 1})
-			var unavailable *platlog.UnavailableError
-			g.Expect(errors.As(err, &unavailable)).To(gomega.BeTrue())
-			var protocol *loghttp.ProtocolError
-			g.Expect(errors.As(err, &protocol)).To(gomega.BeTrue(), err.Error())
-		})
-	}
-}
--- a/modules/logmem/module_test.go
+++ b/modules/logmem/module_test.go
@@ -4,6 +4,7 @@
 	"errors"
 	"testing"
 
+	"github.com/onsi/ginkgo/v2"
 	"github.com/onsi/gomega"
 
 	"github.com/burdockspindle/burdockspindle/kernel"
@@ -15,6 +16,23 @@
 	"github.com/burdockspindle/burdockspindle/spectest"
 )
 
+var _ = ginkgo.Describe("log.memory module", func() {
+	ginkgo.It("one log by name", func() {
+		t := ginkgo.GinkgoTB()
+		g := gomega.NewWithT(t)
+		first, err := provision(t, nil)
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		second, err := provision(t, map[string]any{"name": "default"})
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		g.Expect(first).To(gomega.BeIdenticalTo(second))
+		for _, options := range []map[string]any{{"name": 1}, {"name": ""}, {"nam": "x"}} {
+			_, err := provision(t, options)
+			var option *logmem.OptionError
+			g.Expect(errors.As(err, &option)).To(gomega.BeTrue())
+		}
+	})
+})
+
 // provision returns the log that the module provides under some options.
 func provision(t testing.TB, options map[string]any) (platlog.Log, error) {
 	t.Helper()
@@ -43,17 +61,3 @@
 	}
 	return logtest.Target{Log: log, Truncate: log.(*memlog.Store).Truncate}
 })
-
-func TestOneLogByName(t *testing.T) {
-	g := gomega.NewWithT(t)
-	first, err := provision(t, nil)
-	g.Expect(err).NotTo(gomega.HaveOccurred())
-	second, err := provision(t, map[string]any{"name": "default"})
-	g.Expect(err).NotTo(gomega.HaveOccurred())
-	g.Expect(first).To(gomega.BeIdenticalTo(second))
-	for _, options := range []map[string]any{{"name": 1}, {"name": ""}, {"nam": "x"}} {
-		_, err := provision(t, options)
-		var option *logmem.OptionError
-		g.Expect(errors.As(err, &option)).To(gomega.BeTrue())
-	}
-}
--- a/modules/vmshttp/vmshttp_test.go
+++ b/modules/vmshttp/vmshttp_test.go
@@ -10,6 +10,7 @@
 	"testing"
 
 	"github.com/hashicorp/go-hclog"
+	"github.com/onsi/ginkgo/v2"
 	"github.com/onsi/gomega"
 
 	"github.com/burdockspindle/burdockspindle/kernel"
@@ -20,6 +21,107 @@
 	"github.com/burdockspindle/burdockspindle/vmlist/vmlisttest"
 )
 
+var _ = ginkgo.Describe("vms.http", func() {
+	ginkgo.It("an unchanged list is not sent again", func() {
+		t := ginkgo.GinkgoTB()
+		g := gomega.NewWithT(t)
+		p := vms.New()
+		var bytes atomic.Int64
+		counted := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			vms.Handler(p).ServeHTTP(&countingWriter{w, &bytes}, r)
+		})
+		server := httptest.NewServer(counted)
+		t.Cleanup(server.Close)
+		m := opened(t, server.URL+vms.PathVMs)
+		p.Put(vmlist.VM{ID: "a", Role: vmlist.RoleEntry, Zone: "z", Phase: vmlist.PhaseLive})
+		for range 10 {
+			list, err := m.VMs(context.Background())
+			g.Expect(err).NotTo(gomega.HaveOccurred())
+			g.Expect(list).To(gomega.HaveLen(1))
+		}
+		once := bytes.Load()
+		g.Expect(once).To(gomega.BeNumerically("<", 100), "one list of one row")
+		p.SetPhase("a", vmlist.PhaseLeaving)
+		_, err := m.VMs(context.Background())
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		g.Expect(bytes.Load()).To(gomega.BeNumerically(">", once))
+	})
+
+	ginkgo.DescribeTable("answers that are no list",
+		func(status int, body string, isMalformed bool) {
+			t := ginkgo.GinkgoTB()
+			g := gomega.NewWithT(t)
+			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				w.WriteHeader(status)
+				if status != http.StatusNotModified {
+					_, _ = w.Write([]byte(body))
+				}
+			}))
+			t.Cleanup(server.Close)
+			_, err := opened(t, server.URL).VMs(context.Background())
+			var malformed *vmlist.MalformedError
+			var away *vmlist.UnavailableError
+			g.Expect(errors.As(err, &malformed)).To(gomega.Equal(isMalformed), "%v", err)
+			g.Expect(errors.As(err, &away)).To(gomega.Equal(!isMalformed), "%v", err)
+		},
+		ginkgo.Entry("other status", http.StatusTeapot, `{"vms":[]}`, false),
+		ginkgo.Entry("no JSON", http.StatusOK, `<html>`, true),
+		ginkgo.Entry("half a list", http.StatusOK, `{"vms":[{"id":"a"`, true),
+		ginkgo.Entry("another document", http.StatusOK, `{"servers":[]}`, true),
+		ginkgo.Entry("unchanged without a first", http.StatusNotModified, ``, false),
+	)
+
+	// lets the first connection die without
+	// a word after one answer.
+	ginkgo.It("a connection that fell silent is replaced", func() {
+		t := ginkgo.GinkgoTB()
+		g := gomega.NewWithT(t)
+		p := vms.New()
+		var connections atomic.Int64
+		silent := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if r.Context().Value(firstKey{}) == true && connections.Load() == 1 && r.Header.Get("If-None-Match") != "" {
+				<-r.Context().Done()
+				return
+			}
+			vms.Handler(p).ServeHTTP(w, r)
+		})
+		server := httptest.NewUnstartedServer(silent)
+		server.Config.ConnContext = func(ctx context.Context, _ net.Conn) context.Context {
+			return context.WithValue(ctx, firstKey{}, connections.Add(1) == 1)
+		}
+		server.Start()
+		t.Cleanup(server.Close)
+		m := opened(t, server.URL+vms.PathVMs)
+		_, err := m.VMs(context.Background())
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		ctx, cancel := context.WithTimeout(context.Background(), 1e8)
+		defer cancel()
+		_, err = m.VMs(ctx)
+		g.Expect(err).To(gomega.HaveOccurred())
+		_, err = m.VMs(context.Background())
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		g.Expect(connections.Load()).To(gomega.BeEquivalentTo(2))
+	})
+
+	ginkgo.It("options are checked", func() {
+		t := ginkgo.GinkgoTB()
+		g := gomega.NewWithT(t)
+		for _, options := range []map[string]any{
+			{},
+			{"url": "127.0.0.1:1"},
+			{"url": "ftp://127.0.0.1"},
+			{"url": 5.0},
+			{"url": "http://127.0.0.1:1/", "timeoutMs": "1"},
+			{"url": "http://127.0.0.1:1/", "timeoutMs": 0.0},
+			{"url": "http://127.0.0.1:1/", "timeout": 1.0},
+		} {
+			_, err := provision(options)
+			var wrong *OptionError
+			g.Expect(errors.As(err, &wrong)).To(gomega.BeTrue(), "%v", options)
+		}
+	})
+})
+
 func provision(options map[string]any) (*Module, error) {
 	ctx := kernel.NewContext(kernel.Identity{}, hclog.NewNullLogger())
 	if err := kernel.Provide(ctx, &settings.Settings{VMs: settings.Driver{Options: options}}); err != nil {
@@ -44,30 +146,6 @@
 	return opened(t, server.URL+vms.PathVMs)
 })
 
-func TestAnUnchangedListIsNotSentAgain(t *testing.T) {
-	g := gomega.NewWithT(t)
-	p := vms.New()
-	var bytes atomic.Int64
-	counted := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		vms.Handler(p).ServeHTTP(&countingWriter{w, &bytes}, r)
-	})
-	server := httptest.NewServer(counted)
-	t.Cleanup(server.Close)
-	m := opened(t, server.URL+vms.PathVMs)
-	p.Put(vmlist.VM{ID: "a", Role: vmlist.RoleEntry, Zone: "z", Phase: vmlist.PhaseLive})
-	for range 10 {
-		list, err := m.VMs(context.Background())
-		g.Expect(err).NotTo(gomega.HaveOccurred())
-		g.Expect(list).To(gomega.HaveLen(1))
-	}
-	once := bytes.Load()
-	g.Expect(once).To(gomega.BeNumerically("<", 100), "one list of one row")
-	p.SetPhase("a", vmlist.PhaseLeaving)
-	_, err := m.VMs(context.Background())
-	g.Expect(err).NotTo(gomega.HaveOccurred())
-	g.Expect(bytes.Load()).To(gomega.BeNumerically(">", once))
-}
-
 type countingWriter struct {
 	http.ResponseWriter
 	bytes *atomic.Int64
@@ -78,83 +156,4 @@
 	return w.ResponseWriter.Write(p)
 }
 
-func TestAnswersThatAreNoList(t *testing.T) {
-	cases := map[string]struct {
-		status    int
-		body      string
-		malformed bool
-	}{
-		"other status":              {http.StatusTeapot, `{"vms":[]}`, false},
-		"no JSON":                   {http.StatusOK, `<html>`, true},
-		"half a list":               {http.StatusOK, `{"vms":[{"id":"a"`, true},
-		"another document":          {http.StatusOK, `{"servers":[]}`, true},
-		"unchanged without a first": {http.StatusNotModified, ``, false},
-	}
-	for name, c := range cases {
-		t.Run(name, func(t *testing.T) {
-			g := gomega.NewWithT(t)
-			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-				w.WriteHeader(c.status)
-				if c.status != http.StatusNotModified {
-					_, _ = w.Write([]byte(c.body))
-				}
-			}))
-			t.Cleanup(server.Close)
-			_, err := opened(t, server.URL).VMs(context.Background())
-			var malformed *vmlist.MalformedError
-			var away *vmlist.UnavailableError
-			g.Expect(errors.As(err, &malformed)).To(gomega.Equal(c.malformed), "%v", err)
-			g.Expect(errors.As(err, &away)).To(gomega.Equal(!c.malformed), "%v", err)
-		})
-	}
-}
-
-// TestAConnectionThatFellSilentIsReplaced lets the first connection die without
-// a word after one answer.
-func TestAConnectionThatFellSilentIsReplaced(t *testing.T) {
-	g := gomega.NewWithT(t)
-	p := vms.New()
-	var connections atomic.Int64
-	silent := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if r.Context().Value(firstKey{}) == true && connections.Load() == 1 && r.Header.Get("If-None-Match") != "" {
-			<-r.Context().Done()
-			return
-		}
-		vms.Handler(p).ServeHTTP(w, r)
-	})
-	server := httptest.NewUnstartedServer(silent)
-	server.Config.ConnContext = func(ctx context.Context, _ net.Conn) context.Context {
-		return context.WithValue(ctx, firstKey{}, connections.Add(1) == 1)
-	}
-	server.Start()
-	t.Cleanup(server.Close)
-	m := opened(t, server.URL+vms.PathVMs)
-	_, err := m.VMs(context.Background())
-	g.Expect(err).NotTo(gomega.HaveOccurred())
-	ctx, cancel := context.WithTimeout(context.Background(), 1e8)
-	defer cancel()
-	_, err = m.VMs(ctx)
-	g.Expect(err).To(gomega.HaveOccurred())
-	_, err = m.VMs(context.Background())
-	g.Expect(err).NotTo(gomega.HaveOccurred())
-	g.Expect(connections.Load()).To(gomega.BeEquivalentTo(2))
-}
-
 type firstKey struct{}
-
-func TestOptionsAreChecked(t *testing.T) {
-	g := gomega.NewWithT(t)
-	for _, options := range []map[string]any{
-		{},
-		{"url": "127.0.0.1:1"},
-		{"url": "ftp://127.0.0.1"},
-		{"url": 5.0},
-		{"url": "http://127.0.0.1:1/", "timeoutMs": "1"},
-		{"url": "http://127.0.0.1:1/", "timeoutMs": 0.0},
-		{"url": "http://127.0.0.1:1/", "timeout": 1.0},
-	} {
-		_, err := provision(options)
-		var wrong *OptionError
-		g.Expect(errors.As(err, &wrong)).To(gomega.BeTrue(), "%v", options)
-	}
-}
--- a/modules/vmsmem/vmsmem_test.go
+++ b/modules/vmsmem/vmsmem_test.go
@@ -5,6 +5,7 @@
 	"testing"
 
 	"github.com/hashicorp/go-hclog"
+	"github.com/onsi/ginkgo/v2"
 	"github.com/onsi/gomega"
 
 	"github.com/burdockspindle/burdockspindle/kernel"
@@ -15,6 +16,27 @@
 	"github.com/burdockspindle/burdockspindle/vmlist/vmlisttest"
 )
 
+var _ = ginkgo.Describe("vms.memory", func() {
+	ginkgo.It("a list is shared by name", func() {
+		t := ginkgo.GinkgoTB()
+		g := gomega.NewWithT(t)
+		g.Expect(Named("one")).To(gomega.BeIdenticalTo(Named("one")))
+		g.Expect(Named("one")).NotTo(gomega.BeIdenticalTo(Named("two")))
+		Forget("one")
+		Forget("two")
+	})
+
+	ginkgo.It("options are checked", func() {
+		t := ginkgo.GinkgoTB()
+		g := gomega.NewWithT(t)
+		for _, options := range []map[string]any{{"name": 1.0}, {"title": "x"}} {
+			_, err := provision(options)
+			var wrong *OptionError
+			g.Expect(errors.As(err, &wrong)).To(gomega.BeTrue(), "%v", options)
+		}
+	})
+})
+
 func provision(options map[string]any) (vmlist.List, error) {
 	ctx := kernel.NewContext(kernel.Identity{}, hclog.NewNullLogger())
 	if err := kernel.Provide(ctx, &settings.Settings{VMs: settings.Driver{Options: options}}); err != nil {
@@ -38,20 +60,3 @@
 	gomega.NewWithT(t).Expect(err).NotTo(gomega.HaveOccurred())
 	return list
 })
-
-func TestAListIsSharedByName(t *testing.T) {
-	g := gomega.NewWithT(t)
-	g.Expect(Named("one")).To(gomega.BeIdenticalTo(Named("one")))
-	g.Expect(Named("one")).NotTo(gomega.BeIdenticalTo(Named("two")))
-	Forget("one")
-	Forget("two")
-}
-
-func TestOptionsAreChecked(t *testing.T) {
-	g := gomega.NewWithT(t)
-	for _, options := range []map[string]any{{"name": 1.0}, {"title": "x"}} {
-		_, err := provision(options)
-		var wrong *OptionError
-		g.Expect(errors.As(err, &wrong)).To(gomega.BeTrue(), "%v", options)
-	}
-}
