Lessor: a failing log changes the mode before contact is a TTL old

Cause: a standby lessor may go on without the log only once it has acknowledged disconnected mode, and its lessor asked for the mode when log contact was a whole TTL old. A lessor lost within that second left its keys waiting for the log, for as long as it is away. Change: a lessor asks for disconnected mode when log reads have failed for one heartbeat interval (follower.Contact.Failing), and leaves it only when they work. A silent or slow log does not fail; there the TTL stands.

--- a/follower/core.go
+++ b/follower/core.go
@@ -25,6 +25,7 @@
 	published atomic.Pointer[publication]
 	contact   atomic.Pointer[contactNote]
 	source    atomic.Pointer[topo.NodeID]
+	failing   atomic.Bool // the latest log read failed
 	ring      *ring
 	fates     *fates
 	due       *checkpointDue
@@ -141,6 +142,9 @@
 // now is the clock that contact is counted by.
 func (f *Follower) now() time.Time { return f.config.Now() }
 
+// Failing implements Contact.
+func (f *Follower) Failing() bool { return f.failing.Load() }
+
 func (f *Follower) applied() topo.Offset { return f.View().Applied() }
 
 // publish makes a newer view visible.
--- a/follower/follow_test.go
+++ b/follower/follow_test.go
@@ -28,11 +28,14 @@
 			s.g.Expect(time.Since(a.LastContact())).To(gomega.BeNumerically("<=", 2*follower.DefaultPollWait))
 		}
 		lost := time.Now()
+		s.g.Expect(a.Failing()).To(gomega.BeFalse())
 		a.log.Down()
 		time.Sleep(10 * time.Minute)
 		s.g.Expect(a.LastContact()).NotTo(gomega.BeTemporally(">", lost))
+		s.g.Expect(a.Failing()).To(gomega.BeTrue())
 		a.log.Heal()
 		time.Sleep(settle)
+		s.g.Expect(a.Failing()).To(gomega.BeFalse())
 		s.g.Expect(time.Since(a.LastContact())).To(gomega.BeNumerically("<=", 2*follower.DefaultPollWait))
 	})
 }
--- a/follower/follower.go
+++ b/follower/follower.go
@@ -39,4 +39,6 @@
 	// of the log and whose records have all been applied; the zero time when
 	// there was none.
 	LastContact() time.Time
+	// Failing reports whether the latest log read that ended had failed.
+	Failing() bool
 }
--- a/follower/readlog.go
+++ b/follower/readlog.go
@@ -97,6 +97,7 @@
 		return
 	}
 	r.lost = true
+	r.f.failing.Store(true)
 	var rewound *RewoundError
 	if errors.As(err, &rewound) {
 		eventRewound.Log(r.f.config.Logger, "error", err)
@@ -109,6 +110,7 @@
 	r.pause.reset()
 	if r.lost {
 		r.lost = false
+		r.f.failing.Store(false)
 		eventLogBack.Log(r.f.config.Logger, "applied", r.f.applied())
 	}
 }
--- a/lessor/member.go
+++ b/lessor/member.go
@@ -43,6 +43,7 @@
 	watches  bool           // one of the few that watch lessor and standby lessor
 	observed bool
 	contact  moment // when the latest log read began that proved Facts up to date
+	logFails moment // since when log reads fail
 	seen     moment // when the term in force was first seen
 	// lessorGone and standbyGone are when the facts first said so in this term.
 	lessorGone  moment
@@ -161,6 +162,17 @@
 	m.advance(now)
 }
 
+// LogFailing tells whether the latest log read failed. It is a hint for when to
+// change the mode; no right depends on it.
+func (m *Member) LogFailing(now time.Duration, failing bool) {
+	switch {
+	case !failing:
+		m.logFails = moment{}
+	case !m.logFails.set:
+		m.logFails = momentAt(now)
+	}
+}
+
 func (m *Member) noteGone(now time.Duration) {
 	if m.facts.LessorGone && !m.lessorGone.set {
 		m.lessorGone = momentAt(now)
--- a/lessor/plan.go
+++ b/lessor/plan.go
@@ -51,24 +51,33 @@
 	return actions
 }
 
-// planMode enters disconnected mode when log contact gives the right no longer
-// and the standby lessor answers, and leaves it when the log is back.
+// planMode enters disconnected mode when log contact gives the right no longer,
+// or is about to since the log fails, and the standby lessor answers. It leaves
+// the mode when the log is back.
 func (m *Member) planMode(now time.Duration, actions []Action) []Action {
 	if m.offLog || m.standbyRun().Node == "" {
 		return actions
 	}
 	ttl := m.cfg.Lease.TTL
 	switch {
-	case m.right.asked == ModeConnected && !m.contact.fresher(now, ttl):
+	case m.right.asked == ModeConnected && (m.logAway(now) || !m.contact.fresher(now, ttl)):
 		if m.right.promise.fresher(now, ttl) {
 			actions = append(actions, ChangeMode{To: ModeDisconnected})
 		}
-	case m.right.asked == ModeDisconnected && m.contact.fresher(now, ttl/2):
+	case m.right.asked == ModeDisconnected && !m.logFails.set && m.contact.fresher(now, ttl/2):
 		actions = append(actions, ChangeMode{To: ModeConnected})
 	}
 	return actions
 }
 
+// logAway reports whether log reads have failed for so long that it is no
+// single failure. A log that fails leaves little time to prepare for the loss
+// of this lessor too: the standby lessor may go on only once it has
+// acknowledged disconnected mode.
+func (m *Member) logAway(now time.Duration) bool {
+	return m.logFails.set && now-m.logFails.at >= m.cfg.HeartbeatEvery
+}
+
 func (m *Member) heartbeatDue(now time.Duration) bool {
 	if m.offLog || m.standbyRun().Node == "" {
 		return false
--- a/lessor/walk_test.go
+++ b/lessor/walk_test.go
@@ -118,6 +118,7 @@
 }
 
 func (w *walk) learn(node int) {
+	w.member(node).LogFailing(w.clock(node), w.down[fmt.Sprint("log ", node)])
 	switch {
 	case !w.down[fmt.Sprint("log ", node)] && w.chance(3, 4):
 		w.readLog(node, true)
--- a/modules/admin/helper_test.go
+++ b/modules/admin/helper_test.go
@@ -93,6 +93,8 @@
 // LastContact implements follower.Contact.
 func (a *appender) LastContact() time.Time { return time.Now() }
 
+func (a *appender) Failing() bool { return false }
+
 // peers records the moves that other nodes are asked for.
 type peers struct {
 	peer.Caller // nil: only the methods below are called
--- a/modules/lessor/faults_test.go
+++ b/modules/lessor/faults_test.go
@@ -248,6 +248,21 @@
 	})
 }
 
+func TestLessorLostSoonAfterTheLogFails(t *testing.T) {
+	run(t, oneZone, 3, limit, func(w *world, g *WithT) {
+		w.logDown(true)
+		time.Sleep(500 * time.Millisecond)
+		w.lessorOfA().kill()
+		time.Sleep(5 * time.Second)
+		g.Expect(w.allServed()).To(BeTrue(), w.dumps())
+		t.Logf("gap %v", w.gaps(nil))
+		g.Expect(w.gaps(nil)).To(BeNumerically("<", served))
+		w.logDown(false)
+		time.Sleep(5 * time.Second)
+		g.Expect(w.allServed()).To(BeTrue())
+	})
+}
+
 func TestServerLostWhileTheLogIsAway(t *testing.T) {
 	run(t, oneZone, 3, limit, func(w *world, g *WithT) {
 		w.logDown(true)
--- a/modules/lessor/worker.go
+++ b/modules/lessor/worker.go
@@ -177,6 +177,7 @@
 		askedAt = contact.Sub(w.module.started)
 	}
 	w.member.Observe(w.module.now(), askedAt, known, w.facts)
+	w.member.LogFailing(w.module.now(), w.module.contact.Failing())
 }
 
 // takeFacts derives the facts from a newer view. A member without a part keeps
