Lessor: former lessors' words reach back over terms that were not settled

Cause: proof failed on starved machines ("probed keys were not served again"). The state dumps of each failure: a server lost; nodes only slow suspected each other; third nodes claimed one after the other before any had settled. The words of the latest term's pair count only if its lessor was settled, so the lost server's keys, and those of live servers that it stood by for, waited for maxDisconnected (10 min) although every node was alive. Ruled out: lost wake-ups (records are applied, contact and promises fresh) and the probes' deadlines. A gap, or a run that restarted, leaves the wait as it is. Checkpoints have an added field. The searched log keeps the terms too. Conclusion: suspicion by mistake costs a lease, not maxDisconnected.

--- a/lessor/search_key_test.go
+++ b/lessor/search_key_test.go
@@ -74,6 +74,9 @@
 	k.text(string(l.backup))
 	k.num(l.claims)
 	k.num(l.assigns)
+	for _, t := range l.former {
+		k.formerTerm(t)
+	}
 }
 
 func (k *keyWriter) node(i int) {
@@ -204,11 +207,21 @@
 		return
 	}
 	f := &m.takeover.former
-	k.ordinal(f.term.Ordinal)
-	k.text(string(f.lessor.Boot))
-	k.text(string(f.standby.Boot))
-	k.flag(f.lessorEnded.set)
-	k.flag(f.standbyEnded.set)
+	k.num(len(f.terms))
+	for _, t := range f.terms {
+		k.formerTerm(t)
+		lessor, said := f.word(t.lessor)
+		k.flag(said)
+		k.flag(said && lessor.settled == t.term)
+		_, said = f.word(t.standby)
+		k.flag(said)
+	}
+}
+
+func (k *keyWriter) formerTerm(t formerTerm) {
+	k.ordinal(t.term.Ordinal)
+	k.text(string(t.lessor.Boot))
+	k.text(string(t.standby.Boot))
 }
 
 func (k *keyWriter) heldRound() uint64 {
--- a/lessor/search_world_test.go
+++ b/lessor/search_world_test.go
@@ -75,6 +75,25 @@
 	claims    int
 	assigns   int
 	runs      [nodeMost]int // of the nodes that joined
+	former    [formerKept]formerTerm
+}
+
+// formerKept bounds the earlier terms of a searched log: as many as are claimed.
+const formerKept = 4
+
+// formers returns the earlier terms as the state keeps them.
+func (l *searchLog) formers() *state.Former {
+	var latest *state.Former
+	for _, t := range slices.Backward(l.former[:]) {
+		if t.term.IsZero() {
+			continue
+		}
+		latest = &state.Former{
+			Term: t.term, Lessor: t.lessor.Node, LessorBoot: t.lessor.Boot,
+			Standby: t.standby.Node, StandbyBoot: t.standby.Boot, Earlier: latest,
+		}
+	}
+	return latest
 }
 
 // record is one record that some node wants in the log.
@@ -180,6 +199,7 @@
 			ID: searchGroup, Term: log.term,
 			Lessor: log.lessor.Node, LessorBoot: log.lessor.Boot,
 			Standby: log.standby.Node, StandbyBoot: log.standby.Boot,
+			Former: log.formers(),
 		},
 		Servers:             map[topo.ServerID]Server{},
 		Shards:              map[topo.ShardID]Shard{searchShard: shard},
@@ -326,6 +346,8 @@
 		if r.claim.Expected != w.log.term {
 			return false
 		}
+		copy(w.log.former[1:], w.log.former[:])
+		w.log.former[0] = formerTerm{term: w.log.term, lessor: w.log.lessor, standby: w.log.standby}
 		w.log.term = topo.MakeTerm(offset, 0)
 		w.log.lessor = r.self
 		w.log.standby = r.claim.Standby
--- a/lessor/takeover.go
+++ b/lessor/takeover.go
@@ -45,29 +45,18 @@
 	promised moment
 	// told is what the earlier lessor told its standby lessor; of basisStandby.
 	told standing
-	// former are the lessors of the term before, and what they said since.
+	// former are the lessors of earlier terms, and what they said since.
 	former former
 }
 
-// former are the two runs that may have renewed leases in the term before, and
-// when each said that it had seen a later one.
-type former struct {
-	term         topo.Term
-	lessor       Run
-	standby      Run
-	lessorEnded  moment
-	standbyEnded moment
-	asked        moment // latest question
-}
-
 // takeoverAfter tells what the term that this run has just been seen to hold
 // begins with. It must be called before anything of the term before is dropped.
 func (m *Member) takeoverAfter(now time.Duration, before state.Group) takeover {
 	next := takeover{basis: basisOther, before: m.facts.Group.Term.Offset, began: now}
+	next.former = m.formerOf(now)
 	if !m.claim.pending() || m.claim.expected != before.Term {
 		return next
 	}
-	next.former = m.formerOf(now, before)
 	switch {
 	case before.Term.IsZero():
 		next.basis = basisFirst
@@ -83,23 +72,6 @@
 	return next
 }
 
-// formerOf returns the lessors of the term before. What this run itself was has
-// ended.
-func (m *Member) formerOf(now time.Duration, before state.Group) former {
-	f := former{
-		term:    before.Term,
-		lessor:  Run{Node: before.Lessor, Boot: before.LessorBoot},
-		standby: Run{Node: before.Standby, Boot: before.StandbyBoot},
-	}
-	if f.lessor == m.self() && m.settledTerm == before.Term {
-		f.lessorEnded = momentAt(now)
-	}
-	if f.standby == m.self() {
-		f.standbyEnded = momentAt(now)
-	}
-	return f
-}
-
 // goOn begins a takeover without the log by the standby lessor.
 func (m *Member) goOn(now time.Duration) takeover {
 	return takeover{
@@ -115,25 +87,12 @@
 // has surely lapsed; never if it may last without limit.
 func (m *Member) rightEnd(policy *Policy) moment {
 	end := m.rightLapse(policy)
-	if ended := m.formerEnded(); ended.set && (!end.set || ended.at < end.at) {
+	if ended := m.takeover.former.ended(m.rules); ended.set && (!end.set || ended.at < end.at) {
 		return ended
 	}
 	return end
 }
 
-// formerEnded returns when the former lessors' right had surely ended by their
-// own word; never if one of them has not given it.
-func (m *Member) formerEnded() moment {
-	f := &m.takeover.former
-	if f.standby.Node == "" || m.rules.noStandbyWord {
-		return f.lessorEnded
-	}
-	if !f.lessorEnded.set || !f.standbyEnded.set {
-		return moment{}
-	}
-	return f.lessorEnded.later(f.standbyEnded)
-}
-
 // rightLapse is rightEnd for former lessors that say nothing.
 func (m *Member) rightLapse(policy *Policy) moment {
 	t := &m.takeover
@@ -168,32 +127,3 @@
 	}
 	return momentAt(end.at + m.cfg.lapse(m.cfg.Lease.TTL))
 }
-
-// formerSaid takes the reply of a former lessor. Once a run has seen a later term it
-// renews nothing under an earlier one. The lessor's word counts only if it was
-// settled: else lessors before it may still go on.
-func (m *Member) formerSaid(now time.Duration, reply HeartbeatReply) {
-	f := &m.takeover.former
-	if reply.HighestTerm.Less(m.term) && !m.rules.noSeenTerm {
-		return
-	}
-	settled := reply.SettledTerm == f.term || m.rules.noSettledWord
-	if reply.From == f.lessor && settled && !f.lessorEnded.set {
-		f.lessorEnded = momentAt(now)
-	}
-	if reply.From == f.standby && !f.standbyEnded.set {
-		f.standbyEnded = momentAt(now)
-	}
-}
-
-// asks lists the former lessors that have not said that they have stopped.
-func (f *former) asks(self Run) []topo.NodeID {
-	var nodes []topo.NodeID
-	if f.lessor.Node != "" && f.lessor != self && !f.lessorEnded.set {
-		nodes = append(nodes, f.lessor.Node)
-	}
-	if f.standby.Node != "" && f.standby != self && !f.standbyEnded.set {
-		nodes = append(nodes, f.standby.Node)
-	}
-	return nodes
-}
--- a/state/snapshot.go
+++ b/state/snapshot.go
@@ -177,6 +177,7 @@
 		Standby:     string(group.Standby),
 		StandbyBoot: string(group.StandbyBoot),
 		HeldSince:   uint64(group.HeldSince),
+		Former:      formerToProto(group.Former),
 	}
 }
 
@@ -189,6 +190,7 @@
 		Standby:     topo.NodeID(entry.GetStandby()),
 		StandbyBoot: topo.BootID(entry.GetStandbyBoot()),
 		HeldSince:   topo.Offset(entry.GetHeldSince()),
+		Former:      formerFromProto(entry.GetFormer()),
 	}
 }
 
--- a/state/view.go
+++ b/state/view.go
@@ -60,6 +60,8 @@
 	// HeldSince is the offset since which lessors of the group may not have
 	// ended; see View.DisconnectedLimit.
 	HeldSince topo.Offset
+	// Former is the term before Term; nil for the first one.
+	Former *Former
 }
 
 // Source gives the current view and tells of newer ones. The follower
