capacity: predict log reads and bytes with relays

Cause: the command extrapolated reads of the log by nodes, which no longer holds with relays, and counted no bytes of following.

--- a/capacity/plan.go
+++ b/capacity/plan.go
@@ -1,9 +1,11 @@
 package capacity
 
 import (
+	"fmt"
 	"math"
 	"time"
 
+	"github.com/burdockspindle/burdockspindle/follower"
 	"github.com/burdockspindle/burdockspindle/lease"
 	"github.com/burdockspindle/burdockspindle/settings"
 )
@@ -89,11 +91,12 @@
 func Predict(s Size, m Measurement) []Prediction {
 	timing := settings.DefaultTiming()
 	lapse := lease.Timing{TTL: timing.LeaseTTL, Margin: timing.Margin, DriftPPM: timing.DriftPPM}.LapseWait()
-	shards, nodes, servers := float64(s.Shards), float64(s.Nodes), float64(s.Servers)
+	shards, servers := float64(s.Shards), float64(s.Servers)
 	return []Prediction{
 		control(s, m),
 		idle(s, m),
 		bytesOfNode(s, m),
+		bytesOfRelay(s, m),
 		{
 			What: "memory of the state on every node", Limit: limitMemory, Unit: "bytes",
 			Predicted: m.find("state memory").At(shards), Range: m.find("state memory").Range(shards),
@@ -104,9 +107,9 @@
 			Predicted: s.records(), Basis: "events of the size, one record each",
 		},
 		{
-			What: "log reads of the site, every node reading", Limit: limitReads, Unit: "a second",
-			Predicted: m.find("log reads by nodes").At(nodes), Range: m.find("log reads by nodes").Range(nodes),
-			Basis: "log reads by nodes",
+			What: "log reads of the site, relays reading", Limit: limitReads, Unit: "a second",
+			Predicted: m.find(seriesReads).At(s.readers()), Range: m.find(seriesReads).Range(s.readers()),
+			Basis: fmt.Sprintf("%.0f nodes read, one in %d: %s", s.readers(), follower.NodesPerRelay, seriesReads),
 		},
 		{
 			What: "balance decision, one node", Limit: limitCore * 1e6, Unit: "µs of processor a second",
@@ -151,11 +154,41 @@
 	})
 }
 
+// readers is how many nodes read the log themselves.
+func (s Size) readers() float64 { return float64(readersOf(s.Nodes, s.Zones)) }
+
+// followBytes is what a node that follows a relay costs at its sockets.
+func (s Size) followBytes(m Measurement) float64 {
+	followers := float64(s.Nodes) - s.readers()
+	if followers == 0 {
+		return 0
+	}
+	const ends = 2 // each byte is counted where it is sent and where it is received
+	return m.find(seriesFollow).At(followers) / followers / ends
+}
+
+// bytesOfRelay is what a relay's sockets carry beside the mean node's duties.
+func bytesOfRelay(s Size, m Measurement) Prediction {
+	p := bytesWithoutFollowing(s, m)
+	each := float64(s.Nodes)/s.readers() - 1
+	p.What = "control bytes of a relay"
+	p.Predicted += each * s.followBytes(m)
+	p.Basis = fmt.Sprintf("the same, and %.1f nodes that follow it", each)
+	return p
+}
+
 // bytesOfNode is a node's control bytes at its sockets.
 func bytesOfNode(s Size, m Measurement) Prediction {
+	p := bytesWithoutFollowing(s, m)
+	p.Predicted += s.followBytes(m)
+	p.Basis = "slopes by nodes, groups and servers, counted at the sockets, and following a relay"
+	return p
+}
+
+// bytesWithoutFollowing is a node's control bytes but for reads of the log.
+func bytesWithoutFollowing(s Size, m Measurement) Prediction {
 	p := s.perNode(m, "bytes between nodes", Prediction{
 		What: "control bytes of a node", Limit: limitBytes, Unit: "bytes/s",
-		Basis: "slopes by nodes, groups and servers, counted at the sockets",
 	})
 	p.Predicted += max(m.find("bytes between nodes and servers by servers").Slope, 0) * float64(s.Servers) / float64(s.Nodes)
 	return p
--- a/capacity/site.go
+++ b/capacity/site.go
@@ -12,6 +12,7 @@
 	"github.com/burdockspindle/burdockspindle/modules/logmem"
 	"github.com/burdockspindle/burdockspindle/modules/vmsmem"
 	"github.com/burdockspindle/burdockspindle/node"
+	"github.com/burdockspindle/burdockspindle/peer"
 	"github.com/burdockspindle/burdockspindle/settings"
 	"github.com/burdockspindle/burdockspindle/standin/server"
 	"github.com/burdockspindle/burdockspindle/state"
@@ -19,6 +20,9 @@
 	"github.com/burdockspindle/burdockspindle/vmlist"
 )
 
+// readLog is the kind of call by which nodes follow relays.
+const readLog = string(peer.KindReadLog)
+
 const (
 	loopback    = "127.0.0.1:0"
 	settleLimit = 30 * time.Second
@@ -38,7 +42,8 @@
 // usage is what an idle site spends a second.
 type usage struct {
 	processor   float64 // share of a core, all nodes and the stand-ins together
-	peerBytes   float64 // sent and received between nodes
+	peerBytes   float64 // sent and received between nodes, but for following
+	followBytes float64 // sent and received by nodes that read the log through relays, and those
 	serverBytes float64 // sent and received between nodes and servers, for control
 	logBytes    float64 // appended and read
 	logReads    float64
@@ -180,8 +185,10 @@
 }
 
 func readCounters() usage {
+	follow := counterOf("peer", "control_bytes_sent", readLog) + counterOf("peer", "control_bytes_received", readLog)
 	return usage{
-		peerBytes:   counter("peer", "control_bytes_sent") + counter("peer", "control_bytes_received"),
+		peerBytes:   counter("peer", "control_bytes_sent") + counter("peer", "control_bytes_received") - follow,
+		followBytes: follow,
 		serverBytes: counter("servers", "control_bytes_sent") + counter("servers", "control_bytes_received"),
 		logBytes:    counter("follower", "append_bytes") + counter("follower", "log_read_bytes"),
 		logReads:    counter("follower", "log_reads"),
@@ -191,6 +198,7 @@
 func (u usage) minus(other usage) usage {
 	return usage{
 		peerBytes:   u.peerBytes - other.peerBytes,
+		followBytes: u.followBytes - other.followBytes,
 		serverBytes: u.serverBytes - other.serverBytes,
 		logBytes:    u.logBytes - other.logBytes,
 		logReads:    u.logReads - other.logReads,
@@ -202,6 +210,7 @@
 	return usage{
 		processor:   u.processor / seconds,
 		peerBytes:   u.peerBytes / seconds,
+		followBytes: u.followBytes / seconds,
 		serverBytes: u.serverBytes / seconds,
 		logBytes:    u.logBytes / seconds,
 		logReads:    u.logReads / seconds,
@@ -218,68 +227,3 @@
 	logmem.Forget(l.name)
 	vmsmem.Forget(l.name)
 }
-
-// siteSizes are the shapes of a sweep over one input.
-type siteSweep struct {
-	input  string
-	shapes []shape
-	size   func(shape) int
-}
-
-func siteSweeps(quick bool) []siteSweep {
-	nodes := siteSweep{input: "nodes", size: func(s shape) int { return s.nodes }}
-	servers := siteSweep{input: "servers", size: func(s shape) int { return s.servers }}
-	shards := siteSweep{input: "shards", size: func(s shape) int { return s.shards }}
-	groups := siteSweep{input: "groups", size: func(s shape) int { return s.groups * zones }}
-	nodeSizes, serverSizes := []int{5, 10, 20, 40}, []int{10, 20, 40, 80}
-	shardSizes, groupSizes := []int{640, 2560, 10240, 40960}, []int{1, 2, 4}
-	if quick {
-		nodeSizes, serverSizes, shardSizes, groupSizes = []int{5, 10}, []int{10, 20}, []int{640, 1280}, []int{1, 2}
-	}
-	for _, n := range nodeSizes {
-		nodes.shapes = append(nodes.shapes, shape{nodes: n, servers: 20, shards: 1280, groups: 1})
-	}
-	for _, n := range serverSizes {
-		servers.shapes = append(servers.shapes, shape{nodes: 10, servers: n, shards: 1280, groups: 1})
-	}
-	for _, n := range shardSizes {
-		shards.shapes = append(shards.shapes, shape{nodes: 10, servers: 20, shards: n, groups: 1})
-	}
-	for _, n := range groupSizes {
-		groups.shapes = append(groups.shapes, shape{nodes: 20, servers: 40, shards: 1280, groups: n})
-	}
-	return []siteSweep{nodes, servers, shards, groups}
-}
-
-// siteFigures are what a sweep over whole sites reports, for the whole site.
-var siteFigures = []struct {
-	name, unit string
-	value      func(usage) float64
-}{
-	{"processor of an idle site", "cores", func(u usage) float64 { return u.processor }},
-	{"bytes between nodes", "bytes/s", func(u usage) float64 { return u.peerBytes }},
-	{"bytes between nodes and servers", "bytes/s", func(u usage) float64 { return u.serverBytes }},
-	{"bytes appended to and read from the log", "bytes/s", func(u usage) float64 { return u.logBytes }},
-	{"log reads", "reads/s", func(u usage) float64 { return u.logReads }},
-}
-
-func siteSeries(ctx context.Context, quick bool, progress func(string)) ([]Series, error) {
-	var all []Series
-	for _, sweep := range siteSweeps(quick) {
-		points := make([][]Point, len(siteFigures))
-		for _, s := range sweep.shapes {
-			progress(fmt.Sprintf("site of %d nodes, %d servers, %d shards, %d groups", s.nodes, s.servers, s.shards, zones*s.groups))
-			spent, err := measureSite(ctx, s)
-			if err != nil {
-				return nil, err
-			}
-			for i, figure := range siteFigures {
-				points[i] = append(points[i], Point{X: float64(sweep.size(s)), Y: figure.value(spent)})
-			}
-		}
-		for i, figure := range siteFigures {
-			all = append(all, newSeries(figure.name+" by "+sweep.input, sweep.input, figure.unit, points[i]))
-		}
-	}
-	return all, nil
-}
--- a/capacity/usage.go
+++ b/capacity/usage.go
@@ -76,6 +76,19 @@
 	return sum(variables.Get(name))
 }
 
+// counterOf reads one number of such a map of numbers.
+func counterOf(group, name, key string) float64 {
+	variables, ok := expvar.Get(group).(*expvar.Map)
+	if !ok {
+		return 0
+	}
+	values, ok := variables.Get(name).(*expvar.Map)
+	if !ok {
+		return 0
+	}
+	return sum(values.Get(key))
+}
+
 func sum(v expvar.Var) float64 {
 	switch value := v.(type) {
 	case *expvar.Int:
