Lessor: a new lessor leaves a silent server that does not check fencing

Cause: a shard that needs a new fence after a takeover went to another server when the one meant for it was silent, also where servers do not check fencing, the silent one's loss was not confirmed and the operator had not accepted the risk: it may still run. Only a lessor that had known the server before held back. Change: changeNeeded asks the same as any other replacement of a silent server. Conclusion: such shards wait for a confirmed loss, as OPERATORS.md says.

--- a/lessor/collect.go
+++ b/lessor/collect.go
@@ -115,9 +115,17 @@
 
 // mayReplace reports whether a silent owner may be replaced: one that does not
 // check fencing may still be at work.
-func (m *Member) mayReplace(shard Shard) bool {
-	policy := shard.Policy
-	return policy.ChecksFencing || policy.AcceptUnfenced || m.confirmedLost(shard.Owner)
+func (m *Member) mayReplace(shard Shard) bool { return m.mayReplaceServer(shard.Policy, shard.Owner) }
+
+func (m *Member) mayReplaceServer(policy *Policy, id topo.ServerID) bool {
+	return policy.ChecksFencing || policy.AcceptUnfenced || m.confirmedLost(id)
+}
+
+// silent reports whether a server has not answered this lessor, or no longer
+// does.
+func (m *Member) silent(id topo.ServerID) bool {
+	s, known := m.servers[id]
+	return !known || s.boot() == "" || s.suspected()
 }
 
 // free reports whether the owner of a shard can hold no lease of it any longer.
@@ -140,7 +148,7 @@
 // one of them reported must have ended, unless that one goes on.
 func (m *Member) changeNeeded(now time.Duration, shard Shard, n need, place *placement) (Assign, string) {
 	to := place.owner(shard.Shard.Service, n.to)
-	if to == "" {
+	if to == "" || (to != n.to && m.silent(n.to) && !m.mayReplaceServer(shard.Policy, n.to)) {
 		return Assign{}, ""
 	}
 	for _, id := range []topo.ServerID{shard.Owner, shard.Standby} {
--- a/modules/lessor/moves_test.go
+++ b/modules/lessor/moves_test.go
@@ -136,6 +136,29 @@
 	}
 }
 
+// A new lessor knows nothing of a silent server that does not check fencing: it
+// may serve on without a lease.
+func TestNewLessorLeavesASilentServerThatDoesNotCheckFencing(t *testing.T) {
+	for _, accepted := range []bool{false, true} {
+		run(t, oneZone, 4, 0, func(w *world, g *WithT) {
+			w.anyNode().submit(siteRecord(1, 0, func(s *siteconfig.Service) {
+				s.ChecksFencing, s.AcceptUnfencedTakeover = false, accepted
+			}))
+			time.Sleep(rest)
+			lost := w.shardsOn("sa1", "sa2")
+			w.servers["sa1"].setDown(true)
+			w.servers["sa2"].setDown(true)
+			w.lessorOfA().kill()
+			w.standby("a/0").kill()
+			time.Sleep(20 * time.Second)
+			for shard := range lost {
+				assignment, _ := w.view().Shard(shard)
+				g.Expect(assignment.Owner == "sa3").To(Equal(accepted), "accepted %v: %s", accepted, shard)
+			}
+		})
+	}
+}
+
 func TestRetiredServiceIsReleased(t *testing.T) {
 	run(t, oneZone, 2, limit, func(w *world, g *WithT) {
 		w.anyNode().submit(emptySiteRecord(1))
