--- a/modules/router/maintain.go
+++ b/modules/router/maintain.go
@@ -11,7 +11,8 @@
 )
 
 const (
-	// sweepEvery is how often waiting requests are looked at.
+	// sweepEvery is how often waiting requests are looked at, while there are
+	// requests.
 	sweepEvery = 10 * time.Millisecond
 	// retainEvery is how often what is gone from the state is forgotten.
 	retainEvery = 2 * time.Second
@@ -20,7 +21,7 @@
 	coldRamp = time.Second
 )
 
-// maintain sweeps queues and follows the state until ctx ends.
+// maintain sweeps queues while requests are in flight, and follows the state until ctx ends.
 func (m *Module) maintain(ctx context.Context) {
 	sweeps := time.NewTicker(sweepEvery)
 	defer sweeps.Stop()
@@ -36,7 +37,14 @@
 			return
 		case <-sweeps.C:
 			m.sweep(gauges)
+			if m.sweeper.rests(&m.inFlight) {
+				sweeps.Stop()
+			}
+		case <-m.sweeper.wake:
+			m.sweeper.rouse()
+			sweeps.Reset(sweepEvery)
 		case <-retains.C:
+			m.sweep(gauges)
 			m.retain()
 		case <-changed:
 			changed = m.source.Changed() // before the view, or a change is missed
--- a/modules/router/module.go
+++ b/modules/router/module.go
@@ -68,6 +68,7 @@
 	index     serverIndex
 	forwarder *forwarder
 	inFlight  atomic.Int64
+	sweeper   *sweeper
 
 	cancel context.CancelFunc
 	duties sync.WaitGroup
@@ -135,6 +136,7 @@
 	m.shed = shed.NewSet()
 	m.budgets = newBudgets(limits.RetryBudget)
 	m.records = newRecords()
+	m.sweeper = newSweeper()
 	m.picker = pick.DChoices{D: choices}
 	if err := m.buildForwarder(); err != nil {
 		return err
--- a/modules/router/serve.go
+++ b/modules/router/serve.go
@@ -123,6 +123,7 @@
 func (m *Module) enter(req *exchange.Request) (func(), *outcome.Verdict) {
 	metricInFlight.Add(1)
 	m.inFlight.Add(1)
+	m.sweeper.stir()
 	leave := func() {
 		metricInFlight.Add(-1)
 		m.inFlight.Add(-1)
