--- a/capacity/site.go
+++ b/capacity/site.go
@@ -25,7 +25,7 @@
 
 const (
 	loopback    = "127.0.0.1:0"
-	settleLimit = 30 * time.Second
+	settleLimit = 3 * time.Minute
 	settlePoll  = 50 * time.Millisecond
 	// quiet is how long a settled site is left alone before it is measured.
 	quiet  = 2 * time.Second
