--- a/adminapi/publish.go
+++ b/adminapi/publish.go
@@ -4,6 +4,8 @@
 	"context"
 	"errors"
 	"time"
+
+	"github.com/burdockspindle/burdockspindle/clock"
 )
 
 const (
@@ -70,12 +72,8 @@
 }
 
 func sleep(ctx context.Context, wait time.Duration) error {
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
+	if !clock.Wait(ctx, wait) {
 		return ctx.Err()
 	}
+	return nil
 }
--- a/capacity/site.go
+++ b/capacity/site.go
@@ -7,6 +7,7 @@
 
 	"github.com/hashicorp/go-hclog"
 
+	"github.com/burdockspindle/burdockspindle/clock"
 	"github.com/burdockspindle/burdockspindle/follower"
 	"github.com/burdockspindle/burdockspindle/kernel"
 	"github.com/burdockspindle/burdockspindle/modules/logmem"
@@ -161,14 +162,10 @@
 }
 
 func pause(ctx context.Context, d time.Duration) error {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
+	if !clock.Wait(ctx, d) {
 		return ctx.Err()
 	}
+	return nil
 }
 
 // spend measures an idle site over the window.
--- a/clock/clock.go
+++ b/clock/clock.go
@@ -1,4 +1,4 @@
-// Package clock reads a steady time that goes on while the machine is
+// Package clock waits, and reads a steady time that goes on while the machine is
 // suspended. The runtime's monotonic clock stands still then, so what was seen
 // before would look younger than it is: a lessor would believe that its right
 // to renew still holds, and a relay would give away its contact with the log as
@@ -6,6 +6,7 @@
 package clock
 
 import (
+	"context"
 	"sync/atomic"
 	"time"
 )
@@ -19,6 +20,19 @@
 // Since returns the time passed since a value of Now.
 func Since(at time.Time) time.Duration { return Now().Sub(at) }
 
+// Wait waits for a while, by the runtime's clock, or until ctx ends. It reports
+// whether the while has passed.
+func Wait(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
 // asleep is this process's record of suspensions.
 var asleep = newSleep(suspension())
 
--- a/demo/balancer.go
+++ b/demo/balancer.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/burdockspindle/burdockspindle/callerapi"
+	"github.com/burdockspindle/burdockspindle/clock"
 )
 
 const (
@@ -48,7 +49,7 @@
 			_ = response.Body.Close()
 			b.note(address, response.StatusCode == http.StatusServiceUnavailable)
 		}
-		if !sleep(ctx, checkEvery) {
+		if !clock.Wait(ctx, checkEvery) {
 			return
 		}
 	}
--- a/demo/callers.go
+++ b/demo/callers.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/burdockspindle/burdockspindle/callerapi"
+	"github.com/burdockspindle/burdockspindle/clock"
 	"github.com/burdockspindle/burdockspindle/history"
 	"github.com/burdockspindle/burdockspindle/serverapi"
 	"github.com/burdockspindle/burdockspindle/standin/server"
@@ -54,7 +55,7 @@
 func (s *sender) dispatch(ctx context.Context, queue chan<- plannedRequest) {
 	began := time.Now()
 	for _, request := range s.plan {
-		if !sleep(ctx, request.After-time.Since(began)) {
+		if !clock.Wait(ctx, request.After-time.Since(began)) {
 			return
 		}
 		select {
@@ -112,7 +113,7 @@
 			uses = 0 // nothing ran: a new ticket is safe
 			continue
 		}
-		if !sleep(ctx, pauseBeforeRetry) {
+		if !clock.Wait(ctx, pauseBeforeRetry) {
 			return
 		}
 	}
@@ -125,7 +126,7 @@
 			one.ticket = ticket
 			return true
 		}
-		if !sleep(ctx, pauseBeforeRetry) {
+		if !clock.Wait(ctx, pauseBeforeRetry) {
 			return false
 		}
 	}
@@ -144,18 +145,3 @@
 		Outcome: serverapi.OutcomeNotRun, Reason: callerapi.ReasonTicketRequired,
 	})
 }
-
-// sleep waits for a duration; false when ctx ended first.
-func sleep(ctx context.Context, d time.Duration) bool {
-	if d <= 0 {
-		return ctx.Err() == nil
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/demo/faults.go
+++ b/demo/faults.go
@@ -7,6 +7,7 @@
 
 	"github.com/hashicorp/go-hclog"
 
+	"github.com/burdockspindle/burdockspindle/clock"
 	"github.com/burdockspindle/burdockspindle/topo"
 	"github.com/burdockspindle/burdockspindle/vmlist"
 )
@@ -110,22 +111,22 @@
 	until := func(part float64) time.Duration {
 		return time.Duration(part*float64(span)) - time.Since(began)
 	}
-	if !sleep(ctx, until(loseServerAt)) {
+	if !clock.Wait(ctx, until(loseServerAt)) {
 		return
 	}
 	eventKilled.Log(logger, "server", v.lost.ID, "zone", v.lost.Zone)
 	s.LoseServer(v.lost)
-	if !sleep(ctx, until(loseNodeAt)) {
+	if !clock.Wait(ctx, until(loseNodeAt)) {
 		return
 	}
 	eventNodeLost.Log(logger, "lost", v.node.ID)
 	s.LoseNode(v.node)
-	if !sleep(ctx, until(freezeServerAt)) {
+	if !clock.Wait(ctx, until(freezeServerAt)) {
 		return
 	}
 	eventFrozen.Log(logger, "server", v.frozen.ID, "for", frozenFor)
 	v.frozen.Freeze()
-	sleep(ctx, frozenFor)
+	clock.Wait(ctx, frozenFor)
 	v.frozen.Unfreeze()
 	eventReturned.Log(logger, "server", v.frozen.ID)
 }
--- a/demo/load.go
+++ b/demo/load.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/burdockspindle/burdockspindle/clock"
 	"github.com/burdockspindle/burdockspindle/histcheck"
 	"github.com/burdockspindle/burdockspindle/history"
 	"github.com/burdockspindle/burdockspindle/siteconfig"
@@ -208,7 +209,7 @@
 	defer cancel()
 	unhealthy := func(one *prober) bool { return !one.healthy() }
 	for slices.ContainsFunc(probers, unhealthy) {
-		if !sleep(ctx, readyPoll) {
+		if !clock.Wait(ctx, readyPoll) {
 			return false
 		}
 	}
--- a/demo/probes.go
+++ b/demo/probes.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"github.com/burdockspindle/burdockspindle/clock"
 	"github.com/burdockspindle/burdockspindle/history"
 	"github.com/burdockspindle/burdockspindle/serverapi"
 )
@@ -68,7 +69,7 @@
 		p.mu.Lock()
 		p.latest = answer
 		p.mu.Unlock()
-		if !sleep(ctx, probeEvery-time.Since(began)) {
+		if !clock.Wait(ctx, probeEvery-time.Since(began)) {
 			return
 		}
 	}
--- a/demo/ready.go
+++ b/demo/ready.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"time"
 
+	"github.com/burdockspindle/burdockspindle/clock"
 	"github.com/burdockspindle/burdockspindle/history"
 	"github.com/burdockspindle/burdockspindle/kernel"
 	"github.com/burdockspindle/burdockspindle/serverapi"
@@ -68,7 +69,7 @@
 			return err
 		}
 		for missing := s.unowned(source.View()); missing > 0; missing = s.unowned(source.View()) {
-			if !sleep(ctx, readyPoll) {
+			if !clock.Wait(ctx, readyPoll) {
 				text := fmt.Sprintf("%d shards have no owner at %s", missing, one.ID)
 				return &NotReadyError{Missing: text, Cause: ctx.Err()}
 			}
@@ -104,7 +105,7 @@
 			if answer.Outcome == serverapi.OutcomeAnswered {
 				break
 			}
-			if !sleep(ctx, readyPoll) {
+			if !clock.Wait(ctx, readyPoll) {
 				missing := fmt.Sprintf("%s through %s: %s %s", service.Name, one.ID, answer.Outcome, answer.Reason)
 				return &NotReadyError{Missing: missing, Cause: ctx.Err()}
 			}
@@ -154,7 +155,7 @@
 	defer cancel()
 	for {
 		furthest, lagging := s.furthest()
-		if lagging == 0 || !sleep(ctx, readyPoll) {
+		if lagging == 0 || !clock.Wait(ctx, readyPoll) {
 			return furthest
 		}
 	}
--- a/follower/checkpoints.go
+++ b/follower/checkpoints.go
@@ -10,6 +10,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/burdockspindle/burdockspindle/checkpoint"
+	"github.com/burdockspindle/burdockspindle/clock"
 	"github.com/burdockspindle/burdockspindle/state"
 	"github.com/burdockspindle/burdockspindle/topo"
 
@@ -131,7 +132,7 @@
 // runCheckpoints is the goroutine that writes checkpoints when they are due.
 func (f *Follower) runCheckpoints(ctx context.Context) {
 	number := 0
-	for sleep(ctx, checkpointPoll) {
+	for clock.Wait(ctx, checkpointPoll) {
 		if !f.checkpointIsDue() {
 			continue
 		}
--- a/follower/core.go
+++ b/follower/core.go
@@ -10,6 +10,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/burdockspindle/burdockspindle/clock"
 	"github.com/burdockspindle/burdockspindle/record"
 	"github.com/burdockspindle/burdockspindle/state"
 	"github.com/burdockspindle/burdockspindle/topo"
@@ -172,17 +173,5 @@
 func (b *backoff) wait(ctx context.Context) bool {
 	pause := b.next/2 + time.Duration(b.random.Int64N(int64(b.next)))
 	b.next = min(2*b.next, backoffMost)
-	return sleep(ctx, pause)
-}
-
-// sleep waits, or returns false when ctx ended.
-func sleep(ctx context.Context, pause time.Duration) bool {
-	timer := time.NewTimer(pause)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
+	return clock.Wait(ctx, pause)
 }
--- a/follower/readpeers.go
+++ b/follower/readpeers.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/burdockspindle/burdockspindle/checkpoint"
+	"github.com/burdockspindle/burdockspindle/clock"
 	"github.com/burdockspindle/burdockspindle/platlog"
 	"github.com/burdockspindle/burdockspindle/state"
 	"github.com/burdockspindle/burdockspindle/topo"
@@ -34,7 +35,7 @@
 	r := &peerReader{f: f, started: f.now()}
 	for ctx.Err() == nil {
 		if !r.needed() {
-			sleep(ctx, f.config.PeersAfter/2)
+			clock.Wait(ctx, f.config.PeersAfter/2)
 			continue
 		}
 		r.step(ctx)
@@ -57,7 +58,7 @@
 		from, wait = r.turn(), 0
 	}
 	if from == "" {
-		sleep(ctx, r.f.config.PeerWait)
+		clock.Wait(ctx, r.f.config.PeerWait)
 		return
 	}
 	if r.ask(ctx, from, wait) {
@@ -65,7 +66,7 @@
 		return
 	}
 	r.source = ""
-	sleep(ctx, peerPause)
+	clock.Wait(ctx, peerPause)
 }
 
 // turn returns the next known peer; empty when there is none.
--- a/modules/router/run.go
+++ b/modules/router/run.go
@@ -9,6 +9,7 @@
 
 	"github.com/burdockspindle/burdockspindle/buffer"
 	"github.com/burdockspindle/burdockspindle/callerapi"
+	"github.com/burdockspindle/burdockspindle/clock"
 	"github.com/burdockspindle/burdockspindle/exchange"
 	"github.com/burdockspindle/burdockspindle/outcome"
 	"github.com/burdockspindle/burdockspindle/retry"
@@ -214,16 +215,7 @@
 }
 
 // pause waits before a retry; it is false when the request ended meanwhile.
-func (r *run) pause(wait time.Duration) bool {
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-r.ctx.Done():
-		return false
-	}
-}
+func (r *run) pause(wait time.Duration) bool { return clock.Wait(r.ctx, wait) }
 
 // ended is the verdict when the context ended while nothing was under way.
 func (r *run) ended() outcome.Verdict {
--- a/platlog/logfault/logfault.go
+++ b/platlog/logfault/logfault.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"github.com/burdockspindle/burdockspindle/clock"
 	"github.com/burdockspindle/burdockspindle/platlog"
 	"github.com/burdockspindle/burdockspindle/topo"
 )
@@ -176,14 +177,8 @@
 		slow += l.faults.SlowAppends
 	}
 	l.mu.Unlock()
-	if slow > 0 {
-		timer := time.NewTimer(slow)
-		defer timer.Stop()
-		select {
-		case <-timer.C:
-		case <-ctx.Done():
-			return l.givenUp(ctx, op)
-		}
+	if slow > 0 && !clock.Wait(ctx, slow) {
+		return l.givenUp(ctx, op)
 	}
 	if l.Faults().Silent {
 		<-ctx.Done()
--- a/proof/site_test.go
+++ b/proof/site_test.go
@@ -17,6 +17,7 @@
 	"github.com/hashicorp/go-hclog"
 	"github.com/onsi/gomega"
 
+	"github.com/burdockspindle/burdockspindle/clock"
 	"github.com/burdockspindle/burdockspindle/demo"
 	"github.com/burdockspindle/burdockspindle/histcheck"
 	"github.com/burdockspindle/burdockspindle/history"
@@ -125,12 +126,7 @@
 }
 
 // pause waits a part of a second while the load goes on.
-func pause(ctx context.Context, d time.Duration) {
-	select {
-	case <-time.After(d):
-	case <-ctx.Done():
-	}
-}
+func pause(ctx context.Context, d time.Duration) { clock.Wait(ctx, d) }
 
 // exercise sends a load under faults, probing keys of the given owners first,
 // and stops the site.
--- a/submit/submit.go
+++ b/submit/submit.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/burdockspindle/burdockspindle/clock"
 	"github.com/burdockspindle/burdockspindle/follower"
 	"github.com/burdockspindle/burdockspindle/ring"
 
@@ -93,12 +94,7 @@
 
 // sleep waits for a random time between half of pause and pause.
 func sleep(ctx context.Context, pause time.Duration) {
-	timer := time.NewTimer(pause/2 + rand.N(pause/2))
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
+	clock.Wait(ctx, pause/2+rand.N(pause/2))
 }
 
 // writeAll reports whether every record is known to have taken effect.
