Router tests: nothing depends on how goroutines are run

Cause: TestALostDeputyIsReplaced failed in 42 of 60 runs: a request sent over a connection kept to a node that was just killed may have been read, so its outcome is rightly unknown, "no-answer". TestMovedShardIsServedByItsNextOwner failed in about 1 of 100 runs: all 30 requests could be sent before the first answer, as answers took no time. Change: the first asks again while a kept connection is found broken, and then expects "not run" as before; in the second, answers take a millisecond. Conclusion: no expectation was changed.

--- a/modules/router/local_test.go
+++ b/modules/router/local_test.go
@@ -99,7 +99,9 @@
 // shard, and go to the next owner as soon as the state names one.
 func TestMovedShardIsServedByItsNextOwner(t *testing.T) {
 	alone(t, both(), func(g *gomega.WithT, site *routetest.Site, driver *rt.Driver, node *rt.Node) {
-		driver.Set("s1", rt.Decline("not-run", serverapi.ReasonNotOwner))
+		// Answers take a moment, so that not all requests are sent before the first
+		// answer, in whatever order their goroutines run.
+		driver.Set("s1", rt.Slow(time.Millisecond, rt.Decline("not-run", serverapi.ReasonNotOwner)))
 		var wait sync.WaitGroup
 		begun := time.Now()
 		for range 30 {
--- a/modules/router/past_test.go
+++ b/modules/router/past_test.go
@@ -11,6 +11,7 @@
 	"github.com/onsi/gomega"
 
 	"github.com/burdockspindle/burdockspindle/callerapi"
+	"github.com/burdockspindle/burdockspindle/exchange"
 	rt "github.com/burdockspindle/burdockspindle/modules/router/routertest"
 	"github.com/burdockspindle/burdockspindle/serverapi"
 	"github.com/burdockspindle/burdockspindle/siteconfig"
@@ -74,6 +75,9 @@
 	}
 }
 
+// keptConnections bounds the connections to lost nodes that a node may have kept.
+const keptConnections = 20
+
 // TestALostDeputyIsReplaced: deputies that cannot be reached either are left out,
 // and only they may send: without any, nothing reaches the server.
 func TestALostDeputyIsReplaced(t *testing.T) {
@@ -92,14 +96,23 @@
 			entry.Kill()
 		}
 		refused := 0
-		for _, entry := range p.entry {
+		serve := func(entry *rt.Node) *exchange.Answer {
 			req := request("POST", "k")
 			req.Deadline = time.Now().Add(time.Second)
-			answer := entry.Handler.Serve(context.Background(), req)
+			return entry.Handler.Serve(context.Background(), req)
+		}
+		for _, entry := range p.entry {
+			answer := serve(entry)
 			if text(p.WithT, answer) != "" {
 				continue // a deputy, which sends by itself
 			}
-			p.Expect(answer.Outcome).To(gomega.Equal(serverapi.OutcomeNotRun))
+			for range keptConnections {
+				if answer.Reason != callerapi.ReasonNoAnswer {
+					break
+				}
+				answer = serve(entry) // a kept connection was found broken by sending
+			}
+			p.Expect(answer.Outcome).To(gomega.Equal(serverapi.OutcomeNotRun), string(answer.Reason))
 			refused++
 		}
 		p.Expect(refused).To(gomega.Equal(len(p.entry) - 3))
--- a/proof/site_test.go
+++ b/proof/site_test.go
@@ -130,9 +130,9 @@
 
 // exercise sends a load under faults, probing keys of the given owners first,
 // and stops the site.
-func (r *run) exercise(ctx context.Context, faults func(context.Context, *run), probed ...*demo.SiteServer) demo.Summary {
+func (r *run) exercise(ctx context.Context, faults func(context.Context, *run), probed ...*demo.SiteServer) {
 	r.t.Helper()
-	return r.exerciseWith(ctx, demo.Load{}, faults, probed)
+	r.exerciseWith(ctx, demo.Load{}, faults, probed)
 }
 
 // exercisePatiently is exercise without a deadline that a slow machine misses.
