Server contract: a failed expectation ends the spec

Cause: a trial that planted a failure in every attempt hung until the time limit of go test: in "late answer of a request given up" the server waits for a channel that only the end of the spec closed, and the clean-up waits for the server. The case as a plain test would have hung at its own expectation, too. Change: the channel is closed when the spec is left in any way. Conclusion: failures of this contract are reported, not waited for.

--- a/backend/backendtest/mixing.go
+++ b/backend/backendtest/mixing.go
@@ -52,6 +52,8 @@
 func runGivenUp(t testing.TB, open Open) {
 	g := gomega.NewWithT(t)
 	arrived, cancelled := make(chan struct{}), make(chan struct{})
+	goOn := sync.OnceFunc(func() { close(cancelled) })
+	defer goOn() // also when an expectation fails
 	_, target := startFaultServer(t, firstThen(func(c *rawConn) {
 		request, _ := c.read()
 		close(arrived)
@@ -67,7 +69,7 @@
 	}()
 	got := doContext(t, ctx, driver, target, newRequest(http.MethodGet, true))
 	g.Expect(got.failure).NotTo(gomega.BeNil())
-	close(cancelled)
+	goOn()
 	expectHealthy(t, driver, target)
 }
 
