A lessor's next term submits its planned moves again

Cause: a lessor that claims its group again, say to name another standby lessor, keeps its planned moves but forgets the record that was on its way, which has no effect under the new term. The move still counted as submitted: it was neither submitted again nor given up, and its shard, or a key about to be split out, was on nobody's list until the lessor changed. Change: Member.carryOver lets such moves be submitted again.

--- a/experiment/engine/engine_test.go
+++ b/experiment/engine/engine_test.go
@@ -152,3 +152,12 @@
 	o.Warmup = 10 * time.Second
 	g.Expect(run(t, o).LimitExceeded).To(gomega.BeZero())
 }
+
+// A lessor that claims again, to name another standby lessor, has records of its
+// old term on their way. What they were to move is not left without a server.
+func TestMovesUnderWayOutliveTheLessorsNextTerm(t *testing.T) {
+	g := gomega.NewWithT(t)
+	lost := engine.Fault{Kind: engine.FaultLoseLessor, Zone: 0, Standby: true, At: 2 * time.Second}
+	f := run(t, options(model.Urbion, model.Traffic{Duration: 9 * time.Second}, lost))
+	g.Expect(f.LongestUnavailable).To(gomega.BeNumerically("<", 3000))
+}
--- a/lessor/member.go
+++ b/lessor/member.go
@@ -230,7 +230,8 @@
 }
 
 // carryOver keeps what this run knew as the lessor of the term before. Records
-// of that term can no longer change anything.
+// of that term can no longer change anything, so planned moves whose record was
+// on its way are submitted again.
 func (m *Member) carryOver() {
 	if m.takeover.before == math.MaxUint64 {
 		m.takeover.before = m.term.Offset
@@ -241,6 +242,9 @@
 	for _, a := range m.activated {
 		a.told = 0
 	}
+	for _, mv := range m.moves {
+		mv.submitted = false
+	}
 	m.submit = submission{number: m.submit.number + 1, undecided: map[topo.ShardID]doubt{}}
 }
 
