Peers: a call whose context has ended is not sent, also over an open connection

Cause: the contract "an ended context is proven not sent" failed once on a busy machine: with a connection open, or opened in the same moment, the call went as far as the transport and came back as possibly sent. The contract asked only before there was a connection. Change: a call looks at its context first; the contract asks again once there is a connection. Measured: the contract's new step fails in both runs of modules/peer (with and without TLS) before the change and passes after; peermem passed before. Conclusion: callers learn "not sent" where it is certain.

--- a/modules/peer/caller.go
+++ b/modules/peer/caller.go
@@ -148,6 +148,9 @@
 // a *peer.CallError.
 func (c *client) attempt(ctx context.Context, to target, run func(ctx context.Context, w *wire) error) error {
 	metricCalls.Add(string(to.kind), 1)
+	if ctx.Err() != nil {
+		return c.failed(to, false, ctx.Err()) // else an open connection would make it unknown
+	}
 	l := c.link(to.address, to.kind)
 	w, err := l.acquire(ctx, to.allowance)
 	if err != nil {
--- a/peer/peertest/cases.go
+++ b/peer/peertest/cases.go
@@ -207,11 +207,17 @@
 func endedContext(t testing.TB, h Harness) {
 	g := gomega.NewWithT(t)
 	a := pair(t, h, &peer.Handlers{Heartbeat: echoRound})
-	ctx, cancel := context.WithCancel(context.Background())
-	cancel()
-	_, err := beat(ctx, a, 1)
-	g.Expect(callError(t, err).Sent).To(gomega.BeFalse())
-	g.Expect(errors.Is(err, context.Canceled)).To(gomega.BeTrue(), "%v", err)
+	ended := func() {
+		ctx, cancel := context.WithCancel(context.Background())
+		cancel()
+		_, err := beat(ctx, a, 1)
+		g.Expect(callError(t, err).Sent).To(gomega.BeFalse())
+		g.Expect(errors.Is(err, context.Canceled)).To(gomega.BeTrue(), "%v", err)
+	}
+	ended()
+	_, err := beat(context.Background(), a, 2) // from here on there is a connection
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	ended()
 }
 
 func restartedNode(t testing.TB, h Harness) {
