Lessor: nodes of other zones wait for a few turns only

Cause: a node of another zone waited with its claim one turn (500 ms) for each node of the group's zone: at 132 nodes a zone 65 s after the whole zone had gone silent, unless it was confirmed as lost. Whole-site tests have two nodes a zone. Change: they wait for four turns at most. Measured: the place of the first outsider beside 132 nodes of the zone: 132 before, 4 after; beside up to 4 nodes unchanged (TestOutsidersDoNotWait...). Conclusion: an early claim costs a term, never safety.

--- a/lessor/rest_test.go
+++ b/lessor/rest_test.go
@@ -145,3 +145,26 @@
 	g.Expect(changed.LessorGone).To(gomega.BeTrue())
 	g.Expect(facts.Current(view, nodes)).To(gomega.BeFalse(), "the lessor's run has ended")
 }
+
+// TestOutsidersDoNotWaitForEachNodeOfALargeZone: how long nodes of other zones
+// wait with a claim does not grow with the group's zone.
+func TestOutsidersDoNotWaitForEachNodeOfALargeZone(t *testing.T) {
+	for _, c := range []struct{ inside, first int }{{1, 1}, {3, 3}, {4, 4}, {132, 4}} {
+		g := gomega.NewWithT(t)
+		facts := &Facts{Group: state.Group{ID: "z0/0"}}
+		for i := range c.inside {
+			facts.Nodes = append(facts.Nodes, state.Node{ID: topo.NodeID(fmt.Sprint("in", i)), Boot: restBoot, Zone: "z0"})
+		}
+		outsiders := []topo.NodeID{"out0", "out1", "out2"}
+		for _, id := range outsiders {
+			facts.Nodes = append(facts.Nodes, state.Node{ID: id, Boot: restBoot, Zone: "z1"})
+		}
+		var places []int
+		for _, id := range outsiders {
+			m := NewMember(restConfig(id, "z1"))
+			m.Observe(time.Second, time.Second, true, facts)
+			places = append(places, m.place)
+		}
+		g.Expect(places).To(gomega.ConsistOf(c.first, c.first+1, c.first+2), "%d nodes inside", c.inside)
+	}
+}
--- a/lessor/watch.go
+++ b/lessor/watch.go
@@ -18,6 +18,11 @@
 	watchersOutside = 1
 )
 
+// turnsInside is for how many nodes of the group's zone the others wait. A large
+// zone that is silent as a whole must not delay them by a turn for each of its
+// nodes; who claims too early costs a term, never safety.
+const turnsInside = 4
+
 // probeFailures in a row make a node count as silent.
 const probeFailures = 2
 
@@ -175,7 +180,7 @@
 		}
 	}
 	if own.outside {
-		return inside + outside, outside < watchersOutside
+		return min(inside, turnsInside) + outside, outside < watchersOutside
 	}
 	return inside, inside < watchersInside
 }
