--- a/proof/publish_test.go
+++ b/proof/publish_test.go
@@ -112,7 +112,7 @@
 			g.Expect(histcheck.SiteVersions(events)).To(gomega.BeEmpty())
 			g.Expect(histcheck.LinearizableSite(events, 0, searchLimit)).To(gomega.Equal(histcheck.Linearizable))
 			g.Expect(acceptedVersions(events)).To(gomega.BeNumerically(">", 1))
-			g.Expect(nodes).To(gomega.HaveLen(len(r.Nodes)))
+			g.Expect(nodes.Nodes).To(gomega.HaveLen(len(r.Nodes)))
 		})
 	}
 }
