Proof: the log and a lessor lost together

Cause: read once more, FAULTS.md had one row with neither a test nor a figure. Change: a whole-site row for it; the page names it. Conclusion: every row of the page has a test.

--- a/proof/faults_test.go
+++ b/proof/faults_test.go
@@ -126,6 +126,13 @@
 		pause(ctx, 2*pastLease)
 		r.Log.Heal()
 	}},
+	{name: "the log and a lessor lost together", servers: 1, faults: func(ctx context.Context, r *run, s []*demo.SiteServer) {
+		lessor := r.lessorOf(s[0])
+		r.Log.Down()
+		r.LoseNode(lessor)
+		pause(ctx, 2*pastLease)
+		r.Log.Heal()
+	}},
 	{name: "log away, the lessor lost meanwhile", servers: 1, faults: func(ctx context.Context, r *run, s []*demo.SiteServer) {
 		r.Log.Down()
 		pause(ctx, settle)
