--- /dev/null
+++ b/cli/gateway.go
@@ -0,0 +1,50 @@
+package cli
+
+import (
+	"context"
+	"os/signal"
+	"syscall"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/integrii/flaggy"
+
+	"github.com/burdockspindle/burdockspindle/gateway/config"
+)
+
+// RunGateway runs a gateway node until ctx ends, then shuts it down.
+type RunGateway func(ctx context.Context, s *config.Settings, logger hclog.Logger) error
+
+// GatewayCommand returns the command "gateway", which runs a gateway node. Its
+// log goes to standard output as JSON lines.
+func GatewayCommand(run RunGateway) func() Command {
+	return func() Command {
+		var file string
+		return Command{
+			Name:        "gateway",
+			Description: "Run a gateway node on a platform until SIGTERM or SIGINT, then shut it down gracefully.",
+			Flags: func(sub *flaggy.Subcommand) {
+				sub.String(&file, "s", "settings", "settings file (JSON with comments)")
+			},
+			Run: func(ctx context.Context, env *Env) error { return runGateway(ctx, env, run, file) },
+		}
+	}
+}
+
+func runGateway(ctx context.Context, env *Env, run RunGateway, file string) error {
+	if file == "" {
+		return &UsageError{Problem: "gateway: --settings FILE is needed"}
+	}
+	s, err := config.Load(file)
+	if err != nil {
+		return err
+	}
+	logger := hclog.New(&hclog.LoggerOptions{
+		Level:      hclog.LevelFromString(s.LogLevel),
+		Output:     env.Stdout,
+		JSONFormat: true,
+	})
+	CaptureStandardLog(logger)
+	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	return run(ctx, s, logger)
+}
--- /dev/null
+++ b/gateway/config/config.go
@@ -0,0 +1,170 @@
+// Package config reads the settings of a gateway node: JSON with comments,
+// validated as a whole before anything starts.
+package config
+
+import (
+	"net/netip"
+	"os"
+	"strconv"
+	"time"
+
+	"github.com/burdockspindle/burdockspindle/jsonc"
+	"github.com/burdockspindle/burdockspindle/settings"
+)
+
+// Settings is everything that a gateway node learns from its settings file.
+type Settings struct {
+	Node    string
+	Zone    string
+	Region  string
+	Listen  Listen
+	Seeds   []string // peer addresses of nodes that may know the site at start
+	Driver  settings.Driver
+	Retries Retries
+	Timing  Timing
+	Place   Placement
+	// MemoryBytes is the memory that the process may use; 0: no limit is known.
+	MemoryBytes int64
+	LogLevel    string
+}
+
+// Listen holds the addresses of the listeners, IP:port.
+type Listen struct {
+	Front   string // callers
+	Ready   string // the balancer's readiness checks
+	Peer    string // other nodes
+	Metrics string // empty: none
+}
+
+// Retries bound what all nodes together send again to a service.
+type Retries struct {
+	Ratio  float64       // sends beyond the first for each request
+	Slack  float64       // sends beyond that in a window
+	Window time.Duration // any span of this length counts
+}
+
+// Timing holds what the site asks of a node.
+type Timing struct {
+	Grace   time.Duration // from SIGTERM to the end of the process
+	HoldMax time.Duration // longest hold of a range
+}
+
+// Placement weighs where requests go.
+type Placement struct {
+	// CrossZonePenalty is the time that sending a request to another zone counts
+	// as, next to the time that the request takes.
+	CrossZonePenalty time.Duration
+}
+
+// Defaults of the optional settings.
+const (
+	defaultRatio   = 0.2
+	defaultSlack   = 50
+	defaultWindow  = 10 * time.Second
+	defaultGrace   = 6 * time.Second
+	defaultHoldMax = 10 * time.Second
+	// defaultPenalty prefers the own zone among servers that are about equally
+	// loaded: a fifth of a service time of 150 ms.
+	defaultPenalty = 30 * time.Millisecond
+	maxDuration    = time.Hour
+	maxSlack       = 1e6
+	maxMemory      = 1 << 50
+)
+
+// Load reads a settings file. The error is a *settings.FileError or a
+// *jsonc.InvalidError with all problems.
+func Load(file string) (*Settings, error) {
+	text, err := os.ReadFile(file)
+	if err != nil {
+		return nil, &settings.FileError{File: file, Cause: err}
+	}
+	s, problems := Parse(text, file)
+	if err := jsonc.ErrorOf(problems); err != nil {
+		return nil, err
+	}
+	return s, nil
+}
+
+// Parse reads and validates settings.
+func Parse(text []byte, file string) (*Settings, []jsonc.Problem) {
+	root, report := jsonc.Parse(text, file)
+	s := &Settings{
+		Node:        root.Need("node").Text(),
+		Zone:        root.Need("zone").Text(),
+		Region:      root.Get("region").String(""),
+		Listen:      readListen(root.Need("listen").Object()),
+		Driver:      readDriver(root.Need("driver").Object()),
+		Retries:     readRetries(root.Get("retries").Object()),
+		Timing:      readTiming(root.Get("timing").Object()),
+		Place:       readPlacement(root.Get("placement").Object()),
+		MemoryBytes: root.Get("memoryBytes").Int(0, 0, maxMemory),
+		LogLevel:    root.Get("logLevel").Choice("info", "trace", "debug", "info", "warn", "error"),
+	}
+	for _, element := range root.Get("seeds").Elements() {
+		s.Seeds = append(s.Seeds, readAddress(element))
+	}
+	root.Close()
+	return s, report.Problems()
+}
+
+func readListen(o *jsonc.Object) Listen {
+	listen := Listen{
+		Front: readAddress(o.Need("front")),
+		Ready: readAddress(o.Need("ready")),
+		Peer:  readAddress(o.Need("peer")),
+	}
+	if metrics := o.Get("metrics"); metrics.Present() {
+		listen.Metrics = readAddress(metrics)
+	}
+	o.Close()
+	return listen
+}
+
+func readAddress(value *jsonc.Value) string {
+	text := value.Text()
+	if _, err := netip.ParseAddrPort(text); err != nil && text != "" {
+		value.Problem(`must be IP:port such as "10.0.0.7:8443", not ` + strconv.Quote(text))
+	}
+	return text
+}
+
+func readDriver(o *jsonc.Object) settings.Driver {
+	driver := settings.Driver{Name: o.Need("name").Text(), Options: map[string]any{}}
+	options := o.Get("options")
+	if decoded, isObject := options.Any().(map[string]any); isObject {
+		driver.Options = decoded
+	} else if options.Present() {
+		options.Object() // notes the wrong type
+	}
+	o.Close()
+	return driver
+}
+
+func readRetries(o *jsonc.Object) Retries {
+	retries := Retries{
+		Ratio:  o.Get("ratio").Float(defaultRatio, 0, 1),
+		Slack:  o.Get("slack").Float(defaultSlack, 0, maxSlack),
+		Window: readDuration(o.Get("window"), defaultWindow),
+	}
+	o.Close()
+	return retries
+}
+
+func readTiming(o *jsonc.Object) Timing {
+	timing := Timing{
+		Grace:   readDuration(o.Get("grace"), defaultGrace),
+		HoldMax: readDuration(o.Get("holdMax"), defaultHoldMax),
+	}
+	o.Close()
+	return timing
+}
+
+func readPlacement(o *jsonc.Object) Placement {
+	placement := Placement{CrossZonePenalty: o.Get("crossZonePenalty").Duration(defaultPenalty, 0, maxDuration)}
+	o.Close()
+	return placement
+}
+
+func readDuration(value *jsonc.Value, byDefault time.Duration) time.Duration {
+	return value.Duration(byDefault, time.Millisecond, maxDuration)
+}
--- /dev/null
+++ b/gateway/duty/duty.go
@@ -0,0 +1,375 @@
+// Package duty runs the lessor's duty on a node: it claims the lease when there
+// is no lessor, confirms it in the store, and grants, releases and moves ranges
+// as package ranges decides.
+package duty
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"maps"
+	"math/rand/v2"
+	"sync/atomic"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"github.com/burdockspindle/burdockspindle/clock"
+	"github.com/burdockspindle/burdockspindle/gateway/follow"
+	"github.com/burdockspindle/burdockspindle/gateway/ranges"
+	"github.com/burdockspindle/burdockspindle/gateway/site"
+	"github.com/burdockspindle/burdockspindle/gateway/store"
+	"github.com/burdockspindle/burdockspindle/gateway/view"
+)
+
+// Timing of the duty.
+const (
+	// tick is how often due calls and changes are looked for.
+	tick = 25 * time.Millisecond
+	// confirmEvery is the interval of the lessor's records in the store. Others
+	// take two missing ones for the loss of the lessor.
+	confirmEvery = 500 * time.Millisecond
+	// suspectAfter is for how long the ownership topic must not have grown before
+	// another node claims: three records, with the interval of reading.
+	suspectAfter = 1500 * time.Millisecond
+	// claimSpread is the random time that nodes wait before a claim, so that
+	// mostly one appends; the store settles the rest.
+	claimSpread = 300 * time.Millisecond
+	// freshRead is how recent the reading of the topic must be for a claim.
+	freshRead = 900 * time.Millisecond
+	// retryAppend is the pause after an append failed.
+	retryAppend = 300 * time.Millisecond
+	// writableFor is how long after an append the store counts as writable.
+	writableFor = 1200 * time.Millisecond
+	// reportEvery is how often the node takes its own reports.
+	reportEvery = 500 * time.Millisecond
+	// resignAfter is for how long most owners must be silent, while the lessor
+	// has held the lease, before it gives the lease to a node that may reach them.
+	resignAfter = 2 * time.Second
+	// claimBreak is how long a node that resigned so does not claim.
+	claimBreak = 6 * time.Second
+)
+
+// Duty is the lessor's duty of one node.
+type Duty struct {
+	Self    ranges.Lessor
+	Timing  ranges.Timing
+	Store   store.Store
+	Granter ranges.Granter
+	State   *view.State
+	Reader  *follow.Reader
+	Contact *follow.Contact
+	Feed    *follow.Feed
+	Reports *follow.Reports
+	Logger  hclog.Logger
+
+	isLessor atomic.Bool
+	resign   chan chan struct{}
+
+	keeper      *ranges.Keeper
+	loads       *ranges.Loads
+	end         store.Offset // of the ownership topic
+	serial      uint64       // of this node's records
+	confirmedAt time.Time    // start of the latest append that succeeded
+	appending   *pendingAppend
+	appended    chan appendResult
+	called      chan callResult
+	nextAppend  time.Time // not before
+	nextConfirm time.Time
+	nextReport  time.Time
+	claimAt     time.Time // when to claim, zero: no reason to
+	noClaim     time.Time // not before
+	leaderSince time.Time
+	shown       uint64 // serial of the routes that the view has
+	resigning   chan struct{}
+	leaving     bool // the node shuts down
+	table       view.Table
+	// known holds every server ever seen: one that has left the register may
+	// still answer a release.
+	known map[site.ServerID]site.Server
+}
+
+// pendingAppend is an append whose fate is not known yet.
+type pendingAppend struct {
+	record  store.Record
+	change  *ranges.Change // nil for a heartbeat or claim
+	claim   *ranges.Table  // not nil for a claim
+	former  bool           // for a claim: the former lessor had resigned
+	resigns bool           // it gives the lease up
+	at      store.Offset
+}
+
+type appendResult struct {
+	pending   *pendingAppend
+	startedAt time.Time
+	err       error
+	mine      bool // after a conflict: the record at the offset is this append's
+}
+
+type callResult struct {
+	call   ranges.Call
+	result ranges.Result
+}
+
+// New returns a duty; its exported fields are set by the caller before Run.
+func New() *Duty {
+	return &Duty{
+		resign:   make(chan chan struct{}, 1),
+		appended: make(chan appendResult, 1),
+		called:   make(chan callResult, 256),
+		loads:    ranges.NewLoads(),
+		known:    map[site.ServerID]site.Server{},
+	}
+}
+
+// IsLessor reports whether the node holds the lease, as far as it knows.
+func (d *Duty) IsLessor() bool { return d.isLessor.Load() }
+
+// Run performs the duty until ctx ends.
+func (d *Duty) Run(ctx context.Context) {
+	ticker := time.NewTicker(tick)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C:
+		case result := <-d.appended:
+			d.takeAppend(ctx, result)
+		case result := <-d.called:
+			d.takeCall(result)
+		case report := <-d.Feed.Reports:
+			d.takeReport(report)
+		case done := <-d.resign:
+			d.leaving = true
+			d.resigning = done
+		case <-ctx.Done():
+			return
+		}
+		d.step(ctx, clock.Now())
+	}
+}
+
+// Resign gives the lease up, if the node has it, and ends the node's claims. It
+// returns when the store has taken that, or ctx ends.
+func (d *Duty) Resign(ctx context.Context) {
+	done := make(chan struct{})
+	select {
+	case d.resign <- done:
+	case <-ctx.Done():
+		return
+	}
+	select {
+	case <-done:
+	case <-ctx.Done():
+	}
+}
+
+func (d *Duty) step(ctx context.Context, now time.Time) {
+	if d.keeper == nil {
+		d.consider(ctx, now)
+		return
+	}
+	if d.resigning != nil {
+		d.giveUp(ctx)
+		return
+	}
+	d.balanceInput(now)
+	d.sendCalls(ctx, now)
+	d.change(ctx, now)
+	d.showRoutes()
+}
+
+// consider claims the lease if there is no lessor.
+func (d *Duty) consider(ctx context.Context, now time.Time) {
+	if d.resigning != nil {
+		close(d.resigning)
+		d.resigning = nil
+	}
+	ownership := d.Reader.Ownership()
+	fresh := ownership.Known && now.Sub(ownership.ReadAt) < freshRead
+	if d.leaving || d.appending != nil || !fresh || now.Before(d.noClaim) || !d.State.Now().Complete() {
+		d.claimAt = time.Time{}
+		return
+	}
+	table := d.State.Now().Table.Table
+	vacant := table == nil || ownership.Resigned || now.Sub(ownership.MovedAt) > suspectAfter
+	if !vacant {
+		d.claimAt = time.Time{}
+		return
+	}
+	if d.claimAt.IsZero() {
+		d.claimAt = now.Add(time.Duration(rand.Int64N(int64(claimSpread))))
+	}
+	if now.Before(d.claimAt) {
+		return
+	}
+	d.claim(ctx, ownership)
+}
+
+func (d *Duty) claim(ctx context.Context, ownership follow.Ownership) {
+	d.claimAt = time.Time{}
+	d.end = ownership.End
+	table := d.State.Now().Table.Table
+	if table == nil {
+		table = &ranges.Table{}
+	}
+	next := table.Refenced(d.Self, ranges.Fence(d.end))
+	eventClaiming.Log(d.Logger, "offset", d.end, "formerLessor", table.Lessor.Node, "resigned", ownership.Resigned, "quietFor", clock.Since(ownership.MovedAt))
+	d.append(ctx, &pendingAppend{claim: next, former: ownership.Resigned})
+}
+
+// balanceInput takes the node's own reports and lets old ones lose weight.
+func (d *Duty) balanceInput(now time.Time) {
+	d.loads.Decay(now)
+	if now.Before(d.nextReport) {
+		return
+	}
+	d.nextReport = now.Add(reportEvery)
+	d.takeReport(d.Reports.Drain())
+	d.State.SetMembers(d.Feed.Members())
+}
+
+func (d *Duty) takeReport(report follow.Report) {
+	for _, c := range report.KeyCounts {
+		d.loads.Count(site.ServiceName(c.Service), ranges.Key(c.Key), int(c.Requests))
+	}
+	for _, p := range report.Paces {
+		d.loads.Pace(site.ServerID(p.Server), time.Duration(p.MeanUs)*time.Microsecond)
+	}
+}
+
+func (d *Duty) mayGrant() bool { return clock.Since(d.confirmedAt) < d.Timing.Right }
+
+func (d *Duty) sendCalls(ctx context.Context, now time.Time) {
+	registered := d.State.Now().Servers.Servers
+	maps.Copy(d.known, registered)
+	for _, call := range d.keeper.Calls(registered, d.mayGrant(), now) {
+		server, known := d.known[call.Server]
+		if !known {
+			d.keeper.Done(call, ranges.Result{Failed: true}, now)
+			continue
+		}
+		go d.call(ctx, server, call)
+	}
+}
+
+// call makes one call to a server. The right to grant is looked at once more,
+// since the machine may have been suspended meanwhile.
+func (d *Duty) call(ctx context.Context, server site.Server, call ranges.Call) {
+	timeout := d.Timing.CallTimeout
+	if call.Release {
+		timeout = d.Timing.ReleaseTimeout
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	var result ranges.Result
+	var err error
+	switch {
+	case clock.Since(call.SentAt) > timeout:
+		err = context.DeadlineExceeded
+	case call.Release:
+		result.Handover, err = d.Granter.Release(ctx, server, call.Grant.Span, call.Grant.Fence)
+	default:
+		err = d.Granter.Grant(ctx, server, call.Grant)
+	}
+	var fenced *ranges.FencedError
+	result.Fenced = errors.As(err, &fenced)
+	result.Failed = err != nil && !result.Fenced
+	if err != nil {
+		eventCallFailed.Log(d.Logger, "server", server.ID, "release", call.Release, "from", call.Grant.From, "to", call.Grant.To, "fence", call.Grant.Fence, "fenced", result.Fenced, "cause", err)
+	}
+	d.called <- callResult{call, result}
+}
+
+func (d *Duty) takeCall(r callResult) {
+	if d.keeper != nil {
+		d.keeper.Done(r.call, r.result, clock.Now())
+	}
+}
+
+// change appends what the keeper decides, or confirms the lease when that is due.
+func (d *Duty) change(ctx context.Context, now time.Time) {
+	if d.appending != nil || now.Before(d.nextAppend) {
+		return
+	}
+	if d.mustResign(now) {
+		d.noClaim = now.Add(claimBreak)
+		d.giveUp(ctx)
+		return
+	}
+	v := d.State.Now()
+	s := ranges.Site{
+		Services: v.Config.Services,
+		Servers:  v.Servers.Servers,
+		Writable: now.Sub(d.confirmedAt) < writableFor,
+		Load:     d.loads,
+	}
+	if change := d.keeper.Plan(s, ranges.Fence(d.end), now); change != nil {
+		d.append(ctx, &pendingAppend{change: change})
+		return
+	}
+	if !now.Before(d.nextConfirm) {
+		d.append(ctx, &pendingAppend{})
+	}
+}
+
+// mustResign reports whether most owners have been silent to this node for so
+// long that another node had better be lessor.
+func (d *Duty) mustResign(now time.Time) bool {
+	silent, owners := d.keeper.Silent()
+	return owners > 2 && 2*silent > owners && now.Sub(d.leaderSince) > resignAfter && len(d.State.Now().Members) > 1
+}
+
+// giveUp appends the record that gives the lease up. Nothing is granted any more.
+func (d *Duty) giveUp(ctx context.Context) {
+	if d.appending != nil || clock.Now().Before(d.nextAppend) {
+		return
+	}
+	eventResigning.Log(d.Logger, "offset", d.end)
+	d.append(ctx, &pendingAppend{resigns: true})
+}
+
+func (d *Duty) append(ctx context.Context, p *pendingAppend) {
+	d.serial++
+	record, err := p.encode(d.Self, d.serial)
+	if err != nil {
+		eventBadTable.Log(d.Logger, "cause", err)
+		return
+	}
+	p.record = record
+	p.at = d.end
+	d.appending = p
+	go d.send(ctx, p)
+}
+
+func (p *pendingAppend) encode(self ranges.Lessor, serial uint64) (store.Record, error) {
+	table := p.claim
+	if p.change != nil {
+		table = p.change.Table
+	}
+	if table != nil {
+		table.Serial = serial
+		text, err := json.Marshal(table)
+		return store.Record{Key: follow.TableKey, Value: text}, err
+	}
+	text, err := json.Marshal(follow.Heartbeat{Boot: self.Boot, Serial: serial, Resigned: p.resigns})
+	return store.Record{Key: follow.HeartbeatKey, Value: text}, err
+}
+
+// send appends and, after a conflict, looks whose record stands at the offset:
+// an earlier try whose answer was lost may have succeeded.
+func (d *Duty) send(ctx context.Context, p *pendingAppend) {
+	startedAt := clock.Now()
+	err := d.Store.AppendAt(ctx, store.Ownership, p.at, p.record)
+	result := appendResult{pending: p, startedAt: startedAt, err: err}
+	var conflict *store.ConflictError
+	if errors.As(err, &conflict) {
+		batch, readErr := d.Store.Read(ctx, store.Ownership, p.at, 0)
+		if readErr != nil {
+			result.err = readErr
+		} else if len(batch.Records) > 0 {
+			first := batch.Records[0]
+			result.mine = first.Key == p.record.Key && string(first.Value) == string(p.record.Value)
+		}
+	}
+	d.appended <- result
+}
--- /dev/null
+++ b/gateway/duty/events.go
@@ -0,0 +1,20 @@
+package duty
+
+import (
+	"github.com/hashicorp/go-hclog"
+
+	"github.com/burdockspindle/burdockspindle/events"
+)
+
+var (
+	eventClaiming     = events.Define(2100, hclog.Info, "claiming the lessor's lease")
+	eventLessor       = events.Define(2101, hclog.Info, "this node is the lessor")
+	eventClaimLost    = events.Define(2102, hclog.Info, "another node claimed first")
+	eventDeposed      = events.Define(2103, hclog.Warn, "another node is the lessor")
+	eventResigning    = events.Define(2104, hclog.Info, "giving up the lessor's lease")
+	eventResigned     = events.Define(2105, hclog.Info, "lessor's lease given up")
+	eventAppendFailed = events.Define(2106, hclog.Warn, "append to the ownership topic failed")
+	eventTableChanged = events.Define(2107, hclog.Info, "ranges changed")
+	eventCallFailed   = events.Define(2108, hclog.Warn, "grant or release failed")
+	eventBadTable     = events.Define(2109, hclog.Error, "table of ranges cannot be encoded")
+)
--- /dev/null
+++ b/gateway/duty/outcome.go
@@ -0,0 +1,111 @@
+package duty
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/burdockspindle/burdockspindle/clock"
+	"github.com/burdockspindle/burdockspindle/gateway/ranges"
+	"github.com/burdockspindle/burdockspindle/gateway/store"
+	"github.com/burdockspindle/burdockspindle/gateway/view"
+)
+
+// takeAppend acts on the outcome of an append. One without a usable answer is
+// tried again as it was, since it may still take effect; only one of the tries
+// can.
+func (d *Duty) takeAppend(ctx context.Context, r appendResult) {
+	p := r.pending
+	if r.err == nil || r.mine {
+		d.succeeded(p, r.startedAt)
+		return
+	}
+	var conflict *store.ConflictError
+	var trimmed *store.TrimmedError
+	if errors.As(r.err, &conflict) || errors.As(r.err, &trimmed) {
+		d.appending = nil
+		d.depose(p)
+		return
+	}
+	if p.claim != nil && d.mayDropClaim(r.err) {
+		d.appending = nil
+		return
+	}
+	eventAppendFailed.Log(d.Logger, "offset", p.at, "key", p.record.Key, "cause", r.err)
+	go func() {
+		if clock.Wait(ctx, retryAppend) {
+			d.send(ctx, p)
+		}
+	}()
+}
+
+// mayDropClaim reports whether a claim surely had no effect.
+func (d *Duty) mayDropClaim(err error) bool {
+	var unavailable *store.UnavailableError
+	return errors.As(err, &unavailable) && unavailable.NotDone
+}
+
+func (d *Duty) succeeded(p *pendingAppend, startedAt time.Time) {
+	now := clock.Now()
+	d.appending = nil
+	d.end = p.at + 1
+	d.confirmedAt = startedAt
+	d.Contact.Note(startedAt)
+	d.nextConfirm = now.Add(confirmEvery)
+	switch {
+	case p.claim != nil:
+		d.begin(p, now)
+	case p.change != nil:
+		d.keeper.Appended(p.change)
+		d.table = view.Table{Offset: p.at, Table: p.change.Table}
+		eventTableChanged.Log(d.Logger, "offset", p.at)
+	case p.resigns:
+		eventResigned.Log(d.Logger, "offset", p.at)
+		d.stop()
+	}
+}
+
+func (d *Duty) begin(p *pendingAppend, now time.Time) {
+	eventLessor.Log(d.Logger, "offset", p.at, "formerResigned", p.former)
+	d.keeper = ranges.NewKeeper(p.claim, d.Timing, p.former, now)
+	d.loads = ranges.NewLoads()
+	d.leaderSince = now
+	d.shown = 0
+	d.isLessor.Store(true)
+	d.Reader.SetLessor(true)
+	d.table = view.Table{Offset: p.at, Table: p.claim}
+}
+
+// depose ends the duty after another node's record was found in the topic.
+func (d *Duty) depose(p *pendingAppend) {
+	if p.claim != nil {
+		eventClaimLost.Log(d.Logger, "offset", p.at)
+		return
+	}
+	eventDeposed.Log(d.Logger, "offset", p.at)
+	d.stop()
+}
+
+func (d *Duty) stop() {
+	d.keeper = nil
+	d.isLessor.Store(false)
+	d.Reader.SetLessor(false)
+}
+
+// showRoutes puts the keeper's routes into the view when they have changed.
+func (d *Duty) showRoutes() {
+	if d.keeper == nil || d.keeper.Serial() == d.shown {
+		return
+	}
+	d.shown = d.keeper.Serial()
+	routes := view.Routes{Boot: d.Self.Boot, Serial: d.shown, Services: d.keeper.Routes()}
+	d.State.MergeRoutes(d.table, routes)
+}
+
+// Dump returns the state of the duty for the state dump.
+func (d *Duty) Dump() any {
+	return struct {
+		Lessor ranges.Lessor `json:"self"`
+		Holds  bool          `json:"holdsLease"`
+	}{d.Self, d.IsLessor()}
+}
--- /dev/null
+++ b/gateway/follow/events.go
@@ -0,0 +1,21 @@
+package follow
+
+import (
+	"github.com/hashicorp/go-hclog"
+
+	"github.com/burdockspindle/burdockspindle/events"
+)
+
+var (
+	eventStoreLost     = events.Define(2000, hclog.Warn, "store lost")
+	eventStoreBack     = events.Define(2001, hclog.Info, "store regained")
+	eventBadRecord     = events.Define(2002, hclog.Warn, "record cannot be understood and is passed over")
+	eventConfig        = events.Define(2010, hclog.Info, "configuration adopted")
+	eventServerSeen    = events.Define(2011, hclog.Info, "server registered")
+	eventServerLeaving = events.Define(2012, hclog.Info, "server is draining")
+	eventServerGone    = events.Define(2013, hclog.Info, "server left the register")
+	eventTable         = events.Define(2014, hclog.Info, "table of ranges adopted")
+	eventLessorLost    = events.Define(2015, hclog.Warn, "lessor's node cannot be followed")
+	eventLessorBack    = events.Define(2016, hclog.Info, "lessor's node is followed")
+	eventPeerFailed    = events.Define(2017, hclog.Debug, "call to another node failed")
+)
--- /dev/null
+++ b/gateway/follow/feed.go
@@ -0,0 +1,181 @@
+package follow
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"connectrpc.com/connect"
+
+	"github.com/burdockspindle/burdockspindle/clock"
+	"github.com/burdockspindle/burdockspindle/gateway/view"
+	bspb "github.com/burdockspindle/burdockspindle/proto/burdockspindle/v1"
+	"github.com/burdockspindle/burdockspindle/proto/burdockspindle/v1/bspbconnect"
+)
+
+// Timing of following another node.
+const (
+	// followWait is how long the other node waits for a change before it answers.
+	// Reports of load go along, so it is also their interval.
+	followWait = 500 * time.Millisecond
+	// coalesce is how long a changed view is held back, so that several changes
+	// become one answer.
+	coalesce = 40 * time.Millisecond
+	// followTimeout ends a call whose answer does not come.
+	followTimeout = followWait + 500*time.Millisecond
+	// staleContact is the age of the lessor's contact with the store beyond which
+	// its followers read the store themselves.
+	staleContact = 1200 * time.Millisecond
+	// memberTimeout is how long a node counts after its latest call.
+	memberTimeout = 2 * time.Second
+	// peerRetry is the pause after a call to another node failed.
+	peerRetry = 250 * time.Millisecond
+)
+
+// Feed serves the node's view to other nodes.
+type Feed struct {
+	Self     view.Member
+	State    *view.State
+	Contact  *Contact
+	IsLessor func() bool
+	// Reports receives the reports of followers; a full channel drops them.
+	Reports chan Report
+
+	mu      sync.Mutex
+	members map[string]seenMember // by node
+}
+
+type seenMember struct {
+	view.Member
+	at time.Time
+}
+
+// NewFeed returns a feed without followers.
+func NewFeed(self view.Member, state *view.State, contact *Contact, isLessor func() bool) *Feed {
+	return &Feed{Self: self, State: state, Contact: contact, IsLessor: isLessor, Reports: make(chan Report, 64), members: map[string]seenMember{}}
+}
+
+// Handler returns the path and handler of the feed's calls.
+func (f *Feed) Handler() (string, http.Handler) { return bspbconnect.NewGatewayHandler(f) }
+
+// Follow implements bspbconnect.GatewayHandler.
+func (f *Feed) Follow(ctx context.Context, request *connect.Request[bspb.FollowRequest]) (*connect.Response[bspb.FollowReply], error) {
+	asked := request.Msg
+	f.see(asked.Member)
+	if len(asked.KeyCounts)+len(asked.Paces) > 0 {
+		select {
+		case f.Reports <- Report{KeyCounts: asked.KeyCounts, Paces: asked.Paces}:
+		default: // the next report tells nearly the same
+		}
+	}
+	f.await(ctx, asked)
+	reply, err := f.reply(asked)
+	if err != nil {
+		return nil, connect.NewError(connect.CodeInternal, err)
+	}
+	return connect.NewResponse(reply), nil
+}
+
+// await waits until the view differs from what the request names.
+func (f *Feed) await(ctx context.Context, asked *bspb.FollowRequest) {
+	ctx, cancel := context.WithTimeout(ctx, time.Duration(asked.WaitMs)*time.Millisecond)
+	defer cancel()
+	for {
+		changed := f.State.Changed()
+		if f.differs(asked) {
+			clock.Wait(ctx, coalesce)
+			return
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (f *Feed) differs(asked *bspb.FollowRequest) bool {
+	v := f.State.Now()
+	return v.Config != nil && uint64(v.Config.Version) > asked.ConfigVersion ||
+		int64(v.Servers.Offset) > asked.ServersOffset ||
+		int64(v.Table.Offset) > asked.TableOffset ||
+		routesDiffer(v, asked)
+}
+
+func routesDiffer(v *view.View, asked *bspb.FollowRequest) bool {
+	return v.Table.Table != nil && (v.Routes.Boot != asked.RoutesBoot || v.Routes.Serial > asked.RoutesSerial)
+}
+
+func (f *Feed) reply(asked *bspb.FollowRequest) (*bspb.FollowReply, error) {
+	v := f.State.Now()
+	reply := &bspb.FollowReply{ContactAgeMs: -1, IsLessor: f.IsLessor()}
+	if age, known := f.Contact.Age(); known {
+		reply.ContactAgeMs = age.Milliseconds()
+	}
+	var err error
+	if v.Config != nil && uint64(v.Config.Version) > asked.ConfigVersion {
+		reply.Config, err = json.Marshal(v.Config)
+	}
+	if err == nil && int64(v.Servers.Offset) > asked.ServersOffset {
+		reply.Servers, err = json.Marshal(v.Servers)
+	}
+	if err == nil && v.Table.Table != nil && int64(v.Table.Offset) > asked.TableOffset {
+		reply.Table, err = json.Marshal(v.Table)
+	}
+	if err == nil && (reply.Table != nil || routesDiffer(v, asked)) {
+		reply.Routes, err = json.Marshal(v.Routes)
+	}
+	for _, member := range f.Members() {
+		reply.Members = append(reply.Members, toMessage(member))
+	}
+	return reply, err
+}
+
+func (f *Feed) see(member *bspb.GatewayMember) {
+	if member == nil {
+		return
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.members[member.Node] = seenMember{fromMessage(member), time.Now()}
+}
+
+// Members returns the nodes that follow this one, itself included.
+func (f *Feed) Members() []view.Member {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	members := []view.Member{f.Self}
+	for node, seen := range f.members {
+		if time.Since(seen.at) > memberTimeout {
+			delete(f.members, node)
+			continue
+		}
+		members = append(members, seen.Member)
+	}
+	sortMembers(members)
+	return members
+}
+
+func toMessage(m view.Member) *bspb.GatewayMember {
+	return &bspb.GatewayMember{Node: m.Node, Boot: m.Boot, Zone: m.Zone, Address: m.Address}
+}
+
+func fromMessage(m *bspb.GatewayMember) view.Member {
+	return view.Member{Node: m.Node, Boot: m.Boot, Zone: m.Zone, Address: m.Address}
+}
+
+func members(messages []*bspb.GatewayMember) []view.Member {
+	list := make([]view.Member, 0, len(messages))
+	for _, m := range messages {
+		list = append(list, fromMessage(m))
+	}
+	return list
+}
+
+func sortMembers(list []view.Member) {
+	slices.SortFunc(list, func(a, b view.Member) int { return strings.Compare(a.Node, b.Node) })
+}
--- /dev/null
+++ b/gateway/follow/reader.go
@@ -0,0 +1,294 @@
+package follow
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"github.com/burdockspindle/burdockspindle/clock"
+	"github.com/burdockspindle/burdockspindle/gateway/ranges"
+	"github.com/burdockspindle/burdockspindle/gateway/site"
+	"github.com/burdockspindle/burdockspindle/gateway/store"
+	"github.com/burdockspindle/burdockspindle/gateway/view"
+)
+
+// Intervals of reading the store.
+const (
+	// readEvery is the interval of reading servers and ownership: each heartbeat
+	// of a server is a record, so waiting for the next one would be a call for
+	// every record.
+	readEvery = 400 * time.Millisecond
+	// configWait is how long a read of the configurations waits: they are rare.
+	configWait = 10 * time.Second
+	// retryEvery is the pause after a call that failed.
+	retryEvery = 500 * time.Millisecond
+	// idleEvery is how often a reader that need not read looks whether it must.
+	idleEvery = 50 * time.Millisecond
+)
+
+// Keys of the ownership topic.
+const (
+	TableKey     = "table"
+	HeartbeatKey = "heartbeat"
+)
+
+// Heartbeat is the lessor's record that its lease goes on.
+type Heartbeat struct {
+	Boot     string `json:"boot"`
+	Serial   uint64 `json:"serial"`
+	Resigned bool   `json:"resigned,omitempty"` // it grants nothing any more
+}
+
+// Ownership is what a reader knows of the lessor's lease.
+type Ownership struct {
+	Known    bool         // the topic was read
+	End      store.Offset // of the topic
+	ReadAt   time.Time    // when it was read last
+	MovedAt  time.Time    // when its end was first seen
+	Resigned bool         // the lessor gave its lease up
+}
+
+// Reader reads the store.
+type Reader struct {
+	Store   store.Store
+	Codec   view.Codec
+	State   *view.State
+	Contact *Contact
+	Logger  hclog.Logger
+
+	direct    atomic.Bool // the node reads the store itself
+	lessor    atomic.Bool // the node holds the lessor's lease and needs no read of it
+	lost      atomic.Bool // the latest call failed
+	register  *Register
+	mu        sync.Mutex
+	ownership Ownership
+}
+
+// SetDirect tells whether the node must read the store itself.
+func (r *Reader) SetDirect(direct bool) { r.direct.Store(direct) }
+
+// SetLessor tells whether the node is the lessor.
+func (r *Reader) SetLessor(isLessor bool) { r.lessor.Store(isLessor) }
+
+// Ownership returns what is known of the lessor's lease.
+func (r *Reader) Ownership() Ownership {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.ownership
+}
+
+func (r *Reader) mustRead() bool { return r.direct.Load() || r.lessor.Load() }
+
+// RunConfigurations follows the operator's configurations until ctx ends.
+func (r *Reader) RunConfigurations(ctx context.Context) {
+	next := store.Offset(-1)
+	for ctx.Err() == nil {
+		if !r.mustRead() {
+			clock.Wait(ctx, idleEvery)
+			continue
+		}
+		batch, _, err := r.readFrom(ctx, store.Configurations, next, configWait)
+		if err != nil {
+			clock.Wait(ctx, retryEvery)
+			continue
+		}
+		next = batch.End
+		for _, record := range batch.Records {
+			r.takeConfig(record)
+		}
+	}
+}
+
+// readFrom reads the records from an offset on. If the offset is negative or
+// gone it reads a snapshot, the newest record of each key.
+func (r *Reader) readFrom(ctx context.Context, topic store.Topic, from store.Offset, wait time.Duration) (batch store.Batch, isSnapshot bool, err error) {
+	startedAt := clock.Now()
+	err = &store.TrimmedError{Topic: topic}
+	if from >= 0 {
+		batch, err = r.Store.Read(ctx, topic, from, wait)
+	}
+	var trimmed *store.TrimmedError
+	if errors.As(err, &trimmed) {
+		isSnapshot = true
+		batch, err = r.Store.Newest(ctx, topic)
+	}
+	r.note(ctx, topic, startedAt, err)
+	return batch, isSnapshot, err
+}
+
+// note logs when the store is lost and regained.
+func (r *Reader) note(ctx context.Context, topic store.Topic, startedAt time.Time, err error) {
+	if err == nil {
+		r.Contact.Note(startedAt)
+		if r.lost.Swap(false) {
+			eventStoreBack.Log(r.Logger, "topic", topic)
+		}
+		return
+	}
+	if ctx.Err() == nil && !r.lost.Swap(true) {
+		eventStoreLost.Log(r.Logger, "topic", topic, "cause", err)
+	}
+}
+
+func (r *Reader) takeConfig(record store.Record) {
+	if len(record.Value) == 0 {
+		return // the newest configuration stays in force
+	}
+	config, found, err := r.Codec.Config(record.Key, record.Value)
+	if err == nil && found {
+		err = config.Check()
+	}
+	if err != nil {
+		eventBadRecord.Log(r.Logger, "topic", store.Configurations, "key", record.Key, "offset", record.Offset, "cause", err)
+		return
+	}
+	if found && r.State.MergeConfig(config) {
+		eventConfig.Log(r.Logger, "version", config.Version, "routes", len(config.Routes), "from", "store", "offset", record.Offset)
+	}
+}
+
+// RunServers follows the register of servers and the ownership topic until ctx
+// ends.
+func (r *Reader) RunServers(ctx context.Context) {
+	r.register = NewRegister()
+	next, ownership := store.Offset(-1), store.Offset(-1)
+	for ctx.Err() == nil {
+		if !r.mustRead() {
+			clock.Wait(ctx, idleEvery)
+			continue
+		}
+		startedAt := time.Now()
+		batch, isSnapshot, err := r.readFrom(ctx, store.Servers, next, 0)
+		if err == nil {
+			r.takeServers(batch, isSnapshot)
+			next = batch.End
+		}
+		if err == nil && !r.lessor.Load() {
+			ownership, err = r.readOwnership(ctx, ownership)
+		}
+		pause := readEvery - time.Since(startedAt)
+		if err != nil {
+			pause = retryEvery
+		}
+		clock.Wait(ctx, max(pause, idleEvery))
+	}
+}
+
+// takeServers folds a snapshot or the records after the last read into the
+// register.
+func (r *Reader) takeServers(batch store.Batch, isSnapshot bool) {
+	now := clock.Now()
+	before := r.register.Servers(now)
+	if isSnapshot {
+		r.snapshot(batch, now)
+	} else {
+		r.register.Read(batch.End, now)
+		for _, record := range batch.Records {
+			r.takeServer(record, now)
+		}
+	}
+	after := r.register.Servers(now)
+	if after.Offset > r.State.Now().Servers.Offset && r.State.MergeServers(after) {
+		r.logServers(before.Servers, after.Servers)
+	}
+}
+
+func (r *Reader) snapshot(batch store.Batch, now time.Time) {
+	servers := map[site.ServerID]site.Server{}
+	for _, record := range batch.Records {
+		server, err := r.Codec.Server(record.Key, record.Value)
+		if err != nil {
+			eventBadRecord.Log(r.Logger, "topic", store.Servers, "key", record.Key, "offset", record.Offset, "cause", err)
+			continue
+		}
+		servers[server.ID] = server
+	}
+	r.register.Snapshot(servers, batch.End, now)
+}
+
+func (r *Reader) takeServer(record store.Record, now time.Time) {
+	end := record.Offset + 1
+	if len(record.Value) == 0 {
+		r.register.Drop(site.ServerID(record.Key), end, now)
+		return
+	}
+	server, err := r.Codec.Server(record.Key, record.Value)
+	if err != nil {
+		eventBadRecord.Log(r.Logger, "topic", store.Servers, "key", record.Key, "offset", record.Offset, "cause", err)
+		return
+	}
+	r.register.Put(server, end)
+}
+
+func (r *Reader) logServers(before, after map[site.ServerID]site.Server) {
+	for id, server := range after {
+		old, existed := before[id]
+		switch {
+		case !existed:
+			eventServerSeen.Log(r.Logger, "server", id, "service", server.Service, "address", server.Address, "zone", server.Zone)
+		case server.Draining && !old.Draining:
+			eventServerLeaving.Log(r.Logger, "server", id, "service", server.Service)
+		}
+	}
+	for id, server := range before {
+		if _, exists := after[id]; !exists {
+			eventServerGone.Log(r.Logger, "server", id, "service", server.Service)
+		}
+	}
+}
+
+// readOwnership reads the ownership topic from an offset and returns where the
+// next read starts.
+func (r *Reader) readOwnership(ctx context.Context, from store.Offset) (store.Offset, error) {
+	batch, _, err := r.readFrom(ctx, store.Ownership, from, 0)
+	if err != nil {
+		return from, err
+	}
+	now := clock.Now()
+	r.mu.Lock()
+	if !r.ownership.Known || batch.End != r.ownership.End {
+		r.ownership.MovedAt = now
+	}
+	r.ownership.Known = true
+	r.ownership.End = batch.End
+	r.ownership.ReadAt = now
+	r.mu.Unlock()
+	for _, record := range batch.Records {
+		r.TakeOwnership(record)
+	}
+	return batch.End, nil
+}
+
+// TakeOwnership takes a record of the ownership topic.
+func (r *Reader) TakeOwnership(record store.Record) {
+	switch record.Key {
+	case TableKey:
+		var table ranges.Table
+		if err := json.Unmarshal(record.Value, &table); err != nil {
+			eventBadRecord.Log(r.Logger, "topic", store.Ownership, "key", record.Key, "offset", record.Offset, "cause", err)
+			return
+		}
+		r.setResigned(false)
+		if r.State.MergeTable(view.Table{Offset: record.Offset, Table: &table}) {
+			eventTable.Log(r.Logger, "offset", record.Offset, "lessor", table.Lessor.Node, "boot", table.Lessor.Boot)
+		}
+	case HeartbeatKey:
+		var beat Heartbeat
+		if err := json.Unmarshal(record.Value, &beat); err != nil {
+			eventBadRecord.Log(r.Logger, "topic", store.Ownership, "key", record.Key, "offset", record.Offset, "cause", err)
+			return
+		}
+		r.setResigned(beat.Resigned)
+	}
+}
+
+func (r *Reader) setResigned(resigned bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.ownership.Resigned = resigned
+}
--- /dev/null
+++ b/gateway/follow/register.go
@@ -0,0 +1,107 @@
+package follow
+
+import (
+	"maps"
+	"time"
+
+	"github.com/burdockspindle/burdockspindle/gateway/site"
+	"github.com/burdockspindle/burdockspindle/gateway/store"
+	"github.com/burdockspindle/burdockspindle/gateway/view"
+)
+
+// Timing of the register after an outage of the store.
+const (
+	// outageAfter is the pause between two reads that counts as an outage:
+	// several intervals of reading.
+	outageAfter = 1500 * time.Millisecond
+	// returnTime is how long servers that live may take to register again after
+	// an outage, 2 s by the platform's promise, with the interval of reading.
+	returnTime = 2500 * time.Millisecond
+)
+
+// Register folds the records of the servers' topic. Servers whose entry is
+// missing after an outage of the store keep their place for returnTime.
+type Register struct {
+	servers  map[site.ServerID]site.Server
+	missing  map[site.ServerID]bool // dropped, but kept until returned
+	next     store.Offset
+	change   store.Offset // after the last record that changed anything
+	readAt   time.Time
+	returned time.Time // end of the time after an outage
+}
+
+// NewRegister returns a register that has read nothing.
+func NewRegister() *Register {
+	return &Register{servers: map[site.ServerID]site.Server{}, missing: map[site.ServerID]bool{}}
+}
+
+// Next returns the offset to read from; 0 before the first snapshot.
+func (r *Register) Next() store.Offset { return r.next }
+
+// Snapshot takes the newest record of each key.
+func (r *Register) Snapshot(servers map[site.ServerID]site.Server, end store.Offset, now time.Time) {
+	r.noteRead(now)
+	for id := range r.servers {
+		if _, exists := servers[id]; !exists {
+			r.drop(id, end, now)
+		}
+	}
+	for _, server := range servers {
+		r.Put(server, end)
+	}
+	r.next = max(r.next, end)
+	r.change = max(r.change, 1)
+}
+
+// Read notes that the topic was read up to an offset.
+func (r *Register) Read(end store.Offset, now time.Time) {
+	r.noteRead(now)
+	r.next = end
+}
+
+func (r *Register) noteRead(now time.Time) {
+	if !r.readAt.IsZero() && now.Sub(r.readAt) > outageAfter {
+		r.returned = now.Add(returnTime)
+	}
+	r.readAt = now
+}
+
+// Put takes a server's record before the offset end.
+func (r *Register) Put(server site.Server, end store.Offset) {
+	delete(r.missing, server.ID)
+	before, exists := r.servers[server.ID]
+	same := server
+	same.WarmUp = before.WarmUp // counts down with every record
+	if exists && same == before {
+		return
+	}
+	r.servers[server.ID] = server
+	r.change = max(r.change, end)
+}
+
+// Drop takes the removal of a server's record before the offset end.
+func (r *Register) Drop(id site.ServerID, end store.Offset, now time.Time) { r.drop(id, end, now) }
+
+func (r *Register) drop(id site.ServerID, end store.Offset, now time.Time) {
+	if _, exists := r.servers[id]; !exists {
+		return
+	}
+	if now.Before(r.returned) {
+		r.missing[id] = true
+		return
+	}
+	delete(r.servers, id)
+	r.change = max(r.change, end)
+}
+
+// Servers returns the register as of now.
+func (r *Register) Servers(now time.Time) view.Servers {
+	if !now.Before(r.returned) && len(r.missing) > 0 {
+		for id := range r.missing {
+			delete(r.servers, id)
+		}
+		clear(r.missing)
+		r.change = max(r.change, r.next)
+	}
+	return view.Servers{Offset: r.change, Servers: maps.Clone(r.servers)}
+}
--- /dev/null
+++ b/gateway/follow/reports.go
@@ -0,0 +1,86 @@
+package follow
+
+import (
+	"sync"
+	"time"
+
+	"github.com/burdockspindle/burdockspindle/gateway/ranges"
+	"github.com/burdockspindle/burdockspindle/gateway/site"
+	bspb "github.com/burdockspindle/burdockspindle/proto/burdockspindle/v1"
+)
+
+// Reports collects what the node observed for the lessor. It is safe for
+// concurrent use.
+type Reports struct {
+	mu    sync.Mutex
+	keys  map[keyOf]uint32
+	paces map[site.ServerID]pace
+}
+
+type keyOf struct {
+	service site.ServiceName
+	key     ranges.Key
+}
+
+type pace struct {
+	count uint64
+	total time.Duration
+}
+
+// maxKeyReports bounds the keys of one report.
+const maxKeyReports = 1000
+
+// NewReports returns empty reports.
+func NewReports() *Reports {
+	return &Reports{keys: map[keyOf]uint32{}, paces: map[site.ServerID]pace{}}
+}
+
+// Key counts a request for a key.
+func (r *Reports) Key(service site.ServiceName, key ranges.Key) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	k := keyOf{service, key}
+	if _, exists := r.keys[k]; exists || len(r.keys) < maxKeyReports {
+		r.keys[k]++
+	}
+}
+
+// Answer notes how long a server of a keyed service took.
+func (r *Reports) Answer(server site.ServerID, took time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	p := r.paces[server]
+	p.count++
+	p.total += took
+	r.paces[server] = p
+}
+
+// take returns the reports since the last call.
+func (r *Reports) take() ([]*bspb.KeyCount, []*bspb.ServerPace) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	counts := make([]*bspb.KeyCount, 0, len(r.keys))
+	for k, n := range r.keys {
+		counts = append(counts, &bspb.KeyCount{Service: string(k.service), Key: uint32(k.key), Requests: n})
+	}
+	paces := make([]*bspb.ServerPace, 0, len(r.paces))
+	for id, p := range r.paces {
+		mean := p.total / time.Duration(p.count)
+		paces = append(paces, &bspb.ServerPace{Server: string(id), MeanUs: uint64(mean.Microseconds())})
+	}
+	clear(r.keys)
+	clear(r.paces)
+	return counts, paces
+}
+
+// Report is what one node observed.
+type Report struct {
+	KeyCounts []*bspb.KeyCount
+	Paces     []*bspb.ServerPace
+}
+
+// Drain returns the node's own report since the last one.
+func (r *Reports) Drain() Report {
+	counts, paces := r.take()
+	return Report{KeyCounts: counts, Paces: paces}
+}
--- /dev/null
+++ b/gateway/node/node.go
@@ -0,0 +1,77 @@
+// Package node runs one gateway node: the modules of a gateway in order, from
+// start to graceful shutdown.
+package node
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"runtime/debug"
+
+	"github.com/hashicorp/go-hclog"
+
+	"github.com/burdockspindle/burdockspindle/events"
+	"github.com/burdockspindle/burdockspindle/gateway/config"
+	"github.com/burdockspindle/burdockspindle/kernel"
+	"github.com/burdockspindle/burdockspindle/topo"
+)
+
+var (
+	eventStarting = events.Define(2310, hclog.Info, "gateway node starting")
+	eventStarted  = events.Define(2311, hclog.Info, "gateway node started")
+	eventStopping = events.Define(2312, hclog.Info, "gateway node stopping")
+	eventStopped  = events.Define(2313, hclog.Info, "gateway node stopped")
+)
+
+const (
+	bootIDBytes = 8
+	// memoryShare is the part of the memory limit that the runtime keeps to; the
+	// rest is for what the kernel holds for the process.
+	memoryShare = 0.7
+)
+
+// Run runs a node until ctx ends, then shuts it down within the grace time.
+func Run(ctx context.Context, s *config.Settings, logger hclog.Logger) error {
+	if s.MemoryBytes > 0 {
+		debug.SetMemoryLimit(int64(memoryShare * float64(s.MemoryBytes)))
+	}
+	random := make([]byte, bootIDBytes)
+	if _, err := rand.Read(random); err != nil {
+		return err
+	}
+	identity := kernel.Identity{
+		Node:   topo.NodeID(s.Node),
+		Boot:   topo.BootID(hex.EncodeToString(random)),
+		Zone:   topo.Zone(s.Zone),
+		Region: topo.Region(s.Region),
+	}
+	logger = logger.With("node", s.Node)
+	eventStarting.Log(logger, "boot", identity.Boot, "zone", s.Zone)
+	runtime := kernel.NewRuntime(kernel.NewContext(identity, logger))
+	if err := kernel.Provide(runtime.Context(), s); err != nil {
+		return err
+	}
+	ids := []kernel.ModuleID{kernel.ModuleID("gatewaydriver." + s.Driver.Name), "gateway.site", "gateway.front"}
+	if err := runtime.Load(ids...); err != nil {
+		return err
+	}
+	if err := runtime.Start(ctx); err != nil {
+		return err
+	}
+	eventStarted.Log(logger)
+	<-ctx.Done()
+	return shutdown(context.WithoutCancel(ctx), runtime, s, logger)
+}
+
+func shutdown(ctx context.Context, runtime *kernel.Runtime, s *config.Settings, logger hclog.Logger) error {
+	ctx, cancel := context.WithTimeout(ctx, s.Timing.Grace)
+	defer cancel()
+	eventStopping.Log(logger)
+	drainErr := runtime.Drain(ctx)
+	stopErr := runtime.Stop(ctx)
+	eventStopped.Log(logger)
+	if drainErr != nil {
+		return drainErr
+	}
+	return stopErr
+}
--- /dev/null
+++ b/gateway/pool/pool.go
@@ -0,0 +1,247 @@
+// Package pool decides which server of a service gets a request, how many
+// requests a node has at each server at once, who waits, and who is refused. It
+// has no I/O, clock or lock: times come in as arguments.
+//
+// It answers these load patterns:
+//
+//   - Bursts and overload: what waits at the node is ordered and can be refused
+//     truthfully; what waits at a server cannot. So a node's requests at a server
+//     are limited by the queue that the server reports, and a request that cannot
+//     be answered in its time is refused when it comes, not when it expires.
+//   - Servers of unlike speed, cold, slow or failing: a request goes where it is
+//     expected to end first, by the times, load reports and failures seen lately.
+//   - Many nodes that see each server seldom: reports lose weight within a few
+//     service times, so that nodes do not all follow the same old report.
+package pool
+
+import (
+	"math"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/burdockspindle/burdockspindle/gateway/site"
+)
+
+// Weights and bounds of the choice of a server.
+const (
+	// timeWeight is the weight of one answer in a server's mean time.
+	timeWeight = 0.2
+	// initialTime is assumed of a service whose times are unknown.
+	initialTime = 150 * time.Millisecond
+	// reportLife is how fast a load report loses weight: about two service times.
+	reportLife = 300 * time.Millisecond
+	// failureWeight is the weight of one outcome in a server's failure rate.
+	failureWeight = 0.3
+	// failureLife is how fast the failure rate falls without outcomes, so that a
+	// server that was avoided is tried again.
+	failureLife = 3 * time.Second
+	// failureCost is the time that a failure costs a caller.
+	failureCost = 400 * time.Millisecond
+	// noise is the share by which estimates are varied, so that nodes with the
+	// same reports do not choose the same server.
+	noise = 0.15
+	// coldFactor is how much longer a server takes that has just started.
+	coldFactor = 2.0
+)
+
+// Weights and bounds of the limit of requests at a server.
+const (
+	leastLimit = 1.0
+	// raise is added to the limit with each answer of a server without a queue.
+	raise = 0.2
+	// lower is the factor of the limit with each answer of a server whose queue is
+	// longer than shortQueue of its slots.
+	lower      = 0.85
+	shortQueue = 0.5
+	// refusedLimit is the factor after a refusal for lack of room.
+	refusedLimit = 0.6
+)
+
+// member is what the pool knows of one server.
+type member struct {
+	site.Server
+	inFlight  int
+	limit     float64 // requests of this node at once
+	mean      float64 // seconds that a request takes; 0: not known
+	others    float64 // requests of other nodes, as of reportAt
+	reportAt  time.Time
+	failure   float64 // rate of failures lately, as of failureAt
+	failureAt time.Time
+	coldUntil time.Time
+}
+
+// Pool is one service's servers as one node sees them.
+type Pool struct {
+	zone    string
+	penalty time.Duration // time that sending to another zone counts as
+	nodes   int           // nodes that share the servers
+	members map[site.ServerID]*member
+	order   []*member
+	queue   []*Waiter
+	random  *rand.Rand
+}
+
+// New returns a pool without servers for a node in a zone. penalty is what
+// sending to another zone counts as, next to the time that a request takes.
+func New(zone string, penalty time.Duration, random *rand.Rand) *Pool {
+	return &Pool{zone: zone, penalty: penalty, nodes: 1, members: map[site.ServerID]*member{}, random: random}
+}
+
+// Update takes the registered servers and the number of nodes that share them.
+func (p *Pool) Update(servers []site.Server, nodes int, now time.Time) {
+	p.nodes = max(nodes, 1)
+	seen := make(map[site.ServerID]bool, len(servers))
+	for _, server := range servers {
+		seen[server.ID] = true
+		m := p.members[server.ID]
+		if m == nil {
+			m = &member{limit: p.initialLimit(server), coldUntil: now.Add(server.WarmUp)}
+			p.members[server.ID] = m
+		}
+		m.Server = server
+	}
+	p.order = p.order[:0]
+	for id, m := range p.members {
+		if !seen[id] {
+			delete(p.members, id)
+			continue
+		}
+		p.order = append(p.order, m)
+	}
+	slices.SortFunc(p.order, func(a, b *member) int {
+		if a.ID < b.ID {
+			return -1
+		}
+		return 1
+	})
+}
+
+// initialLimit gives every node its share of one and a half times the slots.
+func (p *Pool) initialLimit(server site.Server) float64 {
+	return max(leastLimit, math.Ceil(1.5*float64(server.Slots)/float64(p.nodes)))
+}
+
+// Size returns the number of servers that may get requests.
+func (p *Pool) Size() int {
+	size := 0
+	for _, m := range p.order {
+		if !m.Draining {
+			size++
+		}
+	}
+	return size
+}
+
+// pick returns the server with room where a request is expected to end first.
+func (p *Pool) pick(w *Waiter, now time.Time) *member {
+	var best *member
+	bestTime := math.Inf(1)
+	for _, m := range p.order {
+		if m.Draining || !w.accepts(m.ID) || float64(m.inFlight) >= math.Floor(m.limit) {
+			continue
+		}
+		if expected := p.expected(m, now); expected < bestTime {
+			best, bestTime = m, expected
+		}
+	}
+	return best
+}
+
+// expected returns the time in seconds after which a request sent now is
+// expected to be answered, varied by noise.
+func (p *Pool) expected(m *member, now time.Time) float64 {
+	mean := m.mean
+	if mean == 0 {
+		mean = p.typicalTime()
+	}
+	slots := float64(max(m.Slots, 1))
+	busy := float64(m.inFlight) + m.others*fade(now.Sub(m.reportAt), reportLife)
+	expected := mean * (1 + max(0, busy+1-slots)/slots)
+	if now.Before(m.coldUntil) {
+		expected *= coldFactor
+	}
+	expected += m.failure * fade(now.Sub(m.failureAt), failureLife) * failureCost.Seconds()
+	if m.Zone != p.zone {
+		expected += p.penalty.Seconds()
+	}
+	return expected * (1 + noise*(p.random.Float64()-0.5))
+}
+
+// fade returns the weight of something of an age.
+func fade(age, life time.Duration) float64 { return math.Exp2(-age.Seconds() / life.Seconds()) }
+
+// typicalTime returns the mean time in seconds over the servers with one.
+func (p *Pool) typicalTime() float64 {
+	sum, count := 0.0, 0
+	for _, m := range p.order {
+		if m.mean > 0 {
+			sum += m.mean
+			count++
+		}
+	}
+	if count == 0 {
+		return initialTime.Seconds()
+	}
+	return sum / float64(count)
+}
+
+// Outcome is how a request ended at a server.
+type Outcome struct {
+	Took   time.Duration
+	Load   *site.Load // nil: not reported
+	Failed bool       // no answer, or a failure of the server
+	NoRoom bool       // the server refused for lack of room
+	// Abandoned tells that the node gave the request up, which says little of
+	// the server.
+	Abandoned bool
+}
+
+// Done takes the end of a request at a server, and returns the waiters that may
+// be sent now.
+func (p *Pool) Done(id site.ServerID, outcome Outcome, now time.Time) []Admission {
+	m := p.members[id]
+	if m == nil {
+		return p.Admit(now)
+	}
+	m.inFlight = max(0, m.inFlight-1)
+	if outcome.Load != nil {
+		p.takeLoad(m, *outcome.Load, now)
+	}
+	if !outcome.Failed && !outcome.NoRoom && !outcome.Abandoned {
+		if m.mean == 0 {
+			m.mean = outcome.Took.Seconds()
+		}
+		m.mean += timeWeight * (outcome.Took.Seconds() - m.mean)
+	}
+	if !outcome.Abandoned {
+		p.takeFailure(m, outcome.Failed || outcome.NoRoom, now)
+	}
+	if outcome.NoRoom {
+		m.limit = max(leastLimit, m.limit*refusedLimit)
+	}
+	return p.Admit(now)
+}
+
+func (p *Pool) takeLoad(m *member, load site.Load, now time.Time) {
+	// The report counts the request that it answers.
+	m.others = max(0, float64(load.Total()-1-m.inFlight))
+	m.reportAt = now
+	slots := float64(max(load.Slots, 1))
+	switch {
+	case float64(load.Waiting) > shortQueue*slots:
+		m.limit = max(leastLimit, m.limit*lower)
+	case load.Waiting == 0:
+		m.limit = min(m.limit+raise, max(leastLimit, slots))
+	}
+}
+
+func (p *Pool) takeFailure(m *member, failed bool, now time.Time) {
+	rate := m.failure * fade(now.Sub(m.failureAt), failureLife)
+	target := 0.0
+	if failed {
+		target = 1
+	}
+	m.failure = rate + failureWeight*(target-rate)
+	m.failureAt = now
+}
--- /dev/null
+++ b/gateway/pool/queue.go
@@ -0,0 +1,188 @@
+package pool
+
+import (
+	"slices"
+	"time"
+
+	"github.com/burdockspindle/burdockspindle/gateway/site"
+)
+
+// Bounds of waiting.
+const (
+	// mostWaiting bounds the requests that wait for one service at a node.
+	mostWaiting = 400
+	// leastRetryAfter and mostRetryAfter bound when a refused caller is asked to
+	// come back: not before a request or two could have ended, and not so late
+	// that it has no time left.
+	leastRetryAfter = 100 * time.Millisecond
+	mostRetryAfter  = 2 * time.Second
+)
+
+// Waiter is a request that wants a server.
+type Waiter struct {
+	Priority int           // 0 is the most urgent
+	Since    time.Time     // when it came
+	Target   time.Time     // by when an answer is worth most
+	Deadline time.Time     // by when an answer is worth anything
+	Only     site.ServerID // the one server that may run it; empty: any
+	Not      []site.ServerID
+
+	admitted bool
+}
+
+func (w *Waiter) accepts(id site.ServerID) bool {
+	if w.Only != "" {
+		return w.Only == id
+	}
+	return !slices.Contains(w.Not, id)
+}
+
+// Admission gives a waiter a place at a server.
+type Admission struct {
+	Waiter *Waiter
+	Server site.Server
+}
+
+// Refusal tells why a request does not wait, and when to come back.
+type Refusal struct {
+	Reason     Reason
+	RetryAfter time.Duration
+}
+
+// Reason says why a request is refused.
+type Reason string
+
+// Reasons of a refusal.
+const (
+	NoServer  Reason = "no server"                 // none may run it
+	TooLong   Reason = "wait longer than its time" // it would not be answered in time
+	QueueFull Reason = "queue full"
+)
+
+// Ask gives a request a place at once, lets it wait, or refuses it.
+func (p *Pool) Ask(w *Waiter, now time.Time) (admission *Admission, refusal *Refusal) {
+	if !p.hasServer(w) {
+		return nil, &Refusal{Reason: NoServer, RetryAfter: p.retryAfter(0)}
+	}
+	if len(p.queue) == 0 || w.Only != "" {
+		if m := p.pick(w, now); m != nil {
+			return p.admit(w, m), nil
+		}
+	}
+	wait := p.expectedWait(w)
+	if now.Add(wait).After(w.Deadline) {
+		return nil, &Refusal{Reason: TooLong, RetryAfter: p.retryAfter(wait)}
+	}
+	if len(p.queue) >= mostWaiting {
+		return nil, &Refusal{Reason: QueueFull, RetryAfter: p.retryAfter(wait)}
+	}
+	p.queue = append(p.queue, w)
+	return nil, nil
+}
+
+// Leave takes a request that waits no longer out of the queue.
+func (p *Pool) Leave(w *Waiter) {
+	p.queue = slices.DeleteFunc(p.queue, func(other *Waiter) bool { return other == w })
+}
+
+func (p *Pool) hasServer(w *Waiter) bool {
+	return slices.ContainsFunc(p.order, func(m *member) bool { return !m.Draining && w.accepts(m.ID) })
+}
+
+func (p *Pool) admit(w *Waiter, m *member) *Admission {
+	w.admitted = true
+	m.inFlight++
+	return &Admission{Waiter: w, Server: m.Server}
+}
+
+// expectedWait estimates for how long a request waits and runs, by what waits
+// before it and the rate at which this node's requests end.
+func (p *Pool) expectedWait(w *Waiter) time.Duration {
+	ahead := 1.0
+	for _, other := range p.queue {
+		if other.Only == w.Only || w.Only == "" {
+			ahead++
+		}
+	}
+	rate, mean := 0.0, 0.0
+	for _, m := range p.order {
+		if m.Draining || !w.accepts(m.ID) {
+			continue
+		}
+		taken := m.mean
+		if taken == 0 {
+			taken = p.typicalTime()
+		}
+		rate += m.limit / taken
+		mean = max(mean, taken)
+	}
+	if rate == 0 {
+		return mostRetryAfter
+	}
+	return time.Duration((ahead/rate + mean/2) * float64(time.Second))
+}
+
+// retryAfter returns when a refused caller should come back, spread so that
+// callers that were refused together return one after the other.
+func (p *Pool) retryAfter(wait time.Duration) time.Duration {
+	after := max(leastRetryAfter, wait/2)
+	after += time.Duration(p.random.Int64N(int64(after)))
+	return min(after, mostRetryAfter)
+}
+
+// Admit returns the waiters that can be sent now. Those that can still be
+// answered by their target go first, then by priority and time of arrival.
+func (p *Pool) Admit(now time.Time) []Admission {
+	var admissions []Admission
+	for {
+		w, m := p.next(now)
+		if w == nil {
+			return admissions
+		}
+		p.Leave(w)
+		admissions = append(admissions, *p.admit(w, m))
+	}
+}
+
+func (p *Pool) next(now time.Time) (*Waiter, *member) {
+	var first *Waiter
+	var server *member
+	for _, w := range p.queue {
+		if first != nil && !p.before(w, first, now) {
+			continue
+		}
+		if m := p.pick(w, now); m != nil {
+			first, server = w, m
+		}
+	}
+	return first, server
+}
+
+func (p *Pool) before(a, b *Waiter, now time.Time) bool {
+	if a.Priority != b.Priority {
+		return a.Priority < b.Priority
+	}
+	soon := now.Add(time.Duration(p.typicalTime() * float64(time.Second)))
+	inTimeA, inTimeB := soon.Before(a.Target), soon.Before(b.Target)
+	if inTimeA != inTimeB {
+		return inTimeA
+	}
+	return a.Since.Before(b.Since)
+}
+
+// Try gives a request a place only if there is one at once and nobody waits.
+func (p *Pool) Try(w *Waiter, now time.Time) (site.Server, bool) {
+	if len(p.queue) > 0 {
+		return site.Server{}, false
+	}
+	m := p.pick(w, now)
+	if m == nil {
+		return site.Server{}, false
+	}
+	return p.admit(w, m).Server, true
+}
+
+// TypicalTime returns how long a request usually takes.
+func (p *Pool) TypicalTime() time.Duration {
+	return time.Duration(p.typicalTime() * float64(time.Second))
+}
--- /dev/null
+++ b/gateway/ranges/balance.go
@@ -0,0 +1,248 @@
+package ranges
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"github.com/burdockspindle/burdockspindle/gateway/site"
+)
+
+// Balance answers busy keys that lie close together and change within seconds:
+// the busiest server gives the fewest keys that carry enough of its load to the
+// idlest one. Moving few keys costs little; each move stops them for as long as
+// the requests on them still run.
+const (
+	// balanceEvery is the least time between two rounds: nodes report their
+	// counts twice in it.
+	balanceEvery = time.Second
+	// movesPerRound bounds the keys that are stopped at once.
+	movesPerRound = 3
+	// leastGap is the difference of utilisation below which nothing is moved:
+	// queues at one server are short up to about three quarters.
+	leastGap = 0.15
+	// restAfterMove keeps a range where it is until its load there is known.
+	restAfterMove = 3 * time.Second
+	// loadHalfLife is how fast old counts lose their weight.
+	loadHalfLife = 2 * time.Second
+	// enoughShare and mostShare bound what a move carries, as shares of the load
+	// that would make both servers equal.
+	enoughShare = 0.5
+	mostShare   = 1.3
+	// mostRanges bounds the ranges of one server, each of which is renewed.
+	mostRanges = 12
+)
+
+// Loads is the load of each key and the pace of each server, as nodes report
+// them.
+type Loads struct {
+	keys  map[site.ServiceName]*[int(LastKey) + 1]float32 // requests a second, decayed
+	paces map[site.ServerID]float64                       // seconds a request takes
+	last  time.Time                                       // of the latest decay
+	round time.Time                                       // of the latest round of balance
+}
+
+// NewLoads returns loads without any report.
+func NewLoads() *Loads {
+	return &Loads{keys: map[site.ServiceName]*[int(LastKey) + 1]float32{}, paces: map[site.ServerID]float64{}}
+}
+
+// Count adds requests for a key.
+func (l *Loads) Count(service site.ServiceName, key Key, requests int) {
+	keys := l.keys[service]
+	if keys == nil {
+		keys = new([int(LastKey) + 1]float32)
+		l.keys[service] = keys
+	}
+	if key >= 0 && key <= LastKey {
+		// A steady rate r gives r x halfLife / ln 2 in the decayed sum.
+		keys[key] += float32(requests) * float32(math.Ln2/loadHalfLife.Seconds())
+	}
+}
+
+// paceWeight is the weight of a new report in a server's pace.
+const paceWeight = 0.3
+
+// Pace reports the mean time that requests took at a server.
+func (l *Loads) Pace(server site.ServerID, mean time.Duration) {
+	if before, known := l.paces[server]; known {
+		l.paces[server] = before + paceWeight*(mean.Seconds()-before)
+		return
+	}
+	l.paces[server] = mean.Seconds()
+}
+
+// decayEvery is how often the counts lose weight.
+const decayEvery = 250 * time.Millisecond
+
+// Decay lowers the counts by the time passed.
+func (l *Loads) Decay(now time.Time) {
+	if l.last.IsZero() {
+		l.last = now
+	}
+	passed := now.Sub(l.last)
+	if passed < decayEvery {
+		return
+	}
+	l.last = now
+	factor := float32(math.Exp2(-passed.Seconds() / loadHalfLife.Seconds()))
+	for _, keys := range l.keys {
+		for i := range keys {
+			keys[i] *= factor
+		}
+	}
+}
+
+func (l *Loads) sum(service site.ServiceName, span Span) float64 {
+	keys := l.keys[service]
+	if keys == nil {
+		return 0
+	}
+	var sum float32
+	for _, weight := range keys[span.From : span.To+1] {
+		sum += weight
+	}
+	return float64(sum)
+}
+
+type move struct {
+	lease *lease
+	span  Span
+	to    site.ServerID
+}
+
+// usage is the load of one server.
+type usage struct {
+	server site.Server
+	cost   float64 // utilisation that one request a second causes
+	used   float64 // utilisation
+	ranges int
+	isBusy bool // takes part in a move
+}
+
+// balance chooses moves for a service.
+func (k *Keeper) balance(service site.ServiceName, s Site, servers []site.Server, now time.Time) []move {
+	if s.Load == nil || len(servers) < 2 || now.Sub(s.Load.round) < balanceEvery || s.Load.keys[service] == nil {
+		return nil
+	}
+	s.Load.round = now
+	usages := k.usages(service, s, servers)
+	var moves []move
+	for len(moves) < movesPerRound {
+		next, found := k.nextMove(service, s, usages, moves, now)
+		if !found {
+			return moves
+		}
+		moves = append(moves, next)
+	}
+	return moves
+}
+
+func (k *Keeper) usages(service site.ServiceName, s Site, servers []site.Server) []*usage {
+	typical := s.Load.typicalPace(servers)
+	usages := make([]*usage, 0, len(servers))
+	for _, server := range servers {
+		pace, known := s.Load.paces[server.ID]
+		if !known {
+			pace = typical
+		}
+		pace = min(max(pace, typical/paceSpread), typical*paceSpread)
+		u := &usage{server: server, cost: pace / float64(max(server.Slots, 1))}
+		for _, l := range k.leases[service] {
+			if l.Server == server.ID || l.next == server.ID {
+				u.ranges++
+				u.used += s.Load.sum(service, l.Span) * u.cost
+				u.isBusy = u.isBusy || l.phase != granting
+			}
+		}
+		usages = append(usages, u)
+	}
+	return usages
+}
+
+// paceSpread bounds how much faster or slower than others a server counts:
+// measured times include its queue.
+const paceSpread = 3
+
+// defaultPace is used until a server has answered.
+const defaultPace = 0.2
+
+func (l *Loads) typicalPace(servers []site.Server) float64 {
+	var paces []float64
+	for _, server := range servers {
+		if pace, known := l.paces[server.ID]; known {
+			paces = append(paces, pace)
+		}
+	}
+	if len(paces) == 0 {
+		return defaultPace
+	}
+	slices.Sort(paces)
+	return paces[len(paces)/2]
+}
+
+func (k *Keeper) nextMove(service site.ServiceName, s Site, usages []*usage, made []move, now time.Time) (move, bool) {
+	slices.SortFunc(usages, func(a, b *usage) int {
+		switch {
+		case a.used > b.used:
+			return -1
+		case a.used < b.used:
+			return 1
+		}
+		return 0
+	})
+	to := usages[len(usages)-1]
+	for _, from := range usages {
+		gap := from.used - to.used
+		if gap < leastGap || to.ranges >= mostRanges {
+			return move{}, false
+		}
+		want := gap / (from.cost + to.cost)
+		if l, span, weight, found := k.cut(service, s, from.server.ID, want, made, now); found {
+			from.used -= weight * from.cost
+			to.used += weight * to.cost
+			to.ranges++
+			return move{lease: l, span: span, to: to.server.ID}, true
+		}
+	}
+	return move{}, false
+}
+
+// cut finds the fewest neighbouring keys of a server that carry about want
+// requests a second.
+func (k *Keeper) cut(service site.ServiceName, s Site, from site.ServerID, want float64, made []move, now time.Time) (best *lease, span Span, weight float64, found bool) {
+	for _, l := range k.leases[service] {
+		isTaken := slices.ContainsFunc(made, func(m move) bool { return m.lease == l })
+		if l.Server != from || isTaken || !l.canRelease() || now.Sub(l.movedAt) < restAfterMove {
+			continue
+		}
+		window, carried, ok := window(s.Load.keys[service], l.Span, want)
+		if ok && (!found || window.Keys() < span.Keys()) {
+			best, span, weight, found = l, window, carried, true
+		}
+	}
+	return best, span, weight, found
+}
+
+// window returns the shortest window of a span whose weight is near want.
+func window(keys *[int(LastKey) + 1]float32, span Span, want float64) (Span, float64, bool) {
+	var best Span
+	var carried, sum float64
+	found := false
+	from := span.From
+	for to := span.From; to <= span.To; to++ {
+		sum += float64(keys[to])
+		for from < to && sum-float64(keys[from]) >= enoughShare*want {
+			sum -= float64(keys[from])
+			from++
+		}
+		if sum < enoughShare*want || sum > mostShare*want {
+			continue
+		}
+		candidate := Span{From: from, To: to}
+		if !found || candidate.Keys() < best.Keys() {
+			best, carried, found = candidate, sum, true
+		}
+	}
+	return best, carried, found
+}
--- /dev/null
+++ b/gateway/ranges/lessor.go
@@ -0,0 +1,266 @@
+package ranges
+
+import (
+	"slices"
+	"time"
+
+	"github.com/burdockspindle/burdockspindle/gateway/site"
+)
+
+// phase is what the lessor does with a range.
+type phase int
+
+const (
+	granting  phase = iota // grants are sent and renewed
+	releasing              // a release is under way, no grant is sent
+	released               // the owner has let go; the next append moves the range
+	lapsing                // the owner is silent; its holds are waited out
+)
+
+// lease is the lessor's knowledge of one assignment.
+type lease struct {
+	Assignment
+	service site.ServiceName
+	phase   phase
+	// heldUntil is when the last grant that may have reached the owner has run out.
+	heldUntil time.Time
+	sentAt    time.Time // of the latest grant
+	calling   bool      // a call is under way
+	doubtful  bool      // a grant under this fence had no answer
+	fenced    bool      // the owner has seen a higher fence
+	confirmed bool      // the owner has answered a grant under this fence
+	misses    int       // grants in a row without an answer
+	next      site.ServerID
+	handover  string    // from the release
+	movedAt   time.Time // when the owner changed last
+	raised    bool      // the fence is to be raised by the next append
+	pending   bool      // an append that changes it is under way
+	kept      bool      // the owner had the range under the fence before
+}
+
+// missesToLapse is how many grants in a row go unanswered before a server
+// counts as silent: one may be lost with its connection.
+const missesToLapse = 2
+
+// Keeper is the state of the node that holds the lessor's lease: what it has
+// granted, to whom, and until when. It is not safe for concurrent use.
+type Keeper struct {
+	self   Lessor
+	timing Timing
+	leases map[site.ServiceName][]*lease
+	// serial grows with each change of what Routes returns.
+	serial uint64
+}
+
+// NewKeeper returns the state of a new lessor that has appended table at time
+// now. What the former lessor may have granted lasts for its right and a hold,
+// or for a hold alone if it had resigned.
+func NewKeeper(table *Table, timing Timing, resigned bool, now time.Time) *Keeper {
+	k := &Keeper{self: table.Lessor, timing: timing, leases: map[site.ServiceName][]*lease{}, serial: 1}
+	heldUntil := now.Add(lapse(timing.Hold))
+	if !resigned {
+		heldUntil = heldUntil.Add(timing.Right)
+	}
+	for service, assignments := range table.Services {
+		for _, a := range assignments {
+			k.leases[service] = append(k.leases[service], &lease{Assignment: a, service: service, heldUntil: heldUntil, movedAt: now, kept: a.Server != ""})
+		}
+	}
+	return k
+}
+
+// Serial returns a number that grows whenever Routes changes.
+func (k *Keeper) Serial() uint64 { return k.serial }
+
+// Route tells where requests for a range go.
+type Route struct {
+	Span
+	Server site.ServerID `json:"server"`
+	// Ready tells that the owner has confirmed its grant and keeps the range.
+	// Until then requests do better to wait.
+	Ready bool `json:"ready"`
+}
+
+// Routes returns the present routes of every service.
+func (k *Keeper) Routes() map[site.ServiceName][]Route {
+	routes := make(map[site.ServiceName][]Route, len(k.leases))
+	for service, leases := range k.leases {
+		for _, l := range leases {
+			routes[service] = append(routes[service], Route{Span: l.Span, Server: l.Server, Ready: l.phase == granting && (l.confirmed || l.kept)})
+		}
+	}
+	return routes
+}
+
+// Silent returns the servers that own ranges and do not answer, and how many own any.
+func (k *Keeper) Silent() (silent, owners int) {
+	state := map[site.ServerID]bool{}
+	for _, leases := range k.leases {
+		for _, l := range leases {
+			if l.Server != "" {
+				state[l.Server] = state[l.Server] || l.misses >= missesToLapse
+			}
+		}
+	}
+	for _, isSilent := range state {
+		if isSilent {
+			silent++
+		}
+	}
+	return silent, len(state)
+}
+
+// Call is a call that the lessor must make now.
+type Call struct {
+	Service site.ServiceName
+	Server  site.ServerID
+	Release bool
+	Grant   Grant // for a release, its span and fence
+	SentAt  time.Time
+
+	lease *lease
+}
+
+// Calls returns the calls that are due and counts them as sent at now. mayGrant
+// tells that the lessor's right to renew holds. A server whose call is returned
+// must be called at once, or Done be called with an error.
+func (k *Keeper) Calls(servers map[site.ServerID]site.Server, mayGrant bool, now time.Time) []Call {
+	if !mayGrant {
+		return nil
+	}
+	var calls []Call
+	for _, leases := range k.leases {
+		for _, l := range leases {
+			if call, due := k.due(l, servers, now); due {
+				calls = append(calls, call)
+			}
+		}
+	}
+	return calls
+}
+
+func (k *Keeper) due(l *lease, servers map[site.ServerID]site.Server, now time.Time) (Call, bool) {
+	if l.Server == "" || l.calling || l.raised || l.pending || l.phase == released {
+		return Call{}, false
+	}
+	call := Call{Service: l.service, Server: l.Server, SentAt: now, lease: l}
+	if l.phase == releasing {
+		call.Release = true
+		call.Grant.Assignment = l.Assignment
+		l.calling = true
+		return call, true
+	}
+	server, registered := servers[l.Server]
+	leaving := !registered || server.Draining
+	wait := k.timing.Renew
+	if l.misses == 1 {
+		wait = 0 // the connection may have been at fault
+	}
+	if !l.sentAt.IsZero() && now.Sub(l.sentAt) < wait {
+		return Call{}, false
+	}
+	hold := k.timing.Hold
+	if l.misses > 0 || leaving {
+		// What goes to a server that may be lost must not prolong the wait for it.
+		hold = l.heldUntil.Sub(now) - holdMargin
+		hold = time.Duration(float64(hold) / (1 + clockDrift))
+		hold = min(hold, k.timing.Hold)
+		if hold < minHold {
+			return Call{}, false
+		}
+	}
+	call.Grant = Grant{Assignment: l.Assignment, Hold: hold}
+	l.calling = true
+	l.sentAt = now
+	l.heldUntil = later(l.heldUntil, now.Add(lapse(hold)))
+	return call, true
+}
+
+// minHold is the shortest hold worth a call.
+const minHold = 50 * time.Millisecond
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+// Result is how a call ended.
+type Result struct {
+	Handover string
+	Fenced   bool // the server has seen a higher fence
+	Failed   bool // no answer, or one that is no result
+}
+
+// Done takes the result of a call.
+func (k *Keeper) Done(call Call, result Result, now time.Time) {
+	l := call.lease
+	l.calling = false
+	if l.Fence != call.Grant.Fence || l.Server != call.Server {
+		return
+	}
+	if call.Release {
+		k.releaseDone(l, result)
+		return
+	}
+	switch {
+	case result.Fenced:
+		l.fenced = true
+		l.raised = true
+		k.setConfirmed(l, false)
+	case result.Failed:
+		l.doubtful = true
+		l.misses++
+		if l.misses >= missesToLapse {
+			k.setPhase(l, lapsing)
+		}
+	default:
+		l.misses = 0
+		k.setPhase(l, granting)
+		k.setConfirmed(l, true)
+		// A higher fence shuts out the grant that had no answer.
+		l.raised = l.doubtful
+	}
+}
+
+func (k *Keeper) releaseDone(l *lease, result Result) {
+	if result.Failed || result.Fenced {
+		// The release may take effect late: a higher fence makes it void.
+		l.raised = true
+		l.doubtful = true
+		l.next = ""
+		k.setPhase(l, granting)
+		k.setConfirmed(l, false)
+		return
+	}
+	l.handover = result.Handover
+	k.setPhase(l, released)
+}
+
+func (k *Keeper) setPhase(l *lease, p phase) {
+	if l.phase != p {
+		l.phase = p
+		k.serial++
+	}
+}
+
+func (k *Keeper) setConfirmed(l *lease, confirmed bool) {
+	if l.confirmed != confirmed {
+		l.confirmed = confirmed
+		k.serial++
+	}
+}
+
+// canRelease reports whether a release lets the range change its owner at once:
+// every grant under its fence must have been answered, since one that is still
+// on its way would give the range back to the owner.
+func (l *lease) canRelease() bool {
+	return l.phase == granting && l.confirmed && !l.doubtful && !l.calling && !l.raised && !l.pending
+}
+
+// sorted keeps the leases of a service in the order of their keys.
+func sorted(leases []*lease) []*lease {
+	slices.SortFunc(leases, func(a, b *lease) int { return int(a.From - b.From) })
+	return leases
+}
--- /dev/null
+++ b/gateway/ranges/plan.go
@@ -0,0 +1,248 @@
+package ranges
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/burdockspindle/burdockspindle/gateway/site"
+)
+
+// Site is what a plan is made for.
+type Site struct {
+	Services map[site.ServiceName]site.Service
+	Servers  map[site.ServerID]site.Server // those registered now
+	// Writable tells that the store took an append lately. A range that is
+	// released while it does not would have no owner until it does.
+	Writable bool
+	Load     *Loads
+}
+
+// Change is a table to be appended, and what it changes. It holds only if the
+// append at the offset succeeds.
+type Change struct {
+	Table *Table
+	apply []func()
+}
+
+// Plan decides which ranges change their owner or fence by an append at an
+// offset. It returns nil if none does. It also starts releases, which Calls
+// returns afterwards.
+func (k *Keeper) Plan(s Site, at Fence, now time.Time) *Change {
+	change := &Change{}
+	for _, name := range slices.Sorted(maps.Keys(s.Services)) {
+		if !s.Services[name].Keyed || !s.Writable {
+			continue
+		}
+		servers := takers(s, name)
+		if len(servers) == 0 {
+			continue
+		}
+		if len(k.leases[name]) == 0 {
+			k.found(name, servers, now)
+		}
+		k.startReleases(name, s, servers, now)
+		k.collect(name, s, servers, at, now, change)
+	}
+	if len(change.apply) == 0 {
+		return nil
+	}
+	change.Table = k.tableWith(change)
+	return change
+}
+
+// takers returns the servers of a service that may get ranges, by ID.
+func takers(s Site, service site.ServiceName) []site.Server {
+	var servers []site.Server
+	for _, id := range slices.Sorted(maps.Keys(s.Servers)) {
+		server := s.Servers[id]
+		if server.Service == service && !server.Draining {
+			servers = append(servers, server)
+		}
+	}
+	return servers
+}
+
+// found cuts the keys of a service that has no ranges into one range for each
+// server, as long as its slots say.
+func (k *Keeper) found(service site.ServiceName, servers []site.Server, now time.Time) {
+	slots := 0
+	for _, server := range servers {
+		slots += max(server.Slots, 1)
+	}
+	from, seen := Key(0), 0
+	for _, server := range servers {
+		seen += max(server.Slots, 1)
+		to := Key(int(LastKey+1)*seen/slots) - 1
+		l := &lease{Assignment: Assignment{Span: Span{From: from, To: to}}, service: service, next: server.ID, movedAt: now}
+		k.leases[service] = append(k.leases[service], l)
+		from = to + 1
+	}
+	k.serial++
+}
+
+// startReleases begins to take ranges from servers that leave, and those that
+// balance asks for.
+func (k *Keeper) startReleases(service site.ServiceName, s Site, servers []site.Server, now time.Time) {
+	for _, l := range k.leases[service] {
+		if l.canRelease() && l.leaving(s) {
+			k.setPhase(l, releasing)
+		}
+	}
+	for _, move := range k.balance(service, s, servers, now) {
+		l := k.split(move.lease, move.span)
+		l.next = move.to
+		k.setPhase(l, releasing)
+	}
+}
+
+func (l *lease) leaving(s Site) bool {
+	server, registered := s.Servers[l.Server]
+	return l.Server != "" && (!registered || server.Draining)
+}
+
+// split cuts a span out of a lease and returns the lease of the span.
+func (k *Keeper) split(l *lease, span Span) *lease {
+	if l.Span == span {
+		return l
+	}
+	var parts []*lease
+	part := func(from, to Key) *lease {
+		if from > to {
+			return nil
+		}
+		copied := *l
+		copied.Span = Span{From: from, To: to}
+		parts = append(parts, &copied)
+		return &copied
+	}
+	part(l.From, span.From-1)
+	cut := part(span.From, span.To)
+	part(span.To+1, l.To)
+	leases := slices.DeleteFunc(k.leases[l.service], func(other *lease) bool { return other == l })
+	k.leases[l.service] = sorted(append(leases, parts...))
+	k.serial++
+	return cut
+}
+
+// collect adds every range that can change now to the change.
+func (k *Keeper) collect(service site.ServiceName, s Site, servers []site.Server, at Fence, now time.Time, change *Change) {
+	spread := newSpread(k.leases[service], servers)
+	for _, l := range k.leases[service] {
+		switch {
+		case l.calling || l.pending:
+		case l.Server == "" || l.phase == released:
+			to := l.next
+			if !slices.ContainsFunc(servers, func(server site.Server) bool { return server.ID == to }) {
+				to = spread.least()
+			}
+			spread.add(to, l.Keys())
+			k.change(change, l, Assignment{Span: l.Span, Server: to, Fence: at, Handover: l.handover}, now)
+		case l.free(s, now):
+			to := spread.least()
+			spread.add(to, l.Keys())
+			k.change(change, l, Assignment{Span: l.Span, Server: to, Fence: at}, now)
+		case l.raised:
+			next := l.Assignment
+			next.Fence = at
+			k.change(change, l, next, now)
+		}
+	}
+}
+
+// free reports whether the holds of a silent or vanished owner have run out.
+func (l *lease) free(s Site, now time.Time) bool {
+	if l.phase == releasing || l.phase == released {
+		return false
+	}
+	return (l.phase == lapsing || l.leaving(s)) && !now.Before(l.heldUntil)
+}
+
+func (k *Keeper) change(change *Change, l *lease, next Assignment, now time.Time) {
+	l.pending = true
+	change.apply = append(change.apply, func() {
+		moved := l.Server != next.Server
+		heldUntil := l.heldUntil
+		if moved {
+			heldUntil = now // nobody holds it: released, lapsed or never owned
+		}
+		movedAt := l.movedAt
+		if moved {
+			movedAt = now
+		}
+		*l = lease{Assignment: next, service: l.service, heldUntil: heldUntil, movedAt: movedAt, kept: !moved}
+		k.serial++
+	})
+}
+
+// tableWith returns the table as it is after a change, without applying it.
+func (k *Keeper) tableWith(change *Change) *Table {
+	saved := make(map[*lease]lease)
+	for _, leases := range k.leases {
+		for _, l := range leases {
+			saved[l] = *l
+		}
+	}
+	serial := k.serial
+	for _, apply := range change.apply {
+		apply()
+	}
+	table := k.Table()
+	for l, before := range saved {
+		*l = before
+	}
+	k.serial = serial
+	return table
+}
+
+// Table returns the present table.
+func (k *Keeper) Table() *Table {
+	table := &Table{Lessor: k.self, Services: map[site.ServiceName][]Assignment{}}
+	for service, leases := range k.leases {
+		for _, l := range leases {
+			a := l.Assignment
+			if l.confirmed {
+				a.Handover = "" // the owner has it
+			}
+			table.Services[service] = append(table.Services[service], a)
+		}
+	}
+	return table
+}
+
+// Appended applies a change whose append succeeded.
+func (k *Keeper) Appended(change *Change) {
+	for _, apply := range change.apply {
+		apply()
+	}
+}
+
+// spread counts the keys of each server, so that ranges without a load go to
+// the server with the fewest.
+type spread struct {
+	order []site.ServerID
+	keys  map[site.ServerID]int
+	slots map[site.ServerID]int
+}
+
+func newSpread(leases []*lease, servers []site.Server) *spread {
+	s := &spread{keys: map[site.ServerID]int{}, slots: map[site.ServerID]int{}}
+	for _, server := range servers {
+		s.order = append(s.order, server.ID)
+		s.slots[server.ID] = max(server.Slots, 1)
+	}
+	for _, l := range leases {
+		if l.phase == granting {
+			s.keys[l.Server] += l.Keys()
+		}
+	}
+	return s
+}
+
+func (s *spread) add(server site.ServerID, keys int) { s.keys[server] += keys }
+
+func (s *spread) least() site.ServerID {
+	return slices.MinFunc(s.order, func(a, b site.ServerID) int {
+		return s.keys[a]*s.slots[b] - s.keys[b]*s.slots[a]
+	})
+}
--- /dev/null
+++ b/gateway/ranges/timing.go
@@ -0,0 +1,72 @@
+package ranges
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/burdockspindle/burdockspindle/gateway/site"
+)
+
+// Hold is for how long a server owns a range, from the arrival of the grant.
+type Hold = time.Duration
+
+// Timing holds the intervals of ownership.
+type Timing struct {
+	// Hold is the hold of every grant. A lost server's keys are served again
+	// after it; a lessor must be replaced within it for its loss to go unseen.
+	Hold time.Duration
+	// Renew is the interval between grants of a range. It leaves a lost grant
+	// time to be repeated within Hold.
+	Renew time.Duration
+	// Right is for how long a lessor goes on renewing after it last confirmed its
+	// lease in the store. Ownership lives through outages of Right and Hold.
+	Right time.Duration
+	// CallTimeout ends a call to a server.
+	CallTimeout time.Duration
+	// ReleaseTimeout ends a release, which the server answers when the work on
+	// the keys has ended.
+	ReleaseTimeout time.Duration
+}
+
+// DefaultTiming suits servers whose hold may be 10 s: a replaced lessor needs
+// about 2 s, and outages of the store of up to 9 s are lived through.
+func DefaultTiming() Timing {
+	return Timing{
+		Hold:           3 * time.Second,
+		Renew:          700 * time.Millisecond,
+		Right:          8 * time.Second,
+		CallTimeout:    500 * time.Millisecond,
+		ReleaseTimeout: 3 * time.Second,
+	}
+}
+
+// Servers measure a hold by their own clock.
+const (
+	clockDrift = 0.02                   // share by which it may be slow
+	holdMargin = 100 * time.Millisecond // for the grant's way to the server
+)
+
+// lapse returns how long after it was sent a grant may be in force.
+func lapse(hold time.Duration) time.Duration {
+	return time.Duration(float64(hold)*(1+clockDrift)) + holdMargin
+}
+
+// Granter calls servers.
+type Granter interface {
+	// Grant gives a range to a server or renews it. It returns a *FencedError if
+	// the server has seen a higher fence; after any other error the grant may
+	// take effect late.
+	Grant(ctx context.Context, server site.Server, grant Grant) error
+	// Release takes a range back. It returns when the server's work on the keys
+	// has ended, with what the next owner needs.
+	Release(ctx context.Context, server site.Server, span Span, fence Fence) (handover string, err error)
+}
+
+// FencedError reports that a server has seen a higher fence.
+type FencedError struct{ Server site.ServerID }
+
+// Error implements error.
+func (e *FencedError) Error() string {
+	return fmt.Sprintf("server %s has seen a higher fence", e.Server)
+}
--- /dev/null
+++ b/gateway/router/answer.go
@@ -0,0 +1,81 @@
+package router
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/burdockspindle/burdockspindle/gateway/site"
+	"github.com/burdockspindle/burdockspindle/gateway/upstream"
+)
+
+// notRunStatuses promise that a request has not run and never will.
+var notRunStatuses = map[int]bool{
+	http.StatusRequestTimeout:     true,
+	http.StatusMisdirectedRequest: true,
+	http.StatusTooManyRequests:    true,
+	http.StatusServiceUnavailable: true,
+}
+
+// finish answers the caller.
+func (x *exchange) finish(ctx, caller context.Context, r result) {
+	switch {
+	case caller.Err() != nil:
+		x.log("caller left", 0, "")
+	case r.answer != nil:
+		x.answer(r.answer)
+	case r.refusal != nil:
+		x.refuse(r.refusal)
+	default:
+		status := http.StatusBadGateway
+		if ctx.Err() != nil {
+			status = http.StatusGatewayTimeout
+		}
+		x.write(status, nil, []byte(r.failure+"\n"))
+		x.log("may have run", status, r.failure)
+	}
+}
+
+// answer hands a server's answer on. A status that promises that the request
+// has not run is only handed on if the server said so.
+func (x *exchange) answer(a *upstream.Answer) {
+	if x.route.Kind == site.AtMostOnce && notRunStatuses[a.Status] && !a.NotRun {
+		x.write(http.StatusBadGateway, nil, []byte("the server's answer does not tell whether the request has run\n"))
+		x.log("may have run", http.StatusBadGateway, "status "+strconv.Itoa(a.Status)+" of the server")
+		return
+	}
+	x.write(a.Status, upstream.ForwardedHeader(a.Header), a.Body)
+	x.log("answered", a.Status, "")
+}
+
+// refuse answers a request that has not run.
+func (x *exchange) refuse(r *refusal) {
+	header := http.Header{}
+	if r.retryAfter > 0 {
+		header.Set("Retry-After", strconv.FormatFloat(r.retryAfter.Seconds(), 'f', 3, 64))
+	}
+	x.write(r.status, header, []byte(r.reason+"\n"))
+	x.log("refused", r.status, r.reason)
+}
+
+func (x *exchange) write(status int, header http.Header, body []byte) {
+	target := x.writer.Header()
+	for name, values := range header {
+		target[name] = values
+	}
+	if len(target["Content-Type"]) == 0 {
+		target["Content-Type"] = nil // keeps the library from guessing one
+	}
+	if x.request.ID != "" && target.Get(x.router.options.Headers.RequestID) == "" {
+		target.Set(x.router.options.Headers.RequestID, x.request.ID)
+	}
+	target.Set("Content-Length", strconv.Itoa(len(body)))
+	x.writer.WriteHeader(status)
+	if _, err := x.writer.Write(body); err != nil {
+		x.trail.note("answer not written: " + err.Error())
+	}
+}
+
+// elapsed returns the time since the request came.
+func (x *exchange) elapsed() time.Duration { return time.Since(x.arrived) }
--- /dev/null
+++ b/gateway/router/log.go
@@ -0,0 +1,112 @@
+package router
+
+import (
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"github.com/burdockspindle/burdockspindle/events"
+	"github.com/burdockspindle/burdockspindle/gateway/site"
+)
+
+var (
+	eventRequest = events.Define(2200, hclog.Info, "request finished")
+	eventDropped = events.Define(2201, hclog.Warn, "lines of requests left out")
+)
+
+// trail tells what was done with a request, in order.
+type trail struct{ steps []string }
+
+func (t *trail) note(step string) { t.steps = append(t.steps, step) }
+
+func (t *trail) waited(d time.Duration) { t.note("waited " + milliseconds(d)) }
+
+func (t *trail) sent(s sent) {
+	step := "sent to " + string(s.server.ID) + ", "
+	switch {
+	case s.err != nil:
+		step += s.err.Error()
+	case s.answer.NotRun:
+		step += "not run, status " + strconv.Itoa(s.answer.Status)
+	default:
+		step += "status " + strconv.Itoa(s.answer.Status)
+	}
+	if s.err == nil && s.answer.Load != nil {
+		step += ", load " + loadText(*s.answer.Load)
+	}
+	t.note(step + " after " + milliseconds(s.took))
+}
+
+func loadText(l site.Load) string {
+	return strconv.Itoa(l.Running) + "+" + strconv.Itoa(l.Waiting) + "/" + strconv.Itoa(l.Slots)
+}
+
+func milliseconds(d time.Duration) string { return strconv.FormatInt(d.Milliseconds(), 10) + " ms" }
+
+// Bounds of the lines about requests, in lines a second and node. A line costs
+// about 20 microseconds.
+const (
+	failedLines   = 40 // of requests without a good answer
+	answeredLines = 2  // of all others, as samples
+)
+
+// lineBudget bounds the lines about requests.
+type lineBudget struct {
+	mu       sync.Mutex
+	second   int64
+	failed   int
+	answered int
+	dropped  int
+}
+
+// take reports whether a line may be written, and how many lines of failed
+// requests were left out in the second before.
+func (b *lineBudget) take(failed bool, now time.Time) (allowed bool, dropped int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if second := now.Unix(); second != b.second {
+		dropped = b.dropped
+		b.second, b.failed, b.answered, b.dropped = second, failedLines, answeredLines, 0
+	}
+	left := &b.answered
+	if failed {
+		left = &b.failed
+	}
+	if *left == 0 {
+		if failed {
+			b.dropped++
+		}
+		return false, dropped
+	}
+	*left--
+	return true, dropped
+}
+
+// log counts the end of a request and writes its line.
+func (x *exchange) log(outcome string, status int, reason string) {
+	count(x, outcome, reason)
+	allowed, dropped := x.router.lines.take(outcome != "answered" || status >= 500, time.Now())
+	if dropped > 0 {
+		eventDropped.Log(x.router.logger, "lines", dropped)
+	}
+	if !allowed {
+		return
+	}
+	fields := []any{"request", x.request.ID, "outcome", outcome, "status", status, "took", milliseconds(x.elapsed())}
+	if reason != "" {
+		fields = append(fields, "reason", reason)
+	}
+	if x.route != nil {
+		fields = append(fields, "route", x.route.Name, "kind", x.route.Kind, "config", x.view.Config.Version)
+	}
+	if x.service != nil {
+		fields = append(fields, "service", x.service.name)
+	}
+	if x.keyed {
+		fields = append(fields, "key", int(x.key), "table", x.view.Table.Offset)
+	}
+	eventRequest.Log(x.router.logger, append(fields, "steps", strings.Join(x.trail.steps, "; "))...)
+}
--- /dev/null
+++ b/gateway/router/metrics.go
@@ -0,0 +1,89 @@
+package router
+
+import (
+	"expvar"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"github.com/burdockspindle/burdockspindle/metrics"
+)
+
+var (
+	group    = metrics.New("gateway_requests")
+	outcomes = group.Map("by_service_outcome_and_reason")
+	sends    = group.Counter("sends")
+)
+
+// Bounds of the latency histograms, in microseconds, with two significant
+// digits.
+const (
+	histogramLeast  = 100
+	histogramMost   = 60_000_000
+	histogramDigits = 2
+)
+
+// histograms keeps the latency of answered requests by service.
+type histograms struct {
+	mu        sync.Mutex
+	byService map[string]*hdrhistogram.Histogram
+}
+
+var latencies = &histograms{byService: map[string]*hdrhistogram.Histogram{}}
+
+func init() { expvar.Publish("gateway_latency_us", expvar.Func(latencies.summary)) }
+
+func (h *histograms) record(service string, took time.Duration) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	histogram := h.byService[service]
+	if histogram == nil {
+		histogram = hdrhistogram.New(histogramLeast, histogramMost, histogramDigits)
+		h.byService[service] = histogram
+	}
+	value := min(max(took.Microseconds(), histogramLeast), histogramMost)
+	if err := histogram.RecordValue(value); err != nil {
+		outcomes.Add("latency not recorded", 1)
+	}
+}
+
+// summary returns count and percentiles for each service.
+func (h *histograms) summary() any {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	type figures struct {
+		Count int64 `json:"count"`
+		P50   int64 `json:"p50"`
+		P90   int64 `json:"p90"`
+		P99   int64 `json:"p99"`
+		Max   int64 `json:"max"`
+	}
+	all := map[string]figures{}
+	for service, histogram := range h.byService {
+		all[service] = figures{
+			Count: histogram.TotalCount(),
+			P50:   histogram.ValueAtQuantile(50),
+			P90:   histogram.ValueAtQuantile(90),
+			P99:   histogram.ValueAtQuantile(99),
+			Max:   histogram.Max(),
+		}
+	}
+	return all
+}
+
+func count(x *exchange, outcome, reason string) {
+	service := "none"
+	if x.service != nil {
+		service = string(x.service.name)
+	}
+	name := service + " " + outcome
+	if reason != "" && outcome == "refused" {
+		name += ": " + reason
+	}
+	outcomes.Add(name, 1)
+	sends.Add(int64(x.sends))
+	if outcome == "answered" {
+		latencies.record(service, x.elapsed())
+	}
+}
--- /dev/null
+++ b/gateway/router/router.go
@@ -0,0 +1,177 @@
+// Package router takes the requests of callers and has them run by servers. What
+// it decides stands in the packages site, pool, budget and ranges; here is what
+// connects them: one goroutine for each request, attempts, and final answers.
+package router
+
+import (
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"github.com/burdockspindle/burdockspindle/gateway/budget"
+	"github.com/burdockspindle/burdockspindle/gateway/follow"
+	"github.com/burdockspindle/burdockspindle/gateway/pool"
+	"github.com/burdockspindle/burdockspindle/gateway/site"
+	"github.com/burdockspindle/burdockspindle/gateway/upstream"
+	"github.com/burdockspindle/burdockspindle/gateway/view"
+)
+
+// Options are what a router needs to know.
+type Options struct {
+	Zone             string
+	CrossZonePenalty time.Duration
+	Retries          budget.Terms
+	Headers          upstream.Headers
+}
+
+// Router takes requests. It implements http.Handler.
+type Router struct {
+	options  Options
+	state    *view.State
+	client   *upstream.Client
+	reports  *follow.Reports
+	logger   hclog.Logger
+	draining atomic.Bool
+	lines    lineBudget
+
+	mu       sync.Mutex
+	services map[site.ServiceName]*service
+	seen     *view.View // the view that the services were made for
+}
+
+// service is what the router keeps of one service.
+type service struct {
+	name site.ServiceName
+
+	mu      sync.Mutex // guards all below
+	pool    *pool.Pool
+	budget  *budget.Budget
+	waiters map[*pool.Waiter]chan site.Server
+	nodes   int
+}
+
+// New returns a router without services.
+func New(options Options, state *view.State, client *upstream.Client, reports *follow.Reports, logger hclog.Logger) *Router {
+	return &Router{
+		options:  options,
+		state:    state,
+		client:   client,
+		reports:  reports,
+		logger:   logger,
+		services: map[site.ServiceName]*service{},
+	}
+}
+
+// SetDraining tells that the node shuts down: every answer ends its connection.
+func (r *Router) SetDraining() { r.draining.Store(true) }
+
+// service returns a service with the servers of the present view.
+func (r *Router) service(name site.ServiceName) *service {
+	v := r.state.Now()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if v != r.seen {
+		r.seen = v
+		for known, s := range r.services {
+			s.update(v.ServersOf(known), len(v.Members))
+		}
+	}
+	s := r.services[name]
+	if s == nil {
+		random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+		s = &service{
+			name:    name,
+			pool:    pool.New(r.options.Zone, r.options.CrossZonePenalty, random),
+			budget:  budget.New(r.options.Retries),
+			waiters: map[*pool.Waiter]chan site.Server{},
+		}
+		s.update(v.ServersOf(name), len(v.Members))
+		r.services[name] = s
+	}
+	return s
+}
+
+func (s *service) update(servers []site.Server, nodes int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.nodes = nodes
+	now := time.Now()
+	s.pool.Update(servers, nodes, now)
+	s.deliver(s.pool.Admit(now))
+}
+
+// deliver hands places to those that wait for them. The lock is held.
+func (s *service) deliver(admissions []pool.Admission) {
+	for _, a := range admissions {
+		s.waiters[a.Waiter] <- a.Server
+		delete(s.waiters, a.Waiter)
+	}
+}
+
+// ask asks for a place. It returns one, or a channel that receives one, or a
+// refusal.
+func (s *service) ask(w *pool.Waiter) (site.Server, <-chan site.Server, *pool.Refusal) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	admission, refusal := s.pool.Ask(w, time.Now())
+	if refusal != nil {
+		return site.Server{}, nil, refusal
+	}
+	if admission != nil {
+		return admission.Server, nil, nil
+	}
+	places := make(chan site.Server, 1)
+	s.waiters[w] = places
+	return site.Server{}, places, nil
+}
+
+// leave ends a wait. A place that came meanwhile is given back.
+func (s *service) leave(w *pool.Waiter, places <-chan site.Server) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.pool.Leave(w)
+	delete(s.waiters, w)
+	select {
+	case server := <-places:
+		s.deliver(s.pool.Done(server.ID, pool.Outcome{Abandoned: true}, time.Now()))
+	default:
+	}
+}
+
+// done ends a request's place at a server.
+func (s *service) done(server site.Server, outcome pool.Outcome) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.deliver(s.pool.Done(server.ID, outcome, time.Now()))
+}
+
+func (s *service) countRequest() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.budget.Request(time.Now())
+}
+
+// spendRetry takes one send beyond the first out of the budget.
+func (s *service) spendRetry() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.budget.Spend(s.nodes, time.Now())
+}
+
+// tryAsk returns a place if there is one now.
+func (s *service) tryAsk(w *pool.Waiter) (site.Server, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	server, ok := s.pool.Try(w, time.Now())
+	return server, ok
+}
+
+// typicalTime returns how long a request usually takes.
+func (s *service) typicalTime() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.pool.TypicalTime()
+}
--- /dev/null
+++ b/gateway/router/run.go
@@ -0,0 +1,263 @@
+package router
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"slices"
+	"time"
+
+	"github.com/burdockspindle/burdockspindle/gateway/pool"
+	"github.com/burdockspindle/burdockspindle/gateway/site"
+	"github.com/burdockspindle/burdockspindle/gateway/upstream"
+)
+
+const (
+	// hedgeFactor is after how many usual times an idempotent request without an
+	// answer is also sent to a second server.
+	hedgeFactor = 3.0
+	// hedgeShare is the least share of the latency objective before that.
+	hedgeShare = 0.6
+	// ownerPause is how long to wait for news when the owner of a key refused.
+	ownerPause = 250 * time.Millisecond
+	// keyedTries bounds the sends for one request while its key changes hands.
+	keyedTries = 4
+)
+
+// result is how an exchange ended.
+type result struct {
+	answer  *upstream.Answer // of a server
+	refusal *refusal         // not run
+	failure string           // the request may have run, and why there is no answer
+}
+
+// sent is the outcome of one attempt.
+type sent struct {
+	server site.Server
+	answer *upstream.Answer
+	err    error
+	took   time.Duration
+}
+
+// run has the request run. It returns when there is an answer, or none will come.
+func (x *exchange) run(ctx context.Context) result {
+	outcomes := make(chan sent, keyedTries+1)
+	running := 0
+	attempts, cancel := context.WithCancel(ctx)
+	defer cancel()
+	var hedge <-chan time.Time
+	for {
+		if running == 0 {
+			server, problem := x.place(ctx)
+			if problem != nil {
+				return x.giveUp(problem)
+			}
+			x.start(attempts, server, outcomes)
+			running++
+			hedge = x.hedgeTimer()
+		}
+		select {
+		case s := <-outcomes:
+			running--
+			if x.isFinal(s) {
+				return x.final(s)
+			}
+		case <-hedge:
+			hedge = nil
+			if server, ok := x.hedgePlace(); ok {
+				x.start(attempts, server, outcomes)
+				running++
+			}
+		case <-ctx.Done():
+			x.mayHaveRun = true
+			return x.giveUp(&refusal{status: http.StatusGatewayTimeout, reason: "timeout"})
+		}
+	}
+}
+
+// start sends the request to a server. The place is given back when it ends.
+func (x *exchange) start(ctx context.Context, server site.Server, outcomes chan<- sent) {
+	x.sends++
+	if !slices.Contains(x.tried, server.ID) {
+		x.tried = append(x.tried, server.ID)
+	}
+	request := x.request
+	request.Left = time.Until(x.deadline)
+	if x.keyed {
+		x.router.reports.Key(x.service.name, x.key)
+	}
+	go func() {
+		startedAt := time.Now()
+		answer, err := x.router.client.Send(ctx, server, &request)
+		s := sent{server: server, answer: answer, err: err, took: time.Since(startedAt)}
+		x.service.done(server, x.outcome(ctx, s))
+		outcomes <- s
+	}()
+}
+
+// outcome tells the pool how an attempt ended.
+func (x *exchange) outcome(ctx context.Context, s sent) pool.Outcome {
+	if s.err != nil {
+		return pool.Outcome{Took: s.took, Failed: ctx.Err() == nil, Abandoned: ctx.Err() != nil}
+	}
+	if x.keyed && !s.answer.NotRun {
+		x.router.reports.Answer(s.server.ID, s.took)
+	}
+	isMisdirected := s.answer.Status == http.StatusMisdirectedRequest
+	return pool.Outcome{
+		Took:      s.took,
+		Load:      s.answer.Load,
+		Failed:    s.answer.Status >= http.StatusInternalServerError && !s.answer.NotRun,
+		NoRoom:    s.answer.NotRun && !isMisdirected,
+		Abandoned: isMisdirected,
+	}
+}
+
+// isFinal notes how an attempt ended and reports whether the request is done.
+func (x *exchange) isFinal(s sent) bool {
+	x.trail.sent(s)
+	var attempt *upstream.AttemptError
+	if s.err != nil {
+		if !errors.As(s.err, &attempt) || attempt.Sent {
+			x.mayHaveRun = true
+		}
+		return x.route.Kind == site.AtMostOnce && x.mayHaveRun
+	}
+	if s.answer.NotRun {
+		return false
+	}
+	x.mayHaveRun = true
+	if s.answer.Status < http.StatusInternalServerError || x.route.Kind == site.AtMostOnce {
+		return true
+	}
+	x.last = s.answer
+	return false
+}
+
+func (x *exchange) final(s sent) result {
+	if s.err != nil {
+		return result{failure: "connection to the server lost"}
+	}
+	return result{answer: s.answer}
+}
+
+// giveUp returns the best final answer when no attempt will follow.
+func (x *exchange) giveUp(problem *refusal) result {
+	if x.last != nil {
+		return result{answer: x.last}
+	}
+	if x.mayHaveRun {
+		return result{failure: problem.reason}
+	}
+	return result{refusal: problem}
+}
+
+// place waits for a place at a server that may run the request.
+func (x *exchange) place(ctx context.Context) (site.Server, *refusal) {
+	if problem := x.mayTryAgain(); problem != nil {
+		return site.Server{}, problem
+	}
+	w := x.waiter()
+	if x.keyed {
+		owner, problem := x.owner(ctx)
+		if problem != nil {
+			return site.Server{}, problem
+		}
+		w.Only = owner
+	}
+	askedAt := time.Now()
+	server, places, refused := x.service.ask(w)
+	if refused != nil {
+		return site.Server{}, &refusal{status: http.StatusServiceUnavailable, reason: string(refused.Reason), retryAfter: refused.RetryAfter}
+	}
+	if places == nil {
+		return server, nil
+	}
+	select {
+	case server = <-places:
+		x.trail.waited(time.Since(askedAt))
+		return server, nil
+	case <-ctx.Done():
+		x.service.leave(w, places)
+		return site.Server{}, &refusal{status: http.StatusServiceUnavailable, reason: "waited in vain", retryAfter: x.service.typicalTime()}
+	}
+}
+
+// mayTryAgain reports why a request that was sent before is not sent again.
+func (x *exchange) mayTryAgain() *refusal {
+	if x.sends == 0 {
+		return nil
+	}
+	retryAfter := x.service.typicalTime()
+	if x.keyed && x.sends >= keyedTries {
+		return &refusal{status: http.StatusServiceUnavailable, reason: "key is changing hands", retryAfter: retryAfter}
+	}
+	if !x.keyed && len(x.tried) >= max(x.route.Attempts, 1) {
+		return &refusal{status: http.StatusServiceUnavailable, reason: "attempts spent", retryAfter: retryAfter}
+	}
+	if !x.service.spendRetry() {
+		return &refusal{status: http.StatusServiceUnavailable, reason: "retry budget spent", retryAfter: 2 * retryAfter}
+	}
+	return nil
+}
+
+func (x *exchange) waiter() *pool.Waiter {
+	return &pool.Waiter{Priority: x.route.Priority, Since: x.arrived, Target: x.target, Deadline: x.deadline, Not: x.tried}
+}
+
+// owner returns the server that owns the request's key, and waits for one while
+// the key changes hands.
+func (x *exchange) owner(ctx context.Context) (site.ServerID, *refusal) {
+	if x.sends > 0 {
+		x.awaitNews(ctx)
+	}
+	for {
+		changed := x.router.state.Changed()
+		v := x.router.state.Now()
+		route, found := v.RouteOf(x.service.name, x.key)
+		if found && route.Ready && route.Server != "" {
+			return route.Server, nil
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return "", &refusal{status: http.StatusServiceUnavailable, reason: "key has no owner", retryAfter: ownerPause}
+		}
+	}
+}
+
+// awaitNews waits for a changed view after the owner of a key refused.
+func (x *exchange) awaitNews(ctx context.Context) {
+	timer := time.NewTimer(ownerPause)
+	defer timer.Stop()
+	select {
+	case <-x.router.state.Changed():
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
+// hedgeTimer returns when to send an idempotent request to a second server; nil
+// for never.
+func (x *exchange) hedgeTimer() <-chan time.Time {
+	if x.keyed || x.route.Kind != site.Idempotent || len(x.tried) >= x.route.Attempts {
+		return nil
+	}
+	usual := time.Duration(hedgeFactor * float64(x.service.typicalTime()))
+	least := time.Duration(hedgeShare * float64(x.route.Target))
+	return time.After(max(usual, least))
+}
+
+// hedgePlace returns a place at a second server if one is free and the budget
+// allows it.
+func (x *exchange) hedgePlace() (site.Server, bool) {
+	server, ok := x.service.tryAsk(x.waiter())
+	if !ok {
+		return site.Server{}, false
+	}
+	if !x.service.spendRetry() {
+		x.service.done(server, pool.Outcome{Abandoned: true})
+		return site.Server{}, false
+	}
+	return server, true
+}
--- /dev/null
+++ b/gateway/router/serve.go
@@ -0,0 +1,142 @@
+package router
+
+import (
+	"context"
+	"errors"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/burdockspindle/burdockspindle/gateway/ranges"
+	"github.com/burdockspindle/burdockspindle/gateway/site"
+	"github.com/burdockspindle/burdockspindle/gateway/upstream"
+	"github.com/burdockspindle/burdockspindle/gateway/view"
+)
+
+const (
+	// unknownTimeout is the time that a caller is taken to wait who does not say.
+	unknownTimeout = 10 * time.Second
+	// notReadyRetry is when a caller comes back to a node that knows no
+	// configuration yet: nodes learn it within about half a second.
+	notReadyRetry = 400 * time.Millisecond
+	// defaultBodyBytes bounds bodies for a configuration without a limit.
+	defaultBodyBytes = 8 << 20
+)
+
+// exchange is one request on its way through the node.
+type exchange struct {
+	router  *Router
+	writer  http.ResponseWriter
+	view    *view.View
+	route   *site.Route
+	service *service
+	keyed   bool
+	key     ranges.Key
+	request upstream.Request
+
+	arrived    time.Time
+	deadline   time.Time // of the caller or the route
+	target     time.Time // latency objective
+	sends      int       // attempts that were sent
+	mayHaveRun bool
+	tried      []site.ServerID
+	last       *upstream.Answer // of a server, that a caller may get if there is nothing better
+	trail      trail
+}
+
+// ServeHTTP implements http.Handler.
+func (r *Router) ServeHTTP(w http.ResponseWriter, request *http.Request) {
+	x := &exchange{router: r, writer: w, view: r.state.Now(), arrived: time.Now()}
+	x.request.ID = request.Header.Get(r.options.Headers.RequestID)
+	if r.draining.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	if problem := x.prepare(request); problem != nil {
+		x.refuse(problem)
+		return
+	}
+	ctx, cancel := context.WithDeadline(request.Context(), x.deadline)
+	defer cancel()
+	x.service.countRequest()
+	x.finish(ctx, request.Context(), x.run(ctx))
+}
+
+// refusal is an answer of the node itself to a request that has not run.
+type refusal struct {
+	status     int
+	reason     string
+	retryAfter time.Duration // 0: coming back does not help
+}
+
+// prepare finds the route and reads the request.
+func (x *exchange) prepare(request *http.Request) *refusal {
+	if !x.view.Complete() {
+		return &refusal{status: http.StatusServiceUnavailable, reason: "no configuration yet", retryAfter: notReadyRetry}
+	}
+	x.route = x.view.Config.Match(request.Host, request.URL.EscapedPath())
+	if x.route == nil {
+		return &refusal{status: http.StatusNotFound, reason: "no route"}
+	}
+	name := x.route.Pick(newRandom())
+	x.service = x.router.service(name)
+	x.keyed = x.view.Config.Services[name].Keyed
+	if problem := x.readKey(request); problem != nil {
+		return problem
+	}
+	x.setTimes(request)
+	x.request.Method = request.Method
+	x.request.Target = request.RequestURI
+	x.request.Host = request.Host
+	x.request.Header = request.Header
+	return x.readBody(request)
+}
+
+func newRandom() *rand.Rand { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) }
+
+func (x *exchange) readKey(request *http.Request) *refusal {
+	if !x.keyed {
+		return nil
+	}
+	text := request.Header.Get(x.router.options.Headers.Key)
+	key, err := strconv.Atoi(text)
+	if err != nil || key < 0 || ranges.Key(key) > ranges.LastKey {
+		return &refusal{status: http.StatusBadRequest, reason: "key missing or not a number from 0 to 65535"}
+	}
+	x.key = ranges.Key(key)
+	return nil
+}
+
+func (x *exchange) setTimes(request *http.Request) {
+	patience := unknownTimeout
+	text := request.Header.Get(x.router.options.Headers.Timeout)
+	if stated, err := strconv.ParseInt(text, 10, 64); err == nil && stated > 0 {
+		patience = time.Duration(stated) * time.Millisecond
+	}
+	if x.route.Timeout > 0 {
+		patience = min(patience, x.route.Timeout)
+	}
+	x.deadline = x.arrived.Add(patience)
+	x.target = x.arrived.Add(x.route.Target)
+}
+
+func (x *exchange) readBody(request *http.Request) *refusal {
+	if request.Body == nil || request.Body == http.NoBody {
+		return nil
+	}
+	most := x.view.Config.Limits.BodyBytes
+	if most <= 0 {
+		most = defaultBodyBytes
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(x.writer, request.Body, most))
+	var tooLong *http.MaxBytesError
+	if errors.As(err, &tooLong) {
+		return &refusal{status: http.StatusRequestEntityTooLarge, reason: "body too long"}
+	}
+	if err != nil {
+		return &refusal{status: http.StatusBadRequest, reason: "body not read: " + err.Error()}
+	}
+	x.request.Body = body
+	return nil
+}
--- /dev/null
+++ b/gateway/upstream/client.go
@@ -0,0 +1,256 @@
+package upstream
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/burdockspindle/burdockspindle/gateway/site"
+)
+
+// Bounds of a client.
+const (
+	// connectTimeout ends an attempt to connect. Delays between zones are a few
+	// milliseconds; a lost opening packet is sent again after one second.
+	connectTimeout = 700 * time.Millisecond
+	// sweepEvery is how often old idle connections are closed.
+	sweepEvery = time.Second
+	// maxAnswer bounds an answer's body in bytes, since it is kept in memory.
+	maxAnswer = 16 << 20
+	// inlineBody is the size in bytes up to which a body surely fits the send
+	// buffer, so that it is written before the answer is read.
+	inlineBody = 32 << 10
+)
+
+// Request is one request for a server.
+type Request struct {
+	Method string
+	Target string // path and query, as the caller sent them
+	Host   string
+	Header http.Header // as the caller sent them
+	Body   []byte
+	ID     string        // the caller's name of the request
+	Left   time.Duration // time that the caller still waits
+}
+
+// Answer is a server's whole answer.
+type Answer struct {
+	Status int
+	Header http.Header
+	Body   []byte
+	NotRun bool // the server states that it has not run the request
+	Load   *site.Load
+}
+
+// Client sends requests to servers.
+type Client struct {
+	headers Headers
+	dialer  *net.Dialer
+	idle    idlePool
+}
+
+// NewClient returns a client that uses a deployment's header names.
+func NewClient(headers Headers) *Client {
+	return &Client{headers: headers, dialer: Dialer(connectTimeout), idle: idlePool{conns: map[string][]*conn{}}}
+}
+
+// Run closes idle connections that have become too old, until ctx ends.
+func (c *Client) Run(ctx context.Context) {
+	ticker := time.NewTicker(sweepEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case now := <-ticker.C:
+			c.idle.sweep(now)
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// Send sends a request once and returns the whole answer. The error is an
+// *AttemptError. When ctx ends the connection is reset, so that the server stops.
+func (c *Client) Send(ctx context.Context, server site.Server, r *Request) (*Answer, error) {
+	return c.do(ctx, server, r, c.requestText(server, r), true)
+}
+
+// Control sends one call of the gateway itself.
+func (c *Client) Control(ctx context.Context, server site.Server, path string, body []byte) (*Answer, error) {
+	header := http.Header{"Content-Type": {"application/json"}, c.headers.ExpectedServer: {string(server.ID)}}
+	r := &Request{Method: http.MethodPost, Target: path, Host: server.Address, Header: header, Body: body}
+	var text bytes.Buffer
+	writeHead(&text, r)
+	writeHeader(&text, header)
+	writeLength(&text, r)
+	return c.do(ctx, server, r, text.Bytes(), false)
+}
+
+func (c *Client) do(ctx context.Context, server site.Server, r *Request, head []byte, matchID bool) (*Answer, error) {
+	key := server.Address + " " + string(server.ID)
+	cn := c.idle.take(key, time.Now())
+	if cn == nil {
+		raw, err := c.dialer.DialContext(ctx, "tcp", server.Address)
+		if err != nil {
+			return nil, &AttemptError{Server: server.ID, Cause: err}
+		}
+		cn = newConn(raw)
+	}
+	answer, reusable, err := c.exchange(ctx, cn, r, head, matchID)
+	if err != nil {
+		reset(cn.net)
+		return nil, &AttemptError{Server: server.ID, Sent: cn.written, Cause: err}
+	}
+	if !reusable {
+		reset(cn.net)
+		return answer, nil
+	}
+	cn.until = time.Now().Add(idleTime(answer.Header.Get("Keep-Alive")))
+	c.idle.put(key, cn)
+	return answer, nil
+}
+
+// exchange writes a request and reads its answer. The connection can be used
+// again only if both ended exactly where they should.
+func (c *Client) exchange(ctx context.Context, cn *conn, r *Request, head []byte, matchID bool) (*Answer, bool, error) {
+	stop := context.AfterFunc(ctx, func() { reset(cn.net) })
+	defer stop()
+	written := make(chan error, 1)
+	cn.written = true
+	if len(r.Body) <= inlineBody {
+		_, err := cn.net.Write(append(head, r.Body...))
+		if err != nil {
+			return nil, false, err
+		}
+		written <- nil
+	} else {
+		go func() {
+			_, err := cn.net.Write(append(head, r.Body...))
+			written <- err
+		}()
+	}
+	response, err := readResponse(cn, r.Method)
+	if err != nil {
+		return nil, false, err
+	}
+	body, err := io.ReadAll(io.LimitReader(response.Body, maxAnswer+1))
+	if err != nil {
+		return nil, false, err
+	}
+	if len(body) > maxAnswer {
+		return nil, false, &TooLongError{Most: maxAnswer}
+	}
+	if matchID && response.Header.Get(c.headers.RequestID) != r.ID {
+		return nil, false, &MismatchError{Want: r.ID, Got: response.Header.Get(c.headers.RequestID)}
+	}
+	reusable := !response.Close && cn.reader.Buffered() == 0 && wasWritten(written) && stop()
+	return c.answer(response, body), reusable, nil
+}
+
+// wasWritten reports whether the whole request was written when its answer had
+// been read. A server that answers before still expects the rest of the body.
+func wasWritten(written <-chan error) bool {
+	select {
+	case err := <-written:
+		return err == nil
+	default:
+		return false
+	}
+}
+
+// readResponse reads the head of the final answer; informational ones are
+// passed over.
+func readResponse(cn *conn, method string) (*http.Response, error) {
+	for {
+		response, err := http.ReadResponse(cn.reader, &http.Request{Method: method})
+		if err != nil {
+			return nil, err
+		}
+		if response.StatusCode >= http.StatusOK {
+			return response, nil
+		}
+	}
+}
+
+func (c *Client) answer(response *http.Response, body []byte) *Answer {
+	answer := &Answer{Status: response.StatusCode, Header: response.Header, Body: body}
+	answer.NotRun = response.Header.Get(c.headers.NotRun) != "" || response.StatusCode == http.StatusMisdirectedRequest
+	if load, ok := c.headers.ParseLoad(response.Header.Get(c.headers.Load)); ok {
+		answer.Load = &load
+	}
+	return answer
+}
+
+// requestText returns the head of a forwarded request.
+func (c *Client) requestText(server site.Server, r *Request) []byte {
+	var text bytes.Buffer
+	writeHead(&text, r)
+	for name, values := range r.Header {
+		if hopByHop(name, r.Header) || name == c.headers.Timeout || name == c.headers.ExpectedServer || name == "Content-Length" {
+			continue
+		}
+		writeHeader(&text, http.Header{name: values})
+	}
+	writeHeader(&text, http.Header{c.headers.ExpectedServer: {string(server.ID)}})
+	writeHeader(&text, http.Header{c.headers.Timeout: {strconv.FormatInt(max(r.Left.Milliseconds(), 1), 10)}})
+	writeLength(&text, r)
+	return text.Bytes()
+}
+
+func writeHead(text *bytes.Buffer, r *Request) {
+	text.WriteString(r.Method + " " + r.Target + " HTTP/1.1\r\nHost: " + r.Host + "\r\n")
+}
+
+func writeHeader(text *bytes.Buffer, header http.Header) {
+	for name, values := range header {
+		for _, value := range values {
+			text.WriteString(name + ": " + value + "\r\n")
+		}
+	}
+}
+
+// writeLength writes the length of the body, if there is one or the method
+// usually has one, and ends the head.
+func writeLength(text *bytes.Buffer, r *Request) {
+	if len(r.Body) > 0 || r.Method != http.MethodGet && r.Method != http.MethodHead {
+		text.WriteString("Content-Length: " + strconv.Itoa(len(r.Body)) + "\r\n")
+	}
+	text.WriteString("\r\n")
+}
+
+// connectionHeaders concern one connection only and are not forwarded.
+var connectionHeaders = map[string]bool{
+	"Connection": true, "Keep-Alive": true, "Proxy-Connection": true, "Proxy-Authenticate": true,
+	"Proxy-Authorization": true, "Te": true, "Trailer": true, "Transfer-Encoding": true, "Upgrade": true, "Expect": true,
+}
+
+// hopByHop reports whether a header concerns one connection only, by its name
+// or because the Connection header lists it.
+func hopByHop(name string, header http.Header) bool {
+	if connectionHeaders[name] {
+		return true
+	}
+	for _, list := range header["Connection"] {
+		for listed := range strings.SplitSeq(list, ",") {
+			if strings.EqualFold(strings.TrimSpace(listed), name) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// ForwardedHeader returns the headers of an answer that a caller gets.
+func ForwardedHeader(header http.Header) http.Header {
+	forwarded := make(http.Header, len(header))
+	for name, values := range header {
+		if !hopByHop(name, header) && name != "Content-Length" {
+			forwarded[name] = values
+		}
+	}
+	return forwarded
+}
--- /dev/null
+++ b/gateway/upstream/conn.go
@@ -0,0 +1,147 @@
+package upstream
+
+import (
+	"bufio"
+	"errors"
+	"io"
+	"net"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// Idle connections are not used beyond these ages.
+const (
+	// defaultIdle is how long a connection is kept without a statement of the
+	// server: under the shortest idle timeout of common servers, 5 s.
+	defaultIdle = 4 * time.Second
+	// idleMargin is left before the idle timeout that a server states, for the
+	// request's way to it.
+	idleMargin = 1500 * time.Millisecond
+	readBuffer = 4 << 10 // bytes
+)
+
+// conn is one connection to a server, used by one request at a time.
+type conn struct {
+	net     net.Conn
+	reader  *bufio.Reader
+	until   time.Time // not to be used after this
+	reused  bool      // has carried an answer before
+	written bool      // bytes of the present request may have left
+}
+
+func newConn(c net.Conn) *conn {
+	return &conn{net: c, reader: bufio.NewReaderSize(c, readBuffer)}
+}
+
+// errBusy tells that a connection has bytes that no request waits for.
+var errBusy = errors.New("unexpected bytes")
+
+// quiet reports whether an idle connection is open and has nothing to read.
+func (c *conn) quiet() bool {
+	if c.reader.Buffered() > 0 {
+		return false
+	}
+	raw, ok := c.net.(syscall.Conn)
+	if !ok {
+		return true
+	}
+	control, err := raw.SyscallConn()
+	if err != nil {
+		return false
+	}
+	var state error
+	err = control.Read(func(fd uintptr) bool {
+		var one [1]byte
+		n, readErr := syscall.Read(int(fd), one[:])
+		switch {
+		case n > 0:
+			state = errBusy
+		case n == 0 && readErr == nil:
+			state = io.EOF
+		case !errors.Is(readErr, syscall.EAGAIN):
+			state = readErr
+		}
+		return true
+	})
+	return err == nil && state == nil
+}
+
+// idlePool keeps the idle connections of each server address and ID.
+type idlePool struct {
+	mu    sync.Mutex
+	conns map[string][]*conn
+}
+
+// take returns the idle connection that was used last and is still good, or nil.
+func (p *idlePool) take(key string, now time.Time) *conn {
+	for {
+		c := p.pop(key)
+		if c == nil {
+			return nil
+		}
+		if now.Before(c.until) && c.quiet() {
+			c.reused = true
+			c.written = false
+			return c
+		}
+		_ = c.net.Close() // it carries nothing
+	}
+}
+
+func (p *idlePool) pop(key string) *conn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	stack := p.conns[key]
+	if len(stack) == 0 {
+		return nil
+	}
+	c := stack[len(stack)-1]
+	p.conns[key] = stack[:len(stack)-1]
+	return c
+}
+
+func (p *idlePool) put(key string, c *conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.conns[key] = append(p.conns[key], c)
+}
+
+// sweep closes connections that are too old.
+func (p *idlePool) sweep(now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for key, stack := range p.conns {
+		kept := stack[:0]
+		for _, c := range stack {
+			if now.Before(c.until) {
+				kept = append(kept, c)
+			} else {
+				_ = c.net.Close() // it carries nothing
+			}
+		}
+		if len(kept) == 0 {
+			delete(p.conns, key)
+		} else {
+			p.conns[key] = kept
+		}
+	}
+}
+
+// idleTime returns how long a connection may be kept after an answer with this
+// Keep-Alive header.
+func idleTime(header string) time.Duration {
+	for part := range strings.SplitSeq(header, ",") {
+		name, value, found := strings.Cut(strings.TrimSpace(part), "=")
+		if !found || !strings.EqualFold(name, "timeout") {
+			continue
+		}
+		stated, err := strconv.Atoi(value)
+		if err == nil {
+			return max(time.Duration(stated)*time.Second-idleMargin, 0)
+		}
+	}
+	return defaultIdle
+}
--- /dev/null
+++ b/gateway/upstream/errors.go
@@ -0,0 +1,41 @@
+package upstream
+
+import (
+	"fmt"
+
+	"github.com/burdockspindle/burdockspindle/gateway/site"
+)
+
+// AttemptError reports an attempt without a usable answer.
+type AttemptError struct {
+	Server site.ServerID
+	// Sent tells that bytes of the request may have reached the server, so that
+	// it may have run.
+	Sent  bool
+	Cause error
+}
+
+// Error implements error.
+func (e *AttemptError) Error() string {
+	if e.Sent {
+		return fmt.Sprintf("server %s: no answer, the request may have run: %v", e.Server, e.Cause)
+	}
+	return fmt.Sprintf("server %s: not reached: %v", e.Server, e.Cause)
+}
+
+// Unwrap returns the cause.
+func (e *AttemptError) Unwrap() error { return e.Cause }
+
+// MismatchError reports an answer that belongs to another request.
+type MismatchError struct{ Want, Got string }
+
+// Error implements error.
+func (e *MismatchError) Error() string {
+	return fmt.Sprintf("answer belongs to request %q, not to %q", e.Got, e.Want)
+}
+
+// TooLongError reports an answer that is longer than a node keeps in memory.
+type TooLongError struct{ Most int }
+
+// Error implements error.
+func (e *TooLongError) Error() string { return fmt.Sprintf("answer is longer than %d bytes", e.Most) }
--- /dev/null
+++ b/gateway/view/view.go
@@ -0,0 +1,212 @@
+// Package view holds what a node believes of the site: the configuration, the
+// registered servers, and who owns which keys. Each part carries the position
+// in the store that it stems from, so that parts from the store and from other
+// nodes are merged in any order and none ever goes back.
+package view
+
+import (
+	"maps"
+	"sync"
+	"sync/atomic"
+
+	"github.com/burdockspindle/burdockspindle/gateway/ranges"
+	"github.com/burdockspindle/burdockspindle/gateway/site"
+	"github.com/burdockspindle/burdockspindle/gateway/store"
+)
+
+// Servers is the register of servers as of an offset.
+type Servers struct {
+	Offset  store.Offset                  `json:"offset"` // after the last record that it holds
+	Servers map[site.ServerID]site.Server `json:"servers"`
+}
+
+// Table is a table of ranges and the offset of its record.
+type Table struct {
+	Offset store.Offset  `json:"offset"`
+	Table  *ranges.Table `json:"table"`
+}
+
+// Routes tells where the requests of keyed services go, as the lessor's run
+// Boot knows it.
+type Routes struct {
+	Boot     string                              `json:"boot"`
+	Serial   uint64                              `json:"serial"`
+	Services map[site.ServiceName][]ranges.Route `json:"services"`
+}
+
+// View is one state of what a node believes. It is never changed.
+type View struct {
+	Config  *site.Config // nil: none seen yet
+	Servers Servers
+	Table   Table
+	Routes  Routes
+	// Members are the nodes that share the servers with this one, itself included.
+	Members []Member
+
+	byService map[site.ServiceName][]site.Server
+}
+
+// Member is one run of a node.
+type Member struct {
+	Node    string `json:"node"`
+	Boot    string `json:"boot"`
+	Zone    string `json:"zone"`
+	Address string `json:"address"` // of its peer listener
+}
+
+// Complete reports whether requests can be served.
+func (v *View) Complete() bool { return v.Config != nil && v.Servers.Offset > 0 }
+
+// ServersOf returns the registered servers of a service.
+func (v *View) ServersOf(service site.ServiceName) []site.Server { return v.byService[service] }
+
+// RouteOf returns the route of a key.
+func (v *View) RouteOf(service site.ServiceName, key ranges.Key) (ranges.Route, bool) {
+	routes := v.Routes.Services[service]
+	low, high := 0, len(routes)
+	for low < high {
+		middle := (low + high) / 2
+		if routes[middle].To < key {
+			low = middle + 1
+		} else {
+			high = middle
+		}
+	}
+	if low == len(routes) || !routes[low].Contains(key) {
+		return ranges.Route{}, false
+	}
+	return routes[low], true
+}
+
+// State keeps the present view.
+type State struct {
+	mu      sync.Mutex
+	current atomic.Pointer[View]
+	changed chan struct{} // closed at the next change
+}
+
+// NewState returns the state of a node that knows nothing yet but itself.
+func NewState(self Member) *State {
+	s := &State{changed: make(chan struct{})}
+	s.current.Store(&View{Members: []Member{self}})
+	return s
+}
+
+// Now returns the present view.
+func (s *State) Now() *View { return s.current.Load() }
+
+// Changed returns a channel that is closed when the view changes. It must be
+// taken before Now.
+func (s *State) Changed() <-chan struct{} {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.changed
+}
+
+// update replaces the view by a changed copy, if change reports one.
+func (s *State) update(change func(next *View) bool) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	next := *s.current.Load()
+	if !change(&next) {
+		return false
+	}
+	s.current.Store(&next)
+	close(s.changed)
+	s.changed = make(chan struct{})
+	return true
+}
+
+// MergeConfig takes a configuration if it is newer, and reports whether it was.
+func (s *State) MergeConfig(config *site.Config) bool {
+	return s.update(func(next *View) bool {
+		if config == nil || next.Config != nil && config.Version <= next.Config.Version {
+			return false
+		}
+		next.Config = config.Index()
+		return true
+	})
+}
+
+// MergeServers takes a register if it is newer.
+func (s *State) MergeServers(servers Servers) bool {
+	return s.update(func(next *View) bool {
+		if servers.Offset <= next.Servers.Offset {
+			return false
+		}
+		isSame := next.Servers.Offset > 0 && maps.Equal(next.Servers.Servers, servers.Servers)
+		next.Servers = servers
+		if isSame {
+			return true
+		}
+		next.byService = map[site.ServiceName][]site.Server{}
+		for _, server := range servers.Servers {
+			next.byService[server.Service] = append(next.byService[server.Service], server)
+		}
+		return true
+	})
+}
+
+// MergeTable takes a table if it is newer. A table of another lessor replaces
+// the routes: the owners in it are asked to serve their ranges at once.
+func (s *State) MergeTable(table Table) bool {
+	return s.update(func(next *View) bool {
+		if table.Table == nil || next.Table.Table != nil && table.Offset <= next.Table.Offset {
+			return false
+		}
+		next.Table = table
+		next.Routes = routesOf(table.Table)
+		return true
+	})
+}
+
+// routesOf returns the routes of a table whose lessor has not been heard yet.
+func routesOf(table *ranges.Table) Routes {
+	routes := Routes{Boot: table.Lessor.Boot, Services: map[site.ServiceName][]ranges.Route{}}
+	for service, assignments := range table.Services {
+		for _, a := range assignments {
+			routes.Services[service] = append(routes.Services[service], ranges.Route{Span: a.Span, Server: a.Server, Ready: a.Server != ""})
+		}
+	}
+	return routes
+}
+
+// MergeRoutes takes the lessor's routes together with its table.
+func (s *State) MergeRoutes(table Table, routes Routes) bool {
+	return s.update(func(next *View) bool {
+		if next.Table.Table != nil && table.Offset < next.Table.Offset {
+			return false
+		}
+		isSame := next.Routes.Boot == routes.Boot && routes.Serial <= next.Routes.Serial && table.Offset == next.Table.Offset
+		if isSame {
+			return false
+		}
+		next.Table = table
+		next.Routes = routes
+		return true
+	})
+}
+
+// SetMembers replaces the list of nodes.
+func (s *State) SetMembers(members []Member) {
+	s.update(func(next *View) bool {
+		if len(members) == 0 {
+			return false
+		}
+		isSame := len(members) == len(next.Members)
+		for i := 0; isSame && i < len(members); i++ {
+			isSame = members[i] == next.Members[i]
+		}
+		next.Members = members
+		return !isSame
+	})
+}
+
+// Codec decodes the records of the store that others write.
+type Codec interface {
+	// Config decodes a record of the configurations' topic; found is false for
+	// records that are none.
+	Config(key string, value []byte) (config *site.Config, found bool, err error)
+	// Server decodes a server's record.
+	Server(key string, value []byte) (site.Server, error)
+}
--- /dev/null
+++ b/modules/gateway/front.go
@@ -0,0 +1,183 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"expvar"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"github.com/burdockspindle/burdockspindle/clock"
+	"github.com/burdockspindle/burdockspindle/events"
+	"github.com/burdockspindle/burdockspindle/gateway/budget"
+	"github.com/burdockspindle/burdockspindle/gateway/config"
+	"github.com/burdockspindle/burdockspindle/gateway/driver"
+	"github.com/burdockspindle/burdockspindle/gateway/follow"
+	"github.com/burdockspindle/burdockspindle/gateway/router"
+	"github.com/burdockspindle/burdockspindle/gateway/upstream"
+	"github.com/burdockspindle/burdockspindle/gateway/view"
+	"github.com/burdockspindle/burdockspindle/kernel"
+)
+
+var (
+	eventListening    = events.Define(2300, hclog.Info, "listening")
+	eventServeFailed  = events.Define(2301, hclog.Error, "listener failed")
+	eventReady        = events.Define(2302, hclog.Info, "node is ready for callers")
+	eventFrontDrained = events.Define(2303, hclog.Info, "callers' connections are closed")
+)
+
+// Timing of a shutdown and bounds of listeners.
+const (
+	// noticeTime is how long new connections may still come after the node has
+	// said that it is not ready: the balancer asks once a second and acts on the
+	// second miss.
+	noticeTime = 2500 * time.Millisecond
+	// exitReserve is left of the grace time for the end of the process.
+	exitReserve = 400 * time.Millisecond
+	// headerTimeout and idleTimeout end connections that send nothing, while no
+	// configuration says otherwise.
+	headerTimeout = 10 * time.Second
+	idleTimeout   = 75 * time.Second
+	// maxHeaderBytes bounds the head of a request.
+	maxHeaderBytes = 64 << 10
+	readyPath      = "/-/readyz"
+	metricsPath    = "/debug/vars"
+)
+
+// Front is the module gateway.front: the listeners of a node.
+type Front struct {
+	settings *config.Settings
+	state    *view.State
+	feed     *follow.Feed
+	router   *router.Router
+	logger   hclog.Logger
+
+	draining  atomic.Bool
+	wasReady  atomic.Bool
+	drainedAt time.Time
+	servers   []*http.Server
+	front     *http.Server
+}
+
+// ModuleInfo implements kernel.Module.
+func (*Front) ModuleInfo() kernel.Info {
+	return kernel.Info{ID: "gateway.front", New: func() kernel.Module { return new(Front) }}
+}
+
+// Provision implements kernel.Provisioner.
+func (m *Front) Provision(ctx *kernel.Context) error {
+	var err error
+	if m.settings, err = kernel.Use[*config.Settings](ctx); err != nil {
+		return err
+	}
+	platform, err := kernel.Use[*driver.Driver](ctx)
+	if err != nil {
+		return err
+	}
+	if m.state, err = kernel.Use[*view.State](ctx); err != nil {
+		return err
+	}
+	if m.feed, err = kernel.Use[*follow.Feed](ctx); err != nil {
+		return err
+	}
+	client, err := kernel.Use[*upstream.Client](ctx)
+	if err != nil {
+		return err
+	}
+	reports, err := kernel.Use[*follow.Reports](ctx)
+	if err != nil {
+		return err
+	}
+	m.logger = ctx.Logger
+	retries := m.settings.Retries
+	options := router.Options{
+		Zone:             m.settings.Zone,
+		CrossZonePenalty: m.settings.Place.CrossZonePenalty,
+		Retries:          budget.Terms{Ratio: retries.Ratio, Slack: retries.Slack, Window: retries.Window},
+		Headers:          platform.Headers,
+	}
+	m.router = router.New(options, m.state, client, reports, ctx.Logger)
+	return nil
+}
+
+// Start implements kernel.Starter.
+func (m *Front) Start(context.Context) error {
+	ready := http.NewServeMux()
+	ready.HandleFunc("GET "+readyPath, m.serveReady)
+	peers := http.NewServeMux()
+	peers.Handle(m.feed.Handler())
+	listen := m.settings.Listen
+	if err := m.listen("ready", listen.Ready, ready); err != nil {
+		return err
+	}
+	if err := m.listen("peer", listen.Peer, peers); err != nil {
+		return err
+	}
+	if listen.Metrics != "" {
+		vars := http.NewServeMux()
+		vars.Handle("GET "+metricsPath, expvar.Handler())
+		if err := m.listen("metrics", listen.Metrics, vars); err != nil {
+			return err
+		}
+	}
+	if err := m.listen("front", listen.Front, m.router); err != nil {
+		return err
+	}
+	m.front = m.servers[len(m.servers)-1]
+	return nil
+}
+
+func (m *Front) listen(role, address string, handler http.Handler) error {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return err
+	}
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes}
+	m.servers = append(m.servers, server)
+	eventListening.Log(m.logger, "role", role, "address", address)
+	go func() {
+		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+			eventServeFailed.Log(m.logger, "role", role, "cause", err)
+		}
+	}()
+	return nil
+}
+
+// serveReady answers the balancer: the node takes callers once it can serve.
+func (m *Front) serveReady(w http.ResponseWriter, _ *http.Request) {
+	if m.draining.Load() || !m.state.Now().Complete() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	if !m.wasReady.Swap(true) {
+		eventReady.Log(m.logger)
+	}
+	w.WriteHeader(http.StatusOK)
+}
+
+// Drain implements kernel.Drainer: the balancer is told, and callers' open
+// connections end with their next answer.
+func (m *Front) Drain(context.Context) error {
+	m.drainedAt = time.Now()
+	m.draining.Store(true)
+	m.router.SetDraining()
+	return nil
+}
+
+// Stop implements kernel.Stopper: it goes on serving until the balancer has
+// surely noticed, then finishes what runs within the grace time.
+func (m *Front) Stop(ctx context.Context) error {
+	clock.Wait(ctx, noticeTime-time.Since(m.drainedAt))
+	ctx, cancel := context.WithDeadline(ctx, m.drainedAt.Add(m.settings.Timing.Grace-exitReserve))
+	defer cancel()
+	err := m.front.Shutdown(ctx)
+	eventFrontDrained.Log(m.logger, "error", err)
+	for _, server := range m.servers {
+		_ = server.Close() // the process ends
+	}
+	return err
+}
--- a/modules/standard/standard.go
+++ b/modules/standard/standard.go
@@ -7,6 +7,7 @@
 	_ "github.com/burdockspindle/burdockspindle/modules/balance"
 	_ "github.com/burdockspindle/burdockspindle/modules/follower"
 	_ "github.com/burdockspindle/burdockspindle/modules/frontend"
+	_ "github.com/burdockspindle/burdockspindle/modules/gateway"
 	_ "github.com/burdockspindle/burdockspindle/modules/lessor"
 	_ "github.com/burdockspindle/burdockspindle/modules/loghttp"
 	_ "github.com/burdockspindle/burdockspindle/modules/logmem"
@@ -18,4 +19,5 @@
 	_ "github.com/burdockspindle/burdockspindle/modules/serverhttp"
 	_ "github.com/burdockspindle/burdockspindle/modules/vmshttp"
 	_ "github.com/burdockspindle/burdockspindle/modules/vmsmem"
+	_ "github.com/burdockspindle/burdockspindle/platform"
 )
