--- a/cli/gateway.go
+++ b/cli/gateway.go
@@ -11,8 +11,9 @@
 	"github.com/burdockspindle/burdockspindle/gateway/config"
 )
 
-// RunGateway runs a gateway node until ctx ends, then shuts it down.
-type RunGateway func(ctx context.Context, s *config.Settings, logger hclog.Logger) error
+// RunGateway runs a gateway node until ctx ends, then shuts it down. The settings
+// were loaded from file.
+type RunGateway func(ctx context.Context, file string, s *config.Settings, logger hclog.Logger) error
 
 // GatewayCommand returns the command "gateway", which runs a gateway node. Its
 // log goes to standard output as JSON lines.
@@ -46,5 +47,5 @@
 	CaptureStandardLog(logger)
 	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	return run(ctx, s, logger)
+	return run(ctx, file, s, logger)
 }
--- a/gateway/budget/budget.go
+++ b/gateway/budget/budget.go
@@ -36,6 +36,14 @@
 // New returns an unspent budget.
 func New(terms Terms) *Budget { return &Budget{terms: terms} }
 
+// SetTerms replaces the terms. What was counted stays if the window does.
+func (b *Budget) SetTerms(terms Terms) {
+	if terms.Window != b.terms.Window {
+		b.ring = [buckets]bucket{}
+	}
+	b.terms = terms
+}
+
 // Request counts a request's first send.
 func (b *Budget) Request(now time.Time) { b.at(now).requests++ }
 
--- a/gateway/duty/duty.go
+++ b/gateway/duty/duty.go
@@ -43,6 +43,9 @@
 	writableFor = 1200 * time.Millisecond
 	// reportEvery is how often the node takes its own reports.
 	reportEvery = 500 * time.Millisecond
+	// settleTime is for how long the register must keep its size before ranges
+	// are cut for a service that has none: servers write once in about a second.
+	settleTime = 1300 * time.Millisecond
 	// resignAfter is for how long most owners must be silent, while the lessor
 	// has held the lease, before it gives the lease to a node that may reach them.
 	resignAfter = 2 * time.Second
@@ -66,24 +69,26 @@
 	isLessor atomic.Bool
 	resign   chan chan struct{}
 
-	keeper      *ranges.Keeper
-	loads       *ranges.Loads
-	end         store.Offset // of the ownership topic
-	serial      uint64       // of this node's records
-	confirmedAt time.Time    // start of the latest append that succeeded
-	appending   *pendingAppend
-	appended    chan appendResult
-	called      chan callResult
-	nextAppend  time.Time // not before
-	nextConfirm time.Time
-	nextReport  time.Time
-	claimAt     time.Time // when to claim, zero: no reason to
-	noClaim     time.Time // not before
-	leaderSince time.Time
-	shown       uint64 // serial of the routes that the view has
-	resigning   chan struct{}
-	leaving     bool // the node shuts down
-	table       view.Table
+	keeper       *ranges.Keeper
+	loads        *ranges.Loads
+	end          store.Offset // of the ownership topic
+	serial       uint64       // of this node's records
+	confirmedAt  time.Time    // start of the latest append that succeeded
+	appending    *pendingAppend
+	appended     chan appendResult
+	called       chan callResult
+	nextAppend   time.Time // not before
+	nextConfirm  time.Time
+	nextReport   time.Time
+	claimAt      time.Time // when to claim, zero: no reason to
+	noClaim      time.Time // not before
+	leaderSince  time.Time
+	shown        uint64 // serial of the routes that the view has
+	resigning    chan struct{}
+	leaving      bool // the node shuts down
+	registered   int  // servers in the register, since registeredAt
+	registeredAt time.Time
+	table        view.Table
 	// known holds every server ever seen: one that has left the register may
 	// still answer a release.
 	known map[site.ServerID]site.Server
@@ -301,6 +306,7 @@
 		Services: v.Config.Services,
 		Servers:  v.Servers.Servers,
 		Writable: now.Sub(d.confirmedAt) < writableFor,
+		Settled:  d.settled(v, now),
 		Load:     d.loads,
 	}
 	if change := d.keeper.Plan(s, ranges.Fence(d.end), now); change != nil {
@@ -312,6 +318,15 @@
 	}
 }
 
+// settled reports whether the register of servers has kept its size for a while.
+func (d *Duty) settled(v *view.View, now time.Time) bool {
+	if size := len(v.Servers.Servers); size != d.registered {
+		d.registered = size
+		d.registeredAt = now
+	}
+	return now.Sub(d.registeredAt) > settleTime
+}
+
 // mustResign reports whether most owners have been silent to this node for so
 // long that another node had better be lessor.
 func (d *Duty) mustResign(now time.Time) bool {
--- a/gateway/follow/follower.go
+++ b/gateway/follow/follower.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"connectrpc.com/connect"
@@ -24,14 +25,18 @@
 	State   *view.State
 	Reader  *Reader
 	Reports *Reports
-	Seeds   []string // addresses of nodes that may know the site at start
 	Logger  hclog.Logger
 
+	seeds   atomic.Pointer[[]string]
 	client  *http.Client
 	clients map[string]bspbconnect.GatewayClient
 	behind  bool // the lessor's node is not followed
 }
 
+// SetSeeds sets the addresses of nodes that may know the site at start. It is
+// called before Run, and whenever they change.
+func (f *Follower) SetSeeds(seeds []string) { f.seeds.Store(&seeds) }
+
 // connectTimeout ends an attempt to connect to another node.
 const connectTimeout = 400 * time.Millisecond
 
@@ -86,11 +91,12 @@
 
 // askOther asks one of the nodes known, or a seed, for its view.
 func (f *Follower) askOther(ctx context.Context, turn int) {
-	addresses := make([]string, 0, len(f.Seeds))
+	seeds := *f.seeds.Load()
+	addresses := make([]string, 0, len(seeds))
 	for _, member := range f.State.Now().Members {
 		addresses = append(addresses, member.Address)
 	}
-	addresses = append(addresses, f.Seeds...)
+	addresses = append(addresses, seeds...)
 	if len(addresses) == 0 {
 		return
 	}
--- a/gateway/node/node.go
+++ b/gateway/node/node.go
@@ -6,7 +6,10 @@
 	"context"
 	"crypto/rand"
 	"encoding/hex"
+	"os"
+	"os/signal"
 	"runtime/debug"
+	"syscall"
 
 	"github.com/hashicorp/go-hclog"
 
@@ -30,8 +33,14 @@
 	memoryShare = 0.7
 )
 
-// Run runs a node until ctx ends, then shuts it down within the grace time.
-func Run(ctx context.Context, s *config.Settings, logger hclog.Logger) error {
+// Run runs a node until ctx ends, then shuts it down within the grace time. The
+// settings were loaded from file, which is read again on SIGHUP and when it
+// changes.
+func Run(ctx context.Context, file string, s *config.Settings, logger hclog.Logger) error {
+	// From the first moment, since SIGHUP ends a process that does not take it.
+	reload := make(chan os.Signal, 1)
+	signal.Notify(reload, syscall.SIGHUP)
+	defer signal.Stop(reload)
 	if s.MemoryBytes > 0 {
 		debug.SetMemoryLimit(int64(memoryShare * float64(s.MemoryBytes)))
 	}
@@ -48,7 +57,8 @@
 	logger = logger.With("node", s.Node)
 	eventStarting.Log(logger, "boot", identity.Boot, "zone", s.Zone)
 	runtime := kernel.NewRuntime(kernel.NewContext(identity, logger))
-	if err := kernel.Provide(runtime.Context(), s); err != nil {
+	live := config.NewLive(file, s, logger)
+	if err := kernel.Provide(runtime.Context(), live); err != nil {
 		return err
 	}
 	ids := []kernel.ModuleID{kernel.ModuleID("gatewaydriver." + s.Driver.Name), "gateway.site", "gateway.front"}
@@ -58,9 +68,10 @@
 	if err := runtime.Start(ctx); err != nil {
 		return err
 	}
+	go live.Run(ctx, reload)
 	eventStarted.Log(logger)
 	<-ctx.Done()
-	return shutdown(context.WithoutCancel(ctx), runtime, s, logger)
+	return shutdown(context.WithoutCancel(ctx), runtime, live.Settings(), logger)
 }
 
 func shutdown(ctx context.Context, runtime *kernel.Runtime, s *config.Settings, logger hclog.Logger) error {
--- a/gateway/pool/pool.go
+++ b/gateway/pool/pool.go
@@ -88,6 +88,9 @@
 	return &Pool{zone: zone, penalty: penalty, nodes: 1, members: map[site.ServerID]*member{}, random: random}
 }
 
+// SetPenalty replaces the time that sending to another zone counts as.
+func (p *Pool) SetPenalty(penalty time.Duration) { p.penalty = penalty }
+
 // Update takes the registered servers and the number of nodes that share them.
 func (p *Pool) Update(servers []site.Server, nodes int, now time.Time) {
 	p.nodes = max(nodes, 1)
--- a/gateway/ranges/plan.go
+++ b/gateway/ranges/plan.go
@@ -15,7 +15,10 @@
 	// Writable tells that the store took an append lately. A range that is
 	// released while it does not would have no owner until it does.
 	Writable bool
-	Load     *Loads
+	// Settled tells that the register has not grown lately. The keys of a
+	// service without ranges are cut for the servers that are registered then.
+	Settled bool
+	Load    *Loads
 }
 
 // Change is a table to be appended, and what it changes. It holds only if the
@@ -38,6 +41,9 @@
 		if len(servers) == 0 {
 			continue
 		}
+		if len(k.leases[name]) == 0 && !s.Settled {
+			continue
+		}
 		if len(k.leases[name]) == 0 {
 			k.found(name, servers, now)
 		}
--- a/gateway/router/answer.go
+++ b/gateway/router/answer.go
@@ -67,8 +67,8 @@
 	if len(target["Content-Type"]) == 0 {
 		target["Content-Type"] = nil // keeps the library from guessing one
 	}
-	if x.request.ID != "" && target.Get(x.router.options.Headers.RequestID) == "" {
-		target.Set(x.router.options.Headers.RequestID, x.request.ID)
+	if x.request.ID != "" && target.Get(x.router.headers.RequestID) == "" {
+		target.Set(x.router.headers.RequestID, x.request.ID)
 	}
 	target.Set("Content-Length", strconv.Itoa(len(body)))
 	x.writer.WriteHeader(status)
--- a/gateway/router/router.go
+++ b/gateway/router/router.go
@@ -19,17 +19,16 @@
 	"github.com/burdockspindle/burdockspindle/gateway/view"
 )
 
-// Options are what a router needs to know.
-type Options struct {
-	Zone             string
-	CrossZonePenalty time.Duration
+// Terms are the settings of a router that can change while it runs.
+type Terms struct {
+	CrossZonePenalty time.Duration // that sending to another zone counts as
 	Retries          budget.Terms
-	Headers          upstream.Headers
 }
 
 // Router takes requests. It implements http.Handler.
 type Router struct {
-	options  Options
+	zone     string
+	headers  upstream.Headers
 	state    *view.State
 	client   *upstream.Client
 	reports  *follow.Reports
@@ -40,6 +39,7 @@
 	mu       sync.Mutex
 	services map[site.ServiceName]*service
 	seen     *view.View // the view that the services were made for
+	terms    Terms
 }
 
 // service is what the router keeps of one service.
@@ -54,9 +54,11 @@
 }
 
 // New returns a router without services.
-func New(options Options, state *view.State, client *upstream.Client, reports *follow.Reports, logger hclog.Logger) *Router {
+func New(zone string, headers upstream.Headers, terms Terms, state *view.State, client *upstream.Client, reports *follow.Reports, logger hclog.Logger) *Router {
 	return &Router{
-		options:  options,
+		zone:     zone,
+		headers:  headers,
+		terms:    terms,
 		state:    state,
 		client:   client,
 		reports:  reports,
@@ -68,6 +70,19 @@
 // SetDraining tells that the node shuts down: every answer ends its connection.
 func (r *Router) SetDraining() { r.draining.Store(true) }
 
+// SetTerms replaces the terms.
+func (r *Router) SetTerms(terms Terms) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.terms = terms
+	for _, s := range r.services {
+		s.mu.Lock()
+		s.pool.SetPenalty(terms.CrossZonePenalty)
+		s.budget.SetTerms(terms.Retries)
+		s.mu.Unlock()
+	}
+}
+
 // service returns a service with the servers of the present view.
 func (r *Router) service(name site.ServiceName) *service {
 	v := r.state.Now()
@@ -84,8 +99,8 @@
 		random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 		s = &service{
 			name:    name,
-			pool:    pool.New(r.options.Zone, r.options.CrossZonePenalty, random),
-			budget:  budget.New(r.options.Retries),
+			pool:    pool.New(r.zone, r.terms.CrossZonePenalty, random),
+			budget:  budget.New(r.terms.Retries),
 			waiters: map[*pool.Waiter]chan site.Server{},
 		}
 		s.update(v.ServersOf(name), len(v.Members))
--- a/gateway/router/serve.go
+++ b/gateway/router/serve.go
@@ -49,7 +49,7 @@
 // ServeHTTP implements http.Handler.
 func (r *Router) ServeHTTP(w http.ResponseWriter, request *http.Request) {
 	x := &exchange{router: r, writer: w, view: r.state.Now(), arrived: time.Now()}
-	x.request.ID = request.Header.Get(r.options.Headers.RequestID)
+	x.request.ID = request.Header.Get(r.headers.RequestID)
 	if r.draining.Load() {
 		w.Header().Set("Connection", "close")
 	}
@@ -99,7 +99,7 @@
 	if !x.keyed {
 		return nil
 	}
-	text := request.Header.Get(x.router.options.Headers.Key)
+	text := request.Header.Get(x.router.headers.Key)
 	key, err := strconv.Atoi(text)
 	if err != nil || key < 0 || ranges.Key(key) > ranges.LastKey {
 		return &refusal{status: http.StatusBadRequest, reason: "key missing or not a number from 0 to 65535"}
@@ -110,7 +110,7 @@
 
 func (x *exchange) setTimes(request *http.Request) {
 	patience := unknownTimeout
-	text := request.Header.Get(x.router.options.Headers.Timeout)
+	text := request.Header.Get(x.router.headers.Timeout)
 	if stated, err := strconv.ParseInt(text, 10, 64); err == nil && stated > 0 {
 		patience = time.Duration(stated) * time.Millisecond
 	}
--- a/modules/gateway/front.go
+++ b/modules/gateway/front.go
@@ -50,11 +50,11 @@
 
 // Front is the module gateway.front: the listeners of a node.
 type Front struct {
-	settings *config.Settings
-	state    *view.State
-	feed     *follow.Feed
-	router   *router.Router
-	logger   hclog.Logger
+	live   *config.Live
+	state  *view.State
+	feed   *follow.Feed
+	router *router.Router
+	logger hclog.Logger
 
 	draining  atomic.Bool
 	wasReady  atomic.Bool
@@ -71,7 +71,7 @@
 // Provision implements kernel.Provisioner.
 func (m *Front) Provision(ctx *kernel.Context) error {
 	var err error
-	if m.settings, err = kernel.Use[*config.Settings](ctx); err != nil {
+	if m.live, err = kernel.Use[*config.Live](ctx); err != nil {
 		return err
 	}
 	platform, err := kernel.Use[*driver.Driver](ctx)
@@ -93,24 +93,26 @@
 		return err
 	}
 	m.logger = ctx.Logger
-	retries := m.settings.Retries
-	options := router.Options{
-		Zone:             m.settings.Zone,
-		CrossZonePenalty: m.settings.Place.CrossZonePenalty,
-		Retries:          budget.Terms{Ratio: retries.Ratio, Slack: retries.Slack, Window: retries.Window},
-		Headers:          platform.Headers,
-	}
-	m.router = router.New(options, m.state, client, reports, ctx.Logger)
+	m.router = router.New(m.live.Settings().Zone, platform.Headers, terms(m.live.Settings()), m.state, client, reports, ctx.Logger)
+	m.live.Watch(func(s *config.Settings) { m.router.SetTerms(terms(s)) })
 	return nil
 }
 
+// terms returns what the settings ask of the router.
+func terms(s *config.Settings) router.Terms {
+	return router.Terms{
+		CrossZonePenalty: s.Place.CrossZonePenalty,
+		Retries:          budget.Terms{Ratio: s.Retries.Ratio, Slack: s.Retries.Slack, Window: s.Retries.Window},
+	}
+}
+
 // Start implements kernel.Starter.
 func (m *Front) Start(context.Context) error {
 	ready := http.NewServeMux()
 	ready.HandleFunc("GET "+readyPath, m.serveReady)
 	peers := http.NewServeMux()
 	peers.Handle(m.feed.Handler())
-	listen := m.settings.Listen
+	listen := m.live.Settings().Listen
 	if err := m.listen("ready", listen.Ready, ready); err != nil {
 		return err
 	}
@@ -172,7 +174,7 @@
 // surely noticed, then finishes what runs within the grace time.
 func (m *Front) Stop(ctx context.Context) error {
 	clock.Wait(ctx, noticeTime-time.Since(m.drainedAt))
-	ctx, cancel := context.WithDeadline(ctx, m.drainedAt.Add(m.settings.Timing.Grace-exitReserve))
+	ctx, cancel := context.WithDeadline(ctx, m.drainedAt.Add(m.live.Settings().Timing.Grace-exitReserve))
 	defer cancel()
 	err := m.front.Shutdown(ctx)
 	eventFrontDrained.Log(m.logger, "error", err)
--- a/modules/gateway/site.go
+++ b/modules/gateway/site.go
@@ -51,7 +51,7 @@
 
 // Provision implements kernel.Provisioner.
 func (m *Site) Provision(ctx *kernel.Context) error {
-	settings, err := kernel.Use[*config.Settings](ctx)
+	live, err := kernel.Use[*config.Live](ctx)
 	if err != nil {
 		return err
 	}
@@ -59,11 +59,13 @@
 	if err != nil {
 		return err
 	}
+	settings := live.Settings()
 	m.self = view.Member{Node: settings.Node, Boot: string(ctx.Identity.Boot), Zone: settings.Zone, Address: settings.Listen.Peer}
 	m.state = view.NewState(m.self)
 	m.client = upstream.NewClient(platform.Headers)
 	m.reports = follow.NewReports()
 	m.build(settings, platform, ctx.Logger)
+	live.Watch(func(s *config.Settings) { m.follower.SetSeeds(s.Seeds) })
 	if err := kernel.Provide(ctx, m.state); err != nil {
 		return err
 	}
@@ -79,7 +81,8 @@
 func (m *Site) build(settings *config.Settings, platform *driver.Driver, logger hclog.Logger) {
 	contact := new(follow.Contact)
 	m.reader = &follow.Reader{Store: platform.Store, Codec: platform.Codec, State: m.state, Contact: contact, Logger: logger}
-	m.follower = &follow.Follower{Self: m.self, State: m.state, Reader: m.reader, Reports: m.reports, Seeds: settings.Seeds, Logger: logger}
+	m.follower = &follow.Follower{Self: m.self, State: m.state, Reader: m.reader, Reports: m.reports, Logger: logger}
+	m.follower.SetSeeds(settings.Seeds)
 	m.duty = duty.New()
 	m.feed = follow.NewFeed(m.self, m.state, contact, m.duty.IsLessor)
 	timing := ranges.DefaultTiming()
