Gateway: routes between nodes in a few bytes, own zone first within the objective

Cause: each change of a range sent the whole table as JSON to every node. Ruled out: a large rest of control traffic; what remains is keyed requests, whose owner is in another zone two times in three.

--- a/gateway/duty/duty.go
+++ b/gateway/duty/duty.go
@@ -30,8 +30,8 @@
 	// take two missing ones for the loss of the lessor.
 	confirmEvery = 500 * time.Millisecond
 	// suspectAfter is for how long the ownership topic must not have grown before
-	// another node claims: three records, with the interval of reading.
-	suspectAfter = 1500 * time.Millisecond
+	// another node claims: two records of the lessor, with the interval of reading.
+	suspectAfter = 1200 * time.Millisecond
 	// claimSpread is the random time that nodes wait before a claim, so that
 	// mostly one appends; the store settles the rest.
 	claimSpread = 300 * time.Millisecond
@@ -195,8 +195,7 @@
 		d.claimAt = time.Time{}
 		return
 	}
-	table := d.State.Now().Table.Table
-	vacant := table == nil || ownership.Resigned || now.Sub(ownership.MovedAt) > suspectAfter
+	vacant := d.State.Now().Table.Table == nil || ownership.Resigned || now.Sub(ownership.MovedAt) > suspectAfter
 	if !vacant {
 		d.claimAt = time.Time{}
 		return
@@ -235,7 +234,11 @@
 
 func (d *Duty) takeReport(report follow.Report) {
 	for _, c := range report.KeyCounts {
-		d.loads.Count(site.ServiceName(c.Service), ranges.Key(c.Key), int(c.Requests))
+		for i, key := range c.Keys {
+			if i < len(c.Requests) {
+				d.loads.Count(site.ServiceName(c.Service), ranges.Key(key), int(c.Requests[i]))
+			}
+		}
 	}
 	for _, p := range report.Paces {
 		d.loads.Pace(site.ServerID(p.Server), time.Duration(p.MeanUs)*time.Microsecond)
--- a/gateway/duty/outcome.go
+++ b/gateway/duty/outcome.go
@@ -58,6 +58,7 @@
 	case p.change != nil:
 		d.keeper.Appended(p.change)
 		d.table = view.Table{Offset: p.at, Table: p.change.Table}
+		d.shown = 0
 		eventTableChanged.Log(d.Logger, "offset", p.at)
 	case p.resigns:
 		eventResigned.Log(d.Logger, "offset", p.at)
@@ -98,8 +99,8 @@
 		return
 	}
 	d.shown = d.keeper.Serial()
-	routes := view.Routes{Boot: d.Self.Boot, Serial: d.shown, Services: d.keeper.Routes()}
-	d.State.MergeRoutes(d.table, routes)
+	routes := view.Routes{Lessor: d.Self, Offset: d.table.Offset, Serial: d.shown, Services: d.keeper.Routes()}
+	d.State.MergeRoutes(routes)
 }
 
 // Dump returns the state of the duty for the state dump.
--- a/gateway/follow/feed.go
+++ b/gateway/follow/feed.go
@@ -4,8 +4,6 @@
 	"context"
 	"encoding/json"
 	"net/http"
-	"slices"
-	"strings"
 	"sync"
 	"time"
 
@@ -26,7 +24,7 @@
 	// become one answer.
 	coalesce = 40 * time.Millisecond
 	// followTimeout ends a call whose answer does not come.
-	followTimeout = followWait + 500*time.Millisecond
+	followTimeout = followWait + 400*time.Millisecond
 	// staleContact is the age of the lessor's contact with the store beyond which
 	// its followers read the store themselves.
 	staleContact = 1200 * time.Millisecond
@@ -102,12 +100,12 @@
 	v := f.State.Now()
 	return v.Config != nil && uint64(v.Config.Version) > asked.ConfigVersion ||
 		int64(v.Servers.Offset) > asked.ServersOffset ||
-		int64(v.Table.Offset) > asked.TableOffset ||
 		routesDiffer(v, asked)
 }
 
 func routesDiffer(v *view.View, asked *bspb.FollowRequest) bool {
-	return v.Table.Table != nil && (v.Routes.Boot != asked.RoutesBoot || v.Routes.Serial > asked.RoutesSerial)
+	offset := int64(v.Routes.Offset)
+	return v.Routes.Lessor.Boot != "" && (offset > asked.TableOffset || offset == asked.TableOffset && v.Routes.Serial > asked.RoutesSerial)
 }
 
 func (f *Feed) reply(asked *bspb.FollowRequest) (*bspb.FollowReply, error) {
@@ -123,14 +121,14 @@
 	if err == nil && int64(v.Servers.Offset) > asked.ServersOffset {
 		reply.Servers, err = json.Marshal(v.Servers)
 	}
-	if err == nil && v.Table.Table != nil && int64(v.Table.Offset) > asked.TableOffset {
-		reply.Table, err = json.Marshal(v.Table)
+	if routesDiffer(v, asked) {
+		reply.Routes = routesMessage(v.Routes)
 	}
-	if err == nil && (reply.Table != nil || routesDiffer(v, asked)) {
-		reply.Routes, err = json.Marshal(v.Routes)
-	}
-	for _, member := range f.Members() {
-		reply.Members = append(reply.Members, toMessage(member))
+	members := f.Members()
+	if hashMembers(members) != asked.MembersHash {
+		for _, member := range members {
+			reply.Members = append(reply.Members, memberMessage(member))
+		}
 	}
 	return reply, err
 }
@@ -141,7 +139,7 @@
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.members[member.Node] = seenMember{fromMessage(member), time.Now()}
+	f.members[member.Node] = seenMember{memberOf(member), time.Now()}
 }
 
 // Members returns the nodes that follow this one, itself included.
@@ -159,23 +157,3 @@
 	sortMembers(members)
 	return members
 }
-
-func toMessage(m view.Member) *bspb.GatewayMember {
-	return &bspb.GatewayMember{Node: m.Node, Boot: m.Boot, Zone: m.Zone, Address: m.Address}
-}
-
-func fromMessage(m *bspb.GatewayMember) view.Member {
-	return view.Member{Node: m.Node, Boot: m.Boot, Zone: m.Zone, Address: m.Address}
-}
-
-func members(messages []*bspb.GatewayMember) []view.Member {
-	list := make([]view.Member, 0, len(messages))
-	for _, m := range messages {
-		list = append(list, fromMessage(m))
-	}
-	return list
-}
-
-func sortMembers(list []view.Member) {
-	slices.SortFunc(list, func(a, b view.Member) int { return strings.Compare(a.Node, b.Node) })
-}
--- a/gateway/follow/follower.go
+++ b/gateway/follow/follower.go
@@ -62,30 +62,30 @@
 // followLessor makes one call to the lessor's node and reports whether the node
 // may rely on it.
 func (f *Follower) followLessor(ctx context.Context) bool {
-	table := f.State.Now().Table.Table
-	if table == nil || f.Reader.lessor.Load() || table.Lessor.Boot == f.Self.Boot || f.Reader.Ownership().Resigned {
+	lessor := f.State.Now().Routes.Lessor
+	if lessor.Boot == "" || f.Reader.lessor.Load() || lessor.Boot == f.Self.Boot || f.Reader.Ownership().Resigned {
 		return false
 	}
-	reply, err := f.follow(ctx, table.Lessor.Address, followWait)
+	reply, err := f.follow(ctx, lessor.Address, followWait)
 	if err != nil || !reply.IsLessor {
-		f.noteLessor(true, table, err)
+		f.noteLessor(true, lessor, err)
 		return false
 	}
 	isFresh := reply.ContactAgeMs >= 0 && time.Duration(reply.ContactAgeMs)*time.Millisecond < staleContact
 	f.Reader.SetDirect(!isFresh)
-	f.noteLessor(false, table, nil)
+	f.noteLessor(false, lessor, nil)
 	return true
 }
 
-func (f *Follower) noteLessor(behind bool, table *ranges.Table, err error) {
+func (f *Follower) noteLessor(behind bool, lessor ranges.Lessor, err error) {
 	if behind == f.behind {
 		return
 	}
 	f.behind = behind
 	if behind {
-		eventLessorLost.Log(f.Logger, "lessor", table.Lessor.Node, "cause", err)
+		eventLessorLost.Log(f.Logger, "lessor", lessor.Node, "cause", err)
 	} else {
-		eventLessorBack.Log(f.Logger, "lessor", table.Lessor.Node)
+		eventLessorBack.Log(f.Logger, "lessor", lessor.Node)
 	}
 }
 
@@ -117,8 +117,13 @@
 		client = bspbconnect.NewGatewayClient(f.client, "http://"+address)
 		f.clients[address] = client
 	}
-	counts, paces := f.Reports.take()
-	request := &bspb.FollowRequest{Member: toMessage(f.Self), KeyCounts: counts, Paces: paces, WaitMs: uint32(wait.Milliseconds())}
+	report := f.Reports.Drain()
+	request := &bspb.FollowRequest{
+		Member:    memberMessage(f.Self),
+		KeyCounts: report.KeyCounts,
+		Paces:     report.Paces,
+		WaitMs:    uint32(wait.Milliseconds()),
+	}
 	describe(request, f.State.Now())
 	response, err := client.Follow(ctx, connect.NewRequest(request))
 	if err != nil {
@@ -133,12 +138,12 @@
 		request.ConfigVersion = uint64(v.Config.Version)
 	}
 	request.ServersOffset = int64(v.Servers.Offset)
-	request.TableOffset = int64(v.Table.Offset)
-	if v.Table.Table == nil {
+	request.TableOffset = int64(v.Routes.Offset)
+	if v.Routes.Lessor.Boot == "" {
 		request.TableOffset = -1
 	}
-	request.RoutesBoot = v.Routes.Boot
 	request.RoutesSerial = v.Routes.Serial
+	request.MembersHash = hashMembers(v.Members)
 }
 
 // merge takes what another node knows better.
@@ -162,30 +167,21 @@
 			f.Reader.logServers(before, servers.Servers)
 		}
 	}
-	if err := f.mergeTable(reply); err != nil {
-		return err
+	if reply.Routes != nil {
+		routes, ok := routesOf(reply.Routes)
+		if !ok {
+			return &MalformedError{From: from}
+		}
+		f.State.MergeRoutes(routes)
 	}
 	if reply.IsLessor {
-		f.State.SetMembers(members(reply.Members))
+		f.State.SetMembers(membersOf(reply.Members))
 	}
 	return nil
 }
 
-func (f *Follower) mergeTable(reply *bspb.FollowReply) error {
-	table := f.State.Now().Table
-	if len(reply.Table) > 0 {
-		table = view.Table{} // the known one is shared
-		if err := json.Unmarshal(reply.Table, &table); err != nil {
-			return err
-		}
-	}
-	if len(reply.Routes) == 0 {
-		return nil
-	}
-	var routes view.Routes
-	if err := json.Unmarshal(reply.Routes, &routes); err != nil {
-		return err
-	}
-	f.State.MergeRoutes(table, routes)
-	return nil
-}
+// MalformedError reports an answer of another node that cannot be understood.
+type MalformedError struct{ From string }
+
+// Error implements error.
+func (e *MalformedError) Error() string { return "malformed answer of the node at " + e.From }
--- a/gateway/follow/reports.go
+++ b/gateway/follow/reports.go
@@ -55,32 +55,33 @@
 	r.paces[server] = p
 }
 
-// take returns the reports since the last call.
-func (r *Reports) take() ([]*bspb.KeyCount, []*bspb.ServerPace) {
+// Report is what one node observed.
+type Report struct {
+	KeyCounts []*bspb.KeyCounts
+	Paces     []*bspb.ServerPace
+}
+
+// Drain returns what was observed since the last call.
+func (r *Reports) Drain() Report {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	counts := make([]*bspb.KeyCount, 0, len(r.keys))
+	var report Report
+	byService := map[site.ServiceName]*bspb.KeyCounts{}
 	for k, n := range r.keys {
-		counts = append(counts, &bspb.KeyCount{Service: string(k.service), Key: uint32(k.key), Requests: n})
+		counts := byService[k.service]
+		if counts == nil {
+			counts = &bspb.KeyCounts{Service: string(k.service)}
+			byService[k.service] = counts
+			report.KeyCounts = append(report.KeyCounts, counts)
+		}
+		counts.Keys = append(counts.Keys, uint32(k.key))
+		counts.Requests = append(counts.Requests, n)
 	}
-	paces := make([]*bspb.ServerPace, 0, len(r.paces))
 	for id, p := range r.paces {
 		mean := p.total / time.Duration(p.count)
-		paces = append(paces, &bspb.ServerPace{Server: string(id), MeanUs: uint64(mean.Microseconds())})
+		report.Paces = append(report.Paces, &bspb.ServerPace{Server: string(id), MeanUs: uint64(mean.Microseconds())})
 	}
 	clear(r.keys)
 	clear(r.paces)
-	return counts, paces
-}
-
-// Report is what one node observed.
-type Report struct {
-	KeyCounts []*bspb.KeyCount
-	Paces     []*bspb.ServerPace
-}
-
-// Drain returns the node's own report since the last one.
-func (r *Reports) Drain() Report {
-	counts, paces := r.take()
-	return Report{KeyCounts: counts, Paces: paces}
+	return report
 }
--- a/gateway/pool/pool.go
+++ b/gateway/pool/pool.go
@@ -38,6 +38,10 @@
 	failureLife = 3 * time.Second
 	// failureCost is the time that a failure costs a caller.
 	failureCost = 400 * time.Millisecond
+	// ownZoneShare is the share of the time left to the objective within which a
+	// server of the own zone is taken although another would answer sooner:
+	// callers lose nothing, and no bytes go between zones.
+	ownZoneShare = 0.5
 	// noise is the share by which estimates are varied, so that nodes with the
 	// same reports do not choose the same server.
 	noise = 0.15
@@ -136,17 +140,26 @@
 	return size
 }
 
-// pick returns the server with room where a request is expected to end first.
+// pick returns the server with room where a request is expected to end first. A
+// server of the own zone goes before others while it answers well within the
+// objective.
 func (p *Pool) pick(w *Waiter, now time.Time) *member {
-	var best *member
-	bestTime := math.Inf(1)
+	var best, bestNear *member
+	bestTime, nearTime := math.Inf(1), math.Inf(1)
 	for _, m := range p.order {
 		if m.Draining || !w.accepts(m.ID) || float64(m.inFlight) >= math.Floor(m.limit) {
 			continue
 		}
-		if expected := p.expected(m, now); expected < bestTime {
+		expected := p.expected(m, now)
+		if expected < bestTime {
 			best, bestTime = m, expected
 		}
+		if m.Zone == p.zone && expected < nearTime {
+			bestNear, nearTime = m, expected
+		}
+	}
+	if bestNear != nil && nearTime < ownZoneShare*w.Target.Sub(now).Seconds() {
+		return bestNear
 	}
 	return best
 }
--- a/gateway/pool/queue.go
+++ b/gateway/pool/queue.go
@@ -69,7 +69,7 @@
 			return p.admit(w, m), nil
 		}
 	}
-	wait := p.expectedWait(w)
+	wait := p.expectedWait(w, now)
 	if now.Add(wait).After(w.Deadline) {
 		return nil, &Refusal{Reason: TooLong, RetryAfter: p.retryAfter(wait)}
 	}
@@ -97,13 +97,16 @@
 
 // expectedWait estimates for how long a request waits and runs, by what waits
 // before it and the rate at which this node's requests end.
-func (p *Pool) expectedWait(w *Waiter) time.Duration {
+func (p *Pool) expectedWait(w *Waiter, now time.Time) time.Duration {
 	ahead := 1.0
 	for _, other := range p.queue {
 		if other.Only == w.Only || w.Only == "" {
 			ahead++
 		}
 	}
+	if m := p.members[w.Only]; m != nil {
+		return p.waitFor(m, ahead, now)
+	}
 	rate, mean := 0.0, 0.0
 	for _, m := range p.order {
 		if m.Draining || !w.accepts(m.ID) {
@@ -122,6 +125,18 @@
 	return time.Duration((ahead/rate + mean/2) * float64(time.Second))
 }
 
+// waitFor estimates the same at the one server that may run a request: it also
+// runs what other nodes have sent to it.
+func (p *Pool) waitFor(m *member, ahead float64, now time.Time) time.Duration {
+	taken := m.mean
+	if taken == 0 {
+		taken = p.typicalTime()
+	}
+	slots := float64(max(m.Slots, 1))
+	busy := ahead + float64(m.inFlight) + m.others*fade(now.Sub(m.reportAt), reportLife)
+	return time.Duration(taken * max(1, busy/slots) * float64(time.Second))
+}
+
 // retryAfter returns when a refused caller should come back, spread so that
 // callers that were refused together return one after the other.
 func (p *Pool) retryAfter(wait time.Duration) time.Duration {
--- a/gateway/ranges/balance.go
+++ b/gateway/ranges/balance.go
@@ -15,16 +15,16 @@
 const (
 	// balanceEvery is the least time between two rounds: nodes report their
 	// counts twice in it.
-	balanceEvery = time.Second
+	balanceEvery = 500 * time.Millisecond
 	// movesPerRound bounds the keys that are stopped at once.
-	movesPerRound = 3
+	movesPerRound = 6
 	// leastGap is the difference of utilisation below which nothing is moved:
 	// queues at one server are short up to about three quarters.
 	leastGap = 0.15
 	// restAfterMove keeps a range where it is until its load there is known.
-	restAfterMove = 3 * time.Second
+	restAfterMove = 1500 * time.Millisecond
 	// loadHalfLife is how fast old counts lose their weight.
-	loadHalfLife = 2 * time.Second
+	loadHalfLife = 1200 * time.Millisecond
 	// enoughShare and mostShare bound what a move carries, as shares of the load
 	// that would make both servers equal.
 	enoughShare = 0.5
--- a/gateway/router/log.go
+++ b/gateway/router/log.go
@@ -106,7 +106,7 @@
 		fields = append(fields, "service", x.service.name)
 	}
 	if x.keyed {
-		fields = append(fields, "key", int(x.key), "table", x.view.Table.Offset)
+		fields = append(fields, "key", int(x.key), "table", x.view.Routes.Offset)
 	}
 	eventRequest.Log(x.router.logger, append(fields, "steps", strings.Join(x.trail.steps, "; "))...)
 }
--- a/gateway/router/run.go
+++ b/gateway/router/run.go
@@ -18,6 +18,9 @@
 	hedgeFactor = 3.0
 	// hedgeShare is the least share of the latency objective before that.
 	hedgeShare = 0.6
+	// leastTimeShare is the share of a usual service time that must be left for a
+	// request to go on waiting: many requests are shorter than usual.
+	leastTimeShare = 0.5
 	// ownerPause is how long to wait for news when the owner of a key refused.
 	ownerPause = 250 * time.Millisecond
 	// keyedTries bounds the sends for one request while its key changes hands.
@@ -165,6 +168,12 @@
 		}
 		w.Only = owner
 	}
+	return x.wait(ctx, w)
+}
+
+// wait asks for a place and waits for it. A request that could not be answered
+// in time any more, or whose key has another owner now, waits no longer.
+func (x *exchange) wait(ctx context.Context, w *pool.Waiter) (site.Server, *refusal) {
 	askedAt := time.Now()
 	server, places, refused := x.service.ask(w)
 	if refused != nil {
@@ -173,16 +182,40 @@
 	if places == nil {
 		return server, nil
 	}
-	select {
-	case server = <-places:
-		x.trail.waited(time.Since(askedAt))
-		return server, nil
-	case <-ctx.Done():
-		x.service.leave(w, places)
-		return site.Server{}, &refusal{status: http.StatusServiceUnavailable, reason: "waited in vain", retryAfter: x.service.typicalTime()}
+	typical := x.service.typicalTime()
+	tooLate := time.NewTimer(time.Until(x.deadline) - time.Duration(leastTimeShare*float64(typical)))
+	defer tooLate.Stop()
+	for {
+		changed := x.router.state.Changed()
+		if x.keyed && !x.isOwner(w.Only) {
+			x.service.leave(w, places)
+			x.trail.waited(time.Since(askedAt))
+			return x.place(ctx)
+		}
+		if !x.keyed {
+			changed = nil
+		}
+		select {
+		case server = <-places:
+			x.trail.waited(time.Since(askedAt))
+			return server, nil
+		case <-changed:
+		case <-tooLate.C:
+			x.service.leave(w, places)
+			return site.Server{}, &refusal{status: http.StatusServiceUnavailable, reason: "waited in vain", retryAfter: typical}
+		case <-ctx.Done():
+			x.service.leave(w, places)
+			return site.Server{}, &refusal{status: http.StatusServiceUnavailable, reason: "waited in vain", retryAfter: typical}
+		}
 	}
 }
 
+// isOwner reports whether a server still owns the request's key.
+func (x *exchange) isOwner(server site.ServerID) bool {
+	route, found := x.router.state.Now().RouteOf(x.service.name, x.key)
+	return found && route.Server == server && route.Ready
+}
+
 // mayTryAgain reports why a request that was sent before is not sent again.
 func (x *exchange) mayTryAgain() *refusal {
 	if x.sends == 0 {
--- a/gateway/view/view.go
+++ b/gateway/view/view.go
@@ -22,24 +22,25 @@
 
 // Table is a table of ranges and the offset of its record.
 type Table struct {
-	Offset store.Offset  `json:"offset"`
-	Table  *ranges.Table `json:"table"`
+	Offset store.Offset
+	Table  *ranges.Table
 }
 
-// Routes tells where the requests of keyed services go, as the lessor's run
-// Boot knows it.
+// Routes tells where the requests of keyed services go, as the lessor of the
+// table at an offset knows it.
 type Routes struct {
-	Boot     string                              `json:"boot"`
-	Serial   uint64                              `json:"serial"`
-	Services map[site.ServiceName][]ranges.Route `json:"services"`
+	Lessor   ranges.Lessor
+	Offset   store.Offset // of the table
+	Serial   uint64       // grows with each change; 0: made from the table alone
+	Services map[site.ServiceName][]ranges.Route
 }
 
 // View is one state of what a node believes. It is never changed.
 type View struct {
 	Config  *site.Config // nil: none seen yet
 	Servers Servers
-	Table   Table
-	Routes  Routes
+	Table   Table  // the newest that this node itself has read or written
+	Routes  Routes // may belong to a newer table
 	// Members are the nodes that share the servers with this one, itself included.
 	Members []Member
 
@@ -147,23 +148,25 @@
 	})
 }
 
-// MergeTable takes a table if it is newer. A table of another lessor replaces
-// the routes: the owners in it are asked to serve their ranges at once.
+// MergeTable takes a table if it is newer. If nothing newer is known of its
+// ranges it replaces the routes: the owners are taken to serve their ranges.
 func (s *State) MergeTable(table Table) bool {
 	return s.update(func(next *View) bool {
-		if table.Table == nil || next.Table.Table != nil && table.Offset <= next.Table.Offset {
+		if next.Table.Table != nil && table.Offset <= next.Table.Offset {
 			return false
 		}
 		next.Table = table
-		next.Routes = routesOf(table.Table)
+		if table.Offset > next.Routes.Offset || next.Routes.Lessor.Boot == "" {
+			next.Routes = routesOf(table)
+		}
 		return true
 	})
 }
 
 // routesOf returns the routes of a table whose lessor has not been heard yet.
-func routesOf(table *ranges.Table) Routes {
-	routes := Routes{Boot: table.Lessor.Boot, Services: map[site.ServiceName][]ranges.Route{}}
-	for service, assignments := range table.Services {
+func routesOf(table Table) Routes {
+	routes := Routes{Lessor: table.Table.Lessor, Offset: table.Offset, Services: map[site.ServiceName][]ranges.Route{}}
+	for service, assignments := range table.Table.Services {
 		for _, a := range assignments {
 			routes.Services[service] = append(routes.Services[service], ranges.Route{Span: a.Span, Server: a.Server, Ready: a.Server != ""})
 		}
@@ -171,17 +174,14 @@
 	return routes
 }
 
-// MergeRoutes takes the lessor's routes together with its table.
-func (s *State) MergeRoutes(table Table, routes Routes) bool {
+// MergeRoutes takes the routes of a lessor unless newer ones are known.
+func (s *State) MergeRoutes(routes Routes) bool {
 	return s.update(func(next *View) bool {
-		if next.Table.Table != nil && table.Offset < next.Table.Offset {
+		known := next.Routes
+		isOld := routes.Offset < known.Offset || routes.Offset == known.Offset && routes.Serial <= known.Serial
+		if isOld && known.Lessor.Boot != "" {
 			return false
 		}
-		isSame := next.Routes.Boot == routes.Boot && routes.Serial <= next.Routes.Serial && table.Offset == next.Table.Offset
-		if isSame {
-			return false
-		}
-		next.Table = table
 		next.Routes = routes
 		return true
 	})
