--- a/gateway/follow/reports.go
+++ b/gateway/follow/reports.go
@@ -35,7 +35,7 @@
 	return &Reports{keys: map[keyOf]uint32{}, paces: map[site.ServerID]pace{}}
 }
 
-// Key counts a request for a key.
+// Key counts a request for a key, whether it can be served or not.
 func (r *Reports) Key(service site.ServiceName, key ranges.Key) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -45,7 +45,7 @@
 	}
 }
 
-// Answer notes how long a server of a keyed service took.
+// Answer notes how long a server of a keyed service took that had no queue.
 func (r *Reports) Answer(server site.ServerID, took time.Duration) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/gateway/pool/queue.go
+++ b/gateway/pool/queue.go
@@ -1,6 +1,7 @@
 package pool
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -69,7 +70,7 @@
 			return p.admit(w, m), nil
 		}
 	}
-	wait := p.expectedWait(w, now)
+	wait := p.expectedWait(w, p.ahead(w, now))
 	if now.Add(wait).After(w.Deadline) {
 		return nil, &Refusal{Reason: TooLong, RetryAfter: p.retryAfter(wait)}
 	}
@@ -95,19 +96,22 @@
 	return &Admission{Waiter: w, Server: m.Server}
 }
 
-// expectedWait estimates for how long a request waits and runs, by what waits
-// before it and the rate at which this node's requests end.
-func (p *Pool) expectedWait(w *Waiter, now time.Time) time.Duration {
-	ahead := 1.0
+// ahead counts the waiters that go before a request to the same servers.
+func (p *Pool) ahead(w *Waiter, now time.Time) int {
+	count := 0
 	for _, other := range p.queue {
-		if other.Only == w.Only || w.Only == "" {
-			ahead++
+		if other != w && (w.Only == "" || other.Only == w.Only) && !p.before(w, other, now) {
+			count++
 		}
 	}
-	if m := p.members[w.Only]; m != nil {
-		return p.waitFor(m, ahead, now)
-	}
-	rate, mean := 0.0, 0.0
+	return count
+}
+
+// expectedWait estimates for how long a request waits and runs when so many go
+// before it: this node's requests end at the rate of its limits by the times
+// that servers take, which include their own queues.
+func (p *Pool) expectedWait(w *Waiter, ahead int) time.Duration {
+	rate, slowest := 0.0, 0.0
 	for _, m := range p.order {
 		if m.Draining || !w.accepts(m.ID) {
 			continue
@@ -116,25 +120,39 @@
 		if taken == 0 {
 			taken = p.typicalTime()
 		}
-		rate += m.limit / taken
-		mean = max(mean, taken)
+		rate += math.Floor(m.limit) / taken
+		slowest = max(slowest, taken)
 	}
 	if rate == 0 {
 		return mostRetryAfter
 	}
-	return time.Duration((ahead/rate + mean/2) * float64(time.Second))
+	return time.Duration((float64(ahead+1)/rate + slowest/2) * float64(time.Second))
 }
 
-// waitFor estimates the same at the one server that may run a request: it also
-// runs what other nodes have sent to it.
-func (p *Pool) waitFor(m *member, ahead float64, now time.Time) time.Duration {
-	taken := m.mean
-	if taken == 0 {
-		taken = p.typicalTime()
+// Evict takes the waiters out of the queue that would not be answered in time
+// any more, and returns them with when to come back. It answers a key that
+// becomes busy while requests wait: what comes later can still be answered by
+// its objective and goes first, and what is left behind should hear so at once.
+func (p *Pool) Evict(now time.Time) []Eviction {
+	var evictions []Eviction
+	for _, w := range slices.Clone(p.queue) {
+		wait := p.expectedWait(w, p.ahead(w, now))
+		if now.Add(time.Duration(evictShare * float64(wait))).After(w.Deadline) {
+			p.Leave(w)
+			evictions = append(evictions, Eviction{Waiter: w, Refusal: Refusal{Reason: TooLong, RetryAfter: p.retryAfter(wait)}})
+		}
 	}
-	slots := float64(max(m.Slots, 1))
-	busy := ahead + float64(m.inFlight) + m.others*fade(now.Sub(m.reportAt), reportLife)
-	return time.Duration(taken * max(1, busy/slots) * float64(time.Second))
+	return evictions
+}
+
+// evictShare is the share of the expected wait that must still fit the time
+// left: the estimate is rough, and a place given up is not had again.
+const evictShare = 0.7
+
+// Eviction refuses a request that waited.
+type Eviction struct {
+	Waiter  *Waiter
+	Refusal Refusal
 }
 
 // retryAfter returns when a refused caller should come back, spread so that
--- a/gateway/ranges/balance.go
+++ b/gateway/ranges/balance.go
@@ -38,6 +38,7 @@
 type Loads struct {
 	keys  map[site.ServiceName]*[int(LastKey) + 1]float32 // requests a second, decayed
 	paces map[site.ServerID]float64                       // seconds a request takes
+	since time.Time                                       // of the first decay
 	last  time.Time                                       // of the latest decay
 	round time.Time                                       // of the latest round of balance
 }
@@ -78,6 +79,7 @@
 // Decay lowers the counts by the time passed.
 func (l *Loads) Decay(now time.Time) {
 	if l.last.IsZero() {
+		l.since = now
 		l.last = now
 	}
 	passed := now.Sub(l.last)
@@ -102,9 +104,19 @@
 	for _, weight := range keys[span.From : span.To+1] {
 		sum += weight
 	}
-	return float64(sum)
+	return float64(sum) * l.correction()
 }
 
+// correction makes up for counts that have been collected for less than a few
+// half-lives.
+func (l *Loads) correction() float64 {
+	collected := 1 - math.Exp2(-l.last.Sub(l.since).Seconds()/loadHalfLife.Seconds())
+	return 1 / max(collected, leastCollected)
+}
+
+// leastCollected bounds the correction.
+const leastCollected = 0.2
+
 type move struct {
 	lease *lease
 	span  Span
@@ -198,7 +210,8 @@
 			return move{}, false
 		}
 		want := gap / (from.cost + to.cost)
-		if l, span, weight, found := k.cut(service, s, from.server.ID, want, made, now); found {
+		if l, span, weight, found := k.cut(service, s, from.server.ID, want/s.Load.correction(), made, now); found {
+			weight *= s.Load.correction()
 			from.used -= weight * from.cost
 			to.used += weight * to.cost
 			to.ranges++
--- a/gateway/router/router.go
+++ b/gateway/router/router.go
@@ -49,7 +49,7 @@
 	mu      sync.Mutex // guards all below
 	pool    *pool.Pool
 	budget  *budget.Budget
-	waiters map[*pool.Waiter]chan site.Server
+	waiters map[*pool.Waiter]chan place
 	nodes   int
 }
 
@@ -101,7 +101,7 @@
 			name:    name,
 			pool:    pool.New(r.zone, r.terms.CrossZonePenalty, random),
 			budget:  budget.New(r.terms.Retries),
-			waiters: map[*pool.Waiter]chan site.Server{},
+			waiters: map[*pool.Waiter]chan place{},
 		}
 		s.update(v.ServersOf(name), len(v.Members))
 		r.services[name] = s
@@ -118,17 +118,28 @@
 	s.deliver(s.pool.Admit(now))
 }
 
-// deliver hands places to those that wait for them. The lock is held.
+// place ends a wait: a place at a server, or a refusal.
+type place struct {
+	server  site.Server
+	refused *pool.Refusal
+}
+
+// deliver hands places to those that wait for them, and refuses those that
+// would wait too long. The lock is held.
 func (s *service) deliver(admissions []pool.Admission) {
 	for _, a := range admissions {
-		s.waiters[a.Waiter] <- a.Server
+		s.waiters[a.Waiter] <- place{server: a.Server}
 		delete(s.waiters, a.Waiter)
 	}
+	for _, e := range s.pool.Evict(time.Now()) {
+		s.waiters[e.Waiter] <- place{refused: &e.Refusal}
+		delete(s.waiters, e.Waiter)
+	}
 }
 
 // ask asks for a place. It returns one, or a channel that receives one, or a
 // refusal.
-func (s *service) ask(w *pool.Waiter) (site.Server, <-chan site.Server, *pool.Refusal) {
+func (s *service) ask(w *pool.Waiter) (site.Server, <-chan place, *pool.Refusal) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	admission, refusal := s.pool.Ask(w, time.Now())
@@ -138,20 +149,22 @@
 	if admission != nil {
 		return admission.Server, nil, nil
 	}
-	places := make(chan site.Server, 1)
+	places := make(chan place, 1)
 	s.waiters[w] = places
 	return site.Server{}, places, nil
 }
 
 // leave ends a wait. A place that came meanwhile is given back.
-func (s *service) leave(w *pool.Waiter, places <-chan site.Server) {
+func (s *service) leave(w *pool.Waiter, places <-chan place) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.pool.Leave(w)
 	delete(s.waiters, w)
 	select {
-	case server := <-places:
-		s.deliver(s.pool.Done(server.ID, pool.Outcome{Abandoned: true}, time.Now()))
+	case p := <-places:
+		if p.refused == nil {
+			s.deliver(s.pool.Done(p.server.ID, pool.Outcome{Abandoned: true}, time.Now()))
+		}
 	default:
 	}
 }
--- a/gateway/router/run.go
+++ b/gateway/router/run.go
@@ -86,9 +86,6 @@
 	}
 	request := x.request
 	request.Left = time.Until(x.deadline)
-	if x.keyed {
-		x.router.reports.Key(x.service.name, x.key)
-	}
 	go func() {
 		startedAt := time.Now()
 		answer, err := x.router.client.Send(ctx, server, &request)
@@ -103,7 +100,7 @@
 	if s.err != nil {
 		return pool.Outcome{Took: s.took, Failed: ctx.Err() == nil, Abandoned: ctx.Err() != nil}
 	}
-	if x.keyed && !s.answer.NotRun {
+	if x.keyed && !s.answer.NotRun && (s.answer.Load == nil || s.answer.Load.Waiting == 0) {
 		x.router.reports.Answer(s.server.ID, s.took)
 	}
 	isMisdirected := s.answer.Status == http.StatusMisdirectedRequest
@@ -177,7 +174,7 @@
 	askedAt := time.Now()
 	server, places, refused := x.service.ask(w)
 	if refused != nil {
-		return site.Server{}, &refusal{status: http.StatusServiceUnavailable, reason: string(refused.Reason), retryAfter: refused.RetryAfter}
+		return site.Server{}, refusalOf(refused)
 	}
 	if places == nil {
 		return server, nil
@@ -196,9 +193,12 @@
 			changed = nil
 		}
 		select {
-		case server = <-places:
+		case p := <-places:
 			x.trail.waited(time.Since(askedAt))
-			return server, nil
+			if p.refused != nil {
+				return site.Server{}, refusalOf(p.refused)
+			}
+			return p.server, nil
 		case <-changed:
 		case <-tooLate.C:
 			x.service.leave(w, places)
@@ -210,6 +210,10 @@
 	}
 }
 
+func refusalOf(r *pool.Refusal) *refusal {
+	return &refusal{status: http.StatusServiceUnavailable, reason: string(r.Reason), retryAfter: r.RetryAfter}
+}
+
 // isOwner reports whether a server still owns the request's key.
 func (x *exchange) isOwner(server site.ServerID) bool {
 	route, found := x.router.state.Now().RouteOf(x.service.name, x.key)
--- a/gateway/router/serve.go
+++ b/gateway/router/serve.go
@@ -105,6 +105,7 @@
 		return &refusal{status: http.StatusBadRequest, reason: "key missing or not a number from 0 to 65535"}
 	}
 	x.key = ranges.Key(key)
+	x.router.reports.Key(x.service.name, x.key)
 	return nil
 }
 
