Gateway: a silent connection to the store no longer hides a configuration

Each topic now counts for itself in the contact that is given away, and a read waits 0.8 s. Ruled out: a lost merge; the record was never read.

--- a/gateway/duty/duty.go
+++ b/gateway/duty/duty.go
@@ -61,7 +61,6 @@
 	Granter ranges.Granter
 	State   *view.State
 	Reader  *follow.Reader
-	Contact *follow.Contact
 	Feed    *follow.Feed
 	Reports *follow.Reports
 	Logger  hclog.Logger
--- a/gateway/duty/outcome.go
+++ b/gateway/duty/outcome.go
@@ -50,7 +50,6 @@
 	d.appending = nil
 	d.end = p.at + 1
 	d.confirmedAt = startedAt
-	d.Contact.Note(startedAt)
 	d.nextConfirm = now.Add(confirmEvery)
 	switch {
 	case p.claim != nil:
--- a/gateway/follow/contact.go
+++ b/gateway/follow/contact.go
@@ -9,29 +9,44 @@
 	"time"
 
 	"github.com/burdockspindle/burdockspindle/clock"
+	"github.com/burdockspindle/burdockspindle/gateway/store"
 )
 
-// Contact is when the store last answered. It is safe for concurrent use.
+// Contact is up to when a node knows the topics that others write. One topic may
+// be read while a connection that waits for another has gone silent, so each
+// counts for itself. It is safe for concurrent use.
 type Contact struct {
-	mu sync.Mutex
-	at time.Time
+	mu             sync.Mutex
+	servers        time.Time
+	configurations time.Time
 }
 
-// Note takes the start of a call that the store answered.
-func (c *Contact) Note(startedAt time.Time) {
+// Note takes that a topic is known up to a time.
+func (c *Contact) Note(topic store.Topic, at time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if startedAt.After(c.at) {
-		c.at = startedAt
+	switch topic {
+	case store.Servers:
+		c.servers = later(c.servers, at)
+	case store.Configurations:
+		c.configurations = later(c.configurations, at)
 	}
 }
 
-// Age returns the time since the latest contact; known is false if there was none.
+// Age returns the time up to which the topic is known that was read least
+// lately; known is false if one was never read.
 func (c *Contact) Age() (age time.Duration, known bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.at.IsZero() {
+	if c.servers.IsZero() || c.configurations.IsZero() {
 		return 0, false
 	}
-	return clock.Since(c.at), true
+	return max(clock.Since(c.servers), clock.Since(c.configurations)), true
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
 }
--- a/gateway/follow/reader.go
+++ b/gateway/follow/reader.go
@@ -23,8 +23,11 @@
 	// of a server is a record, so waiting for the next one would be a call for
 	// every record.
 	readEvery = 400 * time.Millisecond
-	// configWait is how long a read of the configurations waits: they are rare.
-	configWait = 10 * time.Second
+	// configWait is how long a read of the configurations waits: they are rare,
+	// but a connection that goes silent meanwhile shows only after it.
+	configWait = 800 * time.Millisecond
+	// answerTime is what the way of an answer may take.
+	answerTime = 50 * time.Millisecond
 	// retryEvery is the pause after a call that failed.
 	retryEvery = 500 * time.Millisecond
 	// idleEvery is how often a reader that need not read looks whether it must.
@@ -101,6 +104,8 @@
 		for _, record := range batch.Records {
 			r.takeConfig(record)
 		}
+		// A read that waited in vain tells that there was nothing up to its end.
+		r.Contact.Note(store.Configurations, clock.Now().Add(-answerTime))
 	}
 }
 
@@ -124,7 +129,7 @@
 // note logs when the store is lost and regained.
 func (r *Reader) note(ctx context.Context, topic store.Topic, startedAt time.Time, err error) {
 	if err == nil {
-		r.Contact.Note(startedAt)
+		r.Contact.Note(topic, startedAt)
 		if r.lost.Swap(false) {
 			eventStoreBack.Log(r.Logger, "topic", topic)
 		}
--- a/modules/gateway/site.go
+++ b/modules/gateway/site.go
@@ -93,7 +93,6 @@
 	m.duty.Granter = platform.Granter(m.client)
 	m.duty.State = m.state
 	m.duty.Reader = m.reader
-	m.duty.Contact = contact
 	m.duty.Feed = m.feed
 	m.duty.Reports = m.reports
 	m.duty.Logger = logger
