--- a/gateway/duty/duty.go
+++ b/gateway/duty/duty.go
@@ -35,6 +35,9 @@
 	// claimSpread is the random time that nodes wait before a claim, so that
 	// mostly one appends; the store settles the rest.
 	claimSpread = 300 * time.Millisecond
+	// claimPause follows a claim that another node was quicker with: the topic is
+	// read again meanwhile.
+	claimPause = time.Second
 	// freshRead is how recent the reading of the topic must be for a claim.
 	freshRead = 900 * time.Millisecond
 	// retryAppend is the pause after an append failed.
--- a/gateway/duty/outcome.go
+++ b/gateway/duty/outcome.go
@@ -80,6 +80,7 @@
 func (d *Duty) depose(p *pendingAppend) {
 	if p.claim != nil {
 		eventClaimLost.Log(d.Logger, "offset", p.at)
+		d.noClaim = clock.Now().Add(claimPause)
 		return
 	}
 	eventDeposed.Log(d.Logger, "offset", p.at)
--- a/gateway/follow/reader.go
+++ b/gateway/follow/reader.go
@@ -172,6 +172,8 @@
 		if err == nil {
 			r.takeServers(batch, isSnapshot)
 			next = batch.End
+		} else {
+			r.register.Failed(clock.Now())
 		}
 		if err == nil && !r.lessor.Load() {
 			ownership, err = r.readOwnership(ctx, ownership)
--- a/gateway/follow/register.go
+++ b/gateway/follow/register.go
@@ -11,9 +11,9 @@
 
 // Timing of the register after an outage of the store.
 const (
-	// outageAfter is the pause between two reads that counts as an outage:
-	// several intervals of reading.
-	outageAfter = 1500 * time.Millisecond
+	// outageAfter is for how long reads must have failed to count as an outage in
+	// which entries may have lapsed: about one heartbeat of a server.
+	outageAfter = time.Second
 	// returnTime is how long servers that live may take to register again after
 	// an outage, 2 s by the platform's promise, with the interval of reading.
 	returnTime = 2500 * time.Millisecond
@@ -26,8 +26,8 @@
 	missing  map[site.ServerID]bool // dropped, but kept until returned
 	next     store.Offset
 	change   store.Offset // after the last record that changed anything
-	readAt   time.Time
-	returned time.Time // end of the time after an outage
+	failing  time.Time    // of the first failed read in a row; zero: the latest succeeded
+	returned time.Time    // end of the time after an outage
 }
 
 // NewRegister returns a register that has read nothing.
@@ -59,11 +59,18 @@
 	r.next = end
 }
 
+// Failed notes that a read failed.
+func (r *Register) Failed(now time.Time) {
+	if r.failing.IsZero() {
+		r.failing = now
+	}
+}
+
 func (r *Register) noteRead(now time.Time) {
-	if !r.readAt.IsZero() && now.Sub(r.readAt) > outageAfter {
+	if !r.failing.IsZero() && now.Sub(r.failing) > outageAfter {
 		r.returned = now.Add(returnTime)
 	}
-	r.readAt = now
+	r.failing = time.Time{}
 }
 
 // Put takes a server's record before the offset end.
