Gateway: retry budget by the most nodes seen in its window

A node without a list has no slack; a lessor gives its list away only after it must have heard of all nodes. Ruled out: resends to keyed servers as such; they are counted.

--- a/gateway/budget/budget.go
+++ b/gateway/budget/budget.go
@@ -31,6 +31,7 @@
 	number   int64 // of the part since the zero time
 	requests float64
 	extra    float64
+	nodes    int // most that shared the budget
 }
 
 // New returns an unspent budget.
@@ -44,31 +45,42 @@
 	b.terms = terms
 }
 
-// Request counts a request's first send.
-func (b *Budget) Request(now time.Time) { b.at(now).requests++ }
+// Request counts a request's first send. nodes is as for Spend.
+func (b *Budget) Request(nodes int, now time.Time) {
+	current := b.at(now)
+	current.requests++
+	current.nodes = max(current.nodes, nodes)
+}
 
 // Spend takes one extra send out of the budget if it has one left. nodes is the
-// number of nodes that share it.
+// number of nodes that share it now; 0: not known.
 func (b *Budget) Spend(nodes int, now time.Time) bool {
 	current := b.at(now)
-	if b.Left(nodes, now) < 1 {
+	current.nodes = max(current.nodes, nodes)
+	if b.Left(now) < 1 {
 		return false
 	}
 	current.extra++
 	return true
 }
 
-// Left returns the extra sends that are left.
-func (b *Budget) Left(nodes int, now time.Time) float64 {
+// Left returns the extra sends that are left. The slack is shared by the most
+// nodes of the window: those that are gone have spent their part of it. While
+// their number is not known there is none.
+func (b *Budget) Left(now time.Time) float64 {
 	oldest := b.number(now) - buckets + 1
-	requests, extra := 0.0, 0.0
+	requests, extra, nodes := 0.0, 0.0, 0
 	for _, part := range b.ring {
 		if part.number >= oldest {
 			requests += part.requests
 			extra += part.extra
+			nodes = max(nodes, part.nodes)
 		}
 	}
-	allowed := b.terms.Ratio*requests + b.terms.Slack/float64(max(nodes, 1))
+	allowed := b.terms.Ratio * requests
+	if nodes > 0 {
+		allowed += b.terms.Slack / float64(nodes)
+	}
 	return allowed*(1-reserve) - extra
 }
 
--- a/gateway/duty/duty.go
+++ b/gateway/duty/duty.go
@@ -231,7 +231,9 @@
 	}
 	d.nextReport = now.Add(reportEvery)
 	d.takeReport(d.Reports.Drain())
-	d.State.SetMembers(d.Feed.Members())
+	if now.Sub(d.leaderSince) > follow.MemberTimeout {
+		d.State.SetMembers(d.Feed.Members())
+	}
 }
 
 func (d *Duty) takeReport(report follow.Report) {
--- a/gateway/follow/feed.go
+++ b/gateway/follow/feed.go
@@ -28,8 +28,9 @@
 	// staleContact is the age of the lessor's contact with the store beyond which
 	// its followers read the store themselves.
 	staleContact = 1200 * time.Millisecond
-	// memberTimeout is how long a node counts after its latest call.
-	memberTimeout = 2 * time.Second
+	// MemberTimeout is how long a node counts after its latest call. A lessor knows
+	// all nodes after it.
+	MemberTimeout = 2 * time.Second
 	// peerRetry is the pause after a call to another node failed.
 	peerRetry = 250 * time.Millisecond
 )
@@ -124,8 +125,8 @@
 	if routesDiffer(v, asked) {
 		reply.Routes = routesMessage(v.Routes)
 	}
-	members := f.Members()
-	if hashMembers(members) != asked.MembersHash {
+	members := v.Members
+	if reply.IsLessor && hashMembers(members) != asked.MembersHash {
 		for _, member := range members {
 			reply.Members = append(reply.Members, memberMessage(member))
 		}
@@ -148,7 +149,7 @@
 	defer f.mu.Unlock()
 	members := []view.Member{f.Self}
 	for node, seen := range f.members {
-		if time.Since(seen.at) > memberTimeout {
+		if time.Since(seen.at) > MemberTimeout {
 			delete(f.members, node)
 			continue
 		}
--- a/gateway/pool/pool.go
+++ b/gateway/pool/pool.go
@@ -95,9 +95,16 @@
 // SetPenalty replaces the time that sending to another zone counts as.
 func (p *Pool) SetPenalty(penalty time.Duration) { p.penalty = penalty }
 
-// Update takes the registered servers and the number of nodes that share them.
+// assumedNodes share the servers while their number is not known.
+const assumedNodes = 8
+
+// Update takes the registered servers and the number of nodes that share them,
+// 0 if it is not known.
 func (p *Pool) Update(servers []site.Server, nodes int, now time.Time) {
-	p.nodes = max(nodes, 1)
+	p.nodes = nodes
+	if nodes <= 0 {
+		p.nodes = assumedNodes
+	}
 	seen := make(map[site.ServerID]bool, len(servers))
 	for _, server := range servers {
 		seen[server.ID] = true
--- a/gateway/router/router.go
+++ b/gateway/router/router.go
@@ -50,7 +50,7 @@
 	pool    *pool.Pool
 	budget  *budget.Budget
 	waiters map[*pool.Waiter]chan place
-	nodes   int
+	nodes   int // that share the servers; 0: not known
 }
 
 // New returns a router without services.
@@ -179,7 +179,7 @@
 func (s *service) countRequest() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.budget.Request(time.Now())
+	s.budget.Request(s.nodes, time.Now())
 }
 
 // spendRetry takes one send beyond the first out of the budget.
--- a/gateway/view/view.go
+++ b/gateway/view/view.go
@@ -41,7 +41,8 @@
 	Servers Servers
 	Table   Table  // the newest that this node itself has read or written
 	Routes  Routes // may belong to a newer table
-	// Members are the nodes that share the servers with this one, itself included.
+	// Members are the nodes that share the servers with this one, itself included;
+	// empty: not known.
 	Members []Member
 
 	byService map[site.ServiceName][]site.Server
@@ -86,10 +87,10 @@
 	changed chan struct{} // closed at the next change
 }
 
-// NewState returns the state of a node that knows nothing yet but itself.
-func NewState(self Member) *State {
+// NewState returns the state of a node that knows nothing yet.
+func NewState() *State {
 	s := &State{changed: make(chan struct{})}
-	s.current.Store(&View{Members: []Member{self}})
+	s.current.Store(new(View))
 	return s
 }
 
--- a/modules/gateway/site.go
+++ b/modules/gateway/site.go
@@ -61,7 +61,7 @@
 	}
 	settings := live.Settings()
 	m.self = view.Member{Node: settings.Node, Boot: string(ctx.Identity.Boot), Zone: settings.Zone, Address: settings.Listen.Peer}
-	m.state = view.NewState(m.self)
+	m.state = view.NewState()
 	m.client = upstream.NewClient(platform.Headers)
 	m.reports = follow.NewReports()
 	m.build(settings, platform, ctx.Logger)
