--- a/gateway/duty/duty.go
+++ b/gateway/duty/duty.go
@@ -316,7 +316,11 @@
 		Settled:  d.settled(v, now),
 		Load:     d.loads,
 	}
-	if change := d.keeper.Plan(s, ranges.Fence(d.end), now); change != nil {
+	change := d.keeper.Plan(s, ranges.Fence(d.end), now)
+	for _, move := range d.keeper.Moves() {
+		eventMove.Log(d.Logger, "service", move.Service, "server", move.From, "to", move.To, "from", int(move.Span.From), "keys", move.Span.Keys(), "rate", move.Rate, "gap", move.Gap, "usage", d.loads.Paces())
+	}
+	if change != nil {
 		d.append(ctx, &pendingAppend{change: change})
 		return
 	}
--- a/gateway/duty/events.go
+++ b/gateway/duty/events.go
@@ -16,5 +16,6 @@
 	eventAppendFailed = events.Define(2106, hclog.Warn, "append to the ownership topic failed")
 	eventTableChanged = events.Define(2107, hclog.Info, "ranges changed")
 	eventCallFailed   = events.Define(2108, hclog.Warn, "grant or release failed")
+	eventMove         = events.Define(2110, hclog.Info, "range is moved to a less loaded server")
 	eventBadTable     = events.Define(2109, hclog.Error, "table of ranges cannot be encoded")
 )
--- a/gateway/pool/pool.go
+++ b/gateway/pool/pool.go
@@ -52,8 +52,9 @@
 // Weights and bounds of the limit of requests at a server.
 const (
 	leastLimit = 1.0
-	// raise is added to the limit with each answer of a server without a queue.
-	raise = 0.2
+	// raise is added to the limit for each free slot that an answer reports, so
+	// that a server whose keys become busy is filled within a few answers.
+	raise = 0.25
 	// lower is the factor of the limit with each answer of a server whose queue is
 	// longer than shortQueue of its slots.
 	lower      = 0.85
@@ -255,7 +256,8 @@
 	case float64(load.Waiting) > shortQueue*slots:
 		m.limit = max(leastLimit, m.limit*lower)
 	case load.Waiting == 0:
-		m.limit = min(m.limit+raise, max(leastLimit, slots))
+		free := max(0, slots-float64(load.Running))
+		m.limit = min(m.limit+raise*free, max(leastLimit, slots))
 	}
 }
 
--- a/gateway/pool/queue.go
+++ b/gateway/pool/queue.go
@@ -195,14 +195,26 @@
 	if a.Priority != b.Priority {
 		return a.Priority < b.Priority
 	}
-	soon := now.Add(time.Duration(p.typicalTime() * float64(time.Second)))
-	inTimeA, inTimeB := soon.Before(a.Target), soon.Before(b.Target)
+	inTimeA, inTimeB := p.inTime(a, now), p.inTime(b, now)
 	if inTimeA != inTimeB {
 		return inTimeA
 	}
 	return a.Since.Before(b.Since)
 }
 
+// inTimeFactor is how many usual times must be left for a request to count as
+// in time: about four of five requests take less.
+const inTimeFactor = 1.3
+
+// inTime reports whether a request sent now would be answered by its target.
+func (p *Pool) inTime(w *Waiter, now time.Time) bool {
+	mean := p.typicalTime()
+	if m := p.members[w.Only]; m != nil && m.mean > 0 {
+		mean = m.mean
+	}
+	return now.Add(time.Duration(inTimeFactor * mean * float64(time.Second))).Before(w.Target)
+}
+
 // Try gives a request a place only if there is one at once and nobody waits.
 func (p *Pool) Try(w *Waiter, now time.Time) (site.Server, bool) {
 	if len(p.queue) > 0 {
--- a/gateway/ranges/balance.go
+++ b/gateway/ranges/balance.go
@@ -11,7 +11,9 @@
 // Balance answers busy keys that lie close together and change within seconds:
 // the busiest server gives the fewest keys that carry enough of its load to the
 // idlest one. Moving few keys costs little; each move stops them for as long as
-// the requests on them still run.
+// the requests on them still run. A single key that carries most of a server's
+// load cannot be divided: it goes to the server that runs it fastest, and that
+// server's other keys go elsewhere.
 const (
 	// balanceEvery is the least time between two rounds: nodes report their
 	// counts twice in it.
@@ -25,6 +27,10 @@
 	restAfterMove = 1500 * time.Millisecond
 	// loadHalfLife is how fast old counts lose their weight.
 	loadHalfLife = 1200 * time.Millisecond
+	// recentHalfLife is the same for finding single busy keys, and leastRecent the
+	// rate below which they are forgotten.
+	recentHalfLife = 400 * time.Millisecond
+	leastRecent    = 0.2
 	// enoughShare and mostShare bound what a move carries, as shares of the load
 	// that would make both servers equal.
 	enoughShare = 0.5
@@ -38,14 +44,21 @@
 type Loads struct {
 	keys  map[site.ServiceName]*[int(LastKey) + 1]float32 // requests a second, decayed
 	paces map[site.ServerID]float64                       // seconds a request takes
-	since time.Time                                       // of the first decay
-	last  time.Time                                       // of the latest decay
-	round time.Time                                       // of the latest round of balance
+	// recent holds the keys counted lately with a short memory, requests a second:
+	// one that becomes busy shows at once.
+	recent map[site.ServiceName]map[Key]float64
+	since  time.Time // of the first decay
+	last   time.Time // of the latest decay
+	round  time.Time // of the latest round of balance
 }
 
 // NewLoads returns loads without any report.
 func NewLoads() *Loads {
-	return &Loads{keys: map[site.ServiceName]*[int(LastKey) + 1]float32{}, paces: map[site.ServerID]float64{}}
+	return &Loads{
+		keys:   map[site.ServiceName]*[int(LastKey) + 1]float32{},
+		paces:  map[site.ServerID]float64{},
+		recent: map[site.ServiceName]map[Key]float64{},
+	}
 }
 
 // Count adds requests for a key.
@@ -56,6 +69,10 @@
 		l.keys[service] = keys
 	}
 	if key >= 0 && key <= LastKey {
+		if l.recent[service] == nil {
+			l.recent[service] = map[Key]float64{}
+		}
+		l.recent[service][key] += float64(requests) * math.Ln2 / recentHalfLife.Seconds()
 		// A steady rate r gives r x halfLife / ln 2 in the decayed sum.
 		keys[key] += float32(requests) * float32(math.Ln2/loadHalfLife.Seconds())
 	}
@@ -87,6 +104,14 @@
 		return
 	}
 	l.last = now
+	fall := math.Exp2(-passed.Seconds() / recentHalfLife.Seconds())
+	for _, recent := range l.recent {
+		for key, rate := range recent {
+			if recent[key] = rate * fall; recent[key] < leastRecent {
+				delete(recent, key)
+			}
+		}
+	}
 	factor := float32(math.Exp2(-passed.Seconds() / loadHalfLife.Seconds()))
 	for _, keys := range l.keys {
 		for i := range keys {
@@ -121,6 +146,17 @@
 	lease *lease
 	span  Span
 	to    site.ServerID
+	rate  float64 // requests a second that it carries
+	gap   float64 // difference of utilisation before it
+}
+
+// Move is a planned move of a range, for the log.
+type Move struct {
+	Service  site.ServiceName
+	From, To site.ServerID
+	Span     Span
+	Rate     float64 // requests a second that it carries
+	Gap      float64 // difference of the servers' utilisation before it
 }
 
 // usage is the load of one server.
@@ -140,6 +176,11 @@
 	s.Load.round = now
 	usages := k.usages(service, s, servers)
 	var moves []move
+	for _, from := range usages {
+		if m, found := k.moveHotKey(service, s, from, usages, moves, now); found {
+			moves = append(moves, m)
+		}
+	}
 	for len(moves) < movesPerRound {
 		next, found := k.nextMove(service, s, usages, moves, now)
 		if !found {
@@ -206,27 +247,116 @@
 	to := usages[len(usages)-1]
 	for _, from := range usages {
 		gap := from.used - to.used
-		if gap < leastGap || to.ranges >= mostRanges {
+		if gap < leastGap {
+			return move{}, false
+		}
+		if to.ranges >= mostRanges {
 			return move{}, false
 		}
 		want := gap / (from.cost + to.cost)
-		if l, span, weight, found := k.cut(service, s, from.server.ID, want/s.Load.correction(), made, now); found {
+		l, span, weight, found := k.cut(service, s, from.server.ID, want/s.Load.correction(), made, now)
+		if !found && from.used > crowded {
+			l, span, weight, found = k.wholeRange(service, s, from, made, now)
+		}
+		if found {
 			weight *= s.Load.correction()
 			from.used -= weight * from.cost
 			to.used += weight * to.cost
 			to.ranges++
-			return move{lease: l, span: span, to: to.server.ID}, true
+			return move{lease: l, span: span, to: to.server.ID, rate: weight, gap: gap}, true
 		}
 	}
 	return move{}, false
 }
 
+// crowded is the utilisation above which a server that has one busy key gives its
+// other ranges away whole.
+const crowded = 0.75
+
+// wholeRange returns the range of a server with the most load that does not hold
+// its busiest key.
+func (k *Keeper) wholeRange(service site.ServiceName, s Site, from *usage, made []move, now time.Time) (best *lease, span Span, weight float64, found bool) {
+	_, hot, _ := k.hottest(service, s, from.server.ID)
+	for _, l := range k.leases[service] {
+		if l.Server != from.server.ID || l.Contains(hot) || !k.movable(l, made, now) {
+			continue
+		}
+		carried := s.Load.sum(service, l.Span) / s.Load.correction()
+		if carried > weight {
+			best, span, weight, found = l, l.Span, carried, true
+		}
+	}
+	return best, span, weight, found
+}
+
+// hotShare is the share of a server's load from which one key is taken as a
+// whole, before others are moved.
+const hotShare = 0.35
+
+// moveHotKey moves the busiest key of a server to the one that would be least
+// used with it, if that leaves both less used than the server is now.
+func (k *Keeper) moveHotKey(service site.ServiceName, s Site, from *usage, usages []*usage, made []move, now time.Time) (move, bool) {
+	l, key, rate := k.hottest(service, s, from.server.ID)
+	if l == nil || rate*from.cost < hotShare*from.used || !k.movable(l, made, now) {
+		return move{}, false
+	}
+	best := from
+	for _, u := range usages {
+		if u != from && (best == from || u.used+rate*u.cost < best.used+rate*best.cost) {
+			best = u
+		}
+	}
+	gap := from.used - (best.used + rate*best.cost)
+	if best == from || gap < leastGap {
+		return move{}, false
+	}
+	from.used -= rate * from.cost
+	best.used += rate * best.cost
+	best.ranges++
+	return move{lease: l, span: Span{From: key, To: key}, to: best.server.ID, rate: rate, gap: gap}, true
+}
+
+// hottest returns the busiest key of a server.
+func (k *Keeper) hottest(service site.ServiceName, s Site, server site.ServerID) (hottest *lease, key Key, rate float64) {
+	for candidate, recent := range s.Load.recent[service] {
+		if recent <= rate {
+			continue
+		}
+		if l := k.leaseOf(service, candidate); l != nil && l.Server == server {
+			hottest, key, rate = l, candidate, recent
+		}
+	}
+	return hottest, key, rate
+}
+
+func (k *Keeper) leaseOf(service site.ServiceName, key Key) *lease {
+	leases := k.leases[service]
+	i, found := slices.BinarySearchFunc(leases, key, func(l *lease, key Key) int {
+		if l.To < key {
+			return -1
+		}
+		if l.From > key {
+			return 1
+		}
+		return 0
+	})
+	if !found {
+		return nil
+	}
+	return leases[i]
+}
+
+// movable reports whether a range can be released now.
+func (k *Keeper) movable(l *lease, made []move, now time.Time) bool {
+	isTaken := slices.ContainsFunc(made, func(m move) bool { return m.lease == l })
+	return !isTaken && l.canRelease() && now.Sub(l.movedAt) >= restAfterMove
+}
+
 // cut finds the fewest neighbouring keys of a server that carry about want
 // requests a second.
 func (k *Keeper) cut(service site.ServiceName, s Site, from site.ServerID, want float64, made []move, now time.Time) (best *lease, span Span, weight float64, found bool) {
 	for _, l := range k.leases[service] {
-		isTaken := slices.ContainsFunc(made, func(m move) bool { return m.lease == l })
-		if l.Server != from || isTaken || !l.canRelease() || now.Sub(l.movedAt) < restAfterMove {
+		if l.Server != from || !k.movable(l, made, now) {
 			continue
 		}
 		window, carried, ok := window(s.Load.keys[service], l.Span, want)
@@ -259,3 +389,12 @@
 	}
 	return best, carried, found
 }
+
+// Paces returns the pace of each server in milliseconds, for the log.
+func (l *Loads) Paces() map[site.ServerID]int {
+	paces := make(map[site.ServerID]int, len(l.paces))
+	for id, pace := range l.paces {
+		paces[id] = int(pace * 1000)
+	}
+	return paces
+}
--- a/gateway/ranges/lessor.go
+++ b/gateway/ranges/lessor.go
@@ -48,6 +48,7 @@
 	self   Lessor
 	timing Timing
 	leases map[site.ServiceName][]*lease
+	moves  []Move // planned and not yet told
 	// serial grows with each change of what Routes returns.
 	serial uint64
 }
--- a/gateway/ranges/plan.go
+++ b/gateway/ranges/plan.go
@@ -87,6 +87,13 @@
 	k.serial++
 }
 
+// Moves returns the moves that were planned since the last call.
+func (k *Keeper) Moves() []Move {
+	moves := k.moves
+	k.moves = nil
+	return moves
+}
+
 // startReleases begins to take ranges from servers that leave, and those that
 // balance asks for.
 func (k *Keeper) startReleases(service site.ServiceName, s Site, servers []site.Server, now time.Time) {
@@ -96,6 +103,7 @@
 		}
 	}
 	for _, move := range k.balance(service, s, servers, now) {
+		k.moves = append(k.moves, Move{Service: service, From: move.lease.Server, To: move.to, Span: move.span, Rate: move.rate, Gap: move.gap})
 		l := k.split(move.lease, move.span)
 		l.next = move.to
 		k.setPhase(l, releasing)
