Gateway: keys of silent owners, unreachable servers, fresh connections

Cause: requests for keys without an owner waited for their whole time; requests went out on connections to servers behind a cut (700 ms for each dial, or until the deadline on a kept connection).

--- a/gateway/follow/message.go
+++ b/gateway/follow/message.go
@@ -4,7 +4,9 @@
 	"hash/fnv"
 	"slices"
 	"strings"
+	"time"
 
+	"github.com/burdockspindle/burdockspindle/clock"
 	"github.com/burdockspindle/burdockspindle/gateway/ranges"
 	"github.com/burdockspindle/burdockspindle/gateway/site"
 	"github.com/burdockspindle/burdockspindle/gateway/store"
@@ -52,6 +54,9 @@
 	return message
 }
 
+// stateFactor separates owner and state in a number.
+const stateFactor = 4
+
 func serviceMessage(service site.ServiceName, list []ranges.Route) *bspb.ServiceRoutes {
 	message := &bspb.ServiceRoutes{Service: string(service)}
 	places := map[site.ServerID]uint32{"": 0}
@@ -62,12 +67,12 @@
 			place = uint32(len(message.Servers))
 			places[route.Server] = place
 		}
-		owner := 2 * place
-		if route.Ready {
-			owner++
-		}
 		message.Keys = append(message.Keys, uint32(route.Keys()))
-		message.Owners = append(message.Owners, owner)
+		message.Owners = append(message.Owners, stateFactor*place+uint32(route.State))
+		if route.State == ranges.Silent {
+			left := max(route.Until.Sub(clock.Now()), 0)
+			message.SilentMs = append(message.SilentMs, uint32(left.Milliseconds()))
+		}
 	}
 	return message
 }
@@ -97,12 +102,20 @@
 	}
 	list := make([]ranges.Route, 0, len(message.Keys))
 	from := ranges.Key(0)
+	silent := message.SilentMs
 	for i, keys := range message.Keys {
-		place, isReady := int(message.Owners[i]/2), message.Owners[i]%2 == 1
+		place, state := int(message.Owners[i]/stateFactor), ranges.RouteState(message.Owners[i]%stateFactor)
 		if place > len(message.Servers) || keys == 0 {
 			return nil, false
 		}
-		route := ranges.Route{Span: ranges.Span{From: from, To: from + ranges.Key(keys) - 1}, Ready: isReady}
+		route := ranges.Route{Span: ranges.Span{From: from, To: from + ranges.Key(keys) - 1}, State: state}
+		if state == ranges.Silent {
+			if len(silent) == 0 {
+				return nil, false
+			}
+			route.Until = clock.Now().Add(time.Duration(silent[0]) * time.Millisecond)
+			silent = silent[1:]
+		}
 		if place > 0 {
 			route.Server = site.ServerID(message.Servers[place-1])
 		}
--- a/gateway/pool/pool.go
+++ b/gateway/pool/pool.go
@@ -74,8 +74,15 @@
 	failure   float64 // rate of failures lately, as of failureAt
 	failureAt time.Time
 	coldUntil time.Time
+	// blockedUntil is until when a server that took no connection gets no request.
+	blockedUntil time.Time
+	blocks       int       // connections in a row that it did not take
+	probedAt     time.Time // when a connection was last tried for that reason
 }
 
+// blocked reports whether the server took no connection lately.
+func (m *member) blocked(now time.Time) bool { return now.Before(m.blockedUntil) }
+
 // Pool is one service's servers as one node sees them.
 type Pool struct {
 	zone    string
@@ -155,7 +162,7 @@
 	var best, bestNear *member
 	bestTime, nearTime := math.Inf(1), math.Inf(1)
 	for _, m := range p.order {
-		if m.Draining || !w.accepts(m.ID) || float64(m.inFlight) >= math.Floor(m.limit) {
+		if m.Draining || m.blocked(now) || !w.accepts(m.ID) || float64(m.inFlight) >= math.Floor(m.limit) {
 			continue
 		}
 		expected := p.expected(m, now)
@@ -212,10 +219,11 @@
 
 // Outcome is how a request ended at a server.
 type Outcome struct {
-	Took   time.Duration
-	Load   *site.Load // nil: not reported
-	Failed bool       // no answer, or a failure of the server
-	NoRoom bool       // the server refused for lack of room
+	Took       time.Duration
+	Load       *site.Load // nil: not reported
+	Failed     bool       // no answer, or a failure of the server
+	NoRoom     bool       // the server refused for lack of room
+	NotReached bool       // the server took no connection
 	// Abandoned tells that the node gave the request up, which says little of
 	// the server.
 	Abandoned bool
@@ -241,12 +249,54 @@
 	if !outcome.Abandoned {
 		p.takeFailure(m, outcome.Failed || outcome.NoRoom, now)
 	}
+	if outcome.NotReached {
+		m.block(now)
+	} else if !outcome.Abandoned && !outcome.Failed {
+		m.blocks = 0
+	}
 	if outcome.NoRoom {
 		m.limit = max(leastLimit, m.limit*refusedLimit)
 	}
 	return p.Admit(now)
 }
 
+// Times for which a server that takes no connection is left alone.
+const (
+	leastBlock = 500 * time.Millisecond
+	mostBlock  = 2 * time.Second
+	// probeEvery is the least time between two connections to a slow server that
+	// are opened to see whether it can be reached.
+	probeEvery = 400 * time.Millisecond
+)
+
+// block keeps requests from a server that took no connection, longer each time.
+func (m *member) block(now time.Time) {
+	pause := min(leastBlock<<min(m.blocks, 4), mostBlock)
+	m.blocks++
+	m.blockedUntil = now.Add(pause)
+}
+
+// Probe reports whether a connection to a slow server should be tried, and
+// whether the server took none lately.
+func (p *Pool) Probe(id site.ServerID, now time.Time) (mustProbe, isBlocked bool) {
+	m := p.members[id]
+	if m == nil || m.blocked(now) {
+		return false, m != nil
+	}
+	if now.Sub(m.probedAt) < probeEvery {
+		return false, false
+	}
+	m.probedAt = now
+	return true, false
+}
+
+// Probed takes whether a connection was taken.
+func (p *Pool) Probed(id site.ServerID, reached bool, now time.Time) {
+	if m := p.members[id]; m != nil && !reached {
+		m.block(now)
+	}
+}
+
 func (p *Pool) takeLoad(m *member, load site.Load, now time.Time) {
 	// The report counts the request that it answers.
 	m.others = max(0, float64(load.Total()-1-m.inFlight))
--- a/gateway/pool/queue.go
+++ b/gateway/pool/queue.go
@@ -62,7 +62,7 @@
 
 // Ask gives a request a place at once, lets it wait, or refuses it.
 func (p *Pool) Ask(w *Waiter, now time.Time) (admission *Admission, refusal *Refusal) {
-	if !p.hasServer(w) {
+	if !p.hasServer(w, now) {
 		return nil, &Refusal{Reason: NoServer, RetryAfter: p.retryAfter(0)}
 	}
 	if len(p.queue) == 0 || w.Only != "" {
@@ -86,8 +86,8 @@
 	p.queue = slices.DeleteFunc(p.queue, func(other *Waiter) bool { return other == w })
 }
 
-func (p *Pool) hasServer(w *Waiter) bool {
-	return slices.ContainsFunc(p.order, func(m *member) bool { return !m.Draining && w.accepts(m.ID) })
+func (p *Pool) hasServer(w *Waiter, now time.Time) bool {
+	return slices.ContainsFunc(p.order, func(m *member) bool { return !m.Draining && !m.blocked(now) && w.accepts(m.ID) })
 }
 
 func (p *Pool) admit(w *Waiter, m *member) *Admission {
--- a/gateway/ranges/lessor.go
+++ b/gateway/ranges/lessor.go
@@ -76,23 +76,52 @@
 // Route tells where requests for a range go.
 type Route struct {
 	Span
-	Server site.ServerID `json:"server"`
-	// Ready tells that the owner has confirmed its grant and keeps the range.
-	// Until then requests do better to wait.
-	Ready bool `json:"ready"`
+	Server site.ServerID
+	State  RouteState
+	// Until is, for a silent range, when it gets another owner at the latest, if
+	// the present one does not answer again.
+	Until time.Time
 }
 
+// RouteState is what a request for a range had better do.
+type RouteState uint8
+
+// States of a route.
+const (
+	// Moving ranges have a new owner in a moment; requests wait for it.
+	Moving RouteState = iota
+	// Ready ranges are served by their owner.
+	Ready
+	// Silent ranges wait for the holds of an owner that does not answer to run
+	// out; that takes up to a hold.
+	Silent
+)
+
 // Routes returns the present routes of every service.
 func (k *Keeper) Routes() map[site.ServiceName][]Route {
 	routes := make(map[site.ServiceName][]Route, len(k.leases))
 	for service, leases := range k.leases {
 		for _, l := range leases {
-			routes[service] = append(routes[service], Route{Span: l.Span, Server: l.Server, Ready: l.phase == granting && (l.confirmed || l.kept)})
+			route := Route{Span: l.Span, Server: l.Server, State: l.routeState()}
+			if route.State == Silent {
+				route.Until = l.heldUntil
+			}
+			routes[service] = append(routes[service], route)
 		}
 	}
 	return routes
 }
 
+func (l *lease) routeState() RouteState {
+	switch {
+	case l.phase == lapsing:
+		return Silent
+	case l.phase == granting && l.Server != "" && (l.confirmed || l.kept):
+		return Ready
+	}
+	return Moving
+}
+
 // Silent returns the servers that own ranges and do not answer, and how many own any.
 func (k *Keeper) Silent() (silent, owners int) {
 	state := map[site.ServerID]bool{}
--- a/gateway/router/router.go
+++ b/gateway/router/router.go
@@ -4,6 +4,7 @@
 package router
 
 import (
+	"context"
 	"math/rand/v2"
 	"sync"
 	"sync/atomic"
@@ -189,6 +190,25 @@
 	return s.budget.Spend(s.nodes, time.Now())
 }
 
+// unreachable opens a connection to a server that is slow to answer, and
+// reports whether that failed. Then the server gets no requests for a while.
+func (r *Router) unreachable(ctx context.Context, s *service, server site.Server) bool {
+	s.mu.Lock()
+	mustProbe, isBlocked := s.pool.Probe(server.ID, time.Now())
+	s.mu.Unlock()
+	if !mustProbe {
+		return isBlocked
+	}
+	err := r.client.Probe(ctx, server)
+	if ctx.Err() != nil {
+		return false
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.pool.Probed(server.ID, err == nil, time.Now())
+	return err != nil
+}
+
 // tryAsk returns a place if there is one now.
 func (s *service) tryAsk(w *pool.Waiter) (site.Server, bool) {
 	s.mu.Lock()
--- a/gateway/router/run.go
+++ b/gateway/router/run.go
@@ -7,7 +7,9 @@
 	"slices"
 	"time"
 
+	"github.com/burdockspindle/burdockspindle/clock"
 	"github.com/burdockspindle/burdockspindle/gateway/pool"
+	"github.com/burdockspindle/burdockspindle/gateway/ranges"
 	"github.com/burdockspindle/burdockspindle/gateway/site"
 	"github.com/burdockspindle/burdockspindle/gateway/upstream"
 )
@@ -21,8 +23,18 @@
 	// leastTimeShare is the share of a usual service time that must be left for a
 	// request to go on waiting: many requests are shorter than usual.
 	leastTimeShare = 0.5
+	// suspectFactor is after how many usual times without an answer a new
+	// connection to the server is tried, and leastSuspect the least time.
+	suspectFactor = 2.0
+	leastSuspect  = 250 * time.Millisecond
 	// ownerPause is how long to wait for news when the owner of a key refused.
 	ownerPause = 250 * time.Millisecond
+	// ownerWait bounds how long a request waits for the next owner of its key: a
+	// move takes as long as the requests on the key still run.
+	ownerWait = time.Second
+	// silentMargin is added to the time after which a silent owner's keys get
+	// another one, for the append and the grant.
+	silentMargin = 200 * time.Millisecond
 	// keyedTries bounds the sends for one request while its key changes hands.
 	keyedTries = 4
 )
@@ -46,18 +58,22 @@
 func (x *exchange) run(ctx context.Context) result {
 	outcomes := make(chan sent, keyedTries+1)
 	running := 0
-	attempts, cancel := context.WithCancel(ctx)
-	defer cancel()
+	attempts := newAttempts(ctx)
+	defer func() { attempts.cancel() }()
 	var hedge <-chan time.Time
+	var suspect <-chan time.Time
+	var last site.Server
 	for {
 		if running == 0 {
 			server, problem := x.place(ctx)
 			if problem != nil {
 				return x.giveUp(problem)
 			}
-			x.start(attempts, server, outcomes)
+			x.start(attempts.ctx, server, outcomes)
 			running++
+			last = server
 			hedge = x.hedgeTimer()
+			suspect = x.suspectTimer()
 		}
 		select {
 		case s := <-outcomes:
@@ -68,9 +84,16 @@
 		case <-hedge:
 			hedge = nil
 			if server, ok := x.hedgePlace(); ok {
-				x.start(attempts, server, outcomes)
+				x.start(attempts.ctx, server, outcomes)
 				running++
 			}
+		case <-suspect:
+			suspect = nil
+			if x.router.unreachable(ctx, x.service, last) {
+				x.trail.note(string(last.ID) + " takes no connection")
+				attempts.cancel()
+				attempts = newAttempts(ctx)
+			}
 		case <-ctx.Done():
 			x.mayHaveRun = true
 			return x.giveUp(&refusal{status: http.StatusGatewayTimeout, reason: "timeout"})
@@ -78,6 +101,17 @@
 	}
 }
 
+// attempts are the sends that are given up together.
+type attempts struct {
+	ctx    context.Context
+	cancel context.CancelFunc
+}
+
+func newAttempts(ctx context.Context) attempts {
+	ctx, cancel := context.WithCancel(ctx)
+	return attempts{ctx: ctx, cancel: cancel}
+}
+
 // start sends the request to a server. The place is given back when it ends.
 func (x *exchange) start(ctx context.Context, server site.Server, outcomes chan<- sent) {
 	x.sends++
@@ -86,6 +120,7 @@
 	}
 	request := x.request
 	request.Left = time.Until(x.deadline)
+	request.Fresh = x.route.Kind == site.AtMostOnce
 	go func() {
 		startedAt := time.Now()
 		answer, err := x.router.client.Send(ctx, server, &request)
@@ -98,7 +133,9 @@
 // outcome tells the pool how an attempt ended.
 func (x *exchange) outcome(ctx context.Context, s sent) pool.Outcome {
 	if s.err != nil {
-		return pool.Outcome{Took: s.took, Failed: ctx.Err() == nil, Abandoned: ctx.Err() != nil}
+		var attempt *upstream.AttemptError
+		notReached := errors.As(s.err, &attempt) && !attempt.Sent && ctx.Err() == nil
+		return pool.Outcome{Took: s.took, Failed: ctx.Err() == nil, NotReached: notReached, Abandoned: ctx.Err() != nil}
 	}
 	if x.keyed && !s.answer.NotRun && (s.answer.Load == nil || s.answer.Load.Waiting == 0) {
 		x.router.reports.Answer(s.server.ID, s.took)
@@ -217,7 +254,7 @@
 // isOwner reports whether a server still owns the request's key.
 func (x *exchange) isOwner(server site.ServerID) bool {
 	route, found := x.router.state.Now().RouteOf(x.service.name, x.key)
-	return found && route.Server == server && route.Ready
+	return found && route.Server == server && route.State == ranges.Ready
 }
 
 // mayTryAgain reports why a request that was sent before is not sent again.
@@ -248,15 +285,25 @@
 	if x.sends > 0 {
 		x.awaitNews(ctx)
 	}
+	wait := time.NewTimer(min(ownerWait, time.Until(x.deadline)/2))
+	defer wait.Stop()
 	for {
 		changed := x.router.state.Changed()
-		v := x.router.state.Now()
-		route, found := v.RouteOf(x.service.name, x.key)
-		if found && route.Ready && route.Server != "" {
+		route, found := x.router.state.Now().RouteOf(x.service.name, x.key)
+		switch {
+		case found && route.State == ranges.Ready:
 			return route.Server, nil
+		case found && route.State == ranges.Silent:
+			left := route.Until.Sub(clock.Now())
+			if left+x.service.typicalTime() > time.Until(x.deadline) {
+				return "", &refusal{status: http.StatusServiceUnavailable, reason: "owner of the key is silent", retryAfter: max(left, ownerPause)}
+			}
+			wait.Reset(left + silentMargin)
 		}
 		select {
 		case <-changed:
+		case <-wait.C:
+			return "", &refusal{status: http.StatusServiceUnavailable, reason: "key has no owner", retryAfter: ownerPause}
 		case <-ctx.Done():
 			return "", &refusal{status: http.StatusServiceUnavailable, reason: "key has no owner", retryAfter: ownerPause}
 		}
@@ -285,6 +332,16 @@
 	return time.After(max(usual, least))
 }
 
+// suspectTimer returns when to look whether the server of an idempotent request
+// can still be reached; nil for never. A request that must not run twice waits
+// for its answer as long as its time allows.
+func (x *exchange) suspectTimer() <-chan time.Time {
+	if x.route.Kind != site.Idempotent {
+		return nil
+	}
+	return time.After(max(leastSuspect, time.Duration(suspectFactor*float64(x.service.typicalTime()))))
+}
+
 // hedgePlace returns a place at a second server if one is free and the budget
 // allows it.
 func (x *exchange) hedgePlace() (site.Server, bool) {
--- a/gateway/upstream/client.go
+++ b/gateway/upstream/client.go
@@ -16,8 +16,8 @@
 // Bounds of a client.
 const (
 	// connectTimeout ends an attempt to connect. Delays between zones are a few
-	// milliseconds; a lost opening packet is sent again after one second.
-	connectTimeout = 700 * time.Millisecond
+	// milliseconds; a lost opening packet is sent again only after one second.
+	connectTimeout = 300 * time.Millisecond
 	// sweepEvery is how often old idle connections are closed.
 	sweepEvery = time.Second
 	// maxAnswer bounds an answer's body in bytes, since it is kept in memory.
@@ -36,6 +36,10 @@
 	Body   []byte
 	ID     string        // the caller's name of the request
 	Left   time.Duration // time that the caller still waits
+	// Fresh asks for a connection that has carried an answer just now, or a new
+	// one: what is sent on one that has gone silent is lost, and a request that
+	// must not run twice with it.
+	Fresh bool
 }
 
 // Answer is a server's whole answer.
@@ -79,6 +83,19 @@
 	return c.do(ctx, server, r, c.requestText(server, r), true)
 }
 
+// Probe opens a connection to a server and keeps it for later requests.
+func (c *Client) Probe(ctx context.Context, server site.Server) error {
+	raw, err := c.dialer.DialContext(ctx, "tcp", server.Address)
+	if err != nil {
+		return &AttemptError{Server: server.ID, Cause: err}
+	}
+	cn := newConn(raw)
+	cn.answered = time.Now()
+	cn.until = cn.answered.Add(defaultIdle)
+	c.idle.put(server.Address+" "+string(server.ID), cn)
+	return nil
+}
+
 // Control sends one call of the gateway itself.
 func (c *Client) Control(ctx context.Context, server site.Server, path string, body []byte) (*Answer, error) {
 	header := http.Header{"Content-Type": {"application/json"}, c.headers.ExpectedServer: {string(server.ID)}}
@@ -92,7 +109,7 @@
 
 func (c *Client) do(ctx context.Context, server site.Server, r *Request, head []byte, matchID bool) (*Answer, error) {
 	key := server.Address + " " + string(server.ID)
-	cn := c.idle.take(key, time.Now())
+	cn := c.idle.take(key, time.Now(), r.Fresh)
 	if cn == nil {
 		raw, err := c.dialer.DialContext(ctx, "tcp", server.Address)
 		if err != nil {
@@ -109,7 +126,8 @@
 		reset(cn.net)
 		return answer, nil
 	}
-	cn.until = time.Now().Add(idleTime(answer.Header.Get("Keep-Alive")))
+	cn.answered = time.Now()
+	cn.until = cn.answered.Add(idleTime(answer.Header.Get("Keep-Alive")))
 	c.idle.put(key, cn)
 	return answer, nil
 }
--- a/gateway/upstream/conn.go
+++ b/gateway/upstream/conn.go
@@ -20,16 +20,20 @@
 	// idleMargin is left before the idle timeout that a server states, for the
 	// request's way to it.
 	idleMargin = 1500 * time.Millisecond
+	// freshFor is how long after an answer a connection counts as fresh: most
+	// pairs of nodes and servers exchange a request in it under load.
+	freshFor   = 500 * time.Millisecond
 	readBuffer = 4 << 10 // bytes
 )
 
 // conn is one connection to a server, used by one request at a time.
 type conn struct {
-	net     net.Conn
-	reader  *bufio.Reader
-	until   time.Time // not to be used after this
-	reused  bool      // has carried an answer before
-	written bool      // bytes of the present request may have left
+	net      net.Conn
+	reader   *bufio.Reader
+	until    time.Time // not to be used after this
+	answered time.Time // when it proved to work last
+	reused   bool      // has carried an answer before
+	written  bool      // bytes of the present request may have left
 }
 
 func newConn(c net.Conn) *conn {
@@ -75,13 +79,18 @@
 	conns map[string][]*conn
 }
 
-// take returns the idle connection that was used last and is still good, or nil.
-func (p *idlePool) take(key string, now time.Time) *conn {
+// take returns the idle connection that was used last and is still good, or nil;
+// with fresh only one that proved to work just now.
+func (p *idlePool) take(key string, now time.Time, fresh bool) *conn {
 	for {
 		c := p.pop(key)
 		if c == nil {
 			return nil
 		}
+		if fresh && now.Sub(c.answered) > freshFor {
+			p.put(key, c)
+			return nil
+		}
 		if now.Before(c.until) && c.quiet() {
 			c.reused = true
 			c.written = false
--- a/gateway/view/view.go
+++ b/gateway/view/view.go
@@ -169,7 +169,11 @@
 	routes := Routes{Lessor: table.Table.Lessor, Offset: table.Offset, Services: map[site.ServiceName][]ranges.Route{}}
 	for service, assignments := range table.Table.Services {
 		for _, a := range assignments {
-			routes.Services[service] = append(routes.Services[service], ranges.Route{Span: a.Span, Server: a.Server, Ready: a.Server != ""})
+			route := ranges.Route{Span: a.Span, Server: a.Server, State: ranges.Ready}
+			if a.Server == "" {
+				route.State = ranges.Moving
+			}
+			routes.Services[service] = append(routes.Services[service], route)
 		}
 	}
 	return routes
