Gateway: outages with a lost lessor, owners proved gone by their address

The lessor goes on while the store does not answer and then grants holds up to the end of its right and a hold; the right is 5 s instead of 8; an owner whose address another server has is gone. Ruled out: a refused connection as proof; cuts may refuse too.

--- a/gateway/duty/duty.go
+++ b/gateway/duty/duty.go
@@ -88,6 +88,7 @@
 	shown        uint64 // serial of the routes that the view has
 	resigning    chan struct{}
 	leaving      bool // the node shuts down
+	givenUp      bool // the record that gives the lease up may be in the store
 	registered   int  // servers in the register, since registeredAt
 	registeredAt time.Time
 	table        view.Table
@@ -156,7 +157,8 @@
 }
 
 // Resign gives the lease up, if the node has it, and ends the node's claims. It
-// returns when the store has taken that, or ctx ends.
+// returns when the store has taken that, or ctx ends. While the store does not
+// answer the duty goes on: nobody else could take it over.
 func (d *Duty) Resign(ctx context.Context) {
 	done := make(chan struct{})
 	select {
@@ -170,12 +172,13 @@
 	}
 }
 
+// step does what is due now.
 func (d *Duty) step(ctx context.Context, now time.Time) {
 	if d.keeper == nil {
 		d.consider(ctx, now)
 		return
 	}
-	if d.resigning != nil {
+	if d.givenUp || d.resigning != nil && d.writable(now) {
 		d.giveUp(ctx)
 		return
 	}
@@ -249,12 +252,18 @@
 	}
 }
 
-func (d *Duty) mayGrant() bool { return clock.Since(d.confirmedAt) < d.Timing.Right }
+// lease returns the state of the lessor's lease.
+func (d *Duty) lease(now time.Time) ranges.Lease {
+	return ranges.Lease{ConfirmedAt: d.confirmedAt, Last: d.resigning != nil || !d.writable(now)}
+}
+
+// writable reports whether the store took an append lately.
+func (d *Duty) writable(now time.Time) bool { return now.Sub(d.confirmedAt) < writableFor }
 
 func (d *Duty) sendCalls(ctx context.Context, now time.Time) {
 	registered := d.State.Now().Servers.Servers
 	maps.Copy(d.known, registered)
-	for _, call := range d.keeper.Calls(registered, d.mayGrant(), now) {
+	for _, call := range d.keeper.Calls(registered, d.lease(now), now) {
 		server, known := d.known[call.Server]
 		if !known {
 			d.keeper.Done(call, ranges.Result{Failed: true}, now)
@@ -312,7 +321,8 @@
 	s := ranges.Site{
 		Services: v.Config.Services,
 		Servers:  v.Servers.Servers,
-		Writable: now.Sub(d.confirmedAt) < writableFor,
+		Known:    d.known,
+		Writable: d.writable(now) && d.resigning == nil,
 		Settled:  d.settled(v, now),
 		Load:     d.loads,
 	}
@@ -350,6 +360,7 @@
 	if d.appending != nil || clock.Now().Before(d.nextAppend) {
 		return
 	}
+	d.givenUp = true
 	eventResigning.Log(d.Logger, "offset", d.end)
 	d.append(ctx, &pendingAppend{resigns: true})
 }
--- a/gateway/duty/outcome.go
+++ b/gateway/duty/outcome.go
@@ -89,6 +89,7 @@
 
 func (d *Duty) stop() {
 	d.keeper = nil
+	d.givenUp = false
 	d.isLessor.Store(false)
 	d.Reader.SetLessor(false)
 }
--- a/gateway/ranges/lessor.go
+++ b/gateway/ranges/lessor.go
@@ -49,6 +49,8 @@
 	timing Timing
 	leases map[site.ServiceName][]*lease
 	moves  []Move // planned and not yet told
+	// longest is the hold of grants now.
+	longest time.Duration
 	// serial grows with each change of what Routes returns.
 	serial uint64
 }
@@ -151,11 +153,32 @@
 	lease *lease
 }
 
-// Calls returns the calls that are due and counts them as sent at now. mayGrant
-// tells that the lessor's right to renew holds. A server whose call is returned
-// must be called at once, or Done be called with an error.
-func (k *Keeper) Calls(servers map[site.ServerID]site.Server, mayGrant bool, now time.Time) []Call {
-	if !mayGrant {
+// Lease is the lessor's own lease in the store.
+type Lease struct {
+	ConfirmedAt time.Time // start of the latest append that succeeded
+	// Last tells that the lease may not be confirmed again: the store does not
+	// answer, or the node shuts down. Then holds last as long as they may.
+	Last bool
+}
+
+// hold returns for how long the lessor may grant now; 0: not at all.
+func (k *Keeper) hold(lease Lease, now time.Time) time.Duration {
+	right := lease.ConfirmedAt.Add(k.timing.Right)
+	if !now.Before(right) {
+		return 0
+	}
+	if !lease.Last {
+		return k.timing.Hold
+	}
+	return min(right.Add(k.timing.Hold).Sub(now), k.timing.HoldMax)
+}
+
+// Calls returns the calls that are due and counts them as sent at now. A server
+// whose call is returned must be called at once, or Done be called with an
+// error.
+func (k *Keeper) Calls(servers map[site.ServerID]site.Server, lease Lease, now time.Time) []Call {
+	k.longest = k.hold(lease, now)
+	if k.longest == 0 {
 		return nil
 	}
 	var calls []Call
@@ -189,12 +212,12 @@
 	if !l.sentAt.IsZero() && now.Sub(l.sentAt) < wait {
 		return Call{}, false
 	}
-	hold := k.timing.Hold
+	hold := k.longest
 	if l.misses > 0 || leaving {
 		// What goes to a server that may be lost must not prolong the wait for it.
 		hold = l.heldUntil.Sub(now) - holdMargin
 		hold = time.Duration(float64(hold) / (1 + clockDrift))
-		hold = min(hold, k.timing.Hold)
+		hold = min(hold, k.longest)
 		if hold < minHold {
 			return Call{}, false
 		}
--- a/gateway/ranges/plan.go
+++ b/gateway/ranges/plan.go
@@ -12,6 +12,7 @@
 type Site struct {
 	Services map[site.ServiceName]site.Service
 	Servers  map[site.ServerID]site.Server // those registered now
+	Known    map[site.ServerID]site.Server // those registered at any time
 	// Writable tells that the store took an append lately. A range that is
 	// released while it does not would have no owner until it does.
 	Writable bool
@@ -169,7 +170,22 @@
 	if l.phase == releasing || l.phase == released {
 		return false
 	}
-	return (l.phase == lapsing || l.leaving(s)) && !now.Before(l.heldUntil)
+	return (l.phase == lapsing || l.leaving(s)) && (!now.Before(l.heldUntil) || l.replaced(s))
+}
+
+// replaced reports whether another server has the owner's address: then the
+// owner has ended.
+func (l *lease) replaced(s Site) bool {
+	owner, known := s.Known[l.Server]
+	if _, registered := s.Servers[l.Server]; !known || registered {
+		return false
+	}
+	for _, server := range s.Servers {
+		if server.Address == owner.Address {
+			return true
+		}
+	}
+	return false
 }
 
 func (k *Keeper) change(change *Change, l *lease, next Assignment, now time.Time) {
--- a/gateway/ranges/timing.go
+++ b/gateway/ranges/timing.go
@@ -19,9 +19,13 @@
 	// Renew is the interval between grants of a range. It leaves a lost grant
 	// time to be repeated within Hold.
 	Renew time.Duration
-	// Right is for how long a lessor goes on renewing after it last confirmed its
-	// lease in the store. Ownership lives through outages of Right and Hold.
+	// Right is for how long a lessor goes on granting after it last confirmed its
+	// lease in the store; what it grants ends a Hold later. Ownership lives through
+	// outages of the store of that length, and a new lessor waits as long for an
+	// owner that does not answer.
 	Right time.Duration
+	// HoldMax is the longest hold that servers take.
+	HoldMax time.Duration
 	// CallTimeout ends a call to a server.
 	CallTimeout time.Duration
 	// ReleaseTimeout ends a release, which the server answers when the work on
@@ -30,12 +34,13 @@
 }
 
 // DefaultTiming suits servers whose hold may be 10 s: a replaced lessor needs
-// about 2 s, and outages of the store of up to 9 s are lived through.
+// about 2 s, and outages of the store of up to 8 s are lived through.
 func DefaultTiming() Timing {
 	return Timing{
 		Hold:           3 * time.Second,
 		Renew:          700 * time.Millisecond,
-		Right:          8 * time.Second,
+		Right:          5 * time.Second,
+		HoldMax:        10 * time.Second,
 		CallTimeout:    500 * time.Millisecond,
 		ReleaseTimeout: 3 * time.Second,
 	}
--- a/gateway/router/run.go
+++ b/gateway/router/run.go
@@ -35,6 +35,9 @@
 	// silentMargin is added to the time after which a silent owner's keys get
 	// another one, for the append and the grant.
 	silentMargin = 200 * time.Millisecond
+	// goneRetry is when a caller comes back whose key's owner takes no connection:
+	// the lessor waits for its hold of 3 s to run out.
+	goneRetry = 1500 * time.Millisecond
 	// keyedTries bounds the sends for one request while its key changes hands.
 	keyedTries = 4
 )
@@ -195,14 +198,33 @@
 		return site.Server{}, problem
 	}
 	w := x.waiter()
-	if x.keyed {
+	if !x.keyed {
+		return x.wait(ctx, w)
+	}
+	return x.placeAtOwner(ctx, w)
+}
+
+// placeAtOwner waits for a place at the server that owns the request's key. An
+// owner that takes no connection has perhaps ended: the request waits a while
+// for another one.
+func (x *exchange) placeAtOwner(ctx context.Context, w *pool.Waiter) (site.Server, *refusal) {
+	patience := time.Now().Add(min(ownerWait, time.Until(x.deadline)/2))
+	for {
 		owner, problem := x.owner(ctx)
 		if problem != nil {
 			return site.Server{}, problem
 		}
 		w.Only = owner
+		server, problem := x.wait(ctx, w)
+		if problem == nil || problem.reason != string(pool.NoServer) {
+			return server, problem
+		}
+		if time.Now().After(patience) {
+			problem.retryAfter = goneRetry
+			return site.Server{}, problem
+		}
+		x.awaitNews(ctx)
 	}
-	return x.wait(ctx, w)
 }
 
 // wait asks for a place and waits for it. A request that could not be answered
--- a/modules/gateway/site.go
+++ b/modules/gateway/site.go
@@ -86,7 +86,8 @@
 	m.duty = duty.New()
 	m.feed = follow.NewFeed(m.self, m.state, contact, m.duty.IsLessor)
 	timing := ranges.DefaultTiming()
-	timing.Hold = min(timing.Hold, settings.Timing.HoldMax)
+	timing.HoldMax = settings.Timing.HoldMax
+	timing.Hold = min(timing.Hold, timing.HoldMax)
 	m.duty.Self = ranges.Lessor{Node: m.self.Node, Boot: m.self.Boot, Address: m.self.Address}
 	m.duty.Timing = timing
 	m.duty.Store = platform.Store
