Ranges: worlds in simulated time, two owners sought

Cause: ownership had no proof without the users' sites. Holds now count the time that a call may be on its way (0.4 s), which the bound had left out.

--- a/gateway/ranges/lessor.go
+++ b/gateway/ranges/lessor.go
@@ -60,7 +60,7 @@
 // or for a hold alone if it had resigned.
 func NewKeeper(table *Table, timing Timing, resigned bool, now time.Time) *Keeper {
 	k := &Keeper{self: table.Lessor, timing: timing, leases: map[site.ServiceName][]*lease{}, serial: 1}
-	heldUntil := now.Add(lapse(timing.Hold))
+	heldUntil := now.Add(timing.lapse(timing.Hold))
 	if !resigned {
 		heldUntil = heldUntil.Add(timing.Right)
 	}
@@ -215,7 +215,7 @@
 	hold := k.longest
 	if l.misses > 0 || leaving {
 		// What goes to a server that may be lost must not prolong the wait for it.
-		hold = l.heldUntil.Sub(now) - holdMargin
+		hold = l.heldUntil.Sub(now) - holdMargin - k.timing.CallTimeout
 		hold = time.Duration(float64(hold) / (1 + clockDrift))
 		hold = min(hold, k.longest)
 		if hold < minHold {
@@ -225,7 +225,7 @@
 	call.Grant = Grant{Assignment: l.Assignment, Hold: hold}
 	l.calling = true
 	l.sentAt = now
-	l.heldUntil = later(l.heldUntil, now.Add(lapse(hold)))
+	l.heldUntil = later(l.heldUntil, now.Add(k.timing.lapse(hold)))
 	return call, true
 }
 
--- a/gateway/ranges/timing.go
+++ b/gateway/ranges/timing.go
@@ -41,7 +41,7 @@
 		Renew:          700 * time.Millisecond,
 		Right:          5 * time.Second,
 		HoldMax:        10 * time.Second,
-		CallTimeout:    500 * time.Millisecond,
+		CallTimeout:    400 * time.Millisecond,
 		ReleaseTimeout: 3 * time.Second,
 	}
 }
@@ -49,12 +49,13 @@
 // Servers measure a hold by their own clock.
 const (
 	clockDrift = 0.02                   // share by which it may be slow
-	holdMargin = 100 * time.Millisecond // for the grant's way to the server
+	holdMargin = 100 * time.Millisecond // for timers that fire late
 )
 
-// lapse returns how long after it was sent a grant may be in force.
-func lapse(hold time.Duration) time.Duration {
-	return time.Duration(float64(hold)*(1+clockDrift)) + holdMargin
+// lapse returns how long after it was sent a grant may be in force: it may arrive
+// until its call is given up and the connection reset.
+func (t Timing) lapse(hold time.Duration) time.Duration {
+	return t.CallTimeout + time.Duration(float64(hold)*(1+clockDrift)) + holdMargin
 }
 
 // Granter calls servers.
--- /dev/null
+++ b/gateway/ranges/world_test.go
@@ -0,0 +1,425 @@
+package ranges
+
+import (
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/burdockspindle/burdockspindle/gateway/site"
+)
+
+// world is a small site in simulated time: a store, nodes that run the lessor's
+// duty with a Keeper, and servers. Calls are delayed, lost, or carried out late
+// without an answer; nodes pause and lose the store or servers for a while.
+type world struct {
+	random  *rand.Rand
+	rules   rules
+	timing  Timing
+	now     time.Time
+	records []worldRecord
+	nodes   []*worldNode
+	servers map[site.ServerID]*worldServer
+	calls   []*worldCall
+	moves   int
+	claims  int
+}
+
+// rules can be dropped one at a time, to show that the check finds what they
+// prevent.
+type rules struct {
+	noFormer bool // a new lessor does not count the former one's right
+	noWait   bool // a silent owner's holds are not waited out
+	noSeal   bool // a range is released although a grant had no answer
+	noRight  bool // a lessor grants without a fresh lease
+}
+
+const (
+	worldStep    = 20 * time.Millisecond
+	worldService = site.ServiceName("keyed")
+	sampleCount  = 24 // keys at which ownership is checked
+)
+
+func sampleKey(i int) Key { return Key(i * int(LastKey+1) / sampleCount) }
+
+type worldRecord struct {
+	table    *Table // nil for a confirmation
+	node     int
+	resigned bool
+}
+
+// worldServer holds keys like a backend server: until the arrival of a grant
+// plus the hold, by a clock that is 2 % slow.
+type worldServer struct {
+	site.Server
+	up        bool
+	highest   [sampleCount]Fence
+	heldUntil [sampleCount]time.Time
+}
+
+type worldCall struct {
+	node      *worldNode
+	call      Call
+	arrives   time.Time // zero: lost
+	appliesAt time.Time // late calls are applied after their arrival
+	answered  bool      // the node gets the answer
+	arrived   bool
+	givenUp   bool
+}
+
+type worldNode struct {
+	id          int
+	keeper      *Keeper
+	loads       *Loads
+	end         Fence
+	confirmedAt time.Time
+	nextConfirm time.Time
+	paused      time.Time // until
+	noStore     time.Time // until
+	noServer    map[site.ServerID]time.Time
+	readAt      time.Time
+	readEnd     int
+	movedAt     time.Time
+	resignAt    time.Time // when it gives the lease up; zero: not
+}
+
+func newWorld(seed uint64, r rules) *world {
+	w := &world{
+		random:  rand.New(rand.NewPCG(seed, 1)),
+		rules:   r,
+		timing:  DefaultTiming(),
+		now:     time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC),
+		servers: map[site.ServerID]*worldServer{},
+	}
+	for i := range 3 {
+		w.nodes = append(w.nodes, &worldNode{id: i, noServer: map[site.ServerID]time.Time{}})
+	}
+	for range 3 {
+		w.addServer()
+	}
+	return w
+}
+
+func (w *world) addServer() {
+	id := site.ServerID(fmt.Sprintf("s%d", len(w.servers)))
+	w.servers[id] = &worldServer{Server: site.Server{ID: id, Service: worldService, Slots: 4, Address: string(id)}, up: true}
+}
+
+// run plays the world for a while and returns the first time at which two
+// servers hold a key, as text, or nothing.
+func (w *world) run(length time.Duration) string {
+	for end := w.now.Add(length); w.now.Before(end); w.now = w.now.Add(worldStep) {
+		w.trouble()
+		w.deliver()
+		for _, n := range w.nodes {
+			if !w.now.Before(n.paused) {
+				w.step(n)
+			}
+		}
+		if fault := w.check(); fault != "" {
+			return fault
+		}
+	}
+	return ""
+}
+
+// chance is true about once in a mean time.
+func (w *world) chance(mean time.Duration) bool {
+	return w.random.Float64() < float64(worldStep)/float64(mean)
+}
+
+func (w *world) span(most time.Duration) time.Time {
+	return w.now.Add(time.Duration(w.random.Int64N(int64(most))))
+}
+
+// trouble starts pauses, cuts, losses and drains.
+func (w *world) trouble() {
+	ids := slices.Sorted(maps.Keys(w.servers))
+	for _, n := range w.nodes {
+		if w.chance(15 * time.Second) {
+			n.paused = w.span(12 * time.Second)
+		}
+		if w.chance(10 * time.Second) {
+			n.noStore = w.span(12 * time.Second)
+		}
+		if w.chance(8 * time.Second) {
+			n.noServer[ids[w.random.IntN(len(ids))]] = w.span(10 * time.Second)
+		}
+		if n.keeper != nil && n.resignAt.IsZero() && w.chance(20*time.Second) {
+			n.resignAt = w.now
+		}
+	}
+	server := w.servers[ids[w.random.IntN(len(ids))]]
+	switch {
+	case w.chance(25*time.Second) && len(ids) < 8:
+		w.addServer()
+	case w.chance(25 * time.Second):
+		server.Draining = true
+	case w.chance(40 * time.Second):
+		server.up = false
+	}
+}
+
+// registered returns the servers in the register: those that drain too, and
+// some of those that are down.
+func (w *world) registered() map[site.ServerID]site.Server {
+	list := map[site.ServerID]site.Server{}
+	for id, s := range w.servers {
+		if s.up {
+			list[id] = s.Server
+		}
+	}
+	return list
+}
+
+// send puts a call on its way.
+func (w *world) send(n *worldNode, call Call) {
+	c := &worldCall{node: n, call: call, answered: true}
+	flight := time.Duration(w.random.Int64N(int64(30 * time.Millisecond)))
+	if w.random.IntN(12) == 0 {
+		flight = time.Duration(w.random.Int64N(int64(w.timing.CallTimeout)))
+	}
+	c.arrives = w.now.Add(flight)
+	c.appliesAt = c.arrives
+	if w.random.IntN(10) == 0 {
+		c.appliesAt = c.arrives.Add(time.Duration(w.random.Int64N(int64(8 * time.Second))))
+		c.answered = false
+	}
+	if w.now.Before(n.noServer[call.Server]) || !w.servers[call.Server].up {
+		c.arrives = time.Time{}
+	}
+	w.calls = append(w.calls, c)
+}
+
+// deliver applies calls at servers, and gives nodes answers and timeouts.
+func (w *world) deliver() {
+	kept := w.calls[:0]
+	for _, c := range w.calls {
+		timeout := w.timing.CallTimeout
+		if c.call.Release {
+			timeout = w.timing.ReleaseTimeout
+		}
+		lost := c.arrives.IsZero()
+		if !lost && !c.arrived && !w.now.Before(c.appliesAt) {
+			c.arrived = true
+			fenced := w.servers[c.call.Server].apply(c, w.now)
+			if c.answered && !c.givenUp {
+				c.givenUp = true
+				c.node.done(c.call, Result{Fenced: fenced, Handover: "h"}, w.now)
+			}
+		}
+		if !c.givenUp && w.now.Sub(c.call.SentAt) >= timeout {
+			c.givenUp = true
+			c.node.done(c.call, Result{Failed: true}, w.now)
+		}
+		if !c.givenUp || !lost && !c.arrived {
+			kept = append(kept, c)
+		}
+	}
+	w.calls = kept
+}
+
+func (n *worldNode) done(call Call, result Result, now time.Time) {
+	if n.keeper != nil {
+		n.keeper.Done(call, result, now)
+	}
+}
+
+// apply carries a call out; it reports whether a higher fence was seen.
+func (s *worldServer) apply(c *worldCall, now time.Time) (fenced bool) {
+	if !s.up {
+		return false
+	}
+	grant := c.call.Grant
+	for i := range sampleCount {
+		if grant.Contains(sampleKey(i)) && s.highest[i] > grant.Fence {
+			fenced = true
+		}
+	}
+	for i := range sampleCount {
+		if !grant.Contains(sampleKey(i)) {
+			continue
+		}
+		if c.call.Release {
+			if s.highest[i] <= grant.Fence && s.heldUntil[i].After(now) {
+				s.heldUntil[i] = now
+			}
+			continue
+		}
+		if fenced {
+			continue
+		}
+		s.highest[i] = grant.Fence
+		s.heldUntil[i] = c.arrives.Add(time.Duration(float64(grant.Hold) * (1 + clockDrift)))
+	}
+	return fenced
+}
+
+// append appends a record at an offset if the node reaches the store.
+func (w *world) append(n *worldNode, at Fence, record worldRecord) (done, conflict bool) {
+	if w.now.Before(n.noStore) {
+		return false, false
+	}
+	if int(at) != len(w.records) {
+		return false, true
+	}
+	w.records = append(w.records, record)
+	return true, false
+}
+
+func (w *world) step(n *worldNode) {
+	if n.keeper == nil {
+		w.consider(n)
+		return
+	}
+	lease := Lease{ConfirmedAt: n.confirmedAt, Last: w.now.Sub(n.confirmedAt) > 1200*time.Millisecond}
+	if w.rules.noRight {
+		lease = Lease{ConfirmedAt: w.now}
+	}
+	for _, call := range n.keeper.Calls(w.registered(), lease, w.now) {
+		w.send(n, call)
+	}
+	w.change(n)
+}
+
+// change appends a planned change, a resignation or a confirmation.
+func (w *world) change(n *worldNode) {
+	if w.random.IntN(3) > 0 {
+		n.loads.Count(worldService, sampleKey(w.random.IntN(6)), 3)
+	}
+	n.loads.Decay(w.now)
+	for id := range w.servers {
+		n.loads.Pace(id, 200*time.Millisecond)
+	}
+	if w.rules.noSeal {
+		for _, l := range n.keeper.leases[worldService] {
+			l.doubtful = false
+		}
+	}
+	if w.rules.noWait {
+		for _, l := range n.keeper.leases[worldService] {
+			l.heldUntil = w.now
+		}
+	}
+	record := worldRecord{node: n.id}
+	change := n.keeper.Plan(w.site(n), n.end, w.now)
+	w.moves += len(n.keeper.Moves())
+	switch {
+	case change != nil:
+		record.table = change.Table
+	case !n.resignAt.IsZero():
+		record.resigned = true
+	case w.now.Before(n.nextConfirm):
+		return
+	}
+	done, conflict := w.append(n, n.end, record)
+	if conflict {
+		n.keeper = nil
+		n.resignAt = time.Time{}
+		return
+	}
+	if !done {
+		if change != nil {
+			n.forget()
+		}
+		return
+	}
+	w.confirmed(n, change, record)
+}
+
+// forget drops a change that the store did not take; it is planned anew.
+func (n *worldNode) forget() {
+	for _, l := range n.keeper.leases[worldService] {
+		l.pending = false
+	}
+}
+
+func (w *world) confirmed(n *worldNode, change *Change, record worldRecord) {
+	n.end++
+	n.confirmedAt = w.now
+	n.nextConfirm = w.now.Add(500 * time.Millisecond)
+	if change != nil {
+		n.keeper.Appended(change)
+	}
+	if record.resigned {
+		n.keeper = nil
+		n.resignAt = time.Time{}
+	}
+}
+
+func (w *world) site(n *worldNode) Site {
+	known := map[site.ServerID]site.Server{}
+	for id, s := range w.servers {
+		known[id] = s.Server
+	}
+	return Site{
+		Services: map[site.ServiceName]site.Service{worldService: {Name: worldService, Keyed: true}},
+		Servers:  w.registered(),
+		Known:    known,
+		Writable: w.now.Sub(n.confirmedAt) < 1200*time.Millisecond,
+		Settled:  true,
+		Load:     n.loads,
+	}
+}
+
+// consider claims the lease when the topic has been quiet, as package duty does.
+func (w *world) consider(n *worldNode) {
+	if w.now.Before(n.noStore) || w.now.Sub(n.readAt) < 400*time.Millisecond {
+		return
+	}
+	n.readAt = w.now
+	if len(w.records) != n.readEnd || n.movedAt.IsZero() {
+		n.readEnd = len(w.records)
+		n.movedAt = w.now
+	}
+	resigned := len(w.records) > 0 && w.records[len(w.records)-1].resigned
+	if !resigned && w.now.Sub(n.movedAt) < 1200*time.Millisecond || w.random.IntN(4) > 0 {
+		return
+	}
+	table := &Table{}
+	for _, r := range w.records {
+		if r.table != nil {
+			table = r.table
+		}
+	}
+	at := Fence(len(w.records))
+	next := table.Refenced(Lessor{Boot: fmt.Sprint(n.id, at)}, at)
+	w.records = append(w.records, worldRecord{table: next, node: n.id})
+	w.claims++
+	n.keeper = NewKeeper(next, w.timing, resigned || w.rules.noFormer, w.now)
+	n.loads = NewLoads()
+	n.end = at + 1
+	n.confirmedAt = w.now
+}
+
+// check returns the first key that two servers hold.
+func (w *world) check() string {
+	for i := range sampleCount {
+		var holders []site.ServerID
+		for id, s := range w.servers {
+			if s.up && w.now.Before(s.heldUntil[i]) {
+				holders = append(holders, id)
+			}
+		}
+		if len(holders) > 1 {
+			slices.Sort(holders)
+			return fmt.Sprintf("key %d is held by %v at %v", sampleKey(i), holders, w.now.Format("05.000"))
+		}
+	}
+	return ""
+}
+
+// held returns the share of keys that a server holds.
+func (w *world) held() float64 {
+	count := 0
+	for i := range sampleCount {
+		for _, s := range w.servers {
+			if s.up && w.now.Before(s.heldUntil[i]) {
+				count++
+				break
+			}
+		}
+	}
+	return float64(count) / sampleCount
+}
