Gateway: only an outage of the store itself keeps the place of lapsed entries

Records that servers wrote meanwhile show that the store was up. Ruled out: a late merge between nodes; the lessor held the entries back itself.

--- a/gateway/follow/feed.go
+++ b/gateway/follow/feed.go
@@ -26,8 +26,9 @@
 	// followTimeout ends a call whose answer does not come.
 	followTimeout = followWait + 400*time.Millisecond
 	// staleContact is the age of the lessor's contact with the store beyond which
-	// its followers read the store themselves.
-	staleContact = 1200 * time.Millisecond
+	// its followers read the store themselves: one read of each topic may fail, and
+	// a draining server is still noticed by all nodes within two seconds.
+	staleContact = 950 * time.Millisecond
 	// MemberTimeout is how long a node counts after its latest call. A lessor knows
 	// all nodes after it.
 	MemberTimeout = 2 * time.Second
--- a/gateway/follow/reader.go
+++ b/gateway/follow/reader.go
@@ -25,7 +25,7 @@
 	readEvery = 400 * time.Millisecond
 	// configWait is how long a read of the configurations waits: they are rare,
 	// but a connection that goes silent meanwhile shows only after it.
-	configWait = 800 * time.Millisecond
+	configWait = 600 * time.Millisecond
 	// answerTime is what the way of an answer may take.
 	answerTime = 50 * time.Millisecond
 	// retryEvery is the pause after a call that failed.
@@ -194,7 +194,7 @@
 	if isSnapshot {
 		r.snapshot(batch, now)
 	} else {
-		r.register.Read(batch.End, now)
+		r.register.Read(len(batch.Records), batch.End, now)
 		for _, record := range batch.Records {
 			r.takeServer(record, now)
 		}
--- a/gateway/follow/register.go
+++ b/gateway/follow/register.go
@@ -15,8 +15,12 @@
 	// which entries may have lapsed: about one heartbeat of a server.
 	outageAfter = time.Second
 	// returnTime is how long servers that live may take to register again after
-	// an outage, 2 s by the platform's promise, with the interval of reading.
-	returnTime = 2500 * time.Millisecond
+	// an outage, by the platform's promise.
+	returnTime = 2 * time.Second
+	// writtenMeanwhile is how many records for each server, read after reads had
+	// failed, tell that servers could write all the while: only this node was cut
+	// off, and what left the register has left.
+	writtenMeanwhile = 1.5
 )
 
 // Register folds the records of the servers' topic. Servers whose entry is
@@ -53,8 +57,11 @@
 	r.change = max(r.change, 1)
 }
 
-// Read notes that the topic was read up to an offset.
-func (r *Register) Read(end store.Offset, now time.Time) {
+// Read notes that a number of records was read, up to an offset.
+func (r *Register) Read(records int, end store.Offset, now time.Time) {
+	if float64(records) >= writtenMeanwhile*float64(len(r.servers)) {
+		r.failing = time.Time{}
+	}
 	r.noteRead(now)
 	r.next = end
 }
--- a/gateway/follow/register_test.go
+++ b/gateway/follow/register_test.go
@@ -25,7 +25,7 @@
 	g := gomega.NewWithT(t)
 	r := filled()
 	// The node followed another one meanwhile and read nothing.
-	r.Read(12, after(9*time.Second))
+	r.Read(2, 12, after(9*time.Second))
 	r.Drop("a", 11, after(9*time.Second))
 	g.Expect(r.Servers(after(9 * time.Second)).Servers).NotTo(gomega.HaveKey(site.ServerID("a")))
 }
@@ -35,7 +35,7 @@
 	r := filled()
 	r.Failed(after(time.Second))
 	r.Failed(after(3 * time.Second))
-	r.Read(12, after(5*time.Second))
+	r.Read(2, 12, after(5*time.Second))
 	r.Drop("a", 11, after(5*time.Second))
 	r.Drop("b", 12, after(5*time.Second))
 	g.Expect(r.Servers(after(6 * time.Second)).Servers).To(gomega.HaveLen(2))
@@ -45,11 +45,20 @@
 		gomega.HaveKey(site.ServerID("a")), gomega.Not(gomega.HaveKey(site.ServerID("b")))))
 }
 
+func TestAnOutageOfThisNodeAloneKeepsNoPlace(t *testing.T) {
+	g := gomega.NewWithT(t)
+	r := filled()
+	r.Failed(after(time.Second))
+	r.Read(6, 16, after(5*time.Second)) // the servers wrote three times each meanwhile
+	r.Drop("a", 11, after(5*time.Second))
+	g.Expect(r.Servers(after(5 * time.Second)).Servers).NotTo(gomega.HaveKey(site.ServerID("a")))
+}
+
 func TestDrainingIsTakenAlsoAfterAnOutage(t *testing.T) {
 	g := gomega.NewWithT(t)
 	r := filled()
 	r.Failed(after(time.Second))
-	r.Read(12, after(5*time.Second))
+	r.Read(2, 12, after(5*time.Second))
 	r.Put(site.Server{ID: "a", Draining: true}, 12)
 	g.Expect(r.Servers(after(5 * time.Second)).Servers["a"].Draining).To(gomega.BeTrue())
 }
