--- /dev/null
+++ b/gateway/pool/pool_test.go
@@ -0,0 +1,332 @@
+package pool_test
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"github.com/burdockspindle/burdockspindle/gateway/pool"
+	"github.com/burdockspindle/burdockspindle/gateway/site"
+)
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// load is a replayed pattern: several nodes, each with a pool of the same
+// servers, and callers that arrive at random.
+type load struct {
+	nodes   int
+	servers []replayServer
+	rate    func(at time.Duration) float64 // arrivals a second over all nodes
+	length  time.Duration
+	target  time.Duration
+	patient time.Duration
+	only    bool // every request is for the first server
+	// blind sends to a random server at once, to compare with.
+	blind bool
+}
+
+// replayServer runs requests in slots, the others wait in a queue; when that is
+// full it refuses.
+type replayServer struct {
+	zone             string
+	slots            int
+	queue            int
+	work             time.Duration // mean
+	shares           float64       // share of requests that it refuses
+	running, waiting int
+	backlog          []*replayRequest
+}
+
+type replayRequest struct {
+	node    int
+	waiter  *pool.Waiter
+	arrived time.Time
+	sent    time.Time
+	server  int
+}
+
+type result struct{ asked, inTime, late, refused, overflow, crossZone int }
+
+func (r result) String() string {
+	return fmt.Sprintf("%d asked, %d in time, %d late, %d refused, %d times a server was full, %d to another zone", r.asked, r.inTime, r.late, r.refused, r.overflow, r.crossZone)
+}
+
+type event struct {
+	at time.Time
+	do func()
+}
+
+type agenda []event
+
+func (a agenda) Len() int           { return len(a) }
+func (a agenda) Less(i, j int) bool { return a[i].at.Before(a[j].at) }
+func (a agenda) Swap(i, j int)      { a[i], a[j] = a[j], a[i] }
+func (a *agenda) Push(x any)        { *a = append(*a, x.(event)) }
+func (a *agenda) Pop() any {
+	last := (*a)[len(*a)-1]
+	*a = (*a)[:len(*a)-1]
+	return last
+}
+
+type replay struct {
+	load
+	random  *rand.Rand
+	now     time.Time
+	agenda  agenda
+	pools   []*pool.Pool
+	waiting map[*pool.Waiter]*replayRequest
+	result  result
+}
+
+var zones = []string{"a", "b", "c"}
+
+func run(l load) result {
+	r := &replay{load: l, random: rand.New(rand.NewPCG(7, 7)), now: start, waiting: map[*pool.Waiter]*replayRequest{}}
+	r.servers = append([]replayServer{}, l.servers...)
+	var list []site.Server
+	for i, s := range r.servers {
+		list = append(list, site.Server{ID: serverID(i), Zone: s.zone, Slots: s.slots})
+	}
+	for i := range l.nodes {
+		p := pool.New(zones[i%len(zones)], 0, rand.New(rand.NewPCG(uint64(i), 1)))
+		p.Update(list, l.nodes, start)
+		r.pools = append(r.pools, p)
+	}
+	r.at(0, r.arrive)
+	for len(r.agenda) > 0 {
+		next := heap.Pop(&r.agenda).(event)
+		r.now = next.at
+		next.do()
+	}
+	return r.result
+}
+
+func serverID(i int) site.ServerID { return site.ServerID(fmt.Sprintf("s%02d", i)) }
+
+func (r *replay) at(after time.Duration, do func()) {
+	heap.Push(&r.agenda, event{at: r.now.Add(after), do: do})
+}
+
+func (r *replay) arrive() {
+	elapsed := r.now.Sub(start)
+	if elapsed > r.length {
+		return
+	}
+	gap := r.random.ExpFloat64() / r.rate(elapsed)
+	r.at(time.Duration(gap*float64(time.Second)), r.arrive)
+	r.result.asked++
+	w := &pool.Waiter{Since: r.now, Target: r.now.Add(r.target), Deadline: r.now.Add(r.patient)}
+	if r.only {
+		w.Only = serverID(0)
+	}
+	request := &replayRequest{node: r.random.IntN(r.nodes), waiter: w, arrived: r.now}
+	if r.blind {
+		request.server = r.random.IntN(len(r.servers))
+		r.reach(request)
+		return
+	}
+	admission, refusal := r.pools[request.node].Ask(w, r.now)
+	switch {
+	case refusal != nil:
+		r.result.refused++
+	case admission != nil:
+		r.send(request, admission.Server)
+	default:
+		r.waiting[w] = request
+	}
+}
+
+func (r *replay) send(request *replayRequest, server site.Server) {
+	for i := range r.servers {
+		if serverID(i) == server.ID {
+			request.server = i
+		}
+	}
+	r.reach(request)
+}
+
+func (r *replay) reach(request *replayRequest) {
+	s := &r.servers[request.server]
+	request.sent = r.now
+	if s.zone != zones[request.node%len(zones)] {
+		r.result.crossZone++
+	}
+	switch {
+	case r.random.Float64() < s.shares:
+		r.finish(request, pool.Outcome{NoRoom: true})
+	case s.running < s.slots:
+		r.start(request)
+	case s.waiting < s.queue:
+		s.waiting++
+		s.backlog = append(s.backlog, request)
+	default:
+		r.result.overflow++
+		r.finish(request, pool.Outcome{NoRoom: true})
+	}
+}
+
+func (r *replay) start(request *replayRequest) {
+	s := &r.servers[request.server]
+	s.running++
+	work := float64(s.work) * (0.5 + r.random.Float64())
+	r.at(time.Duration(work), func() {
+		loadNow := site.Load{Running: s.running, Waiting: s.waiting, Slots: s.slots}
+		s.running--
+		if len(s.backlog) > 0 {
+			next := s.backlog[0]
+			s.backlog = s.backlog[1:]
+			s.waiting--
+			r.start(next)
+		}
+		took := r.now.Sub(request.arrived)
+		switch {
+		case took <= r.target:
+			r.result.inTime++
+		case took <= r.patient:
+			r.result.late++
+		}
+		r.finish(request, pool.Outcome{Took: r.now.Sub(request.sent), Load: &loadNow})
+	})
+}
+
+func (r *replay) finish(request *replayRequest, outcome pool.Outcome) {
+	if r.blind {
+		return
+	}
+	p := r.pools[request.node]
+	for _, a := range p.Done(serverID(request.server), outcome, r.now) {
+		next := r.waiting[a.Waiter]
+		delete(r.waiting, a.Waiter)
+		r.send(next, a.Server)
+	}
+	for _, e := range p.Evict(r.now) {
+		delete(r.waiting, e.Waiter)
+		r.result.refused++
+	}
+}
+
+// eight returns eight servers in three zones whose speeds differ by a factor of
+// two.
+func eight() []replayServer {
+	var servers []replayServer
+	for i := range 8 {
+		work := 60 * time.Millisecond
+		if i%2 == 1 {
+			work = 120 * time.Millisecond
+		}
+		servers = append(servers, replayServer{zone: zones[i%3], slots: 4, queue: 16, work: work})
+	}
+	return servers
+}
+
+func steady(rate float64) func(time.Duration) float64 {
+	return func(time.Duration) float64 { return rate }
+}
+
+// compare runs a pattern with the pool and with requests sent blindly.
+func compare(t *testing.T, l load) (pooled, blind result) {
+	t.Helper()
+	pooled = run(l)
+	l.blind = true
+	blind = run(l)
+	t.Logf("with the pool: %v; sent at random: %v", pooled, blind)
+	return pooled, blind
+}
+
+// High load on servers of unlike speed: random choice overloads the slow half.
+func TestUnlikeSpeedsAtHighLoad(t *testing.T) {
+	g := gomega.NewWithT(t)
+	pooled, blind := compare(t, load{nodes: 8, servers: eight(), rate: steady(320), length: 20 * time.Second, target: 300 * time.Millisecond, patient: 2 * time.Second})
+	g.Expect(pooled.inTime).To(gomega.BeNumerically(">", pooled.asked*97/100))
+	g.Expect(pooled.inTime).To(gomega.BeNumerically(">", blind.inTime*11/10))
+	g.Expect(pooled.overflow).To(gomega.BeZero())
+}
+
+// A burst to one and a half times the capacity: what is served should be served
+// in time, and the rest refused before its time is spent.
+func TestBurstBeyondCapacity(t *testing.T) {
+	g := gomega.NewWithT(t)
+	burst := func(at time.Duration) float64 {
+		if at > 5*time.Second && at < 9*time.Second {
+			return 600
+		}
+		return 250
+	}
+	pooled, blind := compare(t, load{nodes: 8, servers: eight(), rate: burst, length: 15 * time.Second, target: 300 * time.Millisecond, patient: 2 * time.Second})
+	g.Expect(pooled.inTime).To(gomega.BeNumerically(">", blind.inTime))
+	g.Expect(pooled.overflow).To(gomega.BeNumerically("<", blind.overflow/4))
+}
+
+// A third of the servers refuse half of what they get although they run.
+func TestServersThatShedAreAvoided(t *testing.T) {
+	g := gomega.NewWithT(t)
+	servers := eight()
+	for i := range 3 {
+		servers[i].shares = 0.5
+	}
+	l := load{nodes: 8, servers: servers, rate: steady(150), length: 15 * time.Second, target: 300 * time.Millisecond, patient: 2 * time.Second}
+	pooled, blind := compare(t, l)
+	g.Expect(pooled.inTime).To(gomega.BeNumerically(">", blind.inTime*115/100))
+}
+
+// One key becomes busier than its owner can be: the owner stays busy with
+// requests that are answered in time, and the others hear so at once.
+func TestABusyKeyBeyondItsOwner(t *testing.T) {
+	g := gomega.NewWithT(t)
+	servers := eight()[:1]
+	pooled := run(load{nodes: 8, servers: servers, rate: steady(100), length: 15 * time.Second, target: 300 * time.Millisecond, patient: 1200 * time.Millisecond, only: true})
+	t.Log(pooled)
+	capacity := int(15 / 0.060 * 4)
+	g.Expect(pooled.inTime).To(gomega.BeNumerically(">", capacity*60/100))
+	g.Expect(pooled.overflow).To(gomega.BeZero())
+}
+
+func TestOwnZoneIsPreferredWithinTheObjective(t *testing.T) {
+	g := gomega.NewWithT(t)
+	pooled := run(load{nodes: 9, servers: append(eight(), eight()[2]), rate: steady(150), length: 10 * time.Second, target: 400 * time.Millisecond, patient: 2 * time.Second})
+	t.Log(pooled)
+	g.Expect(pooled.crossZone).To(gomega.BeNumerically("<", pooled.asked/10))
+	g.Expect(pooled.inTime).To(gomega.BeNumerically(">", pooled.asked*97/100))
+}
+
+func TestDrainingAndUnreachableServersGetNothing(t *testing.T) {
+	g := gomega.NewWithT(t)
+	p := pool.New("a", 0, rand.New(rand.NewPCG(1, 1)))
+	servers := []site.Server{{ID: "s1", Slots: 4, Draining: true}, {ID: "s2", Slots: 4}}
+	p.Update(servers, 1, start)
+	ask := func(now time.Time) (*pool.Admission, *pool.Refusal) {
+		return p.Ask(&pool.Waiter{Since: now, Target: now.Add(time.Second), Deadline: now.Add(time.Second)}, now)
+	}
+	admission, _ := ask(start)
+	g.Expect(admission.Server.ID).To(gomega.Equal(site.ServerID("s2")))
+	p.Done("s2", pool.Outcome{Failed: true, NotReached: true}, start)
+	_, refusal := ask(start)
+	g.Expect(refusal.Reason).To(gomega.Equal(pool.NoServer))
+	g.Expect(refusal.RetryAfter).To(gomega.BeNumerically(">", 0))
+	admission, _ = ask(start.Add(time.Second))
+	g.Expect(admission.Server.ID).To(gomega.Equal(site.ServerID("s2")))
+}
+
+func TestMoreUrgentRequestsGoFirst(t *testing.T) {
+	g := gomega.NewWithT(t)
+	p := pool.New("a", 0, rand.New(rand.NewPCG(1, 1)))
+	p.Update([]site.Server{{ID: "s1", Slots: 1}}, 8, start)
+	waiter := func(priority int) *pool.Waiter {
+		return &pool.Waiter{Priority: priority, Since: start, Target: start.Add(time.Second), Deadline: start.Add(3 * time.Second)}
+	}
+	admission, _ := p.Ask(waiter(2), start)
+	g.Expect(admission).NotTo(gomega.BeNil())
+	usual, urgent := waiter(2), waiter(1)
+	for _, w := range []*pool.Waiter{usual, urgent} {
+		admission, refusal := p.Ask(w, start)
+		g.Expect(admission).To(gomega.BeNil())
+		g.Expect(refusal).To(gomega.BeNil())
+	}
+	admitted := p.Done("s1", pool.Outcome{Took: 10 * time.Millisecond}, start)
+	g.Expect(admitted).To(gomega.HaveLen(1))
+	g.Expect(admitted[0].Waiter).To(gomega.BeIdenticalTo(urgent))
+}
