--- a/gateway/config/config.go
+++ b/gateway/config/config.go
@@ -45,7 +45,10 @@
 
 // Timing holds what the site asks of a node.
 type Timing struct {
-	Grace   time.Duration // from SIGTERM to the end of the process
+	Grace time.Duration // from SIGTERM to the end of the process
+	// Notice is for how long new connections may still come after the node has
+	// said that it is not ready.
+	Notice  time.Duration
 	HoldMax time.Duration // longest hold of a range
 }
 
@@ -63,6 +66,9 @@
 	defaultWindow  = 10 * time.Second
 	defaultGrace   = 6 * time.Second
 	defaultHoldMax = 10 * time.Second
+	// defaultNotice suits a balancer that asks once a second and acts on the second
+	// miss.
+	defaultNotice = 2500 * time.Millisecond
 	// defaultPenalty prefers the own zone among servers that are about equally
 	// loaded: a fifth of a service time of 150 ms.
 	defaultPenalty = 30 * time.Millisecond
@@ -153,6 +159,7 @@
 func readTiming(o *jsonc.Object) Timing {
 	timing := Timing{
 		Grace:   readDuration(o.Get("grace"), defaultGrace),
+		Notice:  readDuration(o.Get("notice"), defaultNotice),
 		HoldMax: readDuration(o.Get("holdMax"), defaultHoldMax),
 	}
 	o.Close()
--- a/gateway/config/live.go
+++ b/gateway/config/live.go
@@ -99,6 +99,7 @@
 	adopted.Seeds = next.Seeds
 	adopted.Retries = next.Retries
 	adopted.Timing.Grace = next.Timing.Grace
+	adopted.Timing.Notice = next.Timing.Notice
 	adopted.Place = next.Place
 	adopted.LogLevel = next.LogLevel
 	if !reflect.DeepEqual(&adopted, next) {
--- /dev/null
+++ b/gateway/node/world_test.go
@@ -0,0 +1,274 @@
+package node_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/onsi/gomega"
+
+	"github.com/burdockspindle/burdockspindle/gateway/config"
+	"github.com/burdockspindle/burdockspindle/gateway/node"
+	_ "github.com/burdockspindle/burdockspindle/modules/standard"
+	"github.com/burdockspindle/burdockspindle/platform/standin"
+)
+
+// siteWorld is a whole site on loopback: stand-ins for the store and the
+// servers, and gateway nodes in this process.
+type siteWorld struct {
+	t       *testing.T
+	store   *standin.Store
+	address string // of the store
+	servers map[string]*standin.Server
+	stop    map[string]chan struct{} // ends a server's heartbeats
+	nodes   []*runningNode
+	mu      sync.Mutex
+	seq     int
+	notice  string // of the nodes that are added
+}
+
+type runningNode struct {
+	front, ready, peer, metrics string
+	notice                      string // the setting timing.notice
+	file                        string
+	cancel                      context.CancelFunc
+	ended                       chan struct{}
+	log                         *lockedBuffer
+}
+
+type lockedBuffer struct {
+	mu   sync.Mutex
+	text strings.Builder
+}
+
+func (b *lockedBuffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.text.Write(p)
+}
+
+func (b *lockedBuffer) String() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.text.String()
+}
+
+// patience bounds waits for what must happen soon; it is long, for slow machines.
+const patience = 60 * time.Second
+
+func newSiteWorld(t *testing.T) *siteWorld {
+	t.Helper()
+	w := &siteWorld{t: t, store: standin.NewStore(), servers: map[string]*standin.Server{}, stop: map[string]chan struct{}{}, notice: "300ms"}
+	server := httptest.NewServer(w.store)
+	t.Cleanup(server.CloseClientConnections)
+	w.address = strings.TrimPrefix(server.URL, "http://")
+	t.Cleanup(w.end)
+	return w
+}
+
+func (w *siteWorld) end() {
+	for _, n := range w.nodes {
+		n.cancel()
+	}
+	for _, n := range w.nodes {
+		<-n.ended
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, stop := range w.stop {
+		close(stop)
+	}
+}
+
+// publish writes a configuration of two services: docs, whose requests may be
+// repeated, orders, whose may not, and keyed.
+func (w *siteWorld) publish(version int, extra string) {
+	w.store.Put("keyed.op", "config", []byte(fmt.Sprintf(`{"version":"%08x","limits":{"max-body-bytes":1000},
+	 "listeners":[{"host":"site.example","rules":[
+	  {"name":"docs","kind":"safe","slo-s":5,"priority":2,"match":{"path-prefix":"/docs/"},"action":{"service":"docs","timeout-s":20,"max-attempts":2}},
+	  {"name":"orders","kind":"unsafe","slo-s":5,"priority":1,"match":{"path-prefix":"/orders/"},"action":{"service":"orders","timeout-s":20,"max-attempts":2}},
+	  {"name":"keyed","kind":"safe","slo-s":5,"priority":2,"match":{"path-prefix":"/keyed/"},"action":{"service":"keyed","timeout-s":20,"max-attempts":2}}%s]}],
+	 "clusters":[{"name":"docs","max-conns":100},{"name":"orders","max-conns":100},{"name":"keyed","max-conns":100,"sharded":true,"warm-s":1}]}`, version, extra)))
+}
+
+// addServer starts a server and its heartbeats.
+func (w *siteWorld) addServer(id, service string, s *standin.Server) {
+	s.ID = id
+	if s.Slots == 0 {
+		s.Slots = 4
+	}
+	s.Keyed = service == "keyed"
+	listening := httptest.NewServer(s)
+	w.t.Cleanup(listening.CloseClientConnections)
+	stop := make(chan struct{})
+	w.mu.Lock()
+	w.servers[id] = s
+	w.stop[id] = stop
+	w.mu.Unlock()
+	address := strings.TrimPrefix(listening.URL, "http://")
+	go w.beat(id, service, address, s.Slots, stop)
+}
+
+func (w *siteWorld) beat(id, service, address string, slots int, stop chan struct{}) {
+	ticker := time.NewTicker(200 * time.Millisecond)
+	defer ticker.Stop()
+	for seq := 0; ; seq++ {
+		w.store.Put("keyed.servers", id, []byte(fmt.Sprintf(`{"address":%q,"info":{"service":%q,"version":"v1","zone":"a","slots":%d},"status":{"state":"ready","seq":%d}}`, address, service, slots, seq)))
+		select {
+		case <-ticker.C:
+		case <-stop:
+			return
+		}
+	}
+}
+
+// removeServer ends a server's heartbeats and drops its entry.
+func (w *siteWorld) removeServer(id string) {
+	w.mu.Lock()
+	close(w.stop[id])
+	delete(w.stop, id)
+	w.mu.Unlock()
+	time.Sleep(20 * time.Millisecond) // a heartbeat on its way
+	w.store.Put("keyed.servers", id, nil)
+}
+
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = listener.Close() }()
+	return listener.Addr().String()
+}
+
+func (n *runningNode) settings(storeAddress, extra string) string {
+	return fmt.Sprintf(`{"node": "node-%s", "zone": "a",
+	 "listen": {"front": %q, "ready": %q, "peer": %q, "metrics": %q},
+	 "driver": {"name": "platform", "options": {"address": %q}},
+	 "timing": {"grace": "6s", "notice": %q}, %s}`, strings.ReplaceAll(n.front, ":", "-"), n.front, n.ready, n.peer, n.metrics, storeAddress, n.notice, extra)
+}
+
+// addNode starts a node in this process.
+func (w *siteWorld) addNode() *runningNode {
+	w.t.Helper()
+	n := &runningNode{notice: w.notice, front: freeAddress(w.t), ready: freeAddress(w.t), peer: freeAddress(w.t), metrics: freeAddress(w.t), log: new(lockedBuffer), ended: make(chan struct{})}
+	n.file = filepath.Join(w.t.TempDir(), "settings.jsonc")
+	if err := os.WriteFile(n.file, []byte(n.settings(w.address, "")), 0o600); err != nil {
+		w.t.Fatal(err)
+	}
+	s, err := config.Load(n.file)
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	n.cancel = cancel
+	logger := hclog.New(&hclog.LoggerOptions{Output: n.log, JSONFormat: true})
+	go func() {
+		defer close(n.ended)
+		if err := node.Run(ctx, n.file, s, logger); err != nil {
+			w.t.Errorf("node ended with: %v", err)
+		}
+	}()
+	w.nodes = append(w.nodes, n)
+	return n
+}
+
+func (w *siteWorld) awaitReady(n *runningNode) {
+	w.t.Helper()
+	gomega.NewWithT(w.t).Eventually(func() int { return w.status("http://" + n.ready + "/-/readyz") }, patience, 50*time.Millisecond).Should(gomega.Equal(200))
+}
+
+func (w *siteWorld) status(url string) int {
+	response, err := http.Get(url)
+	if err != nil {
+		return 0
+	}
+	_ = response.Body.Close()
+	return response.StatusCode
+}
+
+type reply struct {
+	status int
+	body   string
+	header http.Header
+}
+
+// send sends one request with an ID of its own to a node.
+func (w *siteWorld) send(n *runningNode, method, path, body string, header map[string]string) (reply, string) {
+	w.t.Helper()
+	w.mu.Lock()
+	w.seq++
+	id := "request-" + strconv.Itoa(w.seq)
+	w.mu.Unlock()
+	request, err := http.NewRequest(method, "http://"+n.front+path, strings.NewReader(body))
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	request.Host = "site.example"
+	request.Header.Set("Attempt-Id", id)
+	request.Header.Set("Timeout-Ms", "20000")
+	for name, value := range header {
+		request.Header.Set(name, value)
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return reply{}, id
+	}
+	defer func() { _ = response.Body.Close() }()
+	text, err := io.ReadAll(response.Body)
+	if err != nil {
+		return reply{}, id
+	}
+	return reply{status: response.StatusCode, body: string(text), header: response.Header}, id
+}
+
+// key sends a request for a key and returns the status.
+func (w *siteWorld) key(n *runningNode, key int) int {
+	w.t.Helper()
+	answer, _ := w.send(n, http.MethodGet, "/keyed/x", "", map[string]string{"Shard-Key": strconv.Itoa(key)})
+	return answer.status
+}
+
+func (w *siteWorld) awaitKeys(n *runningNode) {
+	w.t.Helper()
+	g := gomega.NewWithT(w.t)
+	for _, key := range []int{0, 20000, 40000, 65535} {
+		g.Eventually(func() int { return w.key(n, key) }, patience, 50*time.Millisecond).Should(gomega.Equal(200), "key %d", key)
+	}
+}
+
+// checkSoleOwners fails if two servers ran requests for a key at one time.
+func (w *siteWorld) checkSoleOwners() {
+	w.t.Helper()
+	type run struct {
+		server string
+		standin.KeyRun
+	}
+	byKey := map[int][]run{}
+	for id, s := range w.servers {
+		for _, r := range s.KeyRuns() {
+			byKey[r.Key] = append(byKey[r.Key], run{id, r})
+		}
+	}
+	for key, runs := range byKey {
+		for i, a := range runs {
+			for _, b := range runs[i+1:] {
+				if a.server != b.server && a.From.Before(b.To) && b.From.Before(a.To) {
+					w.t.Errorf("key %d was run by %s and %s at one time", key, a.server, b.server)
+				}
+			}
+		}
+	}
+}
--- a/gateway/upstream/client.go
+++ b/gateway/upstream/client.go
@@ -155,6 +155,7 @@
 	if err != nil {
 		return nil, false, err
 	}
+	defer func() { _ = response.Body.Close() }() // the connection is closed or reused as a whole
 	body, err := io.ReadAll(io.LimitReader(response.Body, maxAnswer+1))
 	if err != nil {
 		return nil, false, err
--- a/modules/gateway/front.go
+++ b/modules/gateway/front.go
@@ -32,10 +32,6 @@
 
 // Timing of a shutdown and bounds of listeners.
 const (
-	// noticeTime is how long new connections may still come after the node has
-	// said that it is not ready: the balancer asks once a second and acts on the
-	// second miss.
-	noticeTime = 2500 * time.Millisecond
 	// exitReserve is left of the grace time for the end of the process.
 	exitReserve = 400 * time.Millisecond
 	// headerTimeout and idleTimeout end connections that send nothing, while no
@@ -173,7 +169,7 @@
 // Stop implements kernel.Stopper: it goes on serving until the balancer has
 // surely noticed, then finishes what runs within the grace time.
 func (m *Front) Stop(ctx context.Context) error {
-	clock.Wait(ctx, noticeTime-time.Since(m.drainedAt))
+	clock.Wait(ctx, m.live.Settings().Timing.Notice-time.Since(m.drainedAt))
 	ctx, cancel := context.WithDeadline(ctx, m.drainedAt.Add(m.live.Settings().Timing.Grace-exitReserve))
 	defer cancel()
 	err := m.front.Shutdown(ctx)
