--- /dev/null
+++ b/cli/explain.go
@@ -0,0 +1,188 @@
+package cli
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"slices"
+	"strings"
+
+	"github.com/integrii/flaggy"
+)
+
+func init() { Register(newExplainCommand) }
+
+// newExplainCommand returns the command "explain", which prints what the logs of
+// several nodes say of one request.
+func newExplainCommand() Command {
+	var request, files string
+	return Command{
+		Name:        "explain",
+		Description: "Print a request's path, and what the nodes believed then, from the logs of gateway nodes.",
+		Flags: func(sub *flaggy.Subcommand) {
+			sub.String(&request, "r", "request", "ID of the request")
+			sub.AddPositionalValue(&files, "FILES", 1, true, "log files, separated by commas")
+		},
+		Run: func(_ context.Context, env *Env) error {
+			if request == "" {
+				return &UsageError{Problem: "explain: --request ID is needed"}
+			}
+			return explain(env.Stdout, request, strings.Split(files, ","))
+		},
+	}
+}
+
+// logLine is a line of a gateway node's log. Fields other than these are kept in
+// All.
+type logLine struct {
+	Time    string         `json:"@timestamp"`
+	Text    string         `json:"@message"`
+	Event   int            `json:"event"`
+	Node    string         `json:"node"`
+	Request string         `json:"request"`
+	All     map[string]any `json:"-"`
+}
+
+// beliefs are the events that change what a node believes of the site; of each
+// the newest before the request is shown.
+var beliefs = []int{2000, 2001, 2010, 2014, 2015, 2016, 2101, 2103, 2105, 2302, 2312, 2320}
+
+// mentionedBefore is how many lines about the request's servers are shown.
+const mentionedBefore = 6
+
+// MissingRequestError reports that no log file has a line of the request.
+type MissingRequestError struct{ Request string }
+
+// Error implements error.
+func (e *MissingRequestError) Error() string {
+	return "explain: no line of request " + e.Request + "; lines of answered requests are samples, and see event 2201"
+}
+
+func explain(out io.Writer, request string, files []string) error {
+	var lines []logLine
+	for _, file := range files {
+		read, err := readLog(file)
+		if err != nil {
+			return err
+		}
+		lines = append(lines, read...)
+	}
+	slices.SortStableFunc(lines, func(a, b logLine) int { return strings.Compare(a.Time, b.Time) })
+	found := false
+	for i, line := range lines {
+		if line.Request != request {
+			continue
+		}
+		found = true
+		if err := explainLine(out, line, lines[:i]); err != nil {
+			return &OutputError{Cause: err}
+		}
+	}
+	if !found {
+		return &MissingRequestError{Request: request}
+	}
+	return nil
+}
+
+// readLog reads a log file; lines that are no JSON are passed over.
+func readLog(file string) ([]logLine, error) {
+	f, err := os.Open(file)
+	if err != nil {
+		return nil, &FileError{File: file, Cause: err}
+	}
+	defer func() { _ = f.Close() }() // it was only read
+	var lines []logLine
+	scanner := bufio.NewScanner(f)
+	for scanner.Scan() {
+		start := strings.IndexByte(scanner.Text(), '{')
+		if start < 0 {
+			continue
+		}
+		var line logLine
+		text := scanner.Bytes()[start:]
+		if json.Unmarshal(text, &line) != nil || json.Unmarshal(text, &line.All) != nil {
+			continue
+		}
+		lines = append(lines, line)
+	}
+	if err := scanner.Err(); err != nil {
+		return nil, &FileError{File: file, Cause: err}
+	}
+	return lines, nil
+}
+
+func explainLine(out io.Writer, line logLine, before []logLine) error {
+	var text strings.Builder
+	fmt.Fprintf(&text, "%s %s: %v with status %v after %v\n", line.Time, line.Node, line.All["outcome"], line.All["status"], line.All["took"])
+	for _, name := range []string{"reason", "route", "kind", "service", "key", "config", "table"} {
+		if value, exists := line.All[name]; exists {
+			fmt.Fprintf(&text, "  %s: %v\n", name, value)
+		}
+	}
+	steps, _ := line.All["steps"].(string)
+	for step := range strings.SplitSeq(steps, "; ") {
+		if step != "" {
+			fmt.Fprintf(&text, "  step: %s\n", step)
+		}
+	}
+	text.WriteString("  what " + line.Node + " believed:\n")
+	for _, known := range believed(line.Node, before) {
+		text.WriteString("    " + describe(known) + "\n")
+	}
+	text.WriteString("  lines of any node about the servers it was sent to:\n")
+	for _, mention := range mentions(steps, before) {
+		text.WriteString("    " + mention.Node + " " + describe(mention) + "\n")
+	}
+	_, err := io.WriteString(out, text.String())
+	return err
+}
+
+// believed returns the newest line of each event that changes what a node
+// believes.
+func believed(node string, before []logLine) []logLine {
+	newest := map[int]logLine{}
+	for _, line := range before {
+		if line.Node == node && slices.Contains(beliefs, line.Event) {
+			newest[line.Event] = line
+		}
+	}
+	var lines []logLine
+	for _, line := range newest {
+		lines = append(lines, line)
+	}
+	slices.SortFunc(lines, func(a, b logLine) int { return strings.Compare(a.Time, b.Time) })
+	return lines
+}
+
+// mentions returns the latest lines about servers that the steps name.
+func mentions(steps string, before []logLine) []logLine {
+	var lines []logLine
+	for _, line := range before {
+		server, _ := line.All["server"].(string)
+		if server != "" && strings.Contains(steps, server) {
+			lines = append(lines, line)
+		}
+	}
+	return lines[max(0, len(lines)-mentionedBefore):]
+}
+
+// hidden fields of a line are shown elsewhere or tell nothing.
+var hidden = []string{"@timestamp", "@message", "@level", "event", "node"}
+
+func describe(line logLine) string {
+	text := line.Time + " " + line.Text
+	names := make([]string, 0, len(line.All))
+	for name := range line.All {
+		if !slices.Contains(hidden, name) {
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	for _, name := range names {
+		text += fmt.Sprintf(" %s=%v", name, line.All[name])
+	}
+	return text
+}
--- a/cli/gateway.go
+++ b/cli/gateway.go
@@ -8,9 +8,13 @@
 	"github.com/hashicorp/go-hclog"
 	"github.com/integrii/flaggy"
 
+	"github.com/burdockspindle/burdockspindle/events"
 	"github.com/burdockspindle/burdockspindle/gateway/config"
+	"github.com/burdockspindle/burdockspindle/gateway/logsink"
 )
 
+var eventLinesDropped = events.Define(2202, hclog.Warn, "log lines dropped")
+
 // RunGateway runs a gateway node until ctx ends, then shuts it down. The settings
 // were loaded from file.
 type RunGateway func(ctx context.Context, file string, s *config.Settings, logger hclog.Logger) error
@@ -39,11 +43,14 @@
 	if err != nil {
 		return err
 	}
+	sink := logsink.New(env.Stdout)
+	defer sink.Close()
 	logger := hclog.New(&hclog.LoggerOptions{
 		Level:      hclog.LevelFromString(s.LogLevel),
-		Output:     env.Stdout,
+		Output:     sink,
 		JSONFormat: true,
 	})
+	sink.OnDrop(func(lines int64) { eventLinesDropped.Log(logger, "lines", lines) })
 	CaptureStandardLog(logger)
 	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
--- a/events/events.go
+++ b/events/events.go
@@ -7,6 +7,8 @@
 //	1400 leases and lessors      1500 planner, moves and balance
 //	1600 requests                1700 servers and health
 //	1800 administration          1900 stand-ins, demo, experiment
+//	2000 gateway: the site       2100 gateway: the lessor's duty
+//	2200 gateway: requests       2300 gateway: processes
 package events
 
 import "github.com/hashicorp/go-hclog"
--- a/gateway/duty/duty.go
+++ b/gateway/duty/duty.go
@@ -298,6 +298,7 @@
 	if err != nil {
 		eventCallFailed.Log(d.Logger, "server", server.ID, "release", call.Release, "from", call.Grant.From, "to", call.Grant.To, "fence", call.Grant.Fence, "fenced", result.Fenced, "cause", err)
 	}
+	countCall(call, result)
 	d.called <- callResult{call, result}
 }
 
--- a/gateway/duty/outcome.go
+++ b/gateway/duty/outcome.go
@@ -72,6 +72,7 @@
 	d.leaderSince = now
 	d.shown = 0
 	d.isLessor.Store(true)
+	lessorIs.Set(1)
 	d.Reader.SetLessor(true)
 	d.table = view.Table{Offset: p.at, Table: p.claim}
 }
@@ -91,6 +92,7 @@
 	d.keeper = nil
 	d.givenUp = false
 	d.isLessor.Store(false)
+	lessorIs.Set(0)
 	d.Reader.SetLessor(false)
 }
 
--- /dev/null
+++ b/gateway/follow/metrics.go
@@ -0,0 +1,51 @@
+package follow
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/burdockspindle/burdockspindle/gateway/store"
+	"github.com/burdockspindle/burdockspindle/metrics"
+)
+
+var storeCalls = metrics.New("gateway_store").Map("calls")
+
+// Counted is a store whose calls are counted by kind and result.
+type Counted struct{ Store store.Store }
+
+// Newest implements store.Store.
+func (c Counted) Newest(ctx context.Context, topic store.Topic) (store.Batch, error) {
+	batch, err := c.Store.Newest(ctx, topic)
+	countCall("newest", topic, err)
+	return batch, err
+}
+
+// Read implements store.Store.
+func (c Counted) Read(ctx context.Context, topic store.Topic, from store.Offset, wait time.Duration) (store.Batch, error) {
+	batch, err := c.Store.Read(ctx, topic, from, wait)
+	countCall("read", topic, err)
+	return batch, err
+}
+
+// AppendAt implements store.Store.
+func (c Counted) AppendAt(ctx context.Context, topic store.Topic, at store.Offset, record store.Record) error {
+	err := c.Store.AppendAt(ctx, topic, at, record)
+	countCall("append", topic, err)
+	return err
+}
+
+func countCall(kind string, topic store.Topic, err error) {
+	var conflict *store.ConflictError
+	var trimmed *store.TrimmedError
+	result := "ok"
+	switch {
+	case errors.As(err, &conflict):
+		result = "conflict"
+	case errors.As(err, &trimmed):
+		result = "trimmed"
+	case err != nil:
+		result = "failed"
+	}
+	storeCalls.Add(kind+" "+string(topic)+" "+result, 1)
+}
--- a/modules/gateway/site.go
+++ b/modules/gateway/site.go
@@ -80,7 +80,8 @@
 
 func (m *Site) build(settings *config.Settings, platform *driver.Driver, logger hclog.Logger) {
 	contact := new(follow.Contact)
-	m.reader = &follow.Reader{Store: platform.Store, Codec: platform.Codec, State: m.state, Contact: contact, Logger: logger}
+	counted := follow.Counted{Store: platform.Store}
+	m.reader = &follow.Reader{Store: counted, Codec: platform.Codec, State: m.state, Contact: contact, Logger: logger}
 	m.follower = &follow.Follower{Self: m.self, State: m.state, Reader: m.reader, Reports: m.reports, Logger: logger}
 	m.follower.SetSeeds(settings.Seeds)
 	m.duty = duty.New()
@@ -90,7 +91,7 @@
 	timing.Hold = min(timing.Hold, timing.HoldMax)
 	m.duty.Self = ranges.Lessor{Node: m.self.Node, Boot: m.self.Boot, Address: m.self.Address}
 	m.duty.Timing = timing
-	m.duty.Store = platform.Store
+	m.duty.Store = counted
 	m.duty.Granter = platform.Granter(m.client)
 	m.duty.State = m.state
 	m.duty.Reader = m.reader
