Ranges: fewer pieces of ranges

Neighbours of one owner are merged, idle pieces go back, servers under 60 % give nothing away unless the gap is large, and windows go by a memory of 3 s. The pace of a server now counts its queue out: a slow one was never seen, since it always had a queue.

--- a/gateway/duty/outcome.go
+++ b/gateway/duty/outcome.go
@@ -58,7 +58,7 @@
 		d.keeper.Appended(p.change)
 		d.table = view.Table{Offset: p.at, Table: p.change.Table}
 		d.shown = 0
-		eventTableChanged.Log(d.Logger, "offset", p.at)
+		eventTableChanged.Log(d.Logger, "offset", p.at, "ranges", d.table.Table.Ranges())
 	case p.resigns:
 		eventResigned.Log(d.Logger, "offset", p.at)
 		d.stop()
--- a/gateway/follow/reports.go
+++ b/gateway/follow/reports.go
@@ -45,7 +45,7 @@
 	}
 }
 
-// Answer notes how long a server of a keyed service took that had no queue.
+// Answer notes how long a server of a keyed service worked on a request.
 func (r *Reports) Answer(server site.ServerID, took time.Duration) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/gateway/ranges/balance.go
+++ b/gateway/ranges/balance.go
@@ -23,10 +23,14 @@
 	// leastGap is the difference of utilisation below which nothing is moved:
 	// queues at one server are short up to about three quarters.
 	leastGap = 0.15
+	// idleGap is the same for servers that are less than busyFrom used: their
+	// queues are short anyway, and every move leaves a piece to renew.
+	idleGap  = 0.35
+	busyFrom = 0.6
 	// restAfterMove keeps a range where it is until its load there is known.
 	restAfterMove = 1500 * time.Millisecond
 	// loadHalfLife is how fast old counts lose their weight.
-	loadHalfLife = 1200 * time.Millisecond
+	loadHalfLife = 3 * time.Second
 	// recentHalfLife is the same for finding single busy keys, and leastRecent the
 	// rate below which they are forgotten.
 	recentHalfLife = 400 * time.Millisecond
@@ -36,7 +40,7 @@
 	enoughShare = 0.5
 	mostShare   = 1.3
 	// mostRanges bounds the ranges of one server, each of which is renewed.
-	mostRanges = 12
+	mostRanges = 8
 )
 
 // Loads is the load of each key and the pace of each server, as nodes report
@@ -247,7 +251,7 @@
 	to := usages[len(usages)-1]
 	for _, from := range usages {
 		gap := from.used - to.used
-		if gap < leastGap {
+		if gap < leastGap || gap < idleGap && from.used < busyFrom {
 			return move{}, false
 		}
 		if to.ranges >= mostRanges {
--- /dev/null
+++ b/gateway/ranges/compact.go
@@ -0,0 +1,106 @@
+package ranges
+
+import (
+	"slices"
+	"time"
+
+	"github.com/burdockspindle/burdockspindle/gateway/site"
+)
+
+// Compaction keeps the number of ranges near that of the servers: each range is
+// granted again every Timing.Renew, and moves of busy keys leave pieces behind.
+// Neighbours of one owner become one range, and an idle piece goes back to the
+// owner of the ranges around it.
+const (
+	// compactEvery is the least time between two compactions of a service, each of
+	// which is an append.
+	compactEvery = 2 * time.Second
+	// settledFor is for how long ranges must have had their owner.
+	settledFor = 4 * time.Second
+	// idleUse is the utilisation below which a piece may go back.
+	idleUse = 0.02
+	// piecesPerRound bounds the pieces that go back at once.
+	piecesPerRound = 4
+)
+
+// settled reports whether a range has had its owner for long and nothing is
+// under way with it.
+func (l *lease) settled(now time.Time) bool {
+	return l.canRelease() && l.Server != "" && now.Sub(l.movedAt) >= settledFor
+}
+
+// compact merges neighbours of one owner and starts to give idle pieces back.
+func (k *Keeper) compact(service site.ServiceName, s Site, at Fence, now time.Time, change *Change) {
+	if now.Sub(k.compactedAt[service]) < compactEvery {
+		return
+	}
+	k.compactedAt[service] = now
+	k.giveBack(service, s, now)
+	k.merge(service, at, now, change)
+}
+
+// giveBack starts to move idle pieces to the owner of both neighbours.
+func (k *Keeper) giveBack(service site.ServiceName, s Site, now time.Time) {
+	leases := k.leases[service]
+	given := 0
+	for i := 1; i+1 < len(leases) && given < piecesPerRound; i++ {
+		piece, before, after := leases[i], leases[i-1], leases[i+1]
+		if !piece.settled(now) || before.Server != after.Server || before.Server == piece.Server || before.leaving(s) {
+			continue
+		}
+		if !before.settled(now) || !after.settled(now) || k.use(service, s, piece) > idleUse {
+			continue
+		}
+		piece.next = before.Server
+		k.setPhase(piece, releasing)
+		given++
+	}
+}
+
+// use returns the utilisation that a range causes at its owner.
+func (k *Keeper) use(service site.ServiceName, s Site, l *lease) float64 {
+	if s.Load == nil {
+		return 0
+	}
+	pace, known := s.Load.paces[l.Server]
+	if !known {
+		pace = defaultPace
+	}
+	return s.Load.sum(service, l.Span) * pace / float64(max(s.Servers[l.Server].Slots, 1))
+}
+
+// merge makes neighbours of one owner one range under a new fence.
+func (k *Keeper) merge(service site.ServiceName, at Fence, now time.Time, change *Change) {
+	leases := k.leases[service]
+	for i := 0; i < len(leases); {
+		first, end := leases[i], i+1
+		for end < len(leases) && leases[end].Server == first.Server && first.settled(now) && leases[end].settled(now) {
+			end++
+		}
+		if end-i > 1 {
+			k.mergeRun(service, slices.Clone(leases[i:end]), at, now, change)
+		}
+		i = end
+	}
+}
+
+func (k *Keeper) mergeRun(service site.ServiceName, run []*lease, at Fence, now time.Time, change *Change) {
+	first, last := run[0], run[len(run)-1]
+	heldUntil := first.heldUntil
+	for _, l := range run {
+		l.pending = true
+		heldUntil = later(heldUntil, l.heldUntil)
+	}
+	merged := &lease{
+		Assignment: Assignment{Span: Span{From: first.From, To: last.To}, Server: first.Server, Fence: at},
+		service:    service,
+		heldUntil:  heldUntil,
+		movedAt:    now.Add(-settledFor),
+		kept:       true,
+	}
+	change.apply = append(change.apply, func() {
+		leases := slices.DeleteFunc(slices.Clone(k.leases[service]), func(l *lease) bool { return slices.Contains(run, l) })
+		k.leases[service] = sorted(append(leases, merged))
+		k.serial++
+	})
+}
--- a/gateway/ranges/lessor.go
+++ b/gateway/ranges/lessor.go
@@ -49,6 +49,8 @@
 	timing Timing
 	leases map[site.ServiceName][]*lease
 	moves  []Move // planned and not yet told
+	// compactedAt is when the ranges of a service were compacted last.
+	compactedAt map[site.ServiceName]time.Time
 	// longest is the hold of grants now.
 	longest time.Duration
 	// serial grows with each change of what Routes returns.
@@ -59,7 +61,7 @@
 // now. What the former lessor may have granted lasts for its right and a hold,
 // or for a hold alone if it had resigned.
 func NewKeeper(table *Table, timing Timing, resigned bool, now time.Time) *Keeper {
-	k := &Keeper{self: table.Lessor, timing: timing, leases: map[site.ServiceName][]*lease{}, serial: 1}
+	k := &Keeper{self: table.Lessor, timing: timing, leases: map[site.ServiceName][]*lease{}, compactedAt: map[site.ServiceName]time.Time{}, serial: 1}
 	heldUntil := now.Add(timing.lapse(timing.Hold))
 	if !resigned {
 		heldUntil = heldUntil.Add(timing.Right)
--- a/gateway/ranges/plan.go
+++ b/gateway/ranges/plan.go
@@ -50,6 +50,7 @@
 		}
 		k.startReleases(name, s, servers, now)
 		k.collect(name, s, servers, at, now, change)
+		k.compact(name, s, at, now, change)
 	}
 	if len(change.apply) == 0 {
 		return nil
@@ -208,7 +209,9 @@
 // tableWith returns the table as it is after a change, without applying it.
 func (k *Keeper) tableWith(change *Change) *Table {
 	saved := make(map[*lease]lease)
-	for _, leases := range k.leases {
+	lists := make(map[site.ServiceName][]*lease, len(k.leases))
+	for service, leases := range k.leases {
+		lists[service] = slices.Clone(leases)
 		for _, l := range leases {
 			saved[l] = *l
 		}
@@ -218,6 +221,7 @@
 		apply()
 	}
 	table := k.Table()
+	k.leases = lists
 	for l, before := range saved {
 		*l = before
 	}
--- a/gateway/ranges/table.go
+++ b/gateway/ranges/table.go
@@ -77,6 +77,15 @@
 	return find(t.Services[service], key)
 }
 
+// Ranges returns the number of ranges of all services.
+func (t *Table) Ranges() int {
+	count := 0
+	for _, assignments := range t.Services {
+		count += len(assignments)
+	}
+	return count
+}
+
 func find(assignments []Assignment, key Key) (Assignment, bool) {
 	i, found := slices.BinarySearchFunc(assignments, key, func(a Assignment, key Key) int {
 		if a.To < key {
--- a/gateway/router/run.go
+++ b/gateway/router/run.go
@@ -140,8 +140,8 @@
 		notReached := errors.As(s.err, &attempt) && !attempt.Sent && ctx.Err() == nil
 		return pool.Outcome{Took: s.took, Failed: ctx.Err() == nil, NotReached: notReached, Abandoned: ctx.Err() != nil}
 	}
-	if x.keyed && !s.answer.NotRun && (s.answer.Load == nil || s.answer.Load.Waiting == 0) {
-		x.router.reports.Answer(s.server.ID, s.took)
+	if x.keyed && !s.answer.NotRun {
+		x.router.reports.Answer(s.server.ID, workOf(s))
 	}
 	isMisdirected := s.answer.Status == http.StatusMisdirectedRequest
 	return pool.Outcome{
@@ -153,6 +153,16 @@
 	}
 }
 
+// workOf estimates how long a server worked on a request: what waited there when
+// it ended had mostly waited when it came.
+func workOf(s sent) time.Duration {
+	load := s.answer.Load
+	if load == nil || load.Slots == 0 {
+		return s.took
+	}
+	return time.Duration(float64(s.took) / (1 + float64(load.Waiting)/float64(load.Slots)))
+}
+
 // isFinal notes how an attempt ended and reports whether the request is done.
 func (x *exchange) isFinal(s sent) bool {
 	x.trail.sent(s)
