--- a/gateway/ranges/balance.go
+++ b/gateway/ranges/balance.go
@@ -214,9 +214,31 @@
 		}
 		usages = append(usages, u)
 	}
+	k.addRecent(service, s, usages)
 	return usages
 }
 
+// leastSurge is by how many requests a second a key must have become busier to
+// count as it is now, before the longer memory has seen it: four requests in a
+// short time, which a key that is not busy seldom has.
+const leastSurge = 6.0
+
+// addRecent adds the load of keys that have become busy just now.
+func (k *Keeper) addRecent(service site.ServiceName, s Site, usages []*usage) {
+	for key, rate := range s.Load.recent[service] {
+		surge := rate - s.Load.sum(service, Span{From: key, To: key})
+		if surge < leastSurge {
+			continue
+		}
+		l := k.leaseOf(service, key)
+		for _, u := range usages {
+			if l != nil && u.server.ID == l.Server {
+				u.used += surge * u.cost
+			}
+		}
+	}
+}
+
 // paceSpread bounds how much faster or slower than others a server counts:
 // measured times include its queue.
 const paceSpread = 3
