Gateway: a claim rests on the table that the topic ends with

The end of the ownership topic was published before the table in the same batch, and the end of a read that the store had cut short counted as read; a claim at that end brought an older table back, whose owners were granted keys that had moved. End, table and resignation are now one value, known only when every record before the end is read and understood; reads go on where the store stopped. Ruled out: splits and merges of ranges; the fences were offsets of a move and of the claim after it. Tests: TestOwnershipIsUnknownUntilEveryRecordIsRead, and worlds whose claims rest on an older table give two owners; both fail with the earlier code.

--- a/gateway/duty/duty.go
+++ b/gateway/duty/duty.go
@@ -200,7 +200,7 @@
 		d.claimAt = time.Time{}
 		return
 	}
-	vacant := d.State.Now().Table.Table == nil || ownership.Resigned || now.Sub(ownership.MovedAt) > suspectAfter
+	vacant := ownership.Table.Table == nil || ownership.Resigned || now.Sub(ownership.MovedAt) > suspectAfter
 	if !vacant {
 		d.claimAt = time.Time{}
 		return
@@ -217,7 +217,7 @@
 func (d *Duty) claim(ctx context.Context, ownership follow.Ownership) {
 	d.claimAt = time.Time{}
 	d.end = ownership.End
-	table := d.State.Now().Table.Table
+	table := ownership.Table.Table
 	if table == nil {
 		table = &ranges.Table{}
 	}
--- /dev/null
+++ b/gateway/follow/ownership.go
@@ -0,0 +1,92 @@
+package follow
+
+import (
+	"encoding/json"
+	"time"
+
+	"github.com/burdockspindle/burdockspindle/gateway/ranges"
+	"github.com/burdockspindle/burdockspindle/gateway/store"
+	"github.com/burdockspindle/burdockspindle/gateway/view"
+)
+
+// Keys of the ownership topic.
+const (
+	TableKey     = "table"
+	HeartbeatKey = "heartbeat"
+)
+
+// Heartbeat is the lessor's record that its lease goes on.
+type Heartbeat struct {
+	Boot     string `json:"boot"`
+	Serial   uint64 `json:"serial"`
+	Resigned bool   `json:"resigned,omitempty"` // it grants nothing any more
+}
+
+// Ownership is the state of the ownership topic as of an offset. Its parts belong
+// together: a claim at End that rests on an older table would give ranges to
+// owners that they were taken from.
+type Ownership struct {
+	Known    bool         // every record before End is in it
+	End      store.Offset // of the topic
+	Table    view.Table   // the newest; without a table before the first
+	Resigned bool         // the lessor gave its lease up
+	ReadAt   time.Time    // when the topic was read last
+	MovedAt  time.Time    // when End was first seen
+
+	unreadable bool // the newest table cannot be understood
+}
+
+// RecordError reports a record that cannot be understood.
+type RecordError struct {
+	Key    string
+	Offset store.Offset
+	Cause  error
+}
+
+// Error implements error.
+func (e *RecordError) Error() string { return "record of key " + e.Key + ": " + e.Cause.Error() }
+
+// Unwrap returns the cause.
+func (e *RecordError) Unwrap() error { return e.Cause }
+
+// fold takes a batch of records, which follows what was read before or is a
+// snapshot, and returns those that cannot be understood.
+func (o *Ownership) fold(batch store.Batch, now time.Time) []*RecordError {
+	var problems []*RecordError
+	for _, record := range batch.Records {
+		if err := o.take(record); err != nil {
+			problems = append(problems, &RecordError{Key: record.Key, Offset: record.Offset, Cause: err})
+		}
+	}
+	if o.MovedAt.IsZero() || batch.End != o.End {
+		o.MovedAt = now
+	}
+	o.End = batch.End
+	o.ReadAt = now
+	o.Known = batch.Next == batch.End && !o.unreadable
+	return problems
+}
+
+func (o *Ownership) take(record store.Record) error {
+	switch record.Key {
+	case TableKey:
+		if record.Offset < o.Table.Offset {
+			return nil // pages of a snapshot may overlap
+		}
+		var table ranges.Table
+		err := json.Unmarshal(record.Value, &table)
+		o.unreadable = err != nil
+		if err != nil {
+			return err
+		}
+		o.Table = view.Table{Offset: record.Offset, Table: &table}
+		o.Resigned = false
+	case HeartbeatKey:
+		var beat Heartbeat
+		if err := json.Unmarshal(record.Value, &beat); err != nil {
+			return err
+		}
+		o.Resigned = beat.Resigned
+	}
+	return nil
+}
--- /dev/null
+++ b/gateway/follow/ownership_test.go
@@ -0,0 +1,59 @@
+package follow
+
+import (
+	"encoding/json"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"github.com/burdockspindle/burdockspindle/gateway/ranges"
+	"github.com/burdockspindle/burdockspindle/gateway/store"
+)
+
+func tableRecord(t *testing.T, offset store.Offset, boot string) store.Record {
+	t.Helper()
+	text, err := json.Marshal(ranges.Table{Lessor: ranges.Lessor{Boot: boot}})
+	gomega.NewWithT(t).Expect(err).NotTo(gomega.HaveOccurred())
+	return store.Record{Offset: offset, Key: TableKey, Value: text}
+}
+
+func beatRecord(t *testing.T, offset store.Offset, resigned bool) store.Record {
+	t.Helper()
+	text, err := json.Marshal(Heartbeat{Boot: "b", Resigned: resigned})
+	gomega.NewWithT(t).Expect(err).NotTo(gomega.HaveOccurred())
+	return store.Record{Offset: offset, Key: HeartbeatKey, Value: text}
+}
+
+// A store returns a part of the records when they are long. A claim at the end of
+// the topic that rests on the part would undo what the rest says.
+func TestOwnershipIsUnknownUntilEveryRecordIsRead(t *testing.T) {
+	g := gomega.NewWithT(t)
+	var o Ownership
+	o.fold(store.Batch{Records: []store.Record{tableRecord(t, 0, "one")}, Next: 1, End: 3}, after(0))
+	g.Expect(o.Known).To(gomega.BeFalse())
+	o.fold(store.Batch{Records: []store.Record{tableRecord(t, 1, "two"), beatRecord(t, 2, false)}, Next: 3, End: 3}, after(time.Second))
+	g.Expect(o.Known).To(gomega.BeTrue())
+	g.Expect(o.Table.Table.Lessor.Boot).To(gomega.Equal("two"))
+	g.Expect(o.Table.Offset).To(gomega.Equal(store.Offset(1)))
+	g.Expect(o.MovedAt).To(gomega.Equal(after(0)), "the end was seen then")
+}
+
+func TestAClaimEndsAResignation(t *testing.T) {
+	g := gomega.NewWithT(t)
+	var o Ownership
+	o.fold(store.Batch{Records: []store.Record{tableRecord(t, 0, "one"), beatRecord(t, 1, true)}, Next: 2, End: 2}, after(0))
+	g.Expect(o.Resigned).To(gomega.BeTrue())
+	o.fold(store.Batch{Records: []store.Record{tableRecord(t, 2, "two")}, Next: 3, End: 3}, after(0))
+	g.Expect(o.Resigned).To(gomega.BeFalse())
+}
+
+func TestATableThatCannotBeReadAllowsNoClaim(t *testing.T) {
+	g := gomega.NewWithT(t)
+	var o Ownership
+	problems := o.fold(store.Batch{Records: []store.Record{tableRecord(t, 0, "one"), {Offset: 1, Key: TableKey, Value: []byte("{")}}, Next: 2, End: 2}, after(0))
+	g.Expect(problems).To(gomega.HaveLen(1))
+	g.Expect(o.Known).To(gomega.BeFalse())
+	o.fold(store.Batch{Records: []store.Record{tableRecord(t, 2, "two")}, Next: 3, End: 3}, after(0))
+	g.Expect(o.Known).To(gomega.BeTrue())
+}
--- a/gateway/follow/reader.go
+++ b/gateway/follow/reader.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"sync"
 	"sync/atomic"
@@ -11,7 +10,6 @@
 	"github.com/hashicorp/go-hclog"
 
 	"github.com/burdockspindle/burdockspindle/clock"
-	"github.com/burdockspindle/burdockspindle/gateway/ranges"
 	"github.com/burdockspindle/burdockspindle/gateway/site"
 	"github.com/burdockspindle/burdockspindle/gateway/store"
 	"github.com/burdockspindle/burdockspindle/gateway/view"
@@ -34,28 +32,6 @@
 	idleEvery = 50 * time.Millisecond
 )
 
-// Keys of the ownership topic.
-const (
-	TableKey     = "table"
-	HeartbeatKey = "heartbeat"
-)
-
-// Heartbeat is the lessor's record that its lease goes on.
-type Heartbeat struct {
-	Boot     string `json:"boot"`
-	Serial   uint64 `json:"serial"`
-	Resigned bool   `json:"resigned,omitempty"` // it grants nothing any more
-}
-
-// Ownership is what a reader knows of the lessor's lease.
-type Ownership struct {
-	Known    bool         // the topic was read
-	End      store.Offset // of the topic
-	ReadAt   time.Time    // when it was read last
-	MovedAt  time.Time    // when its end was first seen
-	Resigned bool         // the lessor gave its lease up
-}
-
 // Reader reads the store.
 type Reader struct {
 	Store   store.Store
@@ -100,7 +76,7 @@
 			clock.Wait(ctx, retryEvery)
 			continue
 		}
-		next = batch.End
+		next = batch.Next
 		for _, record := range batch.Records {
 			r.takeConfig(record)
 		}
@@ -171,7 +147,7 @@
 		batch, isSnapshot, err := r.readFrom(ctx, store.Servers, next, 0)
 		if err == nil {
 			r.takeServers(batch, isSnapshot)
-			next = batch.End
+			next = batch.Next
 		} else {
 			r.register.Failed(clock.Now())
 		}
@@ -194,7 +170,7 @@
 	if isSnapshot {
 		r.snapshot(batch, now)
 	} else {
-		r.register.Read(len(batch.Records), batch.End, now)
+		r.register.Read(len(batch.Records), batch.Next, now)
 		for _, record := range batch.Records {
 			r.takeServer(record, now)
 		}
@@ -256,46 +232,17 @@
 	if err != nil {
 		return from, err
 	}
-	now := clock.Now()
 	r.mu.Lock()
-	if !r.ownership.Known || batch.End != r.ownership.End {
-		r.ownership.MovedAt = now
-	}
-	r.ownership.Known = true
-	r.ownership.End = batch.End
-	r.ownership.ReadAt = now
+	next := r.ownership
+	problems := next.fold(batch, clock.Now())
+	r.ownership = next
 	r.mu.Unlock()
-	for _, record := range batch.Records {
-		r.TakeOwnership(record)
+	for _, problem := range problems {
+		eventBadRecord.Log(r.Logger, "topic", store.Ownership, "key", problem.Key, "offset", problem.Offset, "cause", problem.Cause)
 	}
-	return batch.End, nil
-}
-
-// TakeOwnership takes a record of the ownership topic.
-func (r *Reader) TakeOwnership(record store.Record) {
-	switch record.Key {
-	case TableKey:
-		var table ranges.Table
-		if err := json.Unmarshal(record.Value, &table); err != nil {
-			eventBadRecord.Log(r.Logger, "topic", store.Ownership, "key", record.Key, "offset", record.Offset, "cause", err)
-			return
-		}
-		r.setResigned(false)
-		if r.State.MergeTable(view.Table{Offset: record.Offset, Table: &table}) {
-			eventTable.Log(r.Logger, "offset", record.Offset, "lessor", table.Lessor.Node, "boot", table.Lessor.Boot)
-		}
-	case HeartbeatKey:
-		var beat Heartbeat
-		if err := json.Unmarshal(record.Value, &beat); err != nil {
-			eventBadRecord.Log(r.Logger, "topic", store.Ownership, "key", record.Key, "offset", record.Offset, "cause", err)
-			return
-		}
-		r.setResigned(beat.Resigned)
+	if next.Table.Table != nil && r.State.MergeTable(next.Table) {
+		lessor := next.Table.Table.Lessor
+		eventTable.Log(r.Logger, "offset", next.Table.Offset, "lessor", lessor.Node, "boot", lessor.Boot)
 	}
-}
-
-func (r *Reader) setResigned(resigned bool) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.ownership.Resigned = resigned
+	return batch.Next, nil
 }
--- a/gateway/ranges/world_run_test.go
+++ b/gateway/ranges/world_run_test.go
@@ -39,6 +39,7 @@
 		"a silent owner's holds are not waited out":            {noWait: true},
 		"a range is released although a grant had no answer":   {noSeal: true},
 		"a lessor grants although its lease was not confirmed": {noRight: true},
+		"a claim rests on an older table":                      {noFresh: true},
 	} {
 		t.Run(name, func(t *testing.T) {
 			for seed := range 8 * *worldSeeds {
--- a/gateway/ranges/world_test.go
+++ b/gateway/ranges/world_test.go
@@ -33,6 +33,7 @@
 	noWait   bool // a silent owner's holds are not waited out
 	noSeal   bool // a range is released although a grant had no answer
 	noRight  bool // a lessor grants without a fresh lease
+	noFresh  bool // a claim rests on an older table than the newest
 }
 
 const (
@@ -377,12 +378,15 @@
 	if !resigned && w.now.Sub(n.movedAt) < 1200*time.Millisecond || w.random.IntN(4) > 0 {
 		return
 	}
-	table := &Table{}
+	table, older := &Table{}, &Table{}
 	for _, r := range w.records {
 		if r.table != nil {
-			table = r.table
+			older, table = table, r.table
 		}
 	}
+	if w.rules.noFresh {
+		table = older
+	}
 	at := Fence(len(w.records))
 	next := table.Refenced(Lessor{Boot: fmt.Sprint(n.id, at)}, at)
 	w.records = append(w.records, worldRecord{table: next, node: n.id})
--- a/gateway/store/store.go
+++ b/gateway/store/store.go
@@ -33,10 +33,12 @@
 	Value  []byte
 }
 
-// Batch is what a read returned: records in order, and the offset after the
-// topic's newest record.
+// Batch is what a read returned: records in order, the offset to read on from,
+// and the offset after the topic's newest record. A store may return fewer
+// records than there are; then Next is below End.
 type Batch struct {
 	Records []Record
+	Next    Offset
 	End     Offset
 }
 
