--- a/gateway/duty/duty.go
+++ b/gateway/duty/duty.go
@@ -5,7 +5,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"maps"
 	"math/rand/v2"
@@ -97,23 +96,6 @@
 	known map[site.ServerID]site.Server
 }
 
-// pendingAppend is an append whose fate is not known yet.
-type pendingAppend struct {
-	record  store.Record
-	change  *ranges.Change // nil for a heartbeat or claim
-	claim   *ranges.Table  // not nil for a claim
-	former  bool           // for a claim: the former lessor had resigned
-	resigns bool           // it gives the lease up
-	at      store.Offset
-}
-
-type appendResult struct {
-	pending   *pendingAppend
-	startedAt time.Time
-	err       error
-	mine      bool // after a conflict: the record at the offset is this append's
-}
-
 type callResult struct {
 	call   ranges.Call
 	result ranges.Result
@@ -365,49 +347,3 @@
 	eventResigning.Log(d.Logger, "offset", d.end)
 	d.append(ctx, &pendingAppend{resigns: true})
 }
-
-func (d *Duty) append(ctx context.Context, p *pendingAppend) {
-	d.serial++
-	record, err := p.encode(d.Self, d.serial)
-	if err != nil {
-		eventBadTable.Log(d.Logger, "cause", err)
-		return
-	}
-	p.record = record
-	p.at = d.end
-	d.appending = p
-	go d.send(ctx, p)
-}
-
-func (p *pendingAppend) encode(self ranges.Lessor, serial uint64) (store.Record, error) {
-	table := p.claim
-	if p.change != nil {
-		table = p.change.Table
-	}
-	if table != nil {
-		table.Serial = serial
-		text, err := json.Marshal(table)
-		return store.Record{Key: follow.TableKey, Value: text}, err
-	}
-	text, err := json.Marshal(follow.Heartbeat{Boot: self.Boot, Serial: serial, Resigned: p.resigns})
-	return store.Record{Key: follow.HeartbeatKey, Value: text}, err
-}
-
-// send appends and, after a conflict, looks whose record stands at the offset:
-// an earlier try whose answer was lost may have succeeded.
-func (d *Duty) send(ctx context.Context, p *pendingAppend) {
-	startedAt := clock.Now()
-	err := d.Store.AppendAt(ctx, store.Ownership, p.at, p.record)
-	result := appendResult{pending: p, startedAt: startedAt, err: err}
-	var conflict *store.ConflictError
-	if errors.As(err, &conflict) {
-		batch, readErr := d.Store.Read(ctx, store.Ownership, p.at, 0)
-		if readErr != nil {
-			result.err = readErr
-		} else if len(batch.Records) > 0 {
-			first := batch.Records[0]
-			result.mine = first.Key == p.record.Key && string(first.Value) == string(p.record.Value)
-		}
-	}
-	d.appended <- result
-}
--- /dev/null
+++ b/gateway/ranges/balance_test.go
@@ -0,0 +1,185 @@
+package ranges
+
+import (
+	"fmt"
+	"math"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"github.com/burdockspindle/burdockspindle/gateway/site"
+)
+
+// replayKeys plays load on keys against a lessor whose calls all succeed at once.
+type replayKeys struct {
+	keeper  *Keeper
+	loads   *Loads
+	servers map[site.ServerID]site.Server
+	paces   map[site.ServerID]time.Duration
+	now     time.Time
+	end     Fence
+	carried map[Key]float64 // parts of requests that are still to come
+	moved   int             // keys
+}
+
+func newReplayKeys(paces ...time.Duration) *replayKeys {
+	r := &replayKeys{loads: NewLoads(), carried: map[Key]float64{}, servers: map[site.ServerID]site.Server{}, paces: map[site.ServerID]time.Duration{}, now: time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC), end: 1}
+	for i, pace := range paces {
+		id := site.ServerID(fmt.Sprintf("s%d", i))
+		r.servers[id] = site.Server{ID: id, Service: worldService, Slots: 4, Address: string(id)}
+		r.paces[id] = pace
+	}
+	r.keeper = NewKeeper(&Table{}, DefaultTiming(), true, r.now)
+	return r
+}
+
+// play offers the load for a while. balanced false leaves the ranges alone.
+func (r *replayKeys) play(length time.Duration, rates map[Key]float64, balanced bool) {
+	for end := r.now.Add(length); r.now.Before(end); r.now = r.now.Add(worldStep) {
+		for key, rate := range rates {
+			if _, started := r.carried[key]; !started {
+				r.carried[key] = math.Mod(float64(key)*math.Phi, 1) // keys do not come together
+			}
+			r.carried[key] += rate * worldStep.Seconds()
+			if whole := int(r.carried[key]); whole > 0 {
+				r.loads.Count(worldService, key, whole)
+				r.carried[key] -= float64(whole)
+			}
+		}
+		r.loads.Decay(r.now)
+		for id, pace := range r.paces {
+			r.loads.Pace(id, pace)
+		}
+		r.step(balanced)
+	}
+}
+
+func (r *replayKeys) step(balanced bool) {
+	s := Site{
+		Services: map[site.ServiceName]site.Service{worldService: {Name: worldService, Keyed: true}},
+		Servers:  r.servers,
+		Writable: true,
+		Settled:  true,
+	}
+	if balanced {
+		s.Load = r.loads
+	}
+	if change := r.keeper.Plan(s, r.end, r.now); change != nil {
+		r.end++
+		r.keeper.Appended(change)
+	}
+	for _, move := range r.keeper.Moves() {
+		r.moved += move.Span.Keys()
+	}
+	for _, call := range r.keeper.Calls(r.servers, Lease{ConfirmedAt: r.now}, r.now) {
+		r.keeper.Done(call, Result{Handover: "h"}, r.now)
+	}
+}
+
+// used returns the greatest utilisation of a server.
+func (r *replayKeys) used(rates map[Key]float64) float64 {
+	used := map[site.ServerID]float64{}
+	most := 0.0
+	for key, rate := range rates {
+		owner, _ := r.keeper.Table().Owner(worldService, key)
+		used[owner.Server] += rate * r.paces[owner.Server].Seconds() / 4
+		most = max(most, used[owner.Server])
+	}
+	return most
+}
+
+// spread returns rates that add up to a total, on keys all over.
+func spreadLoad(total float64) map[Key]float64 {
+	rates := map[Key]float64{}
+	for i := range 400 {
+		rates[Key(i*163)] = total / 400
+	}
+	return rates
+}
+
+const (
+	fast = 150 * time.Millisecond
+	slow = 350 * time.Millisecond
+)
+
+// A key on a slow server becomes busier than that server can be.
+func TestABusyKeyGoesToTheFastestServer(t *testing.T) {
+	g := gomega.NewWithT(t)
+	replays := map[bool]float64{}
+	for _, balanced := range []bool{true, false} {
+		r := newReplayKeys(slow, fast, slow, fast, slow)
+		rates := spreadLoad(20)
+		r.play(5*time.Second, rates, balanced)
+		rates[1] += 20
+		r.play(4*time.Second, rates, balanced)
+		replays[balanced] = r.used(rates)
+		owner, _ := r.keeper.Table().Owner(worldService, 1)
+		if balanced {
+			g.Expect(r.paces[owner.Server]).To(gomega.Equal(fast))
+		}
+	}
+	t.Logf("greatest utilisation: %.2f balanced, %.2f left alone", replays[true], replays[false])
+	g.Expect(replays[true]).To(gomega.BeNumerically("<", 1))
+	g.Expect(replays[false]).To(gomega.BeNumerically(">", 1.5))
+}
+
+// Busy keys lie close together, on one server.
+func TestNeighbouringBusyKeysAreSpread(t *testing.T) {
+	g := gomega.NewWithT(t)
+	replays := map[bool]float64{}
+	moved := 0
+	for _, balanced := range []bool{true, false} {
+		r := newReplayKeys(fast, fast, fast, fast, fast)
+		rates := spreadLoad(20)
+		for i := range 40 {
+			rates[Key(30000+i)] += 1.2
+		}
+		r.play(8*time.Second, rates, balanced)
+		replays[balanced] = r.used(rates)
+		moved += r.moved
+	}
+	t.Logf("greatest utilisation: %.2f balanced, %.2f left alone; %d keys moved", replays[true], replays[false], moved)
+	g.Expect(replays[true]).To(gomega.BeNumerically("<", 0.75))
+	g.Expect(replays[false]).To(gomega.BeNumerically(">", 1.5))
+	g.Expect(moved).To(gomega.BeNumerically("<", 65536/2))
+}
+
+func TestServersThatJoinGetKeys(t *testing.T) {
+	for _, total := range []float64{60, 10} {
+		t.Run(fmt.Sprintf("%v requests a second", total), func(t *testing.T) { testJoin(t, spreadLoad(total)) })
+	}
+}
+
+func testJoin(t *testing.T, rates map[Key]float64) {
+	g := gomega.NewWithT(t)
+	r := newReplayKeys(fast, fast, fast)
+	r.play(4*time.Second, rates, true)
+	r.servers["new"] = site.Server{ID: "new", Service: worldService, Slots: 4, Address: "new"}
+	r.paces["new"] = fast
+	r.play(4*time.Second, rates, true)
+	owned := 0
+	for key := range rates {
+		if owner, _ := r.keeper.Table().Owner(worldService, key); owner.Server == "new" {
+			owned++
+		}
+	}
+	g.Expect(owned).To(gomega.BeNumerically(">", 20))
+}
+
+// What busy keys leave behind is put together again once they are quiet.
+func TestPiecesAreMergedWhenTheKeysAreQuiet(t *testing.T) {
+	g := gomega.NewWithT(t)
+	r := newReplayKeys(fast, slow, fast, slow, fast)
+	for round := range 6 {
+		rates := spreadLoad(20)
+		for i := range 20 {
+			rates[Key(10000*round+i*7)] += 2
+		}
+		r.play(5*time.Second, rates, true)
+	}
+	most := r.keeper.Table().Ranges()
+	r.play(30*time.Second, map[Key]float64{}, true)
+	t.Logf("%d ranges while keys were busy, %d afterwards", most, r.keeper.Table().Ranges())
+	g.Expect(r.keeper.Table().Ranges()).To(gomega.BeNumerically("<", max(most*2/3, 12)))
+}
