--- a/gateway/follow/feed.go
+++ b/gateway/follow/feed.go
@@ -45,10 +45,36 @@
 	// Reports receives the reports of followers; a full channel drops them.
 	Reports chan Report
 
+	configText, serversText encoded
+
 	mu      sync.Mutex
 	members map[string]seenMember // by node
 }
 
+// encoded keeps the JSON of the newest version of a part of the view: every
+// follower gets the same, and encoding it for each of 70 took most of a small
+// VM's processor while many servers came and went.
+type encoded struct {
+	mu      sync.Mutex
+	version int64
+	text    []byte
+}
+
+// of returns the JSON of a part in a version.
+func (e *encoded) of(version int64, part any) ([]byte, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.text != nil && e.version == version {
+		return e.text, nil
+	}
+	text, err := json.Marshal(part)
+	if err != nil {
+		return nil, err
+	}
+	e.version, e.text = version, text
+	return text, nil
+}
+
 type seenMember struct {
 	view.Member
 	at time.Time
@@ -118,10 +144,10 @@
 	}
 	var err error
 	if v.Config != nil && uint64(v.Config.Version) > asked.ConfigVersion {
-		reply.Config, err = json.Marshal(v.Config)
+		reply.Config, err = f.configText.of(int64(v.Config.Version), v.Config)
 	}
 	if err == nil && int64(v.Servers.Offset) > asked.ServersOffset {
-		reply.Servers, err = json.Marshal(v.Servers)
+		reply.Servers, err = f.serversText.of(int64(v.Servers.Offset), v.Servers)
 	}
 	if routesDiffer(v, asked) {
 		reply.Routes = routesMessage(v.Routes)
