--- a/cli/check.go
+++ b/cli/check.go
@@ -7,6 +7,7 @@
 
 	"github.com/integrii/flaggy"
 
+	"github.com/burdockspindle/burdockspindle/gateway/config"
 	"github.com/burdockspindle/burdockspindle/jsonc"
 	"github.com/burdockspindle/burdockspindle/settings"
 	"github.com/burdockspindle/burdockspindle/siteconfig"
@@ -17,6 +18,7 @@
 	kindAuto     = "auto"
 	kindSettings = "settings"
 	kindSite     = "site"
+	kindGateway  = "gateway"
 )
 
 func init() { Register(newCheckCommand) }
@@ -29,7 +31,7 @@
 		Description: "Validate a settings file or a site configuration and say all that is wrong.",
 		Flags: func(sub *flaggy.Subcommand) {
 			sub.AddPositionalValue(&file, "FILE", 1, true, "file to validate")
-			sub.String(&kind, "k", "kind", "settings, site, or auto to tell by the fields")
+			sub.String(&kind, "k", "kind", "settings, gateway (settings of a gateway node), site, or auto to tell by the fields")
 		},
 		Run: func(_ context.Context, env *Env) error { return check(env, kind, file) },
 	}
@@ -46,11 +48,13 @@
 	switch kind {
 	case kindSettings:
 		_, err = settings.Load(file)
+	case kindGateway:
+		_, err = config.Load(file)
 	case kindSite:
 		_, problems := siteconfig.Parse(text, file)
 		err = jsonc.ErrorOf(problems)
 	default:
-		return &UsageError{Problem: "check: --kind must be settings, site or auto, not " + kind}
+		return &UsageError{Problem: "check: --kind must be settings, gateway, site or auto, not " + kind}
 	}
 	if err != nil {
 		return err
@@ -61,11 +65,15 @@
 	return nil
 }
 
-// detectKind takes a file with a "services" field for a site configuration.
+// detectKind takes a file with a "services" field for a site configuration, and
+// one with a "driver" field for the settings of a gateway node.
 func detectKind(text []byte, file string) string {
 	root, _ := jsonc.Parse(text, file)
 	if root.Get("services").Present() {
 		return kindSite
 	}
+	if root.Get("driver").Present() {
+		return kindGateway
+	}
 	return kindSettings
 }
--- a/gateway/node/node_test.go
+++ b/gateway/node/node_test.go
@@ -60,6 +60,9 @@
 	answer, _ = w.send(n, http.MethodPost, "/orders/a", strings.Repeat("x", 1001), nil)
 	g.Expect(answer.status).To(gomega.Equal(http.StatusRequestEntityTooLarge))
 
+	answer, _ = w.send(n, http.MethodGet, "/docs/x", "", map[string]string{"X-Long": strings.Repeat("x", 2000)})
+	g.Expect(answer.status).To(gomega.Equal(http.StatusRequestHeaderFieldsTooLarge))
+
 	w.removeServer("o1")
 	g.Eventually(func() int {
 		answer, _ = w.send(n, http.MethodPost, "/orders/a", "body", nil)
--- a/gateway/node/world_test.go
+++ b/gateway/node/world_test.go
@@ -94,7 +94,7 @@
 // publish writes a configuration of two services: docs, whose requests may be
 // repeated, orders, whose may not, and keyed.
 func (w *siteWorld) publish(version int, extra string) {
-	w.store.Put("keyed.op", "config", []byte(fmt.Sprintf(`{"version":"%08x","limits":{"max-body-bytes":1000},
+	w.store.Put("keyed.op", "config", []byte(fmt.Sprintf(`{"version":"%08x","limits":{"max-body-bytes":1000,"max-header-bytes":1000,"idle-timeout-s":15},
 	 "listeners":[{"host":"site.example","rules":[
 	  {"name":"docs","kind":"safe","slo-s":5,"priority":2,"match":{"path-prefix":"/docs/"},"action":{"service":"docs","timeout-s":20,"max-attempts":2}},
 	  {"name":"orders","kind":"unsafe","slo-s":5,"priority":1,"match":{"path-prefix":"/orders/"},"action":{"service":"orders","timeout-s":20,"max-attempts":2}},
--- a/gateway/router/serve.go
+++ b/gateway/router/serve.go
@@ -75,6 +75,9 @@
 	if !x.view.Complete() {
 		return &refusal{status: http.StatusServiceUnavailable, reason: "no configuration yet", retryAfter: notReadyRetry}
 	}
+	if most := x.view.Config.Limits.HeaderBytes; most > 0 && headerBytes(request) > most {
+		return &refusal{status: http.StatusRequestHeaderFieldsTooLarge, reason: "header too long"}
+	}
 	x.route = x.view.Config.Match(request.Host, request.URL.EscapedPath())
 	if x.route == nil {
 		return &refusal{status: http.StatusNotFound, reason: "no route"}
@@ -93,6 +96,17 @@
 	return x.readBody(request)
 }
 
+// headerBytes returns the length of a request's head without the ends of lines.
+func headerBytes(request *http.Request) int64 {
+	length := len(request.Method) + len(request.RequestURI) + len(request.Host)
+	for name, values := range request.Header {
+		for _, value := range values {
+			length += len(name) + len(value)
+		}
+	}
+	return int64(length)
+}
+
 func newRandom() *rand.Rand { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) }
 
 func (x *exchange) readKey(request *http.Request) *refusal {
--- a/modules/gateway/front.go
+++ b/modules/gateway/front.go
@@ -42,6 +42,8 @@
 	maxHeaderBytes = 64 << 10
 	readyPath      = "/-/readyz"
 	metricsPath    = "/debug/vars"
+	// roleFront is the listener for callers.
+	roleFront = "front"
 )
 
 // Front is the module gateway.front: the listeners of a node.
@@ -122,19 +124,32 @@
 			return err
 		}
 	}
-	if err := m.listen("front", listen.Front, m.router); err != nil {
+	if err := m.listen(roleFront, listen.Front, m.router); err != nil {
 		return err
 	}
-	m.front = m.servers[len(m.servers)-1]
 	return nil
 }
 
+// idleTimeout returns how long callers' connections may be idle.
+func (m *Front) idleTimeout() time.Duration {
+	if known := m.state.Now().Config; known != nil && known.Limits.IdleTimeout > 0 {
+		return known.Limits.IdleTimeout
+	}
+	return idleTimeout
+}
+
 func (m *Front) listen(role, address string, handler http.Handler) error {
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		return err
 	}
-	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes}
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes}
+	if role == roleFront {
+		server.ConnState = newIdleCloser(m.idleTimeout).connState
+		m.front = server
+	} else {
+		server.IdleTimeout = idleTimeout
+	}
 	m.servers = append(m.servers, server)
 	eventListening.Log(m.logger, "role", role, "address", address)
 	go func() {
