Ranges: a resignation tells how long its grants may be in force

Cause, found by reading: after an outage of the store grants last longer than a usual hold, but a claim after a resignation waited for a usual hold only, so a silent owner's keys could be given away while it held them. The record of the resignation now tells the time; a claim waits for that. Test: worlds in which a resignation hides longer holds give two owners.

--- a/gateway/duty/append.go
+++ b/gateway/duty/append.go
@@ -17,8 +17,9 @@
 	record  store.Record
 	change  *ranges.Change // nil for a heartbeat or claim
 	claim   *ranges.Table  // not nil for a claim
-	former  bool           // for a claim: the former lessor had resigned
+	former  time.Duration  // for a claim: how long the former lessor's grants may be in force
 	resigns bool           // it gives the lease up
+	held    time.Duration  // with resigns: how long what was granted may be in force
 	at      store.Offset
 }
 
@@ -52,7 +53,8 @@
 		text, err := json.Marshal(table)
 		return store.Record{Key: follow.TableKey, Value: text}, err
 	}
-	text, err := json.Marshal(follow.Heartbeat{Boot: self.Boot, Serial: serial, Resigned: p.resigns})
+	beat := follow.Heartbeat{Boot: self.Boot, Serial: serial, Resigned: p.resigns, HeldMs: p.held.Milliseconds()}
+	text, err := json.Marshal(beat)
 	return store.Record{Key: follow.HeartbeatKey, Value: text}, err
 }
 
--- a/gateway/duty/duty.go
+++ b/gateway/duty/duty.go
@@ -78,12 +78,11 @@
 	appending    *pendingAppend
 	appended     chan appendResult
 	called       chan callResult
-	nextAppend   time.Time // not before
 	nextConfirm  time.Time
 	nextReport   time.Time
 	claimAt      time.Time // when to claim, zero: no reason to
 	noClaim      time.Time // not before
-	leaderSince  time.Time
+	lessorSince  time.Time
 	shown        uint64 // serial of the routes that the view has
 	resigning    chan struct{}
 	leaving      bool // the node shuts down
@@ -205,7 +204,11 @@
 	}
 	next := table.Refenced(d.Self, ranges.Fence(d.end))
 	eventClaiming.Log(d.Logger, "offset", d.end, "formerLessor", table.Lessor.Node, "resigned", ownership.Resigned, "quietFor", clock.Since(ownership.MovedAt))
-	d.append(ctx, &pendingAppend{claim: next, former: ownership.Resigned})
+	former := d.Timing.FormerHold()
+	if ownership.Resigned {
+		former = ownership.Held
+	}
+	d.append(ctx, &pendingAppend{claim: next, former: former})
 }
 
 // balanceInput takes the node's own reports and lets old ones lose weight.
@@ -216,7 +219,7 @@
 	}
 	d.nextReport = now.Add(reportEvery)
 	d.takeReport(d.Reports.Drain())
-	if now.Sub(d.leaderSince) > follow.MemberTimeout {
+	if now.Sub(d.lessorSince) > follow.MemberTimeout {
 		d.State.SetMembers(d.Feed.Members())
 	}
 }
@@ -292,7 +295,7 @@
 
 // change appends what the keeper decides, or confirms the lease when that is due.
 func (d *Duty) change(ctx context.Context, now time.Time) {
-	if d.appending != nil || now.Before(d.nextAppend) {
+	if d.appending != nil {
 		return
 	}
 	if d.mustResign(now) {
@@ -335,15 +338,15 @@
 // long that another node had better be lessor.
 func (d *Duty) mustResign(now time.Time) bool {
 	silent, owners := d.keeper.Silent()
-	return owners > 2 && 2*silent > owners && now.Sub(d.leaderSince) > resignAfter && len(d.State.Now().Members) > 1
+	return owners > 2 && 2*silent > owners && now.Sub(d.lessorSince) > resignAfter && len(d.State.Now().Members) > 1
 }
 
 // giveUp appends the record that gives the lease up. Nothing is granted any more.
 func (d *Duty) giveUp(ctx context.Context) {
-	if d.appending != nil || clock.Now().Before(d.nextAppend) {
+	if d.appending != nil {
 		return
 	}
 	d.givenUp = true
 	eventResigning.Log(d.Logger, "offset", d.end)
-	d.append(ctx, &pendingAppend{resigns: true})
+	d.append(ctx, &pendingAppend{resigns: true, held: d.keeper.Held(clock.Now())})
 }
--- a/gateway/duty/outcome.go
+++ b/gateway/duty/outcome.go
@@ -66,10 +66,10 @@
 }
 
 func (d *Duty) begin(p *pendingAppend, now time.Time) {
-	eventLessor.Log(d.Logger, "offset", p.at, "formerResigned", p.former)
+	eventLessor.Log(d.Logger, "offset", p.at, "formerHold", p.former)
 	d.keeper = ranges.NewKeeper(p.claim, d.Timing, p.former, now)
 	d.loads = ranges.NewLoads()
-	d.leaderSince = now
+	d.lessorSince = now
 	d.shown = 0
 	d.isLessor.Store(true)
 	lessorIs.Set(1)
--- a/gateway/follow/ownership.go
+++ b/gateway/follow/ownership.go
@@ -20,6 +20,8 @@
 	Boot     string `json:"boot"`
 	Serial   uint64 `json:"serial"`
 	Resigned bool   `json:"resigned,omitempty"` // it grants nothing any more
+	// HeldMs is, with Resigned, for how long what it granted may be in force.
+	HeldMs int64 `json:"heldMs,omitempty"`
 }
 
 // Ownership is the state of the ownership topic as of an offset. Its parts belong
@@ -30,8 +32,11 @@
 	End      store.Offset // of the topic
 	Table    view.Table   // the newest; without a table before the first
 	Resigned bool         // the lessor gave its lease up
-	ReadAt   time.Time    // when the topic was read last
-	MovedAt  time.Time    // when End was first seen
+	// Held is, with Resigned, for how long what the lessor granted may be in force
+	// after that record.
+	Held    time.Duration
+	ReadAt  time.Time // when the topic was read last
+	MovedAt time.Time // when End was first seen
 
 	unreadable bool // the newest table cannot be understood
 }
@@ -87,6 +92,7 @@
 			return err
 		}
 		o.Resigned = beat.Resigned
+		o.Held = time.Duration(beat.HeldMs) * time.Millisecond
 	}
 	return nil
 }
--- a/gateway/ranges/balance_test.go
+++ b/gateway/ranges/balance_test.go
@@ -30,7 +30,7 @@
 		r.servers[id] = site.Server{ID: id, Service: worldService, Slots: 4, Address: string(id)}
 		r.paces[id] = pace
 	}
-	r.keeper = NewKeeper(&Table{}, DefaultTiming(), true, r.now)
+	r.keeper = NewKeeper(&Table{}, DefaultTiming(), 0, r.now)
 	return r
 }
 
--- a/gateway/ranges/lessor.go
+++ b/gateway/ranges/lessor.go
@@ -27,7 +27,6 @@
 	sentAt    time.Time // of the latest grant
 	calling   bool      // a call is under way
 	doubtful  bool      // a grant under this fence had no answer
-	fenced    bool      // the owner has seen a higher fence
 	confirmed bool      // the owner has answered a grant under this fence
 	misses    int       // grants in a row without an answer
 	next      site.ServerID
@@ -57,15 +56,15 @@
 	serial uint64
 }
 
+// FormerHold returns for how long what a former lessor granted may be in force
+// after a claim: for its right and a hold.
+func (t Timing) FormerHold() time.Duration { return t.Right + t.lapse(t.Hold) }
+
 // NewKeeper returns the state of a new lessor that has appended table at time
-// now. What the former lessor may have granted lasts for its right and a hold,
-// or for a hold alone if it had resigned.
-func NewKeeper(table *Table, timing Timing, resigned bool, now time.Time) *Keeper {
+// now. What the former lessor granted may be in force for formerHold.
+func NewKeeper(table *Table, timing Timing, formerHold time.Duration, now time.Time) *Keeper {
 	k := &Keeper{self: table.Lessor, timing: timing, leases: map[site.ServiceName][]*lease{}, compactedAt: map[site.ServiceName]time.Time{}, serial: 1}
-	heldUntil := now.Add(timing.lapse(timing.Hold))
-	if !resigned {
-		heldUntil = heldUntil.Add(timing.Right)
-	}
+	heldUntil := now.Add(formerHold)
 	for service, assignments := range table.Services {
 		for _, a := range assignments {
 			k.leases[service] = append(k.leases[service], &lease{Assignment: a, service: service, heldUntil: heldUntil, movedAt: now, kept: a.Server != ""})
@@ -126,6 +125,18 @@
 	return Moving
 }
 
+// Held returns for how long what was granted may still be in force. After an
+// outage of the store that can be longer than a hold.
+func (k *Keeper) Held(now time.Time) time.Duration {
+	held := time.Duration(0)
+	for _, leases := range k.leases {
+		for _, l := range leases {
+			held = max(held, l.heldUntil.Sub(now))
+		}
+	}
+	return held
+}
+
 // Silent returns the servers that own ranges and do not answer, and how many own any.
 func (k *Keeper) Silent() (silent, owners int) {
 	state := map[site.ServerID]bool{}
@@ -261,7 +272,6 @@
 	}
 	switch {
 	case result.Fenced:
-		l.fenced = true
 		l.raised = true
 		k.setConfirmed(l, false)
 	case result.Failed:
--- a/gateway/ranges/world_run_test.go
+++ b/gateway/ranges/world_run_test.go
@@ -40,6 +40,7 @@
 		"a range is released although a grant had no answer":   {noSeal: true},
 		"a lessor grants although its lease was not confirmed": {noRight: true},
 		"a claim rests on an older table":                      {noFresh: true},
+		"a resignation hides longer holds":                     {noHeld: true},
 	} {
 		t.Run(name, func(t *testing.T) {
 			for seed := range 8 * *worldSeeds {
--- a/gateway/ranges/world_test.go
+++ b/gateway/ranges/world_test.go
@@ -34,6 +34,7 @@
 	noSeal   bool // a range is released although a grant had no answer
 	noRight  bool // a lessor grants without a fresh lease
 	noFresh  bool // a claim rests on an older table than the newest
+	noHeld   bool // a resignation counts as if only usual holds were in force
 }
 
 const (
@@ -48,6 +49,7 @@
 	table    *Table // nil for a confirmation
 	node     int
 	resigned bool
+	held     time.Duration // with resigned
 }
 
 // worldServer holds keys like a backend server: until the arrival of a grant
@@ -311,6 +313,7 @@
 		record.table = change.Table
 	case !n.resignAt.IsZero():
 		record.resigned = true
+		record.held = n.keeper.Held(w.now)
 	case w.now.Before(n.nextConfirm):
 		return
 	}
@@ -391,12 +394,22 @@
 	next := table.Refenced(Lessor{Boot: fmt.Sprint(n.id, at)}, at)
 	w.records = append(w.records, worldRecord{table: next, node: n.id})
 	w.claims++
-	n.keeper = NewKeeper(next, w.timing, resigned || w.rules.noFormer, w.now)
+	n.keeper = NewKeeper(next, w.timing, w.formerHold(resigned), w.now)
 	n.loads = NewLoads()
 	n.end = at + 1
 	n.confirmedAt = w.now
 }
 
+func (w *world) formerHold(resigned bool) time.Duration {
+	switch {
+	case w.rules.noFormer || resigned && w.rules.noHeld:
+		return w.timing.lapse(w.timing.Hold)
+	case resigned:
+		return w.records[len(w.records)-2].held // before the claim
+	}
+	return w.timing.FormerHold()
+}
+
 // check returns the first key that two servers hold.
 func (w *world) check() string {
 	for i := range sampleCount {
