--- a/gateway/ranges/balance.go
+++ b/gateway/ranges/balance.go
@@ -226,7 +226,8 @@
 // hottest returns the busiest key of a server.
 func (k *Keeper) hottest(service site.ServiceName, s Site, server site.ServerID) (hottest *lease, key Key, rate float64) {
 	for candidate, recent := range s.Load.recent[service] {
-		if recent <= rate {
+		// Equal rates go by the key, so that a replay decides as the first time.
+		if recent < rate || recent == rate && hottest != nil && candidate > key {
 			continue
 		}
 		if l := k.leaseOf(service, candidate); l != nil && l.Server == server {
