--- a/gateway/config/config.go
+++ b/gateway/config/config.go
@@ -23,9 +23,10 @@
 	Retries Retries
 	Timing  Timing
 	Place   Placement
-	// MemoryBytes is the memory that the process may use; 0: no limit is known.
-	MemoryBytes int64
-	LogLevel    string
+	// MemoryMB is the memory that the process may use, in units of 2^20 bytes; 0: no
+	// limit is known.
+	MemoryMB int64
+	LogLevel string
 }
 
 // Listen holds the addresses of the listeners, IP:port.
@@ -74,7 +75,7 @@
 	defaultPenalty = 30 * time.Millisecond
 	maxDuration    = time.Hour
 	maxSlack       = 1e6
-	maxMemory      = 1 << 50
+	maxMemory      = 1 << 30
 )
 
 // Load reads a settings file. The error is a *settings.FileError or a
@@ -95,16 +96,16 @@
 func Parse(text []byte, file string) (*Settings, []jsonc.Problem) {
 	root, report := jsonc.Parse(text, file)
 	s := &Settings{
-		Node:        root.Need("node").Text(),
-		Zone:        root.Need("zone").Text(),
-		Region:      root.Get("region").String(""),
-		Listen:      readListen(root.Need("listen").Object()),
-		Driver:      readDriver(root.Need("driver").Object()),
-		Retries:     readRetries(root.Get("retries").Object()),
-		Timing:      readTiming(root.Get("timing").Object()),
-		Place:       readPlacement(root.Get("placement").Object()),
-		MemoryBytes: root.Get("memoryBytes").Int(0, 0, maxMemory),
-		LogLevel:    root.Get("logLevel").Choice("info", "trace", "debug", "info", "warn", "error"),
+		Node:     root.Need("node").Text(),
+		Zone:     root.Need("zone").Text(),
+		Region:   root.Get("region").String(""),
+		Listen:   readListen(root.Need("listen").Object()),
+		Driver:   readDriver(root.Need("driver").Object()),
+		Retries:  readRetries(root.Get("retries").Object()),
+		Timing:   readTiming(root.Get("timing").Object()),
+		Place:    readPlacement(root.Get("placement").Object()),
+		MemoryMB: root.Get("memoryMB").Int(0, 0, maxMemory),
+		LogLevel: root.Get("logLevel").Choice("info", "trace", "debug", "info", "warn", "error"),
 	}
 	for _, element := range root.Get("seeds").Elements() {
 		s.Seeds = append(s.Seeds, readAddress(element))
--- a/gateway/node/node.go
+++ b/gateway/node/node.go
@@ -41,8 +41,8 @@
 	reload := make(chan os.Signal, 1)
 	signal.Notify(reload, syscall.SIGHUP)
 	defer signal.Stop(reload)
-	if s.MemoryBytes > 0 {
-		debug.SetMemoryLimit(int64(memoryShare * float64(s.MemoryBytes)))
+	if s.MemoryMB > 0 {
+		debug.SetMemoryLimit(int64(memoryShare * float64(s.MemoryMB<<20)))
 	}
 	random := make([]byte, bootIDBytes)
 	if _, err := rand.Read(random); err != nil {
