--- a/gateway/ranges/plan.go
+++ b/gateway/ranges/plan.go
@@ -46,7 +46,7 @@
 			continue
 		}
 		if len(k.leases[name]) == 0 {
-			k.found(name, servers, now)
+			k.createRanges(name, servers, now)
 		}
 		k.startReleases(name, s, servers, now)
 		k.collect(name, s, servers, at, now, change)
@@ -71,9 +71,9 @@
 	return servers
 }
 
-// found cuts the keys of a service that has no ranges into one range for each
+// createRanges cuts the keys of a service that has no ranges into one range for each
 // server, as long as its slots say.
-func (k *Keeper) found(service site.ServiceName, servers []site.Server, now time.Time) {
+func (k *Keeper) createRanges(service site.ServiceName, servers []site.Server, now time.Time) {
 	slots := 0
 	for _, server := range servers {
 		slots += max(server.Slots, 1)
