--- /dev/null
+++ b/gateway/follow/contact_test.go
@@ -0,0 +1,42 @@
+package follow
+
+import (
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"github.com/burdockspindle/burdockspindle/clock"
+	"github.com/burdockspindle/burdockspindle/gateway/store"
+)
+
+// A connection that waits for configurations may go silent while reads of the
+// servers go on; followers must not take the node for up to date then.
+func TestContactIsThatOfTheTopicReadLeastLately(t *testing.T) {
+	g := gomega.NewWithT(t)
+	var c Contact
+	now := clock.Now()
+	c.Note(store.Servers, now)
+	_, known := c.Age()
+	g.Expect(known).To(gomega.BeFalse())
+	c.Note(store.Configurations, now.Add(-time.Minute))
+	age, known := c.Age()
+	g.Expect(known).To(gomega.BeTrue())
+	g.Expect(age).To(gomega.BeNumerically(">=", time.Minute))
+	c.Note(store.Configurations, now.Add(-time.Hour))
+	age, _ = c.Age()
+	g.Expect(age).To(gomega.BeNumerically("<", time.Hour), "an older note changes nothing")
+}
+
+func TestAPartOfTheViewIsEncodedOnceForEachVersion(t *testing.T) {
+	g := gomega.NewWithT(t)
+	var e encoded
+	first, err := e.of(1, "one")
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	again, err := e.of(1, "not looked at")
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(again).To(gomega.Equal(first))
+	next, err := e.of(2, "two")
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(string(next)).To(gomega.Equal(`"two"`))
+}
--- a/gateway/node/node_test.go
+++ b/gateway/node/node_test.go
@@ -5,6 +5,7 @@
 	"os"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -230,6 +231,15 @@
 	g.Eventually(n.log.String, patience).Should(gomega.ContainSubstring(`"event":2320`))
 }
 
+func TestSIGHUPReloadsAndDoesNotEndTheProcess(t *testing.T) {
+	g := gomega.NewWithT(t)
+	w := newServedWorld(t, 1)
+	n := w.nodes[0]
+	g.Expect(os.WriteFile(n.file, []byte(n.settings(w.address, `"retries": {"slack": 7}`)), 0o600)).To(gomega.Succeed())
+	g.Expect(syscall.Kill(os.Getpid(), syscall.SIGHUP)).To(gomega.Succeed())
+	g.Eventually(n.log.String, patience).Should(gomega.ContainSubstring(`"event":2320`))
+}
+
 func TestMetricsAreServed(t *testing.T) {
 	w := newServedWorld(t, 1)
 	answer, _ := w.send(w.nodes[0], http.MethodGet, "/docs/x", "", nil)
--- /dev/null
+++ b/gateway/ranges/keeper_test.go
@@ -0,0 +1,127 @@
+package ranges
+
+import (
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"github.com/burdockspindle/burdockspindle/gateway/site"
+)
+
+var keeperStart = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func keyedSite(servers ...site.Server) Site {
+	s := Site{
+		Services: map[site.ServiceName]site.Service{worldService: {Name: worldService, Keyed: true}},
+		Servers:  map[site.ServerID]site.Server{},
+		Known:    map[site.ServerID]site.Server{},
+		Writable: true,
+		Settled:  true,
+	}
+	for _, server := range servers {
+		server.Service = worldService
+		s.Servers[server.ID] = server
+		s.Known[server.ID] = server
+	}
+	return s
+}
+
+// The servers register one after the other; the one that is first must not get
+// every key.
+func TestRangesAreCutOnceTheRegisterHasSettled(t *testing.T) {
+	g := gomega.NewWithT(t)
+	k := NewKeeper(&Table{}, DefaultTiming(), 0, keeperStart)
+	growing := keyedSite(site.Server{ID: "a", Slots: 4})
+	growing.Settled = false
+	g.Expect(k.Plan(growing, 1, keeperStart)).To(gomega.BeNil())
+
+	change := k.Plan(keyedSite(site.Server{ID: "a", Slots: 4}, site.Server{ID: "b", Slots: 8}), 1, keeperStart)
+	g.Expect(change.Table.Services[worldService]).To(gomega.HaveLen(2))
+	first, _ := change.Table.Owner(worldService, 0)
+	g.Expect(first.Server).To(gomega.Equal(site.ServerID("a")))
+	g.Expect(first.Keys()).To(gomega.BeNumerically("~", 65536/3, 1))
+}
+
+// While the store does not answer, and when the lessor shuts down then, holds
+// last up to the end of its right and a hold, and no longer.
+func TestHoldsOfALessorThatMayBeTheLastWord(t *testing.T) {
+	timing := DefaultTiming()
+	k := NewKeeper(&Table{}, timing, 0, keeperStart)
+	for _, c := range []struct {
+		after time.Duration
+		last  bool
+		want  time.Duration
+	}{
+		{0, false, timing.Hold},
+		{time.Second, false, timing.Hold},
+		{time.Second, true, timing.Right + timing.Hold - time.Second},
+		{timing.Right - time.Millisecond, true, timing.Hold + time.Millisecond},
+		{timing.Right, true, 0},
+		{timing.Right, false, 0},
+	} {
+		hold := k.hold(Lease{ConfirmedAt: keeperStart, Last: c.last}, keeperStart.Add(c.after))
+		gomega.NewWithT(t).Expect(hold).To(gomega.Equal(c.want), "%v after, last %v", c.after, c.last)
+	}
+}
+
+// owned returns a lessor whose server a has been lost after it owned all keys.
+func owned(t *testing.T) (*Keeper, Site) {
+	t.Helper()
+	table := &Table{Services: map[site.ServiceName][]Assignment{worldService: {{Span: Span{To: LastKey}, Server: "a", Fence: 1}}}}
+	s := keyedSite(site.Server{ID: "a", Slots: 4, Address: "x"}, site.Server{ID: "b", Slots: 4, Address: "y"})
+	return NewKeeper(table, DefaultTiming(), DefaultTiming().FormerHold(), keeperStart), s
+}
+
+func TestAVanishedOwnerKeepsItsRangesUntilItsHoldsHaveRunOut(t *testing.T) {
+	g := gomega.NewWithT(t)
+	k, s := owned(t)
+	delete(s.Servers, "a")
+	end := keeperStart.Add(DefaultTiming().FormerHold())
+	g.Expect(k.Plan(s, 2, end.Add(-time.Millisecond))).To(gomega.BeNil())
+	change := k.Plan(s, 2, end)
+	g.Expect(change).NotTo(gomega.BeNil())
+	owner, _ := change.Table.Owner(worldService, 7)
+	g.Expect(owner.Server).To(gomega.Equal(site.ServerID("b")))
+	g.Expect(owner.Fence).To(gomega.Equal(Fence(2)))
+}
+
+func TestAnOwnerWhoseAddressAnotherServerHasIsGone(t *testing.T) {
+	g := gomega.NewWithT(t)
+	k, s := owned(t)
+	delete(s.Servers, "a")
+	s.Servers["c"] = site.Server{ID: "c", Service: "other", Address: "x"}
+	change := k.Plan(s, 2, keeperStart)
+	g.Expect(change).NotTo(gomega.BeNil())
+	owner, _ := change.Table.Owner(worldService, 7)
+	g.Expect(owner.Server).To(gomega.Equal(site.ServerID("b")))
+}
+
+func TestARangeIsReleasedOnlyUnderAFenceWhoseGrantsWereAnswered(t *testing.T) {
+	g := gomega.NewWithT(t)
+	k, s := owned(t)
+	lease := Lease{ConfirmedAt: keeperStart}
+	call := k.Calls(s.Servers, lease, keeperStart)[0]
+	k.Done(call, Result{Failed: true}, keeperStart)
+	call = k.Calls(s.Servers, lease, keeperStart)[0]
+	k.Done(call, Result{}, keeperStart)
+
+	leaving := s.Servers["a"]
+	leaving.Draining = true
+	s.Servers["a"] = leaving
+	change := k.Plan(s, 2, keeperStart)
+	owner, _ := change.Table.Owner(worldService, 7)
+	g.Expect(owner.Server).To(gomega.Equal(site.ServerID("a")), "first a higher fence")
+	g.Expect(owner.Fence).To(gomega.Equal(Fence(2)))
+	k.Appended(change)
+	call = k.Calls(s.Servers, lease, keeperStart)[0]
+	g.Expect(call.Release).To(gomega.BeFalse())
+	k.Done(call, Result{}, keeperStart)
+	g.Expect(k.Plan(s, 3, keeperStart)).To(gomega.BeNil())
+	call = k.Calls(s.Servers, lease, keeperStart)[0]
+	g.Expect(call.Release).To(gomega.BeTrue())
+	k.Done(call, Result{Handover: "h"}, keeperStart)
+	change = k.Plan(s, 3, keeperStart)
+	owner, _ = change.Table.Owner(worldService, 7)
+	g.Expect(owner).To(gomega.Equal(Assignment{Span: Span{To: LastKey}, Server: "b", Fence: 3, Handover: "h"}))
+}
