Gateway: a server that is known to have left does not come back after an outage

Only servers that the view still shows keep their place, and the time for it ends also while the node does not read. Ruled out: a late tombstone; the node had logged the leaving at 5.6 s. Tests: TestAServerKnownToHaveLeftDoesNotComeBack..., TestKeptEntriesEndAlsoWhile...; both fail with the earlier register.

--- a/gateway/follow/reader.go
+++ b/gateway/follow/reader.go
@@ -140,6 +140,7 @@
 	next, ownership := store.Offset(-1), store.Offset(-1)
 	for ctx.Err() == nil {
 		if !r.mustRead() {
+			r.showServers(clock.Now())
 			clock.Wait(ctx, idleEvery)
 			continue
 		}
@@ -166,7 +167,6 @@
 // register.
 func (r *Reader) takeServers(batch store.Batch, isSnapshot bool) {
 	now := clock.Now()
-	before := r.register.Servers(now)
 	if isSnapshot {
 		r.snapshot(batch, now)
 	} else {
@@ -175,8 +175,15 @@
 			r.takeServer(record, now)
 		}
 	}
-	after := r.register.Servers(now)
-	if after.Offset > r.State.Now().Servers.Offset && r.State.MergeServers(after) {
+	r.showServers(now)
+}
+
+// showServers puts the register into the view. It is called also while the node
+// does not read, since servers keep their place after an outage only for a while.
+func (r *Reader) showServers(now time.Time) {
+	before := r.State.Now().Servers
+	after := r.register.Servers(before.Servers, now)
+	if after.Offset > before.Offset && r.State.MergeServers(after) {
 		r.logServers(before.Servers, after.Servers)
 	}
 }
--- a/gateway/follow/register.go
+++ b/gateway/follow/register.go
@@ -108,8 +108,10 @@
 	r.change = max(r.change, end)
 }
 
-// Servers returns the register as of now.
-func (r *Register) Servers(now time.Time) view.Servers {
+// Servers returns the register as of now. Of the servers that keep their place
+// after an outage only those in shown are in it: another node may have told
+// already that the others have left.
+func (r *Register) Servers(shown map[site.ServerID]site.Server, now time.Time) view.Servers {
 	if !now.Before(r.returned) && len(r.missing) > 0 {
 		for id := range r.missing {
 			delete(r.servers, id)
@@ -117,5 +119,11 @@
 		clear(r.missing)
 		r.change = max(r.change, r.next)
 	}
-	return view.Servers{Offset: r.change, Servers: maps.Clone(r.servers)}
+	servers := maps.Clone(r.servers)
+	for id := range r.missing {
+		if _, isShown := shown[id]; !isShown {
+			delete(servers, id)
+		}
+	}
+	return view.Servers{Offset: r.change, Servers: servers}
 }
--- a/gateway/follow/register_test.go
+++ b/gateway/follow/register_test.go
@@ -4,16 +4,21 @@
 	"testing"
 	"time"
 
+	"github.com/hashicorp/go-hclog"
 	"github.com/onsi/gomega"
 
 	"github.com/burdockspindle/burdockspindle/gateway/site"
 	"github.com/burdockspindle/burdockspindle/gateway/store"
+	"github.com/burdockspindle/burdockspindle/gateway/view"
 )
 
 var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 
 func after(d time.Duration) time.Time { return start.Add(d) }
 
+// both are the servers that the view shows.
+var both = map[site.ServerID]site.Server{"a": {ID: "a"}, "b": {ID: "b"}}
+
 // filled returns a register that has read servers a and b before offset 10.
 func filled() *Register {
 	r := NewRegister()
@@ -27,7 +32,7 @@
 	// The node followed another one meanwhile and read nothing.
 	r.Read(2, 12, after(9*time.Second))
 	r.Drop("a", 11, after(9*time.Second))
-	g.Expect(r.Servers(after(9 * time.Second)).Servers).NotTo(gomega.HaveKey(site.ServerID("a")))
+	g.Expect(r.Servers(both, after(9*time.Second)).Servers).NotTo(gomega.HaveKey(site.ServerID("a")))
 }
 
 func TestEntryThatLapsedInAnOutageKeepsItsPlaceForAWhile(t *testing.T) {
@@ -38,10 +43,10 @@
 	r.Read(2, 12, after(5*time.Second))
 	r.Drop("a", 11, after(5*time.Second))
 	r.Drop("b", 12, after(5*time.Second))
-	g.Expect(r.Servers(after(6 * time.Second)).Servers).To(gomega.HaveLen(2))
+	g.Expect(r.Servers(both, after(6*time.Second)).Servers).To(gomega.HaveLen(2))
 
 	r.Put(site.Server{ID: "a"}, 13)
-	g.Expect(r.Servers(after(5*time.Second + returnTime)).Servers).To(gomega.And(
+	g.Expect(r.Servers(both, after(5*time.Second+returnTime)).Servers).To(gomega.And(
 		gomega.HaveKey(site.ServerID("a")), gomega.Not(gomega.HaveKey(site.ServerID("b")))))
 }
 
@@ -51,7 +56,7 @@
 	r.Failed(after(time.Second))
 	r.Read(6, 16, after(5*time.Second)) // the servers wrote three times each meanwhile
 	r.Drop("a", 11, after(5*time.Second))
-	g.Expect(r.Servers(after(5 * time.Second)).Servers).NotTo(gomega.HaveKey(site.ServerID("a")))
+	g.Expect(r.Servers(both, after(5*time.Second)).Servers).NotTo(gomega.HaveKey(site.ServerID("a")))
 }
 
 func TestDrainingIsTakenAlsoAfterAnOutage(t *testing.T) {
@@ -60,15 +65,42 @@
 	r.Failed(after(time.Second))
 	r.Read(2, 12, after(5*time.Second))
 	r.Put(site.Server{ID: "a", Draining: true}, 12)
-	g.Expect(r.Servers(after(5 * time.Second)).Servers["a"].Draining).To(gomega.BeTrue())
+	g.Expect(r.Servers(both, after(5*time.Second)).Servers["a"].Draining).To(gomega.BeTrue())
 }
 
 func TestCountdownOfTheWarmUpIsNoChange(t *testing.T) {
 	g := gomega.NewWithT(t)
 	r := filled()
 	r.Put(site.Server{ID: "c", WarmUp: 3 * time.Second}, 11)
-	before := r.Servers(start).Offset
+	before := r.Servers(both, start).Offset
 	r.Put(site.Server{ID: "c", WarmUp: 2 * time.Second}, 12)
-	g.Expect(r.Servers(start).Offset).To(gomega.Equal(before))
+	g.Expect(r.Servers(both, start).Offset).To(gomega.Equal(before))
 	g.Expect(before).To(gomega.Equal(store.Offset(11)))
 }
+
+// Another node may have told of a server's leaving before this one reads again
+// after an outage: the server must not come back.
+func TestAServerKnownToHaveLeftDoesNotComeBackAfterAnOutage(t *testing.T) {
+	g := gomega.NewWithT(t)
+	r := filled()
+	r.Failed(after(time.Second))
+	r.Snapshot(map[site.ServerID]site.Server{}, 20, after(5*time.Second))
+	shown := map[site.ServerID]site.Server{"b": {ID: "b"}}
+	servers := r.Servers(shown, after(5*time.Second)).Servers
+	g.Expect(servers).NotTo(gomega.HaveKey(site.ServerID("a")))
+	g.Expect(servers).To(gomega.HaveKey(site.ServerID("b")))
+}
+
+// A node that follows another one again reads nothing; the time for which entries
+// keep their place ends all the same.
+func TestKeptEntriesEndAlsoWhileTheNodeDoesNotRead(t *testing.T) {
+	g := gomega.NewWithT(t)
+	r := &Reader{State: view.NewState(), Logger: hclog.NewNullLogger(), register: filled()}
+	r.showServers(start)
+	r.register.Failed(after(time.Second))
+	r.register.Snapshot(map[site.ServerID]site.Server{}, 20, after(5*time.Second))
+	r.showServers(after(6 * time.Second))
+	g.Expect(r.State.Now().Servers.Servers).To(gomega.HaveLen(2))
+	r.showServers(after(5*time.Second + returnTime))
+	g.Expect(r.State.Now().Servers.Servers).To(gomega.BeEmpty())
+}
