Gateway: requests that come at the end of a shutdown are refused

What comes in the last 1.5 s is answered 503, not run, with a time to come back. Test: TestRequestsAtTheEndOfAShutdownAreRefused.

--- a/gateway/router/router.go
+++ b/gateway/router/router.go
@@ -35,6 +35,7 @@
 	reports  *follow.Reports
 	logger   hclog.Logger
 	draining atomic.Bool
+	ending   atomic.Bool
 	lines    lineBudget
 
 	mu       sync.Mutex
@@ -84,6 +85,10 @@
 	}
 }
 
+// SetEnding tells that the process ends soon: what comes now is refused, since
+// there may be no time left to answer it.
+func (r *Router) SetEnding() { r.ending.Store(true) }
+
 // service returns a service with the servers of the present view.
 func (r *Router) service(name site.ServiceName) *service {
 	v := r.state.Now()
--- a/gateway/router/run_test.go
+++ b/gateway/router/run_test.go
@@ -1,13 +1,17 @@
 package router
 
 import (
+	"net/http"
+	"net/http/httptest"
 	"testing"
 	"time"
 
 	"github.com/onsi/gomega"
 
+	"github.com/burdockspindle/burdockspindle/gateway/follow"
 	"github.com/burdockspindle/burdockspindle/gateway/site"
 	"github.com/burdockspindle/burdockspindle/gateway/upstream"
+	"github.com/burdockspindle/burdockspindle/gateway/view"
 )
 
 // A server that has become slow always has a queue; its pace must show all the
@@ -40,3 +44,27 @@
 	g.Expect(allowed).To(gomega.BeTrue())
 	g.Expect(dropped).To(gomega.Equal(100 - failedLines))
 }
+
+// A request that comes on an open connection in the last moment of a shutdown
+// would be cut off with the process; it is refused instead, which is true.
+func TestRequestsAtTheEndOfAShutdownAreRefused(t *testing.T) {
+	g := gomega.NewWithT(t)
+	state := view.NewState()
+	config := &site.Config{
+		Version:  1,
+		Services: map[site.ServiceName]site.Service{"s": {Name: "s"}},
+		Routes:   []site.Route{{Host: "h", Prefix: "/", Targets: []site.Target{{Service: "s", Weight: 1}}}},
+	}
+	g.Expect(state.MergeConfig(config)).To(gomega.BeTrue())
+	g.Expect(state.MergeServers(view.Servers{Offset: 1})).To(gomega.BeTrue())
+	headers := upstream.Headers{ParseLoad: func(string) (site.Load, bool) { return site.Load{}, false }}
+	r := New("a", headers, Terms{}, state, upstream.NewClient(headers), follow.NewReports(), nil)
+	r.SetDraining()
+	r.SetEnding()
+	answer := httptest.NewRecorder()
+	r.ServeHTTP(answer, httptest.NewRequest(http.MethodPost, "http://h/x", nil))
+	g.Expect(answer.Code).To(gomega.Equal(http.StatusServiceUnavailable))
+	g.Expect(answer.Header().Get("Retry-After")).To(gomega.Equal("0.100"))
+	g.Expect(answer.Header().Get("Connection")).To(gomega.Equal("close"))
+	g.Expect(answer.Body.String()).To(gomega.Equal("node shuts down\n"))
+}
--- a/gateway/router/serve.go
+++ b/gateway/router/serve.go
@@ -21,6 +21,9 @@
 	// notReadyRetry is when a caller comes back to a node that knows no
 	// configuration yet: nodes learn it within about half a second.
 	notReadyRetry = 400 * time.Millisecond
+	// endingRetry is when a caller comes back who met the end of a node; another
+	// node takes the request.
+	endingRetry = 100 * time.Millisecond
 	// defaultBodyBytes bounds bodies for a configuration without a limit.
 	defaultBodyBytes = 8 << 20
 )
@@ -72,6 +75,9 @@
 
 // prepare finds the route and reads the request.
 func (x *exchange) prepare(request *http.Request) *refusal {
+	if x.router.ending.Load() {
+		return &refusal{status: http.StatusServiceUnavailable, reason: "node shuts down", retryAfter: endingRetry}
+	}
 	if !x.view.Complete() {
 		return &refusal{status: http.StatusServiceUnavailable, reason: "no configuration yet", retryAfter: notReadyRetry}
 	}
--- a/modules/gateway/front.go
+++ b/modules/gateway/front.go
@@ -34,6 +34,9 @@
 const (
 	// exitReserve is left of the grace time for the end of the process.
 	exitReserve = 400 * time.Millisecond
+	// lastRequests is how long before the end of the grace time a node stops taking
+	// requests: a connection that was opened before may bring one until the end.
+	lastRequests = 1500 * time.Millisecond
 	// headerTimeout and idleTimeout end connections that send nothing, while no
 	// configuration says otherwise.
 	headerTimeout = 10 * time.Second
@@ -184,8 +187,11 @@
 // Stop implements kernel.Stopper: it goes on serving until the balancer has
 // surely noticed, then finishes what runs within the grace time.
 func (m *Front) Stop(ctx context.Context) error {
+	end := m.drainedAt.Add(m.live.Settings().Timing.Grace - exitReserve)
+	refusing := time.AfterFunc(time.Until(end.Add(-lastRequests)), m.router.SetEnding)
+	defer refusing.Stop()
 	clock.Wait(ctx, m.live.Settings().Timing.Notice-time.Since(m.drainedAt))
-	ctx, cancel := context.WithDeadline(ctx, m.drainedAt.Add(m.live.Settings().Timing.Grace-exitReserve))
+	ctx, cancel := context.WithDeadline(ctx, end)
 	defer cancel()
 	err := m.front.Shutdown(ctx)
 	eventFrontDrained.Log(m.logger, "error", err)
