--- a/modules/gateway/front.go
+++ b/modules/gateway/front.go
@@ -34,9 +34,10 @@
 const (
 	// exitReserve is left of the grace time for the end of the process.
 	exitReserve = 400 * time.Millisecond
-	// lastRequests is how long before the end of the grace time a node stops taking
-	// requests: a connection that was opened before may bring one until the end.
-	lastRequests = 1500 * time.Millisecond
+	// lastRequests is how long after the listener has closed a node still takes
+	// requests on connections that were opened before. What comes later might not
+	// be answered within the grace time, and would be cut off with the process.
+	lastRequests = 500 * time.Millisecond
 	// headerTimeout and idleTimeout end connections that send nothing, while no
 	// configuration says otherwise.
 	headerTimeout = 10 * time.Second
@@ -187,10 +188,11 @@
 // Stop implements kernel.Stopper: it goes on serving until the balancer has
 // surely noticed, then finishes what runs within the grace time.
 func (m *Front) Stop(ctx context.Context) error {
-	end := m.drainedAt.Add(m.live.Settings().Timing.Grace - exitReserve)
-	refusing := time.AfterFunc(time.Until(end.Add(-lastRequests)), m.router.SetEnding)
+	timing := m.live.Settings().Timing
+	end := m.drainedAt.Add(timing.Grace - exitReserve)
+	refusing := time.AfterFunc(time.Until(m.drainedAt.Add(timing.Notice+lastRequests)), m.router.SetEnding)
 	defer refusing.Stop()
-	clock.Wait(ctx, m.live.Settings().Timing.Notice-time.Since(m.drainedAt))
+	clock.Wait(ctx, timing.Notice-time.Since(m.drainedAt))
 	ctx, cancel := context.WithDeadline(ctx, end)
 	defer cancel()
 	err := m.front.Shutdown(ctx)
