--- a/gateway/node/world_test.go
+++ b/gateway/node/world_test.go
@@ -12,6 +12,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -143,14 +144,32 @@
 	w.store.Put("keyed.servers", id, nil)
 }
 
+// Ports of the nodes lie below those that the system gives to others' sockets,
+// which could take one between its choice and the node's start.
+const (
+	firstPort = 20000
+	portCount = 10000
+)
+
+var nextPort atomic.Int32
+
+// freeAddress returns an address on which nobody listens.
 func freeAddress(t *testing.T) string {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
+	for range portCount {
+		port := firstPort + (os.Getpid()*97+int(nextPort.Add(1)))%portCount
+		address := fmt.Sprintf("127.0.0.1:%d", port)
+		listener, err := net.Listen("tcp", address)
+		if err != nil {
+			continue
+		}
+		if err := listener.Close(); err != nil {
+			t.Fatal(err)
+		}
+		return address
 	}
-	defer func() { _ = listener.Close() }()
-	return listener.Addr().String()
+	t.Fatal("no free port")
+	return ""
 }
 
 func (n *runningNode) settings(storeAddress, extra string) string {
