--- a/gateway/upstream/conn.go
+++ b/gateway/upstream/conn.go
@@ -32,7 +32,6 @@
 	reader   *bufio.Reader
 	until    time.Time // not to be used after this
 	answered time.Time // when it proved to work last
-	reused   bool      // has carried an answer before
 	written  bool      // bytes of the present request may have left
 }
 
@@ -40,8 +39,12 @@
 	return &conn{net: c, reader: bufio.NewReaderSize(c, readBuffer)}
 }
 
-// errBusy tells that a connection has bytes that no request waits for.
-var errBusy = errors.New("unexpected bytes")
+// unexpectedBytesError tells that a connection has bytes that no request waits
+// for.
+type unexpectedBytesError struct{}
+
+// Error implements error.
+func (unexpectedBytesError) Error() string { return "unexpected bytes" }
 
 // quiet reports whether an idle connection is open and has nothing to read.
 func (c *conn) quiet() bool {
@@ -62,7 +65,7 @@
 		n, readErr := syscall.Read(int(fd), one[:])
 		switch {
 		case n > 0:
-			state = errBusy
+			state = unexpectedBytesError{}
 		case n == 0 && readErr == nil:
 			state = io.EOF
 		case !errors.Is(readErr, syscall.EAGAIN):
@@ -92,7 +95,6 @@
 			return nil
 		}
 		if now.Before(c.until) && c.quiet() {
-			c.reused = true
 			c.written = false
 			return c
 		}
