Gateway: a connection on which a request has arrived is not closed as idle

A node that stands still for a moment finds the end of a connection's idle time, or of its shutdown, and a request on it at once; the connection was closed after the request had been read. Ruled out: the server (it was still at work), the caller (it waited). Change: callerConns ends connections by their read deadline, and only while no byte of a request has arrived; a request that was read in the same moment lifts the deadline. http.Server.Shutdown, which closes by its own list, is not used for callers. The configuration's header timeout is applied (it was a fixed 10 s).

--- a/modules/gateway/front.go
+++ b/modules/gateway/front.go
@@ -18,6 +18,7 @@
 	"github.com/burdockspindle/burdockspindle/gateway/driver"
 	"github.com/burdockspindle/burdockspindle/gateway/follow"
 	"github.com/burdockspindle/burdockspindle/gateway/router"
+	"github.com/burdockspindle/burdockspindle/gateway/site"
 	"github.com/burdockspindle/burdockspindle/gateway/upstream"
 	"github.com/burdockspindle/burdockspindle/gateway/view"
 	"github.com/burdockspindle/burdockspindle/kernel"
@@ -38,8 +39,8 @@
 	// requests on connections that were opened before. What comes later might not
 	// be answered within the grace time, and would be cut off with the process.
 	lastRequests = 500 * time.Millisecond
-	// headerTimeout and idleTimeout end connections that send nothing, while no
-	// configuration says otherwise.
+	// headerTimeout and idleTimeout end connections that send a request too slowly
+	// or nothing, while no configuration says otherwise.
 	headerTimeout = 10 * time.Second
 	idleTimeout   = 75 * time.Second
 	// maxHeaderBytes bounds the head of a request.
@@ -62,7 +63,8 @@
 	wasReady  atomic.Bool
 	drainedAt time.Time
 	servers   []*http.Server
-	front     *http.Server
+	listener  net.Listener // for callers
+	callers   *callerConns
 }
 
 // ModuleInfo implements kernel.Module.
@@ -134,12 +136,20 @@
 	return nil
 }
 
-// idleTimeout returns how long callers' connections may be idle.
-func (m *Front) idleTimeout() time.Duration {
-	if known := m.state.Now().Config; known != nil && known.Limits.IdleTimeout > 0 {
-		return known.Limits.IdleTimeout
+// callerTimeouts returns the configuration's limits of callers' connections.
+func (m *Front) callerTimeouts() callerTimeouts {
+	limit := func(of func(site.Limits) time.Duration, otherwise time.Duration) func() time.Duration {
+		return func() time.Duration {
+			if known := m.state.Now().Config; known != nil && of(known.Limits) > 0 {
+				return of(known.Limits)
+			}
+			return otherwise
+		}
+	}
+	return callerTimeouts{
+		head: limit(func(l site.Limits) time.Duration { return l.HeaderTimeout }, headerTimeout),
+		idle: limit(func(l site.Limits) time.Duration { return l.IdleTimeout }, idleTimeout),
 	}
-	return idleTimeout
 }
 
 func (m *Front) listen(role, address string, handler http.Handler) error {
@@ -147,17 +157,21 @@
 	if err != nil {
 		return err
 	}
-	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes}
+	server := &http.Server{Handler: handler, MaxHeaderBytes: maxHeaderBytes}
 	if role == roleFront {
-		server.ConnState = newIdleCloser(m.idleTimeout).connState
-		m.front = server
+		m.callers = newCallerConns(m.callerTimeouts())
+		server.ConnState = m.callers.connState
+		listener = &callerListener{Listener: listener, owner: m.callers}
+		m.listener = listener
 	} else {
+		server.ReadHeaderTimeout = headerTimeout
 		server.IdleTimeout = idleTimeout
 	}
 	m.servers = append(m.servers, server)
 	eventListening.Log(m.logger, "role", role, "address", address)
 	go func() {
-		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+		err := server.Serve(listener)
+		if !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
 			eventServeFailed.Log(m.logger, "role", role, "cause", err)
 		}
 	}()
@@ -195,7 +209,8 @@
 	clock.Wait(ctx, timing.Notice-time.Since(m.drainedAt))
 	ctx, cancel := context.WithDeadline(ctx, end)
 	defer cancel()
-	err := m.front.Shutdown(ctx)
+	_ = m.listener.Close() // only connections that are open are served from here on
+	err := m.callers.drain(ctx)
 	eventFrontDrained.Log(m.logger, "error", err)
 	for _, server := range m.servers {
 		_ = server.Close() // the process ends
