--- a/gateway/node/node_test.go
+++ b/gateway/node/node_test.go
@@ -1,6 +1,7 @@
 package node_test
 
 import (
+	"encoding/json"
 	"net/http"
 	"os"
 	"strings"
@@ -258,6 +259,59 @@
 	g.Eventually(n.log.String, patience).Should(gomega.ContainSubstring(`"event":2320`))
 }
 
+// event is a line of a node's log.
+type event map[string]any
+
+// eventsOf returns a node's lines of an event in which a field has a value.
+func (n *runningNode) eventsOf(number int, field, value string) []event {
+	var found []event
+	for line := range strings.Lines(n.log.String()) {
+		var e event
+		if json.Unmarshal([]byte(line), &e) == nil && e["event"] == float64(number) && e[field] == value {
+			found = append(found, e)
+		}
+	}
+	return found
+}
+
+// docs/OPERATIONS.md, "Refused while servers had room": from the ID to the server
+// that left the register.
+func TestARefusalLeadsToTheServerThatLeft(t *testing.T) {
+	g := gomega.NewWithT(t)
+	w := newServedWorld(t, 1)
+	n := w.nodes[0]
+	w.removeServer("o1")
+	var id string
+	g.Eventually(func() int {
+		var answer reply
+		answer, id = w.send(n, http.MethodPost, "/orders/a", "body", nil)
+		return answer.status
+	}, patience, 50*time.Millisecond).Should(gomega.Equal(http.StatusServiceUnavailable))
+	lines := n.eventsOf(2200, "request", id)
+	g.Expect(lines).To(gomega.HaveLen(1))
+	g.Expect(lines[0]).To(gomega.And(gomega.HaveKeyWithValue("outcome", "refused"), gomega.HaveKeyWithValue("reason", "no server"), gomega.HaveKeyWithValue("service", "orders")))
+	g.Expect(n.eventsOf(2013, "service", "orders")).To(gomega.HaveLen(1), "what the second step looks for")
+}
+
+// docs/OPERATIONS.md, "May have run and got no answer": from the ID to the server
+// that the request was sent to.
+func TestAnUnknownOutcomeLeadsToTheServer(t *testing.T) {
+	g := gomega.NewWithT(t)
+	w := newServedWorld(t, 1)
+	w.removeServer("o1")
+	w.addServer("o2", "orders", &standin.Server{Work: time.Minute})
+	n := w.nodes[0]
+	var id string
+	g.Eventually(func() int {
+		var answer reply
+		answer, id = w.send(n, http.MethodPost, "/orders/a", "body", map[string]string{"Timeout-Ms": "300"})
+		return answer.status
+	}, patience, 50*time.Millisecond).Should(gomega.Equal(http.StatusGatewayTimeout))
+	lines := n.eventsOf(2200, "request", id)
+	g.Expect(lines).To(gomega.HaveLen(1))
+	g.Expect(lines[0]).To(gomega.And(gomega.HaveKeyWithValue("outcome", "may have run"), gomega.HaveKeyWithValue("reason", "timeout"), gomega.HaveKeyWithValue("steps", "sent to o2, no answer yet")))
+}
+
 func TestMetricsAreServed(t *testing.T) {
 	w := newServedWorld(t, 1)
 	answer, _ := w.send(w.nodes[0], http.MethodGet, "/docs/x", "", nil)
--- a/gateway/router/log.go
+++ b/gateway/router/log.go
@@ -90,6 +90,7 @@
 	count(x, outcome, reason)
 	allowed, dropped := x.router.lines.take(outcome != "answered" || status >= 500, time.Now())
 	if dropped > 0 {
+		linesLeft.Add(int64(dropped))
 		eventDropped.Log(x.router.logger, "lines", dropped)
 	}
 	if !allowed {
--- a/gateway/router/metrics.go
+++ b/gateway/router/metrics.go
@@ -14,6 +14,10 @@
 	group    = metrics.New("gateway_requests")
 	outcomes = group.Map("by_service_outcome_and_reason")
 	sends    = group.Counter("sends")
+	// budgetLeft holds what is left of each service's retry budget on this node, in
+	// hundredths of a send.
+	budgetLeft = group.Map("retry_budget_left_hundredths")
+	linesLeft  = group.Counter("log_lines_left_out")
 )
 
 // Bounds of the latency histograms, in microseconds, with two significant
@@ -24,15 +28,25 @@
 	histogramDigits = 2
 )
 
-// histograms keeps the latency of answered requests by service.
+// histograms keeps times by service.
 type histograms struct {
 	mu        sync.Mutex
 	byService map[string]*hdrhistogram.Histogram
 }
 
-var latencies = &histograms{byService: map[string]*hdrhistogram.Histogram{}}
+var (
+	latencies = newHistograms() // of answered requests
+	waits     = newHistograms() // for a place at a server
+)
 
-func init() { expvar.Publish("gateway_latency_us", expvar.Func(latencies.summary)) }
+func init() {
+	expvar.Publish("gateway_latency_us", expvar.Func(latencies.summary))
+	expvar.Publish("gateway_wait_us", expvar.Func(waits.summary))
+}
+
+func newHistograms() *histograms {
+	return &histograms{byService: map[string]*hdrhistogram.Histogram{}}
+}
 
 func (h *histograms) record(service string, took time.Duration) {
 	h.mu.Lock()
@@ -44,7 +58,7 @@
 	}
 	value := min(max(took.Microseconds(), histogramLeast), histogramMost)
 	if err := histogram.RecordValue(value); err != nil {
-		outcomes.Add("latency not recorded", 1)
+		outcomes.Add("time not recorded", 1)
 	}
 }
 
--- a/gateway/router/router.go
+++ b/gateway/router/router.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"expvar"
 	"math/rand/v2"
 	"sync"
 	"sync/atomic"
@@ -208,7 +209,11 @@
 func (s *service) countRequest() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.budget.Request(s.nodes, time.Now())
+	now := time.Now()
+	s.budget.Request(s.nodes, now)
+	left := new(expvar.Int)
+	left.Set(int64(100 * s.budget.Left(now)))
+	budgetLeft.Set(string(s.name), left)
 }
 
 // spendRetry takes one send beyond the first out of the budget.
--- a/gateway/router/run.go
+++ b/gateway/router/run.go
@@ -101,6 +101,7 @@
 			}
 		case <-ctx.Done():
 			x.mayHaveRun = true
+			x.trail.note("sent to " + string(last.ID) + ", no answer yet")
 			return x.giveUp(&refusal{status: http.StatusGatewayTimeout, reason: "timeout"})
 		}
 	}
@@ -266,7 +267,7 @@
 		changed := x.router.state.Changed()
 		if x.keyed && !x.isOwner(w.Only) {
 			x.service.leave(w, places)
-			x.trail.waited(time.Since(askedAt))
+			x.noteWait(time.Since(askedAt))
 			return x.place(ctx)
 		}
 		if !x.keyed {
@@ -274,7 +275,7 @@
 		}
 		select {
 		case p := <-places:
-			x.trail.waited(time.Since(askedAt))
+			x.noteWait(time.Since(askedAt))
 			if p.refused != nil {
 				return site.Server{}, refusalOf(p.refused)
 			}
@@ -290,6 +291,12 @@
 	}
 }
 
+// noteWait notes for how long the request waited for a place.
+func (x *exchange) noteWait(d time.Duration) {
+	x.trail.waited(d)
+	waits.record(string(x.service.name), d)
+}
+
 func refusalOf(r *pool.Refusal) *refusal {
 	return &refusal{status: http.StatusServiceUnavailable, reason: string(r.Reason), retryAfter: r.RetryAfter}
 }
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -30,7 +30,11 @@
 var regressions = []struct {
 	seed  uint64
 	cause string
-}{}
+}{
+	{113, "names and ports shared with other soaks: their lessors' grants reached this one's servers"},
+	{116, "a node's port was taken by another socket"},
+	{215, "a node's port was taken by another socket"},
+}
 
 // recoveryTime bounds how long after the last fault everything is served again.
 const recoveryTime = 30 * time.Second
@@ -48,10 +52,16 @@
 	program := buildProgram(t)
 	for i := range *seedCount {
 		seed := *firstSeed + uint64(i)
-		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) { soak(t, program, seed) })
+		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
+			t.Parallel()
+			soak(t, program, seed)
+		})
 	}
 	for _, r := range regressions {
-		t.Run(fmt.Sprintf("seed %d, %s", r.seed, r.cause), func(t *testing.T) { soak(t, program, r.seed) })
+		t.Run(fmt.Sprintf("seed %d, %s", r.seed, r.cause), func(t *testing.T) {
+			t.Parallel()
+			soak(t, program, r.seed)
+		})
 	}
 }
 
--- a/soak/world_test.go
+++ b/soak/world_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"net/http/httptest"
 	"strings"
 	"sync"
@@ -16,6 +17,9 @@
 	t     *testing.T
 	store *standin.Store
 	nodes []*node
+	// mark makes the names of this world's servers its own: another run of the soak
+	// may get the address of one that has ended.
+	mark string
 
 	mu       sync.Mutex
 	servers  []*server
@@ -40,7 +44,7 @@
 
 func newWorld(t *testing.T, program string, nodes int) *world {
 	t.Helper()
-	w := &world{t: t, store: standin.NewStore(), newest: map[string]int{}}
+	w := &world{t: t, store: standin.NewStore(), newest: map[string]int{}, mark: fmt.Sprintf("%x", rand.Uint32())}
 	listening := httptest.NewServer(w.store)
 	t.Cleanup(listening.CloseClientConnections)
 	dir := t.TempDir()
@@ -99,7 +103,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	s := &server{service: service, stop: make(chan struct{}), Server: &standin.Server{
-		ID: fmt.Sprintf("%s-%d", service, len(w.servers)), Slots: 4, Work: 20 * time.Millisecond, Keyed: service == "keyed",
+		ID: fmt.Sprintf("%s-%d-%s", service, len(w.servers), w.mark), Slots: 4, Work: 20 * time.Millisecond, Keyed: service == "keyed",
 	}}
 	s.Began = func(_ string, key int) { w.checkSoleOwner(s, key) }
 	listening := httptest.NewServer(s.Server)
