--- a/modules/gateway/callers_test.go
+++ b/modules/gateway/callers_test.go
@@ -144,8 +144,9 @@
 	}
 	idle, idleReader := connect("/fast")
 	defer func() { _ = idle.Close() }()
-	_, err = http.ReadResponse(idleReader, nil)
+	first, err := http.ReadResponse(idleReader, nil)
 	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(first.Body.Close()).To(gomega.Succeed())
 	slow, slowReader := connect("/slow")
 	defer func() { _ = slow.Close() }()
 	g.Eventually(func() int { return callers.endIdle(time.Time{}) }, 10*time.Second).Should(gomega.Equal(1), "the idle one is ended")
@@ -158,5 +159,6 @@
 	answer, err := http.ReadResponse(slowReader, nil)
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 	g.Expect(answer.StatusCode).To(gomega.Equal(http.StatusOK))
+	g.Expect(answer.Body.Close()).To(gomega.Succeed())
 	g.Expect(<-drained).To(gomega.Succeed())
 }
--- a/soak/node_test.go
+++ b/soak/node_test.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"net"
-	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -136,13 +135,3 @@
 	_ = process.Kill()
 	<-ended
 }
-
-func (n *node) isReady() bool {
-	client := http.Client{Timeout: time.Second}
-	response, err := client.Get("http://" + n.ready + "/-/readyz")
-	if err != nil {
-		return false
-	}
-	_ = response.Body.Close() // its status is all that is wanted
-	return response.StatusCode == http.StatusOK
-}
--- a/soak/planted_test.go
+++ b/soak/planted_test.go
@@ -98,7 +98,10 @@
 	client := &http.Client{Timeout: 50 * time.Millisecond, Transport: &http.Transport{DisableKeepAlives: true}}
 	for _, m := range []mode{delay, silence, swallowTo} {
 		p.set(m)
-		_, err := client.Get("http://" + p.address() + "/lost")
+		response, err := client.Get("http://" + p.address() + "/lost")
+		if err == nil {
+			_ = response.Body.Close()
+		}
 		g.Expect(err).To(gomega.HaveOccurred())
 	}
 	p.set(pass)
--- a/soak/proxy_test.go
+++ b/soak/proxy_test.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"errors"
 	"io"
 	"net"
 	"sync"
@@ -145,7 +146,7 @@
 				}
 			}
 			if err != nil {
-				if err == io.EOF {
+				if errors.Is(err, io.EOF) {
 					time.Sleep(time.Millisecond) // lets the last piece out
 				}
 				return
