--- /dev/null
+++ b/gateway/pool/limit.go
@@ -0,0 +1,108 @@
+package pool
+
+import (
+	"math"
+	"time"
+
+	"github.com/burdockspindle/burdockspindle/gateway/site"
+)
+
+// Weights and bounds of the limit of requests at a server. A limit below one is a
+// share of the time: the node sends one request and then pauses. It answers many
+// nodes that want one server at once, as when a key becomes busy: one request of
+// each of 71 nodes is already more than a server with six slots and a queue takes,
+// and each refused one costs a retry, or is lost if the server resets it.
+const (
+	// fairFactor is how much of the slots the first limits of all nodes add up to:
+	// some nodes always want nothing.
+	fairFactor = 1.5
+	// leastLimit bounds the share of a node: slots are divided among 100 nodes or so.
+	leastLimit = 0.04
+	// mostPause bounds the pause after a request, in case the server has become
+	// less busy meanwhile: about as long as a key stays busy.
+	mostPause = 5 * time.Second
+	// raise is added to the limit for each free slot that an answer reports, so
+	// that a server whose keys become busy is filled within a few answers.
+	raise = 0.25
+	// lower is the factor of the limit with each answer of a server whose queue is
+	// longer than shortQueue of its slots.
+	lower      = 0.85
+	shortQueue = 0.5
+	// refusedLimit is the factor after a refusal for lack of room.
+	refusedLimit = 0.6
+)
+
+// initialLimit gives every node its share of the slots, and one request at least:
+// most nodes rarely want the same server at once.
+func (p *Pool) initialLimit(server site.Server) float64 {
+	return max(1, math.Ceil(fairFactor*float64(server.Slots)/float64(p.nodes)))
+}
+
+// lowerLimit multiplies the limit of requests at a server.
+func (m *member) lowerLimit(factor float64) { m.limit = max(leastLimit, m.limit*factor) }
+
+// hasRoom reports whether the limit lets another request go to a server.
+func (m *member) hasRoom(now time.Time) bool {
+	if m.limit >= 1 {
+		return float64(m.inFlight) < math.Floor(m.limit)
+	}
+	return m.inFlight == 0 && !now.Before(m.pausedUntil)
+}
+
+// pause keeps a limit below one after a request has ended.
+func (p *Pool) pause(m *member, now time.Time) {
+	if m.limit < 1 {
+		// Spread, since nodes that were refused together would come back together.
+		spread := 0.5 + p.random.Float64()
+		m.pausedUntil = now.Add(time.Duration(spread * float64(m.pauseAfter(p.usual(m, now)))))
+	}
+}
+
+// pauseAfter returns the pause after a request that takes so many seconds.
+func (m *member) pauseAfter(taken float64) time.Duration {
+	return min(time.Duration(taken*(1/m.limit-1)*float64(time.Second)), mostPause)
+}
+
+// NextRoom returns when a pause ends for which requests wait; waits is false if
+// there is none.
+func (p *Pool) NextRoom(now time.Time) (at time.Time, waits bool) {
+	if len(p.queue) == 0 {
+		return time.Time{}, false
+	}
+	for _, m := range p.order {
+		isPaused := m.limit < 1 && m.inFlight == 0 && now.Before(m.pausedUntil)
+		if isPaused && (!waits || m.pausedUntil.Before(at)) {
+			at, waits = m.pausedUntil, true
+		}
+	}
+	return at, waits
+}
+
+// takeRefusal lowers the limit of a server that is full. One that refuses for
+// lack of room is wanted by other nodes too, so that this one keeps to its share
+// at once: by refusals alone 71 nodes needed four each. One that refuses with free
+// slots fails for another reason.
+func (p *Pool) takeRefusal(m *member, outcome Outcome) {
+	isFull := outcome.Load == nil || outcome.Load.Running >= outcome.Load.Slots
+	switch {
+	case outcome.NoRoom && isFull:
+		m.lowerLimit(refusedLimit)
+		m.limit = max(leastLimit, min(m.limit, fairFactor*float64(max(m.Slots, 1))/float64(p.nodes)))
+	case outcome.Reset:
+		m.lowerLimit(refusedLimit)
+	}
+}
+
+func (p *Pool) takeLoad(m *member, load site.Load, now time.Time) {
+	// The report counts the request that it answers.
+	m.others = max(0, float64(load.Total()-1-m.inFlight))
+	m.reportAt = now
+	slots := float64(max(load.Slots, 1))
+	switch {
+	case float64(load.Waiting) > shortQueue*slots:
+		m.lowerLimit(lower)
+	case load.Waiting == 0:
+		free := max(0, slots-float64(load.Running))
+		m.limit = min(m.limit+raise*free, slots)
+	}
+}
--- a/gateway/pool/pool.go
+++ b/gateway/pool/pool.go
@@ -65,31 +65,6 @@
 	coldFactor = 2.0
 )
 
-// Weights and bounds of the limit of requests at a server. A limit below one is a
-// share of the time: the node sends one request and then pauses. It answers many
-// nodes that want one server at once, as when a key becomes busy: one request of
-// each of 71 nodes is already more than a server with six slots and a queue takes,
-// and each refused one costs a retry, or is lost if the server resets it.
-const (
-	// fairFactor is how much of the slots the first limits of all nodes add up to:
-	// some nodes always want nothing.
-	fairFactor = 1.5
-	// leastLimit bounds the share of a node: slots are divided among 100 nodes or so.
-	leastLimit = 0.04
-	// mostPause bounds the pause after a request, in case the server has become
-	// less busy meanwhile: about as long as a key stays busy.
-	mostPause = 5 * time.Second
-	// raise is added to the limit for each free slot that an answer reports, so
-	// that a server whose keys become busy is filled within a few answers.
-	raise = 0.25
-	// lower is the factor of the limit with each answer of a server whose queue is
-	// longer than shortQueue of its slots.
-	lower      = 0.85
-	shortQueue = 0.5
-	// refusedLimit is the factor after a refusal for lack of room.
-	refusedLimit = 0.6
-)
-
 // member is what the pool knows of one server.
 type member struct {
 	site.Server
@@ -174,52 +149,6 @@
 	})
 }
 
-// initialLimit gives every node its share of the slots, and one request at least:
-// most nodes rarely want the same server at once.
-func (p *Pool) initialLimit(server site.Server) float64 {
-	return max(1, math.Ceil(fairFactor*float64(server.Slots)/float64(p.nodes)))
-}
-
-// lowerLimit multiplies the limit of requests at a server.
-func (m *member) lowerLimit(factor float64) { m.limit = max(leastLimit, m.limit*factor) }
-
-// hasRoom reports whether the limit lets another request go to a server.
-func (m *member) hasRoom(now time.Time) bool {
-	if m.limit >= 1 {
-		return float64(m.inFlight) < math.Floor(m.limit)
-	}
-	return m.inFlight == 0 && !now.Before(m.pausedUntil)
-}
-
-// pause keeps a limit below one after a request has ended.
-func (p *Pool) pause(m *member, now time.Time) {
-	if m.limit < 1 {
-		// Spread, since nodes that were refused together would come back together.
-		spread := 0.5 + p.random.Float64()
-		m.pausedUntil = now.Add(time.Duration(spread * float64(m.pauseAfter(p.usual(m, now)))))
-	}
-}
-
-// pauseAfter returns the pause after a request that takes so many seconds.
-func (m *member) pauseAfter(taken float64) time.Duration {
-	return min(time.Duration(taken*(1/m.limit-1)*float64(time.Second)), mostPause)
-}
-
-// NextRoom returns when a pause ends for which requests wait; waits is false if
-// there is none.
-func (p *Pool) NextRoom(now time.Time) (at time.Time, waits bool) {
-	if len(p.queue) == 0 {
-		return time.Time{}, false
-	}
-	for _, m := range p.order {
-		isPaused := m.limit < 1 && m.inFlight == 0 && now.Before(m.pausedUntil)
-		if isPaused && (!waits || m.pausedUntil.Before(at)) {
-			at, waits = m.pausedUntil, true
-		}
-	}
-	return at, waits
-}
-
 // Size returns the number of servers that may get requests.
 func (p *Pool) Size() int {
 	size := 0
@@ -298,62 +227,6 @@
 	return expected * (1 + noise*(p.random.Float64()-0.5))
 }
 
-// hangs reports whether a server has requests and has answered none of this node
-// for much longer than they take.
-func (p *Pool) hangs(m *member, now time.Time) bool {
-	return m.inFlight > 0 && p.isOverdue(m, now.Sub(m.silentSince), now)
-}
-
-// isOverdue reports whether a request without an answer for a time tells that the
-// server hangs.
-func (p *Pool) isOverdue(m *member, waited time.Duration, now time.Time) bool {
-	return waited.Seconds() > hangFactor*p.usual(m, now)
-}
-
-// usual returns how many seconds a request takes at a server. What is known of a
-// slow one loses its weight: it is not tried while others are quicker, and would
-// count as slow for ever.
-func (p *Pool) usual(m *member, now time.Time) float64 {
-	times := p.times()
-	switch {
-	case m.mean == 0:
-		return times.mean
-	case m.mean <= times.median:
-		return m.mean
-	}
-	return times.median + (m.mean-times.median)*fade(now.Sub(m.meanAt), slowLife)
-}
-
-// fade returns the weight of something of an age.
-func fade(age, life time.Duration) float64 { return math.Exp2(-age.Seconds() / life.Seconds()) }
-
-// serviceTimes sums up the mean times of the servers, in seconds.
-type serviceTimes struct{ mean, median float64 }
-
-// times returns the times over the servers that have one. They are kept until a
-// time changes, since every choice among many servers asks for them.
-func (p *Pool) times() serviceTimes {
-	if p.known.mean > 0 {
-		return p.known
-	}
-	var means []float64
-	sum := 0.0
-	for _, m := range p.order {
-		if m.mean > 0 {
-			means = append(means, m.mean)
-			sum += m.mean
-		}
-	}
-	if len(means) == 0 {
-		initial := initialTime.Seconds()
-		p.known = serviceTimes{initial, initial}
-		return p.known
-	}
-	slices.Sort(means)
-	p.known = serviceTimes{mean: sum / float64(len(means)), median: means[(len(means)-1)/2]}
-	return p.known
-}
-
 // Outcome is how a request ended at a server.
 type Outcome struct {
 	Took       time.Duration
@@ -404,21 +277,6 @@
 	return p.Admit(now)
 }
 
-// takeRefusal lowers the limit of a server that is full. One that refuses for
-// lack of room is wanted by other nodes too, so that this one keeps to its share
-// at once: by refusals alone 71 nodes needed four each. One that refuses with free
-// slots fails for another reason.
-func (p *Pool) takeRefusal(m *member, outcome Outcome) {
-	isFull := outcome.Load == nil || outcome.Load.Running >= outcome.Load.Slots
-	switch {
-	case outcome.NoRoom && isFull:
-		m.lowerLimit(refusedLimit)
-		m.limit = max(leastLimit, min(m.limit, fairFactor*float64(max(m.Slots, 1))/float64(p.nodes)))
-	case outcome.Reset:
-		m.lowerLimit(refusedLimit)
-	}
-}
-
 // Times for which a server that takes no connection is left alone.
 const (
 	leastBlock = 500 * time.Millisecond
@@ -456,20 +314,6 @@
 	}
 }
 
-func (p *Pool) takeLoad(m *member, load site.Load, now time.Time) {
-	// The report counts the request that it answers.
-	m.others = max(0, float64(load.Total()-1-m.inFlight))
-	m.reportAt = now
-	slots := float64(max(load.Slots, 1))
-	switch {
-	case float64(load.Waiting) > shortQueue*slots:
-		m.lowerLimit(lower)
-	case load.Waiting == 0:
-		free := max(0, slots-float64(load.Running))
-		m.limit = min(m.limit+raise*free, slots)
-	}
-}
-
 func (p *Pool) takeFailure(m *member, failed bool, now time.Time) {
 	rate := m.failure * fade(now.Sub(m.failureAt), failureLife)
 	target := 0.0
--- a/gateway/router/run.go
+++ b/gateway/router/run.go
@@ -8,9 +8,7 @@
 	"syscall"
 	"time"
 
-	"github.com/burdockspindle/burdockspindle/clock"
 	"github.com/burdockspindle/burdockspindle/gateway/pool"
-	"github.com/burdockspindle/burdockspindle/gateway/ranges"
 	"github.com/burdockspindle/burdockspindle/gateway/site"
 	"github.com/burdockspindle/burdockspindle/gateway/upstream"
 )
@@ -226,29 +224,6 @@
 	return x.placeAtOwner(ctx, w)
 }
 
-// placeAtOwner waits for a place at the server that owns the request's key. An
-// owner that takes no connection has perhaps ended: the request waits a while
-// for another one.
-func (x *exchange) placeAtOwner(ctx context.Context, w *pool.Waiter) (site.Server, *refusal) {
-	patience := time.Now().Add(min(ownerWait, time.Until(x.deadline)/2))
-	for {
-		owner, problem := x.owner(ctx)
-		if problem != nil {
-			return site.Server{}, problem
-		}
-		w.Only = owner
-		server, problem := x.wait(ctx, w)
-		if problem == nil || problem.reason != string(pool.NoServer) {
-			return server, problem
-		}
-		if time.Now().After(patience) {
-			problem.retryAfter = goneRetry
-			return site.Server{}, problem
-		}
-		x.awaitNews(ctx)
-	}
-}
-
 // wait asks for a place and waits for it. A request that could not be answered
 // in time any more, or whose key has another owner now, waits no longer.
 func (x *exchange) wait(ctx context.Context, w *pool.Waiter) (site.Server, *refusal) {
@@ -301,12 +276,6 @@
 	return &refusal{status: http.StatusServiceUnavailable, reason: string(r.Reason), retryAfter: r.RetryAfter}
 }
 
-// isOwner reports whether a server still owns the request's key.
-func (x *exchange) isOwner(server site.ServerID) bool {
-	route, found := x.router.state.Now().RouteOf(x.service.name, x.key)
-	return found && route.Server == server && route.State == ranges.Ready
-}
-
 // mayTryAgain reports why a request that was sent before is not sent again.
 func (x *exchange) mayTryAgain() *refusal {
 	if x.tries == 0 {
@@ -329,48 +298,6 @@
 	return &pool.Waiter{Priority: x.route.Priority, Since: x.arrived, Target: x.target, Deadline: x.deadline, Not: x.tried, Once: x.route.Kind == site.AtMostOnce}
 }
 
-// owner returns the server that owns the request's key, and waits for one while
-// the key changes hands.
-func (x *exchange) owner(ctx context.Context) (site.ServerID, *refusal) {
-	if x.tries > 0 {
-		x.awaitNews(ctx)
-	}
-	wait := time.NewTimer(min(ownerWait, time.Until(x.deadline)/2))
-	defer wait.Stop()
-	for {
-		changed := x.router.state.Changed()
-		route, found := x.router.state.Now().RouteOf(x.service.name, x.key)
-		switch {
-		case found && route.State == ranges.Ready:
-			return route.Server, nil
-		case found && route.State == ranges.Silent:
-			left := route.Until.Sub(clock.Now())
-			if left+x.service.typicalTime() > time.Until(x.deadline) {
-				return "", &refusal{status: http.StatusServiceUnavailable, reason: "owner of the key is silent", retryAfter: max(left, ownerPause)}
-			}
-			wait.Reset(left + silentMargin)
-		}
-		select {
-		case <-changed:
-		case <-wait.C:
-			return "", &refusal{status: http.StatusServiceUnavailable, reason: "key has no owner", retryAfter: ownerPause}
-		case <-ctx.Done():
-			return "", &refusal{status: http.StatusServiceUnavailable, reason: "key has no owner", retryAfter: ownerPause}
-		}
-	}
-}
-
-// awaitNews waits for a changed view after the owner of a key refused.
-func (x *exchange) awaitNews(ctx context.Context) {
-	timer := time.NewTimer(ownerPause)
-	defer timer.Stop()
-	select {
-	case <-x.router.state.Changed():
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
-
 // hedgeTimer returns when to send an idempotent request to a second server; nil
 // for never.
 func (x *exchange) hedgeTimer() <-chan time.Time {
