Duty: a node that finds an earlier run of itself as the lessor claims at once

Ruled out: the store (its answers came at once), readiness (nodes were ready). Change: the former lessor's node, started again, claims without that wait. Conclusion: a claim is safe at any time, so only the wait is lost.

--- a/gateway/duty/duty.go
+++ b/gateway/duty/duty.go
@@ -188,11 +188,13 @@
 		d.claimAt = time.Time{}
 		return
 	}
-	vacant := ownership.Table.Table == nil || ownership.Resigned || now.Sub(ownership.MovedAt) > suspectAfter
-	if !vacant {
+	if !isVacant(ownership, d.Self, now) {
 		d.claimAt = time.Time{}
 		return
 	}
+	if d.claimAt.IsZero() && isEarlierRun(ownership, d.Self) {
+		d.claimAt = now // nobody else knows yet
+	}
 	if d.claimAt.IsZero() {
 		d.claimAt = now.Add(claimDelay(d.Member, d.State.Now()))
 	}
@@ -202,6 +204,25 @@
 	d.claim(ctx, ownership)
 }
 
+// isVacant reports whether there is no lessor as far as can be told: none has
+// been, it has resigned or does not confirm its lease, or it was an earlier run of
+// this very node. After the loss of all nodes the last one saves the wait for
+// records that nobody writes, 1.2 s, in which holds run out. A claim is safe in any
+// case: owners answer the new lessor before they refuse the former one.
+func isVacant(ownership follow.Ownership, self ranges.Lessor, now time.Time) bool {
+	table := ownership.Table.Table
+	if table == nil || ownership.Resigned {
+		return true
+	}
+	return isEarlierRun(ownership, self) || now.Sub(ownership.MovedAt) > suspectAfter
+}
+
+// isEarlierRun reports whether the lessor is an earlier run of a node.
+func isEarlierRun(ownership follow.Ownership, self ranges.Lessor) bool {
+	table := ownership.Table.Table
+	return table != nil && table.Lessor.Node == self.Node && table.Lessor.Boot != self.Boot
+}
+
 // claimDelay returns how long a node waits before a claim. At the start nobody
 // knows who else is there, and the node's own strength decides.
 func claimDelay(self view.Member, v *view.View) time.Duration {
--- /dev/null
+++ b/gateway/duty/duty_test.go
@@ -0,0 +1,41 @@
+package duty
+
+import (
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"github.com/burdockspindle/burdockspindle/gateway/follow"
+	"github.com/burdockspindle/burdockspindle/gateway/ranges"
+	"github.com/burdockspindle/burdockspindle/gateway/view"
+)
+
+// All nodes are killed and started again. The former lessor's node knows that its
+// earlier run has ended and claims at once; the others wait for a sign of it.
+func TestANodeTakesItsOwnEarlierRunForGone(t *testing.T) {
+	now := time.Unix(1000, 0)
+	self := ranges.Lessor{Node: "n1", Boot: "second"}
+	owned := func(node, boot string, quiet time.Duration) follow.Ownership {
+		table := &ranges.Table{Lessor: ranges.Lessor{Node: node, Boot: boot}}
+		return follow.Ownership{Known: true, Table: view.Table{Table: table}, MovedAt: now.Add(-quiet)}
+	}
+	resigned := owned("n2", "x", 0)
+	resigned.Resigned = true
+	for name, row := range map[string]struct {
+		ownership follow.Ownership
+		want      bool
+	}{
+		"no lessor yet":            {follow.Ownership{Known: true}, true},
+		"it has resigned":          {resigned, true},
+		"it confirms its lease":    {owned("n2", "x", 0), false},
+		"it was slow once":         {owned("n2", "x", suspectAfter), false},
+		"it is silent":             {owned("n2", "x", suspectAfter+1), true},
+		"an earlier run of itself": {owned("n1", "first", 0), true},
+		"this run":                 {owned("n1", "second", 0), false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			gomega.NewWithT(t).Expect(isVacant(row.ownership, self, now)).To(gomega.Equal(row.want))
+		})
+	}
+}
