--- a/gateway/duty/outcome.go
+++ b/gateway/duty/outcome.go
@@ -29,6 +29,7 @@
 	}
 	if p.claim != nil && d.mayDropClaim(r.err) {
 		d.appending = nil
+		d.noClaim = clock.Now().Add(retryAppend) // a store that refuses is not asked at every tick
 		return
 	}
 	eventAppendFailed.Log(d.Logger, "offset", p.at, "key", p.record.Key, "cause", r.err)
