Router: requests that still wait when the process ends are answered

Ruled out: connections closed as idle (the request was open all the time). Change: 0.25 s before that every open request gets its final answer, 503 if it was not sent, 502 otherwise. Conclusion: shows with routes whose time is longer than what is left of the grace.

--- a/gateway/router/router.go
+++ b/gateway/router/router.go
@@ -37,6 +37,8 @@
 	logger   hclog.Logger
 	draining atomic.Bool
 	ending   atomic.Bool
+	closing  context.Context // ends when every request must get its answer
+	close    context.CancelFunc
 	lines    lineBudget
 
 	mu       sync.Mutex
@@ -59,7 +61,10 @@
 
 // New returns a router without services.
 func New(zone string, headers upstream.Headers, terms Terms, state *view.State, client *upstream.Client, reports *follow.Reports, logger hclog.Logger) *Router {
+	closing, closeRouter := context.WithCancel(context.Background())
 	return &Router{
+		closing:  closing,
+		close:    closeRouter,
 		zone:     zone,
 		headers:  headers,
 		terms:    terms,
@@ -91,6 +96,11 @@
 // there may be no time left to answer it.
 func (r *Router) SetEnding() { r.ending.Store(true) }
 
+// Close has every request that is still open answered now: as not run, or as
+// perhaps run if it was sent. The process ends in a moment, and would end their
+// connections without an answer.
+func (r *Router) Close() { r.close() }
+
 // service returns a service with the servers of the present view.
 func (r *Router) service(name site.ServiceName) *service {
 	v := r.state.Now()
--- a/gateway/router/run_test.go
+++ b/gateway/router/run_test.go
@@ -4,10 +4,13 @@
 	"net/http"
 	"net/http/httptest"
 	"testing"
+	"testing/synctest"
 	"time"
 
+	"github.com/hashicorp/go-hclog"
 	"github.com/onsi/gomega"
 
+	"github.com/burdockspindle/burdockspindle/gateway/budget"
 	"github.com/burdockspindle/burdockspindle/gateway/follow"
 	"github.com/burdockspindle/burdockspindle/gateway/site"
 	"github.com/burdockspindle/burdockspindle/gateway/upstream"
@@ -68,3 +71,30 @@
 	g.Expect(answer.Header().Get("Connection")).To(gomega.Equal("close"))
 	g.Expect(answer.Body.String()).To(gomega.Equal("node shuts down\n"))
 }
+
+// A request that still waits when the process is about to end gets its answer: it
+// has not run.
+func TestRequestsThatWaitAtTheEndOfAShutdownAreAnswered(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := gomega.NewWithT(t)
+		state := view.NewState()
+		config := &site.Config{
+			Version:  1,
+			Services: map[site.ServiceName]site.Service{"s": {Name: "s", Keyed: true}},
+			Routes:   []site.Route{{Host: "h", Prefix: "/", Timeout: time.Minute, Targets: []site.Target{{Service: "s", Weight: 1}}}},
+		}
+		g.Expect(state.MergeConfig(config)).To(gomega.BeTrue())
+		g.Expect(state.MergeServers(view.Servers{Offset: 1})).To(gomega.BeTrue())
+		headers := upstream.Headers{Key: "Key", ParseLoad: func(string) (site.Load, bool) { return site.Load{}, false }}
+		terms := Terms{Retries: budget.Terms{Ratio: 0.2, Slack: 10, Window: 10 * time.Second}}
+		r := New("a", headers, terms, state, upstream.NewClient(headers), follow.NewReports(), hclog.NewNullLogger())
+		answer := httptest.NewRecorder()
+		startedAt := time.Now()
+		time.AfterFunc(100*time.Millisecond, r.Close)
+		request := httptest.NewRequest(http.MethodGet, "http://h/x", nil)
+		request.Header.Set("Key", "1") // its owner is not known: it waits
+		r.ServeHTTP(answer, request)
+		g.Expect(answer.Code).To(gomega.Equal(http.StatusServiceUnavailable))
+		g.Expect(time.Since(startedAt)).To(gomega.Equal(100*time.Millisecond), "of the fake clock, and not at the end of its wait")
+	})
+}
--- a/gateway/router/serve.go
+++ b/gateway/router/serve.go
@@ -63,6 +63,8 @@
 	}
 	ctx, cancel := context.WithDeadline(request.Context(), x.deadline)
 	defer cancel()
+	stop := context.AfterFunc(r.closing, cancel)
+	defer stop()
 	x.service.countRequest()
 	x.finish(ctx, request.Context(), x.run(ctx))
 }
--- a/modules/gateway/front.go
+++ b/modules/gateway/front.go
@@ -35,6 +35,9 @@
 const (
 	// exitReserve is left of the grace time for the end of the process.
 	exitReserve = 400 * time.Millisecond
+	// lastAnswers is left of that for requests that get their final answer only
+	// because the process ends.
+	lastAnswers = 250 * time.Millisecond
 	// lastRequests is how long after the listener has closed a node still takes
 	// requests on connections that were opened before. What comes later might not
 	// be answered within the grace time, and would be cut off with the process.
@@ -206,6 +209,8 @@
 	end := m.drainedAt.Add(timing.Grace - exitReserve)
 	refusing := time.AfterFunc(time.Until(m.drainedAt.Add(timing.Notice+lastRequests)), m.router.SetEnding)
 	defer refusing.Stop()
+	closing := time.AfterFunc(time.Until(end.Add(-lastAnswers)), m.router.Close)
+	defer closing.Stop()
 	clock.Wait(ctx, timing.Notice-time.Since(m.drainedAt))
 	ctx, cancel := context.WithDeadline(ctx, end)
 	defer cancel()
