--- a/gateway/upstream/conn.go
+++ b/gateway/upstream/conn.go
@@ -3,13 +3,13 @@
 import (
 	"bufio"
 	"errors"
-	"io"
 	"net"
 	"strconv"
 	"strings"
 	"sync"
-	"syscall"
 	"time"
+
+	"github.com/burdockspindle/burdockspindle/gateway/socket"
 )
 
 // Idle connections are not used beyond these ages.
@@ -72,32 +72,7 @@
 
 // quiet reports whether an idle connection is open and has nothing to read.
 func (c *conn) quiet() bool {
-	if c.reader.Buffered() > 0 {
-		return false
-	}
-	raw, ok := c.net.(syscall.Conn)
-	if !ok {
-		return true
-	}
-	control, err := raw.SyscallConn()
-	if err != nil {
-		return false
-	}
-	var state error
-	err = control.Read(func(fd uintptr) bool {
-		var one [1]byte
-		n, readErr := syscall.Read(int(fd), one[:])
-		switch {
-		case n > 0:
-			state = unexpectedBytesError{}
-		case n == 0 && readErr == nil:
-			state = io.EOF
-		case !errors.Is(readErr, syscall.EAGAIN):
-			state = readErr
-		}
-		return true
-	})
-	return err == nil && state == nil
+	return c.reader.Buffered() == 0 && socket.Look(c.net) == socket.Quiet
 }
 
 // idlePool keeps the idle connections of each server address and ID.
--- a/modules/gateway/callers.go
+++ b/modules/gateway/callers.go
@@ -5,8 +5,9 @@
 	"net"
 	"net/http"
 	"sync"
-	"syscall"
 	"time"
+
+	"github.com/burdockspindle/burdockspindle/gateway/socket"
 )
 
 const (
@@ -130,7 +131,7 @@
 	if !c.since.Equal(since) {
 		return
 	}
-	if c.phase == reading || !hasBytes(c.Conn) {
+	if c.phase == reading || socket.Look(c.Conn) != socket.Bytes {
 		c.end()
 	}
 	// The server may have been about to set a deadline of its own: once more.
@@ -216,28 +217,7 @@
 	if c.phase != waiting || c.isFirst && now.Sub(c.since) < firstRequestTime {
 		return
 	}
-	if !hasBytes(c.Conn) {
+	if socket.Look(c.Conn) != socket.Bytes {
 		c.end()
 	}
 }
-
-// hasBytes reports whether bytes have arrived on a connection that nobody has
-// read yet.
-func hasBytes(conn net.Conn) bool {
-	raw, ok := conn.(syscall.Conn)
-	if !ok {
-		return false
-	}
-	control, err := raw.SyscallConn()
-	if err != nil {
-		return false
-	}
-	arrived := false
-	// Control, not Read: the server's goroutine waits in a read of its own.
-	err = control.Control(func(fd uintptr) {
-		var one [1]byte
-		n, _, err := syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		arrived = err == nil && n > 0
-	})
-	return err == nil && arrived
-}
--- a/modules/gateway/callers_test.go
+++ b/modules/gateway/callers_test.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"github.com/onsi/gomega"
+
+	"github.com/burdockspindle/burdockspindle/gateway/socket"
 )
 
 func fixedTimeouts(head, idle time.Duration) callerTimeouts {
@@ -91,7 +93,7 @@
 	callers.connState(here, http.StateIdle)
 	_, err := io.WriteString(there, "GET / HTTP/1.1\r\n")
 	g.Expect(err).NotTo(gomega.HaveOccurred())
-	g.Eventually(func() bool { return hasBytes(here.Conn) }).Should(gomega.BeTrue())
+	g.Eventually(func() bool { return socket.Look(here.Conn) == socket.Bytes }).Should(gomega.BeTrue())
 	here.timeOut(here.since)
 	callers.endIdle(time.Now())
 	g.Expect(isEnded(here)).To(gomega.BeFalse(), "not read yet")
