Events: an adopted configuration tells the limits of callers' connections

The sight that the incident of lost requests needed: one hypothesis was that a configuration had changed the idle time. One function writes the line for both places.

--- a/gateway/follow/events.go
+++ b/gateway/follow/events.go
@@ -4,6 +4,7 @@
 	"github.com/hashicorp/go-hclog"
 
 	"github.com/burdockspindle/burdockspindle/events"
+	"github.com/burdockspindle/burdockspindle/gateway/site"
 )
 
 var (
@@ -19,3 +20,13 @@
 	eventSourceBack    = events.Define(2016, hclog.Info, "another node is followed")
 	eventPeerFailed    = events.Define(2017, hclog.Debug, "call to another node failed")
 )
+
+// logConfig tells which configuration the node applies from now on, and which
+// limits of callers' connections it sets.
+func logConfig(logger hclog.Logger, config *site.Config, from string, more ...any) {
+	fields := []any{
+		"version", config.Version, "routes", len(config.Routes), "from", from,
+		"headTimeout", config.Limits.HeaderTimeout.String(), "idleTimeout", config.Limits.IdleTimeout.String(),
+	}
+	eventConfig.Log(logger, append(fields, more...)...)
+}
--- a/gateway/follow/follower.go
+++ b/gateway/follow/follower.go
@@ -219,7 +219,7 @@
 			return err
 		}
 		if f.State.MergeConfig(&config) {
-			eventConfig.Log(f.Logger, "version", config.Version, "routes", len(config.Routes), "from", from)
+			logConfig(f.Logger, &config, from)
 		}
 	}
 	if len(reply.Servers) > 0 {
--- a/gateway/follow/reader.go
+++ b/gateway/follow/reader.go
@@ -129,7 +129,7 @@
 		return
 	}
 	if found && r.State.MergeConfig(config) {
-		eventConfig.Log(r.Logger, "version", config.Version, "routes", len(config.Routes), "from", "store", "offset", record.Offset)
+		logConfig(r.Logger, config, "store", "offset", record.Offset)
 	}
 }
 
