Callers: two failing tests of callers that have left

A request is sent on whose caller has left, when the node finds both at once; and a caller that closes its half of the connection while its request runs gets an empty 200 that no server gave. The server of callers' connections is made in one place, for the tests; no change of logic.

--- a/modules/gateway/callers.go
+++ b/modules/gateway/callers.go
@@ -81,6 +81,11 @@
 	return l.owner.add(conn), nil
 }
 
+// server returns a server of requests on callers' connections.
+func (o *callerConns) server(handler http.Handler) *http.Server {
+	return &http.Server{Handler: handler, MaxHeaderBytes: maxHeaderBytes, ConnState: o.connState}
+}
+
 func (o *callerConns) add(conn net.Conn) *callerConn {
 	c := &callerConn{Conn: conn, owner: o, isFirst: true, since: time.Now()}
 	o.mu.Lock()
--- /dev/null
+++ b/modules/gateway/callers_left_test.go
@@ -0,0 +1,172 @@
+package gateway
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/onsi/gomega"
+
+	"github.com/burdockspindle/burdockspindle/gateway/budget"
+	"github.com/burdockspindle/burdockspindle/gateway/follow"
+	"github.com/burdockspindle/burdockspindle/gateway/router"
+	"github.com/burdockspindle/burdockspindle/gateway/site"
+	"github.com/burdockspindle/burdockspindle/gateway/upstream"
+	"github.com/burdockspindle/burdockspindle/gateway/view"
+)
+
+// countingServer is a backend server that counts its requests.
+func countingServer(t *testing.T) (address string, requests *atomic.Int32) {
+	t.Helper()
+	requests = new(atomic.Int32)
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		requests.Add(1)
+		w.Header().Set("Request-Id", r.Header.Get("Request-Id"))
+		_, _ = io.WriteString(w, "whole") // the caller's end tells
+	}))
+	t.Cleanup(server.Close)
+	return strings.TrimPrefix(server.URL, "http://"), requests
+}
+
+// startFront serves callers on loopback, with one backend server, and wraps
+// every connection of a caller.
+func startFront(t *testing.T, server string, wrap func(net.Conn) net.Conn) (address string) {
+	t.Helper()
+	g := gomega.NewWithT(t)
+	state := view.NewState()
+	config := &site.Config{
+		Version:  1,
+		Services: map[site.ServiceName]site.Service{"s": {Name: "s"}},
+		Routes:   []site.Route{{Host: "h", Prefix: "/", Kind: site.Idempotent, Timeout: time.Minute, Target: time.Minute, Attempts: 2, Targets: []site.Target{{Service: "s", Weight: 1}}}},
+	}
+	g.Expect(state.MergeConfig(config)).To(gomega.BeTrue())
+	registered := map[site.ServerID]site.Server{"b": {ID: "b", Service: "s", Address: server, Slots: 4}}
+	g.Expect(state.MergeServers(view.Servers{Offset: 1, Servers: registered})).To(gomega.BeTrue())
+	headers := upstream.Headers{
+		RequestID: "Request-Id", Timeout: "Timeout", ExpectedServer: "Expected", NotRun: "Not-Run", Load: "Load",
+		ParseLoad: func(string) (site.Load, bool) { return site.Load{}, false },
+	}
+	terms := router.Terms{Retries: budget.Terms{Ratio: 0.2, Slack: 10, Window: 10 * time.Second}}
+	handler := router.New("a", headers, terms, state, upstream.NewClient(headers), follow.NewReports(), hclog.NewNullLogger())
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	callers := newCallerConns(fixedTimeouts(time.Minute, time.Minute))
+	front := callers.server(handler)
+	go func() { _ = front.Serve(&callerListener{Listener: &wrappingListener{listener, wrap}, owner: callers}) }()
+	t.Cleanup(func() { _ = front.Close() })
+	return listener.Addr().String()
+}
+
+type wrappingListener struct {
+	net.Listener
+	wrap func(net.Conn) net.Conn
+}
+
+func (l *wrappingListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return l.wrap(conn), nil
+}
+
+// stalledConn is a caller's connection at a node that stands still: a read is
+// only begun once the gate is open, and one after more than most reads never.
+type stalledConn struct {
+	net.Conn
+	gate  <-chan struct{}
+	most  int32
+	reads atomic.Int32
+	never chan struct{}
+	stop  sync.Once
+}
+
+func (c *stalledConn) SyscallConn() (syscall.RawConn, error) {
+	return c.Conn.(syscall.Conn).SyscallConn()
+}
+
+func (c *stalledConn) Read(p []byte) (int, error) {
+	<-c.gate
+	if c.reads.Add(1) > c.most {
+		<-c.never
+		return 0, os.ErrDeadlineExceeded
+	}
+	return c.Conn.Read(p)
+}
+
+// SetReadDeadline ends the read that never begins, as the deadline of a real one does.
+func (c *stalledConn) SetReadDeadline(deadline time.Time) error {
+	if !deadline.IsZero() {
+		c.stop.Do(func() { close(c.never) })
+	}
+	return c.Conn.SetReadDeadline(deadline)
+}
+
+// Four requests on kept connections were passed on to servers and reset there
+// within a millisecond, and their connections closed without an answer. Each had
+// come 200 ms before: "9.881 sent to the node; 10.081 reaches the server; gone;
+// 10.082 the connection is closed". No idle time could have ended then: it is 15 s.
+// No process had ended. A node that stands still for so long explains it: callers
+// that are not heard leave after a third of their time, here 200 of 600 ms, so the
+// node finds the request and the end of the connection at once. It read the first,
+// sent the request on, read the second, and gave the request up.
+func TestARequestWhoseCallerHasLeftIsNotSentOn(t *testing.T) {
+	g := gomega.NewWithT(t)
+	server, requests := countingServer(t)
+	gate := make(chan struct{})
+	var here atomic.Pointer[stalledConn]
+	address := startFront(t, server, func(conn net.Conn) net.Conn {
+		// The request is one read. The next one would tell that the caller has left;
+		// it is not begun, as when the node does one thing after the other.
+		c := &stalledConn{Conn: conn, gate: gate, most: 1, never: make(chan struct{})}
+		here.Store(c)
+		return c
+	})
+	caller, err := net.Dial("tcp", address)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	_, err = io.WriteString(caller, "GET /x HTTP/1.1\r\nHost: h\r\nRequest-Id: 1\r\n\r\n")
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(caller.(*net.TCPConn).CloseWrite()).To(gomega.Succeed())
+	defer func() { _ = caller.Close() }()
+	g.Eventually(here.Load, 10*time.Second).ShouldNot(gomega.BeNil())
+	g.Consistently(func() int32 { return requests.Load() }, 50*time.Millisecond).Should(gomega.BeZero())
+	close(gate)
+	_, err = io.ReadAll(caller) // until the node closes the connection
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(requests.Load()).To(gomega.BeZero(), "requests sent on for a caller that had left")
+}
+
+// A caller that closes its half of the connection counts as one that has left. It
+// may still read: what it gets must not be an empty success that no server gave.
+func TestACallerThatLeavesGetsNoSuccessWithoutAServer(t *testing.T) {
+	g := gomega.NewWithT(t)
+	running := make(chan struct{}, 1)
+	server := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		running <- struct{}{}
+		<-r.Context().Done()
+	}))
+	defer server.Close()
+	address := startFront(t, strings.TrimPrefix(server.URL, "http://"), func(conn net.Conn) net.Conn { return conn })
+	caller, err := net.Dial("tcp", address)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	defer func() { _ = caller.Close() }()
+	_, err = io.WriteString(caller, "GET /x HTTP/1.1\r\nHost: h\r\nRequest-Id: 1\r\n\r\n")
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	<-running
+	g.Expect(caller.(*net.TCPConn).CloseWrite()).To(gomega.Succeed())
+	answer, err := http.ReadResponse(bufio.NewReader(caller), nil)
+	if err == nil {
+		_ = answer.Body.Close()
+		g.Expect(answer.StatusCode).To(gomega.BeNumerically(">=", http.StatusInternalServerError))
+	}
+}
--- a/modules/gateway/front.go
+++ b/modules/gateway/front.go
@@ -163,7 +163,7 @@
 	server := &http.Server{Handler: handler, MaxHeaderBytes: maxHeaderBytes}
 	if role == roleFront {
 		m.callers = newCallerConns(m.callerTimeouts())
-		server.ConnState = m.callers.connState
+		server = m.callers.server(handler)
 		listener = &callerListener{Listener: listener, owner: m.callers}
 		m.listener = listener
 	} else {
