Callers: a request whose caller has left is not sent on, and gets no empty success

Cause: a node that stands still finds a request and the end of its connection at once, and sent the request on before it had read the end; where the caller's leaving was noticed, the handler returned without an answer, which the HTTP library completes to an empty 200. Change: the connection is looked at once more before each send (one system call), and a request that nobody waits for ends its connection without bytes.

--- a/gateway/router/answer.go
+++ b/gateway/router/answer.go
@@ -21,8 +21,11 @@
 // finish answers the caller.
 func (x *exchange) finish(ctx, caller context.Context, r result) {
 	switch {
-	case caller.Err() != nil:
+	case r.callerLeft || caller.Err() != nil:
 		x.log("caller left", 0, "")
+		// A return would end the request with an empty success that no server gave,
+		// for a caller that has only closed its half of the connection.
+		panic(http.ErrAbortHandler)
 	case r.answer != nil:
 		x.answer(r.answer)
 	case r.refusal != nil:
--- a/gateway/router/run.go
+++ b/gateway/router/run.go
@@ -47,6 +47,8 @@
 	answer  *upstream.Answer // of a server
 	refusal *refusal         // not run
 	failure string           // the request may have run, and why there is no answer
+	// callerLeft tells that nobody waits for an answer any more.
+	callerLeft bool
 }
 
 // sent is the outcome of one attempt.
@@ -72,6 +74,10 @@
 			if problem != nil {
 				return x.giveUp(problem)
 			}
+			if x.callerLeft() {
+				x.service.done(server, pool.Outcome{Abandoned: true})
+				return result{callerLeft: true}
+			}
 			x.start(attempts.ctx, server, outcomes)
 			running++
 			last = server
--- a/gateway/router/serve.go
+++ b/gateway/router/serve.go
@@ -32,6 +32,7 @@
 type exchange struct {
 	router  *Router
 	writer  http.ResponseWriter
+	caller  Caller // nil: the connection cannot be looked at
 	view    *view.View
 	route   *site.Route
 	service *service
@@ -52,7 +53,7 @@
 
 // ServeHTTP implements http.Handler.
 func (r *Router) ServeHTTP(w http.ResponseWriter, request *http.Request) {
-	x := &exchange{router: r, writer: w, view: r.state.Now(), arrived: time.Now()}
+	x := &exchange{router: r, writer: w, caller: callerOf(request.Context()), view: r.state.Now(), arrived: time.Now()}
 	x.request.ID = request.Header.Get(r.headers.RequestID)
 	if r.draining.Load() {
 		w.Header().Set("Connection", "close")
--- a/modules/gateway/callers.go
+++ b/modules/gateway/callers.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/burdockspindle/burdockspindle/gateway/router"
 	"github.com/burdockspindle/burdockspindle/gateway/socket"
 )
 
@@ -83,9 +84,22 @@
 
 // server returns a server of requests on callers' connections.
 func (o *callerConns) server(handler http.Handler) *http.Server {
-	return &http.Server{Handler: handler, MaxHeaderBytes: maxHeaderBytes, ConnState: o.connState}
+	return &http.Server{
+		Handler:        handler,
+		MaxHeaderBytes: maxHeaderBytes,
+		ConnState:      o.connState,
+		ConnContext: func(ctx context.Context, conn net.Conn) context.Context {
+			if c, isCaller := conn.(*callerConn); isCaller {
+				return router.WithCaller(ctx, c)
+			}
+			return ctx
+		},
+	}
 }
 
+// Left implements router.Caller.
+func (c *callerConn) Left() bool { return socket.Look(c.Conn) == socket.Ended }
+
 func (o *callerConns) add(conn net.Conn) *callerConn {
 	c := &callerConn{Conn: conn, owner: o, isFirst: true, since: time.Now()}
 	o.mu.Lock()
--- a/modules/gateway/callers_left_test.go
+++ b/modules/gateway/callers_left_test.go
@@ -21,6 +21,7 @@
 	"github.com/burdockspindle/burdockspindle/gateway/follow"
 	"github.com/burdockspindle/burdockspindle/gateway/router"
 	"github.com/burdockspindle/burdockspindle/gateway/site"
+	"github.com/burdockspindle/burdockspindle/gateway/socket"
 	"github.com/burdockspindle/burdockspindle/gateway/upstream"
 	"github.com/burdockspindle/burdockspindle/gateway/view"
 )
@@ -170,3 +171,20 @@
 		g.Expect(answer.StatusCode).To(gomega.BeNumerically(">=", http.StatusInternalServerError))
 	}
 }
+
+// What has arrived and what has ended is told apart: a connection with bytes of a
+// next request is not one whose caller has left.
+func TestACallerWithAnotherRequestHasNotLeft(t *testing.T) {
+	g := gomega.NewWithT(t)
+	callers := newCallerConns(fixedTimeouts(time.Minute, time.Minute))
+	here, there := callerPair(t, callers)
+	g.Expect(here.Left()).To(gomega.BeFalse())
+	_, err := io.WriteString(there, "GET")
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Eventually(func() socket.State { return socket.Look(here.Conn) }, 10*time.Second).Should(gomega.Equal(socket.Bytes))
+	g.Expect(here.Left()).To(gomega.BeFalse())
+	_, err = here.Read(make([]byte, 10))
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(there.Close()).To(gomega.Succeed())
+	g.Eventually(here.Left, 10*time.Second).Should(gomega.BeTrue())
+}
