--- a/gateway/site/site.go
+++ b/gateway/site/site.go
@@ -15,10 +15,6 @@
 // ServiceName names a service of the site.
 type ServiceName string
 
-// ServerID names one run of a backend server. A server that is started again
-// has another ID.
-type ServerID string
-
 // Kind tells whether a request may run more than once.
 type Kind string
 
--- a/gateway/upstream/client.go
+++ b/gateway/upstream/client.go
@@ -104,7 +104,7 @@
 
 // Control sends one call of the gateway itself.
 func (c *Client) Control(ctx context.Context, server site.Server, path string, body []byte) (*Answer, error) {
-	header := http.Header{"Content-Type": {"application/json"}, c.headers.ExpectedServer: {string(server.ID)}}
+	header := http.Header{"Content-Type": {"application/json"}, c.headers.ExpectedServer: {string(server.ID.Name())}}
 	r := &Request{Method: http.MethodPost, Target: path, Host: server.Address, Header: header, Body: body}
 	var text bytes.Buffer
 	writeHead(&text, r)
@@ -224,7 +224,7 @@
 		}
 		writeHeader(&text, http.Header{name: values})
 	}
-	writeHeader(&text, http.Header{c.headers.ExpectedServer: {string(server.ID)}})
+	writeHeader(&text, http.Header{c.headers.ExpectedServer: {string(server.ID.Name())}})
 	writeHeader(&text, http.Header{c.headers.Timeout: {strconv.FormatInt(max(r.Left.Milliseconds(), 1), 10)}})
 	writeLength(&text, r)
 	return text.Bytes()
--- a/gateway/upstream/headers.go
+++ b/gateway/upstream/headers.go
@@ -9,7 +9,7 @@
 type Headers struct {
 	RequestID      string // names one request; servers echo it
 	Timeout        string // milliseconds that the caller still waits
-	ExpectedServer string // ID of the server that alone may run the request
+	ExpectedServer string // name of the server that alone may run the request
 	Key            string // key of a request to a keyed service
 	NotRun         string // present if the server has not run the request
 	Load           string // the server's load
