--- /dev/null
+++ b/gateway/pool/bench_test.go
@@ -0,0 +1,49 @@
+package pool
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/burdockspindle/burdockspindle/gateway/site"
+)
+
+// queuedPool returns a pool of twelve servers without room, with requests that
+// wait for one of them each, and the time.
+func queuedPool(b *testing.B, waiting int) (*Pool, time.Time) {
+	b.Helper()
+	now := time.Unix(1000, 0)
+	p := New("a", 0, rand.New(rand.NewPCG(1, 1)))
+	var servers []site.Server
+	for i := range 12 {
+		servers = append(servers, site.Server{ID: site.ServerID(fmt.Sprint("s", i)), Service: "s", Zone: "b", Slots: 4})
+	}
+	p.Update(servers, 12, now)
+	for i := range waiting {
+		only := servers[i%len(servers)].ID
+		w := &Waiter{Priority: 1, Since: now, Target: now.Add(time.Minute), Deadline: now.Add(time.Hour), Only: only}
+		if _, refusal := p.Ask(w, now); refusal != nil {
+			b.Fatal(refusal)
+		}
+	}
+	return p, now
+}
+
+// BenchmarkDone measures what the end of a request costs while others wait.
+func BenchmarkDone(b *testing.B) {
+	for _, waiting := range []int{20, 100, 400} {
+		b.Run(fmt.Sprint(waiting), func(b *testing.B) {
+			p, now := queuedPool(b, waiting)
+			for b.Loop() {
+				m := p.order[0]
+				w := &Waiter{Priority: 1, Since: now, Target: now.Add(time.Minute), Deadline: now.Add(time.Hour), Only: m.ID}
+				for _, a := range p.Done(m.ID, Outcome{Took: 100 * time.Millisecond}, now) {
+					_, _ = p.Ask(w, now)
+					_ = a
+				}
+				p.Evict(now)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/gateway/pool/evict_test.go
@@ -0,0 +1,35 @@
+package pool_test
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"github.com/burdockspindle/burdockspindle/gateway/pool"
+	"github.com/burdockspindle/burdockspindle/gateway/site"
+)
+
+// A more urgent request that cannot be answered any more gives its turn up; the one
+// behind it can then be answered, and stays.
+func TestWhoGivesItsTurnUpCountsForNoneBehindIt(t *testing.T) {
+	g := gomega.NewWithT(t)
+	p := pool.New("a", 0, rand.New(rand.NewPCG(1, 1)))
+	p.Update([]site.Server{{ID: "s", Service: "s", Zone: "a", Slots: 1}}, 12, start)
+	ask := func(priority int, deadline time.Duration) *pool.Waiter {
+		w := &pool.Waiter{Priority: priority, Since: start, Target: start.Add(time.Second), Deadline: start.Add(deadline), Only: "s"}
+		_, refusal := p.Ask(w, start)
+		g.Expect(refusal).To(gomega.BeNil())
+		return w
+	}
+	ask(0, time.Minute) // runs
+	behind := ask(2, 1200*time.Millisecond)
+	hopeless := ask(1, 1100*time.Millisecond)
+	evicted := map[*pool.Waiter]bool{}
+	for _, e := range p.Evict(start.Add(time.Second)) {
+		evicted[e.Waiter] = true
+	}
+	g.Expect(evicted).To(gomega.HaveKey(hopeless), "100 ms left, a request takes 150")
+	g.Expect(evicted).NotTo(gomega.HaveKey(behind), "200 ms left")
+}
