Router: a request that is given up neither looks for an owner without a pause nor is sent

Cause: the pause of placeAtOwner ends at once when the request's context has ended, and nothing looked at the context, so that a request whose caller had left went round 50,000 to 60,000 times (with -race) until the server was tried again 500 ms later or its patience of up to 1 s ended; then it got a place and was sent with an ended context, which a server sees as a request whose connection is gone in the same millisecond. The loop takes all of the processor share that a node has, so that others are not read in time, whose callers leave in turn. Router.Close ends contexts too, 250 ms before the process ends: such a request could miss its last answer. Ruled out: processor time of garbage collection alone, timers of NextRoom (they fire after the pause), the follower's reads (bytes in and out did not rise in that second). Change: both places look at the context.

--- a/gateway/router/owner.go
+++ b/gateway/router/owner.go
@@ -31,6 +31,11 @@
 			return site.Server{}, problem
 		}
 		x.awaitNews(ctx)
+		// Without this, a request that nobody waits for goes round here without a
+		// pause, 50,000 times in half a second, and keeps the processor from all others.
+		if ctx.Err() != nil {
+			return site.Server{}, problem
+		}
 	}
 }
 
--- a/gateway/router/run.go
+++ b/gateway/router/run.go
@@ -70,13 +70,9 @@
 	var last site.Server
 	for {
 		if running == 0 {
-			server, problem := x.place(ctx)
-			if problem != nil {
-				return x.giveUp(problem)
-			}
-			if x.callerLeft() {
-				x.service.done(server, pool.Outcome{Abandoned: true})
-				return result{callerLeft: true}
+			server, end := x.placeToSend(ctx)
+			if end != nil {
+				return *end
 			}
 			x.start(attempts.ctx, server, outcomes)
 			running++
@@ -111,6 +107,27 @@
 	}
 }
 
+// placeToSend waits for a place, and takes it only if somebody still waits for the
+// answer: a place may come in the moment in which the request is given up, and what
+// is sent then is reset at once.
+func (x *exchange) placeToSend(ctx context.Context) (site.Server, *result) {
+	server, problem := x.place(ctx)
+	if problem != nil {
+		end := x.giveUp(problem)
+		return site.Server{}, &end
+	}
+	if x.callerLeft() {
+		x.service.done(server, pool.Outcome{Abandoned: true})
+		return site.Server{}, &result{callerLeft: true}
+	}
+	if ctx.Err() != nil {
+		x.service.done(server, pool.Outcome{Abandoned: true})
+		end := x.giveUp(waitedInVain(x.service.typicalTime()))
+		return site.Server{}, &end
+	}
+	return server, nil
+}
+
 // attempts are the sends that are given up together.
 type attempts struct {
 	ctx    context.Context
@@ -264,10 +281,10 @@
 		case <-changed:
 		case <-tooLate.C:
 			x.service.leave(w, places)
-			return site.Server{}, &refusal{status: http.StatusServiceUnavailable, reason: "waited in vain", retryAfter: typical}
+			return site.Server{}, waitedInVain(typical)
 		case <-ctx.Done():
 			x.service.leave(w, places)
-			return site.Server{}, &refusal{status: http.StatusServiceUnavailable, reason: "waited in vain", retryAfter: typical}
+			return site.Server{}, waitedInVain(typical)
 		}
 	}
 }
@@ -278,6 +295,11 @@
 	waits.record(string(x.service.name), d)
 }
 
+// waitedInVain refuses a request that got no place in its time.
+func waitedInVain(typical time.Duration) *refusal {
+	return &refusal{status: http.StatusServiceUnavailable, reason: "waited in vain", retryAfter: typical}
+}
+
 func refusalOf(r *pool.Refusal) *refusal {
 	return &refusal{status: http.StatusServiceUnavailable, reason: string(r.Reason), retryAfter: r.RetryAfter}
 }
