Callers: a failing test of the time between two requests after a body

The bytes of a body count as the beginning of the next request, so that the connection is in the phase of a head when the request has ended.

--- a/modules/gateway/callers_test.go
+++ b/modules/gateway/callers_test.go
@@ -6,6 +6,8 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -164,3 +166,46 @@
 	g.Expect(answer.Body.Close()).To(gomega.Succeed())
 	g.Expect(<-drained).To(gomega.Succeed())
 }
+
+// The bytes of a request's body came while it was served, and were taken for the
+// beginning of the next request: the connection then had the 3 s of a head between
+// two requests, not the 15 s that the configuration gives it, and it was ended
+// without a look whether a request had arrived.
+func TestABodyIsNotTakenForTheNextRequest(t *testing.T) {
+	g := gomega.NewWithT(t)
+	callers := newCallerConns(fixedTimeouts(time.Minute, time.Minute))
+	server := callers.server(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		body, _ := io.ReadAll(r.Body) // the caller compares the length
+		_, _ = io.WriteString(w, strconv.Itoa(len(body)))
+	}))
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	go func() { _ = server.Serve(&callerListener{Listener: listener, owner: callers}) }()
+	defer func() { _ = server.Close() }()
+	conn, err := net.Dial("tcp", listener.Addr().String())
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	defer func() { _ = conn.Close() }()
+	body := strings.Repeat("x", 64<<10)
+	_, err = io.WriteString(conn, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: "+strconv.Itoa(len(body))+"\r\n\r\n"+body)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	answer, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	length, err := io.ReadAll(answer.Body)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(string(length)).To(gomega.Equal(strconv.Itoa(len(body))))
+	g.Eventually(func() []phase { return phases(callers) }, 10*time.Second).ShouldNot(gomega.ContainElement(serving))
+	g.Expect(phases(callers)).To(gomega.Equal([]phase{waiting}))
+}
+
+// phases returns where the open connections stand.
+func phases(callers *callerConns) []phase {
+	callers.mu.Lock()
+	defer callers.mu.Unlock()
+	var all []phase
+	for c := range callers.open {
+		c.mu.Lock()
+		all = append(all, c.phase)
+		c.mu.Unlock()
+	}
+	return all
+}
