Callers: the bytes of a body are not taken for the beginning of the next request

Cause: every byte that came while a request was served counted as one of the next request, those of the request's own body too. After a body that did not fit the first read, the connection had the header timeout (3 s) between two requests, where the configuration says 15 s, was then ended without a look at what had arrived, and was passed over by a drain until that time was over. Change: only what the server reads ahead, one byte at a time, counts as early. Should a later library read ahead otherwise, the connection has the idle time, as the configuration says.

--- a/modules/gateway/callers.go
+++ b/modules/gateway/callers.go
@@ -112,19 +112,26 @@
 func (c *callerConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
 	if n > 0 {
-		c.sawBytes()
+		c.sawBytes(len(p))
 	}
 	return n, err
 }
 
-func (c *callerConn) sawBytes() {
+// lookAhead is for how many bytes the server asks while it waits, beside a request,
+// for the caller to leave. It asks for more when it reads a body.
+const lookAhead = 1
+
+// sawBytes notes that bytes have come for a read of so many.
+func (c *callerConn) sawBytes(asked int) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	switch c.phase {
 	case waiting:
 		c.enter(reading, c.owner.timeouts.head())
 	case serving:
-		c.early = true
+		if asked == lookAhead {
+			c.early = true
+		}
 	}
 }
 
--- a/modules/gateway/callers_test.go
+++ b/modules/gateway/callers_test.go
@@ -76,7 +76,7 @@
 		callers := newCallerConns(fixedTimeouts(2*time.Second, time.Minute))
 		raw, _ := net.Pipe()
 		here := callers.add(raw)
-		here.sawBytes()
+		here.sawBytes(100)
 		time.Sleep(time.Second)
 		g.Expect(isEnded(here)).To(gomega.BeFalse())
 		time.Sleep(2 * time.Second)
