--- a/modules/gateway/callers_test.go
+++ b/modules/gateway/callers_test.go
@@ -192,6 +192,7 @@
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 	length, err := io.ReadAll(answer.Body)
 	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(answer.Body.Close()).To(gomega.Succeed())
 	g.Expect(string(length)).To(gomega.Equal(strconv.Itoa(len(body))))
 	g.Eventually(func() []phase { return phases(callers) }, 10*time.Second).ShouldNot(gomega.ContainElement(serving))
 	g.Expect(phases(callers)).To(gomega.Equal([]phase{waiting}))
