--- a/gateway/router/owner_test.go
+++ b/gateway/router/owner_test.go
@@ -88,3 +88,24 @@
 	again, _, _ := x.service.ask(&pool.Waiter{Only: "b", Deadline: x.deadline})
 	g.Expect(again.ID).To(gomega.Equal(site.ServerID("b")), "the place was given back")
 }
+
+type leftCaller struct{}
+
+func (leftCaller) Left() bool { return true }
+
+// The end of a caller's connection is read beside the request, so that a hedge may
+// be due before it is.
+func TestNoHedgeIsSentForACallerThatHasLeft(t *testing.T) {
+	g := gomega.NewWithT(t)
+	x := keyedExchange(t)
+	x.keyed = false
+	for range 20 {
+		x.service.countRequest() // which lets some be sent again
+	}
+	server, isThere := x.hedgePlace()
+	g.Expect(isThere).To(gomega.BeTrue(), "there is room")
+	x.service.done(server, pool.Outcome{Abandoned: true})
+	x.caller = leftCaller{}
+	_, isThere = x.hedgePlace()
+	g.Expect(isThere).To(gomega.BeFalse())
+}
