Platform: a server's entry tells its start and its sequence

Cause: a server may start again under its name; the register must tell the runs apart. Change: the codec decodes both into site.Entry; nothing uses them yet, nothing is checked yet.

--- a/gateway/follow/reader.go
+++ b/gateway/follow/reader.go
@@ -191,12 +191,12 @@
 func (r *Reader) snapshot(batch store.Batch, now time.Time) {
 	servers := map[site.ServerID]site.Server{}
 	for _, record := range batch.Records {
-		server, err := r.Codec.Server(record.Key, record.Value)
+		entry, err := r.Codec.Entry(record.Key, record.Value)
 		if err != nil {
 			eventBadRecord.Log(r.Logger, "topic", store.Servers, "key", record.Key, "offset", record.Offset, "cause", err)
 			continue
 		}
-		servers[server.ID] = server
+		servers[entry.ID] = entry.Server
 	}
 	r.register.Snapshot(servers, batch.End, now)
 }
@@ -207,12 +207,12 @@
 		r.register.Drop(site.ServerID(record.Key), end, now)
 		return
 	}
-	server, err := r.Codec.Server(record.Key, record.Value)
+	entry, err := r.Codec.Entry(record.Key, record.Value)
 	if err != nil {
 		eventBadRecord.Log(r.Logger, "topic", store.Servers, "key", record.Key, "offset", record.Offset, "cause", err)
 		return
 	}
-	r.register.Put(server, end)
+	r.register.Put(entry.Server, end)
 }
 
 func (r *Reader) logServers(before, after map[site.ServerID]site.Server) {
--- a/gateway/view/view.go
+++ b/gateway/view/view.go
@@ -207,6 +207,7 @@
 	// Config decodes a record of the configurations' topic; found is false for
 	// records that are none.
 	Config(key string, value []byte) (config *site.Config, found bool, err error)
-	// Server decodes a server's record.
-	Server(key string, value []byte) (site.Server, error)
+	// Entry decodes a server's record. It is whole, or an error tells what is wrong
+	// with it.
+	Entry(key string, value []byte) (site.Entry, error)
 }
