Follow: failing tests of runs of a server and of broken entries

Cause: the register keeps each run beside the others, and a broken entry leaves the earlier one in place. Change: tests only, and a counter that nothing counts yet; they fail.

--- a/gateway/follow/metrics.go
+++ b/gateway/follow/metrics.go
@@ -49,3 +49,9 @@
 	}
 	storeCalls.Add(kind+" "+string(topic)+" "+result, 1)
 }
+
+// registerCounts counts what was wrong with entries of the register.
+var registerCounts = metrics.New("gateway_register")
+
+// brokenEntries counts the changes of entries that name no server to use.
+var brokenEntries = registerCounts.Counter("broken_entries")
--- /dev/null
+++ b/gateway/follow/runs_test.go
@@ -0,0 +1,339 @@
+package follow
+
+import (
+	"bytes"
+	"encoding/json"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/onsi/gomega"
+
+	"github.com/burdockspindle/burdockspindle/gateway/site"
+	"github.com/burdockspindle/burdockspindle/gateway/store"
+	"github.com/burdockspindle/burdockspindle/gateway/view"
+)
+
+// jsonCodec decodes entries that are site.Entry values in JSON.
+type jsonCodec struct{}
+
+// Config implements view.Codec.
+func (jsonCodec) Config(_ string, value []byte) (*site.Config, bool, error) {
+	var config site.Config
+	err := json.Unmarshal(value, &config)
+	return &config, true, err
+}
+
+// Entry implements view.Codec.
+func (jsonCodec) Entry(_ string, value []byte) (entry site.Entry, err error) {
+	if err := json.Unmarshal(value, &entry); err != nil {
+		return site.Entry{}, err
+	}
+	return entry, nil
+}
+
+// registered is a node's view of the register, fed with records.
+type registered struct {
+	t      *testing.T
+	reader *Reader
+	end    store.Offset
+	log    bytes.Buffer
+}
+
+func newRegistered(t *testing.T) *registered {
+	t.Helper()
+	r := &registered{t: t}
+	logger := hclog.New(&hclog.LoggerOptions{Level: hclog.Debug, Output: &r.log, JSONFormat: true})
+	r.reader = &Reader{Codec: jsonCodec{}, State: view.NewState(), Logger: logger, register: NewRegister()}
+	r.reader.takeServers(store.Batch{}, true)
+	return r
+}
+
+// run returns the ID of the run of server s that started so many seconds after
+// others; 0: it does not tell.
+func run(started int) site.ServerID {
+	if started == 0 {
+		return site.RunID("s", time.Time{})
+	}
+	return site.RunID("s", start.Add(time.Duration(started)*time.Second))
+}
+
+func (r *registered) text(started int, sequence int64) []byte {
+	r.t.Helper()
+	text, err := json.Marshal(site.Entry{Server: site.Server{ID: run(started), Address: "10.0.0.1:1", Service: "x"}, Sequence: sequence})
+	gomega.NewWithT(r.t).Expect(err).NotTo(gomega.HaveOccurred())
+	return text
+}
+
+func (r *registered) take(value []byte) {
+	r.end++
+	r.reader.takeServers(store.Batch{Records: []store.Record{{Offset: r.end - 1, Key: "s", Value: value}}, Next: r.end, End: r.end}, false)
+}
+
+// writes has a run write once.
+func (r *registered) writes(started int, sequence int64) { r.take(r.text(started, sequence)) }
+
+func (r *registered) snapshot(value []byte) {
+	r.end++
+	batch := store.Batch{Next: r.end, End: r.end}
+	if value != nil {
+		batch.Records = []store.Record{{Offset: r.end - 1, Key: "s", Value: value}}
+	}
+	r.reader.takeServers(batch, true)
+}
+
+// shows expects that the view holds just one run; none if started is -1.
+func (r *registered) shows(started int) {
+	r.t.Helper()
+	servers := r.reader.State.Now().Servers.Servers
+	if started < 0 {
+		gomega.NewWithT(r.t).Expect(servers).To(gomega.BeEmpty())
+		return
+	}
+	gomega.NewWithT(r.t).Expect(servers).To(gomega.And(gomega.HaveLen(1), gomega.HaveKey(run(started))))
+}
+
+// lines counts the lines of an event.
+func (r *registered) lines(event string) int { return strings.Count(r.log.String(), `"event":`+event) }
+
+func TestALaterStartReplacesTheEarlierRun(t *testing.T) {
+	g := gomega.NewWithT(t)
+	r := newRegistered(t)
+	r.writes(1, 7)
+	r.shows(1)
+	r.writes(2, 0)
+	r.shows(2)
+	g.Expect(r.lines("2018")).To(gomega.Equal(1))
+	g.Expect(r.log.String()).To(gomega.ContainSubstring(`"offset":2`))
+	g.Expect(r.lines("2013")).To(gomega.BeZero(), "the name has not left")
+	r.writes(1, 8)
+	r.shows(2)
+	r.snapshot(r.text(1, 9))
+	r.shows(2)
+}
+
+// The later run may have ended before a write of the earlier one takes effect.
+func TestAnEarlierRunDoesNotComeBackAfterTheLaterOneHasLeft(t *testing.T) {
+	r := newRegistered(t)
+	r.writes(1, 7)
+	r.writes(2, 0)
+	r.take(nil)
+	r.shows(-1)
+	r.writes(1, 8)
+	r.shows(-1)
+	r.snapshot(r.text(1, 9))
+	r.shows(-1)
+	r.writes(2, 1)
+	r.shows(2)
+}
+
+func TestARunWithAStartFollowsOneWithout(t *testing.T) {
+	r := newRegistered(t)
+	r.writes(0, 7)
+	r.shows(0)
+	r.writes(1, 0)
+	r.shows(1)
+}
+
+// The clock of the VM was set back, or was ahead before: a living server goes on
+// writing.
+func TestAnEarlierStartIsBelievedAfterSeveralWrites(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRegistered(t)
+		r.writes(1000, 5)
+		for i := range 3 {
+			r.writes(1, int64(i))
+			r.shows(1000)
+			time.Sleep(870 * time.Millisecond)
+		}
+		r.writes(1, 3)
+		r.shows(1)
+		r.writes(1000, 6)
+		r.shows(1) // a late write of the run that was replaced
+		r.writes(2, 0)
+		r.shows(2) // a later start than the present one
+	})
+}
+
+func TestWritesThatDoNotTellOfALivingRunAreNotBelieved(t *testing.T) {
+	for name, write := range map[string]func(r *registered, i int){
+		"sequence stands still": func(r *registered, _ int) { r.writes(1, 5) },
+		"the later run writes too": func(r *registered, i int) {
+			r.writes(1, int64(i))
+			r.writes(2, int64(i))
+		},
+		"each of another run": func(r *registered, i int) { r.writes(1-i, int64(i)) },
+		"all at once": func(r *registered, i int) {
+			if i == 0 {
+				for n := range 10 {
+					r.writes(1, int64(n))
+				}
+			}
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				r := newRegistered(t)
+				r.writes(2, 5)
+				for i := range 8 {
+					if i == 0 && name == "each of another run" {
+						continue // run 1-0 is run 1, and 0 tells no start
+					}
+					write(r, i)
+					r.shows(2)
+					time.Sleep(870 * time.Millisecond)
+				}
+			})
+		})
+	}
+}
+
+// A server that starts again while the entry of its earlier run is kept after an
+// outage counts as new, and what becomes of the earlier entry says nothing of it.
+func TestANewRunAfterAnOutageIsNew(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRegistered(t)
+		r.writes(1, 7)
+		r.reader.register.Failed(time.Now())
+		time.Sleep(3 * time.Second)
+		r.snapshot(nil)
+		r.shows(1) // kept
+		r.writes(2, 0)
+		r.shows(2)
+		time.Sleep(2 * returnTime)
+		r.reader.showServers(time.Now())
+		r.shows(2)
+	})
+}
+
+// Another node began with a snapshot in which a late write of an earlier run was
+// the newest record, so that its register is newer and wrong.
+func TestAnEarlierRunToldByAnotherNodeDoesNotComeBack(t *testing.T) {
+	g := gomega.NewWithT(t)
+	r := newRegistered(t)
+	r.writes(1, 7)
+	r.writes(2, 0)
+	other := newRegistered(t)
+	other.end = 10
+	other.snapshot(other.text(1, 8))
+	other.shows(1)
+	g.Expect(r.reader.State.MergeServers(other.reader.State.Now().Servers)).To(gomega.BeTrue())
+	r.shows(2)
+	r.end = 20
+	r.take(nil)
+	r.shows(-1)
+	other.end = 30
+	other.writes(1, 9)
+	other.take([]byte("{")) // so that the register changes again
+	other.writes(1, 10)
+	r.reader.State.MergeServers(other.reader.State.Now().Servers)
+	r.shows(-1)
+}
+
+// A node that follows another one sees a run with an earlier start too, once that
+// has been found to live.
+func TestARunBelievedElsewhereIsTakenFromAnotherNode(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r, other := newRegistered(t), newRegistered(t)
+		r.writes(1000, 5)
+		other.writes(1000, 5)
+		for i := range 4 {
+			other.writes(1, int64(i))
+			time.Sleep(870 * time.Millisecond)
+		}
+		other.shows(1)
+		r.reader.State.MergeServers(other.reader.State.Now().Servers)
+		r.shows(1)
+	})
+}
+
+// An entry that cannot be used takes the place of a sound one: no new request goes
+// to a server on the strength of the old entry.
+func TestABrokenEntryNamesNoServer(t *testing.T) {
+	g := gomega.NewWithT(t)
+	r := newRegistered(t)
+	before := brokenEntries.Value()
+	r.writes(1, 7)
+	r.take([]byte("{"))
+	r.shows(-1)
+	g.Expect(r.lines("2019")).To(gomega.Equal(1))
+	g.Expect(r.log.String()).To(gomega.ContainSubstring(`"key":"s"`))
+	g.Expect(r.log.String()).To(gomega.ContainSubstring(`"offset":1`))
+	r.take([]byte("{"))
+	r.snapshot([]byte("{"))
+	g.Expect(r.lines("2019")).To(gomega.Equal(1), "the same again")
+	r.take([]byte("["))
+	g.Expect(r.lines("2019")).To(gomega.Equal(2))
+	r.writes(1, 8)
+	r.shows(1)
+	r.snapshot([]byte("["))
+	r.shows(-1)
+	g.Expect(r.lines("2019")).To(gomega.Equal(3), "it was sound meanwhile")
+	g.Expect(brokenEntries.Value()-before).To(gomega.Equal(int64(3)))
+}
+
+func TestOtherEntriesHoldBesideABrokenOne(t *testing.T) {
+	g := gomega.NewWithT(t)
+	r := newRegistered(t)
+	sound, err := json.Marshal(site.Entry{Server: site.Server{ID: "other"}})
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	batch := store.Batch{Records: []store.Record{{Offset: 1, Key: "s", Value: []byte("x")}, {Offset: 2, Key: "other", Value: sound}}, Next: 3, End: 3}
+	r.reader.takeServers(batch, true)
+	g.Expect(r.reader.State.Now().Servers.Servers).To(gomega.And(gomega.HaveLen(1), gomega.HaveKey(site.ServerID("other"))))
+}
+
+func TestABrokenEntryKeepsNoPlaceAfterAnOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRegistered(t)
+		r.writes(1, 7)
+		r.reader.register.Failed(time.Now())
+		time.Sleep(3 * time.Second)
+		r.take([]byte("{"))
+		r.shows(-1)
+	})
+}
+
+// Each run tells its start or none of a server's does; an entry without one came
+// from another writer.
+func TestAnEntryWithoutAStartAfterOneWithIsBroken(t *testing.T) {
+	g := gomega.NewWithT(t)
+	r := newRegistered(t)
+	r.writes(1, 7)
+	r.writes(0, 8)
+	r.shows(-1)
+	g.Expect(r.lines("2019")).To(gomega.Equal(1))
+	r.writes(1, 9)
+	r.shows(1)
+	r.snapshot(r.text(0, 10))
+	r.shows(-1)
+}
+
+// A flood of broken entries does not flood the log.
+func TestLinesOfBrokenEntriesAreBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := gomega.NewWithT(t)
+		r := newRegistered(t)
+		for i := range 500 {
+			r.take([]byte(strings.Repeat("{", i+1)))
+		}
+		g.Expect(r.lines("2019")).To(gomega.BeNumerically("<=", 20))
+	})
+}
+
+// The newest sound configuration stays in force.
+func TestAConfigurationThatCannotBeUsedIsPassedOver(t *testing.T) {
+	g := gomega.NewWithT(t)
+	r := newRegistered(t)
+	take := func(text string) { r.reader.takeConfig(store.Record{Key: "c", Value: []byte(text)}) }
+	take(`{"version":3}`)
+	take(`{"version":4`)
+	take(`{"version":"5"}`)
+	take(`{"version":6,"routes":[{"prefix":"x"}]}`)
+	take(``)
+	g.Expect(r.reader.State.Now().Config.Version).To(gomega.Equal(site.Version(3)))
+	g.Expect(r.lines("2002")).To(gomega.Equal(3))
+	take(`{"version":7,"more":1}`)
+	g.Expect(r.reader.State.Now().Config.Version).To(gomega.Equal(site.Version(7)))
+}
