Upstream: connections to runs that have ended are closed at once

Change: the client takes the registered runs with each change of the view, closes the idle connections to all others, for requests and for its own calls, and keeps none to them afterwards. Idle connections have a file of their own.

--- a/gateway/upstream/client.go
+++ b/gateway/upstream/client.go
@@ -61,7 +61,7 @@
 
 // NewClient returns a client that uses a deployment's header names.
 func NewClient(headers Headers) *Client {
-	return &Client{headers: headers, dial: Dialer(connectTimeout).DialContext, idle: idlePool{conns: map[string][]*conn{}}}
+	return &Client{headers: headers, dial: Dialer(connectTimeout).DialContext, idle: idlePool{conns: map[idleKey][]*conn{}}}
 }
 
 // Run closes idle connections that have become too old, until ctx ends.
@@ -81,7 +81,7 @@
 // Send sends a request once and returns the whole answer. The error is an
 // *AttemptError. When ctx ends the connection is reset, so that the server stops.
 func (c *Client) Send(ctx context.Context, server site.Server, r *Request) (*Answer, error) {
-	return c.do(ctx, server, r, c.requestText(server, r), true, "")
+	return c.do(ctx, server, r, c.requestText(server, r), false)
 }
 
 // Probe opens a connection to a server and keeps it for later requests.
@@ -93,16 +93,13 @@
 	cn := newConn(raw)
 	cn.answered = time.Now()
 	cn.until = cn.answered.Add(defaultIdle)
-	c.idle.put(server.Address+" "+string(server.ID), cn)
+	c.idle.put(idleKey{address: server.Address, server: server.ID}, cn)
 	return nil
 }
 
-// controlKey keeps connections for calls of the gateway itself apart: a full
-// server takes no new connection, and its keys would be lost to it for want of a
+// Control sends one call of the gateway itself. Its connections are kept apart: a
+// full server takes no new one, and its keys would be lost to it for want of a
 // renewal.
-const controlKey = " control"
-
-// Control sends one call of the gateway itself.
 func (c *Client) Control(ctx context.Context, server site.Server, path string, body []byte) (*Answer, error) {
 	header := http.Header{"Content-Type": {"application/json"}, c.headers.ExpectedServer: {string(server.ID.Name())}}
 	r := &Request{Method: http.MethodPost, Target: path, Host: server.Address, Header: header, Body: body}
@@ -110,11 +107,11 @@
 	writeHead(&text, r)
 	writeHeader(&text, header)
 	writeLength(&text, r)
-	return c.do(ctx, server, r, text.Bytes(), false, controlKey)
+	return c.do(ctx, server, r, text.Bytes(), true)
 }
 
-func (c *Client) do(ctx context.Context, server site.Server, r *Request, head []byte, matchID bool, use string) (*Answer, error) {
-	key := server.Address + " " + string(server.ID) + use
+func (c *Client) do(ctx context.Context, server site.Server, r *Request, head []byte, control bool) (*Answer, error) {
+	key := idleKey{address: server.Address, server: server.ID, control: control}
 	cn := c.idle.take(key, time.Now(), r.Fresh)
 	if cn == nil {
 		raw, err := c.dial(ctx, "tcp", server.Address)
@@ -127,7 +124,7 @@
 			return nil, &AttemptError{Server: server.ID, Cause: err}
 		}
 	}
-	answer, reusable, err := c.exchange(ctx, cn, r, head, matchID)
+	answer, reusable, err := c.exchange(ctx, cn, r, head, !control)
 	if err != nil {
 		reset(cn.net)
 		return nil, &AttemptError{Server: server.ID, Sent: cn.written, Cause: err}
--- a/gateway/upstream/conn.go
+++ b/gateway/upstream/conn.go
@@ -6,7 +6,6 @@
 	"net"
 	"strconv"
 	"strings"
-	"sync"
 	"time"
 
 	"github.com/burdockspindle/burdockspindle/gateway/socket"
@@ -75,71 +74,6 @@
 	return c.reader.Buffered() == 0 && socket.Look(c.net) == socket.Quiet
 }
 
-// idlePool keeps the idle connections of each server address and ID.
-type idlePool struct {
-	mu    sync.Mutex
-	conns map[string][]*conn
-}
-
-// take returns the idle connection that was used last and is still good, or nil;
-// with fresh only one that proved to work just now.
-func (p *idlePool) take(key string, now time.Time, fresh bool) *conn {
-	for {
-		c := p.pop(key)
-		if c == nil {
-			return nil
-		}
-		if fresh && now.Sub(c.answered) > freshFor {
-			p.put(key, c)
-			return nil
-		}
-		if now.Before(c.until) && c.quiet() {
-			c.written = false
-			return c
-		}
-		_ = c.net.Close() // it carries nothing
-	}
-}
-
-func (p *idlePool) pop(key string) *conn {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	stack := p.conns[key]
-	if len(stack) == 0 {
-		return nil
-	}
-	c := stack[len(stack)-1]
-	p.conns[key] = stack[:len(stack)-1]
-	return c
-}
-
-func (p *idlePool) put(key string, c *conn) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.conns[key] = append(p.conns[key], c)
-}
-
-// sweep closes connections that are too old.
-func (p *idlePool) sweep(now time.Time) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for key, stack := range p.conns {
-		kept := stack[:0]
-		for _, c := range stack {
-			if now.Before(c.until) {
-				kept = append(kept, c)
-			} else {
-				_ = c.net.Close() // it carries nothing
-			}
-		}
-		if len(kept) == 0 {
-			delete(p.conns, key)
-		} else {
-			p.conns[key] = kept
-		}
-	}
-}
-
 // idleTime returns how long a connection may be kept after an answer with this
 // Keep-Alive header.
 func idleTime(header string) time.Duration {
--- a/modules/gateway/site.go
+++ b/modules/gateway/site.go
@@ -15,6 +15,7 @@
 	"github.com/burdockspindle/burdockspindle/gateway/duty"
 	"github.com/burdockspindle/burdockspindle/gateway/follow"
 	"github.com/burdockspindle/burdockspindle/gateway/ranges"
+	"github.com/burdockspindle/burdockspindle/gateway/store"
 	"github.com/burdockspindle/burdockspindle/gateway/upstream"
 	"github.com/burdockspindle/burdockspindle/gateway/view"
 	"github.com/burdockspindle/burdockspindle/kernel"
@@ -106,12 +107,29 @@
 func (m *Site) Start(context.Context) error {
 	ctx, cancel := context.WithCancel(context.Background())
 	m.cancel = cancel
-	for _, run := range []func(context.Context){m.client.Run, m.reader.RunConfigurations, m.reader.RunServers, m.follower.Run, m.duty.Run} {
+	for _, run := range []func(context.Context){m.client.Run, m.keepConnections, m.reader.RunConfigurations, m.reader.RunServers, m.follower.Run, m.duty.Run} {
 		m.running.Go(func() { run(ctx) })
 	}
 	return nil
 }
 
+// keepConnections has connections to runs of servers that are no longer registered
+// closed, until ctx ends.
+func (m *Site) keepConnections(ctx context.Context) {
+	var seen store.Offset
+	for ctx.Err() == nil {
+		changed := m.state.Changed()
+		if servers := m.state.Now().Servers; servers.Offset > seen {
+			seen = servers.Offset
+			m.client.KeepOnly(servers.Servers)
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+		}
+	}
+}
+
 // Drain implements kernel.Drainer: the lessor's lease is given up.
 func (m *Site) Drain(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, resignTimeout)
