Pool: a new run of a server that was tried counts as tried

Cause: a request whose server crashed under it was sent to the same server again as it started, cold. Change: what was tried is compared by the server's name.

--- a/gateway/pool/queue.go
+++ b/gateway/pool/queue.go
@@ -21,20 +21,23 @@
 
 // Waiter is a request that wants a server.
 type Waiter struct {
-	Priority int           // 0 is the most urgent
-	Since    time.Time     // when it came
-	Target   time.Time     // by when an answer is worth most
-	Deadline time.Time     // by when an answer is worth anything
-	Only     site.ServerID // the one server that may run it; empty: any
-	Not      []site.ServerID
-	Once     bool // it must not run twice, so that a failure of its server loses it
-}
-
+	Priority int             // 0 is the most urgent
+	Since    time.Time       // when it came
+	Target   time.Time       // by when an answer is worth most
+	Deadline time.Time       // by when an answer is worth anything
+	Only     site.ServerID   // the one server that may run it; empty: any
+	Not      []site.ServerID // runs of servers that have been tried
+	Once     bool            // it must not run twice, so that a failure of its server loses it
+}
+
+// accepts reports whether a run of a server may get the request. A new run of a
+// server that was tried counts as tried: it has just started, often because it
+// failed under the request, and the route bounds the servers that are tried.
 func (w *Waiter) accepts(id site.ServerID) bool {
 	if w.Only != "" {
 		return w.Only == id
 	}
-	return !slices.Contains(w.Not, id)
+	return !slices.ContainsFunc(w.Not, func(tried site.ServerID) bool { return tried.Name() == id.Name() })
 }
 
 func (w *Waiter) failureCost() time.Duration {
