Router: the tests of a restarted server bring the pool and the retry budget about

TestANewRunOfATriedServerIsNotTried passed and TestAnotherServerIsTriedAfterARestart failed with and without the change, since the test's pool never saw the new run (a service takes the register with the next request) and its retry budget was empty (the number of nodes was not known). Change: the test does what the next request does and names the node.

--- a/gateway/router/runs_test.go
+++ b/gateway/router/runs_test.go
@@ -52,6 +52,7 @@
 	t.Helper()
 	g := gomega.NewWithT(t)
 	state := view.NewState()
+	state.SetMembers([]view.Member{{Node: "n", Boot: "b", Zone: "a"}}) // that share the retry budget
 	g.Expect(state.MergeConfig(&site.Config{
 		Version:  1,
 		Services: map[site.ServiceName]site.Service{"s": {Name: "s"}},
@@ -67,11 +68,15 @@
 		}
 		state.MergeServers(next)
 	}
-	first.before = func() { register(append(others, second.Server)...) }
+	first.before = func() {
+		register(append(others, second.Server)...)
+		r.service("s") // as the next request does
+	}
 	register(first.Server)
 	headers := upstream.Headers{RequestID: "Request-Id", Timeout: "Timeout", ExpectedServer: "Expected", ParseLoad: func(string) (site.Load, bool) { return site.Load{}, false }}
 	terms := Terms{Retries: budget.Terms{Ratio: 0.2, Slack: 10, Window: 10 * time.Second}}
-	return New("a", headers, terms, state, upstream.NewClient(headers), follow.NewReports(), hclog.NewNullLogger()), first, second
+	r = New("a", headers, terms, state, upstream.NewClient(headers), follow.NewReports(), hclog.NewNullLogger())
+	return r, first, second
 }
 
 func answerOf(r *Router) *httptest.ResponseRecorder {
