Pool: failing tests of servers that restart again and again

Cause: each run of a server in a crash loop is a server that the pool has never seen: it gets its first limit and is preferred as untried each time, and takes the requests with it. Change: tests only; the replay can have servers crash.

--- /dev/null
+++ b/gateway/pool/crash_test.go
@@ -0,0 +1,128 @@
+package pool_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"github.com/burdockspindle/burdockspindle/gateway/pool"
+	"github.com/burdockspindle/burdockspindle/gateway/site"
+)
+
+// crashing returns eight servers of which one ends every two seconds and starts
+// again after a while.
+func crashing() []replayServer {
+	servers := eight()
+	for i := range servers {
+		servers[i].work = 90 * time.Millisecond
+	}
+	servers[0].crashEvery = 2 * time.Second
+	servers[0].down = 300 * time.Millisecond
+	return servers
+}
+
+// A server in a crash loop takes the requests with it that it has. A pool that
+// takes each run for a server that it has never seen gives it full load each time.
+func TestAServerInACrashLoopGetsLittle(t *testing.T) {
+	for _, rate := range []float64{100, 200, 260} {
+		t.Run(fmt.Sprint(rate), func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			l := load{nodes: 8, servers: crashing(), rate: steady(rate), length: 30 * time.Second, target: 300 * time.Millisecond, patient: 2 * time.Second}
+			remembered := run(l)
+			l.renamed = true
+			renamed := run(l)
+			t.Logf("known by name: %v, %d lost, %d not reached; each run under a name of its own: %v, %d lost, %d not reached",
+				remembered, remembered.lost, remembered.notReached, renamed, renamed.lost, renamed.notReached)
+			g.Expect(remembered.lost).To(gomega.BeNumerically("<", renamed.lost*2/3))
+			g.Expect(remembered.inTime).To(gomega.BeNumerically(">=", renamed.inTime))
+		})
+	}
+}
+
+// restarted returns a pool with a server that has started again so many times, a second
+// apart, and a server beside it.
+func restarted(times int) (*pool.Pool, site.ServerID, time.Time) {
+	p := pool.New("a", 0, rand.New(rand.NewPCG(1, 2)))
+	now := start
+	var id site.ServerID
+	for range times + 1 {
+		now = now.Add(time.Second)
+		id = site.RunID("again", now)
+		p.Update([]site.Server{{ID: id, Zone: "a", Slots: 4}, {ID: "steady", Zone: "a", Slots: 4}}, 1, now)
+	}
+	return p, id, now
+}
+
+// places counts the requests that a server takes at once.
+func places(p *pool.Pool, id site.ServerID, now time.Time) int {
+	count := 0
+	for ; count < 100; count++ {
+		if admission, _ := p.Ask(&pool.Waiter{Only: id, Since: now, Target: now.Add(time.Second), Deadline: now.Add(time.Minute)}, now); admission == nil {
+			return count
+		}
+	}
+	return count
+}
+
+func TestARestartedServerStartsWithASmallLimitAndGrowsByAnswers(t *testing.T) {
+	g := gomega.NewWithT(t)
+	p, id, now := restarted(0)
+	g.Expect(places(p, id, now)).To(gomega.Equal(6), "the limit of a server that is new")
+	p, id, now = restarted(2)
+	g.Expect(places(p, id, now)).To(gomega.Equal(1))
+	good := pool.Outcome{Took: 50 * time.Millisecond, Load: &site.Load{Running: 1, Slots: 4}}
+	p.Done(id, good, now)
+	for range 40 {
+		now = now.Add(500 * time.Millisecond)
+		if admission, _ := p.Ask(&pool.Waiter{Only: id, Since: now, Target: now, Deadline: now}, now); admission != nil {
+			p.Done(id, good, now.Add(50*time.Millisecond))
+		}
+	}
+	g.Expect(places(p, id, now)).To(gomega.BeNumerically(">=", 4))
+}
+
+// A single restart, as in a rolling upgrade, is over soon; more of them count for
+// longer.
+func TestRestartsCountForLongerTheMoreTheyAre(t *testing.T) {
+	g := gomega.NewWithT(t)
+	untried := func(times int, after time.Duration) int {
+		p, id, now := restarted(times)
+		now = now.Add(after)
+		p.Done("steady", pool.Outcome{Took: 10 * time.Millisecond}, now) // quicker than assumed of others
+		count := 0
+		for range 300 {
+			admission, _ := p.Ask(&pool.Waiter{Since: now, Target: now.Add(time.Second), Deadline: now.Add(time.Minute)}, now)
+			g.Expect(admission).NotTo(gomega.BeNil())
+			if admission.Server.ID == id {
+				count++
+			}
+			p.Done(admission.Server.ID, pool.Outcome{Abandoned: true}, now)
+		}
+		return count
+	}
+	g.Expect(untried(0, 0)).To(gomega.BeNumerically(">", 10))
+	g.Expect(untried(1, 0)).To(gomega.BeZero())
+	g.Expect(untried(1, 3*time.Second)).To(gomega.BeNumerically(">", 10))
+	g.Expect(untried(4, 3*time.Second)).To(gomega.BeZero())
+	g.Expect(untried(4, time.Minute)).To(gomega.BeNumerically(">", 10))
+}
+
+// What was learnt of the earlier run does not count for the new one.
+func TestANewRunIsNotBlockedForTheEarlierOne(t *testing.T) {
+	g := gomega.NewWithT(t)
+	p, id, now := restarted(0)
+	places(p, id, now)
+	p.Done(id, pool.Outcome{Failed: true, NotReached: true}, now)
+	_, refusal := p.Ask(&pool.Waiter{Only: id, Deadline: now.Add(time.Minute)}, now)
+	g.Expect(refusal).NotTo(gomega.BeNil())
+	next := site.RunID("again", now.Add(time.Hour))
+	p.Update([]site.Server{{ID: next, Zone: "a", Slots: 4}}, 1, now)
+	g.Expect(places(p, next, now)).To(gomega.Equal(1))
+	_, refusal = p.Ask(&pool.Waiter{Only: id, Deadline: now.Add(time.Minute)}, now)
+	g.Expect(refusal.Reason).To(gomega.Equal(pool.NoServer))
+	p.Done(id, pool.Outcome{Failed: true}, now) // an answer of the earlier run comes late
+	g.Expect(places(p, next, now)).To(gomega.BeZero(), "and frees no place at the new one")
+}
--- a/gateway/pool/replay_test.go
+++ b/gateway/pool/replay_test.go
@@ -4,6 +4,8 @@
 	"container/heap"
 	"fmt"
 	"math/rand/v2"
+	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -25,6 +27,8 @@
 	only    bool // every request is for the first server
 	// blind sends to a random server at once, to compare with.
 	blind bool
+	// renamed gives each run of a server a name of its own.
+	renamed bool
 }
 
 // replayServer runs requests in slots, the others wait in a queue; when that is
@@ -38,6 +42,12 @@
 	hangs            float64       // share of requests that it never answers
 	running, waiting int
 	backlog          []*replayRequest
+	// crashEvery is how often it ends and takes its requests with it; 0: never. It
+	// starts again after down.
+	crashEvery, down time.Duration
+	isDown           bool
+	starts           int // runs that have ended
+	inRun            []*replayRequest
 }
 
 type replayRequest struct {
@@ -46,9 +56,10 @@
 	arrived time.Time
 	sent    time.Time
 	server  int
+	id      site.ServerID // of the run that it was sent to
 }
 
-type result struct{ asked, inTime, late, refused, overflow, crossZone, hung int }
+type result struct{ lost, notReached, asked, inTime, late, refused, overflow, crossZone, hung int }
 
 func (r result) String() string {
 	return fmt.Sprintf("%d asked, %d in time, %d late, %d refused, %d times a server was full, %d to another zone", r.asked, r.inTime, r.late, r.refused, r.overflow, r.crossZone)
@@ -87,14 +98,14 @@
 func run(l load) result {
 	r := &replay{load: l, random: rand.New(rand.NewPCG(7, 7)), now: start, waiting: map[*pool.Waiter]*replayRequest{}, wakes: map[int]time.Time{}}
 	r.servers = append([]replayServer{}, l.servers...)
-	var list []site.Server
-	for i, s := range r.servers {
-		list = append(list, site.Server{ID: serverID(i), Zone: s.zone, Slots: s.slots})
-	}
 	for i := range l.nodes {
-		p := pool.New(zones[i%len(zones)], 0, rand.New(rand.NewPCG(uint64(i), 1)))
-		p.Update(list, l.nodes, start)
-		r.pools = append(r.pools, p)
+		r.pools = append(r.pools, pool.New(zones[i%len(zones)], 0, rand.New(rand.NewPCG(uint64(i), 1))))
+	}
+	r.register()
+	for i, s := range r.servers {
+		if s.crashEvery > 0 {
+			r.at(s.crashEvery, func() { r.crash(i) })
+		}
 	}
 	r.at(0, r.arrive)
 	for len(r.agenda) > 0 {
@@ -105,6 +116,50 @@
 	return r.result
 }
 
+// register has every pool see the present runs.
+func (r *replay) register() {
+	var list []site.Server
+	for i, s := range r.servers {
+		list = append(list, site.Server{ID: r.runID(i), Zone: s.zone, Slots: s.slots})
+	}
+	for _, p := range r.pools {
+		p.Update(list, r.nodes, r.now)
+	}
+}
+
+// runID names the present run of a server.
+func (r *replay) runID(i int) site.ServerID {
+	runs := r.servers[i].starts
+	switch {
+	case runs == 0:
+		return serverID(i)
+	case r.renamed:
+		return serverID(i) + site.ServerID(fmt.Sprintf("-%d", runs))
+	}
+	return site.RunID(site.ServerName(serverID(i)), start.Add(time.Duration(runs)*time.Second))
+}
+
+// registerLag is how long after its start nodes see a run.
+const registerLag = 300 * time.Millisecond
+
+// crash ends a server with the requests that it has.
+func (r *replay) crash(i int) {
+	s := &r.servers[i]
+	lost := append(s.inRun, s.backlog...)
+	s.inRun, s.backlog, s.running, s.waiting = nil, nil, 0, 0
+	s.isDown = true
+	s.starts++
+	for _, request := range lost {
+		r.result.lost++
+		r.finish(request, pool.Outcome{Failed: true, Reset: true, Took: r.now.Sub(request.sent)})
+	}
+	r.at(s.down, func() { s.isDown = false })
+	r.at(s.down+registerLag, r.register)
+	if r.now.Sub(start) < r.length {
+		r.at(s.crashEvery, func() { r.crash(i) })
+	}
+}
+
 func serverID(i int) site.ServerID { return site.ServerID(fmt.Sprintf("s%02d", i)) }
 
 func (r *replay) at(after time.Duration, do func()) {
@@ -168,8 +223,9 @@
 
 func (r *replay) send(request *replayRequest, server site.Server) {
 	for i := range r.servers {
-		if serverID(i) == server.ID {
+		if serverID(i).Name() == server.ID.Name() || strings.HasPrefix(string(server.ID), string(serverID(i))+"-") {
 			request.server = i
+			request.id = server.ID
 		}
 	}
 	r.reach(request)
@@ -182,6 +238,9 @@
 		r.result.crossZone++
 	}
 	switch {
+	case s.isDown:
+		r.result.notReached++
+		r.finish(request, pool.Outcome{Failed: true, NotReached: true})
 	case s.hangs > 0 && r.random.Float64() < s.hangs:
 		r.result.hung++
 		r.at(r.patient-r.now.Sub(request.arrived), func() {
@@ -203,8 +262,14 @@
 func (r *replay) start(request *replayRequest) {
 	s := &r.servers[request.server]
 	s.running++
+	s.inRun = append(s.inRun, request)
+	runs := s.starts
 	work := float64(s.work) * (0.5 + r.random.Float64())
 	r.at(time.Duration(work), func() {
+		if s.starts != runs {
+			return // lost
+		}
+		s.inRun = slices.DeleteFunc(s.inRun, func(other *replayRequest) bool { return other == request })
 		loadNow := site.Load{Running: s.running, Waiting: s.waiting, Slots: s.slots}
 		s.running--
 		if len(s.backlog) > 0 {
@@ -228,7 +293,7 @@
 	if r.blind {
 		return
 	}
-	r.deliver(request.node, r.pools[request.node].Done(serverID(request.server), outcome, r.now))
+	r.deliver(request.node, r.pools[request.node].Done(request.id, outcome, r.now))
 }
 
 // eight returns eight servers in three zones whose speeds differ by a factor of
