Pool: a server that starts again and again gets few requests

Cause: each run was a server never seen: the first limit, and preferred as untried, so that a server in a crash loop got full load each time and took it with it. Change: restarts in a row are counted by name. A run on trial, 1 s after one restart and twice as long with each further one up to 16 s, starts with its fair share halved for each restart, is not preferred as untried, and grows by a quarter with each answer without a queue.

--- a/gateway/pool/limit.go
+++ b/gateway/pool/limit.go
@@ -101,6 +101,8 @@
 	switch {
 	case float64(load.Waiting) > shortQueue*slots:
 		m.lowerLimit(lower)
+	case load.Waiting == 0 && m.onTrial(now):
+		m.limit = min(m.limit*trialRaise, max(trialLimit, m.limit))
 	case load.Waiting == 0:
 		free := max(0, slots-float64(load.Running))
 		m.limit = min(m.limit+raise*free, slots)
--- a/gateway/pool/pool.go
+++ b/gateway/pool/pool.go
@@ -80,6 +80,7 @@
 	failureAt   time.Time
 	coldUntil   time.Time
 	addedAt     time.Time
+	trialUntil  time.Time // until when it gets few requests after a restart
 	// silentSince is since when it has requests of this node and has answered none.
 	silentSince time.Time
 	// blockedUntil is until when a server that took no connection gets no request.
@@ -97,16 +98,18 @@
 	penalty time.Duration // time that sending to another zone counts as
 	nodes   int           // nodes that share the servers
 	members map[site.ServerID]*member
-	order   []*member
-	queue   []*Waiter
-	known   serviceTimes // zero: to be made anew
-	random  *rand.Rand
+	// histories are the runs of servers lately, also of those that have left.
+	histories map[site.ServerName]*history
+	order     []*member
+	queue     []*Waiter
+	known     serviceTimes // zero: to be made anew
+	random    *rand.Rand
 }
 
 // New returns a pool without servers for a node in a zone. penalty is what
 // sending to another zone counts as, next to the time that a request takes.
 func New(zone string, penalty time.Duration, random *rand.Rand) *Pool {
-	return &Pool{zone: zone, penalty: penalty, nodes: 1, members: map[site.ServerID]*member{}, random: random}
+	return &Pool{zone: zone, penalty: penalty, nodes: 1, members: map[site.ServerID]*member{}, histories: map[site.ServerName]*history{}, random: random}
 }
 
 // SetPenalty replaces the time that sending to another zone counts as.
@@ -125,13 +128,16 @@
 	seen := make(map[site.ServerID]bool, len(servers))
 	for _, server := range servers {
 		seen[server.ID] = true
+		restarts := p.noteRun(server.ID, now)
 		m := p.members[server.ID]
 		if m == nil {
-			m = &member{limit: p.initialLimit(server), coldUntil: now.Add(server.WarmUp), addedAt: now}
+			m = &member{Server: server, limit: p.initialLimit(server), coldUntil: now.Add(server.WarmUp), addedAt: now}
+			p.putOnTrial(m, restarts, now)
 			p.members[server.ID] = m
 		}
 		m.Server = server
 	}
+	p.forgetRuns(now)
 	p.known = serviceTimes{}
 	p.order = p.order[:0]
 	for id, m := range p.members {
@@ -199,7 +205,7 @@
 func (p *Pool) untried(w *Waiter, now time.Time) *member {
 	var newest *member
 	for _, m := range p.order {
-		isUntried := m.mean == 0 && m.inFlight == 0 && !now.Before(m.coldUntil) && m.Zone == p.zone
+		isUntried := m.mean == 0 && m.inFlight == 0 && !now.Before(m.coldUntil) && !m.onTrial(now) && m.Zone == p.zone
 		if isUntried && m.takes(w, now) && (newest == nil || m.addedAt.After(newest.addedAt)) {
 			newest = m
 		}
