Pool: a service that restarts as a whole is not held back as a whole

Cause: with all servers on trial after one restart each their requests were refused. Change: after a single restart a server goes on trial only while those on trial are at most half; later restarts of a series always count.

--- a/gateway/pool/pool.go
+++ b/gateway/pool/pool.go
@@ -15,6 +15,7 @@
 package pool
 
 import (
+	"maps"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -125,9 +126,8 @@
 	if nodes <= 0 {
 		p.nodes = assumedNodes
 	}
-	seen := make(map[site.ServerID]bool, len(servers))
+	p.dropOthers(servers)
 	for _, server := range servers {
-		seen[server.ID] = true
 		restarts := p.noteRun(server.ID, now)
 		m := p.members[server.ID]
 		if m == nil {
@@ -139,14 +139,7 @@
 	}
 	p.forgetRuns(now)
 	p.known = serviceTimes{}
-	p.order = p.order[:0]
-	for id, m := range p.members {
-		if !seen[id] {
-			delete(p.members, id)
-			continue
-		}
-		p.order = append(p.order, m)
-	}
+	p.order = slices.AppendSeq(p.order[:0], maps.Values(p.members))
 	slices.SortFunc(p.order, func(a, b *member) int {
 		if a.ID < b.ID {
 			return -1
@@ -155,6 +148,15 @@
 	})
 }
 
+// dropOthers forgets all servers but those given.
+func (p *Pool) dropOthers(servers []site.Server) {
+	kept := make(map[site.ServerID]bool, len(servers))
+	for _, server := range servers {
+		kept[server.ID] = true
+	}
+	maps.DeleteFunc(p.members, func(id site.ServerID, _ *member) bool { return !kept[id] })
+}
+
 // Size returns the number of servers that may get requests.
 func (p *Pool) Size() int {
 	size := 0
--- a/gateway/pool/restart.go
+++ b/gateway/pool/restart.go
@@ -65,7 +65,7 @@
 // putOnTrial lowers the first limit of a server after restarts in a row. The share
 // of all nodes counts: each of eight with one request fills four slots.
 func (p *Pool) putOnTrial(m *member, restarts int, now time.Time) {
-	if restarts == 0 {
+	if restarts == 0 || restarts == 1 && p.mostOnTrial(now) {
 		return
 	}
 	fair := fairFactor * float64(max(m.Slots, 1)) / float64(p.nodes)
@@ -73,5 +73,17 @@
 	m.trialUntil = now.Add(min(leastTrial<<min(restarts-1, 10), mostTrial))
 }
 
+// mostOnTrial reports whether one more server on trial would make them more than
+// half. After the restart of a whole service requests have nowhere else to go.
+func (p *Pool) mostOnTrial(now time.Time) bool {
+	count := 1
+	for _, m := range p.members {
+		if m.onTrial(now) {
+			count++
+		}
+	}
+	return 2*count > len(p.members)+1
+}
+
 // onTrial reports whether a server has started again lately.
 func (m *member) onTrial(now time.Time) bool { return now.Before(m.trialUntil) }
