Follow: failing test of a run that is told for long

Cause: a node that follows others takes an earlier start only with the mark that it was proved; if the nodes that saw the proof have restarted since, it would show the ended run for ever.

--- a/gateway/follow/runs_test.go
+++ b/gateway/follow/runs_test.go
@@ -334,3 +334,24 @@
 	take(`{"version":7,"more":1}`)
 	g.Expect(r.reader.State.Now().Config.Version).To(gomega.Equal(site.Version(7)))
 }
+
+// The nodes that saw the clock of a VM set back may have restarted since: those
+// that tell the run now do not know that it once needed proof.
+func TestAnEarlierRunToldForLongIsTaken(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r, other := newRegistered(t), newRegistered(t)
+		r.writes(1000, 5)
+		other.end = 20
+		other.snapshot(other.text(1, 8))
+		r.reader.State.MergeServers(other.reader.State.Now().Servers)
+		r.shows(1000)
+		for range 4 {
+			time.Sleep(time.Second)
+			r.reader.showServers(time.Now())
+			r.shows(1000)
+		}
+		time.Sleep(2 * time.Second)
+		r.reader.showServers(time.Now())
+		r.shows(1)
+	})
+}
