View: an earlier run that is told for long is taken

Cause: see the failing test before: a follower could have shown an ended run for ever. Change: an earlier run that newer registers have told for 5 s without a break is taken, also without the mark of proof. Measured: go test -race ./gateway/follow: pass.

--- a/gateway/follow/entries.go
+++ b/gateway/follow/entries.go
@@ -68,7 +68,8 @@
 func (r *Reader) showServers(now time.Time) {
 	before := r.State.Now().Servers
 	after := r.register.Servers(before.Servers, now)
-	if after.Offset > before.Offset && r.State.MergeServers(after) {
+	isNewer := after.Offset > before.Offset && r.State.MergeServers(after)
+	if r.State.SettleServers() || isNewer {
 		r.logServers(before.Servers)
 	}
 }
--- a/gateway/view/view.go
+++ b/gateway/view/view.go
@@ -10,6 +10,7 @@
 	"sync"
 	"sync/atomic"
 
+	"github.com/burdockspindle/burdockspindle/clock"
 	"github.com/burdockspindle/burdockspindle/gateway/ranges"
 	"github.com/burdockspindle/burdockspindle/gateway/site"
 	"github.com/burdockspindle/burdockspindle/gateway/store"
@@ -85,7 +86,7 @@
 
 // NewState returns the state of a node that knows nothing yet.
 func NewState() *State {
-	s := &State{changed: make(chan struct{}), starts: starts{}}
+	s := &State{changed: make(chan struct{}), starts: newStarts()}
 	s.current.Store(new(View))
 	return s
 }
@@ -133,20 +134,37 @@
 		if servers.Offset <= next.Servers.Offset {
 			return false
 		}
-		servers.Servers = s.starts.latest(servers.Servers, next.Servers.Servers)
-		isSame := next.Servers.Offset > 0 && maps.Equal(next.Servers.Servers, servers.Servers)
-		next.Servers = servers
-		if isSame {
-			return true
-		}
-		next.byService = map[site.ServiceName][]site.Server{}
-		for _, server := range servers.Servers {
-			next.byService[server.Service] = append(next.byService[server.Service], server)
+		servers.Servers = s.starts.latest(servers.Servers, next.Servers.Servers, clock.Now())
+		next.setServers(servers)
+		return true
+	})
+}
+
+// SettleServers takes earlier runs that other nodes have told for long.
+func (s *State) SettleServers() bool {
+	return s.update(func(next *View) bool {
+		settled := s.starts.settle(next.Servers.Servers, clock.Now())
+		if settled == nil {
+			return false
 		}
+		next.setServers(Servers{Offset: next.Servers.Offset, Servers: settled})
 		return true
 	})
 }
 
+// setServers replaces the register.
+func (v *View) setServers(servers Servers) {
+	isSame := v.Servers.Offset > 0 && maps.Equal(v.Servers.Servers, servers.Servers)
+	v.Servers = servers
+	if isSame {
+		return
+	}
+	v.byService = map[site.ServiceName][]site.Server{}
+	for _, server := range servers.Servers {
+		v.byService[server.Service] = append(v.byService[server.Service], server)
+	}
+}
+
 // MergeTable takes a table if it is newer. If nothing newer is known of its
 // ranges it replaces the routes: the owners are taken to serve their ranges.
 func (s *State) MergeTable(table Table) bool {
