--- a/gateway/pool/replay_test.go
+++ b/gateway/pool/replay_test.go
@@ -145,7 +145,7 @@
 // crash ends a server with the requests that it has.
 func (r *replay) crash(i int) {
 	s := &r.servers[i]
-	lost := append(s.inRun, s.backlog...)
+	lost := slices.Concat(s.inRun, s.backlog)
 	s.inRun, s.backlog, s.running, s.waiting = nil, nil, 0, 0
 	s.isDown = true
 	s.starts++
