--- a/gateway/follow/follower.go
+++ b/gateway/follow/follower.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"net"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -12,6 +13,7 @@
 
 	"github.com/burdockspindle/burdockspindle/clock"
 	"github.com/burdockspindle/burdockspindle/gateway/site"
+	"github.com/burdockspindle/burdockspindle/gateway/traffic"
 	"github.com/burdockspindle/burdockspindle/gateway/upstream"
 	"github.com/burdockspindle/burdockspindle/gateway/view"
 	bspb "github.com/burdockspindle/burdockspindle/proto/burdockspindle/v1"
@@ -52,7 +54,7 @@
 // While that fails, the node reads the store itself, and asks other nodes too if
 // the store does not answer.
 func (f *Follower) Run(ctx context.Context) {
-	transport := &http.Transport{DialContext: upstream.Dialer(connectTimeout).DialContext, DisableCompression: true}
+	transport := &http.Transport{DialContext: f.dial, DisableCompression: true}
 	f.client = &http.Client{Transport: transport}
 	f.clients = map[string]bspbconnect.GatewayClient{}
 	f.avoid = map[string]time.Time{}
@@ -71,6 +73,25 @@
 	}
 }
 
+// dial connects to another node and counts the bytes of the connection.
+func (f *Follower) dial(ctx context.Context, network, address string) (net.Conn, error) {
+	conn, err := upstream.Dialer(connectTimeout).DialContext(ctx, network, address)
+	if err != nil {
+		return nil, err
+	}
+	return traffic.Between(traffic.Nodes, f.Self.Zone, f.zoneOf(address)).Conn(conn), nil
+}
+
+// zoneOf returns the zone of the node at an address; empty if it is not known.
+func (f *Follower) zoneOf(address string) string {
+	for _, member := range f.State.Now().Members {
+		if member.Address == address {
+			return member.Zone
+		}
+	}
+	return ""
+}
+
 // followSource makes one call to the node that this one follows and reports
 // whether it may rely on that node. If it may not, the store is read at once and
 // another node followed next.
--- a/gateway/router/owner_test.go
+++ b/gateway/router/owner_test.go
@@ -44,7 +44,7 @@
 	g.Expect(state.MergeRoutes(routes)).To(gomega.BeTrue())
 	terms := Terms{Retries: budget.Terms{Ratio: 0.2, Slack: 10, Window: 10 * time.Second}}
 	headers := upstream.Headers{ParseLoad: func(string) (site.Load, bool) { return site.Load{}, false }}
-	r := New("a", headers, terms, state, upstream.NewClient(headers), follow.NewReports(), hclog.NewNullLogger())
+	r := New("a", headers, terms, state, upstream.NewClient(headers, "a"), follow.NewReports(), hclog.NewNullLogger())
 	now := time.Now()
 	return &exchange{
 		router:   r,
--- a/gateway/router/run_test.go
+++ b/gateway/router/run_test.go
@@ -61,7 +61,7 @@
 	g.Expect(state.MergeConfig(config)).To(gomega.BeTrue())
 	g.Expect(state.MergeServers(view.Servers{Offset: 1})).To(gomega.BeTrue())
 	headers := upstream.Headers{ParseLoad: func(string) (site.Load, bool) { return site.Load{}, false }}
-	r := New("a", headers, Terms{}, state, upstream.NewClient(headers), follow.NewReports(), nil)
+	r := New("a", headers, Terms{}, state, upstream.NewClient(headers, "a"), follow.NewReports(), nil)
 	r.SetDraining()
 	r.SetEnding()
 	answer := httptest.NewRecorder()
@@ -87,7 +87,7 @@
 		g.Expect(state.MergeServers(view.Servers{Offset: 1})).To(gomega.BeTrue())
 		headers := upstream.Headers{Key: "Key", ParseLoad: func(string) (site.Load, bool) { return site.Load{}, false }}
 		terms := Terms{Retries: budget.Terms{Ratio: 0.2, Slack: 10, Window: 10 * time.Second}}
-		r := New("a", headers, terms, state, upstream.NewClient(headers), follow.NewReports(), hclog.NewNullLogger())
+		r := New("a", headers, terms, state, upstream.NewClient(headers, "a"), follow.NewReports(), hclog.NewNullLogger())
 		answer := httptest.NewRecorder()
 		startedAt := time.Now()
 		time.AfterFunc(100*time.Millisecond, r.Close)
--- a/gateway/router/runs_test.go
+++ b/gateway/router/runs_test.go
@@ -75,7 +75,7 @@
 	register(first.Server)
 	headers := upstream.Headers{RequestID: "Request-Id", Timeout: "Timeout", ExpectedServer: "Expected", ParseLoad: func(string) (site.Load, bool) { return site.Load{}, false }}
 	terms := Terms{Retries: budget.Terms{Ratio: 0.2, Slack: 10, Window: 10 * time.Second}}
-	r = New("a", headers, terms, state, upstream.NewClient(headers), follow.NewReports(), hclog.NewNullLogger())
+	r = New("a", headers, terms, state, upstream.NewClient(headers, "a"), follow.NewReports(), hclog.NewNullLogger())
 	return r, first, second
 }
 
--- a/gateway/upstream/client.go
+++ b/gateway/upstream/client.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/burdockspindle/burdockspindle/gateway/site"
+	"github.com/burdockspindle/burdockspindle/gateway/traffic"
 )
 
 // Bounds of a client.
@@ -54,14 +55,21 @@
 // Client sends requests to servers.
 type Client struct {
 	headers Headers
+	zone    string // of this node; empty: not known
 	// dial opens a connection; tests replace it.
 	dial func(ctx context.Context, network, address string) (net.Conn, error)
 	idle idlePool
 }
 
-// NewClient returns a client that uses a deployment's header names.
-func NewClient(headers Headers) *Client {
-	return &Client{headers: headers, dial: Dialer(connectTimeout).DialContext, idle: idlePool{conns: map[idleKey][]*conn{}}}
+// NewClient returns a client of a node in a zone that uses a deployment's header
+// names.
+func NewClient(headers Headers, zone string) *Client {
+	return &Client{headers: headers, zone: zone, dial: Dialer(connectTimeout).DialContext, idle: idlePool{conns: map[idleKey][]*conn{}}}
+}
+
+// meter returns the meter of connections to a server.
+func (c *Client) meter(server site.Server) traffic.Meter {
+	return traffic.Between(traffic.Servers, c.zone, server.Zone)
 }
 
 // Run closes idle connections that have become too old, until ctx ends.
@@ -90,7 +98,7 @@
 	if err != nil {
 		return &AttemptError{Server: server.ID, Cause: err}
 	}
-	cn := newConn(raw)
+	cn := newConn(raw, c.meter(server))
 	cn.answered = time.Now()
 	cn.until = cn.answered.Add(defaultIdle)
 	c.idle.put(idleKey{address: server.Address, server: server.ID}, cn)
@@ -118,7 +126,7 @@
 		if err != nil {
 			return nil, &AttemptError{Server: server.ID, Cause: err}
 		}
-		cn = newConn(raw)
+		cn = newConn(raw, c.meter(server))
 		if err := cn.settle(time.Now()); err != nil {
 			reset(raw)
 			return nil, &AttemptError{Server: server.ID, Cause: err}
@@ -147,16 +155,12 @@
 	written := make(chan error, 1)
 	cn.written = true
 	if len(r.Body) <= inlineBody {
-		_, err := cn.net.Write(append(head, r.Body...))
-		if err != nil {
+		if err := cn.write(append(head, r.Body...)); err != nil {
 			return nil, false, err
 		}
 		written <- nil
 	} else {
-		go func() {
-			_, err := cn.net.Write(append(head, r.Body...))
-			written <- err
-		}()
+		go func() { written <- cn.write(append(head, r.Body...)) }()
 	}
 	response, err := readResponse(cn, r.Method)
 	if err != nil {
--- a/gateway/upstream/client_test.go
+++ b/gateway/upstream/client_test.go
@@ -98,7 +98,7 @@
 		seen = r
 		return ok("1", "x"), closeConn
 	})
-	answer, err := send(t, upstream.NewClient(headers), server, "1")
+	answer, err := send(t, upstream.NewClient(headers, "a"), server, "1")
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 	g.Expect(string(answer.Body)).To(gomega.Equal("x"))
 	g.Expect(seen.RequestURI).To(gomega.Equal("/a?b=c"))
@@ -112,7 +112,7 @@
 func TestConnectionIsKeptForTheNextRequest(t *testing.T) {
 	g := gomega.NewWithT(t)
 	server, conns := serve(t, func(_ int, r *http.Request) (string, ending) { return ok(r.Header.Get("Request-Id"), "x"), keep })
-	client := upstream.NewClient(headers)
+	client := upstream.NewClient(headers, "a")
 	for _, id := range []string{"1", "2", "3"} {
 		_, err := send(t, client, server, id)
 		g.Expect(err).NotTo(gomega.HaveOccurred())
@@ -144,7 +144,7 @@
 				}
 				return ok("2", "y"), keep
 			})
-			client := upstream.NewClient(headers)
+			client := upstream.NewClient(headers, "a")
 			_, err := send(t, client, server, "1")
 			var attempt *upstream.AttemptError
 			g.Expect(errors.As(err, &attempt)).To(gomega.BeTrue())
@@ -162,7 +162,7 @@
 	server, _ := serve(t, func(int, *http.Request) (string, ending) {
 		return "HTTP/1.1 200 OK\r\nRequest-Id: 1\r\n\r\nabc", closeConn
 	})
-	answer, err := send(t, upstream.NewClient(headers), server, "1")
+	answer, err := send(t, upstream.NewClient(headers, "a"), server, "1")
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 	g.Expect(string(answer.Body)).To(gomega.Equal("abc"))
 }
@@ -176,7 +176,7 @@
 		}
 		return ok(id, "y"), keep
 	})
-	client := upstream.NewClient(headers)
+	client := upstream.NewClient(headers, "a")
 	first, err := send(t, client, server, "1")
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 	g.Expect(string(first.Body)).To(gomega.Equal("x"))
@@ -194,7 +194,7 @@
 		}
 		return ok(r.Header.Get("Request-Id"), "y"), keep
 	})
-	client := upstream.NewClient(headers)
+	client := upstream.NewClient(headers, "a")
 	_, err := send(t, client, server, "1")
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 	time.Sleep(50 * time.Millisecond) // the close is on its way
@@ -208,7 +208,7 @@
 func TestARequestThatMustNotRunTwiceTakesNoRestedConnection(t *testing.T) {
 	g := gomega.NewWithT(t)
 	server, conns := serve(t, func(_ int, r *http.Request) (string, ending) { return ok(r.Header.Get("Request-Id"), "x"), keep })
-	client := upstream.NewClient(headers)
+	client := upstream.NewClient(headers, "a")
 	request := get("1")
 	request.Fresh = true
 	_, err := client.Send(context.Background(), server, request)
@@ -224,7 +224,7 @@
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 	g.Expect(listener.Close()).To(gomega.Succeed())
-	_, err = send(t, upstream.NewClient(headers), site.Server{ID: "s", Address: listener.Addr().String()}, "1")
+	_, err = send(t, upstream.NewClient(headers, "a"), site.Server{ID: "s", Address: listener.Addr().String()}, "1")
 	var attempt *upstream.AttemptError
 	g.Expect(errors.As(err, &attempt)).To(gomega.BeTrue())
 	g.Expect(attempt.Sent).To(gomega.BeFalse())
@@ -240,7 +240,7 @@
 	})
 	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Millisecond)
 	defer cancel()
-	_, err := upstream.NewClient(headers).Send(ctx, server, get("1"))
+	_, err := upstream.NewClient(headers, "a").Send(ctx, server, get("1"))
 	var attempt *upstream.AttemptError
 	g.Expect(errors.As(err, &attempt)).To(gomega.BeTrue())
 	g.Expect(attempt.Sent).To(gomega.BeTrue())
--- a/gateway/upstream/conn.go
+++ b/gateway/upstream/conn.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/burdockspindle/burdockspindle/gateway/socket"
+	"github.com/burdockspindle/burdockspindle/gateway/traffic"
 )
 
 // Idle connections are not used beyond these ages.
@@ -39,10 +40,18 @@
 	until    time.Time // not to be used after this
 	answered time.Time // when it proved to work last
 	written  bool      // bytes of the present request may have left
+	meter    traffic.Meter
 }
 
-func newConn(c net.Conn) *conn {
-	return &conn{net: c, reader: bufio.NewReaderSize(c, readBuffer)}
+func newConn(c net.Conn, meter traffic.Meter) *conn {
+	return &conn{net: c, reader: bufio.NewReaderSize(meter.Reader(c), readBuffer), meter: meter}
+}
+
+// write writes a part of a request.
+func (c *conn) write(p []byte) error {
+	n, err := c.net.Write(p)
+	c.meter.Sent(n)
+	return err
 }
 
 // settle watches a new connection and returns an error if the server ends it or
--- a/gateway/upstream/runs_test.go
+++ b/gateway/upstream/runs_test.go
@@ -83,7 +83,7 @@
 		t.Run(name, func(t *testing.T) {
 			g := gomega.NewWithT(t)
 			w := watch(t, nil)
-			client := upstream.NewClient(headers)
+			client := upstream.NewClient(headers, "a")
 			client.KeepOnly(registerOf(w.Server))
 			_, err := send(t, client, w.Server, "1")
 			g.Expect(err).NotTo(gomega.HaveOccurred())
@@ -105,7 +105,7 @@
 func TestAConnectionThatWasInUseIsNotKeptForAnEarlierRun(t *testing.T) {
 	g := gomega.NewWithT(t)
 	w := watch(t, make(chan struct{}))
-	client := upstream.NewClient(headers)
+	client := upstream.NewClient(headers, "a")
 	client.KeepOnly(registerOf(w.Server))
 	answered := make(chan error, 1)
 	go func() {
@@ -122,7 +122,7 @@
 func TestANewRunGetsAConnectionOfItsOwn(t *testing.T) {
 	g := gomega.NewWithT(t)
 	w := watch(t, nil)
-	client := upstream.NewClient(headers)
+	client := upstream.NewClient(headers, "a")
 	_, err := send(t, client, w.Server, "1")
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 	_, err = send(t, client, w.later(), "2")
--- a/gateway/upstream/settle_test.go
+++ b/gateway/upstream/settle_test.go
@@ -21,7 +21,7 @@
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 	defer func() { _ = listener.Close() }()
-	client := NewClient(Headers{RequestID: "Request-Id", Timeout: "Timeout", ExpectedServer: "Expected", ParseLoad: func(string) (site.Load, bool) { return site.Load{}, false }})
+	client := NewClient(Headers{RequestID: "Request-Id", Timeout: "Timeout", ExpectedServer: "Expected", ParseLoad: func(string) (site.Load, bool) { return site.Load{}, false }}, "a")
 	dial := client.dial
 	client.dial = func(ctx context.Context, network, address string) (net.Conn, error) {
 		conn, err := dial(ctx, network, address)
--- a/modules/gateway/front_test.go
+++ b/modules/gateway/front_test.go
@@ -58,7 +58,7 @@
 		ParseLoad: func(string) (site.Load, bool) { return site.Load{}, false },
 	}
 	terms := router.Terms{Retries: budget.Terms{Ratio: 0.2, Slack: 10, Window: 10 * time.Second}}
-	handler := router.New("a", headers, terms, state, upstream.NewClient(headers), follow.NewReports(), logger)
+	handler := router.New("a", headers, terms, state, upstream.NewClient(headers, "a"), follow.NewReports(), logger)
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 	callers := newCallerConns(fixedTimeouts(time.Minute, time.Minute))
--- a/modules/gateway/site.go
+++ b/modules/gateway/site.go
@@ -63,7 +63,7 @@
 	settings := live.Settings()
 	m.self = view.Member{Node: settings.Node, Boot: string(ctx.Identity.Boot), Zone: settings.Zone, Address: settings.Listen.Peer, Strength: settings.Resources.Strength()}
 	m.state = view.NewState()
-	m.client = upstream.NewClient(platform.Headers)
+	m.client = upstream.NewClient(platform.Headers, settings.Zone)
 	m.reports = follow.NewReports()
 	m.build(settings, platform, ctx.Logger)
 	live.Watch(func(s *config.Settings) { m.follower.SetSeeds(s.Seeds) })
