Range grants: what is in force is counted by a server's name, not by its run

A server that starts again under its name has forgotten every fence and passes for the run that a call names, so calls to an earlier run may be taken by the next one. The range goes to the next run at once under a higher fence, with the holds that may be in force carried over; a later run at the owner's address frees nothing; nothing is sent under the assignment to an earlier run; a range changes to another name only when all grants without an answer have run out, whatever fence was answered since; a server that has started again twice within 15 s loses its keys to others.

The test of releases took a higher fence for enough to end the wait for an unanswered grant; it now asks for that fence and for the wait.

--- a/gateway/duty/duty.go
+++ b/gateway/duty/duty.go
@@ -359,6 +359,9 @@
 		Load:     d.loads,
 	}
 	change := d.keeper.Plan(s, ranges.Fence(d.end), now)
+	for _, r := range d.keeper.Restarts() {
+		eventRestart.Log(d.Logger, "server", r.To, "earlier", r.From, "losesKeys", r.Loops)
+	}
 	for _, move := range d.keeper.Moves() {
 		eventMove.Log(d.Logger, "service", move.Service, "server", move.From, "to", move.To, "from", int(move.Span.From), "keys", move.Span.Keys(), "rate", move.Rate, "gap", move.Gap, "usage", d.loads.Paces())
 	}
--- a/gateway/duty/events.go
+++ b/gateway/duty/events.go
@@ -17,5 +17,6 @@
 	eventTableChanged = events.Define(2107, hclog.Info, "ranges changed")
 	eventCallFailed   = events.Define(2108, hclog.Warn, "grant or release failed")
 	eventMove         = events.Define(2110, hclog.Info, "range is moved to a less loaded server")
+	eventRestart      = events.Define(2111, hclog.Info, "a server has started again under its name")
 	eventBadTable     = events.Define(2109, hclog.Error, "table of ranges cannot be encoded")
 )
--- a/gateway/ranges/balance.go
+++ b/gateway/ranges/balance.go
@@ -249,7 +249,7 @@
 // movable reports whether a range can be released now.
 func (k *Keeper) movable(l *lease, made []move, now time.Time) bool {
 	isTaken := slices.ContainsFunc(made, func(m move) bool { return m.lease == l })
-	return !isTaken && l.canRelease() && now.Sub(l.movedAt) >= restAfterMove
+	return !isTaken && l.canRelease(now) && now.Sub(l.movedAt) >= restAfterMove
 }
 
 // cut finds the fewest neighbouring keys of a server that carry about want
--- a/gateway/ranges/compact.go
+++ b/gateway/ranges/compact.go
@@ -27,7 +27,7 @@
 // settled reports whether a range has had its owner for long and nothing is
 // under way with it.
 func (l *lease) settled(now time.Time) bool {
-	return l.canRelease() && l.Server != "" && now.Sub(l.movedAt) >= settledFor
+	return l.canRelease(now) && l.Server != "" && now.Sub(l.movedAt) >= settledFor
 }
 
 // compact merges neighbours of one owner and starts to give idle pieces back.
@@ -87,17 +87,19 @@
 
 func (k *Keeper) mergeRun(service site.ServiceName, run []*lease, at Fence, now time.Time, change *Change) {
 	first, last := run[0], run[len(run)-1]
-	heldUntil := first.heldUntil
+	heldUntil, earlierUntil := first.heldUntil, first.earlierUntil
 	for _, l := range run {
 		l.pending = true
 		heldUntil = clock.Later(heldUntil, l.heldUntil)
+		earlierUntil = clock.Later(earlierUntil, l.earlierUntil)
 	}
 	merged := &lease{
-		Assignment: Assignment{Span: Span{From: first.From, To: last.To}, Server: first.Server, Fence: at},
-		service:    service,
-		heldUntil:  heldUntil,
-		movedAt:    now.Add(-settledFor),
-		kept:       true,
+		Assignment:   Assignment{Span: Span{From: first.From, To: last.To}, Server: first.Server, Fence: at},
+		service:      service,
+		heldUntil:    heldUntil,
+		earlierUntil: earlierUntil,
+		movedAt:      now.Add(-settledFor),
+		kept:         true,
 	}
 	change.apply = append(change.apply, func() {
 		leases := slices.DeleteFunc(slices.Clone(k.leases[service]), func(l *lease) bool { return slices.Contains(run, l) })
--- a/gateway/ranges/lessor.go
+++ b/gateway/ranges/lessor.go
@@ -28,14 +28,21 @@
 	sentAt    time.Time // of the latest grant
 	calling   bool      // a call is under way
 	doubtful  bool      // a grant under this fence had no answer
-	confirmed bool      // the owner has answered a grant under this fence
-	misses    int       // grants in a row without an answer
-	next      site.ServerID
-	handover  string    // from the release
-	movedAt   time.Time // when the owner changed last
-	raised    bool      // the fence is to be raised by the next append
-	pending   bool      // an append that changes it is under way
-	kept      bool      // the owner had the range under the fence before
+	// doubtUntil is until when a grant without an answer may be in force, also one
+	// under a lower fence and one of the former lessor: a restart makes the owner
+	// forget the fence that shut it out.
+	doubtUntil time.Time
+	// earlierUntil is until when a grant that was sent to an earlier run of the
+	// owner may be in force, at whatever address.
+	earlierUntil time.Time
+	confirmed    bool // the owner has answered a grant under this fence
+	misses       int  // grants in a row without an answer
+	next         site.ServerID
+	handover     string    // from the release
+	movedAt      time.Time // when the owner changed last
+	raised       bool      // the fence is to be raised by the next append
+	pending      bool      // an append that changes it is under way
+	kept         bool      // the owner had the range under the fence before
 }
 
 // missesToLapse is how many grants in a row go unanswered before a server
@@ -55,6 +62,7 @@
 	longest time.Duration
 	// serial grows with each change of what Routes returns.
 	serial uint64
+	runs   runs
 }
 
 // FormerHold returns for how long what a former lessor granted may be in force
@@ -64,11 +72,15 @@
 // NewKeeper returns the state of a new lessor that has appended table at time
 // now. What the former lessor granted may be in force for formerHold.
 func NewKeeper(table *Table, timing Timing, formerHold time.Duration, now time.Time) *Keeper {
-	k := &Keeper{self: table.Lessor, timing: timing, leases: map[site.ServiceName][]*lease{}, compactedAt: map[site.ServiceName]time.Time{}, serial: 1}
+	k := &Keeper{self: table.Lessor, timing: timing, leases: map[site.ServiceName][]*lease{}, compactedAt: map[site.ServiceName]time.Time{}, serial: 1, runs: newRuns()}
 	heldUntil := now.Add(formerHold)
 	for service, assignments := range table.Services {
 		for _, a := range assignments {
-			k.leases[service] = append(k.leases[service], &lease{Assignment: a, service: service, heldUntil: heldUntil, movedAt: now, kept: a.Server != ""})
+			l := &lease{Assignment: a, service: service, heldUntil: heldUntil, doubtUntil: heldUntil, movedAt: now, kept: a.Server != ""}
+			if !a.Server.Start().IsZero() {
+				l.earlierUntil = heldUntil
+			}
+			k.leases[service] = append(k.leases[service], l)
 		}
 	}
 	return k
@@ -210,6 +222,9 @@
 	if l.Server == "" || l.calling || l.raised || l.pending || l.phase == released {
 		return Call{}, false
 	}
+	if _, isEarlier := LaterRun(servers, l.Server); isEarlier {
+		return Call{}, false // the next run would take it
+	}
 	call := Call{Service: l.service, Server: l.Server, SentAt: now, lease: l}
 	if l.phase == releasing {
 		call.Release = true
@@ -270,6 +285,7 @@
 		k.setConfirmed(l, false)
 	case result.Failed:
 		l.doubtful = true
+		l.doubtUntil = clock.Later(l.doubtUntil, call.SentAt.Add(k.timing.lapse(call.Grant.Hold)))
 		l.misses++
 		if l.misses >= missesToLapse {
 			k.setPhase(l, lapsing)
@@ -313,9 +329,11 @@
 
 // canRelease reports whether a release lets the range change its owner at once:
 // every grant under its fence must have been answered, since one that is still
-// on its way would give the range back to the owner.
-func (l *lease) canRelease() bool {
-	return l.phase == granting && l.confirmed && !l.doubtful && !l.calling && !l.raised && !l.pending
+// on its way would give the range back to the owner, and those under lower fences
+// must have run out, since they would give it to the owner's next run.
+func (l *lease) canRelease(now time.Time) bool {
+	isSealed := l.confirmed && !l.doubtful && !now.Before(l.doubtUntil)
+	return l.phase == granting && isSealed && !l.calling && !l.raised && !l.pending
 }
 
 // sorted keeps the leases of a service in the order of their keys.
--- a/gateway/ranges/loads.go
+++ b/gateway/ranges/loads.go
@@ -59,6 +59,9 @@
 	l.paces[server] = mean.Seconds()
 }
 
+// Restarted forgets what was learnt of an earlier run of a server.
+func (l *Loads) Restarted(r Restart) { delete(l.paces, r.From) }
+
 // decayEvery is how often the counts lose weight.
 const decayEvery = 250 * time.Millisecond
 
--- a/gateway/ranges/plan.go
+++ b/gateway/ranges/plan.go
@@ -34,11 +34,16 @@
 // returns afterwards.
 func (k *Keeper) Plan(s Site, at Fence, now time.Time) *Change {
 	change := &Change{}
+	for _, restart := range k.runs.observe(s.Servers, now) {
+		if s.Load != nil {
+			s.Load.Restarted(restart)
+		}
+	}
 	for _, name := range slices.Sorted(maps.Keys(s.Services)) {
 		if !s.Services[name].Keyed || !s.Writable {
 			continue
 		}
-		servers := takers(s, name)
+		servers := k.takers(s, name, now)
 		if len(servers) == 0 {
 			continue
 		}
@@ -59,15 +64,23 @@
 	return change
 }
 
-// takers returns the servers of a service that may get ranges, by ID.
-func takers(s Site, service site.ServiceName) []site.Server {
-	var servers []site.Server
+// takers returns the servers of a service that may get ranges, by ID. Those that
+// keep starting again are among them only if there are no others.
+func (k *Keeper) takers(s Site, service site.ServiceName, now time.Time) []site.Server {
+	var servers, looping []site.Server
 	for _, id := range slices.Sorted(maps.Keys(s.Servers)) {
 		server := s.Servers[id]
-		if server.Service == service && !server.Draining {
+		switch {
+		case server.Service != service || server.Draining:
+		case k.runs.loops(id.Name(), now):
+			looping = append(looping, server)
+		default:
 			servers = append(servers, server)
 		}
 	}
+	if len(servers) == 0 {
+		return looping
+	}
 	return servers
 }
 
@@ -100,7 +113,11 @@
 // balance asks for.
 func (k *Keeper) startReleases(service site.ServiceName, s Site, servers []site.Server, now time.Time) {
 	for _, l := range k.leases[service] {
-		if l.canRelease() && l.leaving(s) {
+		_, isEarlier := LaterRun(s.Servers, l.Server)
+		switch {
+		case isEarlier:
+			k.giveUpOn(l, s, servers, now)
+		case l.canRelease(now) && l.leaving(s):
 			k.setPhase(l, releasing)
 		}
 	}
@@ -153,7 +170,11 @@
 				to = spread.least()
 			}
 			spread.add(to, l.Keys())
-			k.change(change, l, Assignment{Span: l.Span, Server: to, Fence: at, Handover: l.handover}, now)
+			k.change(change, l, Assignment{Span: l.Span, Server: to, Fence: at, Handover: l.validHandover(s)}, now)
+		case k.goesToHeir(l, s, servers, now):
+			heir, _ := LaterRun(s.Servers, l.Server)
+			spread.add(heir.ID, l.Keys())
+			k.change(change, l, Assignment{Span: l.Span, Server: heir.ID, Fence: at}, now)
 		case l.free(s, now):
 			to := spread.least()
 			spread.add(to, l.Keys())
@@ -166,23 +187,37 @@
 	}
 }
 
+// validHandover returns what the owner gave with its release, unless the run that
+// gave it, or the one that was to get it, has ended.
+func (l *lease) validHandover(s Site) string {
+	_, giverEnded := LaterRun(s.Servers, l.Server)
+	_, takerEnded := LaterRun(s.Servers, l.next)
+	if giverEnded || takerEnded {
+		return ""
+	}
+	return l.handover
+}
+
 // free reports whether the holds of a silent or vanished owner have run out.
 func (l *lease) free(s Site, now time.Time) bool {
 	if l.phase == releasing || l.phase == released {
 		return false
 	}
-	return (l.phase == lapsing || l.leaving(s)) && (!now.Before(l.heldUntil) || l.replaced(s))
+	return (l.phase == lapsing || l.leaving(s)) && (!now.Before(l.heldUntil) || l.replaced(s, now))
 }
 
-// replaced reports whether another server has the owner's address: then the
-// owner has ended.
-func (l *lease) replaced(s Site) bool {
+// replaced reports whether a server of another name has the owner's address: then
+// the owner has ended, and no call reaches a later run of it there.
+func (l *lease) replaced(s Site, now time.Time) bool {
+	if now.Before(l.earlierUntil) {
+		return false
+	}
 	owner, known := s.Known[l.Server]
 	if _, registered := s.Servers[l.Server]; !known || registered {
 		return false
 	}
 	for _, server := range s.Servers {
-		if server.Address == owner.Address {
+		if server.Address == owner.Address && server.ID.Name() != l.Server.Name() {
 			return true
 		}
 	}
@@ -192,20 +227,28 @@
 func (k *Keeper) change(change *Change, l *lease, next Assignment, now time.Time) {
 	l.pending = true
 	change.apply = append(change.apply, func() {
-		moved := l.Server != next.Server
-		heldUntil := l.heldUntil
-		if moved {
-			heldUntil = now // nobody holds it: released, lapsed or never owned
-		}
-		movedAt := l.movedAt
-		if moved {
-			movedAt = now
-		}
-		*l = lease{Assignment: next, service: l.service, heldUntil: heldUntil, movedAt: movedAt, kept: !moved}
+		*l = l.changed(next, now)
 		k.serial++
 	})
 }
 
+// changed returns the lease after a change. What may be in force at the owner goes
+// on to count as long as its name stays.
+func (l *lease) changed(next Assignment, now time.Time) lease {
+	c := lease{Assignment: next, service: l.service, heldUntil: l.heldUntil, doubtUntil: l.doubtUntil, earlierUntil: l.earlierUntil, movedAt: l.movedAt}
+	switch {
+	case l.Server == next.Server:
+		c.kept = true
+	case l.Server.Name() == next.Server.Name():
+		c.earlierUntil = l.heldUntil
+		c.movedAt = now
+	default: // nobody holds it: released, lapsed or never owned
+		c.heldUntil, c.doubtUntil, c.earlierUntil = now, time.Time{}, time.Time{}
+		c.movedAt = now
+	}
+	return c
+}
+
 // tableWith returns the table as it is after a change, without applying it.
 func (k *Keeper) tableWith(change *Change) *Table {
 	saved := make(map[*lease]lease)
--- /dev/null
+++ b/gateway/ranges/runs.go
@@ -0,0 +1,127 @@
+package ranges
+
+import (
+	"slices"
+	"time"
+
+	"github.com/burdockspindle/burdockspindle/gateway/site"
+)
+
+// A server that starts again under its name holds nothing and has forgotten every
+// fence. Calls that were sent to an earlier run, and late ones that nobody has
+// answered, may be carried out by the next one, which passes for the server that
+// they name. So what may be in force is counted by name, not by run:
+//
+//   - A range goes to the next run of its owner at once, under a higher fence. No
+//     wait is needed, since all that is under way can reach only that run; and the
+//     holds that may be in force go on to count.
+//   - A later run is no proof that the keys are free for another server.
+//   - A range changes to another name only when every grant without an answer has run
+//     out. That a higher fence was answered shuts such a grant out no longer once the
+//     server has started again.
+const (
+	// A server that has started again restartsOfLoop times within loopWindow loses
+	// its keys to others: it would be slow with them each time, and with the next
+	// start they have no owner until the register tells. That is longer than the
+	// move of a range takes after its holds have run out, and than a server is slow
+	// after its start.
+	restartsOfLoop = 2
+	loopWindow     = 15 * time.Second
+)
+
+// runs follows the present run of every server in the register.
+type runs struct {
+	present  map[site.ServerName]site.ServerID
+	restarts map[site.ServerName][]time.Time // the latest, restartsOfLoop at most
+	news     []Restart
+}
+
+// Restart is a server that has started again under its name, for the log.
+type Restart struct {
+	From, To site.ServerID
+	Loops    bool // it loses its keys
+}
+
+func newRuns() runs {
+	return runs{present: map[site.ServerName]site.ServerID{}, restarts: map[site.ServerName][]time.Time{}}
+}
+
+// observe takes the register as it is now and returns the servers that have
+// started again.
+func (r *runs) observe(registered map[site.ServerID]site.Server, now time.Time) []Restart {
+	var restarts []Restart
+	for id := range registered {
+		name := id.Name()
+		before, isKnown := r.present[name]
+		if _, isRegistered := registered[before]; isKnown && isRegistered {
+			continue
+		}
+		r.present[name] = id
+		if !isKnown || before == id {
+			continue
+		}
+		r.note(name, now)
+		restarts = append(restarts, Restart{From: before, To: id, Loops: r.loops(name, now)})
+	}
+	r.news = append(r.news, restarts...)
+	return restarts
+}
+
+func (r *runs) note(name site.ServerName, now time.Time) {
+	times := append(r.restarts[name], now)
+	r.restarts[name] = times[max(len(times)-restartsOfLoop, 0):]
+}
+
+// loops reports whether a server keeps starting again.
+func (r *runs) loops(name site.ServerName, now time.Time) bool {
+	times := r.restarts[name]
+	return len(times) >= restartsOfLoop && now.Sub(times[0]) < loopWindow
+}
+
+// LaterRun returns the run that is registered in place of another one of the same
+// name.
+func LaterRun(registered map[site.ServerID]site.Server, id site.ServerID) (site.Server, bool) {
+	if id == "" {
+		return site.Server{}, false
+	}
+	if _, isRegistered := registered[id]; isRegistered {
+		return site.Server{}, false
+	}
+	for other, server := range registered {
+		if other.Name() == id.Name() {
+			return server, true
+		}
+	}
+	return site.Server{}, false
+}
+
+// goesToHeir reports whether a range goes at once to the run that has taken the
+// place of its owner. One that keeps starting again gets nothing while others can
+// serve the keys.
+func (k *Keeper) goesToHeir(l *lease, s Site, takers []site.Server, now time.Time) bool {
+	heir, exists := LaterRun(s.Servers, l.Server)
+	if !exists || heir.Service != l.service {
+		return false
+	}
+	isOther := func(taker site.Server) bool { return taker.ID.Name() != heir.ID.Name() }
+	return !k.runs.loops(heir.ID.Name(), now) || !slices.ContainsFunc(takers, isOther)
+}
+
+// giveUpOn ends what is under way with an owner whose place another run has taken:
+// nothing is sent to it any more. What does not go to that run waits for its holds.
+func (k *Keeper) giveUpOn(l *lease, s Site, takers []site.Server, now time.Time) {
+	switch {
+	case l.calling || l.pending || l.phase == released:
+	case k.goesToHeir(l, s, takers, now):
+		k.setPhase(l, granting)
+	default:
+		k.setPhase(l, lapsing)
+	}
+}
+
+// Restarts returns the servers that have started again since the last call.
+func (k *Keeper) Restarts() []Restart {
+	news := k.runs.news
+	k.runs.news = nil
+	return news
+}
--- a/gateway/ranges/world_run_test.go
+++ b/gateway/ranges/world_run_test.go
@@ -14,7 +14,7 @@
 var worldSeeds = flag.Uint64("worlds", 40, "worlds to play in each test")
 
 func TestNoKeyHasTwoOwners(t *testing.T) {
-	moves, claims := uint64(0), uint64(0)
+	moves, claims, starts := uint64(0), uint64(0), uint64(0)
 	held := 0.0
 	for seed := range *worldSeeds {
 		w := newWorld(seed, rules{})
@@ -23,11 +23,13 @@
 		}
 		moves += uint64(w.moves)
 		claims += uint64(w.claims)
+		starts += uint64(w.starts)
 		held += w.held() / float64(*worldSeeds)
 	}
 	g := gomega.NewWithT(t)
 	g.Expect(moves).To(gomega.BeNumerically(">", *worldSeeds), "moves played")
 	g.Expect(claims).To(gomega.BeNumerically(">", 2**worldSeeds), "claims played")
+	g.Expect(starts).To(gomega.BeNumerically(">", 4**worldSeeds), "servers that started again")
 	g.Expect(held).To(gomega.BeNumerically(">", 0.5), "share of keys held at the end")
 }
 
@@ -46,6 +48,9 @@
 		{"a lessor grants although its lease was not confirmed", rules{noRight: true}, 65},
 		{"a claim rests on an older table", rules{noFresh: true}, 0},
 		{"a resignation hides longer holds", rules{noHeld: true}, 420},
+		{"a later run is proof that the owner holds nothing", rules{noName: true}, 0},
+		{"what an earlier run was granted is forgotten", rules{noCarry: true}, 0},
+		{"a higher fence ends the wait for unanswered grants", rules{noDoubt: true}, 0},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			for seed := c.from; seed < c.from+8**worldSeeds; seed++ {
--- a/gateway/ranges/world_test.go
+++ b/gateway/ranges/world_test.go
@@ -12,7 +12,9 @@
 
 // world is a small site in simulated time: a store, nodes that run the lessor's
 // duty with a Keeper, and servers. Calls are delayed, lost, or carried out late
-// without an answer; nodes pause and lose the store or servers for a while.
+// without an answer; nodes pause and lose the store or servers for a while;
+// servers start again under their names, and calls to an earlier run reach the
+// next one.
 type world struct {
 	random  *rand.Rand
 	rules   rules
@@ -20,10 +22,13 @@
 	now     time.Time
 	records []worldRecord
 	nodes   []*worldNode
-	servers map[site.ServerID]*worldServer
+	servers map[site.ServerName]*worldServer
+	known   map[site.ServerID]site.Server // every run that was registered
 	calls   []*worldCall
+	fault   string // found while a call was applied
 	moves   int
 	claims  int
+	starts  int // of servers again
 }
 
 // rules can be dropped one at a time, to show that the check finds what they
@@ -35,6 +40,9 @@
 	noRight  bool // a lessor grants without a fresh lease
 	noFresh  bool // a claim rests on an older table than the newest
 	noHeld   bool // a resignation counts as if only usual holds were in force
+	noName   bool // a later run is taken for proof that the owner holds nothing
+	noCarry  bool // what was granted to an earlier run is forgotten
+	noDoubt  bool // an answer under a higher fence ends the wait for unanswered grants
 }
 
 const (
@@ -53,17 +61,26 @@
 }
 
 // worldServer holds keys like a backend server: until the arrival of a grant
-// plus the hold, by a clock that is 2 % slow.
+// plus the hold, by a clock that is 2 % slow. A run that starts knows nothing of
+// those before.
 type worldServer struct {
-	site.Server
-	up        bool
-	highest   [sampleCount]Fence
-	heldUntil [sampleCount]time.Time
+	site.Server // the present run
+	up          bool
+	startsAt    time.Time // with up unset: when it starts again; zero: never
+	loops       int       // how often it starts again soon after the next start
+	highest     [sampleCount]Fence
+	heldUntil   [sampleCount]time.Time
+	had         [sampleCount]Fence // highest with which any run of it held a key
+	// shown is its entry in the register, which follows a while after a start.
+	shown   site.Server
+	isShown bool
+	showAt  time.Time
 }
 
 type worldCall struct {
 	node      *worldNode
 	call      Call
+	address   string    // to which it was sent
 	arrives   time.Time // zero: lost
 	appliesAt time.Time // late calls are applied after their arrival
 	answered  bool      // the node gets the answer
@@ -80,7 +97,7 @@
 	nextConfirm time.Time
 	paused      time.Time // until
 	noStore     time.Time // until
-	noServer    map[site.ServerID]time.Time
+	noServer    map[site.ServerName]time.Time
 	readAt      time.Time
 	readEnd     int
 	movedAt     time.Time
@@ -93,10 +110,11 @@
 		rules:   r,
 		timing:  DefaultTiming(),
 		now:     time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC),
-		servers: map[site.ServerID]*worldServer{},
+		servers: map[site.ServerName]*worldServer{},
+		known:   map[site.ServerID]site.Server{},
 	}
 	for i := range 3 {
-		w.nodes = append(w.nodes, &worldNode{id: i, noServer: map[site.ServerID]time.Time{}})
+		w.nodes = append(w.nodes, &worldNode{id: i, noServer: map[site.ServerName]time.Time{}})
 	}
 	for range 3 {
 		w.addServer()
@@ -105,8 +123,81 @@
 }
 
 func (w *world) addServer() {
-	id := site.ServerID(fmt.Sprintf("s%d", len(w.servers)))
-	w.servers[id] = &worldServer{Server: site.Server{ID: id, Service: worldService, Slots: 4, Address: string(id)}, up: true}
+	name := site.ServerName(fmt.Sprintf("s%d", len(w.servers)))
+	address := string(name)
+	if taken := w.freeAddress(); taken != "" && w.random.IntN(2) == 0 {
+		address = taken
+	}
+	server := &worldServer{Server: site.Server{ID: site.RunID(name, w.now), Service: worldService, Slots: 4, Address: address}, up: true}
+	w.servers[name] = server
+	server.show(w)
+}
+
+// freeAddress returns the address of a server that is gone for good, or nothing.
+func (w *world) freeAddress() string {
+	used := map[string]bool{}
+	for _, s := range w.servers {
+		used[s.Address] = used[s.Address] || s.up || !s.startsAt.IsZero()
+	}
+	for _, name := range slices.Sorted(maps.Keys(w.servers)) {
+		if address := w.servers[name].Address; !used[address] {
+			return address
+		}
+	}
+	return ""
+}
+
+// show puts the present run into the register.
+func (s *worldServer) show(w *world) {
+	s.shown, s.isShown, s.showAt = s.Server, true, time.Time{}
+	w.known[s.ID] = s.Server
+}
+
+// crash ends a run. The next one starts soon, mostly at the same address, and may
+// end as soon as it has started.
+func (s *worldServer) crash(w *world) {
+	s.up = false
+	s.startsAt = w.span(800 * time.Millisecond)
+	s.loops = max(s.loops-1, 0)
+	if s.loops == 0 && w.random.IntN(4) == 0 {
+		s.loops = 1 + w.random.IntN(3)
+	}
+}
+
+// start begins the next run of a server.
+func (s *worldServer) start(w *world) {
+	w.starts++
+	next := s.Server
+	next.ID = site.RunID(s.ID.Name(), w.now)
+	next.Draining = w.random.IntN(12) == 0
+	if w.random.IntN(5) == 0 {
+		next.Address = fmt.Sprint(next.ID)
+	}
+	*s = worldServer{Server: next, up: true, loops: s.loops, had: s.had, shown: s.shown, isShown: s.isShown}
+	s.showAt = w.span(1500 * time.Millisecond)
+	if s.loops > 0 {
+		s.startsAt = w.span(3 * time.Second) // when it crashes again
+	}
+}
+
+// serverTime starts, ends and registers servers whose time has come.
+func (w *world) serverTime() {
+	for _, name := range slices.Sorted(maps.Keys(w.servers)) {
+		s := w.servers[name]
+		if !s.startsAt.IsZero() && !w.now.Before(s.startsAt) {
+			if s.up {
+				s.crash(w)
+			} else {
+				s.start(w)
+			}
+		}
+		if s.up && !s.showAt.IsZero() && !w.now.Before(s.showAt) {
+			s.show(w)
+		}
+		if !s.up && s.startsAt.IsZero() {
+			s.isShown = false
+		}
+	}
 }
 
 // run plays the world for a while and returns the first time at which two
@@ -114,6 +205,7 @@
 func (w *world) run(length time.Duration) string {
 	for end := w.now.Add(length); w.now.Before(end); w.now = w.now.Add(worldStep) {
 		w.trouble()
+		w.serverTime()
 		w.deliver()
 		for _, n := range w.nodes {
 			if !w.now.Before(n.paused) {
@@ -138,7 +230,7 @@
 
 // trouble starts pauses, cuts, losses and drains.
 func (w *world) trouble() {
-	ids := slices.Sorted(maps.Keys(w.servers))
+	names := slices.Sorted(maps.Keys(w.servers))
 	for _, n := range w.nodes {
 		if w.chance(15 * time.Second) {
 			n.paused = w.span(12 * time.Second)
@@ -147,30 +239,33 @@
 			n.noStore = w.span(12 * time.Second)
 		}
 		if w.chance(8 * time.Second) {
-			n.noServer[ids[w.random.IntN(len(ids))]] = w.span(10 * time.Second)
+			n.noServer[names[w.random.IntN(len(names))]] = w.span(10 * time.Second)
 		}
 		if n.keeper != nil && n.resignAt.IsZero() && w.chance(20*time.Second) {
 			n.resignAt = w.now
 		}
 	}
-	server := w.servers[ids[w.random.IntN(len(ids))]]
+	server := w.servers[names[w.random.IntN(len(names))]]
 	switch {
-	case w.chance(25*time.Second) && len(ids) < 8:
+	case w.chance(25*time.Second) && len(names) < 8:
 		w.addServer()
-	case w.chance(25 * time.Second):
+	case w.chance(25*time.Second) && server.up:
 		server.Draining = true
-	case w.chance(40 * time.Second):
+		server.showAt = w.now
+	case w.chance(10*time.Second) && server.up:
+		server.crash(w)
+	case w.chance(40*time.Second) && server.startsAt.IsZero():
 		server.up = false
 	}
 }
 
 // registered returns the servers in the register: those that drain too, and
-// some of those that are down.
+// earlier runs of those that have just started again.
 func (w *world) registered() map[site.ServerID]site.Server {
 	list := map[site.ServerID]site.Server{}
-	for id, s := range w.servers {
-		if s.up {
-			list[id] = s.Server
+	for _, s := range w.servers {
+		if s.isShown {
+			list[s.shown.ID] = s.shown
 		}
 	}
 	return list
@@ -178,7 +273,7 @@
 
 // send puts a call on its way.
 func (w *world) send(n *worldNode, call Call) {
-	c := &worldCall{node: n, call: call, answered: true}
+	c := &worldCall{node: n, call: call, address: w.known[call.Server].Address, answered: true}
 	flight := time.Duration(w.random.Int64N(int64(30 * time.Millisecond)))
 	if w.random.IntN(12) == 0 {
 		flight = time.Duration(w.random.Int64N(int64(w.timing.CallTimeout)))
@@ -189,7 +284,7 @@
 		c.appliesAt = c.arrives.Add(time.Duration(w.random.Int64N(int64(8 * time.Second))))
 		c.answered = false
 	}
-	if w.now.Before(n.noServer[call.Server]) || !w.servers[call.Server].up {
+	if w.now.Before(n.noServer[call.Server.Name()]) || !w.servers[call.Server.Name()].up && w.random.IntN(3) > 0 {
 		c.arrives = time.Time{}
 	}
 	w.calls = append(w.calls, c)
@@ -206,11 +301,7 @@
 		lost := c.arrives.IsZero()
 		if !lost && !c.arrived && !w.now.Before(c.appliesAt) {
 			c.arrived = true
-			fenced := w.servers[c.call.Server].apply(c, w.now)
-			if c.answered && !c.givenUp {
-				c.givenUp = true
-				c.node.done(c.call, Result{Fenced: fenced, Handover: "h"}, w.now)
-			}
+			w.carryOut(c)
 		}
 		if !c.givenUp && w.now.Sub(c.call.SentAt) >= timeout {
 			c.givenUp = true
@@ -223,6 +314,38 @@
 	w.calls = kept
 }
 
+// carryOut applies a call at the run that is at its address now.
+func (w *world) carryOut(c *worldCall) {
+	server := w.servers[c.call.Server.Name()]
+	if !server.up || server.Address != c.address {
+		return
+	}
+	fenced := server.apply(c, w.now)
+	if !fenced && !c.call.Release {
+		w.checkFences(server, c.call.Grant)
+	}
+	if c.answered && !c.givenUp {
+		c.givenUp = true
+		c.node.done(c.call, Result{Fenced: fenced, Handover: "h"}, w.now)
+	}
+}
+
+// checkFences notes a fault if a server has taken a key under a fence that is not
+// above all with which others held it.
+func (w *world) checkFences(server *worldServer, grant Grant) {
+	for i := range sampleCount {
+		if !grant.Contains(sampleKey(i)) || !w.now.Before(server.heldUntil[i]) {
+			continue // ran out before it was carried out
+		}
+		server.had[i] = max(server.had[i], grant.Fence)
+		for name, other := range w.servers {
+			if other != server && other.had[i] >= grant.Fence {
+				w.fault = fmt.Sprintf("key %d is taken by %v under fence %d, and %v had it under %d", sampleKey(i), server.ID, grant.Fence, name, other.had[i])
+			}
+		}
+	}
+}
+
 func (n *worldNode) done(call Call, result Result, now time.Time) {
 	if n.keeper != nil {
 		n.keeper.Done(call, result, now)
@@ -231,9 +354,6 @@
 
 // apply carries a call out; it reports whether a higher fence was seen.
 func (s *worldServer) apply(c *worldCall, now time.Time) (fenced bool) {
-	if !s.up {
-		return false
-	}
 	grant := c.call.Grant
 	for i := range sampleCount {
 		if grant.Contains(sampleKey(i)) && s.highest[i] > grant.Fence {
@@ -292,19 +412,10 @@
 		n.loads.Count(worldService, sampleKey(w.random.IntN(6)), 3)
 	}
 	n.loads.Decay(w.now)
-	for id := range w.servers {
-		n.loads.Pace(id, 200*time.Millisecond)
-	}
-	if w.rules.noSeal {
-		for _, l := range n.keeper.leases[worldService] {
-			l.doubtful = false
-		}
-	}
-	if w.rules.noWait {
-		for _, l := range n.keeper.leases[worldService] {
-			l.heldUntil = w.now
-		}
+	for _, s := range w.servers {
+		n.loads.Pace(s.ID, 200*time.Millisecond)
 	}
+	w.dropRules(n)
 	record := worldRecord{node: n.id}
 	change := n.keeper.Plan(w.site(n), n.end, w.now)
 	w.moves += len(n.keeper.Moves())
@@ -332,6 +443,34 @@
 	w.confirmed(n, change, record)
 }
 
+// drop changes what a lessor knows of a range as if it lacked the rules that are
+// dropped.
+func (r rules) drop(k *Keeper, l *lease, registered map[site.ServerID]site.Server, now time.Time) {
+	if r.noSeal {
+		l.doubtful, l.doubtUntil = false, time.Time{}
+	}
+	if r.noWait {
+		l.heldUntil = now
+	}
+	if r.noDoubt {
+		l.doubtUntil = time.Time{}
+	}
+	later, isEarlier := LaterRun(registered, l.Server)
+	if isEarlier && r.noCarry {
+		l.heldUntil, l.doubtUntil = now, time.Time{}
+	}
+	if isEarlier && r.noName {
+		l.heldUntil = now
+		k.runs.restarts[later.ID.Name()] = []time.Time{now, now} // others get the keys
+	}
+}
+
+func (w *world) dropRules(n *worldNode) {
+	for _, l := range n.keeper.leases[worldService] {
+		w.rules.drop(n.keeper, l, w.registered(), w.now)
+	}
+}
+
 // forget drops a change that the store did not take; it is planned anew.
 func (n *worldNode) forget() {
 	for _, l := range n.keeper.leases[worldService] {
@@ -353,14 +492,10 @@
 }
 
 func (w *world) site(n *worldNode) Site {
-	known := map[site.ServerID]site.Server{}
-	for id, s := range w.servers {
-		known[id] = s.Server
-	}
 	return Site{
 		Services: map[site.ServiceName]site.Service{worldService: {Name: worldService, Keyed: true}},
 		Servers:  w.registered(),
-		Known:    known,
+		Known:    w.known,
 		Writable: w.now.Sub(n.confirmedAt) < 1200*time.Millisecond,
 		Settled:  true,
 		Load:     n.loads,
@@ -410,13 +545,17 @@
 	return w.timing.FormerHold()
 }
 
-// check returns the first key that two servers hold.
+// check returns the first key that two servers hold, or that one has taken under a
+// low fence.
 func (w *world) check() string {
+	if w.fault != "" {
+		return w.fault
+	}
 	for i := range sampleCount {
 		var holders []site.ServerID
-		for id, s := range w.servers {
+		for _, s := range w.servers {
 			if s.up && w.now.Before(s.heldUntil[i]) {
-				holders = append(holders, id)
+				holders = append(holders, s.ID)
 			}
 		}
 		if len(holders) > 1 {
--- a/gateway/router/owner.go
+++ b/gateway/router/owner.go
@@ -41,7 +41,7 @@
 }
 
 // owner returns the server that owns the request's key, and waits for one while
-// the key changes hands.
+// the key changes hands, or until it has been granted to the next run of its owner.
 func (x *exchange) owner(ctx context.Context) (site.ServerID, *refusal) {
 	if x.tries > 0 {
 		x.awaitNews(ctx)
@@ -50,9 +50,10 @@
 	defer wait.Stop()
 	for {
 		changed := x.router.state.Changed()
-		route, found := x.router.state.Now().RouteOf(x.service.name, x.key)
+		now := x.router.state.Now()
+		route, found := now.RouteOf(x.service.name, x.key)
 		switch {
-		case found && route.State == ranges.Ready:
+		case found && route.State == ranges.Ready && !now.StartedAgain(route.Server):
 			return route.Server, nil
 		case found && route.State == ranges.Silent:
 			left := route.Until.Sub(clock.Now())
--- a/gateway/view/view.go
+++ b/gateway/view/view.go
@@ -65,6 +65,13 @@
 // ServersOf returns the registered servers of a service.
 func (v *View) ServersOf(service site.ServiceName) []site.Server { return v.byService[service] }
 
+// StartedAgain reports whether the register shows another run of a server under its
+// name. What the earlier run owned is not owned by that one until it is granted anew.
+func (v *View) StartedAgain(id site.ServerID) bool {
+	_, exists := ranges.LaterRun(v.Servers.Servers, id)
+	return exists
+}
+
 // RouteOf returns the route of a key.
 func (v *View) RouteOf(service site.ServiceName, key ranges.Key) (ranges.Route, bool) {
 	routes := v.Routes.Services[service]
