Range grants: a search of all histories within bounds; a resigning lessor waits for answers

The search runs the Keeper itself for one range, two servers and two nodes, with lost, late and unanswered calls, starts under the same name, claims and planned moves.

--- /dev/null
+++ b/gateway/duty/calls.go
@@ -0,0 +1,65 @@
+package duty
+
+import (
+	"context"
+	"errors"
+	"maps"
+	"time"
+
+	"github.com/burdockspindle/burdockspindle/clock"
+	"github.com/burdockspindle/burdockspindle/gateway/ranges"
+	"github.com/burdockspindle/burdockspindle/gateway/site"
+)
+
+type callResult struct {
+	call   ranges.Call
+	result ranges.Result
+}
+
+func (d *Duty) sendCalls(ctx context.Context, now time.Time) {
+	registered := d.State.Now().Servers.Servers
+	maps.Copy(d.known, registered)
+	for _, call := range d.keeper.Calls(registered, d.lease(now), now) {
+		server, known := d.known[call.Server]
+		if !known {
+			d.keeper.Done(call, ranges.Result{Failed: true}, now)
+			continue
+		}
+		go d.call(ctx, server, call)
+	}
+}
+
+// call makes one call to a server. The right to grant is looked at once more,
+// since the machine may have been suspended meanwhile.
+func (d *Duty) call(ctx context.Context, server site.Server, call ranges.Call) {
+	timeout := d.Timing.CallTimeout
+	if call.Release {
+		timeout = d.Timing.ReleaseTimeout
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	var result ranges.Result
+	var err error
+	switch {
+	case clock.Since(call.SentAt) > timeout:
+		err = context.DeadlineExceeded
+	case call.Release:
+		result.Handover, err = d.Granter.Release(ctx, server, call.Grant.Span, call.Grant.Fence)
+	default:
+		err = d.Granter.Grant(ctx, server, call.Grant)
+	}
+	var fenced *ranges.FencedError
+	result.Fenced = errors.As(err, &fenced)
+	result.Failed = err != nil && !result.Fenced
+	if err != nil {
+		eventCallFailed.Log(d.Logger, "server", server.ID, "release", call.Release, "from", call.Grant.From, "to", call.Grant.To, "fence", call.Grant.Fence, "fenced", result.Fenced, "cause", err)
+	}
+	countCall(call, result)
+	d.called <- callResult{call, result}
+}
+
+func (d *Duty) takeCall(r callResult) {
+	if d.keeper != nil {
+		d.keeper.Done(r.call, r.result, clock.Now())
+	}
+}
--- a/gateway/duty/duty.go
+++ b/gateway/duty/duty.go
@@ -5,8 +5,6 @@
 
 import (
 	"context"
-	"errors"
-	"maps"
 	"math/rand/v2"
 	"sync/atomic"
 	"time"
@@ -102,11 +100,6 @@
 	known map[site.ServerID]site.Server
 }
 
-type callResult struct {
-	call   ranges.Call
-	result ranges.Result
-}
-
 // New returns a duty; its exported fields are set by the caller before Run.
 func New() *Duty {
 	return &Duty{
@@ -167,7 +160,10 @@
 		return
 	}
 	if d.givenUp || d.resigning != nil && d.writable(now) {
-		d.giveUp(ctx)
+		// The next lessor waits with moves for grants that have no answer.
+		if !d.keeper.Calling() {
+			d.giveUp(ctx)
+		}
 		return
 	}
 	d.balanceInput(now)
@@ -293,54 +289,6 @@
 // writable reports whether the store took an append lately.
 func (d *Duty) writable(now time.Time) bool { return now.Sub(d.confirmedAt) < writableFor }
 
-func (d *Duty) sendCalls(ctx context.Context, now time.Time) {
-	registered := d.State.Now().Servers.Servers
-	maps.Copy(d.known, registered)
-	for _, call := range d.keeper.Calls(registered, d.lease(now), now) {
-		server, known := d.known[call.Server]
-		if !known {
-			d.keeper.Done(call, ranges.Result{Failed: true}, now)
-			continue
-		}
-		go d.call(ctx, server, call)
-	}
-}
-
-// call makes one call to a server. The right to grant is looked at once more,
-// since the machine may have been suspended meanwhile.
-func (d *Duty) call(ctx context.Context, server site.Server, call ranges.Call) {
-	timeout := d.Timing.CallTimeout
-	if call.Release {
-		timeout = d.Timing.ReleaseTimeout
-	}
-	ctx, cancel := context.WithTimeout(ctx, timeout)
-	defer cancel()
-	var result ranges.Result
-	var err error
-	switch {
-	case clock.Since(call.SentAt) > timeout:
-		err = context.DeadlineExceeded
-	case call.Release:
-		result.Handover, err = d.Granter.Release(ctx, server, call.Grant.Span, call.Grant.Fence)
-	default:
-		err = d.Granter.Grant(ctx, server, call.Grant)
-	}
-	var fenced *ranges.FencedError
-	result.Fenced = errors.As(err, &fenced)
-	result.Failed = err != nil && !result.Fenced
-	if err != nil {
-		eventCallFailed.Log(d.Logger, "server", server.ID, "release", call.Release, "from", call.Grant.From, "to", call.Grant.To, "fence", call.Grant.Fence, "fenced", result.Fenced, "cause", err)
-	}
-	countCall(call, result)
-	d.called <- callResult{call, result}
-}
-
-func (d *Duty) takeCall(r callResult) {
-	if d.keeper != nil {
-		d.keeper.Done(r.call, r.result, clock.Now())
-	}
-}
-
 // change appends what the keeper decides, or confirms the lease when that is due.
 func (d *Duty) change(ctx context.Context, now time.Time) {
 	if d.appending != nil {
--- a/gateway/follow/ownership_test.go
+++ b/gateway/follow/ownership_test.go
@@ -57,3 +57,14 @@
 	o.fold(store.Batch{Records: []store.Record{tableRecord(t, 2, "two")}, Next: 3, End: 3}, after(0))
 	g.Expect(o.Known).To(gomega.BeTrue())
 }
+
+// A record of an earlier release does not tell of grants without an answer: all
+// that was granted counts as such.
+func TestAResignationThatDoesNotTellOfUnansweredGrants(t *testing.T) {
+	g := gomega.NewWithT(t)
+	var o Ownership
+	g.Expect(o.take(store.Record{Key: HeartbeatKey, Value: []byte(`{"resigned":true,"heldMs":3000}`)})).To(gomega.Succeed())
+	g.Expect(o.Doubt).To(gomega.Equal(3 * time.Second))
+	g.Expect(o.take(store.Record{Key: HeartbeatKey, Value: []byte(`{"resigned":true,"heldMs":3000,"doubtMs":0}`)})).To(gomega.Succeed())
+	g.Expect(o.Doubt).To(gomega.BeZero())
+}
--- a/gateway/ranges/lessor.go
+++ b/gateway/ranges/lessor.go
@@ -164,6 +164,18 @@
 	return doubt
 }
 
+// Calling reports whether a grant is under way.
+func (k *Keeper) Calling() bool {
+	for _, leases := range k.leases {
+		for _, l := range leases {
+			if l.calling && l.phase != releasing {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // LimitDoubt tells that grants of the former lessor without an answer may be in
 // force for no longer than doubt.
 func (k *Keeper) LimitDoubt(doubt time.Duration, now time.Time) {
--- a/gateway/ranges/runs.go
+++ b/gateway/ranges/runs.go
@@ -68,8 +68,11 @@
 }
 
 func (r *runs) note(name site.ServerName, now time.Time) {
-	times := append(r.restarts[name], now)
-	r.restarts[name] = times[max(len(times)-restartsOfLoop, 0):]
+	times := r.restarts[name]
+	if len(times) >= restartsOfLoop {
+		times = times[1:]
+	}
+	r.restarts[name] = append(slices.Clone(times), now)
 }
 
 // loops reports whether a server keeps starting again.
--- /dev/null
+++ b/gateway/ranges/search_state_test.go
@@ -0,0 +1,255 @@
+package ranges
+
+import (
+	"slices"
+	"time"
+
+	"github.com/burdockspindle/burdockspindle/gateway/site"
+)
+
+// The search plays every order of events, within its bounds, that one range, two
+// servers and two nodes can see: the functions of Keeper that run in a node decide
+// what the nodes send and append. Time goes in whole seconds; within one, events
+// come in any order and any of them may stay out, so that nodes, calls and the
+// register may be as slow as can be.
+//
+// What is older than it matters is made equal: times that have passed, and fences
+// but for their order. So the length of the histories has no bound, only the number
+// of starts, claims and planned moves in them and of calls that are under way.
+const (
+	searchHold    = time.Second
+	searchTimeout = time.Second
+	searchRight   = 2 * time.Second
+	// searchLate is for how long a call without an answer may wait at a server: with
+	// the hold, until it can no longer be in force.
+	searchLate = 1
+	// searchCalls bounds the calls on their way or waiting at a server.
+	searchCalls = 2
+	// searchStarts bounds the runs of a server.
+	searchStarts = 4
+)
+
+var (
+	searchStart = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	searchNames = [2]site.ServerName{"a", "b"}
+	searchTimes = Timing{Hold: searchHold, Right: searchRight, HoldMax: 10 * time.Second, CallTimeout: searchTimeout, ReleaseTimeout: searchTimeout}
+)
+
+// searchState is one state. It is a map's key: states that are equal have the same
+// future. Times are relative to now.
+type searchState struct {
+	nodes   [2]searchNode
+	servers [2]searchServer
+	calls   [searchCalls]searchCall // in order; empty ones last
+	table   searchTable
+	left    searchBounds
+}
+
+// searchBounds is how many events of a kind may still come.
+type searchBounds struct{ starts, claims, resigns, moves int8 }
+
+// searchTable is the newest table.
+type searchTable struct {
+	server, run int8
+	end         int8 // fence of the next append
+	// resigned tells that the lessor has given its lease up, and held and doubt what
+	// it told with that.
+	resigned    bool
+	held, doubt int16
+}
+
+// searchNode is what a node knows as lessor; the zero value: it is none.
+type searchNode struct {
+	isLessor  bool
+	atEnd     bool // nobody has appended since
+	confirmed int8 // seconds since its latest append
+	claim     int8 // fence of its claim
+	runs      [2]int8
+	restarts  [2]int8
+
+	server, run   int8
+	next, nextRun int8 // of a planned move; next -1: none
+	fence         int8
+	phase         phase
+	calling       bool
+	doubtful      bool
+	answered      bool
+	raised        bool
+	misses        int8
+	held          int16 // milliseconds
+	doubt         int16
+	earlier       int16
+}
+
+// searchServer is a server's present run.
+type searchServer struct {
+	run, shown int8 // shown: in the register
+	highest    int8
+	had        int8 // highest fence with which any run held the range
+	held       int16
+}
+
+// searchCall is a call on its way, or one that waits at a server and has no answer.
+type searchCall struct {
+	exists      bool
+	node, claim int8 // the sender, as the lessor of that claim
+	server, run int8
+	fence       int8
+	release     bool
+	waits       bool
+	age         int8 // seconds since it was sent, or since it arrived
+}
+
+// The runs of both servers, and the registers that show one of each, are made once:
+// the search asks for them at every step.
+var (
+	searchRuns   [len(searchNames)][searchStarts]site.ServerID
+	searchRunsOf = map[site.ServerID][2]int8{}
+	searchSites  [searchStarts][searchStarts]Site
+)
+
+func init() {
+	for name := range searchNames {
+		for number := range searchStarts {
+			id := site.RunID(searchNames[name], time.Unix(int64(number)+1, 0))
+			searchRuns[name][number] = id
+			searchRunsOf[id] = [2]int8{int8(name), int8(number)}
+		}
+	}
+	for a := range int8(searchStarts) {
+		for b := range int8(searchStarts) {
+			searchSites[a][b] = searchSite([2]int8{a, b})
+		}
+	}
+}
+
+func searchRun(name, number int8) site.ServerID { return searchRuns[name][number] }
+
+func searchRunOf(id site.ServerID) (name, number int8) {
+	run := searchRunsOf[id]
+	return run[0], run[1]
+}
+
+// searchSite returns a register that shows a run of each server.
+func searchSite(shown [2]int8) Site {
+	view := keyedSite()
+	for name := range int8(len(searchNames)) {
+		for run := range shown[name] + 1 {
+			id := searchRun(name, run)
+			server := site.Server{ID: id, Service: worldService, Slots: 1, Address: string(searchNames[name])}
+			view.Known[id] = server
+			if run == shown[name] {
+				view.Servers[id] = server
+			}
+		}
+	}
+	return view
+}
+
+func relative(t time.Time) int16 { return int16(max(t.Sub(searchStart), 0).Milliseconds()) }
+
+func absolute(milliseconds int16) time.Time {
+	return searchStart.Add(time.Duration(milliseconds) * time.Millisecond)
+}
+
+// site returns the register as the nodes see it.
+func (s *searchState) site() Site { return searchSites[s.servers[0].shown][s.servers[1].shown] }
+
+// newSearchKeeper returns a lessor that keeper makes the one of a node.
+func newSearchKeeper() *Keeper {
+	return &Keeper{
+		timing:      searchTimes,
+		leases:      map[site.ServiceName][]*lease{worldService: {{}}},
+		compactedAt: map[site.ServiceName]time.Time{worldService: searchStart},
+		runs:        newRuns(),
+	}
+}
+
+// keeper makes k the lessor that a node is.
+func (n *searchNode) keeper(k *Keeper) *lease {
+	l := k.leases[worldService][0]
+	*l = lease{
+		Assignment:   Assignment{Span: Span{To: LastKey}, Server: searchRun(n.server, n.run), Fence: Fence(n.fence)},
+		service:      worldService,
+		phase:        n.phase,
+		heldUntil:    absolute(n.held),
+		doubtUntil:   absolute(n.doubt),
+		earlierUntil: absolute(n.earlier),
+		calling:      n.calling,
+		doubtful:     n.doubtful,
+		confirmed:    n.answered,
+		raised:       n.raised,
+		misses:       int(n.misses),
+	}
+	if n.next >= 0 {
+		l.next = searchRun(n.next, n.nextRun)
+	}
+	k.runs.news = nil
+	for name := range int8(len(searchNames)) {
+		k.runs.present[searchNames[name]] = searchRun(name, n.runs[name])
+		k.runs.restarts[searchNames[name]] = searchRestarts[:n.restarts[name]:n.restarts[name]]
+	}
+	return l
+}
+
+var searchRestarts = slices.Repeat([]time.Time{searchStart}, restartsOfLoop)
+
+// keep takes what the lessor of a node knows after an event.
+func (n *searchNode) keep(k *Keeper) {
+	l := k.leases[worldService][0]
+	n.server, n.run = searchRunOf(l.Server)
+	n.next, n.nextRun = -1, 0
+	if l.next != "" {
+		n.next, n.nextRun = searchRunOf(l.next)
+	}
+	n.fence, n.phase = int8(l.Fence), l.phase
+	n.calling, n.doubtful, n.answered, n.raised = l.calling, l.doubtful, l.confirmed, l.raised
+	n.misses = int8(min(l.misses, missesToLapse))
+	n.held, n.doubt, n.earlier = relative(l.heldUntil), relative(l.doubtUntil), relative(l.earlierUntil)
+	for name := range int8(len(searchNames)) {
+		if present, known := k.runs.present[searchNames[name]]; known {
+			_, n.runs[name] = searchRunOf(present)
+		}
+		n.restarts[name] = int8(min(len(k.runs.restarts[searchNames[name]]), restartsOfLoop))
+	}
+}
+
+// normalize makes states with the same future equal.
+func (s *searchState) normalize() {
+	slices.SortFunc(s.calls[:], compareCalls)
+	fences := []*int8{&s.table.end}
+	for i := range s.nodes {
+		fences = append(fences, &s.nodes[i].fence, &s.nodes[i].claim)
+		fences = append(fences, &s.servers[i].highest, &s.servers[i].had)
+	}
+	for i := range s.calls {
+		fences = append(fences, &s.calls[i].fence, &s.calls[i].claim)
+	}
+	order := []int8{0}
+	for _, fence := range fences {
+		if at, exists := slices.BinarySearch(order, *fence); !exists {
+			order = slices.Insert(order, at, *fence)
+		}
+	}
+	for _, fence := range fences {
+		at, _ := slices.BinarySearch(order, *fence)
+		*fence = int8(at)
+	}
+}
+
+func compareCalls(a, b searchCall) int { return b.number() - a.number() }
+
+func (c *searchCall) number() int {
+	number := 0
+	for _, digit := range []int8{bit(c.exists), bit(c.release), bit(c.waits), c.node, c.server, c.run, c.age, c.claim, c.fence} {
+		number = number*32 + int(digit)
+	}
+	return number
+}
+
+func bit(b bool) int8 {
+	if b {
+		return 1
+	}
+	return 0
+}
--- /dev/null
+++ b/gateway/ranges/world_server_test.go
@@ -0,0 +1,176 @@
+package ranges
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/burdockspindle/burdockspindle/gateway/site"
+)
+
+// worldServer holds keys like a backend server: until the arrival of a grant
+// plus the hold, by a clock that is 2 % slow. A run that starts knows nothing of
+// those before.
+type worldServer struct {
+	site.Server // the present run
+	up          bool
+	startsAt    time.Time // with up unset: when it starts again; zero: never
+	loops       int       // how often it starts again soon after the next start
+	highest     [sampleCount]Fence
+	heldUntil   [sampleCount]time.Time
+	had         [sampleCount]Fence // highest with which any run of it held a key
+	// shown is its entry in the register, which follows a while after a start.
+	shown   site.Server
+	isShown bool
+	showAt  time.Time
+}
+
+func (w *world) addServer() {
+	name := site.ServerName(fmt.Sprintf("s%d", len(w.servers)))
+	address := string(name)
+	if taken := w.freeAddress(); taken != "" && w.random.IntN(2) == 0 {
+		address = taken
+	}
+	server := &worldServer{Server: site.Server{ID: site.RunID(name, w.now), Service: worldService, Slots: 4, Address: address}, up: true}
+	w.servers[name] = server
+	server.show(w)
+}
+
+// freeAddress returns the address of a server that is gone for good, or nothing.
+func (w *world) freeAddress() string {
+	used := map[string]bool{}
+	for _, s := range w.servers {
+		used[s.Address] = used[s.Address] || s.up || !s.startsAt.IsZero()
+	}
+	for _, name := range slices.Sorted(maps.Keys(w.servers)) {
+		if address := w.servers[name].Address; !used[address] {
+			return address
+		}
+	}
+	return ""
+}
+
+// show puts the present run into the register.
+func (s *worldServer) show(w *world) {
+	s.shown, s.isShown, s.showAt = s.Server, true, time.Time{}
+	w.known[s.ID] = s.Server
+}
+
+// crash ends a run. The next one starts soon, mostly at the same address, and may
+// end as soon as it has started.
+func (s *worldServer) crash(w *world) {
+	s.up = false
+	s.startsAt = w.span(800 * time.Millisecond)
+	s.loops = max(s.loops-1, 0)
+	if s.loops == 0 && w.random.IntN(4) == 0 {
+		s.loops = 1 + w.random.IntN(3)
+	}
+}
+
+// start begins the next run of a server.
+func (s *worldServer) start(w *world) {
+	w.starts++
+	next := s.Server
+	next.ID = site.RunID(s.ID.Name(), w.now)
+	next.Draining = w.random.IntN(12) == 0
+	if w.random.IntN(5) == 0 {
+		next.Address = fmt.Sprint(next.ID)
+	}
+	*s = worldServer{Server: next, up: true, loops: s.loops, had: s.had, shown: s.shown, isShown: s.isShown}
+	s.showAt = w.span(1500 * time.Millisecond)
+	if s.loops > 0 {
+		s.startsAt = w.span(3 * time.Second) // when it crashes again
+	}
+}
+
+// serverTime starts, ends and registers servers whose time has come.
+func (w *world) serverTime() {
+	for _, name := range slices.Sorted(maps.Keys(w.servers)) {
+		s := w.servers[name]
+		if !s.startsAt.IsZero() && !w.now.Before(s.startsAt) {
+			if s.up {
+				s.crash(w)
+			} else {
+				s.start(w)
+			}
+		}
+		if s.up && !s.showAt.IsZero() && !w.now.Before(s.showAt) {
+			s.show(w)
+		}
+		if !s.up && s.startsAt.IsZero() {
+			s.isShown = false
+		}
+	}
+}
+
+// registered returns the servers in the register: those that drain too, and
+// earlier runs of those that have just started again.
+func (w *world) registered() map[site.ServerID]site.Server {
+	list := map[site.ServerID]site.Server{}
+	for _, s := range w.servers {
+		if s.isShown {
+			list[s.shown.ID] = s.shown
+		}
+	}
+	return list
+}
+
+// carryOut applies a call at the run that is at its address now.
+func (w *world) carryOut(c *worldCall) {
+	server := w.servers[c.call.Server.Name()]
+	if !server.up || server.Address != c.address {
+		return
+	}
+	fenced := server.apply(c, w.now)
+	if !fenced && !c.call.Release {
+		w.checkFences(server, c.call.Grant)
+	}
+	if c.answered && !c.givenUp {
+		c.givenUp = true
+		c.node.done(c.call, Result{Fenced: fenced, Handover: "h"}, w.now)
+	}
+}
+
+// checkFences notes a fault if a server has taken a key under a fence that is not
+// above all with which others held it.
+func (w *world) checkFences(server *worldServer, grant Grant) {
+	for i := range sampleCount {
+		if !grant.Contains(sampleKey(i)) || !w.now.Before(server.heldUntil[i]) {
+			continue // ran out before it was carried out
+		}
+		server.had[i] = max(server.had[i], grant.Fence)
+		for name, other := range w.servers {
+			if other != server && other.had[i] >= grant.Fence {
+				w.fault = fmt.Sprintf("key %d is taken by %v under fence %d, and %v had it under %d", sampleKey(i), server.ID, grant.Fence, name, other.had[i])
+			}
+		}
+	}
+}
+
+// apply carries a call out; it reports whether a higher fence was seen.
+func (s *worldServer) apply(c *worldCall, now time.Time) (fenced bool) {
+	grant := c.call.Grant
+	for i := range sampleCount {
+		if grant.Contains(sampleKey(i)) && s.highest[i] > grant.Fence {
+			fenced = true
+		}
+	}
+	for i := range sampleCount {
+		if !grant.Contains(sampleKey(i)) {
+			continue
+		}
+		if c.call.Release {
+			if s.highest[i] <= grant.Fence && s.heldUntil[i].After(now) {
+				s.heldUntil[i] = now
+			}
+			continue
+		}
+		if fenced {
+			continue
+		}
+		s.highest[i] = grant.Fence
+		s.heldUntil[i] = c.arrives.Add(time.Duration(float64(grant.Hold) * (1 + clockDrift)))
+	}
+	return fenced
+}
