Lessor: failing test of the time as of which an append confirms the lease

The answer to a try is lost, another node claims, and the next try finds the record: the lease was counted from that try, up to a second or more after the claim.

--- a/gateway/duty/append.go
+++ b/gateway/duty/append.go
@@ -22,6 +22,8 @@
 	resigns bool           // it gives the lease up
 	held    time.Duration  // with resigns: how long what was granted may be in force
 	at      store.Offset
+	// startedAt is the start of the first try.
+	startedAt time.Time
 }
 
 type appendResult struct {
--- a/gateway/duty/resign_test.go
+++ b/gateway/duty/resign_test.go
@@ -23,6 +23,35 @@
 	return nil
 }
 
+// conflictingStore has the record of an append already: the answer to an earlier try
+// was lost.
+type conflictingStore struct {
+	store.Store
+	record store.Record
+}
+
+func (conflictingStore) AppendAt(_ context.Context, _ store.Topic, at store.Offset, _ store.Record) error {
+	return &store.ConflictError{}
+}
+
+func (s conflictingStore) Read(context.Context, store.Topic, store.Offset, time.Duration) (store.Batch, error) {
+	return store.Batch{Records: []store.Record{s.record}}, nil
+}
+
+// Another node may have claimed between the try that took effect and the one that
+// tells of it: the lease counts from the first.
+func TestALeaseIsConfirmedAsOfTheFirstTryOfAnAppend(t *testing.T) {
+	g := gomega.NewWithT(t)
+	record := store.Record{Key: follow.HeartbeatKey, Value: []byte("x")}
+	d := New()
+	d.Store = conflictingStore{record: record}
+	firstTry := clock.Now().Add(-time.Second)
+	d.send(t.Context(), &pendingAppend{record: record, startedAt: firstTry})
+	result := <-d.appended
+	g.Expect(result.mine).To(gomega.BeTrue())
+	g.Expect(result.startedAt).To(gomega.Equal(firstTry))
+}
+
 // A lessor that gives its lease up while a grant is under way would leave the next
 // one in doubt of it, which then moves nothing for 3.6 s.
 func TestALessorWaitsForAnswersBeforeItResigns(t *testing.T) {
