--- a/gateway/duty/append.go
+++ b/gateway/duty/append.go
@@ -74,6 +74,9 @@
 // an earlier try whose answer was lost may have succeeded.
 func (d *Duty) send(ctx context.Context, p *pendingAppend) {
 	startedAt := clock.Now()
+	if p.startedAt.IsZero() {
+		p.startedAt = startedAt
+	}
 	err := d.Store.AppendAt(ctx, store.Ownership, p.at, p.record)
 	result := appendResult{pending: p, startedAt: startedAt, err: err}
 	var conflict *store.ConflictError
@@ -84,6 +87,8 @@
 		} else if len(batch.Records) > 0 {
 			first := batch.Records[0]
 			result.mine = first.Key == p.record.Key && string(first.Value) == string(p.record.Value)
+			// Which try took effect is not known, and others may have claimed since.
+			result.startedAt = p.startedAt
 		}
 	}
 	d.appended <- result
