Lessor: a claim counts the former lessor's right from its last record

A node that claims has seen no record for 1.2 s or more, and the former lessor's right began before that.

--- a/gateway/duty/duty.go
+++ b/gateway/duty/duty.go
@@ -240,7 +240,7 @@
 	}
 	next := table.Refenced(d.Self, ranges.Fence(d.end))
 	eventClaiming.Log(d.Logger, "offset", d.end, "formerLessor", table.Lessor.Node, "resigned", ownership.Resigned, "quietFor", clock.Since(ownership.MovedAt))
-	former := d.Timing.FormerHold()
+	former := d.Timing.FormerHoldAfter(clock.Since(ownership.MovedAt))
 	doubt := former
 	if ownership.Resigned {
 		former = ownership.Held
--- a/gateway/ranges/keeper_test.go
+++ b/gateway/ranges/keeper_test.go
@@ -128,3 +128,32 @@
 	owner, _ = change.Table.Owner(worldService, 7)
 	g.Expect(owner).To(gomega.Equal(Assignment{Span: Span{To: LastKey}, Server: "b", Fence: 3, Handover: "h"}))
 }
+
+// The former lessor's right counts from its last record, which a node that claims
+// has seen a while ago.
+func TestAClaimCountsTheTimeWithoutRecords(t *testing.T) {
+	g := gomega.NewWithT(t)
+	timing := DefaultTiming()
+	g.Expect(timing.FormerHoldAfter(0)).To(gomega.Equal(timing.FormerHold()))
+	g.Expect(timing.FormerHoldAfter(quietMargin)).To(gomega.Equal(timing.FormerHold()))
+	g.Expect(timing.FormerHoldAfter(quietMargin + time.Second)).To(gomega.Equal(timing.FormerHold() - time.Second))
+	g.Expect(timing.FormerHoldAfter(time.Minute)).To(gomega.BeZero())
+}
+
+// Whatever the former lessor granted after it was last seen to confirm its lease has
+// run out by then, holds that it lengthened while the store did not answer included.
+func TestNoHoldOfAFormerLessorIsForgotten(t *testing.T) {
+	timing := DefaultTiming()
+	k := NewKeeper(&Table{}, timing, 0, keeperStart)
+	const writable = 1200 * time.Millisecond // until then holds have their usual length
+	for sent := time.Duration(0); sent < timing.Right; sent += 50 * time.Millisecond {
+		hold := k.hold(Lease{ConfirmedAt: keeperStart, Last: sent >= writable}, keeperStart.Add(sent))
+		for _, quiet := range []time.Duration{0, time.Second, 3 * time.Second} {
+			end := quiet + timing.FormerHoldAfter(quiet)
+			if quiet == 0 {
+				end += quietMargin // such a claim is of a node that has just started
+			}
+			gomega.NewWithT(t).Expect(sent+timing.lapse(hold)).To(gomega.BeNumerically("<=", end), "sent %v, quiet %v", sent, quiet)
+		}
+	}
+}
--- a/gateway/ranges/lessor.go
+++ b/gateway/ranges/lessor.go
@@ -69,6 +69,16 @@
 // after a claim: for its right and a hold.
 func (t Timing) FormerHold() time.Duration { return t.Right + t.lapse(t.Hold) }
 
+// quietMargin is kept of the time that FormerHoldAfter saves: holds that were
+// lengthened while the store did not answer end up to 80 ms after FormerHold.
+const quietMargin = 200 * time.Millisecond
+
+// FormerHoldAfter returns the same for a claim at which the ownership topic had not
+// grown for a while: the former lessor's right began before that.
+func (t Timing) FormerHoldAfter(quiet time.Duration) time.Duration {
+	return max(t.FormerHold()-max(quiet-quietMargin, 0), 0)
+}
+
 // NewKeeper returns the state of a new lessor that has appended table at time
 // now. What the former lessor granted may be in force for formerHold.
 func NewKeeper(table *Table, timing Timing, formerHold time.Duration, now time.Time) *Keeper {
--- a/gateway/ranges/world_test.go
+++ b/gateway/ranges/world_test.go
@@ -330,7 +330,7 @@
 	next := table.Refenced(Lessor{Boot: fmt.Sprint(n.id, at)}, at)
 	w.records = append(w.records, worldRecord{table: next, node: n.id})
 	w.claims++
-	n.keeper = NewKeeper(next, w.timing, w.formerHold(resigned), w.now)
+	n.keeper = NewKeeper(next, w.timing, w.formerHold(resigned, w.now.Sub(n.movedAt)), w.now)
 	if resigned {
 		n.keeper.LimitDoubt(w.records[len(w.records)-2].doubt, w.now) // before the claim
 	}
@@ -339,14 +339,14 @@
 	n.confirmedAt = w.now
 }
 
-func (w *world) formerHold(resigned bool) time.Duration {
+func (w *world) formerHold(resigned bool, quiet time.Duration) time.Duration {
 	switch {
 	case w.rules.noFormer || resigned && w.rules.noHeld:
 		return w.timing.lapse(w.timing.Hold)
 	case resigned:
 		return w.records[len(w.records)-2].held // before the claim
 	}
-	return w.timing.FormerHold()
+	return w.timing.FormerHoldAfter(quiet)
 }
 
 // check returns the first key that two servers hold, or that one has taken under a
