--- a/gateway/ranges/restart_test.go
+++ b/gateway/ranges/restart_test.go
@@ -256,3 +256,21 @@
 	k.Plan(s, 3, keeperStart)
 	g.Expect(loads.Paces()).To(gomega.Equal(map[site.ServerID]int{run("b", 1): 100}))
 }
+
+// The new owner has not answered yet when the one that gave the handover starts
+// again.
+func TestAHandoverIsNotPassedOnOnceItsGiverHasStartedAgain(t *testing.T) {
+	g := gomega.NewWithT(t)
+	k, s := restarted(t)
+	l := k.leases[worldService][0]
+	l.Server, l.next, l.handover = run("a", 2), run("b", 1), "h"
+	k.setPhase(l, released)
+	g.Expect(planned(t, k, s, keeperStart).Handover).To(gomega.Equal("h"))
+	lease := Lease{ConfirmedAt: keeperStart}
+	call := k.Calls(s.Servers, lease, keeperStart)[0]
+	g.Expect(call.Grant.Handover).To(gomega.Equal("h"))
+	k.Done(call, Result{Failed: true}, keeperStart)
+	call = k.Calls(restart(s, "a", 2).Servers, lease, keeperStart)[0]
+	g.Expect(call.Server).To(gomega.Equal(run("b", 1)))
+	g.Expect(call.Grant.Handover).To(gomega.BeEmpty())
+}
