--- a/gateway/ranges/lessor.go
+++ b/gateway/ranges/lessor.go
@@ -38,11 +38,12 @@
 	confirmed    bool // the owner has answered a grant under this fence
 	misses       int  // grants in a row without an answer
 	next         site.ServerID
-	handover     string    // from the release
-	movedAt      time.Time // when the owner changed last
-	raised       bool      // the fence is to be raised by the next append
-	pending      bool      // an append that changes it is under way
-	kept         bool      // the owner had the range under the fence before
+	handover     string        // from the release
+	giver        site.ServerID // that gave the handover with which the owner got the range
+	movedAt      time.Time     // when the owner changed last
+	raised       bool          // the fence is to be raised by the next append
+	pending      bool          // an append that changes it is under way
+	kept         bool          // the owner had the range under the fence before
 }
 
 // missesToLapse is how many grants in a row go unanswered before a server
@@ -300,6 +301,9 @@
 		}
 	}
 	call.Grant = Grant{Assignment: l.Assignment, Hold: hold}
+	if _, hasEnded := LaterRun(servers, l.giver); hasEnded {
+		call.Grant.Handover = ""
+	}
 	l.calling = true
 	l.sentAt = now
 	l.heldUntil = clock.Later(l.heldUntil, now.Add(k.timing.lapse(hold)))
--- a/gateway/ranges/plan.go
+++ b/gateway/ranges/plan.go
@@ -239,12 +239,14 @@
 	switch {
 	case l.Server == next.Server:
 		c.kept = true
+		c.giver = l.giver
 	case l.Server.Name() == next.Server.Name():
 		c.earlierUntil = l.heldUntil
 		c.movedAt = now
 	default: // nobody holds it: released, lapsed or never owned
 		c.heldUntil, c.doubtUntil, c.earlierUntil = now, time.Time{}, time.Time{}
 		c.movedAt = now
+		c.giver = l.Server
 	}
 	return c
 }
