--- /dev/null
+++ b/gateway/duty/resign_test.go
@@ -0,0 +1,80 @@
+package duty
+
+import (
+	"context"
+	"encoding/json"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/onsi/gomega"
+
+	"github.com/burdockspindle/burdockspindle/clock"
+	"github.com/burdockspindle/burdockspindle/gateway/follow"
+	"github.com/burdockspindle/burdockspindle/gateway/ranges"
+	"github.com/burdockspindle/burdockspindle/gateway/site"
+	"github.com/burdockspindle/burdockspindle/gateway/store"
+)
+
+// acceptingStore takes every append.
+type acceptingStore struct{ store.Store }
+
+func (acceptingStore) AppendAt(context.Context, store.Topic, store.Offset, store.Record) error {
+	return nil
+}
+
+// conflictingStore has the record of an append already: the answer to an earlier try
+// was lost.
+type conflictingStore struct {
+	store.Store
+	record store.Record
+}
+
+func (conflictingStore) AppendAt(_ context.Context, _ store.Topic, at store.Offset, _ store.Record) error {
+	return &store.ConflictError{}
+}
+
+func (s conflictingStore) Read(context.Context, store.Topic, store.Offset, time.Duration) (store.Batch, error) {
+	return store.Batch{Records: []store.Record{s.record}}, nil
+}
+
+// Another node may have claimed between the try that took effect and the one that
+// tells of it: the lease counts from the first.
+func TestALeaseIsConfirmedAsOfTheFirstTryOfAnAppend(t *testing.T) {
+	g := gomega.NewWithT(t)
+	record := store.Record{Key: follow.HeartbeatKey, Value: []byte("x")}
+	d := New()
+	d.Store = conflictingStore{record: record}
+	firstTry := clock.Now().Add(-time.Second)
+	d.send(t.Context(), &pendingAppend{record: record, startedAt: firstTry})
+	result := <-d.appended
+	g.Expect(result.mine).To(gomega.BeTrue())
+	g.Expect(result.startedAt).To(gomega.Equal(firstTry))
+}
+
+// A lessor that gives its lease up while a grant is under way would leave the next
+// one in doubt of it, which then moves nothing for 3.6 s.
+func TestALessorWaitsForAnswersBeforeItResigns(t *testing.T) {
+	g := gomega.NewWithT(t)
+	now := clock.Now()
+	servers := map[site.ServerID]site.Server{"a": {ID: "a", Service: "s"}}
+	owned := ranges.Assignment{Span: ranges.Span{To: ranges.LastKey}, Server: "a", Fence: 1}
+	table := &ranges.Table{Services: map[site.ServiceName][]ranges.Assignment{"s": {owned}}}
+	d := New()
+	d.Store, d.Logger, d.Timing = acceptingStore{}, hclog.NewNullLogger(), ranges.DefaultTiming()
+	d.keeper = ranges.NewKeeper(table, d.Timing, 0, now)
+	d.confirmedAt = now
+	d.resigning = make(chan struct{})
+	call := d.keeper.Calls(servers, d.lease(now), now)[0]
+
+	d.step(t.Context(), now)
+	g.Expect(d.appending).To(gomega.BeNil())
+	d.keeper.Done(call, ranges.Result{}, now)
+	d.step(t.Context(), now)
+	g.Expect(d.appending).NotTo(gomega.BeNil())
+	var beat follow.Heartbeat
+	g.Expect(json.Unmarshal(d.appending.record.Value, &beat)).To(gomega.Succeed())
+	g.Expect(beat.Resigned).To(gomega.BeTrue())
+	g.Expect(*beat.DoubtMs).To(gomega.BeZero())
+	g.Expect(time.Duration(beat.HeldMs) * time.Millisecond).To(gomega.BeNumerically(">", 3*time.Second))
+}
--- a/gateway/ranges/lessor.go
+++ b/gateway/ranges/lessor.go
@@ -38,11 +38,12 @@
 	confirmed    bool // the owner has answered a grant under this fence
 	misses       int  // grants in a row without an answer
 	next         site.ServerID
-	handover     string    // from the release
-	movedAt      time.Time // when the owner changed last
-	raised       bool      // the fence is to be raised by the next append
-	pending      bool      // an append that changes it is under way
-	kept         bool      // the owner had the range under the fence before
+	handover     string        // from the release
+	giver        site.ServerID // that gave the handover with which the owner got the range
+	movedAt      time.Time     // when the owner changed last
+	raised       bool          // the fence is to be raised by the next append
+	pending      bool          // an append that changes it is under way
+	kept         bool          // the owner had the range under the fence before
 }
 
 // missesToLapse is how many grants in a row go unanswered before a server
@@ -69,6 +70,16 @@
 // after a claim: for its right and a hold.
 func (t Timing) FormerHold() time.Duration { return t.Right + t.lapse(t.Hold) }
 
+// quietMargin is kept of the time that FormerHoldAfter saves: holds that were
+// lengthened while the store did not answer end up to 80 ms after FormerHold.
+const quietMargin = 200 * time.Millisecond
+
+// FormerHoldAfter returns the same for a claim at which the ownership topic had not
+// grown for a while: the former lessor's right began before that.
+func (t Timing) FormerHoldAfter(quiet time.Duration) time.Duration {
+	return max(t.FormerHold()-max(quiet-quietMargin, 0), 0)
+}
+
 // NewKeeper returns the state of a new lessor that has appended table at time
 // now. What the former lessor granted may be in force for formerHold.
 func NewKeeper(table *Table, timing Timing, formerHold time.Duration, now time.Time) *Keeper {
@@ -164,6 +175,18 @@
 	return doubt
 }
 
+// Calling reports whether a grant is under way.
+func (k *Keeper) Calling() bool {
+	for _, leases := range k.leases {
+		for _, l := range leases {
+			if l.calling && l.phase != releasing {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // LimitDoubt tells that grants of the former lessor without an answer may be in
 // force for no longer than doubt.
 func (k *Keeper) LimitDoubt(doubt time.Duration, now time.Time) {
@@ -278,6 +301,9 @@
 		}
 	}
 	call.Grant = Grant{Assignment: l.Assignment, Hold: hold}
+	if _, hasEnded := LaterRun(servers, l.giver); hasEnded {
+		call.Grant.Handover = ""
+	}
 	l.calling = true
 	l.sentAt = now
 	l.heldUntil = clock.Later(l.heldUntil, now.Add(k.timing.lapse(hold)))
