Range grants: a server that did not answer gets no range while others can take it

Cause: a server that takes no calls and stays in the register owns the fewest keys once its ranges lapse, so they were assigned to it again, for ever with two servers. Ruled out: the register (the entry is sound and fresh), the holds (they had run out). The bounded search knows the pause. What concerns holds stands in a file of its own.

--- /dev/null
+++ b/gateway/ranges/holds.go
@@ -0,0 +1,75 @@
+package ranges
+
+import (
+	"time"
+
+	"github.com/burdockspindle/burdockspindle/gateway/site"
+)
+
+// Held returns for how long what was granted may still be in force. After an
+// outage of the store that can be longer than a hold.
+func (k *Keeper) Held(now time.Time) time.Duration {
+	held := time.Duration(0)
+	for _, leases := range k.leases {
+		for _, l := range leases {
+			held = max(held, l.heldUntil.Sub(now))
+		}
+	}
+	return held
+}
+
+// Doubt returns for how long a grant that has no answer may still be in force.
+func (k *Keeper) Doubt(now time.Time) time.Duration {
+	doubt := time.Duration(0)
+	for _, leases := range k.leases {
+		for _, l := range leases {
+			doubt = max(doubt, l.doubtUntil.Sub(now))
+			if l.calling {
+				doubt = max(doubt, l.heldUntil.Sub(now))
+			}
+		}
+	}
+	return doubt
+}
+
+// Calling reports whether a grant is under way.
+func (k *Keeper) Calling() bool {
+	for _, leases := range k.leases {
+		for _, l := range leases {
+			if l.calling && l.phase != releasing {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// LimitDoubt tells that grants of the former lessor without an answer may be in
+// force for no longer than doubt.
+func (k *Keeper) LimitDoubt(doubt time.Duration, now time.Time) {
+	for _, leases := range k.leases {
+		for _, l := range leases {
+			if end := now.Add(doubt); end.Before(l.doubtUntil) {
+				l.doubtUntil = end
+			}
+		}
+	}
+}
+
+// Silent returns the servers that own ranges and do not answer, and how many own any.
+func (k *Keeper) Silent() (silent, owners int) {
+	state := map[site.ServerID]bool{}
+	for _, leases := range k.leases {
+		for _, l := range leases {
+			if l.Server != "" {
+				state[l.Server] = state[l.Server] || l.misses >= missesToLapse
+			}
+		}
+	}
+	for _, isSilent := range state {
+		if isSilent {
+			silent++
+		}
+	}
+	return silent, len(state)
+}
--- a/gateway/ranges/lessor.go
+++ b/gateway/ranges/lessor.go
@@ -46,6 +46,12 @@
 	kept         bool          // the owner had the range under the fence before
 }
 
+// silentPause is for how long a server that did not answer gets no range while
+// others can take it. One that stays in the register, as a server does that the lessor
+// cannot reach, would be given its keys back each time their holds have run out,
+// since it owns the fewest; each try costs a range a hold without an owner.
+const silentPause = 10 * time.Second
+
 // missesToLapse is how many grants in a row go unanswered before a server
 // counts as silent: one may be lost with its connection.
 const missesToLapse = 2
@@ -64,6 +70,8 @@
 	// serial grows with each change of what Routes returns.
 	serial uint64
 	runs   runs
+	// silentUntil is until when a server that did not answer gets no range.
+	silentUntil map[site.ServerID]time.Time
 }
 
 // FormerHold returns for how long what a former lessor granted may be in force
@@ -83,7 +91,7 @@
 // NewKeeper returns the state of a new lessor that has appended table at time
 // now. What the former lessor granted may be in force for formerHold.
 func NewKeeper(table *Table, timing Timing, formerHold time.Duration, now time.Time) *Keeper {
-	k := &Keeper{self: table.Lessor, timing: timing, leases: map[site.ServiceName][]*lease{}, compactedAt: map[site.ServiceName]time.Time{}, serial: 1, runs: newRuns()}
+	k := &Keeper{self: table.Lessor, timing: timing, leases: map[site.ServiceName][]*lease{}, compactedAt: map[site.ServiceName]time.Time{}, serial: 1, runs: newRuns(), silentUntil: map[site.ServerID]time.Time{}}
 	heldUntil := now.Add(formerHold)
 	for service, assignments := range table.Services {
 		for _, a := range assignments {
@@ -149,74 +157,6 @@
 	return Moving
 }
 
-// Held returns for how long what was granted may still be in force. After an
-// outage of the store that can be longer than a hold.
-func (k *Keeper) Held(now time.Time) time.Duration {
-	held := time.Duration(0)
-	for _, leases := range k.leases {
-		for _, l := range leases {
-			held = max(held, l.heldUntil.Sub(now))
-		}
-	}
-	return held
-}
-
-// Doubt returns for how long a grant that has no answer may still be in force.
-func (k *Keeper) Doubt(now time.Time) time.Duration {
-	doubt := time.Duration(0)
-	for _, leases := range k.leases {
-		for _, l := range leases {
-			doubt = max(doubt, l.doubtUntil.Sub(now))
-			if l.calling {
-				doubt = max(doubt, l.heldUntil.Sub(now))
-			}
-		}
-	}
-	return doubt
-}
-
-// Calling reports whether a grant is under way.
-func (k *Keeper) Calling() bool {
-	for _, leases := range k.leases {
-		for _, l := range leases {
-			if l.calling && l.phase != releasing {
-				return true
-			}
-		}
-	}
-	return false
-}
-
-// LimitDoubt tells that grants of the former lessor without an answer may be in
-// force for no longer than doubt.
-func (k *Keeper) LimitDoubt(doubt time.Duration, now time.Time) {
-	for _, leases := range k.leases {
-		for _, l := range leases {
-			if end := now.Add(doubt); end.Before(l.doubtUntil) {
-				l.doubtUntil = end
-			}
-		}
-	}
-}
-
-// Silent returns the servers that own ranges and do not answer, and how many own any.
-func (k *Keeper) Silent() (silent, owners int) {
-	state := map[site.ServerID]bool{}
-	for _, leases := range k.leases {
-		for _, l := range leases {
-			if l.Server != "" {
-				state[l.Server] = state[l.Server] || l.misses >= missesToLapse
-			}
-		}
-	}
-	for _, isSilent := range state {
-		if isSilent {
-			silent++
-		}
-	}
-	return silent, len(state)
-}
-
 // Call is a call that the lessor must make now.
 type Call struct {
 	Service site.ServiceName
@@ -341,9 +281,11 @@
 		l.misses++
 		if l.misses >= missesToLapse {
 			k.setPhase(l, lapsing)
+			k.silentUntil[l.Server] = now.Add(silentPause)
 		}
 	default:
 		l.misses = 0
+		delete(k.silentUntil, l.Server)
 		k.setPhase(l, granting)
 		k.setConfirmed(l, true)
 		// A higher fence shuts out the grant that had no answer.
--- a/gateway/ranges/plan.go
+++ b/gateway/ranges/plan.go
@@ -39,6 +39,7 @@
 			s.Load.Restarted(restart)
 		}
 	}
+	maps.DeleteFunc(k.silentUntil, func(_ site.ServerID, until time.Time) bool { return !now.Before(until) })
 	for _, name := range slices.Sorted(maps.Keys(s.Services)) {
 		if !s.Services[name].Keyed || !s.Writable {
 			continue
@@ -65,21 +66,22 @@
 }
 
 // takers returns the servers of a service that may get ranges, by ID. Those that
-// keep starting again are among them only if there are no others.
+// keep starting again, and those that did not answer lately, are among them only if
+// there are no others.
 func (k *Keeper) takers(s Site, service site.ServiceName, now time.Time) []site.Server {
-	var servers, looping []site.Server
+	var servers, doubtful []site.Server
 	for _, id := range slices.Sorted(maps.Keys(s.Servers)) {
 		server := s.Servers[id]
 		switch {
 		case server.Service != service || server.Draining:
-		case k.runs.loops(id.Name(), now):
-			looping = append(looping, server)
+		case k.runs.loops(id.Name(), now) || now.Before(k.silentUntil[id]):
+			doubtful = append(doubtful, server)
 		default:
 			servers = append(servers, server)
 		}
 	}
 	if len(servers) == 0 {
-		return looping
+		return doubtful
 	}
 	return servers
 }
--- a/gateway/ranges/search_state_test.go
+++ b/gateway/ranges/search_state_test.go
@@ -161,6 +161,7 @@
 		leases:      map[site.ServiceName][]*lease{worldService: {{}}},
 		compactedAt: map[site.ServiceName]time.Time{worldService: searchStart},
 		runs:        newRuns(),
+		silentUntil: map[site.ServerID]time.Time{},
 	}
 }
 
@@ -183,6 +184,10 @@
 		l.next = searchRun(n.next, n.nextRun)
 	}
 	k.runs.news = nil
+	clear(k.silentUntil)
+	if n.misses >= missesToLapse {
+		k.silentUntil[l.Server] = searchStart.Add(silentPause)
+	}
 	for name := range int8(len(searchNames)) {
 		k.runs.present[searchNames[name]] = searchRun(name, n.runs[name])
 		k.runs.restarts[searchNames[name]] = searchRestarts[:n.restarts[name]:n.restarts[name]]
--- /dev/null
+++ b/gateway/ranges/silent_test.go
@@ -0,0 +1,54 @@
+package ranges
+
+import (
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"github.com/burdockspindle/burdockspindle/gateway/site"
+)
+
+// miss has the lessor call the owner of every range, in vain, until it counts as
+// silent, and returns when.
+func miss(k *Keeper, s Site, now time.Time) time.Time {
+	for range missesToLapse {
+		for _, call := range k.Calls(s.Servers, Lease{ConfirmedAt: now}, now) {
+			k.Done(call, Result{Failed: true}, now)
+		}
+		now = now.Add(DefaultTiming().Renew)
+	}
+	return now
+}
+
+// A server that cannot be reached and stays in the register owns no keys once its
+// ranges lapse, the fewest of all. It does not get them back at once.
+func TestTheRangesOfASilentServerGoToAnother(t *testing.T) {
+	g := gomega.NewWithT(t)
+	k, s := owned(t)
+	now := miss(k, s, keeperStart)
+	now = now.Add(DefaultTiming().FormerHold())
+	g.Expect(planned(t, k, s, now).Server).To(gomega.Equal(site.ServerID("b")))
+}
+
+// With no other server the silent one is tried again.
+func TestTheRangesOfTheOnlyServerGoBackToIt(t *testing.T) {
+	g := gomega.NewWithT(t)
+	k, s := owned(t)
+	delete(s.Servers, "b")
+	now := miss(k, s, keeperStart)
+	now = now.Add(DefaultTiming().FormerHold())
+	g.Expect(planned(t, k, s, now).Server).To(gomega.Equal(site.ServerID("a")))
+}
+
+// A server that answers again may get ranges again.
+func TestAServerThatAnswersAgainTakesRanges(t *testing.T) {
+	g := gomega.NewWithT(t)
+	k, s := owned(t)
+	now := miss(k, s, keeperStart)
+	g.Expect(k.takers(s, worldService, now)).To(gomega.HaveLen(1))
+	for _, call := range k.Calls(s.Servers, Lease{ConfirmedAt: now}, now) {
+		k.Done(call, Result{}, now)
+	}
+	g.Expect(k.takers(s, worldService, now)).To(gomega.HaveLen(2))
+}
