--- a/gateway/duty/duty.go
+++ b/gateway/duty/duty.go
@@ -245,10 +245,12 @@
 	next := table.Refenced(d.Self, ranges.Fence(d.end))
 	eventClaiming.Log(d.Logger, "offset", d.end, "formerLessor", table.Lessor.Node, "resigned", ownership.Resigned, "quietFor", clock.Since(ownership.MovedAt))
 	former := d.Timing.FormerHold()
+	doubt := former
 	if ownership.Resigned {
 		former = ownership.Held
+		doubt = ownership.Doubt
 	}
-	d.append(ctx, &pendingAppend{claim: next, former: former})
+	d.append(ctx, &pendingAppend{claim: next, former: former, doubt: doubt})
 }
 
 // balanceInput takes the node's own reports and lets old ones lose weight.
@@ -359,6 +361,9 @@
 		Load:     d.loads,
 	}
 	change := d.keeper.Plan(s, ranges.Fence(d.end), now)
+	for _, r := range d.keeper.Restarts() {
+		eventRestart.Log(d.Logger, "server", r.To, "earlier", r.From, "losesKeys", r.Loops)
+	}
 	for _, move := range d.keeper.Moves() {
 		eventMove.Log(d.Logger, "service", move.Service, "server", move.From, "to", move.To, "from", int(move.Span.From), "keys", move.Span.Keys(), "rate", move.Rate, "gap", move.Gap, "usage", d.loads.Paces())
 	}
@@ -394,5 +399,6 @@
 	}
 	d.givenUp = true
 	eventResigning.Log(d.Logger, "offset", d.end)
-	d.append(ctx, &pendingAppend{resigns: true, held: d.keeper.Held(clock.Now())})
+	now := clock.Now()
+	d.append(ctx, &pendingAppend{resigns: true, held: d.keeper.Held(now), doubt: d.keeper.Doubt(now)})
 }
--- a/gateway/upstream/client.go
+++ b/gateway/upstream/client.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/burdockspindle/burdockspindle/gateway/site"
+	"github.com/burdockspindle/burdockspindle/gateway/traffic"
 )
 
 // Bounds of a client.
@@ -54,14 +55,21 @@
 // Client sends requests to servers.
 type Client struct {
 	headers Headers
+	zone    string // of this node; empty: not known
 	// dial opens a connection; tests replace it.
 	dial func(ctx context.Context, network, address string) (net.Conn, error)
 	idle idlePool
 }
 
-// NewClient returns a client that uses a deployment's header names.
-func NewClient(headers Headers) *Client {
-	return &Client{headers: headers, dial: Dialer(connectTimeout).DialContext, idle: idlePool{conns: map[string][]*conn{}}}
+// NewClient returns a client of a node in a zone that uses a deployment's header
+// names.
+func NewClient(headers Headers, zone string) *Client {
+	return &Client{headers: headers, zone: zone, dial: Dialer(connectTimeout).DialContext, idle: idlePool{conns: map[idleKey][]*conn{}}}
+}
+
+// meter returns the meter of connections to a server.
+func (c *Client) meter(server site.Server) traffic.Meter {
+	return traffic.Between(traffic.Servers, c.zone, server.Zone)
 }
 
 // Run closes idle connections that have become too old, until ctx ends.
@@ -81,7 +89,7 @@
 // Send sends a request once and returns the whole answer. The error is an
 // *AttemptError. When ctx ends the connection is reset, so that the server stops.
 func (c *Client) Send(ctx context.Context, server site.Server, r *Request) (*Answer, error) {
-	return c.do(ctx, server, r, c.requestText(server, r), true, "")
+	return c.do(ctx, server, r, c.requestText(server, r), false)
 }
 
 // Probe opens a connection to a server and keeps it for later requests.
@@ -90,19 +98,16 @@
 	if err != nil {
 		return &AttemptError{Server: server.ID, Cause: err}
 	}
-	cn := newConn(raw)
+	cn := newConn(raw, c.meter(server))
 	cn.answered = time.Now()
 	cn.until = cn.answered.Add(defaultIdle)
-	c.idle.put(server.Address+" "+string(server.ID), cn)
+	c.idle.put(idleKey{address: server.Address, server: server.ID}, cn)
 	return nil
 }
 
-// controlKey keeps connections for calls of the gateway itself apart: a full
-// server takes no new connection, and its keys would be lost to it for want of a
+// Control sends one call of the gateway itself. Its connections are kept apart: a
+// full server takes no new one, and its keys would be lost to it for want of a
 // renewal.
-const controlKey = " control"
-
-// Control sends one call of the gateway itself.
 func (c *Client) Control(ctx context.Context, server site.Server, path string, body []byte) (*Answer, error) {
 	header := http.Header{"Content-Type": {"application/json"}, c.headers.ExpectedServer: {string(server.ID.Name())}}
 	r := &Request{Method: http.MethodPost, Target: path, Host: server.Address, Header: header, Body: body}
@@ -110,24 +115,24 @@
 	writeHead(&text, r)
 	writeHeader(&text, header)
 	writeLength(&text, r)
-	return c.do(ctx, server, r, text.Bytes(), false, controlKey)
+	return c.do(ctx, server, r, text.Bytes(), true)
 }
 
-func (c *Client) do(ctx context.Context, server site.Server, r *Request, head []byte, matchID bool, use string) (*Answer, error) {
-	key := server.Address + " " + string(server.ID) + use
+func (c *Client) do(ctx context.Context, server site.Server, r *Request, head []byte, control bool) (*Answer, error) {
+	key := idleKey{address: server.Address, server: server.ID, control: control}
 	cn := c.idle.take(key, time.Now(), r.Fresh)
 	if cn == nil {
 		raw, err := c.dial(ctx, "tcp", server.Address)
 		if err != nil {
 			return nil, &AttemptError{Server: server.ID, Cause: err}
 		}
-		cn = newConn(raw)
+		cn = newConn(raw, c.meter(server))
 		if err := cn.settle(time.Now()); err != nil {
 			reset(raw)
 			return nil, &AttemptError{Server: server.ID, Cause: err}
 		}
 	}
-	answer, reusable, err := c.exchange(ctx, cn, r, head, matchID)
+	answer, reusable, err := c.exchange(ctx, cn, r, head, !control)
 	if err != nil {
 		reset(cn.net)
 		return nil, &AttemptError{Server: server.ID, Sent: cn.written, Cause: err}
@@ -150,16 +155,12 @@
 	written := make(chan error, 1)
 	cn.written = true
 	if len(r.Body) <= inlineBody {
-		_, err := cn.net.Write(append(head, r.Body...))
-		if err != nil {
+		if err := cn.write(append(head, r.Body...)); err != nil {
 			return nil, false, err
 		}
 		written <- nil
 	} else {
-		go func() {
-			_, err := cn.net.Write(append(head, r.Body...))
-			written <- err
-		}()
+		go func() { written <- cn.write(append(head, r.Body...)) }()
 	}
 	response, err := readResponse(cn, r.Method)
 	if err != nil {
--- a/gateway/view/view.go
+++ b/gateway/view/view.go
@@ -10,6 +10,7 @@
 	"sync"
 	"sync/atomic"
 
+	"github.com/burdockspindle/burdockspindle/clock"
 	"github.com/burdockspindle/burdockspindle/gateway/ranges"
 	"github.com/burdockspindle/burdockspindle/gateway/site"
 	"github.com/burdockspindle/burdockspindle/gateway/store"
@@ -65,6 +66,13 @@
 // ServersOf returns the registered servers of a service.
 func (v *View) ServersOf(service site.ServiceName) []site.Server { return v.byService[service] }
 
+// StartedAgain reports whether the register shows another run of a server under its
+// name. What the earlier run owned is not owned by that one until it is granted anew.
+func (v *View) StartedAgain(id site.ServerID) bool {
+	_, exists := ranges.LaterRun(v.Servers.Servers, id)
+	return exists
+}
+
 // RouteOf returns the route of a key.
 func (v *View) RouteOf(service site.ServiceName, key ranges.Key) (ranges.Route, bool) {
 	routes := v.Routes.Services[service]
@@ -80,11 +88,12 @@
 	mu      sync.Mutex
 	current atomic.Pointer[View]
 	changed chan struct{} // closed at the next change
+	starts  starts        // guarded by mu
 }
 
 // NewState returns the state of a node that knows nothing yet.
 func NewState() *State {
-	s := &State{changed: make(chan struct{})}
+	s := &State{changed: make(chan struct{}), starts: newStarts()}
 	s.current.Store(new(View))
 	return s
 }
@@ -125,25 +134,44 @@
 	})
 }
 
-// MergeServers takes a register if it is newer.
+// MergeServers takes a register if it is newer. Of each server it takes the run
+// that is the latest by all registers taken so far.
 func (s *State) MergeServers(servers Servers) bool {
 	return s.update(func(next *View) bool {
 		if servers.Offset <= next.Servers.Offset {
 			return false
 		}
-		isSame := next.Servers.Offset > 0 && maps.Equal(next.Servers.Servers, servers.Servers)
-		next.Servers = servers
-		if isSame {
-			return true
-		}
-		next.byService = map[site.ServiceName][]site.Server{}
-		for _, server := range servers.Servers {
-			next.byService[server.Service] = append(next.byService[server.Service], server)
+		servers.Servers = s.starts.latest(servers.Servers, next.Servers.Servers, clock.Now())
+		next.setServers(servers)
+		return true
+	})
+}
+
+// SettleServers takes earlier runs that other nodes have told for long.
+func (s *State) SettleServers() bool {
+	return s.update(func(next *View) bool {
+		settled := s.starts.settle(next.Servers.Servers, clock.Now())
+		if settled == nil {
+			return false
 		}
+		next.setServers(Servers{Offset: next.Servers.Offset, Servers: settled})
 		return true
 	})
 }
 
+// setServers replaces the register.
+func (v *View) setServers(servers Servers) {
+	isSame := v.Servers.Offset > 0 && maps.Equal(v.Servers.Servers, servers.Servers)
+	v.Servers = servers
+	if isSame {
+		return
+	}
+	v.byService = map[site.ServiceName][]site.Server{}
+	for _, server := range servers.Servers {
+		v.byService[server.Service] = append(v.byService[server.Service], server)
+	}
+}
+
 // MergeTable takes a table if it is newer. If nothing newer is known of its
 // ranges it replaces the routes: the owners are taken to serve their ranges.
 func (s *State) MergeTable(table Table) bool {
@@ -207,6 +235,7 @@
 	// Config decodes a record of the configurations' topic; found is false for
 	// records that are none.
 	Config(key string, value []byte) (config *site.Config, found bool, err error)
-	// Server decodes a server's record.
-	Server(key string, value []byte) (site.Server, error)
+	// Entry decodes a server's record. It is whole, or an error tells what is wrong
+	// with it.
+	Entry(key string, value []byte) (site.Entry, error)
 }
