Gateway: the simulation of the pool's tests is a package of its own

It stood only in a test file, so no command could print its figures. Its callers can retry, nodes can send again within a budget, and decisions can be left out.

--- a/gateway/pool/crash_test.go
+++ b/gateway/pool/crash_test.go
@@ -9,18 +9,19 @@
 	"github.com/onsi/gomega"
 
 	"github.com/burdockspindle/burdockspindle/gateway/pool"
+	"github.com/burdockspindle/burdockspindle/gateway/replay"
 	"github.com/burdockspindle/burdockspindle/gateway/site"
 )
 
 // crashing returns eight servers of which one ends every two seconds and starts
 // again after a while.
-func crashing() []replayServer {
+func crashing() []replay.Server {
 	servers := eight()
 	for i := range servers {
-		servers[i].work = 90 * time.Millisecond
+		servers[i].Work = 90 * time.Millisecond
 	}
-	servers[0].crashEvery = 2 * time.Second
-	servers[0].down = 300 * time.Millisecond
+	servers[0].CrashEvery = 2 * time.Second
+	servers[0].Down = 300 * time.Millisecond
 	return servers
 }
 
@@ -30,14 +31,14 @@
 	for _, rate := range []float64{100, 200, 260} {
 		t.Run(fmt.Sprint(rate), func(t *testing.T) {
 			g := gomega.NewWithT(t)
-			l := load{nodes: 8, servers: crashing(), rate: steady(rate), length: 30 * time.Second, target: 300 * time.Millisecond, patient: 2 * time.Second}
+			l := replay.Load{Nodes: 8, Servers: crashing(), Rate: steady(rate), Length: 30 * time.Second, Target: 300 * time.Millisecond, Patient: 2 * time.Second}
 			remembered := run(l)
-			l.renamed = true
+			l.Renamed = true
 			renamed := run(l)
 			t.Logf("known by name: %v, %d lost, %d not reached; each run under a name of its own: %v, %d lost, %d not reached",
-				remembered, remembered.lost, remembered.notReached, renamed, renamed.lost, renamed.notReached)
-			g.Expect(remembered.lost).To(gomega.BeNumerically("<", renamed.lost*2/3))
-			g.Expect(remembered.inTime).To(gomega.BeNumerically(">=", renamed.inTime))
+				remembered, remembered.Lost, remembered.NotReached, renamed, renamed.Lost, renamed.NotReached)
+			g.Expect(remembered.Lost).To(gomega.BeNumerically("<", renamed.Lost*2/3))
+			g.Expect(remembered.InTime).To(gomega.BeNumerically(">=", renamed.InTime))
 		})
 	}
 }
--- a/gateway/pool/pool_test.go
+++ b/gateway/pool/pool_test.go
@@ -8,16 +8,17 @@
 	"github.com/onsi/gomega"
 
 	"github.com/burdockspindle/burdockspindle/gateway/pool"
+	"github.com/burdockspindle/burdockspindle/gateway/replay"
 	"github.com/burdockspindle/burdockspindle/gateway/site"
 )
 
 // High load on servers of unlike speed: random choice overloads the slow half.
 func TestUnlikeSpeedsAtHighLoad(t *testing.T) {
 	g := gomega.NewWithT(t)
-	pooled, blind := compare(t, load{nodes: 8, servers: eight(), rate: steady(320), length: 20 * time.Second, target: 300 * time.Millisecond, patient: 2 * time.Second})
-	g.Expect(pooled.inTime).To(gomega.BeNumerically(">", pooled.asked*97/100))
-	g.Expect(pooled.inTime).To(gomega.BeNumerically(">", blind.inTime*11/10))
-	g.Expect(pooled.overflow).To(gomega.BeZero())
+	pooled, blind := compare(t, replay.Load{Nodes: 8, Servers: eight(), Rate: steady(320), Length: 20 * time.Second, Target: 300 * time.Millisecond, Patient: 2 * time.Second})
+	g.Expect(pooled.InTime).To(gomega.BeNumerically(">", pooled.Asked*97/100))
+	g.Expect(pooled.InTime).To(gomega.BeNumerically(">", blind.InTime*11/10))
+	g.Expect(pooled.Overflow).To(gomega.BeZero())
 }
 
 // A burst to one and a half times the capacity: what is served should be served
@@ -30,9 +31,9 @@
 		}
 		return 250
 	}
-	pooled, blind := compare(t, load{nodes: 8, servers: eight(), rate: burst, length: 15 * time.Second, target: 300 * time.Millisecond, patient: 2 * time.Second})
-	g.Expect(pooled.inTime).To(gomega.BeNumerically(">", blind.inTime))
-	g.Expect(pooled.overflow).To(gomega.BeNumerically("<", blind.overflow/4))
+	pooled, blind := compare(t, replay.Load{Nodes: 8, Servers: eight(), Rate: burst, Length: 15 * time.Second, Target: 300 * time.Millisecond, Patient: 2 * time.Second})
+	g.Expect(pooled.InTime).To(gomega.BeNumerically(">", blind.InTime))
+	g.Expect(pooled.Overflow).To(gomega.BeNumerically("<", blind.Overflow/4))
 }
 
 // A third of the servers refuse half of what they get although they run.
@@ -40,11 +41,11 @@
 	g := gomega.NewWithT(t)
 	servers := eight()
 	for i := range 3 {
-		servers[i].shares = 0.5
+		servers[i].Sheds = 0.5
 	}
-	l := load{nodes: 8, servers: servers, rate: steady(150), length: 15 * time.Second, target: 300 * time.Millisecond, patient: 2 * time.Second}
+	l := replay.Load{Nodes: 8, Servers: servers, Rate: steady(150), Length: 15 * time.Second, Target: 300 * time.Millisecond, Patient: 2 * time.Second}
 	pooled, blind := compare(t, l)
-	g.Expect(pooled.inTime).To(gomega.BeNumerically(">", blind.inTime*115/100))
+	g.Expect(pooled.InTime).To(gomega.BeNumerically(">", blind.InTime*115/100))
 }
 
 // A third of the servers never answer half of what they get, although they run. The
@@ -53,13 +54,13 @@
 	g := gomega.NewWithT(t)
 	servers := eight()
 	for i := range 3 {
-		servers[i].hangs = 0.5
+		servers[i].Hangs = 0.5
 	}
-	l := load{nodes: 8, servers: servers, rate: steady(120), length: 15 * time.Second, target: 300 * time.Millisecond, patient: 1500 * time.Millisecond}
+	l := replay.Load{Nodes: 8, Servers: servers, Rate: steady(120), Length: 15 * time.Second, Target: 300 * time.Millisecond, Patient: 1500 * time.Millisecond}
 	pooled, blind := compare(t, l)
-	t.Logf("never answered: %d with the pool, %d at random", pooled.hung, blind.hung)
-	g.Expect(pooled.hung).To(gomega.BeNumerically("<", pooled.asked*3/100))
-	g.Expect(pooled.hung).To(gomega.BeNumerically("<", blind.hung/4))
+	t.Logf("never answered: %d with the pool, %d at random", pooled.Hung, blind.Hung)
+	g.Expect(pooled.Hung).To(gomega.BeNumerically("<", pooled.Asked*3/100))
+	g.Expect(pooled.Hung).To(gomega.BeNumerically("<", blind.Hung/4))
 }
 
 // Servers of the own zone fail some requests, those of other zones none. What must
@@ -92,25 +93,25 @@
 func TestABusyKeyBeyondItsOwner(t *testing.T) {
 	g := gomega.NewWithT(t)
 	servers := eight()[:1]
-	pooled := run(load{nodes: 8, servers: servers, rate: steady(100), length: 15 * time.Second, target: 300 * time.Millisecond, patient: 1200 * time.Millisecond, only: true})
+	pooled := run(replay.Load{Nodes: 8, Servers: servers, Rate: steady(100), Length: 15 * time.Second, Target: 300 * time.Millisecond, Patient: 1200 * time.Millisecond, Only: true})
 	t.Log(pooled)
 	capacity := int(15 / 0.060 * 4)
-	g.Expect(pooled.inTime).To(gomega.BeNumerically(">", capacity*60/100))
-	g.Expect(pooled.overflow).To(gomega.BeZero())
+	g.Expect(pooled.InTime).To(gomega.BeNumerically(">", capacity*60/100))
+	g.Expect(pooled.Overflow).To(gomega.BeZero())
 }
 
 // The same at a site of many nodes: one request of each is already too much for
 // the owner, and every refusal costs a retry out of a budget that all share.
 func TestABusyKeyWantedByManyNodes(t *testing.T) {
 	g := gomega.NewWithT(t)
-	servers := []replayServer{{zone: "a", slots: 6, queue: 16, work: 400 * time.Millisecond}}
-	l := load{nodes: 71, servers: servers, rate: steady(200), length: 15 * time.Second, target: 1200 * time.Millisecond, patient: 3 * time.Second, only: true}
+	servers := []replay.Server{{Zone: "a", Slots: 6, Queue: 16, Work: 400 * time.Millisecond}}
+	l := replay.Load{Nodes: 71, Servers: servers, Rate: steady(200), Length: 15 * time.Second, Target: 1200 * time.Millisecond, Patient: 3 * time.Second, Only: true}
 	pooled, blind := compare(t, l)
 	capacity := int(15 / 0.4 * 6)
-	g.Expect(pooled.inTime + pooled.late).To(gomega.BeNumerically(">", capacity*90/100))
-	g.Expect(pooled.inTime).To(gomega.BeNumerically(">", capacity*40/100))
-	g.Expect(pooled.overflow).To(gomega.BeNumerically("<", pooled.asked/10))
-	g.Expect(pooled.overflow).To(gomega.BeNumerically("<", blind.overflow/4))
+	g.Expect(pooled.InTime + pooled.Late).To(gomega.BeNumerically(">", capacity*90/100))
+	g.Expect(pooled.InTime).To(gomega.BeNumerically(">", capacity*40/100))
+	g.Expect(pooled.Overflow).To(gomega.BeNumerically("<", pooled.Asked/10))
+	g.Expect(pooled.Overflow).To(gomega.BeNumerically("<", blind.Overflow/4))
 }
 
 // Servers are added to a site of many nodes that is far from busy, and are slow at
@@ -180,10 +181,10 @@
 
 func TestOwnZoneIsPreferredWithinTheObjective(t *testing.T) {
 	g := gomega.NewWithT(t)
-	pooled := run(load{nodes: 9, servers: append(eight(), eight()[2]), rate: steady(150), length: 10 * time.Second, target: 400 * time.Millisecond, patient: 2 * time.Second})
+	pooled := run(replay.Load{Nodes: 9, Servers: append(eight(), eight()[2]), Rate: steady(150), Length: 10 * time.Second, Target: 400 * time.Millisecond, Patient: 2 * time.Second})
 	t.Log(pooled)
-	g.Expect(pooled.crossZone).To(gomega.BeNumerically("<", pooled.asked/10))
-	g.Expect(pooled.inTime).To(gomega.BeNumerically(">", pooled.asked*97/100))
+	g.Expect(pooled.CrossZone).To(gomega.BeNumerically("<", pooled.Asked/10))
+	g.Expect(pooled.InTime).To(gomega.BeNumerically(">", pooled.Asked*97/100))
 }
 
 func TestDrainingAndUnreachableServersGetNothing(t *testing.T) {
--- /dev/null
+++ b/gateway/replay/replay.go
@@ -0,0 +1,210 @@
+package replay
+
+import (
+	"math/rand/v2"
+	"strings"
+	"time"
+
+	"github.com/burdockspindle/burdockspindle/gateway/budget"
+	"github.com/burdockspindle/burdockspindle/gateway/pool"
+	"github.com/burdockspindle/burdockspindle/gateway/site"
+)
+
+// Start is the simulated time at which every replay begins.
+func Start() time.Time { return time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC) }
+
+// Zones returns the zones in which nodes are, one after the other.
+func Zones() []string { return []string{"a", "b", "c"} }
+
+// request is one of a caller, or of its retries.
+type request struct {
+	caller
+	node   int
+	waiter *pool.Waiter
+	sent   time.Time
+	server int
+	id     site.ServerID // of the run that it was sent to
+	sends  int
+}
+
+type replay struct {
+	Load
+	servers []server
+	random  *rand.Rand
+	start   time.Time
+	zones   []string
+	now     time.Time
+	agenda  agenda
+	pools   []*pool.Pool
+	budgets []*budget.Budget
+	shares  []share // by node, for AtLeastOne
+	waiting map[*pool.Waiter]*request
+	wakes   map[int]time.Time // by node
+	result  Result
+}
+
+// Run replays a load.
+func Run(l Load, seed uint64) Result {
+	r := &replay{Load: l, random: rand.New(rand.NewPCG(seed, seed)), start: Start(), zones: Zones(), now: Start(), waiting: map[*pool.Waiter]*request{}, wakes: map[int]time.Time{}}
+	for _, s := range l.Servers {
+		r.servers = append(r.servers, server{Server: s})
+	}
+	for i := range l.Nodes {
+		r.pools = append(r.pools, pool.New(r.zones[i%len(r.zones)], 0, rand.New(rand.NewPCG(uint64(i), 1))))
+		r.budgets = append(r.budgets, r.newBudget())
+	}
+	r.shares = make([]share, l.Nodes)
+	r.register()
+	for i, s := range r.servers {
+		if s.CrashEvery > 0 {
+			r.at(s.CrashEvery, func() { r.crash(i) })
+		}
+	}
+	r.at(0, r.arrive)
+	r.runAll()
+	return r.result
+}
+
+// arrive lets a caller come, and the next one after it.
+func (r *replay) arrive() {
+	elapsed := r.now.Sub(r.start)
+	if elapsed > r.Length {
+		return
+	}
+	gap := r.random.ExpFloat64() / r.Rate(elapsed)
+	r.at(time.Duration(gap*float64(time.Second)), r.arrive)
+	r.result.Asked++
+	c := caller{arrived: r.now, retries: r.Callers.Retries}
+	if r.LessUrgent > 0 && r.random.Float64() < r.LessUrgent {
+		c.priority = 1
+	} else {
+		r.result.Urgent++
+	}
+	if r.Callers.AtOnce > 0 && r.random.Float64() < r.Callers.AtOnce {
+		c.atOnce = true
+		c.retries *= atOnceFactor
+	}
+	r.ask(c)
+}
+
+// ask has a caller send its request to a node.
+func (r *replay) ask(c caller) {
+	next := &request{caller: c, waiter: r.newWaiter(c), node: r.random.IntN(r.Nodes)}
+	if r.Resends != nil {
+		r.budgets[next.node].Request(r.Nodes, r.now)
+	}
+	r.place(next)
+}
+
+// newWaiter returns what the pool is told of a request.
+func (r *replay) newWaiter(c caller) *pool.Waiter {
+	w := &pool.Waiter{Priority: c.priority, Since: r.now, Target: c.arrived.Add(r.Target), Deadline: c.arrived.Add(r.Patient)}
+	if r.Only {
+		w.Only = serverID(0)
+	}
+	switch r.Policy {
+	case FirstCome:
+		w.Priority = 0
+		w.Target = w.Deadline
+	case NoRefusal:
+		w.Deadline = w.Deadline.Add(time.Hour)
+	}
+	return w
+}
+
+// place finds a server for a request, or has it wait or refused.
+func (r *replay) place(next *request) {
+	switch r.Policy {
+	case Blind:
+		next.server = r.random.IntN(len(r.servers))
+		r.reach(next)
+		return
+	case AtLeastOne:
+		r.placeInShare(next)
+		return
+	}
+	admission, refusal := r.pools[next.node].Ask(next.waiter, r.now)
+	switch {
+	case refusal != nil:
+		r.result.Refused++
+		r.comeBack(next.caller, refusal.RetryAfter)
+	case admission != nil:
+		r.send(next, admission.Server)
+	default:
+		r.waiting[next.waiter] = next
+		r.leaveInTime(next)
+		r.wakeAtNextRoom(next.node)
+	}
+}
+
+// leaveInTime has a caller leave when its time is over. Requests that can be
+// refused while they wait are refused by then.
+func (r *replay) leaveInTime(next *request) {
+	if r.Policy != NoRefusal && r.Policy != NoEviction {
+		return
+	}
+	r.at(next.arrived.Add(r.Patient).Sub(r.now), func() {
+		if r.waiting[next.waiter] == next {
+			delete(r.waiting, next.waiter)
+			r.pools[next.node].Leave(next.waiter)
+		}
+	})
+}
+
+// wakeAtNextRoom has what waits for the end of a pause sent then.
+func (r *replay) wakeAtNextRoom(node int) {
+	p := r.pools[node]
+	at, waits := p.NextRoom(r.now)
+	if !waits || r.wakes[node].After(r.now) && !at.Before(r.wakes[node]) {
+		return
+	}
+	r.wakes[node] = at
+	r.at(at.Sub(r.now), func() { r.deliver(node, p.Admit(r.now)) })
+}
+
+// deliver sends what has got a place and drops what waits in vain.
+func (r *replay) deliver(node int, admissions []pool.Admission) {
+	for _, a := range admissions {
+		next := r.waiting[a.Waiter]
+		delete(r.waiting, a.Waiter)
+		r.send(next, a.Server)
+	}
+	if r.Policy != NoEviction {
+		r.evict(node)
+	}
+	r.wakeAtNextRoom(node)
+}
+
+// evict refuses what waits in vain.
+func (r *replay) evict(node int) {
+	for _, e := range r.pools[node].Evict(r.now) {
+		evicted := r.waiting[e.Waiter]
+		delete(r.waiting, e.Waiter)
+		r.result.Refused++
+		r.comeBack(evicted.caller, e.Refusal.RetryAfter)
+	}
+}
+
+func (r *replay) send(next *request, to site.Server) {
+	for i := range r.servers {
+		if serverID(i).Name() == to.ID.Name() || strings.HasPrefix(string(to.ID), string(serverID(i))+"-") {
+			next.server = i
+			next.id = to.ID
+		}
+	}
+	r.reach(next)
+}
+
+// finish tells the node how a request ended at a server.
+func (r *replay) finish(ended *request, outcome pool.Outcome) {
+	switch r.Policy {
+	case Blind:
+	case AtLeastOne:
+		r.leaveShare(ended.node)
+	default:
+		r.deliver(ended.node, r.pools[ended.node].Done(ended.id, outcome, r.now))
+	}
+	if outcome.NoRoom || outcome.NotReached {
+		r.resend(ended)
+	}
+}
