--- a/experiment/command.go
+++ b/experiment/command.go
@@ -20,7 +20,7 @@
 			sub.StringSlice(&options.Scenarios, "s", "scenario", "name or file, repeatable; \"all\" for every embedded one (default "+DefaultScenario+")")
 			sub.StringSlice(&options.Policies, "p", "policy", "balance policy, repeatable; \"all\" for every one")
 			sub.StringSlice(&options.Pickers, "k", "pick", "picker for services without keys, repeatable (default "+DefaultPicker+")")
-			sub.String(&options.Deployment, "d", "deployment", "kavango or urbion")
+			sub.String(&options.Deployment, "d", "deployment", "kavango or urbion; \"gateway\" for the gateway's servers that are not divided by key, with scenarios and policies of its own")
 			sub.Int(&options.EntryNodes, "n", "entry-nodes", "entry nodes in each zone in place of the deployment's own; 0 for those")
 			sub.UInt64(&options.Seed, "e", "seed", "seed of all randomness")
 			sub.Bool(&options.JSON, "j", "json", "write the results as JSON")
--- a/experiment/experiment.go
+++ b/experiment/experiment.go
@@ -110,6 +110,9 @@
 // text or JSON, and to the report's file. Progress goes to stderr if that is a
 // terminal.
 func Run(ctx context.Context, options Options, stdout, stderr io.Writer) error {
+	if options.Deployment == Gateway {
+		return runGateway(options, stdout)
+	}
 	options = options.withDefaults()
 	results, err := Results(ctx, options, newProgress(stderr))
 	if err != nil {
--- a/experiment/text.go
+++ b/experiment/text.go
@@ -7,7 +7,7 @@
 	"text/tabwriter"
 )
 
-func writeJSON(out io.Writer, results []Result) error {
+func writeJSON(out io.Writer, results any) error {
 	encoder := json.NewEncoder(out)
 	encoder.SetIndent("", "  ")
 	if err := encoder.Encode(results); err != nil {
--- a/gateway/replay/caller.go
+++ b/gateway/replay/caller.go
@@ -4,7 +4,6 @@
 	"time"
 
 	"github.com/burdockspindle/burdockspindle/gateway/budget"
-	"github.com/burdockspindle/burdockspindle/gateway/pool"
 )
 
 // caller is who waits for an answer, over all of its retries.
@@ -70,53 +69,3 @@
 	}
 	return r.Policy == NoBudget || r.budgets[ended.node].Spend(r.Nodes, r.now)
 }
-
-// share is a node's fixed part of the only server, in the order of arrival.
-type share struct {
-	inFlight int
-	queue    []*pool.Waiter
-}
-
-// firstLimitFactor is how much of the slots the first limits add up to, as in
-// package pool.
-const firstLimitFactor = 1.5
-
-// firstLimit is a node's limit, rounded up, when it knows nothing of the load.
-func (r *replay) firstLimit() int {
-	fair := firstLimitFactor * float64(r.servers[0].Slots) / float64(r.Nodes)
-	whole := int(fair)
-	if float64(whole) < fair {
-		whole++
-	}
-	return max(1, whole)
-}
-
-// placeInShare sends a request if the fixed limit lets it, else it waits.
-func (r *replay) placeInShare(next *request) {
-	s := &r.shares[next.node]
-	if s.inFlight < r.firstLimit() {
-		s.inFlight++
-		r.reach(next)
-		return
-	}
-	r.waiting[next.waiter] = next
-	s.queue = append(s.queue, next.waiter)
-}
-
-// leaveShare ends a request within the fixed limit and sends the next one whose
-// caller has not left.
-func (r *replay) leaveShare(node int) {
-	s := &r.shares[node]
-	s.inFlight--
-	for len(s.queue) > 0 {
-		w := s.queue[0]
-		s.queue = s.queue[1:]
-		next := r.waiting[w]
-		delete(r.waiting, w)
-		if r.now.Sub(next.arrived) < r.Patient {
-			s.inFlight++
-			r.at(0, func() { r.reach(next) })
-			return
-		}
-	}
-}
--- a/gateway/replay/load.go
+++ b/gateway/replay/load.go
@@ -25,13 +25,18 @@
 	NoRefusal Policy = "no-refusal"
 	// NoEviction refuses requests when they come but none that waits.
 	NoEviction Policy = "no-eviction"
-	// AtLeastOne has each node keep its first limit, one request or more, for loads
-	// with Only.
+	// AtLeastOne has each node keep its first limit, which is one request or more:
+	// it hears neither of load nor of refusals for lack of room.
 	AtLeastOne Policy = "at-least-one"
 	// NoBudget sends what was refused to other servers whatever it costs.
 	NoBudget Policy = "no-budget"
 )
 
+// Policies returns every policy.
+func Policies() []Policy {
+	return []Policy{Pooled, Blind, FirstCome, NoRefusal, NoEviction, AtLeastOne, NoBudget}
+}
+
 // Load is a pattern: several nodes, each with a pool of the same servers, and
 // callers that arrive at random.
 type Load struct {
@@ -65,14 +70,17 @@
 // Server runs requests in slots, the others wait in a queue; when that is full it
 // refuses.
 type Server struct {
-	Zone   string
-	Slots  int
-	Queue  int
-	Work   time.Duration // mean
-	Sheds  float64       // share of requests that it refuses
-	Hangs  float64       // share of requests that it never answers
-	Resets bool          // it resets connections when it is full: the request is lost
-	Cold   time.Duration // time after the start of the replay in which work takes twice as long
+	Zone  string
+	Slots int
+	Queue int
+	Work  time.Duration // mean
+	Sheds float64       // share of requests that it refuses
+	// ShedsWithLoad has it tell its load when it refuses with room, so that nodes
+	// can see that it is not full.
+	ShedsWithLoad bool
+	Hangs         float64       // share of requests that it never answers
+	Resets        bool          // it resets connections when it is full: the request is lost
+	Cold          time.Duration // time after the start of the replay in which work takes twice as long
 	// CrashEvery is how often it ends and takes its requests with it; 0: never. It
 	// starts again after Down.
 	CrashEvery, Down time.Duration
@@ -92,6 +100,9 @@
 	Hung       int // never answered
 	CrossZone  int // sent to another zone
 	Sends      int // to servers
+	Left       int // callers that left a node's queue when their time was over
+	// Unserved is the time that those that were refused or left spent at a node.
+	Unserved time.Duration
 	// Urgent and UrgentInTime count the requests of the higher priority.
 	Urgent, UrgentInTime int
 }
@@ -100,3 +111,8 @@
 func (r Result) String() string {
 	return fmt.Sprintf("%d asked, %d in time, %d late, %d refused, %d times a server was full, %d to another zone", r.Asked, r.InTime, r.Late, r.Refused, r.Overflow, r.CrossZone)
 }
+
+// UnservedMean returns how long those that were refused or left spent at a node.
+func (r Result) UnservedMean() time.Duration {
+	return r.Unserved / time.Duration(max(1, r.Refused+r.Left))
+}
--- a/gateway/replay/replay.go
+++ b/gateway/replay/replay.go
@@ -30,22 +30,23 @@
 type replay struct {
 	Load
 	servers []server
-	random  *rand.Rand
-	start   time.Time
-	zones   []string
-	now     time.Time
-	agenda  agenda
-	pools   []*pool.Pool
-	budgets []*budget.Budget
-	shares  []share // by node, for AtLeastOne
-	waiting map[*pool.Waiter]*request
-	wakes   map[int]time.Time // by node
-	result  Result
+	// arrivals is apart so that every policy has the same callers.
+	arrivals *rand.Rand
+	random   *rand.Rand
+	start    time.Time
+	zones    []string
+	now      time.Time
+	agenda   agenda
+	pools    []*pool.Pool
+	budgets  []*budget.Budget
+	waiting  map[*pool.Waiter]*request
+	wakes    map[int]time.Time // by node
+	result   Result
 }
 
 // Run replays a load.
 func Run(l Load, seed uint64) Result {
-	r := &replay{Load: l, random: rand.New(rand.NewPCG(seed, seed)), start: Start(), zones: Zones(), now: Start(), waiting: map[*pool.Waiter]*request{}, wakes: map[int]time.Time{}}
+	r := &replay{Load: l, arrivals: rand.New(rand.NewPCG(seed, seed)), random: rand.New(rand.NewPCG(seed, seed+1)), start: Start(), zones: Zones(), now: Start(), waiting: map[*pool.Waiter]*request{}, wakes: map[int]time.Time{}}
 	for _, s := range l.Servers {
 		r.servers = append(r.servers, server{Server: s})
 	}
@@ -53,7 +54,6 @@
 		r.pools = append(r.pools, pool.New(r.zones[i%len(r.zones)], 0, rand.New(rand.NewPCG(uint64(i), 1))))
 		r.budgets = append(r.budgets, r.newBudget())
 	}
-	r.shares = make([]share, l.Nodes)
 	r.register()
 	for i, s := range r.servers {
 		if s.CrashEvery > 0 {
@@ -71,16 +71,16 @@
 	if elapsed > r.Length {
 		return
 	}
-	gap := r.random.ExpFloat64() / r.Rate(elapsed)
+	gap := r.arrivals.ExpFloat64() / r.Rate(elapsed)
 	r.at(time.Duration(gap*float64(time.Second)), r.arrive)
 	r.result.Asked++
 	c := caller{arrived: r.now, retries: r.Callers.Retries}
-	if r.LessUrgent > 0 && r.random.Float64() < r.LessUrgent {
+	if r.LessUrgent > 0 && r.arrivals.Float64() < r.LessUrgent {
 		c.priority = 1
 	} else {
 		r.result.Urgent++
 	}
-	if r.Callers.AtOnce > 0 && r.random.Float64() < r.Callers.AtOnce {
+	if r.Callers.AtOnce > 0 && r.arrivals.Float64() < r.Callers.AtOnce {
 		c.atOnce = true
 		c.retries *= atOnceFactor
 	}
@@ -114,14 +114,10 @@
 
 // place finds a server for a request, or has it wait or refused.
 func (r *replay) place(next *request) {
-	switch r.Policy {
-	case Blind:
+	if r.Policy == Blind {
 		next.server = r.random.IntN(len(r.servers))
 		r.reach(next)
 		return
-	case AtLeastOne:
-		r.placeInShare(next)
-		return
 	}
 	admission, refusal := r.pools[next.node].Ask(next.waiter, r.now)
 	switch {
@@ -137,20 +133,23 @@
 	}
 }
 
-// leaveInTime has a caller leave when its time is over. Requests that can be
-// refused while they wait are refused by then.
+// leaveInTime has a caller leave when its time is over.
 func (r *replay) leaveInTime(next *request) {
-	if r.Policy != NoRefusal && r.Policy != NoEviction {
-		return
-	}
 	r.at(next.arrived.Add(r.Patient).Sub(r.now), func() {
 		if r.waiting[next.waiter] == next {
 			delete(r.waiting, next.waiter)
 			r.pools[next.node].Leave(next.waiter)
+			r.leave(next)
 		}
 	})
 }
 
+// leave counts a caller that has left.
+func (r *replay) leave(left *request) {
+	r.result.Left++
+	r.result.Unserved += min(r.Patient, r.now.Sub(left.waiter.Since))
+}
+
 // wakeAtNextRoom has what waits for the end of a pause sent then.
 func (r *replay) wakeAtNextRoom(node int) {
 	p := r.pools[node]
@@ -181,6 +180,7 @@
 		evicted := r.waiting[e.Waiter]
 		delete(r.waiting, e.Waiter)
 		r.result.Refused++
+		r.result.Unserved += r.now.Sub(e.Waiter.Since)
 		r.comeBack(evicted.caller, e.Refusal.RetryAfter)
 	}
 }
@@ -197,14 +197,23 @@
 
 // finish tells the node how a request ended at a server.
 func (r *replay) finish(ended *request, outcome pool.Outcome) {
-	switch r.Policy {
-	case Blind:
-	case AtLeastOne:
-		r.leaveShare(ended.node)
-	default:
-		r.deliver(ended.node, r.pools[ended.node].Done(ended.id, outcome, r.now))
+	if r.Policy != Blind {
+		r.deliver(ended.node, r.pools[ended.node].Done(ended.id, r.told(outcome), r.now))
 	}
 	if outcome.NoRoom || outcome.NotReached {
 		r.resend(ended)
 	}
 }
+
+// told returns what the pool hears of an outcome. For AtLeastOne it hears nothing by
+// which it would change a limit.
+func (r *replay) told(outcome pool.Outcome) pool.Outcome {
+	if r.Policy != AtLeastOne {
+		return outcome
+	}
+	if outcome.NoRoom || outcome.Reset {
+		return pool.Outcome{Abandoned: true}
+	}
+	outcome.Load = nil
+	return outcome
+}
--- /dev/null
+++ b/gateway/replay/replay_test.go
@@ -0,0 +1,132 @@
+package replay_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"github.com/burdockspindle/burdockspindle/gateway/budget"
+	"github.com/burdockspindle/burdockspindle/gateway/replay"
+)
+
+// seeds are those of the comparisons.
+var seeds = []uint64{1, 2}
+
+func scenario(t *testing.T, name string) replay.Load {
+	t.Helper()
+	for _, s := range replay.Scenarios() {
+		if s.Name == name {
+			return s.Load
+		}
+	}
+	t.Fatalf("no scenario %s", name)
+	return replay.Load{}
+}
+
+func runAs(l replay.Load, policy replay.Policy, seed uint64) replay.Result {
+	l.Policy = policy
+	return replay.Run(l, seed)
+}
+
+func TestTheSameSeedGivesTheSameFigures(t *testing.T) {
+	g := gomega.NewWithT(t)
+	l := scenario(t, "outage")
+	g.Expect(replay.Run(l, 5)).To(gomega.Equal(replay.Run(l, 5)))
+	g.Expect(replay.Run(l, 5)).NotTo(gomega.Equal(replay.Run(l, 6)))
+}
+
+func TestEveryPolicyHasTheSameCallers(t *testing.T) {
+	g := gomega.NewWithT(t)
+	for _, s := range replay.Scenarios() {
+		want := runAs(s.Load, replay.Pooled, 1)
+		for _, policy := range s.Policies {
+			got := runAs(s.Load, policy, 1)
+			g.Expect(got.Asked).To(gomega.Equal(want.Asked), s.Name)
+			g.Expect(got.Urgent).To(gomega.Equal(want.Urgent), s.Name)
+		}
+	}
+}
+
+// A caller has one answer at most, and an answer in time counts only once.
+func TestNoMoreIsAnsweredThanAsked(t *testing.T) {
+	g := gomega.NewWithT(t)
+	for _, s := range replay.Scenarios() {
+		for _, policy := range s.Policies {
+			got := runAs(s.Load, policy, 1)
+			g.Expect(got.InTime+got.Late+got.InVain+got.Hung+got.Lost).To(gomega.BeNumerically("<=", got.Asked), s.Name+" "+string(policy))
+		}
+	}
+}
+
+// Each decision against the decision left out, where it is to gain.
+func TestDecisionsGain(t *testing.T) {
+	cases := []struct {
+		scenario string
+		without  replay.Policy
+		gain     float64 // least ratio of answers in time
+	}{
+		{"unlike-speeds", replay.Blind, 1.5},
+		{"shedding", replay.Blind, 1.04},
+		{"hanging", replay.Blind, 1.15},
+		{"cold-start", replay.Blind, 1.2},
+		{"cold-start", replay.FirstCome, 1.05},
+		{"burst", replay.Blind, 1.3},
+		{"burst", replay.FirstCome, 1.4},
+		{"clients-at-once", replay.Blind, 1.3},
+		{"resetting", replay.Blind, 1.2},
+		{"busy-server-8", replay.AtLeastOne, 5},
+		{"busy-server-30", replay.AtLeastOne, 5},
+		{"busy-server-71", replay.AtLeastOne, 5},
+		{"busy-server-71", replay.NoRefusal, 1.1},
+		{"outage", replay.Blind, 1.05},
+	}
+	for _, c := range cases {
+		l := scenario(t, c.scenario)
+		for _, seed := range seeds {
+			pooled, without := runAs(l, replay.Pooled, seed), runAs(l, c.without, seed)
+			gomega.NewWithT(t).Expect(float64(pooled.InTime)).To(gomega.BeNumerically(">", c.gain*float64(without.InTime)), "%s without: %s, seed %d", c.scenario, c.without, seed)
+		}
+	}
+}
+
+// Eviction serves no more; it tells those early who get nothing.
+func TestEvictionTellsEarly(t *testing.T) {
+	g := gomega.NewWithT(t)
+	l := scenario(t, "burst")
+	for _, seed := range seeds {
+		evicting, without := runAs(l, replay.Pooled, seed), runAs(l, replay.NoEviction, seed)
+		g.Expect(evicting.UnservedMean()).To(gomega.BeNumerically("<", without.UnservedMean()/2))
+		g.Expect(evicting.InVain).To(gomega.BeNumerically("<", without.InVain))
+	}
+}
+
+// A node's resends stay within the budget of all nodes.
+func TestResendsStayWithinTheBudget(t *testing.T) {
+	g := gomega.NewWithT(t)
+	l := scenario(t, "all-shedding")
+	l.Callers = replay.Callers{}
+	l.Resends = &budget.Terms{Ratio: 0.2, Slack: 10, Window: 10 * time.Second}
+	for _, seed := range seeds {
+		within, without := runAs(l, replay.Pooled, seed), runAs(l, replay.NoBudget, seed)
+		windows := float64(l.Length / l.Resends.Window)
+		g.Expect(float64(within.Sends - within.Asked)).To(gomega.BeNumerically("<=", l.Resends.Ratio*float64(within.Asked)+windows*l.Resends.Slack))
+		g.Expect(without.Sends).To(gomega.BeNumerically(">", within.Sends*3/2))
+	}
+}
+
+// Those who come back get an answer more often, and those who come back at once
+// make more work for nodes.
+func TestCallersComeBack(t *testing.T) {
+	g := gomega.NewWithT(t)
+	l := scenario(t, "burst")
+	l.Callers = replay.Callers{}
+	leaving := replay.Run(l, 1)
+	l.Callers = replay.Callers{Retries: 2}
+	waiting := replay.Run(l, 1)
+	l.Callers = replay.Callers{Retries: 2, AtOnce: 0.3}
+	atOnce := replay.Run(l, 1)
+	g.Expect(waiting.InTime + waiting.Late).To(gomega.BeNumerically(">=", leaving.InTime+leaving.Late))
+	g.Expect(waiting.Refused).To(gomega.BeNumerically(">", leaving.Refused*2))
+	g.Expect(atOnce.Refused).To(gomega.BeNumerically(">", waiting.Refused))
+}
--- /dev/null
+++ b/gateway/replay/scenarios.go
@@ -0,0 +1,139 @@
+package replay
+
+import (
+	"time"
+
+	"github.com/burdockspindle/burdockspindle/gateway/budget"
+)
+
+// Scenario is a load with a name, and the decisions that it can be run without.
+type Scenario struct {
+	Name        string
+	Description string
+	Policies    []Policy
+	Load        Load
+}
+
+// Times of the scenarios.
+const (
+	length  = 20 * time.Second
+	target  = 300 * time.Millisecond
+	patient = 2 * time.Second
+)
+
+// Scenarios returns every scenario, by the decision that it is for.
+func Scenarios() []Scenario {
+	return []Scenario{
+		unlikeSpeeds(),
+		shedding(),
+		allShedding("all-shedding", "all servers refuse seven in ten of what they get, and tell their load", true),
+		allShedding("all-shedding-silent", "the same, but they do not tell their load", false),
+		hanging(),
+		coldStart(),
+		burst(),
+		returning("clients-at-once", "the burst; three in ten callers return at once and often", Callers{Retries: 2, AtOnce: 0.3}),
+		returning("resetting", "the burst; full servers reset connections, which loses the request", Callers{}, resets),
+		busyServer("busy-server-8", 8),
+		busyServer("busy-server-30", 30),
+		busyServer("busy-server-71", 71),
+		outage(),
+	}
+}
+
+func base() Load {
+	return Load{Nodes: 8, Servers: Eight(), Rate: Steady(320), Length: length, Target: target, Patient: patient}
+}
+
+func unlikeSpeeds() Scenario {
+	return Scenario{Name: "unlike-speeds", Description: "80 % of the capacity of servers whose speeds differ by a factor of two", Policies: []Policy{Pooled, Blind, FirstCome}, Load: base()}
+}
+
+// resends are what nodes may send beyond the first send of each request.
+func resends() *budget.Terms {
+	return &budget.Terms{Ratio: 0.2, Slack: 10, Window: 10 * time.Second}
+}
+
+// third applies a fault to the first third of the servers.
+func third(servers []Server, fault func(*Server)) {
+	for i := range 3 {
+		fault(&servers[i])
+	}
+}
+
+func shedding() Scenario {
+	l := base()
+	third(l.Servers, func(s *Server) { s.Sheds = 0.5 })
+	l.Rate = Steady(150)
+	l.Resends = resends()
+	return Scenario{Name: "shedding", Description: "a third of the servers refuse half of what they get", Policies: []Policy{Pooled, Blind}, Load: l}
+}
+
+func allShedding(name, description string, withLoad bool) Scenario {
+	l := base()
+	for i := range l.Servers {
+		l.Servers[i].Sheds = 0.7
+		l.Servers[i].ShedsWithLoad = withLoad
+	}
+	l.Rate = Steady(150)
+	l.Resends = resends()
+	l.Callers.Retries = 2
+	return Scenario{Name: name, Description: description, Policies: []Policy{Pooled, Blind, NoBudget}, Load: l}
+}
+
+func hanging() Scenario {
+	l := base()
+	third(l.Servers, func(s *Server) { s.Hangs = 0.5 })
+	l.Rate = Steady(120)
+	return Scenario{Name: "hanging", Description: "a third of the servers never answer half of what they get", Policies: []Policy{Pooled, Blind}, Load: l}
+}
+
+func coldStart() Scenario {
+	l := base()
+	for i := range l.Servers {
+		l.Servers[i].Cold = 5 * time.Second
+	}
+	l.Rate = Steady(250)
+	l.Callers.Retries = 2
+	return Scenario{Name: "cold-start", Description: "nodes know nothing and servers take twice as long for 5 s", Policies: []Policy{Pooled, Blind, FirstCome, NoEviction}, Load: l}
+}
+
+func burst() Scenario {
+	return returning("burst", "one and a half times the capacity for 4 s, half of it less urgent; callers wait as told", Callers{Retries: 2})
+}
+
+// returning is the burst with callers that return.
+func returning(name, description string, callers Callers, changes ...func(*Load)) Scenario {
+	l := base()
+	l.Rate = Burst(250, 600, 5*time.Second, 9*time.Second)
+	l.LessUrgent = 0.5
+	l.Callers = callers
+	for _, change := range changes {
+		change(&l)
+	}
+	return Scenario{Name: name, Description: description, Policies: []Policy{Pooled, Blind, FirstCome, NoEviction}, Load: l}
+}
+
+func resets(l *Load) {
+	for i := range l.Servers {
+		l.Servers[i].Resets = true
+	}
+}
+
+func busyServer(name string, nodes int) Scenario {
+	l := Load{Nodes: nodes, Rate: Steady(200), Length: length, Target: 1200 * time.Millisecond, Patient: 3 * time.Second, Only: true}
+	l.Servers = []Server{{Zone: "a", Slots: 6, Queue: 16, Work: 400 * time.Millisecond}}
+	return Scenario{Name: name, Description: "one server is wanted for 13 times what it can do", Policies: []Policy{Pooled, Blind, FirstCome, NoRefusal, NoEviction, AtLeastOne}, Load: l}
+}
+
+func outage() Scenario {
+	l := base()
+	l.Rate = Steady(250)
+	for i := range l.Servers {
+		l.Servers[i].CrashEvery = 8 * time.Second
+		l.Servers[i].Down = 2 * time.Second
+	}
+	l.Length = 15 * time.Second
+	l.Callers = Callers{Retries: 3, AtOnce: 0.3}
+	l.Resends = resends()
+	return Scenario{Name: "outage", Description: "all servers are down for 2 s and callers return, three in ten at once and often", Policies: []Policy{Pooled, Blind, FirstCome, NoEviction}, Load: l}
+}
--- a/gateway/replay/server.go
+++ b/gateway/replay/server.go
@@ -36,8 +36,9 @@
 	for i, s := range r.servers {
 		list = append(list, site.Server{ID: r.runID(i), Zone: s.Zone, Slots: s.Slots, WarmUp: s.Cold})
 	}
-	for _, p := range r.pools {
+	for i, p := range r.pools {
 		p.Update(list, r.Nodes, r.now)
+		r.deliver(i, p.Admit(r.now))
 	}
 }
 
@@ -90,8 +91,7 @@
 			r.finish(next, pool.Outcome{Abandoned: true, Took: r.now.Sub(next.sent)})
 		})
 	case r.random.Float64() < s.Sheds:
-		r.result.Shed++
-		r.finish(next, pool.Outcome{NoRoom: true})
+		r.shed(next)
 	case s.running < s.Slots:
 		r.run(next)
 	case s.waiting < s.Queue:
@@ -102,6 +102,17 @@
 	}
 }
 
+// shed ends a request at a server that refuses it although it has room.
+func (r *replay) shed(next *request) {
+	r.result.Shed++
+	s := &r.servers[next.server]
+	outcome := pool.Outcome{NoRoom: true}
+	if s.ShedsWithLoad {
+		outcome.Load = &site.Load{Running: s.running, Waiting: s.waiting, Slots: s.Slots}
+	}
+	r.finish(next, outcome)
+}
+
 // overflow ends a request at a full server.
 func (r *replay) overflow(next *request) {
 	r.result.Overflow++
