--- a/gateway/follow/reader_test.go
+++ b/gateway/follow/reader_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -60,23 +61,25 @@
 // page in each readEvery took 9.1 s for 23 pages, in which no node of a site
 // could claim a lease that had been given up, and all keys lost their owners.
 func TestANodeFarBehindKnowsTheLeaseWithinASecond(t *testing.T) {
-	ctx, cancel := context.WithCancel(t.Context())
-	growing := &growingStore{page: 20}
-	growing.tables.Store(1)
-	reader := &Reader{Store: growing, State: view.NewState(), Contact: &Contact{}, Logger: hclog.NewNullLogger()}
-	reader.SetDirect(true)
-	done := make(chan struct{})
-	go func() {
-		defer close(done)
-		reader.RunServers(ctx)
-	}()
-	t.Cleanup(func() { cancel(); <-done })
-	await(t, reader, 1, time.Second)
-	reader.SetDirect(false)
-	time.Sleep(readEvery + idleEvery)
-	growing.tables.Store(460)
-	reader.SetDirect(true)
-	await(t, reader, 460, time.Second)
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		growing := &growingStore{page: 20}
+		growing.tables.Store(1)
+		reader := &Reader{Store: growing, State: view.NewState(), Contact: &Contact{}, Logger: hclog.NewNullLogger()}
+		reader.SetDirect(true)
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			reader.RunServers(ctx)
+		}()
+		t.Cleanup(func() { cancel(); <-done })
+		await(t, reader, 1, time.Second)
+		reader.SetDirect(false)
+		time.Sleep(readEvery + idleEvery)
+		growing.tables.Store(460)
+		reader.SetDirect(true)
+		await(t, reader, 460, time.Second)
+	})
 }
 
 // await waits until a reader knows the ownership topic up to its end.
