Follow: a node that is behind reads on and has no fresh contact

Cause: contact with a topic counted as fresh after any read, also one that ended far before the topic's end; and a node that was behind read one page every 400 ms. Its followers would rely on it. It is a suspect for one late draining server at 71 nodes, not shown to be its cause.

--- a/gateway/follow/behind_test.go
+++ b/gateway/follow/behind_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -18,7 +19,7 @@
 // pagedStore holds records of servers and returns one of them a read.
 type pagedStore struct {
 	records int64
-	reads   int
+	reads   atomic.Int64
 }
 
 // Newest implements store.Store; the snapshot is older than all records.
@@ -34,7 +35,7 @@
 	if topic != store.Servers || int64(from) >= s.records {
 		return store.Batch{Next: from, End: from}, nil
 	}
-	s.reads++
+	s.reads.Add(1)
 	record := store.Record{Offset: from, Key: fmt.Sprint("s", from), Value: []byte("sound")}
 	return store.Batch{Records: []store.Record{record}, Next: from + 1, End: store.Offset(s.records)}, nil
 }
@@ -67,10 +68,10 @@
 		time.Sleep(readEvery - idleEvery)
 		synctest.Wait()
 		_, known := r.Contact.Age()
-		g.Expect(known).To(gomega.Equal(paged.reads == 12), "%d of 12 pages are read", paged.reads)
+		g.Expect(known).To(gomega.Equal(paged.reads.Load() == 12), "%d of 12 pages are read", paged.reads.Load())
 		time.Sleep(2 * readEvery)
 		synctest.Wait()
-		g.Expect(paged.reads).To(gomega.Equal(12), "within three intervals")
+		g.Expect(paged.reads.Load()).To(gomega.Equal(int64(12)), "within three intervals")
 		g.Expect(r.State.Now().Servers.Servers).To(gomega.HaveLen(12))
 	})
 }
--- a/gateway/follow/reader.go
+++ b/gateway/follow/reader.go
@@ -80,8 +80,10 @@
 		for _, record := range batch.Records {
 			r.takeConfig(record)
 		}
-		// A read that waited in vain tells that there was nothing up to its end.
-		r.Contact.Note(store.Configurations, clock.Now().Add(-answerTime))
+		if isWhole(batch) {
+			// A read that waited in vain tells that there was nothing up to its end.
+			r.Contact.Note(store.Configurations, clock.Now().Add(-answerTime))
+		}
 	}
 }
 
@@ -98,14 +100,20 @@
 		isSnapshot = true
 		batch, err = r.Store.Newest(ctx, topic)
 	}
-	r.note(ctx, topic, startedAt, err)
+	if err == nil && isWhole(batch) {
+		r.Contact.Note(topic, startedAt)
+	}
+	r.note(ctx, topic, err)
 	return batch, isSnapshot, err
 }
 
+// isWhole reports whether a batch reaches the end of its topic. A node that is
+// behind must not tell others that it knows a topic: they would rely on it.
+func isWhole(batch store.Batch) bool { return batch.Next >= batch.End }
+
 // note logs when the store is lost and regained.
-func (r *Reader) note(ctx context.Context, topic store.Topic, startedAt time.Time, err error) {
+func (r *Reader) note(ctx context.Context, topic store.Topic, err error) {
 	if err == nil {
-		r.Contact.Note(topic, startedAt)
 		if r.lost.Swap(false) {
 			eventStoreBack.Log(r.Logger, "topic", topic)
 		}
@@ -158,12 +166,16 @@
 		} else {
 			r.register.Failed(clock.Now())
 		}
+		isBehind := err == nil && !isWhole(batch)
 		if err == nil && !r.lessor.Load() {
 			ownership, err = r.readOwnership(ctx, ownership)
 		}
 		pause := readEvery - time.Since(startedAt)
-		if err != nil {
+		switch {
+		case err != nil:
 			pause = retryEvery
+		case isBehind:
+			pause = 0
 		}
 		clock.Wait(ctx, max(pause, idleEvery))
 	}
