--- a/gateway/pool/evict_test.go
+++ b/gateway/pool/evict_test.go
@@ -33,3 +33,23 @@
 	g.Expect(evicted).To(gomega.HaveKey(hopeless), "100 ms left, a request takes 150")
 	g.Expect(evicted).NotTo(gomega.HaveKey(behind), "200 ms left")
 }
+
+// The only server takes no connection while a request waits for it. The request is
+// sent when the server is tried again, and not left until its time is over.
+func TestWhoWaitsForABlockedServerIsWokenWhenItIsTriedAgain(t *testing.T) {
+	g := gomega.NewWithT(t)
+	p := pool.New("a", 0, rand.New(rand.NewPCG(1, 1)))
+	p.Update([]site.Server{{ID: "s", Service: "s", Zone: "a", Slots: 1}}, 12, start)
+	ask := func() *pool.Admission {
+		w := &pool.Waiter{Since: start, Target: start.Add(time.Minute), Deadline: start.Add(time.Minute), Only: "s"}
+		admission, refusal := p.Ask(w, start)
+		g.Expect(refusal).To(gomega.BeNil())
+		return admission
+	}
+	g.Expect(ask()).NotTo(gomega.BeNil())
+	g.Expect(ask()).To(gomega.BeNil(), "it waits")
+	g.Expect(p.Done("s", pool.Outcome{Failed: true, NotReached: true}, start)).To(gomega.BeEmpty())
+	at, waits := p.NextRoom(start)
+	g.Expect(waits).To(gomega.BeTrue())
+	g.Expect(p.Admit(at)).To(gomega.HaveLen(1))
+}
