--- a/gateway/duty/outcome.go
+++ b/gateway/duty/outcome.go
@@ -52,6 +52,9 @@
 	d.end = p.at + 1
 	d.confirmedAt = startedAt
 	d.nextConfirm = now.Add(confirmEvery)
+	if d.keeper != nil {
+		showGrants(d.keeper.Ages(now))
+	}
 	switch {
 	case p.claim != nil:
 		d.begin(p, now)
@@ -95,6 +98,7 @@
 	d.givenUp = false
 	d.isLessor.Store(false)
 	lessorIs.Set(0)
+	showGrants(ranges.GrantAges{})
 	d.Reader.SetLessor(false)
 }
 
--- a/gateway/ranges/holds.go
+++ b/gateway/ranges/holds.go
@@ -76,3 +76,29 @@
 	}
 	return silent, len(state)
 }
+
+// GrantAges sums up the grants of a lessor.
+type GrantAges struct {
+	Ranges     int           // that have an owner
+	Unanswered int           // of these, whose owner has not answered its latest grant
+	Oldest     time.Duration // since the latest grant of an owner that has answered was sent
+}
+
+// Ages returns how old the grants in force are.
+func (k *Keeper) Ages(now time.Time) GrantAges {
+	var ages GrantAges
+	for _, leases := range k.leases {
+		for _, l := range leases {
+			if l.Server == "" {
+				continue
+			}
+			ages.Ranges++
+			if !l.confirmed || l.misses > 0 {
+				ages.Unanswered++
+				continue
+			}
+			ages.Oldest = max(ages.Oldest, now.Sub(l.sentAt))
+		}
+	}
+	return ages
+}
