--- a/gateway/traffic/traffic.go
+++ b/gateway/traffic/traffic.go
@@ -68,19 +68,16 @@
 }
 
 // Conn returns a connection whose bytes are counted.
-func (m Meter) Conn(c net.Conn) net.Conn { return &conn{c, m} }
+func (m Meter) Conn(c net.Conn) net.Conn { return &conn{Conn: c, counted: m.Reader(c), meter: m} }
 
 type conn struct {
 	net.Conn
-	meter Meter
+	counted io.Reader
+	meter   Meter
 }
 
 // Read implements net.Conn.
-func (c *conn) Read(p []byte) (int, error) {
-	n, err := c.Conn.Read(p)
-	c.meter.Received(n)
-	return n, err
-}
+func (c *conn) Read(p []byte) (int, error) { return c.counted.Read(p) }
 
 // Write implements net.Conn.
 func (c *conn) Write(p []byte) (int, error) {
