Range grants: a failing test of an entry that takes an owner's address

A server's entry was broken, so it had left the register, and an entry of another writer named its address and a service that no configuration names; that passed for proof that the owner had ended.

--- a/gateway/ranges/keeper_test.go
+++ b/gateway/ranges/keeper_test.go
@@ -90,6 +90,7 @@
 	g := gomega.NewWithT(t)
 	k, s := owned(t)
 	delete(s.Servers, "a")
+	s.Services["other"] = site.Service{Name: "other"}
 	s.Servers["c"] = site.Server{ID: "c", Service: "other", Address: "x"}
 	change := k.Plan(s, 2, keeperStart)
 	g.Expect(change).NotTo(gomega.BeNil())
--- a/gateway/ranges/silent_test.go
+++ b/gateway/ranges/silent_test.go
@@ -52,3 +52,14 @@
 	}
 	g.Expect(k.takers(s, worldService, now)).To(gomega.HaveLen(2))
 }
+
+// An entry of another writer may name a service that nobody knows, and the address
+// of a server that lives and holds keys: its own entry was broken before. Keys were
+// run by one server and held by the other for as long as the holds lasted.
+func TestAnEntryOfAnUnknownServiceIsNoProofThatTheOwnerHasEnded(t *testing.T) {
+	g := gomega.NewWithT(t)
+	k, s := owned(t)
+	delete(s.Servers, "a")
+	s.Servers["c"] = site.Server{ID: "c", Service: "unknown", Address: "x"}
+	g.Expect(k.Plan(s, 3, keeperStart)).To(gomega.BeNil())
+}
