Range grants: only a server of a known service proves that an owner has ended

With the owner's entry broken and an entry of another writer that named its address, its keys were given away while its holds were in force. Change: such an entry must be of a service that the configuration names.

--- a/gateway/ranges/plan.go
+++ b/gateway/ranges/plan.go
@@ -209,7 +209,8 @@
 }
 
 // replaced reports whether a server of another name has the owner's address: then
-// the owner has ended, and no call reaches a later run of it there.
+// the owner has ended, and no call reaches a later run of it there. An entry of a
+// service that no configuration names comes from another writer, and proves nothing.
 func (l *lease) replaced(s Site, now time.Time) bool {
 	if now.Before(l.earlierUntil) {
 		return false
@@ -219,7 +220,8 @@
 		return false
 	}
 	for _, server := range s.Servers {
-		if server.Address == owner.Address && server.ID.Name() != l.Server.Name() {
+		_, isNamed := s.Services[server.Service]
+		if isNamed && server.Address == owner.Address && server.ID.Name() != l.Server.Name() {
 			return true
 		}
 	}
