Traffic: the counters of a connection are looked up once

Each read and write of a connection to a server or node put a name together and looked it up. A meter holds its two counters now. What is counted and under which names stays; the test's assertions are the same.

--- a/gateway/traffic/traffic.go
+++ b/gateway/traffic/traffic.go
@@ -23,34 +23,40 @@
 )
 
 // Meter counts the bytes of connections to one kind of peer in one place.
-type Meter struct{ name string }
+type Meter struct {
+	name           string
+	sent, received *expvar.Int
+}
 
 // Between returns the meter of connections between a node in a zone and a peer in
-// another or the same one; a zone may be empty if it is not known.
+// another or the same one; a zone may be empty if it is not known. It is made once
+// for a connection, so that no name is looked up for each read and write.
 func Between(peer Peer, own, other string) Meter {
+	name := string(peer) + " other zones"
 	switch {
 	case own == "" || other == "":
-		return Meter{string(peer) + " zone not known"}
+		name = string(peer) + " zone not known"
 	case own == other:
-		return Meter{string(peer) + " own zone"}
+		name = string(peer) + " own zone"
 	}
-	return Meter{string(peer) + " other zones"}
+	return Meter{name: name, sent: counter(name + " sent"), received: counter(name + " received")}
+}
+
+// counter returns the counter of a name.
+func counter(name string) *expvar.Int {
+	counters.Add(name, 0) // makes it, if it is the first use
+	count, _ := counters.Get(name).(*expvar.Int)
+	return count
 }
 
 // Sent counts bytes that were written.
-func (m Meter) Sent(n int) { counters.Add(m.name+" sent", int64(n)) }
+func (m Meter) Sent(n int) { m.sent.Add(int64(n)) }
 
 // Received counts bytes that were read.
-func (m Meter) Received(n int) { counters.Add(m.name+" received", int64(n)) }
+func (m Meter) Received(n int) { m.received.Add(int64(n)) }
 
-// Bytes returns what has been counted, for one direction, "sent" or "received".
-func (m Meter) Bytes(direction string) int64 {
-	count, ok := counters.Get(m.name + " " + direction).(*expvar.Int)
-	if !ok {
-		return 0 // nothing yet
-	}
-	return count.Value()
-}
+// Bytes returns what has been counted.
+func (m Meter) Bytes() (sent, received int64) { return m.sent.Value(), m.received.Value() }
 
 // Reader returns a reader that counts what it reads.
 func (m Meter) Reader(r io.Reader) io.Reader { return &reader{r, m} }
--- a/gateway/traffic/traffic_test.go
+++ b/gateway/traffic/traffic_test.go
@@ -27,5 +27,8 @@
 	g.Expect(counted.Close()).To(gomega.Succeed())
 	_, err = io.ReadAll(own.Reader(strings.NewReader("1234567")))
 	g.Expect(err).NotTo(gomega.HaveOccurred())
-	g.Expect([]int64{other.Bytes("received"), other.Bytes("sent"), own.Bytes("received"), own.Bytes("sent"), unknown.Bytes("sent")}).To(gomega.Equal([]int64{5, 3, 7, 0, 0}))
+	otherSent, otherReceived := other.Bytes()
+	ownSent, ownReceived := own.Bytes()
+	unknownSent, _ := unknown.Bytes()
+	g.Expect([]int64{otherReceived, otherSent, ownReceived, ownSent, unknownSent}).To(gomega.Equal([]int64{5, 3, 7, 0, 0}))
 }
