Router: a request in work is not given up because its server takes no connection

A server with as many connections as it takes ends new ones at once; the pool took that for a server that cannot be reached and blocked it; and two usual times after a send, a request whose server was blocked, or did not take a connection within 300 ms, was reset and tried anew.

Ruled out: hedges (the key has one owner, so there are none), the drain of callers' connections (the node had 5 s left), silence taken for an end by the kernel (4 s).

Change: no send is given up for that any more. For a service without keys the request is sent to a second server beside the first one, within attempts and budget; for a key, to the next owner once it has one. The look is made beside the request, whose answer it held up for 300 ms before. A server that ends a connection as it is opened is full, not lost.

The new tests fail on the former code (502 after 301 ms; NotReached).

Conclusion: the rule is kept by not acting on a suspicion.

--- a/gateway/pool/queue.go
+++ b/gateway/pool/queue.go
@@ -319,9 +319,9 @@
 	return now.Add(time.Duration(inTimeFactor * mean * float64(time.Second))).Before(w.Target)
 }
 
-// Try gives a request a place only if there is one at once and nobody waits.
+// Try gives a request a place only if there is one at once and nobody waits for it.
 func (p *Pool) Try(w *Waiter, now time.Time) (site.Server, bool) {
-	if len(p.queue) > 0 {
+	if slices.ContainsFunc(p.queue, func(other *Waiter) bool { return other.Only == w.Only }) {
 		return site.Server{}, false
 	}
 	m := p.pick(w, now)
--- /dev/null
+++ b/gateway/router/dispatch_test.go
@@ -0,0 +1,81 @@
+package router
+
+import (
+	"bufio"
+	"context"
+	"net"
+	"net/http"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"github.com/burdockspindle/burdockspindle/gateway/pool"
+	"github.com/burdockspindle/burdockspindle/gateway/site"
+	"github.com/burdockspindle/burdockspindle/gateway/upstream"
+)
+
+// owningServer answers each request after a while, whoever asks, and tells what has come.
+func owningServer(t *testing.T, after time.Duration) (address string, came <-chan struct{}) {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	gomega.NewWithT(t).Expect(err).NotTo(gomega.HaveOccurred())
+	t.Cleanup(func() { _ = listener.Close() })
+	requests := make(chan struct{}, 10)
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer func() { _ = conn.Close() }()
+				if _, err := http.ReadRequest(bufio.NewReader(conn)); err != nil {
+					return
+				}
+				requests <- struct{}{}
+				time.Sleep(after)
+				_, _ = conn.Write([]byte("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"))
+			}()
+		}
+	}()
+	return listener.Addr().String(), requests
+}
+
+// On a grown site servers with many connections turned new ones away, and then counted
+// as lost: 138 requests in two seconds that they had in work were broken off and answered
+// with 502, one of them by a node that had been told to shut down.
+func TestARequestInWorkIsNotGivenUpWhenItsServerTakesNoConnection(t *testing.T) {
+	for _, keyed := range []bool{true, false} {
+		g := gomega.NewWithT(t)
+		x := keyedExchange(t)
+		x.keyed = keyed
+		x.request = upstream.Request{Method: http.MethodGet, Target: "/", Host: "h"}
+		address, came := owningServer(t, 3*leastSuspect)
+		server := site.Server{ID: "b", Service: "s", Address: address, Slots: 4}
+		x.service.update([]site.Server{server}, 1)
+		go func() {
+			<-came
+			x.service.done(site.Server{ID: "b"}, pool.Outcome{Failed: true, NotReached: true})
+		}()
+		ctx, cancel := context.WithDeadline(context.Background(), x.deadline)
+		defer cancel()
+		end := x.run(ctx)
+		g.Expect(end.failure).To(gomega.BeEmpty(), "%v", x.trail.steps)
+		g.Expect(end.answer).NotTo(gomega.BeNil())
+		g.Expect(string(end.answer.Body)).To(gomega.Equal("ok"))
+	}
+}
+
+// A server that is full and turns a connection away is not lost.
+func TestAServerThatTurnsAConnectionAwayIsFull(t *testing.T) {
+	g := gomega.NewWithT(t)
+	x := keyedExchange(t)
+	away := &upstream.AttemptError{Server: "b", TurnedAway: true, Cause: syscall.ECONNRESET}
+	outcome := x.outcome(context.Background(), sent{err: away})
+	g.Expect(outcome).To(gomega.Equal(pool.Outcome{NoRoom: true}))
+	lost := &upstream.AttemptError{Server: "b", Cause: syscall.ECONNREFUSED}
+	outcome = x.outcome(context.Background(), sent{err: lost})
+	g.Expect(outcome).To(gomega.Equal(pool.Outcome{Failed: true, NotReached: true}))
+}
--- a/gateway/router/owner.go
+++ b/gateway/router/owner.go
@@ -45,6 +45,14 @@
 	return found && route.Server == server && route.State == ranges.Ready
 }
 
+// readyOwner returns the server that owns the request's key now, if it serves it.
+func (x *exchange) readyOwner() (site.ServerID, bool) {
+	now := x.router.state.Now()
+	route, found := now.RouteOf(x.service.name, x.key)
+	isReady := found && route.State == ranges.Ready && !now.StartedAgain(route.Server)
+	return route.Server, isReady
+}
+
 // owner returns the server that owns the request's key, and waits for one while
 // the key changes hands, or until it has been granted to the next run of its owner.
 func (x *exchange) owner(ctx context.Context) (site.ServerID, *refusal) {
--- a/gateway/router/owner_test.go
+++ b/gateway/router/owner_test.go
@@ -43,7 +43,7 @@
 	routes := view.Routes{Offset: 1, Services: map[site.ServiceName][]ranges.Route{"s": {all}}}
 	g.Expect(state.MergeRoutes(routes)).To(gomega.BeTrue())
 	terms := Terms{Retries: budget.Terms{Ratio: 0.2, Slack: 10, Window: 10 * time.Second}}
-	headers := upstream.Headers{ParseLoad: func(string) (site.Load, bool) { return site.Load{}, false }}
+	headers := upstream.Headers{Timeout: "Timeout", ExpectedServer: "Expected", ParseLoad: func(string) (site.Load, bool) { return site.Load{}, false }}
 	r := New("a", headers, terms, state, upstream.NewClient(headers, "a"), follow.NewReports(), hclog.NewNullLogger())
 	now := time.Now()
 	return &exchange{
@@ -102,10 +102,10 @@
 	for range 20 {
 		x.service.countRequest() // which lets some be sent again
 	}
-	server, isThere := x.hedgePlace()
+	server, isThere := x.hedgePlace(site.Server{})
 	g.Expect(isThere).To(gomega.BeTrue(), "there is room")
 	x.service.done(server, pool.Outcome{Abandoned: true})
 	x.caller = leftCaller{}
-	_, isThere = x.hedgePlace()
+	_, isThere = x.hedgePlace(site.Server{})
 	g.Expect(isThere).To(gomega.BeFalse())
 }
--- a/gateway/router/run.go
+++ b/gateway/router/run.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"net/http"
-	"slices"
 	"syscall"
 	"time"
 
@@ -14,18 +13,9 @@
 )
 
 const (
-	// hedgeFactor is after how many usual times an idempotent request without an
-	// answer is also sent to a second server.
-	hedgeFactor = 3.0
-	// hedgeShare is the least share of the latency objective before that.
-	hedgeShare = 0.6
 	// leastTimeShare is the share of a usual service time that must be left for a
 	// request to go on waiting: many requests are shorter than usual.
 	leastTimeShare = 0.5
-	// suspectFactor is after how many usual times without an answer a new
-	// connection to the server is tried, and leastSuspect the least time.
-	suspectFactor = 2.0
-	leastSuspect  = 250 * time.Millisecond
 	// ownerPause is how long to wait for news when the owner of a key refused.
 	ownerPause = 250 * time.Millisecond
 	// ownerWait bounds how long a request waits for the next owner of its key: a
@@ -61,47 +51,32 @@
 
 // run has the request run. It returns when there is an answer, or none will come.
 func (x *exchange) run(ctx context.Context) result {
-	outcomes := make(chan sent, mostTries+1)
-	running := 0
-	attempts := newAttempts(ctx)
-	defer func() { attempts.cancel() }()
-	var hedge <-chan time.Time
-	var suspect <-chan time.Time
-	var last site.Server
+	sending, cancel := context.WithCancel(ctx)
+	defer cancel()
+	d := newDispatch(sending, x)
 	for {
-		if running == 0 {
+		if d.running == 0 {
 			server, end := x.placeToSend(ctx)
 			if end != nil {
 				return *end
 			}
-			x.start(attempts.ctx, server, outcomes)
-			running++
-			last = server
-			hedge = x.hedgeTimer()
-			suspect = x.suspectTimer()
+			d.sendTo(server)
 		}
 		select {
-		case s := <-outcomes:
-			running--
-			if x.isFinal(s) {
-				return x.final(s)
-			}
-		case <-hedge:
-			hedge = nil
-			if server, ok := x.hedgePlace(); ok {
-				x.start(attempts.ctx, server, outcomes)
-				running++
-			}
-		case <-suspect:
-			suspect = nil
-			if x.router.unreachable(ctx, x.service, last) {
-				x.trail.note(string(last.ID) + " takes no connection")
-				attempts.cancel()
-				attempts = newAttempts(ctx)
+		case ended := <-d.outcomes:
+			d.running--
+			if x.isFinal(ended) {
+				return x.final(ended)
 			}
+		case <-d.hedge:
+			d.sendBeside()
+		case <-d.suspect:
+			d.look()
+		case isLost := <-d.looked:
+			d.takeLook(isLost)
 		case <-ctx.Done():
 			x.mayHaveRun = true
-			x.trail.note("sent to " + string(last.ID) + ", no answer yet")
+			x.trail.note("sent to " + string(d.last.ID) + ", no answer yet")
 			return x.giveUp(&refusal{status: http.StatusGatewayTimeout, reason: "timeout"})
 		}
 	}
@@ -128,47 +103,21 @@
 	return server, nil
 }
 
-// attempts are the sends that are given up together.
-type attempts struct {
-	ctx    context.Context
-	cancel context.CancelFunc
-}
-
-func newAttempts(ctx context.Context) attempts {
-	ctx, cancel := context.WithCancel(ctx)
-	return attempts{ctx: ctx, cancel: cancel}
-}
-
-// start sends the request to a server. The place is given back when it ends.
-func (x *exchange) start(ctx context.Context, server site.Server, outcomes chan<- sent) {
-	x.sends++
-	x.tries++
-	if !slices.Contains(x.tried, server.ID) {
-		x.tried = append(x.tried, server.ID)
-	}
-	request := x.request
-	request.Left = time.Until(x.deadline)
-	request.Fresh = x.route.Kind == site.AtMostOnce
-	go func() {
-		startedAt := time.Now()
-		answer, err := x.router.client.Send(ctx, server, &request)
-		s := sent{server: server, answer: answer, err: err, took: time.Since(startedAt)}
-		x.service.done(server, x.outcome(ctx, s))
-		outcomes <- s
-	}()
-}
-
 // outcome tells the pool how an attempt ended.
 func (x *exchange) outcome(ctx context.Context, s sent) pool.Outcome {
 	if s.err != nil {
 		var attempt *upstream.AttemptError
-		notReached := errors.As(s.err, &attempt) && !attempt.Sent && ctx.Err() == nil
+		isOver := ctx.Err() != nil
+		isAttempt := errors.As(s.err, &attempt)
+		if isAttempt && attempt.TurnedAway {
+			return pool.Outcome{Took: s.took, NoRoom: !isOver, Abandoned: isOver}
+		}
 		return pool.Outcome{
 			Took:       s.took,
-			Failed:     ctx.Err() == nil,
-			Reset:      ctx.Err() == nil && errors.Is(s.err, syscall.ECONNRESET),
-			NotReached: notReached,
-			Abandoned:  ctx.Err() != nil,
+			Failed:     !isOver,
+			Reset:      !isOver && errors.Is(s.err, syscall.ECONNRESET),
+			NotReached: !isOver && isAttempt && !attempt.Sent,
+			Abandoned:  isOver,
 		}
 	}
 	if x.keyed && !s.answer.NotRun {
@@ -325,41 +274,3 @@
 func (x *exchange) waiter() *pool.Waiter {
 	return &pool.Waiter{Priority: x.route.Priority, Since: x.arrived, Target: x.target, Deadline: x.deadline, Not: x.tried, Once: x.route.Kind == site.AtMostOnce}
 }
-
-// hedgeTimer returns when to send an idempotent request to a second server; nil
-// for never.
-func (x *exchange) hedgeTimer() <-chan time.Time {
-	if x.keyed || x.route.Kind != site.Idempotent || x.sends >= x.route.Attempts {
-		return nil
-	}
-	usual := time.Duration(hedgeFactor * float64(x.service.typicalTime()))
-	least := time.Duration(hedgeShare * float64(x.route.Target))
-	return time.After(max(usual, least))
-}
-
-// suspectTimer returns when to look whether the server of an idempotent request
-// can still be reached; nil for never. A request that must not run twice waits
-// for its answer as long as its time allows.
-func (x *exchange) suspectTimer() <-chan time.Time {
-	if x.route.Kind != site.Idempotent {
-		return nil
-	}
-	return time.After(max(leastSuspect, time.Duration(suspectFactor*float64(x.service.typicalTime()))))
-}
-
-// hedgePlace returns a place at a second server if one is free, the budget allows it
-// and the caller still waits.
-func (x *exchange) hedgePlace() (site.Server, bool) {
-	if x.callerLeft() {
-		return site.Server{}, false
-	}
-	server, ok := x.service.tryAsk(x.waiter())
-	if !ok {
-		return site.Server{}, false
-	}
-	if !x.service.spendRetry() {
-		x.service.done(server, pool.Outcome{Abandoned: true})
-		return site.Server{}, false
-	}
-	return server, true
-}
--- a/gateway/upstream/client.go
+++ b/gateway/upstream/client.go
@@ -129,7 +129,7 @@
 		cn = newConn(raw, c.meter(server))
 		if err := cn.settle(time.Now()); err != nil {
 			reset(raw)
-			return nil, &AttemptError{Server: server.ID, Cause: err}
+			return nil, &AttemptError{Server: server.ID, TurnedAway: isEnd(err), Cause: err}
 		}
 	}
 	answer, reusable, err := c.exchange(ctx, cn, r, head, !control)
--- a/gateway/upstream/conn.go
+++ b/gateway/upstream/conn.go
@@ -3,9 +3,11 @@
 import (
 	"bufio"
 	"errors"
+	"io"
 	"net"
 	"strconv"
 	"strings"
+	"syscall"
 	"time"
 
 	"github.com/burdockspindle/burdockspindle/gateway/socket"
@@ -71,6 +73,10 @@
 	return c.net.SetReadDeadline(time.Time{})
 }
 
+// isEnd reports whether an error of reading tells that the server ended the
+// connection.
+func isEnd(err error) bool { return errors.Is(err, io.EOF) || errors.Is(err, syscall.ECONNRESET) }
+
 // unexpectedBytesError tells that a connection has bytes that no request waits
 // for.
 type unexpectedBytesError struct{}
--- a/gateway/upstream/errors.go
+++ b/gateway/upstream/errors.go
@@ -11,8 +11,11 @@
 	Server site.ServerID
 	// Sent tells that bytes of the request may have reached the server, so that
 	// it may have run.
-	Sent  bool
-	Cause error
+	Sent bool
+	// TurnedAway tells that the server took a new connection and ended it at once, as
+	// servers do that have as many as they take: it lives, and is full.
+	TurnedAway bool
+	Cause      error
 }
 
 // Error implements error.
--- a/gateway/upstream/settle_test.go
+++ b/gateway/upstream/settle_test.go
@@ -43,5 +43,6 @@
 		var attempt *AttemptError
 		g.Expect(errors.As(err, &attempt)).To(gomega.BeTrue())
 		g.Expect(attempt.Sent).To(gomega.BeFalse())
+		g.Expect(attempt.TurnedAway).To(gomega.BeTrue())
 	}
 }
