Follow: few nodes read the store, whatever the site's size; a register is told by its changes

Change: package follow decides purely who reads (turn.go): the lessor; the strongest node of each zone when its news are 1.2 s old; the others one after the other when theirs are 1.5 s old. Nodes that start ask the seeds of their settings, which read, and read themselves after 0.8 s, spread over two more. What others told is not read again: a turn reads on from the told offset. After failures the pause doubles, and one of the loops finds out when the store is back. A node tries all relays of its zone, the lessor and the first nodes of other zones before it counts as alone. Registers are told as changes, checked by a sum, or whole and compressed. Since seeds may be weak, a lessor gives its lease to a node twice as strong, once. A new event tells who reads and why.

Ruled out: caching pages at the seeds only (restarts and lost relays remain); an election of readers by the store's groups (each join is a call).

Tests of SetDirect use told news instead; the test of a small zone names the new last resorts.

--- a/gateway/duty/duty.go
+++ b/gateway/duty/duty.go
@@ -52,11 +52,6 @@
 	// settleTime is for how long the register must keep its size before ranges
 	// are cut for a service that has none: servers write once in about a second.
 	settleTime = 1300 * time.Millisecond
-	// resignAfter is for how long most owners must be silent, while the lessor
-	// has held the lease, before it gives the lease to a node that may reach them.
-	resignAfter = 2 * time.Second
-	// claimBreak is how long a node that resigned so does not claim.
-	claimBreak = 6 * time.Second
 )
 
 // Duty is the lessor's duty of one node.
@@ -91,6 +86,8 @@
 	shown        uint64 // serial of the routes that the view has
 	resigning    chan struct{}
 	leaving      bool // the node shuts down
+	yielding     bool // the lease is to go to a stronger node
+	yieldedAt    time.Time
 	givenUp      bool // the record that gives the lease up may be in the store
 	registered   int  // servers in the register, since registeredAt
 	registeredAt time.Time
@@ -137,29 +134,14 @@
 	}
 }
 
-// Resign gives the lease up, if the node has it, and ends the node's claims. It
-// returns when the store has taken that, or ctx ends. While the store does not
-// answer the duty goes on: nobody else could take it over.
-func (d *Duty) Resign(ctx context.Context) {
-	done := make(chan struct{})
-	select {
-	case d.resign <- done:
-	case <-ctx.Done():
-		return
-	}
-	select {
-	case <-done:
-	case <-ctx.Done():
-	}
-}
-
 // step does what is due now.
 func (d *Duty) step(ctx context.Context, now time.Time) {
 	if d.keeper == nil {
 		d.consider(ctx, now)
 		return
 	}
-	if d.givenUp || d.resigning != nil && d.writable(now) {
+	d.considerYielding(now)
+	if d.givenUp || (d.resigning != nil || d.yielding) && d.writable(now) {
 		// The next lessor waits with moves for grants that have no answer.
 		if !d.keeper.Calling() {
 			d.giveUp(ctx)
@@ -332,21 +314,3 @@
 	}
 	return now.Sub(d.registeredAt) > settleTime
 }
-
-// mustResign reports whether most owners have been silent to this node for so
-// long that another node had better be lessor.
-func (d *Duty) mustResign(now time.Time) bool {
-	silent, owners := d.keeper.Silent(d.State.Now().Servers.Servers)
-	return owners > 2 && 2*silent > owners && now.Sub(d.lessorSince) > resignAfter && len(d.State.Now().Members) > 1
-}
-
-// giveUp appends the record that gives the lease up. Nothing is granted any more.
-func (d *Duty) giveUp(ctx context.Context) {
-	if d.appending != nil {
-		return
-	}
-	d.givenUp = true
-	eventResigning.Log(d.Logger, "offset", d.end)
-	now := clock.Now()
-	d.append(ctx, &pendingAppend{resigns: true, held: d.keeper.Held(now), doubt: d.keeper.Doubt(now)})
-}
--- a/gateway/duty/outcome.go
+++ b/gateway/duty/outcome.go
@@ -66,6 +66,7 @@
 	case p.resigns:
 		eventResigned.Log(d.Logger, "offset", p.at)
 		d.stop()
+		d.Feed.SetResigned(true)
 	}
 }
 
@@ -77,6 +78,7 @@
 	d.lessorSince = now
 	d.shown = 0
 	d.isLessor.Store(true)
+	d.Feed.SetResigned(false)
 	lessorIs.Set(1)
 	d.Reader.SetLessor(true)
 	d.table = view.Table{Offset: p.at, Table: p.claim}
@@ -96,6 +98,7 @@
 func (d *Duty) stop() {
 	d.keeper = nil
 	d.givenUp = false
+	d.yielding = false
 	d.isLessor.Store(false)
 	lessorIs.Set(0)
 	showGrants(ranges.GrantAges{})
--- /dev/null
+++ b/gateway/duty/yield_test.go
@@ -0,0 +1,49 @@
+package duty
+
+import (
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/onsi/gomega"
+
+	"github.com/burdockspindle/burdockspindle/gateway/follow"
+	"github.com/burdockspindle/burdockspindle/gateway/ranges"
+	"github.com/burdockspindle/burdockspindle/gateway/view"
+)
+
+// Of 295 nodes 15 are strong. Seeds are the first to read the store, and may be weak:
+// the lease then goes to a strong node, once.
+func TestAWeakLessorGivesItsLeaseToAStrongNode(t *testing.T) {
+	g := gomega.NewWithT(t)
+	start := time.Unix(1000, 0)
+	lessorOf := func(strength float64, others ...float64) *Duty {
+		d := New()
+		d.Logger = hclog.NewNullLogger()
+		d.Self = ranges.Lessor{Node: "self"}
+		d.Member = view.Member{Node: "self", Strength: strength}
+		d.State = view.NewState()
+		d.Reader = new(follow.Reader)
+		members := []view.Member{d.Member}
+		for _, other := range others {
+			members = append(members, view.Member{Node: "other", Strength: other})
+		}
+		d.State.SetMembers(members)
+		d.lessorSince = start
+		return d
+	}
+	yields := func(d *Duty, after time.Duration) bool {
+		d.considerYielding(start.Add(after))
+		return d.yielding
+	}
+	g.Expect(yields(lessorOf(0.03, 0.03, 0.8), yieldAfter)).To(gomega.BeTrue())
+	g.Expect(yields(lessorOf(0.03, 0.8), yieldAfter-1)).To(gomega.BeFalse(), "the others may not have told of themselves yet")
+	g.Expect(yields(lessorOf(0.32, 0.32, 0.5), yieldAfter)).To(gomega.BeFalse(), "about as strong")
+	g.Expect(yields(lessorOf(0, 0), yieldAfter)).To(gomega.BeFalse(), "nobody's strength is known")
+
+	d := lessorOf(0.03, 0.8)
+	g.Expect(yields(d, yieldAfter)).To(gomega.BeTrue())
+	d.stop()
+	g.Expect(d.yielding).To(gomega.BeFalse())
+	g.Expect(yields(d, 2*yieldAfter+claimBreak)).To(gomega.BeFalse(), "it had to claim again: the strong one cannot take the lease")
+}
--- a/gateway/follow/behind_test.go
+++ b/gateway/follow/behind_test.go
@@ -59,7 +59,6 @@
 		g := gomega.NewWithT(t)
 		paged := &pagedStore{records: 12}
 		r := &Reader{Store: paged, Codec: namesOnly{}, State: view.NewState(), Contact: &Contact{}, Logger: hclog.NewNullLogger()}
-		r.SetDirect(true)
 		r.Contact.Note(store.Configurations, time.Now())
 		ctx, cancel := context.WithCancel(context.Background())
 		done := make(chan struct{})
--- a/gateway/follow/feed.go
+++ b/gateway/follow/feed.go
@@ -29,13 +29,11 @@
 	// followTimeout ends a call whose answer does not come.
 	followTimeout = followWait + 400*time.Millisecond
 	// staleContact is the age of the lessor's contact with the store beyond which
-	// its followers read the store themselves: one read of each topic may fail, and
-	// a draining server is still noticed by all nodes within two seconds.
+	// others do not rely on it: one read of each topic may fail.
 	staleContact = 950 * time.Millisecond
 	// staleRelay is the same for what a relay tells. A relay hears from the lessor
-	// every followWait, so what it tells is that much older; it reads the store
-	// itself at staleContact, before its followers do.
-	staleRelay = 1400 * time.Millisecond
+	// every followWait, so what it tells is that much older.
+	staleRelay = 1500 * time.Millisecond
 	// MemberTimeout is how long a node counts after its latest call. A lessor knows
 	// all nodes after it.
 	MemberTimeout = 2 * time.Second
@@ -52,17 +50,18 @@
 	// Reports receives the reports of followers; a full channel drops them.
 	Reports chan Report
 
-	configText, serversText encoded
+	configText encoded
+	servers    serversTeller
 
-	follows atomic.Bool // the node follows the lessor, directly or by way of another
+	follows  atomic.Bool // the node follows the lessor, directly or by way of another
+	resigned atomic.Bool // the node was the lessor and has given the lease up
 
 	mu      sync.Mutex
 	members map[string]seenMember // by node
 }
 
 // encoded keeps the JSON of the newest version of a part of the view: every
-// follower gets the same, and encoding it for each of 70 took most of a small
-// VM's processor while many servers came and went.
+// follower gets the same.
 type encoded struct {
 	mu      sync.Mutex
 	version int64
@@ -130,6 +129,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, wait)
 	defer cancel()
+	f.awaitContact(ctx)
 	for {
 		changed := f.State.Changed()
 		if f.differs(asked) {
@@ -144,6 +144,16 @@
 	}
 }
 
+// awaitContact waits until a node that starts knows the store, since those that ask it
+// could not rely on its answer before.
+func (f *Feed) awaitContact(ctx context.Context) {
+	for {
+		if _, known := f.Contact.Age(); known || !clock.Wait(ctx, idleEvery) {
+			return
+		}
+	}
+}
+
 // staleAfter returns the age of a node's contact with the store beyond which its
 // followers do not rely on it.
 func staleAfter(isLessor bool) time.Duration {
@@ -156,6 +166,9 @@
 // SetFollows tells whether the node follows the lessor.
 func (f *Feed) SetFollows(follows bool) { f.follows.Store(follows) }
 
+// SetResigned tells whether the node was the lessor last and has given the lease up.
+func (f *Feed) SetResigned(resigned bool) { f.resigned.Store(resigned) }
+
 func (f *Feed) differs(asked *bspb.FollowRequest) bool {
 	v := f.State.Now()
 	return v.Config != nil && uint64(v.Config.Version) > asked.ConfigVersion ||
@@ -169,17 +182,19 @@
 }
 
 func (f *Feed) reply(asked *bspb.FollowRequest) (*bspb.FollowReply, error) {
-	v := f.State.Now()
 	reply := &bspb.FollowReply{ContactAgeMs: -1, IsLessor: f.IsLessor(), FollowsLessor: f.follows.Load()}
 	if age, known := f.Contact.Age(); known {
 		reply.ContactAgeMs = age.Milliseconds()
 	}
+	reply.ServersNext = int64(f.Contact.Next()) // before the view, which holds at least that
+	v := f.State.Now()
+	reply.Resigned = f.resigned.Load() && v.Routes.Lessor.Boot == f.Self.Boot
 	var err error
 	if v.Config != nil && uint64(v.Config.Version) > asked.ConfigVersion {
 		reply.Config, err = f.configText.of(int64(v.Config.Version), v.Config)
 	}
 	if err == nil && int64(v.Servers.Offset) > asked.ServersOffset {
-		reply.Servers, err = f.serversText.of(int64(v.Servers.Offset), v.Servers)
+		err = f.servers.tell(reply, asked, v)
 	}
 	if routesDiffer(v, asked) {
 		reply.Routes = routesMessage(v.Routes)
--- a/gateway/follow/feed_test.go
+++ b/gateway/follow/feed_test.go
@@ -56,7 +56,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		g := gomega.NewWithT(t)
 		feed := newFeedOf("relay", false)
-		feed.Contact.NoteAll(clock.Now().Add(-staleRelay + 100*time.Millisecond))
+		feed.Contact.NoteTold(clock.Now().Add(-staleRelay+100*time.Millisecond), 0)
 		startedAt := time.Now()
 		ask := func() *bspb.FollowReply {
 			reply, err := feed.Follow(context.Background(), connect.NewRequest(&bspb.FollowRequest{WaitMs: 500}))
@@ -94,12 +94,9 @@
 func TestContactIsNotYoungerThanTheReply(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g := gomega.NewWithT(t)
-		f := &Follower{Reader: &Reader{Contact: new(Contact)}}
 		startedAt := clock.Now()
 		time.Sleep(700 * time.Millisecond)
-		f.noteContact(&bspb.FollowReply{ContactAgeMs: 200, HeldMs: 400}, startedAt)
-		age, known := f.Reader.Contact.Age()
-		g.Expect(known).To(gomega.BeTrue())
-		g.Expect(age).To(gomega.BeNumerically("~", 500*time.Millisecond, 5*time.Millisecond))
+		at := knownAt(&bspb.FollowReply{ContactAgeMs: 200, HeldMs: 400}, startedAt)
+		g.Expect(clock.Since(at)).To(gomega.BeNumerically("~", 500*time.Millisecond, 5*time.Millisecond))
 	})
 }
--- a/gateway/follow/follower.go
+++ b/gateway/follow/follower.go
@@ -13,6 +13,7 @@
 
 	"github.com/burdockspindle/burdockspindle/clock"
 	"github.com/burdockspindle/burdockspindle/gateway/site"
+	"github.com/burdockspindle/burdockspindle/gateway/store"
 	"github.com/burdockspindle/burdockspindle/gateway/traffic"
 	"github.com/burdockspindle/burdockspindle/gateway/upstream"
 	"github.com/burdockspindle/burdockspindle/gateway/view"
@@ -33,6 +34,7 @@
 	client  *http.Client
 	clients map[string]bspbconnect.GatewayClient
 	behind  bool                 // no node is followed
+	relied  string               // address of the node that had fresh news last; empty: none
 	avoid   map[string]time.Time // until when relays are not followed, by address
 	// toldFollowers is the hash of the followers that each source knows of this
 	// node, by address.
@@ -40,32 +42,43 @@
 }
 
 // SetSeeds sets the addresses of nodes that may know the site at start. It is
-// called before Run, and whenever they change.
-func (f *Follower) SetSeeds(seeds []string) { f.seeds.Store(&seeds) }
+// called before Run and before the reader begins, and whenever they change.
+func (f *Follower) SetSeeds(seeds []string) {
+	f.seeds.Store(&seeds)
+	f.takeStanding()
+}
+
+// takeStanding tells the reader the node's place among those that may read.
+func (f *Follower) takeStanding() {
+	f.Reader.SetStanding(standingOf(f.Self, f.State.Now(), *f.seeds.Load()))
+}
 
 // connectTimeout ends an attempt to connect to another node.
 const connectTimeout = 400 * time.Millisecond
 
-// avoidRelay is for how long a relay that failed is not followed: about as long
-// as the lessor needs to tell that it is gone.
-const avoidRelay = 3 * time.Second
+const (
+	// avoidRelay is for how long a relay that failed is not followed: about as long
+	// as the lessor needs to tell that it is gone.
+	avoidRelay = 3 * time.Second
+	// avoidLessor is the same for the lessor, which is replaced within two seconds if
+	// it is gone; otherwise its relays should not be without it for long.
+	avoidLessor = time.Second
+)
 
-// Run follows the lessor, by way of a relay if there is one, until ctx ends.
-// While that fails, the node reads the store itself, and asks other nodes too if
-// the store does not answer.
+// Run follows the lessor, by way of a relay if there is one, until ctx ends. While
+// nobody has fresh news the node reads the store itself as its turn comes.
 func (f *Follower) Run(ctx context.Context) {
 	transport := &http.Transport{DialContext: f.dial, DisableCompression: true}
 	f.client = &http.Client{Transport: transport}
 	f.clients = map[string]bspbconnect.GatewayClient{}
 	f.avoid = map[string]time.Time{}
 	f.toldFollowers = map[string]uint64{}
-	f.Reader.SetDirect(true)
 	for turn := 0; ctx.Err() == nil; turn++ {
+		f.takeStanding()
 		if f.followSource(ctx) {
 			continue
 		}
 		f.Feed.SetFollows(false)
-		f.Reader.SetDirect(true)
 		if age, known := f.Reader.Contact.Age(); !known || age > staleContact {
 			f.askOther(ctx, turn)
 		}
@@ -92,47 +105,67 @@
 	return ""
 }
 
-// followSource makes one call to the node that this one follows and reports
-// whether it may rely on that node. If it may not, the store is read at once and
-// another node followed next.
+// followSource makes one call to the node that this one follows and reports whether
+// there is one. If it does not answer, or has no fresh news, another node is followed
+// next.
 func (f *Follower) followSource(ctx context.Context) bool {
-	if f.Reader.lessor.Load() || f.Reader.Ownership().Resigned {
+	if f.Reader.lessor.Load() {
 		return false
 	}
 	from, found := f.source(time.Now())
 	if !found {
 		return false
 	}
-	reply, err := f.follow(ctx, from.address, followWait)
+	wait := followWait
+	if from.address != f.relied && len(f.State.Now().Members) > 0 {
+		wait = 0 // first it must show that it has fresh news
+	}
+	f.relied = ""
+	reply, err := f.follow(ctx, from.address, wait)
 	if err != nil || from.lessor && !reply.IsLessor {
 		f.noteSource(true, from, err)
 		f.avoidFor(from)
-		return false
+		return f.hasOther(from)
 	}
-	isFresh := reply.ContactAgeMs >= 0 && time.Duration(reply.ContactAgeMs)*time.Millisecond < staleAfter(from.lessor)
-	f.Reader.SetDirect(!isFresh)
+	age := time.Duration(reply.ContactAgeMs) * time.Millisecond
+	isFresh := reply.ContactAgeMs >= 0 && age < staleAfter(from.lessor)
 	f.Feed.SetFollows(reply.IsLessor || reply.FollowsLessor)
-	f.noteSource(false, from, nil)
 	if !isFresh {
 		f.avoidFor(from)
+		return f.hasOther(from)
 	}
+	f.relied = from.address
+	f.noteSource(false, from, nil)
 	return true
 }
 
-// source returns the best source that did not fail lately.
+// source returns the best source that has not failed lately; if all have, the best
+// one.
 func (f *Follower) source(now time.Time) (best source, found bool) {
-	for _, s := range sources(f.Self, f.State.Now()) {
-		if s.lessor || now.After(f.avoid[s.address]) {
+	list := sources(f.Self, f.State.Now(), *f.seeds.Load())
+	for _, s := range list {
+		if now.After(f.avoid[s.address]) {
 			return s, true
 		}
 	}
-	return source{}, false
+	if len(list) == 0 {
+		return source{}, false
+	}
+	return list[0], true
+}
+
+// hasOther reports whether there is another source that has not failed lately.
+func (f *Follower) hasOther(than source) bool {
+	other, found := f.source(time.Now())
+	return found && other != than && time.Now().After(f.avoid[other.address])
 }
 
 func (f *Follower) avoidFor(s source) {
-	if !s.lessor {
-		f.avoid[s.address] = time.Now().Add(avoidRelay)
+	pause := avoidRelay
+	if s.lessor {
+		pause = avoidLessor
 	}
+	f.avoid[s.address] = time.Now().Add(pause)
 }
 
 func (f *Follower) noteSource(behind bool, from source, err error) {
@@ -190,8 +223,18 @@
 		return nil, err
 	}
 	f.toldFollowers[address] = response.Msg.FollowersHash
-	f.noteContact(response.Msg, startedAt)
-	return response.Msg, f.merge(response.Msg, address)
+	at := knownAt(response.Msg, startedAt)
+	isWhole, err := f.merge(response.Msg, address)
+	if err != nil {
+		return nil, err
+	}
+	if isWhole && response.Msg.ContactAgeMs >= 0 {
+		f.Reader.Contact.NoteTold(at, store.Offset(response.Msg.ServersNext))
+	}
+	if response.Msg.Resigned {
+		f.Reader.LookForLessor()
+	}
+	return response.Msg, nil
 }
 
 // tellFollowers adds the nodes that follow this one, if the other node does not
@@ -207,15 +250,12 @@
 	}
 }
 
-// noteContact takes up to when the other node knew the store. The reply may have
-// been on its way for what the other node did not hold the request.
-func (f *Follower) noteContact(reply *bspb.FollowReply, startedAt time.Time) {
-	if reply.ContactAgeMs < 0 {
-		return
-	}
+// knownAt returns up to when the other node knew the store. The reply may have been
+// on its way for what the other node did not hold the request.
+func knownAt(reply *bspb.FollowReply, startedAt time.Time) time.Time {
 	onItsWay := max(clock.Since(startedAt)-time.Duration(reply.HeldMs)*time.Millisecond, 0)
 	age := time.Duration(reply.ContactAgeMs)*time.Millisecond + onItsWay
-	f.Reader.Contact.NoteAll(clock.Now().Add(-age))
+	return clock.Now().Add(-age)
 }
 
 // describe names the parts of a view that the node has.
@@ -224,6 +264,7 @@
 		request.ConfigVersion = uint64(v.Config.Version)
 	}
 	request.ServersOffset = int64(v.Servers.Offset)
+	request.ServersSum = v.ServersSum()
 	request.TableOffset = int64(v.Routes.Offset)
 	if v.Routes.Lessor.Boot == "" {
 		request.TableOffset = -1
@@ -232,38 +273,37 @@
 	request.MembersHash = hashMembers(v.Members)
 }
 
-// merge takes what another node knows better.
-func (f *Follower) merge(reply *bspb.FollowReply, from string) error {
+// merge takes what another node knows better. isWhole is false if it told a change of a
+// register that this node does not have any more.
+func (f *Follower) merge(reply *bspb.FollowReply, from string) (isWhole bool, err error) {
 	if len(reply.Config) > 0 {
 		var config site.Config
 		if err := json.Unmarshal(reply.Config, &config); err != nil {
-			return err
+			return false, err
 		}
 		if f.State.MergeConfig(&config) {
 			logConfig(f.Logger, &config, from)
 		}
 	}
-	if len(reply.Servers) > 0 {
-		var servers view.Servers
-		if err := json.Unmarshal(reply.Servers, &servers); err != nil {
-			return err
-		}
-		before := f.State.Now().Servers.Servers
-		if f.State.MergeServers(servers) {
-			f.Reader.logServers(before)
-		}
+	before := f.State.Now().Servers
+	servers, isTold, err := toldRegister(reply, before)
+	if err != nil {
+		return false, err
+	}
+	if isTold && f.State.MergeServers(servers) {
+		f.Reader.logServers(before.Servers)
 	}
 	if reply.Routes != nil {
 		routes, ok := routesOf(reply.Routes)
 		if !ok {
-			return &MalformedError{From: from}
+			return false, &MalformedError{From: from}
 		}
 		f.State.MergeRoutes(routes)
 	}
 	if (reply.IsLessor || reply.FollowsLessor) && len(reply.Members) > 0 {
 		f.State.SetMembers(membersOf(reply.Members))
 	}
-	return nil
+	return isTold || reply.ServersChange == nil, nil
 }
 
 // MalformedError reports an answer of another node that cannot be understood.
--- a/gateway/follow/reader.go
+++ b/gateway/follow/reader.go
@@ -14,42 +14,55 @@
 	"github.com/burdockspindle/burdockspindle/gateway/view"
 )
 
-// Intervals of reading the store.
+// Intervals of reading the store, beside those that depend on who reads.
 const (
-	// readEvery is the interval of reading servers and ownership: each heartbeat
-	// of a server is a record, so waiting for the next one would be a call for
-	// every record.
-	readEvery = 400 * time.Millisecond
 	// configWait is how long a read of the configurations waits: they are rare,
 	// but a connection that goes silent meanwhile shows only after it.
 	configWait = 600 * time.Millisecond
 	// answerTime is what the way of an answer may take.
 	answerTime = 50 * time.Millisecond
-	// retryEvery is the pause after a call that failed.
-	retryEvery = 500 * time.Millisecond
 	// idleEvery is how often a reader that need not read looks whether it must.
 	idleEvery = 50 * time.Millisecond
+	// lookTime is how long a node that starts, and has found a lessor in the store,
+	// waits for news from it before it reads the rest.
+	lookTime = 500 * time.Millisecond
+	// lessorLook is for how long nodes look for a new lessor after one has resigned:
+	// a claim follows within half a second.
+	lessorLook = time.Second
 )
 
 // Reader reads the store.
 type Reader struct {
-	Store   store.Store
-	Codec   view.Codec
-	State   *view.State
-	Contact *Contact
-	Logger  hclog.Logger
-
-	direct    atomic.Bool // the node reads the store itself
-	lessor    atomic.Bool // the node holds the lessor's lease and needs no read of it
-	lost      atomic.Bool // the latest call failed
-	register  *Register
-	broken    brokenLog
-	mu        sync.Mutex
-	ownership Ownership
+	Store     store.Store
+	Codec     view.Codec
+	State     *view.State
+	Contact   *Contact
+	Logger    hclog.Logger
+	StartedAt time.Time // of the node
+
+	standing    atomic.Pointer[Standing]
+	lessor      atomic.Bool  // the node holds the lessor's lease and needs no read of it
+	lost        atomic.Bool  // the latest call failed
+	serversLost atomic.Bool  // the latest read of the servers failed
+	lookUntil   atomic.Int64 // until when the node looks for a new lessor, by the clock, in nanoseconds
+	register    *Register
+	broken      brokenLog
+	mu          sync.Mutex
+	ownership   Ownership
 }
 
-// SetDirect tells whether the node must read the store itself.
-func (r *Reader) SetDirect(direct bool) { r.direct.Store(direct) }
+// SetStanding tells the node's place among those that may read the store.
+func (r *Reader) SetStanding(s Standing) { r.standing.Store(&s) }
+
+// Standing returns the node's place among those that may read the store.
+func (r *Reader) Standing() Standing {
+	s := Standing{Rank: -1}
+	if known := r.standing.Load(); known != nil {
+		s = *known
+	}
+	s.IsLessor = r.lessor.Load()
+	return s
+}
 
 // SetLessor tells whether the node is the lessor.
 func (r *Reader) SetLessor(isLessor bool) { r.lessor.Store(isLessor) }
@@ -61,21 +74,38 @@
 	return r.ownership
 }
 
-func (r *Reader) mustRead() bool { return r.direct.Load() || r.lessor.Load() }
+// LookForLessor takes that the lessor has given its lease up: those whose turn to read
+// comes first look at once who takes it.
+func (r *Reader) LookForLessor() { r.lookUntil.Store(clock.Now().Add(lessorLook).UnixNano()) }
+
+// mustRead reports whether the node must read the store itself now.
+func (r *Reader) mustRead() bool {
+	age, wasTold := r.Contact.ToldAge()
+	if !wasTold {
+		age = clock.Since(r.StartedAt)
+	}
+	standing := r.Standing()
+	looks := standing.isFirst() && clock.Now().UnixNano() < r.lookUntil.Load()
+	return looks || standing.mayRead(age, wasTold)
+}
 
 // RunConfigurations follows the operator's configurations until ctx ends.
 func (r *Reader) RunConfigurations(ctx context.Context) {
 	next := store.Offset(-1)
+	failures := 0
 	for ctx.Err() == nil {
-		if !r.mustRead() {
+		// While the store does not answer one loop finds out when it does.
+		if !r.mustRead() || r.serversLost.Load() {
 			clock.Wait(ctx, idleEvery)
 			continue
 		}
 		batch, _, err := r.readFrom(ctx, store.Configurations, next, configWait)
 		if err != nil {
-			clock.Wait(ctx, retryEvery)
+			failures++
+			clock.Wait(ctx, r.Standing().retryPause(failures))
 			continue
 		}
+		failures = 0
 		next = batch.Next
 		for _, record := range batch.Records {
 			r.takeConfig(record)
@@ -145,35 +175,25 @@
 // ends.
 func (r *Reader) RunServers(ctx context.Context) {
 	r.register = NewRegister()
-	next, ownership := store.Offset(-1), store.Offset(-1)
+	turn := readTurn{servers: -1, ownership: -1}
 	for ctx.Err() == nil {
-		if !r.mustRead() || r.lessor.Load() {
-			// What was written meanwhile is not read page by page: its newest records
-			// say it all. A node 23 pages behind knew only after 9 s that the lease
-			// was given up.
-			ownership = -1
-		}
 		if !r.mustRead() {
+			r.endTurn(&turn)
 			r.showServers(clock.Now())
 			clock.Wait(ctx, idleEvery)
 			continue
 		}
-		startedAt := time.Now()
-		batch, isSnapshot, err := r.readFrom(ctx, store.Servers, next, 0)
-		if err == nil {
-			r.takeServers(batch, isSnapshot)
-			next = batch.Next
-		} else {
-			r.register.Failed(clock.Now())
-		}
-		isBehind := err == nil && !isWhole(batch)
-		if err == nil && !r.lessor.Load() {
-			ownership, err = r.readOwnership(ctx, ownership)
+		if !turn.reads {
+			r.beginTurn(ctx, &turn)
+			continue
 		}
-		pause := readEvery - time.Since(startedAt)
+		startedAt := time.Now()
+		isBehind, err := r.readBoth(ctx, &turn)
+		pause := r.Standing().interval() - time.Since(startedAt)
 		switch {
 		case err != nil:
-			pause = retryEvery
+			turn.failures++
+			pause = r.Standing().retryPause(turn.failures)
 		case isBehind:
 			pause = 0
 		}
@@ -181,6 +201,70 @@
 	}
 }
 
+// readTurn is a time in which a node reads servers and ownership.
+type readTurn struct {
+	reads              bool
+	servers, ownership store.Offset // to read on from; negative: a snapshot
+	failures           int          // calls in a row that failed
+}
+
+// beginTurn begins to read the store. What others told is not read again. A node that
+// starts looks first whether there is a lessor that can tell it the rest.
+func (r *Reader) beginTurn(ctx context.Context, t *readTurn) {
+	t.reads = true
+	t.failures = 0
+	standing := r.Standing()
+	age, wasTold := r.Contact.ToldAge()
+	eventReading.Log(r.Logger, "reason", standing.reason(wasTold), "rank", standing.Rank, "toldAge", age)
+	if told := r.Contact.Next(); told > t.servers && r.State.Now().Servers.Offset > 0 {
+		r.register.Adopt(r.State.Now().Servers, told, clock.Now())
+		t.servers = told
+	}
+	if wasTold || standing.isFirst() {
+		return
+	}
+	from, err := r.readOwnership(ctx, t.ownership)
+	if err == nil && r.State.Now().Routes.Lessor.Boot != "" {
+		t.ownership = from
+		clock.Wait(ctx, lookTime)
+	}
+}
+
+// endTurn takes that the node need not read the store. The ownership topic's records
+// of the time until its next turn are not read page by page then: the newest say it
+// all. A node 23 pages behind knew only after 9 s that the lease was given up.
+func (r *Reader) endTurn(t *readTurn) {
+	if !t.reads {
+		return
+	}
+	t.reads = false
+	t.ownership = -1
+	r.serversLost.Store(false)
+	r.register.Forget()
+	eventReadingEnds.Log(r.Logger)
+}
+
+// readBoth reads the servers' topic, and the ownership topic unless the node is the
+// lessor, and reports whether more of the servers' is to be read at once.
+func (r *Reader) readBoth(ctx context.Context, t *readTurn) (isBehind bool, err error) {
+	batch, isSnapshot, err := r.readFrom(ctx, store.Servers, t.servers, 0)
+	r.serversLost.Store(err != nil)
+	if err != nil {
+		r.register.Failed(clock.Now())
+		return false, err
+	}
+	t.failures = 0
+	r.takeServers(batch, isSnapshot)
+	t.servers = batch.Next
+	r.Contact.NoteShown(batch.Next)
+	if r.lessor.Load() {
+		t.ownership = -1
+	} else {
+		t.ownership, err = r.readOwnership(ctx, t.ownership)
+	}
+	return !isWhole(batch), err
+}
+
 // readOwnership reads the ownership topic from an offset and returns where the
 // next read starts.
 func (r *Reader) readOwnership(ctx context.Context, from store.Offset) (store.Offset, error) {
--- a/gateway/follow/reader_test.go
+++ b/gateway/follow/reader_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/hashicorp/go-hclog"
 
+	"github.com/burdockspindle/burdockspindle/clock"
 	"github.com/burdockspindle/burdockspindle/gateway/ranges"
 	"github.com/burdockspindle/burdockspindle/gateway/store"
 	"github.com/burdockspindle/burdockspindle/gateway/view"
@@ -66,7 +67,6 @@
 		growing := &growingStore{page: 20}
 		growing.tables.Store(1)
 		reader := &Reader{Store: growing, State: view.NewState(), Contact: &Contact{}, Logger: hclog.NewNullLogger()}
-		reader.SetDirect(true)
 		done := make(chan struct{})
 		go func() {
 			defer close(done)
@@ -74,10 +74,10 @@
 		}()
 		t.Cleanup(func() { cancel(); <-done })
 		await(t, reader, 1, time.Second)
-		reader.SetDirect(false)
+		reader.Contact.NoteTold(clock.Now(), 0)
 		time.Sleep(readEvery + idleEvery)
 		growing.tables.Store(460)
-		reader.SetDirect(true)
+		time.Sleep(firstTurn - readEvery - idleEvery)
 		await(t, reader, 460, time.Second)
 	})
 }
--- a/gateway/follow/register.go
+++ b/gateway/follow/register.go
@@ -69,6 +69,32 @@
 	return count
 }
 
+// Adopt replaces what was read by what other nodes told, up to an offset.
+func (r *Register) Adopt(told view.Servers, next store.Offset, now time.Time) {
+	names := make(map[site.ServerName]bool, len(told.Servers))
+	for id, server := range told.Servers {
+		name := id.Name()
+		names[name] = true
+		known := r.byName[name]
+		if known == nil {
+			known = &runs{}
+			r.byName[name] = known
+		}
+		known.adopt(server)
+	}
+	for name, known := range r.byName {
+		if !names[name] {
+			known.leave(now)
+		}
+	}
+	r.next = next
+	r.change = max(r.change, told.Offset)
+}
+
+// Forget takes that the node does not read any more. That reads had failed tells
+// nothing of the store by the time of the next one.
+func (r *Register) Forget() { r.failing = time.Time{} }
+
 // Failed notes that a read failed.
 func (r *Register) Failed(now time.Time) {
 	if r.failing.IsZero() {
--- a/gateway/follow/runs.go
+++ b/gateway/follow/runs.go
@@ -106,6 +106,19 @@
 	return true
 }
 
+// adopt makes a server the present run, as another node told.
+func (r *runs) adopt(server site.Server) {
+	start := server.ID.Start()
+	if server.ClockSetBack && r.start != start {
+		r.undone = start.Add(time.Millisecond) // at least: the later start is not told
+	}
+	r.server = server
+	r.start = start
+	r.present = true
+	r.missing = false
+	r.earlier = earlierRun{}
+}
+
 // leave makes no run present, and reports whether one was.
 func (r *runs) leave(now time.Time) bool {
 	wasPresent := r.present
--- a/gateway/follow/source.go
+++ b/gateway/follow/source.go
@@ -28,35 +28,94 @@
 }
 
 // sources returns the nodes that a node may follow, the one it should follow
-// first. They depend only on the list of nodes, which all have from the lessor.
-func sources(self view.Member, v *view.View) []source {
+// first. They depend only on the list of nodes, which all have from the lessor, and
+// on the seeds of its settings while it has none.
+func sources(self view.Member, v *view.View, seeds []string) []source {
 	lessor := v.Routes.Lessor
-	if lessor.Boot == "" || lessor.Boot == self.Boot {
+	switch {
+	case lessor.Boot != "" && lessor.Boot == self.Boot:
 		return nil
+	case len(v.Members) == 0:
+		return sourcesAtStart(self, v, seeds)
 	}
-	fromLessor := source{address: lessor.Address, lessor: true}
+	list := make([]source, 0, 2*len(seeds)+1)
 	relays := relaysOf(self.Zone, v)
-	if slices.ContainsFunc(relays, func(m view.Member) bool { return m.Boot == self.Boot }) {
-		return []source{fromLessor}
+	place := slices.IndexFunc(relays, func(m view.Member) bool { return m.Boot == self.Boot })
+	switch {
+	case lessor.Boot == "":
+	case place >= 0 || len(relays) == 0:
+		list = append(list, source{address: lessor.Address, lessor: true})
+	}
+	if place >= 0 {
+		relays = relays[:place] // the others have their news from this one if the lessor is lost
 	}
-	list := make([]source, 0, len(relays)+1)
 	for i := range relays {
 		list = append(list, source{address: relays[(turnOf(self)+i)%len(relays)].Address})
 	}
-	return append(list, fromLessor)
+	if len(list) > 0 && !list[0].lessor && lessor.Boot != "" {
+		list = append(list, source{address: lessor.Address, lessor: true})
+	}
+	return append(list, firstOfOtherZones(self, v)...)
+}
+
+// sourcesAtStart returns whom a node asks that does not know the others yet. Seeds
+// tell the lessor of those that ask them, as relays do.
+func sourcesAtStart(self view.Member, v *view.View, seeds []string) []source {
+	var list []source
+	if lessor := v.Routes.Lessor; lessor.Boot != "" {
+		list = append(list, source{address: lessor.Address, lessor: true})
+	}
+	others := slices.DeleteFunc(slices.Clone(seeds), func(address string) bool { return address == self.Address })
+	asked := make([]source, 0, len(others)+1)
+	for i := range others {
+		asked = append(asked, source{address: others[(turnOf(self)+i)%len(others)]})
+	}
+	if slices.Contains(seeds, self.Address) {
+		return append(list, asked...)
+	}
+	return append(asked, list...)
+}
+
+// firstOfOtherZones returns the strongest node of each other zone, the last resort of
+// a node whose own zone knows nothing.
+func firstOfOtherZones(self view.Member, v *view.View) []source {
+	strongest := map[string]view.Member{}
+	for _, m := range v.Members {
+		if m.Zone == self.Zone || m.Boot == v.Routes.Lessor.Boot {
+			continue
+		}
+		if best, exists := strongest[m.Zone]; !exists || byStrength(m, best) < 0 {
+			strongest[m.Zone] = m
+		}
+	}
+	list := make([]source, 0, len(strongest))
+	for _, m := range strongest {
+		list = append(list, source{address: m.Address})
+	}
+	slices.SortFunc(list, func(a, b source) int { return strings.Compare(a.address, b.address) })
+	return list
 }
 
 // turnOf spreads the nodes of a zone over its relays.
-func turnOf(self view.Member) int {
+func turnOf(self view.Member) int { return int(hashOf(self) & 0xffff) }
+
+func hashOf(self view.Member) uint32 {
 	hash := fnv.New32a()
 	_, _ = hash.Write([]byte(self.Node)) // never fails
-	return int(hash.Sum32() & 0xffff)
+	return hash.Sum32()
 }
 
 // relaysOf returns the relays of a zone: its strongest nodes but the lessor.
 func relaysOf(zone string, v *view.View) []view.Member {
-	var nodes []view.Member
-	hasLessor := false
+	nodes, hasLessor := nodesOf(zone, v)
+	if hasLessor && len(nodes) <= smallZone {
+		return nil
+	}
+	return nodes[:(len(nodes)+membersPerRelay-1)/membersPerRelay]
+}
+
+// nodesOf returns the nodes of a zone but the lessor, the strongest first.
+func nodesOf(zone string, v *view.View) (nodes []view.Member, hasLessor bool) {
 	for _, m := range v.Members {
 		switch {
 		case m.Zone != zone:
@@ -66,18 +125,15 @@
 			nodes = append(nodes, m)
 		}
 	}
-	if hasLessor && len(nodes) <= smallZone {
-		return nil
-	}
 	sortByStrength(nodes)
-	return nodes[:(len(nodes)+membersPerRelay-1)/membersPerRelay]
+	return nodes, hasLessor
 }
 
 // sortByStrength puts the strongest nodes first; equal ones go by name.
-func sortByStrength(list []view.Member) {
-	slices.SortFunc(list, func(a, b view.Member) int {
-		return cmp.Or(cmp.Compare(b.Strength, a.Strength), strings.Compare(a.Node, b.Node))
-	})
+func sortByStrength(list []view.Member) { slices.SortFunc(list, byStrength) }
+
+func byStrength(a, b view.Member) int {
+	return cmp.Or(cmp.Compare(b.Strength, a.Strength), strings.Compare(a.Node, b.Node))
 }
 
 // Rank returns how many nodes but the lessor are stronger than a node; known is
@@ -88,3 +144,20 @@
 	rank = slices.IndexFunc(nodes, func(m view.Member) bool { return m.Boot == self.Boot })
 	return max(rank, 0), rank >= 0
 }
+
+// standingOf returns a node's place among those that may read the store.
+func standingOf(self view.Member, v *view.View, seeds []string) Standing {
+	nodes, _ := nodesOf(self.Zone, v)
+	lessor := v.Routes.Lessor
+	s := Standing{
+		IsLessor: lessor.Boot != "" && lessor.Boot == self.Boot,
+		IsSeed:   slices.Contains(seeds, self.Address),
+		HasSeeds: slices.ContainsFunc(seeds, func(address string) bool { return address != self.Address }),
+		Rank:     slices.IndexFunc(nodes, func(m view.Member) bool { return m.Boot == self.Boot }),
+		Spread:   float64(hashOf(self)>>16) / (1 << 16),
+	}
+	if lessor.Node == self.Node && lessor.Boot != self.Boot {
+		s.Rank = 0 // its own earlier run was the lessor: nobody else knows that it has ended
+	}
+	return s
+}
--- a/gateway/follow/source_test.go
+++ b/gateway/follow/source_test.go
@@ -46,12 +46,15 @@
 	v := siteOf("a-0", map[string]int{"a": 26, "b": 29, "c": 32})
 	toldBy := map[string]int{}
 	for _, m := range v.Members {
-		list := sources(m, v)
+		list := sources(m, v, nil)
 		if m.Node == "a-0" {
 			g.Expect(list).To(gomega.BeEmpty(), "the lessor follows nobody")
 			continue
 		}
-		g.Expect(list[len(list)-1]).To(gomega.Equal(source{address: "a-0:1", lessor: true}), "the lessor is the last resort")
+		g.Expect(list).To(gomega.ContainElement(source{address: "a-0:1", lessor: true}))
+		for _, s := range list[len(list)-2:] {
+			g.Expect(s.address).NotTo(gomega.HavePrefix(m.Zone), "the last resort are the first nodes of other zones")
+		}
 		toldBy[list[0].address]++
 	}
 	g.Expect(toldBy["a-0:1"]).To(gomega.Equal(6), "the relays: two of each zone")
@@ -66,13 +69,44 @@
 func TestASmallSiteHasOneRelayInEachOtherZone(t *testing.T) {
 	g := gomega.NewWithT(t)
 	v := siteOf("a-1", map[string]int{"a": 4, "b": 4, "c": 1})
-	fromLessor := []source{{address: "a-1:1", lessor: true}}
-	g.Expect(sources(memberNamed(v, "a-0"), v)).To(gomega.Equal(fromLessor))
-	g.Expect(sources(memberNamed(v, "b-0"), v)).To(gomega.Equal(fromLessor), "the relay")
-	g.Expect(sources(memberNamed(v, "b-3"), v)).To(gomega.Equal([]source{{address: "b-0:1"}, fromLessor[0]}))
-	g.Expect(sources(memberNamed(v, "c-0"), v)).To(gomega.Equal(fromLessor))
-	g.Expect(sources(memberNamed(v, "d-0"), v)).To(gomega.Equal(fromLessor), "a node of a zone that nobody knows yet")
-	g.Expect(sources(memberNamed(v, "b-9"), v)).To(gomega.Equal([]source{{address: "b-0:1"}, fromLessor[0]}), "a node that is not listed yet")
+	lessor := source{address: "a-1:1", lessor: true}
+	relayOf := func(address string) source { return source{address: address} }
+	for _, c := range []struct {
+		node string
+		want []source
+	}{
+		{"a-0", []source{lessor, relayOf("b-0:1"), relayOf("c-0:1")}},
+		{"b-0", []source{lessor, relayOf("a-0:1"), relayOf("c-0:1")}}, // the relay
+		{"b-3", []source{relayOf("b-0:1"), lessor, relayOf("a-0:1"), relayOf("c-0:1")}},
+		{"c-0", []source{lessor, relayOf("a-0:1"), relayOf("b-0:1")}},
+		{"d-0", []source{lessor, relayOf("a-0:1"), relayOf("b-0:1"), relayOf("c-0:1")}}, // of a zone that nobody knows yet
+		{"b-9", []source{relayOf("b-0:1"), lessor, relayOf("a-0:1"), relayOf("c-0:1")}}, // not listed yet
+	} {
+		g.Expect(sources(memberNamed(v, c.node), v, nil)).To(gomega.Equal(c.want), c.node)
+	}
+}
+
+// Nodes that start know nobody but the seeds of their settings, some of which may be
+// gone. The seeds ask the lessor once they know it.
+func TestNodesThatStartAskSeeds(t *testing.T) {
+	g := gomega.NewWithT(t)
+	seeds := []string{"a-0:1", "b-0:1", "c-0:1"}
+	v := &view.View{}
+	asked := map[string]int{}
+	for i := range 60 {
+		list := sources(view.Member{Node: fmt.Sprint("n", i), Boot: "x", Address: "n:1"}, v, seeds)
+		g.Expect(list).To(gomega.HaveLen(3))
+		asked[list[0].address]++
+	}
+	for _, seed := range seeds {
+		g.Expect(asked[seed]).To(gomega.BeNumerically("~", 20, 12), "each seed is asked by about a third")
+	}
+	seed := view.Member{Node: "a-0", Boot: "x", Address: "a-0:1"}
+	g.Expect(sources(seed, v, seeds)).To(gomega.HaveLen(2), "not itself")
+	v.Routes.Lessor = ranges.Lessor{Node: "d-1", Boot: "y", Address: "d-1:1"}
+	g.Expect(sources(seed, v, seeds)[0]).To(gomega.Equal(source{address: "d-1:1", lessor: true}))
+	other := view.Member{Node: "n", Boot: "z", Address: "n:1"}
+	g.Expect(sources(other, v, seeds)[3]).To(gomega.Equal(source{address: "d-1:1", lessor: true}))
 }
 
 func TestStrongNodesClaimFirst(t *testing.T) {
--- a/gateway/view/view.go
+++ b/gateway/view/view.go
@@ -16,12 +16,6 @@
 	"github.com/burdockspindle/burdockspindle/gateway/store"
 )
 
-// Servers is the register of servers as of an offset.
-type Servers struct {
-	Offset  store.Offset                  `json:"offset"` // after the last record that it holds
-	Servers map[site.ServerID]site.Server `json:"servers"`
-}
-
 // Table is a table of ranges and the offset of its record.
 type Table struct {
 	Offset store.Offset
@@ -47,7 +41,8 @@
 	// empty: not known.
 	Members []Member
 
-	byService map[site.ServiceName][]site.Server
+	byService  map[site.ServiceName][]site.Server
+	serversSum uint64
 }
 
 // Member is one run of a node.
@@ -63,6 +58,9 @@
 // Complete reports whether requests can be served.
 func (v *View) Complete() bool { return v.Config != nil && v.Servers.Offset > 0 }
 
+// ServersSum tells two registers apart, whatever their offsets.
+func (v *View) ServersSum() uint64 { return v.serversSum }
+
 // ServersOf returns the registered servers of a service.
 func (v *View) ServersOf(service site.ServiceName) []site.Server { return v.byService[service] }
 
@@ -166,6 +164,7 @@
 	if isSame {
 		return
 	}
+	v.serversSum = servers.sum()
 	v.byService = map[site.ServiceName][]site.Server{}
 	for _, server := range servers.Servers {
 		v.byService[server.Service] = append(v.byService[server.Service], server)
--- a/modules/gateway/site.go
+++ b/modules/gateway/site.go
@@ -10,6 +10,7 @@
 
 	"github.com/hashicorp/go-hclog"
 
+	"github.com/burdockspindle/burdockspindle/clock"
 	"github.com/burdockspindle/burdockspindle/gateway/config"
 	"github.com/burdockspindle/burdockspindle/gateway/driver"
 	"github.com/burdockspindle/burdockspindle/gateway/duty"
@@ -82,7 +83,7 @@
 func (m *Site) build(settings *config.Settings, platform *driver.Driver, logger hclog.Logger) {
 	contact := new(follow.Contact)
 	counted := follow.Counted{Store: platform.Store}
-	m.reader = &follow.Reader{Store: counted, Codec: platform.Codec, State: m.state, Contact: contact, Logger: logger}
+	m.reader = &follow.Reader{Store: counted, Codec: platform.Codec, State: m.state, Contact: contact, Logger: logger, StartedAt: clock.Now()}
 	m.follower = &follow.Follower{Self: m.self, State: m.state, Reader: m.reader, Reports: m.reports, Logger: logger}
 	m.follower.SetSeeds(settings.Seeds)
 	m.duty = duty.New()
