Ranges: a busy cluster of keys is spread over many servers at once; chance moves nothing

Cause: on the large site neighbouring keys get up to 45 % of a keyed service's requests within an instant, for four to five seconds, and lie in the range of one of 308 servers. The balance gave half of that to the idlest server, which then had 30 times what it can run, let it rest for 1.5 s, and halved again; and a memory of 3 s saw the load late. At the same time 20 ranges a second moved by chance on a site that is used evenly: six a round, the greatest of 300 random differences each time. Every move logged the pace of every server.

Change: loads have a quick memory (0.4 s) beside the steady one; a range whose quick load exceeds the steady one by four standard deviations counts by it, corrected for what it cannot have seen yet, with all pieces cut from it, for two seconds. Loads are evened out only beyond two standard deviations, and a key counts as busy after four requests. Pieces go back 16 at a time.

Ruled out: releasing a cluster as one range (its keys would all stand still until the last request on any of them has ended); a shorter memory alone (chance moves more).

Conclusion: clusters are served while they last. What is left is the key that one server cannot run; its admission comes next.

--- a/gateway/duty/duty.go
+++ b/gateway/duty/duty.go
@@ -295,7 +295,7 @@
 		eventRestart.Log(d.Logger, "server", r.To, "earlier", r.From, "losesKeys", r.Loops)
 	}
 	for _, move := range d.keeper.Moves() {
-		eventMove.Log(d.Logger, "service", move.Service, "server", move.From, "to", move.To, "from", int(move.Span.From), "keys", move.Span.Keys(), "rate", move.Rate, "gap", move.Gap, "usage", d.loads.Paces())
+		eventMove.Log(d.Logger, "service", move.Service, "server", move.From, "to", move.To, "from", int(move.Span.From), "keys", move.Span.Keys(), "rate", move.Rate, "used", move.Used, "usedTo", move.UsedTo)
 	}
 	if change != nil {
 		d.append(ctx, &pendingAppend{change: change})
--- a/gateway/ranges/balance.go
+++ b/gateway/ranges/balance.go
@@ -1,23 +1,32 @@
 package ranges
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
 	"github.com/burdockspindle/burdockspindle/gateway/site"
 )
 
-// Balance answers busy keys that lie close together and change within seconds:
-// the busiest server gives the fewest keys that carry enough of its load to the
-// idlest one. Moving few keys costs little; each move stops them for as long as
-// the requests on them still run. A single key that carries most of a server's
-// load cannot be divided: it goes to the server that runs it fastest, and that
-// server's other keys go elsewhere.
+// Balance answers busy keys that lie close together and change within seconds. Moving
+// few keys costs little; each move stops them for as long as the requests on them
+// still run. It works in three ways:
+//
+//   - A single key that carries most of a server's load cannot be divided: it goes to
+//     the server that runs it fastest, and that server's other keys go elsewhere.
+//   - A server that is asked for more than it can run gives pieces of its ranges to
+//     many others at once, each as much as it has room for (shed.go).
+//   - Otherwise the busiest server gives the fewest keys that carry enough of its load
+//     to the idlest one.
 const (
 	// balanceEvery is the least time between two rounds: nodes report their counts
 	// as often.
 	balanceEvery = 500 * time.Millisecond
-	// movesPerRound bounds the keys that are stopped at once.
+	// chanceDeviations is how many standard deviations of both loads are left out of
+	// their difference: on a site of 300 servers that were used alike 20 ranges a
+	// second moved by chance, each of which is released, granted, and renewed.
+	chanceDeviations = 2
+	// movesPerRound bounds the moves by which loads are evened out in a round.
 	movesPerRound = 6
 	// leastGap is the difference of utilisation below which nothing is moved:
 	// queues at one server are short up to about three quarters.
@@ -29,35 +38,39 @@
 	busyFrom = 0.6
 	// restAfterMove keeps a range where it is until its load there is known.
 	restAfterMove = 1500 * time.Millisecond
-	// loadHalfLife is how fast old counts lose their weight.
-	loadHalfLife = 3 * time.Second
-	// recentHalfLife is the same for finding single busy keys, and leastRecent the
-	// rate below which they are forgotten.
-	recentHalfLife = 400 * time.Millisecond
-	leastRecent    = 0.2
+	// restOfBusy is the same for a range of a server that is used beyond what it can
+	// run: the quick load follows within that.
+	restOfBusy = 400 * time.Millisecond
+	// surgeTime is for how long the load of a range that has become busy is taken from
+	// the quick memory: by then the steady one shows it.
+	surgeTime = 2 * time.Second
 	// enoughShare and mostShare bound what a move carries, as shares of the load
 	// that would make both servers equal.
 	enoughShare = 0.5
 	mostShare   = 1.3
 	// mostRanges bounds the ranges of one server, each of which is renewed.
 	mostRanges = 8
+	// hotShare is the share of a server's load from which one key is taken as a
+	// whole, before others are moved.
+	hotShare = 0.35
+	// hotCount is how many requests for it must have come: one or two come by chance.
+	hotCount = 4
+	// crowded is the utilisation above which a server that has one busy key gives its
+	// other ranges away whole.
+	crowded = 0.75
+	// paceSpread bounds how much faster or slower than others a server counts:
+	// measured times include its queue.
+	paceSpread = 3
 )
 
-type move struct {
-	lease *lease
-	span  Span
-	to    site.ServerID
-	rate  float64 // requests a second that it carries
-	gap   float64 // difference of utilisation before it
-}
-
 // Move is a planned move of a range, for the log.
 type Move struct {
 	Service  site.ServiceName
 	From, To site.ServerID
 	Span     Span
 	Rate     float64 // requests a second that it carries
-	Gap      float64 // difference of the servers' utilisation before it
+	Used     float64 // utilisation of the server that gives it
+	UsedTo   float64 // utilisation of the one that gets it, with it
 }
 
 // usage is the load of one server.
@@ -65,173 +78,197 @@
 	server site.Server
 	cost   float64 // utilisation that one request a second causes
 	used   float64 // utilisation
+	chance float64 // standard deviation of it, by the chance in the counts
 	ranges int
-	isBusy bool // takes part in a move
+	leases []*lease // that it owns and keeps
 }
 
-// balance chooses moves for a service.
-func (k *Keeper) balance(service site.ServiceName, s Site, servers []site.Server, now time.Time) []move {
-	if s.Load == nil || len(servers) < 2 || now.Sub(s.Load.round) < balanceEvery || s.Load.keys[service] == nil {
-		return nil
+// round is one round of balance.
+type round struct {
+	keeper  *Keeper
+	service site.ServiceName
+	loads   *Loads
+	now     time.Time
+	usages  []*usage
+	moves   int
+}
+
+// balance starts the moves of a round.
+func (k *Keeper) balance(service site.ServiceName, s Site, servers []site.Server, now time.Time) {
+	if s.Load == nil || len(servers) < 2 || s.Load.services[service] == nil || now.Sub(s.Load.shedAt[service]) < shedEvery {
+		return
 	}
-	s.Load.round = now
-	usages := k.usages(service, s, servers)
-	var moves []move
-	for _, from := range usages {
-		if m, found := k.moveHotKey(service, s, from, usages, moves, now); found {
-			moves = append(moves, m)
-		}
+	s.Load.shedAt[service] = now
+	r := &round{keeper: k, service: service, loads: s.Load, now: now}
+	r.usages = r.measure(servers)
+	for _, from := range r.usages {
+		r.moveHotKey(from)
 	}
-	for len(moves) < movesPerRound {
-		next, found := k.nextMove(service, s, usages, moves, now)
-		if !found {
-			return moves
-		}
-		moves = append(moves, next)
+	r.shed()
+	if now.Sub(s.Load.evenAt[service]) < balanceEvery {
+		return
+	}
+	s.Load.evenAt[service] = now
+	for r.moves < movesPerRound && r.even() {
 	}
-	return moves
 }
 
-func (k *Keeper) usages(service site.ServiceName, s Site, servers []site.Server) []*usage {
-	typical := s.Load.typicalPace(servers)
+// measure returns the load of each server. A range that is on its way to another one
+// counts there.
+func (r *round) measure(servers []site.Server) []*usage {
+	typical := r.loads.typicalPace(servers)
 	usages := make([]*usage, 0, len(servers))
+	byID := make(map[site.ServerID]*usage, len(servers))
 	for _, server := range servers {
-		pace, known := s.Load.paces[server.ID]
+		pace, known := r.loads.paces[server.ID]
 		if !known {
 			pace = typical
 		}
 		pace = min(max(pace, typical/paceSpread), typical*paceSpread)
 		u := &usage{server: server, cost: pace / float64(max(server.Slots, 1))}
-		for _, l := range k.leases[service] {
-			if l.Server == server.ID || l.next == server.ID {
-				u.ranges++
-				u.used += s.Load.sum(service, l.Span) * u.cost
-				u.isBusy = u.isBusy || l.phase != granting
-			}
-		}
 		usages = append(usages, u)
+		byID[server.ID] = u
+	}
+	for _, l := range r.keeper.leases[r.service] {
+		owner := l.Server
+		if l.next != "" {
+			owner = l.next
+		}
+		u := byID[owner]
+		if u == nil {
+			continue
+		}
+		r.noteSurge(l)
+		u.ranges++
+		u.used += r.rate(l) * u.cost
+		if owner == l.Server {
+			u.leases = append(u.leases, l)
+		}
+	}
+	for _, u := range usages {
+		u.chance = u.cost * r.loads.chance(u.used/u.cost)
 	}
-	k.addRecent(service, s, usages)
 	return usages
 }
 
-// leastSurge is by how many requests a second a key must have become busier to
-// count as it is now, before the longer memory has seen it: four requests in a
-// short time, which a key that is not busy seldom has.
-const leastSurge = 6.0
+// noteSurge looks whether a range has become busy just now.
+func (r *round) noteSurge(l *lease) {
+	if !r.loads.isSurge(r.service, l.Span) {
+		return
+	}
+	if !r.surges(l) {
+		l.surgeSince = r.now
+	}
+	l.surgeUntil = r.now.Add(surgeTime)
+}
 
-// addRecent adds the load of keys that have become busy just now.
-func (k *Keeper) addRecent(service site.ServiceName, s Site, usages []*usage) {
-	for key, rate := range s.Load.recent[service] {
-		surge := rate - s.Load.sum(service, Span{From: key, To: key})
-		if surge < leastSurge {
-			continue
-		}
-		l := k.leaseOf(service, key)
-		for _, u := range usages {
-			if l != nil && u.server.ID == l.Server {
-				u.used += surge * u.cost
-			}
-		}
+// surges reports whether a range, or one of which it is a part, has become busy lately.
+func (r *round) surges(l *lease) bool { return r.now.Before(l.surgeUntil) }
+
+// rate returns the requests a second for a range.
+func (r *round) rate(l *lease) float64 {
+	rates, factor := r.weights(l)
+	return rates.sum(l.Span) * factor
+}
+
+// weights returns the load of each key of a range, and the factor that makes requests a
+// second of it.
+func (r *round) weights(l *lease) (rates *keyRates, factor float64) {
+	if r.surges(l) {
+		return r.loads.quick(r.service, r.now.Sub(l.surgeSince))
 	}
+	return r.loads.steady(r.service)
 }
 
-// paceSpread bounds how much faster or slower than others a server counts:
-// measured times include its queue.
-const paceSpread = 3
+// start begins to move a part of a range.
+func (r *round) start(from, to *usage, l *lease, span Span, rate float64) {
+	from.leases = slices.DeleteFunc(from.leases, func(other *lease) bool { return other == l })
+	cut, rest := r.keeper.split(l, span)
+	from.leases = append(from.leases, rest...)
+	cut.next = to.server.ID
+	r.keeper.setPhase(cut, releasing)
+	used := from.used
+	from.used -= rate * from.cost
+	to.used += rate * to.cost
+	to.ranges++
+	r.moves++
+	r.keeper.moves = append(r.keeper.moves, Move{Service: r.service, From: from.server.ID, To: to.server.ID, Span: span, Rate: rate, Used: used, UsedTo: to.used})
+}
 
-func (k *Keeper) nextMove(service site.ServiceName, s Site, usages []*usage, made []move, now time.Time) (move, bool) {
-	slices.SortFunc(usages, func(a, b *usage) int {
-		switch {
-		case a.used > b.used:
-			return -1
-		case a.used < b.used:
-			return 1
-		}
-		return 0
-	})
-	to := usages[len(usages)-1]
-	for _, from := range usages {
+// even moves load from the busiest server that can give some to the idlest one, and
+// reports whether it did.
+func (r *round) even() bool {
+	slices.SortStableFunc(r.usages, func(a, b *usage) int { return cmp.Compare(b.used, a.used) })
+	to := r.usages[len(r.usages)-1]
+	for _, from := range r.usages {
 		gap := from.used - to.used
-		isEven := gap < leastGap || gap < idleGap && from.used < busyFrom
-		if gap <= 0 || isEven && to.ranges > 0 {
-			return move{}, false
-		}
-		if to.ranges >= mostRanges {
-			return move{}, false
+		sure := gap - chanceDeviations*(from.chance+to.chance)
+		isEven := sure < leastGap || sure < idleGap && from.used < busyFrom
+		if gap <= 0 || isEven && to.ranges > 0 || to.ranges >= mostRanges {
+			return false
 		}
-		want := gap / (from.cost + to.cost)
-		l, span, weight, found := k.cut(service, s, from.server.ID, want/s.Load.correction(), made, now)
+		l, span, rate, found := r.cut(from, gap/(from.cost+to.cost))
 		if !found && from.used > crowded {
-			l, span, weight, found = k.wholeRange(service, s, from, made, now)
+			l, span, rate, found = r.wholeRange(from)
 		}
 		if found {
-			weight *= s.Load.correction()
-			from.used -= weight * from.cost
-			to.used += weight * to.cost
-			to.ranges++
-			return move{lease: l, span: span, to: to.server.ID, rate: weight, gap: gap}, true
+			r.start(from, to, l, span, rate)
+			return true
 		}
 	}
-	return move{}, false
+	return false
 }
 
-// crowded is the utilisation above which a server that has one busy key gives its
-// other ranges away whole.
-const crowded = 0.75
-
 // wholeRange returns the range of a server with the most load that does not hold
 // its busiest key.
-func (k *Keeper) wholeRange(service site.ServiceName, s Site, from *usage, made []move, now time.Time) (best *lease, span Span, weight float64, found bool) {
-	_, hot, _ := k.hottest(service, s, from.server.ID)
-	for _, l := range k.leases[service] {
-		if l.Server != from.server.ID || l.Contains(hot) || !k.movable(l, made, now) {
+func (r *round) wholeRange(from *usage) (best *lease, span Span, rate float64, found bool) {
+	_, hot, _ := r.hottest(from)
+	for _, l := range from.leases {
+		if l.Contains(hot) || !r.movable(l, from) {
 			continue
 		}
-		carried := s.Load.sum(service, l.Span) / s.Load.correction()
-		if carried > weight {
-			best, span, weight, found = l, l.Span, carried, true
+		if carried := r.rate(l); carried > rate {
+			best, span, rate, found = l, l.Span, carried, true
 		}
 	}
-	return best, span, weight, found
+	return best, span, rate, found
 }
 
-// hotShare is the share of a server's load from which one key is taken as a
-// whole, before others are moved.
-const hotShare = 0.35
-
 // moveHotKey moves the busiest key of a server to the one that would be least
 // used with it, if that leaves both less used than the server is now.
-func (k *Keeper) moveHotKey(service site.ServiceName, s Site, from *usage, usages []*usage, made []move, now time.Time) (move, bool) {
-	l, key, rate := k.hottest(service, s, from.server.ID)
-	if l == nil || rate*from.cost < hotShare*from.used || !k.movable(l, made, now) {
-		return move{}, false
+func (r *round) moveHotKey(from *usage) {
+	l, key, rate := r.hottest(from)
+	if l == nil || rate*from.cost < hotShare*from.used || !r.movable(l, from) || r.loads.counted(rate, r.surges(l)) < hotCount {
+		return
 	}
-	best := from
-	for _, u := range usages {
-		if u != from && (best == from || u.used+rate*u.cost < best.used+rate*best.cost) {
+	if to := r.leastUsedWith(from, rate); to != nil {
+		r.start(from, to, l, Span{From: key, To: key}, rate)
+	}
+}
+
+// leastUsedWith returns the server that would be least used with a rate of another one,
+// or nil if that is not clearly less than the other one is used.
+func (r *round) leastUsedWith(from *usage, rate float64) *usage {
+	var best *usage
+	for _, u := range r.usages {
+		if u != from && (best == nil || u.used+rate*u.cost < best.used+rate*best.cost) {
 			best = u
 		}
 	}
-	gap := from.used - (best.used + rate*best.cost)
-	if best == from || gap < leastGap {
-		return move{}, false
+	if best == nil || from.used-(best.used+rate*best.cost) < leastGap {
+		return nil
 	}
-	from.used -= rate * from.cost
-	best.used += rate * best.cost
-	best.ranges++
-	return move{lease: l, span: Span{From: key, To: key}, to: best.server.ID, rate: rate, gap: gap}, true
+	return best
 }
 
 // hottest returns the busiest key of a server.
-func (k *Keeper) hottest(service site.ServiceName, s Site, server site.ServerID) (hottest *lease, key Key, rate float64) {
-	for candidate, recent := range s.Load.recent[service] {
-		// Equal rates go by the key, so that a replay decides as the first time.
-		if recent < rate || recent == rate && hottest != nil && candidate > key {
-			continue
-		}
-		if l := k.leaseOf(service, candidate); l != nil && l.Server == server {
-			hottest, key, rate = l, candidate, recent
+func (r *round) hottest(u *usage) (hottest *lease, key Key, rate float64) {
+	for _, l := range u.leases {
+		rates, factor := r.weights(l)
+		for candidate := l.From; candidate <= l.To; candidate++ {
+			if of := float64(rates[candidate]) * factor; of > rate {
+				hottest, key, rate = l, candidate, of
+			}
 		}
 	}
 	return hottest, key, rate
@@ -246,29 +283,34 @@
 	return leases[i]
 }
 
-// movable reports whether a range can be released now.
-func (k *Keeper) movable(l *lease, made []move, now time.Time) bool {
-	isTaken := slices.ContainsFunc(made, func(m move) bool { return m.lease == l })
-	return !isTaken && l.canRelease(now) && now.Sub(l.movedAt) >= restAfterMove
+// movable reports whether a range can be released now. One that is as busy as its owner
+// can be goes on sooner: what it carries was not known yet when it came.
+func (r *round) movable(l *lease, from *usage) bool {
+	rest := restAfterMove
+	if from.used > overUsed {
+		rest = restOfBusy
+	}
+	return l.canRelease(r.now) && r.now.Sub(l.movedAt) >= rest
 }
 
 // cut finds the fewest neighbouring keys of a server that carry about want
 // requests a second.
-func (k *Keeper) cut(service site.ServiceName, s Site, from site.ServerID, want float64, made []move, now time.Time) (best *lease, span Span, weight float64, found bool) {
-	for _, l := range k.leases[service] {
-		if l.Server != from || !k.movable(l, made, now) {
+func (r *round) cut(from *usage, want float64) (best *lease, span Span, rate float64, found bool) {
+	for _, l := range from.leases {
+		if !r.movable(l, from) {
 			continue
 		}
-		window, carried, ok := window(s.Load.keys[service], l.Span, want)
+		rates, factor := r.weights(l)
+		window, carried, ok := window(rates, l.Span, want/factor)
 		if ok && (!found || window.Keys() < span.Keys()) {
-			best, span, weight, found = l, window, carried, true
+			best, span, rate, found = l, window, carried*factor, true
 		}
 	}
-	return best, span, weight, found
+	return best, span, rate, found
 }
 
 // window returns the shortest window of a span whose weight is near want.
-func window(keys *[int(LastKey) + 1]float32, span Span, want float64) (Span, float64, bool) {
+func window(keys *keyRates, span Span, want float64) (Span, float64, bool) {
 	var best Span
 	var carried, sum float64
 	found := false
--- /dev/null
+++ b/gateway/ranges/cluster_test.go
@@ -0,0 +1,180 @@
+package ranges
+
+import (
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"github.com/burdockspindle/burdockspindle/gateway/site"
+)
+
+// A large site: 300 servers of unlike speed, whose keyed service is used for two
+// fifths, and reports of nodes that are on their way for a while.
+const (
+	largeServers = 300
+	largeRate    = 850.0 // requests a second, without the busy keys
+	reportDelay  = 800 * time.Millisecond
+)
+
+// largeReplay plays random requests against a lessor.
+type largeReplay struct {
+	*replayKeys
+	random  *rand.Rand
+	delayed []delayedCount
+	// asked and served count the requests for busy keys, and what their owners had
+	// room for.
+	asked, served float64
+	// others is the same for all other requests.
+	othersAsked, othersServed float64
+}
+
+type delayedCount struct {
+	at       time.Time
+	key      Key
+	requests int
+}
+
+func newLargeReplay(seed uint64) *largeReplay {
+	paces := []time.Duration{950 * time.Millisecond, 570 * time.Millisecond, 407 * time.Millisecond}
+	var all []time.Duration
+	for i := range largeServers {
+		all = append(all, paces[i%len(paces)])
+	}
+	r := &largeReplay{replayKeys: newReplayKeys(), random: rand.New(rand.NewPCG(seed, 1))}
+	for i, pace := range all {
+		id := site.ServerID(fmt.Sprintf("s%03d", i))
+		r.servers[id] = site.Server{ID: id, Service: worldService, Slots: 4, Address: string(id)}
+		r.paces[id] = pace
+	}
+	return r
+}
+
+// play offers requests for keys all over, and so many a second for each of the busy
+// ones.
+func (r *largeReplay) play(length time.Duration, busy map[Key]float64) {
+	for end := r.now.Add(length); r.now.Before(end); r.now = r.now.Add(worldStep) {
+		came := map[Key]int{}
+		for range poisson(r.random, largeRate*worldStep.Seconds()) {
+			came[Key(r.random.IntN(int(LastKey)+1))]++
+		}
+		for _, key := range slices.Sorted(maps.Keys(busy)) {
+			came[key] += poisson(r.random, busy[key]*worldStep.Seconds())
+		}
+		for _, key := range slices.Sorted(maps.Keys(came)) {
+			r.delayed = append(r.delayed, delayedCount{at: r.now.Add(reportDelay), key: key, requests: came[key]})
+		}
+		r.report()
+		r.measure(busy)
+		r.step(true)
+	}
+}
+
+// report tells the lessor what nodes saw a while ago.
+func (r *largeReplay) report() {
+	told := 0
+	for _, c := range r.delayed {
+		if c.at.After(r.now) {
+			break
+		}
+		r.loads.Count(worldService, c.key, c.requests)
+		told++
+	}
+	r.delayed = r.delayed[told:]
+	r.loads.Decay(r.now)
+	for id, pace := range r.paces {
+		r.loads.Pace(id, pace)
+	}
+}
+
+// measure compares what is asked of each owner with what it has room for.
+func (r *largeReplay) measure(busy map[Key]float64) {
+	asked, ofBusy := map[site.ServerID]float64{}, map[site.ServerID]float64{}
+	if len(r.keeper.leases[worldService]) == 0 {
+		return
+	}
+	for _, l := range r.keeper.leases[worldService] {
+		asked[l.Server] += largeRate * float64(l.Keys()) / float64(LastKey+1)
+	}
+	for key, rate := range busy {
+		l := r.keeper.leaseOf(worldService, key)
+		if l.phase != granting {
+			r.asked += rate // nobody serves it while it moves
+			continue
+		}
+		asked[l.Server] += rate
+		ofBusy[l.Server] += rate
+	}
+	for id, rate := range asked {
+		share := min(1, 4/r.paces[id].Seconds()/rate)
+		r.asked += ofBusy[id]
+		r.served += ofBusy[id] * share
+		r.othersAsked += rate - ofBusy[id]
+		r.othersServed += (rate - ofBusy[id]) * share
+	}
+}
+
+// poisson returns a random count with a small mean.
+func poisson(random *rand.Rand, mean float64) int {
+	count := 0
+	for at := random.ExpFloat64(); at < mean; at += random.ExpFloat64() {
+		count++
+	}
+	return count
+}
+
+// cluster returns neighbouring keys that share a rate.
+func cluster(from Key, keys int, total float64) map[Key]float64 {
+	busy := map[Key]float64{}
+	for i := range keys {
+		busy[from+Key(i)] = total / float64(keys)
+	}
+	return busy
+}
+
+// The load: within an instant, neighbouring keys get a third of all requests of a
+// service of 300 servers, for four to five seconds. A lessor that divided them in
+// halves, and moved a range only after a rest, needed longer than that.
+func TestABusyClusterIsSpreadWhileItLasts(t *testing.T) {
+	for _, c := range []struct {
+		keys  int
+		total float64
+		last  time.Duration
+		least float64 // share of its requests for which their owner has room
+	}{
+		{keys: 200, total: 400, last: 5 * time.Second, least: 2.0 / 3},
+		{keys: 60, total: 400, last: 4 * time.Second, least: 2.0 / 3},
+	} {
+		t.Run(fmt.Sprintf("%d keys", c.keys), func(t *testing.T) {
+			for seed := range uint64(3) {
+				g := gomega.NewWithT(t)
+				r := newLargeReplay(seed)
+				r.play(6*time.Second, nil)
+				r.asked, r.served, r.othersAsked, r.othersServed = 0, 0, 0, 0
+				r.play(c.last, cluster(20_000, c.keys, c.total))
+				t.Logf("seed %d: room for %.3f of the requests for busy keys, %.3f of the others; %d ranges, %d keys moved", seed, r.served/r.asked, r.othersServed/r.othersAsked, r.keeper.Table().Ranges(), r.moved)
+				g.Expect(r.served/r.asked).To(gomega.BeNumerically(">", c.least), "seed %d", seed)
+				g.Expect(r.othersServed/r.othersAsked).To(gomega.BeNumerically(">", 0.98), "seed %d", seed)
+			}
+		})
+	}
+}
+
+// One key gets a fifth of all requests, 20 times what its owner can run: the other
+// keys of its owner are served elsewhere.
+func TestOneBusyKeyTakesNoOthersWithIt(t *testing.T) {
+	g := gomega.NewWithT(t)
+	r := newLargeReplay(1)
+	r.play(6*time.Second, nil)
+	r.play(2*time.Second, cluster(20_000, 1, 200))
+	r.othersAsked, r.othersServed = 0, 0
+	r.play(3*time.Second, cluster(20_000, 1, 200))
+	t.Logf("room for %.4f of the other requests", r.othersServed/r.othersAsked)
+	g.Expect(r.othersServed / r.othersAsked).To(gomega.BeNumerically(">", 0.999))
+	owner, _ := r.keeper.Table().Owner(worldService, 20_000)
+	g.Expect(r.paces[owner.Server]).To(gomega.Equal(407*time.Millisecond), "it is on a fast server")
+}
--- a/gateway/ranges/compact.go
+++ b/gateway/ranges/compact.go
@@ -21,7 +21,7 @@
 	// idleUse is the utilisation below which a piece may go back.
 	idleUse = 0.02
 	// piecesPerRound bounds the pieces that go back at once.
-	piecesPerRound = 4
+	piecesPerRound = 16
 )
 
 // settled reports whether a range has had its owner for long and nothing is
@@ -67,7 +67,7 @@
 	if !known {
 		pace = defaultPace
 	}
-	return s.Load.sum(service, l.Span) * pace / float64(max(s.Servers[l.Server].Slots, 1))
+	return s.Load.rate(service, l.Span) * pace / float64(max(s.Servers[l.Server].Slots, 1))
 }
 
 // merge makes neighbours of one owner one range under a new fence.
--- a/gateway/ranges/lessor.go
+++ b/gateway/ranges/lessor.go
@@ -44,6 +44,9 @@
 	raised       bool          // the fence is to be raised by the next append
 	pending      bool          // an append that changes it is under way
 	kept         bool          // the owner had the range under the fence before
+	// surgeSince and surgeUntil bound the time in which its load is taken from the quick
+	// memory: it, or a range of which it is a part, has become busy within an instant.
+	surgeSince, surgeUntil time.Time
 }
 
 // silentPause is for how long a server that did not answer gets no range while
--- a/gateway/ranges/plan.go
+++ b/gateway/ranges/plan.go
@@ -123,12 +123,7 @@
 			k.setPhase(l, releasing)
 		}
 	}
-	for _, move := range k.balance(service, s, servers, now) {
-		k.moves = append(k.moves, Move{Service: service, From: move.lease.Server, To: move.to, Span: move.span, Rate: move.rate, Gap: move.gap})
-		l := k.split(move.lease, move.span)
-		l.next = move.to
-		k.setPhase(l, releasing)
-	}
+	k.balance(service, s, servers, now)
 }
 
 func (l *lease) leaving(s Site) bool {
@@ -136,28 +131,29 @@
 	return l.Server != "" && (!registered || server.Draining)
 }
 
-// split cuts a span out of a lease and returns the lease of the span.
-func (k *Keeper) split(l *lease, span Span) *lease {
+// split cuts a span out of a lease and returns the lease of the span, and those of what
+// is left.
+func (k *Keeper) split(l *lease, span Span) (cut *lease, rest []*lease) {
 	if l.Span == span {
-		return l
+		return l, nil
 	}
-	var parts []*lease
 	part := func(from, to Key) *lease {
-		if from > to {
-			return nil
-		}
 		copied := *l
 		copied.Span = Span{From: from, To: to}
-		parts = append(parts, &copied)
 		return &copied
 	}
-	part(l.From, span.From-1)
-	cut := part(span.From, span.To)
-	part(span.To+1, l.To)
-	leases := slices.DeleteFunc(k.leases[l.service], func(other *lease) bool { return other == l })
-	k.leases[l.service] = sorted(append(leases, parts...))
+	cut = part(span.From, span.To)
+	if l.From < span.From {
+		rest = append(rest, part(l.From, span.From-1))
+	}
+	if span.To < l.To {
+		rest = append(rest, part(span.To+1, l.To))
+	}
+	leases := k.leases[l.service]
+	place := slices.Index(leases, l)
+	k.leases[l.service] = sorted(slices.Replace(leases, place, place+1, append(rest, cut)...))
 	k.serial++
-	return cut
+	return cut, rest
 }
 
 // collect adds every range that can change now to the change.
@@ -239,7 +235,7 @@
 // changed returns the lease after a change. What may be in force at the owner goes
 // on to count as long as its name stays.
 func (l *lease) changed(next Assignment, now time.Time) lease {
-	c := lease{Assignment: next, service: l.service, heldUntil: l.heldUntil, doubtUntil: l.doubtUntil, earlierUntil: l.earlierUntil, movedAt: l.movedAt}
+	c := lease{Assignment: next, service: l.service, heldUntil: l.heldUntil, doubtUntil: l.doubtUntil, earlierUntil: l.earlierUntil, movedAt: l.movedAt, surgeSince: l.surgeSince, surgeUntil: l.surgeUntil}
 	switch {
 	case l.Server == next.Server:
 		c.kept = true
