Idle nodes sleep: readers and the duty wake when something is due

Cause: on the large site a node that had nothing to do looked twenty times a second whether it must read the store, and forty times whether a call of the lessor's duty was due. 295 nodes spent more on that than on requests of a calm site.

Change: a reader sleeps until its turn can come, and a bell (follow/bell.go) wakes it when its standing or the lessor changes; the duty of a node that is not the lessor looks every 100 ms.

--- a/gateway/duty/duty.go
+++ b/gateway/duty/duty.go
@@ -26,6 +26,8 @@
 	// answer of a server the lessor of 308 owners and 295 nodes decided a thousand
 	// times a second.
 	tick = 25 * time.Millisecond
+	// idleTick is the same for a node that is not the lessor.
+	idleTick = 100 * time.Millisecond
 	// changePause is the least time between two changes of the table: releases that are
 	// answered one after the other become one change, and each is a call to the store.
 	changePause = 50 * time.Millisecond
@@ -132,7 +134,7 @@
 		select {
 		case <-timer.C:
 			d.step(ctx, clock.Now())
-			timer.Reset(tick)
+			timer.Reset(d.tick())
 		case result := <-d.appended:
 			d.takeAppend(ctx, result)
 		case result := <-d.called:
@@ -149,6 +151,14 @@
 	}
 }
 
+// tick returns the time until the next look for what is due.
+func (d *Duty) tick() time.Duration {
+	if d.keeper == nil {
+		return idleTick
+	}
+	return tick
+}
+
 // step does what is due now.
 func (d *Duty) step(ctx context.Context, now time.Time) {
 	if d.keeper == nil {
--- a/gateway/follow/behind_test.go
+++ b/gateway/follow/behind_test.go
@@ -64,7 +64,7 @@
 		done := make(chan struct{})
 		go func() { defer close(done); r.RunServers(ctx) }()
 		t.Cleanup(func() { cancel(); <-done })
-		time.Sleep(readEvery - idleEvery)
+		time.Sleep(readEvery - leastPause)
 		synctest.Wait()
 		_, known := r.Contact.Age()
 		g.Expect(known).To(gomega.Equal(paged.reads.Load() == 12), "%d of 12 pages are read", paged.reads.Load())
--- a/gateway/follow/feed.go
+++ b/gateway/follow/feed.go
@@ -148,7 +148,7 @@
 // could not rely on its answer before.
 func (f *Feed) awaitContact(ctx context.Context) {
 	for {
-		if _, known := f.Contact.Age(); known || !clock.Wait(ctx, idleEvery) {
+		if _, known := f.Contact.Age(); known || !clock.Wait(ctx, leastPause) {
 			return
 		}
 	}
--- a/gateway/follow/reader.go
+++ b/gateway/follow/reader.go
@@ -21,8 +21,15 @@
 	configWait = 600 * time.Millisecond
 	// answerTime is what the way of an answer may take.
 	answerTime = 50 * time.Millisecond
-	// idleEvery is how often a reader that need not read looks whether it must.
-	idleEvery = 50 * time.Millisecond
+	// leastPause is the least time between two reads of a topic.
+	leastPause = 50 * time.Millisecond
+	// shortWait and longWait bound the time until a reader that need not read looks
+	// again whether it must. Hundreds of nodes that look twenty times a second take more
+	// of their processors than the requests of a calm site.
+	shortWait = 10 * time.Millisecond
+	longWait  = time.Second
+	// outageLook is how often one loop looks whether the other has found the store back.
+	outageLook = 250 * time.Millisecond
 	// lookTime is how long a node that starts, and has found a lessor in the store,
 	// waits for news from it before it reads the rest.
 	lookTime = 500 * time.Millisecond
@@ -45,6 +52,7 @@
 	lost        atomic.Bool  // the latest call failed
 	serversLost atomic.Bool  // the latest read of the servers failed
 	lookUntil   atomic.Int64 // until when the node looks for a new lessor, by the clock, in nanoseconds
+	woken       bell         // rings when it may be the node's turn to read sooner than expected
 	register    *Register
 	broken      brokenLog
 	mu          sync.Mutex
@@ -52,7 +60,11 @@
 }
 
 // SetStanding tells the node's place among those that may read the store.
-func (r *Reader) SetStanding(s Standing) { r.standing.Store(&s) }
+func (r *Reader) SetStanding(s Standing) {
+	if before := r.standing.Swap(&s); before == nil || *before != s {
+		r.woken.ring()
+	}
+}
 
 // Standing returns the node's place among those that may read the store.
 func (r *Reader) Standing() Standing {
@@ -65,7 +77,10 @@
 }
 
 // SetLessor tells whether the node is the lessor.
-func (r *Reader) SetLessor(isLessor bool) { r.lessor.Store(isLessor) }
+func (r *Reader) SetLessor(isLessor bool) {
+	r.lessor.Store(isLessor)
+	r.woken.ring()
+}
 
 // Ownership returns what is known of the lessor's lease.
 func (r *Reader) Ownership() Ownership {
@@ -76,27 +91,54 @@
 
 // LookForLessor takes that the lessor has given its lease up: those whose turn to read
 // comes first look at once who takes it.
-func (r *Reader) LookForLessor() { r.lookUntil.Store(clock.Now().Add(lessorLook).UnixNano()) }
+func (r *Reader) LookForLessor() {
+	r.lookUntil.Store(clock.Now().Add(lessorLook).UnixNano())
+	r.woken.ring()
+}
 
 // mustRead reports whether the node must read the store itself now.
 func (r *Reader) mustRead() bool {
-	age, wasTold := r.Contact.ToldAge()
-	if !wasTold {
-		age = clock.Since(r.StartedAt)
-	}
+	age, wasTold := r.toldAge()
 	standing := r.Standing()
 	looks := standing.isFirst() && clock.Now().UnixNano() < r.lookUntil.Load()
 	return looks || standing.mayRead(age, wasTold)
 }
 
+// toldAge returns how old the news of other nodes are; if there were none, for how long
+// the node has been running.
+func (r *Reader) toldAge() (age time.Duration, wasTold bool) {
+	if age, wasTold = r.Contact.ToldAge(); wasTold {
+		return age, true
+	}
+	return clock.Since(r.StartedAt), false
+}
+
+// awaitTurn waits until it may be the node's turn to read. heard was taken before the
+// node looked whether it is.
+func (r *Reader) awaitTurn(ctx context.Context, heard <-chan struct{}, longest time.Duration) {
+	age, wasTold := r.toldAge()
+	left := r.Standing().patience(wasTold) - age
+	timer := time.NewTimer(max(min(left+time.Millisecond, longest), shortWait))
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-heard:
+	case <-ctx.Done():
+	}
+}
+
 // RunConfigurations follows the operator's configurations until ctx ends.
 func (r *Reader) RunConfigurations(ctx context.Context) {
 	next := store.Offset(-1)
 	failures := 0
 	for ctx.Err() == nil {
-		// While the store does not answer one loop finds out when it does.
-		if !r.mustRead() || r.serversLost.Load() {
-			clock.Wait(ctx, idleEvery)
+		heard := r.woken.heard()
+		if !r.mustRead() {
+			r.awaitTurn(ctx, heard, longWait)
+			continue
+		}
+		if r.serversLost.Load() {
+			clock.Wait(ctx, outageLook) // the other loop finds out when the store answers
 			continue
 		}
 		batch, _, err := r.readFrom(ctx, store.Configurations, next, configWait)
@@ -177,10 +219,11 @@
 	r.register = NewRegister()
 	turn := readTurn{servers: -1, ownership: -1}
 	for ctx.Err() == nil {
+		heard := r.woken.heard()
 		if !r.mustRead() {
 			r.endTurn(&turn)
 			r.showServers(clock.Now())
-			clock.Wait(ctx, idleEvery)
+			r.awaitTurn(ctx, heard, r.register.nextLapse(clock.Now(), longWait))
 			continue
 		}
 		if !turn.reads {
@@ -197,7 +240,7 @@
 		case isBehind:
 			pause = 0
 		}
-		clock.Wait(ctx, max(pause, idleEvery))
+		clock.Wait(ctx, max(pause, leastPause))
 	}
 }
 
--- a/gateway/follow/reader_test.go
+++ b/gateway/follow/reader_test.go
@@ -75,9 +75,9 @@
 		t.Cleanup(func() { cancel(); <-done })
 		await(t, reader, 1, time.Second)
 		reader.Contact.NoteTold(clock.Now(), 0)
-		time.Sleep(readEvery + idleEvery)
+		time.Sleep(readEvery + leastPause)
 		growing.tables.Store(460)
-		time.Sleep(firstTurn - readEvery - idleEvery)
+		time.Sleep(firstTurn - readEvery - leastPause)
 		await(t, reader, 460, time.Second)
 	})
 }
--- a/gateway/follow/register.go
+++ b/gateway/follow/register.go
@@ -159,6 +159,15 @@
 	}
 }
 
+// nextLapse returns when servers that keep their place after an outage lose it, or
+// otherwise a time.
+func (r *Register) nextLapse(now time.Time, otherwise time.Duration) time.Duration {
+	if left := r.returned.Sub(now); left > 0 {
+		return min(left, otherwise)
+	}
+	return otherwise
+}
+
 // Servers returns the register as of now. Of the servers that keep their place
 // after an outage only those in shown are in it: another node may have told
 // already that the others have left.
--- a/gateway/follow/turn.go
+++ b/gateway/follow/turn.go
@@ -63,17 +63,21 @@
 // mayRead reports whether it is the node's turn to read the store. told is the age
 // of what it was told by others; if it was told nothing, the time since its start.
 func (s Standing) mayRead(told time.Duration, wasTold bool) bool {
+	return told > s.patience(wasTold)
+}
+
+// patience returns the age of what a node was told beyond which it reads the store; if it
+// was told nothing, the time since its start.
+func (s Standing) patience(wasTold bool) time.Duration {
 	switch {
-	case s.IsLessor:
-		return true
-	case s.isFirst() && !wasTold:
-		return true
+	case s.IsLessor || s.isFirst() && !wasTold:
+		return -1
 	case s.isFirst():
-		return told > firstTurn
+		return firstTurn
 	case !wasTold:
-		return told > startPatience+time.Duration(s.Spread*float64(startSpread))
+		return startPatience + time.Duration(s.Spread*float64(startSpread))
 	}
-	return told > staleRelay+s.turn()
+	return staleRelay + s.turn()
 }
 
 // turn returns how much later than others a node's turn comes.
--- a/gateway/follow/turn_test.go
+++ b/gateway/follow/turn_test.go
@@ -65,7 +65,7 @@
 func callsIn(s Standing, outage time.Duration) int {
 	at := time.Duration(0)
 	for !s.mayRead(at, true) {
-		at += idleEvery
+		at += leastPause
 	}
 	calls := 0
 	for ; at < outage; at += s.retryPause(calls) {
