Shares in the lines: what the lessor decided, and which share refused a request

Cause: a request refused with "wanted beyond what its server runs" did not tell the share or its age, and the lessor told shares without a line, so that an operator could not go from the request to the decision.

Change: the request's steps name the owner, its share and how long ago it was told; event 2113 tells at the lessor for how many servers shares hold when they change. No decision differs.

--- a/gateway/duty/events.go
+++ b/gateway/duty/events.go
@@ -19,5 +19,6 @@
 	eventMove         = events.Define(2110, hclog.Info, "range is moved to a less loaded server")
 	eventRestart      = events.Define(2111, hclog.Info, "a server has started again under its name")
 	eventYielding     = events.Define(2112, hclog.Info, "the lease is to go to a stronger node")
+	eventShares       = events.Define(2113, hclog.Info, "shares of the requests for busy servers' keys")
 	eventBadTable     = events.Define(2109, hclog.Error, "table of ranges cannot be encoded")
 )
--- a/gateway/duty/shares.go
+++ b/gateway/duty/shares.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/burdockspindle/burdockspindle/gateway/quota"
+	"github.com/burdockspindle/burdockspindle/gateway/site"
 	"github.com/burdockspindle/burdockspindle/gateway/view"
 )
 
@@ -19,12 +20,27 @@
 		return
 	}
 	d.nextShares = now.Add(quota.Round)
-	shares, changed := d.quota.Update(d.keeper.Demands(d.site(now), now), len(d.State.Now().Members))
+	nodes := len(d.State.Now().Members)
+	shares, changed := d.quota.Update(d.keeper.Demands(d.site(now), now), nodes)
+	if changed {
+		least := leastOf(shares)
+		eventShares.Log(d.Logger, "servers", len(shares), "leastOf", least, "least", shares[least], "nodes", nodes)
+	}
 	isOld := len(shares) > 0 && now.Sub(d.toldAt) > sharesAgain
-	if !changed && !isOld {
-		return
+	if changed || isOld {
+		d.tellShares(shares, now)
+	}
+}
+
+// leastOf returns the server with the least share; empty if none has one.
+func leastOf(shares quota.Shares) site.ServerID {
+	var least site.ServerID
+	for id, share := range shares {
+		if least == "" || share < shares[least] {
+			least = id
+		}
 	}
-	d.tellShares(shares, now)
+	return least
 }
 
 func (d *Duty) tellShares(shares quota.Shares, now time.Time) {
--- a/gateway/pool/queue.go
+++ b/gateway/pool/queue.go
@@ -58,6 +58,7 @@
 type Refusal struct {
 	Reason     Reason
 	RetryAfter time.Duration
+	Share      float64 // that the server has of the requests for its keys, for OverShare
 }
 
 // Reason says why a request is refused.
--- a/gateway/pool/share.go
+++ b/gateway/pool/share.go
@@ -42,7 +42,7 @@
 		return nil
 	}
 	if !m.takeCredit(p.inTime(w, now)) {
-		return &Refusal{Reason: OverShare, RetryAfter: p.sharedRetry(m, now)}
+		return &Refusal{Reason: OverShare, RetryAfter: p.sharedRetry(m, now), Share: m.share}
 	}
 	w.Passed = true
 	return nil
--- a/gateway/router/owner_test.go
+++ b/gateway/router/owner_test.go
@@ -12,6 +12,7 @@
 	"github.com/burdockspindle/burdockspindle/gateway/budget"
 	"github.com/burdockspindle/burdockspindle/gateway/follow"
 	"github.com/burdockspindle/burdockspindle/gateway/pool"
+	"github.com/burdockspindle/burdockspindle/gateway/quota"
 	"github.com/burdockspindle/burdockspindle/gateway/ranges"
 	"github.com/burdockspindle/burdockspindle/gateway/site"
 	"github.com/burdockspindle/burdockspindle/gateway/upstream"
@@ -109,3 +110,22 @@
 	_, isThere = x.hedgePlace(site.Server{})
 	g.Expect(isThere).To(gomega.BeFalse())
 }
+
+// Whoever looks for the cause of a refusal finds the share in its line, and how old it is.
+func TestTheLineOfARefusedRequestTellsTheShareThatDecided(t *testing.T) {
+	g := gomega.NewWithT(t)
+	x := keyedExchange(t)
+	x.router.state.MergeShares(view.Shares{Offset: 1, Serial: 1, Of: quota.Shares{"b": 0.05}})
+	x.router.service("s") // takes them
+	refused := 0
+	for range 10 {
+		_, problem := x.place(context.Background())
+		if problem != nil {
+			refused++
+			g.Expect(problem.reason).To(gomega.Equal(string(pool.OverShare)))
+			g.Expect(problem.retryAfter).To(gomega.BeNumerically(">", 0))
+			g.Expect(x.trail.steps[len(x.trail.steps)-1]).To(gomega.MatchRegexp(`^b gets 0.05 of the requests for its keys, told \d+ ms ago$`))
+		}
+	}
+	g.Expect(refused).To(gomega.BeNumerically(">=", 9))
+}
--- a/gateway/router/run.go
+++ b/gateway/router/run.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"strconv"
 	"syscall"
 	"time"
 
@@ -202,7 +203,7 @@
 	askedAt := time.Now()
 	server, places, refused := x.service.ask(w)
 	if refused != nil {
-		return site.Server{}, refusalOf(refused)
+		return site.Server{}, x.refusedBy(w, refused)
 	}
 	if places == nil {
 		return server, nil
@@ -224,7 +225,7 @@
 		case p := <-places:
 			x.noteWait(time.Since(askedAt))
 			if p.refused != nil {
-				return site.Server{}, refusalOf(p.refused)
+				return site.Server{}, x.refusedBy(w, p.refused)
 			}
 			return p.server, nil
 		case <-changed:
@@ -249,7 +250,12 @@
 	return &refusal{status: http.StatusServiceUnavailable, reason: "waited in vain", retryAfter: typical}
 }
 
-func refusalOf(r *pool.Refusal) *refusal {
+// refusedBy returns the refusal of the pool, and notes what it rests on.
+func (x *exchange) refusedBy(w *pool.Waiter, r *pool.Refusal) *refusal {
+	if r.Reason == pool.OverShare {
+		told := time.Since(x.router.state.Now().Shares.ToldAt)
+		x.trail.note(string(w.Only) + " gets " + strconv.FormatFloat(r.Share, 'g', 2, 64) + " of the requests for its keys, told " + milliseconds(told) + " ago")
+	}
 	return &refusal{status: http.StatusServiceUnavailable, reason: string(r.Reason), retryAfter: r.RetryAfter}
 }
 
