--- a/gateway/duty/calls.go
+++ b/gateway/duty/calls.go
@@ -39,9 +39,9 @@
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	var result ranges.Result
-	err := d.lines.enter(ctx, call)
+	err := d.limiter.enter(ctx, call)
 	if err == nil {
-		defer d.lines.leave(call)
+		defer d.limiter.leave(call)
 	}
 	switch {
 	case err != nil:
--- a/gateway/duty/duty.go
+++ b/gateway/duty/duty.go
@@ -89,7 +89,7 @@
 	appending    *pendingAppend
 	appended     chan appendResult
 	called       chan callResult
-	lines        lines
+	limiter      callLimiter
 	nextChange   time.Time // not before
 	nextConfirm  time.Time
 	nextReport   time.Time
--- a/gateway/duty/lines.go
+++ b/gateway/duty/limiter.go
@@ -18,46 +18,45 @@
 	releasesAtOnce = 4
 )
 
-// lines holds back calls to servers that have as many as they may.
-type lines struct {
-	mu    sync.Mutex
-	calls map[line]chan struct{}
+// callLimiter holds back calls to servers that have as many as they may.
+type callLimiter struct {
+	mu     sync.Mutex
+	places map[limitedCalls]chan struct{} // a call under way is an element
 }
 
-// line names the calls that wait for each other.
-type line struct {
+// limitedCalls names the calls that wait for each other.
+type limitedCalls struct {
 	server  site.ServerID
 	release bool
 }
 
-func lineOf(call ranges.Call) line { return line{server: call.Server, release: call.Release} }
-
-// mostLines bounds the lines that are kept; those of servers that have left are dropped
+// mostLimited bounds the servers that are remembered; those that have left are dropped
 // with it.
-const mostLines = 4096
+const mostLimited = 4096
 
-func (l *lines) of(name line) chan struct{} {
+func (l *callLimiter) placesFor(call ranges.Call) chan struct{} {
+	name := limitedCalls{server: call.Server, release: call.Release}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if places := l.calls[name]; places != nil {
+	if places := l.places[name]; places != nil {
 		return places
 	}
-	if l.calls == nil || len(l.calls) >= mostLines {
-		l.calls = map[line]chan struct{}{}
+	if l.places == nil || len(l.places) >= mostLimited {
+		l.places = map[limitedCalls]chan struct{}{}
 	}
 	most := grantsAtOnce
-	if name.release {
+	if call.Release {
 		most = releasesAtOnce
 	}
 	places := make(chan struct{}, most)
-	l.calls[name] = places
+	l.places[name] = places
 	return places
 }
 
 // enter waits until a call may be made, or ctx ends: then it has not been made.
-func (l *lines) enter(ctx context.Context, call ranges.Call) error {
+func (l *callLimiter) enter(ctx context.Context, call ranges.Call) error {
 	select {
-	case l.of(lineOf(call)) <- struct{}{}:
+	case l.placesFor(call) <- struct{}{}:
 		return nil
 	case <-ctx.Done():
 		return ctx.Err()
@@ -65,9 +64,9 @@
 }
 
 // leave ends a call.
-func (l *lines) leave(call ranges.Call) {
+func (l *callLimiter) leave(call ranges.Call) {
 	select {
-	case <-l.of(lineOf(call)):
-	default: // the line was dropped meanwhile
+	case <-l.placesFor(call):
+	default: // the server was dropped meanwhile
 	}
 }
--- a/gateway/quota/quota.go
+++ b/gateway/quota/quota.go
@@ -18,9 +18,6 @@
 )
 
 const (
-	// fullUse is the part of what a server can run that is sent to it. What its queue
-	// tells corrects it.
-	fullUse = 1.0
 	// presentTarget is how many requests for each slot a server had better have. Requests
 	// come at random: with 1.5 for each slot a twentieth of what it can run was left
 	// in the replay, and with 2.5 a tenth more was answered late.
@@ -101,14 +98,12 @@
 			continue
 		}
 		learnt := q.learn(s)
-		runs := learnt.correction * s.Runs
-		share := max(fullUse*runs-s.excess()/drainTime.Seconds(), leastUse*runs) / s.Asked
 		if s.Asked < forgetBelow*s.Runs {
 			continue
 		}
 		known[s.ID] = learnt
-		if s.Asked > runs {
-			next[s.ID] = share
+		if runs := learnt.correction * s.Runs; s.Asked > runs {
+			next[s.ID] = max(runs-s.excess()/drainTime.Seconds(), leastUse*runs) / s.Asked
 		}
 	}
 	q.learnt = known
