--- a/gateway/site/site.go
+++ b/gateway/site/site.go
@@ -57,10 +57,8 @@
 
 // Service is a group of servers that run the same requests.
 type Service struct {
-	Name           ServiceName   `json:"name"`
-	MaxConnections int           `json:"maxConnections"` // that one server accepts from all callers
-	Keyed          bool          `json:"keyed"`          // each key is owned by one server
-	WarmUp         time.Duration `json:"warmUp"`         // slowness of keys that come without a handover
+	Name  ServiceName `json:"name"`
+	Keyed bool        `json:"keyed"` // each key is owned by one server
 }
 
 // Limits bound what a client may send and how long it may take.
--- a/gateway/upstream/client_test.go
+++ b/gateway/upstream/client_test.go
@@ -18,7 +18,7 @@
 
 var headers = upstream.Headers{
 	RequestID: "Request-Id", Timeout: "Timeout", ExpectedServer: "Expected", Key: "Key", NotRun: "Not-Run", Load: "Load",
-	Signature: "Signature", ParseLoad: func(string) (site.Load, bool) { return site.Load{}, false },
+	ParseLoad: func(string) (site.Load, bool) { return site.Load{}, false },
 }
 
 // script answers the n-th request (from 0) on any connection with bytes; after
--- a/gateway/upstream/headers.go
+++ b/gateway/upstream/headers.go
@@ -13,7 +13,6 @@
 	Key            string // key of a request to a keyed service
 	NotRun         string // present if the server has not run the request
 	Load           string // the server's load
-	Signature      string // proves that a server made the answer
 	// ParseLoad reads the value of Load.
 	ParseLoad func(string) (site.Load, bool)
 }
