Router: a request that waits alone sees a server that comes

Cause: services took a new view only when a request came. On a service with few requests one that waited for room saw a new server, or the end of a drain, with the next request or never.

Change: a request that waits has its services take the view when it changes.

Measured: the new test hangs on the former code; no other request is needed now.

--- a/gateway/router/owner_test.go
+++ b/gateway/router/owner_test.go
@@ -129,3 +129,26 @@
 	}
 	g.Expect(refused).To(gomega.BeNumerically(">=", 9))
 }
+
+// A request that waits alone sees a server that comes: no other request is needed for that.
+func TestARequestThatWaitsGetsAPlaceAtANewServer(t *testing.T) {
+	g := gomega.NewWithT(t)
+	x := keyedExchange(t)
+	x.keyed = false
+	w := &pool.Waiter{Deadline: x.deadline, Target: x.target}
+	for {
+		if _, places, _ := x.service.ask(w); places != nil { // the only server has no room
+			x.service.leave(w, places)
+			break
+		}
+	}
+	go func() {
+		time.Sleep(10 * time.Millisecond)
+		added := site.Server{ID: "c", Service: "s", Address: "127.0.0.1:2", Slots: 4}
+		servers := map[site.ServerID]site.Server{"b": x.router.state.Now().Servers.Servers["b"], "c": added}
+		x.router.state.MergeServers(view.Servers{Offset: 2, Servers: servers})
+	}()
+	server, problem := x.wait(context.Background(), x.waiter())
+	g.Expect(problem).To(gomega.BeNil())
+	g.Expect(server.ID).To(gomega.Equal(site.ServerID("c")))
+}
--- a/gateway/router/router.go
+++ b/gateway/router/router.go
@@ -107,15 +107,9 @@
 
 // service returns a service with the servers of the present view.
 func (r *Router) service(name site.ServiceName) *service {
-	v := r.state.Now()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if v != r.seen {
-		r.seen = v
-		for known, s := range r.services {
-			s.follow(v.ServersOf(known), len(v.Members), v.Shares)
-		}
-	}
+	v := r.followView()
 	s := r.services[name]
 	if s == nil {
 		random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
@@ -132,6 +126,28 @@
 	return s
 }
 
+// update has every service take the present view. Requests that wait call it when the view
+// changes: on a service with few requests, one that waited saw a new server only when the
+// next one came.
+func (r *Router) update() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.followView()
+}
+
+// followView has the services take the present view, and returns it. The lock is held.
+func (r *Router) followView() *view.View {
+	v := r.state.Now()
+	if v == r.seen {
+		return v
+	}
+	r.seen = v
+	for name, s := range r.services {
+		s.follow(v.ServersOf(name), len(v.Members), v.Shares)
+	}
+	return v
+}
+
 // ShareLife is for how long shares hold that the lessor does not tell again.
 const ShareLife = 5 * time.Second
 
--- a/gateway/router/run.go
+++ b/gateway/router/run.go
@@ -218,9 +218,6 @@
 			x.noteWait(time.Since(askedAt))
 			return x.place(ctx)
 		}
-		if !x.keyed {
-			changed = nil
-		}
 		select {
 		case p := <-places:
 			x.noteWait(time.Since(askedAt))
@@ -229,6 +226,7 @@
 			}
 			return p.server, nil
 		case <-changed:
+			x.router.update()
 		case <-tooLate.C:
 			x.service.leave(w, places)
 			return site.Server{}, waitedInVain(typical)
