--- a/gateway/ranges/search_run_test.go
+++ b/gateway/ranges/search_run_test.go
@@ -21,6 +21,7 @@
 }
 
 func TestNoHistoryHasTwoOwners(t *testing.T) {
+	t.Parallel()
 	cases := []searchCase{{"one start beside a planned move", searchBounds{starts: 1, moves: 1}}}
 	if *longSearch {
 		cases = append(cases,
@@ -44,6 +45,7 @@
 }
 
 func TestEveryRuleIsNeededInSomeHistory(t *testing.T) {
+	t.Parallel()
 	for name, c := range map[string]struct {
 		dropped rules
 		bounds  searchBounds
--- a/gateway/ranges/world_run_test.go
+++ b/gateway/ranges/world_run_test.go
@@ -14,6 +14,7 @@
 var worldSeeds = flag.Uint64("worlds", 40, "worlds to play in each test")
 
 func TestNoKeyHasTwoOwners(t *testing.T) {
+	t.Parallel()
 	moves, claims, starts := uint64(0), uint64(0), uint64(0)
 	held := 0.0
 	for seed := range *worldSeeds {
@@ -37,6 +38,7 @@
 // kind to tell anything. One of them shows seldom: its worlds begin at a seed shortly
 // before one that was found.
 func TestEveryRuleIsNeeded(t *testing.T) {
+	t.Parallel()
 	for _, c := range []struct {
 		name    string
 		dropped rules
@@ -53,6 +55,7 @@
 		{"a higher fence ends the wait for unanswered grants", rules{noDoubt: true}, 0},
 	} {
 		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
 			for seed := c.from; seed < c.from+8**worldSeeds; seed++ {
 				if fault := newWorld(seed, c.dropped).run(worldLength); fault != "" {
 					t.Logf("seed %d: %s", seed, fault)
