Frontend tests: a request canceled at once does not crash the race detector

Cause: TestEveryCallerGetsItsOwnAnswer canceled each tenth request by time.AfterFunc with a duration that was always zero. The traces name that line.

Change: it cancels at once without a timer, or after one to seven milliseconds, so that requests under way are canceled too, as its comment says.

--- a/modules/frontend/contract_test.go
+++ b/modules/frontend/contract_test.go
@@ -147,7 +147,7 @@
 				ctx, cancel := context.WithCancel(context.Background())
 				defer cancel()
 				if i%10 == 0 {
-					time.AfterFunc(time.Duration(i%5)*time.Millisecond, cancel)
+					cancelAfter(time.Duration(i/10%8)*time.Millisecond, cancel)
 				}
 				path := callerapi.KeyedPath(logs, id, "x")
 				request, _ := http.NewRequestWithContext(ctx, "GET", "http://"+b.address+path, nil)
@@ -169,6 +169,18 @@
 	})
 }
 
+// cancelAfter cancels a request after a while, or at once. A timer that is due when it is
+// made runs on the stack of the scheduler; under -race in a synctest bubble that has no
+// race context, and the process of the tests ended with SIGSEGV or a check of the race
+// detector in one run of thirty.
+func cancelAfter(d time.Duration, cancel context.CancelFunc) {
+	if d == 0 {
+		go cancel()
+		return
+	}
+	time.AfterFunc(d, cancel)
+}
+
 // TestCallerWhoHangsUpCancelsTheServersRequest.
 func TestCallerWhoHangsUpCancelsTheServersRequest(t *testing.T) {
 	t.Parallel()
