Grants: a call ends a timeout after it was counted as sent, and what was given up is not sent

The lessor counts a grant from SentAt, one call timeout (0.4 s) and the hold. The timeout began when the call's goroutine did, so that a node short of processor time could send up to 0.4 s later than counted; and a request whose context ended while its connection was opened was written all the same before the reset.

Change: the call's context ends at SentAt plus the timeout; nothing is written once it has ended.

--- a/gateway/duty/calls.go
+++ b/gateway/duty/calls.go
@@ -29,14 +29,15 @@
 	}
 }
 
-// call makes one call to a server. The right to grant is looked at once more,
-// since the machine may have been suspended meanwhile.
+// call makes one call to a server. What it grants is counted from SentAt, so it ends a
+// timeout after that, however long it took to begin: the machine may have been suspended
+// or short of processor time meanwhile.
 func (d *Duty) call(ctx context.Context, server site.Server, call ranges.Call) {
 	timeout := d.Timing.CallTimeout
 	if call.Release {
 		timeout = d.Timing.ReleaseTimeout
 	}
-	ctx, cancel := context.WithTimeout(ctx, timeout)
+	ctx, cancel := context.WithTimeout(ctx, timeout-clock.Since(call.SentAt))
 	defer cancel()
 	var result ranges.Result
 	err := d.limiter.enter(ctx, call)
@@ -45,7 +46,7 @@
 	}
 	switch {
 	case err != nil:
-	case clock.Since(call.SentAt) > timeout:
+	case clock.Since(call.SentAt) >= timeout:
 		err = context.DeadlineExceeded
 	case call.Release:
 		result.Handover, err = d.Granter.Release(ctx, server, call.Grant.Span, call.Grant.Fence)
--- a/gateway/upstream/client.go
+++ b/gateway/upstream/client.go
@@ -152,6 +152,9 @@
 func (c *Client) exchange(ctx context.Context, cn *conn, r *Request, head []byte, matchID bool) (*Answer, bool, error) {
 	stop := context.AfterFunc(ctx, func() { reset(cn.net) })
 	defer stop()
+	if err := ctx.Err(); err != nil {
+		return nil, false, err // a process that was held up must not send what has been given up
+	}
 	written := make(chan error, 1)
 	cn.written = true
 	if len(r.Body) <= inlineBody {
--- a/gateway/upstream/settle_test.go
+++ b/gateway/upstream/settle_test.go
@@ -46,3 +46,27 @@
 		g.Expect(attempt.TurnedAway).To(gomega.BeTrue())
 	}
 }
+
+// What has been given up while the connection was opened is not sent: a grant that arrives
+// late would be in force for longer than its lessor counts.
+func TestNothingIsSentOnceTheCallIsGivenUp(t *testing.T) {
+	g := gomega.NewWithT(t)
+	here, there := net.Pipe()
+	defer func() { _ = there.Close() }()
+	client := NewClient(Headers{RequestID: "Request-Id", Timeout: "Timeout", ExpectedServer: "Expected", ParseLoad: func(string) (site.Load, bool) { return site.Load{}, false }}, "a")
+	ctx, cancel := context.WithCancel(context.Background())
+	client.dial = func(context.Context, string, string) (net.Conn, error) {
+		cancel()
+		return here, nil
+	}
+	came := make(chan int, 1)
+	go func() {
+		n, _ := there.Read(make([]byte, 1))
+		came <- n
+	}()
+	_, err := client.Control(ctx, site.Server{ID: "s", Address: "s:1"}, "/x", nil)
+	var attempt *AttemptError
+	g.Expect(errors.As(err, &attempt)).To(gomega.BeTrue())
+	g.Expect(attempt.Sent).To(gomega.BeFalse())
+	g.Expect(<-came).To(gomega.BeZero())
+}
