Stand-in server: one that is stopped while it is announced leaves the list

The test stops the server as soon as the list shows it, when the answer to the server's call may still be on its way: the call was canceled, the server ended with that error, and the list showed it as live for ever. Nothing of the gateway is concerned.

Change: a server whose stop comes during its announcement leaves the list as any other does.

--- a/standin/command/command_test.go
+++ b/standin/command/command_test.go
@@ -3,7 +3,10 @@
 import (
 	"bytes"
 	"context"
+	"io"
 	"net"
+	"net/http"
+	"net/http/httptest"
 	"os"
 	"path/filepath"
 	"sync"
@@ -67,6 +70,35 @@
 	g.Expect(rows()[0].Phase).To(gomega.Equal(vmlist.PhaseGone))
 }
 
+// The list may have taken the server although its answer never came: a run of CI stopped the
+// server between the two, and the list showed it as live for ever.
+func TestAServerThatIsStoppedWhileItIsAnnouncedLeavesTheList(t *testing.T) {
+	g := gomega.NewWithT(t)
+	serving, stop := context.WithCancel(context.Background())
+	defer stop()
+	var mu sync.Mutex
+	var paths []string
+	list := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		mu.Lock()
+		paths = append(paths, r.URL.Path)
+		mu.Unlock()
+		if r.URL.Path == vms.PathVMs {
+			_, _ = io.Copy(io.Discard, r.Body) // else the end of the connection is not seen
+			stop()
+			<-r.Context().Done()
+		}
+	}))
+	defer list.Close()
+	flags := &serverFlags{
+		id: "s1", service: "logs", zone: "a", address: defaultServerAddress,
+		vms: list.URL, leaveAfter: time.Millisecond, announceWithin: time.Minute,
+	}
+	g.Expect(flags.run(serving, newEnv())).To(gomega.Succeed())
+	mu.Lock()
+	defer mu.Unlock()
+	g.Expect(paths).To(gomega.Equal([]string{vms.PathVMs, vms.PathVM + "s1/" + string(phaseLeaving), vms.PathVM + "s1/" + string(phaseGone)}))
+}
+
 func TestAServerThatCannotBePutOnTheListDoesNotStart(t *testing.T) {
 	g := gomega.NewWithT(t)
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
--- a/standin/command/server.go
+++ b/standin/command/server.go
@@ -91,7 +91,8 @@
 		return err
 	}
 	row := listRow{vms: f.vms, logger: logger, vm: f.vm(address)}
-	if err := row.announce(ctx, f.announceWithin); err != nil {
+	// One that is stopped meanwhile may be on the list all the same, and leaves it.
+	if err := row.announce(ctx, f.announceWithin); err != nil && ctx.Err() == nil {
 		s.Kill()
 		return err
 	}
