Follow: one piece keeps what is told to other nodes; a node without routes is told all

Cause, found by reading the change again: the tellers of the register and of the routes each kept the latest eight states and the messages made from them, in code of the same shape. The one of the routes named "no routes" by version 0, 0, which is that of a first table that no lessor has told. At the start of a site a node without routes could get the change that was made for one with those, took it for malformed, and left its source for a second or three.

Change: type recent serves both, with the whole apart from the changes. view.Version orders routes and shares, in place of four comparisons written out. A node without routes takes no change.

Measured: the new test fails on the former code (malformed answer). The tests of both tellers are as before, but for the name of their common bound.

--- a/gateway/follow/feed.go
+++ b/gateway/follow/feed.go
@@ -178,13 +178,11 @@
 }
 
 func sharesDiffer(v *view.View, asked *bspb.FollowRequest) bool {
-	offset := int64(v.Shares.Offset)
-	return offset > asked.SharesOffset || offset == asked.SharesOffset && v.Shares.Serial > asked.SharesSerial
+	return v.Shares.Version().IsAfter(versionOf(asked.SharesOffset, asked.SharesSerial))
 }
 
 func routesDiffer(v *view.View, asked *bspb.FollowRequest) bool {
-	offset := int64(v.Routes.Offset)
-	return v.Routes.Lessor.Boot != "" && (offset > asked.TableOffset || offset == asked.TableOffset && v.Routes.Serial > asked.RoutesSerial)
+	return v.Routes.Lessor.Boot != "" && v.Routes.Version().IsAfter(routesVersion(asked))
 }
 
 func (f *Feed) reply(asked *bspb.FollowRequest) (*bspb.FollowReply, error) {
--- a/gateway/follow/routes.go
+++ b/gateway/follow/routes.go
@@ -2,7 +2,6 @@
 
 import (
 	"slices"
-	"sync"
 	"time"
 
 	"github.com/burdockspindle/burdockspindle/clock"
@@ -17,69 +16,31 @@
 // large sites: the lessor changes some of hundreds of ranges up to ten times a second, and
 // with all ranges in each answer the news took a node as much of its processor as the
 // requests. Nodes that have one of the latest routes are told what has changed since; the
-// others get all. Everything is made once for all that get the same.
+// others get all.
 type routesTeller struct {
-	mu     sync.Mutex
-	latest []view.Routes // that were told, the newest last
-	made   map[routesVersion]*bspb.GatewayRoutes
+	recent recent[view.Version, view.Routes, *bspb.GatewayRoutes]
 }
 
-// routesVersion names routes; the zero value names none.
-type routesVersion struct {
-	offset store.Offset
-	serial uint64
-}
-
-func versionOf(routes view.Routes) routesVersion {
-	return routesVersion{offset: routes.Offset, serial: routes.Serial}
-}
-
-// mostToldRoutes bounds the routes from which a change can be told: a node asks again as
-// soon as it has an answer, and a call takes less than eight changes do.
-const mostToldRoutes = 8
-
 // tell returns what leads from the routes that a node has to the newest.
 func (t *routesTeller) tell(asked *bspb.FollowRequest, newest view.Routes) *bspb.GatewayRoutes {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.note(newest)
-	base := t.find(routesVersion{offset: store.Offset(asked.TableOffset), serial: asked.RoutesSerial})
-	key := routesVersion{}
-	if base != nil {
-		key = versionOf(*base)
-	}
-	if made := t.made[key]; made != nil {
-		return made
-	}
-	message := routesMessage(newest, base)
-	if !hasSilent(message) { // those tell a time that is left
-		t.made[key] = message
-	}
+	known := routesVersion(asked)
+	isKnown := func(version view.Version) bool { return version == known }
+	message, _ := t.recent.tell(versioned[view.Version, view.Routes]{newest.Version(), newest}, isKnown, func(base *view.Routes) (*bspb.GatewayRoutes, bool, error) {
+		message := routesMessage(newest, base)
+		return message, !hasSilent(message), nil // those tell a time that is left
+	}) // has no error that it could return
 	return message
 }
 
-// note takes the routes that are told from now on. The lock is held.
-func (t *routesTeller) note(newest view.Routes) {
-	last := len(t.latest) - 1
-	if last >= 0 && versionOf(t.latest[last]) == versionOf(newest) {
-		return
-	}
-	t.latest = append(t.latest, newest)
-	if len(t.latest) > mostToldRoutes {
-		t.latest = append([]view.Routes(nil), t.latest[1:]...)
-	}
-	t.made = map[routesVersion]*bspb.GatewayRoutes{}
+// versionOf returns a version as messages name it.
+func versionOf(offset int64, serial uint64) view.Version {
+	return view.Version{Offset: store.Offset(offset), Serial: serial}
 }
 
-// find returns the routes that were told under a version; nil if it is not known. The
-// lock is held.
-func (t *routesTeller) find(version routesVersion) *view.Routes {
-	for i := range t.latest {
-		if versionOf(t.latest[i]) == version {
-			return &t.latest[i]
-		}
-	}
-	return nil
+// routesVersion returns the version of the routes that the asking node has; one older than
+// all others if it has none.
+func routesVersion(asked *bspb.FollowRequest) view.Version {
+	return versionOf(asked.TableOffset, asked.RoutesSerial)
 }
 
 func hasSilent(message *bspb.GatewayRoutes) bool {
@@ -160,7 +121,7 @@
 // false if it tells a change of routes that the node does not have any more. The error
 // tells that the message is not well formed.
 func toldRoutes(message *bspb.GatewayRoutes, known view.Routes, from string) (routes view.Routes, found bool, err error) {
-	if base := message.Base; base != nil && versionOf(known) != (routesVersion{offset: store.Offset(base.TableOffset), serial: base.Serial}) {
+	if base := message.Base; base != nil && (known.Lessor.Boot == "" || known.Version() != versionOf(base.TableOffset, base.Serial)) {
 		return view.Routes{}, false, nil
 	}
 	lessor := memberOf(message.Lessor)
--- a/gateway/follow/routes_test.go
+++ b/gateway/follow/routes_test.go
@@ -82,12 +82,34 @@
 	var teller routesTeller
 	node, other := view.NewState(), view.NewState()
 	tellRoutes(t, &teller, routesOfMany(7, 1, 10, nil), node)
-	for serial := uint64(2); serial < 2+2*mostToldRoutes; serial++ {
+	for serial := uint64(2); serial < 2+2*mostRecent; serial++ {
 		tellRoutes(t, &teller, routesOfMany(7, serial, 10, map[int]ranges.RouteState{int(serial) % 10: ranges.Moving}), other)
 	}
 	tellRoutes(t, &teller, routesOfMany(7, 100, 10, nil), node)
 }
 
+// At the start of a site some nodes have the routes of the first table, which stands at
+// offset 0 and was not told by a lessor, and others have none. What is made for the first
+// says nothing to the others.
+func TestANodeWithoutRoutesIsToldAllBesideOnesWithTheFirst(t *testing.T) {
+	var teller routesTeller
+	first, another, none := view.NewState(), view.NewState(), view.NewState()
+	tellRoutes(t, &teller, routesOfMany(0, 0, 10, nil), first)
+	tellRoutes(t, &teller, routesOfMany(0, 0, 10, nil), another)
+	moving := routesOfMany(0, 1, 10, map[int]ranges.RouteState{3: ranges.Moving})
+	tellRoutes(t, &teller, moving, first)
+	tellRoutes(t, &teller, moving, none)
+	tellRoutes(t, &teller, moving, another)
+
+	g := gomega.NewWithT(t)
+	asked := &bspb.FollowRequest{}
+	change := teller.tell(asked, moving)
+	g.Expect(change.Base).NotTo(gomega.BeNil())
+	_, found, err := toldRoutes(change, view.NewState().Now().Routes, "other")
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(found).To(gomega.BeFalse(), "a node without routes has not the first ones")
+}
+
 // While a call is under way a node may hear the same from another node.
 func TestAChangeOfOtherRoutesIsNotTaken(t *testing.T) {
 	g := gomega.NewWithT(t)
--- a/gateway/follow/telling.go
+++ b/gateway/follow/telling.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"compress/gzip"
 	"encoding/json"
-	"sync"
 
 	"github.com/burdockspindle/burdockspindle/gateway/site"
 	"github.com/burdockspindle/burdockspindle/gateway/store"
@@ -16,65 +15,49 @@
 // large sites: with 20 of 720 servers replaced each second, a relay that told its 16
 // followers the whole register at each change would fill a link of 20 Mbit/s. Nodes
 // that have one of the latest registers are told what has changed since; the others
-// get it whole and compressed. Everything is encoded once for all that get the same.
+// get it whole and compressed.
 type serversTeller struct {
-	mu      sync.Mutex
-	latest  []toldServers // the newest last
-	whole   []byte        // of the newest; nil: not encoded yet
-	changes map[uint64]*bspb.ServersChange
+	recent recent[serversVersion, view.Servers, *serversNews]
 }
 
-// toldServers is a register that was told.
-type toldServers struct {
-	view.Servers
-	sum uint64
+// serversVersion names a register. Nodes that ask name it by its sum.
+type serversVersion struct {
+	offset store.Offset
+	sum    uint64
 }
 
-// mostTold bounds the registers from which a change can be told: nodes ask twice a
-// second, and a register that goes on changing has a new one about as often.
-const mostTold = 8
+// serversNews is a register as it is told: what has changed, or the whole.
+type serversNews struct {
+	change *bspb.ServersChange
+	whole  []byte
+}
 
 // tell adds the register to a reply, for a node that asks with another one.
 func (t *serversTeller) tell(reply *bspb.FollowReply, asked *bspb.FollowRequest, v *view.View) error {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.note(v)
-	var err error
-	for _, told := range t.latest {
-		if told.sum == asked.ServersSum {
-			reply.ServersChange, err = t.changeFrom(told)
-			return err
-		}
+	newest := versioned[serversVersion, view.Servers]{
+		version: serversVersion{offset: v.Servers.Offset, sum: v.ServersSum()},
+		state:   v.Servers,
 	}
-	if t.whole == nil {
-		t.whole, err = packServers(v.Servers)
-	}
-	reply.Servers = t.whole
-	return err
-}
-
-// note takes the register that is told from now on. The lock is held.
-func (t *serversTeller) note(v *view.View) {
-	last := len(t.latest) - 1
-	if last >= 0 && t.latest[last].Offset == v.Servers.Offset && t.latest[last].sum == v.ServersSum() {
-		return
-	}
-	t.latest = append(t.latest, toldServers{Servers: v.Servers, sum: v.ServersSum()})
-	if len(t.latest) > mostTold {
-		t.latest = append([]toldServers(nil), t.latest[1:]...)
+	isKnown := func(version serversVersion) bool { return version.sum == asked.ServersSum }
+	news, err := t.recent.tell(newest, isKnown, func(base *view.Servers) (*serversNews, bool, error) {
+		news, err := newsOf(v, base)
+		return news, true, err
+	})
+	if err != nil {
+		return err
 	}
-	t.whole = nil
-	t.changes = map[uint64]*bspb.ServersChange{}
+	reply.ServersChange, reply.Servers = news.change, news.whole
+	return nil
 }
 
-// changeFrom returns what leads from a register to the newest. The lock is held.
-func (t *serversTeller) changeFrom(told toldServers) (*bspb.ServersChange, error) {
-	if known := t.changes[told.sum]; known != nil {
-		return known, nil
+// newsOf makes what leads from a register to that of a view; from nothing if it is nil.
+func newsOf(v *view.View, base *view.Servers) (*serversNews, error) {
+	if base == nil {
+		whole, err := packServers(v.Servers)
+		return &serversNews{whole: whole}, err
 	}
-	newest := t.latest[len(t.latest)-1]
-	change := told.ChangeTo(newest.Servers)
-	message := &bspb.ServersChange{Offset: int64(newest.Offset), Sum: newest.sum}
+	change := base.ChangeTo(v.Servers)
+	message := &bspb.ServersChange{Offset: int64(v.Servers.Offset), Sum: v.ServersSum()}
 	if len(change.Put) > 0 {
 		text, err := json.Marshal(change.Put)
 		if err != nil {
@@ -85,8 +68,7 @@
 	for _, id := range change.Drop {
 		message.Drop = append(message.Drop, string(id))
 	}
-	t.changes[told.sum] = message
-	return message, nil
+	return &serversNews{change: message}, nil
 }
 
 // packServers encodes a whole register.
--- a/gateway/follow/telling_test.go
+++ b/gateway/follow/telling_test.go
@@ -60,12 +60,12 @@
 	lessor.MergeServers(registerOf(100, 0, 720))
 	told(t, &teller, lessor, node)
 	other := view.NewState()
-	for i := 1; i <= 2*mostTold; i++ {
+	for i := 1; i <= 2*mostRecent; i++ {
 		lessor.MergeServers(registerOf(store.Offset(100+100*i), 0, 720+i))
 		told(t, &teller, lessor, other)
 	}
 	g.Expect(told(t, &teller, lessor, node)).To(gomega.BeNumerically(">", 5000))
-	g.Expect(node.Now().Servers.Servers).To(gomega.HaveLen(720 + 2*mostTold))
+	g.Expect(node.Now().Servers.Servers).To(gomega.HaveLen(720 + 2*mostRecent))
 }
 
 // A node's register may have changed between its call and the answer, since it reads
--- a/gateway/view/view.go
+++ b/gateway/view/view.go
@@ -26,6 +26,17 @@
 	Table  *ranges.Table
 }
 
+// Version orders what the lessors of a site tell.
+type Version struct {
+	Offset store.Offset // of the table with which it belongs
+	Serial uint64       // grows with each change under it
+}
+
+// IsAfter reports whether a version is newer than another one.
+func (v Version) IsAfter(other Version) bool {
+	return v.Offset > other.Offset || v.Offset == other.Offset && v.Serial > other.Serial
+}
+
 // Routes tells where the requests of keyed services go, as the lessor of the
 // table at an offset knows it.
 type Routes struct {
@@ -35,6 +46,9 @@
 	Services map[site.ServiceName][]ranges.Route
 }
 
+// Version returns the version of the routes.
+func (r Routes) Version() Version { return Version{Offset: r.Offset, Serial: r.Serial} }
+
 // Shares tells which part of the requests for servers' keys may be sent, as the lessor
 // of the table at an offset decided.
 type Shares struct {
@@ -44,6 +58,9 @@
 	ToldAt time.Time // by this node's clock
 }
 
+// Version returns the version of the shares.
+func (s Shares) Version() Version { return Version{Offset: s.Offset, Serial: s.Serial} }
+
 // View is one state of what a node believes. It is never changed.
 type View struct {
 	Config  *site.Config // nil: none seen yet
@@ -268,9 +285,7 @@
 // MergeRoutes takes the routes of a lessor unless newer ones are known.
 func (s *State) MergeRoutes(routes Routes) bool {
 	return s.update(func(next *View) bool {
-		known := next.Routes
-		isOld := routes.Offset < known.Offset || routes.Offset == known.Offset && routes.Serial <= known.Serial
-		if isOld && known.Lessor.Boot != "" {
+		if next.Routes.Lessor.Boot != "" && !routes.Version().IsAfter(next.Routes.Version()) {
 			return false
 		}
 		next.Routes = routes
@@ -281,8 +296,7 @@
 // MergeShares takes the shares of a lessor unless newer ones are known.
 func (s *State) MergeShares(shares Shares) bool {
 	return s.update(func(next *View) bool {
-		known := next.Shares
-		if shares.Offset < known.Offset || shares.Offset == known.Offset && shares.Serial <= known.Serial {
+		if !shares.Version().IsAfter(next.Shares.Version()) {
 			return false
 		}
 		shares.ToldAt = time.Now()
