Gateway: one signal wakes those that wait for a change

The view's state closed and made anew a channel at each change, and the readers' bell did the same again. Both use broadcast.Signal now. route.Holder and the stand-in of the store keep theirs: what they wake for stands under the same lock as what they show. No change of behaviour.

--- /dev/null
+++ b/gateway/broadcast/broadcast_test.go
@@ -0,0 +1,19 @@
+package broadcast
+
+import (
+	"testing"
+
+	"github.com/onsi/gomega"
+)
+
+func TestASignalWakesAllThatWait(t *testing.T) {
+	g := gomega.NewWithT(t)
+	var s Signal
+	s.Send() // nobody waits
+	first, second := s.Next(), s.Next()
+	g.Expect(first).NotTo(gomega.BeClosed())
+	s.Send()
+	g.Expect(first).To(gomega.BeClosed())
+	g.Expect(second).To(gomega.BeClosed())
+	g.Expect(s.Next()).NotTo(gomega.BeClosed(), "until it is sent again")
+}
--- a/gateway/follow/reader.go
+++ b/gateway/follow/reader.go
@@ -10,6 +10,7 @@
 	"github.com/hashicorp/go-hclog"
 
 	"github.com/burdockspindle/burdockspindle/clock"
+	"github.com/burdockspindle/burdockspindle/gateway/broadcast"
 	"github.com/burdockspindle/burdockspindle/gateway/store"
 	"github.com/burdockspindle/burdockspindle/gateway/view"
 )
@@ -48,12 +49,12 @@
 	StartedAt time.Time // of the node
 
 	standing    atomic.Pointer[Standing]
-	lessor      atomic.Bool  // the node holds the lessor's lease and needs no read of it
-	lost        atomic.Bool  // the latest call failed
-	serversLost atomic.Bool  // the latest read of the servers failed
-	lookUntil   atomic.Int64 // until when the node looks for a new lessor, by the clock, in nanoseconds
-	woken       bell         // rings when it may be the node's turn to read sooner than expected
-	looked      bell         // rings when the ownership topic has been read
+	lessor      atomic.Bool      // the node holds the lessor's lease and needs no read of it
+	lost        atomic.Bool      // the latest call failed
+	serversLost atomic.Bool      // the latest read of the servers failed
+	lookUntil   atomic.Int64     // until when the node looks for a new lessor, by the clock, in nanoseconds
+	woken       broadcast.Signal // sent when it may be the node's turn to read sooner than expected
+	looked      broadcast.Signal // sent when the ownership topic has been read
 	register    *Register
 	broken      brokenLog
 	mu          sync.Mutex
@@ -63,7 +64,7 @@
 // SetStanding tells the node's place among those that may read the store.
 func (r *Reader) SetStanding(s Standing) {
 	if before := r.standing.Swap(&s); before == nil || *before != s {
-		r.woken.ring()
+		r.woken.Send()
 	}
 }
 
@@ -80,7 +81,7 @@
 // SetLessor tells whether the node is the lessor.
 func (r *Reader) SetLessor(isLessor bool) {
 	r.lessor.Store(isLessor)
-	r.woken.ring()
+	r.woken.Send()
 }
 
 // Ownership returns what is known of the lessor's lease.
@@ -91,13 +92,13 @@
 }
 
 // OwnershipRead returns a channel that is closed when the ownership topic is read next.
-func (r *Reader) OwnershipRead() <-chan struct{} { return r.looked.heard() }
+func (r *Reader) OwnershipRead() <-chan struct{} { return r.looked.Next() }
 
 // LookForLessor takes that the lessor has given its lease up: those whose turn to read
 // comes first look at once who takes it.
 func (r *Reader) LookForLessor() {
 	r.lookUntil.Store(clock.Now().Add(lessorLook).UnixNano())
-	r.woken.ring()
+	r.woken.Send()
 }
 
 // mustRead reports whether the node must read the store itself now.
@@ -117,16 +118,16 @@
 	return clock.Since(r.StartedAt), false
 }
 
-// awaitTurn waits until it may be the node's turn to read. heard was taken before the
+// awaitTurn waits until it may be the node's turn to read. woken was taken before the
 // node looked whether it is.
-func (r *Reader) awaitTurn(ctx context.Context, heard <-chan struct{}, longest time.Duration) {
+func (r *Reader) awaitTurn(ctx context.Context, woken <-chan struct{}, longest time.Duration) {
 	age, wasTold := r.toldAge()
 	left := r.Standing().patience(wasTold) - age
 	timer := time.NewTimer(max(min(left+time.Millisecond, longest), shortWait))
 	defer timer.Stop()
 	select {
 	case <-timer.C:
-	case <-heard:
+	case <-woken:
 	case <-ctx.Done():
 	}
 }
@@ -136,9 +137,9 @@
 	next := store.Offset(-1)
 	failures := 0
 	for ctx.Err() == nil {
-		heard := r.woken.heard()
+		woken := r.woken.Next()
 		if !r.mustRead() {
-			r.awaitTurn(ctx, heard, longWait)
+			r.awaitTurn(ctx, woken, longWait)
 			continue
 		}
 		if r.serversLost.Load() {
@@ -223,11 +224,11 @@
 	r.register = NewRegister()
 	turn := readTurn{servers: -1, ownership: -1}
 	for ctx.Err() == nil {
-		heard := r.woken.heard()
+		woken := r.woken.Next()
 		if !r.mustRead() {
 			r.endTurn(&turn)
 			r.showServers(clock.Now())
-			r.awaitTurn(ctx, heard, r.register.nextLapse(clock.Now(), longWait))
+			r.awaitTurn(ctx, woken, r.register.nextLapse(clock.Now(), longWait))
 			continue
 		}
 		if !turn.reads {
@@ -324,7 +325,7 @@
 	problems := next.fold(batch, clock.Now())
 	r.ownership = next
 	r.mu.Unlock()
-	r.looked.ring()
+	r.looked.Send()
 	for _, problem := range problems {
 		eventBadRecord.Log(r.Logger, "topic", store.Ownership, "key", problem.Key, "offset", problem.Offset, "cause", problem.Cause)
 	}
--- a/gateway/view/view.go
+++ b/gateway/view/view.go
@@ -14,6 +14,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/burdockspindle/burdockspindle/clock"
+	"github.com/burdockspindle/burdockspindle/gateway/broadcast"
 	"github.com/burdockspindle/burdockspindle/gateway/quota"
 	"github.com/burdockspindle/burdockspindle/gateway/ranges"
 	"github.com/burdockspindle/burdockspindle/gateway/site"
@@ -132,13 +133,13 @@
 type State struct {
 	mu      sync.Mutex
 	current atomic.Pointer[View]
-	changed chan struct{} // closed at the next change
-	starts  starts        // guarded by mu
+	changed broadcast.Signal
+	starts  starts // guarded by mu
 }
 
 // NewState returns the state of a node that knows nothing yet.
 func NewState() *State {
-	s := &State{changed: make(chan struct{}), starts: newStarts()}
+	s := &State{starts: newStarts()}
 	s.current.Store(new(View))
 	return s
 }
@@ -148,11 +149,7 @@
 
 // Changed returns a channel that is closed when the view changes. It must be
 // taken before Now.
-func (s *State) Changed() <-chan struct{} {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.changed
-}
+func (s *State) Changed() <-chan struct{} { return s.changed.Next() }
 
 // update replaces the view by a changed copy, if change reports one.
 func (s *State) update(change func(next *View) bool) bool {
@@ -163,8 +160,7 @@
 		return false
 	}
 	s.current.Store(&next)
-	close(s.changed)
-	s.changed = make(chan struct{})
+	s.changed.Send()
 	return true
 }
 
