Gateway: logic that the change had written twice stands once

A release begins in one place (Keeper.startRelease, was in three), a server's pace is added up in one (Reports.add, was in two), the keys from either edge of a range are counted by one loop, the way to either edge of a busy key is looked at in one, and a server on trial uses the pool's fairLimit. The look whether the ownership topic was read lately needs no Duty. No change of behaviour.

--- a/gateway/duty/duty.go
+++ b/gateway/duty/duty.go
@@ -162,14 +162,14 @@
 	switch {
 	case d.keeper != nil:
 		return tick
-	case d.hasRead(d.Reader.Ownership(), now):
+	case isFresh(d.Reader.Ownership(), now):
 		return idleTick
 	}
 	return sleepTick
 }
 
-// hasRead reports whether the node has read the ownership topic lately.
-func (d *Duty) hasRead(ownership follow.Ownership, now time.Time) bool {
+// isFresh reports whether the ownership topic has been read lately.
+func isFresh(ownership follow.Ownership, now time.Time) bool {
 	return ownership.Known && now.Sub(ownership.ReadAt) < freshRead
 }
 
@@ -201,7 +201,7 @@
 		d.resigning = nil
 	}
 	ownership := d.Reader.Ownership()
-	if d.leaving || d.appending != nil || !d.hasRead(ownership, now) || now.Before(d.noClaim) || !d.State.Now().Complete() {
+	if d.leaving || d.appending != nil || !isFresh(ownership, now) || now.Before(d.noClaim) || !d.State.Now().Complete() {
 		d.claimAt = time.Time{}
 		return
 	}
--- a/gateway/duty/duty_test.go
+++ b/gateway/duty/duty_test.go
@@ -49,8 +49,8 @@
 	d.Reader = new(follow.Reader)
 	g.Expect(d.tick(now)).To(gomega.Equal(sleepTick), "it has never read it")
 	read := follow.Ownership{Known: true, ReadAt: now}
-	g.Expect(d.hasRead(read, now.Add(freshRead-1))).To(gomega.BeTrue())
-	g.Expect(d.hasRead(read, now.Add(freshRead))).To(gomega.BeFalse())
+	g.Expect(isFresh(read, now.Add(freshRead-1))).To(gomega.BeTrue())
+	g.Expect(isFresh(read, now.Add(freshRead))).To(gomega.BeFalse())
 	d.keeper = ranges.NewKeeper(new(ranges.Table), d.Timing, 0, now)
 	g.Expect(d.tick(now)).To(gomega.Equal(tick))
 }
--- a/gateway/follow/reports.go
+++ b/gateway/follow/reports.go
@@ -56,14 +56,21 @@
 func (r *Reports) Answer(server site.ServerID, took time.Duration, load *site.Load) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	p := r.paces[server]
-	p.count++
-	p.total += took
+	p := pace{count: 1, total: took}
 	if load != nil {
-		p.answers++
-		p.present += uint32(load.Total())
+		p.answers, p.present = 1, uint32(load.Total())
 	}
-	r.paces[server] = p
+	r.add(server, p)
+}
+
+// add adds to a server's pace. The lock is held.
+func (r *Reports) add(server site.ServerID, p pace) {
+	sum := r.paces[server]
+	sum.count += p.count
+	sum.total += p.total
+	sum.answers += p.answers
+	sum.present += p.present
+	r.paces[server] = sum
 }
 
 // Merge adds what another node reported, for a relay to pass on.
@@ -78,12 +85,8 @@
 		}
 	}
 	for _, told := range report.Paces {
-		p := r.paces[site.ServerID(told.Server)]
-		p.count++
-		p.total += time.Duration(told.MeanUs) * time.Microsecond
-		p.answers += told.Answers
-		p.present += told.Present
-		r.paces[site.ServerID(told.Server)] = p
+		mean := time.Duration(told.MeanUs) * time.Microsecond
+		r.add(site.ServerID(told.Server), pace{count: 1, total: mean, answers: told.Answers, present: told.Present})
 	}
 }
 
--- a/gateway/pool/restart.go
+++ b/gateway/pool/restart.go
@@ -68,8 +68,7 @@
 	if restarts == 0 || restarts == 1 && p.mostOnTrial(now) {
 		return
 	}
-	fair := fairFactor * float64(max(m.Slots, 1)) / float64(p.nodes)
-	m.limit = max(leastLimit, min(trialLimit, fair)*math.Pow(trialShare, float64(restarts)))
+	m.limit = max(leastLimit, min(trialLimit, p.fairLimit(m))*math.Pow(trialShare, float64(restarts)))
 	m.trialUntil = now.Add(min(leastTrial<<min(restarts-1, 10), mostTrial))
 }
 
--- a/gateway/ranges/balance.go
+++ b/gateway/ranges/balance.go
@@ -106,9 +106,7 @@
 	from.leases = slices.DeleteFunc(from.leases, func(other *lease) bool { return other == l })
 	cut, rest := r.keeper.split(l, span)
 	from.leases = append(from.leases, rest...)
-	cut.next = to.server.ID
-	cut.releaseAt = r.now.Add(releaseNotice)
-	r.keeper.setPhase(cut, releasing)
+	r.keeper.startRelease(cut, to.server.ID, r.now)
 	used := from.used
 	from.used -= rate * from.cost
 	to.used += rate * to.cost
--- a/gateway/ranges/compact.go
+++ b/gateway/ranges/compact.go
@@ -61,9 +61,7 @@
 			continue
 		}
 		ranges[piece.Server]--
-		piece.next = to.Server
-		piece.releaseAt = now.Add(releaseNotice)
-		k.setPhase(piece, releasing)
+		k.startRelease(piece, to.Server, now)
 		given++
 	}
 }
--- a/gateway/ranges/cut.go
+++ b/gateway/ranges/cut.go
@@ -36,16 +36,8 @@
 // edge returns the shorter of the two parts at the ends of a span whose weight is near
 // want.
 func edge(keys *keyRates, span Span, want float64) (best Span, carried float64, found bool) {
-	first, sum := 0, 0.0
-	for first < span.Keys() && sum+float64(keys[span.From+Key(first)]) <= mostShare*want && sum < want {
-		sum += float64(keys[span.From+Key(first)])
-		first++
-	}
-	last, sumLast := 0, 0.0
-	for last < span.Keys() && sumLast+float64(keys[span.To-Key(last)]) <= mostShare*want && sumLast < want {
-		sumLast += float64(keys[span.To-Key(last)])
-		last++
-	}
+	first, sum := inward(keys, span.From, 1, span.Keys(), want)
+	last, sumLast := inward(keys, span.To, -1, span.Keys(), want)
 	fromStart, fromEnd := sum >= enoughShare*want, sumLast >= enoughShare*want
 	switch {
 	case fromStart && (first <= last || !fromEnd):
@@ -56,6 +48,19 @@
 	return Span{}, 0, false
 }
 
+// inward counts the keys from the edge of a span that together weigh want, or as much
+// below that as does not weigh too much.
+func inward(keys *keyRates, edge, step Key, most int, want float64) (count int, sum float64) {
+	for ; count < most && sum < want; count++ {
+		weight := float64(keys[edge+step*Key(count)])
+		if sum+weight > mostShare*want {
+			break
+		}
+		sum += weight
+	}
+	return count, sum
+}
+
 // window returns the shortest window of a span whose weight is near want.
 func window(keys *keyRates, span Span, want float64) (Span, float64, bool) {
 	var best Span
--- a/gateway/ranges/plan.go
+++ b/gateway/ranges/plan.go
@@ -120,13 +120,19 @@
 		case isEarlier:
 			k.giveUpOn(l, s, servers, now)
 		case l.canRelease(now) && l.leaving(s):
-			l.releaseAt = now.Add(releaseNotice)
-			k.setPhase(l, releasing)
+			k.startRelease(l, l.next, now)
 		}
 	}
 	k.balance(service, s, servers, now)
 }
 
+// startRelease begins to take a range from its owner, for another one; empty: any.
+func (k *Keeper) startRelease(l *lease, next site.ServerID, now time.Time) {
+	l.next = next
+	l.releaseAt = now.Add(releaseNotice)
+	k.setPhase(l, releasing)
+}
+
 func (l *lease) leaving(s Site) bool {
 	server, registered := s.Servers[l.Server]
 	return l.Server != "" && (!registered || server.Draining)
--- a/gateway/ranges/shed.go
+++ b/gateway/ranges/shed.go
@@ -83,12 +83,10 @@
 		return l, span, rate, true
 	}
 	rates, factor := r.weights(l)
-	before, after := Span{From: l.From, To: key}, Span{From: key, To: l.To}
-	if carried := rates.sum(before) * factor; carried <= mostShare*rate && before.Keys() <= mostEdgeKeys {
-		return l, before, carried, true
-	}
-	if carried := rates.sum(after) * factor; carried <= mostShare*rate && after.Keys() <= mostEdgeKeys {
-		return l, after, carried, true
+	for _, toEdge := range []Span{{From: l.From, To: key}, {From: key, To: l.To}} {
+		if carried := rates.sum(toEdge) * factor; carried <= mostShare*rate && toEdge.Keys() <= mostEdgeKeys {
+			return l, toEdge, carried, true
+		}
 	}
 	return l, span, rate, true
 }
