Ranges: a world whose nodes fill their own link has two owners (fails)

Resetting a connection does not take back what waits in the node's own link.

Lines arrived up to 2.31 s after they were written; 272 of the 311 that waited 0.3 s or more came 0.4 s or later. Ruled out in the same way (trial, links that lose a quarter of the packets): a lost packet is sent again after 0.2 s, and nothing arrives once its connection has been reset.

The world now fills links for up to 6 s, by up to 2.5 s of bytes, in order.

--- a/gateway/ranges/world_test.go
+++ b/gateway/ranges/world_test.go
@@ -7,6 +7,7 @@
 	"slices"
 	"time"
 
+	"github.com/burdockspindle/burdockspindle/clock"
 	"github.com/burdockspindle/burdockspindle/gateway/site"
 )
 
@@ -70,6 +71,11 @@
 	paused      time.Time // until
 	noStore     time.Time // until
 	noServer    map[site.ServerName]time.Time
+	// chokedUntil is until when the node's own link is full, and linkDelay for how long
+	// bytes wait in it then. They leave it in the order in which they were written.
+	chokedUntil time.Time
+	linkDelay   time.Duration
+	leftLinkAt  time.Time // when the latest written bytes leave it
 	readAt      time.Time
 	readEnd     int
 	movedAt     time.Time
@@ -135,6 +141,10 @@
 		if w.chance(8 * time.Second) {
 			n.noServer[names[w.random.IntN(len(names))]] = w.span(10 * time.Second)
 		}
+		if w.chance(12 * time.Second) {
+			n.chokedUntil = w.span(6 * time.Second)
+			n.linkDelay = time.Duration(w.random.Int64N(int64(mostLinkDelay)))
+		}
 		if n.keeper != nil && n.resignAt.IsZero() && w.chance(20*time.Second) {
 			n.resignAt = w.now
 		}
@@ -160,7 +170,7 @@
 	if w.random.IntN(12) == 0 {
 		flight = time.Duration(w.random.Int64N(int64(w.timing.CallTimeout)))
 	}
-	c.arrives = w.now.Add(flight)
+	c.arrives = w.leavesLink(n).Add(flight)
 	c.appliesAt = c.arrives
 	if w.random.IntN(10) == 0 {
 		c.appliesAt = c.arrives.Add(time.Duration(w.random.Int64N(int64(8 * time.Second))))
@@ -172,6 +182,20 @@
 	w.calls = append(w.calls, c)
 }
 
+// mostLinkDelay is the longest time that bytes wait in a node's own link. Resetting their
+// connection does not take them back.
+const mostLinkDelay = 2500 * time.Millisecond
+
+// leavesLink returns when bytes that a node writes now leave its own link.
+func (w *world) leavesLink(n *worldNode) time.Time {
+	leaves := w.now
+	if w.now.Before(n.chokedUntil) {
+		leaves = w.now.Add(n.linkDelay)
+	}
+	n.leftLinkAt = clock.Later(n.leftLinkAt, leaves)
+	return n.leftLinkAt
+}
+
 // deliver applies calls at servers, and gives nodes answers and timeouts.
 func (w *world) deliver() {
 	kept := w.calls[:0]
