Grants: one that was abandoned counts until it has left the node's own link

Cause: a lessor counted a grant from its sending to its timeout, since it resets the connection then. The socket knows more than the clock: what the server's machine has acknowledged has arrived; a call without a connection left nothing; what was not acknowledged is under way until a call that was sent after the reset is answered, since bytes leave the link in the order in which they were written, or until Timing.Underway. A call goes to the keeper with its fate; a call that left nothing needs no higher fence and holds no move up.

silentPause 10 s -> 15 s: a new lessor waits for 11.6 s now, and gave a silent server its keys back. Tests that told an abandoned call at the moment of its sending tell it a timeout later now, with the same bounds.

--- a/gateway/duty/calls.go
+++ b/gateway/duty/calls.go
@@ -46,8 +46,9 @@
 	}
 	switch {
 	case err != nil:
+		err = &ranges.CallError{Fate: ranges.NotSent, Cause: err}
 	case clock.Since(call.SentAt) >= timeout:
-		err = context.DeadlineExceeded
+		err = &ranges.CallError{Fate: ranges.NotSent, Cause: context.DeadlineExceeded}
 	case call.Release:
 		result.Handover, err = d.Granter.Release(ctx, server, call.Grant.Span, call.Grant.Fence)
 	default:
@@ -56,8 +57,12 @@
 	var fenced *ranges.FencedError
 	result.Fenced = errors.As(err, &fenced)
 	result.Failed = err != nil && !result.Fenced
+	var lost *ranges.CallError
+	if errors.As(err, &lost) {
+		result.Fate = lost.Fate
+	}
 	if err != nil {
-		eventCallFailed.Log(d.Logger, "server", server.ID, "release", call.Release, "from", call.Grant.From, "to", call.Grant.To, "fence", call.Grant.Fence, "fenced", result.Fenced, "cause", err)
+		eventCallFailed.Log(d.Logger, "server", server.ID, "release", call.Release, "from", call.Grant.From, "to", call.Grant.To, "fence", call.Grant.Fence, "hold", call.Grant.Hold, "fenced", result.Fenced, "fate", result.Fate, "since", clock.Since(call.SentAt), "cause", err)
 	}
 	countCall(call, result)
 	d.called <- callResult{call, result}
--- a/gateway/duty/outcome.go
+++ b/gateway/duty/outcome.go
@@ -54,6 +54,7 @@
 	d.confirmedAt = startedAt
 	d.nextConfirm = now.Add(confirmEvery)
 	if d.keeper != nil {
+		d.keeper.Answered(startedAt, now)
 		showGrants(d.keeper.Ages(now))
 	}
 	switch {
--- a/gateway/ranges/compact.go
+++ b/gateway/ranges/compact.go
@@ -111,10 +111,10 @@
 
 func (k *Keeper) mergeRun(service site.ServiceName, run []*lease, at Fence, now time.Time, change *Change) {
 	first, last := run[0], run[len(run)-1]
-	heldUntil, earlierUntil := first.heldUntil, first.earlierUntil
+	heldUntil, earlierUntil := first.held(), first.earlierUntil
 	for _, l := range run {
 		l.pending = true
-		heldUntil = clock.Later(heldUntil, l.heldUntil)
+		heldUntil = clock.Later(heldUntil, l.held())
 		earlierUntil = clock.Later(earlierUntil, l.earlierUntil)
 	}
 	merged := &lease{
--- a/gateway/ranges/doubt_test.go
+++ b/gateway/ranges/doubt_test.go
@@ -25,6 +25,6 @@
 
 	later := keeperStart.Add(time.Second)
 	call = k.Calls(s.Servers, Lease{ConfirmedAt: later}, later)[0]
-	k.Done(call, Result{Failed: true}, later)
+	k.Done(call, Result{Failed: true}, later.Add(timing.CallTimeout))
 	g.Expect(k.Doubt(later)).To(gomega.Equal(timing.lapse(timing.Hold)))
 }
--- /dev/null
+++ b/gateway/ranges/flight_test.go
@@ -0,0 +1,56 @@
+package ranges
+
+import (
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"github.com/burdockspindle/burdockspindle/gateway/site"
+)
+
+// Bytes that a lessor wrote to an owner wait in the lessor's own link, which is full: the
+// call is abandoned and its connection reset, and the grant arrives two seconds later.
+func TestAnAbandonedGrantCountsUntilItHasLeftTheLink(t *testing.T) {
+	timing := DefaultTiming()
+	hold := timing.arrived(timing.Hold)
+	ended := keeperStart.Add(timing.CallTimeout)
+	answered := ended.Add(700 * time.Millisecond)
+	for name, row := range map[string]struct {
+		result Result
+		sentAt time.Time // of another call that is answered; zero: none is
+		want   time.Time
+	}{
+		"answered":                       {Result{}, time.Time{}, ended.Add(hold)},
+		"nothing left":                   {Result{Failed: true, Fate: NotSent}, time.Time{}, keeperStart},
+		"all was acknowledged":           {Result{Failed: true, Fate: Arrived}, time.Time{}, ended.Add(hold)},
+		"under way":                      {Result{Failed: true}, time.Time{}, ended.Add(timing.Underway + hold)},
+		"an earlier call is answered":    {Result{Failed: true}, ended.Add(-time.Millisecond), ended.Add(timing.Underway + hold)},
+		"a call sent after the reset is": {Result{Failed: true}, ended, answered.Add(pathDelay + hold)},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			table := &Table{Services: map[site.ServiceName][]Assignment{worldService: {{Span: Span{To: LastKey}, Server: "a", Fence: 1}}}}
+			s := keyedSite(site.Server{ID: "a", Slots: 4, Address: "x"}, site.Server{ID: "b", Slots: 4, Address: "y"})
+			k := NewKeeper(table, timing, 0, keeperStart)
+			call := k.Calls(s.Servers, Lease{ConfirmedAt: keeperStart}, keeperStart)[0]
+			g.Expect(k.leases[worldService][0].held()).To(gomega.Equal(keeperStart.Add(timing.lapse(timing.Hold))), "it goes on")
+			k.Done(call, row.result, ended)
+			if !row.sentAt.IsZero() {
+				k.Answered(row.sentAt, answered)
+			}
+			g.Expect(k.leases[worldService][0].held()).To(gomega.Equal(row.want))
+		})
+	}
+}
+
+// A call that left no byte needs no higher fence, and holds no move up.
+func TestACallThatWasNotSentLeavesNoDoubt(t *testing.T) {
+	g := gomega.NewWithT(t)
+	k, s := owned(t)
+	k.LimitDoubt(0, keeperStart)
+	lease := Lease{ConfirmedAt: keeperStart}
+	k.Done(k.Calls(s.Servers, lease, keeperStart)[0], Result{Failed: true, Fate: NotSent}, keeperStart)
+	k.Done(k.Calls(s.Servers, lease, keeperStart)[0], Result{}, keeperStart)
+	g.Expect(k.leases[worldService][0].canRelease(keeperStart)).To(gomega.BeTrue())
+}
--- a/gateway/ranges/holds.go
+++ b/gateway/ranges/holds.go
@@ -12,7 +12,7 @@
 	held := time.Duration(0)
 	for _, leases := range k.leases {
 		for _, l := range leases {
-			held = max(held, l.heldUntil.Sub(now))
+			held = max(held, l.held().Sub(now))
 		}
 	}
 	return held
@@ -23,9 +23,9 @@
 	doubt := time.Duration(0)
 	for _, leases := range k.leases {
 		for _, l := range leases {
-			doubt = max(doubt, l.doubtUntil.Sub(now))
+			doubt = max(doubt, l.doubt().Sub(now))
 			if l.calling {
-				doubt = max(doubt, l.heldUntil.Sub(now))
+				doubt = max(doubt, l.held().Sub(now))
 			}
 		}
 	}
--- a/gateway/ranges/lessor.go
+++ b/gateway/ranges/lessor.go
@@ -4,7 +4,6 @@
 	"slices"
 	"time"
 
-	"github.com/burdockspindle/burdockspindle/clock"
 	"github.com/burdockspindle/burdockspindle/gateway/site"
 )
 
@@ -23,14 +22,15 @@
 	Assignment
 	service site.ServiceName
 	phase   phase
-	// heldUntil is when the last grant that may have reached the owner has run out.
+	// heldUntil is when the last grant that has reached the owner has run out.
 	heldUntil time.Time
+	flights   []flight  // grants that may yet reach it
 	sentAt    time.Time // of the latest grant
 	calling   bool      // a call is under way
 	doubtful  bool      // a grant under this fence had no answer
-	// doubtUntil is until when a grant without an answer may be in force, also one
-	// under a lower fence and one of the former lessor: a restart makes the owner
-	// forget the fence that shut it out.
+	// doubtUntil is until when a grant without an answer that has reached the owner may
+	// be in force, also one under a lower fence and one of the former lessor: a restart
+	// makes the owner forget the fence that shut it out.
 	doubtUntil time.Time
 	// earlierUntil is until when a grant that was sent to an earlier run of the
 	// owner may be in force, at whatever address.
@@ -53,8 +53,9 @@
 // silentPause is for how long a server that did not answer gets no range while
 // others can take it. One that stays in the register, as a server does that the lessor
 // cannot reach, would be given its keys back each time their holds have run out,
-// since it owns the fewest; each try costs a range a hold without an owner.
-const silentPause = 10 * time.Second
+// since it owns the fewest; each try costs a range a hold without an owner. The pause is
+// longer than a new lessor waits for such a server's holds.
+const silentPause = 15 * time.Second
 
 // missesToLapse is how many grants in a row go unanswered before a server
 // counts as silent: one may be lost with its connection.
@@ -71,6 +72,8 @@
 	compactedAt map[site.ServiceName]time.Time
 	// longest is the hold of grants now.
 	longest time.Duration
+	// hasStrays tells that calls have ended whose bytes may be under way.
+	hasStrays bool
 	// serial grows with each change of what Routes returns.
 	serial uint64
 	runs   runs
@@ -143,7 +146,7 @@
 		for _, l := range leases {
 			route := Route{Span: l.Span, Server: l.Server, State: l.routeState()}
 			if route.State == Silent {
-				route.Until = l.heldUntil
+				route.Until = l.likelyHeld(k.timing)
 			}
 			routes[service] = append(routes[service], route)
 		}
@@ -240,7 +243,7 @@
 	hold := k.longest
 	if l.misses > 0 || leaving {
 		// What goes to a server that may be lost must not prolong the wait for it.
-		hold = l.heldUntil.Sub(now) - holdMargin - k.timing.CallTimeout
+		hold = l.likelyHeld(k.timing).Sub(now) - holdMargin - k.timing.CallTimeout
 		hold = time.Duration(float64(hold) / (1 + clockDrift))
 		hold = min(hold, k.longest)
 		if hold < minHold {
@@ -253,7 +256,7 @@
 	}
 	l.calling = true
 	l.sentAt = now
-	l.heldUntil = clock.Later(l.heldUntil, now.Add(k.timing.lapse(hold)))
+	l.depart(hold, k.timing, now)
 	return call, true
 }
 
@@ -265,12 +268,20 @@
 	Handover string
 	Fenced   bool // the server has seen a higher fence
 	Failed   bool // no answer, or one that is no result
+	Fate     Fate // with Failed
 }
 
 // Done takes the result of a call.
 func (k *Keeper) Done(call Call, result Result, now time.Time) {
 	l := call.lease
 	l.calling = false
+	if !call.Release {
+		l.land(result, k.timing, now)
+		k.hasStrays = k.hasStrays || l.hasStrays()
+	}
+	if !result.Failed {
+		k.Answered(call.SentAt, now)
+	}
 	if l.Fence != call.Grant.Fence || l.Server != call.Server {
 		return
 	}
@@ -283,8 +294,7 @@
 		l.raised = true
 		k.setConfirmed(l, false)
 	case result.Failed:
-		l.doubtful = true
-		l.doubtUntil = clock.Later(l.doubtUntil, call.SentAt.Add(k.timing.lapse(call.Grant.Hold)))
+		l.doubtful = l.doubtful || result.Fate != NotSent
 		l.misses++
 		if l.misses >= missesToLapse {
 			k.setPhase(l, lapsing)
@@ -345,7 +355,7 @@
 	if l.Server.Start().IsZero() {
 		return time.Time{}
 	}
-	return l.doubtUntil
+	return l.doubt()
 }
 
 // sorted keeps the leases of a service in the order of their keys.
--- a/gateway/ranges/plan.go
+++ b/gateway/ranges/plan.go
@@ -147,6 +147,7 @@
 	part := func(from, to Key) *lease {
 		copied := *l
 		copied.Span = Span{From: from, To: to}
+		copied.flights = slices.Clone(l.flights)
 		return &copied
 	}
 	cut = part(span.From, span.To)
@@ -208,7 +209,7 @@
 	if l.phase == releasing || l.phase == released {
 		return false
 	}
-	return (l.phase == lapsing || l.leaving(s)) && (!now.Before(l.heldUntil) || l.replaced(s, now))
+	return (l.phase == lapsing || l.leaving(s)) && (!now.Before(l.held()) || l.replaced(s, now))
 }
 
 // replaced reports whether a server of another name has the owner's address: then
@@ -242,16 +243,17 @@
 // changed returns the lease after a change. What may be in force at the owner goes
 // on to count as long as its name stays.
 func (l *lease) changed(next Assignment, now time.Time) lease {
-	c := lease{Assignment: next, service: l.service, heldUntil: l.heldUntil, doubtUntil: l.doubtUntil, earlierUntil: l.earlierUntil, movedAt: l.movedAt, surgeSince: l.surgeSince, surgeUntil: l.surgeUntil}
+	c := lease{Assignment: next, service: l.service, heldUntil: l.heldUntil, flights: l.flights, doubtUntil: l.doubtUntil, earlierUntil: l.earlierUntil, movedAt: l.movedAt, surgeSince: l.surgeSince, surgeUntil: l.surgeUntil}
 	switch {
 	case l.Server == next.Server:
 		c.kept = true
 		c.giver = l.giver
 	case l.Server.Name() == next.Server.Name():
-		c.earlierUntil = l.heldUntil
+		c.earlierUntil = l.held()
 		c.movedAt = now
 	default: // nobody holds it: released, lapsed or never owned
 		c.heldUntil, c.doubtUntil, c.earlierUntil = now, time.Time{}, time.Time{}
+		c.flights = nil
 		c.movedAt = now
 		c.giver = l.Server
 	}
--- a/gateway/ranges/restart_test.go
+++ b/gateway/ranges/restart_test.go
@@ -189,12 +189,14 @@
 	s := keyedSite(site.Server{ID: run("a", 1), Slots: 4, Address: "x"}, site.Server{ID: run("b", 1), Slots: 4, Address: "y"})
 	k := NewKeeper(table, timing, 0, keeperStart)
 	lease := Lease{ConfirmedAt: keeperStart}
-	k.Done(k.Calls(s.Servers, lease, keeperStart)[0], Result{Failed: true}, keeperStart)
-	k.Done(k.Calls(s.Servers, lease, keeperStart)[0], Result{}, keeperStart)
-	k.Appended(k.Plan(s, 2, keeperStart))
-	k.Done(k.Calls(s.Servers, lease, keeperStart)[0], Result{}, keeperStart)
+	call := k.Calls(s.Servers, lease, keeperStart)[0]
+	again := keeperStart.Add(timing.CallTimeout)
+	k.Done(call, Result{Failed: true, Fate: Arrived}, again)
+	k.Done(k.Calls(s.Servers, lease, again)[0], Result{}, again)
+	k.Appended(k.Plan(s, 2, again))
+	k.Done(k.Calls(s.Servers, lease, again)[0], Result{}, again)
 
-	end := keeperStart.Add(timing.lapse(timing.Hold))
+	end := again.Add(timing.arrived(timing.Hold))
 	g.Expect(releases(k, s, end.Add(-time.Millisecond))).To(gomega.BeFalse())
 	g.Expect(releases(k, s, end)).To(gomega.BeTrue())
 }
--- a/gateway/ranges/rules_test.go
+++ b/gateway/ranges/rules_test.go
@@ -1,8 +1,10 @@
 package ranges
 
 import (
+	"slices"
 	"time"
 
+	"github.com/burdockspindle/burdockspindle/clock"
 	"github.com/burdockspindle/burdockspindle/gateway/site"
 )
 
@@ -17,6 +19,7 @@
 	noHeld   bool // a resignation counts as if only usual holds were in force
 	noName   bool // a later run is taken for proof that the owner holds nothing
 	noCarry  bool // what was granted to an earlier run is forgotten
+	noQueue  bool // what was reset is taken for gone, although it waits in the node's link
 	noDoubt  bool // an answer under a higher fence ends the wait for unanswered grants
 }
 
@@ -24,20 +27,39 @@
 // dropped.
 func (r rules) drop(k *Keeper, l *lease, registered map[site.ServerID]site.Server, now time.Time) {
 	if r.noSeal {
-		l.doubtful, l.doubtUntil = false, time.Time{}
+		l.doubtful = false
+		l.dropDoubt()
 	}
 	if r.noWait {
-		l.heldUntil = now
+		l.dropHolds(now)
+	}
+	if r.noQueue {
+		l.heldUntil, l.flights = l.likelyHeld(k.timing), nil
 	}
 	if r.noDoubt {
-		l.doubtUntil = time.Time{}
+		l.dropDoubt()
 	}
 	later, isEarlier := LaterRun(registered, l.Server)
 	if isEarlier && r.noCarry {
-		l.heldUntil, l.doubtUntil = now, time.Time{}
+		l.dropHolds(now)
+		l.dropDoubt()
 	}
 	if isEarlier && r.noName {
-		l.heldUntil = now
+		l.dropHolds(now)
 		k.runs.restarts[later.ID.Name()] = []time.Time{now, now} // others get the keys
 	}
 }
+
+// dropDoubt forgets that grants had no answer, and keeps that they may be in force.
+func (l *lease) dropDoubt() {
+	l.doubtUntil = time.Time{}
+	for _, f := range l.flights {
+		if !f.endedAt.IsZero() {
+			l.heldUntil = clock.Later(l.heldUntil, f.until)
+		}
+	}
+	l.flights = slices.DeleteFunc(l.flights, func(f flight) bool { return !f.endedAt.IsZero() })
+}
+
+// dropHolds forgets what may be in force.
+func (l *lease) dropHolds(now time.Time) { l.heldUntil, l.flights = now, nil }
--- a/gateway/ranges/search_run_test.go
+++ b/gateway/ranges/search_run_test.go
@@ -54,6 +54,7 @@
 		"a silent owner's holds are not waited out":            {rules{noWait: true}, searchBounds{}},
 		"a range is released although a grant had no answer":   {rules{noSeal: true}, searchBounds{moves: 1}},
 		"a lessor grants although its lease was not confirmed": {rules{noRight: true}, searchBounds{claims: 1}},
+		"what was reset is taken for gone":                     {rules{noQueue: true}, searchBounds{}},
 		"a later run is proof that the owner holds nothing":    {rules{noName: true}, searchBounds{starts: 1}},
 		"what an earlier run was granted is forgotten":         {rules{noCarry: true}, searchBounds{starts: 2, moves: 1}},
 		"a higher fence ends the wait for unanswered grants":   {rules{noDoubt: true}, searchBounds{starts: 1, moves: 1}},
--- a/gateway/ranges/search_state_test.go
+++ b/gateway/ranges/search_state_test.go
@@ -20,6 +20,8 @@
 	searchHold    = time.Second
 	searchTimeout = time.Second
 	searchRight   = 2 * time.Second
+	// searchUnderway is for how long a call may arrive after its sender has abandoned it.
+	searchUnderway = time.Second
 	// searchLate is for how long a call without an answer may wait at a server: with
 	// the hold, until it can no longer be in force.
 	searchLate = 1
@@ -32,7 +34,7 @@
 var (
 	searchStart = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 	searchNames = [2]site.ServerName{"a", "b"}
-	searchTimes = Timing{Hold: searchHold, Right: searchRight, HoldMax: 10 * time.Second, CallTimeout: searchTimeout, ReleaseTimeout: searchTimeout}
+	searchTimes = Timing{Hold: searchHold, Right: searchRight, HoldMax: 10 * time.Second, CallTimeout: searchTimeout, Underway: searchUnderway, ReleaseTimeout: searchTimeout}
 )
 
 // searchState is one state. It is a map's key: states that are equal have the same
@@ -78,6 +80,9 @@
 	misses        int8
 	held          int16 // milliseconds
 	doubt         int16
+	// callUntil is the end of the grant whose call goes on, and strayUntil the latest one
+	// of those that were abandoned while their bytes were under way; 0: none.
+	callUntil, strayUntil int16
 }
 
 // searchServer is a server's present run.
@@ -96,7 +101,8 @@
 	fence       int8
 	release     bool
 	waits       bool
-	age         int8 // seconds since it was sent, or since it arrived
+	abandoned   bool // by its sender, while it is on its way
+	age         int8 // seconds since it was sent, was abandoned, or arrived
 }
 
 // The runs of both servers, and the registers that show one of each, are made once:
@@ -180,6 +186,8 @@
 		raised:     n.raised,
 		misses:     int(n.misses),
 	}
+	l.flights = n.flights()
+	k.hasStrays = l.hasStrays()
 	if n.next >= 0 {
 		l.next = searchRun(n.next, n.nextRun)
 	}
@@ -195,6 +203,31 @@
 	return l
 }
 
+// flights returns the grants whose arrival a node does not know. What was abandoned was
+// reset before any call that goes on was sent.
+func (n *searchNode) flights() []flight {
+	var flights []flight
+	if n.callUntil > 0 {
+		flights = append(flights, flight{hold: searchHold, until: absolute(n.callUntil)})
+	}
+	if n.strayUntil > 0 {
+		flights = append(flights, flight{hold: searchHold, until: absolute(n.strayUntil), endedAt: searchStart.Add(-time.Hour)})
+	}
+	return flights
+}
+
+// keepFlights takes the grants whose arrival is not known.
+func (n *searchNode) keepFlights(flights []flight) {
+	n.callUntil, n.strayUntil = 0, 0
+	for _, f := range flights {
+		if f.endedAt.IsZero() {
+			n.callUntil = relative(f.until)
+			continue
+		}
+		n.strayUntil = max(n.strayUntil, relative(f.until))
+	}
+}
+
 var searchRestarts = slices.Repeat([]time.Time{searchStart}, restartsOfLoop)
 
 // keep takes what the lessor of a node knows after an event.
@@ -209,6 +242,7 @@
 	n.calling, n.doubtful, n.answered, n.raised = l.calling, l.doubtful, l.confirmed, l.raised
 	n.misses = int8(min(l.misses, missesToLapse))
 	n.held, n.doubt = relative(l.heldUntil), relative(l.doubtUntil)
+	n.keepFlights(l.flights)
 	for name := range int8(len(searchNames)) {
 		if present, known := k.runs.present[searchNames[name]]; known {
 			_, n.runs[name] = searchRunOf(present)
@@ -251,7 +285,7 @@
 
 func (c *searchCall) number() int {
 	number := 0
-	for _, digit := range []int8{bit(c.exists), bit(c.release), bit(c.waits), c.node, c.server, c.run, c.age, c.claim, c.fence} {
+	for _, digit := range []int8{bit(c.exists), bit(c.release), bit(c.waits), bit(c.abandoned), c.node, c.server, c.run, c.age, c.claim, c.fence} {
 		number = number*32 + int(digit)
 	}
 	return number
--- a/gateway/ranges/search_test.go
+++ b/gateway/ranges/search_test.go
@@ -216,21 +216,29 @@
 		s.add(state)
 		return
 	}
+	if !c.abandoned && state.isBehind(c) {
+		s.abandon(state, i)
+		return // it leaves the sender's link after what was abandoned before
+	}
 	lost := state
 	lost.calls[i] = searchCall{}
-	s.answer(&lost, c, Result{Failed: true})
+	s.answer(&lost, c, Result{Failed: true, Fate: Underway})
 	s.add(lost)
 
 	waiting := state
 	waiting.calls[i] = searchCall{exists: true, waits: true, server: c.server, fence: c.fence, release: c.release}
-	s.answer(&waiting, c, Result{Failed: true})
+	s.answer(&waiting, c, Result{Failed: true, Fate: Arrived})
 	s.add(waiting)
 
 	unanswered := state
 	unanswered.calls[i] = searchCall{}
 	s.apply(&unanswered, c, 0)
-	s.answer(&unanswered, c, Result{Failed: true})
+	s.answer(&unanswered, c, Result{Failed: true, Fate: Arrived})
 	s.add(unanswered)
+	if c.abandoned {
+		return
+	}
+	s.abandon(state, i)
 
 	state.calls[i] = searchCall{}
 	fenced := s.apply(&state, c, 0)
@@ -238,6 +246,26 @@
 	s.add(state)
 }
 
+// abandon has a call's sender reset its connection while its bytes are on their way.
+func (s *searcher) abandon(state searchState, i int) {
+	c := state.calls[i]
+	state.calls[i].abandoned = true
+	state.calls[i].age = 0
+	s.answer(&state, c, Result{Failed: true, Fate: Underway})
+	s.add(state)
+}
+
+// isBehind reports whether bytes of the same sender that were written before a call are
+// still on their way.
+func (s *searchState) isBehind(c searchCall) bool {
+	for _, other := range s.calls {
+		if other.exists && other.abandoned && other.node == c.node {
+			return true
+		}
+	}
+	return false
+}
+
 // apply carries a call out that arrived a while ago.
 func (s *searcher) apply(state *searchState, c searchCall, age int8) (fenced bool) {
 	server := &state.servers[c.server]
@@ -266,7 +294,7 @@
 // answer gives the result of a call to its sender.
 func (s *searcher) answer(state *searchState, c searchCall, result Result) {
 	n := &state.nodes[c.node]
-	if !n.isLessor || n.claim != c.claim {
+	if c.abandoned || !n.isLessor || n.claim != c.claim {
 		return
 	}
 	k := s.keeper
@@ -301,7 +329,9 @@
 		c := &state.calls[i]
 		switch {
 		case !c.exists:
-		case !c.waits && time.Duration(c.age)*time.Second >= searchTimeout:
+		case c.abandoned && time.Duration(c.age)*time.Second >= searchUnderway:
+			return
+		case !c.waits && !c.abandoned && time.Duration(c.age)*time.Second >= searchTimeout:
 			return
 		case c.waits && c.age >= searchLate:
 			*c = searchCall{} // what it could still do has run out
@@ -312,6 +342,7 @@
 	for i := range state.nodes {
 		n := &state.nodes[i]
 		n.held, n.doubt = later(n.held), later(n.doubt)
+		n.callUntil, n.strayUntil = later(n.callUntil), later(n.strayUntil)
 		if n.isLessor {
 			n.confirmed = min(n.confirmed+1, int8(searchRight/time.Second))
 		}
--- a/gateway/ranges/timing.go
+++ b/gateway/ranges/timing.go
@@ -28,6 +28,9 @@
 	HoldMax time.Duration
 	// CallTimeout ends a call to a server.
 	CallTimeout time.Duration
+	// Underway is how long bytes may wait in the node's own link after their connection was
+	// reset: a VM of 10 Mbit/s whose link is full holds them for more than two seconds.
+	Underway time.Duration
 	// ReleaseTimeout ends a release, which the server answers when the work on
 	// the keys has ended.
 	ReleaseTimeout time.Duration
@@ -42,6 +45,7 @@
 		Right:          5 * time.Second,
 		HoldMax:        10 * time.Second,
 		CallTimeout:    400 * time.Millisecond,
+		Underway:       3 * time.Second,
 		ReleaseTimeout: 3 * time.Second,
 	}
 }
@@ -52,23 +56,29 @@
 	holdMargin = 100 * time.Millisecond // for timers that fire late
 )
 
-// lapse returns how long after it was sent a grant may be in force: it may arrive
-// until its call is given up and the connection reset.
-func (t Timing) lapse(hold time.Duration) time.Duration {
-	return t.CallTimeout + time.Duration(float64(hold)*(1+clockDrift)) + holdMargin
-}
-
 // Granter calls servers.
 type Granter interface {
 	// Grant gives a range to a server or renews it. It returns a *FencedError if
-	// the server has seen a higher fence; after any other error the grant may
-	// take effect late.
+	// the server has seen a higher fence, and a *CallError if it had no answer; then the
+	// grant may take effect late.
 	Grant(ctx context.Context, server site.Server, grant Grant) error
 	// Release takes a range back. It returns when the server's work on the keys
 	// has ended, with what the next owner needs.
 	Release(ctx context.Context, server site.Server, span Span, fence Fence) (handover string, err error)
 }
 
+// CallError reports a call without an answer.
+type CallError struct {
+	Fate  Fate
+	Cause error
+}
+
+// Error implements error.
+func (e *CallError) Error() string { return e.Cause.Error() }
+
+// Unwrap returns the cause.
+func (e *CallError) Unwrap() error { return e.Cause }
+
 // FencedError reports that a server has seen a higher fence.
 type FencedError struct{ Server site.ServerID }
 
--- a/gateway/ranges/world_run_test.go
+++ b/gateway/ranges/world_run_test.go
@@ -18,14 +18,16 @@
 	moves, claims, starts := uint64(0), uint64(0), uint64(0)
 	held := 0.0
 	for seed := range *worldSeeds {
-		w := newWorld(seed, rules{})
-		if fault := w.run(worldLength); fault != "" {
-			t.Fatalf("seed %d: %s", seed, fault)
+		for _, links := range []fullLinks{false, true} {
+			w := newWorld(seed, rules{}, links)
+			if fault := w.run(worldLength); fault != "" {
+				t.Fatalf("seed %d, full links %v: %s", seed, links, fault)
+			}
+			moves += uint64(w.moves)
+			claims += uint64(w.claims)
+			starts += uint64(w.starts)
+			held += w.held() / float64(2**worldSeeds)
 		}
-		moves += uint64(w.moves)
-		claims += uint64(w.claims)
-		starts += uint64(w.starts)
-		held += w.held() / float64(*worldSeeds)
 	}
 	g := gomega.NewWithT(t)
 	g.Expect(moves).To(gomega.BeNumerically(">", *worldSeeds), "moves played")
@@ -52,14 +54,17 @@
 		{"a resignation hides longer holds", rules{noHeld: true}, 200},
 		{"a later run is proof that the owner holds nothing", rules{noName: true}, 0},
 		{"what an earlier run was granted is forgotten", rules{noCarry: true}, 0},
+		{"what was reset is taken for gone", rules{noQueue: true}, 0},
 		{"a higher fence ends the wait for unanswered grants", rules{noDoubt: true}, 0},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			t.Parallel()
 			for seed := c.from; seed < c.from+8**worldSeeds; seed++ {
-				if fault := newWorld(seed, c.dropped).run(worldLength); fault != "" {
-					t.Logf("seed %d: %s", seed, fault)
-					return
+				for _, links := range []fullLinks{false, true} {
+					if fault := newWorld(seed, c.dropped, links).run(worldLength); fault != "" {
+						t.Logf("seed %d, full links %v: %s", seed, links, fault)
+						return
+					}
 				}
 			}
 			t.Error("no two owners found")
--- a/gateway/ranges/world_test.go
+++ b/gateway/ranges/world_test.go
@@ -19,6 +19,7 @@
 type world struct {
 	random  *rand.Rand
 	rules   rules
+	links   fullLinks
 	timing  Timing
 	now     time.Time
 	records []worldRecord
@@ -82,8 +83,13 @@
 	resignAt    time.Time // when it gives the lease up; zero: not
 }
 
-func newWorld(seed uint64, r rules) *world {
+// fullLinks tells whether the links of a world's nodes are full at times. Without them
+// grants arrive within their call's time, and the other rules have less to spare.
+type fullLinks bool
+
+func newWorld(seed uint64, r rules, links fullLinks) *world {
 	w := &world{
+		links:   links,
 		random:  rand.New(rand.NewPCG(seed, 1)),
 		rules:   r,
 		timing:  DefaultTiming(),
@@ -91,6 +97,9 @@
 		servers: map[site.ServerName]*worldServer{},
 		known:   map[site.ServerID]site.Server{},
 	}
+	if !links {
+		w.timing.Underway = 0
+	}
 	for i := range 3 {
 		w.nodes = append(w.nodes, &worldNode{id: i, noServer: map[site.ServerName]time.Time{}})
 	}
@@ -141,7 +150,7 @@
 		if w.chance(8 * time.Second) {
 			n.noServer[names[w.random.IntN(len(names))]] = w.span(10 * time.Second)
 		}
-		if w.chance(12 * time.Second) {
+		if bool(w.links) && w.chance(12*time.Second) {
 			n.chokedUntil = w.span(6 * time.Second)
 			n.linkDelay = time.Duration(w.random.Int64N(int64(mostLinkDelay)))
 		}
@@ -179,6 +188,11 @@
 	if w.now.Before(n.noServer[call.Server.Name()]) || !w.servers[call.Server.Name()].up && w.random.IntN(3) > 0 {
 		c.arrives = time.Time{}
 	}
+	if bool(w.links) && w.random.IntN(30) == 0 {
+		c.givenUp = true // no connection
+		n.done(call, Result{Failed: true, Fate: NotSent}, w.now)
+		return
+	}
 	w.calls = append(w.calls, c)
 }
 
@@ -211,7 +225,7 @@
 		}
 		if !c.givenUp && w.now.Sub(c.call.SentAt) >= timeout {
 			c.givenUp = true
-			c.node.done(c.call, Result{Failed: true}, w.now)
+			c.node.done(c.call, Result{Failed: true, Fate: c.fate(w.now)}, w.now)
 		}
 		if !c.givenUp || !lost && !c.arrived {
 			kept = append(kept, c)
@@ -220,6 +234,14 @@
 	w.calls = kept
 }
 
+// fate returns what the sender's machine knows of a call's bytes.
+func (c *worldCall) fate(now time.Time) Fate {
+	if c.arrives.IsZero() || now.Before(c.arrives) {
+		return Underway
+	}
+	return Arrived
+}
+
 func (n *worldNode) done(call Call, result Result, now time.Time) {
 	if n.keeper != nil {
 		n.keeper.Done(call, result, now)
@@ -314,6 +336,9 @@
 	n.end++
 	n.confirmedAt = w.now
 	n.nextConfirm = w.now.Add(500 * time.Millisecond)
+	if !w.now.Before(n.leftLinkAt) {
+		n.keeper.Answered(w.now, w.now)
+	}
 	if change != nil {
 		n.keeper.Appended(change)
 	}
--- a/gateway/socket/socket.go
+++ b/gateway/socket/socket.go
@@ -1,10 +1,13 @@
-// Package socket tells what has arrived on a connection that nobody has read yet.
+// Package socket tells what the kernel knows of a connection: what has arrived that nobody
+// has read yet, and what the other machine has not acknowledged.
 package socket
 
 import (
 	"errors"
 	"net"
 	"syscall"
+
+	"golang.org/x/sys/unix"
 )
 
 // State is what a read of a connection would find now.
@@ -49,3 +52,20 @@
 	}
 	return Ended
 }
+
+// Unacknowledged returns how many bytes that were written to a connection the other
+// machine has not acknowledged. known is false for a connection that is no socket or is
+// closed here.
+func Unacknowledged(conn net.Conn) (bytes int, known bool) {
+	raw, ok := conn.(syscall.Conn)
+	if !ok {
+		return 0, false
+	}
+	control, err := raw.SyscallConn()
+	if err != nil {
+		return 0, false
+	}
+	var asked error
+	err = control.Control(func(fd uintptr) { bytes, asked = unix.IoctlGetInt(int(fd), unix.TIOCOUTQ) })
+	return bytes, err == nil && asked == nil
+}
--- a/gateway/socket/socket_test.go
+++ b/gateway/socket/socket_test.go
@@ -56,3 +56,26 @@
 	g.Expect(here.Close()).To(gomega.Succeed())
 	g.Expect(socket.Look(here)).To(gomega.Equal(socket.Ended))
 }
+
+func TestWhatTheOtherMachineHasNotTakenIsTold(t *testing.T) {
+	g := gomega.NewWithT(t)
+	here, there := pair(g)
+	defer func() { _ = there.Close() }()
+	unacknowledged := func() int {
+		bytes, known := socket.Unacknowledged(here)
+		g.Expect(known).To(gomega.BeTrue())
+		return bytes
+	}
+	_, err := here.Write([]byte("a few bytes"))
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Eventually(unacknowledged).WithTimeout(10*time.Second).Should(gomega.BeZero(), "nobody has read them, and they have arrived")
+
+	g.Expect(here.SetWriteDeadline(time.Now().Add(200 * time.Millisecond))).To(gomega.Succeed())
+	_, err = here.Write(make([]byte, 64<<20))
+	g.Expect(err).To(gomega.HaveOccurred())
+	g.Expect(unacknowledged()).To(gomega.BeNumerically(">", 0), "no room there")
+
+	g.Expect(here.Close()).To(gomega.Succeed())
+	_, known := socket.Unacknowledged(here)
+	g.Expect(known).To(gomega.BeFalse())
+}
--- a/gateway/upstream/client.go
+++ b/gateway/upstream/client.go
@@ -134,8 +134,8 @@
 	}
 	answer, reusable, err := c.exchange(ctx, cn, r, head, !control)
 	if err != nil {
-		reset(cn.net)
-		return nil, &AttemptError{Server: server.ID, Sent: cn.written, Cause: err}
+		cn.abandon()
+		return nil, cn.lost(server.ID, err)
 	}
 	if !reusable {
 		reset(cn.net)
@@ -150,7 +150,7 @@
 // exchange writes a request and reads its answer. The connection can be used
 // again only if both ended exactly where they should.
 func (c *Client) exchange(ctx context.Context, cn *conn, r *Request, head []byte, matchID bool) (*Answer, bool, error) {
-	stop := context.AfterFunc(ctx, func() { reset(cn.net) })
+	stop := context.AfterFunc(ctx, cn.abandon)
 	defer stop()
 	if err := ctx.Err(); err != nil {
 		return nil, false, err // a process that was held up must not send what has been given up
--- a/gateway/upstream/conn.go
+++ b/gateway/upstream/conn.go
@@ -7,9 +7,11 @@
 	"net"
 	"strconv"
 	"strings"
+	"sync"
 	"syscall"
 	"time"
 
+	"github.com/burdockspindle/burdockspindle/gateway/site"
 	"github.com/burdockspindle/burdockspindle/gateway/socket"
 	"github.com/burdockspindle/burdockspindle/gateway/traffic"
 )
@@ -43,12 +45,35 @@
 	answered time.Time // when it proved to work last
 	written  bool      // bytes of the present request may have left
 	meter    traffic.Meter
+
+	abandoned sync.Once
+	// unacknowledged is what the server's machine had not taken when the connection was
+	// abandoned, in bytes.
+	unacknowledged int
 }
 
 func newConn(c net.Conn, meter traffic.Meter) *conn {
 	return &conn{net: c, reader: bufio.NewReaderSize(meter.Reader(c), readBuffer), meter: meter}
 }
 
+// abandon resets the connection, and notes before that which bytes may still be under way.
+func (c *conn) abandon() {
+	c.abandoned.Do(func() {
+		c.unacknowledged, _ = socket.Unacknowledged(c.net)
+		reset(c.net)
+	})
+}
+
+// lost returns the error of an attempt whose connection was abandoned. What the server's
+// machine has not acknowledged is no longer under way once it has ended the connection.
+func (c *conn) lost(server site.ServerID, cause error) *AttemptError {
+	lost := &AttemptError{Server: server, Sent: c.written, Cause: cause}
+	if !isEnd(cause) {
+		lost.Unacknowledged = c.unacknowledged
+	}
+	return lost
+}
+
 // write writes a part of a request.
 func (c *conn) write(p []byte) error {
 	n, err := c.net.Write(p)
--- a/gateway/upstream/errors.go
+++ b/gateway/upstream/errors.go
@@ -12,6 +12,10 @@
 	// Sent tells that bytes of the request may have reached the server, so that
 	// it may have run.
 	Sent bool
+	// Unacknowledged is how many bytes of the request the server's machine had not
+	// acknowledged when the connection was reset. They may wait in this machine's own
+	// link, and reach the server later.
+	Unacknowledged int
 	// TurnedAway tells that the server took a new connection and ended it at once, as
 	// servers do that have as many as they take: it lives, and is full.
 	TurnedAway bool
