Lease: a new lessor asks the former one what it granted

A new lessor tells the former one of its claim over the nodes' own connections (HandOff). That one grants nothing any more, waits for the calls that it has under way, and tells for how long each of its ranges may be held; what it says replaces right and hold. A former lessor that does not answer changes nothing.

Left out, what the former lessor says gives two owners in both.

--- a/gateway/duty/append.go
+++ b/gateway/duty/append.go
@@ -19,6 +19,7 @@
 	claim   *ranges.Table  // not nil for a claim
 	former  time.Duration  // for a claim: how long the former lessor's grants may be in force
 	doubt   time.Duration  // for a claim and with resigns: the same of grants without an answer
+	after   ranges.Lessor  // for a claim: the lessor before it, if that has not resigned
 	resigns bool           // it gives the lease up
 	held    time.Duration  // with resigns: how long what was granted may be in force
 	at      store.Offset
--- a/gateway/duty/duty.go
+++ b/gateway/duty/duty.go
@@ -75,6 +75,7 @@
 	State   *view.State
 	Reader  *follow.Reader
 	Feed    *follow.Feed
+	Former  Former
 	Reports *follow.Reports
 	Logger  hclog.Logger
 
@@ -89,8 +90,11 @@
 	appending    *pendingAppend
 	appended     chan appendResult
 	called       chan callResult
+	reported     chan formerReport
 	limiter      callLimiter
-	nextChange   time.Time // not before
+	handingOff   *follow.HandOff // that is to be told; nil: none
+	handedOff    bool            // the next lessor has been told what was granted
+	nextChange   time.Time       // not before
 	nextConfirm  time.Time
 	nextReport   time.Time
 	claimAt      time.Time // when to claim, zero: no reason to
@@ -121,6 +125,7 @@
 		resign:   make(chan chan struct{}, 1),
 		appended: make(chan appendResult, 1),
 		called:   make(chan callResult, 256),
+		reported: make(chan formerReport, 1),
 		loads:    ranges.NewLoads(),
 		known:    map[site.ServerID]site.Server{},
 	}
@@ -147,6 +152,11 @@
 			d.takeCall(result)
 		case report := <-d.Feed.Reports:
 			d.takeReport(report)
+		case asked := <-d.Feed.HandOffs:
+			d.handOff(asked)
+			timer.Reset(0)
+		case report := <-d.reported:
+			d.takeFormer(report)
 		case done := <-d.resign:
 			d.leaving = true
 			d.resigning = done
@@ -179,6 +189,10 @@
 		d.consider(ctx, now)
 		return
 	}
+	if d.handingOff != nil || d.handedOff {
+		d.finishHandOff(now)
+		return
+	}
 	d.considerYielding(now)
 	if d.givenUp || (d.resigning != nil || d.yielding) && d.writable(now) {
 		// The next lessor waits with moves for grants that have no answer.
@@ -262,12 +276,12 @@
 	next := table.Refenced(d.Self, ranges.Fence(d.end))
 	eventClaiming.Log(d.Logger, "offset", d.end, "formerLessor", table.Lessor.Node, "resigned", ownership.Resigned, "quietFor", clock.Since(ownership.MovedAt))
 	former := d.Timing.FormerHoldAfter(clock.Since(ownership.MovedAt))
-	doubt := former
+	p := &pendingAppend{claim: next, former: former, doubt: former, after: table.Lessor}
 	if ownership.Resigned {
-		former = ownership.Held
-		doubt = ownership.Doubt
+		p.former, p.doubt = ownership.Held, ownership.Doubt
+		p.after = ranges.Lessor{}
 	}
-	d.append(ctx, &pendingAppend{claim: next, former: former, doubt: doubt})
+	d.append(ctx, p)
 }
 
 // balanceInput takes the node's own reports and lets old ones lose weight.
--- a/gateway/duty/events.go
+++ b/gateway/duty/events.go
@@ -20,5 +20,8 @@
 	eventRestart      = events.Define(2111, hclog.Info, "a server has started again under its name")
 	eventYielding     = events.Define(2112, hclog.Info, "the lease is to go to a stronger node")
 	eventShares       = events.Define(2113, hclog.Info, "shares of the requests for busy servers' keys")
+	eventHandingOff   = events.Define(2114, hclog.Info, "another node has claimed the lease: handing off")
+	eventFormerTold   = events.Define(2115, hclog.Info, "the former lessor told what it had granted")
+	eventFormerSilent = events.Define(2116, hclog.Info, "the former lessor did not tell what it had granted")
 	eventBadTable     = events.Define(2109, hclog.Error, "table of ranges cannot be encoded")
 )
--- /dev/null
+++ b/gateway/duty/handoff.go
@@ -0,0 +1,91 @@
+package duty
+
+import (
+	"context"
+	"time"
+
+	"github.com/burdockspindle/burdockspindle/clock"
+	"github.com/burdockspindle/burdockspindle/gateway/follow"
+	"github.com/burdockspindle/burdockspindle/gateway/ranges"
+	"github.com/burdockspindle/burdockspindle/gateway/store"
+)
+
+// Former asks the lessor before a claim what it granted.
+type Former interface {
+	AskFormer(ctx context.Context, former ranges.Lessor, claim store.Offset) ([]ranges.Remaining, error)
+}
+
+// formerReport is what the lessor before this one's claim granted.
+type formerReport struct {
+	claim store.Offset
+	list  []ranges.Remaining
+	at    time.Time // when it came
+}
+
+// askFormer asks the lessor before this one's claim, unless that has resigned and told.
+func (d *Duty) askFormer(ctx context.Context, p *pendingAppend) {
+	if p.after.Boot == "" || p.after.Node == d.Self.Node || d.Former == nil {
+		return
+	}
+	go func() {
+		list, err := d.Former.AskFormer(ctx, p.after, p.at)
+		if err != nil {
+			eventFormerSilent.Log(d.Logger, "former", p.after.Node, "offset", p.at, "cause", err)
+			return
+		}
+		select {
+		case d.reported <- formerReport{claim: p.at, list: list, at: clock.Now()}:
+		case <-ctx.Done():
+		}
+	}()
+}
+
+// takeFormer takes what the former lessor granted.
+func (d *Duty) takeFormer(r formerReport) {
+	if d.keeper == nil || d.leaseOffset != r.claim {
+		return
+	}
+	d.keeper.LimitFormer(r.list, r.at)
+	longest := time.Duration(0)
+	for _, remaining := range r.list {
+		longest = max(longest, remaining.Held)
+	}
+	eventFormerTold.Log(d.Logger, "offset", r.claim, "ranges", len(r.list), "longest", longest)
+}
+
+// handOff takes the request of a node that has claimed the lease. The claim stands in the
+// store, so nothing that this node appends succeeds any more, and its grants are refused
+// wherever the next lessor's were.
+func (d *Duty) handOff(asked *follow.HandOff) {
+	if asked.Boot != d.Self.Boot || d.keeper == nil || asked.Claim < d.end {
+		close(asked.Reply)
+		return
+	}
+	eventHandingOff.Log(d.Logger, "claim", asked.Claim, "confirmedAgo", clock.Since(d.confirmedAt))
+	if d.handingOff != nil {
+		close(d.handingOff.Reply)
+	}
+	d.handingOff = asked
+	d.setLessor(false)
+}
+
+// finishHandOff tells the next lessor what was granted, once no call is under way, and ends
+// the duty when the fate of this node's own append is known.
+func (d *Duty) finishHandOff(now time.Time) {
+	if d.handingOff != nil && !d.keeper.Calling() {
+		d.handingOff.Reply <- d.keeper.Remaining(now)
+		d.handingOff = nil
+		d.handedOff = true
+	}
+	if d.handedOff && d.appending == nil {
+		d.stop()
+	}
+}
+
+// endHandOff ends a hand-off with the duty.
+func (d *Duty) endHandOff() {
+	if d.handingOff != nil {
+		close(d.handingOff.Reply)
+	}
+	d.handingOff, d.handedOff = nil, false
+}
--- /dev/null
+++ b/gateway/duty/handoff_test.go
@@ -0,0 +1,111 @@
+package duty
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/onsi/gomega"
+
+	"github.com/burdockspindle/burdockspindle/clock"
+	"github.com/burdockspindle/burdockspindle/gateway/follow"
+	"github.com/burdockspindle/burdockspindle/gateway/ranges"
+	"github.com/burdockspindle/burdockspindle/gateway/site"
+	"github.com/burdockspindle/burdockspindle/gateway/store"
+	"github.com/burdockspindle/burdockspindle/gateway/view"
+)
+
+// lessorOf returns the duty of a node that is the lessor and owns one range with server a.
+func lessorOf(now time.Time, formerHold time.Duration) *Duty {
+	owned := ranges.Assignment{Span: ranges.Span{To: ranges.LastKey}, Server: "a", Fence: 1}
+	table := &ranges.Table{Services: map[site.ServiceName][]ranges.Assignment{"s": {owned}}}
+	d := New()
+	d.Self = ranges.Lessor{Node: "n1", Boot: "b1"}
+	d.Logger, d.Timing, d.Reader = hclog.NewNullLogger(), ranges.DefaultTiming(), new(follow.Reader)
+	d.State = view.NewState()
+	d.keeper = ranges.NewKeeper(table, d.Timing, formerHold, now)
+	d.end, d.confirmedAt = 8, now
+	d.setLessor(true)
+	return d
+}
+
+func ask(boot string, claim store.Offset) *follow.HandOff {
+	return &follow.HandOff{Boot: boot, Claim: claim, Reply: make(chan []ranges.Remaining, 1)}
+}
+
+// The store turns the lessor's node away, and another node claims the lease. The former
+// lessor hears so from that node, waits for the call that is under way, and tells what it
+// granted.
+func TestALessorThatHasAClaimBeforeItHandsOff(t *testing.T) {
+	g := gomega.NewWithT(t)
+	now := clock.Now()
+	servers := map[site.ServerID]site.Server{"a": {ID: "a", Service: "s"}}
+	d := lessorOf(now, 0)
+	call := d.keeper.Calls(servers, d.lease(now), now)[0]
+
+	asked := ask("b1", 8)
+	d.handOff(asked)
+	g.Expect(d.IsLessor()).To(gomega.BeFalse())
+	d.step(t.Context(), now)
+	g.Expect(asked.Reply).To(gomega.BeEmpty(), "a call is under way")
+	d.keeper.Done(call, ranges.Result{}, now)
+	d.step(t.Context(), now)
+	list := <-asked.Reply
+	g.Expect(list).To(gomega.HaveLen(1))
+	g.Expect(list[0].Held).To(gomega.BeNumerically(">", 3*time.Second))
+	g.Expect(list[0].Doubt).To(gomega.BeZero())
+	g.Expect(d.keeper).To(gomega.BeNil())
+}
+
+func TestAHandOffOfAnotherLeaseIsRefused(t *testing.T) {
+	for name, asked := range map[string]*follow.HandOff{
+		"another run":           ask("b0", 8),
+		"an earlier claim":      ask("b1", 7),
+		"a claim long replaced": ask("b1", 1),
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			d := lessorOf(clock.Now(), 0)
+			d.handOff(asked)
+			_, isTold := <-asked.Reply
+			g.Expect(isTold).To(gomega.BeFalse())
+			g.Expect(d.IsLessor()).To(gomega.BeTrue())
+		})
+	}
+}
+
+// An append of the former lessor may still be under way: the duty ends with its answer.
+func TestAHandOffWaitsForTheFateOfAnAppend(t *testing.T) {
+	g := gomega.NewWithT(t)
+	now := clock.Now()
+	d := lessorOf(now, 0)
+	d.appending = &pendingAppend{at: 8}
+	asked := ask("b1", 8)
+	d.handOff(asked)
+	d.step(t.Context(), now)
+	g.Expect(asked.Reply).To(gomega.HaveLen(1), "what was granted does not depend on it")
+	g.Expect(d.keeper).NotTo(gomega.BeNil())
+	d.takeAppend(t.Context(), appendResult{pending: d.appending, startedAt: now, err: &store.ConflictError{}})
+	g.Expect(d.keeper).To(gomega.BeNil())
+}
+
+// formerNode is a former lessor that answers.
+type formerNode struct{ list []ranges.Remaining }
+
+// AskFormer implements Former.
+func (f formerNode) AskFormer(context.Context, ranges.Lessor, store.Offset) ([]ranges.Remaining, error) {
+	return f.list, nil
+}
+
+func TestANewLessorWaitsNoLongerThanTheFormerOneTells(t *testing.T) {
+	g := gomega.NewWithT(t)
+	now := clock.Now()
+	d := lessorOf(now, ranges.DefaultTiming().FormerHold())
+	d.leaseOffset = 7
+	d.Former = formerNode{list: []ranges.Remaining{{Service: "s", Span: ranges.Span{To: ranges.LastKey}, Held: time.Second}}}
+	d.askFormer(t.Context(), &pendingAppend{at: 7, after: ranges.Lessor{Node: "n2", Boot: "b2"}})
+	report := <-d.reported
+	d.takeFormer(report)
+	g.Expect(d.keeper.Held(report.at)).To(gomega.Equal(time.Second))
+}
--- a/gateway/duty/outcome.go
+++ b/gateway/duty/outcome.go
@@ -18,7 +18,7 @@
 func (d *Duty) takeAppend(ctx context.Context, r appendResult) {
 	p := r.pending
 	if r.err == nil || r.mine {
-		d.succeeded(p, r.startedAt)
+		d.succeeded(ctx, p, r.startedAt)
 		return
 	}
 	var conflict *store.ConflictError
@@ -47,7 +47,7 @@
 	return errors.As(err, &unavailable) && unavailable.NotDone
 }
 
-func (d *Duty) succeeded(p *pendingAppend, startedAt time.Time) {
+func (d *Duty) succeeded(ctx context.Context, p *pendingAppend, startedAt time.Time) {
 	now := clock.Now()
 	d.appending = nil
 	d.end = p.at + 1
@@ -60,6 +60,7 @@
 	switch {
 	case p.claim != nil:
 		d.begin(p, now)
+		d.askFormer(ctx, p)
 	case p.change != nil:
 		d.keeper.Appended(p.change)
 		d.nextChange = now.Add(changePause)
@@ -83,10 +84,8 @@
 	d.tellShares(nil, now) // those of the former lessor hold no longer
 	d.lessorSince = now
 	d.shown = 0
-	d.isLessor.Store(true)
+	d.setLessor(true)
 	d.Feed.SetResigned(false)
-	lessorIs.Set(1)
-	d.Reader.SetLessor(true)
 	d.table = view.Table{Offset: p.at, Table: p.claim}
 }
 
@@ -105,10 +104,19 @@
 	d.keeper = nil
 	d.givenUp = false
 	d.yielding = false
-	d.isLessor.Store(false)
-	lessorIs.Set(0)
+	d.endHandOff()
+	d.setLessor(false)
 	showGrants(ranges.GrantAges{})
-	d.Reader.SetLessor(false)
+}
+
+// setLessor has the node's other parts take it for the lessor, or not.
+func (d *Duty) setLessor(isLessor bool) {
+	d.isLessor.Store(isLessor)
+	lessorIs.Set(0)
+	if isLessor {
+		lessorIs.Set(1)
+	}
+	d.Reader.SetLessor(isLessor)
 }
 
 // showRoutes puts the keeper's routes into the view when they have changed.
--- a/gateway/follow/feed.go
+++ b/gateway/follow/feed.go
@@ -49,6 +49,9 @@
 	IsLessor func() bool
 	// Reports receives the reports of followers; a full channel drops them.
 	Reports chan Report
+	// HandOffs receives the requests of new lessors to this node; a full channel refuses
+	// them.
+	HandOffs chan *HandOff
 
 	configText encoded
 	servers    serversTeller
@@ -94,7 +97,7 @@
 
 // NewFeed returns a feed without followers.
 func NewFeed(self view.Member, state *view.State, contact *Contact, isLessor func() bool) *Feed {
-	return &Feed{Self: self, State: state, Contact: contact, IsLessor: isLessor, Reports: make(chan Report, 64), members: map[string]seenMember{}}
+	return &Feed{Self: self, State: state, Contact: contact, IsLessor: isLessor, Reports: make(chan Report, 64), HandOffs: make(chan *HandOff, 1), members: map[string]seenMember{}}
 }
 
 // Handler returns the path and handler of the feed's calls.
--- a/gateway/ranges/compact.go
+++ b/gateway/ranges/compact.go
@@ -111,11 +111,11 @@
 
 func (k *Keeper) mergeRun(service site.ServiceName, run []*lease, at Fence, now time.Time, change *Change) {
 	first, last := run[0], run[len(run)-1]
-	heldUntil, earlierUntil := first.held(), first.earlierUntil
+	heldUntil, earlierUntil := first.held(), first.earlier()
 	for _, l := range run {
 		l.pending = true
 		heldUntil = clock.Later(heldUntil, l.held())
-		earlierUntil = clock.Later(earlierUntil, l.earlierUntil)
+		earlierUntil = clock.Later(earlierUntil, l.earlier())
 	}
 	merged := &lease{
 		Assignment:   Assignment{Span: Span{From: first.From, To: last.To}, Server: first.Server, Fence: at},
--- a/gateway/ranges/flight.go
+++ b/gateway/ranges/flight.go
@@ -57,7 +57,7 @@
 
 // held returns until when a grant may be in force.
 func (l *lease) held() time.Time {
-	until := l.heldUntil
+	until := clock.Later(l.heldUntil, l.formerUntil)
 	for _, f := range l.flights {
 		until = clock.Later(until, f.until)
 	}
@@ -66,7 +66,7 @@
 
 // likelyHeld returns the same if nothing waits in the node's own link.
 func (l *lease) likelyHeld(timing Timing) time.Time {
-	until := l.heldUntil
+	until := clock.Later(l.heldUntil, l.formerUntil)
 	for _, f := range l.flights {
 		until = clock.Later(until, f.until.Add(-timing.Underway))
 	}
@@ -76,7 +76,7 @@
 // doubt returns until when a grant without an answer may be in force. One whose call goes
 // on is not among them.
 func (l *lease) doubt() time.Time {
-	until := l.doubtUntil
+	until := clock.Later(l.doubtUntil, l.formerDoubt)
 	for _, f := range l.flights {
 		if !f.endedAt.IsZero() {
 			until = clock.Later(until, f.until)
@@ -85,6 +85,14 @@
 	return until
 }
 
+// earlier returns until when a grant to an earlier run of the owner may be in force.
+func (l *lease) earlier() time.Time {
+	if l.Server.Start().IsZero() {
+		return l.earlierUntil
+	}
+	return clock.Later(l.earlierUntil, l.formerUntil)
+}
+
 // depart notes that a grant is sent.
 func (l *lease) depart(hold time.Duration, timing Timing, now time.Time) {
 	l.flights = append(l.flights, flight{hold: hold, until: now.Add(timing.lapse(hold))})
--- a/gateway/ranges/holds.go
+++ b/gateway/ranges/holds.go
@@ -49,9 +49,7 @@
 func (k *Keeper) LimitDoubt(doubt time.Duration, now time.Time) {
 	for _, leases := range k.leases {
 		for _, l := range leases {
-			if end := now.Add(doubt); end.Before(l.doubtUntil) {
-				l.doubtUntil = end
-			}
+			l.limitFormer(l.formerUntil, now.Add(doubt))
 		}
 	}
 }
--- a/gateway/ranges/lessor.go
+++ b/gateway/ranges/lessor.go
@@ -24,13 +24,16 @@
 	phase   phase
 	// heldUntil is when the last grant that has reached the owner has run out.
 	heldUntil time.Time
-	flights   []flight  // grants that may yet reach it
-	sentAt    time.Time // of the latest grant
-	calling   bool      // a call is under way
-	doubtful  bool      // a grant under this fence had no answer
+	flights   []flight // grants that may yet reach it
+	// formerUntil is until when grants of former lessors may be in force, and formerDoubt
+	// the same of those without an answer.
+	formerUntil, formerDoubt time.Time
+	sentAt                   time.Time // of the latest grant
+	calling                  bool      // a call is under way
+	doubtful                 bool      // a grant under this fence had no answer
 	// doubtUntil is until when a grant without an answer that has reached the owner may
-	// be in force, also one under a lower fence and one of the former lessor: a restart
-	// makes the owner forget the fence that shut it out.
+	// be in force, also one under a lower fence: a restart makes the owner forget the
+	// fence that shut it out.
 	doubtUntil time.Time
 	// earlierUntil is until when a grant that was sent to an earlier run of the
 	// owner may be in force, at whatever address.
@@ -102,10 +105,7 @@
 	heldUntil := now.Add(formerHold)
 	for service, assignments := range table.Services {
 		for _, a := range assignments {
-			l := &lease{Assignment: a, service: service, heldUntil: heldUntil, doubtUntil: heldUntil, movedAt: now, kept: a.Server != ""}
-			if !a.Server.Start().IsZero() {
-				l.earlierUntil = heldUntil
-			}
+			l := &lease{Assignment: a, service: service, formerUntil: heldUntil, formerDoubt: heldUntil, movedAt: now, kept: a.Server != ""}
 			k.leases[service] = append(k.leases[service], l)
 		}
 	}
--- a/gateway/ranges/plan.go
+++ b/gateway/ranges/plan.go
@@ -216,7 +216,7 @@
 // the owner has ended, and no call reaches a later run of it there. An entry of a
 // service that no configuration names comes from another writer, and proves nothing.
 func (l *lease) replaced(s Site, now time.Time) bool {
-	if now.Before(l.earlierUntil) {
+	if now.Before(l.earlier()) {
 		return false
 	}
 	owner, known := s.Known[l.Server]
@@ -243,7 +243,9 @@
 // changed returns the lease after a change. What may be in force at the owner goes
 // on to count as long as its name stays.
 func (l *lease) changed(next Assignment, now time.Time) lease {
-	c := lease{Assignment: next, service: l.service, heldUntil: l.heldUntil, flights: l.flights, doubtUntil: l.doubtUntil, earlierUntil: l.earlierUntil, movedAt: l.movedAt, surgeSince: l.surgeSince, surgeUntil: l.surgeUntil}
+	c := lease{Assignment: next, service: l.service, movedAt: l.movedAt, surgeSince: l.surgeSince, surgeUntil: l.surgeUntil}
+	c.heldUntil, c.flights, c.doubtUntil = l.heldUntil, l.flights, l.doubtUntil
+	c.formerUntil, c.formerDoubt, c.earlierUntil = l.formerUntil, l.formerDoubt, l.earlier()
 	switch {
 	case l.Server == next.Server:
 		c.kept = true
@@ -254,6 +256,7 @@
 	default: // nobody holds it: released, lapsed or never owned
 		c.heldUntil, c.doubtUntil, c.earlierUntil = now, time.Time{}, time.Time{}
 		c.flights = nil
+		c.formerUntil, c.formerDoubt = now, time.Time{}
 		c.movedAt = now
 		c.giver = l.Server
 	}
--- a/gateway/ranges/rules_test.go
+++ b/gateway/ranges/rules_test.go
@@ -20,6 +20,7 @@
 	noName   bool // a later run is taken for proof that the owner holds nothing
 	noCarry  bool // what was granted to an earlier run is forgotten
 	noQueue  bool // what was reset is taken for gone, although it waits in the node's link
+	noReport bool // a former lessor that is asked does not tell what it granted
 	noDoubt  bool // an answer under a higher fence ends the wait for unanswered grants
 }
 
@@ -34,7 +35,12 @@
 		l.dropHolds(now)
 	}
 	if r.noQueue {
-		l.heldUntil, l.flights = l.likelyHeld(k.timing), nil
+		for i := range l.flights {
+			f := &l.flights[i]
+			if !f.endedAt.IsZero() {
+				f.until = f.endedAt.Add(k.timing.arrived(f.hold))
+			}
+		}
 	}
 	if r.noDoubt {
 		l.dropDoubt()
@@ -52,7 +58,7 @@
 
 // dropDoubt forgets that grants had no answer, and keeps that they may be in force.
 func (l *lease) dropDoubt() {
-	l.doubtUntil = time.Time{}
+	l.doubtUntil, l.formerDoubt = time.Time{}, time.Time{}
 	for _, f := range l.flights {
 		if !f.endedAt.IsZero() {
 			l.heldUntil = clock.Later(l.heldUntil, f.until)
@@ -62,4 +68,4 @@
 }
 
 // dropHolds forgets what may be in force.
-func (l *lease) dropHolds(now time.Time) { l.heldUntil, l.flights = now, nil }
+func (l *lease) dropHolds(now time.Time) { l.heldUntil, l.formerUntil, l.flights = now, now, nil }
--- a/gateway/ranges/search_run_test.go
+++ b/gateway/ranges/search_run_test.go
@@ -25,6 +25,7 @@
 	cases := []searchCase{{"one start beside a planned move", searchBounds{starts: 1, moves: 1}}}
 	if *longSearch {
 		cases = append(cases,
+			searchCase{"a claim", searchBounds{claims: 1}},
 			searchCase{"two starts beside a planned move", searchBounds{starts: 2, moves: 1}},
 			searchCase{"three starts", searchBounds{starts: 3}},
 			searchCase{"a claim beside a planned move", searchBounds{claims: 1, moves: 1}},
@@ -55,6 +56,7 @@
 		"a range is released although a grant had no answer":   {rules{noSeal: true}, searchBounds{moves: 1}},
 		"a lessor grants although its lease was not confirmed": {rules{noRight: true}, searchBounds{claims: 1}},
 		"what was reset is taken for gone":                     {rules{noQueue: true}, searchBounds{}},
+		"a former lessor hides what it granted":                {rules{noReport: true}, searchBounds{claims: 1}},
 		"a later run is proof that the owner holds nothing":    {rules{noName: true}, searchBounds{starts: 1}},
 		"what an earlier run was granted is forgotten":         {rules{noCarry: true}, searchBounds{starts: 2, moves: 1}},
 		"a higher fence ends the wait for unanswered grants":   {rules{noDoubt: true}, searchBounds{starts: 1, moves: 1}},
--- a/gateway/ranges/search_state_test.go
+++ b/gateway/ranges/search_state_test.go
@@ -80,6 +80,8 @@
 	misses        int8
 	held          int16 // milliseconds
 	doubt         int16
+	former        int16 // the same as held and doubt, of former lessors
+	formerDoubt   int16
 	// callUntil is the end of the grant whose call goes on, and strayUntil the latest one
 	// of those that were abandoned while their bytes were under way; 0: none.
 	callUntil, strayUntil int16
@@ -186,6 +188,7 @@
 		raised:     n.raised,
 		misses:     int(n.misses),
 	}
+	l.formerUntil, l.formerDoubt = absolute(n.former), absolute(n.formerDoubt)
 	l.flights = n.flights()
 	k.hasStrays = l.hasStrays()
 	if n.next >= 0 {
@@ -242,6 +245,7 @@
 	n.calling, n.doubtful, n.answered, n.raised = l.calling, l.doubtful, l.confirmed, l.raised
 	n.misses = int8(min(l.misses, missesToLapse))
 	n.held, n.doubt = relative(l.heldUntil), relative(l.doubtUntil)
+	n.former, n.formerDoubt = relative(l.formerUntil), relative(l.formerDoubt)
 	n.keepFlights(l.flights)
 	for name := range int8(len(searchNames)) {
 		if present, known := k.runs.present[searchNames[name]]; known {
--- a/gateway/ranges/search_test.go
+++ b/gateway/ranges/search_test.go
@@ -69,6 +69,7 @@
 		s.call(state, node)
 		s.move(state, node)
 		s.forget(state, node)
+		s.handOff(state, node)
 	}
 	for i := range state.calls {
 		if state.calls[i].exists {
@@ -107,6 +108,26 @@
 	s.add(state)
 }
 
+// handOff has a new lessor hear from the other node, if that is the one before it, what it
+// granted. That one grants nothing any more.
+func (s *searcher) handOff(state searchState, node int8) {
+	n, former := &state.nodes[node], &state.nodes[1-node]
+	if !former.isLessor || former.claim >= n.claim {
+		return
+	}
+	k := s.keeper
+	former.keeper(k)
+	list := k.Remaining(searchStart)
+	if s.rules.noReport {
+		list = nil
+	}
+	*former = searchNode{}
+	n.keeper(k)
+	k.LimitFormer(list, searchStart)
+	n.keep(k)
+	s.add(state)
+}
+
 // appendBy notes that a node appends.
 func (s *searchState) appendBy(node int8) {
 	s.table.resigned, s.table.held, s.table.doubt = false, 0, 0
@@ -342,6 +363,7 @@
 	for i := range state.nodes {
 		n := &state.nodes[i]
 		n.held, n.doubt = later(n.held), later(n.doubt)
+		n.former, n.formerDoubt = later(n.former), later(n.formerDoubt)
 		n.callUntil, n.strayUntil = later(n.callUntil), later(n.strayUntil)
 		if n.isLessor {
 			n.confirmed = min(n.confirmed+1, int8(searchRight/time.Second))
--- a/gateway/ranges/world_run_test.go
+++ b/gateway/ranges/world_run_test.go
@@ -15,7 +15,7 @@
 
 func TestNoKeyHasTwoOwners(t *testing.T) {
 	t.Parallel()
-	moves, claims, starts := uint64(0), uint64(0), uint64(0)
+	moves, claims, starts, handOffs := uint64(0), uint64(0), uint64(0), uint64(0)
 	held := 0.0
 	for seed := range *worldSeeds {
 		for _, links := range []fullLinks{false, true} {
@@ -26,6 +26,7 @@
 			moves += uint64(w.moves)
 			claims += uint64(w.claims)
 			starts += uint64(w.starts)
+			handOffs += uint64(w.handOffs)
 			held += w.held() / float64(2**worldSeeds)
 		}
 	}
@@ -33,6 +34,7 @@
 	g.Expect(moves).To(gomega.BeNumerically(">", *worldSeeds), "moves played")
 	g.Expect(claims).To(gomega.BeNumerically(">", 2**worldSeeds), "claims played")
 	g.Expect(starts).To(gomega.BeNumerically(">", 4**worldSeeds), "servers that started again")
+	g.Expect(handOffs).To(gomega.BeNumerically(">", *worldSeeds), "former lessors that told what they had granted")
 	g.Expect(held).To(gomega.BeNumerically(">", 0.5), "share of keys held at the end")
 }
 
@@ -55,6 +57,7 @@
 		{"a later run is proof that the owner holds nothing", rules{noName: true}, 0},
 		{"what an earlier run was granted is forgotten", rules{noCarry: true}, 0},
 		{"what was reset is taken for gone", rules{noQueue: true}, 0},
+		{"a former lessor hides what it granted", rules{noReport: true}, 0},
 		{"a higher fence ends the wait for unanswered grants", rules{noDoubt: true}, 0},
 	} {
 		t.Run(c.name, func(t *testing.T) {
--- a/gateway/ranges/world_test.go
+++ b/gateway/ranges/world_test.go
@@ -30,7 +30,9 @@
 	fault   string // found while a call was applied
 	moves   int
 	claims  int
-	starts  int // of servers again
+	// handOffs is how often a new lessor heard from the one before.
+	handOffs int
+	starts   int // of servers again
 }
 
 const (
@@ -393,6 +395,27 @@
 	n.loads = NewLoads()
 	n.end = at + 1
 	n.confirmedAt = w.now
+	w.handOff(n, table.Lessor)
+}
+
+// handOff has a new lessor ask the one before it. That one may not be reached, and does not
+// answer while it is paused.
+func (w *world) handOff(n *worldNode, former Lessor) {
+	if !w.links {
+		return
+	}
+	for _, other := range w.nodes {
+		if other.keeper == nil || other.keeper.self != former || w.now.Before(other.paused) || w.random.IntN(2) == 0 {
+			continue
+		}
+		list := other.keeper.Remaining(w.now)
+		if w.rules.noReport {
+			list = nil
+		}
+		other.keeper, other.resignAt = nil, time.Time{}
+		n.keeper.LimitFormer(list, w.now)
+		w.handOffs++
+	}
 }
 
 func (w *world) formerHold(resigned bool, quiet time.Duration) time.Duration {
--- a/proto/burdockspindle/v1/bspbconnect/gateway.connect.go
+++ b/proto/burdockspindle/v1/bspbconnect/gateway.connect.go
@@ -35,6 +35,8 @@
 const (
 	// GatewayFollowProcedure is the fully-qualified name of the Gateway's Follow RPC.
 	GatewayFollowProcedure = "/burdockspindle.v1.Gateway/Follow"
+	// GatewayHandOffProcedure is the fully-qualified name of the Gateway's HandOff RPC.
+	GatewayHandOffProcedure = "/burdockspindle.v1.Gateway/HandOff"
 )
 
 // GatewayClient is a client for the burdockspindle.v1.Gateway service.
@@ -42,6 +44,9 @@
 	// Follow returns what has changed since what the asking node has. It waits a
 	// while for a change, and takes the asking node's reports along.
 	Follow(context.Context, *connect.Request[v1.FollowRequest]) (*connect.Response[v1.FollowReply], error)
+	// HandOff tells a lessor that another node has claimed its lease. It grants nothing any
+	// more when it replies with what it granted.
+	HandOff(context.Context, *connect.Request[v1.HandOffRequest]) (*connect.Response[v1.HandOffReply], error)
 }
 
 // NewGatewayClient constructs a client for the burdockspindle.v1.Gateway service. By default, it
@@ -61,12 +66,19 @@
 			connect.WithSchema(gatewayMethods.ByName("Follow")),
 			connect.WithClientOptions(opts...),
 		),
+		handOff: connect.NewClient[v1.HandOffRequest, v1.HandOffReply](
+			httpClient,
+			baseURL+GatewayHandOffProcedure,
+			connect.WithSchema(gatewayMethods.ByName("HandOff")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
 // gatewayClient implements GatewayClient.
 type gatewayClient struct {
-	follow *connect.Client[v1.FollowRequest, v1.FollowReply]
+	follow  *connect.Client[v1.FollowRequest, v1.FollowReply]
+	handOff *connect.Client[v1.HandOffRequest, v1.HandOffReply]
 }
 
 // Follow calls burdockspindle.v1.Gateway.Follow.
@@ -74,11 +86,19 @@
 	return c.follow.CallUnary(ctx, req)
 }
 
+// HandOff calls burdockspindle.v1.Gateway.HandOff.
+func (c *gatewayClient) HandOff(ctx context.Context, req *connect.Request[v1.HandOffRequest]) (*connect.Response[v1.HandOffReply], error) {
+	return c.handOff.CallUnary(ctx, req)
+}
+
 // GatewayHandler is an implementation of the burdockspindle.v1.Gateway service.
 type GatewayHandler interface {
 	// Follow returns what has changed since what the asking node has. It waits a
 	// while for a change, and takes the asking node's reports along.
 	Follow(context.Context, *connect.Request[v1.FollowRequest]) (*connect.Response[v1.FollowReply], error)
+	// HandOff tells a lessor that another node has claimed its lease. It grants nothing any
+	// more when it replies with what it granted.
+	HandOff(context.Context, *connect.Request[v1.HandOffRequest]) (*connect.Response[v1.HandOffReply], error)
 }
 
 // NewGatewayHandler builds an HTTP handler from the service implementation. It returns the path on
@@ -94,10 +114,18 @@
 		connect.WithSchema(gatewayMethods.ByName("Follow")),
 		connect.WithHandlerOptions(opts...),
 	)
+	gatewayHandOffHandler := connect.NewUnaryHandler(
+		GatewayHandOffProcedure,
+		svc.HandOff,
+		connect.WithSchema(gatewayMethods.ByName("HandOff")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/burdockspindle.v1.Gateway/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case GatewayFollowProcedure:
 			gatewayFollowHandler.ServeHTTP(w, r)
+		case GatewayHandOffProcedure:
+			gatewayHandOffHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -110,3 +138,7 @@
 func (UnimplementedGatewayHandler) Follow(context.Context, *connect.Request[v1.FollowRequest]) (*connect.Response[v1.FollowReply], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("burdockspindle.v1.Gateway.Follow is not implemented"))
 }
+
+func (UnimplementedGatewayHandler) HandOff(context.Context, *connect.Request[v1.HandOffRequest]) (*connect.Response[v1.HandOffReply], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("burdockspindle.v1.Gateway.HandOff is not implemented"))
+}
