--- a/cli/explain.go
+++ b/cli/explain.go
@@ -16,21 +16,30 @@
 func init() { Register(newExplainCommand) }
 
 // newExplainCommand returns the command "explain", which prints what the logs of
-// several nodes say of one request.
+// several nodes say of one request, or of all that had no good answer.
 func newExplainCommand() Command {
 	var request, files string
+	var isSummary bool
 	return Command{
 		Name:        "explain",
-		Description: "Print a request's path, and what the nodes believed then, from the logs of gateway nodes.",
+		Description: "Print a request's path, and what the nodes believed then, or a summary of what failed, from the logs of gateway nodes.",
 		Flags: func(sub *flaggy.Subcommand) {
 			sub.String(&request, "r", "request", "ID of the request")
+			sub.Bool(&isSummary, "s", "summary", "sum up what failed, by reason, second, server and node")
 			sub.AddPositionalValue(&files, "FILES", 1, true, "log files, separated by commas")
 		},
 		Run: func(_ context.Context, env *Env) error {
-			if request == "" {
-				return &UsageError{Problem: "explain: --request ID is needed"}
+			if isSummary == (request != "") {
+				return &UsageError{Problem: "explain: either --request ID or --summary is needed"}
 			}
-			return explain(env.Stdout, request, strings.Split(files, ","))
+			lines, err := readLogs(strings.Split(files, ","))
+			if err != nil {
+				return err
+			}
+			if isSummary {
+				return outputError(summarize(lines).write(env.Stdout))
+			}
+			return explain(env.Stdout, request, lines)
 		},
 	}
 }
@@ -61,16 +70,29 @@
 	return "explain: no line of request " + e.Request + "; lines of answered requests are samples, and see event 2201"
 }
 
-func explain(out io.Writer, request string, files []string) error {
+// outputError wraps an error of writing.
+func outputError(err error) error {
+	if err == nil {
+		return nil
+	}
+	return &OutputError{Cause: err}
+}
+
+// readLogs reads log files and returns their lines in the order of time.
+func readLogs(files []string) ([]logLine, error) {
 	var lines []logLine
 	for _, file := range files {
 		read, err := readLog(file)
 		if err != nil {
-			return err
+			return nil, err
 		}
 		lines = append(lines, read...)
 	}
 	slices.SortStableFunc(lines, func(a, b logLine) int { return strings.Compare(a.Time, b.Time) })
+	return lines, nil
+}
+
+func explain(out io.Writer, request string, lines []logLine) error {
 	found := false
 	for i, line := range lines {
 		if line.Request != request {
@@ -78,7 +100,7 @@
 		}
 		found = true
 		if err := explainLine(out, line, lines[:i]); err != nil {
-			return &OutputError{Cause: err}
+			return outputError(err)
 		}
 	}
 	if !found {
--- a/cli/explain_test.go
+++ b/cli/explain_test.go
@@ -45,3 +45,36 @@
 	g.Expect(code).To(gomega.Equal(cli.ExitFailure))
 	g.Expect(problems.String()).To(gomega.ContainSubstring("no line of request r2"))
 }
+
+func TestExplainSumsUpWhatFailed(t *testing.T) {
+	g := gomega.NewWithT(t)
+	const moreLog = `{"@timestamp":"2026-01-01T00:00:06Z","@message":"request finished","event":2200,"node":"n2","outcome":"refused","status":503,"reason":"no server","service":"a","steps":""}
+{"@timestamp":"2026-01-01T00:00:06Z","@message":"request finished","event":2200,"node":"n2","outcome":"failed","status":504,"reason":"timeout","service":"b","steps":"sent to s1, not run, status 503 after 2 ms; sent to s2, no answer yet"}
+{"@timestamp":"2026-01-01T00:00:06Z","@message":"request finished","event":2200,"node":"n2","outcome":"answered","status":200,"service":"b","steps":"sent to s2, status 200 after 2 ms"}
+{"@timestamp":"2026-01-01T00:00:07Z","@message":"this node is the lessor","event":2101,"node":"n2","offset":9}
+{"@timestamp":"2026-01-01T00:00:07Z","@message":"lines of requests left out","event":2201,"node":"n2","lines":12}
+`
+	dir := t.TempDir()
+	first, second := filepath.Join(dir, "a.log"), filepath.Join(dir, "b.log")
+	g.Expect(os.WriteFile(first, []byte(nodeLog), 0o600)).To(gomega.Succeed())
+	g.Expect(os.WriteFile(second, []byte(moreLog), 0o600)).To(gomega.Succeed())
+	var out, problems bytes.Buffer
+	env := &cli.Env{Stdout: &out, Stderr: &problems, Getenv: os.Getenv}
+
+	code := cli.Main(context.Background(), []string{"explain", "--summary", first + "," + second}, env)
+	g.Expect(code).To(gomega.Equal(cli.ExitOK), problems.String())
+	for _, line := range []string{
+		`1 +a +refused +no server`,
+		`1 +b +failed +timeout`,
+		`5 +2 +1 a no server, 1 b timeout`,
+		`s2 +1`,
+		`n2 +2`,
+		`n2 2026-01-01T00:00:07Z this node is the lessor offset=9`,
+		`12 lines of requests were left out by the nodes`,
+	} {
+		g.Expect(out.String()).To(gomega.MatchRegexp(`(?m)^`+line), out.String())
+	}
+
+	code = cli.Main(context.Background(), []string{"explain", first}, env)
+	g.Expect(code).NotTo(gomega.Equal(cli.ExitOK), "neither a request nor a summary")
+}
