Holds: none is longer than usual

Hypothesis: holds that grow up to 8 s while the store does not answer, and while a lessor resigns, serve nobody: the lessor goes on granting for its right anyway, and a new lessor must then wait for up to 8 s for an owner that is lost. They also hinder what follows: a lessor whose process has ended granted for a usual hold at most.

Ownership lives through outages of the store as before, for the right and a hold. What is lost is a lessor that ends during such an outage.

--- a/gateway/duty/duty.go
+++ b/gateway/duty/duty.go
@@ -319,7 +319,7 @@
 
 // lease returns the state of the lessor's lease.
 func (d *Duty) lease(now time.Time) ranges.Lease {
-	return ranges.Lease{ConfirmedAt: d.confirmedAt, Last: d.resigning != nil || !d.writable(now)}
+	return ranges.Lease{ConfirmedAt: d.confirmedAt}
 }
 
 // writable reports whether the store took an append lately.
--- a/gateway/ranges/lessor.go
+++ b/gateway/ranges/lessor.go
@@ -88,8 +88,7 @@
 // after a claim: for its right and a hold.
 func (t Timing) FormerHold() time.Duration { return t.Right + t.lapse(t.Hold) }
 
-// quietMargin is kept of the time that FormerHoldAfter saves: holds that were
-// lengthened while the store did not answer end up to 80 ms after FormerHold.
+// quietMargin is kept of the time that FormerHoldAfter saves, for timers that fire late.
 const quietMargin = 200 * time.Millisecond
 
 // FormerHoldAfter returns the same for a claim at which the ownership topic had not
@@ -178,21 +177,14 @@
 // Lease is the lessor's own lease in the store.
 type Lease struct {
 	ConfirmedAt time.Time // start of the latest append that succeeded
-	// Last tells that the lease may not be confirmed again: the store does not
-	// answer, or the node shuts down. Then holds last as long as they may.
-	Last bool
 }
 
 // hold returns for how long the lessor may grant now; 0: not at all.
 func (k *Keeper) hold(lease Lease, now time.Time) time.Duration {
-	right := lease.ConfirmedAt.Add(k.timing.Right)
-	if !now.Before(right) {
+	if !now.Before(lease.ConfirmedAt.Add(k.timing.Right)) {
 		return 0
 	}
-	if !lease.Last {
-		return k.timing.Hold
-	}
-	return min(right.Add(k.timing.Hold).Sub(now), k.timing.HoldMax)
+	return k.timing.Hold
 }
 
 // Calls returns the calls that are due and counts them as sent at now. A server
--- a/gateway/ranges/timing.go
+++ b/gateway/ranges/timing.go
@@ -24,8 +24,6 @@
 	// outages of the store of that length, and a new lessor waits as long for an
 	// owner that does not answer.
 	Right time.Duration
-	// HoldMax is the longest hold that servers take.
-	HoldMax time.Duration
 	// CallTimeout ends a call to a server.
 	CallTimeout time.Duration
 	// Underway is how long bytes may wait in the node's own link after their connection was
@@ -43,7 +41,6 @@
 		Hold:           3 * time.Second,
 		Renew:          700 * time.Millisecond,
 		Right:          5 * time.Second,
-		HoldMax:        10 * time.Second,
 		CallTimeout:    400 * time.Millisecond,
 		Underway:       3 * time.Second,
 		ReleaseTimeout: 3 * time.Second,
--- a/modules/gateway/site.go
+++ b/modules/gateway/site.go
@@ -90,8 +90,7 @@
 	m.feed = follow.NewFeed(m.self, m.state, contact, m.duty.IsLessor)
 	m.follower.Feed = m.feed
 	timing := ranges.DefaultTiming()
-	timing.HoldMax = settings.Timing.HoldMax
-	timing.Hold = min(timing.Hold, timing.HoldMax)
+	timing.Hold = min(timing.Hold, settings.Timing.HoldMax)
 	m.duty.Member = m.self
 	m.duty.Self = ranges.Lessor{Node: m.self.Node, Boot: m.self.Boot, Address: m.self.Address}
 	m.duty.Timing = timing
