Lease: the next run of a former lessor's node tells that it has ended

Its process has ended, though, and granted for a usual hold at most: the next run of its node knows when it started itself, and tells others that ask it (HandOff); what it claims itself counts so too. Ruled out: another run of the node beside the present one, which the platform excludes; what the kernel goes on sending for an ended process counts as Timing.Underway.

--- a/gateway/duty/duty.go
+++ b/gateway/duty/duty.go
@@ -76,8 +76,10 @@
 	Reader  *follow.Reader
 	Feed    *follow.Feed
 	Former  Former
-	Reports *follow.Reports
-	Logger  hclog.Logger
+	// StartedAt is when this process started. Earlier ones of the node had ended by then.
+	StartedAt time.Time
+	Reports   *follow.Reports
+	Logger    hclog.Logger
 
 	isLessor atomic.Bool
 	resign   chan chan struct{}
@@ -277,6 +279,10 @@
 	eventClaiming.Log(d.Logger, "offset", d.end, "formerLessor", table.Lessor.Node, "resigned", ownership.Resigned, "quietFor", clock.Since(ownership.MovedAt))
 	former := d.Timing.FormerHoldAfter(clock.Since(ownership.MovedAt))
 	p := &pendingAppend{claim: next, former: former, doubt: former, after: table.Lessor}
+	if isEarlierRun(ownership, d.Self) {
+		ended := max(d.Timing.EndedHold()-clock.Since(d.StartedAt), 0)
+		p.former, p.doubt = min(p.former, ended), min(p.doubt, ended)
+	}
 	if ownership.Resigned {
 		p.former, p.doubt = ownership.Held, ownership.Doubt
 		p.after = ranges.Lessor{}
--- a/gateway/duty/handoff.go
+++ b/gateway/duty/handoff.go
@@ -12,14 +12,14 @@
 
 // Former asks the lessor before a claim what it granted.
 type Former interface {
-	AskFormer(ctx context.Context, former ranges.Lessor, claim store.Offset) ([]ranges.Remaining, error)
+	AskFormer(ctx context.Context, former ranges.Lessor, claim store.Offset) (follow.FormerGrants, error)
 }
 
 // formerReport is what the lessor before this one's claim granted.
 type formerReport struct {
-	claim store.Offset
-	list  []ranges.Remaining
-	at    time.Time // when it came
+	claim  store.Offset
+	grants follow.FormerGrants
+	at     time.Time // when it came
 }
 
 // askFormer asks the lessor before this one's claim, unless that has resigned and told.
@@ -28,13 +28,13 @@
 		return
 	}
 	go func() {
-		list, err := d.Former.AskFormer(ctx, p.after, p.at)
+		grants, err := d.Former.AskFormer(ctx, p.after, p.at)
 		if err != nil {
 			eventFormerSilent.Log(d.Logger, "former", p.after.Node, "offset", p.at, "cause", err)
 			return
 		}
 		select {
-		case d.reported <- formerReport{claim: p.at, list: list, at: clock.Now()}:
+		case d.reported <- formerReport{claim: p.at, grants: grants, at: clock.Now()}:
 		case <-ctx.Done():
 		}
 	}()
@@ -45,19 +45,23 @@
 	if d.keeper == nil || d.leaseOffset != r.claim {
 		return
 	}
-	d.keeper.LimitFormer(r.list, r.at)
-	longest := time.Duration(0)
-	for _, remaining := range r.list {
-		longest = max(longest, remaining.Held)
+	if r.grants.HasEnded {
+		d.keeper.FormerEnded(r.at.Add(-r.grants.EndedFor))
+	} else {
+		d.keeper.LimitFormer(r.grants.Ranges, r.at)
 	}
-	eventFormerTold.Log(d.Logger, "offset", r.claim, "ranges", len(r.list), "longest", longest)
+	eventFormerTold.Log(d.Logger, "offset", r.claim, "ranges", len(r.grants.Ranges), "hasEnded", r.grants.HasEnded, "endedFor", r.grants.EndedFor, "held", d.keeper.Held(r.at))
 }
 
 // handOff takes the request of a node that has claimed the lease. The claim stands in the
 // store, so nothing that this node appends succeeds any more, and its grants are refused
 // wherever the next lessor's were.
 func (d *Duty) handOff(asked *follow.HandOff) {
-	if asked.Boot != d.Self.Boot || d.keeper == nil || asked.Claim < d.end {
+	if asked.Former.Node == d.Self.Node && asked.Former.Boot != d.Self.Boot {
+		asked.Reply <- follow.FormerGrants{HasEnded: true, EndedFor: clock.Since(d.StartedAt)}
+		return
+	}
+	if asked.Former.Boot != d.Self.Boot || d.keeper == nil || asked.Claim < d.end {
 		close(asked.Reply)
 		return
 	}
@@ -73,7 +77,7 @@
 // the duty when the fate of this node's own append is known.
 func (d *Duty) finishHandOff(now time.Time) {
 	if d.handingOff != nil && !d.keeper.Calling() {
-		d.handingOff.Reply <- d.keeper.Remaining(now)
+		d.handingOff.Reply <- follow.FormerGrants{Ranges: d.keeper.Remaining(now)}
 		d.handingOff = nil
 		d.handedOff = true
 	}
--- a/gateway/duty/handoff_test.go
+++ b/gateway/duty/handoff_test.go
@@ -30,8 +30,8 @@
 	return d
 }
 
-func ask(boot string, claim store.Offset) *follow.HandOff {
-	return &follow.HandOff{Boot: boot, Claim: claim, Reply: make(chan []ranges.Remaining, 1)}
+func ask(node, boot string, claim store.Offset) *follow.HandOff {
+	return &follow.HandOff{Former: ranges.Lessor{Node: node, Boot: boot}, Claim: claim, Reply: make(chan follow.FormerGrants, 1)}
 }
 
 // The store turns the lessor's node away, and another node claims the lease. The former
@@ -44,14 +44,14 @@
 	d := lessorOf(now, 0)
 	call := d.keeper.Calls(servers, d.lease(now), now)[0]
 
-	asked := ask("b1", 8)
+	asked := ask("n1", "b1", 8)
 	d.handOff(asked)
 	g.Expect(d.IsLessor()).To(gomega.BeFalse())
 	d.step(t.Context(), now)
 	g.Expect(asked.Reply).To(gomega.BeEmpty(), "a call is under way")
 	d.keeper.Done(call, ranges.Result{}, now)
 	d.step(t.Context(), now)
-	list := <-asked.Reply
+	list := (<-asked.Reply).Ranges
 	g.Expect(list).To(gomega.HaveLen(1))
 	g.Expect(list[0].Held).To(gomega.BeNumerically(">", 3*time.Second))
 	g.Expect(list[0].Doubt).To(gomega.BeZero())
@@ -60,9 +60,9 @@
 
 func TestAHandOffOfAnotherLeaseIsRefused(t *testing.T) {
 	for name, asked := range map[string]*follow.HandOff{
-		"another run":           ask("b0", 8),
-		"an earlier claim":      ask("b1", 7),
-		"a claim long replaced": ask("b1", 1),
+		"another node":          ask("n2", "b2", 8),
+		"an earlier claim":      ask("n1", "b1", 7),
+		"a claim long replaced": ask("n1", "b1", 1),
 	} {
 		t.Run(name, func(t *testing.T) {
 			g := gomega.NewWithT(t)
@@ -81,7 +81,7 @@
 	now := clock.Now()
 	d := lessorOf(now, 0)
 	d.appending = &pendingAppend{at: 8}
-	asked := ask("b1", 8)
+	asked := ask("n1", "b1", 8)
 	d.handOff(asked)
 	d.step(t.Context(), now)
 	g.Expect(asked.Reply).To(gomega.HaveLen(1), "what was granted does not depend on it")
@@ -91,21 +91,45 @@
 }
 
 // formerNode is a former lessor that answers.
-type formerNode struct{ list []ranges.Remaining }
+type formerNode struct{ grants follow.FormerGrants }
 
 // AskFormer implements Former.
-func (f formerNode) AskFormer(context.Context, ranges.Lessor, store.Offset) ([]ranges.Remaining, error) {
-	return f.list, nil
+func (f formerNode) AskFormer(context.Context, ranges.Lessor, store.Offset) (follow.FormerGrants, error) {
+	return f.grants, nil
 }
 
 func TestANewLessorWaitsNoLongerThanTheFormerOneTells(t *testing.T) {
+	told := ranges.Remaining{Service: "s", Span: ranges.Span{To: ranges.LastKey}, Held: time.Second}
+	for name, row := range map[string]struct {
+		grants follow.FormerGrants
+		want   time.Duration
+	}{
+		"it tells":              {follow.FormerGrants{Ranges: []ranges.Remaining{told}}, time.Second},
+		"its process has ended": {follow.FormerGrants{HasEnded: true, EndedFor: 4 * time.Second}, ranges.DefaultTiming().EndedHold() - 4*time.Second},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			d := lessorOf(clock.Now(), ranges.DefaultTiming().FormerHold())
+			d.leaseOffset = 7
+			d.Former = formerNode{row.grants}
+			d.askFormer(t.Context(), &pendingAppend{at: 7, after: ranges.Lessor{Node: "n2", Boot: "b2"}})
+			report := <-d.reported
+			d.takeFormer(report)
+			g.Expect(d.keeper.Held(report.at)).To(gomega.Equal(row.want))
+		})
+	}
+}
+
+// All nodes lose power and start again. The lessor's node tells the next one, or itself,
+// that nothing was granted since.
+func TestTheNextRunOfALessorTellsThatItHasEnded(t *testing.T) {
 	g := gomega.NewWithT(t)
-	now := clock.Now()
-	d := lessorOf(now, ranges.DefaultTiming().FormerHold())
-	d.leaseOffset = 7
-	d.Former = formerNode{list: []ranges.Remaining{{Service: "s", Span: ranges.Span{To: ranges.LastKey}, Held: time.Second}}}
-	d.askFormer(t.Context(), &pendingAppend{at: 7, after: ranges.Lessor{Node: "n2", Boot: "b2"}})
-	report := <-d.reported
-	d.takeFormer(report)
-	g.Expect(d.keeper.Held(report.at)).To(gomega.Equal(time.Second))
+	d := lessorOf(clock.Now(), 0)
+	d.StartedAt = clock.Now().Add(-time.Second)
+	asked := ask("n1", "b0", 8)
+	d.handOff(asked)
+	told := <-asked.Reply
+	g.Expect(told.HasEnded).To(gomega.BeTrue())
+	g.Expect(told.EndedFor).To(gomega.BeNumerically(">=", time.Second))
+	g.Expect(d.IsLessor()).To(gomega.BeTrue())
 }
--- a/gateway/follow/handoff.go
+++ b/gateway/follow/handoff.go
@@ -20,11 +20,20 @@
 
 // HandOff is a new lessor's request to the one before it.
 type HandOff struct {
-	Boot  string       // of the former lessor
-	Claim store.Offset // of the claim
-	// Reply receives what the former lessor granted, once it grants nothing any more; it is
-	// closed without that if the node cannot tell. It has room for one.
-	Reply chan []ranges.Remaining
+	Former ranges.Lessor // its node and boot
+	Claim  store.Offset
+	// Reply receives what is known of the former lessor's grants, once it grants nothing any
+	// more; it is closed without that if the node cannot tell. It has room for one.
+	Reply chan FormerGrants
+}
+
+// FormerGrants tells what a former lessor granted that may be in force.
+type FormerGrants struct {
+	Ranges []ranges.Remaining
+	// HasEnded tells that its process had ended EndedFor before the reply, at least. Then
+	// nobody knows the ranges.
+	HasEnded bool
+	EndedFor time.Duration
 }
 
 // NotFormerLessorError reports that a node cannot tell what a lessor granted.
@@ -35,41 +44,43 @@
 
 // HandOff implements bspbconnect.GatewayHandler.
 func (f *Feed) HandOff(ctx context.Context, request *connect.Request[bspb.HandOffRequest]) (*connect.Response[bspb.HandOffReply], error) {
-	asked := &HandOff{Boot: request.Msg.Boot, Claim: store.Offset(request.Msg.ClaimOffset), Reply: make(chan []ranges.Remaining, 1)}
-	unknown := &NotFormerLessorError{Boot: asked.Boot}
+	former := ranges.Lessor{Node: request.Msg.Node, Boot: request.Msg.Boot}
+	asked := &HandOff{Former: former, Claim: store.Offset(request.Msg.ClaimOffset), Reply: make(chan FormerGrants, 1)}
+	unknown := &NotFormerLessorError{Boot: former.Boot}
 	select {
 	case f.HandOffs <- asked:
 	default:
 		return nil, connect.NewError(connect.CodeResourceExhausted, unknown)
 	}
 	select {
-	case list, isKnown := <-asked.Reply:
+	case grants, isKnown := <-asked.Reply:
 		if !isKnown {
 			return nil, connect.NewError(connect.CodeFailedPrecondition, unknown)
 		}
-		return connect.NewResponse(remainingMessage(list)), nil
+		return connect.NewResponse(grantsMessage(grants)), nil
 	case <-ctx.Done():
 		return nil, connect.NewError(connect.CodeDeadlineExceeded, ctx.Err())
 	}
 }
 
 // AskFormer has the lessor before a claim grant nothing any more and tell what it granted.
-// Times count from the call of this function's return.
-func (f *Follower) AskFormer(ctx context.Context, former ranges.Lessor, claim store.Offset) ([]ranges.Remaining, error) {
+// Times count from the return of this function at the latest.
+func (f *Follower) AskFormer(ctx context.Context, former ranges.Lessor, claim store.Offset) (FormerGrants, error) {
 	ctx, cancel := context.WithTimeout(ctx, handOffTimeout)
 	defer cancel()
 	transport := &http.Transport{DialContext: f.dial, DisableCompression: true, DisableKeepAlives: true}
 	client := bspbconnect.NewGatewayClient(&http.Client{Transport: transport}, "http://"+former.Address)
-	reply, err := client.HandOff(ctx, connect.NewRequest(&bspb.HandOffRequest{Boot: former.Boot, ClaimOffset: int64(claim)}))
+	reply, err := client.HandOff(ctx, connect.NewRequest(&bspb.HandOffRequest{Node: former.Node, Boot: former.Boot, ClaimOffset: int64(claim)}))
 	if err != nil {
-		return nil, err
+		return FormerGrants{}, err
 	}
-	return remainingOf(reply.Msg), nil
+	return grantsOf(reply.Msg), nil
 }
 
-func remainingMessage(list []ranges.Remaining) *bspb.HandOffReply {
-	reply := &bspb.HandOffReply{Ranges: make([]*bspb.HeldRange, 0, len(list))}
-	for _, r := range list {
+func grantsMessage(grants FormerGrants) *bspb.HandOffReply {
+	// Rounded down: what ended lately must not seem to have ended before.
+	reply := &bspb.HandOffReply{HasEnded: grants.HasEnded, EndedMs: uint32(grants.EndedFor.Milliseconds())}
+	for _, r := range grants.Ranges {
 		reply.Ranges = append(reply.Ranges, &bspb.HeldRange{
 			Service: string(r.Service),
 			From:    uint32(r.From),
@@ -86,15 +97,15 @@
 	return uint32((d + time.Millisecond - 1).Milliseconds())
 }
 
-func remainingOf(reply *bspb.HandOffReply) []ranges.Remaining {
-	list := make([]ranges.Remaining, 0, len(reply.Ranges))
+func grantsOf(reply *bspb.HandOffReply) FormerGrants {
+	grants := FormerGrants{HasEnded: reply.HasEnded, EndedFor: time.Duration(reply.EndedMs) * time.Millisecond}
 	for _, r := range reply.Ranges {
-		list = append(list, ranges.Remaining{
+		grants.Ranges = append(grants.Ranges, ranges.Remaining{
 			Service: site.ServiceName(r.Service),
 			Span:    ranges.Span{From: ranges.Key(r.From), To: ranges.Key(r.To)},
 			Held:    time.Duration(r.HeldMs) * time.Millisecond,
 			Doubt:   time.Duration(r.DoubtMs) * time.Millisecond,
 		})
 	}
-	return list
+	return grants
 }
--- a/gateway/ranges/handoff.go
+++ b/gateway/ranges/handoff.go
@@ -54,6 +54,17 @@
 	k.serial++ // silent ranges end sooner
 }
 
+// FormerEnded takes that the former lessor's process had ended by a time.
+func (k *Keeper) FormerEnded(by time.Time) {
+	until := by.Add(k.timing.EndedHold())
+	for _, leases := range k.leases {
+		for _, l := range leases {
+			l.limitFormer(until, until)
+		}
+	}
+	k.serial++ // silent ranges end sooner
+}
+
 // limitFormer shortens the time for which grants of the former lessor may be in force.
 func (l *lease) limitFormer(held, doubt time.Time) {
 	if held.Before(l.formerUntil) {
--- a/gateway/ranges/lessor.go
+++ b/gateway/ranges/lessor.go
@@ -88,6 +88,10 @@
 // after a claim: for its right and a hold.
 func (t Timing) FormerHold() time.Duration { return t.Right + t.lapse(t.Hold) }
 
+// EndedHold returns for how long what a lessor granted may be in force after its process has
+// ended.
+func (t Timing) EndedHold() time.Duration { return t.lapse(t.Hold) }
+
 // quietMargin is kept of the time that FormerHoldAfter saves, for timers that fire late.
 const quietMargin = 200 * time.Millisecond
 
--- a/modules/gateway/site.go
+++ b/modules/gateway/site.go
@@ -100,6 +100,7 @@
 	m.duty.Reader = m.reader
 	m.duty.Feed = m.feed
 	m.duty.Former = m.follower
+	m.duty.StartedAt = clock.Now()
 	m.duty.Reports = m.reports
 	m.duty.Logger = logger
 }
