--- a/gateway/config/config.go
+++ b/gateway/config/config.go
@@ -69,8 +69,8 @@
 	LinkMbps  float64 // of the VM's own link, in Mbit/s; 0: not known
 }
 
-// dutyLinkMbps is the link at which the network does not bound the duties for
-// others: at 87 nodes and 386 servers they sent up to 50 Mbit/s for seconds.
+// dutyLinkMbps is the link, in Mbit/s, at which the network does not bound the duties for
+// others, twice what they send for seconds on a site of hundreds of servers.
 const dutyLinkMbps = 100
 
 // Strength returns what the node can do for others, in processor cores. A
--- a/gateway/duty/duty.go
+++ b/gateway/duty/duty.go
@@ -22,13 +22,12 @@
 
 // Timing of the duty.
 const (
-	// tick is how often due calls and changes are looked for. With a look after every
-	// answer of a server the lessor of 308 owners and 295 nodes decided a thousand
-	// times a second.
+	// tick is how often due calls and changes are looked for. After every answer would be
+	// too often for a lessor of hundreds of owners.
 	tick = 25 * time.Millisecond
 	// idleTick is the same for a node that is not the lessor and reads the ownership
 	// topic, and sleepTick for one that does not: it can claim nothing, and wakes when it
-	// reads. With 100 ms 295 nodes that were idle spent most of their time on this.
+	// reads.
 	idleTick  = 100 * time.Millisecond
 	sleepTick = time.Second
 	// changePause is the least time between two changes of the table: releases that are
@@ -42,8 +41,7 @@
 	suspectAfter = 1200 * time.Millisecond
 	// claimStep is how much longer a node waits before a claim for each stronger
 	// one, so that mostly one appends and a strong one does; the store settles the
-	// rest. With the lessor on one of 87 VMs of 0.16 cores its calls to servers
-	// timed out, and the lease changed hands five times in 20 s.
+	// rest. The calls of a lessor on a weak VM time out, and the lease changes hands again.
 	claimStep = 40 * time.Millisecond
 	// claimSpread is the random time that is added, and longestClaimDelay bounds
 	// both, since stronger nodes may be lost as well.
--- a/gateway/duty/limiter.go
+++ b/gateway/duty/limiter.go
@@ -9,9 +9,8 @@
 )
 
 // Bounds of the calls to one server at a time, each of which needs a connection. A server
-// that is asked for too much takes no new ones: of a dozen renewals, each on one of its
-// own, none was answered, and it lost all of its keys. One after the other they go over
-// connections that are kept.
+// that is asked for too much takes no new ones, and would lose all of its keys. One after
+// the other the calls go over connections that are kept.
 const (
 	grantsAtOnce = 2
 	// releasesAtOnce is more, since a release lasts as long as the work on its keys.
--- a/gateway/follow/entries.go
+++ b/gateway/follow/entries.go
@@ -75,7 +75,7 @@
 }
 
 // mostNamed bounds the servers that are named one by one in the log when a node adopts its
-// first register. Each of 295 nodes would start with a line for each of 720 servers.
+// first register: each of hundreds of nodes would start with a line for each server.
 const mostNamed = 50
 
 // logServers tells how the servers of the view differ from those before. Most changes
--- a/gateway/follow/turn.go
+++ b/gateway/follow/turn.go
@@ -3,9 +3,8 @@
 import "time"
 
 // Who reads the store. Each call to it is paid for and its calls a second are
-// bounded, so few nodes read it and tell the others: on a site of 295 nodes a start in
-// which each read every topic took 4,900 calls, and an outage of eight seconds in
-// which each tried again and again would take ten thousand.
+// bounded, so few nodes read it and notify the others. If each node read every topic, a
+// start and an outage would take as many calls as there are nodes, again and again.
 //
 // A node reads while what it was told is older than its turn allows. The first turn is
 // the strongest node's of each zone; by the time of the next ones it has news again,
--- a/gateway/ranges/cut.go
+++ b/gateway/ranges/cut.go
@@ -8,8 +8,7 @@
 // cut finds a part of a server's ranges that carries about want requests a second. It is
 // taken from the edge of a range if that can be: what lies in the midst of one leaves two
 // pieces behind, each of which is renewed, and a server that is asked for too much answers
-// few renewals in time. A dozen for one server, each on a connection of its own, went
-// unanswered together, and it lost all of its keys.
+// few renewals in time.
 func (r *round) cut(from *usage, want float64) (best *lease, span Span, rate float64, found bool) {
 	best, span, rate, found = r.part(from, want, edge)
 	if found && span.Keys() <= mostEdgeKeys {
--- a/gateway/ranges/lessor.go
+++ b/gateway/ranges/lessor.go
@@ -345,8 +345,7 @@
 
 // doubtEnd returns when no grant without an answer can reach a later run of the
 // owner any more. A server that tells no start has another name in each run: its
-// ranges need not wait. On a day with a new lessor beside busy keys and servers that
-// drain 0.889 of the requests were served without the wait, and 0.863 with it.
+// ranges need not wait.
 func (l *lease) doubtEnd() time.Time {
 	if l.Server.Start().IsZero() {
 		return time.Time{}
