--- a/gateway/budget/budget.go
+++ b/gateway/budget/budget.go
@@ -14,23 +14,6 @@
 	Window time.Duration // any span of this length counts
 }
 
-// Caller tells what a refusal means to the caller of a request.
-type Caller uint8
-
-// Callers of requests.
-const (
-	// First callers come back once they are refused.
-	First Caller = iota
-	// Returned callers have come back: a refusal is the end of their request.
-	Returned
-)
-
-// keptForReturned is the part of the budget that is kept for callers that have come back.
-// It answers servers that shed half of what they get at random for seconds: spent as
-// requests come, the budget goes to callers that would return anyway, and those that have
-// are refused for good.
-const keptForReturned = 0.5
-
 // reserve is the part of the budget that is not spent: nodes see the ends of a
 // window, and the number of nodes, a little differently.
 const reserve = 0.2
@@ -69,34 +52,24 @@
 	current.nodes = max(current.nodes, nodes)
 }
 
-// Spend takes one extra send for a caller's request out of the budget if it has one left.
-// nodes is the number of nodes that share it now; 0: not known.
-func (b *Budget) Spend(caller Caller, nodes int, now time.Time) bool {
+// Spend takes one extra send out of the budget if it has one left. nodes is the
+// number of nodes that share it now; 0: not known.
+func (b *Budget) Spend(nodes int, now time.Time) bool {
 	current := b.at(now)
 	current.nodes = max(current.nodes, nodes)
-	allowed, extra := b.window(now)
-	if caller == First {
-		allowed *= 1 - keptForReturned
-	}
-	if allowed-extra < 1 {
+	if b.Left(now) < 1 {
 		return false
 	}
 	current.extra++
 	return true
 }
 
-// Left returns the extra sends that are left.
+// Left returns the extra sends that are left. The slack is shared by the most
+// nodes of the window: those that are gone have spent their part of it. While
+// their number is not known there is none.
 func (b *Budget) Left(now time.Time) float64 {
-	allowed, extra := b.window(now)
-	return allowed - extra
-}
-
-// window returns the extra sends that the window up to now allows, and those in it. The
-// slack is shared by the most nodes of the window: those that are gone have spent their
-// part of it. While their number is not known there is none.
-func (b *Budget) window(now time.Time) (allowed, extra float64) {
 	oldest := b.number(now) - buckets + 1
-	requests, nodes := 0.0, 0
+	requests, extra, nodes := 0.0, 0.0, 0
 	for _, part := range b.ring {
 		if part.number >= oldest {
 			requests += part.requests
@@ -104,11 +77,11 @@
 			nodes = max(nodes, part.nodes)
 		}
 	}
-	allowed = b.terms.Ratio * requests
+	allowed := b.terms.Ratio * requests
 	if nodes > 0 {
 		allowed += b.terms.Slack / float64(nodes)
 	}
-	return allowed * (1 - reserve), extra
+	return allowed*(1-reserve) - extra
 }
 
 func (b *Budget) at(now time.Time) *bucket {
--- a/gateway/replay/caller.go
+++ b/gateway/replay/caller.go
@@ -67,13 +67,5 @@
 	if r.Resends == nil || ended.sends >= mostSends || r.now.Sub(ended.arrived) >= r.Patient {
 		return false
 	}
-	return r.Policy == NoBudget || r.budgets[ended.node].Spend(ended.caller.kind(), r.Nodes, r.now)
-}
-
-// kind tells what a refusal means to a caller.
-func (c caller) kind() budget.Caller {
-	if c.retries > 0 {
-		return budget.First
-	}
-	return budget.Returned
+	return r.Policy == NoBudget || r.budgets[ended.node].Spend(r.Nodes, r.now)
 }
--- a/gateway/router/dispatch.go
+++ b/gateway/router/dispatch.go
@@ -148,7 +148,7 @@
 	if !ok {
 		return site.Server{}, false
 	}
-	if !x.service.spendRetry(x.returned) {
+	if !x.service.spendRetry() {
 		x.service.done(server, pool.Outcome{Abandoned: true})
 		return site.Server{}, false
 	}
--- a/gateway/router/router.go
+++ b/gateway/router/router.go
@@ -278,10 +278,10 @@
 }
 
 // spendRetry takes one send beyond the first out of the budget.
-func (s *service) spendRetry(caller budget.Caller) bool {
+func (s *service) spendRetry() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.budget.Spend(caller, s.nodes, time.Now())
+	return s.budget.Spend(s.nodes, time.Now())
 }
 
 // unreachable opens a connection to a server that is slow to answer, and
--- a/gateway/router/run.go
+++ b/gateway/router/run.go
@@ -269,7 +269,7 @@
 	if !x.keyed && (x.sends >= max(x.route.Attempts, 1) || x.tries >= mostTries) {
 		return &refusal{status: http.StatusServiceUnavailable, reason: "attempts spent", retryAfter: retryAfter}
 	}
-	if x.sends > 0 && !x.service.spendRetry(x.returned) {
+	if x.sends > 0 && !x.service.spendRetry() {
 		return &refusal{status: http.StatusServiceUnavailable, reason: "retry budget spent", retryAfter: 2 * retryAfter}
 	}
 	return nil
--- a/gateway/router/serve.go
+++ b/gateway/router/serve.go
@@ -9,7 +9,6 @@
 	"strconv"
 	"time"
 
-	"github.com/burdockspindle/burdockspindle/gateway/budget"
 	"github.com/burdockspindle/burdockspindle/gateway/ranges"
 	"github.com/burdockspindle/burdockspindle/gateway/site"
 	"github.com/burdockspindle/burdockspindle/gateway/upstream"
@@ -44,9 +43,8 @@
 	arrived    time.Time
 	deadline   time.Time // of the caller or the route
 	target     time.Time // latency objective
-	returned   budget.Caller
-	tries      int // attempts
-	sends      int // attempts that may have reached a server
+	tries      int       // attempts
+	sends      int       // attempts that may have reached a server
 	mayHaveRun bool
 	tried      []site.ServerID
 	last       *upstream.Answer // of a server, that a caller may get if there is nothing better
@@ -147,11 +145,7 @@
 		patience = min(patience, x.route.Timeout)
 	}
 	x.deadline = x.arrived.Add(patience)
-	waited := x.router.waited(x.route.Name, stated)
-	x.target = x.arrived.Add(x.route.Target - waited)
-	if waited > 0 {
-		x.returned = budget.Returned
-	}
+	x.target = x.arrived.Add(x.route.Target - x.router.waited(x.route.Name, stated))
 }
 
 func (x *exchange) readBody(request *http.Request) *refusal {
