--- a/gateway/duty/duty.go
+++ b/gateway/duty/duty.go
@@ -35,10 +35,10 @@
 	changePause = 50 * time.Millisecond
 	// confirmEvery is the interval of the lessor's records in the store. Others
 	// take two missing ones for the loss of the lessor.
-	confirmEvery = 300 * time.Millisecond
+	confirmEvery = 500 * time.Millisecond
 	// suspectAfter is for how long the ownership topic must not have grown before
 	// another node claims: two records of the lessor, with the interval of reading.
-	suspectAfter = time.Second
+	suspectAfter = 1200 * time.Millisecond
 	// claimStep is how much longer a node waits before a claim for each stronger
 	// one, so that mostly one appends and a strong one does; the store settles the
 	// rest. The calls of a lessor on a weak VM time out, and the lease changes hands again.
--- a/gateway/ranges/timing.go
+++ b/gateway/ranges/timing.go
@@ -38,8 +38,8 @@
 // about 2 s, and outages of the store of up to 8 s are lived through.
 func DefaultTiming() Timing {
 	return Timing{
-		Hold:           2 * time.Second,
-		Renew:          500 * time.Millisecond,
+		Hold:           3 * time.Second,
+		Renew:          700 * time.Millisecond,
 		Right:          5 * time.Second,
 		CallTimeout:    400 * time.Millisecond,
 		Underway:       3 * time.Second,
