Grants: the kernel sends what an ended lessor has written no longer than its successor counts

A process that is killed leaves its connections to the kernel, which goes on sending what was not acknowledged: for 4 s, longer than Timing.Underway. Connections of the gateway's own calls end after 3 s of silence now.

--- a/gateway/duty/handoff_test.go
+++ b/gateway/duty/handoff_test.go
@@ -53,7 +53,7 @@
 	d.step(t.Context(), now)
 	list := (<-asked.Reply).Ranges
 	g.Expect(list).To(gomega.HaveLen(1))
-	g.Expect(list[0].Held).To(gomega.BeNumerically(">", 3*time.Second))
+	g.Expect(list[0].Held).To(gomega.BeNumerically(">", d.Timing.Hold))
 	g.Expect(list[0].Doubt).To(gomega.BeZero())
 	g.Expect(d.keeper).To(gomega.BeNil())
 }
--- a/gateway/duty/resign_test.go
+++ b/gateway/duty/resign_test.go
@@ -76,5 +76,5 @@
 	g.Expect(json.Unmarshal(d.appending.record.Value, &beat)).To(gomega.Succeed())
 	g.Expect(beat.Resigned).To(gomega.BeTrue())
 	g.Expect(*beat.DoubtMs).To(gomega.BeZero())
-	g.Expect(time.Duration(beat.HeldMs) * time.Millisecond).To(gomega.BeNumerically(">", 3*time.Second))
+	g.Expect(time.Duration(beat.HeldMs) * time.Millisecond).To(gomega.BeNumerically(">", d.Timing.Hold))
 }
--- a/gateway/router/run.go
+++ b/gateway/router/run.go
@@ -26,7 +26,7 @@
 	// another one, for the append and the grant.
 	silentMargin = 200 * time.Millisecond
 	// goneRetry is when a caller comes back whose key's owner takes no connection:
-	// the lessor waits for its hold of 3 s to run out.
+	// the lessor waits for its hold to run out.
 	goneRetry = 1500 * time.Millisecond
 	// mostTries bounds the attempts of one request, those that reached no server and
 	// those while its key changes hands included.
--- a/gateway/upstream/client.go
+++ b/gateway/upstream/client.go
@@ -127,6 +127,13 @@
 			return nil, &AttemptError{Server: server.ID, Cause: err}
 		}
 		cn = newConn(raw, c.meter(server))
+		if control {
+			err = limitControl(raw)
+		}
+		if err != nil {
+			reset(raw)
+			return nil, &AttemptError{Server: server.ID, Cause: err}
+		}
 		if err := cn.settle(time.Now()); err != nil {
 			reset(raw)
 			return nil, &AttemptError{Server: server.ID, TurnedAway: isEnd(err), Cause: err}
--- a/gateway/upstream/dial.go
+++ b/gateway/upstream/dial.go
@@ -12,6 +12,9 @@
 // end a connection after silentAfter, and idle ones are probed.
 const (
 	silentAfter = 4 * time.Second
+	// ControlSilentAfter is the same for connections of the gateway's own calls, also after
+	// the process has ended: grants that arrive late are counted for as long.
+	ControlSilentAfter = 3 * time.Second
 	probeIdle   = 5 * time.Second
 	probeEvery  = time.Second
 	probeCount  = 3
@@ -23,18 +26,37 @@
 		Timeout:         timeout,
 		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: probeIdle, Interval: probeEvery, Count: probeCount},
 		Control: func(_, _ string, raw syscall.RawConn) error {
-			var failure error
-			err := raw.Control(func(fd uintptr) {
-				failure = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(silentAfter.Milliseconds()))
-			})
-			if err != nil {
-				return err
-			}
-			return failure
+			return limitSilence(raw, silentAfter)
 		},
 	}
 }
 
+// limitSilence has the kernel end a connection whose bytes are not acknowledged for a time.
+func limitSilence(raw syscall.RawConn, after time.Duration) error {
+	var failure error
+	err := raw.Control(func(fd uintptr) {
+		failure = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(after.Milliseconds()))
+	})
+	if err != nil {
+		return err
+	}
+	return failure
+}
+
+// limitControl sets the silence after which the kernel ends a connection of the gateway's
+// own calls. A connection that is no socket has no such bound.
+func limitControl(conn net.Conn) error {
+	socket, ok := conn.(syscall.Conn)
+	if !ok {
+		return nil
+	}
+	raw, err := socket.SyscallConn()
+	if err != nil {
+		return err
+	}
+	return limitSilence(raw, ControlSilentAfter)
+}
+
 // reset closes a connection so that bytes that are still on their way are
 // dropped: what was given up must not arrive later.
 func reset(conn net.Conn) {
