--- a/gateway/duty/calls.go
+++ b/gateway/duty/calls.go
@@ -19,10 +19,10 @@
 func (d *Duty) sendCalls(ctx context.Context, now time.Time) {
 	registered := d.State.Now().Servers.Servers
 	maps.Copy(d.known, registered)
-	for _, call := range d.keeper.Calls(registered, d.lease(now), now) {
+	for _, call := range d.allocator.Calls(registered, d.lease(now), now) {
 		server, known := d.known[call.Server]
 		if !known {
-			d.keeper.Done(call, ranges.Result{Failed: true}, now)
+			d.allocator.Done(call, ranges.Result{Failed: true}, now)
 			continue
 		}
 		go d.call(ctx, server, call)
@@ -69,7 +69,7 @@
 }
 
 func (d *Duty) takeCall(r callResult) {
-	if d.keeper != nil {
-		d.keeper.Done(r.call, r.result, clock.Now())
+	if d.allocator != nil {
+		d.allocator.Done(r.call, r.result, clock.Now())
 	}
 }
--- a/gateway/duty/duty.go
+++ b/gateway/duty/duty.go
@@ -82,7 +82,7 @@
 	isLessor atomic.Bool
 	resign   chan chan struct{}
 
-	keeper       *ranges.Keeper
+	allocator       *ranges.Allocator
 	loads        *ranges.Loads
 	end          store.Offset // of the ownership topic
 	serial       uint64       // of this node's records
@@ -170,7 +170,7 @@
 // tick returns the time until the next look for what is due.
 func (d *Duty) tick(now time.Time) time.Duration {
 	switch {
-	case d.keeper != nil:
+	case d.allocator != nil:
 		return tick
 	case isFresh(d.Reader.Ownership(), now):
 		return idleTick
@@ -185,7 +185,7 @@
 
 // step does what is due now.
 func (d *Duty) step(ctx context.Context, now time.Time) {
-	if d.keeper == nil {
+	if d.allocator == nil {
 		d.consider(ctx, now)
 		return
 	}
@@ -196,7 +196,7 @@
 	d.considerYielding(now)
 	if d.givenUp || (d.resigning != nil || d.yielding) && d.writable(now) {
 		// The next lessor waits with moves for grants that have no answer.
-		if !d.keeper.Calling() {
+		if !d.allocator.Calling() {
 			d.giveUp(ctx)
 		}
 		return
@@ -304,7 +304,7 @@
 // takeReport takes what a node observed. A node that is not the lessor is a
 // relay, and passes it on.
 func (d *Duty) takeReport(report follow.Report) {
-	if d.keeper == nil {
+	if d.allocator == nil {
 		d.Reports.Merge(report)
 		return
 	}
@@ -329,7 +329,7 @@
 // writable reports whether the store took an append lately.
 func (d *Duty) writable(now time.Time) bool { return now.Sub(d.confirmedAt) < writableFor }
 
-// change appends what the keeper decides, or confirms the lease when that is due.
+// change appends what the allocator decides, or confirms the lease when that is due.
 func (d *Duty) change(ctx context.Context, now time.Time) {
 	if d.appending != nil {
 		return
@@ -347,13 +347,13 @@
 	}
 }
 
-// changeTable appends what the keeper decides, and reports whether it decided anything.
+// changeTable appends what the allocator decides, and reports whether it decided anything.
 func (d *Duty) changeTable(ctx context.Context, now time.Time) bool {
-	change := d.keeper.Plan(d.site(now), ranges.Fence(d.end), now)
-	for _, r := range d.keeper.Restarts() {
+	change := d.allocator.Plan(d.site(now), ranges.Fence(d.end), now)
+	for _, r := range d.allocator.Restarts() {
 		eventRestart.Log(d.Logger, "server", r.To, "earlier", r.From, "losesKeys", r.Loops)
 	}
-	for _, move := range d.keeper.Moves() {
+	for _, move := range d.allocator.Moves() {
 		eventMove.Log(d.Logger, "service", move.Service, "server", move.From, "to", move.To, "from", int(move.Span.From), "keys", move.Span.Keys(), "rate", move.Rate, "used", move.Used, "usedTo", move.UsedTo)
 	}
 	if change == nil {
@@ -363,7 +363,7 @@
 	return true
 }
 
-// site returns what the keeper decides by.
+// site returns what the allocator decides by.
 func (d *Duty) site(now time.Time) ranges.Site {
 	v := d.State.Now()
 	return ranges.Site{
--- a/gateway/duty/duty_test.go
+++ b/gateway/duty/duty_test.go
@@ -51,6 +51,6 @@
 	read := follow.Ownership{Known: true, ReadAt: now}
 	g.Expect(isFresh(read, now.Add(freshRead-1))).To(gomega.BeTrue())
 	g.Expect(isFresh(read, now.Add(freshRead))).To(gomega.BeFalse())
-	d.keeper = ranges.NewKeeper(new(ranges.Table), d.Timing, 0, now)
+	d.allocator = ranges.NewAllocator(new(ranges.Table), d.Timing, 0, now)
 	g.Expect(d.tick(now)).To(gomega.Equal(tick))
 }
--- a/gateway/duty/handoff.go
+++ b/gateway/duty/handoff.go
@@ -42,15 +42,15 @@
 
 // takeFormer takes what the former lessor granted.
 func (d *Duty) takeFormer(r formerReport) {
-	if d.keeper == nil || d.leaseOffset != r.claim {
+	if d.allocator == nil || d.leaseOffset != r.claim {
 		return
 	}
 	if r.grants.HasEnded {
-		d.keeper.FormerEnded(r.at.Add(-r.grants.EndedFor))
+		d.allocator.FormerEnded(r.at.Add(-r.grants.EndedFor))
 	} else {
-		d.keeper.LimitFormer(r.grants.Ranges, r.at)
+		d.allocator.LimitFormer(r.grants.Ranges, r.at)
 	}
-	eventFormerTold.Log(d.Logger, "offset", r.claim, "ranges", len(r.grants.Ranges), "hasEnded", r.grants.HasEnded, "endedFor", r.grants.EndedFor, "held", d.keeper.Held(r.at))
+	eventFormerTold.Log(d.Logger, "offset", r.claim, "ranges", len(r.grants.Ranges), "hasEnded", r.grants.HasEnded, "endedFor", r.grants.EndedFor, "held", d.allocator.Held(r.at))
 }
 
 // handOff takes the request of a node that has claimed the lease. The claim stands in the
@@ -61,7 +61,7 @@
 		asked.Reply <- follow.FormerGrants{HasEnded: true, EndedFor: clock.Since(d.StartedAt)}
 		return
 	}
-	if asked.Former.Boot != d.Self.Boot || d.keeper == nil || asked.Claim < d.end {
+	if asked.Former.Boot != d.Self.Boot || d.allocator == nil || asked.Claim < d.end {
 		close(asked.Reply)
 		return
 	}
@@ -76,8 +76,8 @@
 // finishHandOff tells the next lessor what was granted, once no call is under way, and ends
 // the duty when the fate of this node's own append is known.
 func (d *Duty) finishHandOff(now time.Time) {
-	if d.handingOff != nil && !d.keeper.Calling() {
-		d.handingOff.Reply <- follow.FormerGrants{Ranges: d.keeper.Remaining(now)}
+	if d.handingOff != nil && !d.allocator.Calling() {
+		d.handingOff.Reply <- follow.FormerGrants{Ranges: d.allocator.Remaining(now)}
 		d.handingOff = nil
 		d.handedOff = true
 	}
--- a/gateway/duty/handoff_test.go
+++ b/gateway/duty/handoff_test.go
@@ -24,7 +24,7 @@
 	d.Self = ranges.Lessor{Node: "n1", Boot: "b1"}
 	d.Logger, d.Timing, d.Reader = hclog.NewNullLogger(), ranges.DefaultTiming(), new(follow.Reader)
 	d.State = view.NewState()
-	d.keeper = ranges.NewKeeper(table, d.Timing, formerHold, now)
+	d.allocator = ranges.NewAllocator(table, d.Timing, formerHold, now)
 	d.end, d.confirmedAt = 8, now
 	d.setLessor(true)
 	return d
@@ -42,20 +42,20 @@
 	now := clock.Now()
 	servers := map[site.ServerID]site.Server{"a": {ID: "a", Service: "s"}}
 	d := lessorOf(now, 0)
-	call := d.keeper.Calls(servers, d.lease(now), now)[0]
+	call := d.allocator.Calls(servers, d.lease(now), now)[0]
 
 	asked := ask("n1", "b1", 8)
 	d.handOff(asked)
 	g.Expect(d.IsLessor()).To(gomega.BeFalse())
 	d.step(t.Context(), now)
 	g.Expect(asked.Reply).To(gomega.BeEmpty(), "a call is under way")
-	d.keeper.Done(call, ranges.Result{}, now)
+	d.allocator.Done(call, ranges.Result{}, now)
 	d.step(t.Context(), now)
 	list := (<-asked.Reply).Ranges
 	g.Expect(list).To(gomega.HaveLen(1))
 	g.Expect(list[0].Held).To(gomega.BeNumerically(">", d.Timing.Hold))
 	g.Expect(list[0].Doubt).To(gomega.BeZero())
-	g.Expect(d.keeper).To(gomega.BeNil())
+	g.Expect(d.allocator).To(gomega.BeNil())
 }
 
 func TestAHandOffOfAnotherLeaseIsRefused(t *testing.T) {
@@ -85,9 +85,9 @@
 	d.handOff(asked)
 	d.step(t.Context(), now)
 	g.Expect(asked.Reply).To(gomega.HaveLen(1), "what was granted does not depend on it")
-	g.Expect(d.keeper).NotTo(gomega.BeNil())
+	g.Expect(d.allocator).NotTo(gomega.BeNil())
 	d.takeAppend(t.Context(), appendResult{pending: d.appending, startedAt: now, err: &store.ConflictError{}})
-	g.Expect(d.keeper).To(gomega.BeNil())
+	g.Expect(d.allocator).To(gomega.BeNil())
 }
 
 // formerNode is a former lessor that answers.
@@ -115,7 +115,7 @@
 			d.askFormer(t.Context(), &pendingAppend{at: 7, after: ranges.Lessor{Node: "n2", Boot: "b2"}})
 			report := <-d.reported
 			d.takeFormer(report)
-			g.Expect(d.keeper.Held(report.at)).To(gomega.Equal(row.want))
+			g.Expect(d.allocator.Held(report.at)).To(gomega.Equal(row.want))
 		})
 	}
 }
--- a/gateway/duty/outcome.go
+++ b/gateway/duty/outcome.go
@@ -53,16 +53,16 @@
 	d.end = p.at + 1
 	d.confirmedAt = startedAt
 	d.nextConfirm = now.Add(confirmEvery)
-	if d.keeper != nil {
-		d.keeper.Answered(startedAt, now)
-		showGrants(d.keeper.Ages(now))
+	if d.allocator != nil {
+		d.allocator.Answered(startedAt, now)
+		showGrants(d.allocator.Ages(now))
 	}
 	switch {
 	case p.claim != nil:
 		d.begin(p, now)
 		d.askFormer(ctx, p)
 	case p.change != nil:
-		d.keeper.Appended(p.change)
+		d.allocator.Appended(p.change)
 		d.nextChange = now.Add(changePause)
 		d.table = view.Table{Offset: p.at, Table: p.change.Table}
 		d.shown = 0
@@ -76,8 +76,8 @@
 
 func (d *Duty) begin(p *pendingAppend, now time.Time) {
 	eventLessor.Log(d.Logger, "offset", p.at, "formerHold", p.former)
-	d.keeper = ranges.NewKeeper(p.claim, d.Timing, p.former, now)
-	d.keeper.LimitDoubt(p.doubt, now)
+	d.allocator = ranges.NewAllocator(p.claim, d.Timing, p.former, now)
+	d.allocator.LimitDoubt(p.doubt, now)
 	d.loads = ranges.NewLoads()
 	d.quota = quota.New()
 	d.leaseOffset, d.sharesSerial = p.at, 0
@@ -101,7 +101,7 @@
 }
 
 func (d *Duty) stop() {
-	d.keeper = nil
+	d.allocator = nil
 	d.givenUp = false
 	d.yielding = false
 	d.endHandOff()
@@ -119,13 +119,13 @@
 	d.Reader.SetLessor(isLessor)
 }
 
-// showRoutes puts the keeper's routes into the view when they have changed.
+// showRoutes puts the allocator's routes into the view when they have changed.
 func (d *Duty) showRoutes() {
-	if d.keeper == nil || d.keeper.Serial() == d.shown {
+	if d.allocator == nil || d.allocator.Serial() == d.shown {
 		return
 	}
-	d.shown = d.keeper.Serial()
-	routes := view.Routes{Lessor: d.Self, Offset: d.table.Offset, Serial: d.shown, Services: d.keeper.Routes()}
+	d.shown = d.allocator.Serial()
+	routes := view.Routes{Lessor: d.Self, Offset: d.table.Offset, Serial: d.shown, Services: d.allocator.Routes()}
 	d.State.MergeRoutes(routes)
 }
 
--- a/gateway/duty/resign.go
+++ b/gateway/duty/resign.go
@@ -44,7 +44,7 @@
 // mustResign reports whether most owners have been silent to this node for so
 // long that another node had better be lessor.
 func (d *Duty) mustResign(now time.Time) bool {
-	silent, owners := d.keeper.Silent(d.State.Now().Servers.Servers)
+	silent, owners := d.allocator.Silent(d.State.Now().Servers.Servers)
 	return owners > 2 && 2*silent > owners && now.Sub(d.lessorSince) > resignAfter && len(d.State.Now().Members) > 1
 }
 
@@ -72,5 +72,5 @@
 	d.givenUp = true
 	eventResigning.Log(d.Logger, "offset", d.end)
 	now := clock.Now()
-	d.append(ctx, &pendingAppend{resigns: true, held: d.keeper.Held(now), doubt: d.keeper.Doubt(now)})
+	d.append(ctx, &pendingAppend{resigns: true, held: d.allocator.Held(now), doubt: d.allocator.Doubt(now)})
 }
--- a/gateway/duty/resign_test.go
+++ b/gateway/duty/resign_test.go
@@ -62,14 +62,14 @@
 	table := &ranges.Table{Services: map[site.ServiceName][]ranges.Assignment{"s": {owned}}}
 	d := New()
 	d.Store, d.Logger, d.Timing = acceptingStore{}, hclog.NewNullLogger(), ranges.DefaultTiming()
-	d.keeper = ranges.NewKeeper(table, d.Timing, 0, now)
+	d.allocator = ranges.NewAllocator(table, d.Timing, 0, now)
 	d.confirmedAt = now
 	d.resigning = make(chan struct{})
-	call := d.keeper.Calls(servers, d.lease(now), now)[0]
+	call := d.allocator.Calls(servers, d.lease(now), now)[0]
 
 	d.step(t.Context(), now)
 	g.Expect(d.appending).To(gomega.BeNil())
-	d.keeper.Done(call, ranges.Result{}, now)
+	d.allocator.Done(call, ranges.Result{}, now)
 	d.step(t.Context(), now)
 	g.Expect(d.appending).NotTo(gomega.BeNil())
 	var beat follow.Heartbeat
--- a/gateway/duty/shares.go
+++ b/gateway/duty/shares.go
@@ -16,12 +16,12 @@
 // decideShares decides which part of the requests for servers' keys nodes may send, and
 // tells them.
 func (d *Duty) decideShares(now time.Time) {
-	if d.keeper == nil || now.Before(d.nextShares) {
+	if d.allocator == nil || now.Before(d.nextShares) {
 		return
 	}
 	d.nextShares = now.Add(quota.Round)
 	nodes := len(d.State.Now().Members)
-	shares, changed := d.quota.Update(d.keeper.Demands(d.site(now), now), nodes)
+	shares, changed := d.quota.Update(d.allocator.Demands(d.site(now), now), nodes)
 	if changed {
 		least := leastOf(shares)
 		eventShares.Log(d.Logger, "servers", len(shares), "leastOf", least, "least", shares[least], "nodes", nodes)
--- a/gateway/ranges/keeper_test.go
+++ b/gateway/ranges/allocator_test.go
@@ -9,7 +9,7 @@
 	"github.com/burdockspindle/burdockspindle/gateway/site"
 )
 
-var keeperStart = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+var allocatorStart = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 
 func keyedSite(servers ...site.Server) Site {
 	s := Site{
@@ -31,12 +31,12 @@
 // every key.
 func TestRangesAreCutOnceTheRegisterHasSettled(t *testing.T) {
 	g := gomega.NewWithT(t)
-	k := NewKeeper(&Table{}, DefaultTiming(), 0, keeperStart)
+	k := NewAllocator(&Table{}, DefaultTiming(), 0, allocatorStart)
 	growing := keyedSite(site.Server{ID: "a", Slots: 4})
 	growing.Settled = false
-	g.Expect(k.Plan(growing, 1, keeperStart)).To(gomega.BeNil())
+	g.Expect(k.Plan(growing, 1, allocatorStart)).To(gomega.BeNil())
 
-	change := k.Plan(keyedSite(site.Server{ID: "a", Slots: 4}, site.Server{ID: "b", Slots: 8}), 1, keeperStart)
+	change := k.Plan(keyedSite(site.Server{ID: "a", Slots: 4}, site.Server{ID: "b", Slots: 8}), 1, allocatorStart)
 	g.Expect(change.Table.Services[worldService]).To(gomega.HaveLen(2))
 	first, _ := change.Table.Owner(worldService, 0)
 	g.Expect(first.Server).To(gomega.Equal(site.ServerID("a")))
@@ -47,39 +47,39 @@
 // that is lost after an outage have none for as long.
 func TestHoldsLastAsLongUntilTheRightEnds(t *testing.T) {
 	timing := DefaultTiming()
-	k := NewKeeper(&Table{}, timing, 0, keeperStart)
+	k := NewAllocator(&Table{}, timing, 0, allocatorStart)
 	for _, c := range []struct{ after, want time.Duration }{
 		{0, timing.Hold},
 		{time.Second, timing.Hold},
 		{timing.Right - time.Millisecond, timing.Hold},
 		{timing.Right, 0},
 	} {
-		hold := k.hold(Lease{ConfirmedAt: keeperStart}, keeperStart.Add(c.after))
+		hold := k.hold(Lease{ConfirmedAt: allocatorStart}, allocatorStart.Add(c.after))
 		gomega.NewWithT(t).Expect(hold).To(gomega.Equal(c.want), "%v after", c.after)
 	}
 }
 
 // owned returns a lessor whose server a has been lost after it owned all keys.
-func owned(t *testing.T) (*Keeper, Site) {
+func owned(t *testing.T) (*Allocator, Site) {
 	t.Helper()
 	table := &Table{Services: map[site.ServiceName][]Assignment{worldService: {{Span: Span{To: LastKey}, Server: "a", Fence: 1}}}}
 	s := keyedSite(site.Server{ID: "a", Slots: 4, Address: "x"}, site.Server{ID: "b", Slots: 4, Address: "y"})
-	return NewKeeper(table, DefaultTiming(), DefaultTiming().FormerHold(), keeperStart), s
+	return NewAllocator(table, DefaultTiming(), DefaultTiming().FormerHold(), allocatorStart), s
 }
 
 // restartable is owned with servers that tell their starts.
-func restartable(t *testing.T) (*Keeper, Site) {
+func restartable(t *testing.T) (*Allocator, Site) {
 	t.Helper()
 	table := &Table{Services: map[site.ServiceName][]Assignment{worldService: {{Span: Span{To: LastKey}, Server: run("a", 1), Fence: 1}}}}
 	s := keyedSite(site.Server{ID: run("a", 1), Slots: 4, Address: "x"}, site.Server{ID: run("b", 1), Slots: 4, Address: "y"})
-	return NewKeeper(table, DefaultTiming(), DefaultTiming().FormerHold(), keeperStart), s
+	return NewAllocator(table, DefaultTiming(), DefaultTiming().FormerHold(), allocatorStart), s
 }
 
 func TestAVanishedOwnerKeepsItsRangesUntilItsHoldsHaveRunOut(t *testing.T) {
 	g := gomega.NewWithT(t)
 	k, s := owned(t)
 	delete(s.Servers, "a")
-	end := keeperStart.Add(DefaultTiming().FormerHold())
+	end := allocatorStart.Add(DefaultTiming().FormerHold())
 	g.Expect(k.Plan(s, 2, end.Add(-time.Millisecond))).To(gomega.BeNil())
 	change := k.Plan(s, 2, end)
 	g.Expect(change).NotTo(gomega.BeNil())
@@ -94,7 +94,7 @@
 	delete(s.Servers, "a")
 	s.Services["other"] = site.Service{Name: "other"}
 	s.Servers["c"] = site.Server{ID: "c", Service: "other", Address: "x"}
-	change := k.Plan(s, 2, keeperStart)
+	change := k.Plan(s, 2, allocatorStart)
 	g.Expect(change).NotTo(gomega.BeNil())
 	owner, _ := change.Table.Owner(worldService, 7)
 	g.Expect(owner.Server).To(gomega.Equal(site.ServerID("b")))
@@ -103,29 +103,29 @@
 func TestARangeIsReleasedOnlyUnderAFenceWhoseGrantsWereAnswered(t *testing.T) {
 	g := gomega.NewWithT(t)
 	k, s := owned(t)
-	lease := Lease{ConfirmedAt: keeperStart}
-	call := k.Calls(s.Servers, lease, keeperStart)[0]
-	k.Done(call, Result{Failed: true}, keeperStart)
-	call = k.Calls(s.Servers, lease, keeperStart)[0]
-	k.Done(call, Result{}, keeperStart)
+	lease := Lease{ConfirmedAt: allocatorStart}
+	call := k.Calls(s.Servers, lease, allocatorStart)[0]
+	k.Done(call, Result{Failed: true}, allocatorStart)
+	call = k.Calls(s.Servers, lease, allocatorStart)[0]
+	k.Done(call, Result{}, allocatorStart)
 
 	leaving := s.Servers["a"]
 	leaving.Draining = true
 	s.Servers["a"] = leaving
-	change := k.Plan(s, 2, keeperStart)
+	change := k.Plan(s, 2, allocatorStart)
 	owner, _ := change.Table.Owner(worldService, 7)
 	g.Expect(owner.Server).To(gomega.Equal(site.ServerID("a")), "first a higher fence")
 	g.Expect(owner.Fence).To(gomega.Equal(Fence(2)))
 	k.Appended(change)
-	call = k.Calls(s.Servers, lease, keeperStart)[0]
+	call = k.Calls(s.Servers, lease, allocatorStart)[0]
 	g.Expect(call.Release).To(gomega.BeFalse())
-	k.Done(call, Result{}, keeperStart)
-	g.Expect(k.Plan(s, 3, keeperStart)).To(gomega.BeNil())
-	g.Expect(k.Calls(s.Servers, lease, keeperStart)).To(gomega.BeEmpty(), "nodes hear first that it moves")
-	call = k.Calls(s.Servers, lease, keeperStart.Add(releaseNotice))[0]
+	k.Done(call, Result{}, allocatorStart)
+	g.Expect(k.Plan(s, 3, allocatorStart)).To(gomega.BeNil())
+	g.Expect(k.Calls(s.Servers, lease, allocatorStart)).To(gomega.BeEmpty(), "nodes hear first that it moves")
+	call = k.Calls(s.Servers, lease, allocatorStart.Add(releaseNotice))[0]
 	g.Expect(call.Release).To(gomega.BeTrue())
-	k.Done(call, Result{Handover: "h"}, keeperStart)
-	change = k.Plan(s, 3, keeperStart)
+	k.Done(call, Result{Handover: "h"}, allocatorStart)
+	change = k.Plan(s, 3, allocatorStart)
 	owner, _ = change.Table.Owner(worldService, 7)
 	g.Expect(owner).To(gomega.Equal(Assignment{Span: Span{To: LastKey}, Server: "b", Fence: 3, Handover: "h"}))
 }
@@ -135,26 +135,26 @@
 func TestARangeOfAServerThatMayStartAgainWaitsForGrantsWithoutAnAnswer(t *testing.T) {
 	g := gomega.NewWithT(t)
 	k, s := restartable(t)
-	lease := Lease{ConfirmedAt: keeperStart}
-	call := k.Calls(s.Servers, lease, keeperStart)[0]
-	k.Done(call, Result{Failed: true}, keeperStart)
-	call = k.Calls(s.Servers, lease, keeperStart)[0]
-	k.Done(call, Result{}, keeperStart)
+	lease := Lease{ConfirmedAt: allocatorStart}
+	call := k.Calls(s.Servers, lease, allocatorStart)[0]
+	k.Done(call, Result{Failed: true}, allocatorStart)
+	call = k.Calls(s.Servers, lease, allocatorStart)[0]
+	k.Done(call, Result{}, allocatorStart)
 
 	leaving := s.Servers[run("a", 1)]
 	leaving.Draining = true
 	s.Servers[run("a", 1)] = leaving
-	change := k.Plan(s, 2, keeperStart)
+	change := k.Plan(s, 2, allocatorStart)
 	owner, _ := change.Table.Owner(worldService, 7)
 	g.Expect(owner.Server).To(gomega.Equal(run("a", 1)), "first a higher fence")
 	g.Expect(owner.Fence).To(gomega.Equal(Fence(2)))
 	k.Appended(change)
-	call = k.Calls(s.Servers, lease, keeperStart)[0]
+	call = k.Calls(s.Servers, lease, allocatorStart)[0]
 	g.Expect(call.Release).To(gomega.BeFalse())
-	k.Done(call, Result{}, keeperStart)
-	g.Expect(k.Plan(s, 3, keeperStart)).To(gomega.BeNil())
-	g.Expect(k.Calls(s.Servers, lease, keeperStart)).To(gomega.BeEmpty(), "grants without an answer, the former lessor's too, may reach the owner's next run")
-	end := keeperStart.Add(DefaultTiming().FormerHold())
+	k.Done(call, Result{}, allocatorStart)
+	g.Expect(k.Plan(s, 3, allocatorStart)).To(gomega.BeNil())
+	g.Expect(k.Calls(s.Servers, lease, allocatorStart)).To(gomega.BeEmpty(), "grants without an answer, the former lessor's too, may reach the owner's next run")
+	end := allocatorStart.Add(DefaultTiming().FormerHold())
 	g.Expect(k.Plan(s, 3, end)).To(gomega.BeNil())
 	call = k.Calls(s.Servers, Lease{ConfirmedAt: end}, end.Add(releaseNotice))[0]
 	g.Expect(call.Release).To(gomega.BeTrue())
@@ -179,9 +179,9 @@
 // run out by then.
 func TestNoHoldOfAFormerLessorIsForgotten(t *testing.T) {
 	timing := DefaultTiming()
-	k := NewKeeper(&Table{}, timing, 0, keeperStart)
+	k := NewAllocator(&Table{}, timing, 0, allocatorStart)
 	for sent := time.Duration(0); sent < timing.Right; sent += 50 * time.Millisecond {
-		hold := k.hold(Lease{ConfirmedAt: keeperStart}, keeperStart.Add(sent))
+		hold := k.hold(Lease{ConfirmedAt: allocatorStart}, allocatorStart.Add(sent))
 		for _, quiet := range []time.Duration{0, time.Second, 3 * time.Second} {
 			end := quiet + timing.FormerHoldAfter(quiet)
 			if quiet == 0 {
--- a/gateway/ranges/balance.go
+++ b/gateway/ranges/balance.go
@@ -73,7 +73,7 @@
 
 // round is one round of balance.
 type round struct {
-	keeper  *Keeper
+	allocator  *Allocator
 	service site.ServiceName
 	loads   *Loads
 	now     time.Time
@@ -82,12 +82,12 @@
 }
 
 // balance starts the moves of a round.
-func (k *Keeper) balance(service site.ServiceName, s Site, servers []site.Server, now time.Time) {
+func (k *Allocator) balance(service site.ServiceName, s Site, servers []site.Server, now time.Time) {
 	if s.Load == nil || len(servers) < 2 || s.Load.services[service] == nil || now.Sub(s.Load.shedAt[service]) < shedEvery {
 		return
 	}
 	s.Load.shedAt[service] = now
-	r := &round{keeper: k, service: service, loads: s.Load, now: now}
+	r := &round{allocator: k, service: service, loads: s.Load, now: now}
 	r.usages = r.measure(servers)
 	for _, from := range r.usages {
 		r.moveHotKey(from)
@@ -104,15 +104,15 @@
 // start begins to move a part of a range.
 func (r *round) start(from, to *usage, l *lease, span Span, rate float64) {
 	from.leases = slices.DeleteFunc(from.leases, func(other *lease) bool { return other == l })
-	cut, rest := r.keeper.split(l, span)
+	cut, rest := r.allocator.split(l, span)
 	from.leases = append(from.leases, rest...)
-	r.keeper.startRelease(cut, to.server.ID, r.now)
+	r.allocator.startRelease(cut, to.server.ID, r.now)
 	used := from.used
 	from.used -= rate * from.cost
 	to.used += rate * to.cost
 	to.ranges++
 	r.moves++
-	r.keeper.moves = append(r.keeper.moves, Move{Service: r.service, From: from.server.ID, To: to.server.ID, Span: span, Rate: rate, Used: used, UsedTo: to.used})
+	r.allocator.moves = append(r.allocator.moves, Move{Service: r.service, From: from.server.ID, To: to.server.ID, Span: span, Rate: rate, Used: used, UsedTo: to.used})
 }
 
 // even moves load from the busiest server that can give some to the idlest one, and
@@ -181,7 +181,7 @@
 	return best
 }
 
-func (k *Keeper) leaseOf(service site.ServiceName, key Key) *lease {
+func (k *Allocator) leaseOf(service site.ServiceName, key Key) *lease {
 	leases := k.leases[service]
 	i, found := slices.BinarySearchFunc(leases, key, func(l *lease, key Key) int { return l.Compare(key) })
 	if !found {
--- a/gateway/ranges/balance_test.go
+++ b/gateway/ranges/balance_test.go
@@ -13,7 +13,7 @@
 
 // replayKeys plays load on keys against a lessor whose calls all succeed at once.
 type replayKeys struct {
-	keeper  *Keeper
+	allocator  *Allocator
 	loads   *Loads
 	servers map[site.ServerID]site.Server
 	paces   map[site.ServerID]time.Duration
@@ -30,7 +30,7 @@
 		r.servers[id] = site.Server{ID: id, Service: worldService, Slots: 4, Address: string(id)}
 		r.paces[id] = pace
 	}
-	r.keeper = NewKeeper(&Table{}, DefaultTiming(), 0, r.now)
+	r.allocator = NewAllocator(&Table{}, DefaultTiming(), 0, r.now)
 	return r
 }
 
@@ -65,15 +65,15 @@
 	if balanced {
 		s.Load = r.loads
 	}
-	if change := r.keeper.Plan(s, r.end, r.now); change != nil {
+	if change := r.allocator.Plan(s, r.end, r.now); change != nil {
 		r.end++
-		r.keeper.Appended(change)
+		r.allocator.Appended(change)
 	}
-	for _, move := range r.keeper.Moves() {
+	for _, move := range r.allocator.Moves() {
 		r.moved += move.Span.Keys()
 	}
-	for _, call := range r.keeper.Calls(r.servers, Lease{ConfirmedAt: r.now}, r.now) {
-		r.keeper.Done(call, Result{Handover: "h"}, r.now)
+	for _, call := range r.allocator.Calls(r.servers, Lease{ConfirmedAt: r.now}, r.now) {
+		r.allocator.Done(call, Result{Handover: "h"}, r.now)
 	}
 }
 
@@ -82,7 +82,7 @@
 	used := map[site.ServerID]float64{}
 	most := 0.0
 	for key, rate := range rates {
-		owner, _ := r.keeper.Table().Owner(worldService, key)
+		owner, _ := r.allocator.Table().Owner(worldService, key)
 		used[owner.Server] += rate * r.paces[owner.Server].Seconds() / 4
 		most = max(most, used[owner.Server])
 	}
@@ -114,7 +114,7 @@
 		rates[1] += 20
 		r.play(4*time.Second, rates, balanced)
 		replays[balanced] = r.used(rates)
-		owner, _ := r.keeper.Table().Owner(worldService, 1)
+		owner, _ := r.allocator.Table().Owner(worldService, 1)
 		if balanced {
 			g.Expect(r.paces[owner.Server]).To(gomega.Equal(fast))
 		}
@@ -160,7 +160,7 @@
 	r.play(4*time.Second, rates, true)
 	owned := 0
 	for key := range rates {
-		if owner, _ := r.keeper.Table().Owner(worldService, key); owner.Server == "new" {
+		if owner, _ := r.allocator.Table().Owner(worldService, key); owner.Server == "new" {
 			owned++
 		}
 	}
@@ -178,8 +178,8 @@
 		}
 		r.play(5*time.Second, rates, true)
 	}
-	most := r.keeper.Table().Ranges()
+	most := r.allocator.Table().Ranges()
 	r.play(30*time.Second, map[Key]float64{}, true)
-	t.Logf("%d ranges while keys were busy, %d afterwards", most, r.keeper.Table().Ranges())
-	g.Expect(r.keeper.Table().Ranges()).To(gomega.BeNumerically("<", max(most*2/3, 12)))
+	t.Logf("%d ranges while keys were busy, %d afterwards", most, r.allocator.Table().Ranges())
+	g.Expect(r.allocator.Table().Ranges()).To(gomega.BeNumerically("<", max(most*2/3, 12)))
 }
--- a/gateway/ranges/cluster_test.go
+++ b/gateway/ranges/cluster_test.go
@@ -94,14 +94,14 @@
 // measure compares what is asked of each owner with what it has room for.
 func (r *largeReplay) measure(busy map[Key]float64) {
 	asked, ofBusy := map[site.ServerID]float64{}, map[site.ServerID]float64{}
-	if len(r.keeper.leases[worldService]) == 0 {
+	if len(r.allocator.leases[worldService]) == 0 {
 		return
 	}
-	for _, l := range r.keeper.leases[worldService] {
+	for _, l := range r.allocator.leases[worldService] {
 		asked[l.Server] += largeRate * float64(l.Keys()) / float64(LastKey+1)
 	}
 	for key, rate := range busy {
-		l := r.keeper.leaseOf(worldService, key)
+		l := r.allocator.leaseOf(worldService, key)
 		if l.phase != granting {
 			r.asked += rate // nobody serves it while it moves
 			continue
@@ -158,7 +158,7 @@
 				r.play(6*time.Second, nil)
 				r.asked, r.served, r.othersAsked, r.othersServed = 0, 0, 0, 0
 				r.play(c.last, cluster(20_000, c.keys, c.total))
-				t.Logf("seed %d: room for %.3f of the requests for busy keys, %.3f of the others; %d ranges, %d keys moved", seed, r.served/r.asked, r.othersServed/r.othersAsked, r.keeper.Table().Ranges(), r.moved)
+				t.Logf("seed %d: room for %.3f of the requests for busy keys, %.3f of the others; %d ranges, %d keys moved", seed, r.served/r.asked, r.othersServed/r.othersAsked, r.allocator.Table().Ranges(), r.moved)
 				g.Expect(r.served/r.asked).To(gomega.BeNumerically(">", least), "seed %d", seed)
 				g.Expect(r.othersServed/r.othersAsked).To(gomega.BeNumerically(">", 0.98), "seed %d", seed)
 			}
@@ -177,6 +177,6 @@
 	r.play(3*time.Second, cluster(20_000, 1, 200))
 	t.Logf("room for %.4f of the other requests", r.othersServed/r.othersAsked)
 	g.Expect(r.othersServed / r.othersAsked).To(gomega.BeNumerically(">", 0.999))
-	owner, _ := r.keeper.Table().Owner(worldService, 20_000)
+	owner, _ := r.allocator.Table().Owner(worldService, 20_000)
 	g.Expect(r.paces[owner.Server]).To(gomega.Equal(407*time.Millisecond), "it is on a fast server")
 }
--- a/gateway/ranges/compact.go
+++ b/gateway/ranges/compact.go
@@ -31,7 +31,7 @@
 }
 
 // compact merges neighbours of one owner and starts to give idle pieces back.
-func (k *Keeper) compact(service site.ServiceName, s Site, at Fence, now time.Time, change *Change) {
+func (k *Allocator) compact(service site.ServiceName, s Site, at Fence, now time.Time, change *Change) {
 	if now.Sub(k.compactedAt[service]) < compactEvery {
 		return
 	}
@@ -42,7 +42,7 @@
 
 // giveBack starts to move idle pieces to the owner of a neighbour. A server keeps one
 // range at least.
-func (k *Keeper) giveBack(service site.ServiceName, s Site, now time.Time) {
+func (k *Allocator) giveBack(service site.ServiceName, s Site, now time.Time) {
 	leases := k.leases[service]
 	ranges := map[site.ServerID]int{}
 	for _, l := range leases {
@@ -83,7 +83,7 @@
 }
 
 // use returns the utilisation that a range causes at its owner.
-func (k *Keeper) use(service site.ServiceName, s Site, l *lease) float64 {
+func (k *Allocator) use(service site.ServiceName, s Site, l *lease) float64 {
 	if s.Load == nil {
 		return 0
 	}
@@ -95,7 +95,7 @@
 }
 
 // merge makes neighbours of one owner one range under a new fence.
-func (k *Keeper) merge(service site.ServiceName, at Fence, now time.Time, change *Change) {
+func (k *Allocator) merge(service site.ServiceName, at Fence, now time.Time, change *Change) {
 	leases := k.leases[service]
 	for i := 0; i < len(leases); {
 		first, end := leases[i], i+1
@@ -109,7 +109,7 @@
 	}
 }
 
-func (k *Keeper) mergeRun(service site.ServiceName, run []*lease, at Fence, now time.Time, change *Change) {
+func (k *Allocator) mergeRun(service site.ServiceName, run []*lease, at Fence, now time.Time, change *Change) {
 	first, last := run[0], run[len(run)-1]
 	heldUntil, earlierUntil := first.held(), first.earlier()
 	for _, l := range run {
--- a/gateway/ranges/demand.go
+++ b/gateway/ranges/demand.go
@@ -9,7 +9,7 @@
 
 // Demands returns what callers ask of each server of the keyed services, what it can run,
 // and what it had at its answers since the last call.
-func (k *Keeper) Demands(s Site, now time.Time) []quota.Server {
+func (k *Allocator) Demands(s Site, now time.Time) []quota.Server {
 	if s.Load == nil {
 		return nil
 	}
@@ -18,7 +18,7 @@
 		if !service.Keyed || s.Load.services[name] == nil {
 			continue
 		}
-		r := &round{keeper: k, service: name, loads: s.Load, now: now}
+		r := &round{allocator: k, service: name, loads: s.Load, now: now}
 		for _, u := range r.measure(k.takers(s, name, now)) {
 			told := s.Load.presents[u.server.ID]
 			demand := quota.Server{ID: u.server.ID, Slots: u.server.Slots, Asked: r.asked(u), Runs: 1 / u.cost, Answers: told.answers}
--- a/gateway/ranges/doubt_test.go
+++ b/gateway/ranges/doubt_test.go
@@ -12,18 +12,18 @@
 func TestALessorThatResignsTellsOfGrantsWithoutAnAnswer(t *testing.T) {
 	g := gomega.NewWithT(t)
 	timing := DefaultTiming()
-	lease := Lease{ConfirmedAt: keeperStart}
+	lease := Lease{ConfirmedAt: allocatorStart}
 	k, s := owned(t)
-	k.LimitDoubt(0, keeperStart)
-	g.Expect(k.Doubt(keeperStart)).To(gomega.BeZero())
-	g.Expect(k.Held(keeperStart)).To(gomega.Equal(timing.FormerHold()), "the holds go on")
+	k.LimitDoubt(0, allocatorStart)
+	g.Expect(k.Doubt(allocatorStart)).To(gomega.BeZero())
+	g.Expect(k.Held(allocatorStart)).To(gomega.Equal(timing.FormerHold()), "the holds go on")
 
-	call := k.Calls(s.Servers, lease, keeperStart)[0]
-	g.Expect(k.Doubt(keeperStart)).To(gomega.Equal(timing.FormerHold()), "one is under way")
-	k.Done(call, Result{}, keeperStart)
-	g.Expect(k.Doubt(keeperStart)).To(gomega.BeZero())
+	call := k.Calls(s.Servers, lease, allocatorStart)[0]
+	g.Expect(k.Doubt(allocatorStart)).To(gomega.Equal(timing.FormerHold()), "one is under way")
+	k.Done(call, Result{}, allocatorStart)
+	g.Expect(k.Doubt(allocatorStart)).To(gomega.BeZero())
 
-	later := keeperStart.Add(time.Second)
+	later := allocatorStart.Add(time.Second)
 	call = k.Calls(s.Servers, Lease{ConfirmedAt: later}, later)[0]
 	k.Done(call, Result{Failed: true}, later.Add(timing.CallTimeout))
 	g.Expect(k.Doubt(later)).To(gomega.Equal(timing.lapse(timing.Hold)))
--- a/gateway/ranges/flight.go
+++ b/gateway/ranges/flight.go
@@ -146,7 +146,7 @@
 // leave the node's own link in the order in which they were written: what was reset before
 // the call has left it. It answers links that are full for seconds, in which a grant waits
 // that its lessor has abandoned.
-func (k *Keeper) Answered(sentAt, now time.Time) {
+func (k *Allocator) Answered(sentAt, now time.Time) {
 	if !k.hasStrays {
 		return
 	}
--- a/gateway/ranges/flight_test.go
+++ b/gateway/ranges/flight_test.go
@@ -14,7 +14,7 @@
 func TestAnAbandonedGrantCountsUntilItHasLeftTheLink(t *testing.T) {
 	timing := DefaultTiming()
 	hold := timing.arrived(timing.Hold)
-	ended := keeperStart.Add(timing.CallTimeout)
+	ended := allocatorStart.Add(timing.CallTimeout)
 	answered := ended.Add(700 * time.Millisecond)
 	for name, row := range map[string]struct {
 		result Result
@@ -22,7 +22,7 @@
 		want   time.Time
 	}{
 		"answered":                       {Result{}, time.Time{}, ended.Add(hold)},
-		"nothing left":                   {Result{Failed: true, Fate: NotSent}, time.Time{}, keeperStart},
+		"nothing left":                   {Result{Failed: true, Fate: NotSent}, time.Time{}, allocatorStart},
 		"all was acknowledged":           {Result{Failed: true, Fate: Arrived}, time.Time{}, ended.Add(hold)},
 		"under way":                      {Result{Failed: true}, time.Time{}, ended.Add(timing.Underway + hold)},
 		"an earlier call is answered":    {Result{Failed: true}, ended.Add(-time.Millisecond), ended.Add(timing.Underway + hold)},
@@ -32,9 +32,9 @@
 			g := gomega.NewWithT(t)
 			table := &Table{Services: map[site.ServiceName][]Assignment{worldService: {{Span: Span{To: LastKey}, Server: "a", Fence: 1}}}}
 			s := keyedSite(site.Server{ID: "a", Slots: 4, Address: "x"}, site.Server{ID: "b", Slots: 4, Address: "y"})
-			k := NewKeeper(table, timing, 0, keeperStart)
-			call := k.Calls(s.Servers, Lease{ConfirmedAt: keeperStart}, keeperStart)[0]
-			g.Expect(k.leases[worldService][0].held()).To(gomega.Equal(keeperStart.Add(timing.lapse(timing.Hold))), "it goes on")
+			k := NewAllocator(table, timing, 0, allocatorStart)
+			call := k.Calls(s.Servers, Lease{ConfirmedAt: allocatorStart}, allocatorStart)[0]
+			g.Expect(k.leases[worldService][0].held()).To(gomega.Equal(allocatorStart.Add(timing.lapse(timing.Hold))), "it goes on")
 			k.Done(call, row.result, ended)
 			if !row.sentAt.IsZero() {
 				k.Answered(row.sentAt, answered)
@@ -48,9 +48,9 @@
 func TestACallThatWasNotSentLeavesNoDoubt(t *testing.T) {
 	g := gomega.NewWithT(t)
 	k, s := owned(t)
-	k.LimitDoubt(0, keeperStart)
-	lease := Lease{ConfirmedAt: keeperStart}
-	k.Done(k.Calls(s.Servers, lease, keeperStart)[0], Result{Failed: true, Fate: NotSent}, keeperStart)
-	k.Done(k.Calls(s.Servers, lease, keeperStart)[0], Result{}, keeperStart)
-	g.Expect(k.leases[worldService][0].canRelease(keeperStart)).To(gomega.BeTrue())
+	k.LimitDoubt(0, allocatorStart)
+	lease := Lease{ConfirmedAt: allocatorStart}
+	k.Done(k.Calls(s.Servers, lease, allocatorStart)[0], Result{Failed: true, Fate: NotSent}, allocatorStart)
+	k.Done(k.Calls(s.Servers, lease, allocatorStart)[0], Result{}, allocatorStart)
+	g.Expect(k.leases[worldService][0].canRelease(allocatorStart)).To(gomega.BeTrue())
 }
--- a/gateway/ranges/handoff.go
+++ b/gateway/ranges/handoff.go
@@ -22,7 +22,7 @@
 
 // Remaining returns what may be in force of each range, for the next lessor. Nothing may be
 // granted after it.
-func (k *Keeper) Remaining(now time.Time) []Remaining {
+func (k *Allocator) Remaining(now time.Time) []Remaining {
 	var list []Remaining
 	for service, leases := range k.leases {
 		for _, l := range leases {
@@ -38,7 +38,7 @@
 
 // LimitFormer takes what the former lessor said when it granted nothing any more. What it
 // did not name it never granted.
-func (k *Keeper) LimitFormer(list []Remaining, now time.Time) {
+func (k *Allocator) LimitFormer(list []Remaining, now time.Time) {
 	for service, leases := range k.leases {
 		for _, l := range leases {
 			held, doubt := now, now
@@ -55,7 +55,7 @@
 }
 
 // FormerEnded takes that the former lessor's process had ended by a time.
-func (k *Keeper) FormerEnded(by time.Time) {
+func (k *Allocator) FormerEnded(by time.Time) {
 	until := by.Add(k.timing.EndedHold())
 	for _, leases := range k.leases {
 		for _, l := range leases {
--- a/gateway/ranges/holds.go
+++ b/gateway/ranges/holds.go
@@ -8,7 +8,7 @@
 
 // Held returns for how long what was granted may still be in force. After an
 // outage of the store that can be longer than a hold.
-func (k *Keeper) Held(now time.Time) time.Duration {
+func (k *Allocator) Held(now time.Time) time.Duration {
 	held := time.Duration(0)
 	for _, leases := range k.leases {
 		for _, l := range leases {
@@ -19,7 +19,7 @@
 }
 
 // Doubt returns for how long a grant that has no answer may still be in force.
-func (k *Keeper) Doubt(now time.Time) time.Duration {
+func (k *Allocator) Doubt(now time.Time) time.Duration {
 	doubt := time.Duration(0)
 	for _, leases := range k.leases {
 		for _, l := range leases {
@@ -33,7 +33,7 @@
 }
 
 // Calling reports whether a grant is under way.
-func (k *Keeper) Calling() bool {
+func (k *Allocator) Calling() bool {
 	for _, leases := range k.leases {
 		for _, l := range leases {
 			if l.calling && l.phase != releasing {
@@ -46,7 +46,7 @@
 
 // LimitDoubt tells that grants of the former lessor without an answer may be in
 // force for no longer than doubt.
-func (k *Keeper) LimitDoubt(doubt time.Duration, now time.Time) {
+func (k *Allocator) LimitDoubt(doubt time.Duration, now time.Time) {
 	for _, leases := range k.leases {
 		for _, l := range leases {
 			l.limitFormer(l.formerUntil, now.Add(doubt))
@@ -58,7 +58,7 @@
 // many own any. Those that have left say nothing of this node: after the loss of
 // most owners each new lessor gave the lease up before their holds had run out, and
 // the next one waited for them anew.
-func (k *Keeper) Silent(registered map[site.ServerID]site.Server) (silent, owners int) {
+func (k *Allocator) Silent(registered map[site.ServerID]site.Server) (silent, owners int) {
 	state := map[site.ServerID]bool{}
 	for _, leases := range k.leases {
 		for _, l := range leases {
@@ -83,7 +83,7 @@
 }
 
 // Ages returns how old the grants in force are.
-func (k *Keeper) Ages(now time.Time) GrantAges {
+func (k *Allocator) Ages(now time.Time) GrantAges {
 	var ages GrantAges
 	for _, leases := range k.leases {
 		for _, l := range leases {
--- a/gateway/ranges/lessor.go
+++ b/gateway/ranges/lessor.go
@@ -64,9 +64,9 @@
 // counts as silent: one may be lost with its connection.
 const missesToLapse = 2
 
-// Keeper is the state of the node that holds the lessor's lease: what it has
+// Allocator is the state of the node that holds the lessor's lease: what it has
 // granted, to whom, and until when. It is not safe for concurrent use.
-type Keeper struct {
+type Allocator struct {
 	self   Lessor
 	timing Timing
 	leases map[site.ServiceName][]*lease
@@ -101,10 +101,10 @@
 	return max(t.FormerHold()-max(quiet-quietMargin, 0), 0)
 }
 
-// NewKeeper returns the state of a new lessor that has appended table at time
+// NewAllocator returns the state of a new lessor that has appended table at time
 // now. What the former lessor granted may be in force for formerHold.
-func NewKeeper(table *Table, timing Timing, formerHold time.Duration, now time.Time) *Keeper {
-	k := &Keeper{self: table.Lessor, timing: timing, leases: map[site.ServiceName][]*lease{}, compactedAt: map[site.ServiceName]time.Time{}, serial: 1, runs: newRuns(), silentUntil: map[site.ServerID]time.Time{}}
+func NewAllocator(table *Table, timing Timing, formerHold time.Duration, now time.Time) *Allocator {
+	k := &Allocator{self: table.Lessor, timing: timing, leases: map[site.ServiceName][]*lease{}, compactedAt: map[site.ServiceName]time.Time{}, serial: 1, runs: newRuns(), silentUntil: map[site.ServerID]time.Time{}}
 	heldUntil := now.Add(formerHold)
 	for service, assignments := range table.Services {
 		for _, a := range assignments {
@@ -116,7 +116,7 @@
 }
 
 // Serial returns a number that grows whenever Routes changes.
-func (k *Keeper) Serial() uint64 { return k.serial }
+func (k *Allocator) Serial() uint64 { return k.serial }
 
 // Route tells where requests for a range go.
 type Route struct {
@@ -143,7 +143,7 @@
 )
 
 // Routes returns the present routes of every service.
-func (k *Keeper) Routes() map[site.ServiceName][]Route {
+func (k *Allocator) Routes() map[site.ServiceName][]Route {
 	routes := make(map[site.ServiceName][]Route, len(k.leases))
 	for service, leases := range k.leases {
 		for _, l := range leases {
@@ -184,7 +184,7 @@
 }
 
 // hold returns for how long the lessor may grant now; 0: not at all.
-func (k *Keeper) hold(lease Lease, now time.Time) time.Duration {
+func (k *Allocator) hold(lease Lease, now time.Time) time.Duration {
 	if !now.Before(lease.ConfirmedAt.Add(k.timing.Right)) {
 		return 0
 	}
@@ -194,7 +194,7 @@
 // Calls returns the calls that are due and counts them as sent at now. A server
 // whose call is returned must be called at once, or Done be called with an
 // error.
-func (k *Keeper) Calls(servers map[site.ServerID]site.Server, lease Lease, now time.Time) []Call {
+func (k *Allocator) Calls(servers map[site.ServerID]site.Server, lease Lease, now time.Time) []Call {
 	k.longest = k.hold(lease, now)
 	if k.longest == 0 {
 		return nil
@@ -210,7 +210,7 @@
 	return calls
 }
 
-func (k *Keeper) due(l *lease, servers map[site.ServerID]site.Server, now time.Time) (Call, bool) {
+func (k *Allocator) due(l *lease, servers map[site.ServerID]site.Server, now time.Time) (Call, bool) {
 	if l.Server == "" || l.calling || l.raised || l.pending || l.phase == released {
 		return Call{}, false
 	}
@@ -268,7 +268,7 @@
 }
 
 // Done takes the result of a call.
-func (k *Keeper) Done(call Call, result Result, now time.Time) {
+func (k *Allocator) Done(call Call, result Result, now time.Time) {
 	l := call.lease
 	l.calling = false
 	if !call.Release {
@@ -306,7 +306,7 @@
 	}
 }
 
-func (k *Keeper) releaseDone(l *lease, result Result) {
+func (k *Allocator) releaseDone(l *lease, result Result) {
 	if result.Failed || result.Fenced {
 		// The release may take effect late: a higher fence makes it void.
 		l.raised = true
@@ -320,14 +320,14 @@
 	k.setPhase(l, released)
 }
 
-func (k *Keeper) setPhase(l *lease, p phase) {
+func (k *Allocator) setPhase(l *lease, p phase) {
 	if l.phase != p {
 		l.phase = p
 		k.serial++
 	}
 }
 
-func (k *Keeper) setConfirmed(l *lease, confirmed bool) {
+func (k *Allocator) setConfirmed(l *lease, confirmed bool) {
 	if l.confirmed != confirmed {
 		l.confirmed = confirmed
 		k.serial++
--- a/gateway/ranges/plan.go
+++ b/gateway/ranges/plan.go
@@ -32,7 +32,7 @@
 // Plan decides which ranges change their owner or fence by an append at an
 // offset. It returns nil if none does. It also starts releases, which Calls
 // returns afterwards.
-func (k *Keeper) Plan(s Site, at Fence, now time.Time) *Change {
+func (k *Allocator) Plan(s Site, at Fence, now time.Time) *Change {
 	change := &Change{}
 	for _, restart := range k.runs.observe(s.Servers, now) {
 		if s.Load != nil {
@@ -68,7 +68,7 @@
 // takers returns the servers of a service that may get ranges, by ID. Those that
 // keep starting again, and those that did not answer lately, are among them only if
 // there are no others.
-func (k *Keeper) takers(s Site, service site.ServiceName, now time.Time) []site.Server {
+func (k *Allocator) takers(s Site, service site.ServiceName, now time.Time) []site.Server {
 	var servers, doubtful []site.Server
 	for _, id := range slices.Sorted(maps.Keys(s.Servers)) {
 		server := s.Servers[id]
@@ -88,7 +88,7 @@
 
 // createRanges cuts the keys of a service that has no ranges into one range for each
 // server, as long as its slots say.
-func (k *Keeper) createRanges(service site.ServiceName, servers []site.Server, now time.Time) {
+func (k *Allocator) createRanges(service site.ServiceName, servers []site.Server, now time.Time) {
 	slots := 0
 	for _, server := range servers {
 		slots += max(server.Slots, 1)
@@ -105,7 +105,7 @@
 }
 
 // Moves returns the moves that were planned since the last call.
-func (k *Keeper) Moves() []Move {
+func (k *Allocator) Moves() []Move {
 	moves := k.moves
 	k.moves = nil
 	return moves
@@ -113,7 +113,7 @@
 
 // startReleases begins to take ranges from servers that leave, and those that
 // balance asks for.
-func (k *Keeper) startReleases(service site.ServiceName, s Site, servers []site.Server, now time.Time) {
+func (k *Allocator) startReleases(service site.ServiceName, s Site, servers []site.Server, now time.Time) {
 	for _, l := range k.leases[service] {
 		_, isEarlier := LaterRun(s.Servers, l.Server)
 		switch {
@@ -127,7 +127,7 @@
 }
 
 // startRelease begins to take a range from its owner, for another one; empty: any.
-func (k *Keeper) startRelease(l *lease, next site.ServerID, now time.Time) {
+func (k *Allocator) startRelease(l *lease, next site.ServerID, now time.Time) {
 	l.next = next
 	l.releaseAt = now.Add(releaseNotice)
 	k.setPhase(l, releasing)
@@ -140,7 +140,7 @@
 
 // split cuts a span out of a lease and returns the lease of the span, and those of what
 // is left.
-func (k *Keeper) split(l *lease, span Span) (cut *lease, rest []*lease) {
+func (k *Allocator) split(l *lease, span Span) (cut *lease, rest []*lease) {
 	if l.Span == span {
 		return l, nil
 	}
@@ -165,7 +165,7 @@
 }
 
 // collect adds every range that can change now to the change.
-func (k *Keeper) collect(service site.ServiceName, s Site, servers []site.Server, at Fence, now time.Time, change *Change) {
+func (k *Allocator) collect(service site.ServiceName, s Site, servers []site.Server, at Fence, now time.Time, change *Change) {
 	spread := newSpread(k.leases[service], servers)
 	for _, l := range k.leases[service] {
 		switch {
@@ -232,7 +232,7 @@
 	return false
 }
 
-func (k *Keeper) change(change *Change, l *lease, next Assignment, now time.Time) {
+func (k *Allocator) change(change *Change, l *lease, next Assignment, now time.Time) {
 	l.pending = true
 	change.apply = append(change.apply, func() {
 		*l = l.changed(next, now)
@@ -264,7 +264,7 @@
 }
 
 // tableWith returns the table as it is after a change, without applying it.
-func (k *Keeper) tableWith(change *Change) *Table {
+func (k *Allocator) tableWith(change *Change) *Table {
 	saved := make(map[*lease]lease)
 	lists := make(map[site.ServiceName][]*lease, len(k.leases))
 	for service, leases := range k.leases {
@@ -287,7 +287,7 @@
 }
 
 // Table returns the present table.
-func (k *Keeper) Table() *Table {
+func (k *Allocator) Table() *Table {
 	table := &Table{Lessor: k.self, Services: map[site.ServiceName][]Assignment{}}
 	for service, leases := range k.leases {
 		for _, l := range leases {
@@ -302,7 +302,7 @@
 }
 
 // Appended applies a change whose append succeeded.
-func (k *Keeper) Appended(change *Change) {
+func (k *Allocator) Appended(change *Change) {
 	for _, apply := range change.apply {
 		apply()
 	}
--- a/gateway/ranges/restart_test.go
+++ b/gateway/ranges/restart_test.go
@@ -16,16 +16,16 @@
 
 // restarted returns a lessor whose server a owned all keys in its first run, was
 // granted them, and is registered with its second run.
-func restarted(t *testing.T) (*Keeper, Site) {
+func restarted(t *testing.T) (*Allocator, Site) {
 	t.Helper()
 	table := &Table{Services: map[site.ServiceName][]Assignment{worldService: {
 		{Span: Span{To: LastKey}, Server: run("a", 1), Fence: 1, Handover: "given to the first run"},
 	}}}
 	first := keyedSite(site.Server{ID: run("a", 1), Slots: 4, Address: "x"}, site.Server{ID: run("b", 1), Slots: 4, Address: "y"})
-	k := NewKeeper(table, DefaultTiming(), 0, keeperStart)
-	k.Plan(first, 2, keeperStart)
-	call := k.Calls(first.Servers, Lease{ConfirmedAt: keeperStart}, keeperStart)[0]
-	k.Done(call, Result{}, keeperStart)
+	k := NewAllocator(table, DefaultTiming(), 0, allocatorStart)
+	k.Plan(first, 2, allocatorStart)
+	call := k.Calls(first.Servers, Lease{ConfirmedAt: allocatorStart}, allocatorStart)[0]
+	k.Done(call, Result{}, allocatorStart)
 	return k, restart(first, "a", 1)
 }
 
@@ -48,7 +48,7 @@
 }
 
 // planned appends what a lessor plans and returns the owner of a key.
-func planned(t *testing.T, k *Keeper, s Site, now time.Time) Assignment {
+func planned(t *testing.T, k *Allocator, s Site, now time.Time) Assignment {
 	t.Helper()
 	change := k.Plan(s, 3, now)
 	if change == nil {
@@ -65,15 +65,15 @@
 	server := s.Servers[run("a", 2)]
 	server.Draining = true // it is not to get keys, so others would
 	s.Servers[server.ID] = server
-	g.Expect(planned(t, k, s, keeperStart).Server.Name()).To(gomega.Equal(site.ServerName("a")))
+	g.Expect(planned(t, k, s, allocatorStart).Server.Name()).To(gomega.Equal(site.ServerName("a")))
 }
 
 func TestARangeGoesToTheNewRunOfItsOwnerAtOnce(t *testing.T) {
 	g := gomega.NewWithT(t)
 	k, s := restarted(t)
-	held := k.Held(keeperStart)
-	lease := Lease{ConfirmedAt: keeperStart}
-	later := keeperStart.Add(time.Second)
+	held := k.Held(allocatorStart)
+	lease := Lease{ConfirmedAt: allocatorStart}
+	later := allocatorStart.Add(time.Second)
 	g.Expect(k.Calls(s.Servers, lease, later)).To(gomega.BeEmpty(), "no call under the assignment to the earlier run")
 
 	change := k.Plan(s, 3, later)
@@ -81,7 +81,7 @@
 	owner, _ := change.Table.Owner(worldService, 7)
 	g.Expect(owner).To(gomega.Equal(Assignment{Span: Span{To: LastKey}, Server: run("a", 2), Fence: 3}))
 	k.Appended(change)
-	g.Expect(k.Held(keeperStart)).To(gomega.Equal(held), "what the earlier run was granted may be in force at the new one")
+	g.Expect(k.Held(allocatorStart)).To(gomega.Equal(held), "what the earlier run was granted may be in force at the new one")
 	g.Expect(k.Routes()[worldService][0].State).To(gomega.Equal(Moving))
 
 	call := k.Calls(s.Servers, lease, later)[0]
@@ -96,8 +96,8 @@
 	g := gomega.NewWithT(t)
 	k, s := restarted(t)
 	k.setPhase(k.leases[worldService][0], releasing)
-	g.Expect(k.Calls(s.Servers, Lease{ConfirmedAt: keeperStart}, keeperStart)).To(gomega.BeEmpty())
-	owner := planned(t, k, s, keeperStart)
+	g.Expect(k.Calls(s.Servers, Lease{ConfirmedAt: allocatorStart}, allocatorStart)).To(gomega.BeEmpty())
+	owner := planned(t, k, s, allocatorStart)
 	g.Expect(owner.Server).To(gomega.Equal(run("a", 2)))
 }
 
@@ -110,7 +110,7 @@
 	l.next = run("b", 1)
 	k.setPhase(l, released)
 	l.handover = "h"
-	owner := planned(t, k, s, keeperStart)
+	owner := planned(t, k, s, allocatorStart)
 	g.Expect(owner).To(gomega.Equal(Assignment{Span: Span{To: LastKey}, Server: run("b", 1), Fence: 3}))
 }
 
@@ -124,7 +124,7 @@
 	l.next = run("b", 1)
 	k.setPhase(l, released)
 	l.handover = "h"
-	owner := planned(t, k, restart(s, "b", 1), keeperStart)
+	owner := planned(t, k, restart(s, "b", 1), allocatorStart)
 	g.Expect(owner.Handover).To(gomega.BeEmpty())
 	g.Expect(owner.Server).NotTo(gomega.Equal(run("b", 1)))
 }
@@ -135,16 +135,16 @@
 	server := s.Servers[run("a", 2)]
 	server.Draining = true
 	s.Servers[server.ID] = server
-	lease := Lease{ConfirmedAt: keeperStart}
+	lease := Lease{ConfirmedAt: allocatorStart}
 
-	change := k.Plan(s, 3, keeperStart)
+	change := k.Plan(s, 3, allocatorStart)
 	g.Expect(change).NotTo(gomega.BeNil())
 	owner, _ := change.Table.Owner(worldService, 7)
 	g.Expect(owner.Server).To(gomega.Equal(run("a", 2)))
 	k.Appended(change)
-	k.Done(k.Calls(s.Servers, lease, keeperStart)[0], Result{}, keeperStart)
-	g.Expect(k.Plan(s, 4, keeperStart)).To(gomega.BeNil())
-	calls := k.Calls(s.Servers, lease, keeperStart.Add(releaseNotice))
+	k.Done(k.Calls(s.Servers, lease, allocatorStart)[0], Result{}, allocatorStart)
+	g.Expect(k.Plan(s, 4, allocatorStart)).To(gomega.BeNil())
+	calls := k.Calls(s.Servers, lease, allocatorStart.Add(releaseNotice))
 	g.Expect(calls).To(gomega.HaveLen(1))
 	g.Expect(calls[0].Release).To(gomega.BeTrue())
 }
@@ -154,13 +154,13 @@
 func TestAServerThatKeepsRestartingLosesItsKeys(t *testing.T) {
 	g := gomega.NewWithT(t)
 	k, s := restarted(t)
-	planned(t, k, s, keeperStart)
-	k.Done(k.Calls(s.Servers, Lease{ConfirmedAt: keeperStart}, keeperStart)[0], Result{}, keeperStart)
+	planned(t, k, s, allocatorStart)
+	k.Done(k.Calls(s.Servers, Lease{ConfirmedAt: allocatorStart}, allocatorStart)[0], Result{}, allocatorStart)
 	again := restart(s, "a", 2)
-	free := keeperStart.Add(k.Held(keeperStart))
+	free := allocatorStart.Add(k.Held(allocatorStart))
 
-	g.Expect(k.Plan(again, 4, keeperStart.Add(time.Second))).To(gomega.BeNil())
-	g.Expect(k.Calls(again.Servers, Lease{ConfirmedAt: keeperStart}, keeperStart.Add(time.Second))).To(gomega.BeEmpty())
+	g.Expect(k.Plan(again, 4, allocatorStart.Add(time.Second))).To(gomega.BeNil())
+	g.Expect(k.Calls(again.Servers, Lease{ConfirmedAt: allocatorStart}, allocatorStart.Add(time.Second))).To(gomega.BeEmpty())
 	g.Expect(k.Plan(again, 4, free.Add(-time.Millisecond))).To(gomega.BeNil())
 	change := k.Plan(again, 4, free)
 	g.Expect(change).NotTo(gomega.BeNil())
@@ -173,9 +173,9 @@
 	g := gomega.NewWithT(t)
 	k, s := restarted(t)
 	delete(s.Servers, run("b", 1))
-	planned(t, k, s, keeperStart)
+	planned(t, k, s, allocatorStart)
 	again := restart(s, "a", 2)
-	change := k.Plan(again, 4, keeperStart.Add(time.Second))
+	change := k.Plan(again, 4, allocatorStart.Add(time.Second))
 	g.Expect(change).NotTo(gomega.BeNil())
 	owner, _ := change.Table.Owner(worldService, 7)
 	g.Expect(owner.Server).To(gomega.Equal(run("a", 3)))
@@ -187,10 +187,10 @@
 	timing := DefaultTiming()
 	table := &Table{Services: map[site.ServiceName][]Assignment{worldService: {{Span: Span{To: LastKey}, Server: run("a", 1), Fence: 1}}}}
 	s := keyedSite(site.Server{ID: run("a", 1), Slots: 4, Address: "x"}, site.Server{ID: run("b", 1), Slots: 4, Address: "y"})
-	k := NewKeeper(table, timing, 0, keeperStart)
-	lease := Lease{ConfirmedAt: keeperStart}
-	call := k.Calls(s.Servers, lease, keeperStart)[0]
-	again := keeperStart.Add(timing.CallTimeout)
+	k := NewAllocator(table, timing, 0, allocatorStart)
+	lease := Lease{ConfirmedAt: allocatorStart}
+	call := k.Calls(s.Servers, lease, allocatorStart)[0]
+	again := allocatorStart.Add(timing.CallTimeout)
 	k.Done(call, Result{Failed: true, Fate: Arrived}, again)
 	k.Done(k.Calls(s.Servers, lease, again)[0], Result{}, again)
 	k.Appended(k.Plan(s, 2, again))
@@ -203,7 +203,7 @@
 
 // releases reports whether a lessor takes the keys from server a now, were it told
 // that the server drains.
-func releases(k *Keeper, s Site, now time.Time) bool {
+func releases(k *Allocator, s Site, now time.Time) bool {
 	server := s.Servers[k.leases[worldService][0].Server]
 	server.Draining = true
 	s.Servers[server.ID] = server
@@ -214,8 +214,8 @@
 func TestGrantsOfAFormerLessorAreWaitedForBeforeAMove(t *testing.T) {
 	g := gomega.NewWithT(t)
 	k, s := restartable(t)
-	k.Done(k.Calls(s.Servers, Lease{ConfirmedAt: keeperStart}, keeperStart)[0], Result{}, keeperStart)
-	end := keeperStart.Add(DefaultTiming().FormerHold())
+	k.Done(k.Calls(s.Servers, Lease{ConfirmedAt: allocatorStart}, allocatorStart)[0], Result{}, allocatorStart)
+	end := allocatorStart.Add(DefaultTiming().FormerHold())
 	g.Expect(releases(k, s, end.Add(-time.Millisecond))).To(gomega.BeFalse())
 	g.Expect(releases(k, s, end)).To(gomega.BeTrue())
 }
@@ -228,11 +228,11 @@
 	second := s.Servers[run("a", 2)]
 	second.Address = "z"
 	s.Servers[second.ID], s.Known[second.ID] = second, second
-	planned(t, k, s, keeperStart)
+	planned(t, k, s, allocatorStart)
 	delete(s.Servers, second.ID)
 	s.Servers["c"] = site.Server{ID: "c", Service: "other", Address: "z"}
-	g.Expect(k.Plan(s, 4, keeperStart)).To(gomega.BeNil())
-	g.Expect(k.Plan(s, 4, keeperStart.Add(k.Held(keeperStart)))).NotTo(gomega.BeNil())
+	g.Expect(k.Plan(s, 4, allocatorStart)).To(gomega.BeNil())
+	g.Expect(k.Plan(s, 4, allocatorStart.Add(k.Held(allocatorStart)))).NotTo(gomega.BeNil())
 }
 
 // The owner has no known start in a table that an earlier release wrote, or in an
@@ -242,7 +242,7 @@
 	k, s := owned(t)
 	s.Servers[run("a", 1)] = site.Server{ID: run("a", 1), Service: worldService, Slots: 4, Address: "x"}
 	delete(s.Servers, "a")
-	change := k.Plan(s, 2, keeperStart)
+	change := k.Plan(s, 2, allocatorStart)
 	g.Expect(change).NotTo(gomega.BeNil())
 	owner, _ := change.Table.Owner(worldService, 7)
 	g.Expect(owner.Server).To(gomega.Equal(run("a", 1)))
@@ -255,7 +255,7 @@
 	loads.Pace(run("b", 1), 100*time.Millisecond)
 	k, s := restarted(t)
 	s.Load = loads
-	k.Plan(s, 3, keeperStart)
+	k.Plan(s, 3, allocatorStart)
 	g.Expect(loads.Paces()).To(gomega.Equal(map[site.ServerID]int{run("b", 1): 100}))
 }
 
@@ -267,12 +267,12 @@
 	l := k.leases[worldService][0]
 	l.Server, l.next, l.handover = run("a", 2), run("b", 1), "h"
 	k.setPhase(l, released)
-	g.Expect(planned(t, k, s, keeperStart).Handover).To(gomega.Equal("h"))
-	lease := Lease{ConfirmedAt: keeperStart}
-	call := k.Calls(s.Servers, lease, keeperStart)[0]
+	g.Expect(planned(t, k, s, allocatorStart).Handover).To(gomega.Equal("h"))
+	lease := Lease{ConfirmedAt: allocatorStart}
+	call := k.Calls(s.Servers, lease, allocatorStart)[0]
 	g.Expect(call.Grant.Handover).To(gomega.Equal("h"))
-	k.Done(call, Result{Failed: true}, keeperStart)
-	call = k.Calls(restart(s, "a", 2).Servers, lease, keeperStart)[0]
+	k.Done(call, Result{Failed: true}, allocatorStart)
+	call = k.Calls(restart(s, "a", 2).Servers, lease, allocatorStart)[0]
 	g.Expect(call.Server).To(gomega.Equal(run("b", 1)))
 	g.Expect(call.Grant.Handover).To(gomega.BeEmpty())
 }
--- a/gateway/ranges/rules_test.go
+++ b/gateway/ranges/rules_test.go
@@ -26,7 +26,7 @@
 
 // drop changes what a lessor knows of a range as if it lacked the rules that are
 // dropped.
-func (r rules) drop(k *Keeper, l *lease, registered map[site.ServerID]site.Server, now time.Time) {
+func (r rules) drop(k *Allocator, l *lease, registered map[site.ServerID]site.Server, now time.Time) {
 	if r.noSeal {
 		l.doubtful = false
 		l.dropDoubt()
--- a/gateway/ranges/runs.go
+++ b/gateway/ranges/runs.go
@@ -101,7 +101,7 @@
 // goesToHeir reports whether a range goes at once to the run that has taken the
 // place of its owner. One that keeps starting again gets nothing while others can
 // serve the keys.
-func (k *Keeper) goesToHeir(l *lease, s Site, takers []site.Server, now time.Time) bool {
+func (k *Allocator) goesToHeir(l *lease, s Site, takers []site.Server, now time.Time) bool {
 	heir, exists := LaterRun(s.Servers, l.Server)
 	if !exists || heir.Service != l.service {
 		return false
@@ -112,7 +112,7 @@
 
 // giveUpOn ends what is under way with an owner whose place another run has taken:
 // nothing is sent to it any more. What does not go to that run waits for its holds.
-func (k *Keeper) giveUpOn(l *lease, s Site, takers []site.Server, now time.Time) {
+func (k *Allocator) giveUpOn(l *lease, s Site, takers []site.Server, now time.Time) {
 	switch {
 	case l.calling || l.pending || l.phase == released:
 	case k.goesToHeir(l, s, takers, now):
@@ -123,7 +123,7 @@
 }
 
 // Restarts returns the servers that have started again since the last call.
-func (k *Keeper) Restarts() []Restart {
+func (k *Allocator) Restarts() []Restart {
 	news := k.runs.news
 	k.runs.news = nil
 	return news
--- a/gateway/ranges/search_state_test.go
+++ b/gateway/ranges/search_state_test.go
@@ -8,7 +8,7 @@
 )
 
 // The search plays every order of events, within its bounds, that one range, two
-// servers and two nodes can see: the functions of Keeper that run in a node decide
+// servers and two nodes can see: the functions of Allocator that run in a node decide
 // what the nodes send and append. Time goes in whole seconds; within one, events
 // come in any order and any of them may stay out, so that nodes, calls and the
 // register may be as slow as can be.
@@ -162,9 +162,9 @@
 // site returns the register as the nodes see it.
 func (s *searchState) site() Site { return searchSites[s.servers[0].shown][s.servers[1].shown] }
 
-// newSearchKeeper returns a lessor that keeper makes the one of a node.
-func newSearchKeeper() *Keeper {
-	return &Keeper{
+// newSearchAllocator returns a lessor that allocator makes the one of a node.
+func newSearchAllocator() *Allocator {
+	return &Allocator{
 		timing:      searchTimes,
 		leases:      map[site.ServiceName][]*lease{worldService: {{}}},
 		compactedAt: map[site.ServiceName]time.Time{worldService: searchStart},
@@ -173,8 +173,8 @@
 	}
 }
 
-// keeper makes k the lessor that a node is.
-func (n *searchNode) keeper(k *Keeper) *lease {
+// allocator makes k the lessor that a node is.
+func (n *searchNode) allocator(k *Allocator) *lease {
 	l := k.leases[worldService][0]
 	*l = lease{
 		Assignment: Assignment{Span: Span{To: LastKey}, Server: searchRun(n.server, n.run), Fence: Fence(n.fence)},
@@ -234,7 +234,7 @@
 var searchRestarts = slices.Repeat([]time.Time{searchStart}, restartsOfLoop)
 
 // keep takes what the lessor of a node knows after an event.
-func (n *searchNode) keep(k *Keeper) {
+func (n *searchNode) keep(k *Allocator) {
 	l := k.leases[worldService][0]
 	n.server, n.run = searchRunOf(l.Server)
 	n.next, n.nextRun = -1, 0
--- a/gateway/ranges/search_test.go
+++ b/gateway/ranges/search_test.go
@@ -13,7 +13,7 @@
 	seeds  [2]maphash.Seed
 	seen   map[[2]uint64]struct{} // two hashes of each state, which takes a tenth of its room
 	todo   []searchState
-	keeper *Keeper
+	allocator *Allocator
 	fault  string
 }
 
@@ -23,7 +23,7 @@
 		rules:  r,
 		seeds:  [2]maphash.Seed{maphash.MakeSeed(), maphash.MakeSeed()},
 		seen:   map[[2]uint64]struct{}{},
-		keeper: newSearchKeeper(),
+		allocator: newSearchAllocator(),
 	}
 	first := searchState{left: bounds}
 	first.table.end = 1
@@ -98,7 +98,7 @@
 	case state.table.resigned:
 		former, doubt = absolute(state.table.held).Sub(searchStart), absolute(state.table.doubt).Sub(searchStart)
 	}
-	k := NewKeeper(table.Refenced(Lessor{}, Fence(fence)), searchTimes, former, searchStart)
+	k := NewAllocator(table.Refenced(Lessor{}, Fence(fence)), searchTimes, former, searchStart)
 	k.LimitDoubt(doubt, searchStart)
 	k.runs.observe(state.site().Servers, searchStart)
 	n := &state.nodes[node]
@@ -115,14 +115,14 @@
 	if !former.isLessor || former.claim >= n.claim {
 		return
 	}
-	k := s.keeper
-	former.keeper(k)
+	k := s.allocator
+	former.allocator(k)
 	list := k.Remaining(searchStart)
 	if s.rules.noReport {
 		list = nil
 	}
 	*former = searchNode{}
-	n.keeper(k)
+	n.allocator(k)
 	k.LimitFormer(list, searchStart)
 	n.keep(k)
 	s.add(state)
@@ -146,8 +146,8 @@
 		s.add(state)
 		return
 	}
-	k := s.keeper
-	l := n.keeper(k)
+	k := s.allocator
+	l := n.allocator(k)
 	view := state.site()
 	s.rules.drop(k, l, view.Servers, searchStart)
 	change := k.Plan(view, Fence(state.table.end), searchStart)
@@ -169,8 +169,8 @@
 		return
 	}
 	state.left.resigns--
-	k := s.keeper
-	n.keeper(k)
+	k := s.allocator
+	n.allocator(k)
 	held, doubt := k.Held(searchStart), k.Doubt(searchStart)
 	state.appendBy(node)
 	*n = searchNode{}
@@ -185,8 +185,8 @@
 		return
 	}
 	n := &state.nodes[node]
-	k := s.keeper
-	n.keeper(k)
+	k := s.allocator
+	n.allocator(k)
 	view := state.site()
 	confirmedAt := searchStart.Add(-time.Duration(n.confirmed) * time.Second)
 	if s.rules.noRight {
@@ -205,8 +205,8 @@
 // move has a lessor begin to move the range to the other server.
 func (s *searcher) move(state searchState, node int8) {
 	n := &state.nodes[node]
-	k := s.keeper
-	l := n.keeper(k)
+	k := s.allocator
+	l := n.allocator(k)
 	s.rules.drop(k, l, state.site().Servers, searchStart)
 	if state.left.moves == 0 || !l.canRelease(searchStart) {
 		return
@@ -318,8 +318,8 @@
 	if c.abandoned || !n.isLessor || n.claim != c.claim {
 		return
 	}
-	k := s.keeper
-	l := n.keeper(k)
+	k := s.allocator
+	l := n.allocator(k)
 	call := Call{Service: worldService, Server: searchRun(c.server, c.run), Release: c.release, SentAt: searchStart.Add(-time.Duration(c.age) * time.Second), lease: l}
 	call.Grant = Grant{Assignment: l.Assignment, Hold: searchHold}
 	call.Grant.Fence = Fence(c.fence)
--- a/gateway/ranges/silent_test.go
+++ b/gateway/ranges/silent_test.go
@@ -11,7 +11,7 @@
 
 // miss has the lessor call the owner of every range, in vain, until it counts as
 // silent, and returns when.
-func miss(k *Keeper, s Site, now time.Time) time.Time {
+func miss(k *Allocator, s Site, now time.Time) time.Time {
 	for range missesToLapse {
 		for _, call := range k.Calls(s.Servers, Lease{ConfirmedAt: now}, now) {
 			k.Done(call, Result{Failed: true}, now)
@@ -26,7 +26,7 @@
 func TestTheRangesOfASilentServerGoToAnother(t *testing.T) {
 	g := gomega.NewWithT(t)
 	k, s := owned(t)
-	now := miss(k, s, keeperStart)
+	now := miss(k, s, allocatorStart)
 	now = now.Add(DefaultTiming().FormerHold())
 	g.Expect(planned(t, k, s, now).Server).To(gomega.Equal(site.ServerID("b")))
 }
@@ -36,7 +36,7 @@
 	g := gomega.NewWithT(t)
 	k, s := owned(t)
 	delete(s.Servers, "b")
-	now := miss(k, s, keeperStart)
+	now := miss(k, s, allocatorStart)
 	now = now.Add(DefaultTiming().FormerHold())
 	g.Expect(planned(t, k, s, now).Server).To(gomega.Equal(site.ServerID("a")))
 }
@@ -45,7 +45,7 @@
 func TestAServerThatAnswersAgainTakesRanges(t *testing.T) {
 	g := gomega.NewWithT(t)
 	k, s := owned(t)
-	now := miss(k, s, keeperStart)
+	now := miss(k, s, allocatorStart)
 	g.Expect(k.takers(s, worldService, now)).To(gomega.HaveLen(1))
 	for _, call := range k.Calls(s.Servers, Lease{ConfirmedAt: now}, now) {
 		k.Done(call, Result{}, now)
@@ -61,5 +61,5 @@
 	k, s := owned(t)
 	delete(s.Servers, "a")
 	s.Servers["c"] = site.Server{ID: "c", Service: "unknown", Address: "x"}
-	g.Expect(k.Plan(s, 3, keeperStart)).To(gomega.BeNil())
+	g.Expect(k.Plan(s, 3, allocatorStart)).To(gomega.BeNil())
 }
--- a/gateway/ranges/usage.go
+++ b/gateway/ranges/usage.go
@@ -41,7 +41,7 @@
 		usages = append(usages, u)
 		byID[server.ID] = u
 	}
-	for _, l := range r.keeper.leases[r.service] {
+	for _, l := range r.allocator.leases[r.service] {
 		owner := l.Server
 		if l.next != "" {
 			owner = l.next
--- a/gateway/ranges/world_test.go
+++ b/gateway/ranges/world_test.go
@@ -12,7 +12,7 @@
 )
 
 // world is a small site in simulated time: a store, nodes that run the lessor's
-// duty with a Keeper, and servers. Calls are delayed, lost, or carried out late
+// duty with a Allocator, and servers. Calls are delayed, lost, or carried out late
 // without an answer; nodes pause and lose the store or servers for a while;
 // servers start again under their names, and calls to an earlier run reach the
 // next one.
@@ -64,7 +64,7 @@
 
 type worldNode struct {
 	id          int
-	keeper      *Keeper
+	allocator      *Allocator
 	loads       *Loads
 	busy        Key       // that gets half of the requests
 	busyUntil   time.Time // when another one does
@@ -156,7 +156,7 @@
 			n.chokedUntil = w.span(6 * time.Second)
 			n.linkDelay = time.Duration(w.random.Int64N(int64(mostLinkDelay)))
 		}
-		if n.keeper != nil && n.resignAt.IsZero() && w.chance(20*time.Second) {
+		if n.allocator != nil && n.resignAt.IsZero() && w.chance(20*time.Second) {
 			n.resignAt = w.now
 		}
 	}
@@ -245,8 +245,8 @@
 }
 
 func (n *worldNode) done(call Call, result Result, now time.Time) {
-	if n.keeper != nil {
-		n.keeper.Done(call, result, now)
+	if n.allocator != nil {
+		n.allocator.Done(call, result, now)
 	}
 }
 
@@ -263,7 +263,7 @@
 }
 
 func (w *world) step(n *worldNode) {
-	if n.keeper == nil {
+	if n.allocator == nil {
 		w.consider(n)
 		return
 	}
@@ -271,7 +271,7 @@
 	if w.rules.noRight {
 		lease = Lease{ConfirmedAt: w.now}
 	}
-	for _, call := range n.keeper.Calls(w.registered(), lease, w.now) {
+	for _, call := range n.allocator.Calls(w.registered(), lease, w.now) {
 		w.send(n, call)
 	}
 	w.change(n)
@@ -293,21 +293,21 @@
 	}
 	w.dropRules(n)
 	record := worldRecord{node: n.id}
-	change := n.keeper.Plan(w.site(n), n.end, w.now)
-	w.moves += len(n.keeper.Moves())
+	change := n.allocator.Plan(w.site(n), n.end, w.now)
+	w.moves += len(n.allocator.Moves())
 	switch {
 	case change != nil:
 		record.table = change.Table
 	case !n.resignAt.IsZero():
 		record.resigned = true
-		record.held = n.keeper.Held(w.now)
-		record.doubt = n.keeper.Doubt(w.now)
+		record.held = n.allocator.Held(w.now)
+		record.doubt = n.allocator.Doubt(w.now)
 	case w.now.Before(n.nextConfirm):
 		return
 	}
 	done, conflict := w.append(n, n.end, record)
 	if conflict {
-		n.keeper = nil
+		n.allocator = nil
 		n.resignAt = time.Time{}
 		return
 	}
@@ -322,14 +322,14 @@
 
 // dropRules makes a node's lessor lack the rules that are dropped.
 func (w *world) dropRules(n *worldNode) {
-	for _, l := range n.keeper.leases[worldService] {
-		w.rules.drop(n.keeper, l, w.registered(), w.now)
+	for _, l := range n.allocator.leases[worldService] {
+		w.rules.drop(n.allocator, l, w.registered(), w.now)
 	}
 }
 
 // forget drops a change that the store did not take; it is planned anew.
 func (n *worldNode) forget() {
-	for _, l := range n.keeper.leases[worldService] {
+	for _, l := range n.allocator.leases[worldService] {
 		l.pending = false
 	}
 }
@@ -339,13 +339,13 @@
 	n.confirmedAt = w.now
 	n.nextConfirm = w.now.Add(500 * time.Millisecond)
 	if !w.now.Before(n.leftLinkAt) {
-		n.keeper.Answered(w.now, w.now)
+		n.allocator.Answered(w.now, w.now)
 	}
 	if change != nil {
-		n.keeper.Appended(change)
+		n.allocator.Appended(change)
 	}
 	if record.resigned {
-		n.keeper = nil
+		n.allocator = nil
 		n.resignAt = time.Time{}
 	}
 }
@@ -388,9 +388,9 @@
 	next := table.Refenced(Lessor{Boot: fmt.Sprint(n.id, at)}, at)
 	w.records = append(w.records, worldRecord{table: next, node: n.id})
 	w.claims++
-	n.keeper = NewKeeper(next, w.timing, w.formerHold(resigned, w.now.Sub(n.movedAt)), w.now)
+	n.allocator = NewAllocator(next, w.timing, w.formerHold(resigned, w.now.Sub(n.movedAt)), w.now)
 	if resigned {
-		n.keeper.LimitDoubt(w.records[len(w.records)-2].doubt, w.now) // before the claim
+		n.allocator.LimitDoubt(w.records[len(w.records)-2].doubt, w.now) // before the claim
 	}
 	n.loads = NewLoads()
 	n.end = at + 1
@@ -405,15 +405,15 @@
 		return
 	}
 	for _, other := range w.nodes {
-		if other.keeper == nil || other.keeper.self != former || w.now.Before(other.paused) || w.random.IntN(2) == 0 {
+		if other.allocator == nil || other.allocator.self != former || w.now.Before(other.paused) || w.random.IntN(2) == 0 {
 			continue
 		}
-		list := other.keeper.Remaining(w.now)
+		list := other.allocator.Remaining(w.now)
 		if w.rules.noReport {
 			list = nil
 		}
-		other.keeper, other.resignAt = nil, time.Time{}
-		n.keeper.LimitFormer(list, w.now)
+		other.allocator, other.resignAt = nil, time.Time{}
+		n.allocator.LimitFormer(list, w.now)
 		w.handOffs++
 	}
 }
