--- a/gateway/duty/duty.go
+++ b/gateway/duty/duty.go
@@ -82,7 +82,7 @@
 	isLessor atomic.Bool
 	resign   chan chan struct{}
 
-	allocator       *ranges.Allocator
+	allocator    *ranges.Allocator
 	loads        *ranges.Loads
 	end          store.Offset // of the ownership topic
 	serial       uint64       // of this node's records
--- a/gateway/ranges/balance.go
+++ b/gateway/ranges/balance.go
@@ -73,12 +73,12 @@
 
 // round is one round of balance.
 type round struct {
-	allocator  *Allocator
-	service site.ServiceName
-	loads   *Loads
-	now     time.Time
-	usages  []*usage
-	moves   int
+	allocator *Allocator
+	service   site.ServiceName
+	loads     *Loads
+	now       time.Time
+	usages    []*usage
+	moves     int
 }
 
 // balance starts the moves of a round.
--- a/gateway/ranges/balance_test.go
+++ b/gateway/ranges/balance_test.go
@@ -13,14 +13,14 @@
 
 // replayKeys plays load on keys against a lessor whose calls all succeed at once.
 type replayKeys struct {
-	allocator  *Allocator
-	loads   *Loads
-	servers map[site.ServerID]site.Server
-	paces   map[site.ServerID]time.Duration
-	now     time.Time
-	end     Fence
-	carried map[Key]float64 // parts of requests that are still to come
-	moved   int             // keys
+	allocator *Allocator
+	loads     *Loads
+	servers   map[site.ServerID]site.Server
+	paces     map[site.ServerID]time.Duration
+	now       time.Time
+	end       Fence
+	carried   map[Key]float64 // parts of requests that are still to come
+	moved     int             // keys
 }
 
 func newReplayKeys(paces ...time.Duration) *replayKeys {
--- a/gateway/ranges/search_test.go
+++ b/gateway/ranges/search_test.go
@@ -9,20 +9,20 @@
 
 // searcher explores the states.
 type searcher struct {
-	rules  rules
-	seeds  [2]maphash.Seed
-	seen   map[[2]uint64]struct{} // two hashes of each state, which takes a tenth of its room
-	todo   []searchState
+	rules     rules
+	seeds     [2]maphash.Seed
+	seen      map[[2]uint64]struct{} // two hashes of each state, which takes a tenth of its room
+	todo      []searchState
 	allocator *Allocator
-	fault  string
+	fault     string
 }
 
 // search returns a fault if there is one, and the number of states.
 func search(bounds searchBounds, r rules, most int) (fault string, states int, complete bool) {
 	s := &searcher{
-		rules:  r,
-		seeds:  [2]maphash.Seed{maphash.MakeSeed(), maphash.MakeSeed()},
-		seen:   map[[2]uint64]struct{}{},
+		rules:     r,
+		seeds:     [2]maphash.Seed{maphash.MakeSeed(), maphash.MakeSeed()},
+		seen:      map[[2]uint64]struct{}{},
 		allocator: newSearchAllocator(),
 	}
 	first := searchState{left: bounds}
--- a/gateway/ranges/world_test.go
+++ b/gateway/ranges/world_test.go
@@ -7,7 +7,6 @@
 	"slices"
 	"time"
 
-	"github.com/burdockspindle/burdockspindle/clock"
 	"github.com/burdockspindle/burdockspindle/gateway/site"
 )
 
@@ -64,7 +63,7 @@
 
 type worldNode struct {
 	id          int
-	allocator      *Allocator
+	allocator   *Allocator
 	loads       *Loads
 	busy        Key       // that gets half of the requests
 	busyUntil   time.Time // when another one does
@@ -85,10 +84,6 @@
 	resignAt    time.Time // when it gives the lease up; zero: not
 }
 
-// fullLinks tells whether the links of a world's nodes are full at times. Without them
-// grants arrive within their call's time, and the other rules have less to spare.
-type fullLinks bool
-
 func newWorld(seed uint64, r rules, links fullLinks) *world {
 	w := &world{
 		links:   links,
@@ -198,20 +193,6 @@
 	w.calls = append(w.calls, c)
 }
 
-// mostLinkDelay is the longest time that bytes wait in a node's own link. Resetting their
-// connection does not take them back.
-const mostLinkDelay = 2500 * time.Millisecond
-
-// leavesLink returns when bytes that a node writes now leave its own link.
-func (w *world) leavesLink(n *worldNode) time.Time {
-	leaves := w.now
-	if w.now.Before(n.chokedUntil) {
-		leaves = w.now.Add(n.linkDelay)
-	}
-	n.leftLinkAt = clock.Later(n.leftLinkAt, leaves)
-	return n.leftLinkAt
-}
-
 // deliver applies calls at servers, and gives nodes answers and timeouts.
 func (w *world) deliver() {
 	kept := w.calls[:0]
@@ -236,14 +217,6 @@
 	w.calls = kept
 }
 
-// fate returns what the sender's machine knows of a call's bytes.
-func (c *worldCall) fate(now time.Time) Fate {
-	if c.arrives.IsZero() || now.Before(c.arrives) {
-		return Underway
-	}
-	return Arrived
-}
-
 func (n *worldNode) done(call Call, result Result, now time.Time) {
 	if n.allocator != nil {
 		n.allocator.Done(call, result, now)
@@ -398,26 +371,6 @@
 	w.handOff(n, table.Lessor)
 }
 
-// handOff has a new lessor ask the one before it. That one may not be reached, and does not
-// answer while it is paused.
-func (w *world) handOff(n *worldNode, former Lessor) {
-	if !w.links {
-		return
-	}
-	for _, other := range w.nodes {
-		if other.allocator == nil || other.allocator.self != former || w.now.Before(other.paused) || w.random.IntN(2) == 0 {
-			continue
-		}
-		list := other.allocator.Remaining(w.now)
-		if w.rules.noReport {
-			list = nil
-		}
-		other.allocator, other.resignAt = nil, time.Time{}
-		n.allocator.LimitFormer(list, w.now)
-		w.handOffs++
-	}
-}
-
 func (w *world) formerHold(resigned bool, quiet time.Duration) time.Duration {
 	switch {
 	case w.rules.noFormer:
--- a/gateway/upstream/dial.go
+++ b/gateway/upstream/dial.go
@@ -15,9 +15,9 @@
 	// ControlSilentAfter is the same for connections of the gateway's own calls, also after
 	// the process has ended: grants that arrive late are counted for as long.
 	ControlSilentAfter = 3 * time.Second
-	probeIdle   = 5 * time.Second
-	probeEvery  = time.Second
-	probeCount  = 3
+	probeIdle          = 5 * time.Second
+	probeEvery         = time.Second
+	probeCount         = 3
 )
 
 // Dialer returns a dialer for connections that may go silent without a reset.
