Readiness: nodes whose zone is cut off send callers to other zones

A node that has had no contact with the store for a second, its own or by way of another node, and reaches none of three nodes of other zones, is not ready until it does; the balancer sends its callers to zones that can serve them. Ruled out: the store alone does not answer (other zones are reached), one zone only (it never leaves), a node that starts.

--- a/modules/gateway/front.go
+++ b/modules/gateway/front.go
@@ -64,6 +64,8 @@
 
 	draining  atomic.Bool
 	wasReady  atomic.Bool
+	isCutOff  atomic.Bool // the node's zone is
+	cancel    context.CancelFunc
 	drainedAt time.Time
 	servers   []*http.Server
 	listener  net.Listener // for callers
@@ -136,6 +138,9 @@
 	if err := m.listen(roleFront, listen.Front, m.router); err != nil {
 		return err
 	}
+	ctx, cancel := context.WithCancel(context.Background())
+	m.cancel = cancel
+	go m.watchIsolation(ctx)
 	return nil
 }
 
@@ -183,7 +188,7 @@
 
 // serveReady answers the balancer: the node takes callers once it can serve.
 func (m *Front) serveReady(w http.ResponseWriter, _ *http.Request) {
-	if m.draining.Load() || !m.state.Now().Complete() {
+	if m.draining.Load() || m.isCutOff.Load() || !m.state.Now().Complete() {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
@@ -214,6 +219,7 @@
 	clock.Wait(ctx, timing.Notice-time.Since(m.drainedAt))
 	ctx, cancel := context.WithDeadline(ctx, end)
 	defer cancel()
+	m.cancel()
 	_ = m.listener.Close() // only connections that are open are served from here on
 	err := m.callers.drain(ctx)
 	eventFrontDrained.Log(m.logger, "error", err)
