--- a/gateway/duty/calls.go
+++ b/gateway/duty/calls.go
@@ -19,7 +19,7 @@
 func (d *Duty) sendCalls(ctx context.Context, now time.Time) {
 	registered := d.State.Now().Servers.Servers
 	maps.Copy(d.known, registered)
-	for _, call := range d.allocator.Calls(registered, d.lease(now), now) {
+	for _, call := range d.allocator.Calls(registered, d.lease(), now) {
 		server, known := d.known[call.Server]
 		if !known {
 			d.allocator.Done(call, ranges.Result{Failed: true}, now)
--- a/gateway/duty/duty.go
+++ b/gateway/duty/duty.go
@@ -321,8 +321,8 @@
 	}
 }
 
-// lease returns the state of the lessor's lease.
-func (d *Duty) lease(now time.Time) ranges.Lease {
+// lease returns the lessor's lease.
+func (d *Duty) lease() ranges.Lease {
 	return ranges.Lease{ConfirmedAt: d.confirmedAt}
 }
 
--- a/gateway/duty/handoff_test.go
+++ b/gateway/duty/handoff_test.go
@@ -42,7 +42,7 @@
 	now := clock.Now()
 	servers := map[site.ServerID]site.Server{"a": {ID: "a", Service: "s"}}
 	d := lessorOf(now, 0)
-	call := d.allocator.Calls(servers, d.lease(now), now)[0]
+	call := d.allocator.Calls(servers, d.lease(), now)[0]
 
 	asked := ask("n1", "b1", 8)
 	d.handOff(asked)
--- a/gateway/duty/resign_test.go
+++ b/gateway/duty/resign_test.go
@@ -65,7 +65,7 @@
 	d.allocator = ranges.NewAllocator(table, d.Timing, 0, now)
 	d.confirmedAt = now
 	d.resigning = make(chan struct{})
-	call := d.allocator.Calls(servers, d.lease(now), now)[0]
+	call := d.allocator.Calls(servers, d.lease(), now)[0]
 
 	d.step(t.Context(), now)
 	g.Expect(d.appending).To(gomega.BeNil())
