--- a/gateway/ranges/balance.go
+++ b/gateway/ranges/balance.go
@@ -118,12 +118,12 @@
 // even moves load from the busiest server that can give some to the idlest one, and
 // reports whether it did.
 func (r *round) even() bool {
-	slices.SortStableFunc(r.usages, func(a, b *usage) int { return cmp.Compare(b.burden(), a.burden()) })
+	slices.SortStableFunc(r.usages, func(a, b *usage) int { return cmp.Compare(b.used, a.used) })
 	to := r.usages[len(r.usages)-1]
 	for _, from := range r.usages {
-		gap := from.burden() - to.burden()
+		gap := from.used - to.used
 		sure := gap - chanceDeviations*(from.chance+to.chance)
-		isEven := sure < leastGap || sure < idleGap && from.burden() < busyFrom
+		isEven := sure < leastGap || sure < idleGap && from.used < busyFrom
 		if gap <= 0 || isEven && to.ranges > 0 || to.ranges >= mostRanges {
 			return false
 		}
--- a/gateway/ranges/usage.go
+++ b/gateway/ranges/usage.go
@@ -1,7 +1,6 @@
 package ranges
 
 import (
-	"math"
 	"time"
 
 	"github.com/burdockspindle/burdockspindle/gateway/site"
@@ -21,11 +20,9 @@
 	server site.Server
 	cost   float64 // utilisation that one request a second causes
 	used   float64 // utilisation
-	// slowness is how much longer a request takes than at a typical server.
-	slowness float64
-	chance   float64 // standard deviation of it, by the chance in the counts
-	ranges   int
-	leases   []*lease // that it owns and keeps
+	chance float64 // standard deviation of it, by the chance in the counts
+	ranges int
+	leases []*lease // that it owns and keeps
 }
 
 // measure returns the load of each server. A range that is on its way to another one
@@ -40,7 +37,7 @@
 			pace = typical
 		}
 		pace = min(max(pace, typical/paceSpread), typical*paceSpread)
-		u := &usage{server: server, cost: pace / float64(max(server.Slots, 1)), slowness: pace / typical}
+		u := &usage{server: server, cost: pace / float64(max(server.Slots, 1))}
 		usages = append(usages, u)
 		byID[server.ID] = u
 	}
@@ -66,14 +63,6 @@
 	return usages
 }
 
-// burden returns the utilisation by which loads are evened out: the less the servers are
-// used, the more a slow one counts as used. It answers servers of which some take twice as
-// long as others: shared out by utilisation alone, a fifth of what the slow ones get is
-// answered late although others have room.
-func (u *usage) burden() float64 {
-	return u.used * math.Pow(u.slowness, max(0, 1-u.used))
-}
-
 // noteSurge looks whether a range has become busy just now.
 func (r *round) noteSurge(l *lease) {
 	if !r.loads.isSurge(r.service, l.Span) {
