--- a/gateway/ranges/timing.go
+++ b/gateway/ranges/timing.go
@@ -40,7 +40,7 @@
 	return Timing{
 		Hold:           3 * time.Second,
 		Renew:          700 * time.Millisecond,
-		Right:          6 * time.Second,
+		Right:          5 * time.Second,
 		CallTimeout:    400 * time.Millisecond,
 		Underway:       3 * time.Second,
 		ReleaseTimeout: 3 * time.Second,
