--- /dev/null
+++ b/modules/gateway/isolation_test.go
@@ -0,0 +1,71 @@
+package gateway
+
+import (
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/onsi/gomega"
+
+	"github.com/burdockspindle/burdockspindle/clock"
+	"github.com/burdockspindle/burdockspindle/gateway/follow"
+	"github.com/burdockspindle/burdockspindle/gateway/isolation"
+	"github.com/burdockspindle/burdockspindle/gateway/site"
+	"github.com/burdockspindle/burdockspindle/gateway/view"
+)
+
+// frontOf returns a node of zone a that knows the site and another node at an address in a
+// zone, and whose latest contact with the store was a while ago.
+func frontOf(t *testing.T, address, zone string, contact time.Duration) *Front {
+	t.Helper()
+	g := gomega.NewWithT(t)
+	state := view.NewState()
+	g.Expect(state.MergeConfig(&site.Config{Version: 1})).To(gomega.BeTrue())
+	g.Expect(state.MergeServers(view.Servers{Offset: 1})).To(gomega.BeTrue())
+	self := view.Member{Node: "n1", Boot: "b1", Zone: "a", Address: "127.0.0.1:1"}
+	state.SetMembers([]view.Member{self, {Node: "n2", Boot: "b2", Zone: zone, Address: address}})
+	reached := new(follow.Contact)
+	reached.NoteTold(clock.Now().Add(-contact), 1)
+	feed := follow.NewFeed(self, state, reached, func() bool { return false })
+	return &Front{state: state, feed: feed, logger: hclog.NewNullLogger()}
+}
+
+func readiness(m *Front) int {
+	answer := httptest.NewRecorder()
+	m.serveReady(answer, httptest.NewRequest(http.MethodGet, readyPath, nil))
+	return answer.Code
+}
+
+func TestANodeWhoseZoneIsCutOffIsNotReady(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = listener.Close() }()
+	gone, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = gone.Close()
+	const old = isolation.LookAfter + time.Second
+	for name, row := range map[string]struct {
+		address, zone string
+		contact       time.Duration
+		want          int
+	}{
+		"neither the store nor the other zone": {gone.Addr().String(), "b", old, http.StatusServiceUnavailable},
+		"the other zone is reached":            {listener.Addr().String(), "b", old, http.StatusOK},
+		"the store was reached just now":       {gone.Addr().String(), "b", 0, http.StatusOK},
+		"all nodes are in the node's own zone": {gone.Addr().String(), "a", old, http.StatusOK},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			m := frontOf(t, row.address, row.zone, row.contact)
+			m.isCutOff.Store(m.lookAround(t.Context()).CutOff())
+			g.Expect(readiness(m)).To(gomega.Equal(row.want))
+		})
+	}
+}
