Lease: a lessor that has ended does not speak for those before it

Found by reading: the next run of a former lessor's node bounds what that lessor granted, and the new lessor took the bound for all before it too. One that was cut off from the store two lessors ago may still grant for its right: two owners. Each record of a lessor tells now for how long grants of those before it may be in force; the newest record bounds them for a lessor that hears that the former one has ended, and for one whose own earlier run was the lessor.

--- a/gateway/duty/append.go
+++ b/gateway/duty/append.go
@@ -20,6 +20,7 @@
 	former  time.Duration  // for a claim: how long the former lessor's grants may be in force
 	doubt   time.Duration  // for a claim and with resigns: the same of grants without an answer
 	after   ranges.Lessor  // for a claim: the lessor before it, if that has not resigned
+	before  time.Duration  // for a claim: how long grants of lessors before that one may be in force
 	resigns bool           // it gives the lease up
 	held    time.Duration  // with resigns: how long what was granted may be in force
 	at      store.Offset
@@ -36,7 +37,7 @@
 
 func (d *Duty) append(ctx context.Context, p *pendingAppend) {
 	d.serial++
-	record, err := p.encode(d.Self, d.serial)
+	record, err := p.encode(d.Self, d.serial, d.formerHeld(p, clock.Now()))
 	if err != nil {
 		eventBadTable.Log(d.Logger, "cause", err)
 		return
@@ -47,17 +48,27 @@
 	go d.send(ctx, p)
 }
 
-func (p *pendingAppend) encode(self ranges.Lessor, serial uint64) (store.Record, error) {
+// formerHeld returns for how long grants of former lessors may be in force, for a record.
+func (d *Duty) formerHeld(p *pendingAppend, now time.Time) time.Duration {
+	if p.claim != nil {
+		return p.former
+	}
+	return d.allocator.FormerHeld(now)
+}
+
+func (p *pendingAppend) encode(self ranges.Lessor, serial uint64, formerHeld time.Duration) (store.Record, error) {
+	former := milliseconds(formerHeld)
 	table := p.claim
 	if p.change != nil {
 		table = p.change.Table
 	}
 	if table != nil {
 		table.Serial = serial
+		table.FormerMs = &former
 		text, err := json.Marshal(table)
 		return store.Record{Key: follow.TableKey, Value: text}, err
 	}
-	beat := follow.Heartbeat{Boot: self.Boot, Serial: serial, Resigned: p.resigns, HeldMs: milliseconds(p.held)}
+	beat := follow.Heartbeat{Boot: self.Boot, Serial: serial, FormerMs: &former, Resigned: p.resigns, HeldMs: milliseconds(p.held)}
 	if p.resigns {
 		doubt := milliseconds(p.doubt)
 		beat.DoubtMs = &doubt
--- a/gateway/duty/duty.go
+++ b/gateway/duty/duty.go
@@ -92,6 +92,7 @@
 	called       chan callResult
 	reported     chan formerReport
 	limiter      callLimiter
+	beforeUntil  time.Time       // until when grants of lessors before the former one may be in force
 	handingOff   *follow.HandOff // that is to be told; nil: none
 	handedOff    bool            // the next lessor has been told what was granted
 	nextChange   time.Time       // not before
@@ -276,9 +277,12 @@
 	next := table.Refenced(d.Self, ranges.Fence(d.end))
 	eventClaiming.Log(d.Logger, "offset", d.end, "formerLessor", table.Lessor.Node, "resigned", ownership.Resigned, "quietFor", clock.Since(ownership.MovedAt))
 	former := d.Timing.FormerHoldAfter(clock.Since(ownership.MovedAt))
-	p := &pendingAppend{claim: next, former: former, doubt: former, after: table.Lessor}
+	p := &pendingAppend{claim: next, former: former, doubt: former, after: table.Lessor, before: d.Timing.FormerHold()}
+	if ownership.KnowsFormer {
+		p.before = ownership.FormerHeld
+	}
 	if isEarlierRun(ownership, d.Self) {
-		ended := max(d.Timing.EndedHold()-clock.Since(d.StartedAt), 0)
+		ended := max(d.Timing.EndedHold()-clock.Since(d.StartedAt), p.before)
 		p.former, p.doubt = min(p.former, ended), min(p.doubt, ended)
 	}
 	if ownership.Resigned {
--- a/gateway/duty/handoff.go
+++ b/gateway/duty/handoff.go
@@ -46,7 +46,7 @@
 		return
 	}
 	if r.grants.HasEnded {
-		d.allocator.FormerEnded(r.at.Add(-r.grants.EndedFor))
+		d.allocator.FormerEnded(r.at.Add(-r.grants.EndedFor), d.beforeUntil)
 	} else {
 		d.allocator.LimitFormer(r.grants.Ranges, r.at)
 	}
--- a/gateway/duty/handoff_test.go
+++ b/gateway/duty/handoff_test.go
@@ -100,12 +100,15 @@
 
 func TestANewLessorWaitsNoLongerThanTheFormerOneTells(t *testing.T) {
 	told := ranges.Remaining{Service: "s", Span: ranges.Span{To: ranges.LastKey}, Held: time.Second}
+	ended := follow.FormerGrants{HasEnded: true, EndedFor: 4 * time.Second}
 	for name, row := range map[string]struct {
 		grants follow.FormerGrants
+		before time.Duration // for which grants of lessors before that one may be in force
 		want   time.Duration
 	}{
-		"it tells":              {follow.FormerGrants{Ranges: []ranges.Remaining{told}}, time.Second},
-		"its process has ended": {follow.FormerGrants{HasEnded: true, EndedFor: 4 * time.Second}, ranges.DefaultTiming().EndedHold() - 4*time.Second},
+		"it tells":                        {follow.FormerGrants{Ranges: []ranges.Remaining{told}}, 0, time.Second},
+		"its process has ended":           {ended, 0, ranges.DefaultTiming().EndedHold() - 4*time.Second},
+		"another one before it may go on": {ended, 9 * time.Second, 9 * time.Second},
 	} {
 		t.Run(name, func(t *testing.T) {
 			g := gomega.NewWithT(t)
@@ -114,6 +117,7 @@
 			d.Former = formerNode{row.grants}
 			d.askFormer(t.Context(), &pendingAppend{at: 7, after: ranges.Lessor{Node: "n2", Boot: "b2"}})
 			report := <-d.reported
+			d.beforeUntil = report.at.Add(row.before)
 			d.takeFormer(report)
 			g.Expect(d.allocator.Held(report.at)).To(gomega.Equal(row.want))
 		})
--- a/gateway/duty/outcome.go
+++ b/gateway/duty/outcome.go
@@ -78,6 +78,7 @@
 	eventLessor.Log(d.Logger, "offset", p.at, "formerHold", p.former)
 	d.allocator = ranges.NewAllocator(p.claim, d.Timing, p.former, now)
 	d.allocator.LimitDoubt(p.doubt, now)
+	d.beforeUntil = now.Add(p.before)
 	d.loads = ranges.NewLoads()
 	d.quota = quota.New()
 	d.leaseOffset, d.sharesSerial = p.at, 0
--- a/gateway/follow/ownership.go
+++ b/gateway/follow/ownership.go
@@ -24,6 +24,9 @@
 	HeldMs int64 `json:"heldMs,omitempty"`
 	// DoubtMs is the same of those grants that had no answer; nil: not told.
 	DoubtMs *int64 `json:"doubtMs,omitempty"`
+	// FormerMs is for how long grants of lessors before this one may be in force; nil: not
+	// told.
+	FormerMs *int64 `json:"formerMs,omitempty"`
 }
 
 // Ownership is the state of the ownership topic as of an offset. Its parts belong
@@ -36,10 +39,15 @@
 	Resigned bool         // the lessor gave its lease up
 	// Held is, with Resigned, for how long what the lessor granted may be in force
 	// after that record.
-	Held    time.Duration
-	Doubt   time.Duration // the same of grants without an answer
-	ReadAt  time.Time     // when the topic was read last
-	MovedAt time.Time     // when End was first seen
+	Held  time.Duration
+	Doubt time.Duration // the same of grants without an answer
+	// FormerHeld is for how long after the newest record grants of lessors before the
+	// present one may be in force; KnowsFormer: the record tells it.
+	FormerHeld  time.Duration
+	KnowsFormer bool
+	formerAt    store.Offset // of that record
+	ReadAt      time.Time    // when the topic was read last
+	MovedAt     time.Time    // when End was first seen
 
 	unreadable bool // the newest table cannot be understood
 }
@@ -89,6 +97,7 @@
 		}
 		o.Table = view.Table{Offset: record.Offset, Table: &table}
 		o.Resigned = false
+		o.takeFormer(record.Offset, table.FormerMs)
 	case HeartbeatKey:
 		var beat Heartbeat
 		if err := json.Unmarshal(record.Value, &beat); err != nil {
@@ -97,9 +106,23 @@
 		o.Resigned = beat.Resigned
 		o.Held = time.Duration(beat.HeldMs) * time.Millisecond
 		o.Doubt = o.Held
+		o.takeFormer(record.Offset, beat.FormerMs)
 		if beat.DoubtMs != nil {
 			o.Doubt = time.Duration(*beat.DoubtMs) * time.Millisecond
 		}
 	}
 	return nil
 }
+
+// takeFormer takes what a record tells of the lessors before the one that wrote it. Of a
+// snapshot's records the newest counts.
+func (o *Ownership) takeFormer(at store.Offset, told *int64) {
+	if at < o.formerAt {
+		return
+	}
+	o.formerAt = at
+	o.KnowsFormer = told != nil
+	if told != nil {
+		o.FormerHeld = time.Duration(*told) * time.Millisecond
+	}
+}
--- a/gateway/ranges/handoff.go
+++ b/gateway/ranges/handoff.go
@@ -54,9 +54,23 @@
 	k.serial++ // silent ranges end sooner
 }
 
-// FormerEnded takes that the former lessor's process had ended by a time.
-func (k *Allocator) FormerEnded(by time.Time) {
-	until := by.Add(k.timing.EndedHold())
+// FormerHeld returns for how long grants of former lessors may be in force. Each record of a
+// lessor tells it: one whose process has ended can no longer say what those before it granted,
+// and they may go on for their right.
+func (k *Allocator) FormerHeld(now time.Time) time.Duration {
+	held := time.Duration(0)
+	for _, leases := range k.leases {
+		for _, l := range leases {
+			held = max(held, l.formerUntil.Sub(now))
+		}
+	}
+	return held
+}
+
+// FormerEnded takes that the former lessor's process had ended by a time, and that grants of
+// those before it may be in force until another one.
+func (k *Allocator) FormerEnded(by, beforeUntil time.Time) {
+	until := clock.Later(by.Add(k.timing.EndedHold()), beforeUntil)
 	for _, leases := range k.leases {
 		for _, l := range leases {
 			l.limitFormer(until, until)
--- a/gateway/ranges/table.go
+++ b/gateway/ranges/table.go
@@ -82,6 +82,9 @@
 	Lessor   Lessor                            `json:"lessor"`
 	Services map[site.ServiceName][]Assignment `json:"services"`
 	Serial   uint64                            `json:"serial"` // tells the lessor's records apart
+	// FormerMs is for how long after the record grants of lessors before this one may be in
+	// force; nil: not told.
+	FormerMs *int64 `json:"formerMs,omitempty"`
 }
 
 // Owner returns the assignment that contains a key.
--- a/gateway/ranges/world_links_test.go
+++ b/gateway/ranges/world_links_test.go
@@ -33,12 +33,17 @@
 }
 
 // handOff has a new lessor ask the one before it. That one may not be reached, and does not
-// answer while it is paused.
-func (w *world) handOff(n *worldNode, former Lessor) {
+// answer while it is paused. A later process of its node tells that it has ended; what lessors
+// before it granted may be in force for the time before.
+func (w *world) handOff(n *worldNode, former Lessor, before time.Duration) {
 	if !w.links {
 		return
 	}
 	for _, other := range w.nodes {
+		if other.ended == former && former.Boot != "" && !w.now.Before(other.paused) && w.random.IntN(2) == 0 {
+			n.allocator.FormerEnded(other.endedAt, w.now.Add(before))
+			w.handOffs++
+		}
 		if other.allocator == nil || other.allocator.self != former || w.now.Before(other.paused) || w.random.IntN(2) == 0 {
 			continue
 		}
--- a/gateway/ranges/world_run_test.go
+++ b/gateway/ranges/world_run_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"flag"
+	"fmt"
 	"testing"
 	"time"
 
@@ -15,26 +16,37 @@
 
 func TestNoKeyHasTwoOwners(t *testing.T) {
 	t.Parallel()
+	for _, links := range []fullLinks{false, true} {
+		t.Run(fmt.Sprintf("full links %v", links), func(t *testing.T) {
+			t.Parallel()
+			playSoleOwners(t, links)
+		})
+	}
+}
+
+// playSoleOwners plays worlds and fails if a key has two owners in one of them, or if the
+// worlds were too quiet to tell.
+func playSoleOwners(t *testing.T, links fullLinks) {
 	moves, claims, starts, handOffs := uint64(0), uint64(0), uint64(0), uint64(0)
 	held := 0.0
 	for seed := range *worldSeeds {
-		for _, links := range []fullLinks{false, true} {
-			w := newWorld(seed, rules{}, links)
-			if fault := w.run(worldLength); fault != "" {
-				t.Fatalf("seed %d, full links %v: %s", seed, links, fault)
-			}
-			moves += uint64(w.moves)
-			claims += uint64(w.claims)
-			starts += uint64(w.starts)
-			handOffs += uint64(w.handOffs)
-			held += w.held() / float64(2**worldSeeds)
+		w := newWorld(seed, rules{}, links)
+		if fault := w.run(worldLength); fault != "" {
+			t.Fatalf("seed %d: %s", seed, fault)
 		}
+		moves += uint64(w.moves)
+		claims += uint64(w.claims)
+		starts += uint64(w.starts)
+		handOffs += uint64(w.handOffs)
+		held += w.held() / float64(*worldSeeds)
 	}
 	g := gomega.NewWithT(t)
 	g.Expect(moves).To(gomega.BeNumerically(">", *worldSeeds), "moves played")
 	g.Expect(claims).To(gomega.BeNumerically(">", 2**worldSeeds), "claims played")
 	g.Expect(starts).To(gomega.BeNumerically(">", 4**worldSeeds), "servers that started again")
-	g.Expect(handOffs).To(gomega.BeNumerically(">", *worldSeeds), "former lessors that told what they had granted")
+	if links {
+		g.Expect(handOffs).To(gomega.BeNumerically(">", *worldSeeds), "former lessors that told what they had granted")
+	}
 	g.Expect(held).To(gomega.BeNumerically(">", 0.5), "share of keys held at the end")
 }
 
--- a/gateway/ranges/world_test.go
+++ b/gateway/ranges/world_test.go
@@ -48,6 +48,7 @@
 	resigned bool
 	held     time.Duration // with resigned
 	doubt    time.Duration // with resigned
+	former   time.Duration // for which grants of lessors before the writer may be in force
 }
 
 type worldCall struct {
@@ -76,12 +77,15 @@
 	// chokedUntil is until when the node's own link is full, and linkDelay for how long
 	// bytes wait in it then. They leave it in the order in which they were written.
 	chokedUntil time.Time
-	linkDelay   time.Duration
-	leftLinkAt  time.Time // when the latest written bytes leave it
-	readAt      time.Time
-	readEnd     int
-	movedAt     time.Time
-	resignAt    time.Time // when it gives the lease up; zero: not
+	// ended is the lessor that an earlier process of the node was, which ended at endedAt.
+	ended      Lessor
+	endedAt    time.Time
+	linkDelay  time.Duration
+	leftLinkAt time.Time // when the latest written bytes leave it
+	readAt     time.Time
+	readEnd    int
+	movedAt    time.Time
+	resignAt   time.Time // when it gives the lease up; zero: not
 }
 
 func newWorld(seed uint64, r rules, links fullLinks) *world {
@@ -151,6 +155,10 @@
 			n.chokedUntil = w.span(6 * time.Second)
 			n.linkDelay = time.Duration(w.random.Int64N(int64(mostLinkDelay)))
 		}
+		if bool(w.links) && n.allocator != nil && w.chance(20*time.Second) {
+			n.ended, n.endedAt = n.allocator.self, w.now
+			n.allocator, n.resignAt = nil, time.Time{}
+		}
 		if n.allocator != nil && n.resignAt.IsZero() && w.chance(20*time.Second) {
 			n.resignAt = w.now
 		}
@@ -265,7 +273,7 @@
 		n.loads.Pace(s.ID, 200*time.Millisecond)
 	}
 	w.dropRules(n)
-	record := worldRecord{node: n.id}
+	record := worldRecord{node: n.id, former: n.allocator.FormerHeld(w.now)}
 	change := n.allocator.Plan(w.site(n), n.end, w.now)
 	w.moves += len(n.allocator.Moves())
 	switch {
@@ -359,16 +367,21 @@
 	}
 	at := Fence(len(w.records))
 	next := table.Refenced(Lessor{Boot: fmt.Sprint(n.id, at)}, at)
-	w.records = append(w.records, worldRecord{table: next, node: n.id})
+	before := time.Duration(0)
+	if len(w.records) > 0 {
+		before = w.records[len(w.records)-1].former
+	}
+	former := w.formerHold(resigned, w.now.Sub(n.movedAt))
+	w.records = append(w.records, worldRecord{table: next, node: n.id, former: former})
 	w.claims++
-	n.allocator = NewAllocator(next, w.timing, w.formerHold(resigned, w.now.Sub(n.movedAt)), w.now)
+	n.allocator = NewAllocator(next, w.timing, former, w.now)
 	if resigned {
 		n.allocator.LimitDoubt(w.records[len(w.records)-2].doubt, w.now) // before the claim
 	}
 	n.loads = NewLoads()
 	n.end = at + 1
 	n.confirmedAt = w.now
-	w.handOff(n, table.Lessor)
+	w.handOff(n, table.Lessor, before)
 }
 
 func (w *world) formerHold(resigned bool, quiet time.Duration) time.Duration {
@@ -378,7 +391,7 @@
 	case resigned && w.rules.noHeld:
 		return 0
 	case resigned:
-		return w.records[len(w.records)-2].held // before the claim
+		return w.records[len(w.records)-1].held
 	}
 	return w.timing.FormerHoldAfter(quiet)
 }
