Lease: a former lessor is asked until it answers

It is asked again every 0.5 s now, for as long as its grants may be in force, unless its node says that it knows nothing.

--- a/gateway/duty/handoff.go
+++ b/gateway/duty/handoff.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"github.com/burdockspindle/burdockspindle/clock"
@@ -22,15 +23,18 @@
 	at     time.Time // when it came
 }
 
+// askAgain is the pause after a former lessor did not answer: a node whose process was killed
+// starts again within a second or two, and then knows that it has ended.
+const askAgain = 500 * time.Millisecond
+
 // askFormer asks the lessor before this one's claim, unless that has resigned and told.
 func (d *Duty) askFormer(ctx context.Context, p *pendingAppend) {
 	if p.after.Boot == "" || p.after.Node == d.Self.Node || d.Former == nil {
 		return
 	}
 	go func() {
-		grants, err := d.Former.AskFormer(ctx, p.after, p.at)
-		if err != nil {
-			eventFormerSilent.Log(d.Logger, "former", p.after.Node, "offset", p.at, "cause", err)
+		grants, isKnown := d.awaitFormer(ctx, p)
+		if !isKnown {
 			return
 		}
 		select {
@@ -40,6 +44,25 @@
 	}()
 }
 
+// awaitFormer asks the former lessor until it answers, for as long as its grants may be in
+// force.
+func (d *Duty) awaitFormer(ctx context.Context, p *pendingAppend) (grants follow.FormerGrants, isKnown bool) {
+	end := clock.Now().Add(p.former)
+	for tries := 0; ; tries++ {
+		grants, err := d.Former.AskFormer(ctx, p.after, p.at)
+		if err == nil {
+			return grants, true
+		}
+		if tries == 0 {
+			eventFormerSilent.Log(d.Logger, "former", p.after.Node, "offset", p.at, "cause", err)
+		}
+		var unknown *follow.NotFormerLessorError
+		if errors.As(err, &unknown) || clock.Now().After(end) || !clock.Wait(ctx, askAgain) {
+			return follow.FormerGrants{}, false
+		}
+	}
+}
+
 // takeFormer takes what the former lessor granted.
 func (d *Duty) takeFormer(r formerReport) {
 	if d.allocator == nil || d.leaseOffset != r.claim {
--- a/gateway/duty/handoff_test.go
+++ b/gateway/duty/handoff_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"syscall"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -137,3 +139,44 @@
 	g.Expect(told.EndedFor).To(gomega.BeNumerically(">=", time.Second))
 	g.Expect(d.IsLessor()).To(gomega.BeTrue())
 }
+
+// startingNode is the node of a former lessor that was killed: nobody listens at first.
+type startingNode struct {
+	refusals int
+	err      error
+	asked    int
+}
+
+// AskFormer implements Former.
+func (s *startingNode) AskFormer(context.Context, ranges.Lessor, store.Offset) (follow.FormerGrants, error) {
+	s.asked++
+	if s.asked <= s.refusals {
+		return follow.FormerGrants{}, s.err
+	}
+	return follow.FormerGrants{HasEnded: true}, nil
+}
+
+func TestAFormerLessorIsAskedUntilItsNodeHasStartedAgain(t *testing.T) {
+	for name, row := range map[string]struct {
+		former startingNode
+		isTold bool
+		asked  int
+	}{
+		"it starts":           {startingNode{refusals: 3, err: syscall.ECONNREFUSED}, true, 4},
+		"it knows nothing":    {startingNode{refusals: 3, err: &follow.NotFormerLessorError{}}, false, 1},
+		"it is gone for good": {startingNode{refusals: 100, err: syscall.ECONNREFUSED}, false, 4},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := gomega.NewWithT(t)
+				d := New()
+				d.Logger = hclog.NewNullLogger()
+				former := row.former
+				d.Former = &former
+				_, isTold := d.awaitFormer(t.Context(), &pendingAppend{former: 3*askAgain - time.Millisecond})
+				g.Expect(isTold).To(gomega.Equal(row.isTold))
+				g.Expect(former.asked).To(gomega.Equal(row.asked))
+			})
+		})
+	}
+}
--- a/gateway/follow/handoff.go
+++ b/gateway/follow/handoff.go
@@ -71,6 +71,9 @@
 	transport := &http.Transport{DialContext: f.dial, DisableCompression: true, DisableKeepAlives: true}
 	client := bspbconnect.NewGatewayClient(&http.Client{Transport: transport}, "http://"+former.Address)
 	reply, err := client.HandOff(ctx, connect.NewRequest(&bspb.HandOffRequest{Node: former.Node, Boot: former.Boot, ClaimOffset: int64(claim)}))
+	if connect.CodeOf(err) == connect.CodeFailedPrecondition {
+		return FormerGrants{}, &NotFormerLessorError{Boot: former.Boot}
+	}
 	if err != nil {
 		return FormerGrants{}, err
 	}
