--- a/cli/explain.go
+++ b/cli/explain.go
@@ -144,7 +144,7 @@
 			fmt.Fprintf(&text, "  %s: %v\n", name, value)
 		}
 	}
-	steps, _ := line.All["steps"].(string)
+	steps := line.text("steps")
 	for step := range strings.SplitSeq(steps, "; ") {
 		if step != "" {
 			fmt.Fprintf(&text, "  step: %s\n", step)
@@ -183,7 +183,7 @@
 func mentions(steps string, before []logLine) []logLine {
 	var lines []logLine
 	for _, line := range before {
-		server, _ := line.All["server"].(string)
+		server := line.text("server")
 		if server != "" && strings.Contains(steps, server) {
 			lines = append(lines, line)
 		}
--- a/gateway/duty/append.go
+++ b/gateway/duty/append.go
@@ -57,7 +57,7 @@
 }
 
 func (p *pendingAppend) encode(self ranges.Lessor, serial uint64, formerHeld time.Duration) (store.Record, error) {
-	former := milliseconds(formerHeld)
+	former := follow.RoundUp(formerHeld)
 	table := p.claim
 	if p.change != nil {
 		table = p.change.Table
@@ -68,20 +68,15 @@
 		text, err := json.Marshal(table)
 		return store.Record{Key: follow.TableKey, Value: text}, err
 	}
-	beat := follow.Heartbeat{Boot: self.Boot, Serial: serial, FormerMs: &former, Resigned: p.resigns, HeldMs: milliseconds(p.held)}
+	beat := follow.Heartbeat{Boot: self.Boot, Serial: serial, FormerMs: &former, Resigned: p.resigns, HeldMs: follow.RoundUp(p.held)}
 	if p.resigns {
-		doubt := milliseconds(p.doubt)
+		doubt := follow.RoundUp(p.doubt)
 		beat.DoubtMs = &doubt
 	}
 	text, err := json.Marshal(beat)
 	return store.Record{Key: follow.HeartbeatKey, Value: text}, err
 }
 
-// milliseconds rounds up: what may be in force must not seem to end sooner.
-func milliseconds(d time.Duration) int64 {
-	return (d + time.Millisecond - 1).Milliseconds()
-}
-
 // send appends and, after a conflict, looks whose record stands at the offset:
 // an earlier try whose answer was lost may have succeeded.
 func (d *Duty) send(ctx context.Context, p *pendingAppend) {
--- a/gateway/duty/handoff.go
+++ b/gateway/duty/handoff.go
@@ -89,9 +89,7 @@
 		return
 	}
 	eventHandingOff.Log(d.Logger, "claim", asked.Claim, "confirmedAgo", clock.Since(d.confirmedAt))
-	if d.handingOff != nil {
-		close(d.handingOff.Reply)
-	}
+	d.endHandOff() // an earlier request
 	d.handingOff = asked
 	d.setLessor(false)
 }
@@ -109,7 +107,7 @@
 	}
 }
 
-// endHandOff ends a hand-off with the duty.
+// endHandOff ends a hand-off, without a reply if there was none yet.
 func (d *Duty) endHandOff() {
 	if d.handingOff != nil {
 		close(d.handingOff.Reply)
--- a/gateway/duty/resign_test.go
+++ b/gateway/duty/resign_test.go
@@ -6,7 +6,6 @@
 	"testing"
 	"time"
 
-	"github.com/hashicorp/go-hclog"
 	"github.com/onsi/gomega"
 
 	"github.com/burdockspindle/burdockspindle/clock"
@@ -58,12 +57,8 @@
 	g := gomega.NewWithT(t)
 	now := clock.Now()
 	servers := map[site.ServerID]site.Server{"a": {ID: "a", Service: "s"}}
-	owned := ranges.Assignment{Span: ranges.Span{To: ranges.LastKey}, Server: "a", Fence: 1}
-	table := &ranges.Table{Services: map[site.ServiceName][]ranges.Assignment{"s": {owned}}}
-	d := New()
-	d.Store, d.Logger, d.Timing = acceptingStore{}, hclog.NewNullLogger(), ranges.DefaultTiming()
-	d.allocator = ranges.NewAllocator(table, d.Timing, 0, now)
-	d.confirmedAt = now
+	d := lessorOf(now, 0)
+	d.Store = acceptingStore{}
 	d.resigning = make(chan struct{})
 	call := d.allocator.Calls(servers, d.lease(), now)[0]
 
--- a/gateway/follow/handoff.go
+++ b/gateway/follow/handoff.go
@@ -88,16 +88,17 @@
 			Service: string(r.Service),
 			From:    uint32(r.From),
 			To:      uint32(r.To),
-			HeldMs:  wholeMilliseconds(r.Held),
-			DoubtMs: wholeMilliseconds(r.Doubt),
+			HeldMs:  uint32(RoundUp(r.Held)),
+			DoubtMs: uint32(RoundUp(r.Doubt)),
 		})
 	}
 	return reply
 }
 
-// wholeMilliseconds rounds up: what may be in force must not seem to end sooner.
-func wholeMilliseconds(d time.Duration) uint32 {
-	return uint32((d + time.Millisecond - 1).Milliseconds())
+// RoundUp returns a time for which grants may be in force, in milliseconds. It rounds up: what
+// may be in force must not seem to end sooner.
+func RoundUp(d time.Duration) int64 {
+	return (d + time.Millisecond - 1).Milliseconds()
 }
 
 func grantsOf(reply *bspb.HandOffReply) FormerGrants {
--- a/gateway/ranges/allocator.go
+++ b/gateway/ranges/allocator.go
@@ -86,7 +86,7 @@
 
 // FormerHold returns for how long what a former lessor granted may be in force
 // after a claim: for its right and a hold.
-func (t Timing) FormerHold() time.Duration { return t.Right + t.lapse(t.Hold) }
+func (t Timing) FormerHold() time.Duration { return t.Right + t.EndedHold() }
 
 // EndedHold returns for how long what a lessor granted may be in force after its process has
 // ended.
--- a/gateway/ranges/allocator_test.go
+++ b/gateway/ranges/allocator_test.go
@@ -62,9 +62,14 @@
 // owned returns a lessor whose server a has been lost after it owned all keys.
 func owned(t *testing.T) (*Allocator, Site) {
 	t.Helper()
+	return ownedAfter(DefaultTiming().FormerHold())
+}
+
+// ownedAfter is owned with a time for which grants of the former lessor may be in force.
+func ownedAfter(formerHold time.Duration) (*Allocator, Site) {
 	table := &Table{Services: map[site.ServiceName][]Assignment{worldService: {{Span: Span{To: LastKey}, Server: "a", Fence: 1}}}}
 	s := keyedSite(site.Server{ID: "a", Slots: 4, Address: "x"}, site.Server{ID: "b", Slots: 4, Address: "y"})
-	return NewAllocator(table, DefaultTiming(), DefaultTiming().FormerHold(), allocatorStart), s
+	return NewAllocator(table, DefaultTiming(), formerHold, allocatorStart), s
 }
 
 // restartable is owned with servers that tell their starts.
--- a/gateway/ranges/flight_test.go
+++ b/gateway/ranges/flight_test.go
@@ -5,8 +5,6 @@
 	"time"
 
 	"github.com/onsi/gomega"
-
-	"github.com/burdockspindle/burdockspindle/gateway/site"
 )
 
 // Bytes that a lessor wrote to an owner wait in the lessor's own link, which is full: the
@@ -30,9 +28,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			g := gomega.NewWithT(t)
-			table := &Table{Services: map[site.ServiceName][]Assignment{worldService: {{Span: Span{To: LastKey}, Server: "a", Fence: 1}}}}
-			s := keyedSite(site.Server{ID: "a", Slots: 4, Address: "x"}, site.Server{ID: "b", Slots: 4, Address: "y"})
-			k := NewAllocator(table, timing, 0, allocatorStart)
+			k, s := ownedAfter(0)
 			call := k.Calls(s.Servers, Lease{ConfirmedAt: allocatorStart}, allocatorStart)[0]
 			g.Expect(k.leases[worldService][0].held()).To(gomega.Equal(allocatorStart.Add(timing.lapse(timing.Hold))), "it goes on")
 			k.Done(call, row.result, ended)
--- a/gateway/upstream/conn.go
+++ b/gateway/upstream/conn.go
@@ -32,8 +32,7 @@
 	// settleTime is how long a new connection is watched before a request goes out
 	// on it. A server at its limit of connections resets one as it accepts it, within
 	// about a millisecond; a request that was already sent then may have run for all
-	// that the node knows, and must not be refused or sent again freely. At 87 nodes
-	// 2,233 requests of 115,000 ended so on a day of high load.
+	// that the node knows, and must not be refused or sent again freely.
 	settleTime = 3 * time.Millisecond
 )
 
