Lessor: the state dump names the former lessors that a term waits for

Cause: a dump of keys that are not served said "basis other, settled false" and no more. It could not tell apart a former lessor that is never asked, one whose answer is lost, answers of lessors that were not settled, and a list of earlier terms that is too short. Change: a lessor with unsettled shards lists the earlier terms that it knows, the runs of each, the age of their answers and the latest term by which they were settled; every member tells its own and the age of the term in force.

--- a/lessor/dump.go
+++ b/lessor/dump.go
@@ -10,30 +10,49 @@
 
 // Dump describes a member for the state dump.
 type Dump struct {
-	Group      topo.GroupID  `json:"group"`
-	Role       string        `json:"role"`
-	Term       string        `json:"term"`
-	OffLog     bool          `json:"offLog"`
-	Mode       string        `json:"mode"`
-	ModeAsked  string        `json:"modeAsked"`
-	ModeAcked  bool          `json:"modeAcked"`
-	ModeRound  uint64        `json:"modeRound"`
-	Basis      string        `json:"basis"`
-	Settled    bool          `json:"settled"`
-	ContactAge string        `json:"contactAge"`
-	PromiseAge string        `json:"promiseAge"`
-	Claiming   bool          `json:"claiming"`
-	Undecided  []string      `json:"undecided,omitempty"`
-	Activated  []string      `json:"activated,omitempty"`
-	Moves      int           `json:"moves"`
-	Servers    []ServerDump  `json:"servers,omitempty"`
-	Standing   StandingDump  `json:"standing,omitempty"`
-	Watched    []topo.NodeID `json:"watched,omitempty"`
-	Unsettled  []string      `json:"unsettled,omitempty"`
-	Needs      []string      `json:"needs,omitempty"`
-	Applied    topo.Offset   `json:"applied"`
-	Standby    topo.NodeID   `json:"standby"`
-	Place      int           `json:"place"`
+	Group     topo.GroupID `json:"group"`
+	Role      string       `json:"role"`
+	Term      string       `json:"term"`
+	OffLog    bool         `json:"offLog"`
+	Mode      string       `json:"mode"`
+	ModeAsked string       `json:"modeAsked"`
+	ModeAcked bool         `json:"modeAcked"`
+	ModeRound uint64       `json:"modeRound"`
+	Basis     string       `json:"basis"`
+	Settled   bool         `json:"settled"`
+	// SettledTerm is the latest term by which this run was a settled lessor.
+	SettledTerm string        `json:"settledTerm"`
+	TermAge     string        `json:"termAge"` // since the term in force was first seen
+	Former      []FormerDump  `json:"former,omitempty"`
+	ContactAge  string        `json:"contactAge"`
+	PromiseAge  string        `json:"promiseAge"`
+	Claiming    bool          `json:"claiming"`
+	Undecided   []string      `json:"undecided,omitempty"`
+	Activated   []string      `json:"activated,omitempty"`
+	Moves       int           `json:"moves"`
+	Servers     []ServerDump  `json:"servers,omitempty"`
+	Standing    StandingDump  `json:"standing,omitempty"`
+	Watched     []topo.NodeID `json:"watched,omitempty"`
+	Unsettled   []string      `json:"unsettled,omitempty"`
+	Needs       []string      `json:"needs,omitempty"`
+	Applied     topo.Offset   `json:"applied"`
+	Standby     topo.NodeID   `json:"standby"`
+	Place       int           `json:"place"`
+}
+
+// FormerDump describes an earlier term whose lessors may still renew leases, as
+// far as a lessor that has not settled knows.
+type FormerDump struct {
+	Term    string   `json:"term"`
+	Lessor  WordDump `json:"lessor"`
+	Standby WordDump `json:"standby"`
+}
+
+// WordDump describes what a former lessor or standby lessor has answered.
+type WordDump struct {
+	Run         string `json:"run"` // node and boot ID
+	Age         string `json:"age"` // of its answer; "never" without one
+	SettledTerm string `json:"settledTerm,omitempty"`
 }
 
 // ServerDump describes one server of a lessor's group.
@@ -62,30 +81,33 @@
 // Dump returns the member's state as of now.
 func (m *Member) Dump(now time.Duration) Dump {
 	d := Dump{
-		Group:      m.cfg.Group,
-		Role:       m.role.String(),
-		Term:       m.term.String(),
-		OffLog:     m.offLog,
-		Mode:       m.right.mode.String(),
-		ModeAsked:  m.right.asked.String(),
-		ModeAcked:  m.right.acked,
-		ModeRound:  m.right.round,
-		Basis:      m.takeover.basis.String(),
-		Settled:    m.termSettled(),
-		ContactAge: m.contact.age(now),
-		PromiseAge: m.right.promise.age(now),
-		Claiming:   m.claim.pending(),
-		Undecided:  texts(m.undecided()),
-		Activated:  texts(slices.SortedFunc(maps.Keys(m.activated), compareShards)),
-		Moves:      len(m.moves),
-		Watched:    slices.Sorted(maps.Keys(m.watch.nodes)),
-		Needs:      texts(slices.SortedFunc(maps.Keys(m.needs), compareShards)),
-		Applied:    m.facts.Applied,
-		Standby:    m.facts.Group.Standby,
-		Place:      m.place,
+		Group:       m.cfg.Group,
+		Role:        m.role.String(),
+		Term:        m.term.String(),
+		OffLog:      m.offLog,
+		Mode:        m.right.mode.String(),
+		ModeAsked:   m.right.asked.String(),
+		ModeAcked:   m.right.acked,
+		ModeRound:   m.right.round,
+		Basis:       m.takeover.basis.String(),
+		Settled:     m.termSettled(),
+		SettledTerm: m.settledTerm.String(),
+		TermAge:     m.seen.age(now),
+		ContactAge:  m.contact.age(now),
+		PromiseAge:  m.right.promise.age(now),
+		Claiming:    m.claim.pending(),
+		Undecided:   texts(m.undecided()),
+		Activated:   texts(slices.SortedFunc(maps.Keys(m.activated), compareShards)),
+		Moves:       len(m.moves),
+		Watched:     slices.Sorted(maps.Keys(m.watch.nodes)),
+		Needs:       texts(slices.SortedFunc(maps.Keys(m.needs), compareShards)),
+		Applied:     m.facts.Applied,
+		Standby:     m.facts.Group.Standby,
+		Place:       m.place,
 	}
 	if m.role == RoleLessor {
 		d.Unsettled = texts(m.unsettled())
+		d.Former = m.dumpFormer(now)
 		d.Servers = m.dumpServers(now)
 	}
 	if m.role == RoleStandby {
@@ -104,6 +126,33 @@
 	return list
 }
 
+// dumpFormer lists the earlier terms, the latest first, while any shard waits for
+// their lessors.
+func (m *Member) dumpFormer(now time.Duration) []FormerDump {
+	var list []FormerDump
+	if !m.settling {
+		return list
+	}
+	f := &m.takeover.former
+	for _, t := range f.terms {
+		list = append(list, FormerDump{
+			Term:    t.term.String(),
+			Lessor:  f.dumpWord(t.lessor, now),
+			Standby: f.dumpWord(t.standby, now),
+		})
+	}
+	return list
+}
+
+func (f *former) dumpWord(run Run, now time.Duration) WordDump {
+	d := WordDump{Run: string(run.Node) + "/" + string(run.Boot), Age: moment{}.age(now)}
+	if w, said := f.word(run); said {
+		d.Age = momentAt(w.at).age(now)
+		d.SettledTerm = w.settled.String()
+	}
+	return d
+}
+
 func (m *Member) dumpServers(now time.Duration) []ServerDump {
 	var list []ServerDump
 	for _, id := range slices.Sorted(maps.Keys(m.servers)) {
