Lessor: a node that was found silent is not named standby lessor while others answer

What callers saw: nothing until the log fails; then the leases of the whole group end with the log, since no standby lessor promises anything. Cause: a claimant names the next node in turn except the lessor before it, also where it claims because the standby lessor is silent too; a lessor whose standby lessor is silent excludes that one only. With two lost nodes first in turn it named the one, then the other, after 1.75 s, 3.5 s, 7 s and so on. Evidence: found while a test of claims in turn was written: a3 named a1, a2, a1, a2 in the terms 12 to 15, both lost. Ruled out: nodes that the log lists as lost (they are left out already). Change: a member remembers the runs that it found silent, by probes or as its standby lessor, until it hears them again, and prefers the others. Conclusion: it also lets the wait for lost former lessors end, as they are no longer named in each new term.

--- a/experiment/engine/lessors.go
+++ b/experiment/engine/lessors.go
@@ -210,7 +210,7 @@
 }
 
 func (m *groupMember) claim() {
-	claim, number, allowed := m.member.BeginClaim()
+	claim, number, allowed := m.member.BeginClaim(m.now())
 	if !allowed {
 		return
 	}
--- a/lessor/claim.go
+++ b/lessor/claim.go
@@ -1,6 +1,8 @@
 package lessor
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"github.com/burdockspindle/burdockspindle/state"
@@ -38,13 +40,18 @@
 	if m.offLog {
 		return true
 	}
-	silence := now - max(m.seen.at, m.beats.answered.at)
+	silence := m.standbySilence(now)
 	if m.right.mode == ModeDisconnected {
 		return silence >= m.cfg.SuspectAfter
 	}
 	patience := standbyPatience * m.cfg.SuspectAfter << min(m.claim.repeated, maxPatienceDoublings)
 	lost := m.standbyRun().Node == "" || m.facts.StandbyGone || silence >= patience
-	return lost && m.chooseStandby().Node != ""
+	return (lost || m.returnDue(now)) && m.chooseStandby().Node != ""
+}
+
+// standbySilence is how long the standby lessor has promised nothing.
+func (m *Member) standbySilence(now time.Duration) time.Duration {
+	return now - max(m.seen.at, m.beats.answered.at)
 }
 
 // takeoverDue reports whether the standby lessor should take over: it was asked
@@ -144,15 +151,21 @@
 // BeginClaim returns the claim to write to the log, and the number by which its
 // fate is told. From now until its fate is known, a standby lessor gives no
 // promise.
-func (m *Member) BeginClaim() (Claim, uint64, bool) {
+func (m *Member) BeginClaim(now time.Duration) (Claim, uint64, bool) {
 	if m.claim.inFlight || !m.observed {
 		return Claim{}, 0, false
 	}
 	m.claim.number++
 	m.claim.inFlight = true
 	m.claim.expected = m.facts.Group.Term
+	if m.returnDue(now) {
+		m.claim.returned = momentAt(now)
+	}
 	if m.role == RoleLessor && !m.offLog {
 		m.claim.repeated++
+		if m.standbySilence(now) >= m.cfg.SuspectAfter {
+			m.noteSilent(m.facts.Group.Standby)
+		}
 	}
 	claim := Claim{Expected: m.facts.Group.Term, Standby: m.chooseStandby()}
 	if m.offLog {
@@ -185,8 +198,9 @@
 	m.claim.again = momentAt(now + m.cfg.RetryAfter)
 }
 
-// chooseStandby returns the standby lessor to name: the next in turn that has
-// not been found silent. Its node is empty if there is none.
+// chooseStandby returns the standby lessor to name: the next in turn among those
+// that have not been found silent, else the one whose silence was noticed first. Its
+// node is empty if there is none.
 func (m *Member) chooseStandby() Run {
 	nodes := m.facts.Nodes
 	group := m.facts.Group
@@ -204,7 +218,9 @@
 		return Run{}
 	}
 	m.order(list)
-	return Run{Node: list[0].ID, Boot: list[0].Boot}
+	rank := func(n state.Node) int { return m.silentRuns.rank(runOfNode(n)) }
+	best := slices.MinFunc(list, func(a, b state.Node) int { return cmp.Compare(rank(a), rank(b)) })
+	return Run{Node: best.ID, Boot: best.Boot}
 }
 
 // cutOff reports whether every server of the group has stopped answering this
@@ -224,18 +240,3 @@
 	}
 	return silent > 1 && m.right.promise.fresher(now, m.cfg.Lease.TTL)
 }
-
-// givesBack reports whether a lessor of another zone should hand the group to
-// the standby lessor of the group's own zone.
-func (m *Member) givesBack(now time.Duration) bool {
-	if !m.isOutsider() || !m.termSettled() {
-		return false
-	}
-	standby := m.standbyRun()
-	for _, n := range m.facts.Nodes {
-		if n.ID == standby.Node && n.Zone == m.cfg.Group.Zone() {
-			return m.right.promise.fresher(now, m.cfg.Lease.TTL)
-		}
-	}
-	return false
-}
--- /dev/null
+++ b/lessor/giveback.go
@@ -0,0 +1,65 @@
+package lessor
+
+import (
+	"slices"
+	"time"
+
+	"github.com/burdockspindle/burdockspindle/state"
+)
+
+// A lessor of another zone, which took a group over because the nodes of the
+// group's zone were silent, gives it back through a standby lessor of that zone:
+// it names one once one answers, and then asks it to take over.
+
+// givesBack reports whether a lessor of another zone should hand the group to
+// the standby lessor of the group's own zone.
+func (m *Member) givesBack(now time.Duration) bool {
+	return m.isOutsider() && m.termSettled() && m.standbyInside() && m.right.promise.fresher(now, m.cfg.Lease.TTL)
+}
+
+// returnDue reports whether a lessor of another zone should name a standby lessor
+// of the group's own zone, since a node of it answers again.
+func (m *Member) returnDue(now time.Duration) bool {
+	if !m.awaitsReturn() || m.claim.returned.fresher(now, outsiderPause) {
+		return false
+	}
+	return slices.ContainsFunc(m.nodesInside(), func(n state.Node) bool { return m.silentRuns.rank(runOfNode(n)) == 0 })
+}
+
+// planReturn asks the zone's silent nodes for signs of life.
+func (m *Member) planReturn(now time.Duration, actions []Action) []Action {
+	if !m.awaitsReturn() {
+		return actions
+	}
+	for _, n := range m.nodesInside() {
+		if m.silentRuns.rank(runOfNode(n)) > 0 {
+			actions = m.planProbe(now, n.ID, m.cfg.StandInAfter, actions)
+		}
+	}
+	return actions
+}
+
+// awaitsReturn reports whether this is a settled lessor of another zone with a
+// standby lessor that is of another zone too.
+func (m *Member) awaitsReturn() bool {
+	return m.role == RoleLessor && !m.offLog && m.isOutsider() && m.termSettled() && !m.standbyInside()
+}
+
+func (m *Member) standbyInside() bool {
+	standby := m.standbyRun()
+	return slices.ContainsFunc(m.nodesInside(), func(n state.Node) bool { return n.ID == standby.Node })
+}
+
+// nodesInside lists the nodes of the group's zone by their turn.
+func (m *Member) nodesInside() []state.Node {
+	var list []state.Node
+	for _, n := range m.facts.Nodes {
+		if n.Zone == m.cfg.Group.Zone() {
+			list = append(list, n)
+		}
+	}
+	m.order(list)
+	return list
+}
+
+func runOfNode(n state.Node) Run { return Run{Node: n.ID, Boot: n.Boot} }
--- a/lessor/heartbeat.go
+++ b/lessor/heartbeat.go
@@ -74,6 +74,7 @@
 		return
 	}
 	delete(m.beats.sent, reply.Round)
+	m.silentRuns = m.silentRuns.without(reply.From)
 	m.formerSaid(now, reply)
 	m.advance(now)
 	if reply.From != m.standbyRun() {
--- a/lessor/member.go
+++ b/lessor/member.go
@@ -57,9 +57,10 @@
 	settledTerm topo.Term
 	draining    bool // this process is leaving
 
-	standing standing
-	claim    claimState
-	watch    watch
+	standing   standing
+	claim      claimState
+	watch      watch
+	silentRuns silentRuns
 
 	// What follows is a lessor's.
 	right     right
@@ -83,6 +84,7 @@
 	expected topo.Term
 	again    moment // not before
 	repeated int    // claims in a row by which a lessor named another standby lessor
+	returned moment // latest one that named a standby lessor of the group's zone again
 }
 
 // pending reports whether a claim may take effect.
@@ -198,7 +200,7 @@
 	default:
 		m.stepDown()
 	}
-	m.claim = claimState{number: m.claim.number, again: m.claim.again, repeated: m.claim.repeated}
+	m.claim = claimState{number: m.claim.number, again: m.claim.again, repeated: m.claim.repeated, returned: m.claim.returned}
 }
 
 // stepDown gives up whatever this node was in the group.
--- a/lessor/plan.go
+++ b/lessor/plan.go
@@ -38,6 +38,7 @@
 		actions = append(actions, SendHeartbeat{To: m.standbyRun().Node})
 	}
 	actions = m.planAsks(now, actions)
+	actions = m.planReturn(now, actions)
 	actions = m.planServers(now, actions)
 	actions = m.planActivations(now, actions)
 	if m.maySubmit(now) {
--- a/lessor/rest_test.go
+++ b/lessor/rest_test.go
@@ -98,7 +98,7 @@
 			m.ProbeFailed(a.Node)
 		}
 	case ClaimTerm:
-		if _, number, allowed := m.BeginClaim(); allowed {
+		if _, number, allowed := m.BeginClaim(now); allowed {
 			m.ClaimFailed(now, number, rapid.Bool().Draw(t, "unknown"))
 		}
 	}
--- a/lessor/search_key_test.go
+++ b/lessor/search_key_test.go
@@ -98,6 +98,9 @@
 	k.flag(m.claim.inFlight)
 	k.flag(m.claim.awaited)
 	k.ordinal(m.settledTerm.Ordinal)
+	for _, run := range m.silentRuns {
+		k.text(string(run.Boot))
+	}
 	if m.role == RoleStandby && !k.powerless(m.term.Standby()) {
 		k.standing(m)
 	}
--- a/lessor/search_test.go
+++ b/lessor/search_test.go
@@ -100,7 +100,7 @@
 	}
 	if e.from.b.delayed && e.from.held == nil && e.from.log.claims < e.from.b.claims {
 		e.try(name+" claims, record held back", func(w *world) bool {
-			claim, _, allowed := w.member(node).BeginClaim()
+			claim, _, allowed := w.member(node).BeginClaim(w.clock(node))
 			w.held = &message{kind: "record", node: node, record: record{node: node, claim: &claim, self: w.runOf(node)}}
 			return allowed
 		})
--- a/lessor/search_world_test.go
+++ b/lessor/search_world_test.go
@@ -357,7 +357,7 @@
 
 // claim begins a claim and appends it, unless it is held back.
 func (w *world) claim(node int) bool {
-	claim, _, allowed := w.member(node).BeginClaim()
+	claim, _, allowed := w.member(node).BeginClaim(w.clock(node))
 	if !allowed {
 		return false
 	}
--- a/lessor/standing.go
+++ b/lessor/standing.go
@@ -35,6 +35,7 @@
 
 // HeartbeatReceived takes a heartbeat of the lessor and returns the answer.
 func (m *Member) HeartbeatReceived(now time.Duration, req Heartbeat) HeartbeatReply {
+	m.silentRuns = m.silentRuns.without(req.From)
 	reply := HeartbeatReply{
 		From:        m.self(),
 		Term:        req.Term,
--- a/lessor/walk_test.go
+++ b/lessor/walk_test.go
@@ -163,7 +163,7 @@
 		w.probe(node, a.Node)
 	case ClaimTerm:
 		w.write(node, func() (record, bool) {
-			claim, _, allowed := m.BeginClaim()
+			claim, _, allowed := m.BeginClaim(now)
 			return record{node: node, claim: &claim, self: m.self()}, allowed
 		})
 	case Submit:
--- a/lessor/watch.go
+++ b/lessor/watch.go
@@ -105,12 +105,8 @@
 func (m *Member) ProbeAnswered(now time.Duration, run Run) {
 	known := m.watch.node(run.Node)
 	known.inFlight = false
-	group := m.facts.Group
-	expected := Run{Node: group.Lessor, Boot: group.LessorBoot}
-	if run.Node == group.Standby {
-		expected = m.standbyRun()
-	}
-	if run != expected {
+	m.silentRuns = m.silentRuns.without(run)
+	if run != m.namedRun(run.Node) {
 		known.replaced = momentAt(now)
 		return
 	}
@@ -123,6 +119,29 @@
 	known := m.watch.node(id)
 	known.inFlight = false
 	known.failures++
+	if known.failures >= probeFailures {
+		m.noteSilent(id)
+	}
+}
+
+// noteSilent notes that the run of a node that the group names is silent.
+func (m *Member) noteSilent(id topo.NodeID) {
+	if run := m.namedRun(id); run.Node != "" {
+		m.silentRuns = m.silentRuns.with(run)
+	}
+}
+
+// namedRun returns the run of a node that the group names, of no node if it does
+// not name the node.
+func (m *Member) namedRun(id topo.NodeID) Run {
+	group := m.facts.Group
+	switch id {
+	case group.Standby:
+		return m.standbyRun()
+	case group.Lessor:
+		return Run{Node: group.Lessor, Boot: group.LessorBoot}
+	}
+	return Run{}
 }
 
 // isOutsider reports whether this node is not of the group's zone.
--- a/modules/lessor/actions.go
+++ b/modules/lessor/actions.go
@@ -120,7 +120,7 @@
 
 // claim writes a claim of the group's next term.
 func (w *worker) claim(ctx context.Context) {
-	claim, number, allowed := w.member.BeginClaim()
+	claim, number, allowed := w.member.BeginClaim(w.module.now())
 	if !allowed {
 		return
 	}
