Lessor: the wait for a silent former lessor is counted from when its term was superseded

Cause: a claimant counted the wait for former lessors that say nothing from its own claim, so each claim began it anew. Ruled out: words that are missing (both runs are gone for good, the wait is right). Change: each member keeps when it first saw that the latest term of each listed former run was no longer in force; the limit counts from there. A log read that proved such a run up to date began before that, so its contact is no younger. Runs that the list has lost count from when the list first began after them. Conclusion: a wait ends after its length, whoever claims meanwhile.

--- a/lessor/former.go
+++ b/lessor/former.go
@@ -21,9 +21,10 @@
 	since topo.Offset
 	// settled is the latest term known to be settled: every lease of terms before
 	// it has ended.
-	settled topo.Offset
-	said    []word
-	asked   moment // latest question
+	settled    topo.Offset
+	superseded supersessions
+	said       []word
+	asked      moment // latest question
 }
 
 // word is what one run said, or this run knows of itself.
@@ -39,7 +40,7 @@
 // was has ended.
 func (m *Member) formerOf(now time.Duration) former {
 	group := m.facts.Group
-	f := former{since: group.Term.Offset, settled: group.HeldSince}
+	f := former{since: group.Term.Offset, settled: group.HeldSince, superseded: m.superseded}
 	if group.Former != nil {
 		f.runs, f.since = group.Former.Runs, group.Former.Since
 	}
@@ -96,26 +97,38 @@
 // the list.
 func (f *former) complete(r rules) bool { return f.settled >= f.since || r.noComplete }
 
-// ended returns when the right of all former lessors had surely ended by their
-// own words; never if one of them is missing.
-func (f *former) ended(r rules) moment {
+// rightEnd returns when the right of all former lessors to renew leases has surely
+// ended: by their own words, or silence after their latest terms were superseded;
+// never if one of them may go on without limit.
+func (f *former) rightEnd(silence limit, r rules) moment {
 	var end moment
 	if !f.complete(r) {
-		return end
+		end = silence.endAfter(f.superseded.unlisted)
+		if !end.set {
+			return end
+		}
 	}
 	for _, needed := range f.needed(r) {
-		w, said := f.word(runOf(needed))
-		switch {
-		case said:
-			end = end.later(momentAt(w.at))
-		case r.noStandbyWord && needed.Led.Offset < f.settled:
-		default:
-			return moment{}
+		one := f.rightEndOf(needed, silence, r)
+		if !one.set {
+			return one
 		}
+		end = end.later(one)
 	}
 	return end
 }
 
+func (f *former) rightEndOf(needed state.FormerRun, silence limit, r rules) moment {
+	w, said := f.word(runOf(needed))
+	switch {
+	case said:
+		return momentAt(w.at)
+	case r.noStandbyWord && needed.Led.Offset < f.settled:
+		return momentAt(0)
+	}
+	return silence.endAfter(f.superseded.at(needed))
+}
+
 // asks lists the nodes whose words are missing.
 func (f *former) asks(self Run) []topo.NodeID {
 	var nodes []topo.NodeID
--- a/lessor/former_test.go
+++ b/lessor/former_test.go
@@ -65,7 +65,7 @@
 			for _, w := range row.words {
 				f.note(w)
 			}
-			g.Expect(f.ended(rules{})).To(gomega.Equal(row.ended))
+			g.Expect(f.rightEnd(limit{forever: true}, rules{})).To(gomega.Equal(row.ended))
 			g.Expect(f.asks(Run{Node: "a", Boot: "a-1"})).To(gomega.Equal(row.asks))
 		})
 	}
@@ -82,7 +82,7 @@
 	f.note(word{run: lessor, at: 5})
 	f.note(word{run: Run{Node: "x", Boot: "1"}, at: 5})
 	g.Expect(f).To(gomega.Equal(copied))
-	g.Expect(f.ended(rules{})).To(gomega.Equal(momentAt(1)))
+	g.Expect(f.rightEnd(limit{forever: true}, rules{})).To(gomega.Equal(momentAt(1)))
 }
 
 // A run that has become the lessor of a later term and settled says nothing of the
--- a/lessor/member.go
+++ b/lessor/member.go
@@ -45,6 +45,8 @@
 	contact  moment // when the latest log read began that proved Facts up to date
 	logFails moment // since when log reads fail
 	seen     moment // when the term in force was first seen
+	// superseded tells since when the former runs' terms are known to have ended.
+	superseded supersessions
 	// lessorGone and standbyGone are when the facts first said so in this term.
 	lessorGone  moment
 	standbyGone moment
@@ -186,6 +188,11 @@
 
 // termChanged takes up this node's part in the term that is new in force.
 func (m *Member) termChanged(now time.Duration, before state.Group) {
+	supersededAt := now
+	if m.rules.noSupersession {
+		supersededAt = m.seen.at
+	}
+	m.superseded = m.superseded.next(supersededAt, m.facts.Group)
 	m.seen = momentAt(now)
 	m.lessorGone, m.standbyGone = moment{}, moment{}
 	m.watch = m.watch.next(now, m.role == RoleLessor && m.isOutsider())
--- a/lessor/moment.go
+++ b/lessor/moment.go
@@ -24,6 +24,14 @@
 	return m
 }
 
+// earlier returns the earlier of two moments; never is the latest.
+func (m moment) earlier(other moment) moment {
+	if !m.set || (other.set && other.at < m.at) {
+		return other
+	}
+	return m
+}
+
 // passed reports whether the moment has been reached; never is not.
 func (m moment) passed(now time.Duration) bool { return m.set && now >= m.at }
 
--- a/lessor/rules.go
+++ b/lessor/rules.go
@@ -19,6 +19,9 @@
 	noStandbyWord bool
 	// noComplete: former lessors' words count although some are not known.
 	noComplete bool
+	// noSupersession: the wait for a silent former run is counted from when its
+	// term was first seen, not from when it was superseded.
+	noSupersession bool
 	// noActivation: a standby server that says that it was never activated
 	// settles a shard as one that was.
 	noActivation bool
--- a/lessor/search_key_test.go
+++ b/lessor/search_key_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -101,6 +102,9 @@
 	for _, run := range m.silentRuns {
 		k.text(string(run.Boot))
 	}
+	if k.mayTakeOver(i) {
+		k.superseded(m)
+	}
 	if m.role == RoleStandby && !k.powerless(m.term.Standby()) {
 		k.standing(m)
 	}
@@ -109,6 +113,27 @@
 	}
 }
 
+// mayTakeOver reports whether a node has to wait for former lessors, or may come to.
+func (k *keyWriter) mayTakeOver(node int) bool {
+	m := k.w.nodes[node].member
+	if m.asksForAcknowledgement() || m.claim.pending() || k.w.held != nil {
+		return true
+	}
+	return k.w.log.claims < k.w.b.claims && strings.Contains(k.w.b.claimers, string(nodeNames[node]))
+}
+
+// superseded writes since when former runs' terms are known to have ended.
+func (k *keyWriter) superseded(m *Member) {
+	most := max(k.w.b.ttl, k.w.b.limit) + k.w.b.ttl
+	k.age(momentAt(m.superseded.unlisted), most)
+	if m.facts.Group.Former == nil {
+		return
+	}
+	for _, run := range m.facts.Group.Former.Runs {
+		k.age(momentAt(m.superseded.at(run)), most)
+	}
+}
+
 // spent reports whether a lessor has no right to renew, and can get none but by
 // a promise that its standby lessor will never give again.
 func (k *keyWriter) spent(m *Member) bool {
--- /dev/null
+++ b/lessor/superseded_test.go
@@ -0,0 +1,59 @@
+package lessor
+
+import (
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"github.com/burdockspindle/burdockspindle/state"
+	"github.com/burdockspindle/burdockspindle/topo"
+)
+
+// groupAt returns the group after so many claims in turn by c and d, which follow a
+// term of l.
+func groupAt(claims int) state.Group {
+	group := state.Group{ID: searchGroup, Term: topo.MakeTerm(10, 0), Lessor: "l", LessorBoot: "l-1", HeldSince: 10}
+	for i := range claims {
+		next := group
+		next.Term = topo.MakeTerm(group.Term.Offset+10, 0)
+		next.Lessor = []topo.NodeID{"c", "d"}[i%2]
+		next.LessorBoot = topo.BootID(next.Lessor) + "-1"
+		next.Former = group.FormerAfter(false)
+		group = next
+	}
+	return group
+}
+
+// A former lessor that says nothing is waited for from the moment at which its own
+// term was superseded, however many claims follow.
+func TestASilentFormerLessorIsWaitedForOnce(t *testing.T) {
+	g := gomega.NewWithT(t)
+	var s supersessions
+	const claims = 9
+	for i := range claims + 1 {
+		s = s.next(time.Duration(i)*time.Second, groupAt(i))
+	}
+	group := groupAt(claims)
+	f := former{runs: group.Former.Runs, since: group.Former.Since, settled: group.HeldSince, superseded: s}
+	silence := limit{lasts: time.Minute}
+	g.Expect(f.rightEnd(silence, rules{})).To(gomega.Equal(momentAt(claims*time.Second + time.Minute)))
+	for _, node := range []topo.NodeID{"c", "d"} {
+		f.note(word{run: Run{Node: node, Boot: topo.BootID(node) + "-1"}, at: claims*time.Second + 1})
+	}
+	g.Expect(f.rightEnd(silence, rules{})).To(gomega.Equal(momentAt(time.Second + time.Minute)))
+	g.Expect(f.rightEnd(limit{forever: true}, rules{})).To(gomega.Equal(moment{}))
+}
+
+// Runs that the list has lost had all been superseded when the list first began
+// after them.
+func TestUnlistedRunsAreWaitedForOnce(t *testing.T) {
+	g := gomega.NewWithT(t)
+	unknown := state.Group{Term: topo.MakeTerm(50, 0), Lessor: "c", LessorBoot: "c-1", HeldSince: 10}
+	s := supersessions{}.next(5, unknown)
+	later := state.Group{Term: topo.MakeTerm(60, 0), HeldSince: 10, Former: unknown.FormerAfter(false)}
+	s = s.next(6, later)
+	f := former{runs: later.Former.Runs, since: later.Former.Since, settled: later.HeldSince, superseded: s}
+	f.note(word{run: Run{Node: "c", Boot: "c-1"}, at: 7})
+	g.Expect(f.rightEnd(limit{lasts: time.Minute}, rules{})).To(gomega.Equal(momentAt(time.Minute + 5)))
+}
--- a/lessor/takeover.go
+++ b/lessor/takeover.go
@@ -37,9 +37,9 @@
 	// before: shards with a fence below this offset may have been granted by
 	// an earlier lessor.
 	before topo.Offset
-	// began is when this run's claim was seen. The earlier lessor's right by
-	// log contact is counted from there; by its standby's promise it has ended
-	// at promised.
+	// began is when this run's claim was seen. For a former standby lessor, the
+	// lessor's right by log contact is counted from there; by its standby's promise
+	// it has ended at promised.
 	began    time.Duration
 	byLog    bool // the earlier lessor may have counted log contact
 	promised moment
@@ -86,35 +86,32 @@
 // rightEnd returns when the earlier lessors' right to renew leases for a service
 // has surely lapsed; never if it may last without limit.
 func (m *Member) rightEnd(policy *Policy) moment {
-	end := m.rightLapse(policy)
-	if ended := m.takeover.former.ended(m.rules); ended.set && (!end.set || ended.at < end.at) {
-		return ended
-	}
-	return end
-}
-
-// rightLapse is rightEnd for former lessors that say nothing.
-func (m *Member) rightLapse(policy *Policy) moment {
 	t := &m.takeover
-	ttl := m.cfg.Lease.TTL
-	switch t.basis {
-	case basisFirst:
+	if t.basis == basisFirst {
 		return momentAt(t.began)
-	case basisStandby:
-		end := t.promised.later(momentAt(t.began))
-		if t.byLog {
-			end = end.later(momentAt(t.began + m.cfg.lapse(ttl)))
-		}
+	}
+	end := t.former.rightEnd(m.silenceLimit(policy), m.rules)
+	if t.basis != basisStandby {
 		return end
 	}
-	limit := policy.TakeoverLimit
+	promised := t.promised.later(momentAt(t.began))
+	if t.byLog {
+		promised = promised.later(momentAt(t.began + m.cfg.lapse(m.cfg.Lease.TTL)))
+	}
+	return end.earlier(promised)
+}
+
+// silenceLimit is how long a former run that says nothing may go on, in either
+// mode, after its term has been superseded.
+func (m *Member) silenceLimit(policy *Policy) limit {
+	most := policy.TakeoverLimit
 	if m.rules.noHold {
-		limit = 0
+		most = 0
 	}
-	if limit == siteconfig.Forever {
-		return moment{}
+	if most == siteconfig.Forever {
+		return limit{forever: true}
 	}
-	return momentAt(t.began + m.cfg.lapse(max(ttl, limit)))
+	return limit{lasts: m.cfg.lapse(max(m.cfg.Lease.TTL, most))}
 }
 
 // leaseEnd returns when every lease that earlier lessors renewed for a service
--- a/modules/lessor/suspicion_test.go
+++ b/modules/lessor/suspicion_test.go
@@ -1,7 +1,9 @@
 package lessor
 
 import (
+	"slices"
 	"testing"
+	"time"
 
 	. "github.com/onsi/gomega"
 )
@@ -10,19 +12,23 @@
 // minute.
 const claimsInTurn = 40
 
-// suspectBoth pauses the group's lessor and standby lessor until another node has
+// suspect pauses the group's lessor and standby lessor until another node has
 // claimed the group, as nodes of a starved machine do that answer too late.
-func (w *world) suspectBoth() {
-	lessor, standby := w.lessorOfA(), w.standby("a/0")
-	lessor.pause()
-	standby.pause()
+func (w *world) suspect() {
+	paused := []*testNode{w.lessorOfA()}
+	if standby := w.standby("a/0"); standby != nil {
+		paused = append(paused, standby)
+	}
+	for _, n := range paused {
+		n.pause()
+	}
 	w.until(served, "another lessor", func() bool {
-		now := w.lessorOfA()
-		return now != nil && now != lessor && now != standby
+		lessor := w.lessorOfA()
+		return lessor != nil && !slices.Contains(paused, lessor)
 	})
-	lessor.resume()
-	standby.resume()
-	w.until(served, "standby lessor", func() bool { return w.standby("a/0") != nil })
+	for _, n := range paused {
+		n.resume()
+	}
 }
 
 // Nodes that suspect each other by mistake claim a group in turn, none of them
@@ -32,9 +38,31 @@
 	run(t, oneZone, 3, limit, func(w *world, _ *WithT) {
 		w.servers["sa1"].setDown(true)
 		for range claimsInTurn {
-			w.suspectBoth()
+			w.until(served, "standby lessor", func() bool { return w.standby("a/0") != nil })
+			w.suspect()
 		}
 		took := w.until(served, "every shard served", func() bool { return len(w.serving()) == shardCount })
 		t.Logf("served %v after the last claim", took)
 	})
 }
+
+// Each claim began the wait for former lessors that say nothing anew, so that claims
+// in turn held a lost server's keys up for as long as they went on. Here the former
+// lessors have restarted: their earlier runs may only be paused.
+func TestClaimsInTurnDoNotBeginAWaitAnew(t *testing.T) {
+	const limit = 6 * time.Second // longer than a few claims in turn take
+	run(t, oneZone, 5, limit, func(w *world, g *WithT) {
+		w.servers["sa1"].setDown(true)
+		began := time.Now()
+		for _, n := range []*testNode{w.lessorOfA(), w.standby("a/0")} {
+			n.restart(2)
+		}
+		for len(w.serving()) < shardCount && time.Since(began) < 4*limit {
+			time.Sleep(rest)
+			w.suspect()
+		}
+		took := time.Since(began)
+		t.Logf("served after %v", took)
+		g.Expect(took).To(And(BeNumerically(">=", limit), BeNumerically("<", limit+2*served)))
+	})
+}
