Lessor: one former lessor that says nothing is bounded by what the others say

What callers saw: where a lessor was lost together with a server, and its standby lessor was suspected by mistake, the server's keys, and those of live servers that it stood by for, were refused for maxDisconnected (10 min). Cause: a claimant that was neither of the two needed the word of each; the lost one's never came. But a lessor renews by contact with the log, no younger than its term's supersession, or by promises, and its standby lessor gives none once it has seen a later term; and a standby lessor goes on off the log only if its lessor asked for the mode. Change: if one run alone is silent, and none is missing from the list, its right ends within a TTL of the others' words, or of its supersession; a silent standby lessor counts as stopped if no lessor has asked for disconnected mode. Lessors tell that, standby lessors that their lessor was settled. An older release tells neither: as before. The two rows have the default again. One row of a table test ("a gap") is split: a gap that the others bound, and a wider one. Conclusion: only a pair that is lost as a whole waits for maxDisconnected.

--- a/lessor/former.go
+++ b/lessor/former.go
@@ -12,9 +12,9 @@
 // answers that they have stopped. A run that has seen a later term renews nothing
 // under an earlier one, for good.
 //
-// The answers count once every run since a settled term has given one: the lessor
-// of that term knew that nobody before it could renew. Lists here are never changed
-// in place, so that a copy of the struct is one of its own.
+// The answers count for the runs since a settled term: the lessor of that term knew
+// that nobody before it could renew. Lists here are never changed in place, so that a
+// copy of the struct is one of its own.
 type former struct {
 	runs []state.FormerRun // by their latest terms, the latest first
 	// since is the offset of the first term from which on no run is missing.
@@ -32,8 +32,12 @@
 	run Run
 	// at is when the word arrived; the run had stopped by then.
 	at time.Duration
-	// settled is the latest term by which the run was a settled lessor.
+	// settled is the latest term that the run knows to be settled.
 	settled topo.Term
+	// disconnected is the latest term in which the run, as the lessor, asked for
+	// disconnected mode, if it tells.
+	disconnected topo.Term
+	tellsMode    bool
 }
 
 // formerOf returns the lessors of the group's earlier terms. What this run itself
@@ -44,7 +48,7 @@
 	if group.Former != nil {
 		f.runs, f.since = group.Former.Runs, group.Former.Since
 	}
-	f.note(word{run: m.self(), at: now, settled: m.settledTerm})
+	f.note(word{run: m.self(), at: now, settled: m.settledTerm, disconnected: m.disconnectedTerm, tellsMode: true})
 	return f
 }
 
@@ -55,7 +59,13 @@
 	if reply.HighestTerm.Less(m.term) && !m.rules.noSeenTerm {
 		return
 	}
-	w := word{run: reply.From, at: now, settled: reply.SettledTerm}
+	w := word{
+		run:          reply.From,
+		at:           now,
+		settled:      reply.SettledTerm,
+		disconnected: reply.DisconnectedTerm,
+		tellsMode:    reply.TellsMode,
+	}
 	if !w.settled.Less(m.term) {
 		w.settled = topo.Term{} // it has taken this node's term
 	}
@@ -97,36 +107,79 @@
 // the list.
 func (f *former) complete(r rules) bool { return f.settled >= f.since || r.noComplete }
 
+// silence is how long a former run that says nothing may go on.
+type silence struct {
+	unseen limit         // after its term was superseded, if others may support it
+	alone  time.Duration // on what it has of the log, or of a standby lessor's promise
+}
+
 // rightEnd returns when the right of all former lessors to renew leases has surely
-// ended: by their own words, or silence after their latest terms were superseded;
-// never if one of them may go on without limit.
-func (f *former) rightEnd(silence limit, r rules) moment {
-	var end moment
-	if !f.complete(r) {
-		end = silence.endAfter(f.superseded.unlisted)
-		if !end.set {
-			return end
-		}
+// ended, by their own words or after their silence; never if one of them may go on
+// without limit.
+func (f *former) rightEnd(s silence, r rules) moment {
+	if f.since == 0 {
+		return moment{} // not known
 	}
-	for _, needed := range f.needed(r) {
-		one := f.rightEndOf(needed, silence, r)
-		if !one.set {
-			return one
+	end := momentAt(0)
+	complete := f.complete(r)
+	if !complete {
+		end = s.unseen.endAfter(f.superseded.unlisted)
+	}
+	said, missing := f.split(f.needed(r), r)
+	for _, w := range said {
+		end = end.latest(momentAt(w.at))
+	}
+	alone := complete && (len(missing) == 1 || r.noLone)
+	for _, run := range missing {
+		one := s.unseen.endAfter(f.superseded.at(run))
+		if alone {
+			one = one.earlier(f.silentEnd(run, said, s, r))
 		}
-		end = end.later(one)
+		end = end.latest(one)
 	}
 	return end
 }
 
-func (f *former) rightEndOf(needed state.FormerRun, silence limit, r rules) moment {
-	w, said := f.word(runOf(needed))
-	switch {
-	case said:
-		return momentAt(w.at)
-	case r.noStandbyWord && needed.Led.Offset < f.settled:
+// split returns the words of the runs that are needed, and the runs without one.
+func (f *former) split(needed []state.FormerRun, r rules) (said []word, missing []state.FormerRun) {
+	for _, run := range needed {
+		w, known := f.word(runOf(run))
+		switch {
+		case known:
+			said = append(said, w)
+		case r.noStandbyWord && run.Led.Offset < f.settled:
+		default:
+			missing = append(missing, run)
+		}
+	}
+	return said, missing
+}
+
+// silentEnd returns when the right of the only run without a word has ended, as far
+// as the others' words bound it. If no lessor that it stood by for asked for
+// disconnected mode, it has not gone on as the standby lessor; and as the lessor it
+// gets no promise any more.
+func (f *former) silentEnd(run state.FormerRun, said []word, s silence, r rules) moment {
+	if run.StoodBy.Offset >= f.settled && !f.allConnected(said) && !r.noConnected {
+		return moment{}
+	}
+	if run.Led.Offset < f.settled {
 		return momentAt(0)
 	}
-	return silence.endAfter(f.superseded.at(needed))
+	supported := f.superseded.at(run)
+	for _, w := range said {
+		supported = max(supported, w.at)
+	}
+	if r.noPromise {
+		return momentAt(supported)
+	}
+	return momentAt(supported + s.alone)
+}
+
+// allConnected reports whether none of the runs that have given their words asked
+// for disconnected mode since the latest settled term.
+func (f *former) allConnected(said []word) bool {
+	return !slices.ContainsFunc(said, func(w word) bool { return !w.tellsMode || w.disconnected.Offset >= f.settled })
 }
 
 // asks lists the nodes whose words are missing.
--- a/lessor/former_test.go
+++ b/lessor/former_test.go
@@ -22,8 +22,8 @@
 	}
 }
 
-// TestFormerWordsReachBackToASettledTerm: words shorten a wait only when every run
-// since a settled term has given one.
+// TestFormerWordsReachBackToASettledTerm: words end a wait when every run since a
+// settled term has given one; TestWordsBoundOneSilentRun has those that need not.
 func TestFormerWordsReachBackToASettledTerm(t *testing.T) {
 	says := func(node topo.NodeID, at time.Duration, settled topo.Offset) word {
 		return word{run: Run{Node: node, Boot: topo.BootID(node) + "-1"}, at: at, settled: topo.MakeTerm(settled, 0)}
@@ -42,8 +42,9 @@
 		{"the latest pair, settled", fromFirst, known, []word{says("b", 1, 30), says("d", 2, 0)}, momentAt(2), nil},
 		{"the latest lessor alone", fromFirst, known, []word{says("b", 1, 30)}, moment{}, []topo.NodeID{"d"}},
 		{"the latest pair, unsettled", fromFirst, known, []word{says("b", 1, 0), says("d", 2, 0)}, moment{}, []topo.NodeID{"c", "l", "s"}},
-		{"a gap", fromFirst, known, []word{says("b", 1, 0), says("d", 2, 0), says("l", 3, 10), says("s", 4, 0)}, moment{},
-			[]topo.NodeID{"c"}},
+		{"a gap of a lessor that the others bound", fromFirst, known,
+			[]word{says("b", 1, 0), says("d", 2, 0), says("l", 3, 10), says("s", 4, 0)}, momentAt(4 + time.Second), []topo.NodeID{"c"}},
+		{"a wider gap", fromFirst, known, []word{says("b", 1, 0), says("d", 2, 0), says("l", 3, 10)}, moment{}, []topo.NodeID{"c", "s"}},
 		{"all, without one that was settled, incomplete", fromFirst, known,
 			[]word{says("b", 1, 0), says("d", 2, 0), says("c", 3, 0), says("l", 4, 0), says("s", 5, 0)}, moment{}, nil},
 		{"all, without one that was settled, since the first term", fromFirst, fromFirst,
@@ -65,7 +66,7 @@
 			for _, w := range row.words {
 				f.note(w)
 			}
-			g.Expect(f.rightEnd(limit{forever: true}, rules{})).To(gomega.Equal(row.ended))
+			g.Expect(f.rightEnd(silence{unseen: limit{forever: true}, alone: time.Second}, rules{})).To(gomega.Equal(row.ended))
 			g.Expect(f.asks(Run{Node: "a", Boot: "a-1"})).To(gomega.Equal(row.asks))
 		})
 	}
@@ -82,7 +83,7 @@
 	f.note(word{run: lessor, at: 5})
 	f.note(word{run: Run{Node: "x", Boot: "1"}, at: 5})
 	g.Expect(f).To(gomega.Equal(copied))
-	g.Expect(f.rightEnd(limit{forever: true}, rules{})).To(gomega.Equal(momentAt(1)))
+	g.Expect(f.rightEnd(silence{unseen: limit{forever: true}, alone: time.Second}, rules{})).To(gomega.Equal(momentAt(1)))
 }
 
 // A run that has become the lessor of a later term and settled says nothing of the
@@ -98,3 +99,51 @@
 	g.Expect(m.takeover.former.settled).To(gomega.Equal(topo.Offset(10)))
 	g.Expect(m.takeover.former.said).To(gomega.HaveLen(1))
 }
+
+// TestWordsBoundOneSilentRun: where one run alone says nothing, what it can still do
+// ends with what the others, and the log, have given it.
+func TestWordsBoundOneSilentRun(t *testing.T) {
+	// The term 10 was l's, with the standby lessor s; c claimed 20, with d.
+	twoTerms := []state.FormerRun{
+		formerRun("c", 20, 0), formerRun("d", 0, 20), formerRun("l", 10, 0), formerRun("s", 0, 10),
+	}
+	says := func(node topo.NodeID, at time.Duration) word {
+		return word{run: Run{Node: node, Boot: topo.BootID(node) + "-1"}, at: at, tellsMode: true}
+	}
+	disconnected := says("l", 3)
+	disconnected.disconnected = topo.MakeTerm(10, 0)
+	earlier := says("l", 3)
+	earlier.disconnected = topo.MakeTerm(5, 0)
+	oldRelease := word{run: Run{Node: "l", Boot: "l-1"}, at: 3}
+	const superseded, unseen, alone = 1, 100, 10
+	waits := silence{unseen: limit{lasts: unseen}, alone: alone}
+	rows := []struct {
+		name  string
+		since topo.Offset
+		words []word
+		ended moment
+	}{
+		{"the lessor, whose standby lessor has spoken", 10, []word{says("c", 2), says("d", 2), says("s", 4)}, momentAt(4 + alone)},
+		{"a standby lessor of connected mode", 10, []word{says("c", 2), says("d", 2), says("l", 3)}, momentAt(3)},
+		{"a standby lessor of disconnected mode", 10, []word{says("c", 2), says("d", 2), disconnected}, momentAt(superseded + unseen)},
+		{"a standby lessor, disconnected mode before", 10, []word{says("c", 2), says("d", 2), earlier}, momentAt(3)},
+		{"a standby lessor, mode not told", 10, []word{says("c", 2), says("d", 2), oldRelease}, momentAt(superseded + unseen)},
+		{"both of a pair", 10, []word{says("c", 2), says("d", 2)}, momentAt(superseded + unseen)},
+		{"the lessor, and runs that are not listed", 11, []word{says("c", 2), says("d", 2), says("s", 4)}, momentAt(superseded + unseen)},
+	}
+	for _, row := range rows {
+		t.Run(row.name, func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			f := former{runs: twoTerms, since: row.since, settled: 10}
+			f.superseded.unlisted = superseded
+			f.superseded.seen = map[lastPart]time.Duration{}
+			for _, run := range twoTerms {
+				f.superseded.seen[lastPart{runOf(run), run.Latest()}] = superseded
+			}
+			for _, w := range row.words {
+				f.note(w)
+			}
+			g.Expect(f.rightEnd(waits, rules{})).To(gomega.Equal(row.ended))
+		})
+	}
+}
--- a/lessor/heartbeat.go
+++ b/lessor/heartbeat.go
@@ -102,5 +102,8 @@
 		return false
 	}
 	m.right.ask(to)
+	if to == ModeDisconnected {
+		m.disconnectedTerm = m.term
+	}
 	return true
 }
--- a/lessor/member.go
+++ b/lessor/member.go
@@ -54,10 +54,13 @@
 	role   Role
 	term   topo.Term // acted under, or stood by for
 	offLog bool      // lessor under the standby's term, not recorded yet
-	// settledTerm is the latest by which this run was a lessor by the log with
-	// every earlier lease settled.
+	// settledTerm is the latest that this run knows to be settled, as its lessor by
+	// the log or as the standby lessor: every lease of terms before it has ended.
 	settledTerm topo.Term
-	draining    bool // this process is leaving
+	// disconnectedTerm is the latest in which this run, as the lessor, asked for
+	// disconnected mode.
+	disconnectedTerm topo.Term
+	draining         bool // this process is leaving
 
 	standing   standing
 	claim      claimState
--- a/lessor/messages.go
+++ b/lessor/messages.go
@@ -58,7 +58,11 @@
 	Applied     topo.Offset
 	HighestTerm topo.Term // known to the standby
 	Reaches     bool      // a server has just answered the standby
-	SettledTerm topo.Term // latest by which the answering run was a settled lessor
+	SettledTerm topo.Term // latest that the answering run knows to be settled
+	// DisconnectedTerm is the latest in which the answering run, as the lessor, asked
+	// for disconnected mode; it counts only if TellsMode is set.
+	DisconnectedTerm topo.Term
+	TellsMode        bool
 }
 
 // LeaseOrder is a renewal to send to a server. With an empty Boot it asks for a
--- a/lessor/moment.go
+++ b/lessor/moment.go
@@ -24,6 +24,14 @@
 	return m
 }
 
+// latest returns the later of two moments; never is the latest.
+func (m moment) latest(other moment) moment {
+	if !m.set || !other.set {
+		return moment{}
+	}
+	return m.later(other)
+}
+
 // earlier returns the earlier of two moments; never is the latest.
 func (m moment) earlier(other moment) moment {
 	if !m.set || (other.set && other.at < m.at) {
--- a/lessor/rules.go
+++ b/lessor/rules.go
@@ -19,6 +19,15 @@
 	noStandbyWord bool
 	// noComplete: former lessors' words count although some are not known.
 	noComplete bool
+	// noLone: the words of others bound a run's silence although another is silent
+	// too.
+	noLone bool
+	// noConnected: a standby lessor without a word counts as one that did not go on,
+	// whatever mode its lessor had asked for.
+	noConnected bool
+	// noPromise: a lessor without a word counts as ended once its standby lessors
+	// have given theirs.
+	noPromise bool
 	// noSupersession: the wait for a silent former run is counted from when its
 	// term was first seen, not from when it was superseded.
 	noSupersession bool
--- a/lessor/search_key_test.go
+++ b/lessor/search_key_test.go
@@ -99,6 +99,7 @@
 	k.flag(m.claim.inFlight)
 	k.flag(m.claim.awaited)
 	k.ordinal(m.settledTerm.Ordinal)
+	k.ordinal(m.disconnectedTerm.Ordinal)
 	for _, run := range m.silentRuns {
 		k.text(string(run.Boot))
 	}
@@ -243,8 +244,11 @@
 	k.num(len(f.runs))
 	for _, run := range f.runs {
 		k.formerRun(run)
-		_, said := f.word(runOf(run))
+		w, said := f.word(runOf(run))
 		k.flag(said)
+		if said {
+			k.ordinal(w.disconnected.Ordinal)
+		}
 	}
 }
 
@@ -364,6 +368,7 @@
 		k.text(string(h.answer.From.Boot))
 		k.ordinal(h.answer.HighestTerm.Ordinal)
 		k.ordinal(h.answer.SettledTerm.Ordinal)
+		k.ordinal(h.answer.DisconnectedTerm.Ordinal)
 		k.flag(h.answer.Promised)
 		k.num(int(h.answer.Mode))
 		k.rank(h.answer.ModeRound, k.modeRounds()...)
--- a/lessor/standing.go
+++ b/lessor/standing.go
@@ -43,6 +43,9 @@
 		Applied:     m.facts.Applied,
 		HighestTerm: m.highestTerm(),
 		SettledTerm: m.settledTerm,
+
+		DisconnectedTerm: m.disconnectedTerm,
+		TellsMode:        true,
 	}
 	if !m.standsBy(req) {
 		return reply
@@ -55,7 +58,10 @@
 	if !m.mayPromise() {
 		return reply
 	}
-	s.settled = s.settled || req.Settled
+	if req.Settled {
+		s.settled = true
+		m.settledTerm = req.Term
+	}
 	m.noteOffLog(req)
 	m.acknowledgeMode(req)
 	s.promised = s.promised.later(momentAt(now + m.cfg.lapse(m.cfg.Lease.TTL)))
--- a/lessor/superseded_test.go
+++ b/lessor/superseded_test.go
@@ -11,23 +11,25 @@
 )
 
 // groupAt returns the group after so many claims in turn by c and d, which follow a
-// term of l.
+// term of l with the standby lessor s.
 func groupAt(claims int) state.Group {
 	group := state.Group{ID: searchGroup, Term: topo.MakeTerm(10, 0), Lessor: "l", LessorBoot: "l-1", HeldSince: 10}
+	group.Standby, group.StandbyBoot = "s", "s-1"
 	for i := range claims {
 		next := group
 		next.Term = topo.MakeTerm(group.Term.Offset+10, 0)
 		next.Lessor = []topo.NodeID{"c", "d"}[i%2]
 		next.LessorBoot = topo.BootID(next.Lessor) + "-1"
+		next.Standby, next.StandbyBoot = "", ""
 		next.Former = group.FormerAfter(false)
 		group = next
 	}
 	return group
 }
 
-// A former lessor that says nothing is waited for from the moment at which its own
+// Former lessors that say nothing are waited for from the moment at which its own
 // term was superseded, however many claims follow.
-func TestASilentFormerLessorIsWaitedForOnce(t *testing.T) {
+func TestSilentFormerLessorsAreWaitedForOnce(t *testing.T) {
 	g := gomega.NewWithT(t)
 	var s supersessions
 	const claims = 9
@@ -36,13 +38,13 @@
 	}
 	group := groupAt(claims)
 	f := former{runs: group.Former.Runs, since: group.Former.Since, settled: group.HeldSince, superseded: s}
-	silence := limit{lasts: time.Minute}
-	g.Expect(f.rightEnd(silence, rules{})).To(gomega.Equal(momentAt(claims*time.Second + time.Minute)))
+	unseen := silence{unseen: limit{lasts: time.Minute}, alone: time.Second}
+	g.Expect(f.rightEnd(unseen, rules{})).To(gomega.Equal(momentAt(claims*time.Second + time.Minute)))
 	for _, node := range []topo.NodeID{"c", "d"} {
 		f.note(word{run: Run{Node: node, Boot: topo.BootID(node) + "-1"}, at: claims*time.Second + 1})
 	}
-	g.Expect(f.rightEnd(silence, rules{})).To(gomega.Equal(momentAt(time.Second + time.Minute)))
-	g.Expect(f.rightEnd(limit{forever: true}, rules{})).To(gomega.Equal(moment{}))
+	g.Expect(f.rightEnd(unseen, rules{})).To(gomega.Equal(momentAt(time.Second + time.Minute)))
+	g.Expect(f.rightEnd(silence{unseen: limit{forever: true}, alone: time.Second}, rules{})).To(gomega.Equal(moment{}))
 }
 
 // Runs that the list has lost had all been superseded when the list first began
@@ -55,5 +57,5 @@
 	s = s.next(6, later)
 	f := former{runs: later.Former.Runs, since: later.Former.Since, settled: later.HeldSince, superseded: s}
 	f.note(word{run: Run{Node: "c", Boot: "c-1"}, at: 7})
-	g.Expect(f.rightEnd(limit{lasts: time.Minute}, rules{})).To(gomega.Equal(momentAt(time.Minute + 5)))
+	g.Expect(f.rightEnd(silence{unseen: limit{lasts: time.Minute}}, rules{})).To(gomega.Equal(momentAt(time.Minute + 5)))
 }
--- a/lessor/takeover.go
+++ b/lessor/takeover.go
@@ -90,7 +90,7 @@
 	if t.basis == basisFirst {
 		return momentAt(t.began)
 	}
-	end := t.former.rightEnd(m.silenceLimit(policy), m.rules)
+	end := t.former.rightEnd(m.silence(policy), m.rules)
 	if t.basis != basisStandby {
 		return end
 	}
@@ -101,17 +101,21 @@
 	return end.earlier(promised)
 }
 
-// silenceLimit is how long a former run that says nothing may go on, in either
-// mode, after its term has been superseded.
-func (m *Member) silenceLimit(policy *Policy) limit {
+// silence returns how long former runs that say nothing may renew leases for a
+// service.
+func (m *Member) silence(policy *Policy) silence {
+	ttl := m.cfg.Lease.TTL
+	s := silence{alone: m.cfg.lapse(ttl)}
 	most := policy.TakeoverLimit
 	if m.rules.noHold {
 		most = 0
 	}
 	if most == siteconfig.Forever {
-		return limit{forever: true}
+		s.unseen.forever = true
+		return s
 	}
-	return limit{lasts: m.cfg.lapse(max(m.cfg.Lease.TTL, most))}
+	s.unseen.lasts = m.cfg.lapse(max(ttl, most))
+	return s
 }
 
 // leaseEnd returns when every lease that earlier lessors renewed for a service
--- a/modules/lessor/convert.go
+++ b/modules/lessor/convert.go
@@ -112,6 +112,9 @@
 		HighestTerm:    ordinalToProto(r.HighestTerm.Ordinal),
 		ReachesServers: r.Reaches,
 		SettledTerm:    ordinalToProto(r.SettledTerm.Ordinal),
+
+		DisconnectedTerm: ordinalToProto(r.DisconnectedTerm.Ordinal),
+		TellsMode:        r.TellsMode,
 	}
 }
 
@@ -127,6 +130,9 @@
 		HighestTerm: termFromProto(resp.GetHighestTerm()),
 		Reaches:     resp.GetReachesServers(),
 		SettledTerm: termFromProto(resp.GetSettledTerm()),
+
+		DisconnectedTerm: termFromProto(resp.GetDisconnectedTerm()),
+		TellsMode:        resp.GetTellsMode(),
 	}
 }
 
--- a/modules/lessor/suspicion_test.go
+++ b/modules/lessor/suspicion_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	. "github.com/onsi/gomega"
+
+	"github.com/burdockspindle/burdockspindle/siteconfig"
 )
 
 // claimsInTurn is how often nodes suspect each other in a row, which takes half a
@@ -15,12 +17,12 @@
 // suspect pauses the group's lessor and standby lessor until another node has
 // claimed the group, as nodes of a starved machine do that answer too late.
 func (w *world) suspect() {
-	paused := []*testNode{w.lessorOfA()}
-	if standby := w.standby("a/0"); standby != nil {
-		paused = append(paused, standby)
-	}
-	for _, n := range paused {
-		n.pause()
+	var paused []*testNode
+	for _, n := range []*testNode{w.lessorOfA(), w.standby("a/0")} {
+		if n != nil {
+			n.pause()
+			paused = append(paused, n)
+		}
 	}
 	w.until(served, "another lessor", func() bool {
 		lessor := w.lessorOfA()
@@ -66,3 +68,35 @@
 		g.Expect(took).To(And(BeNumerically(">=", limit), BeNumerically("<", limit+2*served)))
 	})
 }
+
+// suspectedPair runs a scenario in which a server is lost, and with it one of the
+// group's lessor and standby lessor, while the other is suspected by mistake, so that
+// a node claims the group that was neither. It returns when every shard is served.
+func suspectedPair(t *testing.T, limit time.Duration, lost func(w *world) *testNode) {
+	run(t, oneZone, 4, limit, func(w *world, g *WithT) {
+		w.servers["sa1"].setDown(true)
+		gone := lost(w)
+		gone.kill()
+		w.suspect()
+		took := w.until(2*served, "every shard served", func() bool { return len(w.serving()) == shardCount })
+		t.Logf("served %v after the claim", took)
+		g.Expect(w.lessorOfA()).NotTo(Equal(gone))
+	})
+}
+
+// A lost lessor cannot say that it has stopped. Its keys then waited for
+// maxDisconnected, although its standby lessor lived and could tell that it promises
+// nothing any more.
+func TestLostLessorAndASuspectedStandbyLessor(t *testing.T) {
+	for _, limit := range []time.Duration{limit, siteconfig.Forever} {
+		suspectedPair(t, limit, func(w *world) *testNode { return w.lessorOfA() })
+	}
+}
+
+// A lost standby lessor cannot say that it has not gone on. Keys then waited for
+// maxDisconnected, although the lessor could tell that it was never free to.
+func TestLostStandbyLessorAndASuspectedLessor(t *testing.T) {
+	for _, limit := range []time.Duration{limit, siteconfig.Forever} {
+		suspectedPair(t, limit, func(w *world) *testNode { return w.standby("a/0") })
+	}
+}
--- a/proof/faults_test.go
+++ b/proof/faults_test.go
@@ -16,11 +16,6 @@
 const (
 	trustVMList    = `"trustVMList": true,`
 	noDisconnected = `"maxDisconnected": "0s",`
-	// shortDisconnected is for rows that lose a lessor and a server of its group:
-	// where a starved machine makes nodes suspect the standby lessor as well, its
-	// keys rightly wait for maxDisconnected, as nobody can tell for the lost lessor
-	// that it has stopped.
-	shortDisconnected = `"maxDisconnected": "12s",`
 )
 
 const (
@@ -102,12 +97,12 @@
 	{name: "lessor lost", servers: 1, faults: func(_ context.Context, r *run, s []*demo.SiteServer) {
 		r.LoseNode(r.lessorOf(s[0]))
 	}},
-	{name: "lessor and a server of its group lost together", servers: 1, service: shortDisconnected, faults: func(_ context.Context, r *run, s []*demo.SiteServer) {
+	{name: "lessor and a server of its group lost together", servers: 1, faults: func(_ context.Context, r *run, s []*demo.SiteServer) {
 		lessor := r.lessorOf(s[0])
 		r.LoseServer(s[0])
 		r.LoseNode(lessor)
 	}},
-	{name: "server frozen, then its lessor lost, then back", servers: 1, service: shortDisconnected, faults: func(ctx context.Context, r *run, s []*demo.SiteServer) {
+	{name: "server frozen, then its lessor lost, then back", servers: 1, faults: func(ctx context.Context, r *run, s []*demo.SiteServer) {
 		lessor := r.lessorOf(s[0])
 		s[0].Freeze()
 		r.LoseNode(lessor)
