Lessor: a standby server that restarted does not hide that it was activated

What callers risked: keys served under fence 9.1 by a standby server, activated off the log, and then again by their owner under 9.0, with what it had in memory from before. Cause: a claimant that was neither lessor nor standby lessor believes a standby server's "not activated". That speaks for the present run; the run before it may have been. Change: such a claimant writes a new fence, unless every lessor since the settled term has told that it never asked for disconnected mode. So that this leaves no gap, a standby server that has acknowledged and reports nothing need not hand back, and the first renewal waits for the new fence as for settling. The search's case "known run" needs one assignment more to reach its two owners, which its bounds now have.

--- a/lessor/collect.go
+++ b/lessor/collect.go
@@ -152,7 +152,7 @@
 		return Assign{}, ""
 	}
 	for _, id := range []topo.ServerID{shard.Owner, shard.Standby} {
-		if id != "" && id != to && !m.serverFree(now, id, shard.Shard) {
+		if id != "" && id != to && !m.serverFree(now, id, shard.Shard) && !m.saysInactive(id, shard) {
 			return Assign{}, ""
 		}
 	}
@@ -161,6 +161,13 @@
 	return a, reasonTakeover
 }
 
+// saysInactive reports whether a shard's standby server has said that its present run
+// was not activated, so that it holds nothing of the shard; and it takes nothing from
+// earlier lessors any longer.
+func (m *Member) saysInactive(id topo.ServerID, shard Shard) bool {
+	return id == shard.Standby && m.answersFor(id, shard.Policy) && !m.reportsActive(shard)
+}
+
 // changeActivated records a standby server that was activated off the log, or
 // moves the shard on if that server's run has ended.
 func (m *Member) changeActivated(now time.Duration, shard Shard, active *activation, place *placement) (Assign, string) {
--- a/lessor/former.go
+++ b/lessor/former.go
@@ -160,7 +160,7 @@
 // disconnected mode, it has not gone on as the standby lessor; and as the lessor it
 // gets no promise any more.
 func (f *former) silentEnd(run state.FormerRun, said []word, s silence, r rules) moment {
-	if run.StoodBy.Offset >= f.settled && !f.allConnected(said) && !r.noConnected {
+	if run.StoodBy.Offset >= f.settled && !f.stayedConnected(run, r) && !r.noConnected && !r.noLone {
 		return moment{}
 	}
 	if run.Led.Offset < f.settled {
@@ -176,10 +176,20 @@
 	return momentAt(supported + s.alone)
 }
 
-// allConnected reports whether none of the runs that have given their words asked
-// for disconnected mode since the latest settled term.
-func (f *former) allConnected(said []word) bool {
-	return !slices.ContainsFunc(said, func(w word) bool { return !w.tellsMode || w.disconnected.Offset >= f.settled })
+// stayedConnected reports whether no lessor since the latest settled term, but one
+// that is not asked, has asked for disconnected mode. In connected mode no standby
+// lessor goes on by itself, and no standby server is activated.
+func (f *former) stayedConnected(but state.FormerRun, r rules) bool {
+	if f.since == 0 || !f.complete(r) {
+		return false
+	}
+	return !slices.ContainsFunc(f.needed(r), func(run state.FormerRun) bool {
+		if run.Led.Offset < f.settled || run == but {
+			return false
+		}
+		w, said := f.word(runOf(run))
+		return !said || !w.tellsMode || w.disconnected.Offset >= f.settled
+	})
 }
 
 // asks lists the nodes whose words are missing.
--- a/lessor/plan.go
+++ b/lessor/plan.go
@@ -139,8 +139,8 @@
 }
 
 // readyToRenew holds the first renewal of a term back while the server's lease
-// of an earlier term goes on and some of its shards are not settled: the first
-// list takes away what it does not contain.
+// of an earlier term goes on and some of its shards are not settled, or wait for a
+// new fence: the first list takes away what it does not contain.
 func (m *Member) readyToRenew(now time.Duration, id topo.ServerID, s *server) bool {
 	if s.reported > 0 {
 		return true
@@ -150,7 +150,7 @@
 		return true
 	}
 	for _, shard := range m.facts.ShardsOf[id] {
-		if !m.isSettled(m.facts.Shards[shard]) {
+		if !m.isSettled(m.facts.Shards[shard]) || m.needsNewFence(shard) {
 			return false
 		}
 	}
--- a/lessor/rules.go
+++ b/lessor/rules.go
@@ -34,6 +34,9 @@
 	// noActivation: a standby server that says that it was never activated
 	// settles a shard as one that was.
 	noActivation bool
+	// noEarlierRun: a standby server's word that it was never activated counts for its
+	// earlier runs too.
+	noEarlierRun bool
 	// eager is no safety rule: every server counts as suspected at any time, so
 	// that a search tries every suspicion.
 	eager bool
--- a/lessor/search_cases_test.go
+++ b/lessor/search_cases_test.go
@@ -20,7 +20,7 @@
 		prefix: []string{"c claims", "c reads the log"}, rules: rules{noHold: true}}},
 	{"report", bounds{ttl: unit, limit: 2 * unit, claimers: "c", claims: 1, askers: "l",
 		prefix: []string{"time passes", "l asks for mode disconnected"}, rules: rules{noReport: true}}},
-	{"known run", bounds{ttl: unit, limit: 4 * unit, claimers: "c", claims: 1, restarts: 1, askers: "l",
+	{"known run", bounds{ttl: unit, limit: 4 * unit, claimers: "c", claims: 1, assigns: 1, restarts: 1, askers: "l",
 		prefix: []string{"l asks for mode disconnected", "c claims", "c reads the log",
 			"s acknowledges c", "t acknowledges c", "time passes", "l sends a heartbeat", "t restarts"},
 		rules: rules{noKnownRun: true}}},
--- a/lessor/settle.go
+++ b/lessor/settle.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/burdockspindle/burdockspindle/state"
 	"github.com/burdockspindle/burdockspindle/topo"
 )
 
@@ -133,12 +134,17 @@
 	return shard.StandbyLost || m.answersFor(shard.Standby, shard.Policy)
 }
 
-// mayHaveServed reports whether the standby server may have been activated and
-// has not said otherwise: its fence is higher than the owner's.
+// mayHaveServed reports whether the standby server may have been activated, under a
+// fence that is higher than the owner's. A server that says that it was not speaks for
+// its present run only: an earlier one may have been, unless no lessor ever activated
+// any.
 func (m *Member) mayHaveServed(shard Shard) bool {
 	if !shard.StandbyHere || m.rules.noBoth {
 		return false
 	}
+	if !m.rules.noEarlierRun && !m.takeover.former.stayedConnected(state.FormerRun{}, m.rules) {
+		return true
+	}
 	s, exists := m.servers[shard.Standby]
 	return !exists || !s.acked
 }
--- a/lessor/walk_test.go
+++ b/lessor/walk_test.go
@@ -22,6 +22,7 @@
 	down    map[string]bool // links, by the names of their ends
 	paused  [nodeMost]bool
 	holders map[topo.Fence]topo.BootID
+	highest topo.Fence // under which the shard was served
 	served  int
 }
 
@@ -219,12 +220,13 @@
 	}
 }
 
-// check holds after every step: no two owners, and no fence is ever held by two
-// runs of servers.
+// check holds after every step: no two owners, no fence is ever held by two runs of
+// servers, and the fence under which the shard is served never goes back.
 func (w *walk) check() {
 	if w.owners() > 1 {
 		w.t.Fatal("two owners")
 	}
+	w.checkFences()
 	for i := range w.servers {
 		boot := w.servers[i].holder.Boot()
 		for _, held := range w.servers[i].holder.Grants() {
@@ -236,6 +238,21 @@
 	}
 }
 
+func (w *walk) checkFences() {
+	for i := range w.servers {
+		holder := w.servers[i].holder
+		if !holder.Valid(w.serverNow(i)) {
+			continue
+		}
+		for _, held := range holder.Grants() {
+			if held.Fence.Less(w.highest) {
+				w.t.Fatalf("%s serves under fence %v after %v", holder.Boot(), held.Fence, w.highest)
+			}
+			w.highest = held.Fence
+		}
+	}
+}
+
 // ticks is the length of a walk, in units of time.
 const ticks = 30 * int(walkTTL/unit)
 
