Servers: calls and requests name the server that is meant

What callers saw: the keys of a live server refused (no-owner) for good, and answers of a server that was not the one asked. Cause: a lost server's address goes to another server while its lessor calls on. A stamp request or an acknowledgement raises the highest term that a server has seen, whatever group it is of; the server then refuses its own lessor's lower term. The lessor takes it for a new run of the lost server, and requests reach it. With the refusal and the server's highest term in the dump, new here: stale-term, terms 20 and 33 where the groups' were 8 and 11; no record of the site has them. Another program's site had had the port. Ruled out: former lessors (there were none), a server that does not answer. Change: the driver sets Burdockspindle-Server on all three calls. The stand-in refuses one that names another server (409 other-server, 421 not-owner) before any rule, and the driver takes that for no answer. A server that does not know the header is as before.

--- a/backend/backendtest/control.go
+++ b/backend/backendtest/control.go
@@ -35,11 +35,14 @@
 func controlCases() []controlCase {
 	refused := goodReply
 	refused.Refused = serverapi.RefusedBoot
+	other := goodReply
+	other.Refused = serverapi.RefusedServer
 	noBoot := goodReply
 	noBoot.Boot = ""
 	return []controlCase{
 		{"accepted", replyWith(http.StatusOK, goodReply), accepted},
 		{"refused, boot mismatch", replyWith(http.StatusConflict, refused), serverapi.RefusedBoot},
+		{"refused by another server", replyWith(http.StatusConflict, other), failed},
 		{"409 without a refusal", replyWith(http.StatusConflict, goodReply), failed},
 		{"200 with a refusal", replyWith(http.StatusOK, refused), failed},
 		{"no boot", replyWith(http.StatusOK, noBoot), failed},
--- a/backend/backendtest/headers.go
+++ b/backend/backendtest/headers.go
@@ -58,6 +58,7 @@
 	g.Expect(seen.path).To(gomega.Equal("/serve/records/a%2Fb/x?y=%20z"))
 	g.Expect(string(seen.body)).To(gomega.Equal("the body"))
 	want := map[string]string{
+		serverapi.HeaderServer:         string(target.ID),
 		serverapi.HeaderService:        "licensing",
 		serverapi.HeaderKey:            "schl%C3%BCssel%20100%25",
 		serverapi.HeaderShard:          "licensing/4/schl%C3%BCssel%20100%25",
--- a/demo/errors.go
+++ b/demo/errors.go
@@ -44,6 +44,12 @@
 // Unwrap returns the cause.
 func (e *ServerError) Unwrap() error { return e.Cause }
 
+// OneServiceError reports a site without a second service.
+type OneServiceError struct{}
+
+// Error implements error.
+func (*OneServiceError) Error() string { return "the site has one service only" }
+
 // ViolationError reports that something did not hold that must always hold.
 type ViolationError struct{ Violations []string }
 
--- a/demo/faults.go
+++ b/demo/faults.go
@@ -44,6 +44,9 @@
 	return chosen, nil
 }
 
+// reuseSeed is the seed of a server that takes a lost one's address.
+const reuseSeed = 1000
+
 // OwnersOf returns the servers that own the keys, in the site's order.
 func (s *Site) OwnersOf(keys []OwnedKey) []*SiteServer {
 	owning := map[topo.ServerID]bool{}
@@ -83,6 +86,23 @@
 	s.noticeLater(string(one.ID))
 }
 
+// ReuseAddress starts a new server of another service at the address of a lost one.
+func (s *Site) ReuseAddress(lost *SiteServer) (*SiteServer, error) {
+	for _, service := range sortedServices(s.deployment.site) {
+		if service.Name == lost.Service {
+			continue
+		}
+		index := s.deployment.servers[service.Name]
+		started, err := s.startServerAt(lost.Address, service, index, reuseSeed)
+		if err != nil {
+			return nil, err
+		}
+		s.Servers = append(s.Servers, started)
+		return started, nil
+	}
+	return nil, &ServerError{Server: lost.ID, Cause: &OneServiceError{}}
+}
+
 // LoseNode kills an entry node; the platform notices after its lag.
 func (s *Site) LoseNode(one *SiteNode) {
 	one.Lost = true
--- a/demo/site.go
+++ b/demo/site.go
@@ -157,6 +157,11 @@
 }
 
 func (s *Site) startServer(service *siteconfig.Service, index int, seed uint64) (*SiteServer, error) {
+	return s.startServerAt(loopback, service, index, seed)
+}
+
+// startServerAt starts a server that listens on an address.
+func (s *Site) startServerAt(listen string, service *siteconfig.Service, index int, seed uint64) (*SiteServer, error) {
 	id := model.ServerID(service.Name, index)
 	zone := s.deployment.zones[index%len(s.deployment.zones)]
 	standin := server.New(server.Config{
@@ -172,7 +177,7 @@
 		Recorder:      s.Memory,
 		Logger:        s.logger,
 	})
-	address, err := standin.Listen(loopback)
+	address, err := standin.Listen(listen)
 	if err != nil {
 		return nil, &ServerError{Server: id, Cause: err}
 	}
--- a/lease/holder_lease.go
+++ b/lease/holder_lease.go
@@ -60,6 +60,12 @@
 	return h.reply(now, "", true)
 }
 
+// OtherServer answers a call that names another server than the caller has reached.
+// Nothing changes: the term is that of another server's lessor.
+func (h *Holder) OtherServer(now time.Duration) serverapi.LeaseReply {
+	return h.reply(now, serverapi.RefusedServer, true)
+}
+
 // seeTerm accepts the term of a lessor or says why it is refused.
 func (h *Holder) seeTerm(term topo.Term, lessor string) string {
 	if term.Less(h.highest) {
--- a/lessor/dump.go
+++ b/lessor/dump.go
@@ -65,6 +65,9 @@
 	Acked      bool          `json:"acked"`
 	LeaseLeft  string        `json:"leaseLeft"`
 	Draining   bool          `json:"draining"`
+	Refused    string        `json:"refused,omitempty"` // why the latest answer refused
+	// HighestTerm is the highest term that the server has told.
+	HighestTerm string `json:"highestTerm"`
 }
 
 // StandingDump describes what a standby lessor remembers.
@@ -163,6 +166,9 @@
 			Acked:      s.acked,
 			LeaseLeft:  max(0, fromWall(s.granter.Until())-now).String(),
 			Draining:   s.draining,
+			Refused:    s.refused,
+
+			HighestTerm: s.highest.String(),
 		})
 	}
 	return list
--- a/lessor/server.go
+++ b/lessor/server.go
@@ -26,6 +26,10 @@
 	nextAt   time.Duration // not before
 	failures int           // attempts without an answer, in a row
 	heard    moment        // latest answer
+	// refused is why the latest answer refused, and highest the highest term that it
+	// told.
+	refused string
+	highest topo.Term
 
 	// generation numbers list; reported is the latest that the server said to
 	// have under the lessor's term.
@@ -148,6 +152,7 @@
 		}
 	}
 	s.draining = report.Draining
+	s.refused, s.highest = report.Refused, report.HighestTerm
 	s.take(report, m.term)
 	s.nextAt = s.sentAt + m.pauseAfter(report, s)
 	m.advance(now)
--- a/modules/serverhttp/control.go
+++ b/modules/serverhttp/control.go
@@ -60,6 +60,7 @@
 	}
 	request.GetBody = nil // net/http must not resend by itself
 	request.Header.Set("Content-Type", "application/json")
+	request.Header.Set(serverapi.HeaderServer, string(e.target.ID))
 	response, err := transport.RoundTrip(request)
 	if err != nil {
 		return reply, a.reused.Load(), a.failure(err).Cause
@@ -107,5 +108,8 @@
 	if refused != (reply.Refused != "") || reply.Boot == "" || reply.Stamp < 0 {
 		return &ProtocolError{Problem: "status and reply disagree, or boot or stamp is missing"}
 	}
+	if reply.Refused == serverapi.RefusedServer {
+		return &OtherServerError{}
+	}
 	return nil
 }
--- a/modules/serverhttp/do.go
+++ b/modules/serverhttp/do.go
@@ -187,6 +187,7 @@
 			header.Set(name, value)
 		}
 	}
+	set(serverapi.HeaderServer, string(e.target.ID))
 	set(serverapi.HeaderService, string(req.Service))
 	set(serverapi.HeaderRequestID, req.RequestID)
 	set(serverapi.HeaderIdempotencyKey, req.IdempotencyKey)
--- a/modules/serverhttp/errors.go
+++ b/modules/serverhttp/errors.go
@@ -50,6 +50,13 @@
 // Error implements error.
 func (e *ProtocolError) Error() string { return "protocol broken: " + e.Problem }
 
+// OtherServerError reports that another server has the address now. The one that was
+// meant has not answered.
+type OtherServerError struct{}
+
+// Error implements error.
+func (*OtherServerError) Error() string { return "the address is another server's" }
+
 // StatusError reports a lease or acknowledge call that was answered with
 // another status than the protocol's.
 type StatusError struct{ Status int }
--- a/proof/faults_test.go
+++ b/proof/faults_test.go
@@ -5,6 +5,8 @@
 	"testing"
 	"time"
 
+	"github.com/onsi/gomega"
+
 	"github.com/burdockspindle/burdockspindle/demo"
 	"github.com/burdockspindle/burdockspindle/platlog/logfault"
 	"github.com/burdockspindle/burdockspindle/standin/server"
@@ -39,6 +41,12 @@
 	{name: "server lost", servers: 1, faults: func(_ context.Context, r *run, s []*demo.SiteServer) {
 		r.LoseServer(s[0])
 	}},
+	{name: "a lost server's address goes to another server", servers: 1, faults: func(_ context.Context, r *run, s []*demo.SiteServer) {
+		r.LoseServer(s[0])
+		taker, err := r.ReuseAddress(s[0])
+		gomega.NewWithT(r.t).Expect(err).NotTo(gomega.HaveOccurred())
+		r.waitLeased(taker)
+	}},
 	{name: "two servers lost at once", servers: 2, faults: func(_ context.Context, r *run, s []*demo.SiteServer) {
 		r.LoseServer(s[0])
 		r.LoseServer(s[1])
@@ -272,6 +280,20 @@
 	}},
 }
 
+// waitLeased waits until a server has a lease of its own group's lessor.
+func (r *run) waitLeased(one *demo.SiteServer) {
+	gomega.NewWithT(r.t).Eventually(func() bool {
+		view, err := r.View()
+		if err != nil {
+			return false
+		}
+		listed, _ := view.Server(one.ID)
+		group, claimed := view.Group(listed.Group)
+		holder := one.Dump().(server.Dump).Holder
+		return claimed && holder.HighestTerm == group.Term.String() && holder.Now < holder.Expires
+	}).WithTimeout(30*time.Second).Should(gomega.BeTrue(), "%s was not leased", one.ID)
+}
+
 func freeze(ctx context.Context, one *demo.SiteServer) {
 	one.Freeze()
 	pause(ctx, pastLease)
--- a/serverapi/serverapi.go
+++ b/serverapi/serverapi.go
@@ -17,6 +17,9 @@
 
 // Headers on requests to a server.
 const (
+	// HeaderServer is the server that the sender means, also on a lessor's calls. An
+	// address may have gone to another one, which refuses and changes nothing.
+	HeaderServer     = "Burdockspindle-Server"
 	HeaderService    = "Burdockspindle-Service"
 	HeaderKey        = "Burdockspindle-Key"         // as written by EncodeValue
 	HeaderShard      = "Burdockspindle-Shard"       // topo.ShardID.String, as written by EncodeValue
@@ -126,6 +129,7 @@
 	RefusedBoot       = "boot-mismatch"      // Echo belongs to another run of the server
 	RefusedGeneration = "unknown-generation" // not Full, and the server has not this generation
 	RefusedLessor     = "other-lessor"       // the term is in use by another lessor
+	RefusedServer     = "other-server"       // the call names another server
 	RefusedMalformed  = "malformed"          // status 400: a field cannot be read or makes no sense
 )
 
--- a/standin/server/life.go
+++ b/standin/server/life.go
@@ -80,6 +80,13 @@
 	return reply
 }
 
+func (l *life) otherServer() serverapi.LeaseReply {
+	now := l.now()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.holder.OtherServer(now)
+}
+
 func (l *life) acknowledge(req serverapi.AcknowledgeRequest) serverapi.LeaseReply {
 	now := l.now()
 	l.mu.Lock()
--- a/standin/server/ownership.go
+++ b/standin/server/ownership.go
@@ -16,6 +16,10 @@
 	if !readControl(w, r, &req) {
 		return
 	}
+	if s.otherServerMeant(r) {
+		s.sendControl(w, s.current().otherServer())
+		return
+	}
 	s.counters.update(func(c *Stats) { c.Renewals++ })
 	s.sendControl(w, s.current().renew(req))
 }
@@ -26,9 +30,20 @@
 	if !readControl(w, r, &req) {
 		return
 	}
+	if s.otherServerMeant(r) {
+		s.sendControl(w, s.current().otherServer())
+		return
+	}
 	s.sendControl(w, s.current().acknowledge(req))
 }
 
+// otherServerMeant reports whether a call names another server, which had this
+// one's address before.
+func (s *Server) otherServerMeant(r *http.Request) bool {
+	meant := r.Header.Get(serverapi.HeaderServer)
+	return meant != "" && meant != string(s.config.ID)
+}
+
 func readControl(w http.ResponseWriter, r *http.Request, into any) bool {
 	if r.Method != http.MethodPost {
 		w.WriteHeader(http.StatusMethodNotAllowed)
--- a/standin/server/request.go
+++ b/standin/server/request.go
@@ -60,6 +60,12 @@
 	if req.requestID == "" {
 		return req, badRequest("request ID missing")
 	}
+	if s.otherServerMeant(r) {
+		return req, &refusal{
+			status: http.StatusMisdirectedRequest, outcome: serverapi.OutcomeNotRun,
+			reason: serverapi.ReasonNotOwner, problem: "another server's request",
+		}
+	}
 	if s.config.Service != "" && req.service != s.config.Service {
 		return req, badRequest("another service's request")
 	}
--- a/standin/server/serve_test.go
+++ b/standin/server/serve_test.go
@@ -1,6 +1,7 @@
 package server
 
 import (
+	"encoding/json"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -270,3 +271,25 @@
 		g.Expect(err).To(gomega.BeAssignableToTypeOf(&AnswerError{}), name)
 	}
 }
+
+// An address goes from one server to another. A lessor that still called the one
+// before raised the other's term, which then refused its own lessor for good.
+func TestCallsForAnotherServerChangeNothing(t *testing.T) {
+	g := gomega.NewWithT(t)
+	b := newBench(t, Config{})
+	b.grant(granted(fence))
+	other := map[string]string{serverapi.HeaderServer: "licensing-99"}
+	for path, body := range map[string]string{
+		serverapi.PathLease:       `{"term": "90.0", "lessor": "other@b", "boot": ""}`,
+		serverapi.PathAcknowledge: `{"term": "90.0"}`,
+	} {
+		answer := b.call(http.MethodPost, path, other, []byte(body))
+		g.Expect(answer.Code).To(gomega.Equal(http.StatusConflict))
+		var reply serverapi.LeaseReply
+		g.Expect(json.Unmarshal(answer.Body.Bytes(), &reply)).To(gomega.Succeed())
+		g.Expect(reply.Refused).To(gomega.Equal(serverapi.RefusedServer))
+	}
+	g.Expect(outcomeOf(b.send(serveOptions{header: other}))).To(gomega.Equal(notOwner))
+	g.Expect(b.grant(granted(fence)).Refused).To(gomega.BeEmpty(), "its own lessor's term is still the highest")
+	g.Expect(outcomeOf(b.send(serveOptions{header: map[string]string{serverapi.HeaderServer: "s1"}}))).To(gomega.Equal(answered))
+}
