Demo: each site listens on a loopback address of its own

Conclusion: no check or setting of a row changes; what a site does no longer depends on the others of the machine.

--- a/demo/site.go
+++ b/demo/site.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"fmt"
+	"os"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -31,7 +33,6 @@
 )
 
 const (
-	loopback      = "127.0.0.1:0"
 	serviceTime   = 2 * time.Millisecond
 	serviceSpread = 0.5 // shape of the log-normal service time
 	stopTimeout   = 5 * time.Second
@@ -53,6 +54,7 @@
 
 	deployment *deployment
 	name       string // of the shared log and VM list
+	listen     string // loopback address of the site's own, any port
 	logger     hclog.Logger
 	adjust     func(*settings.Settings) // of each node; nil for none
 	observing  context.Context
@@ -133,6 +135,7 @@
 		Network:    newNetwork(),
 		deployment: d,
 		name:       fmt.Sprintf("%s-%d", d.name, began.UnixNano()),
+		listen:     ownLoopback(),
 		logger:     logger,
 	}
 	site.Platform = vmsmem.Named(site.name)
@@ -141,6 +144,17 @@
 	return site
 }
 
+// sites counts the sites of this process.
+var sites atomic.Uint32
+
+// ownLoopback returns a loopback address that no other site uses, in this process or
+// another one. Sites have the same server IDs: what is sent to a lost server must not
+// reach a server of another site that has got its port.
+func ownLoopback() string {
+	process, site := os.Getpid(), sites.Add(1)
+	return fmt.Sprintf("127.%d.%d.%d:0", 1+process>>8&0x7f, process&0xff, 1+site%254)
+}
+
 // startServers spreads the servers of each service over the zones.
 func (s *Site) startServers(seed uint64) error {
 	for _, service := range sortedServices(s.deployment.site) {
@@ -157,7 +171,7 @@
 }
 
 func (s *Site) startServer(service *siteconfig.Service, index int, seed uint64) (*SiteServer, error) {
-	return s.startServerAt(loopback, service, index, seed)
+	return s.startServerAt(s.listen, service, index, seed)
 }
 
 // startServerAt starts a server that listens on an address.
