Stand-in server: a run is recorded as of the check of its ownership

Cause: the server checks that it owns the shard, and records the beginning of the run by a later reading of its clock. On a starved machine the lease lapses between the two, and is renewed under the same fence before the check that follows the run, which passes. The record then shows a run outside ownership. The clock was also read before the lock, so that a check could be made with a reading that was old. Evidence: TestARunIsRecordedAsOfTheCheck lets a lease lapse after each reading of the clock in turn and renews it; before, one of them gives that very violation. Ruled out: a second owner (a higher fence would have refused the second check). Change: the run is recorded as of the moment of the check, and the clock is read under the lock. The checker is unchanged.

--- a/standin/server/intervals_test.go
+++ b/standin/server/intervals_test.go
@@ -63,7 +63,7 @@
 	b := newBench(t, Config{})
 	b.grant(granted(fence))
 	run := b.current()
-	claim, err := run.begin(serveRequest{shard: shard, fence: fence, key: "bore 7"})
+	claim, _, err := run.begin(serveRequest{shard: shard, fence: fence, key: "bore 7"})
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 	b.advance(100 * ms)
 	g.Expect(b.grant().Busy).To(gomega.Equal([]string{"licensing/1", "licensing/1/bore 7"}))
--- a/standin/server/life.go
+++ b/standin/server/life.go
@@ -56,6 +56,18 @@
 // frozen.
 func (l *life) now() time.Duration {
 	l.server.gate.pass()
+	return l.read()
+}
+
+// lockNow locks the run and reads its clock, in this order: what is decided by a
+// reading that had waited for the lock would be decided too late.
+func (l *life) lockNow() time.Duration {
+	l.server.gate.pass()
+	l.mu.Lock()
+	return l.read()
+}
+
+func (l *life) read() time.Duration {
 	elapsed := int64(l.server.config.Clock().Sub(l.started))
 	return time.Duration(elapsed + elapsed*int64(l.server.config.DriftPPM)/partsPerMillion)
 }
@@ -70,8 +82,7 @@
 
 // renew and acknowledge apply a lessor's call.
 func (l *life) renew(req serverapi.LeaseRequest) serverapi.LeaseReply {
-	now := l.now()
-	l.mu.Lock()
+	now := l.lockNow()
 	defer l.mu.Unlock()
 	reply := l.holder.Lease(now, req)
 	if !l.dead {
@@ -81,31 +92,30 @@
 }
 
 func (l *life) otherServer() serverapi.LeaseReply {
-	now := l.now()
-	l.mu.Lock()
+	now := l.lockNow()
 	defer l.mu.Unlock()
 	return l.holder.OtherServer(now)
 }
 
 func (l *life) acknowledge(req serverapi.AcknowledgeRequest) serverapi.LeaseReply {
-	now := l.now()
-	l.mu.Lock()
+	now := l.lockNow()
 	defer l.mu.Unlock()
 	return l.holder.Acknowledge(now, req)
 }
 
-func (l *life) begin(req serveRequest) (lease.RunID, error) {
-	now := l.now()
-	l.mu.Lock()
+// begin returns the moment at which the server was found to own what a request is
+// for.
+func (l *life) begin(req serveRequest) (lease.RunID, history.Time, error) {
+	now := l.lockNow()
 	defer l.mu.Unlock()
-	return l.holder.Begin(now, req.shard, req.fence, req.key)
+	run, err := l.holder.Begin(now, req.shard, req.fence, req.key)
+	return run, l.shared(now), err
 }
 
 // recheck returns the moment at which the run's ownership was found to hold
 // still.
 func (l *life) recheck(run lease.RunID) (history.Time, error) {
-	now := l.now()
-	l.mu.Lock()
+	now := l.lockNow()
 	defer l.mu.Unlock()
 	if l.dead {
 		return 0, &StoppedError{Server: l.server.config.ID, Boot: l.boot}
@@ -114,8 +124,7 @@
 }
 
 func (l *life) end(run lease.RunID) {
-	now := l.now()
-	l.mu.Lock()
+	now := l.lockNow()
 	defer l.mu.Unlock()
 	l.holder.End(run)
 	if !l.dead {
--- a/standin/server/pause_test.go
+++ b/standin/server/pause_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/onsi/gomega"
 
+	"github.com/burdockspindle/burdockspindle/histcheck"
 	"github.com/burdockspindle/burdockspindle/history"
 )
 
@@ -84,3 +85,46 @@
 	}
 	return true
 }
+
+// renewing renews the lease as soon as a run has begun.
+type renewing struct {
+	*history.Memory
+	renew func()
+}
+
+// Record implements history.Recorder.
+func (r *renewing) Record(event history.Event) {
+	r.Memory.Record(event)
+	if _, began := event.(history.RunBegan); began {
+		r.renew()
+	}
+}
+
+// TestARunIsRecordedAsOfTheCheck: the lease lapses after the server has found that it
+// owns the shard, and is renewed under the same fence before it checks again. Runs were
+// recorded as of a later reading of the clock, outside the lease, and taken for runs
+// without ownership.
+func TestARunIsRecordedAsOfTheCheck(t *testing.T) {
+	committed := 0
+	for readings := range mostReadings {
+		t.Run(strconv.Itoa(readings), func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			b := newBench(t, Config{})
+			b.config.Recorder = &renewing{Memory: &b.recorded, renew: func() {
+				b.advance(ms)
+				b.grant(granted(fence))
+			}}
+			b.grant(granted(fence))
+			b.advance(ms)
+			b.pauseAfter, b.pause = readings, leaseTTL
+			if outcomeOf(b.send(serveOptions{})) == answered {
+				committed++
+			}
+			b.pause = 0
+			b.advance(ms)
+			b.FlushHistory()
+			g.Expect(histcheck.SoleOwner(b.recorded.Events())).To(gomega.BeEmpty())
+		})
+	}
+	gomega.NewWithT(t).Expect(committed).To(gomega.BeNumerically(">", 0))
+}
--- a/standin/server/serve.go
+++ b/standin/server/serve.go
@@ -74,6 +74,7 @@
 	w      http.ResponseWriter
 	req    serveRequest
 	claim  lease.RunID
+	owned  history.Time   // when the server was first found to be the owner; 0 if it does not check
 	ticket *ticket.Ticket // nil without one
 }
 
@@ -83,7 +84,7 @@
 	checks := s.checksOwnership()
 	if checks {
 		var err error
-		if j.claim, err = j.run.begin(j.req); err != nil {
+		if j.claim, j.owned, err = j.run.begin(j.req); err != nil {
 			s.refuseNotOwner(j.w, err)
 			return
 		}
@@ -165,7 +166,7 @@
 
 // runAndAnswer runs a request and answers it.
 func (s *Server) runAndAnswer(j *job) {
-	s.recordBegan(j.run, j.req)
+	s.recordBegan(j)
 	done := s.takeEffect(j)
 	s.recordEnded(j.run, j.req, done)
 	if !done.committed {
@@ -258,10 +259,16 @@
 	}
 }
 
-func (s *Server) recordBegan(run *life, req serveRequest) {
+// recordBegan records a run as of the moment at which the server was found to be the
+// owner: until it is recorded the lease may lapse, and be renewed.
+func (s *Server) recordBegan(j *job) {
 	s.counters.update(func(c *Stats) { c.Ran++ })
+	req, at := j.req, j.owned
+	if !s.checksOwnership() {
+		at = s.config.Clock()
+	}
 	s.config.Recorder.Record(history.RunBegan{
-		At: s.config.Clock(), Server: s.config.ID, Boot: run.boot,
+		At: at, Server: s.config.ID, Boot: j.run.boot,
 		RequestID: req.requestID, CallerRequest: req.callerRequest,
 		Service: req.service, Shard: req.shard, Fence: req.fence, Key: req.key,
 		Method: req.method, Ticket: req.ticketText,
--- a/standin/server/serve_test.go
+++ b/standin/server/serve_test.go
@@ -161,7 +161,7 @@
 	b := newBench(t, Config{})
 	b.grant(granted(fence))
 	run := b.current()
-	claim, err := run.begin(serveRequest{shard: shard, fence: fence, key: "bore 7"})
+	claim, _, err := run.begin(serveRequest{shard: shard, fence: fence, key: "bore 7"})
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 	defer run.end(claim)
 	o := serveOptions{}
