Lessor: activations that are carried into a new term are told to later claimants

What callers risked: keys served under a lower fence after a higher one, as in, if a lessor that carries an activation into its next term is lost before it has recorded it, and the standby server restarts. Cause: found on reading: a lessor tells the latest term in which it asked for disconnected mode; a term that it claims anew is settled at once, while standby servers that were activated in the one before wait for their record. A claimant went by the settled term and took it that none was activated since. Change: such a term counts as one of disconnected mode.

--- a/lessor/carry_test.go
+++ b/lessor/carry_test.go
@@ -24,3 +24,17 @@
 	m.expireMoves(10 * time.Second)
 	g.Expect(m.moves).To(gomega.BeEmpty())
 }
+
+// TestActivationsOfAnOldTermAreTold: a lessor that claims again carries standby servers
+// that it has activated, until their records are written. Were only the mode of the new
+// term told, the next lessor would take it that none was activated since it was settled.
+func TestActivationsOfAnOldTermAreTold(t *testing.T) {
+	g := gomega.NewWithT(t)
+	m := NewMember(Config{})
+	m.term = topo.MakeTerm(20, 0)
+	m.carryOver()
+	g.Expect(m.disconnectedTerm.IsZero()).To(gomega.BeTrue())
+	m.activated[topo.ShardID{Service: "quotes", Index: 7}] = &activation{}
+	m.carryOver()
+	g.Expect(m.disconnectedTerm).To(gomega.Equal(m.term))
+}
--- a/lessor/member.go
+++ b/lessor/member.go
@@ -58,7 +58,7 @@
 	// the log or as the standby lessor: every lease of terms before it has ended.
 	settledTerm topo.Term
 	// disconnectedTerm is the latest in which this run, as the lessor, asked for
-	// disconnected mode.
+	// disconnected mode, or had standby servers activated from such a term.
 	disconnectedTerm topo.Term
 	draining         bool // this process is leaving
 
@@ -254,6 +254,9 @@
 	for _, a := range m.activated {
 		a.told = 0
 	}
+	if len(m.activated) > 0 {
+		m.disconnectedTerm = m.term // no record tells of them yet
+	}
 	for _, mv := range m.moves {
 		mv.submitted = false
 	}
--- a/lessor/messages.go
+++ b/lessor/messages.go
@@ -60,7 +60,8 @@
 	Reaches     bool      // a server has just answered the standby
 	SettledTerm topo.Term // latest that the answering run knows to be settled
 	// DisconnectedTerm is the latest in which the answering run, as the lessor, asked
-	// for disconnected mode; it counts only if TellsMode is set.
+	// for disconnected mode or had standby servers activated; it counts only if
+	// TellsMode is set.
 	DisconnectedTerm topo.Term
 	TellsMode        bool
 }
