Lessor: what keys without an owner wait for is logged

Change: two lease TTLs after its claim an unsettled lessor logs, once a term, how many shards wait, which former runs have not answered, and for how long the wait lasts without them (event 1420). Event 1400 tells the basis of the takeover. Measured: modules/lessor passes; TestBothLessorsAndAServerLost logs it once, with both lost runs and the limit's rest.

--- a/lessor/status.go
+++ b/lessor/status.go
@@ -16,6 +16,7 @@
 	OffLog    bool
 	Mode      Mode
 	Settled   bool
+	Basis     string // of a lessor: what it knew of the term before
 	MayRenew  bool
 	Suspected int // servers that do not answer
 	Activated int // shards served by standby servers off the log
@@ -35,6 +36,7 @@
 	if m.role != RoleLessor {
 		return status
 	}
+	status.Basis = m.takeover.basis.String()
 	served := 0
 	for _, s := range m.servers {
 		if s.suspected() {
--- a/modules/lessor/events.go
+++ b/modules/lessor/events.go
@@ -27,4 +27,5 @@
 	eventUnreadable   = events.Define(1417, hclog.Warn, "unreadable reply of a backend server")
 	eventHandedOver   = events.Define(1418, hclog.Info, "terms handed over")
 	eventNotHanded    = events.Define(1419, hclog.Warn, "terms not handed over in time")
+	eventAwaited      = events.Define(1420, hclog.Warn, "shards wait for former lessors")
 )
--- a/modules/lessor/publish.go
+++ b/modules/lessor/publish.go
@@ -1,6 +1,7 @@
 package lessor
 
 import (
+	"math"
 	"time"
 
 	core "github.com/burdockspindle/burdockspindle/lessor"
@@ -10,6 +11,9 @@
 // dumpEvery is how often the member's state is copied for the state dump.
 const dumpEvery = 200 * time.Millisecond
 
+// awaitedAfter is how many lease TTLs a lessor may be unsettled before it is logged.
+const awaitedAfter = 2
+
 // publish renews what other goroutines may know, and logs and counts what has
 // changed since the last time.
 func (w *worker) publish() {
@@ -52,6 +56,7 @@
 	if next.Settled && !last.Settled {
 		eventSettled.Log(logger, "group", w.group, "term", next.Term)
 	}
+	w.reportAwaited(next, now)
 	if next.Role == core.RoleLessor && last.Role == core.RoleLessor {
 		w.reportRight(next, last)
 		metricUnserved.Add(int64(last.Unserved) * (now - w.lastAt).Milliseconds())
@@ -71,7 +76,7 @@
 	switch next.Role {
 	case core.RoleLessor:
 		metricTakeovers.Add(1)
-		eventLessor.Log(logger, "group", w.group, "term", next.Term, "off_log", next.OffLog)
+		eventLessor.Log(logger, "group", w.group, "term", next.Term, "off_log", next.OffLog, "basis", next.Basis)
 	case core.RoleStandby:
 		eventStandby.Log(logger, "group", w.group, "term", next.Term)
 	default:
@@ -79,6 +84,27 @@
 	}
 }
 
+// reportAwaited tells, once a term, what keys without an owner wait for.
+func (w *worker) reportAwaited(status core.Status, now time.Duration) {
+	if status.Term != w.awaitsTerm {
+		w.awaitsTerm, w.awaitsFrom = status.Term, now
+	}
+	if status.Role != core.RoleLessor || status.Settled || now-w.awaitsFrom < awaitedAfter*w.module.timing.LeaseTTL {
+		return
+	}
+	w.awaitsFrom = math.MaxInt64
+	awaited := w.member.Awaited(now)
+	if awaited.Shards == 0 {
+		return
+	}
+	var silent []string
+	for _, run := range awaited.Silent {
+		silent = append(silent, string(run.Node)+"@"+string(run.Boot))
+	}
+	eventAwaited.Log(w.module.logger, "group", w.group, "term", status.Term, "shards", awaited.Shards,
+		"silent", silent, "left", awaited.Left, "endless", awaited.Endless)
+}
+
 func (w *worker) reportRight(next, last core.Status) {
 	logger := w.module.logger
 	if next.Mode != last.Mode {
--- a/modules/lessor/worker.go
+++ b/modules/lessor/worker.go
@@ -40,7 +40,11 @@
 	facts  *core.Facts
 	last   core.Status
 	lastAt time.Duration
-	lists  uint64 // version of what published.granted was made from
+	// awaitsFrom is since when the lessor of awaitsTerm has not been settled, or later
+	// than any time once that is logged.
+	awaitsTerm topo.Term
+	awaitsFrom time.Duration
+	lists      uint64 // version of what published.granted was made from
 	// resting has the facts of a member at rest, for whoever wakes it.
 	resting atomic.Pointer[core.Facts]
 	wake    chan struct{} // size 1
