Lessor: messages to a node whose lessor duty has ended are refused at once

What callers saw: a heartbeat or a planned move that reached a node between the end of its lessor duty and of its listener was held until its deadline (a move: 30 s). Cause: the handler waited for an answer of a worker that had ended. The typed refusal for it, StoppingError, was there and nothing returned it. Change: a handler waits for the answer, the end of the worker or its deadline.

--- a/modules/lessor/serve.go
+++ b/modules/lessor/serve.go
@@ -16,15 +16,11 @@
 		return nil, &UnknownGroupError{Group: topo.GroupID(req.GetGroup())}
 	}
 	in := heartbeatReceived{heartbeat: heartbeatFromProto(req), reply: make(chan core.HeartbeatReply, 1)}
-	if err := w.put(ctx, in); err != nil {
+	reply, err := deliver(ctx, w, in, in.reply)
+	if err != nil {
 		return nil, err
 	}
-	select {
-	case reply := <-in.reply:
-		return replyToProto(m.caller.Sender(), reply), nil
-	case <-ctx.Done():
-		return nil, ctx.Err()
-	}
+	return replyToProto(m.caller.Sender(), reply), nil
 }
 
 // serveMove takes up planned moves as the group's lessor.
@@ -34,15 +30,11 @@
 		return nil, &UnknownGroupError{Group: topo.GroupID(req.GetGroup())}
 	}
 	in := movesRequested{moves: movesFromProto(req.GetMoves()), accepted: make(chan int, 1)}
-	if err := w.put(ctx, in); err != nil {
+	accepted, err := deliver(ctx, w, in, in.accepted)
+	if err != nil {
 		return nil, err
 	}
-	select {
-	case accepted := <-in.accepted:
-		return &bspb.MoveResponse{Sender: m.caller.Sender(), Accepted: uint32(accepted)}, nil
-	case <-ctx.Done():
-		return nil, ctx.Err()
-	}
+	return &bspb.MoveResponse{Sender: m.caller.Sender(), Accepted: uint32(accepted)}, nil
 }
 
 // serveAnnounce passes on what a lessor decided off the log.
@@ -72,6 +64,23 @@
 	}
 }
 
+// deliver hands an input of another node to the worker and waits for its answer. It
+// returns a *ring.FullError, a *StoppingError, or the context's error.
+func deliver[T any](ctx context.Context, w *worker, in input, answer <-chan T) (T, error) {
+	var none T
+	if err := w.put(ctx, in); err != nil {
+		return none, err
+	}
+	select {
+	case got := <-answer:
+		return got, nil
+	case <-w.ended:
+		return none, &StoppingError{}
+	case <-ctx.Done():
+		return none, ctx.Err()
+	}
+}
+
 // put hands an input of another node to the worker; a full inbox refuses it.
 func (w *worker) put(ctx context.Context, in input) error {
 	err := w.inbox.Put(ctx, in)
--- a/modules/lessor/worker.go
+++ b/modules/lessor/worker.go
@@ -48,6 +48,7 @@
 	// resting has the facts of a member at rest, for whoever wakes it.
 	resting atomic.Pointer[core.Facts]
 	wake    chan struct{} // size 1
+	ended   chan struct{} // closed when no input is taken any more
 	current atomic.Pointer[published]
 	dump    atomic.Pointer[core.Dump]
 	dumpAt  time.Duration
@@ -74,6 +75,7 @@
 		inbox:  ring.New[input]("lessor-"+string(group), inboxSize, ring.Refuse),
 		told:   map[topo.ServerID]time.Duration{},
 		wake:   make(chan struct{}, 1),
+		ended:  make(chan struct{}),
 		facts:  &core.Facts{},
 	}
 	w.calls = newCalls(callsMost)
@@ -89,6 +91,7 @@
 func (w *worker) run(ctx context.Context) {
 	defer w.calls.running.Wait()
 	defer w.announcements.running.Wait()
+	defer close(w.ended)
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	for {
