--- a/proof/site_test.go
+++ b/proof/site_test.go
@@ -7,6 +7,7 @@
 import (
 	"context"
 	"encoding/json"
+	"flag"
 	"fmt"
 	"math/rand/v2"
 	"os"
@@ -29,12 +30,16 @@
 	searchLimit = 20 * time.Second // of one search for a linearization
 	loadSpan    = 4 * time.Second
 	requests    = 400
-	seed        = 7
 	sitesAtOnce = 5 // more would only slow each other down
 
 	serversPerService = 6 // two a zone
 )
 
+// seed decides which servers a run hurts, and the load.
+var seed uint64
+
+func init() { flag.Uint64Var(&seed, "proof.seed", 7, "seed of each run") }
+
 // smallSiteWith is the site of most runs: as many services, shards and servers
 // as the rules need, so that several sites can run at once. Further fields are
 // added to the site configuration, and to each service.
