Ranges: a grant that left no byte is sent again

What callers risked: a range whose new owner took no connection for a moment was never granted again, and refused for as long as that server stayed in the register. Cause: a grant after a miss must not prolong the wait for a silent owner, so its hold is what is left of the earlier ones. Evidence: found on looking for claims in turn at gateway nodes. TestAGrantThatLeftNoByte IsSentAgain and TestClaimsInTurnDoNotProlongTheWaitForALostOwner fail before: one call in 20 s, nothing planned. Change: while nothing of a range is in force, the grant after a first miss has a hold of usual length; a second one makes the server silent, and the range goes on at once.

--- a/gateway/ranges/allocator.go
+++ b/gateway/ranges/allocator.go
@@ -236,15 +236,9 @@
 	if !l.sentAt.IsZero() && now.Sub(l.sentAt) < wait {
 		return Call{}, false
 	}
-	hold := k.longest
-	if l.misses > 0 || leaving {
-		// What goes to a server that may be lost must not prolong the wait for it.
-		hold = l.likelyHeld(k.timing).Sub(now) - holdMargin - k.timing.CallTimeout
-		hold = time.Duration(float64(hold) / (1 + clockDrift))
-		hold = min(hold, k.longest)
-		if hold < minHold {
-			return Call{}, false
-		}
+	hold := k.grantHold(l, leaving, now)
+	if hold < minHold {
+		return Call{}, false
 	}
 	call.Grant = Grant{Assignment: l.Assignment, Hold: hold}
 	if _, hasEnded := LaterRun(servers, l.giver); hasEnded {
@@ -256,6 +250,17 @@
 	return call, true
 }
 
+// grantHold returns the hold of the next grant of a range. What goes to a server that may
+// be lost must not prolong the wait for it, unless there is none: nothing is in force.
+func (k *Allocator) grantHold(l *lease, leaving bool, now time.Time) time.Duration {
+	isUnheld := !leaving && l.misses < missesToLapse && !now.Before(l.held())
+	if isUnheld || l.misses == 0 && !leaving {
+		return k.longest
+	}
+	left := l.likelyHeld(k.timing).Sub(now) - holdMargin - k.timing.CallTimeout
+	return min(time.Duration(float64(left)/(1+clockDrift)), k.longest)
+}
+
 // minHold is the shortest hold worth a call.
 const minHold = 50 * time.Millisecond
 
