Lessor: former lessors tell which standby lessors they asked for disconnected mode

Cause: one silent run is bounded by the others' words unless a lessor since the settled term had asked for disconnected mode. That counted against every standby lessor, though only the one that was asked, and has not acknowledged connected mode since, can go on off the log. On a starved machine log reads fail for a moment often enough. Evidence: the dump: term 359, 33 s old, one silent run of six (led 198, stood by 244), known settled 198, no run missing. TestLostRunThatWasNotAskedForDisconnectedMode and TestLostRunThatHadLeftDisconnectedMode (fake time) fail before: not served within 6 s, event 1420 tells 9 min 59 s left. Ruled out: a run that is missing from the list (since 10), words that were dropped (all of five there). Change: a reply lists the standby lessors that its sender asked, each with the latest term, but for those that acknowledged connected mode again. A list that dropped some, and an older release, count for every standby lessor, as before.

--- /dev/null
+++ b/lessor/asked.go
@@ -0,0 +1,55 @@
+package lessor
+
+import (
+	"slices"
+
+	"github.com/burdockspindle/burdockspindle/topo"
+)
+
+// AskedStandby is a standby lessor that a lessor has asked for disconnected mode, and the
+// latest term in which it did. No other standby lessor goes on off the log, and none that
+// has acknowledged connected mode since.
+type AskedStandby struct {
+	Run  Run
+	Term topo.Term
+}
+
+// askedMost bounds the standby lessors that a run remembers to have asked.
+const askedMost = 16
+
+// askedStandbys are those that this run has asked, but for those that have acknowledged
+// connected mode since, the latest last. It is never changed in place.
+type askedStandbys struct {
+	list []AskedStandby
+	// isPartial tells that some were dropped.
+	isPartial bool
+}
+
+// with adds a standby lessor. Those of terms before a settled one no longer matter.
+func (a askedStandbys) with(standby AskedStandby, settled topo.Term) askedStandbys {
+	var next []AskedStandby
+	for _, earlier := range a.list {
+		if earlier.Run != standby.Run && !earlier.Term.Less(settled) {
+			next = append(next, earlier)
+		}
+	}
+	next = append(next, standby)
+	if len(next) > askedMost {
+		return askedStandbys{list: next[1:], isPartial: true}
+	}
+	return askedStandbys{list: next, isPartial: a.isPartial}
+}
+
+// without drops a standby lessor that has acknowledged connected mode.
+func (a askedStandbys) without(standby Run) askedStandbys {
+	isIt := func(asked AskedStandby) bool { return asked.Run == standby }
+	if !slices.ContainsFunc(a.list, isIt) {
+		return a
+	}
+	return askedStandbys{list: slices.DeleteFunc(slices.Clone(a.list), isIt), isPartial: a.isPartial}
+}
+
+// asks reports whether a standby lessor was asked in a term since an offset.
+func asks(list []AskedStandby, standby Run, since topo.Offset) bool {
+	return slices.ContainsFunc(list, func(a AskedStandby) bool { return a.Run == standby && a.Term.Offset >= since })
+}
--- /dev/null
+++ b/lessor/asked_test.go
@@ -0,0 +1,42 @@
+package lessor
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/onsi/gomega"
+
+	"github.com/burdockspindle/burdockspindle/topo"
+)
+
+// TestAskedStandbysKeepTheLatestTerm: each standby lessor stands once, and those of terms
+// before the settled one are dropped.
+func TestAskedStandbysKeepTheLatestTerm(t *testing.T) {
+	g := gomega.NewWithT(t)
+	ask := func(node topo.NodeID, term topo.Offset) AskedStandby {
+		return AskedStandby{Run: Run{Node: node, Boot: "1"}, Term: topo.MakeTerm(term, 0)}
+	}
+	none := topo.Term{}
+	a := askedStandbys{}.with(ask("b", 10), none).with(ask("c", 20), none).with(ask("b", 30), none)
+	g.Expect(a.list).To(gomega.Equal([]AskedStandby{ask("c", 20), ask("b", 30)}))
+	g.Expect(a.with(ask("d", 40), topo.MakeTerm(30, 0)).list).To(gomega.Equal([]AskedStandby{ask("b", 30), ask("d", 40)}))
+	g.Expect(a.without(Run{Node: "c", Boot: "1"}).list).To(gomega.Equal([]AskedStandby{ask("b", 30)}))
+	g.Expect(a.without(Run{Node: "c", Boot: "2"}).list).To(gomega.HaveLen(2), "another run")
+	g.Expect(a.list).To(gomega.HaveLen(2), "not changed in place")
+}
+
+// TestAskedStandbysTellThatSomeWereDropped: a list that is full no longer counts as whole,
+// or a standby lessor that was dropped would pass for one that was never asked.
+func TestAskedStandbysTellThatSomeWereDropped(t *testing.T) {
+	g := gomega.NewWithT(t)
+	m := NewMember(Config{Node: "a", Boot: "1"})
+	for i := range askedMost + 1 {
+		g.Expect(m.asked.isPartial).To(gomega.BeFalse())
+		run := Run{Node: topo.NodeID(fmt.Sprint("n", i)), Boot: "1"}
+		m.asked = m.asked.with(AskedStandby{Run: run, Term: topo.MakeTerm(topo.Offset(i+1), 0)}, topo.Term{})
+	}
+	g.Expect(m.asked.list).To(gomega.HaveLen(askedMost))
+	reply := m.HeartbeatReceived(0, Heartbeat{})
+	g.Expect(reply.TellsStandbys).To(gomega.BeFalse())
+	g.Expect(reply.AskedStandbys).To(gomega.HaveLen(askedMost))
+}
--- a/lessor/dump.go
+++ b/lessor/dump.go
@@ -52,6 +52,10 @@
 	// AnswerAge is the age of its answer that it has stopped; "never" without one.
 	AnswerAge   string `json:"answerAge"`
 	SettledTerm string `json:"settledTerm"` // by its answer
+	// DisconnectedTerm is the latest in which it, as the lessor, asked for disconnected
+	// mode, and Asked are the standby lessors that it asked, by its answer.
+	DisconnectedTerm string   `json:"disconnectedTerm"`
+	Asked            []string `json:"asked,omitempty"`
 }
 
 // ServerDump describes one server of a lessor's group.
@@ -146,6 +150,10 @@
 		if w, said := f.word(runOf(r)); said {
 			d.AnswerAge = momentAt(w.at).age(now)
 			d.SettledTerm = w.settled.String()
+			d.DisconnectedTerm = w.disconnected.String()
+			for _, a := range w.asked {
+				d.Asked = append(d.Asked, string(a.Run.Node)+"/"+string(a.Run.Boot)+" in "+a.Term.String())
+			}
 		}
 		list = append(list, d)
 	}
--- a/lessor/former.go
+++ b/lessor/former.go
@@ -38,6 +38,18 @@
 	// disconnected mode, if it tells.
 	disconnected topo.Term
 	tellsMode    bool
+	// asked are the standby lessors that the run asked for it, if it tells.
+	asked         []AskedStandby
+	tellsStandbys bool
+}
+
+// mayHaveAsked reports whether the run may have asked a standby lessor for disconnected
+// mode in a term since an offset.
+func (w word) mayHaveAsked(standby Run, since topo.Offset) bool {
+	if w.tellsStandbys {
+		return asks(w.asked, standby, since)
+	}
+	return !w.tellsMode || w.disconnected.Offset >= since
 }
 
 // formerOf returns the lessors of the group's earlier terms. What this run itself
@@ -48,7 +60,15 @@
 	if group.Former != nil {
 		f.runs, f.since = group.Former.Runs, group.Former.Since
 	}
-	f.note(word{run: m.self(), at: now, settled: m.settledTerm, disconnected: m.disconnectedTerm, tellsMode: true})
+	f.note(word{
+		run:           m.self(),
+		at:            now,
+		settled:       m.settledTerm,
+		disconnected:  m.disconnectedTerm,
+		tellsMode:     true,
+		asked:         m.asked.list,
+		tellsStandbys: !m.asked.isPartial,
+	})
 	return f
 }
 
@@ -60,11 +80,13 @@
 		return
 	}
 	w := word{
-		run:          reply.From,
-		at:           now,
-		settled:      reply.SettledTerm,
-		disconnected: reply.DisconnectedTerm,
-		tellsMode:    reply.TellsMode,
+		run:           reply.From,
+		at:            now,
+		settled:       reply.SettledTerm,
+		disconnected:  reply.DisconnectedTerm,
+		tellsMode:     reply.TellsMode,
+		asked:         reply.AskedStandbys,
+		tellsStandbys: reply.TellsStandbys,
 	}
 	if !w.settled.Less(m.term) {
 		w.settled = topo.Term{} // it has taken this node's term
@@ -156,11 +178,10 @@
 }
 
 // silentEnd returns when the right of the only run without a word has ended, as far
-// as the others' words bound it. If no lessor that it stood by for asked for
-// disconnected mode, it has not gone on as the standby lessor; and as the lessor it
-// gets no promise any more.
+// as the others' words bound it. If no lessor asked it for disconnected mode, it has not
+// gone on as the standby lessor; and as the lessor it gets no promise any more.
 func (f *former) silentEnd(run state.FormerRun, said []word, s silence, r rules) moment {
-	if run.StoodBy.Offset >= f.settled && !f.stayedConnected(run, r) && !r.noConnected && !r.noLone {
+	if run.StoodBy.Offset >= f.settled && f.mayHaveBeenAsked(run, r) && !r.noConnected && !r.noLone {
 		return moment{}
 	}
 	if run.Led.Offset < f.settled {
@@ -176,15 +197,26 @@
 	return momentAt(supported + s.alone)
 }
 
-// stayedConnected reports whether no lessor since the latest settled term, but one
-// that is not asked, has asked for disconnected mode. In connected mode no standby
-// lessor goes on by itself, and no standby server is activated.
-func (f *former) stayedConnected(but state.FormerRun, r rules) bool {
+// mayHaveBeenAsked reports whether a lessor since the latest settled term may have asked
+// a standby lessor for disconnected mode, without which that does not go on by itself.
+func (f *former) mayHaveBeenAsked(standby state.FormerRun, r rules) bool {
+	return slices.ContainsFunc(f.needed(r), func(run state.FormerRun) bool {
+		if run.Led.Offset < f.settled || run == standby {
+			return false
+		}
+		w, said := f.word(runOf(run))
+		return !said || w.mayHaveAsked(runOf(standby), f.settled)
+	})
+}
+
+// stayedConnected reports whether no lessor since the latest settled term has asked for
+// disconnected mode, without which no standby server is activated.
+func (f *former) stayedConnected(r rules) bool {
 	if f.since == 0 || !f.complete(r) {
 		return false
 	}
 	return !slices.ContainsFunc(f.needed(r), func(run state.FormerRun) bool {
-		if run.Led.Offset < f.settled || run == but {
+		if run.Led.Offset < f.settled {
 			return false
 		}
 		w, said := f.word(runOf(run))
--- a/lessor/former_test.go
+++ b/lessor/former_test.go
@@ -114,6 +114,12 @@
 	disconnected.disconnected = topo.MakeTerm(10, 0)
 	earlier := says("l", 3)
 	earlier.disconnected = topo.MakeTerm(5, 0)
+	asked := func(node topo.NodeID, term topo.Offset) word {
+		w := disconnected
+		w.tellsStandbys = true
+		w.asked = []AskedStandby{{Run: Run{Node: node, Boot: topo.BootID(node) + "-1"}, Term: topo.MakeTerm(term, 0)}}
+		return w
+	}
 	oldRelease := word{run: Run{Node: "l", Boot: "l-1"}, at: 3}
 	const superseded, unseen, alone = 1, 100, 10
 	waits := silence{unseen: limit{lasts: unseen}, alone: alone}
@@ -127,6 +133,9 @@
 		{"a standby lessor of connected mode", 10, []word{says("c", 2), says("d", 2), says("l", 3)}, momentAt(3)},
 		{"a standby lessor of disconnected mode", 10, []word{says("c", 2), says("d", 2), disconnected}, momentAt(superseded + unseen)},
 		{"a standby lessor, disconnected mode before", 10, []word{says("c", 2), says("d", 2), earlier}, momentAt(3)},
+		{"a standby lessor that was asked", 10, []word{says("c", 2), says("d", 2), asked("s", 10)}, momentAt(superseded + unseen)},
+		{"a standby lessor that was asked before", 10, []word{says("c", 2), says("d", 2), asked("s", 5)}, momentAt(3)},
+		{"a standby lessor, another was asked", 10, []word{says("c", 2), says("d", 2), asked("d", 10)}, momentAt(3)},
 		{"a standby lessor, mode not told", 10, []word{says("c", 2), says("d", 2), oldRelease}, momentAt(superseded + unseen)},
 		{"both of a pair", 10, []word{says("c", 2), says("d", 2)}, momentAt(superseded + unseen)},
 		{"the lessor, and runs that are not listed", 11, []word{says("c", 2), says("d", 2), says("s", 4)}, momentAt(superseded + unseen)},
--- a/lessor/heartbeat.go
+++ b/lessor/heartbeat.go
@@ -91,6 +91,9 @@
 	m.beats.answered = m.beats.answered.later(momentAt(now))
 	m.claim.repeated = 0
 	m.right.answered(reply, sent)
+	if m.right.acked && m.right.mode == ModeConnected {
+		m.asked = m.asked.without(reply.From)
+	}
 	m.grantTold(reply.Round)
 	m.advance(now)
 }
@@ -104,6 +107,7 @@
 	m.right.ask(to)
 	if to == ModeDisconnected {
 		m.disconnectedTerm = m.term
+		m.asked = m.asked.with(AskedStandby{Run: m.standbyRun(), Term: m.term}, m.settledTerm)
 	}
 	return true
 }
--- a/lessor/member.go
+++ b/lessor/member.go
@@ -60,6 +60,7 @@
 	// disconnectedTerm is the latest in which this run, as the lessor, asked for
 	// disconnected mode, or had standby servers activated from such a term.
 	disconnectedTerm topo.Term
+	asked            askedStandbys
 	draining         bool // this process is leaving
 
 	standing   standing
--- a/lessor/messages.go
+++ b/lessor/messages.go
@@ -64,6 +64,11 @@
 	// TellsMode is set.
 	DisconnectedTerm topo.Term
 	TellsMode        bool
+	// AskedStandbys are all that the answering run, as the lessor, has asked for
+	// disconnected mode since it was settled, but for those that have acknowledged
+	// connected mode again; it counts only if TellsStandbys is set.
+	AskedStandbys []AskedStandby
+	TellsStandbys bool
 }
 
 // LeaseOrder is a renewal to send to a server. With an empty Boot it asks for a
--- a/lessor/search_key_test.go
+++ b/lessor/search_key_test.go
@@ -100,6 +100,10 @@
 	k.flag(m.claim.awaited)
 	k.ordinal(m.settledTerm.Ordinal)
 	k.ordinal(m.disconnectedTerm.Ordinal)
+	for _, asked := range m.asked.list {
+		k.text(string(asked.Run.Boot))
+		k.ordinal(asked.Term.Ordinal)
+	}
 	for _, run := range m.silentRuns {
 		k.text(string(run.Boot))
 	}
--- a/lessor/settle.go
+++ b/lessor/settle.go
@@ -3,7 +3,6 @@
 import (
 	"time"
 
-	"github.com/burdockspindle/burdockspindle/state"
 	"github.com/burdockspindle/burdockspindle/topo"
 )
 
@@ -142,7 +141,7 @@
 	if !shard.StandbyHere || m.rules.noBoth {
 		return false
 	}
-	if !m.rules.noEarlierRun && !m.takeover.former.stayedConnected(state.FormerRun{}, m.rules) {
+	if !m.rules.noEarlierRun && !m.takeover.former.stayedConnected(m.rules) {
 		return true
 	}
 	s, exists := m.servers[shard.Standby]
--- a/lessor/standing.go
+++ b/lessor/standing.go
@@ -46,6 +46,8 @@
 
 		DisconnectedTerm: m.disconnectedTerm,
 		TellsMode:        true,
+		AskedStandbys:    m.asked.list,
+		TellsStandbys:    !m.asked.isPartial,
 	}
 	if !m.standsBy(req) {
 		return reply
--- a/modules/lessor/convert.go
+++ b/modules/lessor/convert.go
@@ -115,6 +115,8 @@
 
 		DisconnectedTerm: ordinalToProto(r.DisconnectedTerm.Ordinal),
 		TellsMode:        r.TellsMode,
+		AskedStandbys:    askedToProto(r.AskedStandbys),
+		TellsStandbys:    r.TellsStandbys,
 	}
 }
 
@@ -133,9 +135,32 @@
 
 		DisconnectedTerm: termFromProto(resp.GetDisconnectedTerm()),
 		TellsMode:        resp.GetTellsMode(),
+		AskedStandbys:    askedFromProto(resp.GetAskedStandbys()),
+		TellsStandbys:    resp.GetTellsStandbys(),
 	}
 }
 
+func askedToProto(asked []core.AskedStandby) []*bspb.AskedStandby {
+	var list []*bspb.AskedStandby
+	for _, a := range asked {
+		list = append(list, &bspb.AskedStandby{
+			Node: string(a.Run.Node),
+			Boot: string(a.Run.Boot),
+			Term: ordinalToProto(a.Term.Ordinal),
+		})
+	}
+	return list
+}
+
+func askedFromProto(list []*bspb.AskedStandby) []core.AskedStandby {
+	var asked []core.AskedStandby
+	for _, a := range list {
+		run := core.Run{Node: topo.NodeID(a.GetNode()), Boot: topo.BootID(a.GetBoot())}
+		asked = append(asked, core.AskedStandby{Run: run, Term: termFromProto(a.GetTerm())})
+	}
+	return asked
+}
+
 func claimToProto(group topo.GroupID, self core.Run, claim core.Claim) *bspb.Record {
 	return &bspb.Record{Body: &bspb.Record_ClaimTerm{ClaimTerm: &bspb.ClaimTerm{
 		Group:       string(group),
--- a/modules/lessor/suspicion_test.go
+++ b/modules/lessor/suspicion_test.go
@@ -100,3 +100,36 @@
 		suspectedPair(t, limit, func(w *world) *testNode { return w.standby("a/0") })
 	}
 }
+
+// lostAfterDisconnectedMode runs a scenario in which a lessor has asked its standby lessor
+// for disconnected mode, while the log was away. Later a server is lost, the two are
+// suspected by mistake, and while the next lessor is unsettled a node that had a part in
+// the group is lost too. It returns when every shard is served.
+func lostAfterDisconnectedMode(t *testing.T, lost func(w *world, standby *testNode) *testNode) {
+	run(t, oneZone, 5, limit, func(w *world, g *WithT) {
+		asker, standby := w.lessorOfA(), w.standby("a/0")
+		w.logDown(true)
+		time.Sleep(rest)
+		w.logDown(false)
+		time.Sleep(rest)
+		w.servers["sa1"].setDown(true)
+		w.suspect()
+		gone := lost(w, standby)
+		g.Expect(gone).NotTo(Equal(asker))
+		gone.kill()
+		w.suspect()
+		took := w.until(2*served, "every shard served", func() bool { return len(w.serving()) == shardCount })
+		t.Logf("served %v after the claim", took)
+	})
+}
+
+// A standby lessor goes on off the log only if it was asked for disconnected mode. One that
+// was not, and was lost, held keys up for maxDisconnected where another had been asked.
+func TestLostRunThatWasNotAskedForDisconnectedMode(t *testing.T) {
+	lostAfterDisconnectedMode(t, func(w *world, _ *testNode) *testNode { return w.lessorOfA() })
+}
+
+// The same holds for one that was asked, and has acknowledged connected mode again.
+func TestLostRunThatHadLeftDisconnectedMode(t *testing.T) {
+	lostAfterDisconnectedMode(t, func(_ *world, standby *testNode) *testNode { return standby })
+}
