--- a/lessor/heartbeat.go
+++ b/lessor/heartbeat.go
@@ -109,5 +109,8 @@
 		m.disconnectedTerm = m.term
 		m.asked = m.asked.with(AskedStandby{Run: m.standbyRun(), Term: m.term}, m.settledTerm)
 	}
+	if to == ModeConnected && m.rules.noLeft {
+		m.asked = m.asked.without(m.standbyRun())
+	}
 	return true
 }
--- a/lessor/rules.go
+++ b/lessor/rules.go
@@ -25,6 +25,8 @@
 	// noConnected: a standby lessor without a word counts as one that did not go on,
 	// whatever mode its lessor had asked for.
 	noConnected bool
+	// noLeft: a standby lessor counts as back in connected mode as soon as it is asked.
+	noLeft bool
 	// noPromise: a lessor without a word counts as ended once its standby lessors
 	// have given theirs.
 	noPromise bool
--- a/lessor/search_key_test.go
+++ b/lessor/search_key_test.go
@@ -100,10 +100,7 @@
 	k.flag(m.claim.awaited)
 	k.ordinal(m.settledTerm.Ordinal)
 	k.ordinal(m.disconnectedTerm.Ordinal)
-	for _, asked := range m.asked.list {
-		k.text(string(asked.Run.Boot))
-		k.ordinal(asked.Term.Ordinal)
-	}
+	k.askedStandbys(m.asked.list)
 	for _, run := range m.silentRuns {
 		k.text(string(run.Boot))
 	}
@@ -118,6 +115,14 @@
 	}
 }
 
+func (k *keyWriter) askedStandbys(list []AskedStandby) {
+	k.num(len(list))
+	for _, asked := range list {
+		k.text(string(asked.Run.Boot))
+		k.ordinal(asked.Term.Ordinal)
+	}
+}
+
 // mayTakeOver reports whether a node has to wait for former lessors, or may come to.
 func (k *keyWriter) mayTakeOver(node int) bool {
 	m := k.w.nodes[node].member
@@ -252,6 +257,7 @@
 		k.flag(said)
 		if said {
 			k.ordinal(w.disconnected.Ordinal)
+			k.askedStandbys(w.asked)
 		}
 	}
 }
@@ -373,6 +379,7 @@
 		k.ordinal(h.answer.HighestTerm.Ordinal)
 		k.ordinal(h.answer.SettledTerm.Ordinal)
 		k.ordinal(h.answer.DisconnectedTerm.Ordinal)
+		k.askedStandbys(h.answer.AskedStandbys)
 		k.flag(h.answer.Promised)
 		k.num(int(h.answer.Mode))
 		k.rank(h.answer.ModeRound, k.modeRounds()...)
