--- a/lessor/asked.go
+++ b/lessor/asked.go
@@ -49,7 +49,7 @@
 	return askedStandbys{list: slices.DeleteFunc(slices.Clone(a.list), isIt), isPartial: a.isPartial}
 }
 
-// asks reports whether a standby lessor was asked in a term since an offset.
-func asks(list []AskedStandby, standby Run, since topo.Offset) bool {
+// wasAsked reports whether a standby lessor was asked in a term since an offset.
+func wasAsked(list []AskedStandby, standby Run, since topo.Offset) bool {
 	return slices.ContainsFunc(list, func(a AskedStandby) bool { return a.Run == standby && a.Term.Offset >= since })
 }
--- a/lessor/former.go
+++ b/lessor/former.go
@@ -47,7 +47,7 @@
 // mode in a term since an offset.
 func (w word) mayHaveAsked(standby Run, since topo.Offset) bool {
 	if w.tellsStandbys {
-		return asks(w.asked, standby, since)
+		return wasAsked(w.asked, standby, since)
 	}
 	return !w.tellsMode || w.disconnected.Offset >= since
 }
