Follower: the test of the module waits until the reader has noted its contact

Cause: the fate is told before the reader's goroutine notes the contact of the read that brought it; no time passes in between, but the order of goroutines is open. Ruled out: a contact that is never noted (it is, in the same moment of fake time). Change: the test waits until nothing in the bubble can run; its checks are the same.

--- a/modules/follower/module_test.go
+++ b/modules/follower/module_test.go
@@ -53,6 +53,7 @@
 		join := &bspb.JoinNode{Node: "a", Boot: "b1", Zone: "zone-a"}
 		fate, err := appender.Submit(t.Context(), &bspb.Record{Body: &bspb.Record_JoinNode{JoinNode: join}})
 		g.Expect(err).NotTo(gomega.HaveOccurred())
+		synctest.Wait() // the reader notes its contact after the fate is known
 		g.Expect(source.View().Applied()).To(gomega.Equal(fate.Offset))
 		g.Expect(contact.LastContact().IsZero()).To(gomega.BeFalse())
 		g.Expect(module.(kernel.Dumper).Dump().(core.Dump).Writer).To(gomega.Equal("a@b1"))
