Ranges, upstream: grants go only to connections that the server has accepted

Cause: a new lessor has no connections to the owners. A server's machine takes a new connection and acknowledges the grant; a full server's process accepts it when a slot is free, seconds later. The lessor gave the call up after 0.4 s and counted it from there. Its reset was lost in the cut, and does not take back acknowledged bytes anyway. Ruled out: the lessor's link and processor (both kinds of connection share them); the cut (it only kept the reset and the answers away). Change: a new connection for control calls is opened by a grant of no keys, which has no effect whenever it is carried out; grants follow once it is answered. The opening outlives the call that asked for it. An owner that has not accepted yet is not silent for 2 s. An acknowledged call counts from 0.4 s after the acknowledgement, which is looked at after 50 ms, so that a silent owner's keys wait no longer than before; a count of bytes that is not known counts as under way (it was 0, which meant arrived). The worlds hold up new connections for up to 5 s; a call on one that is not accepted, and an acknowledgement taken for the carrying out, each give two owners. Checks changed: two rows that held the former rule (an acknowledged call counts from its end) now hold it with 0.4 s more, to the millisecond on both sides; the row of fates 'acknowledged, but no answer' met a server that never accepted: it is 'not accepted' now, and one that accepts, answers once and only reads then is 'arrived'. Conclusion: the first grants of a new lessor still wait at full servers; next.

--- a/gateway/duty/calls.go
+++ b/gateway/duty/calls.go
@@ -59,10 +59,10 @@
 	result.Failed = err != nil && !result.Fenced
 	var lost *ranges.CallError
 	if errors.As(err, &lost) {
-		result.Fate = lost.Fate
+		result.Fate, result.ArrivedBy = lost.Fate, lost.ArrivedBy
 	}
 	if err != nil {
-		eventCallFailed.Log(d.Logger, "server", server.ID, "release", call.Release, "from", call.Grant.From, "to", call.Grant.To, "fence", call.Grant.Fence, "hold", call.Grant.Hold, "fenced", result.Fenced, "fate", result.Fate, "since", clock.Since(call.SentAt), "cause", err)
+		eventCallFailed.Log(d.Logger, "server", server.ID, "release", call.Release, "from", call.Grant.From, "to", call.Grant.To, "fence", call.Grant.Fence, "hold", call.Grant.Hold, "fenced", result.Fenced, "fate", result.Fate, "arrivedAgo", arrivedAgo(result, clock.Now()), "since", clock.Since(call.SentAt), "cause", err)
 	}
 	countCall(call, result)
 	d.called <- callResult{call, result}
@@ -73,3 +73,12 @@
 		d.allocator.Done(r.call, r.result, clock.Now())
 	}
 }
+
+// arrivedAgo returns how long ago a call without an answer had reached the server's machine,
+// for the log; 0: not known.
+func arrivedAgo(result ranges.Result, now time.Time) time.Duration {
+	if result.ArrivedBy.IsZero() {
+		return 0
+	}
+	return now.Sub(result.ArrivedBy)
+}
--- a/gateway/ranges/allocator.go
+++ b/gateway/ranges/allocator.go
@@ -40,14 +40,17 @@
 	earlierUntil time.Time
 	confirmed    bool // the owner has answered a grant under this fence
 	misses       int  // grants in a row without an answer
-	next         site.ServerID
-	releaseAt    time.Time     // when its release is sent
-	handover     string        // from the release
-	giver        site.ServerID // that gave the handover with which the owner got the range
-	movedAt      time.Time     // when the owner changed last
-	raised       bool          // the fence is to be raised by the next append
-	pending      bool          // an append that changes it is under way
-	kept         bool          // the owner had the range under the fence before
+	// unacceptedSince is since when the owner's process has not accepted a connection that its
+	// machine has taken; zero: it has.
+	unacceptedSince time.Time
+	next            site.ServerID
+	releaseAt       time.Time     // when its release is sent
+	handover        string        // from the release
+	giver           site.ServerID // that gave the handover with which the owner got the range
+	movedAt         time.Time     // when the owner changed last
+	raised          bool          // the fence is to be raised by the next append
+	pending         bool          // an append that changes it is under way
+	kept            bool          // the owner had the range under the fence before
 	// surgeSince and surgeUntil bound the time in which its load is taken from the quick
 	// memory: it, or a range of which it is a part, has become busy within an instant.
 	surgeSince, surgeUntil time.Time
@@ -60,6 +63,24 @@
 // longer than a new lessor waits for such a server's holds.
 const silentPause = 15 * time.Second
 
+// acceptPatience is for how long an owner whose machine takes connections may not accept
+// one before its calls count as missed. A full server accepts one when a request ends; to
+// take it for silent would leave its keys without an owner while it serves them.
+const acceptPatience = 2 * time.Second
+
+// mayAccept reports whether a call failed for want of a connection that the owner may yet
+// accept.
+func (l *lease) mayAccept(result Result, now time.Time) bool {
+	if result.Fate != Unaccepted {
+		l.unacceptedSince = time.Time{}
+		return false
+	}
+	if l.unacceptedSince.IsZero() {
+		l.unacceptedSince = now
+	}
+	return now.Sub(l.unacceptedSince) < acceptPatience
+}
+
 // missesToLapse is how many grants in a row go unanswered before a server
 // counts as silent: one may be lost with its connection.
 const missesToLapse = 2
@@ -257,7 +278,7 @@
 	if isUnheld || l.misses == 0 && !leaving {
 		return k.longest
 	}
-	left := l.likelyHeld(k.timing).Sub(now) - holdMargin - k.timing.CallTimeout
+	left := l.likelyHeld(k.timing).Sub(now) - holdMargin - k.timing.CallTimeout - takeDelay
 	return min(time.Duration(float64(left)/(1+clockDrift)), k.longest)
 }
 
@@ -270,6 +291,8 @@
 	Fenced   bool // the server has seen a higher fence
 	Failed   bool // no answer, or one that is no result
 	Fate     Fate // with Failed
+	// ArrivedBy is by when an Arrived call had reached the server's machine; zero: by its end.
+	ArrivedBy time.Time
 }
 
 // Done takes the result of a call.
@@ -294,8 +317,10 @@
 	case result.Fenced:
 		l.raised = true
 		k.setConfirmed(l, false)
+	case result.Failed && l.mayAccept(result, now):
+		l.sentAt = time.Time{} // the connection may be accepted at any moment
 	case result.Failed:
-		l.doubtful = l.doubtful || result.Fate != NotSent
+		l.doubtful = l.doubtful || result.Fate.leftBytes()
 		l.misses++
 		if l.misses >= missesToLapse {
 			k.setPhase(l, lapsing)
@@ -303,6 +328,7 @@
 		}
 	default:
 		l.misses = 0
+		l.unacceptedSince = time.Time{}
 		delete(k.silentUntil, l.Server)
 		k.setPhase(l, granting)
 		k.setConfirmed(l, true)
--- a/gateway/ranges/flight.go
+++ b/gateway/ranges/flight.go
@@ -17,8 +17,12 @@
 	Underway Fate = iota
 	// NotSent calls left no byte.
 	NotSent
-	// Arrived calls were acknowledged whole, or the server's machine ended their connection.
+	// Arrived calls were acknowledged whole on a connection that the server's process had
+	// accepted, or the server's machine ended their connection, or answered without a result.
+	// The process may yet carry them out.
 	Arrived
+	// Unaccepted calls left no byte: the server's process has not accepted the connection.
+	Unaccepted
 )
 
 // String returns the fate for the log.
@@ -28,13 +32,23 @@
 		return "not sent"
 	case Arrived:
 		return "arrived"
+	case Unaccepted:
+		return "not accepted"
 	}
 	return "under way"
 }
 
-// pathDelay is how long bytes are on their way at most once they have left the node's own
-// link.
-const pathDelay = 100 * time.Millisecond
+// leftBytes reports whether a call may yet be carried out.
+func (f Fate) leftBytes() bool { return f == Underway || f == Arrived }
+
+const (
+	// takeDelay is how long a server's process leaves bytes at most that its machine has
+	// acknowledged, on a connection that it has accepted: as long as a call may take.
+	takeDelay = 400 * time.Millisecond
+	// pathDelay is how long it takes at most until bytes that have left the node's own link
+	// are carried out.
+	pathDelay = 100*time.Millisecond + takeDelay
+)
 
 // flight is a grant whose arrival is not known: its call goes on, or has ended while bytes
 // were under way.
@@ -49,10 +63,13 @@
 	return time.Duration(float64(hold)*(1+clockDrift)) + holdMargin
 }
 
-// lapse returns how long after it was sent a grant may be in force: it may arrive until its
-// call is abandoned, or later by what waits before it in the node's own link.
+// late returns how long after the end of its call a grant may arrive: what waits before it
+// in the node's own link, or until the server's process takes it.
+func (t Timing) late() time.Duration { return max(t.Underway, takeDelay) }
+
+// lapse returns how long after it was sent a grant may be in force.
 func (t Timing) lapse(hold time.Duration) time.Duration {
-	return t.CallTimeout + t.Underway + t.arrived(hold)
+	return t.CallTimeout + t.late() + t.arrived(hold)
 }
 
 // held returns until when a grant may be in force.
@@ -68,7 +85,7 @@
 func (l *lease) likelyHeld(timing Timing) time.Time {
 	until := clock.Later(l.heldUntil, l.formerUntil)
 	for _, f := range l.flights {
-		until = clock.Later(until, f.until.Add(-timing.Underway))
+		until = clock.Later(until, f.until.Add(takeDelay-timing.late()))
 	}
 	return until
 }
@@ -107,14 +124,24 @@
 	f := l.flights[i]
 	l.flights = slices.Delete(l.flights, i, i+1)
 	switch {
-	case result.Fenced, result.Failed && result.Fate == NotSent:
+	case result.Fenced, result.Failed && !result.Fate.leftBytes():
 	case result.Failed && result.Fate == Underway:
 		f.endedAt = now
-		f.until = now.Add(timing.Underway + timing.arrived(f.hold))
+		f.until = now.Add(timing.late() + timing.arrived(f.hold))
 		l.flights = append(l.flights, f)
+	case result.Failed:
+		l.arrive(result.arrivedBy(now).Add(takeDelay+timing.arrived(f.hold)), true)
 	default:
-		l.arrive(now.Add(timing.arrived(f.hold)), result.Failed)
+		l.arrive(now.Add(timing.arrived(f.hold)), false)
+	}
+}
+
+// arrivedBy returns by when a call that ended at a time had reached the server's machine.
+func (r Result) arrivedBy(endedAt time.Time) time.Time {
+	if r.ArrivedBy.IsZero() || r.ArrivedBy.After(endedAt) {
+		return endedAt
 	}
+	return r.ArrivedBy
 }
 
 // arrive takes until when a grant is in force that has arrived.
--- a/gateway/ranges/flight_test.go
+++ b/gateway/ranges/flight_test.go
@@ -19,12 +19,14 @@
 		sentAt time.Time // of another call that is answered; zero: none is
 		want   time.Time
 	}{
-		"answered":                       {Result{}, time.Time{}, ended.Add(hold)},
-		"nothing left":                   {Result{Failed: true, Fate: NotSent}, time.Time{}, allocatorStart},
-		"all was acknowledged":           {Result{Failed: true, Fate: Arrived}, time.Time{}, ended.Add(hold)},
-		"under way":                      {Result{Failed: true}, time.Time{}, ended.Add(timing.Underway + hold)},
-		"an earlier call is answered":    {Result{Failed: true}, ended.Add(-time.Millisecond), ended.Add(timing.Underway + hold)},
-		"a call sent after the reset is": {Result{Failed: true}, ended, answered.Add(pathDelay + hold)},
+		"answered":                        {Result{}, time.Time{}, ended.Add(hold)},
+		"nothing left":                    {Result{Failed: true, Fate: NotSent}, time.Time{}, allocatorStart},
+		"all was acknowledged by the end": {Result{Failed: true, Fate: Arrived}, time.Time{}, ended.Add(takeDelay + hold)},
+		"all was acknowledged at once":    {Result{Failed: true, Fate: Arrived, ArrivedBy: allocatorStart}, time.Time{}, allocatorStart.Add(takeDelay + hold)},
+		"the connection is not accepted":  {Result{Failed: true, Fate: Unaccepted}, time.Time{}, allocatorStart},
+		"under way":                       {Result{Failed: true}, time.Time{}, ended.Add(timing.Underway + hold)},
+		"an earlier call is answered":     {Result{Failed: true}, ended.Add(-time.Millisecond), ended.Add(timing.Underway + hold)},
+		"a call sent after the reset is":  {Result{Failed: true}, ended, answered.Add(pathDelay + hold)},
 	} {
 		t.Run(name, func(t *testing.T) {
 			g := gomega.NewWithT(t)
--- a/gateway/ranges/restart_test.go
+++ b/gateway/ranges/restart_test.go
@@ -196,7 +196,7 @@
 	k.Appended(k.Plan(s, 2, again))
 	k.Done(k.Calls(s.Servers, lease, again)[0], Result{}, again)
 
-	end := again.Add(timing.arrived(timing.Hold))
+	end := again.Add(takeDelay + timing.arrived(timing.Hold))
 	g.Expect(releases(k, s, end.Add(-time.Millisecond))).To(gomega.BeFalse())
 	g.Expect(releases(k, s, end)).To(gomega.BeTrue())
 }
--- a/gateway/ranges/rules_test.go
+++ b/gateway/ranges/rules_test.go
@@ -21,6 +21,8 @@
 	noCarry  bool // what was granted to an earlier run is forgotten
 	noQueue  bool // what was reset is taken for gone, although it waits in the node's link
 	noReport bool // a former lessor that is asked does not tell what it granted
+	noAccept bool // a call is sent on a connection that the server has not accepted
+	noTake   bool // what a server's machine has acknowledged is taken for carried out
 	noDoubt  bool // an answer under a higher fence ends the wait for unanswered grants
 }
 
--- a/gateway/ranges/timing.go
+++ b/gateway/ranges/timing.go
@@ -66,8 +66,11 @@
 
 // CallError reports a call without an answer.
 type CallError struct {
-	Fate  Fate
-	Cause error
+	Fate Fate
+	// ArrivedBy is by when an Arrived call had reached the server's machine, by package
+	// clock; zero: by its end.
+	ArrivedBy time.Time
+	Cause     error
 }
 
 // Error implements error.
--- a/gateway/ranges/world_links_test.go
+++ b/gateway/ranges/world_links_test.go
@@ -24,12 +24,57 @@
 	return n.leftLinkAt
 }
 
-// fate returns what the sender's machine knows of a call's bytes.
-func (c *worldCall) fate(now time.Time) Fate {
-	if c.arrives.IsZero() || now.Before(c.arrives) {
-		return Underway
+// mostAcceptDelay is the longest time for which a full server leaves a new connection
+// waiting. Its machine acknowledges what is sent on it meanwhile, and a reset that is lost
+// does not take it back.
+const mostAcceptDelay = 5 * time.Second
+
+// carry puts the bytes of a call on their way over the node's connection to the server, or
+// over a new one.
+func (w *world) carry(c *worldCall, flight time.Duration) {
+	n, server := c.node, c.call.Server
+	if _, isOpen := n.accepts[server]; !isOpen {
+		n.accepts[server] = w.now
+		if w.random.IntN(6) == 0 {
+			n.accepts[server] = w.span(mostAcceptDelay)
+		}
+	}
+	accepted := n.accepts[server]
+	c.acknowledged = w.leavesLink(n).Add(flight)
+	switch {
+	case w.rules.noAccept:
+	case accepted.Sub(w.now) >= w.timing.CallTimeout:
+		c.isUnsent = true
+		return
+	case accepted.After(w.now):
+		c.acknowledged = c.acknowledged.Add(accepted.Sub(w.now))
+	}
+	c.arrives = clock.Later(c.acknowledged, accepted)
+	if w.random.IntN(8) == 0 {
+		c.arrives = c.arrives.Add(time.Duration(w.random.Int64N(int64(takeDelay))))
+	}
+}
+
+// result returns what the sender's machine knows of the bytes of a call without an answer.
+func (w *world) result(c *worldCall) Result {
+	result := Result{Failed: true, Fate: Underway}
+	switch {
+	case c.isUnsent:
+		result.Fate = Unaccepted
+	case !c.acknowledged.IsZero() && !w.now.Before(c.acknowledged):
+		result.Fate, result.ArrivedBy = Arrived, c.acknowledged
+		if w.rules.noTake {
+			result.ArrivedBy = c.acknowledged.Add(-takeDelay)
+		}
+	}
+	return result
+}
+
+// drop has a node reset its connection to a server, unless that has yet to accept it.
+func (n *worldNode) drop(c *worldCall) {
+	if !c.isUnsent {
+		delete(n.accepts, c.call.Server)
 	}
-	return Arrived
 }
 
 // handOff has a new lessor ask the one before it. That one may not be reached, and does not
--- a/gateway/ranges/world_run_test.go
+++ b/gateway/ranges/world_run_test.go
@@ -69,6 +69,8 @@
 		{"what an earlier run was granted is forgotten", rules{noCarry: true}, 0},
 		{"what was reset is taken for gone", rules{noQueue: true}, 0},
 		{"a former lessor hides what it granted", rules{noReport: true}, 0},
+		{"a call is sent before its connection is accepted", rules{noAccept: true}, 0},
+		{"an acknowledged call is taken for carried out", rules{noTake: true}, 0},
 		{"a higher fence ends the wait for unanswered grants", rules{noDoubt: true}, 0},
 	} {
 		t.Run(c.name, func(t *testing.T) {
--- a/gateway/ranges/world_test.go
+++ b/gateway/ranges/world_test.go
@@ -52,14 +52,17 @@
 }
 
 type worldCall struct {
-	node      *worldNode
-	call      Call
-	address   string    // to which it was sent
-	arrives   time.Time // zero: lost
-	appliesAt time.Time // late calls are applied after their arrival
-	answered  bool      // the node gets the answer
-	arrived   bool
-	givenUp   bool
+	node    *worldNode
+	call    Call
+	address string // to which it was sent
+	// acknowledged is when the server's machine has it, and arrives when its process takes it;
+	// both zero: lost.
+	acknowledged, arrives time.Time
+	isUnsent              bool      // no byte of it leaves: the connection is not accepted in time
+	appliesAt             time.Time // late calls are applied after their arrival
+	answered              bool      // the node gets the answer
+	arrived               bool
+	givenUp               bool
 }
 
 type worldNode struct {
@@ -74,6 +77,8 @@
 	paused      time.Time // until
 	noStore     time.Time // until
 	noServer    map[site.ServerName]time.Time
+	// accepts is when the process of a server accepts the node's connection.
+	accepts map[site.ServerID]time.Time
 	// chokedUntil is until when the node's own link is full, and linkDelay for how long
 	// bytes wait in it then. They leave it in the order in which they were written.
 	chokedUntil time.Time
@@ -102,7 +107,7 @@
 		w.timing.Underway = 0
 	}
 	for i := range 3 {
-		w.nodes = append(w.nodes, &worldNode{id: i, noServer: map[site.ServerName]time.Time{}})
+		w.nodes = append(w.nodes, &worldNode{id: i, noServer: map[site.ServerName]time.Time{}, accepts: map[site.ServerID]time.Time{}})
 	}
 	for range 3 {
 		w.addServer()
@@ -184,14 +189,14 @@
 	if w.random.IntN(12) == 0 {
 		flight = time.Duration(w.random.Int64N(int64(w.timing.CallTimeout)))
 	}
-	c.arrives = w.leavesLink(n).Add(flight)
+	w.carry(c, flight)
 	c.appliesAt = c.arrives
 	if w.random.IntN(10) == 0 {
 		c.appliesAt = c.arrives.Add(time.Duration(w.random.Int64N(int64(8 * time.Second))))
 		c.answered = false
 	}
 	if w.now.Before(n.noServer[call.Server.Name()]) || !w.servers[call.Server.Name()].up && w.random.IntN(3) > 0 {
-		c.arrives = time.Time{}
+		c.acknowledged, c.arrives = time.Time{}, time.Time{}
 	}
 	if bool(w.links) && w.random.IntN(30) == 0 {
 		c.givenUp = true // no connection
@@ -209,14 +214,15 @@
 		if c.call.Release {
 			timeout = w.timing.ReleaseTimeout
 		}
-		lost := c.arrives.IsZero()
+		lost := c.arrives.IsZero() || c.isUnsent
 		if !lost && !c.arrived && !w.now.Before(c.appliesAt) {
 			c.arrived = true
 			w.carryOut(c)
 		}
 		if !c.givenUp && w.now.Sub(c.call.SentAt) >= timeout {
 			c.givenUp = true
-			c.node.done(c.call, Result{Failed: true, Fate: c.fate(w.now)}, w.now)
+			c.node.drop(c)
+			c.node.done(c.call, w.result(c), w.now)
 		}
 		if !c.givenUp || !lost && !c.arrived {
 			kept = append(kept, c)
@@ -375,6 +381,7 @@
 	w.records = append(w.records, worldRecord{table: next, node: n.id, former: former})
 	w.claims++
 	n.allocator = NewAllocator(next, w.timing, former, w.now)
+	clear(n.accepts)
 	if resigned {
 		n.allocator.LimitDoubt(w.records[len(w.records)-2].doubt, w.now) // before the claim
 	}
--- a/gateway/upstream/client.go
+++ b/gateway/upstream/client.go
@@ -59,6 +59,8 @@
 	// dial opens a connection; tests replace it.
 	dial func(ctx context.Context, network, address string) (net.Conn, error)
 	idle idlePool
+	// openings are the connections for control calls that are being opened.
+	openings openings
 }
 
 // NewClient returns a client of a node in a zone that uses a deployment's header
@@ -89,7 +91,7 @@
 // Send sends a request once and returns the whole answer. The error is an
 // *AttemptError. When ctx ends the connection is reset, so that the server stops.
 func (c *Client) Send(ctx context.Context, server site.Server, r *Request) (*Answer, error) {
-	return c.do(ctx, server, r, c.requestText(server, r), false)
+	return c.do(ctx, server, r, c.requestText(server, r))
 }
 
 // Probe opens a connection to a server and keeps it for later requests.
@@ -105,21 +107,8 @@
 	return nil
 }
 
-// Control sends one call of the gateway itself. Its connections are kept apart: a
-// full server takes no new one, and its keys would be lost to it for want of a
-// renewal.
-func (c *Client) Control(ctx context.Context, server site.Server, path string, body []byte) (*Answer, error) {
-	header := http.Header{"Content-Type": {"application/json"}, c.headers.ExpectedServer: {string(server.ID.Name())}}
-	r := &Request{Method: http.MethodPost, Target: path, Host: server.Address, Header: header, Body: body}
-	var text bytes.Buffer
-	writeHead(&text, r)
-	writeHeader(&text, header)
-	writeLength(&text, r)
-	return c.do(ctx, server, r, text.Bytes(), true)
-}
-
-func (c *Client) do(ctx context.Context, server site.Server, r *Request, head []byte, control bool) (*Answer, error) {
-	key := idleKey{address: server.Address, server: server.ID, control: control}
+func (c *Client) do(ctx context.Context, server site.Server, r *Request, head []byte) (*Answer, error) {
+	key := idleKey{address: server.Address, server: server.ID}
 	cn := c.idle.take(key, time.Now(), r.Fresh)
 	if cn == nil {
 		raw, err := c.dial(ctx, "tcp", server.Address)
@@ -127,19 +116,12 @@
 			return nil, &AttemptError{Server: server.ID, Cause: err}
 		}
 		cn = newConn(raw, c.meter(server))
-		if control {
-			err = limitControl(raw)
-		}
-		if err != nil {
-			reset(raw)
-			return nil, &AttemptError{Server: server.ID, Cause: err}
-		}
 		if err := cn.settle(time.Now()); err != nil {
 			reset(raw)
 			return nil, &AttemptError{Server: server.ID, TurnedAway: isEnd(err), Cause: err}
 		}
 	}
-	answer, reusable, err := c.exchange(ctx, cn, r, head, !control)
+	answer, reusable, err := c.exchange(ctx, cn, r, head, true)
 	if err != nil {
 		cn.abandon()
 		return nil, cn.lost(server.ID, err)
@@ -148,10 +130,15 @@
 		reset(cn.net)
 		return answer, nil
 	}
+	c.keep(key, cn, answer)
+	return answer, nil
+}
+
+// keep makes a connection that has carried an answer idle.
+func (c *Client) keep(key idleKey, cn *conn, answer *Answer) {
 	cn.answered = time.Now()
 	cn.until = cn.answered.Add(idleTime(answer.Header.Get("Keep-Alive")))
 	c.idle.put(key, cn)
-	return answer, nil
 }
 
 // exchange writes a request and reads its answer. The connection can be used
--- a/gateway/upstream/conn.go
+++ b/gateway/upstream/conn.go
@@ -11,6 +11,7 @@
 	"syscall"
 	"time"
 
+	"github.com/burdockspindle/burdockspindle/clock"
 	"github.com/burdockspindle/burdockspindle/gateway/site"
 	"github.com/burdockspindle/burdockspindle/gateway/socket"
 	"github.com/burdockspindle/burdockspindle/gateway/traffic"
@@ -45,20 +46,21 @@
 	written  bool      // bytes of the present request may have left
 	meter    traffic.Meter
 
+	// isUnaccepted tells that the server's process may not have accepted the connection.
+	isUnaccepted bool
+
 	abandoned sync.Once
-	// unacknowledged is what the server's machine had not taken when the connection was
-	// abandoned, in bytes.
-	unacknowledged int
+	receipt   receipt
 }
 
 func newConn(c net.Conn, meter traffic.Meter) *conn {
 	return &conn{net: c, reader: bufio.NewReaderSize(meter.Reader(c), readBuffer), meter: meter}
 }
 
-// abandon resets the connection, and notes before that which bytes may still be under way.
+// abandon resets the connection, and notes before that whether bytes may still be under way.
 func (c *conn) abandon() {
 	c.abandoned.Do(func() {
-		c.unacknowledged, _ = socket.Unacknowledged(c.net)
+		c.receipt.look(c.net)
 		reset(c.net)
 	})
 }
@@ -66,9 +68,12 @@
 // lost returns the error of an attempt whose connection was abandoned. What the server's
 // machine has not acknowledged is no longer under way once it has ended the connection.
 func (c *conn) lost(server site.ServerID, cause error) *AttemptError {
+	if isEnd(cause) {
+		c.receipt.note(clock.Now())
+	}
 	lost := &AttemptError{Server: server, Sent: c.written, Cause: cause}
-	if !isEnd(cause) {
-		lost.Unacknowledged = c.unacknowledged
+	if !c.isUnaccepted || isEnd(cause) {
+		lost.AcknowledgedAt = c.receipt.at()
 	}
 	return lost
 }
--- /dev/null
+++ b/gateway/upstream/control.go
@@ -0,0 +1,175 @@
+package upstream
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"net/http"
+	"time"
+
+	"github.com/burdockspindle/burdockspindle/gateway/site"
+)
+
+// openTimeout ends the opening of a connection for control calls. A full server accepts
+// a connection when one of its slots is free, seconds later.
+const openTimeout = 5 * time.Second
+
+// ControlCall is a call of the gateway itself.
+type ControlCall struct {
+	Path string
+	Body []byte // JSON
+}
+
+// Control sends one call of the gateway itself, over a connection on which the server
+// has answered before. The error is an *AttemptError.
+//
+// A new connection is opened by a call without an effect. The server's machine takes a
+// connection and acknowledges what is sent on it long before the process accepts it if the
+// server is full, and a reset is lost in a cut: a grant would be carried out seconds after
+// it was abandoned. Connections for control calls are kept apart from those for requests: a
+// full server takes no new one, and its keys would be lost to it for want of a renewal.
+func (c *Client) Control(ctx context.Context, server site.Server, opening, call ControlCall) (*Answer, error) {
+	key := idleKey{address: server.Address, server: server.ID, control: true}
+	cn, err := c.accepted(ctx, key, server, opening)
+	var notKept *NotKeptError
+	if errors.As(err, &notKept) {
+		cn, err = c.unaccepted(ctx, server)
+	}
+	if err != nil {
+		return nil, &AttemptError{Server: server.ID, TurnedAway: isEnd(err), Cause: err}
+	}
+	answer, reusable, err := c.control(ctx, cn, server, call)
+	if err != nil {
+		cn.abandon()
+		return nil, cn.lost(server.ID, err)
+	}
+	if !reusable {
+		reset(cn.net)
+		return answer, nil
+	}
+	c.keep(key, cn, answer)
+	c.openings.signal(key)
+	return answer, nil
+}
+
+// control writes a control call to a connection and reads its answer.
+func (c *Client) control(ctx context.Context, cn *conn, server site.Server, call ControlCall) (*Answer, bool, error) {
+	header := http.Header{"Content-Type": {"application/json"}, c.headers.ExpectedServer: {string(server.ID.Name())}}
+	r := &Request{Method: http.MethodPost, Target: call.Path, Host: server.Address, Header: header, Body: call.Body}
+	var head bytes.Buffer
+	writeHead(&head, r)
+	writeHeader(&head, header)
+	writeLength(&head, r)
+	cn.receipt.begin()
+	look := time.AfterFunc(receiptAfter, func() { cn.receipt.look(cn.net) })
+	defer look.Stop()
+	return c.exchange(ctx, cn, r, head.Bytes(), false)
+}
+
+// accepted returns a connection on which the server has answered: an idle one, or one
+// that is opened now.
+func (c *Client) accepted(ctx context.Context, key idleKey, server site.Server, call ControlCall) (*conn, error) {
+	for ctx.Err() == nil {
+		freed := c.openings.freed(key)
+		if cn := c.idle.take(key, time.Now(), false); cn != nil {
+			return cn, nil
+		}
+		o, isNew := c.openings.join(key)
+		if isNew {
+			go c.open(ctx, key, server, call, o)
+		}
+		select {
+		case <-freed:
+			continue
+		case <-o.done:
+		case <-ctx.Done():
+			c.leave(key, o)
+			if o.isConnected.Load() {
+				return nil, &UnacceptedError{}
+			}
+			continue
+		}
+		if cn := o.take(); cn != nil {
+			return cn, nil
+		}
+		if o.err != nil && !isNotOpened(o.err) {
+			return nil, o.err
+		}
+	}
+	return nil, &NotOpenedError{Cause: ctx.Err()}
+}
+
+// isNotOpened reports whether whoever asked for an opening gave it up.
+func isNotOpened(err error) bool {
+	var notOpened *NotOpenedError
+	return errors.As(err, &notOpened)
+}
+
+// unaccepted returns a new connection to a server that keeps none. What is sent on it may
+// be carried out late even if it is acknowledged.
+func (c *Client) unaccepted(ctx context.Context, server site.Server) (*conn, error) {
+	raw, err := c.dial(ctx, "tcp", server.Address)
+	if err != nil {
+		return nil, err
+	}
+	if err := limitControl(raw); err != nil {
+		reset(raw)
+		return nil, err
+	}
+	cn := newConn(raw, c.meter(server))
+	cn.isUnaccepted = true
+	return cn, nil
+}
+
+// open opens a connection, and goes on when the call that asked for it has been given up:
+// the next one finds it accepted.
+func (c *Client) open(asked context.Context, key idleKey, server site.Server, call ControlCall, o *opening) {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(asked), openTimeout)
+	defer cancel()
+	cn, answer, err := c.connect(ctx, asked, server, call, o)
+	if err == nil {
+		cn.answered = time.Now()
+		cn.until = cn.answered.Add(idleTime(answer.Header.Get("Keep-Alive")))
+		cn.written = false
+	}
+	c.openings.end(key, o, cn, err)
+	if asked.Err() != nil {
+		c.leave(key, o)
+	}
+}
+
+// leave makes the connection of an opening idle if nobody has taken it.
+func (c *Client) leave(key idleKey, o *opening) {
+	if cn := o.take(); cn != nil {
+		c.idle.put(key, cn)
+		c.openings.signal(key)
+	}
+}
+
+// connect returns a new connection that has carried an answer.
+func (c *Client) connect(ctx, asked context.Context, server site.Server, call ControlCall, o *opening) (*conn, *Answer, error) {
+	raw, err := c.dial(ctx, "tcp", server.Address)
+	if err != nil {
+		return nil, nil, err
+	}
+	cn := newConn(raw, c.meter(server))
+	if err := limitControl(raw); err != nil {
+		reset(raw)
+		return nil, nil, err
+	}
+	if err := asked.Err(); err != nil {
+		reset(raw)
+		return nil, nil, &NotOpenedError{Cause: err}
+	}
+	o.isConnected.Store(true)
+	answer, reusable, err := c.control(ctx, cn, server, call)
+	switch {
+	case err != nil:
+		cn.abandon()
+		return nil, nil, err
+	case !reusable:
+		reset(raw)
+		return nil, nil, &NotKeptError{}
+	}
+	return cn, answer, nil
+}
--- a/gateway/upstream/errors.go
+++ b/gateway/upstream/errors.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"time"
 
 	"github.com/burdockspindle/burdockspindle/gateway/site"
 )
@@ -12,10 +13,10 @@
 	// Sent tells that bytes of the request may have reached the server, so that
 	// it may have run.
 	Sent bool
-	// Unacknowledged is how many bytes of the request the server's machine had not
-	// acknowledged when the connection was reset. They may wait in this machine's own
-	// link, and reach the server later.
-	Unacknowledged int
+	// AcknowledgedAt is by when the server's machine had acknowledged all bytes of the
+	// request, or had ended the connection, by package clock. Zero: it had not, or that is
+	// not known; then bytes may wait in this machine's own link and reach the server later.
+	AcknowledgedAt time.Time
 	// TurnedAway tells that the server took a new connection and ended it at once, as
 	// servers do that have as many as they take: it lives, and is full.
 	TurnedAway bool
@@ -46,3 +47,25 @@
 
 // Error implements error.
 func (e *TooLongError) Error() string { return fmt.Sprintf("answer is longer than %d bytes", e.Most) }
+
+// UnacceptedError reports a new connection that the server's machine has taken and its
+// process has not answered on yet.
+type UnacceptedError struct{}
+
+// Error implements error.
+func (*UnacceptedError) Error() string { return "the server has not accepted the connection yet" }
+
+// NotOpenedError reports a call that was given up before it had a connection.
+type NotOpenedError struct{ Cause error }
+
+// Error implements error.
+func (e *NotOpenedError) Error() string { return fmt.Sprintf("no connection was opened: %v", e.Cause) }
+
+// Unwrap returns the cause.
+func (e *NotOpenedError) Unwrap() error { return e.Cause }
+
+// NotKeptError reports a server that ends each connection with its answer.
+type NotKeptError struct{}
+
+// Error implements error.
+func (*NotKeptError) Error() string { return "the server keeps no connection" }
--- a/gateway/upstream/runs.go
+++ b/gateway/upstream/runs.go
@@ -11,4 +11,5 @@
 		registered[id] = true
 	}
 	c.idle.keepOnly(registered)
+	c.openings.keepOnly(registered)
 }
--- a/gateway/upstream/runs_test.go
+++ b/gateway/upstream/runs_test.go
@@ -89,7 +89,7 @@
 			g.Expect(err).NotTo(gomega.HaveOccurred())
 			ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
 			defer cancel()
-			_, err = client.Control(ctx, w.Server, "/x", nil)
+			_, err = client.Control(ctx, w.Server, upstream.ControlCall{Path: "/open"}, upstream.ControlCall{Path: "/x"})
 			g.Expect(err).NotTo(gomega.HaveOccurred())
 			g.Expect(client.Probe(ctx, w.Server)).To(gomega.Succeed())
 			client.KeepOnly(registerOf(w.Server))
--- a/gateway/upstream/settle_test.go
+++ b/gateway/upstream/settle_test.go
@@ -64,7 +64,7 @@
 		n, _ := there.Read(make([]byte, 1))
 		came <- n
 	}()
-	_, err := client.Control(ctx, site.Server{ID: "s", Address: "s:1"}, "/x", nil)
+	_, err := client.Control(ctx, site.Server{ID: "s", Address: "s:1"}, ControlCall{Path: "/open"}, ControlCall{Path: "/x"})
 	var attempt *AttemptError
 	g.Expect(errors.As(err, &attempt)).To(gomega.BeTrue())
 	g.Expect(attempt.Sent).To(gomega.BeFalse())
