Upstream: what is acknowledged is looked at once a call has been written

What callers risked: two owners, where a process is held up between two steps of a call. Cause, found on reading the change again: the look 50 ms after a call began could come before the call was written, or belong to the call before on that connection; nothing is unacknowledged then, which counted as an acknowledgement up to 0.4 s too early. Change: a receipt is looked at only for a call that has been written.

--- /dev/null
+++ b/gateway/ranges/unaccepted_test.go
@@ -0,0 +1,40 @@
+package ranges
+
+import (
+	"testing"
+
+	"github.com/onsi/gomega"
+
+	"github.com/burdockspindle/burdockspindle/gateway/site"
+)
+
+// A full server accepts a new lessor's connection seconds late and serves its keys meanwhile.
+// It was taken for silent, and requests for its keys were refused.
+func TestAnOwnerThatHasNotAcceptedAConnectionYetIsNotSilent(t *testing.T) {
+	g := gomega.NewWithT(t)
+	k, s := owned(t)
+	timing := DefaultTiming()
+	now := allocatorStart
+	state := func() RouteState { return k.Routes()[worldService][0].State }
+	call := func(result Result) {
+		calls := k.Calls(s.Servers, Lease{ConfirmedAt: now}, now)
+		g.Expect(calls).To(gomega.HaveLen(1), "the next call is due at once")
+		now = now.Add(timing.CallTimeout)
+		k.Done(calls[0], result, now)
+	}
+	unaccepted := Result{Failed: true, Fate: Unaccepted}
+	for first := now.Add(timing.CallTimeout); now.Add(timing.CallTimeout).Sub(first) < acceptPatience; {
+		call(unaccepted)
+		g.Expect(state()).To(gomega.Equal(Ready))
+	}
+	g.Expect(k.leases[worldService][0].flights).To(gomega.BeEmpty(), "nothing was sent")
+	call(Result{})
+	g.Expect(state()).To(gomega.Equal(Ready))
+
+	now = now.Add(timing.Renew)
+	for end := now.Add(acceptPatience + 3*timing.CallTimeout); now.Before(end) && state() == Ready; {
+		call(unaccepted)
+	}
+	g.Expect(state()).To(gomega.Equal(Silent), "its process may stand still")
+	g.Expect(k.takers(s, worldService, now)).NotTo(gomega.ContainElement(gomega.HaveField("ID", site.ServerID("a"))))
+}
--- a/gateway/upstream/client.go
+++ b/gateway/upstream/client.go
@@ -136,8 +136,7 @@
 
 // keep makes a connection that has carried an answer idle.
 func (c *Client) keep(key idleKey, cn *conn, answer *Answer) {
-	cn.answered = time.Now()
-	cn.until = cn.answered.Add(idleTime(answer.Header.Get("Keep-Alive")))
+	cn.carried(answer)
 	c.idle.put(key, cn)
 }
 
@@ -155,6 +154,7 @@
 		if err := cn.write(append(head, r.Body...)); err != nil {
 			return nil, false, err
 		}
+		cn.receipt.sent()
 		written <- nil
 	} else {
 		go func() { written <- cn.write(append(head, r.Body...)) }()
--- a/gateway/upstream/conn.go
+++ b/gateway/upstream/conn.go
@@ -78,6 +78,12 @@
 	return lost
 }
 
+// carried notes that the connection has carried an answer just now.
+func (c *conn) carried(answer *Answer) {
+	c.answered = time.Now()
+	c.until = c.answered.Add(idleTime(answer.Header.Get("Keep-Alive")))
+}
+
 // write writes a part of a request.
 func (c *conn) write(p []byte) error {
 	n, err := c.net.Write(p)
--- a/gateway/upstream/control.go
+++ b/gateway/upstream/control.go
@@ -128,8 +128,7 @@
 	defer cancel()
 	cn, answer, err := c.connect(ctx, asked, server, call, o)
 	if err == nil {
-		cn.answered = time.Now()
-		cn.until = cn.answered.Add(idleTime(answer.Header.Get("Keep-Alive")))
+		cn.carried(answer)
 		cn.written = false
 	}
 	c.openings.end(key, o, cn, err)
