--- a/gateway/upstream/client.go
+++ b/gateway/upstream/client.go
@@ -122,22 +122,23 @@
 		}
 	}
 	answer, reusable, err := c.exchange(ctx, cn, r, head, true)
+	return c.finish(key, cn, answer, reusable, err)
+}
+
+// finish ends an attempt. Its connection becomes idle if it can be used again.
+func (c *Client) finish(key idleKey, cn *conn, answer *Answer, reusable bool, err error) (*Answer, error) {
 	if err != nil {
 		cn.abandon()
-		return nil, cn.lost(server.ID, err)
+		return nil, cn.lost(key.server, err)
 	}
 	if !reusable {
 		reset(cn.net)
 		return answer, nil
 	}
-	c.keep(key, cn, answer)
-	return answer, nil
-}
-
-// keep makes a connection that has carried an answer idle.
-func (c *Client) keep(key idleKey, cn *conn, answer *Answer) {
 	cn.carried(answer)
 	c.idle.put(key, cn)
+	c.openings.signal(key)
+	return answer, nil
 }
 
 // exchange writes a request and reads its answer. The connection can be used
--- a/gateway/upstream/control.go
+++ b/gateway/upstream/control.go
@@ -39,17 +39,7 @@
 		return nil, &AttemptError{Server: server.ID, TurnedAway: isEnd(err), Cause: err}
 	}
 	answer, reusable, err := c.control(ctx, cn, server, call)
-	if err != nil {
-		cn.abandon()
-		return nil, cn.lost(server.ID, err)
-	}
-	if !reusable {
-		reset(cn.net)
-		return answer, nil
-	}
-	c.keep(key, cn, answer)
-	c.openings.signal(key)
-	return answer, nil
+	return c.finish(key, cn, answer, reusable, err)
 }
 
 // control writes a control call to a connection and reads its answer.
