Upstream: one way to make a connection for control calls

Found on reading the change again: connect and unaccepted each dialled, bounded the silence and made the connection; dialControl does it for both. The comment of mayAccept tells that it also notes since when. Behaviour as before.

--- a/gateway/ranges/allocator.go
+++ b/gateway/ranges/allocator.go
@@ -68,8 +68,8 @@
 // take it for silent would leave its keys without an owner while it serves them.
 const acceptPatience = 2 * time.Second
 
-// mayAccept reports whether a call failed for want of a connection that the owner may yet
-// accept.
+// mayAccept notes since when the owner has not accepted a connection, by a call that failed,
+// and reports whether it may yet accept it.
 func (l *lease) mayAccept(result Result, now time.Time) bool {
 	if result.Fate != Unaccepted {
 		l.unacceptedSince = time.Time{}
--- a/gateway/upstream/control.go
+++ b/gateway/upstream/control.go
@@ -98,6 +98,16 @@
 // unaccepted returns a new connection to a server that keeps none. What is sent on it may
 // be carried out late even if it is acknowledged.
 func (c *Client) unaccepted(ctx context.Context, server site.Server) (*conn, error) {
+	cn, err := c.dialControl(ctx, server)
+	if err != nil {
+		return nil, err
+	}
+	cn.isUnaccepted = true
+	return cn, nil
+}
+
+// dialControl makes a connection for control calls.
+func (c *Client) dialControl(ctx context.Context, server site.Server) (*conn, error) {
 	raw, err := c.dial(ctx, "tcp", server.Address)
 	if err != nil {
 		return nil, err
@@ -106,9 +116,7 @@
 		reset(raw)
 		return nil, err
 	}
-	cn := newConn(raw, c.meter(server))
-	cn.isUnaccepted = true
-	return cn, nil
+	return newConn(raw, c.meter(server)), nil
 }
 
 // open opens a connection, and goes on when the call that asked for it has been given up:
@@ -137,17 +145,12 @@
 
 // connect returns a new connection that has carried an answer.
 func (c *Client) connect(ctx, asked context.Context, server site.Server, call ControlCall, o *opening) (*conn, *Answer, error) {
-	raw, err := c.dial(ctx, "tcp", server.Address)
+	cn, err := c.dialControl(ctx, server)
 	if err != nil {
 		return nil, nil, err
 	}
-	cn := newConn(raw, c.meter(server))
-	if err := limitControl(raw); err != nil {
-		reset(raw)
-		return nil, nil, err
-	}
 	if err := asked.Err(); err != nil {
-		reset(raw)
+		reset(cn.net)
 		return nil, nil, &NotOpenedError{Cause: err}
 	}
 	o.isConnected.Store(true)
@@ -157,7 +160,7 @@
 		cn.abandon()
 		return nil, nil, err
 	case !reusable:
-		reset(raw)
+		reset(cn.net)
 		return nil, nil, &NotKeptError{}
 	}
 	return cn, answer, nil
