Retry budget: number buckets by the time since the start of the process

Cause: buckets were numbered by Unix time. A step ahead by a window's length drops all that was spent, and the node spends its whole part anew; class: a window that is computed from the time of day.

Why this works: package clock/window numbers slots by the monotonic time since the start of the process, which no step changes. The runtime's clock stands still while the machine is suspended, so a window then lasts longer: it never allows more. A second reading of the system's clocks for each send would buy nothing but some resends after a suspension.

--- a/clock/clock.go
+++ b/clock/clock.go
@@ -19,6 +19,13 @@
 // Since returns the time elapsed since at, a value of Now.
 func Since(at time.Time) time.Duration { return Now().Sub(at) }
 
+// processStart is the origin of SinceStart.
+var processStart = time.Now()
+
+// SinceStart returns the time from the start of this process to at, a value of time.Now or of
+// Now. Unlike the time of day it does not jump when the clock is set.
+func SinceStart(at time.Time) time.Duration { return at.Sub(processStart) }
+
 // Later returns the later of two times.
 func Later(a, b time.Time) time.Time {
 	if a.After(b) {
--- a/gateway/budget/budget.go
+++ b/gateway/budget/budget.go
@@ -5,7 +5,11 @@
 // needed.
 package budget
 
-import "time"
+import (
+	"time"
+
+	"github.com/burdockspindle/burdockspindle/clock/window"
+)
 
 // Terms are the limits for all nodes together.
 type Terms struct {
@@ -21,33 +25,37 @@
 // bucketCount is the number of buckets that a window is divided into.
 const bucketCount = 20
 
-// Budget is one node's budget for one service. It is not safe for concurrent use.
+// Budget is one node's budget for one service. It is not safe for concurrent use. Times that it
+// is given are values of time.Now.
 type Budget struct {
 	terms  Terms
-	window [bucketCount]bucket
+	counts *window.Sliding[counts]
 }
 
-type bucket struct {
-	number   int64 // of the bucket, counted from the Unix epoch
+type counts struct {
 	requests float64
 	resends  float64
 	nodes    int // maximum number of nodes that shared the budget
 }
 
 // New returns an unspent budget.
-func New(terms Terms) *Budget { return &Budget{terms: terms} }
+func New(terms Terms) *Budget { return &Budget{terms: terms, counts: newCounts(terms)} }
+
+func newCounts(terms Terms) *window.Sliding[counts] {
+	return window.New[counts](bucketCount, terms.Window/bucketCount)
+}
 
 // SetTerms replaces the terms. Counts are kept if the window does not change.
 func (b *Budget) SetTerms(terms Terms) {
 	if terms.Window != b.terms.Window {
-		b.window = [bucketCount]bucket{}
+		b.counts = newCounts(terms)
 	}
 	b.terms = terms
 }
 
 // Request counts the first send of a request. nodes is as for Spend.
 func (b *Budget) Request(nodes int, now time.Time) {
-	current := b.bucketAt(now)
+	current := b.counts.At(now)
 	current.requests++
 	current.nodes = max(current.nodes, nodes)
 }
@@ -55,7 +63,7 @@
 // Spend takes one additional send out of the budget and reports whether there was one left.
 // nodes is the number of nodes that currently share the budget; 0 if unknown.
 func (b *Budget) Spend(nodes int, now time.Time) bool {
-	current := b.bucketAt(now)
+	current := b.counts.At(now)
 	current.nodes = max(current.nodes, nodes)
 	if b.Left(now) < 1 {
 		return false
@@ -68,14 +76,11 @@
 // maximum number of nodes in the window, because nodes that have left have spent their part
 // of it. There is no slack while the number of nodes is unknown.
 func (b *Budget) Left(now time.Time) float64 {
-	oldest := b.bucketNumber(now) - bucketCount + 1
 	requests, resends, nodes := 0.0, 0.0, 0
-	for _, part := range b.window {
-		if part.number >= oldest {
-			requests += part.requests
-			resends += part.resends
-			nodes = max(nodes, part.nodes)
-		}
+	for part := range b.counts.Latest(bucketCount, now) {
+		requests += part.requests
+		resends += part.resends
+		nodes = max(nodes, part.nodes)
 	}
 	allowed := b.terms.Ratio * requests
 	if nodes > 0 {
@@ -83,16 +88,3 @@
 	}
 	return allowed*(1-reservedShare) - resends
 }
-
-func (b *Budget) bucketAt(now time.Time) *bucket {
-	number := b.bucketNumber(now)
-	part := &b.window[number%bucketCount]
-	if part.number != number {
-		*part = bucket{number: number}
-	}
-	return part
-}
-
-func (b *Budget) bucketNumber(now time.Time) int64 {
-	return now.UnixNano() / int64(b.terms.Window/bucketCount)
-}
