Retry budget: count a resend until it is a window old

Found while looking for what else lets a node spend its part twice.

Cause: the current bucket has only begun, so the last 20 buckets of half a second cover 9.5 to 10 s. A burst at the end of a bucket is forgotten 9.5 s later, and a second burst spends the whole part again within the same ten seconds.

Change: resends count in one bucket more than the window has; requests count as before.

--- a/gateway/budget/budget.go
+++ b/gateway/budget/budget.go
@@ -22,8 +22,13 @@
 // windows and the known number of nodes differ slightly between nodes.
 const reservedShare = 0.2
 
-// bucketCount is the number of buckets that a window is divided into.
-const bucketCount = 20
+const (
+	// bucketCount is the number of buckets that a window is divided into.
+	bucketCount = 20
+	// resendBuckets is the number of buckets in which resends count: the current bucket has
+	// only begun, so bucketCount buckets cover less than a window.
+	resendBuckets = bucketCount + 1
+)
 
 // Budget is one node's budget for one service. It is not safe for concurrent use. Times that it
 // is given are values of time.Now.
@@ -42,7 +47,7 @@
 func New(terms Terms) *Budget { return &Budget{terms: terms, counts: newCounts(terms)} }
 
 func newCounts(terms Terms) *window.Sliding[counts] {
-	return window.New[counts](bucketCount, terms.Window/bucketCount)
+	return window.New[counts](resendBuckets, terms.Window/bucketCount)
 }
 
 // SetTerms replaces the terms. Counts are kept if the window does not change.
@@ -79,6 +84,8 @@
 	requests, resends, nodes := 0.0, 0.0, 0
 	for part := range b.counts.Latest(bucketCount, now) {
 		requests += part.requests
+	}
+	for part := range b.counts.Latest(resendBuckets, now) {
 		resends += part.resends
 		nodes = max(nodes, part.nodes)
 	}
--- a/gateway/budget/world_test.go
+++ b/gateway/budget/world_test.go
@@ -100,3 +100,18 @@
 		})
 	}
 }
+
+// Guards against a bucket that is dropped before its retries are a window old.
+func TestBurstsLessThanAWindowApartShareOneBudget(t *testing.T) {
+	const apart = 9900 * time.Millisecond
+	for offset := time.Duration(0); offset < time.Second; offset += 25 * time.Millisecond {
+		w := newWorld(12)
+		for node := range w.nodes {
+			w.request(node, offset)
+		}
+		for node := range w.nodes {
+			w.request(node, offset+apart)
+		}
+		w.checkWindows(t)
+	}
+}
