Retry budget: no slack in the first window after a node's start

Found while looking for what else lets a node spend its part twice.

Cause: a node that restarts begins with an unspent part of the slack, although its previous incarnation may just have spent it; and the list of nodes that it is first given may be short, which makes its part larger.

Change: the slack is available a window after the node's start. Resends in proportion to requests are not affected: the requests before the restart count for the service as well.

Evidence: TestRestartsDoNotRefillTheSlack: 192 resends in ten seconds, 80.8 allowed before; passes now.

--- a/gateway/budget/budget.go
+++ b/gateway/budget/budget.go
@@ -33,8 +33,9 @@
 // Budget is one node's budget for one service. It is not safe for concurrent use. Times that it
 // is given are values of time.Now.
 type Budget struct {
-	terms  Terms
-	counts *window.Sliding[counts]
+	terms     Terms
+	startedAt time.Time // of the node
+	counts    *window.Sliding[counts]
 }
 
 type counts struct {
@@ -43,8 +44,10 @@
 	nodes    int // maximum number of nodes that shared the budget
 }
 
-// New returns an unspent budget.
-func New(terms Terms) *Budget { return &Budget{terms: terms, counts: newCounts(terms)} }
+// New returns an unspent budget of a node that started at a time; zero: long ago.
+func New(terms Terms, startedAt time.Time) *Budget {
+	return &Budget{terms: terms, startedAt: startedAt, counts: newCounts(terms)}
+}
 
 func newCounts(terms Terms) *window.Sliding[counts] {
 	return window.New[counts](resendBuckets, terms.Window/bucketCount)
@@ -79,7 +82,8 @@
 
 // Left returns the number of additional sends that are left. The slack is divided by the
 // maximum number of nodes in the window, because nodes that have left have spent their part
-// of it. There is no slack while the number of nodes is unknown.
+// of it. There is no slack while the number of nodes is unknown, and none in the first window
+// after the node's start, because its previous incarnation may have spent it.
 func (b *Budget) Left(now time.Time) float64 {
 	requests, resends, nodes := 0.0, 0.0, 0
 	for part := range b.counts.Latest(bucketCount, now) {
@@ -90,7 +94,7 @@
 		nodes = max(nodes, part.nodes)
 	}
 	allowed := b.terms.Ratio * requests
-	if nodes > 0 {
+	if nodes > 0 && now.Sub(b.startedAt) > b.terms.Window {
 		allowed += b.terms.Slack / float64(nodes)
 	}
 	return allowed*(1-reservedShare) - resends
--- a/gateway/budget/budget_test.go
+++ b/gateway/budget/budget_test.go
@@ -27,7 +27,7 @@
 	g := gomega.NewWithT(t)
 	total := 0
 	for range 8 {
-		total += spendAll(budget.New(terms), 8, start)
+		total += spendAll(budget.New(terms, time.Time{}), 8, start)
 	}
 	g.Expect(total).To(gomega.BeNumerically("<=", 56))
 	g.Expect(total).To(gomega.BeNumerically(">", 28))
@@ -35,7 +35,7 @@
 
 func TestSlackIsUnavailableWhileTheNumberOfNodesIsUnknown(t *testing.T) {
 	g := gomega.NewWithT(t)
-	b := budget.New(terms)
+	b := budget.New(terms, time.Time{})
 	g.Expect(spendAll(b, 0, start)).To(gomega.BeZero())
 	for range 100 {
 		b.Request(0, start)
@@ -47,7 +47,7 @@
 // the whole slack.
 func TestSmallerNodeCountDoesNotReleaseSlackWithinTheWindow(t *testing.T) {
 	g := gomega.NewWithT(t)
-	b := budget.New(terms)
+	b := budget.New(terms, time.Time{})
 	b.Request(8, start)
 	g.Expect(spendAll(b, 1, start.Add(time.Second))).To(gomega.BeNumerically("<=", 56/8))
 	g.Expect(spendAll(b, 1, start.Add(12*time.Second))).To(gomega.BeNumerically(">", 56/8))
@@ -55,7 +55,7 @@
 
 func TestEveryWindowStaysWithinTheRatio(t *testing.T) {
 	g := gomega.NewWithT(t)
-	b := budget.New(budget.Terms{Ratio: 0.2, Window: 10 * time.Second})
+	b := budget.New(budget.Terms{Ratio: 0.2, Window: 10 * time.Second}, time.Time{})
 	spent := 0
 	for i := range 1000 {
 		now := start.Add(time.Duration(i) * 10 * time.Millisecond)
--- a/gateway/budget/world_test.go
+++ b/gateway/budget/world_test.go
@@ -28,7 +28,7 @@
 func newWorld(nodes int) *world {
 	w := &world{start: time.Now()}
 	for range nodes {
-		w.nodes = append(w.nodes, budget.New(siteTerms))
+		w.nodes = append(w.nodes, budget.New(siteTerms, time.Time{}))
 	}
 	return w
 }
@@ -115,3 +115,18 @@
 		w.checkWindows(t)
 	}
 }
+
+// Guards against restarted nodes that spend the slack which they spent before the restart.
+func TestRestartsDoNotRefillTheSlack(t *testing.T) {
+	w := newWorld(12)
+	for _, at := range []time.Duration{0, 3 * time.Second, 6 * time.Second, 9 * time.Second} {
+		for node := range w.nodes {
+			w.nodes[node] = budget.New(siteTerms, w.now(at))
+			w.request(node, at)
+			w.request(node, at+time.Second)
+		}
+	}
+	slices.Sort(w.requests)
+	slices.Sort(w.resends)
+	w.checkWindows(t)
+}
--- a/gateway/replay/caller.go
+++ b/gateway/replay/caller.go
@@ -48,7 +48,7 @@
 	if r.Resends == nil {
 		return nil
 	}
-	return budget.New(*r.Resends)
+	return budget.New(*r.Resends, time.Time{})
 }
 
 // resend sends a request that has not run to another server if the node may resend, and has
--- a/gateway/router/router.go
+++ b/gateway/router/router.go
@@ -21,10 +21,11 @@
 	"github.com/burdockspindle/burdockspindle/gateway/view"
 )
 
-// Options are the settings of a router that can change at run time.
+// Options are the settings of a router. All but StartedAt can change at run time.
 type Options struct {
 	CrossZonePenalty time.Duration // added to the expected time at servers of other zones
 	Retries          budget.Terms
+	StartedAt        time.Time // of the process; zero: long ago
 }
 
 // Router forwards requests to backend servers. It implements http.Handler.
@@ -116,7 +117,7 @@
 		s = &service{
 			name:    name,
 			pool:    pool.New(r.zone, r.options.CrossZonePenalty, random),
-			budget:  budget.New(r.options.Retries),
+			budget:  budget.New(r.options.Retries, r.options.StartedAt),
 			waiters: map[*pool.Waiter]chan waitResult{},
 		}
 		s.applyView(v.ServersOf(name), len(v.Members), v.Shares)
--- a/modules/gateway/front.go
+++ b/modules/gateway/front.go
@@ -102,14 +102,16 @@
 		return err
 	}
 	f.logger = ctx.Logger
-	f.router = router.New(f.live.Settings().Zone, platform.Headers, routerTerms(f.live.Settings()), f.state, client, reports, ctx.Logger)
-	f.live.Watch(func(s *config.Settings) { f.router.SetOptions(routerTerms(s)) })
+	startedAt := time.Now()
+	f.router = router.New(f.live.Settings().Zone, platform.Headers, routerOptions(f.live.Settings(), startedAt), f.state, client, reports, ctx.Logger)
+	f.live.Watch(func(s *config.Settings) { f.router.SetOptions(routerOptions(s, startedAt)) })
 	return nil
 }
 
-// routerTerms returns the router's part of the settings.
-func routerTerms(s *config.Settings) router.Options {
+// routerOptions returns the router's part of the settings of a process that started at a time.
+func routerOptions(s *config.Settings, startedAt time.Time) router.Options {
 	return router.Options{
+		StartedAt:        startedAt,
 		CrossZonePenalty: s.Placement.CrossZonePenalty,
 		Retries:          budget.Terms{Ratio: s.Retries.Ratio, Slack: s.Retries.Slack, Window: s.Retries.Window},
 	}
