Retry: number the slots of a budget by the time since the start of the process

What callers saw: nothing reported; the same cause as in the gateway's retry budget (steps of the time of day), looked for elsewhere.

Cause: slots were numbered by Unix time, so a step ahead by ten seconds forgets every retry of the window. Change: the budget counts in clock/window. The ratio and the constant are as before.

--- a/retry/budget.go
+++ b/retry/budget.go
@@ -1,6 +1,10 @@
 package retry
 
-import "time"
+import (
+	"time"
+
+	"github.com/burdockspindle/burdockspindle/clock/window"
+)
 
 // A budget counts over a sliding window, which is a ring of slots of equal length.
 const (
@@ -14,11 +18,10 @@
 type Budget struct {
 	ratio        float64 // retries for each first attempt
 	minPerWindow float64 // retries per window that are always allowed
-	slots        [budgetSlots]budgetSlot
+	counts       *window.Sliding[budgetCounts]
 }
 
-type budgetSlot struct {
-	index   int64 // Unix time divided by budgetSlotTime
+type budgetCounts struct {
 	firsts  float64
 	retries float64
 }
@@ -26,11 +29,11 @@
 // NewBudget returns a budget of ratio retries for each first attempt, plus
 // minPerWindow retries in each window regardless of the number of first attempts.
 func NewBudget(ratio, minPerWindow float64) *Budget {
-	return &Budget{ratio: ratio, minPerWindow: minPerWindow}
+	return &Budget{ratio: ratio, minPerWindow: minPerWindow, counts: window.New[budgetCounts](budgetSlots, budgetSlotTime)}
 }
 
 // First records a first attempt.
-func (b *Budget) First(now time.Time) { b.slot(now).firsts++ }
+func (b *Budget) First(now time.Time) { b.counts.At(now).firsts++ }
 
 // Take reports whether the budget allows a retry, and records the retry if so.
 func (b *Budget) Take(now time.Time) bool {
@@ -38,7 +41,7 @@
 	if retries+1 > b.minPerWindow+b.ratio*firsts {
 		return false
 	}
-	b.slot(now).retries++
+	b.counts.At(now).retries++
 	return true
 }
 
@@ -48,22 +51,10 @@
 	return retries, firsts
 }
 
-func (b *Budget) slot(now time.Time) *budgetSlot {
-	index := now.UnixNano() / int64(budgetSlotTime)
-	slot := &b.slots[index%budgetSlots]
-	if slot.index != index {
-		*slot = budgetSlot{index: index}
-	}
-	return slot
-}
-
 func (b *Budget) totals(now time.Time) (firsts, retries float64) {
-	oldest := now.UnixNano()/int64(budgetSlotTime) - budgetSlots
-	for i := range b.slots {
-		if b.slots[i].index > oldest {
-			firsts += b.slots[i].firsts
-			retries += b.slots[i].retries
-		}
+	for slot := range b.counts.Latest(budgetSlots, now) {
+		firsts += slot.firsts
+		retries += slot.retries
 	}
 	return firsts, retries
 }
