Shed: number the slots of a monitor by the time since the start of the process

Cause: slots were numbered by Unix time, so a step of the time of day empties the window: a service that refuses every call is no longer shed, and requests that must fail occupy its callers' servers. Change: the monitor counts in clock/window.

--- a/shed/shed.go
+++ b/shed/shed.go
@@ -3,7 +3,11 @@
 // server slots and queues. The decision is pure: time is an argument.
 package shed
 
-import "time"
+import (
+	"time"
+
+	"github.com/burdockspindle/burdockspindle/clock/window"
+)
 
 // Thresholds of the decision. A rate is the number of refused calls per request
 // of the calling services. Shedding starts at a rate of one half, because below
@@ -28,32 +32,29 @@
 // whether its dependants are shed. The zero value is ready to use. It is not safe
 // for concurrent use.
 type Monitor struct {
-	slots    [windowSlots]slot
+	recent   *window.Sliding[counts] // nil: nothing was counted
 	engaged  bool
 	lowSince time.Time // start of the current period below releaseRate while engaged; else zero
 }
 
-type slot struct {
-	index    int64
+type counts struct {
 	requests float64
 	refused  float64
 }
 
 // Request counts a request to a service that depends on this one. Shed requests
 // must not be counted, because they made no call.
-func (m *Monitor) Request(now time.Time) { m.slot(now).requests++ }
+func (m *Monitor) Request(now time.Time) { m.countsAt(now).requests++ }
 
 // Refused counts a call from another service that was refused because the service
 // was overloaded or none of its servers was reachable.
-func (m *Monitor) Refused(now time.Time) { m.slot(now).refused++ }
+func (m *Monitor) Refused(now time.Time) { m.countsAt(now).refused++ }
 
-func (m *Monitor) slot(now time.Time) *slot {
-	index := now.UnixNano() / int64(slotTime)
-	current := &m.slots[index%windowSlots]
-	if current.index != index {
-		*current = slot{index: index}
+func (m *Monitor) countsAt(now time.Time) *counts {
+	if m.recent == nil {
+		m.recent = window.New[counts](windowSlots, slotTime)
 	}
-	return current
+	return m.recent.At(now)
 }
 
 // Rate returns the fraction of the dependants' requests within the window that
@@ -61,13 +62,13 @@
 // capped at 1, because a call may be refused at another node than the one that
 // accepted the request.
 func (m *Monitor) Rate(now time.Time) float64 {
-	oldest := now.UnixNano()/int64(slotTime) - windowSlots
+	if m.recent == nil {
+		return 0
+	}
 	var requests, refused float64
-	for i := range m.slots {
-		if m.slots[i].index > oldest {
-			requests += m.slots[i].requests
-			refused += m.slots[i].refused
-		}
+	for slot := range m.recent.Latest(windowSlots, now) {
+		requests += slot.requests
+		refused += slot.refused
 	}
 	if requests < minRequests {
 		return 0
