Retry: count a retry until it is a window old

Cause: ten slots of a second, of which the current one has only begun, cover 9 to 10 s. A burst at the end of a slot was forgotten 9 s later. Change: retries count in one slot more than the window has. Evidence: TestBurstsLessThanAWindowApartShareOneBudget: 6 retries in 9.9 s, 3 allowed before; passes now.

--- a/retry/budget.go
+++ b/retry/budget.go
@@ -10,6 +10,9 @@
 const (
 	budgetSlots    = 10
 	budgetSlotTime = time.Second
+	// retrySlots is the number of slots in which retries count: the current slot has only
+	// begun, so budgetSlots slots cover less than the window.
+	retrySlots = budgetSlots + 1
 )
 
 // Budget allows a number of retries in proportion to the first attempts of the
@@ -29,7 +32,7 @@
 // NewBudget returns a budget of ratio retries for each first attempt, plus
 // minPerWindow retries in each window regardless of the number of first attempts.
 func NewBudget(ratio, minPerWindow float64) *Budget {
-	return &Budget{ratio: ratio, minPerWindow: minPerWindow, counts: window.New[budgetCounts](budgetSlots, budgetSlotTime)}
+	return &Budget{ratio: ratio, minPerWindow: minPerWindow, counts: window.New[budgetCounts](retrySlots, budgetSlotTime)}
 }
 
 // First records a first attempt.
@@ -54,6 +57,8 @@
 func (b *Budget) totals(now time.Time) (firsts, retries float64) {
 	for slot := range b.counts.Latest(budgetSlots, now) {
 		firsts += slot.firsts
+	}
+	for slot := range b.counts.Latest(retrySlots, now) {
 		retries += slot.retries
 	}
 	return firsts, retries
