Router: age of a reported load by the monotonic clock

Cause: the age of a load that another node reported was a difference of Unix times. After a step back the load seemed new for as long as the step, and requests avoided a server that had long been free.

--- a/modules/router/remote.go
+++ b/modules/router/remote.go
@@ -6,6 +6,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/burdockspindle/burdockspindle/clock"
 	"github.com/burdockspindle/burdockspindle/topo"
 )
 
@@ -22,7 +23,7 @@
 type remoteLoad struct {
 	own        atomic.Int64
 	reported   atomic.Uint64 // bits of a float64
-	receivedAt atomic.Int64  // Unix nanoseconds
+	receivedAt atomic.Int64  // time since the start of the process, in nanoseconds
 }
 
 func (r *remoteLoads) of(id topo.ServerID) *remoteLoad {
@@ -38,8 +39,8 @@
 func (r *remoteLoads) load(now time.Time, id topo.ServerID, limit int) float64 {
 	known := r.of(id)
 	own := float64(known.own.Load()) / float64(max(limit, 1))
-	age := now.UnixNano() - known.receivedAt.Load()
-	if age > int64(remoteLoadTTL) {
+	age := clock.SinceStart(now) - time.Duration(known.receivedAt.Load())
+	if age > remoteLoadTTL {
 		return own
 	}
 	reported := math.Float64frombits(known.reported.Load())
@@ -53,7 +54,7 @@
 	}
 	known := r.of(id)
 	known.reported.Store(math.Float64bits(load))
-	known.receivedAt.Store(now.UnixNano())
+	known.receivedAt.Store(int64(clock.SinceStart(now)))
 }
 
 // retain removes the servers for which keep returns false.
