Logs: limit lines per second by the monotonic clock

Cause: the limits of request lines, of lines about invalid entries and of lines about invalid tokens began anew with each second of the time of day. While that is set back and forth, all lines are written; after a step back by an hour no line about an invalid token is written for an hour.

--- a/gateway/follow/invalid_entries.go
+++ b/gateway/follow/invalid_entries.go
@@ -24,9 +24,9 @@
 
 // invalidEntryLog logs entries from which no server can be read, once for each change.
 type invalidEntryLog struct {
-	values map[site.ServerName]uint64 // hash of the invalid entry
-	second int64
-	lines  int // logged in that second
+	values  map[site.ServerName]uint64 // hash of the invalid entry
+	resetAt time.Time                  // when lines was last reset
+	lines   int                        // logged since resetAt
 }
 
 // note counts and logs an invalid entry, unless it is unchanged.
@@ -40,8 +40,8 @@
 	}
 	l.values[name] = value
 	invalidEntries.Add(1)
-	if second := now.Unix(); second != l.second {
-		l.second, l.lines = second, 0
+	if now.Sub(l.resetAt) >= time.Second {
+		l.resetAt, l.lines = now, 0
 	}
 	l.lines++
 	if l.lines > maxInvalidLinesPerSecond {
--- a/gateway/router/log.go
+++ b/gateway/router/log.go
@@ -56,7 +56,7 @@
 // lineBudget limits the rate of request log lines.
 type lineBudget struct {
 	mu       sync.Mutex
-	second   int64
+	resetAt  time.Time // when the budget was last reset
 	failed   int
 	answered int
 	dropped  int
@@ -67,9 +67,9 @@
 func (b *lineBudget) take(failed bool, now time.Time) (allowed bool, dropped int) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if second := now.Unix(); second != b.second {
+	if now.Sub(b.resetAt) >= time.Second {
 		dropped = b.dropped
-		b.second, b.failed, b.answered, b.dropped = second, maxFailedLines, maxAnsweredLines, 0
+		b.resetAt, b.failed, b.answered, b.dropped = now, maxFailedLines, maxAnsweredLines, 0
 	}
 	remaining := &b.answered
 	if failed {
--- a/modules/admin/token.go
+++ b/modules/admin/token.go
@@ -42,7 +42,7 @@
 
 // requireToken passes only requests with the valid token to next.
 func (a *api) requireToken(next http.Handler) http.Handler {
-	var lastLogged atomic.Int64
+	var lastLogged atomic.Pointer[time.Time]
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		metricRequests.Add(1)
 		if a.token.accepts(r.Header.Get("Authorization")) {
@@ -50,8 +50,9 @@
 			return
 		}
 		metricUnauthorized.Add(1)
-		now := time.Now().UnixNano()
-		if last := lastLogged.Load(); now-last >= int64(unauthorizedLogEvery) && lastLogged.CompareAndSwap(last, now) {
+		now := time.Now()
+		last := lastLogged.Load()
+		if (last == nil || now.Sub(*last) >= unauthorizedLogEvery) && lastLogged.CompareAndSwap(last, &now) {
 			eventUnauthorized.Log(a.logger, "remote", r.RemoteAddr, "path", r.URL.Path)
 		}
 		w.Header().Set("WWW-Authenticate", `Bearer realm="administration"`)
