Follower: end the watch for a new lessor by the monotonic clock

Cause: the end of the watch was a Unix time. After a step back the nodes with the highest read priority read the store at every opportunity for as long as the step; after a step ahead they did not watch at all and waited for reports. Not tested by itself: the reader takes the time from package clock.

--- a/gateway/follow/reader.go
+++ b/gateway/follow/reader.go
@@ -51,12 +51,12 @@
 	StartedAt time.Time // start time of the node
 
 	priority       atomic.Pointer[ReadPriority]
-	lessor         atomic.Bool      // the node is the lessor and need not read its own lease
-	lost           atomic.Bool      // the latest call failed
-	serversLost    atomic.Bool      // the latest read of the servers failed
-	watchUntil     atomic.Int64     // wall clock time in nanoseconds until which the node watches for a new lessor
-	woken          broadcast.Signal // sent when the node may have to read earlier than expected
-	ownershipReads broadcast.Signal // sent after each read of the ownership topic
+	lessor         atomic.Bool               // the node is the lessor and need not read its own lease
+	lost           atomic.Bool               // the latest call failed
+	serversLost    atomic.Bool               // the latest read of the servers failed
+	watchUntil     atomic.Pointer[time.Time] // by package clock; until then the node watches for a new lessor
+	woken          broadcast.Signal          // sent when the node may have to read earlier than expected
+	ownershipReads broadcast.Signal          // sent after each read of the ownership topic
 	registry       *Registry
 	invalid        invalidEntryLog
 	mu             sync.Mutex
@@ -99,7 +99,8 @@
 // WatchForLessor records that the lessor has resigned. Nodes with the highest read priority
 // then read the store at once to find the new lessor.
 func (r *Reader) WatchForLessor() {
-	r.watchUntil.Store(clock.Now().Add(lessorWatchTime).UnixNano())
+	until := clock.Now().Add(lessorWatchTime)
+	r.watchUntil.Store(&until)
 	r.woken.Send()
 }
 
@@ -107,7 +108,8 @@
 func (r *Reader) mustRead() bool {
 	age, hasReport := r.reportAge()
 	priority := r.ReadPriority()
-	watches := priority.isFirst() && clock.Now().UnixNano() < r.watchUntil.Load()
+	until := r.watchUntil.Load()
+	watches := priority.isFirst() && until != nil && clock.Now().Before(*until)
 	return watches || priority.mayRead(age, hasReport)
 }
 
