Router: log which requests servers had when they ended

What is missing: request lines show neither the caller nor the path, so the returns of one request at several nodes can't be told from other requests, and a connection that ends does not tell whether the server did.

Change: a request whose server closes its connection gets a fingerprint of caller, method, host, path and body in its steps. Event 2203 names the server, the request and the fingerprint once the server's address refuses connections or the registry shows that the incarnation has ended. The body is hashed only then.

--- /dev/null
+++ b/gateway/router/crash.go
@@ -0,0 +1,165 @@
+package router
+
+import (
+	"context"
+	"errors"
+	"net"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"github.com/burdockspindle/burdockspindle/events"
+	"github.com/burdockspindle/burdockspindle/gateway/quarantine"
+	"github.com/burdockspindle/burdockspindle/gateway/site"
+	"github.com/burdockspindle/burdockspindle/gateway/upstream"
+	"github.com/burdockspindle/burdockspindle/gateway/view"
+)
+
+var eventCrash = events.Define(2203, hclog.Warn, "server ended while it had a request")
+
+const (
+	// crashWatchTime is how long a server that closed a connection is watched for its end:
+	// its entry in the registry expires three heartbeats after it.
+	crashWatchTime = 4 * time.Second
+	// maxCrashRequests bounds the requests of this node that were in flight at one server.
+	maxCrashRequests = 64
+	// maxCrashWatches bounds the servers that are watched at the same time.
+	maxCrashWatches = 256
+)
+
+// crashes determines which servers ended while they had requests of this node in flight. A
+// connection that ends is not sufficient: a server may close single connections, and a
+// network may reset them.
+type crashes struct {
+	client *upstream.Client
+	logger hclog.Logger
+	// isRegistered reports whether an incarnation of a server is registered, and none that
+	// started later under its name. changed returns a channel that is closed when that may
+	// have changed.
+	isRegistered func(site.ServerID) bool
+	changed      func() <-chan struct{}
+
+	mu      sync.Mutex
+	watches map[site.ServerID]*crashWatch
+}
+
+func newCrashes(state *view.State, client *upstream.Client, logger hclog.Logger) *crashes {
+	return &crashes{
+		client: client,
+		logger: logger,
+		isRegistered: func(id site.ServerID) bool {
+			now := state.Now()
+			_, exists := now.Servers.Servers[id]
+			return exists && !now.Restarted(id)
+		},
+		changed: state.Changed,
+		watches: map[site.ServerID]*crashWatch{},
+	}
+}
+
+// crashWatch is a server that closed a connection with a request in flight.
+type crashWatch struct {
+	server   site.Server
+	requests []crashedRequest
+	ended    bool
+}
+
+// crashedRequest is a request that was in flight.
+type crashedRequest struct {
+	id          string
+	fingerprint quarantine.Fingerprint
+}
+
+// note records that a server closed the connection of a request in flight.
+func (c *crashes) note(ctx context.Context, server site.Server, request crashedRequest) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	watch := c.watches[server.ID]
+	switch {
+	case watch == nil && len(c.watches) >= maxCrashWatches:
+		crashesUnwatched.Add(1)
+	case watch == nil:
+		watch = &crashWatch{server: server, requests: []crashedRequest{request}}
+		c.watches[server.ID] = watch
+		go c.watch(ctx, watch)
+	case len(watch.requests) >= maxCrashRequests:
+	default:
+		watch.requests = append(watch.requests, request)
+		if watch.ended {
+			c.report(watch.server, request)
+		}
+	}
+}
+
+// watch reports the requests of a server once it has ended, and stops after crashWatchTime.
+func (c *crashes) watch(ctx context.Context, watch *crashWatch) {
+	ctx, cancel := context.WithTimeout(ctx, crashWatchTime)
+	defer cancel()
+	if c.refusesConnections(ctx, watch.server) || c.awaitUnregistered(ctx, watch.server.ID) {
+		c.mu.Lock()
+		watch.ended = true
+		for _, request := range watch.requests {
+			c.report(watch.server, request)
+		}
+		c.mu.Unlock()
+		<-ctx.Done() // requests whose connections end later
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.watches, watch.server.ID)
+}
+
+// refusesConnections reports whether no process listens at the server's address.
+func (c *crashes) refusesConnections(ctx context.Context, server site.Server) bool {
+	return errors.Is(c.client.Probe(ctx, server), syscall.ECONNREFUSED)
+}
+
+// awaitUnregistered waits until the server has left the registry or restarted, and reports
+// whether it has.
+func (c *crashes) awaitUnregistered(ctx context.Context, id site.ServerID) bool {
+	for {
+		changed := c.changed()
+		if !c.isRegistered(id) {
+			return true
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return false
+		}
+	}
+}
+
+// report reports that a server ended while it had a request. c.mu must be held.
+func (c *crashes) report(server site.Server, request crashedRequest) {
+	crashedRequests.Add(1)
+	eventCrash.Log(c.logger, "server", server.ID, "service", server.Service, "request", request.id, "fingerprint", request.fingerprint.String())
+}
+
+// noteConnectionEnd records an attempt whose server closed the connection while it had the
+// request.
+func (x *exchange) noteConnectionEnd(attempt attemptResult) {
+	var attemptErr *upstream.AttemptError
+	if !errors.As(attempt.err, &attemptErr) || !attemptErr.Sent || !upstream.IsClosedByPeer(attemptErr.Cause) {
+		return
+	}
+	request := crashedRequest{id: x.request.ID, fingerprint: x.fingerprint()}
+	x.trace.note("fingerprint " + request.fingerprint.String())
+	x.router.crashes.note(x.router.closing, attempt.server, request)
+}
+
+// fingerprint returns the request's fingerprint. It is computed only when it is needed,
+// because it reads the whole body.
+func (x *exchange) fingerprint() quarantine.Fingerprint {
+	if x.fingerprinted == nil {
+		caller, _, err := net.SplitHostPort(x.remoteAddress)
+		if err != nil {
+			caller = x.remoteAddress
+		}
+		f := quarantine.FingerprintOf(caller, x.request.Method, x.request.Host, x.path, x.request.Body)
+		x.fingerprinted = &f
+	}
+	return *x.fingerprinted
+}
--- a/gateway/router/metrics.go
+++ b/gateway/router/metrics.go
@@ -18,6 +18,10 @@
 	// hundredths of a send.
 	budgetLeft   = group.Map("retry_budget_left_hundredths")
 	linesDropped = group.Counter("log_lines_left_out")
+	// crashedRequests counts requests that were in flight at a server when it ended.
+	crashedRequests = group.Counter("in_flight_when_server_ended")
+	// crashesUnwatched counts ended connections for which the server was not watched.
+	crashesUnwatched = group.Counter("server_ends_not_watched")
 )
 
 // Range of the latency histograms in microseconds, and their significant digits.
--- a/gateway/router/router.go
+++ b/gateway/router/router.go
@@ -41,6 +41,7 @@
 	closing     context.Context // done when every open request must be answered
 	close       context.CancelFunc
 	lines       lineBudget
+	crashes     *crashes
 
 	mu          sync.Mutex
 	timeouts    map[string]*callerTimeouts // by route
@@ -67,6 +68,7 @@
 func New(zone string, headers upstream.Headers, options Options, state *view.State, client *upstream.Client, reports *follow.Reports, logger hclog.Logger) *Router {
 	closing, closeRouter := context.WithCancel(context.Background())
 	return &Router{
+		crashes:  newCrashes(state, client, logger),
 		closing:  closing,
 		close:    closeRouter,
 		zone:     zone,
--- a/gateway/router/run.go
+++ b/gateway/router/run.go
@@ -148,6 +148,7 @@
 // isFinal records the result of an attempt and reports whether the request is done.
 func (x *exchange) isFinal(attempt attemptResult) bool {
 	x.trace.noteAttempt(attempt)
+	x.noteConnectionEnd(attempt)
 	var attemptErr *upstream.AttemptError
 	if attempt.err != nil {
 		if !errors.As(attempt.err, &attemptErr) || attemptErr.Sent {
--- a/gateway/router/serve.go
+++ b/gateway/router/serve.go
@@ -9,6 +9,7 @@
 	"strconv"
 	"time"
 
+	"github.com/burdockspindle/burdockspindle/gateway/quarantine"
 	"github.com/burdockspindle/burdockspindle/gateway/ranges"
 	"github.com/burdockspindle/burdockspindle/gateway/site"
 	"github.com/burdockspindle/burdockspindle/gateway/upstream"
@@ -39,6 +40,9 @@
 	keyed   bool
 	key     ranges.Key
 	request upstream.Request
+	// path is the request's path without the query, and remoteAddress the caller's address.
+	path, remoteAddress string
+	fingerprinted       *quarantine.Fingerprint // nil: not computed yet
 
 	arrived    time.Time
 	deadline   time.Time // from the timeouts of the caller and the route
@@ -99,6 +103,7 @@
 		return problem
 	}
 	x.setDeadlines(request)
+	x.path, x.remoteAddress = request.URL.EscapedPath(), request.RemoteAddr
 	x.request.Method = request.Method
 	x.request.Target = request.RequestURI
 	x.request.Host = request.Host
--- a/gateway/router/server_restart_test.go
+++ b/gateway/router/server_restart_test.go
@@ -23,7 +23,8 @@
 	site.Server
 	received        atomic.Int32
 	onRequest       func() // called for each request unless nil
-	dropsConnection bool   // closes the connection without an answer
+	listener        net.Listener
+	dropsConnection bool // closes the connection without an answer
 }
 
 func newBackend(t *testing.T, id site.ServerID) *backend {
@@ -40,6 +41,7 @@
 		w.Header().Set("Request-Id", r.Header.Get("Request-Id"))
 	}))
 	t.Cleanup(server.Close)
+	b.listener = server.Listener
 	address, err := net.ResolveTCPAddr("tcp", server.Listener.Addr().String())
 	gomega.NewWithT(t).Expect(err).NotTo(gomega.HaveOccurred())
 	b.Server = site.Server{ID: id, Service: "s", Address: address.String(), Zone: "a", Slots: 4}
--- a/gateway/upstream/conn.go
+++ b/gateway/upstream/conn.go
@@ -115,6 +115,12 @@
 	return errors.Is(err, io.EOF) || errors.Is(err, syscall.ECONNRESET)
 }
 
+// IsClosedByPeer reports whether a request's connection was closed or reset by the server
+// before the end of its answer.
+func IsClosedByPeer(err error) bool {
+	return isClosedByPeer(err) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, syscall.EPIPE)
+}
+
 // unexpectedBytesError reports that a connection received bytes that do not answer a
 // request.
 type unexpectedBytesError struct{}
