Quarantine requests under which servers end one after the other

What callers saw: a request that crashes each server that runs it ended all eight servers of a service within half a second and again whenever its caller returned (29 ended in all); nearly every request of the service was refused meanwhile.

Cause: nothing about a request outlives its exchange. Each return, and each node, sends it to as many servers as the route allows, with no knowledge of the servers that ended under it. Class: retries bounded for an exchange and not for the request.

Change: nodes report which requests a server had when it ended; the lessor quarantines the one that explains at least three ends that no quarantined request explains, and writes the list to the ownership topic before it applies; nodes refuse it at once with 503 and no Retry-After. An answer clears a request; a quarantined one is tried once by one node after 30 s and then every ten minutes. Reports of crashes do not wait for the next regular report. A node without a lessor decides by itself, after five. Requests are hashed only while something is suspected.

--- a/gateway/duty/append.go
+++ b/gateway/duty/append.go
@@ -8,6 +8,7 @@
 
 	"github.com/burdockspindle/burdockspindle/clock"
 	"github.com/burdockspindle/burdockspindle/gateway/follow"
+	"github.com/burdockspindle/burdockspindle/gateway/quarantine"
 	"github.com/burdockspindle/burdockspindle/gateway/ranges"
 	"github.com/burdockspindle/burdockspindle/gateway/store"
 )
@@ -15,14 +16,15 @@
 // pendingAppend is an append whose outcome is not known yet.
 type pendingAppend struct {
 	record          store.Record
-	change          *ranges.Change // nil for a heartbeat or claim
-	claim           *ranges.Table  // not nil for a claim
-	previousHold    time.Duration  // for a claim: how long grants of the previous lessor may be in force
-	uncertainHold   time.Duration  // for a claim and with resigns: how long grants of uncertain outcome may be in force
-	previousLessor  ranges.Lessor  // for a claim: the lessor before it, unless that has resigned
-	earlierHold     time.Duration  // for a claim: how long grants of lessors before previousLessor may be in force
-	resigns         bool           // the record releases the lease
-	outstandingHold time.Duration  // with resigns: how long outstanding grants may be in force
+	change          *ranges.Change  // nil for a heartbeat or claim
+	claim           *ranges.Table   // not nil for a claim
+	previousHold    time.Duration   // for a claim: how long grants of the previous lessor may be in force
+	uncertainHold   time.Duration   // for a claim and with resigns: how long grants of uncertain outcome may be in force
+	previousLessor  ranges.Lessor   // for a claim: the lessor before it, unless that has resigned
+	earlierHold     time.Duration   // for a claim: how long grants of lessors before previousLessor may be in force
+	resigns         bool            // the record releases the lease
+	outstandingHold time.Duration   // with resigns: how long outstanding grants may be in force
+	quarantined     quarantine.List // not nil for a list of quarantined requests
 	offset          store.Offset
 	// startedAt is the start of the first attempt.
 	startedAt time.Time
@@ -69,6 +71,10 @@
 		text, err := json.Marshal(table)
 		return store.Record{Key: follow.TableKey, Value: text}, err
 	}
+	if p.quarantined != nil {
+		text, err := json.Marshal(follow.QuarantineRecord{Boot: self.Boot, Serial: serial, Requests: p.quarantined})
+		return store.Record{Key: follow.QuarantineKey, Value: text}, err
+	}
 	heartbeat := follow.Heartbeat{Boot: self.Boot, Serial: serial, PreviousMs: &previousMs, Resigned: p.resigns, HeldMs: follow.RoundUp(p.outstandingHold)}
 	if p.resigns {
 		uncertainMs := follow.RoundUp(p.uncertainHold)
--- a/gateway/duty/duty.go
+++ b/gateway/duty/duty.go
@@ -13,6 +13,7 @@
 
 	"github.com/burdockspindle/burdockspindle/clock"
 	"github.com/burdockspindle/burdockspindle/gateway/follow"
+	"github.com/burdockspindle/burdockspindle/gateway/quarantine"
 	"github.com/burdockspindle/burdockspindle/gateway/quota"
 	"github.com/burdockspindle/burdockspindle/gateway/ranges"
 	"github.com/burdockspindle/burdockspindle/gateway/site"
@@ -110,7 +111,10 @@
 	lessorSince      time.Time
 	shownSerial      uint64 // serial of the routes in the view
 	quota            *quota.Quota
-	leaseOffset      store.Offset // of the claim that started the lease
+	quarantine       *quarantine.Table
+	quarantined      quarantine.List // as last written or about to be written
+	quarantineDue    bool            // quarantined is not written yet
+	leaseOffset      store.Offset    // of the claim that started the lease
 	nextShares       time.Time
 	sharesSentAt     time.Time
 	sharesSerial     uint64
@@ -212,6 +216,7 @@
 		return
 	}
 	d.processOwnReports(now)
+	d.updateQuarantine(now)
 	d.sendCalls(ctx, now)
 	d.appendDue(ctx, now)
 	d.showRoutes()
@@ -337,6 +342,7 @@
 		d.loads.ReportServiceTime(site.ServerID(p.Server), time.Duration(p.MeanUs)*time.Microsecond)
 		d.loads.ReportOccupancy(site.ServerID(p.Server), int(p.Answers), int(p.Present))
 	}
+	d.handleCrashes(report, clock.Now())
 }
 
 // lease returns the lessor's lease.
@@ -360,6 +366,10 @@
 	if !now.Before(d.nextChange) && d.changeTable(ctx, now) {
 		return
 	}
+	if d.quarantineDue {
+		d.append(ctx, &pendingAppend{quarantined: d.quarantined})
+		return
+	}
 	if !now.Before(d.nextConfirm) {
 		d.append(ctx, &pendingAppend{})
 	}
--- a/gateway/duty/events.go
+++ b/gateway/duty/events.go
@@ -23,5 +23,6 @@
 	eventHandingOff           = events.Define(2114, hclog.Info, "another node claimed the lease; handing off")
 	eventPreviousReported     = events.Define(2115, hclog.Info, "previous lessor reported its outstanding grants")
 	eventPreviousUnresponsive = events.Define(2116, hclog.Info, "previous lessor did not report its outstanding grants")
+	eventQuarantined          = events.Define(2117, hclog.Warn, "request is quarantined")
 	eventEncodeFailed         = events.Define(2109, hclog.Error, "cannot encode the table of ranges")
 )
--- a/gateway/duty/outcome.go
+++ b/gateway/duty/outcome.go
@@ -67,6 +67,8 @@
 		d.table = view.Table{Offset: p.offset, Table: p.change.Table}
 		d.shownSerial = 0
 		eventTableChanged.Log(d.Logger, "offset", p.offset, "ranges", d.table.Table.Ranges())
+	case p.quarantined != nil:
+		d.completeQuarantine(p)
 	case p.resigns:
 		eventResigned.Log(d.Logger, "offset", p.offset)
 		d.endLease()
@@ -81,6 +83,7 @@
 	d.earlierHoldEnd = now.Add(p.earlierHold)
 	d.loads = ranges.NewLoads()
 	d.quota = quota.New()
+	d.beginQuarantine(now)
 	d.leaseOffset, d.sharesSerial = p.offset, 0
 	d.sendShares(nil, now) // replaces the shares of the previous lessor
 	d.lessorSince = now
--- a/gateway/follow/events.go
+++ b/gateway/follow/events.go
@@ -24,6 +24,7 @@
 	eventReadingStarted     = events.Define(2021, hclog.Info, "started reading the store")
 	eventReadingStopped     = events.Define(2022, hclog.Info, "stopped reading the store")
 	eventRegistry           = events.Define(2023, hclog.Info, "registry of servers adopted")
+	eventQuarantine         = events.Define(2024, hclog.Info, "quarantined requests changed")
 	eventPeerFailed         = events.Define(2017, hclog.Debug, "call to another node failed")
 )
 
--- a/gateway/follow/feed.go
+++ b/gateway/follow/feed.go
@@ -55,6 +55,7 @@
 	HandOffs chan *HandOff
 
 	configText encodedPart
+	quarantine encodedPart
 	servers    serversEncoder
 	routes     routesEncoder
 
@@ -109,9 +110,9 @@
 	msg := request.Msg
 	startedAt := clock.Now()
 	followersHash := f.noteFollower(msg)
-	if len(msg.KeyCounts)+len(msg.Paces) > 0 {
+	if report := reportOf(msg); !report.isEmpty() {
 		select {
-		case f.Reports <- Report{KeyCounts: msg.KeyCounts, Paces: msg.Paces}:
+		case f.Reports <- report:
 		default: // the next report contains nearly the same data
 		}
 	}
@@ -178,7 +179,7 @@
 	v := f.State.Now()
 	return v.Config != nil && uint64(v.Config.Version) > msg.ConfigVersion ||
 		int64(v.Servers.Offset) > msg.ServersOffset ||
-		newerRoutes(v, msg) || newerShares(v, msg)
+		newerRoutes(v, msg) || newerShares(v, msg) || newerQuarantine(v, msg)
 }
 
 func newerShares(v *view.View, msg *bspb.FollowRequest) bool {
@@ -210,6 +211,10 @@
 	if newerShares(v, msg) {
 		reply.Shares = sharesMessage(v.Shares)
 	}
+	if err == nil && newerQuarantine(v, msg) {
+		reply.QuarantineOffset = int64(v.Quarantine.Offset)
+		reply.Quarantine, err = f.quarantine.encode(reply.QuarantineOffset, v.Quarantine.List)
+	}
 	if v.MembersHash() != msg.MembersHash {
 		reply.Members = memberMessages(v.Members)
 	}
--- a/gateway/follow/follower.go
+++ b/gateway/follow/follower.go
@@ -33,9 +33,10 @@
 	seeds        atomic.Pointer[[]string]
 	client       *http.Client
 	clients      map[string]bspbconnect.GatewayClient
-	sourceFailed bool                 // the last call to a source failed; changes are logged
-	current      string               // address of the last source that had recent data; empty if there is none
-	avoidUntil   map[string]time.Time // time until which a source is not followed, by address
+	sourceFailed bool                   // the last call to a source failed; changes are logged
+	current      string                 // address of the last source that had recent data; empty if there is none
+	urgentTarget atomic.Pointer[string] // current, for urgent reports
+	avoidUntil   map[string]time.Time   // time until which a source is not followed, by address
 	// knownFollowers is the hash of this node's followers that each source knows, by
 	// address.
 	knownFollowers map[string]uint64
@@ -121,7 +122,7 @@
 	if from.address != f.current && len(f.State.Now().Members) > 0 {
 		wait = 0 // respond at once, to show whether its data is recent
 	}
-	f.current = ""
+	f.setCurrent("")
 	reply, err := f.follow(ctx, from.address, wait)
 	if err != nil || from.lessor && !reply.IsLessor {
 		f.logSource(true, from, err)
@@ -135,11 +136,18 @@
 		f.avoidFor(from)
 		return f.hasAlternative(from)
 	}
-	f.current = from.address
+	f.setCurrent(from.address)
 	f.logSource(false, from, nil)
 	return true
 }
 
+func (f *Follower) setCurrent(address string) {
+	f.current = address
+	if address != "" {
+		f.urgentTarget.Store(&address)
+	}
+}
+
 // source returns the best source that is not avoided. If all are avoided, it returns the best
 // one.
 func (f *Follower) source(now time.Time) (best source, found bool) {
@@ -214,6 +222,8 @@
 		Member:    memberMessage(f.Self),
 		KeyCounts: report.KeyCounts,
 		Paces:     report.Paces,
+		Crashes:   report.Crashes,
+		Answered:  report.Answered,
 		WaitMs:    uint32(wait.Milliseconds()),
 	}
 	setKnownVersions(request, f.State.Now())
@@ -273,6 +283,7 @@
 	}
 	request.RoutesSerial = v.Routes.Serial
 	request.SharesOffset, request.SharesSerial = int64(v.Shares.Offset), v.Shares.Serial
+	request.QuarantineOffset = quarantineOffset(v)
 	request.MembersHash = v.MembersHash()
 }
 
@@ -303,6 +314,11 @@
 	if reply.Shares != nil {
 		f.State.MergeShares(sharesOf(reply.Shares))
 	}
+	if len(reply.Quarantine) > 0 {
+		if err := mergeQuarantineReply(f.State, f.Logger, reply, from); err != nil {
+			return false, err
+		}
+	}
 	if (reply.IsLessor || reply.FollowsLessor) && len(reply.Members) > 0 {
 		f.State.SetMembers(membersOf(reply.Members))
 	}
--- a/gateway/follow/ownership.go
+++ b/gateway/follow/ownership.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"time"
 
+	"github.com/burdockspindle/burdockspindle/gateway/quarantine"
 	"github.com/burdockspindle/burdockspindle/gateway/ranges"
 	"github.com/burdockspindle/burdockspindle/gateway/store"
 	"github.com/burdockspindle/burdockspindle/gateway/view"
@@ -11,10 +12,18 @@
 
 // Keys of the ownership topic.
 const (
-	TableKey     = "table"
-	HeartbeatKey = "heartbeat"
+	TableKey      = "table"
+	HeartbeatKey  = "heartbeat"
+	QuarantineKey = "quarantine"
 )
 
+// QuarantineRecord is the record by which the lessor publishes the quarantined requests.
+type QuarantineRecord struct {
+	Boot     string          `json:"boot"`
+	Serial   uint64          `json:"serial"`
+	Requests quarantine.List `json:"requests"`
+}
+
 // Heartbeat is the record by which the lessor renews its lease.
 type Heartbeat struct {
 	Boot     string `json:"boot"`
@@ -49,6 +58,7 @@
 	previousAt    store.Offset // offset of that record
 	ReadAt        time.Time    // time of the latest read of the topic
 	EndObservedAt time.Time    // when End was first observed
+	Quarantine    view.Quarantine
 
 	unreadable bool // the newest table is invalid
 }
@@ -101,6 +111,15 @@
 		o.Table = view.Table{Offset: record.Offset, Table: &table}
 		o.Resigned = false
 		o.applyPrevious(record.Offset, table.PreviousMs)
+	case QuarantineKey:
+		if record.Offset < o.Quarantine.Offset {
+			return nil // pages of a snapshot may overlap
+		}
+		var published QuarantineRecord
+		if err := json.Unmarshal(record.Value, &published); err != nil {
+			return err
+		}
+		o.Quarantine = view.Quarantine{Offset: record.Offset, List: published.Requests}
 	case HeartbeatKey:
 		var heartbeat Heartbeat
 		if err := json.Unmarshal(record.Value, &heartbeat); err != nil {
--- a/gateway/follow/reader.go
+++ b/gateway/follow/reader.go
@@ -336,5 +336,6 @@
 		lessor := next.Table.Table.Lessor
 		eventTable.Log(r.Logger, "offset", next.Table.Offset, "lessor", lessor.Node, "boot", lessor.Boot)
 	}
+	mergeQuarantine(r.State, r.Logger, next.Quarantine, "store")
 	return batch.Next, nil
 }
--- a/gateway/follow/reports.go
+++ b/gateway/follow/reports.go
@@ -4,6 +4,7 @@
 	"sync"
 	"time"
 
+	"github.com/burdockspindle/burdockspindle/gateway/quarantine"
 	"github.com/burdockspindle/burdockspindle/gateway/ranges"
 	"github.com/burdockspindle/burdockspindle/gateway/site"
 	bspb "github.com/burdockspindle/burdockspindle/proto/burdockspindle/v1"
@@ -14,6 +15,11 @@
 	mu    sync.Mutex
 	keys  map[serviceKey]uint32
 	stats map[site.ServerID]serverStats
+	// crashes holds the crashes to report, and answered the suspected requests that a server
+	// has answered.
+	crashes  map[crash]crashState
+	answered map[quarantine.Fingerprint]bool
+	urgent   chan struct{}
 }
 
 type serviceKey struct {
@@ -33,7 +39,13 @@
 
 // NewReports returns an empty collection.
 func NewReports() *Reports {
-	return &Reports{keys: map[serviceKey]uint32{}, stats: map[site.ServerID]serverStats{}}
+	return &Reports{
+		keys:     map[serviceKey]uint32{},
+		stats:    map[site.ServerID]serverStats{},
+		crashes:  map[crash]crashState{},
+		answered: map[quarantine.Fingerprint]bool{},
+		urgent:   make(chan struct{}, 1),
+	}
 }
 
 // CountKey counts a request for a key, whether or not it can be served.
@@ -87,12 +99,24 @@
 		mean := time.Duration(reported.MeanUs) * time.Microsecond
 		r.add(site.ServerID(reported.Server), serverStats{count: 1, total: mean, answers: reported.Answers, present: reported.Present})
 	}
+	r.mergeCrashes(report)
 }
 
 // Report contains the observations of one node.
 type Report struct {
 	KeyCounts []*bspb.KeyCounts
 	Paces     []*bspb.ServerPace
+	Crashes   []*bspb.CrashReport
+	Answered  *bspb.Fingerprints // suspected requests that a server has answered; nil: none
+}
+
+// reportOf returns the observations in a request of another node.
+func reportOf(msg *bspb.FollowRequest) Report {
+	return Report{KeyCounts: msg.KeyCounts, Paces: msg.Paces, Crashes: msg.Crashes, Answered: msg.Answered}
+}
+
+func (r Report) isEmpty() bool {
+	return len(r.KeyCounts)+len(r.Paces)+len(r.Crashes)+len(r.Answered.GetCallers()) == 0
 }
 
 // Drain returns the observations since the last call.
@@ -115,6 +139,7 @@
 		mean := p.total / time.Duration(p.count)
 		report.Paces = append(report.Paces, &bspb.ServerPace{Server: string(id), MeanUs: uint64(mean.Microseconds()), Answers: p.answers, Present: p.present})
 	}
+	r.drainCrashes(&report, time.Now(), true)
 	clear(r.keys)
 	clear(r.stats)
 	return report
--- a/gateway/router/crash.go
+++ b/gateway/router/crash.go
@@ -35,6 +35,8 @@
 type crashes struct {
 	client *upstream.Client
 	logger hclog.Logger
+	// onCrash is called for each request of a server that ended.
+	onCrash func(site.ServerID, quarantine.Fingerprint)
 	// isRegistered reports whether an incarnation of a server is registered, and none that
 	// started later under its name. changed returns a channel that is closed when that may
 	// have changed.
@@ -45,10 +47,11 @@
 	watches map[site.ServerID]*crashWatch
 }
 
-func newCrashes(state *view.State, client *upstream.Client, logger hclog.Logger) *crashes {
+func newCrashes(state *view.State, client *upstream.Client, logger hclog.Logger, onCrash func(site.ServerID, quarantine.Fingerprint)) *crashes {
 	return &crashes{
-		client: client,
-		logger: logger,
+		client:  client,
+		logger:  logger,
+		onCrash: onCrash,
 		isRegistered: func(id site.ServerID) bool {
 			now := state.Now()
 			_, exists := now.Servers.Servers[id]
@@ -135,6 +138,7 @@
 // report reports that a server ended while it had a request. c.mu must be held.
 func (c *crashes) report(server site.Server, request crashedRequest) {
 	crashedRequests.Add(1)
+	c.onCrash(server.ID, request.fingerprint)
 	eventCrash.Log(c.logger, "server", server.ID, "service", server.Service, "request", request.id, "fingerprint", request.fingerprint.String())
 }
 
--- a/gateway/router/dispatch.go
+++ b/gateway/router/dispatch.go
@@ -133,7 +133,7 @@
 // it and the caller still waits. For a key, the second server is its new owner, once that is
 // a server other than the unresponsive one.
 func (x *exchange) acquireHedgeSlot(unresponsive site.Server) (site.Server, bool) {
-	if x.callerDisconnected() {
+	if x.callerDisconnected() || x.isQuarantined() {
 		return site.Server{}, false
 	}
 	w := x.waiter()
--- a/gateway/router/router.go
+++ b/gateway/router/router.go
@@ -16,21 +16,24 @@
 	"github.com/burdockspindle/burdockspindle/gateway/budget"
 	"github.com/burdockspindle/burdockspindle/gateway/follow"
 	"github.com/burdockspindle/burdockspindle/gateway/pool"
+	"github.com/burdockspindle/burdockspindle/gateway/quarantine"
 	"github.com/burdockspindle/burdockspindle/gateway/site"
 	"github.com/burdockspindle/burdockspindle/gateway/upstream"
 	"github.com/burdockspindle/burdockspindle/gateway/view"
 )
 
-// Options are the settings of a router. All but StartedAt can change at run time.
+// Options are the settings of a router. All but Node and StartedAt can change at run time.
 type Options struct {
 	CrossZonePenalty time.Duration // added to the expected time at servers of other zones
 	Retries          budget.Terms
+	Node             string    // name of this node
 	StartedAt        time.Time // of the process; zero: long ago
 }
 
 // Router forwards requests to backend servers. It implements http.Handler.
 type Router struct {
 	zone        string
+	node        string
 	headers     upstream.Headers
 	state       *view.State
 	client      *upstream.Client
@@ -42,6 +45,7 @@
 	close       context.CancelFunc
 	lines       lineBudget
 	crashes     *crashes
+	quarantined *ownQuarantine
 
 	mu          sync.Mutex
 	timeouts    map[string]*callerTimeouts // by route
@@ -67,19 +71,26 @@
 // New returns a router without services.
 func New(zone string, headers upstream.Headers, options Options, state *view.State, client *upstream.Client, reports *follow.Reports, logger hclog.Logger) *Router {
 	closing, closeRouter := context.WithCancel(context.Background())
+	quarantined := newOwnQuarantine()
+	onCrash := func(server site.ServerID, request quarantine.Fingerprint) {
+		reports.NoteCrash(server, request)
+		quarantined.noteCrash(server, request, time.Now())
+	}
 	return &Router{
-		crashes:  newCrashes(state, client, logger),
-		closing:  closing,
-		close:    closeRouter,
-		zone:     zone,
-		headers:  headers,
-		options:  options,
-		state:    state,
-		client:   client,
-		reports:  reports,
-		logger:   logger,
-		timeouts: map[string]*callerTimeouts{},
-		services: map[site.ServiceName]*service{},
+		crashes:     newCrashes(state, client, logger, onCrash),
+		quarantined: quarantined,
+		node:        options.Node,
+		closing:     closing,
+		close:       closeRouter,
+		zone:        zone,
+		headers:     headers,
+		options:     options,
+		state:       state,
+		client:      client,
+		reports:     reports,
+		logger:      logger,
+		timeouts:    map[string]*callerTimeouts{},
+		services:    map[site.ServiceName]*service{},
 	}
 }
 
--- a/gateway/router/run.go
+++ b/gateway/router/run.go
@@ -88,11 +88,20 @@
 // answer: a slot may become free at the moment when the request is canceled, and a request
 // sent then would be reset at once.
 func (x *exchange) acquireSlotToSend(ctx context.Context) (site.Server, *result) {
+	if !x.maySend() {
+		end := x.giveUp(crashRefusal)
+		return site.Server{}, &end
+	}
 	server, problem := x.acquireSlot(ctx)
 	if problem != nil {
 		end := x.giveUp(problem)
 		return site.Server{}, &end
 	}
+	if !x.isTrial && x.isQuarantined() { // since the request waited for the slot
+		x.service.releaseSlot(server, pool.Outcome{Abandoned: true})
+		end := x.giveUp(crashRefusal)
+		return site.Server{}, &end
+	}
 	if x.callerDisconnected() {
 		x.service.releaseSlot(server, pool.Outcome{Abandoned: true})
 		return site.Server{}, &result{callerDisconnected: true}
@@ -162,6 +171,7 @@
 		return false
 	}
 	x.mayHaveRun = true
+	x.noteAnswered()
 	if attempt.answer.Status < http.StatusInternalServerError || x.route.Kind == site.AtMostOnce {
 		return true
 	}
--- a/gateway/router/serve.go
+++ b/gateway/router/serve.go
@@ -43,6 +43,7 @@
 	// path is the request's path without the query, and remoteAddress the caller's address.
 	path, remoteAddress string
 	fingerprinted       *quarantine.Fingerprint // nil: not computed yet
+	isTrial             bool                    // a quarantined request that this node sends once
 
 	arrived    time.Time
 	deadline   time.Time // from the timeouts of the caller and the route
--- a/gateway/view/view.go
+++ b/gateway/view/view.go
@@ -15,6 +15,7 @@
 
 	"github.com/burdockspindle/burdockspindle/clock"
 	"github.com/burdockspindle/burdockspindle/gateway/broadcast"
+	"github.com/burdockspindle/burdockspindle/gateway/quarantine"
 	"github.com/burdockspindle/burdockspindle/gateway/quota"
 	"github.com/burdockspindle/burdockspindle/gateway/ranges"
 	"github.com/burdockspindle/burdockspindle/gateway/site"
@@ -62,6 +63,12 @@
 // Version returns the version of the shares.
 func (s Shares) Version() Version { return Version{Offset: s.Offset, Serial: s.Serial} }
 
+// Quarantine contains the requests that are refused because servers ended under them.
+type Quarantine struct {
+	Offset store.Offset // of its record in the ownership topic
+	List   quarantine.List
+}
+
 // View is a snapshot of what a node knows. It is immutable.
 type View struct {
 	Config  *site.Config // nil before the first
@@ -69,6 +76,8 @@
 	Table   Table  // the newest that this node has read or written
 	Routes  Routes // may belong to a newer table
 	Shares  Shares
+	// Quarantine is the newest list that a lessor has written.
+	Quarantine Quarantine
 	// Members are the nodes that share the servers with this one, including itself; empty
 	// if they are not known.
 	Members []Member
@@ -304,6 +313,18 @@
 	})
 }
 
+// MergeQuarantine applies a list of quarantined requests if it is newer, and reports whether
+// it was.
+func (s *State) MergeQuarantine(next Quarantine) bool {
+	return s.update(func(v *View) bool {
+		if next.List == nil || v.Quarantine.List != nil && next.Offset <= v.Quarantine.Offset {
+			return false
+		}
+		v.Quarantine = next
+		return true
+	})
+}
+
 // SetMembers replaces the list of nodes.
 func (s *State) SetMembers(members []Member) {
 	s.update(func(next *View) bool {
--- a/modules/gateway/front.go
+++ b/modules/gateway/front.go
@@ -102,19 +102,18 @@
 		return err
 	}
 	f.logger = ctx.Logger
-	startedAt := time.Now()
-	f.router = router.New(f.live.Settings().Zone, platform.Headers, routerOptions(f.live.Settings(), startedAt), f.state, client, reports, ctx.Logger)
-	f.live.Watch(func(s *config.Settings) { f.router.SetOptions(routerOptions(s, startedAt)) })
+	self := router.Options{Node: string(ctx.Identity.Node), StartedAt: time.Now()}
+	f.router = router.New(f.live.Settings().Zone, platform.Headers, routerOptions(f.live.Settings(), self), f.state, client, reports, ctx.Logger)
+	f.live.Watch(func(s *config.Settings) { f.router.SetOptions(routerOptions(s, self)) })
 	return nil
 }
 
-// routerOptions returns the router's part of the settings of a process that started at a time.
-func routerOptions(s *config.Settings, startedAt time.Time) router.Options {
-	return router.Options{
-		StartedAt:        startedAt,
-		CrossZonePenalty: s.Placement.CrossZonePenalty,
-		Retries:          budget.Terms{Ratio: s.Retries.Ratio, Slack: s.Retries.Slack, Window: s.Retries.Window},
-	}
+// routerOptions returns the options of the router of a process with the router's part of
+// the settings.
+func routerOptions(s *config.Settings, self router.Options) router.Options {
+	self.CrossZonePenalty = s.Placement.CrossZonePenalty
+	self.Retries = budget.Terms{Ratio: s.Retries.Ratio, Slack: s.Retries.Slack, Window: s.Retries.Window}
+	return self
 }
 
 // Start implements kernel.Starter.
--- a/modules/gateway/site.go
+++ b/modules/gateway/site.go
@@ -108,7 +108,7 @@
 func (s *Site) Start(context.Context) error {
 	ctx, cancel := context.WithCancel(context.Background())
 	s.cancel = cancel
-	for _, run := range []func(context.Context){s.client.Run, s.closeStaleConnections, s.reader.RunConfigurations, s.reader.RunServers, s.follower.Run, s.duty.Run} {
+	for _, run := range []func(context.Context){s.client.Run, s.closeStaleConnections, s.reader.RunConfigurations, s.reader.RunServers, s.follower.Run, s.follower.RunUrgentReports, s.duty.Run} {
 		s.running.Go(func() { run(ctx) })
 	}
 	return nil
