Quarantine: a request is the same from another address

Cause: the fingerprint had the caller's address. Callers connect to nodes of their own zone, so the request returned from several addresses.

Change: the fingerprint consists of credentials, method, host, path and body. The address only bounds how many requests of one caller are known. Only an answer that is no error clears a request, because a failing server may answer without running it.

--- a/gateway/duty/quarantine.go
+++ b/gateway/duty/quarantine.go
@@ -22,8 +22,8 @@
 // that were answered.
 func (d *Duty) handleCrashes(report follow.Report, now time.Time) {
 	report.EachAnswered(func(request quarantine.Fingerprint) { d.quarantine.NoteAnswer(request, now) })
-	report.EachCrash(func(server site.ServerID, request quarantine.Fingerprint) {
-		d.quarantine.NoteCrash(server, request, now)
+	report.EachCrash(func(server site.ServerID, request quarantine.Fingerprint, caller quarantine.Caller) {
+		d.quarantine.NoteCrash(server, request, caller, now)
 	})
 }
 
--- a/gateway/follow/crash_reports.go
+++ b/gateway/follow/crash_reports.go
@@ -27,6 +27,7 @@
 type crash struct {
 	server  site.ServerID
 	request quarantine.Fingerprint
+	caller  quarantine.Caller
 }
 
 // crashState is the state of a crash in the reports.
@@ -49,10 +50,10 @@
 }
 
 // NoteCrash records that a server ended while it had a request.
-func (r *Reports) NoteCrash(server site.ServerID, request quarantine.Fingerprint) {
+func (r *Reports) NoteCrash(server site.ServerID, request quarantine.Fingerprint, caller quarantine.Caller) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.noteCrash(crash{server, request}, time.Now())
+	r.noteCrash(crash{server, request, caller}, time.Now())
 }
 
 // noteCrash adds a crash that was noted at a time. The caller holds the lock.
@@ -83,8 +84,8 @@
 // ever. The caller holds the lock.
 func (r *Reports) mergeCrashes(report Report) {
 	sentOnce := time.Now().Add(-crashResendTime)
-	report.EachCrash(func(server site.ServerID, request quarantine.Fingerprint) {
-		r.noteCrash(crash{server, request}, sentOnce)
+	report.EachCrash(func(server site.ServerID, request quarantine.Fingerprint, caller quarantine.Caller) {
+		r.noteCrash(crash{server, request, caller}, sentOnce)
 	})
 	report.EachAnswered(r.noteAnswer)
 }
@@ -113,6 +114,7 @@
 			report.Crashes = append(report.Crashes, message)
 		}
 		addFingerprint(message.Requests, c.request)
+		message.Callers = append(message.Callers, uint64(c.caller))
 		r.crashes[c] = crashState{notedAt: state.notedAt, isSent: true}
 		if now.Sub(state.notedAt) >= crashResendTime {
 			delete(r.crashes, c)
@@ -128,27 +130,37 @@
 }
 
 // EachCrash calls a function for each crash of the report.
-func (r Report) EachCrash(note func(site.ServerID, quarantine.Fingerprint)) {
+func (r Report) EachCrash(note func(site.ServerID, quarantine.Fingerprint, quarantine.Caller)) {
 	for _, message := range r.Crashes {
-		eachFingerprint(message.Requests, func(request quarantine.Fingerprint) { note(site.ServerID(message.Server), request) })
+		for i, request := range fingerprintsOf(message.Requests) {
+			if i < len(message.Callers) {
+				note(site.ServerID(message.Server), request, quarantine.Caller(message.Callers[i]))
+			}
+		}
 	}
 }
 
 // EachAnswered calls a function for each answered request of the report.
-func (r Report) EachAnswered(note func(quarantine.Fingerprint)) { eachFingerprint(r.Answered, note) }
+func (r Report) EachAnswered(note func(quarantine.Fingerprint)) {
+	for _, request := range fingerprintsOf(r.Answered) {
+		note(request)
+	}
+}
 
 func addFingerprint(message *bspb.Fingerprints, f quarantine.Fingerprint) {
-	message.Callers = append(message.Callers, f.Caller)
-	message.Requests = append(message.Requests, f.Request)
+	message.High = append(message.High, f.High)
+	message.Low = append(message.Low, f.Low)
 }
 
-func eachFingerprint(message *bspb.Fingerprints, note func(quarantine.Fingerprint)) {
-	requests := message.GetRequests()
-	for i, caller := range message.GetCallers() {
-		if i < len(requests) {
-			note(quarantine.Fingerprint{Caller: caller, Request: requests[i]})
+func fingerprintsOf(message *bspb.Fingerprints) []quarantine.Fingerprint {
+	low := message.GetLow()
+	var list []quarantine.Fingerprint
+	for i, high := range message.GetHigh() {
+		if i < len(low) {
+			list = append(list, quarantine.Fingerprint{High: high, Low: low[i]})
 		}
 	}
+	return list
 }
 
 // quarantineOffset returns the offset of the list of a view, or -1 if there is none.
--- a/gateway/follow/reports.go
+++ b/gateway/follow/reports.go
@@ -116,7 +116,7 @@
 }
 
 func (r Report) isEmpty() bool {
-	return len(r.KeyCounts)+len(r.Paces)+len(r.Crashes)+len(r.Answered.GetCallers()) == 0
+	return len(r.KeyCounts)+len(r.Paces)+len(r.Crashes)+len(r.Answered.GetHigh()) == 0
 }
 
 // Drain returns the observations since the last call.
--- a/gateway/quarantine/fingerprint.go
+++ b/gateway/quarantine/fingerprint.go
@@ -10,29 +10,32 @@
 	"encoding/hex"
 )
 
-// Fingerprint identifies a request that returns. It contains no data of the request.
-type Fingerprint struct {
-	// Caller is a hash of the caller's address.
-	Caller uint64
-	// Request is a hash of the caller and of what the request asks for.
-	Request uint64
-}
+// Fingerprint identifies a request that returns. It is a hash, half of it in each field, and
+// contains no data of the request.
+type Fingerprint struct{ High, Low uint64 }
+
+// Caller identifies who sent a request, for bounds. It is a hash of the caller's address.
+type Caller uint64
 
-// FingerprintOf returns the fingerprint of a request. caller is the address without the
-// port, and path is without the query. The hash is cryptographic, so that a caller cannot
-// make a request with the fingerprint of another caller's.
-func FingerprintOf(caller, method, host, path string, body []byte) Fingerprint {
+// FingerprintOf returns the fingerprint of a request. credentials is what the caller presents
+// to identify itself, and path is without the query. The caller's address is not part of it,
+// because callers return from other addresses. The hash is cryptographic, so that nobody can
+// make another request with the fingerprint of a given one.
+func FingerprintOf(credentials, method, host, path string, body []byte) Fingerprint {
 	hash := sha256.New()
-	for _, field := range []string{caller, method, host, path} {
+	for _, field := range []string{credentials, method, host, path} {
 		_ = binary.Write(hash, binary.BigEndian, uint64(len(field))) // never fails
 		_, _ = hash.Write([]byte(field))                             // never fails
 	}
 	_, _ = hash.Write(body) // never fails
-	ofCaller := sha256.Sum256([]byte(caller))
-	return Fingerprint{
-		Caller:  binary.BigEndian.Uint64(ofCaller[:]),
-		Request: binary.BigEndian.Uint64(hash.Sum(nil)),
-	}
+	sum := hash.Sum(nil)
+	return Fingerprint{High: binary.BigEndian.Uint64(sum), Low: binary.BigEndian.Uint64(sum[8:])}
+}
+
+// CallerOf returns the caller at an address without the port.
+func CallerOf(address string) Caller {
+	sum := sha256.Sum256([]byte(address))
+	return Caller(binary.BigEndian.Uint64(sum[:]))
 }
 
 // encodedBytes is the length of a fingerprint in binary form.
@@ -47,15 +50,15 @@
 	if err != nil || len(raw) != encodedBytes {
 		return &MalformedError{Text: string(text)}
 	}
-	f.Caller = binary.BigEndian.Uint64(raw)
-	f.Request = binary.BigEndian.Uint64(raw[8:])
+	f.High = binary.BigEndian.Uint64(raw)
+	f.Low = binary.BigEndian.Uint64(raw[8:])
 	return nil
 }
 
 // String returns the fingerprint as 32 hexadecimal digits.
 func (f Fingerprint) String() string {
-	raw := binary.BigEndian.AppendUint64(nil, f.Caller)
-	return hex.EncodeToString(binary.BigEndian.AppendUint64(raw, f.Request))
+	raw := binary.BigEndian.AppendUint64(nil, f.High)
+	return hex.EncodeToString(binary.BigEndian.AppendUint64(raw, f.Low))
 }
 
 // MalformedError reports a text that is not a fingerprint.
--- a/gateway/quarantine/list.go
+++ b/gateway/quarantine/list.go
@@ -26,7 +26,7 @@
 	if entry.Trial == 0 || nodes == 0 {
 		return 0, false
 	}
-	return int((f.Request + uint64(entry.Trial)) % uint64(nodes)), true
+	return int((f.Low + uint64(entry.Trial)) % uint64(nodes)), true
 }
 
 // IsEqual reports whether two lists have the same requests in the same state.
--- a/gateway/quarantine/table.go
+++ b/gateway/quarantine/table.go
@@ -50,6 +50,7 @@
 
 // request is what is known of one request.
 type request struct {
+	caller        Caller                 // of the first crash
 	servers       map[site.ServerID]bool // that ended while they had it
 	lastCrashAt   time.Time
 	quarantinedAt time.Time // zero: not quarantined
@@ -62,15 +63,16 @@
 	return &Table{threshold: threshold, requests: map[Fingerprint]*request{}, endedAt: map[site.ServerID]time.Time{}}
 }
 
-// NoteCrash records that a server ended while it had a request. Repeated reports count once.
-func (t *Table) NoteCrash(server site.ServerID, f Fingerprint, now time.Time) {
+// NoteCrash records that a server ended while it had a caller's request. Repeated reports
+// count once.
+func (t *Table) NoteCrash(server site.ServerID, f Fingerprint, caller Caller, now time.Time) {
 	if _, exists := t.endedAt[server]; !exists {
 		t.endedAt[server] = now
 	}
 	r := t.requests[f]
 	if r == nil {
-		t.makeRoom(f.Caller)
-		r = &request{servers: map[site.ServerID]bool{}}
+		t.makeRoom(caller)
+		r = &request{caller: caller, servers: map[site.ServerID]bool{}}
 		t.requests[f] = r
 	}
 	if r.servers[server] || len(r.servers) >= maxServersPerRequest {
@@ -235,28 +237,28 @@
 }
 
 // makeRoom removes a request if its caller, or the table, has too many.
-func (t *Table) makeRoom(caller uint64) {
+func (t *Table) makeRoom(caller Caller) {
 	count := 0
-	for f := range t.requests {
-		if f.Caller == caller {
+	for _, r := range t.requests {
+		if r.caller == caller {
 			count++
 		}
 	}
 	if count >= maxRequestsPerCaller {
-		t.removeLeast(func(f Fingerprint) bool { return f.Caller == caller })
+		t.removeLeast(func(r *request) bool { return r.caller == caller })
 	}
 	if len(t.requests) >= maxRequests {
-		t.removeLeast(func(Fingerprint) bool { return true })
+		t.removeLeast(func(*request) bool { return true })
 	}
 }
 
 // removeLeast removes, of the requests that match, the one under which the fewest servers
 // ended; of several, the one with the oldest crash. Quarantined requests are removed last.
-func (t *Table) removeLeast(matches func(Fingerprint) bool) {
+func (t *Table) removeLeast(matches func(*request) bool) {
 	var least Fingerprint
 	var found *request
 	for f, r := range t.requests {
-		if matches(f) && (found == nil || r.isLess(found)) {
+		if matches(r) && (found == nil || r.isLess(found)) {
 			least, found = f, r
 		}
 	}
--- a/gateway/router/crash.go
+++ b/gateway/router/crash.go
@@ -36,7 +36,7 @@
 	client *upstream.Client
 	logger hclog.Logger
 	// onCrash is called for each request of a server that ended.
-	onCrash func(site.ServerID, quarantine.Fingerprint)
+	onCrash func(site.ServerID, crashedRequest)
 	// isRegistered reports whether an incarnation of a server is registered, and none that
 	// started later under its name. changed returns a channel that is closed when that may
 	// have changed.
@@ -47,7 +47,7 @@
 	watches map[site.ServerID]*crashWatch
 }
 
-func newCrashes(state *view.State, client *upstream.Client, logger hclog.Logger, onCrash func(site.ServerID, quarantine.Fingerprint)) *crashes {
+func newCrashes(state *view.State, client *upstream.Client, logger hclog.Logger, onCrash func(site.ServerID, crashedRequest)) *crashes {
 	return &crashes{
 		client:  client,
 		logger:  logger,
@@ -73,6 +73,7 @@
 type crashedRequest struct {
 	id          string
 	fingerprint quarantine.Fingerprint
+	caller      quarantine.Caller
 }
 
 // note records that a server closed the connection of a request in flight.
@@ -138,7 +139,7 @@
 // report reports that a server ended while it had a request. c.mu must be held.
 func (c *crashes) report(server site.Server, request crashedRequest) {
 	crashedRequests.Add(1)
-	c.onCrash(server.ID, request.fingerprint)
+	c.onCrash(server.ID, request)
 	eventCrash.Log(c.logger, "server", server.ID, "service", server.Service, "request", request.id, "fingerprint", request.fingerprint.String())
 }
 
@@ -149,20 +150,26 @@
 	if !errors.As(attempt.err, &attemptErr) || !attemptErr.Sent || !upstream.IsClosedByPeer(attemptErr.Cause) {
 		return
 	}
-	request := crashedRequest{id: x.request.ID, fingerprint: x.fingerprint()}
+	request := crashedRequest{id: x.request.ID, fingerprint: x.fingerprint(), caller: callerAt(x.remoteAddress)}
 	x.trace.note("fingerprint " + request.fingerprint.String())
 	x.router.crashes.note(x.router.closing, attempt.server, request)
 }
 
+// callerAt returns the caller at an address with a port.
+func callerAt(remoteAddress string) quarantine.Caller {
+	address, _, err := net.SplitHostPort(remoteAddress)
+	if err != nil {
+		address = remoteAddress
+	}
+	return quarantine.CallerOf(address)
+}
+
 // fingerprint returns the request's fingerprint. It is computed only when it is needed,
 // because it reads the whole body.
 func (x *exchange) fingerprint() quarantine.Fingerprint {
 	if x.fingerprinted == nil {
-		caller, _, err := net.SplitHostPort(x.remoteAddress)
-		if err != nil {
-			caller = x.remoteAddress
-		}
-		f := quarantine.FingerprintOf(caller, x.request.Method, x.request.Host, x.path, x.request.Body)
+		credentials := x.request.Header.Get("Authorization")
+		f := quarantine.FingerprintOf(credentials, x.request.Method, x.request.Host, x.path, x.request.Body)
 		x.fingerprinted = &f
 	}
 	return *x.fingerprinted
--- a/gateway/router/quarantine.go
+++ b/gateway/router/quarantine.go
@@ -41,10 +41,10 @@
 	return q.list
 }
 
-func (q *ownQuarantine) noteCrash(server site.ServerID, request quarantine.Fingerprint, now time.Time) {
+func (q *ownQuarantine) noteCrash(server site.ServerID, request crashedRequest, now time.Time) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	q.table.NoteCrash(server, request, now)
+	q.table.NoteCrash(server, request.fingerprint, request.caller, now)
 }
 
 func (q *ownQuarantine) noteAnswer(request quarantine.Fingerprint, now time.Time) {
@@ -126,7 +126,8 @@
 	return x.router.state.Now().Quarantine.List, x.router.quarantined.current(time.Now())
 }
 
-// noteAnswered reports that a server has answered a suspected request.
+// noteAnswered reports that a server has answered a suspected request. Errors do not count: a
+// failing server may send them without running the request.
 func (x *exchange) noteAnswered() {
 	shared := x.router.state.Now().Quarantine.List
 	if len(shared) == 0 && x.router.quarantined.isEmpty() {
--- a/gateway/router/router.go
+++ b/gateway/router/router.go
@@ -16,7 +16,6 @@
 	"github.com/burdockspindle/burdockspindle/gateway/budget"
 	"github.com/burdockspindle/burdockspindle/gateway/follow"
 	"github.com/burdockspindle/burdockspindle/gateway/pool"
-	"github.com/burdockspindle/burdockspindle/gateway/quarantine"
 	"github.com/burdockspindle/burdockspindle/gateway/site"
 	"github.com/burdockspindle/burdockspindle/gateway/upstream"
 	"github.com/burdockspindle/burdockspindle/gateway/view"
@@ -72,8 +71,8 @@
 func New(zone string, headers upstream.Headers, options Options, state *view.State, client *upstream.Client, reports *follow.Reports, logger hclog.Logger) *Router {
 	closing, closeRouter := context.WithCancel(context.Background())
 	quarantined := newOwnQuarantine()
-	onCrash := func(server site.ServerID, request quarantine.Fingerprint) {
-		reports.NoteCrash(server, request)
+	onCrash := func(server site.ServerID, request crashedRequest) {
+		reports.NoteCrash(server, request.fingerprint, request.caller)
 		quarantined.noteCrash(server, request, time.Now())
 	}
 	return &Router{
--- a/gateway/router/run.go
+++ b/gateway/router/run.go
@@ -171,7 +171,9 @@
 		return false
 	}
 	x.mayHaveRun = true
-	x.noteAnswered()
+	if attempt.answer.Status < http.StatusInternalServerError {
+		x.noteAnswered()
+	}
 	if attempt.answer.Status < http.StatusInternalServerError || x.route.Kind == site.AtMostOnce {
 		return true
 	}
