Gateway: log when the time of day is set

Once a second a node compares the time of day with the time that has passed, and event 2314 tells by how much it was set.

--- a/modules/gateway/site.go
+++ b/modules/gateway/site.go
@@ -111,6 +111,7 @@
 	for _, run := range []func(context.Context){s.client.Run, s.closeStaleConnections, s.reader.RunConfigurations, s.reader.RunServers, s.follower.Run, s.follower.RunUrgentReports, s.duty.Run} {
 		s.running.Go(func() { run(ctx) })
 	}
+	s.running.Go(func() { logClockSteps(ctx, s.duty.Logger) })
 	return nil
 }
 
