Follower: nodes of earlier versions do not wait for the quarantine list

What callers would have seen: during an upgrade, nodes of the version before call the new lessor every 40 ms as long as there is a list, since a call without the list's offset never waits.

Cause: the offset that the request lacks reads as 0, and the list has a greater one. No list has offset 0, so 0 now means that the node takes none; a node without a list states -1. Evidence: TestNodesWithoutQuarantinesDoNotWaitForTheList, which fails without the check.

--- a/gateway/budget/world_test.go
+++ b/gateway/budget/world_test.go
@@ -15,6 +15,9 @@
 // requests.
 var siteTerms = budget.Terms{Ratio: 0.2, Slack: 64, Window: 10 * time.Second}
 
+// siteNodes is the number of nodes that share the budget.
+const siteNodes = 12
+
 // world simulates nodes that share a budget for one service. Every request fails, so each
 // node spends all that its budget allows.
 type world struct {
@@ -25,9 +28,9 @@
 	resends  []time.Duration
 }
 
-func newWorld(nodes int) *world {
+func newWorld() *world {
 	w := &world{start: time.Now()}
-	for range nodes {
+	for range siteNodes {
 		w.nodes = append(w.nodes, budget.New(siteTerms, time.Time{}))
 	}
 	return w
@@ -86,7 +89,7 @@
 func TestStepsOfTheTimeOfDayDoNotRefillTheBudget(t *testing.T) {
 	for name, seconds := range map[string]int{"ahead": 12, "back": -12} {
 		t.Run(name, func(t *testing.T) {
-			w := newWorld(12)
+			w := newWorld()
 			w.step = func(at time.Duration) int {
 				for _, begin := range []time.Duration{4 * time.Second, 7 * time.Second, 10 * time.Second} {
 					if at >= begin && at < begin+1500*time.Millisecond {
@@ -105,7 +108,7 @@
 func TestBurstsLessThanAWindowApartShareOneBudget(t *testing.T) {
 	const apart = 9900 * time.Millisecond
 	for offset := time.Duration(0); offset < time.Second; offset += 25 * time.Millisecond {
-		w := newWorld(12)
+		w := newWorld()
 		for node := range w.nodes {
 			w.request(node, offset)
 		}
@@ -120,7 +123,7 @@
 // available again.
 func TestResendCountsFromWhenItIsSent(t *testing.T) {
 	const wait = time.Second
-	w := newWorld(12)
+	w := newWorld()
 	for i, at := range []time.Duration{0, siteTerms.Window + 600*time.Millisecond} {
 		for _, b := range w.nodes {
 			b.Request(len(w.nodes), w.now(at))
@@ -140,7 +143,7 @@
 
 // Guards against restarted nodes that spend the slack which they spent before the restart.
 func TestRestartsDoNotRefillTheSlack(t *testing.T) {
-	w := newWorld(12)
+	w := newWorld()
 	for _, at := range []time.Duration{0, 3 * time.Second, 6 * time.Second, 9 * time.Second} {
 		for node := range w.nodes {
 			w.nodes[node] = budget.New(siteTerms, w.now(at))
--- a/gateway/follow/crash_reports.go
+++ b/gateway/follow/crash_reports.go
@@ -171,8 +171,11 @@
 	return int64(v.Quarantine.Offset)
 }
 
+// newerQuarantine reports whether the calling node lacks the list of a view. Nodes of versions
+// without quarantines state offset 0, which no list has, and never receive one: a call that
+// waits for a change would return at once for ever.
 func newerQuarantine(v *view.View, msg *bspb.FollowRequest) bool {
-	return quarantineOffset(v) > msg.QuarantineOffset
+	return msg.QuarantineOffset != 0 && quarantineOffset(v) > msg.QuarantineOffset
 }
 
 // mergeQuarantineReply applies the list of a reply.
--- a/gateway/follow/crash_reports_test.go
+++ b/gateway/follow/crash_reports_test.go
@@ -10,6 +10,7 @@
 	"github.com/burdockspindle/burdockspindle/gateway/site"
 	"github.com/burdockspindle/burdockspindle/gateway/store"
 	"github.com/burdockspindle/burdockspindle/gateway/view"
+	bspb "github.com/burdockspindle/burdockspindle/proto/burdockspindle/v1"
 )
 
 func countCrashes(report Report) int {
@@ -56,3 +57,17 @@
 	g.Expect(state.MergeQuarantine(o.Quarantine)).To(gomega.BeTrue())
 	g.Expect(state.MergeQuarantine(view.Quarantine{Offset: 2, List: quarantine.List{}})).To(gomega.BeFalse(), "an older list")
 }
+
+// Guards against nodes of earlier versions that call again and again.
+func TestNodesWithoutQuarantinesDoNotWaitForTheList(t *testing.T) {
+	g := gomega.NewWithT(t)
+	state := view.NewState()
+	state.MergeQuarantine(view.Quarantine{Offset: 3, List: quarantine.List{}})
+	v := state.Now()
+	g.Expect(newerQuarantine(v, &bspb.FollowRequest{})).To(gomega.BeFalse())
+	g.Expect(newerQuarantine(v, &bspb.FollowRequest{QuarantineOffset: 3})).To(gomega.BeFalse())
+	g.Expect(newerQuarantine(v, &bspb.FollowRequest{QuarantineOffset: -1})).To(gomega.BeTrue())
+	request := new(bspb.FollowRequest)
+	setKnownVersions(request, view.NewState().Now())
+	g.Expect(newerQuarantine(v, request)).To(gomega.BeTrue(), "a node without a list")
+}
