Retry budget: count requests over the same time as resends

Hypothesis: resends count over 10 to 10.5 s since the change of the window's end, and requests over 9.5 to 10 s, so that the ratio that a node may spend fell by a twentieth. Requests over the same time restore it.

--- a/gateway/budget/budget.go
+++ b/gateway/budget/budget.go
@@ -25,9 +25,9 @@
 const (
 	// bucketCount is the number of buckets that a window is divided into.
 	bucketCount = 20
-	// resendBuckets is the number of buckets in which resends count: the current bucket has
-	// only begun, so bucketCount buckets cover less than a window.
-	resendBuckets = bucketCount + 1
+	// countedBuckets is the number of buckets that count: the current bucket has only begun, so
+	// bucketCount buckets cover less than a window.
+	countedBuckets = bucketCount + 1
 )
 
 // Budget is one node's budget for one service. It is not safe for concurrent use. Times that it
@@ -50,7 +50,7 @@
 }
 
 func newCounts(terms Terms) *window.Sliding[counts] {
-	return window.New[counts](resendBuckets, terms.Window/bucketCount)
+	return window.New[counts](countedBuckets, terms.Window/bucketCount)
 }
 
 // SetTerms replaces the terms. Counts are kept if the window does not change.
@@ -95,10 +95,8 @@
 // after the node's start, because its previous incarnation may have spent it.
 func (b *Budget) Left(now time.Time) float64 {
 	requests, resends, nodes := 0.0, 0.0, 0
-	for part := range b.counts.Latest(bucketCount, now) {
+	for part := range b.counts.Latest(countedBuckets, now) {
 		requests += part.requests
-	}
-	for part := range b.counts.Latest(resendBuckets, now) {
 		resends += part.resends
 		nodes = max(nodes, part.nodes)
 	}
