--- a/gateway/follow/follower.go
+++ b/gateway/follow/follower.go
@@ -35,7 +35,7 @@
 	clients      map[string]bspbconnect.GatewayClient
 	sourceFailed bool                   // the last call to a source failed; changes are logged
 	current      string                 // address of the last source that had recent data; empty if there is none
-	urgentTarget atomic.Pointer[string] // current, for urgent reports
+	urgentTarget atomic.Pointer[string] // the last source that had recent data, for urgent reports; nil: none yet
 	avoidUntil   map[string]time.Time   // time until which a source is not followed, by address
 	// knownFollowers is the hash of this node's followers that each source knows, by
 	// address.
--- a/gateway/quarantine/table.go
+++ b/gateway/quarantine/table.go
@@ -25,7 +25,7 @@
 	// firstTrialDelay is the time from the quarantine of a request to its first trial, and
 	// trialInterval the time between further trials. Each trial may end one more server.
 	firstTrialDelay = 30 * time.Second
-	// tiedTrialDelay is the same if several requests explain equally many ends.
+	// tiedTrialDelay is the same if several requests have equally many crashes.
 	tiedTrialDelay = 2 * time.Second
 	trialInterval  = 10 * time.Minute
 	// evidenceTime is how long the end of a server counts, and a quarantine lasts after its
@@ -83,7 +83,8 @@
 	t.scheduleDecision(now)
 }
 
-// NoteAnswer records that a server has answered a request, which is therefore harmless.
+// NoteAnswer records that a server has answered a request without an error, so that the
+// request is harmless.
 func (t *Table) NoteAnswer(f Fingerprint, now time.Time) {
 	if _, exists := t.requests[f]; exists {
 		delete(t.requests, f)
@@ -112,11 +113,11 @@
 	return true
 }
 
-// quarantineNext quarantines the request that explains the most ends of servers which no
-// quarantined request explains, and reports whether there was one. An innocent request that
-// was at the same servers as the cause thus has no unexplained ends left. If several
-// requests explain equally many, all of them are quarantined: waiting for a difference would
-// end further servers.
+// quarantineNext quarantines the request with the most crashes that no quarantined request
+// explains, and reports whether there was one. A crash is explained by each quarantined
+// request that the server had. An innocent request that was at the same servers as the cause
+// thus has no unexplained crashes left. If several requests have equally many, all of them
+// are quarantined: waiting for a difference would crash further servers.
 func (t *Table) quarantineNext(now time.Time) bool {
 	explained := t.explainedServers()
 	most := 0
@@ -145,8 +146,8 @@
 	return true
 }
 
-// releaseExplained ends the quarantine of requests whose ends are explained by a request
-// under which more servers ended: some of its reports arrived later than others'.
+// releaseExplained ends the quarantine of requests whose crashes are explained by a request
+// with more crashes, which was quarantined later because its reports arrived later.
 func (t *Table) releaseExplained() {
 	for _, r := range t.requests {
 		if !r.quarantinedAt.IsZero() && t.unexplainedByGreater(r) < t.threshold {
