Load reports: accept a fourth figure, and log reports that are not understood

What operators saw: nothing.

Cause: the adapter accepted exactly three figures, and a header that it could not parse was treated like no header.

Now three figures are needed, the fourth is decoded as a multiple of the usual work time, and further ones are ignored. A header that cannot be parsed is counted, and logged once for each server (event 2206). The test of the adapter failed before on four figures; the test of the log line needs the logger that this change adds.

--- a/gateway/site/site.go
+++ b/gateway/site/site.go
@@ -83,8 +83,13 @@
 	ClockSetBack bool `json:"clockSetBack,omitempty"`
 }
 
-// Load is the load that a server reported with an answer, in requests.
-type Load struct{ Running, Waiting, Slots int }
+// Load is the load that a server reported with an answer.
+type Load struct {
+	Running, Waiting, Slots int // requests
+	// Slowdown is how long work takes on the server's machine at the moment, as a multiple of
+	// the usual time; 0: not reported.
+	Slowdown float64
+}
 
 // Total returns the number of requests at the server, running or waiting.
 func (l Load) Total() int { return l.Running + l.Waiting }
--- a/gateway/upstream/client.go
+++ b/gateway/upstream/client.go
@@ -62,6 +62,7 @@
 	// observe receives the outcome of each attempt to connect; nil: nobody observes.
 	observe func(server site.Server, reached bool)
 	idle    idlePool
+	invalidLoads invalidLoads
 	// pending holds the connections for control calls that are being opened.
 	pending pendingConns
 }
@@ -162,6 +163,9 @@
 		cn.abandon()
 		return nil, cn.attemptError(key.server, err)
 	}
+	if report := answer.Header.Get(c.headers.Load); report != "" && answer.Load == nil {
+		c.invalidLoads.note(key.server, report)
+	}
 	if !reusable {
 		reset(cn.net)
 		return answer, nil
--- a/modules/gateway/site.go
+++ b/modules/gateway/site.go
@@ -66,6 +66,7 @@
 	s.self = view.Member{Node: settings.Node, Boot: string(ctx.Identity.Boot), Zone: settings.Zone, Address: settings.Listen.Peer, Capacity: settings.Resources.Capacity()}
 	s.state = view.NewState()
 	s.client = upstream.NewClient(platform.Headers, settings.Zone)
+	s.client.SetLogger(ctx.Logger)
 	if platform.Dial != nil {
 		s.client.SetDial(platform.Dial)
 	}
