Evacuation: servers of an evacuated zone get no requests

Now the reader decodes the records of the configurations' topic, nodes that follow another one get the zones with its view, ordered by offset, and the view marks the servers of these zones. They get no new work like draining ones: not chosen for requests, retries, hedges or forwarded requests, no owner of further keys, and their keys are released and move. Owners still get requests for keys that they hold for 2 s after a node knows of the record (the bound less 3 s in which a node in touch hears of it), so that keys move without a gap. Zones come into force before the configuration of the same read, so that a fresh node serves nothing in between. With all zones evacuated requests are refused at once, and keys stay with their owners.

--- a/gateway/config/config.go
+++ b/gateway/config/config.go
@@ -53,6 +53,9 @@
 	// reported that it is not ready.
 	Notice  time.Duration
 	HoldMax time.Duration // longest hold of a range
+	// Evacuate is how long after an acknowledged evacuation requests may still reach the
+	// servers of the zone.
+	Evacuate time.Duration
 }
 
 // Placement holds the weights for the choice of a server.
@@ -85,11 +88,12 @@
 
 // Defaults of the optional settings.
 const (
-	defaultRatio   = 0.2
-	defaultSlack   = 50
-	defaultWindow  = 10 * time.Second
-	defaultGrace   = 6 * time.Second
-	defaultHoldMax = 10 * time.Second
+	defaultRatio    = 0.2
+	defaultSlack    = 50
+	defaultWindow   = 10 * time.Second
+	defaultGrace    = 6 * time.Second
+	defaultHoldMax  = 10 * time.Second
+	defaultEvacuate = 5 * time.Second
 	// defaultNotice suits a load balancer that checks once a second and acts on the
 	// second consecutive failure.
 	defaultNotice = 2500 * time.Millisecond
@@ -179,9 +183,10 @@
 
 func readTiming(o *jsonc.Object) Timing {
 	timing := Timing{
-		Grace:   readDuration(o.Get("grace"), defaultGrace),
-		Notice:  readDuration(o.Get("notice"), defaultNotice),
-		HoldMax: readDuration(o.Get("holdMax"), defaultHoldMax),
+		Grace:    readDuration(o.Get("grace"), defaultGrace),
+		Notice:   readDuration(o.Get("notice"), defaultNotice),
+		HoldMax:  readDuration(o.Get("holdMax"), defaultHoldMax),
+		Evacuate: readDuration(o.Get("evacuate"), defaultEvacuate),
 	}
 	o.Close()
 	return timing
--- a/gateway/duty/calls.go
+++ b/gateway/duty/calls.go
@@ -17,7 +17,7 @@
 }
 
 func (d *Duty) sendCalls(ctx context.Context, now time.Time) {
-	registered := d.State.Now().Servers.Servers
+	registered := d.State.Now().Registered()
 	maps.Copy(d.knownServers, registered)
 	for _, call := range d.allocator.Calls(registered, d.lease(), now) {
 		server, known := d.knownServers[call.Server]
--- a/gateway/duty/duty.go
+++ b/gateway/duty/duty.go
@@ -370,7 +370,7 @@
 	v := d.State.Now()
 	return ranges.Site{
 		Services: v.Config.Services,
-		Servers:  v.Servers.Servers,
+		Servers:  v.Registered(),
 		Known:    d.knownServers,
 		Writable: d.isStoreWritable(now) && d.resigning == nil,
 		Settled:  d.observeRegistrySize(v, now),
--- a/gateway/duty/outcome.go
+++ b/gateway/duty/outcome.go
@@ -140,5 +140,7 @@
 	return struct {
 		Lessor ranges.Lessor `json:"self"`
 		Holds  bool          `json:"holdsLease"`
-	}{d.Self, d.IsLessor()}
+		// EvacuatedZones are those whose servers get no requests.
+		EvacuatedZones []string `json:"evacuatedZones"`
+	}{d.Self, d.IsLessor(), d.State.Now().Evacuation.Zones()}
 }
--- a/gateway/duty/resign.go
+++ b/gateway/duty/resign.go
@@ -73,7 +73,7 @@
 	if len(d.State.Now().Members) > 1 && d.isPartitioned() {
 		return true
 	}
-	unresponsive, owners := d.allocator.Unresponsive(d.State.Now().Servers.Servers)
+	unresponsive, owners := d.allocator.Unresponsive(d.State.Now().Registered())
 	return owners > 2 && 2*unresponsive > owners && now.Sub(d.lessorSince) > minLeaseBeforeResign && len(d.State.Now().Members) > 1
 }
 
--- a/gateway/follow/events.go
+++ b/gateway/follow/events.go
@@ -25,6 +25,7 @@
 	eventReadingStopped     = events.Define(2022, hclog.Info, "stopped reading the store")
 	eventRegistry           = events.Define(2023, hclog.Info, "registry of servers adopted")
 	eventQuarantine         = events.Define(2024, hclog.Info, "quarantined requests changed")
+	eventEvacuation         = events.Define(2025, hclog.Info, "evacuated zones changed")
 	eventPeerFailed         = events.Define(2017, hclog.Debug, "call to another node failed")
 )
 
--- a/gateway/follow/feed.go
+++ b/gateway/follow/feed.go
@@ -179,7 +179,7 @@
 	v := f.State.Now()
 	return v.Config != nil && uint64(v.Config.Version) > msg.ConfigVersion ||
 		int64(v.Servers.Offset) > msg.ServersOffset ||
-		newerRoutes(v, msg) || newerShares(v, msg) || newerQuarantine(v, msg)
+		newerRoutes(v, msg) || newerShares(v, msg) || newerQuarantine(v, msg) || newerEvacuation(v, msg)
 }
 
 func newerShares(v *view.View, msg *bspb.FollowRequest) bool {
@@ -198,6 +198,7 @@
 	reply.ServersNext = int64(f.Contact.Next()) // read before the view, which contains at least these records
 	v := f.State.Now()
 	reply.Resigned = f.resigned.Load() && v.Routes.Lessor.Boot == f.Self.Boot
+	reply.Evacuation = evacuationMessage(v, msg)
 	var err error
 	if v.Config != nil && uint64(v.Config.Version) > msg.ConfigVersion {
 		reply.Config, err = f.configText.encode(int64(v.Config.Version), v.Config)
--- a/gateway/follow/follower.go
+++ b/gateway/follow/follower.go
@@ -284,12 +284,16 @@
 	request.RoutesSerial = v.Routes.Serial
 	request.SharesOffset, request.SharesSerial = int64(v.Shares.Offset), v.Shares.Serial
 	request.QuarantineOffset = quarantineOffset(v)
+	request.EvacuationOffset = int64(v.Evacuation.Offset)
 	request.MembersHash = v.MembersHash()
 }
 
 // merge applies the parts of a response that are newer than the view. isWhole is false if
 // the response contains a change to a registry or to routes that this node no longer has.
 func (f *Follower) merge(reply *bspb.FollowReply, from string) (isWhole bool, err error) {
+	if e := reply.Evacuation; e != nil { // before the configuration, with which requests are served
+		mergeEvacuation(f.State, f.Logger, store.Offset(e.Offset), e.Zones, from)
+	}
 	if len(reply.Config) > 0 {
 		var config site.Config
 		if err := json.Unmarshal(reply.Config, &config); err != nil {
--- a/gateway/follow/incarnations_test.go
+++ b/gateway/follow/incarnations_test.go
@@ -26,6 +26,11 @@
 	return &config, true, err
 }
 
+// Evacuation implements view.Codec.
+func (jsonCodec) Evacuation(key string) (zone string, found bool) {
+	return strings.CutPrefix(key, "evacuate/")
+}
+
 // Entry implements view.Codec.
 func (jsonCodec) Entry(_ string, value []byte) (entry site.RegistryEntry, err error) {
 	if err := json.Unmarshal(value, &entry); err != nil {
--- a/gateway/follow/reader.go
+++ b/gateway/follow/reader.go
@@ -140,6 +140,7 @@
 func (r *Reader) RunConfigurations(ctx context.Context) {
 	next := store.Offset(-1)
 	failures := 0
+	evacuated := evacuatedZones{}
 	for ctx.Err() == nil {
 		woken := r.woken.Next()
 		if !r.mustRead() {
@@ -150,7 +151,7 @@
 			clock.Wait(ctx, outageCheckInterval) // the other loop detects when the store responds again
 			continue
 		}
-		batch, _, err := r.readFrom(ctx, store.Configurations, next, configWait)
+		batch, isSnapshot, err := r.readFrom(ctx, store.Configurations, next, configWait)
 		if err != nil {
 			failures++
 			clock.Wait(ctx, r.ReadPriority().retryPause(failures))
@@ -158,6 +159,8 @@
 		}
 		failures = 0
 		next = batch.Next
+		// The zones come first: requests are served as soon as there is a configuration.
+		r.applyEvacuations(evacuated, batch, isSnapshot)
 		for _, record := range batch.Records {
 			r.applyConfig(record)
 		}
@@ -209,6 +212,9 @@
 	if len(record.Value) == 0 {
 		return // the newest configuration remains in force
 	}
+	if _, isEvacuation := r.Codec.Evacuation(record.Key); isEvacuation {
+		return
+	}
 	config, found, err := r.Codec.Config(record.Key, record.Value)
 	if err == nil && found {
 		err = config.Check()
--- a/gateway/pool/pool.go
+++ b/gateway/pool/pool.go
@@ -177,11 +177,11 @@
 	maps.DeleteFunc(p.members, func(id site.ServerID, _ *member) bool { return !kept[id] })
 }
 
-// Size returns the number of servers that are not draining.
+// Size returns the number of servers that are not leaving.
 func (p *Pool) Size() int {
 	size := 0
 	for _, m := range p.order {
-		if !m.Draining {
+		if !m.IsLeaving() {
 			size++
 		}
 	}
@@ -225,7 +225,7 @@
 // canSend reports whether a request may be sent to a server now.
 func (p *Pool) canSend(m *member, w *Waiter, now time.Time) bool {
 	isOverShare := w.OnlyServer != "" && m.hasShare(now) && !w.ChargedToShare
-	return !isOverShare && !m.Draining && !m.blocked(now) && w.accepts(m.ID) && p.hasCapacity(m, now)
+	return !isOverShare && w.mayRunAt(m, now) && !m.blocked(now) && p.hasCapacity(m, now)
 }
 
 // untried returns the most recently added warm server of the own zone that has not answered
--- a/gateway/pool/queue.go
+++ b/gateway/pool/queue.go
@@ -41,6 +41,11 @@
 	return !slices.ContainsFunc(w.Tried, func(tried site.ServerID) bool { return tried.Name() == id.Name() })
 }
 
+// mayRunAt reports whether a server may get the request now.
+func (w *Waiter) mayRunAt(m *member, now time.Time) bool {
+	return m.MayServe(w.OnlyServer != "", now) && w.accepts(m.ID)
+}
+
 func (w *Waiter) failureCost() time.Duration {
 	if w.AtMostOnce {
 		return atMostOnceFailureCost
@@ -105,12 +110,12 @@
 }
 
 func (p *Pool) hasServer(w *Waiter, now time.Time) bool {
-	return slices.ContainsFunc(p.order, func(m *member) bool { return !m.Draining && !m.blocked(now) && w.accepts(m.ID) })
+	return slices.ContainsFunc(p.order, func(m *member) bool { return w.mayRunAt(m, now) && !m.blocked(now) })
 }
 
 // hasBlockedServer reports whether a server may run a request but accepted no connection lately.
 func (p *Pool) hasBlockedServer(w *Waiter, now time.Time) bool {
-	return slices.ContainsFunc(p.order, func(m *member) bool { return !m.Draining && m.blocked(now) && w.accepts(m.ID) })
+	return slices.ContainsFunc(p.order, func(m *member) bool { return w.mayRunAt(m, now) && m.blocked(now) })
 }
 
 func (p *Pool) admit(w *Waiter, m *member, now time.Time) *Admission {
@@ -150,7 +155,7 @@
 func (p *Pool) throughputFor(w *Waiter, now time.Time) throughput {
 	if w.OnlyServer != "" {
 		m := p.members[w.OnlyServer]
-		if m == nil || m.Draining {
+		if m == nil || !w.mayRunAt(m, now) {
 			return throughput{}
 		}
 		seconds := p.serviceTime(m, now)
@@ -158,7 +163,7 @@
 	}
 	var total throughput
 	for _, m := range p.order {
-		if m.Draining || !w.accepts(m.ID) {
+		if !w.mayRunAt(m, now) {
 			continue
 		}
 		seconds := p.serviceTime(m, now)
--- a/gateway/ranges/allocator.go
+++ b/gateway/ranges/allocator.go
@@ -255,7 +255,7 @@
 		return call, true
 	}
 	server, registered := servers[l.Server]
-	leaving := !registered || server.Draining
+	leaving := !registered || server.IsLeaving()
 	wait := alloc.timing.Renew
 	if l.failures == 1 {
 		wait = 0 // the connection may have been at fault
--- a/gateway/ranges/plan.go
+++ b/gateway/ranges/plan.go
@@ -73,7 +73,7 @@
 	for _, id := range slices.Sorted(maps.Keys(s.Servers)) {
 		server := s.Servers[id]
 		switch {
-		case server.Service != service || server.Draining:
+		case server.Service != service || server.IsLeaving():
 		case alloc.incarnations.isCrashLooping(id.Name(), now) || now.Before(alloc.excludedUntil[id]):
 			fallback = append(fallback, server)
 		default:
@@ -136,7 +136,7 @@
 
 func (l *rangeState) leaving(s Site) bool {
 	server, registered := s.Servers[l.Server]
-	return l.Server != "" && (!registered || server.Draining)
+	return l.Server != "" && (!registered || server.IsLeaving())
 }
 
 // split splits a range, and returns the states of the ranges of the span and of the remaining
--- a/gateway/router/owner.go
+++ b/gateway/router/owner.go
@@ -27,6 +27,9 @@
 		if problem == nil || problem.reason != string(pool.NoServer) {
 			return server, problem
 		}
+		if !x.service.hasUsableServer() { // no other owner can be expected
+			return site.Server{}, problem
+		}
 		if _, hasPeer := x.nextPeer(); hasPeer && problem.isUnreachable || x.forwarded != nil && !x.forwarded.MayWait {
 			return site.Server{}, problem
 		}
--- a/gateway/router/owner_test.go
+++ b/gateway/router/owner_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -90,6 +91,21 @@
 	g.Expect(again.ID).To(gomega.Equal(site.ServerID("b")), "the slot was released")
 }
 
+// While all zones are evacuated no other owner can be expected: a request that waits for one is
+// only held up.
+func TestRequestIsRefusedAtOnceWhileAllZonesAreEvacuated(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := gomega.NewWithT(t)
+		x := newKeyedExchange(t)
+		x.router.state.MergeEvacuation(1, []string{""})
+		x.router.refreshView()
+		askedAt := time.Now()
+		_, problem := x.acquireOwnerSlot(t.Context(), x.waiter())
+		g.Expect(problem.reason).To(gomega.Equal(string(pool.NoServer)))
+		g.Expect(time.Since(askedAt)).To(gomega.BeZero())
+	})
+}
+
 type disconnectedCaller struct{}
 
 func (disconnectedCaller) Disconnected() bool { return true }
--- a/gateway/router/router.go
+++ b/gateway/router/router.go
@@ -336,6 +336,13 @@
 	return server, ok
 }
 
+// hasUsableServer reports whether a server of the service is not leaving.
+func (s *service) hasUsableServer() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.pool.Size() > 0
+}
+
 // meanServiceTime returns the mean service time of a request.
 func (s *service) meanServiceTime() time.Duration {
 	s.mu.Lock()
--- a/gateway/site/site.go
+++ b/gateway/site/site.go
@@ -81,6 +81,23 @@
 	// ClockSetBack reports that this incarnation began after one with a later start time,
 	// because a clock was set back. Its later writes to the registry have proved the order.
 	ClockSetBack bool `json:"clockSetBack,omitempty"`
+	// EvacuateBy is set while the server's zone is evacuated: the time by which the keys that it
+	// owns move to servers of other zones. Until then it gets requests for these keys, other
+	// requests it does not get. Each node sets it by its own clock.
+	EvacuateBy time.Time `json:"-"`
+}
+
+// IsEvacuated reports whether the server's zone is evacuated.
+func (s Server) IsEvacuated() bool { return !s.EvacuateBy.IsZero() }
+
+// IsLeaving reports whether the server gets no new work: it is draining, or its zone is
+// evacuated.
+func (s Server) IsLeaving() bool { return s.Draining || s.IsEvacuated() }
+
+// MayServe reports whether the server may get a request now: any request, or only one for a key
+// that it owns.
+func (s Server) MayServe(ownsKey bool, now time.Time) bool {
+	return !s.IsLeaving() || !s.Draining && ownsKey && now.Before(s.EvacuateBy)
 }
 
 // Load is the load that a server reported with an answer.
--- a/gateway/upstream/client.go
+++ b/gateway/upstream/client.go
@@ -60,8 +60,8 @@
 	// dial opens a connection.
 	dial func(ctx context.Context, network, address string) (net.Conn, error)
 	// observe receives the outcome of each attempt to connect; nil: nobody observes.
-	observe func(server site.Server, reached bool)
-	idle    idlePool
+	observe      func(server site.Server, reached bool)
+	idle         idlePool
 	invalidLoads invalidLoads
 	// pending holds the connections for control calls that are being opened.
 	pending pendingConns
--- a/gateway/view/view.go
+++ b/gateway/view/view.go
@@ -78,11 +78,14 @@
 	Shares  Shares
 	// Quarantine is the newest list that a lessor has written.
 	Quarantine Quarantine
+	// Evacuation holds the zones whose servers get no requests.
+	Evacuation Evacuation
 	// Members are the nodes that share the servers with this one, including itself; empty
 	// if they are not known.
 	Members []Member
 
 	byService  map[site.ServiceName][]site.Server
+	registered map[site.ServerID]site.Server // Servers.Servers with the evacuated ones marked
 	serversSum uint64
 	membersSum uint64
 }
@@ -146,6 +149,8 @@
 	current atomic.Pointer[View]
 	changed broadcast.Signal
 	starts  latestStarts // guarded by mu
+	// evacuationGrace is how long the owners of keys in an evacuated zone still get requests.
+	evacuationGrace atomic.Int64
 }
 
 // NewState returns the state of a node without any data.
@@ -237,6 +242,7 @@
 	}
 	v.Servers = servers
 	v.serversSum = sum.total
+	v.markEvacuated()
 	v.listServices(touched)
 }
 
@@ -252,7 +258,7 @@
 	for service := range touched {
 		delete(lists, service)
 	}
-	for _, server := range v.Servers.Servers {
+	for _, server := range v.registered {
 		if touched[server.Service] {
 			lists[server.Service] = append(lists[server.Service], server)
 		}
@@ -344,6 +350,9 @@
 	// Config decodes a record of the configurations' topic. found is false if the record is
 	// not a configuration.
 	Config(key string, value []byte) (config *site.Config, found bool, err error)
+	// Evacuation returns the zone that a record of the configurations' topic evacuates while it
+	// exists. found is false for other records.
+	Evacuation(key string) (zone string, found bool)
 	// Entry decodes a server's record. It returns a complete entry, or an error that
 	// describes the fault.
 	Entry(key string, value []byte) (site.RegistryEntry, error)
--- a/modules/gateway/site.go
+++ b/modules/gateway/site.go
@@ -26,6 +26,16 @@
 // resignTimeout bounds the attempt to resign the lessor's lease during a shutdown.
 const resignTimeout = time.Second
 
+// maxNoticeDelay is the time within which a node that reaches the store, or another node that
+// does, knows of a new record.
+const maxNoticeDelay = 3 * time.Second
+
+// evacuationGrace returns how long owners of keys in an evacuated zone may still get requests
+// after a node knows of the evacuation.
+func evacuationGrace(evacuate time.Duration) time.Duration {
+	return max(evacuate-maxNoticeDelay, 0)
+}
+
 func init() {
 	kernel.Register(&Site{})
 	kernel.Register(&Front{})
@@ -65,6 +75,7 @@
 	settings := live.Settings()
 	s.self = view.Member{Node: settings.Node, Boot: string(ctx.Identity.Boot), Zone: settings.Zone, Address: settings.Listen.Peer, Capacity: settings.Resources.Capacity()}
 	s.state = view.NewState()
+	s.state.SetEvacuationGrace(evacuationGrace(settings.Timing.Evacuate))
 	s.client = upstream.NewClient(platform.Headers, settings.Zone)
 	s.client.SetLogger(ctx.Logger)
 	if platform.Dial != nil {
