Cold servers: one node counts the requests to each, and they get few keys

Causes: - The rate that a cold server tolerates was not read. Each of dozens of nodes chose a cold server by an expected time that was only doubled. - Ranges without an owner went to the server with the fewest keys, which is one that has just started. - The registry treated each change of the warm-up as a countdown, so that nodes did not get to know of a server that turns cold while it runs.

Now a node that rendezvous hashing chooses for each server counts its requests while it is cold; only that node sends any, at the tolerated rate with a burst of two, and requests for a cold owner's keys are forwarded to it. Others, weighed: a share for each node is below one request in a second at 68 nodes, so either nothing is sent or 68 at once; shares from the lessor come a second late, and a cluster of keys turns hot within that.

Ranges without an owner go to the server with the lowest utilization afterwards, warm ones first; a cold server counts with the rate that it tolerates, so that it gets, and keeps, as many keys as it bears. Turning cold and turning warm are changes of the registry.

The check that the sum of the registry ignores the warm-up is replaced: the countdown is no change, turning cold or warm is one, which other nodes would otherwise not get to know.

--- a/gateway/follow/incarnations.go
+++ b/gateway/follow/incarnations.go
@@ -93,12 +93,13 @@
 }
 
 // setCurrent makes a server the current incarnation. It reports whether that changes more
-// than the warm-up, which decreases with every write.
+// than the countdown of its warm-up.
 func (i *incarnations) setCurrent(server site.Server) bool {
 	server.ClockSetBack = i.start.Before(i.replacedStart)
-	same := server
-	same.WarmUp = i.current.WarmUp
-	if i.present && same == i.current {
+	if i.present && server.IsCold() && server.WarmUp <= i.current.WarmUp {
+		server.WarmUp = i.current.WarmUp
+	}
+	if i.present && server == i.current {
 		i.missing = false
 		return false
 	}
--- a/gateway/follow/registry_test.go
+++ b/gateway/follow/registry_test.go
@@ -84,6 +84,31 @@
 	g.Expect(before).To(gomega.Equal(store.Offset(11)))
 }
 
+// A server may turn cold at any moment. It crashes if the nodes that follow others do not get to
+// know.
+func TestTurningColdIsAChange(t *testing.T) {
+	g := gomega.NewWithT(t)
+	r := filled()
+	put(r, site.Server{ID: "c", WarmUp: 3 * time.Second}, 11, start)
+	for i, c := range []struct {
+		warmUp   time.Duration
+		isChange bool
+	}{
+		{2 * time.Second, false},
+		{0, true},
+		{0, false},
+		{3 * time.Second, true},
+		{time.Second, false},
+		{5 * time.Second, true},
+	} {
+		end := store.Offset(12 + i)
+		put(r, site.Server{ID: "c", WarmUp: c.warmUp}, end, start)
+		servers := r.Servers(both, start)
+		g.Expect(servers.Offset == end).To(gomega.Equal(c.isChange), "%v", c)
+		g.Expect(servers.Servers["c"].IsCold()).To(gomega.Equal(c.warmUp > 0), "%v", c)
+	}
+}
+
 // Another node may have reported that a server left before this one reads again after an
 // outage. The server must not return.
 func TestServerKnownToHaveLeftDoesNotReturnAfterOutage(t *testing.T) {
--- a/gateway/pool/pool.go
+++ b/gateway/pool/pool.go
@@ -28,6 +28,7 @@
 
 	"github.com/burdockspindle/burdockspindle/gateway/quota"
 	"github.com/burdockspindle/burdockspindle/gateway/site"
+	"github.com/burdockspindle/burdockspindle/gateway/warmup"
 )
 
 // Weights and bounds of server selection.
@@ -90,6 +91,8 @@
 	failureRate    float64 // recent failure rate, as of failureAt
 	failureAt      time.Time
 	coldUntil      time.Time
+	coldBudget     warmup.Budget
+	isCounted      bool // this node counts the requests to the server while it is cold
 	addedAt        time.Time
 	probationUntil time.Time // end of the low limit after a restart
 	// unansweredSince is the start of the period in which the server has had requests of this
@@ -124,6 +127,7 @@
 	// sharesUntil is the expiry of the shares if no newer ones arrive.
 	sharesUntil time.Time
 	random      *rand.Rand
+	warmUp      WarmUp
 }
 
 // New returns a pool without servers for a node in the given zone. penalty is added to the
@@ -155,7 +159,11 @@
 			p.members[server.ID] = m
 			p.setShare(m)
 		}
+		if server.WarmUp != m.WarmUp {
+			m.coldUntil = now.Add(server.WarmUp)
+		}
 		m.Server = server
+		m.isCounted = p.warmUp.IsCounter != nil && p.warmUp.IsCounter(server)
 	}
 	p.pruneHistories(now)
 	p.cachedTimes = serviceTimes{}
@@ -225,7 +233,7 @@
 // canSend reports whether a request may be sent to a server now.
 func (p *Pool) canSend(m *member, w *Waiter, now time.Time) bool {
 	isOverShare := w.OnlyServer != "" && m.hasShare(now) && !w.ChargedToShare
-	return !isOverShare && w.mayRunAt(m, now) && !m.blocked(now) && p.hasCapacity(m, now)
+	return !isOverShare && w.mayRunAt(m, now) && !m.blocked(now) && p.admitsCold(m, w, now) && p.hasCapacity(m, now)
 }
 
 // untried returns the most recently added warm server of the own zone that has not answered
--- a/gateway/pool/queue.go
+++ b/gateway/pool/queue.go
@@ -29,6 +29,9 @@
 	Tried          []site.ServerID // incarnations of servers that have been tried
 	AtMostOnce     bool            // the request must not run twice; if its server fails, it is lost
 	ChargedToShare bool            // it has been charged to the share of its server
+	// CountedServer is a cold server whose requests this node counts, to the knowledge of the node
+	// that forwarded the request; empty: none.
+	CountedServer site.ServerID
 }
 
 // accepts reports whether an incarnation of a server may get the request. A new incarnation
@@ -123,6 +126,7 @@
 		m.unansweredSince = now
 	}
 	m.recordSend(now)
+	p.spendCold(m, now)
 	return &Admission{Waiter: w, Server: m.Server}
 }
 
@@ -159,7 +163,7 @@
 			return throughput{}
 		}
 		seconds := p.serviceTime(m, now)
-		return throughput{rate: m.rate(seconds), slowestSeconds: seconds}
+		return throughput{rate: p.rateOf(m, w, seconds, now), slowestSeconds: seconds}
 	}
 	var total throughput
 	for _, m := range p.order {
@@ -167,7 +171,7 @@
 			continue
 		}
 		seconds := p.serviceTime(m, now)
-		total.rate += m.rate(seconds)
+		total.rate += p.rateOf(m, w, seconds, now)
 		total.slowestSeconds = max(total.slowestSeconds, seconds)
 	}
 	return total
--- a/gateway/ranges/balance.go
+++ b/gateway/ranges/balance.go
@@ -82,6 +82,12 @@
 	now       time.Time
 	usages    []*usage
 	moves     int
+	// warmUpRate is how many requests a second a cold server takes; 0: no limit.
+	warmUpRate float64
+}
+
+func (alloc *Allocator) newRound(service site.ServiceName, s Site, now time.Time) *round {
+	return &round{allocator: alloc, service: service, loads: s.Load, now: now, warmUpRate: s.Services[service].WarmUpRate}
 }
 
 // balance starts the moves of a round.
@@ -90,7 +96,7 @@
 		return
 	}
 	s.Load.shedAt[service] = now
-	r := &round{allocator: alloc, service: service, loads: s.Load, now: now}
+	r := alloc.newRound(service, s, now)
 	r.usages = r.measure(servers)
 	for _, from := range r.usages {
 		r.moveHotKey(from)
--- a/gateway/ranges/demand.go
+++ b/gateway/ranges/demand.go
@@ -18,7 +18,7 @@
 		if !service.Keyed || s.Load.services[name] == nil {
 			continue
 		}
-		r := &round{allocator: alloc, service: name, loads: s.Load, now: now}
+		r := alloc.newRound(name, s, now)
 		for _, u := range r.measure(alloc.eligibleServers(s, name, now)) {
 			occupancy := s.Load.occupancies[u.server.ID]
 			demand := quota.Server{ID: u.server.ID, Slots: u.server.Slots, Demand: r.offeredRate(u), Capacity: 1 / u.cost, Answers: occupancy.answers}
--- a/gateway/ranges/plan.go
+++ b/gateway/ranges/plan.go
@@ -167,24 +167,24 @@
 
 // collectChanges adds every range that can change now to the change.
 func (alloc *Allocator) collectChanges(service site.ServiceName, s Site, servers []site.Server, fence Fence, now time.Time, change *Change) {
-	spread := newSpread(alloc.leases[service], servers)
+	placement := alloc.newPlacement(service, s, servers, now)
 	for _, l := range alloc.leases[service] {
 		switch {
 		case l.callInFlight || l.appendPending:
 		case l.Server == "" || l.phase == released:
 			to := l.next
 			if !slices.ContainsFunc(servers, func(server site.Server) bool { return server.ID == to }) {
-				to = spread.least()
+				to = placement.best(l)
 			}
-			spread.add(to, l.Keys())
+			placement.add(to, l)
 			alloc.change(change, l, Assignment{Span: l.Span, Server: to, Fence: fence, Handover: l.validHandover(s)}, now)
 		case alloc.movesToSuccessor(l, s, servers, now):
 			successor, _ := LaterIncarnation(s.Servers, l.Server)
-			spread.add(successor.ID, l.Keys())
+			placement.add(successor.ID, l)
 			alloc.change(change, l, Assignment{Span: l.Span, Server: successor.ID, Fence: fence}, now)
 		case l.canReassign(s, now):
-			to := spread.least()
-			spread.add(to, l.Keys())
+			to := placement.best(l)
+			placement.add(to, l)
 			alloc.change(change, l, Assignment{Span: l.Span, Server: to, Fence: fence}, now)
 		case l.raiseFence:
 			next := l.Assignment
@@ -311,33 +311,3 @@
 		apply()
 	}
 }
-
-// spread counts the keys of each server, so that a range whose target is not chosen by load
-// goes to the server with the fewest keys per slot.
-type spread struct {
-	order []site.ServerID
-	keys  map[site.ServerID]int
-	slots map[site.ServerID]int
-}
-
-func newSpread(leases []*rangeState, servers []site.Server) *spread {
-	s := &spread{keys: map[site.ServerID]int{}, slots: map[site.ServerID]int{}}
-	for _, server := range servers {
-		s.order = append(s.order, server.ID)
-		s.slots[server.ID] = max(server.Slots, 1)
-	}
-	for _, l := range leases {
-		if l.phase == granting {
-			s.keys[l.Server] += l.Keys()
-		}
-	}
-	return s
-}
-
-func (s *spread) add(server site.ServerID, keys int) { s.keys[server] += keys }
-
-func (s *spread) least() site.ServerID {
-	return slices.MinFunc(s.order, func(a, b site.ServerID) int {
-		return s.keys[a]*s.slots[b] - s.keys[b]*s.slots[a]
-	})
-}
--- a/gateway/ranges/usage.go
+++ b/gateway/ranges/usage.go
@@ -38,6 +38,9 @@
 		}
 		serviceTime = min(max(serviceTime, typical/serviceTimeSpread), typical*serviceTimeSpread)
 		u := &usage{server: server, cost: serviceTime / float64(max(server.Slots, 1))}
+		if r.warmUpRate > 0 && server.IsCold() {
+			u.cost = max(u.cost, 1/r.warmUpRate)
+		}
 		usages = append(usages, u)
 		byID[server.ID] = u
 	}
--- /dev/null
+++ b/gateway/router/cold.go
@@ -0,0 +1,77 @@
+package router
+
+import (
+	"net/http"
+	"slices"
+	"time"
+
+	"github.com/burdockspindle/burdockspindle/gateway/pool"
+	"github.com/burdockspindle/burdockspindle/gateway/site"
+	"github.com/burdockspindle/burdockspindle/gateway/view"
+	"github.com/burdockspindle/burdockspindle/gateway/warmup"
+)
+
+// warmingRetryAfter is the Retry-After of a request whose key's owner is cold while the node that
+// counts the owner's requests cannot be reached.
+const warmingRetryAfter = 500 * time.Millisecond
+
+// coldOwner returns the owner of the request's key if it is cold and takes only some requests a
+// second.
+func (x *exchange) coldOwner() (site.Server, bool) {
+	if !x.keyed {
+		return site.Server{}, false
+	}
+	id, isReady := x.readyOwner()
+	if !isReady || !x.service.isLimitedCold(id) {
+		return site.Server{}, false
+	}
+	server, isRegistered := x.router.state.Now().Registered()[id]
+	return server, isRegistered
+}
+
+// isCounterOf reports whether this node counts the requests to a cold server, by its own list of
+// members or by that of the node that forwarded the request.
+func (x *exchange) isCounterOf(server site.Server) bool {
+	return x.forwarded != nil && x.forwarded.Counted == server.ID || x.router.isCounter(server, x.router.state.Now().Members)
+}
+
+// isCounter reports whether this node counts the requests to a server while it is cold.
+func (r *Router) isCounter(server site.Server, members []view.Member) bool {
+	counter, found := warmup.Counter(server, members)
+	return found && counter.Node == r.node
+}
+
+// forwardToCounter forwards the request to the node that counts the requests to the cold owner of
+// its key. It returns the final result if that is not possible.
+func (d *dispatch) forwardToCounter(owner site.Server) *result {
+	x := d.x
+	counter, found := warmup.Counter(owner, x.router.state.Now().Members)
+	mayForward := found && x.router.forwarding != nil && x.forwarded == nil && !x.isTrial && !slices.Contains(x.forwardedTo, counter.Boot)
+	if !mayForward || d.caller.Err() != nil || x.callerDisconnected() || x.isQuarantined() {
+		x.trace.note(string(owner.ID) + " is cold")
+		end := x.giveUp(&refusal{status: http.StatusServiceUnavailable, reason: "owner of the key is warming up", retryAfter: warmingRetryAfter, isOverloaded: true})
+		return &end
+	}
+	x.countedServer = owner.ID
+	d.forwardTo(counter)
+	return nil
+}
+
+// isLimitedCold reports whether a server is cold and takes only some requests a second.
+func (s *service) isLimitedCold(id site.ServerID) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.pool.IsLimitedCold(id, time.Now())
+}
+
+// warmUpOf returns the limits on requests to cold servers of a service in a view.
+func (r *Router) warmUpOf(name site.ServiceName, v *view.View) pool.WarmUp {
+	if v.Config == nil || v.Config.Services[name].WarmUpRate == 0 {
+		return pool.WarmUp{}
+	}
+	members := v.Members
+	return pool.WarmUp{
+		Rate:      v.Config.Services[name].WarmUpRate,
+		IsCounter: func(server site.Server) bool { return r.isCounter(server, members) },
+	}
+}
--- a/gateway/router/forward.go
+++ b/gateway/router/forward.go
@@ -90,7 +90,7 @@
 func (d *dispatch) sendNext() *result {
 	x := d.x
 	if x.peerRefusal != nil {
-		if x.peerRefusal.isOverloaded && d.forwardNext() {
+		if x.peerRefusal.isOverloaded && x.countedServer == "" && d.forwardNext() {
 			return nil
 		}
 		end := x.giveUp(x.peerRefusal)
@@ -99,6 +99,9 @@
 	if x.isPartitioned() && d.forwardNext() {
 		return nil
 	}
+	if owner, isCold := x.coldOwner(); isCold && !x.isCounterOf(owner) {
+		return d.forwardToCounter(owner)
+	}
 	server, end := x.acquireSlotToSend(d.caller)
 	switch {
 	case end == nil:
@@ -157,6 +160,7 @@
 		Sends:         x.sends,
 		Tried:         x.reached(),
 		MayWait:       x.isPartitioned(),
+		Counted:       x.countedServer,
 	}
 	request := x.request
 	request.Method = http.MethodPost
--- a/gateway/router/router.go
+++ b/gateway/router/router.go
@@ -64,6 +64,8 @@
 	budget           *budget.Budget
 	waiters          map[*pool.Waiter]chan waitResult
 	nodeCount        int         // that share the servers; 0: unknown
+	nodesHash        uint64      // of these nodes
+	warmUpRate       float64     // see pool.WarmUp
 	sharesReportedAt time.Time   // when the shares were received
 	wakeTimer        *time.Timer // fires when waiting requests may next be admitted; nil: no such time
 }
@@ -134,7 +136,7 @@
 			budget:  budget.New(r.options.Retries, r.options.StartedAt),
 			waiters: map[*pool.Waiter]chan waitResult{},
 		}
-		s.applyView(v.ServersOf(name), len(v.Members), v.Shares)
+		s.applyView(v, r.warmUpOf(name, v))
 		r.services[name] = s
 		budgetLeft.Set(string(name), expvar.Func(func() any { return s.budgetLeft() }))
 	}
@@ -158,7 +160,7 @@
 	}
 	r.appliedView = v
 	for name, s := range r.services {
-		s.applyView(v.ServersOf(name), len(v.Members), v.Shares)
+		s.applyView(v, r.warmUpOf(name, v))
 	}
 	return v
 }
@@ -166,18 +168,22 @@
 // ShareValidity is how long shares remain valid if the lessor does not report them again.
 const ShareValidity = 5 * time.Second
 
-// applyView applies the servers, the number of nodes and the shares of a new view to the
-// service. Most new views differ in the routes only.
-func (s *service) applyView(servers []site.Server, nodes int, shares view.Shares) {
+// applyView applies the servers, the nodes and the shares of a new view to the service, and the
+// limits on requests to cold servers. Most new views differ in the routes only.
+func (s *service) applyView(v *view.View, warmUp pool.WarmUp) {
+	servers, nodes, shares := v.ServersOf(s.name), len(v.Members), v.Shares
 	isSame := len(servers) == len(s.servers) && (len(servers) == 0 || &servers[0] == &s.servers[0])
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := time.Now()
-	if !isSame || nodes != s.nodeCount || len(servers) == 0 {
+	areNodesSame := v.MembersHash() == s.nodesHash && nodes == s.nodeCount
+	if !isSame || !areNodesSame || warmUp.Rate != s.warmUpRate || len(servers) == 0 {
+		s.pool.SetWarmUp(warmUp)
 		s.pool.Update(servers, nodes, now)
 	}
 	s.servers = servers
-	s.nodeCount = nodes
+	s.nodeCount, s.nodesHash = nodes, v.MembersHash()
+	s.warmUpRate = warmUp.Rate
 	if shares.ReceivedAt != s.sharesReportedAt {
 		s.sharesReportedAt = shares.ReceivedAt
 		s.pool.SetShares(shares.ByServer, shares.ReceivedAt.Add(ShareValidity))
--- a/gateway/router/run.go
+++ b/gateway/router/run.go
@@ -313,5 +313,9 @@
 }
 
 func (x *exchange) waiter() *pool.Waiter {
-	return &pool.Waiter{Priority: x.route.Priority, ArrivedAt: x.arrived, Target: x.target, Deadline: x.deadline, Tried: x.tried, AtMostOnce: x.route.Kind == site.AtMostOnce, ChargedToShare: x.attempts > 0}
+	w := &pool.Waiter{Priority: x.route.Priority, ArrivedAt: x.arrived, Target: x.target, Deadline: x.deadline, Tried: x.tried, AtMostOnce: x.route.Kind == site.AtMostOnce, ChargedToShare: x.attempts > 0}
+	if x.forwarded != nil {
+		w.CountedServer = x.forwarded.Counted
+	}
+	return w
 }
--- a/gateway/router/serve.go
+++ b/gateway/router/serve.go
@@ -62,11 +62,12 @@
 	priorSends int // sends of that node
 	// forwards counts how often this node forwarded the request, forwardedTo are the
 	// incarnations of the nodes, and peerSends their sends.
-	forwards    int
-	forwardedTo []string
-	peerSends   int
-	peerRefusal *refusal // of the latest other node; nil: none, or one that says nothing of the request
-	peerFailure string   // why the latest forwarded attempt may have run without an answer
+	forwards      int
+	forwardedTo   []string
+	peerSends     int
+	peerRefusal   *refusal      // of the latest other node; nil: none, or one that says nothing of the request
+	peerFailure   string        // why the latest forwarded attempt may have run without an answer
+	countedServer site.ServerID // the cold server to whose counter the request was forwarded
 	// isUnreachable reports that the latest refusal of a slot was for lack of a connection.
 	isUnreachable bool
 
--- a/gateway/site/site.go
+++ b/gateway/site/site.go
@@ -59,6 +59,9 @@
 type Service struct {
 	Name  ServiceName `json:"name"`
 	Keyed bool        `json:"keyed"` // each key is owned by a single server
+	// WarmUpRate is how many requests a second a cold server takes from all nodes together;
+	// 0: it has no limit of its own.
+	WarmUpRate float64 `json:"warmUpRate,omitempty"`
 }
 
 // Limits bound the size of callers' requests and how long callers may take.
@@ -71,13 +74,15 @@
 
 // Server is one registered backend server.
 type Server struct {
-	ID       ServerID      `json:"id"`
-	Service  ServiceName   `json:"service"`
-	Address  string        `json:"address"`
-	Zone     string        `json:"zone"`
-	Slots    int           `json:"slots"` // number of requests that it runs concurrently
-	Draining bool          `json:"draining"`
-	WarmUp   time.Duration `json:"warmUp"` // remaining time for which it is slow after its start
+	ID       ServerID    `json:"id"`
+	Service  ServiceName `json:"service"`
+	Address  string      `json:"address"`
+	Zone     string      `json:"zone"`
+	Slots    int         `json:"slots"` // number of requests that it runs concurrently
+	Draining bool        `json:"draining"`
+	// WarmUp is the remaining time for which it is cold, as of when it turned cold or was first
+	// seen so; 0: it is warm.
+	WarmUp time.Duration `json:"warmUp"`
 	// ClockSetBack reports that this incarnation began after one with a later start time,
 	// because a clock was set back. Its later writes to the registry have proved the order.
 	ClockSetBack bool `json:"clockSetBack,omitempty"`
@@ -87,6 +92,9 @@
 	EvacuateBy time.Time `json:"-"`
 }
 
+// IsCold reports whether the server is cold, as of its latest entry.
+func (s Server) IsCold() bool { return s.WarmUp > 0 }
+
 // IsEvacuated reports whether the server's zone is evacuated.
 func (s Server) IsEvacuated() bool { return !s.EvacuateBy.IsZero() }
 
--- a/gateway/view/servers.go
+++ b/gateway/view/servers.go
@@ -16,8 +16,8 @@
 	Servers map[site.ServerID]site.Server `json:"servers"`
 }
 
-// sum returns a number that differs for different registries. It ignores the warm-up, which
-// decreases with every write of a server and is not treated as a change.
+// sum returns a number that differs for different registries. Of the warm-up it contains only
+// whether the server is cold.
 func (s Servers) sum() uint64 {
 	var sum serversSum
 	for _, server := range s.Servers {
@@ -43,6 +43,7 @@
 	}
 	s.text = strconv.AppendBool(s.text, server.Draining)
 	s.text = strconv.AppendBool(s.text, server.ClockSetBack)
+	s.text = strconv.AppendBool(s.text, server.IsCold())
 	return xxhash.Sum64(s.text)
 }
 
@@ -57,7 +58,6 @@
 	var change ServersChange
 	for id, server := range later.Servers {
 		known, exists := s.Servers[id]
-		known.WarmUp = server.WarmUp
 		if !exists || known != server {
 			change.Put = append(change.Put, server)
 		}
