Load checks: ask two servers for their load before a request is sent

Cause: 68 nodes hear from each of 47 servers once in ten seconds, and the pace of a machine changes several times a second. What a node knows of a server says nothing of it now, so that placing is close to random at a utilization of 0.7 to 0.9.

Ways compared: placing by what answers reported (as it stands), and a health check of two random servers of the own zone, and of two others if none of these answers well within the objective.

Checks run only where reports tell the pace of the machine (those servers answer them at once), and pause when most are late; other deployments do as before. A check also tells how long a server stays cold, before the registry does.

--- a/gateway/pool/limit.go
+++ b/gateway/pool/limit.go
@@ -121,6 +121,8 @@
 	// The report includes the request that it answers.
 	m.otherRequests = max(0, float64(load.Total()-1-m.inFlight()))
 	m.reportAt = now
+	m.slowdown = load.Slowdown
+	p.loadChecks.note(load)
 	m.hadFreeSlots = load.Waiting == 0 && load.Running < load.Slots
 	slots := float64(max(load.Slots, 1))
 	switch {
--- a/gateway/pool/pool.go
+++ b/gateway/pool/pool.go
@@ -88,6 +88,7 @@
 	otherRequests  float64 // requests of other nodes, as of reportAt
 	reportAt       time.Time
 	hadFreeSlots   bool    // whether that report had free slots and no queue
+	slowdown       float64 // in that report; 0: none
 	failureRate    float64 // recent failure rate, as of failureAt
 	failureAt      time.Time
 	coldUntil      time.Time
@@ -128,6 +129,7 @@
 	sharesUntil time.Time
 	random      *rand.Rand
 	warmUp      WarmUp
+	loadChecks  loadChecks
 }
 
 // New returns a pool without servers for a node in the given zone. penalty is added to the
@@ -205,6 +207,9 @@
 		}
 		return nil
 	}
+	if m := p.pickChecked(w, now); m != nil {
+		return m
+	}
 	if p.random.Float64() < untriedShare {
 		if m := p.untried(w, now); m != nil {
 			return m
@@ -252,7 +257,7 @@
 // expectedTime returns the time in seconds after which a request sent now is expected to be
 // answered, with random variation of estimateNoise.
 func (p *Pool) expectedTime(m *member, w *Waiter, now time.Time) float64 {
-	mean := p.serviceTime(m, now)
+	mean := p.serviceTime(m, now) * p.loadChecks.relativeSlowdown(m, now)
 	slots := float64(max(m.Slots, 1))
 	busy := float64(m.inFlight()) + m.otherRequests*decay(now.Sub(m.reportAt), reportHalfLife)
 	expected := mean * (1 + max(0, busy+1-slots)/slots)
--- a/gateway/pool/queue.go
+++ b/gateway/pool/queue.go
@@ -32,6 +32,9 @@
 	// CountedServer is a cold server whose requests this node counts, to the knowledge of the node
 	// that forwarded the request; empty: none.
 	CountedServer site.ServerID
+	// Checked are servers whose load has just been checked for this request. The best of them
+	// gets it if one has room.
+	Checked []site.ServerID
 }
 
 // accepts reports whether an incarnation of a server may get the request. A new incarnation
--- a/gateway/router/metrics.go
+++ b/gateway/router/metrics.go
@@ -22,6 +22,8 @@
 	// nodes.
 	forwardsSent     = group.Counter("forwarded_to_other_nodes")
 	forwardsReceived = group.Counter("forwarded_by_other_nodes")
+	// loadChecks counts health checks of servers before requests.
+	loadChecks = group.Counter("load_checks")
 	// crashedRequests counts requests that were in flight at a server when it ended.
 	crashedRequests = group.Counter("in_flight_when_server_ended")
 	// crashesUnwatched counts ended connections for which the server was not watched.
--- a/gateway/router/run.go
+++ b/gateway/router/run.go
@@ -219,6 +219,7 @@
 	}
 	w := x.waiter()
 	if !x.keyed {
+		x.checkLoads(ctx, w)
 		return x.waitForSlot(ctx, w)
 	}
 	return x.acquireOwnerSlot(ctx, w)
--- a/gateway/site/site.go
+++ b/gateway/site/site.go
@@ -62,6 +62,8 @@
 	// WarmUpRate is how many requests a second a cold server takes from all nodes together;
 	// 0: it has no limit of its own.
 	WarmUpRate float64 `json:"warmUpRate,omitempty"`
+	// HealthPath is the path of health checks; empty: there are none.
+	HealthPath string `json:"healthPath,omitempty"`
 }
 
 // Limits bound the size of callers' requests and how long callers may take.
--- a/gateway/upstream/client.go
+++ b/gateway/upstream/client.go
@@ -141,22 +141,32 @@
 
 func (c *Client) do(ctx context.Context, server site.Server, r *Request, head []byte) (*Answer, error) {
 	key := idleKey{address: server.Address, server: server.ID}
-	cn := c.idle.take(key, time.Now(), r.Fresh)
-	if cn == nil {
-		raw, err := c.connect(ctx, server)
-		if err != nil {
-			return nil, &AttemptError{Server: server.ID, Cause: err}
-		}
-		cn = newConn(raw, c.meter(server))
-		if err := cn.awaitRejection(time.Now()); err != nil {
-			reset(raw)
-			return nil, &AttemptError{Server: server.ID, Rejected: isClosedByPeer(err), Cause: err}
-		}
+	cn, err := c.idleOrNewConn(ctx, key, server, r.Fresh)
+	if err != nil {
+		return nil, err
 	}
 	answer, reusable, err := c.exchange(ctx, cn, r, head, true)
 	return c.finish(key, cn, answer, reusable, err)
 }
 
+// idleOrNewConn returns an idle connection, of which an answer must be recent if fresh is set, or a
+// new one. The error is an *AttemptError.
+func (c *Client) idleOrNewConn(ctx context.Context, key idleKey, server site.Server, fresh bool) (*conn, error) {
+	if cn := c.idle.take(key, time.Now(), fresh); cn != nil {
+		return cn, nil
+	}
+	raw, err := c.connect(ctx, server)
+	if err != nil {
+		return nil, &AttemptError{Server: server.ID, Cause: err}
+	}
+	cn := newConn(raw, c.meter(server))
+	if err := cn.awaitRejection(time.Now()); err != nil {
+		reset(raw)
+		return nil, &AttemptError{Server: server.ID, Rejected: isClosedByPeer(err), Cause: err}
+	}
+	return cn, nil
+}
+
 // finish ends an attempt. Its connection becomes idle if it is reusable.
 func (c *Client) finish(key idleKey, cn *conn, answer *Answer, reusable bool, err error) (*Answer, error) {
 	if err != nil {
--- a/gateway/upstream/headers.go
+++ b/gateway/upstream/headers.go
@@ -15,4 +15,6 @@
 	Load           string // the server's load
 	// ParseLoad reads the value of Load.
 	ParseLoad func(string) (site.Load, bool)
+	// WarmUp is how much longer the server is cold, in milliseconds; in answers to health checks.
+	WarmUp string
 }
--- /dev/null
+++ b/gateway/upstream/health.go
@@ -0,0 +1,57 @@
+package upstream
+
+import (
+	"bytes"
+	"context"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/burdockspindle/burdockspindle/gateway/site"
+)
+
+// Health is a server's answer to a health check.
+type Health struct {
+	Load   *site.Load    // nil: not reported
+	WarmUp time.Duration // how much longer it is cold; 0: it is warm, or does not report it
+}
+
+// CheckHealth requests the health path of a server. The connection is kept for requests. The error
+// is an *AttemptError, or an *UnhealthyError.
+func (c *Client) CheckHealth(ctx context.Context, server site.Server, path string) (Health, error) {
+	header := http.Header{c.headers.ExpectedServer: {string(server.ID.Name())}}
+	r := &Request{Method: http.MethodGet, Target: path, Host: server.Address, Header: header}
+	var head bytes.Buffer
+	writeHead(&head, r)
+	writeHeader(&head, header)
+	writeLength(&head, r)
+	key := idleKey{address: server.Address, server: server.ID}
+	cn, err := c.idleOrNewConn(ctx, key, server, false)
+	if err != nil {
+		return Health{}, err
+	}
+	answer, reusable, err := c.exchange(ctx, cn, r, head.Bytes(), false)
+	if answer, err = c.finish(key, cn, answer, reusable, err); err != nil {
+		return Health{}, err
+	}
+	if answer.Status != http.StatusOK {
+		return Health{}, &UnhealthyError{Status: answer.Status}
+	}
+	return Health{Load: answer.Load, WarmUp: c.warmUpOf(answer)}, nil
+}
+
+func (c *Client) warmUpOf(answer *Answer) time.Duration {
+	milliseconds, err := strconv.ParseInt(answer.Header.Get(c.headers.WarmUp), 10, 64)
+	if err != nil || milliseconds <= 0 {
+		return 0
+	}
+	return time.Duration(milliseconds) * time.Millisecond
+}
+
+// UnhealthyError reports a health check that was answered with another status than 200.
+type UnhealthyError struct{ Status int }
+
+// Error implements error.
+func (e *UnhealthyError) Error() string {
+	return "health check answered with " + strconv.Itoa(e.Status)
+}
