Owner checks: an at-most-once request is sent only to an owner that answers

Owners in a dark zone were found out by each node with requests that were lost.

Now the node asks the owner for its load on the connection that the request will use. An owner that does not answer twice gets nothing, and the request is refused as not run or waits for another owner; one with three waiting requests for each slot is asked again after about a service time, until the deadline does not allow it.

Where reports do not tell the pace of the machine nothing changes.

--- a/gateway/router/forward.go
+++ b/gateway/router/forward.go
@@ -103,6 +103,9 @@
 		return d.forwardToCounter(owner)
 	}
 	server, end := x.acquireSlotToSend(d.caller)
+	if owner, isCold := x.coldOwner(); end != nil && isCold && !x.isCounterOf(owner) && x.countedServer == "" {
+		return d.forwardToCounter(owner) // found out by the check
+	}
 	switch {
 	case end == nil:
 		d.sendTo(server)
--- a/gateway/router/owner.go
+++ b/gateway/router/owner.go
@@ -24,7 +24,15 @@
 		}
 		w.OnlyServer = owner
 		server, problem := x.waitForSlot(ctx, w)
-		if problem == nil || problem.reason != string(pool.NoServer) {
+		if problem == nil {
+			if problem = x.refusalOfOwner(ctx, server); problem == nil {
+				return server, nil
+			}
+			if problem == checkAgain {
+				continue
+			}
+		}
+		if problem.reason != string(pool.NoServer) {
 			return server, problem
 		}
 		if !x.service.hasUsableServer() { // no other owner can be expected
--- /dev/null
+++ b/gateway/router/owner_check.go
@@ -0,0 +1,91 @@
+package router
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"time"
+
+	"github.com/burdockspindle/burdockspindle/clock"
+	"github.com/burdockspindle/burdockspindle/gateway/pool"
+	"github.com/burdockspindle/burdockspindle/gateway/site"
+)
+
+// Checks of the owner of a key.
+const (
+	// ownerCheckTimeout is the timeout of the second check of an owner, on a new connection, after
+	// the first one had no answer: a lost packet takes longer than a check.
+	ownerCheckTimeout = 150 * time.Millisecond
+	// busyOwnerPause is the mean pause before an owner with a long queue is checked again, in
+	// mean service times.
+	busyOwnerPause = 1.0
+)
+
+// ownerState is what a check says of the owner of a key.
+type ownerState int
+
+const (
+	ownerReady ownerState = iota
+	ownerBusy
+	ownerSilent
+	ownerCold // and another node counts its requests
+)
+
+// checkOwner checks whether the owner of the request's key can take it now. A request that is sent
+// to an owner that is silent or full is lost if it must not run twice; a check is not.
+func (x *exchange) checkOwner(ctx context.Context, owner site.Server) ownerState {
+	path := x.healthPath()
+	if path == "" || x.route.Kind != site.AtMostOnce || !x.service.checksLoads() {
+		return ownerReady
+	}
+	result := x.checkLoad(ctx, owner, path, pool.CheckTimeout)
+	if result.err != nil {
+		result = x.checkLoad(ctx, owner, path, ownerCheckTimeout)
+	}
+	switch {
+	case result.err != nil && ctx.Err() == nil:
+		x.trace.note(string(owner.ID) + " does not answer a check")
+		return ownerSilent
+	case result.err != nil || result.health.Load == nil:
+		return ownerReady
+	case x.service.isLimitedCold(owner.ID) && !x.isCounterOf(owner):
+		return ownerCold
+	case pool.HasLongQueue(*result.health.Load):
+		return ownerBusy
+	}
+	return ownerReady
+}
+
+// checkAgain is returned by refusalOfOwner when the request should ask for a slot again.
+var checkAgain = &refusal{}
+
+// refusalOfOwner checks the owner at which the request has a slot. It returns nil if the request may
+// be sent; otherwise the slot is released.
+func (x *exchange) refusalOfOwner(ctx context.Context, owner site.Server) *refusal {
+	switch x.checkOwner(ctx, owner) {
+	case ownerSilent:
+		x.service.releaseSlot(owner, pool.Outcome{Failed: true, NotReached: true})
+		x.unreached = append(x.unreached, owner.ID)
+		return checkAgain
+	case ownerCold:
+		x.service.releaseSlot(owner, pool.Outcome{Abandoned: true})
+		return &refusal{status: http.StatusServiceUnavailable, reason: "owner of the key is warming up", retryAfter: warmingRetryAfter, isOverloaded: true}
+	case ownerBusy:
+		x.service.releaseSlot(owner, pool.Outcome{Abandoned: true})
+		mean := x.service.meanServiceTime()
+		pause := time.Duration((0.5 + rand.Float64()) * busyOwnerPause * float64(mean))
+		if time.Until(x.deadline) < pause+mean {
+			return &refusal{status: http.StatusServiceUnavailable, reason: "queue of the key's owner is full", retryAfter: x.service.meanServiceTime(), isOverloaded: true}
+		}
+		clock.Wait(ctx, pause)
+		x.noteWait(pause)
+		return checkAgain
+	}
+	return nil
+}
+
+func (s *service) checksLoads() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.pool.ChecksLoads(time.Now())
+}
--- /dev/null
+++ b/gateway/router/owner_check_test.go
@@ -0,0 +1,120 @@
+package router
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"github.com/burdockspindle/burdockspindle/gateway/pool"
+	"github.com/burdockspindle/burdockspindle/gateway/site"
+	"github.com/burdockspindle/burdockspindle/gateway/upstream"
+	"github.com/burdockspindle/burdockspindle/gateway/view"
+)
+
+// checkedOwner is the owner of all keys. It answers health checks, and counts other requests.
+type checkedOwner struct {
+	waiting  atomic.Int32 // in its load reports
+	isSilent atomic.Bool  // it answers nothing
+	requests atomic.Int32
+	checks   atomic.Int32
+}
+
+func (o *checkedOwner) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path != "/health" {
+		o.requests.Add(1)
+	} else {
+		o.checks.Add(1)
+	}
+	if o.isSilent.Load() {
+		<-r.Context().Done()
+		return
+	}
+	_, _ = io.Copy(io.Discard, r.Body)
+	w.Header().Set("Request-Id", r.Header.Get("Request-Id"))
+	w.Header().Set("Load", "report")
+}
+
+// newCheckedExchange returns an at-most-once request for a key of an owner whose load is checked.
+func newCheckedExchange(t *testing.T, o *checkedOwner, timeout time.Duration) *exchange {
+	t.Helper()
+	server := httptest.NewServer(o)
+	t.Cleanup(server.Close)
+	x := newKeyedExchange(t)
+	headers := upstream.Headers{RequestID: "Request-Id", Timeout: "Timeout", ExpectedServer: "Expected", Load: "Load"}
+	headers.ParseLoad = func(text string) (site.Load, bool) {
+		return site.Load{Running: 3, Waiting: int(o.waiting.Load()), Slots: 3, Slowdown: 1}, text != ""
+	}
+	x.router.client = upstream.NewClient(headers, "a")
+	owner := site.Server{ID: "b", Service: "s", Address: server.Listener.Addr().String(), Slots: 3}
+	x.router.state.MergeServers(view.Servers{Offset: 2, Servers: map[site.ServerID]site.Server{"b": owner}})
+	x.router.state.MergeConfig(&site.Config{Version: 2, Services: map[site.ServiceName]site.Service{"s": {Name: "s", Keyed: true, HealthPath: "/health"}}})
+	x.view = x.router.state.Now()
+	x.router.refreshView()
+	x.service.recordCheck(loadCheck{server: "b", health: upstream.Health{Load: &site.Load{Slots: 3, Slowdown: 1}}}, false)
+	x.route.Kind = site.AtMostOnce
+	x.request = upstream.Request{Method: http.MethodPost, Target: "/x", Host: "h", ID: "r1", Header: http.Header{"Request-Id": {"r1"}}}
+	x.deadline = time.Now().Add(timeout)
+	return x
+}
+
+func (x *exchange) runToItsDeadline() result {
+	ctx, cancel := context.WithDeadline(context.Background(), x.deadline)
+	defer cancel()
+	return x.run(ctx)
+}
+
+func TestRequestIsSentToAnOwnerThatAnswersACheck(t *testing.T) {
+	g := gomega.NewWithT(t)
+	o := new(checkedOwner)
+	end := newCheckedExchange(t, o, 10*time.Second).runToItsDeadline()
+	g.Expect(end.answer).NotTo(gomega.BeNil(), "%+v", end)
+	g.Expect(o.checks.Load()).To(gomega.BeEquivalentTo(1))
+	g.Expect(o.requests.Load()).To(gomega.BeEquivalentTo(1))
+}
+
+// A zone was dark, and each node sent at-most-once requests to its owners, which ended after three
+// seconds as possibly run. A check finds out, and the request has not run.
+func TestAtMostOnceRequestIsNotSentToASilentOwner(t *testing.T) {
+	g := gomega.NewWithT(t)
+	o := new(checkedOwner)
+	o.isSilent.Store(true)
+	end := newCheckedExchange(t, o, 2*time.Second).runToItsDeadline()
+	g.Expect(end.refusal).NotTo(gomega.BeNil(), "%+v", end)
+	g.Expect(end.refusal.status).To(gomega.Equal(http.StatusServiceUnavailable))
+	g.Expect(o.checks.Load()).To(gomega.BeNumerically(">", 0))
+	g.Expect(o.requests.Load()).To(gomega.BeZero())
+}
+
+// Dozens of nodes sent requests to one owner, which reset the connections of those beyond its
+// queue. They wait at the node instead, where they can be refused as not run.
+func TestAtMostOnceRequestWaitsForAnOwnerWithALongQueue(t *testing.T) {
+	g := gomega.NewWithT(t)
+	o := new(checkedOwner)
+	o.waiting.Store(12)
+	x := newCheckedExchange(t, o, 10*time.Second)
+	go func() {
+		for o.checks.Load() < 3 {
+			time.Sleep(time.Millisecond)
+		}
+		o.waiting.Store(2)
+	}()
+	end := x.runToItsDeadline()
+	g.Expect(end.answer).NotTo(gomega.BeNil(), "%+v", end)
+	g.Expect(o.checks.Load()).To(gomega.BeNumerically(">=", 3))
+	g.Expect(o.requests.Load()).To(gomega.BeEquivalentTo(1))
+
+	o.waiting.Store(12)
+	refused := newCheckedExchange(t, o, time.Second)
+	o.requests.Store(0)
+	end = refused.runToItsDeadline()
+	g.Expect(end.refusal).NotTo(gomega.BeNil(), "%+v", end)
+	g.Expect(o.requests.Load()).To(gomega.BeZero())
+	again, _, _ := refused.service.requestSlot(&pool.Waiter{OnlyServer: "b", Deadline: time.Now().Add(time.Minute)})
+	g.Expect(again.ID).To(gomega.Equal(site.ServerID("b")), "the slot was released")
+}
