Router: a request whose time ends while connecting has not run

What callers saw: 504 as possibly run for requests of which no byte was written, so that they could not come back with a request that must not run twice. Found on reading run: the end of the context set mayHaveRun whatever the attempts had done.

Now the attempts, whose context ends with that of the request, are awaited (50 ms at most, they end at once): one that failed before anything was written proves nothing against the request, which ends with 503; an answer that is ready in that moment is delivered.

--- a/gateway/router/dispatch.go
+++ b/gateway/router/dispatch.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"slices"
 	"time"
 
@@ -74,6 +75,35 @@
 	d.probeResult = nil
 }
 
+// abandonTimeout bounds the wait for attempts to end after their context has.
+const abandonTimeout = 50 * time.Millisecond
+
+// end returns the result of a request whose time has passed while attempts were in flight. Their
+// context has ended, so they end at once: an attempt that was still connecting has not run, and an
+// answer that was ready is delivered.
+func (d *dispatch) end() result {
+	x := d.x
+	timeout := time.NewTimer(abandonTimeout)
+	defer timeout.Stop()
+	for d.inFlight > 0 {
+		select {
+		case attempt := <-d.results:
+			d.inFlight--
+			if attempt.err == nil && x.isFinal(attempt) {
+				return x.finalResult(attempt)
+			}
+			if attempt.err != nil && wasSent(attempt.err) {
+				x.mayHaveRun = true
+			}
+		case <-timeout.C:
+			d.inFlight = 0
+			x.mayHaveRun = true
+		}
+	}
+	x.trace.note("sent to " + d.lastTarget + ", no answer yet")
+	return x.giveUp(&refusal{status: http.StatusServiceUnavailable, reason: "timeout", retryAfter: ownerRetryDelay})
+}
+
 // sendHedge sends the request to a second server if a slot is free, or by way of another node
 // if this one is partitioned. Otherwise it tries again after hedgeRetryInterval if the first
 // server accepts no connection.
--- a/gateway/router/run.go
+++ b/gateway/router/run.go
@@ -77,9 +77,7 @@
 		case isUnreachable := <-d.probeResult:
 			d.handleProbe(isUnreachable)
 		case <-ctx.Done():
-			x.mayHaveRun = true
-			x.trace.note("sent to " + d.lastTarget + ", no answer yet")
-			return x.giveUp(&refusal{status: http.StatusGatewayTimeout, reason: "timeout"})
+			return d.end()
 		}
 	}
 }
