Routes: requests stay in the regions that the operator allows

The configuration may name the regions in which a route's requests may be served (allowed-regions). The field was not decoded; no deployment seen so far carries it.

Now it is decoded, the settings tell the region of each zone, and a request goes only to servers in these regions, and by way of another node only there or in the region in which its caller connected. A zone without a known region is in none of them, so that a site of one region is checked too.

--- a/gateway/config/config.go
+++ b/gateway/config/config.go
@@ -17,6 +17,7 @@
 	Node      string
 	Zone      string
 	Region    string
+	Regions   map[string]string // the region of each zone of the site
 	Listen    Listen
 	Seeds     []string // peer addresses of nodes to get the site's state from at start
 	Driver    settings.Driver
@@ -128,6 +129,7 @@
 		Node:      root.Required("node").Text(),
 		Zone:      root.Required("zone").Text(),
 		Region:    root.Get("region").String(""),
+		Regions:   readRegions(root.Get("regions").Object()),
 		Listen:    readListen(root.Required("listen").Object()),
 		Driver:    readDriver(root.Required("driver").Object()),
 		Retries:   readRetries(root.Get("retries").Object()),
@@ -157,6 +159,15 @@
 	return listen
 }
 
+func readRegions(o *jsonc.Object) map[string]string {
+	regions := map[string]string{}
+	for _, zone := range o.Names() {
+		regions[zone] = o.Get(zone).Text()
+	}
+	o.Close()
+	return regions
+}
+
 func readAddress(value *jsonc.Value) string {
 	text := value.Text()
 	if _, err := netip.ParseAddrPort(text); err != nil && text != "" {
--- a/gateway/config/config_test.go
+++ b/gateway/config/config_test.go
@@ -52,7 +52,7 @@
 
 // placeholders replaces the placeholders of the deployment template, as the platform does.
 var placeholders = strings.NewReplacer(
-	"{{node|json}}", `"n1"`, "{{zone|json}}", `"a"`, "{{region|json}}", `"r"`,
+	"{{node|json}}", `"n1"`, "{{zone|json}}", `"a"`, "{{region|json}}", `"r"`, "{{zones|json}}", `{"a": "r", "b": "s"}`,
 	"{{listen.front|json}}", `"127.0.0.1:1"`, "{{listen.ready|json}}", `"127.0.0.1:2"`, "{{listen.control|json}}", `"127.0.0.1:3"`,
 	"{{ip}}", "127.0.0.1", "{{seeds|json}}", `["127.0.0.1:4"]`, "{{platform.address|json}}", `"127.0.0.1:5"`,
 	"{{bounds.retry-budget-ratio|json}}", "0.2", "{{bounds.budget-slack|json}}", "56", "{{bounds.budget-window-s}}", "10",
--- a/gateway/pool/queue.go
+++ b/gateway/pool/queue.go
@@ -35,6 +35,8 @@
 	// Checked are servers whose load has just been checked for this request. The best of them
 	// gets it if one has room.
 	Checked []site.ServerID
+	// MayRunIn reports whether servers of a zone may get the request; nil: of any zone.
+	MayRunIn func(zone string) bool
 }
 
 // accepts reports whether an incarnation of a server may get the request. A new incarnation
@@ -49,7 +51,8 @@
 
 // mayRunAt reports whether a server may get the request now.
 func (w *Waiter) mayRunAt(m *member, now time.Time) bool {
-	return m.MayServe(w.OnlyServer != "", now) && w.accepts(m.ID)
+	isAllowed := w.MayRunIn == nil || w.MayRunIn(m.Zone)
+	return isAllowed && m.MayServe(w.OnlyServer != "", now) && w.accepts(m.ID)
 }
 
 func (w *Waiter) failureCost() time.Duration {
--- a/gateway/router/cold.go
+++ b/gateway/router/cold.go
@@ -46,7 +46,7 @@
 func (d *dispatch) forwardToCounter(owner site.Server) *result {
 	x := d.x
 	counter, found := warmup.Counter(owner, x.router.state.Now().Members)
-	mayForward := found && x.router.forwarding != nil && x.forwarded == nil && !x.isTrial && !slices.Contains(x.forwardedTo, counter.Boot)
+	mayForward := found && slices.Contains(x.forwardCandidates(), counter) && x.router.forwarding != nil && x.forwarded == nil && !x.isTrial && !slices.Contains(x.forwardedTo, counter.Boot)
 	if !mayForward || d.caller.Err() != nil || x.callerDisconnected() || x.isQuarantined() {
 		x.trace.note(string(owner.ID) + " is cold")
 		end := x.giveUp(&refusal{status: http.StatusServiceUnavailable, reason: "owner of the key is warming up", retryAfter: warmingRetryAfter, isOverloaded: true})
--- a/gateway/router/forward.go
+++ b/gateway/router/forward.go
@@ -74,7 +74,7 @@
 	if f == nil || x.forwarded != nil || x.isTrial || areSendsSpent || x.forwards >= x.maxForwards() || time.Until(x.deadline) < 2*forwardMargin {
 		return view.Member{}, false
 	}
-	return f.peers.Pick(f.self, x.router.state.Now().Members, x.serversName(), x.forwardedTo, time.Now())
+	return f.peers.Pick(f.self, x.forwardCandidates(), x.serversName(), x.forwardedTo, time.Now())
 }
 
 func (x *exchange) maxForwards() int {
--- a/gateway/router/router.go
+++ b/gateway/router/router.go
@@ -25,8 +25,10 @@
 type Options struct {
 	CrossZonePenalty time.Duration // added to the expected time at servers of other zones
 	Retries          budget.Terms
-	Node             string    // name of this node
-	StartedAt        time.Time // of the process; zero: long ago
+	Region           string            // of this node
+	Regions          map[string]string // of the zones
+	Node             string            // name of this node
+	StartedAt        time.Time         // of the process; zero: long ago
 }
 
 // Router forwards requests to backend servers. It implements http.Handler.
--- a/gateway/site/site.go
+++ b/gateway/site/site.go
@@ -47,6 +47,8 @@
 	Target   time.Duration `json:"target"`   // latency objective
 	Attempts int           `json:"attempts"` // maximum number of servers that one request may be sent to
 	Priority int           `json:"priority"` // 0 is the highest
+	// Regions are the only regions whose servers may get the route's requests; empty: all.
+	Regions []string `json:"regions,omitempty"`
 }
 
 // Target is one service of a route and its share of the route's requests.
--- a/modules/gateway/front.go
+++ b/modules/gateway/front.go
@@ -124,6 +124,7 @@
 // the settings.
 func routerOptions(s *config.Settings, self router.Options) router.Options {
 	self.CrossZonePenalty = s.Placement.CrossZonePenalty
+	self.Region, self.Regions = s.Region, s.Regions
 	self.Retries = budget.Terms{Ratio: s.Retries.Ratio, Slack: s.Retries.Slack, Window: s.Retries.Window}
 	return self
 }
