Owner checks: an owner that says it is ill gets its requests

Found on reading: an owner whose health answer is false (ill, and well) would have lost all at-most-once requests for its keys for as long as it says so, and one at its limit of connections counted as silent. An answer of any status proves that the process lives, and a rejected connection that it is full. TestRequestIsSentToAnOwnerThatSaysItIsIll failed before.

--- a/gateway/router/check.go
+++ b/gateway/router/check.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"github.com/burdockspindle/burdockspindle/gateway/pool"
@@ -16,6 +17,19 @@
 	err    error
 }
 
+// isAnswered reports whether the server answered, as healthy or not: one that answers can run a
+// request, whatever it says of its health.
+func (c loadCheck) isAnswered() bool {
+	var unhealthy *upstream.UnhealthyError
+	return c.err == nil || errors.As(c.err, &unhealthy)
+}
+
+// isRejected reports whether the server took no connection for lack of capacity.
+func (c loadCheck) isRejected() bool {
+	var attempt *upstream.AttemptError
+	return errors.As(c.err, &attempt) && attempt.Rejected
+}
+
 // checkLoads asks some servers that may run the request for their load, and returns those that
 // answered in time: servers of the own zone, and of others if none of these can answer well within
 // the target.
--- a/gateway/router/owner_check.go
+++ b/gateway/router/owner_check.go
@@ -39,14 +39,16 @@
 		return ownerReady
 	}
 	result := x.checkLoad(ctx, owner, path, pool.CheckTimeout)
-	if result.err != nil {
+	if !result.isAnswered() {
 		result = x.checkLoad(ctx, owner, path, ownerCheckTimeout)
 	}
 	switch {
-	case result.err != nil && ctx.Err() == nil:
+	case result.isRejected():
+		return ownerBusy
+	case !result.isAnswered() && ctx.Err() == nil:
 		x.trace.note(string(owner.ID) + " does not answer a check")
 		return ownerSilent
-	case result.err != nil || result.health.Load == nil:
+	case result.health.Load == nil:
 		return ownerReady
 	case x.service.isLimitedCold(owner.ID) && !x.isCounterOf(owner):
 		return ownerCold
--- a/gateway/router/owner_check_test.go
+++ b/gateway/router/owner_check_test.go
@@ -21,6 +21,7 @@
 type checkedOwner struct {
 	waiting  atomic.Int32 // in its load reports
 	isSilent atomic.Bool  // it answers nothing
+	isIll    atomic.Bool  // it answers checks with 503
 	requests atomic.Int32
 	checks   atomic.Int32
 }
@@ -38,6 +39,9 @@
 	_, _ = io.Copy(io.Discard, r.Body)
 	w.Header().Set("Request-Id", r.Header.Get("Request-Id"))
 	w.Header().Set("Load", "report")
+	if o.isIll.Load() && r.URL.Path == "/health" {
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
 }
 
 // newCheckedExchange returns an at-most-once request for a key of an owner whose load is checked.
@@ -78,6 +82,15 @@
 	g.Expect(o.requests.Load()).To(gomega.BeEquivalentTo(1))
 }
 
+// A server may say that it is ill, and be well: its keys would have no other owner.
+func TestRequestIsSentToAnOwnerThatSaysItIsIll(t *testing.T) {
+	g := gomega.NewWithT(t)
+	o := new(checkedOwner)
+	o.isIll.Store(true)
+	end := newCheckedExchange(t, o, 10*time.Second).runToItsDeadline()
+	g.Expect(end.answer).NotTo(gomega.BeNil(), "%+v", end)
+}
+
 // A zone was dark, and each node sent at-most-once requests to its owners, which ended after three
 // seconds as possibly run. A check finds out, and the request has not run.
 func TestAtMostOnceRequestIsNotSentToASilentOwner(t *testing.T) {
--- a/gateway/upstream/health.go
+++ b/gateway/upstream/health.go
@@ -17,7 +17,7 @@
 }
 
 // CheckHealth requests the health path of a server. The connection is kept for requests. The error
-// is an *AttemptError, or an *UnhealthyError.
+// is an *AttemptError, or an *UnhealthyError together with what the answer reports.
 func (c *Client) CheckHealth(ctx context.Context, server site.Server, path string) (Health, error) {
 	header := http.Header{c.headers.ExpectedServer: {string(server.ID.Name())}}
 	r := &Request{Method: http.MethodGet, Target: path, Host: server.Address, Header: header}
@@ -34,10 +34,11 @@
 	if answer, err = c.finish(key, cn, answer, reusable, err); err != nil {
 		return Health{}, err
 	}
+	health := Health{Load: answer.Load, WarmUp: c.warmUpOf(answer)}
 	if answer.Status != http.StatusOK {
-		return Health{}, &UnhealthyError{Status: answer.Status}
+		return health, &UnhealthyError{Status: answer.Status}
 	}
-	return Health{Load: answer.Load, WarmUp: c.warmUpOf(answer)}, nil
+	return health, nil
 }
 
 func (c *Client) warmUpOf(answer *Answer) time.Duration {
