--- a/gateway/pool/share.go
+++ b/gateway/pool/share.go
@@ -41,7 +41,7 @@
 		return nil
 	}
 	if !m.spendCredit(p.inTime(w, now)) {
-		return &Refusal{Reason: OverShare, RetryAfter: p.shareRetryAfter(m), Share: m.share}
+		return &Refusal{Reason: OverShare, RetryAfter: p.shareRetryAfter(m, now), Share: m.share}
 	}
 	w.ChargedToShare = true
 	return nil
@@ -62,13 +62,12 @@
 // maxCredit bounds the unused part of a share that a node keeps while demand is low.
 const maxCredit = 2.0
 
-// shareRetryAfter returns the retry delay of a request beyond the share. Keys are busy for seconds,
-// and the smaller the share, the less likely it is that a request that returns sooner is sent.
-func (p *Pool) shareRetryAfter(m *member) time.Duration {
-	after := time.Duration((1 - m.share) * float64(maxRetryAfter))
-	spread := 1 - retryAfterSpread*p.random.Float64()
-	return max(minRetryAfter, time.Duration(spread*float64(after)))
+// shareRetryAfter returns the retry delay of a request beyond the share: the interval at
+// which the server could take this node's requests if there were no others.
+func (p *Pool) shareRetryAfter(m *member, now time.Time) time.Duration {
+	interval := p.serviceTime(m, now) / float64(max(m.Slots, 1)) / max(m.share, minShare)
+	return p.retryAfter(time.Duration(interval * float64(time.Second)))
 }
 
-// retryAfterSpread is the share of the retry delay that is random.
-const retryAfterSpread = 0.25
+// minShare is the lower bound of the share in the estimate of the retry delay.
+const minShare = 0.01
