Loads: sums of blocks of keys, so that idle keys cost nothing

Cause: each decay of the loads multiplied 131,072 rates of a service, many of them denormal numbers, and each search for the busiest key read a whole range. Change: keyRates keeps the sum of each block of 256 keys. Blocks without load are skipped, sums and the search for the busiest key use the blocks, and rates below 1e-9 requests a second become zero.

--- a/gateway/ranges/cold_test.go
+++ b/gateway/ranges/cold_test.go
@@ -54,8 +54,8 @@
 	l.Count(service, key, 0)
 	load := l.services[service]
 	rate := float32(part / 0.1) // in each 100 ms
-	load.longTerm[key] += rate * 0.1 * float32(0.6931/longTermHalfLife.Seconds())
-	load.shortTerm[key] += rate * 0.1 * float32(0.6931/shortTermHalfLife.Seconds())
+	load.longTerm.add(key, rate*0.1*float32(0.6931/longTermHalfLife.Seconds()))
+	load.shortTerm.add(key, rate*0.1*float32(0.6931/shortTermHalfLife.Seconds()))
 }
 
 // ratesOf returns the requests a second for the keys of each server, those to which ranges move
--- a/gateway/ranges/loads.go
+++ b/gateway/ranges/loads.go
@@ -31,24 +31,6 @@
 	return math.Sqrt(rate * math.Ln2 / (2 * halfLife.Seconds()))
 }
 
-// keyRates holds the decayed requests a second of each key.
-type keyRates [int(LastKey) + 1]float32
-
-func (r *keyRates) sum(span Span) float64 {
-	var sum float32
-	for _, rate := range r[span.From : span.To+1] {
-		sum += rate
-	}
-	return float64(sum)
-}
-
-func (r *keyRates) decay(passed, halfLife time.Duration) {
-	factor := float32(math.Exp2(-passed.Seconds() / halfLife.Seconds()))
-	for i := range r {
-		r[i] *= factor
-	}
-}
-
 // serviceLoad is the load of one service.
 type serviceLoad struct{ longTerm, shortTerm keyRates }
 
@@ -86,8 +68,8 @@
 		l.services[service] = load
 	}
 	// A constant rate r converges to r x halfLife / ln 2 in the decayed sum.
-	load.longTerm[key] += float32(requests) * float32(math.Ln2/longTermHalfLife.Seconds())
-	load.shortTerm[key] += float32(requests) * float32(math.Ln2/shortTermHalfLife.Seconds())
+	load.longTerm.add(key, float32(requests)*float32(math.Ln2/longTermHalfLife.Seconds()))
+	load.shortTerm.add(key, float32(requests)*float32(math.Ln2/shortTermHalfLife.Seconds()))
 }
 
 // occupancySum sums the requests that a server had at the times of its responses.
--- a/gateway/ranges/parts.go
+++ b/gateway/ranges/parts.go
@@ -50,7 +50,7 @@
 // without exceeding maxShare*want.
 func countFromEdge(keys *keyRates, edge, step Key, most int, want float64) (count int, sum float64) {
 	for ; count < most && sum < want; count++ {
-		weight := float64(keys[edge+step*Key(count)])
+		weight := keys.of(edge + step*Key(count))
 		if sum+weight > maxShare*want {
 			break
 		}
@@ -66,9 +66,9 @@
 	found := false
 	from := span.From
 	for to := span.From; to <= span.To; to++ {
-		sum += float64(keys[to])
-		for from < to && sum-float64(keys[from]) >= minShare*want {
-			sum -= float64(keys[from])
+		sum += keys.of(to)
+		for from < to && sum-keys.of(from) >= minShare*want {
+			sum -= keys.of(from)
 			from++
 		}
 		if sum < minShare*want || sum > maxShare*want {
--- a/gateway/ranges/usage.go
+++ b/gateway/ranges/usage.go
@@ -100,10 +100,8 @@
 func (r *round) hottest(u *usage) (hottest *rangeState, key Key, rate float64) {
 	for _, l := range u.leases {
 		rates, factor := r.weights(l)
-		for candidate := l.From; candidate <= l.To; candidate++ {
-			if of := float64(rates[candidate]) * factor; of > rate {
-				hottest, key, rate = l, candidate, of
-			}
+		if busiest, of, found := rates.busiest(l.Span, rate/factor); found {
+			hottest, key, rate = l, busiest, of*factor
 		}
 	}
 	return hottest, key, rate
