Shares: a hot key that moves counts as demand of its next owner

What callers saw: at-most-once requests for a hot key ended with 502 when the key changed hands: dozens of nodes sent their waiting requests to the new owner within 10 ms, which reset the connections of those beyond its queue. Cause: offeredRate summed the short-term load of the ranges that a server owns, not of those that move to it, and took the difference from the long-term load for a fall of the demand. Ruled out: that the checks of owners let them through; they did, since the new owner was still empty when each node checked.

--- a/gateway/ranges/demand.go
+++ b/gateway/ranges/demand.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"github.com/burdockspindle/burdockspindle/gateway/quota"
@@ -37,7 +38,7 @@
 // then requests for other keys would be refused without need.
 func (r *round) offeredRate(u *usage) float64 {
 	longTerm, shortTerm := u.utilization/u.cost, 0.0
-	for _, l := range u.leases {
+	for _, l := range slices.Concat(u.leases, u.incoming) {
 		rates, factor := r.loads.shortTermRates(r.service, shortTermSettled)
 		shortTerm += rates.sum(l.Span) * factor
 	}
--- a/gateway/ranges/usage.go
+++ b/gateway/ranges/usage.go
@@ -23,6 +23,7 @@
 	deviation   float64 // standard deviation of the utilization that follows from the random variation of the counts
 	ranges      int
 	leases      []*rangeState // ranges that the server owns and keeps
+	incoming    []*rangeState // ranges that are moving to the server
 }
 
 // measure returns the load of each server. A range that is moving is included in the load
@@ -58,6 +59,8 @@
 		u.utilization += r.rate(l) * u.cost
 		if owner == l.Server {
 			u.leases = append(u.leases, l)
+		} else {
+			u.incoming = append(u.incoming, l)
 		}
 	}
 	for _, u := range usages {
