Owner checks: an owner that takes the connection of a check is busy, not silent

Dozens of nodes use an owner once in ten seconds, so nearly every check opens a connection. Change: a check that was connected and not answered means busy, so the request waits for a random pause and checks again. The second check is on a new connection, the first one only on an idle one. Requests log what a check said. Evidence: TestRequestWaitsForABusyOwnerThatAnswersLate fails before (refused after a second).

--- a/gateway/router/check.go
+++ b/gateway/router/check.go
@@ -24,10 +24,11 @@
 	return c.err == nil || errors.As(c.err, &unhealthy)
 }
 
-// isRejected reports whether the server took no connection for lack of capacity.
-func (c loadCheck) isRejected() bool {
+// isConnected reports whether the server took the connection of the check: one that then does not
+// answer is running, and busy.
+func (c loadCheck) isConnected() bool {
 	var attempt *upstream.AttemptError
-	return errors.As(c.err, &attempt) && attempt.Rejected
+	return errors.As(c.err, &attempt) && (attempt.Rejected || attempt.Sent)
 }
 
 // checkLoads asks some servers that may run the request for their load, and returns those that
@@ -62,7 +63,7 @@
 	}
 	results := make(chan loadCheck, len(servers))
 	for _, server := range servers {
-		go func() { results <- x.checkLoad(ctx, server, path, pool.CheckTimeout) }()
+		go func() { results <- x.checkLoad(ctx, server, path) }()
 	}
 	var checked []site.ServerID
 	for range servers {
@@ -74,8 +75,8 @@
 }
 
 // checkLoad checks the load of a server and reports the result to the pool.
-func (x *exchange) checkLoad(ctx context.Context, server site.Server, path string, timeout time.Duration) loadCheck {
-	ctx, cancel := context.WithTimeout(ctx, timeout)
+func (x *exchange) checkLoad(ctx context.Context, server site.Server, path string) loadCheck {
+	ctx, cancel := context.WithTimeout(ctx, pool.CheckTimeout)
 	defer cancel()
 	loadChecks.Add(1)
 	health, err := x.router.client.CheckHealth(ctx, server, path)
--- a/gateway/router/owner_check.go
+++ b/gateway/router/owner_check.go
@@ -13,11 +13,11 @@
 
 // Checks of the owner of a key.
 const (
-	// ownerCheckTimeout is the timeout of the second check of an owner, on a new connection, after
-	// the first one had no answer: a lost packet takes longer than a check.
+	// ownerCheckTimeout is the timeout of a check of an owner on a new connection: a lost packet
+	// takes longer.
 	ownerCheckTimeout = 150 * time.Millisecond
-	// busyOwnerPause is the mean pause before an owner with a long queue is checked again, in
-	// mean service times.
+	// busyOwnerPause is the mean pause before a busy owner is checked again, in mean service times.
+	// It is random, since many nodes may wait for the same owner.
 	busyOwnerPause = 1.0
 )
 
@@ -31,33 +31,56 @@
 	ownerCold // and another node counts its requests
 )
 
+// mayCheckOwner reports whether the owner of the request's key is checked before the request is sent, if
+// checks fit the service.
+func (x *exchange) mayCheckOwner() bool {
+	return x.keyed && x.route.Kind == site.AtMostOnce && x.healthPath() != ""
+}
+
 // checkOwner checks whether the owner of the request's key can take it now. A request that is sent
-// to an owner that is silent or full is lost if it must not run twice; a check is not.
+// to an owner that is silent or full is lost if it must not run twice; a check is not. An owner that
+// takes the connection of a check and does not answer is busy: a server may serve a new connection
+// only when one of its slots is free.
 func (x *exchange) checkOwner(ctx context.Context, owner site.Server) ownerState {
-	path := x.healthPath()
-	if path == "" || x.route.Kind != site.AtMostOnce || !x.service.checksLoads() {
+	if !x.mayCheckOwner() || !x.service.checksLoads() {
 		return ownerReady
 	}
-	result := x.checkLoad(ctx, owner, path, pool.CheckTimeout)
-	if !result.isAnswered() {
-		result = x.checkLoad(ctx, owner, path, ownerCheckTimeout)
-	}
+	result := x.checkLoadOfOwner(ctx, owner, x.healthPath())
 	switch {
-	case result.isRejected():
+	case result.isConnected():
+		x.trace.note(string(owner.ID) + " is too busy for a check")
 		return ownerBusy
 	case !result.isAnswered() && ctx.Err() == nil:
-		x.trace.note(string(owner.ID) + " does not answer a check")
+		x.trace.note(string(owner.ID) + " takes no connection")
 		return ownerSilent
 	case result.health.Load == nil:
 		return ownerReady
 	case x.service.isLimitedCold(owner.ID) && !x.isCounterOf(owner):
 		return ownerCold
 	case pool.HasLongQueue(*result.health.Load):
+		x.trace.note(string(owner.ID) + " has a long queue, load " + loadText(*result.health.Load))
 		return ownerBusy
 	}
 	return ownerReady
 }
 
+// checkLoadOfOwner checks the load of an owner: on an idle connection, and if it has no answer there,
+// since the connection may be stalled, on a new one.
+func (x *exchange) checkLoadOfOwner(ctx context.Context, owner site.Server, path string) loadCheck {
+	if x.router.client.HasIdle(owner) {
+		if result := x.checkLoad(ctx, owner, path); result.isAnswered() {
+			return result
+		}
+	}
+	ctx, cancel := context.WithTimeout(ctx, ownerCheckTimeout)
+	defer cancel()
+	loadChecks.Add(1)
+	health, err := x.router.client.CheckHealthAnew(ctx, owner, path)
+	result := loadCheck{owner.ID, health, err}
+	x.service.recordCheck(result, false)
+	return result
+}
+
 // checkAgain is returned by refusalOfOwner when the request should ask for a slot again.
 var checkAgain = &refusal{}
 
--- a/gateway/router/owner_check_test.go
+++ b/gateway/router/owner_check_test.go
@@ -22,6 +22,7 @@
 	waiting  atomic.Int32 // in its load reports
 	isSilent atomic.Bool  // it answers nothing
 	isIll    atomic.Bool  // it answers checks with 503
+	delay    atomic.Int64 // of its answers to checks, in nanoseconds
 	requests atomic.Int32
 	checks   atomic.Int32
 }
@@ -36,6 +37,9 @@
 		<-r.Context().Done()
 		return
 	}
+	if r.URL.Path == "/health" {
+		time.Sleep(time.Duration(o.delay.Load()))
+	}
 	_, _ = io.Copy(io.Discard, r.Body)
 	w.Header().Set("Request-Id", r.Header.Get("Request-Id"))
 	w.Header().Set("Load", "report")
@@ -131,3 +135,21 @@
 	again, _, _ := refused.service.requestSlot(&pool.Waiter{OnlyServer: "b", Deadline: time.Now().Add(time.Minute)})
 	g.Expect(again.ID).To(gomega.Equal(site.ServerID("b")), "the slot was released")
 }
+
+// A busy owner serves a new connection only when one of its slots is free. Its late answers to checks
+// were taken for silence: requests were refused, or forwarded to nodes that found the same.
+func TestRequestWaitsForABusyOwnerThatAnswersLate(t *testing.T) {
+	g := gomega.NewWithT(t)
+	o := new(checkedOwner)
+	o.delay.Store(int64(400 * time.Millisecond))
+	x := newCheckedExchange(t, o, 20*time.Second)
+	go func() {
+		for o.checks.Load() < 6 {
+			time.Sleep(time.Millisecond)
+		}
+		o.delay.Store(0)
+	}()
+	end := x.runToItsDeadline()
+	g.Expect(end.answer).NotTo(gomega.BeNil(), "%+v", end)
+	g.Expect(o.requests.Load()).To(gomega.BeEquivalentTo(1))
+}
--- a/gateway/upstream/client.go
+++ b/gateway/upstream/client.go
@@ -135,12 +135,12 @@
 	cn := newConn(raw, c.meter(server))
 	cn.answeredAt = time.Now()
 	cn.usableUntil = cn.answeredAt.Add(defaultIdleTime)
-	c.idle.put(idleKey{address: server.Address, server: server.ID}, cn)
+	c.idle.put(requestKey(server), cn)
 	return nil
 }
 
 func (c *Client) do(ctx context.Context, server site.Server, r *Request, head []byte) (*Answer, error) {
-	key := idleKey{address: server.Address, server: server.ID}
+	key := requestKey(server)
 	cn, err := c.idleOrNewConn(ctx, key, server, r.Fresh)
 	if err != nil {
 		return nil, err
@@ -155,6 +155,12 @@
 	if cn := c.idle.take(key, time.Now(), fresh); cn != nil {
 		return cn, nil
 	}
+	return c.newConn(ctx, server)
+}
+
+// newConn returns a new connection, which the server has not closed at once. The error is an
+// *AttemptError.
+func (c *Client) newConn(ctx context.Context, server site.Server) (*conn, error) {
 	raw, err := c.connect(ctx, server)
 	if err != nil {
 		return nil, &AttemptError{Server: server.ID, Cause: err}
--- a/gateway/upstream/health.go
+++ b/gateway/upstream/health.go
@@ -16,22 +16,40 @@
 	WarmUp time.Duration // how much longer it is cold; 0: it is warm, or does not report it
 }
 
-// CheckHealth requests the health path of a server. The connection is kept for requests. The error
-// is an *AttemptError, or an *UnhealthyError together with what the answer reports.
+// CheckHealth requests the health path of a server, on an idle connection if there is one. The
+// connection is kept for requests. The error is an *AttemptError, or an *UnhealthyError together with
+// what the answer reports.
 func (c *Client) CheckHealth(ctx context.Context, server site.Server, path string) (Health, error) {
+	cn, err := c.idleOrNewConn(ctx, requestKey(server), server, false)
+	return c.checkHealth(ctx, cn, err, server, path)
+}
+
+// CheckHealthAnew does the same on a new connection.
+func (c *Client) CheckHealthAnew(ctx context.Context, server site.Server, path string) (Health, error) {
+	cn, err := c.newConn(ctx, server)
+	return c.checkHealth(ctx, cn, err, server, path)
+}
+
+// HasIdle reports whether there is an idle connection to a server.
+func (c *Client) HasIdle(server site.Server) bool { return c.idle.has(requestKey(server)) }
+
+// requestKey identifies the connections to a server for requests.
+func requestKey(server site.Server) idleKey {
+	return idleKey{address: server.Address, server: server.ID}
+}
+
+func (c *Client) checkHealth(ctx context.Context, cn *conn, err error, server site.Server, path string) (Health, error) {
+	if err != nil {
+		return Health{}, err
+	}
 	header := http.Header{c.headers.ExpectedServer: {string(server.ID.Name())}}
 	r := &Request{Method: http.MethodGet, Target: path, Host: server.Address, Header: header}
 	var head bytes.Buffer
 	writeHead(&head, r)
 	writeHeader(&head, header)
 	writeLength(&head, r)
-	key := idleKey{address: server.Address, server: server.ID}
-	cn, err := c.idleOrNewConn(ctx, key, server, false)
-	if err != nil {
-		return Health{}, err
-	}
 	answer, reusable, err := c.exchange(ctx, cn, r, head.Bytes(), false)
-	if answer, err = c.finish(key, cn, answer, reusable, err); err != nil {
+	if answer, err = c.finish(requestKey(server), cn, answer, reusable, err); err != nil {
 		return Health{}, err
 	}
 	health := Health{Load: answer.Load, WarmUp: c.warmUpOf(answer)}
--- a/gateway/upstream/health_test.go
+++ b/gateway/upstream/health_test.go
@@ -59,3 +59,26 @@
 	g.Expect(errors.As(err, &unhealthy)).To(gomega.BeTrue())
 	g.Expect(unhealthy.Status).To(gomega.Equal(http.StatusServiceUnavailable))
 }
+
+// An idle connection may be stalled, so that only a new one tells whether the server answers.
+func TestHealthCheckOnANewConnectionLeavesIdleOnes(t *testing.T) {
+	g := gomega.NewWithT(t)
+	var connections atomic.Int32
+	server := httptest.NewUnstartedServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
+	server.Config.ConnState = func(_ net.Conn, state http.ConnState) {
+		if state == http.StateNew {
+			connections.Add(1)
+		}
+	}
+	server.Start()
+	defer server.Close()
+	client := NewClient(Headers{ExpectedServer: "Expected", ParseLoad: func(string) (site.Load, bool) { return site.Load{}, false }}, "a")
+	to := site.Server{ID: "s", Address: strings.TrimPrefix(server.URL, "http://")}
+	g.Expect(client.HasIdle(to)).To(gomega.BeFalse())
+	for range 2 {
+		_, err := client.CheckHealthAnew(t.Context(), to, "/health")
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		g.Expect(client.HasIdle(to)).To(gomega.BeTrue())
+	}
+	g.Expect(connections.Load()).To(gomega.BeEquivalentTo(2))
+}
--- a/gateway/upstream/idle.go
+++ b/gateway/upstream/idle.go
@@ -55,6 +55,13 @@
 	return c
 }
 
+// has reports whether there is an idle connection.
+func (p *idlePool) has(key idleKey) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.conns[key]) > 0
+}
+
 func (p *idlePool) put(key idleKey, c *conn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
