Router, pool: split the choice of a server and the admission at an owner

No change of behaviour but for one text of the request log: an attempt that was still connecting when the time ended is logged as not connected, not as sent. Change: pick and pickChecked share soonest; admitToOwner returns whether the request is admitted instead of a sentinel refusal; the conditions for forwarding to the counting node are a function of their own. Checked: tests of gateway/router, gateway/pool, gateway/replay.

--- a/gateway/pool/check.go
+++ b/gateway/pool/check.go
@@ -124,22 +124,5 @@
 // pickChecked returns the server that is expected to answer first among those whose load has just
 // been checked, or nil if none has room.
 func (p *Pool) pickChecked(w *Waiter, now time.Time) *member {
-	var best, bestNear *member
-	var bestTime, nearTime float64
-	for _, m := range p.order {
-		if !slices.Contains(w.Checked, m.ID) || !p.canSend(m, w, now) {
-			continue
-		}
-		expected := p.expectedTime(m, w, now)
-		if best == nil || expected < bestTime {
-			best, bestTime = m, expected
-		}
-		if m.Zone == p.zone && (bestNear == nil || expected < nearTime) {
-			bestNear, nearTime = m, expected
-		}
-	}
-	if bestNear != nil && nearTime < ownZoneShare*w.Target.Sub(now).Seconds() {
-		return bestNear
-	}
-	return best
+	return p.soonest(w, now, func(m *member) bool { return slices.Contains(w.Checked, m.ID) })
 }
--- a/gateway/pool/pool.go
+++ b/gateway/pool/pool.go
@@ -198,8 +198,8 @@
 	return size
 }
 
-// pick returns the server with capacity where a request is expected to end first. A server of
-// the own zone is preferred as long as it is expected to answer well within the target.
+// pick returns the server with capacity that gets a request: its only one, the best of those that were
+// checked, rarely an untried one, or else the one where it is expected to end first.
 func (p *Pool) pick(w *Waiter, now time.Time) *member {
 	if w.OnlyServer != "" {
 		if m := p.members[w.OnlyServer]; m != nil && p.canSend(m, w, now) {
@@ -215,10 +215,17 @@
 			return m
 		}
 	}
+	return p.soonest(w, now, func(*member) bool { return true })
+}
+
+// soonest returns the server with capacity, among those that the rule accepts, where a request is
+// expected to end first, or nil. A server of the own zone that is expected to answer well within the
+// target is preferred.
+func (p *Pool) soonest(w *Waiter, now time.Time, accepts func(*member) bool) *member {
 	var best, bestNear *member
 	bestTime, nearTime := math.Inf(1), math.Inf(1)
 	for _, m := range p.order {
-		if !p.canSend(m, w, now) {
+		if !accepts(m) || !p.canSend(m, w, now) {
 			continue
 		}
 		expected := p.expectedTime(m, w, now)
--- a/gateway/router/cold.go
+++ b/gateway/router/cold.go
@@ -46,10 +46,9 @@
 func (d *dispatch) forwardToCounter(owner site.Server) *result {
 	x := d.x
 	counter, found := warmup.Counter(owner, x.router.state.Now().Members)
-	mayForward := found && slices.Contains(x.forwardCandidates(), counter) && x.router.forwarding != nil && x.forwarded == nil && !x.isTrial && !slices.Contains(x.forwardedTo, counter.Boot)
-	if !mayForward || d.caller.Err() != nil || x.callerDisconnected() || x.isQuarantined() {
+	if !found || !x.mayForwardTo(counter) || d.caller.Err() != nil || x.callerDisconnected() || x.isQuarantined() {
 		x.trace.note(string(owner.ID) + " is cold")
-		end := x.giveUp(&refusal{status: http.StatusServiceUnavailable, reason: "owner of the key is warming up", retryAfter: warmingRetryAfter, isOverloaded: true})
+		end := x.giveUp(warmingRefusal())
 		return &end
 	}
 	x.countedServer = owner.ID
@@ -57,6 +56,18 @@
 	return nil
 }
 
+// mayForwardTo reports whether the request may still be forwarded to a node.
+func (x *exchange) mayForwardTo(peer view.Member) bool {
+	if x.router.forwarding == nil || x.forwarded != nil || x.isTrial {
+		return false
+	}
+	return slices.Contains(x.forwardCandidates(), peer) && !slices.Contains(x.forwardedTo, peer.Boot)
+}
+
+func warmingRefusal() *refusal {
+	return &refusal{status: http.StatusServiceUnavailable, reason: "owner of the key is warming up", retryAfter: warmingRetryAfter, isOverloaded: true}
+}
+
 // isLimitedCold reports whether a server is cold and takes only some requests a second.
 func (s *service) isLimitedCold(id site.ServerID) bool {
 	s.mu.Lock()
--- a/gateway/router/dispatch.go
+++ b/gateway/router/dispatch.go
@@ -83,6 +83,7 @@
 // answer that was ready is delivered.
 func (d *dispatch) end() result {
 	x := d.x
+	step := "not connected to " + d.lastTarget + " yet"
 	timeout := time.NewTimer(abandonTimeout)
 	defer timeout.Stop()
 	for d.inFlight > 0 {
@@ -92,15 +93,16 @@
 			if attempt.err == nil && x.isFinal(attempt) {
 				return x.finalResult(attempt)
 			}
-			if attempt.err != nil && wasSent(attempt.err) {
-				x.mayHaveRun = true
+			if attempt.err == nil || !wasSent(attempt.err) {
+				continue
 			}
 		case <-timeout.C:
 			d.inFlight = 0
-			x.mayHaveRun = true
 		}
+		x.mayHaveRun = true
+		step = "sent to " + d.lastTarget + ", no answer yet"
 	}
-	x.trace.note("sent to " + d.lastTarget + ", no answer yet")
+	x.trace.note(step)
 	return x.giveUp(&refusal{status: http.StatusServiceUnavailable, reason: "timeout", retryAfter: ownerRetryDelay})
 }
 
--- a/gateway/router/owner.go
+++ b/gateway/router/owner.go
@@ -25,12 +25,14 @@
 		w.OnlyServer = owner
 		server, problem := x.waitForSlot(ctx, w)
 		if problem == nil {
-			if problem = x.refusalOfOwner(ctx, server); problem == nil {
+			isAdmitted, refused := x.admitToOwner(ctx, server)
+			if isAdmitted {
 				return server, nil
 			}
-			if problem == checkAgain {
+			if refused == nil {
 				continue
 			}
+			problem = refused
 		}
 		if problem.reason != string(pool.NoServer) {
 			return server, problem
--- a/gateway/router/owner_check.go
+++ b/gateway/router/owner_check.go
@@ -81,31 +81,34 @@
 	return result
 }
 
-// checkAgain is returned by refusalOfOwner when the request should ask for a slot again.
-var checkAgain = &refusal{}
-
-// refusalOfOwner checks the owner at which the request has a slot. It returns nil if the request may
-// be sent; otherwise the slot is released.
-func (x *exchange) refusalOfOwner(ctx context.Context, owner site.Server) *refusal {
+// admitToOwner checks the owner at which the request has a slot, and reports whether it may be sent.
+// Otherwise the slot is released, and the request is refused or, without a refusal, asks again.
+func (x *exchange) admitToOwner(ctx context.Context, owner site.Server) (isAdmitted bool, problem *refusal) {
 	switch x.checkOwner(ctx, owner) {
 	case ownerSilent:
 		x.service.releaseSlot(owner, pool.Outcome{Failed: true, NotReached: true})
 		x.unreached = append(x.unreached, owner.ID)
-		return checkAgain
+		return false, nil
 	case ownerCold:
 		x.service.releaseSlot(owner, pool.Outcome{Abandoned: true})
-		return &refusal{status: http.StatusServiceUnavailable, reason: "owner of the key is warming up", retryAfter: warmingRetryAfter, isOverloaded: true}
+		return false, warmingRefusal()
 	case ownerBusy:
 		x.service.releaseSlot(owner, pool.Outcome{Abandoned: true})
-		mean := x.service.meanServiceTime()
-		pause := time.Duration((0.5 + rand.Float64()) * busyOwnerPause * float64(mean))
-		if time.Until(x.deadline) < pause+mean {
-			return &refusal{status: http.StatusServiceUnavailable, reason: "queue of the key's owner is full", retryAfter: x.service.meanServiceTime(), isOverloaded: true}
-		}
-		clock.Wait(ctx, pause)
-		x.noteWait(pause)
-		return checkAgain
+		return false, x.awaitBusyOwner(ctx)
+	}
+	return true, nil
+}
+
+// awaitBusyOwner pauses before a busy owner is checked again. It returns a refusal if the request could
+// not be answered in time after that.
+func (x *exchange) awaitBusyOwner(ctx context.Context) *refusal {
+	mean := x.service.meanServiceTime()
+	pause := time.Duration((0.5 + rand.Float64()) * busyOwnerPause * float64(mean))
+	if time.Until(x.deadline) < pause+mean {
+		return &refusal{status: http.StatusServiceUnavailable, reason: "queue of the key's owner is full", retryAfter: mean, isOverloaded: true}
 	}
+	clock.Wait(ctx, pause)
+	x.noteWait(pause)
 	return nil
 }
 
