Warm-up: three nodes that count at once stay within the bound, shown by a test

Suspected so far: after two changes of the members in a second three nodes could count for one cold server, and exceed 2.9 x 1.5 + 8 requests in a second. Ruled out: a burst of one request instead of two; it is not needed, and a request beside another one would wait.

--- a/gateway/warmup/warmup.go
+++ b/gateway/warmup/warmup.go
@@ -42,7 +42,7 @@
 	return r.hash > other.hash
 }
 
-// burst is the number of requests that may be sent at once. It is small, because two nodes may
+// burst is the number of requests that may be sent at once. It is small, because three nodes may
 // count for a server while their lists of members differ.
 const burst = 2.0
 
--- a/gateway/warmup/warmup_test.go
+++ b/gateway/warmup/warmup_test.go
@@ -52,12 +52,19 @@
 }
 
 // Guards against the crash of a cold server: the greatest number of requests in a second, also of
-// two nodes that both count, is within the rate that it tolerates, times 1.5, plus 8.
+// two or three nodes that count at the same time, is within the rate that it tolerates, times 1.5,
+// plus 8.
 func TestBudgetBoundsTheRequestsOfAnySecond(t *testing.T) {
+	for _, counters := range []int{1, 2, 3} {
+		t.Run(fmt.Sprint(counters), func(t *testing.T) { checkRequestsOfAnySecond(t, counters) })
+	}
+}
+
+func checkRequestsOfAnySecond(t *testing.T, counters int) {
 	g := gomega.NewWithT(t)
 	const rate = 2.9
 	begin := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
-	budgets := make([]warmup.Budget, 2)
+	budgets := make([]warmup.Budget, counters)
 	var sent []time.Time
 	for now := begin; now.Before(begin.Add(5 * time.Second)); now = now.Add(10 * time.Millisecond) {
 		for i := range budgets {
@@ -77,8 +84,9 @@
 		}
 		most = max(most, count)
 	}
+	t.Logf("most in a second: %d", most)
 	g.Expect(float64(most)).To(gomega.BeNumerically("<=", rate*1.5+8))
-	g.Expect(float64(len(sent))).To(gomega.BeNumerically(">=", 2*5*rate), "the rate is used")
+	g.Expect(float64(len(sent))).To(gomega.BeNumerically(">=", float64(counters)*5*rate), "the rate is used")
 }
 
 func TestNextRequestIsAllowedWhenTheBudgetSays(t *testing.T) {
