Owner checks: a request that its owner would answer too late is refused instead of sent

What callers saw: an at-most-once request waited for its owner until shortly before its deadline, was sent all the same, and was cut off while the owner ran it (504, may have run), so that its caller could not try again. Cause: the wait ends when half of the mean service time is left, whatever the owner's queue and pace are. Change: the check tells the owner's queue and slowdown, so the expected time is known before the send; if even half of it exceeds the time left, the request is refused as not run. Evidence: TestAtMostOnceRequestIsRefusedWhenItsOwnerWouldAnswerTooLate fails before.

--- a/gateway/pool/check.go
+++ b/gateway/pool/check.go
@@ -96,6 +96,19 @@
 	return load.Waiting >= ownerQueuePerSlot*max(load.Slots, 1)
 }
 
+// ExpectedTime returns how long a request is expected to take that has a slot at a server, its wait in
+// the server's queue included.
+func (p *Pool) ExpectedTime(id site.ServerID, now time.Time) time.Duration {
+	m := p.members[id]
+	if m == nil {
+		return 0
+	}
+	mean := p.serviceTime(m, now) * p.loadChecks.relativeSlowdown(m, now)
+	slots := float64(max(m.Slots, 1))
+	ahead := float64(m.inFlight()) - 1 + m.otherRequests*decay(now.Sub(m.reportAt), reportHalfLife)
+	return time.Duration(mean * max(1, (ahead+1)/slots) * float64(time.Second))
+}
+
 // RecordCheck records the answer to a load check with how much longer the server is cold, or that it
 // was late.
 func (p *Pool) RecordCheck(id site.ServerID, load *site.Load, warmUp time.Duration, late bool, now time.Time) {
--- a/gateway/router/owner_check.go
+++ b/gateway/router/owner_check.go
@@ -29,6 +29,7 @@
 	ownerBusy
 	ownerSilent
 	ownerCold // and another node counts its requests
+	ownerLate // it would hardly answer before the deadline
 )
 
 // mayCheckOwner reports whether the owner of the request's key is checked before the request is sent, if
@@ -60,6 +61,8 @@
 	case pool.HasLongQueue(*result.health.Load):
 		x.trace.note(string(owner.ID) + " has a long queue, load " + loadText(*result.health.Load))
 		return ownerBusy
+	case minTimeShare*x.service.expectedTime(owner.ID).Seconds() > time.Until(x.deadline).Seconds():
+		return ownerLate
 	}
 	return ownerReady
 }
@@ -92,6 +95,9 @@
 	case ownerCold:
 		x.service.releaseSlot(owner, pool.Outcome{Abandoned: true})
 		return false, warmingRefusal()
+	case ownerLate:
+		x.service.releaseSlot(owner, pool.Outcome{Abandoned: true})
+		return false, waitTimeoutRefusal(x.service.meanServiceTime())
 	case ownerBusy:
 		x.service.releaseSlot(owner, pool.Outcome{Abandoned: true})
 		return false, x.awaitBusyOwner(ctx)
@@ -112,6 +118,12 @@
 	return nil
 }
 
+func (s *service) expectedTime(id site.ServerID) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.pool.ExpectedTime(id, time.Now())
+}
+
 func (s *service) checksLoads() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/gateway/router/owner_check_test.go
+++ b/gateway/router/owner_check_test.go
@@ -153,3 +153,17 @@
 	g.Expect(end.answer).NotTo(gomega.BeNil(), "%+v", end)
 	g.Expect(o.requests.Load()).To(gomega.BeEquivalentTo(1))
 }
+
+// Requests that had waited until shortly before their deadline were sent all the same, and cut off while
+// the owner ran them: their callers could not try again.
+func TestAtMostOnceRequestIsRefusedWhenItsOwnerWouldAnswerTooLate(t *testing.T) {
+	g := gomega.NewWithT(t)
+	o := new(checkedOwner)
+	o.waiting.Store(8)
+	x := newCheckedExchange(t, o, 150*time.Millisecond)
+	end := x.runToItsDeadline()
+	g.Expect(end.refusal).NotTo(gomega.BeNil(), "%+v", end)
+	g.Expect(end.refusal.status).To(gomega.Equal(http.StatusServiceUnavailable))
+	g.Expect(o.checks.Load()).To(gomega.BeEquivalentTo(1))
+	g.Expect(o.requests.Load()).To(gomega.BeZero())
+}
