Owner checks: log the expected time of a refused request; one estimate of the time at a server

On reading the change again: ExpectedTime repeated the estimate of expectedTime, and a request that its owner would answer too late was logged as waited in vain, without the owner's expected time. No change of decisions.

--- a/gateway/pool/check.go
+++ b/gateway/pool/check.go
@@ -103,10 +103,7 @@
 	if m == nil {
 		return 0
 	}
-	mean := p.serviceTime(m, now) * p.loadChecks.relativeSlowdown(m, now)
-	slots := float64(max(m.Slots, 1))
-	ahead := float64(m.inFlight()) - 1 + m.otherRequests*decay(now.Sub(m.reportAt), reportHalfLife)
-	return time.Duration(mean * max(1, (ahead+1)/slots) * float64(time.Second))
+	return time.Duration(p.timeBehind(m, m.requests(now)-1, now) * float64(time.Second))
 }
 
 // RecordCheck records the answer to a load check with how much longer the server is cold, or that it
--- a/gateway/pool/pool.go
+++ b/gateway/pool/pool.go
@@ -264,10 +264,7 @@
 // expectedTime returns the time in seconds after which a request sent now is expected to be
 // answered, with random variation of estimateNoise.
 func (p *Pool) expectedTime(m *member, w *Waiter, now time.Time) float64 {
-	mean := p.serviceTime(m, now) * p.loadChecks.relativeSlowdown(m, now)
-	slots := float64(max(m.Slots, 1))
-	busy := float64(m.inFlight()) + m.otherRequests*decay(now.Sub(m.reportAt), reportHalfLife)
-	expected := mean * (1 + max(0, busy+1-slots)/slots)
+	expected := p.timeBehind(m, m.requests(now), now)
 	if now.Before(m.coldUntil) {
 		expected *= coldFactor
 	}
@@ -281,6 +278,18 @@
 	return expected * (1 + estimateNoise*(p.random.Float64()-0.5))
 }
 
+// requests returns the number of requests at a server, of this node and others.
+func (m *member) requests(now time.Time) float64 {
+	return float64(m.inFlight()) + m.otherRequests*decay(now.Sub(m.reportAt), reportHalfLife)
+}
+
+// timeBehind returns the time in seconds that a request takes at a server behind a number of others.
+func (p *Pool) timeBehind(m *member, others float64, now time.Time) float64 {
+	mean := p.serviceTime(m, now) * p.loadChecks.relativeSlowdown(m, now)
+	slots := float64(max(m.Slots, 1))
+	return mean * (1 + max(0, others+1-slots)/slots)
+}
+
 // Outcome describes how a request ended at a server.
 type Outcome struct {
 	Took       time.Duration
--- a/gateway/router/owner_check.go
+++ b/gateway/router/owner_check.go
@@ -61,7 +61,9 @@
 	case pool.HasLongQueue(*result.health.Load):
 		x.trace.note(string(owner.ID) + " has a long queue, load " + loadText(*result.health.Load))
 		return ownerBusy
-	case minTimeShare*x.service.expectedTime(owner.ID).Seconds() > time.Until(x.deadline).Seconds():
+	}
+	if expected := x.service.expectedTime(owner.ID); minTimeShare*float64(expected) > float64(time.Until(x.deadline)) {
+		x.trace.note(string(owner.ID) + " would answer after " + milliseconds(expected))
 		return ownerLate
 	}
 	return ownerReady
@@ -97,7 +99,7 @@
 		return false, warmingRefusal()
 	case ownerLate:
 		x.service.releaseSlot(owner, pool.Outcome{Abandoned: true})
-		return false, waitTimeoutRefusal(x.service.meanServiceTime())
+		return false, &refusal{status: http.StatusServiceUnavailable, reason: string(pool.WaitTooLong), retryAfter: x.service.meanServiceTime()}
 	case ownerBusy:
 		x.service.releaseSlot(owner, pool.Outcome{Abandoned: true})
 		return false, x.awaitBusyOwner(ctx)
