--- a/gateway/pool/cold.go
+++ b/gateway/pool/cold.go
@@ -47,9 +47,6 @@
 // rateOf returns how many requests a second of this node end at a server.
 func (p *Pool) rateOf(m *member, w *Waiter, seconds float64, now time.Time) float64 {
 	rate := m.rate(seconds)
-	if p.isCheckedOwner(w, now) {
-		rate = float64(max(m.Slots, 1)) / seconds
-	}
 	switch {
 	case !p.isLimitedCold(m, now):
 		return rate
--- a/gateway/pool/limit.go
+++ b/gateway/pool/limit.go
@@ -43,13 +43,13 @@
 func (m *member) lowerLimit(factor float64) { m.limit = max(minLimit, m.limit*factor) }
 
 // hasCapacity reports whether the limit lets another request go to a server.
-func (p *Pool) hasCapacity(m *member, w *Waiter, now time.Time) bool {
+func (p *Pool) hasCapacity(m *member, now time.Time) bool {
 	taken := 0
 	if m.inFlight() > 0 {
 		taken = m.takenSlots(p.serviceTime(m, now), now)
 	}
 	switch {
-	case m.hasShare(now), p.isCheckedOwner(w, now):
+	case m.hasShare(now):
 		return taken < max(m.Slots, 1)
 	case m.limit >= 1:
 		return float64(taken) < math.Floor(m.limit)
@@ -57,12 +57,6 @@
 	return taken == 0 && !now.Before(m.pausedUntil)
 }
 
-// isCheckedOwner reports whether the owner of a request's key is checked before the request is sent:
-// what it answers then counts more than what it answered to earlier requests.
-func (p *Pool) isCheckedOwner(w *Waiter, now time.Time) bool {
-	return w.ChecksOwner && p.ChecksLoads(now)
-}
-
 // startPause delays the next request after one has ended, for a limit below one.
 func (p *Pool) startPause(m *member, now time.Time) {
 	if m.limit < 1 {
--- a/gateway/pool/pool.go
+++ b/gateway/pool/pool.go
@@ -245,7 +245,7 @@
 // canSend reports whether a request may be sent to a server now.
 func (p *Pool) canSend(m *member, w *Waiter, now time.Time) bool {
 	isOverShare := w.OnlyServer != "" && m.hasShare(now) && !w.ChargedToShare
-	return !isOverShare && w.mayRunAt(m, now) && !m.blocked(now) && p.admitsCold(m, w, now) && p.hasCapacity(m, w, now)
+	return !isOverShare && w.mayRunAt(m, now) && !m.blocked(now) && p.admitsCold(m, w, now) && p.hasCapacity(m, now)
 }
 
 // untried returns the most recently added warm server of the own zone that has not answered
--- a/gateway/pool/queue.go
+++ b/gateway/pool/queue.go
@@ -29,7 +29,6 @@
 	Tried          []site.ServerID // incarnations of servers that have been tried
 	AtMostOnce     bool            // the request must not run twice; if its server fails, it is lost
 	ChargedToShare bool            // it has been charged to the share of its server
-	ChecksOwner    bool            // the load of OnlyServer is checked before it is sent, if checks fit the service
 	// CountedServer is a cold server whose requests this node counts, to the knowledge of the node
 	// that forwarded the request; empty: none.
 	CountedServer site.ServerID
--- a/gateway/router/run.go
+++ b/gateway/router/run.go
@@ -312,7 +312,7 @@
 }
 
 func (x *exchange) waiter() *pool.Waiter {
-	w := &pool.Waiter{Priority: x.route.Priority, ArrivedAt: x.arrived, Target: x.target, Deadline: x.deadline, Tried: x.tried, AtMostOnce: x.route.Kind == site.AtMostOnce, ChargedToShare: x.attempts > 0, ChecksOwner: x.mayCheckOwner()}
+	w := &pool.Waiter{Priority: x.route.Priority, ArrivedAt: x.arrived, Target: x.target, Deadline: x.deadline, Tried: x.tried, AtMostOnce: x.route.Kind == site.AtMostOnce, ChargedToShare: x.attempts > 0}
 	w.MayRunIn = x.mayRunIn()
 	if x.forwarded != nil {
 		w.CountedServer = x.forwarded.Counted
