--- a/gateway/router/check.go
+++ b/gateway/router/check.go
@@ -31,9 +31,9 @@
 	return errors.As(c.err, &attempt) && (attempt.Rejected || attempt.Sent)
 }
 
-// checkLoads asks some servers that may run the request for their load, and returns those that
-// answered in time: servers of the own zone, and of others if none of these can answer well within
-// the target.
+// checkLoads asks some servers that may run the request for their load, and records those that
+// answered in time: servers of the own zone, and of others if none of these is expected to answer the
+// request well within the target.
 func (x *exchange) checkLoads(ctx context.Context, w *pool.Waiter) {
 	path := x.healthPath()
 	if path == "" {
