Router tests: the port of an ended server is not taken by another program

Package sockettest, which was the stand-in's address.go, gives each program ports of its own, and newBackend uses it. The test also has a server of another service that lives throughout: with all its servers ended the node is partitioned as far as it knows, and how many ends it finds out about until then is a matter of time. Its expectations are unchanged.

--- a/gateway/router/quarantine_test.go
+++ b/gateway/router/quarantine_test.go
@@ -75,7 +75,8 @@
 	g.Expect(server.received.Load()).To(gomega.Equal(int32(1)))
 }
 
-// A node whose reports reach no lessor refuses the request after some servers.
+// A node whose reports reach no lessor refuses the request after some servers. It reaches another one
+// throughout: with all servers ended it would be partitioned as far as it knows.
 func TestNodeQuarantinesByItself(t *testing.T) {
 	g := gomega.NewWithT(t)
 	var servers []site.Server
@@ -87,7 +88,9 @@
 		servers = append(servers, b.Server)
 		backends = append(backends, b)
 	}
-	r, _, _ := newCrashRouter(t, servers...)
+	live := newBackend(t, "live")
+	live.Service = "other"
+	r, _, _ := newCrashRouter(t, append(servers, live.Server)...)
 	received := func() int {
 		count := 0
 		for _, b := range backends {
--- a/gateway/router/server_restart_test.go
+++ b/gateway/router/server_restart_test.go
@@ -14,6 +14,7 @@
 	"github.com/burdockspindle/burdockspindle/gateway/budget"
 	"github.com/burdockspindle/burdockspindle/gateway/follow"
 	"github.com/burdockspindle/burdockspindle/gateway/site"
+	"github.com/burdockspindle/burdockspindle/gateway/socket/sockettest"
 	"github.com/burdockspindle/burdockspindle/gateway/upstream"
 	"github.com/burdockspindle/burdockspindle/gateway/view"
 )
@@ -30,7 +31,7 @@
 func newBackend(t *testing.T, id site.ServerID) *backend {
 	t.Helper()
 	b := &backend{}
-	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	server := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		b.received.Add(1)
 		if b.onRequest != nil {
 			b.onRequest()
@@ -40,6 +41,9 @@
 		}
 		w.Header().Set("Request-Id", r.Header.Get("Request-Id"))
 	}))
+	_ = server.Listener.Close() // its port may be taken by another program once it is closed
+	server.Listener = sockettest.Listen(t)
+	server.Start()
 	t.Cleanup(server.Close)
 	b.listener = server.Listener
 	address, err := net.ResolveTCPAddr("tcp", server.Listener.Addr().String())
--- a/platform/standin/address.go
+++ b/gateway/socket/sockettest/address.go
@@ -1,4 +1,5 @@
-package standin
+// Package sockettest provides loopback addresses that tests of several programs do not share.
+package sockettest
 
 import (
 	"fmt"
@@ -11,10 +12,10 @@
 	"testing"
 )
 
-// Ports of nodes are below the ephemeral range, so that no other socket is assigned one
-// between its choice and the start of a node, or while a node is down. Each test process
-// takes ports from a block of its own. Otherwise a node of another process could take the
-// port of a node that is down, and respond to its callers.
+// The ports are below the ephemeral range, so that no other socket is assigned one between its
+// choice and the start of a listener, or while a listener is closed. Each test process takes ports
+// from a block of its own. Otherwise a listener of another process could take the port of one that
+// is closed, and respond to its callers.
 const (
 	firstPort  = 12000
 	blockPorts = 1500
@@ -49,6 +50,16 @@
 	return portBlock{first: firstPort + os.Getpid()%blockCount*blockPorts}
 }
 
+// Listen returns a listener on a loopback address whose port stays unused after it is closed.
+func Listen(t testing.TB) net.Listener {
+	t.Helper()
+	listener, err := net.Listen("tcp", FreeAddress(t))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return listener
+}
+
 // FreeAddress returns a loopback address without a listener.
 func FreeAddress(t testing.TB) string {
 	t.Helper()
