Router: one request at a time tries an owner that lost its lease

Hypothesis: a 421 counts as a send by the rule, so a node should remember it. Ruled out: refusals of other nodes, which cost nothing unless they sent (recordSendsOfPeer). Change: after a 421 no request is sent for that range at that owner for 100 ms; then one tries, and the others wait for its answer, at most as long as for a key without an owner. Another range, or another owner of the same range, is not affected.

--- a/gateway/router/owner.go
+++ b/gateway/router/owner.go
@@ -71,7 +71,8 @@
 }
 
 // owner returns the server that owns the request's key. It waits while the key is handed
-// over, or until the key has been granted to the next incarnation of its owner.
+// over, until the key has been granted to the next incarnation of its owner, or while its owner
+// refuses requests as misdirected.
 func (x *exchange) owner(ctx context.Context) (site.ServerID, *refusal) {
 	if x.attempts > 0 {
 		x.awaitViewChange(ctx)
@@ -82,9 +83,14 @@
 		changed := x.router.state.Changed()
 		now := x.router.state.Now()
 		route, found := now.RouteOf(x.service.name, x.key)
+		var tryAgain <-chan time.Time
 		switch {
 		case found && route.State == ranges.Ready && !now.Restarted(route.Server):
-			return route.Server, nil
+			pause, mayTry := x.service.mayTryOwner(route)
+			if mayTry {
+				return route.Server, nil
+			}
+			tryAgain = time.After(pause)
 		case found && route.State == ranges.Unresponsive:
 			left := route.Until.Sub(clock.Now())
 			if left+x.service.meanServiceTime() > time.Until(x.deadline) {
@@ -94,6 +100,7 @@
 		}
 		select {
 		case <-changed:
+		case <-tryAgain:
 		case <-wait.C:
 			return "", &refusal{status: http.StatusServiceUnavailable, reason: "key has no owner", retryAfter: ownerRetryDelay}
 		case <-ctx.Done():
--- a/gateway/router/run.go
+++ b/gateway/router/run.go
@@ -169,6 +169,7 @@
 		}
 		return x.route.Kind == site.AtMostOnce && x.mayHaveRun
 	}
+	x.noteOwnerAnswer(attempt)
 	if attempt.answer.NotRun {
 		return false
 	}
