Lessor: a node that reaches servers claims when the readers reach none

Cause, by the log: the lessor and the first node of each zone are cut off. These three read the store, tell the others fresh data, and may claim only after 3 s, as they can grant nothing; a-1 does at 19.7 s and resigns 0.1 s later. a-3, b-3 and c-2 reach the servers, but a claim requires one's own reading, and a node with fresh data does not read. Ways weighed: readers that report stale data (all followers would read); followers of no lessor read by themselves (all nodes of a zone that is cut off from the lessor would); nodes that read and are partitioned say that a lessor is needed, and followers that reach servers read after 0.5 s plus 50 ms for each node of the zone before them.

--- a/gateway/duty/duty.go
+++ b/gateway/duty/duty.go
@@ -255,7 +255,7 @@
 		d.claimAt = now.Add(claimDelay(d.Member, d.State.Now()))
 	}
 	claimAt := d.claimAt
-	if d.isPartitioned() {
+	if d.CanGrantNothing() {
 		claimAt = claimAt.Add(partitionedClaimDelay)
 	}
 	return !now.Before(claimAt)
--- a/gateway/duty/partition_test.go
+++ b/gateway/duty/partition_test.go
@@ -58,3 +58,19 @@
 	g.Expect(claims(maxClaimDelay)).To(gomega.BeFalse(), "the nodes that reach servers have claimed by then")
 	g.Expect(claims(maxClaimDelay+partitionedClaimDelay)).To(gomega.BeTrue(), "no other node has claimed")
 }
+
+// A node that reads the store reports what it read; another one passes on what it was notified of.
+func TestPartitionedNodeReportsThatALessorIsNeeded(t *testing.T) {
+	g := gomega.NewWithT(t)
+	partitioned := true
+	d := New()
+	d.IsPartitioned = func(site.ServiceName) bool { return partitioned }
+	d.State = view.NewState()
+	d.Reader = new(follow.Reader)
+	setKeyedService(d)
+	g.Expect(d.NeedsLessor()).To(gomega.BeFalse())
+	d.Reader.NoteLessorNeeded(true)
+	g.Expect(d.NeedsLessor()).To(gomega.BeTrue())
+	partitioned = false
+	g.Expect(d.NeedsLessor()).To(gomega.BeFalse(), "it may claim the lease itself")
+}
--- a/gateway/duty/resign.go
+++ b/gateway/duty/resign.go
@@ -47,8 +47,8 @@
 	}
 }
 
-// isPartitioned reports whether this node can connect to no server of any keyed service.
-func (d *Duty) isPartitioned() bool {
+// CanGrantNothing reports whether this node can connect to no server of any keyed service.
+func (d *Duty) CanGrantNothing() bool {
 	v := d.State.Now()
 	if d.IsPartitioned == nil || v.Config == nil {
 		return false
@@ -66,11 +66,25 @@
 	return keyed > 0
 }
 
+// NeedsLessor reports whether there is no lessor to this node's knowledge and it could grant nothing
+// as one, so that its followers should claim the lease.
+func (d *Duty) NeedsLessor() bool {
+	if !d.CanGrantNothing() {
+		return false
+	}
+	now := clock.Now()
+	ownership := d.Reader.Ownership()
+	if isFresh(ownership, now) {
+		return isLeaseVacant(ownership, d.Self, now)
+	}
+	return d.Reader.IsLessorNeeded()
+}
+
 // mustResign reports whether another node should be the lessor: this one can connect to no
 // keyed server, or most owners are unresponsive to it and it has held the lease for more than
 // minLeaseBeforeResign.
 func (d *Duty) mustResign(now time.Time) bool {
-	if len(d.State.Now().Members) > 1 && d.isPartitioned() {
+	if len(d.State.Now().Members) > 1 && d.CanGrantNothing() {
 		return true
 	}
 	unresponsive, owners := d.allocator.Unresponsive(d.State.Now().Registered())
--- a/gateway/follow/feed.go
+++ b/gateway/follow/feed.go
@@ -47,6 +47,9 @@
 	State    *view.State
 	Contact  *Contact
 	IsLessor func() bool
+	// NeedsLessor reports whether there is no lessor and this node could grant nothing as one; nil:
+	// never.
+	NeedsLessor func() bool
 	// Reports receives the reports of followers. Reports are dropped while the channel is
 	// full.
 	Reports chan Report
@@ -198,6 +201,7 @@
 	reply.ServersNext = int64(f.Contact.Next()) // read before the view, which contains at least these records
 	v := f.State.Now()
 	reply.Resigned = f.resigned.Load() && v.Routes.Lessor.Boot == f.Self.Boot
+	reply.NeedsLessor = f.NeedsLessor != nil && f.NeedsLessor()
 	reply.Evacuation = evacuationMessage(v, msg)
 	var err error
 	if v.Config != nil && uint64(v.Config.Version) > msg.ConfigVersion {
--- a/gateway/follow/follower.go
+++ b/gateway/follow/follower.go
@@ -132,6 +132,7 @@
 	age := time.Duration(reply.ContactAgeMs) * time.Millisecond
 	isFresh := reply.ContactAgeMs >= 0 && age < contactLimit(from.lessor)
 	f.Feed.SetFollows(reply.IsLessor || reply.FollowsLessor)
+	f.Reader.NoteLessorNeeded(reply.NeedsLessor)
 	if !isFresh {
 		f.avoidFor(from)
 		return f.hasAlternative(from)
--- a/gateway/follow/reader.go
+++ b/gateway/follow/reader.go
@@ -49,18 +49,23 @@
 	Contact   *Contact
 	Logger    hclog.Logger
 	StartedAt time.Time // start time of the node
+	// IsPartitioned reports whether the node can connect to no keyed server; nil: never.
+	IsPartitioned func() bool
 
-	priority       atomic.Pointer[ReadPriority]
-	lessor         atomic.Bool               // the node is the lessor and need not read its own lease
-	lost           atomic.Bool               // the latest call failed
-	serversLost    atomic.Bool               // the latest read of the servers failed
-	watchUntil     atomic.Pointer[time.Time] // by package clock; until then the node watches for a new lessor
-	woken          broadcast.Signal          // sent when the node may have to read earlier than expected
-	ownershipReads broadcast.Signal          // sent after each read of the ownership topic
-	registry       *Registry
-	invalid        invalidEntryLog
-	mu             sync.Mutex
-	ownership      Ownership
+	priority    atomic.Pointer[ReadPriority]
+	lessor      atomic.Bool               // the node is the lessor and need not read its own lease
+	lost        atomic.Bool               // the latest call failed
+	serversLost atomic.Bool               // the latest read of the servers failed
+	watchUntil  atomic.Pointer[time.Time] // by package clock; until then the node watches for a new lessor
+	// lessorNeededSince is when the followed node began to report that a lessor is needed, by package
+	// clock; nil: it does not.
+	lessorNeededSince atomic.Pointer[time.Time]
+	woken             broadcast.Signal // sent when the node may have to read earlier than expected
+	ownershipReads    broadcast.Signal // sent after each read of the ownership topic
+	registry          *Registry
+	invalid           invalidEntryLog
+	mu                sync.Mutex
+	ownership         Ownership
 }
 
 // SetReadPriority sets the node's priority among those that may read the store.
@@ -110,7 +115,8 @@
 	priority := r.ReadPriority()
 	until := r.watchUntil.Load()
 	watches := priority.isFirst() && until != nil && clock.Now().Before(*until)
-	return watches || priority.mayRead(age, hasReport)
+	left, isVacancyDue := r.untilVacancyRead()
+	return watches || isVacancyDue && left <= 0 || priority.mayRead(age, hasReport)
 }
 
 // reportAge returns the age of the latest report from another node. If there was none, it
@@ -127,6 +133,9 @@
 func (r *Reader) awaitTurn(ctx context.Context, woken <-chan struct{}, longest time.Duration) {
 	age, hasReport := r.reportAge()
 	left := r.ReadPriority().maxReportAge(hasReport) - age
+	if vacancyLeft, isDue := r.untilVacancyRead(); isDue {
+		left = min(left, vacancyLeft)
+	}
 	timer := time.NewTimer(max(min(left+time.Millisecond, longest), minTurnWait))
 	defer timer.Stop()
 	select {
@@ -272,7 +281,11 @@
 	t.failures = 0
 	priority := r.ReadPriority()
 	age, hasReport := r.Contact.PeerReportAge()
-	eventReadingStarted.Log(r.Logger, "reason", priority.reason(hasReport), "rank", priority.Rank, "toldAge", age)
+	reason := priority.reason(hasReport)
+	if left, isVacancyDue := r.untilVacancyRead(); isVacancyDue && left <= 0 {
+		reason = "there is no lessor, and the nodes that read could grant nothing"
+	}
+	eventReadingStarted.Log(r.Logger, "reason", reason, "rank", priority.Rank, "toldAge", age)
 	if reported := r.Contact.Next(); reported > t.servers && r.State.Now().Servers.Offset > 0 {
 		r.registry.Adopt(r.State.Now().Servers, reported, clock.Now())
 		t.servers = reported
--- a/modules/gateway/site.go
+++ b/modules/gateway/site.go
@@ -123,6 +123,8 @@
 	s.duty.StartedAt = clock.Now()
 	s.duty.Reports = s.reports
 	s.duty.IsPartitioned = s.prober.IsPartitioned
+	s.reader.IsPartitioned = s.duty.CanGrantNothing
+	s.feed.NeedsLessor = s.duty.NeedsLessor
 	s.duty.Logger = logger
 }
 
