--- a/gateway/router/forward_test.go
+++ b/gateway/router/forward_test.go
@@ -193,6 +193,21 @@
 	g.Expect(s.log.count("node shuts down")).To(gomega.Equal(1), "the draining node is passed over for a while")
 }
 
+// While most nodes could grant nothing, requests were refused with "retry budget spent" after another
+// node had refused them. A refusal without a send is no resend.
+func TestRefusalsOfOtherNodesTakeNoRetryBudget(t *testing.T) {
+	g := gomega.NewWithT(t)
+	s := newForwardingSite(t, site.AtMostOnce, 2, answerRequest, nil)
+	s.origin.SetOptions(Options{Retries: budget.Terms{Window: 10 * time.Second}})
+	s.others[0].SetDraining()
+	for range 10 {
+		answer := s.send(t.Context(), http.MethodPost, "/x", "")
+		g.Expect(answer.Code).To(gomega.Equal(http.StatusCreated), answer.Body.String())
+	}
+	g.Expect(s.log.count("node shuts down")).To(gomega.Equal(1))
+	g.Expect(s.origin.service("s").budgetLeft()).To(gomega.BeZero())
+}
+
 // Guards against requests that travel from node to node.
 func TestForwardedRequestIsNotForwardedAgain(t *testing.T) {
 	g := gomega.NewWithT(t)
