Follow: a node that was the lessor forgets that one was needed

Read on reading the diff, not seen: the flag stayed while the node was the lessor itself, so that it would have read the store at once after resigning, whoever was the lessor then. Part of the test of followers. Renamed: isVacancyReadDue, isExpected.

--- a/gateway/follow/reader.go
+++ b/gateway/follow/reader.go
@@ -88,6 +88,7 @@
 // SetLessor sets whether the node is the lessor.
 func (r *Reader) SetLessor(isLessor bool) {
 	r.lessor.Store(isLessor)
+	r.NoteLessorNeeded(false)
 	r.woken.Send()
 }
 
@@ -115,8 +116,7 @@
 	priority := r.ReadPriority()
 	until := r.watchUntil.Load()
 	watches := priority.isFirst() && until != nil && clock.Now().Before(*until)
-	left, isVacancyDue := r.untilVacancyRead()
-	return watches || isVacancyDue && left <= 0 || priority.mayRead(age, hasReport)
+	return watches || r.isVacancyReadDue() || priority.mayRead(age, hasReport)
 }
 
 // reportAge returns the age of the latest report from another node. If there was none, it
@@ -133,8 +133,8 @@
 func (r *Reader) awaitTurn(ctx context.Context, woken <-chan struct{}, longest time.Duration) {
 	age, hasReport := r.reportAge()
 	left := r.ReadPriority().maxReportAge(hasReport) - age
-	if vacancyLeft, isDue := r.untilVacancyRead(); isDue {
-		left = min(left, vacancyLeft)
+	if untilVacancyRead, isExpected := r.untilVacancyRead(); isExpected {
+		left = min(left, untilVacancyRead)
 	}
 	timer := time.NewTimer(max(min(left+time.Millisecond, longest), minTurnWait))
 	defer timer.Stop()
@@ -282,7 +282,7 @@
 	priority := r.ReadPriority()
 	age, hasReport := r.Contact.PeerReportAge()
 	reason := priority.reason(hasReport)
-	if left, isVacancyDue := r.untilVacancyRead(); isVacancyDue && left <= 0 {
+	if r.isVacancyReadDue() {
 		reason = "there is no lessor, and the nodes that read could grant nothing"
 	}
 	eventReadingStarted.Log(r.Logger, "reason", reason, "rank", priority.Rank, "toldAge", age)
--- a/gateway/follow/vacancy.go
+++ b/gateway/follow/vacancy.go
@@ -34,9 +34,15 @@
 // IsLessorNeeded reports whether the followed node has reported that a lessor is needed.
 func (r *Reader) IsLessorNeeded() bool { return r.lessorNeededSince.Load() != nil }
 
+// isVacancyReadDue reports whether the node must read the store because a lessor is needed.
+func (r *Reader) isVacancyReadDue() bool {
+	left, isExpected := r.untilVacancyRead()
+	return isExpected && left <= 0
+}
+
 // untilVacancyRead returns how long until the node must read the store because a lessor is needed.
-// isDue is false if none is, or if the node could grant nothing either.
-func (r *Reader) untilVacancyRead() (left time.Duration, isDue bool) {
+// isExpected is false if none is, or if the node could grant nothing either.
+func (r *Reader) untilVacancyRead() (left time.Duration, isExpected bool) {
 	since := r.lessorNeededSince.Load()
 	if since == nil || r.IsPartitioned != nil && r.IsPartitioned() {
 		return 0, false
--- a/gateway/follow/vacancy_test.go
+++ b/gateway/follow/vacancy_test.go
@@ -50,6 +50,10 @@
 		g.Expect(r.mustRead()).To(gomega.BeTrue())
 		r.NoteLessorNeeded(false)
 		g.Expect(r.mustRead()).To(gomega.BeFalse())
+		r.NoteLessorNeeded(true)
+		r.SetLessor(true)
+		r.SetLessor(false)
+		g.Expect(r.IsLessorNeeded()).To(gomega.BeFalse(), "this node was the lessor meanwhile")
 	})
 }
 
