Router: the watched servers are listed once for each server that ended

Found on reading the change: the sample of other servers took the lock of the watches once for each registered server, 3,000 times for each of the servers of a lost zone. It is taken once now; what is sampled is unchanged (TestServerThatEndsAfterMostOthersIsReported). Not measured.

--- a/gateway/router/crash.go
+++ b/gateway/router/crash.go
@@ -143,18 +143,23 @@
 // sampleOthers returns some servers other than one: those that may have ended as well only if there
 // are no others.
 func (c *crashes) sampleOthers(id site.ServerID) []site.Server {
-	others := c.sampleServers(func(other site.ServerID) bool { return other != id && !c.isWatched(other) })
+	watched := c.watchedServers()
+	others := c.sampleServers(func(other site.ServerID) bool { return other != id && !watched[other] })
 	if len(others) == 0 {
 		others = c.sampleServers(func(other site.ServerID) bool { return other != id })
 	}
 	return others
 }
 
-// isWatched reports whether a server has recently closed a connection with a request in flight.
-func (c *crashes) isWatched(id site.ServerID) bool {
+// watchedServers returns the servers that have recently closed a connection with a request in flight.
+func (c *crashes) watchedServers() map[site.ServerID]bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.watches[id] != nil
+	watched := make(map[site.ServerID]bool, len(c.watches))
+	for id := range c.watches {
+		watched[id] = true
+	}
+	return watched
 }
 
 // reachesAny reports whether one of some servers accepts a connection, or there are none.
