--- a/gateway/follow/reader.go
+++ b/gateway/follow/reader.go
@@ -49,8 +49,8 @@
 	Contact   *Contact
 	Logger    hclog.Logger
 	StartedAt time.Time // start time of the node
-	// IsPartitioned reports whether the node can connect to no keyed server; nil: never.
-	IsPartitioned func() bool
+	// CanGrantNothing reports whether the node can connect to no keyed server; nil: never.
+	CanGrantNothing func() bool
 
 	priority    atomic.Pointer[ReadPriority]
 	lessor      atomic.Bool               // the node is the lessor and need not read its own lease
--- a/gateway/follow/vacancy.go
+++ b/gateway/follow/vacancy.go
@@ -44,7 +44,7 @@
 // isExpected is false if none is, or if the node could grant nothing either.
 func (r *Reader) untilVacancyRead() (left time.Duration, isExpected bool) {
 	since := r.lessorNeededSince.Load()
-	if since == nil || r.IsPartitioned != nil && r.IsPartitioned() {
+	if since == nil || r.CanGrantNothing != nil && r.CanGrantNothing() {
 		return 0, false
 	}
 	delay := vacancyDelay + time.Duration(max(r.ReadPriority().Rank, 0))*vacancyRankDelay
--- a/gateway/follow/vacancy_test.go
+++ b/gateway/follow/vacancy_test.go
@@ -18,7 +18,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		g := gomega.NewWithT(t)
 		reading := func(rank int, isPartitioned bool) bool {
-			r := &Reader{Contact: new(Contact), StartedAt: clock.Now(), IsPartitioned: func() bool { return isPartitioned }}
+			r := &Reader{Contact: new(Contact), StartedAt: clock.Now(), CanGrantNothing: func() bool { return isPartitioned }}
 			r.SetReadPriority(ReadPriority{Rank: rank})
 			r.NoteLessorNeeded(true)
 			time.Sleep(time.Second)
--- a/modules/gateway/site.go
+++ b/modules/gateway/site.go
@@ -123,7 +123,7 @@
 	s.duty.StartedAt = clock.Now()
 	s.duty.Reports = s.reports
 	s.duty.IsPartitioned = s.prober.IsPartitioned
-	s.reader.IsPartitioned = s.duty.CanGrantNothing
+	s.reader.CanGrantNothing = s.duty.CanGrantNothing
 	s.feed.NeedsLessor = s.duty.NeedsLessor
 	s.duty.Logger = logger
 }
