Forward: what a partitioned node's refusal says holds for the whole service, and answers are remembered

Cause: a node that forwards asked three nodes at most, its own zone first, and kept a refusal for 0.5 s and for one owner of a key only, although the other node had said that it reaches no server of the service. An answer was not kept at all. With fifteen owners and eight of twelve nodes partitioned, three hops often met three partitioned nodes. The larger the cut and the fleet, the more often.

Change: a node that reaches no server of the service says so (Partitioned) and is not asked for it for 2 s; it names one that has lately answered it (Alternative). Nodes that have answered are preferred, but for one request in ten, so that a few nodes do not carry all. Up to six hops; at a node that is not partitioned, hops to partitioned nodes do not count. Older releases see Unreachable as before.

Weighed: news by the lessor's list of members (a second old, and 30 KB to each of 295 nodes at each change); more hops alone (0.7^6 of the requests still fail at seven in ten).

--- a/gateway/forward/message.go
+++ b/gateway/forward/message.go
@@ -71,6 +71,10 @@
 	// Unreachable reports that the other node can connect to no server that may run the
 	// request either.
 	Unreachable bool `json:"unreachable,omitempty"`
+	// Partitioned reports that the other node can connect to no server of the service, and
+	// Alternative is the boot of a node that lately could; empty: it knows of none.
+	Partitioned bool   `json:"partitioned,omitempty"`
+	Alternative string `json:"alternative,omitempty"`
 	// Overloaded reports that the other node has no room for the request.
 	Overloaded bool `json:"overloaded,omitempty"`
 	// Unavailable reports that the other node serves no forwarded request at the moment.
--- a/gateway/router/answer.go
+++ b/gateway/router/answer.go
@@ -59,10 +59,26 @@
 	if r.retryAfter > 0 {
 		header.Set("Retry-After", strconv.FormatFloat(r.retryAfter.Seconds(), 'f', 3, 64))
 	}
-	x.write(r.status, header, []byte(r.reason+"\n"), forward.Answer{Outcome: forward.NotRun, Reason: r.reason, Unreachable: r.isUnreachable, Overloaded: r.isOverloaded, Unavailable: r.isUnavailable})
+	x.write(r.status, header, []byte(r.reason+"\n"), x.refusalMessage(r))
 	x.log("refused", r.status, r.reason)
 }
 
+// refusalMessage returns what the node that forwarded the request is told of a refusal.
+func (x *exchange) refusalMessage(r *refusal) forward.Answer {
+	message := forward.Answer{
+		Outcome:     forward.NotRun,
+		Reason:      r.reason,
+		Unreachable: r.isUnreachable,
+		Partitioned: r.isPartitioned,
+		Overloaded:  r.isOverloaded,
+		Unavailable: r.isUnavailable,
+	}
+	if r.isPartitioned {
+		message.Alternative = x.router.forwarding.peers.Alternative(x.service.name, time.Now())
+	}
+	return message
+}
+
 // write sends a response. A node that forwarded the request also gets the message.
 func (x *exchange) write(status int, header http.Header, body []byte, message forward.Answer) {
 	target := x.writer.Header()
--- a/gateway/router/forward.go
+++ b/gateway/router/forward.go
@@ -14,9 +14,10 @@
 
 const (
 	// maxForwards bounds how often a request is forwarded while the node is partitioned from its
-	// servers, and maxForwardsConnected how often otherwise: a server that accepts no
-	// connection has then usually ended.
-	maxForwards          = 3
+	// servers: a node that is partitioned too refuses within about a millisecond.
+	// maxForwardsConnected bounds how often it is forwarded otherwise, to nodes that are not
+	// partitioned: a server that accepts no connection has then usually ended.
+	maxForwards          = 6
 	maxForwardsConnected = 1
 	// forwardMargin is how much earlier the other node's deadline is, so that its answer
 	// arrives in time.
@@ -57,13 +58,13 @@
 	s.deliver(s.pool.Admit(time.Now()))
 }
 
-// serversName identifies the servers that may run the request, for pauses of other nodes.
-func (x *exchange) serversName() string {
+// destination returns the servers that may run the request.
+func (x *exchange) destination() forward.Destination {
 	if !x.keyed {
-		return string(x.service.name)
+		return forward.Destination{Service: x.service.name}
 	}
 	route, _ := x.router.state.Now().RouteOf(x.service.name, x.key)
-	return string(x.service.name) + "/" + string(route.Server)
+	return forward.Destination{Service: x.service.name, Server: route.Server}
 }
 
 // nextPeer returns the node to which the request is forwarded. A request that was forwarded once
@@ -74,14 +75,14 @@
 	if f == nil || x.forwarded != nil || x.isTrial || areSendsSpent || x.forwards >= x.maxForwards() || time.Until(x.deadline) < 2*forwardMargin {
 		return view.Member{}, false
 	}
-	return f.peers.Pick(f.self, x.forwardCandidates(), x.serversName(), x.forwardedTo, time.Now())
+	return f.peers.Pick(f.self, x.forwardCandidates(), x.destination(), x.forwardedTo, time.Now())
 }
 
 func (x *exchange) maxForwards() int {
 	if x.isPartitioned() {
 		return maxForwards
 	}
-	return maxForwardsConnected
+	return min(maxForwardsConnected+x.partitionedPeers, maxForwards)
 }
 
 // sendNext sends the request to a server, or by way of another node if this node is partitioned
@@ -186,23 +187,24 @@
 func (x *exchange) isForwardFinal(attempt attemptResult) bool {
 	x.peerFailure = ""
 	if attempt.err != nil {
-		x.pausePeer(attempt, "", forward.UnavailablePause)
+		x.pausePeer(attempt, forward.Destination{}, forward.UnavailablePause)
 		return wasSent(attempt.err) && x.failForwarded("connection to the forwarding node lost")
 	}
 	message, err := forward.DecodeAnswer(attempt.answer.Header.Get(forward.Header))
 	attempt.answer.Header.Del(forward.Header)
 	switch {
 	case err != nil && attempt.answer.Status == http.StatusNotFound:
-		x.pausePeer(attempt, "", forward.UnsupportedPause)
+		x.pausePeer(attempt, forward.Destination{}, forward.UnsupportedPause)
 		return false
 	case err != nil:
-		x.pausePeer(attempt, "", forward.UnavailablePause)
+		x.pausePeer(attempt, forward.Destination{}, forward.UnavailablePause)
 		return x.failForwarded("no answer by way of another node")
 	}
 	x.recordSendsOfPeer(message)
 	switch message.Outcome {
 	case forward.Answered:
 		x.mayHaveRun = true
+		x.router.forwarding.peers.RecordServed(attempt.peer.Boot, x.service.name, time.Now())
 		return true
 	case forward.Unknown:
 		return x.failForwarded("by way of another node: " + message.Reason)
@@ -216,22 +218,25 @@
 func (x *exchange) recordPeerRefusal(attempt attemptResult, message forward.Answer) {
 	switch {
 	case message.Unavailable, attempt.answer.Status != http.StatusServiceUnavailable:
-		x.pausePeer(attempt, "", forward.UnavailablePause)
+		x.pausePeer(attempt, forward.Destination{}, forward.UnavailablePause)
+		return
+	case message.Partitioned:
+		x.partitionedPeers++
+		x.router.forwarding.peers.RecordPartitioned(attempt.peer.Boot, x.service.name, message.Alternative, time.Now())
 		return
 	case message.Unreachable:
-		x.pausePeer(attempt, x.serversName(), forward.UnreachablePause)
+		x.pausePeer(attempt, x.destination(), forward.UnreachablePause)
 		return
 	case message.Overloaded:
-		x.pausePeer(attempt, x.serversName(), forward.OverloadedPause)
+		x.pausePeer(attempt, x.destination(), forward.OverloadedPause)
 	}
 	x.peerRefusal = &refusal{status: attempt.answer.Status, reason: message.Reason, retryAfter: retryAfterOf(attempt.answer.Header), isOverloaded: message.Overloaded}
 }
 
-// pausePeer makes this node pass over the node of an attempt for requests to some servers, or for
-// all if servers is empty.
-func (x *exchange) pausePeer(attempt attemptResult, servers string, pause time.Duration) {
+// pausePeer makes this node pass over the node of an attempt for requests to some servers.
+func (x *exchange) pausePeer(attempt attemptResult, to forward.Destination, pause time.Duration) {
 	now := time.Now()
-	x.router.forwarding.peers.Pause(attempt.peer.Boot, servers, now.Add(pause), now)
+	x.router.forwarding.peers.Pause(attempt.peer.Boot, to, now.Add(pause), now)
 }
 
 // recordSendsOfPeer adds the attempts of the other node, which bound those that may follow.
--- a/gateway/router/forward_server.go
+++ b/gateway/router/forward_server.go
@@ -27,7 +27,7 @@
 	foreignRefusal     = &refusal{status: http.StatusServiceUnavailable, reason: "sender is not a node of this site", isUnavailable: true}
 	otherNodeRefusal   = &refusal{status: http.StatusServiceUnavailable, reason: "request is for another incarnation", isUnavailable: true}
 	drainingRefusal    = &refusal{status: http.StatusServiceUnavailable, reason: "node shuts down", isUnavailable: true}
-	partitionedRefusal = &refusal{status: http.StatusServiceUnavailable, reason: "node is partitioned from the servers", isUnreachable: true}
+	partitionedRefusal = &refusal{status: http.StatusServiceUnavailable, reason: "node is partitioned from the servers", isUnreachable: true, isPartitioned: true}
 	outdatedRefusal    = &refusal{status: http.StatusServiceUnavailable, reason: "configuration is older than the sender's", isUnavailable: true}
 	forwardedLimit     = &refusal{status: http.StatusServiceUnavailable, reason: "too many requests of other nodes", isUnavailable: true}
 )
--- a/gateway/router/serve.go
+++ b/gateway/router/serve.go
@@ -62,12 +62,14 @@
 	priorSends int // sends of that node
 	// forwards counts how often this node forwarded the request, forwardedTo are the
 	// incarnations of the nodes, and peerSends their sends.
-	forwards      int
-	forwardedTo   []string
-	peerSends     int
-	peerRefusal   *refusal      // of the latest other node; nil: none, or one that says nothing of the request
-	peerFailure   string        // why the latest forwarded attempt may have run without an answer
-	countedServer site.ServerID // the cold server to whose counter the request was forwarded
+	forwards    int
+	forwardedTo []string
+	peerSends   int
+	// partitionedPeers counts the forwards that were refused by a node which is partitioned too.
+	partitionedPeers int
+	peerRefusal      *refusal      // of the latest other node; nil: none, or one that says nothing of the request
+	peerFailure      string        // why the latest forwarded attempt may have run without an answer
+	countedServer    site.ServerID // the cold server to whose counter the request was forwarded
 	// isUnreachable reports that the latest refusal of a slot was for lack of a connection.
 	isUnreachable bool
 
@@ -103,6 +105,8 @@
 	// request, isOverloaded that it would wait too long, and isUnavailable that the node serves
 	// no request of other nodes.
 	isUnreachable, isOverloaded, isUnavailable bool
+	// isPartitioned reports that the node can connect to no server of the service.
+	isPartitioned bool
 }
 
 // prepare finds the route and reads the request.
