Router: a resend after a lost forward is taken from the retry budget

Cause: a node that forwarded a request and lost the connection, or got no answer that names its outcome, took the request for one that was not sent yet. So its next attempt, by way of another node or directly, was a first send to the retry budget of either node. The other node may have sent it.

Evidence: with no budget at all, one request arrived four times (by way of three other nodes) and twice (directly); the test expects one arrival.

Change: an attempt by way of another node that ended without an outcome counts as a send, unless that node has told of one. The next attempt is taken from the budget, and from the route's attempts.

Ruled out, by reading and tests: sends that the other node tells of (recordSendsOfPeer counts hedges in flight, since a send is counted when it begins); connections that were reset after the request was written (they count as sent); resends of the other node (taken from its own part).

--- a/gateway/router/forward.go
+++ b/gateway/router/forward.go
@@ -186,9 +186,10 @@
 // done. The other node has retried as far as that is allowed.
 func (x *exchange) isForwardFinal(attempt attemptResult) bool {
 	x.peerFailure = ""
+	sendsBefore := x.sends
 	if attempt.err != nil {
 		x.pausePeer(attempt, forward.Destination{}, forward.UnavailablePause)
-		return wasSent(attempt.err) && x.failForwarded("connection to the forwarding node lost")
+		return wasSent(attempt.err) && x.failForwarded("connection to the forwarding node lost", sendsBefore)
 	}
 	message, err := forward.DecodeAnswer(attempt.answer.Header.Get(forward.Header))
 	attempt.answer.Header.Del(forward.Header)
@@ -198,7 +199,7 @@
 		return false
 	case err != nil:
 		x.pausePeer(attempt, forward.Destination{}, forward.UnavailablePause)
-		return x.failForwarded("no answer by way of another node")
+		return x.failForwarded("no answer by way of another node", sendsBefore)
 	}
 	x.recordSendsOfPeer(message)
 	switch message.Outcome {
@@ -207,7 +208,7 @@
 		x.router.forwarding.peers.RecordServed(attempt.peer.Boot, x.service.name, time.Now())
 		return true
 	case forward.Unknown:
-		return x.failForwarded("by way of another node: " + message.Reason)
+		return x.failForwarded("by way of another node: "+message.Reason, sendsBefore)
 	}
 	x.recordPeerRefusal(attempt, message)
 	return false
@@ -251,9 +252,13 @@
 }
 
 // failForwarded records that the request may have run without an answer, and reports whether it is
-// done by that.
-func (x *exchange) failForwarded(failure string) bool {
+// done by that. Unless the other node has told of a send, one is counted that it may have made.
+func (x *exchange) failForwarded(failure string, sendsBefore int) bool {
 	x.mayHaveRun = true
 	x.peerFailure = failure
+	if x.sends == sendsBefore {
+		x.sends++
+		x.attempts = max(x.attempts, 1)
+	}
 	return x.route.Kind == site.AtMostOnce
 }
--- a/gateway/router/forward_test.go
+++ b/gateway/router/forward_test.go
@@ -487,3 +487,39 @@
 	defer s.origin.crashes.mu.Unlock()
 	g.Expect(s.origin.crashes.watches).To(gomega.BeEmpty())
 }
+
+// Guards against resends beyond the retry budget: a request whose answer is lost between two nodes was
+// sent once more, by way of another node or directly, without being taken from it.
+func TestResendAfterALostForwardIsTakenFromTheRetryBudget(t *testing.T) {
+	for name, isPartitioned := range map[string]bool{"by way of another node": true, "directly": false} {
+		t.Run(name, func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			var arrivals atomic.Int32
+			s := newForwardingSite(t, site.Idempotent, 3, func(w http.ResponseWriter, r *http.Request) {
+				arrivals.Add(1)
+				answerRequest(w, r)
+			}, func(next http.Handler) http.Handler {
+				return http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+					next.ServeHTTP(httptest.NewRecorder(), r)
+					panic(http.ErrAbortHandler) // ends the connection between the nodes
+				})
+			})
+			s.origin = s.newNode(t, site.Idempotent, s.members[0], s.server.Listener.Addr().String(), isPartitioned)
+			if !isPartitioned {
+				s.origin.forwarding.isPartitioned = partitionedOnce()
+			}
+			for _, r := range append(s.others, s.origin) {
+				r.SetOptions(Options{Retries: budget.Terms{Window: 10 * time.Second}})
+			}
+			answer := s.send(t.Context(), http.MethodGet, "/x", "")
+			g.Expect(arrivals.Load()).To(gomega.BeEquivalentTo(1), "there is no budget for a second one")
+			g.Expect(answer.Code).To(gomega.Equal(http.StatusBadGateway), "it may have run")
+		})
+	}
+}
+
+// partitionedOnce returns a function that reports a partition until the first forward.
+func partitionedOnce() func(site.ServiceName) bool {
+	var asked atomic.Int32
+	return func(site.ServiceName) bool { return asked.Add(1) <= 2 }
+}
