Forward: a node awaits the sender's configuration instead of refusing

Cause: a node with an older configuration than the sender's refused, and the sender passed over it for a second. A sender that reads the store has a version some milliseconds before the others, and one or two requests made it pass over all of them.

Change: the other node waits for the version, 300 ms at most, and then serves the request. The checks of the sender come before, and the wait counts among the forwarded requests that are limited.

Evidence: TestForwardedRequestAwaitsTheSendersConfiguration, refused with "no server" before.

--- a/gateway/router/forward_server.go
+++ b/gateway/router/forward_server.go
@@ -19,6 +19,9 @@
 	maxForwardedBytes = 32 << 20
 	// forwardedPollInterval is the interval at which the end of forwarded requests is awaited.
 	forwardedPollInterval = 20 * time.Millisecond
+	// configWait is how long a forwarded request waits for the configuration that its sender has: it
+	// reaches all nodes within about this time.
+	configWait = 300 * time.Millisecond
 )
 
 // Refusals of requests that other nodes forward.
@@ -51,6 +54,11 @@
 		x.refuse(forwardedLimit)
 		return
 	}
+	if !r.awaitConfig(request.Context(), message.ConfigVersion) {
+		x.refuse(outdatedRefusal)
+		return
+	}
+	x.view = r.state.Now()
 	forwardsReceived.Add(1)
 	x.sends, x.priorSends, x.tried = message.Sends, message.Sends, message.Tried
 	x.attempts = message.Sends
@@ -86,6 +94,32 @@
 	f.bodyBytes.Add(-max(length, 0))
 }
 
+// awaitConfig waits until the node has a version of the configuration, at most configWait, and reports
+// whether it has.
+func (r *Router) awaitConfig(ctx context.Context, version uint64) bool {
+	timeout := time.NewTimer(configWait)
+	defer timeout.Stop()
+	for {
+		changed := r.state.Changed()
+		if r.hasConfig(version) {
+			return true
+		}
+		select {
+		case <-changed:
+		case <-timeout.C:
+			return false
+		case <-ctx.Done():
+			return false
+		}
+	}
+}
+
+// hasConfig reports whether the node serves requests by a version of the configuration or a later one.
+func (r *Router) hasConfig(version uint64) bool {
+	now := r.state.Now()
+	return now.IsComplete() && uint64(now.Config.Version) >= version
+}
+
 // checkForwarded returns why the node does not serve a forwarded request, or nil.
 func (r *Router) checkForwarded(message forward.Request, remoteAddress string) *refusal {
 	switch {
@@ -93,8 +127,6 @@
 		return drainingRefusal
 	case r.forwarding == nil || message.ToBoot != r.forwarding.self.Boot:
 		return otherNodeRefusal
-	case !r.state.Now().IsComplete() || uint64(r.state.Now().Config.Version) < message.ConfigVersion:
-		return outdatedRefusal
 	case !r.isNode(message.Node, message.Boot, remoteAddress):
 		return foreignRefusal
 	}
--- a/gateway/router/forward_test.go
+++ b/gateway/router/forward_test.go
@@ -523,3 +523,26 @@
 	var asked atomic.Int32
 	return func(site.ServiceName) bool { return asked.Add(1) <= 2 }
 }
+
+// Guards against partitioned nodes that refuse callers for a second after each new configuration, since
+// the others got it a moment later.
+func TestForwardedRequestAwaitsTheSendersConfiguration(t *testing.T) {
+	g := gomega.NewWithT(t)
+	s := newForwardingSite(t, site.AtMostOnce, 2, answerRequest, nil)
+	publish := func(r *Router) {
+		next := *r.state.Now().Config
+		next.Version = 2
+		g.Expect(r.state.MergeConfig(&next)).To(gomega.BeTrue())
+	}
+	publish(s.origin)
+	received := time.AfterFunc(50*time.Millisecond, func() {
+		for _, r := range s.others {
+			publish(r)
+		}
+	})
+	defer received.Stop()
+	for range 5 {
+		answer := s.send(t.Context(), http.MethodPost, "/x", "")
+		g.Expect(answer.Code).To(gomega.Equal(http.StatusCreated), answer.Body.String())
+	}
+}
