Rate limits: package ratelimit, and names that do not tell of cold servers only

No change of behaviour. A server may take a few requests a second for another reason than its start, so the counter, the budget and the pool's limits lose the name of one.

--- a/gateway/pool/cold_test.go
+++ b/gateway/pool/cold_test.go
@@ -9,14 +9,14 @@
 	"github.com/onsi/gomega"
 
 	"github.com/burdockspindle/burdockspindle/gateway/pool"
+	"github.com/burdockspindle/burdockspindle/gateway/ratelimit"
 	"github.com/burdockspindle/burdockspindle/gateway/site"
 	"github.com/burdockspindle/burdockspindle/gateway/view"
-	"github.com/burdockspindle/burdockspindle/gateway/warmup"
 )
 
 // coldSite plays nodes that send requests to warm servers and to some that have just come back
 // together, cold. It returns when each request reached a cold server, and the requests refused.
-func coldSite(nodes int, warmUp func(node string) pool.WarmUp) (reached map[site.ServerID][]time.Time, refused int) {
+func coldSite(nodes int, warmUp func(node string) pool.RateLimits) (reached map[site.ServerID][]time.Time, refused int) {
 	var servers []site.Server
 	for i := range 12 {
 		server := site.Server{ID: serverID(i), Slots: 3, Zone: "a"}
@@ -29,7 +29,7 @@
 	pools := make([]*pool.Pool, nodes)
 	for i := range pools {
 		pools[i] = pool.New("a", 0, rand.New(rand.NewPCG(uint64(i), 1)))
-		pools[i].SetWarmUp(warmUp(fmt.Sprint("node-", i)))
+		pools[i].SetRateLimits(warmUp(fmt.Sprint("node-", i)))
 		pools[i].Update(servers, nodes, start)
 	}
 	type running struct {
@@ -97,9 +97,9 @@
 			for i := range nodes {
 				members = append(members, view.Member{Node: fmt.Sprint("node-", i), Zone: "a"})
 			}
-			counted, refused := coldSite(nodes, func(node string) pool.WarmUp {
-				return pool.WarmUp{Rate: tolerated, IsCounter: func(server site.Server) bool {
-					counter, _ := warmup.Counter(server, members)
+			counted, refused := coldSite(nodes, func(node string) pool.RateLimits {
+				return pool.RateLimits{Rate: tolerated, IsCounter: func(server site.Server) bool {
+					counter, _ := ratelimit.Counter(server, members)
 					return counter.Node == node
 				}}
 			})
@@ -107,7 +107,7 @@
 				g.Expect(mostInASecond(times)).To(gomega.BeNumerically("<=", 5), string(id))
 			}
 			g.Expect(refused).To(gomega.BeZero())
-			alone, _ := coldSite(nodes, func(string) pool.WarmUp { return pool.WarmUp{} })
+			alone, _ := coldSite(nodes, func(string) pool.RateLimits { return pool.RateLimits{} })
 			t.Logf("most in a second: %v, without a counter %v", mostOf(counted), mostOf(alone))
 		})
 	}
@@ -125,7 +125,7 @@
 func TestServerThatTurnsColdIsLimited(t *testing.T) {
 	g := gomega.NewWithT(t)
 	p := pool.New("a", 0, rand.New(rand.NewPCG(1, 1)))
-	p.SetWarmUp(pool.WarmUp{Rate: 2.9, IsCounter: func(site.Server) bool { return false }})
+	p.SetRateLimits(pool.RateLimits{Rate: 2.9, IsCounter: func(site.Server) bool { return false }})
 	server := site.Server{ID: "s", Slots: 3, Zone: "a"}
 	submit := func(now time.Time, counted site.ServerID) bool {
 		w := &pool.Waiter{ArrivedAt: now, Target: now.Add(time.Second), Deadline: now.Add(time.Second), CountedServer: counted}
--- a/gateway/pool/limit.go
+++ b/gateway/pool/limit.go
@@ -84,7 +84,7 @@
 		if m.limit < 1 && m.inFlight() == 0 && m.pausedUntil.After(until) {
 			until = m.pausedUntil
 		}
-		if cold := p.coldUntilNext(m, now); cold.After(until) {
+		if cold := p.limitedUntil(m, now); cold.After(until) {
 			until = cold
 		}
 		if now.Before(until) && (!found || until.Before(at)) {
--- a/gateway/pool/pool.go
+++ b/gateway/pool/pool.go
@@ -27,8 +27,8 @@
 	"time"
 
 	"github.com/burdockspindle/burdockspindle/gateway/quota"
+	"github.com/burdockspindle/burdockspindle/gateway/ratelimit"
 	"github.com/burdockspindle/burdockspindle/gateway/site"
-	"github.com/burdockspindle/burdockspindle/gateway/warmup"
 )
 
 // Weights and bounds of server selection.
@@ -92,8 +92,8 @@
 	failureRate    float64 // recent failure rate, as of failureAt
 	failureAt      time.Time
 	coldUntil      time.Time
-	coldBudget     warmup.Budget
-	isCounted      bool // this node counts the requests to the server while it is cold
+	budget         ratelimit.Budget
+	isCounter      bool // this node counts the requests to the server while it is cold
 	addedAt        time.Time
 	probationUntil time.Time // end of the low limit after a restart
 	// unansweredSince is the start of the period in which the server has had requests of this
@@ -128,7 +128,7 @@
 	// sharesUntil is the expiry of the shares if no newer ones arrive.
 	sharesUntil time.Time
 	random      *rand.Rand
-	warmUp      WarmUp
+	rateLimits  RateLimits
 	loadChecks  loadChecks
 }
 
@@ -165,7 +165,7 @@
 			m.coldUntil = now.Add(server.WarmUp)
 		}
 		m.Server = server
-		m.isCounted = p.warmUp.IsCounter != nil && p.warmUp.IsCounter(server)
+		m.isCounter = p.rateLimits.IsCounter != nil && p.rateLimits.IsCounter(server)
 	}
 	p.pruneHistories(now)
 	p.cachedTimes = serviceTimes{}
@@ -245,7 +245,7 @@
 // canSend reports whether a request may be sent to a server now.
 func (p *Pool) canSend(m *member, w *Waiter, now time.Time) bool {
 	isOverShare := w.OnlyServer != "" && m.hasShare(now) && !w.ChargedToShare
-	return !isOverShare && w.mayRunAt(m, now) && !m.blocked(now) && p.admitsCold(m, w, now) && p.hasCapacity(m, now)
+	return !isOverShare && w.mayRunAt(m, now) && !m.blocked(now) && p.admitsRate(m, w, now) && p.hasCapacity(m, now)
 }
 
 // untried returns the most recently added warm server of the own zone that has not answered
--- a/gateway/pool/queue.go
+++ b/gateway/pool/queue.go
@@ -132,7 +132,7 @@
 		m.unansweredSince = now
 	}
 	m.recordSend(now)
-	p.spendCold(m, now)
+	p.spendRate(m, now)
 	return &Admission{Waiter: w, Server: m.Server}
 }
 
--- a/gateway/warmup/warmup.go
+++ b/gateway/ratelimit/ratelimit.go
@@ -1,10 +1,10 @@
-// Package warmup limits the requests that all nodes of a site together send to a cold server. A
+// Package ratelimit limits the requests that all nodes of a site together send to a cold server. A
 // server that has just started, or has turned cold, tolerates a few requests a second and crashes
 // at more. With dozens of nodes a share of that for each is less than one request, so one node
 // counts the requests to each cold server: only it sends any, and the others forward to it.
 //
 // The package has no I/O and no clock.
-package warmup
+package ratelimit
 
 import (
 	"time"
--- a/gateway/warmup/warmup_test.go
+++ b/gateway/ratelimit/ratelimit_test.go
@@ -1,4 +1,4 @@
-package warmup_test
+package ratelimit_test
 
 import (
 	"fmt"
@@ -7,9 +7,9 @@
 
 	"github.com/onsi/gomega"
 
+	"github.com/burdockspindle/burdockspindle/gateway/ratelimit"
 	"github.com/burdockspindle/burdockspindle/gateway/site"
 	"github.com/burdockspindle/burdockspindle/gateway/view"
-	"github.com/burdockspindle/burdockspindle/gateway/warmup"
 )
 
 func membersOf(count int) []view.Member {
@@ -32,8 +32,8 @@
 		counted := map[string]int{}
 		for i := range 60 {
 			server := site.Server{ID: site.ServerID(fmt.Sprint("server-", i)), Zone: "b"}
-			counter, found := warmup.Counter(server, members)
-			again, _ := warmup.Counter(server, reversed)
+			counter, found := ratelimit.Counter(server, members)
+			again, _ := ratelimit.Counter(server, reversed)
 			g.Expect(found).To(gomega.BeTrue())
 			g.Expect(again).To(gomega.Equal(counter))
 			g.Expect(counter.Zone).To(gomega.Equal("b"))
@@ -45,9 +45,9 @@
 
 func TestServersWithoutNodesInTheirZoneAreCountedToo(t *testing.T) {
 	g := gomega.NewWithT(t)
-	_, found := warmup.Counter(site.Server{ID: "s", Zone: "x"}, membersOf(3))
+	_, found := ratelimit.Counter(site.Server{ID: "s", Zone: "x"}, membersOf(3))
 	g.Expect(found).To(gomega.BeTrue())
-	_, found = warmup.Counter(site.Server{ID: "s", Zone: "x"}, nil)
+	_, found = ratelimit.Counter(site.Server{ID: "s", Zone: "x"}, nil)
 	g.Expect(found).To(gomega.BeFalse())
 }
 
@@ -64,7 +64,7 @@
 	g := gomega.NewWithT(t)
 	const rate = 2.9
 	begin := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
-	budgets := make([]warmup.Budget, counters)
+	budgets := make([]ratelimit.Budget, counters)
 	var sent []time.Time
 	for now := begin; now.Before(begin.Add(5 * time.Second)); now = now.Add(10 * time.Millisecond) {
 		for i := range budgets {
@@ -92,7 +92,7 @@
 func TestNextRequestIsAllowedWhenTheBudgetSays(t *testing.T) {
 	g := gomega.NewWithT(t)
 	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
-	var budget warmup.Budget
+	var budget ratelimit.Budget
 	for budget.Has(2, now) {
 		budget.Spend(2, now)
 	}
--- a/gateway/router/cold_test.go
+++ b/gateway/router/cold_test.go
@@ -12,9 +12,9 @@
 	"github.com/onsi/gomega"
 
 	"github.com/burdockspindle/burdockspindle/gateway/ranges"
+	"github.com/burdockspindle/burdockspindle/gateway/ratelimit"
 	"github.com/burdockspindle/burdockspindle/gateway/site"
 	"github.com/burdockspindle/burdockspindle/gateway/view"
-	"github.com/burdockspindle/burdockspindle/gateway/warmup"
 )
 
 // newColdOwnerSite returns a site whose only server owns all keys and is cold. The first of the
@@ -26,7 +26,7 @@
 	cold := site.Server{Service: "s", Zone: "a", Slots: 4, WarmUp: time.Minute, Address: s.server.Listener.Addr().String()}
 	for i := 0; ; i++ {
 		cold.ID = site.ServerID(fmt.Sprint("cold-", i))
-		if counter, _ := warmup.Counter(cold, s.members); counter.Node == "other-0" {
+		if counter, _ := ratelimit.Counter(cold, s.members); counter.Node == "other-0" {
 			break
 		}
 	}
--- a/gateway/router/cold.go
+++ b/gateway/router/counted.go
@@ -6,9 +6,9 @@
 	"time"
 
 	"github.com/burdockspindle/burdockspindle/gateway/pool"
+	"github.com/burdockspindle/burdockspindle/gateway/ratelimit"
 	"github.com/burdockspindle/burdockspindle/gateway/site"
 	"github.com/burdockspindle/burdockspindle/gateway/view"
-	"github.com/burdockspindle/burdockspindle/gateway/warmup"
 )
 
 // warmingRetryAfter is the Retry-After of a request whose key's owner is cold while the node that
@@ -17,12 +17,12 @@
 
 // coldOwner returns the owner of the request's key if it is cold and takes only some requests a
 // second.
-func (x *exchange) coldOwner() (site.Server, bool) {
+func (x *exchange) countedOwner() (site.Server, bool) {
 	if !x.keyed {
 		return site.Server{}, false
 	}
 	id, isReady := x.readyOwner()
-	if !isReady || !x.service.isLimitedCold(id) {
+	if !isReady || !x.service.hasCounter(id) {
 		return site.Server{}, false
 	}
 	server, isRegistered := x.router.state.Now().Registered()[id]
@@ -37,7 +37,7 @@
 
 // isCounter reports whether this node counts the requests to a server while it is cold.
 func (r *Router) isCounter(server site.Server, members []view.Member) bool {
-	counter, found := warmup.Counter(server, members)
+	counter, found := ratelimit.Counter(server, members)
 	return found && counter.Node == r.node
 }
 
@@ -45,10 +45,10 @@
 // its key. It returns the final result if that is not possible.
 func (d *dispatch) forwardToCounter(owner site.Server) *result {
 	x := d.x
-	counter, found := warmup.Counter(owner, x.router.state.Now().Members)
+	counter, found := ratelimit.Counter(owner, x.router.state.Now().Members)
 	if !found || !x.mayForwardTo(counter) || d.caller.Err() != nil || x.callerDisconnected() || x.isQuarantined() {
 		x.trace.note(string(owner.ID) + " is cold")
-		end := x.giveUp(warmingRefusal())
+		end := x.giveUp(countedRefusal())
 		return &end
 	}
 	x.countedServer = owner.ID
@@ -64,24 +64,24 @@
 	return slices.Contains(x.forwardCandidates(), peer) && !slices.Contains(x.forwardedTo, peer.Boot)
 }
 
-func warmingRefusal() *refusal {
+func countedRefusal() *refusal {
 	return &refusal{status: http.StatusServiceUnavailable, reason: "owner of the key is warming up", retryAfter: warmingRetryAfter, isOverloaded: true}
 }
 
-// isLimitedCold reports whether a server is cold and takes only some requests a second.
-func (s *service) isLimitedCold(id site.ServerID) bool {
+// hasCounter reports whether a server is cold and takes only some requests a second.
+func (s *service) hasCounter(id site.ServerID) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.pool.IsLimitedCold(id, time.Now())
+	return s.pool.HasCounter(id, time.Now())
 }
 
-// warmUpOf returns the limits on requests to cold servers of a service in a view.
-func (r *Router) warmUpOf(name site.ServiceName, v *view.View) pool.WarmUp {
+// rateLimitsOf returns the limits on requests to cold servers of a service in a view.
+func (r *Router) rateLimitsOf(name site.ServiceName, v *view.View) pool.RateLimits {
 	if v.Config == nil || v.Config.Services[name].WarmUpRate == 0 {
-		return pool.WarmUp{}
+		return pool.RateLimits{}
 	}
 	members := v.Members
-	return pool.WarmUp{
+	return pool.RateLimits{
 		Rate:      v.Config.Services[name].WarmUpRate,
 		IsCounter: func(server site.Server) bool { return r.isCounter(server, members) },
 	}
--- a/gateway/router/forward.go
+++ b/gateway/router/forward.go
@@ -100,11 +100,11 @@
 	if x.isPartitioned() && d.forwardNext() {
 		return nil
 	}
-	if owner, isCold := x.coldOwner(); isCold && !x.isCounterOf(owner) {
+	if owner, isCounted := x.countedOwner(); isCounted && !x.isCounterOf(owner) {
 		return d.forwardToCounter(owner)
 	}
 	server, end := x.acquireSlotToSend(d.caller)
-	if owner, isCold := x.coldOwner(); end != nil && isCold && !x.isCounterOf(owner) && x.countedServer == "" {
+	if owner, isCounted := x.countedOwner(); end != nil && isCounted && !x.isCounterOf(owner) && x.countedServer == "" {
 		return d.forwardToCounter(owner) // found out by the check
 	}
 	switch {
--- a/gateway/router/router.go
+++ b/gateway/router/router.go
@@ -67,7 +67,7 @@
 	waiters          map[*pool.Waiter]chan waitResult
 	nodeCount        int         // that share the servers; 0: unknown
 	nodesHash        uint64      // of these nodes
-	warmUpRate       float64     // see pool.WarmUp
+	warmUpRate       float64     // see pool.RateLimits
 	sharesReportedAt time.Time   // when the shares were received
 	wakeTimer        *time.Timer // fires when waiting requests may next be admitted; nil: no such time
 }
@@ -138,7 +138,7 @@
 			budget:  budget.New(r.options.Retries, r.options.StartedAt),
 			waiters: map[*pool.Waiter]chan waitResult{},
 		}
-		s.applyView(v, r.warmUpOf(name, v))
+		s.applyView(v, r.rateLimitsOf(name, v))
 		r.services[name] = s
 		budgetLeft.Set(string(name), expvar.Func(func() any { return s.budgetLeft() }))
 	}
@@ -162,7 +162,7 @@
 	}
 	r.appliedView = v
 	for name, s := range r.services {
-		s.applyView(v, r.warmUpOf(name, v))
+		s.applyView(v, r.rateLimitsOf(name, v))
 	}
 	return v
 }
@@ -172,7 +172,7 @@
 
 // applyView applies the servers, the nodes and the shares of a new view to the service, and the
 // limits on requests to cold servers. Most new views differ in the routes only.
-func (s *service) applyView(v *view.View, warmUp pool.WarmUp) {
+func (s *service) applyView(v *view.View, warmUp pool.RateLimits) {
 	servers, nodes, shares := v.ServersOf(s.name), len(v.Members), v.Shares
 	isSame := len(servers) == len(s.servers) && (len(servers) == 0 || &servers[0] == &s.servers[0])
 	s.mu.Lock()
@@ -180,7 +180,7 @@
 	now := time.Now()
 	areNodesSame := v.MembersHash() == s.nodesHash && nodes == s.nodeCount
 	if !isSame || !areNodesSame || warmUp.Rate != s.warmUpRate || len(servers) == 0 {
-		s.pool.SetWarmUp(warmUp)
+		s.pool.SetRateLimits(warmUp)
 		s.pool.Update(servers, nodes, now)
 	}
 	s.servers = servers
