Replay: a replay begins at the same time after the start of the process

TestPoolIsNeverWorseThanRandomChoice failed once in the rows all-shedding (2050 of 2055) and all-shedding-silent (2048 of 2055), and passed in the next run of the same code.

Cause: the slots of the retry budget's window are numbered from the start of the process, and a replay began at a fixed date, so the slots' borders lay elsewhere in each process.

Change: the begin of a replay is a fixed time after the start of the process.

--- a/gateway/replay/replay.go
+++ b/gateway/replay/replay.go
@@ -5,14 +5,22 @@
 	"strings"
 	"time"
 
+	"github.com/burdockspindle/burdockspindle/clock"
 	"github.com/burdockspindle/burdockspindle/gateway/budget"
 	"github.com/burdockspindle/burdockspindle/gateway/pool"
 	"github.com/burdockspindle/burdockspindle/gateway/quota"
 	"github.com/burdockspindle/burdockspindle/gateway/site"
 )
 
-// Start is the simulated time at which every replay begins.
-func Start() time.Time { return time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC) }
+// startOffset is the time from the start of the process to the begin of every replay.
+const startOffset = time.Hour
+
+// Start is the simulated time at which every replay begins. It is the same time after the start of the
+// process in each run, since the slots of windows are numbered from there.
+func Start() time.Time {
+	now := time.Now()
+	return now.Add(startOffset - clock.SinceStart(now))
+}
 
 // Zones returns the zones to which nodes are assigned in turn.
 func Zones() []string { return []string{"a", "b", "c"} }
