Limits that servers name are kept by all nodes together

Cause: no node read the header. Class: a bound that holds for all nodes together, kept by none.

Change: one mechanism for servers that take only some requests a second, cold ones and those that name a limit (gateway/pool/rate.go). As many nodes send as have one request a second each, at least one, chosen by hash; others pass over the server, or forward if it owns the key or all servers of the service have limits. What exceeds the limits is refused at once as not run. Malformed limits are counted, logged once (2207) and not obeyed.

Ruled out in the test: a limit that each node keeps by itself, and sends beside callers' first ones (all take a slot).

A refusal for want of the node that counts keeps its text for cold owners. A partitioned node forwards a request for a counted owner to a node that counts, instead of to any.

--- a/gateway/duty/outcome.go
+++ b/gateway/duty/outcome.go
@@ -8,6 +8,7 @@
 	"github.com/burdockspindle/burdockspindle/clock"
 	"github.com/burdockspindle/burdockspindle/gateway/quota"
 	"github.com/burdockspindle/burdockspindle/gateway/ranges"
+	"github.com/burdockspindle/burdockspindle/gateway/site"
 	"github.com/burdockspindle/burdockspindle/gateway/store"
 	"github.com/burdockspindle/burdockspindle/gateway/view"
 )
@@ -142,5 +143,7 @@
 		Holds  bool          `json:"holdsLease"`
 		// EvacuatedZones are those whose servers get no requests.
 		EvacuatedZones []string `json:"evacuatedZones"`
-	}{d.Self, d.IsLessor(), d.State.Now().Evacuation.Zones()}
+		// ServerLimits are the requests a second that servers take from all nodes together.
+		ServerLimits map[site.ServerID]float64 `json:"serverLimits"`
+	}{d.Self, d.IsLessor(), d.State.Now().Evacuation.Zones(), d.State.Now().Limits.Rates(time.Now())}
 }
--- a/gateway/follow/events.go
+++ b/gateway/follow/events.go
@@ -26,6 +26,7 @@
 	eventRegistry           = events.Define(2023, hclog.Info, "registry of servers adopted")
 	eventQuarantine         = events.Define(2024, hclog.Info, "quarantined requests changed")
 	eventEvacuation         = events.Define(2025, hclog.Info, "evacuated zones changed")
+	eventLimit              = events.Define(2026, hclog.Info, "limit of a server changed")
 	eventPeerFailed         = events.Define(2017, hclog.Debug, "call to another node failed")
 )
 
--- a/gateway/follow/feed.go
+++ b/gateway/follow/feed.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"connectrpc.com/connect"
+	"github.com/hashicorp/go-hclog"
 
 	"github.com/burdockspindle/burdockspindle/clock"
 	"github.com/burdockspindle/burdockspindle/gateway/view"
@@ -47,6 +48,7 @@
 	State    *view.State
 	Contact  *Contact
 	IsLessor func() bool
+	Logger   hclog.Logger
 	// NeedsLessor reports whether there is no lessor and this node could grant nothing as one; nil:
 	// never.
 	NeedsLessor func() bool
@@ -102,7 +104,7 @@
 
 // NewFeed returns a feed without followers.
 func NewFeed(self view.Member, state *view.State, contact *Contact, isLessor func() bool) *Feed {
-	return &Feed{Self: self, State: state, Contact: contact, IsLessor: isLessor, Reports: make(chan Report, 64), HandOffs: make(chan *HandOff, 1), members: map[string]followerState{}}
+	return &Feed{Self: self, State: state, Contact: contact, IsLessor: isLessor, Logger: hclog.NewNullLogger(), Reports: make(chan Report, 64), HandOffs: make(chan *HandOff, 1), members: map[string]followerState{}}
 }
 
 // Handler returns the path and handler of the feed's calls.
@@ -113,6 +115,7 @@
 	msg := request.Msg
 	startedAt := clock.Now()
 	followersHash := f.noteFollower(msg)
+	mergeLimits(f.State, f.Logger, limitsOf(msg.Limits), msg.GetMember().GetNode())
 	if report := reportOf(msg); !report.isEmpty() {
 		select {
 		case f.Reports <- report:
@@ -203,6 +206,7 @@
 	reply.Resigned = f.resigned.Load() && v.Routes.Lessor.Boot == f.Self.Boot
 	reply.NeedsLessor = f.NeedsLessor != nil && f.NeedsLessor()
 	reply.Evacuation = evacuationMessage(v, msg)
+	reply.Limits = limitMessages(v.Limits)
 	var err error
 	if v.Config != nil && uint64(v.Config.Version) > msg.ConfigVersion {
 		reply.Config, err = f.configText.encode(int64(v.Config.Version), v.Config)
--- a/gateway/follow/follower.go
+++ b/gateway/follow/follower.go
@@ -228,6 +228,7 @@
 		WaitMs:    uint32(wait.Milliseconds()),
 	}
 	setKnownVersions(request, f.State.Now())
+	request.Limits = limitMessages(f.State.Now().Limits)
 	f.addFollowers(request, address)
 	startedAt := clock.Now()
 	response, err := client.Follow(ctx, connect.NewRequest(request))
@@ -312,6 +313,7 @@
 	if hasServers && f.State.MergeServers(servers) {
 		f.Reader.logServerChanges(before.Servers.Servers)
 	}
+	mergeLimits(f.State, f.Logger, limitsOf(reply.Limits), from)
 	hasRoutes, err := f.mergeRoutes(reply.Routes, from)
 	if err != nil {
 		return false, err
--- /dev/null
+++ b/gateway/follow/limits.go
@@ -0,0 +1,66 @@
+package follow
+
+import (
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"github.com/burdockspindle/burdockspindle/gateway/site"
+	"github.com/burdockspindle/burdockspindle/gateway/view"
+	"github.com/burdockspindle/burdockspindle/metrics"
+	bspb "github.com/burdockspindle/burdockspindle/proto/burdockspindle/v1"
+)
+
+var limitChanges = metrics.New("gateway_server_limits").Counter("changes")
+
+// fromServer is the source of a limit that this node read in an answer of the server.
+const fromServer = "server"
+
+// ObserveLimits returns a function that applies what answers to this node say of the limits of servers.
+// It is called for each answer.
+func ObserveLimits(state *view.State, logger hclog.Logger) func(site.ServerID, site.NamedLimit) {
+	return func(server site.ServerID, limit site.NamedLimit) {
+		if !state.Now().NeedsLimit(server, limit) { // nearly always
+			return
+		}
+		mergeLimits(state, logger, map[site.ServerID]site.NamedLimit{server: limit}, fromServer)
+	}
+}
+
+// mergeLimits applies limits that are newer, and logs what has changed.
+func mergeLimits(state *view.State, logger hclog.Logger, limits map[site.ServerID]site.NamedLimit, from string) {
+	if len(limits) == 0 {
+		return
+	}
+	for _, change := range state.MergeLimits(limits) {
+		limitChanges.Add(1)
+		fields := []any{"server", change.Server, "isNamed", change.After.IsNamed, "rate", change.After.Rate, "age", time.Since(change.After.At), "from", from}
+		if change.WasKnown {
+			fields = append(fields, "wasNamed", change.Before.IsNamed, "rateBefore", change.Before.Rate)
+		}
+		eventLimit.Log(logger, fields...)
+	}
+}
+
+// limitMessages returns the limits of a view for another node.
+func limitMessages(limits view.Limits) []*bspb.ServerLimit {
+	now := time.Now()
+	var messages []*bspb.ServerLimit
+	for id, limit := range limits.Valid(now) {
+		messages = append(messages, &bspb.ServerLimit{
+			Server: string(id), Rate: limit.Rate, Lifted: !limit.IsNamed, AgeMs: uint32(now.Sub(limit.At).Milliseconds()),
+		})
+	}
+	return messages
+}
+
+// limitsOf returns the limits in a message of another node.
+func limitsOf(messages []*bspb.ServerLimit) map[site.ServerID]site.NamedLimit {
+	now := time.Now()
+	limits := make(map[site.ServerID]site.NamedLimit, len(messages))
+	for _, m := range messages {
+		at := now.Add(-time.Duration(m.AgeMs) * time.Millisecond)
+		limits[site.ServerID(m.Server)] = site.NamedLimit{Rate: m.Rate, IsNamed: !m.Lifted, At: at}
+	}
+	return limits
+}
--- a/gateway/forward/message.go
+++ b/gateway/forward/message.go
@@ -47,7 +47,7 @@
 	// MayWait reports that the request may wait for a next owner of its key, because the
 	// sender can reach no owner.
 	MayWait bool `json:"mayWait,omitempty"`
-	// Counted is the cold server whose requests the receiver counts, to the sender's knowledge;
+	// Counted is the server with a limit whose requests the receiver counts, to the sender's knowledge;
 	// empty: the request is forwarded for another reason.
 	Counted site.ServerID `json:"counted,omitempty"`
 }
--- a/gateway/pool/cold_test.go
+++ b/gateway/pool/cold_test.go
@@ -98,7 +98,7 @@
 				members = append(members, view.Member{Node: fmt.Sprint("node-", i), Zone: "a"})
 			}
 			counted, refused := coldSite(nodes, func(node string) pool.RateLimits {
-				return pool.RateLimits{Rate: tolerated, IsCounter: func(server site.Server) bool {
+				return pool.RateLimits{ColdRate: tolerated, IsCounter: func(server site.Server, _ int) bool {
 					counter, _ := ratelimit.Counter(server, members)
 					return counter.Node == node
 				}}
@@ -125,7 +125,7 @@
 func TestServerThatTurnsColdIsLimited(t *testing.T) {
 	g := gomega.NewWithT(t)
 	p := pool.New("a", 0, rand.New(rand.NewPCG(1, 1)))
-	p.SetRateLimits(pool.RateLimits{Rate: 2.9, IsCounter: func(site.Server) bool { return false }})
+	p.SetRateLimits(pool.RateLimits{ColdRate: 2.9, IsCounter: func(site.Server, int) bool { return false }})
 	server := site.Server{ID: "s", Slots: 3, Zone: "a"}
 	submit := func(now time.Time, counted site.ServerID) bool {
 		w := &pool.Waiter{ArrivedAt: now, Target: now.Add(time.Second), Deadline: now.Add(time.Second), CountedServer: counted}
--- a/gateway/pool/pool.go
+++ b/gateway/pool/pool.go
@@ -93,7 +93,9 @@
 	failureAt      time.Time
 	coldUntil      time.Time
 	budget         ratelimit.Budget
-	isCounter      bool // this node counts the requests to the server while it is cold
+	countsCold     bool // this node counts the requests to the server while it is cold
+	countsNamed    bool // this node is one of those that count them while it names a limit
+	named          namedLimit
 	addedAt        time.Time
 	probationUntil time.Time // end of the low limit after a restart
 	// unansweredSince is the start of the period in which the server has had requests of this
@@ -165,7 +167,7 @@
 			m.coldUntil = now.Add(server.WarmUp)
 		}
 		m.Server = server
-		m.isCounter = p.rateLimits.IsCounter != nil && p.rateLimits.IsCounter(server)
+		p.applyRateLimits(m)
 	}
 	p.pruneHistories(now)
 	p.cachedTimes = serviceTimes{}
@@ -207,6 +209,9 @@
 		}
 		return nil
 	}
+	if m := p.unconfirmed(w, now); m != nil {
+		return m
+	}
 	if m := p.pickChecked(w, now); m != nil {
 		return m
 	}
--- a/gateway/pool/queue.go
+++ b/gateway/pool/queue.go
@@ -29,8 +29,8 @@
 	Tried          []site.ServerID // incarnations of servers that have been tried
 	AtMostOnce     bool            // the request must not run twice; if its server fails, it is lost
 	ChargedToShare bool            // it has been charged to the share of its server
-	// CountedServer is a cold server whose requests this node counts, to the knowledge of the node
-	// that forwarded the request; empty: none.
+	// CountedServer is a server whose requests this node counts, to the knowledge of the node that
+	// forwarded the request; empty: none.
 	CountedServer site.ServerID
 	// Checked are servers whose load has just been checked for this request. The best of them
 	// gets it if one has room.
@@ -76,6 +76,8 @@
 	// IsUnreachable reports, for NoServer, that a server may run the request but accepted no
 	// connection lately.
 	IsUnreachable bool
+	// CountedServer is, for Limited, a server whose requests another node counts.
+	CountedServer site.ServerID
 }
 
 // Reason is the cause of a refusal.
@@ -86,6 +88,7 @@
 	NoServer    Reason = "no server"                 // no server may run it
 	WaitTooLong Reason = "wait longer than its time" // it would miss its deadline
 	QueueFull   Reason = "queue full"
+	Limited     Reason = "servers limit their requests"       // other nodes count them
 	OverShare   Reason = "wanted beyond what its server runs" // other requests for its keys are sent
 )
 
@@ -94,6 +97,9 @@
 	if !p.hasServer(w, now) {
 		return nil, &Refusal{Reason: NoServer, RetryAfter: p.retryAfter(0), IsUnreachable: p.hasBlockedServer(w, now)}
 	}
+	if refusal := p.refuseCounted(w, now); refusal != nil {
+		return nil, refusal
+	}
 	if refusal := p.refuseOverShare(w, now); refusal != nil {
 		return nil, refusal
 	}
@@ -132,7 +138,7 @@
 		m.unansweredSince = now
 	}
 	m.recordSend(now)
-	p.spendRate(m, now)
+	p.spendRate(m, w, now)
 	return &Admission{Waiter: w, Server: m.Server}
 }
 
@@ -214,6 +220,10 @@
 	ahead := map[site.ServerID]int{} // waiters kept so far, by their only server
 	kept := 0
 	for _, w := range p.inSendOrder(now) {
+		if refusal := p.refuseCounted(w, now); refusal != nil {
+			evictions = append(evictions, Eviction{Waiter: w, Refusal: *refusal})
+			continue
+		}
 		if refusal := p.refuseOverShare(w, now); refusal != nil {
 			evictions = append(evictions, Eviction{Waiter: w, Refusal: *refusal})
 			continue
--- a/gateway/pool/rate.go
+++ b/gateway/pool/rate.go
@@ -1,69 +1,210 @@
 package pool
 
 import (
+	"math"
 	"time"
 
 	"github.com/burdockspindle/burdockspindle/gateway/site"
 )
 
-// RateLimits limits the requests to cold servers.
+const (
+	// minCountedRate is how many requests a second the node that counts them sends at least to a
+	// server that names a limit, to find out when it is lifted.
+	minCountedRate = 0.2
+	// limitConfirmInterval is the age of the latest answer of a server that names a limit from which on
+	// a request is sent there to confirm it.
+	limitConfirmInterval = 4 * time.Second
+)
+
+// RateLimits limits the requests to servers that take only some a second from all nodes together: cold
+// ones, and those that name a limit in their answers.
 type RateLimits struct {
-	// Rate is how many requests a second a cold server takes from all nodes together; 0: it has
-	// no limit of its own.
-	Rate float64
-	// IsCounter reports whether this node counts the requests to a server while it is cold; only
-	// such a node sends any.
-	IsCounter func(site.Server) bool
+	// ColdRate is how many requests a second a cold server takes; 0: it has no limit of its own.
+	ColdRate float64
+	// Named returns the limit that a server names and until when it is believed; nil: none names any.
+	Named func(site.ServerID) (limit site.NamedLimit, until time.Time, isNamed bool)
+	// IsCounter reports whether this node is one of a number of nodes that count the requests to a
+	// server.
+	IsCounter func(server site.Server, count int) bool
+}
+
+// namedLimit is the limit that a server names.
+type namedLimit struct {
+	rate  float64
+	at    time.Time // of the latest answer that says so
+	until time.Time // it is believed; zero: there is none
+}
+
+// SetRateLimits replaces the limits.
+func (p *Pool) SetRateLimits(limits RateLimits) {
+	p.rateLimits = limits
+	for _, m := range p.members {
+		p.applyRateLimits(m)
+	}
+}
+
+// applyRateLimits applies the limits to a server.
+func (p *Pool) applyRateLimits(m *member) {
+	m.named = namedLimit{}
+	if p.rateLimits.Named != nil {
+		if limit, until, isNamed := p.rateLimits.Named(m.ID); isNamed {
+			m.named = namedLimit{rate: limit.Rate, at: limit.At, until: until}
+		}
+	}
+	// With hundreds of nodes and servers it takes milliseconds to find the counters of each server.
+	m.countsCold = p.rateLimits.ColdRate > 0 && p.isCounter(m, 1)
+	m.countsNamed = !m.named.until.IsZero() && p.isCounter(m, p.senders(m))
+}
+
+func (p *Pool) isCounter(m *member, count int) bool {
+	return p.rateLimits.IsCounter != nil && p.rateLimits.IsCounter(m.Server, count)
 }
 
-// SetRateLimits replaces the limits on requests to cold servers. They apply from the next Update on.
-func (p *Pool) SetRateLimits(limits RateLimits) { p.rateLimits = limits }
+// senders returns how many nodes send requests to a server that names a limit: as many as have one a second
+// each, since the bursts of more would exceed the limit.
+func (p *Pool) senders(m *member) int { return min(max(int(m.named.rate), 1), p.nodes) }
 
-// HasCounter reports whether a server is cold and takes only some requests a second.
-func (p *Pool) HasCounter(id site.ServerID, now time.Time) bool {
+// Counters returns how many nodes count the requests to a server and send any; 0: all nodes may.
+func (p *Pool) Counters(id site.ServerID, now time.Time) int {
+	if m := p.members[id]; m != nil {
+		return p.counters(m, now)
+	}
+	return 0
+}
+
+func (p *Pool) counters(m *member, now time.Time) int {
+	switch {
+	case p.isLimitedCold(m, now):
+		return 1
+	case m.isLimitedByName(now) && p.senders(m) < p.nodes:
+		return p.senders(m)
+	}
+	return 0
+}
+
+// IsLimitedCold reports whether a server is cold and takes only some requests a second.
+func (p *Pool) IsLimitedCold(id site.ServerID, now time.Time) bool {
 	m := p.members[id]
-	return m != nil && p.hasCounter(m, now)
+	return m != nil && p.isLimitedCold(m, now)
+}
+
+func (p *Pool) isLimitedCold(m *member, now time.Time) bool {
+	return p.rateLimits.ColdRate > 0 && now.Before(m.coldUntil)
 }
 
-func (p *Pool) hasCounter(m *member, now time.Time) bool {
-	return p.rateLimits.Rate > 0 && now.Before(m.coldUntil)
+func (m *member) isLimitedByName(now time.Time) bool { return now.Before(m.named.until) }
+
+// mayCount reports whether this node counts the requests to a server, by its own list of members or by
+// that of the node that forwarded the request.
+func (p *Pool) mayCount(m *member, w *Waiter, now time.Time) bool {
+	isCounter := m.countsNamed
+	if p.isLimitedCold(m, now) {
+		isCounter = m.countsCold
+	}
+	return isCounter || w.CountedServer == m.ID
 }
 
-// mayCount reports whether this node may send a request to a cold server within its budget.
-func (m *member) mayCount(w *Waiter) bool { return m.isCounter || w.CountedServer == m.ID }
+// rateLimit returns how many requests a second this node may send to a server; infinite: it has no limit.
+func (p *Pool) rateLimit(m *member, w *Waiter, now time.Time) float64 {
+	counters := p.counters(m, now)
+	if counters > 0 && !p.mayCount(m, w, now) {
+		return 0
+	}
+	limit := math.Inf(1)
+	if p.isLimitedCold(m, now) {
+		limit = p.rateLimits.ColdRate
+	}
+	if m.isLimitedByName(now) {
+		limit = min(limit, max(m.named.rate, minCountedRate)/float64(p.senders(m)))
+	}
+	return limit
+}
 
-// admitsRate reports whether a server is warm, or its budget of requests lets one be sent now.
+// admitsRate reports whether the limit of a server lets a request be sent now.
 func (p *Pool) admitsRate(m *member, w *Waiter, now time.Time) bool {
-	return !p.hasCounter(m, now) || m.mayCount(w) && m.budget.Has(p.rateLimits.Rate, now)
+	limit := p.rateLimit(m, w, now)
+	return math.IsInf(limit, 1) || limit > 0 && m.budget.Has(limit, now)
 }
 
-// spendRate charges a request that is sent now to the budget of a cold server.
-func (p *Pool) spendRate(m *member, now time.Time) {
-	if p.hasCounter(m, now) {
-		m.budget.Spend(p.rateLimits.Rate, now)
+// spendRate charges a request that is sent now to the limit of a server.
+func (p *Pool) spendRate(m *member, w *Waiter, now time.Time) {
+	if limit := p.rateLimit(m, w, now); limit > 0 && !math.IsInf(limit, 1) {
+		m.budget.Spend(limit, now)
 	}
 }
 
 // rateOf returns how many requests a second of this node end at a server.
 func (p *Pool) rateOf(m *member, w *Waiter, seconds float64, now time.Time) float64 {
-	rate := m.rate(seconds)
-	switch {
-	case !p.hasCounter(m, now):
-		return rate
-	case m.mayCount(w):
-		return min(rate, p.rateLimits.Rate)
-	}
-	return 0
+	return min(m.rate(seconds), p.rateLimit(m, w, now))
 }
 
-// limitedUntil returns when a cold server may next take a request of this node. It returns the
-// zero time for a warm server.
+// limitedUntil returns when a server with a limit may next take a request of this node. It returns the
+// zero time for a server without one.
 func (p *Pool) limitedUntil(m *member, now time.Time) time.Time {
-	if !p.hasCounter(m, now) {
+	limit := p.rateLimit(m, p.countedWaiter(m), now)
+	if math.IsInf(limit, 1) {
 		return time.Time{}
 	}
-	if next := m.budget.NextAt(p.rateLimits.Rate, now); m.isCounter && next.Before(m.coldUntil) {
+	until := m.named.until
+	if m.coldUntil.After(until) {
+		until = m.coldUntil
+	}
+	if limit == 0 {
+		return until
+	}
+	if next := m.budget.NextAt(limit, now); next.Before(until) {
 		return next
 	}
-	return m.coldUntil
+	return until
+}
+
+// countedWaiter returns a waiting request that was forwarded because this node counts the requests to a
+// server, or one that was not if there is none.
+func (p *Pool) countedWaiter(m *member) *Waiter {
+	for _, w := range p.queue {
+		if w.CountedServer == m.ID {
+			return w
+		}
+	}
+	return &Waiter{}
+}
+
+// unconfirmed returns a server whose limit this node should confirm by a request, or nil.
+func (p *Pool) unconfirmed(w *Waiter, now time.Time) *member {
+	for _, m := range p.order {
+		isDue := m.isLimitedByName(now) && now.Sub(m.named.at) >= limitConfirmInterval && m.inFlight() == 0
+		if isDue && p.canSend(m, w, now) {
+			return m
+		}
+	}
+	return nil
+}
+
+// countedElsewhere returns a server to whose counter the request must go, because all servers that may
+// run it have a limit that another node counts. found is false if there is another server.
+func (p *Pool) countedElsewhere(w *Waiter, now time.Time) (server site.ServerID, found bool) {
+	total := 0.0
+	for _, m := range p.order {
+		if !w.mayRunAt(m, now) || m.blocked(now) {
+			continue
+		}
+		if p.rateLimit(m, w, now) > 0 {
+			return "", false
+		}
+		rate := max(m.named.rate, minCountedRate)
+		if total += rate; p.random.Float64()*total < rate { // each with the probability of its part
+			server = m.ID
+		}
+	}
+	return server, total > 0
+}
+
+// refuseCounted returns a refusal if only nodes that count the requests to the servers may send any, or
+// nil.
+func (p *Pool) refuseCounted(w *Waiter, now time.Time) *Refusal {
+	server, found := p.countedElsewhere(w, now)
+	if !found {
+		return nil
+	}
+	return &Refusal{Reason: Limited, RetryAfter: p.retryAfter(0), CountedServer: server}
 }
--- a/gateway/ratelimit/ratelimit.go
+++ b/gateway/ratelimit/ratelimit.go
@@ -1,12 +1,14 @@
-// Package ratelimit limits the requests that all nodes of a site together send to a cold server. A
-// server that has just started, or has turned cold, tolerates a few requests a second and crashes
-// at more. With dozens of nodes a share of that for each is less than one request, so one node
-// counts the requests to each cold server: only it sends any, and the others forward to it.
+// Package ratelimit limits the requests that all nodes of a site together send to a server which takes only
+// some a second: it is cold, or names a limit in its answers. With dozens of nodes a share of that for each may
+// be less than one request, so a few nodes, or one, count the requests to each such server: only they send
+// any, and the others forward to them.
 //
 // The package has no I/O and no clock.
 package ratelimit
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -15,18 +17,33 @@
 	"github.com/burdockspindle/burdockspindle/gateway/view"
 )
 
-// Counter returns the node that counts the requests to a server while it is cold, the same at
-// every node with the same members: one of the server's zone, if there is any. found is false if no
-// members are known.
+// Counter returns the node that counts the requests to a server, the same at every node with the same
+// members: one of the server's zone, if there is any. found is false if no members are known.
 func Counter(server site.Server, members []view.Member) (counter view.Member, found bool) {
-	var best rank
+	counters := Counters(server, members, 1)
+	if len(counters) == 0 {
+		return view.Member{}, false
+	}
+	return counters[0], true
+}
+
+// Counters returns a number of nodes that divide the requests to a server among them, the same at every
+// node with the same members: those of the server's zone first.
+func Counters(server site.Server, members []view.Member, count int) []view.Member {
+	type ranked struct {
+		view.Member
+		rank
+	}
+	list := make([]ranked, 0, len(members))
 	for _, m := range members {
-		r := rank{isNear: m.Zone == server.Zone, hash: xxhash.Sum64String(string(server.ID) + "\n" + m.Node)}
-		if !found || r.isAbove(best) {
-			counter, best, found = m, r, true
-		}
+		list = append(list, ranked{m, rank{isNear: m.Zone == server.Zone, hash: xxhash.Sum64String(string(server.ID) + "\n" + m.Node)}})
+	}
+	slices.SortFunc(list, func(a, b ranked) int { return b.rank.compare(a.rank) })
+	counters := make([]view.Member, 0, count)
+	for _, r := range list[:min(count, len(list))] {
+		counters = append(counters, r.Member)
 	}
-	return counter, found
+	return counters
 }
 
 // rank orders the nodes for a server.
@@ -35,11 +52,14 @@
 	hash   uint64
 }
 
-func (r rank) isAbove(other rank) bool {
+func (r rank) compare(other rank) int {
 	if r.isNear != other.isNear {
-		return r.isNear
+		if r.isNear {
+			return 1
+		}
+		return -1
 	}
-	return r.hash > other.hash
+	return cmp.Compare(r.hash, other.hash)
 }
 
 // burst is the number of requests that may be sent at once. It is small, because three nodes may
--- a/gateway/router/counted.go
+++ b/gateway/router/counted.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"math/rand/v2"
 	"net/http"
 	"slices"
 	"time"
@@ -11,78 +12,114 @@
 	"github.com/burdockspindle/burdockspindle/gateway/view"
 )
 
-// warmingRetryAfter is the Retry-After of a request whose key's owner is cold while the node that
-// counts the owner's requests cannot be reached.
-const warmingRetryAfter = 500 * time.Millisecond
+// countedRetryAfter is the Retry-After of a request whose server has a limit, while the node that counts
+// the requests to it cannot be reached.
+const countedRetryAfter = 500 * time.Millisecond
 
-// coldOwner returns the owner of the request's key if it is cold and takes only some requests a
-// second.
+// countedOwner returns the owner of the request's key if only some nodes count the requests to it and
+// send any, and this is none of them.
 func (x *exchange) countedOwner() (site.Server, bool) {
 	if !x.keyed {
 		return site.Server{}, false
 	}
 	id, isReady := x.readyOwner()
-	if !isReady || !x.service.hasCounter(id) {
+	if !isReady || x.service.counters(id) == 0 {
 		return site.Server{}, false
 	}
 	server, isRegistered := x.router.state.Now().Registered()[id]
-	return server, isRegistered
+	return server, isRegistered && !x.isCounterOf(server)
 }
 
-// isCounterOf reports whether this node counts the requests to a cold server, by its own list of
+// isCounterOf reports whether this node counts the requests to a server, by its own list of
 // members or by that of the node that forwarded the request.
 func (x *exchange) isCounterOf(server site.Server) bool {
-	return x.forwarded != nil && x.forwarded.Counted == server.ID || x.router.isCounter(server, x.router.state.Now().Members)
+	if x.forwarded != nil && x.forwarded.Counted == server.ID {
+		return true
+	}
+	return x.router.isCounter(server, x.router.state.Now().Members, x.service.counters(server.ID))
 }
 
-// isCounter reports whether this node counts the requests to a server while it is cold.
-func (r *Router) isCounter(server site.Server, members []view.Member) bool {
-	counter, found := ratelimit.Counter(server, members)
-	return found && counter.Node == r.node
+// isCounter reports whether this node is one of a number of nodes that count the requests to a server.
+func (r *Router) isCounter(server site.Server, members []view.Member, count int) bool {
+	return slices.ContainsFunc(ratelimit.Counters(server, members, count), func(m view.Member) bool { return m.Node == r.node })
 }
 
-// forwardToCounter forwards the request to the node that counts the requests to the cold owner of
-// its key. It returns the final result if that is not possible.
-func (d *dispatch) forwardToCounter(owner site.Server) *result {
+// forwardToCounter forwards the request to a node that counts the requests to a server. It returns the
+// final result if that is not possible.
+func (d *dispatch) forwardToCounter(server site.Server) *result {
 	x := d.x
-	counter, found := ratelimit.Counter(owner, x.router.state.Now().Members)
-	if !found || !x.mayForwardTo(counter) || d.caller.Err() != nil || x.callerDisconnected() || x.isQuarantined() {
-		x.trace.note(string(owner.ID) + " is cold")
-		end := x.giveUp(countedRefusal())
+	counter, found := x.pickCounter(server)
+	if !found || d.caller.Err() != nil || x.callerDisconnected() || x.isQuarantined() {
+		x.trace.note(string(server.ID) + " has a limit, and no node that counts can be reached")
+		end := x.giveUp(x.countedRefusal(server.ID))
 		return &end
 	}
-	x.countedServer = owner.ID
+	x.countedServer = server.ID
 	d.forwardTo(counter)
 	return nil
 }
 
+// forwardToCounterOf does the same for a server that the pool has named.
+func (d *dispatch) forwardToCounterOf(id site.ServerID) *result {
+	server, isRegistered := d.x.router.state.Now().Registered()[id]
+	if !isRegistered {
+		end := d.x.giveUp(d.x.countedRefusal(id))
+		return &end
+	}
+	return d.forwardToCounter(server)
+}
+
+// pickCounter returns one of the nodes that count the requests to a server, to which the request may
+// still be forwarded.
+func (x *exchange) pickCounter(server site.Server) (view.Member, bool) {
+	counters := ratelimit.Counters(server, x.router.state.Now().Members, x.service.counters(server.ID))
+	counters = slices.DeleteFunc(counters, func(m view.Member) bool { return !x.mayForwardTo(m) })
+	if len(counters) == 0 {
+		return view.Member{}, false
+	}
+	return counters[rand.IntN(len(counters))], true
+}
+
 // mayForwardTo reports whether the request may still be forwarded to a node.
 func (x *exchange) mayForwardTo(peer view.Member) bool {
-	if x.router.forwarding == nil || x.forwarded != nil || x.isTrial {
+	if x.router.forwarding == nil || x.forwarded != nil || x.isTrial || x.forwards >= maxForwards {
 		return false
 	}
 	return slices.Contains(x.forwardCandidates(), peer) && !slices.Contains(x.forwardedTo, peer.Boot)
 }
 
-func countedRefusal() *refusal {
-	return &refusal{status: http.StatusServiceUnavailable, reason: "owner of the key is warming up", retryAfter: warmingRetryAfter, isOverloaded: true}
+// countedRefusal refuses a request for a server that gets requests from another node only.
+func (x *exchange) countedRefusal(server site.ServerID) *refusal {
+	reason := string(pool.Limited)
+	if x.service.isLimitedCold(server) {
+		reason = "owner of the key is warming up"
+	}
+	return &refusal{status: http.StatusServiceUnavailable, reason: reason, retryAfter: countedRetryAfter, isOverloaded: true}
 }
 
-// hasCounter reports whether a server is cold and takes only some requests a second.
-func (s *service) hasCounter(id site.ServerID) bool {
+// isLimitedCold reports whether a server is cold and takes only some requests a second.
+func (s *service) isLimitedCold(id site.ServerID) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.pool.HasCounter(id, time.Now())
+	return s.pool.IsLimitedCold(id, time.Now())
 }
 
-// rateLimitsOf returns the limits on requests to cold servers of a service in a view.
+// counters returns how many nodes count the requests to a server and send any; 0: all nodes may.
+func (s *service) counters(id site.ServerID) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.pool.Counters(id, time.Now())
+}
+
+// rateLimitsOf returns the limits on requests to servers of a service in a view.
 func (r *Router) rateLimitsOf(name site.ServiceName, v *view.View) pool.RateLimits {
-	if v.Config == nil || v.Config.Services[name].WarmUpRate == 0 {
-		return pool.RateLimits{}
-	}
 	members := v.Members
-	return pool.RateLimits{
-		Rate:      v.Config.Services[name].WarmUpRate,
-		IsCounter: func(server site.Server) bool { return r.isCounter(server, members) },
+	limits := pool.RateLimits{
+		Named:     v.Limits.Of,
+		IsCounter: func(server site.Server, count int) bool { return r.isCounter(server, members, count) },
+	}
+	if v.Config != nil {
+		limits.ColdRate = v.Config.Services[name].WarmUpRate
 	}
+	return limits
 }
--- a/gateway/router/forward.go
+++ b/gateway/router/forward.go
@@ -97,19 +97,21 @@
 		end := x.giveUp(x.peerRefusal)
 		return &end
 	}
+	if owner, isCounted := x.countedOwner(); isCounted {
+		return d.forwardToCounter(owner)
+	}
 	if x.isPartitioned() && d.forwardNext() {
 		return nil
 	}
-	if owner, isCounted := x.countedOwner(); isCounted && !x.isCounterOf(owner) {
-		return d.forwardToCounter(owner)
-	}
 	server, end := x.acquireSlotToSend(d.caller)
-	if owner, isCounted := x.countedOwner(); end != nil && isCounted && !x.isCounterOf(owner) && x.countedServer == "" {
+	if owner, isCounted := x.countedOwner(); end != nil && isCounted && x.countedServer == "" {
 		return d.forwardToCounter(owner) // found out by the check
 	}
 	switch {
 	case end == nil:
 		d.sendTo(server)
+	case x.limitedServer != "" && x.forwarded == nil:
+		return d.forwardToCounterOf(x.limitedServer)
 	case !x.isUnreachable || !d.forwardNext():
 		return end
 	}
--- a/gateway/router/owner_check.go
+++ b/gateway/router/owner_check.go
@@ -56,7 +56,7 @@
 		return ownerSilent
 	case result.health.Load == nil:
 		return ownerReady
-	case x.service.hasCounter(owner.ID) && !x.isCounterOf(owner):
+	case x.service.counters(owner.ID) > 0 && !x.isCounterOf(owner):
 		return ownerCold
 	case pool.HasLongQueue(*result.health.Load):
 		x.trace.note(string(owner.ID) + " has a long queue, load " + loadText(*result.health.Load))
@@ -96,7 +96,7 @@
 		return false, nil
 	case ownerCold:
 		x.service.releaseSlot(owner, pool.Outcome{Abandoned: true})
-		return false, countedRefusal()
+		return false, x.countedRefusal(owner.ID)
 	case ownerLate:
 		x.service.releaseSlot(owner, pool.Outcome{Abandoned: true})
 		return false, &refusal{status: http.StatusServiceUnavailable, reason: string(pool.WaitTooLong), retryAfter: x.service.meanServiceTime()}
--- a/gateway/router/router.go
+++ b/gateway/router/router.go
@@ -67,7 +67,8 @@
 	waiters          map[*pool.Waiter]chan waitResult
 	nodeCount        int         // that share the servers; 0: unknown
 	nodesHash        uint64      // of these nodes
-	warmUpRate       float64     // see pool.RateLimits
+	coldRate         float64     // see pool.RateLimits
+	limitsSerial     uint64      // of the limits that servers name
 	sharesReportedAt time.Time   // when the shares were received
 	wakeTimer        *time.Timer // fires when waiting requests may next be admitted; nil: no such time
 }
@@ -172,20 +173,23 @@
 
 // applyView applies the servers, the nodes and the shares of a new view to the service, and the
 // limits on requests to cold servers. Most new views differ in the routes only.
-func (s *service) applyView(v *view.View, warmUp pool.RateLimits) {
+func (s *service) applyView(v *view.View, limits pool.RateLimits) {
 	servers, nodes, shares := v.ServersOf(s.name), len(v.Members), v.Shares
 	isSame := len(servers) == len(s.servers) && (len(servers) == 0 || &servers[0] == &s.servers[0])
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := time.Now()
 	areNodesSame := v.MembersHash() == s.nodesHash && nodes == s.nodeCount
-	if !isSame || !areNodesSame || warmUp.Rate != s.warmUpRate || len(servers) == 0 {
-		s.pool.SetRateLimits(warmUp)
+	areLimitsSame := limits.ColdRate == s.coldRate && v.Limits.Serial == s.limitsSerial
+	if !areLimitsSame || !areNodesSame || len(servers) == 0 {
+		s.pool.SetRateLimits(limits)
+	}
+	if !isSame || !areNodesSame || len(servers) == 0 {
 		s.pool.Update(servers, nodes, now)
 	}
 	s.servers = servers
 	s.nodeCount, s.nodesHash = nodes, v.MembersHash()
-	s.warmUpRate = warmUp.Rate
+	s.coldRate, s.limitsSerial = limits.ColdRate, v.Limits.Serial
 	if shares.ReceivedAt != s.sharesReportedAt {
 		s.sharesReportedAt = shares.ReceivedAt
 		s.pool.SetShares(shares.ByServer, shares.ReceivedAt.Add(ShareValidity))
--- a/gateway/router/run.go
+++ b/gateway/router/run.go
@@ -92,6 +92,10 @@
 	}
 	server, problem := x.acquireSlot(ctx)
 	x.isUnreachable = problem != nil && problem.isUnreachable
+	x.limitedServer = ""
+	if problem != nil {
+		x.limitedServer = problem.countedServer
+	}
 	if problem != nil {
 		end := x.giveUp(problem)
 		return site.Server{}, &end
@@ -285,7 +289,8 @@
 		reason:        string(r.Reason),
 		retryAfter:    r.RetryAfter,
 		isUnreachable: r.Reason == pool.NoServer && (r.IsUnreachable || len(x.unreached) > 0),
-		isOverloaded:  r.Reason == pool.WaitTooLong || r.Reason == pool.QueueFull,
+		isOverloaded:  r.Reason == pool.WaitTooLong || r.Reason == pool.QueueFull || r.Reason == pool.Limited,
+		countedServer: r.CountedServer,
 	}
 }
 
--- a/gateway/router/serve.go
+++ b/gateway/router/serve.go
@@ -69,7 +69,9 @@
 	partitionedPeers int
 	peerRefusal      *refusal      // of the latest other node; nil: none, or one that says nothing of the request
 	peerFailure      string        // why the latest forwarded attempt may have run without an answer
-	countedServer    site.ServerID // the cold server to whose counter the request was forwarded
+	countedServer    site.ServerID // the server to whose counter the request was forwarded
+	// limitedServer is the server whose counter may send the request, by the latest refusal of a slot.
+	limitedServer site.ServerID
 	// isUnreachable reports that the latest refusal of a slot was for lack of a connection.
 	isUnreachable bool
 
@@ -107,6 +109,8 @@
 	isUnreachable, isOverloaded, isUnavailable bool
 	// isPartitioned reports that the node can connect to no server of the service.
 	isPartitioned bool
+	// countedServer is a server whose requests another node counts, if only such servers are left.
+	countedServer site.ServerID
 }
 
 // prepare finds the route and reads the request.
--- a/gateway/upstream/client.go
+++ b/gateway/upstream/client.go
@@ -62,7 +62,10 @@
 	// observe receives the outcome of each attempt to connect; nil: nobody observes.
 	observe      func(server site.Server, reached bool)
 	idle         idlePool
-	invalidLoads invalidLoads
+	invalidLoads invalidReports
+	// observeLimit receives the limits that servers name; nil: nobody observes.
+	observeLimit  func(server site.ServerID, limit site.NamedLimit)
+	invalidLimits invalidReports
 	// pending holds the connections for control calls that are being opened.
 	pending pendingConns
 }
@@ -146,6 +149,9 @@
 		return nil, err
 	}
 	answer, reusable, err := c.exchange(ctx, cn, r, head, true)
+	if err == nil {
+		c.noteLimit(server.ID, answer, !answer.NotRun)
+	}
 	return c.finish(key, cn, answer, reusable, err)
 }
 
@@ -180,7 +186,8 @@
 		return nil, cn.attemptError(key.server, err)
 	}
 	if report := answer.Header.Get(c.headers.Load); report != "" && answer.Load == nil {
-		c.invalidLoads.note(key.server, report)
+		invalidLoadCount.Add(1)
+		c.invalidLoads.note(eventInvalidLoad, key.server, report)
 	}
 	if !reusable {
 		reset(cn.net)
--- a/gateway/upstream/headers.go
+++ b/gateway/upstream/headers.go
@@ -17,4 +17,6 @@
 	ParseLoad func(string) (site.Load, bool)
 	// WarmUp is how much longer the server is cold, in milliseconds; in answers to health checks.
 	WarmUp string
+	// Limit is the number of requests a second that the server takes from all nodes together.
+	Limit string
 }
--- a/gateway/upstream/health.go
+++ b/gateway/upstream/health.go
@@ -49,6 +49,9 @@
 	writeHeader(&head, header)
 	writeLength(&head, r)
 	answer, reusable, err := c.exchange(ctx, cn, r, head.Bytes(), false)
+	if err == nil {
+		c.noteLimit(server.ID, answer, false)
+	}
 	if answer, err = c.finish(requestKey(server), cn, answer, reusable, err); err != nil {
 		return Health{}, err
 	}
--- /dev/null
+++ b/gateway/upstream/invalid_reports.go
@@ -0,0 +1,50 @@
+package upstream
+
+import (
+	"sync"
+
+	"github.com/hashicorp/go-hclog"
+
+	"github.com/burdockspindle/burdockspindle/events"
+	"github.com/burdockspindle/burdockspindle/gateway/site"
+	"github.com/burdockspindle/burdockspindle/metrics"
+)
+
+var (
+	eventInvalidLoad  = events.Define(2206, hclog.Warn, "load report of a server is not understood")
+	eventInvalidLimit = events.Define(2207, hclog.Warn, "limit that a server names is not understood")
+
+	group             = metrics.New("gateway_servers")
+	invalidLoadCount  = group.Counter("invalid_load_reports")
+	invalidLimitCount = group.Counter("invalid_limits")
+)
+
+// maxInvalidLines bounds the servers whose invalid reports of one kind are logged.
+const maxInvalidLines = 20
+
+// invalidReports logs the first header of each server that cannot be parsed: without load reports,
+// limits and the choice of servers work blindly.
+type invalidReports struct {
+	logger hclog.Logger // nil: nothing is logged
+
+	mu      sync.Mutex
+	servers map[site.ServerID]bool // whose reports have been logged
+}
+
+func (r *invalidReports) note(event events.Event, server site.ServerID, text string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.logger == nil || r.servers[server] || len(r.servers) >= maxInvalidLines {
+		return
+	}
+	if r.servers == nil {
+		r.servers = map[site.ServerID]bool{}
+	}
+	r.servers[server] = true
+	event.Log(r.logger, "server", server, "report", text)
+}
+
+// SetLogger sets the logger of the client. It must be called before the client is used.
+func (c *Client) SetLogger(logger hclog.Logger) {
+	c.invalidLoads.logger, c.invalidLimits.logger = logger, logger
+}
--- a/gateway/view/view.go
+++ b/gateway/view/view.go
@@ -80,6 +80,8 @@
 	Quarantine Quarantine
 	// Evacuation holds the zones whose servers get no requests.
 	Evacuation Evacuation
+	// Limits holds the limits that servers name.
+	Limits Limits
 	// Members are the nodes that share the servers with this one, including itself; empty
 	// if they are not known.
 	Members []Member
--- a/modules/gateway/site.go
+++ b/modules/gateway/site.go
@@ -78,6 +78,7 @@
 	s.state.SetEvacuationGrace(evacuationGrace(settings.Timing.Evacuate))
 	s.client = upstream.NewClient(platform.Headers, settings.Zone)
 	s.client.SetLogger(ctx.Logger)
+	s.client.ObserveLimits(follow.ObserveLimits(s.state, ctx.Logger))
 	if platform.Dial != nil {
 		s.client.SetDial(platform.Dial)
 	}
@@ -108,6 +109,7 @@
 	s.follower.SetSeeds(settings.Seeds)
 	s.duty = duty.New()
 	s.feed = follow.NewFeed(s.self, s.state, contact, s.duty.IsLessor)
+	s.feed.Logger = logger
 	s.follower.Feed = s.feed
 	timing := ranges.DefaultTiming()
 	timing.Hold = min(timing.Hold, settings.Timing.HoldMax)
