Rate limits: the next node counts in place of one that is partitioned from the servers

Requests for the keys of an owner with a limit, cold or named, were refused while the node that counts them could connect to no server: it refused all, and nobody else may send.

Change: a node that counts and is partitioned leaves the requests to the next node by the same hash; a node that is refused by a partitioned counter asks the next. The partitioned node sends none, so the bound holds.

Evidence: TestNextNodeCountsWhileTheCounterIsPartitioned, refused before in both rows.

--- a/gateway/ratelimit/ratelimit.go
+++ b/gateway/ratelimit/ratelimit.go
@@ -38,7 +38,7 @@
 	for _, m := range members {
 		list = append(list, ranked{m, rank{isNear: m.Zone == server.Zone, hash: xxhash.Sum64String(string(server.ID) + "\n" + m.Node)}})
 	}
-	slices.SortFunc(list, func(a, b ranked) int { return b.rank.compare(a.rank) })
+	slices.SortFunc(list, func(a, b ranked) int { return b.compare(a.rank) })
 	counters := make([]view.Member, 0, count)
 	for _, r := range list[:min(count, len(list))] {
 		counters = append(counters, r.Member)
--- a/gateway/router/counted.go
+++ b/gateway/router/counted.go
@@ -31,12 +31,12 @@
 }
 
 // isCounterOf reports whether this node counts the requests to a server, by its own list of
-// members or by that of the node that forwarded the request.
+// members or by that of the node that forwarded the request. A partitioned node leaves them to the next.
 func (x *exchange) isCounterOf(server site.Server) bool {
 	if x.forwarded != nil && x.forwarded.Counted == server.ID {
 		return true
 	}
-	return x.router.isCounter(server, x.router.state.Now().Members, x.service.counters(server.ID))
+	return !x.isPartitioned() && x.router.isCounter(server, x.router.state.Now().Members, x.service.counters(server.ID))
 }
 
 // isCounter reports whether this node is one of a number of nodes that count the requests to a server.
@@ -70,10 +70,15 @@
 }
 
 // pickCounter returns one of the nodes that count the requests to a server, to which the request may
-// still be forwarded.
+// still be forwarded. The next nodes count in place of those that are partitioned from the servers.
 func (x *exchange) pickCounter(server site.Server) (view.Member, bool) {
-	counters := ratelimit.Counters(server, x.router.state.Now().Members, x.service.counters(server.ID))
-	counters = slices.DeleteFunc(counters, func(m view.Member) bool { return !x.mayForwardTo(m) })
+	members := x.router.state.Now().Members
+	count := x.service.counters(server.ID) + x.partitionedPeers
+	if x.isPartitioned() && x.router.isCounter(server, members, count) {
+		count++
+	}
+	counters := ratelimit.Counters(server, members, count)
+	counters = slices.DeleteFunc(counters, func(m view.Member) bool { return m.Node == x.router.node || !x.mayForwardTo(m) })
 	if len(counters) == 0 {
 		return view.Member{}, false
 	}
--- a/gateway/router/counted_test.go
+++ b/gateway/router/counted_test.go
@@ -83,3 +83,21 @@
 	g.Expect(answer.Header().Get("Retry-After")).NotTo(gomega.BeEmpty())
 	g.Expect(runs.Load()).To(gomega.BeZero())
 }
+
+// Guards against keys that nobody serves, because the node that counts the requests to their owner is
+// partitioned from the servers.
+func TestNextNodeCountsWhileTheCounterIsPartitioned(t *testing.T) {
+	for name, isOriginCounter := range map[string]bool{"another node": false, "the node itself": true} {
+		t.Run(name, func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			s := newColdOwnerSite(t, answerRequest)
+			if isOriginCounter {
+				s.origin, s.others[0] = s.others[0], s.origin
+			}
+			s.others[0].forwarding.isPartitioned = func(site.ServiceName) bool { return !isOriginCounter }
+			s.origin.forwarding.isPartitioned = func(site.ServiceName) bool { return isOriginCounter }
+			answer := s.sendKey()
+			g.Expect(answer.Code).To(gomega.Equal(http.StatusCreated), answer.Body.String())
+		})
+	}
+}
