--- a/gateway/pool/rate.go
+++ b/gateway/pool/rate.go
@@ -35,9 +35,11 @@
 	until time.Time // it is believed; zero: there is none
 }
 
-// SetRateLimits replaces the limits.
-func (p *Pool) SetRateLimits(limits RateLimits) {
-	p.rateLimits = limits
+// SetRateLimits replaces the limits. They apply from the next Update or ApplyRateLimits on.
+func (p *Pool) SetRateLimits(limits RateLimits) { p.rateLimits = limits }
+
+// ApplyRateLimits applies the limits to all servers.
+func (p *Pool) ApplyRateLimits() {
 	for _, m := range p.members {
 		p.applyRateLimits(m)
 	}
--- a/gateway/pool/rate_test.go
+++ b/gateway/pool/rate_test.go
@@ -87,6 +87,7 @@
 		if change != nil && change(now) {
 			for i, p := range pools {
 				p.SetRateLimits(s.rateLimits(i, now))
+				p.ApplyRateLimits()
 			}
 		}
 		send := func(node int, a pool.Admission) {
@@ -239,6 +240,7 @@
 	}
 	limits[serverID(0)] = 1
 	p.SetRateLimits(s.rateLimits(0, start))
+	p.ApplyRateLimits()
 	evicted := p.Evict(start)
 	g.Expect(len(evicted)).To(gomega.BeNumerically(">", 10))
 	for _, e := range evicted {
--- a/gateway/ratelimit/ratelimit.go
+++ b/gateway/ratelimit/ratelimit.go
@@ -20,15 +20,18 @@
 // Counter returns the node that counts the requests to a server, the same at every node with the same
 // members: one of the server's zone, if there is any. found is false if no members are known.
 func Counter(server site.Server, members []view.Member) (counter view.Member, found bool) {
-	counters := Counters(server, members, 1)
-	if len(counters) == 0 {
-		return view.Member{}, false
+	var best rank
+	for _, m := range members {
+		r := rankOf(m, server)
+		if !found || r.compare(best) > 0 {
+			counter, best, found = m, r, true
+		}
 	}
-	return counters[0], true
+	return counter, found
 }
 
-// Counters returns a number of nodes that divide the requests to a server among them, the same at every
-// node with the same members: those of the server's zone first.
+// Counters returns a number of nodes that divide the requests to a server among them: the counter first,
+// and others by the same order.
 func Counters(server site.Server, members []view.Member, count int) []view.Member {
 	type ranked struct {
 		view.Member
@@ -36,7 +39,7 @@
 	}
 	list := make([]ranked, 0, len(members))
 	for _, m := range members {
-		list = append(list, ranked{m, rank{isNear: m.Zone == server.Zone, hash: xxhash.Sum64String(string(server.ID) + "\n" + m.Node)}})
+		list = append(list, ranked{m, rankOf(m, server)})
 	}
 	slices.SortFunc(list, func(a, b ranked) int { return b.compare(a.rank) })
 	counters := make([]view.Member, 0, count)
@@ -52,6 +55,10 @@
 	hash   uint64
 }
 
+func rankOf(m view.Member, server site.Server) rank {
+	return rank{isNear: m.Zone == server.Zone, hash: xxhash.Sum64String(string(server.ID) + "\n" + m.Node)}
+}
+
 func (r rank) compare(other rank) int {
 	if r.isNear != other.isNear {
 		if r.isNear {
--- a/gateway/router/counted.go
+++ b/gateway/router/counted.go
@@ -41,6 +41,10 @@
 
 // isCounter reports whether this node is one of a number of nodes that count the requests to a server.
 func (r *Router) isCounter(server site.Server, members []view.Member, count int) bool {
+	if count == 1 {
+		counter, found := ratelimit.Counter(server, members)
+		return found && counter.Node == r.node
+	}
 	return slices.ContainsFunc(ratelimit.Counters(server, members, count), func(m view.Member) bool { return m.Node == r.node })
 }
 
--- a/gateway/router/router.go
+++ b/gateway/router/router.go
@@ -181,11 +181,12 @@
 	now := time.Now()
 	areNodesSame := v.MembersHash() == s.nodesHash && nodes == s.nodeCount
 	areLimitsSame := limits.ColdRate == s.coldRate && v.Limits.Serial == s.limitsSerial
-	if !areLimitsSame || !areNodesSame || len(servers) == 0 {
-		s.pool.SetRateLimits(limits)
-	}
-	if !isSame || !areNodesSame || len(servers) == 0 {
+	s.pool.SetRateLimits(limits)
+	switch {
+	case !isSame || !areNodesSame || len(servers) == 0:
 		s.pool.Update(servers, nodes, now)
+	case !areLimitsSame:
+		s.pool.ApplyRateLimits()
 	}
 	s.servers = servers
 	s.nodeCount, s.nodesHash = nodes, v.MembersHash()
