Limits of servers: a reply to another node leaves out what it knows

Found on reading: each call between nodes carried all limits in both directions, and each answer of a limited server made a new view twice a second. Replies leave out what the caller has named, and an answer that says the same replaces the one before after 2 s.

--- a/gateway/follow/feed.go
+++ b/gateway/follow/feed.go
@@ -206,7 +206,7 @@
 	reply.Resigned = f.resigned.Load() && v.Routes.Lessor.Boot == f.Self.Boot
 	reply.NeedsLessor = f.NeedsLessor != nil && f.NeedsLessor()
 	reply.Evacuation = evacuationMessage(v, msg)
-	reply.Limits = limitMessages(v.Limits)
+	reply.Limits = limitMessages(v.Limits.Without(limitsOf(msg.Limits), time.Now()))
 	var err error
 	if v.Config != nil && uint64(v.Config.Version) > msg.ConfigVersion {
 		reply.Config, err = f.configText.encode(int64(v.Config.Version), v.Config)
--- a/gateway/follow/follower.go
+++ b/gateway/follow/follower.go
@@ -228,7 +228,7 @@
 		WaitMs:    uint32(wait.Milliseconds()),
 	}
 	setKnownVersions(request, f.State.Now())
-	request.Limits = limitMessages(f.State.Now().Limits)
+	request.Limits = limitMessages(f.State.Now().Limits.Valid(time.Now()))
 	f.addFollowers(request, address)
 	startedAt := clock.Now()
 	response, err := client.Follow(ctx, connect.NewRequest(request))
--- a/gateway/follow/limits.go
+++ b/gateway/follow/limits.go
@@ -42,11 +42,11 @@
 	}
 }
 
-// limitMessages returns the limits of a view for another node.
-func limitMessages(limits view.Limits) []*bspb.ServerLimit {
+// limitMessages returns limits for another node.
+func limitMessages(limits map[site.ServerID]site.NamedLimit) []*bspb.ServerLimit {
 	now := time.Now()
 	var messages []*bspb.ServerLimit
-	for id, limit := range limits.Valid(now) {
+	for id, limit := range limits {
 		messages = append(messages, &bspb.ServerLimit{
 			Server: string(id), Rate: limit.Rate, Lifted: !limit.IsNamed, AgeMs: uint32(now.Sub(limit.At).Milliseconds()),
 		})
--- a/gateway/follow/limits_test.go
+++ b/gateway/follow/limits_test.go
@@ -27,10 +27,11 @@
 	observe("k", site.NamedLimit{Rate: 7, IsNamed: true, At: now.Add(-time.Second)})
 	observe("k", site.NamedLimit{At: now})
 	pass := func(from, to *view.State) {
-		mergeLimits(to, hclog.NewNullLogger(), limitsOf(limitMessages(from.Now().Limits)), "node")
+		mergeLimits(to, hclog.NewNullLogger(), limitsOf(limitMessages(from.Now().Limits.Without(to.Now().Limits.Valid(now), now))), "node")
 	}
 	pass(observer, relay)
 	pass(relay, other)
+	g.Expect(limitMessages(relay.Now().Limits.Without(other.Now().Limits.Valid(now), now))).To(gomega.BeEmpty(), "the other node has them")
 	limit, _, isNamed := other.Now().Limits.Of("i")
 	g.Expect(isNamed).To(gomega.BeTrue())
 	g.Expect(limit.Rate).To(gomega.Equal(1.1))
--- a/gateway/view/limits.go
+++ b/gateway/view/limits.go
@@ -12,8 +12,8 @@
 	// the server confirm it more often, as long as it stands.
 	limitValidity = 15 * time.Second
 	// limitRefresh is by how much newer an answer must be that says the same, to replace the one
-	// before: not every answer makes a new view.
-	limitRefresh = 500 * time.Millisecond
+	// before: not every answer makes a new view, or is sent to other nodes.
+	limitRefresh = 2 * time.Second
 )
 
 // Limits holds what the servers of the site say of the requests that they take. It is immutable.
@@ -41,6 +41,16 @@
 	return valid
 }
 
+// Without returns what is still believed of limits and differs from what another node knows.
+func (l Limits) Without(known map[site.ServerID]site.NamedLimit, now time.Time) map[site.ServerID]site.NamedLimit {
+	valid := l.Valid(now)
+	maps.DeleteFunc(valid, func(id site.ServerID, limit site.NamedLimit) bool {
+		other, isKnown := known[id]
+		return isKnown && limit.Equals(other) && limit.At.Sub(other.At) < limitRefresh
+	})
+	return valid
+}
+
 // Rates returns the limits that are believed, in requests a second.
 func (l Limits) Rates(now time.Time) map[site.ServerID]float64 {
 	rates := map[site.ServerID]float64{}
