Pool: requests that wait are not compared with all servers to find limits

At each end of a request every waiting request was compared with every server, though no server has a limit, and every server with every waiting request to find the next time.

Change: without a limit nothing is compared; a request for a key looks at its owner only.

Evidence: TestWaitingRequestsAreNotComparedWithAllServers: 58,510 comparisons for 200 waiting requests before (800 allowed).

--- a/gateway/pool/pool.go
+++ b/gateway/pool/pool.go
@@ -131,7 +131,9 @@
 	sharesUntil time.Time
 	random      *rand.Rand
 	rateLimits  RateLimits
-	loadChecks  loadChecks
+	// hasNamedLimits reports whether a server names a limit.
+	hasNamedLimits bool
+	loadChecks     loadChecks
 }
 
 // New returns a pool without servers for a node in the given zone. penalty is added to the
@@ -154,6 +156,7 @@
 		p.nodes = assumedNodes
 	}
 	p.removeUnlisted(servers)
+	p.hasNamedLimits = false
 	for _, server := range servers {
 		restarts := p.recordIncarnation(server.ID, now)
 		m := p.members[server.ID]
--- a/gateway/pool/rate.go
+++ b/gateway/pool/rate.go
@@ -40,6 +40,7 @@
 
 // ApplyRateLimits applies the limits to all servers.
 func (p *Pool) ApplyRateLimits() {
+	p.hasNamedLimits = false
 	for _, m := range p.members {
 		p.applyRateLimits(m)
 	}
@@ -56,8 +57,13 @@
 	// With hundreds of nodes and servers it takes milliseconds to find the counters of each server.
 	m.countsCold = p.rateLimits.ColdRate > 0 && p.isCounter(m, 1)
 	m.countsNamed = !m.named.until.IsZero() && p.isCounter(m, p.senders(m))
+	p.hasNamedLimits = p.hasNamedLimits || !m.named.until.IsZero()
 }
 
+// mayHaveLimits reports whether a server may have a limit. Without one, waiting requests are not
+// compared with servers.
+func (p *Pool) mayHaveLimits() bool { return p.hasNamedLimits || p.rateLimits.ColdRate > 0 }
+
 func (p *Pool) isCounter(m *member, count int) bool {
 	return p.rateLimits.IsCounter != nil && p.rateLimits.IsCounter(m.Server, count)
 }
@@ -143,10 +149,10 @@
 // limitedUntil returns when a server with a limit may next take a request of this node. It returns the
 // zero time for a server without one.
 func (p *Pool) limitedUntil(m *member, now time.Time) time.Time {
-	limit := p.rateLimit(m, p.countedWaiter(m), now)
-	if math.IsInf(limit, 1) {
+	if !p.isLimitedCold(m, now) && !m.isLimitedByName(now) {
 		return time.Time{}
 	}
+	limit := p.rateLimit(m, p.countedWaiter(m), now)
 	until := m.named.until
 	if m.coldUntil.After(until) {
 		until = m.coldUntil
@@ -173,6 +179,9 @@
 
 // unconfirmed returns a server whose limit this node should confirm by a request, or nil.
 func (p *Pool) unconfirmed(w *Waiter, now time.Time) *member {
+	if !p.hasNamedLimits {
+		return nil
+	}
 	for _, m := range p.order {
 		isDue := m.isLimitedByName(now) && now.Sub(m.named.at) >= limitConfirmInterval && m.inFlight() == 0
 		if isDue && p.canSend(m, w, now) {
@@ -185,8 +194,18 @@
 // countedElsewhere returns a server to whose counter the request must go, because all servers that may
 // run it have a limit that another node counts. found is false if there is another server.
 func (p *Pool) countedElsewhere(w *Waiter, now time.Time) (server site.ServerID, found bool) {
+	if !p.mayHaveLimits() {
+		return "", false
+	}
+	candidates := p.order
+	if w.OnlyServer != "" {
+		candidates = nil
+		if m := p.members[w.OnlyServer]; m != nil {
+			candidates = []*member{m}
+		}
+	}
 	total := 0.0
-	for _, m := range p.order {
+	for _, m := range candidates {
 		if !w.mayRunAt(m, now) || m.blocked(now) {
 			continue
 		}
--- a/gateway/pool/rate_test.go
+++ b/gateway/pool/rate_test.go
@@ -267,3 +267,27 @@
 	g.Expect(seen).To(gomega.BeNumerically(">=", 3))
 	g.Expect(s.most(serverID(0))).To(gomega.BeNumerically("<=", allowed(0)))
 }
+
+// Guards against nodes that spend their processor on waiting requests: each end of a request compared all
+// of them with all servers, to find limits that no server had.
+func TestWaitingRequestsAreNotComparedWithAllServers(t *testing.T) {
+	g := gomega.NewWithT(t)
+	const servers, waiting = 300, 200
+	s := newLimitedSite(8, servers, nil)
+	p := pool.New("a", 0, rand.New(rand.NewPCG(1, 1)))
+	p.SetRateLimits(s.rateLimits(0, start))
+	p.Update(s.servers, 8, start)
+	compared := 0
+	for i := range waiting {
+		w := &pool.Waiter{ArrivedAt: start, Target: start.Add(time.Second), Deadline: start.Add(10 * time.Second), OnlyServer: serverID(99 - i%4)} // the last in the order of names
+		w.MayRunIn = func(string) bool {
+			compared++
+			return true
+		}
+		p.Submit(w, start)
+	}
+	compared = 0
+	p.Evict(start)
+	g.Expect(compared).To(gomega.BeNumerically("<=", 4*waiting))
+	g.Expect(testing.AllocsPerRun(10, func() { p.NextAdmitTime(start) })).To(gomega.BeNumerically("<", 1))
+}
