--- a/gateway/ratelimit/ratelimit.go
+++ b/gateway/ratelimit/ratelimit.go
@@ -73,7 +73,7 @@
 // count for a server while their lists of members differ.
 const burst = 2.0
 
-// Budget is the part of a cold server's requests that is not used yet. Its zero value is full.
+// Budget is the part of the requests to a server that is not used yet. Its zero value is full.
 type Budget struct {
 	spent     float64 // as of updatedAt
 	updatedAt time.Time
