--- a/gateway/pool/check_test.go
+++ b/gateway/pool/check_test.go
@@ -170,6 +170,8 @@
 	p.SetRateLimits(pool.RateLimits{ColdRate: 2.9, IsCounter: func(site.Server, int) bool { return false }})
 	p.Update([]site.Server{{ID: "s", Slots: 3, Zone: "a"}}, 1, start)
 	p.RecordCheck("s", &site.Load{Slots: 3, Slowdown: 1}, 2*time.Second, false, start)
+	g.Expect(p.IsLimitedCold("s", start.Add(time.Second))).To(gomega.BeTrue())
 	g.Expect(p.Counters("s", start.Add(time.Second))).To(gomega.Equal(1))
+	g.Expect(p.IsLimitedCold("s", start.Add(2*time.Second))).To(gomega.BeFalse())
 	g.Expect(p.Counters("s", start.Add(2*time.Second))).To(gomega.BeZero())
 }
