Servers that leave by their answers get no more requests

Cause: no code read Server-Leaving. With the store away the server's own report reaches nobody, so its answers are the only word of it. Ruled out: a reader for some answers only, and one that the registry undoes (no code named the header). Fix: all that an answer says of its server is decoded at one place, when its head has been read, for every kind of exchange; Server.LeaveBy is one more source of IsLeaving, so that all choices, the planner and the allocator go by it; it is final for the incarnation; nodes tell each other what is new since their last call; an answer by way of another node tells both; keys move with their handover, or are refused after timing.drain while the store is away.

--- a/gateway/config/config.go
+++ b/gateway/config/config.go
@@ -57,6 +57,9 @@
 	// Evacuate is how long after an acknowledged evacuation requests may still reach the
 	// servers of the zone.
 	Evacuate time.Duration
+	// Drain is how long requests for the keys of a server may still be sent to it after it has said
+	// that it leaves.
+	Drain time.Duration
 }
 
 // Placement holds the weights for the choice of a server.
@@ -95,6 +98,7 @@
 	defaultGrace    = 6 * time.Second
 	defaultHoldMax  = 10 * time.Second
 	defaultEvacuate = 5 * time.Second
+	defaultDrain    = 2 * time.Second
 	// defaultNotice suits a load balancer that checks once a second and acts on the
 	// second consecutive failure.
 	defaultNotice = 2500 * time.Millisecond
@@ -198,6 +202,7 @@
 		Notice:   readDuration(o.Get("notice"), defaultNotice),
 		HoldMax:  readDuration(o.Get("holdMax"), defaultHoldMax),
 		Evacuate: readDuration(o.Get("evacuate"), defaultEvacuate),
+		Drain:    readDuration(o.Get("drain"), defaultDrain),
 	}
 	o.Close()
 	return timing
--- a/gateway/duty/outcome.go
+++ b/gateway/duty/outcome.go
@@ -138,6 +138,7 @@
 
 // Dump returns the state of the duty for the state dump.
 func (d *Duty) Dump() any {
+	v := d.State.Now()
 	return struct {
 		Lessor ranges.Lessor `json:"self"`
 		Holds  bool          `json:"holdsLease"`
@@ -145,5 +146,7 @@
 		EvacuatedZones []string `json:"evacuatedZones"`
 		// ServerLimits are the requests a second that servers take from all nodes together.
 		ServerLimits map[site.ServerID]float64 `json:"serverLimits"`
-	}{d.Self, d.IsLessor(), d.State.Now().Evacuation.Zones(), d.State.Now().Limits.Rates(time.Now())}
+		// LeavingServers are registered servers that have said in an answer that they are about to end.
+		LeavingServers []site.ServerID `json:"leavingServers"`
+	}{d.Self, d.IsLessor(), v.Evacuation.Zones(), v.Limits.Rates(time.Now()), v.LeavingServers()}
 }
--- a/gateway/follow/events.go
+++ b/gateway/follow/events.go
@@ -27,6 +27,7 @@
 	eventQuarantine         = events.Define(2024, hclog.Info, "quarantined requests changed")
 	eventEvacuation         = events.Define(2025, hclog.Info, "evacuated zones changed")
 	eventLimit              = events.Define(2026, hclog.Info, "limit of a server changed")
+	eventLeaving            = events.Define(2027, hclog.Info, "server is about to end, by its own answer")
 	eventPeerFailed         = events.Define(2017, hclog.Debug, "call to another node failed")
 )
 
--- a/gateway/follow/feed.go
+++ b/gateway/follow/feed.go
@@ -116,6 +116,7 @@
 	startedAt := clock.Now()
 	followersHash := f.noteFollower(msg)
 	mergeLimits(f.State, f.Logger, limitsOf(msg.Limits), msg.GetMember().GetNode())
+	mergeLeaving(f.State, f.Logger, leavingOf(msg.Leaving, msg.GetMember().GetNode()))
 	if report := reportOf(msg); !report.isEmpty() {
 		select {
 		case f.Reports <- report:
@@ -185,7 +186,7 @@
 	v := f.State.Now()
 	return v.Config != nil && uint64(v.Config.Version) > msg.ConfigVersion ||
 		int64(v.Servers.Offset) > msg.ServersOffset ||
-		newerRoutes(v, msg) || newerShares(v, msg) || newerQuarantine(v, msg) || newerEvacuation(v, msg)
+		newerRoutes(v, msg) || newerShares(v, msg) || newerQuarantine(v, msg) || newerEvacuation(v, msg) || f.hasNewerLeaving(v, msg)
 }
 
 func newerShares(v *view.View, msg *bspb.FollowRequest) bool {
@@ -207,6 +208,7 @@
 	reply.NeedsLessor = f.NeedsLessor != nil && f.NeedsLessor()
 	reply.Evacuation = evacuationMessage(v, msg)
 	reply.Limits = limitMessages(v.Limits.Without(limitsOf(msg.Limits), time.Now()))
+	f.addLeaving(reply, msg, v)
 	var err error
 	if v.Config != nil && uint64(v.Config.Version) > msg.ConfigVersion {
 		reply.Config, err = f.configText.encode(int64(v.Config.Version), v.Config)
--- a/gateway/follow/follower.go
+++ b/gateway/follow/follower.go
@@ -40,6 +40,8 @@
 	// knownFollowers is the hash of this node's followers that each source knows, by
 	// address.
 	knownFollowers map[string]uint64
+	// leaving is what was exchanged of leaving servers with each source, by address.
+	leaving map[string]leavingExchange
 }
 
 // SetSeeds sets the addresses of nodes that may know the site at start. It is called before
@@ -75,6 +77,7 @@
 	f.clients = map[string]bspbconnect.GatewayClient{}
 	f.avoidUntil = map[string]time.Time{}
 	f.knownFollowers = map[string]uint64{}
+	f.leaving = map[string]leavingExchange{}
 	for attempt := 0; ctx.Err() == nil; attempt++ {
 		f.updatePriority()
 		if f.pollSource(ctx) {
@@ -229,6 +232,7 @@
 	}
 	setKnownVersions(request, f.State.Now())
 	request.Limits = limitMessages(f.State.Now().Limits.Valid(time.Now()))
+	sentLeaving := f.addLeaving(request, address)
 	f.addFollowers(request, address)
 	startedAt := clock.Now()
 	response, err := client.Follow(ctx, connect.NewRequest(request))
@@ -236,6 +240,7 @@
 		return nil, err
 	}
 	f.knownFollowers[address] = response.Msg.FollowersHash
+	f.mergeLeaving(response.Msg, address, sentLeaving)
 	at := contactTime(response.Msg, startedAt)
 	isWhole, err := f.merge(response.Msg, address)
 	if err != nil {
--- a/gateway/follow/limits.go
+++ b/gateway/follow/limits.go
@@ -13,20 +13,6 @@
 
 var limitChanges = metrics.New("gateway_server_limits").Counter("changes")
 
-// fromServer is the source of a limit that this node read in an answer of the server.
-const fromServer = "server"
-
-// ObserveLimits returns a function that applies what answers to this node say of the limits of servers.
-// It is called for each answer.
-func ObserveLimits(state *view.State, logger hclog.Logger) func(site.ServerID, site.NamedLimit) {
-	return func(server site.ServerID, limit site.NamedLimit) {
-		if !state.Now().NeedsLimit(server, limit) { // nearly always
-			return
-		}
-		mergeLimits(state, logger, map[site.ServerID]site.NamedLimit{server: limit}, fromServer)
-	}
-}
-
 // mergeLimits applies limits that are newer, and logs what has changed.
 func mergeLimits(state *view.State, logger hclog.Logger, limits map[site.ServerID]site.NamedLimit, from string) {
 	if len(limits) == 0 {
--- a/gateway/follow/limits_test.go
+++ b/gateway/follow/limits_test.go
@@ -22,7 +22,8 @@
 		return state
 	}
 	observer, relay, other := newState(), newState(), newState()
-	observe := ObserveLimits(observer, hclog.NewNullLogger())
+	observeNotice := ObserveNotices(observer, hclog.NewNullLogger())
+	observe := func(server site.ServerID, limit site.NamedLimit) { observeNotice(server, site.Notice{Limit: &limit}) }
 	observe("i", site.NamedLimit{Rate: 1.1, IsNamed: true, At: now.Add(-2 * time.Second)})
 	observe("k", site.NamedLimit{Rate: 7, IsNamed: true, At: now.Add(-time.Second)})
 	observe("k", site.NamedLimit{At: now})
--- a/gateway/forward/message.go
+++ b/gateway/forward/message.go
@@ -68,6 +68,8 @@
 	Reason  string          `json:"reason,omitempty"` // of a refusal
 	Sends   int             `json:"sends,omitempty"`  // all that may have reached a server, with those of the request
 	Tried   []site.ServerID `json:"tried,omitempty"`
+	// Server is the server whose answer it is, if there is one.
+	Server site.ServerID `json:"server,omitempty"`
 	// Unreachable reports that the other node can connect to no server that may run the
 	// request either.
 	Unreachable bool `json:"unreachable,omitempty"`
--- a/gateway/pool/limit.go
+++ b/gateway/pool/limit.go
@@ -73,13 +73,16 @@
 }
 
 // NextAdmitTime returns the earliest time at which Admit may send a waiting request because a
-// pause ends or a server is retried after a failed connection. found is false if there is no
+// pause ends or a server is retried after a failed connection, or refuse one because its server has left. found is false if there is no
 // such time.
 func (p *Pool) NextAdmitTime(now time.Time) (at time.Time, found bool) {
 	if len(p.queue) == 0 {
 		return time.Time{}, false
 	}
 	for _, m := range p.order {
+		if leaves := m.KeysUntil(); now.Before(leaves) && (!found || leaves.Before(at)) {
+			at, found = leaves, true // requests for its keys are refused then
+		}
 		until := m.blockedUntil
 		if m.limit < 1 && m.inFlight() == 0 && m.pausedUntil.After(until) {
 			until = m.pausedUntil
--- a/gateway/pool/pool.go
+++ b/gateway/pool/pool.go
@@ -200,6 +200,9 @@
 	return size
 }
 
+// AllLeave reports whether there are servers and all of them leave.
+func (p *Pool) AllLeave() bool { return len(p.order) > 0 && p.Size() == 0 }
+
 // pick returns the server with capacity that gets a request: its only one, the best of those that were
 // checked, rarely an untried one, or else the one where it is expected to end first.
 func (p *Pool) pick(w *Waiter, now time.Time) *member {
--- a/gateway/pool/queue.go
+++ b/gateway/pool/queue.go
@@ -17,6 +17,9 @@
 	// time left.
 	minRetryAfter = 100 * time.Millisecond
 	maxRetryAfter = 2 * time.Second
+	// allLeavingRetryAfter is the mean retry delay while all servers leave: others that register are known
+	// to all nodes after about a second.
+	allLeavingRetryAfter = time.Second
 )
 
 // Waiter is a request that needs a server.
@@ -95,7 +98,7 @@
 // Submit assigns a request a slot at once, queues it, or refuses it.
 func (p *Pool) Submit(w *Waiter, now time.Time) (admission *Admission, refusal *Refusal) {
 	if !p.hasServer(w, now) {
-		return nil, &Refusal{Reason: NoServer, RetryAfter: p.retryAfter(0), IsUnreachable: p.hasBlockedServer(w, now)}
+		return nil, p.noServerRefusal(w, now)
 	}
 	if refusal := p.refuseCounted(w, now); refusal != nil {
 		return nil, refusal
@@ -119,6 +122,15 @@
 	return nil, nil
 }
 
+// noServerRefusal refuses a request that no server may run now.
+func (p *Pool) noServerRefusal(w *Waiter, now time.Time) *Refusal {
+	var wait time.Duration
+	if p.AllLeave() {
+		wait = allLeavingRetryAfter
+	}
+	return &Refusal{Reason: NoServer, RetryAfter: p.retryAfter(wait), IsUnreachable: p.hasBlockedServer(w, now)}
+}
+
 // Remove removes a request from the queue.
 func (p *Pool) Remove(w *Waiter) {
 	p.queue = slices.DeleteFunc(p.queue, func(other *Waiter) bool { return other == w })
@@ -128,6 +140,16 @@
 	return slices.ContainsFunc(p.order, func(m *member) bool { return w.mayRunAt(m, now) && !m.blocked(now) })
 }
 
+// haveAllLeft reports whether the registered servers that could run a request that waits leave, so that it
+// waits in vain.
+func (p *Pool) haveAllLeft(w *Waiter, now time.Time) bool {
+	if w.OnlyServer != "" {
+		m := p.members[w.OnlyServer]
+		return m != nil && !m.MayServe(true, now)
+	}
+	return len(p.order) > 0 && !slices.ContainsFunc(p.order, func(m *member) bool { return w.mayRunAt(m, now) })
+}
+
 // hasBlockedServer reports whether a server may run a request but accepted no connection lately.
 func (p *Pool) hasBlockedServer(w *Waiter, now time.Time) bool {
 	return slices.ContainsFunc(p.order, func(m *member) bool { return w.mayRunAt(m, now) && m.blocked(now) })
@@ -220,6 +242,10 @@
 	ahead := map[site.ServerID]int{} // waiters kept so far, by their only server
 	kept := 0
 	for _, w := range p.inSendOrder(now) {
+		if p.haveAllLeft(w, now) {
+			evictions = append(evictions, Eviction{Waiter: w, Refusal: *p.noServerRefusal(w, now)})
+			continue
+		}
 		if refusal := p.refuseCounted(w, now); refusal != nil {
 			evictions = append(evictions, Eviction{Waiter: w, Refusal: *refusal})
 			continue
--- a/gateway/router/answer.go
+++ b/gateway/router/answer.go
@@ -49,7 +49,7 @@
 		x.log("may have run", http.StatusBadGateway, "status "+strconv.Itoa(a.Status)+" of the server")
 		return
 	}
-	x.write(a.Status, upstream.ForwardedHeader(a.Header), a.Body, forward.Answer{Outcome: forward.Answered})
+	x.write(a.Status, upstream.ForwardedHeader(a.Header), a.Body, forward.Answer{Outcome: forward.Answered, Server: a.Server})
 	x.log("answered", a.Status, "")
 }
 
--- a/gateway/router/forward.go
+++ b/gateway/router/forward.go
@@ -207,6 +207,7 @@
 	switch message.Outcome {
 	case forward.Answered:
 		x.mayHaveRun = true
+		x.noteForwardedAnswer(message.Server, attempt.answer.Notice)
 		x.router.forwarding.peers.RecordServed(attempt.peer.Boot, x.service.name, time.Now())
 		return true
 	case forward.Unknown:
@@ -216,6 +217,14 @@
 	return false
 }
 
+// noteForwardedAnswer applies what the answer of a server that came by way of another node says of the server.
+// Its load and its limit concern the other node, which has them.
+func (x *exchange) noteForwardedAnswer(server site.ServerID, notice site.Notice) {
+	if server != "" && notice.IsLeaving {
+		x.router.client.Observe(server, site.Notice{IsLeaving: true})
+	}
+}
+
 // recordPeerRefusal decides what the refusal of another node means: for the node, for the servers
 // that it should reach, or for the request.
 func (x *exchange) recordPeerRefusal(attempt attemptResult, message forward.Answer) {
--- a/gateway/router/forward_test.go
+++ b/gateway/router/forward_test.go
@@ -33,7 +33,7 @@
 	members []view.Member
 }
 
-var forwardHeaders = upstream.Headers{RequestID: "Request-Id", Timeout: "Timeout", ExpectedServer: "Expected", Key: "Key", NotRun: "Not-Run", ParseLoad: func(string) (site.Load, bool) { return site.Load{}, false }}
+var forwardHeaders = upstream.Headers{RequestID: "Request-Id", Timeout: "Timeout", ExpectedServer: "Expected", Key: "Key", NotRun: "Not-Run", Leaving: "Leaving", ParseLoad: func(string) (site.Load, bool) { return site.Load{}, false }}
 
 // newForwardingSite returns a site whose server has the given handler. The nodes' listeners have
 // the handlers of wrap, which gets each other node's own one.
--- a/gateway/router/owner.go
+++ b/gateway/router/owner.go
@@ -40,6 +40,9 @@
 		if !x.service.hasUsableServer() { // no other owner can be expected
 			return site.Server{}, problem
 		}
+		if x.hasLeft(owner) {
+			return site.Server{}, &refusal{status: http.StatusServiceUnavailable, reason: "owner of the key leaves", retryAfter: unreachableOwnerRetryAfter}
+		}
 		if _, hasPeer := x.nextPeer(); hasPeer && problem.isUnreachable || x.forwarded != nil && !x.forwarded.MayWait {
 			return site.Server{}, problem
 		}
@@ -56,6 +59,13 @@
 	}
 }
 
+// hasLeft reports whether the owner of the key has said that it leaves, and may get no more requests for its keys.
+// They move within that time unless the store is away, and then not before it is back.
+func (x *exchange) hasLeft(owner site.ServerID) bool {
+	server, isRegistered := x.router.state.Now().Registered()[owner]
+	return isRegistered && !server.LeaveBy.IsZero() && !server.MayServe(true, time.Now())
+}
+
 // isOwner reports whether a server still owns and serves the request's key.
 func (x *exchange) isOwner(server site.ServerID) bool {
 	route, found := x.router.state.Now().RouteOf(x.service.name, x.key)
@@ -91,6 +101,8 @@
 				return "", &refusal{status: http.StatusServiceUnavailable, reason: "owner of the key is silent", retryAfter: max(left, ownerRetryDelay)}
 			}
 			wait.Reset(left + reassignmentMargin)
+		case x.service.allLeave(): // no other owner can be expected
+			return "", &refusal{status: http.StatusServiceUnavailable, reason: "all servers leave", retryAfter: unreachableOwnerRetryAfter}
 		}
 		select {
 		case <-changed:
--- a/gateway/router/router.go
+++ b/gateway/router/router.go
@@ -356,6 +356,13 @@
 	return s.pool.Size() > 0
 }
 
+// allLeave reports whether the service has servers and all of them leave.
+func (s *service) allLeave() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.pool.AllLeave()
+}
+
 // meanServiceTime returns the mean service time of a request.
 func (s *service) meanServiceTime() time.Duration {
 	s.mu.Lock()
--- a/gateway/router/run_test.go
+++ b/gateway/router/run_test.go
@@ -22,7 +22,7 @@
 func TestServiceTimeExcludesTheQueue(t *testing.T) {
 	g := gomega.NewWithT(t)
 	answered := func(took time.Duration, load *site.Load) attemptResult {
-		return attemptResult{answer: &upstream.Answer{Load: load}, duration: took}
+		return attemptResult{answer: &upstream.Answer{Notice: site.Notice{Load: load}}, duration: took}
 	}
 	g.Expect(serviceTime(answered(100*time.Millisecond, nil))).To(gomega.Equal(100 * time.Millisecond))
 	g.Expect(serviceTime(answered(100*time.Millisecond, &site.Load{Running: 2, Slots: 4}))).To(gomega.Equal(100 * time.Millisecond))
--- a/gateway/site/limit.go
+++ b/gateway/site/notice.go
@@ -2,6 +2,16 @@
 
 import "time"
 
+// Notice is what an answer of a server says of the server itself.
+type Notice struct {
+	Load *Load // nil: not reported
+	// Limit is the number of requests that the server takes, or that it has no limit; nil: the answer says
+	// neither.
+	Limit *NamedLimit
+	// IsLeaving reports that this incarnation of the server is about to end. No later answer takes it back.
+	IsLeaving bool
+}
+
 // NamedLimit is what an answer of a server says of the requests that it takes from all nodes together.
 type NamedLimit struct {
 	Rate    float64   // requests a second
--- a/gateway/site/site.go
+++ b/gateway/site/site.go
@@ -94,6 +94,8 @@
 	// owns move to servers of other zones. Until then it gets requests for these keys, other
 	// requests it does not get. Each node sets it by its own clock.
 	EvacuateBy time.Time `json:"-"`
+	// LeaveBy is the same for a server that has said in an answer that it is about to end.
+	LeaveBy time.Time `json:"-"`
 }
 
 // IsCold reports whether the server is cold, as of its latest entry.
@@ -102,14 +104,29 @@
 // IsEvacuated reports whether the server's zone is evacuated.
 func (s Server) IsEvacuated() bool { return !s.EvacuateBy.IsZero() }
 
-// IsLeaving reports whether the server gets no new work: it is draining, or its zone is
+// WillEnd reports whether the server is about to end, by its registry entry or its own answers.
+func (s Server) WillEnd() bool { return s.Draining || !s.LeaveBy.IsZero() }
+
+// IsLeaving reports whether the server gets no new work: it is about to end, or its zone is
 // evacuated.
-func (s Server) IsLeaving() bool { return s.Draining || s.IsEvacuated() }
+func (s Server) IsLeaving() bool { return s.WillEnd() || s.IsEvacuated() }
+
+// KeysUntil returns the time until which a leaving server gets requests for keys that it owns; zero: it gets
+// none.
+func (s Server) KeysUntil() time.Time {
+	switch {
+	case s.Draining:
+		return time.Time{}
+	case s.EvacuateBy.IsZero() || !s.LeaveBy.IsZero() && s.LeaveBy.Before(s.EvacuateBy):
+		return s.LeaveBy
+	}
+	return s.EvacuateBy
+}
 
 // MayServe reports whether the server may get a request now: any request, or only one for a key
 // that it owns.
 func (s Server) MayServe(ownsKey bool, now time.Time) bool {
-	return !s.IsLeaving() || !s.Draining && ownsKey && now.Before(s.EvacuateBy)
+	return !s.IsLeaving() || ownsKey && now.Before(s.KeysUntil())
 }
 
 // Load is the load that a server reported with an answer.
--- a/gateway/upstream/client.go
+++ b/gateway/upstream/client.go
@@ -49,7 +49,9 @@
 	Header http.Header
 	Body   []byte
 	NotRun bool // the server states that it has not run the request
-	Load   *site.Load
+	// Server is the incarnation that the request was sent to.
+	Server site.ServerID
+	site.Notice
 }
 
 // Client sends requests to servers.
@@ -60,12 +62,12 @@
 	// dial opens a connection.
 	dial func(ctx context.Context, network, address string) (net.Conn, error)
 	// observe receives the outcome of each attempt to connect; nil: nobody observes.
-	observe      func(server site.Server, reached bool)
-	idle         idlePool
-	invalidLoads invalidReports
-	// observeLimit receives the limits that servers name; nil: nobody observes.
-	observeLimit  func(server site.ServerID, limit site.NamedLimit)
-	invalidLimits invalidReports
+	observe func(server site.Server, reached bool)
+	// observeNotice receives what servers say of themselves; nil: nobody observes.
+	observeNotice func(server site.ServerID, notice site.Notice)
+	idle          idlePool
+
+	invalidLoads, invalidLimits, invalidLeaving invalidReports
 	// pending holds the connections for control calls that are being opened.
 	pending pendingConns
 }
@@ -148,10 +150,7 @@
 	if err != nil {
 		return nil, err
 	}
-	answer, reusable, err := c.exchange(ctx, cn, r, head, true)
-	if err == nil {
-		c.noteLimit(server.ID, answer, !answer.NotRun)
-	}
+	answer, reusable, err := c.exchange(ctx, cn, server.ID, r, head, true)
 	return c.finish(key, cn, answer, reusable, err)
 }
 
@@ -185,10 +184,6 @@
 		cn.abandon()
 		return nil, cn.attemptError(key.server, err)
 	}
-	if report := answer.Header.Get(c.headers.Load); report != "" && answer.Load == nil {
-		invalidLoadCount.Add(1)
-		c.invalidLoads.note(eventInvalidLoad, key.server, report)
-	}
 	if !reusable {
 		reset(cn.net)
 		return answer, nil
@@ -199,9 +194,10 @@
 	return answer, nil
 }
 
-// exchange writes a request and reads its answer. The connection is reusable only
-// if the request was written completely and no bytes follow the answer.
-func (c *Client) exchange(ctx context.Context, cn *conn, r *Request, head []byte, matchID bool) (*Answer, bool, error) {
+// exchange writes a request and reads its answer. isRequest is false for health checks and control
+// calls, whose answers need no ID. The connection is reusable only if the request was written
+// completely and no bytes follow the answer.
+func (c *Client) exchange(ctx context.Context, cn *conn, server site.ServerID, r *Request, head []byte, isRequest bool) (*Answer, bool, error) {
 	stop := context.AfterFunc(ctx, cn.abandon)
 	defer stop()
 	if err := ctx.Err(); err != nil {
@@ -223,6 +219,7 @@
 		return nil, false, err
 	}
 	defer func() { _ = response.Body.Close() }() // the connection is closed or reused as a whole
+	notice := c.readNotice(server, response, isRequest)
 	body, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes+1))
 	if err != nil {
 		return nil, false, err
@@ -230,11 +227,11 @@
 	if len(body) > maxAnswerBytes {
 		return nil, false, &TooLongError{Limit: maxAnswerBytes}
 	}
-	if matchID && response.Header.Get(c.headers.RequestID) != r.ID && !c.isUnknownPath(response) {
+	if isRequest && response.Header.Get(c.headers.RequestID) != r.ID && !c.isUnknownPath(response) {
 		return nil, false, &MismatchError{Want: r.ID, Got: response.Header.Get(c.headers.RequestID)}
 	}
 	reusable := !response.Close && cn.reader.Buffered() == 0 && wasWritten(written) && stop()
-	return c.answer(response, body), reusable, nil
+	return c.answer(server, response, body, notice), reusable, nil
 }
 
 // wasWritten reports whether the whole request had been written by the time its answer
@@ -268,13 +265,9 @@
 	return c.peer == traffic.Nodes && response.StatusCode == http.StatusNotFound && response.Header.Get(c.headers.RequestID) == ""
 }
 
-func (c *Client) answer(response *http.Response, body []byte) *Answer {
-	answer := &Answer{Status: response.StatusCode, Header: response.Header, Body: body}
-	answer.NotRun = response.Header.Get(c.headers.NotRun) != "" || response.StatusCode == http.StatusMisdirectedRequest
-	if load, ok := c.headers.ParseLoad(response.Header.Get(c.headers.Load)); ok {
-		answer.Load = &load
-	}
-	return answer
+func (c *Client) answer(server site.ServerID, response *http.Response, body []byte, notice site.Notice) *Answer {
+	notRun := response.Header.Get(c.headers.NotRun) != "" || response.StatusCode == http.StatusMisdirectedRequest
+	return &Answer{Status: response.StatusCode, Header: response.Header, Body: body, NotRun: notRun, Server: server, Notice: notice}
 }
 
 // requestText returns the head of a forwarded request as it is sent.
--- a/gateway/upstream/control.go
+++ b/gateway/upstream/control.go
@@ -53,11 +53,7 @@
 	cn.acknowledgment.reset()
 	check := time.AfterFunc(acknowledgmentCheckDelay, func() { cn.acknowledgment.check(cn.net) })
 	defer check.Stop()
-	answer, reusable, err := c.exchange(ctx, cn, r, head.Bytes(), false)
-	if err == nil {
-		c.noteLimit(server.ID, answer, false)
-	}
-	return answer, reusable, err
+	return c.exchange(ctx, cn, server.ID, r, head.Bytes(), false)
 }
 
 // acceptedConn returns a connection on which the server has answered: an idle one or a
--- a/gateway/upstream/headers.go
+++ b/gateway/upstream/headers.go
@@ -19,4 +19,6 @@
 	WarmUp string
 	// Limit is the number of requests a second that the server takes from all nodes together.
 	Limit string
+	// Leaving is present if the server is about to end.
+	Leaving string
 }
--- a/gateway/upstream/health.go
+++ b/gateway/upstream/health.go
@@ -48,10 +48,7 @@
 	writeHead(&head, r)
 	writeHeader(&head, header)
 	writeLength(&head, r)
-	answer, reusable, err := c.exchange(ctx, cn, r, head.Bytes(), false)
-	if err == nil {
-		c.noteLimit(server.ID, answer, false)
-	}
+	answer, reusable, err := c.exchange(ctx, cn, server.ID, r, head.Bytes(), false)
 	if answer, err = c.finish(requestKey(server), cn, answer, reusable, err); err != nil {
 		return Health{}, err
 	}
--- a/gateway/upstream/idle.go
+++ b/gateway/upstream/idle.go
@@ -21,6 +21,9 @@
 	conns map[idleKey][]*conn
 	// registered are the incarnations whose connections are kept; nil: all.
 	registered map[site.ServerID]bool
+	// closing are registered incarnations that are about to end. Only connections for control calls to them
+	// are kept.
+	closing map[site.ServerID]bool
 }
 
 // take returns the most recently used idle connection that is still usable, or nil. If fresh
@@ -65,20 +68,27 @@
 func (p *idlePool) put(key idleKey, c *conn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.registered != nil && !p.registered[key.server] {
+	if !p.keeps(key) {
 		_ = c.net.Close() // the connection is idle
 		return
 	}
 	p.conns[key] = append(p.conns[key], c)
 }
 
-// retain closes the connections to incarnations that are not registered.
-func (p *idlePool) retain(registered map[site.ServerID]bool) {
+// keeps reports whether idle connections of a kind are kept. p.mu must be held.
+func (p *idlePool) keeps(key idleKey) bool {
+	isRegistered := p.registered == nil || p.registered[key.server]
+	return isRegistered && (key.control || !p.closing[key.server])
+}
+
+// retain closes the connections to incarnations that are not registered, and those for requests to
+// incarnations that are about to end.
+func (p *idlePool) retain(registered, closing map[site.ServerID]bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.registered = registered
+	p.registered, p.closing = registered, closing
 	for key, stack := range p.conns {
-		if registered[key.server] {
+		if p.keeps(key) {
 			continue
 		}
 		for _, c := range stack {
--- a/gateway/upstream/invalid_reports.go
+++ b/gateway/upstream/invalid_reports.go
@@ -11,12 +11,14 @@
 )
 
 var (
-	eventInvalidLoad  = events.Define(2206, hclog.Warn, "load report of a server is not understood")
-	eventInvalidLimit = events.Define(2207, hclog.Warn, "limit that a server names is not understood")
-
-	group             = metrics.New("gateway_servers")
-	invalidLoadCount  = group.Counter("invalid_load_reports")
-	invalidLimitCount = group.Counter("invalid_limits")
+	eventInvalidLoad    = events.Define(2206, hclog.Warn, "load report of a server is not understood")
+	eventInvalidLimit   = events.Define(2207, hclog.Warn, "limit that a server names is not understood")
+	eventInvalidLeaving = events.Define(2208, hclog.Warn, "answer does not say clearly that its server leaves")
+
+	group               = metrics.New("gateway_servers")
+	invalidLoadCount    = group.Counter("invalid_load_reports")
+	invalidLimitCount   = group.Counter("invalid_limits")
+	invalidLeavingCount = group.Counter("invalid_leaving")
 )
 
 // maxInvalidLines bounds the servers whose invalid reports of one kind are logged.
@@ -46,5 +48,5 @@
 
 // SetLogger sets the logger of the client. It must be called before the client is used.
 func (c *Client) SetLogger(logger hclog.Logger) {
-	c.invalidLoads.logger, c.invalidLimits.logger = logger, logger
+	c.invalidLoads.logger, c.invalidLimits.logger, c.invalidLeaving.logger = logger, logger, logger
 }
--- a/gateway/view/evacuation.go
+++ b/gateway/view/evacuation.go
@@ -44,7 +44,7 @@
 		next.Evacuation = evacuation
 		changed = !slices.Equal(before, evacuation.Zones())
 		if changed {
-			next.markEvacuated()
+			next.markLeaving()
 			next.listServices(next.servicesWithChange(before))
 		}
 		return true
@@ -52,22 +52,10 @@
 	return before, changed
 }
 
-// Registered returns the registered servers. Those of evacuated zones are marked.
+// Registered returns the registered servers. Those that leave, by their own answers or because their zones are
+// evacuated, are marked.
 func (v *View) Registered() map[site.ServerID]site.Server { return v.registered }
 
-// markEvacuated marks the servers of evacuated zones.
-func (v *View) markEvacuated() {
-	v.registered = v.Servers.Servers
-	if len(v.Evacuation.Until) == 0 {
-		return
-	}
-	v.registered = make(map[site.ServerID]site.Server, len(v.Servers.Servers))
-	for id, server := range v.Servers.Servers {
-		server.EvacuateBy = v.Evacuation.Until[server.Zone]
-		v.registered[id] = server
-	}
-}
-
 // servicesWithChange returns the services of servers whose evacuation has begun or ended, given the
 // zones that were evacuated before.
 func (v *View) servicesWithChange(before []string) map[site.ServiceName]bool {
--- a/gateway/view/view.go
+++ b/gateway/view/view.go
@@ -82,12 +82,14 @@
 	Evacuation Evacuation
 	// Limits holds the limits that servers name.
 	Limits Limits
+	// Leaving holds the servers that are about to end by their own answers.
+	Leaving Leaving
 	// Members are the nodes that share the servers with this one, including itself; empty
 	// if they are not known.
 	Members []Member
 
 	byService  map[site.ServiceName][]site.Server
-	registered map[site.ServerID]site.Server // Servers.Servers with the evacuated ones marked
+	registered map[site.ServerID]site.Server // Servers.Servers with the leaving ones marked
 	serversSum uint64
 	membersSum uint64
 }
@@ -153,6 +155,8 @@
 	starts  latestStarts // guarded by mu
 	// evacuationGrace is how long the owners of keys in an evacuated zone still get requests.
 	evacuationGrace atomic.Int64
+	// drainGrace is how long servers that leave by their own answers still get requests for their keys.
+	drainGrace atomic.Int64
 }
 
 // NewState returns the state of a node without any data.
@@ -244,7 +248,7 @@
 	}
 	v.Servers = servers
 	v.serversSum = sum.total
-	v.markEvacuated()
+	v.markLeaving()
 	v.listServices(touched)
 }
 
--- a/modules/gateway/site.go
+++ b/modules/gateway/site.go
@@ -76,9 +76,10 @@
 	s.self = view.Member{Node: settings.Node, Boot: string(ctx.Identity.Boot), Zone: settings.Zone, Address: settings.Listen.Peer, Capacity: settings.Resources.Capacity()}
 	s.state = view.NewState()
 	s.state.SetEvacuationGrace(evacuationGrace(settings.Timing.Evacuate))
+	s.state.SetDrainGrace(settings.Timing.Drain)
 	s.client = upstream.NewClient(platform.Headers, settings.Zone)
 	s.client.SetLogger(ctx.Logger)
-	s.client.ObserveLimits(follow.ObserveLimits(s.state, ctx.Logger))
+	s.client.ObserveNotices(follow.ObserveNotices(s.state, ctx.Logger))
 	if platform.Dial != nil {
 		s.client.SetDial(platform.Dial)
 	}
@@ -142,14 +143,15 @@
 }
 
 // closeStaleConnections closes connections to incarnations of servers that are no longer
-// registered, until ctx ends.
+// registered, and idle ones to those that are about to end, until ctx ends.
 func (s *Site) closeStaleConnections(ctx context.Context) {
 	var seen store.Offset
+	var seenLeaving uint64
 	for ctx.Err() == nil {
 		changed := s.state.Changed()
-		if servers := s.state.Now().Servers; servers.Offset > seen {
-			seen = servers.Offset
-			s.client.RetainServers(servers.Servers)
+		if v := s.state.Now(); v.Servers.Offset > seen || v.Leaving.Next() > seenLeaving {
+			seen, seenLeaving = v.Servers.Offset, v.Leaving.Next()
+			s.client.RetainServers(v.Registered())
 		}
 		select {
 		case <-changed:
