Servers that ask for a rest get it

What callers saw: a server had asked a node for 3 s of rest and got 3 requests in that time (two are allowed); with all servers of a service resting for 4 s a caller was told to return after 0.15 to 0.3 s, into a certain refusal. Cause: no code read Retry-After of a server's 503. Class: as with the header of servers that leave. Ruled out: a rest that is kept for some sends only, and one that ends too early (no code read it). Fix: the notice of an answer has the rest. The pool gives no slot at a resting server, and the client of the servers looks once more before it writes; control calls go on. All servers rest: a request waits if the earliest rest ends within a third of its time, else it is refused at once and told when it ends. The refusal lowers neither limit nor rating, and takes nothing of the retry budget. After the rest one request first. New: each kind of exchange after each, values, the end that holds, waiting requests, one first after a rest, budget, owner checks.

--- a/gateway/pool/limit.go
+++ b/gateway/pool/limit.go
@@ -73,7 +73,7 @@
 }
 
 // NextAdmitTime returns the earliest time at which Admit may send a waiting request because a
-// pause ends or a server is retried after a failed connection, or refuse one because its server has left. found is false if there is no
+// pause or rest ends or a server is retried after a failed connection, or refuse one because its server has left. found is false if there is no
 // such time.
 func (p *Pool) NextAdmitTime(now time.Time) (at time.Time, found bool) {
 	if len(p.queue) == 0 {
@@ -87,6 +87,9 @@
 		if m.limit < 1 && m.inFlight() == 0 && m.pausedUntil.After(until) {
 			until = m.pausedUntil
 		}
+		if m.restUntil.After(until) {
+			until = m.restUntil
+		}
 		if cold := p.limitedUntil(m, now); cold.After(until) {
 			until = cold
 		}
--- a/gateway/pool/pool.go
+++ b/gateway/pool/pool.go
@@ -104,8 +104,12 @@
 	// blockedUntil is the time before which a server that could not be connected to gets no
 	// request.
 	blockedUntil   time.Time
-	failedConnects int       // consecutive failed connections
-	probedAt       time.Time // when a connection was last tried as a probe
+	failedConnects int // consecutive failed connections
+	// restUntil is the end of the rest that the server has asked for, and isReturning reports that it has
+	// answered no request since.
+	restUntil   time.Time
+	isReturning bool
+	probedAt    time.Time // when a connection was last tried as a probe
 	// share is the fraction of the requests for the server's keys that may be sent until
 	// shareExpiry; credit is the unused part of it.
 	share, credit float64
@@ -131,6 +135,7 @@
 	// hasNamedLimits reports whether a server names a limit.
 	hasNamedLimits bool
 	loadChecks     loadChecks
+	restingUntil   time.Time // end of the latest rest of a server
 }
 
 // New returns a pool without servers for a node in the given zone. penalty is added to the
@@ -253,7 +258,7 @@
 // canSend reports whether a request may be sent to a server now.
 func (p *Pool) canSend(m *member, w *Waiter, now time.Time) bool {
 	isOverShare := w.OnlyServer != "" && m.hasShare(now) && !w.ChargedToShare
-	return !isOverShare && w.mayRunAt(m, now) && !m.blocked(now) && p.admitsRate(m, w, now) && p.hasCapacity(m, now)
+	return !isOverShare && w.mayRunAt(m, now) && !m.blocked(now) && m.hasRestCapacity(now) && p.admitsRate(m, w, now) && p.hasCapacity(m, now)
 }
 
 // untried returns the most recently added warm server of the own zone that has not answered
@@ -309,6 +314,8 @@
 	// Abandoned reports that the node gave up on the request. This says little about the
 	// server unless the request was long overdue.
 	Abandoned bool
+	// Rest is for how long the server wants no request of this node; 0: it has not asked for a rest.
+	Rest time.Duration
 }
 
 // Done records the end of a request at a server and returns the waiters that may be sent now.
@@ -333,6 +340,10 @@
 		m.meanSeconds += timeWeight * (outcome.Took.Seconds() - m.meanSeconds)
 		p.cachedTimes = serviceTimes{}
 	}
+	if outcome.Rest > 0 { // neither a failure nor a sign of a lower limit
+		p.rest(m, outcome.Rest, now)
+		return p.Admit(now)
+	}
 	hung := outcome.Abandoned && p.isOverdue(m, outcome.Took, now)
 	if !outcome.Abandoned || hung {
 		p.recordFailure(m, outcome.Failed || outcome.NoCapacity || hung, now)
@@ -344,6 +355,7 @@
 		m.block(now)
 	} else if !outcome.Abandoned && !outcome.Failed {
 		m.failedConnects = 0
+		m.endRest(outcome.Took, now)
 	}
 	p.recordRefusal(m, outcome)
 	p.startPause(m, now)
--- a/gateway/pool/queue.go
+++ b/gateway/pool/queue.go
@@ -91,6 +91,7 @@
 	NoServer    Reason = "no server"                 // no server may run it
 	WaitTooLong Reason = "wait longer than its time" // it would miss its deadline
 	QueueFull   Reason = "queue full"
+	Resting     Reason = "servers rest"                       // they have asked this node for it
 	Limited     Reason = "servers limit their requests"       // other nodes count them
 	OverShare   Reason = "wanted beyond what its server runs" // other requests for its keys are sent
 )
@@ -100,6 +101,9 @@
 	if !p.hasServer(w, now) {
 		return nil, p.noServerRefusal(w, now)
 	}
+	if refusal := p.refuseResting(w, now); refusal != nil {
+		return nil, refusal
+	}
 	if refusal := p.refuseCounted(w, now); refusal != nil {
 		return nil, refusal
 	}
@@ -246,6 +250,10 @@
 			evictions = append(evictions, Eviction{Waiter: w, Refusal: *p.noServerRefusal(w, now)})
 			continue
 		}
+		if refusal := p.refuseResting(w, now); refusal != nil {
+			evictions = append(evictions, Eviction{Waiter: w, Refusal: *refusal})
+			continue
+		}
 		if refusal := p.refuseCounted(w, now); refusal != nil {
 			evictions = append(evictions, Eviction{Waiter: w, Refusal: *refusal})
 			continue
--- a/gateway/router/check.go
+++ b/gateway/router/check.go
@@ -100,5 +100,6 @@
 func (s *service) recordCheck(result loadCheck, isLate bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.pool.Rest(result.server, max(result.health.Rest, restLeft(result.err)), time.Now())
 	s.pool.RecordCheck(result.server, result.health.Load, result.health.WarmUp, isLate, time.Now())
 }
--- a/gateway/router/owner_check.go
+++ b/gateway/router/owner_check.go
@@ -30,6 +30,7 @@
 	ownerSilent
 	ownerCold // and another node counts its requests
 	ownerLate // it would hardly answer before the deadline
+	ownerResting
 )
 
 // mayCheckOwner reports whether the owner of the request's key is checked before the request is sent, if
@@ -48,6 +49,9 @@
 	}
 	result := x.checkLoadOfOwner(ctx, owner, x.healthPath())
 	switch {
+	case result.health.Rest > 0 || isResting(result.err):
+		x.trace.note(string(owner.ID) + " asks for a rest")
+		return ownerResting
 	case result.isConnected():
 		x.trace.note(string(owner.ID) + " is too busy for a check")
 		return ownerBusy
@@ -94,6 +98,9 @@
 		x.service.releaseSlot(owner, pool.Outcome{Failed: true, NotReached: true})
 		x.unreached = append(x.unreached, owner.ID)
 		return false, nil
+	case ownerResting:
+		x.service.releaseSlot(owner, pool.Outcome{Abandoned: true})
+		return false, nil
 	case ownerCold:
 		x.service.releaseSlot(owner, pool.Outcome{Abandoned: true})
 		return false, x.countedRefusal(owner.ID)
--- a/gateway/router/owner_check_test.go
+++ b/gateway/router/owner_check_test.go
@@ -22,6 +22,8 @@
 	waiting  atomic.Int32 // in its load reports
 	isSilent atomic.Bool  // it answers nothing
 	isIll    atomic.Bool  // it answers checks with 503
+	isFull   atomic.Bool  // it answers requests with 503, as not run
+	rest     atomic.Value // text of the rest that it asks for with 503; nil: none
 	delay    atomic.Int64 // of its answers to checks, in nanoseconds
 	requests atomic.Int32
 	checks   atomic.Int32
@@ -43,7 +45,14 @@
 	_, _ = io.Copy(io.Discard, r.Body)
 	w.Header().Set("Request-Id", r.Header.Get("Request-Id"))
 	w.Header().Set("Load", "report")
-	if o.isIll.Load() && r.URL.Path == "/health" {
+	isCheck := r.URL.Path == "/health"
+	if o.isIll.Load() && isCheck || o.isFull.Load() && !isCheck {
+		if rest, isAsked := o.rest.Load().(string); isAsked {
+			w.Header().Set("Rest", rest)
+		}
+		if !isCheck {
+			w.Header().Set("Not-Run", "1")
+		}
 		w.WriteHeader(http.StatusServiceUnavailable)
 	}
 }
@@ -54,7 +63,7 @@
 	server := httptest.NewServer(o)
 	t.Cleanup(server.Close)
 	x := newKeyedExchange(t)
-	headers := upstream.Headers{RequestID: "Request-Id", Timeout: "Timeout", ExpectedServer: "Expected", Load: "Load"}
+	headers := upstream.Headers{RequestID: "Request-Id", Timeout: "Timeout", ExpectedServer: "Expected", Load: "Load", NotRun: "Not-Run", Rest: "Rest"}
 	headers.ParseLoad = func(text string) (site.Load, bool) {
 		return site.Load{Running: 3, Waiting: int(o.waiting.Load()), Slots: 3, Slowdown: 1}, text != ""
 	}
@@ -167,3 +176,41 @@
 	g.Expect(o.checks.Load()).To(gomega.BeEquivalentTo(1))
 	g.Expect(o.requests.Load()).To(gomega.BeZero())
 }
+
+// Guards against a request that is sent to the owner of its key, or waits for its deadline, although a check has
+// been told that the owner wants a rest.
+func TestRequestIsRefusedWhenItsOwnerAsksACheckForARest(t *testing.T) {
+	g := gomega.NewWithT(t)
+	o := new(checkedOwner)
+	o.isIll.Store(true)
+	o.rest.Store("30")
+	x := newCheckedExchange(t, o, 10*time.Second)
+	startedAt := time.Now()
+	end := x.runToItsDeadline()
+	g.Expect(end.refusal).NotTo(gomega.BeNil(), "%+v", end)
+	g.Expect(end.refusal.reason).To(gomega.Equal(string(pool.Resting)))
+	g.Expect(end.refusal.retryAfter).To(gomega.BeNumerically(">", 29*time.Second))
+	g.Expect(time.Since(startedAt)).To(gomega.BeNumerically("<", 2*time.Second))
+	g.Expect(o.checks.Load()).To(gomega.BeEquivalentTo(1))
+	g.Expect(o.requests.Load()).To(gomega.BeZero())
+}
+
+// Guards against a retry budget that is spent on requests that a rest holds back, and against the attempts of a
+// request that end in the rest of all servers without saying when it ends.
+func TestRestOfAllServersSpendsNoRetryBudget(t *testing.T) {
+	g := gomega.NewWithT(t)
+	o := new(checkedOwner)
+	o.isFull.Store(true)
+	o.rest.Store("30")
+	x := newCheckedExchange(t, o, 10*time.Second)
+	x.route.Kind = site.Idempotent
+	before := x.service.budgetLeft()
+	startedAt := time.Now()
+	end := x.runToItsDeadline()
+	g.Expect(end.refusal).NotTo(gomega.BeNil(), "%+v", end)
+	g.Expect(end.refusal.reason).To(gomega.Equal(string(pool.Resting)))
+	g.Expect(end.refusal.retryAfter).To(gomega.BeNumerically(">", 29*time.Second))
+	g.Expect(time.Since(startedAt)).To(gomega.BeNumerically("<", 2*time.Second))
+	g.Expect(o.requests.Load()).To(gomega.BeEquivalentTo(1))
+	g.Expect(x.service.budgetLeft()).To(gomega.Equal(before))
+}
--- a/gateway/router/router.go
+++ b/gateway/router/router.go
@@ -292,6 +292,13 @@
 	s.deliver(s.pool.Done(server.ID, outcome, time.Now()))
 }
 
+// refuseRetry returns why another attempt of a request must wait for the rest of all servers, or nil.
+func (s *service) refuseRetry(w *pool.Waiter) *pool.Refusal {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.pool.RefuseRetry(w, time.Now())
+}
+
 func (s *service) countRequest() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/gateway/router/run.go
+++ b/gateway/router/run.go
@@ -123,6 +123,9 @@
 		var attemptErr *upstream.AttemptError
 		isOver := ctx.Err() != nil
 		isAttempt := errors.As(attempt.err, &attemptErr)
+		if rest := restLeft(attempt.err); rest > 0 {
+			return pool.Outcome{Took: attempt.duration, Abandoned: true, Rest: rest}
+		}
 		if isAttempt && attemptErr.Rejected {
 			return pool.Outcome{Took: attempt.duration, NoCapacity: !isOver, Abandoned: isOver}
 		}
@@ -144,9 +147,26 @@
 		Failed:     attempt.answer.Status >= http.StatusInternalServerError && !attempt.answer.NotRun,
 		NoCapacity: attempt.answer.NotRun && !isMisdirected,
 		Abandoned:  isMisdirected,
+		Rest:       attempt.answer.Rest,
 	}
 }
 
+// isResting reports whether a request was not sent because its server rests.
+func isResting(err error) bool {
+	var resting *upstream.RestingError
+	return errors.As(err, &resting)
+}
+
+// restLeft returns for how long the server of an attempt still rests, if the request was not sent because of that;
+// 0: it was.
+func restLeft(err error) time.Duration {
+	var resting *upstream.RestingError
+	if !errors.As(err, &resting) {
+		return 0
+	}
+	return max(time.Until(resting.Until), 0)
+}
+
 // serviceTime estimates how long a server ran a request, without its wait in the server's
 // queue. It assumes that the queue was as long at the arrival of the request as at its end.
 func serviceTime(attempt attemptResult) time.Duration {
@@ -169,7 +189,9 @@
 			x.mayHaveRun = true
 		} else {
 			x.sends-- // it has not reached the server and caused no extra load there
-			x.unreached = append(x.unreached, attempt.server.ID)
+			if !isResting(attempt.err) {
+				x.unreached = append(x.unreached, attempt.server.ID)
+			}
 		}
 		return x.route.Kind == site.AtMostOnce && x.mayHaveRun
 	}
@@ -299,6 +321,9 @@
 	if x.attempts == 0 {
 		return nil
 	}
+	if refused := x.service.refuseRetry(x.waiterForRetry()); refused != nil {
+		return x.refusedBy(nil, refused)
+	}
 	retryAfter := x.service.meanServiceTime()
 	if x.keyed && x.attempts >= maxAttempts {
 		return &refusal{status: http.StatusServiceUnavailable, reason: "key is changing hands", retryAfter: retryAfter, isUnreachable: x.sends == 0}
@@ -316,6 +341,15 @@
 	return nil
 }
 
+// waiterForRetry returns the request as it would wait for another attempt: for the owner of its key, as of now.
+func (x *exchange) waiterForRetry() *pool.Waiter {
+	w := x.waiter()
+	if x.keyed {
+		w.OnlyServer, _ = x.readyOwner()
+	}
+	return w
+}
+
 func (x *exchange) waiter() *pool.Waiter {
 	w := &pool.Waiter{Priority: x.route.Priority, ArrivedAt: x.arrived, Target: x.target, Deadline: x.deadline, Tried: x.tried, AtMostOnce: x.route.Kind == site.AtMostOnce, ChargedToShare: x.attempts > 0}
 	w.MayRunIn = x.mayRunIn()
--- a/gateway/site/notice.go
+++ b/gateway/site/notice.go
@@ -10,6 +10,8 @@
 	Limit *NamedLimit
 	// IsLeaving reports that this incarnation of the server is about to end. No later answer takes it back.
 	IsLeaving bool
+	// Rest is for how long the server wants no requests of this node; 0: it asks for no rest.
+	Rest time.Duration
 }
 
 // NamedLimit is what an answer of a server says of the requests that it takes from all nodes together.
--- a/gateway/upstream/client.go
+++ b/gateway/upstream/client.go
@@ -10,6 +10,8 @@
 	"strings"
 	"time"
 
+	"github.com/hashicorp/go-hclog"
+
 	"github.com/burdockspindle/burdockspindle/gateway/site"
 	"github.com/burdockspindle/burdockspindle/gateway/traffic"
 )
@@ -67,7 +69,10 @@
 	observeNotice func(server site.ServerID, notice site.Notice)
 	idle          idlePool
 
-	invalidLoads, invalidLimits, invalidLeaving invalidReports
+	rests  rests
+	logger hclog.Logger
+
+	invalidLoads, invalidLimits, invalidLeaving, invalidRests invalidReports
 	// pending holds the connections for control calls that are being opened.
 	pending pendingConns
 }
@@ -75,7 +80,7 @@
 // NewClient returns a client for a node in a zone, with the header names of the
 // deployment.
 func NewClient(headers Headers, zone string) *Client {
-	return &Client{headers: headers, zone: zone, peer: traffic.Servers, dial: Dialer(connectTimeout).DialContext, idle: idlePool{conns: map[idleKey][]*conn{}}}
+	return &Client{headers: headers, zone: zone, peer: traffic.Servers, dial: Dialer(connectTimeout).DialContext, logger: hclog.NewNullLogger(), idle: idlePool{conns: map[idleKey][]*conn{}}}
 }
 
 // NewNodeClient returns a client for requests to other nodes.
@@ -146,14 +151,34 @@
 
 func (c *Client) do(ctx context.Context, server site.Server, r *Request, head []byte) (*Answer, error) {
 	key := requestKey(server)
+	if err := c.rests.check(server.ID, time.Now()); err != nil {
+		return nil, err
+	}
 	cn, err := c.idleOrNewConn(ctx, key, server, r.Fresh)
 	if err != nil {
 		return nil, err
 	}
+	if err := c.checkRest(key, cn); err != nil {
+		return nil, err
+	}
 	answer, reusable, err := c.exchange(ctx, cn, server.ID, r, head, true)
 	return c.finish(key, cn, answer, reusable, err)
 }
 
+// checkRest returns an *AttemptError if the server has asked for a rest while the connection was opened. The
+// connection is kept.
+func (c *Client) checkRest(key idleKey, cn *conn) error {
+	now := time.Now()
+	err := c.rests.check(key.server, now)
+	if err != nil {
+		if cn.usableUntil.IsZero() {
+			cn.usableUntil = now.Add(defaultIdleTime)
+		}
+		c.idle.put(key, cn)
+	}
+	return err
+}
+
 // idleOrNewConn returns an idle connection, of which an answer must be recent if fresh is set, or a
 // new one. The error is an *AttemptError.
 func (c *Client) idleOrNewConn(ctx context.Context, key idleKey, server site.Server, fresh bool) (*conn, error) {
--- a/gateway/upstream/headers.go
+++ b/gateway/upstream/headers.go
@@ -21,4 +21,7 @@
 	Limit string
 	// Leaving is present if the server is about to end.
 	Leaving string
+	// Rest is how long the server wants no requests of this node, in seconds; in answers with the status
+	// 503.
+	Rest string
 }
--- a/gateway/upstream/health.go
+++ b/gateway/upstream/health.go
@@ -14,18 +14,25 @@
 type Health struct {
 	Load   *site.Load    // nil: not reported
 	WarmUp time.Duration // how much longer it is cold; 0: it is warm, or does not report it
+	Rest   time.Duration // for how long it wants no requests of this node; 0: it asks for no rest
 }
 
 // CheckHealth requests the health path of a server, on an idle connection if there is one. The
 // connection is kept for requests. The error is an *AttemptError, or an *UnhealthyError together with
 // what the answer reports.
 func (c *Client) CheckHealth(ctx context.Context, server site.Server, path string) (Health, error) {
+	if err := c.rests.check(server.ID, time.Now()); err != nil {
+		return Health{}, err
+	}
 	cn, err := c.idleOrNewConn(ctx, requestKey(server), server, false)
 	return c.checkHealth(ctx, cn, err, server, path)
 }
 
 // CheckHealthAnew does the same on a new connection.
 func (c *Client) CheckHealthAnew(ctx context.Context, server site.Server, path string) (Health, error) {
+	if err := c.rests.check(server.ID, time.Now()); err != nil {
+		return Health{}, err
+	}
 	cn, err := c.newConn(ctx, server)
 	return c.checkHealth(ctx, cn, err, server, path)
 }
@@ -42,6 +49,9 @@
 	if err != nil {
 		return Health{}, err
 	}
+	if err := c.checkRest(requestKey(server), cn); err != nil {
+		return Health{}, err
+	}
 	header := http.Header{c.headers.ExpectedServer: {string(server.ID.Name())}}
 	r := &Request{Method: http.MethodGet, Target: path, Host: server.Address, Header: header}
 	var head bytes.Buffer
@@ -52,7 +62,7 @@
 	if answer, err = c.finish(requestKey(server), cn, answer, reusable, err); err != nil {
 		return Health{}, err
 	}
-	health := Health{Load: answer.Load, WarmUp: c.warmUpOf(answer)}
+	health := Health{Load: answer.Load, WarmUp: c.warmUpOf(answer), Rest: answer.Rest}
 	if answer.Status != http.StatusOK {
 		return health, &UnhealthyError{Status: answer.Status}
 	}
--- a/gateway/upstream/incarnation.go
+++ b/gateway/upstream/incarnation.go
@@ -1,6 +1,10 @@
 package upstream
 
-import "github.com/burdockspindle/burdockspindle/gateway/site"
+import (
+	"time"
+
+	"github.com/burdockspindle/burdockspindle/gateway/site"
+)
 
 // RetainServers sets the incarnations of servers that are registered. Idle connections to all
 // others are closed at once, and none are kept from now on, because a request sent on a
@@ -16,5 +20,6 @@
 		}
 	}
 	c.idle.retain(registered, closing)
+	c.rests.retain(registered, time.Now())
 	c.pending.retain(registered)
 }
--- a/gateway/upstream/invalid_reports.go
+++ b/gateway/upstream/invalid_reports.go
@@ -14,11 +14,16 @@
 	eventInvalidLoad    = events.Define(2206, hclog.Warn, "load report of a server is not understood")
 	eventInvalidLimit   = events.Define(2207, hclog.Warn, "limit that a server names is not understood")
 	eventInvalidLeaving = events.Define(2208, hclog.Warn, "answer does not say clearly that its server leaves")
+	eventInvalidRest    = events.Define(2209, hclog.Warn, "rest that a server asks for is not understood")
+	eventRest           = events.Define(2210, hclog.Info, "server asks this node for a rest")
 
 	group               = metrics.New("gateway_servers")
 	invalidLoadCount    = group.Counter("invalid_load_reports")
 	invalidLimitCount   = group.Counter("invalid_limits")
 	invalidLeavingCount = group.Counter("invalid_leaving")
+	invalidRestCount    = group.Counter("invalid_rests")
+	restCount           = group.Counter("rests")
+	restedSendCount     = group.Counter("requests_held_back_for_rest")
 )
 
 // maxInvalidLines bounds the servers whose invalid reports of one kind are logged.
@@ -48,5 +53,8 @@
 
 // SetLogger sets the logger of the client. It must be called before the client is used.
 func (c *Client) SetLogger(logger hclog.Logger) {
-	c.invalidLoads.logger, c.invalidLimits.logger, c.invalidLeaving.logger = logger, logger, logger
+	c.logger = logger
+	for _, reports := range []*invalidReports{&c.invalidLoads, &c.invalidLimits, &c.invalidLeaving, &c.invalidRests} {
+		reports.logger = logger
+	}
 }
--- a/gateway/upstream/notice.go
+++ b/gateway/upstream/notice.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/burdockspindle/burdockspindle/gateway/site"
+	"github.com/burdockspindle/burdockspindle/gateway/traffic"
 )
 
 // ObserveNotices sets the function that receives what the answers of servers say of the servers themselves.
@@ -34,6 +35,9 @@
 	}
 	notice.Limit = c.limitOf(server, response.Header, isRequest && response.Header.Get(c.headers.NotRun) == "")
 	notice.IsLeaving = c.isLeaving(server, response.Header)
+	if c.peer == traffic.Servers {
+		notice.Rest = c.noteRest(server, response)
+	}
 	c.Observe(server, notice)
 	return notice
 }
--- a/gateway/upstream/notice_test.go
+++ b/gateway/upstream/notice_test.go
@@ -110,7 +110,7 @@
 var noticeHeaders = Headers{
 	RequestID: "Request-Id", Timeout: "Timeout", ExpectedServer: "Expected", NotRun: "Not-Run",
 	Load: "Load", ParseLoad: func(text string) (site.Load, bool) { return site.Load{Running: 1, Slots: 4}, text == "1 of 4" },
-	Limit: "Limit", Leaving: "Leaving",
+	Limit: "Limit", Leaving: "Leaving", Rest: "Rest",
 }
 
 // exchanges are the kinds of exchange with a server. Each makes one.
@@ -137,15 +137,16 @@
 // Guards against an answer whose notice of its server is dropped: every part, by every kind of exchange, and
 // for every answer that has a whole head.
 func TestNoticesOfAllAnswersAreObserved(t *testing.T) {
-	const notice = "Load: 1 of 4\r\nLimit: 13.8\r\nLeaving: 1\r\n"
+	const notice = "Load: 1 of 4\r\nLimit: 13.8\r\nLeaving: 1\r\nRest: 7\r\n"
 	answers := map[string]string{
-		"success":                "HTTP/1.1 200 OK\r\nRequest-Id: %\r\n" + notice + "Content-Length: 2\r\n\r\nok",
-		"rejection":              "HTTP/1.1 503 Full\r\nRequest-Id: %\r\nNot-Run: 1\r\n" + notice + "Content-Length: 0\r\n\r\n",
-		"failure":                "HTTP/1.1 500 Failed\r\nRequest-Id: %\r\n" + notice + "Content-Length: 0\r\n\r\n",
-		"too many requests":      "HTTP/1.1 429 Slow\r\nRequest-Id: %\r\n" + notice + "Content-Length: 0\r\n\r\n",
-		"body that breaks off":   "HTTP/1.1 200 OK\r\nRequest-Id: %\r\n" + notice + "Content-Length: 99\r\n\r\nbroken",
-		"answer that comes late": "HTTP/1.1 200 OK\r\nRequest-Id: of another request\r\n" + notice + "Content-Length: 2\r\n\r\nok",
-		"body that never comes":  "HTTP/1.1 200 OK\r\nRequest-Id: %\r\n" + notice + "Content-Length: 99\r\n\r\n",
+		"success":                     "HTTP/1.1 200 OK\r\nRequest-Id: %\r\n" + notice + "Content-Length: 2\r\n\r\nok",
+		"rejection":                   "HTTP/1.1 503 Full\r\nRequest-Id: %\r\nNot-Run: 1\r\n" + notice + "Content-Length: 0\r\n\r\n",
+		"rejection that may have run": "HTTP/1.1 503 Full\r\nRequest-Id: %\r\n" + notice + "Content-Length: 0\r\n\r\n",
+		"failure":                     "HTTP/1.1 500 Failed\r\nRequest-Id: %\r\n" + notice + "Content-Length: 0\r\n\r\n",
+		"too many requests":           "HTTP/1.1 429 Slow\r\nRequest-Id: %\r\n" + notice + "Content-Length: 0\r\n\r\n",
+		"body that breaks off":        "HTTP/1.1 200 OK\r\nRequest-Id: %\r\n" + notice + "Content-Length: 99\r\n\r\nbroken",
+		"answer that comes late":      "HTTP/1.1 200 OK\r\nRequest-Id: of another request\r\n" + notice + "Content-Length: 2\r\n\r\nok",
+		"body that never comes":       "HTTP/1.1 200 OK\r\nRequest-Id: %\r\n" + notice + "Content-Length: 99\r\n\r\n",
 	}
 	for kind, exchange := range exchanges {
 		for name, answer := range answers {
@@ -169,6 +170,12 @@
 				g.Expect(notice.Limit.Rate).To(gomega.Equal(13.8))
 				g.Expect(notice.Limit.IsNamed).To(gomega.BeTrue())
 				g.Expect(notice.IsLeaving).To(gomega.BeTrue())
+				if name == "rejection" || name == "rejection that may have run" {
+					g.Expect(notice.Rest).To(gomega.BeNumerically(">=", 7*time.Second))
+					g.Expect(c.Rests()).To(gomega.HaveKey(server.ID))
+				} else {
+					g.Expect(notice.Rest).To(gomega.BeZero(), "it is asked for by 503 alone")
+				}
 				cancel() // as for a hedge that lost
 				g.Eventually(done, 10*time.Second).Should(gomega.Receive())
 			})
--- a/modules/gateway/front.go
+++ b/modules/gateway/front.go
@@ -74,6 +74,7 @@
 	servers    []*http.Server
 	listener   net.Listener // for callers
 	callers    *callerConns
+	client     *upstream.Client // for requests to servers
 	nodeClient *upstream.Client // for requests that are forwarded to other nodes
 }
 
@@ -98,8 +99,7 @@
 	if f.feed, err = kernel.Use[*follow.Feed](ctx); err != nil {
 		return err
 	}
-	client, err := kernel.Use[*upstream.Client](ctx)
-	if err != nil {
+	if f.client, err = kernel.Use[*upstream.Client](ctx); err != nil {
 		return err
 	}
 	reports, err := kernel.Use[*follow.Reports](ctx)
@@ -108,7 +108,7 @@
 	}
 	f.logger = ctx.Logger
 	self := router.Options{Node: string(ctx.Identity.Node), StartedAt: time.Now()}
-	f.router = router.New(f.live.Settings().Zone, platform.Headers, routerOptions(f.live.Settings(), self), f.state, client, reports, ctx.Logger)
+	f.router = router.New(f.live.Settings().Zone, platform.Headers, routerOptions(f.live.Settings(), self), f.state, f.client, reports, ctx.Logger)
 	reachable, err := kernel.Use[*prober.Prober](ctx)
 	if err != nil {
 		return err
@@ -120,6 +120,18 @@
 	return nil
 }
 
+// Dump implements kernel.Dumper.
+func (f *Front) Dump() any {
+	rests := map[site.ServerID]string{}
+	for server, left := range f.client.Rests() {
+		rests[server] = left.String()
+	}
+	return struct {
+		// RestingServers are those that have asked this node for a rest, and how much longer it lasts.
+		RestingServers map[site.ServerID]string `json:"restingServers"`
+	}{rests}
+}
+
 // routerOptions returns the options of the router of a process with the router's part of
 // the settings.
 func routerOptions(s *config.Settings, self router.Options) router.Options {
