Answers without end are cut off

What callers saw: nothing yet; the users' pages say that bytes that are no answer may come without end, in a head or a body. One such answer cost a node 3.5 GB in 3 s (one line of a head). Cause: only the body of an answer, chunk extensions and trailers were bounded. Class: input of another party that is read until it ends. Evidence: TestAnswersWithoutEndAreCutOff on the code before, with 2 s for each: 8 of 13 rows of a request read on until their time was over (no line end, status line, one line, lines and a continued line of a head, informational answers), and chunks of one byte. TestAnswersOfNodesWithoutEndAreCutOff without the limits: 1.3 and 2.1 GB for a body in three calls. At-most-once requests keep 'may have run'.

--- a/gateway/follow/follower.go
+++ b/gateway/follow/follower.go
@@ -72,8 +72,7 @@
 // Run follows the lessor, through a relay if there is one, until ctx ends. While no node
 // has recent data, this node reads the store itself according to its read priority.
 func (f *Follower) Run(ctx context.Context) {
-	transport := &http.Transport{DialContext: f.dial, DisableCompression: true}
-	f.client = &http.Client{Transport: transport}
+	f.client = &http.Client{Transport: f.newTransport()}
 	f.clients = map[string]bspbconnect.GatewayClient{}
 	f.avoidUntil = map[string]time.Time{}
 	f.knownFollowers = map[string]uint64{}
@@ -218,7 +217,7 @@
 	defer cancel()
 	client := f.clients[address]
 	if client == nil {
-		client = bspbconnect.NewGatewayClient(f.client, "http://"+address)
+		client = newGatewayClient(f.client, address)
 		f.clients[address] = client
 	}
 	report := f.Reports.Drain()
--- a/gateway/follow/handoff.go
+++ b/gateway/follow/handoff.go
@@ -11,7 +11,6 @@
 	"github.com/burdockspindle/burdockspindle/gateway/site"
 	"github.com/burdockspindle/burdockspindle/gateway/store"
 	bspb "github.com/burdockspindle/burdockspindle/proto/burdockspindle/v1"
-	"github.com/burdockspindle/burdockspindle/proto/burdockspindle/v1/bspbconnect"
 )
 
 // handOffTimeout is the timeout of a hand-off. The previous lessor waits for its calls in
@@ -69,8 +68,9 @@
 func (f *Follower) RequestGrants(ctx context.Context, previous ranges.Lessor, claim store.Offset) (PreviousGrants, error) {
 	ctx, cancel := context.WithTimeout(ctx, handOffTimeout)
 	defer cancel()
-	transport := &http.Transport{DialContext: f.dial, DisableCompression: true, DisableKeepAlives: true}
-	client := bspbconnect.NewGatewayClient(&http.Client{Transport: transport}, "http://"+previous.Address)
+	transport := f.newTransport()
+	transport.DisableKeepAlives = true
+	client := newGatewayClient(&http.Client{Transport: transport}, previous.Address)
 	reply, err := client.HandOff(ctx, connect.NewRequest(&bspb.HandOffRequest{Node: previous.Node, Boot: previous.Boot, ClaimOffset: int64(claim)}))
 	if connect.CodeOf(err) == connect.CodeFailedPrecondition {
 		return PreviousGrants{}, &UnknownLessorError{Boot: previous.Boot}
--- a/gateway/follow/urgent.go
+++ b/gateway/follow/urgent.go
@@ -9,7 +9,6 @@
 
 	"github.com/burdockspindle/burdockspindle/clock"
 	bspb "github.com/burdockspindle/burdockspindle/proto/burdockspindle/v1"
-	"github.com/burdockspindle/burdockspindle/proto/burdockspindle/v1/bspbconnect"
 )
 
 // urgentDelay is how long an urgent report waits for further observations: the requests of
@@ -19,7 +18,7 @@
 // RunUrgentReports sends crashes and answered requests to the followed node as soon as they
 // are noted, until ctx ends. If a call fails, the next regular report repeats the crashes.
 func (f *Follower) RunUrgentReports(ctx context.Context) {
-	client := &http.Client{Transport: &http.Transport{DialContext: f.dial, DisableCompression: true}}
+	client := &http.Client{Transport: f.newTransport()}
 	for {
 		select {
 		case <-f.Reports.Urgent():
@@ -44,7 +43,7 @@
 	defer cancel()
 	request := &bspb.FollowRequest{Crashes: report.Crashes, Answered: report.Answered}
 	setKnownVersions(request, f.State.Now())
-	if _, err := bspbconnect.NewGatewayClient(client, "http://"+address).Follow(ctx, connect.NewRequest(request)); err != nil {
+	if _, err := newGatewayClient(client, address).Follow(ctx, connect.NewRequest(request)); err != nil {
 		eventPeerFailed.Log(f.Logger, "address", address, "cause", err)
 	}
 }
--- a/gateway/router/forward_server.go
+++ b/gateway/router/forward_server.go
@@ -79,6 +79,8 @@
 	defer cancel()
 	stop := context.AfterFunc(r.closing, cancel)
 	defer stop()
+	x.request.Held = r.client.Hold()
+	defer x.request.Held.Release()
 	x.finish(ctx, request.Context(), x.run(ctx))
 }
 
--- a/gateway/router/run.go
+++ b/gateway/router/run.go
@@ -129,6 +129,10 @@
 		if isAttempt && attemptErr.Rejected {
 			return pool.Outcome{Took: attempt.duration, NoCapacity: !isOver, Abandoned: isOver}
 		}
+		var memoryErr *upstream.AnswerMemoryError
+		if errors.As(attempt.err, &memoryErr) { // the server is not at fault
+			return pool.Outcome{Took: attempt.duration, Abandoned: true}
+		}
 		return pool.Outcome{
 			Took:       attempt.duration,
 			Failed:     !isOver,
--- a/gateway/router/serve.go
+++ b/gateway/router/serve.go
@@ -94,6 +94,8 @@
 	defer cancel()
 	stop := context.AfterFunc(r.closing, cancel)
 	defer stop()
+	x.request.Held = r.client.Hold()
+	defer x.request.Held.Release()
 	x.service.countRequest()
 	x.finish(ctx, request.Context(), x.run(ctx))
 }
--- a/gateway/upstream/client.go
+++ b/gateway/upstream/client.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"io"
 	"net"
 	"net/http"
 	"strconv"
@@ -23,8 +22,6 @@
 	connectTimeout = 300 * time.Millisecond
 	// sweepInterval is the interval at which expired idle connections are closed.
 	sweepInterval = time.Second
-	// maxAnswerBytes bounds the body of an answer, which is kept in memory.
-	maxAnswerBytes = 16 << 20
 	// maxInlineBody is the size in bytes up to which a body certainly fits into the send
 	// buffer, so that it can be written before the answer is read.
 	maxInlineBody = 32 << 10
@@ -43,6 +40,9 @@
 	// one: a request sent on a stalled connection is lost, and an at-most-once request
 	// cannot be sent again.
 	Fresh bool
+	// Held is the memory that the answers hold until the caller releases it; nil: they hold none once they are
+	// read.
+	Held *Held
 }
 
 // Answer is a server's complete response.
@@ -70,9 +70,10 @@
 	idle          idlePool
 
 	rests  rests
+	memory *AnswerMemory
 	logger hclog.Logger
 
-	invalidLoads, invalidLimits, invalidLeaving, invalidRests invalidReports
+	invalidLoads, invalidLimits, invalidLeaving, invalidRests, tooLong invalidReports
 	// pending holds the connections for control calls that are being opened.
 	pending pendingConns
 }
@@ -80,7 +81,7 @@
 // NewClient returns a client for a node in a zone, with the header names of the
 // deployment.
 func NewClient(headers Headers, zone string) *Client {
-	return &Client{headers: headers, zone: zone, peer: traffic.Servers, dial: Dialer(connectTimeout).DialContext, logger: hclog.NewNullLogger(), idle: idlePool{conns: map[idleKey][]*conn{}}}
+	return &Client{headers: headers, zone: zone, peer: traffic.Servers, dial: Dialer(connectTimeout).DialContext, logger: hclog.NewNullLogger(), memory: NewAnswerMemory(defaultAnswerMemory), idle: idlePool{conns: map[idleKey][]*conn{}}}
 }
 
 // NewNodeClient returns a client for requests to other nodes.
@@ -241,17 +242,21 @@
 	}
 	response, err := readResponse(cn, r.Method)
 	if err != nil {
+		c.noteTooLong(server, err)
 		return nil, false, err
 	}
 	defer func() { _ = response.Body.Close() }() // the connection is closed or reused as a whole
 	notice := c.readNotice(server, response, isRequest)
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes+1))
+	held := r.Held
+	if held == nil {
+		held = c.Hold()
+		defer held.Release()
+	}
+	body, err := readBody(cn, response.Body, held)
 	if err != nil {
+		c.noteTooLong(server, err)
 		return nil, false, err
 	}
-	if len(body) > maxAnswerBytes {
-		return nil, false, &TooLongError{Limit: maxAnswerBytes}
-	}
 	if isRequest && response.Header.Get(c.headers.RequestID) != r.ID && !c.isUnknownPath(response) {
 		return nil, false, &MismatchError{Want: r.ID, Got: response.Header.Get(c.headers.RequestID)}
 	}
@@ -273,7 +278,8 @@
 // readResponse reads the head of the final response and skips informational
 // responses.
 func readResponse(cn *conn, method string) (*http.Response, error) {
-	for {
+	cn.incoming.begin("head", maxHeadBytes)
+	for range maxInformational + 1 {
 		response, err := http.ReadResponse(cn.reader, &http.Request{Method: method})
 		if err != nil {
 			return nil, err
@@ -282,6 +288,7 @@
 			return response, nil
 		}
 	}
+	return nil, &TooLongError{Part: "informational answers", Limit: maxInformational}
 }
 
 // isUnknownPath reports whether a node answered that it does not know the path of a request.
--- a/gateway/upstream/conn.go
+++ b/gateway/upstream/conn.go
@@ -41,9 +41,10 @@
 type conn struct {
 	net         net.Conn
 	reader      *bufio.Reader
-	usableUntil time.Time // time after which it must not be used
-	answeredAt  time.Time // time of the last answer or probe
-	mayBeSent   bool      // bytes of the current request may have been sent
+	incoming    *boundedReader // what reader reads
+	usableUntil time.Time      // time after which it must not be used
+	answeredAt  time.Time      // time of the last answer or probe
+	mayBeSent   bool           // bytes of the current request may have been sent
 	meter       traffic.Meter
 
 	// mayBeUnaccepted reports that the server's process may not have accepted the connection.
@@ -54,7 +55,9 @@
 }
 
 func newConn(c net.Conn, meter traffic.Meter) *conn {
-	return &conn{net: c, reader: bufio.NewReaderSize(meter.Reader(c), readBuffer), meter: meter}
+	incoming := &boundedReader{source: meter.Reader(c)}
+	incoming.begin("head", maxHeadBytes)
+	return &conn{net: c, reader: bufio.NewReaderSize(incoming, readBuffer), incoming: incoming, meter: meter}
 }
 
 // abandon resets the connection, after recording whether bytes may still be in flight.
--- a/gateway/upstream/errors.go
+++ b/gateway/upstream/errors.go
@@ -42,12 +42,6 @@
 	return fmt.Sprintf("answer belongs to request %q, not to %q", e.Got, e.Want)
 }
 
-// TooLongError reports an answer whose body exceeds the limit in bytes.
-type TooLongError struct{ Limit int }
-
-// Error implements error.
-func (e *TooLongError) Error() string { return fmt.Sprintf("answer is longer than %d bytes", e.Limit) }
-
 // UnacceptedError reports a new connection that the server's kernel has accepted and on
 // which its process has not answered yet.
 type UnacceptedError struct{}
--- a/modules/gateway/front.go
+++ b/modules/gateway/front.go
@@ -114,12 +114,32 @@
 		return err
 	}
 	f.nodeClient = upstream.NewNodeClient(platform.Headers, f.live.Settings().Zone)
+	memory := upstream.NewAnswerMemory(answerMemory(f.live.Settings().MemoryMB))
+	f.client.SetAnswerMemory(memory)
+	f.nodeClient.SetAnswerMemory(memory)
 	f.router.EnableForwarding(f.feed.Self, f.nodeClient, reachable.IsPartitioned)
 	reachable.OnReconnected(f.router.UnblockServers)
 	f.live.Watch(func(s *config.Settings) { f.router.SetOptions(routerOptions(s, self)) })
 	return nil
 }
 
+const (
+	// answerMemoryShare is the share of the process's memory that bodies of answers may take. It may take twice
+	// as much while they are read.
+	answerMemoryShare = 0.25
+	// defaultMemoryMB is assumed if the memory of the process is not known, in units of 2^20 bytes.
+	defaultMemoryMB = 1024
+)
+
+// answerMemory returns the bytes of answers that a process with an amount of memory may hold, in units of 2^20
+// bytes; 0: it is not known.
+func answerMemory(memoryMB int64) int64 {
+	if memoryMB == 0 {
+		memoryMB = defaultMemoryMB
+	}
+	return int64(answerMemoryShare * float64(memoryMB<<20))
+}
+
 // Dump implements kernel.Dumper.
 func (f *Front) Dump() any {
 	rests := map[site.ServerID]string{}
