--- a/gateway/pool/pool.go
+++ b/gateway/pool/pool.go
@@ -342,6 +342,9 @@
 	}
 	if outcome.Rest > 0 { // neither a failure nor a sign of a lower limit
 		p.rest(m, outcome.Rest, now)
+		if !outcome.Abandoned {
+			m.unansweredSince = now
+		}
 		return p.Admit(now)
 	}
 	hung := outcome.Abandoned && p.isOverdue(m, outcome.Took, now)
--- a/gateway/pool/queue.go
+++ b/gateway/pool/queue.go
@@ -144,16 +144,6 @@
 	return slices.ContainsFunc(p.order, func(m *member) bool { return w.mayRunAt(m, now) && !m.blocked(now) })
 }
 
-// haveAllLeft reports whether the registered servers that could run a request that waits leave, so that it
-// waits in vain.
-func (p *Pool) haveAllLeft(w *Waiter, now time.Time) bool {
-	if w.OnlyServer != "" {
-		m := p.members[w.OnlyServer]
-		return m != nil && !m.MayServe(true, now)
-	}
-	return len(p.order) > 0 && !slices.ContainsFunc(p.order, func(m *member) bool { return w.mayRunAt(m, now) })
-}
-
 // hasBlockedServer reports whether a server may run a request but accepted no connection lately.
 func (p *Pool) hasBlockedServer(w *Waiter, now time.Time) bool {
 	return slices.ContainsFunc(p.order, func(m *member) bool { return w.mayRunAt(m, now) && m.blocked(now) })
@@ -231,107 +221,6 @@
 	return 1 / (seconds + m.pauseDuration(seconds).Seconds())
 }
 
-// Evict removes the waiters that can no longer be answered before their deadline, and returns
-// them with a retry delay. This is needed when a key becomes hot while requests wait: newer
-// requests, which can still meet their target, are sent first, so the older ones would only
-// wait until their deadline and should be refused at once.
-//
-// Waiters are examined in the order in which they are sent, so that an evicted one does not
-// count against those behind it, and are compared with each other only by the sort. Evict
-// runs at the end of every request: comparing every pair of 400 waiters would take 2.1 ms
-// each time, most of a weak VM's processor at 50 requests per second.
-func (p *Pool) Evict(now time.Time) []Eviction {
-	var evictions []Eviction
-	throughputs := map[site.ServerID]throughput{}
-	ahead := map[site.ServerID]int{} // waiters kept so far, by their only server
-	kept := 0
-	for _, w := range p.inSendOrder(now) {
-		if p.haveAllLeft(w, now) {
-			evictions = append(evictions, Eviction{Waiter: w, Refusal: *p.noServerRefusal(w, now)})
-			continue
-		}
-		if refusal := p.refuseResting(w, now); refusal != nil {
-			evictions = append(evictions, Eviction{Waiter: w, Refusal: *refusal})
-			continue
-		}
-		if refusal := p.refuseCounted(w, now); refusal != nil {
-			evictions = append(evictions, Eviction{Waiter: w, Refusal: *refusal})
-			continue
-		}
-		if refusal := p.refuseOverShare(w, now); refusal != nil {
-			evictions = append(evictions, Eviction{Waiter: w, Refusal: *refusal})
-			continue
-		}
-		waitersAhead := kept
-		if w.OnlyServer != "" {
-			waitersAhead = ahead[w.OnlyServer]
-		}
-		wait := p.cachedThroughput(throughputs, w, now).wait(waitersAhead)
-		if !now.Add(time.Duration(evictionWaitFactor * float64(wait))).After(w.Deadline) {
-			kept++
-			ahead[w.OnlyServer]++
-			continue
-		}
-		evictions = append(evictions, Eviction{Waiter: w, Refusal: Refusal{Reason: WaitTooLong, RetryAfter: p.retryAfter(wait)}})
-	}
-	p.removeAll(evictions)
-	return evictions
-}
-
-// inSendOrder returns the waiters in the order in which they are sent.
-func (p *Pool) inSendOrder(now time.Time) []*Waiter {
-	type queued struct {
-		*Waiter
-		inTime bool
-	}
-	entries := make([]queued, 0, len(p.queue))
-	for _, w := range p.queue {
-		entries = append(entries, queued{w, p.inTime(w, now)})
-	}
-	slices.SortStableFunc(entries, func(a, b queued) int { return compareWaiters(a.Waiter, b.Waiter, a.inTime, b.inTime) })
-	order := make([]*Waiter, 0, len(entries))
-	for _, t := range entries {
-		order = append(order, t.Waiter)
-	}
-	return order
-}
-
-// cachedThroughput returns the throughput of a waiter's servers, which is the same for all
-// waiters that may go to the same servers.
-func (p *Pool) cachedThroughput(cache map[site.ServerID]throughput, w *Waiter, now time.Time) throughput {
-	if w.OnlyServer == "" && len(w.Tried) > 0 {
-		return p.throughputFor(w, now)
-	}
-	t, exists := cache[w.OnlyServer]
-	if !exists {
-		t = p.throughputFor(w, now)
-		cache[w.OnlyServer] = t
-	}
-	return t
-}
-
-func (p *Pool) removeAll(evictions []Eviction) {
-	if len(evictions) == 0 {
-		return
-	}
-	removed := make(map[*Waiter]bool, len(evictions))
-	for _, e := range evictions {
-		removed[e.Waiter] = true
-	}
-	p.queue = slices.DeleteFunc(p.queue, func(w *Waiter) bool { return removed[w] })
-}
-
-// evictionWaitFactor is the share of the expected wait that must still fit the time left. It
-// is below one because the estimate is rough and an evicted waiter cannot regain its
-// position.
-const evictionWaitFactor = 0.7
-
-// Eviction refuses a request that has waited.
-type Eviction struct {
-	Waiter  *Waiter
-	Refusal Refusal
-}
-
 // retryAfter returns the retry delay of a refused caller, randomized so that callers that
 // were refused together do not return together.
 func (p *Pool) retryAfter(wait time.Duration) time.Duration {
--- a/gateway/upstream/client.go
+++ b/gateway/upstream/client.go
@@ -68,11 +68,11 @@
 	// observeNotice receives what servers say of themselves; nil: nobody observes.
 	observeNotice func(server site.ServerID, notice site.Notice)
 	idle          idlePool
-
+	// rests are the servers that want no requests of this node for a time.
 	rests  rests
-	memory *AnswerMemory
+	memory *AnswerMemory // for the bodies of answers
 	logger hclog.Logger
-
+	// The answers that are not understood, or too long.
 	invalidLoads, invalidLimits, invalidLeaving, invalidRests, tooLong invalidReports
 	// pending holds the connections for control calls that are being opened.
 	pending pendingConns
--- a/gateway/upstream/incarnation.go
+++ b/gateway/upstream/incarnation.go
@@ -20,6 +20,6 @@
 		}
 	}
 	c.idle.retain(registered, closing)
-	c.rests.retain(registered, time.Now())
+	c.rests.prune(time.Now())
 	c.pending.retain(registered)
 }
--- a/gateway/upstream/rest.go
+++ b/gateway/upstream/rest.go
@@ -67,12 +67,13 @@
 	return nil
 }
 
-// retain drops the rests of incarnations that are not registered and those that have ended.
-func (r *rests) retain(registered map[site.ServerID]bool, now time.Time) {
+// prune drops the rests that have ended. Those of servers that are not registered stay: an entry that has expired
+// while the store was away may be back with it.
+func (r *rests) prune(now time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for server, until := range r.until {
-		if !registered[server] || !now.Before(until) {
+		if !now.Before(until) {
 			delete(r.until, server)
 			delete(r.loggedAt, server)
 		}
--- a/gateway/upstream/rest_test.go
+++ b/gateway/upstream/rest_test.go
@@ -174,11 +174,27 @@
 		time.Sleep(time.Millisecond)
 		g.Expect(r.check("i", time.Now())).To(gomega.Succeed())
 		g.Expect(r.extend("i", time.Now().Add(time.Second), time.Now())).To(gomega.BeTrue(), "a new rest is logged")
-		r.retain(map[site.ServerID]bool{"k": true}, time.Now())
+		r.prune(time.Now())
+		g.Expect(r.check("i", time.Now())).NotTo(gomega.Succeed())
+		time.Sleep(time.Second)
+		r.prune(time.Now())
 		g.Expect(r.until).To(gomega.BeEmpty())
+		g.Expect(r.loggedAt).To(gomega.BeEmpty())
 	})
 }
 
+// Guards against a rest that ends early because the entry of its server has expired and is back.
+func TestRestOutlastsTheEntryOfItsServer(t *testing.T) {
+	g := gomega.NewWithT(t)
+	server, arrived := refusing(t, "60")
+	c := NewClient(noticeHeaders, "a")
+	_ = exchanges["request"](t.Context(), c, server)
+	c.RetainServers(map[site.ServerID]site.Server{"k": {ID: "k"}})
+	c.RetainServers(map[site.ServerID]site.Server{"i": server})
+	g.Expect(exchanges["request"](t.Context(), c, server)).NotTo(gomega.Succeed())
+	g.Expect(arrived.Load()).To(gomega.Equal(int64(1)))
+}
+
 // Guards against a node that keeps away from another one because that refuses callers with Retry-After.
 func TestNodesThatRefuseDoNotAskForARest(t *testing.T) {
 	g := gomega.NewWithT(t)
