--- a/gateway/upstream/rest_test.go
+++ b/gateway/upstream/rest_test.go
@@ -19,16 +19,16 @@
 	"github.com/burdockspindle/burdockspindle/gateway/site"
 )
 
-// refusing returns a server that answers all with 503 and asks for a rest, and the number of requests that it
+// refusing returns a server that answers all with 503 and asks for a rest of a minute, and the number of requests that it
 // got.
-func refusing(t *testing.T, rest string) (site.Server, *atomic.Int64) {
+func refusing(t *testing.T) (site.Server, *atomic.Int64) {
 	t.Helper()
 	var arrived atomic.Int64
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		arrived.Add(1)
 		w.Header().Set("Request-Id", r.Header.Get("Request-Id"))
 		w.Header().Set("Not-Run", "1")
-		w.Header().Set("Rest", rest)
+		w.Header().Set("Rest", "60")
 		w.WriteHeader(http.StatusServiceUnavailable)
 	}))
 	t.Cleanup(server.Close)
@@ -43,7 +43,7 @@
 			t.Run(kind+" after "+asked, func(t *testing.T) {
 				t.Parallel()
 				g := gomega.NewWithT(t)
-				server, arrived := refusing(t, "60")
+				server, arrived := refusing(t)
 				c := NewClient(noticeHeaders, "a")
 				_ = ask(t.Context(), c, server)
 				before := arrived.Load()
@@ -72,7 +72,7 @@
 // Guards against a request that is sent in the rest because it had been given its connection before.
 func TestRestIsKeptByARequestThatIsConnecting(t *testing.T) {
 	g := gomega.NewWithT(t)
-	server, arrived := refusing(t, "60")
+	server, arrived := refusing(t)
 	c := NewClient(noticeHeaders, "a")
 	dial := c.dial
 	isFirst := true
@@ -186,7 +186,7 @@
 // Guards against a rest that ends early because the entry of its server has expired and is back.
 func TestRestOutlastsTheEntryOfItsServer(t *testing.T) {
 	g := gomega.NewWithT(t)
-	server, arrived := refusing(t, "60")
+	server, arrived := refusing(t)
 	c := NewClient(noticeHeaders, "a")
 	_ = exchanges["request"](t.Context(), c, server)
 	c.RetainServers(map[site.ServerID]site.Server{"k": {ID: "k"}})
@@ -198,7 +198,7 @@
 // Guards against a node that keeps away from another one because that refuses callers with Retry-After.
 func TestNodesThatRefuseDoNotAskForARest(t *testing.T) {
 	g := gomega.NewWithT(t)
-	server, arrived := refusing(t, "60")
+	server, arrived := refusing(t)
 	c := NewNodeClient(noticeHeaders, "a")
 	for range 3 {
 		g.Expect(exchanges["request"](t.Context(), c, server)).To(gomega.Succeed())
