--- a/gateway/upstream/endless_test.go
+++ b/gateway/upstream/endless_test.go
@@ -69,7 +69,7 @@
 
 const (
 	// endlessTimeout is how long a caller would wait for an answer without end.
-	endlessTimeout = 30 * time.Second
+	endlessTimeout = 15 * time.Second
 	// maxEndlessAlloc is the memory that such an answer may cost: a few times the longest body, since it grows
 	// while it is read.
 	maxEndlessAlloc = 8 * maxAnswerBytes
