Pool: the time to open a connection is no part of a server's service time

Callers saw load that does not spread: of equal servers some got next to nothing. Cause: at-most-once requests need a connection that carried an answer in the last 200 ms, or a new one, for which the node waits 3 ms for a rejection. A server that is rarely used needs a new one for each, looks slower by that, and is used even less. Why it works: the estimate is of what a request costs at the server; a new connection makes the next request fast. The report of owners' service times to the lessor leaves it out too.

--- a/gateway/pool/pool.go
+++ b/gateway/pool/pool.go
@@ -306,11 +306,12 @@
 // Outcome describes how a request ended at a server.
 type Outcome struct {
 	Took       time.Duration
-	Load       *site.Load // nil: not reported
-	Failed     bool       // no response, or a failure of the server
-	NoCapacity bool       // the server refused for lack of capacity
-	Reset      bool       // the server reset the connection, as some do when they are full
-	NotReached bool       // the server accepted no connection
+	Connect    time.Duration // part of Took in which the connection was opened
+	Load       *site.Load    // nil: not reported
+	Failed     bool          // no response, or a failure of the server
+	NoCapacity bool          // the server refused for lack of capacity
+	Reset      bool          // the server reset the connection, as some do when they are full
+	NotReached bool          // the server accepted no connection
 	// Abandoned reports that the node gave up on the request. This says little about the
 	// server unless the request was long overdue.
 	Abandoned bool
@@ -332,13 +333,7 @@
 		}
 	}
 	if !outcome.Failed && !outcome.NoCapacity && !outcome.Abandoned {
-		if m.meanSeconds == 0 {
-			m.meanSeconds = outcome.Took.Seconds()
-		}
-		m.meanSeconds = p.serviceTime(m, now)
-		m.meanUpdatedAt = now
-		m.meanSeconds += timeWeight * (outcome.Took.Seconds() - m.meanSeconds)
-		p.cachedTimes = serviceTimes{}
+		p.recordServiceTime(m, (outcome.Took - outcome.Connect).Seconds(), now)
 	}
 	if outcome.Rest > 0 { // neither a failure nor a sign of a lower limit
 		p.rest(m, outcome.Rest, now)
@@ -365,6 +360,18 @@
 	return p.Admit(now)
 }
 
+// recordServiceTime records in how many seconds a server answered. The time to open a connection is left
+// out: a server that is rarely used would look slow, and be used even less.
+func (p *Pool) recordServiceTime(m *member, seconds float64, now time.Time) {
+	if m.meanSeconds == 0 {
+		m.meanSeconds = seconds
+	}
+	m.meanSeconds = p.serviceTime(m, now)
+	m.meanUpdatedAt = now
+	m.meanSeconds += timeWeight * (seconds - m.meanSeconds)
+	p.cachedTimes = serviceTimes{}
+}
+
 func (p *Pool) recordFailure(m *member, failed bool, now time.Time) {
 	rate := m.failureRate * decay(now.Sub(m.failureAt), failureHalfLife)
 	target := 0.0
--- a/gateway/router/run.go
+++ b/gateway/router/run.go
@@ -147,6 +147,7 @@
 	isMisdirected := attempt.answer.Status == http.StatusMisdirectedRequest
 	return pool.Outcome{
 		Took:       attempt.duration,
+		Connect:    attempt.answer.ConnectTime,
 		Load:       attempt.answer.Load,
 		Failed:     attempt.answer.Status >= http.StatusInternalServerError && !attempt.answer.NotRun,
 		NoCapacity: attempt.answer.NotRun && !isMisdirected,
@@ -171,14 +172,16 @@
 	return max(time.Until(resting.Until), 0)
 }
 
-// serviceTime estimates how long a server ran a request, without its wait in the server's
-// queue. It assumes that the queue was as long at the arrival of the request as at its end.
+// serviceTime estimates how long a server ran a request, without the time to open a connection
+// and without its wait in the server's queue. It assumes that the queue was as long at the arrival
+// of the request as at its end.
 func serviceTime(attempt attemptResult) time.Duration {
+	answered := attempt.duration - attempt.answer.ConnectTime
 	load := attempt.answer.Load
 	if load == nil || load.Slots == 0 {
-		return attempt.duration
+		return answered
 	}
-	return time.Duration(float64(attempt.duration) / (1 + float64(load.Waiting)/float64(load.Slots)))
+	return time.Duration(float64(answered) / (1 + float64(load.Waiting)/float64(load.Slots)))
 }
 
 // isFinal records the result of an attempt and reports whether the request is done.
--- a/gateway/router/run_test.go
+++ b/gateway/router/run_test.go
@@ -30,6 +30,12 @@
 	g.Expect(serviceTime(answered(2*time.Second, &site.Load{Running: 4, Waiting: 4, Slots: 4}))).To(gomega.Equal(time.Second))
 }
 
+// Guards against owners that look busier than they are because requests to them need new connections.
+func TestServiceTimeExcludesTheNewConnection(t *testing.T) {
+	answer := &upstream.Answer{ConnectTime: 40 * time.Millisecond}
+	gomega.NewWithT(t).Expect(serviceTime(attemptResult{answer: answer, duration: 100 * time.Millisecond})).To(gomega.Equal(60 * time.Millisecond))
+}
+
 func TestLinesOfFailedRequestsAreBoundedAndCounted(t *testing.T) {
 	g := gomega.NewWithT(t)
 	var b lineBudget
--- a/gateway/upstream/client.go
+++ b/gateway/upstream/client.go
@@ -53,6 +53,8 @@
 	NotRun bool // the server states that it has not run the request
 	// Server is the incarnation that the request was sent to.
 	Server site.ServerID
+	// ConnectTime is how long it took to open the connection; 0: an idle one was used.
+	ConnectTime time.Duration
 	site.Notice
 }
 
@@ -192,6 +194,7 @@
 // newConn returns a new connection, which the server has not closed at once. The error is an
 // *AttemptError.
 func (c *Client) newConn(ctx context.Context, server site.Server) (*conn, error) {
+	startedAt := time.Now()
 	raw, err := c.connect(ctx, server)
 	if err != nil {
 		return nil, &AttemptError{Server: server.ID, Cause: err}
@@ -201,6 +204,7 @@
 		reset(raw)
 		return nil, &AttemptError{Server: server.ID, Rejected: isClosedByPeer(err), Cause: err}
 	}
+	cn.connectTime = time.Since(startedAt)
 	return cn, nil
 }
 
@@ -261,7 +265,9 @@
 		return nil, false, &MismatchError{Want: r.ID, Got: response.Header.Get(c.headers.RequestID)}
 	}
 	reusable := !response.Close && cn.reader.Buffered() == 0 && wasWritten(written) && stop()
-	return c.answer(server, response, body, notice), reusable, nil
+	answer := c.answer(server, response, body, notice)
+	answer.ConnectTime = cn.connectTime
+	return answer, reusable, nil
 }
 
 // wasWritten reports whether the whole request had been written by the time its answer
--- a/gateway/upstream/client_test.go
+++ b/gateway/upstream/client_test.go
@@ -120,6 +120,18 @@
 	g.Expect(conns.Load()).To(gomega.Equal(int32(1)))
 }
 
+// Guards against a server that is taken for slow because a connection to it had to be opened.
+func TestAnswersSayHowLongTheirConnectionTook(t *testing.T) {
+	g := gomega.NewWithT(t)
+	server, _ := serve(t, func(_ int, r *http.Request) (string, connEnd) { return ok(r.Header.Get("Request-Id"), "x"), keep })
+	client := upstream.NewClient(headers, "")
+	for _, isNew := range []bool{true, false} {
+		answer, err := send(t, client, server, "1")
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		g.Expect(answer.ConnectTime > 0).To(gomega.Equal(isNew))
+	}
+}
+
 // A connection is closed if it is uncertain which request its next bytes belong to, and
 // none of the answer reaches a caller.
 func TestUnusableAnswersAreErrors(t *testing.T) {
--- a/gateway/upstream/conn.go
+++ b/gateway/upstream/conn.go
@@ -45,6 +45,7 @@
 	usableUntil time.Time      // time after which it must not be used
 	answeredAt  time.Time      // time of the last answer or probe
 	mayBeSent   bool           // bytes of the current request may have been sent
+	connectTime time.Duration  // how long it took to open it; 0: it has been idle since
 	meter       traffic.Meter
 
 	// mayBeUnaccepted reports that the server's process may not have accepted the connection.
--- a/gateway/upstream/idle.go
+++ b/gateway/upstream/idle.go
@@ -40,6 +40,7 @@
 		}
 		if now.Before(c.usableUntil) && c.isIdle() {
 			c.mayBeSent = false
+			c.connectTime = 0
 			return c
 		}
 		_ = c.net.Close() // the connection is idle
