Router: a rest that has just ended is no failure of the server

Callers: a server that asked for a rest could be avoided for longer than it had asked, as if it took no connections. Cause: restLeft returned 0 both where no rest was the reason and where the rest ended between the check of the client and the outcome; the outcome was then a failed connection (Failed, NotReached), which blocks the server. Found on reading: restLeft and isResting unpacked the same error. One does now, and says both. Evidence: TestRestThatHasJustEndedIsNoFailure got Failed and NotReached before.

--- a/gateway/router/check.go
+++ b/gateway/router/check.go
@@ -100,6 +100,7 @@
 func (s *service) recordCheck(result loadCheck, isLate bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.pool.Rest(result.server, max(result.health.Rest, restLeft(result.err)), time.Now())
+	rest, _ := restLeft(result.err)
+	s.pool.Rest(result.server, max(result.health.Rest, rest), time.Now())
 	s.pool.RecordCheck(result.server, result.health.Load, result.health.WarmUp, isLate, time.Now())
 }
--- a/gateway/router/dispatch_test.go
+++ b/gateway/router/dispatch_test.go
@@ -83,3 +83,11 @@
 	outcome = x.poolOutcome(context.Background(), attemptResult{err: refused})
 	g.Expect(outcome).To(gomega.Equal(pool.Outcome{Failed: true, NotReached: true}))
 }
+
+// Guards against a server that is taken for unreachable because its rest ends just when a request to it is given up.
+func TestRestThatHasJustEndedIsNoFailure(t *testing.T) {
+	x := newKeyedExchange(t)
+	resting := &upstream.AttemptError{Server: "b", Cause: &upstream.RestingError{Until: time.Now()}}
+	outcome := x.poolOutcome(context.Background(), attemptResult{err: resting})
+	gomega.NewWithT(t).Expect(outcome).To(gomega.Equal(pool.Outcome{Abandoned: true}))
+}
--- a/gateway/router/run.go
+++ b/gateway/router/run.go
@@ -123,7 +123,7 @@
 		var attemptErr *upstream.AttemptError
 		isOver := ctx.Err() != nil
 		isAttempt := errors.As(attempt.err, &attemptErr)
-		if rest := restLeft(attempt.err); rest > 0 {
+		if rest, isResting := restLeft(attempt.err); isResting {
 			return pool.Outcome{Took: attempt.duration, Abandoned: true, Rest: rest}
 		}
 		if isAttempt && attemptErr.Rejected {
@@ -158,18 +158,18 @@
 
 // isResting reports whether a request was not sent because its server rests.
 func isResting(err error) bool {
-	var resting *upstream.RestingError
-	return errors.As(err, &resting)
+	_, isResting := restLeft(err)
+	return isResting
 }
 
-// restLeft returns for how long the server of an attempt still rests, if the request was not sent because of that;
-// 0: it was.
-func restLeft(err error) time.Duration {
+// restLeft returns for how long the server of an attempt still rests, and whether the request was not sent
+// because of that. The rest may just have ended.
+func restLeft(err error) (left time.Duration, isResting bool) {
 	var resting *upstream.RestingError
 	if !errors.As(err, &resting) {
-		return 0
+		return 0, false
 	}
-	return max(time.Until(resting.Until), 0)
+	return max(time.Until(resting.Until), 0), true
 }
 
 // serviceTime estimates how long a server ran a request, without the time to open a connection
