--- a/gateway/pool/pool.go
+++ b/gateway/pool/pool.go
@@ -65,8 +65,6 @@
 	untriedShare = 0.1
 	// slowHalfLife is the half-life of the excess of a slow server's mean over the median.
 	slowHalfLife = 5 * time.Second
-	// recentAnswer is how long after its latest answer a server counts in the median.
-	recentAnswer = 10 * time.Second
 	// hangFactor is the number of usual service times without any response after which a
 	// server with requests in flight is treated as failing: about one request in a hundred
 	// takes three. Callers that give up after half of their target do so sooner.
@@ -129,7 +127,6 @@
 	order       []*member
 	queue       []*Waiter
 	cachedTimes serviceTimes // zero: to be recomputed
-	answeredAt  time.Time    // when a service time was last recorded
 	shares      quota.Shares // shares of requests for keys, valid until sharesUntil
 	// sharesUntil is the expiry of the shares if no newer ones arrive.
 	sharesUntil time.Time
@@ -370,7 +367,7 @@
 		m.meanSeconds = seconds
 	}
 	m.meanSeconds = p.serviceTime(m, now)
-	m.meanUpdatedAt, p.answeredAt = now, now
+	m.meanUpdatedAt = now
 	m.meanSeconds += timeWeight * (seconds - m.meanSeconds)
 	p.cachedTimes = serviceTimes{}
 }
--- a/gateway/pool/times.go
+++ b/gateway/pool/times.go
@@ -37,40 +37,29 @@
 	return math.Exp2(-age.Seconds() / halfLife.Seconds())
 }
 
-// serviceTimes summarizes the mean service times of the servers, in seconds. The median is of the servers that
-// have answered lately: one that is not used keeps the mean that it had, however long ago that was.
+// serviceTimes summarizes the mean service times of the servers, in seconds.
 type serviceTimes struct{ mean, median float64 }
 
-// times returns the service times of the servers where they are known. They are cached until one
-// changes, because every selection among many servers uses them.
+// times returns the mean and median over the servers with a known service time. They are
+// cached until a service time changes, because every selection among many servers uses them.
 func (p *Pool) times() serviceTimes {
-	if p.cachedTimes.mean == 0 {
-		p.cachedTimes = p.summarizeTimes()
+	if p.cachedTimes.mean > 0 {
+		return p.cachedTimes
 	}
-	return p.cachedTimes
-}
-
-func (p *Pool) summarizeTimes() serviceTimes {
-	var all, recent []float64
+	var means []float64
 	sum := 0.0
 	for _, m := range p.order {
-		if m.meanSeconds == 0 {
-			continue
-		}
-		sum += m.meanSeconds
-		all = append(all, m.meanSeconds)
-		if p.answeredAt.Sub(m.meanUpdatedAt) <= recentAnswer {
-			recent = append(recent, m.meanSeconds)
+		if m.meanSeconds > 0 {
+			means = append(means, m.meanSeconds)
+			sum += m.meanSeconds
 		}
 	}
-	if len(all) == 0 {
+	if len(means) == 0 {
 		initial := initialTime.Seconds()
-		return serviceTimes{initial, initial}
-	}
-	mean := sum / float64(len(all))
-	if len(recent) == 0 { // the servers that answered lately have left
-		recent = all
+		p.cachedTimes = serviceTimes{initial, initial}
+		return p.cachedTimes
 	}
-	slices.Sort(recent)
-	return serviceTimes{mean, recent[(len(recent)-1)/2]}
+	slices.Sort(means)
+	p.cachedTimes = serviceTimes{mean: sum / float64(len(means)), median: means[(len(means)-1)/2]}
+	return p.cachedTimes
 }
