Tests of answers without end: one server for all three

The tests of servers, nodes and the store each had a raw server of their own. gateway/answertest serves all of them; rows, limits and checks are unchanged.

--- a/gateway/follow/endless_test.go
+++ b/gateway/follow/endless_test.go
@@ -2,16 +2,14 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
-	"net/http/httptest"
 	"runtime"
-	"strings"
 	"testing"
 	"time"
 
 	"github.com/onsi/gomega"
 
+	"github.com/burdockspindle/burdockspindle/gateway/answertest"
 	"github.com/burdockspindle/burdockspindle/gateway/ranges"
 	"github.com/burdockspindle/burdockspindle/proto/burdockspindle/v1/bspbconnect"
 )
@@ -34,21 +32,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			g := gomega.NewWithT(t)
-			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-				conn, _, err := w.(http.Hijacker).Hijack()
-				if err != nil {
-					t.Error(err)
-					return
-				}
-				defer func() { _ = conn.Close() }()
-				more := []byte(strings.Repeat(answer.next, 4096))
-				_, err = io.WriteString(conn, answer.begin)
-				for err == nil {
-					_, err = conn.Write(more)
-				}
-			}))
-			defer server.Close()
-			address := strings.TrimPrefix(server.URL, "http://")
+			address := answertest.ServeEndless(t, answer.begin, answer.next)
 			f := newLeavingFollower("follower")
 			f.Reports = NewReports()
 			f.Feed = NewFeed(f.Self, f.State, new(Contact), func() bool { return false })
--- a/gateway/upstream/endless_test.go
+++ b/gateway/upstream/endless_test.go
@@ -1,11 +1,8 @@
 package upstream
 
 import (
-	"bufio"
 	"context"
 	"errors"
-	"io"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"runtime"
@@ -15,41 +12,10 @@
 
 	"github.com/onsi/gomega"
 
+	"github.com/burdockspindle/burdockspindle/gateway/answertest"
 	"github.com/burdockspindle/burdockspindle/gateway/site"
 )
 
-// sendingForEver returns a server that begins its answers with a text and goes on with another one, until the
-// caller closes the connection.
-func sendingForEver(t *testing.T, begin, next string) site.Server {
-	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = listener.Close() })
-	more := []byte(strings.Repeat(next, max(64<<10/len(next), 1)))
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer func() { _ = conn.Close() }()
-				request, err := http.ReadRequest(bufio.NewReader(conn))
-				if err != nil {
-					return
-				}
-				_, err = io.WriteString(conn, strings.Replace(begin, "%", request.Header.Get("Request-Id"), 1))
-				for err == nil {
-					_, err = conn.Write(more)
-				}
-			}()
-		}
-	}()
-	return site.Server{ID: "i", Address: listener.Addr().String()}
-}
-
 // endlessAnswers are answers without end: how each begins, and what follows for ever.
 var endlessAnswers = map[string]struct{ begin, next string }{
 	"no line end":           {"", "x"},
@@ -82,7 +48,7 @@
 		for name, answer := range endlessAnswers {
 			t.Run(kind+", "+name, func(t *testing.T) {
 				g := gomega.NewWithT(t)
-				server := sendingForEver(t, answer.begin, answer.next)
+				server := site.Server{ID: "i", Address: answertest.ServeEndless(t, answer.begin, answer.next)}
 				for _, c := range []*Client{NewClient(noticeHeaders, "a"), NewNodeClient(noticeHeaders, "a")} {
 					var before, after runtime.MemStats
 					runtime.ReadMemStats(&before)
