--- a/gateway/pool/pool.go
+++ b/gateway/pool/pool.go
@@ -15,6 +15,8 @@
 //   - Many nodes that rarely use each server: load reports lose weight within a few service
 //     times, so that nodes do not all act on the same outdated report, and for hot keys the
 //     lessor sends all nodes the same share.
+//   - Servers that a node rarely uses: most of their requests need a new connection, which is no
+//     sign of a slow server.
 //   - Lost responses: a request that is overdue at a server with free slots releases its slot
 //     in the limit.
 package pool
