Frontend and administration: a module that has ended is released

Cause: iris keeps each application that a process makes (context.RegisterApplication), and the handlers of its routes kept the module, which keeps its node: rings, state, connections. After 75 s of TestSitesUnderFaults without the race detector 145 MB of rings of load.NewRecorder were alive, 110 nodes' of 1.3 MB, beside 24 nodes that ran. Why it works: routes refer to the module weakly.

--- a/modules/admin/routes.go
+++ b/modules/admin/routes.go
@@ -8,6 +8,7 @@
 	"strings"
 	"sync/atomic"
 	"time"
+	"weak"
 
 	"github.com/hashicorp/go-hclog"
 	"github.com/kataras/iris/v12"
@@ -36,12 +37,15 @@
 	drain      kernel.DrainFunc
 	peers      peer.Caller
 	localMoves *peer.Handlers // nil if this process serves no peer calls
+
+	handlers map[string]http.HandlerFunc // by path
 }
 
 // methods maps an HTTP method to its handler.
 type methods map[string]http.HandlerFunc
 
-// handler returns a handler that checks the token and then routes the request.
+// handler returns a handler that checks the token and then routes the request. The routes
+// refer to the API weakly, because iris keeps every application until the process ends.
 func (a *api) handler() (http.Handler, error) {
 	app := iris.New()
 	app.Logger().SetLevel("disable")
@@ -52,8 +56,15 @@
 		DisablePathCorrectionRedirection: true,
 		DisableAutoFireStatusCode:        true,
 	}))
+	a.handlers = map[string]http.HandlerFunc{}
+	target := weak.Make(a)
 	for path, handlers := range a.routes() {
-		app.Any(path, adapt(dispatch(handlers)))
+		a.handlers[path] = dispatch(handlers)
+		app.Any(path, adapt(func(w http.ResponseWriter, r *http.Request) {
+			if a := target.Value(); a != nil { // else the module has ended
+				a.handlers[path](w, r)
+			}
+		}))
 	}
 	app.Any(adminapi.PathProfile+"/{name:path}", adapt(serveProfile))
 	app.Any(adminapi.PathProfile, adapt(serveProfile))
--- a/modules/frontend/module.go
+++ b/modules/frontend/module.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"time"
+	"weak"
 
 	"github.com/hashicorp/go-hclog"
 	"github.com/kataras/iris/v12"
@@ -84,7 +85,8 @@
 }
 
 // buildRoutes sets up iris. This package parses the paths of services itself from
-// the escaped path, because keys may contain any bytes.
+// the escaped path, because keys may contain any bytes. The routes refer to the handler
+// weakly, because iris keeps every application until the process ends.
 func buildRoutes(h *handler) (http.Handler, error) {
 	app := iris.New()
 	app.Logger().SetLevel("disable")
@@ -96,10 +98,17 @@
 		DisableAutoFireStatusCode:         true,
 		DisableBodyConsumptionOnUnmarshal: true,
 	}))
-	app.Get(callerapi.PathHealth, func(ctx iris.Context) { h.health(ctx.ResponseWriter().Naive(), ctx.Request()) })
-	serve := func(ctx iris.Context) { h.serve(ctx.ResponseWriter().Naive(), ctx.Request()) }
-	app.Any("/{tail:path}", serve)
-	app.Any("/", serve)
+	target := weak.Make(h)
+	route := func(serve func(*handler, http.ResponseWriter, *http.Request)) iris.Handler {
+		return func(ctx iris.Context) {
+			if h := target.Value(); h != nil { // else the module has ended
+				serve(h, ctx.ResponseWriter().Naive(), ctx.Request())
+			}
+		}
+	}
+	app.Get(callerapi.PathHealth, route((*handler).health))
+	app.Any("/{tail:path}", route((*handler).serve))
+	app.Any("/", route((*handler).serve))
 	if err := app.Build(); err != nil {
 		return nil, &BuildError{Cause: err}
 	}
