Proof: the site of a row that has ended is released

The parent test keeps the clean-up functions of all its parallel rows, and each kept its site with its history.

--- a/proof/site_test.go
+++ b/proof/site_test.go
@@ -94,7 +94,11 @@
 	options.Logger = siteLogger()
 	site, err := demo.StartSite(ctx, options)
 	if site != nil {
-		t.Cleanup(site.Stop)
+		stop := site.Stop
+		t.Cleanup(func() {
+			stop()
+			stop = nil // a test keeps the functions of its parallel rows until all have ended
+		})
 	}
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 	g.Expect(site.WaitReady(ctx)).To(gomega.Succeed())
