View: the limit that a server names outlives its entry in the registry

Cause: limits were dropped with the server's entry at the next change of any limit.

Now a limit is kept for a minute without an entry, and believed for 15 s after the entry's return, since nobody could confirm it before. A newer answer without a limit lifts it as ever.

Ruled out: keeping it by moving the time of its answer, as other nodes would take it for a newer answer than one that lifts the limit.

--- a/gateway/view/limits.go
+++ b/gateway/view/limits.go
@@ -11,6 +11,9 @@
 	// limitValidity is how long a limit is believed without a newer answer. The nodes that may send to
 	// the server confirm it more often, as long as it stands.
 	limitValidity = 15 * time.Second
+	// absentLimitRetention is how long the limit of a server without an entry is kept: its entry may have
+	// expired while the server runs on.
+	absentLimitRetention = time.Minute
 	// limitRefresh is by how much newer an answer must be that says the same, to replace the one
 	// before: not every answer makes a new view, or is sent to other nodes.
 	limitRefresh = 2 * time.Second
@@ -21,13 +24,19 @@
 	// Serial grows with each change.
 	Serial   uint64
 	byServer map[site.ServerID]site.NamedLimit
+	// returnedAt is when the entries of servers that had none were back in the registry.
+	returnedAt map[site.ServerID]time.Time
 }
 
 // Of returns the limit that a server names, and until when it is believed. isNamed is false if there is
 // none.
 func (l Limits) Of(id site.ServerID) (limit site.NamedLimit, until time.Time, isNamed bool) {
 	limit = l.byServer[id]
-	return limit, limit.At.Add(limitValidity), limit.IsNamed
+	since := limit.At
+	if returnedAt := l.returnedAt[id]; returnedAt.After(since) {
+		since = returnedAt // nobody could confirm it before
+	}
+	return limit, since.Add(limitValidity), limit.IsNamed
 }
 
 // Valid returns what is still believed, lifted limits included: other nodes may not know of that yet.
@@ -70,7 +79,7 @@
 }
 
 // MergeLimits applies the answers of servers that are newer than those known of them, and returns what
-// has changed. Servers that are not registered have none.
+// has changed. Of servers that are not registered it applies none but to limits that are known already.
 func (s *State) MergeLimits(limits map[site.ServerID]site.NamedLimit) []LimitChange {
 	if !s.Now().needsLimits(limits) {
 		return nil
@@ -93,12 +102,28 @@
 			merged[id] = limit
 		}
 		next.dropLimits(merged)
-		next.Limits = Limits{Serial: next.Limits.Serial + 1, byServer: merged}
+		next.Limits = Limits{Serial: next.Limits.Serial + 1, byServer: merged, returnedAt: next.Limits.returnedAt}
 		return true
 	})
 	return changes
 }
 
+// noteReturned records that the entries of servers with a limit are back in the registry.
+func (v *View) noteReturned(before map[site.ServerID]site.Server, now time.Time) {
+	returnedAt := maps.Clone(v.Limits.returnedAt)
+	for id := range v.Limits.byServer {
+		_, wasRegistered := before[id]
+		if _, isRegistered := v.Servers.Servers[id]; isRegistered && !wasRegistered {
+			if returnedAt == nil {
+				returnedAt = map[site.ServerID]time.Time{}
+			}
+			returnedAt[id] = now
+		}
+	}
+	maps.DeleteFunc(returnedAt, func(_ site.ServerID, at time.Time) bool { return now.Sub(at) >= limitValidity })
+	v.Limits.returnedAt = returnedAt
+}
+
 // needsLimits reports whether one of the answers changes the view.
 func (v *View) needsLimits(limits map[site.ServerID]site.NamedLimit) bool {
 	for id, limit := range limits {
@@ -112,7 +137,7 @@
 // NeedsLimit reports whether an answer changes the view.
 func (v *View) NeedsLimit(id site.ServerID, limit site.NamedLimit) bool {
 	known, isKnown := v.Limits.byServer[id]
-	if _, isRegistered := v.Servers.Servers[id]; !isRegistered {
+	if _, isRegistered := v.Servers.Servers[id]; !isRegistered && !isKnown {
 		return false
 	}
 	switch {
@@ -124,11 +149,12 @@
 	return limit.At.After(known.At)
 }
 
-// dropLimits removes the limits of servers that are no longer registered, and lifted ones that all nodes
-// know of.
+// dropLimits removes the limits of servers that have long been without an entry, and lifted ones that all
+// nodes know of.
 func (v *View) dropLimits(limits map[site.ServerID]site.NamedLimit) {
 	maps.DeleteFunc(limits, func(id site.ServerID, limit site.NamedLimit) bool {
+		age := time.Since(limit.At)
 		_, isRegistered := v.Servers.Servers[id]
-		return !isRegistered || !limit.IsNamed && time.Since(limit.At) >= limitValidity
+		return !isRegistered && age >= absentLimitRetention || !limit.IsNamed && age >= limitValidity
 	})
 }
