Pool: a node that is not in its own list of members sends nothing to limited servers

Cause: a node that has no list of members yet, or one without itself, took its part of a limit from an assumed number of nodes (8), and with a limit of 8 a second or more sent although no other node counted it. After the loss of all nodes no list is known for seconds; a node that joins has none for up to 1.5 s.

Such a node now leaves the requests to those that count, or refuses them at once as not run if it knows none. That was so before for limits below 8 a second.

--- a/gateway/pool/limit_fleet_test.go
+++ b/gateway/pool/limit_fleet_test.go
@@ -342,6 +342,60 @@
 	}
 }
 
+// Guards against servers that get more than the limit that they name while nodes join, leave and restart: each
+// that began to count did so with a full budget.
+func TestLimitsHoldWhileTheNodesThatCountChange(t *testing.T) {
+	for name, move := range map[string]fleetMove{
+		"each node is replaced by another": func(f *fleet) func(time.Duration) {
+			return f.every(200*time.Millisecond, 4*time.Second, min(len(f.nodes), mostChanges), func() {
+				f.join()
+				f.stop(f.nodes[0])
+				f.publish()
+			})
+		},
+		"each node restarts": func(f *fleet) func(time.Duration) {
+			return f.every(400*time.Millisecond, 4*time.Second, min(len(f.nodes), mostChanges), func() {
+				n := f.nodes[0]
+				f.stop(n)
+				f.publish()
+				f.start(n.member)
+				f.publish()
+			})
+		},
+		"as many nodes join": func(f *fleet) func(time.Duration) {
+			return f.every(100*time.Millisecond, 4*time.Second, min(len(f.nodes), mostChanges), func() {
+				f.join()
+				f.publish()
+			})
+		},
+		"most nodes leave": func(f *fleet) func(time.Duration) {
+			return f.every(100*time.Millisecond, 4*time.Second, min(len(f.nodes)*3/4, mostChanges), func() {
+				f.stop(f.nodes[f.random.IntN(len(f.nodes))])
+				f.publish()
+			})
+		},
+	} {
+		t.Run(name, func(t *testing.T) { checkFleets(t, move) })
+	}
+}
+
+// Guards against servers that get more than the limit that they name after all nodes have restarted: until a
+// node knew the others it assumed a number of nodes.
+func TestLimitsHoldWhileTheOtherNodesAreUnknown(t *testing.T) {
+	checkFleets(t, func(f *fleet) func(time.Duration) {
+		return f.every(time.Hour, 4*time.Second, 1, func() {
+			members := f.members
+			f.members = nil
+			for _, n := range slices.Clone(f.nodes) {
+				f.stop(n)
+			}
+			for _, m := range members {
+				f.start(m)
+			}
+		})
+	})
+}
+
 // Guards against servers that get more than the limit that they name when their entries in the registry, which
 // had expired, are back: all nodes had dropped the limits.
 func TestLimitsHoldAfterEntriesWereMissing(t *testing.T) {
--- a/gateway/pool/rate.go
+++ b/gateway/pool/rate.go
@@ -80,11 +80,13 @@
 	return 0
 }
 
+// counters returns how many nodes count the requests to a server. A node that is not in its own list of
+// members, as after its start, does not know what its part is, and leaves the requests to others.
 func (p *Pool) counters(m *member, now time.Time) int {
 	switch {
 	case p.isLimitedCold(m, now):
 		return 1
-	case m.isLimitedByName(now) && p.senders(m) < p.nodes:
+	case m.isLimitedByName(now) && (p.senders(m) < p.nodes || !m.countsNamed):
 		return p.senders(m)
 	}
 	return 0
