Pool: a node that begins to count for a limited server begins with what is known to be unused

Cause: each node that began to count began with a full budget, and a node that counts only by the list of the one that forwarded to it had a full one as well. The bound has room for one set of counters in four seconds.

A budget now begins empty as of four seconds after the newest known answer of the server: what others may have sent before is known then. A server that nobody uses gets its first request at once.

Weighed: a counter stays one for a while after the list changed (more nodes send, not fewer); a lease on the rate (a call before each change); the sends in the calls between nodes (the answer's age is there already).

The router's site of limited servers had a limit named at the same moment; it was named 8 s before now, so that the same two requests at least are served.

--- a/gateway/pool/limit_fleet_test.go
+++ b/gateway/pool/limit_fleet_test.go
@@ -308,6 +308,13 @@
 	return most
 }
 
+// replace replaces the oldest node by a new one.
+func (f *fleet) replace() {
+	f.join()
+	f.stop(f.nodes[0])
+	f.publish()
+}
+
 // every returns a move that does something a number of times from a time on.
 func (f *fleet) every(interval, from time.Duration, times int, do func()) func(time.Duration) {
 	done := 0
@@ -347,11 +354,10 @@
 func TestLimitsHoldWhileTheNodesThatCountChange(t *testing.T) {
 	for name, move := range map[string]fleetMove{
 		"each node is replaced by another": func(f *fleet) func(time.Duration) {
-			return f.every(200*time.Millisecond, 4*time.Second, min(len(f.nodes), mostChanges), func() {
-				f.join()
-				f.stop(f.nodes[0])
-				f.publish()
-			})
+			return f.every(200*time.Millisecond, 4*time.Second, min(len(f.nodes), mostChanges), f.replace)
+		},
+		"each node is replaced twice": func(f *fleet) func(time.Duration) {
+			return f.every(200*time.Millisecond, 4*time.Second, min(2*len(f.nodes), 2*mostChanges), f.replace)
 		},
 		"each node restarts": func(f *fleet) func(time.Duration) {
 			return f.every(400*time.Millisecond, 4*time.Second, min(len(f.nodes), mostChanges), func() {
--- a/gateway/pool/pool.go
+++ b/gateway/pool/pool.go
@@ -98,6 +98,7 @@
 	countsCold     bool // this node counts the requests to the server while it is cold
 	countsNamed    bool // this node is one of those that count them while it names a limit
 	named          namedLimit
+	forwardedAt    time.Time // when a request that this node counts only for another one last arrived
 	addedAt        time.Time
 	probationUntil time.Time // end of the low limit after a restart
 	// unansweredSince is the start of the period in which the server has had requests of this
@@ -174,7 +175,7 @@
 			m.coldUntil = now.Add(server.WarmUp)
 		}
 		m.Server = server
-		p.applyRateLimits(m)
+		p.applyRateLimits(m, now)
 	}
 	p.pruneHistories(now)
 	p.cachedTimes = serviceTimes{}
--- a/gateway/pool/rate.go
+++ b/gateway/pool/rate.go
@@ -14,6 +14,9 @@
 	// limitConfirmInterval is the age of the latest answer of a server that names a limit from which on
 	// a request is sent there to confirm it.
 	limitConfirmInterval = 4 * time.Second
+	// limitNoticeDelay is the time after which a node knows of the requests that others have sent to a server
+	// with a limit: one is answered, and the answer passed on.
+	limitNoticeDelay = 4 * time.Second
 )
 
 // RateLimits limits the requests to servers that take only some a second from all nodes together: cold
@@ -39,15 +42,16 @@
 func (p *Pool) SetRateLimits(limits RateLimits) { p.rateLimits = limits }
 
 // ApplyRateLimits applies the limits to all servers.
-func (p *Pool) ApplyRateLimits() {
+func (p *Pool) ApplyRateLimits(now time.Time) {
 	p.hasNamedLimits = false
 	for _, m := range p.members {
-		p.applyRateLimits(m)
+		p.applyRateLimits(m, now)
 	}
 }
 
 // applyRateLimits applies the limits to a server.
-func (p *Pool) applyRateLimits(m *member) {
+func (p *Pool) applyRateLimits(m *member, now time.Time) {
+	counted := m.countsNamed
 	m.named = namedLimit{}
 	if p.rateLimits.Named != nil {
 		if limit, until, isNamed := p.rateLimits.Named(m.ID); isNamed {
@@ -58,6 +62,32 @@
 	m.countsCold = p.rateLimits.ColdRate > 0 && p.isCounter(m, 1)
 	m.countsNamed = !m.named.until.IsZero() && p.isCounter(m, p.senders(m))
 	p.hasNamedLimits = p.hasNamedLimits || !m.named.until.IsZero()
+	if m.countsNamed && !counted {
+		p.beginCounting(m, now)
+	}
+}
+
+// beginCounting empties the budget of a server whose requests this node begins to count: with a full one, each
+// change of the nodes that count would add to what the server gets. What no node has used is kept.
+func (p *Pool) beginCounting(m *member, now time.Time) {
+	unusedSince := m.named.at.Add(limitNoticeDelay)
+	if unusedSince.After(now) {
+		unusedSince = now
+	}
+	m.budget.Exhaust(unusedSince)
+}
+
+// noteForwarded begins to count the requests to a server for the node that forwarded one, unless this node
+// counts them by its own list of members, or has done so lately for another.
+func (p *Pool) noteForwarded(w *Waiter, now time.Time) {
+	m := p.members[w.CountedServer]
+	if m == nil || m.countsNamed || !m.isLimitedByName(now) {
+		return
+	}
+	if now.Sub(m.forwardedAt) > limitNoticeDelay {
+		p.beginCounting(m, now)
+	}
+	m.forwardedAt = now
 }
 
 // mayHaveLimits reports whether a server may have a limit. Without one, waiting requests are not
--- a/gateway/pool/rate_test.go
+++ b/gateway/pool/rate_test.go
@@ -87,7 +87,7 @@
 		if change != nil && change(now) {
 			for i, p := range pools {
 				p.SetRateLimits(s.rateLimits(i, now))
-				p.ApplyRateLimits()
+				p.ApplyRateLimits(now)
 			}
 		}
 		send := func(node int, a pool.Admission) {
@@ -240,7 +240,7 @@
 	}
 	limits[serverID(0)] = 1
 	p.SetRateLimits(s.rateLimits(0, start))
-	p.ApplyRateLimits()
+	p.ApplyRateLimits(start)
 	evicted := p.Evict(start)
 	g.Expect(len(evicted)).To(gomega.BeNumerically(">", 10))
 	for _, e := range evicted {
@@ -291,3 +291,39 @@
 	g.Expect(compared).To(gomega.BeNumerically("<=", 4*waiting))
 	g.Expect(testing.AllocsPerRun(10, func() { p.NextAdmitTime(start) })).To(gomega.BeNumerically("<", 1))
 }
+
+// A node that begins to count for a server that nobody uses sends the first request at once.
+func TestUnusedBudgetIsKeptWhenAnotherNodeBeginsToCount(t *testing.T) {
+	for name, row := range map[string]struct {
+		unused time.Duration
+		waits  bool
+	}{
+		"used a moment ago":                    {time.Second, true},
+		"unused for a while":                   {10 * time.Second, false},
+		"used as long ago as others notice it": {limitedSpan, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			isCounter := false
+			p := pool.New("a", 0, rand.New(rand.NewPCG(1, 1)))
+			p.SetRateLimits(pool.RateLimits{
+				Named: func(site.ServerID) (site.NamedLimit, time.Time, bool) {
+					return site.NamedLimit{Rate: 1, IsNamed: true, At: start.Add(-row.unused)}, start.Add(time.Minute), true
+				},
+				IsCounter: func(site.Server, int) bool { return isCounter },
+			})
+			p.Update([]site.Server{{ID: serverID(0), Slots: 4, Zone: "a"}}, 8, start)
+			isCounter = true
+			p.ApplyRateLimits(start)
+			w := &pool.Waiter{ArrivedAt: start, Target: start.Add(2 * time.Second), Deadline: start.Add(4 * time.Second)}
+			admission, refusal := p.Submit(w, start)
+			g.Expect(refusal).To(gomega.BeNil())
+			g.Expect(admission == nil).To(gomega.Equal(row.waits))
+			if row.waits {
+				at, found := p.NextAdmitTime(start)
+				g.Expect(found).To(gomega.BeTrue())
+				g.Expect(at).To(gomega.Equal(start.Add(time.Second)), "one request a second")
+			}
+		})
+	}
+}
--- a/gateway/ratelimit/ratelimit.go
+++ b/gateway/ratelimit/ratelimit.go
@@ -82,6 +82,10 @@
 // Has reports whether a request may be sent now, at a rate in requests a second.
 func (b *Budget) Has(rate float64, now time.Time) bool { return b.spentAt(rate, now) <= burst-1 }
 
+// Exhaust empties the budget as of a time. A node that begins to count does not know what others, that counted
+// before, have sent since.
+func (b *Budget) Exhaust(asOf time.Time) { b.spent, b.updatedAt = burst, asOf }
+
 // Spend records that a request is sent now.
 func (b *Budget) Spend(rate float64, now time.Time) {
 	b.spent = b.spentAt(rate, now) + 1
--- a/gateway/router/counted_test.go
+++ b/gateway/router/counted_test.go
@@ -18,6 +18,9 @@
 // oneCounter is a limit that leaves one node to send requests.
 const oneCounter = 1.9
 
+// unusedFor is for how long the limited server has had no request.
+const unusedFor = 8 * time.Second
+
 // newLimitedSite returns a site whose only server names a limit that all nodes know of. The first of the
 // other nodes counts its requests.
 func newLimitedSite(t *testing.T, rate float64, server http.HandlerFunc) *forwardingSite {
@@ -33,7 +36,7 @@
 	}
 	for _, r := range append(s.others, s.origin) {
 		r.state.MergeServers(view.Servers{Offset: 2, Servers: map[site.ServerID]site.Server{limited.ID: limited}})
-		r.state.MergeLimits(map[site.ServerID]site.NamedLimit{limited.ID: {Rate: rate, IsNamed: true, At: time.Now()}})
+		r.state.MergeLimits(map[site.ServerID]site.NamedLimit{limited.ID: {Rate: rate, IsNamed: true, At: time.Now().Add(-unusedFor)}})
 	}
 	return s
 }
--- a/gateway/router/router.go
+++ b/gateway/router/router.go
@@ -186,7 +186,7 @@
 	case !isSame || !areNodesSame || len(servers) == 0:
 		s.pool.Update(servers, nodes, now)
 	case !areLimitsSame:
-		s.pool.ApplyRateLimits()
+		s.pool.ApplyRateLimits(now)
 	}
 	s.servers = servers
 	s.nodeCount, s.nodesHash = nodes, v.MembersHash()
