Store: an offset is an era and a place; a lessor writes its table again in a new era

Class: a number that only the store's history orders is used as if it could not go back.

The lessor took the conflict for another lessor's claim; 2 s later a node claimed with the table of the copy, under fences lower than those in force, so that owners of the copy accepted what others held.

Now the adapter makes one position of the era that each response states and the place in the topic, in that order; all comparisons of offsets, fences included, stay as they are. A response of an ended era, or of none that can be read, is no response. Records state the era in which they were written, which tells a record of the copy, or one that took effect late, from those after it. - The lessor in office writes its table again, every fence raised into the new era. At once if no node can have claimed since its latest record (1.2 s); else when all owners that respond, and most, have accepted a renewal after it noticed the era; not at all if one refuses, the grant period is over, or another has written before. - Any other node claims a table of an earlier era only when every grant of it has expired (11 s).

Ruled out: the higher of the known fences plus one (needs memory that may be lost); claiming at once with the newest table that a node has followed (another lessor's may be gone, found by the worlds with the proof left out).

Until releases that state no era are gone from a site, their fences lack it: they can follow this one only while the store has not come back from a copy.

--- a/gateway/duty/append.go
+++ b/gateway/duty/append.go
@@ -35,17 +35,19 @@
 	startedAt      time.Time
 	err            error
 	alreadyApplied bool // after a conflict: the record at the offset is from this append
+	// newEra is the state of the topic in the new era, after an append under an offset of an ended one.
+	newEra *follow.Ownership
 }
 
 func (d *Duty) append(ctx context.Context, p *pendingAppend) {
 	d.serial++
+	p.offset = d.topicEnd
 	record, err := p.encode(d.Self, d.serial, d.previousHold(p, clock.Now()))
 	if err != nil {
 		eventEncodeFailed.Log(d.Logger, "cause", err)
 		return
 	}
 	p.record = record
-	p.offset = d.topicEnd
 	d.appending = p
 	go d.sendAppend(ctx, p)
 }
@@ -61,21 +63,23 @@
 
 func (p *pendingAppend) encode(self ranges.Lessor, serial uint64, previousHold time.Duration) (store.Record, error) {
 	previousMs := follow.RoundUp(previousHold)
+	era := p.offset.Era()
 	table := p.claim
 	if p.change != nil {
 		table = p.change.Table
 	}
 	if table != nil {
 		table.Serial = serial
+		table.Era = &era
 		table.PreviousMs = &previousMs
 		text, err := json.Marshal(table)
 		return store.Record{Key: follow.TableKey, Value: text}, err
 	}
 	if p.quarantined != nil {
-		text, err := json.Marshal(follow.QuarantineRecord{Boot: self.Boot, Serial: serial, Requests: p.quarantined})
+		text, err := json.Marshal(follow.QuarantineRecord{Boot: self.Boot, Serial: serial, Era: &era, Requests: p.quarantined})
 		return store.Record{Key: follow.QuarantineKey, Value: text}, err
 	}
-	heartbeat := follow.Heartbeat{Boot: self.Boot, Serial: serial, PreviousMs: &previousMs, Resigned: p.resigns, HeldMs: follow.RoundUp(p.outstandingHold)}
+	heartbeat := follow.Heartbeat{Boot: self.Boot, Serial: serial, Era: &era, PreviousMs: &previousMs, Resigned: p.resigns, HeldMs: follow.RoundUp(p.outstandingHold)}
 	if p.resigns {
 		uncertainMs := follow.RoundUp(p.uncertainHold)
 		heartbeat.UncertainMs = &uncertainMs
@@ -106,5 +110,13 @@
 			result.startedAt = p.startedAt
 		}
 	}
+	var ended *store.EraError
+	if errors.As(err, &ended) {
+		newEra, readErr := d.readNewEra(ctx)
+		result.newEra = newEra
+		if readErr != nil {
+			result.err = readErr
+		}
+	}
 	d.appendResults <- result
 }
--- a/gateway/duty/duty.go
+++ b/gateway/duty/duty.go
@@ -103,6 +103,8 @@
 	previousReports  chan previousReport
 	limiter          callLimiter
 	earlierHoldEnd   time.Time       // end of the grants of lessors before the previous one
+	reissue          *reissue        // nil unless the store has come back from a copy
+	awaitedEra       store.Era       // for which the wait for unknown holds was last logged
 	pendingHandOff   *follow.HandOff // request without a reply; nil if there is none
 	handedOff        bool            // the next lessor has received the outstanding grants
 	nextChange       time.Time       // earliest time of the next change of the table
@@ -208,6 +210,10 @@
 		d.finishHandOff(now)
 		return
 	}
+	if d.reissue != nil {
+		d.continueReissue(ctx, now)
+		return
+	}
 	d.considerYielding(now)
 	if d.resignationSent || (d.resigning != nil || d.yielding) && d.isStoreWritable(now) {
 		// Resign only when no grant is in flight: the next lessor defers moves while the
@@ -248,6 +254,10 @@
 		d.claimAt = time.Time{}
 		return false
 	}
+	if d.awaitsHolds(ownership, now) {
+		d.claimAt = time.Time{}
+		return false
+	}
 	if d.claimAt.IsZero() && isEarlierIncarnation(ownership, d.Self) {
 		d.claimAt = now // other nodes have not detected the restart yet
 	}
--- a/gateway/duty/outcome.go
+++ b/gateway/duty/outcome.go
@@ -22,6 +22,11 @@
 		d.completeAppend(ctx, p, r.startedAt)
 		return
 	}
+	if r.newEra != nil {
+		d.appending = nil
+		d.handleNewEra(p, r.newEra, clock.Now())
+		return
+	}
 	var conflict *store.ConflictError
 	var trimmed *store.TrimmedError
 	if errors.As(r.err, &conflict) || errors.As(r.err, &trimmed) {
@@ -68,6 +73,7 @@
 		d.table = view.Table{Offset: p.offset, Table: p.change.Table}
 		d.shownSerial = 0
 		eventTableChanged.Log(d.Logger, "offset", p.offset, "ranges", d.table.Table.Ranges())
+		d.endReissue(p)
 	case p.quarantined != nil:
 		d.completeQuarantine(p)
 	case p.resigns:
@@ -108,6 +114,7 @@
 
 func (d *Duty) endLease() {
 	d.allocator = nil
+	d.reissue = nil
 	d.resignationSent = false
 	d.yielding = false
 	d.endHandOff()
@@ -142,11 +149,13 @@
 	return struct {
 		Lessor ranges.Lessor `json:"self"`
 		Holds  bool          `json:"holdsLease"`
+		// StoreEra is the era of the store as of this node's latest read.
+		StoreEra store.Era `json:"storeEra"`
 		// EvacuatedZones are those whose servers get no requests.
 		EvacuatedZones []string `json:"evacuatedZones"`
 		// ServerLimits are the requests a second that servers take from all nodes together.
 		ServerLimits map[site.ServerID]float64 `json:"serverLimits"`
 		// LeavingServers are registered servers that have said in an answer that they are about to end.
 		LeavingServers []site.ServerID `json:"leavingServers"`
-	}{d.Self, d.IsLessor(), v.Evacuation.Zones(), v.Limits.Rates(time.Now()), v.LeavingServers()}
+	}{d.Self, d.IsLessor(), d.Reader.Era(), v.Evacuation.Zones(), v.Limits.Rates(time.Now()), v.LeavingServers()}
 }
--- a/gateway/follow/events.go
+++ b/gateway/follow/events.go
@@ -28,6 +28,7 @@
 	eventEvacuation         = events.Define(2025, hclog.Info, "evacuated zones changed")
 	eventLimit              = events.Define(2026, hclog.Info, "limit of a server changed")
 	eventLeaving            = events.Define(2027, hclog.Info, "server is about to end, by its own answer")
+	eventEra                = events.Define(2028, hclog.Warn, "store has come back from a copy")
 	eventPeerFailed         = events.Define(2017, hclog.Debug, "call to another node failed")
 )
 
--- a/gateway/follow/metrics.go
+++ b/gateway/follow/metrics.go
@@ -9,7 +9,12 @@
 	"github.com/burdockspindle/burdockspindle/metrics"
 )
 
-var storeCalls = metrics.New("gateway_store").Map("calls")
+var (
+	storeCounts = metrics.New("gateway_store")
+	storeCalls  = storeCounts.Map("calls")
+	// eraChanges counts how often the store has come back from a copy.
+	eraChanges = storeCounts.Counter("era_changes")
+)
 
 // CountingStore is a store that counts its calls by kind and result.
 type CountingStore struct{ Store store.Store }
@@ -38,12 +43,15 @@
 func countCall(kind string, topic store.Topic, err error) {
 	var conflict *store.ConflictError
 	var trimmed *store.TrimmedError
+	var ended *store.EraError
 	result := "ok"
 	switch {
 	case errors.As(err, &conflict):
 		result = "conflict"
 	case errors.As(err, &trimmed):
 		result = "trimmed"
+	case errors.As(err, &ended):
+		result = "era ended"
 	case err != nil:
 		result = "failed"
 	}
--- a/gateway/follow/ownership.go
+++ b/gateway/follow/ownership.go
@@ -21,14 +21,16 @@
 type QuarantineRecord struct {
 	Boot     string          `json:"boot"`
 	Serial   uint64          `json:"serial"`
+	Era      *store.Era      `json:"era,omitempty"` // see ranges.Table
 	Requests quarantine.List `json:"requests"`
 }
 
 // Heartbeat is the record by which the lessor renews its lease.
 type Heartbeat struct {
-	Boot     string `json:"boot"`
-	Serial   uint64 `json:"serial"`
-	Resigned bool   `json:"resigned,omitempty"` // the lessor has stopped granting
+	Boot     string     `json:"boot"`
+	Serial   uint64     `json:"serial"`
+	Era      *store.Era `json:"era,omitempty"`      // see ranges.Table
+	Resigned bool       `json:"resigned,omitempty"` // the lessor has stopped granting
 	// HeldMs is how long outstanding grants may be in force after a resignation, in
 	// milliseconds.
 	HeldMs int64 `json:"heldMs,omitempty"`
@@ -57,12 +59,21 @@
 	KnowsPrevious bool
 	previousAt    store.Offset // offset of that record
 	ReadAt        time.Time    // time of the latest read of the topic
+	EraObservedAt time.Time    // when the era of End was first observed
+	EraHasRisen   bool         // an earlier era was observed before
 	EndObservedAt time.Time    // when End was first observed
 	Quarantine    view.Quarantine
 
 	unreadable bool // the newest table is invalid
 }
 
+// OwnershipOf returns the state of the ownership topic that a snapshot contains.
+func OwnershipOf(snapshot store.Batch, now time.Time) Ownership {
+	var o Ownership
+	o.fold(snapshot, now)
+	return o
+}
+
 // RecordError reports an invalid record.
 type RecordError struct {
 	Key    string
@@ -90,12 +101,34 @@
 	if o.EndObservedAt.IsZero() || batch.End != o.End {
 		o.EndObservedAt = now
 	}
+	if o.ReadAt.IsZero() || batch.End.Era() > o.End.Era() {
+		o.EraHasRisen = !o.ReadAt.IsZero()
+		o.EraObservedAt = now
+	}
 	o.End = batch.End
 	o.ReadAt = now
 	o.Known = batch.Next == batch.End && !o.unreadable
 	return problems
 }
 
+// IsFromCopy reports whether the table may not be the newest, because the store has come back from a copy and
+// no lessor has written in its present era.
+func (o Ownership) IsFromCopy() bool {
+	if o.Table.Table == nil {
+		return o.EraHasRisen
+	}
+	return o.Table.Offset.Era() < o.End.Era()
+}
+
+// writtenAt returns the offset at which a record was written. In a copy it stands at the same place of a later
+// era. Releases that state no era are assumed to have written in the present one.
+func writtenAt(record store.Record, era *store.Era) store.Offset {
+	if era == nil || *era >= record.Offset.Era() {
+		return record.Offset
+	}
+	return store.At(*era, record.Offset.Place())
+}
+
 func (o *Ownership) apply(record store.Record) error {
 	switch record.Key {
 	case TableKey:
@@ -108,7 +141,11 @@
 		if err != nil {
 			return err
 		}
-		o.Table = view.Table{Offset: record.Offset, Table: &table}
+		offset := writtenAt(record, table.Era)
+		if offset < o.Table.Offset {
+			return nil // a copy may be older than what is known
+		}
+		o.Table = view.Table{Offset: offset, Table: &table}
 		o.Resigned = false
 		o.applyPrevious(record.Offset, table.PreviousMs)
 	case QuarantineKey:
@@ -119,12 +156,19 @@
 		if err := json.Unmarshal(record.Value, &published); err != nil {
 			return err
 		}
-		o.Quarantine = view.Quarantine{Offset: record.Offset, List: published.Requests}
+		offset := writtenAt(record, published.Era)
+		if offset < o.Quarantine.Offset {
+			return nil // as for tables
+		}
+		o.Quarantine = view.Quarantine{Offset: offset, List: published.Requests}
 	case HeartbeatKey:
 		var heartbeat Heartbeat
 		if err := json.Unmarshal(record.Value, &heartbeat); err != nil {
 			return err
 		}
+		if writtenAt(record, heartbeat.Era) < record.Offset {
+			return nil // another lessor may have followed
+		}
 		o.Resigned = heartbeat.Resigned
 		o.Held = time.Duration(heartbeat.HeldMs) * time.Millisecond
 		o.Uncertain = o.Held
--- a/gateway/follow/reader.go
+++ b/gateway/follow/reader.go
@@ -55,6 +55,7 @@
 	priority    atomic.Pointer[ReadPriority]
 	lessor      atomic.Bool               // the node is the lessor and need not read its own lease
 	lost        atomic.Bool               // the latest call failed
+	era         atomic.Pointer[store.Era] // of the store, as of the latest read; nil before the first
 	serversLost atomic.Bool               // the latest read of the servers failed
 	watchUntil  atomic.Pointer[time.Time] // by package clock; until then the node watches for a new lessor
 	// lessorNeededSince is when the followed node began to report that a lessor is needed, by package
@@ -196,6 +197,9 @@
 	if err == nil && isComplete(batch) {
 		r.Contact.Note(topic, startedAt)
 	}
+	if err == nil {
+		r.noteEra(topic, from, batch.End)
+	}
 	r.noteResult(ctx, topic, err)
 	return batch, isSnapshot, err
 }
@@ -204,6 +208,25 @@
 // must not report a topic as known, because other nodes would rely on it.
 func isComplete(batch store.Batch) bool { return batch.Next >= batch.End }
 
+// noteEra logs when the store has come back from a copy. from is the offset from which a topic was to be read.
+func (r *Reader) noteEra(topic store.Topic, from, end store.Offset) {
+	era := end.Era()
+	before := r.era.Swap(&era)
+	if before == nil || *before >= era {
+		return
+	}
+	eraChanges.Add(1)
+	eventEra.Log(r.Logger, "from", *before, "to", era, "topic", topic, "offset", max(from, 0).Place(), "end", end.Place())
+}
+
+// Era returns the era of the store as of the latest read.
+func (r *Reader) Era() store.Era {
+	if era := r.era.Load(); era != nil {
+		return *era
+	}
+	return 0
+}
+
 // noteResult logs when the store becomes unavailable and available.
 func (r *Reader) noteResult(ctx context.Context, topic store.Topic, err error) {
 	if err == nil {
--- a/gateway/ranges/allocator.go
+++ b/gateway/ranges/allocator.go
@@ -38,8 +38,9 @@
 	// earlierIncarnationUntil is when the last grant that was sent to an earlier
 	// incarnation of the owner, at any address, may expire.
 	earlierIncarnationUntil time.Time
-	confirmed               bool // the owner has answered a grant under this fence
-	failures                int  // consecutive grants without a response
+	confirmed               bool      // the owner has answered a grant under this fence
+	acceptedAt              time.Time // when the latest accepted grant under this fence was sent
+	failures                int       // consecutive grants without a response
 	// unacceptedSince is when the owner's process was first observed not to accept a
 	// connection that the kernel of its machine had established; zero if it accepts
 	// connections.
@@ -101,6 +102,7 @@
 	currentHold time.Duration
 	// hasAbandonedGrants is set if calls have ended whose bytes may still be in flight.
 	hasAbandonedGrants bool
+	fencedAt           time.Time // when the latest grant that was refused for its fence was sent
 	// serial is incremented whenever the result of Routes changes.
 	serial       uint64
 	incarnations incarnations
@@ -324,6 +326,7 @@
 	}
 	switch {
 	case result.Fenced:
+		alloc.fencedAt = call.SentAt
 		l.raiseFence = true
 		alloc.setConfirmed(l, false)
 	case result.Failed && l.awaitsAccept(result, now):
@@ -336,6 +339,7 @@
 			alloc.excludedUntil[l.Server] = now.Add(unresponsiveCooldown)
 		}
 	default:
+		l.acceptedAt = call.SentAt
 		l.failures = 0
 		l.unacceptedSince = time.Time{}
 		delete(alloc.excludedUntil, l.Server)
--- a/gateway/ranges/rules_test.go
+++ b/gateway/ranges/rules_test.go
@@ -24,8 +24,14 @@
 	noAcceptWait     bool // a call is sent on a connection that the server has not accepted
 	noReadDelay      bool // calls that a server's machine has acknowledged are treated as executed
 	noUncertainWait  bool // an answer under a higher fence ends the wait for uncertain grants
+	noEraInFence     bool // fences are places in the topic, whatever the era
+	noCopyWait       bool // a table from a copy is claimed without waiting for unknown holds
+	noTakeoverProof  bool // a lessor writes its table again although another may have claimed
 }
 
+// needCopies reports whether a disabled rule is about a store that comes back from a copy.
+func (r rules) needCopies() bool { return r.noEraInFence || r.noCopyWait || r.noTakeoverProof }
+
 // drop changes the lessor's state of a range as if the disabled rules did not exist.
 func (r rules) drop(alloc *Allocator, l *rangeState, registered map[site.ServerID]site.Server, now time.Time) {
 	if r.noUncertainCheck {
--- a/gateway/ranges/table.go
+++ b/gateway/ranges/table.go
@@ -7,7 +7,8 @@
 //
 //  1. The table of ranges is changed only by an append that is conditional on the
 //     offset, so all changes are totally ordered. The fence of a changed range is
-//     the offset of that append: unique and increasing.
+//     the offset of that append: unique and increasing, also when the store comes back
+//     from a copy, since offsets of a later era are above all of earlier ones.
 //  2. A range is granted to a server only after the append that names it the
 //     owner is known to have succeeded.
 //  3. A range changes its owner only after the owner has answered a release
@@ -23,6 +24,7 @@
 	"slices"
 
 	"github.com/burdockspindle/burdockspindle/gateway/site"
+	"github.com/burdockspindle/burdockspindle/gateway/store"
 )
 
 // Key is a key of a keyed service.
@@ -82,6 +84,9 @@
 	Lessor   Lessor                            `json:"lessor"`
 	Services map[site.ServiceName][]Assignment `json:"services"`
 	Serial   uint64                            `json:"serial"` // distinguishes the lessor's records
+	// Era is the era of the store in which the record was written; nil: not reported. A record of an earlier era
+	// than the store's comes from a copy: later ones may be gone.
+	Era *store.Era `json:"era,omitempty"`
 	// PreviousMs is how long after the record grants of earlier lessors may be in force, in
 	// milliseconds; nil: not reported.
 	PreviousMs *int64 `json:"formerMs,omitempty"`
--- a/gateway/ranges/world_run_test.go
+++ b/gateway/ranges/world_run_test.go
@@ -24,6 +24,22 @@
 	}
 }
 
+// Guards against two owners after the store has come back from a copy: offsets, fences and the table go back.
+func TestNoKeyHasTwoOwnersWhenTheStoreReturnsFromACopy(t *testing.T) {
+	t.Parallel()
+	g := gomega.NewWithT(t)
+	reissues := 0
+	for seed := range *worldSeeds {
+		w := newWorld(seed, rules{}, seed%2 == 1)
+		w.copies.areOn = true
+		if fault := w.run(worldLength); fault != "" {
+			t.Fatalf("seed %d: %s", seed, fault)
+		}
+		reissues += w.copies.reissues
+	}
+	g.Expect(reissues).To(gomega.BeNumerically(">", int(*worldSeeds)/2), "tables written again")
+}
+
 // checkSoleOwners runs simulated clusters. It fails if a key has two owners in one of them,
 // or if too few events occurred for the test to be meaningful.
 func checkSoleOwners(t *testing.T, links saturatedLinks) {
@@ -72,12 +88,17 @@
 		{"a call is sent before its connection is accepted", rules{noAcceptWait: true}, 0},
 		{"an acknowledged call is treated as executed", rules{noReadDelay: true}, 0},
 		{"a higher fence ends the wait for uncertain grants", rules{noUncertainWait: true}, 0},
+		{"fences fall with the store's offsets", rules{noEraInFence: true}, 0},
+		{"a table from a copy is claimed at once", rules{noCopyWait: true}, 0},
+		{"a lessor that may have been replaced writes its table again", rules{noTakeoverProof: true}, 0},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			t.Parallel()
 			for seed := c.from; seed < c.from+8**worldSeeds; seed++ {
 				for _, links := range []saturatedLinks{false, true} {
-					if fault := newWorld(seed, c.dropped, links).run(worldLength); fault != "" {
+					w := newWorld(seed, c.dropped, links)
+					w.copies.areOn = c.dropped.needCopies()
+					if fault := w.run(worldLength); fault != "" {
 						t.Logf("seed %d, saturated links %v: %s", seed, links, fault)
 						return
 					}
--- a/gateway/ranges/world_test.go
+++ b/gateway/ranges/world_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/burdockspindle/burdockspindle/gateway/site"
+	"github.com/burdockspindle/burdockspindle/gateway/store"
 )
 
 // world is a simulated cluster: a store, nodes that run the lessor with an Allocator, and
@@ -21,6 +22,7 @@
 	timing  Timing
 	now     time.Time
 	records []worldRecord
+	copies  worldCopies
 	nodes   []*worldNode
 	servers map[site.ServerName]*worldServer
 	known   map[site.ServerID]site.Server // every incarnation that was registered
@@ -42,7 +44,9 @@
 func sampleKey(i int) Key { return Key(i * int(LastKey+1) / sampleCount) }
 
 type worldRecord struct {
-	table        *Table // nil for a confirmation
+	at           time.Time
+	era          store.Era // in which it was written
+	table        *Table    // nil for a confirmation
 	node         int
 	resigned     bool
 	held         time.Duration // set if resigned
@@ -89,9 +93,10 @@
 	linkDelay        time.Duration
 	leftLinkAt       time.Time // when the bytes that were written last leave the link
 	readAt           time.Time
-	readEnd          int
+	readEnd          store.Offset
 	readEndChangedAt time.Time
 	resignAt         time.Time // when it resigns; zero: never
+	copyKnowledge
 }
 
 func newWorld(seed uint64, r rules, links saturatedLinks) *world {
@@ -121,6 +126,7 @@
 func (w *world) run(length time.Duration) string {
 	for end := w.now.Add(length); w.now.Before(end); w.now = w.now.Add(worldStep) {
 		w.injectFaults()
+		w.restoreCopy()
 		w.advanceServers()
 		w.deliver()
 		for _, n := range w.nodes {
@@ -163,7 +169,8 @@
 		}
 		if bool(w.links) && n.allocator != nil && w.occurs(20*time.Second) {
 			n.endedLessor, n.endedAt = n.allocator.self, w.now
-			n.allocator, n.resignAt = nil, time.Time{}
+			n.endLease()
+			n.copyKnowledge = copyKnowledge{}
 		}
 		if n.allocator != nil && n.resignAt.IsZero() && w.occurs(20*time.Second) {
 			n.resignAt = w.now
@@ -240,14 +247,20 @@
 
 // append appends a record at an offset if the node can reach the store.
 func (w *world) append(n *worldNode, at Fence, record worldRecord) (done, conflict bool) {
-	if w.now.Before(n.storeLostUntil) {
+	if !w.reachesStore(n) {
 		return false, false
 	}
-	if int(at) != len(w.records) {
-		return false, true
+	position := store.Offset(at)
+	record.at, record.era = w.now, position.Era()
+	isAtEnd := int(position.Place()) == len(w.records)
+	if isAtEnd {
+		w.records = append(w.records, record)
 	}
-	w.records = append(w.records, record)
-	return true, false
+	if position.Era() != w.copies.era {
+		w.beginReissue(n)
+		return false, false
+	}
+	return isAtEnd, !isAtEnd
 }
 
 func (w *world) step(n *worldNode) {
@@ -262,7 +275,11 @@
 	for _, call := range n.allocator.Calls(w.registered(), lease, w.now) {
 		w.send(n, call)
 	}
-	w.change(n)
+	if n.reissueSince.IsZero() {
+		w.change(n)
+	} else {
+		w.continueReissue(n)
+	}
 }
 
 // change appends a planned change, a resignation or a confirmation.
@@ -281,7 +298,7 @@
 	}
 	w.dropRules(n)
 	record := worldRecord{node: n.id, previousHold: n.allocator.PreviousHeldFor(w.now)}
-	change := n.allocator.Plan(w.site(n), n.end, w.now)
+	change := n.allocator.Plan(w.site(n), w.fence(store.Offset(n.end)), w.now)
 	w.moves += len(n.allocator.Moves())
 	switch {
 	case change != nil:
@@ -295,8 +312,10 @@
 	}
 	done, conflict := w.append(n, n.end, record)
 	if conflict {
-		n.allocator = nil
-		n.resignAt = time.Time{}
+		n.endLease()
+		return
+	}
+	if n.allocator == nil || !n.reissueSince.IsZero() {
 		return
 	}
 	if !done {
@@ -333,8 +352,7 @@
 		n.allocator.Appended(change)
 	}
 	if record.resigned {
-		n.allocator = nil
-		n.resignAt = time.Time{}
+		n.endLease()
 	}
 }
 
@@ -351,35 +369,34 @@
 
 // considerClaim claims the lease when the topic has been idle, as package duty does.
 func (w *world) considerClaim(n *worldNode) {
-	if w.now.Before(n.storeLostUntil) || w.now.Sub(n.readAt) < 400*time.Millisecond {
+	if !w.reachesStore(n) || w.now.Sub(n.readAt) < 400*time.Millisecond {
 		return
 	}
 	n.readAt = w.now
-	if len(w.records) != n.readEnd || n.readEndChangedAt.IsZero() {
-		n.readEnd = len(w.records)
+	w.observeEra(n)
+	if w.end() != n.readEnd || n.readEndChangedAt.IsZero() {
+		n.readEnd = w.end()
 		n.readEndChangedAt = w.now
 	}
-	resigned := len(w.records) > 0 && w.records[len(w.records)-1].resigned
+	resigned := len(w.records) > 0 && w.records[len(w.records)-1].resigned && w.records[len(w.records)-1].era == w.copies.era
 	if !resigned && w.now.Sub(n.readEndChangedAt) < 1200*time.Millisecond || w.random.IntN(4) > 0 {
 		return
 	}
-	table, older := &Table{}, &Table{}
-	for _, r := range w.records {
-		if r.table != nil {
-			older, table = table, r.table
-		}
+	table, older := w.newestTable(n)
+	if w.awaitsHolds(n) {
+		return
 	}
 	if w.rules.noFreshTable {
 		table = older
 	}
-	at := Fence(len(w.records))
+	at := w.fence(w.end())
 	next := table.Refenced(Lessor{Boot: fmt.Sprint(n.id, at)}, at)
 	before := time.Duration(0)
 	if len(w.records) > 0 {
 		before = w.records[len(w.records)-1].previousHold
 	}
 	previousHold := w.previousHold(resigned, w.now.Sub(n.readEndChangedAt))
-	w.records = append(w.records, worldRecord{table: next, node: n.id, previousHold: previousHold})
+	w.records = append(w.records, worldRecord{at: w.now, era: w.copies.era, table: next, node: n.id, previousHold: previousHold})
 	w.claims++
 	n.allocator = NewAllocator(next, w.timing, previousHold, w.now)
 	clear(n.acceptsAt)
@@ -387,7 +404,7 @@
 		n.allocator.LimitUncertain(w.records[len(w.records)-2].uncertain, w.now) // the record before the claim
 	}
 	n.loads = NewLoads()
-	n.end = at + 1
+	n.end = Fence(w.end())
 	n.confirmedAt = w.now
 	w.handOff(n, table.Lessor, before)
 }
--- a/gateway/store/store.go
+++ b/gateway/store/store.go
@@ -9,7 +9,8 @@
 	"time"
 )
 
-// Offset is the position of a record in its topic, starting at 0 without gaps.
+// Offset is the position of a record in its topic: the era of the store, and the place in the topic. Offsets of
+// a later era are above all of earlier ones, so that comparing two tells which record is newer.
 type Offset int64
 
 // Topic names a topic that gateway nodes read or write.
@@ -42,16 +43,17 @@
 	End     Offset
 }
 
-// Store is the platform's store. Errors are *TrimmedError, *ConflictError or
+// Store is the platform's store. Errors are *TrimmedError, *ConflictError, *EraError or
 // *UnavailableError.
 type Store interface {
 	// Newest returns the newest record of each key, ordered by offset. The result may
 	// combine several pages; reading the records from End on then gives the current state.
 	Newest(ctx context.Context, topic Topic) (Batch, error)
 	// Read returns the records from an offset on. If there are none, it waits for the first
-	// one for at most wait.
+	// one for at most wait. If the offset is of an era that has ended, the error is a *TrimmedError.
 	Read(ctx context.Context, topic Topic, from Offset, wait time.Duration) (Batch, error)
-	// AppendAt appends a record if the topic ends at the given offset.
+	// AppendAt appends a record if the topic ends at the given offset. If the offset is of an era that has
+	// ended, the error is an *EraError.
 	AppendAt(ctx context.Context, topic Topic, at Offset, record Record) error
 }
 
