Registry: servers that a copy of the store lacks are kept until they register again

What callers saw: keys without an answer for a minute, at nodes that followed the lessor (row 'twice' of TestKeysHaveOneOwnerWhenTheStoreReturnsFromACopy with -race, 1 of 2 runs, then 2 of 8).

Cause: one node read the new history before three servers had written their entries again, removed them and took the offset of that. The lessor read it later, found nothing changed, and kept the offset of its last change, in the era before; so its registry was never adopted by the other. Evidence: events 2013 and 2028 of the failed run (ends 66 and 78 of the servers' topic).

--- a/gateway/follow/registry.go
+++ b/gateway/follow/registry.go
@@ -40,6 +40,11 @@
 // Invalidate apply the records.
 func (r *Registry) Retain(names map[site.ServerName]bool, end store.Offset, now time.Time) {
 	r.endFailures(now)
+	if r.next > 0 && end.Era() > r.next.Era() {
+		r.graceEnd = now.Add(reregistrationTime) // the copy lacks servers that have registered since
+		// Also without a change: other nodes may have read an earlier part of the new history.
+		r.changeOffset = end
+	}
 	for name := range r.byName {
 		if !names[name] {
 			r.Remove(name, end, now)
--- a/gateway/follow/store_copy_test.go
+++ b/gateway/follow/store_copy_test.go
@@ -8,6 +8,7 @@
 	"github.com/onsi/gomega"
 
 	"github.com/burdockspindle/burdockspindle/gateway/ranges"
+	"github.com/burdockspindle/burdockspindle/gateway/site"
 	"github.com/burdockspindle/burdockspindle/gateway/store"
 )
 
@@ -76,3 +77,19 @@
 	o.fold(batchOf(store.At(1, 0)), after(time.Second))
 	g.Expect(o.IsFromCopy()).To(gomega.BeTrue(), "the first claim may be gone")
 }
+
+// Guards against servers that are treated as gone because the copy lacks their entries, and against a registry
+// that other nodes do not adopt because it has not changed for the node that reads.
+func TestServersThatTheCopyLacksAreKeptUntilTheyRegisterAgain(t *testing.T) {
+	g := gomega.NewWithT(t)
+	r := filled()
+	onlyA := map[site.ServerName]bool{"a": true}
+	r.Retain(onlyA, store.At(1, 8), after(0))
+	put(r, site.Server{ID: "a"}, store.At(1, 8), after(0))
+	g.Expect(r.Servers(both, after(reregistrationTime-1)).Servers).To(gomega.HaveLen(2))
+	g.Expect(r.Servers(both, after(0)).Offset).To(gomega.Equal(store.At(1, 8)), "above that of all nodes before")
+	g.Expect(r.Servers(both, after(reregistrationTime)).Servers).To(gomega.HaveLen(1), "b has not registered again")
+
+	r.Retain(onlyA, store.At(1, 20), after(time.Minute))
+	g.Expect(r.Servers(both, after(time.Minute)).Offset).To(gomega.Equal(store.At(1, 8)), "nothing has changed in this era")
+}
