--- a/gateway/ranges/allocator.go
+++ b/gateway/ranges/allocator.go
@@ -111,25 +111,6 @@
 	excludedUntil map[site.ServerID]time.Time
 }
 
-// PreviousHold returns how long after a claim grants of a previous lessor may be in force:
-// its grant period plus the maximum time that a grant sent at its end is in force.
-func (t Timing) PreviousHold() time.Duration { return t.GrantPeriod + t.HoldAfterExit() }
-
-// HoldAfterExit returns how long after the end of a lessor's process its grants may be in
-// force.
-func (t Timing) HoldAfterExit() time.Duration { return t.maxTimeInForce(t.Hold) }
-
-// idleMargin is subtracted from the time that PreviousHoldAfterIdle saves, because timers
-// may fire late.
-const idleMargin = 200 * time.Millisecond
-
-// PreviousHoldAfterIdle returns PreviousHold for a claim on an ownership topic that has had
-// no new record for the idle duration. The previous lessor's grant period began at or before
-// its last record, so that duration (less idleMargin) has already passed.
-func (t Timing) PreviousHoldAfterIdle(idle time.Duration) time.Duration {
-	return max(t.PreviousHold()-max(idle-idleMargin, 0), 0)
-}
-
 // NewAllocator returns the state of a new lessor that has appended table at time now.
 // Grants of the previous lessor may be in force for previousHold.
 func NewAllocator(table *Table, timing Timing, previousHold time.Duration, now time.Time) *Allocator {
