Duty: a lessor renews on when the store comes back from a copy once more

What callers would see: keys without an answer after two returns of the store in quick succession. Found on reading: the ranges of a table that was being written again stayed marked as pending when the era ended again, so nothing was renewed and the proof that no other lessor has taken over never came.

The dropped change is discarded, in the simulated clusters too. The highest era is told by the store's package, and an event of an era is logged once also when two topics are read at the same time.

--- a/gateway/duty/era.go
+++ b/gateway/duty/era.go
@@ -45,6 +45,7 @@
 		d.endLease()
 		return
 	}
+	d.allocator.Discard()
 	d.resignationSent = false // a resignation under the ended era is not read
 	d.reissue = &reissue{end: ownership.End, since: now}
 }
--- a/gateway/duty/era_test.go
+++ b/gateway/duty/era_test.go
@@ -73,6 +73,32 @@
 	}
 }
 
+// Guards against a lessor that renews nothing any more when the store comes back from a copy once more while the
+// table is being written again.
+func TestLessorRenewsWhenTheEraEndsOnceMore(t *testing.T) {
+	g := gomega.NewWithT(t)
+	now := clock.Now()
+	servers := map[site.ServerID]site.Server{"a": {ID: "a", Service: "s"}}
+	d := lessorOf(now, 0)
+	d.confirmedAt = now.Add(-2 * time.Second)
+	d.Store = acceptingStore{}
+	p := &pendingAppend{change: d.allocator.Reissue(8, now)}
+	for _, end := range []store.Offset{copyEnd, store.At(2, 3)} {
+		d.appending = p
+		newEra := ownershipAt(3, now)
+		newEra.End = end
+		d.handleAppend(t.Context(), appendResult{pending: p, startedAt: now, err: &store.EraError{End: end}, newEra: newEra})
+		now = now.Add(d.Timing.Renew)
+		calls := d.allocator.Calls(servers, d.lease(), now)
+		g.Expect(calls).To(gomega.HaveLen(1), "the owner's hold goes on")
+		d.allocator.Done(calls[0], ranges.Result{}, now)
+		d.step(t.Context(), now)
+		p = d.appending
+		g.Expect(p).NotTo(gomega.BeNil())
+		g.Expect(p.offset).To(gomega.Equal(end))
+	}
+}
+
 // Guards against a claim on a table from a copy, which does not name who holds which keys.
 func TestTableFromACopyIsClaimedWhenAllGrantsHaveExpired(t *testing.T) {
 	g := gomega.NewWithT(t)
--- a/gateway/follow/reader.go
+++ b/gateway/follow/reader.go
@@ -211,8 +211,9 @@
 // noteEra logs when the store has come back from a copy. from is the offset from which a topic was to be read.
 func (r *Reader) noteEra(topic store.Topic, from, end store.Offset) {
 	era := end.Era()
-	before := r.era.Swap(&era)
-	if before == nil || *before >= era {
+	before := r.era.Load()
+	isLater := before == nil || *before < era
+	if !isLater || !r.era.CompareAndSwap(before, &era) || before == nil {
 		return
 	}
 	eraChanges.Add(1)
--- a/gateway/ranges/reissue.go
+++ b/gateway/ranges/reissue.go
@@ -36,8 +36,17 @@
 	return a
 }
 
-// Reissue returns a change that raises the fence of every range and keeps the owners. It replaces a change whose
-// append has had no effect: releases that it would have followed are undone, since the owner gets its range again.
+// Discard drops a change whose append will have no effect. Its ranges are renewed and planned again.
+func (alloc *Allocator) Discard() {
+	for _, leases := range alloc.leases {
+		for _, l := range leases {
+			l.appendPending = false
+		}
+	}
+}
+
+// Reissue returns a change that raises the fence of every range and keeps the owners. Releases are undone, since
+// the owner gets its range again.
 func (alloc *Allocator) Reissue(fence Fence, now time.Time) *Change {
 	change := &Change{}
 	for _, leases := range alloc.leases {
--- a/gateway/ranges/world_copy_test.go
+++ b/gateway/ranges/world_copy_test.go
@@ -103,6 +103,7 @@
 			return
 		}
 	}
+	n.discardPlan()
 	n.resignAt = time.Time{}
 	n.reissueSince = w.now
 	n.end = Fence(w.end())
--- a/gateway/ranges/world_test.go
+++ b/gateway/ranges/world_test.go
@@ -335,11 +335,7 @@
 }
 
 // discardPlan discards a change that the store did not accept; it is planned again.
-func (n *worldNode) discardPlan() {
-	for _, l := range n.allocator.leases[worldService] {
-		l.appendPending = false
-	}
-}
+func (n *worldNode) discardPlan() { n.allocator.Discard() }
 
 func (w *world) confirmed(n *worldNode, change *Change, record worldRecord) {
 	n.end++
--- a/gateway/store/position.go
+++ b/gateway/store/position.go
@@ -6,9 +6,14 @@
 // it had acknowledged may then be gone, and their places in the topics are given out again.
 type Era int64
 
-// placeBits is the number of bits of an offset that hold the place. Servers and JSON keep offsets as fences up
-// to 53 bits, which leaves room for 8,191 eras.
-const placeBits = 40
+// Bits of an offset. Servers and JSON keep offsets as fences of up to fenceBits.
+const (
+	placeBits = 40
+	fenceBits = 53
+)
+
+// MaxEra is the highest era that an offset has room for.
+const MaxEra Era = 1<<(fenceBits-placeBits) - 1
 
 // At returns the offset of a place in a topic, counted from 0 without gaps within an era.
 func At(era Era, place int64) Offset { return Offset(int64(era)<<placeBits | place) }
