--- a/gateway/pool/limit_fleet_test.go
+++ b/gateway/pool/limit_fleet_test.go
@@ -69,6 +69,8 @@
 	fleetListLag = 1500 * time.Millisecond
 	// fleetReaction is the time after a first answer with a limit within which its node need not keep it.
 	fleetReaction = 500 * time.Millisecond
+	// fleetChangesAfter is when changes begin.
+	fleetChangesAfter = 4 * time.Second
 	// mostChanges bounds the nodes that join or leave a large site.
 	mostChanges = 16
 	// fleetStable is the time after a limit was named within which it need not be kept.
@@ -315,11 +317,11 @@
 	f.publish()
 }
 
-// every returns a move that does something a number of times from a time on.
-func (f *fleet) every(interval, from time.Duration, times int, do func()) func(time.Duration) {
+// every returns a move that does something a number of times from fleetChangesAfter on.
+func (f *fleet) every(interval time.Duration, times int, do func()) func(time.Duration) {
 	done := 0
 	return func(since time.Duration) {
-		if done < times && since >= from+time.Duration(done)*interval {
+		if done < times && since >= fleetChangesAfter+time.Duration(done)*interval {
 			done++
 			do()
 		}
@@ -354,13 +356,13 @@
 func TestLimitsHoldWhileTheNodesThatCountChange(t *testing.T) {
 	for name, move := range map[string]fleetMove{
 		"each node is replaced by another": func(f *fleet) func(time.Duration) {
-			return f.every(200*time.Millisecond, 4*time.Second, min(len(f.nodes), mostChanges), f.replace)
+			return f.every(200*time.Millisecond, min(len(f.nodes), mostChanges), f.replace)
 		},
 		"each node is replaced twice": func(f *fleet) func(time.Duration) {
-			return f.every(200*time.Millisecond, 4*time.Second, min(2*len(f.nodes), 2*mostChanges), f.replace)
+			return f.every(200*time.Millisecond, min(2*len(f.nodes), 2*mostChanges), f.replace)
 		},
 		"each node restarts": func(f *fleet) func(time.Duration) {
-			return f.every(400*time.Millisecond, 4*time.Second, min(len(f.nodes), mostChanges), func() {
+			return f.every(400*time.Millisecond, min(len(f.nodes), mostChanges), func() {
 				n := f.nodes[0]
 				f.stop(n)
 				f.publish()
@@ -369,13 +371,13 @@
 			})
 		},
 		"as many nodes join": func(f *fleet) func(time.Duration) {
-			return f.every(100*time.Millisecond, 4*time.Second, min(len(f.nodes), mostChanges), func() {
+			return f.every(100*time.Millisecond, min(len(f.nodes), mostChanges), func() {
 				f.join()
 				f.publish()
 			})
 		},
 		"most nodes leave": func(f *fleet) func(time.Duration) {
-			return f.every(100*time.Millisecond, 4*time.Second, min(len(f.nodes)*3/4, mostChanges), func() {
+			return f.every(100*time.Millisecond, min(len(f.nodes)*3/4, mostChanges), func() {
 				f.stop(f.nodes[f.random.IntN(len(f.nodes))])
 				f.publish()
 			})
@@ -389,7 +391,7 @@
 // node knew the others it assumed a number of nodes.
 func TestLimitsHoldWhileTheOtherNodesAreUnknown(t *testing.T) {
 	checkFleets(t, func(f *fleet) func(time.Duration) {
-		return f.every(time.Hour, 4*time.Second, 1, func() {
+		return f.every(time.Hour, 1, func() {
 			members := f.members
 			f.members = nil
 			for _, n := range slices.Clone(f.nodes) {
@@ -407,7 +409,7 @@
 func TestLimitsHoldAfterEntriesWereMissing(t *testing.T) {
 	checkFleets(t, func(f *fleet) func(time.Duration) {
 		isRemoved := false
-		return f.every(3*time.Second, 4*time.Second, 4, func() {
+		return f.every(3*time.Second, 4, func() {
 			isRemoved = !isRemoved
 			f.remove(isRemoved)
 		})
