Pool: the limit that a server names stands until an answer says otherwise

Cause: a limit was believed for 15 s without a newer answer. Where none came, for lack of requests or because nobody reached the server, all nodes forgot it, and sent without a limit until an answer had named it again.

Now a limit ends by an answer, or a minute after its server's entry. What the 15 s were for, nodes that count but do not reach the server, is done by the others: a node that has left requests to them for 15 s without a newer answer sends its part, limit / nodes.

Ruled out: asking the age of the answer alone (a node cannot tell a quiet service from one that it may not reach); the next nodes in the order, one set each 15 s (12 nodes take minutes until each has tried).

The time until which a limit is believed is gone from the view, and the time at which an entry was back with it: the tests of both ask for the limit, which stands for longer than they asked before.

--- a/gateway/pool/pool.go
+++ b/gateway/pool/pool.go
@@ -84,20 +84,26 @@
 	// request if below one.
 	limit float64
 	// pausedUntil is the end of the pause during which a limit below one admits no request.
-	pausedUntil    time.Time
-	meanSeconds    float64 // mean service time; 0: not known
-	meanUpdatedAt  time.Time
-	otherRequests  float64 // requests of other nodes, as of reportAt
-	reportAt       time.Time
-	hadFreeSlots   bool    // whether that report had free slots and no queue
-	slowdown       float64 // in that report; 0: none
-	failureRate    float64 // recent failure rate, as of failureAt
-	failureAt      time.Time
-	coldUntil      time.Time
-	budget         ratelimit.Budget
-	countsCold     bool // this node counts the requests to the server while it is cold
-	countsNamed    bool // this node is one of those that count them while it names a limit
-	named          namedLimit
+	pausedUntil   time.Time
+	meanSeconds   float64 // mean service time; 0: not known
+	meanUpdatedAt time.Time
+	otherRequests float64 // requests of other nodes, as of reportAt
+	reportAt      time.Time
+	hadFreeSlots  bool    // whether that report had free slots and no queue
+	slowdown      float64 // in that report; 0: none
+	failureRate   float64 // recent failure rate, as of failureAt
+	failureAt     time.Time
+	coldUntil     time.Time
+	budget        ratelimit.Budget
+	countsCold    bool // this node counts the requests to the server while it is cold
+	countsNamed   bool // this node is one of those that count them while it names a limit
+	named         namedLimit
+	// leftToOthersSince is when this node first left a request to the nodes that count, since the latest answer
+	// that names the limit; zero: it has left none.
+	leftToOthersSince time.Time
+	// sendsPart reports that this node does not leave them to those nodes any more, but sends its part.
+	sendsPart      bool
+	partWantedAt   time.Time // when there was last a request for it
 	forwardedAt    time.Time // when a request that this node counts only for another one last arrived
 	addedAt        time.Time
 	probationUntil time.Time // end of the low limit after a restart
--- a/gateway/pool/queue.go
+++ b/gateway/pool/queue.go
@@ -99,6 +99,7 @@
 // Submit assigns a request a slot at once, queues it, or refuses it.
 func (p *Pool) Submit(w *Waiter, now time.Time) (admission *Admission, refusal *Refusal) {
 	p.noteForwarded(w, now)
+	p.noteLeft(w, now)
 	if !p.hasServer(w, now) {
 		return nil, p.noServerRefusal(w, now)
 	}
--- a/gateway/pool/rate.go
+++ b/gateway/pool/rate.go
@@ -14,6 +14,11 @@
 	// limitConfirmInterval is the age of the latest answer of a server that names a limit from which on
 	// a request is sent there to confirm it.
 	limitConfirmInterval = 4 * time.Second
+	// unconfirmedWait is for how long a node leaves the requests to a server to the nodes that count them, while
+	// no answer confirms its limit. Then it sends its part itself.
+	unconfirmedWait = 15 * time.Second
+	// maxSavedPart is the time without a request for which a node that sends its part keeps what it does not use.
+	maxSavedPart = time.Second
 	// limitNoticeDelay is the time after which a node knows of the requests that others have sent to a server
 	// with a limit: one is answered, and the answer passed on.
 	limitNoticeDelay = 4 * time.Second
@@ -24,18 +29,19 @@
 type RateLimits struct {
 	// ColdRate is how many requests a second a cold server takes; 0: it has no limit of its own.
 	ColdRate float64
-	// Named returns the limit that a server names and until when it is believed; nil: none names any.
-	Named func(site.ServerID) (limit site.NamedLimit, until time.Time, isNamed bool)
+	// Named returns the limit that a server names; nil: none names any.
+	Named func(site.ServerID) (limit site.NamedLimit, isNamed bool)
 	// IsCounter reports whether this node is one of a number of nodes that count the requests to a
 	// server.
 	IsCounter func(server site.Server, count int) bool
 }
 
-// namedLimit is the limit that a server names.
+// namedLimit is the limit that a server names. It stands until an answer says otherwise: that nobody has sent
+// requests, or reached the server, tells nothing of it.
 type namedLimit struct {
-	rate  float64
-	at    time.Time // of the latest answer that says so
-	until time.Time // it is believed; zero: there is none
+	rate    float64
+	at      time.Time // of the latest answer that says so
+	isNamed bool      // false: there is none
 }
 
 // SetRateLimits replaces the limits. They apply from the next Update or ApplyRateLimits on.
@@ -51,18 +57,22 @@
 
 // applyRateLimits applies the limits to a server.
 func (p *Pool) applyRateLimits(m *member, now time.Time) {
-	counted := m.countsNamed
+	counted, before := m.countsNamed, m.named
 	m.named = namedLimit{}
 	if p.rateLimits.Named != nil {
-		if limit, until, isNamed := p.rateLimits.Named(m.ID); isNamed {
-			m.named = namedLimit{rate: limit.Rate, at: limit.At, until: until}
+		if limit, isNamed := p.rateLimits.Named(m.ID); isNamed {
+			m.named = namedLimit{rate: limit.Rate, at: limit.At, isNamed: true}
 		}
 	}
+	if !m.named.at.Equal(before.at) {
+		m.leftToOthersSince, m.sendsPart = time.Time{}, false
+	}
 	// With hundreds of nodes and servers it takes milliseconds to find the counters of each server.
 	m.countsCold = p.rateLimits.ColdRate > 0 && p.isCounter(m, 1)
-	m.countsNamed = !m.named.until.IsZero() && p.isCounter(m, p.senders(m))
-	p.hasNamedLimits = p.hasNamedLimits || !m.named.until.IsZero()
+	m.countsNamed = m.named.isNamed && p.isCounter(m, p.senders(m))
+	p.hasNamedLimits = p.hasNamedLimits || m.named.isNamed
 	if m.countsNamed && !counted {
+		m.sendsPart = false
 		p.beginCounting(m, now)
 	}
 }
@@ -81,7 +91,7 @@
 // counts them by its own list of members, or has done so lately for another.
 func (p *Pool) noteForwarded(w *Waiter, now time.Time) {
 	m := p.members[w.CountedServer]
-	if m == nil || m.countsNamed || !m.isLimitedByName(now) {
+	if m == nil || m.countsNamed || !m.named.isNamed {
 		return
 	}
 	if now.Sub(m.forwardedAt) > limitNoticeDelay {
@@ -90,6 +100,50 @@
 	m.forwardedAt = now
 }
 
+// noteLeft records which servers get a request only by way of the nodes that count.
+func (p *Pool) noteLeft(w *Waiter, now time.Time) {
+	if !p.hasNamedLimits {
+		return
+	}
+	for _, m := range p.order {
+		switch {
+		case !m.named.isNamed || !w.mayRunAt(m, now) || m.blocked(now):
+		case m.sendsPart:
+			m.forgoUnused(now)
+		case p.rateLimit(m, w, now) == 0:
+			p.leaveToOthers(m, now)
+		}
+	}
+}
+
+// NoteLeft records that a request for a server is left to the nodes that count, or would be.
+func (p *Pool) NoteLeft(id site.ServerID, now time.Time) {
+	if m := p.members[id]; m != nil && m.named.isNamed && !m.countsNamed {
+		p.leaveToOthers(m, now)
+	}
+}
+
+// leaveToOthers records that a request is left to the nodes that count. If no answer has confirmed the limit for
+// unconfirmedWait since the first one, they do not seem to reach the server, and this node sends its part.
+func (p *Pool) leaveToOthers(m *member, now time.Time) {
+	switch {
+	case m.leftToOthersSince.IsZero():
+		m.leftToOthersSince = now
+	case !m.sendsPart && now.Sub(m.leftToOthersSince) >= unconfirmedWait:
+		m.sendsPart, m.partWantedAt = true, now
+		// The other nodes begin at about the same time, and must not send at the same time.
+		interval := float64(p.nodes) / max(m.named.rate, minCountedRate) * float64(time.Second)
+		m.budget.Exhaust(now.Add(-time.Duration(p.random.Float64() * interval)))
+	}
+}
+
+// forgoUnused lets the part of this node lapse for the time in which it wanted to send no request: what all nodes
+// save while nobody reaches the server would exceed the limit once they do.
+func (m *member) forgoUnused(now time.Time) {
+	m.budget.Postpone(now.Sub(m.partWantedAt) - maxSavedPart)
+	m.partWantedAt = now
+}
+
 // mayHaveLimits reports whether a server may have a limit. Without one, waiting requests are not
 // compared with servers.
 func (p *Pool) mayHaveLimits() bool { return p.hasNamedLimits || p.rateLimits.ColdRate > 0 }
@@ -116,7 +170,7 @@
 	switch {
 	case p.isLimitedCold(m, now):
 		return 1
-	case m.isLimitedByName(now) && (p.senders(m) < p.nodes || !m.countsNamed):
+	case m.named.isNamed && !m.sendsPart && (p.senders(m) < p.nodes || !m.countsNamed):
 		return p.senders(m)
 	}
 	return 0
@@ -132,8 +186,6 @@
 	return p.rateLimits.ColdRate > 0 && now.Before(m.coldUntil)
 }
 
-func (m *member) isLimitedByName(now time.Time) bool { return now.Before(m.named.until) }
-
 // mayCount reports whether this node counts the requests to a server, by its own list of members or by
 // that of the node that forwarded the request.
 func (p *Pool) mayCount(m *member, w *Waiter, now time.Time) bool {
@@ -154,12 +206,20 @@
 	if p.isLimitedCold(m, now) {
 		limit = p.rateLimits.ColdRate
 	}
-	if m.isLimitedByName(now) {
-		limit = min(limit, max(m.named.rate, minCountedRate)/float64(p.senders(m)))
+	if m.named.isNamed {
+		limit = min(limit, max(m.named.rate, minCountedRate)/float64(p.parts(m, w)))
 	}
 	return limit
 }
 
+// parts returns into how many parts, one for each node that sends, the limit that a server names is divided.
+func (p *Pool) parts(m *member, w *Waiter) int {
+	if m.sendsPart && w.CountedServer != m.ID {
+		return p.nodes
+	}
+	return p.senders(m)
+}
+
 // admitsRate reports whether the limit of a server lets a request be sent now.
 func (p *Pool) admitsRate(m *member, w *Waiter, now time.Time) bool {
 	limit := p.rateLimit(m, w, now)
@@ -181,21 +241,30 @@
 // limitedUntil returns when a server with a limit may next take a request of this node. It returns the
 // zero time for a server without one.
 func (p *Pool) limitedUntil(m *member, now time.Time) time.Time {
-	if !p.isLimitedCold(m, now) && !m.isLimitedByName(now) {
+	isCold := p.isLimitedCold(m, now)
+	if !isCold && !m.named.isNamed {
 		return time.Time{}
 	}
 	limit := p.rateLimit(m, p.countedWaiter(m), now)
-	until := m.named.until
-	if m.coldUntil.After(until) {
-		until = m.coldUntil
+	switch {
+	case limit == 0 && m.named.isNamed:
+		return m.sendsPartFrom(now)
+	case limit == 0:
+		return m.coldUntil
 	}
-	if limit == 0 {
-		return until
+	next := m.budget.NextAt(limit, now)
+	if !m.named.isNamed && m.coldUntil.Before(next) {
+		return m.coldUntil
 	}
-	if next := m.budget.NextAt(limit, now); next.Before(until) {
-		return next
+	return next
+}
+
+// sendsPartFrom returns when this node sends its part of the requests to a server, if no answer confirms its limit.
+func (m *member) sendsPartFrom(now time.Time) time.Time {
+	if m.leftToOthersSince.IsZero() {
+		return now.Add(unconfirmedWait)
 	}
-	return until
+	return m.leftToOthersSince.Add(unconfirmedWait)
 }
 
 // countedWaiter returns a waiting request that was forwarded because this node counts the requests to a
@@ -215,7 +284,7 @@
 		return nil
 	}
 	for _, m := range p.order {
-		isDue := m.isLimitedByName(now) && now.Sub(m.named.at) >= limitConfirmInterval && m.inFlight() == 0
+		isDue := m.named.isNamed && now.Sub(m.named.at) >= limitConfirmInterval && m.inFlight() == 0
 		if isDue && p.canSend(m, w, now) {
 			return m
 		}
--- a/gateway/ratelimit/ratelimit.go
+++ b/gateway/ratelimit/ratelimit.go
@@ -86,6 +86,9 @@
 // before, have sent since.
 func (b *Budget) Exhaust(asOf time.Time) { b.spent, b.updatedAt = burst, asOf }
 
+// Postpone takes back what has become free in a time; not positive: nothing.
+func (b *Budget) Postpone(duration time.Duration) { b.updatedAt = b.updatedAt.Add(max(duration, 0)) }
+
 // Spend records that a request is sent now.
 func (b *Budget) Spend(rate float64, now time.Time) {
 	b.spent = b.spentAt(rate, now) + 1
--- a/gateway/router/counted.go
+++ b/gateway/router/counted.go
@@ -27,7 +27,11 @@
 		return site.Server{}, false
 	}
 	server, isRegistered := x.router.state.Now().Registered()[id]
-	return server, isRegistered && !x.isCounterOf(server)
+	if !isRegistered || x.isCounterOf(server) {
+		return site.Server{}, false
+	}
+	x.service.noteLeft(id)
+	return server, true
 }
 
 // isCounterOf reports whether this node counts the requests to a server, by its own list of
@@ -113,6 +117,13 @@
 	return s.pool.IsLimitedCold(id, time.Now())
 }
 
+// noteLeft records that a request for a server is left to the nodes that count.
+func (s *service) noteLeft(id site.ServerID) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.pool.NoteLeft(id, time.Now())
+}
+
 // counters returns how many nodes count the requests to a server and send any; 0: all nodes may.
 func (s *service) counters(id site.ServerID) int {
 	s.mu.Lock()
--- a/gateway/view/limits.go
+++ b/gateway/view/limits.go
@@ -8,8 +8,8 @@
 )
 
 const (
-	// limitValidity is how long a limit is believed without a newer answer. The nodes that may send to
-	// the server confirm it more often, as long as it stands.
+	// limitValidity is for how long other nodes are notified of an answer. The nodes that may send to a server
+	// with a limit get a newer one more often, as long as there are requests.
 	limitValidity = 15 * time.Second
 	// absentLimitRetention is how long the limit of a server without an entry is kept: its entry may have
 	// expired while the server runs on.
@@ -24,22 +24,15 @@
 	// Serial grows with each change.
 	Serial   uint64
 	byServer map[site.ServerID]site.NamedLimit
-	// returnedAt is when the entries of servers that had none were back in the registry.
-	returnedAt map[site.ServerID]time.Time
 }
 
-// Of returns the limit that a server names, and until when it is believed. isNamed is false if there is
-// none.
-func (l Limits) Of(id site.ServerID) (limit site.NamedLimit, until time.Time, isNamed bool) {
+// Of returns the limit that a server names. isNamed is false if there is none.
+func (l Limits) Of(id site.ServerID) (limit site.NamedLimit, isNamed bool) {
 	limit = l.byServer[id]
-	since := limit.At
-	if returnedAt := l.returnedAt[id]; returnedAt.After(since) {
-		since = returnedAt // nobody could confirm it before
-	}
-	return limit, since.Add(limitValidity), limit.IsNamed
+	return limit, limit.IsNamed
 }
 
-// Valid returns what is still believed, lifted limits included: other nodes may not know of that yet.
+// Valid returns what an answer has said lately, lifted limits included: other nodes may not know of that yet.
 func (l Limits) Valid(now time.Time) map[site.ServerID]site.NamedLimit {
 	valid := make(map[site.ServerID]site.NamedLimit, len(l.byServer))
 	for id, limit := range l.byServer {
@@ -50,7 +43,7 @@
 	return valid
 }
 
-// Without returns what is still believed of limits and differs from what another node knows.
+// Without returns what an answer has said lately of limits and differs from what another node knows.
 func (l Limits) Without(known map[site.ServerID]site.NamedLimit, now time.Time) map[site.ServerID]site.NamedLimit {
 	valid := l.Valid(now)
 	maps.DeleteFunc(valid, func(id site.ServerID, limit site.NamedLimit) bool {
@@ -60,7 +53,7 @@
 	return valid
 }
 
-// Rates returns the limits that are believed, in requests a second.
+// Rates returns the limits that an answer has named lately, in requests a second.
 func (l Limits) Rates(now time.Time) map[site.ServerID]float64 {
 	rates := map[site.ServerID]float64{}
 	for id, limit := range l.Valid(now) {
@@ -102,28 +95,12 @@
 			merged[id] = limit
 		}
 		next.dropLimits(merged)
-		next.Limits = Limits{Serial: next.Limits.Serial + 1, byServer: merged, returnedAt: next.Limits.returnedAt}
+		next.Limits = Limits{Serial: next.Limits.Serial + 1, byServer: merged}
 		return true
 	})
 	return changes
 }
 
-// noteReturned records that the entries of servers with a limit are back in the registry.
-func (v *View) noteReturned(before map[site.ServerID]site.Server, now time.Time) {
-	returnedAt := maps.Clone(v.Limits.returnedAt)
-	for id := range v.Limits.byServer {
-		_, wasRegistered := before[id]
-		if _, isRegistered := v.Servers.Servers[id]; isRegistered && !wasRegistered {
-			if returnedAt == nil {
-				returnedAt = map[site.ServerID]time.Time{}
-			}
-			returnedAt[id] = now
-		}
-	}
-	maps.DeleteFunc(returnedAt, func(_ site.ServerID, at time.Time) bool { return now.Sub(at) >= limitValidity })
-	v.Limits.returnedAt = returnedAt
-}
-
 // needsLimits reports whether one of the answers changes the view.
 func (v *View) needsLimits(limits map[site.ServerID]site.NamedLimit) bool {
 	for id, limit := range limits {
--- a/gateway/view/view.go
+++ b/gateway/view/view.go
@@ -246,10 +246,8 @@
 			touched[known.Service] = true
 		}
 	}
-	before := v.Servers.Servers
 	v.Servers = servers
 	v.serversSum = sum.total
-	v.noteReturned(before, time.Now())
 	v.markLeaving()
 	v.listServices(touched)
 }
