View: a server that was known to drain stays so when the store comes back from a copy

What callers would see: requests at a server that may end at any moment, because the store's copy is older than its report of draining and says ready until the server writes again, up to a heartbeat later.

Cause: the state of an entry was taken from the newest record, as if it could not go back. Evidence: TestDrainingServerStaysSoWhenTheStoreReturnsFromACopy, ready again at an offset of the new era before this. Why it works: an incarnation never takes that back (the platform's pages: it reports, goes on serving for a while, and ends), as with a server that says so in an answer. A new incarnation begins without it.

Not done: a server whose removal the copy lacks is back until it is removed again, since entries that expired in an outage look the same.

--- a/gateway/view/view.go
+++ b/gateway/view/view.go
@@ -205,11 +205,33 @@
 			return false
 		}
 		servers.Servers = s.starts.merge(servers.Servers, next.Servers.Servers, clock.Now())
+		servers.Servers = keepDraining(servers.Servers, next.Servers.Servers)
 		next.setServers(servers)
 		return true
 	})
 }
 
+// keepDraining returns the servers with those marked as draining that were known to drain. An incarnation does not take
+// that back, but a store that has come back from a copy may have lost it.
+func keepDraining(servers, known map[site.ServerID]site.Server) map[site.ServerID]site.Server {
+	var kept map[site.ServerID]site.Server
+	for id, before := range known {
+		server, isRegistered := servers[id]
+		if !before.Draining || !isRegistered || server.Draining {
+			continue
+		}
+		if kept == nil {
+			kept = maps.Clone(servers)
+		}
+		server.Draining = true
+		kept[id] = server
+	}
+	if kept == nil {
+		return servers
+	}
+	return kept
+}
+
 // AcceptDeferred accepts earlier incarnations that other nodes have reported for long
 // enough.
 func (s *State) AcceptDeferred() bool {
