--- a/gateway/config/config.go
+++ b/gateway/config/config.go
@@ -67,8 +67,20 @@
 	// CrossZonePenalty is added to the expected time of a request at a server of
 	// another zone.
 	CrossZonePenalty time.Duration
+	// LearnSpeeds is when the speeds of servers are learned and used.
+	LearnSpeeds SpeedLearning
 }
 
+// SpeedLearning is when the speeds of servers are learned and used.
+type SpeedLearning string
+
+// The choices of SpeedLearning.
+const (
+	LearnSpeedsAuto SpeedLearning = "auto" // while a service of the site is mixed
+	LearnSpeedsOn   SpeedLearning = "on"
+	LearnSpeedsOff  SpeedLearning = "off"
+)
+
 // Resources are the resources that a VM provides to the process. Duties that one node
 // performs for others are assigned to nodes of high capacity.
 type Resources struct {
@@ -209,7 +221,10 @@
 }
 
 func readPlacement(o *jsonc.Object) Placement {
-	placement := Placement{CrossZonePenalty: o.Get("crossZonePenalty").Duration(defaultCrossZonePenalty, 0, maxDuration)}
+	placement := Placement{
+		CrossZonePenalty: o.Get("crossZonePenalty").Duration(defaultCrossZonePenalty, 0, maxDuration),
+		LearnSpeeds:      SpeedLearning(o.Get("learnSpeeds").Choice(string(LearnSpeedsAuto), string(LearnSpeedsAuto), string(LearnSpeedsOn), string(LearnSpeedsOff))),
+	}
 	o.Close()
 	return placement
 }
--- a/gateway/duty/duty.go
+++ b/gateway/duty/duty.go
@@ -12,6 +12,7 @@
 
 	"github.com/burdockspindle/burdockspindle/clock"
 	"github.com/burdockspindle/burdockspindle/gateway/follow"
+	"github.com/burdockspindle/burdockspindle/gateway/guidance"
 	"github.com/burdockspindle/burdockspindle/gateway/quarantine"
 	"github.com/burdockspindle/burdockspindle/gateway/quota"
 	"github.com/burdockspindle/burdockspindle/gateway/ranges"
@@ -114,6 +115,10 @@
 	lessorSince      time.Time
 	shownSerial      uint64 // serial of the routes in the view
 	quota            *quota.Quota
+	mix              *guidance.Mix
+	nextGuidance     time.Time
+	guidanceSentAt   time.Time
+	guidanceSerial   uint64
 	quarantine       *quarantine.Table
 	quarantined      quarantine.List // as last written or about to be written
 	quarantineDue    bool            // quarantined is not written yet
@@ -228,6 +233,7 @@
 	d.appendDue(ctx, now)
 	d.showRoutes()
 	d.updateShares(now)
+	d.updateGuidance(now)
 }
 
 // lease returns the lessor's lease.
--- a/gateway/duty/events.go
+++ b/gateway/duty/events.go
@@ -28,5 +28,6 @@
 	eventReissued             = events.Define(2119, hclog.Warn, "table of ranges written again in a new era")
 	eventReissueEnded         = events.Define(2120, hclog.Warn, "table of ranges cannot be written again; giving up the lease")
 	eventAwaitingHolds        = events.Define(2121, hclog.Warn, "no claim before unknown grants have expired")
+	eventGuidance             = events.Define(2122, hclog.Info, "guidance for mixed services")
 	eventEncodeFailed         = events.Define(2109, hclog.Error, "cannot encode the table of ranges")
 )
--- a/gateway/duty/outcome.go
+++ b/gateway/duty/outcome.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/burdockspindle/burdockspindle/clock"
+	"github.com/burdockspindle/burdockspindle/gateway/guidance"
 	"github.com/burdockspindle/burdockspindle/gateway/quota"
 	"github.com/burdockspindle/burdockspindle/gateway/ranges"
 	"github.com/burdockspindle/burdockspindle/gateway/site"
@@ -90,6 +91,7 @@
 	d.earlierHoldEnd = now.Add(p.earlierHold)
 	d.loads = ranges.NewLoads()
 	d.quota = quota.New()
+	d.mix = guidance.NewMix()
 	d.beginQuarantine(now)
 	d.leaseOffset, d.sharesSerial = p.offset, 0
 	d.sendShares(nil, now) // replaces the shares of the previous lessor
--- a/gateway/duty/reports.go
+++ b/gateway/duty/reports.go
@@ -42,5 +42,8 @@
 		d.loads.ReportServiceTime(site.ServerID(p.Server), time.Duration(p.MeanUs)*time.Microsecond)
 		d.loads.ReportOccupancy(site.ServerID(p.Server), int(p.Answers), int(p.Present))
 	}
+	for _, c := range report.Classes {
+		d.mix.Count(site.ServiceName(c.Service), int(c.Priority), int(c.Requests))
+	}
 	d.handleCrashes(report, clock.Now())
 }
--- a/gateway/follow/feed.go
+++ b/gateway/follow/feed.go
@@ -186,7 +186,7 @@
 	v := f.State.Now()
 	return v.Config != nil && uint64(v.Config.Version) > msg.ConfigVersion ||
 		int64(v.Servers.Offset) > msg.ServersOffset ||
-		newerRoutes(v, msg) || newerShares(v, msg) || newerQuarantine(v, msg) || newerEvacuation(v, msg) || f.hasNewerLeaving(v, msg)
+		newerRoutes(v, msg) || newerShares(v, msg) || newerGuidance(v, msg) || newerQuarantine(v, msg) || newerEvacuation(v, msg) || f.hasNewerLeaving(v, msg)
 }
 
 func newerShares(v *view.View, msg *bspb.FollowRequest) bool {
@@ -222,6 +222,9 @@
 	if newerShares(v, msg) {
 		reply.Shares = sharesMessage(v.Shares)
 	}
+	if newerGuidance(v, msg) {
+		reply.Guidance = guidanceMessage(v.Guidance)
+	}
 	if err == nil && newerQuarantine(v, msg) {
 		reply.QuarantineOffset = int64(v.Quarantine.Offset)
 		reply.Quarantine, err = f.quarantine.encode(reply.QuarantineOffset, v.Quarantine.List)
--- a/gateway/follow/follower.go
+++ b/gateway/follow/follower.go
@@ -222,12 +222,13 @@
 	}
 	report := f.Reports.Drain()
 	request := &bspb.FollowRequest{
-		Member:    memberMessage(f.Self),
-		KeyCounts: report.KeyCounts,
-		Paces:     report.Paces,
-		Crashes:   report.Crashes,
-		Answered:  report.Answered,
-		WaitMs:    uint32(wait.Milliseconds()),
+		Member:      memberMessage(f.Self),
+		KeyCounts:   report.KeyCounts,
+		Paces:       report.Paces,
+		ClassCounts: report.Classes,
+		Crashes:     report.Crashes,
+		Answered:    report.Answered,
+		WaitMs:      uint32(wait.Milliseconds()),
 	}
 	setKnownVersions(request, f.State.Now())
 	request.Limits = limitMessages(f.State.Now().Limits.Valid(time.Now()))
@@ -289,6 +290,7 @@
 	}
 	request.RoutesSerial = v.Routes.Serial
 	request.SharesOffset, request.SharesSerial = int64(v.Shares.Offset), v.Shares.Serial
+	request.GuidanceOffset, request.GuidanceSerial = int64(v.Guidance.Offset), v.Guidance.Serial
 	request.QuarantineOffset = quarantineOffset(v)
 	request.EvacuationOffset = int64(v.Evacuation.Offset)
 	request.MembersHash = v.MembersHash()
@@ -325,6 +327,9 @@
 	if reply.Shares != nil {
 		f.State.MergeShares(sharesOf(reply.Shares))
 	}
+	if reply.Guidance != nil {
+		f.State.MergeGuidance(guidanceOf(reply.Guidance))
+	}
 	if len(reply.Quarantine) > 0 {
 		if err := mergeQuarantineReply(f.State, f.Logger, reply, from); err != nil {
 			return false, err
--- a/gateway/follow/reports.go
+++ b/gateway/follow/reports.go
@@ -14,7 +14,9 @@
 type Reports struct {
 	mu    sync.Mutex
 	keys  map[serviceKey]uint32
-	stats map[site.ServerID]serverStats
+	stats map[serverRoute]serverStats
+	// classes counts the requests of callers by service and priority.
+	classes map[serviceClass]classCount
 	// crashes holds the crashes to report, and answered the suspected requests that a server
 	// has answered.
 	crashes  map[crash]crashState
@@ -27,13 +29,30 @@
 	key     ranges.Key
 }
 
+// serverRoute identifies the answers of a server to the requests of a route. The route is empty unless the site is mixed.
+type serverRoute struct {
+	server site.ServerID
+	route  string
+}
+
 type serverStats struct {
 	count   uint64
-	total   time.Duration
-	answers uint32 // responses that contained the server's load
-	present uint32 // sum of the server's requests over these responses
+	total   time.Duration // without the wait in the server's queue, by the estimate of each answer
+	answers uint32        // responses that contained the server's load
+	present uint32        // sum of the server's requests over these responses
+	// The fields below are of mixed sites.
+	answerTime   time.Duration // sum, the wait in the server's queue included
+	busy, queued uint32        // sums over the answers: slots taken and requests waiting, without the answered one
+	slowdown     uint64        // sum over the answers, in hundredths
+}
+
+type serviceClass struct {
+	service  site.ServiceName
+	priority int
 }
 
+type classCount struct{ requests, returned uint32 }
+
 // maxKeyReports limits the number of keys in a report.
 const maxKeyReports = 1000
 
@@ -41,7 +60,8 @@
 func NewReports() *Reports {
 	return &Reports{
 		keys:     map[serviceKey]uint32{},
-		stats:    map[site.ServerID]serverStats{},
+		stats:    map[serverRoute]serverStats{},
+		classes:  map[serviceClass]classCount{},
 		crashes:  map[crash]crashState{},
 		answered: map[quarantine.Fingerprint]bool{},
 		urgent:   make(chan struct{}, 1),
@@ -62,26 +82,78 @@
 	}
 }
 
-// NoteResponse records how long a server of a keyed service worked on a request, and the load in
-// its response; nil if there was none.
+// CountClass counts a request of a caller by its priority, whether or not it can be served. hasReturned reports that it
+// has been refused before.
+func (r *Reports) CountClass(service site.ServiceName, priority int, hasReturned bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	count := classCount{requests: 1}
+	if hasReturned {
+		count.returned = 1
+	}
+	r.addClass(serviceClass{service, priority}, count)
+}
+
+// addClass adds to the requests of a class. The caller holds the lock.
+func (r *Reports) addClass(class serviceClass, count classCount) {
+	if priority := class.priority; priority < 0 || priority > maxReportedPriority {
+		return
+	}
+	sum := r.classes[class]
+	sum.requests += count.requests
+	sum.returned += count.returned
+	r.classes[class] = sum
+}
+
+// maxReportedPriority is the highest number of a priority whose requests are reported.
+const maxReportedPriority = 1000
+
+// NoteResponse records how long a server worked on a request, and the load in its response; nil if there was none.
 func (r *Reports) NoteResponse(server site.ServerID, took time.Duration, load *site.Load) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.add(serverRoute{server: server}, statsOf(took, load))
+}
+
+// NoteRouteResponse records the same on a mixed site, with the route of the request and the time until the answer without
+// the time to connect.
+func (r *Reports) NoteRouteResponse(server site.ServerID, route string, answerTime, took time.Duration, load *site.Load) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	p := statsOf(took, load)
+	p.answerTime = answerTime
+	if load != nil {
+		left := max(load.Total()-1, 0) // the load includes the answered request
+		busy := min(left, max(load.Slots, 0))
+		p.busy, p.queued = uint32(busy), uint32(left-busy)
+		p.slowdown = uint64(max(load.Slowdown, 0) * slowdownUnit)
+	}
+	r.add(serverRoute{server, route}, p)
+}
+
+// slowdownUnit is the value of a usual pace in a report, which has slowdowns in hundredths.
+const slowdownUnit = 100
+
+func statsOf(took time.Duration, load *site.Load) serverStats {
 	p := serverStats{count: 1, total: took}
 	if load != nil {
-		p.answers, p.present = 1, uint32(load.Total())
+		p.answers, p.present = 1, uint32(max(load.Total(), 0))
 	}
-	r.add(server, p)
+	return p
 }
 
 // add adds to a server's statistics. The caller holds the lock.
-func (r *Reports) add(server site.ServerID, p serverStats) {
-	sum := r.stats[server]
+func (r *Reports) add(of serverRoute, p serverStats) {
+	sum := r.stats[of]
 	sum.count += p.count
 	sum.total += p.total
 	sum.answers += p.answers
 	sum.present += p.present
-	r.stats[server] = sum
+	sum.answerTime += p.answerTime
+	sum.busy += p.busy
+	sum.queued += p.queued
+	sum.slowdown += p.slowdown
+	r.stats[of] = sum
 }
 
 // Merge adds a report of another node, which a relay forwards.
@@ -96,15 +168,49 @@
 		}
 	}
 	for _, reported := range report.Paces {
-		mean := time.Duration(reported.MeanUs) * time.Microsecond
-		r.add(site.ServerID(reported.Server), serverStats{count: 1, total: mean, answers: reported.Answers, present: reported.Present})
+		r.add(serverRoute{site.ServerID(reported.Server), reported.Route}, reportedStats(reported))
+	}
+	for _, c := range report.Classes {
+		r.addClass(serviceClass{site.ServiceName(c.Service), int(c.Priority)}, classCount{requests: c.Requests, returned: c.Returned})
 	}
 	r.mergeCrashes(report)
 }
 
+// reportedStats returns the statistics in a report of another node. Without the number of its answers, which is reported
+// with a route, a report counts as one answer.
+func reportedStats(reported *bspb.ServerPace) serverStats {
+	count := uint64(1)
+	if reported.Route != "" {
+		count = uint64(max(reported.Count, 1))
+	}
+	return serverStats{
+		count:      count,
+		total:      time.Duration(count*reported.MeanUs) * time.Microsecond,
+		answers:    reported.Answers,
+		present:    reported.Present,
+		answerTime: time.Duration(reported.TotalUs) * time.Microsecond,
+		busy:       reported.Busy,
+		queued:     reported.Queued,
+		slowdown:   reported.Slowdown,
+	}
+}
+
+// message returns the statistics as they are reported.
+func (p serverStats) message(of serverRoute) *bspb.ServerPace {
+	mean := p.total / time.Duration(p.count)
+	message := &bspb.ServerPace{Server: string(of.server), MeanUs: uint64(mean.Microseconds()), Answers: p.answers, Present: p.present}
+	if of.route != "" {
+		message.Route, message.Count = of.route, uint32(p.count)
+		message.TotalUs = uint64(p.answerTime.Microseconds())
+		message.Busy, message.Queued, message.Slowdown = p.busy, p.queued, p.slowdown
+	}
+	return message
+}
+
 // Report contains the observations of one node.
 type Report struct {
 	KeyCounts []*bspb.KeyCounts
+	Classes   []*bspb.ClassCount
 	Paces     []*bspb.ServerPace
 	Crashes   []*bspb.CrashReport
 	Answered  *bspb.Fingerprints // suspected requests that a server has answered; nil: none
@@ -112,11 +218,11 @@
 
 // reportOf returns the observations in a request of another node.
 func reportOf(msg *bspb.FollowRequest) Report {
-	return Report{KeyCounts: msg.KeyCounts, Paces: msg.Paces, Crashes: msg.Crashes, Answered: msg.Answered}
+	return Report{KeyCounts: msg.KeyCounts, Classes: msg.ClassCounts, Paces: msg.Paces, Crashes: msg.Crashes, Answered: msg.Answered}
 }
 
 func (r Report) isEmpty() bool {
-	return len(r.KeyCounts)+len(r.Paces)+len(r.Crashes)+len(r.Answered.GetHigh()) == 0
+	return len(r.KeyCounts)+len(r.Classes)+len(r.Paces)+len(r.Crashes)+len(r.Answered.GetHigh()) == 0
 }
 
 // Drain returns the observations since the last call.
@@ -135,12 +241,15 @@
 		counts.Keys = append(counts.Keys, uint32(k.key))
 		counts.Requests = append(counts.Requests, n)
 	}
-	for id, p := range r.stats {
-		mean := p.total / time.Duration(p.count)
-		report.Paces = append(report.Paces, &bspb.ServerPace{Server: string(id), MeanUs: uint64(mean.Microseconds()), Answers: p.answers, Present: p.present})
+	for of, p := range r.stats {
+		report.Paces = append(report.Paces, p.message(of))
+	}
+	for class, count := range r.classes {
+		report.Classes = append(report.Classes, &bspb.ClassCount{Service: string(class.service), Priority: uint32(class.priority), Requests: count.requests, Returned: count.returned})
 	}
 	r.drainCrashes(&report, time.Now(), true)
 	clear(r.keys)
 	clear(r.stats)
+	clear(r.classes)
 	return report
 }
--- a/gateway/pool/pool.go
+++ b/gateway/pool/pool.go
@@ -141,6 +141,7 @@
 	sharesUntil time.Time
 	random      *rand.Rand
 	rateLimits  RateLimits
+	guided      guided
 	// hasNamedLimits reports whether a server names a limit.
 	hasNamedLimits bool
 	loadChecks     loadChecks
--- a/gateway/router/router.go
+++ b/gateway/router/router.go
@@ -61,16 +61,17 @@
 	name    site.ServiceName
 	servers []site.Server // of the applied view; guarded by Router.mu
 
-	mu               sync.Mutex // guards the fields below
-	pool             *pool.Pool
-	budget           *budget.Budget
-	waiters          map[*pool.Waiter]chan waitResult
-	nodeCount        int         // that share the servers; 0: unknown
-	nodesHash        uint64      // of these nodes
-	coldRate         float64     // see pool.RateLimits
-	limitsSerial     uint64      // of the limits that servers name
-	sharesReportedAt time.Time   // when the shares were received
-	wakeTimer        *time.Timer // fires when waiting requests may next be admitted; nil: no such time
+	mu                 sync.Mutex // guards the fields below
+	pool               *pool.Pool
+	budget             *budget.Budget
+	waiters            map[*pool.Waiter]chan waitResult
+	nodeCount          int       // that share the servers; 0: unknown
+	nodesHash          uint64    // of these nodes
+	coldRate           float64   // see pool.RateLimits
+	limitsSerial       uint64    // of the limits that servers name
+	sharesReportedAt   time.Time // when the shares were received
+	guidanceReceivedAt time.Time
+	wakeTimer          *time.Timer // fires when waiting requests may next be admitted; nil: no such time
 }
 
 // New returns a router without services.
@@ -195,6 +196,10 @@
 		s.sharesReportedAt = shares.ReceivedAt
 		s.pool.SetShares(shares.ByServer, shares.ReceivedAt.Add(ShareValidity))
 	}
+	if v.Guidance.ReceivedAt != s.guidanceReceivedAt {
+		s.guidanceReceivedAt = v.Guidance.ReceivedAt
+		s.pool.SetGuidance(s.name, v.Guidance.Guidance, v.Guidance.ReceivedAt)
+	}
 	s.deliver(s.pool.Admit(now))
 }
 
--- a/gateway/router/run.go
+++ b/gateway/router/run.go
@@ -141,9 +141,7 @@
 			Abandoned:  isOver,
 		}
 	}
-	if x.keyed && !attempt.answer.NotRun {
-		x.router.reports.NoteResponse(attempt.server.ID, serviceTime(attempt), attempt.answer.Load)
-	}
+	x.reportResponse(attempt)
 	isMisdirected := attempt.answer.Status == http.StatusMisdirectedRequest
 	return pool.Outcome{
 		Took:       attempt.duration,
@@ -172,6 +170,19 @@
 	return max(time.Until(resting.Until), 0), true
 }
 
+// reportResponse reports the answer of a server to the lessor: of a keyed service, and on a mixed site of every service and
+// by route.
+func (x *exchange) reportResponse(attempt attemptResult) {
+	answer := attempt.answer
+	switch {
+	case answer.NotRun:
+	case x.view.Guidance.IsMixed():
+		x.router.reports.NoteRouteResponse(attempt.server.ID, x.route.Name, attempt.duration-answer.ConnectTime, serviceTime(attempt), answer.Load)
+	case x.keyed:
+		x.router.reports.NoteResponse(attempt.server.ID, serviceTime(attempt), answer.Load)
+	}
+}
+
 // serviceTime estimates how long a server ran a request, without the time to open a connection
 // and without its wait in the server's queue. It assumes that the queue was as long at the arrival
 // of the request as at its end.
--- a/gateway/router/serve.go
+++ b/gateway/router/serve.go
@@ -49,8 +49,10 @@
 	arrived  time.Time
 	deadline time.Time // from the timeouts of the caller and the route
 	target   time.Time // latency objective
-	attempts int       // all, including those that reached no server
-	sends    int       // attempts that may have reached a server
+	// waited is how long the caller has waited since its first attempt; 0: this is the first, or it is not known.
+	waited   time.Duration
+	attempts int // all, including those that reached no server
+	sends    int // attempts that may have reached a server
 	// retryTakenAt is when the next send was taken from the retry budget; zero: it was not.
 	retryTakenAt time.Time
 	mayHaveRun   bool
@@ -203,7 +205,9 @@
 		x.target = x.arrived.Add(time.Duration(x.forwarded.ObjectiveMs) * time.Millisecond)
 		return
 	}
-	x.target = x.arrived.Add(x.route.Target - x.router.elapsedWait(x.route.Name, stated))
+	x.waited = x.router.elapsedWait(x.route.Name, stated)
+	x.target = x.arrived.Add(x.route.Target - x.waited)
+	x.router.reports.CountClass(x.service.name, x.route.Priority, x.waited > 0)
 }
 
 func (x *exchange) readBody(request *http.Request) *refusal {
--- a/gateway/view/view.go
+++ b/gateway/view/view.go
@@ -15,6 +15,7 @@
 
 	"github.com/burdockspindle/burdockspindle/clock"
 	"github.com/burdockspindle/burdockspindle/gateway/broadcast"
+	"github.com/burdockspindle/burdockspindle/gateway/guidance"
 	"github.com/burdockspindle/burdockspindle/gateway/quarantine"
 	"github.com/burdockspindle/burdockspindle/gateway/quota"
 	"github.com/burdockspindle/burdockspindle/gateway/ranges"
@@ -63,6 +64,17 @@
 // Version returns the version of the shares.
 func (s Shares) Version() Version { return Version{Offset: s.Offset, Serial: s.Serial} }
 
+// Guidance contains how mixed services are served, as set by the lessor of the table at an offset.
+type Guidance struct {
+	Offset     store.Offset
+	Serial     uint64    // grows with each change and repetition
+	ReceivedAt time.Time // by this node's clock
+	guidance.Guidance
+}
+
+// Version returns the version of the guidance.
+func (g Guidance) Version() Version { return Version{Offset: g.Offset, Serial: g.Serial} }
+
 // Quarantine contains the requests that are refused because servers ended under them.
 type Quarantine struct {
 	Offset store.Offset // of its record in the ownership topic
@@ -76,6 +88,8 @@
 	Table   Table  // the newest that this node has read or written
 	Routes  Routes // may belong to a newer table
 	Shares  Shares
+	// Guidance is the latest of a lessor. Its parts expire, see package pool.
+	Guidance Guidance
 	// Quarantine is the newest list that a lessor has written.
 	Quarantine Quarantine
 	// Evacuation holds the zones whose servers get no requests.
@@ -347,6 +361,18 @@
 	})
 }
 
+// MergeGuidance applies the guidance of a lessor unless newer guidance is known.
+func (s *State) MergeGuidance(next Guidance) bool {
+	return s.update(func(v *View) bool {
+		if !next.Version().IsAfter(v.Guidance.Version()) {
+			return false
+		}
+		next.ReceivedAt = time.Now()
+		v.Guidance = next
+		return true
+	})
+}
+
 // MergeQuarantine applies a list of quarantined requests if it is newer, and reports whether
 // it was.
 func (s *State) MergeQuarantine(next Quarantine) bool {
