Estimate the relative service time of servers, and place keys by it on mixed sites

Cause: the measured time of an answer contains the server's queue and the kind of its request, so placement by it moves keys from busy servers to others and back. Change: package speed (relative service time and work of routes, by Little's law and by slots taken), fed by the reports per route; the lessor places keys by it while the site is mixed or placement.learnSpeeds is on, and sends it to nodes. Otherwise as before.

--- a/gateway/duty/duty.go
+++ b/gateway/duty/duty.go
@@ -11,12 +11,14 @@
 	"github.com/hashicorp/go-hclog"
 
 	"github.com/burdockspindle/burdockspindle/clock"
+	"github.com/burdockspindle/burdockspindle/gateway/config"
 	"github.com/burdockspindle/burdockspindle/gateway/follow"
 	"github.com/burdockspindle/burdockspindle/gateway/guidance"
 	"github.com/burdockspindle/burdockspindle/gateway/quarantine"
 	"github.com/burdockspindle/burdockspindle/gateway/quota"
 	"github.com/burdockspindle/burdockspindle/gateway/ranges"
 	"github.com/burdockspindle/burdockspindle/gateway/site"
+	"github.com/burdockspindle/burdockspindle/gateway/speed"
 	"github.com/burdockspindle/burdockspindle/gateway/store"
 	"github.com/burdockspindle/burdockspindle/gateway/view"
 )
@@ -86,6 +88,8 @@
 	StartedAt time.Time
 	Reports   *follow.Reports
 	Logger    hclog.Logger
+	// LearnSpeeds is when the speeds of servers are learned and used.
+	LearnSpeeds config.SpeedLearning
 	// IsPartitioned reports whether this node can connect to no server of a service; nil: never.
 	IsPartitioned func(site.ServiceName) bool
 
@@ -116,6 +120,10 @@
 	shownSerial      uint64 // serial of the routes in the view
 	quota            *quota.Quota
 	mix              *guidance.Mix
+	speeds           *speed.Estimator
+	estimates        atomic.Pointer[speed.Estimates] // latest, for the state dump; nil: none
+	learning         bool                            // speeds are learned and used
+	nextSpeedsLog    time.Time
 	nextGuidance     time.Time
 	guidanceSentAt   time.Time
 	guidanceSerial   uint64
@@ -147,6 +155,7 @@
 		callResults:     make(chan callResult, 256),
 		previousReports: make(chan previousReport, 1),
 		loads:           ranges.NewLoads(),
+		speeds:          speed.New(),
 		knownServers:    map[site.ServerID]site.Server{},
 	}
 }
@@ -271,6 +280,7 @@
 	change := d.allocator.Plan(d.site(now), ranges.Fence(d.topicEnd), now)
 	for _, r := range d.allocator.Restarts() {
 		eventRestart.Log(d.Logger, "server", r.To, "earlier", r.From, "losesKeys", r.CrashLooping)
+		d.speeds.Forget(r.From)
 	}
 	for _, move := range d.allocator.Moves() {
 		eventMove.Log(d.Logger, "service", move.Service, "server", move.From, "to", move.To, "from", int(move.Span.From), "keys", move.Span.Keys(), "rate", move.Rate, "used", move.Used, "usedTo", move.UsedTo)
--- a/gateway/duty/events.go
+++ b/gateway/duty/events.go
@@ -29,5 +29,6 @@
 	eventReissueEnded         = events.Define(2120, hclog.Warn, "table of ranges cannot be written again; giving up the lease")
 	eventAwaitingHolds        = events.Define(2121, hclog.Warn, "no claim before unknown grants have expired")
 	eventGuidance             = events.Define(2122, hclog.Info, "guidance for mixed services")
+	eventSpeeds               = events.Define(2123, hclog.Info, "estimates of the speeds of servers")
 	eventEncodeFailed         = events.Define(2109, hclog.Error, "cannot encode the table of ranges")
 )
--- a/gateway/duty/guidance.go
+++ b/gateway/duty/guidance.go
@@ -38,5 +38,8 @@
 
 // decideGuidance returns the guidance by the reports so far.
 func (d *Duty) decideGuidance(v *view.View, now time.Time) guidance.Guidance {
-	return guidance.Guidance{Mixed: d.mix.Mixed(v.Config, now)}
+	next := guidance.Guidance{Mixed: d.mix.Mixed(v.Config, now)}
+	d.updateSpeeds(v, next.IsMixed(), now)
+	next.Speeds, next.Work = d.learnedSpeeds()
+	return next
 }
--- a/gateway/duty/metrics.go
+++ b/gateway/duty/metrics.go
@@ -13,6 +13,11 @@
 	rangesGauge      = group.Counter("ranges")
 	unansweredGauge  = group.Counter("ranges_unanswered")
 	oldestGrantGauge = group.Counter("oldest_grant_ms")
+	// Gauges of a lessor that learns the speeds of servers; 0 on other nodes.
+	learnedGauge  = group.Counter("servers_with_speed")
+	reliableGauge = group.Counter("servers_with_reliable_speed")
+	changedGauge  = group.Counter("servers_with_changed_speed")
+	slowestGauge  = group.Counter("slowest_speed_thousandths")
 )
 
 // setGrantMetrics exports the ages of the lessor's grants.
--- a/gateway/duty/outcome.go
+++ b/gateway/duty/outcome.go
@@ -92,6 +92,7 @@
 	d.loads = ranges.NewLoads()
 	d.quota = quota.New()
 	d.mix = guidance.NewMix()
+	d.beginSpeeds(now)
 	d.beginQuarantine(now)
 	d.leaseOffset, d.sharesSerial = p.offset, 0
 	d.sendShares(nil, now) // replaces the shares of the previous lessor
@@ -122,6 +123,7 @@
 	d.endHandOff()
 	d.setLessor(false)
 	setGrantMetrics(ranges.GrantAges{})
+	d.endSpeeds()
 }
 
 // setLessor records whether this node is the lessor, here, in the metrics and in the
@@ -159,5 +161,7 @@
 		ServerLimits map[site.ServerID]float64 `json:"serverLimits"`
 		// LeavingServers are registered servers that have said in an answer that they are about to end.
 		LeavingServers []site.ServerID `json:"leavingServers"`
-	}{d.Self, d.IsLessor(), d.Reader.Era(), v.Evacuation.Zones(), v.Limits.Rates(time.Now()), v.LeavingServers()}
+		// Speeds are the lessor's estimates of the speeds of servers.
+		Speeds []serviceDump `json:"speeds"`
+	}{d.Self, d.IsLessor(), d.Reader.Era(), v.Evacuation.Zones(), v.Limits.Rates(time.Now()), v.LeavingServers(), d.dumpSpeeds()}
 }
--- a/gateway/duty/reports.go
+++ b/gateway/duty/reports.go
@@ -38,10 +38,7 @@
 			}
 		}
 	}
-	for _, p := range report.Paces {
-		d.loads.ReportServiceTime(site.ServerID(p.Server), time.Duration(p.MeanUs)*time.Microsecond)
-		d.loads.ReportOccupancy(site.ServerID(p.Server), int(p.Answers), int(p.Present))
-	}
+	d.handlePaces(report.Paces, clock.Now())
 	for _, c := range report.Classes {
 		d.mix.Count(site.ServiceName(c.Service), int(c.Priority), int(c.Requests))
 	}
--- /dev/null
+++ b/gateway/duty/speeds.go
@@ -0,0 +1,261 @@
+package duty
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+
+	"github.com/burdockspindle/burdockspindle/gateway/config"
+	"github.com/burdockspindle/burdockspindle/gateway/site"
+	"github.com/burdockspindle/burdockspindle/gateway/speed"
+	"github.com/burdockspindle/burdockspindle/gateway/view"
+	bspb "github.com/burdockspindle/burdockspindle/proto/burdockspindle/v1"
+)
+
+const (
+	// minSentDifference is the least difference from a typical server, relative to it, that is sent to nodes.
+	minSentDifference = 0.05
+	// maxSentDeviation is the greatest relative standard deviation of a speed that is sent to nodes, unless the server
+	// differs from a typical one by more than reliableDeviations of it.
+	maxSentDeviation   = 0.15
+	reliableDeviations = 2
+	// minSentAnswers is the number of answers that a speed, and the work of a service's routes, rest on at least.
+	minSentAnswers = 4
+	// speedsLogInterval is the least time between two log lines on the estimates.
+	speedsLogInterval = 5 * time.Second
+	// startValidity is the age up to which a new lessor starts with the speeds of the guidance that its node holds.
+	startValidity = 2 * time.Minute
+)
+
+// beginSpeeds begins to estimate speeds, with the guidance of the previous lessor.
+func (d *Duty) beginSpeeds(now time.Time) {
+	d.speeds, d.learning = speed.New(), false
+	d.estimates.Store(nil)
+	held := d.State.Now().Guidance
+	if age := time.Since(held.ReceivedAt); !held.ReceivedAt.IsZero() && age < startValidity {
+		d.speeds.Start(held.Speeds, held.Work, now.Add(-age))
+	}
+}
+
+func (d *Duty) endSpeeds() {
+	d.estimates.Store(nil)
+	d.learning = false
+	setSpeedMetrics(nil)
+}
+
+// learnsSpeeds reports whether speeds are learned and used.
+func (d *Duty) learnsSpeeds(isMixed bool) bool {
+	switch d.LearnSpeeds {
+	case config.LearnSpeedsOn:
+		return true
+	case config.LearnSpeedsOff:
+		return false
+	}
+	return isMixed
+}
+
+// handlePaces processes what a node reports of the answers of servers.
+func (d *Duty) handlePaces(paces []*bspb.ServerPace, now time.Time) {
+	var v *view.View
+	times := map[site.ServerID]meanTime{}
+	for _, p := range paces {
+		id := site.ServerID(p.Server)
+		times[id] = times[id].with(p)
+		d.loads.ReportOccupancy(id, int(p.Answers), int(p.Present))
+		if !d.learning && (p.Route == "" || !d.learnsSpeeds(true)) {
+			continue
+		}
+		if v == nil {
+			v = d.State.Now()
+		}
+		if server, isRegistered := v.Servers.Servers[id]; isRegistered {
+			d.speeds.Add(server.Service, speedReport(p), now)
+		}
+	}
+	for id, of := range times {
+		d.loads.ReportServiceTime(id, of.total/time.Duration(of.answers))
+	}
+}
+
+// meanTime sums the service times of a server's answers over the routes.
+type meanTime struct {
+	total   time.Duration
+	answers int64
+}
+
+func (m meanTime) with(p *bspb.ServerPace) meanTime {
+	answers := max(int64(p.Count), 1) // reports without a route have no count
+	m.total += time.Duration(p.MeanUs) * time.Microsecond * time.Duration(answers)
+	m.answers += answers
+	return m
+}
+
+// speedReport returns a report as the estimator takes it. A report without a route has no sum of times, and its mean does
+// not contain the wait in the queue.
+func speedReport(p *bspb.ServerPace) speed.Report {
+	if p.Route == "" {
+		count := max(int(p.Answers), 1)
+		return speed.Report{Server: site.ServerID(p.Server), Count: count, Time: time.Duration(p.MeanUs) * time.Microsecond * time.Duration(count)}
+	}
+	return speed.Report{
+		Server: site.ServerID(p.Server), Route: p.Route, Count: int(p.Count), Time: time.Duration(p.TotalUs) * time.Microsecond, HasWait: true,
+		Loads: int(p.Answers), Busy: int(p.Busy), Queued: int(p.Queued), Slowdown: int(p.Slowdown),
+	}
+}
+
+// updateSpeeds updates the estimates, by which keys are placed from then on.
+func (d *Duty) updateSpeeds(v *view.View, isMixed bool, now time.Time) {
+	d.learning = d.learnsSpeeds(isMixed)
+	if !d.learning {
+		d.estimates.Store(nil)
+		d.loads.UseSpeeds(speed.Estimates{})
+		setSpeedMetrics(nil)
+		return
+	}
+	estimates := d.speeds.Update(v.Registered(), now)
+	d.estimates.Store(&estimates)
+	d.loads.UseSpeeds(usable(estimates))
+	setSpeedMetrics(&estimates)
+	d.logSpeeds(&estimates, now)
+}
+
+// usable returns the estimates of the services whose answers tell the work of a request. The first answers after the start
+// of a lessor do not.
+func usable(estimates speed.Estimates) speed.Estimates {
+	services := map[site.ServiceName]speed.Service{}
+	for name, service := range estimates.Services {
+		if service.Answers >= minUsableAnswers {
+			services[name] = service
+		}
+	}
+	return speed.Estimates{Services: services, Work: estimates.Work}
+}
+
+// minUsableAnswers is the number of answers of a service that tell the work of a request to a tenth.
+const minUsableAnswers = 100
+
+// learnedSpeeds returns the relative service times and the work of routes that are sent to nodes.
+func (d *Duty) learnedSpeeds() (speeds map[site.ServerID]float64, work map[string]float64) {
+	estimates := d.estimates.Load()
+	if estimates == nil {
+		return nil, nil
+	}
+	speeds = map[site.ServerID]float64{}
+	for _, service := range estimates.Services {
+		for id, e := range service.Servers {
+			if isReliable(e) && math.Abs(e.Relative-1) > minSentDifference {
+				speeds[id] = e.Relative
+			}
+		}
+	}
+	return speeds, estimates.Work
+}
+
+// isReliable reports whether nodes should choose servers by an estimate.
+func isReliable(e speed.Estimate) bool {
+	if e.Answers < minSentAnswers {
+		return false
+	}
+	return e.Deviation <= maxSentDeviation || math.Abs(math.Log(e.Relative)) > reliableDeviations*e.Deviation
+}
+
+// logSpeeds logs what placement uses, with its basis.
+func (d *Duty) logSpeeds(estimates *speed.Estimates, now time.Time) {
+	if now.Before(d.nextSpeedsLog) {
+		return
+	}
+	d.nextSpeedsLog = now.Add(speedsLogInterval)
+	for name, service := range estimates.Services {
+		s := summarize(service)
+		eventSpeeds.Log(d.Logger, "service", name, "servers", len(service.Servers), "reliable", s.reliable, "changed", s.changed,
+			"fastest", s.fastest, "slowest", s.slowest, "deviation", s.deviation, "workMs", service.Work*1000, "answers", int(service.Answers), "oldest", s.oldest)
+	}
+}
+
+type speedSummary struct {
+	reliable, changed           int
+	fastest, slowest, deviation float64 // deviation: median
+	oldest                      time.Duration
+}
+
+func summarize(service speed.Service) speedSummary {
+	var s speedSummary
+	var deviations []float64
+	for _, e := range service.Servers {
+		if isReliable(e) {
+			s.reliable++
+		}
+		if e.IsShortTerm {
+			s.changed++
+		}
+		if s.fastest == 0 || e.Relative < s.fastest {
+			s.fastest = e.Relative
+		}
+		s.slowest = max(s.slowest, e.Relative)
+		s.oldest = max(s.oldest, e.Age)
+		deviations = append(deviations, e.Deviation)
+	}
+	slices.Sort(deviations)
+	if len(deviations) > 0 {
+		s.deviation = deviations[len(deviations)/2]
+	}
+	return s
+}
+
+// setSpeedMetrics exports the estimates; nil: there are none.
+func setSpeedMetrics(estimates *speed.Estimates) {
+	var total speedSummary
+	servers := 0
+	if estimates != nil {
+		for _, service := range estimates.Services {
+			s := summarize(service)
+			servers += len(service.Servers)
+			total.reliable += s.reliable
+			total.changed += s.changed
+			total.slowest = max(total.slowest, s.slowest)
+		}
+	}
+	learnedGauge.Set(int64(servers))
+	reliableGauge.Set(int64(total.reliable))
+	changedGauge.Set(int64(total.changed))
+	slowestGauge.Set(int64(total.slowest * 1000))
+}
+
+// serviceDump holds the estimates of a service, for the state dump.
+type serviceDump struct {
+	Service site.ServiceName `json:"service"`
+	WorkMs  float64          `json:"workMs"`
+	Answers float64          `json:"answers"`
+	Servers []serverDump     `json:"servers"`
+}
+
+type serverDump struct {
+	Server      site.ServerID `json:"server"`
+	Relative    float64       `json:"relativeServiceTime"`
+	Deviation   float64       `json:"deviation"`
+	Answers     float64       `json:"answers"`
+	AgeMs       int64         `json:"ageMs"`
+	Utilization float64       `json:"utilization"`
+	IsShortTerm bool          `json:"shortTerm"`
+	IsReliable  bool          `json:"reliable"`
+}
+
+// dumpSpeeds returns the estimates and what each is based on. It may be called from any goroutine.
+func (d *Duty) dumpSpeeds() []serviceDump {
+	estimates := d.estimates.Load()
+	if estimates == nil {
+		return nil
+	}
+	var services []serviceDump
+	for name, service := range estimates.Services {
+		dump := serviceDump{Service: name, WorkMs: service.Work * 1000, Answers: math.Round(service.Answers)}
+		for id, e := range service.Servers {
+			dump.Servers = append(dump.Servers, serverDump{id, e.Relative, e.Deviation, math.Round(e.Answers), e.Age.Milliseconds(), e.Utilization, e.IsShortTerm, isReliable(e)})
+		}
+		slices.SortFunc(dump.Servers, func(a, b serverDump) int { return cmp.Compare(a.Server, b.Server) })
+		services = append(services, dump)
+	}
+	slices.SortFunc(services, func(a, b serviceDump) int { return cmp.Compare(a.Service, b.Service) })
+	return services
+}
--- a/gateway/ranges/loads.go
+++ b/gateway/ranges/loads.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/burdockspindle/burdockspindle/gateway/site"
+	"github.com/burdockspindle/burdockspindle/gateway/speed"
 )
 
 // Half-lives of the averages of the request counts.
@@ -44,6 +45,7 @@
 	last         time.Time                      // of the latest decay
 	shedAt       map[site.ServiceName]time.Time // of the latest round of balancing
 	evenedAt     map[site.ServiceName]time.Time // of the latest round that evened out loads
+	speeds       speed.Estimates                // replace serviceTimes for the services that they contain
 }
 
 // NewLoads returns loads without any reports.
--- a/gateway/ranges/usage.go
+++ b/gateway/ranges/usage.go
@@ -1,6 +1,7 @@
 package ranges
 
 import (
+	"math"
 	"time"
 
 	"github.com/burdockspindle/burdockspindle/gateway/site"
@@ -21,24 +22,22 @@
 	cost        float64 // utilization per request a second
 	utilization float64
 	deviation   float64 // standard deviation of the utilization that follows from the random variation of the counts
-	ranges      int
-	leases      []*rangeState // ranges that the server owns and keeps
-	incoming    []*rangeState // ranges that are moving to the server
+	// isLearned reports that the cost is by a learned speed, and speedDeviation is the relative standard deviation of that.
+	isLearned      bool
+	speedDeviation float64
+	ranges         int
+	leases         []*rangeState // ranges that the server owns and keeps
+	incoming       []*rangeState // ranges that are moving to the server
 }
 
 // measure returns the load of each server. A range that is moving is included in the load
 // of its target.
 func (r *round) measure(servers []site.Server) []*usage {
-	typical := r.loads.typicalServiceTime(servers)
+	costOf := r.costs(servers)
 	usages := make([]*usage, 0, len(servers))
 	byID := make(map[site.ServerID]*usage, len(servers))
 	for _, server := range servers {
-		serviceTime, known := r.loads.serviceTimes[server.ID]
-		if !known {
-			serviceTime = typical
-		}
-		serviceTime = min(max(serviceTime, typical/serviceTimeSpread), typical*serviceTimeSpread)
-		u := &usage{server: server, cost: serviceTime / float64(max(server.Slots, 1))}
+		u := costOf(server)
 		if r.warmUpRate > 0 && server.IsCold() {
 			u.cost = max(u.cost, 1/r.warmUpRate)
 		}
@@ -65,10 +64,29 @@
 	}
 	for _, u := range usages {
 		u.deviation = u.cost * r.loads.rateDeviation(u.utilization/u.cost)
+		if u.isLearned {
+			u.deviation = math.Hypot(u.deviation, u.utilization*u.speedDeviation)
+		}
 	}
 	return usages
 }
 
+// costs returns the function that returns the usage of a server without requests.
+func (r *round) costs(servers []site.Server) func(site.Server) *usage {
+	if learned, isLearned := r.loads.speeds.Services[r.service]; isLearned {
+		return func(server site.Server) *usage { return learnedCost(server, learned) }
+	}
+	typical := r.loads.typicalServiceTime(servers)
+	return func(server site.Server) *usage {
+		serviceTime, known := r.loads.serviceTimes[server.ID]
+		if !known {
+			serviceTime = typical
+		}
+		serviceTime = min(max(serviceTime, typical/serviceTimeSpread), typical*serviceTimeSpread)
+		return &usage{server: server, cost: serviceTime / float64(max(server.Slots, 1))}
+	}
+}
+
 // updateSurge records whether a range has just become busy.
 func (r *round) updateSurge(l *rangeState) {
 	if !r.loads.isSurge(r.service, l.Span) {
--- /dev/null
+++ b/gateway/speed/estimate.go
@@ -0,0 +1,260 @@
+package speed
+
+import (
+	"math"
+	"time"
+
+	"github.com/burdockspindle/burdockspindle/gateway/site"
+)
+
+const (
+	// answerVariance is the relative variance of a service time that one answer shows: work varies by its mean, and the
+	// slowdown of machines adds half of that.
+	answerVariance = 1.5
+	// priorAnswers is the number of answers that count as much as the assumption that a server is typical. Speeds vary by
+	// about 0.35, which is answerVariance after so many answers.
+	priorAnswers = 12
+	// startAnswers is the same for a server whose speed the guidance of an earlier lessor contains.
+	startAnswers = 40
+	// changeDeviations is the number of standard deviations by which the short-term estimate must differ from the long-term
+	// one to be used. It is tested about five thousand times an hour for each server, and work has a long tail.
+	changeDeviations = 5
+	// minChangeAnswers is the number of answers that the short-term estimate needs.
+	minChangeAnswers = 4
+	// maxLoadFactor bounds the factor, in either direction, by which the load that a server reports changes the estimate.
+	maxLoadFactor = 4
+	// rounds is the number of times that work and relative service times are computed from each other in an update. Each
+	// update begins with the results of the one before.
+	rounds = 2
+	// maxRelative bounds estimates in either direction.
+	maxRelative = 16
+)
+
+// Estimate is the estimate of one server.
+type Estimate struct {
+	// Relative is the service time relative to the typical server of the service; 2: it takes twice as long.
+	Relative float64
+	// Deviation is the standard deviation of Relative, relative to it.
+	Deviation float64
+	// Answers is the number of independent answers that it is based on.
+	Answers float64
+	// Age is the time since the latest report.
+	Age time.Duration
+	// Utilization is the mean share of the slots that were taken at the answers.
+	Utilization float64
+	// IsShortTerm reports that the server has changed, and that only its latest answers count.
+	IsShortTerm bool
+}
+
+// Service holds the estimates of a service.
+type Service struct {
+	Work    float64 // mean over the answers, in seconds at a typical server
+	Answers float64
+	Servers map[site.ServerID]Estimate
+}
+
+// Estimates is the result of an update.
+type Estimates struct {
+	Services map[site.ServiceName]Service
+	Work     map[string]float64 // seconds at a typical server, by route
+}
+
+// sample is a server of a service in an update.
+type sample struct {
+	id    site.ServerID
+	slots int
+	*server
+	estimate Estimate
+}
+
+// Update returns the estimates of the registered servers that have sent answers.
+func (e *Estimator) Update(registered map[site.ServerID]site.Server, now time.Time) Estimates {
+	samples := map[site.ServiceName][]*sample{}
+	for id, s := range e.servers {
+		r, isRegistered := registered[id]
+		switch {
+		case isRegistered:
+			samples[r.Service] = append(samples[r.Service], &sample{id: id, slots: r.Slots, server: s})
+		case now.Sub(s.reportedAt) > retention:
+			delete(e.servers, id)
+		}
+	}
+	result := Estimates{Services: map[site.ServiceName]Service{}}
+	for service, of := range samples {
+		result.Services[service] = e.updateService(service, of, now)
+	}
+	result.Work = e.workByRoute(samples)
+	return result
+}
+
+func (e *Estimator) updateService(service site.ServiceName, samples []*sample, now time.Time) Service {
+	for range rounds {
+		e.updateWork(service, samples)
+		for _, s := range samples {
+			e.updateServer(service, s, now)
+		}
+		e.center(service, samples)
+	}
+	result := Service{Servers: make(map[site.ServerID]Estimate, len(samples))}
+	for _, s := range samples {
+		s.estimate.Relative = math.Exp(s.logRelative)
+		result.Servers[s.id] = s.estimate
+		for route, of := range s.long.routes {
+			result.Answers += of.answers
+			result.Work += of.answers * e.work[serviceRoute{service, route}]
+		}
+	}
+	result.Work /= max(result.Answers, negligible)
+	return result
+}
+
+// updateWork computes the work of each route from the times of its answers at all servers.
+func (e *Estimator) updateWork(service site.ServiceName, samples []*sample) {
+	total := map[string]routeSum{}
+	for _, s := range samples {
+		wait := s.long.wait(s.slots)
+		relative := math.Exp(s.logRelative)
+		for route, of := range s.long.routes {
+			sum := total[route]
+			sum.answers += of.answers
+			sum.time += max(of.time-of.waited*wait, of.time/maxLoadFactor) / relative
+			total[route] = sum
+		}
+	}
+	for route, of := range total {
+		work, weight := of.time, of.answers
+		if known := e.start.work[route]; known > 0 {
+			work, weight = work+startAnswers*known, weight+startAnswers
+		}
+		e.work[serviceRoute{service, route}] = work / max(weight, negligible)
+	}
+}
+
+// updateServer computes the relative service time of a server.
+func (e *Estimator) updateServer(service site.ServiceName, s *sample, now time.Time) {
+	work := func(route string) float64 { return e.work[serviceRoute{service, route}] }
+	prior, priorWeight := 0.0, float64(priorAnswers)
+	if known := e.start.speeds[s.id]; known > 0 {
+		prior, priorWeight = math.Log(known)*fade(now.Sub(e.start.at)), startAnswers
+	}
+	long, answers := s.long.logRelative(work, s.slots), s.long.effective()
+	s.estimate = Estimate{Age: now.Sub(s.reportedAt), Utilization: s.long.utilization(s.slots)}
+	if short, of := s.short.logRelative(work, s.slots), s.short.effective(); differs(long-short, answers, of) {
+		long, answers = short, of
+		s.estimate.IsShortTerm = true
+		prior, priorWeight = 0, minChangeAnswers // the change has shown that the server is not typical
+	}
+	faded := fade(s.estimate.Age)
+	s.estimate.Answers = answers * faded
+	s.estimate.Deviation = math.Sqrt(answerVariance / (answers*faded + priorWeight))
+	s.logRelative = bounded((answers*long+priorWeight*prior)/(answers+priorWeight), maxRelative) * faded
+}
+
+// fade returns the factor by which an estimate without reports for so long has decayed towards 1.
+func fade(age time.Duration) float64 {
+	return math.Exp2(-max(age-silence, 0).Seconds() / decayHalfLife.Seconds())
+}
+
+// differs reports whether the logarithms of two estimates differ by more than chance explains.
+func differs(difference, answers, recent float64) bool {
+	if recent < minChangeAnswers {
+		return false
+	}
+	return math.Abs(difference) > changeDeviations*math.Sqrt(answerVariance/answers+answerVariance/recent)
+}
+
+// center makes the geometric mean of the relative service times 1. Without it, work and relative service times would
+// drift apart.
+func (e *Estimator) center(service site.ServiceName, samples []*sample) {
+	sum, count := 0.0, 0.0
+	for _, s := range samples {
+		if s.estimate.Answers >= priorAnswers && !s.estimate.IsShortTerm {
+			sum += s.logRelative
+			count++
+		}
+	}
+	if count == 0 {
+		return
+	}
+	mean := sum / count
+	for _, s := range samples {
+		s.logRelative -= mean
+	}
+	for key := range e.work {
+		if key.service == service {
+			e.work[key] *= math.Exp(mean)
+		}
+	}
+}
+
+// workByRoute returns the mean work of each named route over its answers at all services.
+func (e *Estimator) workByRoute(samples map[site.ServiceName][]*sample) map[string]float64 {
+	total := map[string]routeSum{}
+	for service, of := range samples {
+		for _, s := range of {
+			for route, answered := range s.long.routes {
+				sum := total[route]
+				sum.answers += answered.answers
+				sum.time += answered.answers * e.work[serviceRoute{service, route}]
+				total[route] = sum
+			}
+		}
+	}
+	delete(total, "")
+	work := make(map[string]float64, len(total))
+	for route, of := range total {
+		work[route] = of.time / of.answers
+	}
+	return work
+}
+
+// hasLoad reports whether the load in the reports is possible.
+func (s *sums) hasLoad(slots int) bool {
+	return slots > 0 && s.loads > 0 && s.seconds > 0 && s.busy <= s.loads*float64(slots)
+}
+
+// utilization returns the mean share of the slots that were taken, 0 if it is not known.
+func (s *sums) utilization(slots int) float64 {
+	if !s.hasLoad(slots) {
+		return 0
+	}
+	return s.busy / s.loads / float64(slots)
+}
+
+// wait returns the mean wait of a request in the server's queue in seconds, by Little's law: a request that leaves sees
+// the mean queue, which is the rate of requests times their wait.
+func (s *sums) wait(slots int) float64 {
+	if !s.hasLoad(slots) || s.answers <= 0 {
+		return 0
+	}
+	return s.queued / s.loads / (s.answers / s.seconds)
+}
+
+// logRelative returns the logarithm of the relative service time by the reports alone. It combines two sources by the
+// utilization u: the mean time of answers less the mean wait, weight 1-u, and the slots taken divided by the rate of
+// answers, weight u. The latter is exact when all slots are always taken, where nearly all of the time is wait.
+func (s *sums) logRelative(work func(string) float64, slots int) float64 {
+	expected, taken, waited := 0.0, 0.0, 0.0
+	for route, of := range s.routes {
+		expected += of.answers * work(route)
+		taken += of.time
+		waited += of.waited
+	}
+	if expected <= 0 || taken <= 0 {
+		return 0
+	}
+	byTime := taken / expected
+	if !s.hasLoad(slots) {
+		return math.Log(byTime)
+	}
+	u := s.utilization(slots)
+	withoutWait := (taken - waited*s.wait(slots)) / expected
+	bySlots := s.busy / s.loads / (s.answers / s.seconds) / (expected / s.answers)
+	combined := (1-u)*max(withoutWait, byTime/maxLoadFactor) + u*bySlots
+	return math.Log(min(max(combined, byTime/maxLoadFactor), byTime*maxLoadFactor))
+}
+
+// bounded limits a logarithm to a factor in either direction.
+func bounded(log, factor float64) float64 {
+	return min(max(log, -math.Log(factor)), math.Log(factor))
+}
--- a/modules/gateway/site.go
+++ b/modules/gateway/site.go
@@ -125,6 +125,7 @@
 	s.duty.PreviousLessor = s.follower
 	s.duty.StartedAt = clock.Now()
 	s.duty.Reports = s.reports
+	s.duty.LearnSpeeds = settings.Placement.LearnSpeeds
 	s.duty.IsPartitioned = s.prober.IsPartitioned
 	s.reader.CanGrantNothing = s.duty.CanGrantNothing
 	s.feed.NeedsLessor = s.duty.NeedsLessor
