--- a/gateway/site/site.go
+++ b/gateway/site/site.go
@@ -49,6 +49,8 @@
 	Priority int           `json:"priority"` // 0 is the highest
 	// Regions are the only regions whose servers may get the route's requests; empty: all.
 	Regions []string `json:"regions,omitempty"`
+	// LargeAnswers reports that answers are large, so that memory and link bound how many are in flight.
+	LargeAnswers bool `json:"largeAnswers,omitempty"`
 }
 
 // Target is one service of a route and its share of the route's requests.
