Large answers: memory and link bound how many a node has in flight

Cause: large answers (kind download) shared the node's memory for answers and its link with all others without a bound, and a caller that did not read kept its answer in memory for as long as it liked. Change: package gateway/transfer decides how many are in flight: half of the memory for answers, and what the link delivers within the route's objective, by the mean size of the route's recent answers. Requests beyond that wait at the node before they take a server's slot, by priority and arrival, or are refused at once as not run. Hedges take room too. A write of a large answer that makes no progress for 5 s resets the connection. Other routes are served as before. Tests fail when one of these is left out: the bound by memory, by link, the single answer beyond the bounds, the refusal in time, the order, the age of stalled answers, hedges, sizes, the release, the limit on stalls (mutants, one at a time).

--- a/gateway/router/answer.go
+++ b/gateway/router/answer.go
@@ -49,7 +49,12 @@
 		x.log("may have run", http.StatusBadGateway, "status "+strconv.Itoa(a.Status)+" of the server")
 		return
 	}
+	x.noteAnswerSize(a)
 	x.write(a.Status, upstream.ForwardedHeader(a.Header), a.Body, forward.Answer{Outcome: forward.Answered, Server: a.Server})
+	if x.isStalled {
+		x.log("caller left", a.Status, stalledReason)
+		return
+	}
 	x.log("answered", a.Status, "")
 }
 
@@ -94,7 +99,7 @@
 	}
 	target.Set("Content-Length", strconv.Itoa(len(body)))
 	x.writer.WriteHeader(status)
-	if _, err := x.writer.Write(body); err != nil {
+	if err := x.writeBody(body); err != nil {
 		x.trace.note("answer not written: " + err.Error())
 	}
 }
--- a/gateway/router/dispatch.go
+++ b/gateway/router/dispatch.go
@@ -107,23 +107,34 @@
 }
 
 // sendHedge sends the request to a second server if a slot is free, or by way of another node
-// if this one is partitioned. Otherwise it tries again after hedgeRetryInterval if the first
+// if this one is partitioned, and if there is room for a second large answer. Otherwise it tries again after hedgeRetryInterval if the first
 // server accepts no connection.
 func (d *dispatch) sendHedge() {
 	d.hedgeTimer = nil
 	if !d.x.mayHedge() {
 		return
 	}
+	if d.x.takeHedgeRoom() {
+		if d.trySendHedge() {
+			return
+		}
+		d.x.cancelHedgeRoom()
+	}
+	if d.probeResult != nil {
+		d.hedgeTimer = time.After(hedgeRetryInterval)
+	}
+}
+
+// trySendHedge reports whether the request could be sent once more.
+func (d *dispatch) trySendHedge() bool {
 	if d.x.isPartitioned() && d.forwardNext() {
-		return
+		return true
 	}
 	server, found := d.x.acquireHedgeSlot(d.lastServer)
-	switch {
-	case found:
+	if found {
 		d.sendTo(server)
-	case d.probeResult != nil:
-		d.hedgeTimer = time.After(hedgeRetryInterval)
 	}
+	return found
 }
 
 // probe opens a connection to the server that is slow to answer, in the background.
--- a/gateway/router/forward_server.go
+++ b/gateway/router/forward_server.go
@@ -81,6 +81,7 @@
 	defer stop()
 	x.request.Held = r.client.Hold()
 	defer x.request.Held.Release()
+	defer x.releaseRoom()
 	x.finish(ctx, request.Context(), x.run(ctx))
 }
 
--- /dev/null
+++ b/gateway/router/large_answers_test.go
@@ -0,0 +1,139 @@
+package router
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/onsi/gomega"
+
+	"github.com/burdockspindle/burdockspindle/gateway/budget"
+	"github.com/burdockspindle/burdockspindle/gateway/follow"
+	"github.com/burdockspindle/burdockspindle/gateway/site"
+	"github.com/burdockspindle/burdockspindle/gateway/transfer"
+	"github.com/burdockspindle/burdockspindle/gateway/upstream"
+	"github.com/burdockspindle/burdockspindle/gateway/view"
+)
+
+// newDownloadNode returns a node with a route for large answers, whose two servers have the given handlers.
+func newDownloadNode(t *testing.T, limits transfer.Limits, servers ...http.HandlerFunc) *Router {
+	t.Helper()
+	registered := map[site.ServerID]site.Server{}
+	for i, handler := range servers {
+		server := httptest.NewServer(handler)
+		t.Cleanup(server.Close)
+		id := site.ServerID(rune('a' + i))
+		registered[id] = site.Server{ID: id, Service: "s", Address: server.Listener.Addr().String(), Zone: "a", Slots: 4}
+	}
+	state := view.NewState()
+	state.SetMembers([]view.Member{{Node: "n"}})
+	state.MergeConfig(&site.Config{
+		Version:  1,
+		Services: map[site.ServiceName]site.Service{"s": {Name: "s"}},
+		Routes:   []site.Route{{Name: "r", Host: "h", Prefix: "/", Kind: site.Idempotent, LargeAnswers: true, Attempts: 2, Timeout: 10 * time.Second, Target: 200 * time.Millisecond, Targets: []site.Target{{Service: "s", Weight: 1}}}},
+	})
+	state.MergeServers(view.Servers{Offset: 1, Servers: registered})
+	options := Options{Retries: budget.Terms{Ratio: 0.2, Slack: 10, Window: 10 * time.Second}}
+	r := New("a", forwardHeaders, options, state, upstream.NewClient(forwardHeaders, "a"), follow.NewReports(), hclog.NewNullLogger())
+	r.BoundLargeAnswers(limits)
+	t.Cleanup(r.Close)
+	return r
+}
+
+func download(r *Router) *httptest.ResponseRecorder {
+	answer := httptest.NewRecorder()
+	r.ServeHTTP(answer, httptest.NewRequest(http.MethodGet, "http://h/x", nil))
+	return answer
+}
+
+// Guards against large answers beyond the bound, and against room that is not given back: requests must wait before they are
+// sent, and all be answered.
+func TestDownloadsBeyondTheBoundWaitAtTheNode(t *testing.T) {
+	g := gomega.NewWithT(t)
+	arrived, finish := make(chan struct{}, 3), make(chan struct{})
+	r := newDownloadNode(t, transfer.Limits{Memory: 1}, func(w http.ResponseWriter, _ *http.Request) {
+		arrived <- struct{}{}
+		<-finish
+		_, _ = w.Write(make([]byte, 1000))
+	})
+	release := sync.OnceFunc(func() { close(finish) })
+	t.Cleanup(release) // a server ends only when its handlers have
+	codes := make(chan int, 3)
+	for range 3 {
+		go func() { codes <- download(r).Code }()
+	}
+	waiting := func() int {
+		r.largeAnswers.mu.Lock()
+		defer r.largeAnswers.mu.Unlock()
+		return r.largeAnswers.bounds.Waiting()
+	}
+	g.Eventually(waiting).WithTimeout(5 * time.Second).Should(gomega.Equal(2))
+	g.Eventually(arrived).WithTimeout(5 * time.Second).Should(gomega.Receive())
+	g.Expect(arrived).To(gomega.BeEmpty(), "the others take no slot of the server")
+	release()
+	for range 3 {
+		g.Eventually(codes).WithTimeout(5 * time.Second).Should(gomega.Receive(gomega.Equal(http.StatusOK)))
+	}
+	g.Expect(r.largeAnswers.bounds.Bytes()).To(gomega.BeZero())
+}
+
+// Guards against a download that is not hedged although it may run twice, and a hedge for which there is no room.
+func TestDownloadIsHedgedIfThereIsRoom(t *testing.T) {
+	for name, c := range map[string]struct {
+		memory int64
+		sends  int
+	}{"room for two": {1 << 30, 2}, "room for one": {1, 1}} {
+		t.Run(name, func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			hang := func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() }
+			r := newDownloadNode(t, transfer.Limits{Memory: c.memory}, hang, hang)
+			request := httptest.NewRequest(http.MethodGet, "http://h/x", nil)
+			x := &exchange{router: r, view: r.state.Now(), arrived: time.Now()}
+			g.Expect(x.prepare(request)).To(gomega.BeNil())
+			ctx, cancel := context.WithTimeout(t.Context(), 3*time.Second)
+			defer cancel()
+			x.run(ctx)
+			x.releaseRoom()
+			g.Expect(x.sends).To(gomega.Equal(c.sends), "%v", x.trace.steps)
+			g.Expect(r.largeAnswers.bounds.Bytes()).To(gomega.BeZero())
+		})
+	}
+}
+
+// Guards against a download that is not sent to another server after one has failed under it.
+func TestDownloadIsRetriedAtAnotherServer(t *testing.T) {
+	fail := func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusInternalServerError) }
+	serve := func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write(make([]byte, 1000)) }
+	r := newDownloadNode(t, transfer.Limits{Memory: 1}, fail, serve)
+	for range 4 {
+		gomega.NewWithT(t).Expect(download(r).Code).To(gomega.Equal(http.StatusOK))
+	}
+}
+
+// unreadingCaller is a caller whose connection ends since it does not read.
+type unreadingCaller struct {
+	*httptest.ResponseRecorder
+	limit time.Duration
+}
+
+func (*unreadingCaller) Disconnected() bool                { return false }
+func (c *unreadingCaller) LimitStalls(limit time.Duration) { c.limit = limit }
+func (c *unreadingCaller) Write([]byte) (int, error)       { return 0, &StalledError{After: c.limit} }
+
+// Guards against large answers without a limit on stalled writes, and against other answers with one.
+func TestOnlyWritesOfLargeAnswersMayNotStall(t *testing.T) {
+	for large, limit := range map[bool]time.Duration{true: stallTimeout, false: 0} {
+		g := gomega.NewWithT(t)
+		r := newDownloadNode(t, transfer.Limits{Memory: 1}, func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write(make([]byte, 1000)) })
+		r.state.Now().Config.Routes[0].LargeAnswers = large
+		caller := &unreadingCaller{ResponseRecorder: httptest.NewRecorder()}
+		request := httptest.NewRequest(http.MethodGet, "http://h/x", nil)
+		r.ServeHTTP(caller, request.WithContext(WithCaller(request.Context(), caller)))
+		g.Expect(caller.limit).To(gomega.Equal(limit))
+		g.Expect(r.largeAnswers.bounds.Bytes()).To(gomega.BeZero(), "the room is given back")
+	}
+}
--- a/gateway/router/metrics.go
+++ b/gateway/router/metrics.go
@@ -24,6 +24,10 @@
 	forwardsReceived = group.Counter("forwarded_by_other_nodes")
 	// loadChecks counts health checks of servers before requests.
 	loadChecks = group.Counter("load_checks")
+	// largeAnswerBytes is what the large answers in flight take: expected bytes until an answer is there, then its own.
+	largeAnswerBytes    = group.Counter("large_answer_bytes")
+	largeAnswersWaited  = group.Map("large_answers_waited_by_reason")
+	largeAnswersRefused = group.Map("large_answers_refused_by_reason")
 	// crashedRequests counts requests that were in flight at a server when it ended.
 	crashedRequests = group.Counter("in_flight_when_server_ended")
 	// crashesUnwatched counts ended connections for which the server was not watched.
--- a/gateway/router/router.go
+++ b/gateway/router/router.go
@@ -17,6 +17,7 @@
 	"github.com/burdockspindle/burdockspindle/gateway/follow"
 	"github.com/burdockspindle/burdockspindle/gateway/pool"
 	"github.com/burdockspindle/burdockspindle/gateway/site"
+	"github.com/burdockspindle/burdockspindle/gateway/transfer"
 	"github.com/burdockspindle/burdockspindle/gateway/upstream"
 	"github.com/burdockspindle/burdockspindle/gateway/view"
 )
@@ -49,6 +50,8 @@
 	quarantined *ownQuarantine
 	forwarding  *forwarding // nil: requests are not forwarded
 
+	largeAnswers *largeAnswers
+
 	mu          sync.Mutex
 	timeouts    map[string]*callerTimeouts // by route
 	services    map[site.ServiceName]*service
@@ -96,11 +99,16 @@
 		logger:      logger,
 		timeouts:    map[string]*callerTimeouts{},
 		services:    map[site.ServiceName]*service{},
+
+		largeAnswers: newLargeAnswers(transfer.Limits{}),
 	}
 	r.crashes = newCrashes(state, client, logger, onCrash, r.isReachedByOthers)
 	return r
 }
 
+// BoundLargeAnswers sets the bounds of large answers. It must be called before the router is used.
+func (r *Router) BoundLargeAnswers(limits transfer.Limits) { r.largeAnswers = newLargeAnswers(limits) }
+
 // SetDraining marks the node as shutting down: every answer closes its connection.
 func (r *Router) SetDraining() { r.draining.Store(true) }
 
--- a/gateway/router/run.go
+++ b/gateway/router/run.go
@@ -57,6 +57,9 @@
 func (x *exchange) run(ctx context.Context) result {
 	sendCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	if problem := x.acquireRoom(ctx); problem != nil {
+		return result{refusal: problem}
+	}
 	d := newDispatch(sendCtx, ctx, x)
 	for {
 		if d.inFlight == 0 {
--- a/gateway/router/serve.go
+++ b/gateway/router/serve.go
@@ -13,6 +13,7 @@
 	"github.com/burdockspindle/burdockspindle/gateway/quarantine"
 	"github.com/burdockspindle/burdockspindle/gateway/ranges"
 	"github.com/burdockspindle/burdockspindle/gateway/site"
+	"github.com/burdockspindle/burdockspindle/gateway/transfer"
 	"github.com/burdockspindle/burdockspindle/gateway/upstream"
 	"github.com/burdockspindle/burdockspindle/gateway/view"
 )
@@ -77,6 +78,9 @@
 	// isUnreachable reports that the latest refusal of a slot was for lack of a connection.
 	isUnreachable bool
 
+	room      *transfer.Request // for a large answer; nil: the route has none
+	isStalled bool              // the caller has stopped reading its answer
+
 	lastAnswer *upstream.Answer // a server's error, returned if no better answer arrives
 	trace      trace
 }
@@ -98,6 +102,7 @@
 	defer stop()
 	x.request.Held = r.client.Hold()
 	defer x.request.Held.Release()
+	defer x.releaseRoom()
 	x.service.countRequest()
 	x.finish(ctx, request.Context(), x.run(ctx))
 }
--- a/modules/gateway/callers.go
+++ b/modules/gateway/callers.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/burdockspindle/burdockspindle/gateway/router"
@@ -65,6 +66,8 @@
 	pipelined   bool      // a byte of the next request arrived while one was served
 	timer       *time.Timer
 	expired     bool // the read deadline has been set to end the connection
+
+	stallTimeout atomic.Int64 // for which a write may make no progress, in nanoseconds; 0: not limited
 }
 
 // callerListener accepts callers' connections and adds them to callerConns.
@@ -183,6 +186,7 @@
 	switch state {
 	case http.StateActive:
 		c.awaitsFirst = false
+		c.stallTimeout.Store(0)
 		c.setPhase(serving, 0)
 		if c.expired {
 			c.expired = false
--- a/modules/gateway/front.go
+++ b/modules/gateway/front.go
@@ -21,6 +21,7 @@
 	"github.com/burdockspindle/burdockspindle/gateway/prober"
 	"github.com/burdockspindle/burdockspindle/gateway/router"
 	"github.com/burdockspindle/burdockspindle/gateway/site"
+	"github.com/burdockspindle/burdockspindle/gateway/transfer"
 	"github.com/burdockspindle/burdockspindle/gateway/upstream"
 	"github.com/burdockspindle/burdockspindle/gateway/view"
 	"github.com/burdockspindle/burdockspindle/kernel"
@@ -119,6 +120,7 @@
 	f.nodeClient.SetAnswerMemory(memory)
 	f.router.EnableForwarding(f.feed.Self, f.nodeClient, reachable.IsPartitioned)
 	reachable.OnReconnected(f.router.UnblockServers)
+	f.router.BoundLargeAnswers(largeAnswerLimits(f.live.Settings()))
 	f.live.Watch(func(s *config.Settings) { f.router.SetOptions(routerOptions(s, self)) })
 	return nil
 }
@@ -140,6 +142,21 @@
 	return int64(answerMemoryShare * float64(memoryMB<<20))
 }
 
+// largeAnswerMemoryShare is the share of the memory for answers that large answers may take, so that others still fit.
+const largeAnswerMemoryShare = 0.5
+
+// bytesPerMbit is the number of bytes in 10^6 bits.
+const bytesPerMbit = 1e6 / 8
+
+// largeAnswerLimits returns the bounds of large answers for a process with the given settings, which do not change while it
+// runs.
+func largeAnswerLimits(s *config.Settings) transfer.Limits {
+	return transfer.Limits{
+		Memory: int64(largeAnswerMemoryShare * float64(answerMemory(s.MemoryMB))),
+		Link:   bytesPerMbit * s.Resources.LinkMbps,
+	}
+}
+
 // Dump implements kernel.Dumper.
 func (f *Front) Dump() any {
 	rests := map[site.ServerID]string{}
@@ -149,7 +166,8 @@
 	return struct {
 		// RestingServers are those that have asked this node for a rest, and how much longer it lasts.
 		RestingServers map[site.ServerID]string `json:"restingServers"`
-	}{rests}
+		LargeAnswers   router.LargeAnswers      `json:"largeAnswers"`
+	}{rests, f.router.LargeAnswers()}
 }
 
 // routerOptions returns the options of the router of a process with the router's part of
