Check: configurations of a gateway's platform, with places and what differs

Cause: a fault of a platform's configuration was found only when nodes rejected it, or by requests that no route matched. Change: burdockspindle check reads a configuration of the platform, reports all errors with JSON path and line, entries without effect and limits that contradict each other, and compares it with the version in force. Package gateway/configcheck checks and compares; platform reads, since the names of fields are its own.

--- a/cli/check.go
+++ b/cli/check.go
@@ -8,6 +8,7 @@
 	"github.com/integrii/flaggy"
 
 	"github.com/burdockspindle/burdockspindle/gateway/config"
+	"github.com/burdockspindle/burdockspindle/gateway/configcheck"
 	"github.com/burdockspindle/burdockspindle/jsonc"
 	"github.com/burdockspindle/burdockspindle/settings"
 	"github.com/burdockspindle/burdockspindle/siteconfig"
@@ -25,19 +26,21 @@
 
 func newCheckCommand() Command {
 	var file string
+	var options platformCheck
 	kind := kindAuto
 	return Command{
 		Name:        "check",
-		Description: "Validate a settings file or a site configuration and report every problem.",
+		Description: "Validate a settings file, a site configuration or a configuration of a platform and report every problem.",
 		Flags: func(sub *flaggy.Subcommand) {
 			sub.AddPositionalValue(&file, "FILE", 1, true, "file to validate")
-			sub.String(&kind, "k", "kind", "settings, gateway (settings of a gateway node), site, or auto to detect it from the fields")
+			sub.String(&kind, "k", "kind", "settings, gateway (settings of a gateway node), site, platform (configuration of a gateway's platform), or auto to detect it from the fields")
+			options.declare(sub)
 		},
-		Run: func(_ context.Context, env *Env) error { return check(env, kind, file) },
+		Run: func(_ context.Context, env *Env) error { return check(env, kind, file, &options) },
 	}
 }
 
-func check(env *Env, kind, file string) error {
+func check(env *Env, kind, file string, options *platformCheck) error {
 	text, err := os.ReadFile(file)
 	if err != nil {
 		return &FileError{File: file, Cause: err}
@@ -45,6 +48,12 @@
 	if kind == kindAuto {
 		kind = detectKind(text, file)
 	}
+	if format := formatNamed(kind); format != nil {
+		return options.run(env, format, text, file)
+	}
+	if options.isSet() {
+		return &UsageError{Problem: "check: --in-force, --strict, --json, --settings and --servers are for a configuration of a platform, not for kind " + kind}
+	}
 	switch kind {
 	case kindSettings:
 		_, err = settings.Load(file)
@@ -54,7 +63,7 @@
 		_, problems := siteconfig.Parse(text, file)
 		err = jsonc.ErrorOf(problems)
 	default:
-		return &UsageError{Problem: "check: --kind must be settings, gateway, site or auto, not " + kind}
+		return &UsageError{Problem: "check: --kind must be settings, gateway, site, platform or auto, not " + kind}
 	}
 	if err != nil {
 		return err
@@ -65,10 +74,15 @@
 	return nil
 }
 
-// detectKind returns the kind of a file: a site configuration if it has a
+// detectKind returns the kind of a file: the name of a platform whose configurations look like it, a site configuration if it has a
 // "services" field, the settings of a gateway node if it has a "driver" field, and
 // the settings of an entry node otherwise.
 func detectKind(text []byte, file string) string {
+	for _, format := range configcheck.Formats() {
+		if format.IsLike(text) {
+			return format.Name
+		}
+	}
 	root, _ := jsonc.Parse(text, file)
 	if root.Get("services").Present() {
 		return kindSite
