Large answers: a wait that ends in vain tells and counts what it was for

Cause: a request whose wait for room ended at its latest start was refused as any other, and not counted for memory or link. The check reported a value that could not be read a second time, as if it were 0. Change: the decision gives the refusal with reason and delay; the check adds nothing at a place that could not be read.

--- a/gateway/configcheck/check.go
+++ b/gateway/configcheck/check.go
@@ -31,7 +31,12 @@
 	findings []Finding
 }
 
+// add adds a finding, unless the value could not be read: what is assumed in its place is no fault of its own.
 func (c *checker) add(severity Severity, at Value, code Code, message string) {
+	isInvalid := func(f Finding) bool { return f.Path == at.Path && f.Code == InvalidValue }
+	if slices.ContainsFunc(c.document.Findings, isInvalid) {
+		return
+	}
 	c.findings = append(c.findings, Finding{Severity: severity, Path: at.Path, Line: at.Line, Code: code, Message: message})
 }
 
--- a/gateway/router/large_answers.go
+++ b/gateway/router/large_answers.go
@@ -103,6 +103,16 @@
 	l.deliver()
 }
 
+// giveUp ends a request's wait.
+func (l *largeAnswers) giveUp(r *transfer.Request) *transfer.Refusal {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.waiting, r)
+	refusal := l.bounds.GiveUp(r, time.Now())
+	l.deliver()
+	return refusal
+}
+
 func (l *largeAnswers) received(r *transfer.Request, bytes int64) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -145,7 +155,7 @@
 	case <-ctx.Done():
 	}
 	x.trace.note("waited " + milliseconds(time.Since(askedAt)) + " for room for a large answer, in vain")
-	return waitTimeoutRefusal(x.service.meanServiceTime())
+	return x.refusedRoom(all.giveUp(x.room))
 }
 
 func (x *exchange) refusedRoom(r *transfer.Refusal) *refusal {
--- a/gateway/transfer/transfer.go
+++ b/gateway/transfer/transfer.go
@@ -176,6 +176,13 @@
 	r.bytes = 0
 }
 
+// GiveUp ends the wait of a request that no longer waits for room, and returns its refusal.
+func (b *Bounds) GiveUp(r *Request, now time.Time) *Refusal {
+	b.Release(r, now)
+	wait, reason := b.expectedWait(r, 0, now)
+	return b.refuse(r, reason, wait)
+}
+
 // LatestStart returns the time after which room for a request would come too late.
 func (b *Bounds) LatestStart(r *Request) time.Time {
 	return r.Deadline.Add(-time.Duration(minTimeShare * float64(b.holdOf(r))))
--- a/modules/gateway/stalls_test.go
+++ b/modules/gateway/stalls_test.go
@@ -10,7 +10,9 @@
 
 	"github.com/onsi/gomega"
 
+	"github.com/burdockspindle/burdockspindle/gateway/config"
 	"github.com/burdockspindle/burdockspindle/gateway/router"
+	"github.com/burdockspindle/burdockspindle/gateway/transfer"
 )
 
 // serveLargeAnswer serves an answer that no buffer of the kernel holds, over a real listener, and returns a connection on which
@@ -74,3 +76,11 @@
 	g.Expect(time.Since(startedAt)).To(gomega.BeNumerically(">", stallTimeout))
 	g.Expect(<-results).To(gomega.Succeed())
 }
+
+// Guards against large answers that take the memory of all others, and a link that is counted in bits.
+func TestLargeAnswersMayTakeHalfOfTheMemoryForAnswers(t *testing.T) {
+	g := gomega.NewWithT(t)
+	limits := largeAnswerLimits(&config.Settings{MemoryMB: 144, Resources: config.Resources{LinkMbps: 10}})
+	g.Expect(limits).To(gomega.Equal(transfer.Limits{Memory: 18 << 20, Link: 1.25e6}))
+	g.Expect(largeAnswerLimits(&config.Settings{}).Link).To(gomega.BeZero(), "the link is not known")
+}
