Choose servers of a mixed site by work of the route and speed of the server

Cause: one mean time for each server confuses a route of long work with a slow server, and a node that rarely uses a server knows nothing of it. Change: while the site is mixed and the guidance has work, pool takes the service time as the work of the request's route times the relative service time of the server, corrected by this node's own answers by their number and age. Nodes draw servers by the share that each should get and take the one that is least busy for its share: with the same guidance at all nodes, the server with the least expected time of all was the same one for most.

--- a/gateway/pool/check.go
+++ b/gateway/pool/check.go
@@ -70,6 +70,9 @@
 	if !p.ChecksLoads(now) || len(p.queue) > 0 {
 		return nil
 	}
+	if p.isGuided(now) {
+		return p.drawnToCheck(w, ofOwnZone, now)
+	}
 	var servers []site.Server
 	for _, i := range p.random.Perm(len(p.order)) {
 		m := p.order[i]
--- a/gateway/pool/evict.go
+++ b/gateway/pool/evict.go
@@ -83,7 +83,7 @@
 		t = p.throughputFor(w, now)
 		cache[w.OnlyServer] = t
 	}
-	return t
+	return p.throughputOfRoute(t, w, now)
 }
 
 func (p *Pool) removeAll(evictions []Eviction) {
--- a/gateway/pool/guidance.go
+++ b/gateway/pool/guidance.go
@@ -7,16 +7,56 @@
 	"github.com/burdockspindle/burdockspindle/gateway/site"
 )
 
+// speedValidity is how long speeds and work are used after their receipt. Speeds hold longer than shares of requests: a
+// server's machine stays the same while a lessor is replaced.
+const speedValidity = 30 * time.Second
+
 // guided is the guidance of the lessor as it applies to the pool's service.
 type guided struct {
 	guidance.Guidance
 	service    site.ServiceName
 	receivedAt time.Time // zero: there is none
+	speedUntil time.Time // until when speeds and work are used; zero: they are not
+	serial     uint64    // of the guidance, for what waiters keep of it
+	// relative is the mean relative service time over requests if all slots are equally busy.
+	relative float64
 }
 
 // SetGuidance sets the guidance of the lessor, which this node received at a time. It applies only while the service is
 // mixed, or for the speeds of its servers while the site is.
 func (p *Pool) SetGuidance(service site.ServiceName, g guidance.Guidance, receivedAt time.Time) {
-	p.guided = guided{Guidance: g, service: service, receivedAt: receivedAt}
+	serial := p.guided.serial + 1
+	p.guided = guided{Guidance: g, service: service, receivedAt: receivedAt, serial: serial}
+	if g.IsMixed() && len(g.Work) > 0 && !receivedAt.IsZero() {
+		p.guided.speedUntil = receivedAt.Add(speedValidity)
+	}
 	p.cachedTimes = serviceTimes{}
+	p.applySpeeds()
+}
+
+// applySpeeds copies the speeds of the guidance to the servers, so that a selection among all of them needs no lookups.
+func (p *Pool) applySpeeds() {
+	if p.guided.speedUntil.IsZero() {
+		return
+	}
+	slots, rate := 0.0, 0.0
+	for _, m := range p.members {
+		relative, isListed := p.guided.Speeds[m.ID]
+		m.speed.isListed = isListed && relative > 0
+		m.speed.guided = 1
+		if m.speed.isListed {
+			m.speed.guided = min(max(relative, minRelative), maxRelative)
+		}
+		m.speed.cachedAt = time.Time{}
+		slots += float64(max(m.Slots, 1))
+		rate += float64(max(m.Slots, 1)) / m.speed.guided
+	}
+	p.spread.at = time.Time{}
+	p.guided.relative = 1
+	if rate > 0 {
+		p.guided.relative = slots / rate
+	}
 }
+
+// isGuided reports whether service times are taken from the guidance.
+func (p *Pool) isGuided(now time.Time) bool { return now.Before(p.guided.speedUntil) }
--- a/gateway/pool/limit.go
+++ b/gateway/pool/limit.go
@@ -46,7 +46,7 @@
 func (p *Pool) hasCapacity(m *member, now time.Time) bool {
 	taken := 0
 	if m.inFlight() > 0 {
-		taken = m.takenSlots(p.serviceTime(m, now), now)
+		taken = p.takenSlots(m, now)
 	}
 	switch {
 	case m.hasShare(now):
@@ -63,7 +63,7 @@
 		// The pause is randomized because nodes that were refused together would otherwise
 		// return together.
 		spread := 0.5 + p.random.Float64()
-		m.pausedUntil = now.Add(time.Duration(spread * float64(m.pauseDuration(p.serviceTime(m, now)))))
+		m.pausedUntil = now.Add(time.Duration(spread * float64(m.pauseDuration(p.stayOf(m, 0, now)))))
 	}
 }
 
--- a/gateway/pool/pool.go
+++ b/gateway/pool/pool.go
@@ -79,6 +79,7 @@
 type member struct {
 	site.Server
 	sentAt       []time.Time // send times of the requests in flight, oldest first
+	sentWork     []float64   // their work in seconds; 0: sent without guidance
 	queueEmptyAt time.Time   // send time of the latest request whose response reported free slots
 	// limit is the number of concurrent requests of this node, or the duty cycle of one
 	// request if below one.
@@ -87,6 +88,7 @@
 	pausedUntil   time.Time
 	meanSeconds   float64 // mean service time; 0: not known
 	meanUpdatedAt time.Time
+	speed         speed   // on a mixed site
 	otherRequests float64 // requests of other nodes, as of reportAt
 	reportAt      time.Time
 	hadFreeSlots  bool    // whether that report had free slots and no queue
@@ -142,6 +144,8 @@
 	random      *rand.Rand
 	rateLimits  RateLimits
 	guided      guided
+	usage       usage
+	spread      spread
 	// hasNamedLimits reports whether a server names a limit.
 	hasNamedLimits bool
 	loadChecks     loadChecks
@@ -186,6 +190,7 @@
 	}
 	p.pruneHistories(now)
 	p.cachedTimes = serviceTimes{}
+	p.applySpeeds()
 	p.order = slices.AppendSeq(p.order[:0], maps.Values(p.members))
 	slices.SortFunc(p.order, func(a, b *member) int {
 		if a.ID < b.ID {
@@ -238,6 +243,9 @@
 			return m
 		}
 	}
+	if m := p.pickDrawn(w, now); m != nil {
+		return m
+	}
 	return p.soonest(w, now, func(*member) bool { return true })
 }
 
@@ -276,7 +284,7 @@
 func (p *Pool) untried(w *Waiter, now time.Time) *member {
 	var newest *member
 	for _, m := range p.order {
-		isUntried := m.meanSeconds == 0 && m.inFlight() == 0 && !now.Before(m.coldUntil) && !m.onProbation(now) && m.Zone == p.zone
+		isUntried := m.meanSeconds == 0 && !p.isSpeedKnown(m, now) && m.inFlight() == 0 && !now.Before(m.coldUntil) && !m.onProbation(now) && m.Zone == p.zone
 		if isUntried && p.canSend(m, w, now) && (newest == nil || m.addedAt.After(newest.addedAt)) {
 			newest = m
 		}
@@ -287,7 +295,7 @@
 // expectedTime returns the time in seconds after which a request sent now is expected to be
 // answered, with random variation of estimateNoise.
 func (p *Pool) expectedTime(m *member, w *Waiter, now time.Time) float64 {
-	expected := p.timeBehind(m, m.requests(now), now)
+	expected := p.timeFor(m, w, now)
 	if now.Before(m.coldUntil) {
 		expected *= coldFactor
 	}
@@ -315,6 +323,7 @@
 
 // Outcome describes how a request ended at a server.
 type Outcome struct {
+	Route      string // name of the request's route
 	Took       time.Duration
 	Connect    time.Duration // part of Took in which the connection was opened
 	Load       *site.Load    // nil: not reported
@@ -344,6 +353,7 @@
 	}
 	if !outcome.Failed && !outcome.NoCapacity && !outcome.Abandoned {
 		p.recordServiceTime(m, (outcome.Took - outcome.Connect).Seconds(), now)
+		p.recordSpeed(m, outcome, now)
 	}
 	if outcome.Rest > 0 { // neither a failure nor a sign of a lower limit
 		p.rest(m, outcome.Rest, now)
@@ -352,7 +362,7 @@
 		}
 		return p.Admit(now)
 	}
-	hung := outcome.Abandoned && p.isOverdue(m, outcome.Took, now)
+	hung := outcome.Abandoned && p.isOverdue(m, outcome.Took, p.workOfEnded(outcome, now), now)
 	if !outcome.Abandoned || hung {
 		p.recordFailure(m, outcome.Failed || outcome.NoCapacity || hung, now)
 	}
@@ -370,18 +380,6 @@
 	return p.Admit(now)
 }
 
-// recordServiceTime records in how many seconds a server answered. The time to open a connection is left
-// out: a server that is rarely used would look slow, and be used even less.
-func (p *Pool) recordServiceTime(m *member, seconds float64, now time.Time) {
-	if m.meanSeconds == 0 {
-		m.meanSeconds = seconds
-	}
-	m.meanSeconds = p.serviceTime(m, now)
-	m.meanUpdatedAt = now
-	m.meanSeconds += timeWeight * (seconds - m.meanSeconds)
-	p.cachedTimes = serviceTimes{}
-}
-
 func (p *Pool) recordFailure(m *member, failed bool, now time.Time) {
 	rate := m.failureRate * decay(now.Sub(m.failureAt), failureHalfLife)
 	target := 0.0
--- a/gateway/pool/queue.go
+++ b/gateway/pool/queue.go
@@ -24,6 +24,7 @@
 
 // Waiter is a request that needs a server.
 type Waiter struct {
+	Route          string          // name of its route
 	Priority       int             // 0 is the most urgent
 	ArrivedAt      time.Time       // arrival time
 	Target         time.Time       // time by which a response has its full value
@@ -40,6 +41,9 @@
 	Checked []site.ServerID
 	// MayRunIn reports whether servers of a zone may get the request; nil: of any zone.
 	MayRunIn func(zone string) bool
+
+	work       float64 // by the guidance with workSerial
+	workSerial uint64
 }
 
 // accepts reports whether an incarnation of a server may get the request. A new incarnation
@@ -156,6 +160,7 @@
 		m.unansweredSince = now
 	}
 	m.recordSend(now)
+	p.noteWork(m, w, now)
 	p.spendRate(m, w, now)
 	return &Admission{Waiter: w, Server: m.Server}
 }
@@ -183,7 +188,9 @@
 // given request.
 type throughput struct {
 	rate           float64 // requests per second
-	slowestSeconds float64 // service time at the slowest of the servers
+	slowestSeconds float64 // time of the request at the slowest of the servers
+	slowest        *member // that server; nil: none
+	work           float64 // of the request; 0: without guidance
 }
 
 func (p *Pool) throughputFor(w *Waiter, now time.Time) throughput {
@@ -192,17 +199,18 @@
 		if m == nil || !w.mayRunAt(m, now) {
 			return throughput{}
 		}
-		seconds := p.serviceTime(m, now)
-		return throughput{rate: p.rateOf(m, w, seconds, now), slowestSeconds: seconds}
+		work := p.work(w, now)
+		return throughput{rate: p.rateOf(m, w, p.stayOf(m, 0, now), now), slowestSeconds: p.stayOf(m, work, now), slowest: m, work: work}
 	}
-	var total throughput
+	total := throughput{work: p.work(w, now)}
 	for _, m := range p.order {
 		if !w.mayRunAt(m, now) {
 			continue
 		}
-		seconds := p.serviceTime(m, now)
-		total.rate += p.rateOf(m, w, seconds, now)
-		total.slowestSeconds = max(total.slowestSeconds, seconds)
+		total.rate += p.rateOf(m, w, p.stayOf(m, 0, now), now)
+		if stay := p.stayOf(m, total.work, now); stay > total.slowestSeconds {
+			total.slowestSeconds, total.slowest = stay, m
+		}
 	}
 	return total
 }
@@ -283,9 +291,12 @@
 
 // inTime reports whether a request sent now would be answered by its target.
 func (p *Pool) inTime(w *Waiter, now time.Time) bool {
-	mean := p.times().mean
-	if m := p.members[w.OnlyServer]; m != nil && m.meanSeconds > 0 {
-		mean = m.meanSeconds
+	mean, isGuided := p.guidedStay(w, now)
+	if !isGuided {
+		mean = p.times().mean
+		if m := p.members[w.OnlyServer]; m != nil && m.meanSeconds > 0 {
+			mean = m.meanSeconds
+		}
 	}
 	return now.Add(time.Duration(inTimeFactor * mean * float64(time.Second))).Before(w.Target)
 }
--- a/gateway/pool/unanswered.go
+++ b/gateway/pool/unanswered.go
@@ -21,7 +21,10 @@
 const lostResponseFactor = 2.0
 
 // recordSend records that a request is sent to the server now.
-func (m *member) recordSend(now time.Time) { m.sentAt = append(m.sentAt, now) }
+func (m *member) recordSend(now time.Time) {
+	m.sentAt = append(m.sentAt, now)
+	m.sentWork = append(m.sentWork, 0)
+}
 
 // inFlight returns the number of requests that have not ended.
 func (m *member) inFlight() int { return len(m.sentAt) }
@@ -39,6 +42,7 @@
 		}
 	}
 	m.sentAt = slices.Delete(m.sentAt, match, match+1)
+	m.sentWork = slices.Delete(m.sentWork, match, match+1)
 }
 
 // recordEmptyQueue records a response that reported free slots and no queue: requests that
@@ -50,10 +54,15 @@
 }
 
 // takenSlots returns the number of slots of the limit that are taken.
-func (m *member) takenSlots(serviceTime float64, now time.Time) int {
+func (p *Pool) takenSlots(m *member, now time.Time) int {
 	taken := 0
-	for _, at := range m.sentAt {
-		isLost := at.Before(m.queueEmptyAt) && now.Sub(at).Seconds() > lostResponseFactor*serviceTime
+	isGuided, serviceTime := p.isGuided(now), p.serviceTime(m, now)
+	for i, at := range m.sentAt {
+		usual := serviceTime
+		if isGuided && m.sentWork[i] > 0 {
+			usual = m.sentWork[i] * m.relative(now)
+		}
+		isLost := at.Before(m.queueEmptyAt) && now.Sub(at).Seconds() > lostResponseFactor*usual
 		if !isLost {
 			taken++
 		}
--- a/gateway/replay/caller.go
+++ b/gateway/replay/caller.go
@@ -10,6 +10,7 @@
 type caller struct {
 	arrived       time.Time
 	priority      int
+	route         *Route // nil: the load has no routes
 	retriesLeft   int
 	retriesAtOnce bool
 }
--- a/gateway/replay/load.go
+++ b/gateway/replay/load.go
@@ -30,13 +30,15 @@
 	AtLeastOne Policy = "at-least-one"
 	// NoShares limits a busy server by the limits of the individual nodes only.
 	NoShares Policy = "no-shares"
+	// NoGuidance leaves out the guidance of the lessor: nodes know what they have measured.
+	NoGuidance Policy = "no-guidance"
 	// NoBudget resends refused requests to other servers without a budget.
 	NoBudget Policy = "no-budget"
 )
 
 // Policies returns every policy.
 func Policies() []Policy {
-	return []Policy{Pooled, RandomServer, FirstCome, NoRefusal, NoEviction, AtLeastOne, NoShares, NoBudget}
+	return []Policy{Pooled, RandomServer, FirstCome, NoRefusal, NoEviction, AtLeastOne, NoShares, NoGuidance, NoBudget}
 }
 
 // Load is a traffic pattern: several nodes, each with a pool of the same servers, and
@@ -54,7 +56,9 @@
 	AssumedCapacity float64
 	// LowPriorityShare is the share of requests with a lower priority.
 	LowPriorityShare float64
-	Callers          Callers
+	// Routes are the routes of requests; if there are any, they replace LowPriorityShare, and the lessor sends guidance.
+	Routes  []Route
+	Callers Callers
 	// Resends bounds the resends of nodes; if it is nil, nodes send each request once.
 	Resends *budget.Terms
 	Policy  Policy
@@ -75,11 +79,13 @@
 // Server runs requests in slots and queues the others. It refuses requests when the queue
 // is full.
 type Server struct {
-	Zone      string
-	Slots     int
-	Queue     int
-	Work      time.Duration // mean
-	ShedShare float64       // share of requests that it refuses regardless of room
+	Zone  string
+	Slots int
+	Queue int
+	Work  time.Duration // mean
+	// Relative is its service time relative to a typical server, which multiplies the work of routes.
+	Relative  float64
+	ShedShare float64 // share of requests that it refuses regardless of room
 	// ShedsWithLoad reports the server's load with a refusal, so that nodes can see that
 	// the server is not full.
 	ShedsWithLoad  bool
--- a/gateway/replay/replay.go
+++ b/gateway/replay/replay.go
@@ -71,6 +71,9 @@
 		}
 	}
 	r.schedule(0, r.addCaller)
+	if len(r.Routes) > 0 && r.Policy != NoGuidance {
+		r.schedule(guidanceDelay, r.sendGuidance)
+	}
 	if r.AssumedCapacity > 0 && r.Policy != NoShares {
 		r.lessor.quota = quota.New()
 		r.schedule(shareInterval, r.updateShares)
@@ -89,7 +92,13 @@
 	r.schedule(time.Duration(gap*float64(time.Second)), r.addCaller)
 	r.result.Asked++
 	c := caller{arrived: r.now, retriesLeft: r.Callers.Retries}
-	if r.LowPriorityShare > 0 && r.arrivals.Float64() < r.LowPriorityShare {
+	if len(r.Routes) > 0 {
+		c.route = r.pickRoute()
+		c.priority = c.route.Priority
+		if c.priority == 0 {
+			r.result.Urgent++
+		}
+	} else if r.LowPriorityShare > 0 && r.arrivals.Float64() < r.LowPriorityShare {
 		c.priority = 1
 	} else {
 		r.result.Urgent++
@@ -113,7 +122,10 @@
 
 // newWaiter returns the request as the pool sees it.
 func (r *replay) newWaiter(c caller) *pool.Waiter {
-	w := &pool.Waiter{Priority: c.priority, ArrivedAt: r.now, Target: c.arrived.Add(r.Target), Deadline: c.arrived.Add(r.CallerTimeout)}
+	w := &pool.Waiter{Priority: c.priority, ArrivedAt: r.now, Target: c.arrived.Add(r.targetOf(c)), Deadline: c.arrived.Add(r.CallerTimeout)}
+	if c.route != nil {
+		w.Route = c.route.Name
+	}
 	if r.OnlyFirst {
 		w.OnlyServer = serverID(0)
 	}
@@ -214,7 +226,7 @@
 // complete reports the outcome of a request at a server to the node.
 func (r *replay) complete(ended *request, outcome pool.Outcome) {
 	if r.Policy != RandomServer {
-		r.deliver(ended.node, r.pools[ended.node].Done(ended.id, r.reportedOutcome(outcome), r.now))
+		r.deliver(ended.node, r.pools[ended.node].Done(ended.id, r.reportedOutcome(ended, outcome), r.now))
 	}
 	if outcome.NoCapacity || outcome.NotReached {
 		r.resend(ended)
@@ -223,7 +235,10 @@
 
 // reportedOutcome returns the outcome that the pool receives. With AtLeastOne it contains
 // nothing that would change a limit.
-func (r *replay) reportedOutcome(outcome pool.Outcome) pool.Outcome {
+func (r *replay) reportedOutcome(ended *request, outcome pool.Outcome) pool.Outcome {
+	if ended.route != nil {
+		outcome.Route = ended.route.Name
+	}
 	if r.Policy != AtLeastOne {
 		return outcome
 	}
--- a/gateway/replay/scenarios.go
+++ b/gateway/replay/scenarios.go
@@ -44,6 +44,7 @@
 		busyOwner("overused-owner-64", 64, 1.5),
 		busyOwner("overused-owner-295", 295, 1.5),
 		outage(),
+		unlikeWork(),
 	}
 }
 
@@ -67,6 +68,20 @@
 	}
 }
 
+// unlikeWork has servers of unlike speeds and routes of unlike work, and so many nodes that one rarely uses each server.
+func unlikeWork() Scenario {
+	l := Load{Nodes: 81, Rate: Steady(540), Length: length, CallerTimeout: 6 * time.Second, Callers: Callers{Retries: 2}}
+	l.Routes = []Route{
+		{Name: "short", Share: 0.46, Work: 88 * time.Millisecond, Target: 800 * time.Millisecond},
+		{Name: "long", Share: 0.54, Work: 440 * time.Millisecond, Target: 3 * time.Second, Priority: 1},
+	}
+	speeds, zones := []float64{0.7, 0.7, 1.6}, Zones()
+	for i := range 90 {
+		l.Servers = append(l.Servers, Server{Zone: zones[i/3%3], Slots: 2, Queue: 8, Relative: 1 / speeds[i%3]})
+	}
+	return Scenario{Name: "unlike-work", Description: "85 % of the capacity of 90 servers of unlike speeds, by two routes of unlike work at 81 nodes; the lessor sends speeds and work", Policies: []Policy{Pooled, RandomServer, NoGuidance}, Load: l}
+}
+
 func shedding() Scenario {
 	l := base()
 	faultThird(l.Servers, func(s *Server) { s.ShedShare = 0.5 })
--- a/gateway/replay/server.go
+++ b/gateway/replay/server.go
@@ -130,7 +130,7 @@
 	s.running++
 	s.inFlight = append(s.inFlight, req)
 	runs := s.crashes
-	work := float64(s.Work) * (0.5 + r.random.Float64())
+	work := r.workAt(req, s) * (0.5 + r.random.Float64())
 	if r.now.Sub(r.start) < s.ColdTime {
 		work *= coldFactor
 	}
@@ -162,7 +162,7 @@
 func (r *replay) count(ended *request) {
 	took := r.now.Sub(ended.arrived)
 	switch {
-	case took <= r.Target:
+	case took <= r.targetOf(ended.caller):
 		r.result.InTime++
 		if ended.priority == 0 {
 			r.result.UrgentInTime++
--- a/gateway/router/dispatch.go
+++ b/gateway/router/dispatch.go
@@ -151,7 +151,7 @@
 	if x.keyed || x.route.Kind != site.Idempotent || !x.mayHedge() {
 		return nil
 	}
-	usual := time.Duration(hedgeFactor * float64(x.service.meanServiceTime()))
+	usual := time.Duration(hedgeFactor * float64(x.meanTime()))
 	least := time.Duration(hedgeTargetShare * float64(x.route.Target))
 	return time.After(max(usual, least))
 }
@@ -163,7 +163,7 @@
 	if x.route.Kind != site.Idempotent {
 		return nil
 	}
-	return time.After(max(minProbeDelay, time.Duration(probeFactor*float64(x.service.meanServiceTime()))))
+	return time.After(max(minProbeDelay, time.Duration(probeFactor*float64(x.meanTime()))))
 }
 
 // mayHedge reports whether the request may be sent once more while attempts are in flight.
--- a/gateway/router/owner.go
+++ b/gateway/router/owner.go
@@ -97,7 +97,7 @@
 			return route.Server, nil
 		case found && route.State == ranges.Unresponsive:
 			left := route.Until.Sub(clock.Now())
-			if left+x.service.meanServiceTime() > time.Until(x.deadline) {
+			if left+x.meanTime() > time.Until(x.deadline) {
 				return "", &refusal{status: http.StatusServiceUnavailable, reason: "owner of the key is silent", retryAfter: max(left, ownerRetryDelay)}
 			}
 			wait.Reset(left + reassignmentMargin)
--- a/gateway/router/owner_check.go
+++ b/gateway/router/owner_check.go
@@ -66,7 +66,7 @@
 		x.trace.note(string(owner.ID) + " has a long queue, load " + loadText(*result.health.Load))
 		return ownerBusy
 	}
-	if expected := x.service.expectedTime(owner.ID); minTimeShare*float64(expected) > float64(time.Until(x.deadline)) {
+	if expected := x.service.expectedTime(x.route.Name, owner.ID); minTimeShare*float64(expected) > float64(time.Until(x.deadline)) {
 		x.trace.note(string(owner.ID) + " would answer after " + milliseconds(expected))
 		return ownerLate
 	}
@@ -106,7 +106,7 @@
 		return false, x.countedRefusal(owner.ID)
 	case ownerLate:
 		x.service.releaseSlot(owner, pool.Outcome{Abandoned: true})
-		return false, &refusal{status: http.StatusServiceUnavailable, reason: string(pool.WaitTooLong), retryAfter: x.service.meanServiceTime()}
+		return false, &refusal{status: http.StatusServiceUnavailable, reason: string(pool.WaitTooLong), retryAfter: x.meanTime()}
 	case ownerBusy:
 		x.service.releaseSlot(owner, pool.Outcome{Abandoned: true})
 		return false, x.awaitBusyOwner(ctx)
@@ -117,7 +117,7 @@
 // awaitBusyOwner pauses before a busy owner is checked again. It returns a refusal if the request could
 // not be answered in time after that.
 func (x *exchange) awaitBusyOwner(ctx context.Context) *refusal {
-	mean := x.service.meanServiceTime()
+	mean := x.meanTime()
 	pause := time.Duration((0.5 + rand.Float64()) * busyOwnerPause * float64(mean))
 	if time.Until(x.deadline) < pause+mean {
 		return &refusal{status: http.StatusServiceUnavailable, reason: "queue of the key's owner is full", retryAfter: mean, isOverloaded: true}
@@ -127,10 +127,10 @@
 	return nil
 }
 
-func (s *service) expectedTime(id site.ServerID) time.Duration {
+func (s *service) expectedTime(route string, id site.ServerID) time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.pool.ExpectedTime(id, time.Now())
+	return s.pool.ExpectedTimeOf(route, id, time.Now())
 }
 
 func (s *service) checksLoads() bool {
--- a/gateway/router/router.go
+++ b/gateway/router/router.go
@@ -375,9 +375,10 @@
 	return s.pool.AllLeave()
 }
 
-// meanServiceTime returns the mean service time of a request.
-func (s *service) meanServiceTime() time.Duration {
+// meanTime returns the mean time in which requests of the exchange's route are answered.
+func (x *exchange) meanTime() time.Duration {
+	s := x.service
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.pool.MeanServiceTime()
+	return s.pool.MeanTimeOf(x.route.Name, time.Now())
 }
--- a/gateway/router/run.go
+++ b/gateway/router/run.go
@@ -111,7 +111,7 @@
 	}
 	if ctx.Err() != nil {
 		x.service.releaseSlot(server, pool.Outcome{Abandoned: true})
-		end := x.giveUp(waitTimeoutRefusal(x.service.meanServiceTime()))
+		end := x.giveUp(waitTimeoutRefusal(x.meanTime()))
 		return site.Server{}, &end
 	}
 	return server, nil
@@ -134,6 +134,7 @@
 			return pool.Outcome{Took: attempt.duration, Abandoned: true}
 		}
 		return pool.Outcome{
+			Route:      x.route.Name,
 			Took:       attempt.duration,
 			Failed:     !isOver,
 			Reset:      !isOver && errors.Is(attempt.err, syscall.ECONNRESET),
@@ -144,6 +145,7 @@
 	x.reportResponse(attempt)
 	isMisdirected := attempt.answer.Status == http.StatusMisdirectedRequest
 	return pool.Outcome{
+		Route:      x.route.Name,
 		Took:       attempt.duration,
 		Connect:    attempt.answer.ConnectTime,
 		Load:       attempt.answer.Load,
@@ -278,7 +280,7 @@
 	if results == nil {
 		return server, nil
 	}
-	meanServiceTime := x.service.meanServiceTime()
+	meanServiceTime := x.meanTime()
 	tooLate := time.NewTimer(time.Until(x.deadline) - time.Duration(minTimeShare*float64(meanServiceTime)))
 	defer tooLate.Stop()
 	for {
@@ -342,7 +344,7 @@
 	if refused := x.service.refuseRetry(x.waiterForRetry()); refused != nil {
 		return x.refusedBy(nil, refused)
 	}
-	retryAfter := x.service.meanServiceTime()
+	retryAfter := x.meanTime()
 	if x.keyed && x.attempts >= maxAttempts {
 		return &refusal{status: http.StatusServiceUnavailable, reason: "key is changing hands", retryAfter: retryAfter, isUnreachable: x.sends == 0}
 	}
@@ -369,7 +371,7 @@
 }
 
 func (x *exchange) waiter() *pool.Waiter {
-	w := &pool.Waiter{Priority: x.route.Priority, ArrivedAt: x.arrived, Target: x.target, Deadline: x.deadline, Tried: x.tried, AtMostOnce: x.route.Kind == site.AtMostOnce, ChargedToShare: x.attempts > 0}
+	w := &pool.Waiter{Route: x.route.Name, Priority: x.route.Priority, ArrivedAt: x.arrived, Target: x.target, Deadline: x.deadline, Tried: x.tried, AtMostOnce: x.route.Kind == site.AtMostOnce, ChargedToShare: x.attempts > 0}
 	w.MayRunIn = x.mayRunIn()
 	if x.forwarded != nil {
 		w.CountedServer = x.forwarded.Counted
