Send learned speeds rarely, and begin a lease with the guidance of the previous lessor

Cause: guidance with the speeds of all servers would be sent every 500 ms, since one of a hundred estimates always varies; a new lessor knew neither which services are mixed nor the speeds, and would have told nodes so. A lease begins with the guidance that its node holds. A change of a server that lasts less than 15 s leaves its long-term estimate as it was.

--- a/gateway/duty/duty.go
+++ b/gateway/duty/duty.go
@@ -123,6 +123,7 @@
 	speeds           *speed.Estimator
 	estimates        atomic.Pointer[speed.Estimates] // latest, for the state dump; nil: none
 	learning         bool                            // speeds are learned and used
+	sent             sentSpeeds
 	nextSpeedsLog    time.Time
 	nextGuidance     time.Time
 	guidanceSentAt   time.Time
@@ -156,6 +157,7 @@
 		previousReports: make(chan previousReport, 1),
 		loads:           ranges.NewLoads(),
 		speeds:          speed.New(),
+		mix:             guidance.NewMix(),
 		knownServers:    map[site.ServerID]site.Server{},
 	}
 }
--- a/gateway/duty/guidance.go
+++ b/gateway/duty/guidance.go
@@ -40,6 +40,7 @@
 func (d *Duty) decideGuidance(v *view.View, now time.Time) guidance.Guidance {
 	next := guidance.Guidance{Mixed: d.mix.Mixed(v.Config, now)}
 	d.updateSpeeds(v, next.IsMixed(), now)
-	next.Speeds, next.Work = d.learnedSpeeds()
+	d.sent.update(d.estimates.Load(), now)
+	next.Speeds, next.Work = d.sent.speeds, d.sent.work
 	return next
 }
--- a/gateway/duty/speeds.go
+++ b/gateway/duty/speeds.go
@@ -14,28 +14,27 @@
 )
 
 const (
-	// minSentDifference is the least difference from a typical server, relative to it, that is sent to nodes.
-	minSentDifference = 0.05
-	// maxSentDeviation is the greatest relative standard deviation of a speed that is sent to nodes, unless the server
-	// differs from a typical one by more than reliableDeviations of it.
-	maxSentDeviation   = 0.15
-	reliableDeviations = 2
-	// minSentAnswers is the number of answers that a speed, and the work of a service's routes, rest on at least.
-	minSentAnswers = 4
 	// speedsLogInterval is the least time between two log lines on the estimates.
 	speedsLogInterval = 5 * time.Second
-	// startValidity is the age up to which a new lessor starts with the speeds of the guidance that its node holds.
-	startValidity = 2 * time.Minute
+	// startValidity is the age up to which a new lessor starts with the guidance that its node holds. Nodes drop older speeds.
+	startValidity = 30 * time.Second
+	// startGrace is how long a new lessor goes on to send the speeds of servers of which it has no reports yet.
+	startGrace = 10 * time.Second
 )
 
-// beginSpeeds begins to estimate speeds, with the guidance of the previous lessor.
+// beginSpeeds begins to estimate speeds, with the guidance of the previous lessor, which stays in force until this one has
+// reports of its own.
 func (d *Duty) beginSpeeds(now time.Time) {
-	d.speeds, d.learning = speed.New(), false
+	d.speeds, d.learning, d.sent = speed.New(), false, sentSpeeds{}
 	d.estimates.Store(nil)
 	held := d.State.Now().Guidance
-	if age := time.Since(held.ReceivedAt); !held.ReceivedAt.IsZero() && age < startValidity {
-		d.speeds.Start(held.Speeds, held.Work, now.Add(-age))
+	age := time.Since(held.ReceivedAt)
+	if held.ReceivedAt.IsZero() || age > startValidity {
+		return
 	}
+	d.mix.Start(held.Mixed, now)
+	d.speeds.Start(held.Speeds, held.Work, now.Add(-age))
+	d.sent = sentSpeeds{speeds: held.Speeds, work: held.Work, at: now, startedAt: now}
 }
 
 func (d *Duty) endSpeeds() {
@@ -132,34 +131,6 @@
 	return speed.Estimates{Services: services, Work: estimates.Work}
 }
 
-// minUsableAnswers is the number of answers of a service that tell the work of a request to a tenth.
-const minUsableAnswers = 100
-
-// learnedSpeeds returns the relative service times and the work of routes that are sent to nodes.
-func (d *Duty) learnedSpeeds() (speeds map[site.ServerID]float64, work map[string]float64) {
-	estimates := d.estimates.Load()
-	if estimates == nil {
-		return nil, nil
-	}
-	speeds = map[site.ServerID]float64{}
-	for _, service := range estimates.Services {
-		for id, e := range service.Servers {
-			if isReliable(e) && math.Abs(e.Relative-1) > minSentDifference {
-				speeds[id] = e.Relative
-			}
-		}
-	}
-	return speeds, estimates.Work
-}
-
-// isReliable reports whether nodes should choose servers by an estimate.
-func isReliable(e speed.Estimate) bool {
-	if e.Answers < minSentAnswers {
-		return false
-	}
-	return e.Deviation <= maxSentDeviation || math.Abs(math.Log(e.Relative)) > reliableDeviations*e.Deviation
-}
-
 // logSpeeds logs what placement uses, with its basis.
 func (d *Duty) logSpeeds(estimates *speed.Estimates, now time.Time) {
 	if now.Before(d.nextSpeedsLog) {
--- a/gateway/guidance/mix.go
+++ b/gateway/guidance/mix.go
@@ -46,6 +46,13 @@
 	s.requests[priority] += float64(requests)
 }
 
+// Start treats services as mixed in the recent past: those that an earlier lessor has found to be so.
+func (m *Mix) Start(mixed []site.ServiceName, now time.Time) {
+	for _, service := range mixed {
+		m.services[service] = &mixedService{requests: map[int]float64{}, mixedUntil: now.Add(mixRetention)}
+	}
+}
+
 // Mixed returns the services that are mixed now, sorted.
 func (m *Mix) Mixed(config *site.Config, now time.Time) []site.ServiceName {
 	m.decay(now)
--- a/gateway/ranges/speeds_test.go
+++ b/gateway/ranges/speeds_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -234,8 +235,8 @@
 	for len(r.sent) > 0 && r.sent[0].at <= r.elapsed {
 		report := r.sent[0]
 		r.sent = r.sent[1:]
-		for key, requests := range report.keys {
-			r.loads.Count(worldService, key, requests)
+		for _, key := range slices.Sorted(maps.Keys(report.keys)) { // the same order in each run
+			r.loads.Count(worldService, key, report.keys[key])
 		}
 		for id, p := range report.paces {
 			r.estimator.Add(worldService, p, r.now)
--- a/gateway/speed/estimate.go
+++ b/gateway/speed/estimate.go
@@ -1,7 +1,9 @@
 package speed
 
 import (
+	"maps"
 	"math"
+	"slices"
 	"time"
 
 	"github.com/burdockspindle/burdockspindle/gateway/site"
@@ -73,7 +75,8 @@
 // Update returns the estimates of the registered servers that have sent answers.
 func (e *Estimator) Update(registered map[site.ServerID]site.Server, now time.Time) Estimates {
 	samples := map[site.ServiceName][]*sample{}
-	for id, s := range e.servers {
+	for _, id := range slices.Sorted(maps.Keys(e.servers)) { // sums of floating-point numbers depend on their order
+		s := e.servers[id]
 		r, isRegistered := registered[id]
 		switch {
 		case isRegistered:
@@ -91,6 +94,9 @@
 }
 
 func (e *Estimator) updateService(service site.ServiceName, samples []*sample, now time.Time) Service {
+	for _, s := range samples {
+		s.settle(now)
+	}
 	for range rounds {
 		e.updateWork(service, samples)
 		for _, s := range samples {
@@ -142,13 +148,16 @@
 	}
 	long, answers := s.long.logRelative(work, s.slots), s.long.effective()
 	s.estimate = Estimate{Age: now.Sub(s.reportedAt), Utilization: s.long.utilization(s.slots)}
-	if short, of := s.short.logRelative(work, s.slots), s.short.effective(); s.differs(long-short, answers, of) {
+	if short, of := s.short.logRelative(work, s.slots), s.short.effective(); s.noteChange(long-short, answers, of, now) {
 		long, answers = short, of
 		s.estimate.IsShortTerm = true
 		prior, priorWeight = 0, minChangeAnswers // the change has shown that the server is not typical
 	}
 	faded := fade(s.estimate.Age)
 	s.estimate.Answers = answers * faded
+	if priorWeight == startAnswers {
+		s.estimate.Answers += startAnswers * fade(now.Sub(e.start.at))
+	}
 	s.estimate.Deviation = math.Sqrt(answerVariance / (answers*faded + priorWeight))
 	s.logRelative = bounded((answers*long+priorWeight*prior)/(answers+priorWeight), maxRelative) * faded
 }
@@ -158,14 +167,20 @@
 	return math.Exp2(-max(age-silence, 0).Seconds() / decayHalfLife.Seconds())
 }
 
-// differs reports whether the logarithms of the estimates of a server differ by more than chance explains.
-func (s *server) differs(difference, answers, recent float64) bool {
+// noteChange records whether the logarithms of the estimates of a server differ by more than chance explains, and returns it.
+func (s *server) noteChange(difference, answers, recent float64, now time.Time) bool {
 	deviations := float64(changeDeviations)
-	if s.hasChanged {
+	if s.hasChanged() {
 		deviations = keepDeviations
 	}
-	s.hasChanged = recent >= minChangeAnswers && math.Abs(difference) > deviations*math.Sqrt(answerVariance/answers+answerVariance/recent)
-	return s.hasChanged
+	differs := recent >= minChangeAnswers && math.Abs(difference) > deviations*math.Sqrt(answerVariance/answers+answerVariance/recent)
+	switch {
+	case !differs:
+		s.changedAt = time.Time{}
+	case !s.hasChanged():
+		s.changedAt = now
+	}
+	return differs
 }
 
 // center makes the geometric mean of the relative service times 1. Without it, work and relative service times would
--- a/gateway/speed/speed.go
+++ b/gateway/speed/speed.go
@@ -69,7 +69,7 @@
 	long, short sums
 	reportedAt  time.Time // latest report
 	logRelative float64   // of the latest estimate
-	hasChanged  bool      // the latest estimate is by the short-term sums
+	changedAt   time.Time // since when the estimates are by the short-term sums; zero: they are not
 }
 
 // New returns an estimator without reports.
@@ -110,9 +110,26 @@
 	}
 	s.reportedAt = now
 	factor := e.slowdownOf(service).normalize(r)
-	for _, sums := range []*sums{&s.long, &s.short} {
-		sums.decay(elapsed, true)
-		sums.add(r, factor)
+	s.short.decay(elapsed, true)
+	s.short.add(r, factor)
+	s.long.decay(elapsed, !s.hasChanged())
+	if !s.hasChanged() {
+		s.long.add(r, factor)
+	}
+}
+
+// hasChanged reports whether the latest estimate is by the short-term sums. The long-term ones are then left as they are, so
+// that the estimate is the earlier one again once the change is over.
+func (s *server) hasChanged() bool { return !s.changedAt.IsZero() }
+
+// maxChange is the time after which a change counts as lasting.
+const maxChange = 15 * time.Second
+
+// settle makes a lasting change the long-term state of the server.
+func (s *server) settle(now time.Time) {
+	if s.hasChanged() && now.Sub(s.changedAt) > maxChange {
+		s.long, s.changedAt = s.short.clone(), time.Time{}
+		s.long.halfLife = longHalfLife
 	}
 }
 
@@ -177,6 +194,12 @@
 	return sums{halfLife: halfLife, routes: map[string]routeSum{}}
 }
 
+func (s *sums) clone() sums {
+	cloned := *s
+	cloned.routes = maps.Clone(s.routes)
+	return cloned
+}
+
 // decay reduces the sums for the time that has passed, which counts as observed unless reports were missing.
 func (s *sums) decay(passed time.Duration, isObserved bool) {
 	if passed <= 0 {
--- a/gateway/speed/speed_test.go
+++ b/gateway/speed/speed_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"fmt"
+	"maps"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -35,8 +37,10 @@
 	fast, slow     = 0.6, 1 / 0.6
 )
 
-func newWorld() *world {
-	w := &world{Estimator: speed.New(), random: rand.New(rand.NewPCG(1, 2)), now: time.Now(), servers: map[site.ServerID]site.Server{}, relative: map[site.ServerID]float64{}, silent: map[site.ServerID]bool{}, longShare: map[site.ServerID]float64{}}
+func newWorld() *world { return seededWorld(1) }
+
+func seededWorld(seed uint64) *world {
+	w := &world{Estimator: speed.New(), random: rand.New(rand.NewPCG(seed, 2)), now: time.Now(), servers: map[site.ServerID]site.Server{}, relative: map[site.ServerID]float64{}, silent: map[site.ServerID]bool{}, longShare: map[site.ServerID]float64{}}
 	for i := range 10 {
 		id := site.ServerID(fmt.Sprint("s", i))
 		w.servers[id] = site.Server{ID: id, Service: "s", Slots: slots}
@@ -49,7 +53,7 @@
 func (w *world) run(length time.Duration) speed.Estimates {
 	for range int(length / (500 * time.Millisecond)) {
 		w.now = w.now.Add(500 * time.Millisecond)
-		for id := range w.servers {
+		for _, id := range slices.Sorted(maps.Keys(w.servers)) { // the same order in each run
 			for range answersPerStep {
 				w.answer(id)
 			}
@@ -149,17 +153,25 @@
 // Guards against following a server only after its slow seconds, and against keeping it slow afterwards.
 func TestAServerThatIsSlowForSixSeconds(t *testing.T) {
 	g := gomega.NewWithT(t)
-	w := newWorld()
-	w.run(30 * time.Second)
-	w.relative["s0"] *= 5
-	w.run(4 * time.Second)
-	g.Expect(w.relativeOf("s0")).To(gomega.BeNumerically(">", 1.5))
-	w.run(2 * time.Second)
-	w.relative["s0"] /= 5
-	w.run(6 * time.Second)
-	g.Expect(w.relativeOf("s0")).To(gomega.BeNumerically("<", 1.1))
-	w.run(40 * time.Second)
-	g.Expect(w.relativeOf("s0")).To(gomega.BeNumerically("<", 0.75))
+	const seeds = 20
+	slowest, after, late := 0.0, 0.0, 0.0
+	for seed := range uint64(seeds) {
+		w := seededWorld(seed)
+		w.run(30 * time.Second)
+		w.relative["s0"] *= 5
+		w.run(5 * time.Second)
+		slowest += w.relativeOf("s0") / seeds
+		w.run(time.Second)
+		w.relative["s0"] /= 5
+		w.run(6 * time.Second)
+		after += w.relativeOf("s0") / seeds
+		w.run(30 * time.Second)
+		late += w.relativeOf("s0") / seeds
+	}
+	t.Logf("relative service time %.2f: %.2f after 5 s of 5 times that, %.2f and %.2f, 6 s and 36 s after the end", fast, slowest, after, late)
+	g.Expect(slowest).To(gomega.BeNumerically(">", 1.8))
+	g.Expect(after).To(gomega.BeNumerically("<", 0.9))
+	g.Expect(late).To(gomega.BeNumerically("<", 0.75))
 }
 
 // Guards against speeds by a few answers, of an earlier incarnation, or of long ago.
