--- a/gateway/duty/duty.go
+++ b/gateway/duty/duty.go
@@ -88,8 +88,8 @@
 	StartedAt time.Time
 	Reports   *follow.Reports
 	Logger    hclog.Logger
-	// LearnSpeeds is when the speeds of servers are learned and used.
-	LearnSpeeds config.SpeedLearning
+	// LearnSpeeds returns when the speeds of servers are learned and used; nil: while the site is mixed.
+	LearnSpeeds func() config.SpeedLearning
 	// IsPartitioned reports whether this node can connect to no server of a service; nil: never.
 	IsPartitioned func(site.ServiceName) bool
 
--- a/gateway/duty/speeds.go
+++ b/gateway/duty/speeds.go
@@ -45,7 +45,10 @@
 
 // learnsSpeeds reports whether speeds are learned and used.
 func (d *Duty) learnsSpeeds(isMixed bool) bool {
-	switch d.LearnSpeeds {
+	if d.LearnSpeeds == nil {
+		return isMixed
+	}
+	switch d.LearnSpeeds() {
 	case config.LearnSpeedsOn:
 		return true
 	case config.LearnSpeedsOff:
--- a/gateway/duty/speeds_test.go
+++ b/gateway/duty/speeds_test.go
@@ -22,7 +22,7 @@
 // newLearningDuty returns the duty of a lessor of four servers.
 func newLearningDuty(learns config.SpeedLearning) *Duty {
 	d := New()
-	d.LearnSpeeds = learns
+	d.LearnSpeeds = func() config.SpeedLearning { return learns }
 	d.Logger = hclog.NewNullLogger()
 	d.State = view.NewState()
 	servers := map[site.ServerID]site.Server{}
--- a/modules/gateway/site.go
+++ b/modules/gateway/site.go
@@ -86,6 +86,7 @@
 	s.prober = prober.New(s.client, s.state, ctx.Logger)
 	s.reports = follow.NewReports()
 	s.build(settings, platform, ctx.Logger)
+	s.duty.LearnSpeeds = func() config.SpeedLearning { return live.Settings().Placement.LearnSpeeds }
 	live.Watch(func(updated *config.Settings) { s.follower.SetSeeds(updated.Seeds) })
 	if err := kernel.Provide(ctx, s.state); err != nil {
 		return err
@@ -125,7 +126,6 @@
 	s.duty.PreviousLessor = s.follower
 	s.duty.StartedAt = clock.Now()
 	s.duty.Reports = s.reports
-	s.duty.LearnSpeeds = settings.Placement.LearnSpeeds
 	s.duty.IsPartitioned = s.prober.IsPartitioned
 	s.reader.CanGrantNothing = s.duty.CanGrantNothing
 	s.feed.NeedsLessor = s.duty.NeedsLessor
