Log the learned speeds that a move rests on

Cause: the log line of a move named utilizations only, so that a wrong estimate could not be told from a busy server. Change: event 2110 has the relative service times, their deviations and the ages of the latest reports, where speeds are learned. Measured: tests of duty, speed, guidance and docs pass with -race, and the placement tests of ranges.

--- a/gateway/duty/duty.go
+++ b/gateway/duty/duty.go
@@ -285,7 +285,7 @@
 		d.speeds.Forget(r.From)
 	}
 	for _, move := range d.allocator.Moves() {
-		eventMove.Log(d.Logger, "service", move.Service, "server", move.From, "to", move.To, "from", int(move.Span.From), "keys", move.Span.Keys(), "rate", move.Rate, "used", move.Used, "usedTo", move.UsedTo)
+		d.logMove(move)
 		if move.UsedTo > 1 {
 			d.nextShares = now // before the keys are granted to a server that cannot run all their requests
 		}
--- a/gateway/duty/speeds.go
+++ b/gateway/duty/speeds.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/burdockspindle/burdockspindle/gateway/config"
+	"github.com/burdockspindle/burdockspindle/gateway/ranges"
 	"github.com/burdockspindle/burdockspindle/gateway/site"
 	"github.com/burdockspindle/burdockspindle/gateway/speed"
 	"github.com/burdockspindle/burdockspindle/gateway/view"
@@ -134,6 +135,15 @@
 	return speed.Estimates{Services: services, Work: estimates.Work}
 }
 
+// logMove logs a move, with the learned speeds that it rests on.
+func (d *Duty) logMove(move ranges.Move) {
+	fields := []any{"service", move.Service, "server", move.From, "to", move.To, "from", int(move.Span.From), "keys", move.Span.Keys(), "rate", move.Rate, "used", move.Used, "usedTo", move.UsedTo}
+	if from, to := move.FromSpeed, move.ToSpeed; from != nil && to != nil {
+		fields = append(fields, "relative", from.Relative, "deviation", from.Deviation, "age", from.Age, "relativeTo", to.Relative, "deviationTo", to.Deviation, "ageTo", to.Age)
+	}
+	eventMove.Log(d.Logger, fields...)
+}
+
 // logSpeeds logs what placement uses, with its basis.
 func (d *Duty) logSpeeds(estimates *speed.Estimates, now time.Time) {
 	if now.Before(d.nextSpeedsLog) {
--- a/gateway/ranges/balance.go
+++ b/gateway/ranges/balance.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/burdockspindle/burdockspindle/gateway/site"
+	"github.com/burdockspindle/burdockspindle/gateway/speed"
 )
 
 // Balancing handles busy keys that are adjacent and change within seconds. Moving a few
@@ -72,6 +73,8 @@
 	Rate     float64 // requests a second
 	Used     float64 // utilization of the source before the move
 	UsedTo   float64 // utilization of the target after the move
+	// FromSpeed and ToSpeed are the learned speeds of the source and the target; nil: they are not learned.
+	FromSpeed, ToSpeed *speed.Estimate
 }
 
 // round is one round of balancing.
@@ -126,7 +129,7 @@
 	to.ranges++
 	r.moves++
 	r.loads.learned.noteMove(from, to, r.now)
-	r.allocator.moves = append(r.allocator.moves, Move{Service: r.service, From: from.server.ID, To: to.server.ID, Span: span, Rate: rate, Used: utilization, UsedTo: to.utilization})
+	r.allocator.moves = append(r.allocator.moves, Move{Service: r.service, From: from.server.ID, To: to.server.ID, Span: span, Rate: rate, Used: utilization, UsedTo: to.utilization, FromSpeed: from.estimate(), ToSpeed: to.estimate()})
 }
 
 // evenOut moves load from the busiest server that can release some to the least utilized
--- a/gateway/ranges/learned.go
+++ b/gateway/ranges/learned.go
@@ -58,8 +58,7 @@
 
 // learnedUsage is the part of a server's usage that follows from its learned speed.
 type learnedUsage struct {
-	relative       float64 // service time
-	speedDeviation float64 // relative standard deviation of the speed
+	speed          speed.Estimate
 	scale          float64 // of levels: square root of the relative capacity
 	level          float64
 	levelDeviation float64 // standard deviation of the level
@@ -72,13 +71,21 @@
 		estimate.Relative, estimate.Deviation = 1, unknownDeviation
 	}
 	cost := speeds.Work * estimate.Relative / float64(max(server.Slots, 1))
-	return &usage{server: server, cost: cost, learned: &learnedUsage{relative: estimate.Relative, speedDeviation: estimate.Deviation}}
+	return &usage{server: server, cost: cost, learned: &learnedUsage{speed: estimate}}
+}
+
+// estimate returns the learned speed of the server, nil if it is not learned.
+func (u *usage) estimate() *speed.Estimate {
+	if u.learned == nil {
+		return nil
+	}
+	return &u.learned.speed
 }
 
 // addSpeedDeviation adds the uncertainty of the speed to that of the load.
 func (u *usage) addSpeedDeviation() {
 	if u.learned != nil {
-		u.deviation = math.Hypot(u.deviation, u.utilization*u.learned.speedDeviation)
+		u.deviation = math.Hypot(u.deviation, u.utilization*u.learned.speed.Deviation)
 	}
 }
 
@@ -86,9 +93,9 @@
 // relative^-exponent, which gives the part of its deviation that follows from the speed.
 func (u *usage) setLevel(exponent, loadDeviation float64) {
 	l := u.learned
-	l.scale = math.Pow(l.relative, -exponent)
+	l.scale = math.Pow(l.speed.Relative, -exponent)
 	l.level = 1 - (1-u.utilization)*l.scale
-	bySpeed := (u.utilization + exponent*max(1-u.utilization, 0)) * l.scale * l.speedDeviation
+	bySpeed := (u.utilization + exponent*max(1-u.utilization, 0)) * l.scale * l.speed.Deviation
 	l.levelDeviation = math.Hypot(loadDeviation*l.scale, bySpeed)
 }
 
--- a/gateway/ranges/speeds_test.go
+++ b/gateway/ranges/speeds_test.go
@@ -48,6 +48,7 @@
 // speedReplay plays requests against servers with queues; a real lessor places the keys.
 type speedReplay struct {
 	*keyReplay
+	service   site.ServiceName
 	random    *rand.Rand
 	start     time.Time
 	elapsed   time.Duration
@@ -55,7 +56,6 @@
 	byID      map[site.ServerID]*queueServer
 	weights   []float64 // cumulative, by key
 	estimator *speed.Estimator
-	static    func(float64) float64
 	learns    bool
 	nodes     [speedNodes]nodeReport
 	sent      []sentReport
@@ -82,7 +82,7 @@
 }
 
 func newSpeedReplay(seed uint64, speeds ...float64) *speedReplay {
-	r := &speedReplay{keyReplay: newKeyReplay(), random: rand.New(rand.NewPCG(seed, 7)), byID: map[site.ServerID]*queueServer{}, estimator: speed.New(), learns: true, both: map[site.ServerID]int{}}
+	r := &speedReplay{keyReplay: newKeyReplay(), service: worldService, random: rand.New(rand.NewPCG(seed, 7)), byID: map[site.ServerID]*queueServer{}, estimator: speed.New(), learns: true, both: map[site.ServerID]int{}}
 	r.start = r.now
 	for i := range speedServers {
 		id := site.ServerID(fmt.Sprintf("s%03d", i))
@@ -175,7 +175,7 @@
 
 // dispatch sends a request to the owner of its key, or holds it while the key moves.
 func (r *speedReplay) dispatch(j job) {
-	l := r.allocator.leaseOf(worldService, j.key)
+	l := r.allocator.leaseOf(r.service, j.key)
 	if l == nil || l.phase != granting || l.Server == "" {
 		r.held = append(r.held, j)
 		return
@@ -311,8 +311,8 @@
 		deviation float64
 		moves     bool
 	}{{0.5, false}, {0.02, true}} {
-		from := &usage{cost: 0.1, utilization: 0.9, ranges: 1, learned: &learnedUsage{relative: 1.6, speedDeviation: row.deviation}}
-		to := &usage{cost: 0.1, utilization: 0.4, ranges: 1, learned: &learnedUsage{relative: 0.8, speedDeviation: row.deviation}}
+		from := &usage{cost: 0.1, utilization: 0.9, ranges: 1, learned: &learnedUsage{speed: speed.Estimate{Relative: 1.6, Deviation: row.deviation}}}
+		to := &usage{cost: 0.1, utilization: 0.4, ranges: 1, learned: &learnedUsage{speed: speed.Estimate{Relative: 0.8, Deviation: row.deviation}}}
 		r := &round{loads: NewLoads()}
 		for _, u := range []*usage{from, to} {
 			u.setLevel(leastTime, 0.01)
