Test that keys do not move back by chance

Cause: no test failed without the stricter rule for moves against a recent one. Change: a table of uncertain speeds and recent moves. Measured: TestUncertainSpeedsMoveNothing passes.

--- a/gateway/ranges/speeds_test.go
+++ b/gateway/ranges/speeds_test.go
@@ -304,19 +304,24 @@
 	g.Expect(byTime.inTime).To(gomega.BeNumerically(">", byUtilization.inTime))
 }
 
-// Guards against moves because of speeds that are uncertain: a difference that chance explains moves nothing.
+// Guards against moves because of speeds that are uncertain, and against keys that move back by chance: a difference that
+// chance explains moves nothing.
 func TestUncertainSpeedsMoveNothing(t *testing.T) {
 	g := gomega.NewWithT(t)
 	for _, row := range []struct {
 		deviation float64
+		sinceMove time.Duration // of keys from the target to another server
 		moves     bool
-	}{{0.5, false}, {0.02, true}} {
-		from := &usage{cost: 0.1, utilization: 0.9, ranges: 1, learned: &learnedUsage{speed: speed.Estimate{Relative: 1.6, Deviation: row.deviation}}}
-		to := &usage{cost: 0.1, utilization: 0.4, ranges: 1, learned: &learnedUsage{speed: speed.Estimate{Relative: 0.8, Deviation: row.deviation}}}
-		r := &round{loads: NewLoads()}
-		for _, u := range []*usage{from, to} {
+	}{{0.5, time.Hour, false}, {0.15, time.Hour, true}, {0.15, time.Second, false}, {0.05, time.Second, true}} {
+		r := &round{loads: NewLoads(), now: time.Now()}
+		usageOf := func(id site.ServerID, relative, utilization float64) *usage {
+			u := &usage{server: site.Server{ID: id}, cost: 0.1, utilization: utilization, ranges: 1}
+			u.learned = &learnedUsage{speed: speed.Estimate{Relative: relative, Deviation: row.deviation}}
 			u.setLevel(leastTime, 0.01)
+			return u
 		}
-		g.Expect(r.isEven(from, to)).To(gomega.Equal(!row.moves), "deviation %v", row.deviation)
+		from, to := usageOf("a", 1.6, 0.9), usageOf("b", 0.8, 0.4)
+		r.loads.learned.noteMove(to, usageOf("c", 1, 0.5), r.now.Add(-row.sinceMove))
+		g.Expect(r.isEven(from, to)).To(gomega.Equal(!row.moves), "%+v", row)
 	}
 }
