--- a/gateway/replay/replay.go
+++ b/gateway/replay/replay.go
@@ -92,15 +92,14 @@
 	r.schedule(time.Duration(gap*float64(time.Second)), r.addCaller)
 	r.result.Asked++
 	c := caller{arrived: r.now, retriesLeft: r.Callers.Retries}
-	if len(r.Routes) > 0 {
+	switch {
+	case len(r.Routes) > 0:
 		c.route = r.pickRoute()
 		c.priority = c.route.Priority
-		if c.priority == 0 {
-			r.result.Urgent++
-		}
-	} else if r.LowPriorityShare > 0 && r.arrivals.Float64() < r.LowPriorityShare {
+	case r.LowPriorityShare > 0 && r.arrivals.Float64() < r.LowPriorityShare:
 		c.priority = 1
-	} else {
+	}
+	if c.priority == 0 {
 		r.result.Urgent++
 	}
 	if r.Callers.ImmediateShare > 0 && r.arrivals.Float64() < r.Callers.ImmediateShare {
