Order returning callers on mixed sites, and tell refused ones to return when there is room

Cause: Retry-After did not regard what other callers were told, so that callers returned together and were refused again, and callers that return at once took the places of those that wait as told. Change: package returns (schedule of promises, order of callers); the pool tells refused callers of a mixed site when to return, and sends those that waited as told before first attempts and those that returned at once after them, in the queue and by the credit of shares. Scenarios returning-81 and returning-owners-81 of the replay, policy no-return-order.

--- a/gateway/pool/evict.go
+++ b/gateway/pool/evict.go
@@ -48,7 +48,7 @@
 			ahead[w.OnlyServer]++
 			continue
 		}
-		evictions = append(evictions, Eviction{Waiter: w, Refusal: Refusal{Reason: WaitTooLong, RetryAfter: p.retryAfter(wait)}})
+		evictions = append(evictions, Eviction{Waiter: w, Refusal: *p.refuseForCapacity(w, WaitTooLong, wait, now)})
 	}
 	p.removeAll(evictions)
 	return evictions
--- a/gateway/pool/pool.go
+++ b/gateway/pool/pool.go
@@ -30,6 +30,7 @@
 
 	"github.com/burdockspindle/burdockspindle/gateway/quota"
 	"github.com/burdockspindle/burdockspindle/gateway/ratelimit"
+	"github.com/burdockspindle/burdockspindle/gateway/returns"
 	"github.com/burdockspindle/burdockspindle/gateway/site"
 )
 
@@ -142,6 +143,7 @@
 	random      *rand.Rand
 	rateLimits  RateLimits
 	guided      guided
+	schedules   map[int]*returns.Schedule // of callers that are told to return, by priority
 	// hasNamedLimits reports whether a server names a limit.
 	hasNamedLimits bool
 	loadChecks     loadChecks
--- a/gateway/pool/queue.go
+++ b/gateway/pool/queue.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/burdockspindle/burdockspindle/gateway/returns"
 	"github.com/burdockspindle/burdockspindle/gateway/site"
 )
 
@@ -40,6 +41,9 @@
 	Checked []site.ServerID
 	// MayRunIn reports whether servers of a zone may get the request; nil: of any zone.
 	MayRunIn func(zone string) bool
+	// Waited is the time since the caller's first attempt; 0: this is the first, or it is not known.
+	Waited time.Duration
+	order  returns.Order // among the requests of the priority, since Submit
 }
 
 // accepts reports whether an incarnation of a server may get the request. A new incarnation
@@ -81,6 +85,8 @@
 	IsUnreachable bool
 	// CountedServer is, for Limited, a server whose requests another node counts.
 	CountedServer site.ServerID
+	// Promise is why the caller should return after RetryAfter; nil: not by the schedule of returns.
+	Promise *returns.Promise
 }
 
 // Reason is the cause of a refusal.
@@ -98,6 +104,7 @@
 
 // Submit assigns a request a slot at once, queues it, or refuses it.
 func (p *Pool) Submit(w *Waiter, now time.Time) (admission *Admission, refusal *Refusal) {
+	p.setOrder(w, now)
 	p.noteForwarded(w, now)
 	p.noteLeft(w, now)
 	if !p.hasServer(w, now) {
@@ -119,10 +126,10 @@
 	}
 	wait := p.expectedWait(w, p.countAhead(w, now), now)
 	if now.Add(wait).After(w.Deadline) {
-		return nil, &Refusal{Reason: WaitTooLong, RetryAfter: p.retryAfter(wait)}
+		return nil, p.refuseForCapacity(w, WaitTooLong, wait, now)
 	}
 	if len(p.queue) >= maxWaiting {
-		return nil, &Refusal{Reason: QueueFull, RetryAfter: p.retryAfter(wait)}
+		return nil, p.refuseForCapacity(w, QueueFull, wait, now)
 	}
 	p.queue = append(p.queue, w)
 	return nil, nil
@@ -157,6 +164,7 @@
 	}
 	m.recordSend(now)
 	p.spendRate(m, w, now)
+	p.countAdmitted(w, now)
 	return &Admission{Waiter: w, Server: m.Server}
 }
 
@@ -232,7 +240,7 @@
 }
 
 // Admit returns the waiters that can be sent now, ordered by priority, then by whether they
-// can still be answered by their target, then by arrival time.
+// can still be answered by their target, then by the order of returning callers, then by arrival time.
 func (p *Pool) Admit(now time.Time) []Admission {
 	var admissions []Admission
 	for {
@@ -264,7 +272,7 @@
 }
 
 // compareWaiters orders two waiters by priority, then by whether they can still be answered
-// by their target, then by arrival time.
+// by their target, then by the order of returning callers, then by arrival time.
 func compareWaiters(a, b *Waiter, aInTime, bInTime bool) int {
 	switch {
 	case a.Priority != b.Priority:
@@ -273,6 +281,8 @@
 		return -1
 	case aInTime != bInTime:
 		return 1
+	case a.order != b.order:
+		return int(a.order - b.order)
 	}
 	return a.ArrivedAt.Compare(b.ArrivedAt)
 }
--- a/gateway/pool/share.go
+++ b/gateway/pool/share.go
@@ -23,6 +23,7 @@
 	share, isShared := p.shares[m.ID]
 	if isShared && m.shareExpiry.IsZero() {
 		m.credit = p.random.Float64() // so that nodes do not all start with the same request
+		m.credit += p.initialReserve()
 	}
 	m.share, m.shareExpiry = share, time.Time{}
 	if isShared {
@@ -40,8 +41,10 @@
 	if m == nil || w.ChargedToShare || !m.hasShare(now) {
 		return nil
 	}
-	if !m.spendCredit(p.inTime(w, now)) {
-		return &Refusal{Reason: OverShare, RetryAfter: p.shareRetryAfter(m, now), Share: m.share}
+	if !m.spendCredit(p.neededCredit(w.order, p.inTime(w, now), now), p.creditBound(now)) {
+		refusal := p.refuseForCapacity(w, OverShare, p.shareInterval(m, now), now)
+		refusal.Share = m.share
+		return refusal
 	}
 	w.ChargedToShare = true
 	return nil
@@ -49,24 +52,25 @@
 
 // spendCredit charges a request to the share of its server and reports whether it may be
 // sent. Requests that can still be answered in time take precedence: late ones are sent only
-// when the credit has reached its bound.
-func (m *member) spendCredit(inTime bool) bool {
-	m.credit = math.Min(m.credit+m.share, maxCredit)
-	if m.credit < 1 || !inTime && m.credit < maxCredit {
+// when the credit has reached maxCredit.
+func (m *member) spendCredit(needed, bound float64) bool {
+	m.credit = math.Min(m.credit+m.share, bound)
+	if m.credit < needed {
 		return false
 	}
 	m.credit--
 	return true
 }
 
-// maxCredit bounds the unused part of a share that a node keeps while demand is low.
+// maxCredit bounds the unused part of a share that a node keeps while demand is low. On a mixed site the bound is higher by
+// the reserves for returning callers.
 const maxCredit = 2.0
 
-// shareRetryAfter returns the retry delay of a request beyond the share: the interval at
+// shareInterval returns the wait of a request beyond the share: the interval at
 // which the server could take this node's requests if there were no others.
-func (p *Pool) shareRetryAfter(m *member, now time.Time) time.Duration {
+func (p *Pool) shareInterval(m *member, now time.Time) time.Duration {
 	interval := p.serviceTime(m, now) / float64(max(m.Slots, 1)) / max(m.share, minShare)
-	return p.retryAfter(time.Duration(interval * float64(time.Second)))
+	return time.Duration(interval * float64(time.Second))
 }
 
 // minShare is the lower bound of the share in the estimate of the retry delay.
--- a/gateway/replay/caller.go
+++ b/gateway/replay/caller.go
@@ -12,6 +12,8 @@
 	priority      int
 	retriesLeft   int
 	retriesAtOnce bool
+	refusals      int // by nodes
+	owner         int // server of its key
 }
 
 const (
--- a/gateway/replay/load.go
+++ b/gateway/replay/load.go
@@ -32,11 +32,13 @@
 	NoShares Policy = "no-shares"
 	// NoBudget resends refused requests to other servers without a budget.
 	NoBudget Policy = "no-budget"
+	// NoReturnOrder leaves out the schedule and the order of returning callers on a mixed site.
+	NoReturnOrder Policy = "no-return-order"
 )
 
 // Policies returns every policy.
 func Policies() []Policy {
-	return []Policy{Pooled, RandomServer, FirstCome, NoRefusal, NoEviction, AtLeastOne, NoShares, NoBudget}
+	return []Policy{Pooled, RandomServer, FirstCome, NoRefusal, NoEviction, AtLeastOne, NoShares, NoBudget, NoReturnOrder}
 }
 
 // Load is a traffic pattern: several nodes, each with a pool of the same servers, and
@@ -49,8 +51,10 @@
 	Target        time.Duration // answers after this time are late
 	CallerTimeout time.Duration // callers leave after this time; later answers are in vain
 	OnlyFirst     bool          // every request is for the first server
-	// AssumedCapacity is the capacity that the lessor assumes for the first server, relative to
-	// its real capacity. If it is 0, the lessor sends no shares.
+	Keyed         bool          // each request is for the owner of its key, one of the servers at random
+	Mixed         bool          // the lessor has told the nodes that the service is mixed
+	// AssumedCapacity is the capacity that the lessor assumes for the owners of keys, relative to
+	// their real capacity. If it is 0, the lessor sends no shares.
 	AssumedCapacity float64
 	// LowPriorityShare is the share of requests with a lower priority.
 	LowPriorityShare float64
@@ -111,6 +115,7 @@
 	Unserved time.Duration
 	// Urgent and UrgentInTime count the requests of the higher priority.
 	Urgent, UrgentInTime int
+	Returns              Returns
 }
 
 // String implements fmt.Stringer.
--- a/gateway/replay/replay.go
+++ b/gateway/replay/replay.go
@@ -65,12 +65,14 @@
 		r.budgets = append(r.budgets, r.newBudget())
 	}
 	r.updatePools()
+	r.setGuidance()
 	for i, s := range r.servers {
 		if s.CrashEvery > 0 {
 			r.schedule(s.CrashEvery, func() { r.crash(i) })
 		}
 	}
 	r.schedule(0, r.addCaller)
+	r.lessor.observed = make([]observed, len(l.Servers))
 	if r.AssumedCapacity > 0 && r.Policy != NoShares {
 		r.lessor.quota = quota.New()
 		r.schedule(shareInterval, r.updateShares)
@@ -98,12 +100,16 @@
 		c.retriesAtOnce = true
 		c.retriesLeft *= immediateRetryFactor
 	}
+	if r.Keyed {
+		c.owner = r.arrivals.IntN(len(r.servers))
+	}
+	r.countCaller(c)
 	r.sendRequest(c)
 }
 
 // sendRequest sends the request of a caller to a random node.
 func (r *replay) sendRequest(c caller) {
-	r.lessor.asked++
+	r.lessor.observed[c.owner].asked++
 	req := &request{caller: c, waiter: r.newWaiter(c), node: r.random.IntN(r.Nodes)}
 	if r.Resends != nil {
 		r.budgets[req.node].Request(r.Nodes, r.now)
@@ -113,9 +119,9 @@
 
 // newWaiter returns the request as the pool sees it.
 func (r *replay) newWaiter(c caller) *pool.Waiter {
-	w := &pool.Waiter{Priority: c.priority, ArrivedAt: r.now, Target: c.arrived.Add(r.Target), Deadline: c.arrived.Add(r.CallerTimeout)}
-	if r.OnlyFirst {
-		w.OnlyServer = serverID(0)
+	w := &pool.Waiter{Priority: c.priority, ArrivedAt: r.now, Target: c.arrived.Add(r.Target), Deadline: c.arrived.Add(r.CallerTimeout), Waited: r.waited(c)}
+	if r.OnlyFirst || r.Keyed {
+		w.OnlyServer = serverID(c.owner)
 	}
 	switch r.Policy {
 	case FirstCome:
@@ -138,7 +144,7 @@
 	admission, refusal := r.pools[req.node].Submit(req.waiter, r.now)
 	switch {
 	case refusal != nil:
-		r.result.Refused++
+		r.countRefusal(&req.caller)
 		r.retryLater(req.caller, refusal.RetryAfter)
 	case admission != nil:
 		r.send(req, admission.Server)
@@ -195,7 +201,7 @@
 	for _, e := range r.pools[node].Evict(r.now) {
 		evicted := r.waiting[e.Waiter]
 		delete(r.waiting, e.Waiter)
-		r.result.Refused++
+		r.countRefusal(&evicted.caller)
 		r.result.Unserved += r.now.Sub(e.Waiter.ArrivedAt)
 		r.retryLater(evicted.caller, e.Refusal.RetryAfter)
 	}
--- a/gateway/replay/scenarios.go
+++ b/gateway/replay/scenarios.go
@@ -44,6 +44,8 @@
 		busyOwner("overused-owner-64", 64, 1.5),
 		busyOwner("overused-owner-295", 295, 1.5),
 		outage(),
+		returningBurst("returning-81", "one and a half times the capacity for 4 s at 81 nodes of a mixed site; three in ten callers retry immediately and often", false),
+		returningBurst("returning-owners-81", "the same for servers that own keys, with shares", true),
 	}
 }
 
--- a/gateway/replay/server.go
+++ b/gateway/replay/server.go
@@ -145,8 +145,8 @@
 func (r *replay) finishWork(ended *request, s *server) {
 	s.inFlight = slices.DeleteFunc(s.inFlight, func(other *request) bool { return other == ended })
 	loadNow := site.Load{Running: s.running, Waiting: s.waiting, Slots: s.Slots}
-	r.lessor.present += loadNow.Total()
-	r.lessor.answers++
+	r.lessor.observed[ended.server].present += loadNow.Total()
+	r.lessor.observed[ended.server].answers++
 	s.running--
 	if len(s.backlog) > 0 {
 		next := s.backlog[0]
@@ -164,6 +164,7 @@
 	switch {
 	case took <= r.Target:
 		r.result.InTime++
+		r.countInTime(ended.caller)
 		if ended.priority == 0 {
 			r.result.UrgentInTime++
 		}
--- a/gateway/replay/shares.go
+++ b/gateway/replay/shares.go
@@ -14,9 +14,14 @@
 	shareDelay = 800 * time.Millisecond
 )
 
-// lessor receives reports of all requests for the first server's keys and sends shares.
+// lessor receives reports of all requests for the servers' keys and sends shares.
 type lessor struct {
-	quota   *quota.Quota
+	quota    *quota.Quota
+	observed []observed // by server
+}
+
+// observed is what nodes have reported of a server since the latest update.
+type observed struct {
 	asked   int
 	present int
 	answers int
@@ -27,19 +32,13 @@
 	if r.now.Sub(r.start) > r.Length {
 		return
 	}
-	s := r.servers[0]
-	observed := quota.Server{
-		ID:       r.currentID(0),
-		Slots:    s.Slots,
-		Demand:   float64(r.lessor.asked) / shareInterval.Seconds(),
-		Capacity: r.AssumedCapacity * float64(s.Slots) / s.Work.Seconds(),
-		Answers:  r.lessor.answers,
-	}
-	if observed.Answers > 0 {
-		observed.MeanLoad = float64(r.lessor.present) / float64(observed.Answers)
+	var reported []quota.Server
+	for i := range r.servers {
+		if i == 0 || r.Keyed {
+			reported = append(reported, r.report(i))
+		}
 	}
-	r.lessor.asked, r.lessor.present, r.lessor.answers = 0, 0, 0
-	if shares, changed := r.lessor.quota.Update([]quota.Server{observed}, r.Nodes); changed {
+	if shares, changed := r.lessor.quota.Update(reported, r.Nodes); changed {
 		r.schedule(shareDelay, func() {
 			for _, p := range r.pools {
 				p.SetShares(shares, r.now.Add(r.Length))
@@ -48,3 +47,20 @@
 	}
 	r.schedule(shareInterval, r.updateShares)
 }
+
+// report returns what the lessor knows of a server, and begins to observe it anew.
+func (r *replay) report(i int) quota.Server {
+	s, seen := r.servers[i], r.lessor.observed[i]
+	r.lessor.observed[i] = observed{}
+	report := quota.Server{
+		ID:       r.currentID(i),
+		Slots:    s.Slots,
+		Demand:   float64(seen.asked) / shareInterval.Seconds(),
+		Capacity: r.AssumedCapacity * float64(s.Slots) / s.Work.Seconds(),
+		Answers:  seen.answers,
+	}
+	if report.Answers > 0 {
+		report.MeanLoad = float64(seen.present) / float64(report.Answers)
+	}
+	return report
+}
--- a/gateway/router/caller_timeouts.go
+++ b/gateway/router/caller_timeouts.go
@@ -54,6 +54,25 @@
 	c.stated[rarest].count--
 }
 
+// minCommonDistance is how far below the usual timeout a timeout must be to be one of another kind of callers. Many callers
+// that retry at once state the same few milliseconds less than the usual one.
+const minCommonDistance = 100 * time.Millisecond
+
+// isCommon reports whether a timeout is not what remains after a refusal, but one that many callers state: remaining
+// times all differ.
+func (c *callerTimeouts) isCommon(timeout time.Duration) bool {
+	elapsed := c.elapsed(timeout)
+	if elapsed < minCommonDistance {
+		return elapsed == 0
+	}
+	for _, s := range c.stated {
+		if s.timeout == timeout {
+			return s.count >= minUsualCount
+		}
+	}
+	return false
+}
+
 // elapsed returns how long a caller that states a timeout has already waited, or 0 if that
 // is unknown.
 func (c *callerTimeouts) elapsed(timeout time.Duration) time.Duration {
--- a/gateway/router/metrics.go
+++ b/gateway/router/metrics.go
@@ -96,6 +96,7 @@
 }
 
 func countOutcome(x *exchange, outcome, reason string) {
+	x.countReturned(outcome)
 	service := "none"
 	if x.service != nil {
 		service = string(x.service.name)
--- /dev/null
+++ b/gateway/router/returns.go
@@ -0,0 +1,72 @@
+package router
+
+import (
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/burdockspindle/burdockspindle/gateway/pool"
+	"github.com/burdockspindle/burdockspindle/gateway/returns"
+	"github.com/burdockspindle/burdockspindle/metrics"
+)
+
+var (
+	returnsGroup = metrics.New("gateway_returns")
+	// promises counts refused callers on mixed sites that were told to return when room is expected, and promisesNotFit
+	// those that were given the longest delay instead.
+	promises       = returnsGroup.Counter("promises")
+	promisesNotFit = returnsGroup.Counter("promises_that_did_not_fit")
+	// returnedAdmitted and returnedRefused count the requests of callers that had been refused before, by what became of
+	// them.
+	returnedAdmitted = returnsGroup.Counter("returned_admitted")
+	returnedRefused  = returnsGroup.Counter("returned_refused_again")
+)
+
+// notePromise counts a promise and records it in the trace.
+func (x *exchange) notePromise(p *returns.Promise) {
+	if p == nil {
+		return
+	}
+	rates := fmt.Sprintf("%.2g of %.2g admitted/s beside %.2g first attempts/s", p.Room, p.Admitted, p.Firsts)
+	if !p.Fits {
+		promisesNotFit.Add(1)
+		x.trace.note("no room for a return in the caller's time: " + rates)
+		return
+	}
+	promises.Add(1)
+	x.trace.note("told to return after " + milliseconds(p.After) + ": room for " + rates)
+}
+
+// refusedByBudget returns the refusal of another send beyond the retry budget.
+func (x *exchange) refusedByBudget(retryAfter time.Duration) *refusal {
+	if promise := x.service.promiseReturn(x.waiter()); promise != nil {
+		x.notePromise(promise)
+		retryAfter = promise.After
+	}
+	return &refusal{status: http.StatusServiceUnavailable, reason: "retry budget spent", retryAfter: retryAfter}
+}
+
+// promiseReturn returns when a refused caller should return, or nil on a site that is not mixed.
+func (s *service) promiseReturn(w *pool.Waiter) *returns.Promise {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.pool.PromiseReturn(w, time.Now())
+}
+
+// noteReturned records that the caller has been refused before, on a mixed site.
+func (x *exchange) noteReturned() {
+	if x.returned > 0 {
+		x.trace.note("returned " + milliseconds(x.returned) + " after its first attempt")
+	}
+}
+
+// countReturned counts what became of the request of a caller that had been refused before.
+func (x *exchange) countReturned(outcome string) {
+	switch {
+	case x.returned == 0:
+	case outcome == "refused":
+		returnedRefused.Add(1)
+	case x.sends > 0:
+		returnedAdmitted.Add(1)
+	}
+}
--- a/gateway/router/router.go
+++ b/gateway/router/router.go
@@ -217,6 +217,14 @@
 	return timeouts.elapsed(timeout)
 }
 
+// isCommonTimeout reports whether a timeout that a caller of a route states is one that many of them state.
+func (r *Router) isCommonTimeout(route string, timeout time.Duration) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	timeouts := r.timeouts[route]
+	return timeouts != nil && timeouts.isCommon(timeout)
+}
+
 // waitResult is the result of a wait: a slot at a server, or a refusal.
 type waitResult struct {
 	server  site.Server
--- a/gateway/router/run.go
+++ b/gateway/router/run.go
@@ -324,6 +324,7 @@
 		told := time.Since(x.router.state.Now().Shares.ReceivedAt)
 		x.trace.note(string(w.OnlyServer) + " gets " + strconv.FormatFloat(r.Share, 'g', 2, 64) + " of the requests for its keys, told " + milliseconds(told) + " ago")
 	}
+	x.notePromise(r.Promise)
 	return &refusal{
 		status:        http.StatusServiceUnavailable,
 		reason:        string(r.Reason),
@@ -353,7 +354,7 @@
 		return nil
 	}
 	if !x.service.spendRetry() {
-		return &refusal{status: http.StatusServiceUnavailable, reason: "retry budget spent", retryAfter: 2 * retryAfter}
+		return x.refusedByBudget(2 * retryAfter)
 	}
 	x.retryTakenAt = time.Now()
 	return nil
@@ -369,7 +370,7 @@
 }
 
 func (x *exchange) waiter() *pool.Waiter {
-	w := &pool.Waiter{Priority: x.route.Priority, ArrivedAt: x.arrived, Target: x.target, Deadline: x.deadline, Tried: x.tried, AtMostOnce: x.route.Kind == site.AtMostOnce, ChargedToShare: x.attempts > 0}
+	w := &pool.Waiter{Priority: x.route.Priority, ArrivedAt: x.arrived, Target: x.target, Deadline: x.deadline, Tried: x.tried, AtMostOnce: x.route.Kind == site.AtMostOnce, ChargedToShare: x.attempts > 0, Waited: x.returned}
 	w.MayRunIn = x.mayRunIn()
 	if x.forwarded != nil {
 		w.CountedServer = x.forwarded.Counted
--- a/gateway/router/serve.go
+++ b/gateway/router/serve.go
@@ -50,7 +50,9 @@
 	deadline time.Time // from the timeouts of the caller and the route
 	target   time.Time // latency objective
 	// waited is how long the caller has waited since its first attempt; 0: this is the first, or it is not known.
-	waited   time.Duration
+	waited time.Duration
+	// returned is the same on a mixed site, and 0 for a caller whose timeout is one that many callers state.
+	returned time.Duration
 	attempts int // all, including those that reached no server
 	sends    int // attempts that may have reached a server
 	// retryTakenAt is when the next send was taken from the retry budget; zero: it was not.
@@ -207,6 +209,10 @@
 	}
 	x.waited = x.router.elapsedWait(x.route.Name, stated)
 	x.target = x.arrived.Add(x.route.Target - x.waited)
+	if x.waited > 0 && x.view.Guidance.IsMixed() && !x.router.isCommonTimeout(x.route.Name, stated) {
+		x.returned = x.waited
+		x.noteReturned()
+	}
 	x.router.reports.CountClass(x.service.name, x.route.Priority, x.waited > 0)
 }
 
