--- a/gateway/pool/returns.go
+++ b/gateway/pool/returns.go
@@ -122,3 +122,12 @@
 	}
 	return 0
 }
+
+// Returns returns the schedules of returning callers by priority.
+func (p *Pool) Returns(now time.Time) map[int]returns.State {
+	states := map[int]returns.State{}
+	for priority, s := range p.schedules {
+		states[priority] = s.State(now)
+	}
+	return states
+}
--- a/gateway/router/returns.go
+++ b/gateway/router/returns.go
@@ -7,6 +7,7 @@
 
 	"github.com/burdockspindle/burdockspindle/gateway/pool"
 	"github.com/burdockspindle/burdockspindle/gateway/returns"
+	"github.com/burdockspindle/burdockspindle/gateway/site"
 	"github.com/burdockspindle/burdockspindle/metrics"
 )
 
@@ -70,3 +71,18 @@
 		returnedAdmitted.Add(1)
 	}
 }
+
+// Returns returns the schedules of returning callers by service and priority, for the state dump.
+func (r *Router) Returns() map[site.ServiceName]map[int]returns.State {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	all := map[site.ServiceName]map[int]returns.State{}
+	for name, s := range r.services {
+		s.mu.Lock()
+		if states := s.pool.Returns(time.Now()); len(states) > 0 {
+			all[name] = states
+		}
+		s.mu.Unlock()
+	}
+	return all
+}
--- a/modules/gateway/front.go
+++ b/modules/gateway/front.go
@@ -19,6 +19,7 @@
 	"github.com/burdockspindle/burdockspindle/gateway/follow"
 	"github.com/burdockspindle/burdockspindle/gateway/forward"
 	"github.com/burdockspindle/burdockspindle/gateway/prober"
+	"github.com/burdockspindle/burdockspindle/gateway/returns"
 	"github.com/burdockspindle/burdockspindle/gateway/router"
 	"github.com/burdockspindle/burdockspindle/gateway/site"
 	"github.com/burdockspindle/burdockspindle/gateway/upstream"
@@ -149,7 +150,9 @@
 	return struct {
 		// RestingServers are those that have asked this node for a rest, and how much longer it lasts.
 		RestingServers map[site.ServerID]string `json:"restingServers"`
-	}{rests}
+		// Returns are the schedules of returning callers, by service and priority. Only mixed sites have them.
+		Returns map[site.ServiceName]map[int]returns.State `json:"returns,omitempty"`
+	}{rests, f.router.Returns()}
 }
 
 // routerOptions returns the options of the router of a process with the router's part of
