--- a/gateway/pool/pool.go
+++ b/gateway/pool/pool.go
@@ -30,6 +30,7 @@
 
 	"github.com/burdockspindle/burdockspindle/gateway/quota"
 	"github.com/burdockspindle/burdockspindle/gateway/ratelimit"
+	"github.com/burdockspindle/burdockspindle/gateway/returns"
 	"github.com/burdockspindle/burdockspindle/gateway/site"
 )
 
@@ -146,6 +147,7 @@
 	guided      guided
 	usage       usage
 	spread      spread
+	schedules   map[int]*returns.Schedule // of callers that are told to return, by priority
 	// hasNamedLimits reports whether a server names a limit.
 	hasNamedLimits bool
 	loadChecks     loadChecks
--- a/gateway/replay/caller.go
+++ b/gateway/replay/caller.go
@@ -13,6 +13,8 @@
 	route         *Route // nil: the load has no routes
 	retriesLeft   int
 	retriesAtOnce bool
+	refusals      int // by nodes
+	owner         int // server of its key
 }
 
 const (
--- a/gateway/replay/replay.go
+++ b/gateway/replay/replay.go
@@ -65,6 +65,7 @@
 		r.budgets = append(r.budgets, r.newBudget())
 	}
 	r.updatePools()
+	r.setGuidance()
 	for i, s := range r.servers {
 		if s.CrashEvery > 0 {
 			r.schedule(s.CrashEvery, func() { r.crash(i) })
@@ -74,6 +75,7 @@
 	if len(r.Routes) > 0 && r.Policy != NoGuidance {
 		r.schedule(guidanceDelay, r.sendGuidance)
 	}
+	r.lessor.observed = make([]observed, len(l.Servers))
 	if r.AssumedCapacity > 0 && r.Policy != NoShares {
 		r.lessor.quota = quota.New()
 		r.schedule(shareInterval, r.updateShares)
@@ -106,12 +108,16 @@
 		c.retriesAtOnce = true
 		c.retriesLeft *= immediateRetryFactor
 	}
+	if r.Keyed {
+		c.owner = r.arrivals.IntN(len(r.servers))
+	}
+	r.countCaller(c)
 	r.sendRequest(c)
 }
 
 // sendRequest sends the request of a caller to a random node.
 func (r *replay) sendRequest(c caller) {
-	r.lessor.asked++
+	r.lessor.observed[c.owner].asked++
 	req := &request{caller: c, waiter: r.newWaiter(c), node: r.random.IntN(r.Nodes)}
 	if r.Resends != nil {
 		r.budgets[req.node].Request(r.Nodes, r.now)
@@ -121,12 +127,12 @@
 
 // newWaiter returns the request as the pool sees it.
 func (r *replay) newWaiter(c caller) *pool.Waiter {
-	w := &pool.Waiter{Priority: c.priority, ArrivedAt: r.now, Target: c.arrived.Add(r.targetOf(c)), Deadline: c.arrived.Add(r.CallerTimeout)}
+	w := &pool.Waiter{Priority: c.priority, ArrivedAt: r.now, Target: c.arrived.Add(r.targetOf(c)), Deadline: c.arrived.Add(r.CallerTimeout), Waited: r.waited(c)}
 	if c.route != nil {
 		w.Route = c.route.Name
 	}
-	if r.OnlyFirst {
-		w.OnlyServer = serverID(0)
+	if r.OnlyFirst || r.Keyed {
+		w.OnlyServer = serverID(c.owner)
 	}
 	switch r.Policy {
 	case FirstCome:
@@ -149,7 +155,7 @@
 	admission, refusal := r.pools[req.node].Submit(req.waiter, r.now)
 	switch {
 	case refusal != nil:
-		r.result.Refused++
+		r.countRefusal(&req.caller)
 		r.retryLater(req.caller, refusal.RetryAfter)
 	case admission != nil:
 		r.send(req, admission.Server)
@@ -206,7 +212,7 @@
 	for _, e := range r.pools[node].Evict(r.now) {
 		evicted := r.waiting[e.Waiter]
 		delete(r.waiting, e.Waiter)
-		r.result.Refused++
+		r.countRefusal(&evicted.caller)
 		r.result.Unserved += r.now.Sub(e.Waiter.ArrivedAt)
 		r.retryLater(evicted.caller, e.Refusal.RetryAfter)
 	}
--- a/modules/gateway/front.go
+++ b/modules/gateway/front.go
@@ -20,6 +20,7 @@
 	"github.com/burdockspindle/burdockspindle/gateway/forward"
 	"github.com/burdockspindle/burdockspindle/gateway/pool"
 	"github.com/burdockspindle/burdockspindle/gateway/prober"
+	"github.com/burdockspindle/burdockspindle/gateway/returns"
 	"github.com/burdockspindle/burdockspindle/gateway/router"
 	"github.com/burdockspindle/burdockspindle/gateway/site"
 	"github.com/burdockspindle/burdockspindle/gateway/transfer"
@@ -170,7 +171,9 @@
 		// Speeds are the relative service times of servers that this node uses.
 		Speeds       map[site.ServiceName]pool.Speeds `json:"speeds"`
 		LargeAnswers router.LargeAnswers              `json:"largeAnswers"`
-	}{rests, f.router.Speeds(), f.router.LargeAnswers()}
+		// Returns are the schedules of returning callers, by service and priority. Only mixed sites have them.
+		Returns map[site.ServiceName]map[int]returns.State `json:"returns,omitempty"`
+	}{rests, f.router.Speeds(), f.router.LargeAnswers(), f.router.Returns()}
 }
 
 // routerOptions returns the options of the router of a process with the router's part of
