Admit requests of mixed services by urgency at a node

Cause: priority orders the queue of one node only. In the queue of a server nothing overtakes, so a surge of long, less urgent requests delays the more urgent ones. Change: on a service that the guidance lists as mixed, a node refuses what exceeds the admitted share of a priority, sends less urgent requests only to servers that are believed to have a free slot, lets a quarter of them pass after half of the time to their target, and divides the share of a busy owner by priority. Admissions expire after 5 s.

--- a/gateway/pool/evict.go
+++ b/gateway/pool/evict.go
@@ -34,6 +34,10 @@
 			evictions = append(evictions, Eviction{Waiter: w, Refusal: *refusal})
 			continue
 		}
+		if refusal := p.refuseBeyondAdmission(w, now); refusal != nil {
+			evictions = append(evictions, Eviction{Waiter: w, Refusal: *refusal})
+			continue
+		}
 		if refusal := p.refuseOverShare(w, now); refusal != nil {
 			evictions = append(evictions, Eviction{Waiter: w, Refusal: *refusal})
 			continue
@@ -42,7 +46,7 @@
 		if w.OnlyServer != "" {
 			waitersAhead = ahead[w.OnlyServer]
 		}
-		wait := p.cachedThroughput(throughputs, w, now).wait(waitersAhead)
+		wait := p.freeSlotWait(w, p.cachedThroughput(throughputs, w, now).wait(waitersAhead), waitersAhead, now)
 		if !now.Add(time.Duration(evictionWaitFactor * float64(wait))).After(w.Deadline) {
 			kept++
 			ahead[w.OnlyServer]++
--- a/gateway/pool/guidance.go
+++ b/gateway/pool/guidance.go
@@ -18,5 +18,6 @@
 // mixed, or for the speeds of its servers while the site is.
 func (p *Pool) SetGuidance(service site.ServiceName, g guidance.Guidance, receivedAt time.Time) {
 	p.guided = guided{Guidance: g, service: service, receivedAt: receivedAt}
+	p.urgency.setGuidance(service, g, receivedAt)
 	p.cachedTimes = serviceTimes{}
 }
--- a/gateway/pool/limit.go
+++ b/gateway/pool/limit.go
@@ -79,6 +79,7 @@
 	if len(p.queue) == 0 {
 		return time.Time{}, false
 	}
+	at, found = p.freeSlotAt(now)
 	for _, m := range p.order {
 		if leaves := m.KeysUntil(); now.Before(leaves) && (!found || leaves.Before(at)) {
 			at, found = leaves, true // requests for its keys are refused then
--- a/gateway/pool/pool.go
+++ b/gateway/pool/pool.go
@@ -123,6 +123,8 @@
 	// shareExpiry; credit is the unused part of it.
 	share, credit float64
 	shareExpiry   time.Time
+	// priorities counts the requests for the server's keys, on a mixed service.
+	priorities priorityCounts
 }
 
 // Pool holds one service's servers as one node sees them.
@@ -142,6 +144,7 @@
 	random      *rand.Rand
 	rateLimits  RateLimits
 	guided      guided
+	urgency     urgency
 	// hasNamedLimits reports whether a server names a limit.
 	hasNamedLimits bool
 	loadChecks     loadChecks
@@ -268,7 +271,7 @@
 // canSend reports whether a request may be sent to a server now.
 func (p *Pool) canSend(m *member, w *Waiter, now time.Time) bool {
 	isOverShare := w.OnlyServer != "" && m.hasShare(now) && !w.ChargedToShare
-	return !isOverShare && w.mayRunAt(m, now) && !m.blocked(now) && m.hasRestCapacity(now) && p.admitsRate(m, w, now) && p.hasCapacity(m, now)
+	return !isOverShare && w.mayRunAt(m, now) && !m.blocked(now) && m.hasRestCapacity(now) && p.admitsRate(m, w, now) && p.hasCapacity(m, now) && p.mayUseQueue(m, w, now)
 }
 
 // untried returns the most recently added warm server of the own zone that has not answered
--- a/gateway/pool/queue.go
+++ b/gateway/pool/queue.go
@@ -32,6 +32,9 @@
 	Tried          []site.ServerID // incarnations of servers that have been tried
 	AtMostOnce     bool            // the request must not run twice; if its server fails, it is lost
 	ChargedToShare bool            // it has been charged to the share of its server
+	// ChargedToAdmission reports that it has been charged to the admitted share of its priority, by this node or by the
+	// one that forwarded it.
+	ChargedToAdmission bool
 	// CountedServer is a server whose requests this node counts, to the knowledge of the node that
 	// forwarded the request; empty: none.
 	CountedServer site.ServerID
@@ -75,7 +78,7 @@
 type Refusal struct {
 	Reason     Reason
 	RetryAfter time.Duration
-	Share      float64 // the server's share of the requests for its keys, for OverShare
+	Share      float64 // of the requests for the server's keys, for OverShare; of its priority, for BeyondAdmission
 	// IsUnreachable reports, for NoServer, that a server may run the request but accepted no
 	// connection lately.
 	IsUnreachable bool
@@ -94,30 +97,37 @@
 	Resting     Reason = "servers rest"                       // they have asked this node for it
 	Limited     Reason = "servers limit their requests"       // other nodes count them
 	OverShare   Reason = "wanted beyond what its server runs" // other requests for its keys are sent
+	// BeyondAdmission: the servers of the service cannot run all requests, and this priority gets only a share.
+	BeyondAdmission Reason = "beyond the admitted share of its priority"
 )
 
 // Submit assigns a request a slot at once, queues it, or refuses it.
 func (p *Pool) Submit(w *Waiter, now time.Time) (admission *Admission, refusal *Refusal) {
 	p.noteForwarded(w, now)
 	p.noteLeft(w, now)
+	p.noteClass(w, now)
 	if !p.hasServer(w, now) {
 		return nil, p.noServerRefusal(w, now)
 	}
 	if refusal := p.refuseResting(w, now); refusal != nil {
 		return nil, refusal
 	}
+	if refusal := p.refuseBeyondAdmission(w, now); refusal != nil {
+		return nil, refusal
+	}
 	if refusal := p.refuseCounted(w, now); refusal != nil {
 		return nil, refusal
 	}
 	if refusal := p.refuseOverShare(w, now); refusal != nil {
 		return nil, refusal
 	}
-	if len(p.queue) == 0 || w.OnlyServer != "" {
+	if len(p.queue) == 0 || w.OnlyServer != "" || p.mayOvertake(w, now) {
 		if m := p.pick(w, now); m != nil {
 			return p.admit(w, m, now), nil
 		}
 	}
-	wait := p.expectedWait(w, p.countAhead(w, now), now)
+	ahead := p.countAhead(w, now)
+	wait := p.freeSlotWait(w, p.expectedWait(w, ahead, now), ahead, now)
 	if now.Add(wait).After(w.Deadline) {
 		return nil, &Refusal{Reason: WaitTooLong, RetryAfter: p.retryAfter(wait)}
 	}
@@ -155,6 +165,7 @@
 	if m.inFlight() == 0 {
 		m.unansweredSince = now
 	}
+	p.noteSend(m, w, now)
 	m.recordSend(now)
 	p.spendRate(m, w, now)
 	return &Admission{Waiter: w, Server: m.Server}
@@ -248,12 +259,15 @@
 func (p *Pool) next(now time.Time) (*Waiter, *member) {
 	var first *Waiter
 	var server *member
+	noFreeSlot := false // for less urgent requests
 	for _, w := range p.queue {
-		if first != nil && !p.precedes(w, first, now) {
+		if first != nil && !p.precedes(w, first, now) || noFreeSlot && p.needsFreeSlot(w, now) {
 			continue
 		}
 		if m := p.pick(w, now); m != nil {
 			first, server = w, m
+		} else {
+			noFreeSlot = noFreeSlot || w.isUnrestricted() && p.needsFreeSlot(w, now)
 		}
 	}
 	return first, server
--- a/gateway/pool/share.go
+++ b/gateway/pool/share.go
@@ -1,7 +1,6 @@
 package pool
 
 import (
-	"math"
 	"time"
 
 	"github.com/burdockspindle/burdockspindle/gateway/quota"
@@ -40,7 +39,7 @@
 	if m == nil || w.ChargedToShare || !m.hasShare(now) {
 		return nil
 	}
-	if !m.spendCredit(p.inTime(w, now)) {
+	if !p.spendOwnerCredit(m, w, now) {
 		return &Refusal{Reason: OverShare, RetryAfter: p.shareRetryAfter(m, now), Share: m.share}
 	}
 	w.ChargedToShare = true
@@ -48,15 +47,9 @@
 }
 
 // spendCredit charges a request to the share of its server and reports whether it may be
-// sent. Requests that can still be answered in time take precedence: late ones are sent only
-// when the credit has reached its bound.
+// sent.
 func (m *member) spendCredit(inTime bool) bool {
-	m.credit = math.Min(m.credit+m.share, maxCredit)
-	if m.credit < 1 || !inTime && m.credit < maxCredit {
-		return false
-	}
-	m.credit--
-	return true
+	return spend(&m.credit, m.share, inTime)
 }
 
 // maxCredit bounds the unused part of a share that a node keeps while demand is low.
--- /dev/null
+++ b/gateway/pool/urgency.go
@@ -0,0 +1,134 @@
+package pool
+
+import (
+	"math"
+	"time"
+
+	"github.com/burdockspindle/burdockspindle/gateway/guidance"
+	"github.com/burdockspindle/burdockspindle/gateway/site"
+)
+
+// Admission by urgency handles this load pattern: requests of several priorities at the same servers, where a surge of
+// long, less urgent requests fills the servers' queues, in which nothing overtakes. The lessor decides which share of each
+// priority all nodes admit (package urgency). Each node refuses the rest at once, and sends less urgent requests only to
+// servers that are believed to have a free slot (freeslot.go), so that more urgent ones overtake them at the node.
+
+// AdmissionValidity is how long the admissions of the guidance hold after it was received. Nodes that are cut off from
+// the lessor then serve the service as without guidance.
+const AdmissionValidity = 5 * time.Second
+
+// urgency is the state of a mixed service.
+type urgency struct {
+	isMixed   bool // as of the latest guidance, until expiresAt
+	expiresAt time.Time
+	admission guidance.Admission
+	credits   map[int]float64 // unused part of the admitted shares, by priority
+	counts    priorityCounts  // requests at this node
+	passes    passes
+}
+
+// setGuidance applies the guidance that was received at a time.
+func (u *urgency) setGuidance(service site.ServiceName, g guidance.Guidance, receivedAt time.Time) {
+	u.isMixed = !receivedAt.IsZero() && g.HasMixed(service)
+	u.expiresAt = receivedAt.Add(AdmissionValidity)
+	u.admission = nil
+	if u.isMixed {
+		u.admission = g.Admissions[service]
+	}
+}
+
+// holds reports whether the service is mixed by guidance that has not expired.
+func (u *urgency) holds(now time.Time) bool { return u.isMixed && now.Before(u.expiresAt) }
+
+// IsMixed reports whether the service is served by urgency now.
+func (p *Pool) IsMixed(now time.Time) bool { return p.urgency.holds(now) }
+
+// noteClass counts a new request by its priority: at the node, and at the owner of its key. Resent and forwarded ones
+// have been counted.
+func (p *Pool) noteClass(w *Waiter, now time.Time) {
+	if !p.urgency.isMixed || w.ChargedToAdmission {
+		return
+	}
+	p.urgency.counts.add(w.Priority, now)
+	p.urgency.passes.earn()
+	if m := p.members[w.OnlyServer]; m != nil {
+		m.priorities.add(w.Priority, now)
+	}
+}
+
+// isLessUrgent reports whether a request of a mixed service has another priority than the most urgent one in use: the
+// lowest number that the lessor admits requests of, or that this node has lately received.
+func (p *Pool) isLessUrgent(w *Waiter, now time.Time) bool {
+	if !p.urgency.holds(now) {
+		return false
+	}
+	for priority, share := range p.urgency.admission {
+		if priority < w.Priority && share > 0 {
+			return true
+		}
+	}
+	return p.urgency.counts.mostUrgent() < w.Priority
+}
+
+// refuseBeyondAdmission refuses a request that exceeds the admitted share of its priority. Requests that were queued
+// before the share arrived are charged to it like new ones. The share of a busy owner is divided by priority itself, so
+// requests for its keys are not charged twice.
+func (p *Pool) refuseBeyondAdmission(w *Waiter, now time.Time) *Refusal {
+	if w.ChargedToAdmission || !p.urgency.holds(now) {
+		return nil
+	}
+	share, isLimited := p.urgency.admission[w.Priority]
+	if !isLimited || share >= 1 {
+		return nil
+	}
+	if m := p.members[w.OnlyServer]; m != nil && m.hasShare(now) {
+		return nil
+	}
+	if !p.spendAdmission(w.Priority, share, p.inTime(w, now)) {
+		return &Refusal{Reason: BeyondAdmission, RetryAfter: p.admissionRetryAfter(share), Share: share}
+	}
+	w.ChargedToAdmission = true
+	return nil
+}
+
+// spendAdmission charges a request to the share of its priority and reports whether it is admitted.
+func (p *Pool) spendAdmission(priority int, share float64, inTime bool) bool {
+	if p.urgency.credits == nil {
+		p.urgency.credits = map[int]float64{}
+	}
+	credit, exists := p.urgency.credits[priority]
+	if !exists {
+		credit = p.random.Float64() // so that nodes do not all start with the same request
+	}
+	admitted := spend(&credit, share, inTime)
+	p.urgency.credits[priority] = credit
+	return admitted
+}
+
+// spend adds a share to a credit and takes one request from it. Requests that can still be answered in time take
+// precedence: late ones are admitted only when the credit has reached its bound.
+func spend(credit *float64, share float64, inTime bool) bool {
+	*credit = math.Min(*credit+share, maxCredit)
+	if *credit < 1 || !inTime && *credit < maxCredit {
+		return false
+	}
+	*credit--
+	return true
+}
+
+// admissionRetryAfter returns the retry delay of a request beyond its share: the time in which about one request more is
+// admitted.
+func (p *Pool) admissionRetryAfter(share float64) time.Duration {
+	return p.retryAfter(time.Duration(p.times().mean / max(share, minShare) * float64(time.Second)))
+}
+
+// spendOwnerCredit charges a request to the share of its owner. On a mixed service the share is divided by priority, the
+// most urgent first.
+func (p *Pool) spendOwnerCredit(m *member, w *Waiter, now time.Time) bool {
+	inTime := p.inTime(w, now)
+	if !p.urgency.holds(now) || len(m.priorities.classes) == 0 {
+		return m.spendCredit(inTime)
+	}
+	share := m.priorities.shareOf(w.Priority, m.share)
+	return spend(&m.priorities.class(w.Priority).credit, share, inTime)
+}
--- a/gateway/router/run.go
+++ b/gateway/router/run.go
@@ -272,6 +272,7 @@
 func (x *exchange) waitForSlot(ctx context.Context, w *pool.Waiter) (site.Server, *refusal) {
 	askedAt := time.Now()
 	server, results, denied := x.service.requestSlot(w)
+	x.noteAdmission(w, denied)
 	if denied != nil {
 		return site.Server{}, x.refusedBy(w, denied)
 	}
@@ -324,6 +325,9 @@
 		told := time.Since(x.router.state.Now().Shares.ReceivedAt)
 		x.trace.note(string(w.OnlyServer) + " gets " + strconv.FormatFloat(r.Share, 'g', 2, 64) + " of the requests for its keys, told " + milliseconds(told) + " ago")
 	}
+	if r.Reason == pool.BeyondAdmission {
+		x.traceAdmission(r)
+	}
 	return &refusal{
 		status:        http.StatusServiceUnavailable,
 		reason:        string(r.Reason),
@@ -370,6 +374,7 @@
 
 func (x *exchange) waiter() *pool.Waiter {
 	w := &pool.Waiter{Priority: x.route.Priority, ArrivedAt: x.arrived, Target: x.target, Deadline: x.deadline, Tried: x.tried, AtMostOnce: x.route.Kind == site.AtMostOnce, ChargedToShare: x.attempts > 0}
+	w.ChargedToAdmission = x.attempts > 0 || x.forwarded != nil || x.isAdmitted
 	w.MayRunIn = x.mayRunIn()
 	if x.forwarded != nil {
 		w.CountedServer = x.forwarded.Counted
--- a/gateway/router/serve.go
+++ b/gateway/router/serve.go
@@ -56,6 +56,7 @@
 	// retryTakenAt is when the next send was taken from the retry budget; zero: it was not.
 	retryTakenAt time.Time
 	mayHaveRun   bool
+	isAdmitted   bool // by the share of its priority, on a mixed service
 	tried        []site.ServerID
 	unreached    []site.ServerID // those of tried to which no connection was opened
 
