Decide the admission of mixed services by urgency at the lessor

Cause: nodes had no shares by priority to apply, and with many nodes and servers a node has no recent report of most servers, so it believed them free under overload too. Change: package urgency measures demand, work and load of mixed services by the reports of nodes and decides the share of each priority. Servers without a recent report count as having the usual number of requests. Scenarios mixed-surge, mixed-surge-uneven and mixed-zone-lost in gateway/replay.

--- a/gateway/duty/duty.go
+++ b/gateway/duty/duty.go
@@ -116,6 +116,7 @@
 	shownSerial      uint64 // serial of the routes in the view
 	quota            *quota.Quota
 	mix              *guidance.Mix
+	admissions       admissions
 	nextGuidance     time.Time
 	guidanceSentAt   time.Time
 	guidanceSerial   uint64
--- a/gateway/duty/events.go
+++ b/gateway/duty/events.go
@@ -29,5 +29,6 @@
 	eventReissueEnded         = events.Define(2120, hclog.Warn, "table of ranges cannot be written again; giving up the lease")
 	eventAwaitingHolds        = events.Define(2121, hclog.Warn, "no claim before unknown grants have expired")
 	eventGuidance             = events.Define(2122, hclog.Info, "guidance for mixed services")
+	eventAdmission            = events.Define(2123, hclog.Info, "shares of the requests for a mixed service by priority")
 	eventEncodeFailed         = events.Define(2109, hclog.Error, "cannot encode the table of ranges")
 )
--- a/gateway/duty/guidance.go
+++ b/gateway/duty/guidance.go
@@ -38,5 +38,6 @@
 
 // decideGuidance returns the guidance by the reports so far.
 func (d *Duty) decideGuidance(v *view.View, now time.Time) guidance.Guidance {
-	return guidance.Guidance{Mixed: d.mix.Mixed(v.Config, now)}
+	mixed := d.admissions.withSeeded(d.mix.Mixed(v.Config, now), v.Config, now)
+	return guidance.Guidance{Mixed: mixed, Admissions: d.decideAdmissions(v, mixed, now)}
 }
--- a/gateway/duty/outcome.go
+++ b/gateway/duty/outcome.go
@@ -11,6 +11,7 @@
 	"github.com/burdockspindle/burdockspindle/gateway/ranges"
 	"github.com/burdockspindle/burdockspindle/gateway/site"
 	"github.com/burdockspindle/burdockspindle/gateway/store"
+	"github.com/burdockspindle/burdockspindle/gateway/urgency"
 	"github.com/burdockspindle/burdockspindle/gateway/view"
 )
 
@@ -92,6 +93,7 @@
 	d.loads = ranges.NewLoads()
 	d.quota = quota.New()
 	d.mix = guidance.NewMix()
+	d.admissions.reset(d.State.Now().Guidance)
 	d.beginQuarantine(now)
 	d.leaseOffset, d.sharesSerial = p.offset, 0
 	d.sendShares(nil, now) // replaces the shares of the previous lessor
@@ -159,5 +161,8 @@
 		ServerLimits map[site.ServerID]float64 `json:"serverLimits"`
 		// LeavingServers are registered servers that have said in an answer that they are about to end.
 		LeavingServers []site.ServerID `json:"leavingServers"`
-	}{d.Self, d.IsLessor(), d.Reader.Era(), v.Evacuation.Zones(), v.Limits.Rates(time.Now()), v.LeavingServers()}
+		// Admissions are the shares that this node admits by the guidance, and AdmissionDecisions the lessor's latest.
+		Admissions         map[site.ServiceName]guidance.Admission `json:"admissions"`
+		AdmissionDecisions []urgency.Decision                      `json:"admissionDecisions"`
+	}{d.Self, d.IsLessor(), d.Reader.Era(), v.Evacuation.Zones(), v.Limits.Rates(time.Now()), v.LeavingServers(), v.Guidance.Admissions, d.admissions.dump(d.IsLessor())}
 }
--- a/gateway/duty/reports.go
+++ b/gateway/duty/reports.go
@@ -45,5 +45,6 @@
 	for _, c := range report.Classes {
 		d.mix.Count(site.ServiceName(c.Service), int(c.Priority), int(c.Requests))
 	}
+	d.measureReport(report)
 	d.handleCrashes(report, clock.Now())
 }
--- a/gateway/pool/check.go
+++ b/gateway/pool/check.go
@@ -67,7 +67,7 @@
 // ServersToCheck returns random servers whose load should be checked before a request is sent, of
 // the own zone or of the others. It returns none if checks do not fit the service.
 func (p *Pool) ServersToCheck(w *Waiter, ofOwnZone bool, now time.Time) []site.Server {
-	if !p.ChecksLoads(now) || len(p.queue) > 0 {
+	if !p.ChecksLoads(now) || len(p.queue) > 0 && !p.urgency.holds(now) {
 		return nil
 	}
 	var servers []site.Server
@@ -124,6 +124,7 @@
 	}
 	m.otherRequests = max(0, float64(load.Total()-m.inFlight()))
 	m.reportAt = now
+	p.noteReport(m, now)
 	m.slowdown = load.Slowdown
 	if warmUp > 0 {
 		m.coldUntil = now.Add(warmUp)
--- a/gateway/pool/freeslot.go
+++ b/gateway/pool/freeslot.go
@@ -3,8 +3,6 @@
 import (
 	"math"
 	"time"
-
-	"github.com/burdockspindle/burdockspindle/gateway/site"
 )
 
 const (
@@ -14,8 +12,14 @@
 	// passWaitShare is the share of the time until its target that a less urgent request waits for a free slot before it
 	// may pass. Later it could hardly be answered in time.
 	passWaitShare = 0.5
-	// wakeMargin is added to the time at which a belief decays, which is rounded.
-	wakeMargin = time.Millisecond
+	// freeSlotInterval is the time after which a node looks again for a free slot for waiting requests, while beliefs
+	// decay: about a third of their half-life.
+	freeSlotInterval = 100 * time.Millisecond
+	// usualWeight is the weight of one report in the usual number of requests at a server. It covers the reports of about
+	// half a second of a node that sends six requests a second and checks two or four servers for each.
+	usualWeight = 0.1
+	// usualHalfLife is the half-life of the usual number without reports.
+	usualHalfLife = time.Second
 	// sentHalfLife is the half-life of the rate at which less urgent requests are sent. It covers several answers of a
 	// node that sends two requests a second.
 	sentHalfLife = 2 * time.Second
@@ -47,15 +51,38 @@
 	return s.decayed(now) * math.Ln2 / sentHalfLife.Seconds()
 }
 
-// hasFreeSlot reports whether a server is believed to have a free slot.
-func (m *member) hasFreeSlot(now time.Time) bool {
-	return m.requests(now)+1 <= float64(max(m.Slots, 1))+slotTolerance
+// usualRequests is the mean number of requests of other nodes at a server, over recent reports of all servers. With many
+// nodes and servers a node has no recent report of most: it would believe all of these free, also under overload.
+type usualRequests struct {
+	mean float64
+	at   time.Time
+}
+
+func (u *usualRequests) get(now time.Time) float64 {
+	return u.mean * decay(now.Sub(u.at), usualHalfLife)
+}
+
+// noteReport records a report of a server.
+func (p *Pool) noteReport(m *member, now time.Time) {
+	if p.urgency.isMixed {
+		u := &p.urgency.usual
+		mean := u.get(now)
+		u.mean, u.at = mean+usualWeight*(m.otherRequests-mean), now
+	}
+}
+
+// hasFreeSlot reports whether a server is believed to have a free slot: by its latest report, and as that ages by the
+// usual number of requests at a server.
+func (p *Pool) hasFreeSlot(m *member, now time.Time) bool {
+	weight := decay(now.Sub(m.reportAt), reportHalfLife)
+	others := m.otherRequests*weight + p.urgency.usual.get(now)*(1-weight)
+	return float64(m.inFlight())+others+1 <= float64(max(m.Slots, 1))+slotTolerance
 }
 
 // mayUseQueue reports whether a request may be sent to a server in spite of the queue that it may have there: the most
 // urgent ones may, others only go to free slots, or pass after some time.
 func (p *Pool) mayUseQueue(m *member, w *Waiter, now time.Time) bool {
-	return !p.urgency.isMixed || m.hasFreeSlot(now) || !p.isLessUrgent(w, now) || p.mayPass(w, now)
+	return !p.urgency.isMixed || p.hasFreeSlot(m, now) || !p.isLessUrgent(w, now) || p.mayPass(w, now)
 }
 
 // mayPass reports whether a less urgent request has waited so long that it may be sent to the queue of a server.
@@ -73,7 +100,7 @@
 	if !p.urgency.isMixed || !p.isLessUrgent(w, now) {
 		return
 	}
-	if !m.hasFreeSlot(now) {
+	if !p.hasFreeSlot(m, now) {
 		p.urgency.passes.credit--
 	}
 	p.urgency.passes.noteSent(now)
@@ -98,50 +125,18 @@
 	return max(wait, time.Duration(float64(ahead+1)/rate*float64(time.Second)))
 }
 
-// freeSlotAt returns the earliest time at which a waiting less urgent request may be sent since the belief in other
-// nodes' requests has decayed, it may pass, or the guidance expires. found is false if none waits.
+// freeSlotAt returns when to look again for a free slot for the waiting less urgent requests, while beliefs decay. found is
+// false if none waits.
 func (p *Pool) freeSlotAt(now time.Time) (at time.Time, found bool) {
 	if !p.urgency.holds(now) {
 		return time.Time{}, false
 	}
-	earliest := func(t time.Time) {
-		if now.Before(t) && (!found || t.Before(at)) {
-			at, found = t, true
-		}
-	}
-	owners, anyServer := map[site.ServerID]bool{}, false
 	for _, w := range p.queue {
-		if !p.isLessUrgent(w, now) {
-			continue
-		}
-		owners[w.OnlyServer] = true
-		anyServer = anyServer || w.OnlyServer == ""
-		earliest(p.urgency.expiresAt)
-		if p.urgency.passes.credit >= 1 {
-			earliest(w.passAt())
+		if p.isLessUrgent(w, now) {
+			return now.Add(freeSlotInterval), true
 		}
 	}
-	if len(owners) == 0 {
-		return time.Time{}, false
-	}
-	for _, m := range p.order {
-		if anyServer || owners[m.ID] {
-			earliest(m.freeAt(now))
-		}
-	}
-	return at, found
-}
-
-// freeAt returns the time at which a server is believed to have a free slot if no report arrives; zero: it has one now, or
-// the requests of this node take its slots.
-func (m *member) freeAt(now time.Time) time.Time {
-	room := float64(max(m.Slots, 1)-1-m.inFlight()) + slotTolerance
-	others := m.otherRequests * decay(now.Sub(m.reportAt), reportHalfLife)
-	if room <= 0 || others <= room {
-		return time.Time{}
-	}
-	left := math.Log2(others/room) * float64(reportHalfLife)
-	return now.Add(time.Duration(left) + wakeMargin)
+	return time.Time{}, false
 }
 
 // needsFreeSlot reports whether a request that any server may run waits for a free slot.
--- a/gateway/pool/limit.go
+++ b/gateway/pool/limit.go
@@ -128,6 +128,7 @@
 	// The report includes the request that it answers.
 	m.otherRequests = max(0, float64(load.Total()-1-m.inFlight()))
 	m.reportAt = now
+	p.noteReport(m, now)
 	m.slowdown = load.Slowdown
 	p.loadChecks.note(load)
 	m.hadFreeSlots = load.Waiting == 0 && load.Running < load.Slots
--- a/gateway/pool/urgency.go
+++ b/gateway/pool/urgency.go
@@ -25,6 +25,7 @@
 	credits   map[int]float64 // unused part of the admitted shares, by priority
 	counts    priorityCounts  // requests at this node
 	passes    passes
+	usual     usualRequests
 }
 
 // setGuidance applies the guidance that was received at a time.
--- a/gateway/replay/caller.go
+++ b/gateway/replay/caller.go
@@ -12,6 +12,7 @@
 	priority      int
 	retriesLeft   int
 	retriesAtOnce bool
+	class         *Class // nil: of a load without classes
 }
 
 const (
@@ -31,7 +32,7 @@
 
 // retryLater schedules the retry of a refused caller that has retries and time left.
 func (r *replay) retryLater(c caller, retryAfter time.Duration) {
-	left := c.arrived.Add(r.CallerTimeout).Sub(r.now)
+	left := c.arrived.Add(r.timeout(c)).Sub(r.now)
 	if c.retriesLeft == 0 || left <= 0 {
 		return
 	}
@@ -66,7 +67,7 @@
 }
 
 func (r *replay) canResend(ended *request) bool {
-	if r.Resends == nil || ended.sends >= maxSends || r.now.Sub(ended.arrived) >= r.CallerTimeout {
+	if r.Resends == nil || ended.sends >= maxSends || r.now.Sub(ended.arrived) >= r.timeout(ended.caller) {
 		return false
 	}
 	return r.Policy == NoBudget || r.budgets[ended.node].Spend(r.Nodes, r.now)
--- a/gateway/replay/load.go
+++ b/gateway/replay/load.go
@@ -32,11 +32,15 @@
 	NoShares Policy = "no-shares"
 	// NoBudget resends refused requests to other servers without a budget.
 	NoBudget Policy = "no-budget"
+	// NoUrgency serves a mixed service without guidance.
+	NoUrgency Policy = "no-urgency"
+	// NoAdmission sends less urgent requests only to free slots, and admits all.
+	NoAdmission Policy = "no-admission"
 )
 
 // Policies returns every policy.
 func Policies() []Policy {
-	return []Policy{Pooled, RandomServer, FirstCome, NoRefusal, NoEviction, AtLeastOne, NoShares, NoBudget}
+	return []Policy{Pooled, RandomServer, FirstCome, NoRefusal, NoEviction, AtLeastOne, NoShares, NoBudget, NoUrgency, NoAdmission}
 }
 
 // Load is a traffic pattern: several nodes, each with a pool of the same servers, and
@@ -60,6 +64,10 @@
 	Policy  Policy
 	// NewIDPerIncarnation gives each incarnation of a server its own ID.
 	NewIDPerIncarnation bool
+	// Mixed replaces the callers by those of several classes.
+	Mixed Mixed
+	// Trace receives a line for each decision of the lessor of a mixed load; nil: none.
+	Trace func(line string) `json:"-"`
 }
 
 // Callers describes how callers retry after an answer which guarantees that the request has
@@ -89,6 +97,8 @@
 	// CrashEvery is the interval of crashes, which lose the server's requests; 0: never.
 	// The server restarts after DownTime.
 	CrashEvery, DownTime time.Duration
+	// Slowness is the service time relative to a typical server, of mixed loads; 0: 1.
+	Slowness float64
 }
 
 // Result counts the outcomes of the requests.
@@ -111,6 +121,7 @@
 	Unserved time.Duration
 	// Urgent and UrgentInTime count the requests of the higher priority.
 	Urgent, UrgentInTime int
+	UrgentLate           int
 }
 
 // String implements fmt.Stringer.
--- a/gateway/replay/replay.go
+++ b/gateway/replay/replay.go
@@ -52,6 +52,8 @@
 	nextRoomAt map[int]time.Time // next scheduled admission, by node
 	result     Result
 	lessor     lessor
+	mixed      mixedLessor
+	registered []site.Server
 }
 
 // Run replays a load with the random numbers of a seed.
@@ -70,7 +72,11 @@
 			r.schedule(s.CrashEvery, func() { r.crash(i) })
 		}
 	}
-	r.schedule(0, r.addCaller)
+	if len(l.Mixed.Classes) > 0 {
+		r.startMixed(seed)
+	} else {
+		r.schedule(0, r.addCaller)
+	}
 	if r.AssumedCapacity > 0 && r.Policy != NoShares {
 		r.lessor.quota = quota.New()
 		r.schedule(shareInterval, r.updateShares)
@@ -104,6 +110,7 @@
 // sendRequest sends the request of a caller to a random node.
 func (r *replay) sendRequest(c caller) {
 	r.lessor.asked++
+	r.noteClass(c)
 	req := &request{caller: c, waiter: r.newWaiter(c), node: r.random.IntN(r.Nodes)}
 	if r.Resends != nil {
 		r.budgets[req.node].Request(r.Nodes, r.now)
@@ -113,7 +120,7 @@
 
 // newWaiter returns the request as the pool sees it.
 func (r *replay) newWaiter(c caller) *pool.Waiter {
-	w := &pool.Waiter{Priority: c.priority, ArrivedAt: r.now, Target: c.arrived.Add(r.Target), Deadline: c.arrived.Add(r.CallerTimeout)}
+	w := &pool.Waiter{Priority: c.priority, ArrivedAt: r.now, Target: c.arrived.Add(r.objective(c)), Deadline: c.arrived.Add(r.timeout(c))}
 	if r.OnlyFirst {
 		w.OnlyServer = serverID(0)
 	}
@@ -135,6 +142,7 @@
 		r.receive(req)
 		return
 	}
+	r.check(req)
 	admission, refusal := r.pools[req.node].Submit(req.waiter, r.now)
 	switch {
 	case refusal != nil:
@@ -145,13 +153,16 @@
 	default:
 		r.waiting[req.waiter] = req
 		r.scheduleTimeout(req)
+		if p := r.pools[req.node]; p.IsMixed(r.now) {
+			r.deliver(req.node, p.Admit(r.now))
+		}
 		r.scheduleNextRoom(req.node)
 	}
 }
 
 // scheduleTimeout removes a caller from the queue of its node at its timeout.
 func (r *replay) scheduleTimeout(req *request) {
-	r.schedule(req.arrived.Add(r.CallerTimeout).Sub(r.now), func() {
+	r.schedule(req.arrived.Add(r.timeout(req.caller)).Sub(r.now), func() {
 		if r.waiting[req.waiter] == req {
 			delete(r.waiting, req.waiter)
 			r.pools[req.node].Remove(req.waiter)
@@ -163,7 +174,7 @@
 // countTimeout counts a caller that has left.
 func (r *replay) countTimeout(req *request) {
 	r.result.Left++
-	r.result.Unserved += min(r.CallerTimeout, r.now.Sub(req.waiter.ArrivedAt))
+	r.result.Unserved += min(r.timeout(req.caller), r.now.Sub(req.waiter.ArrivedAt))
 }
 
 // scheduleNextRoom schedules the admission of waiting requests at the end of a pause.
@@ -202,13 +213,18 @@
 }
 
 func (r *replay) send(req *request, to site.Server) {
+	req.server, req.id = r.indexOf(to.ID), to.ID
+	r.receive(req)
+}
+
+// indexOf returns the index of the server of an incarnation.
+func (r *replay) indexOf(id site.ServerID) int {
 	for i := range r.servers {
-		if serverID(i).Name() == to.ID.Name() || strings.HasPrefix(string(to.ID), string(serverID(i))+"-") {
-			req.server = i
-			req.id = to.ID
+		if serverID(i).Name() == id.Name() || strings.HasPrefix(string(id), string(serverID(i))+"-") {
+			return i
 		}
 	}
-	r.receive(req)
+	return 0
 }
 
 // complete reports the outcome of a request at a server to the node.
--- a/gateway/replay/scenarios.go
+++ b/gateway/replay/scenarios.go
@@ -44,6 +44,9 @@
 		busyOwner("overused-owner-64", 64, 1.5),
 		busyOwner("overused-owner-295", 295, 1.5),
 		outage(),
+		mixedSurge(),
+		mixedSurgeUneven(),
+		mixedZoneLost(),
 	}
 }
 
--- a/gateway/replay/server.go
+++ b/gateway/replay/server.go
@@ -15,7 +15,8 @@
 	running, waiting int
 	backlog          []*request
 	isDown           bool
-	crashes          int // incarnations that have ended
+	isSlow           bool // its machine is, of a mixed load
+	crashes          int  // incarnations that have ended
 	inFlight         []*request
 }
 
@@ -36,6 +37,7 @@
 	for i, s := range r.servers {
 		list = append(list, site.Server{ID: r.currentID(i), Zone: s.Zone, Slots: s.Slots, WarmUp: s.ColdTime})
 	}
+	r.registered = list
 	for i, p := range r.pools {
 		p.Update(list, r.Nodes, r.now)
 		r.deliver(i, p.Admit(r.now))
@@ -87,7 +89,7 @@
 		r.complete(req, pool.Outcome{Failed: true, NotReached: true})
 	case s.HangShare > 0 && r.random.Float64() < s.HangShare:
 		r.result.Hung++
-		r.schedule(r.CallerTimeout-r.now.Sub(req.arrived), func() {
+		r.schedule(r.timeout(req.caller)-r.now.Sub(req.arrived), func() {
 			r.complete(req, pool.Outcome{Abandoned: true, Took: r.now.Sub(req.sent)})
 		})
 	case r.random.Float64() < s.ShedShare:
@@ -130,7 +132,7 @@
 	s.running++
 	s.inFlight = append(s.inFlight, req)
 	runs := s.crashes
-	work := float64(s.Work) * (0.5 + r.random.Float64())
+	work := r.meanWork(s, req.caller) * (0.5 + r.random.Float64())
 	if r.now.Sub(r.start) < s.ColdTime {
 		work *= coldFactor
 	}
@@ -144,7 +146,7 @@
 // finishWork frees the slot of a request and starts the next one in the queue.
 func (r *replay) finishWork(ended *request, s *server) {
 	s.inFlight = slices.DeleteFunc(s.inFlight, func(other *request) bool { return other == ended })
-	loadNow := site.Load{Running: s.running, Waiting: s.waiting, Slots: s.Slots}
+	loadNow := r.loadOf(s)
 	r.lessor.present += loadNow.Total()
 	r.lessor.answers++
 	s.running--
@@ -154,6 +156,7 @@
 		s.waiting--
 		r.run(next)
 	}
+	r.noteAnswer(ended, loadNow)
 	r.count(ended)
 	r.complete(ended, pool.Outcome{Took: r.now.Sub(ended.sent), Load: &loadNow})
 }
@@ -162,13 +165,17 @@
 func (r *replay) count(ended *request) {
 	took := r.now.Sub(ended.arrived)
 	switch {
-	case took <= r.Target:
+	case !r.isCounted(ended.caller):
+	case took <= r.objective(ended.caller):
 		r.result.InTime++
 		if ended.priority == 0 {
 			r.result.UrgentInTime++
 		}
-	case took <= r.CallerTimeout:
+	case took <= r.timeout(ended.caller):
 		r.result.Late++
+		if ended.priority == 0 {
+			r.result.UrgentLate++
+		}
 	default:
 		r.result.InVain++
 	}
--- a/gateway/router/router.go
+++ b/gateway/router/router.go
@@ -271,7 +271,11 @@
 	}
 	results := make(chan waitResult, 1)
 	s.waiters[w] = results
-	s.resetWakeTimer()
+	if s.pool.IsMixed(time.Now()) { // a load check for this request may have found a slot for another one
+		s.deliver(s.pool.Admit(time.Now()))
+	} else {
+		s.resetWakeTimer()
+	}
 	return site.Server{}, results, nil
 }
 
