--- a/gateway/replay/mixed.go
+++ b/gateway/replay/mixed.go
@@ -230,11 +230,15 @@
 		return
 	}
 	l := &r.mixed
-	for priority, count := range l.counts {
-		l.meter.Count(mixedService, priority, count.requests, count.returned, r.now)
-	}
-	for of, a := range l.answers {
-		l.meter.Answer(mixedService, r.currentID(of.server), of.priority, *a, r.now)
+	for _, class := range r.Mixed.Classes {
+		if count := l.counts[class.Priority]; count != nil {
+			l.meter.Count(mixedService, class.Priority, count.requests, count.returned, r.now)
+		}
+		for i := range r.servers {
+			if a := l.answers[answersOf{i, class.Priority}]; a != nil {
+				l.meter.Answer(mixedService, r.currentID(i), class.Priority, *a, r.now)
+			}
+		}
 	}
 	clear(l.counts)
 	clear(l.answers)
--- a/gateway/urgency/meter.go
+++ b/gateway/urgency/meter.go
@@ -1,7 +1,9 @@
 package urgency
 
 import (
+	"maps"
 	"math"
+	"slices"
 	"time"
 
 	"github.com/burdockspindle/burdockspindle/gateway/site"
@@ -192,7 +194,8 @@
 		return nil
 	}
 	var demands []Demand
-	for priority, c := range s.classes {
+	for _, priority := range slices.Sorted(maps.Keys(s.classes)) {
+		c := s.classes[priority]
 		d := Demand{Priority: priority, First: c.first.rate(s.since, now), Returned: c.returned.rate(s.since, now)}
 		if d.First+d.Returned >= minDemand {
 			demands = append(demands, d)
@@ -209,7 +212,8 @@
 	}
 	load := Load{Age: now.Sub(s.latest)}
 	hasLoads := false
-	for _, of := range s.servers {
+	for _, id := range slices.Sorted(maps.Keys(s.servers)) { // always the same sum
+		of := s.servers[id]
 		load.Queued += of.queue(now) / s.slots
 		load.Busy += of.busy.rate(of.first, now) / s.slots
 		hasLoads = hasLoads || of.withLoads.value > 0
--- a/gateway/urgency/urgency.go
+++ b/gateway/urgency/urgency.go
@@ -185,9 +185,9 @@
 	decision.Capacity = targetUtilization * slots * s.correction
 	if requests > 0 {
 		backlog := max(decision.Load.Queued-targetQueue, 0) * slots * total / requests
-		kept := min(kept(decision.Demand), decision.Capacity)
-		decision.Capacity = max(decision.Capacity-backlog/queueDrainTime.Seconds(), kept)
+		decision.Capacity -= backlog / queueDrainTime.Seconds()
 	}
+	decision.Capacity = max(decision.Capacity, min(kept(decision.Demand), targetUtilization*slots))
 	targets := allocate(decision.Demand, decision.Capacity)
 	for priority, target := range targets {
 		if target < 1 {
@@ -207,7 +207,7 @@
 	maps.DeleteFunc(s.shares, func(priority int, _ float64) bool { _, inUse := targets[priority]; return !inUse })
 }
 
-// kept returns what the working off of queues leaves: all of the most urgent requests, and the least share of the others.
+// kept returns the demand that the correction and the working off of queues do not refuse: all of the most urgent requests, and the least share of the others.
 func kept(demand map[int]float64) float64 {
 	total := 0.0
 	for i, priority := range slices.Sorted(maps.Keys(demand)) {
@@ -260,13 +260,14 @@
 
 // allocate divides the capacity among the priorities, the most urgent first, and returns the share that each gets.
 func allocate(demand map[int]float64, capacity float64) map[int]float64 {
+	priorities := slices.Sorted(maps.Keys(demand))
 	kept := 0.0 // for the priorities behind
-	for _, busy := range demand {
-		kept += minShare * busy
+	for _, priority := range priorities {
+		kept += minShare * demand[priority]
 	}
 	shares := make(map[int]float64, len(demand))
 	left := capacity
-	for _, priority := range slices.Sorted(maps.Keys(demand)) {
+	for _, priority := range priorities {
 		busy := demand[priority]
 		kept -= minShare * busy
 		granted := min(busy, max(left-kept, minShare*busy))
--- a/gateway/urgency/usable.go
+++ b/gateway/urgency/usable.go
@@ -32,7 +32,8 @@
 		}
 	}
 	maps.DeleteFunc(s.servers, func(id site.ServerID, _ *server) bool { return !listed[id] })
-	for _, of := range s.servers {
+	for _, registered := range servers {
+		of := s.servers[registered.ID]
 		rate += of.answers.rate(of.first, now)
 	}
 	perServer := rate / float64(max(len(servers), 1))
