--- a/gateway/pool/freeslot.go
+++ b/gateway/pool/freeslot.go
@@ -113,15 +113,13 @@
 }
 
 // freeSlotWait returns the expected wait of a request behind a number of others: at least that for free slots, if it waits
-// for one. Less urgent requests are sent at the rate at which they were lately.
+// for one. Less urgent requests are sent at the rate at which they were lately, or one in a mean service time if there
+// were few: the share of a node that had none is not known.
 func (p *Pool) freeSlotWait(w *Waiter, wait time.Duration, ahead int, now time.Time) time.Duration {
 	if !p.urgency.isMixed || !p.isLessUrgent(w, now) {
 		return wait
 	}
-	rate := p.urgency.passes.rate(now)
-	if rate <= 0 {
-		return wait
-	}
+	rate := max(p.urgency.passes.rate(now), 1/p.times().mean)
 	return max(wait, time.Duration(float64(ahead+1)/rate*float64(time.Second)))
 }
 
--- a/gateway/pool/urgency_test.go
+++ b/gateway/pool/urgency_test.go
@@ -124,3 +124,15 @@
 	g.Expect(admitted[1]).To(gomega.BeNumerically("~", 350, 10))
 	g.Expect(admitted[2]).To(gomega.BeNumerically("~", 50, 5), "a quarter of the share of its requests")
 }
+
+// Guards against the refusal of the first less urgent request after a quiet time, whose wait is not known from the rate at
+// which others were sent.
+func TestFirstLessUrgentRequestAfterAQuietTimeMayWait(t *testing.T) {
+	g := gomega.NewWithT(t)
+	p := newMixedPool(nil)
+	p.urgency.passes.noteSent(shareStart.Add(-sentHalfLife * 20))
+	reportLoad(p, 2, 3, shareStart)
+	admission, refusal := p.Submit(classWaiter(2, shareStart), shareStart)
+	g.Expect(admission).To(gomega.BeNil())
+	g.Expect(refusal).To(gomega.BeNil())
+}
