Test that returning requests of a mixed service are admitted within the capacity

Cause: the test before also passed without the rule that a share applies to all requests. Measured: go test ./gateway/urgency passes, and fails without the rule.

--- a/gateway/urgency/urgency_test.go
+++ b/gateway/urgency/urgency_test.go
@@ -87,20 +87,29 @@
 	g.Expect(settle(c, 4, asked(300, 300, 0), idle, fixed{slots: 100}).Admission).To(gomega.BeEmpty())
 }
 
-// Guards against refused callers that return, raise the demand and so keep the share low: the share must recover although
-// every refused request returns twice.
-func TestReturnsDoNotKeepAShareLow(t *testing.T) {
-	g := gomega.NewWithT(t)
-	c := New(nil, time.Time{})
-	share := settle(c, 20, asked(300, 2000, 0), busy, fixed{slots: 100}).Admission[2]
-	for range 30 {
+// returning updates a service whose refused requests return twice, and returns the last share and all requests a second.
+func returning(c *Controller, rounds int, first float64) (share, all float64) {
+	share = 1
+	for range rounds {
 		refused := 1 - share
-		decision := settle(c, 1, asked(300, 580, 580*(refused+refused*refused)), busy, fixed{slots: 100})
-		if len(decision.Admission) == 0 {
-			return
+		again := first * (refused + refused*refused)
+		decision := settle(c, 1, asked(300, first, again), busy, fixed{slots: 100})
+		share, all = 1, first+again
+		if len(decision.Admission) > 0 {
+			share = decision.Admission[2]
 		}
-		share = decision.Admission[2]
 	}
+	return share, all
+}
+
+// Guards against requests that are refused, return and are admitted beyond the capacity, and against those that raise the
+// demand and keep the share low after the surge.
+func TestReturningRequestsCountAsFarAsTheyAreAdmitted(t *testing.T) {
+	g := gomega.NewWithT(t)
+	c := New(nil, time.Time{})
+	share, all := returning(c, 100, 900)
+	g.Expect(share*all).To(gomega.BeNumerically("~", 600, 30), "the less urgent have 60 slots for 100 ms each")
+	share, _ = returning(c, 20, 580)
 	g.Expect(share).To(gomega.Equal(1.0), "88 of 90 slots are wanted")
 }
 
