Scenario of a surge at a mixed service without load checks

Cause: with load checks most urgent requests are in time without guidance too, so that scenario shows little. Change: scenario mixed-surge-unchecked.

--- a/gateway/replay/mixed_scenarios.go
+++ b/gateway/replay/mixed_scenarios.go
@@ -29,6 +29,13 @@
 	return Scenario{Name: "mixed-surge", Description: "the less urgent requests of a mixed service rise by 2.4 for 6 s", Policies: mixedPolicies(), Load: mixedLoad(2.4)}
 }
 
+// mixedSurgeUnchecked has servers that do not report the pace of their machine, so that nodes choose by old reports alone.
+func mixedSurgeUnchecked() Scenario {
+	l := mixedLoad(2.4)
+	l.Mixed.Checks = false
+	return Scenario{Name: "mixed-surge-unchecked", Description: "the same without load checks", Policies: mixedPolicies(), Load: l}
+}
+
 // mixedSurgeUneven has the speeds of the site that the surge comes from.
 func mixedSurgeUneven() Scenario {
 	l := mixedLoad(2.4)
@@ -36,7 +43,7 @@
 		l.Servers[i].Slowness = []float64{1 / 0.7, 1 / 0.7, 1 / 1.6}[i/3%3]
 	}
 	l.Mixed.SlowShare = 0.2
-	return Scenario{Name: "mixed-surge-uneven", Description: "the same at servers of speeds 0.7, 0.7 and 1.6 on machines that take three times as long a fifth of the time", Policies: mixedPolicies(), Load: l}
+	return Scenario{Name: "mixed-surge-uneven", Description: "the surge at servers of speeds 0.7, 0.7 and 1.6 on machines that take three times as long a fifth of the time", Policies: mixedPolicies(), Load: l}
 }
 
 // mixedZoneLost loses one of three zones while the demand is twice the usual one.
--- a/gateway/replay/mixed_test.go
+++ b/gateway/replay/mixed_test.go
@@ -29,6 +29,7 @@
 		gain     float64 // ratio of the late ones without guidance to those with it
 	}{
 		{"mixed-surge", 0.98, 5},
+		{"mixed-surge-unchecked", 0.9, 3},
 		{"mixed-surge-uneven", 0.85, 4},
 		{"mixed-zone-lost", 0.98, 3},
 	} {
--- a/gateway/replay/scenarios.go
+++ b/gateway/replay/scenarios.go
@@ -45,6 +45,7 @@
 		busyOwner("overused-owner-295", 295, 1.5),
 		outage(),
 		mixedSurge(),
+		mixedSurgeUnchecked(),
 		mixedSurgeUneven(),
 		mixedZoneLost(),
 	}
