--- a/gateway/duty/duty.go
+++ b/gateway/duty/duty.go
@@ -125,6 +125,7 @@
 	learning         bool                            // speeds are learned and used
 	sent             sentSpeeds
 	nextSpeedsLog    time.Time
+	admissions       admissions
 	nextGuidance     time.Time
 	guidanceSentAt   time.Time
 	guidanceSerial   uint64
@@ -150,7 +151,7 @@
 
 // New returns a duty. The caller sets its exported fields before Run.
 func New() *Duty {
-	return &Duty{
+	d := &Duty{
 		resign:          make(chan chan struct{}, 1),
 		appendResults:   make(chan appendResult, 1),
 		callResults:     make(chan callResult, 256),
@@ -160,6 +161,8 @@
 		mix:             guidance.NewMix(),
 		knownServers:    map[site.ServerID]site.Server{},
 	}
+	d.admissions.reset(view.Guidance{})
+	return d
 }
 
 // IsLessor reports whether the node holds the lease, to its own knowledge.
--- a/gateway/duty/events.go
+++ b/gateway/duty/events.go
@@ -30,5 +30,6 @@
 	eventAwaitingHolds        = events.Define(2121, hclog.Warn, "no claim before unknown grants have expired")
 	eventGuidance             = events.Define(2122, hclog.Info, "guidance for mixed services")
 	eventSpeeds               = events.Define(2123, hclog.Info, "estimates of the speeds of servers")
+	eventAdmission            = events.Define(2124, hclog.Info, "shares of the requests for a mixed service by priority")
 	eventEncodeFailed         = events.Define(2109, hclog.Error, "cannot encode the table of ranges")
 )
--- a/gateway/duty/guidance.go
+++ b/gateway/duty/guidance.go
@@ -36,11 +36,19 @@
 	d.State.MergeGuidance(view.Guidance{Offset: d.leaseOffset, Serial: d.guidanceSerial, Guidance: next})
 }
 
+// beginGuidance begins to measure services, with the guidance that the node of a new lessor holds.
+func (d *Duty) beginGuidance(now time.Time) {
+	d.mix = guidance.NewMix()
+	d.beginSpeeds(now)
+	d.admissions.reset(d.State.Now().Guidance)
+}
+
 // decideGuidance returns the guidance by the reports so far.
 func (d *Duty) decideGuidance(v *view.View, now time.Time) guidance.Guidance {
 	next := guidance.Guidance{Mixed: d.mix.Mixed(v.Config, now)}
 	d.updateSpeeds(v, next.IsMixed(), now)
 	d.sent.update(d.estimates.Load(), now)
 	next.Speeds, next.Work = d.sent.speeds, d.sent.work
+	next.Admissions = d.decideAdmissions(v, next.Mixed, now)
 	return next
 }
--- a/gateway/duty/outcome.go
+++ b/gateway/duty/outcome.go
@@ -11,6 +11,7 @@
 	"github.com/burdockspindle/burdockspindle/gateway/ranges"
 	"github.com/burdockspindle/burdockspindle/gateway/site"
 	"github.com/burdockspindle/burdockspindle/gateway/store"
+	"github.com/burdockspindle/burdockspindle/gateway/urgency"
 	"github.com/burdockspindle/burdockspindle/gateway/view"
 )
 
@@ -91,8 +92,7 @@
 	d.earlierHoldEnd = now.Add(p.earlierHold)
 	d.loads = ranges.NewLoads()
 	d.quota = quota.New()
-	d.mix = guidance.NewMix()
-	d.beginSpeeds(now)
+	d.beginGuidance(now)
 	d.beginQuarantine(now)
 	d.leaseOffset, d.sharesSerial = p.offset, 0
 	d.sendShares(nil, now) // replaces the shares of the previous lessor
@@ -163,5 +163,8 @@
 		LeavingServers []site.ServerID `json:"leavingServers"`
 		// Speeds are the lessor's estimates of the speeds of servers.
 		Speeds []serviceDump `json:"speeds"`
-	}{d.Self, d.IsLessor(), d.Reader.Era(), v.Evacuation.Zones(), v.Limits.Rates(time.Now()), v.LeavingServers(), d.dumpSpeeds()}
+		// Admissions are the shares that this node admits by the guidance, and AdmissionDecisions the lessor's latest.
+		Admissions         map[site.ServiceName]guidance.Admission `json:"admissions"`
+		AdmissionDecisions []urgency.Decision                      `json:"admissionDecisions"`
+	}{d.Self, d.IsLessor(), d.Reader.Era(), v.Evacuation.Zones(), v.Limits.Rates(time.Now()), v.LeavingServers(), d.dumpSpeeds(), v.Guidance.Admissions, d.admissions.dump(d.IsLessor())}
 }
--- a/gateway/pool/guidance.go
+++ b/gateway/pool/guidance.go
@@ -27,6 +27,7 @@
 func (p *Pool) SetGuidance(service site.ServiceName, g guidance.Guidance, receivedAt time.Time) {
 	serial := p.guided.serial + 1
 	p.guided = guided{Guidance: g, service: service, receivedAt: receivedAt, serial: serial}
+	p.urgency.setGuidance(service, g, receivedAt)
 	if g.IsMixed() && len(g.Work) > 0 && !receivedAt.IsZero() {
 		p.guided.speedUntil = receivedAt.Add(speedValidity)
 	}
--- a/gateway/pool/limit.go
+++ b/gateway/pool/limit.go
@@ -79,6 +79,7 @@
 	if len(p.queue) == 0 {
 		return time.Time{}, false
 	}
+	at, found = p.freeSlotAt(now)
 	for _, m := range p.order {
 		if leaves := m.KeysUntil(); now.Before(leaves) && (!found || leaves.Before(at)) {
 			at, found = leaves, true // requests for its keys are refused then
@@ -127,6 +128,7 @@
 	// The report includes the request that it answers.
 	m.otherRequests = max(0, float64(load.Total()-1-m.inFlight()))
 	m.reportAt = now
+	p.noteReport(m, now)
 	m.slowdown = load.Slowdown
 	p.loadChecks.note(load)
 	m.hadFreeSlots = load.Waiting == 0 && load.Running < load.Slots
--- a/gateway/pool/pool.go
+++ b/gateway/pool/pool.go
@@ -126,6 +126,8 @@
 	// shareExpiry; credit is the unused part of it.
 	share, credit float64
 	shareExpiry   time.Time
+	// priorities counts the requests for the server's keys, on a mixed service.
+	priorities priorityCounts
 }
 
 // Pool holds one service's servers as one node sees them.
@@ -148,6 +150,7 @@
 	usage       usage
 	spread      spread
 	schedules   map[int]*returns.Schedule // of callers that are told to return, by priority
+	urgency     urgency
 	// hasNamedLimits reports whether a server names a limit.
 	hasNamedLimits bool
 	loadChecks     loadChecks
@@ -278,7 +281,7 @@
 // canSend reports whether a request may be sent to a server now.
 func (p *Pool) canSend(m *member, w *Waiter, now time.Time) bool {
 	isOverShare := w.OnlyServer != "" && m.hasShare(now) && !w.ChargedToShare
-	return !isOverShare && w.mayRunAt(m, now) && !m.blocked(now) && m.hasRestCapacity(now) && p.admitsRate(m, w, now) && p.hasCapacity(m, now)
+	return !isOverShare && w.mayRunAt(m, now) && !m.blocked(now) && m.hasRestCapacity(now) && p.admitsRate(m, w, now) && p.hasCapacity(m, now) && p.mayUseQueue(m, w, now)
 }
 
 // untried returns the most recently added warm server of the own zone that has not answered
--- a/gateway/pool/share.go
+++ b/gateway/pool/share.go
@@ -22,8 +22,7 @@
 func (p *Pool) setShare(m *member) {
 	share, isShared := p.shares[m.ID]
 	if isShared && m.shareExpiry.IsZero() {
-		m.credit = p.random.Float64() // so that nodes do not all start with the same request
-		m.credit += p.initialReserve()
+		m.credit = p.initialCredit()
 	}
 	m.share, m.shareExpiry = share, time.Time{}
 	if isShared {
@@ -41,7 +40,7 @@
 	if m == nil || w.ChargedToShare || !m.hasShare(now) {
 		return nil
 	}
-	if !m.spendCredit(p.neededCredit(w.order, p.inTime(w, now), now), p.creditBound(now)) {
+	if !p.spendOwnerCredit(m, w, now) {
 		refusal := p.refuseForCapacity(w, OverShare, p.shareInterval(m, now), now)
 		refusal.Share = m.share
 		return refusal
@@ -50,15 +49,17 @@
 	return nil
 }
 
-// spendCredit charges a request to the share of its server and reports whether it may be
-// sent. Requests that can still be answered in time take precedence: late ones are sent only
-// when the credit has reached maxCredit.
-func (m *member) spendCredit(needed, bound float64) bool {
-	m.credit = math.Min(m.credit+m.share, bound)
-	if m.credit < needed {
+// initialCredit returns the credit at the start of a share: random, so that nodes do not all start with the same request.
+func (p *Pool) initialCredit() float64 { return p.random.Float64() + p.initialReserve() }
+
+// spendCredit adds a share to a credit and takes a request from it, and reports whether the request may be sent. Requests
+// that can still be answered in time and callers that waited as told take precedence.
+func (p *Pool) spendCredit(credit *float64, share float64, w *Waiter, now time.Time) bool {
+	*credit = math.Min(*credit+share, p.creditBound(now))
+	if *credit < p.neededCredit(w.order, p.inTime(w, now), now) {
 		return false
 	}
-	m.credit--
+	*credit--
 	return true
 }
 
--- a/gateway/replay/guidance.go
+++ b/gateway/replay/guidance.go
@@ -17,16 +17,31 @@
 	guidanceError = 0.15
 	// minListed is the least deviation of a speed that the lessor sends.
 	minListed = 0.05
-	// mixedService is the name of the service of a load with routes.
-	mixedService site.ServiceName = "mixed"
+)
+
+// Service is the name of the simulated service.
+const Service site.ServiceName = "service"
+
+// Guidance is what the lessor tells the nodes of a mixed service.
+type Guidance int
+
+// Kinds of guidance.
+const (
+	NoneSent       Guidance = iota // the service is not mixed
+	MixedSent                      // only that the service is mixed, at the start
+	SpeedsSent                     // the speeds of servers and the work of routes
+	AdmissionsSent                 // the admitted shares by priority
 )
 
 // Route is a kind of requests.
 type Route struct {
-	Name     string
-	Share    float64       // of the requests
+	Name  string
+	Share float64 // of the requests of the load
+	// Rate gives it arrivals of its own, as those of the load.
+	Rate     func(at time.Duration) float64
 	Work     time.Duration // mean, at a typical server
 	Target   time.Duration // answers after this time are late
+	Timeout  time.Duration // callers leave after this time; 0: that of the load
 	Priority int
 }
 
@@ -49,22 +64,68 @@
 	return r.Target
 }
 
+// timeoutOf returns the time after which a caller leaves.
+func (r *replay) timeoutOf(c caller) time.Duration {
+	if c.route != nil && c.route.Timeout > 0 {
+		return c.route.Timeout
+	}
+	return r.CallerTimeout
+}
+
+// isCounted reports whether the request of a caller is part of the result.
+func (r *replay) isCounted(c caller) bool {
+	at := c.arrived.Sub(r.start)
+	return at >= r.CountFrom && (r.CountTo == 0 || at < r.CountTo)
+}
+
 // workAt returns how long a server runs a request on average.
 func (r *replay) workAt(req *request, s *server) float64 {
+	work := float64(s.Work)
 	if req.route != nil {
-		return float64(req.route.Work) * s.Relative
+		work = float64(req.route.Work) * s.relative()
 	}
-	return float64(s.Work)
+	if s.isSlow {
+		work *= slowFactor
+	}
+	return work
 }
 
-// sendGuidance has the lessor send its estimates to all nodes while requests arrive.
-func (r *replay) sendGuidance() {
+// relative returns the service time relative to a typical server.
+func (s *Server) relative() float64 {
+	if s.Relative == 0 {
+		return 1
+	}
+	return s.Relative
+}
+
+// startGuidance has the lessor send the guidance of the load, unless the policy leaves it out.
+func (r *replay) startGuidance() {
+	switch {
+	case r.Guidance == MixedSent && r.Policy != NoReturnOrder:
+		r.setGuidance(guidance.Guidance{Mixed: []site.ServiceName{Service}})
+	case r.Guidance == SpeedsSent && r.Policy != NoGuidance:
+		r.schedule(guidanceDelay, r.sendSpeeds)
+	case r.Guidance == AdmissionsSent && r.Policy != NoUrgency:
+		r.startAdmissions()
+	}
+}
+
+// setGuidance has all nodes receive guidance.
+func (r *replay) setGuidance(g guidance.Guidance) {
+	for i, p := range r.pools {
+		p.SetGuidance(Service, g, r.now)
+		r.deliver(i, p.Admit(r.now))
+	}
+}
+
+// sendSpeeds has the lessor send its estimates to all nodes while requests arrive.
+func (r *replay) sendSpeeds() {
 	if r.now.Sub(r.start) > r.Length {
 		return
 	}
-	g := guidance.Guidance{Mixed: []site.ServiceName{mixedService}, Speeds: map[site.ServerID]float64{}, Work: map[string]float64{}}
+	g := guidance.Guidance{Mixed: []site.ServiceName{Service}, Speeds: map[site.ServerID]float64{}, Work: map[string]float64{}}
 	for i, s := range r.servers {
-		estimate := s.Relative * (1 + guidanceError*(2*r.random.Float64()-1))
+		estimate := s.relative() * (1 + guidanceError*(2*r.random.Float64()-1))
 		if math.Abs(estimate-1) > minListed {
 			g.Speeds[r.currentID(i)] = estimate
 		}
@@ -72,9 +133,6 @@
 	for _, route := range r.Routes {
 		g.Work[route.Name] = route.Work.Seconds()
 	}
-	for i, p := range r.pools {
-		p.SetGuidance(mixedService, g, r.now)
-		r.deliver(i, p.Admit(r.now))
-	}
-	r.schedule(guidanceInterval, r.sendGuidance)
+	r.setGuidance(g)
+	r.schedule(guidanceInterval, r.sendSpeeds)
 }
--- a/gateway/replay/load.go
+++ b/gateway/replay/load.go
@@ -36,11 +36,15 @@
 	NoBudget Policy = "no-budget"
 	// NoReturnOrder leaves out the schedule and the order of returning callers on a mixed site.
 	NoReturnOrder Policy = "no-return-order"
+	// NoUrgency serves a mixed service without guidance.
+	NoUrgency Policy = "no-urgency"
+	// NoAdmission sends less urgent requests only to free slots, and admits all.
+	NoAdmission Policy = "no-admission"
 )
 
 // Policies returns every policy.
 func Policies() []Policy {
-	return []Policy{Pooled, RandomServer, FirstCome, NoRefusal, NoEviction, AtLeastOne, NoShares, NoGuidance, NoBudget, NoReturnOrder}
+	return []Policy{Pooled, RandomServer, FirstCome, NoRefusal, NoEviction, AtLeastOne, NoShares, NoGuidance, NoBudget, NoReturnOrder, NoUrgency, NoAdmission}
 }
 
 // Load is a traffic pattern: several nodes, each with a pool of the same servers, and
@@ -48,26 +52,38 @@
 type Load struct {
 	Nodes         int
 	Servers       []Server
-	Rate          func(at time.Duration) float64 // arrivals per second over all nodes
+	Rate          func(at time.Duration) float64 // arrivals per second over all nodes; nil: only those of the routes
 	Length        time.Duration
 	Target        time.Duration // answers after this time are late
 	CallerTimeout time.Duration // callers leave after this time; later answers are in vain
 	OnlyFirst     bool          // every request is for the first server
 	Keyed         bool          // each request is for the owner of its key, one of the servers at random
-	Mixed         bool          // the lessor has told the nodes that the service is mixed
 	// AssumedCapacity is the capacity that the lessor assumes for the owners of keys, relative to
 	// their real capacity. If it is 0, the lessor sends no shares.
 	AssumedCapacity float64
 	// LowPriorityShare is the share of requests with a lower priority.
 	LowPriorityShare float64
-	// Routes are the routes of requests; if there are any, they replace LowPriorityShare, and the lessor sends guidance.
-	Routes  []Route
-	Callers Callers
+	// Routes are the routes of requests; if there are any, they replace LowPriorityShare.
+	Routes []Route
+	// Guidance is what the lessor tells the nodes; the service is mixed if it is not empty.
+	Guidance Guidance
+	// CountFrom and CountTo bound the arrivals of the callers that are counted; 0: all.
+	CountFrom, CountTo time.Duration
+	// SlowShare is the share of periods of slowPeriod in which the work of a server takes slowFactor times as long.
+	SlowShare float64
+	// Checks reports that servers tell the pace of their machine, so that nodes check their load before requests.
+	Checks bool
+	// LostZone is cut off with all of its servers at LostAt: they answer nothing any more. Empty: none.
+	LostZone string
+	LostAt   time.Duration
+	Callers  Callers
 	// Resends bounds the resends of nodes; if it is nil, nodes send each request once.
 	Resends *budget.Terms
 	Policy  Policy
 	// NewIDPerIncarnation gives each incarnation of a server its own ID.
 	NewIDPerIncarnation bool
+	// Trace receives a line for each decision on admissions; nil: none.
+	Trace func(line string) `json:"-"`
 }
 
 // Callers describes how callers retry after an answer which guarantees that the request has
@@ -87,7 +103,7 @@
 	Slots int
 	Queue int
 	Work  time.Duration // mean
-	// Relative is its service time relative to a typical server, which multiplies the work of routes.
+	// Relative is its service time relative to a typical server, which multiplies the work of routes; 0: 1.
 	Relative  float64
 	ShedShare float64 // share of requests that it refuses regardless of room
 	// ShedsWithLoad reports the server's load with a refusal, so that nodes can see that
@@ -119,9 +135,9 @@
 	// Unserved is the time that refused requests and those of callers that left spent at a
 	// node.
 	Unserved time.Duration
-	// Urgent and UrgentInTime count the requests of the higher priority.
-	Urgent, UrgentInTime int
-	Returns              Returns
+	// Urgent, UrgentInTime and UrgentLate count the requests of the highest priority.
+	Urgent, UrgentInTime, UrgentLate int
+	Returns                          Returns
 }
 
 // String implements fmt.Stringer.
--- a/gateway/replay/replay.go
+++ b/gateway/replay/replay.go
@@ -42,6 +42,7 @@
 	// arrivals is a separate source so that every policy has the same callers.
 	arrivals   *rand.Rand
 	random     *rand.Rand
+	slowness   *rand.Rand // of servers
 	start      time.Time
 	zones      []string
 	now        time.Time
@@ -52,6 +53,8 @@
 	nextRoomAt map[int]time.Time // next scheduled admission, by node
 	result     Result
 	lessor     lessor
+	admissions admissions
+	registered []site.Server
 }
 
 // Run replays a load with the random numbers of a seed.
@@ -65,17 +68,14 @@
 		r.budgets = append(r.budgets, r.newBudget())
 	}
 	r.updatePools()
-	r.setGuidance()
 	for i, s := range r.servers {
 		if s.CrashEvery > 0 {
 			r.schedule(s.CrashEvery, func() { r.crash(i) })
 		}
 	}
-	r.schedule(0, r.addCaller)
-	if len(r.Routes) > 0 && r.Policy != NoGuidance {
-		r.schedule(guidanceDelay, r.sendGuidance)
-	}
 	r.lessor.observed = make([]observed, len(l.Servers))
+	r.startCallers(seed)
+	r.startGuidance()
 	if r.AssumedCapacity > 0 && r.Policy != NoShares {
 		r.lessor.quota = quota.New()
 		r.schedule(shareInterval, r.updateShares)
@@ -84,26 +84,48 @@
 	return r.result
 }
 
-// addCaller adds a caller and schedules the arrival of the next one.
-func (r *replay) addCaller() {
+// startCallers schedules the first callers and the disturbances.
+func (r *replay) startCallers(seed uint64) {
+	if r.Rate != nil {
+		r.schedule(0, func() { r.addCaller(nil) })
+	}
+	for i := range r.Routes {
+		if r.Routes[i].Rate != nil {
+			r.schedule(0, func() { r.addCaller(&r.Routes[i]) })
+		}
+	}
+	if r.SlowShare > 0 {
+		r.slowness = rand.New(rand.NewPCG(seed, seed+2))
+		r.schedule(0, r.drawSlowServers)
+	}
+	if r.LostZone != "" {
+		r.schedule(r.LostAt, r.loseZone)
+	}
+}
+
+// addCaller adds a caller of a route with arrivals of its own, or of the load if it is nil, and schedules the arrival of
+// the next one.
+func (r *replay) addCaller(route *Route) {
 	elapsed := r.now.Sub(r.start)
 	if elapsed > r.Length {
 		return
 	}
-	gap := r.arrivals.ExpFloat64() / r.Rate(elapsed)
-	r.schedule(time.Duration(gap*float64(time.Second)), r.addCaller)
-	r.result.Asked++
-	c := caller{arrived: r.now, retriesLeft: r.Callers.Retries}
-	switch {
-	case len(r.Routes) > 0:
+	rate := r.Rate
+	if route != nil {
+		rate = route.Rate
+	}
+	gap := r.arrivals.ExpFloat64() / rate(elapsed)
+	r.schedule(time.Duration(gap*float64(time.Second)), func() { r.addCaller(route) })
+	c := caller{arrived: r.now, route: route, retriesLeft: r.Callers.Retries}
+	if route == nil && len(r.Routes) > 0 {
 		c.route = r.pickRoute()
+	}
+	switch {
+	case c.route != nil:
 		c.priority = c.route.Priority
 	case r.LowPriorityShare > 0 && r.arrivals.Float64() < r.LowPriorityShare:
 		c.priority = 1
 	}
-	if c.priority == 0 {
-		r.result.Urgent++
-	}
 	if r.Callers.ImmediateShare > 0 && r.arrivals.Float64() < r.Callers.ImmediateShare {
 		c.retriesAtOnce = true
 		c.retriesLeft *= immediateRetryFactor
@@ -118,6 +140,7 @@
 // sendRequest sends the request of a caller to a random node.
 func (r *replay) sendRequest(c caller) {
 	r.lessor.observed[c.owner].asked++
+	r.noteCaller(c)
 	req := &request{caller: c, waiter: r.newWaiter(c), node: r.random.IntN(r.Nodes)}
 	if r.Resends != nil {
 		r.budgets[req.node].Request(r.Nodes, r.now)
@@ -127,7 +150,7 @@
 
 // newWaiter returns the request as the pool sees it.
 func (r *replay) newWaiter(c caller) *pool.Waiter {
-	w := &pool.Waiter{Priority: c.priority, ArrivedAt: r.now, Target: c.arrived.Add(r.targetOf(c)), Deadline: c.arrived.Add(r.CallerTimeout), Waited: r.waited(c)}
+	w := &pool.Waiter{Priority: c.priority, ArrivedAt: r.now, Target: c.arrived.Add(r.targetOf(c)), Deadline: c.arrived.Add(r.timeoutOf(c)), Waited: r.waited(c)}
 	if c.route != nil {
 		w.Route = c.route.Name
 	}
@@ -152,6 +175,7 @@
 		r.receive(req)
 		return
 	}
+	r.check(req)
 	admission, refusal := r.pools[req.node].Submit(req.waiter, r.now)
 	switch {
 	case refusal != nil:
@@ -162,13 +186,16 @@
 	default:
 		r.waiting[req.waiter] = req
 		r.scheduleTimeout(req)
+		if p := r.pools[req.node]; p.IsMixed(r.now) {
+			r.deliver(req.node, p.Admit(r.now))
+		}
 		r.scheduleNextRoom(req.node)
 	}
 }
 
 // scheduleTimeout removes a caller from the queue of its node at its timeout.
 func (r *replay) scheduleTimeout(req *request) {
-	r.schedule(req.arrived.Add(r.CallerTimeout).Sub(r.now), func() {
+	r.schedule(req.arrived.Add(r.timeoutOf(req.caller)).Sub(r.now), func() {
 		if r.waiting[req.waiter] == req {
 			delete(r.waiting, req.waiter)
 			r.pools[req.node].Remove(req.waiter)
@@ -180,7 +207,7 @@
 // countTimeout counts a caller that has left.
 func (r *replay) countTimeout(req *request) {
 	r.result.Left++
-	r.result.Unserved += min(r.CallerTimeout, r.now.Sub(req.waiter.ArrivedAt))
+	r.result.Unserved += min(r.timeoutOf(req.caller), r.now.Sub(req.waiter.ArrivedAt))
 }
 
 // scheduleNextRoom schedules the admission of waiting requests at the end of a pause.
@@ -219,13 +246,18 @@
 }
 
 func (r *replay) send(req *request, to site.Server) {
+	req.server, req.id = r.indexOf(to.ID), to.ID
+	r.receive(req)
+}
+
+// indexOf returns the index of the server of an incarnation.
+func (r *replay) indexOf(id site.ServerID) int {
 	for i := range r.servers {
-		if serverID(i).Name() == to.ID.Name() || strings.HasPrefix(string(to.ID), string(serverID(i))+"-") {
-			req.server = i
-			req.id = to.ID
+		if serverID(i).Name() == id.Name() || strings.HasPrefix(string(id), string(serverID(i))+"-") {
+			return i
 		}
 	}
-	r.receive(req)
+	return 0
 }
 
 // complete reports the outcome of a request at a server to the node.
--- a/gateway/replay/returns.go
+++ b/gateway/replay/returns.go
@@ -1,14 +1,6 @@
 package replay
 
-import (
-	"time"
-
-	"github.com/burdockspindle/burdockspindle/gateway/guidance"
-	"github.com/burdockspindle/burdockspindle/gateway/site"
-)
-
-// Service is the name of the simulated service.
-const Service site.ServiceName = "service"
+import "time"
 
 // Returns counts the outcomes of callers by how they retry.
 type Returns struct {
@@ -20,26 +12,23 @@
 	AtOnce, AtOnceInTime   int
 }
 
-// setGuidance tells all nodes that the site is mixed.
-func (r *replay) setGuidance() {
-	if !r.Mixed || r.Policy == NoReturnOrder {
-		return
-	}
-	for _, p := range r.pools {
-		p.SetGuidance(Service, guidance.Guidance{Mixed: []site.ServiceName{Service}}, r.now)
-	}
-}
-
 // waited returns how long a caller has waited since its first attempt, as nodes infer it.
 func (r *replay) waited(c caller) time.Duration {
-	if !r.Mixed {
+	if r.Guidance == NoneSent {
 		return 0
 	}
 	return r.now.Sub(c.arrived)
 }
 
-// countCaller counts a new caller by how it retries.
+// countCaller counts a new caller, also by how it retries.
 func (r *replay) countCaller(c caller) {
+	if !r.isCounted(c) {
+		return
+	}
+	r.result.Asked++
+	if c.priority == 0 {
+		r.result.Urgent++
+	}
 	if c.retriesAtOnce {
 		r.result.Returns.AtOnce++
 	} else {
@@ -77,8 +66,8 @@
 	capacity := servers * slots / work.Seconds()
 	l := Load{
 		Nodes: nodes, Length: 16 * time.Second, Target: 500 * time.Millisecond, CallerTimeout: 3 * time.Second,
-		Rate:  Burst(0.6*capacity, 1.5*capacity, 5*time.Second, 9*time.Second),
-		Mixed: true, Keyed: keyed, LowPriorityShare: 0.4, Callers: Callers{Retries: 2, ImmediateShare: 0.3},
+		Rate:     Burst(0.6*capacity, 1.5*capacity, 5*time.Second, 9*time.Second),
+		Guidance: MixedSent, Keyed: keyed, LowPriorityShare: 0.4, Callers: Callers{Retries: 2, ImmediateShare: 0.3},
 	}
 	if keyed {
 		l.AssumedCapacity = 1
--- a/gateway/replay/scenarios.go
+++ b/gateway/replay/scenarios.go
@@ -47,6 +47,10 @@
 		unlikeWork(),
 		returningBurst("returning-81", "one and a half times the capacity for 4 s at 81 nodes of a mixed site; three in ten callers retry immediately and often", false),
 		returningBurst("returning-owners-81", "the same for servers that own keys, with shares", true),
+		mixedSurge(),
+		mixedSurgeUnchecked(),
+		mixedSurgeUneven(),
+		mixedZoneLost(),
 	}
 }
 
@@ -72,7 +76,7 @@
 
 // unlikeWork has servers of unlike speeds and routes of unlike work, and so many nodes that one rarely uses each server.
 func unlikeWork() Scenario {
-	l := Load{Nodes: 81, Rate: Steady(600), Length: length, CallerTimeout: 6 * time.Second, Callers: Callers{Retries: 2}}
+	l := Load{Nodes: 81, Rate: Steady(600), Length: length, CallerTimeout: 6 * time.Second, Callers: Callers{Retries: 2}, Guidance: SpeedsSent}
 	l.Routes = []Route{
 		{Name: "short", Share: 0.46, Work: 88 * time.Millisecond, Target: 800 * time.Millisecond},
 		{Name: "long", Share: 0.54, Work: 440 * time.Millisecond, Target: 3 * time.Second, Priority: 1},
