Start the credit of each priority of a busy owner at random

The credits began at zero at all nodes, so that each node refused its first requests: at 81 nodes a node sees a request for a given owner every few seconds.

--- a/gateway/pool/priorities.go
+++ b/gateway/pool/priorities.go
@@ -24,7 +24,10 @@
 type priorityCount struct {
 	priority int
 	requests float64
-	credit   float64 // unused part of the share of a busy server
+	// credit is the unused part of the share of a busy server; hasCredit reports that it has been set since the share
+	// started.
+	credit    float64
+	hasCredit bool
 }
 
 // add counts a request.
@@ -60,6 +63,13 @@
 	return math.MaxInt
 }
 
+// dropCredits has every priority start with a new credit.
+func (c *priorityCounts) dropCredits() {
+	for i := range c.classes {
+		c.classes[i].hasCredit = false
+	}
+}
+
 // shareOf divides a share of all requests among the priorities, the most urgent first, and returns what one of them gets.
 // Each less urgent one keeps minUrgencyShare of what it would get by its requests alone.
 func (c *priorityCounts) shareOf(priority int, share float64) float64 {
--- a/gateway/pool/share.go
+++ b/gateway/pool/share.go
@@ -23,6 +23,7 @@
 	share, isShared := p.shares[m.ID]
 	if isShared && m.shareExpiry.IsZero() {
 		m.credit = p.initialCredit()
+		m.priorities.dropCredits()
 	}
 	m.share, m.shareExpiry = share, time.Time{}
 	if isShared {
--- a/gateway/pool/urgency.go
+++ b/gateway/pool/urgency.go
@@ -119,5 +119,9 @@
 		return p.spendCredit(&m.credit, m.share, w, now)
 	}
 	share := m.priorities.shareOf(w.Priority, m.share)
-	return p.spendCredit(&m.priorities.class(w.Priority).credit, share, w, now)
+	class := m.priorities.class(w.Priority)
+	if !class.hasCredit {
+		class.credit, class.hasCredit = p.initialCredit(), true
+	}
+	return p.spendCredit(&class.credit, share, w, now)
 }
