Simulate the order of returns without admission by urgency

The service of the scenarios of returning callers is not mixed itself now, but another one of its site is: admission by urgency otherwise began with these scenarios and expired when their burst began, so that their tests compared both.

--- a/gateway/replay/guidance.go
+++ b/gateway/replay/guidance.go
@@ -22,13 +22,16 @@
 // Service is the name of the simulated service.
 const Service site.ServiceName = "service"
 
-// Guidance is what the lessor tells the nodes of a mixed service.
+// otherService is another service of the site.
+const otherService site.ServiceName = "other"
+
+// Guidance is what the lessor tells the nodes of a mixed site.
 type Guidance int
 
 // Kinds of guidance.
 const (
-	NoneSent       Guidance = iota // the service is not mixed
-	MixedSent                      // only that the service is mixed, at the start
+	NoneSent       Guidance = iota // the site is not mixed
+	MixedSent                      // only that another service of the site is mixed, so that this one has no admission by urgency
 	SpeedsSent                     // the speeds of servers and the work of routes
 	AdmissionsSent                 // the admitted shares by priority
 )
@@ -102,7 +105,7 @@
 func (r *replay) startGuidance() {
 	switch {
 	case r.Guidance == MixedSent && r.Policy != NoReturnOrder:
-		r.setGuidance(guidance.Guidance{Mixed: []site.ServiceName{Service}})
+		r.setGuidance(guidance.Guidance{Mixed: []site.ServiceName{otherService}})
 	case r.Guidance == SpeedsSent && r.Policy != NoGuidance:
 		r.schedule(guidanceDelay, r.sendSpeeds)
 	case r.Guidance == AdmissionsSent && r.Policy != NoUrgency:
--- a/gateway/replay/load.go
+++ b/gateway/replay/load.go
@@ -65,7 +65,7 @@
 	LowPriorityShare float64
 	// Routes are the routes of requests; if there are any, they replace LowPriorityShare.
 	Routes []Route
-	// Guidance is what the lessor tells the nodes; the service is mixed if it is not empty.
+	// Guidance is what the lessor tells the nodes; the site is mixed if it tells any.
 	Guidance Guidance
 	// CountFrom and CountTo bound the arrivals of the callers that are counted; 0: all.
 	CountFrom, CountTo time.Duration
