--- a/gateway/duty/admissions.go
+++ b/gateway/duty/admissions.go
@@ -77,6 +77,7 @@
 func (d *Duty) decideAdmissions(v *view.View, mixed []site.ServiceName, now time.Time) map[site.ServiceName]guidance.Admission {
 	a := &d.admissions
 	a.controller.Forget(mixed)
+	a.meter.Forget(mixed)
 	decisions := make([]urgency.Decision, 0, len(mixed))
 	admitted := map[site.ServiceName]guidance.Admission{}
 	for _, name := range mixed {
--- a/gateway/duty/admissions_test.go
+++ b/gateway/duty/admissions_test.go
@@ -78,6 +78,19 @@
 	g.Expect(decideAfter(newMixedLessor(), 6, "").Admissions).To(gomega.BeEmpty(), "no work is known")
 }
 
+// Guards against measurements of services that are not mixed, which grow by every incarnation of a server.
+func TestLessorMeasuresMixedServicesOnly(t *testing.T) {
+	g := gomega.NewWithT(t)
+	d := newMixedLessor()
+	now := clock.Now()
+	for range 6 {
+		now = now.Add(guidanceInterval)
+		d.admissions.measure(d.State.Now(), overloadReport("patient"), now)
+		g.Expect(d.decideGuidance(d.State.Now(), now).IsMixed()).To(gomega.BeFalse())
+	}
+	g.Expect(d.admissions.meter.Demands("s", now)).To(gomega.BeEmpty())
+}
+
 // Guards against a surge that all nodes admit for some seconds since the lessor has changed.
 func TestNewLessorKeepsTheAdmissionsOfItsNode(t *testing.T) {
 	g := gomega.NewWithT(t)
--- a/gateway/urgency/meter.go
+++ b/gateway/urgency/meter.go
@@ -90,6 +90,12 @@
 	return s.get(demandHalfLife, now) / seconds
 }
 
+// Forget removes the measurements of all services but the given ones, which are mixed. Those of other services are not
+// used, and would grow by every incarnation of a server.
+func (m *Meter) Forget(mixed []site.ServiceName) {
+	maps.DeleteFunc(m.services, func(name site.ServiceName, _ *measured) bool { return !slices.Contains(mixed, name) })
+}
+
 func (m *Meter) service(name site.ServiceName, now time.Time) *measured {
 	s := m.services[name]
 	if s == nil {
