Large answers: callers that read slowly do not take the link

Cause: an answer counted in full against the link until its caller had read it, so that a few slow readers on a 10 Mbit/s node kept requests from an idle link.

Change: an answer that has been written for longer than its objective counts for what it delivers within the objective at its mean rate so far. Waiting requests are considered again every 100 ms. Its memory counts in full, as before. What the answers in flight take is summed up once for all waiting requests instead of once for each.

--- a/gateway/router/dispatch.go
+++ b/gateway/router/dispatch.go
@@ -108,8 +108,8 @@
 }
 
 // sendHedge sends the request to a second server if a slot is free, or by way of another node
-// if this one is partitioned, and if there is room for a second large answer. Otherwise it tries again after hedgeRetryInterval if the first
-// server accepts no connection.
+// if this one is partitioned, and if there is room for a second large answer. Otherwise it tries
+// again after hedgeRetryInterval if the first server accepts no connection.
 func (d *dispatch) sendHedge() {
 	d.hedgeTimer = nil
 	if !d.x.mayHedge() {
--- a/gateway/router/large_answers.go
+++ b/gateway/router/large_answers.go
@@ -16,6 +16,9 @@
 	stallTimeout = 5 * time.Second
 	// stalledReason is the reason in the log line of a request whose caller has stopped reading.
 	stalledReason = "caller does not read its answer"
+	// roomCheckInterval is how often waiting requests are considered for room: answers that are read slowly take less of the
+	// link over time. It is below a service time.
+	roomCheckInterval = 100 * time.Millisecond
 )
 
 // StallLimiter is a Caller whose connection ends when a write to it makes no progress.
@@ -37,6 +40,8 @@
 	bounds  *transfer.Bounds
 	waiting map[*transfer.Request]chan *transfer.Refusal // receives nil when there is room
 	counted int64                                        // bytes in the metric
+	// checkTimer fires when waiting requests are next considered for room; nil: none wait.
+	checkTimer *time.Timer
 }
 
 func newLargeAnswers(limits transfer.Limits) *largeAnswers {
@@ -86,6 +91,17 @@
 		delete(l.waiting, refusal.Request)
 	}
 	l.count()
+	if len(l.waiting) > 0 && l.checkTimer == nil {
+		l.checkTimer = time.AfterFunc(roomCheckInterval, l.check)
+	}
+}
+
+// check considers waiting requests for room. It is called again while requests wait.
+func (l *largeAnswers) check() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.checkTimer = nil
+	l.deliver()
 }
 
 // count updates the metric of bytes, which sums up all nodes of the process. l.mu must be held.
@@ -116,7 +132,7 @@
 func (l *largeAnswers) received(r *transfer.Request, bytes int64) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.bounds.Received(r, bytes)
+	l.bounds.Received(r, bytes, time.Now())
 	l.deliver()
 }
 
@@ -186,7 +202,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	defer l.count()
-	return l.bounds.TryHedge(x.room)
+	return l.bounds.TryHedge(x.room, time.Now())
 }
 
 // cancelHedgeRoom gives it back if the attempt was not made.
--- a/gateway/router/large_answers_test.go
+++ b/gateway/router/large_answers_test.go
@@ -114,6 +114,24 @@
 	}
 }
 
+// Guards against requests that wait for the link until an answer ends, although its caller reads it slowly.
+func TestDownloadsDoNotWaitForSlowReaders(t *testing.T) {
+	g := gomega.NewWithT(t)
+	r := newDownloadNode(t, transfer.Limits{Link: 5000}, func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write(make([]byte, 400)) })
+	for range 100 { // until their size is known
+		g.Expect(download(r).Code).To(gomega.Equal(http.StatusOK))
+	}
+	arrived := time.Now()
+	slow := &transfer.Request{Route: "r", ArrivedAt: arrived, Deadline: arrived.Add(10 * time.Second), Objective: 200 * time.Millisecond}
+	r.largeAnswers.submit(slow)
+	r.largeAnswers.received(slow, 1000) // all that the link delivers within the objective
+	g.Expect(r.largeAnswers.bounds.Waiting()).To(gomega.BeZero())
+	g.Expect(download(r).Code).To(gomega.Equal(http.StatusOK))
+	g.Expect(time.Since(arrived)).To(gomega.BeNumerically(">", 200*time.Millisecond), "the link may be taken")
+	r.largeAnswers.release(slow)
+	g.Expect(r.largeAnswers.bounds.Bytes()).To(gomega.BeZero())
+}
+
 // unreadingCaller is a caller whose connection ends since it does not read.
 type unreadingCaller struct {
 	*httptest.ResponseRecorder
--- a/gateway/transfer/transfer.go
+++ b/gateway/transfer/transfer.go
@@ -54,8 +54,9 @@
 	Deadline  time.Time
 	Objective time.Duration // within which the link must deliver what is in flight; 0: the link is no bound
 
-	bytes int64     // counted for it: expected ones until its answer is there; 0: it has no room
-	since time.Time // when it got room
+	bytes      int64     // counted for it: expected ones until its answer is there; 0: it has no room
+	since      time.Time // when it got room
+	receivedAt time.Time // when its answer was there; zero: it is not
 }
 
 // Refusal tells why a request gets no room, and when its caller should retry.
@@ -98,7 +99,7 @@
 // Submit gives a request room, refuses it, or lets it wait for a resource. Next then returns it when there is room.
 func (b *Bounds) Submit(r *Request, now time.Time) (waitsFor Reason, refusal *Refusal) {
 	place := b.placeOf(r)
-	if place == 0 && b.exceeded(r) == "" {
+	if place == 0 && b.exceeded(r, now) == "" {
 		b.take(r, now)
 		return "", nil
 	}
@@ -106,7 +107,7 @@
 	for _, other := range b.queue[:place] {
 		ahead += b.size(other)
 	}
-	wait, reason := b.expectedWait(r, ahead, now)
+	wait, reason := b.expectedWait(r, ahead, b.usage(now))
 	if len(b.queue) >= maxWaiting || b.isTooLate(r, now.Add(wait)) {
 		return "", b.refuse(r, reason, wait)
 	}
@@ -116,14 +117,18 @@
 
 // Next returns the waiting requests that get room now, and those that would get it too late.
 func (b *Bounds) Next(now time.Time) (admitted []*Request, refused []*Refusal) {
-	for len(b.queue) > 0 && b.exceeded(b.queue[0]) == "" {
+	for len(b.queue) > 0 && b.exceeded(b.queue[0], now) == "" {
 		b.take(b.queue[0], now)
 		admitted = append(admitted, b.queue[0])
 		b.queue = slices.Delete(b.queue, 0, 1)
 	}
+	if len(b.queue) == 0 {
+		return admitted, nil
+	}
 	var ahead int64
+	used := b.usage(now)
 	b.queue = slices.DeleteFunc(b.queue, func(r *Request) bool {
-		wait, reason := b.expectedWait(r, ahead, now)
+		wait, reason := b.expectedWait(r, ahead, used)
 		if b.isTooLate(r, now.Add(wait)) {
 			refused = append(refused, b.refuse(r, reason, wait))
 			return true
@@ -135,8 +140,8 @@
 }
 
 // TryHedge gives a request that has room as much once more, for a second attempt, unless others wait or it does not fit.
-func (b *Bounds) TryHedge(r *Request) bool {
-	if len(b.queue) > 0 || b.exceeded(r) != "" {
+func (b *Bounds) TryHedge(r *Request, now time.Time) bool {
+	if len(b.queue) > 0 || b.exceeded(r, now) != "" {
 		return false
 	}
 	size := b.size(r)
@@ -153,7 +158,7 @@
 }
 
 // Received records the size of a request's answer, which counts from now on in place of the expected one.
-func (b *Bounds) Received(r *Request, bytes int64) {
+func (b *Bounds) Received(r *Request, bytes int64, now time.Time) {
 	if _, hasRoom := b.inFlight[r]; !hasRoom {
 		return
 	}
@@ -161,6 +166,7 @@
 	means.size += answerWeight * (float64(bytes) - means.size)
 	b.bytes += bytes - r.bytes
 	r.bytes = bytes
+	r.receivedAt = now
 }
 
 // Release takes back the room of a request that has ended, or ends its wait.
@@ -179,7 +185,7 @@
 // GiveUp ends the wait of a request that no longer waits for room, and returns its refusal.
 func (b *Bounds) GiveUp(r *Request, now time.Time) *Refusal {
 	b.Release(r, now)
-	wait, reason := b.expectedWait(r, 0, now)
+	wait, reason := b.expectedWait(r, 0, b.usage(now))
 	return b.refuse(r, reason, wait)
 }
 
@@ -198,37 +204,68 @@
 
 // exceeded returns the resource that is too small for one more answer; empty: there is room. A single answer always has room:
 // a route whose expected size is beyond the bounds would otherwise never get another answer to correct it.
-func (b *Bounds) exceeded(r *Request) Reason {
-	if len(b.inFlight) == 0 {
+func (b *Bounds) exceeded(r *Request, now time.Time) Reason {
+	size, link := b.size(r), b.linkLimit(r)
+	switch {
+	case len(b.inFlight) == 0:
 		return ""
+	case b.limits.Memory > 0 && b.bytes+size > b.limits.Memory:
+		return Memory
+	case link > 0 && b.bytes+size > link && b.linkBytes(now)+size > link:
+		return Link
 	}
-	most, reason := b.most(r)
-	if most == 0 || b.bytes+b.size(r) <= most {
-		return ""
+	return ""
+}
+
+// linkLimit returns the bytes that the link delivers within the objective of a request; 0: no bound.
+func (b *Bounds) linkLimit(r *Request) int64 { return int64(b.limits.Link * r.Objective.Seconds()) }
+
+// linkBytes returns the bytes in flight that the link is expected to deliver within the objectives of their requests. An answer
+// that has been written for longer than its objective is limited by its caller: it counts for what it delivers within the
+// objective at its mean rate so far, at most.
+func (b *Bounds) linkBytes(now time.Time) int64 {
+	var sum int64
+	for r := range b.inFlight {
+		bytes := r.bytes
+		if age := now.Sub(r.receivedAt); !r.receivedAt.IsZero() && age > r.Objective {
+			bytes = int64(float64(bytes) * float64(r.Objective) / float64(age))
+		}
+		sum += bytes
 	}
-	return reason
+	return sum
+}
+
+// usage is what the answers in flight take of the node's resources at one time.
+type usage struct {
+	bytes, linkBytes int64
+	hold             time.Duration // for which they take room, on average
+}
+
+func (b *Bounds) usage(now time.Time) usage {
+	return usage{bytes: b.bytes, linkBytes: b.linkBytes(now), hold: b.meanHold(now)}
 }
 
-// most returns the bytes that may be in flight with a request, and the resource that bounds them; 0: no bound.
-func (b *Bounds) most(r *Request) (bytes int64, reason Reason) {
-	link := int64(b.limits.Link * r.Objective.Seconds())
-	if link > 0 && (b.limits.Memory == 0 || link < b.limits.Memory) {
-		return link, Link
+// expectedWait estimates after which time a request gets room, behind requests for a number of bytes, and for which resource it
+// waits longest.
+func (b *Bounds) expectedWait(r *Request, ahead int64, used usage) (time.Duration, Reason) {
+	forMemory := b.waitFor(r, b.limits.Memory, used.bytes, ahead, used.hold)
+	forLink := b.waitFor(r, b.linkLimit(r), used.linkBytes, ahead, used.hold)
+	if link := b.linkLimit(r); forLink > forMemory || forLink == forMemory && link > 0 && (b.limits.Memory == 0 || link < b.limits.Memory) {
+		return forLink, Link
 	}
-	return b.limits.Memory, Memory
+	return forMemory, Memory
 }
 
-// expectedWait estimates after which time a request gets room, behind requests for a number of bytes. While requests wait, all of
-// the room is given back once in the time for which an answer takes its own (Little's law). The bytes in flight now are no measure:
-// they may be those of one small answer, with large ones behind it.
-func (b *Bounds) expectedWait(r *Request, ahead int64, now time.Time) (time.Duration, Reason) {
-	most, reason := b.most(r)
-	missing := min(b.bytes+ahead+b.size(r)-most, b.bytes+ahead)
-	if most == 0 || missing <= 0 || b.bytes == 0 {
-		return 0, reason
+// waitFor estimates the wait for a resource of which some bytes are used. While requests wait, all of it is given back once in the
+// time for which an answer takes its own (Little's law). The bytes in flight now are no measure: they may be those of one small
+// answer, with large ones behind it.
+func (b *Bounds) waitFor(r *Request, limit, used, ahead int64, hold time.Duration) time.Duration {
+	missing := min(used+ahead+b.size(r)-limit, used+ahead)
+	if limit == 0 || missing <= 0 || used == 0 {
+		return 0
 	}
-	turnover := max(most, b.bytes, b.size(r))
-	return time.Duration(float64(missing) / float64(turnover) * float64(b.meanHold(now))), reason
+	turnover := max(limit, used, b.size(r))
+	return time.Duration(float64(missing) / float64(turnover) * float64(hold))
 }
 
 // meanHold returns for how long the answers in flight take room, on average. One that has had it for longer than usual, as of a
--- a/gateway/transfer/transfer_test.go
+++ b/gateway/transfer/transfer_test.go
@@ -65,7 +65,7 @@
 	for range 60 {
 		r := request(1, 0)
 		b.Submit(r, start)
-		b.Received(r, 500_000)
+		b.Received(r, 500_000, start)
 		g.Expect(b.Bytes()).To(gomega.BeEquivalentTo(500_000), "its own size from now on")
 		b.Release(r, start.Add(time.Second))
 		g.Expect(b.Bytes()).To(gomega.BeZero())
@@ -131,9 +131,9 @@
 	b := newBounds(Limits{Memory: 2 * defaultSize})
 	r := request(1, 0)
 	b.Submit(r, start)
-	g.Expect(b.TryHedge(r)).To(gomega.BeTrue())
+	g.Expect(b.TryHedge(r, start)).To(gomega.BeTrue())
 	g.Expect(b.Bytes()).To(gomega.BeEquivalentTo(2 * defaultSize))
-	g.Expect(b.TryHedge(r)).To(gomega.BeFalse(), "there is no room for a third")
+	g.Expect(b.TryHedge(r, start)).To(gomega.BeFalse(), "there is no room for a third")
 	b.CancelHedge(r)
 	g.Expect(b.Bytes()).To(gomega.BeEquivalentTo(defaultSize))
 	b.Submit(request(1, 1), start)
@@ -141,7 +141,7 @@
 	b.Release(r, start)
 	g.Expect(b.Waiting()).To(gomega.Equal(1))
 	other := request(1, 0)
-	g.Expect(b.TryHedge(other)).To(gomega.BeFalse(), "a request waits")
+	g.Expect(b.TryHedge(other, start)).To(gomega.BeFalse(), "a request waits")
 }
 
 // Guards against requests that are refused because the only answer in flight is a small one, as if room came back no faster.
@@ -152,7 +152,28 @@
 	b.Submit(small, start)
 	b.Submit(request(1, 1), start)
 	b.Submit(request(1, 2), start)
-	b.Received(small, 1000)
+	b.Received(small, 1000, start)
 	_, refused := b.Next(start)
 	g.Expect(refused).To(gomega.BeEmpty())
 }
+
+// Guards against callers that read slowly and thereby keep other callers' answers from a link that is idle.
+func TestSlowReadersDoNotTakeTheLink(t *testing.T) {
+	g := gomega.NewWithT(t)
+	b := newBounds(Limits{Link: 1.25e6, Memory: 1 << 30})
+	b.routes["r"] = &routeMeans{size: 90_000, hold: time.Second}
+	for range 11 {
+		slow := request(1, 0)
+		b.Submit(slow, start)
+		b.Received(slow, 90_000, start)
+	}
+	waitsFor, _ := b.Submit(request(1, time.Millisecond), start)
+	g.Expect(waitsFor).To(gomega.Equal(Link))
+	admitted, refused := b.Next(start.Add(800 * time.Millisecond))
+	g.Expect(admitted).To(gomega.BeEmpty(), "the link may still deliver all of them within the objective")
+	g.Expect(refused).To(gomega.BeEmpty())
+	admitted, _ = b.Next(start.Add(1600 * time.Millisecond))
+	g.Expect(admitted).To(gomega.HaveLen(1))
+	g.Expect(b.linkBytes(start.Add(1600 * time.Millisecond))).To(gomega.BeEquivalentTo(11*45_000 + 90_000))
+	g.Expect(b.Bytes()).To(gomega.BeEquivalentTo(12*90_000), "they take memory until they have ended")
+}
