Test promises to returning callers and refusals of large answers at the node

Cause: the bounds of a promise (a third of the time left, in time or late, a mean service time), the count of admitted requests, the reserve at the start of a share, the promise to an evicted caller, the refusal of a request without room, the recorded size and the room of a forwarded request could each be left out without a failing test.

Change: tests of gateway/pool and gateway/router for them.

--- a/gateway/pool/returns_test.go
+++ b/gateway/pool/returns_test.go
@@ -1,6 +1,7 @@
 package pool
 
 import (
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -90,3 +91,70 @@
 	promise := guided.PromiseReturn(&Waiter{Deadline: shareStart.Add(150 * time.Millisecond)}, shareStart)
 	g.Expect(*promise).To(gomega.Equal(returns.Promise{After: maxRetryAfter}), "no time left to return in, and nothing measured")
 }
+
+// newBusyMixedPool returns a pool of a mixed site that has admitted 50 requests per second of 150 ms each, and the present time.
+func newBusyMixedPool() (*Pool, time.Time) {
+	p := newSharedPool(1)
+	p.SetGuidance("service", mixed, shareStart)
+	now := shareStart
+	for range 200 {
+		now = now.Add(20 * time.Millisecond)
+		w := &Waiter{OnlyServer: "s", ArrivedAt: now, Target: now.Add(time.Second), Deadline: now.Add(3 * time.Second)}
+		if admission, _ := p.Submit(w, now); admission != nil {
+			p.Done("s", Outcome{Took: 150 * time.Millisecond, Load: &site.Load{Slots: 4}}, now)
+		}
+	}
+	return p, now
+}
+
+// Guards against callers that are told to return when they no longer wait, or in time for nothing, or before a request can end.
+func TestPromisesFitTheTimeOfTheCaller(t *testing.T) {
+	for name, c := range map[string]struct{ target, left, latest time.Duration }{
+		"a third of the time left": {-time.Second, 900 * time.Millisecond, 300 * time.Millisecond},
+		"in time":                  {500 * time.Millisecond, 3 * time.Second, 305 * time.Millisecond},
+		"late":                     {200 * time.Millisecond, 3 * time.Second, time.Second},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			p, now := newBusyMixedPool()
+			var latest time.Duration
+			for {
+				promise := p.PromiseReturn(&Waiter{Target: now.Add(c.target), Deadline: now.Add(c.left)}, now)
+				g.Expect(promise.Admitted).To(gomega.BeNumerically("~", 50, 5))
+				if !promise.Fits {
+					g.Expect(promise.After).To(gomega.Equal(maxRetryAfter))
+					break
+				}
+				g.Expect(promise.After).To(gomega.BeNumerically(">=", 150*time.Millisecond), "a mean service time")
+				latest = max(latest, promise.After)
+			}
+			g.Expect(latest).To(gomega.BeNumerically("<=", c.latest))
+			g.Expect(latest).To(gomega.BeNumerically(">", c.latest-100*time.Millisecond))
+		})
+	}
+}
+
+// Guards against first attempts that are refused for the reserve of others when shares begin.
+func TestSharesStartWithTheReserveForReturningCallers(t *testing.T) {
+	for seed := range uint64(20) {
+		p := New("a", 0, rand.New(rand.NewPCG(seed, 1)))
+		p.Update([]site.Server{{ID: "s", Slots: 4, Zone: "a"}}, 295, shareStart)
+		p.SetGuidance("service", mixed, shareStart)
+		p.SetShares(quota.Shares{"s": 1}, shareStart.Add(10*time.Second))
+		gomega.NewWithT(t).Expect(countAdmitted(p, 1, time.Second, shareStart)).To(gomega.Equal(1), "seed %d", seed)
+	}
+}
+
+// Guards against callers that leave the queue and are told a delay beside the schedule.
+func TestEvictedCallersAreToldToReturnByTheSchedule(t *testing.T) {
+	g := gomega.NewWithT(t)
+	p, now := newBusyMixedPool()
+	p.SetShares(nil, now)
+	for len(p.queue) == 0 {
+		p.submitFor(0, time.Second, now)
+	}
+	evictions := p.Evict(now.Add(2950 * time.Millisecond))
+	g.Expect(evictions).To(gomega.HaveLen(1))
+	g.Expect(evictions[0].Refusal.Promise).NotTo(gomega.BeNil())
+	g.Expect(evictions[0].Refusal.RetryAfter).To(gomega.Equal(evictions[0].Refusal.Promise.After))
+}
--- a/gateway/router/large_answers_test.go
+++ b/gateway/router/large_answers_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/burdockspindle/burdockspindle/gateway/budget"
 	"github.com/burdockspindle/burdockspindle/gateway/follow"
+	"github.com/burdockspindle/burdockspindle/gateway/forward"
 	"github.com/burdockspindle/burdockspindle/gateway/site"
 	"github.com/burdockspindle/burdockspindle/gateway/transfer"
 	"github.com/burdockspindle/burdockspindle/gateway/upstream"
@@ -114,6 +115,25 @@
 	}
 }
 
+// Guards against a request that is sent, or that waits until its deadline, although room cannot come in time.
+func TestDownloadWithoutRoomInTimeIsRefusedAtOnceAndNotSent(t *testing.T) {
+	g := gomega.NewWithT(t)
+	r := newDownloadNode(t, transfer.Limits{Memory: 1}, func(http.ResponseWriter, *http.Request) { t.Error("the request was sent") })
+	unread := &transfer.Request{Route: "r", ArrivedAt: time.Now(), Deadline: time.Now().Add(10 * time.Second)}
+	r.largeAnswers.mu.Lock()
+	_, refusal := r.largeAnswers.bounds.Submit(unread, time.Now().Add(-20*time.Second)) // its caller has not read it for 20 s
+	r.largeAnswers.mu.Unlock()
+	g.Expect(refusal).To(gomega.BeNil())
+	asked := time.Now()
+	answer := download(r)
+	g.Expect(answer.Code).To(gomega.Equal(http.StatusServiceUnavailable))
+	g.Expect(answer.Header().Get("Retry-After")).NotTo(gomega.BeEmpty())
+	g.Expect(answer.Body.String()).To(gomega.ContainSubstring(string(transfer.Memory)))
+	g.Expect(time.Since(asked)).To(gomega.BeNumerically("<", time.Second))
+	r.largeAnswers.release(unread)
+	g.Expect(r.largeAnswers.bounds.Bytes()).To(gomega.BeZero())
+}
+
 // Guards against requests that wait for the link until an answer ends, although its caller reads it slowly.
 func TestDownloadsDoNotWaitForSlowReaders(t *testing.T) {
 	g := gomega.NewWithT(t)
@@ -132,6 +152,23 @@
 	g.Expect(r.largeAnswers.bounds.Bytes()).To(gomega.BeZero())
 }
 
+// Guards against room for a forwarded request that is not given back.
+func TestForwardedDownloadGivesItsRoomBack(t *testing.T) {
+	g := gomega.NewWithT(t)
+	s := newForwardingSite(t, site.Idempotent, 1, answerRequest, nil)
+	node := s.others[0]
+	node.state.Now().Config.Routes[0].LargeAnswers = true
+	message := forward.Request{Node: "origin", Boot: "origin-boot", ToBoot: "other-0-boot", Method: http.MethodGet, Host: "h", Target: "/x", Caller: "10.0.0.1:1", ObjectiveMs: 1000}
+	request := httptest.NewRequest(http.MethodPost, forward.Path, nil)
+	request.RemoteAddr = "127.0.0.1:5"
+	request.Header.Set("Request-Id", "r1")
+	request.Header.Set(forward.Header, forward.Encode(message))
+	answer := httptest.NewRecorder()
+	node.ServeForwarded(answer, request)
+	g.Expect(answer.Code).To(gomega.Equal(http.StatusCreated))
+	g.Expect(node.LargeAnswers()).To(gomega.Equal(LargeAnswers{}))
+}
+
 // unreadingCaller is a caller whose connection ends since it does not read.
 type unreadingCaller struct {
 	*httptest.ResponseRecorder
