Bound the change of an estimate by a false slowdown; test the server whose load is false

The time of an answer was divided by any reported slowdown from 0.2 to 20, and the bound of a false load was taken from the divided time: a server that reported a slowdown of 20 was estimated at 0.08 of its true service time.

TestLoadOfAServer changed the reports of s1 but compared the estimate of s0, so that none of its rows could fail. It now compares s1. All earlier rows pass; the new row of a false slowdown fails without the bound.

--- a/gateway/speed/estimate.go
+++ b/gateway/speed/estimate.go
@@ -26,7 +26,8 @@
 	keepDeviations   = 2
 	// minChangeAnswers is the number of answers that the short-term estimate needs.
 	minChangeAnswers = 4
-	// maxLoadFactor bounds the factor, in either direction, by which the load that a server reports changes the estimate.
+	// maxLoadFactor bounds the factor, in either direction, by which the load that a server reports, with the slowdown of its
+	// machine, changes the estimate.
 	maxLoadFactor = 4
 	// rounds is the number of times that work and relative service times are computed from each other in an update. Each
 	// update begins with the results of the one before.
@@ -263,15 +264,15 @@
 	if expected <= 0 || taken <= 0 {
 		return 0
 	}
-	byTime := taken / expected
+	byTime, measured := taken/expected, math.Log(s.measured/expected)
 	if !s.hasLoad(slots) {
-		return math.Log(byTime)
+		return measured + bounded(math.Log(byTime)-measured, maxLoadFactor)
 	}
 	u := s.utilization(slots)
 	withoutWait := (taken - waited*s.wait(slots)) / expected
 	bySlots := s.busy / s.loads / (s.answers / s.seconds) / (expected / s.answers)
 	combined := (1-u)*max(withoutWait, byTime/maxLoadFactor) + u*bySlots
-	return math.Log(min(max(combined, byTime/maxLoadFactor), byTime*maxLoadFactor))
+	return measured + bounded(math.Log(combined)-measured, maxLoadFactor)
 }
 
 // bounded limits a logarithm to a factor in either direction.
--- a/gateway/speed/speed.go
+++ b/gateway/speed/speed.go
@@ -179,6 +179,7 @@
 	routes   map[string]routeSum
 	answers  float64
 	squares  float64 // of the weights of the answers
+	measured float64 // time of the answers in seconds, not normalized by the slowdown
 	seconds  float64 // in which the answers were sent
 	loads    float64 // answers with a load
 	busy     float64
@@ -214,6 +215,7 @@
 	}
 	s.answers *= factor
 	s.squares *= factor * factor
+	s.measured *= factor
 	s.seconds *= factor
 	s.loads *= factor
 	s.busy *= factor
@@ -236,6 +238,7 @@
 	s.routes[r.Route] = of
 	s.answers += float64(r.Count)
 	s.squares += float64(r.Count)
+	s.measured += r.Time.Seconds()
 	if r.Loads > 0 {
 		s.loads += float64(r.Loads)
 		s.busy += float64(max(r.Busy, 0))
--- a/gateway/speed/speed_test.go
+++ b/gateway/speed/speed_test.go
@@ -71,7 +71,7 @@
 	}
 	mean := (shortWork + w.longShare[id]*(longWork-shortWork)) * w.relative[id]
 	took := work * w.relative[id] * math.Exp(0.5*w.random.NormFloat64()-0.125)
-	r := speed.Report{Server: id, Route: route, Count: 1, Time: time.Duration(took * float64(time.Second)), HasWait: true, Loads: 1}
+	r := speed.Report{Server: id, Route: route, Count: 1, Time: time.Duration(took * float64(time.Second)), HasWait: true, Loads: 1, Slowdown: 100}
 	if w.random.Float64() < min(mean*answerRate/slots, 1) {
 		r.Busy = slots
 	}
@@ -134,6 +134,10 @@
 			r.Queued = 1_000_000
 			return r
 		}, 0.2, 4},
+		"a false slowdown": {func(r speed.Report) speed.Report {
+			r.Slowdown, r.Busy = 2000, 0
+			return r
+		}, 0.2, 4},
 	} {
 		t.Run(name, func(t *testing.T) {
 			g := gomega.NewWithT(t)
@@ -145,7 +149,7 @@
 				return r
 			}
 			w.run(40 * time.Second)
-			g.Expect(w.relativeOf("s0") / w.relative["s0"]).To(gomega.And(gomega.BeNumerically(">", row.from), gomega.BeNumerically("<", row.upTo)))
+			g.Expect(w.relativeOf("s1") / w.relative["s1"]).To(gomega.And(gomega.BeNumerically(">", row.from), gomega.BeNumerically("<", row.upTo)))
 		})
 	}
 }
