Let the weight of an earlier lessor's guidance fade with its figures

The work of a route in the guidance that a lessor starts with counted as 40 answers for as long as it holds the lease, and so did the assumption into which a started speed decays. A route with an answer in 10 s kept nearly the old work after five minutes. The weight now falls with the half-life of estimates without reports, for speeds to that of the usual assumption.

--- a/gateway/speed/estimate.go
+++ b/gateway/speed/estimate.go
@@ -99,7 +99,7 @@
 		s.settle(now)
 	}
 	for range rounds {
-		e.updateWork(service, samples)
+		e.updateWork(service, samples, now)
 		for _, s := range samples {
 			e.updateServer(service, s, now)
 		}
@@ -119,7 +119,8 @@
 }
 
 // updateWork computes the work of each route from the times of its answers at all servers.
-func (e *Estimator) updateWork(service site.ServiceName, samples []*sample) {
+func (e *Estimator) updateWork(service site.ServiceName, samples []*sample, now time.Time) {
+	startWeight := startAnswers * fade(now.Sub(e.start.at))
 	total := map[string]routeSum{}
 	for _, s := range samples {
 		wait := s.long.wait(s.slots)
@@ -134,7 +135,7 @@
 	for route, of := range total {
 		work, weight := of.time, of.answers
 		if known := e.start.work[route]; known > 0 {
-			work, weight = work+startAnswers*known, weight+startAnswers
+			work, weight = work+startWeight*known, weight+startWeight
 		}
 		e.work[serviceRoute{service, route}] = work / max(weight, negligible)
 	}
@@ -143,22 +144,21 @@
 // updateServer computes the relative service time of a server.
 func (e *Estimator) updateServer(service site.ServiceName, s *sample, now time.Time) {
 	work := func(route string) float64 { return e.work[serviceRoute{service, route}] }
-	prior, priorWeight := 0.0, float64(priorAnswers)
+	prior, priorWeight, startWeight := 0.0, float64(priorAnswers), 0.0
 	if known := e.start.speeds[s.id]; known > 0 {
-		prior, priorWeight = math.Log(known)*fade(now.Sub(e.start.at)), startAnswers
+		faded := fade(now.Sub(e.start.at))
+		prior, startWeight = math.Log(known)*faded, startAnswers*faded
+		priorWeight = max(priorWeight, startWeight)
 	}
 	long, answers := s.long.logRelative(work, s.slots), s.long.effective()
 	s.estimate = Estimate{Age: now.Sub(s.reportedAt), Utilization: s.long.utilization(s.slots)}
 	if short, of := s.short.logRelative(work, s.slots), s.short.effective(); s.noteChange(long-short, answers, of, now) {
 		long, answers = short, of
 		s.estimate.IsShortTerm = true
-		prior, priorWeight = 0, minChangeAnswers // the change has shown that the server is not typical
+		prior, priorWeight, startWeight = 0, minChangeAnswers, 0 // the change has shown that the server is not typical
 	}
 	faded := fade(s.estimate.Age)
-	s.estimate.Answers = answers * faded
-	if priorWeight == startAnswers {
-		s.estimate.Answers += startAnswers * fade(now.Sub(e.start.at))
-	}
+	s.estimate.Answers = answers*faded + startWeight
 	s.estimate.Deviation = math.Sqrt(answerVariance / (answers*faded + priorWeight))
 	s.logRelative = bounded((answers*long+priorWeight*prior)/(answers+priorWeight), maxRelative) * faded
 }
--- a/gateway/speed/speed_test.go
+++ b/gateway/speed/speed_test.go
@@ -206,6 +206,19 @@
 	g.Expect(w.relativeOf("s2")).To(gomega.BeNumerically("<", 0.8), "the guidance was wrong")
 }
 
+// Guards against a rare route whose work stays that of the guidance of an earlier lessor.
+func TestWorkOfAnEarlierLessorFades(t *testing.T) {
+	g := gomega.NewWithT(t)
+	w := newWorld()
+	w.Start(nil, map[string]float64{"rare": 10 * longWork}, w.now)
+	for range 30 {
+		w.run(10 * time.Second)
+		w.Add("s", speed.Report{Server: "s0", Route: "rare", Count: 1, Time: 440 * time.Millisecond, HasWait: true}, w.now)
+	}
+	work := w.Update(w.servers, w.now).Work["rare"]
+	g.Expect(work).To(gomega.BeNumerically("<", 2*longWork))
+}
+
 // Guards against a rolling update: nodes of the previous release report neither routes nor loads.
 func TestReportsWithoutARoute(t *testing.T) {
 	g := gomega.NewWithT(t)
