Compute the time of a server once without guidance

On sites that are not mixed, the throughput of a service's servers took the expected time of each server twice, and each look at a server compared the clock with the expiry of guidance. No decision changes.

--- a/gateway/pool/guidance.go
+++ b/gateway/pool/guidance.go
@@ -16,7 +16,8 @@
 	guidance.Guidance
 	service    site.ServiceName
 	receivedAt time.Time // zero: there is none
-	speedUntil time.Time // until when speeds and work are used; zero: they are not
+	hasSpeeds  bool      // it has speeds and work; tested first, since it is read for each server that is considered
+	speedUntil time.Time // until when they are used
 	serial     uint64    // of the guidance, for what waiters keep of it
 	// relative is the mean relative service time over requests if all slots are equally busy.
 	relative float64
@@ -28,7 +29,7 @@
 	serial := p.guided.serial + 1
 	p.guided = guided{Guidance: g, service: service, receivedAt: receivedAt, serial: serial}
 	if g.IsMixed() && len(g.Work) > 0 && !receivedAt.IsZero() {
-		p.guided.speedUntil = receivedAt.Add(speedValidity)
+		p.guided.hasSpeeds, p.guided.speedUntil = true, receivedAt.Add(speedValidity)
 	}
 	p.cachedTimes = serviceTimes{}
 	p.applySpeeds()
@@ -36,7 +37,7 @@
 
 // applySpeeds copies the speeds of the guidance to the servers, so that a selection among all of them needs no lookups.
 func (p *Pool) applySpeeds() {
-	if p.guided.speedUntil.IsZero() {
+	if !p.guided.hasSpeeds {
 		return
 	}
 	slots, rate := 0.0, 0.0
@@ -59,4 +60,6 @@
 }
 
 // isGuided reports whether service times are taken from the guidance.
-func (p *Pool) isGuided(now time.Time) bool { return now.Before(p.guided.speedUntil) }
+func (p *Pool) isGuided(now time.Time) bool {
+	return p.guided.hasSpeeds && now.Before(p.guided.speedUntil)
+}
--- a/gateway/pool/queue.go
+++ b/gateway/pool/queue.go
@@ -208,15 +208,17 @@
 			return throughput{}
 		}
 		work := p.work(w, now)
-		return throughput{rate: p.rateOf(m, w, p.stayOf(m, 0, now), now), slowestSeconds: p.stayOf(m, work, now), slowest: m, work: work}
+		mean, stay := p.staysOf(m, work, now)
+		return throughput{rate: p.rateOf(m, w, mean, now), slowestSeconds: stay, slowest: m, work: work}
 	}
 	total := throughput{work: p.work(w, now)}
 	for _, m := range p.order {
 		if !w.mayRunAt(m, now) {
 			continue
 		}
-		total.rate += p.rateOf(m, w, p.stayOf(m, 0, now), now)
-		if stay := p.stayOf(m, total.work, now); stay > total.slowestSeconds {
+		mean, stay := p.staysOf(m, total.work, now)
+		total.rate += p.rateOf(m, w, mean, now)
+		if stay > total.slowestSeconds {
 			total.slowestSeconds, total.slowest = stay, m
 		}
 	}
--- a/gateway/pool/speed.go
+++ b/gateway/pool/speed.go
@@ -190,6 +190,15 @@
 	return p.stay(m, work, now)
 }
 
+// staysOf returns stayOf for requests of mean work and for one of some work, which are the same without guidance.
+func (p *Pool) staysOf(m *member, work float64, now time.Time) (mean, stay float64) {
+	mean = p.stayOf(m, 0, now)
+	if work == 0 {
+		return mean, mean
+	}
+	return mean, p.stay(m, work, now)
+}
+
 // meanStay returns the expected time in seconds of a request of some work at the servers, the usual wait there included.
 // The pool must be guided.
 func (p *Pool) meanStay(work float64) float64 {
