Placement by learned speeds: drop old moves, and bound a rate by 0

The times of moves were kept for servers that had left; they are dropped once they do not count. A server that gives all of its load away may have a utilization of -1e-17, of which the standard deviation is not a number: the comparison with the gap then let any move pass. The rate is now at least 0.

--- a/gateway/ranges/learned.go
+++ b/gateway/ranges/learned.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -103,7 +104,8 @@
 // reports whether it started a move.
 func (r *round) evenOutLearned() bool {
 	for _, u := range r.usages {
-		u.setLevel(r.loads.learned.exponent, u.cost*r.loads.rateDeviation(u.utilization/u.cost))
+		rate := max(u.utilization, 0) / u.cost // after moves a utilization may be below 0 by rounding
+		u.setLevel(r.loads.learned.exponent, u.cost*r.loads.rateDeviation(rate))
 	}
 	slices.SortStableFunc(r.usages, func(a, b *usage) int { return cmp.Compare(b.learned.level, a.learned.level) })
 	for _, from := range r.usages {
@@ -165,5 +167,8 @@
 	if from.learned == nil {
 		return
 	}
+	isOld := func(_ site.ServerID, at time.Time) bool { return now.Sub(at) >= turnMemory }
+	maps.DeleteFunc(l.sourceAt, isOld)
+	maps.DeleteFunc(l.targetAt, isOld)
 	l.sourceAt[from.server.ID], l.targetAt[to.server.ID] = now, now
 }
