Do not learn the speed of servers from their errors

A server that fails part of its requests at once looked fast to the lessor, was given more keys and named as fast in the guidance. The pool leaves such answers out of its times; on mixed sites the report to the lessor now does, too. Reports of other sites are unchanged.

--- a/gateway/router/run.go
+++ b/gateway/router/run.go
@@ -176,12 +176,15 @@
 }
 
 // reportResponse reports the answer of a server to the lessor: of a keyed service, and on a mixed site of every service and
-// by route.
+// by route. There, errors of servers are left out as in the pool: a server that fails at once would look fast and be used more.
 func (x *exchange) reportResponse(attempt attemptResult) {
 	answer := attempt.answer
 	switch {
 	case answer.NotRun:
 	case x.view.Guidance.IsMixed():
+		if answer.Status >= http.StatusInternalServerError {
+			return
+		}
 		x.router.reports.NoteRouteResponse(attempt.server.ID, x.route.Name, attempt.duration-answer.ConnectTime, serviceTime(attempt), answer.Load)
 	case x.keyed:
 		x.router.reports.NoteResponse(attempt.server.ID, serviceTime(attempt), answer.Load)
