Test saturated servers, lasting changes, slow machines, and the first seconds of a lessor

Without the source by slots and rate, the normalization by the slowdown, the adoption of a lasting change, or the speeds that a new lessor keeps during its first seconds, no test failed. Each of these now fails one.

--- a/gateway/duty/speeds_test.go
+++ b/gateway/duty/speeds_test.go
@@ -129,6 +129,9 @@
 	v := *d.State.Now()
 	v.Config = config
 	g.Expect(d.decideGuidance(&v, now).DiffersFrom(held)).To(gomega.BeFalse())
+	early := d.decideGuidance(&v, now.Add(startGrace-time.Second))
+	g.Expect(early.Speeds).To(gomega.Equal(held.Speeds), "reports are due")
+	g.Expect(early.Work).To(gomega.Equal(held.Work))
 	g.Expect(d.decideGuidance(&v, now.Add(startGrace+guidanceResendInterval)).Speeds).To(gomega.BeEmpty(), "no server has been reported")
 }
 
--- a/gateway/speed/speed_test.go
+++ b/gateway/speed/speed_test.go
@@ -178,6 +178,52 @@
 	g.Expect(late).To(gomega.BeNumerically("<", 0.75))
 }
 
+// Guards against a server that is judged by its latest answers alone for as long as it stays slower.
+func TestALastingChangeBecomesTheUsualState(t *testing.T) {
+	g := gomega.NewWithT(t)
+	w := newWorld()
+	w.run(30 * time.Second)
+	w.relative["s0"] *= 5
+	w.run(40 * time.Second)
+	e := w.Update(w.servers, w.now).Services["s"].Servers["s0"]
+	g.Expect(e.IsShortTerm).To(gomega.BeFalse())
+	g.Expect(e.Relative).To(gomega.BeNumerically("~", 5*fast, 0.5*5*fast))
+}
+
+// Guards against speeds of saturated servers by the time of their answers, nearly all of which is wait: slow
+// servers report too short a queue here, so that only the rate of answers tells the speed.
+func TestSaturatedServersAreJudgedByTheirRate(t *testing.T) {
+	g := gomega.NewWithT(t)
+	w := newWorld()
+	for range 80 {
+		w.now = w.now.Add(500 * time.Millisecond)
+		for i := range 10 {
+			id := site.ServerID(fmt.Sprint("s", i))
+			const queue = 40
+			mean := 0.1 * w.relative[id]
+			answers := int(math.Round(slots / mean / 2)) // in half a second
+			took := mean * (1 + float64(queue)/slots)
+			w.Add("s", speed.Report{Server: id, Route: "short", Count: answers, Time: time.Duration(took * float64(answers) * float64(time.Second)), HasWait: true, Loads: answers, Busy: answers * slots, Queued: answers * (queue - 8*(i%2))}, w.now)
+		}
+		w.Update(w.servers, w.now)
+	}
+	g.Expect(w.relativeOf("s1") / w.relativeOf("s0")).To(gomega.BeNumerically("~", slow/fast, 0.1*slow/fast))
+}
+
+// Guards against speeds by answers whose machine was slow for a moment.
+func TestAnswersOfSlowMachinesAreNormalized(t *testing.T) {
+	g := gomega.NewWithT(t)
+	w := newWorld()
+	w.report = func(r speed.Report) speed.Report {
+		if r.Server == "s1" {
+			r.Time, r.Slowdown = 3*r.Time, 300
+		}
+		return r
+	}
+	w.run(40 * time.Second)
+	g.Expect(w.relativeOf("s1")).To(gomega.BeNumerically("<", 1.4*slow))
+}
+
 // Guards against speeds by a few answers, of an earlier incarnation, or of long ago.
 func TestEstimatesWithoutABasisAreTypical(t *testing.T) {
 	g := gomega.NewWithT(t)
