--- a/gateway/speed/estimate.go
+++ b/gateway/speed/estimate.go
@@ -26,7 +26,8 @@
 	keepDeviations   = 2
 	// minChangeAnswers is the number of answers that the short-term estimate needs.
 	minChangeAnswers = 4
-	// maxLoadFactor bounds the factor, in either direction, by which the load that a server reports changes the estimate.
+	// maxLoadFactor bounds the factor, in either direction, by which the load that a server reports, with the slowdown of its
+	// machine, changes the estimate.
 	maxLoadFactor = 4
 	// rounds is the number of times that work and relative service times are computed from each other in an update. Each
 	// update begins with the results of the one before.
@@ -98,7 +99,7 @@
 		s.settle(now)
 	}
 	for range rounds {
-		e.updateWork(service, samples)
+		e.updateWork(service, samples, now)
 		for _, s := range samples {
 			e.updateServer(service, s, now)
 		}
@@ -118,7 +119,8 @@
 }
 
 // updateWork computes the work of each route from the times of its answers at all servers.
-func (e *Estimator) updateWork(service site.ServiceName, samples []*sample) {
+func (e *Estimator) updateWork(service site.ServiceName, samples []*sample, now time.Time) {
+	startWeight := startAnswers * fade(now.Sub(e.start.at))
 	total := map[string]routeSum{}
 	for _, s := range samples {
 		wait := s.long.wait(s.slots)
@@ -133,7 +135,7 @@
 	for route, of := range total {
 		work, weight := of.time, of.answers
 		if known := e.start.work[route]; known > 0 {
-			work, weight = work+startAnswers*known, weight+startAnswers
+			work, weight = work+startWeight*known, weight+startWeight
 		}
 		e.work[serviceRoute{service, route}] = work / max(weight, negligible)
 	}
@@ -142,22 +144,21 @@
 // updateServer computes the relative service time of a server.
 func (e *Estimator) updateServer(service site.ServiceName, s *sample, now time.Time) {
 	work := func(route string) float64 { return e.work[serviceRoute{service, route}] }
-	prior, priorWeight := 0.0, float64(priorAnswers)
+	prior, priorWeight, startWeight := 0.0, float64(priorAnswers), 0.0
 	if known := e.start.speeds[s.id]; known > 0 {
-		prior, priorWeight = math.Log(known)*fade(now.Sub(e.start.at)), startAnswers
+		faded := fade(now.Sub(e.start.at))
+		prior, startWeight = math.Log(known)*faded, startAnswers*faded
+		priorWeight = max(priorWeight, startWeight)
 	}
 	long, answers := s.long.logRelative(work, s.slots), s.long.effective()
 	s.estimate = Estimate{Age: now.Sub(s.reportedAt), Utilization: s.long.utilization(s.slots)}
 	if short, of := s.short.logRelative(work, s.slots), s.short.effective(); s.noteChange(long-short, answers, of, now) {
 		long, answers = short, of
 		s.estimate.IsShortTerm = true
-		prior, priorWeight = 0, minChangeAnswers // the change has shown that the server is not typical
+		prior, priorWeight, startWeight = 0, minChangeAnswers, 0 // the change has shown that the server is not typical
 	}
 	faded := fade(s.estimate.Age)
-	s.estimate.Answers = answers * faded
-	if priorWeight == startAnswers {
-		s.estimate.Answers += startAnswers * fade(now.Sub(e.start.at))
-	}
+	s.estimate.Answers = answers*faded + startWeight
 	s.estimate.Deviation = math.Sqrt(answerVariance / (answers*faded + priorWeight))
 	s.logRelative = bounded((answers*long+priorWeight*prior)/(answers+priorWeight), maxRelative) * faded
 }
@@ -263,15 +264,15 @@
 	if expected <= 0 || taken <= 0 {
 		return 0
 	}
-	byTime := taken / expected
+	byTime, measured := taken/expected, math.Log(s.measured/expected)
 	if !s.hasLoad(slots) {
-		return math.Log(byTime)
+		return measured + bounded(math.Log(byTime)-measured, maxLoadFactor)
 	}
 	u := s.utilization(slots)
 	withoutWait := (taken - waited*s.wait(slots)) / expected
 	bySlots := s.busy / s.loads / (s.answers / s.seconds) / (expected / s.answers)
 	combined := (1-u)*max(withoutWait, byTime/maxLoadFactor) + u*bySlots
-	return math.Log(min(max(combined, byTime/maxLoadFactor), byTime*maxLoadFactor))
+	return measured + bounded(math.Log(combined)-measured, maxLoadFactor)
 }
 
 // bounded limits a logarithm to a factor in either direction.
