Guidance: one validity, also at the router; no speeds of the guidance where loads are checked

Cause: the router treated a site as mixed by guidance of any age, so that nodes would go on to report by route to a lessor of the previous release. Change: guidance.Validity at router, pool and duty; the pool does not use guided speeds once servers have reported a slowdown.

--- a/gateway/duty/speeds.go
+++ b/gateway/duty/speeds.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/burdockspindle/burdockspindle/gateway/config"
+	"github.com/burdockspindle/burdockspindle/gateway/guidance"
 	"github.com/burdockspindle/burdockspindle/gateway/ranges"
 	"github.com/burdockspindle/burdockspindle/gateway/site"
 	"github.com/burdockspindle/burdockspindle/gateway/speed"
@@ -17,8 +18,6 @@
 const (
 	// speedsLogInterval is the least time between two log lines on the estimates.
 	speedsLogInterval = 5 * time.Second
-	// startValidity is the age up to which a new lessor starts with the guidance that its node holds. Nodes drop older speeds.
-	startValidity = 30 * time.Second
 	// startGrace is how long a new lessor goes on to send the speeds of servers of which it has no reports yet.
 	startGrace = 10 * time.Second
 )
@@ -30,7 +29,7 @@
 	d.estimates.Store(nil)
 	held := d.State.Now().Guidance
 	age := time.Since(held.ReceivedAt)
-	if held.ReceivedAt.IsZero() || age > startValidity {
+	if held.ReceivedAt.IsZero() || age > guidance.Validity {
 		return
 	}
 	d.mix.Start(held.Mixed, now)
--- a/gateway/guidance/guidance.go
+++ b/gateway/guidance/guidance.go
@@ -7,6 +7,7 @@
 	"maps"
 	"math"
 	"slices"
+	"time"
 
 	"github.com/burdockspindle/burdockspindle/gateway/site"
 )
@@ -28,6 +29,10 @@
 // are admitted whole.
 type Admission map[int]float64
 
+// Validity is how long nodes go on to treat the site as mixed, and use speeds and work, after they have received guidance.
+// It is longer than that of shares of requests: a server's machine stays the same while a lessor is replaced.
+const Validity = 30 * time.Second
+
 // minChange is the least relative change of a figure that is sent before the next repetition. Estimates of speed vary by
 // chance by about as much.
 const minChange = 0.1
--- a/gateway/pool/guidance.go
+++ b/gateway/pool/guidance.go
@@ -7,10 +7,6 @@
 	"github.com/burdockspindle/burdockspindle/gateway/site"
 )
 
-// speedValidity is how long speeds and work are used after their receipt. Speeds hold longer than shares of requests: a
-// server's machine stays the same while a lessor is replaced.
-const speedValidity = 30 * time.Second
-
 // guided is the guidance of the lessor as it applies to the pool's service.
 type guided struct {
 	guidance.Guidance
@@ -30,7 +26,7 @@
 	p.guided = guided{Guidance: g, service: service, receivedAt: receivedAt, serial: serial}
 	p.urgency.setGuidance(service, g, receivedAt)
 	if g.IsMixed() && len(g.Work) > 0 && !receivedAt.IsZero() {
-		p.guided.hasSpeeds, p.guided.speedUntil = true, receivedAt.Add(speedValidity)
+		p.guided.hasSpeeds, p.guided.speedUntil = true, receivedAt.Add(guidance.Validity)
 	}
 	p.cachedTimes = serviceTimes{}
 	p.applySpeeds()
@@ -60,7 +56,8 @@
 	}
 }
 
-// isGuided reports whether service times are taken from the guidance.
+// isGuided reports whether service times are taken from the guidance. They are not where servers report the slowdown of their
+// machines: their load is then checked before a request is sent, which tells more than their mean speed.
 func (p *Pool) isGuided(now time.Time) bool {
-	return p.guided.hasSpeeds && now.Before(p.guided.speedUntil)
+	return p.guided.hasSpeeds && p.loadChecks.meanSlowdown == 0 && now.Before(p.guided.speedUntil)
 }
--- a/gateway/pool/speed_test.go
+++ b/gateway/pool/speed_test.go
@@ -86,7 +86,7 @@
 	g := gomega.NewWithT(t)
 	p := newGuidedPool()
 	p.answer("s1", "long", 400*time.Millisecond, nil, guidedAt)
-	expired := guidedAt.Add(speedValidity)
+	expired := guidedAt.Add(guidance.Validity)
 	g.Expect(p.IsGuided(expired.Add(-time.Millisecond))).To(gomega.BeTrue())
 	g.Expect(p.work(waiterOf("short"), expired)).To(gomega.BeZero())
 	g.Expect(p.serviceTime(p.members["s0"], expired)).To(gomega.Equal(0.4))
--- a/gateway/router/run.go
+++ b/gateway/router/run.go
@@ -181,7 +181,7 @@
 	answer := attempt.answer
 	switch {
 	case answer.NotRun:
-	case x.view.Guidance.IsMixed():
+	case x.view.Guidance.IsMixedAt(time.Now()):
 		if answer.Status >= http.StatusInternalServerError {
 			return
 		}
--- a/gateway/router/serve.go
+++ b/gateway/router/serve.go
@@ -215,7 +215,7 @@
 	}
 	x.waited = x.router.elapsedWait(x.route.Name, stated)
 	x.target = x.arrived.Add(x.route.Target - x.waited)
-	if x.waited > 0 && x.view.Guidance.IsMixed() && !x.router.isCommonTimeout(x.route.Name, stated) {
+	if x.waited > 0 && x.view.Guidance.IsMixedAt(x.arrived) && !x.router.isCommonTimeout(x.route.Name, stated) {
 		x.returned = x.waited
 		x.noteReturned()
 	}
--- a/gateway/router/speeds.go
+++ b/gateway/router/speeds.go
@@ -60,7 +60,7 @@
 
 // noteSpeed records in the request's trace the speed by which its server was chosen.
 func (x *exchange) noteSpeed(server site.Server) {
-	if !x.view.Guidance.IsMixed() {
+	if !x.view.Guidance.IsMixedAt(time.Now()) {
 		return // other sites need not lock the pool once more for each request
 	}
 	x.service.mu.Lock()
--- a/gateway/router/speeds_test.go
+++ b/gateway/router/speeds_test.go
@@ -10,6 +10,7 @@
 	"github.com/burdockspindle/burdockspindle/gateway/guidance"
 	"github.com/burdockspindle/burdockspindle/gateway/site"
 	"github.com/burdockspindle/burdockspindle/gateway/upstream"
+	"github.com/burdockspindle/burdockspindle/gateway/view"
 )
 
 // Guards against a server that fails part of its requests at once and therefore looks fast.
@@ -18,7 +19,7 @@
 	x := newKeyedExchange(t)
 	x.route.Name = "r"
 	v := *x.router.state.Now()
-	v.Guidance.Guidance = guidance.Guidance{Mixed: []site.ServiceName{"s"}}
+	v.Guidance = view.Guidance{ReceivedAt: time.Now(), Guidance: guidance.Guidance{Mixed: []site.ServiceName{"s"}}}
 	x.view = &v
 	x.router.reports.Drain()
 	for _, status := range []int{http.StatusOK, http.StatusInternalServerError, http.StatusNotFound} {
--- a/gateway/view/view.go
+++ b/gateway/view/view.go
@@ -72,6 +72,11 @@
 	guidance.Guidance
 }
 
+// IsMixedAt reports whether the site is mixed by guidance that is still valid.
+func (g Guidance) IsMixedAt(now time.Time) bool {
+	return g.IsMixed() && now.Sub(g.ReceivedAt) < guidance.Validity
+}
+
 // Version returns the version of the guidance.
 func (g Guidance) Version() Version { return Version{Offset: g.Offset, Serial: g.Serial} }
 
