--- a/gateway/duty/guidance.go
+++ b/gateway/duty/guidance.go
@@ -1,9 +1,11 @@
 package duty
 
 import (
+	"slices"
 	"time"
 
 	"github.com/burdockspindle/burdockspindle/gateway/guidance"
+	"github.com/burdockspindle/burdockspindle/gateway/site"
 	"github.com/burdockspindle/burdockspindle/gateway/view"
 )
 
@@ -49,6 +51,14 @@
 	d.updateSpeeds(v, next.IsMixed(), now)
 	d.sent.update(d.estimates.Load(), now)
 	next.Speeds, next.Work = d.sent.speeds, d.sent.work
-	next.Admissions = d.decideAdmissions(v, next.Mixed, now)
+	next.Admissions = d.decideAdmissions(v, withoutKeyed(next.Mixed, v.Config), now)
 	return next
 }
+
+// withoutKeyed returns the services whose requests any server may run. Owners of keys have shares of their own, see package
+// quota.
+func withoutKeyed(services []site.ServiceName, config *site.Config) []site.ServiceName {
+	return slices.DeleteFunc(slices.Clone(services), func(name site.ServiceName) bool {
+		return config != nil && config.Services[name].Keyed
+	})
+}
--- a/gateway/duty/speeds.go
+++ b/gateway/duty/speeds.go
@@ -104,7 +104,7 @@
 	}
 	return speed.Report{
 		Server: site.ServerID(p.Server), Route: p.Route, Count: int(p.Count), Time: time.Duration(p.TotalUs) * time.Microsecond, HasWait: true,
-		Loads: int(p.Answers), Busy: int(p.Busy), Queued: int(p.Queued), Slowdown: int(p.Slowdown),
+		Loads: int(p.Answers), Busy: int(p.Busy), Queued: int(p.Queued),
 	}
 }
 
--- a/gateway/follow/reports.go
+++ b/gateway/follow/reports.go
@@ -43,7 +43,6 @@
 	// The fields below are of mixed sites.
 	answerTime   time.Duration // sum, the wait in the server's queue included
 	busy, queued uint32        // sums over the answers: slots taken and requests waiting, without the answered one
-	slowdown     uint64        // sum over the answers, in hundredths
 }
 
 type serviceClass struct {
@@ -126,14 +125,10 @@
 		left := max(load.Total()-1, 0) // the load includes the answered request
 		busy := min(left, max(load.Slots, 0))
 		p.busy, p.queued = uint32(busy), uint32(left-busy)
-		p.slowdown = uint64(max(load.Slowdown, 0) * slowdownUnit)
 	}
 	r.add(serverRoute{server, route}, p)
 }
 
-// slowdownUnit is the value of a usual pace in a report, which has slowdowns in hundredths.
-const slowdownUnit = 100
-
 func statsOf(took time.Duration, load *site.Load) serverStats {
 	p := serverStats{count: 1, total: took}
 	if load != nil {
@@ -152,7 +147,6 @@
 	sum.answerTime += p.answerTime
 	sum.busy += p.busy
 	sum.queued += p.queued
-	sum.slowdown += p.slowdown
 	r.stats[of] = sum
 }
 
@@ -191,7 +185,6 @@
 		answerTime: time.Duration(reported.TotalUs) * time.Microsecond,
 		busy:       reported.Busy,
 		queued:     reported.Queued,
-		slowdown:   reported.Slowdown,
 	}
 }
 
@@ -202,7 +195,7 @@
 	if of.route != "" {
 		message.Route, message.Count = of.route, uint32(p.count)
 		message.TotalUs = uint64(p.answerTime.Microseconds())
-		message.Busy, message.Queued, message.Slowdown = p.busy, p.queued, p.slowdown
+		message.Busy, message.Queued = p.busy, p.queued
 	}
 	return message
 }
--- a/gateway/pool/freeslot.go
+++ b/gateway/pool/freeslot.go
@@ -33,6 +33,9 @@
 	sentAt time.Time
 }
 
+// minUrgencyShare is the share of the less urgent requests that is served in any case: no kind of request may starve.
+const minUrgencyShare = 0.25
+
 // earn adds the part of a request that may pass.
 func (s *passes) earn() { s.credit = math.Min(s.credit+minUrgencyShare, maxCredit) }
 
--- a/gateway/pool/pool.go
+++ b/gateway/pool/pool.go
@@ -126,8 +126,6 @@
 	// shareExpiry; credit is the unused part of it.
 	share, credit float64
 	shareExpiry   time.Time
-	// priorities counts the requests for the server's keys, on a mixed service.
-	priorities priorityCounts
 }
 
 // Pool holds one service's servers as one node sees them.
--- a/gateway/pool/priorities.go
+++ b/gateway/pool/priorities.go
@@ -24,10 +24,6 @@
 type priorityCount struct {
 	priority int
 	requests float64
-	// credit is the unused part of the share of a busy server; hasCredit reports that it has been set since the share
-	// started.
-	credit    float64
-	hasCredit bool
 }
 
 // add counts a request.
@@ -62,31 +58,3 @@
 	}
 	return math.MaxInt
 }
-
-// dropCredits has every priority start with a new credit.
-func (c *priorityCounts) dropCredits() {
-	for i := range c.classes {
-		c.classes[i].hasCredit = false
-	}
-}
-
-// shareOf divides a share of all requests among the priorities, the most urgent first, and returns what one of them gets.
-// Each less urgent one keeps minUrgencyShare of what it would get by its requests alone.
-func (c *priorityCounts) shareOf(priority int, share float64) float64 {
-	left := share * c.total
-	behind := c.total
-	for _, class := range c.classes {
-		behind -= class.requests
-		kept := minUrgencyShare * share * max(behind, 0) // for those behind it
-		granted := min(class.requests, max(left-kept, 0))
-		if class.priority == priority {
-			return min(granted/max(class.requests, math.SmallestNonzeroFloat64), 1)
-		}
-		left -= granted
-	}
-	return share
-}
-
-// minUrgencyShare is the part of their usual share that less urgent requests keep: no kind of request may be served less
-// than a quarter as often as all.
-const minUrgencyShare = 0.25
--- a/gateway/pool/share.go
+++ b/gateway/pool/share.go
@@ -23,7 +23,6 @@
 	share, isShared := p.shares[m.ID]
 	if isShared && m.shareExpiry.IsZero() {
 		m.credit = p.initialCredit()
-		m.priorities.dropCredits()
 	}
 	m.share, m.shareExpiry = share, time.Time{}
 	if isShared {
@@ -41,7 +40,7 @@
 	if m == nil || w.ChargedToShare || !m.hasShare(now) {
 		return nil
 	}
-	if !p.spendOwnerCredit(m, w, now) {
+	if !p.spendCredit(&m.credit, m.share, w, now) {
 		refusal := p.refuseForCapacity(w, OverShare, p.shareInterval(m, now), now)
 		refusal.Share = m.share
 		return refusal
--- a/gateway/pool/urgency.go
+++ b/gateway/pool/urgency.go
@@ -43,23 +43,20 @@
 // IsMixed reports whether the service is served by urgency now.
 func (p *Pool) IsMixed(now time.Time) bool { return p.urgency.holds(now) }
 
-// noteClass counts a new request by its priority: at the node, and at the owner of its key. Resent and forwarded ones
-// have been counted.
+// noteClass counts a new request by its priority. Resent and forwarded ones have been counted.
 func (p *Pool) noteClass(w *Waiter, now time.Time) {
 	if !p.urgency.isMixed || w.ChargedToAdmission {
 		return
 	}
 	p.urgency.counts.add(w.Priority, now)
 	p.urgency.passes.earn()
-	if m := p.members[w.OnlyServer]; m != nil {
-		m.priorities.add(w.Priority, now)
-	}
 }
 
 // isLessUrgent reports whether a request of a mixed service has another priority than the most urgent one in use: the
-// lowest number that the lessor admits requests of, or that this node has lately received.
+// lowest number that the lessor admits requests of, or that this node has lately received. Requests for keys have one
+// server only: the share of a busy owner bounds them, and those that waited for a free slot of theirs were late.
 func (p *Pool) isLessUrgent(w *Waiter, now time.Time) bool {
-	if !p.urgency.holds(now) {
+	if !p.urgency.holds(now) || w.OnlyServer != "" {
 		return false
 	}
 	for priority, share := range p.urgency.admission {
@@ -71,19 +68,15 @@
 }
 
 // refuseBeyondAdmission refuses a request that exceeds the admitted share of its priority. Requests that were queued
-// before the share arrived are charged to it like new ones. The share of a busy owner is divided by priority itself, so
-// requests for its keys are not charged twice.
+// before the share arrived are charged to it like new ones. Shares are of services without keys.
 func (p *Pool) refuseBeyondAdmission(w *Waiter, now time.Time) *Refusal {
-	if w.ChargedToAdmission || !p.urgency.holds(now) {
+	if w.ChargedToAdmission || w.OnlyServer != "" || !p.urgency.holds(now) {
 		return nil
 	}
 	share, isLimited := p.urgency.admission[w.Priority]
 	if !isLimited || share >= 1 {
 		return nil
 	}
-	if m := p.members[w.OnlyServer]; m != nil && m.hasShare(now) {
-		return nil
-	}
 	if !p.spendAdmission(w, share, now) {
 		refusal := p.refuseForCapacity(w, BeyondAdmission, p.admissionInterval(share), now)
 		refusal.Share = share
@@ -111,17 +104,3 @@
 func (p *Pool) admissionInterval(share float64) time.Duration {
 	return time.Duration(p.times().mean / max(share, minShare) * float64(time.Second))
 }
-
-// spendOwnerCredit charges a request to the share of its owner. On a mixed service the share is divided by priority, the
-// most urgent first.
-func (p *Pool) spendOwnerCredit(m *member, w *Waiter, now time.Time) bool {
-	if !p.urgency.holds(now) || len(m.priorities.classes) == 0 {
-		return p.spendCredit(&m.credit, m.share, w, now)
-	}
-	share := m.priorities.shareOf(w.Priority, m.share)
-	class := m.priorities.class(w.Priority)
-	if !class.hasCredit {
-		class.credit, class.hasCredit = p.initialCredit(), true
-	}
-	return p.spendCredit(&class.credit, share, w, now)
-}
--- a/gateway/speed/estimate.go
+++ b/gateway/speed/estimate.go
@@ -26,8 +26,7 @@
 	keepDeviations   = 2
 	// minChangeAnswers is the number of answers that the short-term estimate needs.
 	minChangeAnswers = 4
-	// maxLoadFactor bounds the factor, in either direction, by which the load that a server reports, with the slowdown of its
-	// machine, changes the estimate.
+	// maxLoadFactor bounds the factor, in either direction, by which the load that a server reports changes the estimate.
 	maxLoadFactor = 4
 	// rounds is the number of times that work and relative service times are computed from each other in an update. Each
 	// update begins with the results of the one before.
@@ -98,11 +97,10 @@
 	for _, s := range samples {
 		s.settle(now)
 	}
-	slowdown := typicalSlowdown(samples)
 	for range rounds {
-		e.updateWork(service, samples, slowdown, now)
+		e.updateWork(service, samples, now)
 		for _, s := range samples {
-			e.updateServer(service, s, slowdown, now)
+			e.updateServer(service, s, now)
 		}
 		e.center(service, samples)
 	}
@@ -120,11 +118,11 @@
 }
 
 // updateWork computes the work of each route from the times of its answers at all servers.
-func (e *Estimator) updateWork(service site.ServiceName, samples []*sample, slowdown float64, now time.Time) {
+func (e *Estimator) updateWork(service site.ServiceName, samples []*sample, now time.Time) {
 	startWeight := startAnswers * fade(now.Sub(e.start.at))
 	total := map[string]routeSum{}
 	for _, s := range samples {
-		typical := s.long.serviceShare(s.slots) / s.long.pace(slowdown) / math.Exp(s.logRelative)
+		typical := s.long.serviceShare(s.slots) / math.Exp(s.logRelative)
 		for route, time := range s.long.withoutWait(s.slots) {
 			sum := total[route]
 			sum.answers += s.long.routes[route].answers
@@ -142,7 +140,7 @@
 }
 
 // updateServer computes the relative service time of a server.
-func (e *Estimator) updateServer(service site.ServiceName, s *sample, slowdown float64, now time.Time) {
+func (e *Estimator) updateServer(service site.ServiceName, s *sample, now time.Time) {
 	work := func(route string) float64 { return e.work[serviceRoute{service, route}] }
 	prior, priorWeight, startWeight := 0.0, float64(priorAnswers), 0.0
 	if known := e.start.speeds[s.id]; known > 0 {
@@ -150,9 +148,9 @@
 		prior, startWeight = math.Log(known)*faded, startAnswers*faded
 		priorWeight = max(priorWeight, startWeight)
 	}
-	long, answers := s.long.logRelative(work, s.slots, slowdown), s.long.effective()
+	long, answers := s.long.logRelative(work, s.slots), s.long.effective()
 	s.estimate = Estimate{Age: now.Sub(s.reportedAt), Utilization: s.long.utilization(s.slots)}
-	if short, of := s.short.logRelative(work, s.slots, slowdown), s.short.effective(); s.noteChange(long-short, answers, of, now) {
+	if short, of := s.short.logRelative(work, s.slots), s.short.effective(); s.noteChange(long-short, answers, of, now) {
 		long, answers = short, of
 		s.estimate.IsShortTerm = true
 		prior, priorWeight, startWeight = 0, minChangeAnswers, 0 // the change has shown that the server is not typical
@@ -278,7 +276,7 @@
 
 // logRelative returns the logarithm of the relative service time by the reports alone. The load that the server reports
 // changes it by maxLoadFactor at most.
-func (s *sums) logRelative(work func(string) float64, slots int, slowdown float64) float64 {
+func (s *sums) logRelative(work func(string) float64, slots int) float64 {
 	expected, taken, worked := 0.0, 0.0, 0.0
 	for route, time := range s.withoutWait(slots) {
 		expected += s.routes[route].answers * work(route)
@@ -289,37 +287,10 @@
 		return 0
 	}
 	measured := math.Log(taken / expected)
-	byLoad := s.serviceShare(slots) * worked / taken / s.pace(slowdown)
+	byLoad := s.serviceShare(slots) * worked / taken
 	return measured + bounded(math.Log(max(byLoad, negligible)), maxLoadFactor)
 }
 
-// pace returns the mean slowdown of the server's machine relative to the typical one of the service. The time of an answer is not
-// divided by the slowdown at that answer: the rate and the queue are not either, and the wait that they give would be too
-// long. On a site whose machines are slow for a fifth of the time, the estimates of servers of 0.7 and 1.6 were within 0.8
-// to 1.4 then.
-func (s *sums) pace(typical float64) float64 {
-	if s.paced < priorAnswers || typical <= 0 {
-		return 1
-	}
-	return s.slowdown / s.paced / typical
-}
-
-// typicalSlowdown returns the median over the servers of the mean slowdown of their machines, 0 if none reports it. A false
-// report of one server does not change it.
-func typicalSlowdown(samples []*sample) float64 {
-	var means []float64
-	for _, s := range samples {
-		if s.long.paced >= priorAnswers {
-			means = append(means, s.long.slowdown/s.long.paced)
-		}
-	}
-	if len(means) == 0 {
-		return 0
-	}
-	slices.Sort(means)
-	return means[len(means)/2]
-}
-
 // bounded limits a logarithm to a factor in either direction.
 func bounded(log, factor float64) float64 {
 	return min(max(log, -math.Log(factor)), math.Log(factor))
--- a/gateway/speed/speed.go
+++ b/gateway/speed/speed.go
@@ -3,7 +3,9 @@
 // It is for services whose servers differ in speed and whose requests differ in work. The time until an answer also
 // contains the wait in the server's queue, which is longest where the load is highest: servers that are placed or chosen
 // by that time give their load away and get it back. The estimate is therefore of the relative service time, which
-// depends neither on the queue nor on the kind of the requests.
+// depends neither on the queue nor on the kind of the requests. A machine that is slow at times counts as it is on average:
+// in trials, times divided by the slowdown that servers report hid their queues, and estimates divided by it moved keys to
+// servers that were slow more often.
 package speed
 
 import (
@@ -25,7 +27,6 @@
 	Loads   int // answers with a load
 	// Busy and Queued are the slots taken and the requests waiting at these answers, summed, without the answered ones.
 	Busy, Queued int
-	Slowdown     int // of the server's machine, in hundredths, summed over the answers with a load; 0: not reported
 }
 
 const (
@@ -131,20 +132,12 @@
 	}
 }
 
-// Slowdowns outside these limits are not believed.
-const (
-	minSlowdown = 0.2
-	maxSlowdown = 20
-)
-
 // sums are decayed sums of reports.
 type sums struct {
 	halfLife time.Duration
 	routes   map[string]routeSum
 	answers  float64
 	squares  float64 // of the weights of the answers
-	slowdown float64 // of the server's machine at the answers that report it
-	paced    float64 // these answers
 	seconds  float64 // in which the answers were sent
 	loads    float64 // answers with a load
 	busy     float64
@@ -180,8 +173,6 @@
 	}
 	s.answers *= factor
 	s.squares *= factor * factor
-	s.slowdown *= factor
-	s.paced *= factor
 	s.seconds *= factor
 	s.loads *= factor
 	s.busy *= factor
@@ -204,10 +195,6 @@
 	s.routes[r.Route] = of
 	s.answers += float64(r.Count)
 	s.squares += float64(r.Count)
-	if mean := float64(r.Slowdown) / 100 / float64(max(r.Loads, 1)); mean >= minSlowdown && mean <= maxSlowdown {
-		s.slowdown += mean * float64(r.Loads)
-		s.paced += float64(r.Loads)
-	}
 	if r.Loads > 0 {
 		s.loads += float64(r.Loads)
 		s.busy += float64(max(r.Busy, 0))
