Pool: drop the slowdown from guided choices, which are not made where it is reported

Cause: since guided speeds are not used where servers report a slowdown, the code that corrected own answers by it was not reached, and TestOwnAnswersAreCorrectedByQueueAndSlowdown failed (found by the run of all tests of the pool).

--- a/gateway/pool/check.go
+++ b/gateway/pool/check.go
@@ -70,9 +70,6 @@
 	if !p.ChecksLoads(now) || len(p.queue) > 0 && !p.urgency.holds(now) {
 		return nil
 	}
-	if p.isGuided(now) {
-		return p.drawnToCheck(w, ofOwnZone, now)
-	}
 	var servers []site.Server
 	for _, i := range p.random.Perm(len(p.order)) {
 		m := p.order[i]
--- a/gateway/pool/speed.go
+++ b/gateway/pool/speed.go
@@ -125,26 +125,23 @@
 
 // recordSpeed records an answer of a server while the pool is guided. The wait in the server's queue is estimated by the
 // requests that are left waiting: with a queue in order of arrival, as many arrived during the request's stay as were
-// there when it came. The slowdown of the machine at the moment is not a property of the server.
+// there when it came.
 func (p *Pool) recordSpeed(m *member, outcome Outcome, now time.Time) {
 	if !p.isGuided(now) || outcome.Route == "" {
 		return
 	}
 	seconds := (outcome.Took - outcome.Connect).Seconds()
-	meanWork, wait, slowdown := p.meanWork(), max(0, p.usage.wait), 1.0
+	meanWork, wait := p.meanWork(), max(0, p.usage.wait)
 	if load := outcome.Load; load != nil {
 		p.spread.noteUtilization(load.Total(), load.Slots)
 		wait = float64(max(load.Waiting, 0)) / float64(max(load.Slots, 1))
-		if load.Slowdown > 0 {
-			slowdown = load.Slowdown / p.loadChecks.meanSlowdown
-		}
 	}
-	if seconds <= 0 || meanWork <= 0 || slowdown <= 0 {
+	if seconds <= 0 || meanWork <= 0 {
 		return
 	}
-	p.learnWork(outcome.Route, seconds/(m.relative(now)*slowdown)-wait*meanWork)
+	p.learnWork(outcome.Route, seconds/m.relative(now)-wait*meanWork)
 	work := p.workOf(outcome.Route)
-	m.speed.note(seconds/((work+wait*meanWork)*slowdown), (seconds/m.relative(now)-work)/meanWork, now)
+	m.speed.note(seconds/(work+wait*meanWork), (seconds/m.relative(now)-work)/meanWork, now)
 	p.usage.wait += waitWeight * ((seconds/m.relative(now)-work)/meanWork - p.usage.wait)
 }
 
@@ -281,7 +278,7 @@
 func (p *Pool) guidedBehind(m *member, work, others float64, now time.Time) float64 {
 	slots := float64(max(m.Slots, 1))
 	behind := max(0, others+1-slots) / slots * p.meanWork()
-	return m.relative(now) * p.loadChecks.relativeSlowdown(m, now) * (work + behind)
+	return m.relative(now) * (work + behind)
 }
 
 // guidedRequests returns the number of requests at a server, of this node and others. A report that grows old gives way to
--- a/gateway/pool/spread.go
+++ b/gateway/pool/spread.go
@@ -5,8 +5,6 @@
 	"slices"
 	"sort"
 	"time"
-
-	"github.com/burdockspindle/burdockspindle/gateway/site"
 )
 
 // Spreading handles many nodes that have the same guidance and rarely use each server: if each sent its requests to the
@@ -161,21 +159,6 @@
 	return best, bestTime
 }
 
-// drawnToCheck returns servers whose load should be checked before a request is sent, drawn by their shares.
-func (p *Pool) drawnToCheck(w *Waiter, ofOwnZone bool, now time.Time) []site.Server {
-	p.refreshSpread(now)
-	from := &p.spread.far
-	if ofOwnZone {
-		from = &p.spread.near
-	}
-	var drawn [checkedServers]*member
-	var servers []site.Server
-	for _, m := range drawn[:p.draw(from, drawn[:], w, now)] {
-		servers = append(servers, m.Server)
-	}
-	return servers
-}
-
 // draw fills the slots of drawn with servers that have capacity and returns how many it has found.
 func (p *Pool) draw(l *lottery, drawn []*member, w *Waiter, now time.Time) int {
 	count := 0
