--- a/gateway/replay/mixed_scenarios.go
+++ b/gateway/replay/mixed_scenarios.go
@@ -47,7 +47,7 @@
 	return Scenario{Name: "mixed-surge-uneven", Description: "the surge at servers of speeds 0.7, 0.7 and 1.6 on machines that take three times as long a fifth of the time", Policies: mixedPolicies(), Load: l}
 }
 
-// mixedZoneLost loses one of three zones while the demand is twice the usual one.
+// mixedZoneLost loses one of three zones while the less urgent demand is half again as high as usual.
 func mixedZoneLost() Scenario {
 	l := mixedLoad(1.5)
 	l.LostZone, l.LostAt = Zones()[2], surgeFrom
