--- a/gateway/router/caller_timeouts.go
+++ b/gateway/router/caller_timeouts.go
@@ -87,3 +87,25 @@
 	}
 	return max(usual.timeout-timeout, 0)
 }
+
+// elapsedWait records the timeout that a caller of a route states, and returns how long the
+// caller has already waited.
+func (r *Router) elapsedWait(route string, timeout time.Duration) time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	timeouts := r.timeouts[route]
+	if timeouts == nil {
+		timeouts = new(callerTimeouts)
+		r.timeouts[route] = timeouts
+	}
+	timeouts.record(timeout)
+	return timeouts.elapsed(timeout)
+}
+
+// isCommonTimeout reports whether a timeout that a caller of a route states is one that many of them state.
+func (r *Router) isCommonTimeout(route string, timeout time.Duration) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	timeouts := r.timeouts[route]
+	return timeouts != nil && timeouts.isCommon(timeout)
+}
--- a/gateway/view/view.go
+++ b/gateway/view/view.go
@@ -15,7 +15,6 @@
 
 	"github.com/burdockspindle/burdockspindle/clock"
 	"github.com/burdockspindle/burdockspindle/gateway/broadcast"
-	"github.com/burdockspindle/burdockspindle/gateway/guidance"
 	"github.com/burdockspindle/burdockspindle/gateway/quarantine"
 	"github.com/burdockspindle/burdockspindle/gateway/quota"
 	"github.com/burdockspindle/burdockspindle/gateway/ranges"
@@ -64,22 +63,6 @@
 // Version returns the version of the shares.
 func (s Shares) Version() Version { return Version{Offset: s.Offset, Serial: s.Serial} }
 
-// Guidance contains how mixed services are served, as set by the lessor of the table at an offset.
-type Guidance struct {
-	Offset     store.Offset
-	Serial     uint64    // grows with each change and repetition
-	ReceivedAt time.Time // by this node's clock
-	guidance.Guidance
-}
-
-// IsMixedAt reports whether the site is mixed by guidance that is still valid.
-func (g Guidance) IsMixedAt(now time.Time) bool {
-	return g.IsMixed() && now.Sub(g.ReceivedAt) < guidance.Validity
-}
-
-// Version returns the version of the guidance.
-func (g Guidance) Version() Version { return Version{Offset: g.Offset, Serial: g.Serial} }
-
 // Quarantine contains the requests that are refused because servers ended under them.
 type Quarantine struct {
 	Offset store.Offset // of its record in the ownership topic
@@ -366,18 +349,6 @@
 	})
 }
 
-// MergeGuidance applies the guidance of a lessor unless newer guidance is known.
-func (s *State) MergeGuidance(next Guidance) bool {
-	return s.update(func(v *View) bool {
-		if !next.Version().IsAfter(v.Guidance.Version()) {
-			return false
-		}
-		next.ReceivedAt = time.Now()
-		v.Guidance = next
-		return true
-	})
-}
-
 // MergeQuarantine applies a list of quarantined requests if it is newer, and reports whether
 // it was.
 func (s *State) MergeQuarantine(next Quarantine) bool {
