--- a/gateway/pool/freeslot.go
+++ b/gateway/pool/freeslot.go
@@ -25,7 +25,7 @@
 	sentHalfLife = 2 * time.Second
 )
 
-// passes bounds how many less urgent requests are sent although no server is believed to have a free slot: they must not
+// passes bounds how many less urgent requests are sent although no server is estimated to have a free slot: they must not
 // starve where more urgent ones keep all servers busy. It also measures the rate at which less urgent requests are sent.
 type passes struct {
 	credit float64
@@ -55,7 +55,7 @@
 }
 
 // usualRequests is the mean number of requests of other nodes at a server, over recent reports of all servers. With many
-// nodes and servers a node has no recent report of most: it would believe all of these free, also under overload.
+// nodes and servers a node has no recent report of most: it would treat all of these as free, also under overload.
 type usualRequests struct {
 	mean float64
 	at   time.Time
@@ -74,7 +74,7 @@
 	}
 }
 
-// hasFreeSlot reports whether a server is believed to have a free slot: by its latest report, and as that ages by the
+// hasFreeSlot reports whether a server is estimated to have a free slot: by its latest report, and as that ages by the
 // usual number of requests at a server.
 func (p *Pool) hasFreeSlot(m *member, now time.Time) bool {
 	weight := decay(now.Sub(m.reportAt), reportHalfLife)
@@ -126,7 +126,7 @@
 	return max(wait, time.Duration(float64(ahead+1)/rate*float64(time.Second)))
 }
 
-// freeSlotAt returns when to look again for a free slot for the waiting less urgent requests, while beliefs decay. found is
+// freeSlotAt returns when to look again for a free slot for the waiting less urgent requests, while estimates decay. found is
 // false if none waits.
 func (p *Pool) freeSlotAt(now time.Time) (at time.Time, found bool) {
 	if !p.urgency.holds(now) {
--- a/gateway/pool/pool.go
+++ b/gateway/pool/pool.go
@@ -147,7 +147,7 @@
 	guided      guided
 	usage       usage
 	spread      spread
-	schedules   map[int]*returns.Schedule // of callers that are told to return, by priority
+	schedules   map[int]*returns.Schedule // of callers that are asked to return, by priority
 	urgency     urgency
 	// hasNamedLimits reports whether a server names a limit.
 	hasNamedLimits bool
--- a/gateway/pool/returns.go
+++ b/gateway/pool/returns.go
@@ -9,11 +9,11 @@
 const (
 	// guidanceValidity is how long the site is treated as mixed if the lessor does not say so again.
 	guidanceValidity = 30 * time.Second
-	// honoredShare is the share of the time left for which a caller waits at most, whatever it is told.
+	// honoredShare is the share of the time left for which a caller waits at most, whatever delay is stated.
 	honoredShare = 1.0 / 3
 	// maxSchedules bounds the priorities with a schedule of their own.
 	maxSchedules = 16
-	// returnReserve is the credit of a share that first attempts leave to callers that waited as told. Such a caller is
+	// returnReserve is the credit of a share that first attempts leave to callers that waited for the stated delay. Such a caller is
 	// then admitted with a probability that is higher by as much.
 	returnReserve = 0.2
 	// atOnceReserve is the credit that callers that returned at once leave to all others. Each of them asks so often, and
@@ -62,7 +62,7 @@
 	}
 }
 
-// refuseForCapacity refuses a request that would have to wait for some time. On a mixed site, the caller is told to return
+// refuseForCapacity refuses a request that would have to wait for some time. On a mixed site, the caller is asked to return
 // when there is room.
 func (p *Pool) refuseForCapacity(w *Waiter, reason Reason, wait time.Duration, now time.Time) *Refusal {
 	if promise := p.PromiseReturn(w, now); promise != nil {
@@ -86,7 +86,7 @@
 		Most:    min(time.Duration(honoredShare*float64(left)), maxRetryAfter),
 		Longest: maxRetryAfter,
 	}
-	// A caller that can still be answered in time is told to return in time or late, not in between: a late request goes
+	// A caller that can still be answered in time is asked to return in time or late, not in between: a late request goes
 	// behind those that are in time.
 	if inTime := w.Target.Sub(now) - time.Duration(inTimeFactor*float64(p.MeanServiceTime())); inTime > bounds.Least {
 		bounds.Most = min(bounds.Most, inTime)
@@ -95,7 +95,7 @@
 	return &promise
 }
 
-// neededCredit returns the credit of a share that a request needs to be sent: least for callers that waited as told, and
+// neededCredit returns the credit of a share that a request needs to be sent: least for callers that waited for the stated delay, and
 // always more for requests that cannot be answered in time, which must not take the place of those that can.
 func (p *Pool) neededCredit(order returns.Order, inTime bool, now time.Time) float64 {
 	needed := 1.0
--- a/gateway/pool/returns_test.go
+++ b/gateway/pool/returns_test.go
@@ -21,7 +21,7 @@
 	return w
 }
 
-// Guards against callers that wait as told losing their place to others, and against late requests that take the place of
+// Guards against callers that wait for the stated delay losing their place to others, and against late requests that take the place of
 // those that can be answered in time.
 func TestReturningCallersGoBeforeFirstAttemptsIfTheyCanBeInTime(t *testing.T) {
 	for _, isMixed := range []bool{true, false} {
@@ -107,7 +107,7 @@
 	return p, now
 }
 
-// Guards against callers that are told to return when they no longer wait, or in time for nothing, or before a request can end.
+// Guards against callers that are asked to return when they no longer wait, or in time for nothing, or before a request can end.
 func TestPromisesFitTheTimeOfTheCaller(t *testing.T) {
 	for name, c := range map[string]struct{ target, left, latest time.Duration }{
 		"a third of the time left": {-time.Second, 900 * time.Millisecond, 300 * time.Millisecond},
@@ -145,7 +145,7 @@
 	}
 }
 
-// Guards against callers that leave the queue and are told a delay beside the schedule.
+// Guards against callers that leave the queue and are given a delay beside the schedule.
 func TestEvictedCallersAreToldToReturnByTheSchedule(t *testing.T) {
 	g := gomega.NewWithT(t)
 	p, now := newBusyMixedPool()
--- a/gateway/pool/share.go
+++ b/gateway/pool/share.go
@@ -53,7 +53,7 @@
 func (p *Pool) initialCredit() float64 { return p.random.Float64() + p.initialReserve() }
 
 // spendCredit adds a share to a credit and takes a request from it, and reports whether the request may be sent. Requests
-// that can still be answered in time and callers that waited as told take precedence.
+// that can still be answered in time and callers that waited for the stated delay take precedence.
 func (p *Pool) spendCredit(credit *float64, share float64, w *Waiter, now time.Time) bool {
 	*credit = math.Min(*credit+share, p.creditBound(now))
 	if *credit < p.neededCredit(w.order, p.inTime(w, now), now) {
--- a/gateway/pool/speed.go
+++ b/gateway/pool/speed.go
@@ -35,7 +35,7 @@
 
 // speed is what a pool knows of the relative service time of a server.
 type speed struct {
-	guided   float64 // by the guidance; 0: never told
+	guided   float64 // by the guidance; 0: unknown
 	isListed bool    // whether the guidance names the server
 	answers  float64 // weighted number of own answers, as of at
 	mean     float64 // weighted mean relative service time in them
--- a/gateway/pool/urgency.go
+++ b/gateway/pool/urgency.go
@@ -10,7 +10,7 @@
 // Admission by urgency handles this load pattern: requests of several priorities at the same servers, where a surge of
 // long, less urgent requests fills the servers' queues, in which nothing overtakes. The lessor decides which share of each
 // priority all nodes admit (package urgency). Each node refuses the rest at once, and sends less urgent requests only to
-// servers that are believed to have a free slot (freeslot.go), so that more urgent ones overtake them at the node.
+// servers that are estimated to have a free slot (freeslot.go), so that more urgent ones overtake them at the node.
 
 // AdmissionValidity is how long the admissions of the guidance hold after it was received. Nodes that are cut off from
 // the lessor then serve the service as without guidance.
--- a/gateway/replay/returns.go
+++ b/gateway/replay/returns.go
@@ -7,7 +7,7 @@
 	// RefusedTwice counts the callers whom nodes refused at least twice, RefusedTwiceWaiting those of them that wait as
 	// told.
 	RefusedTwice, RefusedTwiceWaiting int
-	// Waiting counts the callers that wait as told, AtOnce those that retry at once.
+	// Waiting counts the callers that wait for the stated delay, AtOnce those that retry at once.
 	Waiting, WaitingInTime int
 	AtOnce, AtOnceInTime   int
 }
--- a/gateway/replay/returns_test.go
+++ b/gateway/replay/returns_test.go
@@ -23,7 +23,7 @@
 	return sum
 }
 
-// Fails when the decision is left out: callers that wait as told are then refused twice more often, and those that retry
+// Fails when the decision is left out: callers that wait for the stated delay are then refused twice more often, and those that retry
 // at once are rewarded.
 func TestOrderOfReturnsHelpsCallersThatWait(t *testing.T) {
 	g := gomega.NewWithT(t)
--- a/gateway/returns/returns.go
+++ b/gateway/returns/returns.go
@@ -4,7 +4,7 @@
 // It handles this load pattern: a burst beyond the capacity, in which refused callers return while others still make
 // their first attempt. If every refusal states a delay of its own, callers return together and are refused again. The
 // schedule spreads them over the room that is expected beside first attempts. Callers return to any node of the site;
-// since all nodes promise by the same rule, each gets about as many callers as it has told to return.
+// since all nodes promise by the same rule, each gets about as many callers as it has asked to return.
 package returns
 
 import "time"
@@ -12,7 +12,7 @@
 const (
 	// slotLength is the length of a time slot of the schedule: less than a service time.
 	slotLength = 50 * time.Millisecond
-	// slotCount bounds how far ahead room is promised: beyond the longest delay that callers are told, 2 s.
+	// slotCount bounds how far ahead room is promised: beyond the longest delay that is stated to callers, 2 s.
 	slotCount = 64
 	// minFree is the part of a slot's room that must be free for another promise.
 	minFree = 0.5
@@ -32,7 +32,7 @@
 // Bounds are the bounds of the delay of a caller.
 type Bounds struct {
 	Least   time.Duration // before that no slot of a server is expected to be free
-	Most    time.Duration // the caller returns by then whatever it is told
+	Most    time.Duration // the caller returns by then whatever delay is stated
 	Longest time.Duration // delay of a caller whose return does not fit
 }
 
--- a/gateway/returns/returns_test.go
+++ b/gateway/returns/returns_test.go
@@ -30,7 +30,7 @@
 	return s, now
 }
 
-// Guards against callers that are told to return together: promises must be as far apart as the room allows.
+// Guards against callers that are asked to return together: promises must be as far apart as the room allows.
 func TestPromisesFitTheRoom(t *testing.T) {
 	g := gomega.NewWithT(t)
 	s, now := measured(10, 20)
--- a/gateway/router/returns.go
+++ b/gateway/router/returns.go
@@ -13,7 +13,7 @@
 
 var (
 	returnsGroup = metrics.New("gateway_returns")
-	// promises counts refused callers on mixed sites that were told to return when room is expected, and promisesNotFit
+	// promises counts refused callers on mixed sites that were asked to return when room is expected, and promisesNotFit
 	// those that were given the longest delay instead.
 	promises       = returnsGroup.Counter("promises")
 	promisesNotFit = returnsGroup.Counter("promises_that_did_not_fit")
