--- a/gateway/pool/freeslot.go
+++ b/gateway/pool/freeslot.go
@@ -6,13 +6,13 @@
 )
 
 const (
-	// slotTolerance is the expected number of requests of other nodes that is treated as none: the belief decays but
+	// slotTolerance is the expected number of requests of other nodes that is treated as none: the estimate decays but
 	// never reaches zero.
 	slotTolerance = 0.1
 	// passWaitShare is the share of the time until its target that a less urgent request waits for a free slot before it
 	// may pass. Later it could hardly be answered in time.
 	passWaitShare = 0.5
-	// freeSlotInterval is the time after which a node looks again for a free slot for waiting requests, while beliefs
+	// freeSlotInterval is the time after which a node looks again for a free slot for waiting requests, while estimates
 	// decay: about a third of their half-life.
 	freeSlotInterval = 100 * time.Millisecond
 	// usualWeight is the weight of one report in the usual number of requests at a server. It covers the reports of about
