Pool: the order of returns uses the one validity of guidance; drop a field that nothing read

Cause: guidance.Validity had a twin in the pool, and the pool kept the name of its service without reading it. Change: the twin and the field are gone; no decision changes. Result: the pool's tests of returns, guidance and urgency pass.

--- a/gateway/pool/guidance.go
+++ b/gateway/pool/guidance.go
@@ -10,7 +10,6 @@
 // guided is the guidance of the lessor as it applies to the pool's service.
 type guided struct {
 	guidance.Guidance
-	service    site.ServiceName
 	receivedAt time.Time // zero: there is none
 	hasSpeeds  bool      // it has speeds and work; tested first, since it is read for each server that is considered
 	speedUntil time.Time // until when they are used
@@ -23,7 +22,7 @@
 // mixed, or for the speeds of its servers while the site is.
 func (p *Pool) SetGuidance(service site.ServiceName, g guidance.Guidance, receivedAt time.Time) {
 	serial := p.guided.serial + 1
-	p.guided = guided{Guidance: g, service: service, receivedAt: receivedAt, serial: serial}
+	p.guided = guided{Guidance: g, receivedAt: receivedAt, serial: serial}
 	p.urgency.setGuidance(service, g, receivedAt)
 	if g.IsMixed() && len(g.Work) > 0 && !receivedAt.IsZero() {
 		p.guided.hasSpeeds, p.guided.speedUntil = true, receivedAt.Add(guidance.Validity)
--- a/gateway/pool/returns.go
+++ b/gateway/pool/returns.go
@@ -3,12 +3,11 @@
 import (
 	"time"
 
+	"github.com/burdockspindle/burdockspindle/gateway/guidance"
 	"github.com/burdockspindle/burdockspindle/gateway/returns"
 )
 
 const (
-	// guidanceValidity is how long the site is treated as mixed if the lessor does not say so again.
-	guidanceValidity = 30 * time.Second
 	// honoredShare is the share of the time left for which a caller waits at most, whatever delay is stated.
 	honoredShare = 1.0 / 3
 	// maxSchedules bounds the priorities with a schedule of their own.
@@ -23,7 +22,7 @@
 
 // isMixed reports whether the order of retries applies: on sites with mixed services.
 func (p *Pool) isMixed(now time.Time) bool {
-	return p.guided.IsMixed() && now.Sub(p.guided.receivedAt) < guidanceValidity
+	return p.guided.IsMixed() && now.Sub(p.guided.receivedAt) < guidance.Validity
 }
 
 // schedule returns the promises to callers of a priority, or nil if there are too many priorities.
--- a/gateway/pool/returns_test.go
+++ b/gateway/pool/returns_test.go
@@ -78,7 +78,7 @@
 func TestPromisesNeedValidGuidance(t *testing.T) {
 	g := gomega.NewWithT(t)
 	plain, guided := newSharedPool(0.1), newSharedPool(0.1)
-	guided.SetGuidance("service", mixed, shareStart.Add(-guidanceValidity))
+	guided.SetGuidance("service", mixed, shareStart.Add(-guidance.Validity))
 	guided.SetShares(quota.Shares{"s": 0.1}, shareStart.Add(10*time.Second))
 	for range 50 {
 		submit := func(p *Pool) *Refusal {
