Requests for keys taken over without a handover go behind those for other keys

Cause: keys that a server takes over without a handover are slow for a time that the configuration states; a third of all keys then asks for several times its usual work, of servers that had a tenth of their capacity to spare. Their share is divided by requests, so that requests which are late in any case take the places of several that would be in time.

Change: the adapter reads for how long keys without a handover are slow. A node notes the ranges whose owner did not respond, or is gone, when the next one is named, and on a mixed site treats their requests as ones that cannot be in time: they wait behind others in the queue and spend a credit only if no other has come for a while.

Ruled out here: leaving the keys without an owner (ownership stays as it is).

--- a/gateway/pool/queue.go
+++ b/gateway/pool/queue.go
@@ -51,6 +51,8 @@
 	// Waited is the time since the caller's first attempt; 0: this is the first, or it is not known.
 	Waited time.Duration
 	order  returns.Order // among the requests of the priority, since Submit
+	// IsForColdKey reports that the server has taken the key over without a handover, so that the request takes longer.
+	IsForColdKey bool
 }
 
 // accepts reports whether an incarnation of a server may get the request. A new incarnation
@@ -317,6 +319,9 @@
 
 // inTime reports whether a request sent now would be answered by its target.
 func (p *Pool) inTime(w *Waiter, now time.Time) bool {
+	if w.IsForColdKey {
+		return false // one takes the place of several for other keys, and is mostly late
+	}
 	mean, isGuided := p.guidedStay(w, now)
 	if !isGuided {
 		mean = p.times().mean
--- a/gateway/pool/share_test.go
+++ b/gateway/pool/share_test.go
@@ -88,3 +88,20 @@
 	g.Expect(p.Evict(now)).To(gomega.HaveLen(17), "all but two, a tenth of the waiting requests")
 	g.Expect(p.Admit(now)).To(gomega.HaveLen(2))
 }
+
+// Guards against a third of the keys of a service, taken over cold from a lost zone, that takes the places of the warm ones: each
+// request for them takes several times as long, and is late in any case.
+func TestRequestsForWarmKeysTakePrecedence(t *testing.T) {
+	g := gomega.NewWithT(t)
+	p := newSharedPool(0.5)
+	admitted := map[bool]int{}
+	for i := range 600 {
+		w := &Waiter{OnlyServer: "s", ArrivedAt: shareStart, Target: shareStart.Add(time.Second), Deadline: shareStart.Add(5 * time.Second), IsForColdKey: i%3 == 0}
+		if admission, _ := p.Submit(w, shareStart); admission != nil {
+			admitted[w.IsForColdKey]++
+			p.Done("s", Outcome{Took: 100 * time.Millisecond, Load: &site.Load{Running: 4, Waiting: 16, Slots: 4}}, shareStart)
+		}
+	}
+	g.Expect(admitted[false]).To(gomega.BeNumerically("~", 300, 2), "the share, of 400")
+	g.Expect(admitted[true]).To(gomega.BeNumerically("<", 3))
+}
--- a/gateway/router/owner.go
+++ b/gateway/router/owner.go
@@ -22,7 +22,7 @@
 		if problem != nil {
 			return site.Server{}, problem
 		}
-		w.OnlyServer = owner
+		w.OnlyServer, w.IsForColdKey = owner, x.isForColdKey()
 		server, problem := x.waitForSlot(ctx, w)
 		if problem == nil {
 			isAdmitted, refused := x.admitToOwner(ctx, server)
--- a/gateway/site/site.go
+++ b/gateway/site/site.go
@@ -66,6 +66,9 @@
 	// WarmUpRate is how many requests a second a cold server takes from all nodes together;
 	// 0: it has no limit of its own.
 	WarmUpRate float64 `json:"warmUpRate,omitempty"`
+	// KeyWarmUp is for how long requests for a key take longer after a server has taken the key over without the handover
+	// of its owner before; 0: not at all.
+	KeyWarmUp time.Duration `json:"keyWarmUp,omitempty"`
 	// HealthPath is the path of health checks; empty: there are none.
 	HealthPath string `json:"healthPath,omitempty"`
 }
--- a/gateway/view/view.go
+++ b/gateway/view/view.go
@@ -91,6 +91,7 @@
 	Members []Member
 
 	byService  map[site.ServiceName][]site.Server
+	coldKeys   map[site.ServiceName][]coldSpan
 	registered map[site.ServerID]site.Server // Servers.Servers with the leaving ones marked
 	serversSum uint64
 	membersSum uint64
@@ -305,7 +306,7 @@
 		}
 		next.Table = table
 		if table.Offset > next.Routes.Offset || next.Routes.Lessor.Boot == "" {
-			next.Routes = routesOf(table)
+			next.setRoutes(routesOf(table), time.Now())
 		}
 		return true
 	})
@@ -332,7 +333,7 @@
 		if next.Routes.Lessor.Boot != "" && !routes.Version().IsAfter(next.Routes.Version()) {
 			return false
 		}
-		next.Routes = routes
+		next.setRoutes(routes, time.Now())
 		return true
 	})
 }
