Forward, router: a forwarded request keeps the order of its caller

Cause: a request counted as a first attempt at the node to which it was forwarded, so that callers that waited lost their place there, and callers that returned at once went with first attempts. Change: forward.Request states the time since the first attempt (waitedMs, omitted when 0); the other node orders and counts by it on a mixed site. Missing and impossible times are first attempts. Metrics of returning callers and class counts are made at the first node. Conclusion: nothing changes on sites that are not mixed.

--- a/gateway/forward/forward_test.go
+++ b/gateway/forward/forward_test.go
@@ -1,6 +1,7 @@
 package forward_test
 
 import (
+	"encoding/base64"
 	"strconv"
 	"testing"
 	"time"
@@ -23,6 +24,22 @@
 	g.Expect(decodedAnswer).To(gomega.Equal(answer))
 }
 
+// Guards against requests that nodes of the previous release forward being refused, and against bytes for first attempts.
+func TestWaitIsOptional(t *testing.T) {
+	g := gomega.NewWithT(t)
+	older := base64.StdEncoding.EncodeToString([]byte(`{"node":"n","boot":"b","toBoot":"c","method":"GET","target":"/"}`))
+	decoded, err := forward.DecodeRequest(older)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(decoded.WaitedMs).To(gomega.BeZero())
+	text, err := base64.StdEncoding.DecodeString(forward.Encode(decoded))
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(string(text)).NotTo(gomega.ContainSubstring("waited"))
+	decoded.WaitedMs = 250
+	again, err := forward.DecodeRequest(forward.Encode(decoded))
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(again).To(gomega.Equal(decoded))
+}
+
 func FuzzMalformedMessagesAreRefused(f *testing.F) {
 	f.Add("")
 	f.Add("e30=")
--- a/gateway/forward/message.go
+++ b/gateway/forward/message.go
@@ -40,6 +40,9 @@
 	Service       site.ServiceName `json:"service"`
 	// ObjectiveMs is the time left until the latency objective; negative: it has passed.
 	ObjectiveMs int64 `json:"objectiveMs"`
+	// WaitedMs is the time since the caller's first attempt when the request reached the sender; 0: this is the first, or
+	// it is not known. The time at the sender is left out: it proves no wait of the caller between attempts.
+	WaitedMs int64 `json:"waitedMs,omitempty"`
 	// Sends and Tried are the attempts so far that may have reached a server, and their
 	// servers.
 	Sends int             `json:"sends,omitempty"`
--- a/gateway/router/forward.go
+++ b/gateway/router/forward.go
@@ -163,6 +163,7 @@
 		ConfigVersion: uint64(x.view.Config.Version),
 		Service:       x.service.name,
 		ObjectiveMs:   time.Until(x.target).Milliseconds(),
+		WaitedMs:      x.returned.Milliseconds(),
 		Sends:         x.sends,
 		Tried:         x.reached(),
 		MayWait:       x.isPartitioned(),
--- a/gateway/router/returns.go
+++ b/gateway/router/returns.go
@@ -61,10 +61,25 @@
 	}
 }
 
-// countReturned counts what became of the request of a caller that had been refused before.
+// forwardedWait returns the time since the first attempt of a forwarded request's caller, or 0 on a site that is not mixed.
+// A time that the route does not allow is taken for none, and not refused: it affects the order only.
+func (x *exchange) forwardedWait() time.Duration {
+	longest := x.route.Timeout
+	if longest <= 0 {
+		longest = defaultCallerTimeout
+	}
+	stated := x.forwarded.WaitedMs
+	if stated <= 0 || stated > longest.Milliseconds() || !x.view.Guidance.IsMixedAt(x.arrived) {
+		return 0
+	}
+	return time.Duration(stated) * time.Millisecond
+}
+
+// countReturned counts what became of the request of a caller that had been refused before. A forwarded request is counted
+// by the node that got it from the caller.
 func (x *exchange) countReturned(outcome string) {
 	switch {
-	case x.returned == 0:
+	case x.returned == 0 || x.forwarded != nil:
 	case outcome == "refused":
 		returnedRefused.Add(1)
 	case x.sends > 0:
--- a/gateway/router/serve.go
+++ b/gateway/router/serve.go
@@ -211,6 +211,8 @@
 	x.deadline = x.arrived.Add(allowance)
 	if x.forwarded != nil {
 		x.target = x.arrived.Add(time.Duration(x.forwarded.ObjectiveMs) * time.Millisecond)
+		x.returned = x.forwardedWait()
+		x.noteReturned()
 		return
 	}
 	x.waited = x.router.elapsedWait(x.route.Name, stated)
