Router: take room of the schedule only for callers that are refused

Cause: on mixed sites, a request beyond the retry budget took room of the schedule of returns even if its caller got the answer of an earlier attempt or a failure, and such promises were counted. Change: the promise is made when the refusal is sent, and not for a caller that has left. Measured: with a promise made early TestOnlyRefusedCallersTakeRoomOfTheSchedule fails; go test ./gateway/router passes. Conclusion: other refusals can take their delay from the schedule in the same way.

--- a/gateway/router/answer.go
+++ b/gateway/router/answer.go
@@ -30,7 +30,7 @@
 	case r.answer != nil:
 		x.answer(r.answer)
 	case r.refusal != nil:
-		x.refuse(r.refusal)
+		x.refuse(x.withPromise(ctx, r.refusal))
 	default:
 		status := http.StatusBadGateway
 		if ctx.Err() != nil {
--- a/gateway/router/returns.go
+++ b/gateway/router/returns.go
@@ -1,8 +1,9 @@
 package router
 
 import (
+	"context"
+	"errors"
 	"fmt"
-	"net/http"
 	"time"
 
 	"github.com/burdockspindle/burdockspindle/gateway/pool"
@@ -38,13 +39,20 @@
 	x.trace.note("told to return after " + milliseconds(p.After) + ": " + rates)
 }
 
-// refusedByBudget returns the refusal of another send beyond the retry budget.
-func (x *exchange) refusedByBudget(retryAfter time.Duration) *refusal {
-	if promise := x.service.promiseReturn(x.waiter()); promise != nil {
-		x.notePromise(promise)
-		retryAfter = promise.After
+// withPromise returns a refusal that is the result of the request. On a mixed site, one whose delay is scheduled gets it from
+// the schedule, unless ctx was canceled: the caller has left, or the schedule ends with the node.
+func (x *exchange) withPromise(ctx context.Context, r *refusal) *refusal {
+	if !r.isScheduled || errors.Is(ctx.Err(), context.Canceled) {
+		return r
 	}
-	return &refusal{status: http.StatusServiceUnavailable, reason: "retry budget spent", retryAfter: retryAfter}
+	promise := x.service.promiseReturn(x.waiter())
+	if promise == nil {
+		return r
+	}
+	x.notePromise(promise)
+	scheduled := *r
+	scheduled.retryAfter = promise.After
+	return &scheduled
 }
 
 // promiseReturn returns when a refused caller should return, or nil on a site that is not mixed.
--- a/gateway/router/returns_test.go
+++ b/gateway/router/returns_test.go
@@ -1,14 +1,20 @@
 package router
 
 import (
+	"context"
+	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/onsi/gomega"
 
 	"github.com/burdockspindle/burdockspindle/gateway/pool"
 	"github.com/burdockspindle/burdockspindle/gateway/returns"
+	"github.com/burdockspindle/burdockspindle/gateway/site"
+	"github.com/burdockspindle/burdockspindle/gateway/upstream"
 )
 
 // Guards against callers with unusual timeouts that are taken for returning ones, and against immediate retries, many of
@@ -48,3 +54,103 @@
 	g.Expect(steps).To(gomega.ContainSubstring("told to return after 350 ms: 8 admitted/s, 6 first attempts/s"))
 	g.Expect(steps).To(gomega.ContainSubstring("no room for a return in the caller's time"))
 }
+
+// newMixedExchange returns an exchange for a service that has admitted 25 requests per second for two seconds. By fake time.
+func newMixedExchange(t *testing.T, isMixed bool) *exchange {
+	t.Helper()
+	x := newKeyedExchange(t)
+	x.keyed = false
+	x.writer = httptest.NewRecorder()
+	if isMixed {
+		x.router.state.MergeGuidance(mixedGuidance)
+		x.view = x.router.state.Now()
+		x.service = x.router.service("s")
+	}
+	for range 50 {
+		server, _, refused := x.service.requestSlot(x.waiter())
+		gomega.NewWithT(t).Expect(refused).To(gomega.BeNil())
+		time.Sleep(40 * time.Millisecond)
+		x.service.releaseSlot(server, pool.Outcome{Took: 40 * time.Millisecond, Load: &site.Load{Slots: 4}})
+	}
+	x.arrived = time.Now()
+	return x
+}
+
+// retryAfterOfResult finishes a request and returns the delay that its caller is told.
+func (x *exchange) retryAfterOfResult(ctx context.Context, r result) time.Duration {
+	x.finish(ctx, context.Background(), r)
+	return retryAfterOf(x.writer.Header())
+}
+
+// scheduledRefusals are the refusals of another attempt that state a delay of the schedule on a mixed site, with the mean
+// times that they state elsewhere.
+var scheduledRefusals = map[string]struct {
+	refuse    func(x *exchange)
+	meanTimes float64
+}{
+	"retry budget spent": {func(x *exchange) {
+		x.attempts, x.sends = 1, 1
+		for x.service.spendRetry() {
+		}
+	}, 2},
+}
+
+// Guards against refused callers that return together, beside the schedule, and against other delays on sites that are not
+// mixed.
+func TestRefusedRetriesAreToldToReturnByTheSchedule(t *testing.T) {
+	for reason, c := range scheduledRefusals {
+		for _, isMixed := range []bool{true, false} {
+			synctest.Test(t, func(t *testing.T) {
+				g := gomega.NewWithT(t)
+				x := newMixedExchange(t, isMixed)
+				c.refuse(x)
+				_, end := x.acquireSlotToSend(t.Context())
+				g.Expect(end.refusal.reason).To(gomega.Equal(reason))
+				mean := time.Duration(c.meanTimes * float64(x.meanTime()))
+				delay := x.retryAfterOfResult(t.Context(), *end)
+				promised := strings.Contains(strings.Join(x.trace.steps, "; "), "told to return after "+milliseconds(delay))
+				g.Expect(promised).To(gomega.Equal(isMixed), "%v", x.trace.steps)
+				g.Expect(x.service.promised() > 0).To(gomega.Equal(isMixed))
+				if !isMixed {
+					g.Expect(delay).To(gomega.BeNumerically("~", mean, time.Millisecond))
+				}
+			})
+		}
+	}
+}
+
+// promised returns the room of the service that is promised to callers of the most urgent priority.
+func (s *service) promised() float64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.pool.Returns(time.Now())[0].Promised
+}
+
+// Guards against room that is promised to callers that get an answer, or none that says that their request has not run, or
+// that have left.
+func TestOnlyRefusedCallersTakeRoomOfTheSchedule(t *testing.T) {
+	for reason, c := range scheduledRefusals {
+		synctest.Test(t, func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			for _, prepare := range []func(x *exchange){
+				func(x *exchange) {
+					x.lastAnswer = &upstream.Answer{Status: http.StatusInternalServerError, Header: http.Header{}}
+				},
+				func(x *exchange) { x.mayHaveRun = true },
+			} {
+				x := newMixedExchange(t, true)
+				c.refuse(x)
+				prepare(x)
+				_, end := x.acquireSlotToSend(t.Context())
+				g.Expect(end.refusal).To(gomega.BeNil())
+				x.retryAfterOfResult(t.Context(), *end)
+				g.Expect(x.service.promised()).To(gomega.BeZero(), reason)
+			}
+			x := newMixedExchange(t, true)
+			left, leave := context.WithCancel(t.Context())
+			leave()
+			x.retryAfterOfResult(left, result{refusal: &refusal{status: http.StatusServiceUnavailable, reason: reason, isScheduled: true}})
+			g.Expect(x.service.promised()).To(gomega.BeZero(), reason)
+		})
+	}
+}
--- a/gateway/router/run.go
+++ b/gateway/router/run.go
@@ -366,7 +366,7 @@
 		return nil
 	}
 	if !x.service.spendRetry() {
-		return x.refusedByBudget(2 * retryAfter)
+		return &refusal{status: http.StatusServiceUnavailable, reason: "retry budget spent", retryAfter: 2 * retryAfter, isScheduled: true}
 	}
 	x.retryTakenAt = time.Now()
 	return nil
--- a/gateway/router/serve.go
+++ b/gateway/router/serve.go
@@ -115,6 +115,8 @@
 	status     int
 	reason     string
 	retryAfter time.Duration // 0: a retry does not help
+	// isScheduled reports that on a mixed site the schedule of returns decides the delay, once the refusal is the result.
+	isScheduled bool
 	// isUnreachable reports that the node could not connect to a server that may run the
 	// request, isOverloaded that it would wait too long, and isUnavailable that the node serves
 	// no request of other nodes.
