Router: callers that waited in vain or spent their attempts return by the schedule

Cause: on mixed sites these two refusals stated a mean service time, so that their callers returned together, before those that were refused for capacity. Change: their delay is that of the schedule of promises, as for the retry budget. Other sites: as before. Measured: without the change for either refusal its test fails; go test ./gateway/router -count=25 -run 'Refus.*(Schedule|Nodes)|OnlyRefused|InVainAre|ForwardedRequestKeeps' passes. Conclusion: "key is changing hands" and waits for an owner keep their delays: they are not for capacity.

--- a/gateway/router/run.go
+++ b/gateway/router/run.go
@@ -324,7 +324,7 @@
 
 // waitTimeoutRefusal returns the refusal of a request that got no slot in time.
 func waitTimeoutRefusal(meanServiceTime time.Duration) *refusal {
-	return &refusal{status: http.StatusServiceUnavailable, reason: "waited in vain", retryAfter: meanServiceTime}
+	return &refusal{status: http.StatusServiceUnavailable, reason: "waited in vain", retryAfter: meanServiceTime, isScheduled: true}
 }
 
 // refusedBy converts a refusal of the pool, and records the share that caused it.
@@ -360,7 +360,7 @@
 		return &refusal{status: http.StatusServiceUnavailable, reason: "key is changing hands", retryAfter: retryAfter, isUnreachable: x.sends == 0}
 	}
 	if !x.keyed && (x.sends >= max(x.route.Attempts, 1) || x.attempts >= maxAttempts) {
-		return &refusal{status: http.StatusServiceUnavailable, reason: "attempts spent", retryAfter: retryAfter, isUnreachable: x.sends == 0}
+		return &refusal{status: http.StatusServiceUnavailable, reason: "attempts spent", retryAfter: retryAfter, isScheduled: true, isUnreachable: x.sends == 0}
 	}
 	if x.sends == 0 {
 		return nil
