Returns: one function for the delay of refusals of the pool and for large answers

Cause: package transfer repeated the delay and its bounds that the pool states. Change: both use returns.Delay. Its values are the same for every wait. Measured: go test -p 2 ./gateway/returns ./gateway/transfer ./gateway/pool passes. Conclusion: refusals for lack of room keep the wait for room and are not scheduled: the schedule counts slots, not memory and link.

--- a/gateway/pool/queue.go
+++ b/gateway/pool/queue.go
@@ -13,11 +13,9 @@
 const (
 	// maxWaiting bounds the requests that wait for one service at a node.
 	maxWaiting = 400
-	// minRetryAfter and maxRetryAfter bound the retry delay sent to a refused caller: not
-	// before one or two requests could have ended, and not so late that the caller has no
-	// time left.
-	minRetryAfter = 100 * time.Millisecond
-	maxRetryAfter = 2 * time.Second
+	// minRetryAfter and maxRetryAfter bound the retry delay sent to a refused caller.
+	minRetryAfter = returns.MinDelay
+	maxRetryAfter = returns.MaxDelay
 	// allLeavingRetryAfter is the mean retry delay while all servers leave: others that register are known
 	// to all nodes after about a second.
 	allLeavingRetryAfter = time.Second
@@ -252,13 +250,8 @@
 	return 1 / (seconds + m.pauseDuration(seconds).Seconds())
 }
 
-// retryAfter returns the retry delay of a refused caller, randomized so that callers that
-// were refused together do not return together.
-func (p *Pool) retryAfter(wait time.Duration) time.Duration {
-	after := max(minRetryAfter, wait/2)
-	after += time.Duration(p.random.Int64N(int64(after)))
-	return min(after, maxRetryAfter)
-}
+// retryAfter returns the retry delay of a refused caller.
+func (p *Pool) retryAfter(wait time.Duration) time.Duration { return returns.Delay(wait, p.random) }
 
 // Admit returns the waiters that can be sent now, ordered by priority, then by whether they
 // can still be answered by their target, then by the order of returning callers, then by arrival time.
--- /dev/null
+++ b/gateway/returns/delay.go
@@ -0,0 +1,21 @@
+package returns
+
+import (
+	"math/rand/v2"
+	"time"
+)
+
+const (
+	// MinDelay and MaxDelay bound the delay that is stated to a refused caller: not before one or two requests could have
+	// ended, and not so late that the caller has no time left.
+	MinDelay = 100 * time.Millisecond
+	MaxDelay = 2 * time.Second
+)
+
+// Delay returns the delay stated to a caller that would have had to wait for some time, where no schedule decides. It is
+// randomized so that callers that were refused together do not return together.
+func Delay(wait time.Duration, random *rand.Rand) time.Duration {
+	after := max(MinDelay, wait/2)
+	after += time.Duration(random.Int64N(int64(after)))
+	return min(after, MaxDelay)
+}
--- a/gateway/returns/returns_test.go
+++ b/gateway/returns/returns_test.go
@@ -1,6 +1,7 @@
 package returns_test
 
 import (
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -82,3 +83,22 @@
 	g.Expect(returns.OrderOf(5*time.Millisecond, least)).To(gomega.Equal(returns.ReturnedAtOnce))
 	g.Expect(returns.OrderOf(least, least)).To(gomega.Equal(returns.WaitedAsTold))
 }
+
+// Guards against refused callers that return before a request can have ended, after their time, or together.
+func TestDelayIsBoundedAndRandomized(t *testing.T) {
+	g := gomega.NewWithT(t)
+	random := rand.New(rand.NewPCG(1, 1))
+	for wait, want := range map[time.Duration]struct{ least, most time.Duration }{
+		0:           {returns.MinDelay, 2 * returns.MinDelay},
+		time.Second: {500 * time.Millisecond, time.Second},
+		time.Minute: {returns.MaxDelay, returns.MaxDelay},
+	} {
+		delays := map[time.Duration]bool{}
+		for range 100 {
+			delay := returns.Delay(wait, random)
+			g.Expect(delay).To(gomega.And(gomega.BeNumerically(">=", want.least), gomega.BeNumerically("<=", want.most)))
+			delays[delay] = true
+		}
+		g.Expect(len(delays) > 90).To(gomega.Equal(want.least < want.most), "wait of %v", wait)
+	}
+}
--- a/gateway/transfer/transfer.go
+++ b/gateway/transfer/transfer.go
@@ -10,6 +10,8 @@
 	"math/rand/v2"
 	"slices"
 	"time"
+
+	"github.com/burdockspindle/burdockspindle/gateway/returns"
 )
 
 const (
@@ -25,10 +27,6 @@
 	minTimeShare = 0.5
 	// maxWaiting bounds the requests that wait for room at a node.
 	maxWaiting = 400
-	// minRetryAfter and maxRetryAfter bound the retry delay of a refused caller: not before an answer could have ended, and
-	// not so late that the caller has no time left.
-	minRetryAfter = 100 * time.Millisecond
-	maxRetryAfter = 2 * time.Second
 )
 
 // Limits are the resources of a node for large answers.
@@ -283,12 +281,9 @@
 	return sum / time.Duration(max(len(b.inFlight), 1))
 }
 
-// refuse returns the refusal of a request with an expected wait. The retry delay is randomized, so that callers that were
-// refused together do not return together.
+// refuse returns the refusal of a request with an expected wait.
 func (b *Bounds) refuse(r *Request, reason Reason, wait time.Duration) *Refusal {
-	after := min(max(minRetryAfter, wait/2), maxRetryAfter)
-	after += time.Duration(b.random.Int64N(int64(after)))
-	return &Refusal{Request: r, Reason: reason, RetryAfter: min(after, maxRetryAfter)}
+	return &Refusal{Request: r, Reason: reason, RetryAfter: returns.Delay(wait, b.random)}
 }
 
 // size returns the expected size of a request's answer, in bytes.
--- a/gateway/transfer/transfer_test.go
+++ b/gateway/transfer/transfer_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/onsi/gomega"
+
+	"github.com/burdockspindle/burdockspindle/gateway/returns"
 )
 
 var start = time.Unix(1000, 0)
@@ -109,8 +111,8 @@
 		waitsFor, refusal := b.Submit(request(1, 0), start)
 		if waitsFor == "" {
 			g.Expect(refusal.Reason).To(gomega.Equal(Memory))
-			g.Expect(refusal.RetryAfter).To(gomega.BeNumerically(">=", minRetryAfter))
-			g.Expect(refusal.RetryAfter).To(gomega.BeNumerically("<=", maxRetryAfter))
+			g.Expect(refusal.RetryAfter).To(gomega.BeNumerically(">=", returns.MinDelay))
+			g.Expect(refusal.RetryAfter).To(gomega.BeNumerically("<=", returns.MaxDelay))
 			break
 		}
 	}
