--- a/gateway/router/large_answers_test.go
+++ b/gateway/router/large_answers_test.go
@@ -6,6 +6,7 @@
 	"net/http/httptest"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -192,3 +193,32 @@
 		g.Expect(r.largeAnswers.bounds.Bytes()).To(gomega.BeZero(), "the room is given back")
 	}
 }
+
+// Guards against requests that wait for room until their deadline, although an answer can no longer arrive in time.
+func TestWaitForRoomEndsWhenItIsTooLate(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := gomega.NewWithT(t)
+		r := newDownloadNode(t, transfer.Limits{Memory: 1})
+		bounds, now := r.largeAnswers.bounds, time.Now()
+		newRequest := func() *transfer.Request {
+			return &transfer.Request{Route: "r", ArrivedAt: now, Deadline: now.Add(80 * time.Millisecond)}
+		}
+		for range 200 { // answers take 40 ms
+			answered := newRequest()
+			bounds.Submit(answered, now)
+			bounds.Received(answered, 1000, now)
+			bounds.Release(answered, now.Add(40*time.Millisecond))
+		}
+		g.Expect(r.largeAnswers.submit(newRequest())).To(gomega.BeNil())
+		x := &exchange{router: r, route: &r.state.Now().Config.Routes[0], arrived: now, deadline: now.Add(80 * time.Millisecond)}
+		ctx, cancel := context.WithDeadline(t.Context(), x.deadline)
+		defer cancel()
+		refused := x.acquireRoom(ctx)
+		g.Expect(refused.reason).To(gomega.Equal(string(transfer.Memory)))
+		g.Expect(time.Since(now)).To(gomega.BeNumerically("~", 60*time.Millisecond, time.Millisecond), "half of the usual time is left")
+		g.Expect(r.LargeAnswers().Waiting).To(gomega.BeZero())
+		g.Expect(r.LargeAnswers().InFlight).To(gomega.Equal(1))
+		x.releaseRoom()
+		g.Expect(r.LargeAnswers().InFlight).To(gomega.Equal(1), "it has none to give back")
+	})
+}
