--- a/gateway/returns/delay.go
+++ b/gateway/returns/delay.go
@@ -6,9 +6,9 @@
 )
 
 const (
-	// MinDelay and MaxDelay bound the delay that is stated to a refused caller: not before one or two requests could have
-	// ended, and not so late that the caller has no time left.
+	// MinDelay is the least delay that is stated to a refused caller: one or two requests could have ended by then.
 	MinDelay = 100 * time.Millisecond
+	// MaxDelay is the longest one: most callers have time left after it.
 	MaxDelay = 2 * time.Second
 )
 
