Guidance: one constant for the share that each priority keeps

Cause: urgency.minShare and pool.minUrgencyShare were the same rule, a quarter of the requests of each priority, in two places. Change: both are guidance.MinShare. Conclusion: no change of behaviour.

--- a/gateway/guidance/guidance.go
+++ b/gateway/guidance/guidance.go
@@ -33,6 +33,10 @@
 // It is longer than that of shares of requests: a server's machine stays the same while a lessor is replaced.
 const Validity = 30 * time.Second
 
+// MinShare is the share of the requests of each priority that is served in any case, also if these alone exceed the
+// capacity: no kind of request may starve, or be served less than a quarter as often as all.
+const MinShare = 0.25
+
 // minChange is the least relative change of a figure that is sent before the next repetition. Estimates of speed vary by
 // chance by about as much.
 const minChange = 0.1
--- a/gateway/pool/freeslot.go
+++ b/gateway/pool/freeslot.go
@@ -3,6 +3,8 @@
 import (
 	"math"
 	"time"
+
+	"github.com/burdockspindle/burdockspindle/gateway/guidance"
 )
 
 const (
@@ -33,11 +35,8 @@
 	sentAt time.Time
 }
 
-// minUrgencyShare is the share of the less urgent requests that is served in any case: no kind of request may starve.
-const minUrgencyShare = 0.25
-
 // earn adds the part of a request that may pass.
-func (s *passes) earn() { s.credit = math.Min(s.credit+minUrgencyShare, maxCredit) }
+func (s *passes) earn() { s.credit = math.Min(s.credit+guidance.MinShare, maxCredit) }
 
 // noteSent records that a less urgent request is sent.
 func (s *passes) noteSent(now time.Time) {
--- a/gateway/urgency/urgency.go
+++ b/gateway/urgency/urgency.go
@@ -25,9 +25,6 @@
 	UpdateInterval = 500 * time.Millisecond
 	// targetUtilization is the part of the slots that admitted requests keep busy: the rest absorbs random arrivals.
 	targetUtilization = 0.9
-	// minShare is the share of its requests that each priority keeps, also if these alone exceed the capacity: no kind of
-	// request may be served less than a quarter as often as all.
-	minShare = 0.25
 	// fallFactor is the part of the difference by which a share falls in a round. Half of it per round follows a surge
 	// within two rounds, before the queues of servers are full, and halves the chance variation of the counts.
 	fallFactor = 0.5
@@ -183,7 +180,7 @@
 	targets := allocate(decision.Demand, decision.Capacity)
 	for priority, target := range targets {
 		if target < 1 {
-			targets[priority] = max(target*decision.Demand[priority]/all[priority], minShare)
+			targets[priority] = max(target*decision.Demand[priority]/all[priority], guidance.MinShare)
 		}
 	}
 	rise := maxRise
@@ -206,7 +203,7 @@
 		if i == 0 {
 			total += demand[priority]
 		} else {
-			total += minShare * demand[priority]
+			total += guidance.MinShare * demand[priority]
 		}
 	}
 	return total
@@ -255,14 +252,14 @@
 	priorities := slices.Sorted(maps.Keys(demand))
 	kept := 0.0 // for the priorities behind
 	for _, priority := range priorities {
-		kept += minShare * demand[priority]
+		kept += guidance.MinShare * demand[priority]
 	}
 	shares := make(map[int]float64, len(demand))
 	left := capacity
 	for _, priority := range priorities {
 		busy := demand[priority]
-		kept -= minShare * busy
-		granted := min(busy, max(left-kept, minShare*busy))
+		kept -= guidance.MinShare * busy
+		granted := min(busy, max(left-kept, guidance.MinShare*busy))
 		left -= granted
 		shares[priority] = 1
 		if busy > 0 {
@@ -275,7 +272,7 @@
 // approach returns a share after a round.
 func approach(share, target, rise float64) float64 {
 	if target < share {
-		return max(share+fallFactor*(target-share), minShare)
+		return max(share+fallFactor*(target-share), guidance.MinShare)
 	}
 	return min(share+rise, target)
 }
