Speed: learn the sustainable concurrency of servers and send it to nodes

Cause: servers that slow down before all of their slots are taken were used as if they did not. Change: nodes report answers by the number of requests left at the server (ServerPace.left). The pool counts a limited server as having so many slots for the choice, free slots and expected times, ranges for its utilization. Conclusion: servers that are always full, or chosen as the less busy of two, are not recognized.

--- a/gateway/duty/guidance.go
+++ b/gateway/duty/guidance.go
@@ -31,7 +31,7 @@
 		return
 	}
 	if changed {
-		eventGuidance.Log(d.Logger, "mixed", next.Mixed, "speeds", len(next.Speeds), "work", next.Work, "admissions", next.Admissions)
+		eventGuidance.Log(d.Logger, "mixed", next.Mixed, "speeds", len(next.Speeds), "concurrency", len(next.Concurrency), "work", next.Work, "admissions", next.Admissions)
 	}
 	d.guidanceSentAt = now
 	d.guidanceSerial++
@@ -50,7 +50,7 @@
 	next := guidance.Guidance{Mixed: d.mix.Mixed(v.Config, now)}
 	d.updateSpeeds(v, next.IsMixed(), now)
 	d.sent.update(d.estimates.Load(), now)
-	next.Speeds, next.Work = d.sent.speeds, d.sent.work
+	next.Speeds, next.Work, next.Concurrency = d.sent.speeds, d.sent.work, d.sent.concurrency
 	next.Admissions = d.decideAdmissions(v, withoutKeyed(next.Mixed, v.Config), now)
 	return next
 }
--- a/gateway/duty/metrics.go
+++ b/gateway/duty/metrics.go
@@ -17,6 +17,7 @@
 	learnedGauge  = group.Counter("servers_with_speed")
 	reliableGauge = group.Counter("servers_with_reliable_speed")
 	changedGauge  = group.Counter("servers_with_changed_speed")
+	limitedGauge  = group.Counter("servers_with_limited_concurrency")
 	slowestGauge  = group.Counter("slowest_speed_thousandths")
 )
 
--- a/gateway/duty/sent_speeds.go
+++ b/gateway/duty/sent_speeds.go
@@ -32,7 +32,9 @@
 type sentSpeeds struct {
 	speeds map[site.ServerID]float64
 	work   map[string]float64
-	at     time.Time // of the latest change
+	// concurrency holds the limits of servers that slow down before they are full.
+	concurrency map[site.ServerID]int
+	at          time.Time // of the latest change
 	// startedAt is when the speeds of the previous lessor were taken over; zero: there were none.
 	startedAt time.Time
 }
@@ -44,19 +46,20 @@
 		return
 	}
 	speeds := s.nextSpeeds(estimates)
-	work := map[string]float64{}
+	work, concurrency := map[string]float64{}, nextConcurrency(estimates)
 	if !s.startedAt.IsZero() && now.Sub(s.startedAt) < startGrace {
 		keepMissing(speeds, s.speeds, estimates)
+		keepUnreported(concurrency, s.concurrency, estimates)
 		maps.Copy(work, s.work)
 	}
 	for route, seconds := range estimates.Work {
 		work[route] = kept(s.work[route], seconds)
 	}
 	isDue := s.at.IsZero() || now.Sub(s.at) >= guidanceResendInterval || hasUrgentChange(s.speeds, speeds)
-	if !isDue || maps.Equal(speeds, s.speeds) && maps.Equal(work, s.work) {
+	if !isDue || maps.Equal(speeds, s.speeds) && maps.Equal(work, s.work) && maps.Equal(concurrency, s.concurrency) {
 		return
 	}
-	s.speeds, s.work, s.at = speeds, work, now
+	s.speeds, s.work, s.concurrency, s.at = speeds, work, concurrency, now
 }
 
 // keepMissing keeps the speeds of servers without a reliable estimate.
@@ -74,6 +77,33 @@
 	}
 }
 
+// nextConcurrency returns the limits of servers, without those that are lifted for a trial.
+func nextConcurrency(estimates *speed.Estimates) map[site.ServerID]int {
+	limits := map[site.ServerID]int{}
+	for _, service := range estimates.Services {
+		for id, e := range service.Servers {
+			if e.Concurrency > 0 && !e.IsTrial {
+				limits[id] = e.Concurrency
+			}
+		}
+	}
+	return limits
+}
+
+// keepUnreported keeps the limits of servers without answers.
+func keepUnreported(limits, before map[site.ServerID]int, estimates *speed.Estimates) {
+	for id, limit := range before {
+		isReported := false
+		for _, service := range estimates.Services {
+			_, found := service.Servers[id]
+			isReported = isReported || found
+		}
+		if !isReported {
+			limits[id] = limit
+		}
+	}
+}
+
 func (s *sentSpeeds) nextSpeeds(estimates *speed.Estimates) map[site.ServerID]float64 {
 	speeds := map[site.ServerID]float64{}
 	for _, service := range estimates.Services {
--- a/gateway/duty/speeds.go
+++ b/gateway/duty/speeds.go
@@ -34,7 +34,8 @@
 	}
 	d.mix.Start(held.Mixed, now)
 	d.speeds.Start(held.Speeds, held.Work, now.Add(-age))
-	d.sent = sentSpeeds{speeds: held.Speeds, work: held.Work, at: now, startedAt: now}
+	d.speeds.StartLimits(held.Concurrency)
+	d.sent = sentSpeeds{speeds: held.Speeds, work: held.Work, concurrency: held.Concurrency, at: now, startedAt: now}
 }
 
 func (d *Duty) endSpeeds() {
@@ -104,10 +105,19 @@
 	}
 	return speed.Report{
 		Server: site.ServerID(p.Server), Route: p.Route, Count: int(p.Count), Time: time.Duration(p.TotalUs) * time.Microsecond, HasWait: true,
-		Loads: int(p.Answers), Busy: int(p.Busy), Queued: int(p.Queued),
+		Loads: int(p.Answers), Busy: int(p.Busy), Queued: int(p.Queued), Left: counts(p.Left),
 	}
 }
 
+// counts returns reported counts as the estimator takes them.
+func counts(reported []uint32) []int {
+	counted := make([]int, len(reported))
+	for i, count := range reported {
+		counted[i] = int(count)
+	}
+	return counted
+}
+
 // updateSpeeds updates the estimates, by which keys are placed from then on.
 func (d *Duty) updateSpeeds(v *view.View, isMixed bool, now time.Time) {
 	d.learning = d.learnsSpeeds(isMixed)
@@ -154,12 +164,13 @@
 	for name, service := range estimates.Services {
 		s := summarize(service)
 		eventSpeeds.Log(d.Logger, "service", name, "servers", len(service.Servers), "reliable", s.reliable, "changed", s.changed,
-			"fastest", s.fastest, "slowest", s.slowest, "deviation", s.deviation, "workMs", service.Work*1000, "answers", int(service.Answers), "oldest", s.oldest)
+			"limited", s.limited, "trials", s.trials, "fastest", s.fastest, "slowest", s.slowest, "deviation", s.deviation, "workMs", service.Work*1000, "answers", int(service.Answers), "oldest", s.oldest)
 	}
 }
 
 type speedSummary struct {
 	reliable, changed           int
+	limited, trials             int     // servers with a sustainable concurrency below their slots, and those of them whose limit is lifted
 	fastest, slowest, deviation float64 // deviation: median
 	oldest                      time.Duration
 }
@@ -174,6 +185,12 @@
 		if e.IsShortTerm {
 			s.changed++
 		}
+		if e.Concurrency > 0 {
+			s.limited++
+		}
+		if e.IsTrial {
+			s.trials++
+		}
 		if s.fastest == 0 || e.Relative < s.fastest {
 			s.fastest = e.Relative
 		}
@@ -198,12 +215,14 @@
 			servers += len(service.Servers)
 			total.reliable += s.reliable
 			total.changed += s.changed
+			total.limited += s.limited
 			total.slowest = max(total.slowest, s.slowest)
 		}
 	}
 	learnedGauge.Set(int64(servers))
 	reliableGauge.Set(int64(total.reliable))
 	changedGauge.Set(int64(total.changed))
+	limitedGauge.Set(int64(total.limited))
 	slowestGauge.Set(int64(total.slowest * 1000))
 }
 
@@ -224,6 +243,8 @@
 	Utilization float64       `json:"utilization"`
 	IsShortTerm bool          `json:"shortTerm"`
 	IsReliable  bool          `json:"reliable"`
+	Concurrency int           `json:"concurrency,omitempty"` // if it is below the slots
+	IsTrial     bool          `json:"trial,omitempty"`
 }
 
 // dumpSpeeds returns the estimates and what each is based on. It may be called from any goroutine.
@@ -236,7 +257,7 @@
 	for name, service := range estimates.Services {
 		dump := serviceDump{Service: name, WorkMs: service.Work * 1000, Answers: math.Round(service.Answers)}
 		for id, e := range service.Servers {
-			dump.Servers = append(dump.Servers, serverDump{id, e.Relative, e.Deviation, math.Round(e.Answers), e.Age.Milliseconds(), e.Utilization, e.IsShortTerm, isReliable(e)})
+			dump.Servers = append(dump.Servers, serverDump{id, e.Relative, e.Deviation, math.Round(e.Answers), e.Age.Milliseconds(), e.Utilization, e.IsShortTerm, isReliable(e), e.Concurrency, e.IsTrial})
 		}
 		slices.SortFunc(dump.Servers, func(a, b serverDump) int { return cmp.Compare(a.Server, b.Server) })
 		services = append(services, dump)
--- a/gateway/duty/speeds_test.go
+++ b/gateway/duty/speeds_test.go
@@ -155,3 +155,22 @@
 		g.Expect(s.speeds["a"]).To(gomega.Equal(row.want), "%+v", row)
 	}
 }
+
+// Guards against limits that nodes are not sent, that stay during a trial, and that a new lessor drops before it has reports.
+func TestLimitsOfServersAreSent(t *testing.T) {
+	g := gomega.NewWithT(t)
+	now := clock.Now()
+	estimates := func(e speed.Estimate) *speed.Estimates {
+		of := speed.Service{Answers: minUsableAnswers, Servers: map[site.ServerID]speed.Estimate{"a": e}}
+		return &speed.Estimates{Services: map[site.ServiceName]speed.Service{"s": of}}
+	}
+	s := sentSpeeds{concurrency: map[site.ServerID]int{"a": 3, "b": 3}, startedAt: now}
+	s.update(estimates(speed.Estimate{Concurrency: 2}), now)
+	g.Expect(s.concurrency).To(gomega.Equal(map[site.ServerID]int{"a": 2, "b": 3}))
+	s.update(estimates(speed.Estimate{}), now.Add(time.Second))
+	g.Expect(s.concurrency).To(gomega.HaveKey(site.ServerID("a")), "sent at most every 2 s")
+	s.update(estimates(speed.Estimate{Concurrency: 2, IsTrial: true}), now.Add(startGrace+time.Second))
+	g.Expect(s.concurrency).To(gomega.BeEmpty())
+	s.update(nil, now)
+	g.Expect(s.concurrency).To(gomega.BeEmpty())
+}
--- a/gateway/follow/guidance.go
+++ b/gateway/follow/guidance.go
@@ -31,6 +31,10 @@
 		message.Servers = append(message.Servers, string(id))
 		message.Speeds = append(message.Speeds, uint32(max(speed*speedUnit, 1)))
 	}
+	for _, id := range slices.Sorted(maps.Keys(g.Concurrency)) {
+		message.LimitedServers = append(message.LimitedServers, string(id))
+		message.Concurrency = append(message.Concurrency, uint32(max(g.Concurrency[id], 1)))
+	}
 	for route, work := range g.Work {
 		message.Routes = append(message.Routes, route)
 		message.WorkUs = append(message.WorkUs, uint32(max(work/microsecond, 1)))
@@ -60,6 +64,10 @@
 	for i, id := range message.Servers[:min(len(message.Servers), len(message.Speeds))] {
 		g.Speeds[site.ServerID(id)] = float64(message.Speeds[i]) / speedUnit
 	}
+	g.Concurrency = make(map[site.ServerID]int, len(message.LimitedServers))
+	for i, id := range message.LimitedServers[:min(len(message.LimitedServers), len(message.Concurrency))] {
+		g.Concurrency[site.ServerID(id)] = int(message.Concurrency[i])
+	}
 	g.Work = make(map[string]float64, len(message.Routes))
 	for i, route := range message.Routes[:min(len(message.Routes), len(message.WorkUs))] {
 		g.Work[route] = float64(message.WorkUs[i]) * microsecond
--- a/gateway/follow/reports.go
+++ b/gateway/follow/reports.go
@@ -1,6 +1,7 @@
 package follow
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -43,6 +44,7 @@
 	// The fields below are of mixed sites.
 	answerTime   time.Duration // sum, the wait in the server's queue included
 	busy, queued uint32        // sums over the answers: slots taken and requests waiting, without the answered one
+	left         []uint32      // answers by the number of requests left; the last element stands for all slots taken
 }
 
 type serviceClass struct {
@@ -125,10 +127,38 @@
 		left := max(load.Total()-1, 0) // the load includes the answered request
 		busy := min(left, max(load.Slots, 0))
 		p.busy, p.queued = uint32(busy), uint32(left-busy)
+		p.left = countAt(left, *load)
 	}
 	r.add(serverRoute{server, route}, p)
 }
 
+// maxCountedSlots bounds the slots of servers whose numbers of requests are counted, and thus the size of reports.
+const maxCountedSlots = 64
+
+// countAt returns a count of one at a number of requests, nil if the load is impossible.
+func countAt(requests int, load site.Load) []uint32 {
+	if load.Slots <= 0 || load.Slots > maxCountedSlots || load.Running < 0 || load.Running > load.Slots || load.Waiting < 0 {
+		return nil
+	}
+	counts := make([]uint32, load.Slots+1)
+	counts[min(max(requests, 0), load.Slots)] = 1
+	return counts
+}
+
+// addCounts adds counts to others. Those of another number of slots replace them.
+func addCounts(sum, counts []uint32) []uint32 {
+	if len(counts) == 0 || len(counts) > maxCountedSlots+1 {
+		return sum
+	}
+	if len(sum) != len(counts) {
+		return slices.Clone(counts)
+	}
+	for i, count := range counts {
+		sum[i] += count
+	}
+	return sum
+}
+
 func statsOf(took time.Duration, load *site.Load) serverStats {
 	p := serverStats{count: 1, total: took}
 	if load != nil {
@@ -147,6 +177,7 @@
 	sum.answerTime += p.answerTime
 	sum.busy += p.busy
 	sum.queued += p.queued
+	sum.left = addCounts(sum.left, p.left)
 	r.stats[of] = sum
 }
 
@@ -185,6 +216,7 @@
 		answerTime: time.Duration(reported.TotalUs) * time.Microsecond,
 		busy:       reported.Busy,
 		queued:     reported.Queued,
+		left:       reported.Left,
 	}
 }
 
@@ -196,6 +228,7 @@
 		message.Route, message.Count = of.route, uint32(p.count)
 		message.TotalUs = uint64(p.answerTime.Microseconds())
 		message.Busy, message.Queued = p.busy, p.queued
+		message.Left = p.left
 	}
 	return message
 }
--- a/gateway/guidance/guidance.go
+++ b/gateway/guidance/guidance.go
@@ -19,6 +19,9 @@
 	// Speeds holds the service time of servers relative to the typical server of their service: 2 is a server that
 	// takes twice as long. Servers without an entry are typical.
 	Speeds map[site.ServerID]float64
+	// Concurrency holds the number of running requests that servers take well, of those that slow down before all of their
+	// slots are taken.
+	Concurrency map[site.ServerID]int
 	// Work holds the mean work of routes at a typical server in seconds, by the name of the route.
 	Work map[string]float64
 	// Admissions holds the shares of the requests of a service that nodes admit. Services without an entry admit all.
@@ -48,7 +51,7 @@
 
 // DiffersFrom reports whether nodes should be sent this guidance although they have another one.
 func (g Guidance) DiffersFrom(other Guidance) bool {
-	return !slices.Equal(g.Mixed, other.Mixed) || differ(g.Speeds, other.Speeds) || differ(g.Work, other.Work) ||
+	return !slices.Equal(g.Mixed, other.Mixed) || differ(g.Speeds, other.Speeds) || differ(g.Work, other.Work) || !maps.Equal(g.Concurrency, other.Concurrency) ||
 		!maps.EqualFunc(g.Admissions, other.Admissions, func(a, b Admission) bool { return !differ(a, b) })
 }
 
--- a/gateway/pool/guidance.go
+++ b/gateway/pool/guidance.go
@@ -33,6 +33,7 @@
 
 // applySpeeds copies the speeds of the guidance to the servers, so that a selection among all of them needs no lookups.
 func (p *Pool) applySpeeds() {
+	p.applyConcurrency()
 	if !p.guided.hasSpeeds {
 		return
 	}
--- a/gateway/pool/pool.go
+++ b/gateway/pool/pool.go
@@ -92,6 +92,7 @@
 	speed         speed   // on a mixed site
 	otherRequests float64 // requests of other nodes, as of reportAt
 	reportAt      time.Time
+	concurrency   int     // running requests that it takes well, by the guidance; 0: all slots
 	hadFreeSlots  bool    // whether that report had free slots and no queue
 	slowdown      float64 // in that report; 0: none
 	failureRate   float64 // recent failure rate, as of failureAt
@@ -320,7 +321,7 @@
 // timeBehind returns the time in seconds that a request takes at a server behind a number of others.
 func (p *Pool) timeBehind(m *member, others float64, now time.Time) float64 {
 	mean := p.serviceTime(m, now) * p.loadChecks.relativeSlowdown(m, now)
-	slots := float64(max(m.Slots, 1))
+	slots := p.usableSlots(m, now)
 	return mean * (1 + max(0, others+1-slots)/slots)
 }
 
--- a/gateway/pool/speed.go
+++ b/gateway/pool/speed.go
@@ -276,7 +276,7 @@
 
 // guidedBehind returns the time in seconds that a request of some work takes at a server behind a number of others.
 func (p *Pool) guidedBehind(m *member, work, others float64, now time.Time) float64 {
-	slots := float64(max(m.Slots, 1))
+	slots := p.usableSlots(m, now)
 	behind := max(0, others+1-slots) / slots * p.meanWork()
 	return m.relative(now) * (work + behind)
 }
--- a/gateway/pool/speeds.go
+++ b/gateway/pool/speeds.go
@@ -26,6 +26,8 @@
 	Own     float64 `json:"own,omitempty"`
 	Answers float64 `json:"answers,omitempty"`
 	Used    float64 `json:"used"`
+	// Concurrency is the number of running requests that the server takes well; 0: all of its slots.
+	Concurrency int `json:"concurrency,omitempty"`
 }
 
 // Speeds returns the speeds that are used now: those of servers that the guidance names or that have answered lately.
@@ -42,8 +44,8 @@
 	s.Servers = map[site.ServerID]SpeedUsed{}
 	for _, m := range p.order {
 		answers := m.speed.answers * decay(now.Sub(m.speed.at), answerHalfLife)
-		if m.speed.isListed || answers >= minShownAnswers {
-			s.Servers[m.ID] = SpeedUsed{Guided: m.speed.guided, Own: m.speed.mean, Answers: answers, Used: m.relative(now)}
+		if m.speed.isListed || answers >= minShownAnswers || m.concurrency > 0 {
+			s.Servers[m.ID] = SpeedUsed{Guided: m.speed.guided, Own: m.speed.mean, Answers: answers, Used: m.relative(now), Concurrency: m.concurrency}
 		}
 	}
 	return s
--- a/gateway/pool/spread.go
+++ b/gateway/pool/spread.go
@@ -79,7 +79,7 @@
 	rates := make([]float64, len(p.order))
 	for i, m := range p.order {
 		if m.MayServe(false, now) && !m.blocked(now) {
-			rates[i] = float64(max(m.Slots, 1)) / m.relative(now)
+			rates[i] = p.usableSlots(m, now) / m.relative(now)
 		}
 	}
 	spare := spareFactor(rates, s.load())
--- a/gateway/ranges/learned.go
+++ b/gateway/ranges/learned.go
@@ -71,7 +71,7 @@
 	if !known {
 		estimate.Relative, estimate.Deviation = 1, unknownDeviation
 	}
-	cost := speeds.Work * estimate.Relative / float64(max(server.Slots, 1))
+	cost := speeds.Work * estimate.Relative / float64(max(speeds.SlotsOf(server.ID, server.Slots), 1))
 	return &usage{server: server, cost: cost, learned: &learnedUsage{speed: estimate}}
 }
 
--- a/gateway/speed/estimate.go
+++ b/gateway/speed/estimate.go
@@ -49,6 +49,10 @@
 	Utilization float64
 	// IsShortTerm reports that the server has changed, and that only its latest answers count.
 	IsShortTerm bool
+	// Concurrency is the number of running requests that the server takes well; 0: all of its slots.
+	Concurrency int
+	// IsTrial reports that nodes should not limit the server to Concurrency for a while, to find out whether it still slows down.
+	IsTrial bool
 }
 
 // Service holds the estimates of a service.
@@ -107,6 +111,9 @@
 	result := Service{Servers: make(map[site.ServerID]Estimate, len(samples))}
 	for _, s := range samples {
 		s.estimate.Relative = math.Exp(s.logRelative)
+		s.concurrency.update(s.slots, now)
+		s.estimate.Concurrency = s.concurrency.limit
+		s.estimate.IsTrial = s.concurrency.limit > 0 && isTrial(s.id, now.Sub(e.begunAt))
 		result.Servers[s.id] = s.estimate
 		for route, of := range s.long.routes {
 			result.Answers += of.answers
--- a/gateway/speed/speed.go
+++ b/gateway/speed/speed.go
@@ -27,6 +27,9 @@
 	Loads   int // answers with a load
 	// Busy and Queued are the slots taken and the requests waiting at these answers, summed, without the answered ones.
 	Busy, Queued int
+	// Left counts the answers by the number of requests left at the server; the last element stands for all slots taken.
+	// Empty: not known.
+	Left []int
 }
 
 const (
@@ -50,6 +53,7 @@
 	servers map[site.ServerID]*server
 	work    map[serviceRoute]float64 // seconds at a typical server
 	start   start
+	begunAt time.Time // when the first report arrived
 }
 
 type serviceRoute struct {
@@ -61,6 +65,7 @@
 type start struct {
 	speeds map[site.ServerID]float64
 	work   map[string]float64
+	limits map[site.ServerID]int
 	at     time.Time
 }
 
@@ -70,6 +75,7 @@
 	reportedAt  time.Time // latest report
 	logRelative float64   // of the latest estimate
 	changedAt   time.Time // since when the estimates are by the short-term sums; zero: they are not
+	concurrency concurrency
 }
 
 // New returns an estimator without reports.
@@ -82,10 +88,14 @@
 	e.start = start{speeds: maps.Clone(speeds), work: maps.Clone(work), at: at}
 }
 
+// StartLimits sets the sustainable concurrency that servers start with, of the same guidance. It must be called after Start.
+func (e *Estimator) StartLimits(limits map[site.ServerID]int) { e.start.limits = maps.Clone(limits) }
+
 // Forget drops what is known of a server, which has restarted.
 func (e *Estimator) Forget(id site.ServerID) {
 	delete(e.servers, id)
 	delete(e.start.speeds, id)
+	delete(e.start.limits, id)
 }
 
 // Add processes a report about a server of a service.
@@ -93,11 +103,16 @@
 	if r.Count <= 0 || r.Time <= 0 {
 		return
 	}
+	if e.begunAt.IsZero() {
+		e.begunAt = now
+	}
 	s := e.servers[r.Server]
 	if s == nil {
 		s = &server{long: newSums(longHalfLife), short: newSums(shortHalfLife)}
+		s.concurrency = concurrency{limit: e.start.limits[r.Server], at: now}
 		e.servers[r.Server] = s
 	}
+	s.addConcurrency(r, now.Sub(e.begunAt), now)
 	elapsed := firstInterval
 	if !s.reportedAt.IsZero() {
 		elapsed = max(now.Sub(s.reportedAt), 0)
