--- a/gateway/pool/freeslot.go
+++ b/gateway/pool/freeslot.go
@@ -79,7 +79,7 @@
 func (p *Pool) hasFreeSlot(m *member, now time.Time) bool {
 	weight := decay(now.Sub(m.reportAt), reportHalfLife)
 	others := m.otherRequests*weight + p.urgency.usual.get(now)*(1-weight)
-	return float64(m.inFlight())+others+1 <= p.usableSlots(m, now)+slotTolerance
+	return float64(m.inFlight())+others+1 <= float64(max(m.Slots, 1))+slotTolerance
 }
 
 // mayUseQueue reports whether a request may be sent to a server in spite of the queue that it may have there: the most
