Ceiling: rare requests, small values and routes without requests

Cause: work was rounded to the nearest microsecond, so that a route with 0.2 µs of work in a step lost all of it and the bound was too low; values below 1e-5 per second of work were smaller than the preference for earlier steps; the estimate counted a route without requests as lost. Change: work is rounded up to nanoseconds and read back as the share of the arrivals; values count relative to the greatest per work of the service; the estimate of no requests is empty. Work beyond 1e18 units is limited, since a conversion outside of int64 is not defined.

--- a/gateway/ceiling/bound.go
+++ b/gateway/ceiling/bound.go
@@ -1,15 +1,20 @@
 package ceiling
 
-import "math"
+import (
+	"math"
+	"slices"
+)
 
 const (
 	stepsPerSecond = 5 // time steps of the bound
 	step           = 1.0 / stepsPerSecond
 	// unitsPerSecond converts work to whole numbers for the flow.
-	unitsPerSecond = 1e6
-	// valueScale converts value per unit of work to whole numbers. At a value of 1 for a second of work it leaves nine digits, and the
-	// greatest value that Parse admits stays three digits below the range of int64.
-	valueScale = 1e15
+	unitsPerSecond = 1e9
+	// maxUnits bounds the work of a step. No capacity that Parse admits reaches it.
+	maxUnits = 1e18
+	// greatestDensity is the greatest value per work of a service in the flow. It leaves six digits below the range of int64 for the sums
+	// along a path, and nine above the preference for earlier steps.
+	greatestDensity = 1e12
 )
 
 // plan is the schedule of greatest value of one service.
@@ -54,24 +59,31 @@
 	supply := make([]int64, 0, len(p.routes)*steps)
 	for _, arrivals := range p.arrivals {
 		for _, work := range arrivals {
-			supply = append(supply, int64(math.Round(work*unitsPerSecond)))
+			supply = append(supply, units(work))
 		}
 	}
 	room := make([]int64, len(p.capacity))
 	for i, capacity := range p.capacity {
-		room[i] = int64(math.Round(capacity * unitsPerSecond))
+		room[i] = units(capacity)
+	}
+	n := newNetwork(slices.Clone(supply), room)
+	greatest := 0.0
+	for _, r := range p.routes {
+		greatest = max(greatest, r.Value/r.Work)
 	}
-	n := newNetwork(supply, room)
 	for i, r := range p.routes {
 		for at := range steps {
-			connectWindow(n, i*steps+at, at, r)
+			connectWindow(n, i*steps+at, at, r, greatest)
 		}
 	}
 	n.maximize()
-	p.read(n, steps)
+	p.read(n, supply)
 	return p
 }
 
+// units returns work as a whole number, rounded up so that the bound is not too low.
+func units(work float64) int64 { return int64(math.Ceil(min(work*unitsPerSecond, maxUnits))) }
+
 // newPlan returns a plan with arrivals and capacity only. The capacity goes on after the last arrival for as long as deadlines allow.
 func newPlan(site *Site, service *Service, usable float64) *plan {
 	p := &plan{routes: site.routesOf(service.Name)}
@@ -98,24 +110,30 @@
 func stepsWithin(seconds float64) int { return int(math.Ceil(seconds/step - 1e-9)) }
 
 // connectWindow links the work that arrives in a step with the steps in which it can be run. Earlier steps are worth one unit more each,
-// so that work is not put off without need; this is below the resolution of the results.
-func connectWindow(n *network, source, at int, r *Route) {
+// so that work is not put off without need; this is below the resolution of the results. Values count relative to the greatest value per
+// work of the service, so that their unit does not matter.
+func connectWindow(n *network, source, at int, r *Route, greatest float64) {
 	inTime, last := stepsWithin(r.Objective), stepsWithin(r.Deadline)
 	for wait := 0; wait <= last; wait++ {
 		value := r.ValueLate
 		if wait <= inTime {
 			value = r.Value
 		}
-		density := int64(value / r.Work / unitsPerSecond * valueScale)
+		density := int64(value / r.Work / max(greatest, math.SmallestNonzeroFloat64) * greatestDensity)
 		n.connect(source, at+wait, max(density, 1)+int64(last-wait))
 	}
 }
 
-// read takes the flow of the network as the plan.
-func (p *plan) read(n *network, steps int) {
+// read takes the flow of the network as the plan. A unit of a source is its share of the arrivals, so that rounding changes nothing where
+// all work is run. It is less than a whole unit, except where the supply is limited by maxUnits.
+func (p *plan) read(n *network, supply []int64) {
+	steps := len(p.arrivals[0])
 	for _, l := range n.links {
+		if l.flow == 0 {
+			continue
+		}
 		route, at := l.source/steps, l.source%steps
-		work := float64(l.flow) / unitsPerSecond
+		work := float64(l.flow) * min(p.arrivals[route][at]/float64(supply[l.source]), 1/unitsPerSecond)
 		p.run[l.sink] += work
 		for i := at; i < l.sink; i++ {
 			p.backlog[i] += work
--- a/gateway/ceiling/ceiling_test.go
+++ b/gateway/ceiling/ceiling_test.go
@@ -164,3 +164,48 @@
 		g.Expect(problem.Error()).To(gomega.HavePrefix(c[2]))
 	}
 }
+
+// Guards against requests that the rounding of work loses: few and short ones are all answered.
+func TestRareAndShortRequestsAreNotLost(t *testing.T) {
+	g := gomega.NewWithT(t)
+	for _, rate := range []float64{1e-6, 0.002, 0.013, 1.001} {
+		r := route("a", rate, 1)
+		r.Work = 0.001
+		result := ceiling.Compute(siteOf(2, []ceiling.Group{servers(1, 1)}, r))
+		g.Expect(result.Bound).To(gomega.BeNumerically("~", 1, 1e-9), "rate %v", rate)
+		g.Expect(result.Bottlenecks).To(gomega.BeEmpty(), "rate %v", rate)
+	}
+}
+
+// Guards against results that depend on the unit of values, and against work of less value that runs earlier since it may wait longer.
+func TestUnitOfValuesDoesNotMatter(t *testing.T) {
+	g := gomega.NewWithT(t)
+	for _, unit := range []float64{1e-9, 1e-6, 1, 900} {
+		patient, other := route("a", 10, unit), route("b", 10, 1.01*unit)
+		patient.Objective, patient.Deadline = 60, 60
+		result := ceiling.Compute(siteOf(4, []ceiling.Group{servers(1, 1, ceiling.Span{Until: 4})}, patient, other))
+		g.Expect(result.Bound).To(gomega.BeNumerically("~", 1.01/2.01, 1e-4), "unit %v", unit)
+	}
+}
+
+// Guards against a demand so large that its work is no whole number of 64 bits.
+func TestGreatestDemandIsServedAsFarAsPossible(t *testing.T) {
+	g := gomega.NewWithT(t)
+	r := route("a", 1e6, 1)
+	r.Work = 60
+	site := siteOf(2, []ceiling.Group{servers(1, 1)}, r)
+	site.Demand.Scale = 1000
+	for i := range site.Demand.Zones {
+		site.Demand.Zones[i].Steps = []ceiling.Phase{{Span: ceiling.Span{Until: 1000}, Factor: 1000}}
+	}
+	g.Expect(ceiling.Compute(site).Services[0].Seconds[0].Run).To(gomega.BeNumerically("~", 1, 1e-6))
+}
+
+// Guards against requests that are reported as lost where there are none.
+func TestRouteWithoutRequestsLosesNone(t *testing.T) {
+	g := gomega.NewWithT(t)
+	result := ceiling.Compute(siteOf(2, []ceiling.Group{servers(1, 1)}, route("a", 0, 1), route("b", 1, 1)))
+	idle := result.Services[0].Seconds[0].Routes[0]
+	g.Expect(idle.Bound).To(gomega.Equal(ceiling.Shares{}))
+	g.Expect(idle.Estimate).To(gomega.Equal(ceiling.Shares{}))
+}
--- a/gateway/ceiling/estimate.go
+++ b/gateway/ceiling/estimate.go
@@ -74,6 +74,9 @@
 
 // estimate reduces the shares of the plan by the requests whose wait and service time are longer than the objective or the deadline.
 func (e *estimator) estimate(r *Route, planned Shares) Shares {
+	if planned == (Shares{}) {
+		return Shares{} // no requests
+	}
 	objective, deadline := e.within(r, r.Objective), e.within(r, r.Deadline)
 	inTime := planned.InTime * objective
 	late := planned.InTime*max(0, deadline-objective) + planned.Late*deadline
