--- a/cli/ceiling.go
+++ b/cli/ceiling.go
@@ -54,7 +54,7 @@
 			s.Service, s.Loss, rangesText(s.Spans), 100*s.Missing, 100*s.Slow, 100*s.Demand)
 	}
 	if len(r.Bottlenecks) == 0 {
-		b.WriteString("no bottleneck: by the bound all requests can be answered in time\n")
+		b.WriteString("no bottleneck: by the bound no value is lost\n")
 	}
 	fmt.Fprintf(&b, "\n%-8s %-24s %8s %8s\n", "", "", "bound", "estimate")
 	for _, p := range r.Worst {
--- a/cli/ceiling_test.go
+++ b/cli/ceiling_test.go
@@ -57,3 +57,18 @@
 	g.Expect(status).To(gomega.Equal(cli.ExitFailure))
 	g.Expect(problems).To(gomega.ContainSubstring("cannot be read"))
 }
+
+// Guards against a summary that says that all requests are answered in time where those that are not are worth as much, or nothing.
+func TestCeilingWithoutALossOfValueIsNotCalledInTime(t *testing.T) {
+	g := gomega.NewWithT(t)
+	file := filepath.Join(t.TempDir(), "f.jsonc")
+	g.Expect(os.WriteFile(file, []byte(`{"name": "n", "period": "2s",
+"services": {"s": {"slots": 1, "servers": [{"count": 1}]}},
+"routes": {
+	"late": {"service": "s", "rate": 20, "work": "100ms", "objective": "200ms", "deadline": "10s", "value": 1, "valueLate": 1},
+	"free": {"service": "s", "rate": 100, "work": "100ms", "objective": "200ms", "deadline": "200ms", "value": 0}}}`), 0o600)).To(gomega.Succeed())
+	status, out, problems := runCeiling(file)
+	g.Expect(status).To(gomega.Equal(0), problems)
+	g.Expect(out).To(gomega.ContainSubstring("no bottleneck: by the bound no value is lost\n"))
+	g.Expect(out).To(gomega.ContainSubstring("     0      12.0      1.0      1.0      1.0       50 + 50 "), "half is late")
+}
--- a/gateway/ceiling/ceiling_test.go
+++ b/gateway/ceiling/ceiling_test.go
@@ -151,6 +151,7 @@
 	for _, c := range [][3]string{
 		{`"2s",`, `"2500ms",`, "f:1: period: must be whole seconds"},
 		{`"count": 1`, `"count": 0`, "f:2: services.s.servers[0].count: must be between 1"},
+		{`"slots": 1, "servers": [{"count": 1}]`, `"slots": 10000, "servers": [{"count": 1000}, {"count": 1}]`, "f:2: services.s.servers: must have at most 10000000 slots in all, not 10010000"},
 		{`"count": 1`, `"count": 1, "sped": 1`, "f:2: services.s.servers[0].sped: unknown field"},
 		{`"count": 1`, `"count": 1, "present": [{"from": "2s", "until": "1s"}]`, "f:2: services.s.servers[0].present[0].until: must be after from"},
 		{`"service": "s"`, `"service": "t"`, "f:3: routes.r.service: no service has this name"},
--- a/gateway/ceiling/estimate.go
+++ b/gateway/ceiling/estimate.go
@@ -11,7 +11,9 @@
 	service *Service
 	span    Span
 	utilized,
-	meanWork float64
+	meanWork,
+	capacity float64
+	pooled queueing // of a service that is not keyed
 }
 
 // newEstimator takes the utilization and the mean work from the requests that arrive in the second and are answered by the plan.
@@ -27,8 +29,12 @@
 	if requests > 0 {
 		e.meanWork = work / requests
 	}
-	if capacity := service.capacity(e.span); capacity > 0 {
-		e.utilized = min(usableShare, sum(p.run[from:until])/capacity)
+	e.capacity = service.capacity(e.span)
+	if e.capacity > 0 {
+		e.utilized = min(usableShare, sum(p.run[from:until])/e.capacity)
+		if !service.Keyed && e.meanWork > 0 {
+			e.pooled = e.pool()
+		}
 	}
 	return e
 }
@@ -36,35 +42,34 @@
 // within returns the probability that a request of a route is answered within a time. In a keyed service each server has a queue of
 // its own and gets requests in proportion to its speed; another service has one queue for all of its slots.
 func (e *estimator) within(r *Route, seconds float64) float64 {
-	total, capacity := 0.0, e.service.capacity(e.span)
-	if capacity == 0 || e.meanWork == 0 {
+	if e.capacity == 0 || e.meanWork == 0 {
 		return 0
 	}
-	pooled := e.pooled(capacity)
+	total := 0.0
 	for i := range e.service.Groups {
 		g := &e.service.Groups[i]
 		rate, presence := g.rate(e.span), g.presence(e.span)
 		if rate == 0 {
 			continue
 		}
-		q := pooled
+		q := e.pooled
 		if e.service.Keyed {
 			q = newQueueing(e.service.Slots, e.utilized, e.meanWork*presence/rate)
 		}
-		total += float64(g.Count*e.service.Slots) * rate / capacity * g.withNoise(q, seconds, r.Work*presence*g.noiseRate()/rate)
+		total += float64(g.Count*e.service.Slots) * rate / e.capacity * g.withNoise(q, seconds, r.Work*presence*g.noiseRate()/rate)
 	}
 	return total
 }
 
-// pooled returns the queue of all slots that are present.
-func (e *estimator) pooled(capacity float64) queueing {
+// pool returns the queue of all slots that are present.
+func (e *estimator) pool() queueing {
 	slots := 0.0
 	for i := range e.service.Groups {
 		g := &e.service.Groups[i]
 		slots += float64(g.Count*e.service.Slots) * g.presence(e.span)
 	}
 	slots = max(1, math.Round(slots))
-	return newQueueing(int(slots), e.utilized, e.meanWork*slots/capacity)
+	return newQueueing(int(slots), e.utilized, e.meanWork*slots/e.capacity)
 }
 
 // withNoise weighs the fast and slow times of the machine by their length. service is the time without noise.
--- a/gateway/ceiling/parse.go
+++ b/gateway/ceiling/parse.go
@@ -1,6 +1,7 @@
 package ceiling
 
 import (
+	"fmt"
 	"math"
 	"time"
 
@@ -20,6 +21,8 @@
 	maxValue   = 1000
 	// maxRoutes bounds the routes of a file, and with the period the size of the computation.
 	maxRoutes = 50
+	// maxServiceSlots bounds the slots of a service: Erlang C takes a time proportional to them, in every second.
+	maxServiceSlots = 10_000_000
 )
 
 // allZones names the zone of a demand without zones.
@@ -68,6 +71,13 @@
 	if servers.IsArray() && len(s.Groups) == 0 {
 		servers.Problem("must not be empty")
 	}
+	slots := 0
+	for i := range s.Groups {
+		slots += s.Groups[i].Count * s.Slots
+	}
+	if slots > maxServiceSlots {
+		servers.Problem(fmt.Sprintf("must have at most %d slots in all, not %d", maxServiceSlots, slots))
+	}
 	o.Close()
 	return s
 }
