Router: a forwarded request that can reach no server promises nothing

Cause: review: a node that can reach no server for a forwarded request took room of its schedule, although the first node goes on with another one and its caller never gets that delay. Scheduled refusals took the service's lock on all sites. Change: no promise there, and none is asked for on sites that are not mixed. Measured: go test ./gateway/router passes; the new lines of TestOnlyRefusedCallersTakeRoomOfTheSchedule ask for it.

--- a/gateway/router/returns.go
+++ b/gateway/router/returns.go
@@ -42,9 +42,12 @@
 // withPromise returns a refusal that is the result of the request. On a mixed site, one whose delay is scheduled gets it from
 // the schedule, unless ctx was canceled: the caller has left, or the schedule ends with the node.
 func (x *exchange) withPromise(ctx context.Context, r *refusal) *refusal {
-	if !r.isScheduled || errors.Is(ctx.Err(), context.Canceled) {
+	if !r.isScheduled || errors.Is(ctx.Err(), context.Canceled) || !x.router.state.Now().Guidance.IsMixedAt(time.Now()) {
 		return r
 	}
+	if x.forwarded != nil && r.isUnreachable {
+		return r // the node that forwarded it goes on with another one, and its caller does not get this delay
+	}
 	promise := x.service.promiseReturn(x.waiter())
 	if promise == nil {
 		return r
--- a/gateway/router/returns_test.go
+++ b/gateway/router/returns_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/onsi/gomega"
 
+	"github.com/burdockspindle/burdockspindle/gateway/forward"
 	"github.com/burdockspindle/burdockspindle/gateway/pool"
 	"github.com/burdockspindle/burdockspindle/gateway/returns"
 	"github.com/burdockspindle/burdockspindle/gateway/site"
@@ -162,6 +163,11 @@
 			leave()
 			x.retryAfterOfResult(left, result{refusal: &refusal{status: http.StatusServiceUnavailable, reason: reason, isScheduled: true}})
 			g.Expect(x.service.promised()).To(gomega.BeZero(), reason)
+			passedOn := newMixedExchange(t, true)
+			passedOn.forwarded = &forward.Request{}
+			unreachable := &refusal{status: http.StatusServiceUnavailable, reason: reason, isScheduled: true, isUnreachable: true}
+			g.Expect(passedOn.withPromise(t.Context(), unreachable)).To(gomega.Equal(unreachable), "the node that forwarded it goes on")
+			g.Expect(passedOn.service.promised()).To(gomega.BeZero(), reason)
 		})
 	}
 }
