--- a/gateway/speed/concurrency.go
+++ b/gateway/speed/concurrency.go
@@ -10,7 +10,7 @@
 )
 
 // The sustainable concurrency of a server is estimated from the rate at which it answers while a number n of requests runs:
-// answers with n running, divided by the time that n were running. The time is told by what answers leave behind: a server
+// answers with n running, divided by the time that n were running. That time follows from what answers leave behind: a server
 // goes from n to n+1 requests as often as back, so that requests which arrive at random find n as often as answers leave n
 // behind. Where nodes send fewer requests to busy servers the time with many running is underestimated, so that a server
 // looks faster then, and is not limited by mistake.
