--- a/gateway/view/cold_keys.go
+++ b/gateway/view/cold_keys.go
@@ -17,7 +17,7 @@
 }
 
 // IsColdKey reports whether the owner of a key has recently taken it over without a handover, so that requests for it take
-// longer than others. It is known on mixed sites only, for services whose configuration tells for how long this lasts.
+// longer than others. It is known on mixed sites only, for services whose configuration states how long this lasts.
 func (v *View) IsColdKey(service site.ServiceName, key ranges.Key, now time.Time) bool {
 	spans := v.coldKeys[service]
 	if len(spans) == 0 || !v.Guidance.IsMixedAt(now) {
@@ -51,15 +51,15 @@
 
 // coldSpans returns the cold spans of a service after its routes have changed.
 func (v *View) coldSpans(service site.Service, before []ranges.Route, now time.Time) []coldSpan {
+	if service.KeyWarmUp <= 0 {
+		return nil
+	}
 	var spans []coldSpan
 	for _, s := range v.coldKeys[service.Name] {
 		if now.Sub(s.at) < service.KeyWarmUp {
 			spans = append(spans, s)
 		}
 	}
-	if service.KeyWarmUp <= 0 {
-		return nil
-	}
 	routes, i := v.Routes.Services[service.Name], 0
 	for _, lost := range before {
 		if _, isRegistered := v.registered[lost.Server]; lost.Server == "" || isRegistered && lost.State != ranges.Unresponsive {
