Limits: what a server has named holds for its next incarnation until that one answers

Callers saw: nothing; the servers did. A server in need that ended and came back under its name got several times the limit that it had named before and names again.

Cause: a limit was known under the incarnation that had named it. After a restart each node sent without a limit until it had an answer of the new incarnation, from nodes that counted by another hash and began with what nobody had used. Class: state of a server that the next incarnation starts without, though the bound outlives the process.

Change: the newest answer of a server counts, in whichever incarnation, for servers of one service; only an answer of the new incarnation to a request that has run lifts it. The nodes that count are chosen by the name, and what they have sent to the incarnation before still counts, also for cold servers (pool.lasting). A budget that a node begins with again is not larger than what its own sends have left. Event 2026 and the state dump tell which incarnation an answer is from.

--- a/gateway/duty/outcome.go
+++ b/gateway/duty/outcome.go
@@ -157,7 +157,8 @@
 		StoreEra store.Era `json:"storeEra"`
 		// EvacuatedZones are those whose servers get no requests.
 		EvacuatedZones []string `json:"evacuatedZones"`
-		// ServerLimits are the requests a second that servers take from all nodes together.
+		// ServerLimits are the requests a second that servers take from all nodes together, by the incarnation whose
+		// answer says so.
 		ServerLimits map[site.ServerID]float64 `json:"serverLimits"`
 		// LeavingServers are registered servers that have said in an answer that they are about to end.
 		LeavingServers []site.ServerID `json:"leavingServers"`
--- a/gateway/follow/limits.go
+++ b/gateway/follow/limits.go
@@ -21,8 +21,8 @@
 	for _, change := range state.MergeLimits(limits) {
 		limitChanges.Add(1)
 		fields := []any{"server", change.Server, "isNamed", change.After.IsNamed, "rate", change.After.Rate, "age", time.Since(change.After.At), "from", from}
-		if change.WasKnown {
-			fields = append(fields, "wasNamed", change.Before.IsNamed, "rateBefore", change.Before.Rate)
+		if change.ServerBefore != "" {
+			fields = append(fields, "wasNamed", change.Before.IsNamed, "rateBefore", change.Before.Rate, "serverBefore", change.ServerBefore)
 		}
 		eventLimit.Log(logger, fields...)
 	}
--- a/gateway/pool/limit_fleet_test.go
+++ b/gateway/pool/limit_fleet_test.go
@@ -23,14 +23,15 @@
 	random   *rand.Rand
 	now      time.Time
 	servers  []site.Server
-	limits   map[site.ServerID]float64
-	removed  map[site.ServerID]bool // not in the registry at present
-	isCut    bool                   // no server can be reached
+	limits   map[site.ServerName]float64 // negative: the server names none
+	removed  map[site.ServerName]bool    // not in the registry at present
+	downTill map[site.ServerName]time.Time
+	isCut    bool // no server can be reached
 	nodes    []*fleetNode
 	joined   int
 	members  []view.Member // as the lessor publishes them; nil: unknown, after the loss of all nodes
 	running  []fleetRequest
-	arrivals map[site.ServerID][]fleetArrival
+	arrivals map[site.ServerName][]fleetArrival
 	refused  int
 	registry store.Offset // of the registry
 	hub      *view.State  // of the lessor, with which all nodes exchange limits
@@ -46,7 +47,8 @@
 	next      []view.Member // received at receiveAt
 	receiveAt time.Time
 	// answeredAt is when the node first passed on an answer that names the limit of a server.
-	answeredAt map[site.ServerID]time.Time
+	answeredAt map[site.ServerName]time.Time
+	registerAt time.Time // when it receives the registry after a restart of servers; zero: it has it
 	isGone     bool
 }
 
@@ -54,7 +56,7 @@
 	node   *fleetNode
 	server site.ServerID
 	endAt  time.Time
-	isCut  bool // it does not reach the server
+	isCut  bool // it does not reach the server, or the server ends before it is answered
 }
 
 type fleetArrival struct {
@@ -80,11 +82,11 @@
 )
 
 func newFleet(nodes int, limits []float64, seed uint64) *fleet {
-	f := &fleet{random: rand.New(rand.NewPCG(seed, 1)), now: start, limits: map[site.ServerID]float64{}, removed: map[site.ServerID]bool{}, arrivals: map[site.ServerID][]fleetArrival{}}
+	f := &fleet{random: rand.New(rand.NewPCG(seed, 1)), now: start, limits: map[site.ServerName]float64{}, removed: map[site.ServerName]bool{}, downTill: map[site.ServerName]time.Time{}, arrivals: map[site.ServerName][]fleetArrival{}}
 	for i, limit := range limits {
 		server := site.Server{ID: serverID(i), Service: "s", Slots: 6, Zone: string(rune('a' + i%3))}
 		f.servers = append(f.servers, server)
-		f.limits[server.ID] = limit
+		f.limits[server.ID.Name()] = limit
 	}
 	f.hub = view.NewState()
 	f.register(f.hub)
@@ -107,7 +109,7 @@
 
 // start adds a new incarnation of a node, which receives the list of members within fleetListLag.
 func (f *fleet) start(member view.Member) {
-	n := &fleetNode{member: member, answeredAt: map[site.ServerID]time.Time{}}
+	n := &fleetNode{member: member, answeredAt: map[site.ServerName]time.Time{}}
 	n.member.Boot = fmt.Sprint(f.now.UnixNano())
 	n.pool = pool.New(n.member.Zone, 0, rand.New(rand.NewPCG(f.random.Uint64(), 2)))
 	n.state = view.NewState()
@@ -153,7 +155,7 @@
 	v := n.state.Now()
 	n.limits = v.Limits
 	n.pool.SetRateLimits(pool.RateLimits{
-		Named: v.Limits.Of,
+		Named: func(id site.ServerID) (site.NamedLimit, bool) { return v.Limits.Of("s", id) },
 		IsCounter: func(server site.Server, count int) bool {
 			return slices.Contains(ratelimit.Counters(server, n.members, count), n.member)
 		},
@@ -166,7 +168,7 @@
 func (f *fleet) register(state *view.State) {
 	servers := map[site.ServerID]site.Server{}
 	for _, s := range f.servers {
-		if !f.removed[s.ID] {
+		if !f.removed[s.ID.Name()] {
 			servers[s.ID] = s
 		}
 	}
@@ -176,7 +178,7 @@
 // remove takes the entries of every second server out of the registry, or puts them back.
 func (f *fleet) remove(isRemoved bool) {
 	for i := 0; i < len(f.servers); i += 2 {
-		f.removed[f.servers[i].ID] = isRemoved
+		f.removed[f.servers[i].ID.Name()] = isRemoved
 	}
 	f.registry++
 	f.register(f.hub)
@@ -186,6 +188,30 @@
 	}
 }
 
+// fleetDown is for how long a server that restarts answers nothing, and fleetRegistryLag bounds the time after which a
+// node knows of the new incarnation.
+const (
+	fleetDown        = 200 * time.Millisecond
+	fleetRegistryLag = time.Second
+)
+
+// restartServers restarts all servers under their names.
+func (f *fleet) restartServers() {
+	for i := range f.servers {
+		name := f.servers[i].ID.Name()
+		f.servers[i].ID = site.IncarnationID(name, f.now)
+		f.downTill[name] = f.now.Add(fleetDown)
+	}
+	for i := range f.running {
+		f.running[i].isCut = true
+	}
+	f.registry++
+	f.register(f.hub)
+	for _, n := range f.nodes {
+		n.registerAt = f.now.Add(time.Duration(f.random.Int64N(int64(fleetRegistryLag))))
+	}
+}
+
 // exchangeLimits makes the nodes exchange limits every half a second.
 func (f *fleet) exchangeLimits() {
 	if f.now.Before(f.exchange) {
@@ -213,6 +239,11 @@
 			if n.next != nil && !f.now.Before(n.receiveAt) {
 				f.receive(n)
 			}
+			if !n.registerAt.IsZero() && !f.now.Before(n.registerAt) {
+				n.registerAt = time.Time{}
+				f.register(n.state)
+				f.update(n)
+			}
 			if n.limits.Serial != n.state.Now().Limits.Serial {
 				f.update(n)
 			}
@@ -249,7 +280,7 @@
 
 // counterFor returns a node that counts the requests to a server by the list of another node, or nil.
 func (f *fleet) counterFor(n *fleetNode, id site.ServerID) *fleetNode {
-	server := f.servers[slices.IndexFunc(f.servers, func(s site.Server) bool { return s.ID == id })]
+	server := f.servers[slices.IndexFunc(f.servers, func(s site.Server) bool { return s.ID.Name() == id.Name() })]
 	counters := ratelimit.Counters(server, n.members, n.pool.Counters(id, f.now))
 	present := slices.DeleteFunc(slices.Clone(f.nodes), func(other *fleetNode) bool {
 		return other == n || !slices.Contains(counters, other.member)
@@ -268,12 +299,14 @@
 
 func (f *fleet) admit(n *fleetNode, admissions []pool.Admission) {
 	for _, a := range admissions {
-		f.running = append(f.running, fleetRequest{n, a.Server.ID, f.now.Add(fleetServiceTime), f.isCut})
-		if f.isCut {
+		name := a.Server.ID.Name()
+		isCut := f.isCut || f.now.Before(f.downTill[name])
+		f.running = append(f.running, fleetRequest{n, a.Server.ID, f.now.Add(fleetServiceTime), isCut})
+		if isCut {
 			continue
 		}
-		_, isNotified := n.limits.Of(a.Server.ID)
-		f.arrivals[a.Server.ID] = append(f.arrivals[a.Server.ID], fleetArrival{f.now, n, isNotified})
+		_, isNotified := n.limits.Of("s", a.Server.ID)
+		f.arrivals[name] = append(f.arrivals[name], fleetArrival{f.now, n, isNotified})
 	}
 }
 
@@ -288,10 +321,12 @@
 		case r.isCut:
 			f.admit(r.node, r.node.pool.Done(r.server, pool.Outcome{Took: fleetServiceTime, Failed: true, NotReached: true}, f.now))
 		default:
-			if _, hasAnswered := r.node.answeredAt[r.server]; !hasAnswered {
-				r.node.answeredAt[r.server] = f.now
+			name := r.server.Name()
+			if _, hasAnswered := r.node.answeredAt[name]; !hasAnswered {
+				r.node.answeredAt[name] = f.now
 			}
-			r.node.state.MergeLimits(map[site.ServerID]site.NamedLimit{r.server: {Rate: f.limits[r.server], IsNamed: true, At: f.now}})
+			limit := f.limits[name]
+			r.node.state.MergeLimits(map[site.ServerID]site.NamedLimit{r.server: {Rate: max(limit, 0), IsNamed: limit >= 0, At: f.now}})
 			f.admit(r.node, r.node.pool.Done(r.server, pool.Outcome{Took: fleetServiceTime, Load: &site.Load{Running: 1, Slots: 6}}, f.now))
 		}
 	}
@@ -299,10 +334,10 @@
 
 // most returns the most requests that reached a server in a span from nodes that had passed on its limit, or
 // had been notified of it by another node.
-func (f *fleet) most(id site.ServerID) int {
+func (f *fleet) most(name site.ServerName) int {
 	var times []time.Time
-	for _, a := range f.arrivals[id] {
-		answeredAt, hasAnswered := a.node.answeredAt[id]
+	for _, a := range f.arrivals[name] {
+		answeredAt, hasAnswered := a.node.answeredAt[name]
 		isCounted := a.isNotified || hasAnswered && a.at.Sub(answeredAt) >= fleetReaction
 		if isCounted && a.at.Sub(start) >= fleetStable {
 			times = append(times, a.at)
@@ -351,8 +386,8 @@
 			for seed := range seeds {
 				f := newFleet(nodes, []float64{0, 0.4, 1.1, 5, 8, 13.8, 40}, uint64(seed))
 				f.play(12*time.Second, 300, move(f))
-				for id, limit := range f.limits {
-					g.Expect(f.most(id)).To(gomega.BeNumerically("<=", allowed(limit)), "seed %d, limit %g", seed, limit)
+				for name, limit := range f.limits {
+					g.Expect(f.most(name)).To(gomega.BeNumerically("<=", allowed(limit)), "seed %d, limit %g", seed, limit)
 				}
 			}
 		})
@@ -445,8 +480,8 @@
 						f.play(8*time.Second, 300, nil)
 						quiet(f)
 						f.play(8*time.Second, 300, nil)
-						for id, limit := range f.limits {
-							g.Expect(f.most(id)).To(gomega.BeNumerically("<=", allowed(limit)), "seed %d, limit %g", seed, limit)
+						for name, limit := range f.limits {
+							g.Expect(f.most(name)).To(gomega.BeNumerically("<=", allowed(limit)), "seed %d, limit %g", seed, limit)
 						}
 					}
 				})
--- a/gateway/pool/pool.go
+++ b/gateway/pool/pool.go
@@ -29,7 +29,6 @@
 	"time"
 
 	"github.com/burdockspindle/burdockspindle/gateway/quota"
-	"github.com/burdockspindle/burdockspindle/gateway/ratelimit"
 	"github.com/burdockspindle/burdockspindle/gateway/returns"
 	"github.com/burdockspindle/burdockspindle/gateway/site"
 )
@@ -79,6 +78,7 @@
 // member is the pool's state of one server.
 type member struct {
 	site.Server
+	lasting
 	sentAt       []time.Time // send times of the requests in flight, oldest first
 	sentWork     []float64   // their work in seconds; 0: sent without guidance
 	queueEmptyAt time.Time   // send time of the latest request whose response reported free slots
@@ -86,29 +86,18 @@
 	// request if below one.
 	limit float64
 	// pausedUntil is the end of the pause during which a limit below one admits no request.
-	pausedUntil   time.Time
-	meanSeconds   float64 // mean service time; 0: not known
-	meanUpdatedAt time.Time
-	speed         speed   // on a mixed site
-	otherRequests float64 // requests of other nodes, as of reportAt
-	reportAt      time.Time
-	concurrency   int     // running requests that it takes well, by the guidance; 0: all slots
-	hadFreeSlots  bool    // whether that report had free slots and no queue
-	slowdown      float64 // in that report; 0: none
-	failureRate   float64 // recent failure rate, as of failureAt
-	failureAt     time.Time
-	coldUntil     time.Time
-	budget        ratelimit.Budget
-	countsCold    bool // this node counts the requests to the server while it is cold
-	countsNamed   bool // this node is one of those that count them while it names a limit
-	named         namedLimit
-	// leftToOthersSince is when this node first left a request to the nodes that count, since the latest answer
-	// that names the limit; zero: it has left none.
-	leftToOthersSince time.Time
-	// sendsPart reports that this node does not leave them to those nodes any more, but sends its part.
-	sendsPart      bool
-	partWantedAt   time.Time // when there was last a request for it
-	forwardedAt    time.Time // when a request that this node counts only for another one last arrived
+	pausedUntil    time.Time
+	meanSeconds    float64 // mean service time; 0: not known
+	meanUpdatedAt  time.Time
+	speed          speed   // on a mixed site
+	otherRequests  float64 // requests of other nodes, as of reportAt
+	reportAt       time.Time
+	concurrency    int     // running requests that it takes well, by the guidance; 0: all slots
+	hadFreeSlots   bool    // whether that report had free slots and no queue
+	slowdown       float64 // in that report; 0: none
+	failureRate    float64 // recent failure rate, as of failureAt
+	failureAt      time.Time
+	coldUntil      time.Time
 	addedAt        time.Time
 	probationUntil time.Time // end of the low limit after a restart
 	// unansweredSince is the start of the period in which the server has had requests of this
@@ -175,13 +164,13 @@
 	if nodes <= 0 {
 		p.nodes = assumedNodes
 	}
-	p.removeUnlisted(servers)
+	p.removeUnlisted(servers, now)
 	p.hasNamedLimits = false
 	for _, server := range servers {
 		restarts := p.recordIncarnation(server.ID, now)
 		m := p.members[server.ID]
 		if m == nil {
-			m = &member{Server: server, limit: p.initialLimit(server), coldUntil: now.Add(server.WarmUp), addedAt: now}
+			m = &member{Server: server, lasting: p.lastingOf(server.ID.Name(), now), limit: p.initialLimit(server), coldUntil: now.Add(server.WarmUp), addedAt: now}
 			p.startProbation(m, restarts, now)
 			p.members[server.ID] = m
 			p.setShare(m)
@@ -205,12 +194,17 @@
 }
 
 // removeUnlisted removes all servers except the given ones.
-func (p *Pool) removeUnlisted(servers []site.Server) {
+func (p *Pool) removeUnlisted(servers []site.Server, now time.Time) {
 	kept := make(map[site.ServerID]bool, len(servers))
 	for _, server := range servers {
 		kept[server.ID] = true
 	}
-	maps.DeleteFunc(p.members, func(id site.ServerID, _ *member) bool { return !kept[id] })
+	maps.DeleteFunc(p.members, func(id site.ServerID, m *member) bool {
+		if !kept[id] {
+			p.keepLasting(m, now)
+		}
+		return !kept[id]
+	})
 }
 
 // Size returns the number of servers that are not leaving.
--- a/gateway/pool/rate.go
+++ b/gateway/pool/rate.go
@@ -44,6 +44,9 @@
 	isNamed bool      // false: there is none
 }
 
+// countedRate returns how many requests a second all nodes together send to a server that names a limit.
+func (m *member) countedRate() float64 { return max(m.named.rate, minCountedRate) }
+
 // SetRateLimits replaces the limits. They apply from the next Update or ApplyRateLimits on.
 func (p *Pool) SetRateLimits(limits RateLimits) { p.rateLimits = limits }
 
@@ -84,7 +87,7 @@
 	if unusedSince.After(now) {
 		unusedSince = now
 	}
-	m.budget.Exhaust(unusedSince)
+	m.budget.Exhaust(m.countedRate()/float64(p.senders(m)), unusedSince)
 }
 
 // noteForwarded begins to count the requests to a server for the node that forwarded one, unless this node
@@ -132,8 +135,8 @@
 	case !m.sendsPart && now.Sub(m.leftToOthersSince) >= unconfirmedWait:
 		m.sendsPart, m.partWantedAt = true, now
 		// The other nodes begin at about the same time, and must not send at the same time.
-		interval := float64(p.nodes) / max(m.named.rate, minCountedRate) * float64(time.Second)
-		m.budget.Exhaust(now.Add(-time.Duration(p.random.Float64() * interval)))
+		part := m.countedRate() / float64(p.nodes)
+		m.budget.Exhaust(part, now.Add(-time.Duration(p.random.Float64()/part*float64(time.Second))))
 	}
 }
 
@@ -207,7 +210,7 @@
 		limit = p.rateLimits.ColdRate
 	}
 	if m.named.isNamed {
-		limit = min(limit, max(m.named.rate, minCountedRate)/float64(p.parts(m, w)))
+		limit = min(limit, m.countedRate()/float64(p.parts(m, w)))
 	}
 	return limit
 }
@@ -313,7 +316,7 @@
 		if p.rateLimit(m, w, now) > 0 {
 			return "", false
 		}
-		rate := max(m.named.rate, minCountedRate)
+		rate := m.countedRate()
 		if total += rate; p.random.Float64()*total < rate { // each with the probability of its part
 			server = m.ID
 		}
--- a/gateway/pool/restart.go
+++ b/gateway/pool/restart.go
@@ -8,8 +8,8 @@
 )
 
 // A restarted server is on probation: it has a low limit until it has answered some requests,
-// because its requests in flight are lost if it ends again. This covers crash loops. Nothing
-// else observed of an earlier incarnation is used.
+// because its requests in flight are lost if it ends again. This covers crash loops. What
+// else is used of an earlier incarnation is in lasting.
 const (
 	// restartWindow is the longest time between two starts of the same series: a server that
 	// has run for longer is treated as stable.
@@ -32,6 +32,9 @@
 	startAt  time.Time     // when that incarnation was first seen
 	seenAt   time.Time     // when it was last registered
 	restarts int           // in the current series
+	// lasting is what is kept of the server since it was removed, at removedAt.
+	lasting   lasting
+	removedAt time.Time
 }
 
 // recordIncarnation records a registered incarnation and returns the number of restarts in
--- a/gateway/ratelimit/ratelimit.go
+++ b/gateway/ratelimit/ratelimit.go
@@ -18,7 +18,7 @@
 )
 
 // Counter returns the node that counts the requests to a server, the same at every node with the same
-// members: one of the server's zone, if there is any. found is false if no members are known.
+// members and for each of its incarnations: one of the server's zone, if there is any. found is false if no members are known.
 func Counter(server site.Server, members []view.Member) (counter view.Member, found bool) {
 	var best rank
 	for _, m := range members {
@@ -56,7 +56,7 @@
 }
 
 func rankOf(m view.Member, server site.Server) rank {
-	return rank{isNear: m.Zone == server.Zone, hash: xxhash.Sum64String(string(server.ID) + "\n" + m.Node)}
+	return rank{isNear: m.Zone == server.Zone, hash: xxhash.Sum64String(string(server.ID.Name()) + "\n" + m.Node)}
 }
 
 func (r rank) compare(other rank) int {
@@ -82,9 +82,15 @@
 // Has reports whether a request may be sent now, at a rate in requests a second.
 func (b *Budget) Has(rate float64, now time.Time) bool { return b.spentAt(rate, now) <= burst-1 }
 
-// Exhaust empties the budget as of a time. A node that begins to count does not know what others, that counted
-// before, have sent since.
-func (b *Budget) Exhaust(asOf time.Time) { b.spent, b.updatedAt = burst, asOf }
+// Exhaust empties the budget as of a time, at a rate in requests a second since then. A node that begins to count does
+// not know what others, that counted before, have sent until then. What it has sent itself still counts.
+func (b *Budget) Exhaust(rate float64, asOf time.Time) {
+	if since := b.updatedAt.Sub(asOf); since > 0 {
+		b.spent = max(b.spent, burst-rate*since.Seconds())
+		return
+	}
+	b.spent, b.updatedAt = burst, asOf
+}
 
 // Postpone takes back what has become free in a time; not positive: nothing.
 func (b *Budget) Postpone(duration time.Duration) { b.updatedAt = b.updatedAt.Add(max(duration, 0)) }
--- a/gateway/router/counted.go
+++ b/gateway/router/counted.go
@@ -135,7 +135,7 @@
 func (r *Router) rateLimitsOf(name site.ServiceName, v *view.View) pool.RateLimits {
 	members := v.Members
 	limits := pool.RateLimits{
-		Named:     v.Limits.Of,
+		Named:     func(id site.ServerID) (site.NamedLimit, bool) { return v.Limits.Of(name, id) },
 		IsCounter: func(server site.Server, count int) bool { return r.isCounter(server, members, count) },
 	}
 	if v.Config != nil {
--- a/gateway/view/limits.go
+++ b/gateway/view/limits.go
@@ -20,24 +20,35 @@
 )
 
 // Limits holds what the servers of the site say of the requests that they take. It is immutable.
+//
+// What an incarnation of a server has said holds for the next one until that one has answered.
 type Limits struct {
 	// Serial grows with each change.
-	Serial   uint64
-	byServer map[site.ServerID]site.NamedLimit
+	Serial uint64
+	byName map[site.ServerName]knownLimit
 }
 
-// Of returns the limit that a server names. isNamed is false if there is none.
-func (l Limits) Of(id site.ServerID) (limit site.NamedLimit, isNamed bool) {
-	limit = l.byServer[id]
-	return limit, limit.IsNamed
+// knownLimit is the newest answer of a server.
+type knownLimit struct {
+	site.NamedLimit
+	server  site.ServerID // incarnation that the answer is from
+	service site.ServiceName
 }
 
-// Valid returns what an answer has said lately, lifted limits included: other nodes may not know of that yet.
+// Of returns the limit that a server of a service names, in this incarnation or an earlier one. isNamed is false if
+// there is none.
+func (l Limits) Of(service site.ServiceName, id site.ServerID) (limit site.NamedLimit, isNamed bool) {
+	known := l.byName[id.Name()]
+	return known.NamedLimit, known.IsNamed && known.service == service
+}
+
+// Valid returns what an answer of an incarnation has said lately, lifted limits included: other nodes may not know of
+// that yet.
 func (l Limits) Valid(now time.Time) map[site.ServerID]site.NamedLimit {
-	valid := make(map[site.ServerID]site.NamedLimit, len(l.byServer))
-	for id, limit := range l.byServer {
-		if now.Sub(limit.At) < limitValidity {
-			valid[id] = limit
+	valid := make(map[site.ServerID]site.NamedLimit, len(l.byName))
+	for _, known := range l.byName {
+		if now.Sub(known.At) < limitValidity {
+			valid[known.server] = known.NamedLimit
 		}
 	}
 	return valid
@@ -53,7 +64,7 @@
 	return valid
 }
 
-// Rates returns the limits that an answer has named lately, in requests a second.
+// Rates returns the limits that an answer of an incarnation has named lately, in requests a second.
 func (l Limits) Rates(now time.Time) map[site.ServerID]float64 {
 	rates := map[site.ServerID]float64{}
 	for id, limit := range l.Valid(now) {
@@ -66,9 +77,9 @@
 
 // LimitChange is a change of the limit of a server.
 type LimitChange struct {
-	Server        site.ServerID
+	Server        site.ServerID // incarnation that has answered
 	Before, After site.NamedLimit
-	WasKnown      bool // Before is known
+	ServerBefore  site.ServerID // incarnation that Before is from; empty: nothing was known
 }
 
 // MergeLimits applies the answers of servers that are newer than those known of them, and returns what
@@ -80,22 +91,22 @@
 	var changes []LimitChange
 	s.update(func(next *View) bool {
 		changes = nil
-		merged := maps.Clone(next.Limits.byServer)
+		merged := maps.Clone(next.Limits.byName)
 		if merged == nil {
-			merged = map[site.ServerID]site.NamedLimit{}
+			merged = map[site.ServerName]knownLimit{}
 		}
 		for id, limit := range limits {
 			if !next.NeedsLimit(id, limit) {
 				continue
 			}
-			before, wasKnown := merged[id]
-			if !limit.Equals(before) {
-				changes = append(changes, LimitChange{Server: id, Before: before, After: limit, WasKnown: wasKnown})
+			before := merged[id.Name()]
+			if !limit.Equals(before.NamedLimit) || before.server != id {
+				changes = append(changes, LimitChange{Server: id, Before: before.NamedLimit, After: limit, ServerBefore: before.server})
 			}
-			merged[id] = limit
+			merged[id.Name()] = knownLimit{NamedLimit: limit, server: id, service: next.serviceOf(id, before.service)}
 		}
 		next.dropLimits(merged)
-		next.Limits = Limits{Serial: next.Limits.Serial + 1, byServer: merged}
+		next.Limits = Limits{Serial: next.Limits.Serial + 1, byName: merged}
 		return true
 	})
 	return changes
@@ -113,25 +124,67 @@
 
 // NeedsLimit reports whether an answer changes the view.
 func (v *View) NeedsLimit(id site.ServerID, limit site.NamedLimit) bool {
-	known, isKnown := v.Limits.byServer[id]
-	if _, isRegistered := v.Servers.Servers[id]; !isRegistered && !isKnown {
-		return false
-	}
+	known, isKnown := v.Limits.byName[id.Name()]
 	switch {
 	case !isKnown:
-		return limit.IsNamed
-	case limit.Equals(known):
+		return limit.IsNamed && v.isNameRegistered(id)
+	case !limit.At.After(known.At):
+		return false
+	case v.hasReplaced(known.server, id):
+		return limit.IsNamed || known.IsNamed
+	case limit.Equals(known.NamedLimit):
 		return limit.IsNamed && limit.At.Sub(known.At) >= limitRefresh
+	case !limit.IsNamed && v.hasReplaced(id, known.server) && !id.Start().After(known.server.Start()):
+		return false // a late answer of an incarnation that has ended
+	}
+	return true
+}
+
+// hasReplaced reports whether an incarnation of a server is registered in place of another one.
+func (v *View) hasReplaced(former, present site.ServerID) bool {
+	if former == present {
+		return false
+	}
+	_, isFormerRegistered := v.Servers.Servers[former]
+	_, isPresentRegistered := v.Servers.Servers[present]
+	return isPresentRegistered && !isFormerRegistered
+}
+
+// isNameRegistered reports whether an incarnation of a server is registered.
+func (v *View) isNameRegistered(id site.ServerID) bool {
+	_, isRegistered := v.incarnationOf(id)
+	return isRegistered
+}
+
+// serviceOf returns the service of a server, or the one that was known before if the server is not registered.
+func (v *View) serviceOf(id site.ServerID, before site.ServiceName) site.ServiceName {
+	if server, isRegistered := v.incarnationOf(id); isRegistered {
+		return server.Service
+	}
+	return before
+}
+
+// incarnationOf returns the registered incarnation of a server, which need not be the given one.
+func (v *View) incarnationOf(id site.ServerID) (incarnation site.Server, isRegistered bool) {
+	if server, isPresent := v.Servers.Servers[id]; isPresent {
+		return server, true
 	}
-	return limit.At.After(known.At)
+	for other, server := range v.Servers.Servers {
+		if other.Name() == id.Name() {
+			return server, true
+		}
+	}
+	return site.Server{}, false
 }
 
 // dropLimits removes the limits of servers that have long been without an entry, and lifted ones that all
 // nodes know of.
-func (v *View) dropLimits(limits map[site.ServerID]site.NamedLimit) {
-	maps.DeleteFunc(limits, func(id site.ServerID, limit site.NamedLimit) bool {
-		age := time.Since(limit.At)
-		_, isRegistered := v.Servers.Servers[id]
-		return !isRegistered && age >= absentLimitRetention || !limit.IsNamed && age >= limitValidity
+func (v *View) dropLimits(limits map[site.ServerName]knownLimit) {
+	maps.DeleteFunc(limits, func(_ site.ServerName, known knownLimit) bool {
+		age := time.Since(known.At)
+		if !known.IsNamed {
+			return age >= limitValidity
+		}
+		return age >= absentLimitRetention && !v.isNameRegistered(known.server)
 	})
 }
--- a/gateway/view/limits_test.go
+++ b/gateway/view/limits_test.go
@@ -1,6 +1,7 @@
 package view_test
 
 import (
+	"cmp"
 	"testing"
 	"time"
 
@@ -35,7 +36,7 @@
 		return s.MergeLimits(map[site.ServerID]site.NamedLimit{"i": limit})
 	}
 	rate := func() (float64, bool) {
-		limit, isNamed := s.Now().Limits.Of("i")
+		limit, isNamed := s.Now().Limits.Of("s", "i")
 		return limit.Rate, isNamed
 	}
 	g.Expect(merge(site.NamedLimit{At: now})).To(gomega.BeEmpty(), "there was none")
@@ -49,7 +50,7 @@
 	g.Expect(merge(named(5, now.Add(100*time.Millisecond)))).To(gomega.BeEmpty())
 	g.Expect(s.Now()).To(gomega.BeIdenticalTo(before), "not each answer makes a new view")
 	g.Expect(merge(named(5, now.Add(2*time.Second)))).To(gomega.BeEmpty(), "no change, but confirmed")
-	latest, _ := s.Now().Limits.Of("i")
+	latest, _ := s.Now().Limits.Of("s", "i")
 	g.Expect(latest.At).To(gomega.Equal(now.Add(2 * time.Second)))
 	changes := merge(named(1, now.Add(3*time.Second)))
 	g.Expect(changes).To(gomega.HaveLen(1))
@@ -85,7 +86,7 @@
 		s.MergeServers(view.Servers{Offset: offset, Servers: servers})
 	}
 	isNamed := func(id site.ServerID) bool {
-		_, isNamed := s.Now().Limits.Of(id)
+		_, isNamed := s.Now().Limits.Of("s", id)
 		return isNamed
 	}
 	s.MergeLimits(map[site.ServerID]site.NamedLimit{"i": named(5, now.Add(-14*time.Second)), "j": named(5, now.Add(-time.Minute))})
@@ -98,3 +99,69 @@
 	s.MergeLimits(map[site.ServerID]site.NamedLimit{"i": {At: now}})
 	g.Expect(isNamed("i")).To(gomega.BeFalse(), "lifted by a newer answer")
 }
+
+// Guards against servers that get more than the limit that they name when they restart: the next incarnation was
+// taken for one without a limit until it had answered.
+func TestLimitHoldsForTheNextIncarnationUntilItAnswers(t *testing.T) {
+	now := time.Now()
+	incarnation := func(n int) site.ServerID { return site.IncarnationID("i", now.Add(time.Duration(n)*time.Second)) }
+	first, next := incarnation(0), incarnation(1)
+	type answer struct {
+		from  site.ServerID
+		limit site.NamedLimit
+	}
+	none := func(after time.Duration) site.NamedLimit { return site.NamedLimit{At: now.Add(after)} }
+	for name, row := range map[string]struct {
+		service site.ServiceName // of the next incarnation; empty: the same
+		isLate  bool             // the node has not heard of the next incarnation
+		answers []answer
+		rate    float64
+		isNamed bool
+	}{
+		"no answer yet":     {rate: 5, isNamed: true},
+		"it names the same": {answers: []answer{{next, named(5, now.Add(time.Second))}}, rate: 5, isNamed: true},
+		"it names another":  {answers: []answer{{next, named(2, now.Add(time.Second))}}, rate: 2, isNamed: true},
+		"it has none":       {answers: []answer{{next, none(time.Second)}}},
+		"it has none, and an older answer arrives":     {answers: []answer{{next, none(time.Second)}, {first, named(5, now.Add(time.Second/2))}}},
+		"it names one, the one before has none":        {answers: []answer{{next, named(2, now.Add(time.Second))}, {first, none(2 * time.Second)}}, rate: 2, isNamed: true},
+		"the same, at a node that knows of it late":    {isLate: true, answers: []answer{{next, named(2, now.Add(time.Second))}}, rate: 2, isNamed: true},
+		"it has none, at a node that knows of it late": {isLate: true, answers: []answer{{next, none(time.Second)}}},
+		"it is of another service":                     {service: "other"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			s := stateWithServers(first, "k")
+			s.MergeLimits(map[site.ServerID]site.NamedLimit{first: named(5, now)})
+			service := cmp.Or(row.service, "s")
+			if !row.isLate {
+				s.MergeServers(view.Servers{Offset: 2, Servers: map[site.ServerID]site.Server{next: {ID: next, Service: service}}})
+			}
+			for _, a := range row.answers {
+				s.MergeLimits(map[site.ServerID]site.NamedLimit{a.from: a.limit})
+			}
+			for _, id := range []site.ServerID{first, next} {
+				limit, isNamed := s.Now().Limits.Of(service, id)
+				g.Expect(isNamed).To(gomega.Equal(row.isNamed))
+				if isNamed {
+					g.Expect(limit.Rate).To(gomega.Equal(row.rate))
+				}
+			}
+		})
+	}
+}
+
+// The log tells which incarnation a limit is from.
+func TestChangeOfALimitTellsTheIncarnations(t *testing.T) {
+	g := gomega.NewWithT(t)
+	now := time.Now()
+	first, next := site.IncarnationID("i", now), site.IncarnationID("i", now.Add(time.Second))
+	s := stateWithServers(first)
+	g.Expect(s.MergeLimits(map[site.ServerID]site.NamedLimit{first: named(5, now)})).To(gomega.HaveLen(1))
+	s.MergeServers(view.Servers{Offset: 2, Servers: map[site.ServerID]site.Server{next: {ID: next, Service: "s"}}})
+	g.Expect(s.Now().Limits.Rates(now)).To(gomega.HaveKey(first))
+	changes := s.MergeLimits(map[site.ServerID]site.NamedLimit{next: named(5, now.Add(time.Second))})
+	g.Expect(changes).To(gomega.HaveLen(1))
+	g.Expect(changes[0].Server).To(gomega.Equal(next))
+	g.Expect(changes[0].ServerBefore).To(gomega.Equal(first))
+	g.Expect(s.Now().Limits.Rates(now)).To(gomega.HaveKey(next))
+}
