Rests: a server that has asked for a rest gets it also after it has restarted

Callers saw: nothing; a server that had asked for rest got requests within it.

A rest was known under the incarnation, so the next one under that name got requests at once; and the pool forgot a rest with an entry that was missing, or when the answer to a request for the incarnation before arrived late, and chose such servers for sends that the client then refused.

Change: the client and the pool keep rests by the server's name, until their time is over.

Measured: TestRestHoldsForTheNextIncarnation and all three rows of TestRestOfAServerHoldsThroughRestartsAndMissingEntries failed before, pass. Tests that changed: Rests is asked for the name.

--- a/gateway/pool/lasting.go
+++ b/gateway/pool/lasting.go
@@ -21,6 +21,10 @@
 	sendsPart    bool
 	partWantedAt time.Time // when there was last a request for it
 	forwardedAt  time.Time // when a request that this node counts only for another one last arrived
+	// restUntil is the end of the rest that the server has asked for, and isReturning reports that it has
+	// answered no request since.
+	restUntil   time.Time
+	isReturning bool
 }
 
 // keepLasting keeps what lasts of a server that is removed.
@@ -42,3 +46,15 @@
 	}
 	return kept
 }
+
+// lastingState returns what is kept of a server, also if its entry is missing; nil: nothing.
+func (p *Pool) lastingState(name site.ServerName) *lasting {
+	h := p.histories[name]
+	if h == nil {
+		return nil
+	}
+	if m := p.members[h.id]; m != nil {
+		return &m.lasting
+	}
+	return &h.lasting
+}
--- a/gateway/pool/lasting_test.go
+++ b/gateway/pool/lasting_test.go
@@ -44,6 +44,7 @@
 		s.now = s.now.Add(missing)
 		s.isMissed = false
 	}
+	s.now = s.now.Add(time.Millisecond) // starts differ by a millisecond at least
 	s.id = site.IncarnationID("i", s.now)
 	s.update()
 }
@@ -93,3 +94,60 @@
 		})
 	}
 }
+
+// Guards against nodes that send to a server within the rest that it has asked for, because it has restarted, its
+// entry has been missing, or the answer to a request for the former incarnation arrives late.
+func TestRestOfAServerHoldsThroughRestartsAndMissingEntries(t *testing.T) {
+	const rest = 20 * time.Second
+	for name, row := range map[string]struct{ missing time.Duration }{
+		"it restarts":               {},
+		"its entry is missing":      {missing: time.Second},
+		"its entry is missing long": {missing: 15 * time.Second},
+	} {
+		t.Run(name, func(t *testing.T) {
+			for _, isLate := range []bool{false, true} {
+				g := gomega.NewWithT(t)
+				s := newRestartedServer(pool.RateLimits{}, 0)
+				askedAt, asked := s.now, s.id
+				if !isLate {
+					s.pool.Rest(asked, rest, s.now)
+				}
+				s.restart(row.missing)
+				if isLate {
+					askedAt = s.now
+					s.pool.Done(asked, pool.Outcome{Failed: true, Rest: rest}, s.now)
+				}
+				g.Expect(s.takes(3)).To(gomega.BeZero())
+				s.now = askedAt.Add(rest - time.Millisecond)
+				g.Expect(s.takes(3)).To(gomega.BeZero())
+				s.now = askedAt.Add(rest + time.Second)
+				g.Expect(s.takes(1)).To(gomega.Equal(1))
+			}
+		})
+	}
+}
+
+// A restarted server is judged by its own answers: what the node has observed of the incarnation before is forgotten.
+func TestObservationsOfTheFormerIncarnationAreForgotten(t *testing.T) {
+	for name, observe := range map[string]func(s *restartedServer){
+		"could not be connected to": func(s *restartedServer) {
+			s.pool.Done(s.id, pool.Outcome{Failed: true, NotReached: true}, s.now)
+		},
+		"was full": func(s *restartedServer) {
+			for range 9 {
+				s.pool.Done(s.id, pool.Outcome{NoCapacity: true, Load: &site.Load{Running: 4, Waiting: 4, Slots: 4}}, s.now)
+			}
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			s := newRestartedServer(pool.RateLimits{}, 0)
+			observe(s)
+			s.now = s.now.Add(time.Millisecond)
+			g.Expect(s.takes(1)).To(gomega.BeZero())
+			s.restart(0)
+			s.now = s.now.Add(time.Second) // end of the trial after a restart
+			g.Expect(s.takes(1)).To(gomega.Equal(1))
+		})
+	}
+}
--- a/gateway/pool/pool.go
+++ b/gateway/pool/pool.go
@@ -106,12 +106,8 @@
 	// blockedUntil is the time before which a server that could not be connected to gets no
 	// request.
 	blockedUntil   time.Time
-	failedConnects int // consecutive failed connections
-	// restUntil is the end of the rest that the server has asked for, and isReturning reports that it has
-	// answered no request since.
-	restUntil   time.Time
-	isReturning bool
-	probedAt    time.Time // when a connection was last tried as a probe
+	failedConnects int       // consecutive failed connections
+	probedAt       time.Time // when a connection was last tried as a probe
 	// share is the fraction of the requests for the server's keys that may be sent until
 	// shareExpiry; credit is the unused part of it.
 	share, credit float64
@@ -340,6 +336,7 @@
 func (p *Pool) Done(id site.ServerID, outcome Outcome, now time.Time) []Admission {
 	m := p.members[id]
 	if m == nil {
+		p.Rest(id, outcome.Rest, now)
 		return p.Admit(now)
 	}
 	m.recordEnd(outcome.Took, now)
@@ -354,7 +351,7 @@
 		p.recordSpeed(m, outcome, now)
 	}
 	if outcome.Rest > 0 { // neither a failure nor a sign of a lower limit
-		p.rest(m, outcome.Rest, now)
+		p.rest(&m.lasting, outcome.Rest, now)
 		if !outcome.Abandoned {
 			m.unansweredSince = now
 		}
--- a/gateway/pool/rest.go
+++ b/gateway/pool/rest.go
@@ -13,27 +13,28 @@
 // returnSpread is the share of the rest over which the return of callers is spread.
 const returnSpread = 0.1
 
-// Rest stops requests to a server that has asked for a rest. One that ends later holds. The first request after
-// it is sent alone, and others follow when it has been answered.
+// Rest stops requests to a server that has asked for a rest, whichever of its incarnations this node sent the request
+// to. A rest that ends later holds. The first request after it is sent alone, and others follow when it has been
+// answered.
 func (p *Pool) Rest(id site.ServerID, rest time.Duration, now time.Time) {
-	if m := p.members[id]; m != nil && rest > 0 {
-		p.rest(m, rest, now)
+	if l := p.lastingState(id.Name()); l != nil && rest > 0 {
+		p.rest(l, rest, now)
 	}
 }
 
-func (p *Pool) rest(m *member, rest time.Duration, now time.Time) {
+func (p *Pool) rest(l *lasting, rest time.Duration, now time.Time) {
 	until := now.Add(rest)
-	if until.After(m.restUntil) {
-		m.restUntil = until
+	if until.After(l.restUntil) {
+		l.restUntil = until
 	}
 	if until.After(p.restingUntil) {
 		p.restingUntil = until
 	}
-	m.isReturning = true
+	l.isReturning = true
 }
 
 // rests reports whether a server has asked for a rest that has not ended.
-func (m *member) rests(now time.Time) bool { return now.Before(m.restUntil) }
+func (l *lasting) rests(now time.Time) bool { return now.Before(l.restUntil) }
 
 // hasRestCapacity reports whether the latest rest of a server lets a request be sent now.
 func (m *member) hasRestCapacity(now time.Time) bool {
--- a/gateway/pool/restart.go
+++ b/gateway/pool/restart.go
@@ -57,10 +57,10 @@
 }
 
 // pruneHistories drops the histories of servers that have not been registered for
-// restartWindow.
+// restartWindow and have asked for no longer rest.
 func (p *Pool) pruneHistories(now time.Time) {
 	for name, h := range p.histories {
-		if now.Sub(h.seenAt) > restartWindow {
+		if now.Sub(h.seenAt) > restartWindow && !h.lasting.rests(now) {
 			delete(p.histories, name)
 		}
 	}
--- a/gateway/upstream/notice_test.go
+++ b/gateway/upstream/notice_test.go
@@ -172,7 +172,7 @@
 				g.Expect(notice.IsLeaving).To(gomega.BeTrue())
 				if name == "rejection" || name == "rejection that may have run" {
 					g.Expect(notice.Rest).To(gomega.BeNumerically(">=", 7*time.Second))
-					g.Expect(c.Rests()).To(gomega.HaveKey(server.ID))
+					g.Expect(c.Rests()).To(gomega.HaveKey(server.ID.Name()))
 				} else {
 					g.Expect(notice.Rest).To(gomega.BeZero(), "it is asked for by 503 alone")
 				}
--- a/gateway/upstream/rest.go
+++ b/gateway/upstream/rest.go
@@ -31,20 +31,21 @@
 	return "the server has asked for a rest of " + time.Until(e.Until).String() + " more"
 }
 
-// rests holds until when each server wants no requests of this node. It is safe for concurrent use.
+// rests holds until when each server wants no requests of this node, in whichever incarnation. It is safe for
+// concurrent use.
 type rests struct {
 	mu       sync.Mutex
-	until    map[site.ServerID]time.Time
-	loggedAt map[site.ServerID]time.Time
+	until    map[site.ServerName]time.Time
+	loggedAt map[site.ServerName]time.Time
 }
 
 // extend sets the end of the rest of a server, unless it rests for longer. It reports whether that should be
 // logged.
-func (r *rests) extend(server site.ServerID, until, now time.Time) (mustLog bool) {
+func (r *rests) extend(server site.ServerName, until, now time.Time) (mustLog bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.until == nil {
-		r.until, r.loggedAt = map[site.ServerID]time.Time{}, map[site.ServerID]time.Time{}
+		r.until, r.loggedAt = map[site.ServerName]time.Time{}, map[site.ServerName]time.Time{}
 	}
 	if until.After(r.until[server]) {
 		r.until[server] = until
@@ -60,7 +61,7 @@
 func (r *rests) check(server site.ServerID, now time.Time) error {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if until := r.until[server]; now.Before(until) {
+	if until := r.until[server.Name()]; now.Before(until) {
 		restedSendCount.Add(1)
 		return &AttemptError{Server: server, Cause: &RestingError{Until: until}}
 	}
@@ -81,10 +82,10 @@
 }
 
 // Rests returns how much longer each server that has asked this node for a rest wants no requests of it.
-func (c *Client) Rests() map[site.ServerID]time.Duration {
+func (c *Client) Rests() map[site.ServerName]time.Duration {
 	c.rests.mu.Lock()
 	defer c.rests.mu.Unlock()
-	left := map[site.ServerID]time.Duration{}
+	left := map[site.ServerName]time.Duration{}
 	for server, until := range c.rests.until {
 		if rest := time.Until(until); rest > 0 {
 			left[server] = rest
@@ -112,7 +113,7 @@
 	jitter := min(time.Duration(restJitterShare*float64(asked)), maxRestJitter)
 	rest := asked + rand.N(jitter+1)
 	restCount.Add(1)
-	if c.rests.extend(server, now.Add(rest), now) {
+	if c.rests.extend(server.Name(), now.Add(rest), now) {
 		eventRest.Log(c.logger, "server", server, "status", response.StatusCode, "asked", asked, "rest", rest)
 	}
 	return rest
--- a/gateway/upstream/rest_test.go
+++ b/gateway/upstream/rest_test.go
@@ -195,6 +195,17 @@
 	g.Expect(arrived.Load()).To(gomega.Equal(int64(1)))
 }
 
+// Guards against a rest that ends early because its server has restarted under its name.
+func TestRestHoldsForTheNextIncarnation(t *testing.T) {
+	g := gomega.NewWithT(t)
+	server, arrived := refusing(t)
+	c := NewClient(noticeHeaders, "a")
+	_ = exchanges["request"](t.Context(), c, server)
+	server.ID = site.IncarnationID(server.ID.Name(), time.Now())
+	g.Expect(exchanges["request"](t.Context(), c, server)).NotTo(gomega.Succeed())
+	g.Expect(arrived.Load()).To(gomega.Equal(int64(1)))
+}
+
 // Guards against a node that keeps away from another one because that refuses callers with Retry-After.
 func TestNodesThatRefuseDoNotAskForARest(t *testing.T) {
 	g := gomega.NewWithT(t)
--- a/modules/gateway/front.go
+++ b/modules/gateway/front.go
@@ -161,13 +161,13 @@
 
 // Dump implements kernel.Dumper.
 func (f *Front) Dump() any {
-	rests := map[site.ServerID]string{}
+	rests := map[site.ServerName]string{}
 	for server, left := range f.client.Rests() {
 		rests[server] = left.String()
 	}
 	return struct {
 		// RestingServers are those that have asked this node for a rest, and how much longer it lasts.
-		RestingServers map[site.ServerID]string `json:"restingServers"`
+		RestingServers map[site.ServerName]string `json:"restingServers"`
 		// Speeds are the relative service times of servers that this node uses.
 		Speeds       map[site.ServiceName]pool.Speeds `json:"speeds"`
 		LargeAnswers router.LargeAnswers              `json:"largeAnswers"`
