Retry budget: credit expires, so that the sum over nodes holds while callers move

Callers saw: nothing; servers got more resends than the budget allows when callers moved from nodes that had spent their part to nodes that had not.

Cause: each node spent against its own requests of the last window. A node that spends its part and is lost leaves its callers to others, which earn the same part again from the same stream within the window. Class: a bound for all nodes together, kept by parts that each node takes of its own past.

Change: each request earns credit at the node that it arrives at, and credit that is not spent expires after a fifth of the window. The package comment has the proof for the sum. A send that waited for a slot is paid for again. Metrics count requests and sends, so that their sums over all nodes show whether the budget holds.

--- a/gateway/budget/budget.go
+++ b/gateway/budget/budget.go
@@ -3,6 +3,18 @@
 // nodes together may spend a share of the requests to a service and a fixed slack. Each
 // node spends its own part, based on its own observations, so that no coordination is
 // needed.
+//
+// # The sum over all nodes
+//
+// Callers may move between nodes at any time, so what a node may spend must not depend on how many
+// requests other nodes have had. Each request earns credit at the one node that it arrives at, and
+// credit expires: the sends in a window of length W are paid for by requests of that window and of
+// the time W x creditLifetime before it. Over all nodes, wherever these requests arrived, they are at most
+//
+//	(1 - reservedShare) x ratio x (requests in the window + requests in the time before it)
+//
+// which is within the ratio while that time has no more than a quarter of the requests of the window, as with a
+// steady rate: (1 - 1/5) x (1 + 1/5) < 1. The slack is divided among the nodes and spent once in a window.
 package budget
 
 import (
@@ -18,8 +30,8 @@
 	Window time.Duration // the limits apply to any span of this length
 }
 
-// reservedShare is the part of the budget that is not spent, because the boundaries of
-// windows and the known number of nodes differ slightly between nodes.
+// reservedShare is the part of the budget that is not spent, because credit outlives the window that it was
+// earned in, and the known number of nodes differs slightly between nodes.
 const reservedShare = 0.2
 
 const (
@@ -28,6 +40,9 @@
 	// countedBuckets is the number of buckets that count: the current bucket has only begun, so
 	// bucketCount buckets cover less than a window.
 	countedBuckets = bucketCount + 1
+	// creditBuckets is the number of buckets, the current one included, whose credit has not expired: a fifth of
+	// the window.
+	creditBuckets = bucketCount / 5
 )
 
 // Budget is one node's budget for one service. It is not safe for concurrent use. Times that it
@@ -38,10 +53,11 @@
 	counts    *window.Sliding[counts]
 }
 
+// counts are those of one bucket.
 type counts struct {
-	requests float64
-	resends  float64
-	nodes    int // maximum number of nodes that shared the budget
+	credit float64 // earned and not spent
+	slack  float64 // spent of the slack, or sent without credit
+	nodes  int     // maximum number of nodes that shared the budget
 }
 
 // New returns an unspent budget of a node that started at a time; zero: long ago.
@@ -64,8 +80,8 @@
 // Request counts the first send of a request. nodes is as for Spend.
 func (b *Budget) Request(nodes int, now time.Time) {
 	current := b.counts.At(now)
-	current.requests++
 	current.nodes = max(current.nodes, nodes)
+	current.credit += b.terms.Ratio * (1 - reservedShare)
 }
 
 // Spend takes one additional send out of the budget and reports whether there was one left.
@@ -76,33 +92,53 @@
 	if b.Left(now) < 1 {
 		return false
 	}
-	current.resends++
+	current.slack += b.spendCredit(1, now)
 	return true
 }
 
-// Postpone moves a send that was taken at a time to now, because the request waited and is
-// sent only now: the terms apply to the sends as they arrive.
+// spendCredit takes an amount out of the credit, the oldest first, and returns what is missing.
+func (b *Budget) spendCredit(amount float64, now time.Time) (missing float64) {
+	for age := creditBuckets - 1; age >= 0; age-- {
+		bucket := b.counts.At(now.Add(-time.Duration(age) * b.terms.Window / bucketCount))
+		spent := min(bucket.credit, amount)
+		bucket.credit -= spent
+		amount -= spent
+	}
+	return amount
+}
+
+// Postpone counts a send that was taken at a time, because the request waited and is sent only now: the terms
+// apply to the sends as they arrive. What has paid for it may have expired, so it is paid for again.
 func (b *Budget) Postpone(takenAt, now time.Time) {
-	if now.Sub(takenAt) < b.terms.Window {
-		b.counts.At(takenAt).resends--
+	if now.Sub(takenAt) < b.terms.Window/bucketCount {
+		return
 	}
-	b.counts.At(now).resends++
+	missing := b.spendCredit(1, now)
+	b.counts.At(now).slack += missing
 }
 
-// Left returns the number of additional sends that are left. The slack is divided by the
-// maximum number of nodes in the window, because nodes that have left have spent their part
-// of it. There is no slack while the number of nodes is unknown, and none in the first window
-// after the node's start, because its previous incarnation may have spent it.
+// Left returns the number of additional sends that are left.
 func (b *Budget) Left(now time.Time) float64 {
-	requests, resends, nodes := 0.0, 0.0, 0
-	for part := range b.counts.Latest(countedBuckets, now) {
-		requests += part.requests
-		resends += part.resends
-		nodes = max(nodes, part.nodes)
+	left := b.slackLeft(now)
+	for bucket := range b.counts.Latest(creditBuckets, now) {
+		left += bucket.credit
+	}
+	return left
+}
+
+// slackLeft returns what is left of this node's part of the slack. It is negative if more was sent without credit.
+// The slack is divided by the maximum number of nodes in the window, because nodes that have left have spent
+// their part of it. There is no slack while the number of nodes is unknown, and none in the first window
+// after the node's start, because its previous incarnation may have spent it.
+func (b *Budget) slackLeft(now time.Time) float64 {
+	spent, nodes := 0.0, 0
+	for bucket := range b.counts.Latest(countedBuckets, now) {
+		spent += bucket.slack
+		nodes = max(nodes, bucket.nodes)
 	}
-	allowed := b.terms.Ratio * requests
+	part := 0.0
 	if nodes > 0 && now.Sub(b.startedAt) > b.terms.Window {
-		allowed += b.terms.Slack / float64(nodes)
+		part = b.terms.Slack * (1 - reservedShare) / float64(nodes)
 	}
-	return allowed*(1-reservedShare) - resends
+	return part - spent
 }
--- a/gateway/router/metrics.go
+++ b/gateway/router/metrics.go
@@ -16,8 +16,12 @@
 	sends    = group.Counter("sends")
 	// budgetLeft is the remaining retry budget of each service on this node, in
 	// hundredths of a send.
-	budgetLeft   = group.Map("retry_budget_left_hundredths")
-	linesDropped = group.Counter("log_lines_left_out")
+	budgetLeft = group.Map("retry_budget_left_hundredths")
+	// budgetRequests and budgetSends count what the budget of each service is made of: its requests and the sends
+	// that were taken out of it. Their sums over all nodes show whether the budget holds.
+	budgetRequests = group.Map("retry_budget_requests")
+	budgetSends    = group.Map("retry_budget_sends")
+	linesDropped   = group.Counter("log_lines_left_out")
 	// forwardsSent counts requests forwarded to other nodes, forwardsReceived those of other
 	// nodes.
 	forwardsSent     = group.Counter("forwarded_to_other_nodes")
--- a/gateway/router/router.go
+++ b/gateway/router/router.go
@@ -309,6 +309,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.budget.Request(s.nodeCount, time.Now())
+	budgetRequests.Add(string(s.name), 1)
 }
 
 // budgetLeft returns the retry budget that remains to this node, in hundredths of a send.
@@ -323,7 +324,11 @@
 func (s *service) spendRetry() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.budget.Spend(s.nodeCount, time.Now())
+	isLeft := s.budget.Spend(s.nodeCount, time.Now())
+	if isLeft {
+		budgetSends.Add(string(s.name), 1)
+	}
+	return isLeft
 }
 
 // postponeRetry records that a send that was taken from the retry budget at a time is made
