Retry budget: a change of the window does not refill the slack

Callers saw: nothing; servers could get each node's part of the slack once more for each change of the setting.

Cause: SetTerms dropped all counts when the window changed, what was spent with them. Change: for the longer one of the two windows after the change there is no slack.

--- a/gateway/budget/budget.go
+++ b/gateway/budget/budget.go
@@ -49,7 +49,7 @@
 // is given are values of time.Now.
 type Budget struct {
 	terms     Terms
-	startedAt time.Time // of the node
+	slackFrom time.Time // from when on there is slack
 	counts    *window.Sliding[counts]
 }
 
@@ -62,21 +62,34 @@
 
 // New returns an unspent budget of a node that started at a time; zero: long ago.
 func New(terms Terms, startedAt time.Time) *Budget {
-	return &Budget{terms: terms, startedAt: startedAt, counts: newCounts(terms)}
+	b := &Budget{terms: terms, counts: newCounts(terms)}
+	if !startedAt.IsZero() {
+		b.slackFrom = startedAt.Add(terms.Window)
+	}
+	return b
 }
 
 func newCounts(terms Terms) *window.Sliding[counts] {
 	return window.New[counts](countedBuckets, terms.Window/bucketCount)
 }
 
-// SetTerms replaces the terms. Counts are kept if the window does not change.
-func (b *Budget) SetTerms(terms Terms) {
+// SetTerms replaces the terms. Counts are kept if the window does not change. Otherwise there is no slack for the
+// longer one of the windows, since what was spent of it is not known any more.
+func (b *Budget) SetTerms(terms Terms, now time.Time) {
 	if terms.Window != b.terms.Window {
 		b.counts = newCounts(terms)
+		b.slackFrom = latest(b.slackFrom, now.Add(max(terms.Window, b.terms.Window)))
 	}
 	b.terms = terms
 }
 
+func latest(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 // Request counts the first send of a request. nodes is as for Spend.
 func (b *Budget) Request(nodes int, now time.Time) {
 	current := b.counts.At(now)
@@ -137,7 +150,7 @@
 		nodes = max(nodes, bucket.nodes)
 	}
 	part := 0.0
-	if nodes > 0 && now.Sub(b.startedAt) > b.terms.Window {
+	if nodes > 0 && now.After(b.slackFrom) {
 		part = b.terms.Slack * (1 - reservedShare) / float64(nodes)
 	}
 	return part - spent
--- a/gateway/budget/world_test.go
+++ b/gateway/budget/world_test.go
@@ -157,3 +157,25 @@
 	slices.Sort(w.resends)
 	w.checkWindows(t)
 }
+
+// Guards against a change of the window that forgets what was spent of the slack.
+func TestChangeOfTheWindowDoesNotRefillTheSlack(t *testing.T) {
+	for _, changed := range []time.Duration{5 * time.Second, 20 * time.Second} {
+		w := newWorld()
+		for node := range w.nodes {
+			w.request(node, 0)
+		}
+		terms := siteTerms
+		for i, at := range []time.Duration{time.Second, 2 * time.Second, 7 * time.Second} {
+			terms.Window = []time.Duration{changed, siteTerms.Window}[i%2]
+			for node, b := range w.nodes {
+				b.SetTerms(terms, w.now(at))
+				w.request(node, at)
+				w.request(node, at+900*time.Millisecond)
+			}
+		}
+		slices.Sort(w.requests)
+		slices.Sort(w.resends)
+		w.checkWindows(t)
+	}
+}
--- a/gateway/router/router.go
+++ b/gateway/router/router.go
@@ -121,7 +121,7 @@
 	for _, s := range r.services {
 		s.mu.Lock()
 		s.pool.SetPenalty(options.CrossZonePenalty)
-		s.budget.SetTerms(options.Retries)
+		s.budget.SetTerms(options.Retries, time.Now())
 		s.mu.Unlock()
 	}
 }
