--- a/gateway/budget/budget.go
+++ b/gateway/budget/budget.go
@@ -6,15 +6,15 @@
 //
 // # The sum over all nodes
 //
-// Callers may move between nodes at any time, so what a node may spend must not depend on how many
-// requests other nodes have had. Each request earns credit at the one node that it arrives at, and
-// credit expires: the sends in a window of length W are paid for by requests of that window and of
-// the time W x creditLifetime before it. Over all nodes, wherever these requests arrived, they are at most
+// Callers may move between nodes at any time, so the parts of all nodes must add up wherever a request arrives. Each
+// request earns credit at one node, once, and credit that is not spent expires after a fifth of a window. The sends in
+// a window are therefore paid for by the requests of that window and of the fifth of a window before it, at most
 //
-//	(1 - reservedShare) x ratio x (requests in the window + requests in the time before it)
+//	(1 - reservedShare) x ratio x (requests in the window + requests in the fifth before it)
 //
-// which is within the ratio while that time has no more than a quarter of the requests of the window, as with a
-// steady rate: (1 - 1/5) x (1 + 1/5) < 1. The slack is divided among the nodes and spent once in a window.
+// over all nodes. That is within the ratio while the fifth before has no more than a quarter of the requests of the
+// window, as with a steady rate: (1 - 1/5) x (1 + 1/5) < 1. The slack is divided among the nodes, and spent once in
+// a window.
 package budget
 
 import (
--- a/gateway/pool/lasting.go
+++ b/gateway/pool/lasting.go
@@ -34,8 +34,8 @@
 	}
 }
 
-// lastingOf returns what is kept of a server that is added.
-func (p *Pool) lastingOf(name site.ServerName, now time.Time) lasting {
+// restoreLasting returns what is kept of a server that is added.
+func (p *Pool) restoreLasting(name site.ServerName, now time.Time) lasting {
 	h := p.histories[name]
 	if h == nil {
 		return lasting{}
@@ -47,8 +47,8 @@
 	return kept
 }
 
-// lastingState returns what is kept of a server, also if its entry is missing; nil: nothing.
-func (p *Pool) lastingState(name site.ServerName) *lasting {
+// lastingByName returns what is kept of a server, also if its entry is missing; nil: nothing.
+func (p *Pool) lastingByName(name site.ServerName) *lasting {
 	h := p.histories[name]
 	if h == nil {
 		return nil
--- a/gateway/pool/pool.go
+++ b/gateway/pool/pool.go
@@ -166,7 +166,7 @@
 		restarts := p.recordIncarnation(server.ID, now)
 		m := p.members[server.ID]
 		if m == nil {
-			m = &member{Server: server, lasting: p.lastingOf(server.ID.Name(), now), limit: p.initialLimit(server), coldUntil: now.Add(server.WarmUp), addedAt: now}
+			m = &member{Server: server, lasting: p.restoreLasting(server.ID.Name(), now), limit: p.initialLimit(server), coldUntil: now.Add(server.WarmUp), addedAt: now}
 			p.startProbation(m, restarts, now)
 			p.members[server.ID] = m
 			p.setShare(m)
--- a/gateway/pool/rest.go
+++ b/gateway/pool/rest.go
@@ -17,7 +17,7 @@
 // to. A rest that ends later holds. The first request after it is sent alone, and others follow when it has been
 // answered.
 func (p *Pool) Rest(id site.ServerID, rest time.Duration, now time.Time) {
-	if l := p.lastingState(id.Name()); l != nil && rest > 0 {
+	if l := p.lastingByName(id.Name()); l != nil && rest > 0 {
 		p.rest(l, rest, now)
 	}
 }
--- a/gateway/ratelimit/ratelimit.go
+++ b/gateway/ratelimit/ratelimit.go
@@ -18,7 +18,8 @@
 )
 
 // Counter returns the node that counts the requests to a server, the same at every node with the same
-// members and for each of its incarnations: one of the server's zone, if there is any. found is false if no members are known.
+// members and for each incarnation of the server: one of the server's zone, if there is any. found is false if no
+// members are known.
 func Counter(server site.Server, members []view.Member) (counter view.Member, found bool) {
 	var best rank
 	for _, m := range members {
