--- a/gateway/router/cut_answer_test.go
+++ b/gateway/router/cut_answer_test.go
@@ -56,6 +56,7 @@
 	if err != nil {
 		return 0, "", false
 	}
+	defer func() { _ = response.Body.Close() }()
 	text, err := io.ReadAll(response.Body)
 	return response.StatusCode, string(text), err == nil
 }
