Retry budget: the credit of two bursts of requests is not spent in one window

Callers saw: nothing; found on reading the proof for the sum over nodes, whose condition is a steady rate. It was so before credit expired, too.

Cause: credit of requests shortly before a window is spent in it besides that of its own requests. With a burst before and another one at its end the window holds the requests of one of them only. Change: each node also keeps to the terms as they apply to its own requests, in each window that has begun: against the requests of that window, of the one before it or of the one half a window before it. Conclusion: bursts that reach other nodes each time are not proved.

--- a/clock/window/window.go
+++ b/clock/window/window.go
@@ -37,6 +37,15 @@
 	return &current.counts
 }
 
+// Past returns the counts of the slot that contains a time, or zero if it is not one of those that are kept.
+func (s *Sliding[T]) Past(at time.Time) (counts T) {
+	number := s.number(at)
+	if past := s.slots[modulo(number, int64(len(s.slots)))]; past.number == number {
+		counts = past.counts
+	}
+	return counts
+}
+
 // Latest returns the counts of the given number of slots up to the one that contains now.
 func (s *Sliding[T]) Latest(slots int, now time.Time) iter.Seq[T] {
 	oldest := s.number(now) - int64(slots) + 1
--- a/clock/window/window_test.go
+++ b/clock/window/window_test.go
@@ -54,3 +54,17 @@
 		g.Expect(total(s, slots, start)).To(gomega.Equal(3), "step of %d s", seconds)
 	}
 }
+
+// Guards against a look at an earlier slot that changes the counts of a later one.
+func TestPastSlotsAreReadWithoutAChange(t *testing.T) {
+	g := gomega.NewWithT(t)
+	start := time.Now()
+	s := window.New[int](slots, slotTime)
+	*s.At(start) = 1
+	*s.At(start.Add(slotTime)) = 2
+	g.Expect(s.Past(start)).To(gomega.Equal(1))
+	g.Expect(s.Past(start.Add(slotTime))).To(gomega.Equal(2))
+	g.Expect(s.Past(start.Add((1-slots)*slotTime))).To(gomega.BeZero(), "its place is taken")
+	g.Expect(s.Past(start.Add(2*slotTime))).To(gomega.BeZero(), "nothing was counted")
+	g.Expect(total(s, slots, start.Add(slotTime))).To(gomega.Equal(3))
+}
--- a/gateway/budget/budget.go
+++ b/gateway/budget/budget.go
@@ -16,9 +16,13 @@
 // over all nodes. That is within the ratio while the quarter before has no more than a quarter of the requests of the
 // window, as with a steady rate: (1 - 1/5) x (1 + 1/4) = 1. The slack is divided among the nodes, and each part is
 // spent once in a window.
+//
+// Requests that come in bursts may break that condition. Each node therefore also keeps to the terms as they apply to
+// its own requests (see ownLeft), which bounds the sum while bursts reach all nodes alike.
 package budget
 
 import (
+	"math"
 	"time"
 
 	"github.com/burdockspindle/burdockspindle/clock/window"
@@ -44,6 +48,8 @@
 	// creditBuckets is the number of buckets, the current one included, whose credit has not expired: a fifth of
 	// the window.
 	creditBuckets = bucketCount / 5
+	// keptBuckets is the number of buckets that are kept: those of the window before count, too.
+	keptBuckets = countedBuckets + bucketCount
 )
 
 // Budget is one node's budget for one service. It is not safe for concurrent use. Times that it
@@ -56,9 +62,11 @@
 
 // counts are those of one bucket.
 type counts struct {
-	credit float64 // earned and not spent
-	slack  float64 // spent of the slack, or sent without credit
-	nodes  int     // maximum number of nodes that shared the budget
+	requests float64
+	resends  float64
+	credit   float64 // earned and not spent
+	slack    float64 // spent of the slack, or sent without credit
+	nodes    int     // maximum number of nodes that shared the budget
 }
 
 // New returns an unspent budget of a node that started at a time; zero: long ago.
@@ -71,7 +79,7 @@
 }
 
 func newCounts(terms Terms) *window.Sliding[counts] {
-	return window.New[counts](countedBuckets, terms.Window/bucketCount)
+	return window.New[counts](keptBuckets, terms.Window/bucketCount)
 }
 
 // SetTerms replaces the terms. Counts are kept if the window does not change. Otherwise there is no slack for the
@@ -94,6 +102,7 @@
 // Request counts the first send of a request. nodes is as for Spend.
 func (b *Budget) Request(nodes int, now time.Time) {
 	current := b.counts.At(now)
+	current.requests++
 	current.nodes = max(current.nodes, nodes)
 	current.credit += b.terms.Ratio * (1 - reservedShare)
 }
@@ -106,6 +115,7 @@
 	if b.Left(now) < 1 {
 		return false
 	}
+	current.resends++
 	current.slack += b.spendCredit(1, now)
 	return true
 }
@@ -113,7 +123,7 @@
 // spendCredit takes an amount out of the credit, the oldest first, and returns what is missing.
 func (b *Budget) spendCredit(amount float64, now time.Time) (missing float64) {
 	for age := creditBuckets - 1; age >= 0; age-- {
-		bucket := b.counts.At(now.Add(-time.Duration(age) * b.terms.Window / bucketCount))
+		bucket := b.counts.At(b.bucketTime(age, now))
 		spent := min(bucket.credit, amount)
 		bucket.credit -= spent
 		amount -= spent
@@ -121,9 +131,18 @@
 	return amount
 }
 
+// bucketTime returns a time in the bucket that was the current one a number of buckets ago.
+func (b *Budget) bucketTime(age int, now time.Time) time.Time {
+	return now.Add(-time.Duration(age) * b.terms.Window / bucketCount)
+}
+
 // Postpone counts a send that was taken at a time, because the request waited and is sent only now: the terms
 // apply to the sends as they arrive. What has paid for it may have expired, so it is paid for again.
 func (b *Budget) Postpone(takenAt, now time.Time) {
+	if now.Sub(takenAt) < b.terms.Window {
+		b.counts.At(takenAt).resends--
+	}
+	b.counts.At(now).resends++
 	if now.Sub(takenAt) < b.terms.Window/bucketCount {
 		return
 	}
@@ -133,26 +152,46 @@
 
 // Left returns the number of additional sends that are left.
 func (b *Budget) Left(now time.Time) float64 {
-	left := b.slackLeft(now)
+	part, spent := b.slack(now)
+	left := part - spent
 	for bucket := range b.counts.Latest(creditBuckets, now) {
 		left += bucket.credit
 	}
-	return left
+	return min(left, b.ownLeft(part, now))
 }
 
-// slackLeft returns what is left of this node's part of the slack. It is negative if more was sent without credit.
+// slack returns this node's part of the slack and what was spent of it, which is more if some was sent without credit.
 // The slack is divided by the maximum number of nodes in the window, because nodes that have left have spent
 // their part of it. There is no slack while the number of nodes is unknown, and none in the first window
 // after the node's start, because its previous incarnation may have spent it.
-func (b *Budget) slackLeft(now time.Time) float64 {
-	spent, nodes := 0.0, 0
+func (b *Budget) slack(now time.Time) (part, spent float64) {
+	nodes := 0
 	for bucket := range b.counts.Latest(countedBuckets, now) {
 		spent += bucket.slack
 		nodes = max(nodes, bucket.nodes)
 	}
-	part := 0.0
 	if nodes > 0 && now.After(b.slackFrom) {
 		part = b.terms.Slack * (1 - reservedShare) / float64(nodes)
 	}
-	return part - spent
+	return part, spent
+}
+
+// ownLeft returns what is left by the terms as they apply to this node's own requests and its part of the slack: in
+// each window that has begun, resends count against the requests of that window, of the one before it or of the one
+// half a window before it, whichever has most. A window begins anywhere in a bucket, so only buckets that lie in it
+// whole count for requests, and all that it touches for resends.
+func (b *Budget) ownLeft(slack float64, now time.Time) float64 {
+	var requests [keptBuckets + 1]float64 // in the latest buckets, by their number
+	for age := range keptBuckets {
+		requests[age+1] = requests[age] + b.counts.Past(b.bucketTime(age, now)).requests
+	}
+	left, resends := math.Inf(1), 0.0
+	for begin := range countedBuckets { // the window begins in the bucket of that age
+		resends += b.counts.Past(b.bucketTime(begin, now)).resends
+		own := requests[begin]
+		before := requests[begin+bucketCount] - requests[begin+1]
+		halfBefore := requests[begin+bucketCount/2] - requests[max(begin+1-bucketCount/2, 0)]
+		left = min(left, b.terms.Ratio*max(own, before, halfBefore)+slack-resends)
+	}
+	return left
 }
--- a/gateway/budget/moves_test.go
+++ b/gateway/budget/moves_test.go
@@ -2,8 +2,11 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"testing"
 	"time"
+
+	"github.com/onsi/gomega"
 )
 
 // failuresFrom is when every request begins to fail. Until then the nodes resend none.
@@ -76,3 +79,53 @@
 		}
 	}
 }
+
+// Guards against credit of a burst of requests that is spent together with that of the next one, in a window that holds
+// the requests of one of them only.
+func TestBudgetHoldsBetweenBurstsOfRequests(t *testing.T) {
+	const first, burst = 18 * time.Second, 2 * time.Second
+	for _, nodes := range []int{1, 12, 68, 295} {
+		for gap := 500 * time.Millisecond; gap < 10*time.Second; gap += 500 * time.Millisecond {
+			w := newWorldOf(nodes)
+			for i := range 4000 {
+				at := first + time.Duration(i%2000)*burst/2000
+				if i >= 2000 {
+					at += burst + gap
+				}
+				if at < first+burst-10*time.Millisecond { // none has failed yet
+					w.nodes[i%nodes].Request(nodes, w.now(at))
+					w.requests = append(w.requests, at)
+					continue
+				}
+				w.request(i%nodes, at)
+			}
+			w.checkWindows(t)
+		}
+	}
+}
+
+// Most requests that fail for a short time are sent again.
+func TestShortFailuresAreMostlySentAgain(t *testing.T) {
+	const failing, failedShare = 3 * time.Second, 3
+	for nodes, rate := range map[int]int{12: 560, 68: 2000, 295: 4000} {
+		t.Run(fmt.Sprint(nodes, " nodes"), func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			w := newWorldOf(nodes)
+			random := rand.New(rand.NewPCG(1, 1))
+			failed, sentAgain := 0, 0
+			for i := range rate * 24 {
+				at := time.Duration(i) * time.Second / time.Duration(rate)
+				b := w.nodes[random.IntN(nodes)]
+				b.Request(nodes, w.now(at))
+				if at >= failuresFrom && at < failuresFrom+failing && i%failedShare == 0 {
+					failed++
+					if b.Spend(nodes, w.now(at)) {
+						sentAgain++
+					}
+				}
+			}
+			t.Logf("%d of %d", sentAgain, failed)
+			g.Expect(sentAgain).To(gomega.BeNumerically(">", failed/2))
+		})
+	}
+}
