Tests: one server that cuts answers short, and one list of odd values

The handler that answers with a text and ends its connection stood in the tests of router and platform, the odd values in those of platform and follow and in the stand-in: package answertest has both now. No row is dropped.

--- a/gateway/answertest/answertest.go
+++ b/gateway/answertest/answertest.go
@@ -1,4 +1,4 @@
-// Package answertest serves answers without end to the tests of clients.
+// Package answertest makes answers and records that clients must bear: without end, cut short, and of odd values.
 package answertest
 
 import (
--- a/gateway/follow/fuzz_test.go
+++ b/gateway/follow/fuzz_test.go
@@ -4,29 +4,21 @@
 	"bytes"
 	"compress/gzip"
 	"encoding/json"
-	"strings"
 	"testing"
 
 	"google.golang.org/protobuf/proto"
 
+	"github.com/burdockspindle/burdockspindle/gateway/answertest"
 	"github.com/burdockspindle/burdockspindle/gateway/store"
 	"github.com/burdockspindle/burdockspindle/gateway/view"
 	bspb "github.com/burdockspindle/burdockspindle/proto/burdockspindle/v1"
 )
 
-// oddValues are JSON values that have ended decoders: nested deeply, too large, or of odd bytes.
-func oddValues() []string {
-	return []string{
-		strings.Repeat("[", 10_000) + strings.Repeat("]", 10_000), strings.Repeat("[", 100_000), strings.Repeat(`{"a":`, 100_000),
-		"1e400", strings.Repeat("9", 10_000), "\"\xff\x00\"", `"\ud800"`,
-	}
-}
-
 // Records of the ownership topic may be of another release, or of another writer.
 func FuzzOwnershipRecords(f *testing.F) {
 	for _, key := range []string{TableKey, HeartbeatKey, QuarantineKey, "other"} {
 		f.Add(key, []byte(`{"era":0,"previousMs":1}`))
-		for _, odd := range oddValues() {
+		for _, odd := range answertest.OddValues() {
 			f.Add(key, []byte(odd))
 			f.Add(key, []byte(`{"more":`+odd+`}`))
 			f.Add(key, []byte(`{"era":`+odd+`}`))
@@ -53,7 +45,7 @@
 		f.Add(message)
 	}
 	add(&bspb.FollowReply{Limits: []*bspb.ServerLimit{{Server: "i", Rate: 1, AgeMs: 1 << 31}}})
-	for _, odd := range oddValues() {
+	for _, odd := range answertest.OddValues() {
 		add(&bspb.FollowReply{ServersChange: &bspb.ServersChange{Put: []byte(odd)}})
 		add(&bspb.FollowReply{Servers: []byte(odd)})
 		add(&bspb.FollowReply{Servers: compressed(f, odd)})
--- a/gateway/router/cut_answer_test.go
+++ b/gateway/router/cut_answer_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/onsi/gomega"
 
+	"github.com/burdockspindle/burdockspindle/gateway/answertest"
 	"github.com/burdockspindle/burdockspindle/gateway/site"
 )
 
@@ -26,21 +27,6 @@
 	"no content":            "HTTP/1.1 204 No Content\r\nRequest-Id: r1\r\nSignature: signed\r\n\r\n",
 }
 
-// cuttingServer answers with a text and then ends the connection, with a reset or without.
-func cuttingServer(text string, resets bool) http.HandlerFunc {
-	return func(w http.ResponseWriter, _ *http.Request) {
-		conn, _, err := http.NewResponseController(w).Hijack()
-		if err != nil {
-			panic(err)
-		}
-		_, _ = io.WriteString(conn, text)
-		if tcp, isTCP := conn.(*net.TCPConn); isTCP && resets {
-			_ = tcp.SetLinger(0)
-		}
-		_ = conn.Close()
-	}
-}
-
 // readRaw sends a request to a node and returns the answer as far as its framing says that it is whole.
 func readRaw(t *testing.T, node http.Handler, method string) (status int, body string, isWhole bool) {
 	t.Helper()
@@ -108,7 +94,7 @@
 // answerCutAt returns what a caller gets of a server that answers with a text and then ends its connection.
 func answerCutAt(t *testing.T, text, method string, isForwarded, resets bool) (status int, body string, isWhole bool) {
 	t.Helper()
-	s := newForwardingSite(t, site.AtMostOnce, 1, cuttingServer(text, resets), nil)
+	s := newForwardingSite(t, site.AtMostOnce, 1, answertest.CutShort(text, resets), nil)
 	node := s.others[0]
 	if isForwarded {
 		node = s.origin
