--- /dev/null
+++ b/review/_site/main.go
@@ -0,0 +1,147 @@
+// Command site plays one case of the review: gateway nodes as processes, and stand-ins of the users' store,
+// targets and clients in this process, on loopback.
+package main
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"path/filepath"
+	"time"
+)
+
+// Exit codes.
+const (
+	held   = 0
+	broken = 1
+	failed = 2
+)
+
+// site is what a case plays on.
+type site struct {
+	record   *record
+	platform *platform
+	gateways []*gateway
+	targets  []*target
+	clients  *clients
+	program  string
+	dir      string
+	trouble  bool
+}
+
+func main() {
+	name := flag.String("case", "", "name of the case")
+	program := flag.String("program", "target/burdockspindle", "the project's program")
+	path := flag.String("record", "record.txt", "file for the record")
+	keep := flag.String("keep", "", "folder for the logs of the nodes; empty: a temporary one")
+	flag.Parse()
+	os.Exit(play(*name, *program, *path, *keep))
+}
+
+func play(name, program, path, keep string) int {
+	cases := map[string]func(*site) (int, error){"release": playRelease, "twice": playTwice, "memory": playMemory}
+	run := cases[name]
+	if run == nil {
+		fmt.Fprintln(os.Stderr, "unknown case", name)
+		return failed
+	}
+	r, err := newRecord(path)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return failed
+	}
+	defer r.close()
+	dir := keep
+	if dir == "" {
+		if dir, err = os.MkdirTemp("", "review"); err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			return failed
+		}
+		defer func() { _ = os.RemoveAll(dir) }()
+	}
+	absolute, err := filepath.Abs(program)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return failed
+	}
+	s := &site{record: r, program: absolute, dir: dir, trouble: os.Getenv("TROUBLE") != "0"}
+	if s.platform, err = newPlatform(); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return failed
+	}
+	s.clients = newClients(r)
+	defer func() {
+		for _, g := range s.gateways {
+			g.stop()
+		}
+	}()
+	code, err := run(s)
+	if err != nil {
+		fmt.Println("the case could not run:", err)
+		r.add("the case could not run: %v", err)
+		return failed
+	}
+	return code
+}
+
+// verdict writes the outcome to the record and to standard output.
+func (s *site) verdict(violations []string, rule string) int {
+	for _, v := range violations {
+		s.record.add("BROKEN %s: %s", rule, v)
+	}
+	extras, answers := 0, 0
+	for _, t := range s.targets {
+		extras += t.extras
+		answers += t.answers
+	}
+	text := fmt.Sprintf("trouble %v: %s broken %d times; answers to clients by status (0: none) %v; targets sent %d answers and %d copies", s.trouble, rule, len(violations), s.clients.counts(), answers, extras)
+	s.record.add("%s", text)
+	fmt.Println(text)
+	if len(violations) > 0 {
+		fmt.Println(violations[0])
+		return broken
+	}
+	return held
+}
+
+// begin starts the targets and the nodes, and waits until the nodes are ready and all keys are served.
+func (s *site) begin(nodes, memoryMB int) error {
+	s.platform.configure()
+	for _, t := range s.targets {
+		t.record, t.store = s.record, s.platform
+		if err := t.start(); err != nil {
+			return err
+		}
+	}
+	var err error
+	if s.gateways, err = newGateways(s.dir, s.platform.address, nodes, memoryMB); err != nil {
+		return err
+	}
+	for _, g := range s.gateways {
+		if err := g.start(s.program); err != nil {
+			return err
+		}
+	}
+	for _, g := range s.gateways {
+		if !g.awaitReady(20 * time.Second) {
+			return fmt.Errorf("node %s is not ready after 20 s", g.name)
+		}
+	}
+	return nil
+}
+
+// awaitKeys waits until requests for keys all over the key space are served.
+func (s *site) awaitKeys() error {
+	for end := time.Now().Add(20 * time.Second); time.Now().Before(end); time.Sleep(200 * time.Millisecond) {
+		served := 0
+		for key := 0; key < 65536; key += 8192 {
+			if s.clients.send(s.gateways[0], "GET", checkPrefix+"warm", key, 2*time.Second, nil).status == 200 {
+				served++
+			}
+		}
+		if served == 8 {
+			return nil
+		}
+	}
+	return fmt.Errorf("keys are not served after 20 s")
+}
