--- a/review/_site/gateway.go
+++ b/review/_site/gateway.go
@@ -75,13 +75,14 @@
 		return err
 	}
 	defer func() { _ = log.Close() }()
-	g.process = exec.Command(program, "gateway", "--settings", g.settings())
-	g.process.Stdout, g.process.Stderr = log, log
-	g.process.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
-	if err := g.process.Start(); err != nil {
+	process := exec.Command(program, "gateway", "--settings", g.settings())
+	process.Stdout, process.Stderr = log, log
+	// The kernel ends the node with this process, however this one ends.
+	process.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	if err := process.Start(); err != nil {
 		return err
 	}
-	g.ended = make(chan struct{})
+	g.process, g.ended = process, make(chan struct{})
 	go func(process *exec.Cmd, ended chan struct{}) {
 		_ = process.Wait()
 		close(ended)
--- a/review/_site/main.go
+++ b/review/_site/main.go
@@ -6,10 +6,15 @@
 	"flag"
 	"fmt"
 	"os"
+	"os/signal"
 	"path/filepath"
+	"syscall"
 	"time"
 )
 
+// timeLimit ends a case that takes too long.
+const timeLimit = 115 * time.Second
+
 // Exit codes.
 const (
 	held   = 0
@@ -59,6 +64,23 @@
 		}
 		defer func() { _ = os.RemoveAll(dir) }()
 	}
+	interrupted := make(chan os.Signal, 1)
+	signal.Notify(interrupted, syscall.SIGINT, syscall.SIGTERM, syscall.SIGHUP)
+	go func() {
+		reason := "took longer than " + timeLimit.String()
+		select {
+		case s := <-interrupted:
+			reason = "was interrupted: " + s.String()
+		case <-time.After(timeLimit):
+		}
+		r.add("the case %s", reason)
+		r.close()
+		if keep == "" {
+			_ = os.RemoveAll(dir)
+		}
+		fmt.Println("the case", reason)
+		os.Exit(failed) // the nodes end with this process, see gateway.start
+	}()
 	absolute, err := filepath.Abs(program)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
