--- a/review/_site/gateway.go
+++ b/review/_site/gateway.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -21,30 +22,45 @@
 	ended              chan struct{}
 }
 
-// freeAddress returns a loopback address whose port is free.
-func freeAddress() (string, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
+// Ports of nodes lie below those that the system gives to outgoing connections, which could otherwise take a port
+// between its choice and the start of its node.
+const (
+	firstPort = 12000
+	portCount = 18000
+)
+
+// freeAddresses returns loopback addresses whose ports are free and all differ.
+func freeAddresses(count int) ([]string, error) {
+	var addresses []string
+	for range 100 * count {
+		address := fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(portCount))
+		listener, err := net.Listen("tcp", address)
+		if err != nil {
+			continue // in use
+		}
+		defer func() { _ = listener.Close() }() // at the end, so that no address is chosen twice
+		if addresses = append(addresses, address); len(addresses) == count {
+			return addresses, nil
+		}
 	}
-	defer func() { _ = listener.Close() }()
-	return listener.Addr().String(), nil
+	return nil, fmt.Errorf("no %d free ports", count)
 }
 
 var zones = []string{"marmara-a", "marmara-b", "marmara-c"}
 
 // newGateways prepares nodes: settings as deploy/settings.jsonc gives them on Kartpara's machines.
 func newGateways(dir, store string, count, memoryMB int) ([]*gateway, error) {
+	const perNode = 4
+	free, err := freeAddresses(perNode * count)
+	if err != nil {
+		return nil, err
+	}
 	var gateways []*gateway
 	var seeds []string
 	for i := range count {
 		g := &gateway{name: fmt.Sprintf("front-%d", i+1), zone: zones[i%len(zones)], dir: dir}
-		for _, address := range []*string{&g.front, &g.ready, &g.peer, &g.metrics} {
-			var err error
-			if *address, err = freeAddress(); err != nil {
-				return nil, err
-			}
-		}
+		own := free[perNode*i:]
+		g.front, g.ready, g.peer, g.metrics = own[0], own[1], own[2], own[3]
 		gateways = append(gateways, g)
 		if len(seeds) < 3 {
 			seeds = append(seeds, fmt.Sprintf("%q", g.peer))
@@ -90,6 +106,16 @@
 	return nil
 }
 
+// hasEnded reports whether the process has ended by itself.
+func (g *gateway) hasEnded() bool {
+	select {
+	case <-g.ended:
+		return true
+	default:
+		return false
+	}
+}
+
 func (g *gateway) stop() {
 	if g.process != nil {
 		_ = g.process.Process.Kill()
--- a/review/_site/main.go
+++ b/review/_site/main.go
@@ -8,6 +8,7 @@
 	"os"
 	"os/signal"
 	"path/filepath"
+	"slices"
 	"syscall"
 	"time"
 )
@@ -135,15 +136,9 @@
 			return err
 		}
 	}
-	var err error
-	if s.gateways, err = newGateways(s.dir, s.platform.address, nodes, memoryMB); err != nil {
+	if err := s.startNodes(nodes, memoryMB); err != nil {
 		return err
 	}
-	for _, g := range s.gateways {
-		if err := g.start(s.program); err != nil {
-			return err
-		}
-	}
 	for _, g := range s.gateways {
 		if !g.awaitReady(20 * time.Second) {
 			return fmt.Errorf("node %s is not ready after 20 s", g.name)
@@ -152,6 +147,37 @@
 	return nil
 }
 
+const (
+	// startTries is how often the nodes are started with other ports, if another program has taken one of them.
+	startTries = 5
+	// startPause is the time after which a node has its listeners or has ended.
+	startPause = 400 * time.Millisecond
+)
+
+// startNodes starts the nodes.
+func (s *site) startNodes(nodes, memoryMB int) error {
+	for range startTries {
+		var err error
+		if s.gateways, err = newGateways(s.dir, s.platform.address, nodes, memoryMB); err != nil {
+			return err
+		}
+		for _, g := range s.gateways {
+			if err := g.start(s.program); err != nil {
+				return err
+			}
+		}
+		time.Sleep(startPause)
+		if !slices.ContainsFunc(s.gateways, (*gateway).hasEnded) {
+			return nil
+		}
+		s.record.add("a node has ended at its start; all are started again with other ports")
+		for _, g := range s.gateways {
+			g.stop()
+		}
+	}
+	return fmt.Errorf("nodes end at their start")
+}
+
 // awaitKeys waits until requests for keys all over the key space are served.
 func (s *site) awaitKeys() error {
 	for end := time.Now().Add(20 * time.Second); time.Now().Before(end); time.Sleep(200 * time.Millisecond) {
