Review: replace cases 6 and 7 by case 6, a success without a signature

The node passes on any answer that bears the request's ID; nothing looks for the target's signature. Conclusion: open.

--- a/review/_drill/client.go
+++ b/review/_drill/client.go
@@ -34,7 +34,6 @@
 // message is what a client sends.
 type message struct {
 	what, method, host, path string
-	key                      int // negative: none
 	unsafe                   bool
 	body                     []byte
 	timeout                  time.Duration
@@ -42,9 +41,10 @@
 
 // send sends a request, records its outcome and returns it.
 func (c *caller) send(m message) *attempt {
-	a := &attempt{id: fmt.Sprintf("%016x", lastAttempt.Add(1)), node: c.node.name, what: m.what, unsafe: m.unsafe, kept: c.keeps && c.conn != nil}
+	a := &attempt{id: fmt.Sprintf("%016x", lastAttempt.Add(1)), node: c.node.name, what: m.what, unsafe: m.unsafe}
 	c.record.sent(a)
-	status, err := c.exchange(a.id, m)
+	status, isSigned, err := c.exchange(a.id, m)
+	a.signed = isSigned
 	if err != nil || !c.keeps {
 		c.end()
 	}
@@ -59,40 +59,37 @@
 	c.conn = nil
 }
 
-func (c *caller) exchange(id string, m message) (status int, err error) {
+func (c *caller) exchange(id string, m message) (status int, isSigned bool, err error) {
 	deadline := time.Now().Add(m.timeout)
 	if c.conn == nil {
 		if c.conn, err = net.DialTimeout("tcp", c.node.front, connectTimeout); err != nil {
-			return 0, &notConnectedError{err}
+			return 0, false, &notConnectedError{err}
 		}
 		c.reader = bufio.NewReader(c.conn)
 	}
 	if err := c.conn.SetDeadline(deadline); err != nil {
-		return 0, err
+		return 0, false, err
 	}
 	var head bytes.Buffer
 	fmt.Fprintf(&head, "%s %s HTTP/1.1\r\nHost: %s\r\nAttempt-Id: %s\r\nTimeout-Ms: %d\r\n", m.method, m.path, m.host, id, m.timeout.Milliseconds())
-	if m.key >= 0 {
-		fmt.Fprintf(&head, "Shard-Key: %d\r\n", m.key)
-	}
 	if m.method != http.MethodGet {
 		fmt.Fprintf(&head, "Content-Length: %d\r\n", len(m.body))
 	}
 	head.WriteString("\r\n")
 	if _, err := c.conn.Write(append(head.Bytes(), m.body...)); err != nil {
-		return 0, err
+		return 0, false, err
 	}
 	answer, err := http.ReadResponse(c.reader, &http.Request{Method: m.method})
 	if err != nil {
-		return 0, err
+		return 0, false, err
 	}
 	if _, err := io.Copy(io.Discard, answer.Body); err != nil {
-		return 0, err
+		return 0, false, err
 	}
 	if answer.Close {
 		c.end()
 	}
-	return answer.StatusCode, nil
+	return answer.StatusCode, answer.Header.Get(signatureHeader) != "", nil
 }
 
 // notConnectedError reports a request that was not sent.
--- a/review/_drill/main.go
+++ b/review/_drill/main.go
@@ -5,7 +5,10 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
 	"path/filepath"
+	"syscall"
+	"time"
 )
 
 const (
@@ -16,13 +19,12 @@
 
 // drill is one case.
 type drill struct {
-	nodes, memoryMB int
-	run             func(s *drillSite, trouble bool) (broken []string, err error)
+	nodes int
+	run   func(s *drillSite, trouble bool) (broken []string, err error)
 }
 
 var drills = map[string]drill{
-	"handover": {nodes: 3, memoryMB: 284, run: runHandover},
-	"uploads":  {nodes: 3, memoryMB: 284, run: runUploads},
+	"spoiled": {nodes: 3, run: runSpoiled},
 }
 
 func main() { os.Exit(play()) }
@@ -52,12 +54,13 @@
 	if os.Getenv("KEEP") == "" {
 		defer func() { _ = os.RemoveAll(dir) }()
 	}
-	s, err := newSite(dir, log, d.nodes, d.memoryMB)
+	s, err := newSite(dir, log, d.nodes)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return exitNotRun
 	}
 	defer s.stop()
+	go endEarly(s, log, dir)
 	broken, err := d.run(s, os.Getenv("TROUBLE") != "0")
 	if err != nil {
 		log.add("drill", "not run: %v", err)
@@ -75,3 +78,21 @@
 	fmt.Println("held")
 	return exitHeld
 }
+
+// maxLength bounds the length of a case.
+const maxLength = 110 * time.Second
+
+// endEarly ends the case when it is interrupted or takes too long.
+func endEarly(s *drillSite, log *record, dir string) {
+	interrupts := make(chan os.Signal, 1)
+	signal.Notify(interrupts, syscall.SIGINT, syscall.SIGTERM, syscall.SIGHUP)
+	select {
+	case <-interrupts:
+	case <-time.After(maxLength):
+	}
+	s.stop()
+	log.add("drill", "ended early")
+	log.close()
+	_ = os.RemoveAll(dir)
+	os.Exit(exitNotRun)
+}
--- a/review/_drill/record.go
+++ b/review/_drill/record.go
@@ -20,7 +20,7 @@
 // attempt is one request of a client.
 type attempt struct {
 	id, node, what string
-	unsafe, kept   bool
+	unsafe, signed bool // signed: the answer has a signature
 	sentAt, endAt  time.Time
 	arrivals       []string // targets at which it arrived
 	runs           []string // targets that ran it
@@ -75,7 +75,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	a.endAt, a.status, a.failure = time.Now(), status, failure
-	r.line("client", "%s %s at %s after %d ms: status %d %s, ran at %v", a.what, a.id, a.node, a.endAt.Sub(a.sentAt).Milliseconds(), status, failure, a.runs)
+	r.line("client", "%s %s at %s after %d ms: status %d %s, signed %v, ran at %v", a.what, a.id, a.node, a.endAt.Sub(a.sentAt).Milliseconds(), status, failure, a.signed, a.runs)
 }
 
 // all returns the attempts.
--- a/review/_drill/site.go
+++ b/review/_drill/site.go
@@ -9,7 +9,6 @@
 	"os"
 	"os/exec"
 	"path/filepath"
-	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -26,6 +25,8 @@
 	// restartDelay is how long the platform waits before it starts a process again that has ended.
 	restartDelay = 500 * time.Millisecond
 	readyWait    = 20 * time.Second
+	// memoryMB is the memory of each machine, in units of 2^20 bytes.
+	memoryMB = 284
 )
 
 // drillSite is a small deployment: gateway nodes as processes, and stand-ins of the store and the targets.
@@ -35,14 +36,11 @@
 	store  *standin.Store
 	nodes  []*node
 	limits map[string]any
-	// memoryMB is the memory of each machine, in units of 2^20 bytes.
-	memoryMB int
 
 	mu      sync.Mutex
 	targets []*target
 	version int
 	faulty  time.Time // until when faulty targets garble answers
-	broken  []string
 }
 
 // node is a gateway node. It is started again whenever its process ends.
@@ -57,7 +55,6 @@
 	ended   chan struct{}
 	closed  bool
 	starts  int
-	overs   int // ends because of the memory limit
 }
 
 // Ports of nodes, below those that the kernel gives to outgoing connections.
@@ -82,8 +79,8 @@
 }
 
 // newSite starts the store and creates the nodes, one in each of the zones a, b and c by turns.
-func newSite(dir string, log *record, nodes, memoryMB int) (*drillSite, error) {
-	s := &drillSite{dir: dir, record: log, store: standin.NewStore(), memoryMB: memoryMB}
+func newSite(dir string, log *record, nodes int) (*drillSite, error) {
+	s := &drillSite{dir: dir, record: log, store: standin.NewStore()}
 	s.limits = map[string]any{"max-header-bytes": 16384, "max-body-bytes": 64 << 20, "header-timeout-s": 3, "idle-timeout-s": 15}
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -122,7 +119,7 @@
 		"seeds":     seeds,
 		"driver":    map[string]any{"name": "platform", "options": map[string]string{"address": store}},
 		"retries":   map[string]any{"ratio": 0.2, "slack": 64, "window": "10s"},
-		"memoryMB":  n.site.memoryMB,
+		"memoryMB":  memoryMB,
 		"resources": map[string]any{"processorShare": 0.32, "cores": 1, "linkMbps": 1000},
 		"timing":    map[string]string{"grace": "6s", "holdMax": "10s", "drain": "2s"},
 	}
@@ -230,43 +227,6 @@
 	}
 }
 
-func (n *node) signal(s syscall.Signal) {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	if n.process != nil {
-		_ = n.process.Signal(s) // it may be ending
-	}
-}
-
-// pid returns the id of the node's process, 0 if there is none.
-func (n *node) pid() int {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	if n.process == nil {
-		return 0
-	}
-	return n.process.Pid
-}
-
-// memory returns the memory of the process in bytes, without the pages of its program file.
-func (n *node) memory() int64 {
-	pid := n.pid()
-	if pid == 0 {
-		return 0
-	}
-	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
-	if err != nil {
-		return 0
-	}
-	for line := range strings.Lines(string(text)) {
-		var kilobytes int64
-		if _, err := fmt.Sscanf(line, "RssAnon: %d kB", &kilobytes); err == nil {
-			return kilobytes << 10
-		}
-	}
-	return 0
-}
-
 // stop ends all processes.
 func (s *drillSite) stop() {
 	for _, n := range s.nodes {
@@ -295,23 +255,3 @@
 	defer s.mu.Unlock()
 	s.faulty = time.Now().Add(length)
 }
-
-func (s *drillSite) otherTargets(t *target) []*target {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	var others []*target
-	for _, other := range s.targets {
-		if other != t && other.service == t.service {
-			others = append(others, other)
-		}
-	}
-	return others
-}
-
-// noteBroken records that a rule was broken.
-func (s *drillSite) noteBroken(format string, values ...any) {
-	s.record.add("rule", format, values...)
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.broken = append(s.broken, fmt.Sprintf(format, values...))
-}
