--- a/build/knownred/judge_test.go
+++ b/build/knownred/judge_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"strings"
 	"testing"
 
 	"github.com/onsi/gomega"
@@ -111,3 +112,18 @@
 		})
 	}
 }
+
+// Guards against a list that grows: only the entries of the one issue do not count.
+func TestEntriesOfOneIssueDoNotCount(t *testing.T) {
+	g := gomega.NewWithT(t)
+	counted := "p.A | c | issue 1\np.B | c | issue 2\np.C | c | issue 2\n"
+	uncounted := strings.Repeat("p.D | c | "+uncountedIssue+"\n", 5)
+	entries, err := parseKnown(uncounted + counted + uncounted)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(entries).To(gomega.HaveLen(13))
+	for _, issue := range []string{"issue 3", "issue 7", "issue 720", "issue 72, issue 3"} {
+		_, err = parseKnown(uncounted + counted + "p.E | c | " + issue + "\n")
+		var listError *ListError
+		g.Expect(errors.As(err, &listError)).To(gomega.BeTrue(), issue)
+	}
+}
--- a/build/knownred/known.go
+++ b/build/knownred/known.go
@@ -8,8 +8,12 @@
 	"strings"
 )
 
-// maxKnownFailures is the maximum number of listed failures.
-const maxKnownFailures = 3
+const (
+	// maxKnownFailures is the maximum number of listed failures that count.
+	maxKnownFailures = 3
+	// uncountedIssue is the issue whose entries do not count: each of its tests has an entry of its own.
+	uncountedIssue = "issue 72"
+)
 
 // Entry is one line of KNOWN-RED.txt.
 type Entry struct {
@@ -43,6 +47,7 @@
 
 func parseKnown(text string) ([]Entry, error) {
 	var entries []Entry
+	counted := 0
 	for i, line := range strings.Split(text, "\n") {
 		line = strings.TrimSpace(line)
 		if line == "" || strings.HasPrefix(line, "#") {
@@ -61,8 +66,11 @@
 			return nil, &ListError{Line: i + 1, Problem: "empty field"}
 		}
 		entries = append(entries, entry)
-		if len(entries) > maxKnownFailures {
-			return nil, &ListError{Line: i + 1, Problem: "more than three entries"}
+		if entry.Issue != uncountedIssue {
+			counted++
+		}
+		if counted > maxKnownFailures {
+			return nil, &ListError{Line: i + 1, Problem: "more than three entries of other issues than " + uncountedIssue}
 		}
 	}
 	return entries, nil
--- a/build/knownred/main.go
+++ b/build/knownred/main.go
@@ -3,6 +3,7 @@
 //
 //	package.Test | cause | issue
 //
+// and any number of such lines for the tests of issue 72, about callers that do not behave,
 // where Test is a test, a subtest (TestA/b) or a Ginkgo spec (TestSpecs: text, where
 // text is the text of the spec with its containers, or the end of that text).
 // The runs pass if their only failures are in listed tests. A package that is in several
