Request bodies: bound their memory over all requests of a node

What callers saw: ordinary requests in flight were cut, and none was answered while the process started again: many large bodies of legal size at once, whole or stopped short of their end, ended the node for memory. One body of 60 MiB, below max-body-bytes, ended a node of 144 MB by itself. Cause: readBody kept each body in a buffer of its own that io.ReadAll copied as it grew, with no bound over all requests; each send copied it once more behind the head. A length over the limit was found out while reading. Change: package gateway/bodies reads bodies into segments within one bound, which the configured memory gives and answers share. Bytes count as they arrive. When it is taken, the body that arrives most slowly is ended, or the one that needs room is refused: both 503, not run. Sends and the fingerprint share the segments. An announced length over the limit, or one for which there can be no room, is refused from the head. Crowds of small bodies need a bound on connections.

--- a/gateway/config/config.go
+++ b/gateway/config/config.go
@@ -124,6 +124,13 @@
 	maxLinkMbps             = 1e6
 )
 
+// memoryLimitShare is the part of the configured memory that the Go runtime may use. The rest is for memory that the
+// kernel holds for the process.
+const memoryLimitShare = 0.7
+
+// MemoryLimit returns the bytes that the Go runtime may use; 0: the memory of the process is unknown.
+func (s *Settings) MemoryLimit() int64 { return int64(memoryLimitShare * float64(s.MemoryMB<<20)) }
+
 // Load reads and validates a settings file. The error is a *settings.FileError or a
 // *jsonc.InvalidError with all problems.
 func Load(file string) (*Settings, error) {
--- a/gateway/node/node.go
+++ b/gateway/node/node.go
@@ -26,12 +26,7 @@
 	eventStopped  = events.Define(2313, hclog.Info, "gateway node stopped")
 )
 
-const (
-	bootIDBytes = 8
-	// memoryLimitShare is the part of the configured memory that the Go runtime may use.
-	// The rest is for memory that the kernel holds for the process.
-	memoryLimitShare = 0.7
-)
+const bootIDBytes = 8
 
 // Run runs a node until ctx ends, then shuts it down within the grace time. The settings
 // were loaded from file, which is read again on SIGHUP and when it changes.
@@ -40,8 +35,8 @@
 	reload := make(chan os.Signal, 1)
 	signal.Notify(reload, syscall.SIGHUP)
 	defer signal.Stop(reload)
-	if s.MemoryMB > 0 {
-		debug.SetMemoryLimit(int64(memoryLimitShare * float64(s.MemoryMB<<20)))
+	if limit := s.MemoryLimit(); limit > 0 {
+		debug.SetMemoryLimit(limit)
 	}
 	random := make([]byte, bootIDBytes)
 	if _, err := rand.Read(random); err != nil {
--- a/gateway/quarantine/fingerprint.go
+++ b/gateway/quarantine/fingerprint.go
@@ -19,15 +19,17 @@
 
 // FingerprintOf returns the fingerprint of a request. credentials is what the caller presents
 // to identify itself, and path is without the query. Query and the caller's address are not part
-// of it, because a request may return with another query and from another address. The hash is cryptographic, so that nobody can
+// of it, because a request may return with another query and from another address. The body is given in parts. The hash is cryptographic, so that nobody can
 // make another request with the fingerprint of a given one.
-func FingerprintOf(credentials, method, host, path string, body []byte) Fingerprint {
+func FingerprintOf(credentials, method, host, path string, body ...[]byte) Fingerprint {
 	hash := sha256.New()
 	for _, field := range []string{credentials, method, host, path} {
 		_ = binary.Write(hash, binary.BigEndian, uint64(len(field))) // never fails
 		_, _ = hash.Write([]byte(field))                             // never fails
 	}
-	_, _ = hash.Write(body) // never fails
+	for _, part := range body {
+		_, _ = hash.Write(part) // never fails
+	}
 	sum := hash.Sum(nil)
 	return Fingerprint{High: binary.BigEndian.Uint64(sum), Low: binary.BigEndian.Uint64(sum[8:])}
 }
--- a/gateway/router/answer.go
+++ b/gateway/router/answer.go
@@ -61,6 +61,7 @@
 // refuse responds to a request that has not run.
 func (x *exchange) refuse(r *refusal) {
 	header := http.Header{}
+	x.endBody(header, r)
 	if r.retryAfter > 0 {
 		header.Set("Retry-After", strconv.FormatFloat(r.retryAfter.Seconds(), 'f', 3, 64))
 	}
--- a/gateway/router/crash.go
+++ b/gateway/router/crash.go
@@ -230,7 +230,7 @@
 func (x *exchange) fingerprint() quarantine.Fingerprint {
 	if x.fingerprinted == nil {
 		credentials := x.request.Header.Get("Authorization")
-		f := quarantine.FingerprintOf(credentials, x.request.Method, x.request.Host, x.path, x.request.Body)
+		f := quarantine.FingerprintOf(credentials, x.request.Method, x.request.Host, x.path, x.request.Body...)
 		x.fingerprinted = &f
 	}
 	return *x.fingerprinted
--- a/gateway/router/forward_server.go
+++ b/gateway/router/forward_server.go
@@ -67,6 +67,7 @@
 		x.refuse(malformedRefusal)
 		return
 	}
+	defer x.releaseBody()
 	if problem := x.prepare(original); problem != nil {
 		x.refuse(problem)
 		return
--- a/gateway/router/router.go
+++ b/gateway/router/router.go
@@ -13,6 +13,7 @@
 
 	"github.com/hashicorp/go-hclog"
 
+	"github.com/burdockspindle/burdockspindle/gateway/bodies"
 	"github.com/burdockspindle/burdockspindle/gateway/budget"
 	"github.com/burdockspindle/burdockspindle/gateway/follow"
 	"github.com/burdockspindle/burdockspindle/gateway/pool"
@@ -51,6 +52,7 @@
 	forwarding  *forwarding // nil: requests are not forwarded
 
 	largeAnswers *largeAnswers
+	bodies       *bodies.Memory // of requests
 
 	mu          sync.Mutex
 	timeouts    map[string]*callerTimeouts // by route
@@ -102,6 +104,7 @@
 		services:    map[site.ServiceName]*service{},
 
 		largeAnswers: newLargeAnswers(transfer.Limits{}),
+		bodies:       bodies.NewMemory(defaultBodyLimits, nil),
 	}
 	r.crashes = newCrashes(state, client, logger, onCrash, r.isReachedByOthers)
 	return r
@@ -110,6 +113,12 @@
 // BoundLargeAnswers sets the bounds of large answers. It must be called before the router is used.
 func (r *Router) BoundLargeAnswers(limits transfer.Limits) { r.largeAnswers = newLargeAnswers(limits) }
 
+// BoundBodies sets the memory for the bodies of requests. It must be called before the router is used.
+func (r *Router) BoundBodies(memory *bodies.Memory) { r.bodies = memory }
+
+// Bodies returns the memory that bodies of requests hold.
+func (r *Router) Bodies() bodies.State { return r.bodies.State() }
+
 // SetDraining marks the node as shutting down: every answer closes its connection.
 func (r *Router) SetDraining() { r.draining.Store(true) }
 
--- a/gateway/router/serve.go
+++ b/gateway/router/serve.go
@@ -2,13 +2,12 @@
 
 import (
 	"context"
-	"errors"
-	"io"
 	"math/rand/v2"
 	"net/http"
 	"strconv"
 	"time"
 
+	"github.com/burdockspindle/burdockspindle/gateway/bodies"
 	"github.com/burdockspindle/burdockspindle/gateway/forward"
 	"github.com/burdockspindle/burdockspindle/gateway/quarantine"
 	"github.com/burdockspindle/burdockspindle/gateway/ranges"
@@ -27,8 +26,6 @@
 	// shutdownRetryAfter is the Retry-After of a node that is terminating; another node
 	// serves the retry.
 	shutdownRetryAfter = 100 * time.Millisecond
-	// defaultMaxBodyBytes bounds request bodies if the configuration has no limit.
-	defaultMaxBodyBytes = 8 << 20
 )
 
 // exchange is the state of one request while the node handles it.
@@ -81,6 +78,9 @@
 	// isUnreachable reports that the latest refusal of a slot was for lack of a connection.
 	isUnreachable bool
 
+	body         *bodies.Account // what the request's body holds; nil: it has none, or is not read yet
+	isBodyUnread bool            // the body has not been read to its end
+
 	room      *transfer.Request // for a large answer; nil: the route has none
 	isStalled bool              // the caller has stopped reading its answer
 
@@ -95,6 +95,7 @@
 	if r.draining.Load() {
 		w.Header().Set("Connection", "close")
 	}
+	defer x.releaseBody()
 	if problem := x.prepare(request); problem != nil {
 		x.refuse(problem)
 		return
@@ -115,6 +116,8 @@
 	status     int
 	reason     string
 	retryAfter time.Duration // 0: a retry does not help
+	// closes reports that the connection cannot be used on, because the body has not been read.
+	closes bool
 	// isScheduled reports that on a mixed site the schedule of returns decides the delay, once the refusal is the result.
 	isScheduled bool
 	// isUnreachable reports that the node could not connect to a server that may run the
@@ -129,6 +132,7 @@
 
 // prepare finds the route and reads the request.
 func (x *exchange) prepare(request *http.Request) *refusal {
+	x.isBodyUnread = request.Body != nil && request.Body != http.NoBody
 	if x.router.terminating.Load() {
 		return &refusal{status: http.StatusServiceUnavailable, reason: "node shuts down", retryAfter: shutdownRetryAfter}
 	}
@@ -225,23 +229,3 @@
 	}
 	x.router.reports.CountClass(x.service.name, x.route.Priority, x.waited > 0)
 }
-
-func (x *exchange) readBody(request *http.Request) *refusal {
-	if request.Body == nil || request.Body == http.NoBody {
-		return nil
-	}
-	most := x.view.Config.Limits.BodyBytes
-	if most <= 0 {
-		most = defaultMaxBodyBytes
-	}
-	body, err := io.ReadAll(http.MaxBytesReader(x.writer, request.Body, most))
-	var tooLong *http.MaxBytesError
-	if errors.As(err, &tooLong) {
-		return &refusal{status: http.StatusRequestEntityTooLarge, reason: "body too long"}
-	}
-	if err != nil {
-		return &refusal{status: http.StatusBadRequest, reason: "body not read: " + err.Error()}
-	}
-	x.request.Body = body
-	return nil
-}
--- a/gateway/upstream/answer_limits.go
+++ b/gateway/upstream/answer_limits.go
@@ -67,6 +67,9 @@
 // NewAnswerMemory returns a bound in bytes.
 func NewAnswerMemory(limit int64) *AnswerMemory { return &AnswerMemory{limit: limit} }
 
+// Held returns the bytes that are held now.
+func (m *AnswerMemory) Held() int64 { return m.held.Load() }
+
 // AnswerMemoryError reports an answer that is not read further, because the node holds too many bytes of answers.
 type AnswerMemoryError struct{ Limit int64 }
 
--- a/gateway/upstream/client.go
+++ b/gateway/upstream/client.go
@@ -11,6 +11,7 @@
 
 	"github.com/hashicorp/go-hclog"
 
+	"github.com/burdockspindle/burdockspindle/gateway/bodies"
 	"github.com/burdockspindle/burdockspindle/gateway/site"
 	"github.com/burdockspindle/burdockspindle/gateway/traffic"
 )
@@ -33,7 +34,7 @@
 	Target    string // path and query, as the caller sent them
 	Host      string
 	Header    http.Header // as the caller sent it
-	Body      []byte
+	Body      bodies.Body
 	ID        string        // request ID from the caller
 	Remaining time.Duration // remaining time until the caller's deadline
 	// Fresh requires a connection that carried an answer within maxFreshAge, or a new
@@ -235,14 +236,14 @@
 	}
 	written := make(chan error, 1)
 	cn.mayBeSent = true
-	if len(r.Body) <= maxInlineBody {
-		if err := cn.write(append(head, r.Body...)); err != nil {
+	if r.Body.Len() <= maxInlineBody {
+		if err := cn.writeAtOnce(head, r.Body); err != nil {
 			return nil, false, err
 		}
 		cn.acknowledgment.markSent()
 		written <- nil
 	} else {
-		go func() { written <- cn.write(append(head, r.Body...)) }()
+		go func() { written <- cn.writeInParts(head, r.Body) }()
 	}
 	response, err := readResponse(cn, r.Method)
 	if err != nil {
@@ -339,8 +340,8 @@
 // writeLength writes the Content-Length header if there is a body or the method
 // usually has one, and ends the head.
 func writeLength(text *bytes.Buffer, r *Request) {
-	if len(r.Body) > 0 || r.Method != http.MethodGet && r.Method != http.MethodHead {
-		text.WriteString("Content-Length: " + strconv.Itoa(len(r.Body)) + "\r\n")
+	if length := r.Body.Len(); length > 0 || r.Method != http.MethodGet && r.Method != http.MethodHead {
+		text.WriteString("Content-Length: " + strconv.Itoa(length) + "\r\n")
 	}
 	text.WriteString("\r\n")
 }
--- a/gateway/upstream/conn.go
+++ b/gateway/upstream/conn.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/burdockspindle/burdockspindle/clock"
+	"github.com/burdockspindle/burdockspindle/gateway/bodies"
 	"github.com/burdockspindle/burdockspindle/gateway/site"
 	"github.com/burdockspindle/burdockspindle/gateway/socket"
 	"github.com/burdockspindle/burdockspindle/gateway/traffic"
@@ -96,6 +97,27 @@
 	return err
 }
 
+// writeAtOnce writes a request whose body is small, with one call.
+func (c *conn) writeAtOnce(head []byte, body bodies.Body) error {
+	for _, segment := range body {
+		head = append(head, segment...)
+	}
+	return c.write(head)
+}
+
+// writeInParts writes a request without copying its body.
+func (c *conn) writeInParts(head []byte, body bodies.Body) error {
+	if err := c.write(head); err != nil {
+		return err
+	}
+	for _, segment := range body {
+		if err := c.write(segment); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // awaitRejection observes a new connection for rejectionWait and returns an error if the
 // server closes it or sends bytes.
 func (c *conn) awaitRejection(now time.Time) error {
--- a/gateway/upstream/control.go
+++ b/gateway/upstream/control.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"time"
 
+	"github.com/burdockspindle/burdockspindle/gateway/bodies"
 	"github.com/burdockspindle/burdockspindle/gateway/site"
 )
 
@@ -45,7 +46,7 @@
 // sendControl writes a control call to a connection and reads its answer.
 func (c *Client) sendControl(ctx context.Context, cn *conn, server site.Server, call ControlCall) (*Answer, bool, error) {
 	header := http.Header{"Content-Type": {"application/json"}, c.headers.ExpectedServer: {string(server.ID.Name())}}
-	r := &Request{Method: http.MethodPost, Target: call.Path, Host: server.Address, Header: header, Body: call.Body}
+	r := &Request{Method: http.MethodPost, Target: call.Path, Host: server.Address, Header: header, Body: bodies.Of(call.Body)}
 	var head bytes.Buffer
 	writeHead(&head, r)
 	writeHeader(&head, header)
--- a/modules/gateway/front.go
+++ b/modules/gateway/front.go
@@ -13,6 +13,7 @@
 
 	"github.com/burdockspindle/burdockspindle/clock"
 	"github.com/burdockspindle/burdockspindle/events"
+	"github.com/burdockspindle/burdockspindle/gateway/bodies"
 	"github.com/burdockspindle/burdockspindle/gateway/budget"
 	"github.com/burdockspindle/burdockspindle/gateway/config"
 	"github.com/burdockspindle/burdockspindle/gateway/driver"
@@ -23,7 +24,6 @@
 	"github.com/burdockspindle/burdockspindle/gateway/returns"
 	"github.com/burdockspindle/burdockspindle/gateway/router"
 	"github.com/burdockspindle/burdockspindle/gateway/site"
-	"github.com/burdockspindle/burdockspindle/gateway/transfer"
 	"github.com/burdockspindle/burdockspindle/gateway/upstream"
 	"github.com/burdockspindle/burdockspindle/gateway/view"
 	"github.com/burdockspindle/burdockspindle/kernel"
@@ -117,48 +117,17 @@
 		return err
 	}
 	f.nodeClient = upstream.NewNodeClient(platform.Headers, f.live.Settings().Zone)
-	memory := upstream.NewAnswerMemory(answerMemory(f.live.Settings().MemoryMB))
+	memory := upstream.NewAnswerMemory(answerMemory(f.live.Settings()))
 	f.client.SetAnswerMemory(memory)
 	f.nodeClient.SetAnswerMemory(memory)
 	f.router.EnableForwarding(f.feed.Self, f.nodeClient, reachable.IsPartitioned)
 	reachable.OnReconnected(f.router.UnblockServers)
+	f.router.BoundBodies(bodies.NewMemory(bodyLimits(f.live.Settings()), memory.Held))
 	f.router.BoundLargeAnswers(largeAnswerLimits(f.live.Settings()))
 	f.live.Watch(func(s *config.Settings) { f.router.SetOptions(routerOptions(s, self)) })
 	return nil
 }
 
-const (
-	// answerMemoryShare is the share of the process's memory that bodies of answers may take. It may take twice
-	// as much while they are read.
-	answerMemoryShare = 0.25
-	// defaultMemoryMB is assumed if the memory of the process is not known, in units of 2^20 bytes.
-	defaultMemoryMB = 1024
-)
-
-// answerMemory returns the bytes of answers that a process with an amount of memory may hold, in units of 2^20
-// bytes; 0: it is not known.
-func answerMemory(memoryMB int64) int64 {
-	if memoryMB == 0 {
-		memoryMB = defaultMemoryMB
-	}
-	return int64(answerMemoryShare * float64(memoryMB<<20))
-}
-
-// largeAnswerMemoryShare is the share of the memory for answers that large answers may take, so that others still fit.
-const largeAnswerMemoryShare = 0.5
-
-// bytesPerMbit is the number of bytes in 10^6 bits.
-const bytesPerMbit = 1e6 / 8
-
-// largeAnswerLimits returns the bounds of large answers for a process with the given settings, which do not change while it
-// runs.
-func largeAnswerLimits(s *config.Settings) transfer.Limits {
-	return transfer.Limits{
-		Memory: int64(largeAnswerMemoryShare * float64(answerMemory(s.MemoryMB))),
-		Link:   bytesPerMbit * s.Resources.LinkMbps,
-	}
-}
-
 // Dump implements kernel.Dumper.
 func (f *Front) Dump() any {
 	rests := map[site.ServerName]string{}
@@ -171,9 +140,11 @@
 		// Speeds are the relative service times of servers that this node uses.
 		Speeds       map[site.ServiceName]pool.Speeds `json:"speeds"`
 		LargeAnswers router.LargeAnswers              `json:"largeAnswers"`
+		// RequestBodies is the memory that bodies of requests hold.
+		RequestBodies bodies.State `json:"requestBodies"`
 		// Returns are the schedules of returning callers, by service and priority. Only mixed sites have them.
 		Returns map[site.ServiceName]map[int]returns.State `json:"returns,omitempty"`
-	}{rests, f.router.Speeds(), f.router.LargeAnswers(), f.router.Returns()}
+	}{rests, f.router.Speeds(), f.router.LargeAnswers(), f.router.Bodies(), f.router.Returns()}
 }
 
 // routerOptions returns the options of the router of a process with the router's part of
