Request bodies: a body is awaited until its request's deadline, and a refusal does not wait for it

What callers saw: a request whose body stops short of its end stayed without an answer for as long as the caller stayed, past the timeouts of the caller and the route, and held its connection and memory. A request for a path without a route, or with an announced length over the limit, was not answered either until its body had come. Change: the read deadline of the connection is the request's deadline while its body is read; then 408, not run, and the connection is closed. A refusal with an unread body gives these reads half a second.

--- a/gateway/bodies/bodies_test.go
+++ b/gateway/bodies/bodies_test.go
@@ -191,7 +191,9 @@
 					a.Release()
 				}
 			},
-			"wait": func(t *rapid.T) { now = now.Add(time.Duration(rapid.IntRange(1, 3000).Draw(t, "ms")) * time.Millisecond) },
+			"wait": func(t *rapid.T) {
+				now = now.Add(time.Duration(rapid.IntRange(1, 3000).Draw(t, "ms")) * time.Millisecond)
+			},
 		})
 		for _, a := range accounts {
 			a.Release()
--- a/gateway/router/body.go
+++ b/gateway/router/body.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"net/http"
+	"os"
 	"time"
 
 	"github.com/burdockspindle/burdockspindle/gateway/bodies"
@@ -13,6 +14,8 @@
 	defaultMaxBodyBytes = 8 << 20
 	// bodyMemoryRetryAfter is the Retry-After of a request whose body found no memory, or made room for others.
 	bodyMemoryRetryAfter = time.Second
+	// unreadBodyTimeout bounds the reads by which the HTTP server discards what a refused request still sends.
+	unreadBodyTimeout = 500 * time.Millisecond
 )
 
 // defaultBodyLimits bound the bodies of a router without other limits.
@@ -22,10 +25,11 @@
 var (
 	bodyMemoryRefusal  = &refusal{status: http.StatusServiceUnavailable, reason: "memory for request bodies is taken", retryAfter: bodyMemoryRetryAfter, closes: true}
 	bodyEvictedRefusal = &refusal{status: http.StatusServiceUnavailable, reason: "slow request body made room for others", retryAfter: bodyMemoryRetryAfter, closes: true}
+	bodyTimeoutRefusal = &refusal{status: http.StatusRequestTimeout, reason: "request body did not arrive in time", closes: true}
 	bodyTooLongRefusal = &refusal{status: http.StatusRequestEntityTooLarge, reason: "body too long", closes: true}
 )
 
-// readBody reads the body of the request. A body whose length is known to be too long is not read.
+// readBody reads the body of the request until its deadline. A body whose length is known to be too long is not read.
 func (x *exchange) readBody(request *http.Request) *refusal {
 	if !x.isBodyUnread {
 		return nil
@@ -37,6 +41,7 @@
 	if request.ContentLength > limit {
 		return bodyTooLongRefusal
 	}
+	x.setReadDeadline(x.deadline)
 	account, err := x.router.bodies.Open(request.ContentLength, time.Now(), x.interruptBody)
 	if err != nil {
 		return bodyRefusal(err)
@@ -47,6 +52,7 @@
 		x.releaseBody()
 		return bodyRefusal(err)
 	}
+	x.setReadDeadline(time.Time{})
 	x.isBodyUnread = false
 	x.request.Body = body
 	return nil
@@ -64,6 +70,8 @@
 		return bodyEvictedRefusal
 	case errors.As(err, &tooLong):
 		return bodyTooLongRefusal
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return bodyTimeoutRefusal
 	}
 	return &refusal{status: http.StatusBadRequest, reason: "body not read: " + err.Error(), closes: true}
 }
@@ -83,11 +91,13 @@
 	_ = http.NewResponseController(x.writer).SetReadDeadline(deadline) // not supported by test recorders
 }
 
-// endBody prepares the refusal of a request whose body has not been read.
+// endBody prepares the refusal of a request whose body has not been read: the caller is not waited for, and reads the refusal
+// before its connection is closed.
 func (x *exchange) endBody(header http.Header, r *refusal) {
 	if !x.isBodyUnread {
 		return
 	}
+	x.setReadDeadline(time.Now().Add(unreadBodyTimeout))
 	if r.closes {
 		header.Set("Connection", "close")
 	}
