Callers' connections: a bound below the descriptors and the memory of the machine

What callers saw: no request was answered for as long as more connections were open than the process has descriptors, with requests that stop short of their end or without any: new connections were not accepted, and none to a server could be opened. Many such connections with small bodies ended the node for memory. Cause: nothing bounds the connections of callers in sum. Each takes a descriptor, and about 32 KiB. Change: callers may take half of the descriptors (new setting resources.descriptors, else the limit of the operating system) and a quarter of the memory. At the limit a new connection takes the place of the one that is needed least: a stalled request, then one without a request, then an idle one; never one whose request is being served.

--- a/gateway/config/config.go
+++ b/gateway/config/config.go
@@ -86,6 +86,8 @@
 type Resources struct {
 	Processor float64 // CPU in cores: share of a core times the number of cores
 	LinkMbps  float64 // of the VM's own link, in Mbit/s; 0: unknown
+	// Descriptors is how many files and sockets the process may open; 0: as many as the operating system allows.
+	Descriptors int64
 }
 
 // fullCapacityLinkMbps is the link, in Mbit/s, at and above which the network does not limit
@@ -122,6 +124,7 @@
 	maxMemoryMB             = 1 << 30
 	maxCores                = 4096
 	maxLinkMbps             = 1e6
+	maxDescriptors          = 1 << 30
 )
 
 // memoryLimitShare is the part of the configured memory that the Go runtime may use. The rest is for memory that the
@@ -242,6 +245,8 @@
 	resources := Resources{
 		Processor: share * float64(cores),
 		LinkMbps:  o.Get("linkMbps").Float(0, 0, maxLinkMbps),
+
+		Descriptors: o.Get("descriptors").Int(0, 0, maxDescriptors),
 	}
 	o.Close()
 	return resources
--- a/modules/gateway/callers.go
+++ b/modules/gateway/callers.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/burdockspindle/burdockspindle/gateway/bodies"
 	"github.com/burdockspindle/burdockspindle/gateway/router"
 	"github.com/burdockspindle/burdockspindle/gateway/socket"
 )
@@ -36,13 +37,18 @@
 // read without an answer.
 type callerConns struct {
 	timeouts callerTimeouts
+	limits   callerLimits
+	onEvict  func(evictions)
 
-	mu   sync.Mutex
-	open map[*callerConn]bool
+	mu        sync.Mutex
+	open      map[*callerConn]bool
+	evictions evictions // so far
+
+	evicting atomic.Int64 // connections of open that are being evicted
 }
 
-func newCallerConns(timeouts callerTimeouts) *callerConns {
-	return &callerConns{timeouts: timeouts, open: map[*callerConn]bool{}}
+func newCallerConns(timeouts callerTimeouts, limits callerLimits) *callerConns {
+	return &callerConns{timeouts: timeouts, limits: limits, onEvict: func(evictions) {}, open: map[*callerConn]bool{}}
 }
 
 // phase is the state of a connection within the cycle of requests.
@@ -65,7 +71,10 @@
 	awaitsFirst bool      // no request has arrived yet
 	pipelined   bool      // a byte of the next request arrived while one was served
 	timer       *time.Timer
-	expired     bool // the read deadline has been set to end the connection
+	expired     bool      // the read deadline has been set to end the connection
+	lastRead    time.Time // when bytes last arrived
+	readsBody   bool      // a read of a request's body is in progress
+	isEvicted   bool
 
 	stallTimeout atomic.Int64 // for which a write may make no progress, in nanoseconds; 0: not limited
 }
@@ -78,11 +87,16 @@
 
 // Accept implements net.Listener.
 func (l *callerListener) Accept() (net.Conn, error) {
-	conn, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
+	for {
+		conn, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		if l.owner.hasRoom() {
+			return l.owner.add(conn), nil
+		}
+		_ = conn.Close() // nothing has been read
 	}
-	return l.owner.add(conn), nil
 }
 
 // server returns an HTTP server for requests on callers' connections.
@@ -104,7 +118,8 @@
 func (c *callerConn) Disconnected() bool { return socket.Peek(c.Conn) == socket.Ended }
 
 func (conns *callerConns) add(conn net.Conn) *callerConn {
-	c := &callerConn{Conn: conn, owner: conns, awaitsFirst: true, phaseStart: time.Now()}
+	now := time.Now()
+	c := &callerConn{Conn: conn, owner: conns, awaitsFirst: true, phaseStart: now, lastRead: now}
 	conns.mu.Lock()
 	defer conns.mu.Unlock()
 	conns.open[c] = true
@@ -113,13 +128,33 @@
 
 // Read implements net.Conn.
 func (c *callerConn) Read(p []byte) (int, error) {
+	c.beginRead(len(p))
 	n, err := c.Conn.Read(p)
 	if n > 0 {
 		c.recordRead(len(p))
 	}
+	if c.endRead() && err != nil {
+		err = &bodies.EvictedError{}
+	}
 	return n, err
 }
 
+// beginRead records that a body is read, by the buffer size of the read.
+func (c *callerConn) beginRead(bufferSize int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.readsBody = c.phase == serving && bufferSize > peekSize
+}
+
+// endRead records the end of a read, and reports whether it was of the body of an evicted connection.
+func (c *callerConn) endRead() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	isEvicted := c.readsBody && c.isEvicted
+	c.readsBody = false
+	return isEvicted
+}
+
 // peekSize is the buffer size of the read by which the HTTP server detects, while it serves a
 // request, that the caller has left. Reads of a body use larger buffers.
 const peekSize = 1
@@ -129,6 +164,7 @@
 func (c *callerConn) recordRead(bufferSize int) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.lastRead = time.Now()
 	switch c.phase {
 	case awaitingRequest:
 		c.setPhase(readingHead, c.owner.timeouts.head())
@@ -181,10 +217,18 @@
 	if !isCaller {
 		return
 	}
+	c.changeState(state)
+	if state == http.StateClosed || state == http.StateHijacked {
+		conns.remove(c)
+	}
+}
+
+func (c *callerConn) changeState(state http.ConnState) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	switch state {
 	case http.StateActive:
+		c.endEviction()
 		c.awaitsFirst = false
 		c.stallTimeout.Store(0)
 		c.setPhase(serving, 0)
@@ -193,15 +237,16 @@
 			_ = c.SetReadDeadline(time.Time{}) // the head was read in spite of the expiry
 		}
 	case http.StateIdle:
+		c.endEviction()
 		if c.pipelined {
 			c.pipelined = false
-			c.setPhase(readingHead, conns.timeouts.head())
+			c.setPhase(readingHead, c.owner.timeouts.head())
 		} else {
-			c.setPhase(awaitingRequest, conns.timeouts.idle())
+			c.setPhase(awaitingRequest, c.owner.timeouts.idle())
 		}
 	case http.StateClosed, http.StateHijacked:
+		c.endEviction()
 		c.setPhase(serving, 0)
-		conns.remove(c)
 	}
 }
 
--- a/modules/gateway/callers_left_test.go
+++ b/modules/gateway/callers_left_test.go
@@ -110,7 +110,7 @@
 // with bytes of a next request has not left.
 func TestCallerWithPipelinedRequestHasNotLeft(t *testing.T) {
 	g := gomega.NewWithT(t)
-	callers := newCallerConns(fixedTimeouts(time.Minute, time.Minute))
+	callers := newCallerConns(fixedTimeouts(time.Minute, time.Minute), callerLimits{})
 	nodeEnd, callerEnd := newCallerPair(t, callers)
 	g.Expect(nodeEnd.Disconnected()).To(gomega.BeFalse())
 	_, err := io.WriteString(callerEnd, "GET")
--- a/modules/gateway/callers_stress_test.go
+++ b/modules/gateway/callers_stress_test.go
@@ -45,7 +45,7 @@
 func TestEveryReadRequestIsAnswered(t *testing.T) {
 	const callersAtOnce, requests = 64, 40
 	g := gomega.NewWithT(t)
-	callers := newCallerConns(fixedTimeouts(2*time.Millisecond, time.Millisecond))
+	callers := newCallerConns(fixedTimeouts(2*time.Millisecond, time.Millisecond), callerLimits{})
 	var served, leftEarly atomic.Int32
 	server := callers.server(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		served.Add(1)
--- a/modules/gateway/callers_test.go
+++ b/modules/gateway/callers_test.go
@@ -51,7 +51,7 @@
 func TestIdleConnectionsExpire(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g := gomega.NewWithT(t)
-		callers := newCallerConns(fixedTimeouts(time.Second, 15*time.Second))
+		callers := newCallerConns(fixedTimeouts(time.Second, 15*time.Second), callerLimits{})
 		raw, _ := net.Pipe()
 		nodeEnd := callers.add(raw)
 		callers.connState(nodeEnd, http.StateActive)
@@ -72,7 +72,7 @@
 func TestConnectionsWithSlowHeadsExpire(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g := gomega.NewWithT(t)
-		callers := newCallerConns(fixedTimeouts(2*time.Second, time.Minute))
+		callers := newCallerConns(fixedTimeouts(2*time.Second, time.Minute), callerLimits{})
 		raw, _ := net.Pipe()
 		nodeEnd := callers.add(raw)
 		nodeEnd.recordRead(100)
@@ -88,7 +88,7 @@
 // The request is served.
 func TestConnectionWithArrivedRequestDoesNotExpire(t *testing.T) {
 	g := gomega.NewWithT(t)
-	callers := newCallerConns(fixedTimeouts(time.Minute, time.Minute))
+	callers := newCallerConns(fixedTimeouts(time.Minute, time.Minute), callerLimits{})
 	nodeEnd, callerEnd := newCallerPair(t, callers)
 	callers.connState(nodeEnd, http.StateActive)
 	callers.connState(nodeEnd, http.StateIdle)
@@ -110,7 +110,7 @@
 // treated as having left.
 func TestRequestReadWhileConnectionExpiresIsServed(t *testing.T) {
 	g := gomega.NewWithT(t)
-	callers := newCallerConns(fixedTimeouts(time.Minute, time.Minute))
+	callers := newCallerConns(fixedTimeouts(time.Minute, time.Minute), callerLimits{})
 	nodeEnd, callerEnd := newCallerPair(t, callers)
 	callers.connState(nodeEnd, http.StateActive)
 	callers.connState(nodeEnd, http.StateIdle)
@@ -126,7 +126,7 @@
 
 func TestDrainAnswersArrivedRequestsAndClosesIdleConnections(t *testing.T) {
 	g := gomega.NewWithT(t)
-	callers := newCallerConns(fixedTimeouts(time.Minute, time.Minute))
+	callers := newCallerConns(fixedTimeouts(time.Minute, time.Minute), callerLimits{})
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 	release := make(chan struct{})
@@ -175,7 +175,7 @@
 // request had arrived.
 func TestBodyIsNotTreatedAsNextRequest(t *testing.T) {
 	g := gomega.NewWithT(t)
-	callers := newCallerConns(fixedTimeouts(time.Minute, time.Minute))
+	callers := newCallerConns(fixedTimeouts(time.Minute, time.Minute), callerLimits{})
 	server := callers.server(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		body, _ := io.ReadAll(r.Body) // the caller compares the length
 		_, _ = io.WriteString(w, strconv.Itoa(len(body)))
--- /dev/null
+++ b/modules/gateway/evictions.go
@@ -0,0 +1,204 @@
+package gateway
+
+import (
+	"cmp"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"github.com/burdockspindle/burdockspindle/events"
+	"github.com/burdockspindle/burdockspindle/gateway/socket"
+	"github.com/burdockspindle/burdockspindle/metrics"
+)
+
+var eventEvicted = events.Define(2306, hclog.Warn, "callers' connections made room for new ones")
+
+// callerGroup holds the metrics of callers' connections.
+var (
+	callerGroup = metrics.New("gateway_callers")
+	// evictedConns counts connections that were ended to make room for new ones, refusedConns those that were closed at once.
+	evictedConns = callerGroup.Counter("evicted_connections")
+	refusedConns = callerGroup.Counter("refused_connections")
+)
+
+const (
+	// evictedShare is the share of the limit that is evicted at once: each choice looks at all connections.
+	evictedShare = 1.0 / 64
+	// excessShare is the share of the limit by which connections that are being ended may exceed it.
+	excessShare = 1.0 / 8
+	// stallAge is the time without a byte after which a request that has not arrived whole is stalled.
+	stallAge = time.Second
+)
+
+// callerLimits bound callers' connections.
+type callerLimits struct {
+	conns int // open at once; 0: no bound
+}
+
+// evictions counts connections that were ended for lack of room.
+type evictions struct {
+	Evicted int64 `json:"evicted"`
+	Refused int64 `json:"refused"`
+}
+
+// callerState is the state of callers' connections, for the state dump.
+type callerState struct {
+	Open  int `json:"open"`
+	Limit int `json:"limit"` // 0: none
+	evictions
+}
+
+func (conns *callerConns) state() callerState {
+	conns.mu.Lock()
+	defer conns.mu.Unlock()
+	return callerState{Open: len(conns.open), Limit: conns.limits.conns, evictions: conns.evictions}
+}
+
+// hasRoom reports whether one more connection may be opened. At the limit it ends those that are needed least.
+func (conns *callerConns) hasRoom() bool {
+	conns.mu.Lock()
+	defer conns.mu.Unlock()
+	limit := conns.limits.conns
+	if limit == 0 || len(conns.open)-int(conns.evicting.Load()) < limit {
+		return true
+	}
+	most := limit + max(int(excessShare*float64(limit)), 1)
+	isRefused := !conns.evictSome(time.Now()) || len(conns.open) >= most
+	if isRefused {
+		conns.evictions.Refused++
+		refusedConns.Add(1)
+	}
+	conns.onEvict(conns.evictions)
+	return !isRefused
+}
+
+// evictSome ends connections and reports whether it has found any. conns.mu must be held.
+func (conns *callerConns) evictSome(now time.Time) bool {
+	candidates := conns.candidates(now)
+	most := max(int(evictedShare*float64(conns.limits.conns)), 1)
+	evicted := 0
+	for _, candidate := range candidates[:min(most, len(candidates))] {
+		if candidate.conn.evict() {
+			evicted++
+		}
+	}
+	conns.evictions.Evicted += int64(evicted)
+	evictedConns.Add(int64(evicted))
+	return evicted > 0
+}
+
+// need is how much a connection is needed: those with a lower value are evicted first.
+type need int
+
+const (
+	stalledRequest need = iota // a part of a request has arrived, and no byte lately
+	unused                     // no request has arrived
+	idleConn                   // between two requests
+	newRequest                 // opened, or a part of a request has arrived, a moment ago
+	inUse                      // its request is being served: it is not evicted
+)
+
+// candidate is a connection that may be evicted.
+type candidate struct {
+	conn     *callerConn
+	need     need
+	lastRead time.Time
+}
+
+// candidates returns the connections that may be evicted, those to evict first in front. conns.mu must be held.
+func (conns *callerConns) candidates(now time.Time) []candidate {
+	list := make([]candidate, 0, len(conns.open))
+	for c := range conns.open {
+		if candidate := c.candidate(now); candidate.need != inUse {
+			list = append(list, candidate)
+		}
+	}
+	slices.SortFunc(list, func(a, b candidate) int {
+		return cmp.Or(cmp.Compare(a.need, b.need), a.lastRead.Compare(b.lastRead))
+	})
+	return list
+}
+
+func (c *callerConn) candidate(now time.Time) candidate {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return candidate{conn: c, need: c.need(now), lastRead: c.lastRead}
+}
+
+// need returns how much the connection is needed. c.mu must be held.
+func (c *callerConn) need(now time.Time) need {
+	isPartial := c.phase == readingHead || c.phase == serving && c.readsBody
+	isNew := now.Sub(c.lastRead) < stallAge
+	switch {
+	case c.isEvicted, c.phase == serving && !c.readsBody:
+		return inUse
+	case (isPartial || c.awaitsFirst) && isNew:
+		return newRequest
+	case isPartial:
+		return stalledRequest
+	case c.awaitsFirst:
+		return unused
+	}
+	return idleConn
+}
+
+// endEviction records that the connection has closed, or goes on because its request arrived in spite of its eviction. c.mu
+// must be held.
+func (c *callerConn) endEviction() {
+	if c.isEvicted {
+		c.isEvicted = false
+		c.owner.evicting.Add(-1)
+	}
+}
+
+// evict makes the server's read fail, unless a request has arrived since the connection was chosen.
+func (c *callerConn) evict() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	isServing := c.phase == serving && !c.readsBody
+	if isServing || c.phase == awaitingRequest && socket.Peek(c.Conn) == socket.Readable {
+		return false
+	}
+	c.isEvicted = true
+	c.owner.evicting.Add(1)
+	c.expireRead()
+	if c.phase != serving {
+		phaseStart := c.phaseStart
+		if c.timer != nil {
+			c.timer.Stop()
+		}
+		c.timer = time.AfterFunc(drainPollInterval, func() { c.timeOut(phaseStart) })
+	}
+	return true
+}
+
+// evictionLogInterval is the least interval between two log lines of evictions.
+const evictionLogInterval = time.Second
+
+// logEvictions returns a function that logs evictions, at most once in evictionLogInterval.
+func (f *Front) logEvictions() func(evictions) {
+	var mu sync.Mutex
+	var loggedAt time.Time
+	return func(total evictions) {
+		mu.Lock()
+		defer mu.Unlock()
+		if time.Since(loggedAt) < evictionLogInterval {
+			return
+		}
+		loggedAt = time.Now()
+		eventEvicted.Log(f.logger, "evicted", total.Evicted, "refused", total.Refused, "limit", f.callers.limits.conns)
+	}
+}
+
+// callerState returns the state of callers' connections.
+func (f *Front) callerState() callerState {
+	if f.callers == nil { // not started yet
+		return callerState{}
+	}
+	return f.callers.state()
+}
+
+// connMemory returns about what callers' connections take, in bytes.
+func (f *Front) connMemory() int64 { return connBytes * int64(f.callerState().Open) }
--- a/modules/gateway/front.go
+++ b/modules/gateway/front.go
@@ -75,8 +75,8 @@
 	cancel     context.CancelFunc
 	drainedAt  time.Time
 	servers    []*http.Server
-	listener   net.Listener // for callers
-	callers    *callerConns
+	listener   net.Listener     // for callers
+	callers    *callerConns     // set before requests arrive
 	client     *upstream.Client // for requests to servers
 	nodeClient *upstream.Client // for requests that are forwarded to other nodes
 }
@@ -122,7 +122,8 @@
 	f.nodeClient.SetAnswerMemory(memory)
 	f.router.EnableForwarding(f.feed.Self, f.nodeClient, reachable.IsPartitioned)
 	reachable.OnReconnected(f.router.UnblockServers)
-	f.router.BoundBodies(bodies.NewMemory(bodyLimits(f.live.Settings()), memory.Held))
+	others := func() int64 { return memory.Held() + f.connMemory() }
+	f.router.BoundBodies(bodies.NewMemory(bodyLimits(f.live.Settings()), others))
 	f.router.BoundLargeAnswers(largeAnswerLimits(f.live.Settings()))
 	f.live.Watch(func(s *config.Settings) { f.router.SetOptions(routerOptions(s, self)) })
 	return nil
@@ -142,9 +143,10 @@
 		LargeAnswers router.LargeAnswers              `json:"largeAnswers"`
 		// RequestBodies is the memory that bodies of requests hold.
 		RequestBodies bodies.State `json:"requestBodies"`
+		Callers       callerState  `json:"callers"`
 		// Returns are the schedules of returning callers, by service and priority. Only mixed sites have them.
 		Returns map[site.ServiceName]map[int]returns.State `json:"returns,omitempty"`
-	}{rests, f.router.Speeds(), f.router.LargeAnswers(), f.router.Bodies(), f.router.Returns()}
+	}{rests, f.router.Speeds(), f.router.LargeAnswers(), f.router.Bodies(), f.callerState(), f.router.Returns()}
 }
 
 // routerOptions returns the options of the router of a process with the router's part of
@@ -212,7 +214,8 @@
 	}
 	server := &http.Server{Handler: handler, MaxHeaderBytes: maxHeaderBytes}
 	if role == roleFront {
-		f.callers = newCallerConns(f.callerTimeouts())
+		f.callers = newCallerConns(f.callerTimeouts(), callerLimitsOf(f.live.Settings()))
+		f.callers.onEvict = f.logEvictions()
 		server = f.callers.server(handler)
 		listener = &callerListener{Listener: listener, owner: f.callers}
 		f.listener = listener
--- a/modules/gateway/front_test.go
+++ b/modules/gateway/front_test.go
@@ -61,7 +61,7 @@
 	handler := router.New("a", headers, terms, state, upstream.NewClient(headers, "a"), follow.NewReports(), logger)
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	g.Expect(err).NotTo(gomega.HaveOccurred())
-	callers := newCallerConns(fixedTimeouts(time.Minute, time.Minute))
+	callers := newCallerConns(fixedTimeouts(time.Minute, time.Minute), callerLimits{})
 	front := callers.server(handler)
 	go func() { _ = front.Serve(&callerListener{Listener: &wrappingListener{listener, wrap}, owner: callers}) }()
 	t.Cleanup(func() { _ = front.Close() })
--- a/modules/gateway/memory.go
+++ b/modules/gateway/memory.go
@@ -1,11 +1,19 @@
 package gateway
 
 import (
+	"math"
+
+	"golang.org/x/sys/unix"
+
 	"github.com/burdockspindle/burdockspindle/gateway/bodies"
 	"github.com/burdockspindle/burdockspindle/gateway/config"
 	"github.com/burdockspindle/burdockspindle/gateway/transfer"
 )
 
+// connDescriptorShare is the share of the descriptors that callers' connections may take. The others are for connections to
+// servers, other nodes and the store, for checks of the load balancer and for files.
+const connDescriptorShare = 0.5
+
 // Shares of the memory of the process.
 const (
 	// answerMemoryShare is the share that bodies of answers may take. They may take twice as much while they are read.
@@ -16,8 +24,12 @@
 	minBodyMemoryShare = 0.25
 	// smallBodyMemoryShare is the share of the memory for bodies of requests that large ones cannot take.
 	smallBodyMemoryShare = 1.0 / 16
+	// connMemoryShare is the share that callers' connections may take.
+	connMemoryShare = 0.25
+	// connBytes is about what a caller's connection takes, in bytes: buffers, the stack of its goroutine and a usual head.
+	connBytes = 32 << 10
 	// ownMemory is what a process needs of the runtime's memory without requests, in bytes.
-	ownMemory = 28 << 20
+	ownMemory = 24 << 20
 	// defaultMemoryMB is assumed if the memory of the process is not known, in units of 2^20 bytes.
 	defaultMemoryMB = 1024
 )
@@ -57,3 +69,25 @@
 	small := int64(smallBodyMemoryShare * float64(total))
 	return bodies.Limits{Small: small, Large: total - small}
 }
+
+// callerLimitsOf returns the bounds of callers' connections.
+func callerLimitsOf(s *config.Settings) callerLimits {
+	conns := int64(connMemoryShare * float64(memoryBytes(s)) / connBytes)
+	if descriptors := descriptorsOf(s); descriptors > 0 {
+		conns = min(conns, int64(connDescriptorShare*float64(descriptors)))
+	}
+	return callerLimits{conns: int(conns)}
+}
+
+// descriptorsOf returns the descriptors that a process may open, by the settings or by the limit of the operating system;
+// 0: not known.
+func descriptorsOf(s *config.Settings) int64 {
+	var limit unix.Rlimit
+	if err := unix.Getrlimit(unix.RLIMIT_NOFILE, &limit); err != nil || limit.Cur > math.MaxInt32 {
+		return s.Resources.Descriptors
+	}
+	if s.Resources.Descriptors == 0 {
+		return int64(limit.Cur)
+	}
+	return min(s.Resources.Descriptors, int64(limit.Cur))
+}
--- a/modules/gateway/stalls.go
+++ b/modules/gateway/stalls.go
@@ -8,14 +8,13 @@
 
 	"github.com/burdockspindle/burdockspindle/gateway/router"
 	"github.com/burdockspindle/burdockspindle/gateway/socket"
-	"github.com/burdockspindle/burdockspindle/metrics"
 )
 
 // stallChecks is how often the progress of a write is checked within the time that it may make none.
 const stallChecks = 5
 
 // stalledWrites counts the connections that were ended because their callers did not read.
-var stalledWrites = metrics.New("gateway_callers").Counter("stalled_writes")
+var stalledWrites = callerGroup.Counter("stalled_writes")
 
 // LimitStalls implements router.StallLimiter. It holds until the next request.
 func (c *callerConn) LimitStalls(timeout time.Duration) { c.stallTimeout.Store(int64(timeout)) }
--- a/modules/gateway/stalls_test.go
+++ b/modules/gateway/stalls_test.go
@@ -20,7 +20,7 @@
 func serveLargeAnswer(t *testing.T, stallTimeout time.Duration) (net.Conn, <-chan error) {
 	t.Helper()
 	g := gomega.NewWithT(t)
-	callers := newCallerConns(fixedTimeouts(time.Minute, time.Minute))
+	callers := newCallerConns(fixedTimeouts(time.Minute, time.Minute), callerLimits{})
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 	results := make(chan error, 1)
