Heads of requests: a bound over all callers

What callers saw: a node ended for memory while many callers sent heads of requests that do not end. Cause: each connection may hold a head of up to 64 KiB for header-timeout-s, and nothing bounds them in sum. Change: what heads hold beyond 4 KiB each may be a sixteenth of the memory. Beyond that, connections with a part of a longer head are ended, stalled ones first. Usual heads do not count.

--- a/modules/gateway/callers.go
+++ b/modules/gateway/callers.go
@@ -44,7 +44,8 @@
 	open      map[*callerConn]bool
 	evictions evictions // so far
 
-	evicting atomic.Int64 // connections of open that are being evicted
+	evicting  atomic.Int64 // connections of open that are being evicted
+	headBytes atomic.Int64 // that heads of requests hold beyond usualHead each
 }
 
 func newCallerConns(timeouts callerTimeouts, limits callerLimits) *callerConns {
@@ -75,6 +76,7 @@
 	lastRead    time.Time // when bytes last arrived
 	readsBody   bool      // a read of a request's body is in progress
 	isEvicted   bool
+	head        int64 // bytes of the head that is being read or served
 
 	stallTimeout atomic.Int64 // for which a write may make no progress, in nanoseconds; 0: not limited
 }
@@ -131,7 +133,7 @@
 	c.beginRead(len(p))
 	n, err := c.Conn.Read(p)
 	if n > 0 {
-		c.recordRead(len(p))
+		c.recordRead(len(p), n)
 	}
 	if c.endRead() && err != nil {
 		err = &bodies.EvictedError{}
@@ -161,7 +163,14 @@
 
 // recordRead updates the phase after bytes have arrived for a read with the given buffer
 // size.
-func (c *callerConn) recordRead(bufferSize int) {
+func (c *callerConn) recordRead(bufferSize, bytes int) {
+	if c.updateOnRead(bufferSize, bytes) {
+		c.owner.boundHeads()
+	}
+}
+
+// updateOnRead reports whether the connection holds more of a head than before.
+func (c *callerConn) updateOnRead(bufferSize, bytes int) (holdsMore bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.lastRead = time.Now()
@@ -173,6 +182,7 @@
 			c.pipelined = true
 		}
 	}
+	return c.phase == readingHead && c.addHead(int64(bytes))
 }
 
 // setPhase begins a phase with the given timeout, 0 for none. The caller holds c.mu.
@@ -238,6 +248,7 @@
 		}
 	case http.StateIdle:
 		c.endEviction()
+		c.releaseHead()
 		if c.pipelined {
 			c.pipelined = false
 			c.setPhase(readingHead, c.owner.timeouts.head())
@@ -246,6 +257,7 @@
 		}
 	case http.StateClosed, http.StateHijacked:
 		c.endEviction()
+		c.releaseHead()
 		c.setPhase(serving, 0)
 	}
 }
--- a/modules/gateway/callers_test.go
+++ b/modules/gateway/callers_test.go
@@ -75,7 +75,7 @@
 		callers := newCallerConns(fixedTimeouts(2*time.Second, time.Minute), callerLimits{})
 		raw, _ := net.Pipe()
 		nodeEnd := callers.add(raw)
-		nodeEnd.recordRead(100)
+		nodeEnd.recordRead(100, 10)
 		time.Sleep(time.Second)
 		g.Expect(isExpired(nodeEnd)).To(gomega.BeFalse())
 		time.Sleep(2 * time.Second)
--- a/modules/gateway/evictions.go
+++ b/modules/gateway/evictions.go
@@ -34,7 +34,8 @@
 
 // callerLimits bound callers' connections.
 type callerLimits struct {
-	conns int // open at once; 0: no bound
+	conns int   // open at once; 0: no bound
+	heads int64 // bytes of heads beyond usualHead each; 0: no bound
 }
 
 // evictions counts connections that were ended for lack of room.
@@ -47,13 +48,15 @@
 type callerState struct {
 	Open  int `json:"open"`
 	Limit int `json:"limit"` // 0: none
+	// HeadBytes is what heads of requests hold beyond usualHead each.
+	HeadBytes int64 `json:"headBytes"`
 	evictions
 }
 
 func (conns *callerConns) state() callerState {
 	conns.mu.Lock()
 	defer conns.mu.Unlock()
-	return callerState{Open: len(conns.open), Limit: conns.limits.conns, evictions: conns.evictions}
+	return callerState{Open: len(conns.open), Limit: conns.limits.conns, HeadBytes: conns.headBytes.Load(), evictions: conns.evictions}
 }
 
 // hasRoom reports whether one more connection may be opened. At the limit it ends those that are needed least.
@@ -89,6 +92,69 @@
 	return evicted > 0
 }
 
+const (
+	// usualHead is the length of a head, in bytes, up to which it is part of what a connection takes.
+	usualHead = 4 << 10
+	// freedHeadShare is the share of the bound on heads that is freed at once: each choice looks at all connections.
+	freedHeadShare = 1.0 / 8
+)
+
+// addHead counts bytes of a head, and reports whether those beyond usualHead have become more. c.mu must be held.
+func (c *callerConn) addHead(bytes int64) bool {
+	if c.isEvicted {
+		return false
+	}
+	before := c.longHead()
+	c.head += bytes
+	added := c.longHead() - before
+	c.owner.headBytes.Add(added)
+	return added > 0
+}
+
+// longHead returns the bytes of the head beyond usualHead. c.mu must be held.
+func (c *callerConn) longHead() int64 { return max(c.head-usualHead, 0) }
+
+// releaseHead gives back what the head holds. c.mu must be held.
+func (c *callerConn) releaseHead() {
+	c.owner.headBytes.Add(-c.longHead())
+	c.head = 0
+}
+
+// boundHeads ends connections with long heads that have not arrived whole while all heads together exceed their bound.
+func (conns *callerConns) boundHeads() {
+	limit := conns.limits.heads
+	if limit == 0 || conns.headBytes.Load() <= limit {
+		return
+	}
+	conns.mu.Lock()
+	defer conns.mu.Unlock()
+	before := conns.evictions.Evicted
+	for _, candidate := range conns.candidates(time.Now()) {
+		if conns.headBytes.Load() <= limit-int64(freedHeadShare*float64(limit)) {
+			break
+		}
+		if candidate.conn.evictLongHead() {
+			conns.evictions.Evicted++
+			evictedConns.Add(1)
+		}
+	}
+	if conns.evictions.Evicted > before {
+		conns.onEvict(conns.evictions)
+	}
+}
+
+// evictLongHead ends the connection if a part of a long head has arrived.
+func (c *callerConn) evictLongHead() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.phase != readingHead || c.longHead() == 0 {
+		return false
+	}
+	c.expireAndCount()
+	c.releaseHead() // the server's read fails at once
+	return true
+}
+
 // need is how much a connection is needed: those with a lower value are evicted first.
 type need int
 
@@ -161,6 +227,12 @@
 	if isServing || c.phase == awaitingRequest && socket.Peek(c.Conn) == socket.Readable {
 		return false
 	}
+	c.expireAndCount()
+	return true
+}
+
+// expireAndCount ends the connection to make room. c.mu must be held.
+func (c *callerConn) expireAndCount() {
 	c.isEvicted = true
 	c.owner.evicting.Add(1)
 	c.expireRead()
@@ -171,7 +243,6 @@
 		}
 		c.timer = time.AfterFunc(drainPollInterval, func() { c.timeOut(phaseStart) })
 	}
-	return true
 }
 
 // evictionLogInterval is the least interval between two log lines of evictions.
@@ -201,4 +272,7 @@
 }
 
 // connMemory returns about what callers' connections take, in bytes.
-func (f *Front) connMemory() int64 { return connBytes * int64(f.callerState().Open) }
+func (f *Front) connMemory() int64 {
+	state := f.callerState()
+	return connBytes*int64(state.Open) + state.HeadBytes
+}
--- a/modules/gateway/evictions_test.go
+++ b/modules/gateway/evictions_test.go
@@ -63,3 +63,28 @@
 	g.Eventually(callers.hasRoom).Should(gomega.BeFalse())
 	g.Expect(isExpired(nodeEnd)).To(gomega.BeFalse())
 }
+
+// Long heads that do not end are ended once all together exceed their bound; usual ones are not.
+func TestLongHeadsAreBounded(t *testing.T) {
+	g := gomega.NewWithT(t)
+	callers := newCallerConns(fixedTimeouts(time.Minute, time.Minute), callerLimits{conns: 100, heads: 40 << 10})
+	usual, _ := newCallerPair(t, callers)
+	usual.recordRead(usualHead, usualHead)
+	var long []*callerConn
+	for range 4 {
+		c, _ := newCallerPair(t, callers)
+		c.recordRead(usualHead+(10<<10), usualHead+(10<<10))
+		long = append(long, c)
+	}
+	callers.connState(long[0], http.StateActive)
+	g.Expect(callers.state().HeadBytes).To(gomega.Equal(int64(40 << 10)))
+	long[3].recordRead(1, 1)
+	g.Expect(isExpired(usual)).To(gomega.BeFalse())
+	g.Expect(isExpired(long[0])).To(gomega.BeFalse(), "it has arrived whole")
+	g.Expect(isExpired(long[1])).To(gomega.BeTrue(), "its last byte is the oldest")
+	g.Expect(isExpired(long[3])).To(gomega.BeFalse())
+	for _, c := range append(long, usual) {
+		callers.connState(c, http.StateClosed)
+	}
+	g.Expect(callers.state().HeadBytes).To(gomega.BeZero())
+}
--- a/modules/gateway/memory.go
+++ b/modules/gateway/memory.go
@@ -26,6 +26,9 @@
 	smallBodyMemoryShare = 1.0 / 16
 	// connMemoryShare is the share that callers' connections may take.
 	connMemoryShare = 0.25
+	// headMemoryShare is the share that heads of requests may take beyond what a usual one takes. Twice as much is held while
+	// they are read.
+	headMemoryShare = 1.0 / 16
 	// connBytes is about what a caller's connection takes, in bytes: buffers, the stack of its goroutine and a usual head.
 	connBytes = 32 << 10
 	// ownMemory is what a process needs of the runtime's memory without requests, in bytes.
@@ -76,7 +79,7 @@
 	if descriptors := descriptorsOf(s); descriptors > 0 {
 		conns = min(conns, int64(connDescriptorShare*float64(descriptors)))
 	}
-	return callerLimits{conns: int(conns)}
+	return callerLimits{conns: int(conns), heads: int64(headMemoryShare * float64(memoryBytes(s)))}
 }
 
 // descriptorsOf returns the descriptors that a process may open, by the settings or by the limit of the operating system;
