Answers: one without a length is not complete after a reset

What callers saw: a part of an answer as a complete one. A server answered a long upload at once with a 200 without a length, sent part of the body and reset the connection while the upload was still being written. Cause: the kernel reports a reset to one call only. The goroutine that wrote the upload got it, and the read of the answer found a plain end, which ends a body without a length. Shown by the results of the write: each such send had a failed or unfinished one. Change: such an answer is complete once the whole request has been written without an error and the kernel does not have the connection as reset (TCP_INFO, which tells it however often it was reported). A server that ends its answer early and reads on is waited for. Answers that end without a reset are still complete. Elsewhere: answers with a length or in chunks end by themselves; of the store's, JSON and records tell by their content that they are cut.

--- a/gateway/socket/socket.go
+++ b/gateway/socket/socket.go
@@ -53,6 +53,27 @@
 	return Ended
 }
 
+// tcpClosed is the state of a TCP connection that has been reset. One that the peer has closed waits for the close of this end.
+const tcpClosed = 7
+
+// IsReset reports whether the peer has reset a connection that is open locally. It is false if that is not known.
+func IsReset(conn net.Conn) bool {
+	sysConn, ok := conn.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	rawConn, err := sysConn.SyscallConn()
+	if err != nil {
+		return false
+	}
+	isReset := false
+	err = rawConn.Control(func(fd uintptr) {
+		info, infoErr := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
+		isReset = infoErr == nil && info.State == tcpClosed
+	})
+	return err == nil && isReset
+}
+
 // Unacknowledged returns the number of bytes written to a connection that the peer has not
 // acknowledged. known is false if the connection is not a socket or is closed locally.
 func Unacknowledged(conn net.Conn) (bytes int, known bool) {
--- a/gateway/socket/socket_test.go
+++ b/gateway/socket/socket_test.go
@@ -79,3 +79,21 @@
 	_, known := socket.Unacknowledged(local)
 	g.Expect(known).To(gomega.BeFalse())
 }
+
+// A reset is known also after another call has been told of it.
+func TestResetIsKnownAfterItWasReported(t *testing.T) {
+	g := gomega.NewWithT(t)
+	local, peer := connPair(g)
+	defer func() { _ = local.Close() }()
+	g.Expect(socket.IsReset(local)).To(gomega.BeFalse())
+	g.Expect(peer.SetLinger(0)).To(gomega.Succeed())
+	g.Expect(peer.Close()).To(gomega.Succeed())
+	g.Eventually(func() socket.State { return socket.Peek(local) }).Should(gomega.Equal(socket.Ended))
+	g.Expect(socket.IsReset(local)).To(gomega.BeTrue())
+
+	local, peer = connPair(g)
+	defer func() { _ = local.Close() }()
+	g.Expect(peer.Close()).To(gomega.Succeed())
+	g.Eventually(func() socket.State { return socket.Peek(local) }).Should(gomega.Equal(socket.Ended))
+	g.Expect(socket.IsReset(local)).To(gomega.BeFalse(), "closed without a reset")
+}
--- a/gateway/upstream/answer_limits.go
+++ b/gateway/upstream/answer_limits.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net/http"
 	"sync"
 	"sync/atomic"
 
@@ -143,6 +144,11 @@
 	return text, err
 }
 
+// endsWithConnection reports whether the end of the connection ends the body of an answer.
+func endsWithConnection(response *http.Response) bool {
+	return response.ContentLength < 0 && len(response.TransferEncoding) == 0
+}
+
 // noteTooLong counts an answer that is too long, and logs the first of a server.
 func (c *Client) noteTooLong(server site.ServerID, err error) {
 	var tooLong *TooLongError
--- a/gateway/upstream/client.go
+++ b/gateway/upstream/client.go
@@ -258,6 +258,9 @@
 		defer held.Release()
 	}
 	body, err := readBody(cn, response.Body, held)
+	if err == nil && endsWithConnection(response) {
+		err = cn.checkEnd(ctx, written)
+	}
 	if err != nil {
 		c.noteTooLong(server, err)
 		return nil, false, err
--- a/gateway/upstream/conn.go
+++ b/gateway/upstream/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"errors"
 	"io"
 	"net"
@@ -118,6 +119,24 @@
 	return nil
 }
 
+// checkEnd returns an error if the server has reset the connection, whose end ends an answer. The kernel reports a reset to one
+// call only: if that was a write of the request, reads find a plain end. A server that ends its answer before it has read the whole
+// request is waited for.
+func (c *conn) checkEnd(ctx context.Context, written <-chan error) error {
+	select {
+	case err := <-written:
+		if err != nil {
+			return &ResetError{Cause: err}
+		}
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	if socket.IsReset(c.net) {
+		return &ResetError{Cause: syscall.ECONNRESET}
+	}
+	return nil
+}
+
 // awaitRejection observes a new connection for rejectionWait and returns an error if the
 // server closes it or sends bytes.
 func (c *conn) awaitRejection(now time.Time) error {
--- a/gateway/upstream/errors.go
+++ b/gateway/upstream/errors.go
@@ -34,6 +34,15 @@
 // Unwrap returns the cause.
 func (e *AttemptError) Unwrap() error { return e.Cause }
 
+// ResetError reports an answer that was to end with its connection, which was reset.
+type ResetError struct{ Cause error }
+
+// Error implements error.
+func (e *ResetError) Error() string { return fmt.Sprintf("the answer is not complete: %v", e.Cause) }
+
+// Unwrap returns the cause.
+func (e *ResetError) Unwrap() error { return e.Cause }
+
 // MismatchError reports an answer to a different request.
 type MismatchError struct{ Want, Got string }
 
