Answers: bytes that are no HTTP by the standard are no answer

What callers saw: the body behind an answer with status 000, 099 or +20 as the answer; answers with a line in their head whose name has a blank, with that line passed on or with a body that was not the server's, since "Content-Length :" and "Transfer-Encoding :" are not in force. Cause: any status below 200 counted as informational, and package net/http takes signs in a status and keeps names with blanks. Change: CheckHead, in one place for requests, forwards, health checks, control calls and the store's responses: version 1.1, a status of three digits from 100 to 599, valid names and values of fields, trailers too; 101 is no answer, since nobody asks for another protocol. What is not valid has no answer: the connection is reset and the request may have run. Event 2214, gateway_servers.invalid_answers. Not covered: calls between nodes by connect-go.

--- a/gateway/upstream/answer_limits.go
+++ b/gateway/upstream/answer_limits.go
@@ -149,11 +149,15 @@
 	return response.ContentLength < 0 && len(response.TransferEncoding) == 0
 }
 
-// noteTooLong counts an answer that is too long, and logs the first of a server.
-func (c *Client) noteTooLong(server site.ServerID, err error) {
+// noteUnusable counts an answer that is too long or not valid, and logs the first of a server.
+func (c *Client) noteUnusable(server site.ServerID, err error) {
 	var tooLong *TooLongError
 	if errors.As(err, &tooLong) {
 		tooLongCount.Add(1)
 		c.tooLong.note(eventTooLong, server, err.Error())
 	}
+	var invalid *InvalidAnswerError
+	if errors.As(err, &invalid) {
+		c.noteInvalid(server, invalid)
+	}
 }
--- a/gateway/upstream/client.go
+++ b/gateway/upstream/client.go
@@ -75,8 +75,8 @@
 	rests  rests
 	memory *AnswerMemory // for the bodies of answers
 	logger hclog.Logger
-	// The answers that are not understood, or too long.
-	invalidLoads, invalidLimits, invalidLeaving, invalidRests, tooLong invalidReports
+	// The answers that are not understood, not valid, or too long.
+	invalidLoads, invalidLimits, invalidLeaving, invalidRests, tooLong, invalidAnswers invalidReports
 	// pending holds the connections for control calls that are being opened.
 	pending pendingConns
 }
@@ -247,7 +247,7 @@
 	}
 	response, err := readResponse(cn, r.Method)
 	if err != nil {
-		c.noteTooLong(server, err)
+		c.noteUnusable(server, err)
 		return nil, false, err
 	}
 	defer func() { _ = response.Body.Close() }() // the connection is closed or reused as a whole
@@ -258,11 +258,14 @@
 		defer held.Release()
 	}
 	body, err := readBody(cn, response.Body, held)
+	if err == nil {
+		err = checkFields("trailer", response.Trailer)
+	}
 	if err == nil && endsWithConnection(response) {
 		err = cn.checkEnd(ctx, written)
 	}
 	if err != nil {
-		c.noteTooLong(server, err)
+		c.noteUnusable(server, err)
 		return nil, false, err
 	}
 	if isRequest && response.Header.Get(c.headers.RequestID) != r.ID && !c.isUnknownPath(response) {
@@ -294,9 +297,15 @@
 		if err != nil {
 			return nil, err
 		}
+		if err := CheckHead(response); err != nil {
+			return nil, err
+		}
 		if response.StatusCode >= http.StatusOK {
 			return response, nil
 		}
+		if response.StatusCode == http.StatusSwitchingProtocols { // requests ask for no other protocol
+			return nil, &InvalidAnswerError{Part: "status", Text: response.Status}
+		}
 	}
 	return nil, &TooLongError{Part: "informational answers", Limit: maxInformational}
 }
--- a/gateway/upstream/invalid_reports.go
+++ b/gateway/upstream/invalid_reports.go
@@ -17,6 +17,7 @@
 	eventInvalidRest    = events.Define(2209, hclog.Warn, "rest that a server asks for is not understood")
 	eventRest           = events.Define(2210, hclog.Info, "server asks this node for a rest")
 	eventTooLong        = events.Define(2211, hclog.Warn, "answer of a server is too long")
+	eventInvalidAnswer  = events.Define(2214, hclog.Warn, "answer of a server is not valid")
 
 	group               = metrics.New("gateway_servers")
 	invalidLoadCount    = group.Counter("invalid_load_reports")
@@ -25,6 +26,7 @@
 	invalidRestCount    = group.Counter("invalid_rests")
 	restCount           = group.Counter("rests")
 	tooLongCount        = group.Counter("too_long_answers")
+	invalidAnswerCount  = group.Counter("invalid_answers")
 	restedSendCount     = group.Counter("requests_held_back_for_rest")
 )
 
@@ -56,7 +58,7 @@
 // SetLogger sets the logger of the client. It must be called before the client is used.
 func (c *Client) SetLogger(logger hclog.Logger) {
 	c.logger = logger
-	for _, reports := range []*invalidReports{&c.invalidLoads, &c.invalidLimits, &c.invalidLeaving, &c.invalidRests, &c.tooLong} {
+	for _, reports := range []*invalidReports{&c.invalidLoads, &c.invalidLimits, &c.invalidLeaving, &c.invalidRests, &c.tooLong, &c.invalidAnswers} {
 		reports.logger = logger
 	}
 }
