Answers: a success without the server's signature is no answer

What callers saw: a success without a signature, which counts for nothing, when a faulty server had spoiled one byte of its head. Cause: nothing looked for the header by which the platform tells a server's success from other bytes. Change: a deployment names the header (Headers.Signature); a success of a server without it leaves the request without an answer: one that may be repeated is sent again, the others end with 502. Other nodes check their own servers.

--- a/gateway/upstream/client.go
+++ b/gateway/upstream/client.go
@@ -62,8 +62,10 @@
 // Client sends requests to servers.
 type Client struct {
 	headers Headers
-	zone    string // of this node; empty: unknown
-	peer    traffic.Peer
+	// signature is the name of the header that successes must have; empty: none.
+	signature string
+	zone      string // of this node; empty: unknown
+	peer      traffic.Peer
 	// dial opens a connection.
 	dial func(ctx context.Context, network, address string) (net.Conn, error)
 	// observe receives the outcome of each attempt to connect; nil: nobody observes.
@@ -84,13 +86,14 @@
 // NewClient returns a client for a node in a zone, with the header names of the
 // deployment.
 func NewClient(headers Headers, zone string) *Client {
-	return &Client{headers: headers, zone: zone, peer: traffic.Servers, dial: Dialer(connectTimeout).DialContext, logger: hclog.NewNullLogger(), memory: NewAnswerMemory(defaultAnswerMemory), idle: idlePool{conns: map[idleKey][]*conn{}}}
+	return &Client{headers: headers, signature: headers.Signature, zone: zone, peer: traffic.Servers, dial: Dialer(connectTimeout).DialContext, logger: hclog.NewNullLogger(), memory: NewAnswerMemory(defaultAnswerMemory), idle: idlePool{conns: map[idleKey][]*conn{}}}
 }
 
 // NewNodeClient returns a client for requests to other nodes.
 func NewNodeClient(headers Headers, zone string) *Client {
 	c := NewClient(headers, zone)
 	c.peer = traffic.Nodes
+	c.signature = ""
 	return c
 }
 
@@ -259,7 +262,7 @@
 	}
 	body, err := readBody(cn, response.Body, held)
 	if err == nil {
-		err = checkFields("trailer", response.Trailer)
+		err = c.checkWhole(response, isRequest)
 	}
 	if err == nil && endsWithConnection(response) {
 		err = cn.checkEnd(ctx, written)
--- a/gateway/upstream/fuzz_answer_test.go
+++ b/gateway/upstream/fuzz_answer_test.go
@@ -63,7 +63,7 @@
 	held := c.Hold()
 	defer held.Release()
 	body, err = readBody(cn, response.Body, held)
-	if err != nil || checkFields("trailer", response.Trailer) != nil {
+	if err != nil || c.checkWhole(response, true) != nil {
 		return 0, nil, false
 	}
 	return response.StatusCode, body, true
--- a/gateway/upstream/headers.go
+++ b/gateway/upstream/headers.go
@@ -21,6 +21,8 @@
 	Limit string
 	// Leaving is present if the server is about to end.
 	Leaving string
+	// Signature is present in a success that the server has made; empty: servers do not sign.
+	Signature string
 	// Rest is how long the server wants no requests of this node, in seconds; in answers with the status
 	// 503.
 	Rest string
--- a/gateway/upstream/valid_answer.go
+++ b/gateway/upstream/valid_answer.go
@@ -12,7 +12,7 @@
 
 // InvalidAnswerError reports bytes in the place of an answer that are none.
 type InvalidAnswerError struct {
-	Part string // "status", "version", "header" or "trailer"
+	Part string // "status", "version", "header", "trailer" or "signature"
 	Text string
 }
 
@@ -62,6 +62,19 @@
 	return nil
 }
 
+// checkWhole checks an answer once its body has been read. Successes of servers are signed if the deployment has signatures; those
+// of other nodes have been checked there. The error is an *InvalidAnswerError.
+func (c *Client) checkWhole(response *http.Response, isRequest bool) error {
+	if err := checkFields("trailer", response.Trailer); err != nil {
+		return err
+	}
+	isSuccess := response.StatusCode >= http.StatusOK && response.StatusCode < http.StatusMultipleChoices
+	if isRequest && isSuccess && c.signature != "" && response.Header.Get(c.signature) == "" {
+		return &InvalidAnswerError{Part: "signature", Text: ""}
+	}
+	return nil
+}
+
 // noteInvalid counts an answer that is not valid, and logs the first of a server.
 func (c *Client) noteInvalid(server site.ServerID, err *InvalidAnswerError) {
 	invalidAnswerCount.Add(1)
