Request bodies: a node without memory for a forwarded body is passed over; callers' connections exist before any listener

Cause: a node that refuses the body of a forwarded request for lack of memory said nothing of its load, so that the request was refused although another node has room. The bound on connections was made with the front listener, after the listener for nodes, whose requests look at it. Change: these refusals say that the node is overloaded, as those of large answers do; the bound is made with the module.

--- a/gateway/router/body.go
+++ b/gateway/router/body.go
@@ -23,8 +23,8 @@
 
 // Refusals of requests whose bodies cannot be read. Their connections are closed.
 var (
-	bodyMemoryRefusal  = &refusal{status: http.StatusServiceUnavailable, reason: "memory for request bodies is taken", retryAfter: bodyMemoryRetryAfter, closes: true}
-	bodyEvictedRefusal = &refusal{status: http.StatusServiceUnavailable, reason: "slow request body made room for others", retryAfter: bodyMemoryRetryAfter, closes: true}
+	bodyMemoryRefusal  = &refusal{status: http.StatusServiceUnavailable, reason: "memory for request bodies is taken", retryAfter: bodyMemoryRetryAfter, closes: true, isOverloaded: true}
+	bodyEvictedRefusal = &refusal{status: http.StatusServiceUnavailable, reason: "slow request body made room for others", retryAfter: bodyMemoryRetryAfter, closes: true, isOverloaded: true}
 	bodyTimeoutRefusal = &refusal{status: http.StatusRequestTimeout, reason: "request body did not arrive in time", closes: true}
 	bodyTooLongRefusal = &refusal{status: http.StatusRequestEntityTooLarge, reason: "body too long", closes: true}
 )
--- a/modules/gateway/evictions.go
+++ b/modules/gateway/evictions.go
@@ -263,16 +263,8 @@
 	}
 }
 
-// callerState returns the state of callers' connections.
-func (f *Front) callerState() callerState {
-	if f.callers == nil { // not started yet
-		return callerState{}
-	}
-	return f.callers.state()
-}
-
 // connMemory returns about what callers' connections take, in bytes.
 func (f *Front) connMemory() int64 {
-	state := f.callerState()
+	state := f.callers.state()
 	return connBytes*int64(state.Open) + state.HeadBytes
 }
--- a/modules/gateway/front.go
+++ b/modules/gateway/front.go
@@ -75,8 +75,8 @@
 	cancel     context.CancelFunc
 	drainedAt  time.Time
 	servers    []*http.Server
-	listener   net.Listener     // for callers
-	callers    *callerConns     // set before requests arrive
+	listener   net.Listener // for callers
+	callers    *callerConns
 	client     *upstream.Client // for requests to servers
 	nodeClient *upstream.Client // for requests that are forwarded to other nodes
 }
@@ -122,6 +122,8 @@
 	f.nodeClient.SetAnswerMemory(memory)
 	f.router.EnableForwarding(f.feed.Self, f.nodeClient, reachable.IsPartitioned)
 	reachable.OnReconnected(f.router.UnblockServers)
+	f.callers = newCallerConns(f.callerTimeouts(), callerLimitsOf(f.live.Settings()))
+	f.callers.onEvict = f.logEvictions()
 	others := func() int64 { return memory.Held() + f.connMemory() }
 	f.router.BoundBodies(bodies.NewMemory(bodyLimits(f.live.Settings()), others))
 	f.router.BoundLargeAnswers(largeAnswerLimits(f.live.Settings()))
@@ -146,7 +148,7 @@
 		Callers       callerState  `json:"callers"`
 		// Returns are the schedules of returning callers, by service and priority. Only mixed sites have them.
 		Returns map[site.ServiceName]map[int]returns.State `json:"returns,omitempty"`
-	}{rests, f.router.Speeds(), f.router.LargeAnswers(), f.router.Bodies(), f.callerState(), f.router.Returns()}
+	}{rests, f.router.Speeds(), f.router.LargeAnswers(), f.router.Bodies(), f.callers.state(), f.router.Returns()}
 }
 
 // routerOptions returns the options of the router of a process with the router's part of
@@ -214,8 +216,6 @@
 	}
 	server := &http.Server{Handler: handler, MaxHeaderBytes: maxHeaderBytes}
 	if role == roleFront {
-		f.callers = newCallerConns(f.callerTimeouts(), callerLimitsOf(f.live.Settings()))
-		f.callers.onEvict = f.logEvictions()
 		server = f.callers.server(handler)
 		listener = &callerListener{Listener: listener, owner: f.callers}
 		f.listener = listener
