--- a/gateway/upstream/notice_test.go
+++ b/gateway/upstream/notice_test.go
@@ -75,35 +75,21 @@
 // the ID of the request.
 func answering(t *testing.T, answer string) site.Server {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = listener.Close() })
-	go func() {
+	return serveRaw(t, func(conn *net.TCPConn) {
+		defer func() { _ = conn.Close() }()
+		reader := bufio.NewReader(conn)
 		for {
-			conn, err := listener.Accept()
+			request, err := http.ReadRequest(reader)
 			if err != nil {
 				return
 			}
-			go func() {
-				defer func() { _ = conn.Close() }()
-				reader := bufio.NewReader(conn)
-				for {
-					request, err := http.ReadRequest(reader)
-					if err != nil {
-						return
-					}
-					_, _ = io.Copy(io.Discard, request.Body)
-					_, _ = io.WriteString(conn, strings.Replace(answer, "%", request.Header.Get("Request-Id"), 1))
-					if strings.HasSuffix(answer, "broken") {
-						return
-					}
-				}
-			}()
+			_, _ = io.Copy(io.Discard, request.Body)
+			_, _ = io.WriteString(conn, strings.Replace(answer, "%", request.Header.Get("Request-Id"), 1))
+			if strings.HasSuffix(answer, "broken") {
+				return
+			}
 		}
-	}()
-	return site.Server{ID: "i", Address: listener.Addr().String()}
+	})
 }
 
 // noticeHeaders are the names of the headers in these tests.
--- a/gateway/upstream/signature_test.go
+++ b/gateway/upstream/signature_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"errors"
 	"io"
 	"net"
 	"net/http"
@@ -36,7 +37,9 @@
 			_, err := NewClient(headers, "a").Send(t.Context(), server, upload(0))
 			g.Expect(err == nil).To(gomega.Equal(tc.isValid), "%v", err)
 			if err != nil {
-				g.Expect(err.(*AttemptError).Sent).To(gomega.BeTrue(), "it may have run")
+				var attempt *AttemptError
+				g.Expect(errors.As(err, &attempt)).To(gomega.BeTrue())
+				g.Expect(attempt.Sent).To(gomega.BeTrue(), "it may have run")
 			}
 		})
 	}
