Request bodies: small ones take free memory beyond their own part

What callers would see: refusals for lack of memory while most of it is free, when some 170 bodies of 24 kB wait at a machine of 144 MB: the part for small bodies was also their bound. Change: a beginning of a body that finds no room in that part takes the memory for all bodies, if there is some.

--- a/gateway/bodies/bodies_test.go
+++ b/gateway/bodies/bodies_test.go
@@ -145,6 +145,21 @@
 	g.Expect(small.growAndReceive(20 << 10)).To(gomega.Succeed())
 }
 
+// Small bodies are not confined to their part while large ones leave room.
+func TestSmallBodiesTakeFreeMemory(t *testing.T) {
+	g := gomega.NewWithT(t)
+	m := NewMemory(testLimits, nil)
+	count := 0
+	for ; count < 100; count++ {
+		a, _ := open(t, m, 0)
+		if a.growAndReceive(20<<10) != nil {
+			break
+		}
+		g.Expect(a.complete()).To(gomega.Succeed())
+	}
+	g.Expect(count).To(gomega.BeNumerically(">=", int(testLimits.Small+testLimits.Large)/(20<<10)-1))
+}
+
 // Whatever bodies do, they hold no more than the limits, and nothing in the end.
 func TestLimitsHold(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
--- a/gateway/bodies/memory.go
+++ b/gateway/bodies/memory.go
@@ -7,7 +7,7 @@
 )
 
 const (
-	// smallBytes is the length of the beginning of a body that counts toward the memory for small bodies.
+	// smallBytes is the length of the beginning of a body for which the memory for small bodies is.
 	smallBytes = 64 << 10
 	// rateAge is the least age at which a body is slow, and slowRate the bytes a second below which it is.
 	rateAge  = time.Second
@@ -16,8 +16,8 @@
 
 // Limits bound what the bodies of all requests take.
 type Limits struct {
-	Small int64 // bytes, for the beginnings of bodies
-	Large int64 // bytes, for what is beyond
+	Small int64 // bytes, for the beginnings of bodies only
+	Large int64 // bytes, for all of any body
 }
 
 // State is what bodies hold, for the state dump.
@@ -125,11 +125,15 @@
 	if a.isEvicted {
 		return &EvictedError{}
 	}
-	small := min(bytes, max(smallBytes-a.held[smallPart], 0))
+	large := m.limits.Large - m.others()
+	small := min(bytes, max(smallBytes-a.held[smallPart]-a.held[largePart], 0))
+	if m.held[smallPart]+small > m.limits.Small && m.held[largePart]+bytes <= large {
+		small = 0
+	}
 	if err := m.reserve(a, smallPart, small, m.limits.Small, now); err != nil {
 		return err
 	}
-	return m.reserve(a, largePart, bytes-small, m.limits.Large-m.others(), now)
+	return m.reserve(a, largePart, bytes-small, large, now)
 }
 
 // reserve counts bytes toward a part of the memory. m.mu must be held.
