Callers' connections: those that are being ended do not add up

What callers would see: no descriptor left in spite of the bound, when connections with unfinished bodies are ended faster than they close: each waited half a second for the rest of its body, and did not count any more. Cause: the limit on connections that are being ended was not looked at while the others were below theirs. Change: it holds always, at a quarter of the limit; an evicted body is not waited for.

--- a/gateway/router/body.go
+++ b/gateway/router/body.go
@@ -97,7 +97,11 @@
 	if !x.isBodyUnread {
 		return
 	}
-	x.setReadDeadline(time.Now().Add(unreadBodyTimeout))
+	timeout := unreadBodyTimeout
+	if r == bodyEvictedRefusal { // its connection may be needed
+		timeout = 0
+	}
+	x.setReadDeadline(time.Now().Add(timeout))
 	if r.closes {
 		header.Set("Connection", "close")
 	}
--- a/modules/gateway/evictions.go
+++ b/modules/gateway/evictions.go
@@ -27,7 +27,7 @@
 	// evictedShare is the share of the limit that is evicted at once: each choice looks at all connections.
 	evictedShare = 1.0 / 64
 	// excessShare is the share of the limit by which connections that are being ended may exceed it.
-	excessShare = 1.0 / 8
+	excessShare = 1.0 / 4
 	// stallAge is the time without a byte after which a request that has not arrived whole is stalled.
 	stallAge = time.Second
 )
@@ -64,11 +64,13 @@
 	conns.mu.Lock()
 	defer conns.mu.Unlock()
 	limit := conns.limits.conns
-	if limit == 0 || len(conns.open)-int(conns.evicting.Load()) < limit {
+	most := limit + max(int(excessShare*float64(limit)), 1)
+	isFull := len(conns.open)-int(conns.evicting.Load()) >= limit
+	if limit == 0 || !isFull && len(conns.open) < most {
 		return true
 	}
-	most := limit + max(int(excessShare*float64(limit)), 1)
-	isRefused := !conns.evictSome(time.Now()) || len(conns.open) >= most
+	hasEvicted := isFull && conns.evictSome(time.Now())
+	isRefused := isFull && !hasEvicted || len(conns.open) >= most
 	if isRefused {
 		conns.evictions.Refused++
 		refusedConns.Add(1)
--- a/modules/gateway/evictions_test.go
+++ b/modules/gateway/evictions_test.go
@@ -88,3 +88,18 @@
 	}
 	g.Expect(callers.state().HeadBytes).To(gomega.BeZero())
 }
+
+// Connections that are being ended do not add up beyond the limit.
+func TestEvictedConnectionsAreBounded(t *testing.T) {
+	g := gomega.NewWithT(t)
+	callers := newCallerConns(fixedTimeouts(time.Minute, time.Minute), callerLimits{conns: 8})
+	for range 8 {
+		newCallerPair(t, callers)
+	}
+	for range 2 {
+		g.Expect(callers.hasRoom()).To(gomega.BeTrue())
+		newCallerPair(t, callers)
+	}
+	g.Expect(callers.hasRoom()).To(gomega.BeFalse(), "two that are being ended are still open")
+	g.Expect(callers.state().Open).To(gomega.Equal(10))
+}
